--- /dev/null
+++ b/internal/daemon/meter/meter.go
@@ -0,0 +1,59 @@
+// Package meter holds the metrics of a daemon as expvar variables. The table in this package is
+// the source of docs/metrics.md.
+package meter
+
+import (
+	"encoding/json"
+	"expvar"
+	"net/http"
+)
+
+// Metric describes one published number.
+type Metric struct {
+	Name string
+	// Unit is empty for plain counts.
+	Unit string
+	Text string
+}
+
+// Registry holds the metrics of one daemon. Unlike the registry of package expvar it is not
+// global, so that several daemons fit into one process. It is safe for concurrent use.
+type Registry struct {
+	// vars has one variable for each metric of the table and is never changed after New.
+	vars map[Metric]*expvar.Int
+	// extra is published beside the table under its own names.
+	extra map[string]expvar.Var
+}
+
+// New returns a registry in which every metric of the table is zero. Extra variables are
+// published under their names.
+func New(extra map[string]expvar.Var) *Registry {
+	rg := &Registry{vars: make(map[Metric]*expvar.Int, len(Table)), extra: extra}
+	for _, mt := range Table {
+		rg.vars[mt] = new(expvar.Int)
+	}
+	return rg
+}
+
+// Add adds a delta to a metric of the table. It panics on a metric that is not in the table.
+func (rg *Registry) Add(mt Metric, delta int64) { rg.vars[mt].Add(delta) }
+
+// Set sets a metric of the table. It panics on a metric that is not in the table.
+func (rg *Registry) Set(mt Metric, value int64) { rg.vars[mt].Set(value) }
+
+// Value returns the present value of a metric of the table.
+func (rg *Registry) Value(mt Metric) int64 { return rg.vars[mt].Value() }
+
+// ServeHTTP writes all metrics as one JSON object.
+func (rg *Registry) ServeHTTP(wr http.ResponseWriter, _ *http.Request) {
+	out := make(map[string]json.RawMessage, len(rg.vars)+len(rg.extra))
+	for mt, vr := range rg.vars {
+		out[mt.Name] = json.RawMessage(vr.String())
+	}
+	for name, vr := range rg.extra {
+		out[name] = json.RawMessage(vr.String())
+	}
+	wr.Header().Set("Content-Type", "application/json; charset=utf-8")
+	// A failed write means that the client has gone; nobody is left to tell.
+	_ = json.NewEncoder(wr).Encode(out)
+}
--- /dev/null
+++ b/internal/docs/generator/generator.go
@@ -0,0 +1,79 @@
+// Package generator writes the pages under docs/ that are derived from tables in the code.
+package generator
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/currantrouter/currantrouter/internal/daemon/logger"
+	"github.com/currantrouter/currantrouter/internal/daemon/meter"
+)
+
+// ErrStale means that a page differs from what its table yields.
+var ErrStale = errors.New("generated page is stale; run go run ./cmd/currantdocs")
+
+// Page is a generated file.
+type Page struct {
+	// Path is relative to the root of the repository.
+	Path    string
+	Content []byte
+}
+
+// Pages returns all generated pages.
+func Pages() []Page {
+	return []Page{
+		{Path: filepath.Join("docs", "events.md"), Content: events()},
+		{Path: filepath.Join("docs", "metrics.md"), Content: metrics()},
+	}
+}
+
+// Write writes all pages below the root directory.
+func Write(root string) error {
+	for _, pg := range Pages() {
+		if err := os.WriteFile(filepath.Join(root, pg.Path), pg.Content, 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Check returns ErrStale when a page below the root directory differs from its table.
+func Check(root string) error {
+	for _, pg := range Pages() {
+		got, err := os.ReadFile(filepath.Join(root, pg.Path))
+		if err != nil {
+			return err
+		}
+		if !bytes.Equal(got, pg.Content) {
+			return fmt.Errorf("%s: %w", pg.Path, ErrStale)
+		}
+	}
+	return nil
+}
+
+func events() []byte {
+	var bf bytes.Buffer
+	bf.WriteString("# Log events\n\nGenerated from `internal/daemon/logger` by `go run ./cmd/currantdocs`.\n\n")
+	bf.WriteString("| Number | Title | Severity | Meaning |\n|---|---|---|---|\n")
+	for _, ev := range logger.Catalogue {
+		fmt.Fprintf(&bf, "| %d | %s | %s | %s |\n", ev.Number, cell(ev.Title), ev.Severity, cell(ev.Text))
+	}
+	return bf.Bytes()
+}
+
+func metrics() []byte {
+	var bf bytes.Buffer
+	bf.WriteString("# Metrics\n\nGenerated from `internal/daemon/meter` by `go run ./cmd/currantdocs`.\n")
+	bf.WriteString("`GET /debug/vars` on the operators' address returns them as one JSON object.\n\n")
+	bf.WriteString("| Name | Unit | Meaning |\n|---|---|---|\n")
+	for _, mt := range meter.Table {
+		fmt.Fprintf(&bf, "| %s | %s | %s |\n", mt.Name, mt.Unit, cell(mt.Text))
+	}
+	return bf.Bytes()
+}
+
+func cell(text string) string { return strings.ReplaceAll(text, "|", "\\|") }
--- /dev/null
+++ b/internal/docs/generator/generator_test.go
@@ -0,0 +1,34 @@
+package generator_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/currantrouter/currantrouter/internal/daemon/logger"
+	"github.com/currantrouter/currantrouter/internal/daemon/meter"
+	"github.com/currantrouter/currantrouter/internal/docs/generator"
+)
+
+// Guards against pages that no longer match the tables they are generated from.
+func TestPagesAreCurrent(t *testing.T) {
+	qt.Assert(t, generator.Check("../../.."), qt.IsNil)
+}
+
+// Guards against a number or name that is used twice, which would make logs ambiguous.
+func TestTablesAreUnique(t *testing.T) {
+	t.Run("events", func(t *testing.T) {
+		last := 0
+		for _, ev := range logger.Catalogue {
+			qt.Check(t, ev.Number > last, qt.IsTrue, qt.Commentf("event %d after %d", ev.Number, last))
+			last = ev.Number
+		}
+	})
+	t.Run("metrics", func(t *testing.T) {
+		seen := map[string]bool{}
+		for _, mt := range meter.Table {
+			qt.Check(t, seen[mt.Name], qt.IsFalse, qt.Commentf("metric %s", mt.Name))
+			seen[mt.Name] = true
+		}
+	})
+}
--- /dev/null
+++ b/internal/platform/supervisor/supervisor.go
@@ -0,0 +1,107 @@
+// Package supervisor is the client of the platform's workers, which run tasks under leases.
+package supervisor
+
+import (
+	"errors"
+	"net/netip"
+	"time"
+
+	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+)
+
+// Errors of a worker. Callers test for them with errors.Is.
+var (
+	// ErrRefused means that the worker did not and will not execute the command.
+	ErrRefused = errors.New("worker refused the command")
+	// ErrResultUnknown means that the answer was lost. The command may have taken effect.
+	ErrResultUnknown = errors.New("result of the command is unknown")
+	// ErrNoAttempt means that the worker does not run the attempt that the command names.
+	ErrNoAttempt = errors.New("worker does not run the attempt")
+)
+
+// Resources is an amount of what a worker holds.
+type Resources struct {
+	Millicores   int64
+	MemoryBytes  int64
+	Accelerators int64
+}
+
+// Worker is a host that runs tasks.
+type Worker struct {
+	Name       modeler.WorkerName
+	DataCentre modeler.DataCentreName
+	Rack       string
+	// Address is the address of the worker's interface. It is always valid.
+	Address  netip.AddrPort
+	Capacity Resources
+	// Leaving is set once the platform has announced the removal of the worker.
+	Leaving bool
+}
+
+// Attempt identifies one execution of a task.
+type Attempt struct {
+	Job  string
+	Task int
+	// Number counts the executions of the task, from 1.
+	Number int
+}
+
+// StartCommand asks a worker to begin an attempt.
+type StartCommand struct {
+	Attempt Attempt
+	// Epoch is the sender's term of leadership. A worker with guards refuses a lower one than it
+	// has seen.
+	Epoch modeler.Epoch
+	// StartBefore is the wall-clock time after which the worker must refuse the command.
+	StartBefore time.Time
+	// LeaseTerm is the time after which the worker ends the attempt unless it is renewed.
+	LeaseTerm   time.Duration
+	Reservation Resources
+	// Kind groups jobs of the same program for estimates.
+	Kind string
+	// Checkpoint is the checkpoint to resume from, empty for a start from the beginning.
+	Checkpoint string
+	// LatencyCritical tasks are protected from batch tasks.
+	LatencyCritical bool
+}
+
+// AttemptState is the state of an attempt on a worker.
+type AttemptState string
+
+// The states of an attempt on a worker.
+const (
+	AttemptRunning      AttemptState = "Running"
+	AttemptDone         AttemptState = "Done"
+	AttemptFailed       AttemptState = "Failed"
+	AttemptStopped      AttemptState = "Stopped"
+	AttemptLeaseExpired AttemptState = "LeaseExpired"
+)
+
+// AttemptReport is a worker's word on one attempt.
+type AttemptReport struct {
+	Attempt Attempt
+	State   AttemptState
+	Kind    string
+	// Usage is the measured use, zero until the first measurement.
+	Usage Resources
+	// Checkpoint names the last complete checkpoint, empty when there is none.
+	Checkpoint string
+	// Reason is set for a failed attempt.
+	Reason string
+	// Slowdown is the measured run time relative to an idle worker, at least 1, zero when not
+	// yet measured.
+	Slowdown float64
+	// Started is the worker's wall-clock time of the start.
+	Started time.Time
+}
+
+// WorkerReport is what a worker says of itself. It lags behind by the platform's report interval.
+type WorkerReport struct {
+	Worker modeler.WorkerName
+	// Measured is the worker's wall-clock time of the measurement.
+	Measured time.Time
+	// Running lists the attempts in progress, without lag.
+	Running []AttemptReport
+	// Ended lists attempts that ended and were not yet acknowledged with Forget.
+	Ended []AttemptReport
+}
