--- a/internal/daemon/logger/catalogue.go
+++ b/internal/daemon/logger/catalogue.go
@@ -1,7 +1,9 @@
 package logger
 
-// Numbers below 100 concern the daemon, from 100 the cluster, from 200 calls, from 300 batch work,
-// from 400 state and the platform, from 500 operators.
+import "slices"
+
+// Numbers below 100 concern the daemon, from 100 the cluster and configuration, from 200 calls,
+// from 300 batch work, from 400 state and the platform, from 500 operators, plans and hours.
 var (
 	DaemonStarted = Event{10, "daemon started", "The daemon listens on its addresses.", SeverityInfo}
 	DaemonDrain   = Event{11, "drain started", "Readiness fails, peers are told, and calls in flight end.", SeverityInfo}
@@ -9,10 +11,19 @@
 	DrainCut      = Event{13, "drain limit reached", "Calls still in flight were cut off. Raise DrainLimit above the longest call limit.", SeverityError}
 )
 
-// Catalogue lists all events in the order of their numbers.
-var Catalogue = []Event{
+var daemonEvents = []Event{
 	DaemonStarted,
 	DaemonDrain,
 	DaemonStopped,
 	DrainCut,
 }
+
+// Catalogue lists all events in the order of their numbers.
+var Catalogue = slices.Concat(
+	daemonEvents,
+	clusterEvents,
+	callEvents,
+	batchEvents,
+	stateEvents,
+	operatorEvents,
+)
--- /dev/null
+++ b/internal/daemon/logger/catalogue_batch.go
@@ -0,0 +1,3 @@
+package logger
+
+var batchEvents = []Event{}
--- /dev/null
+++ b/internal/daemon/meter/table_state.go
@@ -0,0 +1,3 @@
+package meter
+
+var stateMetrics = []Metric{}
