Read settings and check the shared configuration document

Cause: a daemon needs its own settings, and operators need every fault of a document at once with its place.

--- a/internal/config/checker/checker.go
+++ b/internal/config/checker/checker.go
@@ -1,12 +1,15 @@
 // Package checker parses and validates the shared configuration document.
+//
+// The document is INI: sections [DataCentre NAME], [Host NAME], [Runner NAME], [Service NAME],
+// [Team NAME] and [Limits], each with one "Key = Value" on a line. Lines that begin with ";" or
+// "#" are comments.
 package checker
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"strings"
-
-	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 )
 
 // ErrInvalid means that a document has faults. The error is a FaultList.
@@ -19,7 +22,8 @@
 // Fault is one error in a document.
 type Fault struct {
 	// Line counts from 1. It is zero for a fault of the document as a whole.
-	Line    int
+	Line int
+	// Section is the text between the brackets. It is empty before the first section.
 	Section string
 	// Key and Value are empty for a fault of a whole section.
 	Key   string
@@ -34,11 +38,13 @@
 	if flt.Line > 0 {
 		fmt.Fprintf(&sb, "line %d: ", flt.Line)
 	}
-	fmt.Fprintf(&sb, "[%s]", flt.Section)
+	if flt.Section != "" {
+		fmt.Fprintf(&sb, "[%s] ", flt.Section)
+	}
 	if flt.Key != "" {
-		fmt.Fprintf(&sb, " %s = %q", flt.Key, flt.Value)
+		fmt.Fprintf(&sb, "%s = %q: ", flt.Key, flt.Value)
 	}
-	fmt.Fprintf(&sb, ": %s", flt.Allowed)
+	sb.WriteString(flt.Allowed)
 	return sb.String()
 }
 
@@ -57,15 +63,85 @@
 // Is reports that a list of faults is ErrInvalid.
 func (fl FaultList) Is(target error) bool { return target == ErrInvalid }
 
-// Parse returns the configuration that a document describes, with the given revision. Its error
-// is a FaultList with all faults, and errors.Is(err, ErrInvalid) holds.
-func Parse(_ []byte, _ modeler.Revision) (*modeler.Configuration, error) {
-	return nil, FaultList{{Section: "Document", Allowed: "the parser is not written yet"}}
+// section is one section of a document.
+type section struct {
+	line int
+	// kind is the first word of the header, name the rest.
+	kind string
+	name string
+	keys map[string]entry
+	// order holds the keys in the order of the document.
+	order []string
+	// used holds the keys that the document's schema knows.
+	used map[string]bool
+}
+
+// entry is one key's value and its line.
+type entry struct {
+	line  int
+	value string
+}
+
+func (sec *section) header() string {
+	if sec.name == "" {
+		return sec.kind
+	}
+	return sec.kind + " " + sec.name
+}
+
+// scan splits a document into sections. It is written here because gopkg.in/ini.v1 reports no line
+// numbers and stops at the first fault.
+func scan(document []byte) ([]*section, FaultList) {
+	var secs []*section
+	var faults FaultList
+	var cur *section
+	for idx, raw := range bytes.Split(document, []byte("\n")) {
+		line, text := idx+1, strings.TrimSpace(string(raw))
+		switch {
+		case text == "" || text[0] == ';' || text[0] == '#':
+		case text[0] == '[':
+			sec, ok := scanHeader(text, line)
+			cur = sec
+			if !ok {
+				faults = append(faults, Fault{Line: line, Section: sec.header(), Allowed: "a section is [KIND NAME] or [Limits]"})
+				continue
+			}
+			secs = append(secs, sec)
+		default:
+			if flt := scanEntry(cur, text, line); flt != nil {
+				faults = append(faults, *flt)
+			}
+		}
+	}
+	return secs, faults
 }
 
-// Encode returns a document that Parse reads as the configuration.
-func Encode(_ *modeler.Configuration) []byte { return nil }
+func scanHeader(text string, line int) (*section, bool) {
+	inner, ok := strings.CutSuffix(text[1:], "]")
+	kind, name, _ := strings.Cut(strings.TrimSpace(inner), " ")
+	sec := &section{
+		line: line, kind: kind, name: strings.TrimSpace(name),
+		keys: map[string]entry{}, used: map[string]bool{},
+	}
+	return sec, ok && kind != ""
+}
 
-// Diff returns the lines that differ between two documents, with "-" before a line of the first
-// and "+" before a line of the second. It is empty when they are equal.
-func Diff(_, _ []byte) string { return "" }
+func scanEntry(sec *section, text string, line int) *Fault {
+	key, value, ok := strings.Cut(text, "=")
+	key, value = strings.TrimSpace(key), strings.TrimSpace(value)
+	if sec == nil {
+		return &Fault{Line: line, Key: key, Value: value, Allowed: "keys follow a section header"}
+	}
+	if !ok || key == "" {
+		return &Fault{Line: line, Section: sec.header(), Key: key, Value: value, Allowed: "a line is Key = Value"}
+	}
+	if old, has := sec.keys[key]; has {
+		return &Fault{
+			Line: line, Section: sec.header(), Key: key, Value: value,
+			Allowed: fmt.Sprintf("a key is set once; it is set on line %d", old.line),
+		}
+	}
+	sec.keys[key] = entry{line: line, value: value}
+	sec.order = append(sec.order, key)
+	return nil
+}
--- /dev/null
+++ b/internal/config/loader/settings.go
@@ -0,0 +1,82 @@
+package loader
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+)
+
+// Settings are the settings of one daemon.
+type Settings struct {
+	Host     HostSettings
+	Listen   ListenSettings
+	Platform PlatformSettings
+	// Peers are addresses of other entry hosts. They are needed only until the host has a
+	// configuration, which names all entry hosts.
+	Peers  []netip.AddrPort
+	Log    LogSettings
+	Limits LimitSettings
+	TLS    TLSSettings
+	// Check asks to check the settings and exit.
+	Check bool
+	// Standalone asks for an in-memory emulation of the platform.
+	Standalone bool
+	// Version asks to print the version and exit. No other field is set with it.
+	Version bool
+}
+
+// HostSettings name the host.
+type HostSettings struct {
+	Name       modeler.HostName
+	DataCentre modeler.DataCentreName
+}
+
+// ListenSettings are the addresses that the daemon listens on.
+type ListenSettings struct {
+	Callers   netip.AddrPort
+	Operators netip.AddrPort
+	Peers     netip.AddrPort
+}
+
+// PlatformSettings are the addresses of the platform's services. They are valid unless the
+// daemon is standalone.
+type PlatformSettings struct {
+	Store    netip.AddrPort
+	Workers  netip.AddrPort
+	HostList netip.AddrPort
+}
+
+// LogSettings choose the form of log lines.
+type LogSettings struct {
+	// Format is "json" or "text".
+	Format string
+}
+
+// LimitSettings bound times and sizes.
+type LimitSettings struct {
+	// DrainLimit bounds the time from the start of a drain to its end.
+	DrainLimit time.Duration
+	// StoreTimeout bounds one call to the key-value service.
+	StoreTimeout time.Duration
+	// PeerTimeout bounds one message to a peer.
+	PeerTimeout time.Duration
+	// IdleTimeout closes callers' connections without a request.
+	IdleTimeout time.Duration
+	// HeaderBytes bounds the header of a request.
+	HeaderBytes int64
+	// KeptKeys is the greatest number of idempotency keys that a leader keeps for 24 hours.
+	KeptKeys int64
+	// KeptAnswerBytes bounds the memory for answers that are kept for retries.
+	KeptAnswerBytes int64
+}
+
+// TLSSettings secure the operators' and the peers' interface.
+type TLSSettings struct {
+	// Certificate, Key and Authority are paths of PEM files. They are set unless Insecure is.
+	Certificate string
+	Key         string
+	Authority   string
+	// Insecure serves without TLS. It is set only when both interfaces listen on loopback.
+	Insecure bool
+}
--- a/internal/docs/generator/generator.go
+++ b/internal/docs/generator/generator.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 
+	"github.com/currantrouter/currantrouter/internal/config/loader"
 	"github.com/currantrouter/currantrouter/internal/daemon/logger"
 	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 )
@@ -28,6 +29,7 @@
 	return []Page{
 		{Path: filepath.Join("docs", "events.md"), Content: events()},
 		{Path: filepath.Join("docs", "metrics.md"), Content: metrics()},
+		{Path: filepath.Join("docs", "configuration.md"), Content: settings()},
 	}
 }
 
@@ -76,4 +78,17 @@
 	return bf.Bytes()
 }
 
+func settings() []byte {
+	var bf bytes.Buffer
+	bf.WriteString("# Settings of currantd\n\nGenerated from `internal/config/loader` by `go run ./cmd/currantdocs`.\n")
+	bf.WriteString("`--settings FILE` names an INI file. Each setting has a flag, which overrides the file.\n")
+	bf.WriteString("`--check` checks the settings and exits.\n\n")
+	bf.WriteString("| Section | Key | Flag | Default | With `--standalone` | Allowed | Meaning |\n|---|---|---|---|---|---|---|\n")
+	for _, row := range loader.Table {
+		fmt.Fprintf(&bf, "| %s | %s | `--%s` | %s | %s | %s | %s |\n", row.Section, row.Key, row.Flag(),
+			cell(row.Default), cell(row.Standalone), cell(row.Allowed), cell(row.Text))
+	}
+	return bf.Bytes()
+}
+
 func cell(text string) string { return strings.ReplaceAll(text, "|", "\\|") }
--- /dev/null
+++ b/internal/fleet/modeler/namer.go
@@ -0,0 +1,21 @@
+package modeler
+
+// MaxNameBytes bounds names. Heartbeats carry host and service names, so that long ones would
+// raise the rate of messages between entry hosts.
+const MaxNameBytes = 63
+
+// ValidName reports that a name has 1 to MaxNameBytes letters, digits, hyphens and underscores.
+// Such a name is usable in keys of the store and before the "." of an idempotency key.
+func ValidName(name string) bool {
+	if name == "" || len(name) > MaxNameBytes {
+		return false
+	}
+	for _, ch := range name {
+		switch {
+		case ch >= 'a' && ch <= 'z', ch >= 'A' && ch <= 'Z', ch >= '0' && ch <= '9', ch == '-', ch == '_':
+		default:
+			return false
+		}
+	}
+	return true
+}
