Distribute the configuration and track the membership

Cause: hosts need the revision in force, live peers and the leader of each data centre while the store, peers or connections fail.

--- /dev/null
+++ b/internal/cluster/tracker/member.go
@@ -0,0 +1,296 @@
+package tracker
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
+	"github.com/currantrouter/currantrouter/internal/daemon/logger"
+	"github.com/currantrouter/currantrouter/internal/daemon/meter"
+	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+)
+
+// Limits of silence and sizes.
+const (
+	suspectAfter       = 3 * time.Second
+	deadAfter          = 5 * time.Second
+	remoteSuspectAfter = 15 * time.Second
+	remoteDeadAfter    = 30 * time.Second
+	// forgetAfter removes a silent host that the configuration does not list.
+	forgetAfter = 10 * time.Minute
+	// predecessorWindow is the time after the start in which heartbeats of the process before may
+	// still be passed on by peers.
+	predecessorWindow = 10 * time.Second
+	// othersPerMessage bounds a message, so that the rate does not grow with the number of hosts.
+	othersPerMessage = 5
+	// ownPerMessage leaves room for hosts of other data centres in a message within a large data
+	// centre; else they would be known only from direct contact, every 15 s and more.
+	ownPerMessage = 3
+	// maxMembers bounds the memory that wrong digests can take.
+	maxMembers = 1024
+	// maxHourCounts bounds the counts of one digest: a count for each service and two hours.
+	maxHourCounts = 64
+	maxBootBytes  = 64
+)
+
+// member is a host with what this host needs to keep track of it.
+type member struct {
+	Peer
+	// sequence is that of the newest heartbeat of Boot.
+	sequence int64
+	// configured states that the configuration lists the host. Its data centre and address then
+	// come from there.
+	configured bool
+}
+
+// valid reports that a digest may be merged.
+func valid(dg *messenger.HostDigest) bool {
+	return dg != nil &&
+		modeler.ValidName(dg.GetHost()) &&
+		modeler.ValidName(dg.GetDataCentre()) &&
+		dg.GetBoot() != "" && len(dg.GetBoot()) <= maxBootBytes &&
+		dg.GetBootStartedMillis() > 0 &&
+		dg.GetSequence() >= 0 &&
+		dg.GetRevision() >= 0 && dg.GetSettledRevision() >= 0 && dg.GetLeaderEpoch() >= 0 &&
+		len(dg.GetHourCounts()) <= maxHourCounts
+}
+
+// receive merges a message. The sender's address is not valid when a peer has called this host.
+func (trk *Tracker) receive(sender *messenger.HostDigest, addr netip.AddrPort, others []*messenger.HostDigest) {
+	type report struct {
+		addr netip.AddrPort
+		rev  modeler.Revision
+	}
+	var reports []report
+	trk.mu.Lock()
+	for idx, dg := range append([]*messenger.HostDigest{sender}, others...) {
+		if idx > othersPerMessage+1 {
+			break
+		}
+		if !valid(dg) {
+			trk.opt.Meter.Add(meter.PeerDigestsRefused, 1)
+			continue
+		}
+		if idx > 0 {
+			addr = netip.AddrPort{}
+		}
+		if mb := trk.merge(dg, addr); mb != nil && mb.Address.IsValid() {
+			reports = append(reports, report{mb.Address, mb.Revision})
+		}
+	}
+	trk.publish()
+	trk.mu.Unlock()
+	for _, rp := range reports {
+		if trk.opt.Learned != nil {
+			trk.opt.Learned(rp.addr, rp.rev)
+		}
+	}
+}
+
+// merge stores a digest if it is newer than what is known. It returns nil for this host and for
+// digests that are not merged.
+func (trk *Tracker) merge(dg *messenger.HostDigest, addr netip.AddrPort) *member {
+	name := modeler.HostName(dg.GetHost())
+	if name == trk.opt.Self.Name {
+		trk.meetOwnName(dg)
+		return nil
+	}
+	mb := trk.members[name]
+	if mb == nil {
+		if len(trk.members) >= maxMembers {
+			trk.opt.Meter.Add(meter.PeerDigestsRefused, 1)
+			return nil
+		}
+		mb = &member{Peer: Peer{Host: name}}
+		trk.members[name] = mb
+	}
+	if !mb.configured {
+		mb.DataCentre = modeler.DataCentreName(dg.GetDataCentre())
+	}
+	if !mb.configured && addr.IsValid() {
+		mb.Address = addr
+	}
+	started := time.UnixMilli(dg.GetBootStartedMillis())
+	boot := modeler.BootID(dg.GetBoot())
+	if boot != mb.Boot {
+		older := cmp.Or(started.Compare(mb.BootStarted), strings.Compare(dg.GetBoot(), string(mb.Boot))) < 0
+		if mb.Boot != "" && older {
+			return nil
+		}
+		trk.reboot(mb, boot)
+	} else if dg.GetSequence() <= mb.sequence && mb.Health != Unheard {
+		return mb
+	}
+	mb.BootStarted = started
+	trk.update(mb, dg)
+	return mb
+}
+
+// reboot prepares a member for the first heartbeat of a new process.
+func (trk *Tracker) reboot(mb *member, boot modeler.BootID) {
+	if mb.Boot != "" {
+		logger.Log(trk.opt.Log, logger.PeerBoot, "Host", mb.Host, "Boot", boot)
+		mb.FormerBoot = mb.Boot
+		mb.FormerCounts = mb.HourCounts
+		mb.HourCounts = nil
+	}
+	mb.Boot = boot
+	mb.Leaving = false
+}
+
+func (trk *Tracker) update(mb *member, dg *messenger.HostDigest) {
+	mb.sequence = dg.GetSequence()
+	mb.Heard = time.Now()
+	mb.Revision = modeler.Revision(dg.GetRevision())
+	mb.SettledRevision = modeler.Revision(dg.GetSettledRevision())
+	mb.LeaderEpoch = modeler.Epoch(dg.GetLeaderEpoch())
+	mb.Leading = dg.GetLeading()
+	mb.Load = Load{int(dg.GetFreeSlots()), int(dg.GetQueuedCalls())}
+	// Digests that are passed on carry no counts.
+	if len(dg.GetHourCounts()) > 0 {
+		mb.HourCounts = dg.GetHourCounts()
+	}
+	if dg.GetLeaving() && !mb.Leaving {
+		logger.Log(trk.opt.Log, logger.PeerLeaving, "Host", mb.Host)
+	}
+	mb.Leaving = dg.GetLeaving()
+	trk.setHealth(mb, Alive)
+}
+
+// meetOwnName handles a heartbeat under this host's own name. Shortly after the start it belongs
+// to the process before, whose clock may have been ahead: this process then moves the start it
+// reports behind it, so that peers take it for the newer one. Later it belongs to a newer process.
+func (trk *Tracker) meetOwnName(dg *messenger.HostDigest) {
+	if dg.GetBoot() == trk.self.GetBoot() || dg.GetBootStartedMillis() < trk.self.GetBootStartedMillis() {
+		return
+	}
+	if time.Since(trk.started) < predecessorWindow {
+		trk.self.BootStartedMillis = dg.GetBootStartedMillis() + 1
+		return
+	}
+	if trk.replaced {
+		return
+	}
+	trk.replaced = true
+	logger.Log(trk.opt.Log, logger.HostReplaced, "Boot", dg.GetBoot())
+	if trk.opt.Replaced != nil {
+		go trk.opt.Replaced()
+	}
+}
+
+// age moves the health of all members by the time since their last heartbeat.
+func (trk *Tracker) age() {
+	for name, mb := range trk.members {
+		silent := time.Since(mb.Heard)
+		suspect, dead := remoteSuspectAfter, remoteDeadAfter
+		if mb.DataCentre == trk.opt.Self.DataCentre {
+			suspect, dead = suspectAfter, deadAfter
+		}
+		switch {
+		case !mb.configured && silent >= forgetAfter:
+			delete(trk.members, name)
+		case mb.Health == Unheard:
+		case silent >= dead:
+			trk.setHealth(mb, Dead)
+		case silent >= suspect:
+			trk.setHealth(mb, Suspect)
+		}
+	}
+}
+
+func (trk *Tracker) setHealth(mb *member, hl Health) {
+	if mb.Health == hl {
+		return
+	}
+	mb.Health = hl
+	ev := map[Health]logger.Event{
+		Alive: logger.PeerAlive, Suspect: logger.PeerSuspect, Dead: logger.PeerDead,
+	}[hl]
+	logger.Log(trk.opt.Log, ev, "Host", mb.Host, "DataCentre", mb.DataCentre)
+}
+
+// publish replaces the copies that are read without a lock. The caller holds mu, or is New.
+func (trk *Tracker) publish() {
+	vw := make([]Peer, 0, len(trk.members))
+	alive := int64(0)
+	for _, mb := range trk.members {
+		vw = append(vw, mb.Peer)
+		if mb.Health == Alive {
+			alive++
+		}
+	}
+	slices.SortFunc(vw, func(a, b Peer) int { return cmp.Compare(a.Host, b.Host) })
+	trk.view.Store(&vw)
+	trk.opt.Meter.Set(meter.PeersAlive, alive)
+	trk.own.Store(&Peer{
+		Host: trk.opt.Self.Name, DataCentre: trk.opt.Self.DataCentre, Address: trk.opt.Self.Peer,
+		Boot: trk.opt.Boot, BootStarted: time.UnixMilli(trk.self.GetBootStartedMillis()),
+		Health: Alive, Heard: time.Now(), Leaving: trk.self.GetLeaving(),
+		Revision:        modeler.Revision(trk.self.GetRevision()),
+		SettledRevision: modeler.Revision(trk.self.GetSettledRevision()),
+		LeaderEpoch:     modeler.Epoch(trk.self.GetLeaderEpoch()),
+		Leading:         trk.self.GetLeading(),
+		Load:            Load{int(trk.self.GetFreeSlots()), int(trk.self.GetQueuedCalls())},
+	})
+}
+
+// sender returns this host's digest for a message to a data centre. Counts are sent only within
+// the own one.
+func (trk *Tracker) sender(dc modeler.DataCentreName) *messenger.HostDigest {
+	dg := &messenger.HostDigest{
+		Host: trk.self.Host, Boot: trk.self.Boot, Sequence: trk.self.Sequence,
+		Revision: trk.self.Revision, SettledRevision: trk.self.SettledRevision,
+		LeaderEpoch: trk.self.LeaderEpoch, Leading: trk.self.Leading, Leaving: trk.self.Leaving,
+		FreeSlots: trk.self.FreeSlots, QueuedCalls: trk.self.QueuedCalls,
+		BootStartedMillis: trk.self.BootStartedMillis, DataCentre: trk.self.DataCentre,
+	}
+	if dc == trk.opt.Self.DataCentre && trk.opt.HourCounts != nil {
+		counts := trk.opt.HourCounts()
+		dg.HourCounts = counts[:min(len(counts), maxHourCounts)]
+	}
+	return dg
+}
+
+// others returns the entries that changed last, own data centre first, without the receiver.
+func (trk *Tracker) others(receiver modeler.HostName) []*messenger.HostDigest {
+	var own, far []*member
+	for _, mb := range trk.members {
+		switch {
+		case mb.Health == Unheard || mb.Health == Dead || mb.Host == receiver:
+		case mb.DataCentre == trk.opt.Self.DataCentre:
+			own = append(own, mb)
+		default:
+			far = append(far, mb)
+		}
+	}
+	own, far = newest(own, othersPerMessage), newest(far, othersPerMessage)
+	keep := max(ownPerMessage, othersPerMessage-len(far))
+	own = own[:min(len(own), keep)]
+	far = far[:min(len(far), othersPerMessage-len(own))]
+	dgs := make([]*messenger.HostDigest, 0, othersPerMessage+1)
+	for _, mb := range append(own, far...) {
+		dgs = append(dgs, mb.digest())
+	}
+	return dgs
+}
+
+func newest(mbs []*member, limit int) []*member {
+	slices.SortFunc(mbs, func(a, b *member) int {
+		return cmp.Or(b.Heard.Compare(a.Heard), cmp.Compare(a.Host, b.Host))
+	})
+	return mbs[:min(len(mbs), limit)]
+}
+
+// digest returns a member's digest without counts.
+func (mb *member) digest() *messenger.HostDigest {
+	return &messenger.HostDigest{
+		Host: string(mb.Host), Boot: string(mb.Boot), Sequence: mb.sequence,
+		Revision: int64(mb.Revision), SettledRevision: int64(mb.SettledRevision),
+		LeaderEpoch: int64(mb.LeaderEpoch), Leading: mb.Leading, Leaving: mb.Leaving,
+		FreeSlots: int32(mb.Load.FreeSlots), QueuedCalls: int32(mb.Load.QueuedCalls),
+		BootStartedMillis: mb.BootStarted.UnixMilli(), DataCentre: string(mb.DataCentre),
+	}
+}
--- a/internal/cluster/tracker/server.go
+++ b/internal/cluster/tracker/server.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"net/netip"
+
+	"github.com/twitchtv/twirp"
 
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
@@ -9,6 +12,7 @@
 
 // Documents returns the configuration document in force.
 type Documents interface {
+	// Document returns a zero revision when there is none.
 	Document() ([]byte, modeler.Revision)
 }
 
@@ -18,5 +22,71 @@
 	Return(context.Context, *messenger.ReturnRequest) (*messenger.ReturnResponse, error)
 }
 
+// server is the peers' interface of a host.
+type server struct {
+	trk  *Tracker
+	docs Documents
+	ldr  Lender
+}
+
 // NewServer returns the peers' interface of a host. A nil lender refuses loans.
-func NewServer(_ *Tracker, _ Documents, _ Lender) messenger.Peer { return nil }
+func NewServer(trk *Tracker, docs Documents, ldr Lender) messenger.Peer {
+	return &server{trk: trk, docs: docs, ldr: ldr}
+}
+
+// Exchange merges a peer's message and answers with this host's own. A message without other
+// hosts gets an answer without them.
+func (srv *server) Exchange(_ context.Context, req *messenger.ExchangeRequest) (*messenger.ExchangeResponse, error) {
+	if !valid(req.GetSender()) {
+		return nil, twirp.InvalidArgumentError("Sender", "is not a valid digest")
+	}
+	name := modeler.HostName(req.GetSender().GetHost())
+	if name == srv.trk.opt.Self.Name {
+		srv.trk.receive(req.GetSender(), netip.AddrPort{}, nil)
+		return nil, twirp.InvalidArgumentError("Sender", "has the name of the receiver")
+	}
+	srv.trk.receive(req.GetSender(), netip.AddrPort{}, req.GetOthers())
+	dc := modeler.DataCentreName(req.GetSender().GetDataCentre())
+	msg := srv.trk.message(name, dc, len(req.GetOthers()) == 0)
+	rsp := &messenger.ExchangeResponse{Sender: msg.GetSender(), Others: msg.GetOthers()}
+	if former := srv.trk.conflicting(req.GetSender()); former != nil {
+		rsp.Others = append(rsp.Others, former)
+	}
+	return rsp, nil
+}
+
+// conflicting returns the digest of another boot of the sender that this host takes for newer.
+func (trk *Tracker) conflicting(sender *messenger.HostDigest) *messenger.HostDigest {
+	trk.mu.Lock()
+	defer trk.mu.Unlock()
+	mb := trk.members[modeler.HostName(sender.GetHost())]
+	if mb == nil || string(mb.Boot) == sender.GetBoot() || mb.Boot == "" {
+		return nil
+	}
+	return mb.digest()
+}
+
+// Fetch returns the document in force if its revision is high enough.
+func (srv *server) Fetch(_ context.Context, req *messenger.FetchRequest) (*messenger.FetchResponse, error) {
+	doc, rev := srv.docs.Document()
+	if rev == 0 || int64(rev) < req.GetMinimumRevision() {
+		return nil, twirp.NotFoundError("no configuration of that revision")
+	}
+	return &messenger.FetchResponse{Revision: int64(rev), Document: doc}, nil
+}
+
+// Borrow asks the lender for slots.
+func (srv *server) Borrow(ctx context.Context, req *messenger.BorrowRequest) (*messenger.BorrowResponse, error) {
+	if srv.ldr == nil {
+		return nil, twirp.NewError(twirp.Unimplemented, "this host lends nothing")
+	}
+	return srv.ldr.Borrow(ctx, req)
+}
+
+// Return gives slots back to the lender.
+func (srv *server) Return(ctx context.Context, req *messenger.ReturnRequest) (*messenger.ReturnResponse, error) {
+	if srv.ldr == nil {
+		return nil, twirp.NewError(twirp.Unimplemented, "this host lends nothing")
+	}
+	return srv.ldr.Return(ctx, req)
+}
--- a/internal/cluster/tracker/tracker.go
+++ b/internal/cluster/tracker/tracker.go
@@ -2,8 +2,9 @@
 package tracker
 
 import (
-	"context"
 	"net/netip"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,18 +40,25 @@
 	Boot        modeler.BootID
 	BootStarted time.Time
 	Health      Health
-	// Heard is the time at which the last new heartbeat arrived.
+	// Heard is the time at which the last new heartbeat arrived. For a host that was never heard
+	// it is the time at which this host learned of it.
 	Heard    time.Time
 	Leaving  bool
 	Revision modeler.Revision
 	// SettledRevision is the newest revision to which the peer has reduced its use of slots.
 	SettledRevision modeler.Revision
-	LeaderEpoch     modeler.Epoch
-	Leading         bool
-	Load            Load
+	// LeaderEpoch is the highest epoch in which the peer has led its data centre in this boot.
+	LeaderEpoch modeler.Epoch
+	// Leading states that the peer still leads in that epoch, as far as it knows.
+	Leading bool
+	Load    Load
 	// HourCounts are the newest counts that the peer sent. They are absolute and not changed
 	// after they are published.
 	HourCounts []*messenger.HourCount
+	// FormerBoot and FormerCounts are the last counts of the boot before, which its host can't
+	// report any more.
+	FormerBoot   modeler.BootID
+	FormerCounts []*messenger.HourCount
 }
 
 // Load summarises how busy a host is.
@@ -66,58 +74,157 @@
 	BootStarted time.Time
 	// Seeds are addresses of peers whose names are not known yet.
 	Seeds []netip.AddrPort
-	// Dial returns the client for an address. It is called again for the same address.
+	// Dial returns the client for an address, as Clients.Dial does.
 	Dial func(netip.AddrPort) messenger.Peer
 	// Load and HourCounts report on this host. They may be nil.
 	Load       func() Load
 	HourCounts func() []*messenger.HourCount
 	// Learned is called when a heartbeat of a peer carries a revision. It must not block. It may
 	// be nil.
-	Learned func(modeler.HostName, modeler.Revision)
-	// Replaced is called when a newer boot of this host's own name is seen. The process then has
-	// to stop taking new work. It may be nil.
+	Learned func(netip.AddrPort, modeler.Revision)
+	// Replaced is called once when a newer boot of this host's own name is seen. The process then
+	// has to stop taking new work. It may be nil.
 	Replaced func()
-	// Timeout bounds one exchange.
-	Timeout time.Duration
-	Log     logr.Logger
-	Meter   *meter.Registry
+	Log      logr.Logger
+	Meter    *meter.Registry
 }
 
 // Tracker knows the entry hosts. It is safe for concurrent use.
 type Tracker struct {
-	opt  Options
+	opt Options
+	// started is the time at which the tracker was made, on the monotonic clock.
+	started time.Time
+	// view is the published copy of members, ordered by name.
 	view atomic.Pointer[[]Peer]
+	// own is the published state of this host.
+	own atomic.Pointer[Peer]
+
+	// spreads carries requests to send this host's state at once. It holds at most one.
+	spreads chan struct{}
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// self has this host's state. Its sequence rises with each heartbeat and change.
+	self     messenger.HostDigest
+	replaced bool
+	// members has no entry for this host and at most maxMembers.
+	members map[modeler.HostName]*member
 }
 
 // New returns a tracker that knows only its own host.
-func New(opt Options) *Tracker { return &Tracker{opt: opt} }
-
-// Run exchanges heartbeats until the context ends.
-func (trk *Tracker) Run(_ context.Context) {}
+func New(opt Options) *Tracker {
+	trk := &Tracker{
+		opt:     opt,
+		started: time.Now(),
+		spreads: make(chan struct{}, 1),
+		members: map[modeler.HostName]*member{},
+	}
+	trk.self.Host = string(opt.Self.Name)
+	trk.self.DataCentre = string(opt.Self.DataCentre)
+	trk.self.Boot = string(opt.Boot)
+	trk.self.BootStartedMillis = opt.BootStarted.UnixMilli()
+	trk.publish()
+	return trk
+}
 
 // Peers returns all other hosts, ordered by name. It takes no lock; the slice must not be changed.
-func (trk *Tracker) Peers() []Peer {
-	if vw := trk.view.Load(); vw != nil {
-		return *vw
+func (trk *Tracker) Peers() []Peer { return *trk.view.Load() }
+
+// Self returns the state of this host that peers see.
+func (trk *Tracker) Self() Peer { return *trk.own.Load() }
+
+// Leader returns the host, this one included, that leads a data centre, and false when none is
+// known or the last known one is dead.
+func (trk *Tracker) Leader(dc modeler.DataCentreName) (Peer, bool) {
+	var best Peer
+	consider := func(pr Peer) {
+		if pr.DataCentre == dc && pr.LeaderEpoch > best.LeaderEpoch {
+			best = pr
+		}
 	}
-	return nil
+	consider(trk.Self())
+	for _, pr := range trk.Peers() {
+		consider(pr)
+	}
+	// A host with a lower epoch that still believes to lead was deposed, even when the host with
+	// the highest epoch is dead.
+	return best, best.Leading && best.Health != Dead
 }
 
-// Leader returns the host, this one included, that leads a data centre with the highest epoch and
-// is alive, and false when none is known.
-func (trk *Tracker) Leader(_ modeler.DataCentreName) (Peer, bool) { return Peer{}, false }
-
 // SetHosts replaces the hosts that the configuration lists.
-func (trk *Tracker) SetHosts(_ []modeler.Host) {}
+func (trk *Tracker) SetHosts(hosts []modeler.Host) {
+	trk.mu.Lock()
+	defer trk.mu.Unlock()
+	for _, mb := range trk.members {
+		mb.configured = false
+	}
+	now := time.Now()
+	for _, hst := range hosts {
+		if hst.Name == trk.opt.Self.Name || hst.Retired {
+			continue
+		}
+		mb := trk.members[hst.Name]
+		if mb == nil {
+			mb = &member{Peer: Peer{Host: hst.Name, Heard: now}}
+			trk.members[hst.Name] = mb
+		}
+		mb.configured = true
+		mb.DataCentre = hst.DataCentre
+		mb.Address = hst.Peer
+	}
+	for name, mb := range trk.members {
+		if !mb.configured && mb.Health != Alive {
+			delete(trk.members, name)
+		}
+	}
+	trk.publish()
+}
 
-// SetRevision reports the revision in force at this host. It is sent at once when spread is set.
-func (trk *Tracker) SetRevision(_ modeler.Revision, _ bool) {}
+// SetRevision reports the revision in force at this host and the address of the peer that sent
+// it, which is not valid for other sources. The change is sent at once unless a host of the own
+// data centre has sent it, which tells the others itself.
+func (trk *Tracker) SetRevision(rev modeler.Revision, from netip.AddrPort) {
+	trk.change(!trk.inOwnDataCentre(from), func(dg *messenger.HostDigest) {
+		dg.Revision = max(dg.Revision, int64(rev))
+	})
+}
+
+func (trk *Tracker) inOwnDataCentre(addr netip.AddrPort) bool {
+	return slices.ContainsFunc(trk.Peers(), func(pr Peer) bool {
+		return addr.IsValid() && pr.Address == addr && pr.DataCentre == trk.opt.Self.DataCentre
+	})
+}
 
 // SetSettled reports the settled revision of this host.
-func (trk *Tracker) SetSettled(_ modeler.Revision) {}
+func (trk *Tracker) SetSettled(rev modeler.Revision) {
+	trk.change(false, func(dg *messenger.HostDigest) { dg.SettledRevision = int64(rev) })
+}
 
 // SetLeading reports the epoch of this host's leadership and whether it still leads.
-func (trk *Tracker) SetLeading(_ modeler.Epoch, _ bool) {}
+func (trk *Tracker) SetLeading(epoch modeler.Epoch, leading bool) {
+	trk.change(true, func(dg *messenger.HostDigest) {
+		dg.LeaderEpoch = int64(epoch)
+		dg.Leading = leading
+	})
+}
 
 // SetLeaving reports that this host takes no new work.
-func (trk *Tracker) SetLeaving() {}
+func (trk *Tracker) SetLeaving() {
+	trk.change(true, func(dg *messenger.HostDigest) { dg.Leaving = true })
+}
+
+// change applies a change to this host's state and sends it at once when spread is set.
+func (trk *Tracker) change(spread bool, apply func(*messenger.HostDigest)) {
+	trk.mu.Lock()
+	apply(&trk.self)
+	trk.self.Sequence++
+	trk.publish()
+	trk.mu.Unlock()
+	if !spread {
+		return
+	}
+	select {
+	case trk.spreads <- struct{}{}:
+	default:
+	}
+}
--- a/internal/config/distributor/distributor.go
+++ b/internal/config/distributor/distributor.go
@@ -3,13 +3,19 @@
 package distributor
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
 
+	"github.com/currantrouter/currantrouter/internal/config/checker"
+	"github.com/currantrouter/currantrouter/internal/daemon/logger"
 	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/platform/storer"
@@ -42,11 +48,10 @@
 
 // Peers reaches the other entry hosts.
 type Peers interface {
-	// Reachable lists the hosts that may answer, the best ones first.
-	Reachable() []modeler.HostName
-	// Fetch returns a document of at least the minimum revision. A peer that has none returns an
-	// error.
-	Fetch(ctx context.Context, host modeler.HostName, minimum modeler.Revision) ([]byte, modeler.Revision, error)
+	// Addresses lists the peers that may answer.
+	Addresses() []netip.AddrPort
+	// Fetch returns a document of at least the minimum revision. It fails when the peer has none.
+	Fetch(ctx context.Context, addr netip.AddrPort, minimum modeler.Revision) ([]byte, modeler.Revision, error)
 }
 
 // Options configure a Distributor.
@@ -55,9 +60,9 @@
 	Peers Peers
 	// Watching says whether this host watches the store for its data centre at present.
 	Watching func() bool
-	// Accepted is called after every change with the revision now in force. fromPeer is set when
-	// a peer sent it. It may be nil.
-	Accepted func(rev modeler.Revision, fromPeer bool)
+	// Accepted is called after every change with the revision now in force and the peer that sent
+	// it. The address is not valid for a document from the store or an operator. It may be nil.
+	Accepted func(rev modeler.Revision, from netip.AddrPort)
 	// Timeout bounds one call to the store or a peer, except a waiting watch.
 	Timeout time.Duration
 	Log     logr.Logger
@@ -67,48 +72,139 @@
 // Distributor holds the configuration in force. It is safe for concurrent use.
 type Distributor struct {
 	opt Options
-	cur atomic.Pointer[modeler.Configuration]
+	// cur is nil until a first configuration is accepted. Its revision only rises.
+	cur atomic.Pointer[inForce]
+
+	// mu orders changes of cur and guards the fields below.
+	mu sync.Mutex
+	// changed is closed and replaced with every change of cur.
+	changed chan struct{}
+	// refused is the last refusal that was logged. A source that keeps offering the same wrong
+	// revision is logged once and counted every time.
+	refused refusal
+	// known maps a peer to the revision it last reported, for revisions above the one in force.
+	known map[netip.AddrPort]modeler.Revision
+	// unusable is the highest revision that a peer sent and that has faults for this process.
+	unusable modeler.Revision
+	// wake signals that known has a new revision. It holds at most one signal.
+	wake chan struct{}
+}
+
+type inForce struct {
+	cfg *modeler.Configuration
+	doc []byte
+}
+
+type refusal struct {
+	event  int
+	source string
+	rev    modeler.Revision
 }
 
 // New returns a distributor without a configuration.
-func New(opt Options) *Distributor { return &Distributor{opt: opt} }
+func New(opt Options) *Distributor {
+	return &Distributor{
+		opt:     opt,
+		changed: make(chan struct{}),
+		known:   map[netip.AddrPort]modeler.Revision{},
+		wake:    make(chan struct{}, 1),
+	}
+}
 
 // Current returns the configuration in force, and nil when there is none. It takes no lock.
-func (dst *Distributor) Current() *modeler.Configuration { return dst.cur.Load() }
+func (dst *Distributor) Current() *modeler.Configuration {
+	if inf := dst.cur.Load(); inf != nil {
+		return inf.cfg
+	}
+	return nil
+}
 
-// Changed returns a channel that is closed at the next change.
-func (dst *Distributor) Changed() <-chan struct{} { return nil }
+// Changed returns a channel that is closed at the next change. A caller takes the channel before
+// it reads Current, so that it misses no change.
+func (dst *Distributor) Changed() <-chan struct{} {
+	dst.mu.Lock()
+	defer dst.mu.Unlock()
+	return dst.changed
+}
 
-// Document returns the document in force, and a zero revision when there is none.
-func (dst *Distributor) Document() ([]byte, modeler.Revision) { return nil, 0 }
+// Document returns the document in force, and a zero revision when there is none. The document
+// must not be changed.
+func (dst *Distributor) Document() ([]byte, modeler.Revision) {
+	inf := dst.cur.Load()
+	if inf == nil {
+		return nil, 0
+	}
+	return inf.doc, inf.cfg.Revision
+}
 
-// Offer puts a document in force if its revision is higher than the present one. The same
-// document is accepted again without effect. Errors: ErrLowerRevision, ErrContentDiffers and
+// Offer puts a document in force if its revision is higher than the present one. The document in
+// force is accepted again without effect. Errors: ErrLowerRevision, ErrContentDiffers and
 // checker.ErrInvalid.
-func (dst *Distributor) Offer(_ []byte, _ modeler.Revision) error { return ErrLowerRevision }
-
-// Start finds a first configuration: from the store, else from all peers for up to 2 s. It
-// returns ErrNoConfiguration when there is none.
-func (dst *Distributor) Start(_ context.Context) error { return ErrNoConfiguration }
+func (dst *Distributor) Offer(document []byte, rev modeler.Revision) error {
+	return dst.offer(offered{doc: document, rev: rev, source: "caller"})
+}
 
-// Run watches the store while Watching says so and fetches from peers when they report a higher
-// revision. It returns when the context ends.
-func (dst *Distributor) Run(_ context.Context) {}
+func (dst *Distributor) offer(off offered) error {
+	accepted, err := dst.accept(off.doc, off.rev, off.source)
+	if accepted && dst.opt.Accepted != nil {
+		dst.opt.Accepted(off.rev, off.peer)
+	}
+	return err
+}
 
-// Learn tells that a peer has a revision. Run fetches it when it is higher than the one in force.
-func (dst *Distributor) Learn(_ modeler.HostName, _ modeler.Revision) {}
+func (dst *Distributor) accept(doc []byte, rev modeler.Revision, source string) (bool, error) {
+	dst.mu.Lock()
+	defer dst.mu.Unlock()
+	present := dst.revision()
+	if rev < present || rev <= 0 {
+		dst.refuse(logger.ConfigurationRefused, meter.RevisionsRefused, source, rev)
+		return false, fmt.Errorf("revision %d from %s, in force is %d: %w", rev, source, present, ErrLowerRevision)
+	}
+	if rev == present {
+		if bytes.Equal(doc, dst.cur.Load().doc) {
+			return false, nil
+		}
+		dst.refuse(logger.ConfigurationDiffers, meter.RevisionsDiffering, source, rev)
+		return false, fmt.Errorf("revision %d from %s: %w", rev, source, ErrContentDiffers)
+	}
+	cfg, err := checker.Parse(doc, rev)
+	if err != nil {
+		dst.refuse(logger.ConfigurationInvalid, meter.RevisionsInvalid, source, rev)
+		return false, err
+	}
+	dst.cur.Store(&inForce{cfg: cfg, doc: bytes.Clone(doc)})
+	close(dst.changed)
+	dst.changed = make(chan struct{})
+	dst.forget(rev)
+	dst.opt.Meter.Set(meter.ConfigurationRevision, int64(rev))
+	logger.Log(dst.opt.Log, logger.ConfigurationAccepted, "Revision", rev, "Source", source)
+	return true, nil
+}
 
-// Put validates a document and writes it as the successor of the expected revision, which is zero
-// for the first one. Errors: ErrConflict, ErrResultUnknown, checker.ErrInvalid and
-// storer.ErrUnavailable.
-func (dst *Distributor) Put(_ context.Context, _ []byte, _ modeler.Revision) (modeler.Revision, error) {
-	return 0, ErrConflict
+// refuse counts a refusal and logs it unless it is the same as the one before.
+func (dst *Distributor) refuse(ev logger.Event, mt meter.Metric, source string, rev modeler.Revision) {
+	dst.opt.Meter.Add(mt, 1)
+	ref := refusal{ev.Number, source, rev}
+	if ref == dst.refused {
+		return
+	}
+	dst.refused = ref
+	logger.Log(dst.opt.Log, ev, "Source", source, "Revision", rev, "InForce", dst.revision())
 }
 
-// History lists the kept revisions in the store, the oldest first.
-func (dst *Distributor) History(_ context.Context) ([]modeler.Revision, error) { return nil, nil }
+// revision returns the revision in force, and zero when there is none.
+func (dst *Distributor) revision() modeler.Revision {
+	if inf := dst.cur.Load(); inf != nil {
+		return inf.cfg.Revision
+	}
+	return 0
+}
 
-// Past returns the document of a kept revision. Errors: storer.ErrNotFound, storer.ErrUnavailable.
-func (dst *Distributor) Past(_ context.Context, _ modeler.Revision) ([]byte, error) {
-	return nil, storer.ErrNotFound
+// forget removes reports that are not above the revision in force.
+func (dst *Distributor) forget(rev modeler.Revision) {
+	for addr, reported := range dst.known {
+		if reported <= rev {
+			delete(dst.known, addr)
+		}
+	}
 }
--- /dev/null
+++ b/internal/config/distributor/keeper.go
@@ -0,0 +1,254 @@
+package distributor
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	mrand "math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/currantrouter/currantrouter/internal/config/checker"
+	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/platform/storer"
+)
+
+// Keys in the store.
+const (
+	keyCurrent    = "Configuration/Current"
+	prefixHistory = "Configuration/History/"
+)
+
+// historyLength is the number of revisions that are kept beside the present one.
+const historyLength = 100
+
+// Bounds of the delay before a call to the store or a peer is repeated.
+const (
+	minDelay = 100 * time.Millisecond
+	maxDelay = 2 * time.Second
+)
+
+// errMalformed means that the store's value has no header.
+var errMalformed = errors.New("stored configuration has no revision")
+
+// stored is the value of a revision in the store: two header lines and the document.
+type stored struct {
+	rev modeler.Revision
+	// writer is unique for each call of Put. It tells whether a write whose answer was lost has
+	// taken effect.
+	writer string
+	doc    []byte
+}
+
+func (sto stored) encode() []byte {
+	return fmt.Appendf(nil, "Revision = %d\nWriter = %s\n%s", sto.rev, sto.writer, sto.doc)
+}
+
+func decode(value []byte) (stored, error) {
+	first, rest, _ := bytes.Cut(value, []byte("\n"))
+	second, doc, ok := bytes.Cut(rest, []byte("\n"))
+	text, hasRevision := strings.CutPrefix(string(first), "Revision = ")
+	writer, hasWriter := strings.CutPrefix(string(second), "Writer = ")
+	rev, err := strconv.ParseInt(text, 10, 64)
+	if !ok || !hasRevision || !hasWriter || err != nil || rev <= 0 {
+		return stored{}, errMalformed
+	}
+	return stored{rev: modeler.Revision(rev), writer: writer, doc: doc}, nil
+}
+
+func historyKey(rev modeler.Revision) string { return fmt.Sprintf("%s%019d", prefixHistory, rev) }
+
+// read returns the configuration in the store and the store's revision of the key. Both are zero
+// when the store has none.
+func (dst *Distributor) read(ctx context.Context) (stored, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, dst.opt.Timeout)
+	defer cancel()
+	ent, err := dst.opt.Store.Get(ctx, keyCurrent)
+	if errors.Is(err, storer.ErrNotFound) {
+		return stored{}, 0, nil
+	}
+	if err != nil {
+		return stored{}, 0, err
+	}
+	sto, err := decode(ent.Value)
+	return sto, ent.Revision, err
+}
+
+// Put validates a document and writes it as the successor of the expected revision, which is zero
+// for the first one. Errors: ErrConflict, ErrResultUnknown, checker.ErrInvalid and
+// storer.ErrUnavailable, which means that nothing was written.
+func (dst *Distributor) Put(ctx context.Context, document []byte, expected modeler.Revision) (modeler.Revision, error) {
+	if _, err := checker.Parse(document, expected+1); err != nil {
+		return 0, err
+	}
+	old, at, err := dst.read(ctx)
+	if err != nil {
+		return 0, fmt.Errorf("%w: read before the change: %w", storer.ErrUnavailable, err)
+	}
+	// A store that was restored from an old copy has a lower revision than the one in force. The
+	// successor has to be above both, or no host would accept it.
+	if base := max(old.rev, dst.revision()); base != expected {
+		return 0, fmt.Errorf("%w: present revision is %d, expected %d", ErrConflict, base, expected)
+	}
+	if err := dst.archive(ctx, old); err != nil {
+		return 0, fmt.Errorf("%w: history: %w", storer.ErrUnavailable, err)
+	}
+	cur := stored{rev: expected + 1, writer: rand.Text(), doc: document}
+	if err := dst.write(ctx, cur, at); err != nil {
+		return 0, err
+	}
+	// The write is done; a failure to trim leaves entries for the next change to remove.
+	_ = dst.trim(ctx, cur.rev)
+	// The watch or a peer may have brought the same or a later revision in the meantime.
+	if err := dst.offer(offered{doc: document, rev: cur.rev, source: "operator"}); err != nil && !errors.Is(err, ErrLowerRevision) {
+		return cur.rev, err
+	}
+	return cur.rev, nil
+}
+
+// archive copies the revision that is about to be replaced to the history. Every revision that
+// was in force is therefore in Current or in the history, whenever a writer fails.
+func (dst *Distributor) archive(ctx context.Context, old stored) error {
+	if old.rev == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, dst.opt.Timeout)
+	defer cancel()
+	_, err := dst.opt.Store.Put(ctx, historyKey(old.rev), old.encode(), 0)
+	// A lost answer is resolved by the write that follows: only its success needs the entry, and
+	// an entry that exists has the same value.
+	if errors.Is(err, storer.ErrResultUnknown) {
+		_, err = dst.opt.Store.Put(ctx, historyKey(old.rev), old.encode(), 0)
+	}
+	if errors.Is(err, storer.ErrConflict) {
+		return nil
+	}
+	return err
+}
+
+// write replaces the value at a store revision. A write whose answer was lost may still take
+// effect later, so that reading the old value proves nothing: the same write is repeated until it
+// succeeds or conflicts.
+func (dst *Distributor) write(ctx context.Context, cur stored, at int64) error {
+	value := cur.encode()
+	lost := false
+	for delay := minDelay; ; delay = min(2*delay, maxDelay) {
+		err := dst.putOnce(ctx, value, at)
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, storer.ErrConflict) && !lost:
+			return ErrConflict
+		case errors.Is(err, storer.ErrConflict):
+			if won, err := dst.wasWritten(ctx, cur); err == nil {
+				if won {
+					return nil
+				}
+				return ErrConflict
+			}
+		case errors.Is(err, storer.ErrTooLarge):
+			return err
+		case errors.Is(err, storer.ErrUnavailable) && !lost:
+			return err
+		case !errors.Is(err, storer.ErrUnavailable):
+			lost = true
+		}
+		if !pause(ctx, delay) {
+			return fmt.Errorf("%w: %w", ErrResultUnknown, ctx.Err())
+		}
+	}
+}
+
+func (dst *Distributor) putOnce(ctx context.Context, value []byte, at int64) error {
+	ctx, cancel := context.WithTimeout(ctx, dst.opt.Timeout)
+	defer cancel()
+	_, err := dst.opt.Store.Put(ctx, keyCurrent, value, at)
+	return err
+}
+
+// wasWritten says whether a write took effect, even if a later one has replaced it since.
+func (dst *Distributor) wasWritten(ctx context.Context, cur stored) (bool, error) {
+	now, _, err := dst.read(ctx)
+	if err != nil {
+		return false, err
+	}
+	if now.rev <= cur.rev {
+		return now.writer == cur.writer, nil
+	}
+	doc, err := dst.past(ctx, cur.rev)
+	if errors.Is(err, storer.ErrNotFound) {
+		return false, nil
+	}
+	return doc.writer == cur.writer, err
+}
+
+// trim removes entries of the history that are too old.
+func (dst *Distributor) trim(ctx context.Context, rev modeler.Revision) error {
+	ctx, cancel := context.WithTimeout(ctx, dst.opt.Timeout)
+	defer cancel()
+	ents, err := dst.opt.Store.List(ctx, prefixHistory, "", historyLength)
+	if err != nil {
+		return err
+	}
+	oldest := historyKey(max(rev-historyLength, 0))
+	for _, ent := range ents {
+		if ent.Key >= oldest {
+			return nil
+		}
+		if err := dst.opt.Store.Delete(ctx, ent.Key, ent.Revision); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// History lists the earlier revisions that the store keeps, the oldest first. Errors:
+// storer.ErrUnavailable.
+func (dst *Distributor) History(ctx context.Context) ([]modeler.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, dst.opt.Timeout)
+	defer cancel()
+	ents, err := dst.opt.Store.List(ctx, prefixHistory, "", 2*historyLength)
+	if err != nil {
+		return nil, err
+	}
+	var revs []modeler.Revision
+	for _, ent := range ents {
+		if rev, err := strconv.ParseInt(strings.TrimPrefix(ent.Key, prefixHistory), 10, 64); err == nil {
+			revs = append(revs, modeler.Revision(rev))
+		}
+	}
+	return revs, nil
+}
+
+// Past returns the document of an earlier revision. Errors: storer.ErrNotFound,
+// storer.ErrUnavailable.
+func (dst *Distributor) Past(ctx context.Context, rev modeler.Revision) ([]byte, error) {
+	sto, err := dst.past(ctx, rev)
+	return sto.doc, err
+}
+
+func (dst *Distributor) past(ctx context.Context, rev modeler.Revision) (stored, error) {
+	ctx, cancel := context.WithTimeout(ctx, dst.opt.Timeout)
+	defer cancel()
+	ent, err := dst.opt.Store.Get(ctx, historyKey(rev))
+	if err != nil {
+		return stored{}, err
+	}
+	return decode(ent.Value)
+}
+
+// pause waits for a random time from half the delay to the delay. It returns false when the
+// context ends first.
+func pause(ctx context.Context, delay time.Duration) bool {
+	tm := time.NewTimer(delay/2 + mrand.N(delay/2+1))
+	defer tm.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-tm.C:
+		return true
+	}
+}
