Add an in-memory emulation of the platform

Cause: the daemon's standalone mode and the tests of all other packages need the key-value service, workers, host list and runners without a platform.

Change: emulator.New returns a store with compare-and-swap, list and watches, workers that run tasks under leases on the runtime clock, and a lagging host list, which share one table of fault switches; emulator.NewRunner returns an HTTP runner with limits. Workers and runners keep oracles for the invariants. The store gains ErrGap for a watch position that is too old, and the lister ErrUnavailable.

--- /dev/null
+++ b/internal/platform/emulator/runners.go
@@ -0,0 +1,277 @@
+package emulator
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+)
+
+// maxRunnerBody bounds the request bodies that a runner echoes.
+const maxRunnerBody = 16 << 20
+
+// RunnerOptions describes an emulated runner.
+type RunnerOptions struct {
+	Name modeler.RunnerName
+	// Slots and Connections are the limits of the runner. They are positive.
+	Slots, Connections int
+	// RunTime returns the time that a call takes. By default it is the duration in the query
+	// parameter RunTime, or zero.
+	RunTime func(*http.Request) time.Duration
+	// GuardsOff makes the runner work above its limits.
+	GuardsOff bool
+}
+
+// Runner emulates a runner. It answers a call with its own name, the method and path of the
+// call, and the request body, so that a caller can check that the answer is whole and its own.
+// It is safe for concurrent use.
+type Runner struct {
+	options RunnerOptions
+	faults  *Faults
+
+	mu     sync.Mutex
+	oracle RunnerOracle
+	// running is the number of calls in progress.
+	running int
+	conns   map[net.Conn]*frozenConn
+}
+
+// RunnerOracle is what an emulated runner observed. It serves tests only.
+type RunnerOracle struct {
+	// Executions counts the executions of each idempotency key.
+	Executions map[string]int
+	// Calls counts all executions.
+	Calls int
+	// GreatestCalls is the greatest number of calls in progress.
+	GreatestCalls int
+	// GreatestConnections is the greatest number of open connections.
+	GreatestConnections int
+	// Refused counts the calls and connections that the guards refused.
+	Refused int
+	// Late counts the calls that ran longer than the time in the header Currant-Timeout.
+	Late int
+}
+
+// NewRunner returns a runner that does not listen yet. The faults may be nil.
+func NewRunner(fts *Faults, op RunnerOptions) *Runner {
+	if fts == nil {
+		fts = new(Faults)
+	}
+	if op.RunTime == nil {
+		op.RunTime = queryRunTime
+	}
+	return &Runner{
+		options: op,
+		faults:  fts,
+		oracle:  RunnerOracle{Executions: map[string]int{}},
+		conns:   map[net.Conn]*frozenConn{},
+	}
+}
+
+func queryRunTime(rq *http.Request) time.Duration {
+	dur, _ := time.ParseDuration(rq.URL.Query().Get("RunTime"))
+	return dur
+}
+
+// Oracle returns a copy of the observations.
+func (rn *Runner) Oracle() RunnerOracle {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	or := rn.oracle
+	or.Executions = maps.Clone(or.Executions)
+	return or
+}
+
+// Serve answers calls on a listener until the listener is closed.
+func (rn *Runner) Serve(ln net.Listener) error {
+	return rn.Server().Serve(&freezingListener{Listener: ln, runner: rn})
+}
+
+// Server returns an HTTP server for the runner, for a listener of the test's own.
+func (rn *Runner) Server() *http.Server {
+	return &http.Server{Handler: rn, ReadHeaderTimeout: time.Minute}
+}
+
+// Freeze makes all open connections unresponsive for ever. New connections work.
+func (rn *Runner) Freeze() {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	for _, cn := range rn.conns {
+		cn.freeze()
+	}
+}
+
+// ServeHTTP executes one call.
+func (rn *Runner) ServeHTTP(wr http.ResponseWriter, rq *http.Request) {
+	if rq.URL.Path == "/healthz" {
+		rn.answerProbe(wr)
+		return
+	}
+	sw, faulty := rn.faults.match(PartRunners, "Call", string(rn.options.Name), Unavailable, Slow, AnswerLost, FailEverything, Truncated)
+	if faulty && sw.Fault == Unavailable {
+		panic(http.ErrAbortHandler)
+	}
+	if faulty && sw.Fault == FailEverything {
+		http.Error(wr, "runner is faulty", http.StatusInternalServerError)
+		return
+	}
+	if !rn.begin(rq) {
+		http.Error(wr, "no free slot", http.StatusServiceUnavailable)
+		return
+	}
+	defer rn.end()
+	body, err := io.ReadAll(io.LimitReader(rq.Body, maxRunnerBody))
+	if err != nil {
+		return
+	}
+	rn.work(rq, sw)
+	if faulty && sw.Fault == AnswerLost {
+		panic(http.ErrAbortHandler)
+	}
+	rn.answer(wr, rq, body, faulty && sw.Fault == Truncated)
+}
+
+func (rn *Runner) answerProbe(wr http.ResponseWriter) {
+	if _, failing := rn.faults.match(PartRunners, "Probe", string(rn.options.Name), Unavailable, FailEverything); failing {
+		wr.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// work takes the run time of the call. It goes on when the client closes the connection, as a
+// runner does not know of that.
+func (rn *Runner) work(rq *http.Request, sw Switch) {
+	dur := rn.options.RunTime(rq)
+	if sw.Fault == Slow {
+		dur += sw.Delay
+	}
+	if dur > 0 {
+		time.Sleep(dur)
+	}
+	limit, err := strconv.ParseInt(rq.Header.Get(modeler.HeaderTimeout), 10, 64)
+	if err == nil && dur > time.Duration(limit)*time.Millisecond {
+		rn.mu.Lock()
+		defer rn.mu.Unlock()
+		rn.oracle.Late++
+	}
+}
+
+func (rn *Runner) answer(wr http.ResponseWriter, rq *http.Request, body []byte, truncated bool) {
+	head := fmt.Sprintf("%s %s %s\n", rn.options.Name, rq.Method, rq.URL.RequestURI())
+	whole := append([]byte(head), body...)
+	wr.Header().Set("Content-Length", strconv.Itoa(len(whole)))
+	if !truncated {
+		_, _ = wr.Write(whole)
+		return
+	}
+	_, _ = wr.Write(whole[:len(whole)/2])
+	// Flushing makes the client see the first half before the connection ends.
+	_ = http.NewResponseController(wr).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+func (rn *Runner) begin(rq *http.Request) bool {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	if rn.running >= rn.options.Slots && !rn.options.GuardsOff {
+		rn.oracle.Refused++
+		return false
+	}
+	rn.running++
+	rn.oracle.Calls++
+	rn.oracle.GreatestCalls = max(rn.oracle.GreatestCalls, rn.running)
+	if key := rq.Header.Get(modeler.HeaderKey); key != "" {
+		rn.oracle.Executions[key]++
+	}
+	return true
+}
+
+func (rn *Runner) end() {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	rn.running--
+}
+
+// freezingListener counts connections and wraps them so that they can be frozen.
+type freezingListener struct {
+	net.Listener
+	runner *Runner
+}
+
+// Accept returns the next connection within the limit of the runner.
+func (fl *freezingListener) Accept() (net.Conn, error) {
+	for {
+		cn, err := fl.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if fc, ok := fl.runner.admit(cn); ok {
+			return fc, nil
+		}
+		_ = cn.Close()
+	}
+}
+
+func (rn *Runner) admit(cn net.Conn) (net.Conn, bool) {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	if len(rn.conns) >= rn.options.Connections && !rn.options.GuardsOff {
+		rn.oracle.Refused++
+		return nil, false
+	}
+	fc := &frozenConn{Conn: cn, runner: rn, frozen: make(chan struct{}), closed: make(chan struct{})}
+	rn.conns[cn] = fc
+	rn.oracle.GreatestConnections = max(rn.oracle.GreatestConnections, len(rn.conns))
+	return fc, true
+}
+
+// frozenConn is a connection that can become unresponsive.
+type frozenConn struct {
+	net.Conn
+	runner *Runner
+	// frozen is closed once the connection is unresponsive, closed once it is closed.
+	frozen, closed chan struct{}
+	onceF, onceC   sync.Once
+}
+
+func (fc *frozenConn) freeze() { fc.onceF.Do(func() { close(fc.frozen) }) }
+
+// Read returns no data once the connection is frozen.
+func (fc *frozenConn) Read(bf []byte) (int, error) {
+	nm, err := fc.Conn.Read(bf)
+	return nm, fc.hang(err)
+}
+
+// Write sends no data once the connection is frozen.
+func (fc *frozenConn) Write(bf []byte) (int, error) {
+	if err := fc.hang(nil); err != nil {
+		return 0, err
+	}
+	return fc.Conn.Write(bf)
+}
+
+func (fc *frozenConn) hang(err error) error {
+	select {
+	case <-fc.frozen:
+		<-fc.closed
+		return net.ErrClosed
+	default:
+		return err
+	}
+}
+
+// Close ends the connection.
+func (fc *frozenConn) Close() error {
+	fc.onceC.Do(func() {
+		close(fc.closed)
+		fc.runner.mu.Lock()
+		delete(fc.runner.conns, fc.Conn)
+		fc.runner.mu.Unlock()
+	})
+	return fc.Conn.Close()
+}
--- /dev/null
+++ b/internal/platform/emulator/workers_test.go
@@ -0,0 +1,130 @@
+package emulator_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/currantrouter/currantrouter/internal/platform/emulator"
+	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+)
+
+var (
+	here     = supervisor.Worker{Name: "w1", Capacity: supervisor.Resources{Millicores: 2000}}
+	there    = supervisor.Worker{Name: "w2", Capacity: supervisor.Resources{Millicores: 2000}}
+	anAtt    = supervisor.Attempt{Job: "job", Task: 1, Number: 1}
+	other    = supervisor.Attempt{Job: "other", Task: 1, Number: 1}
+	leaseFor = 30 * time.Second
+)
+
+func start(t *testing.T, wks *emulator.Workers, wk supervisor.Worker, id supervisor.Attempt, checkpoint string) error {
+	t.Helper()
+	return wks.Start(t.Context(), wk, supervisor.StartCommand{
+		Attempt: id, Epoch: 1, StartBefore: time.Now().Add(2 * time.Second), LeaseTerm: leaseFor,
+		Reservation: supervisor.Resources{Millicores: 1000}, Checkpoint: checkpoint, Kind: id.Job,
+	})
+}
+
+func state(t *testing.T, wks *emulator.Workers, wk supervisor.Worker) supervisor.AttemptReport {
+	t.Helper()
+	rep, err := wks.Report(t.Context(), wk)
+	qt.Assert(t, err, qt.IsNil)
+	all := append(rep.Running, rep.Ended...)
+	qt.Assert(t, all, qt.HasLen, 1)
+	return all[0]
+}
+
+// Guards against emulated workers that differ from the published rules of leases, checkpoints,
+// interference and lag, on which the tests of the scheduler rest.
+func TestWorkers(t *testing.T) {
+	bh := emulator.Behaviour{
+		ReportLag: 3 * time.Second, CheckpointTime: time.Second,
+		Slowdown: func(string, string, float64) float64 { return 2 },
+	}
+	for name, run := range map[string]func(*testing.T, *emulator.Workers){
+		"ends after its run time": func(t *testing.T, wks *emulator.Workers) {
+			qt.Assert(t, start(t, wks, here, anAtt, ""), qt.IsNil)
+			time.Sleep(2 * time.Second)
+			qt.Check(t, state(t, wks, here).Usage.Millicores, qt.Equals, int64(0))
+			time.Sleep(2 * time.Second)
+			qt.Check(t, state(t, wks, here).Usage.Millicores, qt.Equals, int64(1000))
+			time.Sleep(7 * time.Second)
+			qt.Check(t, state(t, wks, here).State, qt.Equals, supervisor.AttemptDone)
+		},
+		"lease ends": func(t *testing.T, wks *emulator.Workers) {
+			qt.Assert(t, start(t, wks, here, anAtt, ""), qt.IsNil)
+			qt.Assert(t, wks.Throttle(t.Context(), here, 1, anAtt, 0.1), qt.IsNil)
+			time.Sleep(20 * time.Second)
+			missing, err := wks.Renew(t.Context(), here, 1, leaseFor, []supervisor.Attempt{anAtt, other})
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, missing, qt.DeepEquals, []supervisor.Attempt{other})
+			time.Sleep(29 * time.Second)
+			qt.Check(t, state(t, wks, here).State, qt.Equals, supervisor.AttemptRunning)
+			time.Sleep(2 * time.Second)
+			qt.Check(t, state(t, wks, here).State, qt.Equals, supervisor.AttemptLeaseExpired)
+		},
+		"resumes from a checkpoint": func(t *testing.T, wks *emulator.Workers) {
+			qt.Assert(t, start(t, wks, here, anAtt, ""), qt.IsNil)
+			time.Sleep(6 * time.Second)
+			qt.Assert(t, wks.Checkpoint(t.Context(), here, 1, anAtt), qt.IsNil)
+			time.Sleep(2 * time.Second)
+			cp := state(t, wks, here).Checkpoint
+			qt.Assert(t, wks.Stop(t.Context(), here, 1, anAtt), qt.IsNil)
+			next := anAtt
+			next.Number++
+			qt.Assert(t, start(t, wks, there, next, cp), qt.IsNil)
+			time.Sleep(4*time.Second + time.Millisecond)
+			qt.Check(t, state(t, wks, there).State, qt.Equals, supervisor.AttemptDone)
+			qt.Check(t, wks.Oracle().Resumes[anAtt], qt.Equals, 1)
+			qt.Check(t, wks.Oracle().Violations, qt.HasLen, 0)
+		},
+		"neighbour slows down": func(t *testing.T, wks *emulator.Workers) {
+			qt.Assert(t, start(t, wks, here, anAtt, ""), qt.IsNil)
+			qt.Assert(t, start(t, wks, here, other, ""), qt.IsNil)
+			time.Sleep(19 * time.Second)
+			rep, err := wks.Report(t.Context(), here)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, rep.Running, qt.HasLen, 2)
+			qt.Check(t, rep.Running[0].Slowdown, qt.Equals, 2.0)
+			time.Sleep(2 * time.Second)
+			rep, err = wks.Report(t.Context(), here)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, rep.Ended, qt.HasLen, 2)
+		},
+		"guards": func(t *testing.T, wks *emulator.Workers) {
+			qt.Assert(t, start(t, wks, here, anAtt, ""), qt.IsNil)
+			_, err := wks.Renew(t.Context(), here, 5, leaseFor, nil)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, wks.Stop(t.Context(), here, 4, anAtt), qt.ErrorIs, supervisor.ErrRefused)
+			qt.Check(t, start(t, wks, here, other, ""), qt.ErrorIs, supervisor.ErrRefused)
+		},
+		"paused past its lease": func(t *testing.T, wks *emulator.Workers) {
+			qt.Assert(t, start(t, wks, here, anAtt, ""), qt.IsNil)
+			wks.Pause(here.Name)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			_, err := wks.Report(ctx, here)
+			qt.Check(t, err, qt.ErrorIs, supervisor.ErrResultUnknown)
+			wks.Resume(here.Name)
+			qt.Check(t, state(t, wks, here).State, qt.Equals, supervisor.AttemptLeaseExpired)
+		},
+		"oracle sees two places": func(t *testing.T, wks *emulator.Workers) {
+			qt.Assert(t, start(t, wks, here, anAtt, ""), qt.IsNil)
+			next := anAtt
+			next.Number++
+			qt.Assert(t, start(t, wks, there, next, ""), qt.IsNil)
+			qt.Check(t, wks.Oracle().Violations, qt.HasLen, 1)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				wks := emulator.NewWorkers(nil, bh)
+				wks.Add(here, there)
+				run(t, wks)
+			})
+		})
+	}
+}
--- a/internal/platform/lister/lister.go
+++ b/internal/platform/lister/lister.go
@@ -1,6 +1,11 @@
 // Package lister is the client of the platform's list of live and leaving hosts. The list lags.
 package lister
 
+import "errors"
+
+// ErrUnavailable means that the list could not be read.
+var ErrUnavailable = errors.New("host list unavailable")
+
 // HostState is the platform's word on a machine of any role.
 type HostState string
 
--- a/internal/platform/storer/storer.go
+++ b/internal/platform/storer/storer.go
@@ -17,6 +17,9 @@
 	ErrResultUnknown = errors.New("result of the write is unknown")
 	// ErrTooLarge means that the value exceeds MaxValueBytes. Nothing was written.
 	ErrTooLarge = errors.New("value too large")
+	// ErrGap means that the service no longer knows all changes since the given revision. The
+	// watcher has to read the state again.
+	ErrGap = errors.New("changes since the revision are no longer known")
 )
 
 // MaxValueBytes is the largest value that the service holds.
