Test the distribution of the configuration

Cause: the revision in force must not go down at a host, and racing or lost writes of operators must have one definite result. Change: fault tables for offers, writes, start, watch and reports of peers on the paused clock, and a state machine over races, faults, restored stores and stale peers. A revision that this process can't read is not fetched again; a gap in the watch leads to a new read.

--- a/internal/config/distributor/distributor.go
+++ b/internal/config/distributor/distributor.go
@@ -84,7 +84,7 @@
 	refused refusal
 	// known maps a peer to the revision it last reported, for revisions above the one in force.
 	known map[netip.AddrPort]modeler.Revision
-	// unusable is the highest revision that a peer sent and that has faults for this process.
+	// unusable is the last revision that a peer sent and that has faults for this process.
 	unusable modeler.Revision
 	// wake signals that known has a new revision. It holds at most one signal.
 	wake chan struct{}
--- /dev/null
+++ b/internal/config/distributor/distributor_test.go
@@ -0,0 +1,423 @@
+package distributor_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+	"pgregory.net/rapid"
+
+	"github.com/currantrouter/currantrouter/internal/config/checker"
+	"github.com/currantrouter/currantrouter/internal/config/distributor"
+	"github.com/currantrouter/currantrouter/internal/daemon/meter"
+	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/platform/emulator"
+	"github.com/currantrouter/currantrouter/internal/platform/storer"
+)
+
+func init() {
+	// A fixed seed makes runs repeatable. Flags of the command line override it.
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.checks", "60")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+// doc returns a valid document that differs from others by its number.
+func doc(num int) []byte { return fmt.Appendf(nil, "; %d\n[DataCentre a]\n", num) }
+
+// peer answers Fetch with a document after a delay.
+type peer struct {
+	doc   []byte
+	rev   modeler.Revision
+	delay time.Duration
+}
+
+type peers []peer
+
+func (prs peers) Addresses() []netip.AddrPort {
+	var addrs []netip.AddrPort
+	for idx := range prs {
+		addrs = append(addrs, address(idx))
+	}
+	return addrs
+}
+
+func address(idx int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), uint16(1+idx))
+}
+
+func (prs peers) Fetch(ctx context.Context, addr netip.AddrPort, minimum modeler.Revision) ([]byte, modeler.Revision, error) {
+	pr := prs[addr.Port()-1]
+	select {
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	case <-time.After(pr.delay):
+	}
+	if pr.rev < minimum {
+		return nil, 0, errors.New("no such revision")
+	}
+	return pr.doc, pr.rev, nil
+}
+
+// lateStore is a store in which the next writes take effect a second after their answer was lost.
+type lateStore struct {
+	*emulator.Store
+	late atomic.Int64
+}
+
+func newStore() *lateStore { return &lateStore{Store: emulator.NewStore(nil)} }
+
+func (ls *lateStore) Put(ctx context.Context, key string, value []byte, expected int64) (int64, error) {
+	if ls.late.Add(-1) < 0 {
+		ls.late.Store(0)
+		return ls.Store.Put(ctx, key, value, expected)
+	}
+	time.AfterFunc(time.Second, func() { _, _ = ls.Store.Put(context.Background(), key, value, expected) })
+	return 0, storer.ErrResultUnknown
+}
+
+// set turns a fault on. Late writes are made here.
+func (ls *lateStore) set(sw emulator.Switch) {
+	if sw.Fault == emulator.Late {
+		ls.late.Store(int64(sw.Count))
+		return
+	}
+	ls.Faults().Set(sw)
+}
+
+// host is a distributor with what it needs.
+type host struct {
+	*distributor.Distributor
+	reg *meter.Registry
+}
+
+func newHost(st *lateStore, prs peers, watching bool) host {
+	reg := meter.New(nil)
+	return host{distributor.New(distributor.Options{
+		Store: st, Peers: prs, Watching: func() bool { return watching },
+		Timeout: 800 * time.Millisecond, Log: logr.Discard(), Meter: reg,
+	}), reg}
+}
+
+func (hst host) assertRevision(t testing.TB, want modeler.Revision) {
+	t.Helper()
+	_, rev := hst.Document()
+	qt.Assert(t, rev, qt.Equals, want)
+}
+
+// run starts the host's loops until the test ends.
+func (hst host) run(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		hst.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+// restore overwrites the store's configuration as a restored copy of the store would.
+func restore(st *lateStore, rev modeler.Revision, document []byte) {
+	ent, _ := st.Get(context.Background(), "Configuration/Current")
+	value := fmt.Appendf(nil, "Revision = %d\nWriter = old\n%s", rev, document)
+	if _, err := st.Put(context.Background(), "Configuration/Current", value, ent.Revision); err != nil {
+		panic(err)
+	}
+}
+
+// Guards against a revision that goes down, and against refusals that no metric shows.
+func TestOffer(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		doc  []byte
+		rev  modeler.Revision
+		want error
+		mt   meter.Metric
+	}{
+		{"lower", doc(4), 4, distributor.ErrLowerRevision, meter.RevisionsRefused},
+		{"zero", doc(0), 0, distributor.ErrLowerRevision, meter.RevisionsRefused},
+		{"same with other content", doc(6), 5, distributor.ErrContentDiffers, meter.RevisionsDiffering},
+		{"faulty", []byte("[Host]"), 6, checker.ErrInvalid, meter.RevisionsInvalid},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			hst := newHost(newStore(), nil, false)
+			qt.Assert(t, hst.Offer(doc(5), 5), qt.IsNil)
+			changed := hst.Changed()
+			qt.Assert(t, errors.Is(hst.Offer(tc.doc, tc.rev), tc.want), qt.IsTrue)
+			qt.Assert(t, hst.Offer(doc(5), 5), qt.IsNil)
+			hst.assertRevision(t, 5)
+			qt.Assert(t, hst.reg.Value(tc.mt), qt.Equals, int64(1))
+			select {
+			case <-changed:
+				t.Fatal("a refusal must not signal a change")
+			default:
+			}
+			qt.Assert(t, hst.Offer(doc(6), 6), qt.IsNil)
+			<-changed
+		})
+	}
+}
+
+// Guards against lost and doubled changes of operators when answers of the store are lost.
+func TestPut(t *testing.T) {
+	put := func(fault emulator.Fault, count int) emulator.Switch {
+		return emulator.Switch{
+			Fault: fault, Part: emulator.PartStore, Operation: "Put",
+			Target: "Configuration/Current", Count: count, Delay: 300 * time.Millisecond,
+		}
+	}
+	late := emulator.Switch{Fault: emulator.Late, Count: 1}
+	for _, tc := range []struct {
+		name     string
+		fault    emulator.Switch
+		expected modeler.Revision
+		// rival is the revision that another operator writes 50 ms later, zero for none.
+		rival modeler.Revision
+		want  error
+		final modeler.Revision
+	}{
+		{"no fault", put(emulator.Slow, 1), 1, 0, nil, 2},
+		{"stale expectation", put(emulator.Slow, 1), 0, 0, distributor.ErrConflict, 1},
+		{"answer lost", put(emulator.AnswerLost, 1), 1, 0, nil, 2},
+		{"answer lost and superseded", put(emulator.AnswerLost, 1), 1, 3, nil, 3},
+		{"request lost", put(emulator.RequestLost, 2), 1, 0, nil, 2},
+		{"request lost, rival first", put(emulator.RequestLost, 1), 1, 2, distributor.ErrConflict, 2},
+		{"late effect", late, 1, 0, nil, 2},
+		{"store down", put(emulator.Unavailable, 0), 1, 0, storer.ErrUnavailable, 1},
+		{"never resolved", put(emulator.RequestLost, 0), 1, 0, distributor.ErrResultUnknown, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				st := newStore()
+				hst, rival := newHost(st, nil, true), newHost(st, nil, true)
+				_, err := hst.Put(t.Context(), doc(1), 0)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, rival.Start(t.Context()), qt.IsNil)
+				st.set(tc.fault)
+				if tc.rival > 0 {
+					go func() {
+						time.Sleep(20 * time.Millisecond)
+						_ = rival.Start(t.Context())
+						_, err := rival.Put(t.Context(), doc(9), tc.rival-1)
+						qt.Check(t, err, qt.IsNil)
+					}()
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+				defer cancel()
+				_, err = hst.Put(ctx, doc(2), tc.expected)
+				qt.Check(t, errors.Is(err, tc.want), qt.IsTrue, qt.Commentf("got %v", err))
+				st.Faults().Clear()
+				check := newHost(st, nil, true)
+				qt.Assert(t, check.Start(t.Context()), qt.IsNil)
+				check.assertRevision(t, tc.final)
+			})
+		})
+	}
+}
+
+// Guards against a history that grows without bound or misses a revision.
+func TestHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hst := newHost(newStore(), nil, true)
+		for num := range 130 {
+			_, err := hst.Put(t.Context(), doc(num+1), modeler.Revision(num))
+			qt.Assert(t, err, qt.IsNil)
+		}
+		revs, err := hst.History(t.Context())
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, revs, qt.HasLen, 100)
+		qt.Check(t, revs[99], qt.Equals, modeler.Revision(129))
+		old, err := hst.Past(t.Context(), 30)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, string(old), qt.Equals, string(doc(30)))
+	})
+}
+
+// Guards against a start that waits for a paused peer, takes a lower revision than peers have or
+// fails without the store.
+func TestStart(t *testing.T) {
+	never := time.Hour
+	for _, tc := range []struct {
+		name  string
+		store modeler.Revision
+		down  bool
+		prs   peers
+		want  modeler.Revision
+		limit time.Duration
+	}{
+		{"store only", 3, false, nil, 3, 0},
+		{"store lags behind a peer", 3, false, peers{{doc(5), 5, 10 * time.Millisecond}, {nil, 0, never}}, 5, 10 * time.Millisecond},
+		{"store down, highest of the peers", 0, true, peers{{doc(3), 3, 0}, {doc(5), 5, 300 * time.Millisecond}}, 5, 800 * time.Millisecond},
+		{"store down, a paused peer", 0, true, peers{{doc(3), 3, 0}, {doc(5), 5, never}}, 3, 800 * time.Millisecond},
+		{"store and peers paused", 0, true, peers{{doc(3), 3, never}}, 0, 2 * time.Second},
+		{"highest is faulty", 3, false, peers{{[]byte("[x]"), 7, 0}}, 3, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				st := newStore()
+				if tc.store > 0 {
+					restore(st, tc.store, doc(int(tc.store)))
+				}
+				if tc.down {
+					st.Faults().Set(emulator.Switch{Fault: emulator.Slow, Part: emulator.PartStore, Delay: never})
+				}
+				hst := newHost(st, tc.prs, true)
+				begin := time.Now()
+				err := hst.Start(t.Context())
+				qt.Check(t, err == nil, qt.Equals, tc.want > 0)
+				qt.Check(t, time.Since(begin) <= tc.limit, qt.IsTrue, qt.Commentf("took %v", time.Since(begin)))
+				hst.assertRevision(t, tc.want)
+			})
+		})
+	}
+}
+
+// Guards against a watch that misses changes, ends at a fault or follows the store down.
+func TestWatch(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		fault emulator.Fault
+		limit time.Duration
+	}{
+		{"no fault", "", 0},
+		{"gap", emulator.WatchGap, 0},
+		{"watch skips changes", emulator.WatchSilent, 10 * time.Second},
+		{"connection lost its state", emulator.Slow, 10 * time.Second},
+		{"store down for a while", emulator.Unavailable, 2 * time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				st := newStore()
+				restore(st, 5, doc(5))
+				st.Faults().Set(emulator.Switch{
+					Fault: tc.fault, Part: emulator.PartStore, Operation: "Wait", Count: 1, Delay: time.Hour,
+				})
+				hst := newHost(st, nil, true)
+				hst.run(t)
+				time.Sleep(time.Millisecond)
+				hst.assertRevision(t, 5)
+				restore(st, 6, doc(6))
+				time.Sleep(tc.limit + time.Millisecond)
+				hst.assertRevision(t, 6)
+				restore(st, 2, doc(2))
+				time.Sleep(11 * time.Second)
+				hst.assertRevision(t, 6)
+				qt.Check(t, hst.reg.Value(meter.RevisionsRefused) > 0, qt.IsTrue)
+			})
+		})
+	}
+}
+
+// Guards against a host that stays behind when the first peer that reports a change is paused.
+func TestLearn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := newStore()
+		hst := newHost(st, peers{{doc(7), 7, time.Hour}, {doc(7), 7, 0}, {[]byte("[x]"), 9, 0}}, false)
+		qt.Assert(t, hst.Offer(doc(5), 5), qt.IsNil)
+		hst.run(t)
+		hst.Learn(address(2), 9)
+		hst.Learn(address(0), 7)
+		hst.Learn(address(1), 7)
+		time.Sleep(1500 * time.Millisecond)
+		hst.assertRevision(t, 7)
+	})
+}
+
+// Guards against a revision that goes down at a host and against two changes that both win, over
+// operators' races, faults, restored stores and stale peers.
+func TestRevisionNeverFalls(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) { rapid.SyncTest(rt, revisionMachine) })
+}
+
+func revisionMachine(rt *rapid.T) {
+	st := newStore()
+	hosts := []host{newHost(st, nil, true), newHost(st, nil, true), newHost(st, nil, true)}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for _, hst := range hosts {
+		go hst.Run(ctx)
+	}
+	last := make([]modeler.Revision, len(hosts))
+	var mu sync.Mutex
+	won := map[modeler.Revision]int{}
+	serial := 0
+	restored := false
+	faults := []emulator.Fault{emulator.Unavailable, emulator.AnswerLost, emulator.RequestLost, emulator.Late}
+	operate := func(rt *rapid.T) {
+		serial++
+		num, idx := serial, rapid.IntRange(0, 2).Draw(rt, "host")
+		_, expected := hosts[idx].Document()
+		go func() {
+			call, cancel := context.WithTimeout(ctx, 3*time.Second)
+			defer cancel()
+			rev, err := hosts[idx].Put(call, doc(num), expected)
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil && won[rev] != 0 && !restored {
+				panic(fmt.Sprintf("revision %d won by %d and %d", rev, won[rev], num))
+			}
+			if err == nil {
+				won[rev] = num
+			}
+		}()
+	}
+	rt.Repeat(map[string]func(*rapid.T){
+		"operate": operate,
+		"race": func(rt *rapid.T) {
+			operate(rt)
+			operate(rt)
+			synctest.Wait()
+		},
+		"fault": func(rt *rapid.T) {
+			st.set(emulator.Switch{
+				Fault: rapid.SampledFrom(faults).Draw(rt, "fault"), Part: emulator.PartStore,
+				Count: rapid.IntRange(1, 4).Draw(rt, "count"), Delay: time.Second,
+			})
+		},
+		"restore": func(rt *rapid.T) {
+			rev := modeler.Revision(rapid.IntRange(1, 9).Draw(rt, "revision"))
+			st.Faults().Clear()
+			st.late.Store(0)
+			restored = true
+			restore(st, rev, doc(1000+int(rev)))
+		},
+		"stale peer": func(rt *rapid.T) {
+			rev := modeler.Revision(rapid.IntRange(0, 9).Draw(rt, "revision"))
+			idx := rapid.IntRange(0, 2).Draw(rt, "host")
+			restored = true
+			_ = hosts[idx].Offer(doc(2000+int(rev)), rev)
+		},
+		"time": func(rt *rapid.T) {
+			time.Sleep(time.Duration(rapid.IntRange(1, 4000).Draw(rt, "millis")) * time.Millisecond)
+		},
+		"": func(rt *rapid.T) {
+			synctest.Wait()
+			mu.Lock()
+			defer mu.Unlock()
+			for idx, hst := range hosts {
+				document, rev := hst.Document()
+				if rev < last[idx] {
+					rt.Fatalf("host %d fell from revision %d to %d", idx, last[idx], rev)
+				}
+				last[idx] = rev
+				if num := won[rev]; num != 0 && !restored && string(document) != string(doc(num)) {
+					rt.Fatalf("host %d has another document of revision %d than the winner's", idx, rev)
+				}
+			}
+		},
+	})
+	cancel()
+	time.Sleep(time.Minute)
+}
--- a/internal/config/distributor/keeper.go
+++ b/internal/config/distributor/keeper.go
@@ -198,7 +198,9 @@
 		if ent.Key >= oldest {
 			return nil
 		}
-		if err := dst.opt.Store.Delete(ctx, ent.Key, ent.Revision); err != nil {
+		err := dst.opt.Store.Delete(ctx, ent.Key, ent.Revision)
+		// A conflict means that another writer has removed the entry.
+		if err != nil && !errors.Is(err, storer.ErrConflict) {
 			return err
 		}
 	}
--- a/internal/config/distributor/watcher.go
+++ b/internal/config/distributor/watcher.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -12,6 +13,7 @@
 	"github.com/currantrouter/currantrouter/internal/config/checker"
 	"github.com/currantrouter/currantrouter/internal/daemon/logger"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/platform/storer"
 )
 
 const (
@@ -171,8 +173,8 @@
 	poll, cancel := context.WithTimeout(ctx, watchLimit)
 	defer cancel()
 	ents, next, err := dst.opt.Store.Wait(poll, keyCurrent, *at)
-	if err != nil && poll.Err() != nil {
-		// The poll's own limit is no failure of the store. The read that follows tells.
+	if err != nil && (poll.Err() != nil || errors.Is(err, storer.ErrGap)) {
+		// The poll's own limit and a gap are no failures of the store. The read that follows tells.
 		return false, nil
 	}
 	if err != nil {
@@ -203,7 +205,7 @@
 	}
 	dst.mu.Lock()
 	defer dst.mu.Unlock()
-	if rev <= max(dst.revision(), dst.unusable) || dst.known[addr] >= rev {
+	if rev <= dst.revision() || rev == dst.unusable || dst.known[addr] >= rev {
 		return
 	}
 	dst.known[addr] = rev
@@ -266,8 +268,8 @@
 func (dst *Distributor) giveUp(rev modeler.Revision) {
 	dst.mu.Lock()
 	defer dst.mu.Unlock()
-	dst.unusable = max(dst.unusable, rev)
-	dst.forget(dst.unusable)
+	dst.unusable = rev
+	maps.DeleteFunc(dst.known, func(_ netip.AddrPort, reported modeler.Revision) bool { return reported == rev })
 }
 
 func (dst *Distributor) drop(addr netip.AddrPort, rev modeler.Revision) {
