--- /dev/null
+++ b/internal/request/claimer/claimer_test.go
@@ -0,0 +1,419 @@
+package claimer_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+	"pgregory.net/rapid"
+
+	"github.com/currantrouter/currantrouter/internal/daemon/meter"
+	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/request/claimer"
+)
+
+func init() {
+	// A fixed seed makes runs repeatable. Flags of the command line override it.
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.checks", "300")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+// errLost means that the answer of an append was lost.
+var errLost = errors.New("answer lost")
+
+// fault is what happens to the next append.
+type fault int
+
+const (
+	none fault = iota
+	unavailable
+	answerLost
+	requestLost
+	// late: the answer is lost and the records arrive before the next append of the same leader.
+	late
+)
+
+// shared is a journal with one writer at a time.
+type shared struct {
+	mu      sync.Mutex
+	epoch   modeler.Epoch
+	records [][]byte
+}
+
+// journal is the view of one leader.
+type journal struct {
+	log       *shared
+	epoch     modeler.Epoch
+	next      fault
+	unread    bool
+	delayed   [][]byte
+	deposed   chan struct{}
+	isDeposed bool
+}
+
+func (jr *journal) Append(_ context.Context, records ...[]byte) error {
+	jr.log.mu.Lock()
+	defer jr.log.mu.Unlock()
+	now := jr.next
+	jr.next = none
+	if now == unavailable {
+		return storer.ErrUnavailable
+	}
+	if now == requestLost {
+		return errLost
+	}
+	if jr.fenced() {
+		return errors.New("deposed")
+	}
+	if now == late {
+		jr.delayed = append(jr.delayed, records...)
+		return errLost
+	}
+	jr.log.records = append(jr.log.records, jr.delayed...)
+	jr.delayed = nil
+	jr.log.records = append(jr.log.records, records...)
+	if now == answerLost {
+		return errLost
+	}
+	return nil
+}
+
+func (jr *journal) fenced() bool {
+	if jr.log.epoch == jr.epoch {
+		return false
+	}
+	if !jr.isDeposed {
+		jr.isDeposed = true
+		close(jr.deposed)
+	}
+	return true
+}
+
+func (jr *journal) Confirm(context.Context) error {
+	jr.log.mu.Lock()
+	defer jr.log.mu.Unlock()
+	if jr.unread {
+		return storer.ErrUnavailable
+	}
+	if jr.fenced() {
+		return errors.New("deposed")
+	}
+	return nil
+}
+
+func (jr *journal) Deposed() <-chan struct{} { return jr.deposed }
+
+// leader is a claimer with its journal.
+type leader struct {
+	*claimer.Claimer
+	jr *journal
+}
+
+// elect appends the next epoch and opens a claimer on what the journal holds.
+func (sh *shared) elect(parts [][]byte, from int, opt claimer.Options) (leader, error) {
+	sh.mu.Lock()
+	sh.epoch++
+	jr := &journal{log: sh, epoch: sh.epoch, deposed: make(chan struct{})}
+	records := sh.records[from:]
+	sh.mu.Unlock()
+	opt.Journal, opt.Epoch, opt.Log, opt.Meter = jr, jr.epoch, logr.Discard(), meter.New(nil)
+	clm, err := claimer.Open(opt, parts, records)
+	return leader{clm, jr}, err
+}
+
+func (sh *shared) mustElect(t testing.TB, opt claimer.Options) leader {
+	t.Helper()
+	ldr, err := sh.elect(nil, 0, opt)
+	qt.Assert(t, err, qt.IsNil)
+	return ldr
+}
+
+func (ldr leader) claim(key string, digest byte) (claimer.Claim, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return ldr.Claim(ctx, key, "tidebook", claimer.Digest{digest})
+}
+
+// mustRun claims a key and completes it with an answer.
+func (ldr leader) mustRun(t testing.TB, key, body string) {
+	t.Helper()
+	cl, err := ldr.claim(key, 1)
+	qt.Assert(t, err, qt.IsNil)
+	ans := &claimer.Answer{Status: 200, Body: []byte(body)}
+	qt.Assert(t, ldr.Complete(context.Background(), cl, modeler.Answered, ans), qt.IsNil)
+}
+
+// assertKnown checks the outcome and the body of a retry. An empty body stands for none.
+func (ldr leader) assertKnown(t testing.TB, key string, oc modeler.Outcome, body string) {
+	t.Helper()
+	_, err := ldr.claim(key, 1)
+	var known *claimer.KnownError
+	qt.Assert(t, errors.As(err, &known), qt.IsTrue, qt.Commentf("got %v", err))
+	qt.Check(t, known.Outcome, qt.Equals, oc)
+	got := ""
+	if known.Answer != nil {
+		got = string(known.Answer.Body)
+	}
+	qt.Check(t, got, qt.Equals, body)
+}
+
+// Guards against NotRun that is not proven when a claim fails, and against a key that stays
+// blocked although its call was not sent.
+func TestFailedClaim(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		next    fault
+		unread  bool
+		deposed bool
+		want    error
+		outcome modeler.Outcome
+	}{
+		{"store down for writes", unavailable, false, false, claimer.ErrNotClaimed, modeler.NotRun},
+		{"store down", unavailable, true, false, claimer.ErrUnproven, modeler.Unknown},
+		{"answer lost", answerLost, false, false, claimer.ErrNotClaimed, modeler.NotRun},
+		{"answer lost, then store down", answerLost, true, false, claimer.ErrUnproven, modeler.Unknown},
+		{"late effect", late, true, false, claimer.ErrUnproven, modeler.Unknown},
+		{"deposed", none, false, true, claimer.ErrNotLeader, modeler.Unknown},
+		{"deposed, store down", unavailable, true, true, claimer.ErrUnproven, modeler.Unknown},
+		{"deposed, answer lost", requestLost, false, true, claimer.ErrNotLeader, modeler.Unknown},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			log := new(shared)
+			ldr := log.mustElect(t, claimer.Options{})
+			if tc.deposed {
+				log.mustElect(t, claimer.Options{}).mustRun(t, "k", "")
+			}
+			ldr.jr.next, ldr.jr.unread = tc.next, tc.unread
+			_, err := ldr.claim("k", 1)
+			qt.Check(t, errors.Is(err, tc.want), qt.IsTrue, qt.Commentf("got %v", err))
+			qt.Check(t, claimer.OutcomeOf(err), qt.Equals, tc.outcome)
+			ldr.jr.unread = false
+			_, err = ldr.claim("k", 1)
+			qt.Check(t, err == nil, qt.Equals, !tc.deposed)
+		})
+	}
+}
+
+// Guards against a second run and against wrong answers to retries.
+func TestRetry(t *testing.T) {
+	t.Run("answers age and outcomes stay", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			log := new(shared)
+			ldr := log.mustElect(t, claimer.Options{MaxAnswerBytes: 100_000})
+			ldr.mustRun(t, "small", "answer")
+			ldr.mustRun(t, "large", string(make([]byte, claimer.MaxBodyBytes+1)))
+			ldr.assertKnown(t, "small", modeler.Answered, "answer")
+			ldr.assertKnown(t, "large", modeler.Answered, "")
+			time.Sleep(claimer.AnswerAge)
+			ldr.Trim()
+			ldr.assertKnown(t, "small", modeler.Answered, "")
+			time.Sleep(claimer.KeyAge - claimer.AnswerAge - time.Second)
+			ldr.Trim()
+			ldr.assertKnown(t, "small", modeler.Answered, "")
+			time.Sleep(2 * time.Hour)
+			ldr.Trim()
+			ldr.mustRun(t, "small", "again")
+		})
+	})
+	t.Run("memory for answers", func(t *testing.T) {
+		ldr := new(shared).mustElect(t, claimer.Options{MaxAnswerBytes: 100})
+		ldr.mustRun(t, "a", string(make([]byte, 60)))
+		ldr.mustRun(t, "b", "answer")
+		ldr.mustRun(t, "c", string(make([]byte, 60)))
+		ldr.assertKnown(t, "a", modeler.Answered, "")
+		ldr.assertKnown(t, "b", modeler.Answered, "answer")
+	})
+	t.Run("key of another request", func(t *testing.T) {
+		ldr := new(shared).mustElect(t, claimer.Options{})
+		ldr.mustRun(t, "k", "")
+		_, err := ldr.claim("k", 2)
+		qt.Check(t, errors.Is(err, claimer.ErrKeyReused), qt.IsTrue)
+		_, err = ldr.Claim(t.Context(), "k", "bakedesk", claimer.Digest{1})
+		qt.Check(t, errors.Is(err, claimer.ErrKeyReused), qt.IsTrue)
+	})
+	t.Run("second attempt waits for the first", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			ldr := new(shared).mustElect(t, claimer.Options{})
+			cl, err := ldr.claim("k", 1)
+			qt.Assert(t, err, qt.IsNil)
+			ldr.assertKnown(t, "k", modeler.Unknown, "")
+			time.AfterFunc(500*time.Millisecond, func() {
+				ans := &claimer.Answer{Body: []byte("answer")}
+				qt.Check(t, ldr.Complete(context.Background(), cl, modeler.Answered, ans), qt.IsNil)
+			})
+			ldr.assertKnown(t, "k", modeler.Answered, "answer")
+		})
+	})
+	t.Run("not run frees the key for one waiter", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			ldr := new(shared).mustElect(t, claimer.Options{})
+			cl, _ := ldr.claim("k", 1)
+			var claimed atomic.Int64
+			for range 3 {
+				go func() {
+					if _, err := ldr.claim("k", 1); err == nil {
+						claimed.Add(1)
+					}
+				}()
+			}
+			time.Sleep(time.Millisecond)
+			qt.Assert(t, ldr.Complete(t.Context(), cl, modeler.NotRun, nil), qt.IsNil)
+			qt.Check(t, errors.Is(ldr.Complete(t.Context(), cl, modeler.Answered, nil), claimer.ErrNotOpen), qt.IsTrue)
+			time.Sleep(2 * time.Second)
+			qt.Check(t, claimed.Load(), qt.Equals, int64(1))
+		})
+	})
+	t.Run("full table", func(t *testing.T) {
+		ldr := new(shared).mustElect(t, claimer.Options{MaxKeys: 1})
+		ldr.mustRun(t, "k", "")
+		_, err := ldr.claim("other", 1)
+		qt.Check(t, errors.Is(err, claimer.ErrNotClaimed), qt.IsTrue)
+		ldr.assertKnown(t, "k", modeler.Answered, "")
+	})
+	t.Run("bad keys", func(t *testing.T) {
+		ldr := new(shared).mustElect(t, claimer.Options{})
+		for _, key := range []string{"", "a\nb", "ø", string(make([]byte, 300))} {
+			_, err := ldr.claim(key, 1)
+			qt.Check(t, errors.Is(err, claimer.ErrBadKey), qt.IsTrue)
+		}
+	})
+}
+
+// Guards against a key that is forgotten because the wall clock of a leader was ahead.
+func TestClockAhead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := new(shared)
+		log.mustElect(t, claimer.Options{}).mustRun(t, "k", "")
+		// The paused clock stands for a wall clock that jumps while the new leader starts.
+		time.Sleep(72 * time.Hour)
+		ahead := log.mustElect(t, claimer.Options{})
+		ahead.Trim()
+		ahead.assertKnown(t, "k", modeler.Answered, "")
+	})
+}
+
+// Guards against a daemon that leads with keys missing.
+func TestCorrupt(t *testing.T) {
+	ldr := new(shared).mustElect(t, claimer.Options{})
+	ldr.mustRun(t, "k", "")
+	part := ldr.Snapshot(1 << 19)[0]
+	for _, bad := range [][]byte{nil, {9}, part[:len(part)-1], append(part[:len(part):len(part)], 1)} {
+		_, err := new(shared).elect([][]byte{bad}, 0, claimer.Options{})
+		qt.Check(t, errors.Is(err, claimer.ErrCorrupt), qt.IsTrue)
+		_, err = (&shared{records: [][]byte{bad}}).elect(nil, 0, claimer.Options{})
+		qt.Check(t, errors.Is(err, claimer.ErrCorrupt), qt.IsTrue)
+	}
+}
+
+// Guards against keys that move to another data centre when one is added to the name.
+func TestHome(t *testing.T) {
+	dcs := []modeler.DataCentreName{"stad", "hoddevik", "jaeren"}
+	qt.Check(t, claimer.Home("hoddevik.7", dcs), qt.Equals, modeler.DataCentreName("hoddevik"))
+	qt.Check(t, claimer.Home("oslo.7", dcs), qt.Equals, modeler.HomeDataCentre("oslo.7", dcs))
+	qt.Check(t, claimer.Home("stad", dcs), qt.Equals, modeler.HomeDataCentre("stad", dcs))
+}
+
+// Guards against a call that runs twice and against NotRun for one that ran, over changes of the
+// leader, paused leaders, lost answers, snapshots and retries of callers.
+func TestAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) { rapid.SyncTest(rt, claimMachine) })
+}
+
+// running is a call that a leader has sent.
+type running struct {
+	ldr leader
+	cl  claimer.Claim
+	key string
+}
+
+func claimMachine(rt *rapid.T) {
+	log := new(shared)
+	first, err := log.elect(nil, 0, claimer.Options{})
+	if err != nil {
+		rt.Fatal(err)
+	}
+	leaders := []leader{first}
+	var calls []running
+	// executed counts the calls of a key that a runner may have executed.
+	executed := map[string]int{}
+	ended := map[string]bool{}
+	var snapshot [][]byte
+	from := 0
+	pick := func(rt *rapid.T) leader { return rapid.SampledFrom(leaders).Draw(rt, "leader") }
+	rt.Repeat(map[string]func(*rapid.T){
+		"claim": func(rt *rapid.T) {
+			ldr, key := pick(rt), rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "key")
+			cl, err := ldr.claim(key, 1)
+			var known *claimer.KnownError
+			switch {
+			case err == nil:
+				executed[key]++
+				calls = append(calls, running{ldr, cl, key})
+			case claimer.OutcomeOf(err) == modeler.NotRun && executed[key] > 0:
+				rt.Fatalf("NotRun for key %s that was sent: %v", key, err)
+			case errors.As(err, &known) && known.Outcome == modeler.Answered && !ended[key]:
+				rt.Fatalf("key %s is Answered before its call ended", key)
+			}
+			if executed[key] > 1 {
+				rt.Fatalf("key %s was sent twice", key)
+			}
+		},
+		"complete": func(rt *rapid.T) {
+			if len(calls) == 0 {
+				rt.Skip("no call in progress")
+			}
+			idx := rapid.IntRange(0, len(calls)-1).Draw(rt, "call")
+			oc := rapid.SampledFrom([]modeler.Outcome{modeler.Answered, modeler.NotRun, modeler.Unknown}).Draw(rt, "outcome")
+			run := calls[idx]
+			calls = append(calls[:idx], calls[idx+1:]...)
+			if oc == modeler.NotRun {
+				executed[run.key]--
+			}
+			ended[run.key] = ended[run.key] || oc == modeler.Answered
+			_ = run.ldr.Complete(context.Background(), run.cl, oc, nil)
+		},
+		"takeover": func(rt *rapid.T) {
+			ldr, err := log.elect(snapshot, from, claimer.Options{})
+			if err != nil {
+				rt.Fatal(err)
+			}
+			leaders = append(leaders, ldr)
+		},
+		"fault": func(rt *rapid.T) {
+			jr := pick(rt).jr
+			jr.next = fault(rapid.IntRange(int(none), int(late)).Draw(rt, "fault"))
+			jr.unread = rapid.Bool().Draw(rt, "unread")
+		},
+		"snapshot": func(rt *rapid.T) {
+			ldr := leaders[len(leaders)-1]
+			at := rapid.IntRange(from, len(log.records)).Draw(rt, "position")
+			// The position is read before the state, so that the state may be ahead of it.
+			snapshot, from = ldr.Snapshot(128), at
+		},
+		"trim": func(rt *rapid.T) { pick(rt).Trim() },
+	})
+}
+
+// BenchmarkFind measures a retry of a key among a full table.
+func BenchmarkFind(b *testing.B) {
+	ldr := new(shared).mustElect(b, claimer.Options{})
+	for num := range 200_000 {
+		cl, err := ldr.claim(fmt.Sprint("key-", num), 1)
+		qt.Assert(b, err, qt.IsNil)
+		qt.Assert(b, ldr.Complete(b.Context(), cl, modeler.Unknown, nil), qt.IsNil)
+	}
+	ldr.Trim()
+	for b.Loop() {
+		_, _ = ldr.Claim(b.Context(), "key-77", "tidebook", claimer.Digest{1})
+	}
+}
