Test late records of request keys

Cause: the state machine did not find a removed check of the attempt number. Change: a directed test of late claims and late outcomes; late records arrive after the next append.

--- a/internal/request/claimer/claimer_test.go
+++ b/internal/request/claimer/claimer_test.go
@@ -39,7 +39,7 @@
 	unavailable
 	answerLost
 	requestLost
-	// late: the answer is lost and the records arrive before the next append of the same leader.
+	// late: the answer is lost and the records arrive after the next append of the same leader.
 	late
 )
 
@@ -79,9 +79,9 @@
 		jr.delayed = append(jr.delayed, records...)
 		return errLost
 	}
+	jr.log.records = append(jr.log.records, records...)
 	jr.log.records = append(jr.log.records, jr.delayed...)
 	jr.delayed = nil
-	jr.log.records = append(jr.log.records, records...)
 	if now == answerLost {
 		return errLost
 	}
@@ -302,6 +302,26 @@
 	})
 }
 
+// Guards against a late NotRun that frees the next claim of its key, and against a late claim that
+// hides the outcome of the next one.
+func TestLateRecords(t *testing.T) {
+	log := new(shared)
+	ldr := log.mustElect(t, claimer.Options{})
+	ldr.jr.next, ldr.jr.unread = late, true
+	_, err := ldr.claim("k", 1)
+	qt.Assert(t, errors.Is(err, claimer.ErrUnproven), qt.IsTrue)
+	first, err := ldr.claim("k", 1)
+	qt.Assert(t, err, qt.IsNil)
+	ldr.jr.next = late
+	qt.Assert(t, ldr.Complete(t.Context(), first, modeler.NotRun, nil), qt.Not(qt.IsNil))
+	second, err := ldr.claim("k", 1)
+	qt.Assert(t, err, qt.IsNil)
+	log.mustElect(t, claimer.Options{}).assertKnown(t, "k", modeler.Unknown, "")
+	log.epoch = ldr.jr.epoch
+	qt.Assert(t, ldr.Complete(t.Context(), second, modeler.Answered, nil), qt.IsNil)
+	log.mustElect(t, claimer.Options{}).assertKnown(t, "k", modeler.Answered, "")
+}
+
 // Guards against a daemon that leads with keys missing.
 func TestCorrupt(t *testing.T) {
 	ldr := new(shared).mustElect(t, claimer.Options{})
