Pass heartbeats on as ages

Cause: with 100 hosts in 11 data centres, messages of 6 digests took 3450 bytes/s a host on average (3942 at most) and 23% of the states of health were wrong, mostly hosts of other data centres taken for silent. Change: a message carries the age of every host's heartbeat in one byte, the hosts whose boot, leadership or leaving changed, and 2 others in turn. Dials of the peers' transport end with the timeout; a hanging one outlived its message.

--- a/internal/cluster/tracker/candidate.go
+++ b/internal/cluster/tracker/candidate.go
@@ -76,7 +76,7 @@
 // due reports that there is a vacancy and that it is this host's turn.
 func (cnd *Candidate) due() bool {
 	trk := cnd.opt.Tracker
-	if !cnd.isVacant() {
+	if !trk.vacant() {
 		cnd.vacant = time.Time{}
 		return false
 	}
@@ -86,13 +86,12 @@
 	if trk.Self().Leaving || trk.wasReplaced() {
 		return false
 	}
-	return time.Since(cnd.vacant) >= time.Duration(cnd.rank())*rankDelay
+	return time.Since(cnd.vacant) >= time.Duration(trk.rank())*rankDelay
 }
 
-// isVacant reports that no live host leads. A host that has just started waits as long as it
-// takes to hear of a leader.
-func (cnd *Candidate) isVacant() bool {
-	trk := cnd.opt.Tracker
+// vacant reports that no live host leads. A host that has just started waits as long as it takes
+// to hear of a leader.
+func (trk *Tracker) vacant() bool {
 	ldr, ok := trk.Leader(trk.opt.Self.DataCentre)
 	if ok {
 		return ldr.Leaving || time.Since(ldr.Heard) >= vacancyAfter
@@ -105,8 +104,7 @@
 }
 
 // rank returns the number of live hosts of the data centre that come before this one.
-func (cnd *Candidate) rank() int {
-	trk := cnd.opt.Tracker
+func (trk *Tracker) rank() int {
 	self := trk.Self()
 	hosts := []modeler.Host{{Name: self.Host}}
 	for _, pr := range trk.Peers() {
@@ -118,6 +116,15 @@
 	return slices.IndexFunc(ranked, func(hst modeler.Host) bool { return hst.Name == self.Host })
 }
 
+// Watches reports that this host watches the store for its data centre: it leads, or there is no
+// leader and it comes first by rank.
+func (trk *Tracker) Watches() bool {
+	if trk.vacant() {
+		return trk.rank() == 0
+	}
+	return trk.Self().Leading
+}
+
 // takeOver opens the journal and leads until deposed.
 func (cnd *Candidate) takeOver(ctx context.Context) {
 	trk := cnd.opt.Tracker
--- a/internal/cluster/tracker/client.go
+++ b/internal/cluster/tracker/client.go
@@ -95,6 +95,9 @@
 func (cl *client) connect() *pool {
 	tr := &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			// The transport goes on dialling after the message has timed out.
+			ctx, cancel := context.WithTimeout(ctx, cl.cls.limit)
+			defer cancel()
 			conn, err := cl.cls.dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
--- a/internal/cluster/tracker/exchanger.go
+++ b/internal/cluster/tracker/exchanger.go
@@ -153,22 +153,31 @@
 // exchange sends this host's state to a peer and merges the answer. A brief message carries no
 // other hosts.
 func (trk *Tracker) exchange(ctx context.Context, tg target, brief bool) {
-	req := trk.message(tg.name, tg.dc, brief)
+	req := trk.compose(tg.name, tg.dc, brief)
 	trk.opt.Meter.Add(meter.PeerExchanges, 1)
 	rsp, err := trk.opt.Dial(tg.addr).Exchange(ctx, req)
 	if err != nil {
 		trk.opt.Meter.Add(meter.PeerExchangesFailed, 1)
 		return
 	}
-	trk.receive(rsp.GetSender(), tg.addr, rsp.GetOthers())
+	trk.receive(rsp, tg.addr)
 }
 
-func (trk *Tracker) message(name modeler.HostName, dc modeler.DataCentreName, brief bool) *messenger.ExchangeRequest {
+// message is what requests and answers have in common.
+type message interface {
+	GetSender() *messenger.HostDigest
+	GetOthers() []*messenger.HostDigest
+	GetAges() []byte
+	GetAgeHosts() uint32
+}
+
+func (trk *Tracker) compose(name modeler.HostName, dc modeler.DataCentreName, brief bool) *messenger.ExchangeRequest {
 	trk.mu.Lock()
 	defer trk.mu.Unlock()
 	req := &messenger.ExchangeRequest{Sender: trk.sender(dc)}
 	if !brief {
-		req.Others = trk.others(name)
+		req.Others = trk.others(name, dc)
+		req.Ages, req.AgeHosts = trk.ages(), trk.orderHash
 	}
 	return req
 }
--- a/internal/cluster/tracker/member.go
+++ b/internal/cluster/tracker/member.go
@@ -24,11 +24,14 @@
 	// predecessorWindow is the time after the start in which heartbeats of the process before may
 	// still be passed on by peers.
 	predecessorWindow = 10 * time.Second
-	// othersPerMessage bounds a message, so that the rate does not grow with the number of hosts.
+	// othersPerMessage bounds the hosts that a message passes on, so that the rate does not grow
+	// with their number.
 	othersPerMessage = 5
-	// ownPerMessage leaves room for hosts of other data centres in a message within a large data
-	// centre; else they would be known only from direct contact, every 15 s and more.
-	ownPerMessage = 3
+	// refreshedPerMessage is the number of hosts that a message passes on without a change, in
+	// turn. It refreshes load and revision and tells restarted hosts of all others.
+	refreshedPerMessage = 2
+	// changeAge is the time for which a change of boot, leadership or leaving is passed on.
+	changeAge = 10 * time.Second
 	// maxMembers bounds the memory that wrong digests can take.
 	maxMembers = 1024
 	// maxHourCounts bounds the counts of one digest: a count for each service and two hours.
@@ -41,6 +44,10 @@
 	Peer
 	// sequence is that of the newest heartbeat of Boot.
 	sequence int64
+	// changed is the time of the last change of boot, leadership or leaving.
+	changed time.Time
+	// passedOn numbers the last message that passed the member on without a change.
+	passedOn int64
 	// configured states that the configuration lists the host. Its data centre and address then
 	// come from there.
 	configured bool
@@ -59,17 +66,16 @@
 }
 
 // receive merges a message. The sender's address is not valid when a peer has called this host.
-func (trk *Tracker) receive(sender *messenger.HostDigest, addr netip.AddrPort, others []*messenger.HostDigest) {
+func (trk *Tracker) receive(msg message, addr netip.AddrPort) {
 	type report struct {
 		addr netip.AddrPort
 		rev  modeler.Revision
 	}
 	var reports []report
 	trk.mu.Lock()
-	for idx, dg := range append([]*messenger.HostDigest{sender}, others...) {
-		if idx > othersPerMessage+1 {
-			break
-		}
+	dgs := append([]*messenger.HostDigest{msg.GetSender()}, msg.GetOthers()...)
+	// A message has room for the digest of another boot of the receiver.
+	for idx, dg := range dgs[:min(len(dgs), othersPerMessage+2)] {
 		if !valid(dg) {
 			trk.opt.Meter.Add(meter.PeerDigestsRefused, 1)
 			continue
@@ -77,10 +83,11 @@
 		if idx > 0 {
 			addr = netip.AddrPort{}
 		}
-		if mb := trk.merge(dg, addr); mb != nil && mb.Address.IsValid() {
+		if mb := trk.merge(dg, addr, idx == 0); mb != nil && mb.Address.IsValid() {
 			reports = append(reports, report{mb.Address, mb.Revision})
 		}
 	}
+	trk.mergeAges(msg.GetAges(), msg.GetAgeHosts())
 	trk.publish()
 	trk.mu.Unlock()
 	for _, rp := range reports {
@@ -91,8 +98,8 @@
 }
 
 // merge stores a digest if it is newer than what is known. It returns nil for this host and for
-// digests that are not merged.
-func (trk *Tracker) merge(dg *messenger.HostDigest, addr netip.AddrPort) *member {
+// digests that are not merged. A direct one comes from the host itself.
+func (trk *Tracker) merge(dg *messenger.HostDigest, addr netip.AddrPort, direct bool) *member {
 	name := modeler.HostName(dg.GetHost())
 	if name == trk.opt.Self.Name {
 		trk.meetOwnName(dg)
@@ -121,14 +128,38 @@
 			return nil
 		}
 		trk.reboot(mb, boot)
-	} else if dg.GetSequence() <= mb.sequence && mb.Health != Unheard {
+	} else if dg.GetSequence() <= mb.sequence {
 		return mb
 	}
 	mb.BootStarted = started
 	trk.update(mb, dg)
+	// The digest of a listed host may be old when a peer passes it on; its age comes beside it.
+	if direct || !mb.configured {
+		trk.hear(mb, time.Now())
+	}
 	return mb
 }
 
+// hear stores the time of a heartbeat.
+func (trk *Tracker) hear(mb *member, at time.Time) {
+	if mb.Health != Unheard && !at.After(mb.Heard) {
+		return
+	}
+	mb.Heard = at
+	suspect, _ := trk.limits(mb)
+	if time.Since(at) < suspect {
+		trk.setHealth(mb, Alive)
+	}
+}
+
+// limits returns the silence after which a host is suspect and dead.
+func (trk *Tracker) limits(mb *member) (suspect, dead time.Duration) {
+	if mb.DataCentre == trk.opt.Self.DataCentre {
+		return suspectAfter, deadAfter
+	}
+	return remoteSuspectAfter, remoteDeadAfter
+}
+
 // reboot prepares a member for the first heartbeat of a new process.
 func (trk *Tracker) reboot(mb *member, boot modeler.BootID) {
 	if mb.Boot != "" {
@@ -139,11 +170,14 @@
 	}
 	mb.Boot = boot
 	mb.Leaving = false
+	mb.changed = time.Now()
 }
 
 func (trk *Tracker) update(mb *member, dg *messenger.HostDigest) {
+	if mb.LeaderEpoch != modeler.Epoch(dg.GetLeaderEpoch()) || mb.Leading != dg.GetLeading() || mb.Leaving != dg.GetLeaving() {
+		mb.changed = time.Now()
+	}
 	mb.sequence = dg.GetSequence()
-	mb.Heard = time.Now()
 	mb.Revision = modeler.Revision(dg.GetRevision())
 	mb.SettledRevision = modeler.Revision(dg.GetSettledRevision())
 	mb.LeaderEpoch = modeler.Epoch(dg.GetLeaderEpoch())
@@ -157,7 +191,6 @@
 		logger.Log(trk.opt.Log, logger.PeerLeaving, "Host", mb.Host)
 	}
 	mb.Leaving = dg.GetLeaving()
-	trk.setHealth(mb, Alive)
 }
 
 // meetOwnName handles a heartbeat under this host's own name. Shortly after the start it belongs
@@ -185,10 +218,7 @@
 func (trk *Tracker) age() {
 	for name, mb := range trk.members {
 		silent := time.Since(mb.Heard)
-		suspect, dead := remoteSuspectAfter, remoteDeadAfter
-		if mb.DataCentre == trk.opt.Self.DataCentre {
-			suspect, dead = suspectAfter, deadAfter
-		}
+		suspect, dead := trk.limits(mb)
 		switch {
 		case !mb.configured && silent >= forgetAfter:
 			delete(trk.members, name)
@@ -254,34 +284,65 @@
 	return dg
 }
 
-// others returns the entries that changed last, own data centre first, without the receiver.
-func (trk *Tracker) others(receiver modeler.HostName) []*messenger.HostDigest {
-	var own, far []*member
+// others returns digests for a message to a host: the hosts that changed last, and some others in
+// turn. Hosts of the own data centre come first.
+func (trk *Tracker) others(receiver modeler.HostName, dc modeler.DataCentreName) []*messenger.HostDigest {
+	trk.messages++
+	var changed, own, far []*member
 	for _, mb := range trk.members {
 		switch {
-		case mb.Health == Unheard || mb.Health == Dead || mb.Host == receiver:
+		case mb.Boot == "" || mb.Health == Dead || mb.Host == receiver:
+		case time.Since(mb.changed) < changeAge:
+			changed = append(changed, mb)
 		case mb.DataCentre == trk.opt.Self.DataCentre:
 			own = append(own, mb)
-		default:
+		// A message to another data centre brings it nothing on its own hosts.
+		case mb.DataCentre != dc:
 			far = append(far, mb)
 		}
 	}
-	own, far = newest(own, othersPerMessage), newest(far, othersPerMessage)
-	keep := max(ownPerMessage, othersPerMessage-len(far))
-	own = own[:min(len(own), keep)]
-	far = far[:min(len(far), othersPerMessage-len(own))]
-	dgs := make([]*messenger.HostDigest, 0, othersPerMessage+1)
-	for _, mb := range append(own, far...) {
+	slices.SortFunc(changed, func(a, b *member) int {
+		return cmp.Or(trk.distance(a)-trk.distance(b), b.changed.Compare(a.changed), cmp.Compare(a.Host, b.Host))
+	})
+	picked := changed[:min(len(changed), othersPerMessage)]
+	room := min(refreshedPerMessage, othersPerMessage-len(picked))
+	fromOwn := max(room/2, room-len(far))
+	picked = append(picked, trk.inTurn(own, min(fromOwn, room), false)...)
+	room -= min(len(own), fromOwn)
+	// Callers' keys are sent to the leaders of other data centres; every second message refreshes
+	// one of these, so that a restarted host knows them soon.
+	picked = append(picked, trk.inTurn(far, room, trk.messages%2 == 0)...)
+	dgs := make([]*messenger.HostDigest, 0, len(picked)+1)
+	for _, mb := range picked {
 		dgs = append(dgs, mb.digest())
 	}
 	return dgs
 }
 
-func newest(mbs []*member, limit int) []*member {
+// distance is 0 for the own data centre and 1 for others.
+func (trk *Tracker) distance(mb *member) int {
+	if mb.DataCentre == trk.opt.Self.DataCentre {
+		return 0
+	}
+	return 1
+}
+
+// inTurn returns the members that were not passed on for the longest time, leaders first if asked.
+func (trk *Tracker) inTurn(mbs []*member, limit int, leaders bool) []*member {
+	rank := func(mb *member) int {
+		if leaders && !mb.Leading {
+			return 1
+		}
+		return 0
+	}
 	slices.SortFunc(mbs, func(a, b *member) int {
-		return cmp.Or(b.Heard.Compare(a.Heard), cmp.Compare(a.Host, b.Host))
+		return cmp.Or(rank(a)-rank(b), cmp.Compare(a.passedOn, b.passedOn), cmp.Compare(a.Host, b.Host))
 	})
-	return mbs[:min(len(mbs), limit)]
+	mbs = mbs[:min(len(mbs), limit)]
+	for _, mb := range mbs {
+		mb.passedOn = trk.messages
+	}
+	return mbs
 }
 
 // digest returns a member's digest without counts.
--- /dev/null
+++ b/internal/cluster/tracker/network_test.go
@@ -0,0 +1,307 @@
+package tracker_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
+	"github.com/currantrouter/currantrouter/internal/cluster/tracker"
+	"github.com/currantrouter/currantrouter/internal/config/checker"
+	"github.com/currantrouter/currantrouter/internal/config/distributor"
+	"github.com/currantrouter/currantrouter/internal/daemon/meter"
+	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/platform/emulator"
+	"github.com/currantrouter/currantrouter/internal/platform/storer"
+)
+
+const timeout = 800 * time.Millisecond
+
+// network connects hosts by pipes that lose what is written while their ends are separated.
+type network struct {
+	t     *testing.T
+	store *emulator.Store
+	cfg   *modeler.Configuration
+
+	mu    sync.Mutex
+	nodes map[netip.AddrPort]*node
+	// split says that two hosts can't reach each other.
+	split func(a, b modeler.HostName) bool
+	// frozen is the number of connections that were opened when all of them lost their state.
+	opened, frozen int
+}
+
+// node is an entry host.
+type node struct {
+	*tracker.Tracker
+	net  *network
+	host modeler.Host
+	dst  *distributor.Distributor
+	reg  *meter.Registry
+	// offline cuts the host off from the store.
+	offline bool
+	// accepted carries connections to the host's server until closed is closed.
+	accepted chan net.Conn
+	closed   chan struct{}
+	stop     func()
+}
+
+// newNetwork returns a network of hosts that run. The hosts are named h00, h01 and so on and are
+// spread evenly over the data centres d0, d1 and so on.
+func newNetwork(t *testing.T, hosts, dcs int) *network {
+	nw := &network{
+		t: t, store: emulator.NewStore(nil), nodes: map[netip.AddrPort]*node{},
+		cfg:   &modeler.Configuration{Limits: modeler.DefaultLimits},
+		split: func(_, _ modeler.HostName) bool { return false },
+	}
+	for num := range dcs {
+		nw.cfg.DataCentres = append(nw.cfg.DataCentres, modeler.DataCentreName(fmt.Sprint("d", num)))
+	}
+	for num := range hosts {
+		nw.cfg.Hosts = append(nw.cfg.Hosts, modeler.Host{
+			Name: modeler.HostName(fmt.Sprintf("h%02d", num)), DataCentre: nw.cfg.DataCentres[num%dcs],
+			Peer: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(7000+num)),
+		})
+	}
+	nw.put(1)
+	for num := range hosts {
+		nw.start(num, false)
+	}
+	t.Cleanup(func() {
+		for _, nd := range nw.nodes {
+			nd.stop()
+		}
+		// Idle connections and calls in flight end within this time.
+		time.Sleep(time.Minute)
+	})
+	return nw
+}
+
+// put writes a revision to the store, as an operator's host does.
+func (nw *network) put(rev modeler.Revision) {
+	value := fmt.Appendf(nil, "Revision = %d\nWriter = test\n%s", rev, checker.Encode(nw.cfg))
+	ent, _ := nw.store.Get(context.Background(), "Configuration/Current")
+	_, err := nw.store.Put(context.Background(), "Configuration/Current", value, ent.Revision)
+	qt.Assert(nw.t, err, qt.IsNil)
+}
+
+// start runs a process of a host, which knows one seed and has no configuration yet.
+func (nw *network) start(num int, offline bool) *node {
+	hst := nw.cfg.Hosts[num]
+	nd := &node{net: nw, host: hst, reg: meter.New(nil), offline: offline, accepted: make(chan net.Conn), closed: make(chan struct{})}
+	cls := tracker.NewClients(nil, timeout, nd.reg, nd.dial)
+	nd.Tracker = tracker.New(tracker.Options{
+		Self: hst, Boot: modeler.BootID(fmt.Sprint("boot-", time.Now().UnixNano())), BootStarted: time.Now(),
+		Seeds: []netip.AddrPort{nw.cfg.Hosts[(num+1)%len(nw.cfg.Hosts)].Peer},
+		Dial:  cls.Dial,
+		HourCounts: func() []*messenger.HourCount {
+			return []*messenger.HourCount{{Service: "bakedesk", Hour: 1 << 31, Answered: 1 << 20, Refused: 1 << 10, Unknown: 100, Late: 1 << 10}}
+		},
+		Load:    func() tracker.Load { return tracker.Load{FreeSlots: 200, QueuedCalls: 200} },
+		Learned: func(addr netip.AddrPort, rev modeler.Revision) { nd.dst.Learn(addr, rev) },
+		Log:     logr.Discard(), Meter: nd.reg,
+	})
+	nd.dst = distributor.New(distributor.Options{
+		Store: nd, Peers: nd.Tracker, Watching: nd.Watches, Timeout: timeout, Log: logr.Discard(), Meter: nd.reg,
+		Accepted: func(rev modeler.Revision, from netip.AddrPort) {
+			nd.SetHosts(nd.dst.Current().Hosts)
+			nd.SetRevision(rev, from)
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	srv := &http.Server{Handler: messenger.NewPeerServer(tracker.NewServer(nd.Tracker, nd.dst, nil))}
+	go func() { _ = srv.Serve(tracker.CountListener(nd, nd.reg)) }()
+	go nd.Run(ctx)
+	go nd.dst.Run(ctx)
+	nd.stop = func() {
+		cancel()
+		_ = srv.Close()
+		cls.Close()
+	}
+	nw.mu.Lock()
+	defer nw.mu.Unlock()
+	nw.nodes[hst.Peer] = nd
+	return nd
+}
+
+func (nw *network) node(num int) *node { return nw.nodes[nw.cfg.Hosts[num].Peer] }
+
+// setSplit separates hosts from now on.
+func (nw *network) setSplit(split func(a, b modeler.HostName) bool) {
+	nw.mu.Lock()
+	defer nw.mu.Unlock()
+	nw.split = split
+}
+
+// isolate cuts hosts off from all others and from the store.
+func (nw *network) isolate(nums ...int) {
+	alone := map[modeler.HostName]bool{}
+	for num := range nw.cfg.Hosts {
+		nw.node(num).offline = false
+	}
+	for _, num := range nums {
+		alone[nw.cfg.Hosts[num].Name] = true
+		nw.node(num).offline = true
+	}
+	nw.setSplit(func(a, b modeler.HostName) bool { return alone[a] || alone[b] })
+}
+
+// revisionTime returns the time until all given hosts have a revision, at most limit.
+func (nw *network) revisionTime(rev modeler.Revision, limit time.Duration, nums ...int) time.Duration {
+	begin := time.Now()
+	for time.Since(begin) < limit {
+		behind := false
+		for _, num := range nums {
+			_, got := nw.node(num).dst.Document()
+			behind = behind || got < rev
+		}
+		if !behind {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(begin)
+}
+
+// all returns the numbers of all hosts but some.
+func (nw *network) all(but ...int) []int {
+	var nums []int
+	for num := range nw.cfg.Hosts {
+		skip := false
+		for _, other := range but {
+			skip = skip || num == other
+		}
+		if !skip {
+			nums = append(nums, num)
+		}
+	}
+	return nums
+}
+
+// assertHealth checks what one host believes of another.
+func (nd *node) assertHealth(num int, want tracker.Health) {
+	nd.net.t.Helper()
+	qt.Check(nd.net.t, nd.peer(num).Health, qt.Equals, want, qt.Commentf("%s at %v", nd.peer(num).Host, nd.host.Name))
+}
+
+func (nd *node) peer(num int) tracker.Peer {
+	for _, pr := range nd.Peers() {
+		if pr.Host == nd.net.cfg.Hosts[num].Name {
+			return pr
+		}
+	}
+	return tracker.Peer{}
+}
+
+var errRefused = errors.New("connection refused")
+
+// dial opens a pipe to a host. It hangs while the host can't be reached.
+func (nd *node) dial(ctx context.Context, _, addr string) (net.Conn, error) {
+	nw := nd.net
+	nw.mu.Lock()
+	to := nw.nodes[netip.MustParseAddrPort(addr)]
+	nw.opened++
+	pc := pipeConn{net: nw, a: nd.host.Name, serial: nw.opened}
+	nw.mu.Unlock()
+	if to == nil {
+		return nil, errRefused
+	}
+	pc.b = to.host.Name
+	if pc.lost() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	near, far := net.Pipe()
+	server := pc
+	pc.Conn, server.Conn = near, far
+	select {
+	case to.accepted <- &server:
+		return &pc, nil
+	case <-to.closed:
+		return nil, errRefused
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Accept, Close and Addr make a node the listener of its own server.
+func (nd *node) Accept() (net.Conn, error) {
+	select {
+	case conn := <-nd.accepted:
+		return conn, nil
+	case <-nd.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (nd *node) Close() error {
+	close(nd.closed)
+	return nil
+}
+
+func (nd *node) Addr() net.Addr { return net.TCPAddrFromAddrPort(nd.host.Peer) }
+
+// pipeConn is one end of a connection.
+type pipeConn struct {
+	net.Conn
+	net    *network
+	a, b   modeler.HostName
+	serial int
+}
+
+func (pc *pipeConn) lost() bool {
+	pc.net.mu.Lock()
+	defer pc.net.mu.Unlock()
+	return pc.net.split(pc.a, pc.b) || pc.serial <= pc.net.frozen
+}
+
+func (pc *pipeConn) Write(buf []byte) (int, error) {
+	if pc.lost() {
+		return len(buf), nil
+	}
+	return pc.Conn.Write(buf)
+}
+
+// The methods of the store fail while the host is offline.
+
+func (nd *node) Get(ctx context.Context, key string) (storer.Entry, error) {
+	if nd.offline {
+		return storer.Entry{}, storer.ErrUnavailable
+	}
+	return nd.net.store.Get(ctx, key)
+}
+
+func (nd *node) Put(ctx context.Context, key string, value []byte, expected int64) (int64, error) {
+	return nd.net.store.Put(ctx, key, value, expected)
+}
+
+func (nd *node) Delete(ctx context.Context, key string, expected int64) error {
+	return nd.net.store.Delete(ctx, key, expected)
+}
+
+func (nd *node) List(ctx context.Context, prefix, after string, limit int) ([]storer.Entry, error) {
+	return nd.net.store.List(ctx, prefix, after, limit)
+}
+
+func (nd *node) Wait(ctx context.Context, prefix string, after int64) ([]storer.Entry, int64, error) {
+	ents, rev, err := nd.net.store.Wait(ctx, prefix, after)
+	if nd.offline {
+		return nil, 0, storer.ErrUnavailable
+	}
+	return ents, rev, err
+}
+
+// simulate runs a test on the paused clock.
+func simulate(t *testing.T, hosts, dcs int, run func(*testing.T, *network)) {
+	synctest.Test(t, func(t *testing.T) { run(t, newNetwork(t, hosts, dcs)) })
+}
--- a/internal/cluster/tracker/server.go
+++ b/internal/cluster/tracker/server.go
@@ -34,21 +34,23 @@
 	return &server{trk: trk, docs: docs, ldr: ldr}
 }
 
-// Exchange merges a peer's message and answers with this host's own. A message without other
-// hosts gets an answer without them.
+// Exchange merges a peer's message and answers with this host's own. A message that tells only of
+// its sender gets an answer of the same kind.
 func (srv *server) Exchange(_ context.Context, req *messenger.ExchangeRequest) (*messenger.ExchangeResponse, error) {
 	if !valid(req.GetSender()) {
 		return nil, twirp.InvalidArgumentError("Sender", "is not a valid digest")
 	}
 	name := modeler.HostName(req.GetSender().GetHost())
 	if name == srv.trk.opt.Self.Name {
-		srv.trk.receive(req.GetSender(), netip.AddrPort{}, nil)
+		srv.trk.receive(&messenger.ExchangeRequest{Sender: req.GetSender()}, netip.AddrPort{})
 		return nil, twirp.InvalidArgumentError("Sender", "has the name of the receiver")
 	}
-	srv.trk.receive(req.GetSender(), netip.AddrPort{}, req.GetOthers())
+	srv.trk.receive(req, netip.AddrPort{})
 	dc := modeler.DataCentreName(req.GetSender().GetDataCentre())
-	msg := srv.trk.message(name, dc, len(req.GetOthers()) == 0)
-	rsp := &messenger.ExchangeResponse{Sender: msg.GetSender(), Others: msg.GetOthers()}
+	msg := srv.trk.compose(name, dc, len(req.GetOthers()) == 0 && len(req.GetAges()) == 0)
+	rsp := &messenger.ExchangeResponse{
+		Sender: msg.GetSender(), Others: msg.GetOthers(), Ages: msg.GetAges(), AgeHosts: msg.GetAgeHosts(),
+	}
 	if former := srv.trk.conflicting(req.GetSender()); former != nil {
 		rsp.Others = append(rsp.Others, former)
 	}
--- a/internal/cluster/tracker/tracker.go
+++ b/internal/cluster/tracker/tracker.go
@@ -109,6 +109,11 @@
 	replaced bool
 	// members has no entry for this host and at most maxMembers.
 	members map[modeler.HostName]*member
+	// order lists the hosts of the configuration, this one included, and orderHash stands for it.
+	order     []modeler.HostName
+	orderHash uint32
+	// messages counts the messages that passed other hosts on.
+	messages int64
 }
 
 // New returns a tracker that knows only its own host.
@@ -159,8 +164,13 @@
 		mb.configured = false
 	}
 	now := time.Now()
+	trk.order = trk.order[:0]
 	for _, hst := range hosts {
-		if hst.Name == trk.opt.Self.Name || hst.Retired {
+		if hst.Retired {
+			continue
+		}
+		trk.order = append(trk.order, hst.Name)
+		if hst.Name == trk.opt.Self.Name {
 			continue
 		}
 		mb := trk.members[hst.Name]
@@ -177,6 +187,7 @@
 			delete(trk.members, name)
 		}
 	}
+	trk.orderHash = hashOrder(trk.order)
 	trk.publish()
 }
 
