Test membership, leadership and propagation over real messages

Cause: heartbeats, takeover and propagation must hold with paused, restarted and separated hosts. Change: tests run 8 to 100 hosts with their HTTP servers and clients over pipes on the paused clock. A host's first news of others does not count as a change.

--- a/internal/cluster/tracker/member.go
+++ b/internal/cluster/tracker/member.go
@@ -167,14 +167,16 @@
 		mb.FormerBoot = mb.Boot
 		mb.FormerCounts = mb.HourCounts
 		mb.HourCounts = nil
+		mb.changed = time.Now()
 	}
 	mb.Boot = boot
-	mb.Leaving = false
-	mb.changed = time.Now()
+	mb.sequence = 0
 }
 
 func (trk *Tracker) update(mb *member, dg *messenger.HostDigest) {
-	if mb.LeaderEpoch != modeler.Epoch(dg.GetLeaderEpoch()) || mb.Leading != dg.GetLeading() || mb.Leaving != dg.GetLeaving() {
+	differs := mb.LeaderEpoch != modeler.Epoch(dg.GetLeaderEpoch()) || mb.Leading != dg.GetLeading() || mb.Leaving != dg.GetLeaving()
+	// What a host learns after its own start is news to itself only.
+	if differs && mb.sequence > 0 {
 		mb.changed = time.Now()
 	}
 	mb.sequence = dg.GetSequence()
--- a/internal/cluster/tracker/network_test.go
+++ b/internal/cluster/tracker/network_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,6 +28,9 @@
 
 const timeout = 800 * time.Millisecond
 
+// latency is the time of a message and its answer.
+const latency = time.Millisecond
+
 // network connects hosts by pipes that lose what is written while their ends are separated.
 type network struct {
 	t     *testing.T
@@ -49,7 +53,7 @@
 	dst  *distributor.Distributor
 	reg  *meter.Registry
 	// offline cuts the host off from the store.
-	offline bool
+	offline atomic.Bool
 	// accepted carries connections to the host's server until closed is closed.
 	accepted chan net.Conn
 	closed   chan struct{}
@@ -98,7 +102,8 @@
 // start runs a process of a host, which knows one seed and has no configuration yet.
 func (nw *network) start(num int, offline bool) *node {
 	hst := nw.cfg.Hosts[num]
-	nd := &node{net: nw, host: hst, reg: meter.New(nil), offline: offline, accepted: make(chan net.Conn), closed: make(chan struct{})}
+	nd := &node{net: nw, host: hst, reg: meter.New(nil), accepted: make(chan net.Conn), closed: make(chan struct{})}
+	nd.offline.Store(offline)
 	cls := tracker.NewClients(nil, timeout, nd.reg, nd.dial)
 	nd.Tracker = tracker.New(tracker.Options{
 		Self: hst, Boot: modeler.BootID(fmt.Sprint("boot-", time.Now().UnixNano())), BootStarted: time.Now(),
@@ -119,7 +124,11 @@
 		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	srv := &http.Server{Handler: messenger.NewPeerServer(tracker.NewServer(nd.Tracker, nd.dst, nil))}
+	handler := messenger.NewPeerServer(tracker.NewServer(nd.Tracker, nd.dst, nil))
+	srv := &http.Server{Handler: http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+		time.Sleep(latency)
+		handler.ServeHTTP(wr, rq)
+	})}
 	go func() { _ = srv.Serve(tracker.CountListener(nd, nd.reg)) }()
 	go nd.Run(ctx)
 	go nd.dst.Run(ctx)
@@ -147,11 +156,11 @@
 func (nw *network) isolate(nums ...int) {
 	alone := map[modeler.HostName]bool{}
 	for num := range nw.cfg.Hosts {
-		nw.node(num).offline = false
+		nw.node(num).offline.Store(false)
 	}
 	for _, num := range nums {
 		alone[nw.cfg.Hosts[num].Name] = true
-		nw.node(num).offline = true
+		nw.node(num).offline.Store(true)
 	}
 	nw.setSplit(func(a, b modeler.HostName) bool { return alone[a] || alone[b] })
 }
@@ -275,7 +284,7 @@
 // The methods of the store fail while the host is offline.
 
 func (nd *node) Get(ctx context.Context, key string) (storer.Entry, error) {
-	if nd.offline {
+	if nd.offline.Load() {
 		return storer.Entry{}, storer.ErrUnavailable
 	}
 	return nd.net.store.Get(ctx, key)
@@ -295,7 +304,7 @@
 
 func (nd *node) Wait(ctx context.Context, prefix string, after int64) ([]storer.Entry, int64, error) {
 	ents, rev, err := nd.net.store.Wait(ctx, prefix, after)
-	if nd.offline {
+	if nd.offline.Load() {
 		return nil, 0, storer.ErrUnavailable
 	}
 	return ents, rev, err
--- a/internal/cluster/tracker/tracker_test.go
+++ b/internal/cluster/tracker/tracker_test.go
@@ -1,55 +1,94 @@
 package tracker_test
 
 import (
+	"bytes"
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
 	"github.com/currantrouter/currantrouter/internal/cluster/tracker"
 	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 )
 
-// Guards against heartbeats whose rate grows with the number of hosts, and against hosts that are
-// taken for dead because news travels too slowly.
-func TestByteRate(t *testing.T) {
-	const budget = 4 << 10
+// Guards against heartbeats whose rate grows with the number of hosts, against hosts that are
+// taken for dead because news travels too slowly, and against a change that takes longer than 13 s
+// at the future size when only one data centre reaches the store.
+func TestScale(t *testing.T) {
+	const budget, span = 4 << 10, 20
 	for _, tc := range []struct {
 		name       string
 		hosts, dcs int
-	}{{"8 hosts in 4 data centres", 8, 4}, {"9 hosts in 3 data centres", 9, 3}, {"100 hosts in 11 data centres", 100, 11}} {
+		limit      time.Duration
+	}{
+		{"8 hosts in 4 data centres", 8, 4, 2 * time.Second},
+		{"9 hosts in 3 data centres", 9, 3, 2 * time.Second},
+		{"100 hosts in 11 data centres", 100, 11, 13 * time.Second},
+	} {
 		t.Run(tc.name, func(t *testing.T) {
 			simulate(t, tc.hosts, tc.dcs, func(t *testing.T, nw *network) {
-				time.Sleep(40 * time.Second)
+				time.Sleep(20 * time.Second)
 				before := nw.bytes()
-				const span = 60
 				wrong := 0
 				for range span {
 					time.Sleep(time.Second)
-					for _, nd := range nw.nodes {
-						for _, pr := range nd.Peers() {
-							if pr.Health != tracker.Alive {
-								wrong++
-							}
-						}
-					}
+					wrong += nw.wrong()
 				}
 				var total, greatest int64
-				for addr, num := range nw.bytes() {
-					rate := (num - before[addr]) / span
+				for name, num := range nw.bytes() {
+					rate := (num - before[name]) / span
 					total += rate
 					greatest = max(greatest, rate)
 				}
-				t.Logf("sent plus received per host: mean %d bytes/s, greatest %d bytes/s; %d wrong states of health",
-					total/int64(tc.hosts), greatest, wrong)
+				t.Logf("sent plus received per host: mean %d bytes/s, greatest %d bytes/s", total/int64(tc.hosts), greatest)
 				qt.Check(t, greatest < budget, qt.IsTrue)
 				qt.Check(t, wrong, qt.Equals, 0)
+				for num := range nw.cfg.Hosts {
+					nw.node(num).offline.Store(num%tc.dcs != 0)
+				}
+				nw.put(2)
+				took := nw.revisionTime(2, time.Minute, nw.all()...)
+				t.Logf("in force after %v", took)
+				qt.Check(t, took <= tc.limit, qt.IsTrue)
+				if tc.hosts < 100 {
+					return
+				}
+				// Half of all pairs of hosts lose contact.
+				nw.setSplit(func(a, b modeler.HostName) bool {
+					return xxhash.Sum64String(string(min(a, b)+max(a, b)))%2 == 0
+				})
+				nw.put(3)
+				took = nw.revisionTime(3, time.Minute, nw.all()...)
+				t.Logf("in force after %v with half of the paths lost", took)
+				qt.Check(t, took <= tc.limit, qt.IsTrue)
 			})
 		})
 	}
 }
 
+// wrong counts the states of health that are not Alive.
+func (nw *network) wrong() int {
+	num := 0
+	for _, nd := range nw.nodes {
+		for _, pr := range nd.Peers() {
+			if pr.Health != tracker.Alive {
+				num++
+			}
+		}
+	}
+	return num
+}
+
 func (nw *network) bytes() map[modeler.HostName]int64 {
 	sums := map[modeler.HostName]int64{}
 	for _, nd := range nw.nodes {
@@ -80,3 +119,303 @@
 		qt.Check(t, took <= limit, qt.IsTrue)
 	})
 }
+
+// Guards against a data centre that misses changes, keeps a lower revision or has no leader's view
+// after it was cut off from the others and from the store.
+func TestPartition(t *testing.T) {
+	simulate(t, 8, 4, func(t *testing.T, nw *network) {
+		time.Sleep(20 * time.Second)
+		side := map[modeler.HostName]bool{"h00": true, "h04": true}
+		nw.setSplit(func(a, b modeler.HostName) bool { return side[a] != side[b] })
+		nw.node(0).offline.Store(true)
+		nw.node(4).offline.Store(true)
+		nw.put(2)
+		time.Sleep(5 * time.Minute)
+		nw.node(0).assertHealth(4, tracker.Alive)
+		nw.node(0).assertHealth(1, tracker.Dead)
+		nw.node(1).assertHealth(4, tracker.Dead)
+		_, rev := nw.node(0).dst.Document()
+		qt.Check(t, rev, qt.Equals, modeler.Revision(1))
+		nw.setSplit(func(_, _ modeler.HostName) bool { return false })
+		took := nw.revisionTime(2, time.Minute, nw.all()...)
+		t.Logf("in force %v after the end of the partition", took)
+		// A host tries one silent host of another data centre every 3 heartbeats.
+		qt.Check(t, took <= 4*time.Second, qt.IsTrue)
+		time.Sleep(10 * time.Second)
+		qt.Check(t, nw.wrong(), qt.Equals, 0)
+	})
+}
+
+// Guards against silent, leaving and restarted hosts that are seen too late or too early.
+func TestHealth(t *testing.T) {
+	simulate(t, 9, 3, func(t *testing.T, nw *network) {
+		time.Sleep(20 * time.Second)
+		// Hosts 0, 3 and 6 share a data centre; host 1 is in another one.
+		observer, victim, far := nw.node(0), 3, nw.node(1)
+		nw.isolate(victim)
+		time.Sleep(2 * time.Second)
+		observer.assertHealth(victim, tracker.Alive)
+		time.Sleep(2500 * time.Millisecond)
+		observer.assertHealth(victim, tracker.Suspect)
+		time.Sleep(1500 * time.Millisecond)
+		observer.assertHealth(victim, tracker.Dead)
+		far.assertHealth(victim, tracker.Alive)
+		time.Sleep(12 * time.Second)
+		far.assertHealth(victim, tracker.Suspect)
+		nw.isolate()
+		time.Sleep(4 * time.Second)
+		observer.assertHealth(victim, tracker.Alive)
+		far.assertHealth(victim, tracker.Alive)
+
+		nw.node(victim).SetLeaving()
+		time.Sleep(100 * time.Millisecond)
+		qt.Check(t, observer.peer(victim).Leaving, qt.IsTrue)
+		old := observer.peer(victim).Boot
+		nw.node(victim).stop()
+		nw.start(victim, false)
+		time.Sleep(3 * time.Second)
+		got := observer.peer(victim)
+		qt.Check(t, got.Leaving, qt.IsFalse)
+		qt.Check(t, got.FormerBoot, qt.Equals, old)
+		qt.Check(t, got.FormerCounts, qt.HasLen, 1)
+	})
+}
+
+// Guards against connections that lost their state while new ones work: heartbeats must go on.
+func TestSilentConnections(t *testing.T) {
+	simulate(t, 8, 4, func(t *testing.T, nw *network) {
+		time.Sleep(20 * time.Second)
+		for range 2 {
+			nw.mu.Lock()
+			nw.frozen = nw.opened
+			nw.mu.Unlock()
+			for range 10 {
+				time.Sleep(time.Second)
+				qt.Check(t, nw.wrong(), qt.Equals, 0)
+			}
+		}
+		qt.Check(t, nw.node(0).reg.Value(meter.PeerConnectionsReplaced) >= 2, qt.IsTrue)
+	})
+}
+
+// Guards against a restarted host that peers ignore because the clock of the process before was
+// ahead, and against two processes of one host that both take work.
+func TestOwnName(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		replaced := make(chan struct{})
+		newTracker := func(name modeler.HostName, started time.Time) *tracker.Tracker {
+			return tracker.New(tracker.Options{
+				Self: modeler.Host{Name: name, DataCentre: "d0"}, Boot: modeler.BootID("boot-" + started.String()),
+				BootStarted: started, Log: logr.Discard(), Meter: meter.New(nil), Replaced: func() { close(replaced) },
+			})
+		}
+		other := newTracker("other", time.Now())
+		srv := tracker.NewServer(other, nil, nil)
+		ahead := time.Now().Add(24 * time.Hour)
+		digest := func(started time.Time) *messenger.HostDigest {
+			return &messenger.HostDigest{
+				Host: "host", DataCentre: "d0", Boot: "boot-" + started.String(), BootStartedMillis: started.UnixMilli(), Sequence: 1,
+			}
+		}
+		_, err := srv.Exchange(t.Context(), &messenger.ExchangeRequest{Sender: digest(ahead)})
+		qt.Assert(t, err, qt.IsNil)
+		rsp, err := srv.Exchange(t.Context(), &messenger.ExchangeRequest{Sender: digest(time.Now())})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, rsp.GetOthers(), qt.HasLen, 1)
+
+		host := newTracker("host", time.Now())
+		own := tracker.NewServer(host, nil, nil)
+		exchange := func(others ...*messenger.HostDigest) {
+			sender := digest(time.Now())
+			sender.Host = "other"
+			_, err := own.Exchange(t.Context(), &messenger.ExchangeRequest{Sender: sender, Others: others})
+			qt.Assert(t, err, qt.IsNil)
+		}
+		exchange(rsp.GetOthers()...)
+		host.SetSettled(1)
+		qt.Check(t, host.Self().BootStarted.After(ahead), qt.IsTrue)
+		time.Sleep(time.Minute)
+		exchange(digest(ahead))
+		select {
+		case <-replaced:
+			t.Fatal("the process before is taken for a newer one")
+		default:
+		}
+		exchange(digest(ahead.Add(time.Hour)))
+		<-replaced
+	})
+}
+
+// term is a term of leadership in a fake journal.
+type term struct {
+	epoch   modeler.Epoch
+	deposed chan struct{}
+}
+
+func (trm *term) Epoch() modeler.Epoch     { return trm.epoch }
+func (trm *term) Deposed() <-chan struct{} { return trm.deposed }
+
+// election is the journal of one data centre. It does not tell a deposed leader at once.
+type election struct {
+	mu    sync.Mutex
+	epoch modeler.Epoch
+	// taken is the time of the last takeover.
+	taken time.Time
+	// refuse makes opening fail for a host.
+	refuse  modeler.HostName
+	leading map[modeler.HostName]modeler.Epoch
+}
+
+// run starts a candidate at a host.
+func (el *election) run(nd *node) {
+	ctx, cancel := context.WithCancel(context.Background())
+	stop := nd.stop
+	nd.stop = func() {
+		cancel()
+		stop()
+	}
+	name := nd.host.Name
+	cnd := tracker.NewCandidate(tracker.CandidateOptions{
+		Tracker: nd.Tracker,
+		Open: func(context.Context) (tracker.Term, error) {
+			el.mu.Lock()
+			defer el.mu.Unlock()
+			if el.refuse == name {
+				return nil, errors.New("store unavailable")
+			}
+			el.epoch++
+			el.taken = time.Now()
+			return &term{el.epoch, make(chan struct{})}, nil
+		},
+		Lead: func(ctx context.Context, trm tracker.Term) {
+			el.set(name, trm.Epoch())
+			<-ctx.Done()
+			el.set(name, 0)
+		},
+	})
+	go cnd.Run(ctx)
+}
+
+func (el *election) set(name modeler.HostName, epoch modeler.Epoch) {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	el.leading[name] = epoch
+}
+
+func (el *election) setRefuse(name modeler.HostName) {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	el.refuse = name
+}
+
+// since returns the time from begin to the last takeover.
+func (el *election) since(begin time.Time) time.Duration {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	return el.taken.Sub(begin)
+}
+
+// leaders returns the hosts that lead at present and the last epoch.
+func (el *election) leaders() (names []modeler.HostName, last modeler.Epoch) {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	for name, epoch := range el.leading {
+		if epoch > 0 {
+			names = append(names, name)
+		}
+	}
+	return names, el.epoch
+}
+
+// Guards against a data centre without a leader, with two that don't learn of each other, and
+// against takeovers while the leader lives.
+func TestLeadership(t *testing.T) {
+	simulate(t, 9, 3, func(t *testing.T, nw *network) {
+		el := &election{leading: map[modeler.HostName]modeler.Epoch{}}
+		members := []int{0, 3, 6}
+		number := map[modeler.HostName]int{}
+		for _, num := range members {
+			el.run(nw.node(num))
+			number[nw.cfg.Hosts[num].Name] = num
+		}
+		// assertLeader checks that one host leads and that all know it, and returns its number.
+		assertLeader := func(epoch modeler.Epoch, observers ...int) int {
+			t.Helper()
+			names, last := el.leaders()
+			qt.Assert(t, names, qt.HasLen, 1)
+			qt.Assert(t, last, qt.Equals, epoch)
+			for _, num := range observers {
+				ldr, ok := nw.node(num).Leader("d0")
+				qt.Check(t, ok, qt.IsTrue)
+				qt.Check(t, ldr.Host, qt.Equals, names[0], qt.Commentf("at host %d", num))
+			}
+			return number[names[0]]
+		}
+		time.Sleep(30 * time.Second)
+		first := assertLeader(1, nw.all()...)
+		time.Sleep(2 * time.Minute)
+		assertLeader(1, nw.all()...)
+
+		// A paused leader is replaced after 5 to 6 s and stops when it is back.
+		nw.isolate(first)
+		begin := time.Now()
+		time.Sleep(15 * time.Second)
+		silence := el.since(begin)
+		t.Logf("takeover %v after the last heartbeat could be sent", silence)
+		qt.Check(t, silence >= 4*time.Second && silence <= 6500*time.Millisecond, qt.IsTrue)
+		second, _ := el.leaders()
+		qt.Check(t, second, qt.HasLen, 2)
+		nw.isolate()
+		time.Sleep(5 * time.Second)
+		next := assertLeader(2, nw.all()...)
+		qt.Check(t, next == first, qt.IsFalse)
+
+		// A leaving leader hands over without the silence.
+		nw.node(next).SetLeaving()
+		begin = time.Now()
+		time.Sleep(5 * time.Second)
+		third := assertLeader(3, nw.all(next)...)
+		qt.Check(t, el.since(begin) <= 2*time.Second, qt.IsTrue)
+
+		// The next host takes over when the first one by rank can't reach the store.
+		for _, num := range members {
+			if num != next && num != third {
+				el.setRefuse(nw.cfg.Hosts[num].Name)
+			}
+		}
+		nw.node(third).stop()
+		nw.start(third, false)
+		el.run(nw.node(third))
+		time.Sleep(20 * time.Second)
+		assertLeader(4, nw.all(next)...)
+	})
+}
+
+// Guards against panics and unbounded memory from malformed messages of peers.
+func FuzzDigest(f *testing.F) {
+	seed, err := proto.Marshal(&messenger.ExchangeRequest{
+		Sender: &messenger.HostDigest{Host: "h01", DataCentre: "d0", Boot: "b", BootStartedMillis: 1, Sequence: 1},
+		Others: []*messenger.HostDigest{{Host: "h00", DataCentre: "d0", Boot: "x", BootStartedMillis: 1 << 60}, {Host: "é"}},
+		Ages:   []byte{0, 201}, AgeHosts: 1,
+	})
+	qt.Assert(f, err, qt.IsNil)
+	f.Add(seed)
+	f.Add(bytes.Repeat([]byte{0x12, 0}, 2000))
+	trk := tracker.New(tracker.Options{
+		Self: modeler.Host{Name: "h00", DataCentre: "d0"}, Boot: "own", BootStarted: time.Now(), Log: logr.Discard(), Meter: meter.New(nil),
+	})
+	trk.SetHosts([]modeler.Host{{Name: "h00"}, {Name: "h01", DataCentre: "d0", Peer: netip.MustParseAddrPort("127.0.0.1:1")}})
+	srv := tracker.NewServer(trk, nil, nil)
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		req := new(messenger.ExchangeRequest)
+		if proto.Unmarshal(raw, req) != nil {
+			return
+		}
+		_, _ = srv.Exchange(t.Context(), req)
+		qt.Assert(t, len(trk.Peers()) <= 1024, qt.IsTrue)
+		for _, pr := range trk.Peers() {
+			qt.Assert(t, modeler.ValidName(string(pr.Host)), qt.IsTrue)
+			qt.Assert(t, pr.Heard.After(time.Now()), qt.IsFalse)
+		}
+	})
+}
