--- /dev/null
+++ b/internal/request/limiter/settler.go
@@ -0,0 +1,322 @@
+package limiter
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
+	"github.com/currantrouter/currantrouter/internal/daemon/logger"
+	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+)
+
+// pending is a revision that may still be in force at another holder of a runner.
+type pending struct {
+	revision modeler.Revision
+	share    Share
+	// others are the holders under the revision without this host.
+	others []modeler.HostName
+	// confirm asks for answers of this boot's own inquiries. It is set for the unknown revisions
+	// before the start: relayed news may be older than the process itself.
+	confirm bool
+}
+
+// Apply puts a revision in force. Lower and equal revisions have no effect. The share at this host
+// is the least of its shares over the newest and all unsettled revisions, so shares shrink at once
+// and grow when the others have acknowledged.
+func (lim *Limiter) Apply(cfg *modeler.Configuration) {
+	lim.mu.Lock()
+	defer lim.mu.Unlock()
+	if lim.newest != nil && cfg.Revision <= lim.newest.Revision {
+		return
+	}
+	before := lim.newest
+	lim.newest = cfg
+	lim.noteLimits(cfg)
+	lim.noteRetired(cfg)
+	if before == nil && lim.op.History == nil && cfg.Revision > 1 {
+		lim.base = lim.unknownRevisions(cfg)
+	}
+	acs := maps.Clone(*lim.accounts.Load())
+	if before != nil && cfg.Revision > before.Revision+1 {
+		lim.widen(acs, before, cfg)
+	}
+	seen := make(map[modeler.RunnerName]bool, len(cfg.Runners))
+	for _, rn := range cfg.Runners {
+		seen[rn.Name] = true
+		lim.applyRunner(cfg, rn, acs, before)
+	}
+	for name, ac := range acs {
+		if !seen[name] {
+			lim.applyRemoval(cfg, ac, acs)
+		}
+	}
+	lim.accounts.Store(&acs)
+	lim.refresh()
+}
+
+func (lim *Limiter) applyRunner(cfg *modeler.Configuration, rn modeler.Runner, acs map[modeler.RunnerName]*Account, before *modeler.Configuration) {
+	ac := acs[rn.Name]
+	if ac == nil {
+		ac = &Account{lim: lim, runner: rn.Name, pending: lim.unseen(cfg, before)}
+		ac.borrowed.Store(&[]*loan{})
+		acs[rn.Name] = ac
+	}
+	ac.service.Store(&rn.Service)
+	ac.callLimit.Store(int64(callLimit(cfg, rn.Service)))
+	shs := Shares(cfg, rn)
+	ac.newest = shareOf(shs, lim.op.Host)
+	ac.pending = append(ac.pending, pending{revision: cfg.Revision, share: ac.newest, others: lim.others(shs)})
+}
+
+// applyRemoval keeps the account of a removed runner until nobody can hold a share any more.
+func (lim *Limiter) applyRemoval(cfg *modeler.Configuration, ac *Account, acs map[modeler.RunnerName]*Account) {
+	slots, connections := ac.Used()
+	if len(ac.pending) == 1 && ac.newest == (Share{Host: lim.op.Host}) && slots+connections+len(*ac.borrowed.Load()) == 0 {
+		delete(acs, ac.runner)
+		return
+	}
+	ac.newest = Share{Host: lim.op.Host}
+	ac.pending = append(ac.pending, pending{revision: cfg.Revision, share: ac.newest})
+}
+
+// widen asks for acknowledgements of all hosts of the data centre after revisions were skipped. A
+// host that is no holder under any revision seen here may be one under a skipped revision.
+func (lim *Limiter) widen(acs map[modeler.RunnerName]*Account, before, cfg *modeler.Configuration) {
+	all := lim.neighbours(before, cfg)
+	for _, ac := range acs {
+		for ix := range ac.pending {
+			ac.pending[ix].others = all
+		}
+	}
+}
+
+// unseen returns what may be in force elsewhere for a runner that the revisions seen here do not
+// list: nothing, unless revisions were skipped or precede this boot.
+func (lim *Limiter) unseen(cfg, before *modeler.Configuration) []pending {
+	var pds []pending
+	if lim.base != nil {
+		pds = append(pds, *lim.base)
+	}
+	if before != nil && cfg.Revision > before.Revision+1 {
+		pds = append(pds, pending{revision: before.Revision, share: Share{Host: lim.op.Host}, others: lim.neighbours(before, cfg)})
+	}
+	return pds
+}
+
+// neighbours lists the other entry hosts of the data centre under any of the revisions, the
+// retired ones included.
+func (lim *Limiter) neighbours(cfgs ...*modeler.Configuration) []modeler.HostName {
+	var hs []modeler.HostName
+	for _, cfg := range cfgs {
+		for _, hst := range cfg.Hosts {
+			if hst.DataCentre == lim.op.DataCentre && hst.Name != lim.op.Host && !slices.Contains(hs, hst.Name) {
+				hs = append(hs, hst.Name)
+			}
+		}
+	}
+	return hs
+}
+
+// unknownRevisions stands for all revisions before the first one that this process has seen. Any
+// other host of the data centre may still hold any share under them.
+func (lim *Limiter) unknownRevisions(cfg *modeler.Configuration) *pending {
+	return &pending{share: Share{Host: lim.op.Host}, others: lim.neighbours(cfg), confirm: true}
+}
+
+func (lim *Limiter) others(shs []Share) []modeler.HostName {
+	var hs []modeler.HostName
+	for _, sh := range shs {
+		if sh.Host != lim.op.Host {
+			hs = append(hs, sh.Host)
+		}
+	}
+	return hs
+}
+
+func callLimit(cfg *modeler.Configuration, name modeler.ServiceName) time.Duration {
+	if svc, ok := cfg.Service(name); ok && svc.CallLimit > 0 {
+		return svc.CallLimit
+	}
+	return modeler.DefaultCallLimit
+}
+
+func (lim *Limiter) noteLimits(cfg *modeler.Configuration) {
+	for _, rn := range cfg.Runners {
+		lim.longest = max(lim.longest, callLimit(cfg, rn.Service))
+	}
+}
+
+func (lim *Limiter) noteRetired(cfg *modeler.Configuration) {
+	for _, hst := range cfg.Hosts {
+		if _, known := lim.retired[hst.Name]; hst.Retired && !known {
+			lim.retired[hst.Name] = time.Now()
+		}
+	}
+}
+
+// lastCall is the time after which no call of a vanished process can run: it may have lent slots
+// just before its end, and the borrower may start calls until start-by.
+func (lim *Limiter) lastCall() time.Duration {
+	term := loanTerm + lim.longest
+	return term + modeler.DriftAllowance(term)
+}
+
+// Acknowledge records that another host has reduced its use of slots to its shares under a
+// revision.
+func (lim *Limiter) Acknowledge(host modeler.HostName, rev modeler.Revision) {
+	lim.mu.Lock()
+	defer lim.mu.Unlock()
+	lim.acknowledged[host] = max(lim.acknowledged[host], rev)
+	lim.refresh()
+}
+
+func (lim *Limiter) confirm(host modeler.HostName, rev modeler.Revision) {
+	lim.mu.Lock()
+	defer lim.mu.Unlock()
+	lim.acknowledged[host] = max(lim.acknowledged[host], rev)
+	lim.confirmed[host] = max(lim.confirmed[host], rev)
+	lim.refresh()
+}
+
+// SettledRevision returns the newest revision to which this host has reduced its use of every
+// runner; zero means none.
+func (lim *Limiter) SettledRevision() modeler.Revision {
+	return modeler.Revision(lim.settled.Load())
+}
+
+// SettledBase returns the oldest revision that may still be in force at another holder of a runner
+// of this data centre; zero when it is unknown. A successor of this process needs the revisions
+// from there as its History.
+func (lim *Limiter) SettledBase() modeler.Revision {
+	lim.mu.Lock()
+	defer lim.mu.Unlock()
+	if lim.newest == nil {
+		return 0
+	}
+	base := lim.newest.Revision
+	for _, ac := range *lim.accounts.Load() {
+		for _, pd := range ac.pending {
+			base = min(base, pd.revision)
+		}
+	}
+	return base
+}
+
+func (lim *Limiter) lockedRefresh() {
+	lim.mu.Lock()
+	defer lim.mu.Unlock()
+	lim.refresh()
+}
+
+// refresh brings limits, settled revisions and the own acknowledgement up to date. mu is held.
+func (lim *Limiter) refresh() {
+	if lim.newest == nil {
+		return
+	}
+	if !lim.ready && time.Since(lim.started) >= lim.lastCall() {
+		lim.ready = true
+		lim.log(logger.SharesReady, "Waited", time.Since(lim.started).String())
+	}
+	if lim.base != nil && lim.isSettled(*lim.base) {
+		lim.base = nil
+	}
+	open, within := !lim.ready || lim.base != nil, lim.ready
+	for _, ac := range *lim.accounts.Load() {
+		ac.pending = slices.DeleteFunc(ac.pending, lim.isSettled)
+		open = open || len(ac.pending) > 1
+		lim.enforce(ac)
+		within = within && ac.within()
+	}
+	if within && lim.settled.Load() < int64(lim.newest.Revision) {
+		lim.settled.Store(int64(lim.newest.Revision))
+		lim.log(logger.SharesSettled, "Revision", lim.newest.Revision)
+	}
+	lim.pending.Store(open || !within)
+}
+
+// isSettled tells whether no other holder can still use its share under the older revision. An
+// acknowledgement counts only for exactly the newest revision known here: a host that has gone
+// further may hold more under that revision than under ours.
+func (lim *Limiter) isSettled(pd pending) bool {
+	if pd.revision == lim.newest.Revision {
+		return false
+	}
+	acks := lim.acknowledged
+	if pd.confirm {
+		acks = lim.confirmed
+	}
+	for _, host := range pd.others {
+		if acks[host] != lim.newest.Revision && !lim.isGone(host) {
+			return false
+		}
+	}
+	return true
+}
+
+func (lim *Limiter) isGone(host modeler.HostName) bool {
+	since, ok := lim.retired[host]
+	return ok && time.Since(since) >= lim.lastCall()
+}
+
+func (lim *Limiter) enforce(ac *Account) {
+	slots, connections := ac.newest.Slots, ac.newest.Connections
+	for _, pd := range ac.pending {
+		slots = min(slots, pd.share.Slots)
+		connections = min(connections, pd.share.Connections)
+	}
+	if !lim.ready || lim.closed.Load() {
+		slots, connections = 0, 0
+	}
+	before, _ := ac.slots.load()
+	ac.slots.setLimit(slots)
+	ac.connections.setLimit(connections)
+	if slots > before {
+		lim.notify(ac)
+	}
+}
+
+// within tells whether the use has come down to the share of the newest revision.
+func (ac *Account) within() bool {
+	slots, connections := ac.Used()
+	return slots <= ac.newest.Slots && connections <= ac.newest.Connections
+}
+
+// settle collects acknowledgements: those that heartbeats brought, and answers to inquiries.
+func (lim *Limiter) settle(ctx context.Context) {
+	prs := lim.peers()
+	for _, pr := range prs {
+		if pr.SettledRevision > 0 {
+			lim.Acknowledge(pr.Host, pr.SettledRevision)
+		}
+	}
+	lim.lockedRefresh()
+	if !lim.pending.Load() || time.Since(lim.inquired) < inquiryInterval {
+		return
+	}
+	lim.inquired = time.Now()
+	for _, pr := range prs {
+		if pr.Client != nil {
+			go lim.inquire(ctx, pr)
+		}
+	}
+}
+
+func (lim *Limiter) inquire(ctx context.Context, pr Peer) {
+	ctx, cancel := context.WithTimeout(ctx, messageTimeout)
+	defer cancel()
+	rp, err := pr.Client.Borrow(ctx, &messenger.BorrowRequest{
+		Borrower: string(lim.op.Host), BorrowerBoot: string(lim.op.Boot),
+	})
+	if err == nil && rp.GetRevision() == rp.GetSettledRevision() {
+		lim.confirm(pr.Host, modeler.Revision(rp.GetSettledRevision()))
+	}
+}
+
+func (lim *Limiter) peers() []Peer {
+	if lim.op.Peers == nil {
+		return nil
+	}
+	return lim.op.Peers()
+}
