--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -167,6 +167,15 @@
 	return sv.expectedWait(class, cl.Caller)
 }
 
+// Capacity returns the number of calls of a service that may run at once from this host. It is a few
+// milliseconds old.
+func (ad *Admitter) Capacity(svc modeler.ServiceName) int {
+	if sv := (*ad.services.Load())[svc]; sv != nil {
+		return sv.slots()
+	}
+	return 0
+}
+
 // Expected returns the mean run time of the route of a call; zero means unknown.
 func (ad *Admitter) Expected(cl Call) time.Duration {
 	sv := (*ad.services.Load())[cl.Service]
--- a/internal/request/forwarder/conn.go
+++ b/internal/request/forwarder/conn.go
@@ -22,6 +22,8 @@
 	bufferSize = 4 << 10
 	// interimLimit bounds the 1xx answers before the final one.
 	interimLimit = 8
+	// uploadGrace is the wait for the end of an upload after the whole answer has been read.
+	uploadGrace = 10 * time.Millisecond
 )
 
 var (
@@ -42,6 +44,11 @@
 	// written counts the bytes that the kernel took. While it stands still, no byte of a call can
 	// have reached the other side.
 	written atomic.Int64
+	// began is the time from which firstWrite counts; it is set before the call is sent.
+	began time.Time
+	// firstWrite is the time after the first write of the call in nanoseconds since began; zero
+	// means none yet.
+	firstWrite atomic.Int64
 	// readLeft bounds the bytes of the header that is being read.
 	readLeft int64
 	// usedAt is the time of the last call, and idleAt that of the last call or probe.
@@ -72,6 +79,9 @@
 func (ws writeSide) Write(buf []byte) (int, error) {
 	num, err := ws.cn.nc.Write(buf)
 	ws.cn.written.Add(int64(num))
+	if ws.cn.firstWrite.Load() == 0 {
+		ws.cn.firstWrite.Store(max(1, int64(time.Since(ws.cn.began))))
+	}
 	return num, err
 }
 
@@ -130,17 +140,28 @@
 	err  error
 }
 
-func (up *upload) ended() bool {
+// endsSoon tells whether the request was written as a whole. An answer may overtake the end of the
+// writing goroutine by a moment.
+func (up *upload) endsSoon() bool {
 	select {
 	case <-up.done:
 		return up.err == nil
 	default:
+	}
+	tm := time.NewTimer(uploadGrace)
+	defer tm.Stop()
+	select {
+	case <-up.done:
+		return up.err == nil
+	case <-tm.C:
 		return false
 	}
 }
 
 // send starts to write a request. A request without a body has been written when it returns.
 func (cn *conn) send(rq *http.Request) *upload {
+	cn.began = time.Now()
+	cn.firstWrite.Store(0)
 	up := &upload{done: make(chan struct{})}
 	if rq.Body == nil || rq.Body == http.NoBody {
 		cn.write(rq, up)
--- a/internal/request/forwarder/pool.go
+++ b/internal/request/forwarder/pool.go
@@ -39,14 +39,17 @@
 	closed bool
 }
 
-// get returns an idle connection, else a new one. No byte was sent when it fails.
-func (pl *pool) get(ctx context.Context, sl *limiter.Slot) (*conn, error) {
+// get returns an idle connection, else a new one that is open before the deadline. No byte was sent
+// when it fails.
+func (pl *pool) get(ctx context.Context, deadline time.Time, sl *limiter.Slot) (*conn, error) {
 	for cn := pl.pop(); cn != nil; cn = pl.pop() {
 		if !cn.isClosed() && cn.isAllowed() {
 			return cn, nil
 		}
 		cn.close()
 	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
 	return pl.open(ctx, sl)
 }
 
@@ -85,6 +88,8 @@
 // put keeps a connection for the next call, or closes it.
 func (pl *pool) put(cn *conn) {
 	cn.idleAt = time.Now()
+	// The check for a closed connection fails on a connection whose deadline has passed.
+	_ = cn.nc.SetDeadline(time.Time{})
 	if cn.br.Buffered() > 0 || !cn.isAllowed() {
 		cn.close()
 		return
--- /dev/null
+++ b/internal/request/forwarder/runner.go
@@ -0,0 +1,123 @@
+package forwarder
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/currantrouter/currantrouter/internal/daemon/logger"
+	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/request/admitter"
+)
+
+// sendToRunner sends an admitted call to its runner and frees the slot when the runner is done.
+func (fw *Forwarder) sendToRunner(cl *call, tk *admitter.Ticket) *failure {
+	pl := fw.runnerPool(tk.Target)
+	cn, err := pl.get(cl.rq.Context(), cl.deadline, tk.Slot)
+	if err != nil {
+		return fw.endUnsent(cl, tk, err, cl.rq.Context().Err() == nil && !errors.Is(err, errNoConnection))
+	}
+	if !tk.Slot.Begin() {
+		pl.put(cn)
+		return fw.endUnsent(cl, tk, errLoanOver, false)
+	}
+	limit := tk.Slot.CallLimit()
+	tf := fw.exchange(cl, pl, cn, fw.runnerRequest(cl, limit), time.Now().Add(limit), fw.acceptRunner(cl))
+	if at := cn.began.Add(time.Duration(cn.firstWrite.Load())); tf.progress != unsent && !tk.Slot.InTime(at) {
+		logger.Log(fw.op.Log, logger.LoanLate, "Runner", tk.Target.Name)
+	}
+	switch tf.progress {
+	case unsent:
+		return fw.endUnsent(cl, tk, tf.err, true)
+	case lost:
+		return fw.endAbandoned(cl, tk, cn, tf)
+	}
+	tk.Done(tf.elapsed)
+	fw.op.Router.Observe(tk.Target, tk.Class, tf.elapsed, tf.status >= http.StatusInternalServerError)
+	tk.Slot.Release()
+	return tf.failure
+}
+
+var errLoanOver = errors.New("the loan of the slot ended before the call was sent")
+
+// endUnsent frees the slot of a call of which no byte was sent.
+func (fw *Forwarder) endUnsent(cl *call, tk *admitter.Ticket, err error, blame bool) *failure {
+	tk.Done(0)
+	if blame && !isBodyError(err) {
+		fw.op.Router.Observe(tk.Target, tk.Class, 0, true)
+	} else {
+		tk.Target.CancelProbe()
+	}
+	tk.Slot.Release()
+	if errors.Is(err, errBodyLimit) {
+		return notRun(http.StatusRequestEntityTooLarge, "BodyTooLarge", err.Error())
+	}
+	fl := notRun(http.StatusServiceUnavailable, "RunnerUnreachable", err.Error())
+	fl.retryAfter = 1
+	fl.repeatable = cl.rq.Context().Err() == nil
+	return fl
+}
+
+// endAbandoned keeps the slot of a call that the runner may still be working on.
+func (fw *Forwarder) endAbandoned(cl *call, tk *admitter.Ticket, cn *conn, tf transfer) *failure {
+	tk.Done(time.Since(cn.began))
+	if isBodyError(tf.err) || errors.Is(tf.err, errAnswerLimit) || cl.cut.Load() {
+		tk.Target.CancelProbe()
+	} else {
+		fw.op.Router.Observe(tk.Target, tk.Class, time.Since(cn.began), true)
+	}
+	tk.Slot.Abandon()
+	fl := fw.describe(cl, tf)
+	if fl != nil {
+		fl.repeatable = cl.mayRepeat()
+	}
+	return fl
+}
+
+func isBodyError(err error) bool {
+	var be *bodyError
+	return errors.As(err, &be)
+}
+
+// runnerRequest builds the request to a runner. It has no GetBody and its body has a type of this
+// package, so nothing in net/http can send it twice.
+func (fw *Forwarder) runnerRequest(cl *call, limit time.Duration) *http.Request {
+	rq := cl.request(cl.rq.Method)
+	rq.URL.Path, rq.URL.RawPath, rq.URL.RawQuery = cl.uri.Path, cl.uri.RawPath, cl.uri.RawQuery
+	rq.Header[modeler.HeaderTimeout] = []string{strconv.FormatInt(limit.Milliseconds(), 10)}
+	if cl.key != "" {
+		rq.Header[modeler.HeaderKey] = []string{cl.key}
+	}
+	return rq
+}
+
+// request builds a request with the end-to-end headers and the body of the call.
+func (cl *call) request(method string) *http.Request {
+	rq := &http.Request{
+		Method: method, URL: newURL(cl.rq.Host), Host: cl.rq.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: make(http.Header, len(cl.rq.Header)+4),
+	}
+	passOn(rq.Header, cl.rq.Header)
+	if _, ok := rq.Header["User-Agent"]; !ok {
+		// An empty value keeps net/http from adding its own.
+		rq.Header["User-Agent"] = []string{""}
+	}
+	if cl.body != nil {
+		rq.Body, rq.ContentLength = cl.body, cl.rq.ContentLength
+	}
+	return rq
+}
+
+// acceptRunner refuses answers that cannot be passed on as a whole.
+func (fw *Forwarder) acceptRunner(cl *call) func(*http.Response) *failure {
+	return func(rp *http.Response) *failure {
+		if !isFramed(rp) {
+			return unknown(http.StatusBadGateway, "AnswerUnframed", errUnframed.Error())
+		}
+		if rp.ContentLength > cl.bodyLimit() && cl.rq.Method != http.MethodHead {
+			return unknown(http.StatusBadGateway, "AnswerTooLarge", errAnswerLimit.Error())
+		}
+		return nil
+	}
+}
--- a/internal/request/limiter/account.go
+++ b/internal/request/limiter/account.go
@@ -166,12 +166,12 @@
 // Begin tells whether the call may still be started. The call's first byte is written right after.
 func (sl *Slot) Begin() bool {
 	sl.begun = time.Now()
-	return sl.InTime()
+	return sl.InTime(sl.begun)
 }
 
-// InTime tells whether the start-by time of the loan lies ahead. It is always true for the own
-// share.
-func (sl *Slot) InTime() bool { return sl.ln == nil || time.Now().Before(sl.ln.startBy) }
+// InTime tells whether a time lies before the start-by time of the loan. It is always true for the
+// own share.
+func (sl *Slot) InTime(at time.Time) bool { return sl.ln == nil || at.Before(sl.ln.startBy) }
 
 // Release frees the slot: the call has ended or never began. Only the first Release or Abandon has
 // an effect.
