--- /dev/null
+++ b/internal/batch/scheduler/codec.go
@@ -0,0 +1,180 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+)
+
+// partBytes bounds one part of a snapshot, with room below the store's limit of 1 MB.
+const partBytes = 768 << 10
+
+func encode(rm *RecordMessage) []byte {
+	data, err := proto.Marshal(rm)
+	if err != nil {
+		// Strings come from JSON or CSV and were checked to be UTF-8 by Submit, which is the only
+		// reason for Marshal to fail.
+		panic(fmt.Sprintf("encode a record: %v", err))
+	}
+	return data
+}
+
+func resourcesToMessage(rs supervisor.Resources) *ResourcesMessage {
+	return &ResourcesMessage{Millicores: rs.Millicores, MemoryBytes: rs.MemoryBytes, Accelerators: rs.Accelerators}
+}
+
+func resourcesFromMessage(rm *ResourcesMessage) supervisor.Resources {
+	return supervisor.Resources{
+		Millicores: rm.GetMillicores(), MemoryBytes: rm.GetMemoryBytes(), Accelerators: rm.GetAccelerators(),
+	}
+}
+
+func millisOf(tm time.Time) int64 {
+	if tm.IsZero() {
+		return 0
+	}
+	return tm.UnixMilli()
+}
+
+func timeOf(millis int64) time.Time {
+	if millis == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(millis)
+}
+
+func jobToMessage(id uint64, jb Job, submitted time.Time) *JobMessage {
+	return &JobMessage{
+		Id: id, Name: jb.Name, Team: jb.Team, Kind: jb.Kind, Day: jb.Day,
+		Priority: int64(jb.Priority), Urgent: jb.Urgent, Tasks: int64(jb.Tasks),
+		Declared: resourcesToMessage(jb.Declared), RunTime: jb.RunTime.Milliseconds(),
+		NotBefore: millisOf(jb.NotBefore), Deadline: millisOf(jb.Deadline),
+		Repeatable: jb.Repeatable, Checkpoint: jb.Checkpoint, LatencyCritical: jb.LatencyCritical,
+		PerRack: int64(jb.PerRack), Submitted: millisOf(submitted),
+	}
+}
+
+func jobFromMessage(jm *JobMessage) *job {
+	return &job{
+		id:        jm.GetId(),
+		submitted: timeOf(jm.GetSubmitted()),
+		Job: Job{
+			Name: jm.GetName(), Team: jm.GetTeam(), Kind: jm.GetKind(), Day: jm.GetDay(),
+			Priority: int(jm.GetPriority()), Urgent: jm.GetUrgent(), Tasks: int(jm.GetTasks()),
+			Declared:  resourcesFromMessage(jm.GetDeclared()),
+			RunTime:   time.Duration(jm.GetRunTime()) * time.Millisecond,
+			NotBefore: timeOf(jm.GetNotBefore()), Deadline: timeOf(jm.GetDeadline()),
+			Repeatable: jm.GetRepeatable(), Checkpoint: jm.GetCheckpoint(),
+			LatencyCritical: jm.GetLatencyCritical(), PerRack: int(jm.GetPerRack()),
+		},
+	}
+}
+
+func (ld *ledger) encodeJob(jb *job) *JobStateMessage {
+	jm := &JobStateMessage{
+		Job:       jobToMessage(jb.id, jb.Job, jb.submitted),
+		Cancelled: jb.cancelled, Dropped: jb.dropped, CannotRun: jb.cannotRun,
+		Reasons: jb.reasons, Begun: jb.begun, Ended: millisOf(jb.endedAt),
+	}
+	for no := range jb.tasks {
+		if tk := &jb.tasks[no]; tk.attempt > 0 {
+			jm.Tasks = append(jm.Tasks, taskToMessage(no, tk))
+		}
+	}
+	return jm
+}
+
+func taskToMessage(no int, tk *task) *TaskStateMessage {
+	tm := &TaskStateMessage{
+		Task: uint32(no), State: uint32(tk.phase), Attempt: uint32(tk.attempt),
+		Checkpoint: tk.checkpoint, Reason: tk.reason, Resuming: tk.resuming,
+	}
+	if tk.phase == phaseActive || tk.phase == phaseCheckpointing {
+		tm.Worker, tm.Epoch = string(tk.worker), int64(tk.epoch)
+		tm.StartBefore, tm.Reservation = millisOf(tk.startBefore), resourcesToMessage(tk.reservation)
+	}
+	return tm
+}
+
+func (ld *ledger) decodeJob(jm *JobStateMessage) {
+	jb := jobFromMessage(jm.GetJob())
+	jb.cancelled, jb.dropped, jb.cannotRun = jm.GetCancelled(), jm.GetDropped(), jm.GetCannotRun()
+	jb.reasons, jb.begun, jb.endedAt = jm.GetReasons(), jm.GetBegun(), timeOf(jm.GetEnded())
+	if len(jm.GetTasks()) > 0 {
+		jb.tasks = make([]task, jb.Tasks)
+	}
+	for _, tm := range jm.GetTasks() {
+		if int(tm.GetTask()) >= len(jb.tasks) {
+			continue
+		}
+		tk := &jb.tasks[tm.GetTask()]
+		*tk = taskFromMessage(tm)
+		switch {
+		case tk.phase == phaseActive || tk.phase == phaseCheckpointing:
+			jb.active++
+		case tk.phase > phaseEvicted:
+			jb.ended++
+		}
+	}
+	ld.insert(jb)
+}
+
+func taskFromMessage(tm *TaskStateMessage) task {
+	return task{
+		phase: phase(tm.GetState()), attempt: int(tm.GetAttempt()),
+		worker: modeler.WorkerName(tm.GetWorker()), epoch: modeler.Epoch(tm.GetEpoch()),
+		startBefore: timeOf(tm.GetStartBefore()), reservation: resourcesFromMessage(tm.GetReservation()),
+		checkpoint: tm.GetCheckpoint(), reason: tm.GetReason(), resuming: tm.GetResuming(),
+	}
+}
+
+// export encodes the state in parts of at most about partBytes. Each chunk of estimates is a part.
+func (ld *ledger) export(estimates [][]byte) ([][]byte, error) {
+	var parts [][]byte
+	for _, chunk := range estimates {
+		data, err := proto.Marshal(&SnapshotMessage{Estimates: chunk})
+		if err != nil {
+			return nil, fmt.Errorf("encode estimates: %w", err)
+		}
+		parts = append(parts, data)
+	}
+	sm := &SnapshotMessage{LastJob: ld.lastJob}
+	size := 0
+	for _, jb := range ld.jobs {
+		jm := ld.encodeJob(jb)
+		// The tag and the length of the message take at most 8 bytes.
+		grown := proto.Size(jm) + 8
+		if size > 0 && size+grown > partBytes {
+			data, err := proto.Marshal(sm)
+			if err != nil {
+				return nil, fmt.Errorf("encode jobs: %w", err)
+			}
+			parts = append(parts, data)
+			sm, size = &SnapshotMessage{LastJob: ld.lastJob}, 0
+		}
+		sm.Jobs = append(sm.Jobs, jm)
+		size += grown
+	}
+	data, err := proto.Marshal(sm)
+	if err != nil {
+		return nil, fmt.Errorf("encode jobs: %w", err)
+	}
+	return append(parts, data), nil
+}
+
+// load adds one part of a snapshot and returns the estimates in it, nil when it has none.
+func (ld *ledger) load(part []byte) ([]byte, error) {
+	var sm SnapshotMessage
+	if err := proto.Unmarshal(part, &sm); err != nil {
+		return nil, fmt.Errorf("decode a part of the snapshot: %w", err)
+	}
+	ld.lastJob = max(ld.lastJob, sm.GetLastJob())
+	for _, jm := range sm.GetJobs() {
+		ld.decodeJob(jm)
+	}
+	return sm.GetEstimates(), nil
+}
--- /dev/null
+++ b/internal/batch/scheduler/list.go
@@ -0,0 +1,238 @@
+package scheduler
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+)
+
+// MaxListed is the greatest number of entries of one answer.
+const MaxListed = 1000
+
+// Query selects what Tasks and Jobs list. Empty fields match all.
+type Query struct {
+	Job  string
+	Team string
+	Day  string
+	// State restricts Tasks.
+	State State
+	// After is the position after which the list goes on, zero for its beginning.
+	After Position
+	// Limit is the greatest number of entries, at most MaxListed; zero means MaxListed.
+	Limit int
+}
+
+// Position is a place in a list. Lists are in the order of submission.
+type Position struct {
+	Job  uint64
+	Task int
+}
+
+// TaskStatus describes a task.
+type TaskStatus struct {
+	Job        string
+	Task       int
+	Team       string
+	State      State
+	Attempt    int
+	Worker     modeler.WorkerName
+	Checkpoint string
+	// Reason is that of the last end of an attempt.
+	Reason string
+	// Position continues a list after this task.
+	Position Position
+}
+
+// JobStatus describes a job with the number of its tasks in each state.
+type JobStatus struct {
+	Job
+	Submitted time.Time
+	States    map[State]int
+	Reasons   []string
+	Position  Position
+}
+
+// Tasks lists tasks in the order of submission.
+func (sc *Scheduler) Tasks(ctx context.Context, qy Query) ([]TaskStatus, error) {
+	var list []TaskStatus
+	err := sc.call(ctx, func(done func(error)) {
+		list = sc.tasks(qy)
+		done(nil)
+	})
+	if err != nil {
+		return nil, err
+	}
+	return list, nil
+}
+
+func (sc *Scheduler) tasks(qy Query) []TaskStatus {
+	var list []TaskStatus
+	limit := qy.limit()
+	for _, jb := range sc.matching(qy) {
+		first := 0
+		if jb.id == qy.After.Job {
+			first = qy.After.Task + 1
+		}
+		for no := first; no < jb.Tasks; no++ {
+			ts := sc.status(jb, no)
+			if qy.State != "" && ts.State != qy.State {
+				continue
+			}
+			if list = append(list, ts); len(list) == limit {
+				return list
+			}
+		}
+	}
+	return list
+}
+
+func (qy *Query) limit() int {
+	if qy.Limit <= 0 || qy.Limit > MaxListed {
+		return MaxListed
+	}
+	return qy.Limit
+}
+
+// matching returns the jobs of a query from its position on, in order.
+func (sc *Scheduler) matching(qy Query) []*job {
+	var found []*job
+	add := func(jb *job) {
+		if jb.id >= qy.After.Job && (qy.Team == "" || jb.Team == qy.Team) && (qy.Day == "" || jb.Day == qy.Day) {
+			found = append(found, jb)
+		}
+	}
+	if qy.Job != "" {
+		if jb, ok := sc.ledger.byName[qy.Job]; ok {
+			add(jb)
+		}
+		return found
+	}
+	from := sc.ledger.jobs
+	if qy.Team != "" {
+		from = sc.ledger.byTeam[qy.Team]
+	} else if qy.Day != "" {
+		from = sc.ledger.byDay[qy.Day]
+	}
+	for _, jb := range from {
+		add(jb)
+	}
+	slices.SortFunc(found, func(a, b *job) int { return cmp.Compare(a.id, b.id) })
+	return found
+}
+
+func (sc *Scheduler) status(jb *job, no int) TaskStatus {
+	ts := TaskStatus{
+		Job: jb.Name, Task: no, Team: jb.Team, State: jb.stateOf(no), Position: Position{jb.id, no},
+	}
+	if jb.tasks == nil {
+		return ts
+	}
+	tk := &jb.tasks[no]
+	ts.Attempt, ts.Checkpoint, ts.Reason = tk.attempt, tk.checkpoint, tk.reason
+	if tk.phase == phaseActive || tk.phase == phaseCheckpointing {
+		ts.Worker = tk.worker
+	}
+	if ts.State == Starting && sc.seen(jb, no) {
+		ts.State = Running
+	}
+	return ts
+}
+
+func (sc *Scheduler) seen(jb *job, no int) bool {
+	tk := &jb.tasks[no]
+	ws, ok := sc.workers[tk.worker]
+	if !ok {
+		return false
+	}
+	rn, ok := ws.attempts[jb.attempt(no, tk.attempt)]
+	return ok && rn.seen
+}
+
+// Jobs lists jobs in the order of submission. After.Task must be that of the last entry's position.
+func (sc *Scheduler) Jobs(ctx context.Context, qy Query) ([]JobStatus, error) {
+	var list []JobStatus
+	err := sc.call(ctx, func(done func(error)) {
+		for _, jb := range sc.matching(qy) {
+			if jb.id == qy.After.Job {
+				continue
+			}
+			if list = append(list, sc.jobStatus(jb)); len(list) == qy.limit() {
+				break
+			}
+		}
+		done(nil)
+	})
+	if err != nil {
+		return nil, err
+	}
+	return list, nil
+}
+
+func (sc *Scheduler) jobStatus(jb *job) JobStatus {
+	js := JobStatus{
+		Job: jb.Job, Submitted: jb.submitted, Reasons: jb.reasons,
+		States: make(map[State]int), Position: Position{Job: jb.id},
+	}
+	for no := range jb.Tasks {
+		js.States[sc.status(jb, no).State]++
+	}
+	return js
+}
+
+// Explanation says why a task is in its state.
+type Explanation struct {
+	TaskStatus
+	// Reasons are sentences for operators, the most important first.
+	Reasons []string
+}
+
+// Explain tells why a task is in its state. It fails with ErrUnknownTask.
+func (sc *Scheduler) Explain(ctx context.Context, name string, no int) (Explanation, error) {
+	var ex Explanation
+	err := sc.call(ctx, func(done func(error)) {
+		jb, ok := sc.ledger.byName[name]
+		if !ok || no < 0 || no >= jb.Tasks {
+			done(ErrUnknownTask)
+			return
+		}
+		ex = Explanation{TaskStatus: sc.status(jb, no)}
+		ex.Reasons = sc.reasons(jb, ex.TaskStatus, time.Now())
+		done(nil)
+	})
+	if err != nil {
+		return Explanation{}, err
+	}
+	return ex, nil
+}
+
+func (sc *Scheduler) reasons(jb *job, ts TaskStatus, now time.Time) []string {
+	rs := slices.Clone(jb.reasons)
+	if ts.Reason != "" {
+		rs = append(rs, "last attempt: "+ts.Reason)
+	}
+	if ts.State != Waiting && ts.State != Evicted {
+		return rs
+	}
+	if sc.writer.failing {
+		rs = append(rs, "the journal is unavailable, so no task starts")
+	}
+	if jb.NotBefore.After(now) {
+		rs = append(rs, "the job may not start before "+jb.NotBefore.UTC().Format(time.RFC3339))
+	}
+	if jb.delayedUntil.After(now) {
+		rs = append(rs, "the job waits after a failure until "+jb.delayedUntil.UTC().Format(time.RFC3339))
+	}
+	if jb.held {
+		rs = append(rs, "a change of the job is being written")
+	}
+	if jb.why != "" {
+		rs = append(rs, jb.why)
+	}
+	for wk, why := range sc.detector.FailedOn(jb.id) {
+		rs = append(rs, "failed on worker "+string(wk)+": "+why)
+	}
+	return rs
+}
