--- /dev/null
+++ b/internal/hours/publisher/merger.go
@@ -0,0 +1,247 @@
+package publisher
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/hours/counter"
+	"github.com/currantrouter/currantrouter/internal/plan/importer"
+)
+
+// input is all that a page is computed from.
+type input struct {
+	day     string
+	loc     *time.Location
+	now     time.Time
+	reports []counter.Report
+	// plan is nil when the day has none.
+	plan *importer.Plan
+	// configuration is nil when there is none.
+	configuration *modeler.Configuration
+	incomplete    bool
+}
+
+// hourReports are the reports on one hour, merged by source.
+type hourReports struct {
+	sources map[counter.Source]counter.Report
+	// closed has every host with a report, and whether all its processes reported to their end.
+	closed map[modeler.HostName]bool
+	// expected has the hosts that were to report.
+	expected map[modeler.HostName]bool
+}
+
+// build computes the page of a day.
+func build(in input) (*Page, error) {
+	hours, err := hoursOf(in.day, in.loc)
+	if err != nil {
+		return nil, err
+	}
+	byHour := groupByHour(in, hours)
+	pg := &Page{Day: in.day, TimeZone: in.loc.String(), Generated: in.now.In(in.loc), Incomplete: in.incomplete}
+	for _, name := range serviceNames(in, byHour) {
+		svc := Service{Name: name}
+		for _, start := range hours {
+			hr := buildHour(in, byHour[start], name, start)
+			svc.Counts = svc.Counts.Add(hr.Counts)
+			svc.Hours = append(svc.Hours, hr)
+		}
+		pg.Services = append(pg.Services, svc)
+	}
+	return pg, nil
+}
+
+// hoursOf returns the start of every hour of UTC that begins on a local day, in order. In time
+// zones with an offset of full hours, which all deployments have, these are the local hours. In
+// any other, each hour still belongs to exactly one day.
+func hoursOf(day string, loc *time.Location) ([]time.Time, error) {
+	from, until, err := importer.DayBounds(day, loc)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrDay, err)
+	}
+	start := from.Truncate(time.Hour)
+	if start.Before(from) {
+		start = start.Add(time.Hour)
+	}
+	var hours []time.Time
+	for ; start.Before(until); start = start.Add(time.Hour) {
+		hours = append(hours, start.UTC())
+	}
+	return hours, nil
+}
+
+func groupByHour(in input, hours []time.Time) map[time.Time]*hourReports {
+	byHour := make(map[time.Time]*hourReports, len(hours))
+	for _, start := range hours {
+		byHour[start] = &hourReports{
+			sources:  map[counter.Source]counter.Report{},
+			closed:   map[modeler.HostName]bool{},
+			expected: map[modeler.HostName]bool{},
+		}
+	}
+	for _, rp := range in.reports {
+		rp.Hour = rp.Hour.UTC()
+		if hrs := byHour[rp.Hour]; hrs != nil {
+			hrs.sources[rp.Source] = rp.Merge(hrs.sources[rp.Source])
+		}
+	}
+	for start, hrs := range byHour {
+		hrs.summarize(in, start)
+	}
+	return byHour
+}
+
+// summarize finds which hosts were to report and which did. Reports name the hosts of the
+// configuration of their hour. Only when no report does so, the present configuration is used.
+func (hrs *hourReports) summarize(in input, start time.Time) {
+	for _, rp := range hrs.sources {
+		closed, known := hrs.closed[rp.Host]
+		hrs.closed[rp.Host] = rp.Closed && (closed || !known)
+		for _, hn := range rp.Expected {
+			hrs.expected[hn] = true
+		}
+	}
+	if in.configuration == nil || (len(hrs.expected) > 0 && !current(start, in.now)) {
+		return
+	}
+	for _, hst := range in.configuration.Hosts {
+		if !hst.Retired {
+			hrs.expected[hst.Name] = true
+		}
+	}
+}
+
+// serviceNames returns every service that a report, the plan or the configuration names.
+func serviceNames(in input, byHour map[time.Time]*hourReports) []modeler.ServiceName {
+	names := map[modeler.ServiceName]bool{}
+	for _, hrs := range byHour {
+		for _, rp := range hrs.sources {
+			for name := range rp.Services {
+				names[name] = true
+			}
+		}
+	}
+	if in.plan != nil {
+		for _, svc := range in.plan.Services {
+			names[svc.Name] = true
+		}
+	}
+	if in.configuration != nil {
+		for _, svc := range in.configuration.Services {
+			names[svc.Name] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
+func buildHour(in input, hrs *hourReports, name modeler.ServiceName, start time.Time) Hour {
+	hr := Hour{
+		Start:         start.In(in.loc),
+		Upcoming:      start.After(in.now),
+		InProgress:    current(start, in.now),
+		PausedMinutes: pausedMinutes(in.plan, name, start),
+	}
+	reported := false
+	for _, rp := range hrs.sources {
+		cs, ok := rp.Services[name]
+		reported = reported || ok
+		hr.Counts = hr.Counts.Add(cs)
+		hr.amend(rp, name)
+	}
+	slices.SortFunc(hr.Amendments, func(a, b Amendment) int {
+		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Added.Total(), b.Added.Total()))
+	})
+	hr.countHosts(hrs, in.now)
+	hr.State = hr.StateOf(reported)
+	return hr
+}
+
+func (hr *Hour) amend(rp counter.Report, name modeler.ServiceName) {
+	for _, am := range rp.Amendments {
+		if cs, ok := am.Added[name]; ok && cs != (counter.Counts{}) {
+			hr.Amendments = append(hr.Amendments, Amendment{At: am.At.In(hr.Start.Location()), Added: cs})
+		}
+	}
+}
+
+// countHosts compares the hosts that were to report with those that did. Reports on an hour in
+// progress, or that ended a moment ago, are not yet complete.
+func (hr *Hour) countHosts(hrs *hourReports, now time.Time) {
+	if hr.Upcoming {
+		return
+	}
+	hr.ExpectedHosts = len(hrs.expected)
+	over := now.After(hr.Start.Add(time.Hour + counter.SettleTime))
+	for hn := range hrs.expected {
+		if _, ok := hrs.closed[hn]; !ok && (over || now.Sub(hr.Start) > counter.SettleTime) {
+			hr.MissingHosts++
+		}
+	}
+	if !over {
+		return
+	}
+	for _, closed := range hrs.closed {
+		if !closed {
+			hr.PartialHosts++
+		}
+	}
+}
+
+func current(start, now time.Time) bool {
+	return !start.After(now) && now.Before(start.Add(time.Hour))
+}
+
+// pausedMinutes returns the minutes of an hour in which the plan does not have the service answer.
+// Pauses that overlap count once.
+func pausedMinutes(pl *importer.Plan, name modeler.ServiceName, start time.Time) int {
+	if pl == nil {
+		return 0
+	}
+	paused := 0
+	for at := start; at.Before(start.Add(time.Hour)); at = at.Add(time.Minute) {
+		if pausedAt(pl, name, at) {
+			paused++
+		}
+	}
+	return paused
+}
+
+func pausedAt(pl *importer.Plan, name modeler.ServiceName, at time.Time) bool {
+	for _, svc := range pl.Services {
+		if svc.Name == name && (at.Before(svc.From) || !at.Before(svc.Until)) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(pl.Pauses, func(ps importer.Pause) bool {
+		return ps.Service == name && !at.Before(ps.From) && at.Before(ps.Until)
+	})
+}
+
+func noteOf(hr *Hour) string {
+	var notes []string
+	add := func(format string, args ...any) { notes = append(notes, fmt.Sprintf(format, args...)) }
+	if hr.Upcoming {
+		add("not yet begun")
+	}
+	if hr.InProgress {
+		add("in progress")
+	}
+	if hr.PausedMinutes > 0 && hr.State != Paused {
+		add("planned pause of %d minutes", hr.PausedMinutes)
+	}
+	if hr.MissingHosts > 0 {
+		add("%d of %d hosts missing", hr.MissingHosts, hr.ExpectedHosts)
+	}
+	if hr.PartialHosts > 0 {
+		add("%d of %d hosts reported only part of the hour", hr.PartialHosts, hr.ExpectedHosts)
+	}
+	for _, am := range hr.Amendments {
+		add("amended %s: %+d answered, %+d refused, %+d unknown, %+d late",
+			am.At.Format("2006-01-02 15:04"), am.Added.Answered, am.Added.Refused, am.Added.Unknown, am.Added.Late)
+	}
+	return strings.Join(notes, "; ")
+}
--- /dev/null
+++ b/internal/operator/auditor/searcher.go
@@ -0,0 +1,156 @@
+package auditor
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/currantrouter/currantrouter/internal/daemon/logger"
+	"github.com/currantrouter/currantrouter/internal/platform/storer"
+)
+
+const (
+	// Retention is how long records are kept.
+	Retention = 90 * 24 * time.Hour
+	// MaxResults bounds the result of a search.
+	MaxResults = 10_000
+	// trimInterval is the mean time between two rounds of trimming. Every host trims, since the
+	// hosts that wrote old segments may be gone.
+	trimInterval = time.Hour
+	// maxTrimmed bounds the deletions of one round, so that trimming leaves the store to others.
+	maxTrimmed = 500
+	// pageLength bounds the memory for a page of segments to 8 MB.
+	pageLength = 16
+)
+
+// Query selects records. Empty fields select all.
+type Query struct {
+	// Since and Until bound the time of the records; Until is exclusive. Zero values stand for the
+	// start of the retention and for now.
+	Since, Until time.Time
+	Who          string
+	Action       string
+	// Subject selects records whose subject contains it.
+	Subject string
+	Result  Result
+	// Limit is the greatest number of records, at most MaxResults, which zero stands for.
+	Limit int
+}
+
+func (qr Query) matches(rc Record) bool {
+	return !rc.Time.Before(qr.Since) && rc.Time.Before(qr.Until) &&
+		(qr.Who == "" || qr.Who == rc.Who) &&
+		(qr.Action == "" || qr.Action == rc.Action) &&
+		(qr.Result == "" || qr.Result == rc.Result) &&
+		strings.Contains(rc.Subject, qr.Subject)
+}
+
+func (qr Query) bounded(now time.Time) Query {
+	if oldest := now.Add(-Retention); qr.Since.Before(oldest) {
+		qr.Since = oldest
+	}
+	if qr.Until.IsZero() || qr.Until.After(now) {
+		// Records of hosts whose clocks are ahead are found too.
+		qr.Until = now.Add(time.Hour)
+	}
+	if qr.Limit <= 0 || qr.Limit > MaxResults {
+		qr.Limit = MaxResults
+	}
+	return qr
+}
+
+// Search returns the matching records of all hosts, the newest first. It returns the errors of the
+// store. Damaged segments are logged and left out.
+func (au *Auditor) Search(ctx context.Context, qr Query) ([]Record, error) {
+	qr = qr.bounded(time.Now())
+	var found []Record
+	first := qr.Since.UTC().Truncate(24 * time.Hour)
+	for day := qr.Until.UTC().Truncate(24 * time.Hour); !day.Before(first); day = day.Add(-24 * time.Hour) {
+		rcs, err := au.searchDay(ctx, day.Format(dayLayout), qr)
+		if err != nil {
+			return nil, err
+		}
+		found = append(found, rcs...)
+		if len(found) >= qr.Limit {
+			return found[:qr.Limit], nil
+		}
+	}
+	return found, nil
+}
+
+func (au *Auditor) searchDay(ctx context.Context, day string, qr Query) ([]Record, error) {
+	var found []Record
+	err := au.eachSegment(ctx, dayPrefix(day), func(ent storer.Entry) bool {
+		rcs, err := decodeSegment(ent)
+		if err != nil {
+			logger.Log(au.lg, logger.AuditSegmentDamaged, "Key", ent.Key, "Error", err.Error())
+			return true
+		}
+		for _, rc := range rcs {
+			if qr.matches(rc) {
+				found = append(found, rc)
+			}
+		}
+		return true
+	})
+	slices.SortStableFunc(found, func(a, b Record) int { return b.Time.Compare(a.Time) })
+	return found, err
+}
+
+// eachSegment calls visit for the segments in the order of their keys until it returns false.
+func (au *Auditor) eachSegment(ctx context.Context, prefix string, visit func(storer.Entry) bool) error {
+	after := ""
+	for {
+		ents, err := au.store.List(ctx, prefix, after, pageLength)
+		if err != nil {
+			return err
+		}
+		for _, ent := range ents {
+			if !visit(ent) {
+				return nil
+			}
+		}
+		if len(ents) < pageLength {
+			return nil
+		}
+		after = ents[len(ents)-1].Key
+	}
+}
+
+// RunTrim trims the trail about once an hour until ctx ends.
+func (au *Auditor) RunTrim(ctx context.Context) {
+	for {
+		sleep(ctx, trimInterval/2+rand.N(trimInterval))
+		if ctx.Err() != nil {
+			return
+		}
+		if err := au.Trim(ctx); err != nil {
+			logger.Log(au.lg, logger.AuditTrimFailed, "Error", err.Error())
+		}
+	}
+}
+
+// Trim deletes segments of days that are out of retention, at most maxTrimmed. It returns the
+// errors of the store.
+func (au *Auditor) Trim(ctx context.Context) error {
+	// A segment of the oldest day has records up to the end of that day.
+	oldest := dayPrefix(time.Now().UTC().Add(-Retention).Format(dayLayout))
+	var errs []error
+	left := maxTrimmed
+	err := au.eachSegment(ctx, trailPrefix, func(ent storer.Entry) bool {
+		if ent.Key >= oldest || left == 0 {
+			return false
+		}
+		left--
+		// Another host that trims at the same time may have been faster.
+		err := au.store.Delete(ctx, ent.Key, ent.Revision)
+		if err != nil && !errors.Is(err, storer.ErrNotFound) && !errors.Is(err, storer.ErrConflict) {
+			errs = append(errs, err)
+		}
+		return ctx.Err() == nil
+	})
+	return errors.Join(append(errs, err)...)
+}
--- /dev/null
+++ b/internal/operator/server/request.go
@@ -0,0 +1,204 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/operator/auditor"
+	"github.com/currantrouter/currantrouter/internal/operator/authorizer"
+	"github.com/currantrouter/currantrouter/internal/platform/storer"
+)
+
+// request is a request of an operator who may make it.
+type request struct {
+	ctx   context.Context
+	op    authorizer.Operator
+	http  *http.Request
+	query url.Values
+	body  []byte
+}
+
+// action is a command that was read and not yet executed.
+type action struct {
+	// subject and reason are for the audit trail.
+	subject, reason string
+	run             func(ctx context.Context) (effect, error)
+}
+
+// effect is what a command has done.
+type effect struct {
+	// subject is set when it was not known before.
+	subject string
+	// before and after are revisions of the subject, zero when it has none.
+	before, after int64
+	answer        any
+}
+
+// query returns the handler of a request that changes nothing.
+func (sv *Server) query(run func(*request) (any, error)) http.HandlerFunc {
+	return sv.queryWithBody(authorizer.Read, storer.MaxValueBytes, run)
+}
+
+func (sv *Server) queryWithBody(needed authorizer.Role, limit int64, run func(*request) (any, error)) http.HandlerFunc {
+	return func(wr http.ResponseWriter, rq *http.Request) {
+		ctx, stop := context.WithTimeout(rq.Context(), commandLimit)
+		defer stop()
+		rr, err := sv.open(ctx, wr, rq, needed, limit)
+		if err != nil {
+			sv.reject(wr, rq, rr.op.Name, err)
+			return
+		}
+		answer, err := run(rr)
+		if err != nil {
+			sv.reject(wr, rq, rr.op.Name, err)
+			return
+		}
+		if hd, ok := answer.(http.Handler); ok {
+			hd.ServeHTTP(wr, rq)
+			return
+		}
+		writeJSON(wr, http.StatusOK, answer)
+	}
+}
+
+// open identifies the operator before it reads the body. The request is never nil.
+func (sv *Server) open(ctx context.Context, wr http.ResponseWriter, rq *http.Request, needed authorizer.Role, limit int64) (*request, error) {
+	rr := &request{ctx: ctx, http: rq, query: rq.URL.Query()}
+	var err error
+	if rr.op, err = sv.auth.Identify(rq); err != nil {
+		return rr, err
+	}
+	if err = rr.op.Require(needed); err != nil {
+		return rr, err
+	}
+	rr.body, err = readBody(wr, rq, limit)
+	return rr, err
+}
+
+// command returns the handler of a request that changes something. Its begin is in the audit trail
+// before it is executed, and it is refused when that cannot be written. It is executed to its end
+// even when the operator's connection breaks.
+func (sv *Server) command(needed authorizer.Role, name string, limit int64, read func(*request) (action, error)) http.HandlerFunc {
+	return func(wr http.ResponseWriter, rq *http.Request) {
+		ctx := context.WithoutCancel(rq.Context())
+		rr, err := sv.open(ctx, wr, rq, needed, limit)
+		var ac action
+		if err == nil {
+			ac, err = read(rr)
+		}
+		rc := auditor.Record{
+			Who: rr.op.Name, Role: rr.op.Role.String(), From: rr.op.From,
+			Action: name, Subject: ac.subject, Reason: ac.reason,
+		}
+		if err != nil {
+			sv.refuse(ctx, wr, rq, rc, err)
+			return
+		}
+		answer, err := sv.execute(ctx, rc, ac)
+		if err != nil {
+			sv.reject(wr, rq, rr.op.Name, err)
+			return
+		}
+		writeJSON(wr, http.StatusOK, answer)
+	}
+}
+
+// refuse records and answers a command that was not executed. The answer is an error in any case,
+// so a record that cannot be written only counts as a metric.
+func (sv *Server) refuse(ctx context.Context, wr http.ResponseWriter, rq *http.Request, rc auditor.Record, err error) {
+	rc.Reason = err.Error()
+	_ = sv.bk.Audit.Refuse(ctx, rc)
+	sv.reject(wr, rq, rc.Who, err)
+}
+
+func (sv *Server) execute(ctx context.Context, rc auditor.Record, ac action) (any, error) {
+	cm, err := sv.bk.Audit.Begin(ctx, rc)
+	if err != nil {
+		return nil, err
+	}
+	limited, stop := context.WithTimeout(ctx, commandLimit)
+	defer stop()
+	// The outcome of a panic, which leaves the effect open.
+	oc := auditor.Outcome{Result: auditor.Undetermined, Reason: errPanic.Error()}
+	defer func() { cm.End(ctx, oc) }()
+	ef, err := ac.run(limited)
+	oc = ef.outcome(err)
+	return ef.answer, err
+}
+
+func (ef effect) outcome(err error) auditor.Outcome {
+	oc := auditor.Outcome{Result: auditor.Accepted, Subject: ef.subject, Before: ef.before, After: ef.after}
+	if err == nil {
+		return oc
+	}
+	oc.Reason = err.Error()
+	oc.Result = auditor.Refused
+	if undetermined(err) {
+		oc.Result = auditor.Undetermined
+	}
+	return oc
+}
+
+// decode reads a JSON body. Unknown fields are errors, since a misspelled one would be ignored.
+func (rr *request) decode(into any) error {
+	dc := json.NewDecoder(bytes.NewReader(rr.body))
+	dc.DisallowUnknownFields()
+	if err := dc.Decode(into); err != nil {
+		return fmt.Errorf("%w: %w", ErrRequest, err)
+	}
+	return nil
+}
+
+func (rr *request) param(name string) string {
+	text := chi.URLParam(rr.http, name)
+	if plain, err := url.PathUnescape(text); err == nil {
+		return plain
+	}
+	return text
+}
+
+// number reads a whole number of the query, or returns the fallback when there is none.
+func (rr *request) number(name string, fallback, lowest, highest int64) (int64, error) {
+	text := rr.query.Get(name)
+	if text == "" {
+		return fallback, nil
+	}
+	num, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || num < lowest || num > highest {
+		return 0, fmt.Errorf("%w: %s is %q, allowed are %d to %d", ErrRequest, name, text, lowest, highest)
+	}
+	return num, nil
+}
+
+func (rr *request) moment(name string) (time.Time, error) {
+	text := rr.query.Get(name)
+	if text == "" {
+		return time.Time{}, nil
+	}
+	at, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		return time.Time{}, fmt.Errorf("%w: %s is %q, allowed is a time such as 2026-03-29T05:30:00Z", ErrRequest, name, text)
+	}
+	return at, nil
+}
+
+// revisionOf reads a revision in a path. An empty text is the current revision, zero.
+func revisionOf(text string) (modeler.Revision, error) {
+	if text == "" {
+		return 0, nil
+	}
+	num, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || num < 1 {
+		return 0, fmt.Errorf("%w: revision is %q, allowed are numbers from 1", ErrRequest, text)
+	}
+	return modeler.Revision(num), nil
+}
--- /dev/null
+++ b/internal/operator/server/server.go
@@ -0,0 +1,203 @@
+package server
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/go-logr/logr"
+
+	"github.com/currantrouter/currantrouter/internal/daemon/logger"
+	"github.com/currantrouter/currantrouter/internal/daemon/meter"
+	"github.com/currantrouter/currantrouter/internal/operator/authorizer"
+	"github.com/currantrouter/currantrouter/internal/plan/importer"
+	"github.com/currantrouter/currantrouter/internal/platform/storer"
+)
+
+const (
+	// MaxHeaderBytes bounds the header of a request.
+	MaxHeaderBytes = 16 << 10
+	// readLimit bounds the time to read a request. A sheet of the largest size needs 18 Mbit/s.
+	readLimit = 30 * time.Second
+	// headerLimit bounds the time to read a header.
+	headerLimit = 5 * time.Second
+	// commandLimit bounds the execution of a command.
+	commandLimit = 30 * time.Second
+	// writeLimit bounds a request and its answer. It leaves time to read, to execute and to write
+	// the audit records before and after.
+	writeLimit = readLimit + commandLimit + 30*time.Second
+	// idleLimit closes unused connections, so that reloaded authorities take effect.
+	idleLimit = time.Minute
+	// maxBodyBytes bounds the bodies of commands other than sheets and configurations.
+	maxBodyBytes = 64 << 10
+	// maxQueryBytes bounds the query of a request.
+	maxQueryBytes = 4 << 10
+)
+
+var errTooLarge = errors.New("body is too large")
+
+// Authorizer identifies the operator that sent a request. It is an authorizer.Authorizer.
+type Authorizer interface {
+	Identify(rq *http.Request) (authorizer.Operator, error)
+}
+
+// Server answers operators. It is safe for concurrent use.
+type Server struct {
+	bk     Backends
+	auth   Authorizer
+	lg     logr.Logger
+	mt     *meter.Registry
+	router chi.Router
+}
+
+// New returns the handler of the operators' interface.
+func New(bk Backends, auth Authorizer, lg logr.Logger, mt *meter.Registry) *Server {
+	sv := &Server{bk: bk, auth: auth, lg: lg, mt: mt, router: chi.NewRouter()}
+	sv.router.Use(sv.recoverPanics, sv.protect)
+	sv.router.NotFound(func(wr http.ResponseWriter, rq *http.Request) {
+		sv.reject(wr, rq, "", fmt.Errorf("%w: no such path", ErrNotFound))
+	})
+	sv.router.MethodNotAllowed(func(wr http.ResponseWriter, rq *http.Request) {
+		sv.reject(wr, rq, "", fmt.Errorf("%w: method %s is not allowed here", ErrRequest, rq.Method))
+	})
+	sv.routes()
+	return sv
+}
+
+// ServeHTTP answers one request.
+func (sv *Server) ServeHTTP(wr http.ResponseWriter, rq *http.Request) {
+	sv.mt.Add(meter.OperatorCommands, 1)
+	sv.router.ServeHTTP(wr, rq)
+}
+
+// HTTPServer returns a server for the operators' interface with limits on sizes and times. The
+// caller adds the settings of TLS and starts it.
+func (sv *Server) HTTPServer(listen netip.AddrPort) *http.Server {
+	return &http.Server{
+		Addr:              listen.String(),
+		Handler:           sv,
+		ReadHeaderTimeout: headerLimit,
+		ReadTimeout:       readLimit,
+		WriteTimeout:      writeLimit,
+		IdleTimeout:       idleLimit,
+		MaxHeaderBytes:    MaxHeaderBytes,
+	}
+}
+
+func (sv *Server) routes() {
+	rt := sv.router
+	rt.Get("/healthz", sv.health)
+	rt.Get("/readyz", sv.ready)
+	rt.Get("/debug/vars", sv.query(func(*request) (any, error) { return sv.mt, nil }))
+
+	rt.Get("/v1/plans/{day}", sv.query(sv.plan))
+	rt.Post("/v1/plans", sv.importPlan())
+	rt.Get("/v1/jobs", sv.query(sv.jobs))
+	rt.Get("/v1/tasks", sv.query(sv.tasks))
+	rt.Get("/v1/explain", sv.query(sv.explain))
+	rt.Post("/v1/cancel", sv.command(authorizer.Plan, "CancelJobs", maxBodyBytes, sv.cancel))
+	rt.Get("/v1/hosts", sv.query(sv.hosts))
+	rt.Get("/v1/runners", sv.query(sv.runners))
+	rt.Post("/v1/drain", sv.command(authorizer.Administer, "Drain", maxBodyBytes, sv.drain))
+	rt.Get("/v1/hours", sv.query(sv.hours))
+	rt.Get("/v1/hours/{day}", sv.query(sv.hours))
+	rt.Get("/v1/audit", sv.query(sv.audit))
+
+	rt.Get("/v1/config", sv.query(sv.configuration))
+	rt.Put("/v1/config", sv.command(authorizer.Administer, "PutConfiguration", storer.MaxValueBytes, sv.putConfiguration))
+	rt.Post("/v1/config/check", sv.query(sv.checkConfiguration))
+	rt.Get("/v1/config/history", sv.query(sv.history))
+	rt.Get("/v1/config/history/{revision}", sv.query(sv.configuration))
+	rt.Get("/v1/config/status", sv.query(sv.status))
+}
+
+// importPlan is a command unless it is a dry run, which changes nothing.
+func (sv *Server) importPlan() http.HandlerFunc {
+	dryRun := sv.queryWithBody(authorizer.Plan, importer.MaxSheetBytes, sv.comparePlan)
+	apply := sv.command(authorizer.Plan, "ImportPlan", importer.MaxSheetBytes, sv.applyPlan)
+	return func(wr http.ResponseWriter, rq *http.Request) {
+		if rq.URL.Query().Get("DryRun") == "true" {
+			dryRun(wr, rq)
+			return
+		}
+		apply(wr, rq)
+	}
+}
+
+func (sv *Server) health(wr http.ResponseWriter, _ *http.Request) {
+	writeJSON(wr, http.StatusOK, struct{ Health string }{"Live"})
+}
+
+func (sv *Server) ready(wr http.ResponseWriter, _ *http.Request) {
+	if err := sv.bk.Ready(); err != nil {
+		rj := Rejection{}
+		rj.Code, rj.Message = "NotReady", err.Error()
+		writeJSON(wr, http.StatusServiceUnavailable, rj)
+		return
+	}
+	writeJSON(wr, http.StatusOK, struct{ Health string }{"Ready"})
+}
+
+// protect refuses requests that a page in an operator's browser could cause, and long queries.
+func (sv *Server) protect(next http.Handler) http.Handler {
+	origins := http.NewCrossOriginProtection()
+	return http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+		if err := origins.Check(rq); err != nil {
+			sv.reject(wr, rq, "", fmt.Errorf("%w: %w", authorizer.ErrRole, err))
+			return
+		}
+		if len(rq.URL.RawQuery) > maxQueryBytes {
+			sv.reject(wr, rq, "", fmt.Errorf("%w: the query is longer than %d bytes", ErrRequest, maxQueryBytes))
+			return
+		}
+		wr.Header().Set("Cache-Control", "no-store")
+		wr.Header().Set("X-Content-Type-Options", "nosniff")
+		next.ServeHTTP(wr, rq)
+	})
+}
+
+func (sv *Server) recoverPanics(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+		defer func() {
+			cause := recover()
+			if cause == nil {
+				return
+			}
+			logger.Log(sv.lg, logger.CommandPanicked, "Path", rq.URL.Path, "Cause", fmt.Sprint(cause), "Stack", string(debug.Stack()))
+			sv.reject(wr, rq, "", errPanic)
+		}()
+		next.ServeHTTP(wr, rq)
+	})
+}
+
+var errPanic = errors.New("command panicked")
+
+// reject answers with an error and logs it.
+func (sv *Server) reject(wr http.ResponseWriter, rq *http.Request, who string, err error) {
+	status, rj := rejectionOf(err)
+	sv.mt.Add(meter.OperatorRefusals, 1)
+	ev := logger.CommandRefused
+	if status >= http.StatusInternalServerError {
+		ev = logger.CommandFailed
+	}
+	logger.Log(sv.lg, ev, "Method", rq.Method, "Path", rq.URL.Path, "Who", who, "Code", rj.Code, "Error", err.Error())
+	writeJSON(wr, status, rj)
+}
+
+// readBody returns the whole body, or errTooLarge or ErrRequest.
+func readBody(wr http.ResponseWriter, rq *http.Request, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(wr, rq.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, fmt.Errorf("%w: it may have %d bytes", errTooLarge, limit)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrRequest, err)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/plan/importer/keeper.go
@@ -0,0 +1,183 @@
+package importer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/go-logr/logr"
+
+	"github.com/currantrouter/currantrouter/internal/daemon/logger"
+	"github.com/currantrouter/currantrouter/internal/daemon/meter"
+	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/platform/storer"
+)
+
+// Errors of an import. Callers test for them with errors.Is, and for the errors of storer.
+var (
+	// ErrOlder means that the plan in force was exported later than the sheet.
+	ErrOlder = errors.New("the plan in force was exported later")
+	// ErrSameExport means that the plan in force was exported at the same time and differs, so
+	// that neither is known to be newer.
+	ErrSameExport = errors.New("another sheet with the same time of export is in force")
+	// ErrPlanChanged means that another planner has changed the plan of the day in the meantime.
+	ErrPlanChanged = errors.New("the plan of the day has changed in the meantime")
+	// ErrNoPlan means that the day has no plan.
+	ErrNoPlan = errors.New("the day has no plan")
+	// ErrDocument means that a document under Plan/ is damaged.
+	ErrDocument = errors.New("plan document is damaged")
+)
+
+// Progress tells which jobs have begun.
+type Progress interface {
+	// Begun returns the identities of the jobs of a day that have begun at any time.
+	Begun(ctx context.Context, day string) (map[string]bool, error)
+}
+
+// Configurations returns the configuration in force, or nil when there is none.
+type Configurations interface {
+	Current() *modeler.Configuration
+}
+
+// AnyRevision is the Expected value of an import that replaces whichever plan is in force.
+const AnyRevision int64 = -1
+
+// Options of an import.
+type Options struct {
+	// DryRun checks and compares the sheet without storing it.
+	DryRun bool
+	// Expected is the revision of the plan that the planner has seen, 0 for none, or AnyRevision.
+	Expected int64
+}
+
+// Result of an import.
+type Result struct {
+	Day string
+	// Before and After are the revisions of the plan in the store, 0 for none. They are the same
+	// when the sheet was already in force and in a dry run.
+	Before, After int64
+	// Applied states that the sheet is in force, by this import or an earlier one.
+	Applied bool
+	Difference
+	// ProgressUnknown states that the leaders could not be asked which jobs have begun, so that
+	// Begun is empty. The leaders keep to it all the same.
+	ProgressUnknown bool
+	// Warnings tell how ambiguous values were read.
+	Warnings Faults `json:",omitempty"`
+}
+
+// Keeper stores the plans of days.
+type Keeper struct {
+	store    Store
+	progress Progress
+	cfgs     Configurations
+	lg       logr.Logger
+	mt       *meter.Registry
+}
+
+// NewKeeper returns a keeper of the plans in a store.
+func NewKeeper(st Store, progress Progress, cfgs Configurations, lg logr.Logger, mt *meter.Registry) *Keeper {
+	return &Keeper{store: st, progress: progress, cfgs: cfgs, lg: lg, mt: mt}
+}
+
+// Plan returns the plan in force for a day and its revision in the store. It returns ErrNoPlan,
+// ErrDocument and the errors of the store.
+func (kp *Keeper) Plan(ctx context.Context, day string) (*Plan, int64, error) {
+	sd, err := load(ctx, kp.store, day)
+	if err != nil {
+		return nil, 0, err
+	}
+	if sd.plan == nil {
+		return nil, 0, fmt.Errorf("%w: %s", ErrNoPlan, day)
+	}
+	return sd.plan, sd.revision, nil
+}
+
+// Import checks a sheet and makes it the plan of its day. Importing the plan in force again
+// changes nothing. It returns Faults, ErrOlder, ErrSameExport, ErrPlanChanged and the errors of
+// the store; storer.ErrResultUnknown means that the sheet may be in force.
+func (kp *Keeper) Import(ctx context.Context, sheet []byte, op Options) (Result, error) {
+	rs, err := kp.importSheet(ctx, sheet, op)
+	switch {
+	case err != nil:
+		kp.mt.Add(meter.PlansRefused, 1)
+		logger.Log(kp.lg, logger.PlanRefused, "Day", rs.Day, "Error", err.Error())
+	case rs.Before != rs.After:
+		kp.mt.Add(meter.PlansImported, 1)
+		logger.Log(kp.lg, logger.PlanImported, "Day", rs.Day, "Revision", rs.After)
+	}
+	return rs, err
+}
+
+func (kp *Keeper) importSheet(ctx context.Context, sheet []byte, op Options) (Result, error) {
+	pl, fts := Parse(sheet, kp.dataCentres())
+	if pl == nil {
+		return Result{}, fts
+	}
+	rs := Result{Day: pl.Day, Warnings: fts}
+	sd, err := load(ctx, kp.store, pl.Day)
+	if err != nil {
+		return rs, err
+	}
+	rs.Before, rs.After = sd.revision, sd.revision
+	if err := supersedes(sd, pl, op); err != nil {
+		return rs, err
+	}
+	kp.compare(ctx, &rs, sd.plan, pl)
+	rs.Applied = sd.plan != nil && sd.plan.Equal(pl)
+	if op.DryRun || rs.Applied {
+		return rs, nil
+	}
+	rev, err := save(ctx, kp.store, pl, sd)
+	if errors.Is(err, storer.ErrConflict) {
+		rev, err = kp.afterConflict(ctx, pl)
+	}
+	if err != nil {
+		return rs, err
+	}
+	rs.After, rs.Applied = rev, true
+	return rs, nil
+}
+
+// supersedes reports why a sheet may not replace the plan in force. The plan in force itself is
+// accepted whatever the planner has seen, so that an import can be repeated after a lost answer.
+func supersedes(sd stored, pl *Plan, op Options) error {
+	switch {
+	case sd.plan != nil && sd.plan.Equal(pl):
+		return nil
+	case op.Expected != AnyRevision && op.Expected != sd.revision:
+		return fmt.Errorf("%w: it has revision %d, expected %d", ErrPlanChanged, sd.revision, op.Expected)
+	case sd.plan == nil:
+		return nil
+	case pl.Exported.Before(sd.plan.Exported):
+		return fmt.Errorf("%w: %s after %s", ErrOlder, sd.plan.Exported, pl.Exported)
+	case pl.Exported.Equal(sd.plan.Exported):
+		return fmt.Errorf("%w: %s", ErrSameExport, pl.Exported)
+	}
+	return nil
+}
+
+// afterConflict accepts the write of another planner if it was the same sheet.
+func (kp *Keeper) afterConflict(ctx context.Context, pl *Plan) (int64, error) {
+	sd, err := load(ctx, kp.store, pl.Day)
+	if err != nil {
+		return 0, err
+	}
+	if sd.plan != nil && sd.plan.Equal(pl) {
+		return sd.revision, nil
+	}
+	return 0, fmt.Errorf("%w: it has revision %d", ErrPlanChanged, sd.revision)
+}
+
+func (kp *Keeper) compare(ctx context.Context, rs *Result, inForce, pl *Plan) {
+	begun, err := kp.progress.Begun(ctx, pl.Day)
+	rs.ProgressUnknown = err != nil
+	rs.Difference = Compare(inForce, pl, func(jobID string) bool { return begun[jobID] })
+}
+
+func (kp *Keeper) dataCentres() []modeler.DataCentreName {
+	if cfg := kp.cfgs.Current(); cfg != nil {
+		return cfg.DataCentres
+	}
+	return nil
+}
