Serve the whole path in one standalone process

A daemon could not be run before. The assembler now wires configuration, membership, the request path, leadership with batch work and request keys, the plan, the hours and the operators' interface, over an in-memory emulation of the platform.

The data centre has one host, plans are polled and drains by command are not wired yet.

--- /dev/null
+++ b/internal/daemon/assembler/follower.go
@@ -0,0 +1,154 @@
+package assembler
+
+import (
+	"context"
+
+	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
+	"github.com/currantrouter/currantrouter/internal/cluster/tracker"
+	"github.com/currantrouter/currantrouter/internal/config/checker"
+	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/hours/counter"
+	"github.com/currantrouter/currantrouter/internal/platform/lister"
+	"github.com/currantrouter/currantrouter/internal/request/forwarder"
+	"github.com/currantrouter/currantrouter/internal/request/limiter"
+)
+
+// followConfiguration applies each revision that comes into force.
+func (dm *Daemon) followConfiguration(ctx context.Context) {
+	for {
+		changed := dm.configs.Changed()
+		dm.applyConfiguration()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// applyConfiguration gives the configuration to all parts. The limiter comes first, because the
+// others ask it for accounts of the runners they are told of.
+func (dm *Daemon) applyConfiguration() {
+	cfg := dm.configs.Current()
+	if cfg == nil {
+		return
+	}
+	dm.limiter.Apply(cfg)
+	dm.router.Apply(cfg)
+	dm.admitter.Apply(cfg)
+	dm.forwarder.Apply(cfg)
+	dm.tracker.SetHosts(cfg.Hosts)
+}
+
+func (dm *Daemon) pastConfiguration(ctx context.Context, rev modeler.Revision) (*modeler.Configuration, error) {
+	document, err := dm.configs.Past(ctx, rev)
+	if err != nil {
+		return nil, err
+	}
+	return checker.Parse(document, rev)
+}
+
+// followSettled tells peers and the store which revisions this host has settled.
+func (dm *Daemon) followSettled(ctx context.Context) {
+	every(ctx, settleInterval, func(ctx context.Context) {
+		dm.tracker.SetSettled(dm.limiter.SettledRevision())
+		ctx, cancel := context.WithTimeout(ctx, dm.settings.Limits.StoreTimeout)
+		defer cancel()
+		// The next round repeats a write that has failed.
+		_ = dm.registrar.Settle(ctx, dm.limiter.SettledBase())
+	})
+}
+
+// followHostList takes leaving runners out of service.
+func (dm *Daemon) followHostList(ctx context.Context) {
+	every(ctx, listInterval, func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, dm.settings.Limits.StoreTimeout)
+		defer cancel()
+		ls, err := dm.platform.Hosts.List(ctx)
+		if err != nil {
+			// The last known list stays in force.
+			return
+		}
+		dm.applyHostList(ls)
+	})
+}
+
+func (dm *Daemon) applyHostList(ls lister.Listing) {
+	cfg := dm.configs.Current()
+	if cfg == nil {
+		return
+	}
+	var leaving []modeler.RunnerName
+	for _, rn := range cfg.Runners {
+		if ls[string(rn.Name)] == lister.Leaving {
+			leaving = append(leaving, rn.Name)
+		}
+	}
+	dm.router.SetLeaving(leaving)
+}
+
+// watching tells whether this host watches the store for its data centre: the leader, or any host
+// while no leader is known.
+func (dm *Daemon) watching() bool {
+	ld, ok := dm.tracker.Leader(dm.settings.Host.DataCentre)
+	return !ok || ld.Host == dm.settings.Host.Name
+}
+
+func usable(pr tracker.Peer) bool {
+	return (pr.Health == tracker.Alive || pr.Health == tracker.Suspect) && !pr.Leaving
+}
+
+func (dm *Daemon) limiterPeers() []limiter.Peer {
+	var prs []limiter.Peer
+	for _, pr := range dm.tracker.Peers() {
+		if pr.DataCentre != dm.settings.Host.DataCentre {
+			continue
+		}
+		lp := limiter.Peer{Host: pr.Host, Usable: usable(pr), SettledRevision: pr.SettledRevision}
+		if pr.Address.IsValid() {
+			lp.Client = dm.clients.Dial(pr.Address)
+		}
+		prs = append(prs, lp)
+	}
+	return prs
+}
+
+func forwarderPeer(pr tracker.Peer) forwarder.Peer {
+	return forwarder.Peer{
+		Host:       pr.Host,
+		DataCentre: pr.DataCentre,
+		Address:    pr.Address,
+		Usable:     usable(pr),
+		FreeSlots:  pr.Load.FreeSlots,
+	}
+}
+
+func (dm *Daemon) forwarderPeers() []forwarder.Peer {
+	var prs []forwarder.Peer
+	for _, pr := range dm.tracker.Peers() {
+		prs = append(prs, forwarderPeer(pr))
+	}
+	return prs
+}
+
+func (dm *Daemon) forwarderLeader(dc modeler.DataCentreName) (forwarder.Peer, bool) {
+	ld, ok := dm.tracker.Leader(dc)
+	return forwarderPeer(ld), ok
+}
+
+func hourCountsOf(rps []counter.Report) []*messenger.HourCount {
+	var hcs []*messenger.HourCount
+	for _, rp := range rps {
+		for svc, cts := range rp.Services {
+			hcs = append(hcs, &messenger.HourCount{
+				Service:  string(svc),
+				Hour:     rp.Hour.Unix(),
+				Answered: cts.Answered,
+				Refused:  cts.Refused,
+				Unknown:  cts.Unknown,
+				Late:     cts.Late,
+			})
+		}
+	}
+	return hcs
+}
--- /dev/null
+++ b/internal/daemon/assembler/leader.go
@@ -0,0 +1,317 @@
+package assembler
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/currantrouter/currantrouter/internal/batch/scheduler"
+	"github.com/currantrouter/currantrouter/internal/cluster/tracker"
+	"github.com/currantrouter/currantrouter/internal/daemon/logger"
+	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/request/claimer"
+	"github.com/currantrouter/currantrouter/internal/request/forwarder"
+	"github.com/currantrouter/currantrouter/internal/state/journaler"
+)
+
+const (
+	// snapshotInterval and snapshotRecords bound what a new leader has to replay.
+	snapshotInterval = 5 * time.Minute
+	snapshotRecords  = 4096
+	// snapshotCheck is the time between two comparisons with these bounds.
+	snapshotCheck = 5 * time.Second
+	// workersInterval is the time between two reads of the list of workers.
+	workersInterval = 2 * time.Second
+	// partBytes keeps a part of a snapshot, with its frame, below the largest value of the store.
+	partBytes = 512 << 10
+)
+
+// leader runs the batch work and the request keys of the data centre while this host leads it.
+type leader struct {
+	dm *Daemon
+	// term is nil while this host does not lead.
+	term atomic.Pointer[term]
+}
+
+// term is one term of leadership. It is immutable.
+type term struct {
+	journal   *journaler.Journal
+	recovery  journaler.Recovery
+	scheduler *scheduler.Scheduler
+	claimer   *claimer.Claimer
+}
+
+// Epoch returns the epoch of the term.
+func (tm *term) Epoch() modeler.Epoch { return tm.recovery.Epoch }
+
+// Deposed is closed once another leader has appended to the journal.
+func (tm *term) Deposed() <-chan struct{} { return tm.journal.Deposed() }
+
+func newLeader(dm *Daemon) *leader { return &leader{dm: dm} }
+
+// run takes the leadership over whenever it is vacant and this host is first in rank.
+func (ld *leader) run(ctx context.Context) {
+	tracker.NewCandidate(tracker.CandidateOptions{
+		Tracker: ld.dm.tracker,
+		Open:    ld.open,
+		Lead:    ld.lead,
+	}).Run(ctx)
+}
+
+func (ld *leader) open(ctx context.Context) (tracker.Term, error) {
+	dm := ld.dm
+	cfg := dm.configs.Current()
+	if cfg == nil {
+		return nil, errNoConfiguration
+	}
+	jn, rec, err := journaler.Open(ctx, dm.platform.Store, dm.settings.Host.DataCentre, dm.settings.Host.Name, dm.boot,
+		journaler.Options{
+			DataCentres:     len(cfg.DataCentres),
+			WritesPerSecond: cfg.Limits.WritesPerSecond,
+			Logger:          dm.log,
+			Meter:           dm.meter,
+		})
+	if err != nil {
+		return nil, err
+	}
+	tm, err := ld.recover(cfg, jn, rec)
+	if err != nil {
+		jn.Close()
+		return nil, err
+	}
+	return tm, nil
+}
+
+func (ld *leader) recover(cfg *modeler.Configuration, jn *journaler.Journal, rec journaler.Recovery) (*term, error) {
+	dm := ld.dm
+	sc, err := scheduler.New(scheduler.Options{
+		DataCentre:         dm.settings.Host.DataCentre,
+		Epoch:              rec.Epoch,
+		Journal:            taskJournal{jn},
+		Workers:            dm.platform.Workers,
+		Logger:             dm.log,
+		Meter:              dm.meter,
+		Teams:              cfg.Teams,
+		ShortReserve:       cfg.Limits.ShortReserve,
+		LeaseTerm:          cfg.Limits.LeaseTerm,
+		PredecessorStopped: ld.predecessorStopped(rec),
+		Seed:               uint64(rec.Epoch),
+	}, scheduler.Recovery{
+		Parts:   dataOf(rec.Parts, journaler.KindTask),
+		Records: dataOf(rec.Records, journaler.KindTask),
+		Began:   rec.Appended,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("recover batch work: %w", err)
+	}
+	cl, err := claimer.Open(claimer.Options{
+		Journal:        keyJournal{jn},
+		Epoch:          rec.Epoch,
+		MaxKeys:        int(dm.settings.Limits.KeptKeys),
+		MaxAnswerBytes: dm.settings.Limits.KeptAnswerBytes,
+		Log:            dm.log,
+		Meter:          dm.meter,
+	}, dataOf(rec.Parts, journaler.KindKey), dataOf(rec.Records, journaler.KindKey))
+	if err != nil {
+		return nil, fmt.Errorf("recover request keys: %w", err)
+	}
+	return &term{journal: jn, recovery: rec, scheduler: sc, claimer: cl}, nil
+}
+
+func dataOf(recs []journaler.Record, kind journaler.Kind) [][]byte {
+	var data [][]byte
+	for _, rec := range recs {
+		if rec.Kind == kind {
+			data = append(data, rec.Data)
+		}
+	}
+	return data
+}
+
+// predecessorStopped tells whether the leader before renews no leases any more: it has
+// acknowledged this epoch, a newer boot of its host was seen, or it was this host itself, of which
+// only one process runs at a time.
+func (ld *leader) predecessorStopped(rec journaler.Recovery) func() bool {
+	dm := ld.dm
+	return func() bool {
+		if rec.PreviousEpoch == 0 || rec.PreviousHost == dm.settings.Host.Name {
+			return true
+		}
+		for _, pr := range dm.tracker.Peers() {
+			if pr.Host != rec.PreviousHost {
+				continue
+			}
+			newBoot := pr.Boot != "" && pr.Boot != rec.PreviousBoot && pr.Health == tracker.Alive
+			return newBoot || pr.LeaderEpoch >= rec.Epoch && !pr.Leading
+		}
+		return false
+	}
+}
+
+// lead does the work of one term until the context ends.
+func (ld *leader) lead(ctx context.Context, tt tracker.Term) {
+	tm := tt.(*term)
+	defer tm.journal.Close()
+	ld.term.Store(tm)
+	defer ld.term.Store(nil)
+	eg, ctx := errgroup.WithContext(ctx)
+	eg.Go(func() error { return tm.scheduler.Run(ctx) })
+	eg.Go(func() error { ld.followWorkers(ctx, tm); return nil })
+	eg.Go(func() error { ld.followPlans(ctx, tm); return nil })
+	eg.Go(func() error { ld.followLimits(ctx, tm); return nil })
+	eg.Go(func() error { ld.keepSnapshot(ctx, tm); return nil })
+	err := eg.Wait()
+	logger.Log(ld.dm.log, logger.LeaderStopped, "Epoch", tm.Epoch(), "Cause", fmt.Sprint(err))
+}
+
+func (ld *leader) followWorkers(ctx context.Context, tm *term) {
+	read := func(ctx context.Context) {
+		callCtx, cancel := context.WithTimeout(ctx, ld.dm.settings.Limits.StoreTimeout)
+		defer cancel()
+		all, err := ld.dm.platform.Hosts.Workers(callCtx)
+		if err != nil {
+			// The last known list stays in force.
+			return
+		}
+		// The error says that the term has ended.
+		_ = tm.scheduler.SetWorkers(ctx, workersIn(ld.dm.settings.Host.DataCentre, all))
+	}
+	read(ctx)
+	every(ctx, workersInterval, read)
+}
+
+func (ld *leader) followLimits(ctx context.Context, tm *term) {
+	for {
+		changed := ld.dm.configs.Changed()
+		cfg := ld.dm.configs.Current()
+		tm.journal.SetBudget(len(cfg.DataCentres), cfg.Limits.WritesPerSecond)
+		// The error says that the term has ended.
+		_ = tm.scheduler.Configure(ctx, cfg.Teams, cfg.Limits.ShortReserve)
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// keepSnapshot writes a snapshot whenever enough records or time have passed since the last one.
+func (ld *leader) keepSnapshot(ctx context.Context, tm *term) {
+	last, when := tm.recovery.SnapshotPosition, time.Now()
+	every(ctx, snapshotCheck, func(ctx context.Context) {
+		tm.claimer.Trim()
+		pos := tm.journal.Position()
+		due := pos-last >= snapshotRecords || time.Since(when) >= snapshotInterval
+		if !due || pos == last {
+			return
+		}
+		if err := tm.snapshot(ctx); err != nil {
+			logger.Log(ld.dm.log, logger.SnapshotFailed, "Epoch", tm.Epoch(), "Cause", err.Error())
+			return
+		}
+		last, when = pos, time.Now()
+	})
+}
+
+// snapshot writes the state of both consumers. Each may be newer than the lower of the two
+// positions, since both accept records again that their state contains.
+func (tm *term) snapshot(ctx context.Context) error {
+	keyPos := tm.journal.Position()
+	keys := tm.claimer.Snapshot(partBytes)
+	tasks, taskPos, err := tm.scheduler.Export(ctx)
+	if err != nil {
+		return err
+	}
+	var recs []journaler.Record
+	for _, part := range tasks {
+		recs = append(recs, journaler.Record{Kind: journaler.KindTask, Data: part})
+	}
+	for _, part := range keys {
+		recs = append(recs, journaler.Record{Kind: journaler.KindKey, Data: part})
+	}
+	return tm.journal.Snapshot(ctx, recs, min(keyPos, taskPos))
+}
+
+// Claim claims a key while this host leads.
+func (ld *leader) Claim(ctx context.Context, key string, svc modeler.ServiceName, digest [sha256.Size]byte) (forwarder.Claim, error) {
+	tm := ld.term.Load()
+	if tm == nil {
+		return forwarder.Claim{}, forwarder.ErrNotLeader
+	}
+	cm, err := tm.claimer.Claim(ctx, key, svc, claimer.Digest(digest[:16]))
+	var known *claimer.KnownError
+	switch {
+	case err == nil:
+		return forwarder.Claim{Token: keyClaim{tm.claimer, cm}}, nil
+	case errors.As(err, &known):
+		return forwarder.Claim{Repeated: true, Outcome: known.Outcome, Answer: (*forwarder.Answer)(known.Answer)}, nil
+	case errors.Is(err, claimer.ErrKeyReused):
+		return forwarder.Claim{}, forwarder.ErrKeyReused
+	case errors.Is(err, claimer.ErrNotClaimed):
+		return forwarder.Claim{}, forwarder.ErrNotClaimed
+	case errors.Is(err, claimer.ErrNotLeader):
+		return forwarder.Claim{}, forwarder.ErrNotLeader
+	}
+	return forwarder.Claim{}, err
+}
+
+// Complete records the outcome of a claimed call in the term that claimed it.
+func (ld *leader) Complete(ctx context.Context, cm forwarder.Claim, outcome modeler.Outcome, ans *forwarder.Answer) error {
+	kc := cm.Token.(keyClaim)
+	return kc.claimer.Complete(ctx, kc.claim, outcome, (*claimer.Answer)(ans))
+}
+
+// keyClaim is the token of a claim.
+type keyClaim struct {
+	claimer *claimer.Claimer
+	claim   claimer.Claim
+}
+
+// taskJournal appends the scheduler's records.
+type taskJournal struct{ *journaler.Journal }
+
+// Append implements scheduler.Journal.
+func (tj taskJournal) Append(ctx context.Context, records ...[]byte) error {
+	err := tj.Journal.Append(ctx, recordsOf(journaler.KindTask, records)...)
+	if errors.Is(err, journaler.ErrDeposed) {
+		return scheduler.ErrDeposed
+	}
+	return storeError(err)
+}
+
+// keyJournal appends the claimer's records.
+type keyJournal struct{ *journaler.Journal }
+
+// Append implements claimer.Journal.
+func (kj keyJournal) Append(ctx context.Context, records ...[]byte) error {
+	return storeError(kj.Journal.Append(ctx, recordsOf(journaler.KindKey, records)...))
+}
+
+// Confirm implements claimer.Journal.
+func (kj keyJournal) Confirm(ctx context.Context) error { return storeError(kj.Check(ctx)) }
+
+func recordsOf(kind journaler.Kind, data [][]byte) []journaler.Record {
+	recs := make([]journaler.Record, len(data))
+	for idx, dt := range data {
+		recs[idx] = journaler.Record{Kind: kind, Data: slices.Clip(dt)}
+	}
+	return recs
+}
+
+// storeError maps the journal's errors to those that its consumers test for.
+func storeError(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, journaler.ErrDeposed), errors.Is(err, journaler.ErrUnavailable), errors.Is(err, journaler.ErrTooLarge):
+		return fmt.Errorf("%w: %w", storer.ErrUnavailable, err)
+	}
+	return fmt.Errorf("%w: %w", storer.ErrResultUnknown, err)
+}
--- /dev/null
+++ b/internal/daemon/assembler/listener.go
@@ -0,0 +1,220 @@
+package assembler
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
+	"github.com/currantrouter/currantrouter/internal/cluster/registrar"
+	"github.com/currantrouter/currantrouter/internal/cluster/tracker"
+	"github.com/currantrouter/currantrouter/internal/daemon/logger"
+	"github.com/currantrouter/currantrouter/internal/operator/server"
+	"github.com/currantrouter/currantrouter/internal/request/forwarder"
+)
+
+const (
+	// headerTimeout bounds the time in which a caller sends the header of a request.
+	headerTimeout = 10 * time.Second
+	// statusPath is reserved on the callers' interface for the public hours.
+	statusPath = "/status"
+)
+
+// ErrDrainCut means that calls in flight were cut off when DrainLimit had passed.
+var ErrDrainCut = errors.New("calls in flight were cut off by DrainLimit")
+
+// servers are the three interfaces of a daemon.
+type servers struct {
+	callers, peers, operators *http.Server
+}
+
+// listen opens the three interfaces. Either all of them serve or none.
+func (dm *Daemon) listen() (servers, error) {
+	st := dm.settings
+	operators := server.New(dm.backends(), dm.auth, dm.log, dm.meter).HTTPServer(st.Listen.Operators)
+	svs := servers{
+		callers:   dm.httpServer(dm.callersHandler()),
+		peers:     dm.httpServer(dm.peersHandler()),
+		operators: operators,
+	}
+	var opened []net.Listener
+	for _, addr := range []netip.AddrPort{st.Listen.Callers, st.Listen.Peers, st.Listen.Operators} {
+		ln, err := net.Listen("tcp", addr.String())
+		if err != nil {
+			for _, op := range opened {
+				_ = op.Close()
+			}
+			return servers{}, fmt.Errorf("listen: %w", err)
+		}
+		opened = append(opened, ln)
+	}
+	tc := dm.auth.ServerConfig()
+	dm.serve(svs.callers, opened[0])
+	dm.serve(svs.peers, secure(tracker.CountListener(opened[1], dm.meter), tc))
+	dm.serve(svs.operators, secure(opened[2], tc))
+	return svs, nil
+}
+
+func secure(ln net.Listener, tc *tls.Config) net.Listener {
+	if tc == nil {
+		return ln
+	}
+	return tls.NewListener(ln, tc)
+}
+
+func (dm *Daemon) httpServer(hd http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           hd,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       dm.settings.Limits.IdleTimeout,
+		MaxHeaderBytes:    int(dm.settings.Limits.HeaderBytes),
+	}
+}
+
+func (dm *Daemon) serve(sv *http.Server, ln net.Listener) {
+	dm.tasks.Add(1)
+	go func() {
+		defer dm.tasks.Done()
+		if err := sv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			logger.Log(dm.log, logger.ListenerFailed, "Address", ln.Addr().String(), "Cause", err.Error())
+		}
+	}()
+}
+
+// callersHandler serves calls, the public hours and the balancer's checks.
+func (dm *Daemon) callersHandler() http.Handler {
+	mux := chi.NewRouter()
+	mux.Get("/healthz", func(wr http.ResponseWriter, _ *http.Request) { wr.WriteHeader(http.StatusNoContent) })
+	mux.Head("/healthz", func(wr http.ResponseWriter, _ *http.Request) { wr.WriteHeader(http.StatusNoContent) })
+	mux.Get("/readyz", dm.readyz)
+	mux.Mount(statusPath, dm.publisher)
+	mux.Mount("/", dm.forwarder.Handler())
+	return mux
+}
+
+func (dm *Daemon) readyz(wr http.ResponseWriter, _ *http.Request) {
+	if err := dm.Ready(); err != nil {
+		http.Error(wr, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	wr.WriteHeader(http.StatusNoContent)
+}
+
+// Ready returns why callers must not be sent to this host, or nil.
+func (dm *Daemon) Ready() error {
+	switch {
+	case !dm.ready.Load():
+		return errNotServing
+	case dm.configs.Current() == nil:
+		return errNoConfiguration
+	}
+	return nil
+}
+
+var (
+	errNotServing      = errors.New("the host starts or leaves")
+	errNoConfiguration = errors.New("the host has no configuration")
+)
+
+func (dm *Daemon) peersHandler() http.Handler {
+	mux := chi.NewRouter()
+	twirpPeer := messenger.NewPeerServer(tracker.NewServer(dm.tracker, dm.configs, dm.limiter))
+	mux.Group(func(gr chi.Router) {
+		gr.Use(dm.requirePeer)
+		gr.Mount(twirpPeer.PathPrefix(), twirpPeer)
+		gr.Mount(forwarder.PeerPath, dm.forwarder.PeerHandler())
+	})
+	mux.Head("/healthz", func(wr http.ResponseWriter, _ *http.Request) { wr.WriteHeader(http.StatusNoContent) })
+	return mux
+}
+
+// requirePeer refuses requests whose certificate is not that of an entry host.
+func (dm *Daemon) requirePeer(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+		if _, err := dm.auth.IdentifyPeer(rq); err != nil {
+			logger.Log(dm.log, logger.PeerRefused, "From", rq.RemoteAddr, "Cause", err.Error())
+			http.Error(wr, "not an entry host", http.StatusForbidden)
+			return
+		}
+		next.ServeHTTP(wr, rq)
+	})
+}
+
+// drain ends the daemon without cutting off calls, as long as they keep their limits.
+func (dm *Daemon) drain(svs servers) error {
+	ctx, cancel := context.WithTimeout(context.Background(), dm.settings.Limits.DrainLimit)
+	defer cancel()
+	logger.Log(dm.log, logger.DaemonDrain)
+	dm.ready.Store(false)
+	dm.tracker.SetLeaving()
+	dm.limiter.StopLending()
+	sleep(ctx, dm.leavingNotice())
+	dm.forwarder.StopIntake()
+	cut := dm.forwarder.Drain(ctx)
+	err := dm.closeServers(ctx, svs)
+	dm.waitOutstanding(ctx)
+	return errors.Join(err, dm.recordEnd(cut))
+}
+
+// leavingNotice is zero for a host without peers and balancer.
+func (dm *Daemon) leavingNotice() time.Duration {
+	if dm.settings.Standalone {
+		return 0
+	}
+	return leavingNotice
+}
+
+func (dm *Daemon) closeServers(ctx context.Context, svs servers) error {
+	var err error
+	for _, sv := range []*http.Server{svs.callers, svs.peers, svs.operators} {
+		if shut := sv.Shutdown(ctx); shut != nil {
+			err = errors.Join(err, shut, sv.Close())
+		}
+	}
+	return err
+}
+
+// waitOutstanding waits for slots that are lent or whose call has no known end yet.
+func (dm *Daemon) waitOutstanding(ctx context.Context) {
+	for dm.limiter.Outstanding() > 0 && ctx.Err() == nil {
+		sleep(ctx, 50*time.Millisecond)
+	}
+}
+
+// recordEnd writes the last counts and, if no call of this process can be in progress, that the
+// successor may use its share at once.
+func (dm *Daemon) recordEnd(cut int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), dm.settings.Limits.StoreTimeout)
+	defer cancel()
+	// A failed write shows on the page of hours as a partial report.
+	_ = dm.counter.Close(ctx)
+	if cut > 0 {
+		logger.Log(dm.log, logger.DrainCut, "Calls", cut)
+		return fmt.Errorf("%d calls: %w", cut, ErrDrainCut)
+	}
+	if dm.limiter.Outstanding() > 0 {
+		return nil
+	}
+	if err := dm.registrar.Drain(ctx); err != nil && !errors.Is(err, registrar.ErrReplaced) {
+		// The successor then waits for the call limit, which is safe.
+		logger.Log(dm.log, logger.DrainNotRecorded, "Cause", err.Error())
+	}
+	logger.Log(dm.log, logger.DaemonStopped)
+	return nil
+}
+
+func sleep(ctx context.Context, dur time.Duration) {
+	tm := time.NewTimer(dur)
+	defer tm.Stop()
+	select {
+	case <-ctx.Done():
+	case <-tm.C:
+	}
+}
--- /dev/null
+++ b/internal/daemon/assembler/main.go
@@ -0,0 +1,120 @@
+package assembler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/currantrouter/currantrouter/internal/config/distributor"
+	"github.com/currantrouter/currantrouter/internal/config/loader"
+	"github.com/currantrouter/currantrouter/internal/daemon/logger"
+	"github.com/currantrouter/currantrouter/internal/daemon/meter"
+)
+
+// Exit codes of currantd.
+const (
+	// ExitOK follows a drain in which every call ended, or a successful check.
+	ExitOK = 0
+	// ExitFailed means that the daemon could not start or lost an interface.
+	ExitFailed = 1
+	// ExitBadSettings means that a flag or the settings file is wrong.
+	ExitBadSettings = 2
+	// ExitCut means that the drain cut off calls in flight.
+	ExitCut = 3
+)
+
+// Main runs currantd with the arguments behind the program's name and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	st, err := loader.Load(args)
+	switch {
+	case errors.Is(err, loader.ErrHelp):
+		fmt.Fprintln(stdout, helpText(err))
+		return ExitOK
+	case err != nil:
+		fmt.Fprintln(stderr, "currantd:", err)
+		return ExitBadSettings
+	case st.Version:
+		fmt.Fprintln(stdout, "currantd", Version())
+		return ExitOK
+	case st.Check:
+		fmt.Fprintln(stdout, "settings are valid")
+		return ExitOK
+	}
+	lg, err := logger.New(stderr, st.Log.Format)
+	if err != nil {
+		fmt.Fprintln(stderr, "currantd:", err)
+		return ExitBadSettings
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return exitCode(run(ctx, st, lg, stdout), stderr)
+}
+
+func helpText(err error) string {
+	text := err.Error()
+	prefix := loader.ErrHelp.Error() + "\n"
+	if len(text) > len(prefix) {
+		return text[len(prefix):]
+	}
+	return text
+}
+
+// Version returns the version that the build recorded, or "(devel)".
+func Version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok || info.Main.Version == "" {
+		return "(devel)"
+	}
+	return info.Main.Version
+}
+
+func exitCode(err error, stderr io.Writer) int {
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.Is(err, ErrDrainCut):
+		fmt.Fprintln(stderr, "currantd:", err)
+		return ExitCut
+	}
+	fmt.Fprintln(stderr, "currantd:", err)
+	return ExitFailed
+}
+
+func run(ctx context.Context, st *loader.Settings, lg logr.Logger, stdout io.Writer) error {
+	pf := Platform{}
+	if st.Standalone {
+		sa, err := startStandalone(ctx, st)
+		if err != nil {
+			return err
+		}
+		defer sa.close()
+		pf = sa.asPlatform()
+		announce(stdout, st)
+	} else {
+		return errNoPlatform
+	}
+	dm, err := New(st, pf, lg)
+	if err != nil {
+		return err
+	}
+	return dm.Run(ctx)
+}
+
+// putFirstConfiguration stores the first revision of the shared configuration.
+func putFirstConfiguration(ctx context.Context, st Store, document []byte, timeout time.Duration) error {
+	_, err := distributor.New(distributor.Options{
+		Store:   st,
+		Timeout: timeout,
+		Log:     logr.Discard(),
+		Meter:   meter.New(nil),
+	}).Put(ctx, document, 0)
+	return err
+}
--- /dev/null
+++ b/internal/daemon/assembler/operators.go
@@ -0,0 +1,303 @@
+package assembler
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/currantrouter/currantrouter/internal/batch/scheduler"
+	"github.com/currantrouter/currantrouter/internal/cluster/tracker"
+	"github.com/currantrouter/currantrouter/internal/config/checker"
+	"github.com/currantrouter/currantrouter/internal/config/distributor"
+	"github.com/currantrouter/currantrouter/internal/daemon/logger"
+	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/operator/server"
+	"github.com/currantrouter/currantrouter/internal/platform/storer"
+)
+
+// backends connects the operators' interface to the daemon's parts.
+func (dm *Daemon) backends() server.Backends {
+	return server.Backends{
+		Plans:          dm.plans,
+		Batch:          batchBackend{dm},
+		Fleet:          fleetBackend{dm},
+		Hours:          dm.publisher,
+		Audit:          dm.auditor,
+		Configurations: configBackend{dm},
+		Ready:          dm.Ready,
+	}
+}
+
+// Begun implements importer.Progress for the data centre that this host leads.
+func (dm *Daemon) Begun(ctx context.Context, day string) (map[string]bool, error) {
+	tm := dm.leader.term.Load()
+	if tm == nil {
+		return nil, server.ErrLeaderUnreachable
+	}
+	begun := map[string]bool{}
+	jobs, err := tm.scheduler.Jobs(ctx, scheduler.Query{Day: day})
+	for _, js := range jobs {
+		begun[js.Name] = js.States[scheduler.Waiting] < js.Tasks
+	}
+	return begun, err
+}
+
+// batchBackend shows and cancels batch work of the data centre that this host leads.
+type batchBackend struct{ dm *Daemon }
+
+func (bb batchBackend) scheduler() (*scheduler.Scheduler, error) {
+	tm := bb.dm.leader.term.Load()
+	if tm == nil {
+		return nil, server.ErrLeaderUnreachable
+	}
+	return tm.scheduler, nil
+}
+
+// others lists the data centres that this host does not lead.
+func (bb batchBackend) others() []modeler.DataCentreName {
+	cfg := bb.dm.configs.Current()
+	if cfg == nil {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(cfg.DataCentres), func(dc modeler.DataCentreName) bool {
+		return dc == bb.dm.settings.Host.DataCentre && bb.dm.leader.term.Load() != nil
+	})
+}
+
+// Jobs implements server.Batch.
+func (bb batchBackend) Jobs(ctx context.Context, qr server.JobQuery) (server.Jobs, error) {
+	out := server.Jobs{Unreachable: bb.others()}
+	sc, err := bb.scheduler()
+	if err != nil {
+		return out, nil
+	}
+	jobs, err := sc.Jobs(ctx, scheduler.Query{Day: qr.Day, Team: qr.Team, Limit: qr.Limit})
+	if err != nil {
+		return out, err
+	}
+	for _, js := range jobs {
+		out.Jobs = append(out.Jobs, jobOf(js, bb.dm.settings.Host.DataCentre))
+	}
+	return out, nil
+}
+
+func jobOf(js scheduler.JobStatus, dc modeler.DataCentreName) server.Job {
+	jb := server.Job{
+		ID:         js.Name,
+		Team:       js.Team,
+		Priority:   js.Priority,
+		Urgent:     js.Urgent,
+		DataCentre: dc,
+		Tasks:      map[string]int{},
+		NotBefore:  js.NotBefore,
+		Deadline:   js.Deadline,
+	}
+	for st, num := range js.States {
+		jb.Tasks[string(st)] = num
+		if num == js.Tasks {
+			jb.State = string(st)
+		}
+	}
+	jb.State = cmp.Or(jb.State, string(scheduler.Running))
+	if len(js.Reasons) > 0 {
+		jb.Reason = js.Reasons[0]
+	}
+	return jb
+}
+
+// Tasks implements server.Batch.
+func (bb batchBackend) Tasks(ctx context.Context, qr server.TaskQuery) (server.Tasks, error) {
+	out := server.Tasks{Unreachable: bb.others()}
+	sc, err := bb.scheduler()
+	if err != nil {
+		return out, nil
+	}
+	tasks, err := sc.Tasks(ctx, scheduler.Query{Job: qr.Job, State: scheduler.State(qr.State), Limit: qr.Limit})
+	if err != nil {
+		return out, err
+	}
+	for _, ts := range tasks {
+		if qr.Worker == "" || qr.Worker == ts.Worker {
+			out.Tasks = append(out.Tasks, taskOf(ts))
+		}
+	}
+	return out, nil
+}
+
+func taskOf(ts scheduler.TaskStatus) server.Task {
+	return server.Task{
+		Job:     ts.Job,
+		Number:  ts.Task,
+		State:   string(ts.State),
+		Attempt: ts.Attempt,
+		Worker:  ts.Worker,
+		Reason:  ts.Reason,
+	}
+}
+
+// Explain implements server.Batch.
+func (bb batchBackend) Explain(ctx context.Context, job string, task int) (server.Explanation, error) {
+	sc, err := bb.scheduler()
+	if err != nil {
+		return server.Explanation{}, err
+	}
+	ex, err := sc.Explain(ctx, job, task)
+	if errors.Is(err, scheduler.ErrUnknownTask) {
+		return server.Explanation{}, fmt.Errorf("%w: %w", server.ErrNotFound, err)
+	}
+	return server.Explanation{Task: taskOf(ex.TaskStatus), Reasons: ex.Reasons}, err
+}
+
+// Cancel implements server.Batch.
+func (bb batchBackend) Cancel(ctx context.Context, sl server.Selector) (int, error) {
+	sc, err := bb.scheduler()
+	if err != nil {
+		return 0, err
+	}
+	return sc.Cancel(ctx, scheduler.Selector{Jobs: sl.Jobs, Team: sl.Team, Day: sl.Day})
+}
+
+// fleetBackend shows entry hosts and runners.
+type fleetBackend struct{ dm *Daemon }
+
+// Hosts implements server.Fleet.
+func (fb fleetBackend) Hosts(context.Context) ([]server.Host, error) {
+	prs := append(fb.dm.tracker.Peers(), fb.dm.tracker.Self())
+	hosts := make([]server.Host, len(prs))
+	for idx, pr := range prs {
+		hosts[idx] = server.Host{
+			Name:       pr.Host,
+			DataCentre: pr.DataCentre,
+			Boot:       pr.Boot,
+			Health:     healthNames[pr.Health],
+			Leading:    pr.Leading,
+			Leaving:    pr.Leaving,
+			Revision:   pr.Revision,
+			FreeSlots:  pr.Load.FreeSlots,
+			Queued:     pr.Load.QueuedCalls,
+		}
+	}
+	slices.SortFunc(hosts, func(one, two server.Host) int { return cmp.Compare(one.Name, two.Name) })
+	return hosts, nil
+}
+
+var healthNames = map[tracker.Health]string{
+	tracker.Unheard: "Unheard",
+	tracker.Alive:   "Alive",
+	tracker.Suspect: "Suspect",
+	tracker.Dead:    "Dead",
+}
+
+// Runners implements server.Fleet.
+func (fb fleetBackend) Runners(context.Context) ([]server.Runner, error) {
+	cfg := fb.dm.configs.Current()
+	if cfg == nil {
+		return nil, nil
+	}
+	rns := make([]server.Runner, len(cfg.Runners))
+	for idx, rn := range cfg.Runners {
+		rns[idx] = fb.runner(rn)
+	}
+	return rns, nil
+}
+
+func (fb fleetBackend) runner(rn modeler.Runner) server.Runner {
+	sr := server.Runner{Name: rn.Name, DataCentre: rn.DataCentre, Service: rn.Service, Slots: rn.Slots, Health: "Elsewhere"}
+	if ac := fb.dm.limiter.Account(rn.Name); ac != nil {
+		sr.Share = ac.Limit()
+		sr.Busy, _ = ac.Used()
+	}
+	if tg := fb.dm.router.Target(rn.Name); tg != nil {
+		sr.Health = "Alive"
+		if tg.Slow() {
+			sr.Health = "Slow"
+		}
+	}
+	return sr
+}
+
+// Drain implements server.Fleet. Only this host can be drained so far, by its own process.
+func (fb fleetBackend) Drain(_ context.Context, _ server.Drain) error {
+	return fmt.Errorf("%w: drains go through the platform's host list", server.ErrNotFound)
+}
+
+// configBackend keeps the shared configuration.
+type configBackend struct{ dm *Daemon }
+
+// Get implements server.Configurations.
+func (cb configBackend) Get(ctx context.Context, rev modeler.Revision) (server.Document, error) {
+	text, cur := cb.dm.configs.Document()
+	if rev == 0 || rev == cur {
+		return server.Document{Revision: cur, Text: string(text)}, nil
+	}
+	past, err := cb.dm.configs.Past(ctx, rev)
+	if errors.Is(err, storer.ErrNotFound) {
+		return server.Document{}, fmt.Errorf("%w: %w", server.ErrNotFound, err)
+	}
+	return server.Document{Revision: rev, Text: string(past)}, err
+}
+
+// Check implements server.Configurations.
+func (cb configBackend) Check(_ context.Context, text []byte) (server.Findings, error) {
+	_, err := checker.Parse(text, 1)
+	return findingsOf(err), nil
+}
+
+func findingsOf(err error) server.Findings {
+	var fl checker.FaultList
+	if !errors.As(err, &fl) {
+		return nil
+	}
+	fds := make(server.Findings, len(fl))
+	for idx, flt := range fl {
+		fds[idx] = server.Finding{
+			Number:   idx + 1,
+			Title:    "wrong value",
+			Severity: string(logger.SeverityError),
+			Line:     flt.Line,
+			Section:  flt.Section,
+			Key:      flt.Key,
+			Value:    flt.Value,
+			Allowed:  flt.Allowed,
+		}
+	}
+	return fds
+}
+
+// Put implements server.Configurations.
+func (cb configBackend) Put(ctx context.Context, text []byte, expected modeler.Revision) (modeler.Revision, error) {
+	rev, err := cb.dm.configs.Put(ctx, text, expected)
+	switch {
+	case errors.Is(err, checker.ErrInvalid):
+		return 0, findingsOf(err)
+	case errors.Is(err, distributor.ErrConflict):
+		return 0, fmt.Errorf("%w: %w", storer.ErrConflict, err)
+	case errors.Is(err, distributor.ErrResultUnknown):
+		return 0, fmt.Errorf("%w: %w", storer.ErrResultUnknown, err)
+	}
+	return rev, err
+}
+
+// History implements server.Configurations.
+func (cb configBackend) History(ctx context.Context) ([]server.Change, error) {
+	revs, err := cb.dm.configs.History(ctx)
+	chs := make([]server.Change, len(revs))
+	for idx, rev := range revs {
+		chs[len(revs)-1-idx] = server.Change{Revision: rev}
+	}
+	return chs, err
+}
+
+// Status implements server.Configurations.
+func (cb configBackend) Status(context.Context) (server.Status, error) {
+	_, rev := cb.dm.configs.Document()
+	st := server.Status{Revision: rev}
+	for _, pr := range append(cb.dm.tracker.Peers(), cb.dm.tracker.Self()) {
+		live := pr.Health == tracker.Alive || pr.Host == cb.dm.settings.Host.Name
+		st.Hosts = append(st.Hosts, server.HostRevision{Host: pr.Host, Revision: pr.Revision, Live: live})
+		st.Revision = max(st.Revision, pr.Revision)
+	}
+	return st, nil
+}
--- /dev/null
+++ b/internal/daemon/assembler/planner.go
@@ -0,0 +1,135 @@
+package assembler
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/currantrouter/currantrouter/internal/batch/scheduler"
+	"github.com/currantrouter/currantrouter/internal/daemon/logger"
+	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/plan/importer"
+)
+
+const (
+	// planInterval is the time between two reads of the plans in force.
+	planInterval = 2 * time.Second
+	// planDays is the number of days around today whose plans are followed. Plans are imported for
+	// the same day and the next; yesterday's may be in force in zones west of UTC.
+	planDays = 3
+)
+
+// followPlans gives the jobs of new plans to the scheduler and drops those that a plan no longer
+// has.
+func (ld *leader) followPlans(ctx context.Context, tm *term) {
+	seen := map[string]int64{}
+	read := func(ctx context.Context) {
+		for _, day := range planDaysAround(time.Now()) {
+			ld.followPlan(ctx, tm, day, seen)
+		}
+	}
+	read(ctx)
+	every(ctx, planInterval, read)
+}
+
+func planDaysAround(now time.Time) []string {
+	days := make([]string, 0, planDays)
+	for off := -1; off < planDays-1; off++ {
+		days = append(days, now.AddDate(0, 0, off).Format(time.DateOnly))
+	}
+	return days
+}
+
+func (ld *leader) followPlan(ctx context.Context, tm *term, day string, seen map[string]int64) {
+	callCtx, cancel := context.WithTimeout(ctx, ld.dm.settings.Limits.StoreTimeout)
+	defer cancel()
+	pl, rev, err := ld.dm.plans.Plan(callCtx, day)
+	if errors.Is(err, importer.ErrNoPlan) || err == nil && rev == seen[day] {
+		return
+	}
+	if err == nil {
+		err = ld.submitPlan(ctx, tm, pl)
+	}
+	if err != nil {
+		// The next round repeats the submission, which begins nothing twice.
+		logger.Log(ld.dm.log, logger.PlanNotSubmitted, "Day", day, "Cause", err.Error())
+		return
+	}
+	seen[day] = rev
+}
+
+func (ld *leader) submitPlan(ctx context.Context, tm *term, pl *importer.Plan) error {
+	jobs := ld.jobsOf(pl)
+	known, err := jobsOfDay(ctx, tm.scheduler, pl.Day)
+	if err != nil {
+		return err
+	}
+	for _, jb := range jobs {
+		delete(known, jb.Name)
+	}
+	var dropped []string
+	for name := range known {
+		dropped = append(dropped, name)
+	}
+	if len(dropped) > 0 {
+		if _, err := tm.scheduler.Drop(ctx, dropped); err != nil {
+			return err
+		}
+	}
+	sub, err := tm.scheduler.Submit(ctx, jobs)
+	if err != nil {
+		return err
+	}
+	logger.Log(ld.dm.log, logger.PlanSubmitted, "Day", pl.Day, "Accepted", sub.Accepted, "Kept", sub.Kept, "Dropped", len(dropped))
+	return nil
+}
+
+// jobsOfDay returns the names of the jobs of a day that the scheduler knows.
+func jobsOfDay(ctx context.Context, sc *scheduler.Scheduler, day string) (map[string]bool, error) {
+	names := map[string]bool{}
+	qy := scheduler.Query{Day: day, Limit: scheduler.MaxListed}
+	for {
+		page, err := sc.Jobs(ctx, qy)
+		if err != nil {
+			return nil, err
+		}
+		for _, js := range page {
+			names[js.Name] = true
+		}
+		if len(page) < scheduler.MaxListed {
+			return names, nil
+		}
+		qy.After = page[len(page)-1].Position
+	}
+}
+
+// jobsOf returns the jobs of a plan that belong to this host's data centre.
+func (ld *leader) jobsOf(pl *importer.Plan) []scheduler.Job {
+	cfg := ld.dm.configs.Current()
+	var jobs []scheduler.Job
+	for _, pj := range pl.Jobs {
+		dc := pj.DataCentre
+		if dc == "" {
+			dc = modeler.HomeDataCentre(pl.JobID(pj.Name), cfg.DataCentres)
+		}
+		if dc != ld.dm.settings.Host.DataCentre {
+			continue
+		}
+		jobs = append(jobs, scheduler.Job{
+			Name:       pl.JobID(pj.Name),
+			Team:       pj.Team,
+			Kind:       pj.Name,
+			Day:        pl.Day,
+			Priority:   pj.Priority,
+			Urgent:     pj.Urgent,
+			Tasks:      pj.Tasks,
+			Declared:   pj.Size,
+			RunTime:    pj.RunTime,
+			NotBefore:  pj.NotBefore,
+			Deadline:   pj.Deadline,
+			Repeatable: pj.Repeatable,
+			Checkpoint: pj.Checkpoint,
+		})
+	}
+	return jobs
+}
--- /dev/null
+++ b/internal/daemon/assembler/standalone.go
@@ -0,0 +1,145 @@
+package assembler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/currantrouter/currantrouter/internal/batch/scheduler"
+	"github.com/currantrouter/currantrouter/internal/config/checker"
+	"github.com/currantrouter/currantrouter/internal/config/loader"
+	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/platform/emulator"
+	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+)
+
+const (
+	standaloneService = "bakedesk"
+	standaloneRunners = 3
+	standaloneWorkers = 4
+	runnerSlots       = 8
+	runnerConnections = 64
+)
+
+// standalone is an emulated platform with runners on loopback ports of their own.
+type standalone struct {
+	platform *emulator.Platform
+	runners  []modeler.Runner
+	servers  []*http.Server
+}
+
+// startStandalone starts the runners and stores a configuration that names them.
+func startStandalone(ctx context.Context, st *loader.Settings) (*standalone, error) {
+	sa := &standalone{platform: emulator.New(emulator.Options{})}
+	for num := range standaloneRunners {
+		if err := sa.startRunner(num+1, st.Host.DataCentre); err != nil {
+			sa.close()
+			return nil, err
+		}
+	}
+	sa.platform.Workers.Add(standaloneFleet(st.Host.DataCentre)...)
+	document := checker.Encode(sa.configuration(st))
+	if err := putFirstConfiguration(ctx, sa.platform.Store, document, st.Limits.StoreTimeout); err != nil {
+		sa.close()
+		return nil, err
+	}
+	return sa, nil
+}
+
+func (sa *standalone) startRunner(num int, dc modeler.DataCentreName) error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("runner: %w", err)
+	}
+	rn := modeler.Runner{
+		Name:        modeler.RunnerName(fmt.Sprintf("runner-%d", num)),
+		DataCentre:  dc,
+		Service:     standaloneService,
+		Endpoint:    ln.Addr().(*net.TCPAddr).AddrPort(),
+		Slots:       runnerSlots,
+		Connections: runnerConnections,
+	}
+	em := emulator.NewRunner(sa.platform.Faults, emulator.RunnerOptions{
+		Name:        rn.Name,
+		Slots:       rn.Slots,
+		Connections: rn.Connections,
+	})
+	sv := em.Server()
+	// Serve returns when the server is closed at the end of the process.
+	go func() { _ = sv.Serve(ln) }()
+	sa.runners = append(sa.runners, rn)
+	sa.servers = append(sa.servers, sv)
+	return nil
+}
+
+func (sa *standalone) close() {
+	for _, sv := range sa.servers {
+		_ = sv.Close()
+	}
+}
+
+func (sa *standalone) configuration(st *loader.Settings) *modeler.Configuration {
+	return &modeler.Configuration{
+		DataCentres: []modeler.DataCentreName{st.Host.DataCentre},
+		Hosts:       []modeler.Host{{Name: st.Host.Name, DataCentre: st.Host.DataCentre, Peer: st.Listen.Peers}},
+		Runners:     sa.runners,
+		Services: []modeler.Service{{
+			Name:       standaloneService,
+			CallLimit:  modeler.DefaultCallLimit,
+			Deadline:   5 * time.Second,
+			QueueLimit: 1000,
+			BodyLimit:  16 << 20,
+		}},
+		Limits: modeler.DefaultLimits,
+	}
+}
+
+func standaloneFleet(dc modeler.DataCentreName) []supervisor.Worker {
+	const perRack = 2
+	wks := make([]supervisor.Worker, standaloneWorkers)
+	for idx := range wks {
+		wks[idx] = supervisor.Worker{
+			Name:       modeler.WorkerName(fmt.Sprintf("worker-%d", idx+1)),
+			DataCentre: dc,
+			Rack:       fmt.Sprintf("rack-%d", idx/perRack+1),
+			Address:    netip.MustParseAddrPort("127.0.0.1:1"),
+			Capacity:   supervisor.Resources{Millicores: 64_000, MemoryBytes: 250 << 30},
+		}
+	}
+	return wks
+}
+
+// emulatedWorkers adapts the emulator to the scheduler's interface.
+type emulatedWorkers struct{ *emulator.Workers }
+
+// Renew implements scheduler.Workers.
+func (ew emulatedWorkers) Renew(ctx context.Context, wk supervisor.Worker, rn scheduler.Renewal) error {
+	_, err := ew.Workers.Renew(ctx, wk, rn.Epoch, rn.LeaseTerm, rn.Attempts)
+	return err
+}
+
+func (sa *standalone) asPlatform() Platform {
+	return Platform{Store: sa.platform.Store, Workers: emulatedWorkers{sa.platform.Workers}, Hosts: sa.platform.Hosts}
+}
+
+// announce tells a new user what to try.
+func announce(wr io.Writer, st *loader.Settings) {
+	fmt.Fprintf(wr, `currantd runs standalone with an emulated platform. Control-C drains and exits.
+
+  callers    http://%[1]s
+  hours      http://%[1]s%[3]s/hours
+  operators  http://%[2]s
+
+Try:
+  curl -i -d 'reel 12' 'http://%[1]s/bakedesk/checks?RunTime=50ms'
+  go run ./cmd/currantctl --server http://%[2]s plan import examples/day.csv
+  go run ./cmd/currantctl --server http://%[2]s tasks
+`, st.Listen.Callers, st.Listen.Operators, statusPath)
+}
+
+var errNoPlatform = errors.New("a daemon that is not standalone needs the platform's services")
