Relay questions and commands on batch work to the leaders

Operators saw only the batch work of the data centre that the asked host led. Hour counts in heartbeats are now kept as copies by the peers.

--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -42,6 +42,8 @@
 	listInterval = time.Second
 	// settleInterval is the time between two comparisons of the settled revision.
 	settleInterval = 200 * time.Millisecond
+	// hourCopyInterval is that of the heartbeats.
+	hourCopyInterval = time.Second
 )
 
 // Daemon is one entry host's process.
@@ -67,6 +69,7 @@
 	auditor   *auditor.Auditor
 	plans     *importer.Keeper
 	leader    *leader
+	batch     batchBackend
 
 	// ready is set while callers may be sent here.
 	ready atomic.Bool
@@ -94,8 +97,9 @@
 	dm.auth = auth
 	dm.registrar = registrar.New(pf.Store, st.Host.Name, dm.boot, dm.started)
 	dm.buildCluster()
-	dm.buildHours()
 	dm.leader = newLeader(dm)
+	dm.batch = newBatchBackend(dm)
+	dm.buildHours()
 	return dm, nil
 }
 
@@ -147,7 +151,7 @@
 func (dm *Daemon) buildHours() {
 	st := dm.settings
 	dm.counter = counter.New(st.Host.Name, dm.boot, dm.platform.Store, dm.configs, dm.log, dm.meter)
-	dm.plans = importer.NewKeeper(dm.platform.Store, dm, dm.configs, dm.log, dm.meter)
+	dm.plans = importer.NewKeeper(dm.platform.Store, dm.batch, dm.configs, dm.log, dm.meter)
 	dm.publisher = publisher.New(dm.platform.Store, dm.plans, dm.configs, dm.counter, time.Local, dm.log, dm.meter)
 	dm.auditor = auditor.New(st.Host.Name, dm.boot, dm.platform.Store, dm.log, dm.meter)
 }
@@ -284,6 +288,7 @@
 	dm.goRun(ctx, dm.auditor.Run)
 	dm.goRun(ctx, dm.auditor.RunTrim)
 	dm.goRun(ctx, dm.followSettled)
+	dm.goRun(ctx, dm.followHourCounts)
 	dm.goRun(ctx, dm.followHostList)
 	dm.goRun(ctx, dm.leader.run)
 }
--- a/internal/daemon/assembler/follower.go
+++ b/internal/daemon/assembler/follower.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
 	"github.com/currantrouter/currantrouter/internal/cluster/tracker"
 	"github.com/currantrouter/currantrouter/internal/config/checker"
+	"github.com/currantrouter/currantrouter/internal/daemon/logger"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/hours/counter"
 	"github.com/currantrouter/currantrouter/internal/platform/lister"
@@ -59,6 +61,42 @@
 	})
 }
 
+// followHourCounts keeps copies of the counts that peers report, so that the death of a peer loses
+// at most one heartbeat of them.
+func (dm *Daemon) followHourCounts(ctx context.Context) {
+	every(ctx, hourCopyInterval, func(context.Context) {
+		for _, pr := range dm.tracker.Peers() {
+			if err := dm.counter.Merge(reportsOf(pr)); err != nil {
+				logger.Log(dm.log, logger.PeerCountsRefused, "Peer", pr.Host, "Cause", err.Error())
+			}
+		}
+	})
+}
+
+// reportsOf returns the reports in the newest heartbeat of a peer, one for each hour.
+func reportsOf(pr tracker.Peer) []counter.Report {
+	byHour := map[int64]*counter.Report{}
+	for _, hc := range pr.HourCounts {
+		rp := byHour[hc.Hour]
+		if rp == nil {
+			rp = &counter.Report{
+				Source:   counter.Source{Host: pr.Host, Boot: pr.Boot, Hour: time.Unix(hc.Hour, 0).UTC()},
+				Services: map[modeler.ServiceName]counter.Counts{},
+				Written:  pr.Heard,
+			}
+			byHour[hc.Hour] = rp
+		}
+		rp.Services[modeler.ServiceName(hc.Service)] = counter.Counts{
+			Answered: hc.Answered, Refused: hc.Refused, Unknown: hc.Unknown, Late: hc.Late,
+		}
+	}
+	rps := make([]counter.Report, 0, len(byHour))
+	for _, rp := range byHour {
+		rps = append(rps, *rp)
+	}
+	return rps
+}
+
 // followHostList takes leaving runners out of service.
 func (dm *Daemon) followHostList(ctx context.Context) {
 	every(ctx, listInterval, func(ctx context.Context) {
--- a/internal/daemon/assembler/listener.go
+++ b/internal/daemon/assembler/listener.go
@@ -126,9 +126,11 @@
 func (dm *Daemon) peersHandler() http.Handler {
 	mux := chi.NewRouter()
 	twirpPeer := messenger.NewPeerServer(tracker.NewServer(dm.tracker, dm.configs, dm.limiter))
+	twirpBatch := messenger.NewBatchServer(dm.batch.local)
 	mux.Group(func(gr chi.Router) {
 		gr.Use(dm.requirePeer)
 		gr.Mount(twirpPeer.PathPrefix(), twirpPeer)
+		gr.Mount(twirpBatch.PathPrefix(), twirpBatch)
 		gr.Mount(forwarder.PeerPath, dm.forwarder.PeerHandler())
 	})
 	mux.Head("/healthz", func(wr http.ResponseWriter, _ *http.Request) { wr.WriteHeader(http.StatusNoContent) })
--- a/internal/daemon/assembler/operators.go
+++ b/internal/daemon/assembler/operators.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"slices"
 
-	"github.com/currantrouter/currantrouter/internal/batch/scheduler"
 	"github.com/currantrouter/currantrouter/internal/cluster/tracker"
 	"github.com/currantrouter/currantrouter/internal/config/checker"
 	"github.com/currantrouter/currantrouter/internal/config/distributor"
@@ -21,7 +20,7 @@
 func (dm *Daemon) backends() server.Backends {
 	return server.Backends{
 		Plans:          dm.plans,
-		Batch:          batchBackend{dm},
+		Batch:          dm.batch,
 		Fleet:          fleetBackend{dm},
 		Hours:          dm.publisher,
 		Audit:          dm.auditor,
@@ -30,135 +29,6 @@
 	}
 }
 
-// Begun implements importer.Progress for the data centre that this host leads.
-func (dm *Daemon) Begun(ctx context.Context, day string) (map[string]bool, error) {
-	tm := dm.leader.term.Load()
-	if tm == nil {
-		return nil, server.ErrLeaderUnreachable
-	}
-	begun := map[string]bool{}
-	jobs, err := tm.scheduler.Jobs(ctx, scheduler.Query{Day: day})
-	for _, js := range jobs {
-		begun[js.Name] = js.States[scheduler.Waiting] < js.Tasks
-	}
-	return begun, err
-}
-
-// batchBackend shows and cancels batch work of the data centre that this host leads.
-type batchBackend struct{ dm *Daemon }
-
-func (bb batchBackend) scheduler() (*scheduler.Scheduler, error) {
-	tm := bb.dm.leader.term.Load()
-	if tm == nil {
-		return nil, server.ErrLeaderUnreachable
-	}
-	return tm.scheduler, nil
-}
-
-// others lists the data centres that this host does not lead.
-func (bb batchBackend) others() []modeler.DataCentreName {
-	cfg := bb.dm.configs.Current()
-	if cfg == nil {
-		return nil
-	}
-	return slices.DeleteFunc(slices.Clone(cfg.DataCentres), func(dc modeler.DataCentreName) bool {
-		return dc == bb.dm.settings.Host.DataCentre && bb.dm.leader.term.Load() != nil
-	})
-}
-
-// Jobs implements server.Batch.
-func (bb batchBackend) Jobs(ctx context.Context, qr server.JobQuery) (server.Jobs, error) {
-	out := server.Jobs{Unreachable: bb.others()}
-	sc, err := bb.scheduler()
-	if err != nil {
-		return out, nil
-	}
-	jobs, err := sc.Jobs(ctx, scheduler.Query{Day: qr.Day, Team: qr.Team, Limit: qr.Limit})
-	if err != nil {
-		return out, err
-	}
-	for _, js := range jobs {
-		out.Jobs = append(out.Jobs, jobOf(js, bb.dm.settings.Host.DataCentre))
-	}
-	return out, nil
-}
-
-func jobOf(js scheduler.JobStatus, dc modeler.DataCentreName) server.Job {
-	jb := server.Job{
-		ID:         js.Name,
-		Team:       js.Team,
-		Priority:   js.Priority,
-		Urgent:     js.Urgent,
-		DataCentre: dc,
-		Tasks:      map[string]int{},
-		NotBefore:  js.NotBefore,
-		Deadline:   js.Deadline,
-	}
-	for st, num := range js.States {
-		jb.Tasks[string(st)] = num
-		if num == js.Tasks {
-			jb.State = string(st)
-		}
-	}
-	jb.State = cmp.Or(jb.State, string(scheduler.Running))
-	if len(js.Reasons) > 0 {
-		jb.Reason = js.Reasons[0]
-	}
-	return jb
-}
-
-// Tasks implements server.Batch.
-func (bb batchBackend) Tasks(ctx context.Context, qr server.TaskQuery) (server.Tasks, error) {
-	out := server.Tasks{Unreachable: bb.others()}
-	sc, err := bb.scheduler()
-	if err != nil {
-		return out, nil
-	}
-	tasks, err := sc.Tasks(ctx, scheduler.Query{Job: qr.Job, State: scheduler.State(qr.State), Limit: qr.Limit})
-	if err != nil {
-		return out, err
-	}
-	for _, ts := range tasks {
-		if qr.Worker == "" || qr.Worker == ts.Worker {
-			out.Tasks = append(out.Tasks, taskOf(ts))
-		}
-	}
-	return out, nil
-}
-
-func taskOf(ts scheduler.TaskStatus) server.Task {
-	return server.Task{
-		Job:     ts.Job,
-		Number:  ts.Task,
-		State:   string(ts.State),
-		Attempt: ts.Attempt,
-		Worker:  ts.Worker,
-		Reason:  ts.Reason,
-	}
-}
-
-// Explain implements server.Batch.
-func (bb batchBackend) Explain(ctx context.Context, job string, task int) (server.Explanation, error) {
-	sc, err := bb.scheduler()
-	if err != nil {
-		return server.Explanation{}, err
-	}
-	ex, err := sc.Explain(ctx, job, task)
-	if errors.Is(err, scheduler.ErrUnknownTask) {
-		return server.Explanation{}, fmt.Errorf("%w: %w", server.ErrNotFound, err)
-	}
-	return server.Explanation{Task: taskOf(ex.TaskStatus), Reasons: ex.Reasons}, err
-}
-
-// Cancel implements server.Batch.
-func (bb batchBackend) Cancel(ctx context.Context, sl server.Selector) (int, error) {
-	sc, err := bb.scheduler()
-	if err != nil {
-		return 0, err
-	}
-	return sc.Cancel(ctx, scheduler.Selector{Jobs: sl.Jobs, Team: sl.Team, Day: sl.Day})
-}
-
 // fleetBackend shows entry hosts and runners.
 type fleetBackend struct{ dm *Daemon }
 
--- a/internal/daemon/logger/catalogue.go
+++ b/internal/daemon/logger/catalogue.go
@@ -17,6 +17,8 @@
 	SnapshotFailed   = Event{18, "snapshot failed", "The next attempt follows in a few seconds. Recovery takes longer until one succeeds.", SeverityWarning}
 	PlanSubmitted    = Event{19, "plan submitted", "The jobs of the plan that belong to this data centre were given to the scheduler.", SeverityInfo}
 	PlanNotSubmitted = Event{20, "plan not submitted", "The plan could not be read or recorded. The next attempt follows in a few seconds.", SeverityWarning}
+
+	PeerCountsRefused = Event{21, "peer's hour counts refused", "A heartbeat has counts that no counter can have produced. The peer may run another version.", SeverityWarning}
 )
 
 var daemonEvents = []Event{
@@ -31,6 +33,7 @@
 	SnapshotFailed,
 	PlanSubmitted,
 	PlanNotSubmitted,
+	PeerCountsRefused,
 }
 
 // Catalogue lists all events in the order of their numbers.
