Settle shares safely across skipped revisions, restarts and removed runners

Cause: a state machine over four hosts found three ways to exceed a runner's slots: a host that restarted with revision 1 used its share at once, a host that restarted with an old revision ignored hosts added since, and the account of a removed runner was forgotten while the revision before it was still in force elsewhere. Change: the first revision of a boot needs answers of all known hosts of the data centre to this boot's own inquiries; skipped revisions need acknowledgements of all hosts instead of the holders; an account is forgotten only when no other holder was listed.

--- a/internal/request/limiter/settler.go
+++ b/internal/request/limiter/settler.go
@@ -35,7 +35,7 @@
 	lim.newest = cfg
 	lim.noteLimits(cfg)
 	lim.noteRetired(cfg)
-	if before == nil && lim.op.History == nil && cfg.Revision > 1 {
+	if before == nil && lim.op.History == nil {
 		lim.base = lim.unknownRevisions(cfg)
 	}
 	acs := maps.Clone(*lim.accounts.Load())
@@ -73,7 +73,9 @@
 // applyRemoval keeps the account of a removed runner until nobody can hold a share any more.
 func (lim *Limiter) applyRemoval(cfg *modeler.Configuration, ac *Account, acs map[modeler.RunnerName]*Account) {
 	slots, connections := ac.Used()
-	if len(ac.pending) == 1 && ac.newest == (Share{Host: lim.op.Host}) && slots+connections+len(*ac.borrowed.Load()) == 0 {
+	inUse := slots+connections+len(*ac.borrowed.Load()) > 0
+	// The last revision before was settled only if it listed no other holder.
+	if settled := len(ac.pending) == 1 && len(ac.pending[0].others) == 0; settled && ac.newest.Slots == 0 && !inUse {
 		delete(acs, ac.runner)
 		return
 	}
@@ -243,11 +245,16 @@
 	if pd.revision == lim.newest.Revision {
 		return false
 	}
-	acks := lim.acknowledged
+	acks, others := lim.acknowledged, pd.others
 	if pd.confirm {
 		acks = lim.confirmed
+		// The first revision of a boot may come from a peer that is behind, and may not list a host
+		// that has been added since.
+		for _, pr := range lim.peers() {
+			others = append(others[:len(others):len(others)], pr.Host)
+		}
 	}
-	for _, host := range pd.others {
+	for _, host := range others {
 		if acks[host] != lim.newest.Revision && !lim.isGone(host) {
 			return false
 		}
