--- /dev/null
+++ b/internal/operator/commander/client.go
@@ -0,0 +1,135 @@
+package commander
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+
+	"github.com/go-logr/logr"
+
+	"github.com/currantrouter/currantrouter/internal/operator/authorizer"
+	"github.com/currantrouter/currantrouter/internal/operator/server"
+)
+
+// maxAnswerBytes bounds the memory for an answer. The plan of the largest sheet is below it.
+const maxAnswerBytes = 256 << 20
+
+// client sends requests to one entry host.
+type client struct {
+	base string
+	http *http.Client
+}
+
+// newClient returns a client for the options of the command line.
+func newClient(op *options) (*client, error) {
+	cl := &client{base: "http://" + op.address.String()}
+	// Without reused connections, http.Transport never sends a request twice.
+	tr := &http.Transport{DisableKeepAlives: true, Proxy: nil}
+	if !op.Insecure {
+		cfg, err := op.tlsConfig()
+		if err != nil {
+			return nil, err
+		}
+		tr.TLSClientConfig = cfg
+		cl.base = "https://" + op.address.String()
+	} else if !op.address.Addr().IsLoopback() {
+		return nil, failf(ExitUsage, "%w: --address is %s", authorizer.ErrNotLoopback, op.address)
+	}
+	cl.http = &http.Client{Transport: tr}
+	return cl, nil
+}
+
+func (op *options) tlsConfig() (*tls.Config, error) {
+	if op.Certificate == "" || op.Key == "" || op.Authorities == "" {
+		return nil, failf(ExitUsage, "--certificate, --key and --authorities are needed, or --insecure on loopback")
+	}
+	fls := authorizer.Files{Certificate: string(op.Certificate), Key: string(op.Key), Authorities: string(op.Authorities)}
+	au, err := authorizer.New(fls, logr.Discard())
+	if err != nil {
+		return nil, failf(ExitUsage, "%w", err)
+	}
+	cfg := au.ClientConfig()
+	cfg.ServerName = op.ServerName
+	return cfg, nil
+}
+
+// get reads a document.
+func (cl *client) get(ctx context.Context, path string, query url.Values, into any) error {
+	return cl.do(ctx, http.MethodGet, path, query, nil, into)
+}
+
+// rejectedError is an error answer of the host.
+type rejectedError struct {
+	server.Rejection
+	status int
+}
+
+func (re *rejectedError) Error() string { return fmt.Sprintf("%s: %s", re.Code, re.Message) }
+
+// do sends one request and reads its answer. The body may be nil.
+func (cl *client) do(ctx context.Context, method, path string, query url.Values, body []byte, into any) error {
+	target := cl.base + path
+	if len(query) > 0 {
+		target += "?" + query.Encode()
+	}
+	rq, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return failf(ExitUsage, "%w", err)
+	}
+	rs, err := cl.http.Do(rq)
+	if err != nil {
+		return lostError(method, err)
+	}
+	defer rs.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(rs.Body, maxAnswerBytes))
+	if err != nil {
+		return lostError(method, err)
+	}
+	if rs.StatusCode != http.StatusOK {
+		return rejected(method, rs.StatusCode, answer)
+	}
+	if err := json.Unmarshal(answer, into); err != nil {
+		return failf(ExitInternal, "the answer of the host cannot be read: %w", err)
+	}
+	return nil
+}
+
+// lostError is the error of a request without a complete answer. Only a request that changes
+// something and was sent has an unknown result.
+func lostError(method string, err error) error {
+	var oe *net.OpError
+	var ce *tls.CertificateVerificationError
+	var re tls.RecordHeaderError
+	op := errors.As(err, &oe)
+	switch {
+	case errors.As(err, &ce):
+		return failf(ExitNotAllowed, "the host's certificate is not accepted: %w", err)
+	case op && oe.Op == "remote error":
+		return failf(ExitNotAllowed, "the host does not accept the certificate: %w", err)
+	case method == http.MethodGet || op && oe.Op == "dial" || errors.As(err, &re):
+		return failf(ExitUnreachable, "%w", err)
+	}
+	return failf(ExitResultUnknown, "the answer was lost: %w", err)
+}
+
+func rejected(method string, status int, answer []byte) error {
+	re := &rejectedError{status: status}
+	if err := json.Unmarshal(answer, &re.Rejection); err != nil || re.Code == "" {
+		re.Code, re.Message = "NoAnswer", fmt.Sprintf("status %d without a description", status)
+	}
+	ex, ok := statusExits[status]
+	switch {
+	case !ok:
+		ex = ExitInternal
+	case ex == ExitResultUnknown && method == http.MethodGet:
+		ex = ExitUnavailable
+	}
+	return &commandError{exit: ex, err: re}
+}
