--- a/internal/daemon/assembler/main.go
+++ b/internal/daemon/assembler/main.go
@@ -105,6 +105,11 @@
 	if err != nil {
 		return err
 	}
+	if st.Standalone {
+		if err := importExample(ctx, dm); err != nil {
+			return err
+		}
+	}
 	return dm.Run(ctx)
 }
 
--- a/internal/daemon/assembler/standalone.go
+++ b/internal/daemon/assembler/standalone.go
@@ -1,6 +1,7 @@
 package assembler
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -10,10 +11,12 @@
 	"net/netip"
 	"time"
 
+	"github.com/currantrouter/currantrouter/examples"
 	"github.com/currantrouter/currantrouter/internal/batch/scheduler"
 	"github.com/currantrouter/currantrouter/internal/config/checker"
 	"github.com/currantrouter/currantrouter/internal/config/loader"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/plan/importer"
 	"github.com/currantrouter/currantrouter/internal/platform/emulator"
 	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
 )
@@ -108,7 +111,7 @@
 			DataCentre: dc,
 			Rack:       fmt.Sprintf("rack-%d", idx/perRack+1),
 			Address:    netip.MustParseAddrPort("127.0.0.1:1"),
-			Capacity:   supervisor.Resources{Millicores: 64_000, MemoryBytes: 250 << 30},
+			Capacity:   supervisor.Resources{Millicores: 64_000, MemoryBytes: 250 << 30, Accelerators: 4},
 		}
 	}
 	return wks
@@ -135,11 +138,19 @@
   hours      http://%[1]s%[3]s/hours
   operators  http://%[2]s
 
-Try:
+The plan of today is a copy of examples/day.csv. Try:
   curl -i -d 'reel 12' 'http://%[1]s/bakedesk/checks?RunTime=50ms'
-  go run ./cmd/currantctl --server http://%[2]s plan import examples/day.csv
   go run ./cmd/currantctl --server http://%[2]s tasks
+  go run ./cmd/currantctl --server http://%[2]s hours
 `, st.Listen.Callers, st.Listen.Operators, statusPath)
 }
 
+// importExample imports the example sheet as the plan of today.
+func importExample(ctx context.Context, dm *Daemon) error {
+	today := time.Now().UTC().Format(time.DateOnly)
+	sheet := bytes.ReplaceAll(examples.Sheet, []byte(examples.Day), []byte(today))
+	_, err := dm.plans.Import(ctx, sheet, importer.Options{Expected: importer.AnyRevision})
+	return err
+}
+
 var errNoPlatform = errors.New("a daemon that is not standalone needs the platform's services")
