--- a/internal/daemon/assembler/batch.go
+++ b/internal/daemon/assembler/batch.go
@@ -41,8 +41,12 @@
 			return tm.scheduler, true
 		}),
 		client: &http.Client{
-			Timeout:   relayTimeout,
-			Transport: &http.Transport{TLSClientConfig: dm.auth.ClientConfig(), IdleConnTimeout: time.Minute},
+			Timeout: relayTimeout,
+			Transport: &http.Transport{
+				DialContext:     dm.dialText,
+				TLSClientConfig: dm.auth.ClientConfig(),
+				IdleConnTimeout: time.Minute,
+			},
 		},
 	}
 }
--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -50,6 +50,7 @@
 type Daemon struct {
 	settings *loader.Settings
 	platform Platform
+	network  Network
 	boot     modeler.BootID
 	started  time.Time
 	log      logr.Logger
@@ -79,11 +80,16 @@
 	tasks sync.WaitGroup
 }
 
-// New assembles a daemon. It does no input or output except reading certificates.
-func New(st *loader.Settings, pf Platform, lg logr.Logger) (*Daemon, error) {
+// New assembles a daemon. A nil network means TCP. It does no input or output except reading
+// certificates.
+func New(st *loader.Settings, pf Platform, nw Network, lg logr.Logger) (*Daemon, error) {
+	if nw == nil {
+		nw = tcpNetwork{}
+	}
 	dm := &Daemon{
 		settings: st,
 		platform: pf,
+		network:  nw,
 		boot:     newBoot(),
 		started:  time.Now(),
 		log:      lg,
@@ -123,7 +129,7 @@
 
 func (dm *Daemon) buildCluster() {
 	st := dm.settings
-	dm.clients = tracker.NewClients(dm.auth.ClientConfig(), st.Limits.PeerTimeout, dm.meter, nil)
+	dm.clients = tracker.NewClients(dm.auth.ClientConfig(), st.Limits.PeerTimeout, dm.meter, dm.dialText)
 	dm.tracker = tracker.New(tracker.Options{
 		Self:        modeler.Host{Name: st.Host.Name, DataCentre: st.Host.DataCentre, Peer: st.Listen.Peers},
 		Boot:        dm.boot,
@@ -188,6 +194,8 @@
 		Peers:         dm.forwarderPeers,
 		Leader:        dm.forwarderLeader,
 		Claimer:       dm.leader,
+		DialRunner:    dm.network.Dial,
+		DialPeer:      dm.network.Dial,
 		Count:         dm.counter.Record,
 		Log:           dm.log,
 		Meter:         dm.meter,
--- /dev/null
+++ b/internal/daemon/assembler/fleet_test.go
@@ -0,0 +1,369 @@
+package assembler_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"github.com/currantrouter/currantrouter/internal/batch/scheduler"
+	"github.com/currantrouter/currantrouter/internal/config/checker"
+	"github.com/currantrouter/currantrouter/internal/config/loader"
+	"github.com/currantrouter/currantrouter/internal/daemon/assembler"
+	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/platform/emulator"
+	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+)
+
+const runnerSlots = 8
+
+// fleet is a deployment in memory: data centres with entry hosts, runners and workers, and one
+// platform that they share.
+type fleet struct {
+	t        *testing.T
+	net      *memNetwork
+	platform *emulator.Platform
+	cfg      *modeler.Configuration
+	members  []*member
+	runners  map[modeler.RunnerName]*emulator.Runner
+	closers  []func() error
+}
+
+// member is one process of an entry host.
+type member struct {
+	host    modeler.Host
+	callers netip.AddrPort
+	zone    *zone
+	store   *gatedStore
+	stop    context.CancelFunc
+	done    chan error
+	// killed is set before the process is ended without a drain.
+	killed bool
+}
+
+func address(kind, dc, num int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(kind), byte(dc), byte(num)}), 80)
+}
+
+// newFleet describes a deployment with two entry hosts, some runners and two workers for each data
+// centre. The runners have their guards off, so that the oracle sees a violation instead of a
+// refusal.
+func newFleet(t *testing.T, dcs, runnersPerDC int) *fleet {
+	fl := &fleet{
+		t:        t,
+		net:      newMemNetwork(),
+		platform: emulator.New(emulator.Options{Behaviour: emulator.Behaviour{GuardsOff: true}}),
+		cfg:      &modeler.Configuration{Limits: modeler.DefaultLimits},
+		runners:  map[modeler.RunnerName]*emulator.Runner{},
+	}
+	fl.cfg.Services = []modeler.Service{{
+		Name: "tidebook", CallLimit: 10 * time.Second, Deadline: 5 * time.Second, QueueLimit: 100, BodyLimit: 1 << 20,
+	}}
+	for dc := range dcs {
+		name := modeler.DataCentreName(fmt.Sprintf("dc-%d", dc))
+		fl.cfg.DataCentres = append(fl.cfg.DataCentres, name)
+		for num := range 2 {
+			fl.cfg.Hosts = append(fl.cfg.Hosts, modeler.Host{
+				Name: modeler.HostName(fmt.Sprintf("%s-host-%d", name, num)), DataCentre: name, Peer: address(1, dc, num),
+			})
+		}
+		for num := range runnersPerDC {
+			fl.addRunner(name, dc, num)
+		}
+		for num := range 2 {
+			fl.platform.Workers.Add(supervisor.Worker{
+				Name: modeler.WorkerName(fmt.Sprintf("%s-worker-%d", name, num)), DataCentre: name, Rack: "rack",
+				Address:  address(4, dc, num),
+				Capacity: supervisor.Resources{Millicores: 32_000, MemoryBytes: 125 << 30},
+			})
+		}
+	}
+	t.Cleanup(func() { qt.Check(t, fl.closers, qt.HasLen, 0) })
+	fl.put(0)
+	return fl
+}
+
+func (fl *fleet) addRunner(name modeler.DataCentreName, dc, num int) {
+	rn := modeler.Runner{
+		Name: modeler.RunnerName(fmt.Sprintf("%s-runner-%d", name, num)), DataCentre: name, Service: "tidebook",
+		Endpoint: address(3, dc, num), Slots: runnerSlots, Connections: 64,
+	}
+	fl.cfg.Runners = append(fl.cfg.Runners, rn)
+	em := emulator.NewRunner(fl.platform.Faults, emulator.RunnerOptions{
+		Name: rn.Name, Slots: rn.Slots, Connections: rn.Connections, GuardsOff: true,
+	})
+	zn := newZone(fl.net, string(name))
+	ln, err := zn.Listen(rn.Endpoint)
+	qt.Assert(fl.t, err, qt.IsNil)
+	sv := em.Server()
+	go func() { _ = sv.Serve(ln) }()
+	fl.runners[rn.Name] = em
+	fl.closers = append(fl.closers, sv.Close)
+}
+
+// put stores the configuration as the successor of the expected revision.
+func (fl *fleet) put(expected modeler.Revision) {
+	fl.t.Helper()
+	err := assembler.PutConfiguration(context.Background(), fl.platform.Store, checker.Encode(fl.cfg), expected, time.Second)
+	qt.Assert(fl.t, err, qt.IsNil)
+}
+
+// start starts all entry hosts and waits until each data centre has a leader.
+func (fl *fleet) start() {
+	for idx := range fl.cfg.Hosts {
+		fl.members = append(fl.members, fl.run(idx))
+	}
+	time.Sleep(30 * time.Second)
+}
+
+// run starts a process for the host with the index.
+func (fl *fleet) run(idx int) *member {
+	hst := fl.cfg.Hosts[idx]
+	dc := idx / 2
+	mb := &member{
+		host:    hst,
+		callers: address(0, dc, idx%2),
+		zone:    newZone(fl.net, string(hst.DataCentre)),
+		store:   &gatedStore{Store: fl.platform.Store},
+		done:    make(chan error, 1),
+	}
+	st := &loader.Settings{
+		Host:   loader.HostSettings{Name: hst.Name, DataCentre: hst.DataCentre},
+		Listen: loader.ListenSettings{Callers: mb.callers, Operators: netip.MustParseAddrPort(fmt.Sprintf("127.0.%d.%d:80", dc, idx%2+1)), Peers: hst.Peer},
+		TLS:    loader.TLSSettings{Insecure: true},
+		Limits: loader.LimitSettings{
+			DrainLimit: 30 * time.Second, StoreTimeout: time.Second, PeerTimeout: 800 * time.Millisecond,
+			IdleTimeout: time.Minute, HeaderBytes: 32 << 10, KeptKeys: 10_000, KeptAnswerBytes: 1 << 20,
+		},
+	}
+	for _, other := range fl.cfg.Hosts {
+		if other.Name != hst.Name {
+			st.Peers = append(st.Peers, other.Peer)
+		}
+	}
+	dm, err := assembler.New(st, assembler.Platform{
+		Store: mb.store, Workers: fleetWorkers{fl.platform.Workers, mb.store}, Hosts: fl.platform.Hosts,
+	}, mb.zone, logr.Discard())
+	qt.Assert(fl.t, err, qt.IsNil)
+	ctx, stop := context.WithCancel(context.Background())
+	mb.stop = stop
+	go func() { mb.done <- dm.Run(ctx) }()
+	return mb
+}
+
+// kill ends a process without a drain: its connections break and nothing of it has an effect
+// any more.
+func (fl *fleet) kill(mb *member) {
+	mb.killed = true
+	mb.store.close()
+	mb.zone.kill()
+	mb.stop()
+}
+
+// end drains all processes and checks what must always hold.
+func (fl *fleet) end() {
+	fl.t.Helper()
+	for _, mb := range fl.members {
+		mb.stop()
+	}
+	for _, mb := range fl.members {
+		err := <-mb.done
+		if !mb.killed {
+			qt.Check(fl.t, err, qt.IsNil, qt.Commentf("%s", mb.host.Name))
+		}
+	}
+	fl.checkOracles()
+	for _, cl := range fl.closers {
+		_ = cl()
+	}
+	fl.closers = nil
+}
+
+func (fl *fleet) checkOracles() {
+	fl.t.Helper()
+	for name, rn := range fl.runners {
+		orc := rn.Oracle()
+		qt.Check(fl.t, orc.GreatestCalls <= runnerSlots, qt.IsTrue, qt.Commentf("%s: %d calls at once", name, orc.GreatestCalls))
+		qt.Check(fl.t, orc.GreatestConnections <= 64, qt.IsTrue, qt.Commentf("%s: %d connections", name, orc.GreatestConnections))
+	}
+	for key, num := range fl.executions() {
+		qt.Check(fl.t, num, qt.Equals, 1, qt.Commentf("executions of key %s", key))
+	}
+}
+
+// executions counts the executions of each key over all runners.
+func (fl *fleet) executions() map[string]int {
+	all := map[string]int{}
+	for _, rn := range fl.runners {
+		for key, num := range rn.Oracle().Executions {
+			all[key] += num
+		}
+	}
+	return all
+}
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	outcome modeler.Outcome
+	body    string
+	err     error
+}
+
+// call sends one call to an entry host, from the host's own zone as the balancer does.
+func (fl *fleet) call(mb *member, method, path, key, body string) answer {
+	client := &http.Client{Transport: &http.Transport{
+		DisableKeepAlives: true,
+		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			return newZone(fl.net, mb.zone.name).Dial(ctx, netip.MustParseAddrPort(addr))
+		},
+	}}
+	rq, err := http.NewRequest(method, "http://"+mb.callers.String()+"/tidebook"+path, strings.NewReader(body))
+	qt.Assert(fl.t, err, qt.IsNil)
+	if key != "" {
+		rq.Header.Set(modeler.HeaderIdempotencyKey, key)
+	}
+	rs, err := client.Do(rq)
+	if err != nil {
+		return answer{err: err, outcome: modeler.Unknown}
+	}
+	defer rs.Body.Close()
+	text, err := io.ReadAll(rs.Body)
+	return answer{rs.StatusCode, modeler.Outcome(rs.Header.Get(modeler.HeaderOutcome)), string(text), err}
+}
+
+// load sends calls with keys of their own to all living hosts until the time is over, and returns
+// the answers by key.
+func (fl *fleet) load(callers int, dur time.Duration) map[string]answer {
+	var mu sync.Mutex
+	answers := map[string]answer{}
+	var wg sync.WaitGroup
+	until := time.Now().Add(dur)
+	for num := range callers {
+		wg.Go(func() {
+			for seq := 0; time.Now().Before(until); seq++ {
+				mb := fl.members[(num+seq)%len(fl.members)]
+				if mb.killed {
+					time.Sleep(10 * time.Millisecond)
+					continue
+				}
+				key := fmt.Sprintf("key-%d-%d", num, seq)
+				got := fl.call(mb, http.MethodPost, "/plans?RunTime=20ms", key, key)
+				mu.Lock()
+				answers[key] = got
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	return answers
+}
+
+// checkAnswers compares what the callers were told with what the runners did.
+func (fl *fleet) checkAnswers(answers map[string]answer) (counts map[modeler.Outcome]int) {
+	fl.t.Helper()
+	executed := fl.executions()
+	counts = map[modeler.Outcome]int{}
+	for key, got := range answers {
+		counts[got.outcome]++
+		if got.outcome == modeler.Unknown && counts[got.outcome] < 3 {
+			fl.t.Logf("%s: %+v", key, got)
+		}
+		switch {
+		case got.outcome == modeler.Answered && got.err == nil && got.status == http.StatusOK:
+			qt.Check(fl.t, strings.HasSuffix(got.body, key), qt.IsTrue, qt.Commentf("answer to %s: %q", key, got.body))
+			qt.Check(fl.t, executed[key], qt.Equals, 1, qt.Commentf("key %s was answered", key))
+		case got.outcome == modeler.NotRun:
+			qt.Check(fl.t, executed[key], qt.Equals, 0, qt.Commentf("key %s was said not to have run", key))
+		}
+	}
+	return counts
+}
+
+// gatedStore is the store as one process reaches it.
+type gatedStore struct {
+	*emulator.Store
+	mu     sync.Mutex
+	closed bool
+}
+
+func (gs *gatedStore) close() { gs.set(true) }
+
+func (gs *gatedStore) set(closed bool) {
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	gs.closed = closed
+}
+
+func (gs *gatedStore) check() error {
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	if gs.closed {
+		return storer.ErrUnavailable
+	}
+	return nil
+}
+
+func (gs *gatedStore) Get(ctx context.Context, key string) (storer.Entry, error) {
+	if err := gs.check(); err != nil {
+		return storer.Entry{}, err
+	}
+	return gs.Store.Get(ctx, key)
+}
+
+func (gs *gatedStore) Put(ctx context.Context, key string, value []byte, expected int64) (int64, error) {
+	if err := gs.check(); err != nil {
+		return 0, err
+	}
+	return gs.Store.Put(ctx, key, value, expected)
+}
+
+func (gs *gatedStore) Delete(ctx context.Context, key string, expected int64) error {
+	if err := gs.check(); err != nil {
+		return err
+	}
+	return gs.Store.Delete(ctx, key, expected)
+}
+
+func (gs *gatedStore) List(ctx context.Context, prefix, after string, limit int) ([]storer.Entry, error) {
+	if err := gs.check(); err != nil {
+		return nil, err
+	}
+	return gs.Store.List(ctx, prefix, after, limit)
+}
+
+func (gs *gatedStore) Wait(ctx context.Context, prefix string, after int64) ([]storer.Entry, int64, error) {
+	if err := gs.check(); err != nil {
+		return nil, 0, err
+	}
+	return gs.Store.Wait(ctx, prefix, after)
+}
+
+// fleetWorkers are the workers as one process reaches them. A killed process sends nothing.
+type fleetWorkers struct {
+	*emulator.Workers
+	gate *gatedStore
+}
+
+func (fw fleetWorkers) Start(ctx context.Context, wk supervisor.Worker, cmd supervisor.StartCommand) error {
+	if fw.gate.check() != nil {
+		return errors.Join(supervisor.ErrResultUnknown, storer.ErrUnavailable)
+	}
+	return fw.Workers.Start(ctx, wk, cmd)
+}
+
+func (fw fleetWorkers) Renew(ctx context.Context, wk supervisor.Worker, rn scheduler.Renewal) error {
+	_, err := fw.Workers.Renew(ctx, wk, rn.Epoch, rn.LeaseTerm, rn.Attempts)
+	return err
+}
--- a/internal/daemon/assembler/listener.go
+++ b/internal/daemon/assembler/listener.go
@@ -46,7 +46,7 @@
 	}
 	var opened []net.Listener
 	for _, addr := range []netip.AddrPort{st.Listen.Callers, st.Listen.Peers, st.Listen.Operators} {
-		ln, err := net.Listen("tcp", addr.String())
+		ln, err := dm.network.Listen(addr)
 		if err != nil {
 			for _, op := range opened {
 				_ = op.Close()
--- a/internal/daemon/assembler/main.go
+++ b/internal/daemon/assembler/main.go
@@ -17,6 +17,7 @@
 	"github.com/currantrouter/currantrouter/internal/config/loader"
 	"github.com/currantrouter/currantrouter/internal/daemon/logger"
 	"github.com/currantrouter/currantrouter/internal/daemon/meter"
+	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 )
 
 // Exit codes of currantd.
@@ -101,7 +102,7 @@
 	} else {
 		return errNoPlatform
 	}
-	dm, err := New(st, pf, lg)
+	dm, err := New(st, pf, nil, lg)
 	if err != nil {
 		return err
 	}
@@ -113,13 +114,14 @@
 	return dm.Run(ctx)
 }
 
-// putFirstConfiguration stores the first revision of the shared configuration.
-func putFirstConfiguration(ctx context.Context, st Store, document []byte, timeout time.Duration) error {
+// PutConfiguration stores a document as the successor of the expected revision, which is zero for the
+// first one. The timeout bounds each call to the store. Errors are those of distributor.Put.
+func PutConfiguration(ctx context.Context, st Store, document []byte, expected modeler.Revision, timeout time.Duration) error {
 	_, err := distributor.New(distributor.Options{
 		Store:   st,
 		Timeout: timeout,
 		Log:     logr.Discard(),
 		Meter:   meter.New(nil),
-	}).Put(ctx, document, 0)
+	}).Put(ctx, document, expected)
 	return err
 }
--- a/internal/daemon/assembler/standalone.go
+++ b/internal/daemon/assembler/standalone.go
@@ -47,7 +47,7 @@
 	}
 	sa.platform.Workers.Add(standaloneFleet(st.Host.DataCentre)...)
 	document := checker.Encode(sa.configuration(st))
-	if err := putFirstConfiguration(ctx, sa.platform.Store, document, st.Limits.StoreTimeout); err != nil {
+	if err := PutConfiguration(ctx, sa.platform.Store, document, 0, st.Limits.StoreTimeout); err != nil {
 		sa.close()
 		return nil, err
 	}
