--- a/internal/request/admitter/source.go
+++ b/internal/request/admitter/source.go
@@ -35,3 +35,14 @@
 
 // Capacity implements Source.
 func (ss slotSource) Capacity(svc modeler.ServiceName) int { return ss.rt.Capacity(svc) }
+
+// Accounts adapts the accounts of a limiter to a router.
+func Accounts(lim *limiter.Limiter) func(modeler.RunnerName) router.Account {
+	return func(name modeler.RunnerName) router.Account {
+		ac := lim.Account(name)
+		if ac == nil {
+			return nil
+		}
+		return ac
+	}
+}
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -181,14 +181,19 @@
 	return fw.sendRepeatedly(cl)
 }
 
-// sendRepeatedly sends a call until it is answered, may not be repeated, or the budget is spent.
+// sendRepeatedly sends a call until it is answered, may not be repeated, or the budget is spent. An
+// attempt that may have run decides the outcome of the call, whatever becomes of later ones.
 func (fw *Forwarder) sendRepeatedly(cl *call) *failure {
+	var ran *failure
 	for attempt := 1; ; attempt++ {
 		fl := fw.sendOnce(cl)
-		if fl == nil || !fl.repeatable || !cl.mayResend() || attempt == maxAttempts || cl.cut.Load() {
-			return fl
+		if fl != nil && fl.outcome == modeler.Unknown {
+			ran = fl
 		}
-		if !fw.op.Retrier.Allow(cl.svc.Name, cl.deadline, fw.op.Admitter.Expected(cl.adm)) {
+		if fl == nil || !fl.repeatable || attempt == maxAttempts || !fw.mayRetry(cl) {
+			if fl != nil && ran != nil {
+				return ran
+			}
 			return fl
 		}
 		fw.op.Meter.Add(meter.CallsRetried, 1)
@@ -198,6 +203,11 @@
 	}
 }
 
+func (fw *Forwarder) mayRetry(cl *call) bool {
+	return cl.mayResend() && !cl.cut.Load() &&
+		fw.op.Retrier.Allow(cl.svc.Name, cl.deadline, fw.op.Admitter.Expected(cl.adm))
+}
+
 // sendOnce sends a call to a peer if that is expected to be faster, else to a runner.
 func (fw *Forwarder) sendOnce(cl *call) *failure {
 	wait := fw.op.Admitter.ExpectedWait(cl.adm)
--- a/internal/request/forwarder/conn.go
+++ b/internal/request/forwarder/conn.go
@@ -85,6 +85,11 @@
 	return num, err
 }
 
+// firstWritten returns the time after the first write of the call.
+func (cn *conn) firstWritten() time.Time {
+	return cn.began.Add(time.Duration(cn.firstWrite.Load()))
+}
+
 // close ends the connection in order: the other side has nothing left to do on it.
 func (cn *conn) close() {
 	_ = cn.nc.Close()
--- /dev/null
+++ b/internal/request/forwarder/forwarder_test.go
@@ -0,0 +1,381 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/currantrouter/currantrouter/internal/daemon/meter"
+	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+)
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+
+// TestFaults guards against outcomes that the runner's own count of executions refutes, against
+// calls that run twice, and against slots that stay counted or are freed too early.
+func TestFaults(t *testing.T) {
+	hang := func(_ *fakeRunner, _ net.Conn, _ *http.Request) bool {
+		time.Sleep(600 * time.Millisecond)
+		return false
+	}
+	var flaky sync.Map
+	failOnce := func(fr *fakeRunner, nc net.Conn, rq *http.Request) bool {
+		if _, again := flaky.LoadOrStore(fr, true); !again {
+			return false
+		}
+		return say(okAnswer)(fr, nc, rq)
+	}
+	for _, tc := range []struct {
+		name   string
+		play   func(*fakeRunner, net.Conn, *http.Request) bool
+		method string
+		body   string
+		repeat bool
+		// status 0 means that the connection is aborted after the header.
+		status  int
+		outcome modeler.Outcome
+		runs    int
+		slots   int
+	}{
+		{"whole answer", say(okAnswer), "GET", "", false, 200, modeler.Answered, 1, 1},
+		{"whole answer to a body", say(okAnswer), "POST", "order", false, 200, modeler.Answered, 1, 1},
+		{"dead after the request", hangUp, "GET", "", false, 502, modeler.Unknown, 1, 1},
+		{"dead after a request with a body", hangUp, "POST", "order", false, 502, modeler.Unknown, 1, 1},
+		{"dead in the header", sayAndClose("HTTP/1.1 200 OK\r\nContent-"), "GET", "", false, 502, modeler.Unknown, 1, 1},
+		{"dead in a body with length", sayAndClose("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello"), "GET", "", false, 0, modeler.Answered, 1, 1},
+		{"dead in a chunked body", sayAndClose("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"), "GET", "", false, 0, modeler.Answered, 1, 1},
+		{"body without an end mark", sayAndClose("HTTP/1.1 200 OK\r\n\r\nhello"), "GET", "", false, 502, modeler.Unknown, 1, 1},
+		{"no answer", hang, "GET", "", false, 504, modeler.Unknown, 1, 1},
+		{"header too large", sayAndClose("HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 80<<10) + "\r\n\r\n"), "GET", "", false, 502, modeler.Unknown, 1, 1},
+		{"answer too large", sayAndClose("HTTP/1.1 200 OK\r\nContent-Length: 2000000\r\n\r\n"), "GET", "", false, 502, modeler.Unknown, 1, 1},
+		{"no HTTP", sayAndClose("hello\r\n\r\n"), "GET", "", false, 502, modeler.Unknown, 1, 1},
+		{"switched protocols", sayAndClose("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"), "GET", "", false, 502, modeler.Unknown, 1, 1},
+		{"interim answers", say("HTTP/1.1 103 Early Hints\r\n\r\n", okAnswer), "GET", "", false, 200, modeler.Answered, 1, 1},
+		{"answer repeated", say(okAnswer, okAnswer), "GET", "", false, 200, modeler.Answered, 1, 1},
+		{"dead once, repeatable", failOnce, "GET", "", true, 200, modeler.Answered, 2, 2},
+		// The only slot is still counted, so the second attempt is refused; the first one may have run.
+		{"dead once, repeatable, no slot left", failOnce, "GET", "", true, 502, modeler.Unknown, 1, 1},
+		{"dead once, repeatable service, POST", failOnce, "POST", "", true, 502, modeler.Unknown, 1, 1},
+		{"dead once, not repeatable", failOnce, "GET", "", false, 502, modeler.Unknown, 1, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			fr := newFakeRunner(t, tc.play)
+			en := newEntry(t, entryOptions{repeat: tc.repeat, slots: tc.slots}, fr)
+			rs := en.call(t, tc.method, "/tidebook/order", tc.body)
+			qt.Check(t, rs.broken, qt.Equals, tc.status == 0)
+			if tc.status != 0 {
+				qt.Check(t, rs.outcome, qt.Equals, tc.outcome)
+				qt.Check(t, rs.status, qt.Equals, tc.status)
+			}
+			qt.Check(t, fr.runs("/order"), qt.Equals, tc.runs)
+			en.settle(t)
+			qt.Check(t, fr.most()[0], qt.Equals, 1)
+		})
+	}
+}
+
+func hangUp(*fakeRunner, net.Conn, *http.Request) bool { return false }
+
+func sayAndClose(text string) func(*fakeRunner, net.Conn, *http.Request) bool {
+	return func(fr *fakeRunner, nc net.Conn, rq *http.Request) bool {
+		say(text)(fr, nc, rq)
+		return false
+	}
+}
+
+// TestUnsent guards against a call that is called unknown, or is not sent elsewhere, although no
+// byte of it reached a runner.
+func TestUnsent(t *testing.T) {
+	dead := newFakeRunner(t, hangUp)
+	dead.ln.Close()
+	alive := newFakeRunner(t, echo)
+	en := newEntry(t, entryOptions{slots: 8}, dead, alive)
+	for ix := range 20 {
+		rs := en.call(t, "POST", fmt.Sprint("/tidebook/n", ix), "body")
+		if rs.outcome == modeler.NotRun {
+			qt.Check(t, rs.status, qt.Equals, 503)
+			qt.Check(t, alive.runs(fmt.Sprint("/n", ix)), qt.Equals, 0)
+			continue
+		}
+		qt.Check(t, rs.body, qt.Equals, fmt.Sprintf("/n%d|body", ix))
+	}
+	qt.Check(t, en.mt.Value(meter.CallsAnswered) >= 18, qt.IsTrue)
+	en.settle(t)
+}
+
+// TestHeaders guards against forged and hop-by-hop headers, a changed path, and a replay that the
+// standard client would do for calls with an idempotency key.
+func TestHeaders(t *testing.T) {
+	fr := newFakeRunner(t, echo)
+	en := newEntry(t, entryOptions{}, fr)
+	rs := en.call(t, "GET", "/tidebook/a%2Fb/c?x=%20y", "", "Connection", "close, X-Hop", "X-Hop", "1", "Te", "trailers",
+		"Currant-Key", "forged", "X-End", "2")
+	qt.Check(t, rs.body, qt.Equals, "/a%2Fb/c?x=%20y|")
+	qt.Check(t, rs.header.Get("Currant-Forged"), qt.Equals, "")
+	for key, want := range map[string]string{"X-Hop": "", "Te": "", "Currant-Key": "", "X-End": "2", "Currant-Timeout": "300"} {
+		qt.Check(t, fr.header.Get(key), qt.Equals, want, qt.Commentf(key))
+	}
+	for path, want := range map[string]string{"/nothing/x": "UnknownService", "/": "UnknownService"} {
+		rs = en.call(t, "GET", path, "")
+		qt.Check(t, rs.outcome, qt.Equals, modeler.NotRun)
+		qt.Check(t, rs.body, qt.Contains, want)
+	}
+	rs = en.call(t, "POST", "/tidebook/big", strings.Repeat("x", 200<<10), "Expect", "100-continue")
+	qt.Check(t, rs.status, qt.Equals, 413)
+	qt.Check(t, fr.runs("/big"), qt.Equals, 0)
+}
+
+// TestCallerLeaves guards against a slot that is freed when the caller disconnects while the runner
+// still works.
+func TestCallerLeaves(t *testing.T) {
+	release := make(chan struct{})
+	fr := newFakeRunner(t, func(fr *fakeRunner, nc net.Conn, rq *http.Request) bool {
+		<-release
+		return say(okAnswer)(fr, nc, rq)
+	})
+	en := newEntry(t, entryOptions{limit: 5 * time.Second}, fr)
+	ctx, cancel := context.WithCancel(context.Background())
+	rq, _ := http.NewRequestWithContext(ctx, "GET", en.callers.URL+"/tidebook/one", nil)
+	go http.DefaultClient.Do(rq) //nolint // The call is given up.
+	waitFor(t, func() bool { return fr.runs("/one") == 1 })
+	cancel()
+	// The only slot stays in use, so the next call is refused when its deadline passes.
+	rs := en.call(t, "GET", "/tidebook/two", "", "Currant-Timeout", "50")
+	qt.Check(t, rs.outcome, qt.Equals, modeler.NotRun)
+	qt.Check(t, en.lim.Outstanding(), qt.Equals, 1)
+	close(release)
+	en.settle(t)
+	qt.Check(t, en.call(t, "GET", "/tidebook/three", "").body, qt.Equals, "hello")
+	qt.Check(t, fr.most()[0], qt.Equals, 1)
+	qt.Check(t, fr.runs("/two"), qt.Equals, 0)
+}
+
+func waitFor(tb testing.TB, cond func() bool) {
+	for range 500 {
+		if cond() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	tb.Fatal("the condition was not met")
+}
+
+// TestLimits guards against more calls or connections at a runner than its limits, and against
+// answers that reach the wrong caller, under many concurrent callers.
+func TestLimits(t *testing.T) {
+	fr := newFakeRunner(t, func(fr *fakeRunner, nc net.Conn, rq *http.Request) bool {
+		time.Sleep(2 * time.Millisecond)
+		return echo(fr, nc, rq)
+	})
+	en := newEntry(t, entryOptions{slots: 4}, fr)
+	var wg sync.WaitGroup
+	for wk := range 16 {
+		wg.Go(func() {
+			for ix := range 20 {
+				name := fmt.Sprintf("w%d-%d", wk, ix)
+				rs := en.call(t, "POST", "/tidebook/"+name, name)
+				if rs.outcome == modeler.Answered {
+					qt.Check(t, rs.body, qt.Equals, "/"+name+"|"+name)
+				}
+				runs := fr.runs("/" + name)
+				qt.Check(t, runs <= 1 && (runs == 1 || rs.outcome != modeler.Answered) && (runs == 0 || rs.outcome != modeler.NotRun), qt.IsTrue)
+			}
+		})
+	}
+	wg.Wait()
+	en.settle(t)
+	most := fr.most()
+	qt.Check(t, most[0], qt.Equals, 4)
+	qt.Check(t, most[1] <= 8, qt.IsTrue)
+}
+
+// TestStreams guards against an answer or a request body that is held back until its end.
+func TestStreams(t *testing.T) {
+	next := make(chan string)
+	fr := newFakeRunner(t, func(_ *fakeRunner, nc net.Conn, _ *http.Request) bool {
+		_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n")
+		for part := range next {
+			fmt.Fprintf(nc, "%x\r\n%s\r\n", len(part), part)
+		}
+		_, err := io.WriteString(nc, "0\r\nX-Sum: 7\r\n\r\n")
+		return err == nil
+	})
+	en := newEntry(t, entryOptions{limit: 5 * time.Second}, fr)
+	rp, err := http.Get(en.callers.URL + "/tidebook/stream")
+	qt.Assert(t, err, qt.IsNil)
+	buf := make([]byte, 3)
+	for _, part := range []string{"one", "two"} {
+		next <- part
+		_, err = io.ReadFull(rp.Body, buf)
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, string(buf), qt.Equals, part)
+	}
+	close(next)
+	_, err = io.ReadAll(rp.Body)
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, rp.Trailer.Get("X-Sum"), qt.Equals, "7")
+}
+
+// TestDrain guards against calls in flight that a graceful end cuts off, and against cut calls that
+// are not reported.
+func TestDrain(t *testing.T) {
+	release := make(chan struct{})
+	fr := newFakeRunner(t, func(fr *fakeRunner, nc net.Conn, rq *http.Request) bool {
+		<-release
+		return say(okAnswer)(fr, nc, rq)
+	})
+	for _, cut := range []int{0, 1} {
+		en := newEntry(t, entryOptions{limit: 5 * time.Second}, fr)
+		got := make(chan result, 1)
+		path := fmt.Sprint("/tidebook/", cut)
+		go func() { got <- en.call(t, "GET", path, "") }()
+		waitFor(t, func() bool { return fr.runs(fmt.Sprint("/", cut)) == 1 })
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan int, 1)
+		go func() { done <- en.fw.Drain(ctx) }()
+		waitFor(t, func() bool { return en.fw.stopped.Load() })
+		qt.Check(t, en.call(t, "GET", "/tidebook/late", "").outcome, qt.Equals, modeler.NotRun)
+		want := modeler.Unknown
+		if cut == 0 {
+			want = modeler.Answered
+			release <- struct{}{}
+		} else {
+			cancel()
+		}
+		qt.Check(t, <-done, qt.Equals, cut)
+		qt.Check(t, (<-got).outcome, qt.Equals, want)
+		cancel()
+	}
+	close(release)
+}
+
+// TestSilentConnection guards against calls on a connection whose path has lost its state.
+func TestSilentConnection(t *testing.T) {
+	fr := newFakeRunner(t, echo)
+	en := newEntry(t, entryOptions{limit: 30 * time.Second}, fr)
+	qt.Assert(t, en.call(t, "GET", "/tidebook/one", "").outcome, qt.Equals, modeler.Answered)
+	pl := en.fw.pools()[0].(*pool)
+	old := pl.idle[0]
+	old.nc = deafConn{old.nc}
+	pl.Probe(context.Background(), 0, 20*time.Millisecond)
+	qt.Check(t, pl.idle, qt.HasLen, 1)
+	qt.Check(t, pl.idle[0] != old, qt.IsTrue)
+	qt.Check(t, en.mt.Value(meter.ConnectionsReplaced), qt.Equals, int64(1))
+	qt.Check(t, en.call(t, "GET", "/tidebook/two", "").outcome, qt.Equals, modeler.Answered)
+}
+
+// deafConn takes bytes and never delivers any, as a half-open connection does.
+type deafConn struct{ net.Conn }
+
+func (dc deafConn) Write(buf []byte) (int, error) { return len(buf), nil }
+
+// TestPeers guards against lost outcomes, loops and double runs on the way over a peer.
+func TestPeers(t *testing.T) {
+	fr := newFakeRunner(t, echo)
+	far := newEntry(t, entryOptions{slots: 8}, fr)
+	// near has no runners of its own data centre, so every call goes to far.
+	near := newEntry(t, entryOptions{dc: "jaeren", peers: func() []Peer { return []Peer{far.peer("entry2", "stad")} }}, fr)
+	rs := near.call(t, "PUT", "/tidebook/x?y=1", "body", "X-End", "2")
+	qt.Check(t, rs.outcome, qt.Equals, modeler.Answered)
+	qt.Check(t, rs.body, qt.Equals, "/x?y=1|body")
+	qt.Check(t, fr.header.Get("X-End"), qt.Equals, "2")
+	fr.play = sayAndClose("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello")
+	qt.Check(t, near.call(t, "GET", "/tidebook/cut", "").outcome, qt.Equals, modeler.Unknown)
+	fr.play = sayAndClose("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n")
+	qt.Check(t, near.call(t, "GET", "/tidebook/cut", "").broken, qt.IsTrue)
+	fr.play = hangUp
+	qt.Check(t, near.call(t, "GET", "/tidebook/dead", "").outcome, qt.Equals, modeler.Unknown)
+	qt.Check(t, fr.runs("/dead"), qt.Equals, 1)
+	far.settle(t)
+	far.fw.StopIntake()
+	qt.Check(t, near.call(t, "GET", "/tidebook/refused", "").outcome, qt.Equals, modeler.NotRun)
+	for _, hop := range []string{"2", "x", "-1"} {
+		rq, _ := http.NewRequest("POST", far.peers.URL+PeerPath, nil)
+		rq.Header = http.Header{"Currant-Hop": {hop}, "Currant-Step": {"Run"}, "Currant-Target": {"/x"}, "Currant-Method": {"GET"}}
+		rp, err := http.DefaultClient.Do(rq)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, rp.Header.Get(modeler.HeaderOutcome), qt.Equals, "NotRun")
+		rp.Body.Close()
+	}
+}
+
+// journal is a claimer in memory.
+type journal struct {
+	mu     sync.Mutex
+	claims map[string]*Claim
+	err    error
+}
+
+func (jn *journal) Claim(_ context.Context, key string, _ modeler.ServiceName, digest [32]byte) (Claim, error) {
+	jn.mu.Lock()
+	defer jn.mu.Unlock()
+	if jn.err != nil {
+		return Claim{}, jn.err
+	}
+	if cm := jn.claims[key]; cm != nil {
+		if cm.Token != digest {
+			return Claim{}, ErrKeyReused
+		}
+		return Claim{Repeated: true, Outcome: cm.Outcome, Answer: cm.Answer}, nil
+	}
+	jn.claims[key] = &Claim{Outcome: modeler.Unknown, Token: digest}
+	return Claim{Token: key}, nil
+}
+
+func (jn *journal) Complete(_ context.Context, cm Claim, outcome modeler.Outcome, ans *Answer) error {
+	jn.mu.Lock()
+	defer jn.mu.Unlock()
+	kept := jn.claims[cm.Token.(string)]
+	kept.Outcome, kept.Answer = outcome, ans
+	return nil
+}
+
+// TestKeys guards against a keyed call that runs twice, at the owner and by way of another host.
+func TestKeys(t *testing.T) {
+	fr := newFakeRunner(t, echo)
+	jn := &journal{claims: map[string]*Claim{}}
+	var owner *entry
+	leader := func(dc modeler.DataCentreName) (Peer, bool) { return owner.peer("entry1", dc), dc == "stad" }
+	owner = newEntry(t, entryOptions{leader: leader, claimer: jn}, fr)
+	far := newEntry(t, entryOptions{dc: "jaeren", leader: func(dc modeler.DataCentreName) (Peer, bool) {
+		return owner.peer("owner", dc), dc == "stad"
+	}}, fr)
+	send := func(en *entry, key, body string) result {
+		rs := en.call(t, "POST", "/tidebook/book", body, "Idempotency-Key", key)
+		owner.fw.records.Wait()
+		return rs
+	}
+	for _, en := range []*entry{owner, far, owner} {
+		rs := send(en, "stad.k1", "seat")
+		qt.Check(t, rs.outcome, qt.Equals, modeler.Answered)
+		qt.Check(t, rs.body, qt.Equals, "/book|seat")
+	}
+	qt.Check(t, fr.runs("/book"), qt.Equals, 1)
+	qt.Check(t, fr.header.Get("Currant-Key"), qt.Equals, "stad.k1")
+	qt.Check(t, fr.header.Get("Idempotency-Key"), qt.Equals, "")
+	qt.Check(t, send(far, "stad.k1", "other").body, qt.Contains, "KeyReused")
+	fr.play = hangUp
+	for range 2 {
+		qt.Check(t, send(owner, "stad.k2", "seat").outcome, qt.Equals, modeler.Unknown)
+	}
+	qt.Check(t, fr.runs("/book"), qt.Equals, 2)
+	for _, tc := range []struct {
+		err  error
+		want modeler.Outcome
+	}{{ErrNotLeader, modeler.Unknown}, {ErrNotClaimed, modeler.NotRun}, {errors.New("lost"), modeler.Unknown}} {
+		jn.err = tc.err
+		qt.Check(t, send(far, "stad.k3", "seat").outcome, qt.Equals, tc.want)
+	}
+	qt.Check(t, send(owner, "jaeren.k4", "seat").body, qt.Contains, "KeyOwnerUnreachable")
+	qt.Check(t, fr.runs("/book"), qt.Equals, 2)
+}
--- a/internal/request/forwarder/runner.go
+++ b/internal/request/forwarder/runner.go
@@ -24,14 +24,14 @@
 	}
 	limit := tk.Slot.CallLimit()
 	tf := fw.exchange(cl, pl, cn, fw.runnerRequest(cl, limit), time.Now().Add(limit), fw.acceptRunner(cl))
-	if at := cn.began.Add(time.Duration(cn.firstWrite.Load())); tf.progress != unsent && !tk.Slot.InTime(at) {
+	if tf.progress != unsent && !tk.Slot.InTime(tf.sent) {
 		logger.Log(fw.op.Log, logger.LoanLate, "Runner", tk.Target.Name)
 	}
 	switch tf.progress {
 	case unsent:
 		return fw.endUnsent(cl, tk, tf.err, true)
 	case lost:
-		return fw.endAbandoned(cl, tk, cn, tf)
+		return fw.endAbandoned(cl, tk, tf)
 	}
 	tk.Done(tf.elapsed)
 	fw.op.Router.Observe(tk.Target, tk.Class, tf.elapsed, tf.status >= http.StatusInternalServerError)
@@ -60,12 +60,12 @@
 }
 
 // endAbandoned keeps the slot of a call that the runner may still be working on.
-func (fw *Forwarder) endAbandoned(cl *call, tk *admitter.Ticket, cn *conn, tf transfer) *failure {
-	tk.Done(time.Since(cn.began))
+func (fw *Forwarder) endAbandoned(cl *call, tk *admitter.Ticket, tf transfer) *failure {
+	tk.Done(tf.elapsed)
 	if isBodyError(tf.err) || errors.Is(tf.err, errAnswerLimit) || cl.cut.Load() {
 		tk.Target.CancelProbe()
 	} else {
-		fw.op.Router.Observe(tk.Target, tk.Class, time.Since(cn.began), true)
+		fw.op.Router.Observe(tk.Target, tk.Class, tf.elapsed, true)
 	}
 	tk.Slot.Abandon()
 	fl := fw.describe(cl, tf)
--- a/internal/request/forwarder/transfer.go
+++ b/internal/request/forwarder/transfer.go
@@ -39,6 +39,8 @@
 	// elapsed is the time from the first byte to the end of the answer without the time spent on
 	// writing to the caller.
 	elapsed time.Duration
+	// sent is the time after the first write; it is meaningless when the progress is unsent.
+	sent time.Time
 }
 
 // exchange carries a call over a connection until a time, and passes the answer on if accept has
@@ -73,6 +75,7 @@
 		return fw.endLost(cl, cn, up, before, err)
 	}
 	tf.elapsed = max(1, time.Since(began)-blocked)
+	tf.sent = cn.firstWritten()
 	fw.endWhole(cl, pl, cn, up, rp)
 	return tf
 }
@@ -92,7 +95,7 @@
 		return transfer{progress: unsent, err: err}
 	}
 	cn.abandon()
-	return transfer{progress: lost, err: err}
+	return transfer{progress: lost, err: err, elapsed: time.Since(cn.began), sent: cn.firstWritten()}
 }
 
 func (fw *Forwarder) endWhole(cl *call, pl *pool, cn *conn, up *upload, rp *http.Response) {
@@ -169,6 +172,10 @@
 	}
 	cl.started = true
 	cl.wr.WriteHeader(rp.StatusCode)
+	if rp.ContentLength < 0 && rp.Body != http.NoBody {
+		// The first part of a stream may come much later than its header.
+		cl.gone = cl.rc.Flush() != nil
+	}
 }
 
 // hasLength tells whether the answer may state a length. A peer gets the answer to HEAD as that to
--- a/internal/request/limiter/model_test.go
+++ b/internal/request/limiter/model_test.go
@@ -144,10 +144,10 @@
 	md.cfgs = append(md.cfgs, cfg)
 }
 
-func (md *model) start(name modeler.HostName, boot int, rev modeler.Revision) {
+func (md *model) start(name modeler.HostName, boot int, rev modeler.Revision, history ...*modeler.Configuration) {
 	nd := &node{name: name, boot: boot, heard: map[modeler.HostName]modeler.Revision{}}
 	nd.lim = New(Options{
-		Host: name, Boot: modeler.BootID(fmt.Sprint(name, boot)), DataCentre: "stad", Predecessor: boot > 1,
+		Host: name, Boot: modeler.BootID(fmt.Sprint(name, boot)), DataCentre: "stad", Predecessor: boot > 1, History: history,
 		Peers: func() []Peer { return md.peers(nd) }, Log: logr.Discard(), Meter: meter.New(nil),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -295,7 +295,9 @@
 			if md.gone[name] {
 				return
 			}
+			var base modeler.Revision
 			if nd := md.nodes[name]; nd != nil {
+				base = nd.lim.SettledBase()
 				md.crash(nd)
 			}
 			rev := modeler.Revision(len(md.cfgs))
@@ -304,6 +306,11 @@
 				rev = from.rev
 			}
 			boots[name]++
+			if base > 0 && rapid.Bool().Draw(tb, "history") {
+				rev = modeler.Revision(len(md.cfgs))
+				md.start(name, boots[name], rev, md.cfgs[base-1:]...)
+				return
+			}
 			md.start(name, boots[name], rev)
 		},
 		"sleep": func(tb *rapid.T) {
