--- a/internal/operator/auditor/searcher.go
+++ b/internal/operator/auditor/searcher.go
@@ -96,6 +96,8 @@
 		}
 		return true
 	})
+	// Records of the same moment are in the order of their writing, which is reversed too.
+	slices.Reverse(found)
 	slices.SortStableFunc(found, func(a, b Record) int { return b.Time.Compare(a.Time) })
 	return found, err
 }
