--- a/internal/state/journaler/journaler.go
+++ b/internal/state/journaler/journaler.go
@@ -174,8 +174,9 @@
 	confirmed time.Time
 	closed    bool
 
-	// snapshotting serialises Snapshot.
-	snapshotting sync.Mutex
+	// snapshotting has room for one and is full while a Snapshot runs. It is no mutex because a
+	// Snapshot waits for the store and its callers have deadlines.
+	snapshotting chan struct{}
 	// trims carries the newest position below which segments are deleted. It has room for one.
 	trims chan pointer
 }
--- /dev/null
+++ b/internal/state/journaler/journaler_test.go
@@ -0,0 +1,329 @@
+package journaler_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/currantrouter/currantrouter/internal/platform/emulator"
+	"github.com/currantrouter/currantrouter/internal/state/journaler"
+)
+
+// lives runs three epochs with snapshots, and appends of a deposed leader between them.
+func lives(ld *ledger, st *emulator.Store) {
+	first := mustOpen(ld, newGate(st))
+	for range 3 {
+		_ = first.append()
+	}
+	first.appendConcurrently(4)
+	_ = first.snapshot()
+	time.Sleep(time.Second)
+	_ = first.append()
+	second := mustOpen(ld, newGate(st))
+	_ = first.append()
+	second.appendConcurrently(2)
+	_ = second.snapshot()
+	_ = second.append()
+	_ = first.snapshot()
+	time.Sleep(10 * time.Second)
+	third := mustOpen(ld, newGate(st))
+	_ = third.append()
+	first.end()
+	second.end()
+	third.end()
+}
+
+// Guards against a loss, a repetition or a reordering of records when any single call to the
+// store, or all calls from one on for a while, fail in any way.
+func TestFaultAtEveryCall(t *testing.T) {
+	calls := map[string]int64{}
+	synctest.Test(t, func(t *testing.T) {
+		st, ld := emulator.NewStore(nil), newLedger()
+		lives(ld, st)
+		qt.Assert(t, ld.finish(st), qt.IsNil)
+		calls = st.Calls()
+		qt.Check(t, len(ld.longest) >= 12, qt.IsTrue)
+	})
+	for _, sw := range []emulator.Switch{
+		{Fault: emulator.Unavailable, Count: 1},
+		{Fault: emulator.Unavailable, Count: 40},
+		{Fault: emulator.AnswerLost, Count: 1},
+		{Fault: emulator.AnswerLost, Count: 40},
+		{Fault: emulator.RequestLost, Count: 1},
+		{Fault: emulator.RequestLost, Count: 40},
+		{Fault: emulator.Late, Count: 1, Delay: 200 * time.Millisecond},
+		{Fault: emulator.Late, Count: 3, Delay: 20 * time.Second},
+		{Fault: emulator.Slow, Count: 2, Delay: 8 * time.Second},
+		{Fault: emulator.StaleList, Operation: "List"},
+	} {
+		for operation, count := range calls {
+			if sw.Operation != "" && sw.Operation != operation {
+				continue
+			}
+			t.Run(fmt.Sprint(sw.Fault, sw.Count, operation), func(t *testing.T) {
+				for skip := range int(count) {
+					sw := sw
+					sw.Part, sw.Operation, sw.Skip = emulator.PartStore, operation, skip
+					runWith(t, sw)
+				}
+			})
+		}
+	}
+}
+
+func runWith(t *testing.T, sw emulator.Switch) {
+	var err error
+	synctest.Test(t, func(*testing.T) {
+		st, ld := emulator.NewStore(nil), newLedger()
+		st.Faults().Set(sw)
+		lives(ld, st)
+		err = ld.finish(st)
+	})
+	qt.Check(t, err, qt.IsNil, qt.Commentf("%+v", sw))
+}
+
+// Guards against a process that is paused or killed at any call to the store, while another one
+// takes over, replaces the journal by snapshots and trims it: a paused leader must not append, a
+// paused recovery must neither lose records nor begin an epoch behind the end of the journal.
+func TestStoppedAtEveryCall(t *testing.T) {
+	for name, work := range map[string]func(*ledger, *gate){
+		"opening": func(ld *ledger, gt *gate) {
+			if ldr, err := open(ld, gt); err == nil {
+				_ = ldr.append()
+				ldr.end()
+			}
+		},
+		"appending": func(_ *ledger, gt *gate) { gt.owner.appendConcurrently(3) },
+		"snapshot": func(_ *ledger, gt *gate) {
+			_ = gt.owner.snapshot()
+			time.Sleep(10 * time.Second)
+			_ = gt.owner.append()
+		},
+	} {
+		for _, takeovers := range []int{0, 1, 2} {
+			for _, dead := range []bool{false, true} {
+				t.Run(fmt.Sprint(name, takeovers, dead), func(t *testing.T) {
+					for call := 1; stopAt(t, call, takeovers, dead, name == "opening", work); call++ {
+						qt.Assert(t, call < 100, qt.IsTrue)
+					}
+				})
+			}
+		}
+	}
+}
+
+// stopAt returns false when the work makes fewer calls.
+func stopAt(t *testing.T, call, takeovers int, dead, opening bool, work func(*ledger, *gate)) bool {
+	reached := false
+	for _, after := range []bool{false, true} {
+		var err error
+		synctest.Test(t, func(*testing.T) {
+			st, ld := emulator.NewStore(nil), newLedger()
+			gt := newGate(st)
+			before := gt
+			if opening {
+				before = newGate(st)
+			}
+			before.owner = mustOpen(ld, before)
+			before.owner.appendConcurrently(3)
+			_ = before.owner.snapshot()
+			before.owner.appendConcurrently(3)
+			time.Sleep(10 * time.Second)
+			gt.stopNext(call, after)
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				work(ld, gt)
+			}()
+			synctest.Wait()
+			time.Sleep(time.Minute)
+			synctest.Wait()
+			reached = gt.reached
+			if opening && takeovers == 0 {
+				advance(before.owner)
+			}
+			for range takeovers {
+				next := mustOpen(ld, newGate(st))
+				advance(next)
+				next.end()
+			}
+			gt.release(dead && reached)
+			<-done
+			if before.owner.append() == nil && takeovers > 0 {
+				ld.problem("a deposed leader appended")
+			}
+			before.owner.end()
+			err = ld.finish(st)
+		})
+		qt.Check(t, err, qt.IsNil, qt.Commentf("call %d, after it took effect: %v", call, after))
+	}
+	return reached
+}
+
+// advance moves the journal and its low watermark beyond all positions that were in use before.
+func advance(ldr *leader) {
+	for range 4 {
+		_ = ldr.append()
+	}
+	_ = ldr.snapshot()
+	_ = ldr.append()
+	_ = ldr.snapshot()
+	_ = ldr.append()
+	time.Sleep(30 * time.Second)
+}
+
+// Guards against a recovery that reads an epoch record which a paused opener wrote at a position
+// that had been trimmed, in place of the record that was there.
+func TestTrimmedPositionWrittenAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st, ld := emulator.NewStore(nil), newLedger()
+		lead := mustOpen(ld, newGate(st))
+		qt.Assert(t, lead.append(), qt.IsNil)
+		early, late := newGate(st), newGate(st)
+		// An opener reads the pointer, two lists and the end, and writes in the fifth call.
+		early.stopNext(5, false)
+		late.stopNext(3, false)
+		results := make(chan error, 2)
+		for _, gt := range []*gate{early, late} {
+			go func() {
+				ldr, err := open(ld, gt)
+				results <- err
+				ldr.end()
+			}()
+		}
+		synctest.Wait()
+		qt.Assert(t, early.reached && late.reached, qt.IsTrue)
+		qt.Assert(t, lead.append(), qt.IsNil)
+		qt.Assert(t, lead.snapshot(), qt.IsNil)
+		time.Sleep(time.Second)
+		qt.Assert(t, lead.append(), qt.IsNil)
+		early.release(false)
+		qt.Check(t, <-results, qt.ErrorIs, journaler.ErrDeposed)
+		late.release(false)
+		qt.Check(t, <-results, qt.IsNil)
+		lead.end()
+		qt.Check(t, ld.finish(st), qt.IsNil)
+	})
+}
+
+// Guards against two writers that both get an acknowledgement for one position.
+func TestRacingOpens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st, ld := emulator.NewStore(nil), newLedger()
+		results := make(chan error, 8)
+		for range cap(results) {
+			go func() {
+				ldr, err := open(ld, newGate(st))
+				if err == nil {
+					ldr.appendConcurrently(3)
+					ldr.end()
+				}
+				results <- err
+			}()
+		}
+		for range cap(results) {
+			if err := <-results; err != nil {
+				qt.Check(t, err, qt.ErrorIs, journaler.ErrDeposed)
+			}
+		}
+		qt.Check(t, ld.finish(st), qt.IsNil)
+	})
+}
+
+// Guards against write rates above the budget and against callers that wait longer than needed.
+func TestGroupCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st, ld := emulator.NewStore(nil), newLedger()
+		ldr := mustOpen(ld, newGate(st))
+		time.Sleep(time.Second)
+		began := time.Now()
+		qt.Assert(t, ldr.append(), qt.IsNil)
+		qt.Check(t, time.Since(began), qt.Equals, time.Duration(0), qt.Commentf("first append after a pause"))
+		before := st.Calls()["Put"]
+		for range 1000 {
+			go func() { _ = ldr.append() }()
+			time.Sleep(time.Second / 255)
+		}
+		time.Sleep(time.Second)
+		writes := st.Calls()["Put"] - before
+		qt.Check(t, writes <= 132, qt.IsTrue, qt.Commentf("%d writes in 3.92 s at an interval of 30 ms", writes))
+		ldr.end()
+		qt.Check(t, ld.finish(st), qt.IsNil)
+	})
+}
+
+// Guards against errors that promise more or less than the journal knows.
+func TestAppendErrors(t *testing.T) {
+	rec := func(size int) journaler.Record { return journaler.Record{Data: make([]byte, size)} }
+	for name, run := range map[string]func(*testing.T, *emulator.Store, *leader){
+		"too large": func(t *testing.T, _ *emulator.Store, ldr *leader) {
+			qt.Check(t, ldr.Append(t.Context(), rec(journaler.MaxAppendBytes)), qt.ErrorIs, journaler.ErrTooLarge)
+			qt.Check(t, ldr.Append(t.Context(), rec(journaler.MaxAppendBytes-100)), qt.IsNil)
+		},
+		"outage": func(t *testing.T, st *emulator.Store, ldr *leader) {
+			st.Faults().Set(emulator.Switch{Fault: emulator.Unavailable})
+			qt.Check(t, ldr.append(), qt.ErrorIs, journaler.ErrUnavailable)
+			before := st.Calls()["Put"]
+			qt.Check(t, ldr.append(), qt.ErrorIs, journaler.ErrUnavailable)
+			qt.Check(t, st.Calls()["Put"], qt.Equals, before, qt.Commentf("append during the back-off"))
+			st.Faults().Clear()
+			time.Sleep(10 * time.Second)
+			qt.Check(t, ldr.append(), qt.IsNil)
+		},
+		"answer lost in an outage": func(t *testing.T, st *emulator.Store, ldr *leader) {
+			st.Faults().Set(
+				emulator.Switch{Fault: emulator.AnswerLost, Operation: "Put", Count: 1},
+				emulator.Switch{Fault: emulator.Unavailable},
+			)
+			qt.Check(t, ldr.append(), qt.ErrorIs, journaler.ErrResultUnknown)
+			qt.Check(t, ldr.append(), qt.ErrorIs, journaler.ErrUnavailable)
+			qt.Check(t, ldr.applied(), qt.Equals, 0)
+			st.Faults().Clear()
+			time.Sleep(10 * time.Second)
+			qt.Check(t, ldr.applied(), qt.Equals, 1, qt.Commentf("applied once the fate is known"))
+		},
+		"context ends in the queue": func(t *testing.T, _ *emulator.Store, ldr *leader) {
+			qt.Check(t, ldr.append(), qt.IsNil)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+			defer cancel()
+			qt.Check(t, ldr.Append(ctx, rec(1)), qt.ErrorIs, journaler.ErrUnavailable)
+		},
+		"context ends in flight": func(t *testing.T, st *emulator.Store, ldr *leader) {
+			time.Sleep(time.Second)
+			st.Faults().Set(emulator.Switch{Fault: emulator.Slow, Operation: "Put", Delay: time.Second})
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			defer cancel()
+			qt.Check(t, ldr.Append(ctx, rec(1)), qt.ErrorIs, journaler.ErrResultUnknown)
+		},
+		"deposed": func(t *testing.T, st *emulator.Store, ldr *leader) {
+			next := mustOpen(ldr.ledger, newGate(st))
+			defer next.end()
+			qt.Check(t, next.epoch, qt.Equals, ldr.epoch+1)
+			qt.Check(t, ldr.Check(t.Context()), qt.ErrorIs, journaler.ErrDeposed)
+			<-ldr.Deposed()
+			qt.Check(t, ldr.append(), qt.ErrorIs, journaler.ErrDeposed)
+			qt.Check(t, ldr.snapshot(), qt.ErrorIs, journaler.ErrDeposed)
+			qt.Check(t, next.Check(t.Context()), qt.IsNil)
+			qt.Check(t, time.Since(next.Confirmed()), qt.Equals, time.Duration(0))
+		},
+		"closed": func(t *testing.T, _ *emulator.Store, ldr *leader) {
+			ldr.Close()
+			err := ldr.append()
+			qt.Check(t, errors.Is(err, journaler.ErrUnavailable), qt.IsTrue)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				st := emulator.NewStore(nil)
+				ldr := mustOpen(newLedger(), newGate(st))
+				defer ldr.end()
+				run(t, st, ldr)
+			})
+		})
+	}
+}
--- a/internal/state/journaler/opener.go
+++ b/internal/state/journaler/opener.go
@@ -337,7 +337,7 @@
 		store: on.store, keys: on.keys, host: on.host, boot: on.boot, epoch: rec.Epoch,
 		options: on.options, begun: rec.Position, ctx: ctx, cancel: cancel,
 		deposed: make(chan struct{}), wake: make(chan struct{}, 1), trims: make(chan pointer, 1),
-		confirmed: on.began,
+		snapshotting: make(chan struct{}, 1), confirmed: on.began,
 	}
 	jn.position.Store(rec.Position)
 	jn.SetBudget(on.options.DataCentres, on.options.WritesPerSecond)
--- a/internal/state/journaler/snapshotter.go
+++ b/internal/state/journaler/snapshotter.go
@@ -20,8 +20,12 @@
 // the background. Errors: ErrTooLarge, ErrDeposed and ErrUnavailable (the former snapshot stays),
 // ErrResultUnknown (either snapshot is in force, both are complete).
 func (jn *Journal) Snapshot(ctx context.Context, parts []Record, upTo int64) error {
-	jn.snapshotting.Lock()
-	defer jn.snapshotting.Unlock()
+	select {
+	case jn.snapshotting <- struct{}{}:
+		defer func() { <-jn.snapshotting }()
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
+	}
 	if jn.isDeposed() {
 		return ErrDeposed
 	}
