--- a/internal/config/loader/table.go
+++ b/internal/config/loader/table.go
@@ -53,7 +53,7 @@
 		always, func(st *Settings, val string) bool { return setName(&st.Host.Name, val) },
 	},
 	{
-		"Host", "DataCentre", "NAME", "", "local", "Data centre of this entry host.", allowedName,
+		"Host", "DataCentre", "NAME", "", "thies-centre", "Data centre of this entry host.", allowedName,
 		always, func(st *Settings, val string) bool { return setName(&st.Host.DataCentre, val) },
 	},
 	{
