--- a/internal/config/loader/loader.go
+++ b/internal/config/loader/loader.go
@@ -225,6 +225,8 @@
 	gv, ok := values[row.id()]
 	if !ok {
 		gv = given{source, row.Default}
+		// A standalone daemon that is given a certificate uses it.
+		st.TLS.Insecure = st.TLS.Insecure && st.TLS.Certificate == ""
 	}
 	loopback := st.Listen.Operators.Addr().IsLoopback() && st.Listen.Peers.Addr().IsLoopback()
 	if st.TLS.Insecure && !loopback {
--- a/internal/config/loader/loader_test.go
+++ b/internal/config/loader/loader_test.go
@@ -70,6 +70,9 @@
 		qt.Assert(t, err, qt.IsNil)
 		qt.Check(t, st.TLS.Insecure, qt.IsTrue)
 		qt.Check(t, st.Listen.Callers.Addr().IsLoopback(), qt.IsTrue)
+		st, err = load(t, "", "", "--standalone")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, st.TLS.Insecure, qt.IsFalse, qt.Commentf("the file has a certificate"))
 	})
 	t.Run("help names every setting", func(t *testing.T) {
 		_, err := Load([]string{"--help"})
--- a/internal/request/claimer/codec.go
+++ b/internal/request/claimer/codec.go
@@ -57,7 +57,7 @@
 }
 
 // Snapshot returns the state in parts of at most maxBytes each, which is at least 64. The caller
-// reads the position of the journal first: the state includes every record up to it.
+// reads the position of the journal first: the state has the effect of every record up to it.
 func (clm *Claimer) Snapshot(maxBytes int) [][]byte {
 	clm.mu.Lock()
 	active := make([]entry, 0, len(clm.entries))
