Add the platform's HTTP clients, protocol and emulator command

Cause: the daemon needs the key-value service, workers and host list over HTTP, with a certain answer to whether a call may have had an effect.

It uses http.Transport without GetBody and counts the bytes on the connection; before it states that nothing was sent it bars the connection from sending later. docs/platform.md is the protocol. currantstand serves the emulator over HTTP with fault switches and oracles. The worker client gains ErrUnreachable, which always comes with ErrRefused.

--- /dev/null
+++ b/cmd/currantstand/main.go
@@ -0,0 +1,22 @@
+// Command currantstand emulates the platform over HTTP, with fault injection. See
+// docs/platform.md.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/currantrouter/currantrouter/internal/platform/emulator"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := emulator.RunStand(ctx, os.Args[1:], os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "currantstand:", err)
+		os.Exit(1)
+	}
+}
--- a/internal/platform/emulator/runners.go
+++ b/internal/platform/emulator/runners.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -107,6 +108,16 @@
 	}
 }
 
+// closeConns closes all connections, also frozen ones.
+func (rn *Runner) closeConns() {
+	rn.mu.Lock()
+	conns := slices.Collect(maps.Values(rn.conns))
+	rn.mu.Unlock()
+	for _, cn := range conns {
+		_ = cn.Close()
+	}
+}
+
 // ServeHTTP executes one call.
 func (rn *Runner) ServeHTTP(wr http.ResponseWriter, rq *http.Request) {
 	if rq.URL.Path == "/healthz" {
--- a/internal/platform/emulator/workers.go
+++ b/internal/platform/emulator/workers.go
@@ -94,6 +94,12 @@
 	}
 }
 
+func (wks *Workers) has(name modeler.WorkerName) bool {
+	wks.mu.Lock()
+	defer wks.mu.Unlock()
+	return wks.workers[name] != nil
+}
+
 // Kill ends a worker and its attempts without a report.
 func (wks *Workers) Kill(name modeler.WorkerName) {
 	wks.mu.Lock()
@@ -227,7 +233,7 @@
 func (wks *Workers) command(ctx context.Context, name modeler.WorkerName, operation string, ep modeler.Epoch, execute func(*worker) error) error {
 	sw, faulty := wks.faults.match(PartWorkers, operation, string(name), Unavailable, Slow, AnswerLost, RequestLost)
 	if faulty && sw.Fault == Unavailable {
-		return fmt.Errorf("worker unreachable: %w", supervisor.ErrRefused)
+		return fmt.Errorf("%w: %w", supervisor.ErrRefused, supervisor.ErrUnreachable)
 	}
 	if faulty && sw.Fault == RequestLost {
 		return supervisor.ErrResultUnknown
@@ -259,7 +265,7 @@
 	}
 	if !ok || wk.dead {
 		// A dead worker's connections are refused, so that no command reaches it.
-		return fmt.Errorf("worker unreachable: %w", supervisor.ErrRefused)
+		return fmt.Errorf("%w: %w", supervisor.ErrRefused, supervisor.ErrUnreachable)
 	}
 	if ep != 0 && ep < wk.epoch && !wks.behaviour.GuardsOff {
 		return fmt.Errorf("epoch %d is older than %d: %w", ep, wk.epoch, supervisor.ErrRefused)
--- /dev/null
+++ b/internal/platform/requester/requester.go
@@ -0,0 +1,211 @@
+// Package requester sends JSON calls to the platform over HTTP. It sends each call at most once
+// and tells a call that was certainly not sent from one whose answer was lost.
+package requester
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// Errors of a call. Callers test for them with errors.Is.
+var (
+	// ErrNotSent means that no byte of the call has left this process and none will.
+	ErrNotSent = errors.New("call not sent")
+	// ErrAnswerLost means that a part of the call was sent and no whole answer has come back.
+	ErrAnswerLost = errors.New("answer lost")
+)
+
+const (
+	// maxAnswerBytes bounds an answer. The largest is a list of 5 MB of values in base64.
+	maxAnswerBytes = 16 << 20
+	// idleLimit is below the time for which the platform keeps idle connections, so that calls
+	// seldom meet a connection that is just being closed.
+	idleLimit = 30 * time.Second
+	// dialAttempts is the number of connections that a call tries while no byte was sent.
+	dialAttempts = 3
+)
+
+// keepAlive ends connections whose path no longer answers within 3 s.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
+// Failure is an error answer of the platform. It is the JSON body of every answer other than 200.
+type Failure struct {
+	// Status is the HTTP status.
+	Status int `json:"-"`
+	// Code is stable and meant for programs. It is empty when the answer was no error document.
+	Code    string
+	Message string
+}
+
+// Error returns the code and message.
+func (fl *Failure) Error() string {
+	return fmt.Sprintf("status %d %s: %s", fl.Status, fl.Code, fl.Message)
+}
+
+// Requester holds connections. It is safe for concurrent use.
+type Requester struct {
+	transport *http.Transport
+}
+
+// New returns a requester without connections.
+func New() *Requester {
+	dl := &net.Dialer{Timeout: 2 * time.Second, KeepAliveConfig: keepAlive}
+	return NewWithDialer(dl.DialContext)
+}
+
+// NewWithDialer returns a requester that makes its connections with the function.
+func NewWithDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Requester {
+	return &Requester{transport: &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			cn, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &countingConn{Conn: cn}, nil
+		},
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: 16,
+		IdleConnTimeout:     idleLimit,
+	}}
+}
+
+// Close closes the idle connections.
+func (rr *Requester) Close() { rr.transport.CloseIdleConnections() }
+
+// Call posts a JSON document and decodes the answer. Errors: ErrNotSent, ErrAnswerLost, *Failure
+// for an error answer of the platform.
+func (rr *Requester) Call(ctx context.Context, address netip.AddrPort, path string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	url := "http://" + address.String() + path
+	for range dialAttempts {
+		err = rr.send(ctx, url, body, out)
+		if !errors.Is(err, ErrNotSent) || ctx.Err() != nil {
+			return err
+		}
+	}
+	return err
+}
+
+func (rr *Requester) send(ctx context.Context, url string, body []byte, out any) error {
+	ct := new(connTrace)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: ct.gotConn})
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, url, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	// Without GetBody the transport cannot send the request a second time.
+	rq.GetBody = nil
+	rq.ContentLength = int64(len(body))
+	rq.Header.Set("Content-Type", "application/json; charset=utf-8")
+	// The transport is used directly because a client would follow redirects.
+	rs, err := rr.transport.RoundTrip(rq)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ct.classify(), err)
+	}
+	defer func() { _ = rs.Body.Close() }()
+	return decode(rs, out)
+}
+
+func decode(rs *http.Response, out any) error {
+	data, err := io.ReadAll(io.LimitReader(rs.Body, maxAnswerBytes))
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrAnswerLost, err)
+	}
+	if rs.StatusCode != http.StatusOK {
+		fl := &Failure{}
+		if json.Unmarshal(data, fl) != nil {
+			fl = &Failure{Message: "answer is no error document"}
+		}
+		fl.Status = rs.StatusCode
+		return fl
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return fmt.Errorf("%w: %w", ErrAnswerLost, err)
+	}
+	return nil
+}
+
+// connTrace finds out whether a request was written to its connection.
+type connTrace struct {
+	mu sync.Mutex
+	// conn is the connection of the request, nil before it has one.
+	conn *countingConn
+	// before is the number of bytes that earlier requests wrote to conn.
+	before int64
+}
+
+func (ct *connTrace) gotConn(ci httptrace.GotConnInfo) {
+	ct.mu.Lock()
+	defer ct.mu.Unlock()
+	ct.conn, _ = ci.Conn.(*countingConn)
+	if ct.conn != nil {
+		ct.before = ct.conn.count()
+	}
+}
+
+// classify returns ErrNotSent only when no byte was written and none will be: it seals the
+// connection, because the transport may still be about to write to it.
+func (ct *connTrace) classify() error {
+	ct.mu.Lock()
+	defer ct.mu.Unlock()
+	if ct.conn == nil || ct.conn.seal() == ct.before {
+		return ErrNotSent
+	}
+	return ErrAnswerLost
+}
+
+// countingConn counts the bytes that were handed to the connection.
+type countingConn struct {
+	net.Conn
+	mu sync.Mutex
+	// written counts a write before it begins, so it is never too low.
+	written int64
+	sealed  bool
+}
+
+// Write refuses to write after seal.
+func (cc *countingConn) Write(bf []byte) (int, error) {
+	if !cc.add(len(bf)) {
+		return 0, net.ErrClosed
+	}
+	return cc.Conn.Write(bf)
+}
+
+func (cc *countingConn) add(size int) bool {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	if cc.sealed {
+		return false
+	}
+	cc.written += int64(size)
+	return true
+}
+
+func (cc *countingConn) count() int64 {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	return cc.written
+}
+
+func (cc *countingConn) seal() int64 {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	cc.sealed = true
+	return cc.written
+}
--- a/internal/platform/supervisor/supervisor.go
+++ b/internal/platform/supervisor/supervisor.go
@@ -13,6 +13,9 @@
 var (
 	// ErrRefused means that the worker did not and will not execute the command.
 	ErrRefused = errors.New("worker refused the command")
+	// ErrUnreachable means that the command did not reach the worker. It always comes with
+	// ErrRefused.
+	ErrUnreachable = errors.New("worker unreachable")
 	// ErrResultUnknown means that the answer was lost. The command may have taken effect.
 	ErrResultUnknown = errors.New("result of the command is unknown")
 	// ErrNoAttempt means that the worker does not run the attempt that the command names.
