--- a/internal/platform/emulator/runners.go
+++ b/internal/platform/emulator/runners.go
@@ -25,8 +25,11 @@
 	// RunTime returns the time that a call takes. By default it is the duration in the query
 	// parameter RunTime, or zero.
 	RunTime func(*http.Request) time.Duration
-	// GuardsOff makes the runner work above its limits.
+	// GuardsOff makes the runner work above its limits of slots and connections.
 	GuardsOff bool
+	// IgnoreLimit makes the runner work longer than the time in the header Currant-Timeout.
+	// Otherwise it ends its work then and answers 504.
+	IgnoreLimit bool
 }
 
 // Runner emulates a runner. It answers a call with its own name, the method and path of the
@@ -55,7 +58,7 @@
 	GreatestConnections int
 	// Refused counts the calls and connections that the guards refused.
 	Refused int
-	// Late counts the calls that ran longer than the time in the header Currant-Timeout.
+	// Late counts the calls whose run time exceeds the time in the header Currant-Timeout.
 	Late int
 }
 
@@ -141,10 +144,14 @@
 	if err != nil {
 		return
 	}
-	rn.work(rq, sw)
+	whole := rn.work(rq, sw)
 	if faulty && sw.Fault == AnswerLost {
 		panic(http.ErrAbortHandler)
 	}
+	if !whole {
+		http.Error(wr, "time limit reached", http.StatusGatewayTimeout)
+		return
+	}
 	rn.answer(wr, rq, body, faulty && sw.Fault == Truncated)
 }
 
@@ -154,22 +161,32 @@
 	}
 }
 
-// work takes the run time of the call. It goes on when the client closes the connection, as a
-// runner does not know of that.
-func (rn *Runner) work(rq *http.Request, sw Switch) {
+// work takes the run time of the call and returns false when the time limit ended it. It goes on
+// when the client closes the connection, as a runner does not know of that.
+func (rn *Runner) work(rq *http.Request, sw Switch) bool {
 	dur := rn.options.RunTime(rq)
 	if sw.Fault == Slow {
 		dur += sw.Delay
 	}
+	limit, limited := timeLimit(rq)
+	late := limited && dur > limit
+	if late && !rn.options.IgnoreLimit {
+		dur = limit
+	}
 	if dur > 0 {
 		time.Sleep(dur)
 	}
-	limit, err := strconv.ParseInt(rq.Header.Get(modeler.HeaderTimeout), 10, 64)
-	if err == nil && dur > time.Duration(limit)*time.Millisecond {
+	if late {
 		rn.mu.Lock()
 		defer rn.mu.Unlock()
 		rn.oracle.Late++
 	}
+	return !late || rn.options.IgnoreLimit
+}
+
+func timeLimit(rq *http.Request) (time.Duration, bool) {
+	limit, err := strconv.ParseInt(rq.Header.Get(modeler.HeaderTimeout), 10, 64)
+	return time.Duration(limit) * time.Millisecond, err == nil
 }
 
 func (rn *Runner) answer(wr http.ResponseWriter, rq *http.Request, body []byte, truncated bool) {
--- a/internal/platform/emulator/runners_test.go
+++ b/internal/platform/emulator/runners_test.go
@@ -29,6 +29,9 @@
 				begun <- struct{}{}
 				<-release
 			}
+			if rq.URL.Path == "/long" {
+				return time.Hour
+			}
 			return 0
 		},
 	})
@@ -39,6 +42,7 @@
 		rq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+spec.Endpoint.String()+path, strings.NewReader("body"))
 		qt.Assert(t, err, qt.IsNil)
 		rq.Header.Set(modeler.HeaderKey, "key")
+		rq.Header.Set(modeler.HeaderTimeout, "1")
 		rs, err := tr.RoundTrip(rq)
 		if err != nil {
 			return 0, "", err
@@ -68,6 +72,10 @@
 	_, _, err = call(t.Context(), "/c")
 	qt.Check(t, err, qt.ErrorIs, io.ErrUnexpectedEOF)
 
+	status, _, err = call(t.Context(), "/long")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, status, qt.Equals, http.StatusGatewayTimeout)
+
 	rn, _ := pf.Runner("r1")
 	_, _, err = call(t.Context(), "/d")
 	qt.Assert(t, err, qt.IsNil)
@@ -81,5 +89,6 @@
 	qt.Check(t, or.GreatestCalls, qt.Equals, 1)
 	qt.Check(t, or.GreatestConnections, qt.Equals, 2)
 	qt.Check(t, or.Refused >= 1, qt.IsTrue)
-	qt.Check(t, or.Executions["key"], qt.Equals, 4)
+	qt.Check(t, or.Late, qt.Equals, 1)
+	qt.Check(t, or.Executions["key"], qt.Equals, 5)
 }
--- a/internal/state/journaler/journaler.go
+++ b/internal/state/journaler/journaler.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/go-logr/logr"
 
 	"github.com/currantrouter/currantrouter/internal/daemon/meter"
@@ -166,8 +167,10 @@
 	queue []*request
 	// wake has room for one signal that the queue is not empty.
 	wake chan struct{}
-	// suspended is the time until which appends are refused during an outage.
+	// suspended is the time until which appends are refused during an outage, outage the back-off
+	// of the present outage, nil without one.
 	suspended time.Time
+	outage    *backoff.ExponentialBackOff
 	// unresolved is set while the fate of a write is not known after RetryLimit.
 	unresolved bool
 	// confirmed is the beginning of the last call that proved that the epoch is the latest.
--- a/internal/state/journaler/journaler_test.go
+++ b/internal/state/journaler/journaler_test.go
@@ -211,6 +211,35 @@
 	})
 }
 
+// Guards against epoch records that pile up without limit, and against trimming that deletes the
+// newest ones, which stop paused leaders.
+func TestKeptEpochs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st, ld := emulator.NewStore(nil), newLedger()
+		for number := range journaler.KeptEpochs + 60 {
+			ldr := mustOpen(ld, newGate(st))
+			if number%50 == 0 {
+				qt.Assert(t, ldr.snapshot(), qt.IsNil)
+			}
+			ldr.end()
+		}
+		last := mustOpen(ld, newGate(st))
+		qt.Assert(t, last.snapshot(), qt.IsNil)
+		time.Sleep(time.Minute)
+		var kept []string
+		for ens, err := st.List(t.Context(), "Journal/", "", 1000); len(ens) > 0; ens, err = st.List(t.Context(), "Journal/", kept[len(kept)-1], 1000) {
+			qt.Assert(t, err, qt.IsNil)
+			for _, en := range ens {
+				kept = append(kept, en.Key)
+			}
+		}
+		qt.Assert(t, kept, qt.HasLen, journaler.KeptEpochs)
+		qt.Check(t, kept[len(kept)-1], qt.Equals, fmt.Sprintf("Journal/dc/%019d", last.Position()))
+		last.end()
+		qt.Check(t, ld.finish(st), qt.IsNil)
+	})
+}
+
 // Guards against two writers that both get an acknowledgement for one position.
 func TestRacingOpens(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/state/journaler/writer.go
+++ b/internal/state/journaler/writer.go
@@ -385,14 +385,17 @@
 	jn.unresolved = on
 }
 
-// suspend refuses appends for a jittered time, so that callers learn of an outage at once.
+// suspend refuses appends for a jittered and growing time, so that callers learn of an outage at
+// once and the journals of all data centres do not return at the same moment.
 func (jn *Journal) suspend(cause error) {
 	jn.mu.Lock()
 	defer jn.mu.Unlock()
-	bo := jn.options.newBackOff()
-	bo.InitialInterval = jn.options.RetryLimit
-	bo.Reset()
-	jn.suspended = time.Now().Add(bo.NextBackOff())
+	if jn.outage == nil {
+		jn.outage = jn.options.newBackOff()
+		jn.outage.InitialInterval = jn.options.RetryLimit
+		jn.outage.Reset()
+	}
+	jn.suspended = time.Now().Add(jn.outage.NextBackOff())
 	jn.options.Meter.Add(meter.JournalOutages, 1)
 	logger.Log(jn.options.Logger, logger.JournalUnavailable, "DataCentre", jn.keys.dc, "Error", cause.Error())
 }
@@ -400,9 +403,10 @@
 func (jn *Journal) endOutage() {
 	jn.mu.Lock()
 	defer jn.mu.Unlock()
-	if jn.suspended.IsZero() {
+	if jn.outage == nil {
 		return
 	}
+	jn.outage = nil
 	jn.suspended = time.Time{}
 	logger.Log(jn.options.Logger, logger.JournalAvailable, "DataCentre", jn.keys.dc)
 }
