Read plans and settled hours from the store less often

Change: a plan's head is small and has services and pauses, Keeper.Outline reads only it, and Keeper keeps the last three plans by revision. The publisher uses reports on settled hours for two minutes. Links have a base, ClientConfig presents the present certificate, and DialTLS uses the present authorities too.

--- a/internal/hours/publisher/handler.go
+++ b/internal/hours/publisher/handler.go
@@ -25,10 +25,15 @@
 // contentPolicy allows nothing but the page's own style.
 const contentPolicy = "default-src 'none'; style-src 'unsafe-inline'; base-uri 'none'; form-action 'none'; frame-ancestors 'none'"
 
+// hoursPath is the last element of the path of the present day.
+const hoursPath = "hours"
+
 // view is what the template shows.
 type view struct {
 	*Page
 	Previous, Next string
+	// Base is the path of the days relative to the page.
+	Base string
 }
 
 // ServeHTTP answers GET requests whose path ends in hours or in a day as a page, and in a day with
@@ -40,15 +45,19 @@
 		return
 	}
 	day, asJSON := strings.CutSuffix(path.Base(rq.URL.Path), ".json")
-	if day == "hours" {
+	base := ""
+	if day == hoursPath {
 		day = pb.Today()
+		if !strings.HasSuffix(rq.URL.Path, "/") {
+			base = hoursPath + "/"
+		}
 	}
 	pg, err := pb.Page(rq.Context(), day)
 	if err != nil {
 		fail(wr, http.StatusNotFound, "NoSuchDay", ErrDay.Error())
 		return
 	}
-	body, kind, err := pg.render(asJSON)
+	body, kind, err := pg.render(asJSON, base)
 	if err != nil {
 		fail(wr, http.StatusInternalServerError, "Internal", "the page could not be rendered")
 		return
@@ -62,13 +71,13 @@
 	_, _ = wr.Write(body)
 }
 
-func (pg *Page) render(asJSON bool) (body []byte, kind string, err error) {
+func (pg *Page) render(asJSON bool, base string) (body []byte, kind string, err error) {
 	if asJSON {
 		body, err = json.Marshal(pg)
 		return body, "application/json; charset=utf-8", err
 	}
 	var bf bytes.Buffer
-	err = pageTemplate.Execute(&bf, view{Page: pg, Previous: shift(pg.Day, -1), Next: shift(pg.Day, 1)})
+	err = pageTemplate.Execute(&bf, view{Page: pg, Previous: shift(pg.Day, -1), Next: shift(pg.Day, 1), Base: base})
 	return bf.Bytes(), "text/html; charset=utf-8", err
 }
 
--- a/internal/hours/publisher/publisher.go
+++ b/internal/hours/publisher/publisher.go
@@ -25,9 +25,9 @@
 	List(ctx context.Context, prefix, after string, limit int) ([]storer.Entry, error)
 }
 
-// Plans returns the plan in force for a day, or importer.ErrNoPlan.
+// Plans returns the plan in force for a day without its jobs, or importer.ErrNoPlan.
 type Plans interface {
-	Plan(ctx context.Context, day string) (*importer.Plan, int64, error)
+	Outline(ctx context.Context, day string) (*importer.Plan, error)
 }
 
 // Configurations returns the configuration in force, or nil when there is none.
@@ -48,6 +48,9 @@
 	maxCached = 8
 	// buildLimit bounds the reads for one page.
 	buildLimit = 5 * time.Second
+	// settledReadTime is how long the reports on an hour that is settled are used before they are
+	// read again. Late reports appear on the page after at most this time.
+	settledReadTime = 2 * time.Minute
 	// pageLength is the number of reports read at a time.
 	pageLength = 200
 	// maxAge bounds the days that can be asked for, since each costs reads of the store.
@@ -74,9 +77,21 @@
 type cachedPage struct {
 	page *Page
 	at   time.Time
-	// reports are those that the page was computed from. While the store does not answer, they
+	// hours has the reports that the page was computed from. While the store does not answer, they
 	// keep the counts of the next page from falling.
+	hours map[time.Time]hourRead
+}
+
+// hourRead is what the store had on an hour.
+type hourRead struct {
 	reports []counter.Report
+	at      time.Time
+}
+
+// fresh reports whether the reports need not be read again.
+func (hrd hourRead) fresh(start, now time.Time) bool {
+	settled := counter.Source{Hour: start}.Settled(hrd.at)
+	return settled && now.Sub(hrd.at) < settledReadTime
 }
 
 // New returns a publisher. Zone is the time zone of the deployment, for days without a plan.
@@ -130,11 +145,12 @@
 	defer stop()
 	in := input{day: day, loc: pb.zone, now: time.Now(), configuration: pb.cfgs.Current()}
 	pb.readPlan(ctx, &in)
-	if err := pb.readReports(ctx, &in); err != nil {
+	hours, err := pb.readReports(ctx, &in)
+	if err != nil {
 		return nil, err
 	}
-	if in.incomplete {
-		in.reports = append(in.reports, pb.lastReports(day)...)
+	for _, hrd := range hours {
+		in.reports = append(in.reports, hrd.reports...)
 	}
 	in.reports = append(in.reports, pb.counts.Live()...)
 	pg, err := build(in)
@@ -142,18 +158,19 @@
 		return nil, err
 	}
 	pb.mt.Add(meter.HourPagesBuilt, 1)
-	pb.keep(day, cachedPage{page: pg, at: in.now, reports: in.reports})
+	pb.keep(day, cachedPage{page: pg, at: in.now, hours: hours})
 	return pg, nil
 }
 
-func (pb *Publisher) lastReports(day string) []counter.Report {
+// lastRead returns the reports of the page before. The map is not changed after it was kept.
+func (pb *Publisher) lastRead(day string) map[time.Time]hourRead {
 	pb.mu.Lock()
 	defer pb.mu.Unlock()
-	return pb.cached[day].reports
+	return pb.cached[day].hours
 }
 
 func (pb *Publisher) readPlan(ctx context.Context, in *input) {
-	pl, _, err := pb.plans.Plan(ctx, in.day)
+	pl, err := pb.plans.Outline(ctx, in.day)
 	switch {
 	case errors.Is(err, importer.ErrNoPlan):
 		return
@@ -167,30 +184,40 @@
 	}
 }
 
-// readReports reads the reports on each hour until the store fails. It returns only ErrDay.
-func (pb *Publisher) readReports(ctx context.Context, in *input) error {
-	hours, err := hoursOf(in.day, in.loc)
+// readReports returns the reports on each hour that has begun. When the store fails, the reports of
+// the page before are used for the hours that are left. It returns only ErrDay.
+func (pb *Publisher) readReports(ctx context.Context, in *input) (map[time.Time]hourRead, error) {
+	starts, err := hoursOf(in.day, in.loc)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	for _, start := range hours {
+	last := pb.lastRead(in.day)
+	hours := make(map[time.Time]hourRead, len(starts))
+	for _, start := range starts {
 		if start.After(in.now) {
 			break
 		}
-		if err := pb.readHour(ctx, in, start); err != nil {
+		hours[start] = last[start]
+		if in.incomplete || last[start].fresh(start, in.now) {
+			continue
+		}
+		rps, err := pb.readHour(ctx, start)
+		if err != nil {
 			pb.note(in, err)
-			break
+			continue
 		}
+		hours[start] = hourRead{reports: rps, at: in.now}
 	}
-	return nil
+	return hours, nil
 }
 
-func (pb *Publisher) readHour(ctx context.Context, in *input, start time.Time) error {
+func (pb *Publisher) readHour(ctx context.Context, start time.Time) ([]counter.Report, error) {
+	var rps []counter.Report
 	prefix, after := counter.HourPrefix(start), ""
 	for {
 		ents, err := pb.store.List(ctx, prefix, after, pageLength)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		for _, ent := range ents {
 			rp, err := counter.Decode(ent)
@@ -198,10 +225,10 @@
 				logger.Log(pb.lg, logger.HourReportDamaged, "Key", ent.Key, "Error", err.Error())
 				continue
 			}
-			in.reports = append(in.reports, rp)
+			rps = append(rps, rp)
 		}
 		if len(ents) < pageLength {
-			return nil
+			return rps, nil
 		}
 		after = ents[len(ents)-1].Key
 	}
--- a/internal/operator/authorizer/authorizer.go
+++ b/internal/operator/authorizer/authorizer.go
@@ -7,6 +7,7 @@
 	"crypto/x509"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -231,20 +232,29 @@
 	}
 }
 
-// ClientConfig returns the settings for one new connection to a server, or nil when insecure.
-// Call it for each connection, for example in DialTLSContext, so that reloads take effect.
+// ClientConfig returns the settings of connections to a server, or nil when insecure. New
+// connections present the certificate of their moment. The authorities are those of the call, so
+// use DialTLS, or call it for each connection, where a change of authorities must take effect.
 func (au *Authorizer) ClientConfig() *tls.Config {
 	if au.insecure {
 		return nil
 	}
-	mt := au.current.Load()
 	return &tls.Config{
-		MinVersion:   tls.VersionTLS13,
-		Certificates: []tls.Certificate{mt.certificate},
-		RootCAs:      mt.authorities,
+		MinVersion: tls.VersionTLS13,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return &au.current.Load().certificate, nil
+		},
+		RootCAs: au.current.Load().authorities,
 	}
 }
 
+// DialTLS connects with the certificates of the moment, for the field DialTLSContext of
+// http.Transport. It must not be used when insecure.
+func (au *Authorizer) DialTLS(ctx context.Context, network, address string) (net.Conn, error) {
+	dl := &tls.Dialer{Config: au.ClientConfig()}
+	return dl.DialContext(ctx, network, address)
+}
+
 // Identify returns the operator that sent a request. It returns ErrNoCertificate, ErrNoRole or, for
 // an insecure interface, ErrNotLoopback. The operator's name is known even with ErrNoRole.
 func (au *Authorizer) Identify(rq *http.Request) (Operator, error) {
--- a/internal/plan/importer/document.go
+++ b/internal/plan/importer/document.go
@@ -24,8 +24,11 @@
 }
 
 const (
-	// partBytes keeps a part, and a head with one part in base64, below storer.MaxValueBytes.
-	partBytes = 700_000
+	// partBytes keeps a part below storer.MaxValueBytes.
+	partBytes = 900_000
+	// inlineBytes is the largest plan that is kept in its head. Leaders and pages of hours read
+	// the head every few seconds, so it must stay small.
+	inlineBytes = 64 << 10
 	// maxPlanBytes bounds the memory for a plan that is read from the store.
 	maxPlanBytes = 256 << 20
 	// readAttempts bounds the reads of a plan that is replaced while it is read.
@@ -42,6 +45,10 @@
 	Operation string
 	// Digest is the SHA-256 of the compressed plan.
 	Digest string
+	// TimeZone, Services and Pauses are those of the plan. The pages of hours need no more.
+	TimeZone string
+	Services []Service
+	Pauses   []Pause
 	// Parts counts the documents beside the head. It is zero when Data has the plan.
 	Parts int
 	// Data is the compressed plan, if it fits.
@@ -65,8 +72,11 @@
 		return nil, nil, err
 	}
 	sum := sha256.Sum256(bf.Bytes())
-	hd := &head{Day: pl.Day, Exported: pl.Exported, Operation: rand.Text(), Digest: hex.EncodeToString(sum[:])}
-	if bf.Len() <= partBytes {
+	hd := &head{
+		Day: pl.Day, Exported: pl.Exported, Operation: rand.Text(), Digest: hex.EncodeToString(sum[:]),
+		TimeZone: pl.TimeZone, Services: pl.Services, Pauses: pl.Pauses,
+	}
+	if bf.Len() <= inlineBytes {
 		hd.Data = bf.Bytes()
 		return hd, nil, nil
 	}
@@ -103,12 +113,28 @@
 	revision int64
 }
 
-// load reads the plan in force for a day.
-func load(ctx context.Context, st Store, day string) (stored, error) {
+// loadHead reads the head of the plan in force for a day.
+func loadHead(ctx context.Context, st Store, day string) (stored, error) {
+	ent, err := st.Get(ctx, headKey(day))
+	if errors.Is(err, storer.ErrNotFound) {
+		return stored{}, nil
+	}
+	if err != nil {
+		return stored{}, err
+	}
+	var hd head
+	if err := json.Unmarshal(ent.Value, &hd); err != nil || hd.Day != day {
+		return stored{}, fmt.Errorf("%w: %s is not a plan", ErrDocument, ent.Key)
+	}
+	return stored{head: &hd, revision: ent.Revision}, nil
+}
+
+// load reads the plan in force for a day. The plan that is known already is not read again.
+func load(ctx context.Context, st Store, day string, known stored) (stored, error) {
 	var err error
 	for range readAttempts {
 		var sd stored
-		sd, err = loadOnce(ctx, st, day)
+		sd, err = loadOnce(ctx, st, day, known)
 		// A missing part means that the plan was replaced since its head was read.
 		if !errors.Is(err, storer.ErrNotFound) {
 			return sd, err
@@ -117,28 +143,24 @@
 	return stored{}, fmt.Errorf("%w: parts of the plan of %s: %w", ErrDocument, day, err)
 }
 
-func loadOnce(ctx context.Context, st Store, day string) (stored, error) {
-	ent, err := st.Get(ctx, headKey(day))
-	if errors.Is(err, storer.ErrNotFound) {
-		return stored{}, nil
-	}
-	if err != nil {
-		return stored{}, err
+func loadOnce(ctx context.Context, st Store, day string, known stored) (stored, error) {
+	sd, err := loadHead(ctx, st, day)
+	if err != nil || sd.head == nil {
+		return sd, err
 	}
-	var hd head
-	if err := json.Unmarshal(ent.Value, &hd); err != nil || hd.Day != day {
-		return stored{}, fmt.Errorf("%w: %s is not a plan", ErrDocument, ent.Key)
+	if known.plan != nil && known.revision == sd.revision {
+		return known, nil
 	}
-	data := hd.Data
-	for num := range hd.Parts {
-		part, err := st.Get(ctx, hd.partKey(num))
+	data := sd.head.Data
+	for num := range sd.head.Parts {
+		part, err := st.Get(ctx, sd.head.partKey(num))
 		if err != nil {
 			return stored{}, err
 		}
 		data = append(data, part.Value...)
 	}
-	pl, err := hd.decode(data)
-	return stored{plan: pl, head: &hd, revision: ent.Revision}, err
+	sd.plan, err = sd.head.decode(data)
+	return sd, err
 }
 
 // save makes a plan the one in force, if the plan that it replaces is still in force.
--- a/internal/plan/importer/keeper.go
+++ b/internal/plan/importer/keeper.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
+	"sync"
 
 	"github.com/go-logr/logr"
 
@@ -73,17 +76,57 @@
 	cfgs     Configurations
 	lg       logr.Logger
 	mt       *meter.Registry
+
+	mu sync.Mutex
+	// known has the plans that were read last, at most maxKnown. Guarded by mu.
+	known map[string]stored
 }
 
+// maxKnown is the number of plans in memory. Leaders follow those of three days.
+const maxKnown = 3
+
 // NewKeeper returns a keeper of the plans in a store.
 func NewKeeper(st Store, progress Progress, cfgs Configurations, lg logr.Logger, mt *meter.Registry) *Keeper {
-	return &Keeper{store: st, progress: progress, cfgs: cfgs, lg: lg, mt: mt}
+	return &Keeper{store: st, progress: progress, cfgs: cfgs, lg: lg, mt: mt, known: map[string]stored{}}
+}
+
+// Outline returns the plan in force for a day without its jobs, which takes one read of the store.
+// Errors are those of Plan.
+func (kp *Keeper) Outline(ctx context.Context, day string) (*Plan, error) {
+	sd, err := loadHead(ctx, kp.store, day)
+	if err != nil {
+		return nil, err
+	}
+	if sd.head == nil {
+		return nil, fmt.Errorf("%w: %s", ErrNoPlan, day)
+	}
+	hd := sd.head
+	return &Plan{Day: hd.Day, TimeZone: hd.TimeZone, Exported: hd.Exported, Services: hd.Services, Pauses: hd.Pauses}, nil
+}
+
+// load reads the plan in force for a day, its jobs only when it has changed since the last time.
+func (kp *Keeper) load(ctx context.Context, day string) (stored, error) {
+	kp.mu.Lock()
+	known := kp.known[day]
+	kp.mu.Unlock()
+	sd, err := load(ctx, kp.store, day, known)
+	if err != nil || sd.plan == nil {
+		return sd, err
+	}
+	kp.mu.Lock()
+	defer kp.mu.Unlock()
+	kp.known[day] = sd
+	if len(kp.known) > maxKnown {
+		// Days in this form are in the order of time.
+		delete(kp.known, slices.Min(slices.Collect(maps.Keys(kp.known))))
+	}
+	return sd, nil
 }
 
 // Plan returns the plan in force for a day and its revision in the store. It returns ErrNoPlan,
 // ErrDocument and the errors of the store.
 func (kp *Keeper) Plan(ctx context.Context, day string) (*Plan, int64, error) {
-	sd, err := load(ctx, kp.store, day)
+	sd, err := kp.load(ctx, day)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -115,7 +158,7 @@
 		return Result{}, fts
 	}
 	rs := Result{Day: pl.Day, Warnings: fts}
-	sd, err := load(ctx, kp.store, pl.Day)
+	sd, err := kp.load(ctx, pl.Day)
 	if err != nil {
 		return rs, err
 	}
@@ -159,7 +202,7 @@
 
 // afterConflict accepts the write of another planner if it was the same sheet.
 func (kp *Keeper) afterConflict(ctx context.Context, pl *Plan) (int64, error) {
-	sd, err := load(ctx, kp.store, pl.Day)
+	sd, err := kp.load(ctx, pl.Day)
 	if err != nil {
 		return 0, err
 	}
