Let operators state what became of tasks and workers

Cause: the scheduler accepts an operator's statement on a task in state Unknown and on a worker that is gone, and nothing could send one. Change: POST /v1/tasks/resolve and POST /v1/workers/gone with role Administer and a record in the trail, and currantctl tasks resolve and tasks worker-gone. The paths exist when the daemon sets server.Backends.Statements.

--- a/internal/operator/commander/batch.go
+++ b/internal/operator/commander/batch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"maps"
 	"net/http"
@@ -197,12 +196,9 @@
 func (*jobsCancel) Execute([]string) error { return nil }
 
 func (cm *jobsCancel) run(ctx context.Context, ss *session) error {
-	body, err := json.Marshal(server.Selector{Jobs: cm.Args.Jobs, Day: cm.Day, Team: cm.Team, Reason: cm.Reason})
-	if err != nil {
-		return err
-	}
+	sl := server.Selector{Jobs: cm.Args.Jobs, Day: cm.Day, Team: cm.Team, Reason: cm.Reason}
 	var cn server.Cancelled
-	if err := ss.do(ctx, http.MethodPost, "/v1/cancel", nil, body, &cn); err != nil {
+	if err := ss.send(ctx, "/v1/cancel", sl, &cn); err != nil {
 		return err
 	}
 	return ss.show(cn, []string{"Cancelled"}, [][]string{{strconv.Itoa(cn.Jobs)}})
@@ -213,6 +209,9 @@
 	State  string `long:"state" description:"only tasks in a state"`
 	Worker string `long:"worker" description:"only tasks on a worker"`
 	Limit  int    `long:"limit" default:"1000" description:"greatest number of tasks"`
+
+	Resolve    tasksResolve    `command:"resolve" description:"state what became of a task in state Unknown"`
+	WorkerGone tasksWorkerGone `command:"worker-gone" description:"state that a worker is gone for good, so that its tasks run again"`
 }
 
 // Execute makes this a command of the parser; dispatch calls run.
@@ -254,6 +253,48 @@
 	}
 }
 
+type tasksResolve struct {
+	Done     bool   `long:"done" description:"the task is done"`
+	RunAgain bool   `long:"run-again" description:"the task did not take effect and runs again"`
+	Reason   string `long:"reason" required:"yes" description:"reason, for the audit trail"`
+	Args     struct {
+		Job  string `positional-arg-name:"JOB" required:"yes" description:"identity of the job"`
+		Task int    `positional-arg-name:"TASK" required:"yes" description:"number of the task, from 0"`
+	} `positional-args:"yes"`
+}
+
+// Execute makes this a command of the parser; dispatch calls run.
+func (*tasksResolve) Execute([]string) error { return nil }
+
+func (cm *tasksResolve) run(ctx context.Context, ss *session) error {
+	if cm.Done == cm.RunAgain {
+		return failf(ExitUsage, "either --done or --run-again is needed")
+	}
+	rs := server.Resolution{Job: cm.Args.Job, Task: cm.Args.Task, RunAgain: cm.RunAgain, Reason: cm.Reason}
+	if err := ss.post(ctx, "/v1/tasks/resolve", &rs); err != nil {
+		return err
+	}
+	return ss.show(rs, []string{"Job", "Task", "RunAgain"}, [][]string{{rs.Job, strconv.Itoa(rs.Task), yesNo(rs.RunAgain)}})
+}
+
+type tasksWorkerGone struct {
+	Reason string `long:"reason" required:"yes" description:"reason, for the audit trail"`
+	Args   struct {
+		Worker string `positional-arg-name:"WORKER" required:"yes" description:"name of the worker"`
+	} `positional-args:"yes"`
+}
+
+// Execute makes this a command of the parser; dispatch calls run.
+func (*tasksWorkerGone) Execute([]string) error { return nil }
+
+func (cm *tasksWorkerGone) run(ctx context.Context, ss *session) error {
+	wg := server.WorkerGone{Worker: modeler.WorkerName(cm.Args.Worker), Reason: cm.Reason}
+	if err := ss.post(ctx, "/v1/workers/gone", &wg); err != nil {
+		return err
+	}
+	return ss.show(wg, []string{"Worker", "Gone"}, [][]string{{string(wg.Worker), "Yes"}})
+}
+
 type explainCommand struct {
 	Args struct {
 		Job  string `positional-arg-name:"JOB" required:"yes" description:"identity of the job"`
--- a/internal/operator/commander/client.go
+++ b/internal/operator/commander/client.go
@@ -65,6 +65,20 @@
 	return cl.do(ctx, http.MethodGet, path, query, nil, into)
 }
 
+// send sends a document as JSON.
+func (cl *client) send(ctx context.Context, path string, doc, into any) error {
+	body, err := json.Marshal(doc)
+	if err != nil {
+		return failf(ExitUsage, "%w", err)
+	}
+	return cl.do(ctx, http.MethodPost, path, nil, body, into)
+}
+
+// post sends a document that the host confirms by returning it.
+func (cl *client) post(ctx context.Context, path string, doc any) error {
+	return cl.send(ctx, path, doc, doc)
+}
+
 // rejectedError is an error answer of the host.
 type rejectedError struct {
 	server.Rejection
--- a/internal/operator/commander/commander.go
+++ b/internal/operator/commander/commander.go
@@ -42,7 +42,7 @@
 type commands struct {
 	Plan       planCommand       `command:"plan" description:"import, compare and show the plan of a day"`
 	Jobs       jobsCommand       `command:"jobs" subcommands-optional:"yes" description:"list or cancel jobs"`
-	Tasks      tasksCommand      `command:"tasks" description:"list tasks"`
+	Tasks      tasksCommand      `command:"tasks" subcommands-optional:"yes" description:"list or resolve tasks"`
 	Explain    explainCommand    `command:"explain" description:"say why a task is in its state"`
 	Hosts      hostsCommand      `command:"hosts" description:"list entry hosts"`
 	Runners    runnersCommand    `command:"runners" description:"list runners"`
--- a/internal/operator/commander/fleet.go
+++ b/internal/operator/commander/fleet.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"net/url"
 	"strconv"
 	"time"
@@ -66,12 +64,8 @@
 func (*drainCommand) Execute([]string) error { return nil }
 
 func (cm *drainCommand) run(ctx context.Context, ss *session) error {
-	body, err := json.Marshal(server.Drain{Kind: cm.Args.Kind, Name: cm.Args.Name, Undo: cm.Undo, Reason: cm.Reason})
-	if err != nil {
-		return err
-	}
-	var dr server.Drain
-	if err := ss.do(ctx, http.MethodPost, "/v1/drain", nil, body, &dr); err != nil {
+	dr := server.Drain{Kind: cm.Args.Kind, Name: cm.Args.Name, Undo: cm.Undo, Reason: cm.Reason}
+	if err := ss.post(ctx, "/v1/drain", &dr); err != nil {
 		return err
 	}
 	return ss.show(dr, []string{"Kind", "Name", "Leaving"}, [][]string{{dr.Kind, dr.Name, yesNo(!dr.Undo)}})
--- a/internal/operator/server/api.go
+++ b/internal/operator/server/api.go
@@ -28,7 +28,7 @@
 	ErrConfiguration = errors.New("configuration refused")
 )
 
-// Backends are what the interface shows and changes. All fields are set.
+// Backends are what the interface shows and changes. All fields but Statements are set.
 type Backends struct {
 	Plans          Plans
 	Batch          Batch
@@ -36,10 +36,39 @@
 	Hours          Hours
 	Audit          Audit
 	Configurations Configurations
+	// Statements may be nil. The interface then has no paths for them.
+	Statements Statements
 	// Ready returns why the host is not ready, or nil.
 	Ready func() error
 }
 
+// Statements accepts what only operators can know. A wrong statement can make a task run twice.
+type Statements interface {
+	// Resolve ends the wait of a task in state Unknown: it is done, or it runs again. It returns
+	// ErrNotFound when no such task is in that state.
+	Resolve(ctx context.Context, rs Resolution) error
+	// WorkerGone states that a worker is gone for good, so that its tasks need not wait for the end
+	// of their leases. It returns ErrNotFound.
+	WorkerGone(ctx context.Context, wg WorkerGone) error
+}
+
+// Resolution is the body of a statement on a task in state Unknown.
+type Resolution struct {
+	Job  string
+	Task int
+	// RunAgain runs the task again; otherwise it is done.
+	RunAgain bool
+	// Reason is recorded in the audit trail. It is not empty.
+	Reason string
+}
+
+// WorkerGone is the body of a statement on a worker.
+type WorkerGone struct {
+	Worker modeler.WorkerName
+	// Reason is recorded in the audit trail. It is not empty.
+	Reason string
+}
+
 // Plans imports sheets. It is an importer.Keeper.
 type Plans interface {
 	Import(ctx context.Context, sheet []byte, op importer.Options) (importer.Result, error)
--- a/internal/operator/server/handlers.go
+++ b/internal/operator/server/handlers.go
@@ -141,6 +141,44 @@
 	}, nil
 }
 
+func (sv *Server) resolve(rr *request) (action, error) {
+	var rs Resolution
+	if err := rr.decode(&rs); err != nil {
+		return action{}, err
+	}
+	if rs.Job == "" || rs.Task < 0 || rs.Reason == "" {
+		return action{}, fmt.Errorf("%w: Job, Task and Reason are needed", ErrRequest)
+	}
+	meaning := "done"
+	if rs.RunAgain {
+		meaning = "run again"
+	}
+	return action{
+		subject: fmt.Sprintf("Task %s %d, %s", rs.Job, rs.Task, meaning),
+		reason:  rs.Reason,
+		run: func(ctx context.Context) (effect, error) {
+			return effect{answer: rs}, sv.bk.Statements.Resolve(ctx, rs)
+		},
+	}, nil
+}
+
+func (sv *Server) workerGone(rr *request) (action, error) {
+	var wg WorkerGone
+	if err := rr.decode(&wg); err != nil {
+		return action{}, err
+	}
+	if wg.Worker == "" || wg.Reason == "" {
+		return action{}, fmt.Errorf("%w: Worker and Reason are needed", ErrRequest)
+	}
+	return action{
+		subject: "Worker " + string(wg.Worker),
+		reason:  wg.Reason,
+		run: func(ctx context.Context) (effect, error) {
+			return effect{answer: wg}, sv.bk.Statements.WorkerGone(ctx, wg)
+		},
+	}, nil
+}
+
 func (sv *Server) hours(rr *request) (any, error) {
 	day := rr.param("day")
 	if day == "" {
--- a/internal/operator/server/server.go
+++ b/internal/operator/server/server.go
@@ -108,6 +108,11 @@
 	rt.Get("/v1/hours/{day}", sv.query(sv.hours))
 	rt.Get("/v1/audit", sv.query(sv.audit))
 
+	if sv.bk.Statements != nil {
+		rt.Post("/v1/tasks/resolve", sv.command(authorizer.Administer, "ResolveTask", maxBodyBytes, sv.resolve))
+		rt.Post("/v1/workers/gone", sv.command(authorizer.Administer, "DeclareWorkerGone", maxBodyBytes, sv.workerGone))
+	}
+
 	rt.Get("/v1/config", sv.query(sv.configuration))
 	rt.Put("/v1/config", sv.command(authorizer.Administer, "PutConfiguration", storer.MaxValueBytes, sv.putConfiguration))
 	rt.Post("/v1/config/check", sv.query(sv.checkConfiguration))
--- a/internal/operator/server/server_test.go
+++ b/internal/operator/server/server_test.go
@@ -81,6 +81,14 @@
 	return fb.call(ctx, "Drain %s %s %v", dr.Kind, dr.Name, dr.Undo)
 }
 
+func (fb *fakeBackends) Resolve(ctx context.Context, rs server.Resolution) error {
+	return fb.call(ctx, "Resolve %s %d %v", rs.Job, rs.Task, rs.RunAgain)
+}
+
+func (fb *fakeBackends) WorkerGone(ctx context.Context, wg server.WorkerGone) error {
+	return fb.call(ctx, "WorkerGone %s", wg.Worker)
+}
+
 func (fb *fakeBackends) Page(ctx context.Context, day string) (*publisher.Page, error) {
 	return &publisher.Page{Day: day}, fb.call(ctx, "Page %s", day)
 }
@@ -169,7 +177,7 @@
 		done := make(chan struct{})
 		go func() { fx.audit.Run(ctx); close(done) }()
 		fx.Server = server.New(server.Backends{
-			Plans: fx, Batch: fx, Fleet: fx, Hours: fx, Audit: fx.audit, Configurations: fx, Ready: func() error { return fx.ready },
+			Plans: fx, Batch: fx, Fleet: fx, Hours: fx, Audit: fx.audit, Configurations: fx, Statements: fx, Ready: func() error { return fx.ready },
 		}, fx, logr.Discard(), meter.New(nil))
 		defer func() { stop(); <-done }()
 		run(t, fx)
@@ -231,6 +239,8 @@
 	{"POST", "/v1/plans?Expected=4", "sheet", authorizer.Plan, "Import 5 false 4", "ImportPlan Plan 2026-03-29 4-5"},
 	{"POST", "/v1/cancel", cancelBody, authorizer.Plan, "Cancel 2026-03-29/nightly", "CancelJobs 2026-03-29/nightly 0-0"},
 	{"POST", "/v1/drain", drainBody, authorizer.Administer, "Drain Host entry-1 false", "Drain Host entry-1 0-0"},
+	{"POST", "/v1/tasks/resolve", `{"Job":"a/b","Task":3,"RunAgain":true,"Reason":"x"}`, authorizer.Administer, "Resolve a/b 3 true", "ResolveTask Task a/b 3, run again 0-0"},
+	{"POST", "/v1/workers/gone", `{"Worker":"oven","Reason":"x"}`, authorizer.Administer, "WorkerGone oven", "DeclareWorkerGone Worker oven 0-0"},
 	{"PUT", "/v1/config?Expected=6", "text", authorizer.Administer, "Put text 6", "PutConfiguration Configuration 6-7"},
 }
 
@@ -346,6 +356,8 @@
 		"misspelled field":      {"Administer", "POST", "/v1/drain", `{"Kind":"Host","Nmae":"entry-1"}`, 400, "BadRequest", 1},
 		"kind of drain":         {"Administer", "POST", "/v1/drain", `{"Kind":"Rack","Name":"r","Reason":"x"}`, 400, "BadRequest", 1},
 		"no reason":             {"Administer", "POST", "/v1/drain", `{"Kind":"Host","Name":"entry-1"}`, 400, "BadRequest", 1},
+		"resolve nothing":       {"Administer", "POST", "/v1/tasks/resolve", `{"Task":3,"Reason":"x"}`, 400, "BadRequest", 1},
+		"no worker":             {"Administer", "POST", "/v1/workers/gone", `{"Reason":"x"}`, 400, "BadRequest", 1},
 		"cancel everything":     {"Plan", "POST", "/v1/cancel", `{"Reason":"x"}`, 400, "BadRequest", 1},
 		"cancel two ways":       {"Plan", "POST", "/v1/cancel", `{"Jobs":["a"],"Team":"b","Reason":"x"}`, 400, "BadRequest", 1},
 	} {
