Keep the tail of short calls low at the peak, and test admission and loans

Change: lent slots are not capacity; the limit of a standing queue stays for a second; short calls wait a quarter of their run time for a fast runner before they take a slow one. Hosts under any revision seen must acknowledge after skipped revisions.

--- a/internal/request/admitter/admitter.go
+++ b/internal/request/admitter/admitter.go
@@ -128,7 +128,7 @@
 	rt := sv.learner.route(cl.Route)
 	class := rt.class()
 	if sv.waiting.Load() == 0 {
-		if tk := sv.tryNow(rt, class, false); tk != nil {
+		if tk := sv.tryNow(rt, class, class == router.Short); tk != nil {
 			return tk, nil
 		}
 	}
--- a/internal/request/admitter/queue.go
+++ b/internal/request/admitter/queue.go
@@ -13,6 +13,7 @@
 	class    router.Class
 	route    *route
 	deadline time.Time
+	queued   time.Time
 	// cost is the expected run time in nanoseconds; it is positive.
 	cost int64
 	// decided is guarded by the service's mu. ticket and err are final once done is closed.
--- a/internal/request/admitter/service.go
+++ b/internal/request/admitter/service.go
@@ -14,9 +14,13 @@
 	// shortParts of every four slots stay free of long calls.
 	shortParts = 1
 	// standing is the time for which calls must wait without a pause before the wait is limited to
-	// targetRuns mean run times. A shorter queue is a burst that needs no refusals.
-	standing   = 100 * time.Millisecond
-	targetRuns = 0.5
+	// targetRuns mean run times. A shorter queue is a burst that needs no refusals. The limit stays
+	// for overloadMemory, since a queue near the capacity empties and fills again all the time.
+	standing       = 50 * time.Millisecond
+	overloadMemory = time.Second
+	targetRuns     = 0.5
+	// patienceParts is the part of a short run time that a short call waits for a fast runner.
+	patienceParts = 4
 	// minTarget keeps the limit of the wait above the noise of the scheduler.
 	minTarget = 5 * time.Millisecond
 	// fallbackRun is the assumed run time of a class without samples.
@@ -54,6 +58,8 @@
 	queues [2]queue
 	// since is when calls began to wait without a pause; zero when none wait.
 	since time.Time
+	// limitedUntil is the end of the limit on waits that a standing queue has caused.
+	limitedUntil time.Time
 
 	adaptMu sync.Mutex
 	// ratio is the moving ratio of run times to the means of their routes.
@@ -131,7 +137,7 @@
 		return nil, &Refusal{Cause: ErrOverloaded, RetryAfter: wait}
 	}
 	wt := &waiter{
-		caller: cl.Caller, class: class, route: rt, deadline: cl.Deadline,
+		caller: cl.Caller, class: class, route: rt, deadline: cl.Deadline, queued: now,
 		cost: max(1, rt.mean.Load()), done: make(chan struct{}),
 	}
 	if sv.since.IsZero() {
@@ -174,6 +180,9 @@
 func (sv *service) waitLimit(cl Call, rt *route, class router.Class, now time.Time) time.Duration {
 	limit := cl.Deadline.Sub(now) - time.Duration(rt.mean.Load())
 	if !sv.since.IsZero() && now.Sub(sv.since) > standing {
+		sv.limitedUntil = now.Add(overloadMemory)
+	}
+	if now.Before(sv.limitedUntil) {
 		limit = min(limit, max(minTarget, time.Duration(targetRuns*float64(sv.meanRun(class)))))
 	}
 	return max(0, limit)
@@ -203,9 +212,17 @@
 
 // wait blocks until the call is granted, refused, expired or given up.
 func (sv *service) wait(ctx context.Context, wt *waiter) (*Ticket, error) {
-	tm := time.NewTimer(time.Until(wt.deadline))
+	tm := time.NewTimer(min(sv.patience(), time.Until(wt.deadline)))
 	defer tm.Stop()
 	select {
+	case <-wt.done:
+		return wt.ticket, wt.err
+	case <-tm.C:
+		sv.dispatch()
+		tm.Reset(time.Until(wt.deadline))
+	case <-ctx.Done():
+	}
+	select {
 	case <-wt.done:
 		return wt.ticket, wt.err
 	case <-tm.C:
@@ -276,14 +293,19 @@
 	return router.Short, router.Long
 }
 
+// patience is the time for which a short call waits for a fast runner while only slow ones have
+// slots. In a busy service a fast slot becomes free much sooner.
+func (sv *service) patience() time.Duration { return sv.meanRun(router.Short) / patienceParts }
+
 // serve hands a slot to the next call of a class. Short calls pass over slow runners as long as
-// long calls can use those.
+// long calls can use those, and for a moment in any case.
 func (sv *service) serve(class router.Class) bool {
 	wt := sv.queues[class].peek()
 	if wt == nil {
 		return false
 	}
-	avoidSlow := class == router.Short && sv.queues[router.Long].size > 0 && sv.room(router.Long)
+	avoidSlow := class == router.Short &&
+		(sv.queues[router.Long].size > 0 && sv.room(router.Long) || time.Since(wt.queued) < sv.patience())
 	tk := sv.tryNow(wt.route, class, avoidSlow)
 	if tk == nil {
 		return false
--- a/internal/request/limiter/account.go
+++ b/internal/request/limiter/account.go
@@ -61,6 +61,8 @@
 	slots gauge
 	// connections counts open and abandoned connections, and connections lent to others.
 	connections gauge
+	// lentOut is the part of the slots in use that is lent to others.
+	lentOut atomic.Int64
 	// borrowed lists the loans of this runner that this host may use; replaced, never changed.
 	borrowed atomic.Pointer[[]*loan]
 	// callLimit is the service's limit in the newest revision, in nanoseconds.
@@ -92,13 +94,15 @@
 	return free
 }
 
-// Limit returns the number of slots that this host has in force, with its loans.
+// Limit returns the number of slots that this host may use itself: those in force and not lent, and
+// its loans.
 func (ac *Account) Limit() int {
 	limit, _ := ac.slots.load()
+	limit -= int(ac.lentOut.Load())
 	for _, ln := range *ac.borrowed.Load() {
-		limit += ln.slots
+		limit += ln.slots - int(ln.returned.Load())
 	}
-	return limit
+	return max(0, limit)
 }
 
 // Used returns the numbers of slots and connections of the own share that are in use.
--- a/internal/request/limiter/lender.go
+++ b/internal/request/limiter/lender.go
@@ -95,6 +95,7 @@
 	if conns == 0 {
 		return 0
 	}
+	ac.lentOut.Add(int64(conns))
 	lim.nextLoan++
 	id := lim.nextLoan
 	callTerm := time.Duration(ac.callLimit.Load())
@@ -146,6 +147,7 @@
 		return
 	}
 	lt.returned = total
+	lt.ac.lentOut.Add(-int64(back))
 	if lt.returned == lt.slots {
 		lt.expiry.Stop()
 		delete(lim.lent, id)
--- a/internal/request/limiter/limiter.go
+++ b/internal/request/limiter/limiter.go
@@ -91,6 +91,8 @@
 	acknowledged map[modeler.HostName]modeler.Revision
 	// confirmed is like acknowledged but holds only answers to inquiries of this boot.
 	confirmed map[modeler.HostName]modeler.Revision
+	// known lists the other hosts of the data centre under any revision seen.
+	known []modeler.HostName
 	// retired has the time at which this boot learned that a host is retired.
 	retired map[modeler.HostName]time.Time
 	// longest is the longest call limit of any revision seen; it never falls.
--- a/internal/request/limiter/model_test.go
+++ b/internal/request/limiter/model_test.go
@@ -32,6 +32,7 @@
 func TestMain(m *testing.M) {
 	_ = flag.Set("rapid.seed", "20261204")
 	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.checks", "60")
 	flag.Parse()
 	os.Exit(m.Run())
 }
--- a/internal/request/limiter/settler.go
+++ b/internal/request/limiter/settler.go
@@ -35,12 +35,13 @@
 	lim.newest = cfg
 	lim.noteLimits(cfg)
 	lim.noteRetired(cfg)
+	lim.noteHosts(cfg)
 	if before == nil && lim.op.History == nil {
-		lim.base = lim.unknownRevisions(cfg)
+		lim.base = lim.unknownRevisions()
 	}
 	acs := maps.Clone(*lim.accounts.Load())
 	if before != nil && cfg.Revision > before.Revision+1 {
-		lim.widen(acs, before, cfg)
+		lim.widen(acs)
 	}
 	seen := make(map[modeler.RunnerName]bool, len(cfg.Runners))
 	for _, rn := range cfg.Runners {
@@ -85,8 +86,8 @@
 
 // widen asks for acknowledgements of all hosts of the data centre after revisions were skipped. A
 // host that is no holder under any revision seen here may be one under a skipped revision.
-func (lim *Limiter) widen(acs map[modeler.RunnerName]*Account, before, cfg *modeler.Configuration) {
-	all := lim.neighbours(before, cfg)
+func (lim *Limiter) widen(acs map[modeler.RunnerName]*Account) {
+	all := slices.Clone(lim.known)
 	for _, ac := range acs {
 		for ix := range ac.pending {
 			ac.pending[ix].others = all
@@ -102,29 +103,25 @@
 		pds = append(pds, *lim.base)
 	}
 	if before != nil && cfg.Revision > before.Revision+1 {
-		pds = append(pds, pending{revision: before.Revision, share: Share{Host: lim.op.Host}, others: lim.neighbours(before, cfg)})
+		pds = append(pds, pending{revision: before.Revision, share: Share{Host: lim.op.Host}, others: slices.Clone(lim.known)})
 	}
 	return pds
 }
 
-// neighbours lists the other entry hosts of the data centre under any of the revisions, the
-// retired ones included.
-func (lim *Limiter) neighbours(cfgs ...*modeler.Configuration) []modeler.HostName {
-	var hs []modeler.HostName
-	for _, cfg := range cfgs {
-		for _, hst := range cfg.Hosts {
-			if hst.DataCentre == lim.op.DataCentre && hst.Name != lim.op.Host && !slices.Contains(hs, hst.Name) {
-				hs = append(hs, hst.Name)
-			}
+// noteHosts remembers the other entry hosts of the data centre under any revision seen. One that was
+// removed may still use its share under an older revision.
+func (lim *Limiter) noteHosts(cfg *modeler.Configuration) {
+	for _, hst := range cfg.Hosts {
+		if hst.DataCentre == lim.op.DataCentre && hst.Name != lim.op.Host && !slices.Contains(lim.known, hst.Name) {
+			lim.known = append(lim.known, hst.Name)
 		}
 	}
-	return hs
 }
 
 // unknownRevisions stands for all revisions before the first one that this process has seen. Any
 // other host of the data centre may still hold any share under them.
-func (lim *Limiter) unknownRevisions(cfg *modeler.Configuration) *pending {
-	return &pending{share: Share{Host: lim.op.Host}, others: lim.neighbours(cfg), confirm: true}
+func (lim *Limiter) unknownRevisions() *pending {
+	return &pending{share: Share{Host: lim.op.Host}, others: slices.Clone(lim.known), confirm: true}
 }
 
 func (lim *Limiter) others(shs []Share) []modeler.HostName {
