--- a/internal/batch/detector/detector.go
+++ b/internal/batch/detector/detector.go
@@ -91,6 +91,12 @@
 // ended a quarantine.
 func (dt *Detector) Succeeded(wk modeler.WorkerName, job uint64) bool {
 	delete(dt.jobs, job)
+	return dt.Survived(wk, job)
+}
+
+// Survived records that an attempt of the job has run for long without a failure. That speaks for
+// the worker; the job may still fail at its end. It reports whether that ended a quarantine.
+func (dt *Detector) Survived(wk modeler.WorkerName, job uint64) bool {
 	rc, ok := dt.workers[wk]
 	if !ok || (rc.quarantined && !(rc.probing && rc.probeJob == job)) {
 		// A task that began before the quarantine says nothing of new starts.
--- a/internal/batch/scheduler/finisher.go
+++ b/internal/batch/scheduler/finisher.go
@@ -20,7 +20,7 @@
 	sampleReports = 10
 	// firstFailureDelay and longestFailureDelay bound the pause of a job after a failure.
 	firstFailureDelay   = time.Second
-	longestFailureDelay = 5 * time.Minute
+	longestFailureDelay = time.Minute
 )
 
 // ending says how an attempt ended.
@@ -68,7 +68,7 @@
 		sc.reportedRunning(ws, &rp.Running[i], now)
 	}
 	sc.placer.Observed(ws.worker.Name)
-	sc.reportedEnded(ws, rp, listed)
+	sc.reportedEnded(ws, rp, listed, requested)
 	for at, rn := range ws.attempts {
 		if !listed[at] {
 			sc.missing(rn, requested)
@@ -83,12 +83,13 @@
 	rn, ok := ws.attempts[ar.Attempt]
 	if !ok || !rn.durable {
 		ws.orphans++
-		logger.Log(sc.lg, logger.AttemptNotExpected, "Worker", ws.worker.Name, "Job", ar.Attempt.Job, "Task", ar.Attempt.Task, "Attempt", ar.Attempt.Number)
-		sc.stop(ws, ar.Attempt)
+		sc.proveThen(func() { sc.stopOrphan(ws, ar.Attempt) })
 		return
 	}
 	rn.seen = true
-	rn.started = ar.Started
+	if rn.started.IsZero() {
+		rn.started = ar.Started
+	}
 	rn.checkpoint = ar.Checkpoint
 	rn.slowdown = ar.Slowdown
 	sc.measure(rn, ar.Usage)
@@ -111,19 +112,26 @@
 		return
 	}
 	rn.use = use
-	rn.peak.Millicores = max(rn.peak.Millicores, use.Millicores)
-	rn.peak.MemoryBytes = max(rn.peak.MemoryBytes, use.MemoryBytes)
+	rn.peak = greatest(rn.peak, use)
 	rn.reports = sc.placer.Observe(rn.worker, rn.attempt, use)
 	if rn.reports >= sampleReports && !rn.sampled {
 		rn.sampled = true
 		sc.estimator.ObserveUse(rn.kind, rn.peak)
 		// A long task that works would otherwise keep a probed worker in quarantine for hours.
-		sc.workerProved(rn)
+		sc.readmit(rn, sc.detector.Survived(rn.worker, rn.job.id))
+	}
+}
+
+func greatest(a, b supervisor.Resources) supervisor.Resources {
+	return supervisor.Resources{
+		Millicores:   max(a.Millicores, b.Millicores),
+		MemoryBytes:  max(a.MemoryBytes, b.MemoryBytes),
+		Accelerators: max(a.Accelerators, b.Accelerators),
 	}
 }
 
 // reportedEnded records the ends that are new and acknowledges those that are recorded.
-func (sc *Scheduler) reportedEnded(ws *workerState, rp supervisor.WorkerReport, listed map[supervisor.Attempt]bool) {
+func (sc *Scheduler) reportedEnded(ws *workerState, rp supervisor.WorkerReport, listed map[supervisor.Attempt]bool, requested time.Time) {
 	var known []supervisor.Attempt
 	for i := range rp.Ended {
 		ar := &rp.Ended[i]
@@ -133,20 +141,44 @@
 		case !ok:
 			known = append(known, ar.Attempt)
 		case rn.durable:
-			sc.endAttempt(rn, endingOf(ar, rp.Measured))
+			rn.peak = greatest(rn.peak, ar.Usage)
+			sc.endAttempt(rn, endingOf(ar, rn.started, requested))
 		}
 	}
 	if len(known) > 0 {
-		sc.forget(ws, known)
+		sc.proveThen(func() { sc.forget(ws, known) })
+	}
+}
+
+func (sc *Scheduler) stopOrphan(ws *workerState, at supervisor.Attempt) {
+	if _, ok := ws.attempts[at]; ok {
+		return
 	}
+	logger.Log(sc.lg, logger.AttemptNotExpected, "Worker", ws.worker.Name, "Job", at.Job, "Task", at.Task, "Attempt", at.Number)
+	sc.stop(ws, at)
 }
 
-func endingOf(ar *supervisor.AttemptReport, measured time.Time) ending {
+// proveThen acts on an attempt that this leader does not know once an append has succeeded. Until
+// then another host may lead that has started the attempt or has yet to record its end.
+func (sc *Scheduler) proveThen(act func()) {
+	if sc.writer.failing {
+		return
+	}
+	rm := &RecordMessage{Record: &RecordMessage_Beat{Beat: &BeatMessage{}}}
+	sc.decide(rm, func(time.Time) { act() }, func(error) {})
+}
+
+// endingOf reads a report of an attempt that ended. The run time is too long by at most the time
+// between two reports.
+func endingOf(ar *supervisor.AttemptReport, started, requested time.Time) ending {
 	en := ending{checkpoint: ar.Checkpoint, reason: ar.Reason, forget: true}
 	switch ar.State {
 	case supervisor.AttemptDone:
 		en.cause = EndCause_END_CAUSE_DONE
-		en.runTime = max(measured.Sub(ar.Started), 0)
+		if started.IsZero() {
+			started = ar.Started
+		}
+		en.runTime = max(requested.Sub(started), 0)
 	case supervisor.AttemptFailed:
 		en.cause = EndCause_END_CAUSE_FAILED
 	case supervisor.AttemptStopped:
@@ -238,7 +270,7 @@
 }
 
 func (sc *Scheduler) learnEnd(rn *running, en ending, now time.Time) {
-	if rn.reports > 0 && !rn.sampled {
+	if rn.peak != (supervisor.Resources{}) && !rn.sampled {
 		sc.estimator.ObserveUse(rn.kind, rn.peak)
 	}
 	switch en.cause {
@@ -249,7 +281,7 @@
 		if !rn.job.tasks[rn.no].resuming {
 			sc.estimator.ObserveRunTime(rn.kind, en.runTime)
 		}
-		sc.workerProved(rn)
+		sc.readmit(rn, sc.detector.Succeeded(rn.worker, rn.job.id))
 	case EndCause_END_CAUSE_FAILED:
 		sc.mt.Add(meter.TasksFailed, 1)
 		sc.learnFailure(rn, en.reason, now)
@@ -258,9 +290,9 @@
 	}
 }
 
-// workerProved counts an attempt in favour of its worker and its job.
-func (sc *Scheduler) workerProved(rn *running) {
-	if sc.detector.Succeeded(rn.worker, rn.job.id) {
+// readmit reports the end of a quarantine.
+func (sc *Scheduler) readmit(rn *running, readmitted bool) {
+	if readmitted {
 		logger.Log(sc.lg, logger.WorkerReadmitted, "Worker", rn.worker)
 		sc.mt.Add(meter.WorkersInQuarantine, -1)
 	}
@@ -268,9 +300,11 @@
 
 func (sc *Scheduler) learnFailure(rn *running, reason string, now time.Time) {
 	jb := rn.job
-	jb.delayedUntil = now.Add(min(firstFailureDelay<<min(jb.failures, 9), longestFailureDelay))
-	jb.failures++
 	vd := sc.detector.Failed(rn.worker, jb.id, reason, now)
+	jb.delayedUntil = now.Add(min(firstFailureDelay<<min(jb.failures, 9), longestFailureDelay))
+	if !sc.detector.Quarantined(rn.worker) {
+		jb.failures++
+	}
 	if vd.Quarantined {
 		logger.Log(sc.lg, logger.WorkerQuarantined, "Worker", rn.worker, "Reason", reason)
 		sc.mt.Add(meter.WorkersInQuarantine, 1)
--- a/internal/batch/scheduler/ledger.go
+++ b/internal/batch/scheduler/ledger.go
@@ -165,7 +165,7 @@
 	case EndCause_END_CAUSE_DONE:
 		return phaseDone
 	case EndCause_END_CAUSE_FAILED:
-		if !jb.Repeatable || jb.closed() {
+		if !jb.Repeatable || jb.cancelled {
 			return phaseFailed
 		}
 		return phaseWaiting
--- a/internal/batch/scheduler/queue.go
+++ b/internal/batch/scheduler/queue.go
@@ -115,13 +115,17 @@
 	return qu.levels[i]
 }
 
-// wake moves the delayed jobs whose time has come into their lines.
-func (qu *queue) wake(now time.Time) {
+// wake moves the delayed jobs whose time has come into their lines and reports whether there were
+// any.
+func (qu *queue) wake(now time.Time) bool {
+	woken := false
 	for len(qu.delayed) > 0 && !qu.delayed[0].from.After(now) {
 		jb := heap.Pop(&qu.delayed).(delayedJob).job
 		jb.queued = false
 		qu.push(jb, now)
+		woken = true
 	}
+	return woken
 }
 
 // head returns the line to serve next in a round, nil when all lines were skipped or are empty.
--- a/internal/batch/scheduler/scheduler.go
+++ b/internal/batch/scheduler/scheduler.go
@@ -73,16 +73,6 @@
 	Deposed() <-chan struct{}
 }
 
-// Renewal extends the leases of attempts on one worker.
-type Renewal struct {
-	Epoch    modeler.Epoch
-	Attempts []supervisor.Attempt
-	// RenewBefore is the time after which the worker must ignore the renewal.
-	RenewBefore time.Time
-	// LeaseTerm counts from the arrival of the renewal.
-	LeaseTerm time.Duration
-}
-
 // Workers sends commands to workers. Every command carries the epoch of the sender. The errors are
 // those of package supervisor; an error that is not ErrRefused or ErrNoAttempt means that the command
 // may have taken effect.
@@ -93,7 +83,8 @@
 	Checkpoint(ctx context.Context, wk supervisor.Worker, epoch modeler.Epoch, at supervisor.Attempt) error
 	// Throttle limits the attempt to a share of its processors; 1 lifts the limit.
 	Throttle(ctx context.Context, wk supervisor.Worker, epoch modeler.Epoch, at supervisor.Attempt, share float64) error
-	Renew(ctx context.Context, wk supervisor.Worker, rn Renewal) error
+	// Renew extends leases to the term from now and returns the attempts that the worker does not run.
+	Renew(ctx context.Context, wk supervisor.Worker, epoch modeler.Epoch, term time.Duration, ats []supervisor.Attempt) ([]supervisor.Attempt, error)
 	// Forget acknowledges ended attempts whose end is recorded.
 	Forget(ctx context.Context, wk supervisor.Worker, epoch modeler.Epoch, ats []supervisor.Attempt) error
 	Report(ctx context.Context, wk supervisor.Worker) (supervisor.WorkerReport, error)
@@ -192,8 +183,10 @@
 	order []*workerState
 	// unplaced holds active attempts on workers that no list has named yet.
 	unplaced map[modeler.WorkerName][]*running
-	writer   writer
-	began    time.Time
+	// due holds quarantined workers that are due for a probe.
+	due    map[modeler.WorkerName]*workerState
+	writer writer
+	began  time.Time
 	// predecessorEnd is the time from which no leader before this one renews leases. It is zero
 	// while that is not known.
 	predecessorEnd time.Time
@@ -223,6 +216,7 @@
 		detector:  detector.New(),
 		evictor:   evictor.New(rec.Began),
 		workers:   make(map[modeler.WorkerName]*workerState),
+		due:       make(map[modeler.WorkerName]*workerState),
 		unplaced:  make(map[modeler.WorkerName][]*running),
 		began:     rec.Began,
 		autonomy:  true,
@@ -315,7 +309,7 @@
 func (sc *Scheduler) tick(now time.Time) {
 	sc.checkPredecessor(now)
 	sc.checkAutonomy(now)
-	sc.queue.wake(now)
+	sc.dirty = sc.queue.wake(now) || sc.dirty
 	sc.evictor.Refill(sc.batch, now)
 	usable := int64(0)
 	for _, ws := range sc.order {
--- a/internal/batch/scheduler/starter.go
+++ b/internal/batch/scheduler/starter.go
@@ -55,6 +55,9 @@
 		ln.team.full = sc.round
 		return true
 	}
+	if len(sc.due) > 0 && sc.probe(jb, tk, now) {
+		return true
+	}
 	name, err := sc.placer.Place(tk)
 	if errors.Is(err, placer.ErrNeverFits) && len(sc.workers) > 0 {
 		sc.cannotRun(jb, []string{err.Error()})
@@ -168,33 +171,21 @@
 	sc.dirty = true
 }
 
-// probe sends one start to a quarantined worker. Only a repeatable task is risked.
-func (sc *Scheduler) probe(ws *workerState, now time.Time) {
-	if sc.writer.failing || !ws.reported || ws.silent || ws.orphans > 0 || ws.worker.Leaving {
-		return
-	}
-	for _, tr := range sc.queue.levels {
-		for _, ln := range tr.lines {
-			if ln.trim() && sc.probeWith(ws, ln.jobs[0], now) {
-				return
-			}
-		}
-	}
-}
-
-func (sc *Scheduler) probeWith(ws *workerState, jb *job, now time.Time) bool {
-	if !jb.Repeatable || jb.LatencyCritical || jb.delayedUntil.After(now) {
-		return false
-	}
-	tk := sc.request(jb)
-	if sc.queue.team(jb.Team).exceeds(tk.Reservation, sc.placer.Capacity()) || !sc.placer.CanPlaceOn(ws.worker.Name, tk) {
+// probe sends the task to a quarantined worker whose probe is due, if there is one with room. Only a
+// repeatable task is risked.
+func (sc *Scheduler) probe(jb *job, tk placer.Task, now time.Time) bool {
+	if !jb.Repeatable || jb.LatencyCritical {
 		return false
 	}
-	if !sc.startOn(jb, tk, ws.worker.Name, now) {
-		return false
+	for name, ws := range sc.due {
+		usable := ws.reported && !ws.silent && !ws.gone && ws.orphans == 0 && sc.detector.ProbeDue(name, now)
+		if usable && sc.placer.CanPlaceOn(name, tk) && sc.startOn(jb, tk, name, now) {
+			delete(sc.due, name)
+			sc.detector.Probing(name, jb.id)
+			return true
+		}
 	}
-	sc.detector.Probing(ws.worker.Name, jb.id)
-	return true
+	return false
 }
 
 // cannotRun marks a job that no worker can run. The job leaves the queue at once.
--- a/internal/batch/scheduler/worker.go
+++ b/internal/batch/scheduler/worker.go
@@ -94,8 +94,10 @@
 	peak             supervisor.Resources
 	slowdown         float64
 	sampled          bool
-	started          time.Time
-	throttled        bool
+	// started is the time at which the worker accepted the start, by this process' clock unless the
+	// attempt was recovered.
+	started   time.Time
+	throttled bool
 	// unthrottled is set once a throttle of an earlier leader was lifted.
 	unthrottled bool
 }
@@ -160,6 +162,7 @@
 		return
 	}
 	delete(sc.workers, name)
+	delete(sc.due, name)
 	sc.placer.Remove(name)
 	sc.detector.Remove(name)
 	sc.evictor.Remove(name)
@@ -198,8 +201,9 @@
 	if !ws.reported || ws.silent {
 		sc.expireWorker(ws, now)
 	}
-	if sc.detector.ProbeDue(ws.worker.Name, now) {
-		sc.probe(ws, now)
+	if _, known := sc.due[ws.worker.Name]; !known && sc.detector.ProbeDue(ws.worker.Name, now) {
+		sc.dirty = true
+		sc.due[ws.worker.Name] = ws
 	}
 }
 
@@ -254,22 +258,29 @@
 
 func (sc *Scheduler) renew(ws *workerState, now time.Time) {
 	ws.nextRenew = now.Add(sc.opts.RenewInterval)
-	rn := Renewal{Epoch: sc.opts.Epoch, LeaseTerm: sc.opts.LeaseTerm, RenewBefore: now.Add(commandTimeout)}
-	for _, at := range ws.attempts {
-		if at.seen && !at.ending && !at.job.cancelled {
-			at.granted = rn.RenewBefore
-			rn.Attempts = append(rn.Attempts, at.attempt)
+	// The command is not sent, and its connection is closed, after this time, so that no lease
+	// counts from a later one.
+	renewBefore := now.Add(commandTimeout)
+	var ats []supervisor.Attempt
+	for _, rn := range ws.attempts {
+		if rn.seen && !rn.ending && !rn.job.cancelled {
+			rn.granted = renewBefore
+			ats = append(ats, rn.attempt)
 		}
 	}
-	if len(rn.Attempts) == 0 {
+	if len(ats) == 0 {
 		return
 	}
 	sc.enqueue(ws, command{
 		send: func(ctx context.Context) error {
-			if !time.Now().Before(rn.RenewBefore) {
+			ctx, cancel := context.WithDeadline(ctx, renewBefore)
+			defer cancel()
+			if ctx.Err() != nil {
 				return errTooLate
 			}
-			return sc.opts.Workers.Renew(ctx, ws.worker, rn)
+			// A report, which tells more, will not list the attempts that the worker does not run.
+			_, err := sc.opts.Workers.Renew(ctx, ws.worker, sc.opts.Epoch, sc.opts.LeaseTerm, ats)
+			return err
 		},
 		done: func(err error, now time.Time) {
 			if err != nil {
