Drain without dropping requests, reach the platform over HTTP

A rolling restart in the test fleet showed callers an EOF: http.Server.Shutdown drops a request whose header arrives after the call on a connection that was accepted before.

Daemons outside the standalone mode use the HTTP clients of the store, the workers and the host list. Opening a connection inside the deployment is limited to 1 s, so that a call for a data centre that is cut off ends early.

--- a/internal/daemon/assembler/assembler_test.go
+++ b/internal/daemon/assembler/assembler_test.go
@@ -1,7 +1,10 @@
 package assembler_test
 
 import (
+	"errors"
 	"net/http"
+	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/platform/emulator"
 )
 
 // Guards against a fleet that serves only from the host that was called, or that gives a caller
@@ -53,3 +57,120 @@
 		fl.end()
 	})
 }
+
+// Guards against a data centre that stops serving when it is cut off, and against keys of other
+// data centres that run in two places during the partition or after it.
+func TestDataCentreCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 3, 2)
+		fl.start()
+		fl.cutOff("dc-0", true)
+		during := fl.load(12, 10*time.Second)
+		fl.checkAnswers(during)
+		for key, got := range during {
+			home := modeler.HomeDataCentre(key, fl.cfg.DataCentres)
+			reachable := (home == "dc-0") == (got.via == "dc-0")
+			answered := got.outcome == modeler.Answered
+			qt.Check(t, answered, qt.Equals, reachable, qt.Commentf("key %s of %s at %s: %+v", key, home, got.via, got))
+		}
+		local := fl.call(fl.members[0], http.MethodGet, "/tides", "", "")
+		qt.Check(t, local.outcome, qt.Equals, modeler.Answered, qt.Commentf("%+v", local))
+		fl.cutOff("dc-0", false)
+		time.Sleep(20 * time.Second)
+		after := fl.checkAnswers(fl.load(12, 2*time.Second))
+		qt.Check(t, after[modeler.Unknown], qt.Equals, 0, qt.Commentf("after healing: %v", after))
+		fl.end()
+	})
+}
+
+// Guards against calls that stop, or keys that run without a claim, while the store is away for an
+// hour, and against a fleet that does not recover.
+func TestStoreAwayForAnHour(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 2, 2)
+		fl.start()
+		fl.platform.Faults.Set(emulator.Switch{Part: emulator.PartStore, Fault: emulator.Unavailable})
+		for range 12 {
+			time.Sleep(5 * time.Minute)
+			got := fl.call(fl.members[0], http.MethodGet, "/tides", "", "")
+			qt.Check(t, got.outcome, qt.Equals, modeler.Answered, qt.Commentf("%+v", got))
+		}
+		keyed := fl.call(fl.members[0], http.MethodPost, "/plans", "away", "away")
+		qt.Check(t, keyed.outcome == modeler.Answered, qt.IsFalse, qt.Commentf("%+v", keyed))
+		qt.Check(t, fl.executions()["away"], qt.Equals, 0)
+		fl.platform.Faults.Clear()
+		time.Sleep(20 * time.Second)
+		after := fl.checkAnswers(fl.load(8, 2*time.Second))
+		qt.Check(t, after[modeler.Unknown], qt.Equals, 0, qt.Commentf("after the outage: %v", after))
+		fl.end()
+	})
+}
+
+// Guards against a revision that is not in force everywhere within 2 s, and against a host that
+// goes back to a lower one after a restart without the store.
+func TestConfigurationReachesAllHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 4, 1)
+		fl.start()
+		fl.put(1)
+		time.Sleep(2 * time.Second)
+		for _, mb := range fl.members {
+			qt.Check(t, fl.revision(mb), qt.Equals, modeler.Revision(2), qt.Commentf("%s", mb.host.Name))
+		}
+		fl.kill(fl.members[3])
+		time.Sleep(time.Second)
+		fl.platform.Faults.Set(emulator.Switch{Part: emulator.PartStore, Fault: emulator.Unavailable})
+		fl.members = append(fl.members, fl.run(3))
+		time.Sleep(10 * time.Second)
+		qt.Check(t, fl.revision(fl.members[len(fl.members)-1]), qt.Equals, modeler.Revision(2))
+		fl.platform.Faults.Clear()
+		time.Sleep(10 * time.Second)
+		fl.end()
+	})
+}
+
+// Guards against tasks that are lost, run twice or run in two places when their leader dies.
+func TestLeaderDiesWithBatchWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 2, 1)
+		fl.start()
+		fl.importPlan(20)
+		time.Sleep(4 * time.Second)
+		for _, mb := range []*member{fl.members[0], fl.members[2]} {
+			fl.kill(mb)
+		}
+		time.Sleep(2 * time.Minute)
+		for _, jb := range fl.jobs(fl.members[1]) {
+			qt.Check(t, jb.State, qt.Equals, "Done", qt.Commentf("%+v", jb))
+		}
+		fl.checkTasks(40)
+		fl.end()
+	})
+}
+
+// Guards against a rolling restart that cuts off calls or leaves a host without its share.
+func TestRollingRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 2, 2)
+		fl.start()
+		var roll sync.WaitGroup
+		roll.Go(func() {
+			for idx := range fl.cfg.Hosts {
+				old := fl.member(idx)
+				old.stop()
+				qt.Check(t, <-old.done, qt.IsNil, qt.Commentf("%s", old.host.Name))
+				old.done <- nil
+				fl.replace(idx, fl.run(idx))
+				time.Sleep(8 * time.Second)
+			}
+		})
+		answers := fl.load(8, 60*time.Second)
+		roll.Wait()
+		counts := fl.checkAnswers(answers)
+		qt.Check(t, counts[modeler.Answered] > 5000, qt.IsTrue, qt.Commentf("%v", counts))
+		for _, got := range answers {
+			qt.Check(t, got.err == nil || errors.Is(got.err, syscall.ECONNREFUSED), qt.IsTrue, qt.Commentf("call cut off: %+v: %v", got, got.err))
+		}
+		fl.end()
+	})
+}
--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -194,8 +194,8 @@
 		Peers:         dm.forwarderPeers,
 		Leader:        dm.forwarderLeader,
 		Claimer:       dm.leader,
-		DialRunner:    dm.network.Dial,
-		DialPeer:      dm.network.Dial,
+		DialRunner:    dm.dial,
+		DialPeer:      dm.dial,
 		Count:         dm.counter.Record,
 		Log:           dm.log,
 		Meter:         dm.meter,
@@ -221,7 +221,7 @@
 	if err := dm.start(ctx, background); err != nil {
 		return err
 	}
-	svs, err := dm.listen()
+	fes, err := dm.listen()
 	if err != nil {
 		return err
 	}
@@ -237,7 +237,7 @@
 		dm.limiter.Close()
 		replaced = registrar.ErrReplaced
 	}
-	return errors.Join(replaced, dm.drain(svs))
+	return errors.Join(replaced, dm.drain(fes))
 }
 
 // start finds out what the predecessor left, registers, and puts the first configuration in force.
--- a/internal/daemon/assembler/fleet_test.go
+++ b/internal/daemon/assembler/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -16,11 +17,12 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 
-	"github.com/currantrouter/currantrouter/internal/batch/scheduler"
 	"github.com/currantrouter/currantrouter/internal/config/checker"
 	"github.com/currantrouter/currantrouter/internal/config/loader"
 	"github.com/currantrouter/currantrouter/internal/daemon/assembler"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/operator/server"
+	"github.com/currantrouter/currantrouter/internal/plan/importer"
 	"github.com/currantrouter/currantrouter/internal/platform/emulator"
 	"github.com/currantrouter/currantrouter/internal/platform/storer"
 	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
@@ -32,6 +34,7 @@
 // platform that they share.
 type fleet struct {
 	t        *testing.T
+	mu       sync.Mutex
 	net      *memNetwork
 	platform *emulator.Platform
 	cfg      *modeler.Configuration
@@ -42,12 +45,12 @@
 
 // member is one process of an entry host.
 type member struct {
-	host    modeler.Host
-	callers netip.AddrPort
-	zone    *zone
-	store   *gatedStore
-	stop    context.CancelFunc
-	done    chan error
+	host               modeler.Host
+	callers, operators netip.AddrPort
+	zone               *zone
+	store              *gatedStore
+	stop               context.CancelFunc
+	done               chan error
 	// killed is set before the process is ended without a drain.
 	killed bool
 }
@@ -132,15 +135,16 @@
 	hst := fl.cfg.Hosts[idx]
 	dc := idx / 2
 	mb := &member{
-		host:    hst,
-		callers: address(0, dc, idx%2),
-		zone:    newZone(fl.net, string(hst.DataCentre)),
-		store:   &gatedStore{Store: fl.platform.Store},
-		done:    make(chan error, 1),
+		host:      hst,
+		callers:   address(0, dc, idx%2),
+		operators: address(2, dc, idx%2),
+		zone:      newZone(fl.net, string(hst.DataCentre)),
+		store:     &gatedStore{Store: fl.platform.Store},
+		done:      make(chan error, 1),
 	}
 	st := &loader.Settings{
 		Host:   loader.HostSettings{Name: hst.Name, DataCentre: hst.DataCentre},
-		Listen: loader.ListenSettings{Callers: mb.callers, Operators: address(2, dc, idx%2), Peers: hst.Peer},
+		Listen: loader.ListenSettings{Callers: mb.callers, Operators: mb.operators, Peers: hst.Peer},
 		TLS:    loader.TLSSettings{Insecure: true},
 		Limits: loader.LimitSettings{
 			DrainLimit: 30 * time.Second, StoreTimeout: time.Second, PeerTimeout: 800 * time.Millisecond,
@@ -162,6 +166,19 @@
 	return mb
 }
 
+// member returns the present process of the host with the index.
+func (fl *fleet) member(idx int) *member {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.members[idx]
+}
+
+func (fl *fleet) replace(idx int, mb *member) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.members[idx] = mb
+}
+
 // kill ends a process without a drain: its connections break and nothing of it has an effect
 // any more.
 func (fl *fleet) kill(mb *member) {
@@ -197,11 +214,64 @@
 		qt.Check(fl.t, orc.GreatestCalls <= runnerSlots, qt.IsTrue, qt.Commentf("%s: %d calls at once", name, orc.GreatestCalls))
 		qt.Check(fl.t, orc.GreatestConnections <= 64, qt.IsTrue, qt.Commentf("%s: %d connections", name, orc.GreatestConnections))
 	}
+	qt.Check(fl.t, fl.platform.Workers.Oracle().Violations, qt.HasLen, 0)
 	for key, num := range fl.executions() {
 		qt.Check(fl.t, num, qt.Equals, 1, qt.Commentf("executions of key %s", key))
 	}
 }
 
+// cutOff cuts a data centre off from all others, or heals the links.
+func (fl *fleet) cutOff(name modeler.DataCentreName, cut bool) {
+	for _, dc := range fl.cfg.DataCentres {
+		if dc != name {
+			fl.net.set(string(name), string(dc), cut)
+		}
+	}
+}
+
+// operators reads a JSON document from the operators' interface of a host.
+func (fl *fleet) operators(mb *member, method, path, body string, into any) {
+	fl.t.Helper()
+	rq, err := http.NewRequest(method, "http://"+mb.operators.String()+path, strings.NewReader(body))
+	qt.Assert(fl.t, err, qt.IsNil)
+	rs, err := fl.client(mb).Do(rq)
+	qt.Assert(fl.t, err, qt.IsNil)
+	defer rs.Body.Close()
+	text, err := io.ReadAll(rs.Body)
+	qt.Assert(fl.t, err, qt.IsNil)
+	qt.Assert(fl.t, rs.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+	qt.Assert(fl.t, json.Unmarshal(text, into), qt.IsNil)
+}
+
+func (fl *fleet) revision(mb *member) modeler.Revision {
+	fl.t.Helper()
+	var doc server.Document
+	fl.operators(mb, http.MethodGet, "/v1/config", "", &doc)
+	return doc.Revision
+}
+
+// importPlan imports a sheet with one job of so many tasks for each data centre.
+func (fl *fleet) importPlan(tasks int) {
+	fl.t.Helper()
+	today := time.Now().UTC().Format(time.DateOnly)
+	sheet := strings.Join(importer.Columns, ",") + "\n"
+	for _, dc := range fl.cfg.DataCentres {
+		sheet += fmt.Sprintf("%s,UTC,Job,job-%s,team,50,No,%d,1,1,0,1h,,,%s,No,No,%s 00:00:00\n", today, dc, tasks, dc, today)
+	}
+	var rs importer.Result
+	fl.operators(fl.members[0], http.MethodPost, "/v1/plans", sheet, &rs)
+	qt.Assert(fl.t, rs.Applied, qt.IsTrue)
+}
+
+func (fl *fleet) jobs(mb *member) []server.Job {
+	fl.t.Helper()
+	var list server.Jobs
+	fl.operators(mb, http.MethodGet, "/v1/jobs", "", &list)
+	qt.Check(fl.t, list.Unreachable, qt.HasLen, 0)
+	qt.Check(fl.t, list.Jobs, qt.HasLen, len(fl.cfg.DataCentres))
+	return list.Jobs
+}
+
 // executions counts the executions of each key over all runners.
 func (fl *fleet) executions() map[string]int {
 	all := map[string]int{}
@@ -213,34 +283,50 @@
 	return all
 }
 
+// checkTasks checks that the workers have run each task exactly once.
+func (fl *fleet) checkTasks(total int) {
+	fl.t.Helper()
+	orc := fl.platform.Workers.Oracle()
+	qt.Check(fl.t, orc.Executions, qt.HasLen, total)
+	for task, num := range orc.Executions {
+		qt.Check(fl.t, num, qt.Equals, 1, qt.Commentf("executions of %v", task))
+	}
+}
+
 // answer is what a caller got.
 type answer struct {
+	// via is the data centre of the host that was called.
+	via     modeler.DataCentreName
 	status  int
 	outcome modeler.Outcome
 	body    string
 	err     error
 }
 
-// call sends one call to an entry host, from the host's own zone as the balancer does.
-func (fl *fleet) call(mb *member, method, path, key, body string) answer {
-	client := &http.Client{Transport: &http.Transport{
+// client reaches a host from the host's own data centre, as the balancer does.
+func (fl *fleet) client(mb *member) *http.Client {
+	return &http.Client{Transport: &http.Transport{
 		DisableKeepAlives: true,
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
 			return newZone(fl.net, mb.zone.name).Dial(ctx, netip.MustParseAddrPort(addr))
 		},
 	}}
+}
+
+// call sends one call to an entry host.
+func (fl *fleet) call(mb *member, method, path, key, body string) answer {
 	rq, err := http.NewRequest(method, "http://"+mb.callers.String()+"/tidebook"+path, strings.NewReader(body))
 	qt.Assert(fl.t, err, qt.IsNil)
 	if key != "" {
 		rq.Header.Set(modeler.HeaderIdempotencyKey, key)
 	}
-	rs, err := client.Do(rq)
+	rs, err := fl.client(mb).Do(rq)
 	if err != nil {
-		return answer{err: err, outcome: modeler.Unknown}
+		return answer{via: mb.host.DataCentre, err: err, outcome: modeler.Unknown}
 	}
 	defer rs.Body.Close()
 	text, err := io.ReadAll(rs.Body)
-	return answer{rs.StatusCode, modeler.Outcome(rs.Header.Get(modeler.HeaderOutcome)), string(text), err}
+	return answer{mb.host.DataCentre, rs.StatusCode, modeler.Outcome(rs.Header.Get(modeler.HeaderOutcome)), string(text), err}
 }
 
 // load sends calls with keys of their own to all living hosts until the time is over, and returns
@@ -253,7 +339,7 @@
 	for num := range callers {
 		wg.Go(func() {
 			for seq := 0; time.Now().Before(until); seq++ {
-				mb := fl.members[(num+seq)%len(fl.members)]
+				mb := fl.member((num + seq) % len(fl.cfg.Hosts))
 				if mb.killed {
 					time.Sleep(10 * time.Millisecond)
 					continue
@@ -362,8 +448,3 @@
 	}
 	return fw.Workers.Start(ctx, wk, cmd)
 }
-
-func (fw fleetWorkers) Renew(ctx context.Context, wk supervisor.Worker, rn scheduler.Renewal) error {
-	_, err := fw.Workers.Renew(ctx, wk, rn.Epoch, rn.LeaseTerm, rn.Attempts)
-	return err
-}
--- a/internal/daemon/assembler/listener.go
+++ b/internal/daemon/assembler/listener.go
@@ -30,36 +30,49 @@
 // ErrDrainCut means that calls in flight were cut off when DrainLimit had passed.
 var ErrDrainCut = errors.New("calls in flight were cut off by DrainLimit")
 
-// servers are the three interfaces of a daemon.
-type servers struct {
-	callers, peers, operators *http.Server
-}
-
-// listen opens the three interfaces. Either all of them serve or none.
-func (dm *Daemon) listen() (servers, error) {
+// listen opens the interfaces for callers, peers and operators in this order. Either all of them
+// serve or none.
+func (dm *Daemon) listen() ([]*frontend, error) {
 	st := dm.settings
+	tc := dm.auth.ServerConfig()
 	operators := server.New(dm.backends(), dm.auth, dm.log, dm.meter).HTTPServer(st.Listen.Operators)
-	svs := servers{
-		callers:   dm.httpServer(dm.callersHandler()),
-		peers:     dm.httpServer(dm.peersHandler()),
-		operators: operators,
+	interfaces := []struct {
+		address netip.AddrPort
+		server  *http.Server
+		wrap    func(net.Listener) net.Listener
+	}{
+		{st.Listen.Callers, dm.httpServer(dm.closeWhileLeaving(dm.callersHandler())), func(ln net.Listener) net.Listener { return ln }},
+		{st.Listen.Peers, dm.httpServer(dm.peersHandler()), func(ln net.Listener) net.Listener {
+			return secure(tracker.CountListener(ln, dm.meter), tc)
+		}},
+		{st.Listen.Operators, operators, func(ln net.Listener) net.Listener { return secure(ln, tc) }},
 	}
-	var opened []net.Listener
-	for _, addr := range []netip.AddrPort{st.Listen.Callers, st.Listen.Peers, st.Listen.Operators} {
-		ln, err := dm.network.Listen(addr)
+	var fes []*frontend
+	for _, itf := range interfaces {
+		ln, err := dm.network.Listen(itf.address)
 		if err != nil {
-			for _, op := range opened {
-				_ = op.Close()
+			for _, fe := range fes {
+				_ = fe.listener.Close()
 			}
-			return servers{}, fmt.Errorf("listen: %w", err)
+			return nil, fmt.Errorf("listen: %w", err)
 		}
-		opened = append(opened, ln)
+		fes = append(fes, newFrontend(itf.server, itf.wrap(ln)))
 	}
-	tc := dm.auth.ServerConfig()
-	dm.serve(svs.callers, opened[0])
-	dm.serve(svs.peers, secure(tracker.CountListener(opened[1], dm.meter), tc))
-	dm.serve(svs.operators, secure(opened[2], tc))
-	return svs, nil
+	for _, fe := range fes {
+		dm.serve(fe)
+	}
+	return fes, nil
+}
+
+// closeWhileLeaving asks callers to close their connections once this host leaves, so that none is
+// idle when the intake ends.
+func (dm *Daemon) closeWhileLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+		if !dm.ready.Load() {
+			wr.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(wr, rq)
+	})
 }
 
 func secure(ln net.Listener, tc *tls.Config) net.Listener {
@@ -78,12 +91,12 @@
 	}
 }
 
-func (dm *Daemon) serve(sv *http.Server, ln net.Listener) {
+func (dm *Daemon) serve(fe *frontend) {
 	dm.tasks.Add(1)
 	go func() {
 		defer dm.tasks.Done()
-		if err := sv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			logger.Log(dm.log, logger.ListenerFailed, "Address", ln.Addr().String(), "Cause", err.Error())
+		if err := fe.serve(); err != nil {
+			logger.Log(dm.log, logger.ListenerFailed, "Address", fe.listener.Addr().String(), "Cause", err.Error())
 		}
 	}()
 }
@@ -150,7 +163,7 @@
 }
 
 // drain ends the daemon without cutting off calls, as long as they keep their limits.
-func (dm *Daemon) drain(svs servers) error {
+func (dm *Daemon) drain(fes []*frontend) error {
 	ctx, cancel := context.WithTimeout(context.Background(), dm.settings.Limits.DrainLimit)
 	defer cancel()
 	logger.Log(dm.log, logger.DaemonDrain)
@@ -160,7 +173,7 @@
 	sleep(ctx, dm.leavingNotice())
 	dm.forwarder.StopIntake()
 	cut := dm.forwarder.Drain(ctx)
-	err := dm.closeServers(ctx, svs)
+	err := closeAll(ctx, fes)
 	dm.waitOutstanding(ctx)
 	return errors.Join(err, dm.recordEnd(cut))
 }
@@ -173,12 +186,10 @@
 	return leavingNotice
 }
 
-func (dm *Daemon) closeServers(ctx context.Context, svs servers) error {
+func closeAll(ctx context.Context, fes []*frontend) error {
 	var err error
-	for _, sv := range []*http.Server{svs.callers, svs.peers, svs.operators} {
-		if shut := sv.Shutdown(ctx); shut != nil {
-			err = errors.Join(err, shut, sv.Close())
-		}
+	for _, fe := range fes {
+		err = errors.Join(err, fe.close(ctx))
 	}
 	return err
 }
--- a/internal/daemon/assembler/main.go
+++ b/internal/daemon/assembler/main.go
@@ -18,6 +18,7 @@
 	"github.com/currantrouter/currantrouter/internal/daemon/logger"
 	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/platform/requester"
 )
 
 // Exit codes of currantd.
@@ -100,7 +101,9 @@
 		pf = sa.asPlatform()
 		announce(stdout, st)
 	} else {
-		return errNoPlatform
+		rr := requester.New()
+		defer rr.Close()
+		pf = remotePlatform(rr, st)
 	}
 	dm, err := New(st, pf, nil, lg)
 	if err != nil {
--- a/internal/daemon/assembler/network.go
+++ b/internal/daemon/assembler/network.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/currantrouter/currantrouter/internal/request/prober"
 )
@@ -14,6 +15,10 @@
 	Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 }
 
+// dialLimit bounds the time to open a connection inside a deployment. One-way latency is a few
+// milliseconds, so a longer wait means that the other side cannot be reached.
+const dialLimit = time.Second
+
 // tcpNetwork is TCP with the keep-alive settings that find silent connections.
 type tcpNetwork struct{}
 
@@ -27,11 +32,18 @@
 	return prober.Dial(ctx, addr)
 }
 
+// dial opens a connection to a runner or peer.
+func (dm *Daemon) dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialLimit)
+	defer cancel()
+	return dm.network.Dial(ctx, addr)
+}
+
 // dialText dials an address in the form that http.Transport uses.
 func (dm *Daemon) dialText(ctx context.Context, _, addr string) (net.Conn, error) {
 	ap, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		return nil, err
 	}
-	return dm.network.Dial(ctx, ap)
+	return dm.dial(ctx, ap)
 }
--- a/internal/daemon/assembler/platform.go
+++ b/internal/daemon/assembler/platform.go
@@ -4,8 +4,10 @@
 	"context"
 
 	"github.com/currantrouter/currantrouter/internal/batch/scheduler"
+	"github.com/currantrouter/currantrouter/internal/config/loader"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/platform/lister"
+	"github.com/currantrouter/currantrouter/internal/platform/requester"
 	"github.com/currantrouter/currantrouter/internal/platform/storer"
 	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
 )
@@ -32,6 +34,15 @@
 	Hosts   HostList
 }
 
+// remotePlatform returns clients of the platform's services at the addresses of the settings.
+func remotePlatform(rr *requester.Requester, st *loader.Settings) Platform {
+	return Platform{
+		Store:   storer.NewClient(rr, st.Platform.Store),
+		Workers: supervisor.NewClient(rr),
+		Hosts:   lister.NewClient(rr, st.Platform.HostList),
+	}
+}
+
 // workersIn returns the workers of one data centre.
 func workersIn(dc modeler.DataCentreName, all []supervisor.Worker) []supervisor.Worker {
 	var wks []supervisor.Worker
--- a/internal/daemon/assembler/standalone.go
+++ b/internal/daemon/assembler/standalone.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,7 +11,6 @@
 	"time"
 
 	"github.com/currantrouter/currantrouter/examples"
-	"github.com/currantrouter/currantrouter/internal/batch/scheduler"
 	"github.com/currantrouter/currantrouter/internal/config/checker"
 	"github.com/currantrouter/currantrouter/internal/config/loader"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
@@ -117,17 +115,8 @@
 	return wks
 }
 
-// emulatedWorkers adapts the emulator to the scheduler's interface.
-type emulatedWorkers struct{ *emulator.Workers }
-
-// Renew implements scheduler.Workers.
-func (ew emulatedWorkers) Renew(ctx context.Context, wk supervisor.Worker, rn scheduler.Renewal) error {
-	_, err := ew.Workers.Renew(ctx, wk, rn.Epoch, rn.LeaseTerm, rn.Attempts)
-	return err
-}
-
 func (sa *standalone) asPlatform() Platform {
-	return Platform{Store: sa.platform.Store, Workers: emulatedWorkers{sa.platform.Workers}, Hosts: sa.platform.Hosts}
+	return Platform{Store: sa.platform.Store, Workers: sa.platform.Workers, Hosts: sa.platform.Hosts}
 }
 
 // announce tells a new user what to try.
@@ -140,8 +129,8 @@
 
 The plan of today is a copy of examples/day.csv. Try:
   curl -i -d 'reel 12' 'http://%[1]s/bakedesk/checks?RunTime=50ms'
-  go run ./cmd/currantctl --server http://%[2]s tasks
-  go run ./cmd/currantctl --server http://%[2]s hours
+  go run ./cmd/currantctl --insecure --address %[2]s tasks
+  go run ./cmd/currantctl --insecure --address %[2]s hours
 `, st.Listen.Callers, st.Listen.Operators, statusPath)
 }
 
@@ -152,5 +141,3 @@
 	_, err := dm.plans.Import(ctx, sheet, importer.Options{Expected: importer.AnyRevision})
 	return err
 }
-
-var errNoPlatform = errors.New("a daemon that is not standalone needs the platform's services")
--- a/internal/fleet/modeler/modeler.go
+++ b/internal/fleet/modeler/modeler.go
@@ -103,7 +103,7 @@
 	HoldersPerRunner: 4,
 	WritesPerSecond:  100,
 	ShortReserve:     0.15,
-	LeaseTerm:        time.Minute,
+	LeaseTerm:        5 * time.Minute,
 }
 
 // Configuration is one accepted revision of the shared configuration. It is immutable.
