Give a warming runner a growing share of calls

TestEjection failed in about half of its runs. Its assertion compared a runner in its warm-up with failing ones, which are worse. With healthy neighbours the test showed the cause behind it: a cost 5 times higher loses every comparison of two, so a readmitted runner got 0 of 10,000 calls until its warm-up ended.

--- a/internal/request/router/router_test.go
+++ b/internal/request/router/router_test.go
@@ -104,10 +104,17 @@
 		spread(rt, false)
 		time.Sleep(time.Millisecond)
 		rt.Observe(out[0], Short, time.Millisecond, false)
+		// The others must be healthy, since a runner that warms up is still better than a failing one.
+		for _, tg := range rt.Targets("tidebook")[:5] {
+			for range 500 {
+				rt.Observe(tg, Short, time.Millisecond, false)
+			}
+		}
 		rt.Compare()
 		cold := spread(rt, false)[out[0].Name]
 		time.Sleep(warmUp)
-		qt.Check(t, cold > 0 && cold < spread(rt, false)[out[0].Name], qt.IsTrue)
+		warm := spread(rt, false)[out[0].Name]
+		qt.Check(t, cold > 0 && cold < warm, qt.IsTrue, qt.Commentf("cold %d warm %d", cold, warm))
 	})
 }
 
--- a/internal/request/router/target.go
+++ b/internal/request/router/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -30,10 +31,13 @@
 	ejectionMemory = 2 * time.Minute
 	// probeTimeout lets another call probe when the first one has no result.
 	probeTimeout = 30 * time.Second
-	// warmUp is the time in which a new or readmitted runner gets a growing part of the calls;
-	// warmUpCost is how much costlier it seems at first.
+	// warmUp is the time in which a new or readmitted runner gets a growing part of the calls, from
+	// firstShare of a full one on. In the other choices it seems warmUpCost times costlier, so that
+	// it still takes calls when the others are nearly full. The cost alone would keep all calls
+	// away from it while the others are idle.
 	warmUp     = 10 * time.Second
-	warmUpCost = 4
+	warmUpCost = 5
+	firstShare = 0.1
 	// slowFactor against the median latency marks a runner as slow; it loses the mark below
 	// fastFactor.
 	slowFactor = 2.5
@@ -115,7 +119,10 @@
 		tg.warmFrom.CompareAndSwap(from, 0)
 		return 1
 	}
-	return 1 + warmUpCost*(1-age)
+	if rand.Float64() < firstShare+(1-firstShare)*age {
+		return 1
+	}
+	return warmUpCost
 }
 
 func (tg *Target) failureRate() float64 { return math.Float64frombits(tg.failures.Load()) }
