--- a/internal/daemon/assembler/main.go
+++ b/internal/daemon/assembler/main.go
@@ -110,9 +110,7 @@
 		return err
 	}
 	if st.Standalone {
-		if err := importExample(ctx, dm); err != nil {
-			return err
-		}
+		go importExample(ctx, dm)
 	}
 	return dm.Run(ctx)
 }
--- a/internal/daemon/assembler/planner.go
+++ b/internal/daemon/assembler/planner.go
@@ -7,7 +7,6 @@
 
 	"github.com/currantrouter/currantrouter/internal/batch/scheduler"
 	"github.com/currantrouter/currantrouter/internal/daemon/logger"
-	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/plan/importer"
 )
 
@@ -103,18 +102,10 @@
 	}
 }
 
-// jobsOf returns the jobs of a plan that belong to this host's data centre.
+// jobsOf returns the jobs of a plan that were given to this host's data centre.
 func (ld *leader) jobsOf(pl *importer.Plan) []scheduler.Job {
-	cfg := ld.dm.configs.Current()
 	var jobs []scheduler.Job
-	for _, pj := range pl.Jobs {
-		dc := pj.DataCentre
-		if dc == "" {
-			dc = modeler.HomeDataCentre(pl.JobID(pj.Name), cfg.DataCentres)
-		}
-		if dc != ld.dm.settings.Host.DataCentre {
-			continue
-		}
+	for _, pj := range pl.JobsOf(ld.dm.settings.Host.DataCentre) {
 		jobs = append(jobs, scheduler.Job{
 			Name:       pl.JobID(pj.Name),
 			Team:       pj.Team,
--- a/internal/daemon/assembler/standalone.go
+++ b/internal/daemon/assembler/standalone.go
@@ -134,10 +134,16 @@
 `, st.Listen.Callers, st.Listen.Operators, statusPath)
 }
 
-// importExample imports the example sheet as the plan of today.
-func importExample(ctx context.Context, dm *Daemon) error {
+// importExample imports the example sheet as the plan of today once the daemon is ready.
+func importExample(ctx context.Context, dm *Daemon) {
+	for dm.Ready() != nil {
+		sleep(ctx, 10*time.Millisecond)
+		if ctx.Err() != nil {
+			return
+		}
+	}
 	today := time.Now().UTC().Format(time.DateOnly)
 	sheet := bytes.ReplaceAll(examples.Sheet, []byte(examples.Day), []byte(today))
-	_, err := dm.plans.Import(ctx, sheet, importer.Options{Expected: importer.AnyRevision})
-	return err
+	// The keeper logs a refused sheet.
+	_, _ = dm.plans.Import(ctx, sheet, importer.Options{Expected: importer.AnyRevision})
 }
--- a/internal/plan/importer/checks.go
+++ b/internal/plan/importer/checks.go
@@ -32,7 +32,7 @@
 	CheckName       = Check{14, "name", "A name has 1 to 100 bytes: letters, digits, space, hyphen, underscore and point, beginning and ending with a letter or digit.", logger.SeverityError}
 	CheckComposed   = Check{15, "composed letters", "Letters with accents are single characters. Combining marks would make two names of what reads as one.", logger.SeverityError}
 	CheckDuplicate  = Check{16, "duplicate", "Each service and each job has one row, and each pause of a service its own start.", logger.SeverityError}
-	CheckWhole      = Check{17, "whole number", "Priority is from 0 to 100, Tasks from 1 to 100,000, Accelerators from 0 to 1,000.", logger.SeverityError}
+	CheckWhole      = Check{17, "whole number", "Priority is from 0 to 100, Tasks from 1 to 5,000, Accelerators from 0 to 1,000.", logger.SeverityError}
 	CheckDecimal    = Check{18, "decimal number", "Cores is above 0 and at most 4,096, MemoryGB above 0 and at most 65,536, with point or comma, up to 6 decimals and no other separator.", logger.SeverityError}
 	CheckYesNo      = Check{19, "yes or no", "Urgent, Repeatable and Checkpoint are Yes, No, True, False, 1, 0 or empty for No.", logger.SeverityError}
 	CheckRunTime    = Check{20, "run time", "RunTime has the form 1h30m or 1:30 (hours and minutes), above 0 and at most 168 hours.", logger.SeverityError}
@@ -45,6 +45,7 @@
 	CheckDataCentre = Check{27, "data centre", "DataCentre is empty or one of the configured data centres.", logger.SeverityError}
 	CheckService    = Check{28, "service of a pause", "A pause names a service of the same sheet.", logger.SeverityError}
 	CheckOnDay      = Check{29, "on the day", "NotBefore of a service or pause and its Deadline lie on Day; NotBefore of a job lies on Day.", logger.SeverityError}
+	CheckMoved      = Check{30, "known job in another data centre", "A job stays for the whole day in the data centre that an earlier sheet gave it to. Another name makes it another job.", logger.SeverityWarning}
 )
 
 // Checks lists all checks in the order of their numbers.
@@ -52,7 +53,7 @@
 	CheckEncoding, CheckSize, CheckQuotes, CheckHeader, CheckFields, CheckEmpty,
 	CheckDay, CheckTimeZone, CheckExported, CheckKind, CheckName, CheckComposed, CheckDuplicate,
 	CheckWhole, CheckDecimal, CheckYesNo, CheckRunTime, CheckTime, CheckAmbiguous, CheckMissing,
-	CheckOrder, CheckRequired, CheckUnused, CheckDataCentre, CheckService, CheckOnDay,
+	CheckOrder, CheckRequired, CheckUnused, CheckDataCentre, CheckService, CheckOnDay, CheckMoved,
 }
 
 // Fault is a value of the sheet that a check objects to.
--- a/internal/plan/importer/fields.go
+++ b/internal/plan/importer/fields.go
@@ -17,7 +17,7 @@
 	// MaxPriority is the highest priority of a job.
 	MaxPriority = 100
 	// MaxTasks is the greatest number of tasks of a job.
-	MaxTasks = 100_000
+	MaxTasks = 5_000
 
 	maxCores          = 4096
 	millicoresPerCore = 1000
--- a/internal/plan/importer/keeper.go
+++ b/internal/plan/importer/keeper.go
@@ -137,8 +137,8 @@
 }
 
 // Import checks a sheet and makes it the plan of its day. Importing the plan in force again
-// changes nothing. It returns Faults, ErrOlder, ErrSameExport, ErrPlanChanged and the errors of
-// the store; storer.ErrResultUnknown means that the sheet may be in force.
+// changes nothing. It returns Faults, ErrOlder, ErrSameExport, ErrPlanChanged,
+// ErrNoDataCentre and the errors of the store; storer.ErrResultUnknown means that the sheet may be in force.
 func (kp *Keeper) Import(ctx context.Context, sheet []byte, op Options) (Result, error) {
 	rs, err := kp.importSheet(ctx, sheet, op)
 	switch {
@@ -168,9 +168,14 @@
 	}
 	kp.compare(ctx, &rs, sd.plan, pl)
 	rs.Applied = sd.plan != nil && sd.plan.Equal(pl)
-	if op.DryRun || rs.Applied {
+	if rs.Applied {
 		return rs, nil
 	}
+	moved, err := pl.delegate(sd.plan, kp.dataCentres())
+	rs.Warnings = append(rs.Warnings, moved...)
+	if err != nil || op.DryRun {
+		return rs, err
+	}
 	rev, err := save(ctx, kp.store, pl, sd)
 	if errors.Is(err, storer.ErrConflict) {
 		rev, err = kp.afterConflict(ctx, pl)
--- a/internal/plan/importer/plan.go
+++ b/internal/plan/importer/plan.go
@@ -24,6 +24,9 @@
 	Services []Service
 	Jobs     []Job
 	Pauses   []Pause
+	// Delegations maps the name of every job that any sheet of the day has had to the data centre
+	// that decides for it. An entry never changes. It is nil in a plan that is not stored.
+	Delegations map[string]modeler.DataCentreName `json:",omitempty"`
 }
 
 // Service is a service that must answer on the day.
@@ -74,7 +77,7 @@
 // Location returns the time zone of the plan.
 func (pl *Plan) Location() (*time.Location, error) { return time.LoadLocation(pl.TimeZone) }
 
-// Equal reports whether both plans have the same content, the time of export included.
+// Equal reports whether both plans come from the same sheet, the time of export included.
 func (pl *Plan) Equal(other *Plan) bool {
 	return pl.Day == other.Day && pl.TimeZone == other.TimeZone && pl.Exported.Equal(other.Exported) &&
 		slices.EqualFunc(pl.Services, other.Services, Service.equal) &&
