--- a/internal/platform/emulator/store.go
+++ b/internal/platform/emulator/store.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/platform/storer"
@@ -91,12 +92,17 @@
 	if len(value) > storer.MaxValueBytes {
 		return 0, storer.ErrTooLarge
 	}
-	var rev int64
-	err := st.write(ctx, "Put", key, func() (err error) {
-		rev, err = st.put(key, value, expected)
+	// A late write stores its revision after the caller has gone, in another goroutine.
+	var rev atomic.Int64
+	err := st.write(ctx, "Put", key, func() error {
+		got, err := st.put(key, value, expected)
+		rev.Store(got)
 		return err
 	})
-	return rev, err
+	if err != nil {
+		return 0, err
+	}
+	return rev.Load(), nil
 }
 
 func (st *Store) put(key string, value []byte, expected int64) (int64, error) {
