Recognise a deposed leader by its own last epoch

A peer's heartbeat carries the epoch of its own last term, so it never reaches the new leader's epoch, and the end of leases could not be used as proof before the autonomy limit had passed.

--- a/internal/daemon/assembler/leader.go
+++ b/internal/daemon/assembler/leader.go
@@ -135,8 +135,8 @@
 	return data
 }
 
-// predecessorStopped tells whether the leader before renews no leases any more: it has
-// acknowledged this epoch, a newer boot of its host was seen, or it was this host itself, of which
+// predecessorStopped tells whether the leader before renews no leases any more: its heartbeats say
+// that its term has ended, a newer boot of its host was seen, or it was this host itself, of which
 // only one process runs at a time.
 func (ld *leader) predecessorStopped(rec journaler.Recovery) func() bool {
 	dm := ld.dm
@@ -149,7 +149,7 @@
 				continue
 			}
 			newBoot := pr.Boot != "" && pr.Boot != rec.PreviousBoot && pr.Health == tracker.Alive
-			return newBoot || pr.LeaderEpoch >= rec.Epoch && !pr.Leading
+			return newBoot || pr.LeaderEpoch == rec.PreviousEpoch && !pr.Leading
 		}
 		return false
 	}
