Read small bodies before admission and probe idle connections at the same time

Cause: a slow caller held a slot while it sent a small body; silent connections of a pool were probed one after another; an oversized answer of a peer or runner left its rest on a connection that was used again; a request on a lost path waited for its call limit because keep-alive is silent while bytes are not acknowledged. Change: bodies up to 16 KB are read before the call asks for a slot; probes run concurrently; oversized answers end the connection; TCP_USER_TIMEOUT of 3 s.

--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"bytes"
+	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -16,8 +18,13 @@
 	"github.com/currantrouter/currantrouter/internal/request/admitter"
 )
 
-// maxAttempts bounds how often one call is sent.
-const maxAttempts = 3
+const (
+	// maxAttempts bounds how often one call is sent.
+	maxAttempts = 3
+	// smallBody is the largest request body that is read before the call is admitted, in bytes. It
+	// fits into the socket's buffer, so writing it does not wait for the runner.
+	smallBody = 16 << 10
+)
 
 // call is one call on its way through this host.
 type call struct {
@@ -178,9 +185,42 @@
 	if cl.key != "" {
 		return fw.serveKeyed(cl)
 	}
+	if fl := cl.readSmall(); fl != nil {
+		return fl
+	}
 	return fw.sendRepeatedly(cl)
 }
 
+// readSmall reads a small body before the call asks for a slot, so that a slow caller holds none, and
+// so that the call can be sent to another runner when the first one is unreachable.
+func (cl *call) readSmall() *failure {
+	if cl.body == nil || cl.rq.ContentLength <= 0 || cl.rq.ContentLength > smallBody {
+		return nil
+	}
+	_ = cl.rc.SetReadDeadline(cl.deadline)
+	defer func() { _ = cl.rc.SetReadDeadline(time.Time{}) }()
+	if _, err := cl.readBody(); err != nil {
+		return notRun(http.StatusBadRequest, "BodyIncomplete", err.Error())
+	}
+	return nil
+}
+
+// readBody reads the body into memory and lets the call be sent more than once.
+func (cl *call) readBody() ([]byte, error) {
+	if cl.body == nil {
+		return nil, nil
+	}
+	body, err := io.ReadAll(cl.body)
+	if err != nil {
+		return nil, err
+	}
+	cl.rewind = func() *requestBody {
+		return &requestBody{src: bytes.NewReader(body), left: cl.bodyLimit(), inMemory: len(body) <= smallBody}
+	}
+	cl.body = cl.rewind()
+	return body, nil
+}
+
 // sendRepeatedly sends a call until it is answered, may not be repeated, or the budget is spent. An
 // attempt that may have run decides the outcome of the call, whatever becomes of later ones.
 func (fw *Forwarder) sendRepeatedly(cl *call) *failure {
--- a/internal/request/forwarder/conn.go
+++ b/internal/request/forwarder/conn.go
@@ -163,12 +163,14 @@
 	}
 }
 
-// send starts to write a request. A request without a body has been written when it returns.
+// send starts to write a request. A request without a body, or with one in memory, has been written
+// when it returns.
 func (cn *conn) send(rq *http.Request) *upload {
 	cn.began = time.Now()
 	cn.firstWrite.Store(0)
 	up := &upload{done: make(chan struct{})}
-	if rq.Body == nil || rq.Body == http.NoBody {
+	rb, ok := rq.Body.(*requestBody)
+	if !ok || rb.inMemory {
 		cn.write(rq, up)
 		return up
 	}
@@ -228,6 +230,8 @@
 type requestBody struct {
 	src  io.Reader
 	left int64
+	// inMemory states that reads return at once.
+	inMemory bool
 	// touched states that bytes were taken from the body, so the call cannot be sent again.
 	touched atomic.Bool
 }
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -72,6 +73,8 @@
 	// runners maps poolKey to *pool, and peers maps netip.AddrPort to *pool.
 	runners, peers sync.Map
 	buffers        sync.Pool
+	// places lists the data centres with runners of each service; replaced, never changed.
+	places atomic.Pointer[map[modeler.ServiceName][]modeler.DataCentreName]
 
 	stopped atomic.Bool
 	mu      sync.Mutex
@@ -101,6 +104,7 @@
 		op.Peers = func() []Peer { return nil }
 	}
 	fw := &Forwarder{op: op, calls: map[*call]struct{}{}}
+	fw.places.Store(&map[modeler.ServiceName][]modeler.DataCentreName{})
 	fw.buffers.New = func() any { return new([copySize]byte) }
 	return fw
 }
@@ -109,9 +113,14 @@
 // limiter, the router and the admitter have been given it before.
 func (fw *Forwarder) Apply(cfg *modeler.Configuration) {
 	runners := map[poolKey]bool{}
+	places := map[modeler.ServiceName][]modeler.DataCentreName{}
 	for _, rn := range cfg.Runners {
+		if !slices.Contains(places[rn.Service], rn.DataCentre) {
+			places[rn.Service] = append(places[rn.Service], rn.DataCentre)
+		}
 		runners[poolKey{fw.op.Limiter.Account(rn.Name), rn.Endpoint}] = true
 	}
+	fw.places.Store(&places)
 	peers := map[netip.AddrPort]bool{}
 	for _, hst := range cfg.Hosts {
 		peers[hst.Peer] = true
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -57,6 +57,7 @@
 		{"no answer", hang, "GET", "", false, 504, modeler.Unknown, 1, 1},
 		{"header too large", sayAndClose("HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 80<<10) + "\r\n\r\n"), "GET", "", false, 502, modeler.Unknown, 1, 1},
 		{"answer too large", sayAndClose("HTTP/1.1 200 OK\r\nContent-Length: 2000000\r\n\r\n"), "GET", "", false, 502, modeler.Unknown, 1, 1},
+		{"answer too large, connection kept", say("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + strings.Repeat("x", 200000)), "GET", "", false, 502, modeler.Unknown, 1, 1},
 		{"no HTTP", sayAndClose("hello\r\n\r\n"), "GET", "", false, 502, modeler.Unknown, 1, 1},
 		{"switched protocols", sayAndClose("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"), "GET", "", false, 502, modeler.Unknown, 1, 1},
 		{"interim answers", say("HTTP/1.1 103 Early Hints\r\n\r\n", okAnswer), "GET", "", false, 200, modeler.Answered, 1, 1},
@@ -113,6 +114,29 @@
 	en.settle(t)
 }
 
+// TestBadRunners guards against traffic to a runner that fails everything fast, and against a late
+// answer that reaches the next caller.
+func TestBadRunners(t *testing.T) {
+	bad, good := newFakeRunner(t, say("HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n")), newFakeRunner(t, echo)
+	en := newEntry(t, entryOptions{slots: 8}, bad, good)
+	for ix := range 100 {
+		en.call(t, "POST", fmt.Sprint("/tidebook/n", ix), "")
+	}
+	qt.Check(t, len(bad.executed) <= 10, qt.IsTrue, qt.Commentf("%d calls", len(bad.executed)))
+	late := newFakeRunner(t, func(fr *fakeRunner, nc net.Conn, rq *http.Request) bool {
+		if rq.URL.Path == "/late" {
+			time.Sleep(400 * time.Millisecond)
+		}
+		return echo(fr, nc, rq)
+	})
+	en = newEntry(t, entryOptions{slots: 2}, late)
+	qt.Check(t, en.call(t, "GET", "/tidebook/late", "").outcome, qt.Equals, modeler.Unknown)
+	for range 10 {
+		qt.Check(t, en.call(t, "GET", "/tidebook/next", "").body, qt.Equals, "/next|")
+	}
+	en.settle(t)
+}
+
 // TestHeaders guards against forged and hop-by-hop headers, a changed path, and a replay that the
 // standard client would do for calls with an idempotency key.
 func TestHeaders(t *testing.T) {
@@ -265,11 +289,17 @@
 	en := newEntry(t, entryOptions{limit: 30 * time.Second}, fr)
 	qt.Assert(t, en.call(t, "GET", "/tidebook/one", "").outcome, qt.Equals, modeler.Answered)
 	pl := en.fw.pools()[0].(*pool)
-	old := pl.idle[0]
+	old := pl.pop()
 	old.nc = deafConn{old.nc}
+	pl.put(old)
 	pl.Probe(context.Background(), 0, 20*time.Millisecond)
-	qt.Check(t, pl.idle, qt.HasLen, 1)
-	qt.Check(t, pl.idle[0] != old, qt.IsTrue)
+	var fresh *conn
+	waitFor(t, func() bool {
+		fresh = pl.pop()
+		return fresh != nil
+	})
+	qt.Check(t, fresh != old, qt.IsTrue)
+	pl.put(fresh)
 	qt.Check(t, en.mt.Value(meter.ConnectionsReplaced), qt.Equals, int64(1))
 	qt.Check(t, en.call(t, "GET", "/tidebook/two", "").outcome, qt.Equals, modeler.Answered)
 }
--- a/internal/request/forwarder/keyed.go
+++ b/internal/request/forwarder/keyed.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"errors"
@@ -126,11 +125,13 @@
 	if fw.op.Claimer == nil {
 		return ownerUnreachable(ErrNotLeader.Error())
 	}
-	digest, fl := cl.readWhole()
+	digest, fl := cl.digest()
 	if fl != nil {
 		return fl
 	}
-	cm, err := fw.op.Claimer.Claim(cl.rq.Context(), cl.key, cl.svc.Name, digest)
+	ctx, cancel := context.WithDeadline(cl.rq.Context(), cl.deadline)
+	defer cancel()
+	cm, err := fw.op.Claimer.Claim(ctx, cl.key, cl.svc.Name, digest)
 	if err != nil {
 		return claimFailure(err)
 	}
@@ -155,25 +156,19 @@
 	return ownerUnreachable(err.Error())
 }
 
-// readWhole reads the body into memory and returns the digest of the request.
-func (cl *call) readWhole() ([sha256.Size]byte, *failure) {
+// digest reads the body into memory and returns the digest of the request.
+func (cl *call) digest() ([sha256.Size]byte, *failure) {
 	dg := sha256.New()
 	_, _ = io.WriteString(dg, cl.rq.Method+" "+cl.uri.RequestURI()+"\n")
-	if cl.body != nil {
-		body, err := io.ReadAll(cl.body)
-		switch {
-		case errors.Is(err, errBodyLimit):
-			return [sha256.Size]byte{}, notRun(http.StatusRequestEntityTooLarge, "BodyTooLarge", err.Error())
-		case err != nil:
-			// An earlier attempt with the key may have run.
-			return [sha256.Size]byte{}, unknown(http.StatusBadRequest, "BodyIncomplete", err.Error())
-		}
-		_, _ = dg.Write(body)
-		cl.rewind = func() *requestBody {
-			return &requestBody{src: bytes.NewReader(body), left: cl.bodyLimit()}
-		}
-		cl.body = cl.rewind()
+	body, err := cl.readBody()
+	switch {
+	case errors.Is(err, errBodyLimit):
+		return [sha256.Size]byte{}, notRun(http.StatusRequestEntityTooLarge, "BodyTooLarge", err.Error())
+	case err != nil:
+		// An earlier attempt with the key may have run.
+		return [sha256.Size]byte{}, unknown(http.StatusBadRequest, "BodyIncomplete", err.Error())
 	}
+	_, _ = dg.Write(body)
 	return [sha256.Size]byte(dg.Sum(nil)), nil
 }
 
--- a/internal/request/forwarder/peer.go
+++ b/internal/request/forwarder/peer.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -50,11 +51,11 @@
 	if own > 0 && wait <= spillCost {
 		return Peer{}, false
 	}
-	cfg := fw.op.Configuration()
+	places := (*fw.places.Load())[cl.svc.Name]
 	var first, second Peer
 	seen := 0
 	for _, pr := range fw.op.Peers() {
-		if !pr.Usable || own > 0 && pr.DataCentre == fw.op.DataCentre || own > 0 && pr.FreeSlots <= 0 || !hasRunners(cfg, cl.svc.Name, pr.DataCentre) {
+		if !pr.Usable || own > 0 && pr.DataCentre == fw.op.DataCentre || own > 0 && pr.FreeSlots <= 0 || !slices.Contains(places, pr.DataCentre) {
 			continue
 		}
 		// Two random peers are kept of all that qualify.
@@ -75,15 +76,6 @@
 	return first, seen > 0
 }
 
-func hasRunners(cfg *modeler.Configuration, svc modeler.ServiceName, dc modeler.DataCentreName) bool {
-	for _, rn := range cfg.Runners {
-		if rn.Service == svc && rn.DataCentre == dc {
-			return true
-		}
-	}
-	return false
-}
-
 // sendToPeer lets a peer run the call.
 func (fw *Forwarder) sendToPeer(cl *call, pr Peer) *failure {
 	fw.op.Meter.Add(meter.CallsSpilled, 1)
@@ -194,6 +186,9 @@
 
 // sendLocally runs a call on the runners of the own data centre.
 func (fw *Forwarder) sendLocally(cl *call) *failure {
+	if fl := cl.readSmall(); fl != nil {
+		return fl
+	}
 	tk, err := fw.op.Admitter.Admit(cl.rq.Context(), cl.adm)
 	if err != nil {
 		return refusal(err)
--- a/internal/request/forwarder/pool.go
+++ b/internal/request/forwarder/pool.go
@@ -114,18 +114,22 @@
 	pl.idle = nil
 }
 
-// Probe sends HEAD /healthz on connections that have been idle for the duration, and closes those
-// that no share or loan covers any more.
+// Probe implements prober.Pool. It also closes the connections that no share or loan covers any
+// more.
 func (pl *pool) Probe(ctx context.Context, idle, timeout time.Duration) {
 	for _, cn := range pl.takeDue(idle) {
-		switch err := cn.probe(timeout); {
-		case err == nil:
-			pl.put(cn)
-		case isTimeout(err):
-			pl.replace(ctx, cn)
-		default:
-			cn.close()
-		}
+		go pl.check(ctx, cn, timeout)
+	}
+}
+
+func (pl *pool) check(ctx context.Context, cn *conn, timeout time.Duration) {
+	switch err := cn.probe(timeout); {
+	case err == nil:
+		pl.put(cn)
+	case isTimeout(err):
+		pl.replace(ctx, cn)
+	default:
+		cn.close()
 	}
 }
 
--- a/internal/request/forwarder/transfer.go
+++ b/internal/request/forwarder/transfer.go
@@ -66,13 +66,15 @@
 	if tf.failure = accept(rp); tf.failure == nil {
 		blocked, err = fw.passAnswer(cl, rp, until)
 	} else {
-		_, err = io.Copy(io.Discard, io.LimitReader(rp.Body, cl.bodyLimit()))
+		err = skip(rp.Body, cl.bodyLimit())
 	}
 	if err == nil && !isFramed(rp) {
 		err = errUnframed
 	}
 	if err != nil {
-		return fw.endLost(cl, cn, up, before, err)
+		ended := fw.endLost(cl, cn, up, before, err)
+		ended.failure = tf.failure
+		return ended
 	}
 	tf.elapsed = max(1, time.Since(began)-blocked)
 	tf.sent = cn.firstWritten()
@@ -80,6 +82,15 @@
 	return tf
 }
 
+// skip reads a body that is not passed on to its end, so that the connection can be used again.
+func skip(body io.Reader, limit int64) error {
+	num, err := io.Copy(io.Discard, io.LimitReader(body, limit+1))
+	if err == nil && num > limit {
+		return errAnswerLimit
+	}
+	return err
+}
+
 var errUnframed = errors.New("the answer does not mark its end")
 
 // endLost closes a connection whose call has no whole answer.
@@ -221,6 +232,8 @@
 		return nil
 	}
 	switch {
+	case tf.failure != nil:
+		return tf.failure
 	case errors.Is(tf.err, errBodyLimit):
 		return unknown(http.StatusRequestEntityTooLarge, "BodyTooLarge", tf.err.Error())
 	case isTimeout(tf.err):
--- a/internal/request/prober/prober.go
+++ b/internal/request/prober/prober.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"syscall"
 	"time"
 )
 
@@ -14,6 +15,12 @@
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
+	// userTimeout ends a connection whose sent bytes are not acknowledged. Keep-alive sends nothing
+	// while such bytes wait, so a request on a lost path would otherwise wait for its call limit. A
+	// paused process does not matter: its kernel acknowledges.
+	userTimeout = keepAliveIdle + keepAliveCount*keepAliveInterval
+	// tcpUserTimeout is TCP_USER_TIMEOUT of linux/tcp.h, which package syscall does not name.
+	tcpUserTimeout = 0x12
 	// IdleBefore is the idle time after which a pooled connection is probed.
 	IdleBefore = 2 * time.Second
 	// Timeout is the time to wait for the answer to a probe.
@@ -26,8 +33,8 @@
 
 // Pool is a set of pooled idle connections to one endpoint.
 type Pool interface {
-	// Probe sends HEAD /healthz on each connection that has been idle for at least the duration and
-	// replaces those that do not answer within the timeout.
+	// Probe starts to send HEAD /healthz on each connection that has been idle for at least the
+	// duration, and replaces those that do not answer within the timeout. It does not block.
 	Probe(ctx context.Context, idle, timeout time.Duration)
 }
 
@@ -41,12 +48,23 @@
 			Interval: keepAliveInterval,
 			Count:    keepAliveCount,
 		},
+		Control: setUserTimeout,
 	}
 	return dl.DialContext(ctx, "tcp", ep.String())
 }
 
-// Run probes the pools that the function lists until the context ends. A round does not wait for
-// slow answers of the round before.
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var serr error
+	err := raw.Control(func(fd uintptr) {
+		serr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return serr
+}
+
+// Run probes the pools that the function lists until the context ends.
 func Run(ctx context.Context, pools func() []Pool) {
 	tk := time.NewTicker(interval)
 	defer tk.Stop()
@@ -57,7 +75,7 @@
 		case <-tk.C:
 		}
 		for _, pl := range pools() {
-			go pl.Probe(ctx, IdleBefore, Timeout)
+			pl.Probe(ctx, IdleBefore, Timeout)
 		}
 	}
 }
