Hold keyed calls while the leader of their data centre changes

A keyed call was answered Unknown at once when its data centre had no reachable leader, although a drained leader is replaced in about 1 s. The host that got the call now tries again every 50 to 150 ms until the deadline, with at most QueueLimit such calls waiting. This is safe whatever became of the attempt before, because the claim admits one execution.

--- a/internal/daemon/assembler/assembler_test.go
+++ b/internal/daemon/assembler/assembler_test.go
@@ -168,6 +168,7 @@
 		roll.Wait()
 		counts := fl.checkAnswers(answers)
 		qt.Check(t, counts[modeler.Answered] > 5000, qt.IsTrue, qt.Commentf("%v", counts))
+		qt.Check(t, counts[modeler.Unknown], qt.Equals, 0, qt.Commentf("%v", counts))
 		for _, got := range answers {
 			qt.Check(t, got.err == nil || errors.Is(got.err, syscall.ECONNREFUSED), qt.IsTrue, qt.Commentf("call cut off: %+v: %v", got, got.err))
 		}
--- a/internal/daemon/assembler/fleet_test.go
+++ b/internal/daemon/assembler/fleet_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -296,8 +297,9 @@
 // answer is what a caller got.
 type answer struct {
 	// via is the data centre of the host that was called.
-	via     modeler.DataCentreName
-	status  int
+	via    modeler.DataCentreName
+	status int
+	// outcome is empty when the call did not reach a host.
 	outcome modeler.Outcome
 	body    string
 	err     error
@@ -321,6 +323,9 @@
 		rq.Header.Set(modeler.HeaderIdempotencyKey, key)
 	}
 	rs, err := fl.client(mb).Do(rq)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return answer{via: mb.host.DataCentre, err: err}
+	}
 	if err != nil {
 		return answer{via: mb.host.DataCentre, err: err, outcome: modeler.Unknown}
 	}
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -77,7 +77,9 @@
 	places atomic.Pointer[map[modeler.ServiceName][]modeler.DataCentreName]
 
 	stopped atomic.Bool
-	mu      sync.Mutex
+	// awaiting counts the keyed calls that wait for a leader.
+	awaiting atomic.Int64
+	mu       sync.Mutex
 	// calls has every call in progress.
 	calls map[*call]struct{}
 	// idle is closed when the last call ends; nil while nobody waits for that.
--- a/internal/request/forwarder/keyed.go
+++ b/internal/request/forwarder/keyed.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -87,8 +88,68 @@
 	return modeler.HomeDataCentre(key, dcs)
 }
 
-// serveKeyed passes a call to the leader of the key's data centre.
+// Failures after which a keyed call may be tried again: no leader has answered, or a leader could not
+// record the claim.
+const (
+	codeOwnerUnreachable = "KeyOwnerUnreachable"
+	codeNotClaimed       = "KeyNotClaimed"
+)
+
+// serveKeyed passes a call to the leader of the key's data centre. While the leader cannot be
+// reached it tries again until the deadline, because a drained leader is replaced in about 1 s and a
+// dead one in about 6 s. Trying again is safe whatever became of the attempt before: the claim of the
+// key admits one execution.
 func (fw *Forwarder) serveKeyed(cl *call) *failure {
+	if fl := cl.readSmall(); fl != nil {
+		// An earlier attempt with the key may have run.
+		fl.outcome = modeler.Unknown
+		return fl
+	}
+	fl := fw.tryKeyed(cl)
+	if !cl.awaitsOwner(fl) {
+		return fl
+	}
+	defer fw.awaiting.Add(-1)
+	if fw.awaiting.Add(1) > int64(cl.svc.QueueLimit) {
+		return fl
+	}
+	for cl.awaitsOwner(fl) && fw.pauseForOwner(cl) {
+		if cl.rewind != nil {
+			cl.body = cl.rewind()
+		}
+		fl = fw.tryKeyed(cl)
+	}
+	return fl
+}
+
+// awaitsOwner tells whether a call can be passed on again once the leader is reachable. Only the
+// host that got the call from its caller does so.
+func (cl *call) awaitsOwner(fl *failure) bool {
+	if fl == nil || fl.code != codeOwnerUnreachable && fl.code != codeNotClaimed {
+		return false
+	}
+	return !cl.forwarded && cl.mayResend() && !cl.cut.Load()
+}
+
+// pauseForOwner waits before the next attempt. It returns false when the call must be answered now.
+func (fw *Forwarder) pauseForOwner(cl *call) bool {
+	const least, most = 50 * time.Millisecond, 150 * time.Millisecond
+	pause := least + rand.N(most-least)
+	if time.Until(cl.deadline) <= pause {
+		return false
+	}
+	tm := time.NewTimer(pause)
+	defer tm.Stop()
+	select {
+	case <-tm.C:
+		return true
+	case <-cl.rq.Context().Done():
+		return false
+	}
+}
+
+// tryKeyed passes a call to the leader of the key's data centre once.
+func (fw *Forwarder) tryKeyed(cl *call) *failure {
 	home := homeOf(cl.key, fw.op.Configuration().DataCentres)
 	if fw.op.Leader == nil {
 		return ownerUnreachable("no leader is known")
@@ -114,7 +175,7 @@
 
 // ownerUnreachable is Unknown even when this attempt sent nothing: an earlier one may have run.
 func ownerUnreachable(reason string) *failure {
-	fl := unknown(http.StatusServiceUnavailable, "KeyOwnerUnreachable", "the owner of the key cannot be reached: "+reason)
+	fl := unknown(http.StatusServiceUnavailable, codeOwnerUnreachable, "the owner of the key cannot be reached: "+reason)
 	fl.retryAfter = 1
 	return fl
 }
@@ -149,7 +210,7 @@
 	case errors.Is(err, ErrKeyReused):
 		return notRun(http.StatusUnprocessableEntity, "KeyReused", err.Error())
 	case errors.Is(err, ErrNotClaimed):
-		fl := notRun(http.StatusServiceUnavailable, "KeyNotClaimed", err.Error())
+		fl := notRun(http.StatusServiceUnavailable, codeNotClaimed, err.Error())
 		fl.retryAfter = 1
 		return fl
 	}
