--- a/internal/batch/placer/placer.go
+++ b/internal/batch/placer/placer.go
@@ -18,6 +18,9 @@
 	ErrNoRoom = errors.New("no usable worker has enough free capacity")
 	// ErrShortReserve means that only the capacity kept for short work is left.
 	ErrShortReserve = errors.New("only the capacity kept for short work is left")
+	// ErrInterference means that the task would slow latency-critical tasks too much on every worker
+	// with room.
+	ErrInterference = errors.New("latency-critical tasks on the workers with room would be slowed too much")
 	// ErrSpread means that every worker with room is in a rack that has its share of the job.
 	ErrSpread = errors.New("the racks with room hold their share of the job")
 )
--- a/internal/batch/placer/placer_test.go
+++ b/internal/batch/placer/placer_test.go
@@ -137,6 +137,19 @@
 				qt.Check(t, mustPlace(t, pl, victim), qt.Not(qt.Equals), wk)
 			}
 		},
+		"batch tasks keep away from latency-critical ones that they slow": func(t *testing.T, pl *Placer) {
+			for i := range 12 {
+				victim := request("victim", i, size(16, 8))
+				victim.Kind, victim.LatencyCritical = 1, true
+				qt.Assert(t, pl.Reserve(named(i), victim), qt.IsTrue)
+			}
+			noisy := request("noisy", 0, size(16, 8))
+			noisy.Kind = 2
+			_, err := pl.Place(noisy)
+			qt.Check(t, err, qt.ErrorIs, ErrInterference)
+			noisy.Kind = 3
+			mustPlace(t, pl, noisy)
+		},
 	} {
 		t.Run(name, func(t *testing.T) { run(t, fleet(12)) })
 	}
--- a/internal/batch/placer/selector.go
+++ b/internal/batch/placer/selector.go
@@ -3,6 +3,7 @@
 import (
 	"math/bits"
 
+	"github.com/currantrouter/currantrouter/internal/batch/estimator"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
 )
@@ -15,6 +16,14 @@
 	criticalWeight = 4.0
 	fitWeight      = 0.1
 	headroomWeight = 0.3
+	// criticalLimit is the predicted slowdown above 1 of a latency-critical task beyond which no
+	// batch task is added beside it. Eviction begins at 0.25.
+	criticalLimit = 0.15
+	// negligible is the slowdown by one task that does not count against it.
+	negligible = 0.04
+	// separationWeight draws latency-critical tasks together and batch tasks away from them, so that
+	// fewer of them have batch neighbours before interference is learned.
+	separationWeight = 0.5
 	// comfortableLoad is the load above which headroom for swings of use gets short.
 	comfortableLoad = 0.75
 )
@@ -32,6 +41,9 @@
 	if sr.spread {
 		return "", ErrSpread
 	}
+	if sr.interferes {
+		return "", ErrInterference
+	}
 	if !pl.Fits(tk.Reservation) {
 		return "", ErrNeverFits
 	}
@@ -73,6 +85,8 @@
 	visited int
 	// spread is set when a worker with room was refused for its rack.
 	spread bool
+	// interferes is set when a worker with room was refused for its latency-critical tasks.
+	interferes bool
 }
 
 // run visits rows of the grid from a random one upwards and wraps around, so that the sample holds
@@ -122,12 +136,42 @@
 		sr.spread = true
 		return
 	}
+	if !sr.task.LatencyCritical && sr.placer.degrades(wr, sr.task) {
+		sr.interferes = true
+		return
+	}
 	sr.scored++
 	if sc := sr.placer.rate(wr, sr.task); sr.best == nil || sc < sr.score {
 		sr.best, sr.score = wr, sc
 	}
 }
 
+// degrades reports whether the task would bring a latency-critical task of the worker above
+// criticalLimit. Tasks of one kind are looked at once.
+func (pl *Placer) degrades(wr *worker, tk Task) bool {
+	used := load(wr.Capacity, sub(wr.Capacity, sub(wr.free, tk.Reservation)))
+	checked := estimator.Kind(-1)
+	for _, victim := range wr.tasks {
+		if !victim.LatencyCritical || victim.Kind == checked {
+			continue
+		}
+		checked = victim.Kind
+		caused := pl.interferer.Interference(victim.Kind, tk.Kind, used)
+		if caused < negligible {
+			continue
+		}
+		for _, hd := range wr.tasks {
+			if hd != victim {
+				caused += pl.interferer.Interference(victim.Kind, hd.Kind, used)
+			}
+		}
+		if caused > criticalLimit {
+			return true
+		}
+	}
+	return false
+}
+
 // rate is the cost of putting the task on the worker: the interference suffered and caused, the
 // imbalance that it leaves between processors and memory, and the headroom that it takes.
 func (pl *Placer) rate(wr *worker, tk Task) float64 {
@@ -135,7 +179,25 @@
 	used := load(wr.Capacity, sub(wr.Capacity, after))
 	return interferenceWeight*pl.interference(wr, tk, used) +
 		fitWeight*imbalance(wr.Capacity, after) +
-		headroomWeight*max(used-comfortableLoad, 0)
+		headroomWeight*max(used-comfortableLoad, 0) +
+		separationWeight*wr.mixing(tk)
+}
+
+// mixing is the share of the worker that tasks of the other sort hold, less the share that
+// latency-critical tasks hold when the task is one itself.
+func (wr *worker) mixing(tk Task) float64 {
+	critical, batch := int64(0), int64(0)
+	for _, hd := range wr.tasks {
+		if hd.LatencyCritical {
+			critical += hd.Reservation.Millicores
+		} else {
+			batch += hd.Reservation.Millicores
+		}
+	}
+	if !tk.LatencyCritical {
+		return share(critical, wr.Capacity.Millicores)
+	}
+	return share(batch-critical, wr.Capacity.Millicores)
 }
 
 func (pl *Placer) interference(wr *worker, tk Task, used float64) float64 {
--- a/internal/batch/scheduler/harness_test.go
+++ b/internal/batch/scheduler/harness_test.go
@@ -282,6 +282,8 @@
 	done    map[emulator.Task]bool
 	wrong   []string
 	closing bool
+	// prepare changes a leader before it runs.
+	prepare func(*Scheduler)
 	// strict is set when no result can get lost, so that no task may run again after its end.
 	strict bool
 	// down is set while the journal is unavailable.
@@ -356,6 +358,9 @@
 	op.Epoch, op.Journal, op.Workers = tm.epoch, pr, pr
 	sc, err := New(op, rec)
 	qt.Assert(wd.t, err, qt.IsNil)
+	if wd.prepare != nil {
+		wd.prepare(sc)
+	}
 	wd.leader, wd.process = sc, pr
 	wd.stopped.Add(1)
 	go func() {
