--- a/internal/batch/placer/placer_test.go
+++ b/internal/batch/placer/placer_test.go
@@ -52,105 +52,107 @@
 	return name
 }
 
-// Guards against a task on a worker that must not or should not have it.
-func TestPlace(t *testing.T) {
-	for name, run := range map[string]func(*testing.T, *Placer){
-		"never above capacity": func(t *testing.T, pl *Placer) {
-			placed := 0
-			for i := range 1000 {
-				tk := request("j", i, size(1+int64(i%7), 1+int64(i*13%50)))
-				if name, err := pl.Place(tk); err == nil {
-					placed++
-					qt.Assert(t, pl.Reserve(name, tk), qt.IsTrue)
-				}
-			}
-			for i := range 12 {
-				qt.Check(t, fits(pl.Reserved(named(i)), size(64, 250)), qt.IsTrue)
-			}
-			qt.Check(t, placed > 100, qt.IsTrue, qt.Commentf("%d", placed))
-		},
-		"use above the reservation counts after two reports": func(t *testing.T, pl *Placer) {
-			tk := request("j", 0, size(8, 8))
-			wk := mustPlace(t, pl, tk)
-			for reports, want := range []bool{true, false} {
-				pl.Observe(wk, tk.Attempt, size(60, 8))
-				pl.Observed(wk)
-				qt.Check(t, pl.CanPlaceOn(wk, request("k", 0, size(8, 8))), qt.Equals, want, qt.Commentf("report %d", reports+1))
-			}
-			pl.Release(wk, tk.Attempt)
-			qt.Check(t, pl.Load(wk), qt.Equals, 0.0)
-		},
-		"low use does not free the reservation": func(t *testing.T, pl *Placer) {
-			tk := request("j", 0, size(60, 8))
-			wk := mustPlace(t, pl, tk)
-			for range 3 {
-				pl.Observe(wk, tk.Attempt, size(1, 1))
+var placements = map[string]func(*testing.T, *Placer){
+	"never above capacity": func(t *testing.T, pl *Placer) {
+		placed := 0
+		for i := range 1000 {
+			tk := request("j", i, size(1+int64(i%7), 1+int64(i*13%50)))
+			if name, err := pl.Place(tk); err == nil {
+				placed++
+				qt.Assert(t, pl.Reserve(name, tk), qt.IsTrue)
 			}
+		}
+		for i := range 12 {
+			qt.Check(t, fits(pl.Reserved(named(i)), size(64, 250)), qt.IsTrue)
+		}
+		qt.Check(t, placed > 100, qt.IsTrue, qt.Commentf("%d", placed))
+	},
+	"use above the reservation counts after two reports": func(t *testing.T, pl *Placer) {
+		tk := request("j", 0, size(8, 8))
+		wk := mustPlace(t, pl, tk)
+		for reports, want := range []bool{true, false} {
+			pl.Observe(wk, tk.Attempt, size(60, 8))
 			pl.Observed(wk)
-			qt.Check(t, pl.Reserve(wk, request("k", 0, size(8, 8))), qt.IsFalse)
-		},
-		"long work leaves the reserve": func(t *testing.T, pl *Placer) {
-			long := request("long", 0, size(16, 16))
-			long.Long = true
-			for pl.longHeld.Millicores <= 12*64_000*85/100-16_000 {
-				long.Attempt.Task++
-				mustPlace(t, pl, long)
-			}
-			_, err := pl.Place(long)
-			qt.Check(t, err, qt.ErrorIs, ErrShortReserve)
-			mustPlace(t, pl, request("short", 0, size(16, 16)))
-		},
-		"rack spread": func(t *testing.T, pl *Placer) {
-			tk := request("j", 0, size(1, 1))
-			tk.PerRack = 2
-			for range 4 {
-				tk.Attempt.Task++
-				mustPlace(t, pl, tk)
-			}
-			_, err := pl.Place(tk)
-			qt.Check(t, err, qt.ErrorIs, ErrSpread)
-		},
-		"blocked, leaving and failed workers": func(t *testing.T, pl *Placer) {
-			for i := range 10 {
-				pl.SetBlocked(named(i), true)
-			}
-			pl.Upsert(supervisor.Worker{Name: named(10), Capacity: size(64, 250), Leaving: true})
-			tk := request("j", 0, size(1, 1))
-			qt.Check(t, mustPlace(t, pl, tk), qt.Equals, named(11))
-			tk.Avoid = map[modeler.WorkerName]string{named(11): "failed"}
-			_, err := pl.Place(tk)
-			qt.Check(t, err, qt.ErrorIs, ErrNoRoom)
-		},
-		"never fits": func(t *testing.T, pl *Placer) {
-			_, err := pl.Place(request("j", 0, size(65, 1)))
-			qt.Check(t, err, qt.ErrorIs, ErrNeverFits)
-			qt.Check(t, pl.Clamp(size(100, 1), size(16, 1)), qt.Equals, size(64, 1))
-		},
-		"interference": func(t *testing.T, pl *Placer) {
-			noisy := request("noisy", 0, size(32, 8))
-			noisy.Kind = 2
-			wk := mustPlace(t, pl, noisy)
-			victim := request("victim", 0, size(16, 8))
+			qt.Check(t, pl.CanPlaceOn(wk, request("k", 0, size(8, 8))), qt.Equals, want, qt.Commentf("report %d", reports+1))
+		}
+		pl.Release(wk, tk.Attempt)
+		qt.Check(t, pl.Load(wk), qt.Equals, 0.0)
+	},
+	"low use does not free the reservation": func(t *testing.T, pl *Placer) {
+		tk := request("j", 0, size(60, 8))
+		wk := mustPlace(t, pl, tk)
+		for range 3 {
+			pl.Observe(wk, tk.Attempt, size(1, 1))
+		}
+		pl.Observed(wk)
+		qt.Check(t, pl.Reserve(wk, request("k", 0, size(8, 8))), qt.IsFalse)
+	},
+	"long work leaves the reserve": func(t *testing.T, pl *Placer) {
+		long := request("long", 0, size(16, 16))
+		long.Long = true
+		for pl.longHeld.Millicores <= 12*64_000*85/100-16_000 {
+			long.Attempt.Task++
+			mustPlace(t, pl, long)
+		}
+		_, err := pl.Place(long)
+		qt.Check(t, err, qt.ErrorIs, ErrShortReserve)
+		mustPlace(t, pl, request("short", 0, size(16, 16)))
+	},
+	"rack spread": func(t *testing.T, pl *Placer) {
+		tk := request("j", 0, size(1, 1))
+		tk.PerRack = 2
+		for range 4 {
+			tk.Attempt.Task++
+			mustPlace(t, pl, tk)
+		}
+		_, err := pl.Place(tk)
+		qt.Check(t, err, qt.ErrorIs, ErrSpread)
+	},
+	"blocked, leaving and failed workers": func(t *testing.T, pl *Placer) {
+		for i := range 10 {
+			pl.SetBlocked(named(i), true)
+		}
+		pl.Upsert(supervisor.Worker{Name: named(10), Capacity: size(64, 250), Leaving: true})
+		tk := request("j", 0, size(1, 1))
+		qt.Check(t, mustPlace(t, pl, tk), qt.Equals, named(11))
+		tk.Avoid = map[modeler.WorkerName]string{named(11): "failed"}
+		_, err := pl.Place(tk)
+		qt.Check(t, err, qt.ErrorIs, ErrNoRoom)
+	},
+	"never fits": func(t *testing.T, pl *Placer) {
+		_, err := pl.Place(request("j", 0, size(65, 1)))
+		qt.Check(t, err, qt.ErrorIs, ErrNeverFits)
+		qt.Check(t, pl.Clamp(size(100, 1), size(16, 1)), qt.Equals, size(64, 1))
+	},
+	"interference": func(t *testing.T, pl *Placer) {
+		noisy := request("noisy", 0, size(32, 8))
+		noisy.Kind = 2
+		wk := mustPlace(t, pl, noisy)
+		victim := request("victim", 0, size(16, 8))
+		victim.Kind, victim.LatencyCritical = 1, true
+		for i := range 20 {
+			victim.Attempt.Task = i
+			qt.Check(t, mustPlace(t, pl, victim), qt.Not(qt.Equals), wk)
+		}
+	},
+	"batch tasks keep away from latency-critical ones that they slow": func(t *testing.T, pl *Placer) {
+		for i := range 12 {
+			victim := request("victim", i, size(16, 8))
 			victim.Kind, victim.LatencyCritical = 1, true
-			for i := range 20 {
-				victim.Attempt.Task = i
-				qt.Check(t, mustPlace(t, pl, victim), qt.Not(qt.Equals), wk)
-			}
-		},
-		"batch tasks keep away from latency-critical ones that they slow": func(t *testing.T, pl *Placer) {
-			for i := range 12 {
-				victim := request("victim", i, size(16, 8))
-				victim.Kind, victim.LatencyCritical = 1, true
-				qt.Assert(t, pl.Reserve(named(i), victim), qt.IsTrue)
-			}
-			noisy := request("noisy", 0, size(16, 8))
-			noisy.Kind = 2
-			_, err := pl.Place(noisy)
-			qt.Check(t, err, qt.ErrorIs, ErrInterference)
-			noisy.Kind = 3
-			mustPlace(t, pl, noisy)
-		},
-	} {
+			qt.Assert(t, pl.Reserve(named(i), victim), qt.IsTrue)
+		}
+		noisy := request("noisy", 0, size(16, 8))
+		noisy.Kind = 2
+		_, err := pl.Place(noisy)
+		qt.Check(t, err, qt.ErrorIs, ErrInterference)
+		noisy.Kind = 3
+		mustPlace(t, pl, noisy)
+	},
+}
+
+// Guards against a task on a worker that must not or should not have it.
+func TestPlace(t *testing.T) {
+	for name, run := range placements {
 		t.Run(name, func(t *testing.T) { run(t, fleet(12)) })
 	}
 }
--- a/internal/batch/placer/selector.go
+++ b/internal/batch/placer/selector.go
@@ -18,9 +18,9 @@
 	headroomWeight = 0.3
 	// criticalLimit is the predicted slowdown above 1 of a latency-critical task beyond which no
 	// batch task is added beside it. Eviction begins at 0.25.
-	criticalLimit = 0.15
+	criticalLimit = 0.1
 	// negligible is the slowdown by one task that does not count against it.
-	negligible = 0.04
+	negligible = 0.02
 	// separationWeight draws latency-critical tasks together and batch tasks away from them, so that
 	// fewer of them have batch neighbours before interference is learned.
 	separationWeight = 0.5
