Remember unseen revisions for runners that appear later, and warm runners up at random

Cause: a process that had skipped revisions, or had just started, trusted a runner that appeared in a later revision although another host could still hold it under an unseen one; a revision that never settles took memory for each later one; a runner that warms up got no calls as long as the others had free slots. Change: unseen revisions are kept until they are settled and apply to new runners; revisions with equal shares and holders are joined; warm-up passes a runner over at random, less and less. The state machine makes more loans and no longer lets dead processes answer.

--- a/internal/request/limiter/limiter.go
+++ b/internal/request/limiter/limiter.go
@@ -57,7 +57,7 @@
 	// SettledBase). Nil means that nothing is known, and all other entry hosts of the data centre must
 	// acknowledge the first revision before shares are used.
 	History []*modeler.Configuration
-	// Peers lists the other entry hosts of the data centre.
+	// Peers lists the other entry hosts of the data centre. It must not call the limiter.
 	Peers func() []Peer
 	// Freed is called when a slot of a runner may have become free. It must not block.
 	Freed func(modeler.RunnerName, modeler.ServiceName)
@@ -97,13 +97,15 @@
 	retired map[modeler.HostName]time.Time
 	// longest is the longest call limit of any revision seen; it never falls.
 	longest time.Duration
-	// base stands for the revisions before the first one that this boot saw. It is nil when they are
-	// known or settled.
-	base *pending
+	// unseen stands for revisions that this boot has not seen and that are not settled. A runner that
+	// appears later may have been listed in them.
+	unseen []pending
 	// ready states that no call of a predecessor can run any more.
 	ready    bool
 	nextLoan int64
 	lent     map[int64]*lent
+
+	// inquired is the time of the last look at settling; only Run uses it.
 	inquired time.Time
 }
 
--- a/internal/request/limiter/limiter_test.go
+++ b/internal/request/limiter/limiter_test.go
@@ -221,3 +221,13 @@
 	lim.Acknowledge("entry1", 4)
 	qt.Check(t, lim.Account(base.Runners[0].Name).Limit(), qt.Equals, 8)
 }
+
+// TestUnsettledRevisions guards against memory that grows with each revision while a host is down.
+func TestUnsettledRevisions(t *testing.T) {
+	lim := newLimiter("entry0", nil)
+	for rev := modeler.Revision(1); rev < 1000; rev += 1 + rev%2 {
+		lim.Apply(configuration(rev, 2, []modeler.HostName{"entry0", "entry1", "entry2"}[:2+rev%2]...))
+	}
+	qt.Check(t, len(lim.Account("runner1").pending) <= 6, qt.IsTrue, qt.Commentf("%d", len(lim.Account("runner1").pending)))
+	qt.Check(t, lim.SettledBase(), qt.Equals, modeler.Revision(1))
+}
--- a/internal/request/limiter/model_test.go
+++ b/internal/request/limiter/model_test.go
@@ -58,6 +58,7 @@
 	// calls and connections are those at the runner, whoever started them.
 	calls, connections int
 	mostCalls          int
+	loans              int64
 	wait               sync.WaitGroup
 	fault              string
 }
@@ -90,16 +91,16 @@
 func deliver[Rq, Rp any](ctx context.Context, lk link, rq Rq, call func(*Limiter, context.Context, Rq) (Rp, error)) (Rp, error) {
 	var none Rp
 	lost := twirp.NewError(twirp.Unavailable, "lost")
+	fault := lk.md.draw(8)
+	if fault == 1 {
+		time.Sleep(time.Duration(lk.md.draw(3000)) * time.Millisecond)
+	}
 	lk.md.mu.Lock()
 	nd := lk.md.nodes[lk.to]
 	lk.md.mu.Unlock()
-	fault := lk.md.draw(8)
 	if nd == nil || fault == 0 {
 		return none, lost
 	}
-	if fault == 1 {
-		time.Sleep(time.Duration(lk.md.draw(3000)) * time.Millisecond)
-	}
 	if fault == 2 {
 		_, _ = call(nd.lim, ctx, rq)
 	}
@@ -241,6 +242,7 @@
 	nd.cancel()
 	md.mu.Lock()
 	defer md.mu.Unlock()
+	md.loans += nd.lim.op.Meter.Value(meter.SlotsBorrowed)
 	delete(md.nodes, nd.name)
 }
 
@@ -281,7 +283,16 @@
 			}
 			time.Sleep(700 * time.Millisecond)
 		},
-		"want":   md.onNode(func(tb *rapid.T, nd *node) { nd.lim.Want("tidebook", rapid.IntRange(0, 4).Draw(tb, "waiting")) }),
+		// One host borrows what the others leave idle once their calls have ended.
+		"borrow": md.onNode(func(tb *rapid.T, nd *node) {
+			time.Sleep(time.Duration(rapid.SampledFrom([]int{0, 3000}).Draw(tb, "idle")) * time.Millisecond)
+			for _, other := range md.nodes {
+				other.lim.Want("tidebook", 0)
+			}
+			nd.lim.Want("tidebook", 4)
+			time.Sleep(120 * time.Millisecond)
+			md.call(nd)
+		}),
 		"gossip": md.onNode(md.gossip),
 		"retire": md.onNode(func(tb *rapid.T, nd *node) {
 			if len(md.gone) > 0 {
@@ -318,7 +329,9 @@
 			time.Sleep(time.Duration(rapid.SampledFrom([]int{1, 60, 600, 6000}).Draw(tb, "millis")) * time.Millisecond)
 		},
 		"": func(tb *rapid.T) {
-			md.rush()
+			if md.draw(3) > 0 {
+				md.rush()
+			}
 			synctest.Wait()
 			time.Sleep(10 * time.Millisecond)
 			md.mu.Lock()
@@ -370,11 +383,13 @@
 				if out := nd.lim.Outstanding(); out != 0 {
 					tb.Fatalf("%s still counts %d slots after all calls and loans have ended", nd.name, out)
 				}
-				loans += nd.lim.op.Meter.Value(meter.SlotsBorrowed)
+				md.loans += nd.lim.op.Meter.Value(meter.SlotsBorrowed)
 			}
+			loans += md.loans
 			most = max(most, int64(md.mostCalls))
 		})
 	})
+	t.Logf("%d loans", loans)
 	// The check proves little unless the runner was fully used and loans were made.
 	if most < modelSlots || loans == 0 {
 		t.Errorf("at most %d calls at once and %d loans in all runs", most, loans)
--- a/internal/request/limiter/settler.go
+++ b/internal/request/limiter/settler.go
@@ -13,8 +13,9 @@
 
 // pending is a revision that may still be in force at another holder of a runner.
 type pending struct {
-	revision modeler.Revision
-	share    Share
+	// revision is the newest one with this share and these holders, and first the oldest.
+	revision, first modeler.Revision
+	share           Share
 	// others are the holders under the revision without this host.
 	others []modeler.HostName
 	// confirm asks for answers of this boot's own inquiries. It is set for the unknown revisions
@@ -36,9 +37,7 @@
 	lim.noteLimits(cfg)
 	lim.noteRetired(cfg)
 	lim.noteHosts(cfg)
-	if before == nil && lim.op.History == nil {
-		lim.base = lim.unknownRevisions()
-	}
+	lim.noteUnseen(cfg, before)
 	acs := maps.Clone(*lim.accounts.Load())
 	if before != nil && cfg.Revision > before.Revision+1 {
 		lim.widen(acs)
@@ -46,7 +45,7 @@
 	seen := make(map[modeler.RunnerName]bool, len(cfg.Runners))
 	for _, rn := range cfg.Runners {
 		seen[rn.Name] = true
-		lim.applyRunner(cfg, rn, acs, before)
+		lim.applyRunner(cfg, rn, acs)
 	}
 	for name, ac := range acs {
 		if !seen[name] {
@@ -57,10 +56,10 @@
 	lim.refresh()
 }
 
-func (lim *Limiter) applyRunner(cfg *modeler.Configuration, rn modeler.Runner, acs map[modeler.RunnerName]*Account, before *modeler.Configuration) {
+func (lim *Limiter) applyRunner(cfg *modeler.Configuration, rn modeler.Runner, acs map[modeler.RunnerName]*Account) {
 	ac := acs[rn.Name]
 	if ac == nil {
-		ac = &Account{lim: lim, runner: rn.Name, pending: lim.unseen(cfg, before)}
+		ac = &Account{lim: lim, runner: rn.Name, pending: slices.Clone(lim.unseen)}
 		ac.borrowed.Store(&[]*loan{})
 		acs[rn.Name] = ac
 	}
@@ -68,7 +67,7 @@
 	ac.callLimit.Store(int64(callLimit(cfg, rn.Service)))
 	shs := Shares(cfg, rn)
 	ac.newest = shareOf(shs, lim.op.Host)
-	ac.pending = append(ac.pending, pending{revision: cfg.Revision, share: ac.newest, others: lim.others(shs)})
+	ac.add(pending{revision: cfg.Revision, first: cfg.Revision, share: ac.newest, others: lim.others(shs)})
 }
 
 // applyRemoval keeps the account of a removed runner until nobody can hold a share any more.
@@ -81,7 +80,21 @@
 		return
 	}
 	ac.newest = Share{Host: lim.op.Host}
-	ac.pending = append(ac.pending, pending{revision: cfg.Revision, share: ac.newest})
+	ac.add(pending{revision: cfg.Revision, first: cfg.Revision, share: ac.newest})
+}
+
+// add appends a revision. It joins one with the same share and holders, which settles under the same
+// conditions: most revisions do not change a runner, and a host that is down for days keeps all of
+// them from settling.
+func (ac *Account) add(pd pending) {
+	for ix := range ac.pending {
+		old := &ac.pending[ix]
+		if old.confirm == pd.confirm && old.share == pd.share && slices.Equal(old.others, pd.others) {
+			old.revision = pd.revision
+			return
+		}
+	}
+	ac.pending = append(ac.pending, pd)
 }
 
 // widen asks for acknowledgements of all hosts of the data centre after revisions were skipped. A
@@ -89,23 +102,30 @@
 func (lim *Limiter) widen(acs map[modeler.RunnerName]*Account) {
 	all := slices.Clone(lim.known)
 	for _, ac := range acs {
-		for ix := range ac.pending {
-			ac.pending[ix].others = all
+		pds := ac.pending
+		ac.pending = nil
+		for _, pd := range pds {
+			pd.others = all
+			ac.add(pd)
 		}
 	}
 }
 
-// unseen returns what may be in force elsewhere for a runner that the revisions seen here do not
-// list: nothing, unless revisions were skipped or precede this boot.
-func (lim *Limiter) unseen(cfg, before *modeler.Configuration) []pending {
-	var pds []pending
-	if lim.base != nil {
-		pds = append(pds, *lim.base)
-	}
-	if before != nil && cfg.Revision > before.Revision+1 {
-		pds = append(pds, pending{revision: before.Revision, share: Share{Host: lim.op.Host}, others: slices.Clone(lim.known)})
+// noteUnseen remembers revisions that may be in force elsewhere and that this process has not seen:
+// those before the first one of this boot, and skipped ones. They may list any runner.
+func (lim *Limiter) noteUnseen(cfg, before *modeler.Configuration) {
+	switch {
+	case before == nil && lim.op.History == nil:
+		lim.unseen = append(lim.unseen, pending{share: Share{Host: lim.op.Host}, others: slices.Clone(lim.known), confirm: true})
+	case before != nil && cfg.Revision > before.Revision+1:
+		same := func(pd pending) bool { return !pd.confirm && slices.Equal(pd.others, lim.known) }
+		if slices.ContainsFunc(lim.unseen, same) {
+			return
+		}
+		lim.unseen = append(lim.unseen, pending{
+			revision: before.Revision, first: before.Revision, share: Share{Host: lim.op.Host}, others: slices.Clone(lim.known),
+		})
 	}
-	return pds
 }
 
 // noteHosts remembers the other entry hosts of the data centre under any revision seen. One that was
@@ -118,12 +138,6 @@
 	}
 }
 
-// unknownRevisions stands for all revisions before the first one that this process has seen. Any
-// other host of the data centre may still hold any share under them.
-func (lim *Limiter) unknownRevisions() *pending {
-	return &pending{share: Share{Host: lim.op.Host}, others: slices.Clone(lim.known), confirm: true}
-}
-
 func (lim *Limiter) others(shs []Share) []modeler.HostName {
 	var hs []modeler.HostName
 	for _, sh := range shs {
@@ -167,13 +181,18 @@
 func (lim *Limiter) Acknowledge(host modeler.HostName, rev modeler.Revision) {
 	lim.mu.Lock()
 	defer lim.mu.Unlock()
-	lim.acknowledged[host] = max(lim.acknowledged[host], rev)
-	lim.refresh()
+	if rev > lim.acknowledged[host] {
+		lim.acknowledged[host] = rev
+		lim.refresh()
+	}
 }
 
 func (lim *Limiter) confirm(host modeler.HostName, rev modeler.Revision) {
 	lim.mu.Lock()
 	defer lim.mu.Unlock()
+	if rev <= lim.acknowledged[host] && rev <= lim.confirmed[host] {
+		return
+	}
 	lim.acknowledged[host] = max(lim.acknowledged[host], rev)
 	lim.confirmed[host] = max(lim.confirmed[host], rev)
 	lim.refresh()
@@ -195,9 +214,12 @@
 		return 0
 	}
 	base := lim.newest.Revision
+	for _, pd := range lim.unseen {
+		base = min(base, pd.first)
+	}
 	for _, ac := range *lim.accounts.Load() {
 		for _, pd := range ac.pending {
-			base = min(base, pd.revision)
+			base = min(base, pd.first)
 		}
 	}
 	return base
@@ -218,10 +240,8 @@
 		lim.ready = true
 		lim.log(logger.SharesReady, "Waited", time.Since(lim.started).String())
 	}
-	if lim.base != nil && lim.isSettled(*lim.base) {
-		lim.base = nil
-	}
-	open, within := !lim.ready || lim.base != nil, lim.ready
+	lim.unseen = slices.DeleteFunc(lim.unseen, lim.isSettled)
+	open, within := !lim.ready || len(lim.unseen) > 0, lim.ready
 	for _, ac := range *lim.accounts.Load() {
 		ac.pending = slices.DeleteFunc(ac.pending, lim.isSettled)
 		open = open || len(ac.pending) > 1
@@ -295,11 +315,14 @@
 			lim.Acknowledge(pr.Host, pr.SettledRevision)
 		}
 	}
-	lim.lockedRefresh()
-	if !lim.pending.Load() || time.Since(lim.inquired) < inquiryInterval {
+	if time.Since(lim.inquired) < inquiryInterval {
 		return
 	}
 	lim.inquired = time.Now()
+	lim.lockedRefresh()
+	if !lim.pending.Load() {
+		return
+	}
 	for _, pr := range prs {
 		if pr.Client != nil {
 			go lim.inquire(ctx, pr)
--- a/internal/request/router/target.go
+++ b/internal/request/router/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -31,9 +32,9 @@
 	// probeTimeout lets another call probe when the first one has no result.
 	probeTimeout = 30 * time.Second
 	// warmUp is the time in which a new or readmitted runner gets a growing part of the calls;
-	// warmUpCost is how much costlier it seems at first.
-	warmUp     = 10 * time.Second
-	warmUpCost = 4
+	// coldPart of them pass it over at first.
+	warmUp   = 10 * time.Second
+	coldPart = 0.9
 	// slowFactor against the median latency marks a runner as slow; it loses the mark below
 	// fastFactor.
 	slowFactor = 2.5
@@ -103,19 +104,21 @@
 		lat = max(typical, 1)
 	}
 	cost := lat * (1 + failureCost*tg.failureRate())
-	if from := tg.warmFrom.Load(); from != 0 {
-		cost *= tg.warmFactor(from)
+	if from := tg.warmFrom.Load(); from != 0 && tg.isCold(from) {
+		return 0, false
 	}
 	return cost * float64(tg.account.Limit()) / float64(free), true
 }
 
-func (tg *Target) warmFactor(from int64) float64 {
+// isCold passes over a runner that warms up at random, less and less often. A higher cost would keep
+// all calls away as long as the others have free slots.
+func (tg *Target) isCold(from int64) bool {
 	age := float64(time.Now().UnixNano()-from) / float64(warmUp)
 	if age >= 1 {
 		tg.warmFrom.CompareAndSwap(from, 0)
-		return 1
+		return false
 	}
-	return 1 + warmUpCost*(1-age)
+	return rand.Float64() < coldPart*(1-age)
 }
 
 func (tg *Target) failureRate() float64 { return math.Float64frombits(tg.failures.Load()) }
