--- a/internal/request/limiter/settler.go
+++ b/internal/request/limiter/settler.go
@@ -21,6 +21,9 @@
 	// confirm asks for answers of this boot's own inquiries. It is set for the unknown revisions
 	// before the start: relayed news may be older than the process itself.
 	confirm bool
+	// wide adds all peers known at the time of the look, because a revision that was never seen may
+	// have added a host.
+	wide bool
 }
 
 // Apply puts a revision in force. Lower and equal revisions have no effect. The share at this host
@@ -89,7 +92,7 @@
 func (ac *Account) add(pd pending) {
 	for ix := range ac.pending {
 		old := &ac.pending[ix]
-		if old.confirm == pd.confirm && old.share == pd.share && slices.Equal(old.others, pd.others) {
+		if old.confirm == pd.confirm && old.wide == pd.wide && old.share == pd.share && slices.Equal(old.others, pd.others) {
 			old.revision = pd.revision
 			return
 		}
@@ -105,7 +108,7 @@
 		pds := ac.pending
 		ac.pending = nil
 		for _, pd := range pds {
-			pd.others = all
+			pd.others, pd.wide = all, true
 			ac.add(pd)
 		}
 	}
@@ -116,14 +119,14 @@
 func (lim *Limiter) noteUnseen(cfg, before *modeler.Configuration) {
 	switch {
 	case before == nil && lim.op.History == nil:
-		lim.unseen = append(lim.unseen, pending{share: Share{Host: lim.op.Host}, others: slices.Clone(lim.known), confirm: true})
+		lim.unseen = append(lim.unseen, pending{share: Share{Host: lim.op.Host}, others: slices.Clone(lim.known), confirm: true, wide: true})
 	case before != nil && cfg.Revision > before.Revision+1:
 		same := func(pd pending) bool { return !pd.confirm && slices.Equal(pd.others, lim.known) }
 		if slices.ContainsFunc(lim.unseen, same) {
 			return
 		}
 		lim.unseen = append(lim.unseen, pending{
-			revision: before.Revision, first: before.Revision, share: Share{Host: lim.op.Host}, others: slices.Clone(lim.known),
+			revision: before.Revision, first: before.Revision, share: Share{Host: lim.op.Host}, others: slices.Clone(lim.known), wide: true,
 		})
 	}
 }
@@ -265,6 +268,8 @@
 	acks, others := lim.acknowledged, pd.others
 	if pd.confirm {
 		acks = lim.confirmed
+	}
+	if pd.wide {
 		// The first revision of a boot may come from a peer that is behind, and may not list a host
 		// that has been added since.
 		for _, pr := range lim.peers() {
