Serialise writes of a host's record

The race detector found a write of the settled revision in progress while the drain was recorded. Each would have taken the other for a newer process.

--- a/internal/cluster/registrar/registrar.go
+++ b/internal/cluster/registrar/registrar.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
@@ -45,10 +46,13 @@
 	Put(ctx context.Context, key string, value []byte, expected int64) (int64, error)
 }
 
-// Registrar writes the record of one process. It is not safe for concurrent use.
+// Registrar writes the record of one process. It is safe for concurrent use; writes wait for each
+// other, since two at a time would take each other for a newer process.
 type Registrar struct {
 	store Store
 	key   string
+
+	mu sync.Mutex
 	// record is what this process has written or will write next.
 	record Record
 	// revision is that of the key in the store.
@@ -69,6 +73,8 @@
 // before Register has returned, unless it waits for the end of the predecessor's calls. Errors:
 // ErrReplaced and those of the store.
 func (rg *Registrar) Register(ctx context.Context) (*Record, error) {
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
 	previous, err := rg.read(ctx)
 	if err != nil {
 		return nil, err
@@ -88,6 +94,8 @@
 // Settle records the oldest revision whose shares may still be in force elsewhere. It does not
 // write when the record has it already. Errors: ErrReplaced and those of the store.
 func (rg *Registrar) Settle(ctx context.Context, base modeler.Revision) error {
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
 	if base == rg.record.SettledBase || rg.revision == 0 {
 		return nil
 	}
@@ -99,6 +107,8 @@
 // Drain records that all calls of this process have ended. Errors: ErrReplaced and those of the
 // store.
 func (rg *Registrar) Drain(ctx context.Context) error {
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
 	if rg.revision == 0 {
 		return storer.ErrUnavailable
 	}
