Remove the setting Platform.Workers

Workers have addresses of their own in the platform's list of workers, so that no code read the setting, which was required all the same. The help of currantstand was printed as an error with exit code 1; it now goes to the standard output with exit code 0.

Conclusion: one required setting less. A settings file that still has the key is refused as having an unknown key.

--- a/cmd/currantstand/main.go
+++ b/cmd/currantstand/main.go
@@ -9,13 +9,20 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/jessevdk/go-flags"
+
 	"github.com/currantrouter/currantrouter/internal/platform/emulator"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := emulator.RunStand(ctx, os.Args[1:], os.Stdout); err != nil {
+	err := emulator.RunStand(ctx, os.Args[1:], os.Stdout)
+	if flags.WroteHelp(err) {
+		fmt.Println(err)
+		return
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "currantstand:", err)
 		os.Exit(1)
 	}
--- a/internal/config/loader/settings.go
+++ b/internal/config/loader/settings.go
@@ -43,7 +43,6 @@
 // daemon is standalone.
 type PlatformSettings struct {
 	Store    netip.AddrPort
-	Workers  netip.AddrPort
 	HostList netip.AddrPort
 }
 
--- a/internal/config/loader/table.go
+++ b/internal/config/loader/table.go
@@ -72,10 +72,6 @@
 		"Platform", "Store", "ADDRESS", "", "", "Address of the key-value service.", allowedAddress,
 		platform, func(st *Settings, val string) bool { return setAddress(&st.Platform.Store, val) },
 	},
-	{
-		"Platform", "Workers", "ADDRESS", "", "", "Address of the workers' interface.", allowedAddress,
-		platform, func(st *Settings, val string) bool { return setAddress(&st.Platform.Workers, val) },
-	},
 	{
 		"Platform", "HostList", "ADDRESS", "", "", "Address of the list of live and leaving hosts.", allowedAddress,
 		platform, func(st *Settings, val string) bool { return setAddress(&st.Platform.HostList, val) },
--- a/internal/experiment/driver/fleet.go
+++ b/internal/experiment/driver/fleet.go
@@ -138,7 +138,7 @@
 		"--host-name", string(hst.name), "--host-data-centre", string(hst.dataCentre),
 		"--listen-callers", hst.callers.String(), "--listen-operators", hst.operators.String(),
 		"--listen-peers", hst.peers.String(), "--platform-store", standAddress,
-		"--platform-host-list", standAddress, "--platform-workers", standAddress, "--insecure", "true",
+		"--platform-host-list", standAddress, "--insecure", "true",
 	}
 	for _, other := range fl.hosts {
 		if other != hst {
