Keep time and operator with each revision of the configuration

The history named revisions only, so that operators could not see who had changed what without the audit trail. The words follow the writer's token in its header line of the stored value: processes of earlier versions expect exactly two header lines and read the new values as before.

Conclusion: all hosts show the same history, the present revision included.

--- a/internal/config/distributor/distributor_test.go
+++ b/internal/config/distributor/distributor_test.go
@@ -260,6 +260,14 @@
 		old, err := hst.Past(t.Context(), 30)
 		qt.Assert(t, err, qt.IsNil)
 		qt.Check(t, string(old), qt.Equals, string(doc(30)))
+		time.Sleep(time.Minute)
+		_, err = hst.PutAs(t.Context(), doc(131), 130, "Anne \n Marie")
+		qt.Assert(t, err, qt.IsNil)
+		chs, err := hst.Changes(t.Context())
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, chs, qt.HasLen, 101)
+		qt.Check(t, chs[100], qt.Equals, distributor.Change{Revision: 131, At: time.Now().UTC(), Who: "Anne Marie"})
+		qt.Check(t, chs[99], qt.Equals, distributor.Change{Revision: 130, At: time.Now().UTC().Add(-time.Minute)})
 	})
 }
 
--- a/internal/config/distributor/keeper.go
+++ b/internal/config/distributor/keeper.go
@@ -48,7 +48,8 @@
 type stored struct {
 	rev modeler.Revision
 	// writer is unique for each call of Put. It tells whether a write whose answer was lost has
-	// taken effect.
+	// taken effect. Its words are a random token, the time and the operator's name; they share one
+	// header line, because processes of earlier versions expect exactly two.
 	writer string
 	doc    []byte
 }
@@ -68,6 +69,26 @@
 	return bf.Bytes()
 }
 
+func newWriter(who string) string {
+	now := time.Now().UTC().Format(time.RFC3339)
+	return strings.Join(append([]string{rand.Text(), now}, strings.Fields(who)...), " ")
+}
+
+// change describes the revision. A value of an earlier version has neither time nor operator.
+func (sto stored) change() Change {
+	ch := Change{Revision: sto.rev}
+	words := strings.Fields(sto.writer)
+	if len(words) < 2 {
+		return ch
+	}
+	at, err := time.Parse(time.RFC3339, words[1])
+	if err != nil {
+		return ch
+	}
+	ch.At, ch.Who = at, strings.Join(words[2:], " ")
+	return ch
+}
+
 func decode(value []byte) (stored, error) {
 	first, rest, _ := bytes.Cut(value, []byte("\n"))
 	second, doc, ok := bytes.Cut(rest, []byte("\n"))
@@ -109,6 +130,11 @@
 // for the first one. Errors: ErrConflict, ErrResultUnknown, checker.ErrInvalid and
 // storer.ErrUnavailable, which means that nothing was written.
 func (dst *Distributor) Put(ctx context.Context, document []byte, expected modeler.Revision) (modeler.Revision, error) {
+	return dst.PutAs(ctx, document, expected, "")
+}
+
+// PutAs is Put with the name of the operator, which is kept with the revision.
+func (dst *Distributor) PutAs(ctx context.Context, document []byte, expected modeler.Revision, who string) (modeler.Revision, error) {
 	if _, err := checker.Parse(document, expected+1); err != nil {
 		return 0, err
 	}
@@ -124,7 +150,7 @@
 	if err := dst.archive(ctx, old); err != nil {
 		return 0, fmt.Errorf("%w: history: %w", storer.ErrUnavailable, err)
 	}
-	cur := stored{rev: expected + 1, writer: rand.Text(), doc: document}
+	cur := stored{rev: expected + 1, writer: newWriter(who), doc: document}
 	if err := dst.write(ctx, cur, at); err != nil {
 		return 0, err
 	}
@@ -253,6 +279,47 @@
 	return revs, nil
 }
 
+// Change tells when a revision was written and by whom.
+type Change struct {
+	Revision modeler.Revision
+	// At is zero and Who is empty for a revision that was written without them.
+	At  time.Time
+	Who string
+}
+
+// Changes lists the revisions that the store keeps, the present one included, the oldest first.
+// Errors: storer.ErrUnavailable.
+func (dst *Distributor) Changes(ctx context.Context) ([]Change, error) {
+	cur, _, err := dst.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, dst.opt.Timeout)
+	defer cancel()
+	var chs []Change
+	for after := ""; ; {
+		// A list may return fewer entries than asked for; only an empty one is the end.
+		ents, err := dst.opt.Store.List(ctx, prefixHistory, after, 2*historyLength)
+		if err != nil {
+			return nil, err
+		}
+		if len(ents) == 0 {
+			break
+		}
+		for _, ent := range ents {
+			after = ent.Key
+			// A malformed entry has no time and operator to show.
+			if sto, err := decode(ent.Value); err == nil && sto.rev != cur.rev {
+				chs = append(chs, sto.change())
+			}
+		}
+	}
+	if cur.rev > 0 {
+		chs = append(chs, cur.change())
+	}
+	return chs, nil
+}
+
 // Past returns the document of an earlier revision. Errors: storer.ErrNotFound,
 // storer.ErrUnavailable.
 func (dst *Distributor) Past(ctx context.Context, rev modeler.Revision) ([]byte, error) {
--- a/internal/operator/server/request.go
+++ b/internal/operator/server/request.go
@@ -130,11 +130,20 @@
 	// The outcome of a panic, which leaves the effect open.
 	oc := auditor.Outcome{Result: auditor.Undetermined, Reason: errPanic.Error()}
 	defer func() { cm.End(ctx, oc) }()
-	ef, err := ac.run(limited)
+	ef, err := ac.run(context.WithValue(limited, operatorKey{}, rc.Who))
 	oc = ef.outcome(err)
 	return ef.answer, err
 }
 
+type operatorKey struct{}
+
+// OperatorName returns the name of the operator whose command a backend executes, and an empty text
+// outside of a command.
+func OperatorName(ctx context.Context) string {
+	name, _ := ctx.Value(operatorKey{}).(string)
+	return name
+}
+
 func (ef effect) outcome(err error) auditor.Outcome {
 	oc := auditor.Outcome{Result: auditor.Accepted, Subject: ef.subject, Before: ef.before, After: ef.after}
 	if err == nil {
