Relay operators' statements to the leader of a data centre

The scheduler could record that a task is done or runs again, and that a worker is gone, but no message between entry hosts carried the statement to it. The twirp service Batch gets Resolve and WorkerGone. A task that does not wait for an operator has the code not_found.

--- a/internal/batch/relayer/relayer.go
+++ b/internal/batch/relayer/relayer.go
@@ -11,6 +11,7 @@
 
 	"github.com/currantrouter/currantrouter/internal/batch/scheduler"
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
+	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/platform/storer"
 )
 
@@ -21,7 +22,7 @@
 	ErrLeaderUnreachable = errors.New("leader of the data centre is not reachable")
 	// ErrResultUnknown means that a command may have taken effect.
 	ErrResultUnknown = errors.New("result of the command is unknown")
-	// ErrNotFound means that there is no such task.
+	// ErrNotFound means that there is no such task, or none that waits for an operator.
 	ErrNotFound = errors.New("no such task")
 )
 
@@ -31,6 +32,8 @@
 	Tasks(ctx context.Context, qy scheduler.Query) ([]scheduler.TaskStatus, error)
 	Explain(ctx context.Context, name string, no int) (scheduler.Explanation, error)
 	Cancel(ctx context.Context, sl scheduler.Selector) (int, error)
+	Resolve(ctx context.Context, name string, no int, runAgain bool) error
+	WorkerGone(ctx context.Context, name modeler.WorkerName) error
 }
 
 // server answers for the data centre that this host leads.
@@ -113,6 +116,30 @@
 	return &messenger.CancelResult{Jobs: int32(num)}, nil
 }
 
+// Resolve implements messenger.Batch.
+func (sv *server) Resolve(ctx context.Context, rq *messenger.TaskResolution) (*messenger.StatementResult, error) {
+	bt, err := sv.batch()
+	if err != nil {
+		return nil, err
+	}
+	if err := bt.Resolve(ctx, rq.Job, int(rq.Number), rq.RunAgain); err != nil {
+		return nil, encodeError(err)
+	}
+	return &messenger.StatementResult{}, nil
+}
+
+// WorkerGone implements messenger.Batch.
+func (sv *server) WorkerGone(ctx context.Context, rq *messenger.WorkerName) (*messenger.StatementResult, error) {
+	bt, err := sv.batch()
+	if err != nil {
+		return nil, err
+	}
+	if err := bt.WorkerGone(ctx, modeler.WorkerName(rq.Name)); err != nil {
+		return nil, encodeError(err)
+	}
+	return &messenger.StatementResult{}, nil
+}
+
 func queryOf(rq *messenger.BatchQuery) scheduler.Query {
 	return scheduler.Query{
 		Job:   rq.Job,
@@ -166,7 +193,7 @@
 // encodeError gives the scheduler's errors codes that DecodeError understands.
 func encodeError(err error) error {
 	switch {
-	case errors.Is(err, scheduler.ErrUnknownTask):
+	case errors.Is(err, scheduler.ErrUnknownTask), errors.Is(err, scheduler.ErrNotResolvable):
 		return twirp.NewError(twirp.NotFound, err.Error())
 	case errors.Is(err, scheduler.ErrNotLeading), errors.Is(err, scheduler.ErrDeposed):
 		return errNotLeading
--- a/internal/cluster/messenger/batch.twirp.go
+++ b/internal/cluster/messenger/batch.twirp.go
@@ -42,6 +42,13 @@
 
 	// Cancel ends the selected jobs.
 	Cancel(context.Context, *JobSelector) (*CancelResult, error)
+
+	// Resolve states what became of a task in state Unknown. An unknown task, and one in another
+	// state, has the code not_found.
+	Resolve(context.Context, *TaskResolution) (*StatementResult, error)
+
+	// WorkerGone states that a worker is gone for good.
+	WorkerGone(context.Context, *WorkerName) (*StatementResult, error)
 }
 
 // =====================
@@ -50,7 +57,7 @@
 
 type batchProtobufClient struct {
 	client      HTTPClient
-	urls        [4]string
+	urls        [6]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -78,11 +85,13 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "currantrouter.cluster", "Batch")
-	urls := [4]string{
+	urls := [6]string{
 		serviceURL + "Jobs",
 		serviceURL + "Tasks",
 		serviceURL + "Explain",
 		serviceURL + "Cancel",
+		serviceURL + "Resolve",
+		serviceURL + "WorkerGone",
 	}
 
 	return &batchProtobufClient{
@@ -277,13 +286,105 @@
 	return out, nil
 }
 
+func (c *batchProtobufClient) Resolve(ctx context.Context, in *TaskResolution) (*StatementResult, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "currantrouter.cluster")
+	ctx = ctxsetters.WithServiceName(ctx, "Batch")
+	ctx = ctxsetters.WithMethodName(ctx, "Resolve")
+	caller := c.callResolve
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *TaskResolution) (*StatementResult, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*TaskResolution)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*TaskResolution) when calling interceptor")
+					}
+					return c.callResolve(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StatementResult)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StatementResult) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *batchProtobufClient) callResolve(ctx context.Context, in *TaskResolution) (*StatementResult, error) {
+	out := new(StatementResult)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *batchProtobufClient) WorkerGone(ctx context.Context, in *WorkerName) (*StatementResult, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "currantrouter.cluster")
+	ctx = ctxsetters.WithServiceName(ctx, "Batch")
+	ctx = ctxsetters.WithMethodName(ctx, "WorkerGone")
+	caller := c.callWorkerGone
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *WorkerName) (*StatementResult, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*WorkerName)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*WorkerName) when calling interceptor")
+					}
+					return c.callWorkerGone(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StatementResult)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StatementResult) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *batchProtobufClient) callWorkerGone(ctx context.Context, in *WorkerName) (*StatementResult, error) {
+	out := new(StatementResult)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // =================
 // Batch JSON Client
 // =================
 
 type batchJSONClient struct {
 	client      HTTPClient
-	urls        [4]string
+	urls        [6]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -311,11 +412,13 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "currantrouter.cluster", "Batch")
-	urls := [4]string{
+	urls := [6]string{
 		serviceURL + "Jobs",
 		serviceURL + "Tasks",
 		serviceURL + "Explain",
 		serviceURL + "Cancel",
+		serviceURL + "Resolve",
+		serviceURL + "WorkerGone",
 	}
 
 	return &batchJSONClient{
@@ -510,6 +613,98 @@
 	return out, nil
 }
 
+func (c *batchJSONClient) Resolve(ctx context.Context, in *TaskResolution) (*StatementResult, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "currantrouter.cluster")
+	ctx = ctxsetters.WithServiceName(ctx, "Batch")
+	ctx = ctxsetters.WithMethodName(ctx, "Resolve")
+	caller := c.callResolve
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *TaskResolution) (*StatementResult, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*TaskResolution)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*TaskResolution) when calling interceptor")
+					}
+					return c.callResolve(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StatementResult)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StatementResult) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *batchJSONClient) callResolve(ctx context.Context, in *TaskResolution) (*StatementResult, error) {
+	out := new(StatementResult)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *batchJSONClient) WorkerGone(ctx context.Context, in *WorkerName) (*StatementResult, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "currantrouter.cluster")
+	ctx = ctxsetters.WithServiceName(ctx, "Batch")
+	ctx = ctxsetters.WithMethodName(ctx, "WorkerGone")
+	caller := c.callWorkerGone
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *WorkerName) (*StatementResult, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*WorkerName)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*WorkerName) when calling interceptor")
+					}
+					return c.callWorkerGone(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StatementResult)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StatementResult) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *batchJSONClient) callWorkerGone(ctx context.Context, in *WorkerName) (*StatementResult, error) {
+	out := new(StatementResult)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ====================
 // Batch Server Handler
 // ====================
@@ -619,6 +814,12 @@
 	case "Cancel":
 		s.serveCancel(ctx, resp, req)
 		return
+	case "Resolve":
+		s.serveResolve(ctx, resp, req)
+		return
+	case "WorkerGone":
+		s.serveWorkerGone(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -1346,6 +1547,366 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *batchServer) serveResolve(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveResolveJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveResolveProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *batchServer) serveResolveJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Resolve")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(TaskResolution)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Batch.Resolve
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *TaskResolution) (*StatementResult, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*TaskResolution)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*TaskResolution) when calling interceptor")
+					}
+					return s.Batch.Resolve(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StatementResult)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StatementResult) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *StatementResult
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *StatementResult and nil error while calling Resolve. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *batchServer) serveResolveProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Resolve")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(TaskResolution)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Batch.Resolve
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *TaskResolution) (*StatementResult, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*TaskResolution)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*TaskResolution) when calling interceptor")
+					}
+					return s.Batch.Resolve(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StatementResult)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StatementResult) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *StatementResult
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *StatementResult and nil error while calling Resolve. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *batchServer) serveWorkerGone(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveWorkerGoneJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveWorkerGoneProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *batchServer) serveWorkerGoneJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "WorkerGone")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(WorkerName)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Batch.WorkerGone
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *WorkerName) (*StatementResult, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*WorkerName)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*WorkerName) when calling interceptor")
+					}
+					return s.Batch.WorkerGone(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StatementResult)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StatementResult) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *StatementResult
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *StatementResult and nil error while calling WorkerGone. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *batchServer) serveWorkerGoneProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "WorkerGone")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(WorkerName)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Batch.WorkerGone
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *WorkerName) (*StatementResult, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*WorkerName)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*WorkerName) when calling interceptor")
+					}
+					return s.Batch.WorkerGone(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StatementResult)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StatementResult) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *StatementResult
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *StatementResult and nil error while calling WorkerGone. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *batchServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor1, 0
 }
@@ -1362,50 +1923,55 @@
 }
 
 var twirpFileDescriptor1 = []byte{
-	// 705 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x55, 0xdd, 0x6e, 0xd3, 0x30,
-	0x14, 0x56, 0xda, 0x26, 0x6d, 0x4f, 0x07, 0x03, 0x0b, 0xa6, 0xa8, 0x08, 0xd6, 0x65, 0x12, 0x54,
-	0x20, 0x75, 0xd2, 0x36, 0x21, 0xe0, 0x02, 0x89, 0x4e, 0x08, 0x51, 0x7e, 0xa4, 0x79, 0xbb, 0xe2,
-	0x66, 0x72, 0x5a, 0x6f, 0xcb, 0x9a, 0xd8, 0x95, 0xed, 0x00, 0x7d, 0x02, 0x5e, 0x0c, 0xf1, 0x16,
-	0xbc, 0x0b, 0xf2, 0x71, 0x92, 0x75, 0xd3, 0x3a, 0x7a, 0x35, 0x7f, 0x67, 0x9f, 0xcf, 0xcf, 0x77,
-	0xbe, 0xb8, 0xd0, 0x89, 0x99, 0x19, 0x9f, 0x0f, 0x66, 0x4a, 0x1a, 0x49, 0x1e, 0x8e, 0x73, 0xa5,
-	0x98, 0x30, 0x4a, 0xe6, 0x86, 0xab, 0xc1, 0x38, 0xcd, 0xb5, 0xe1, 0x2a, 0xfa, 0xed, 0x01, 0x0c,
-	0x2d, 0xed, 0x30, 0xe7, 0x6a, 0x4e, 0xee, 0x41, 0xfd, 0x42, 0xc6, 0xa1, 0xd7, 0xf3, 0xfa, 0x6d,
-	0x6a, 0x8f, 0x84, 0x40, 0xc3, 0x70, 0x96, 0x85, 0x35, 0x0c, 0xe1, 0xd9, 0xb2, 0x26, 0x6c, 0x1e,
-	0xd6, 0x1d, 0x6b, 0xc2, 0xe6, 0xe4, 0x01, 0xf8, 0xda, 0x30, 0xc3, 0xc3, 0x06, 0xc6, 0x1c, 0x20,
-	0x1b, 0x10, 0xfc, 0x90, 0x6a, 0xca, 0x55, 0xe8, 0x63, 0xb8, 0x40, 0xe4, 0x11, 0xb4, 0xd9, 0xa9,
-	0xe1, 0xea, 0xc4, 0xd6, 0x0a, 0x7a, 0x5e, 0xbf, 0x41, 0x5b, 0x18, 0x18, 0xc9, 0x98, 0x3c, 0x06,
-	0x70, 0xff, 0x34, 0x4c, 0x4f, 0xc3, 0x66, 0xcf, 0xeb, 0xd7, 0xa9, 0xa3, 0x1f, 0x33, 0x3d, 0xb5,
-	0x95, 0xd2, 0x24, 0x4b, 0x4c, 0xd8, 0xea, 0x79, 0x7d, 0x9f, 0x3a, 0x10, 0xfd, 0xaa, 0x43, 0x6b,
-	0x24, 0xe3, 0xf7, 0xc2, 0xa8, 0xb9, 0x6d, 0x59, 0xb0, 0x8c, 0x17, 0x53, 0xe0, 0xf9, 0xc6, 0x31,
-	0xba, 0xd0, 0x9a, 0xa9, 0x44, 0xaa, 0xc4, 0xb8, 0x59, 0x7c, 0x5a, 0x61, 0xdb, 0x7a, 0xae, 0xce,
-	0xb8, 0x30, 0x38, 0x51, 0x8b, 0x16, 0xc8, 0x96, 0xb7, 0x7d, 0x69, 0x9c, 0xc8, 0xa7, 0x0e, 0x90,
-	0x03, 0x08, 0x70, 0x62, 0x1d, 0x06, 0xbd, 0x7a, 0xbf, 0xb3, 0xfb, 0x62, 0x70, 0xa3, 0xda, 0x83,
-	0xb2, 0xc5, 0xc1, 0x11, 0xb2, 0xf1, 0x4c, 0x8b, 0xab, 0xe4, 0x39, 0xdc, 0x17, 0xd2, 0x9c, 0xc4,
-	0xfc, 0x54, 0x2a, 0x7e, 0x92, 0x25, 0x69, 0x9a, 0xe8, 0x62, 0xfe, 0x75, 0x21, 0xcd, 0x10, 0xe3,
-	0x5f, 0x30, 0x4c, 0x9e, 0xc1, 0xfa, 0x84, 0xb3, 0x49, 0x9a, 0x88, 0x8a, 0xd9, 0x42, 0xe6, 0xdd,
-	0x32, 0x5c, 0x10, 0x43, 0x68, 0x2a, 0xce, 0xb4, 0x14, 0x3a, 0x6c, 0xf7, 0xea, 0xfd, 0x36, 0x2d,
-	0x21, 0x4e, 0x2f, 0x75, 0x62, 0x12, 0x29, 0x42, 0x70, 0x3b, 0x28, 0x71, 0xf7, 0x35, 0x74, 0x16,
-	0x3a, 0xb4, 0xfb, 0x9e, 0xf2, 0x79, 0xe9, 0x8a, 0x29, 0xc7, 0x7d, 0x7f, 0x67, 0x69, 0xce, 0x51,
-	0x4f, 0x9f, 0x3a, 0xf0, 0xa6, 0xf6, 0xca, 0x8b, 0xde, 0x42, 0x73, 0x24, 0xe3, 0xcf, 0x89, 0x36,
-	0x64, 0x0f, 0x1a, 0x17, 0x32, 0xd6, 0xa1, 0x87, 0x9a, 0x6c, 0xfe, 0x47, 0x13, 0x8a, 0xe4, 0xe8,
-	0xaf, 0x07, 0x6d, 0xbb, 0xe8, 0xaa, 0xf2, 0x35, 0x3f, 0x6e, 0x40, 0x20, 0xf2, 0x2c, 0xe6, 0xaa,
-	0x28, 0x5d, 0xa0, 0x4b, 0x07, 0xd6, 0x17, 0x1d, 0x18, 0x42, 0x93, 0x19, 0xc3, 0xb3, 0x99, 0xdb,
-	0xa3, 0x4f, 0x4b, 0xb8, 0xd4, 0x9b, 0x1b, 0x10, 0x38, 0x85, 0xd0, 0x98, 0x6d, 0x5a, 0x20, 0xb2,
-	0x05, 0x6b, 0xa5, 0x3c, 0x68, 0xdb, 0x26, 0x4a, 0xd6, 0x29, 0x63, 0xd6, 0xb9, 0xdb, 0x70, 0xa7,
-	0xa2, 0xa0, 0x79, 0xdd, 0x4a, 0xaa, 0x7b, 0x76, 0xac, 0x68, 0x08, 0x2d, 0xfb, 0x17, 0x05, 0x7a,
-	0x59, 0x9a, 0xc9, 0x29, 0xd4, 0x5b, 0xa2, 0x50, 0x25, 0x47, 0x61, 0xb7, 0x68, 0xdf, 0xe5, 0xf8,
-	0x6a, 0x8d, 0xbd, 0xb2, 0x42, 0x11, 0x83, 0x75, 0xcc, 0xf4, 0x73, 0x96, 0x32, 0xc1, 0x6c, 0x43,
-	0x64, 0x1f, 0x1a, 0xd8, 0xa8, 0xbd, 0xbd, 0x4a, 0x7d, 0x64, 0x2f, 0x7a, 0xaa, 0x76, 0xc5, 0x53,
-	0xd1, 0x07, 0xe8, 0x8c, 0x64, 0x7c, 0xc4, 0x53, 0x3e, 0x36, 0x52, 0xd9, 0x8f, 0xae, 0x32, 0x40,
-	0xdb, 0xed, 0x77, 0xb5, 0xf7, 0x24, 0x8a, 0x60, 0xed, 0x80, 0x89, 0x31, 0x4f, 0x29, 0xd7, 0x79,
-	0x6a, 0x16, 0x32, 0xd9, 0x89, 0xf0, 0xbc, 0xfb, 0xa7, 0x06, 0x3e, 0x3e, 0x5d, 0xe4, 0x23, 0x34,
-	0x46, 0x36, 0xf7, 0xd6, 0x92, 0x01, 0x2e, 0x1f, 0xb8, 0xee, 0x93, 0xe5, 0x2e, 0xc4, 0x95, 0x7c,
-	0x02, 0xff, 0x18, 0x3f, 0xe9, 0x15, 0x72, 0x6d, 0xde, 0xa2, 0x17, 0x26, 0xa3, 0xd0, 0x44, 0xb5,
-	0x13, 0x41, 0x6e, 0xe3, 0xda, 0x3d, 0x76, 0x9f, 0xde, 0x26, 0xfe, 0xc2, 0xca, 0x0e, 0x21, 0x70,
-	0xca, 0x90, 0x68, 0xf9, 0x28, 0xe5, 0x06, 0xba, 0xdb, 0x4b, 0x38, 0x8b, 0xe2, 0x0e, 0x0f, 0xbe,
-	0xbd, 0x3b, 0x4b, 0xcc, 0x79, 0x1e, 0x0f, 0xc6, 0x32, 0xdb, 0xb9, 0x72, 0xe1, 0x1a, 0x4a, 0x84,
-	0xe1, 0x4a, 0xb0, 0x74, 0xa7, 0xc8, 0xb3, 0x93, 0x71, 0xad, 0xb9, 0x38, 0xe3, 0x2a, 0x0e, 0xf0,
-	0x67, 0x66, 0xef, 0x5f, 0x00, 0x00, 0x00, 0xff, 0xff, 0xfa, 0x20, 0xe8, 0x5b, 0x75, 0x06, 0x00,
-	0x00,
+	// 795 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x55, 0x6f, 0x8f, 0xdb, 0x34,
+	0x18, 0x57, 0x2e, 0x4d, 0x9a, 0x3c, 0x1d, 0x3b, 0x66, 0xc1, 0x29, 0xea, 0x04, 0xcb, 0x32, 0x01,
+	0x15, 0x48, 0x3d, 0x69, 0x9b, 0x10, 0xf0, 0x02, 0x69, 0x3d, 0xa1, 0x89, 0x02, 0x93, 0xe6, 0x4d,
+	0x3a, 0xc4, 0x9b, 0xca, 0x69, 0xbd, 0x2e, 0x6b, 0x62, 0x57, 0xb6, 0x33, 0xe8, 0x27, 0xe0, 0x8b,
+	0xf1, 0x35, 0xf8, 0x20, 0xbc, 0x43, 0x7e, 0x9c, 0xb4, 0xbd, 0xea, 0xd2, 0xf5, 0xd5, 0xf9, 0xf7,
+	0xdc, 0x63, 0xfb, 0xf9, 0xfd, 0x89, 0x0b, 0x83, 0x9c, 0x99, 0xf9, 0xdb, 0xf1, 0x5a, 0x49, 0x23,
+	0xc9, 0xa7, 0xf3, 0x5a, 0x29, 0x26, 0x8c, 0x92, 0xb5, 0xe1, 0x6a, 0x3c, 0x2f, 0x6b, 0x6d, 0xb8,
+	0xca, 0xfe, 0xf1, 0x00, 0x26, 0xb6, 0xed, 0x65, 0xcd, 0xd5, 0x86, 0x7c, 0x0c, 0xfe, 0x3b, 0x99,
+	0x27, 0x5e, 0xea, 0x8d, 0x62, 0x6a, 0x97, 0x84, 0x40, 0xcf, 0x70, 0x56, 0x25, 0x67, 0x58, 0xc2,
+	0xb5, 0xed, 0x5a, 0xb0, 0x4d, 0xe2, 0xbb, 0xae, 0x05, 0xdb, 0x90, 0x4f, 0x20, 0xd0, 0x86, 0x19,
+	0x9e, 0xf4, 0xb0, 0xe6, 0x00, 0xb9, 0x80, 0xf0, 0x4f, 0xa9, 0x56, 0x5c, 0x25, 0x01, 0x96, 0x1b,
+	0x44, 0xee, 0x43, 0xcc, 0xde, 0x18, 0xae, 0x66, 0xf6, 0xae, 0x30, 0xf5, 0x46, 0x3d, 0x1a, 0x61,
+	0x61, 0x2a, 0x73, 0xf2, 0x19, 0x80, 0xfb, 0xa7, 0x61, 0x7a, 0x95, 0xf4, 0x53, 0x6f, 0xe4, 0x53,
+	0xd7, 0xfe, 0x9a, 0xe9, 0x95, 0xbd, 0xa9, 0x2c, 0xaa, 0xc2, 0x24, 0x51, 0xea, 0x8d, 0x02, 0xea,
+	0x40, 0xf6, 0xb7, 0x0f, 0xd1, 0x54, 0xe6, 0x3f, 0x09, 0xa3, 0x36, 0x76, 0x64, 0xc1, 0x2a, 0xde,
+	0xb0, 0xc0, 0xf5, 0xad, 0x34, 0x86, 0x10, 0xad, 0x55, 0x21, 0x55, 0x61, 0x1c, 0x97, 0x80, 0x6e,
+	0xb1, 0x1d, 0xbd, 0x56, 0x4b, 0x2e, 0x0c, 0x32, 0x8a, 0x68, 0x83, 0xec, 0xf5, 0x76, 0x2e, 0x8d,
+	0x8c, 0x02, 0xea, 0x00, 0xb9, 0x82, 0x10, 0x19, 0xeb, 0x24, 0x4c, 0xfd, 0xd1, 0xe0, 0xf1, 0x37,
+	0xe3, 0x5b, 0xd5, 0x1e, 0xb7, 0x23, 0x8e, 0x5f, 0x61, 0x37, 0xae, 0x69, 0xb3, 0x95, 0x7c, 0x0d,
+	0xf7, 0x84, 0x34, 0xb3, 0x9c, 0xbf, 0x91, 0x8a, 0xcf, 0xaa, 0xa2, 0x2c, 0x0b, 0xdd, 0xf0, 0x3f,
+	0x17, 0xd2, 0x4c, 0xb0, 0xfe, 0x1b, 0x96, 0xc9, 0x57, 0x70, 0xbe, 0xe0, 0x6c, 0x51, 0x16, 0x62,
+	0xdb, 0x19, 0x61, 0xe7, 0xdd, 0xb6, 0xdc, 0x34, 0x26, 0xd0, 0x57, 0x9c, 0x69, 0x29, 0x74, 0x12,
+	0xa7, 0xfe, 0x28, 0xa6, 0x2d, 0x44, 0xf6, 0x52, 0x17, 0xa6, 0x90, 0x22, 0x01, 0xe7, 0x41, 0x8b,
+	0x87, 0xdf, 0xc3, 0x60, 0x6f, 0x42, 0xeb, 0xf7, 0x8a, 0x6f, 0xda, 0x54, 0xac, 0x38, 0xfa, 0xfd,
+	0x9e, 0x95, 0x35, 0x47, 0x3d, 0x03, 0xea, 0xc0, 0x0f, 0x67, 0xdf, 0x79, 0xd9, 0x8f, 0xd0, 0x9f,
+	0xca, 0xfc, 0xd7, 0x42, 0x1b, 0xf2, 0x04, 0x7a, 0xef, 0x64, 0xae, 0x13, 0x0f, 0x35, 0x79, 0xf0,
+	0x01, 0x4d, 0x28, 0x36, 0x67, 0xff, 0x7a, 0x10, 0x5b, 0xa3, 0xb7, 0x37, 0x1f, 0xe4, 0xf1, 0x02,
+	0x42, 0x51, 0x57, 0x39, 0x57, 0xcd, 0xd5, 0x0d, 0xda, 0x25, 0xd0, 0xdf, 0x4f, 0x60, 0x02, 0x7d,
+	0x66, 0x0c, 0xaf, 0xd6, 0xce, 0xc7, 0x80, 0xb6, 0xb0, 0x33, 0x9b, 0x17, 0x10, 0x3a, 0x85, 0x30,
+	0x98, 0x31, 0x6d, 0x10, 0x79, 0x08, 0x77, 0x5a, 0x79, 0x30, 0xb6, 0x7d, 0x94, 0x6c, 0xd0, 0xd6,
+	0x6c, 0x72, 0x1f, 0xc1, 0x47, 0xdb, 0x16, 0x0c, 0xaf, 0xb3, 0x64, 0xbb, 0xcf, 0xd2, 0xca, 0x26,
+	0x10, 0xd9, 0xbf, 0x28, 0xd0, 0xb7, 0x6d, 0x98, 0x9c, 0x42, 0x69, 0x87, 0x42, 0x5b, 0x39, 0x9a,
+	0xb8, 0x65, 0x4f, 0xdd, 0x19, 0x2f, 0x6c, 0xb0, 0x4f, 0x56, 0x28, 0x63, 0x70, 0x8e, 0x27, 0xfd,
+	0xb5, 0x2e, 0x99, 0x60, 0x76, 0x20, 0xf2, 0x14, 0x7a, 0x38, 0xa8, 0xdd, 0x7d, 0xca, 0xfd, 0xd8,
+	0xbd, 0x9f, 0xa9, 0xb3, 0x1b, 0x99, 0xca, 0x9e, 0xc3, 0x60, 0x2a, 0xf3, 0x57, 0xbc, 0xe4, 0x73,
+	0x23, 0x95, 0xfd, 0xe8, 0xb6, 0x01, 0x88, 0x9d, 0xbf, 0xa7, 0xbd, 0x27, 0x59, 0x06, 0x77, 0xae,
+	0x98, 0x98, 0xf3, 0x92, 0x72, 0x5d, 0x97, 0x66, 0xef, 0x24, 0xcb, 0xc8, 0x25, 0xe5, 0x1a, 0xee,
+	0xda, 0xc9, 0x28, 0xd7, 0xb2, 0xac, 0x91, 0xce, 0xe9, 0x69, 0xb9, 0x0f, 0xb1, 0xaa, 0xc5, 0x8c,
+	0x2d, 0x59, 0x21, 0xf0, 0xde, 0x88, 0x46, 0xaa, 0x16, 0xcf, 0x2c, 0xce, 0x52, 0x80, 0x6b, 0x0c,
+	0xc3, 0x8b, 0xe6, 0xe5, 0x38, 0x7c, 0x4d, 0xb2, 0x7b, 0x70, 0x8e, 0xdf, 0x47, 0xc5, 0x85, 0x71,
+	0x13, 0x3e, 0xfe, 0xcf, 0x87, 0x00, 0x1f, 0x52, 0xf2, 0x33, 0xf4, 0xa6, 0x96, 0xe9, 0xc3, 0x0e,
+	0x39, 0x77, 0xcf, 0xed, 0xf0, 0xf3, 0xee, 0x6f, 0x02, 0x03, 0xf2, 0x0b, 0x04, 0xaf, 0xf1, 0x81,
+	0x39, 0xe1, 0xac, 0x07, 0x47, 0xdc, 0xc3, 0xc3, 0x28, 0xf4, 0xd1, 0xfb, 0x42, 0x90, 0x63, 0xbd,
+	0x96, 0xf4, 0xf0, 0xcb, 0x63, 0x51, 0xd8, 0x0b, 0xd0, 0x4b, 0x08, 0x9d, 0x4f, 0x24, 0xeb, 0xa6,
+	0xd2, 0xe6, 0x61, 0xf8, 0xa8, 0xa3, 0xe7, 0x86, 0xd5, 0xbf, 0x43, 0x1f, 0x2d, 0x7d, 0xcf, 0xc9,
+	0x17, 0x47, 0xa6, 0xd8, 0xd9, 0xde, 0x39, 0xec, 0x81, 0x45, 0xe4, 0xba, 0xf5, 0xf5, 0xb9, 0x14,
+	0xbc, 0x53, 0xd2, 0x9d, 0xf5, 0xa7, 0x1e, 0x3c, 0xb9, 0xfa, 0xe3, 0xd9, 0xb2, 0x30, 0x6f, 0xeb,
+	0x7c, 0x3c, 0x97, 0xd5, 0xe5, 0x8d, 0x3d, 0x07, 0xa8, 0x10, 0x86, 0x2b, 0xc1, 0xca, 0xcb, 0xe6,
+	0xa8, 0xcb, 0x8a, 0x6b, 0xcd, 0xc5, 0x92, 0xab, 0x3c, 0xc4, 0xdf, 0xe9, 0x27, 0xff, 0x07, 0x00,
+	0x00, 0xff, 0xff, 0x05, 0x9b, 0xd4, 0x1e, 0xb6, 0x07, 0x00, 0x00,
 }
