Drain hosts, runners and workers by a change of the configuration

The drain command was refused. A marked host fails readiness, tells peers, gives up leadership and refuses calls after 2 s, which leaves 1 s of the 3 s for the configuration to arrive; its process goes on and serves operators. A marked runner is no longer chosen, and a marked worker gets no task. Withdrawing the drain undoes all of it. Statements on tasks and workers are wired to the leaders.

The race detector showed that the record of the settled revision could be written while that of the end of the process was, and could have replaced it; the assembler now orders them. It also showed an unsynchronised flag of the test fleet.

--- a/internal/cluster/tracker/tracker.go
+++ b/internal/cluster/tracker/tracker.go
@@ -230,6 +230,14 @@
 	})
 }
 
+// WithdrawLeaving reports that this host takes new work again.
+func (trk *Tracker) WithdrawLeaving() {
+	trk.change(true, func(dg *messenger.HostDigest) {
+		trk.spreadAll = true
+		dg.Leaving = false
+	})
+}
+
 // change applies a change to this host's state and sends it at once when spread is set.
 func (trk *Tracker) change(spread bool, apply func(*messenger.HostDigest)) {
 	trk.mu.Lock()
--- a/internal/config/checker/checker.go
+++ b/internal/config/checker/checker.go
@@ -1,8 +1,8 @@
 // Package checker parses and validates the shared configuration document.
 //
 // The document is INI: sections [DataCentre NAME], [Host NAME], [Runner NAME], [Service NAME],
-// [Team NAME] and [Limits], each with one "Key = Value" on a line. Lines that begin with ";" or
-// "#" are comments.
+// [Team NAME], [Worker NAME] and [Limits], each with one "Key = Value" on a line. Lines that begin
+// with ";" or "#" are comments. A section [Worker NAME] exists only to mark a worker as leaving.
 package checker
 
 import (
--- a/internal/config/checker/checker_test.go
+++ b/internal/config/checker/checker_test.go
@@ -24,7 +24,7 @@
 func TestFaults(t *testing.T) {
 	for _, tc := range []struct{ name, old, now, want string }{
 		{"unknown section", "[Team bakers]", "[Crew bakers]", `line 41: [Crew bakers] a section is DataCentre, Host`},
-		{"unknown key", "Retired = true", "Retird = true", `line 23: [Host kho-1] Retird = "true": unknown key; allowed are DataCentre, Peer, Retired`},
+		{"unknown key", "Retired = true", "Retird = true", `line 23: [Host kho-1] Retird = "true": unknown key; allowed are DataCentre, Leaving, Peer, Retired`},
 		{"unknown data centre", "DataCentre = khombole", "DataCentre = kombole", `line 21: [Host kho-1] DataCentre = "kombole": the name of a section [DataCentre NAME]`},
 		{"missing key", "Peer = 10.0.2.1:7443", "", `line 20: [Host kho-1] the key Peer is required`},
 		{"repeated section", "[Host thi-2]", "[Host thi-1]", `line 16: [Host thi-1] a section occurs once; this one begins on line 12`},
@@ -70,6 +70,48 @@
 	qt.Check(t, cfg.Limits.HoldersPerRunner, qt.Equals, 4)
 }
 
+// Guards against a drain that changes or loses other lines of the document, and against one that
+// does not read back.
+func TestMarkLeaving(t *testing.T) {
+	doc := sample(t)
+	cfg, err := checker.Parse([]byte(doc), 1)
+	qt.Assert(t, err, qt.IsNil)
+	for _, tc := range []struct {
+		kind, name, want string
+		leaving          func(cfg *modeler.Configuration) bool
+	}{
+		{"Host", "thi-1", "+ [Host thi-1] Leaving = true\n", func(cfg *modeler.Configuration) bool { return cfg.HostLeaving("thi-1") && !cfg.HostLeaving("thi-2") }},
+		{"Runner", "oven-1", "+ [Runner oven-1] Leaving = true\n", func(cfg *modeler.Configuration) bool { return cfg.Runners[0].Leaving }},
+		{"Worker", "mill-1", "+ [Worker mill-1]\n+ [Worker mill-1] Leaving = true\n", func(cfg *modeler.Configuration) bool { return len(cfg.LeavingWorkers) == 1 }},
+	} {
+		for _, text := range []string{doc, strings.TrimSpace(doc), strings.ReplaceAll(doc, "\n", "\r\n"), string(checker.Encode(cfg))} {
+			t.Run(tc.kind, func(t *testing.T) {
+				marked, err := checker.MarkLeaving([]byte(text), tc.kind, tc.name, true)
+				qt.Assert(t, err, qt.IsNil)
+				again, err := checker.MarkLeaving(marked, tc.kind, tc.name, true)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Check(t, string(again), qt.Equals, string(marked))
+				qt.Check(t, checker.Diff([]byte(text), marked), qt.Contains, tc.want)
+				now, err := checker.Parse(marked, 2)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Check(t, tc.leaving(now), qt.IsTrue)
+				back, err := checker.MarkLeaving(marked, tc.kind, tc.name, false)
+				qt.Assert(t, err, qt.IsNil)
+				now, err = checker.Parse(back, 3)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Check(t, string(checker.Encode(now)), qt.Equals, string(checker.Encode(cfg)))
+				if !strings.Contains(text, "Leaving") {
+					qt.Check(t, strings.TrimSpace(string(back)), qt.Equals, strings.TrimSpace(text))
+				}
+			})
+		}
+	}
+	for _, name := range []string{"thi-9", "", "thi-1]\n[Host thi-2"} {
+		_, err := checker.MarkLeaving([]byte(doc), "Host", name, true)
+		qt.Check(t, errors.Is(err, checker.ErrNoSection), qt.IsTrue)
+	}
+}
+
 // Guards against changes that an operator does not see before applying a document.
 func TestDiff(t *testing.T) {
 	doc := sample(t)
--- a/internal/config/checker/encoder.go
+++ b/internal/config/checker/encoder.go
@@ -19,7 +19,8 @@
 		writeSection(&bf, "Host "+string(hst.Name),
 			"DataCentre", string(hst.DataCentre),
 			"Peer", hst.Peer.String(),
-			"Retired", strconv.FormatBool(hst.Retired))
+			"Retired", strconv.FormatBool(hst.Retired),
+			"Leaving", strconv.FormatBool(hst.Leaving))
 	}
 	for _, svc := range cfg.Services {
 		writeSection(&bf, "Service "+string(svc.Name),
@@ -35,11 +36,15 @@
 			"Service", string(rnr.Service),
 			"Endpoint", rnr.Endpoint.String(),
 			"Slots", strconv.Itoa(rnr.Slots),
-			"Connections", strconv.Itoa(rnr.Connections))
+			"Connections", strconv.Itoa(rnr.Connections),
+			"Leaving", strconv.FormatBool(rnr.Leaving))
 	}
 	for _, tm := range cfg.Teams {
 		writeSection(&bf, "Team "+tm.Name, "Quota", formatFraction(tm.Quota))
 	}
+	for _, name := range cfg.LeavingWorkers {
+		writeSection(&bf, "Worker "+string(name), "Leaving", "true")
+	}
 	writeSection(&bf, "Limits",
 		"HoldersPerRunner", strconv.Itoa(cfg.Limits.HoldersPerRunner),
 		"WritesPerSecond", strconv.Itoa(cfg.Limits.WritesPerSecond),
--- a/internal/config/checker/parser.go
+++ b/internal/config/checker/parser.go
@@ -95,10 +95,14 @@
 		cfg.Services = append(cfg.Services, prs.service(sec))
 	case "Team":
 		cfg.Teams = append(cfg.Teams, prs.team(sec))
+	case "Worker":
+		if prs.flag(sec, "Leaving") {
+			cfg.LeavingWorkers = append(cfg.LeavingWorkers, modeler.WorkerName(sec.name))
+		}
 	case "Limits":
 		prs.limits(sec)
 	default:
-		prs.fault(sec, "a section is DataCentre, Host, Runner, Service, Team or Limits")
+		prs.fault(sec, "a section is DataCentre, Host, Runner, Service, Team, Worker or Limits")
 		return
 	}
 	prs.unknownKeys(sec)
@@ -110,6 +114,7 @@
 		DataCentre: modeler.DataCentreName(prs.reference(sec, "DataCentre", "DataCentre")),
 		Peer:       prs.address(sec, "Peer"),
 		Retired:    prs.flag(sec, "Retired"),
+		Leaving:    prs.flag(sec, "Leaving"),
 	}
 }
 
@@ -121,6 +126,7 @@
 		Endpoint:    prs.address(sec, "Endpoint"),
 		Slots:       int(prs.integer(sec, "Slots", defaultSlots, 1, maxCount)),
 		Connections: int(prs.integer(sec, "Connections", defaultConnections, 1, maxCount)),
+		Leaving:     prs.flag(sec, "Leaving"),
 	}
 }
 
--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -40,6 +40,9 @@
 	// listInterval is the time between two reads of the host list. A leaving runner gets no new
 	// calls after at most this time and the lag of the list.
 	listInterval = time.Second
+	// drainNotice is the time between an operator's drain and the refusal of calls. It leaves 1 s of
+	// the 3 s within which a drained host gets no new work for the configuration to arrive.
+	drainNotice = 2 * time.Second
 	// settleInterval is the time between two comparisons of the settled revision.
 	settleInterval = 200 * time.Millisecond
 	// hourCopyInterval is that of the heartbeats.
@@ -58,22 +61,27 @@
 
 	auth      *authorizer.Authorizer
 	registrar *registrar.Registrar
-	clients   *tracker.Clients
-	tracker   *tracker.Tracker
-	configs   *distributor.Distributor
-	limiter   *limiter.Limiter
-	router    *router.Router
-	admitter  *admitter.Admitter
-	forwarder *forwarder.Forwarder
-	counter   *counter.Counter
-	publisher *publisher.Publisher
-	auditor   *auditor.Auditor
-	plans     *importer.Keeper
-	leader    *leader
-	batch     batchBackend
+	// registering orders the uses of the registrar, which is not safe for concurrent use: a record
+	// of the settled revision must not replace that of the end.
+	registering sync.Mutex
+	clients     *tracker.Clients
+	tracker     *tracker.Tracker
+	configs     *distributor.Distributor
+	limiter     *limiter.Limiter
+	router      *router.Router
+	admitter    *admitter.Admitter
+	forwarder   *forwarder.Forwarder
+	counter     *counter.Counter
+	publisher   *publisher.Publisher
+	auditor     *auditor.Auditor
+	plans       *importer.Keeper
+	leader      *leader
+	batch       batchBackend
 
 	// ready is set while callers may be sent here.
 	ready atomic.Bool
+	// drained is the state of an operator's drain of this host.
+	drained drainState
 	// replaced is closed when a newer process of this host was seen.
 	replaced chan struct{}
 	// tasks are the background loops.
--- a/internal/daemon/assembler/fleet_test.go
+++ b/internal/daemon/assembler/fleet_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,7 +53,7 @@
 	stop               context.CancelFunc
 	done               chan error
 	// killed is set before the process is ended without a drain.
-	killed bool
+	killed atomic.Bool
 }
 
 func address(kind, dc, num int) netip.AddrPort {
@@ -182,7 +183,7 @@
 // kill ends a process without a drain: its connections break and nothing of it has an effect
 // any more.
 func (fl *fleet) kill(mb *member) {
-	mb.killed = true
+	mb.killed.Store(true)
 	mb.store.close()
 	mb.zone.kill()
 	mb.stop()
@@ -196,7 +197,7 @@
 	}
 	for _, mb := range fl.members {
 		err := <-mb.done
-		if !mb.killed {
+		if !mb.killed.Load() {
 			qt.Check(fl.t, err, qt.IsNil, qt.Commentf("%s", mb.host.Name))
 		}
 	}
@@ -340,7 +341,7 @@
 		wg.Go(func() {
 			for seq := 0; time.Now().Before(until); seq++ {
 				mb := fl.member((num + seq) % len(fl.cfg.Hosts))
-				if mb.killed {
+				if mb.killed.Load() {
 					time.Sleep(10 * time.Millisecond)
 					continue
 				}
--- a/internal/daemon/assembler/follower.go
+++ b/internal/daemon/assembler/follower.go
@@ -40,6 +40,7 @@
 	dm.admitter.Apply(cfg)
 	dm.forwarder.Apply(cfg)
 	dm.tracker.SetHosts(cfg.Hosts)
+	dm.applyDrain(cfg.HostLeaving(dm.settings.Host.Name))
 }
 
 func (dm *Daemon) pastConfiguration(ctx context.Context, rev modeler.Revision) (*modeler.Configuration, error) {
@@ -54,6 +55,8 @@
 func (dm *Daemon) followSettled(ctx context.Context) {
 	every(ctx, settleInterval, func(ctx context.Context) {
 		dm.tracker.SetSettled(dm.limiter.SettledRevision())
+		dm.registering.Lock()
+		defer dm.registering.Unlock()
 		ctx, cancel := context.WithTimeout(ctx, dm.settings.Limits.StoreTimeout)
 		defer cancel()
 		// The next round repeats a write that has failed.
--- a/internal/daemon/assembler/leader.go
+++ b/internal/daemon/assembler/leader.go
@@ -16,6 +16,7 @@
 	"github.com/currantrouter/currantrouter/internal/daemon/logger"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
 	"github.com/currantrouter/currantrouter/internal/request/claimer"
 	"github.com/currantrouter/currantrouter/internal/request/forwarder"
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
@@ -171,20 +172,48 @@
 	logger.Log(ld.dm.log, logger.LeaderStopped, "Epoch", tm.Epoch(), "Cause", fmt.Sprint(err))
 }
 
+// followWorkers gives the list of workers to the scheduler at intervals, and at once when the
+// configuration may have drained a worker.
 func (ld *leader) followWorkers(ctx context.Context, tm *term) {
-	read := func(ctx context.Context) {
-		callCtx, cancel := context.WithTimeout(ctx, ld.dm.settings.Limits.StoreTimeout)
-		defer cancel()
-		all, err := ld.dm.platform.Hosts.Workers(callCtx)
-		if err != nil {
-			// The last known list stays in force.
+	tk := time.NewTicker(workersInterval)
+	defer tk.Stop()
+	var known []supervisor.Worker
+	read := true
+	for {
+		changed := ld.dm.configs.Changed()
+		if read {
+			known = ld.readWorkers(ctx, known)
+		}
+		if known != nil {
+			// The error says that the term has ended.
+			_ = tm.scheduler.SetWorkers(ctx, markLeavingWorkers(known, ld.dm.configs.Current()))
+		}
+		select {
+		case <-ctx.Done():
 			return
+		case <-tk.C:
+			read = true
+		case <-changed:
+			read = false
 		}
-		// The error says that the term has ended.
-		_ = tm.scheduler.SetWorkers(ctx, workersIn(ld.dm.settings.Host.DataCentre, all))
 	}
-	read(ctx)
-	every(ctx, workersInterval, read)
+}
+
+// readWorkers returns the workers of the data centre, or the last known ones when the platform's
+// list cannot be read.
+func (ld *leader) readWorkers(ctx context.Context, known []supervisor.Worker) []supervisor.Worker {
+	ctx, cancel := context.WithTimeout(ctx, ld.dm.settings.Limits.StoreTimeout)
+	defer cancel()
+	all, err := ld.dm.platform.Hosts.Workers(ctx)
+	if err != nil {
+		return known
+	}
+	wks := workersIn(ld.dm.settings.Host.DataCentre, all)
+	if wks == nil {
+		// An empty list is a list.
+		wks = []supervisor.Worker{}
+	}
+	return wks
 }
 
 func (ld *leader) followLimits(ctx context.Context, tm *term) {
--- a/internal/daemon/assembler/listener.go
+++ b/internal/daemon/assembler/listener.go
@@ -68,7 +68,7 @@
 // idle when the intake ends.
 func (dm *Daemon) closeWhileLeaving(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
-		if !dm.ready.Load() {
+		if !dm.ready.Load() || dm.drained.leaving.Load() {
 			wr.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(wr, rq)
@@ -127,6 +127,8 @@
 		return errNotServing
 	case dm.configs.Current() == nil:
 		return errNoConfiguration
+	case dm.drained.leaving.Load():
+		return errDrained
 	}
 	return nil
 }
@@ -134,6 +136,7 @@
 var (
 	errNotServing      = errors.New("the host starts or leaves")
 	errNoConfiguration = errors.New("the host has no configuration")
+	errDrained         = errors.New("an operator has drained the host")
 )
 
 func (dm *Daemon) peersHandler() http.Handler {
@@ -168,6 +171,7 @@
 	defer cancel()
 	logger.Log(dm.log, logger.DaemonDrain)
 	dm.ready.Store(false)
+	dm.drained.end()
 	dm.tracker.SetLeaving()
 	dm.limiter.StopLending()
 	sleep(ctx, dm.leavingNotice())
@@ -215,7 +219,7 @@
 	if dm.limiter.Outstanding() > 0 {
 		return nil
 	}
-	if err := dm.registrar.Drain(ctx); err != nil && !errors.Is(err, registrar.ErrReplaced) {
+	if err := dm.recordDrained(); err != nil && !errors.Is(err, registrar.ErrReplaced) {
 		// The successor then waits for the call limit, which is safe.
 		logger.Log(dm.log, logger.DrainNotRecorded, "Cause", err.Error())
 	}
@@ -223,6 +227,14 @@
 	return nil
 }
 
+func (dm *Daemon) recordDrained() error {
+	dm.registering.Lock()
+	defer dm.registering.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), dm.settings.Limits.StoreTimeout)
+	defer cancel()
+	return dm.registrar.Drain(ctx)
+}
+
 func sleep(ctx context.Context, dur time.Duration) {
 	tm := time.NewTimer(dur)
 	defer tm.Stop()
--- a/internal/daemon/assembler/operators.go
+++ b/internal/daemon/assembler/operators.go
@@ -25,6 +25,7 @@
 		Hours:          dm.publisher,
 		Audit:          dm.auditor,
 		Configurations: configBackend{dm},
+		Statements:     dm.batch,
 		Ready:          dm.Ready,
 	}
 }
@@ -75,6 +76,7 @@
 
 func (fb fleetBackend) runner(rn modeler.Runner) server.Runner {
 	sr := server.Runner{Name: rn.Name, DataCentre: rn.DataCentre, Service: rn.Service, Slots: rn.Slots, Health: "Elsewhere"}
+	sr.Leaving = rn.Leaving || fb.dm.router.Leaving(rn.Name)
 	if ac := fb.dm.limiter.Account(rn.Name); ac != nil {
 		sr.Share = ac.Limit()
 		sr.Busy, _ = ac.Used()
@@ -88,11 +90,6 @@
 	return sr
 }
 
-// Drain implements server.Fleet. Only this host can be drained so far, by its own process.
-func (fb fleetBackend) Drain(_ context.Context, _ server.Drain) error {
-	return fmt.Errorf("%w: drains go through the platform's host list", server.ErrNotFound)
-}
-
 // configBackend keeps the shared configuration.
 type configBackend struct{ dm *Daemon }
 
@@ -138,7 +135,7 @@
 
 // Put implements server.Configurations.
 func (cb configBackend) Put(ctx context.Context, text []byte, expected modeler.Revision) (modeler.Revision, error) {
-	rev, err := cb.dm.configs.Put(ctx, text, expected)
+	rev, err := cb.dm.configs.PutAs(ctx, text, expected, server.OperatorName(ctx))
 	switch {
 	case errors.Is(err, checker.ErrInvalid):
 		return 0, findingsOf(err)
@@ -152,10 +149,10 @@
 
 // History implements server.Configurations.
 func (cb configBackend) History(ctx context.Context) ([]server.Change, error) {
-	revs, err := cb.dm.configs.History(ctx)
-	chs := make([]server.Change, len(revs))
-	for idx, rev := range revs {
-		chs[len(revs)-1-idx] = server.Change{Revision: rev}
+	kept, err := cb.dm.configs.Changes(ctx)
+	chs := make([]server.Change, len(kept))
+	for idx, ch := range kept {
+		chs[len(kept)-1-idx] = server.Change(ch)
 	}
 	return chs, err
 }
--- a/internal/daemon/logger/catalogue.go
+++ b/internal/daemon/logger/catalogue.go
@@ -19,6 +19,9 @@
 	PlanNotSubmitted = Event{20, "plan not submitted", "The plan could not be read or recorded. The next attempt follows in a few seconds.", SeverityWarning}
 
 	PeerCountsRefused = Event{21, "peer's hour counts refused", "A heartbeat has counts that no counter can have produced. The peer may run another version.", SeverityWarning}
+
+	HostDrained        = Event{22, "host drained by the configuration", "Readiness fails, peers are told, leadership ends and new calls are refused until an operator withdraws the drain.", SeverityInfo}
+	HostDrainWithdrawn = Event{23, "drain of the host withdrawn", "The host takes new work again.", SeverityInfo}
 )
 
 var daemonEvents = []Event{
@@ -34,6 +37,8 @@
 	PlanSubmitted,
 	PlanNotSubmitted,
 	PeerCountsRefused,
+	HostDrained,
+	HostDrainWithdrawn,
 }
 
 // Catalogue lists all events in the order of their numbers.
--- a/internal/fleet/modeler/modeler.go
+++ b/internal/fleet/modeler/modeler.go
@@ -43,6 +43,9 @@
 	// Retired states that an operator has declared the host gone for good. A retired host holds
 	// no share.
 	Retired bool
+	// Leaving states that an operator has drained the host: it takes no new work and leads no data
+	// centre, but keeps its shares and goes on running.
+	Leaving bool
 }
 
 // Runner is a back end that answers the calls of one service.
@@ -57,6 +60,8 @@
 	// Connections is the greatest number of open connections, over all entry hosts. It is
 	// positive.
 	Connections int
+	// Leaving states that an operator has drained the runner: it gets no new calls.
+	Leaving bool
 }
 
 // Service is a customer-facing service with its limits.
@@ -114,7 +119,20 @@
 	Runners     []Runner
 	Services    []Service
 	Teams       []Team
-	Limits      Limits
+	// LeavingWorkers are the workers that an operator has drained: they get no new tasks. The
+	// platform's list has the workers themselves, so that a name may be unknown there.
+	LeavingWorkers []WorkerName
+	Limits         Limits
+}
+
+// HostLeaving tells whether an operator has drained an entry host.
+func (cfg *Configuration) HostLeaving(name HostName) bool {
+	for _, hst := range cfg.Hosts {
+		if hst.Name == name {
+			return hst.Leaving
+		}
+	}
+	return false
 }
 
 // Service returns the service of that name, and false when the configuration has none.
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -74,7 +74,9 @@
 	buffers        sync.Pool
 
 	stopped atomic.Bool
-	mu      sync.Mutex
+	// paused is set while an operator has drained the host.
+	paused atomic.Bool
+	mu     sync.Mutex
 	// calls has every call in progress.
 	calls map[*call]struct{}
 	// idle is closed when the last call ends; nil while nobody waits for that.
@@ -198,6 +200,10 @@
 	fw.op.Admitter.Stop()
 }
 
+// Pause refuses new calls of callers and peers, or accepts them again. Calls that were accepted
+// before go on, those that wait for a slot included.
+func (fw *Forwarder) Pause(paused bool) { fw.paused.Store(paused) }
+
 // Drain stops the intake and waits until all calls in flight have ended and their outcomes are
 // recorded. When the context ends first it cuts off the calls that remain and returns their
 // number.
@@ -242,7 +248,7 @@
 func (fw *Forwarder) enter(cl *call) *failure {
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
-	if fw.stopped.Load() {
+	if fw.stopped.Load() || fw.paused.Load() {
 		fl := notRun(http.StatusServiceUnavailable, "Leaving", "the host takes no new calls")
 		fl.retryAfter = 1
 		return fl
--- a/internal/request/forwarder/peer.go
+++ b/internal/request/forwarder/peer.go
@@ -77,7 +77,7 @@
 
 func hasRunners(cfg *modeler.Configuration, svc modeler.ServiceName, dc modeler.DataCentreName) bool {
 	for _, rn := range cfg.Runners {
-		if rn.Service == svc && rn.DataCentre == dc {
+		if rn.Service == svc && rn.DataCentre == dc && !rn.Leaving {
 			return true
 		}
 	}
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -59,7 +59,9 @@
 	mu sync.Mutex
 	// targets has every runner of the own data centre in the newest configuration.
 	targets map[modeler.RunnerName]*Target
-	leaving map[modeler.RunnerName]bool
+	// leaving has the runners that the platform's list reports as leaving, and drained those that
+	// the configuration marks.
+	leaving, drained map[modeler.RunnerName]bool
 }
 
 // pool is the immutable list of runners of a service.
@@ -88,7 +90,11 @@
 	// The first runners of a deployment are not warmed up: there are no others to take the calls.
 	fresh := len(rt.targets) > 0
 	tgs := make(map[modeler.RunnerName]*Target)
+	rt.drained = map[modeler.RunnerName]bool{}
 	for _, rn := range cfg.Runners {
+		if rn.Leaving {
+			rt.drained[rn.Name] = true
+		}
 		ac := rt.op.Account(rn.Name)
 		if rn.DataCentre != rt.op.DataCentre || ac == nil {
 			continue
@@ -115,11 +121,19 @@
 	rt.publish()
 }
 
+// Leaving tells whether a runner gets no new calls because the platform's list or the configuration
+// says so.
+func (rt *Router) Leaving(name modeler.RunnerName) bool {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	return rt.leaving[name] || rt.drained[name]
+}
+
 // publish builds the snapshot from the targets. mu is held.
 func (rt *Router) publish() {
 	snap := make(map[modeler.ServiceName]*pool)
 	for _, tg := range rt.targets {
-		if rt.leaving[tg.Name] {
+		if rt.leaving[tg.Name] || rt.drained[tg.Name] {
 			continue
 		}
 		pl := snap[tg.Service]
