Use mutual TLS for every connection between entry hosts

Calls forwarded to peers were sent without TLS to an interface that requires it, so that no call could pass between data centres outside of loopback. The clients of peers and leaders trusted the authorities of the process's start, so that a changed authority needed a restart. Each new connection now uses the certificates and authorities of its moment, and both ends require the certificate of an entry host. A connection that is abandoned is reset below TLS, so that no unsent byte arrives late.

--- a/internal/cluster/tracker/client.go
+++ b/internal/cluster/tracker/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -33,23 +32,24 @@
 	scheme string
 	limit  time.Duration
 	reg    *meter.Registry
-	tls    *tls.Config
+	// secure is nil for plain HTTP.
+	secure func(ctx context.Context, conn net.Conn, addr string) (net.Conn, error)
 	dial   func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*client
 }
 
-// NewClients returns clients whose calls end after the timeout. A nil TLS configuration means
-// plain HTTP. A nil dial function means TCP with keep-alive probes.
-func NewClients(tc *tls.Config, timeout time.Duration, reg *meter.Registry, dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Clients {
+// NewClients returns clients whose calls end after the timeout. Secure makes an open connection one
+// of TLS; nil means plain HTTP. A nil dial function means TCP with keep-alive probes.
+func NewClients(secure func(ctx context.Context, conn net.Conn, addr string) (net.Conn, error), timeout time.Duration, reg *meter.Registry, dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Clients {
 	if dial == nil {
 		dial = (&net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
 		}}).DialContext
 	}
-	cls := &Clients{scheme: "http", limit: timeout, reg: reg, tls: tc, dial: dial, peers: map[netip.AddrPort]*client{}}
-	if tc != nil {
+	cls := &Clients{scheme: "http", limit: timeout, reg: reg, secure: secure, dial: dial, peers: map[netip.AddrPort]*client{}}
+	if secure != nil {
 		cls.scheme = "https"
 	}
 	return cls
@@ -94,17 +94,8 @@
 
 func (cl *client) connect() *pool {
 	tr := &http.Transport{
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			// The transport goes on dialling after the message has timed out.
-			ctx, cancel := context.WithTimeout(ctx, cl.cls.limit)
-			defer cancel()
-			conn, err := cl.cls.dial(ctx, network, addr)
-			if err != nil {
-				return nil, err
-			}
-			return &countedConn{Conn: conn, reg: cl.cls.reg}, nil
-		},
-		TLSClientConfig:     cl.cls.tls,
+		DialContext:         cl.dial,
+		DialTLSContext:      cl.dialSecure,
 		MaxIdleConnsPerHost: idlePerPeer,
 		IdleConnTimeout:     idleLimit,
 		// The header that asks for gzip would cost bytes in every message.
@@ -117,6 +108,28 @@
 	return &pool{Peer: messenger.NewPeerProtobufClient(cl.url, hc), tr: tr}
 }
 
+func (cl *client) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	// The transport goes on dialling after the message has timed out.
+	ctx, cancel := context.WithTimeout(ctx, cl.cls.limit)
+	defer cancel()
+	conn, err := cl.cls.dial(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: conn, reg: cl.cls.reg}, nil
+}
+
+// dialSecure counts the bytes on the wire, so that it counts below TLS.
+func (cl *client) dialSecure(ctx context.Context, network, addr string) (net.Conn, error) {
+	conn, err := cl.dial(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, cl.cls.limit)
+	defer cancel()
+	return cl.cls.secure(ctx, conn, addr)
+}
+
 // agentless drops headers that peers don't need.
 type agentless struct{ tr *http.Transport }
 
--- a/internal/daemon/assembler/batch.go
+++ b/internal/daemon/assembler/batch.go
@@ -44,7 +44,7 @@
 			Timeout: relayTimeout,
 			Transport: &http.Transport{
 				DialContext:     dm.dialText,
-				TLSClientConfig: dm.auth.ClientConfig(),
+				DialTLSContext:  dm.dialPeerText,
 				IdleConnTimeout: time.Minute,
 			},
 		},
--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -137,7 +137,7 @@
 
 func (dm *Daemon) buildCluster() {
 	st := dm.settings
-	dm.clients = tracker.NewClients(dm.auth.ClientConfig(), st.Limits.PeerTimeout, dm.meter, dm.dialText)
+	dm.clients = tracker.NewClients(dm.securePeer(), st.Limits.PeerTimeout, dm.meter, dm.dialText)
 	dm.tracker = tracker.New(tracker.Options{
 		Self:        modeler.Host{Name: st.Host.Name, DataCentre: st.Host.DataCentre, Peer: st.Listen.Peers},
 		Boot:        dm.boot,
@@ -203,7 +203,7 @@
 		Leader:        dm.forwarderLeader,
 		Claimer:       dm.leader,
 		DialRunner:    dm.dial,
-		DialPeer:      dm.dial,
+		DialPeer:      dm.dialPeer,
 		Count:         dm.counter.Record,
 		Log:           dm.log,
 		Meter:         dm.meter,
--- a/internal/daemon/assembler/fleet_test.go
+++ b/internal/daemon/assembler/fleet_test.go
@@ -42,6 +42,8 @@
 	members  []*member
 	runners  map[modeler.RunnerName]*emulator.Runner
 	closers  []func() error
+	// adjust changes the settings of a host before its start. It may be nil.
+	adjust func(hst modeler.Host, st *loader.Settings)
 }
 
 // member is one process of an entry host.
@@ -157,6 +159,9 @@
 			st.Peers = append(st.Peers, other.Peer)
 		}
 	}
+	if fl.adjust != nil {
+		fl.adjust(hst, st)
+	}
 	dm, err := assembler.New(st, assembler.Platform{
 		Store: mb.store, Workers: fleetWorkers{fl.platform.Workers, mb.store}, Hosts: fl.platform.Hosts,
 	}, mb.zone, logr.Discard())
--- a/internal/operator/authorizer/authorizer.go
+++ b/internal/operator/authorizer/authorizer.go
@@ -255,6 +255,26 @@
 	return dl.DialContext(ctx, network, address)
 }
 
+// SecurePeer makes an open connection to an entry host one of mutual TLS, with the certificates and
+// authorities of the moment. It closes the connection and returns an error when the other side does
+// not prove to be an entry host at that address. It must not be used when insecure.
+func (au *Authorizer) SecurePeer(ctx context.Context, nc net.Conn, addr netip.Addr) (net.Conn, error) {
+	cfg := au.ClientConfig()
+	cfg.ServerName = addr.Unmap().WithZone("").String()
+	cfg.VerifyConnection = func(cs tls.ConnectionState) error {
+		if cert := cs.PeerCertificates[0]; !slices.Contains(cert.Subject.OrganizationalUnit, PeerUnit) {
+			return fmt.Errorf("%w: %s is not an entry host", ErrNoRole, cert.Subject.CommonName)
+		}
+		return nil
+	}
+	tc := tls.Client(nc, cfg)
+	if err := tc.HandshakeContext(ctx); err != nil {
+		_ = nc.Close()
+		return nil, err
+	}
+	return tc, nil
+}
+
 // Identify returns the operator that sent a request. It returns ErrNoCertificate, ErrNoRole or, for
 // an insecure interface, ErrNotLoopback. The operator's name is known even with ErrNoRole.
 func (au *Authorizer) Identify(rq *http.Request) (Operator, error) {
--- a/internal/operator/authorizer/authorizer_test.go
+++ b/internal/operator/authorizer/authorizer_test.go
@@ -185,6 +185,29 @@
 	qt.Check(t, err, qt.IsNil)
 }
 
+// Guards against a message to an address where no entry host proves to be, and against a change of
+// authorities that connections to peers do not follow.
+func TestSecurePeer(t *testing.T) {
+	ca, other := newAuthority(t), newAuthority(t)
+	dir := t.TempDir()
+	client := mustNew(t, ca.write(t, dir, "entry-1", time.Hour, authorizer.PeerUnit))
+	entry := serve(t, mustNew(t, ca.write(t, t.TempDir(), "entry-2", time.Hour, authorizer.PeerUnit)))
+	operator := serve(t, mustNew(t, ca.write(t, t.TempDir(), "awa", time.Hour, "Administer")))
+	connect := func(sv *httptest.Server, addr string) error {
+		nc, err := net.Dial("tcp", sv.Listener.Addr().String())
+		qt.Assert(t, err, qt.IsNil)
+		defer nc.Close()
+		_, err = client.SecurePeer(t.Context(), nc, netip.MustParseAddr(addr))
+		return err
+	}
+	qt.Check(t, connect(entry, "127.0.0.1"), qt.IsNil)
+	qt.Check(t, connect(entry, "127.0.0.2"), qt.IsNotNil)
+	qt.Check(t, connect(operator, "127.0.0.1"), qt.ErrorIs, authorizer.ErrNoRole)
+	other.write(t, dir, "entry-1", time.Hour, authorizer.PeerUnit)
+	qt.Assert(t, client.Reload(), qt.IsNil)
+	qt.Check(t, connect(entry, "127.0.0.1"), qt.IsNotNil)
+}
+
 // Guards against an interface without TLS that others than the machine itself can reach.
 func TestInsecure(t *testing.T) {
 	for listen, want := range map[string]error{
--- a/internal/request/forwarder/conn.go
+++ b/internal/request/forwarder/conn.go
@@ -101,26 +101,32 @@
 // abandon discards unsent bytes, so that none of them arrives late, and keeps the connection
 // counted because the other side may hold it open.
 func (cn *conn) abandon() {
-	if tc, ok := cn.nc.(*net.TCPConn); ok {
+	nc := wireOf(cn.nc)
+	if tc, ok := nc.(*net.TCPConn); ok {
 		_ = tc.SetLinger(0)
 	}
-	_ = cn.nc.Close()
+	// TLS is not closed in its own way, which would first send a message.
+	_ = nc.Close()
 	if cn.lease != nil {
 		cn.lease.Abandon()
 	}
 }
 
+// wireOf returns the connection below TLS.
+func wireOf(nc net.Conn) net.Conn {
+	if tl, ok := nc.(interface{ NetConn() net.Conn }); ok {
+		return tl.NetConn()
+	}
+	return nc
+}
+
 // isClosed tells whether the other side has closed the idle connection, or has sent bytes that
 // nobody asked for. It catches most connections that were closed while idle before a byte is sent.
 func (cn *conn) isClosed() bool {
 	if cn.br.Buffered() > 0 {
 		return true
 	}
-	nc := cn.nc
-	if tl, ok := nc.(interface{ NetConn() net.Conn }); ok {
-		nc = tl.NetConn()
-	}
-	sc, ok := nc.(syscall.Conn)
+	sc, ok := wireOf(cn.nc).(syscall.Conn)
 	if !ok {
 		return false
 	}
