--- a/internal/docs/generator/generator.go
+++ b/internal/docs/generator/generator.go
@@ -12,6 +12,8 @@
 	"github.com/currantrouter/currantrouter/internal/config/loader"
 	"github.com/currantrouter/currantrouter/internal/daemon/logger"
 	"github.com/currantrouter/currantrouter/internal/daemon/meter"
+	"github.com/currantrouter/currantrouter/internal/operator/commander"
+	"github.com/currantrouter/currantrouter/internal/plan/importer"
 )
 
 // ErrStale means that a page differs from what its table yields.
@@ -30,6 +32,7 @@
 		{Path: filepath.Join("docs", "events.md"), Content: events()},
 		{Path: filepath.Join("docs", "metrics.md"), Content: metrics()},
 		{Path: filepath.Join("docs", "configuration.md"), Content: settings()},
+		{Path: filepath.Join("docs", "sheet.md"), Content: sheet()},
 	}
 }
 
@@ -91,4 +94,25 @@
 	return bf.Bytes()
 }
 
+func sheet() []byte {
+	var bf bytes.Buffer
+	bf.WriteString("# The day's sheet\n\nGenerated from `internal/plan/importer` and `internal/operator/commander` by `go run ./cmd/currantdocs`.\n")
+	bf.WriteString("The sheet is CSV with a comma or semicolon between fields. `currantctl plan import SHEET` imports it,\n")
+	bf.WriteString("and with `--dry-run` only checks and compares it. `examples/day.csv` is an example.\n\n## Columns\n\n")
+	bf.WriteString("The first line names all of these; their order is free.\n\n")
+	for _, col := range importer.Columns {
+		fmt.Fprintf(&bf, "- `%s`\n", col)
+	}
+	bf.WriteString("\n## Checks\n\nA sheet with an error is refused as a whole. A warning only tells how a value was read.\n\n")
+	bf.WriteString("| Number | Title | Severity | Allowed |\n|---|---|---|---|\n")
+	for _, chk := range importer.Checks {
+		fmt.Fprintf(&bf, "| %d | %s | %s | %s |\n", chk.Number, cell(chk.Title), chk.Severity, cell(chk.Text))
+	}
+	bf.WriteString("\n## Exit codes of currantctl\n\n| Code | Title | Meaning |\n|---|---|---|\n")
+	for _, ex := range commander.Exits {
+		fmt.Fprintf(&bf, "| %d | %s | %s |\n", ex.Code, ex.Title, cell(ex.Text))
+	}
+	return bf.Bytes()
+}
+
 func cell(text string) string { return strings.ReplaceAll(text, "|", "\\|") }
--- a/internal/docs/generator/generator_test.go
+++ b/internal/docs/generator/generator_test.go
@@ -1,6 +1,9 @@
 package generator_test
 
 import (
+	"fmt"
+	"os"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -15,6 +18,19 @@
 	qt.Assert(t, generator.Check("../../.."), qt.IsNil)
 }
 
+// Guards against a warning or error that the operators' page does not explain.
+func TestOperationsExplainEvents(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/operations.md")
+	qt.Assert(t, err, qt.IsNil)
+	for _, ev := range logger.Catalogue {
+		if ev.Severity == logger.SeverityInfo {
+			continue
+		}
+		row := fmt.Sprintf("| %d %s |", ev.Number, ev.Title)
+		qt.Check(t, strings.Contains(string(page), row), qt.IsTrue, qt.Commentf("no row %q", row))
+	}
+}
+
 // Guards against a number or name that is used twice, which would make logs ambiguous.
 func TestTablesAreUnique(t *testing.T) {
 	t.Run("events", func(t *testing.T) {
