--- a/internal/daemon/assembler/fleet_test.go
+++ b/internal/daemon/assembler/fleet_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -302,8 +303,9 @@
 // answer is what a caller got.
 type answer struct {
 	// via is the data centre of the host that was called.
-	via     modeler.DataCentreName
-	status  int
+	via    modeler.DataCentreName
+	status int
+	// outcome is empty when the call did not reach a host.
 	outcome modeler.Outcome
 	body    string
 	err     error
@@ -327,6 +329,9 @@
 		rq.Header.Set(modeler.HeaderIdempotencyKey, key)
 	}
 	rs, err := fl.client(mb).Do(rq)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return answer{via: mb.host.DataCentre, err: err}
+	}
 	if err != nil {
 		return answer{via: mb.host.DataCentre, err: err, outcome: modeler.Unknown}
 	}
