Look at a drained worker's tasks while they run

The test looked 10 s after the import, when the emulated tasks may have ended: a task that has ended names no worker, so that the check failed in one of some 100 runs and could not see a task on the drained worker. It now looks after 5 s.

--- a/internal/daemon/assembler/drainer_test.go
+++ b/internal/daemon/assembler/drainer_test.go
@@ -101,7 +101,8 @@
 			fl.drain(fl.member(0), "Worker", "dc-0-worker-1", false)
 			time.Sleep(3 * time.Second)
 			fl.importPlan(8)
-			time.Sleep(10 * time.Second)
+			// The plan is read every 2 s, and the emulated tasks run for 10 s.
+			time.Sleep(5 * time.Second)
 			qt.Check(t, fl.tasksOn("dc-0-worker-1"), qt.Equals, 0)
 			qt.Check(t, fl.tasksOn("dc-0-worker-0"), qt.Equals, 8)
 			fl.end()
@@ -198,5 +199,6 @@
 	fl.t.Helper()
 	var list server.Tasks
 	fl.operators(fl.member(0), http.MethodGet, "/v1/tasks?Worker="+name, "", &list)
+	qt.Check(fl.t, list.Unreachable, qt.HasLen, 0)
 	return len(list.Tasks)
 }
