--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -73,10 +73,12 @@
 	// runners maps poolKey to *pool, and peers maps netip.AddrPort to *pool.
 	runners, peers sync.Map
 	buffers        sync.Pool
-	// places lists the data centres with runners of each service; replaced, never changed.
+	// places lists the data centres with runners of each service that are not leaving; replaced, never changed.
 	places atomic.Pointer[map[modeler.ServiceName][]modeler.DataCentreName]
 
 	stopped atomic.Bool
+	// paused is set while an operator has drained the host.
+	paused atomic.Bool
 	// awaiting counts the keyed calls that wait for a leader.
 	awaiting atomic.Int64
 	mu       sync.Mutex
@@ -117,7 +119,7 @@
 	runners := map[poolKey]bool{}
 	places := map[modeler.ServiceName][]modeler.DataCentreName{}
 	for _, rn := range cfg.Runners {
-		if !slices.Contains(places[rn.Service], rn.DataCentre) {
+		if !rn.Leaving && !slices.Contains(places[rn.Service], rn.DataCentre) {
 			places[rn.Service] = append(places[rn.Service], rn.DataCentre)
 		}
 		runners[poolKey{fw.op.Limiter.Account(rn.Name), rn.Endpoint}] = true
@@ -209,6 +211,10 @@
 	fw.op.Admitter.Stop()
 }
 
+// Pause refuses new calls of callers and peers, or accepts them again. Calls that were accepted
+// before go on, those that wait for a slot included.
+func (fw *Forwarder) Pause(paused bool) { fw.paused.Store(paused) }
+
 // Drain stops the intake and waits until all calls in flight have ended and their outcomes are
 // recorded. When the context ends first it cuts off the calls that remain and returns their
 // number.
@@ -253,7 +259,7 @@
 func (fw *Forwarder) enter(cl *call) *failure {
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
-	if fw.stopped.Load() {
+	if fw.stopped.Load() || fw.paused.Load() {
 		fl := notRun(http.StatusServiceUnavailable, "Leaving", "the host takes no new calls")
 		fl.retryAfter = 1
 		return fl
