--- /dev/null
+++ b/internal/batch/scheduler/bench_test.go
@@ -0,0 +1,195 @@
+package scheduler
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+)
+
+// benchTasks is the number of tasks on a worker at the future size: 124,000 on 12,000 workers.
+const benchTasks = 10
+
+// instant accepts every command and every record at once.
+type instant struct {
+	Workers
+	started atomic.Int64
+	goal    int64
+	reached chan struct{}
+	bytes   atomic.Int64
+	appends atomic.Int64
+}
+
+func (in *instant) Append(_ context.Context, records ...[]byte) error {
+	in.appends.Add(1)
+	for _, rec := range records {
+		in.bytes.Add(int64(len(rec)))
+	}
+	return nil
+}
+func (in *instant) Position() int64          { return 0 }
+func (in *instant) Deposed() <-chan struct{} { return nil }
+
+func (in *instant) Start(context.Context, supervisor.Worker, supervisor.StartCommand) error {
+	if in.started.Add(1) == in.goal {
+		close(in.reached)
+	}
+	return nil
+}
+
+func benchWorkers(count int) []supervisor.Worker {
+	var wks []supervisor.Worker
+	for num := range count {
+		wks = append(wks, supervisor.Worker{
+			Name: modeler.WorkerName(fmt.Sprint("worker-", num)), Rack: fmt.Sprint(num / 6),
+			Capacity: supervisor.Resources{Millicores: 64000, MemoryBytes: 250 * gibibyte},
+		})
+	}
+	return wks
+}
+
+func benchOptions(in *instant) Options {
+	return Options{Logger: logr.Discard(), Epoch: 2, Journal: in, Workers: in, ShortReserve: 0.1, Seed: 1, ReportInterval: time.Hour}
+}
+
+func benchJob(number int) Job {
+	return testJob(fmt.Sprint("job-", number), func(jb *Job) { jb.Kind = fmt.Sprint("kind-", number%20) })
+}
+
+// BenchmarkStarts measures the time of one start, from the queue to the command, with ten starts for
+// each worker and a journal and workers that answer at once.
+func BenchmarkStarts(b *testing.B) {
+	for _, workers := range []int{50, 500, 2000, 12000} {
+		b.Run(fmt.Sprint("workers=", workers), func(b *testing.B) {
+			var spent time.Duration
+			var bytes, starts int64
+			for b.Loop() {
+				in := &instant{goal: int64(workers * benchTasks), reached: make(chan struct{})}
+				spent += startAll(b, in, workers)
+				bytes, starts = bytes+in.bytes.Load(), starts+in.goal
+			}
+			b.ReportMetric(float64(spent.Microseconds())/float64(starts), "us/start")
+			b.ReportMetric(float64(bytes)/float64(starts), "record-B/start")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// startAll returns the time from the last submission to the last start. The jobs are one job of ten
+// tasks for each worker.
+func startAll(b *testing.B, in *instant, workers int) time.Duration {
+	sc, err := New(benchOptions(in), Recovery{Began: time.Now()})
+	qt.Assert(b, err, qt.IsNil)
+	list := benchWorkers(workers)
+	sc.setWorkers(list, time.Now())
+	for _, ws := range sc.workers {
+		// The first report has arrived; the next one is an hour away.
+		ws.nextReport = time.Now().Add(time.Hour)
+		ws.nextRenew = ws.nextReport
+		sc.reported(ws, supervisor.WorkerReport{}, time.Now(), time.Now())
+	}
+	ctx, cancel := context.WithCancel(b.Context())
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = sc.Run(ctx) }()
+	var jobs []Job
+	for num := range workers {
+		jb := benchJob(num)
+		jb.Tasks = benchTasks
+		jobs = append(jobs, jb)
+	}
+	began := time.Now()
+	_, err = sc.Submit(ctx, jobs)
+	qt.Assert(b, err, qt.IsNil)
+	<-in.reached
+	spent := time.Since(began)
+	cancel()
+	<-ended
+	return spent
+}
+
+// recovered returns a scheduler that was recovered from the records of ten running tasks on each
+// worker.
+func recovered(b *testing.B, workers int, records [][]byte) *Scheduler {
+	sc, err := New(benchOptions(&instant{}), Recovery{Records: records, Began: time.Now()})
+	qt.Assert(b, err, qt.IsNil)
+	sc.setWorkers(benchWorkers(workers), time.Now())
+	sc.ctx = b.Context()
+	return sc
+}
+
+func benchRecords(workers int) [][]byte {
+	var records [][]byte
+	for num := range workers * benchTasks {
+		id := uint64(num + 1)
+		records = append(records,
+			encode(&RecordMessage{Record: &RecordMessage_Submit{Submit: &SubmitMessage{Jobs: []*JobMessage{jobToMessage(id, benchJob(num), time.Now())}}}}),
+			encode(&RecordMessage{Record: &RecordMessage_Start{Start: &StartMessage{
+				Job: id, Attempt: 1, Worker: fmt.Sprint("worker-", num%workers), Epoch: 1, StartBefore: 1,
+				Reservation: resourcesToMessage(benchJob(num).Declared),
+			}}}))
+	}
+	return records
+}
+
+// BenchmarkReport measures one report of ten tasks, the memory that a worker with ten tasks takes, and
+// one pass over all workers, which happens every 50 ms.
+func BenchmarkReport(b *testing.B) {
+	for _, workers := range []int{50, 500, 2000, 12000} {
+		b.Run(fmt.Sprint("workers=", workers), func(b *testing.B) {
+			records := benchRecords(workers)
+			before := benchHeap()
+			began := time.Now()
+			sc := recovered(b, workers, records)
+			replay := float64(time.Since(began).Microseconds()) / float64(len(records))
+			memory := float64(benchHeap()-before) / float64(workers)
+			reports := make([]supervisor.WorkerReport, workers)
+			for num, ws := range sc.order {
+				for at := range ws.attempts {
+					use := supervisor.Resources{Millicores: 500, MemoryBytes: gibibyte / 2}
+					reports[num].Running = append(reports[num].Running, supervisor.AttemptReport{Attempt: at, Usage: use})
+				}
+				ws.busy = true
+				sc.reported(ws, reports[num], time.Now(), time.Now())
+				ws.queue, ws.nextReport, ws.nextRenew = nil, time.Now().Add(time.Hour), time.Now().Add(time.Hour)
+			}
+			sc.tick(time.Now())
+			began = time.Now()
+			sc.tick(began)
+			tick := float64(time.Since(began).Microseconds())
+			for num := 0; b.Loop(); num++ {
+				now := time.Now()
+				sc.reported(sc.order[num%workers], reports[num%workers], now, now)
+			}
+			parts, err := sc.ledger.export(nil)
+			qt.Assert(b, err, qt.IsNil)
+			size := 0
+			for _, part := range parts {
+				size += len(part)
+			}
+			text, err := json.Marshal(reports[0])
+			qt.Assert(b, err, qt.IsNil)
+			b.ReportMetric(float64(len(text)), "report-B")
+			b.ReportMetric(replay, "us/record")
+			b.ReportMetric(memory, "B/worker-of-10")
+			b.ReportMetric(tick, "us/tick")
+			b.ReportMetric(float64(size)/float64(workers*benchTasks), "snapshot-B/task")
+			runtime.KeepAlive(sc)
+		})
+	}
+}
+
+func benchHeap() int64 {
+	var ms runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&ms)
+	return int64(ms.HeapAlloc)
+}
--- a/internal/cluster/tracker/tracker_test.go
+++ b/internal/cluster/tracker/tracker_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/netip"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -40,7 +41,7 @@
 				nw.addRunners(50 * tc.dcs)
 				nw.put(2)
 				time.Sleep(20 * time.Second)
-				before := nw.bytes()
+				before, spent := nw.bytes(), processorTime()
 				wrong, rev := 0, modeler.Revision(2)
 				for range changes {
 					rev++
@@ -56,6 +57,8 @@
 					greatest = max(greatest, rate)
 				}
 				t.Logf("sent plus received per host: mean %d bytes/s, greatest %d bytes/s", total/int64(tc.hosts), greatest)
+				spent = (processorTime() - spent) / time.Duration(tc.hosts)
+				t.Logf("processor time per host: %.2f ms/s", spent.Seconds()*1000/(changes*interval.Seconds()))
 				qt.Check(t, greatest < budget, qt.IsTrue)
 				qt.Check(t, wrong, qt.Equals, 0)
 				for num := range nw.cfg.Hosts {
@@ -84,6 +87,15 @@
 	}
 }
 
+// processorTime is that of this process, so that it includes the simulated network.
+func processorTime() time.Duration {
+	var ru syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &ru) != nil {
+		return 0
+	}
+	return time.Duration(ru.Utime.Nano() + ru.Stime.Nano())
+}
+
 // wrong counts the states of health that are not Alive.
 func (nw *network) wrong() int {
 	num := 0
--- a/internal/request/claimer/claimer_test.go
+++ b/internal/request/claimer/claimer_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -424,16 +425,35 @@
 	})
 }
 
-// BenchmarkFind measures a retry of a key among a full table.
+// BenchmarkFind measures a retry of a key among a full table, the memory of a key without its answer,
+// and its size in the journal.
 func BenchmarkFind(b *testing.B) {
-	ldr := new(shared).mustElect(b, claimer.Options{})
-	for num := range 200_000 {
+	const keys = 200_000
+	log := new(shared)
+	ldr := log.mustElect(b, claimer.Options{})
+	before := heap()
+	for num := range keys {
 		cl, err := ldr.claim(fmt.Sprint("key-", num), 1)
 		qt.Assert(b, err, qt.IsNil)
 		qt.Assert(b, ldr.Complete(b.Context(), cl, modeler.Unknown, nil), qt.IsNil)
 	}
 	ldr.Trim()
+	size := 0
+	for _, rec := range log.records {
+		size += len(rec)
+	}
+	log.records = nil
+	memory := heap() - before
 	for b.Loop() {
 		_, _ = ldr.Claim(b.Context(), "key-77", "tidebook", claimer.Digest{1})
 	}
+	b.ReportMetric(float64(memory)/keys, "B/key")
+	b.ReportMetric(float64(size)/keys, "record-B/key")
+}
+
+func heap() int64 {
+	var ms runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&ms)
+	return int64(ms.HeapAlloc)
 }
