--- a/internal/batch/placer/placer_test.go
+++ b/internal/batch/placer/placer_test.go
@@ -185,23 +185,6 @@
 	}
 }
 
-// BenchmarkReport measures taking one usage report of a worker with its tasks.
-func BenchmarkReport(b *testing.B) {
-	for _, n := range []int{50, 12_000} {
-		b.Run(fmt.Sprint("workers=", n), func(b *testing.B) {
-			pl, _, _ := loadedFleet(b, n)
-			b.ResetTimer()
-			for i := range b.N {
-				wr := pl.workers[named(i%n)]
-				for _, hd := range wr.tasks {
-					pl.Observe(wr.Name, hd.Attempt, hd.Reservation)
-				}
-				pl.Observed(wr.Name)
-			}
-		})
-	}
-}
-
 // BenchmarkMemory measures the memory of a placer with 10 tasks a worker, once.
 func BenchmarkMemory(b *testing.B) {
 	before := heap()
@@ -216,13 +199,6 @@
 	b.ReportMetric(float64(loaded-empty)/120_000, "B/task")
 }
 
-func heap() uint64 {
-	var ms runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&ms)
-	return ms.HeapAlloc
-}
-
 // learned returns an estimator that knows all pairs of the kinds of fill.
 func learned() *estimator.Estimator {
 	es := estimator.New(0)
--- a/internal/batch/scheduler/scale_test.go
+++ b/internal/batch/scheduler/scale_test.go
@@ -133,9 +133,9 @@
 	return records
 }
 
-// BenchmarkStarts measures starts through a journal that takes one append each 110 ms, the interval
+// BenchmarkPacedStarts measures starts through a journal that takes one append each 110 ms, the interval
 // with 11 data centres. A data centre needs 255 starts/s.
-func BenchmarkStarts(b *testing.B) {
+func BenchmarkPacedStarts(b *testing.B) {
 	log := &slowLog{pace: 110 * time.Millisecond}
 	iw := idleWorkers{make(chan struct{}, 100_000)}
 	sc, err := New(scaleOptions(log, iw), Recovery{Began: time.Now()})
