Bound the state of the limiter and end a spinning watch

It now applies runners of its own data centre.

After ErrGap the configuration's watch read the entry and waited again from its old revision, which ends at once and for ever when the store has forgotten the changes since. It now waits from zero, which returns the present state and revision, after a short pause.

--- a/internal/config/distributor/watcher.go
+++ b/internal/config/distributor/watcher.go
@@ -174,8 +174,15 @@
 	poll, cancel := context.WithTimeout(ctx, watchLimit)
 	defer cancel()
 	ents, next, err := dst.opt.Store.Wait(poll, keyCurrent, *at)
-	if err != nil && (poll.Err() != nil || errors.Is(err, storer.ErrGap)) {
-		// The poll's own limit and a gap are no failures of the store. The read that follows tells.
+	if errors.Is(err, storer.ErrGap) {
+		// The changes since the entry's revision are no longer known. Waiting from its revision again
+		// would end at once and for ever; from zero, the store returns its present state and revision.
+		*at = 0
+		pause(ctx, minDelay)
+		return true, nil
+	}
+	if err != nil && poll.Err() != nil {
+		// The poll's own limit is no failure of the store. The read that follows tells.
 		return false, nil
 	}
 	if err != nil {
--- a/internal/request/limiter/settler.go
+++ b/internal/request/limiter/settler.go
@@ -47,6 +47,11 @@
 	}
 	seen := make(map[modeler.RunnerName]bool, len(cfg.Runners))
 	for _, rn := range cfg.Runners {
+		// Only hosts of a runner's data centre hold its slots. An account of another one would wait
+		// for acknowledgements that never come, and keep every revision since.
+		if rn.DataCentre != lim.op.DataCentre {
+			continue
+		}
 		seen[rn.Name] = true
 		lim.applyRunner(cfg, rn, acs)
 	}
