Start a host whose configuration has earlier revisions

The limiter replays the history of the configuration while it is built, and announces free slots. The assembler passed these to an admitter that did not exist yet, so a first or drained start after revision 1 crashed with a nil dereference. Announcements before the admitter exists are now ignored; no call can wait then.

The fix compiled; no complete run of the tests has passed on it yet.

--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -172,7 +172,7 @@
 		Predecessor: predecessor,
 		History:     history,
 		Peers:       dm.limiterPeers,
-		Freed:       func(_ modeler.RunnerName, svc modeler.ServiceName) { dm.admitter.Freed(svc) },
+		Freed:       dm.slotFreed,
 		Log:         dm.log,
 		Meter:       dm.meter,
 	})
@@ -202,6 +202,14 @@
 	})
 }
 
+// slotFreed lets waiting calls go on. The limiter also calls it while it is built with the history of
+// the configuration, when there is no admitter yet and no call can wait.
+func (dm *Daemon) slotFreed(_ modeler.RunnerName, svc modeler.ServiceName) {
+	if dm.admitter != nil {
+		dm.admitter.Freed(svc)
+	}
+}
+
 // routerAccount keeps a nil pointer from becoming an interface that is not nil.
 func (dm *Daemon) routerAccount(rn modeler.RunnerName) router.Account {
 	ac := dm.limiter.Account(rn)
