--- a/internal/daemon/assembler/fleet_test.go
+++ b/internal/daemon/assembler/fleet_test.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -24,7 +25,6 @@
 	"github.com/currantrouter/currantrouter/internal/operator/server"
 	"github.com/currantrouter/currantrouter/internal/plan/importer"
 	"github.com/currantrouter/currantrouter/internal/platform/emulator"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
 	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
 )
 
@@ -38,9 +38,15 @@
 	net      *memNetwork
 	platform *emulator.Platform
 	cfg      *modeler.Configuration
-	members  []*member
-	runners  map[modeler.RunnerName]*emulator.Runner
-	closers  []func() error
+	// loads numbers the calls of load, so that no key is used twice.
+	loads int
+	// rev is the revision that was put last.
+	rev     modeler.Revision
+	members []*member
+	runners map[modeler.RunnerName]*emulator.Runner
+	// listeners are those of the runners.
+	listeners []*memListener
+	closers   []func() error
 }
 
 // member is one process of an entry host.
@@ -107,19 +113,21 @@
 		Name: rn.Name, Slots: rn.Slots, Connections: rn.Connections, GuardsOff: true,
 	})
 	zn := newZone(fl.net, string(name))
+	zn.node = string(rn.Name)
 	ln, err := zn.Listen(rn.Endpoint)
 	qt.Assert(fl.t, err, qt.IsNil)
 	sv := em.Server()
 	go func() { _ = sv.Serve(ln) }()
 	fl.runners[rn.Name] = em
+	fl.listeners = append(fl.listeners, ln.(*memListener))
 	fl.closers = append(fl.closers, sv.Close)
 }
 
 // put stores the configuration as the successor of the expected revision.
 func (fl *fleet) put(expected modeler.Revision) {
 	fl.t.Helper()
-	err := assembler.PutConfiguration(context.Background(), fl.platform.Store, checker.Encode(fl.cfg), expected, time.Second)
-	qt.Assert(fl.t, err, qt.IsNil)
+	fl.rev = expected
+	fl.putDocument(fl.cfg)
 }
 
 // start starts all entry hosts and waits until each data centre has a leader.
@@ -139,9 +147,10 @@
 		callers:   address(0, dc, idx%2),
 		operators: address(2, dc, idx%2),
 		zone:      newZone(fl.net, string(hst.DataCentre)),
-		store:     &gatedStore{Store: fl.platform.Store},
+		store:     &gatedStore{Store: fl.platform.Store, gate: gate{open: make(chan struct{})}},
 		done:      make(chan error, 1),
 	}
+	mb.zone.node = string(hst.Name)
 	st := &loader.Settings{
 		Host:   loader.HostSettings{Name: hst.Name, DataCentre: hst.DataCentre},
 		Listen: loader.ListenSettings{Callers: mb.callers, Operators: mb.operators, Peers: hst.Peer},
@@ -157,7 +166,7 @@
 		}
 	}
 	dm, err := assembler.New(st, assembler.Platform{
-		Store: mb.store, Workers: fleetWorkers{fl.platform.Workers, mb.store}, Hosts: fl.platform.Hosts,
+		Store: mb.store, Workers: &gatedWorkers{fl.platform.Workers, &mb.store.gate}, Hosts: fl.platform.Hosts,
 	}, mb.zone, logr.Discard())
 	qt.Assert(fl.t, err, qt.IsNil)
 	ctx, stop := context.WithCancel(context.Background())
@@ -184,10 +193,58 @@
 func (fl *fleet) kill(mb *member) {
 	mb.killed = true
 	mb.store.close()
+	mb.store.hold(false)
 	mb.zone.kill()
 	mb.stop()
 }
 
+// restart starts a new process for the host with the index in place of one that has ended.
+func (fl *fleet) restart(idx int) { fl.replace(idx, fl.run(idx)) }
+
+// drain ends a process in an orderly way.
+func (fl *fleet) drain(mb *member) {
+	mb.stop()
+	qt.Check(fl.t, <-mb.done, qt.IsNil, qt.Commentf("drain of %s", mb.host.Name))
+}
+
+// pause stops all exchange of a process with the outside, or lets it go on. Its timers run on.
+func (fl *fleet) pause(mb *member, paused bool) {
+	mb.store.hold(paused)
+	fl.net.set(string(mb.host.Name), everyNode, paused)
+}
+
+// heal ends all faults that have an end.
+func (fl *fleet) heal() {
+	fl.platform.Faults.Clear()
+	fl.net.heal()
+	for idx := range fl.cfg.Hosts {
+		mb := fl.member(idx)
+		mb.store.hold(false)
+		mb.store.set(false)
+	}
+}
+
+// reconfigure puts a revision that leaves out one host and one runner or has all of them.
+func (fl *fleet) reconfigure(rnd *rand.Rand) {
+	cfg := *fl.cfg
+	if rnd.IntN(3) > 0 {
+		idx := rnd.IntN(len(cfg.Hosts))
+		cfg.Hosts = slices.Delete(slices.Clone(cfg.Hosts), idx, idx+1)
+	}
+	if rnd.IntN(3) > 0 {
+		idx := rnd.IntN(len(cfg.Runners))
+		cfg.Runners = slices.Delete(slices.Clone(cfg.Runners), idx, idx+1)
+	}
+	fl.putDocument(&cfg)
+}
+
+func (fl *fleet) putDocument(cfg *modeler.Configuration) {
+	fl.t.Helper()
+	err := assembler.PutConfiguration(context.Background(), fl.platform.Store, checker.Encode(cfg), fl.rev, time.Second)
+	qt.Assert(fl.t, err, qt.IsNil)
+	fl.rev++
+}
+
 // end drains all processes and checks what must always hold.
 func (fl *fleet) end() {
 	fl.t.Helper()
@@ -212,7 +269,9 @@
 	for name, rn := range fl.runners {
 		orc := rn.Oracle()
 		qt.Check(fl.t, orc.GreatestCalls <= runnerSlots, qt.IsTrue, qt.Commentf("%s: %d calls at once", name, orc.GreatestCalls))
-		qt.Check(fl.t, orc.GreatestConnections <= 64, qt.IsTrue, qt.Commentf("%s: %d connections", name, orc.GreatestConnections))
+	}
+	for _, ln := range fl.listeners {
+		qt.Check(fl.t, ln.greatest <= 64, qt.IsTrue, qt.Commentf("%s: %d connections", ln.addr, ln.greatest))
 	}
 	qt.Check(fl.t, fl.platform.Workers.Oracle().Violations, qt.HasLen, 0)
 	for key, num := range fl.executions() {
@@ -315,7 +374,14 @@
 
 // call sends one call to an entry host.
 func (fl *fleet) call(mb *member, method, path, key, body string) answer {
-	rq, err := http.NewRequest(method, "http://"+mb.callers.String()+"/tidebook"+path, strings.NewReader(body))
+	return fl.callFor(20*time.Second, mb, method, path, key, body)
+}
+
+// callFor is like call. The caller leaves after the time.
+func (fl *fleet) callFor(dur time.Duration, mb *member, method, path, key, body string) answer {
+	ctx, cancel := context.WithTimeout(context.Background(), dur)
+	defer cancel()
+	rq, err := http.NewRequestWithContext(ctx, method, "http://"+mb.callers.String()+"/tidebook"+path, strings.NewReader(body))
 	qt.Assert(fl.t, err, qt.IsNil)
 	if key != "" {
 		rq.Header.Set(modeler.HeaderIdempotencyKey, key)
@@ -336,6 +402,8 @@
 	answers := map[string]answer{}
 	var wg sync.WaitGroup
 	until := time.Now().Add(dur)
+	fl.loads++
+	round := fl.loads
 	for num := range callers {
 		wg.Go(func() {
 			for seq := 0; time.Now().Before(until); seq++ {
@@ -344,7 +412,7 @@
 					time.Sleep(10 * time.Millisecond)
 					continue
 				}
-				key := fmt.Sprintf("key-%d-%d", num, seq)
+				key := fmt.Sprintf("key-%d-%d-%d", round, num, seq)
 				got := fl.call(mb, http.MethodPost, "/plans?RunTime=20ms", key, key)
 				mu.Lock()
 				answers[key] = got
@@ -376,75 +444,3 @@
 	}
 	return counts
 }
-
-// gatedStore is the store as one process reaches it.
-type gatedStore struct {
-	*emulator.Store
-	mu     sync.Mutex
-	closed bool
-}
-
-func (gs *gatedStore) close() { gs.set(true) }
-
-func (gs *gatedStore) set(closed bool) {
-	gs.mu.Lock()
-	defer gs.mu.Unlock()
-	gs.closed = closed
-}
-
-func (gs *gatedStore) check() error {
-	gs.mu.Lock()
-	defer gs.mu.Unlock()
-	if gs.closed {
-		return storer.ErrUnavailable
-	}
-	return nil
-}
-
-func (gs *gatedStore) Get(ctx context.Context, key string) (storer.Entry, error) {
-	if err := gs.check(); err != nil {
-		return storer.Entry{}, err
-	}
-	return gs.Store.Get(ctx, key)
-}
-
-func (gs *gatedStore) Put(ctx context.Context, key string, value []byte, expected int64) (int64, error) {
-	if err := gs.check(); err != nil {
-		return 0, err
-	}
-	return gs.Store.Put(ctx, key, value, expected)
-}
-
-func (gs *gatedStore) Delete(ctx context.Context, key string, expected int64) error {
-	if err := gs.check(); err != nil {
-		return err
-	}
-	return gs.Store.Delete(ctx, key, expected)
-}
-
-func (gs *gatedStore) List(ctx context.Context, prefix, after string, limit int) ([]storer.Entry, error) {
-	if err := gs.check(); err != nil {
-		return nil, err
-	}
-	return gs.Store.List(ctx, prefix, after, limit)
-}
-
-func (gs *gatedStore) Wait(ctx context.Context, prefix string, after int64) ([]storer.Entry, int64, error) {
-	if err := gs.check(); err != nil {
-		return nil, 0, err
-	}
-	return gs.Store.Wait(ctx, prefix, after)
-}
-
-// fleetWorkers are the workers as one process reaches them. A killed process sends nothing.
-type fleetWorkers struct {
-	*emulator.Workers
-	gate *gatedStore
-}
-
-func (fw fleetWorkers) Start(ctx context.Context, wk supervisor.Worker, cmd supervisor.StartCommand) error {
-	if fw.gate.check() != nil {
-		return errors.Join(supervisor.ErrResultUnknown, storer.ErrUnavailable)
-	}
-	return fw.Workers.Start(ctx, wk, cmd)
-}
--- a/internal/daemon/assembler/network_test.go
+++ b/internal/daemon/assembler/network_test.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -15,8 +16,9 @@
 type memNetwork struct {
 	mu        sync.Mutex
 	listeners map[netip.AddrPort]*memListener
-	zones     map[netip.AddrPort]string
-	cut       map[[2]string]bool
+	// cut has pairs of names of zones and nodes; everyNode stands for all.
+	cut   map[[2]string]bool
+	conns map[*memConn]bool
 	// changed is closed and replaced when links change.
 	changed chan struct{}
 }
@@ -24,13 +26,19 @@
 func newMemNetwork() *memNetwork {
 	return &memNetwork{
 		listeners: map[netip.AddrPort]*memListener{},
-		zones:     map[netip.AddrPort]string{},
 		cut:       map[[2]string]bool{},
+		conns:     map[*memConn]bool{},
 		changed:   make(chan struct{}),
 	}
 }
 
-// set cuts or heals the link between two zones in both directions.
+// everyNode stands for all nodes in a cut link.
+const everyNode = "*"
+
+// place is an end of a connection: the name of its zone and of its node.
+type place [2]string
+
+// set cuts or heals the link between two zones or nodes in both directions.
 func (mn *memNetwork) set(one, two string, cut bool) {
 	mn.mu.Lock()
 	defer mn.mu.Unlock()
@@ -40,14 +48,39 @@
 	mn.changed = make(chan struct{})
 }
 
-func (mn *memNetwork) link(one, two string) (cut bool, changed <-chan struct{}) {
+// heal heals all links. Silent connections stay so.
+func (mn *memNetwork) heal() {
+	mn.mu.Lock()
+	defer mn.mu.Unlock()
+	clear(mn.cut)
+	close(mn.changed)
+	mn.changed = make(chan struct{})
+}
+
+func (mn *memNetwork) link(from, to place) (cut bool, changed <-chan struct{}) {
+	mn.mu.Lock()
+	defer mn.mu.Unlock()
+	for _, one := range [...]string{from[0], from[1], everyNode} {
+		for _, two := range [...]string{to[0], to[1], everyNode} {
+			cut = cut || mn.cut[[2]string{one, two}]
+		}
+	}
+	return cut, mn.changed
+}
+
+// silence makes the open connections of a node unresponsive for good. New ones work.
+func (mn *memNetwork) silence(node string) {
 	mn.mu.Lock()
 	defer mn.mu.Unlock()
-	return mn.cut[[2]string{one, two}], mn.changed
+	for cn := range mn.conns {
+		if cn.from[1] == node || cn.to[1] == node {
+			cn.silent.Store(true)
+		}
+	}
 }
 
 // wait returns once the link is whole, or with the error of done.
-func (mn *memNetwork) wait(one, two string, done <-chan struct{}) error {
+func (mn *memNetwork) wait(one, two place, done <-chan struct{}) error {
 	for {
 		cut, changed := mn.link(one, two)
 		if !cut {
@@ -65,6 +98,8 @@
 type zone struct {
 	net  *memNetwork
 	name string
+	// node is empty for callers.
+	node string
 
 	mu    sync.Mutex
 	conns []net.Conn
@@ -99,7 +134,6 @@
 		return nil, syscall.EADDRINUSE
 	}
 	zn.net.listeners[addr] = ln
-	zn.net.zones[addr] = zn.name
 	zn.mu.Lock()
 	defer zn.mu.Unlock()
 	zn.lns = append(zn.lns, ln)
@@ -114,29 +148,35 @@
 	default:
 	}
 	zn.net.mu.Lock()
-	ln, to := zn.net.listeners[addr], zn.net.zones[addr]
+	ln := zn.net.listeners[addr]
 	zn.net.mu.Unlock()
-	if err := zn.net.wait(zn.name, to, ctx.Done()); err != nil {
-		return nil, ctx.Err()
-	}
 	if ln == nil {
 		return nil, syscall.ECONNREFUSED
 	}
+	from, to := place{zn.name, zn.node}, place{ln.zone.name, ln.zone.node}
+	if err := zn.net.wait(from, to, ctx.Done()); err != nil {
+		return nil, ctx.Err()
+	}
 	near, far := net.Pipe()
-	local := &memConn{Conn: near, net: zn.net, from: zn.name, to: to, addr: addr, closed: make(chan struct{})}
-	remote := &memConn{Conn: far, net: zn.net, from: to, to: zn.name, addr: addr, closed: make(chan struct{})}
+	local := &memConn{Conn: near, net: zn.net, from: from, to: to, addr: addr, closed: make(chan struct{}), expired: make(chan struct{})}
+	remote := &memConn{Conn: far, net: zn.net, from: to, to: from, addr: addr, listener: ln, closed: make(chan struct{}), expired: make(chan struct{})}
 	zn.mu.Lock()
 	zn.conns = append(zn.conns, local)
 	zn.mu.Unlock()
 	ln.zone.mu.Lock()
 	ln.zone.conns = append(ln.zone.conns, remote)
 	ln.zone.mu.Unlock()
+	ln.opened(local, remote)
 	select {
 	case ln.conns <- remote:
 		return local, nil
 	case <-ln.closed:
+		_ = remote.Close()
+		_ = local.Close()
 		return nil, syscall.ECONNREFUSED
 	case <-ctx.Done():
+		_ = remote.Close()
+		_ = local.Close()
 		return nil, ctx.Err()
 	}
 }
@@ -147,6 +187,17 @@
 	conns  chan net.Conn
 	closed chan struct{}
 	once   sync.Once
+
+	// open and greatest count the connections that the server has not closed; guarded by net.mu.
+	open, greatest int
+}
+
+func (ln *memListener) opened(local, remote *memConn) {
+	ln.zone.net.mu.Lock()
+	defer ln.zone.net.mu.Unlock()
+	ln.zone.net.conns[local], ln.zone.net.conns[remote] = true, true
+	ln.open++
+	ln.greatest = max(ln.greatest, ln.open)
 }
 
 func (ln *memListener) Accept() (net.Conn, error) {
@@ -173,27 +224,106 @@
 type memConn struct {
 	net.Conn
 	net      *memNetwork
-	from, to string
+	from, to place
 	addr     netip.AddrPort
+	// listener is set at the end of the server.
+	listener *memListener
 	closed   chan struct{}
 	once     sync.Once
+	// expired is closed at the write deadline or the close; timer sets it. Both are guarded by mu.
+	mu      sync.Mutex
+	expired chan struct{}
+	timer   *time.Timer
+	// silent connections hold back all that is written and tell the other end of no close.
+	silent atomic.Bool
 }
 
-var errReset = errors.New("connection reset")
-
 // Write holds bytes back while the link is cut.
 func (cn *memConn) Write(bs []byte) (int, error) {
-	if err := cn.net.wait(cn.from, cn.to, cn.closed); err != nil {
-		return 0, errReset
+	if cn.silent.Load() {
+		// The bytes fit into the send buffer and are never delivered.
+		return len(bs), nil
+	}
+	if err := cn.net.wait(cn.from, cn.to, cn.unblocked()); err != nil {
+		return 0, os.ErrDeadlineExceeded
 	}
 	return cn.Conn.Write(bs)
 }
 
+// unblocked returns a channel that is closed at the write deadline or at the close.
+func (cn *memConn) unblocked() <-chan struct{} {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	return cn.expired
+}
+
+// SetWriteDeadline also unblocks writes that wait for a link.
+func (cn *memConn) SetWriteDeadline(when time.Time) error {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	if cn.timer != nil {
+		cn.timer.Stop()
+	}
+	if isClosed(cn.expired) && !isClosed(cn.closed) {
+		cn.expired = make(chan struct{})
+	}
+	if !when.IsZero() {
+		expired := cn.expired
+		cn.timer = time.AfterFunc(time.Until(when), func() { cn.expire(expired) })
+	}
+	return cn.Conn.SetWriteDeadline(when)
+}
+
+func (cn *memConn) expire(expired chan struct{}) {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	if !isClosed(expired) {
+		close(expired)
+	}
+}
+
+func isClosed(ch chan struct{}) bool {
+	select {
+	case <-ch:
+		return true
+	default:
+		return false
+	}
+}
+
+// SetDeadline sets both deadlines.
+func (cn *memConn) SetDeadline(when time.Time) error {
+	_ = cn.Conn.SetReadDeadline(when)
+	return cn.SetWriteDeadline(when)
+}
+
 func (cn *memConn) Close() error {
-	cn.once.Do(func() { close(cn.closed) })
+	cn.once.Do(cn.forget)
+	if cn.silent.Load() {
+		// The keep-alive of the other end finds out after three probes.
+		time.AfterFunc(3*time.Second, func() { _ = cn.Conn.Close() })
+		return cn.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
 	return cn.Conn.Close()
 }
 
+func (cn *memConn) forget() {
+	close(cn.closed)
+	cn.mu.Lock()
+	if cn.timer != nil {
+		cn.timer.Stop()
+	}
+	expired := cn.expired
+	cn.mu.Unlock()
+	cn.expire(expired)
+	cn.net.mu.Lock()
+	defer cn.net.mu.Unlock()
+	delete(cn.net.conns, cn)
+	if cn.listener != nil {
+		cn.listener.open--
+	}
+}
+
 func (cn *memConn) LocalAddr() net.Addr  { return net.TCPAddrFromAddrPort(cn.addr) }
 func (cn *memConn) RemoteAddr() net.Addr { return net.TCPAddrFromAddrPort(cn.addr) }
 
