--- a/internal/daemon/assembler/drainer_test.go
+++ b/internal/daemon/assembler/drainer_test.go
@@ -15,7 +15,7 @@
 )
 
 // drain sends a drain command to a host.
-func (fl *fleet) drain(mb *member, kind, name string, undo bool) {
+func (fl *fleet) drainByCommand(mb *member, kind, name string, undo bool) {
 	fl.t.Helper()
 	body := `{"Kind":"` + kind + `","Name":"` + name + `","Reason":"test","Undo":`
 	if undo {
@@ -54,13 +54,13 @@
 			fl := newFleet(t, 2, 3)
 			fl.start()
 			const name = "dc-0-runner-1"
-			fl.drain(fl.member(3), "Runner", name, false)
+			fl.drainByCommand(fl.member(3), "Runner", name, false)
 			time.Sleep(3 * time.Second)
 			before := fl.calls()
 			counts := fl.checkAnswers(fl.load(8, 3*time.Second))
 			qt.Check(t, counts[modeler.Answered] > 0 && counts[modeler.Unknown] == 0, qt.IsTrue, qt.Commentf("%v", counts))
 			qt.Check(t, fl.calls()[name], qt.Equals, before[name])
-			fl.drain(fl.member(0), "Runner", name, true)
+			fl.drainByCommand(fl.member(0), "Runner", name, true)
 			time.Sleep(3 * time.Second)
 			fl.checkAnswers(fl.load(8, 3*time.Second))
 			qt.Check(t, fl.calls()[name] > before[name], qt.IsTrue)
@@ -74,7 +74,7 @@
 			// The leader of the data centre is drained, so that the leadership must move.
 			leading := fl.leading("dc-0")
 			leaver, other := fl.member(leading), fl.member(1-leading)
-			fl.drain(other, "Host", string(leaver.host.Name), false)
+			fl.drainByCommand(other, "Host", string(leaver.host.Name), false)
 			time.Sleep(3 * time.Second)
 			qt.Check(t, fl.readiness(leaver), qt.Equals, http.StatusServiceUnavailable)
 			got := fl.call(leaver, http.MethodPost, "/plans?RunTime=20ms", "", "")
@@ -86,7 +86,7 @@
 				qt.Check(t, got.outcome, qt.Equals, modeler.Answered, qt.Commentf("%+v", got))
 			}
 			// The drained process still serves operators.
-			fl.drain(leaver, "Host", string(leaver.host.Name), true)
+			fl.drainByCommand(leaver, "Host", string(leaver.host.Name), true)
 			time.Sleep(3 * time.Second)
 			qt.Check(t, fl.readiness(leaver), qt.Equals, http.StatusNoContent)
 			got = fl.call(leaver, http.MethodPost, "/plans?RunTime=20ms", "", "")
@@ -98,7 +98,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			fl := newFleet(t, 1, 1)
 			fl.start()
-			fl.drain(fl.member(0), "Worker", "dc-0-worker-1", false)
+			fl.drainByCommand(fl.member(0), "Worker", "dc-0-worker-1", false)
 			time.Sleep(3 * time.Second)
 			fl.importPlan(8)
 			// The plan is read every 2 s, and the emulated tasks run for 10 s.
@@ -155,7 +155,7 @@
 			want := map[modeler.DataCentreName]string{"dc-0": "Running", "dc-1": "Done"}[jb.DataCentre]
 			qt.Check(t, jb.State, qt.Equals, want)
 		}
-		fl.drain(fl.member(0), "Runner", "dc-0-runner-0", false)
+		fl.drainByCommand(fl.member(0), "Runner", "dc-0-runner-0", false)
 		for idx := range fl.members {
 			var chs []server.Change
 			fl.operators(fl.member(idx), http.MethodGet, "/v1/config/history", "", &chs)
--- a/internal/fleet/modeler/modeler.go
+++ b/internal/fleet/modeler/modeler.go
@@ -125,14 +125,15 @@
 	Limits         Limits
 }
 
-// HostLeaving tells whether an operator has drained an entry host.
+// HostLeaving tells whether an entry host must take no new work: an operator has drained or retired
+// it, or the configuration does not list it, so that its peers do not know it either.
 func (cfg *Configuration) HostLeaving(name HostName) bool {
 	for _, hst := range cfg.Hosts {
 		if hst.Name == name {
-			return hst.Leaving
+			return hst.Leaving || hst.Retired
 		}
 	}
-	return false
+	return true
 }
 
 // Service returns the service of that name, and false when the configuration has none.
