--- a/internal/config/distributor/distributor_test.go
+++ b/internal/config/distributor/distributor_test.go
@@ -310,6 +310,21 @@
 	}
 }
 
+// Guards against a watch that repeats its call without a pause while the store knows no changes.
+func TestWatchAfterGaps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := newStore()
+		restore(st, 5, doc(5))
+		st.Faults().Set(emulator.Switch{Fault: emulator.WatchGap, Part: emulator.PartStore, Operation: "Wait"})
+		hst := newHost(st, nil, true)
+		hst.run(t)
+		before := st.Calls()["Wait"]
+		time.Sleep(10 * time.Second)
+		qt.Check(t, st.Calls()["Wait"]-before <= 110, qt.IsTrue, qt.Commentf("%d calls in 10 s", st.Calls()["Wait"]-before))
+		hst.assertRevision(t, 5)
+	})
+}
+
 // Guards against a watch that misses changes, ends at a fault or follows the store down.
 func TestWatch(t *testing.T) {
 	for _, tc := range []struct {
--- a/internal/config/distributor/watcher.go
+++ b/internal/config/distributor/watcher.go
@@ -177,8 +177,10 @@
 	if errors.Is(err, storer.ErrGap) {
 		// The changes since the entry's revision are no longer known. Waiting from its revision again
 		// would end at once and for ever; from zero, the store returns its present state and revision.
+		if *at == 0 {
+			pause(ctx, minDelay)
+		}
 		*at = 0
-		pause(ctx, minDelay)
 		return true, nil
 	}
 	if err != nil && poll.Err() != nil {
