Allow for the shortest pause in the test of repeated gaps

Pauses are random from 50 to 100 ms, so 10 s hold up to 200 calls; the test had counted with 100 ms.

--- a/internal/config/distributor/distributor_test.go
+++ b/internal/config/distributor/distributor_test.go
@@ -320,7 +320,8 @@
 		hst.run(t)
 		before := st.Calls()["Wait"]
 		time.Sleep(10 * time.Second)
-		qt.Check(t, st.Calls()["Wait"]-before <= 110, qt.IsTrue, qt.Commentf("%d calls in 10 s", st.Calls()["Wait"]-before))
+		// Pauses are random, from half of 100 ms on.
+		qt.Check(t, st.Calls()["Wait"]-before <= 200, qt.IsTrue, qt.Commentf("%d calls in 10 s", st.Calls()["Wait"]-before))
 		hst.assertRevision(t, 5)
 	})
 }
