Refuse a change that moves a runner to another data centre

The entry hosts of both data centres would hold its slots until all of them have the revision, since they hear acknowledgements of their own data centre only.

--- a/internal/config/checker/checker_test.go
+++ b/internal/config/checker/checker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/netip"
 	"os"
 	"strings"
 	"testing"
@@ -139,3 +140,29 @@
 		qt.Assert(t, string(checker.Encode(again)), qt.Equals, string(enc))
 	})
 }
+
+// Guards against a runner whose slots are held in two data centres after it was moved.
+func TestTransition(t *testing.T) {
+	at := func(name, dc, endpoint string) *modeler.Configuration {
+		return &modeler.Configuration{Runners: []modeler.Runner{{
+			Name: modeler.RunnerName(name), DataCentre: modeler.DataCentreName(dc), Endpoint: netip.MustParseAddrPort(endpoint),
+		}}}
+	}
+	from := at("runner-1", "stad", "10.0.0.1:80")
+	for _, tc := range []struct {
+		name    string
+		to      *modeler.Configuration
+		refused bool
+	}{
+		{"unchanged", from, false},
+		{"removed", &modeler.Configuration{}, false},
+		{"another endpoint", at("runner-1", "stad", "10.0.0.2:80"), false},
+		{"moved", at("runner-1", "jaeren", "10.0.0.2:80"), true},
+		{"endpoint under another name", at("runner-2", "jaeren", "10.0.0.1:80"), true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			err := checker.Transition(from, tc.to)
+			qt.Check(t, errors.Is(err, checker.ErrInvalid), qt.Equals, tc.refused, qt.Commentf("%v", err))
+		})
+	}
+}
--- a/internal/config/distributor/keeper.go
+++ b/internal/config/distributor/keeper.go
@@ -135,7 +135,8 @@
 
 // PutAs is Put with the name of the operator, which is kept with the revision.
 func (dst *Distributor) PutAs(ctx context.Context, document []byte, expected modeler.Revision, who string) (modeler.Revision, error) {
-	if _, err := checker.Parse(document, expected+1); err != nil {
+	next, err := checker.Parse(document, expected+1)
+	if err != nil {
 		return 0, err
 	}
 	old, at, err := dst.read(ctx)
@@ -147,6 +148,9 @@
 	if base := max(old.rev, dst.revision()); base != expected {
 		return 0, fmt.Errorf("%w: present revision is %d, expected %d", ErrConflict, base, expected)
 	}
+	if err := dst.mayFollow(old, next); err != nil {
+		return 0, err
+	}
 	if err := dst.archive(ctx, old); err != nil {
 		return 0, fmt.Errorf("%w: history: %w", storer.ErrUnavailable, err)
 	}
@@ -163,6 +167,20 @@
 	return cur.rev, nil
 }
 
+// mayFollow returns checker.ErrInvalid when a configuration must not follow the present one.
+func (dst *Distributor) mayFollow(old stored, next *modeler.Configuration) error {
+	cur := dst.Current()
+	if cur == nil || cur.Revision < old.rev {
+		parsed, err := checker.Parse(old.doc, old.rev)
+		if err != nil {
+			// There is none, or it cannot be read and so is in force nowhere.
+			return nil
+		}
+		cur = parsed
+	}
+	return checker.Transition(cur, next)
+}
+
 // archive copies the revision that is about to be replaced to the history. Every revision that
 // was in force is therefore in Current or in the history, whenever a writer fails.
 func (dst *Distributor) archive(ctx context.Context, old stored) error {
