Send commands with a copy of the worker's description

The race detector found a report being requested while the list of workers replaced the description that the command read; a start could have gone to a mixture of two addresses.

--- a/internal/batch/scheduler/finisher.go
+++ b/internal/batch/scheduler/finisher.go
@@ -39,10 +39,10 @@
 	var rp supervisor.WorkerReport
 	var requested time.Time
 	sc.enqueue(ws, command{
-		send: func(ctx context.Context) error {
+		send: func(ctx context.Context, wk supervisor.Worker) error {
 			requested = time.Now()
 			var err error
-			rp, err = sc.opts.Workers.Report(ctx, ws.worker)
+			rp, err = sc.opts.Workers.Report(ctx, wk)
 			return err
 		},
 		done: func(err error, now time.Time) {
@@ -330,8 +330,8 @@
 
 func (sc *Scheduler) forget(ws *workerState, ats []supervisor.Attempt) {
 	sc.enqueue(ws, command{
-		send: func(ctx context.Context) error {
-			return sc.opts.Workers.Forget(ctx, ws.worker, sc.opts.Epoch, ats)
+		send: func(ctx context.Context, wk supervisor.Worker) error {
+			return sc.opts.Workers.Forget(ctx, wk, sc.opts.Epoch, ats)
 		},
 		// A lost command is repeated after the next report that lists the attempt.
 		done: func(error, time.Time) {},
@@ -442,8 +442,8 @@
 
 func (sc *Scheduler) checkpoint(ws *workerState, rn *running) {
 	sc.enqueue(ws, command{
-		send: func(ctx context.Context) error {
-			return sc.opts.Workers.Checkpoint(ctx, ws.worker, sc.opts.Epoch, rn.attempt)
+		send: func(ctx context.Context, wk supervisor.Worker) error {
+			return sc.opts.Workers.Checkpoint(ctx, wk, sc.opts.Epoch, rn.attempt)
 		},
 		done: func(error, time.Time) {},
 	})
--- a/internal/batch/scheduler/starter.go
+++ b/internal/batch/scheduler/starter.go
@@ -126,11 +126,11 @@
 		Checkpoint: rn.job.checkpointOf(rn.no), LatencyCritical: rn.job.LatencyCritical,
 	}
 	sc.enqueue(ws, command{
-		send: func(ctx context.Context) error {
+		send: func(ctx context.Context, wk supervisor.Worker) error {
 			if !time.Now().Before(rn.mustBegin) {
 				return errTooLate
 			}
-			return sc.opts.Workers.Start(ctx, ws.worker, cmd)
+			return sc.opts.Workers.Start(ctx, wk, cmd)
 		},
 		done: func(err error, now time.Time) { sc.startAnswered(ws, rn, err, now) },
 	})
--- a/internal/batch/scheduler/worker.go
+++ b/internal/batch/scheduler/worker.go
@@ -57,7 +57,7 @@
 // command is one command to a worker.
 type command struct {
 	// send runs outside the goroutine of Run.
-	send func(ctx context.Context) error
+	send func(ctx context.Context, wk supervisor.Worker) error
 	// done runs in the goroutine of Run.
 	done func(err error, now time.Time)
 }
@@ -236,9 +236,11 @@
 	ws.queue = ws.queue[1:]
 	ws.busy = true
 	sc.senders.Add(1)
+	// The list of workers may replace the description while the command is sent.
+	wk := ws.worker
 	go func() {
 		defer sc.senders.Done()
-		err := sc.send(cmd)
+		err := sc.send(wk, cmd)
 		sc.mailbox.post(func() {
 			cmd.done(err, time.Now())
 			sc.sendNext(ws)
@@ -247,13 +249,13 @@
 }
 
 // send checks right before the command that this host still leads.
-func (sc *Scheduler) send(cmd command) error {
+func (sc *Scheduler) send(wk supervisor.Worker, cmd command) error {
 	if sc.ctx.Err() != nil || sc.deposedNow() {
 		return ErrDeposed
 	}
 	ctx, cancel := context.WithTimeout(sc.ctx, commandTimeout)
 	defer cancel()
-	return cmd.send(ctx)
+	return cmd.send(ctx, wk)
 }
 
 func (sc *Scheduler) renew(ws *workerState, now time.Time) {
@@ -272,14 +274,14 @@
 		return
 	}
 	sc.enqueue(ws, command{
-		send: func(ctx context.Context) error {
+		send: func(ctx context.Context, wk supervisor.Worker) error {
 			ctx, cancel := context.WithDeadline(ctx, renewBefore)
 			defer cancel()
 			if ctx.Err() != nil {
 				return errTooLate
 			}
 			// A report, which tells more, will not list the attempts that the worker does not run.
-			_, err := sc.opts.Workers.Renew(ctx, ws.worker, sc.opts.Epoch, sc.opts.LeaseTerm, ats)
+			_, err := sc.opts.Workers.Renew(ctx, wk, sc.opts.Epoch, sc.opts.LeaseTerm, ats)
 			return err
 		},
 		done: func(err error, now time.Time) {
@@ -358,8 +360,8 @@
 
 func (sc *Scheduler) stop(ws *workerState, at supervisor.Attempt) {
 	sc.enqueue(ws, command{
-		send: func(ctx context.Context) error {
-			return sc.opts.Workers.Stop(ctx, ws.worker, sc.opts.Epoch, at)
+		send: func(ctx context.Context, wk supervisor.Worker) error {
+			return sc.opts.Workers.Stop(ctx, wk, sc.opts.Epoch, at)
 		},
 		done: func(error, time.Time) {},
 	})
@@ -376,8 +378,8 @@
 func (sc *Scheduler) throttle(ws *workerState, at supervisor.Attempt, share float64) {
 	sc.mt.Add(meter.TasksThrottled, 1)
 	sc.enqueue(ws, command{
-		send: func(ctx context.Context) error {
-			return sc.opts.Workers.Throttle(ctx, ws.worker, sc.opts.Epoch, at, share)
+		send: func(ctx context.Context, wk supervisor.Worker) error {
+			return sc.opts.Workers.Throttle(ctx, wk, sc.opts.Epoch, at, share)
 		},
 		done: func(error, time.Time) {},
 	})
