Show what tasks hold on their workers

The list of tasks showed zero processors and memory and no time for every task, because the leader did not say. It now tells the reservation; the column of a time that nobody records is gone.

--- a/internal/batch/relayer/relayer.go
+++ b/internal/batch/relayer/relayer.go
@@ -180,6 +180,9 @@
 		Reason:       ts.Reason,
 		PositionJob:  ts.Position.Job,
 		PositionTask: int64(ts.Position.Task),
+		Millicores:   ts.Reservation.Millicores,
+		MemoryBytes:  ts.Reservation.MemoryBytes,
+		Accelerators: ts.Reservation.Accelerators,
 	}
 }
 
--- a/internal/batch/scheduler/list.go
+++ b/internal/batch/scheduler/list.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
 )
 
 // MaxListed is the greatest number of entries of one answer.
@@ -33,13 +34,15 @@
 
 // TaskStatus describes a task.
 type TaskStatus struct {
-	Job        string
-	Task       int
-	Team       string
-	State      State
-	Attempt    int
-	Worker     modeler.WorkerName
-	Checkpoint string
+	Job     string
+	Task    int
+	Team    string
+	State   State
+	Attempt int
+	Worker  modeler.WorkerName
+	// Reservation is what the task holds on the worker, zero when it is on none.
+	Reservation supervisor.Resources
+	Checkpoint  string
 	// Reason is that of the last end of an attempt.
 	Reason string
 	// Position continues a list after this task.
@@ -133,7 +136,7 @@
 	tk := &jb.tasks[no]
 	ts.Attempt, ts.Checkpoint, ts.Reason = tk.attempt, tk.checkpoint, tk.reason
 	if tk.phase == phaseActive || tk.phase == phaseCheckpointing {
-		ts.Worker = tk.worker
+		ts.Worker, ts.Reservation = tk.worker, tk.reservation
 	}
 	if ts.State == Starting && sc.seen(jb, no) {
 		ts.State = Running
--- a/internal/daemon/assembler/batch.go
+++ b/internal/daemon/assembler/batch.go
@@ -16,6 +16,7 @@
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/operator/server"
 	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
 )
 
 // relayTimeout bounds one question or command to a leader. A cancellation waits for the journal.
@@ -221,6 +222,11 @@
 		Attempt: int(en.Attempt),
 		Worker:  modeler.WorkerName(en.Worker),
 		Reason:  en.Reason,
+		Reservation: supervisor.Resources{
+			Millicores:   en.Millicores,
+			MemoryBytes:  en.MemoryBytes,
+			Accelerators: en.Accelerators,
+		},
 	}
 }
 
--- a/internal/operator/commander/batch.go
+++ b/internal/operator/commander/batch.go
@@ -242,14 +242,14 @@
 	return ss.show(all, taskHeader, rows)
 }
 
-var taskHeader = []string{"Job", "Task", "State", "Attempt", "Worker", "Cores", "MemoryGB", "Since", "Reason"}
+var taskHeader = []string{"Job", "Task", "State", "Attempt", "Worker", "Cores", "MemoryGB", "Reason"}
 
 func taskRow(tk server.Task) []string {
 	return []string{
 		tk.Job, strconv.Itoa(tk.Number), tk.State, strconv.Itoa(tk.Attempt), string(tk.Worker),
 		fmt.Sprintf("%.3g", float64(tk.Reservation.Millicores)/1000),
 		fmt.Sprintf("%.3g", float64(tk.Reservation.MemoryBytes)/1e9),
-		clock(tk.Since, time.UTC), tk.Reason,
+		tk.Reason,
 	}
 }
 
--- a/internal/operator/server/api.go
+++ b/internal/operator/server/api.go
@@ -177,7 +177,6 @@
 	// Worker is empty for a task that is on none.
 	Worker      modeler.WorkerName
 	Reservation supervisor.Resources
-	Since       time.Time
 	Reason      string `json:",omitempty"`
 }
 
