--- a/internal/state/journaler/ledger_test.go
+++ b/internal/state/journaler/ledger_test.go
@@ -52,6 +52,20 @@
 	defer ld.mu.Unlock()
 	ld.clock++
 	en.ended, en.err = ld.clock, err
+	ld.checkError(err)
+}
+
+// checkError demands that an error promises one thing only.
+func (ld *ledger) checkError(err error) {
+	promises := 0
+	for _, promise := range []error{journaler.ErrDeposed, journaler.ErrUnavailable, journaler.ErrResultUnknown} {
+		if errors.Is(err, promise) {
+			promises++
+		}
+	}
+	if err != nil && promises != 1 {
+		ld.problem("the error %v makes %d promises", err, promises)
+	}
 }
 
 // check compares a recovered journal with all appends that had ended before the recovery began.
@@ -118,6 +132,9 @@
 	ld.mu.Unlock()
 	jn, rec, err := journaler.Open(context.Background(), gt, "dc", "host", modeler.BootID(name), options)
 	if err != nil {
+		ld.mu.Lock()
+		defer ld.mu.Unlock()
+		ld.checkError(err)
 		return nil, err
 	}
 	ldr := &leader{Journal: jn, ledger: ld, gate: gt, epoch: rec.Epoch}
--- a/internal/state/journaler/opener.go
+++ b/internal/state/journaler/opener.go
@@ -291,7 +291,7 @@
 		return err
 	})
 	if err != nil && uncertain {
-		return nil, fmt.Errorf("%w: %w", ErrResultUnknown, err)
+		return nil, fmt.Errorf("%w: %v", ErrResultUnknown, err)
 	}
 	return found, err
 }
--- a/internal/state/journaler/snapshotter.go
+++ b/internal/state/journaler/snapshotter.go
@@ -125,7 +125,7 @@
 		return fmt.Errorf("%w: %w", storer.ErrUnavailable, err)
 	})
 	if err != nil && uncertain {
-		return fmt.Errorf("%w: %w", ErrResultUnknown, err)
+		return fmt.Errorf("%w: %v", ErrResultUnknown, err)
 	}
 	return err
 }
--- a/internal/state/journaler/writer.go
+++ b/internal/state/journaler/writer.go
@@ -324,7 +324,7 @@
 func (wr *segmentWrite) tell(cause error) {
 	jn := wr.journal
 	wr.told = true
-	answer(wr.batch, fmt.Errorf("%w: %w", ErrResultUnknown, cause))
+	answer(wr.batch, fmt.Errorf("%w: %v", ErrResultUnknown, cause))
 	logger.Log(jn.options.Logger, logger.JournalUnresolved, "DataCentre", jn.keys.dc, "Position", wr.segment.Position, "Error", cause.Error())
 	jn.setUnresolved(true)
 	jn.failQueue(fmt.Errorf("%w: store does not answer", ErrUnavailable))
