--- a/cmd/currantstand/main.go
+++ b/cmd/currantstand/main.go
@@ -11,7 +11,7 @@
 
 	"github.com/jessevdk/go-flags"
 
-	"github.com/currantrouter/currantrouter/internal/platform/emulator"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
 )
 
 func main() {
--- a/docs/capacity.sh
+++ b/docs/capacity.sh
@@ -11,7 +11,7 @@
 		./internal/state/journaler ./internal/batch/placer ./internal/batch/scheduler \
 		./internal/request/router ./internal/request/limiter ./internal/request/claimer \
 		./internal/request/forwarder ./internal/hours/counter ./internal/hours/publisher \
-		./internal/platform/lister
+		./internal/provider/lister
 fi
 if [ "$part" = all ] || [ "$part" = importer ]; then
 	go test -run '^$' -bench '^BenchmarkImport$' -benchtime 3x ./internal/plan/importer
--- a/internal/batch/estimator/estimator.go
+++ b/internal/batch/estimator/estimator.go
@@ -6,7 +6,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 const (
--- a/internal/batch/estimator/estimator_test.go
+++ b/internal/batch/estimator/estimator_test.go
@@ -9,7 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 const gibibyte = 1 << 30
--- a/internal/batch/evictor/evictor.go
+++ b/internal/batch/evictor/evictor.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 const (
--- a/internal/batch/evictor/evictor_test.go
+++ b/internal/batch/evictor/evictor_test.go
@@ -7,7 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 func view(load int64, slowdown float64, batch int) View {
--- a/internal/batch/placer/bench_test.go
+++ b/internal/batch/placer/bench_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/currantrouter/currantrouter/internal/batch/estimator"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 // tasksPerWorker is that of the future size: 124,000 tasks on 12,000 workers.
--- a/internal/batch/placer/grid.go
+++ b/internal/batch/placer/grid.go
@@ -3,7 +3,7 @@
 import (
 	"math/bits"
 
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 const (
--- a/internal/batch/placer/placer.go
+++ b/internal/batch/placer/placer.go
@@ -7,7 +7,7 @@
 
 	"github.com/currantrouter/currantrouter/internal/batch/estimator"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 // Reasons why a task has no worker. Callers test for them with errors.Is.
--- a/internal/batch/placer/placer_test.go
+++ b/internal/batch/placer/placer_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/currantrouter/currantrouter/internal/batch/estimator"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 const gibibyte = 1 << 30
--- a/internal/batch/relayer/relayer.go
+++ b/internal/batch/relayer/relayer.go
@@ -12,7 +12,7 @@
 	"github.com/currantrouter/currantrouter/internal/batch/scheduler"
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
 )
 
 // Errors of a relayed call. Callers test for them with errors.Is.
--- a/internal/batch/scheduler/bench_test.go
+++ b/internal/batch/scheduler/bench_test.go
@@ -13,7 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 // benchTasks is the number of tasks on a worker at the future size: 124,000 on 12,000 workers.
--- a/internal/batch/scheduler/codec.go
+++ b/internal/batch/scheduler/codec.go
@@ -7,7 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 // partBytes bounds one part of a snapshot, with room below the store's limit of 1 MB.
--- a/internal/batch/scheduler/day_test.go
+++ b/internal/batch/scheduler/day_test.go
@@ -12,10 +12,10 @@
 
 	"github.com/currantrouter/currantrouter/internal/batch/estimator"
 	"github.com/currantrouter/currantrouter/internal/batch/placer"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/emulator"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // dayLength is the part of a day that the benchmark runs.
--- a/internal/batch/scheduler/failure_test.go
+++ b/internal/batch/scheduler/failure_test.go
@@ -10,11 +10,11 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/emulator"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // taskOf returns the status of the first task of a job.
--- a/internal/batch/scheduler/faults_test.go
+++ b/internal/batch/scheduler/faults_test.go
@@ -9,8 +9,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/currantrouter/currantrouter/internal/platform/emulator"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 // storyRunTimes are the run times by job of the story.
--- a/internal/batch/scheduler/harness_test.go
+++ b/internal/batch/scheduler/harness_test.go
@@ -12,9 +12,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/emulator"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 const (
--- a/internal/batch/scheduler/job.go
+++ b/internal/batch/scheduler/job.go
@@ -5,7 +5,7 @@
 
 	"github.com/currantrouter/currantrouter/internal/batch/estimator"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 // Job is a group of equal tasks as an operator or the plan submits it.
--- a/internal/batch/scheduler/list.go
+++ b/internal/batch/scheduler/list.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 // MaxListed is the greatest number of entries of one answer.
--- a/internal/batch/scheduler/machine_test.go
+++ b/internal/batch/scheduler/machine_test.go
@@ -11,8 +11,8 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
-	"github.com/currantrouter/currantrouter/internal/platform/emulator"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 // recorder collects failures, so that rapid can shrink the sequence of actions.
--- a/internal/batch/scheduler/queue.go
+++ b/internal/batch/scheduler/queue.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/batch/estimator"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 // queue orders jobs with waiting tasks: urgent first, then priority, then the share of its quota
--- a/internal/batch/scheduler/recovery.go
+++ b/internal/batch/scheduler/recovery.go
@@ -8,7 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/currantrouter/currantrouter/internal/batch/estimator"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 // recover replays the snapshot and the records, then rebuilds what is not recorded. What runs is
--- a/internal/batch/scheduler/scale_test.go
+++ b/internal/batch/scheduler/scale_test.go
@@ -10,7 +10,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 // slowLog is a journal whose appends take the interval of 11 data centres.
--- a/internal/batch/scheduler/scheduler.go
+++ b/internal/batch/scheduler/scheduler.go
@@ -15,11 +15,11 @@
 	"github.com/currantrouter/currantrouter/internal/batch/estimator"
 	"github.com/currantrouter/currantrouter/internal/batch/evictor"
 	"github.com/currantrouter/currantrouter/internal/batch/placer"
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // Errors of the scheduler. Callers test for them with errors.Is.
--- a/internal/batch/scheduler/worker.go
+++ b/internal/batch/scheduler/worker.go
@@ -7,10 +7,10 @@
 
 	"github.com/currantrouter/currantrouter/internal/batch/estimator"
 	"github.com/currantrouter/currantrouter/internal/batch/placer"
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 const (
--- a/internal/batch/scheduler/writer.go
+++ b/internal/batch/scheduler/writer.go
@@ -8,9 +8,9 @@
 
 	"github.com/cenkalti/backoff/v5"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 const (
--- a/internal/cluster/registrar/registrar.go
+++ b/internal/cluster/registrar/registrar.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
 )
 
 // ErrReplaced means that a newer process has registered under the same host name. This process
--- a/internal/cluster/registrar/registrar_test.go
+++ b/internal/cluster/registrar/registrar_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/currantrouter/currantrouter/internal/cluster/registrar"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/emulator"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
 )
 
 var start = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
--- a/internal/cluster/tracker/candidate.go
+++ b/internal/cluster/tracker/candidate.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 )
 
 const (
--- a/internal/cluster/tracker/client.go
+++ b/internal/cluster/tracker/client.go
@@ -12,7 +12,7 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // Connections to peers.
--- a/internal/cluster/tracker/counter.go
+++ b/internal/cluster/tracker/counter.go
@@ -3,7 +3,7 @@
 import (
 	"net"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // countedConn counts the bytes of a connection of the peers' interface.
--- a/internal/cluster/tracker/exchanger.go
+++ b/internal/cluster/tracker/exchanger.go
@@ -13,8 +13,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 const (
--- a/internal/cluster/tracker/member.go
+++ b/internal/cluster/tracker/member.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // Limits of silence and sizes.
--- a/internal/cluster/tracker/tracker.go
+++ b/internal/cluster/tracker/tracker.go
@@ -11,8 +11,8 @@
 	"github.com/go-logr/logr"
 
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // Health is what a host believes of a peer.
--- a/internal/cluster/tracker/tracker_test.go
+++ b/internal/cluster/tracker/tracker_test.go
@@ -18,8 +18,8 @@
 
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
 	"github.com/currantrouter/currantrouter/internal/cluster/tracker"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // Guards against messages that exceed their budget at the future rate of changes, against hosts that
--- a/internal/config/distributor/distributor.go
+++ b/internal/config/distributor/distributor.go
@@ -15,10 +15,10 @@
 	"github.com/go-logr/logr"
 
 	"github.com/currantrouter/currantrouter/internal/config/checker"
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // Errors of a distributor. Callers test for them with errors.Is.
--- a/internal/config/distributor/distributor_test.go
+++ b/internal/config/distributor/distributor_test.go
@@ -19,10 +19,10 @@
 
 	"github.com/currantrouter/currantrouter/internal/config/checker"
 	"github.com/currantrouter/currantrouter/internal/config/distributor"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/emulator"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 func init() {
--- a/internal/config/distributor/keeper.go
+++ b/internal/config/distributor/keeper.go
@@ -15,7 +15,7 @@
 
 	"github.com/currantrouter/currantrouter/internal/config/checker"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
 )
 
 // Keys in the store.
--- a/internal/config/distributor/watcher.go
+++ b/internal/config/distributor/watcher.go
@@ -11,9 +11,9 @@
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/config/checker"
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 )
 
 const (
--- a/internal/daemon/assembler/assembler_test.go
+++ b/internal/daemon/assembler/assembler_test.go
@@ -12,7 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/emulator"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
 )
 
 // Guards against a fleet that serves only from the host that was called, or that gives a caller
--- a/internal/daemon/assembler/batch.go
+++ b/internal/daemon/assembler/batch.go
@@ -15,8 +15,8 @@
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/operator/server"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 // relayTimeout bounds one question or command to a leader. A cancellation waits for the journal.
--- a/internal/daemon/assembler/chaos_test.go
+++ b/internal/daemon/assembler/chaos_test.go
@@ -14,7 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/emulator"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
 )
 
 // Guards against each fault by itself that lets a call run twice, exceeds a runner's limits, or
--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -18,8 +18,6 @@
 	"github.com/currantrouter/currantrouter/internal/cluster/tracker"
 	"github.com/currantrouter/currantrouter/internal/config/distributor"
 	"github.com/currantrouter/currantrouter/internal/config/loader"
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/hours/counter"
 	"github.com/currantrouter/currantrouter/internal/hours/publisher"
@@ -31,6 +29,8 @@
 	"github.com/currantrouter/currantrouter/internal/request/limiter"
 	"github.com/currantrouter/currantrouter/internal/request/retrier"
 	"github.com/currantrouter/currantrouter/internal/request/router"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 const (
--- a/internal/daemon/assembler/drainer.go
+++ b/internal/daemon/assembler/drainer.go
@@ -11,11 +11,11 @@
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/config/checker"
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/operator/server"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 )
 
 const (
--- a/internal/daemon/assembler/fleet_test.go
+++ b/internal/daemon/assembler/fleet_test.go
@@ -27,8 +27,8 @@
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/operator/server"
 	"github.com/currantrouter/currantrouter/internal/plan/importer"
-	"github.com/currantrouter/currantrouter/internal/platform/emulator"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 const runnerSlots = 8
--- a/internal/daemon/assembler/follower.go
+++ b/internal/daemon/assembler/follower.go
@@ -7,12 +7,12 @@
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
 	"github.com/currantrouter/currantrouter/internal/cluster/tracker"
 	"github.com/currantrouter/currantrouter/internal/config/checker"
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/hours/counter"
-	"github.com/currantrouter/currantrouter/internal/platform/lister"
+	"github.com/currantrouter/currantrouter/internal/provider/lister"
 	"github.com/currantrouter/currantrouter/internal/request/forwarder"
 	"github.com/currantrouter/currantrouter/internal/request/limiter"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 )
 
 // followConfiguration applies each revision that comes into force.
--- a/internal/daemon/assembler/gate_test.go
+++ b/internal/daemon/assembler/gate_test.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/emulator"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 // gate is the way of one process to the platform.
--- a/internal/daemon/assembler/leader.go
+++ b/internal/daemon/assembler/leader.go
@@ -13,13 +13,13 @@
 
 	"github.com/currantrouter/currantrouter/internal/batch/scheduler"
 	"github.com/currantrouter/currantrouter/internal/cluster/tracker"
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 	"github.com/currantrouter/currantrouter/internal/request/claimer"
 	"github.com/currantrouter/currantrouter/internal/request/forwarder"
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 )
 
 const (
--- a/internal/daemon/assembler/listener.go
+++ b/internal/daemon/assembler/listener.go
@@ -15,9 +15,9 @@
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
 	"github.com/currantrouter/currantrouter/internal/cluster/registrar"
 	"github.com/currantrouter/currantrouter/internal/cluster/tracker"
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
 	"github.com/currantrouter/currantrouter/internal/operator/server"
 	"github.com/currantrouter/currantrouter/internal/request/forwarder"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 )
 
 const (
--- a/internal/daemon/assembler/main.go
+++ b/internal/daemon/assembler/main.go
@@ -15,10 +15,10 @@
 
 	"github.com/currantrouter/currantrouter/internal/config/distributor"
 	"github.com/currantrouter/currantrouter/internal/config/loader"
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/requester"
+	"github.com/currantrouter/currantrouter/internal/provider/requester"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // Exit codes of currantd.
--- a/internal/daemon/assembler/operators.go
+++ b/internal/daemon/assembler/operators.go
@@ -10,10 +10,10 @@
 	"github.com/currantrouter/currantrouter/internal/cluster/tracker"
 	"github.com/currantrouter/currantrouter/internal/config/checker"
 	"github.com/currantrouter/currantrouter/internal/config/distributor"
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/operator/server"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 )
 
 // backends connects the operators' interface to the daemon's parts.
--- a/internal/daemon/assembler/planner.go
+++ b/internal/daemon/assembler/planner.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/batch/scheduler"
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
 	"github.com/currantrouter/currantrouter/internal/plan/importer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 )
 
 const (
--- a/internal/daemon/assembler/platform.go
+++ b/internal/daemon/assembler/platform.go
@@ -6,10 +6,10 @@
 	"github.com/currantrouter/currantrouter/internal/batch/scheduler"
 	"github.com/currantrouter/currantrouter/internal/config/loader"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/lister"
-	"github.com/currantrouter/currantrouter/internal/platform/requester"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/lister"
+	"github.com/currantrouter/currantrouter/internal/provider/requester"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 // Store is the platform's key-value service.
--- a/internal/daemon/assembler/statements.go
+++ b/internal/daemon/assembler/statements.go
@@ -9,7 +9,7 @@
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/operator/server"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
 )
 
 // Resolve implements server.Statements. It asks the leaders in turn, since a job's name does not
--- a/internal/docs/generator/generator.go
+++ b/internal/docs/generator/generator.go
@@ -10,10 +10,10 @@
 	"strings"
 
 	"github.com/currantrouter/currantrouter/internal/config/loader"
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/operator/commander"
 	"github.com/currantrouter/currantrouter/internal/plan/importer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // ErrStale means that a page differs from what its table yields.
@@ -62,7 +62,7 @@
 
 func events() []byte {
 	var bf bytes.Buffer
-	bf.WriteString("# Log events\n\nGenerated from `internal/daemon/logger` by `go run ./cmd/currantdocs`.\n\n")
+	bf.WriteString("# Log events\n\nGenerated from `internal/telemetry/logger` by `go run ./cmd/currantdocs`.\n\n")
 	bf.WriteString("| Number | Title | Severity | Meaning |\n|---|---|---|---|\n")
 	for _, ev := range logger.Catalogue {
 		fmt.Fprintf(&bf, "| %d | %s | %s | %s |\n", ev.Number, cell(ev.Title), ev.Severity, cell(ev.Text))
@@ -72,7 +72,7 @@
 
 func metrics() []byte {
 	var bf bytes.Buffer
-	bf.WriteString("# Metrics\n\nGenerated from `internal/daemon/meter` by `go run ./cmd/currantdocs`.\n")
+	bf.WriteString("# Metrics\n\nGenerated from `internal/telemetry/meter` by `go run ./cmd/currantdocs`.\n")
 	bf.WriteString("`GET /debug/vars` on the operators' address returns them as one JSON object.\n\n")
 	bf.WriteString("| Name | Unit | Meaning |\n|---|---|---|\n")
 	for _, mt := range meter.Table {
--- a/internal/docs/generator/generator_test.go
+++ b/internal/docs/generator/generator_test.go
@@ -8,9 +8,9 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/docs/generator"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // Guards against pages that no longer match the tables they are generated from.
--- a/internal/experiment/driver/events.go
+++ b/internal/experiment/driver/events.go
@@ -10,7 +10,7 @@
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/operator/server"
-	"github.com/currantrouter/currantrouter/internal/platform/emulator"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
 )
 
 // events are what can happen to the fleet during the load.
--- a/internal/experiment/driver/fleet.go
+++ b/internal/experiment/driver/fleet.go
@@ -19,7 +19,7 @@
 	"github.com/currantrouter/currantrouter/internal/config/checker"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/operator/server"
-	"github.com/currantrouter/currantrouter/internal/platform/emulator"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
 )
 
 const (
--- a/internal/experiment/driver/report.go
+++ b/internal/experiment/driver/report.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/emulator"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
 )
 
 // report prints the figures and returns ErrViolated when an invariant did not hold.
--- a/internal/hours/counter/counter.go
+++ b/internal/hours/counter/counter.go
@@ -11,9 +11,9 @@
 
 	"github.com/go-logr/logr"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // Errors of this package. Callers test for them with errors.Is.
--- a/internal/hours/counter/writer.go
+++ b/internal/hours/counter/writer.go
@@ -9,9 +9,9 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 const (
--- a/internal/hours/publisher/bench_test.go
+++ b/internal/hours/publisher/bench_test.go
@@ -12,11 +12,11 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/hours/counter"
 	"github.com/currantrouter/currantrouter/internal/hours/publisher"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // sortedStore lists entries that are in the order of their keys.
--- a/internal/hours/publisher/publisher.go
+++ b/internal/hours/publisher/publisher.go
@@ -9,12 +9,12 @@
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/singleflight"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/hours/counter"
 	"github.com/currantrouter/currantrouter/internal/plan/importer"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // ErrDay means that a day has not the form 2006-01-02 or is out of the range of the page.
--- a/internal/hours/publisher/publisher_test.go
+++ b/internal/hours/publisher/publisher_test.go
@@ -14,12 +14,12 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/hours/counter"
 	"github.com/currantrouter/currantrouter/internal/hours/publisher"
 	"github.com/currantrouter/currantrouter/internal/plan/importer"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // fixture is a publisher over fakes. Its zero value has no reports and no plan.
--- a/internal/operator/auditor/auditor.go
+++ b/internal/operator/auditor/auditor.go
@@ -12,10 +12,10 @@
 
 	"github.com/go-logr/logr"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // Store is the part of the key-value service that the auditor uses.
--- a/internal/operator/auditor/auditor_test.go
+++ b/internal/operator/auditor/auditor_test.go
@@ -16,10 +16,10 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/operator/auditor"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // fakeStore is a key-value service that fails as a test says.
--- a/internal/operator/auditor/record.go
+++ b/internal/operator/auditor/record.go
@@ -10,7 +10,7 @@
 	"unicode/utf8"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
 )
 
 // Errors of the audit trail. Callers test for them with errors.Is.
--- a/internal/operator/auditor/searcher.go
+++ b/internal/operator/auditor/searcher.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 )
 
 const (
--- a/internal/operator/authorizer/authorizer.go
+++ b/internal/operator/authorizer/authorizer.go
@@ -17,8 +17,8 @@
 
 	"github.com/go-logr/logr"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 )
 
 // Errors of this package. Callers test for them with errors.Is.
--- a/internal/operator/server/api.go
+++ b/internal/operator/server/api.go
@@ -11,7 +11,7 @@
 	"github.com/currantrouter/currantrouter/internal/hours/publisher"
 	"github.com/currantrouter/currantrouter/internal/operator/auditor"
 	"github.com/currantrouter/currantrouter/internal/plan/importer"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 // Errors that backends return beside those of their packages. Tested for with errors.Is.
--- a/internal/operator/server/failure.go
+++ b/internal/operator/server/failure.go
@@ -11,7 +11,7 @@
 	"github.com/currantrouter/currantrouter/internal/operator/auditor"
 	"github.com/currantrouter/currantrouter/internal/operator/authorizer"
 	"github.com/currantrouter/currantrouter/internal/plan/importer"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
 )
 
 // Rejection is the body of an error answer. Faults and Findings list all that is wrong with a
--- a/internal/operator/server/request.go
+++ b/internal/operator/server/request.go
@@ -15,7 +15,7 @@
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/operator/auditor"
 	"github.com/currantrouter/currantrouter/internal/operator/authorizer"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
 )
 
 // request is a request of an operator who may make it.
--- a/internal/operator/server/server.go
+++ b/internal/operator/server/server.go
@@ -12,11 +12,11 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/go-logr/logr"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/operator/authorizer"
 	"github.com/currantrouter/currantrouter/internal/plan/importer"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 const (
--- a/internal/operator/server/server_test.go
+++ b/internal/operator/server/server_test.go
@@ -19,14 +19,14 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/hours/publisher"
 	"github.com/currantrouter/currantrouter/internal/operator/auditor"
 	"github.com/currantrouter/currantrouter/internal/operator/authorizer"
 	"github.com/currantrouter/currantrouter/internal/operator/server"
 	"github.com/currantrouter/currantrouter/internal/plan/importer"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // fakeBackends records the calls of all backends and answers with err.
--- a/internal/plan/importer/checks.go
+++ b/internal/plan/importer/checks.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 )
 
 // Check is a rule that every sheet is checked against. Numbers are never reused.
--- a/internal/plan/importer/document.go
+++ b/internal/plan/importer/document.go
@@ -13,7 +13,7 @@
 	"io"
 	"time"
 
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
 )
 
 // Store is the part of the key-value service that the importer uses.
--- a/internal/plan/importer/keeper_test.go
+++ b/internal/plan/importer/keeper_test.go
@@ -14,10 +14,10 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/plan/importer"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // fakeStore is a key-value service whose calls fail as a test says. It is not safe for concurrent
--- a/internal/plan/importer/parser_test.go
+++ b/internal/plan/importer/parser_test.go
@@ -8,9 +8,9 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/plan/importer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 )
 
 var dataCentres = []modeler.DataCentreName{"thies-centre", "tivaouane", "stad"}
--- a/internal/platform/emulator/attempts.go
+++ b/internal/provider/emulator/attempts.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 // attempt is one execution on a worker. All fields are guarded by Workers.mu.
--- a/internal/platform/emulator/emulator.go
+++ b/internal/provider/emulator/emulator.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/lister"
+	"github.com/currantrouter/currantrouter/internal/provider/lister"
 )
 
 // Options describes an emulated platform.
--- a/internal/platform/emulator/handler.go
+++ b/internal/provider/emulator/handler.go
@@ -10,10 +10,10 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/lister"
-	"github.com/currantrouter/currantrouter/internal/platform/requester"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/lister"
+	"github.com/currantrouter/currantrouter/internal/provider/requester"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 // maxRequestBytes bounds a request, which has at most one value in base64.
--- a/internal/platform/emulator/hosts.go
+++ b/internal/provider/emulator/hosts.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
-	"github.com/currantrouter/currantrouter/internal/platform/lister"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/lister"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 // Hosts emulates the platform's list of hosts. It is safe for concurrent use.
--- a/internal/platform/emulator/oracle.go
+++ b/internal/provider/emulator/oracle.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 // Task identifies a task of a job in the oracle.
--- a/internal/platform/emulator/runners_test.go
+++ b/internal/provider/emulator/runners_test.go
@@ -12,7 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/emulator"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
 )
 
 // Guards against runners whose limits, oracles or faults are not those that the tests of the
--- a/internal/platform/emulator/stand.go
+++ b/internal/provider/emulator/stand.go
@@ -13,8 +13,8 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/lister"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/lister"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 // standOptions are the flags of currantstand. The default sizes are those of a rack host of the
--- a/internal/platform/emulator/store.go
+++ b/internal/provider/emulator/store.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
 )
 
 // maxListBytes bounds the values of one result of List. A caller reads on until it gets none.
--- a/internal/platform/emulator/store_test.go
+++ b/internal/provider/emulator/store_test.go
@@ -9,11 +9,11 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/currantrouter/currantrouter/internal/platform/emulator"
-	"github.com/currantrouter/currantrouter/internal/platform/lister"
-	"github.com/currantrouter/currantrouter/internal/platform/requester"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
+	"github.com/currantrouter/currantrouter/internal/provider/lister"
+	"github.com/currantrouter/currantrouter/internal/provider/requester"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 type store interface {
--- a/internal/platform/emulator/workers.go
+++ b/internal/provider/emulator/workers.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 // Behaviour sets how the tasks on emulated workers behave. Nil functions have the stated default.
--- a/internal/platform/emulator/workers_test.go
+++ b/internal/provider/emulator/workers_test.go
@@ -8,8 +8,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/currantrouter/currantrouter/internal/platform/emulator"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 var (
--- a/internal/platform/lister/client.go
+++ b/internal/provider/lister/client.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"net/netip"
 
-	"github.com/currantrouter/currantrouter/internal/platform/requester"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/requester"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 // Paths of the host list's HTTP interface, see docs/platform.md.
--- a/internal/platform/lister/lister_test.go
+++ b/internal/provider/lister/lister_test.go
@@ -8,8 +8,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/lister"
-	"github.com/currantrouter/currantrouter/internal/platform/supervisor"
+	"github.com/currantrouter/currantrouter/internal/provider/lister"
+	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
 
 // BenchmarkDecode measures the answers that every leader reads each 2 s (Workers) and every entry host
--- a/internal/platform/requester/requester_test.go
+++ b/internal/provider/requester/requester_test.go
@@ -12,7 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/currantrouter/currantrouter/internal/platform/requester"
+	"github.com/currantrouter/currantrouter/internal/provider/requester"
 )
 
 // Guards against calls that are repeated by the transport, and against a wrong statement on
--- a/internal/platform/storer/client.go
+++ b/internal/provider/storer/client.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"net/netip"
 
-	"github.com/currantrouter/currantrouter/internal/platform/requester"
+	"github.com/currantrouter/currantrouter/internal/provider/requester"
 )
 
 // Paths of the key-value service's HTTP interface, see docs/platform.md.
--- a/internal/platform/supervisor/client.go
+++ b/internal/provider/supervisor/client.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/requester"
+	"github.com/currantrouter/currantrouter/internal/provider/requester"
 )
 
 // Operations of a worker's HTTP interface, see docs/platform.md.
--- a/internal/request/admitter/peak_test.go
+++ b/internal/request/admitter/peak_test.go
@@ -16,11 +16,11 @@
 	"github.com/go-logr/logr"
 
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/request/admitter"
 	"github.com/currantrouter/currantrouter/internal/request/limiter"
 	"github.com/currantrouter/currantrouter/internal/request/router"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 const (
--- a/internal/request/claimer/claimer_test.go
+++ b/internal/request/claimer/claimer_test.go
@@ -16,10 +16,10 @@
 	"github.com/go-logr/logr"
 	"pgregory.net/rapid"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
 	"github.com/currantrouter/currantrouter/internal/request/claimer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 func init() {
--- a/internal/request/claimer/codec.go
+++ b/internal/request/claimer/codec.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"time"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // First bytes of records and of parts of a snapshot, and their lengths.
--- a/internal/request/claimer/journal_test.go
+++ b/internal/request/claimer/journal_test.go
@@ -10,11 +10,11 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/emulator"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
 	"github.com/currantrouter/currantrouter/internal/request/claimer"
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // keyJournal adapts the real journal.
--- a/internal/request/forwarder/call.go
+++ b/internal/request/forwarder/call.go
@@ -13,9 +13,9 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/request/admitter"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 const (
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -19,14 +19,14 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/go-logr/logr"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/request/admitter"
 	"github.com/currantrouter/currantrouter/internal/request/limiter"
 	"github.com/currantrouter/currantrouter/internal/request/prober"
 	"github.com/currantrouter/currantrouter/internal/request/retrier"
 	"github.com/currantrouter/currantrouter/internal/request/router"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // PeerPath is the path on the peers' interface that PeerHandler serves.
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -14,8 +14,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
--- a/internal/request/forwarder/keyed.go
+++ b/internal/request/forwarder/keyed.go
@@ -10,8 +10,8 @@
 	"strings"
 	"time"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 )
 
 const (
--- a/internal/request/forwarder/peer.go
+++ b/internal/request/forwarder/peer.go
@@ -10,9 +10,9 @@
 	"strconv"
 	"time"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/request/retrier"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // Headers between entry hosts.
--- a/internal/request/forwarder/runner.go
+++ b/internal/request/forwarder/runner.go
@@ -6,9 +6,9 @@
 	"strconv"
 	"time"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/request/admitter"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 )
 
 // sendToRunner sends an admitted call to its runner and frees the slot when the runner is done.
--- a/internal/request/forwarder/stand_test.go
+++ b/internal/request/forwarder/stand_test.go
@@ -18,12 +18,12 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/request/admitter"
 	"github.com/currantrouter/currantrouter/internal/request/limiter"
 	"github.com/currantrouter/currantrouter/internal/request/retrier"
 	"github.com/currantrouter/currantrouter/internal/request/router"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // fakeRunner is a raw TCP server that plays one fault at a time and counts what it executes.
--- a/internal/request/forwarder/transfer.go
+++ b/internal/request/forwarder/transfer.go
@@ -7,8 +7,8 @@
 	"strconv"
 	"time"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // copySize is the size of the buffer between the two connections of a call, in bytes. It bounds
--- a/internal/request/limiter/borrower.go
+++ b/internal/request/limiter/borrower.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // loan is a number of slots and as many connections that this host has borrowed.
--- a/internal/request/limiter/lender.go
+++ b/internal/request/limiter/lender.go
@@ -7,8 +7,8 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // lent is a loan that this host has given. It is guarded by the limiter's mu.
--- a/internal/request/limiter/limiter.go
+++ b/internal/request/limiter/limiter.go
@@ -11,9 +11,9 @@
 	"github.com/go-logr/logr"
 
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 const (
--- a/internal/request/limiter/limiter_test.go
+++ b/internal/request/limiter/limiter_test.go
@@ -13,8 +13,8 @@
 	"github.com/go-logr/logr"
 
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 func configuration(rev modeler.Revision, holders int, hosts ...modeler.HostName) *modeler.Configuration {
--- a/internal/request/limiter/model_test.go
+++ b/internal/request/limiter/model_test.go
@@ -17,8 +17,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 const (
--- a/internal/request/limiter/settler.go
+++ b/internal/request/limiter/settler.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 )
 
 // pending is a revision that may still be in force at another holder of a runner.
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -12,8 +12,8 @@
 
 	"github.com/go-logr/logr"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 const (
--- a/internal/request/router/router_test.go
+++ b/internal/request/router/router_test.go
@@ -10,8 +10,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 type fixed struct{ free, limit int }
--- a/internal/request/router/target.go
+++ b/internal/request/router/target.go
@@ -7,9 +7,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 const (
--- a/internal/state/journaler/bench_test.go
+++ b/internal/state/journaler/bench_test.go
@@ -10,7 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/currantrouter/currantrouter/internal/platform/emulator"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
 )
 
--- a/internal/state/journaler/journaler.go
+++ b/internal/state/journaler/journaler.go
@@ -17,9 +17,9 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/go-logr/logr"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // Errors of a journal. Callers test for them with errors.Is.
--- a/internal/state/journaler/keys.go
+++ b/internal/state/journaler/keys.go
@@ -9,7 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
 )
 
 // operations numbers the writes of this process, so that a boot and a number identify one write.
--- a/internal/state/journaler/ledger_test.go
+++ b/internal/state/journaler/ledger_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/emulator"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
 )
 
--- a/internal/state/journaler/machine_test.go
+++ b/internal/state/journaler/machine_test.go
@@ -11,7 +11,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
-	"github.com/currantrouter/currantrouter/internal/platform/emulator"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
 )
 
 // step is one action of the state machine. Its fields are drawn before the run, because rapid
--- a/internal/state/journaler/opener.go
+++ b/internal/state/journaler/opener.go
@@ -9,10 +9,10 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 const (
--- a/internal/state/journaler/snapshotter.go
+++ b/internal/state/journaler/snapshotter.go
@@ -8,9 +8,9 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // Snapshot replaces the journal up to a position by parts, which Recovery returns in the same
--- a/internal/state/journaler/writer.go
+++ b/internal/state/journaler/writer.go
@@ -10,9 +10,9 @@
 	"github.com/cenkalti/backoff/v5"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/currantrouter/currantrouter/internal/daemon/logger"
-	"github.com/currantrouter/currantrouter/internal/daemon/meter"
-	"github.com/currantrouter/currantrouter/internal/platform/storer"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // initialBackOff is the mean pause before the first repetition of a call to the store.
