--- a/internal/config/loader/loader.go
+++ b/internal/config/loader/loader.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	st := &Settings{Check: opt.Check, Standalone: opt.Standalone, Version: opt.Version}
+	st := &Settings{Check: opt.Check, Standalone: opt.Standalone, Version: opt.Version, Args: args}
 	if opt.Version {
 		return st, nil
 	}
@@ -232,9 +232,10 @@
 	if st.TLS.Insecure && !loopback {
 		return row.fault(gv, "true only when Operators and Peers in [Listen] are loopback addresses")
 	}
-	if !st.TLS.Insecure && (st.TLS.Certificate == "" || st.TLS.Key == "" || st.TLS.Authority == "") {
+	if !st.TLS.Insecure && !st.TLS.TrustedNetwork && (st.TLS.Certificate == "" || st.TLS.Key == "" || st.TLS.Authority == "") {
 		return row.fault(gv, "Certificate, Key and Authority are required, or true on loopback addresses")
 	}
+	st.Jobs.Lease = min(st.Jobs.Lease, st.Jobs.LongestLease)
 	ls := st.Listen
 	if ls.Callers == ls.Operators || ls.Callers == ls.Peers || ls.Operators == ls.Peers {
 		row = rowOf("Listen", "Peers")
--- a/internal/config/loader/settings.go
+++ b/internal/config/loader/settings.go
@@ -18,10 +18,13 @@
 	Log    LogSettings
 	Limits LimitSettings
 	TLS    TLSSettings
+	Jobs   JobSettings
 	// Check asks to check the settings and exit.
 	Check bool
 	// Standalone asks for an in-memory emulation of the platform.
 	Standalone bool
+	// Args are the arguments that the settings were loaded with.
+	Args []string
 	// Version asks to print the version and exit. No other field is set with it.
 	Version bool
 }
@@ -30,6 +33,20 @@
 type HostSettings struct {
 	Name       modeler.HostName
 	DataCentre modeler.DataCentreName
+	// Share is the part of a core that the host may use, Speed the core's relative speed.
+	Share, Speed float64
+}
+
+// JobSettings concern callers' jobs on the users' platform.
+type JobSettings struct {
+	// Enabled selects callers' jobs instead of calls and the day's sheet.
+	Enabled bool
+	// Lease is at most LongestLease.
+	Lease, LongestLease time.Duration
+	StopLimit           time.Duration
+	Retention           time.Duration
+	RestoreTime         time.Duration
+	FarFactor           float64
 }
 
 // ListenSettings are the addresses that the daemon listens on.
@@ -37,6 +54,8 @@
 	Callers   netip.AddrPort
 	Operators netip.AddrPort
 	Peers     netip.AddrPort
+	// Readiness is set when Jobs.Enabled is.
+	Readiness netip.AddrPort
 }
 
 // PlatformSettings are the addresses of the platform's services. They are valid unless the
@@ -78,4 +97,6 @@
 	Authority   string
 	// Insecure serves without TLS. It is set only when both interfaces listen on loopback.
 	Insecure bool
+	// TrustedNetwork serves without TLS on any address.
+	TrustedNetwork bool
 }
--- a/internal/config/loader/table.go
+++ b/internal/config/loader/table.go
@@ -37,17 +37,52 @@
 	always
 	// platform is needed unless the daemon emulates the platform.
 	platform
+	// sheet is needed for the day's sheet, unless the daemon emulates the platform.
+	sheet
+	// jobs is needed for callers' jobs.
+	jobs
 )
 
 const (
 	allowedName     = "1 to 63 letters, digits, hyphens and underscores"
 	allowedAddress  = "an IP address and port, as 10.0.0.1:8443 or [fd00::1]:8443"
 	allowedDuration = "a duration from 1ms to 1h, as 1m30s"
+	allowedFactor   = "a number from 0.001 to 1000, as 1.5"
 	allowedCount    = "a whole number from 1 to 1000000000000"
 )
 
 // Table lists all settings in the order of docs/configuration.md.
 var Table = []Setting{
+	{
+		"Jobs", "Enabled", "BOOL", "false", "",
+		"Schedule callers' jobs on the users' platform, instead of calls and the day's sheet.", "true or false",
+		optional, func(st *Settings, val string) bool { return setBool(&st.Jobs.Enabled, val) },
+	},
+	{
+		"Jobs", "Lease", "DURATION", "7s", "",
+		"Time for which a worker runs tasks without a renewal. Longer leases survive longer cuts; shorter ones start the tasks of a dead worker sooner.", allowedDuration,
+		optional, func(st *Settings, val string) bool { return setDuration(&st.Jobs.Lease, val) },
+	},
+	{
+		"Jobs", "LongestLease", "DURATION", "10s", "", "Longest lease that workers accept. It bounds Lease.", allowedDuration,
+		optional, func(st *Settings, val string) bool { return setDuration(&st.Jobs.LongestLease, val) },
+	},
+	{
+		"Jobs", "StopLimit", "DURATION", "1s", "", "Longest time that a worker takes to stop a task.", allowedDuration,
+		optional, func(st *Settings, val string) bool { return setDuration(&st.Jobs.StopLimit, val) },
+	},
+	{
+		"Jobs", "Retention", "DURATION", "2m", "", "Time for which the state of a job that has ended can be asked for.", allowedDuration,
+		optional, func(st *Settings, val string) bool { return setDuration(&st.Jobs.Retention, val) },
+	},
+	{
+		"Jobs", "RestoreTime", "DURATION", "100ms", "", "Time that a task takes to load a checkpoint.", allowedDuration,
+		optional, func(st *Settings, val string) bool { return setDuration(&st.Jobs.RestoreTime, val) },
+	},
+	{
+		"Jobs", "FarFactor", "FACTOR", "1.5", "", "How many times as long a task takes that is far from its data.", allowedFactor,
+		optional, func(st *Settings, val string) bool { return setFactor(&st.Jobs.FarFactor, val) },
+	},
 	{
 		"Host", "Name", "NAME", "", "host-1", "Name of this entry host in the shared configuration.", allowedName,
 		always, func(st *Settings, val string) bool { return setName(&st.Host.Name, val) },
@@ -56,6 +91,14 @@
 		"Host", "DataCentre", "NAME", "", "thies-centre", "Data centre of this entry host.", allowedName,
 		always, func(st *Settings, val string) bool { return setName(&st.Host.DataCentre, val) },
 	},
+	{
+		"Host", "Share", "FACTOR", "1", "", "Share of a core that this host may use. Hosts with a higher share times Speed lead first.", allowedFactor,
+		optional, func(st *Settings, val string) bool { return setFactor(&st.Host.Share, val) },
+	},
+	{
+		"Host", "Speed", "FACTOR", "1", "", "Speed of the core relative to other hosts.", allowedFactor,
+		optional, func(st *Settings, val string) bool { return setFactor(&st.Host.Speed, val) },
+	},
 	{
 		"Listen", "Callers", "ADDRESS", "", "127.0.0.1:7480", "Address of the callers' interface.", allowedAddress,
 		always, func(st *Settings, val string) bool { return setAddress(&st.Listen.Callers, val) },
@@ -68,13 +111,17 @@
 		"Listen", "Peers", "ADDRESS", "", "127.0.0.1:7482", "Address of the peers' interface.", allowedAddress,
 		always, func(st *Settings, val string) bool { return setAddress(&st.Listen.Peers, val) },
 	},
+	{
+		"Listen", "Readiness", "ADDRESS", "", "", "Address on which the balancer asks whether this host takes callers' jobs.", allowedAddress,
+		jobs, func(st *Settings, val string) bool { return setAddress(&st.Listen.Readiness, val) },
+	},
 	{
 		"Platform", "Store", "ADDRESS", "", "", "Address of the key-value service.", allowedAddress,
 		platform, func(st *Settings, val string) bool { return setAddress(&st.Platform.Store, val) },
 	},
 	{
 		"Platform", "HostList", "ADDRESS", "", "", "Address of the list of live and leaving hosts.", allowedAddress,
-		platform, func(st *Settings, val string) bool { return setAddress(&st.Platform.HostList, val) },
+		sheet, func(st *Settings, val string) bool { return setAddress(&st.Platform.HostList, val) },
 	},
 	{
 		"Peers", "Addresses", "ADDRESSES", "", "",
@@ -134,6 +181,11 @@
 		"Serve operators and peers without TLS. Only on loopback addresses.", "true or false",
 		optional, func(st *Settings, val string) bool { return setBool(&st.TLS.Insecure, val) },
 	},
+	{
+		"TLS", "TrustedNetwork", "BOOL", "false", "",
+		"Serve operators and peers without TLS on any address, because nobody else reaches this network. It is logged at the start.", "true or false",
+		optional, func(st *Settings, val string) bool { return setBool(&st.TLS.TrustedNetwork, val) },
+	},
 }
 
 // Flag returns the name of the flag that overrides the setting, without the hyphens before it.
@@ -147,7 +199,17 @@
 func (row Setting) id() string { return row.Section + "." + row.Key }
 
 func (row Setting) required(st *Settings) bool {
-	return row.need == always || row.need == platform && !st.Standalone
+	switch row.need {
+	case always:
+		return true
+	case platform:
+		return !st.Standalone
+	case sheet:
+		return !st.Standalone && !st.Jobs.Enabled
+	case jobs:
+		return st.Jobs.Enabled
+	}
+	return false
 }
 
 func (row Setting) fault(gv given, allowed string) error {
@@ -241,6 +303,12 @@
 	return err == nil && num >= 1 && num <= 1_000_000_000_000
 }
 
+func setFactor(dst *float64, val string) bool {
+	num, err := strconv.ParseFloat(val, 64)
+	*dst = num
+	return err == nil && num >= 0.001 && num <= 1000
+}
+
 func setText(dst *string, val string) bool {
 	*dst = val
 	return true
--- /dev/null
+++ b/internal/daemon/assembler/jobs.go
@@ -0,0 +1,271 @@
+package assembler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/go-logr/logr"
+	"golang.org/x/sys/unix"
+
+	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
+	"github.com/currantrouter/currantrouter/internal/config/loader"
+	"github.com/currantrouter/currantrouter/internal/job/director"
+	"github.com/currantrouter/currantrouter/internal/job/elector"
+	"github.com/currantrouter/currantrouter/internal/job/intaker"
+	"github.com/currantrouter/currantrouter/internal/job/keeper"
+	jobleader "github.com/currantrouter/currantrouter/internal/job/leader"
+	"github.com/currantrouter/currantrouter/internal/job/subscriber"
+	"github.com/currantrouter/currantrouter/internal/request/prober"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
+)
+
+// JobStore is the key-value service as callers' jobs use it.
+type JobStore interface {
+	jobleader.Store
+	// Age is the time since the service last served a call of this host.
+	Age() time.Duration
+}
+
+// JobPlatform is the platform of callers' jobs.
+type JobPlatform struct {
+	Store    JobStore
+	Orders   director.Orders
+	Registry jobleader.Registry
+	Queues   subscriber.Source
+	// Callers returns the handler of callers' requests.
+	Callers func(it *intaker.Intaker, sb *subscriber.Subscriber) http.Handler
+	// ReadyPath is where the balancer asks for readiness.
+	ReadyPath string
+}
+
+const (
+	// storeUnreached is the age of the store's last answer from which a host without a peer that
+	// reaches the store is not ready.
+	storeUnreached = 1500 * time.Millisecond
+	// drainTail is kept of the drain limit for the end of the process.
+	drainTail = 500 * time.Millisecond
+	// balancerNotice is the time in which the balancer notices that a host is not ready: two
+	// questions, one each second.
+	balancerNotice = 2200 * time.Millisecond
+)
+
+// jobHost is the process of an entry host that schedules callers' jobs.
+type jobHost struct {
+	settings   *loader.Settings
+	platform   JobPlatform
+	log        logr.Logger
+	meter      *meter.Registry
+	peers      *elector.Peers
+	subscriber *subscriber.Subscriber
+	leader     *jobleader.Leader
+	elector    *elector.Elector
+	intaker    *intaker.Intaker
+	leaving    atomic.Bool
+}
+
+func newJobHost(st *loader.Settings, pf JobPlatform, lg logr.Logger) *jobHost {
+	jh := &jobHost{settings: st, platform: pf, log: lg, meter: meter.New(nil)}
+	jh.peers = elector.NewPeers(prober.DialText)
+	jh.subscriber = subscriber.New(pf.Store, pf.Queues, jh.peers.Dial, lg, jh.meter)
+	self := elector.Member{
+		Host: st.Host.Name, Boot: newBoot(), Address: st.Listen.Peers,
+		Weight: int64(st.Host.Share * st.Host.Speed * 1000),
+	}
+	jh.leader = jobleader.New(jobleader.Options{
+		Self: self, Store: pf.Store, Registry: pf.Registry, Orders: pf.Orders,
+		Limits: director.Limits{
+			Lease: st.Jobs.Lease, Stop: st.Jobs.StopLimit, Retention: st.Jobs.Retention,
+			Restore: st.Jobs.RestoreTime, FarFactor: st.Jobs.FarFactor,
+		},
+		Configuration: jh.subscriber.Current, Suspended: suspension(), Log: lg, Meter: jh.meter,
+	})
+	jh.elector = elector.New(elector.Options{
+		Self: self, Store: pf.Store, StoreAge: pf.Store.Age, Revision: jh.subscriber.Revision,
+		Learned: jh.subscriber.Learn, Dial: jh.peers.Dial, Lead: jh.leader.Lead, Seeds: st.Peers, Log: lg, Meter: jh.meter,
+	})
+	jh.leader.SetElector(jh.elector)
+	jh.intaker = intaker.New(intaker.Options{
+		Book: keeper.NewBook(pf.Store), StoreAge: pf.Store.Age, Elector: jh.elector, Director: jh.leader.Director,
+		Dial: jh.peers.Dial, Log: lg, Meter: jh.meter,
+	})
+	return jh
+}
+
+// suspension returns a function that tells how long the machine has been suspended since now.
+func suspension() func() time.Duration {
+	lag := func() time.Duration {
+		var boot, steady unix.Timespec
+		if unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil || unix.ClockGettime(unix.CLOCK_MONOTONIC, &steady) != nil {
+			return 0
+		}
+		return time.Duration(boot.Nano() - steady.Nano())
+	}
+	first := lag()
+	return func() time.Duration { return lag() - first }
+}
+
+// run serves until the context ends, and then drains.
+func (jh *jobHost) run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	fes, err := jh.listen()
+	if err != nil {
+		return err
+	}
+	st := jh.settings
+	logger.Log(jh.log, logger.DaemonStarted, "Host", st.Host.Name, "DataCentre", st.Host.DataCentre,
+		"Callers", st.Listen.Callers, "Operators", st.Listen.Operators, "Peers", st.Listen.Peers, "Lease", st.Jobs.Lease.String())
+	if st.TLS.TrustedNetwork {
+		logger.Log(jh.log, logger.PeersNotSecured)
+	}
+	go jh.subscriber.Run(background)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		jh.elector.Run(ctx)
+	}()
+	<-ctx.Done()
+	return jh.drain(fes, ended)
+}
+
+// drain gives leadership up, tells the balancer, and ends what callers have sent.
+func (jh *jobHost) drain(fes []*frontend, resigned <-chan struct{}) error {
+	ctx, cancel := context.WithTimeout(context.Background(), jh.settings.Limits.DrainLimit-drainTail)
+	defer cancel()
+	jh.leaving.Store(true)
+	logger.Log(jh.log, logger.DaemonDrain)
+	select {
+	case <-resigned:
+	case <-ctx.Done():
+	}
+	sleep(ctx, balancerNotice)
+	err := closeAll(ctx, fes)
+	logger.Log(jh.log, logger.DaemonStopped)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrDrainCut, err)
+	}
+	return nil
+}
+
+func (jh *jobHost) listen() ([]*frontend, error) {
+	st := jh.settings
+	callers := jh.closeWhileLeaving(jh.platform.Callers(jh.intaker, jh.subscriber))
+	var fes []*frontend
+	for _, itf := range []struct {
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		{st.Listen.Callers, callers},
+		{st.Listen.Readiness, jh.readiness()},
+		{st.Listen.Peers, jh.peersHandler()},
+		{st.Listen.Operators, jh.operatorsHandler()},
+	} {
+		ln, err := net.Listen("tcp", itf.address.String())
+		if err != nil {
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+		fe := newFrontend(&http.Server{
+			Handler: itf.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: st.Limits.IdleTimeout,
+			MaxHeaderBytes: int(st.Limits.HeaderBytes),
+		}, ln)
+		go func() {
+			if err := fe.serve(); err != nil {
+				logger.Log(jh.log, logger.ListenerFailed, "Address", itf.address.String(), "Cause", err.Error())
+			}
+		}()
+		fes = append(fes, fe)
+	}
+	return fes, nil
+}
+
+// closeWhileLeaving asks callers to close their connections once this host leaves.
+func (jh *jobHost) closeWhileLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+		if jh.leaving.Load() {
+			wr.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(wr, rq)
+	})
+}
+
+func (jh *jobHost) readiness() http.Handler {
+	mux := chi.NewRouter()
+	mux.Get(jh.platform.ReadyPath, func(wr http.ResponseWriter, _ *http.Request) {
+		if err := jh.ready(); err != nil {
+			http.Error(wr, err.Error(), http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+var errStoreUnreached = errors.New("neither this host nor a peer reaches the store")
+
+// ready returns why callers should go elsewhere, or nil.
+func (jh *jobHost) ready() error {
+	switch {
+	case jh.leaving.Load():
+		return errNotServing
+	case jh.subscriber.Current() == nil:
+		return errNoConfiguration
+	case jh.platform.Store.Age() > storeUnreached && len(jh.elector.Peers()) == 0:
+		return errStoreUnreached
+	}
+	return nil
+}
+
+func (jh *jobHost) peersHandler() http.Handler {
+	mux := chi.NewRouter()
+	jobs := messenger.NewJobsServer(intaker.NewServer(jh.intaker, jh.elector, jh.subscriber))
+	mux.Mount(jobs.PathPrefix(), jobs)
+	return mux
+}
+
+func (jh *jobHost) operatorsHandler() http.Handler {
+	mux := chi.NewRouter()
+	mux.Handle("/metrics", jh.meter)
+	return mux
+}
+
+// runJobs is run for callers' jobs.
+func runJobs(ctx context.Context, st *loader.Settings, pf JobPlatform, stdout io.Writer) error {
+	var lg logr.Logger
+	queue := logger.NewQueue(stdout, func(lines int64) { logger.Log(lg, logger.LinesDropped, "Dropped", lines) })
+	defer queue.Close()
+	lg, err := logger.New(queue, st.Log.Format)
+	if err != nil {
+		return err
+	}
+	go reload(ctx, st, lg)
+	return newJobHost(st, pf, lg).run(ctx)
+}
+
+// reload checks the settings again after each SIGHUP.
+func reload(ctx context.Context, st *loader.Settings, lg logr.Logger) {
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
+	defer signal.Stop(hups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hups:
+		}
+		if _, err := loader.Load(st.Args); err != nil {
+			logger.Log(lg, logger.SettingsKept, "Error", err.Error())
+			continue
+		}
+		logger.Log(lg, logger.SettingsReloaded)
+	}
+}
--- a/internal/daemon/assembler/main.go
+++ b/internal/daemon/assembler/main.go
@@ -33,8 +33,11 @@
 	ExitCut = 3
 )
 
+// Connect returns the users' platform for callers' jobs.
+type Connect func(*loader.Settings) JobPlatform
+
 // Main runs currantd with the arguments behind the program's name and returns its exit code.
-func Main(args []string, stdout, stderr io.Writer) int {
+func Main(args []string, stdout, stderr io.Writer, connect Connect) int {
 	st, err := loader.Load(args)
 	switch {
 	case errors.Is(err, loader.ErrHelp):
@@ -50,13 +53,16 @@
 		fmt.Fprintln(stdout, "settings are valid")
 		return ExitOK
 	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if st.Jobs.Enabled {
+		return exitCode(runJobs(ctx, st, connect(st), stdout), stderr)
+	}
 	lg, err := logger.New(stderr, st.Log.Format)
 	if err != nil {
 		fmt.Fprintln(stderr, "currantd:", err)
 		return ExitBadSettings
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	return exitCode(run(ctx, st, lg, stdout), stderr)
 }
 
--- /dev/null
+++ b/internal/job/director/recovery.go
@@ -0,0 +1,196 @@
+package director
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/currantrouter/currantrouter/internal/job/keeper"
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/state/journaler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+)
+
+func isMissing(err error) bool { return errors.Is(err, storer.ErrNotFound) }
+
+// Restore takes the facts of earlier terms. It is called once, before Start.
+func (dr *Director) Restore(recs []journaler.Record) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	for _, rec := range recs {
+		ft, err := keeper.ParseFact(rec)
+		if err != nil {
+			dr.log(logger.FactDamaged, "Error", err.Error())
+			continue
+		}
+		dr.restore(ft)
+	}
+	for _, wk := range dr.workers {
+		wk.counted = true
+		dr.unaccounted++
+	}
+}
+
+func (dr *Director) restore(ft keeper.Fact) {
+	switch {
+	case ft.Granted != nil:
+		dr.setWorker(ft.Granted)
+		wk := dr.workers[ft.Granted.ID]
+		wk.granted, wk.present = true, false
+	case ft.Released != "":
+		delete(dr.workers, ft.Released)
+	case ft.Final != nil:
+		dr.facts[ft.Final.Job] = append(dr.facts[ft.Final.Job], ft)
+	case ft.End != nil:
+		if id, err := modeler.ParseTaskID(ft.End.Task); err == nil {
+			dr.facts[id.Job] = append(dr.facts[id.Job], ft)
+		}
+	}
+}
+
+// Loaded tells that all stored jobs have been added. Placement begins.
+func (dr *Director) Loaded() {
+	dr.mu.Lock()
+	var facts []keeper.Fact
+	var finals []*job
+	now := time.Now()
+	for _, jb := range dr.jobs {
+		// The last leader may have ended between the last end and the end of the job.
+		if ft, ok := dr.conclude(jb, now); ok {
+			facts, finals = append(facts, ft), append(finals, jb)
+		}
+	}
+	clear(dr.facts)
+	dr.log(logger.TermLoaded, "Jobs", len(dr.jobs), "Workers", len(dr.workers), "Unaccounted", dr.unaccounted, "Took", now.Sub(dr.began).String())
+	dr.mu.Unlock()
+	if len(facts) > 0 {
+		dr.goRun(func(ctx context.Context) {
+			dr.record(ctx, facts, func() {
+				dr.mu.Lock()
+				defer dr.mu.Unlock()
+				dr.settled(finals)
+			})
+		})
+	}
+	close(dr.loaded)
+	dr.kick()
+}
+
+// forgetLoop removes jobs whose retention is over, and keeps the journal short.
+func (dr *Director) forgetLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, forgetInterval)
+		for _, id := range dr.expired(time.Now()) {
+			if err := dr.op.Book.Forget(ctx, id); err != nil {
+				dr.log(logger.JobNotForgotten, "Job", id, "Error", err.Error())
+				break
+			}
+			dr.mu.Lock()
+			delete(dr.jobs, id)
+			dr.mu.Unlock()
+		}
+		dr.snapshot(ctx)
+	}
+}
+
+func (dr *Director) expired(now time.Time) []modeler.JobID {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	var ids []modeler.JobID
+	for id, jb := range dr.jobs {
+		if jb.final != "" && jb.durable && now.Sub(jb.endedAt) > dr.op.Limits.Retention+forgetSlack && !jb.hasAttempts() {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func (jb *job) hasAttempts() bool {
+	for _, oc := range jb.occurrences {
+		for _, sp := range oc.steps {
+			if len(sp.perWorker) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// snapshot replaces the journal by the facts that still matter once it has grown. The state holds
+// the effect of every fact that is durable, since facts change it before they are recorded.
+func (dr *Director) snapshot(ctx context.Context) {
+	position := dr.op.Journal.Position()
+	if position-dr.snapshotAt < snapshotEvery {
+		return
+	}
+	select {
+	case <-dr.loaded:
+	default:
+		return
+	}
+	var parts []journaler.Record
+	for _, ft := range dr.summary() {
+		rec, err := ft.Record()
+		if err != nil {
+			dr.log(logger.FactNotRecorded, "Error", err.Error())
+			return
+		}
+		parts = append(parts, rec)
+	}
+	if err := dr.op.Journal.Snapshot(ctx, parts, position); err != nil {
+		dr.log(logger.SnapshotFailed, "Error", err.Error())
+		return
+	}
+	dr.snapshotAt = position
+}
+
+// summary returns the facts from which the present state can be restored.
+func (dr *Director) summary() []keeper.Fact {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	var facts []keeper.Fact
+	for _, wk := range dr.workers {
+		if wk.granted {
+			info := wk.info
+			facts = append(facts, keeper.Fact{Granted: &info})
+		}
+	}
+	for _, jb := range dr.jobs {
+		if jb.final == modeler.Completed || jb.final == modeler.Failed {
+			facts = append(facts, keeper.Fact{Final: &keeper.FinalFact{Job: jb.ID, State: jb.final}})
+			continue
+		}
+		for _, oc := range jb.occurrences {
+			for _, sp := range oc.steps {
+				for _, tk := range sp.tasks {
+					facts = append(facts, tk.facts()...)
+				}
+			}
+		}
+	}
+	return facts
+}
+
+// facts returns those of one task.
+func (tk *task) facts() []keeper.Fact {
+	if tk.step.occ.job.final != "" {
+		return nil
+	}
+	var facts []keeper.Fact
+	name := tk.id().String()
+	add := func(run modeler.Run, oc modeler.Outcome, checkpoint string) {
+		facts = append(facts, keeper.Fact{End: &keeper.EndFact{Task: name, Run: run, Outcome: oc, Checkpoint: checkpoint}})
+	}
+	if tk.done {
+		add(tk.lastRun, modeler.Done, "")
+		return facts
+	}
+	for _, run := range tk.failures {
+		add(run, modeler.Failure, tk.checkpoint)
+	}
+	if tk.checkpoint != "" && len(tk.failures) == 0 {
+		add(tk.lastRun, modeler.Stopped, tk.checkpoint)
+	}
+	return facts
+}
--- /dev/null
+++ b/internal/job/director/starter.go
@@ -0,0 +1,458 @@
+package director
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/placer"
+	"github.com/currantrouter/currantrouter/internal/job/ranker"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
+)
+
+const (
+	// orderTimeout is the time after which an order to a worker has no answer. Answers take a few
+	// milliseconds; a lost one delays its task by this and a stop.
+	orderTimeout = 500 * time.Millisecond
+	// startLimit is the time after which a worker refuses a start. It bounds how long a start
+	// without answer can stay in doubt, and exceeds orderTimeout so that a slow answer still counts.
+	startLimit = 1500 * time.Millisecond
+	// startersPerWorker bounds the starts that are sent to one worker at a time, so that a worker
+	// that does not answer holds up few.
+	startersPerWorker = 3
+	// refusalPause is how long a worker that refused a start for lack of room or health gets none.
+	refusalPause = 250 * time.Millisecond
+	// stopRetry is the pause before a stop without answer is repeated.
+	stopRetry = 150 * time.Millisecond
+	// heldWorkers bounds the workers that a round keeps free for waiting tasks that fit nowhere.
+	heldWorkers = 3
+	// runsPerEpoch is the first run of a task in an epoch, per epoch. It makes every run of a new
+	// leader higher than all runs of earlier ones that it may not know of.
+	runsPerEpoch = 1 << 20
+	// oldRunStep raises the run of a task whose worker has seen a higher one.
+	oldRunStep = 1 << 10
+)
+
+// dispatch places waiting tasks, the most urgent first.
+func (dr *Director) dispatch(now time.Time) {
+	if len(dr.waiting) == 0 || !dr.op.Authorized() {
+		return
+	}
+	rd := dr.round(now)
+	for _, gr := range rd.groups {
+		if len(rd.workers) == 0 {
+			return
+		}
+		rd.place(gr.step)
+	}
+}
+
+// round is one pass over the waiting steps.
+type round struct {
+	dr      *Director
+	now     time.Time
+	groups  []rankedStep
+	workers []*worker
+	cands   []placer.Candidate
+	// held is the number of candidates that are kept free.
+	held int
+	// failed holds the demands that found no room in this round.
+	failed map[failedDemand]bool
+}
+
+type rankedStep struct {
+	step *step
+	rank ranker.Group
+}
+
+// failedDemand is the part of a demand that decides whether a larger or equal one fails as well.
+type failedDemand struct {
+	pool  modeler.PoolName
+	needs modeler.Resources
+	label string
+	rack  string
+}
+
+func (dr *Director) round(now time.Time) *round {
+	rd := &round{dr: dr, now: now, failed: map[failedDemand]bool{}}
+	for sp := range dr.waiting {
+		rd.groups = append(rd.groups, rankedStep{sp, dr.group(sp)})
+	}
+	slices.SortFunc(rd.groups, func(one, two rankedStep) int {
+		if by := ranker.Compare(&one.rank, &two.rank, now); by != 0 {
+			return by
+		}
+		if one.step.occ.job.ID < two.step.occ.job.ID {
+			return -1
+		}
+		return 1
+	})
+	for _, wk := range dr.workers {
+		if dr.takes(wk, now) {
+			rd.workers = append(rd.workers, wk)
+		}
+	}
+	slices.SortFunc(rd.workers, func(one, two *worker) int {
+		if one.info.ID < two.info.ID {
+			return -1
+		}
+		return 1
+	})
+	for _, wk := range rd.workers {
+		rd.cands = append(rd.cands, placer.Candidate{
+			Worker: &wk.info, Free: wk.free, Serving: wk.serving, Filling: wk.filling,
+			FillingCores: wk.fillingCores, Distrust: wk.record.Distrust(now),
+		})
+	}
+	return rd
+}
+
+// takes reports whether a worker gets new tasks.
+func (dr *Director) takes(wk *worker, now time.Time) bool {
+	return wk.present && wk.answered && !wk.silent && !wk.info.Draining &&
+		!wk.record.Quarantined(now) && !now.Before(wk.refusedUntil)
+}
+
+// place starts as many waiting tasks of a step as there is room for.
+func (rd *round) place(sp *step) {
+	if sp.spec.Gang {
+		rd.placeGang(sp)
+		return
+	}
+	pool := rd.dr.pool(sp.occ.job)
+	for _, tk := range slices.Clone(sp.waiting) {
+		if !rd.dr.startable(tk, rd.now) {
+			continue
+		}
+		dm := rd.dr.demand(tk)
+		key := failedDemand{pool, placer.Reserved(dm.Needs, dm.Fills), dm.Label, dm.Rack}
+		if rd.failed[key] {
+			return
+		}
+		rd.countSteps(sp)
+		ix := rd.choose(&dm, pool)
+		if ix < 0 {
+			if dm.PerWorker == 0 {
+				rd.failed[key] = true
+			}
+			rd.hold(&dm, pool)
+			return
+		}
+		rd.start(tk, ix)
+	}
+}
+
+func (rd *round) choose(dm *placer.Demand, pool modeler.PoolName) int {
+	// Pools share the list of candidates; a worker of another pool is never chosen.
+	return placer.Choose(dm, rd.only(pool))
+}
+
+// only returns the candidates with those of other pools made useless, keeping their positions.
+func (rd *round) only(pool modeler.PoolName) []placer.Candidate {
+	mixed := false
+	for _, wk := range rd.workers {
+		mixed = mixed || wk.info.Pool != pool
+	}
+	if !mixed {
+		return rd.cands
+	}
+	cands := slices.Clone(rd.cands)
+	for ix, wk := range rd.workers {
+		if wk.info.Pool != pool {
+			cands[ix].Free = modeler.Resources{MilliCores: -1, MemoryMB: -1, Accelerators: -1}
+		}
+	}
+	return cands
+}
+
+func (rd *round) countSteps(sp *step) {
+	if sp.spec.PerWorker <= 0 {
+		return
+	}
+	for ix, wk := range rd.workers {
+		rd.cands[ix].SameStep = sp.perWorker[wk.info.ID]
+	}
+}
+
+// hold keeps the worker with the most free processors from less urgent tasks, so that a large task
+// finds room when the next run there ends.
+func (rd *round) hold(dm *placer.Demand, pool modeler.PoolName) {
+	if rd.held >= heldWorkers || dm.Fills {
+		return
+	}
+	best := -1
+	for ix, wk := range rd.workers {
+		if wk.info.Pool == pool && placer.Suits(dm, &wk.info) && (best < 0 || rd.cands[ix].Free.MilliCores > rd.cands[best].Free.MilliCores) {
+			best = ix
+		}
+	}
+	if best >= 0 {
+		rd.held++
+		rd.cands[best].Free = modeler.Resources{}
+	}
+}
+
+// start reserves room for a task and sends it.
+func (rd *round) start(tk *task, ix int) *attempt {
+	at := rd.dr.assign(tk, rd.workers[ix], rd.dr.nextRun(tk))
+	wk := at.worker
+	cd := &rd.cands[ix]
+	cd.Free, cd.Serving, cd.Filling, cd.FillingCores = wk.free, wk.serving, wk.filling, wk.fillingCores
+	return at
+}
+
+// placeGang starts all tasks of a step together or none.
+func (rd *round) placeGang(sp *step) {
+	if len(sp.waiting) < len(sp.tasks) || sp.gangRun != 0 {
+		return
+	}
+	for _, tk := range sp.waiting {
+		if !rd.dr.startable(tk, rd.now) {
+			return
+		}
+	}
+	pool := rd.dr.pool(sp.occ.job)
+	for _, rack := range rd.racks(sp) {
+		if chosen := rd.fitGang(sp, pool, rack); chosen != nil {
+			rd.startGang(sp, chosen)
+			return
+		}
+	}
+}
+
+// racks lists the racks to try for a gang: each one before all together.
+func (rd *round) racks(sp *step) []string {
+	if !sp.spec.SameRack {
+		return []string{""}
+	}
+	var racks []string
+	for _, wk := range rd.workers {
+		if !slices.Contains(racks, wk.info.Rack) && wk.info.Rack != "" {
+			racks = append(racks, wk.info.Rack)
+		}
+	}
+	return append(racks, "")
+}
+
+func (rd *round) fitGang(sp *step, pool modeler.PoolName, rack string) []int {
+	rd.countSteps(sp)
+	cands := slices.Clone(rd.only(pool))
+	var chosen []int
+	for _, tk := range sp.waiting {
+		dm := rd.dr.demand(tk)
+		dm.Rack = rack
+		ix := placer.Choose(&dm, cands)
+		if ix < 0 {
+			return nil
+		}
+		cands[ix].Free = cands[ix].Free.Minus(placer.Reserved(dm.Needs, dm.Fills))
+		cands[ix].SameStep++
+		chosen = append(chosen, ix)
+	}
+	return chosen
+}
+
+func (rd *round) startGang(sp *step, chosen []int) {
+	var run modeler.Run
+	checkpoint := ""
+	for _, tk := range sp.tasks {
+		run = max(run, rd.dr.nextRun(tk))
+		// The checkpoint of any member is that of the gang; the newest is the greatest.
+		checkpoint = max(checkpoint, tk.checkpoint)
+	}
+	for ix, tk := range slices.Clone(sp.waiting) {
+		tk.lastRun, tk.checkpoint = run-1, checkpoint
+		rd.start(tk, chosen[ix])
+	}
+	sp.gangRun = run
+}
+
+func (dr *Director) pool(jb *job) modeler.PoolName {
+	if qu := dr.queue(jb); qu != nil {
+		return qu.Pool
+	}
+	return jb.Pool
+}
+
+// startable reports whether a waiting task may start now.
+func (dr *Director) startable(tk *task, now time.Time) bool {
+	if tk.unseen && !dr.accounted && !tk.step.spec.Copies {
+		return false
+	}
+	return tk.step.occ.job.confirmed && !now.Before(tk.notBefore) && !dr.exhausted(tk)
+}
+
+func (dr *Director) demand(tk *task) placer.Demand {
+	sp := tk.step.spec
+	return placer.Demand{
+		Needs: sp.Needs, Label: sp.Label, DataRack: sp.DataRack, PerWorker: sp.PerWorker,
+		Serves: sp.TailTarget > 0, Fills: sp.Fills, Image: sp.Image, Avoid: tk.avoid, Far: dr.op.Limits.FarFactor,
+	}
+}
+
+func (dr *Director) nextRun(tk *task) modeler.Run {
+	return max(tk.lastRun, modeler.Run(dr.op.Epoch-1)*runsPerEpoch) + 1
+}
+
+// assign reserves room on a worker and hands the start to the loops that send them.
+func (dr *Director) assign(tk *task, wk *worker, run modeler.Run) *attempt {
+	at := dr.reserve(tk, wk, run)
+	tk.step.occ.job.started = true
+	wk.outbox = append(wk.outbox, at)
+	if wk.starters < startersPerWorker {
+		wk.starters++
+		dr.goRun(func(ctx context.Context) { dr.startLoop(ctx, wk) })
+	}
+	return at
+}
+
+// startLoop sends the starts that wait for a worker.
+func (dr *Director) startLoop(ctx context.Context, wk *worker) {
+	for {
+		at, order, info := dr.nextStart(ctx, wk)
+		if at == nil {
+			return
+		}
+		dr.op.Meter.Add(meter.WorkerStarts, 1)
+		sctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		_, err := dr.op.Orders.Start(sctx, &info, order)
+		cancel()
+		dr.mu.Lock()
+		dr.answered(at, order, err, time.Now())
+		dr.mu.Unlock()
+		if err != nil {
+			dr.kick()
+		}
+	}
+}
+
+// nextStart takes the next start of a worker, or ends the loop.
+func (dr *Director) nextStart(ctx context.Context, wk *worker) (*attempt, *modeler.StartOrder, modeler.Worker) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	for len(wk.outbox) > 0 && ctx.Err() == nil {
+		at := wk.outbox[0]
+		wk.outbox = wk.outbox[1:]
+		if at.state != placed || wk.attempts[attemptKey{at.task.id(), at.run}] != at {
+			continue
+		}
+		if at.life != wk.born || !dr.takes(wk, time.Now()) || !dr.op.Authorized() {
+			dr.drop(at)
+			dr.after(at.task, time.Now())
+			continue
+		}
+		at.state = sent
+		at.checkpoint = at.task.checkpoint
+		return at, &modeler.StartOrder{
+			Task: at.task.id(), Run: at.run, Spec: at.task.step.occ.job.Spec, Epoch: dr.op.Epoch,
+			Deadline: wk.now(time.Now()) + startLimit, Checkpoint: at.checkpoint,
+		}, wk.info
+	}
+	wk.starters--
+	return nil, nil, modeler.Worker{}
+}
+
+// answered takes the answer to a start.
+func (dr *Director) answered(at *attempt, order *modeler.StartOrder, err error, now time.Time) {
+	wk, tk := at.worker, at.task
+	if wk.attempts[attemptKey{tk.id(), at.run}] != at {
+		// A report has ended the run before the answer came.
+		return
+	}
+	if err == nil {
+		dr.log(logger.TaskStarted, "Task", order.Task.String(), "Run", order.Run, "Worker", wk.info.ID, "Resumes", order.Checkpoint != "", "FreeCores", wk.free.MilliCores, "Waited", now.Sub(tk.step.occ.due).String())
+		if at.answeredAt.IsZero() {
+			at.answeredAt = now
+			at.watch.Begin(now)
+		}
+		at.state = active
+		return
+	}
+	dr.log(logger.StartRejected, "Task", order.Task.String(), "Run", order.Run, "Worker", wk.info.ID, "Error", err.Error())
+	switch {
+	case errors.Is(err, modeler.ErrNoAnswer):
+		if at.state == sent {
+			at.state, at.lateAt = uncertain, order.Deadline
+		}
+		dr.stop(at, "start without answer")
+		return
+	case errors.Is(err, modeler.ErrDeposed):
+		dr.depose("worker " + string(wk.info.ID) + " has seen a higher epoch")
+		return
+	case errors.Is(err, modeler.ErrOldRun):
+		tk.lastRun += oldRunStep
+	case errors.Is(err, modeler.ErrRefused):
+		tk.notBefore = now.Add(time.Second)
+	default:
+		wk.refusedUntil = now.Add(refusalPause)
+	}
+	dr.drop(at)
+	dr.after(tk, now)
+}
+
+// stop ends a run. Its room stays taken until the worker lists the end.
+func (dr *Director) stop(at *attempt, why string) {
+	if at.stopping {
+		return
+	}
+	at.stopping = true
+	if at.state == placed {
+		dr.drop(at)
+		dr.after(at.task, time.Now())
+		return
+	}
+	dr.log(logger.StopSent, "Task", at.task.id().String(), "Run", at.run, "Worker", at.worker.info.ID, "Reason", why)
+	id := at.task.id()
+	dr.goRun(func(ctx context.Context) { dr.stopLoop(ctx, at, id) })
+}
+
+// stopLoop repeats a stop until the worker agrees or the run has ended.
+func (dr *Director) stopLoop(ctx context.Context, at *attempt, id modeler.TaskID) {
+	for ctx.Err() == nil {
+		dr.mu.Lock()
+		wk := at.worker
+		info := wk.info
+		gone := wk.attempts[attemptKey{id, at.run}] != at
+		allowed := dr.op.Authorized()
+		dr.mu.Unlock()
+		if gone {
+			return
+		}
+		if allowed {
+			sctx, cancel := context.WithTimeout(ctx, orderTimeout)
+			err := dr.op.Orders.Stop(sctx, &info, id, at.run, dr.op.Epoch)
+			cancel()
+			if errors.Is(err, modeler.ErrDeposed) {
+				dr.depose("worker " + string(info.ID) + " has seen a higher epoch")
+				return
+			}
+			if err == nil {
+				dr.mu.Lock()
+				at.stopAnsweredAt = time.Now()
+				dr.mu.Unlock()
+				return
+			}
+		}
+		pause(ctx, stopRetry)
+	}
+}
+
+// move takes a run from its worker. The task starts elsewhere once the run has ended, or at once
+// where copies may run.
+func (dr *Director) move(at *attempt, why string) {
+	tk := at.task
+	tk.avoidWorker(at.worker.info.ID)
+	tk.moves++
+	dr.op.Meter.Add(meter.TasksMoved, 1)
+	if tk.step.spec.Copies {
+		if len(tk.attempts) == 1 {
+			dr.log(logger.TaskCopied, "Task", tk.id().String(), "Run", at.run, "Worker", at.worker.info.ID, "Reason", why)
+			dr.enqueue(tk)
+		}
+		return
+	}
+	dr.stop(at, why)
+}
--- /dev/null
+++ b/internal/job/director/worker.go
@@ -0,0 +1,712 @@
+package director
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/currantrouter/currantrouter/internal/job/appraiser"
+	"github.com/currantrouter/currantrouter/internal/job/keeper"
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/pacer"
+	"github.com/currantrouter/currantrouter/internal/job/placer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
+)
+
+const (
+	// drift is the share by which a worker's clock may be slow.
+	drift = 0.02
+	// leaseMargin is added to the end of a lease for the time that the worker takes to end its runs.
+	leaseMargin = 150 * time.Millisecond
+	// busyWait and idleWait are how long a renewal waits for an end, on workers with and without runs.
+	busyWait = 800 * time.Millisecond
+	idleWait = 2 * time.Second
+	// pacedWait is that on a worker where work that fills runs beside serving tasks, whose tail
+	// latency has to be looked at more often than it is measured.
+	pacedWait = 300 * time.Millisecond
+	// renewSlack is the time beyond the wait after which a renewal has no answer.
+	renewSlack = 500 * time.Millisecond
+	// durableWait is how long the next renewal waits for the facts of the last one.
+	durableWait = 250 * time.Millisecond
+	// unnotedPause is the pause between renewals while ends cannot be noted. The worker answers at
+	// once then, as it lists them again.
+	unnotedPause = 250 * time.Millisecond
+	// retryPause is the pause after a renewal without answer.
+	retryPause = 100 * time.Millisecond
+	// foreignRepeat is the time until a stop of an unknown run is repeated.
+	foreignRepeat = time.Second
+)
+
+// worker is one worker as this term knows it.
+type worker struct {
+	info modeler.Worker
+	// present is set while the registry lists the worker.
+	present bool
+	// granted is set once the journal names the worker as one that may hold a lease.
+	granted, granting bool
+	// answered is set once the worker has answered in this term, so that it refuses earlier leaders.
+	answered bool
+	// counted is set while the worker is one of the unaccounted.
+	counted bool
+	// following is set while a loop renews the lease.
+	following bool
+
+	// born is the life that answered last, clock its clock at the local time clockAt.
+	born    int64
+	clock   time.Duration
+	clockAt time.Time
+	// leaseEnd is the latest end of the lease that the worker may have been given, on its clock.
+	leaseEnd time.Duration
+	// seen and noted are the numbers of the last end that was processed and that is durable.
+	seen, noted int64
+	// noting is set while the journal has not yet taken the ends up to seen.
+	noting bool
+	silent bool
+
+	// free is the capacity less all reservations.
+	free             modeler.Resources
+	serving, filling int
+	fillingCores     int64
+	attempts         map[attemptKey]*attempt
+	outbox           []*attempt
+	starters         int
+	// foreign holds when a stop was last sent for a run that this term does not want.
+	foreign map[attemptKey]time.Time
+	record  appraiser.Record
+	// refusedUntil delays starts after a refusal for lack of room or health.
+	refusedUntil time.Time
+	pace         pacer.State
+}
+
+type attemptKey struct {
+	task modeler.TaskID
+	run  modeler.Run
+}
+
+// now returns the least that the worker's clock can show.
+func (wk *worker) now(at time.Time) time.Duration {
+	return wk.clock + time.Duration(float64(at.Sub(wk.clockAt))*(1-drift))
+}
+
+// SetWorkers tells which workers the registry lists. Workers with runs stay until their leases are
+// over.
+func (dr *Director) SetWorkers(list []modeler.Worker) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	listed := make(map[modeler.WorkerID]bool, len(list))
+	for ix := range list {
+		listed[list[ix].ID] = true
+		dr.setWorker(&list[ix])
+	}
+	for id, wk := range dr.workers {
+		if !listed[id] {
+			dr.removeWorker(wk)
+		}
+	}
+	dr.kick()
+}
+
+// UpdateWorker takes a changed entry of the registry.
+func (dr *Director) UpdateWorker(info modeler.Worker) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	dr.setWorker(&info)
+	dr.kick()
+}
+
+// RemoveWorker tells that the registry does not list a worker any more.
+func (dr *Director) RemoveWorker(id modeler.WorkerID) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	if wk := dr.workers[id]; wk != nil {
+		dr.removeWorker(wk)
+	}
+}
+
+func (dr *Director) removeWorker(wk *worker) {
+	if wk.present {
+		dr.log(logger.WorkerUnlisted, "Worker", wk.info.ID, "Runs", len(wk.attempts))
+	}
+	wk.present = false
+}
+
+func (dr *Director) setWorker(info *modeler.Worker) {
+	wk := dr.workers[info.ID]
+	if wk == nil {
+		wk = &worker{attempts: map[attemptKey]*attempt{}, foreign: map[attemptKey]time.Time{}}
+		wk.info = *info
+		wk.free = info.Capacity
+		dr.workers[info.ID] = wk
+	}
+	if info.Draining && !wk.info.Draining {
+		dr.log(logger.WorkerDraining, "Worker", info.ID, "Remaining", info.Remaining.String(), "Runs", len(wk.attempts))
+	}
+	wk.free = wk.free.Plus(info.Capacity).Minus(wk.info.Capacity)
+	wk.info, wk.present = *info, true
+	if info.Born > wk.born && wk.born != 0 {
+		dr.reborn(wk, info.Born, time.Now())
+	}
+	dr.follow(wk)
+}
+
+// follow starts the loop of a worker. It does nothing before the term runs.
+func (dr *Director) follow(wk *worker) {
+	if dr.ctx == nil || wk.following {
+		return
+	}
+	wk.following = true
+	dr.goRun(func(ctx context.Context) { dr.renewLoop(ctx, wk) })
+}
+
+// renewLoop keeps the lease of one worker and reads its lists.
+func (dr *Director) renewLoop(ctx context.Context, wk *worker) {
+	for ctx.Err() == nil {
+		if !dr.grant(ctx, wk) {
+			return
+		}
+		order, info, ok := dr.renewal(wk)
+		if !ok {
+			pause(ctx, retryPause)
+			continue
+		}
+		sentAt := time.Now()
+		rep, err := dr.renew(ctx, &info, order)
+		if err == nil {
+			err = dr.resolve(ctx, &rep)
+		}
+		if err != nil {
+			dr.unanswered(wk, err)
+			pause(ctx, retryPause)
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-dr.loaded:
+		}
+		durable := dr.reported(ctx, wk, sentAt, &rep)
+		dr.kick()
+		select {
+		case <-ctx.Done():
+		case <-durable:
+		case <-time.After(durableWait):
+			pause(ctx, unnotedPause)
+		}
+	}
+}
+
+// grant makes the worker known as one that may hold a lease, before it is given one. It returns
+// false when the worker is gone and the loop is to end.
+func (dr *Director) grant(ctx context.Context, wk *worker) bool {
+	dr.mu.Lock()
+	gone := !wk.present && len(wk.attempts) == 0 && !wk.counted && dr.leaseOver(wk, time.Now())
+	granted := wk.granted
+	info := wk.info
+	if gone {
+		delete(dr.workers, wk.info.ID)
+	}
+	dr.mu.Unlock()
+	switch {
+	case gone && granted:
+		dr.record(ctx, []keeper.Fact{{Released: info.ID}}, func() {})
+		return false
+	case gone:
+		return false
+	case granted:
+		return true
+	}
+	dr.record(ctx, []keeper.Fact{{Granted: &info}}, func() {
+		dr.mu.Lock()
+		wk.granted = true
+		dr.mu.Unlock()
+	})
+	return ctx.Err() == nil
+}
+
+// renewal returns the next renewal, or false while this host may not give orders.
+func (dr *Director) renewal(wk *worker) (*modeler.RenewOrder, modeler.Worker, bool) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	if !dr.op.Authorized() {
+		return nil, wk.info, false
+	}
+	order := &modeler.RenewOrder{Epoch: dr.op.Epoch, Noted: wk.noted, Wait: idleWait}
+	switch {
+	case !wk.answered || wk.silent || wk.noting:
+		order.Wait = 0
+	case wk.serving > 0 && wk.filling > 0:
+		order.Wait = pacedWait
+	case len(wk.attempts) > 0:
+		order.Wait = busyWait
+	}
+	if wk.answered {
+		order.Deadline = wk.now(time.Now()) + dr.op.Limits.Lease
+		wk.leaseEnd = max(wk.leaseEnd, order.Deadline)
+	}
+	return order, wk.info, true
+}
+
+func (dr *Director) renew(ctx context.Context, info *modeler.Worker, order *modeler.RenewOrder) (modeler.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, order.Wait+renewSlack)
+	defer cancel()
+	dr.op.Meter.Add(meter.WorkerRenewals, 1)
+	return dr.op.Orders.Renew(ctx, info, order)
+}
+
+// unanswered notes that a renewal failed.
+func (dr *Director) unanswered(wk *worker, err error) {
+	if errors.Is(err, modeler.ErrDeposed) {
+		dr.depose("worker " + string(wk.info.ID) + " has seen a higher epoch")
+		return
+	}
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	if dr.ctx.Err() == nil && !wk.silent {
+		dr.log(logger.WorkerLost, "Worker", wk.info.ID, "Runs", len(wk.attempts), "LeaseLeft", (wk.leaseEnd - wk.now(time.Now())).String(), "Error", err.Error())
+	}
+	wk.silent = true
+}
+
+// resolve reads the jobs of runs that this term does not know: an earlier leader may have started
+// them just before.
+func (dr *Director) resolve(ctx context.Context, rep *modeler.Report) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-dr.loaded:
+	}
+	for _, id := range dr.unknown(rep) {
+		stored, err := dr.op.Book.Load(ctx, id)
+		if isMissing(err) {
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		cancelled, err := dr.op.Book.Cancelled(ctx, id)
+		if err != nil {
+			return err
+		}
+		dr.Add(stored, true)
+		if cancelled {
+			dr.Cancel(id)
+		}
+	}
+	return nil
+}
+
+func (dr *Director) unknown(rep *modeler.Report) []modeler.JobID {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	var ids []modeler.JobID
+	note := func(id modeler.JobID) {
+		if dr.jobs[id] == nil && !slices.Contains(ids, id) {
+			ids = append(ids, id)
+		}
+	}
+	for ix := range rep.Running {
+		note(rep.Running[ix].Task.Job)
+	}
+	for ix := range rep.Ended {
+		note(rep.Ended[ix].Task.Job)
+	}
+	return ids
+}
+
+// reported takes a worker's report. The channel is closed once its ends are durable.
+func (dr *Director) reported(ctx context.Context, wk *worker, sentAt time.Time, rep *modeler.Report) <-chan struct{} {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	now := time.Now()
+	durable := make(chan struct{})
+	if rep.Born < wk.born {
+		// An answer that a later life has overtaken says nothing any more.
+		close(durable)
+		return durable
+	}
+	if rep.Born > wk.born {
+		dr.reborn(wk, rep.Born, now)
+	}
+	if wk.silent && wk.answered {
+		dr.log(logger.WorkerRegained, "Worker", wk.info.ID, "Runs", len(rep.Running), "Ends", len(rep.Ended))
+	}
+	wk.clock, wk.clockAt, wk.silent = rep.Clock, now, false
+	dr.answeredBy(wk)
+	listed := make(map[attemptKey]bool, len(rep.Running)+len(rep.Ended))
+	for ix := range rep.Running {
+		row := &rep.Running[ix]
+		listed[attemptKey{row.Task, row.Run}] = true
+		dr.running(wk, row, now)
+	}
+	facts, finals := dr.ended(wk, rep.Ended, listed, now)
+	dr.missing(wk, listed, sentAt, now)
+	dr.judge(wk, now)
+	dr.pace(wk, now)
+	if len(facts) == 0 {
+		if !wk.noting {
+			wk.noted = wk.seen
+		}
+		close(durable)
+		return durable
+	}
+	dr.note(wk, facts, finals, durable)
+	return durable
+}
+
+// note gives ends to the journal. A worker has at most one batch there, because its loop waits for it.
+func (dr *Director) note(wk *worker, facts []keeper.Fact, finals []*job, durable chan struct{}) {
+	number, born := wk.seen, wk.born
+	wk.noting = true
+	dr.goRun(func(ctx context.Context) {
+		dr.record(ctx, facts, func() {
+			dr.mu.Lock()
+			defer dr.mu.Unlock()
+			if wk.born == born {
+				wk.noted = max(wk.noted, number)
+			}
+			wk.noting = wk.noted < wk.seen
+			dr.settled(finals)
+			close(durable)
+		})
+	})
+}
+
+// settled tells callers of the ends that are durable now.
+func (dr *Director) settled(finals []*job) {
+	now := time.Now()
+	for _, jb := range finals {
+		jb.durable, jb.endedAt = true, now
+		dr.log(logger.JobEnded, "Job", jb.ID, "Queue", jb.Queue, "State", jb.final, "Took", now.Sub(jb.Submitted).String())
+	}
+}
+
+// answeredBy notes that the worker has seen this term's epoch.
+func (dr *Director) answeredBy(wk *worker) {
+	if wk.answered {
+		return
+	}
+	wk.answered = true
+	if wk.counted {
+		wk.counted = false
+		dr.unaccounted--
+		if dr.unaccounted == 0 {
+			dr.accounted = true
+			dr.log(logger.TermAccounted, "Workers", 0, "Reason", "all answered", "Took", time.Since(dr.began).String())
+		}
+	}
+}
+
+// reborn takes a new life of a worker: what ran in the earlier one has ended.
+func (dr *Director) reborn(wk *worker, born int64, now time.Time) {
+	if wk.born != 0 {
+		dr.log(logger.WorkerReborn, "Worker", wk.info.ID, "Runs", len(wk.attempts))
+	}
+	first := wk.born == 0
+	wk.born, wk.seen, wk.noted, wk.leaseEnd = born, 0, 0, 0
+	wk.record = appraiser.Record{}
+	clear(wk.foreign)
+	if first {
+		return
+	}
+	// Nothing is known of the new life's clock until it answers.
+	wk.answered = false
+	for _, at := range wk.list() {
+		if at.state == sent || at.state == uncertain {
+			// A start without answer may yet reach the new life, whose clock does not refuse it.
+			at.state, at.life = uncertain, born
+			at.lateAt = maxClock
+			dr.stop(at, "worker restarted")
+			continue
+		}
+		dr.lose(at, "worker restarted", now)
+	}
+}
+
+// maxClock is later than any worker's clock.
+const maxClock = time.Duration(1<<63 - 1)
+
+// list returns the attempts, which may then change.
+func (wk *worker) list() []*attempt {
+	list := make([]*attempt, 0, len(wk.attempts))
+	for _, at := range wk.attempts {
+		list = append(list, at)
+	}
+	return list
+}
+
+// running takes one row of a report.
+func (dr *Director) running(wk *worker, row *modeler.ActiveRun, now time.Time) {
+	at := wk.attempts[attemptKey{row.Task, row.Run}]
+	if at == nil {
+		at = dr.adopt(wk, row, now)
+		if at == nil {
+			return
+		}
+	}
+	if at.state != active {
+		at.state = active
+		if at.answeredAt.IsZero() {
+			at.answeredAt = now
+			at.watch.Begin(now)
+		}
+	}
+	at.progress = row.Progress
+	at.watch.Observe(row.Progress, now)
+	if row.Checkpoint != "" && row.Checkpoint != at.checkpoint {
+		at.checkpoint = row.Checkpoint
+		at.task.checkpoint, at.task.saved = row.Checkpoint, float64(row.Progress)/100
+	}
+	if at.task.step.spec.TailTarget > 0 {
+		at.tail = time.Duration(row.Measure) * time.Millisecond
+	}
+}
+
+// adopt takes over a run of an earlier leader, or stops a run that is not wanted.
+func (dr *Director) adopt(wk *worker, row *modeler.ActiveRun, now time.Time) *attempt {
+	jb := dr.jobs[row.Task.Job]
+	var tk *task
+	if jb != nil && jb.final == "" {
+		tk = jb.task(row.Task)
+	}
+	if tk == nil || tk.done || len(tk.attempts) > 0 && !tk.step.spec.Copies || row.Run < tk.lastRun {
+		dr.stopForeign(wk, row.Task, row.Run, now)
+		return nil
+	}
+	at := dr.reserve(tk, wk, row.Run)
+	at.adopted, at.state, at.answeredAt = true, active, now
+	at.watch.Begin(now)
+	jb.started = true
+	return at
+}
+
+// stopForeign stops a run that this term does not want.
+func (dr *Director) stopForeign(wk *worker, id modeler.TaskID, run modeler.Run, now time.Time) {
+	key := attemptKey{id, run}
+	if now.Sub(wk.foreign[key]) < foreignRepeat {
+		return
+	}
+	wk.foreign[key] = now
+	dr.log(logger.RunUnwanted, "Worker", wk.info.ID, "Task", id.String(), "Run", run)
+	info := wk.info
+	dr.goRun(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		// A stop that gets no answer is repeated when the run is listed again.
+		if err := dr.op.Orders.Stop(ctx, &info, id, run, dr.op.Epoch); err != nil {
+			dr.log(logger.StopUnanswered, "Worker", info.ID, "Task", id.String(), "Run", run, "Error", err.Error())
+		}
+	})
+}
+
+// ended takes the ends of a report that are new, and returns what has to become durable before the
+// worker may forget them.
+func (dr *Director) ended(wk *worker, rows []modeler.EndedRun, listed map[attemptKey]bool, now time.Time) ([]keeper.Fact, []*job) {
+	var facts []keeper.Fact
+	var finals []*job
+	for ix := range rows {
+		row := &rows[ix]
+		key := attemptKey{row.Task, row.Run}
+		listed[key] = true
+		if row.Number <= wk.seen {
+			continue
+		}
+		wk.seen = row.Number
+		delete(wk.foreign, key)
+		jb := dr.jobs[row.Task.Job]
+		if jb == nil {
+			continue
+		}
+		tk := jb.task(row.Task)
+		if tk == nil {
+			continue
+		}
+		at := wk.attempts[key]
+		if dr.count(tk, row.Run, row.Outcome, row.Checkpoint) {
+			facts = append(facts, keeper.Fact{End: &keeper.EndFact{
+				Task: row.Task.String(), Run: row.Run, Outcome: row.Outcome, Checkpoint: row.Checkpoint,
+			}})
+		}
+		dr.appraise(wk, tk, at, row, now)
+		if at != nil {
+			dr.drop(at)
+		}
+		dr.after(tk, now)
+		if ft, ok := dr.conclude(jb, now); ok {
+			facts = append(facts, ft)
+			finals = append(finals, jb)
+		}
+	}
+	return facts, finals
+}
+
+// conclude decides the end of a job whose tasks are done or one of whose tasks failed too often.
+func (dr *Director) conclude(jb *job, now time.Time) (keeper.Fact, bool) {
+	if jb.final != "" {
+		return keeper.Fact{}, false
+	}
+	state := modeler.Completed
+	if !jb.complete() {
+		if !slices.ContainsFunc(jb.occurrences, dr.hasExhausted) {
+			return keeper.Fact{}, false
+		}
+		state = modeler.Failed
+	}
+	dr.close(jb, state, now)
+	return keeper.Fact{Final: &keeper.FinalFact{Job: jb.ID, State: state}}, true
+}
+
+func (dr *Director) hasExhausted(oc *occurrence) bool {
+	for _, sp := range oc.steps {
+		if slices.ContainsFunc(sp.tasks, dr.exhausted) {
+			return true
+		}
+	}
+	return false
+}
+
+// appraise learns from the end of a run.
+func (dr *Director) appraise(wk *worker, tk *task, at *attempt, row *modeler.EndedRun, now time.Time) {
+	sp := tk.step
+	switch row.Outcome {
+	case modeler.Done:
+		dr.op.Meter.Add(meter.TasksDone, 1)
+		wk.record.Success(now)
+		if at != nil && !at.adopted && tk.saved == 0 && len(sp.totals) < keptTotals {
+			sp.totals = append(sp.totals, now.Sub(at.answeredAt))
+		}
+	case modeler.Failure:
+		dr.op.Meter.Add(meter.TasksFailed, 1)
+		before := wk.record.Quarantined(now)
+		wk.record.Fault(row.Task.Job, now)
+		tk.avoidWorker(wk.info.ID)
+		dr.log(logger.TaskFailed, "Task", row.Task.String(), "Run", row.Run, "Worker", wk.info.ID, "Failures", len(tk.failures), "Distrust", wk.record.Distrust(now))
+		if !before && wk.record.Quarantined(now) {
+			dr.quarantine(wk, "tasks of several jobs failed")
+		}
+	case modeler.Lapsed, modeler.Broken, modeler.Alone, modeler.Stopped:
+		dr.log(logger.RunEnded, "Task", row.Task.String(), "Run", row.Run, "Worker", wk.info.ID, "Outcome", row.Outcome, "Resumes", row.Checkpoint != "")
+	}
+	if row.Checkpoint != "" && at != nil {
+		tk.saved = float64(at.progress) / 100
+	}
+}
+
+// quarantine closes a worker for a while and takes its runs elsewhere that have not got far.
+func (dr *Director) quarantine(wk *worker, why string) {
+	dr.op.Meter.Add(meter.WorkersQuarantined, 1)
+	dr.log(logger.WorkerDistrusted, "Worker", wk.info.ID, "Runs", len(wk.attempts), "Reason", why)
+	for _, at := range wk.list() {
+		if !at.task.step.spec.LongRunning && !at.stopping {
+			dr.move(at, "worker quarantined")
+		}
+	}
+}
+
+// after puts a task back into the queue that has no run left, and stops copies of one that is done.
+func (dr *Director) after(tk *task, now time.Time) {
+	if len(tk.attempts) == 0 {
+		tk.lastActive = now
+	}
+	if tk.done || tk.step.occ.job.final != "" {
+		for _, at := range slices.Clone(tk.attempts) {
+			dr.stop(at, "task is done")
+		}
+		return
+	}
+	if len(tk.attempts) == 0 {
+		dr.enqueue(tk)
+	}
+}
+
+// missing ends the runs that a report would have listed.
+func (dr *Director) missing(wk *worker, listed map[attemptKey]bool, sentAt, now time.Time) {
+	for key, at := range wk.attempts {
+		if listed[key] || at.state == placed {
+			continue
+		}
+		began := !at.answeredAt.IsZero() && at.answeredAt.Before(sentAt)
+		refused := !at.stopAnsweredAt.IsZero() && at.stopAnsweredAt.Before(sentAt)
+		late := at.state == uncertain && at.lateAt > 0 && wk.now(sentAt)-leaseMargin > at.lateAt
+		if began || refused || late {
+			dr.lose(at, "not on its worker", now)
+		}
+	}
+}
+
+// expire ends the runs of a worker whose lease is over.
+func (dr *Director) expire(wk *worker, now time.Time) {
+	if len(wk.attempts) == 0 || !wk.silent || !dr.leaseOver(wk, now) {
+		return
+	}
+	dr.log(logger.LeaseOver, "Worker", wk.info.ID, "Runs", len(wk.attempts))
+	for _, at := range wk.list() {
+		if at.state != uncertain || at.lateAt < wk.now(now) {
+			dr.lose(at, "lease over", now)
+		}
+	}
+}
+
+// leaseOver reports whether nothing can run on the worker any more without a new order.
+func (dr *Director) leaseOver(wk *worker, now time.Time) bool {
+	if !wk.answered {
+		return now.Sub(dr.began) > dr.op.Inherited
+	}
+	return wk.now(now) > wk.leaseEnd+leaseMargin
+}
+
+// lose ends a run without a result.
+func (dr *Director) lose(at *attempt, why string, now time.Time) {
+	tk := at.task
+	dr.log(logger.RunLost, "Task", tk.id().String(), "Run", at.run, "Worker", at.worker.info.ID, "Reason", why, "Resumes", tk.checkpoint != "")
+	dr.op.Meter.Add(meter.TasksLost, 1)
+	dr.drop(at)
+	dr.after(tk, now)
+}
+
+// reserve makes an attempt and takes its room.
+func (dr *Director) reserve(tk *task, wk *worker, run modeler.Run) *attempt {
+	dr.dequeue(tk)
+	sp := tk.step
+	at := &attempt{task: tk, run: run, worker: wk, life: wk.born, pace: pacer.Full, checkpoint: tk.checkpoint}
+	tk.unseen = false
+	tk.lastRun = max(tk.lastRun, run)
+	tk.attempts = append(tk.attempts, at)
+	wk.attempts[attemptKey{tk.id(), run}] = at
+	wk.free = wk.free.Minus(placer.Reserved(sp.spec.Needs, sp.spec.Fills))
+	sp.perWorker[wk.info.ID]++
+	if sp.spec.Fills {
+		wk.filling++
+		wk.fillingCores += sp.spec.Needs.MilliCores
+	}
+	if sp.spec.TailTarget > 0 {
+		wk.serving++
+	}
+	return at
+}
+
+// drop ends an attempt and gives its room back.
+func (dr *Director) drop(at *attempt) {
+	tk, wk, sp := at.task, at.worker, at.task.step
+	key := attemptKey{tk.id(), at.run}
+	if wk.attempts[key] != at {
+		return
+	}
+	delete(wk.attempts, key)
+	tk.attempts = slices.DeleteFunc(tk.attempts, func(ot *attempt) bool { return ot == at })
+	wk.free = wk.free.Plus(placer.Reserved(sp.spec.Needs, sp.spec.Fills))
+	if sp.perWorker[wk.info.ID]--; sp.perWorker[wk.info.ID] == 0 {
+		delete(sp.perWorker, wk.info.ID)
+	}
+	if sp.spec.Fills {
+		wk.filling--
+		wk.fillingCores -= sp.spec.Needs.MilliCores
+	}
+	if sp.spec.TailTarget > 0 {
+		wk.serving--
+	}
+	if sp.spec.Gang && at.run == sp.gangRun {
+		sp.gangRun = 0
+	}
+}
--- /dev/null
+++ b/internal/job/intaker/server.go
@@ -0,0 +1,124 @@
+package intaker
+
+import (
+	"context"
+	"errors"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
+	"github.com/currantrouter/currantrouter/internal/job/elector"
+	"github.com/currantrouter/currantrouter/internal/job/keeper"
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/subscriber"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+)
+
+// Server is the twirp service Jobs of an entry host.
+type Server struct {
+	intaker    *Intaker
+	elector    *elector.Elector
+	subscriber *subscriber.Subscriber
+}
+
+// NewServer returns the service.
+func NewServer(it *Intaker, el *elector.Elector, sb *subscriber.Subscriber) *Server {
+	return &Server{it, el, sb}
+}
+
+var errNotLeading = twirp.NewError(twirp.FailedPrecondition, "host does not lead")
+
+// Greet implements messenger.Jobs.
+func (sv *Server) Greet(_ context.Context, gr *messenger.Greeting) (*messenger.Greeting, error) {
+	return sv.elector.Greet(gr), nil
+}
+
+// Resign implements messenger.Jobs.
+func (sv *Server) Resign(_ context.Context, gr *messenger.Greeting) (*messenger.Done, error) {
+	sv.elector.Invite(gr)
+	return &messenger.Done{}, nil
+}
+
+// Submit implements messenger.Jobs. It does not pass the job on to a further host.
+func (sv *Server) Submit(ctx context.Context, doc *messenger.JobDocument) (*messenger.Done, error) {
+	jb, err := keeper.Decode(doc.Document)
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("document", err.Error())
+	}
+	err = attempt(ctx, storeTry, func(ctx context.Context) error { return sv.intaker.op.Book.Submit(ctx, jb) })
+	if err != nil {
+		return nil, storeError(err)
+	}
+	sv.intaker.notify(&messenger.StoredChange{Id: string(jb.ID), Document: doc.Document})
+	return &messenger.Done{}, nil
+}
+
+// Cancel implements messenger.Jobs.
+func (sv *Server) Cancel(ctx context.Context, jn *messenger.JobName) (*messenger.Done, error) {
+	id := modeler.JobID(jn.Id)
+	err := attempt(ctx, storeTry, func(ctx context.Context) error {
+		if _, err := sv.intaker.op.Book.Load(ctx, id); err != nil {
+			return err
+		}
+		return sv.intaker.op.Book.Cancel(ctx, id)
+	})
+	if err != nil {
+		return nil, storeError(err)
+	}
+	sv.intaker.notify(&messenger.StoredChange{Id: jn.Id})
+	return &messenger.Done{}, nil
+}
+
+// storeError tells the caller whether a change is certain not to be stored.
+func storeError(err error) error {
+	switch {
+	case errors.Is(err, storer.ErrNotFound):
+		return twirp.NotFoundError("no such job")
+	case errors.Is(err, storer.ErrUnavailable):
+		return twirp.NewError(twirp.Unavailable, "store unavailable").WithMeta(proven, "true")
+	}
+	return twirp.InternalErrorWith(err)
+}
+
+// Notify implements messenger.Jobs.
+func (sv *Server) Notify(_ context.Context, ch *messenger.StoredChange) (*messenger.Done, error) {
+	dr := sv.intaker.op.Director()
+	if dr == nil {
+		return nil, errNotLeading
+	}
+	sv.intaker.Apply(dr, ch)
+	return &messenger.Done{}, nil
+}
+
+// State implements messenger.Jobs.
+func (sv *Server) State(ctx context.Context, jn *messenger.JobName) (*messenger.JobState, error) {
+	if sv.intaker.op.Director() == nil && jn.Hops > mostHops {
+		return nil, errNotLeading
+	}
+	st, err := sv.intaker.askState(ctx, modeler.JobID(jn.Id), jn.Hops)
+	switch {
+	case errors.Is(err, ErrNoJob):
+		return nil, twirp.NotFoundError("no such job")
+	case err != nil:
+		return nil, errNotLeading
+	}
+	return &messenger.JobState{State: string(st)}, nil
+}
+
+// Pending implements messenger.Jobs.
+func (sv *Server) Pending(_ context.Context, qn *messenger.QueueName) (*messenger.PendingCount, error) {
+	dr := sv.intaker.op.Director()
+	if dr == nil {
+		return nil, errNotLeading
+	}
+	return &messenger.PendingCount{Jobs: int64(dr.Pending(modeler.QueueName(qn.Name)))}, nil
+}
+
+// Queues implements messenger.Jobs.
+func (sv *Server) Queues(context.Context, *messenger.QueuesQuery) (*messenger.QueuesDocument, error) {
+	document, err := sv.subscriber.Document()
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &messenger.QueuesDocument{Document: document}, nil
+}
--- /dev/null
+++ b/internal/job/modeler/queue.go
@@ -0,0 +1,80 @@
+package modeler
+
+import (
+	"strings"
+	"time"
+)
+
+// Policy says how the policy service answers for a queue.
+type Policy struct {
+	// Decide is the time of an answer, Period the further time for each worker asked about.
+	Decide, Period time.Duration
+	// Valid is the life of a permission.
+	Valid time.Duration
+}
+
+// Queue is a queue of jobs as configured by operators.
+type Queue struct {
+	Name QueueName
+	// Host and Prefix select the queue of a request.
+	Host, Prefix string
+	Pool         PoolName
+	// Priority orders queues, 0 comes first.
+	Priority int
+	// Attempts is the number of failed runs of a task after which its job has failed.
+	Attempts int
+	// Stretch and Target give the objective of a job: its longest chain of work times Stretch,
+	// and Target more.
+	Stretch float64
+	Target  time.Duration
+	// Policy is nil for a queue whose tasks may run on every worker of the pool.
+	Policy *Policy
+}
+
+// Pool is a set of workers.
+type Pool struct {
+	Name PoolName
+	// Guarded workers refuse starts beyond their capacity.
+	Guarded bool
+	// Spare workers are off.
+	Spare bool
+	// HealthPath answers with success while a worker considers itself healthy.
+	HealthPath string
+}
+
+// Configuration is one revision of the operators' configuration of queues. It is never changed.
+type Configuration struct {
+	// Revision rises with every change.
+	Revision int64
+	Queues   []Queue
+	Pools    map[PoolName]Pool
+	// BodyLimit bounds the body of a request, in bytes.
+	BodyLimit int64
+	// HeaderLimit bounds the header of a request, in bytes.
+	HeaderLimit int64
+}
+
+// Route returns the queue with the longest prefix for the path on the host, and the rest of the path.
+func (cfg *Configuration) Route(host, path string) (*Queue, string, bool) {
+	var best *Queue
+	for ix := range cfg.Queues {
+		qu := &cfg.Queues[ix]
+		if qu.Host == host && strings.HasPrefix(path, qu.Prefix) && (best == nil || len(qu.Prefix) > len(best.Prefix)) {
+			best = qu
+		}
+	}
+	if best == nil {
+		return nil, "", false
+	}
+	return best, path[len(best.Prefix):], true
+}
+
+// Queue returns the queue with the name, or nil.
+func (cfg *Configuration) Queue(name QueueName) *Queue {
+	for ix := range cfg.Queues {
+		if cfg.Queues[ix].Name == name {
+			return &cfg.Queues[ix]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/job/watcher/watcher.go
@@ -0,0 +1,140 @@
+// Package watcher keeps a copy of a part of the key-value service up to date.
+package watcher
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+)
+
+// Source is the part of the key-value service that a watch needs.
+type Source interface {
+	// Snapshot returns all entries with the prefix and a revision such that Wait from it misses
+	// no later change.
+	Snapshot(ctx context.Context, prefix string) ([]storer.Entry, int64, error)
+	// Wait returns the changes after the revision, or none after a while.
+	Wait(ctx context.Context, prefix string, after int64) ([]storer.Entry, int64, error)
+}
+
+// Sink receives the entries of one watch. Its functions are called one at a time.
+type Sink struct {
+	// Reset receives all entries. Earlier ones that are missing have been removed.
+	Reset func([]storer.Entry)
+	// Apply receives changes in their order. Removed entries are marked Deleted.
+	Apply func([]storer.Entry)
+	// Lost and Regained tell that the service stopped or began to answer. They may be nil.
+	Lost     func(error)
+	Regained func()
+}
+
+const (
+	// firstDelay and longestDelay bound the pause after a failed call. The longest is short
+	// enough for a configuration to arrive within its two seconds after a short outage.
+	firstDelay   = 50 * time.Millisecond
+	longestDelay = 400 * time.Millisecond
+	// callLimit bounds a snapshot and a wait. A wait returns sooner by itself, so a call that
+	// takes longer uses a connection that has gone silent.
+	callLimit = 1500 * time.Millisecond
+)
+
+// Watcher follows the entries with one prefix.
+type Watcher struct {
+	source Source
+	prefix string
+	sink   Sink
+	lost   bool
+	// contact is when the last call that succeeded began, in nanoseconds since 1970.
+	contact atomic.Int64
+}
+
+// New returns a watcher of the prefix.
+func New(src Source, prefix string, sink Sink) *Watcher {
+	return &Watcher{source: src, prefix: prefix, sink: sink}
+}
+
+// Age returns how old the copy may be at most, and false when there was none yet.
+func (wt *Watcher) Age() (time.Duration, bool) {
+	at := wt.contact.Load()
+	return time.Since(time.Unix(0, at)), at != 0
+}
+
+// Run follows the entries until the context ends.
+func (wt *Watcher) Run(ctx context.Context) {
+	bo := backoff.NewExponentialBackOff()
+	bo.InitialInterval, bo.MaxInterval = firstDelay, longestDelay
+	known, revision := false, int64(0)
+	for ctx.Err() == nil {
+		var err error
+		if !known {
+			revision, err = wt.snapshot(ctx)
+			known = err == nil
+		} else {
+			revision, err = wt.wait(ctx, revision)
+		}
+		switch {
+		case err == nil:
+			bo.Reset()
+			wt.regained()
+		case errors.Is(err, storer.ErrGap):
+			known = false
+		case ctx.Err() == nil:
+			wt.fail(err)
+			pause(ctx, bo.NextBackOff())
+		}
+	}
+}
+
+func (wt *Watcher) snapshot(ctx context.Context) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	began := time.Now()
+	ens, revision, err := wt.source.Snapshot(ctx, wt.prefix)
+	if err == nil {
+		wt.sink.Reset(ens)
+		wt.contact.Store(began.UnixNano())
+	}
+	return revision, err
+}
+
+func (wt *Watcher) wait(ctx context.Context, after int64) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	began := time.Now()
+	ens, revision, err := wt.source.Wait(ctx, wt.prefix, after)
+	if err != nil {
+		return after, err
+	}
+	if len(ens) > 0 {
+		wt.sink.Apply(ens)
+	}
+	wt.contact.Store(began.UnixNano())
+	return max(after, revision), nil
+}
+
+func (wt *Watcher) fail(err error) {
+	if !wt.lost && wt.sink.Lost != nil {
+		wt.sink.Lost(err)
+	}
+	wt.lost = true
+}
+
+func (wt *Watcher) regained() {
+	if wt.lost && wt.sink.Regained != nil {
+		wt.sink.Regained()
+	}
+	wt.lost = false
+}
+
+func pause(ctx context.Context, dur time.Duration) {
+	tm := time.NewTimer(dur)
+	defer tm.Stop()
+	select {
+	case <-ctx.Done():
+	case <-tm.C:
+	}
+}
--- a/internal/provider/requester/requester.go
+++ b/internal/provider/requester/requester.go
@@ -82,6 +82,23 @@
 // Close closes the idle connections.
 func (rr *Requester) Close() { rr.transport.CloseIdleConnections() }
 
+// Request is one HTTP request.
+type Request struct {
+	Method  string
+	Address netip.AddrPort
+	// Path includes the query.
+	Path   string
+	Header http.Header
+	// Body is nil for a request without one.
+	Body []byte
+}
+
+// Response is a whole answer.
+type Response struct {
+	Status int
+	Body   []byte
+}
+
 // Call posts a JSON document and decodes the answer. Errors: ErrNotSent, ErrAnswerLost, *Failure
 // for an error answer of the platform.
 func (rr *Requester) Call(ctx context.Context, address netip.AddrPort, path string, in, out any) error {
@@ -89,53 +106,70 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	url := "http://" + address.String() + path
-	for range dialAttempts {
-		err = rr.send(ctx, url, body, out)
-		if !errors.Is(err, ErrNotSent) || ctx.Err() != nil {
-			return err
+	rs, err := rr.Do(ctx, &Request{Method: http.MethodPost, Address: address, Path: path, Header: jsonHeader, Body: body})
+	if err != nil {
+		return err
+	}
+	return decode(rs, out)
+}
+
+// jsonHeader is shared by all calls and never changed.
+var jsonHeader = http.Header{"Content-Type": {"application/json; charset=utf-8"}}
+
+// Do sends a request and reads the whole answer, whatever its status. Errors: ErrNotSent,
+// ErrAnswerLost.
+func (rr *Requester) Do(ctx context.Context, rq *Request) (Response, error) {
+	for at := 1; ; at++ {
+		rs, err := rr.send(ctx, rq)
+		if !errors.Is(err, ErrNotSent) || ctx.Err() != nil || at == dialAttempts {
+			return rs, err
 		}
 	}
-	return err
 }
 
-func (rr *Requester) send(ctx context.Context, url string, body []byte, out any) error {
+func (rr *Requester) send(ctx context.Context, rq *Request) (Response, error) {
 	ct := new(connTrace)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: ct.gotConn})
-	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, url, io.NopCloser(bytes.NewReader(body)))
+	var body io.Reader
+	if rq.Body != nil {
+		body = io.NopCloser(bytes.NewReader(rq.Body))
+	}
+	hr, err := http.NewRequestWithContext(ctx, rq.Method, "http://"+rq.Address.String()+rq.Path, body)
 	if err != nil {
-		return fmt.Errorf("%w: %w", ErrNotSent, err)
+		return Response{}, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	// Without GetBody the transport cannot send the request a second time.
-	rq.GetBody = nil
-	rq.ContentLength = int64(len(body))
-	rq.Header.Set("Content-Type", "application/json; charset=utf-8")
+	hr.GetBody = nil
+	hr.ContentLength = int64(len(rq.Body))
+	if rq.Header != nil {
+		hr.Header = rq.Header.Clone()
+	}
 	// The transport is used directly because a client would follow redirects.
-	rs, err := rr.transport.RoundTrip(rq)
+	rs, err := rr.transport.RoundTrip(hr)
 	if err != nil {
-		return fmt.Errorf("%w: %w", ct.classify(), err)
+		return Response{}, fmt.Errorf("%w: %w", ct.classify(), err)
 	}
 	defer func() { _ = rs.Body.Close() }()
-	return decode(rs, out)
-}
-
-func decode(rs *http.Response, out any) error {
 	data, err := io.ReadAll(io.LimitReader(rs.Body, maxAnswerBytes))
 	if err != nil {
-		return fmt.Errorf("%w: %w", ErrAnswerLost, err)
+		return Response{}, fmt.Errorf("%w: %w", ErrAnswerLost, err)
 	}
-	if rs.StatusCode != http.StatusOK {
+	return Response{rs.StatusCode, data}, nil
+}
+
+func decode(rs Response, out any) error {
+	if rs.Status != http.StatusOK {
 		fl := &Failure{}
-		if json.Unmarshal(data, fl) != nil {
+		if json.Unmarshal(rs.Body, fl) != nil {
 			fl = &Failure{Message: "answer is no error document"}
 		}
-		fl.Status = rs.StatusCode
+		fl.Status = rs.Status
 		return fl
 	}
 	if out == nil {
 		return nil
 	}
-	if err := json.Unmarshal(data, out); err != nil {
+	if err := json.Unmarshal(rs.Body, out); err != nil {
 		return fmt.Errorf("%w: %w", ErrAnswerLost, err)
 	}
 	return nil
--- a/internal/request/prober/prober.go
+++ b/internal/request/prober/prober.go
@@ -53,6 +53,15 @@
 	return dl.DialContext(ctx, "tcp", ep.String())
 }
 
+// DialText is Dial in the form that http.Transport uses.
+func DialText(ctx context.Context, _, address string) (net.Conn, error) {
+	ep, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
+	}
+	return Dial(ctx, ep)
+}
+
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var serr error
 	err := raw.Control(func(fd uintptr) {
--- a/internal/telemetry/logger/catalogue.go
+++ b/internal/telemetry/logger/catalogue.go
@@ -49,4 +49,5 @@
 	batchEvents,
 	stateEvents,
 	operatorEvents,
+	jobEvents,
 )
--- a/internal/telemetry/meter/table.go
+++ b/internal/telemetry/meter/table.go
@@ -9,4 +9,5 @@
 	batchMetrics,
 	stateMetrics,
 	operatorMetrics,
+	jobMetrics,
 )
