Learn which images disturb which and pace only near the target

Cause: work that fills was paced to a halt beside every serving task, because a high tail was put down to it; the tails swing from 0.22 to 0.6 of the target by the tasks' own load. Ruled out: saturated workers (used equals paced).

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/currantrouter/currantrouter/internal/job/estimator"
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
@@ -92,6 +93,8 @@
 	// forgetSlack is added to the retention, so that a repeated submission that arrives late still
 	// meets its job.
 	forgetSlack = 60 * time.Second
+	// summaryInterval is the time between two lines about the load.
+	summaryInterval = time.Second
 	// snapshotEvery is the number of journal positions between two snapshots.
 	snapshotEvery = 600
 )
@@ -127,7 +130,10 @@
 	// it is not zero, tasks of inherited jobs that were not seen do not start.
 	unaccounted int
 	accounted   bool
-	snapshotAt  int64
+	// model is what this term has learned of images that disturb each other.
+	model      *estimator.Model
+	summarized time.Time
+	snapshotAt int64
 }
 
 // New returns a director that is not running yet.
@@ -142,6 +148,7 @@
 		facts:   map[modeler.JobID][]keeper.Fact{},
 		workers: map[modeler.WorkerID]*worker{},
 		waiting: map[*step]struct{}{},
+		model:   estimator.New(),
 	}
 }
 
@@ -294,6 +301,10 @@
 	for _, jb := range dr.jobs {
 		dr.release(jb, now)
 	}
+	if now.Sub(dr.summarized) >= summaryInterval {
+		dr.summarized = now
+		dr.summarize(now)
+	}
 }
 
 // record gives facts to the journal until they are durable and then calls the function, without
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -445,8 +445,13 @@
 	watch          appraiser.Watch
 	checkpoint     string
 	progress       int
-	// tail is the last reported tail latency of a serving task.
-	tail time.Duration
+	// load is what the last reported tail latency of a serving task shows, rise its change in a
+	// second, and loadAt when it was reported. See package estimator.
+	load, rise float64
+	loadAt     time.Time
+	tail       time.Duration
+	// measure is the last reported figure of the run, see modeler.ActiveRun.
+	measure int64
 	// pace is the last pace that was ordered, in percent.
 	pace int
 	// adopted runs were started by an earlier leader.
--- a/internal/job/director/observer.go
+++ b/internal/job/director/observer.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/currantrouter/currantrouter/internal/job/estimator"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/pacer"
+	"github.com/currantrouter/currantrouter/internal/job/placer"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
@@ -70,32 +74,181 @@
 	dr.move(at, "worker drains")
 }
 
-// pace slows work that fills beside serving tasks whose tail latency nears its target.
+// pace learns from the tails of serving tasks, slows work that fills beside those near their target,
+// and moves what harms them most.
 func (dr *Director) pace(wk *worker, now time.Time) {
+	if wk.serving > 0 {
+		dr.learn(wk, now)
+	}
 	if wk.filling == 0 {
 		return
 	}
-	share := 0.0
+	worst, strain := dr.mostStrained(wk)
+	caused := 0.0
+	if worst != nil {
+		sp := worst.task.step.spec
+		caused = dr.model.Disturbance(sp.Image, wk.fills()) / dr.model.Limit(sp.Image, sp.TailTarget)
+		if caused < leastCaused {
+			caused = 0
+		}
+	}
+	if wk.pace.Update(strain, caused, now) {
+		dr.log(logger.WorkerPaced, "Worker", wk.info.ID, "Percent", wk.pace.Percent(), "Strain", strain, "Caused", caused, "Filling", wk.filling, "Serving", wk.serving)
+	}
+	for _, at := range wk.list() {
+		if !at.task.step.spec.Fills || at.state != active || at.stopping {
+			continue
+		}
+		harm := 0.0
+		if worst != nil {
+			harm = dr.model.Harm(worst.task.step.spec.Image, at.task.step.spec.Image)
+		}
+		percent := wk.pace.Percent()
+		if harm < harmless {
+			percent = pacer.Full
+		}
+		if harm >= harmfulImage && strain >= pacer.Tight && at.task.moves < mostMoves {
+			dr.move(at, "harms a serving task")
+			percent = 0
+		}
+		if at.pace != percent {
+			dr.setPace(at, percent)
+		}
+	}
+}
+
+const (
+	// leastCaused is the strain from which work that fills is held responsible.
+	leastCaused = 0.01
+	// harmless is the harm of an image that is not paced, harmfulImage that of one that is moved.
+	harmless, harmfulImage = 0.1, 0.7
+	// loadAge is the age up to which a sibling's load is compared.
+	loadAge = 1200 * time.Millisecond
+	// riseWeight is the weight of a new observation in the rise of a load, and riseAhead how far
+	// ahead the load is foreseen: about the time until a pace takes effect.
+	riseWeight = 0.4
+	riseAhead  = 0.7
+	// shortestRise is the least time between two reports from which a rise is computed.
+	shortestRise = 200 * time.Millisecond
+)
+
+// noteTail takes a reported tail latency of a serving task.
+func (dr *Director) noteTail(at *attempt, tail time.Duration, now time.Time) {
+	if tail <= 0 {
+		return
+	}
+	load := dr.model.Load(at.task.step.spec.Image, tail)
+	since := now.Sub(at.loadAt)
+	if !at.loadAt.IsZero() && since < shortestRise {
+		at.load, at.tail = load, tail
+		return
+	}
+	if !at.loadAt.IsZero() {
+		at.rise += riseWeight * ((load-at.load)/since.Seconds() - at.rise)
+	}
+	at.tail, at.load, at.loadAt = tail, load, now
+}
+
+// serves reports whether the attempt is at work for users.
+func (at *attempt) serves() bool {
+	return at.task.step.spec.TailTarget > 0 && at.state == active && at.progress >= 100 && !at.loadAt.IsZero()
+}
+
+// mostStrained returns the serving task on the worker that is nearest to its target.
+func (dr *Director) mostStrained(wk *worker) (*attempt, float64) {
+	var worst *attempt
+	highest := 0.0
+	for _, at := range wk.attempts {
+		if !at.serves() {
+			continue
+		}
+		if strain := at.load / dr.model.Limit(at.task.step.spec.Image, at.task.step.spec.TailTarget); strain > highest {
+			worst, highest = at, strain
+		}
+	}
+	return worst, highest
+}
+
+// fills returns what work that fills uses on the worker.
+func (wk *worker) fills() []estimator.Fill {
+	var fills []estimator.Fill
 	for _, at := range wk.attempts {
-		if target := at.task.step.spec.TailTarget; target > 0 && at.tail > 0 {
-			share = max(share, float64(at.tail)/float64(target))
+		if at.task.step.spec.Fills && at.state == active && at.measure > 0 {
+			fills = append(fills, estimator.Fill{Image: at.task.step.spec.Image, Press: wk.press(at.measure)})
 		}
 	}
-	if wk.serving > 0 && wk.pace.Update(share, now) {
-		dr.log(logger.WorkerPaced, "Worker", wk.info.ID, "Percent", wk.pace.Percent(), "TailShare", share, "Filling", wk.filling, "Serving", wk.serving)
+	return fills
+}
+
+// press returns processors as a share of the worker's.
+func (wk *worker) press(milliCores int64) float64 {
+	return float64(milliCores) / float64(max(wk.info.Capacity.MilliCores, 1))
+}
+
+// learn compares the serving tasks of a worker with their siblings elsewhere.
+func (dr *Director) learn(wk *worker, now time.Time) {
+	byImage := map[string]float64{}
+	for _, fl := range wk.fills() {
+		byImage[fl.Image] += fl.Press
+	}
+	if len(byImage) == 0 {
+		return
 	}
-	percent := wk.pace.Percent()
-	if wk.serving == 0 {
-		percent = fullPace
+	fills := make([]estimator.Fill, 0, len(byImage))
+	for image, press := range byImage {
+		fills = append(fills, estimator.Fill{Image: image, Press: press})
 	}
 	for _, at := range wk.attempts {
-		if at.task.step.spec.Fills && at.state == active && at.pace != percent && !at.stopping {
-			dr.setPace(at, percent)
+		if !at.serves() {
+			continue
+		}
+		if own, ok := dr.siblingLoad(at, now); ok {
+			dr.model.Learn(at.task.step.spec.Image, at.load-own, fills)
 		}
 	}
 }
 
-const fullPace = 100
+// siblingLoad returns the load that an attempt would have undisturbed, from its siblings on other
+// workers.
+func (dr *Director) siblingLoad(at *attempt, now time.Time) (float64, bool) {
+	var loads []float64
+	for _, tk := range at.task.step.tasks {
+		for _, ot := range tk.attempts {
+			if ot.worker != at.worker && ot.serves() && now.Sub(ot.loadAt) < loadAge {
+				loads = append(loads, ot.load-dr.model.Disturbance(tk.step.spec.Image, ot.worker.fills()))
+			}
+		}
+	}
+	if len(loads) == 0 {
+		return 0, false
+	}
+	slices.Sort(loads)
+	return loads[len(loads)/2], true
+}
+
+// expectStrain returns the highest strain that is expected on a worker with one more task, and the
+// part of it that the task adds or gets from work that fills.
+func (dr *Director) expectStrain(wk *worker, dm *placer.Demand) (strain, harm float64) {
+	if dm.Serves {
+		for _, at := range wk.attempts {
+			if at.task.step.spec.Fills {
+				harm += dr.model.Harm(dm.Image, at.task.step.spec.Image) * wk.press(at.task.step.spec.Needs.MilliCores)
+			}
+		}
+		return harm, harm
+	}
+	for _, at := range wk.attempts {
+		sp := at.task.step.spec
+		if sp.TailTarget <= 0 {
+			continue
+		}
+		limit := dr.model.Limit(sp.Image, sp.TailTarget)
+		added := dr.model.Harm(sp.Image, dm.Image) * wk.press(dm.Needs.MilliCores) / limit
+		load := (at.load + max(0, at.rise)*riseAhead) / limit
+		strain, harm = max(strain, load+added), max(harm, added)
+	}
+	return strain, harm
+}
 
 func (dr *Director) setPace(at *attempt, percent int) {
 	former := at.pace
@@ -146,3 +299,38 @@
 	}
 	return list
 }
+
+// summarize logs what runs and waits.
+func (dr *Director) summarize(now time.Time) {
+	var waiting, filling, runs, serving, quarantined, silent int
+	var free, idleForFill, fillCores, fillUse, fillPaced int64
+	for sp := range dr.waiting {
+		if waiting += len(sp.waiting); sp.spec.Fills {
+			filling += len(sp.waiting)
+		}
+	}
+	for _, wk := range dr.workers {
+		runs += len(wk.attempts)
+		switch {
+		case wk.silent:
+			silent++
+		case wk.record.Quarantined(now):
+			quarantined++
+		}
+		for _, at := range wk.attempts {
+			if sp := at.task.step.spec; sp.Fills && at.state == active {
+				fillUse += at.measure
+				fillPaced += sp.Needs.MilliCores * int64(at.pace) / pacer.Full
+			}
+		}
+		free += wk.free.MilliCores
+		fillCores += wk.fillingCores
+		if wk.serving > 0 {
+			serving++
+		} else {
+			idleForFill += wk.free.MilliCores
+		}
+	}
+	dr.log(logger.LoadSummary, "Jobs", len(dr.jobs), "Waiting", waiting, "WaitingToFill", filling, "Runs", runs, "Workers", len(dr.workers),
+		"ServingWorkers", serving, "Quarantined", quarantined, "Silent", silent, "FreeCores", free, "IdleForFill", idleForFill, "FillingCores", fillCores, "FillingPaced", fillPaced, "FillingUsed", fillUse)
+}
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -74,6 +74,8 @@
 	needs modeler.Resources
 	label string
 	rack  string
+	// image matters for tasks that fill or serve.
+	image string
 }
 
 func (dr *Director) round(now time.Time) *round {
@@ -104,7 +106,7 @@
 	for _, wk := range rd.workers {
 		rd.cands = append(rd.cands, placer.Candidate{
 			Worker: &wk.info, Free: wk.free, Serving: wk.serving, Filling: wk.filling,
-			FillingCores: wk.fillingCores, Distrust: wk.record.Distrust(now),
+			FillingCores: wk.fillingCores, ServingCores: wk.servingCores, Distrust: wk.record.Distrust(now),
 		})
 	}
 	return rd
@@ -128,11 +130,15 @@
 			continue
 		}
 		dm := rd.dr.demand(tk)
-		key := failedDemand{pool, placer.Reserved(dm.Needs, dm.Fills), dm.Label, dm.Rack}
+		key := failedDemand{pool, placer.Reserved(dm.Needs, dm.Fills), dm.Label, dm.Rack, ""}
+		if dm.Fills || dm.Serves {
+			key.image = dm.Image
+		}
 		if rd.failed[key] {
 			return
 		}
 		rd.countSteps(sp)
+		rd.expectHarm(&dm)
 		ix := rd.choose(&dm, pool)
 		if ix < 0 {
 			if dm.PerWorker == 0 {
@@ -177,6 +183,18 @@
 	}
 }
 
+// expectHarm sets what the demand's task would do to its neighbours.
+func (rd *round) expectHarm(dm *placer.Demand) {
+	if !dm.Fills && !dm.Serves {
+		return
+	}
+	for ix, wk := range rd.workers {
+		cd := &rd.cands[ix]
+		cd.Strain, cd.Harm = rd.dr.expectStrain(wk, dm)
+		cd.OtherImages = dm.Serves && wk.serving > 0 && wk.servingImages[dm.Image] == 0
+	}
+}
+
 // hold keeps the worker with the most free processors from less urgent tasks, so that a large task
 // finds room when the next run there ends.
 func (rd *round) hold(dm *placer.Demand, pool modeler.PoolName) {
@@ -200,7 +218,8 @@
 	at := rd.dr.assign(tk, rd.workers[ix], rd.dr.nextRun(tk))
 	wk := at.worker
 	cd := &rd.cands[ix]
-	cd.Free, cd.Serving, cd.Filling, cd.FillingCores = wk.free, wk.serving, wk.filling, wk.fillingCores
+	cd.Free, cd.Serving, cd.Filling = wk.free, wk.serving, wk.filling
+	cd.FillingCores, cd.ServingCores = wk.fillingCores, wk.servingCores
 	return at
 }
 
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -68,10 +68,13 @@
 	// free is the capacity less all reservations.
 	free             modeler.Resources
 	serving, filling int
+	servingCores     int64
 	fillingCores     int64
-	attempts         map[attemptKey]*attempt
-	outbox           []*attempt
-	starters         int
+	// images counts the serving and the filling tasks by image.
+	servingImages, fillingImages map[string]int
+	attempts                     map[attemptKey]*attempt
+	outbox                       []*attempt
+	starters                     int
 	// foreign holds when a stop was last sent for a run that this term does not want.
 	foreign map[attemptKey]time.Time
 	record  appraiser.Record
@@ -135,7 +138,10 @@
 func (dr *Director) setWorker(info *modeler.Worker) {
 	wk := dr.workers[info.ID]
 	if wk == nil {
-		wk = &worker{attempts: map[attemptKey]*attempt{}, foreign: map[attemptKey]time.Time{}}
+		wk = &worker{
+			attempts: map[attemptKey]*attempt{}, foreign: map[attemptKey]time.Time{},
+			servingImages: map[string]int{}, fillingImages: map[string]int{},
+		}
 		wk.info = *info
 		wk.free = info.Capacity
 		dr.workers[info.ID] = wk
@@ -458,8 +464,9 @@
 		at.checkpoint = row.Checkpoint
 		at.task.checkpoint, at.task.saved = row.Checkpoint, float64(row.Progress)/100
 	}
+	at.measure = row.Measure
 	if at.task.step.spec.TailTarget > 0 {
-		at.tail = time.Duration(row.Measure) * time.Millisecond
+		dr.noteTail(at, time.Duration(row.Measure)*time.Millisecond, now)
 	}
 }
 
@@ -676,13 +683,7 @@
 	wk.attempts[attemptKey{tk.id(), run}] = at
 	wk.free = wk.free.Minus(placer.Reserved(sp.spec.Needs, sp.spec.Fills))
 	sp.perWorker[wk.info.ID]++
-	if sp.spec.Fills {
-		wk.filling++
-		wk.fillingCores += sp.spec.Needs.MilliCores
-	}
-	if sp.spec.TailTarget > 0 {
-		wk.serving++
-	}
+	wk.neighbour(sp.spec, 1)
 	return at
 }
 
@@ -699,14 +700,27 @@
 	if sp.perWorker[wk.info.ID]--; sp.perWorker[wk.info.ID] == 0 {
 		delete(sp.perWorker, wk.info.ID)
 	}
-	if sp.spec.Fills {
-		wk.filling--
-		wk.fillingCores -= sp.spec.Needs.MilliCores
-	}
-	if sp.spec.TailTarget > 0 {
-		wk.serving--
-	}
+	wk.neighbour(sp.spec, -1)
 	if sp.spec.Gang && at.run == sp.gangRun {
 		sp.gangRun = 0
 	}
 }
+
+// neighbour counts a task that serves or fills, or its end.
+func (wk *worker) neighbour(sp *modeler.Step, change int) {
+	count := func(images map[string]int) {
+		if images[sp.Image] += change; images[sp.Image] == 0 {
+			delete(images, sp.Image)
+		}
+	}
+	if sp.Fills {
+		wk.filling += change
+		wk.fillingCores += int64(change) * sp.Needs.MilliCores
+		count(wk.fillingImages)
+	}
+	if sp.TailTarget > 0 {
+		wk.serving += change
+		wk.servingCores += int64(change) * sp.Needs.MilliCores
+		count(wk.servingImages)
+	}
+}
--- a/internal/job/pacer/pacer.go
+++ b/internal/job/pacer/pacer.go
@@ -1,6 +1,6 @@
 // Package pacer decides how fast work that fills may run beside tasks that serve users. It answers
-// harm that depends on which images meet, changes within seconds and shows only in a tail latency
-// that lags by half a second.
+// serving tasks whose own load swings widely within seconds, so that the room for work that fills
+// comes and goes, and whose tail latency is known only half a second late.
 package pacer
 
 import "time"
@@ -8,15 +8,15 @@
 const (
 	// Full lets a task work at its own speed.
 	Full = 100
+	// Tight is the strain from which work that fills is slowed, and Calm the one below which it
+	// gets speed back. Strain is the load of a serving task as a share of the load at its target.
+	Tight, Calm = 0.97, 0.93
 	// step is how much of its speed work that fills gets back at a time.
-	step = 20
-	// calm is the share of the target below which speed is given back, tight that from which it
-	// is halved, over that from which the work that fills is halted.
-	calm, tight, over = 0.55, 0.75, 0.95
-	// interval is the least time between two steps up, twice the lag of the reports.
-	interval = time.Second
-	// settle is the time that a slower pace takes to show in the reports.
-	settle = 600 * time.Millisecond
+	step = 25
+	// settle is the time that a change takes to show in the reports.
+	settle = 500 * time.Millisecond
+	// least is the pace below which work is halted.
+	least = 10
 )
 
 // State is the pace of the work that fills on one worker. The zero value is full speed.
@@ -24,31 +24,22 @@
 	// slowed is 100 minus the pace.
 	slowed  int
 	changed time.Time
-	// learned is the pace at which the target was last exceeded, less a step. Speed is given back
-	// beyond it only slowly.
-	learned   int
-	learnedAt time.Time
 }
 
-// forget is the time after which a learned bound is tried again.
-const forget = 8 * time.Second
-
 // Percent returns the present pace.
 func (st *State) Percent() int { return Full - st.slowed }
 
-// Update takes the highest tail latency on the worker as a share of its target and reports whether
-// the pace changed.
-func (st *State) Update(share float64, now time.Time) bool {
+// Update takes the highest strain on the worker and the part of it that the work that fills causes
+// at its present pace. It reports whether the pace changed.
+func (st *State) Update(strain, caused float64, now time.Time) bool {
 	before := st.slowed
-	since := now.Sub(st.changed)
+	settled := now.Sub(st.changed) >= settle
 	switch {
-	case share >= over:
-		st.learn(now)
+	case strain >= 1 && caused > 0:
 		st.slowed = Full
-	case share >= tight && (since >= settle || before == 0):
-		st.learn(now)
-		st.slowed = Full - st.Percent()/2
-	case share < calm && since >= interval && st.mayRise(now):
+	case strain > Tight && caused > 0 && settled:
+		st.slowed = Full - st.lower(strain-Calm, caused)
+	case strain < Calm && settled:
 		st.slowed = max(0, st.slowed-step)
 	}
 	if st.slowed != before {
@@ -57,13 +48,11 @@
 	return st.slowed != before
 }
 
-func (st *State) learn(now time.Time) {
-	if st.Percent() > 0 {
-		st.learned, st.learnedAt = max(0, st.Percent()-step), now
+// lower returns the pace at which the strain falls by the excess.
+func (st *State) lower(excess, caused float64) int {
+	percent := int(float64(st.Percent()) * max(0, 1-excess/caused))
+	if percent < least {
+		return 0
 	}
-}
-
-func (st *State) mayRise(now time.Time) bool {
-	bounded := !st.learnedAt.IsZero() && now.Sub(st.learnedAt) < forget
-	return !bounded || st.Percent()+step <= st.learned
+	return percent
 }
--- a/internal/job/placer/placer.go
+++ b/internal/job/placer/placer.go
@@ -39,12 +39,19 @@
 	Serving, Filling int
 	// FillingCores is what the filling tasks ask for, in thousandths of a core.
 	FillingCores int64
+	// ServingCores is what the serving tasks reserve. They leave a part of it idle.
+	ServingCores int64
+	// OtherImages is set when the worker serves, but no task of the demand's image.
+	OtherImages bool
+	// Harm is the part of the strain that the task adds, or for a serving task the strain that the
+	// work that fills there would give it.
+	Harm float64
 	// Distrust is 0 for a sound worker and rises with its faults. At 1 and above the worker is
 	// used only when no other has room.
 	Distrust float64
-	// Disturbance is the expected harm, in shares of its target, that the task's image does to the
-	// serving tasks of the worker or takes from its neighbours.
-	Disturbance float64
+	// Strain is the highest load of the worker's serving tasks, as a share of the load at their
+	// targets, that is expected with the task there.
+	Strain float64
 	// SameStep is the number of the step's tasks there.
 	SameStep int
 }
@@ -55,15 +62,31 @@
 	costAvoided = 1000.0
 	// costDistrust is that of a worker with a distrust of 1.
 	costDistrust = 100.0
-	// costDisturbance is that of harm of the whole target.
-	costDisturbance = 60.0
-	// costNeighbour separates tasks that serve from tasks that fill.
-	costNeighbour = 40.0
+	// costMixed is that of harm as large as the load at the target.
+	costMixed = 60.0
+	// costStrain is that of serving tasks near their target, which may need the processors next.
+	costStrain = 3.0
 	// costFar is that of a worker on which the task takes twice as long.
 	costFar = 30.0
-	// costSpread is that of the share of the worker's processors that would be left idle. A task
-	// goes where it fits best, so that large tasks find room.
-	costSpread = 1.0
+	// costOpen is that of the first serving task on a worker, which closes it to work that fills.
+	costOpen = 10.0
+	// costOther is that of a serving task beside others of other images. Work that fills harms only
+	// some images, so workers of one image stay open to more of it.
+	costOther = 20.0
+	// costIdle is the share of the worker's processors that would be left idle. A task goes where it
+	// fits best, so that large tasks find room.
+	costIdle = 1.0
+)
+
+const (
+	// fullStrain is the strain from which no more work that fills joins a worker, and mostHarm how
+	// much of it one task may add. The rest is kept for the swings of the serving tasks.
+	fullStrain, mostHarm = 0.97, 0.08
+	// fillLimit is how much of the idle processors work that fills may ask for in all. Beyond it
+	// the tasks would only slow each other, and the first of them end later.
+	fillLimit = 1.1
+	// servingIdle is the part of their reservations that serving tasks leave idle most of the time.
+	servingIdle = 0.4
 )
 
 // Choose returns the index of the cheapest candidate that has room, or -1.
@@ -82,7 +105,24 @@
 
 // Allowed reports whether the worker may run the task and has room for it.
 func Allowed(dm *Demand, cd *Candidate) bool {
-	return Suits(dm, cd.Worker) && (dm.PerWorker <= 0 || cd.SameStep < dm.PerWorker) && reserved(dm).Fits(cd.Free)
+	return Suits(dm, cd.Worker) && (dm.PerWorker <= 0 || cd.SameStep < dm.PerWorker) &&
+		reserved(dm).Fits(cd.Free) && (!dm.Fills || mayFill(dm, cd))
+}
+
+// mayFill reports whether work that fills gets enough of the worker to be of use and is unlikely to
+// disturb its serving tasks, beside which it would be halted.
+func mayFill(dm *Demand, cd *Candidate) bool {
+	if cd.Serving > 0 && (cd.Strain > fullStrain || cd.Harm > mostHarm) {
+		return false
+	}
+	idle := float64(idleCores(cd))
+	wish := float64(cd.FillingCores + dm.Needs.MilliCores)
+	return cd.Filling == 0 && idle > 0 || wish <= fillLimit*idle
+}
+
+// idleCores returns the processors that work that fills can expect to get.
+func idleCores(cd *Candidate) int64 {
+	return max(0, cd.Free.MilliCores) + int64(servingIdle*float64(cd.ServingCores))
 }
 
 // Suits reports whether the worker could run the task if it were idle.
@@ -102,7 +142,7 @@
 }
 
 func cost(dm *Demand, cd *Candidate) float64 {
-	sum := costDistrust*cd.Distrust + costDisturbance*cd.Disturbance
+	sum := costDistrust * cd.Distrust
 	for _, id := range dm.Avoid {
 		if id == cd.Worker.ID {
 			sum += costAvoided
@@ -113,33 +153,26 @@
 	}
 	switch {
 	case dm.Fills:
-		return sum + costNeighbour*float64(cd.Serving) + idleCost(dm, cd)
+		sum += costMixed*cd.Harm + costStrain*cd.Strain
+		// The worker with the most idle processors is the least likely to lose them to other work.
+		left := idleCores(cd) - cd.FillingCores
+		return sum - costIdle*float64(left)/float64(max(cd.Worker.Capacity.MilliCores, 1))
 	case dm.Serves:
-		// Serving tasks load each other, so they spread over workers.
-		return sum + costNeighbour*(float64(cd.Filling)+0.5*float64(cd.Serving)) + spreadCost(dm, cd)
-	}
-	// Workers with serving tasks are closed to work that fills, so other work goes there first.
-	if cd.Serving > 0 {
-		sum -= costSpread
-	}
-	if cd.Filling > 0 {
-		sum += costSpread
+		sum += costMixed * cd.Harm
+		if cd.Serving == 0 {
+			sum += costOpen
+		}
+		if cd.OtherImages {
+			sum += costOther
+		}
+	case cd.Filling > 0:
+		// Other work takes processors from work that fills.
+		sum += costIdle
 	}
-	return sum + spreadCost(dm, cd)
-}
-
-// spreadCost is the share of the processors that stay free.
-func spreadCost(dm *Demand, cd *Candidate) float64 {
-	whole := float64(max(cd.Worker.Capacity.MilliCores, 1))
-	return costSpread * float64(cd.Free.MilliCores-dm.Needs.MilliCores) / whole
+	return sum + costIdle*idleShare(cd, dm.Needs.MilliCores)
 }
 
-// idleCost is the share of its wish that a filling task would not get.
-func idleCost(dm *Demand, cd *Candidate) float64 {
-	idle := float64(max(cd.Free.MilliCores, 0))
-	wish := float64(cd.FillingCores + dm.Needs.MilliCores)
-	short := 1 - math.Min(1, idle/math.Max(wish, 1))
-	// Among workers with enough idle processors the one with the most is the least likely to lose
-	// them to other work.
-	return costNeighbour*short + costSpread*(1-idle/float64(max(cd.Worker.Capacity.MilliCores, 1)))
+// idleShare is the share of the worker's processors that is idle once more are used.
+func idleShare(cd *Candidate, more int64) float64 {
+	return float64(cd.Free.MilliCores-more) / float64(max(cd.Worker.Capacity.MilliCores, 1))
 }
