--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -83,7 +83,8 @@
 	attempts []*attempt
 	// avoid holds workers on which the task failed or made no progress, newest last.
 	avoid []modeler.WorkerID
-	// unseen is set until this term knows what the earlier leader did with the task.
+	// unseen is set until this term has seen the task run or has started it. The end of an earlier
+	// run does not clear it: the earlier leader may have started the next one elsewhere.
 	unseen bool
 	// notBefore delays the next start after a refusal.
 	notBefore time.Time
@@ -244,7 +245,6 @@
 // remembered.
 func (dr *Director) count(tk *task, run modeler.Run, oc modeler.Outcome, checkpoint string) bool {
 	sp := tk.step
-	tk.unseen = false
 	tk.lastRun = max(tk.lastRun, run)
 	sp.occ.job.started = true
 	if tk.done || sp.occ.job.final != "" {
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -61,9 +61,12 @@
 	leaseEnd time.Duration
 	// seen and noted are the numbers of the last end that was processed and that is durable.
 	seen, noted int64
-	// noting is set while the journal has not yet taken the ends up to seen.
-	noting bool
-	silent bool
+	// unnoted holds the facts of ends that the journal was not given yet, finals the jobs that end
+	// with them, and noting is set while the journal has not taken the batch before.
+	unnoted []keeper.Fact
+	finals  []*job
+	noting  chan struct{}
+	silent  bool
 
 	// free is the capacity less all reservations.
 	free             modeler.Resources
@@ -192,7 +195,7 @@
 			return
 		case <-dr.loaded:
 		}
-		durable := dr.reported(ctx, wk, sentAt, &rep)
+		durable := dr.reported(wk, sentAt, &rep)
 		dr.kick()
 		select {
 		case <-ctx.Done():
@@ -240,7 +243,7 @@
 	}
 	order := &modeler.RenewOrder{Epoch: dr.op.Epoch, Noted: wk.noted, Wait: idleWait}
 	switch {
-	case !wk.answered || wk.silent || wk.noting:
+	case !wk.answered || wk.silent || wk.noting != nil:
 		order.Wait = 0
 	case wk.serving > 0 && wk.filling > 0:
 		order.Wait = pacedWait
@@ -322,15 +325,13 @@
 }
 
 // reported takes a worker's report. The channel is closed once its ends are durable.
-func (dr *Director) reported(ctx context.Context, wk *worker, sentAt time.Time, rep *modeler.Report) <-chan struct{} {
+func (dr *Director) reported(wk *worker, sentAt time.Time, rep *modeler.Report) <-chan struct{} {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	now := time.Now()
-	durable := make(chan struct{})
 	if rep.Born < wk.born {
 		// An answer that a later life has overtaken says nothing any more.
-		close(durable)
-		return durable
+		return dr.note(wk)
 	}
 	if rep.Born > wk.born {
 		dr.reborn(wk, rep.Born, now)
@@ -350,33 +351,42 @@
 	dr.missing(wk, listed, sentAt, now)
 	dr.judge(wk, now)
 	dr.pace(wk, now)
-	if len(facts) == 0 {
-		if !wk.noting {
-			wk.noted = wk.seen
-		}
+	wk.unnoted = append(wk.unnoted, facts...)
+	wk.finals = append(wk.finals, finals...)
+	return dr.note(wk)
+}
+
+// note gives the ends of a worker that are not durable to the journal, one batch at a time: the worker
+// forgets all ends up to a number, so that a later batch must not become durable before an earlier
+// one. The channel is closed once the batch under way is durable.
+func (dr *Director) note(wk *worker) <-chan struct{} {
+	if wk.noting != nil {
+		return wk.noting
+	}
+	durable := make(chan struct{})
+	if len(wk.unnoted) == 0 {
+		wk.noted = wk.seen
 		close(durable)
 		return durable
 	}
-	dr.note(wk, facts, finals, durable)
-	return durable
-}
-
-// note gives ends to the journal. A worker has at most one batch there, because its loop waits for it.
-func (dr *Director) note(wk *worker, facts []keeper.Fact, finals []*job, durable chan struct{}) {
-	number, born := wk.seen, wk.born
-	wk.noting = true
+	facts, finals, number, born := wk.unnoted, wk.finals, wk.seen, wk.born
+	wk.unnoted, wk.finals, wk.noting = nil, nil, durable
 	dr.goRun(func(ctx context.Context) {
 		dr.record(ctx, facts, func() {
 			dr.mu.Lock()
 			defer dr.mu.Unlock()
+			wk.noting = nil
 			if wk.born == born {
 				wk.noted = max(wk.noted, number)
 			}
-			wk.noting = wk.noted < wk.seen
 			dr.settled(finals)
 			close(durable)
+			if len(wk.unnoted) > 0 {
+				dr.note(wk)
+			}
 		})
 	})
+	return durable
 }
 
 // settled tells callers of the ends that are durable now.
