Give no count of waiting jobs before they are loaded

Also keeps the queue's terms with each job, so that a restarted leader without a configuration does not count one failure as final.

--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -306,20 +306,19 @@
 	return attempts > 0 && !tk.step.spec.LongRunning && len(tk.failures) >= attempts
 }
 
-// attempts returns the number of failed runs after which a job has failed. A queue that operators
-// have removed keeps the smallest sensible number, so that its tasks never exceed the former one.
-func (dr *Director) attempts(jb *job) int {
-	if qu := dr.queue(jb); qu != nil && qu.Attempts > 0 {
-		return qu.Attempts
-	}
-	return 1
-}
+// attempts returns the number of failed runs after which a job has failed.
+func (dr *Director) attempts(jb *job) int { return dr.queue(jb).Attempts }
 
+// queue returns the job's queue in the configuration in force, or as it was when the job was accepted.
 func (dr *Director) queue(jb *job) *modeler.Queue {
 	if cfg := dr.op.Configuration(); cfg != nil {
-		return cfg.Queue(jb.Queue)
+		if qu := cfg.Queue(jb.Queue); qu != nil {
+			return qu
+		}
+	}
+	return &modeler.Queue{
+		Name: jb.Queue, Pool: jb.Pool, Priority: jb.Priority, Attempts: jb.Attempts, Stretch: jb.Stretch, Target: jb.Target,
 	}
-	return nil
 }
 
 // close ends a job: nothing of it waits any more and all of its runs are stopped.
@@ -372,8 +371,14 @@
 	return modeler.Queued, true
 }
 
-// Pending returns the number of jobs of a queue of which no task has started.
-func (dr *Director) Pending(queue modeler.QueueName) int {
+// Pending returns the number of jobs of a queue of which no task has started, and false while the
+// stored jobs are not known yet.
+func (dr *Director) Pending(queue modeler.QueueName) (int, bool) {
+	select {
+	case <-dr.loaded:
+	default:
+		return 0, false
+	}
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	count := 0
@@ -382,28 +387,23 @@
 			count++
 		}
 	}
-	return count
+	return count, true
 }
 
 // group returns what the ranker needs to know of a step.
 func (dr *Director) group(sp *step) ranker.Group {
 	jb := sp.occ.job
-	gr := ranker.Group{Priority: lowestPriority, Submitted: sp.occ.due, Remaining: sp.remaining, LongRunning: sp.spec.LongRunning}
+	qu := dr.queue(jb)
 	var chain time.Duration
 	for _, other := range sp.occ.steps {
 		chain = max(chain, other.remaining)
 	}
-	gr.Objective = ranker.Objective(chain, 1, 0)
-	if qu := dr.queue(jb); qu != nil {
-		gr.Priority = qu.Priority
-		gr.Objective = ranker.Objective(chain, qu.Stretch, qu.Target)
+	return ranker.Group{
+		Priority: qu.Priority, Submitted: sp.occ.due, Objective: ranker.Objective(chain, qu.Stretch, qu.Target),
+		Remaining: sp.remaining, LongRunning: sp.spec.LongRunning,
 	}
-	return gr
 }
 
-// lowestPriority is that of jobs whose queue operators have removed.
-const lowestPriority = 1 << 20
-
 // usual returns the run time that tasks of the step have had or will have at their present rates.
 func (sp *step) usual(except *attempt, now time.Time) time.Duration {
 	all := slices.Clone(sp.totals)
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -289,12 +289,7 @@
 	sp.gangRun = run
 }
 
-func (dr *Director) pool(jb *job) modeler.PoolName {
-	if qu := dr.queue(jb); qu != nil {
-		return qu.Pool
-	}
-	return jb.Pool
-}
+func (dr *Director) pool(jb *job) modeler.PoolName { return dr.queue(jb).Pool }
 
 // startable reports whether a waiting task may start now.
 func (dr *Director) startable(tk *task, now time.Time) bool {
--- a/internal/job/intaker/intaker.go
+++ b/internal/job/intaker/intaker.go
@@ -357,7 +357,9 @@
 // Pending returns the number of jobs of a queue of which no task has started. Errors: ErrNoAnswer.
 func (it *Intaker) Pending(ctx context.Context, queue modeler.QueueName) (int, error) {
 	if dr := it.op.Director(); dr != nil {
-		return dr.Pending(queue), nil
+		if jobs, ok := dr.Pending(queue); ok {
+			return jobs, nil
+		}
 	}
 	it.mu.Lock()
 	known, ok := it.pending[queue]
--- a/internal/job/intaker/server.go
+++ b/internal/job/intaker/server.go
@@ -111,7 +111,11 @@
 	if dr == nil {
 		return nil, errNotLeading
 	}
-	return &messenger.PendingCount{Jobs: int64(dr.Pending(modeler.QueueName(qn.Name)))}, nil
+	jobs, ok := dr.Pending(modeler.QueueName(qn.Name))
+	if !ok {
+		return nil, errNotLeading
+	}
+	return &messenger.PendingCount{Jobs: int64(jobs)}, nil
 }
 
 // Queues implements messenger.Jobs.
--- a/internal/job/modeler/job.go
+++ b/internal/job/modeler/job.go
@@ -96,8 +96,13 @@
 type Job struct {
 	ID    JobID
 	Queue QueueName
-	// Pool is that of the queue when the job was accepted.
-	Pool PoolName
+	// Pool, Priority, Attempts, Stretch and Target are those of the queue when the job was accepted.
+	// They hold while the queue is not in the configuration.
+	Pool     PoolName
+	Priority int           `json:",omitempty"`
+	Attempts int           `json:",omitempty"`
+	Stretch  float64       `json:",omitempty"`
+	Target   time.Duration `json:",omitempty"`
 	// Spec is passed to every task unchanged.
 	Spec  string
 	Steps []Step
