--- /dev/null
+++ b/internal/job/director/director_test.go
@@ -0,0 +1,338 @@
+package director_test
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
+)
+
+// Guards against steps that start before those that they follow, and against an end that is told
+// before it is durable.
+func TestSteps(t *testing.T) {
+	t.Run("a step waits for the ones before", func(t *testing.T) {
+		run(t, 2, func(fl *fleet, tm *term) {
+			jb := simpleJob("j1", "batch", 4, cores(1000))
+			jb.Steps = append(jb.Steps, modeler.Step{Count: 2, Needs: cores(1000), After: []int{0}})
+			tm.submit(jb)
+			tm.assertState("j1", modeler.Queued)
+			sleep(900 * time.Millisecond)
+			tm.assertState("j1", modeler.Running)
+			qt.Check(t, fl.workers.Starts(modeler.TaskID{Job: "j1", Step: 1}), qt.Equals, 0)
+			sleep(600 * time.Millisecond)
+			qt.Check(t, fl.workers.Starts(modeler.TaskID{Job: "j1", Step: 1}), qt.Equals, 1)
+			sleep(time.Second)
+			tm.assertState("j1", modeler.Completed)
+		})
+	})
+	t.Run("an end that cannot be stored is not told", func(t *testing.T) {
+		run(t, 1, func(fl *fleet, tm *term) {
+			tm.submit(simpleJob("j1", "batch", 1, cores(1000)))
+			sleep(500 * time.Millisecond)
+			fl.faults.Set(emulator.Switch{Fault: emulator.Unavailable, Part: emulator.PartStore, Operation: "Put"})
+			sleep(3 * time.Second)
+			tm.assertState("j1", modeler.Running)
+			fl.faults.Clear()
+			sleep(6 * time.Second)
+			tm.assertState("j1", modeler.Completed)
+		})
+	})
+}
+
+// Guards against a job that fails too early, too late, or starts again after it has failed.
+func TestFailures(t *testing.T) {
+	task := modeler.TaskID{Job: "j1"}
+	run(t, 4, func(fl *fleet, tm *term) {
+		fl.work[task] = emulator.TaskBehaviour{Work: 200 * time.Millisecond, Fails: true}
+		tm.submit(simpleJob("j1", "batch", 2, cores(1000)))
+		sleep(20 * time.Second)
+		tm.assertState("j1", modeler.Failed)
+		qt.Check(t, fl.workers.Starts(task), qt.Equals, 3)
+	})
+}
+
+// Guards against tasks that go on after their job was cancelled, also when a start was carried out
+// late.
+func TestCancel(t *testing.T) {
+	t.Run("running", func(t *testing.T) {
+		run(t, 1, func(fl *fleet, tm *term) {
+			jb := simpleJob("j1", "urgent", 3, cores(1000))
+			jb.Steps[0].LongRunning = true
+			tm.submit(jb)
+			sleep(2 * time.Second)
+			tm.Cancel("j1")
+			sleep(time.Second)
+			tm.assertState("j1", modeler.Cancelled)
+			qt.Check(t, fl.workers.Where(modeler.TaskID{Job: "j1"}), qt.Equals, modeler.WorkerID(""))
+		})
+	})
+	t.Run("start carried out late", func(t *testing.T) {
+		run(t, 1, func(fl *fleet, tm *term) {
+			fl.faults.Set(emulator.Switch{Fault: emulator.Late, Part: emulator.PartWorkers, Operation: "Start", Count: 1, Delay: 3 * time.Second})
+			tm.submit(simpleJob("j1", "urgent", 1, cores(1000)))
+			sleep(100 * time.Millisecond)
+			tm.Cancel("j1")
+			sleep(10 * time.Second)
+			qt.Check(t, fl.workers.Starts(modeler.TaskID{Job: "j1"}), qt.Equals, 0)
+		})
+	})
+}
+
+// Guards against a second run of a task whose first start got no answer, and against a task that is
+// lost with it.
+func TestStartWithoutAnswer(t *testing.T) {
+	for name, sw := range map[string]emulator.Switch{
+		"request lost": {Fault: emulator.RequestLost},
+		"answer lost":  {Fault: emulator.AnswerLost},
+		"late":         {Fault: emulator.Late, Delay: 2 * time.Second},
+		"refused":      {Fault: emulator.Unavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 3, func(fl *fleet, tm *term) {
+				sw.Part, sw.Operation, sw.Count = emulator.PartWorkers, "Start", 2
+				fl.faults.Set(sw)
+				tm.submit(simpleJob("j1", "urgent", 2, cores(1000)))
+				sleep(12 * time.Second)
+				tm.assertState("j1", modeler.Completed)
+			})
+		})
+	}
+}
+
+// Guards against runs on a silent worker that are started elsewhere while they may go on there.
+func TestSilentWorker(t *testing.T) {
+	for name, silence := range map[string]time.Duration{"short": 4 * time.Second, "beyond the lease": 15 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 2, func(fl *fleet, tm *term) {
+				jb := simpleJob("j1", "urgent", 1, cores(1000))
+				jb.Steps[0].LongRunning = true
+				tm.submit(jb)
+				sleep(2 * time.Second)
+				task := modeler.TaskID{Job: "j1"}
+				where := fl.workers.Where(task)
+				fl.workers.Cut(where, true)
+				sleep(silence)
+				fl.workers.Cut(where, false)
+				sleep(4 * time.Second)
+				want := 1
+				if silence > testLimits.Lease {
+					want = 2
+				}
+				qt.Check(t, fl.workers.Starts(task), qt.Equals, want)
+			})
+		})
+	}
+}
+
+// Guards against a worker that restarts under its id and is taken for the life before.
+func TestWorkerRestarts(t *testing.T) {
+	run(t, 1, func(fl *fleet, tm *term) {
+		jb := simpleJob("j1", "urgent", 1, cores(1000))
+		jb.Steps[0].LongRunning = true
+		tm.submit(jb)
+		sleep(2 * time.Second)
+		fl.workers.Crash("worker-00")
+		sleep(time.Second)
+		tm.UpdateWorker(fl.workers.Add(workerInfo(0)))
+		sleep(2 * time.Second)
+		qt.Check(t, fl.workers.Where(modeler.TaskID{Job: "j1"}), qt.Equals, modeler.WorkerID("worker-00"))
+		qt.Check(t, fl.workers.Starts(modeler.TaskID{Job: "j1"}), qt.Equals, 2)
+	})
+}
+
+// Guards against a second run of what an earlier leader has started, and against ends that are lost
+// or counted twice between two leaders.
+func TestTakeover(t *testing.T) {
+	t.Run("all workers answer", func(t *testing.T) {
+		run(t, 4, func(fl *fleet, tm *term) {
+			for ix := range 6 {
+				jb := simpleJob(modeler.JobID(fmt.Sprint("j", ix)), "batch", 4, cores(2000))
+				jb.Steps = append(jb.Steps, modeler.Step{Count: 2, Needs: cores(1000), After: []int{0}})
+				tm.submit(jb)
+			}
+			for range 3 {
+				sleep(700 * time.Millisecond)
+				tm.end()
+				*tm = *fl.lead(10 * time.Second)
+			}
+			sleep(8 * time.Second)
+			for ix := range 6 {
+				tm.assertState(modeler.JobID(fmt.Sprint("j", ix)), modeler.Completed)
+			}
+		})
+	})
+	// The end of an earlier run was journaled and the next run is on a worker that does not answer.
+	t.Run("restored end of an earlier run", func(t *testing.T) {
+		run(t, 2, func(fl *fleet, tm *term) {
+			task := modeler.TaskID{Job: "j1"}
+			fl.work[task] = emulator.TaskBehaviour{Work: 300 * time.Millisecond, Fails: true}
+			tm.submit(simpleJob("j1", "batch", 1, cores(1000)))
+			sleep(200 * time.Millisecond)
+			first := fl.workers.Where(task)
+			fl.work[task] = emulator.TaskBehaviour{Work: 4 * time.Second}
+			sleep(time.Second)
+			second := fl.workers.Where(task)
+			qt.Assert(t, second != "" && second != first, qt.IsTrue)
+			tm.end()
+			fl.workers.Cut(second, true)
+			*tm = *fl.lead(10 * time.Second)
+			sleep(2 * time.Second)
+			fl.workers.Cut(second, false)
+			sleep(6 * time.Second)
+			tm.assertState("j1", modeler.Completed)
+		})
+	})
+	t.Run("a worker never answers", func(t *testing.T) {
+		run(t, 2, func(fl *fleet, tm *term) {
+			jb := simpleJob("j1", "urgent", 2, cores(12000))
+			jb.Steps[0].LongRunning = true
+			tm.submit(jb)
+			sleep(2 * time.Second)
+			tm.end()
+			fl.workers.Cut("worker-01", true)
+			*tm = *fl.lead(8 * time.Second)
+			sleep(5 * time.Second)
+			qt.Check(t, fl.workers.Where(modeler.TaskID{Job: "j1"}) != "", qt.IsTrue)
+			sleep(10 * time.Second)
+		})
+	})
+}
+
+// Guards against a batch of ends that becomes durable before an earlier one of the same worker and
+// makes the worker forget both.
+func TestEndsInOrder(t *testing.T) {
+	run(t, 1, func(fl *fleet, tm *term) {
+		for ix := range 3 {
+			fl.work[modeler.TaskID{Job: "j1", Index: ix}] = emulator.TaskBehaviour{Work: time.Duration(ix+1) * 600 * time.Millisecond}
+		}
+		tm.submit(simpleJob("j1", "batch", 3, cores(1000)))
+		sleep(550 * time.Millisecond)
+		fl.faults.Set(emulator.Switch{Fault: emulator.Unavailable, Part: emulator.PartStore, Operation: "Put", Target: "Journal/", Count: 2})
+		sleep(1200 * time.Millisecond)
+		tm.end()
+		*tm = *fl.lead(8 * time.Second)
+		sleep(4 * time.Second)
+		tm.assertState("j1", modeler.Completed)
+		for ix := range 3 {
+			qt.Check(t, fl.workers.Starts(modeler.TaskID{Job: "j1", Index: ix}), qt.Equals, 1)
+		}
+	})
+}
+
+// Guards against a count of waiting jobs that a new leader gives before it knows them.
+func TestPending(t *testing.T) {
+	run(t, 0, func(_ *fleet, tm *term) {
+		tm.submit(simpleJob("j1", "batch", 1, cores(1000)))
+		tm.submit(simpleJob("j2", "batch", 1, cores(1000)))
+		sleep(time.Second)
+		jobs, ok := tm.Pending("batch")
+		qt.Check(t, ok, qt.IsTrue)
+		qt.Check(t, jobs, qt.Equals, 2)
+	})
+}
+
+// Guards against the limits of a step and against tasks that stay on a worker that leaves.
+func TestPlacement(t *testing.T) {
+	t.Run("no more than a step allows on one worker", func(t *testing.T) {
+		run(t, 2, func(fl *fleet, tm *term) {
+			jb := simpleJob("j1", "batch", 6, cores(100))
+			jb.Steps[0].PerWorker = 2
+			tm.submit(jb)
+			sleep(500 * time.Millisecond)
+			count := map[modeler.WorkerID]int{}
+			for ix := range 6 {
+				count[fl.workers.Where(modeler.TaskID{Job: "j1", Index: ix})]++
+			}
+			qt.Check(t, count, qt.DeepEquals, map[modeler.WorkerID]int{"": 2, "worker-00": 2, "worker-01": 2})
+		})
+	})
+	t.Run("a draining worker is emptied", func(t *testing.T) {
+		run(t, 2, func(fl *fleet, tm *term) {
+			jb := simpleJob("j1", "urgent", 2, cores(1000))
+			jb.Steps[0].LongRunning = true
+			tm.submit(jb)
+			sleep(time.Second)
+			where := fl.workers.Where(modeler.TaskID{Job: "j1"})
+			for _, info := range fl.infos {
+				if info.ID == where {
+					info.Draining, info.Remaining = true, 2*time.Second
+					tm.UpdateWorker(info)
+				}
+			}
+			sleep(3 * time.Second)
+			now := fl.workers.Where(modeler.TaskID{Job: "j1"})
+			qt.Check(t, now != where && now != "", qt.IsTrue, qt.Commentf("from %s to %s", where, now))
+		})
+	})
+	t.Run("gangs start together or not at all", func(t *testing.T) {
+		run(t, 2, func(fl *fleet, tm *term) {
+			jb := simpleJob("j1", "batch", 3, cores(12000))
+			jb.Steps[0].Gang = true
+			tm.submit(jb)
+			sleep(3 * time.Second)
+			for ix := range 3 {
+				qt.Check(t, fl.workers.Starts(modeler.TaskID{Job: "j1", Index: ix}), qt.Equals, 0)
+			}
+			fl.infos = append(fl.infos, fl.workers.Add(workerInfo(2)))
+			tm.SetWorkers(fl.infos)
+			sleep(5 * time.Second)
+			for ix := range 3 {
+				qt.Check(t, fl.workers.Starts(modeler.TaskID{Job: "j1", Index: ix}), qt.Equals, 1)
+			}
+		})
+	})
+	t.Run("occurrences start when they are due", func(t *testing.T) {
+		run(t, 1, func(fl *fleet, tm *term) {
+			jb := simpleJob("j1", "batch", 1, cores(1000))
+			jb.Repeats, jb.First, jb.Interval = 3, time.Now().Add(2*time.Second), 3*time.Second
+			tm.submit(jb)
+			for occurrence := range 3 {
+				sleep(1900 * time.Millisecond)
+				qt.Check(t, fl.workers.Starts(modeler.TaskID{Job: "j1", Occurrence: occurrence}), qt.Equals, 0)
+				sleep(1100 * time.Millisecond)
+				qt.Check(t, fl.workers.Starts(modeler.TaskID{Job: "j1", Occurrence: occurrence}), qt.Equals, 1)
+			}
+			sleep(2 * time.Second)
+			tm.assertState("j1", modeler.Completed)
+		})
+	})
+}
+
+// Guards against tasks that stay where they stand still or crawl.
+func TestStragglers(t *testing.T) {
+	run(t, 6, func(fl *fleet, tm *term) {
+		fl.workers.Slow("worker-03", 50)
+		for ix := range 12 {
+			fl.work[modeler.TaskID{Job: "j1", Index: ix}] = emulator.TaskBehaviour{Work: 2 * time.Second}
+		}
+		jb := simpleJob("j1", "batch", 12, cores(7000))
+		jb.Steps[0].Checkpoints = true
+		tm.submit(jb)
+		sleep(9 * time.Second)
+		tm.assertState("j1", modeler.Completed)
+	})
+}
+
+// seeds returns the number of random days. DIRECTOR_SEEDS sets another one.
+func seeds() uint64 {
+	if num, err := strconv.ParseUint(os.Getenv("DIRECTOR_SEEDS"), 10, 32); err == nil {
+		return num
+	}
+	return 20
+}
+
+// Guards against any of the above under faults that come together, with seeds that are printed.
+func TestRandomFaults(t *testing.T) {
+	for seed := range seeds() {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { randomDay(t, seed) })
+		})
+	}
+}
--- /dev/null
+++ b/internal/job/director/harness_test.go
@@ -0,0 +1,201 @@
+package director_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"github.com/currantrouter/currantrouter/internal/job/director"
+	"github.com/currantrouter/currantrouter/internal/job/keeper"
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
+	"github.com/currantrouter/currantrouter/internal/state/journaler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
+)
+
+const testPool modeler.PoolName = "pool"
+
+// testLimits are those of the installations with the longest leases.
+var testLimits = director.Limits{
+	Lease: 7 * time.Second, Stop: 400 * time.Millisecond, Retention: 2 * time.Minute,
+	Restore: 100 * time.Millisecond, FarFactor: 1.5,
+}
+
+// fleet is a store and workers that outlive terms.
+type fleet struct {
+	t       testing.TB
+	faults  *emulator.Faults
+	store   *emulator.Store
+	workers *emulator.JobWorkers
+	infos   []modeler.Worker
+	config  *modeler.Configuration
+	// work tells how tasks go. Tasks without an entry take a second.
+	work map[modeler.TaskID]emulator.TaskBehaviour
+	jobs []*modeler.Job
+	// cancelled holds the jobs whose cancellation is stored.
+	cancelled []modeler.JobID
+}
+
+// newFleet returns workers of 16 cores each, four to a rack.
+func newFleet(t testing.TB, workers int) *fleet {
+	fl := &fleet{t: t, faults: new(emulator.Faults), work: map[modeler.TaskID]emulator.TaskBehaviour{}}
+	fl.store = emulator.NewStore(fl.faults)
+	fl.workers = emulator.NewJobWorkers(fl.faults, fl.behave)
+	for ix := range workers {
+		fl.infos = append(fl.infos, fl.workers.Add(workerInfo(ix)))
+	}
+	fl.config = &modeler.Configuration{Revision: 1, Queues: []modeler.Queue{
+		{Name: "urgent", Pool: testPool, Priority: 0, Attempts: 2, Stretch: 1.5, Target: 250 * time.Millisecond},
+		{Name: "batch", Pool: testPool, Priority: 2, Attempts: 3, Stretch: 2, Target: time.Second},
+	}}
+	return fl
+}
+
+func workerInfo(ix int) modeler.Worker {
+	return modeler.Worker{
+		ID: modeler.WorkerID(fmt.Sprintf("worker-%02d", ix)), Pool: testPool,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(ix / 200), byte(ix % 200)}), 80), Labels: []string{"kind-a"},
+		Rack:     fmt.Sprintf("rack-%d", ix/4),
+		Capacity: modeler.Resources{MilliCores: 16000, MemoryMB: 64000},
+	}
+}
+
+func (fl *fleet) behave(id modeler.TaskID) emulator.TaskBehaviour {
+	bh, ok := fl.work[id]
+	if !ok {
+		bh.Work = time.Second
+	}
+	for _, jb := range fl.jobs {
+		if jb.ID == id.Job {
+			sp := jb.Steps[id.Step]
+			bh.Needs = sp.Needs
+			if sp.Fills {
+				bh.Needs.MilliCores = 0
+			}
+			bh.LongRunning, bh.Checkpoints = sp.LongRunning, sp.Checkpoints
+		}
+	}
+	return bh
+}
+
+// term is one term of leadership over a fleet.
+type term struct {
+	*director.Director
+	fleet  *fleet
+	cancel context.CancelFunc
+	ended  chan struct{}
+}
+
+// lead begins the next term and ends it with the test.
+func (fl *fleet) lead(inherited time.Duration) *term {
+	jn, rec, err := journaler.Open(fl.t.Context(), fl.store, "jobs", "host", "boot", journaler.Options{Logger: logr.Discard()})
+	for errors.Is(err, journaler.ErrUnavailable) {
+		jn, rec, err = journaler.Open(fl.t.Context(), fl.store, "jobs", "host", "boot", journaler.Options{Logger: logr.Discard()})
+	}
+	qt.Assert(fl.t, err, qt.IsNil)
+	dr := director.New(director.Options{
+		Epoch: modeler.Epoch(rec.Epoch), Orders: fl.workers, Journal: jn, Book: keeper.NewBook(fl.store),
+		Configuration: func() *modeler.Configuration { return fl.config }, Authorized: func() bool { return true },
+		Inherited: inherited, Limits: testLimits, Log: testLog(fl.t), Meter: meter.New(nil),
+	})
+	dr.Restore(append(rec.Parts, rec.Records...))
+	ctx, cancel := context.WithCancel(context.Background())
+	tm := &term{Director: dr, fleet: fl, cancel: cancel, ended: make(chan struct{})}
+	dr.Start(ctx)
+	dr.SetWorkers(fl.infos)
+	for _, jb := range fl.jobs {
+		dr.Add(jb, true)
+	}
+	for _, id := range fl.cancelled {
+		dr.Cancel(id)
+	}
+	dr.Loaded()
+	go func() {
+		defer close(tm.ended)
+		err := dr.Wait()
+		qt.Check(fl.t, err == nil || errors.Is(err, director.ErrTermOver), qt.IsTrue)
+		jn.Close()
+	}()
+	return tm
+}
+
+// testLog writes the decisions of a test when DIRECTOR_LOG is set.
+func testLog(t testing.TB) logr.Logger {
+	if os.Getenv("DIRECTOR_LOG") == "" {
+		return logr.Discard()
+	}
+	lg, err := logger.New(os.Stdout, "text")
+	qt.Assert(t, err, qt.IsNil)
+	return lg
+}
+
+// end ends the term as the loss of its host does.
+func (tm *term) end() {
+	tm.cancel()
+	<-tm.ended
+}
+
+// submit stores a job and tells the term of it.
+func (tm *term) submit(jb *modeler.Job) {
+	jb.Submitted = time.Now()
+	if jb.Pool == "" {
+		jb.Pool = testPool
+	}
+	tm.fleet.jobs = append(tm.fleet.jobs, jb)
+	qt.Assert(tm.fleet.t, keeper.NewBook(tm.fleet.store).Submit(tm.fleet.t.Context(), jb), qt.IsNil)
+	tm.Add(jb, false)
+}
+
+// cores returns the need of so many thousandths of a core.
+func cores(milli int64) modeler.Resources {
+	return modeler.Resources{MilliCores: milli, MemoryMB: 100}
+}
+
+// simpleJob returns a job of one step.
+func simpleJob(id modeler.JobID, queue modeler.QueueName, count int, needs modeler.Resources) *modeler.Job {
+	return &modeler.Job{ID: id, Queue: queue, Spec: "spec", Steps: []modeler.Step{{Count: count, Needs: needs, Estimate: time.Second}}}
+}
+
+// assertState checks what callers are told of a job.
+func (tm *term) assertState(id modeler.JobID, want modeler.State) {
+	tm.fleet.t.Helper()
+	got, ok := tm.State(id)
+	qt.Assert(tm.fleet.t, ok, qt.IsTrue, qt.Commentf("job %s is not known", id))
+	qt.Assert(tm.fleet.t, got, qt.Equals, want, qt.Commentf("job %s", id))
+}
+
+// assertSound checks that nothing has happened that never may.
+func (fl *fleet) assertSound() {
+	fl.t.Helper()
+	qt.Assert(fl.t, fl.workers.Violations(), qt.HasLen, 0)
+}
+
+// run runs a test on the paused clock and ends the term with it.
+func run(t *testing.T, workers int, test func(fl *fleet, tm *term)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, workers)
+		tm := fl.lead(0)
+		// A failed assertion ends the test, and the clock needs all goroutines to end.
+		defer func() { tm.end() }()
+		test(fl, tm)
+		tm.end()
+		fl.assertSound()
+	})
+}
+
+// sleep passes time and lets all that follows from it happen.
+func sleep(dur time.Duration) {
+	time.Sleep(dur)
+	synctest.Wait()
+}
+
--- /dev/null
+++ b/internal/job/director/random_test.go
@@ -0,0 +1,85 @@
+package director_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
+)
+
+// randomDay plays jobs, takeovers, cut and crashed workers, and lost orders, in an order that the
+// seed decides. Every job has ended in the end.
+func randomDay(t *testing.T, seed uint64) {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	fl := newFleet(t, 6)
+	tm := fl.lead(0)
+	defer func() { tm.end() }()
+	for round := range 40 {
+		if round < 30 {
+			jb := randomJob(rnd, fl, modeler.JobID(fmt.Sprint("j", round)))
+			tm.submit(jb)
+		}
+		switch rnd.IntN(9) {
+		case 0:
+			tm.end()
+			tm = fl.lead(12 * time.Second)
+		case 1:
+			id := fl.infos[rnd.IntN(len(fl.infos))].ID
+			fl.workers.Cut(id, true)
+			time.AfterFunc(time.Duration(rnd.IntN(9000))*time.Millisecond, func() { fl.workers.Cut(id, false) })
+		case 2:
+			ix := rnd.IntN(len(fl.infos))
+			fl.workers.Crash(fl.infos[ix].ID)
+			fl.infos[ix] = fl.workers.Add(workerInfo(ix))
+			tm.UpdateWorker(fl.infos[ix])
+		case 3:
+			kinds := []emulator.Fault{emulator.AnswerLost, emulator.RequestLost, emulator.Late, emulator.Unavailable}
+			operations := []string{"Start", "Stop", "Renew", ""}
+			fl.faults.Set(emulator.Switch{
+				Fault: kinds[rnd.IntN(len(kinds))], Part: emulator.PartWorkers, Operation: operations[rnd.IntN(len(operations))],
+				Count: 1 + rnd.IntN(8), Delay: time.Duration(2000+rnd.IntN(6000)) * time.Millisecond,
+			})
+		case 4:
+			fl.faults.Set(emulator.Switch{Fault: emulator.Unavailable, Part: emulator.PartStore, Operation: "Put", Target: "Journal/", Count: 1 + rnd.IntN(10)})
+		case 5:
+			id := modeler.JobID(fmt.Sprint("j", rnd.IntN(round+1)))
+			if st, ok := tm.State(id); ok && !st.Final() {
+				fl.cancelled = append(fl.cancelled, id)
+				tm.Cancel(id)
+			}
+		}
+		sleep(time.Duration(100+rnd.IntN(900)) * time.Millisecond)
+		fl.assertSound()
+	}
+	fl.faults.Clear()
+	sleep(60 * time.Second)
+	fl.assertSound()
+	for _, jb := range fl.jobs {
+		st, ok := tm.State(jb.ID)
+		qt.Check(t, ok, qt.IsTrue, qt.Commentf("job %s", jb.ID))
+		qt.Check(t, st.Final(), qt.IsTrue, qt.Commentf("job %s is %s", jb.ID, st))
+	}
+}
+
+func randomJob(rnd *rand.Rand, fl *fleet, id modeler.JobID) *modeler.Job {
+	queues := []modeler.QueueName{"urgent", "batch"}
+	jb := simpleJob(id, queues[rnd.IntN(2)], 1+rnd.IntN(5), cores(int64(500+rnd.IntN(3000))))
+	jb.Steps[0].Checkpoints = rnd.IntN(2) == 0
+	if rnd.IntN(2) == 0 {
+		jb.Steps = append(jb.Steps, modeler.Step{Count: 1 + rnd.IntN(3), Needs: cores(800), After: []int{0}})
+	}
+	for no, sp := range jb.Steps {
+		for ix := range sp.Count {
+			fl.work[modeler.TaskID{Job: id, Step: no, Index: ix}] = emulator.TaskBehaviour{
+				Work:  time.Duration(200+rnd.IntN(2500)) * time.Millisecond,
+				Fails: rnd.IntN(60) == 0,
+			}
+		}
+	}
+	return jb
+}
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -388,6 +389,8 @@
 	dr.log(logger.StartRejected, "Task", order.Task.String(), "Run", order.Run, "Worker", wk.info.ID, "Error", err.Error())
 	switch {
 	case errors.Is(err, modeler.ErrNoAnswer):
+		maps.DeleteFunc(wk.doubtful, func(_ attemptKey, since time.Time) bool { return now.Sub(since) > longestDelay })
+		wk.doubtful[attemptKey{order.Task, order.Run}] = now
 		if at.state == sent {
 			at.state, at.lateAt = uncertain, order.Deadline
 		}
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -35,6 +35,8 @@
 	unnotedPause = 250 * time.Millisecond
 	// retryPause is the pause after a renewal without answer.
 	retryPause = 100 * time.Millisecond
+	// longestDelay is how late an order without answer may be carried out.
+	longestDelay = 15 * time.Second
 	// foreignRepeat is the time until a stop of an unknown run is repeated.
 	foreignRepeat = time.Second
 )
@@ -78,6 +80,8 @@
 	attempts                     map[attemptKey]*attempt
 	outbox                       []*attempt
 	starters                     int
+	// doubtful holds when starts lost their answer. They may reach a later life.
+	doubtful map[attemptKey]time.Time
 	// foreign holds when a stop was last sent for a run that this term does not want.
 	foreign map[attemptKey]time.Time
 	record  appraiser.Record
@@ -142,7 +146,7 @@
 	wk := dr.workers[info.ID]
 	if wk == nil {
 		wk = &worker{
-			attempts: map[attemptKey]*attempt{}, foreign: map[attemptKey]time.Time{},
+			attempts: map[attemptKey]*attempt{}, foreign: map[attemptKey]time.Time{}, doubtful: map[attemptKey]time.Time{},
 			servingImages: map[string]int{}, fillingImages: map[string]int{},
 		}
 		wk.info = *info
@@ -428,6 +432,12 @@
 	}
 	// Nothing is known of the new life's clock until it answers.
 	wk.answered = false
+	for key, since := range wk.doubtful {
+		if wk.attempts[key] == nil && now.Sub(since) < longestDelay {
+			dr.stopForeign(wk, key.task, key.run, now)
+		}
+	}
+	clear(wk.doubtful)
 	for _, at := range wk.list() {
 		if at.state == sent || at.state == uncertain {
 			// A start without answer may yet reach the new life, whose clock does not refuse it.
--- a/internal/provider/emulator/store.go
+++ b/internal/provider/emulator/store.go
@@ -163,6 +163,17 @@
 	return page(st.keys, st.entries, prefix, after, limit), nil
 }
 
+// Snapshot returns all entries with the prefix, and the revision that they belong to. Errors:
+// ErrUnavailable.
+func (st *Store) Snapshot(ctx context.Context, prefix string) ([]storer.Entry, int64, error) {
+	if err := st.read(ctx, "Snapshot", prefix); err != nil {
+		return nil, 0, err
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return page(st.keys, st.entries, prefix, "", len(st.keys)), st.revision, nil
+}
+
 func page(keys []string, entries map[string]storer.Entry, prefix, after string, limit int) []storer.Entry {
 	var out []storer.Entry
 	ix, _ := slices.BinarySearch(keys, max(prefix, after))
