--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -84,6 +84,8 @@
 	tick = 100 * time.Millisecond
 	// dispatchPause bounds the rate of placement rounds, each of which orders all waiting steps.
 	dispatchPause = 4 * time.Millisecond
+	// dispatchShare is how many times as long as a round the pause after it lasts.
+	dispatchShare = 3
 	// appendRetry is the pause before facts are given to the journal again.
 	appendRetry = 150 * time.Millisecond
 	// confirmTimeout bounds a look at the end of the journal.
@@ -261,10 +263,12 @@
 			return
 		case <-dr.kicked:
 		}
+		began := time.Now()
 		dr.mu.Lock()
-		dr.dispatch(time.Now())
+		dr.dispatch(began)
 		dr.mu.Unlock()
-		pause(ctx, dispatchPause)
+		// A host that is short of processor time spends at most a part of it on placement.
+		pause(ctx, max(dispatchPause, min(dispatchShare*time.Since(began), tick)))
 	}
 }
 
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -28,6 +28,9 @@
 	refusalPause = 250 * time.Millisecond
 	// stopRetry is the pause before a stop without answer is repeated.
 	stopRetry = 150 * time.Millisecond
+	// mostMisses ends a round: when so many steps found no room one after the other, the fleet is
+	// full, and looking further would cost the leader the time that it needs for its workers.
+	mostMisses = 24
 	// heldWorkers bounds the workers that a round keeps free for waiting tasks that fit nowhere.
 	heldWorkers = 3
 	// runsPerEpoch is the first run of a task in an epoch, per epoch. It makes every run of a new
@@ -44,7 +47,7 @@
 	}
 	rd := dr.round(now)
 	for _, gr := range rd.groups {
-		if len(rd.workers) == 0 {
+		if len(rd.workers) == 0 || rd.misses >= mostMisses {
 			return
 		}
 		rd.place(gr.step)
@@ -60,6 +63,10 @@
 	cands   []placer.Candidate
 	// held is the number of candidates that are kept free.
 	held int
+	// misses is the number of steps without room since the last one that had some.
+	misses int
+	// strains holds what a task of an image would do on each worker, by image.
+	strains map[string][]expectation
 	// failed holds the demands that found no room in this round.
 	failed map[failedDemand]bool
 }
@@ -80,7 +87,7 @@
 }
 
 func (dr *Director) round(now time.Time) *round {
-	rd := &round{dr: dr, now: now, failed: map[failedDemand]bool{}}
+	rd := &round{dr: dr, now: now, failed: map[failedDemand]bool{}, strains: map[string][]expectation{}}
 	for sp := range dr.waiting {
 		rd.groups = append(rd.groups, rankedStep{sp, dr.group(sp)})
 	}
@@ -136,6 +143,7 @@
 			key.image = dm.Image
 		}
 		if rd.failed[key] {
+			rd.misses++
 			return
 		}
 		rd.countSteps(sp)
@@ -145,9 +153,11 @@
 			if dm.PerWorker == 0 {
 				rd.failed[key] = true
 			}
+			rd.misses++
 			rd.hold(&dm, pool)
 			return
 		}
+		rd.misses = 0
 		rd.start(tk, ix)
 	}
 }
@@ -184,14 +194,30 @@
 	}
 }
 
+// expectation is what a task of an image would do to its neighbours on one worker.
+type expectation struct {
+	strain, harm float64
+	known        bool
+}
+
 // expectHarm sets what the demand's task would do to its neighbours.
 func (rd *round) expectHarm(dm *placer.Demand) {
 	if !dm.Fills && !dm.Serves {
 		return
 	}
+	list := rd.strains[dm.Image]
+	if list == nil {
+		list = make([]expectation, len(rd.workers))
+		rd.strains[dm.Image] = list
+	}
 	for ix, wk := range rd.workers {
+		ex := &list[ix]
+		if !ex.known {
+			ex.strain, ex.harm = rd.dr.expectStrain(wk, dm)
+			ex.known = true
+		}
 		cd := &rd.cands[ix]
-		cd.Strain, cd.Harm = rd.dr.expectStrain(wk, dm)
+		cd.Strain, cd.Harm = ex.strain, ex.harm
 		cd.OtherImages = dm.Serves && wk.serving > 0 && wk.servingImages[dm.Image] == 0
 	}
 }
@@ -221,6 +247,9 @@
 	cd := &rd.cands[ix]
 	cd.Free, cd.Serving, cd.Filling = wk.free, wk.serving, wk.filling
 	cd.FillingCores, cd.ServingCores = wk.fillingCores, wk.servingCores
+	for _, list := range rd.strains {
+		list[ix].known = false
+	}
 	return at
 }
 
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -21,11 +21,11 @@
 	// leaseMargin is added to the end of a lease for the time that the worker takes to end its runs.
 	leaseMargin = 150 * time.Millisecond
 	// busyWait and idleWait are how long a renewal waits for an end, on workers with and without runs.
-	busyWait = 800 * time.Millisecond
+	busyWait = time.Second
 	idleWait = 2 * time.Second
 	// pacedWait is that on a worker where work that fills runs beside serving tasks, whose tail
 	// latency has to be looked at more often than it is measured.
-	pacedWait = 300 * time.Millisecond
+	pacedWait = 500 * time.Millisecond
 	// renewSlack is the time beyond the wait after which a renewal has no answer.
 	renewSlack = 500 * time.Millisecond
 	// durableWait is how long the next renewal waits for the facts of the last one.
--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,11 +32,15 @@
 	round = 120 * time.Millisecond
 	// greetTimeout bounds a greeting. Hosts answer in a few milliseconds unless they are frozen or
 	// out of processor time.
-	greetTimeout = 300 * time.Millisecond
-	// suspectAfter is the silence of the leader after which the other hosts are asked.
-	suspectAfter = 450 * time.Millisecond
+	greetTimeout = 600 * time.Millisecond
+	// suspectAfter is the silence of the leader after which the other hosts are asked. A leader that
+	// is short of processor time answers late, and a takeover would cost it more.
+	suspectAfter = 1100 * time.Millisecond
+	// refusedAfter takes its place when the leader's address refuses connections, which only a
+	// process that is gone or a broken network does.
+	refusedAfter = 300 * time.Millisecond
 	// agreeAfter is the silence from which a host agrees that the leader is gone.
-	agreeAfter = 300 * time.Millisecond
+	agreeAfter = 700 * time.Millisecond
 	// standstill is how long the leader's record in the store stays unchanged before a host takes
 	// over that cannot ask a majority. The leader changes it every beatInterval.
 	standstill = 1600 * time.Millisecond
@@ -51,14 +56,14 @@
 	// and a leader is given up by hosts that do reach the store.
 	storeSilence = 1200 * time.Millisecond
 	// settleTime is the time that a new leader has to make itself known.
-	settleTime = 700 * time.Millisecond
+	settleTime = 1300 * time.Millisecond
 	// goneAfter is the silence after which the leader removes a host's record.
 	goneAfter = 2 * time.Minute
 	// audience is the age up to which greetings count as contact with a host.
 	audience = 1200 * time.Millisecond
 	// watchers is the number of hosts, the best ranked, that look at the leader every round. The
 	// others do so every slowRounds rounds, so that the load of a leader stays bounded.
-	watchers   = 8
+	watchers   = 3
 	slowRounds = 6
 )
 
@@ -126,6 +131,8 @@
 	leader  Leader
 	// heard is when the leader was last known to lead and to reach the store.
 	heard time.Time
+	// refused is set while the leader's address refuses connections.
+	refused bool
 	// leading is set during a term of this host, established once its epoch has begun.
 	leading, established bool
 	endTerm              context.CancelFunc
@@ -152,6 +159,8 @@
 	storeAge time.Duration
 	leaving  bool
 	leads    bool
+	// refused is set when the leader's address refuses the host's connections.
+	refused bool
 }
 
 // New returns an elector that is not running.
@@ -364,12 +373,22 @@
 		el.lead(ctx, Predecessor{Stopped: true})
 		return
 	}
-	if silence < suspectAfter || el.op.StoreAge() > storeSilence {
+	if silence < el.patience() || el.op.StoreAge() > storeSilence {
 		return
 	}
 	el.canvass(ctx, silence)
 }
 
+// patience returns the silence after which this host doubts the leader.
+func (el *Elector) patience() time.Duration {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	if el.refused || el.leader.Host == "" {
+		return refusedAfter
+	}
+	return suspectAfter
+}
+
 // canvass asks all hosts about the leader.
 func (el *Elector) canvass(ctx context.Context, silence time.Duration) {
 	el.mu.Lock()
@@ -385,11 +404,11 @@
 	el.greetAll(ctx, addrs)
 	stands := el.beatStands(ctx, asked)
 	el.mu.Lock()
-	vacant, agreed := el.leader == asked && time.Since(el.heard) >= suspectAfter, el.agreement(began)
+	vacant, agreed := el.leader == asked && time.Since(el.heard) >= silence, el.agreement(began)
 	rank, total := el.rank(&began), len(el.members)
 	stopped := el.predecessorStopped()
 	el.mu.Unlock()
-	if !vacant || 2*agreed <= total && !stands || silence < suspectAfter+time.Duration(rank)*rankDelay {
+	if !vacant || 2*agreed <= total && !stands || silence < el.patience()+time.Duration(rank)*rankDelay {
 		return
 	}
 	logger.Log(el.op.Log, logger.LeaderGone, "Leader", asked.Host, "Epoch", asked.Epoch, "Silence", silence.String(), "Agreed", agreed, "Hosts", total, "Rank", rank, "Stopped", stopped)
@@ -400,7 +419,7 @@
 func (el *Elector) agreement(since time.Time) int {
 	agreed := 1
 	for _, mb := range el.members {
-		if mb.Host != el.op.Self.Host && mb.replied.After(since) && !mb.leads && mb.silence >= agreeAfter {
+		if mb.Host != el.op.Self.Host && mb.replied.After(since) && !mb.leads && (mb.silence >= agreeAfter || mb.refused) {
 			agreed++
 		}
 	}
@@ -596,12 +615,22 @@
 	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
 	defer cancel()
 	reply, err := el.op.Dial(addr).Greet(ctx, el.greeting())
+	el.noteRefusal(addr, errors.Is(err, syscall.ECONNREFUSED))
 	if err != nil {
 		return
 	}
 	el.learn(reply, false)
 }
 
+// noteRefusal notes whether the leader's address refuses connections.
+func (el *Elector) noteRefusal(addr netip.AddrPort, refused bool) {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	if addr == el.leader.Address {
+		el.refused = refused
+	}
+}
+
 func (el *Elector) greeting() *messenger.Greeting {
 	el.mu.Lock()
 	defer el.mu.Unlock()
@@ -614,7 +643,7 @@
 		Weight: el.op.Self.Weight, Leaving: el.leaving,
 		Epoch: int64(el.leader.Epoch), Leader: string(el.leader.Host), LeaderBoot: string(el.leader.Boot),
 		LeaderAddress: el.leader.Address.String(), Silence: silence.Milliseconds(),
-		StoreAge: el.op.StoreAge().Milliseconds(), Revision: el.op.Revision(),
+		StoreAge: el.op.StoreAge().Milliseconds(), Revision: el.op.Revision(), Refused: el.refused,
 	}
 }
 
@@ -635,6 +664,7 @@
 	mb.epoch = modeler.Epoch(gr.Epoch)
 	mb.silence = time.Duration(gr.Silence) * time.Millisecond
 	mb.storeAge = time.Duration(gr.StoreAge) * time.Millisecond
+	mb.refused = gr.Refused
 	mb.leads = gr.Leader == gr.Host && gr.LeaderBoot == gr.Boot && gr.Silence == 0
 	if greeted {
 		mb.greeted = now
@@ -652,7 +682,7 @@
 			return
 		}
 		el.leader = Leader{Epoch: epoch, Host: fleet.HostName(gr.Leader), Boot: fleet.BootID(gr.LeaderBoot), Address: addr}
-		el.heard, el.beatAt = now, time.Time{}
+		el.heard, el.beatAt, el.refused = now, time.Time{}, false
 		logger.Log(el.op.Log, logger.LeaderElected, "Epoch", epoch, "Leader", gr.Leader, "Self", false)
 		if el.leading && el.established {
 			el.endTerm()
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -28,7 +28,7 @@
 	// journalName is that of the installation's only journal of facts.
 	journalName = "Jobs"
 	// journalWrites bounds the writes of the journal a second, well below what the store allows.
-	journalWrites = 40
+	journalWrites = 20
 	// journalCall bounds a call of the journal to the store, so that a connection that has gone
 	// silent is given up. journalRetry and journalBackOff keep a short outage from lasting longer
 	// than it is.
--- a/internal/job/modeler/job.go
+++ b/internal/job/modeler/job.go
@@ -188,19 +188,17 @@
 
 // ParseTaskID is the inverse of String. Errors: ErrBadTask.
 func ParseTaskID(text string) (TaskID, error) {
-	parts := strings.Split(text, ".")
-	if len(parts) != 4 || parts[0] == "" {
-		return TaskID{}, fmt.Errorf("%w: %q", ErrBadTask, text)
-	}
-	id := TaskID{Job: JobID(parts[0])}
-	for ix, dst := range [...]*int{&id.Occurrence, &id.Step, &id.Index} {
-		num, err := strconv.Atoi(parts[ix+1])
-		if err != nil || num < 0 {
+	var parts [3]int
+	rest := text
+	for ix := len(parts) - 1; ix >= 0; ix-- {
+		dot := strings.LastIndexByte(rest, '.')
+		num, err := strconv.Atoi(rest[dot+1:])
+		if dot <= 0 || err != nil || num < 0 {
 			return TaskID{}, fmt.Errorf("%w: %q", ErrBadTask, text)
 		}
-		*dst = num
+		parts[ix], rest = num, rest[:dot]
 	}
-	return id, nil
+	return TaskID{Job: JobID(rest), Occurrence: parts[0], Step: parts[1], Index: parts[2]}, nil
 }
 
 // State is what a caller is told of a job.
