--- a/internal/job/director/director_test.go
+++ b/internal/job/director/director_test.go
@@ -131,6 +131,24 @@
 	}
 }
 
+// Guards against tasks that wait for ever for a worker that is gone for good.
+func TestWorkerGone(t *testing.T) {
+	run(t, 2, func(fl *fleet, tm *term) {
+		jb := simpleJob("j1", "urgent", 1, cores(1000))
+		jb.Steps[0].LongRunning = true
+		tm.submit(jb)
+		sleep(2 * time.Second)
+		task := modeler.TaskID{Job: "j1"}
+		gone := fl.workers.Where(task)
+		fl.workers.Crash(gone)
+		tm.RemoveWorker(gone)
+		sleep(testLimits.Lease + 2*time.Second)
+		now := fl.workers.Where(task)
+		qt.Check(t, now != "" && now != gone, qt.IsTrue, qt.Commentf("from %s to %s", gone, now))
+		qt.Check(t, tm.Workers(), qt.HasLen, 1)
+	})
+}
+
 // Guards against a worker that restarts under its id and is taken for the life before.
 func TestWorkerRestarts(t *testing.T) {
 	run(t, 1, func(fl *fleet, tm *term) {
--- a/internal/job/director/recovery.go
+++ b/internal/job/director/recovery.go
@@ -151,7 +151,7 @@
 	defer dr.mu.Unlock()
 	var facts []keeper.Fact
 	for _, wk := range dr.workers {
-		if wk.granted {
+		if wk.granted || wk.granting {
 			info := wk.info
 			facts = append(facts, keeper.Fact{Granted: &info})
 		}
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -46,7 +46,8 @@
 	info modeler.Worker
 	// present is set while the registry lists the worker.
 	present bool
-	// granted is set once the journal names the worker as one that may hold a lease.
+	// granting is set once the journal is told that the worker may hold a lease, granted once that
+	// is durable.
 	granted, granting bool
 	// answered is set once the worker has answered in this term, so that it refuses earlier leaders.
 	answered bool
@@ -216,6 +217,7 @@
 	dr.mu.Lock()
 	gone := !wk.present && len(wk.attempts) == 0 && !wk.counted && dr.leaseOver(wk, time.Now())
 	granted := wk.granted
+	wk.granting = !gone
 	info := wk.info
 	if gone {
 		delete(dr.workers, wk.info.ID)
@@ -254,7 +256,8 @@
 	case len(wk.attempts) > 0:
 		order.Wait = busyWait
 	}
-	if wk.answered {
+	// A worker that does not answer gets no longer lease, or it would never be known to be over.
+	if wk.answered && !wk.silent {
 		order.Deadline = wk.now(time.Now()) + dr.op.Limits.Lease
 		wk.leaseEnd = max(wk.leaseEnd, order.Deadline)
 	}
