Treat every job as inherited until all jobs are loaded

An entry host may tell a new leader of a job that the former leader has started. The leader took it for new and could start it a second time while a worker did not answer. The test fails without the change.

--- a/internal/job/director/director_test.go
+++ b/internal/job/director/director_test.go
@@ -207,6 +207,22 @@
 			tm.assertState("j1", modeler.Completed)
 		})
 	})
+	t.Run("told of a job before it is loaded", func(t *testing.T) {
+		run(t, 2, func(fl *fleet, tm *term) {
+			fl.work[modeler.TaskID{Job: "j1"}] = emulator.TaskBehaviour{Work: 5 * time.Second}
+			tm.submit(simpleJob("j1", "urgent", 1, cores(1000)))
+			sleep(time.Second)
+			where := fl.workers.Where(modeler.TaskID{Job: "j1"})
+			tm.end()
+			fl.workers.Cut(where, true)
+			fl.notified = true
+			*tm = *fl.lead(10 * time.Second)
+			sleep(2 * time.Second)
+			fl.workers.Cut(where, false)
+			sleep(4 * time.Second)
+			tm.assertState("j1", modeler.Completed)
+		})
+	})
 	t.Run("a worker never answers", func(t *testing.T) {
 		run(t, 2, func(fl *fleet, tm *term) {
 			jb := simpleJob("j1", "urgent", 2, cores(12000))
--- a/internal/job/director/harness_test.go
+++ b/internal/job/director/harness_test.go
@@ -41,6 +41,8 @@
 	// work tells how tasks go. Tasks without an entry take a second.
 	work map[modeler.TaskID]emulator.TaskBehaviour
 	jobs []*modeler.Job
+	// notified makes the next leader learn of the jobs from entry hosts before it has read them.
+	notified bool
 	// cancelled holds the jobs whose cancellation is stored.
 	cancelled []modeler.JobID
 }
@@ -113,7 +115,7 @@
 	dr.Start(ctx)
 	dr.SetWorkers(fl.infos)
 	for _, jb := range fl.jobs {
-		dr.Add(jb, true)
+		dr.Add(jb, !fl.notified)
 	}
 	for _, id := range fl.cancelled {
 		dr.Cancel(id)
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -112,11 +112,17 @@
 	}
 }
 
-// Add takes a stored job over. The flag tells that it was stored before the term. Jobs that are
-// known stay as they are.
+// Add takes a stored job over. The flag tells that it may have been stored before the term, which
+// holds for every job that is told before all of them are loaded. Jobs that are known stay as they
+// are.
 func (dr *Director) Add(stored *modeler.Job, inherited bool) {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
+	select {
+	case <-dr.loaded:
+	default:
+		inherited = true
+	}
 	dr.add(stored, inherited)
 	dr.kick()
 }
