--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -135,6 +135,8 @@
 	// model is what this term has learned of images that disturb each other.
 	model      *estimator.Model
 	summarized time.Time
+	// explained is when a line was last written on why a task waits.
+	explained  time.Time
 	snapshotAt int64
 }
 
--- a/internal/job/director/director_test.go
+++ b/internal/job/director/director_test.go
@@ -207,6 +207,31 @@
 			tm.assertState("j1", modeler.Completed)
 		})
 	})
+	// A worker that is gone must not hold up long-running tasks that were never on it.
+	t.Run("a worker is gone", func(t *testing.T) {
+		run(t, 3, func(fl *fleet, tm *term) {
+			jb := simpleJob("j1", "urgent", 3, cores(12000))
+			jb.Steps[0].LongRunning = true
+			tm.submit(jb)
+			sleep(2 * time.Second)
+			var task modeler.TaskID
+			for ix := range 3 {
+				if id := (modeler.TaskID{Job: "j1", Index: ix}); fl.workers.Where(id) == "worker-01" {
+					task = id
+				}
+			}
+			tm.end()
+			fl.workers.Cut("worker-00", true)
+			fl.workers.Crash("worker-01")
+			fl.infos = append(fl.infos[:1], fl.infos[2:]...)
+			fl.infos = append(fl.infos, fl.workers.Add(workerInfo(1)), fl.workers.Add(workerInfo(3)))
+			*tm = *fl.lead(12 * time.Second)
+			sleep(2500 * time.Millisecond)
+			qt.Check(t, fl.workers.Where(task) != "", qt.IsTrue)
+			fl.workers.Cut("worker-00", false)
+			sleep(2 * time.Second)
+		})
+	})
 	t.Run("told of a job before it is loaded", func(t *testing.T) {
 		run(t, 2, func(fl *fleet, tm *term) {
 			fl.work[modeler.TaskID{Job: "j1"}] = emulator.TaskBehaviour{Work: 5 * time.Second}
@@ -287,6 +312,50 @@
 			qt.Check(t, count, qt.DeepEquals, map[modeler.WorkerID]int{"": 2, "worker-00": 2, "worker-01": 2})
 		})
 	})
+	// A larger task that waits must not keep smaller ones from a worker that it will never fit on.
+	t.Run("a waiting task holds up no other that has room", func(t *testing.T) {
+		run(t, 1, func(fl *fleet, tm *term) {
+			base := simpleJob("base", "urgent", 1, cores(9000))
+			base.Steps[0].LongRunning = true
+			tm.submit(base)
+			sleep(time.Second)
+			for _, jb := range []*modeler.Job{simpleJob("large", "urgent", 1, cores(10000)), simpleJob("small", "urgent", 1, cores(3000))} {
+				jb.Steps[0].LongRunning = true
+				tm.submit(jb)
+			}
+			sleep(time.Second)
+			qt.Check(t, fl.workers.Where(modeler.TaskID{Job: "small"}), qt.Equals, modeler.WorkerID("worker-00"))
+		})
+	})
+	// A round that ends after a number of tasks without room never reached those behind them.
+	t.Run("a small task behind many large ones", func(t *testing.T) {
+		run(t, 1, func(fl *fleet, tm *term) {
+			base := simpleJob("base", "urgent", 1, cores(9000))
+			base.Steps[0].LongRunning = true
+			tm.submit(base)
+			for ix := range 60 {
+				jb := simpleJob(modeler.JobID(fmt.Sprint("large", ix)), "urgent", 1, cores(int64(10000+ix)))
+				jb.Steps[0].LongRunning, jb.Steps[0].PerWorker = true, 1
+				tm.submit(jb)
+			}
+			small := simpleJob("small", "urgent", 1, cores(2000))
+			small.Steps[0].LongRunning = true
+			tm.submit(small)
+			sleep(2 * time.Second)
+			qt.Check(t, fl.workers.Where(modeler.TaskID{Job: "small"}), qt.Equals, modeler.WorkerID("worker-00"))
+		})
+	})
+	t.Run("tasks that last leave room for short ones", func(t *testing.T) {
+		run(t, 4, func(fl *fleet, tm *term) {
+			jb := simpleJob("lasting", "urgent", 20, cores(4000))
+			jb.Steps[0].LongRunning = true
+			tm.submit(jb)
+			sleep(time.Second)
+			tm.submit(simpleJob("short", "urgent", 1, cores(2000)))
+			sleep(2 * time.Second)
+			tm.assertState("short", modeler.Completed)
+		})
+	})
 	t.Run("a draining worker is emptied", func(t *testing.T) {
 		run(t, 2, func(fl *fleet, tm *term) {
 			jb := simpleJob("j1", "urgent", 2, cores(1000))
--- a/internal/job/director/harness_test.go
+++ b/internal/job/director/harness_test.go
@@ -200,4 +200,3 @@
 	time.Sleep(dur)
 	synctest.Wait()
 }
-
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -86,6 +86,9 @@
 	// unseen is set until this term has seen the task run or has started it. The end of an earlier
 	// run does not clear it: the earlier leader may have started the next one elsewhere.
 	unseen bool
+	// placedRun and placedOn are the newest announced start of a long-running task.
+	placedRun modeler.Run
+	placedOn  modeler.WorkerID
 	// notBefore delays the next start after a refusal.
 	notBefore time.Time
 	// moves counts how often the task was taken from a slow worker.
@@ -157,16 +160,30 @@
 		jb.durable = true
 		return
 	}
-	id, err := modeler.ParseTaskID(ft.End.Task)
+	name, _ := ft.TaskName()
+	id, err := modeler.ParseTaskID(name)
 	if err != nil {
 		dr.log(logger.FactDamaged, "Job", jb.ID, "Error", err.Error())
 		return
 	}
-	if tk := jb.task(id); tk != nil {
+	tk := jb.task(id)
+	switch {
+	case tk == nil:
+	case ft.Placed != nil:
+		tk.place(ft.Placed.Run, ft.Placed.Worker)
+	default:
 		dr.count(tk, ft.End.Run, ft.End.Outcome, ft.End.Checkpoint)
 	}
 }
 
+// place notes an announced start.
+func (tk *task) place(run modeler.Run, on modeler.WorkerID) {
+	if run >= tk.placedRun {
+		tk.placedRun, tk.placedOn = run, on
+	}
+	tk.lastRun = max(tk.lastRun, run)
+}
+
 // task returns a released task, or nil.
 func (jb *job) task(id modeler.TaskID) *task {
 	if id.Occurrence >= len(jb.occurrences) || id.Step >= len(jb.Steps) || id.Index >= jb.Steps[id.Step].Count {
--- a/internal/job/director/observer.go
+++ b/internal/job/director/observer.go
@@ -302,8 +302,8 @@
 
 // summarize logs what runs and waits.
 func (dr *Director) summarize(now time.Time) {
-	var waiting, filling, runs, serving, quarantined, silent int
-	var free, idleForFill, fillCores, fillUse, fillPaced int64
+	var waiting, filling, runs, serving, quarantined, silent, open int
+	var largest, free, idleForFill, fillCores, fillUse, fillPaced int64
 	for sp := range dr.waiting {
 		if waiting += len(sp.waiting); sp.spec.Fills {
 			filling += len(sp.waiting)
@@ -323,6 +323,10 @@
 				fillPaced += sp.Needs.MilliCores * int64(at.pace) / pacer.Full
 			}
 		}
+		if dr.takes(wk, now) {
+			open++
+			largest = max(largest, wk.free.MilliCores)
+		}
 		free += wk.free.MilliCores
 		fillCores += wk.fillingCores
 		if wk.serving > 0 {
@@ -331,6 +335,6 @@
 			idleForFill += wk.free.MilliCores
 		}
 	}
-	dr.log(logger.LoadSummary, "Jobs", len(dr.jobs), "Waiting", waiting, "WaitingToFill", filling, "Runs", runs, "Workers", len(dr.workers),
+	dr.log(logger.LoadSummary, "Jobs", len(dr.jobs), "Waiting", waiting, "WaitingToFill", filling, "Runs", runs, "Workers", len(dr.workers), "Open", open, "LargestRoom", largest,
 		"ServingWorkers", serving, "Quarantined", quarantined, "Silent", silent, "FreeCores", free, "IdleForFill", idleForFill, "FillingCores", fillCores, "FillingPaced", fillPaced, "FillingUsed", fillUse)
 }
--- a/internal/job/director/recovery.go
+++ b/internal/job/director/recovery.go
@@ -42,8 +42,9 @@
 		delete(dr.workers, ft.Released)
 	case ft.Final != nil:
 		dr.facts[ft.Final.Job] = append(dr.facts[ft.Final.Job], ft)
-	case ft.End != nil:
-		if id, err := modeler.ParseTaskID(ft.End.Task); err == nil {
+	default:
+		name, _ := ft.TaskName()
+		if id, err := modeler.ParseTaskID(name); err == nil {
 			dr.facts[id.Job] = append(dr.facts[id.Job], ft)
 		}
 	}
@@ -179,6 +180,9 @@
 	}
 	var facts []keeper.Fact
 	name := tk.id().String()
+	if tk.placedOn != "" {
+		facts = append(facts, keeper.Fact{Placed: &keeper.PlacedFact{Task: name, Run: tk.placedRun, Worker: tk.placedOn}})
+	}
 	add := func(run modeler.Run, oc modeler.Outcome, checkpoint string) {
 		facts = append(facts, keeper.Fact{End: &keeper.EndFact{Task: name, Run: run, Outcome: oc, Checkpoint: checkpoint}})
 	}
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/job/placer"
 	"github.com/currantrouter/currantrouter/internal/job/ranker"
@@ -30,7 +31,9 @@
 	stopRetry = 150 * time.Millisecond
 	// mostMisses ends a round: when so many steps found no room one after the other, the fleet is
 	// full, and looking further would cost the leader the time that it needs for its workers.
-	mostMisses = 24
+	mostMisses = 150
+	// explainInterval is the time between two lines on why a task waits.
+	explainInterval = time.Second
 	// heldWorkers bounds the workers that a round keeps free for waiting tasks that fit nowhere.
 	heldWorkers = 3
 	// runsPerEpoch is the first run of a task in an epoch, per epoch. It makes every run of a new
@@ -48,10 +51,32 @@
 	rd := dr.round(now)
 	for _, gr := range rd.groups {
 		if len(rd.workers) == 0 || rd.misses >= mostMisses {
-			return
+			break
 		}
 		rd.place(gr.step)
 	}
+	dr.announce(rd.lasting)
+}
+
+// announce records where long-running tasks start before their starts are sent.
+func (dr *Director) announce(list []*attempt) {
+	if len(list) == 0 {
+		return
+	}
+	var facts []keeper.Fact
+	for _, at := range list {
+		at.task.place(at.run, at.worker.info.ID)
+		facts = append(facts, keeper.Fact{Placed: &keeper.PlacedFact{Task: at.task.id().String(), Run: at.run, Worker: at.worker.info.ID}})
+	}
+	dr.goRun(func(ctx context.Context) {
+		dr.record(ctx, facts, func() {
+			dr.mu.Lock()
+			defer dr.mu.Unlock()
+			for _, at := range list {
+				dr.send(at)
+			}
+		})
+	})
 }
 
 // round is one pass over the waiting steps.
@@ -63,12 +88,14 @@
 	cands   []placer.Candidate
 	// held is the number of candidates that are kept free.
 	held int
+	// lasting holds the long-running tasks that were placed.
+	lasting []*attempt
 	// misses is the number of steps without room since the last one that had some.
 	misses int
 	// strains holds what a task of an image would do on each worker, by image.
 	strains map[string][]expectation
-	// failed holds the demands that found no room in this round.
-	failed map[failedDemand]bool
+	// failed holds the smallest needs that found no room in this round.
+	failed map[failedDemand][]modeler.Resources
 }
 
 type rankedStep struct {
@@ -76,18 +103,24 @@
 	rank ranker.Group
 }
 
-// failedDemand is the part of a demand that decides whether a larger or equal one fails as well.
+// failedDemand is what demands have in common of which a larger one finds no room where a smaller one
+// found none.
 type failedDemand struct {
 	pool  modeler.PoolName
-	needs modeler.Resources
 	label string
 	rack  string
-	// image matters for tasks that fill or serve.
+	// image is set for tasks that fill, which some neighbours exclude.
 	image string
+	lasts bool
+}
+
+// hopeless reports whether a demand that needs no more found no room in this round.
+func (rd *round) hopeless(key failedDemand, needs modeler.Resources) bool {
+	return slices.ContainsFunc(rd.failed[key], func(failed modeler.Resources) bool { return failed.Fits(needs) })
 }
 
 func (dr *Director) round(now time.Time) *round {
-	rd := &round{dr: dr, now: now, failed: map[failedDemand]bool{}, strains: map[string][]expectation{}}
+	rd := &round{dr: dr, now: now, failed: map[failedDemand][]modeler.Resources{}, strains: map[string][]expectation{}}
 	for sp := range dr.waiting {
 		rd.groups = append(rd.groups, rankedStep{sp, dr.group(sp)})
 	}
@@ -138,22 +171,25 @@
 			continue
 		}
 		dm := rd.dr.demand(tk)
-		key := failedDemand{pool, placer.Reserved(dm.Needs, dm.Fills), dm.Label, dm.Rack, ""}
-		if dm.Fills || dm.Serves {
+		key := failedDemand{pool: pool, label: dm.Label, rack: dm.Rack, lasts: dm.Lasts}
+		if dm.Fills {
 			key.image = dm.Image
 		}
-		if rd.failed[key] {
-			rd.misses++
+		if rd.hopeless(key, dm.Needs) {
 			return
 		}
 		rd.countSteps(sp)
 		rd.expectHarm(&dm)
+		if dm.Lasts {
+			dm.Spare, dm.Slots = rd.spare(pool, &dm)
+		}
 		ix := rd.choose(&dm, pool)
 		if ix < 0 {
 			if dm.PerWorker == 0 {
-				rd.failed[key] = true
+				rd.failed[key] = append(rd.failed[key], dm.Needs)
 			}
 			rd.misses++
+			rd.explain(tk, &dm, pool)
 			rd.hold(&dm, pool)
 			return
 		}
@@ -194,6 +230,31 @@
 	}
 }
 
+// spare returns the room of a pool beyond what is kept for short tasks, in thousandths of a core, and
+// how many tasks of the demand have room.
+func (rd *round) spare(pool modeler.PoolName, dm *placer.Demand) (spare, slots int64) {
+	var whole int64
+	for _, wk := range rd.workers {
+		if wk.info.Pool == pool {
+			spare += max(0, wk.free.MilliCores)
+			whole += wk.info.Capacity.MilliCores
+			slots += placer.Slots(dm.Needs, wk.free)
+		}
+	}
+	return spare - int64(placer.ShortShare*float64(whole)), slots
+}
+
+// explain logs why the most urgent waiting task has no room, once in a while.
+func (rd *round) explain(tk *task, dm *placer.Demand, pool modeler.PoolName) {
+	if dm.Fills || rd.now.Sub(rd.dr.explained) < explainInterval {
+		return
+	}
+	rd.dr.explained = rd.now
+	rs := placer.Explain(dm, rd.only(pool))
+	rd.dr.log(logger.TaskWaits, "Task", tk.id().String(), "Cores", dm.Needs.MilliCores, "MemoryMB", dm.Needs.MemoryMB, "PerWorker", dm.PerWorker,
+		"Lasts", dm.Lasts, "Spare", dm.Spare, "Unsuited", rs.Unsuited, "Crowded", rs.Crowded, "Full", rs.Full, "Reserved", rs.Reserved, "Disturbed", rs.Disturbed)
+}
+
 // expectation is what a task of an image would do to its neighbours on one worker.
 type expectation struct {
 	strain, harm float64
@@ -222,15 +283,18 @@
 	}
 }
 
-// hold keeps the worker with the most free processors from less urgent tasks, so that a large task
-// finds room when the next run there ends.
+// hold keeps a worker from less urgent tasks whose runs that end will make room for a large task.
+// Runs that last make none.
 func (rd *round) hold(dm *placer.Demand, pool modeler.PoolName) {
-	if rd.held >= heldWorkers || dm.Fills {
+	if rd.held >= heldWorkers || dm.Fills || dm.Lasts {
 		return
 	}
 	best := -1
 	for ix, wk := range rd.workers {
-		if wk.info.Pool == pool && placer.Suits(dm, &wk.info) && (best < 0 || rd.cands[ix].Free.MilliCores > rd.cands[best].Free.MilliCores) {
+		if wk.info.Pool != pool || !placer.Suits(dm, &wk.info) || wk.free.MilliCores+wk.endingCores < dm.Needs.MilliCores {
+			continue
+		}
+		if best < 0 || rd.cands[ix].Free.MilliCores > rd.cands[best].Free.MilliCores {
 			best = ix
 		}
 	}
@@ -241,16 +305,20 @@
 }
 
 // start reserves room for a task and sends it.
-func (rd *round) start(tk *task, ix int) *attempt {
-	at := rd.dr.assign(tk, rd.workers[ix], rd.dr.nextRun(tk))
-	wk := at.worker
+func (rd *round) start(tk *task, ix int) {
+	wk := rd.workers[ix]
+	at := rd.dr.reserve(tk, wk, rd.dr.nextRun(tk))
+	if tk.step.spec.LongRunning {
+		rd.lasting = append(rd.lasting, at)
+	} else {
+		rd.dr.send(at)
+	}
 	cd := &rd.cands[ix]
 	cd.Free, cd.Serving, cd.Filling = wk.free, wk.serving, wk.filling
 	cd.FillingCores, cd.ServingCores = wk.fillingCores, wk.servingCores
 	for _, list := range rd.strains {
 		list[ix].known = false
 	}
-	return at
 }
 
 // placeGang starts all tasks of a step together or none.
@@ -323,17 +391,27 @@
 
 // startable reports whether a waiting task may start now.
 func (dr *Director) startable(tk *task, now time.Time) bool {
-	if tk.unseen && !dr.accounted && !tk.step.spec.Copies {
+	if tk.unseen && !dr.accounted && !tk.step.spec.Copies && !dr.runsNowhere(tk) {
 		return false
 	}
 	return tk.step.occ.job.confirmed && !now.Before(tk.notBefore) && !dr.exhausted(tk)
 }
 
+// runsNowhere reports whether a long-running task of an earlier leader is known not to run: it was
+// never placed, or the worker on which it was placed last has answered without listing it.
+func (dr *Director) runsNowhere(tk *task) bool {
+	if !tk.step.spec.LongRunning {
+		return false
+	}
+	wk := dr.workers[tk.placedOn]
+	return tk.placedOn == "" || wk == nil || !wk.counted
+}
+
 func (dr *Director) demand(tk *task) placer.Demand {
 	sp := tk.step.spec
 	return placer.Demand{
 		Needs: sp.Needs, Label: sp.Label, DataRack: sp.DataRack, PerWorker: sp.PerWorker,
-		Serves: sp.TailTarget > 0, Fills: sp.Fills, Image: sp.Image, Avoid: tk.avoid, Far: dr.op.Limits.FarFactor,
+		Serves: sp.TailTarget > 0, Lasts: sp.LongRunning, Fills: sp.Fills, Image: sp.Image, Avoid: tk.avoid, Far: dr.op.Limits.FarFactor,
 	}
 }
 
@@ -341,16 +419,14 @@
 	return max(tk.lastRun, modeler.Run(dr.op.Epoch-1)*runsPerEpoch) + 1
 }
 
-// assign reserves room on a worker and hands the start to the loops that send them.
-func (dr *Director) assign(tk *task, wk *worker, run modeler.Run) *attempt {
-	at := dr.reserve(tk, wk, run)
-	tk.step.occ.job.started = true
+// send hands a start to the loops that send them.
+func (dr *Director) send(at *attempt) {
+	wk := at.worker
 	wk.outbox = append(wk.outbox, at)
 	if wk.starters < startersPerWorker {
 		wk.starters++
 		dr.goRun(func(ctx context.Context) { dr.startLoop(ctx, wk) })
 	}
-	return at
 }
 
 // startLoop sends the starts that wait for a worker.
@@ -389,6 +465,7 @@
 			continue
 		}
 		at.state = sent
+		at.task.step.occ.job.started = true
 		at.checkpoint = at.task.checkpoint
 		return at, &modeler.StartOrder{
 			Task: at.task.id(), Run: at.run, Spec: at.task.step.occ.job.Spec, Epoch: dr.op.Epoch,
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -75,7 +75,9 @@
 	free             modeler.Resources
 	serving, filling int
 	servingCores     int64
-	fillingCores     int64
+	// endingCores is what is reserved for tasks that end by themselves.
+	endingCores  int64
+	fillingCores int64
 	// images counts the serving and the filling tasks by image.
 	servingImages, fillingImages map[string]int
 	attempts                     map[attemptKey]*attempt
@@ -215,7 +217,7 @@
 // false when the worker is gone and the loop is to end.
 func (dr *Director) grant(ctx context.Context, wk *worker) bool {
 	dr.mu.Lock()
-	gone := !wk.present && len(wk.attempts) == 0 && !wk.counted && dr.leaseOver(wk, time.Now())
+	gone := !wk.present && !wk.counted && len(wk.attempts) == 0 && dr.idle(wk, time.Now())
 	granted := wk.granted
 	wk.granting = !gone
 	info := wk.info
@@ -240,6 +242,20 @@
 	return ctx.Err() == nil
 }
 
+// idle reports whether nothing can run on a worker without attempts: its last report listed nothing
+// else, and no start to it is in doubt, or its lease is over.
+func (dr *Director) idle(wk *worker, now time.Time) bool {
+	if dr.leaseOver(wk, now) {
+		return true
+	}
+	for _, since := range wk.doubtful {
+		if now.Sub(since) < 2*startLimit {
+			return false
+		}
+	}
+	return wk.answered && len(wk.foreign) == 0
+}
+
 // renewal returns the next renewal, or false while this host may not give orders.
 func (dr *Director) renewal(wk *worker) (*modeler.RenewOrder, modeler.Worker, bool) {
 	dr.mu.Lock()
@@ -729,13 +745,16 @@
 	}
 }
 
-// neighbour counts a task that serves or fills, or its end.
+// neighbour counts what a task is to its neighbours, or its end.
 func (wk *worker) neighbour(sp *modeler.Step, change int) {
 	count := func(images map[string]int) {
 		if images[sp.Image] += change; images[sp.Image] == 0 {
 			delete(images, sp.Image)
 		}
 	}
+	if !sp.Fills && !sp.LongRunning {
+		wk.endingCores += int64(change) * sp.Needs.MilliCores
+	}
 	if sp.Fills {
 		wk.filling += change
 		wk.fillingCores += int64(change) * sp.Needs.MilliCores
--- a/internal/job/keeper/fact.go
+++ b/internal/job/keeper/fact.go
@@ -17,6 +17,16 @@
 	// Granted is a worker that may hold a lease from now on, Released one that cannot hold one any more.
 	Granted  *modeler.Worker  `json:",omitempty"`
 	Released modeler.WorkerID `json:",omitempty"`
+	// Placed is the worker on which a long-running task is about to start.
+	Placed *PlacedFact `json:",omitempty"`
+}
+
+// PlacedFact is durable before the start that it announces is sent. A later leader that does not
+// find the task on this worker therefore knows that it runs nowhere.
+type PlacedFact struct {
+	Task   string
+	Run    modeler.Run
+	Worker modeler.WorkerID
 }
 
 // EndFact is the end of one run.
@@ -33,6 +43,17 @@
 	State modeler.State
 }
 
+// TaskName returns the task that a fact is about, and false for other facts.
+func (ft Fact) TaskName() (string, bool) {
+	switch {
+	case ft.End != nil:
+		return ft.End.Task, true
+	case ft.Placed != nil:
+		return ft.Placed.Task, true
+	}
+	return "", false
+}
+
 // Record returns the journal record of a fact.
 func (ft Fact) Record() (journaler.Record, error) {
 	data, err := json.Marshal(ft)
--- a/internal/job/placer/placer.go
+++ b/internal/job/placer/placer.go
@@ -25,6 +25,12 @@
 	Image         string
 	// Avoid lists workers on which the task has failed or made no progress.
 	Avoid []modeler.WorkerID
+	// Lasts marks a task that does not end by itself.
+	Lasts bool
+	// Spare is the room of the whole pool beyond the part that is kept for short tasks, and Slots how
+	// many such tasks the pool has room for.
+	Spare int64
+	Slots int64
 	// Far is how many times as long the task takes off its DataRack.
 	Far float64
 }
@@ -106,9 +112,67 @@
 // Allowed reports whether the worker may run the task and has room for it.
 func Allowed(dm *Demand, cd *Candidate) bool {
 	return Suits(dm, cd.Worker) && (dm.PerWorker <= 0 || cd.SameStep < dm.PerWorker) &&
-		reserved(dm).Fits(cd.Free) && (!dm.Fills || mayFill(dm, cd))
+		reserved(dm).Fits(cd.Free) && (!dm.Fills || mayFill(dm, cd)) && (!dm.Lasts || mayLast(dm))
 }
 
+// Reasons counts workers by why they do not take a task.
+type Reasons struct {
+	// Unsuited workers never could: by label, rack or size.
+	Unsuited int
+	// Crowded workers run as many tasks of the step as they may.
+	Crowded int
+	// Full workers have not enough room, Reserved ones have it kept for short tasks.
+	Full, Reserved int
+	// Disturbed workers have too little idle or serving tasks that would be harmed.
+	Disturbed int
+	// Open workers would take it.
+	Open int
+}
+
+// Explain tells why a task waits.
+func Explain(dm *Demand, cands []Candidate) Reasons {
+	var rs Reasons
+	for ix := range cands {
+		cd := &cands[ix]
+		switch {
+		case !Suits(dm, cd.Worker):
+			rs.Unsuited++
+		case dm.PerWorker > 0 && cd.SameStep >= dm.PerWorker:
+			rs.Crowded++
+		case !reserved(dm).Fits(cd.Free):
+			rs.Full++
+		case dm.Fills && !mayFill(dm, cd):
+			rs.Disturbed++
+		case dm.Lasts && !mayLast(dm):
+			rs.Reserved++
+		default:
+			rs.Open++
+		}
+	}
+	return rs
+}
+
+// mayLast reports whether a task that does not end leaves room for short ones. It is not kept
+// waiting where there is room for two of its kind.
+func mayLast(dm *Demand) bool { return dm.Spare >= dm.Needs.MilliCores || dm.Slots > 1 }
+
+// Slots returns how many tasks of the needs fit into a room.
+func Slots(needs, room modeler.Resources) int64 {
+	slots := int64(math.MaxInt32)
+	for _, part := range [...][2]int64{
+		{needs.MilliCores, room.MilliCores}, {needs.MemoryMB, room.MemoryMB}, {needs.Accelerators, room.Accelerators},
+	} {
+		if part[0] > 0 {
+			slots = min(slots, max(0, part[1])/part[0])
+		}
+	}
+	return slots
+}
+
+// ShortShare is the part of a pool's processors that tasks which do not end leave to short ones.
+// Short urgent jobs need about half of it on average, and come in bursts.
+const ShortShare = 0.06
+
 // mayFill reports whether work that fills gets enough of the worker to be of use and is unlikely to
 // disturb its serving tasks, beside which it would be halted.
 func mayFill(dm *Demand, cd *Candidate) bool {
--- a/internal/job/ranker/ranker.go
+++ b/internal/job/ranker/ranker.go
@@ -14,6 +14,8 @@
 const (
 	// OnTime jobs meet their objective if they start now.
 	OnTime Chance = iota
+	// Lasting tasks hold their room for long, so that short tasks which wait go first.
+	Lasting
 	// Late jobs are still worth something to their callers.
 	Late
 	// Overdue jobs are kept only because they were accepted.
@@ -38,7 +40,7 @@
 // Chance returns what the group's job can still reach.
 func (gr *Group) Chance(now time.Time) Chance {
 	if gr.LongRunning {
-		return OnTime
+		return Lasting
 	}
 	end := now.Add(gr.Remaining).Sub(gr.Submitted)
 	switch {
