Wait a little longer than its lease for what has ended on a silent worker

Only lasting tasks now restart when the lease is over; others wait 4 s longer. Two tests fail without the change.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -295,7 +295,7 @@
 	for _, wk := range dr.workers {
 		dr.expire(wk, now)
 	}
-	if !dr.accounted && now.Sub(dr.began) > dr.op.Inherited {
+	if !dr.accounted && now.Sub(dr.began) > dr.op.Inherited+returnGrace {
 		dr.log(logger.TermAccounted, "Workers", dr.unaccounted, "Reason", "leases over")
 		dr.unaccounted, dr.accounted = 0, true
 	}
--- a/internal/job/director/director_test.go
+++ b/internal/job/director/director_test.go
@@ -131,6 +131,49 @@
 	}
 }
 
+// Guards against a second run of a task that has ended on a silent worker, which lists the end when
+// it is back soon after its lease.
+func TestEndedOnSilentWorker(t *testing.T) {
+	task := modeler.TaskID{Job: "j1"}
+	t.Run("same leader", func(t *testing.T) {
+		run(t, 2, func(fl *fleet, tm *term) {
+			tm.submit(simpleJob("j1", "batch", 1, cores(1000)))
+			sleep(500 * time.Millisecond)
+			where := fl.workers.Where(task)
+			fl.workers.Cut(where, true)
+			sleep(testLimits.Lease + 2*time.Second)
+			fl.workers.Cut(where, false)
+			sleep(3 * time.Second)
+			tm.assertState("j1", modeler.Completed)
+			qt.Check(t, fl.workers.Starts(task), qt.Equals, 1)
+		})
+	})
+	t.Run("next leader", func(t *testing.T) {
+		run(t, 2, func(fl *fleet, tm *term) {
+			tm.submit(simpleJob("j1", "batch", 1, cores(1000)))
+			sleep(500 * time.Millisecond)
+			where := fl.workers.Where(task)
+			fl.workers.Cut(where, true)
+			tm.end()
+			*tm = *fl.lead(testLimits.Lease)
+			sleep(testLimits.Lease + 2*time.Second)
+			fl.workers.Cut(where, false)
+			sleep(3 * time.Second)
+			tm.assertState("j1", modeler.Completed)
+			qt.Check(t, fl.workers.Starts(task), qt.Equals, 1)
+		})
+	})
+	t.Run("worker gone", func(t *testing.T) {
+		run(t, 2, func(fl *fleet, tm *term) {
+			tm.submit(simpleJob("j1", "batch", 1, cores(1000)))
+			sleep(500 * time.Millisecond)
+			fl.workers.Crash(fl.workers.Where(task))
+			sleep(testLimits.Lease + 8*time.Second)
+			tm.assertState("j1", modeler.Completed)
+		})
+	})
+}
+
 // Guards against tasks that wait for ever for a worker that is gone for good.
 func TestWorkerGone(t *testing.T) {
 	run(t, 2, func(fl *fleet, tm *term) {
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -404,7 +404,7 @@
 		return false
 	}
 	wk := dr.workers[tk.placedOn]
-	return tk.placedOn == "" || wk == nil || !wk.counted
+	return tk.placedOn == "" || wk == nil || !wk.counted || time.Since(dr.began) > dr.op.Inherited
 }
 
 func (dr *Director) demand(tk *task) placer.Demand {
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -20,6 +20,9 @@
 	drift = 0.02
 	// leaseMargin is added to the end of a lease for the time that the worker takes to end its runs.
 	leaseMargin = 150 * time.Millisecond
+	// returnGrace is how much longer than its lease a silent worker is waited for with tasks that end
+	// by themselves. They have probably ended, and their ends count when the worker is back.
+	returnGrace = 4 * time.Second
 	// busyWait and idleWait are how long a renewal waits for an end, on workers with and without runs.
 	busyWait = time.Second
 	idleWait = 2 * time.Second
@@ -686,9 +689,9 @@
 	if len(wk.attempts) == 0 || !wk.silent || !dr.leaseOver(wk, now) {
 		return
 	}
-	dr.log(logger.LeaseOver, "Worker", wk.info.ID, "Runs", len(wk.attempts))
+	late := dr.leaseOver(wk, now.Add(-returnGrace))
 	for _, at := range wk.list() {
-		if at.state != uncertain || at.lateAt < wk.now(now) {
+		if (late || at.task.step.spec.LongRunning) && (at.state != uncertain || at.lateAt < wk.now(now)) {
 			dr.lose(at, "lease over", now)
 		}
 	}
--- a/internal/provider/emulator/jobworkers.go
+++ b/internal/provider/emulator/jobworkers.go
@@ -40,7 +40,11 @@
 	// done holds the tasks with an end that was noted.
 	done map[modeler.TaskID]bool
 	// started counts the starts of each task.
-	started    map[modeler.TaskID]int
+	started map[modeler.TaskID]int
+	// listed holds the workers that list a task as done. again holds those tasks that were started
+	// after that, which must not be if the end is noted later.
+	listed     map[modeler.TaskID]modeler.WorkerID
+	again      map[modeler.TaskID]bool
 	violations []string
 }
 
@@ -91,6 +95,7 @@
 	return &JobWorkers{
 		faults: fts, behave: behave, workers: map[modeler.WorkerID]*jobWorker{},
 		done: map[modeler.TaskID]bool{}, started: map[modeler.TaskID]int{},
+		listed: map[modeler.TaskID]modeler.WorkerID{}, again: map[modeler.TaskID]bool{},
 	}
 }
 
@@ -117,6 +122,12 @@
 		}
 	}
 	wk.running = map[runKey]*jobRun{}
+	for _, en := range wk.ended {
+		if jw.listed[en.Task] == wk.info.ID {
+			delete(jw.listed, en.Task)
+			delete(jw.again, en.Task)
+		}
+	}
 	wk.announce()
 }
 
@@ -275,6 +286,9 @@
 	if jw.done[id] {
 		jw.violations = append(jw.violations, fmt.Sprintf("%s started after its end was noted", id))
 	}
+	if jw.listed[id] != "" {
+		jw.again[id] = true
+	}
 	for _, wk := range jw.workers {
 		for key := range wk.running {
 			if key.task == id {
@@ -314,6 +328,9 @@
 	}
 	delete(wk.running, key)
 	wk.number++
+	if oc == modeler.Done {
+		jw.listed[key.task] = wk.info.ID
+	}
 	wk.highest[key.task] = max(wk.highest[key.task], key.run)
 	wk.ended = append(wk.ended, modeler.EndedRun{Number: wk.number, Task: key.task, Run: key.run, Outcome: oc, Checkpoint: checkpoint})
 	wk.announce()
@@ -408,8 +425,11 @@
 // forget drops the ends that are noted.
 func (jw *JobWorkers) forget(wk *jobWorker, noted int64) {
 	for len(wk.ended) > 0 && wk.ended[0].Number <= noted {
-		if wk.ended[0].Outcome == modeler.Done {
-			jw.done[wk.ended[0].Task] = true
+		if en := wk.ended[0]; en.Outcome == modeler.Done {
+			if jw.again[en.Task] && jw.listed[en.Task] == wk.info.ID {
+				jw.violations = append(jw.violations, fmt.Sprintf("%s started again after it was done on %s", en.Task, wk.info.ID))
+			}
+			jw.done[en.Task] = true
 		}
 		wk.ended = wk.ended[1:]
 	}
--- a/internal/telemetry/logger/catalogue_job.go
+++ b/internal/telemetry/logger/catalogue_job.go
@@ -31,7 +31,6 @@
 	WorkerReborn     = Event{626, "worker restarted", "What ran in its earlier life has ended.", SeverityWarning}
 	WorkerDistrusted = Event{627, "worker closed for a while", "Runs of several jobs failed or stood still there. Those that have not got far are moved.", SeverityWarning}
 	WorkerEntryBad   = Event{628, "registry entry not usable", "The entry names no worker. It is passed over.", SeverityWarning}
-	LeaseOver        = Event{629, "lease of a silent worker over", "Nothing runs there any more, so its tasks start elsewhere.", SeverityWarning}
 
 	TermBegun       = Event{640, "term begun", "This host has begun an epoch of the journal and restored its facts.", SeverityInfo}
 	TermLoaded      = Event{641, "jobs loaded", "All stored jobs are known and placement begins. Unaccounted workers may run tasks of an earlier leader.", SeverityInfo}
@@ -63,7 +62,7 @@
 	JobAccepted, JobRefused, JobUnknown, CancellationStored, JobTaken, JobCancelled, JobEnded, JobDamaged, JobNotForgotten,
 	TaskStarted, StartRejected, TaskFailed, RunEnded, RunLost, RunUnwanted, RunSlow, TaskCopied, StopSent, StopUnanswered,
 	WorkerPaced, PaceUnanswered, WorkerDraining, WorkerUnlisted, WorkerLost, WorkerRegained, WorkerReborn, WorkerDistrusted,
-	WorkerEntryBad, LeaseOver,
+	WorkerEntryBad,
 	TermBegun, TermLoaded, TermAccounted, TermEnded, FactDamaged, FactNotRecorded, FactsDelayed, LeaderElected, LeaderGone,
 	MemberNotStored, MemberDamaged, MemberForgotten, WatchLost, WatchRegained,
 	QueuesAccepted, QueuesInvalid, QueuesNotFetched, PeersNotSecured, SettingsReloaded, SettingsKept, LoadSummary, TaskWaits, LinesDropped,
