--- /dev/null
+++ b/internal/job/estimator/estimator_test.go
@@ -0,0 +1,57 @@
+package estimator
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a model that blames work that fills for the load of the serving task itself, or
+// never finds the pair that does the harm. The load differences are those of siblings, with noise as
+// large as half of the harm.
+func TestLearn(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(3, 3))
+	truth := map[string]float64{"bad": 1.6, "good": 0.05, "fair": 0.3}
+	md := New()
+	for range 400 {
+		var fills []Fill
+		excess := 0.06 * rnd.NormFloat64()
+		for image, harm := range truth {
+			if rnd.IntN(2) == 0 {
+				press := 0.05 + 0.15*rnd.Float64()
+				fills = append(fills, Fill{image, press})
+				excess += harm * press
+			}
+		}
+		md.Learn("s", excess, fills)
+	}
+	for image, want := range truth {
+		got := md.Harm("s", image)
+		qt.Check(t, got > want-0.25 && got < want+0.25, qt.IsTrue, qt.Commentf("%s: %.2f, truth %.2f", image, got, want))
+	}
+	qt.Check(t, md.Harm("s", "never seen"), qt.Equals, priorHarm)
+}
+
+// Guards against a bad pair that is learned only after many seconds of harm.
+func TestLearnsSoon(t *testing.T) {
+	md := New()
+	for range 4 {
+		md.Learn("s", 0.25, []Fill{{"bad", 0.15}})
+	}
+	qt.Check(t, md.Harm("s", "bad") > 0.7, qt.IsTrue, qt.Commentf("%.2f", md.Harm("s", "bad")))
+}
+
+// Guards against loads that have no meaning: below zero, above one, or a target that seems to be met
+// beyond it.
+func TestLoad(t *testing.T) {
+	md := New()
+	low := md.Load("s", 30*time.Millisecond)
+	high := md.Load("s", 90*time.Millisecond)
+	qt.Check(t, low >= 0 && high > low && high < 1, qt.IsTrue)
+	qt.Check(t, md.Load("s", time.Hour) <= mostLoad, qt.IsTrue)
+	limit := md.Limit("s", 150*time.Millisecond)
+	qt.Check(t, md.Load("s", 150*time.Millisecond), qt.Equals, limit)
+	qt.Check(t, md.Limit("unknown", time.Second), qt.Equals, mostLoad)
+}
--- /dev/null
+++ b/internal/job/modeler/job_test.go
@@ -0,0 +1,59 @@
+package modeler
+
+import (
+	"errors"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against names that a worker reports and this leader takes for another task.
+func TestParseTaskID(t *testing.T) {
+	id := TaskID{Job: "5c0e7a21d94b36f8", Occurrence: 2, Step: 1, Index: 17}
+	got, err := ParseTaskID(id.String())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, got, qt.Equals, id)
+	for _, text := range []string{"", "a", "a.0.0", ".0.0.0", "a.0.0.-1", "a.0.x.0", "a.0.0.0 "} {
+		_, err := ParseTaskID(text)
+		qt.Check(t, errors.Is(err, ErrBadTask), qt.IsTrue, qt.Commentf("%q", text))
+	}
+}
+
+// Guards against malformed jobs that reach the leader.
+func TestCheck(t *testing.T) {
+	good := func() *Job { return &Job{ID: "a", Steps: []Step{{Count: 1}, {Count: 2, After: []int{0}}}} }
+	qt.Assert(t, good().Check(), qt.IsNil)
+	for name, spoil := range map[string]func(*Job){
+		"no id":                 func(jb *Job) { jb.ID = "" },
+		"id with a separator":   func(jb *Job) { jb.ID = "a.b" },
+		"no steps":              func(jb *Job) { jb.Steps = nil },
+		"no tasks":              func(jb *Job) { jb.Steps[0].Count = 0 },
+		"too many tasks":        func(jb *Job) { jb.Steps[0].Count = maxTasks },
+		"negative need":         func(jb *Job) { jb.Steps[0].Needs.MemoryMB = -1 },
+		"follows itself":        func(jb *Job) { jb.Steps[1].After = []int{1} },
+		"follows a later step":  func(jb *Job) { jb.Steps[0].After = []int{1} },
+		"follows a step before": func(jb *Job) { jb.Steps[1].After = []int{-1} },
+		"repeats too often":     func(jb *Job) { jb.Repeats = maxOccurrences + 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			jb := good()
+			spoil(jb)
+			qt.Check(t, errors.Is(jb.Check(), ErrBadJob), qt.IsTrue)
+		})
+	}
+}
+
+// Guards against a request that reaches another queue.
+func TestRoute(t *testing.T) {
+	cfg := &Configuration{Queues: []Queue{
+		{Name: "short", Host: "a.example", Prefix: "/x/"}, {Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/x/"},
+	}}
+	for path, want := range map[string]QueueName{"/x/1": "short", "/x/y/1": "long", "/x/": "short"} {
+		qu, _, ok := cfg.Route("a.example", path)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Check(t, qu.Name, qt.Equals, want)
+	}
+	_, _, ok := cfg.Route("c.example", "/x/1")
+	qt.Check(t, ok, qt.IsFalse)
+}
--- a/internal/job/placer/placer.go
+++ b/internal/job/placer/placer.go
@@ -219,7 +219,7 @@
 	case dm.Fills:
 		sum += costMixed*cd.Harm + costStrain*cd.Strain
 		// The worker with the most idle processors is the least likely to lose them to other work.
-		left := idleCores(cd) - cd.FillingCores
+		left := idleCores(cd) - cd.FillingCores - dm.Needs.MilliCores
 		return sum - costIdle*float64(left)/float64(max(cd.Worker.Capacity.MilliCores, 1))
 	case dm.Serves:
 		sum += costMixed * cd.Harm
