Do not lead before the other hosts are known, canvass without the silent leader

A host now reads the list of hosts first, and what spoke for a takeover is dropped after 1.5 s. A silent leader is asked together with the others, which shortens a takeover by half a second.

--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -33,6 +33,8 @@
 	// greetTimeout bounds a greeting. Hosts answer in a few milliseconds unless they are frozen or
 	// out of processor time.
 	greetTimeout = 600 * time.Millisecond
+	// canvassTimeout bounds the questions about a leader that has been silent for long already.
+	canvassTimeout = 350 * time.Millisecond
 	// suspectAfter is the silence of the leader after which the other hosts are asked. A leader that
 	// is short of processor time answers late, and a takeover would cost it more.
 	suspectAfter = 1100 * time.Millisecond
@@ -145,6 +147,8 @@
 	beatAt time.Time
 	rounds int
 	own    int64
+	// listed is set once this host has read the records of all hosts.
+	listed bool
 }
 
 type member struct {
@@ -320,6 +324,7 @@
 	}
 	el.mu.Lock()
 	defer el.mu.Unlock()
+	el.listed = true
 	listed := map[fleet.HostName]bool{}
 	for _, en := range ens {
 		var mb Member
@@ -361,19 +366,23 @@
 	if leading || leaving {
 		return
 	}
-	if leader.Host != "" && leader.Host != el.op.Self.Host && !skip {
-		el.greet(ctx, leader.Address)
+	el.mu.Lock()
+	doubted := time.Since(el.heard) >= el.doubtAfter()
+	el.mu.Unlock()
+	if leader.Host != "" && leader.Host != el.op.Self.Host && !skip && !doubted {
+		el.greet(ctx, leader.Address, greetTimeout)
 	}
 	el.mu.Lock()
 	silence := time.Since(el.heard)
-	invited := el.invited
+	invited, listed := el.invited, el.listed
 	el.invited = false
 	el.mu.Unlock()
 	if invited {
 		el.lead(ctx, Predecessor{Stopped: true})
 		return
 	}
-	if silence < el.patience() || el.op.StoreAge() > storeSilence {
+	// A host that has just started and does not know the others cannot tell whether one leads.
+	if !listed || silence < el.patience() || el.op.StoreAge() > storeSilence {
 		return
 	}
 	el.canvass(ctx, silence)
@@ -383,6 +392,10 @@
 func (el *Elector) patience() time.Duration {
 	el.mu.Lock()
 	defer el.mu.Unlock()
+	return el.doubtAfter()
+}
+
+func (el *Elector) doubtAfter() time.Duration {
 	if el.refused || el.leader.Host == "" {
 		return refusedAfter
 	}
@@ -401,7 +414,7 @@
 	}
 	el.mu.Unlock()
 	began := time.Now()
-	el.greetAll(ctx, addrs)
+	el.greetAll(ctx, addrs, canvassTimeout)
 	stands := el.beatStands(ctx, asked)
 	el.mu.Lock()
 	vacant, agreed := el.leader == asked && time.Since(el.heard) >= silence, el.agreement(began)
@@ -419,7 +432,7 @@
 func (el *Elector) agreement(since time.Time) int {
 	agreed := 1
 	for _, mb := range el.members {
-		if mb.Host != el.op.Self.Host && mb.replied.After(since) && !mb.leads && (mb.silence >= agreeAfter || mb.refused) {
+		if mb.Host != el.op.Self.Host && !mb.replied.Before(since) && !mb.leads && (mb.silence >= agreeAfter || mb.refused) {
 			agreed++
 		}
 	}
@@ -431,7 +444,7 @@
 func (el *Elector) rank(since *time.Time) int {
 	rank := 0
 	for _, mb := range el.members {
-		if mb.Host == el.op.Self.Host || mb.leaving || since != nil && (!mb.replied.After(*since) || mb.storeAge > storeSilence) {
+		if mb.Host == el.op.Self.Host || mb.leaving || since != nil && (mb.replied.Before(*since) || mb.storeAge > storeSilence) {
 			continue
 		}
 		if mb.Weight > el.op.Self.Weight || mb.Weight == el.op.Self.Weight && precedence(mb.Host) > precedence(el.op.Self.Host) {
@@ -590,7 +603,7 @@
 		}
 	}
 	el.mu.Unlock()
-	el.greetAll(ctx, addrs)
+	el.greetAll(ctx, addrs, greetTimeout)
 	for _, mb := range gone {
 		// A host that is back writes its record again when it starts.
 		if err := el.op.Store.Delete(ctx, memberPrefix+string(mb.Host), mb.revision); err == nil {
@@ -599,11 +612,11 @@
 	}
 }
 
-func (el *Elector) greetAll(ctx context.Context, addrs []netip.AddrPort) {
+func (el *Elector) greetAll(ctx context.Context, addrs []netip.AddrPort, limit time.Duration) {
 	var gr errgroup.Group
 	for _, addr := range addrs {
 		gr.Go(func() error {
-			el.greet(ctx, addr)
+			el.greet(ctx, addr, limit)
 			return nil
 		})
 	}
@@ -611,8 +624,8 @@
 	_ = gr.Wait()
 }
 
-func (el *Elector) greet(ctx context.Context, addr netip.AddrPort) {
-	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
+func (el *Elector) greet(ctx context.Context, addr netip.AddrPort, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	reply, err := el.op.Dial(addr).Greet(ctx, el.greeting())
 	el.noteRefusal(addr, errors.Is(err, syscall.ECONNREFUSED))
--- /dev/null
+++ b/internal/job/elector/elector_test.go
@@ -0,0 +1,405 @@
+package elector_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
+	fleet "github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/elector"
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/state/journaler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
+)
+
+// cluster is a set of hosts whose network and whose paths to the store can be cut.
+type cluster struct {
+	t     *testing.T
+	store *emulator.Store
+	hosts []*host
+
+	mu sync.Mutex
+	// cut holds the pairs of hosts that cannot talk, cutStore those that cannot reach the store.
+	cut      map[[2]int]bool
+	cutStore map[int]bool
+}
+
+type host struct {
+	cl      *cluster
+	ix      int
+	elector *elector.Elector
+	cancel  context.CancelFunc
+	ended   chan struct{}
+	down    bool
+
+	mu       sync.Mutex
+	answered time.Time
+	// leads is the epoch of the host's present term, terms counts those that began.
+	leads modeler.Epoch
+	terms int
+}
+
+func newCluster(t *testing.T, count int) *cluster {
+	cl := &cluster{t: t, store: emulator.NewStore(nil), cut: map[[2]int]bool{}, cutStore: map[int]bool{}}
+	for ix := range count {
+		cl.hosts = append(cl.hosts, &host{cl: cl, ix: ix})
+		cl.start(ix)
+	}
+	return cl
+}
+
+func address(ix int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(ix + 1)}), 80)
+}
+
+// start starts a new process of a host.
+func (cl *cluster) start(ix int) {
+	ho := cl.hosts[ix]
+	ho.answered, ho.down, ho.ended = time.Now(), false, make(chan struct{})
+	self := elector.Member{Host: fleet.HostName(fmt.Sprint("host-", ix)), Boot: fleet.BootID(fmt.Sprint(ix, time.Now().UnixNano())), Address: address(ix), Weight: 100}
+	ho.elector = elector.New(elector.Options{
+		Self: self, Store: ho, StoreAge: ho.age, Revision: func() int64 { return 1 }, Learned: func(netip.AddrPort, int64) {},
+		Dial: func(addr netip.AddrPort) messenger.Jobs { return &link{from: ho, to: addr} },
+		Lead: func(ctx context.Context, _ elector.Predecessor) error { return ho.lead(ctx, self) },
+		Log:  testLog(), Meter: meter.New(nil),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ho.cancel = cancel
+	go func() {
+		defer close(ho.ended)
+		ho.elector.Run(ctx)
+	}()
+}
+
+// testLog writes the decisions of a test when ELECTOR_LOG is set.
+func testLog() logr.Logger {
+	if os.Getenv("ELECTOR_LOG") == "" {
+		return logr.Discard()
+	}
+	lg, _ := logger.New(os.Stdout, "text")
+	return lg
+}
+
+// kill ends a process without a word to the others.
+func (cl *cluster) kill(ix int) {
+	cl.mu.Lock()
+	cl.hosts[ix].down = true
+	cl.mu.Unlock()
+	cl.hosts[ix].cancel()
+	<-cl.hosts[ix].ended
+}
+
+func (cl *cluster) stop() {
+	for ix, ho := range cl.hosts {
+		if !ho.down {
+			cl.kill(ix)
+		}
+	}
+}
+
+// cutHost cuts the paths between a host and others, or restores them.
+func (cl *cluster) cutHost(ix int, others []int, cut bool) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	for _, other := range others {
+		cl.cut[[2]int{ix, other}], cl.cut[[2]int{other, ix}] = cut, cut
+	}
+}
+
+func (cl *cluster) cutFromStore(ix int, cut bool) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.cutStore[ix] = cut
+}
+
+// leaders returns the hosts that lead.
+func (cl *cluster) leaders() []int {
+	var list []int
+	for ix, ho := range cl.hosts {
+		ho.mu.Lock()
+		if ho.leads != 0 && !ho.down {
+			list = append(list, ix)
+		}
+		ho.mu.Unlock()
+	}
+	return list
+}
+
+// others returns all hosts but one.
+func (cl *cluster) others(ix int) []int {
+	var list []int
+	for other := range cl.hosts {
+		if other != ix {
+			list = append(list, other)
+		}
+	}
+	return list
+}
+
+func (cl *cluster) terms() int {
+	sum := 0
+	for _, ho := range cl.hosts {
+		ho.mu.Lock()
+		sum += ho.terms
+		ho.mu.Unlock()
+	}
+	return sum
+}
+
+// assertLeader checks that exactly one host leads and returns it.
+func (cl *cluster) assertLeader() int {
+	cl.t.Helper()
+	list := cl.leaders()
+	qt.Assert(cl.t, list, qt.HasLen, 1, qt.Commentf("leaders %v", list))
+	return list[0]
+}
+
+// lead is a term that does nothing but to find out when it is over.
+func (ho *host) lead(ctx context.Context, self elector.Member) error {
+	jn, rec, err := journaler.Open(ctx, ho, "jobs", self.Host, self.Boot, journaler.Options{Logger: logr.Discard(), RetryLimit: 300 * time.Millisecond})
+	if err != nil {
+		return err
+	}
+	defer jn.Close()
+	ho.elector.Established(modeler.Epoch(rec.Epoch))
+	ho.mu.Lock()
+	ho.leads = modeler.Epoch(rec.Epoch)
+	ho.terms++
+	ho.mu.Unlock()
+	defer func() {
+		ho.mu.Lock()
+		defer ho.mu.Unlock()
+		ho.leads = 0
+	}()
+	for ctx.Err() == nil {
+		if err := jn.Check(ctx); errors.Is(err, journaler.ErrDeposed) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(300 * time.Millisecond):
+		}
+	}
+	return nil
+}
+
+func (ho *host) age() time.Duration {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	return time.Since(ho.answered)
+}
+
+// reach returns an error while the host cannot reach the store.
+func (ho *host) reach() error {
+	ho.cl.mu.Lock()
+	cut := ho.cl.cutStore[ho.ix] || ho.down
+	ho.cl.mu.Unlock()
+	if cut {
+		return storer.ErrUnavailable
+	}
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	ho.answered = time.Now()
+	return nil
+}
+
+func (ho *host) Get(ctx context.Context, key string) (storer.Entry, error) {
+	if err := ho.reach(); err != nil {
+		return storer.Entry{}, err
+	}
+	return ho.cl.store.Get(ctx, key)
+}
+
+func (ho *host) Put(ctx context.Context, key string, value []byte, expected int64) (int64, error) {
+	if err := ho.reach(); err != nil {
+		return 0, err
+	}
+	return ho.cl.store.Put(ctx, key, value, expected)
+}
+
+func (ho *host) Delete(ctx context.Context, key string, expected int64) error {
+	if err := ho.reach(); err != nil {
+		return err
+	}
+	return ho.cl.store.Delete(ctx, key, expected)
+}
+
+func (ho *host) List(ctx context.Context, prefix, after string, limit int) ([]storer.Entry, error) {
+	if err := ho.reach(); err != nil {
+		return nil, err
+	}
+	return ho.cl.store.List(ctx, prefix, after, limit)
+}
+
+func (ho *host) Snapshot(ctx context.Context, prefix string) ([]storer.Entry, int64, error) {
+	if err := ho.reach(); err != nil {
+		return nil, 0, err
+	}
+	return ho.cl.store.Snapshot(ctx, prefix)
+}
+
+// link calls another host's elector.
+type link struct {
+	messenger.Jobs
+	from *host
+	to   netip.AddrPort
+}
+
+var errCut = errors.New("no answer")
+
+func (lk *link) target(ctx context.Context) (*host, error) {
+	for _, ho := range lk.from.cl.hosts {
+		if address(ho.ix) != lk.to {
+			continue
+		}
+		lk.from.cl.mu.Lock()
+		cut := ho.down || lk.from.down || lk.from.cl.cut[[2]int{lk.from.ix, ho.ix}]
+		lk.from.cl.mu.Unlock()
+		if cut {
+			<-ctx.Done()
+			return nil, errCut
+		}
+		return ho, nil
+	}
+	return nil, errCut
+}
+
+func (lk *link) Greet(ctx context.Context, gr *messenger.Greeting) (*messenger.Greeting, error) {
+	ho, err := lk.target(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return ho.elector.Greet(gr), nil
+}
+
+func (lk *link) Resign(ctx context.Context, gr *messenger.Greeting) (*messenger.Done, error) {
+	ho, err := lk.target(ctx)
+	if err != nil {
+		return nil, err
+	}
+	ho.elector.Invite(gr)
+	return &messenger.Done{}, nil
+}
+
+// play runs a test on a cluster that has found its leader.
+func play(t *testing.T, count int, test func(cl *cluster, leader int)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, count)
+		defer cl.stop()
+		time.Sleep(4 * time.Second)
+		test(cl, cl.assertLeader())
+	})
+}
+
+// Guards against an installation without a leader, or with one that changes without a reason.
+func TestElection(t *testing.T) {
+	for _, count := range []int{1, 2, 7, 40} {
+		t.Run(fmt.Sprint(count, " hosts"), func(t *testing.T) {
+			play(t, count, func(cl *cluster, leader int) {
+				terms := cl.terms()
+				time.Sleep(20 * time.Second)
+				qt.Check(t, cl.assertLeader(), qt.Equals, leader)
+				qt.Check(t, cl.terms(), qt.Equals, terms)
+			})
+		})
+	}
+}
+
+// Guards against a leader that is gone and not replaced in time, and against a healthy one that is.
+func TestTakeover(t *testing.T) {
+	t.Run("killed", func(t *testing.T) {
+		play(t, 7, func(cl *cluster, leader int) {
+			cl.kill(leader)
+			time.Sleep(2500 * time.Millisecond)
+			qt.Check(t, cl.assertLeader() != leader, qt.IsTrue)
+		})
+	})
+	t.Run("most hosts killed", func(t *testing.T) {
+		play(t, 7, func(cl *cluster, leader int) {
+			for _, ix := range cl.others(leader)[:4] {
+				cl.kill(ix)
+			}
+			cl.kill(leader)
+			time.Sleep(5 * time.Second)
+			cl.assertLeader()
+		})
+	})
+	t.Run("resigned", func(t *testing.T) {
+		play(t, 7, func(cl *cluster, leader int) {
+			cl.hosts[leader].elector.Resign()
+			time.Sleep(300 * time.Millisecond)
+			qt.Check(t, cl.assertLeader() != leader, qt.IsTrue)
+		})
+	})
+	t.Run("cut off from the store", func(t *testing.T) {
+		play(t, 7, func(cl *cluster, leader int) {
+			cl.cutFromStore(leader, true)
+			time.Sleep(6 * time.Second)
+			cl.cutFromStore(leader, false)
+			time.Sleep(2 * time.Second)
+			qt.Check(t, cl.assertLeader() != leader, qt.IsTrue)
+		})
+	})
+	t.Run("cut off from all hosts", func(t *testing.T) {
+		play(t, 7, func(cl *cluster, leader int) {
+			cl.cutHost(leader, cl.others(leader), true)
+			time.Sleep(4 * time.Second)
+			cl.cutHost(leader, cl.others(leader), false)
+			time.Sleep(2 * time.Second)
+			qt.Check(t, cl.assertLeader() != leader, qt.IsTrue)
+		})
+	})
+	t.Run("one host cannot reach a healthy leader", func(t *testing.T) {
+		play(t, 7, func(cl *cluster, leader int) {
+			alone := cl.others(leader)[0]
+			cl.cutHost(alone, cl.others(alone), true)
+			time.Sleep(10 * time.Second)
+			qt.Check(t, cl.assertLeader(), qt.Equals, leader)
+		})
+	})
+	t.Run("the store is away for all", func(t *testing.T) {
+		play(t, 7, func(cl *cluster, leader int) {
+			for ix := range cl.hosts {
+				cl.cutFromStore(ix, true)
+			}
+			time.Sleep(5 * time.Second)
+			for ix := range cl.hosts {
+				cl.cutFromStore(ix, false)
+			}
+			time.Sleep(3 * time.Second)
+			qt.Check(t, cl.assertLeader(), qt.Equals, leader)
+		})
+	})
+	// A host that starts while the store is away knows nobody. It deposed the leader once the store
+	// was back.
+	t.Run("a host restarts while the store is away", func(t *testing.T) {
+		play(t, 7, func(cl *cluster, leader int) {
+			for ix := range cl.hosts {
+				cl.cutFromStore(ix, true)
+			}
+			restarted := cl.others(leader)[0]
+			cl.kill(restarted)
+			cl.start(restarted)
+			time.Sleep(3 * time.Second)
+			for ix := range cl.hosts {
+				cl.cutFromStore(ix, false)
+			}
+			time.Sleep(4 * time.Second)
+			qt.Check(t, cl.assertLeader(), qt.Equals, leader)
+		})
+	})
+}
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -35,6 +35,8 @@
 	journalCall    = 1200 * time.Millisecond
 	journalRetry   = time.Second
 	journalBackOff = 400 * time.Millisecond
+	// openLimit bounds the beginning of an epoch. What spoke for a takeover may no longer hold after it.
+	openLimit = 1500 * time.Millisecond
 	// checkInterval is the time after which the end of an idle journal is read.
 	checkInterval = time.Second
 	// authorityLimit is how long a leader gives orders without a sign that it still leads.
@@ -93,7 +95,9 @@
 // Lead is an elector.Term.
 func (ld *Leader) Lead(ctx context.Context, pred elector.Predecessor) error {
 	began := time.Now()
-	jn, rec, err := journaler.Open(ctx, ld.op.Store, journalName, ld.op.Self.Host, ld.op.Self.Boot, journaler.Options{
+	octx, cancel := context.WithTimeout(ctx, openLimit)
+	defer cancel()
+	jn, rec, err := journaler.Open(octx, ld.op.Store, journalName, ld.op.Self.Host, ld.op.Self.Boot, journaler.Options{
 		WritesPerSecond: journalWrites, RetryLimit: journalRetry, CallLimit: journalCall, MaxBackOff: journalBackOff,
 		Logger: ld.op.Log, Meter: ld.op.Meter,
 	})
