--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -477,6 +477,8 @@
 	measure int64
 	// pace is the last pace that was ordered, in percent.
 	pace int
+	// listed is set once a report has listed the run as running.
+	listed bool
 	// adopted runs were started by an earlier leader.
 	adopted bool
 }
--- /dev/null
+++ b/internal/job/director/reborn_test.go
@@ -0,0 +1,53 @@
+package director
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
+)
+
+// Guards against a run that the new life of a worker has accepted and that is taken for lost with the
+// earlier life. Its first report decides.
+func TestStartReachesNewLife(t *testing.T) {
+	for name, tc := range map[string]struct {
+		listedBefore, listedAfter bool
+		want                      int
+	}{
+		"accepted by the new life":         {false, true, 1},
+		"accepted by the earlier life":     {false, false, 0},
+		"listed by the earlier life":       {true, false, 0},
+		"listed by the earlier life twice": {true, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dr := New(Options{
+				Epoch: 1, Configuration: func() *modeler.Configuration { return nil }, Authorized: func() bool { return false },
+				Log: logr.Discard(), Meter: meter.New(nil),
+			})
+			now := time.Now()
+			wk := &worker{
+				info: modeler.Worker{ID: "w"}, born: 1, answered: true, attempts: map[attemptKey]*attempt{}, foreign: map[attemptKey]time.Time{},
+				servingImages: map[string]int{}, fillingImages: map[string]int{},
+			}
+			jb := dr.add(&modeler.Job{ID: "j", Steps: []modeler.Step{{Count: 1}}}, true)
+			at := dr.reserve(jb.occurrences[0].steps[0].tasks[0], wk, 1)
+			at.state, at.answeredAt = active, now
+			row := &modeler.ActiveRun{Task: at.task.id(), Run: 1}
+			if tc.listedBefore {
+				dr.running(wk, row, now)
+			}
+			dr.reborn(wk, 2, now)
+			listed := map[attemptKey]bool{}
+			if tc.listedAfter && !tc.listedBefore {
+				dr.running(wk, row, now)
+				listed[attemptKey{row.Task, 1}] = true
+			}
+			dr.missing(wk, listed, now.Add(time.Millisecond), now.Add(2*time.Millisecond))
+			qt.Check(t, wk.attempts, qt.HasLen, tc.want)
+		})
+	}
+}
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -468,6 +468,11 @@
 			dr.stop(at, "worker restarted")
 			continue
 		}
+		if at.state == active && !at.listed {
+			// The start may have been answered by the new life. Its first report tells.
+			at.life = born
+			continue
+		}
 		dr.lose(at, "worker restarted", now)
 	}
 }
@@ -500,6 +505,7 @@
 			at.watch.Begin(now)
 		}
 	}
+	at.listed = true
 	at.progress = row.Progress
 	at.watch.Observe(row.Progress, now)
 	if row.Checkpoint != "" && row.Checkpoint != at.checkpoint {
