Trace a job through logs, publish times, keep tasks from workers where they failed

currantctl trace tells a job's life from the logs of all hosts. Five timers are published beside the counters. Log writes are at most PIPE_BUF, so that lines of several processes are not mixed.

--- a/internal/docs/generator/generator.go
+++ b/internal/docs/generator/generator.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 
 	"github.com/currantrouter/currantrouter/internal/config/loader"
@@ -73,9 +74,9 @@
 func metrics() []byte {
 	var bf bytes.Buffer
 	bf.WriteString("# Metrics\n\nGenerated from `internal/telemetry/meter` by `go run ./cmd/currantdocs`.\n")
-	bf.WriteString("`GET /debug/vars` on the operators' address returns them as one JSON object.\n\n")
+	bf.WriteString("`GET /debug/vars` on the operators' address returns them as one JSON object, with callers' jobs `GET /metrics`.\nA time is an object with `Count`, `P50`, `P90`, `P99` and `Max`.\n\n")
 	bf.WriteString("| Name | Unit | Meaning |\n|---|---|---|\n")
-	for _, mt := range meter.Table {
+	for _, mt := range slices.Concat(meter.Table, meter.Timers) {
 		fmt.Fprintf(&bf, "| %s | %s | %s |\n", mt.Name, mt.Unit, cell(mt.Text))
 	}
 	return bf.Bytes()
--- a/internal/docs/generator/generator_test.go
+++ b/internal/docs/generator/generator_test.go
@@ -20,7 +20,7 @@
 
 // Guards against a warning or error that the operators' page does not explain.
 func TestOperationsExplainEvents(t *testing.T) {
-	page, err := os.ReadFile("../../../docs/operations.md")
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
 	qt.Assert(t, err, qt.IsNil)
 	for _, ev := range logger.Catalogue {
 		if ev.Severity == logger.SeverityInfo {
--- a/internal/job/director/recovery.go
+++ b/internal/job/director/recovery.go
@@ -10,6 +10,7 @@
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 func isMissing(err error) bool { return errors.Is(err, storer.ErrNotFound) }
@@ -63,6 +64,7 @@
 		}
 	}
 	clear(dr.facts)
+	dr.op.Meter.Observe(meter.TimeToRecover, now.Sub(dr.began))
 	dr.log(logger.TermLoaded, "Jobs", len(dr.jobs), "Workers", len(dr.workers), "Unaccounted", dr.unaccounted, "Took", now.Sub(dr.began).String())
 	dr.mu.Unlock()
 	if len(facts) > 0 {
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -484,6 +484,7 @@
 		return
 	}
 	if err == nil {
+		dr.op.Meter.Observe(meter.TimeToStart, now.Sub(tk.step.occ.due))
 		dr.log(logger.TaskStarted, "Task", order.Task.String(), "Run", order.Run, "Worker", wk.info.ID, "Resumes", order.Checkpoint != "", "FreeCores", wk.free.MilliCores, "Waited", now.Sub(tk.step.occ.due).String())
 		if at.answeredAt.IsZero() {
 			at.answeredAt = now
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -397,8 +397,10 @@
 	}
 	facts, finals, number, born := wk.unnoted, wk.finals, wk.seen, wk.born
 	wk.unnoted, wk.finals, wk.noting = nil, nil, durable
+	began := time.Now()
 	dr.goRun(func(ctx context.Context) {
 		dr.record(ctx, facts, func() {
+			dr.op.Meter.Observe(meter.TimeToNote, time.Since(began))
 			dr.mu.Lock()
 			defer dr.mu.Unlock()
 			wk.noting = nil
@@ -420,6 +422,7 @@
 	now := time.Now()
 	for _, jb := range finals {
 		jb.durable, jb.endedAt = true, now
+		dr.op.Meter.Observe(meter.TimeToEnd, now.Sub(jb.Submitted))
 		dr.log(logger.JobEnded, "Job", jb.ID, "Queue", jb.Queue, "State", jb.final, "Took", now.Sub(jb.Submitted).String())
 	}
 }
--- a/internal/job/intaker/intaker.go
+++ b/internal/job/intaker/intaker.go
@@ -114,6 +114,7 @@
 	switch {
 	case err == nil:
 		it.op.Meter.Add(meter.JobsAccepted, 1)
+		it.op.Meter.Observe(meter.TimeToAccept, time.Since(began))
 		logger.Log(it.op.Log, logger.JobAccepted, "Job", jb.ID, "Queue", jb.Queue, "Took", time.Since(began).String())
 		it.notify(&messenger.StoredChange{Id: string(jb.ID), Document: document})
 	case errors.Is(err, ErrNotAccepted):
--- a/internal/job/modeler/job_test.go
+++ b/internal/job/modeler/job_test.go
@@ -46,7 +46,8 @@
 // Guards against a request that reaches another queue.
 func TestRoute(t *testing.T) {
 	cfg := &Configuration{Queues: []Queue{
-		{Name: "short", Host: "a.example", Prefix: "/x/"}, {Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
 		{Name: "other", Host: "b.example", Prefix: "/x/"},
 	}}
 	for path, want := range map[string]QueueName{"/x/1": "short", "/x/y/1": "long", "/x/": "short"} {
--- a/internal/job/placer/placer.go
+++ b/internal/job/placer/placer.go
@@ -6,6 +6,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 )
@@ -64,8 +65,6 @@
 
 // Costs of a choice. They only order candidates: a task goes to the cheapest.
 const (
-	// costAvoided keeps a task from a worker where it failed unless no other has room.
-	costAvoided = 1000.0
 	// costDistrust is that of a worker with a distrust of 1.
 	costDistrust = 100.0
 	// costMixed is that of harm as large as the load at the target.
@@ -95,11 +94,15 @@
 	servingIdle = 0.4
 )
 
-// Choose returns the index of the cheapest candidate that has room, or -1.
+// Choose returns the index of the cheapest candidate that has room, or -1. A worker on which the
+// task has failed is chosen only where no other could run it: a further failure may be the job's last.
 func Choose(dm *Demand, cands []Candidate) int {
 	best, lowest := -1, math.Inf(1)
+	others := len(dm.Avoid) > 0 && slices.ContainsFunc(cands, func(cd Candidate) bool {
+		return Suits(dm, cd.Worker) && !avoided(dm, cd.Worker.ID)
+	})
 	for ix := range cands {
-		if !Allowed(dm, &cands[ix]) {
+		if !Allowed(dm, &cands[ix]) || others && avoided(dm, cands[ix].Worker.ID) {
 			continue
 		}
 		if cost := cost(dm, &cands[ix]); cost < lowest {
@@ -109,6 +112,8 @@
 	return best
 }
 
+func avoided(dm *Demand, id modeler.WorkerID) bool { return slices.Contains(dm.Avoid, id) }
+
 // Allowed reports whether the worker may run the task and has room for it.
 func Allowed(dm *Demand, cd *Candidate) bool {
 	return Suits(dm, cd.Worker) && (dm.PerWorker <= 0 || cd.SameStep < dm.PerWorker) &&
@@ -207,11 +212,6 @@
 
 func cost(dm *Demand, cd *Candidate) float64 {
 	sum := costDistrust * cd.Distrust
-	for _, id := range dm.Avoid {
-		if id == cd.Worker.ID {
-			sum += costAvoided
-		}
-	}
 	if dm.DataRack != "" && cd.Worker.Rack != dm.DataRack {
 		sum += costFar * max(dm.Far-1, 0.1)
 	}
--- a/internal/job/placer/placer_test.go
+++ b/internal/job/placer/placer_test.go
@@ -63,6 +63,11 @@
 	t.Run("not where it has failed", func(t *testing.T) {
 		assertChoice(t, Demand{Needs: needs(1000), Avoid: []modeler.WorkerID{"w0"}}, idle(4000, 8000), 1)
 	})
+	t.Run("waits rather than go where it has failed", func(t *testing.T) {
+		cands := idle(4000, 8000)
+		cands[1].Free.MilliCores = 0
+		assertChoice(t, Demand{Needs: needs(1000), Avoid: []modeler.WorkerID{"w0"}}, cands, -1)
+	})
 	t.Run("where it has failed rather than nowhere", func(t *testing.T) {
 		assertChoice(t, Demand{Needs: needs(1000), Avoid: []modeler.WorkerID{"w0"}}, idle(4000), 0)
 	})
--- a/internal/operator/commander/commander.go
+++ b/internal/operator/commander/commander.go
@@ -49,6 +49,7 @@
 	Hours      hoursCommand      `command:"hours" description:"show the hours of a day"`
 	Audit      auditCommand      `command:"audit" description:"search the audit trail"`
 	Config     configCommand     `command:"config" description:"show, check and change the shared configuration"`
+	Trace      traceCommand      `command:"trace" description:"tell the life of a job from the logs of hosts"`
 	Drain      drainCommand      `command:"drain" description:"mark a host, runner or worker as leaving"`
 	Completion completionCommand `command:"completion" description:"print the completion script of a shell"`
 }
--- /dev/null
+++ b/internal/operator/commander/trace.go
@@ -0,0 +1,150 @@
+package commander
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// maxLineBytes bounds a line of a log.
+const maxLineBytes = 1 << 20
+
+type traceCommand struct {
+	Args struct {
+		ID   string           `positional-arg-name:"ID" required:"yes" description:"identity of a job or task, or a host, worker or queue"`
+		Logs []flags.Filename `positional-arg-name:"LOG" description:"logs of hosts; standard input when there is none"`
+	} `positional-args:"yes"`
+}
+
+// Execute makes this a command of the parser; dispatch calls run.
+func (*traceCommand) Execute([]string) error { return nil }
+
+func (*traceCommand) local() {}
+
+func (cm *traceCommand) run(_ context.Context, ss *session) error {
+	var lines []logLine
+	for _, name := range cm.Args.Logs {
+		file, err := os.Open(string(name))
+		if err != nil {
+			return failf(ExitUsage, "%w", err)
+		}
+		found, err := readTrace(file, string(name), cm.Args.ID)
+		_ = file.Close()
+		if err != nil {
+			return err
+		}
+		lines = append(lines, found...)
+	}
+	if len(cm.Args.Logs) == 0 {
+		found, err := readTrace(os.Stdin, "-", cm.Args.ID)
+		if err != nil {
+			return err
+		}
+		lines = found
+	}
+	orderTrace(lines)
+	if len(lines) == 0 {
+		return failf(ExitNotFound, "no line names %q", cm.Args.ID)
+	}
+	if ss.json {
+		docs := make([]map[string]any, len(lines))
+		for ix, ln := range lines {
+			docs[ix] = ln.fields
+		}
+		return ss.printJSON(docs)
+	}
+	rows := make([][]string, len(lines))
+	for ix, ln := range lines {
+		rows[ix] = []string{ln.at.Format("15:04:05.000"), ln.source, fmt.Sprint(ln.fields["Event"]), fmt.Sprint(ln.fields["msg"]), ln.details()}
+	}
+	return ss.table([]string{"TIME", "LOG", "EVENT", "WHAT", "INPUTS"}, rows)
+}
+
+// logLine is one line about the traced identity.
+type logLine struct {
+	at     time.Time
+	source string
+	// number is the line's place in its log, which orders it among lines of the same log whatever
+	// the clock did.
+	number int
+	fields map[string]any
+}
+
+// details returns the line's own fields in the order of their names.
+func (ln *logLine) details() string {
+	var parts []string
+	for key, value := range ln.fields {
+		switch key {
+		case "time", "level", "msg", "Event", "Severity":
+		default:
+			parts = append(parts, fmt.Sprintf("%s=%v", key, value))
+		}
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, " ")
+}
+
+// readTrace returns the lines of a log that name the identity, or a part of it after a dot. Text before
+// the first brace, which collectors of logs add, is passed over.
+func readTrace(rd io.Reader, source, id string) ([]logLine, error) {
+	sc := bufio.NewScanner(rd)
+	sc.Buffer(nil, maxLineBytes)
+	var lines []logLine
+	for number := 0; sc.Scan(); number++ {
+		text := sc.Bytes()
+		start := bytes.IndexByte(text, '{')
+		if start < 0 || !bytes.Contains(text, []byte(id)) {
+			continue
+		}
+		ln := logLine{source: source, number: number}
+		// A line that is cut short is none of this program's.
+		if json.Unmarshal(text[start:], &ln.fields) != nil || !names(ln.fields, id) {
+			continue
+		}
+		stamp, _ := ln.fields["time"].(string)
+		ln.at, _ = time.Parse(time.RFC3339Nano, stamp)
+		if prefix := strings.Fields(string(text[:start])); len(prefix) > 0 {
+			ln.source = prefix[len(prefix)-1]
+		}
+		lines = append(lines, ln)
+	}
+	return lines, sc.Err()
+}
+
+// names reports whether a field is the identity or a task of it.
+func names(fields map[string]any, id string) bool {
+	for _, value := range fields {
+		if text, ok := value.(string); ok && (text == id || strings.HasPrefix(text, id+".")) {
+			return true
+		}
+	}
+	return false
+}
+
+// orderTrace orders lines by time, but never against their order in their log: a host whose clock
+// stepped back keeps its lines in order.
+func orderTrace(lines []logLine) {
+	latest := map[string]time.Time{}
+	for ix := range lines {
+		if last := latest[lines[ix].source]; lines[ix].at.Before(last) {
+			lines[ix].at = last
+		}
+		latest[lines[ix].source] = lines[ix].at
+	}
+	slices.SortStableFunc(lines, func(one, two logLine) int {
+		if one.source == two.source {
+			return cmp.Compare(one.number, two.number)
+		}
+		return one.at.Compare(two.at)
+	})
+}
--- a/internal/telemetry/logger/catalogue_job.go
+++ b/internal/telemetry/logger/catalogue_job.go
@@ -53,9 +53,9 @@
 	PeersNotSecured  = Event{663, "peers and operators without TLS", "The settings say that the network is trusted.", SeverityWarning}
 	SettingsReloaded = Event{664, "settings read again", "The settings file was read after a signal. Changed addresses hold from the next start.", SeverityInfo}
 	SettingsKept     = Event{665, "settings not read again", "The settings file is wrong. The former settings stay.", SeverityError}
-	TaskWaits        = Event{668, "task waits for room", "The first task in the queue for which no worker has room, and how many workers are excluded by which reason. At most one line a second.", SeverityInfo}
-	LoadSummary      = Event{667, "load", "What runs and waits at the leader, once a second. Cores are in thousandths.", SeverityInfo}
-	LinesDropped     = Event{666, "log lines left out", "Lines were written faster than the limit or than they were read. Dropped counts them since the last such line.", SeverityWarning}
+	TaskWaits        = Event{667, "task waits for room", "The first task in the queue for which no worker has room, and how many workers are excluded by which reason. At most one line a second.", SeverityInfo}
+	LoadSummary      = Event{666, "load", "What runs and waits at the leader, once a second. Cores are in thousandths.", SeverityInfo}
+	LinesDropped     = Event{669, "log lines left out", "Lines were written faster than the limit or than they were read. Dropped counts them since the last such line.", SeverityWarning}
 )
 
 var jobEvents = []Event{
--- a/internal/telemetry/logger/queue.go
+++ b/internal/telemetry/logger/queue.go
@@ -14,6 +14,8 @@
 	// reserveBytes is the part of it that only warnings and errors may use, so that decisions on
 	// failed requests are the last to be left out.
 	reserveBytes = 128 << 10
+	// writeBytes is PIPE_BUF of Linux. A longer write to a pipe may be mixed with those of others.
+	writeBytes = 4096
 	// linesPerSecond bounds the volume of informational lines, burstLines how many may come at once.
 	linesPerSecond = 1500
 	burstLines     = 3000
@@ -105,12 +107,25 @@
 	lines := qu.waiting
 	qu.waiting = nil
 	qu.mu.Unlock()
-	if len(lines) > 0 {
+	for len(lines) > 0 {
+		size := chunk(lines)
 		// Nobody is left to tell when the log itself cannot be written.
-		_, _ = qu.out.Write(lines)
+		_, _ = qu.out.Write(lines[:size])
+		lines = lines[size:]
 	}
 }
 
+// chunk returns the length of the whole lines at the beginning that one write passes on unbroken.
+func chunk(lines []byte) int {
+	if len(lines) <= writeBytes {
+		return len(lines)
+	}
+	if end := bytes.LastIndexByte(lines[:writeBytes], '\n'); end >= 0 {
+		return end + 1
+	}
+	return bytes.IndexByte(lines, '\n') + 1
+}
+
 // closeLimit bounds the wait for the last lines, whose reader may stand still.
 const closeLimit = 300 * time.Millisecond
 
--- a/internal/telemetry/meter/meter.go
+++ b/internal/telemetry/meter/meter.go
@@ -21,6 +21,8 @@
 type Registry struct {
 	// vars has one variable for each metric of the table and is never changed after New.
 	vars map[Metric]*expvar.Int
+	// timers has one timer for each of Timers and is never changed after New.
+	timers map[Metric]*timer
 	// extra is published beside the table under its own names.
 	extra map[string]expvar.Var
 }
@@ -28,10 +30,13 @@
 // New returns a registry in which every metric of the table is zero. Extra variables are
 // published under their names.
 func New(extra map[string]expvar.Var) *Registry {
-	rg := &Registry{vars: make(map[Metric]*expvar.Int, len(Table)), extra: extra}
+	rg := &Registry{vars: make(map[Metric]*expvar.Int, len(Table)), timers: map[Metric]*timer{}, extra: extra}
 	for _, mt := range Table {
 		rg.vars[mt] = new(expvar.Int)
 	}
+	for _, mt := range Timers {
+		rg.timers[mt] = newTimer()
+	}
 	return rg
 }
 
@@ -50,6 +55,9 @@
 	for mt, vr := range rg.vars {
 		out[mt.Name] = json.RawMessage(vr.String())
 	}
+	for mt, tm := range rg.timers {
+		out[mt.Name] = json.RawMessage(tm.String())
+	}
 	for name, vr := range rg.extra {
 		out[name] = json.RawMessage(vr.String())
 	}
