--- a/internal/operator/commander/trace.go
+++ b/internal/operator/commander/trace.go
@@ -107,8 +107,10 @@
 			continue
 		}
 		ln := logLine{source: source, number: number}
+		de := json.NewDecoder(bytes.NewReader(text[start:]))
+		de.UseNumber()
 		// A line that is cut short is none of this program's.
-		if json.Unmarshal(text[start:], &ln.fields) != nil || !names(ln.fields, id) {
+		if de.Decode(&ln.fields) != nil || !names(ln.fields, id) {
 			continue
 		}
 		stamp, _ := ln.fields["time"].(string)
