--- a/internal/config/loader/loader_test.go
+++ b/internal/config/loader/loader_test.go
@@ -30,7 +30,7 @@
 		name, old, now, want string
 		args                 []string
 	}{
-		{"unknown section", "[Log]", "[Logs]", `host.ini: [Logs] unknown section; allowed are Host, Listen, Platform, Peers, Log, Limits, TLS`, nil},
+		{"unknown section", "[Log]", "[Logs]", `host.ini: [Logs] unknown section; allowed are Jobs, Host, Listen, Platform, Peers, Log, Limits, TLS`, nil},
 		{"unknown key", "Format = json", "Formt = json", `host.ini: [Log] Formt = "json": unknown key; allowed are Format`, nil},
 		{"key before sections", "[Host]", "Name = a\n[Host]", `host.ini: [DEFAULT] unknown section`, nil},
 		{"key twice", "Format = json", "Format = json\nFormat = json", `host.ini: [Log] Format = "json": a key is set once`, nil},
--- a/internal/config/loader/settings.go
+++ b/internal/config/loader/settings.go
@@ -63,6 +63,8 @@
 type PlatformSettings struct {
 	Store    netip.AddrPort
 	HostList netip.AddrPort
+	// Policy is not valid where there is no policy service.
+	Policy netip.AddrPort
 }
 
 // LogSettings choose the form of log lines.
--- a/internal/config/loader/table.go
+++ b/internal/config/loader/table.go
@@ -123,6 +123,10 @@
 		"Platform", "HostList", "ADDRESS", "", "", "Address of the list of live and leaving hosts.", allowedAddress,
 		sheet, func(st *Settings, val string) bool { return setAddress(&st.Platform.HostList, val) },
 	},
+	{
+		"Platform", "Policy", "ADDRESS", "", "", "Address of the service that knows which workers may run a step.", allowedAddress,
+		optional, func(st *Settings, val string) bool { return setAddress(&st.Platform.Policy, val) },
+	},
 	{
 		"Peers", "Addresses", "ADDRESSES", "", "",
 		"Addresses of other entry hosts, for a start while the store is unavailable.",
--- a/internal/daemon/assembler/jobs.go
+++ b/internal/daemon/assembler/jobs.go
@@ -40,8 +40,10 @@
 
 // JobPlatform is the platform of callers' jobs.
 type JobPlatform struct {
-	Store    JobStore
-	Orders   director.Orders
+	Store  JobStore
+	Orders director.Orders
+	// Policy is nil where there is no policy service.
+	Policy   director.Policy
 	Registry jobleader.Registry
 	Queues   subscriber.Source
 	// Callers returns the handler of callers' requests.
@@ -84,7 +86,7 @@
 		Weight: int64(st.Host.Share * st.Host.Speed * 1000),
 	}
 	jh.leader = jobleader.New(jobleader.Options{
-		Self: self, Store: pf.Store, Registry: pf.Registry, Orders: pf.Orders,
+		Self: self, Store: pf.Store, Registry: pf.Registry, Orders: pf.Orders, Policy: pf.Policy,
 		Limits: director.Limits{
 			Lease: st.Jobs.Lease, Stop: st.Jobs.StopLimit, Retention: st.Jobs.Retention,
 			Restore: st.Jobs.RestoreTime, FarFactor: st.Jobs.FarFactor,
--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -66,6 +66,8 @@
 	Orders  Orders
 	Journal Journal
 	Book    Book
+	// Policy may be nil.
+	Policy Policy
 	// Configuration returns the one in force, or nil.
 	Configuration func() *modeler.Configuration
 	// Authorized reports whether this host may still give orders: no other can have taken over
@@ -118,6 +120,9 @@
 	// learned wakes the loop that confirms new jobs.
 	learned chan struct{}
 
+	// asking is held during a question to the policy service.
+	asking sync.Mutex
+
 	mu sync.Mutex
 	// unconfirmed holds the jobs that were learned after the last confirmation.
 	unconfirmed []*job
--- a/internal/job/director/director_test.go
+++ b/internal/job/director/director_test.go
@@ -1,8 +1,10 @@
 package director_test
 
 import (
+	"context"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -434,6 +436,21 @@
 			}
 		})
 	})
+	t.Run("only where the policy service permits", func(t *testing.T) {
+		run(t, 6, func(fl *fleet, tm *term) {
+			tm.end()
+			po := &policy{good: "worker-04"}
+			fl.policy, fl.config.Queues[0].Policy = po, &modeler.Policy{Decide: 50 * time.Millisecond}
+			*tm = *fl.lead(0)
+			sleep(300 * time.Millisecond)
+			tm.submit(simpleJob("j1", "urgent", 3, cores(1000)))
+			sleep(600 * time.Millisecond)
+			for ix := range 3 {
+				qt.Check(t, fl.workers.Where(modeler.TaskID{Job: "j1", Index: ix}), qt.Equals, modeler.WorkerID("worker-04"))
+			}
+			qt.Check(t, po.asked, qt.Equals, 1)
+		})
+	})
 	t.Run("occurrences start when they are due", func(t *testing.T) {
 		run(t, 1, func(fl *fleet, tm *term) {
 			jb := simpleJob("j1", "batch", 1, cores(1000))
@@ -451,6 +468,21 @@
 	})
 }
 
+// policy permits one worker.
+type policy struct {
+	good  modeler.WorkerID
+	asked int
+}
+
+func (po *policy) Permit(_ context.Context, _ modeler.StepID, workers []modeler.WorkerID) ([]modeler.Permit, error) {
+	time.Sleep(50 * time.Millisecond)
+	po.asked++
+	if slices.Contains(workers, po.good) {
+		return []modeler.Permit{{Worker: po.good, Ticket: "ticket", Valid: 3 * time.Second}}, nil
+	}
+	return nil, nil
+}
+
 // Guards against tasks that stay where they stand still or crawl.
 func TestStragglers(t *testing.T) {
 	run(t, 6, func(fl *fleet, tm *term) {
--- a/internal/job/director/harness_test.go
+++ b/internal/job/director/harness_test.go
@@ -41,6 +41,8 @@
 	// work tells how tasks go. Tasks without an entry take a second.
 	work map[modeler.TaskID]emulator.TaskBehaviour
 	jobs []*modeler.Job
+	// policy is nil where every worker may run every step.
+	policy director.Policy
 	// notified makes the next leader learn of the jobs from entry hosts before it has read them.
 	notified bool
 	// cancelled holds the jobs whose cancellation is stored.
@@ -107,7 +109,7 @@
 	dr := director.New(director.Options{
 		Epoch: modeler.Epoch(rec.Epoch), Orders: fl.workers, Journal: jn, Book: keeper.NewBook(fl.store),
 		Configuration: func() *modeler.Configuration { return fl.config }, Authorized: func() bool { return true },
-		Inherited: inherited, Limits: testLimits, Log: testLog(fl.t), Meter: meter.New(nil),
+		Policy: fl.policy, Inherited: inherited, Limits: testLimits, Log: testLog(fl.t), Meter: meter.New(nil),
 	})
 	dr.Restore(append(rec.Parts, rec.Records...))
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -60,6 +60,8 @@
 	perWorker map[modeler.WorkerID]int
 	// totals holds run times of ended tasks, for comparison with those that run.
 	totals []time.Duration
+	// permits is nil until the policy service is needed.
+	permits *permits
 	// gangRun is the run of the gang that is active, zero for none.
 	gangRun modeler.Run
 	// tail is the expected time from the start of this step to the end of the job.
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -183,9 +183,9 @@
 		if dm.Lasts {
 			dm.Spare, dm.Slots = rd.spare(pool, &dm)
 		}
-		ix := rd.choose(&dm, pool)
+		ix := rd.choose(sp, &dm, pool)
 		if ix < 0 {
-			if dm.PerWorker == 0 {
+			if dm.PerWorker == 0 && sp.permits == nil {
 				rd.failed[key] = append(rd.failed[key], dm.Needs)
 			}
 			rd.misses++
@@ -198,9 +198,9 @@
 	}
 }
 
-func (rd *round) choose(dm *placer.Demand, pool modeler.PoolName) int {
+func (rd *round) choose(sp *step, dm *placer.Demand, pool modeler.PoolName) int {
 	// Pools share the list of candidates; a worker of another pool is never chosen.
-	return placer.Choose(dm, rd.only(pool))
+	return placer.Choose(dm, rd.permitted(sp, rd.dr.queue(sp.occ.job), dm, rd.only(pool)))
 }
 
 // only returns the candidates with those of other pools made useless, keeping their positions.
@@ -357,6 +357,8 @@
 func (rd *round) fitGang(sp *step, pool modeler.PoolName, rack string) []int {
 	rd.countSteps(sp)
 	cands := slices.Clone(rd.only(pool))
+	first := rd.dr.demand(sp.waiting[0])
+	cands = slices.Clone(rd.permitted(sp, rd.dr.queue(sp.occ.job), &first, cands))
 	var chosen []int
 	for _, tk := range sp.waiting {
 		dm := rd.dr.demand(tk)
@@ -469,7 +471,7 @@
 		at.checkpoint = at.task.checkpoint
 		return at, &modeler.StartOrder{
 			Task: at.task.id(), Run: at.run, Spec: at.task.step.occ.job.Spec, Epoch: dr.op.Epoch,
-			Deadline: wk.now(time.Now()) + startLimit, Checkpoint: at.checkpoint,
+			Deadline: wk.now(time.Now()) + startLimit, Checkpoint: at.checkpoint, Ticket: at.task.step.ticket(wk.info.ID),
 		}, wk.info
 	}
 	wk.starters--
@@ -508,6 +510,8 @@
 		return
 	case errors.Is(err, modeler.ErrOldRun):
 		tk.lastRun += oldRunStep
+	case errors.Is(err, modeler.ErrTicket):
+		tk.step.forgetPermit(wk.info.ID)
 	case errors.Is(err, modeler.ErrRefused):
 		tk.notBefore = now.Add(time.Second)
 	default:
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -67,6 +67,7 @@
 	Store         Store
 	Registry      Registry
 	Orders        director.Orders
+	Policy        director.Policy
 	Limits        director.Limits
 	Configuration func() *modeler.Configuration
 	// Suspended is how long this host has been suspended since it started, which steady clocks do
@@ -108,7 +109,7 @@
 	ld.elector.Established(modeler.Epoch(rec.Epoch))
 	tm := &term{leader: ld, journal: jn, authority: newAuthority(ld, jn)}
 	dr := director.New(director.Options{
-		Epoch: modeler.Epoch(rec.Epoch), Orders: ld.op.Orders, Journal: jn, Book: keeper.NewBook(ld.op.Store),
+		Epoch: modeler.Epoch(rec.Epoch), Orders: ld.op.Orders, Journal: jn, Policy: ld.op.Policy, Book: keeper.NewBook(ld.op.Store),
 		Configuration: ld.op.Configuration, Authorized: tm.authority.valid, Inherited: ld.inherited(rec, pred),
 		Limits: ld.op.Limits, Log: ld.op.Log, Meter: ld.op.Meter,
 	})
--- a/internal/job/modeler/queue.go
+++ b/internal/job/modeler/queue.go
@@ -1,6 +1,7 @@
 package modeler
 
 import (
+	"fmt"
 	"strings"
 	"time"
 )
@@ -78,3 +79,21 @@
 	}
 	return nil
 }
+
+// Permit is the policy service's permission to run the tasks of a step on a worker.
+type Permit struct {
+	Worker WorkerID
+	// Ticket is passed on with each start.
+	Ticket string
+	// Valid is the life of the permission, from the question.
+	Valid time.Duration
+}
+
+// StepID names one step of one occurrence of a job.
+type StepID struct {
+	Job              JobID
+	Occurrence, Step int
+}
+
+// String returns the job, occurrence and step separated by dots.
+func (id StepID) String() string { return fmt.Sprintf("%s.%d.%d", id.Job, id.Occurrence, id.Step) }
--- a/internal/telemetry/logger/catalogue_job.go
+++ b/internal/telemetry/logger/catalogue_job.go
@@ -32,6 +32,9 @@
 	WorkerDistrusted = Event{627, "worker closed for a while", "Runs of several jobs failed or stood still there. Those that have not got far are moved.", SeverityWarning}
 	WorkerEntryBad   = Event{628, "registry entry not usable", "The entry names no worker. It is passed over.", SeverityWarning}
 
+	PermitsGranted = Event{630, "permissions granted", "The policy service has told on which of the workers a step may run.", SeverityInfo}
+	PermitsMissing = Event{631, "permissions not granted", "The policy service did not answer. The step waits and asks again.", SeverityWarning}
+
 	TermBegun       = Event{640, "term begun", "This host has begun an epoch of the journal and restored its facts.", SeverityInfo}
 	TermLoaded      = Event{641, "jobs loaded", "All stored jobs are known and placement begins. Unaccounted workers may run tasks of an earlier leader.", SeverityInfo}
 	TermAccounted   = Event{642, "workers accounted for", "No task runs that this leader does not know of.", SeverityInfo}
@@ -62,7 +65,7 @@
 	JobAccepted, JobRefused, JobUnknown, CancellationStored, JobTaken, JobCancelled, JobEnded, JobDamaged, JobNotForgotten,
 	TaskStarted, StartRejected, TaskFailed, RunEnded, RunLost, RunUnwanted, RunSlow, TaskCopied, StopSent, StopUnanswered,
 	WorkerPaced, PaceUnanswered, WorkerDraining, WorkerUnlisted, WorkerLost, WorkerRegained, WorkerReborn, WorkerDistrusted,
-	WorkerEntryBad,
+	WorkerEntryBad, PermitsGranted, PermitsMissing,
 	TermBegun, TermLoaded, TermAccounted, TermEnded, FactDamaged, FactNotRecorded, FactsDelayed, LeaderElected, LeaderGone,
 	MemberNotStored, MemberDamaged, MemberForgotten, WatchLost, WatchRegained,
 	QueuesAccepted, QueuesInvalid, QueuesNotFetched, PeersNotSecured, SettingsReloaded, SettingsKept, LoadSummary, TaskWaits, LinesDropped,
