--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -128,6 +128,8 @@
 	unconfirmed []*job
 	// jobs holds every stored job whose retention is not over.
 	jobs map[modeler.JobID]*job
+	// cancelled holds cancellations of jobs that are not known yet.
+	cancelled map[modeler.JobID]struct{}
 	// facts holds those of jobs that are not known yet.
 	facts   map[modeler.JobID][]keeper.Fact
 	workers map[modeler.WorkerID]*worker
@@ -148,16 +150,17 @@
 // New returns a director that is not running yet.
 func New(op Options) *Director {
 	return &Director{
-		op:      op,
-		began:   time.Now(),
-		loaded:  make(chan struct{}),
-		kicked:  make(chan struct{}, 1),
-		learned: make(chan struct{}, 1),
-		jobs:    map[modeler.JobID]*job{},
-		facts:   map[modeler.JobID][]keeper.Fact{},
-		workers: map[modeler.WorkerID]*worker{},
-		waiting: map[*step]struct{}{},
-		model:   estimator.New(),
+		op:        op,
+		began:     time.Now(),
+		loaded:    make(chan struct{}),
+		kicked:    make(chan struct{}, 1),
+		learned:   make(chan struct{}, 1),
+		jobs:      map[modeler.JobID]*job{},
+		cancelled: map[modeler.JobID]struct{}{},
+		facts:     map[modeler.JobID][]keeper.Fact{},
+		workers:   map[modeler.WorkerID]*worker{},
+		waiting:   map[*step]struct{}{},
+		model:     estimator.New(),
 	}
 }
 
--- a/internal/job/director/director_test.go
+++ b/internal/job/director/director_test.go
@@ -75,6 +75,15 @@
 			qt.Check(t, fl.workers.Where(modeler.TaskID{Job: "j1"}), qt.Equals, modeler.WorkerID(""))
 		})
 	})
+	t.Run("told before its job", func(t *testing.T) {
+		run(t, 1, func(fl *fleet, tm *term) {
+			tm.Cancel("j1")
+			tm.submit(simpleJob("j1", "urgent", 1, cores(1000)))
+			sleep(2 * time.Second)
+			tm.assertState("j1", modeler.Cancelled)
+			qt.Check(t, fl.workers.Starts(modeler.TaskID{Job: "j1"}), qt.Equals, 0)
+		})
+	})
 	t.Run("start carried out late", func(t *testing.T) {
 		run(t, 1, func(fl *fleet, tm *term) {
 			fl.faults.Set(emulator.Switch{Fault: emulator.Late, Part: emulator.PartWorkers, Operation: "Start", Count: 1, Delay: 3 * time.Second})
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -149,6 +149,10 @@
 	for _, ft := range facts {
 		dr.apply(jb, ft, now)
 	}
+	if _, ok := dr.cancelled[jb.ID]; ok {
+		delete(dr.cancelled, jb.ID)
+		dr.cancel(jb, now)
+	}
 	if !inherited {
 		dr.log(logger.JobTaken, "Job", jb.ID, "Queue", jb.Queue, "Steps", len(jb.Steps), "Age", now.Sub(jb.Submitted).String())
 	}
@@ -369,15 +373,30 @@
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	jb := dr.jobs[id]
-	if jb == nil || jb.final != "" {
+	if jb == nil {
+		// Hosts tell of changes in any order, and one batch of a watch need not keep it.
+		if len(dr.cancelled) < mostCancelled {
+			dr.cancelled[id] = struct{}{}
+		}
+		return
+	}
+	dr.cancel(jb, time.Now())
+	dr.kick()
+}
+
+// mostCancelled bounds the cancellations that wait for their jobs. Those of jobs that are long
+// forgotten never meet one.
+const mostCancelled = 10_000
+
+func (dr *Director) cancel(jb *job, now time.Time) {
+	if jb.final != "" {
 		return
 	}
-	dr.log(logger.JobCancelled, "Job", id, "Queue", jb.Queue)
+	dr.log(logger.JobCancelled, "Job", jb.ID, "Queue", jb.Queue)
 	dr.op.Meter.Add(meter.JobsCancelled, 1)
-	dr.close(jb, modeler.Cancelled, time.Now())
+	dr.close(jb, modeler.Cancelled, now)
 	// The stored cancellation is what makes it durable.
 	jb.durable = true
-	dr.kick()
 }
 
 // State returns what callers are told of a job, and false for one that is not known.
