--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -151,7 +151,7 @@
 	}
 	if _, ok := dr.cancelled[jb.ID]; ok {
 		delete(dr.cancelled, jb.ID)
-		dr.cancel(jb, now)
+		dr.cancelJob(jb, now)
 	}
 	if !inherited {
 		dr.log(logger.JobTaken, "Job", jb.ID, "Queue", jb.Queue, "Steps", len(jb.Steps), "Age", now.Sub(jb.Submitted).String())
@@ -380,7 +380,7 @@
 		}
 		return
 	}
-	dr.cancel(jb, time.Now())
+	dr.cancelJob(jb, time.Now())
 	dr.kick()
 }
 
@@ -388,7 +388,7 @@
 // forgotten never meet one.
 const mostCancelled = 10_000
 
-func (dr *Director) cancel(jb *job, now time.Time) {
+func (dr *Director) cancelJob(jb *job, now time.Time) {
 	if jb.final != "" {
 		return
 	}
