--- a/internal/job/director/observer.go
+++ b/internal/job/director/observer.go
@@ -154,6 +154,9 @@
 	return at.task.step.spec.TailTarget > 0 && at.state == active && at.progress >= 100 && !at.loadAt.IsZero()
 }
 
+// foreseen returns the load at the time when an order given now takes effect.
+func (at *attempt) foreseen() float64 { return at.load + max(0, at.rise)*riseAhead }
+
 // mostStrained returns the serving task on the worker that is nearest to its target.
 func (dr *Director) mostStrained(wk *worker) (*attempt, float64) {
 	var worst *attempt
@@ -203,7 +206,7 @@
 			continue
 		}
 		if own, ok := dr.siblingLoad(at, now); ok {
-			dr.model.Learn(at.task.step.spec.Image, at.load-own, fills)
+			dr.model.Learn(at.task.step.spec.Image, at.load-own, fills, now)
 		}
 	}
 }
@@ -228,7 +231,7 @@
 
 // expectStrain returns the highest strain that is expected on a worker with one more task, and the
 // part of it that the task adds or gets from work that fills.
-func (dr *Director) expectStrain(wk *worker, dm *placer.Demand) (strain, harm float64) {
+func (dr *Director) expectStrain(wk *worker, dm *placer.Demand, now time.Time) (strain, harm float64) {
 	if dm.Serves {
 		for _, at := range wk.attempts {
 			if at.task.step.spec.Fills {
@@ -243,8 +246,8 @@
 			continue
 		}
 		limit := dr.model.Limit(sp.Image, sp.TailTarget)
-		added := dr.model.Harm(sp.Image, dm.Image) * wk.press(dm.Needs.MilliCores) / limit
-		load := (at.load + max(0, at.rise)*riseAhead) / limit
+		added := dr.model.Hope(sp.Image, dm.Image, now) * wk.press(dm.Needs.MilliCores) / limit
+		load := at.foreseen() / limit
 		strain, harm = max(strain, load+added), max(harm, added)
 	}
 	return strain, harm
--- a/internal/job/estimator/estimator.go
+++ b/internal/job/estimator/estimator.go
@@ -28,12 +28,17 @@
 	// mostLoad bounds loads: beyond it a tail says only that the task is overloaded.
 	mostLoad = 0.94
 	// priorHarm and priorVariance describe a pair that was never seen together.
-	priorHarm, priorVariance = 0.3, 0.6
+	priorHarm, priorVariance = 0.3, 0.5
 	// leastVariance keeps a pair open to change.
-	leastVariance = 0.004
+	leastVariance = 0.01
 	// noise is the variance of the load difference of siblings. Successive reports share most of
 	// it, so it is a multiple of what a single report shows.
-	noise = 0.015
+	noise = 0.03
+	// mostResidual bounds what one report may say, as single tails are now and then far off.
+	mostResidual = 0.2
+	// fading is the variance that a belief gains in a second, so that a pair that was kept apart is
+	// tried again after some ten seconds.
+	fading = 0.015
 	// noticeable is the press of all fills from which a difference is put down to them.
 	noticeable = 0.015
 	// mostHarm bounds the harm of a pair.
@@ -42,7 +47,19 @@
 
 type pair struct{ serving, filling string }
 
-type belief struct{ mean, variance float64 }
+type belief struct {
+	mean, variance float64
+	// at is when the variance held.
+	at time.Time
+}
+
+// fade lets the variance grow with the time since the last observation.
+func (bf *belief) fade(now time.Time) {
+	if !bf.at.IsZero() && now.After(bf.at) {
+		bf.variance = math.Min(priorVariance, bf.variance+fading*now.Sub(bf.at).Seconds())
+	}
+	bf.at = now
+}
 
 // Model is what is known of all images and pairs. The zero value is not usable.
 type Model struct {
@@ -88,6 +105,17 @@
 	return priorHarm
 }
 
+// Hope returns a low estimate of the harm, for the choice whether to let a pair meet. It falls while
+// the pair is kept apart.
+func (md *Model) Hope(serving, filling string, now time.Time) float64 {
+	bf := md.pairs[pair{serving, filling}]
+	if bf == nil {
+		return priorHarm
+	}
+	bf.fade(now)
+	return max(0, bf.mean)
+}
+
 // Disturbance returns the load that work that fills adds to a serving task.
 func (md *Model) Disturbance(serving string, fills []Fill) float64 {
 	sum := 0.0
@@ -98,10 +126,11 @@
 }
 
 // Learn takes the load of a serving task beyond that of its undisturbed siblings.
-func (md *Model) Learn(serving string, excess float64, fills []Fill) {
+func (md *Model) Learn(serving string, excess float64, fills []Fill, now time.Time) {
 	press, spread, expected := 0.0, noise, 0.0
 	for _, fl := range fills {
 		bf := md.of(serving, fl.Image)
+		bf.fade(now)
 		press += fl.Press
 		spread += bf.variance * fl.Press * fl.Press
 		expected += bf.mean * fl.Press
@@ -109,10 +138,11 @@
 	if press < noticeable {
 		return
 	}
+	residual := math.Min(mostResidual, math.Max(-mostResidual, excess-expected))
 	for _, fl := range fills {
 		bf := md.of(serving, fl.Image)
 		gain := bf.variance * fl.Press / spread
-		bf.mean = math.Min(mostHarm, math.Max(-0.2, bf.mean+gain*(excess-expected)))
+		bf.mean = math.Min(mostHarm, math.Max(-0.2, bf.mean+gain*residual))
 		bf.variance = math.Max(leastVariance, bf.variance*(1-gain*fl.Press))
 	}
 }
@@ -120,7 +150,7 @@
 func (md *Model) of(serving, filling string) *belief {
 	bf := md.pairs[pair{serving, filling}]
 	if bf == nil {
-		bf = &belief{priorHarm, priorVariance}
+		bf = &belief{mean: priorHarm, variance: priorVariance}
 		md.pairs[pair{serving, filling}] = bf
 	}
 	return bf
--- a/internal/job/estimator/estimator_test.go
+++ b/internal/job/estimator/estimator_test.go
@@ -14,8 +14,9 @@
 func TestLearn(t *testing.T) {
 	rnd := rand.New(rand.NewPCG(3, 3))
 	truth := map[string]float64{"bad": 1.6, "good": 0.05, "fair": 0.3}
-	md := New()
+	md, at := New(), time.Unix(1_700_000_000, 0)
 	for range 400 {
+		at = at.Add(100 * time.Millisecond)
 		var fills []Fill
 		excess := 0.06 * rnd.NormFloat64()
 		for image, harm := range truth {
@@ -25,7 +26,7 @@
 				excess += harm * press
 			}
 		}
-		md.Learn("s", excess, fills)
+		md.Learn("s", excess, fills, at)
 	}
 	for image, want := range truth {
 		got := md.Harm("s", image)
@@ -36,9 +37,10 @@
 
 // Guards against a bad pair that is learned only after many seconds of harm.
 func TestLearnsSoon(t *testing.T) {
-	md := New()
+	md, at := New(), time.Unix(1_700_000_000, 0)
 	for range 4 {
-		md.Learn("s", 0.25, []Fill{{"bad", 0.15}})
+		at = at.Add(500 * time.Millisecond)
+		md.Learn("s", 0.25, []Fill{{"bad", 0.15}}, at)
 	}
 	qt.Check(t, md.Harm("s", "bad") > 0.7, qt.IsTrue, qt.Commentf("%.2f", md.Harm("s", "bad")))
 }
@@ -55,3 +57,14 @@
 	qt.Check(t, md.Load("s", 150*time.Millisecond), qt.Equals, limit)
 	qt.Check(t, md.Limit("unknown", time.Second), qt.Equals, mostLoad)
 }
+
+// Guards against a pair that is condemned for good by a few bad reports.
+func TestHope(t *testing.T) {
+	md, at := New(), time.Unix(1_700_000_000, 0)
+	for range 6 {
+		md.Learn("s", 0.2, []Fill{{"f", 0.1}}, at)
+	}
+	soon, later := md.Hope("s", "f", at), md.Hope("s", "f", at.Add(30*time.Second))
+	qt.Check(t, soon > 0.5, qt.IsTrue, qt.Commentf("%.2f", soon))
+	qt.Check(t, later < soon-0.2, qt.IsTrue, qt.Commentf("%.2f to %.2f", soon, later))
+}
