--- a/internal/job/director/observer.go
+++ b/internal/job/director/observer.go
@@ -231,7 +231,7 @@
 
 // expectStrain returns the highest strain that is expected on a worker with one more task, and the
 // part of it that the task adds or gets from work that fills.
-func (dr *Director) expectStrain(wk *worker, dm *placer.Demand, now time.Time) (strain, harm float64) {
+func (dr *Director) expectStrain(wk *worker, dm *placer.Demand) (strain, harm float64) {
 	if dm.Serves {
 		for _, at := range wk.attempts {
 			if at.task.step.spec.Fills {
@@ -246,7 +246,7 @@
 			continue
 		}
 		limit := dr.model.Limit(sp.Image, sp.TailTarget)
-		added := dr.model.Hope(sp.Image, dm.Image, now) * wk.press(dm.Needs.MilliCores) / limit
+		added := dr.model.Harm(sp.Image, dm.Image) * wk.press(dm.Needs.MilliCores) / limit
 		load := at.foreseen() / limit
 		strain, harm = max(strain, load+added), max(harm, added)
 	}
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -274,7 +274,7 @@
 	for ix, wk := range rd.workers {
 		ex := &list[ix]
 		if !ex.known {
-			ex.strain, ex.harm = rd.dr.expectStrain(wk, dm, rd.now)
+			ex.strain, ex.harm = rd.dr.expectStrain(wk, dm)
 			ex.known = true
 		}
 		cd := &rd.cands[ix]
--- a/internal/job/estimator/estimator.go
+++ b/internal/job/estimator/estimator.go
@@ -36,8 +36,7 @@
 	noise = 0.03
 	// mostResidual bounds what one report may say, as single tails are now and then far off.
 	mostResidual = 0.2
-	// fading is the variance that a belief gains in a second, so that a pair that was kept apart is
-	// tried again after some ten seconds.
+	// fading is the variance that a belief gains in a second, so that new reports outweigh old ones.
 	fading = 0.015
 	// noticeable is the press of all fills from which a difference is put down to them.
 	noticeable = 0.015
@@ -105,17 +104,6 @@
 	return priorHarm
 }
 
-// Hope returns a low estimate of the harm, for the choice whether to let a pair meet. It falls while
-// the pair is kept apart.
-func (md *Model) Hope(serving, filling string, now time.Time) float64 {
-	bf := md.pairs[pair{serving, filling}]
-	if bf == nil {
-		return priorHarm
-	}
-	bf.fade(now)
-	return max(0, bf.mean)
-}
-
 // Disturbance returns the load that work that fills adds to a serving task.
 func (md *Model) Disturbance(serving string, fills []Fill) float64 {
 	sum := 0.0
--- a/internal/job/pacer/pacer.go
+++ b/internal/job/pacer/pacer.go
@@ -8,9 +8,11 @@
 const (
 	// Full lets a task work at its own speed.
 	Full = 100
-	// Tight is the strain from which work that fills is slowed, and Calm the one below which it
-	// gets speed back. Strain is the load of a serving task as a share of the load at its target.
-	Tight, Calm = 0.97, 0.93
+	// Tight is the strain from which work that fills is slowed. Strain is the load of a serving task as
+	// a share of the load at its target.
+	Tight = 0.97
+	// Calm is the strain below which work that fills gets speed back.
+	Calm = 0.93
 	// step is how much of its speed work that fills gets back at a time.
 	step = 25
 	// settle is the time that a change takes to show in the reports.
