--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -14,6 +14,7 @@
 	"github.com/currantrouter/currantrouter/internal/job/estimator"
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/pauser"
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
@@ -256,7 +257,7 @@
 			dr.depose("journal has a later epoch")
 			return false
 		}
-		pause(ctx, appendRetry)
+		pauser.Pause(ctx, appendRetry)
 	}
 	return false
 }
@@ -278,7 +279,7 @@
 		dr.dispatch(began)
 		dr.mu.Unlock()
 		// A host that is short of processor time spends at most a part of it on placement.
-		pause(ctx, max(dispatchPause, min(dispatchShare*time.Since(began), tick)))
+		pauser.Pause(ctx, max(dispatchPause, min(dispatchShare*time.Since(began), tick)))
 	}
 }
 
@@ -350,17 +351,8 @@
 			dr.log(logger.FactsDelayed, "Facts", len(facts), "Error", err.Error())
 		}
 		failing = true
-		pause(ctx, appendRetry)
+		pauser.Pause(ctx, appendRetry)
 	}
 }
 
 func (dr *Director) log(ev logger.Event, kv ...any) { logger.Log(dr.op.Log, ev, kv...) }
-
-func pause(ctx context.Context, dur time.Duration) {
-	tm := time.NewTimer(dur)
-	defer tm.Stop()
-	select {
-	case <-ctx.Done():
-	case <-tm.C:
-	}
-}
--- a/internal/job/director/recovery.go
+++ b/internal/job/director/recovery.go
@@ -7,6 +7,7 @@
 
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/pauser"
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
@@ -83,7 +84,7 @@
 // forgetLoop removes jobs whose retention is over, and keeps the journal short.
 func (dr *Director) forgetLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, forgetInterval)
+		pauser.Pause(ctx, forgetInterval)
 		for _, id := range dr.expired(time.Now()) {
 			if err := dr.op.Book.Forget(ctx, id); err != nil {
 				dr.log(logger.JobNotForgotten, "Job", id, "Error", err.Error())
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -9,6 +9,7 @@
 
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/pauser"
 	"github.com/currantrouter/currantrouter/internal/job/placer"
 	"github.com/currantrouter/currantrouter/internal/job/ranker"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
@@ -564,7 +565,7 @@
 				return
 			}
 		}
-		pause(ctx, stopRetry)
+		pauser.Pause(ctx, stopRetry)
 	}
 }
 
--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -22,6 +22,7 @@
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
 	fleet "github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/pauser"
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
@@ -267,7 +268,7 @@
 			el.list(ctx)
 			return
 		}
-		sleep(ctx, round)
+		pauser.Pause(ctx, round)
 	}
 }
 
@@ -729,12 +730,3 @@
 	}
 	return one
 }
-
-func sleep(ctx context.Context, dur time.Duration) {
-	tm := time.NewTimer(dur)
-	defer tm.Stop()
-	select {
-	case <-ctx.Done():
-	case <-tm.C:
-	}
-}
--- a/internal/job/intaker/intaker.go
+++ b/internal/job/intaker/intaker.go
@@ -17,6 +17,7 @@
 	"github.com/currantrouter/currantrouter/internal/job/elector"
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/pauser"
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
@@ -187,7 +188,7 @@
 		if !unknown {
 			return ErrNotAccepted
 		}
-		if !wait(ctx, repeatPause) {
+		if !pauser.Pause(ctx, repeatPause) {
 			return ErrUnknown
 		}
 	}
@@ -209,17 +210,6 @@
 	return run(ctx)
 }
 
-func wait(ctx context.Context, dur time.Duration) bool {
-	tm := time.NewTimer(dur)
-	defer tm.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-tm.C:
-		return true
-	}
-}
-
 // notify tells the leader of a stored change. The leader's watch brings it as well.
 func (it *Intaker) notify(ch *messenger.StoredChange) {
 	if dr := it.op.Director(); dr != nil {
--- a/internal/job/watcher/watcher.go
+++ b/internal/job/watcher/watcher.go
@@ -9,6 +9,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/currantrouter/currantrouter/internal/job/pauser"
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
 )
 
@@ -84,7 +85,7 @@
 			known = false
 		case ctx.Err() == nil:
 			wt.fail(err)
-			pause(ctx, bo.NextBackOff())
+			pauser.Pause(ctx, bo.NextBackOff())
 		}
 	}
 }
@@ -129,12 +130,3 @@
 	}
 	wt.lost = false
 }
-
-func pause(ctx context.Context, dur time.Duration) {
-	tm := time.NewTimer(dur)
-	defer tm.Stop()
-	select {
-	case <-ctx.Done():
-	case <-tm.C:
-	}
-}
