--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -111,10 +111,13 @@
 type Director struct {
 	op    Options
 	began time.Time
-	// over is called once when the term has to end.
-	cancel context.CancelCauseFunc
+	// ctx is that of the term, cancel ends it with the cause.
 	ctx    context.Context
-	loops  sync.WaitGroup
+	cancel context.CancelCauseFunc
+	// loops counts the goroutines of the term. beginning is held while one begins, so that none does
+	// once the term is over and they are waited for.
+	loops     sync.WaitGroup
+	beginning sync.Mutex
 	// loaded is closed when the stored jobs are known.
 	loaded chan struct{}
 	kicked chan struct{}
@@ -185,6 +188,9 @@
 // context has ended, or ErrTermOver.
 func (dr *Director) Wait() error {
 	<-dr.ctx.Done()
+	dr.beginning.Lock()
+	// From here on goRun sees that the term is over.
+	dr.beginning.Unlock()
 	dr.loops.Wait()
 	if errors.Is(context.Cause(dr.ctx), ErrTermOver) {
 		return ErrTermOver
@@ -192,8 +198,13 @@
 	return nil
 }
 
-// goRun runs a loop that Wait waits for.
+// goRun runs a loop that Wait waits for. It does nothing once the term is over.
 func (dr *Director) goRun(loop func(context.Context)) {
+	dr.beginning.Lock()
+	defer dr.beginning.Unlock()
+	if dr.ctx.Err() != nil {
+		return
+	}
 	ctx := dr.ctx
 	dr.loops.Go(func() { loop(ctx) })
 }
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -64,7 +64,7 @@
 	permits *permits
 	// gangRun is the run of the gang that is active, zero for none.
 	gangRun modeler.Run
-	// tail is the expected time from the start of this step to the end of the job.
+	// remaining is the expected time from the start of this step to the end of the job.
 	remaining time.Duration
 }
 
@@ -493,7 +493,6 @@
 	// second, and loadAt when it was reported. See package estimator.
 	load, rise float64
 	loadAt     time.Time
-	tail       time.Duration
 	// measure is the last reported figure of the run, see modeler.ActiveRun.
 	measure int64
 	// pace is the last pace that was ordered, in percent.
--- a/internal/job/director/observer.go
+++ b/internal/job/director/observer.go
@@ -19,8 +19,6 @@
 	mostMoves = 2
 	// judgedPace is the pace in percent from which lack of progress is a sign of a fault.
 	judgedPace = 50
-	// drainMargin is the time before a draining worker leaves in which its tasks are moved.
-	drainMargin = 300 * time.Millisecond
 )
 
 // judge looks for runs that stand still or crawl, and empties workers that leave.
@@ -140,13 +138,13 @@
 	load := dr.model.Load(at.task.step.spec.Image, tail)
 	since := now.Sub(at.loadAt)
 	if !at.loadAt.IsZero() && since < shortestRise {
-		at.load, at.tail = load, tail
+		at.load = load
 		return
 	}
 	if !at.loadAt.IsZero() {
 		at.rise += riseWeight * ((load-at.load)/since.Seconds() - at.rise)
 	}
-	at.tail, at.load, at.loadAt = tail, load, now
+	at.load, at.loadAt = load, now
 }
 
 // serves reports whether the attempt is at work for users.
