Let others start past a task that waits for another worker

Cause: a task that avoids the worker on which it failed found no room, and the round took that as proof that its size has none. Tasks behind it waited, and the avoided worker was kept free for it. Workers of other pools and workers that the policy service does not permit counted as a choice, so that a failed task of a pool with one worker waited for ever. Change: only tasks that take any worker settle what has no room; candidates say whether they are barred.

--- a/internal/job/director/director_test.go
+++ b/internal/job/director/director_test.go
@@ -455,6 +455,35 @@
 	})
 }
 
+// Guards against a failed task that waits for a worker it never gets, or keeps others from theirs.
+func TestAfterFailure(t *testing.T) {
+	failing := emulator.TaskBehaviour{Work: 200 * time.Millisecond, Fails: true}
+	t.Run("others take the worker that a failed task avoids", func(t *testing.T) {
+		run(t, 2, func(fl *fleet, tm *term) {
+			base := simpleJob("base", "urgent", 1, cores(15000))
+			base.Steps[0].LongRunning = true
+			tm.submit(base)
+			sleep(time.Second)
+			fl.work[modeler.TaskID{Job: "failing"}] = failing
+			tm.submit(simpleJob("failing", "urgent", 1, cores(4000)))
+			sleep(time.Second)
+			tm.submit(simpleJob("next", "batch", 1, cores(4000)))
+			sleep(2 * time.Second)
+			tm.assertState("next", modeler.Completed)
+		})
+	})
+	t.Run("workers of another pool are no choice", func(t *testing.T) {
+		run(t, 2, func(fl *fleet, tm *term) {
+			fl.infos[1].Pool = "other"
+			tm.UpdateWorker(fl.infos[1])
+			fl.work[modeler.TaskID{Job: "failing"}] = failing
+			tm.submit(simpleJob("failing", "urgent", 1, cores(4000)))
+			sleep(10 * time.Second)
+			tm.assertState("failing", modeler.Failed)
+		})
+	})
+}
+
 // Guards against starts before an occurrence is due, or where the policy service does not permit them.
 func TestWhenAndWhere(t *testing.T) {
 	t.Run("only where the policy service permits", func(t *testing.T) {
--- a/internal/job/director/permit.go
+++ b/internal/job/director/permit.go
@@ -68,7 +68,7 @@
 		case fits && !sp.permits.denied[wk.info.ID]:
 			unknown = append(unknown, wk.info.ID)
 		}
-		open[ix].Free = modeler.Resources{MilliCores: -1, MemoryMB: -1, Accelerators: -1}
+		open[ix].Barred = true
 	}
 	if !room && len(unknown) > 0 && !sp.permits.asking && !rd.now.Before(sp.permits.notBefore) {
 		rd.dr.ask(sp, qu.Policy, unknown[:min(len(unknown), askedWorkers)])
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -168,6 +168,9 @@
 	}
 	pool := rd.dr.pool(sp.occ.job)
 	for _, tk := range slices.Clone(sp.waiting) {
+		if rd.misses >= mostMisses {
+			return
+		}
 		if !rd.dr.startable(tk, rd.now) {
 			continue
 		}
@@ -185,6 +188,13 @@
 			dm.Spare, dm.Slots = rd.spare(pool, &dm)
 		}
 		ix := rd.choose(sp, &dm, pool)
+		if ix < 0 && len(dm.Avoid) > 0 {
+			// It may wait for one certain worker while others of its size have room.
+			rd.misses++
+			rd.explain(tk, &dm, pool)
+			rd.hold(&dm, pool)
+			continue
+		}
 		if ix < 0 {
 			if dm.PerWorker == 0 && sp.permits == nil {
 				rd.failed[key] = append(rd.failed[key], dm.Needs)
@@ -204,7 +214,7 @@
 	return placer.Choose(dm, rd.permitted(sp, rd.dr.queue(sp.occ.job), dm, rd.only(pool)))
 }
 
-// only returns the candidates with those of other pools made useless, keeping their positions.
+// only returns the candidates with those of other pools barred, keeping their positions.
 func (rd *round) only(pool modeler.PoolName) []placer.Candidate {
 	mixed := false
 	for _, wk := range rd.workers {
@@ -216,7 +226,7 @@
 	cands := slices.Clone(rd.cands)
 	for ix, wk := range rd.workers {
 		if wk.info.Pool != pool {
-			cands[ix].Free = modeler.Resources{MilliCores: -1, MemoryMB: -1, Accelerators: -1}
+			cands[ix].Barred = true
 		}
 	}
 	return cands
@@ -291,8 +301,10 @@
 		return
 	}
 	best := -1
+	cands := rd.only(pool)
+	others := placer.Elsewhere(dm, cands)
 	for ix, wk := range rd.workers {
-		if wk.info.Pool != pool || !placer.Suits(dm, &wk.info) || wk.free.MilliCores+wk.endingCores < dm.Needs.MilliCores {
+		if cands[ix].Barred || others && slices.Contains(dm.Avoid, wk.info.ID) || !placer.Suits(dm, &wk.info) || wk.free.MilliCores+wk.endingCores < dm.Needs.MilliCores {
 			continue
 		}
 		if best < 0 || rd.cands[ix].Free.MilliCores > rd.cands[best].Free.MilliCores {
--- a/internal/job/placer/placer.go
+++ b/internal/job/placer/placer.go
@@ -50,6 +50,8 @@
 	ServingCores int64
 	// OtherImages is set when the worker serves, but no task of the demand's image.
 	OtherImages bool
+	// Barred is set when the task may not run there: the worker is of another pool or not permitted.
+	Barred bool
 	// Harm is the part of the strain that the task adds, or for a serving task the strain that the
 	// work that fills there would give it.
 	Harm float64
@@ -98,11 +100,9 @@
 // task has failed is chosen only where no other could run it: a further failure may be the job's last.
 func Choose(dm *Demand, cands []Candidate) int {
 	best, lowest := -1, math.Inf(1)
-	others := len(dm.Avoid) > 0 && slices.ContainsFunc(cands, func(cd Candidate) bool {
-		return Suits(dm, cd.Worker) && !avoided(dm, cd.Worker.ID)
-	})
+	others := Elsewhere(dm, cands)
 	for ix := range cands {
-		if !Allowed(dm, &cands[ix]) || others && avoided(dm, cands[ix].Worker.ID) {
+		if !Allowed(dm, &cands[ix]) || others && slices.Contains(dm.Avoid, cands[ix].Worker.ID) {
 			continue
 		}
 		if cost := cost(dm, &cands[ix]); cost < lowest {
@@ -112,11 +112,16 @@
 	return best
 }
 
-func avoided(dm *Demand, id modeler.WorkerID) bool { return slices.Contains(dm.Avoid, id) }
+// Elsewhere reports whether a task that avoids workers could run on another one, now or later.
+func Elsewhere(dm *Demand, cands []Candidate) bool {
+	return len(dm.Avoid) > 0 && slices.ContainsFunc(cands, func(cd Candidate) bool {
+		return !cd.Barred && Suits(dm, cd.Worker) && !slices.Contains(dm.Avoid, cd.Worker.ID)
+	})
+}
 
 // Allowed reports whether the worker may run the task and has room for it.
 func Allowed(dm *Demand, cd *Candidate) bool {
-	return Suits(dm, cd.Worker) && (dm.PerWorker <= 0 || cd.SameStep < dm.PerWorker) &&
+	return !cd.Barred && Suits(dm, cd.Worker) && (dm.PerWorker <= 0 || cd.SameStep < dm.PerWorker) &&
 		reserved(dm).Fits(cd.Free) && (!dm.Fills || mayFill(dm, cd)) && (!dm.Lasts || mayLast(dm))
 }
 
@@ -140,7 +145,7 @@
 	for ix := range cands {
 		cd := &cands[ix]
 		switch {
-		case !Suits(dm, cd.Worker):
+		case cd.Barred || !Suits(dm, cd.Worker):
 			rs.Unsuited++
 		case dm.PerWorker > 0 && cd.SameStep >= dm.PerWorker:
 			rs.Crowded++
