Guard what tests share with the goroutines of their stand-ins

Cause: the race detector found four races, all in tests and stand-ins: the table of tasks' behaviour and images that workers read while a test adds to it, hosts of the elector's tests that are replaced while others greet them, the counter of left-out lines, and orders carried out late by the stand-in after their sender had returned. Change: locks and an atomic; late orders no longer write to results that are read. After: the packages pass with the race detector, three times for the director and eight for the elector.

--- a/internal/job/director/director_test.go
+++ b/internal/job/director/director_test.go
@@ -52,7 +52,7 @@
 func TestFailures(t *testing.T) {
 	task := modeler.TaskID{Job: "j1"}
 	run(t, 4, func(fl *fleet, tm *term) {
-		fl.work[task] = emulator.TaskBehaviour{Work: 200 * time.Millisecond, Fails: true}
+		fl.set(task, emulator.TaskBehaviour{Work: 200 * time.Millisecond, Fails: true})
 		tm.submit(simpleJob("j1", "batch", 2, cores(1000)))
 		sleep(20 * time.Second)
 		tm.assertState("j1", modeler.Failed)
@@ -244,11 +244,11 @@
 	t.Run("restored end of an earlier run", func(t *testing.T) {
 		run(t, 2, func(fl *fleet, tm *term) {
 			task := modeler.TaskID{Job: "j1"}
-			fl.work[task] = emulator.TaskBehaviour{Work: 300 * time.Millisecond, Fails: true}
+			fl.set(task, emulator.TaskBehaviour{Work: 300 * time.Millisecond, Fails: true})
 			tm.submit(simpleJob("j1", "batch", 1, cores(1000)))
 			sleep(200 * time.Millisecond)
 			first := fl.workers.Where(task)
-			fl.work[task] = emulator.TaskBehaviour{Work: 4 * time.Second}
+			fl.set(task, emulator.TaskBehaviour{Work: 4 * time.Second})
 			sleep(time.Second)
 			second := fl.workers.Where(task)
 			qt.Assert(t, second != "" && second != first, qt.IsTrue)
@@ -263,7 +263,7 @@
 	})
 	t.Run("told of a job before it is loaded", func(t *testing.T) {
 		run(t, 2, func(fl *fleet, tm *term) {
-			fl.work[modeler.TaskID{Job: "j1"}] = emulator.TaskBehaviour{Work: 5 * time.Second}
+			fl.set(modeler.TaskID{Job: "j1"}, emulator.TaskBehaviour{Work: 5 * time.Second})
 			tm.submit(simpleJob("j1", "urgent", 1, cores(1000)))
 			sleep(time.Second)
 			where := fl.workers.Where(modeler.TaskID{Job: "j1"})
@@ -327,7 +327,7 @@
 func TestEndsInOrder(t *testing.T) {
 	run(t, 1, func(fl *fleet, tm *term) {
 		for ix := range 3 {
-			fl.work[modeler.TaskID{Job: "j1", Index: ix}] = emulator.TaskBehaviour{Work: time.Duration(ix+1) * 600 * time.Millisecond}
+			fl.set(modeler.TaskID{Job: "j1", Index: ix}, emulator.TaskBehaviour{Work: time.Duration(ix+1) * 600 * time.Millisecond})
 		}
 		tm.submit(simpleJob("j1", "batch", 3, cores(1000)))
 		sleep(550 * time.Millisecond)
@@ -464,7 +464,7 @@
 			base.Steps[0].LongRunning = true
 			tm.submit(base)
 			sleep(time.Second)
-			fl.work[modeler.TaskID{Job: "failing"}] = failing
+			fl.set(modeler.TaskID{Job: "failing"}, failing)
 			tm.submit(simpleJob("failing", "urgent", 1, cores(4000)))
 			sleep(time.Second)
 			tm.submit(simpleJob("next", "batch", 1, cores(4000)))
@@ -476,7 +476,7 @@
 		run(t, 2, func(fl *fleet, tm *term) {
 			fl.infos[1].Pool = "other"
 			tm.UpdateWorker(fl.infos[1])
-			fl.work[modeler.TaskID{Job: "failing"}] = failing
+			fl.set(modeler.TaskID{Job: "failing"}, failing)
 			tm.submit(simpleJob("failing", "urgent", 1, cores(4000)))
 			sleep(10 * time.Second)
 			tm.assertState("failing", modeler.Failed)
@@ -538,7 +538,7 @@
 	run(t, 6, func(fl *fleet, tm *term) {
 		fl.workers.Slow("worker-03", 50)
 		for ix := range 12 {
-			fl.work[modeler.TaskID{Job: "j1", Index: ix}] = emulator.TaskBehaviour{Work: 2 * time.Second}
+			fl.set(modeler.TaskID{Job: "j1", Index: ix}, emulator.TaskBehaviour{Work: 2 * time.Second})
 		}
 		jb := simpleJob("j1", "batch", 12, cores(7000))
 		jb.Steps[0].Checkpoints = true
--- a/internal/job/director/harness_test.go
+++ b/internal/job/director/harness_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,15 +39,25 @@
 	workers *emulator.JobWorkers
 	infos   []modeler.Worker
 	config  *modeler.Configuration
-	// work tells how tasks go. Tasks without an entry take a second.
-	work map[modeler.TaskID]emulator.TaskBehaviour
-	jobs []*modeler.Job
+	jobs    []*modeler.Job
 	// policy is nil where every worker may run every step.
 	policy director.Policy
 	// notified makes the next leader learn of the jobs from entry hosts before it has read them.
 	notified bool
 	// cancelled holds the jobs whose cancellation is stored.
 	cancelled []modeler.JobID
+
+	// mu guards work, and jobs where workers read them.
+	mu sync.Mutex
+	// work tells how tasks go. Tasks without an entry take a second.
+	work map[modeler.TaskID]emulator.TaskBehaviour
+}
+
+// set tells how a task goes from its next run on.
+func (fl *fleet) set(id modeler.TaskID, bh emulator.TaskBehaviour) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.work[id] = bh
 }
 
 // newFleet returns workers of 16 cores each, four to a rack.
@@ -74,6 +85,8 @@
 }
 
 func (fl *fleet) behave(id modeler.TaskID) emulator.TaskBehaviour {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
 	bh, ok := fl.work[id]
 	if !ok {
 		bh.Work = time.Second
@@ -154,7 +167,9 @@
 	if jb.Pool == "" {
 		jb.Pool = testPool
 	}
+	tm.fleet.mu.Lock()
 	tm.fleet.jobs = append(tm.fleet.jobs, jb)
+	tm.fleet.mu.Unlock()
 	qt.Assert(tm.fleet.t, keeper.NewBook(tm.fleet.store).Submit(tm.fleet.t.Context(), jb), qt.IsNil)
 	tm.Add(jb, false)
 }
--- a/internal/job/director/load_test.go
+++ b/internal/job/director/load_test.go
@@ -25,7 +25,8 @@
 	// heavy holds the pairs of serving and filling images that harm each other.
 	heavy map[[2]string]bool
 	// ended holds when a job was first seen completed.
-	ended  map[modeler.JobID]time.Time
+	ended map[modeler.JobID]time.Time
+	// images is guarded by the fleet's mu, as workers read it.
 	images map[modeler.TaskID]string
 }
 
@@ -60,12 +61,14 @@
 		jb.Steps[no].Estimate = time.Duration(float64(work) * math.Exp(0.7*ml.rnd.NormFloat64()))
 		for ix := range sp.Count {
 			id := modeler.TaskID{Job: jb.ID, Step: no, Index: ix}
+			ml.fl.mu.Lock()
 			ml.images[id] = sp.Image
+			ml.fl.mu.Unlock()
 			bh := emulator.TaskBehaviour{Work: time.Duration(float64(work) * (0.8 + 0.4*ml.rnd.Float64()))}
 			if sp.TailTarget > 0 {
 				bh.Tail = ml.tail(sp.Image, ml.rnd.Float64()*2*math.Pi)
 			}
-			ml.fl.work[id] = bh
+			ml.fl.set(id, bh)
 		}
 	}
 	ml.tm.submit(jb)
@@ -75,6 +78,8 @@
 func (ml *mixedLoad) tail(image string, phase float64) func([]modeler.TaskID) time.Duration {
 	return func(neighbours []modeler.TaskID) time.Duration {
 		load := 0.48 + 0.24*math.Sin(phase+float64(time.Now().UnixMilli())/20000*2*math.Pi)
+		ml.fl.mu.Lock()
+		defer ml.fl.mu.Unlock()
 		for _, id := range neighbours {
 			switch other := ml.images[id]; {
 			case !strings.HasPrefix(other, "fill"):
--- a/internal/job/director/random_test.go
+++ b/internal/job/director/random_test.go
@@ -75,10 +75,10 @@
 	}
 	for no, sp := range jb.Steps {
 		for ix := range sp.Count {
-			fl.work[modeler.TaskID{Job: id, Step: no, Index: ix}] = emulator.TaskBehaviour{
+			fl.set(modeler.TaskID{Job: id, Step: no, Index: ix}, emulator.TaskBehaviour{
 				Work:  time.Duration(200+rnd.IntN(2500)) * time.Millisecond,
 				Fails: rnd.IntN(60) == 0,
-			}
+			})
 		}
 	}
 	return jb
--- a/internal/job/elector/elector_test.go
+++ b/internal/job/elector/elector_test.go
@@ -38,8 +38,9 @@
 }
 
 type host struct {
-	cl      *cluster
-	ix      int
+	cl *cluster
+	ix int
+	// elector, cancel, ended and down are guarded by the cluster's mu.
 	elector *elector.Elector
 	cancel  context.CancelFunc
 	ended   chan struct{}
@@ -55,7 +56,9 @@
 func newCluster(t *testing.T, count int) *cluster {
 	cl := &cluster{t: t, store: emulator.NewStore(nil), cut: map[[2]int]bool{}, cutStore: map[int]bool{}}
 	for ix := range count {
-		cl.hosts = append(cl.hosts, &host{cl: cl, ix: ix})
+		cl.hosts = append(cl.hosts, &host{cl: cl, ix: ix, down: true})
+	}
+	for ix := range count {
 		cl.start(ix)
 	}
 	return cl
@@ -68,19 +71,24 @@
 // start starts a new process of a host.
 func (cl *cluster) start(ix int) {
 	ho := cl.hosts[ix]
-	ho.answered, ho.down, ho.ended = time.Now(), false, make(chan struct{})
+	ended := make(chan struct{})
+	ho.mu.Lock()
+	ho.answered = time.Now()
+	ho.mu.Unlock()
 	self := elector.Member{Host: fleet.HostName(fmt.Sprint("host-", ix)), Boot: fleet.BootID(fmt.Sprint(ix, time.Now().UnixNano())), Address: address(ix), Weight: 100}
-	ho.elector = elector.New(elector.Options{
+	el := elector.New(elector.Options{
 		Self: self, Store: ho, StoreAge: ho.age, Revision: func() int64 { return 1 }, Learned: func(netip.AddrPort, int64) {},
 		Dial: func(addr netip.AddrPort) messenger.Jobs { return &link{from: ho, to: addr} },
 		Lead: func(ctx context.Context, _ elector.Predecessor) error { return ho.lead(ctx, self) },
 		Log:  testLog(), Meter: meter.New(nil),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	ho.cancel = cancel
+	cl.mu.Lock()
+	ho.elector, ho.cancel, ho.ended, ho.down = el, cancel, ended, false
+	cl.mu.Unlock()
 	go func() {
-		defer close(ho.ended)
-		ho.elector.Run(ctx)
+		defer close(ended)
+		el.Run(ctx)
 	}()
 }
 
@@ -260,37 +268,38 @@
 
 var errCut = errors.New("no answer")
 
-func (lk *link) target(ctx context.Context) (*host, error) {
+func (lk *link) target(ctx context.Context) (*elector.Elector, error) {
 	for _, ho := range lk.from.cl.hosts {
 		if address(ho.ix) != lk.to {
 			continue
 		}
 		lk.from.cl.mu.Lock()
 		cut := ho.down || lk.from.down || lk.from.cl.cut[[2]int{lk.from.ix, ho.ix}]
+		el := ho.elector
 		lk.from.cl.mu.Unlock()
 		if cut {
 			<-ctx.Done()
 			return nil, errCut
 		}
-		return ho, nil
+		return el, nil
 	}
 	return nil, errCut
 }
 
 func (lk *link) Greet(ctx context.Context, gr *messenger.Greeting) (*messenger.Greeting, error) {
-	ho, err := lk.target(ctx)
+	el, err := lk.target(ctx)
 	if err != nil {
 		return nil, err
 	}
-	return ho.elector.Greet(gr), nil
+	return el.Greet(gr), nil
 }
 
 func (lk *link) Resign(ctx context.Context, gr *messenger.Greeting) (*messenger.Done, error) {
-	ho, err := lk.target(ctx)
+	el, err := lk.target(ctx)
 	if err != nil {
 		return nil, err
 	}
-	ho.elector.Invite(gr)
+	el.Invite(gr)
 	return &messenger.Done{}, nil
 }
 
--- a/internal/provider/emulator/jobworkers.go
+++ b/internal/provider/emulator/jobworkers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -233,6 +234,10 @@
 		clock = wk.clock()
 		return jw.start(wk, order)
 	})
+	if errors.Is(err, modeler.ErrNoAnswer) {
+		// A late order sets the clock when the sender is long gone.
+		return 0, err
+	}
 	return clock, err
 }
 
@@ -404,8 +409,12 @@
 		rep = jw.report(wk)
 		return nil
 	})
-	if err != nil || changed == nil || order.Wait <= 0 {
-		return rep, err
+	if err != nil {
+		// A late order sets the report when the sender is long gone.
+		return modeler.Report{}, err
+	}
+	if changed == nil || order.Wait <= 0 {
+		return rep, nil
 	}
 	select {
 	case <-ctx.Done():
--- a/internal/telemetry/logger/queue_test.go
+++ b/internal/telemetry/logger/queue_test.go
@@ -39,8 +39,8 @@
 func TestQueueBounds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		bl := blocked{make(chan struct{})}
-		var left int64
-		qu := NewQueue(bl, func(lines int64) { left += lines })
+		var left atomic.Int64
+		qu := NewQueue(bl, func(lines int64) { left.Add(lines) })
 		info := []byte(`{"Severity":"Info"}` + strings.Repeat(" ", 300) + "\n")
 		warning := []byte(`{"Severity":"Warning"}` + strings.Repeat(" ", 300) + "\n")
 		for range 5000 {
@@ -56,7 +56,7 @@
 		qt.Check(t, held, qt.Equals, 300)
 		qt.Check(t, size <= queueBytes, qt.IsTrue)
 		time.Sleep(2 * flushInterval)
-		qt.Check(t, left > 0, qt.IsTrue)
+		qt.Check(t, left.Load() > 0, qt.IsTrue)
 		close(bl.release)
 		qu.Close()
 	})
