--- a/internal/telemetry/logger/queue.go
+++ b/internal/telemetry/logger/queue.go
@@ -48,7 +48,7 @@
 	return qu
 }
 
-// infoMark is how the handlers of this package write the severity of an informational line.
+// infoMarks are how the handlers of this package write the severity of an informational line.
 var infoMarks = [...][]byte{[]byte(`"Severity":"Info"`), []byte("Severity=Info")}
 
 // Write queues one line. It never fails.
