Follow each listed end in the stand-in's check for repeated tasks

The trace: a worker was silent for 11.1 s, its lease of 6.8 s was over, the leader waited its 4 s more and started the tasks elsewhere. The platform's rules leave out ends before a lease that is over. The check held one worker a task, so it took the end of the second run for that of the first, and missed first ends that were noted later. Change: ends are followed by worker and number; those listed before a lease was over do not bind.

--- a/internal/provider/emulator/jobworkers.go
+++ b/internal/provider/emulator/jobworkers.go
@@ -41,11 +41,7 @@
 	// done holds the tasks with an end that was noted.
 	done map[modeler.TaskID]bool
 	// started counts the starts of each task.
-	started map[modeler.TaskID]int
-	// listed holds the workers that list a task as done. again holds those tasks that were started
-	// after that, which must not be if the end is noted later.
-	listed     map[modeler.TaskID]modeler.WorkerID
-	again      map[modeler.TaskID]bool
+	started    map[modeler.TaskID]int
 	violations []string
 }
 
@@ -58,6 +54,11 @@
 	running map[runKey]*jobRun
 	ended   []modeler.EndedRun
 	number  int64
+	// again holds the numbers of listed ends whose tasks were started once more, which must not be
+	// if such an end is noted later.
+	again map[int64]bool
+	// lapsed is the number up to which ends were listed when a lease was over. These do not bind.
+	lapsed int64
 	// highest holds the highest run that was stopped or ended of each task.
 	highest map[modeler.TaskID]modeler.Run
 	changed chan struct{}
@@ -96,7 +97,6 @@
 	return &JobWorkers{
 		faults: fts, behave: behave, workers: map[modeler.WorkerID]*jobWorker{},
 		done: map[modeler.TaskID]bool{}, started: map[modeler.TaskID]int{},
-		listed: map[modeler.TaskID]modeler.WorkerID{}, again: map[modeler.TaskID]bool{},
 	}
 }
 
@@ -110,7 +110,7 @@
 	info.Born = time.Now().UnixMilli()
 	jw.workers[info.ID] = &jobWorker{
 		info: info, born: info.Born, since: time.Now(), running: map[runKey]*jobRun{},
-		highest: map[modeler.TaskID]modeler.Run{}, changed: make(chan struct{}),
+		highest: map[modeler.TaskID]modeler.Run{}, again: map[int64]bool{}, changed: make(chan struct{}),
 	}
 	return info
 }
@@ -123,12 +123,6 @@
 		}
 	}
 	wk.running = map[runKey]*jobRun{}
-	for _, en := range wk.ended {
-		if jw.listed[en.Task] == wk.info.ID {
-			delete(jw.listed, en.Task)
-			delete(jw.again, en.Task)
-		}
-	}
 	wk.announce()
 }
 
@@ -291,10 +285,12 @@
 	if jw.done[id] {
 		jw.violations = append(jw.violations, fmt.Sprintf("%s started after its end was noted", id))
 	}
-	if jw.listed[id] != "" {
-		jw.again[id] = true
-	}
 	for _, wk := range jw.workers {
+		for _, en := range wk.ended {
+			if en.Task == id && en.Outcome == modeler.Done {
+				wk.again[en.Number] = true
+			}
+		}
 		for key := range wk.running {
 			if key.task == id {
 				jw.violations = append(jw.violations, fmt.Sprintf("%s runs on %s already", id, wk.info.ID))
@@ -333,9 +329,6 @@
 	}
 	delete(wk.running, key)
 	wk.number++
-	if oc == modeler.Done {
-		jw.listed[key.task] = wk.info.ID
-	}
 	wk.highest[key.task] = max(wk.highest[key.task], key.run)
 	wk.ended = append(wk.ended, modeler.EndedRun{Number: wk.number, Task: key.task, Run: key.run, Outcome: oc, Checkpoint: checkpoint})
 	wk.announce()
@@ -435,7 +428,7 @@
 func (jw *JobWorkers) forget(wk *jobWorker, noted int64) {
 	for len(wk.ended) > 0 && wk.ended[0].Number <= noted {
 		if en := wk.ended[0]; en.Outcome == modeler.Done {
-			if jw.again[en.Task] && jw.listed[en.Task] == wk.info.ID {
+			if wk.again[en.Number] && en.Number > wk.lapsed {
 				jw.violations = append(jw.violations, fmt.Sprintf("%s started again after it was done on %s", en.Task, wk.info.ID))
 			}
 			jw.done[en.Task] = true
@@ -486,6 +479,7 @@
 		if wk.lease != lease || jw.workers[wk.info.ID] != wk {
 			return
 		}
+		wk.lapsed = wk.number
 		for key, rn := range wk.running {
 			jw.list(wk, key, modeler.Lapsed, jw.checkpoint(wk, rn))
 		}
