Pause in one place

Seven packages waited for a time that a context may cut short, each with its own copy of the same lines; package pauser was one of them. It moves out of the area of jobs and serves all. Jitter stays where it was chosen.

--- a/internal/cluster/tracker/candidate.go
+++ b/internal/cluster/tracker/candidate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 )
 
@@ -62,10 +63,10 @@
 func (cnd *Candidate) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !cnd.due() {
-			sleep(ctx, vacancyCheck)
+			pauser.Pause(ctx, vacancyCheck)
 			continue
 		}
-		sleep(ctx, cnd.opt.Delay(takeoverDelay))
+		pauser.Pause(ctx, cnd.opt.Delay(takeoverDelay))
 		// Another host may have taken over during the delay.
 		if ctx.Err() == nil && cnd.due() {
 			cnd.takeOver(ctx)
@@ -131,7 +132,7 @@
 	trm, err := cnd.opt.Open(ctx)
 	if err != nil {
 		logger.Log(trk.opt.Log, logger.TakeoverFailed, "Error", err.Error())
-		sleep(ctx, cnd.opt.Delay(takeoverDelay))
+		pauser.Pause(ctx, cnd.opt.Delay(takeoverDelay))
 		return
 	}
 	trk.SetLeading(trm.Epoch(), true)
@@ -186,12 +187,3 @@
 	defer trk.mu.Unlock()
 	return trk.replaced
 }
-
-func sleep(ctx context.Context, dur time.Duration) {
-	tm := time.NewTimer(dur)
-	defer tm.Stop()
-	select {
-	case <-ctx.Done():
-	case <-tm.C:
-	}
-}
--- a/internal/config/distributor/keeper.go
+++ b/internal/config/distributor/keeper.go
@@ -15,6 +15,7 @@
 
 	"github.com/currantrouter/currantrouter/internal/config/checker"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
 )
 
@@ -358,12 +359,5 @@
 // pause waits for a random time from half the delay to the delay. It returns false when the
 // context ends first.
 func pause(ctx context.Context, delay time.Duration) bool {
-	tm := time.NewTimer(delay/2 + mrand.N(delay/2+1))
-	defer tm.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-tm.C:
-		return true
-	}
+	return pauser.Pause(ctx, delay/2+mrand.N(delay/2+1))
 }
--- a/internal/daemon/assembler/frontend.go
+++ b/internal/daemon/assembler/frontend.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 )
 
 const (
@@ -66,7 +68,7 @@
 	fe.server.SetKeepAlivesEnabled(false)
 	began := time.Now()
 	for ctx.Err() == nil && fe.inUse(time.Since(began) < silentGrace) {
-		sleep(ctx, connPoll)
+		pauser.Pause(ctx, connPoll)
 	}
 	if err := fe.server.Shutdown(ctx); err != nil {
 		return errors.Join(err, fe.server.Close())
--- a/internal/daemon/assembler/jobs.go
+++ b/internal/daemon/assembler/jobs.go
@@ -26,6 +26,7 @@
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	jobleader "github.com/currantrouter/currantrouter/internal/job/leader"
 	"github.com/currantrouter/currantrouter/internal/job/subscriber"
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/request/prober"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
@@ -152,7 +153,7 @@
 	case <-resigned:
 	case <-ctx.Done():
 	}
-	sleep(ctx, balancerNotice)
+	pauser.Pause(ctx, balancerNotice)
 	err := closeAll(ctx, fes)
 	logger.Log(jh.log, logger.DaemonStopped)
 	if err != nil {
--- a/internal/daemon/assembler/listener.go
+++ b/internal/daemon/assembler/listener.go
@@ -16,6 +16,7 @@
 	"github.com/currantrouter/currantrouter/internal/cluster/registrar"
 	"github.com/currantrouter/currantrouter/internal/cluster/tracker"
 	"github.com/currantrouter/currantrouter/internal/operator/server"
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/request/forwarder"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 )
@@ -174,7 +175,7 @@
 	dm.drained.end()
 	dm.tracker.SetLeaving()
 	dm.limiter.StopLending()
-	sleep(ctx, dm.leavingNotice())
+	pauser.Pause(ctx, dm.leavingNotice())
 	dm.forwarder.StopIntake()
 	cut := dm.forwarder.Drain(ctx)
 	err := closeAll(ctx, fes)
@@ -201,7 +202,7 @@
 // waitOutstanding waits for slots that are lent or whose call has no known end yet.
 func (dm *Daemon) waitOutstanding(ctx context.Context) {
 	for dm.limiter.Outstanding() > 0 && ctx.Err() == nil {
-		sleep(ctx, 50*time.Millisecond)
+		pauser.Pause(ctx, 50*time.Millisecond)
 	}
 }
 
@@ -234,12 +235,3 @@
 	defer cancel()
 	return dm.registrar.Drain(ctx)
 }
-
-func sleep(ctx context.Context, dur time.Duration) {
-	tm := time.NewTimer(dur)
-	defer tm.Stop()
-	select {
-	case <-ctx.Done():
-	case <-tm.C:
-	}
-}
--- a/internal/daemon/assembler/standalone.go
+++ b/internal/daemon/assembler/standalone.go
@@ -15,6 +15,7 @@
 	"github.com/currantrouter/currantrouter/internal/config/loader"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/plan/importer"
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/provider/emulator"
 	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 )
@@ -137,7 +138,7 @@
 // importExample imports the example sheet as the plan of today once the daemon is ready.
 func importExample(ctx context.Context, dm *Daemon) {
 	for dm.Ready() != nil {
-		sleep(ctx, 10*time.Millisecond)
+		pauser.Pause(ctx, 10*time.Millisecond)
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -14,7 +14,7 @@
 	"github.com/currantrouter/currantrouter/internal/job/estimator"
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
-	"github.com/currantrouter/currantrouter/internal/job/pauser"
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -9,9 +9,9 @@
 
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
-	"github.com/currantrouter/currantrouter/internal/job/pauser"
 	"github.com/currantrouter/currantrouter/internal/job/placer"
 	"github.com/currantrouter/currantrouter/internal/job/ranker"
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -22,7 +22,7 @@
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
 	fleet "github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
-	"github.com/currantrouter/currantrouter/internal/job/pauser"
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
--- a/internal/job/watcher/watcher.go
+++ b/internal/job/watcher/watcher.go
@@ -9,7 +9,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
-	"github.com/currantrouter/currantrouter/internal/job/pauser"
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
 )
 
--- a/internal/operator/auditor/auditor.go
+++ b/internal/operator/auditor/auditor.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
@@ -208,16 +209,7 @@
 			au.retryDelayed()
 		}
 		au.writeWaiting(ctx)
-		sleep(ctx, writeInterval)
-	}
-}
-
-func sleep(ctx context.Context, du time.Duration) {
-	tm := time.NewTimer(du)
-	defer tm.Stop()
-	select {
-	case <-ctx.Done():
-	case <-tm.C:
+		pauser.Pause(ctx, writeInterval)
 	}
 }
 
--- a/internal/operator/auditor/searcher.go
+++ b/internal/operator/auditor/searcher.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 )
@@ -125,7 +126,7 @@
 // RunTrim trims the trail about once an hour until ctx ends.
 func (au *Auditor) RunTrim(ctx context.Context) {
 	for {
-		sleep(ctx, trimInterval/2+rand.N(trimInterval))
+		pauser.Pause(ctx, trimInterval/2+rand.N(trimInterval))
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/job/pauser/pauser.go
+++ b/internal/process/pauser/pauser.go
@@ -8,6 +8,9 @@
 
 // Pause waits for the duration. It returns false when the context ended first.
 func Pause(ctx context.Context, dur time.Duration) bool {
+	if dur <= 0 {
+		return ctx.Err() == nil
+	}
 	tm := time.NewTimer(dur)
 	defer tm.Stop()
 	select {
--- a/internal/provider/emulator/faults.go
+++ b/internal/provider/emulator/faults.go
@@ -6,6 +6,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 )
 
 // Fault is a way in which a part of the platform misbehaves.
@@ -144,12 +146,8 @@
 
 // sleep waits for the duration and returns early with the error of the context.
 func sleep(ctx context.Context, dur time.Duration) error {
-	tm := time.NewTimer(dur)
-	defer tm.Stop()
-	select {
-	case <-ctx.Done():
+	if !pauser.Pause(ctx, dur) {
 		return ctx.Err()
-	case <-tm.C:
-		return nil
 	}
+	return nil
 }
--- a/internal/provider/storer/readback.go
+++ b/internal/provider/storer/readback.go
@@ -6,6 +6,8 @@
 	"errors"
 	"math/rand/v2"
 	"time"
+
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 )
 
 // ReadWriter is the part of the key-value service that PutResolved needs.
@@ -80,12 +82,5 @@
 
 // pause waits for half to one and a half times the mean, and reports false when ctx ends first.
 func pause(ctx context.Context, mean time.Duration) bool {
-	tm := time.NewTimer(mean/2 + rand.N(mean))
-	defer tm.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-tm.C:
-		return true
-	}
+	return pauser.Pause(ctx, mean/2+rand.N(mean))
 }
--- a/internal/state/journaler/opener.go
+++ b/internal/state/journaler/opener.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
@@ -381,7 +382,7 @@
 		if !errors.Is(err, storer.ErrUnavailable) {
 			return err
 		}
-		if time.Since(began) >= op.RetryLimit || !pause(ctx, bo.NextBackOff()) {
+		if time.Since(began) >= op.RetryLimit || !pauser.Pause(ctx, bo.NextBackOff()) {
 			return fmt.Errorf("%w: %w", ErrUnavailable, err)
 		}
 	}
--- a/internal/state/journaler/writer.go
+++ b/internal/state/journaler/writer.go
@@ -10,6 +10,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
@@ -436,21 +437,7 @@
 }
 
 // pause waits and returns false when the journal was closed.
-func (jn *Journal) pause(dur time.Duration) bool { return pause(jn.ctx, dur) }
-
-func pause(ctx context.Context, dur time.Duration) bool {
-	if dur <= 0 {
-		return ctx.Err() == nil
-	}
-	tm := time.NewTimer(dur)
-	defer tm.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-tm.C:
-		return true
-	}
-}
+func (jn *Journal) pause(dur time.Duration) bool { return pauser.Pause(jn.ctx, dur) }
 
 func (op Options) newBackOff() *backoff.ExponentialBackOff {
 	bo := backoff.NewExponentialBackOff()
