Settle repeated steps of the director in one place

- A run begins in one function, whether its start was answered, it was listed or it was adopted.
- A fault tells whether it begins a quarantine; callers compared before and after.
- Workers of other pools are barred once a step instead of in a copy of all candidates for every task.
- Ranked steps and workers are compared by cmp; the hand-written order gave two answers for equal steps.

--- a/internal/job/appraiser/appraiser.go
+++ b/internal/job/appraiser/appraiser.go
@@ -35,18 +35,21 @@
 	span time.Duration
 }
 
-// Fault notes that a task failed, stood still or crawled on the worker.
-func (rc *Record) Fault(job modeler.JobID, now time.Time) {
+// Fault notes that a task failed, stood still or crawled on the worker. It reports whether a
+// quarantine begins.
+func (rc *Record) Fault(job modeler.JobID, now time.Time) bool {
 	rc.decay(now)
 	if job != "" && job == rc.lastJob && rc.weight > 0.5 {
-		return
+		return false
 	}
 	rc.lastJob = job
 	rc.weight++
-	if rc.weight >= quarantineAt && !rc.Quarantined(now) {
-		rc.span = min(max(2*rc.span, firstQuarantine), longestQuarantine)
-		rc.until = now.Add(rc.span)
+	if rc.weight < quarantineAt || rc.Quarantined(now) {
+		return false
 	}
+	rc.span = min(max(2*rc.span, firstQuarantine), longestQuarantine)
+	rc.until = now.Add(rc.span)
+	return true
 }
 
 // Success notes that a task was done on the worker.
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -503,6 +503,15 @@
 	adopted bool
 }
 
+// begin notes that the run was accepted or seen.
+func (at *attempt) begin(now time.Time) {
+	at.state = active
+	if at.answeredAt.IsZero() {
+		at.answeredAt = now
+		at.watch.Begin(now)
+	}
+}
+
 type attemptState int
 
 const (
--- a/internal/job/director/observer.go
+++ b/internal/job/director/observer.go
@@ -49,12 +49,9 @@
 	}
 	dr.log(logger.RunSlow, "Task", tk.id().String(), "Run", at.run, "Worker", wk.info.ID, "Progress", at.progress,
 		"Age", now.Sub(at.answeredAt).String(), "Usual", usual.String(), "Stalled", stalled)
-	before := wk.record.Quarantined(now)
-	if !tk.step.spec.Fills {
-		wk.record.Fault(tk.step.occ.job.ID, now)
-	}
+	closed := !tk.step.spec.Fills && wk.record.Fault(tk.step.occ.job.ID, now)
 	dr.move(at, "slow or standing still")
-	if !before && wk.record.Quarantined(now) {
+	if closed {
 		dr.quarantine(wk, "runs of several jobs are slow")
 	}
 }
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -113,13 +113,7 @@
 			return
 		}
 	}
-	if at.state != active {
-		at.state = active
-		if at.answeredAt.IsZero() {
-			at.answeredAt = now
-			at.watch.Begin(now)
-		}
-	}
+	at.begin(now)
 	at.listed = true
 	at.progress = row.Progress
 	at.watch.Observe(row.Progress, now)
@@ -145,8 +139,8 @@
 		return nil
 	}
 	at := dr.reserve(tk, wk, row.Run)
-	at.adopted, at.state, at.answeredAt = true, active, now
-	at.watch.Begin(now)
+	at.adopted = true
+	at.begin(now)
 	jb.started = true
 	return at
 }
@@ -248,11 +242,10 @@
 		}
 	case modeler.Failure:
 		dr.op.Meter.Add(meter.TasksFailed, 1)
-		before := wk.record.Quarantined(now)
-		wk.record.Fault(row.Task.Job, now)
+		closed := wk.record.Fault(row.Task.Job, now)
 		tk.avoidWorker(wk.info.ID)
 		dr.log(logger.TaskFailed, "Task", row.Task.String(), "Run", row.Run, "Worker", wk.info.ID, "Failures", len(tk.failures), "Distrust", wk.record.Distrust(now))
-		if !before && wk.record.Quarantined(now) {
+		if closed {
 			dr.quarantine(wk, "tasks of several jobs failed")
 		}
 	case modeler.Lapsed, modeler.Broken, modeler.Alone, modeler.Stopped:
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -129,22 +130,14 @@
 		if by := ranker.Compare(&one.rank, &two.rank, now); by != 0 {
 			return by
 		}
-		if one.step.occ.job.ID < two.step.occ.job.ID {
-			return -1
-		}
-		return 1
+		return cmp.Compare(one.step.occ.job.ID, two.step.occ.job.ID)
 	})
 	for _, wk := range dr.workers {
 		if dr.takes(wk, now) {
 			rd.workers = append(rd.workers, wk)
 		}
 	}
-	slices.SortFunc(rd.workers, func(one, two *worker) int {
-		if one.info.ID < two.info.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(rd.workers, func(one, two *worker) int { return cmp.Compare(one.info.ID, two.info.ID) })
 	for _, wk := range rd.workers {
 		rd.cands = append(rd.cands, placer.Candidate{
 			Worker: &wk.info, Free: wk.free, Serving: wk.serving, Filling: wk.filling,
@@ -167,6 +160,7 @@
 		return
 	}
 	pool := rd.dr.pool(sp.occ.job)
+	rd.bar(pool)
 	for _, tk := range slices.Clone(sp.waiting) {
 		if rd.misses >= mostMisses {
 			return
@@ -187,12 +181,12 @@
 		if dm.Lasts {
 			dm.Spare, dm.Slots = rd.spare(pool, &dm)
 		}
-		ix := rd.choose(sp, &dm, pool)
+		ix := placer.Choose(&dm, rd.permitted(sp, rd.dr.queue(sp.occ.job), &dm, rd.cands))
 		if ix < 0 && len(dm.Avoid) > 0 {
 			// It may wait for one certain worker while others of its size have room.
 			rd.misses++
-			rd.explain(tk, &dm, pool)
-			rd.hold(&dm, pool)
+			rd.explain(tk, &dm)
+			rd.hold(&dm)
 			continue
 		}
 		if ix < 0 {
@@ -200,8 +194,8 @@
 				rd.failed[key] = append(rd.failed[key], dm.Needs)
 			}
 			rd.misses++
-			rd.explain(tk, &dm, pool)
-			rd.hold(&dm, pool)
+			rd.explain(tk, &dm)
+			rd.hold(&dm)
 			return
 		}
 		rd.misses = 0
@@ -209,27 +203,11 @@
 	}
 }
 
-func (rd *round) choose(sp *step, dm *placer.Demand, pool modeler.PoolName) int {
-	// Pools share the list of candidates; a worker of another pool is never chosen.
-	return placer.Choose(dm, rd.permitted(sp, rd.dr.queue(sp.occ.job), dm, rd.only(pool)))
-}
-
-// only returns the candidates with those of other pools barred, keeping their positions.
-func (rd *round) only(pool modeler.PoolName) []placer.Candidate {
-	mixed := false
-	for _, wk := range rd.workers {
-		mixed = mixed || wk.info.Pool != pool
-	}
-	if !mixed {
-		return rd.cands
-	}
-	cands := slices.Clone(rd.cands)
+// bar bars the candidates of other pools. All pools share one list, so that positions stay.
+func (rd *round) bar(pool modeler.PoolName) {
 	for ix, wk := range rd.workers {
-		if wk.info.Pool != pool {
-			cands[ix].Barred = true
-		}
+		rd.cands[ix].Barred = wk.info.Pool != pool
 	}
-	return cands
 }
 
 func (rd *round) countSteps(sp *step) {
@@ -256,12 +234,12 @@
 }
 
 // explain logs why the most urgent waiting task has no room, once in a while.
-func (rd *round) explain(tk *task, dm *placer.Demand, pool modeler.PoolName) {
+func (rd *round) explain(tk *task, dm *placer.Demand) {
 	if dm.Fills || rd.now.Sub(rd.dr.explained) < explainInterval {
 		return
 	}
 	rd.dr.explained = rd.now
-	rs := placer.Explain(dm, rd.only(pool))
+	rs := placer.Explain(dm, rd.cands)
 	rd.dr.log(logger.TaskWaits, "Task", tk.id().String(), "Cores", dm.Needs.MilliCores, "MemoryMB", dm.Needs.MemoryMB, "PerWorker", dm.PerWorker,
 		"Lasts", dm.Lasts, "Spare", dm.Spare, "Unsuited", rs.Unsuited, "Crowded", rs.Crowded, "Full", rs.Full, "Reserved", rs.Reserved, "Disturbed", rs.Disturbed)
 }
@@ -296,15 +274,14 @@
 
 // hold keeps a worker from less urgent tasks whose runs that end will make room for a large task.
 // Runs that last make none.
-func (rd *round) hold(dm *placer.Demand, pool modeler.PoolName) {
+func (rd *round) hold(dm *placer.Demand) {
 	if rd.held >= heldWorkers || dm.Fills || dm.Lasts {
 		return
 	}
 	best := -1
-	cands := rd.only(pool)
-	others := placer.Elsewhere(dm, cands)
+	others := placer.Elsewhere(dm, rd.cands)
 	for ix, wk := range rd.workers {
-		if cands[ix].Barred || others && slices.Contains(dm.Avoid, wk.info.ID) || !placer.Suits(dm, &wk.info) || wk.free.MilliCores+wk.endingCores < dm.Needs.MilliCores {
+		if rd.cands[ix].Barred || others && slices.Contains(dm.Avoid, wk.info.ID) || !placer.Suits(dm, &wk.info) || wk.free.MilliCores+wk.endingCores < dm.Needs.MilliCores {
 			continue
 		}
 		if best < 0 || rd.cands[ix].Free.MilliCores > rd.cands[best].Free.MilliCores {
@@ -344,9 +321,9 @@
 			return
 		}
 	}
-	pool := rd.dr.pool(sp.occ.job)
+	rd.bar(rd.dr.pool(sp.occ.job))
 	for _, rack := range rd.racks(sp) {
-		if chosen := rd.fitGang(sp, pool, rack); chosen != nil {
+		if chosen := rd.fitGang(sp, rack); chosen != nil {
 			rd.startGang(sp, chosen)
 			return
 		}
@@ -367,11 +344,10 @@
 	return append(racks, "")
 }
 
-func (rd *round) fitGang(sp *step, pool modeler.PoolName, rack string) []int {
+func (rd *round) fitGang(sp *step, rack string) []int {
 	rd.countSteps(sp)
-	cands := slices.Clone(rd.only(pool))
 	first := rd.dr.demand(sp.waiting[0])
-	cands = slices.Clone(rd.permitted(sp, rd.dr.queue(sp.occ.job), &first, cands))
+	cands := slices.Clone(rd.permitted(sp, rd.dr.queue(sp.occ.job), &first, rd.cands))
 	var chosen []int
 	for _, tk := range sp.waiting {
 		dm := rd.dr.demand(tk)
@@ -501,11 +477,7 @@
 	if err == nil {
 		dr.op.Meter.Observe(meter.TimeToStart, now.Sub(tk.step.occ.due))
 		dr.log(logger.TaskStarted, "Task", order.Task.String(), "Run", order.Run, "Worker", wk.info.ID, "Resumes", order.Checkpoint != "", "FreeCores", wk.free.MilliCores, "Waited", now.Sub(tk.step.occ.due).String())
-		if at.answeredAt.IsZero() {
-			at.answeredAt = now
-			at.watch.Begin(now)
-		}
-		at.state = active
+		at.begin(now)
 		return
 	}
 	dr.log(logger.StartRejected, "Task", order.Task.String(), "Run", order.Run, "Worker", wk.info.ID, "Error", err.Error())
