Share what the hosts of a job installation wrote twice

- Which of two hosts should rather lead, and which peers are useful, are one rule each for ranks, successors and callers' relays.
- Storing a cancellation and reading a job's existence from the store are one function each for callers and peers.
- Watches log their own losses; both users had the same two functions.
- Stored jobs and workers are decoded in one place for a whole copy and for changes.
Jobs go before cancellations in both now.
- The audit trail counts its segments with its own iterator.

--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -5,12 +5,12 @@
 package elector
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"net/netip"
 	"slices"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -229,20 +229,23 @@
 
 // Peers returns the addresses of the other hosts that answered lately and reach the store.
 func (el *Elector) Peers() []netip.AddrPort {
+	return el.useful(2*announceInterval, func(one, two *member) int {
+		return cmp.Or(cmp.Compare(one.storeAge, two.storeAge), cmp.Compare(one.Host, two.Host))
+	})
+}
+
+// useful returns the addresses of the other hosts that were heard of within the time and reach the
+// store, in the order of the comparison.
+func (el *Elector) useful(within time.Duration, compare func(one, two *member) int) []netip.AddrPort {
 	el.mu.Lock()
 	defer el.mu.Unlock()
 	var list []*member
 	for _, mb := range el.members {
-		if mb.Host != el.op.Self.Host && !mb.leaving && mb.storeAge < storeSilence && time.Since(later(mb.greeted, mb.replied)) < 2*announceInterval {
+		if mb.Host != el.op.Self.Host && !mb.leaving && mb.storeAge < storeSilence && time.Since(later(mb.greeted, mb.replied)) < within {
 			list = append(list, mb)
 		}
 	}
-	slices.SortFunc(list, func(one, two *member) int {
-		if one.storeAge != two.storeAge {
-			return int(one.storeAge - two.storeAge)
-		}
-		return strings.Compare(string(one.Host), string(two.Host))
-	})
+	slices.SortFunc(list, compare)
 	addrs := make([]netip.AddrPort, len(list))
 	for ix, mb := range list {
 		addrs[ix] = mb.Address
@@ -448,13 +451,18 @@
 		if mb.Host == el.op.Self.Host || mb.leaving || since != nil && (mb.replied.Before(*since) || mb.storeAge > storeSilence) {
 			continue
 		}
-		if mb.Weight > el.op.Self.Weight || mb.Weight == el.op.Self.Weight && precedence(mb.Host) > precedence(el.op.Self.Host) {
+		if compareRank(&mb.Member, &el.op.Self) < 0 {
 			rank++
 		}
 	}
 	return rank
 }
 
+// compareRank orders hosts by which should rather lead.
+func compareRank(one, two *Member) int {
+	return cmp.Or(cmp.Compare(two.Weight, one.Weight), cmp.Compare(precedence(two.Host), precedence(one.Host)))
+}
+
 // precedence orders hosts of equal weight without regard to their data centres.
 func precedence(host fleet.HostName) uint64 { return xxhash.Sum64String(string(host)) }
 
@@ -562,28 +570,7 @@
 
 // successors returns the addresses of the hosts that can lead, the best first.
 func (el *Elector) successors() []netip.AddrPort {
-	el.mu.Lock()
-	defer el.mu.Unlock()
-	var list []*member
-	for _, mb := range el.members {
-		if mb.Host != el.op.Self.Host && !mb.leaving && time.Since(later(mb.greeted, mb.replied)) < audience && mb.storeAge < storeSilence {
-			list = append(list, mb)
-		}
-	}
-	slices.SortFunc(list, func(one, two *member) int {
-		if one.Weight != two.Weight {
-			return int(two.Weight - one.Weight)
-		}
-		if precedence(one.Host) > precedence(two.Host) {
-			return -1
-		}
-		return 1
-	})
-	var addrs []netip.AddrPort
-	for _, mb := range list {
-		addrs = append(addrs, mb.Address)
-	}
-	return addrs
+	return el.useful(audience, func(one, two *member) int { return compareRank(&one.Member, &two.Member) })
 }
 
 // announce greets all hosts while this one leads, and forgets hosts that are long gone.
--- a/internal/job/intaker/intaker.go
+++ b/internal/job/intaker/intaker.go
@@ -131,12 +131,7 @@
 // Cancel stores a cancellation. Errors: ErrNoJob, ErrNoAnswer (nothing was stored), ErrUnknown.
 func (it *Intaker) Cancel(ctx context.Context, id modeler.JobID) error {
 	err := it.store(ctx,
-		func(ctx context.Context) error {
-			if _, err := it.op.Book.Load(ctx, id); err != nil {
-				return err
-			}
-			return it.op.Book.Cancel(ctx, id)
-		},
+		func(ctx context.Context) error { return it.cancel(ctx, id) },
 		func(ctx context.Context, peer messenger.Jobs) error {
 			_, err := peer.Cancel(ctx, &messenger.JobName{Id: string(id), Hops: mostHops})
 			return err
@@ -151,6 +146,14 @@
 	return err
 }
 
+// cancel stores the cancellation of a job that is stored. Errors are those of the book.
+func (it *Intaker) cancel(ctx context.Context, id modeler.JobID) error {
+	if _, err := it.op.Book.Load(ctx, id); err != nil {
+		return err
+	}
+	return it.op.Book.Cancel(ctx, id)
+}
+
 // store makes a change directly, or through a peer when this host does not reach the store. A
 // change may be repeated, so one with an unknown result is made again.
 func (it *Intaker) store(ctx context.Context, direct func(context.Context) error, relayed func(context.Context, messenger.Jobs) error) error {
@@ -258,23 +261,7 @@
 	if errors.Is(err, ErrNoJob) {
 		return "", err
 	}
-	// Without the leader only the existence of the job is known.
-	var missing error
-	lerr := attempt(ctx, storeTry, func(ctx context.Context) error {
-		_, err := it.op.Book.Load(ctx, id)
-		if errors.Is(err, storer.ErrNotFound) {
-			missing = ErrNoJob
-			return nil
-		}
-		return err
-	})
-	switch {
-	case missing != nil:
-		return "", missing
-	case lerr != nil:
-		return "", ErrNoAnswer
-	}
-	return modeler.Queued, nil
+	return it.stored(ctx, id)
 }
 
 // askState asks the director of this host, the leader, or a peer that may reach the leader.
@@ -283,7 +270,7 @@
 		if st, ok := dr.State(id); ok {
 			return st, nil
 		}
-		return it.missing(ctx, id)
+		return it.stored(ctx, id)
 	}
 	addrs := []netip.AddrPort{}
 	if leader := it.op.Elector.Leader(); leader.Host != "" {
@@ -309,8 +296,8 @@
 	return "", ErrNoAnswer
 }
 
-// missing looks in the store for a job that the director does not know yet.
-func (it *Intaker) missing(ctx context.Context, id modeler.JobID) (modeler.State, error) {
+// stored returns what the store alone tells of a job, which no leader was asked about or knows yet.
+func (it *Intaker) stored(ctx context.Context, id modeler.JobID) (modeler.State, error) {
 	err := attempt(ctx, storeTry, func(ctx context.Context) error {
 		_, err := it.op.Book.Load(ctx, id)
 		return err
--- a/internal/job/intaker/server.go
+++ b/internal/job/intaker/server.go
@@ -56,12 +56,7 @@
 // Cancel implements messenger.Jobs.
 func (sv *Server) Cancel(ctx context.Context, jn *messenger.JobName) (*messenger.Done, error) {
 	id := modeler.JobID(jn.Id)
-	err := attempt(ctx, storeTry, func(ctx context.Context) error {
-		if _, err := sv.intaker.op.Book.Load(ctx, id); err != nil {
-			return err
-		}
-		return sv.intaker.op.Book.Cancel(ctx, id)
-	})
+	err := attempt(ctx, storeTry, func(ctx context.Context) error { return sv.intaker.cancel(ctx, id) })
 	if err != nil {
 		return nil, storeError(err)
 	}
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -148,12 +148,8 @@
 	defer loops.Wait()
 	defer cancel()
 	op := &tm.leader.op
-	jobs := watcher.New(op.Store, keeper.Prefix, watcher.Sink{
-		Reset: tm.resetJobs, Apply: tm.applyJobs, Lost: tm.lost("jobs"), Regained: tm.regained("jobs"),
-	})
-	workers := watcher.New(op.Store, op.Registry.Prefix, watcher.Sink{
-		Reset: tm.resetWorkers, Apply: tm.applyWorkers, Lost: tm.lost("workers"), Regained: tm.regained("workers"),
-	})
+	jobs := watcher.New(op.Store, keeper.Prefix, watcher.Sink{Reset: tm.resetJobs, Apply: tm.applyJobs}, "jobs", op.Log)
+	workers := watcher.New(op.Store, op.Registry.Prefix, watcher.Sink{Reset: tm.resetWorkers, Apply: tm.applyWorkers}, "workers", op.Log)
 	tm.director.Start(ctx)
 	loops.Go(func() { jobs.Run(ctx) })
 	loops.Go(func() { workers.Run(ctx) })
@@ -161,43 +157,22 @@
 	return tm.director.Wait()
 }
 
-func (tm *term) lost(what string) func(error) {
-	return func(err error) {
-		logger.Log(tm.leader.op.Log, logger.WatchLost, "What", what, "Error", err.Error())
-	}
-}
-
-func (tm *term) regained(what string) func() {
-	return func() { logger.Log(tm.leader.op.Log, logger.WatchRegained, "What", what) }
-}
-
 // resetJobs takes all stored jobs. Those of the first time may have been started by an earlier
 // leader; a job that is stored later cannot, see director.Confirm.
 func (tm *term) resetJobs(ens []storer.Entry) {
 	first := false
 	tm.loaded.Do(func() { first = true })
-	var cancelled []modeler.JobID
-	for _, en := range ens {
-		ch, ok, err := keeper.ParseChange(en)
-		switch {
-		case err != nil:
-			logger.Log(tm.leader.op.Log, logger.JobDamaged, "Key", en.Key, "Error", err.Error())
-		case !ok:
-		case ch.Job == nil:
-			cancelled = append(cancelled, ch.ID)
-		default:
-			tm.director.Add(ch.Job, first)
-		}
-	}
-	for _, id := range cancelled {
-		tm.director.Cancel(id)
-	}
+	tm.takeJobs(ens, first)
 	if first {
 		tm.director.Loaded()
 	}
 }
 
-func (tm *term) applyJobs(ens []storer.Entry) {
+func (tm *term) applyJobs(ens []storer.Entry) { tm.takeJobs(ens, false) }
+
+// takeJobs takes stored changes, jobs before cancellations: keys need not have the order of writes.
+func (tm *term) takeJobs(ens []storer.Entry, inherited bool) {
+	var cancelled []modeler.JobID
 	for _, en := range ens {
 		ch, ok, err := keeper.ParseChange(en)
 		switch {
@@ -205,22 +180,22 @@
 			logger.Log(tm.leader.op.Log, logger.JobDamaged, "Key", en.Key, "Error", err.Error())
 		case !ok:
 		case ch.Job == nil:
-			tm.director.Cancel(ch.ID)
+			cancelled = append(cancelled, ch.ID)
 		default:
-			tm.director.Add(ch.Job, false)
+			tm.director.Add(ch.Job, inherited)
 		}
 	}
+	for _, id := range cancelled {
+		tm.director.Cancel(id)
+	}
 }
 
 func (tm *term) resetWorkers(ens []storer.Entry) {
 	var list []modeler.Worker
 	for _, en := range ens {
-		wk, err := tm.leader.op.Registry.Decode(en)
-		if err != nil {
-			logger.Log(tm.leader.op.Log, logger.WorkerEntryBad, "Key", en.Key, "Error", err.Error())
-			continue
+		if wk, ok := tm.worker(en); ok {
+			list = append(list, wk)
 		}
-		list = append(list, wk)
 	}
 	tm.director.SetWorkers(list)
 }
@@ -231,15 +206,21 @@
 			tm.director.RemoveWorker(modeler.WorkerID(strings.TrimPrefix(en.Key, tm.leader.op.Registry.Prefix)))
 			continue
 		}
-		wk, err := tm.leader.op.Registry.Decode(en)
-		if err != nil {
-			logger.Log(tm.leader.op.Log, logger.WorkerEntryBad, "Key", en.Key, "Error", err.Error())
-			continue
+		if wk, ok := tm.worker(en); ok {
+			tm.director.UpdateWorker(wk)
 		}
-		tm.director.UpdateWorker(wk)
 	}
 }
 
+// worker decodes an entry of the registry, and logs one that names no worker.
+func (tm *term) worker(en storer.Entry) (modeler.Worker, bool) {
+	wk, err := tm.leader.op.Registry.Decode(en)
+	if err != nil {
+		logger.Log(tm.leader.op.Log, logger.WorkerEntryBad, "Key", en.Key, "Error", err.Error())
+	}
+	return wk, err == nil
+}
+
 // checkLoop reads the end of the journal while nothing is appended, so that a leader learns that it
 // is deposed.
 func (tm *term) checkLoop(ctx context.Context) {
--- a/internal/job/watcher/watcher.go
+++ b/internal/job/watcher/watcher.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/go-logr/logr"
 
 	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 )
 
 // Source is the part of the key-value service that a watch needs.
@@ -28,9 +30,6 @@
 	Reset func([]storer.Entry)
 	// Apply receives changes in their order. Removed entries are marked Deleted.
 	Apply func([]storer.Entry)
-	// Lost and Regained tell that the service stopped or began to answer. They may be nil.
-	Lost     func(error)
-	Regained func()
 }
 
 const (
@@ -48,14 +47,18 @@
 	source Source
 	prefix string
 	sink   Sink
-	lost   bool
+	// what names the watch in the log.
+	what string
+	log  logr.Logger
+	lost bool
 	// contact is when the last call that succeeded began, in nanoseconds since 1970.
 	contact atomic.Int64
 }
 
-// New returns a watcher of the prefix.
-func New(src Source, prefix string, sink Sink) *Watcher {
-	return &Watcher{source: src, prefix: prefix, sink: sink}
+// New returns a watcher of the prefix. It logs when the service stops or begins to answer, with what
+// is watched.
+func New(src Source, prefix string, sink Sink, what string, lg logr.Logger) *Watcher {
+	return &Watcher{source: src, prefix: prefix, sink: sink, what: what, log: lg}
 }
 
 // Age returns how old the copy may be at most, and false when there was none yet.
@@ -118,15 +121,15 @@
 }
 
 func (wt *Watcher) fail(err error) {
-	if !wt.lost && wt.sink.Lost != nil {
-		wt.sink.Lost(err)
+	if !wt.lost {
+		logger.Log(wt.log, logger.WatchLost, "What", wt.what, "Error", err.Error())
 	}
 	wt.lost = true
 }
 
 func (wt *Watcher) regained() {
-	if wt.lost && wt.sink.Regained != nil {
-		wt.sink.Regained()
+	if wt.lost {
+		logger.Log(wt.log, logger.WatchRegained, "What", wt.what)
 	}
 	wt.lost = false
 }
--- a/internal/operator/auditor/auditor.go
+++ b/internal/operator/auditor/auditor.go
@@ -327,18 +327,13 @@
 	if au.day == day && au.next > 0 {
 		return nil
 	}
-	prefix := hostPrefix(day, au.host)
-	number, after := int64(1), ""
-	for {
-		ents, err := au.store.List(ctx, prefix, after, pageLength)
-		if err != nil {
-			return err
-		}
-		number += int64(len(ents))
-		if len(ents) < pageLength {
-			break
-		}
-		after = ents[len(ents)-1].Key
+	number := int64(1)
+	err := au.eachSegment(ctx, hostPrefix(day, au.host), func(storer.Entry) bool {
+		number++
+		return true
+	})
+	if err != nil {
+		return err
 	}
 	au.day, au.next = day, number
 	return nil
