Judge the strain of a worker by the lower median of a step's tails

Change: the load of a serving step on a worker is the lower median of its tasks there, for pacing and for learning. The stand-in reports what work that fills uses and counts halts.

TestUnsteadyTails fails without the change: three halts.

--- a/internal/job/director/harness_test.go
+++ b/internal/job/director/harness_test.go
@@ -96,7 +96,7 @@
 			sp := jb.Steps[id.Step]
 			bh.Needs = sp.Needs
 			if sp.Fills {
-				bh.Needs.MilliCores = 0
+				bh.Needs.MilliCores, bh.Uses = 0, sp.Needs.MilliCores
 			}
 			bh.LongRunning, bh.Checkpoints = sp.LongRunning, sp.Checkpoints
 		}
--- a/internal/job/director/observer.go
+++ b/internal/job/director/observer.go
@@ -81,7 +81,7 @@
 	worst, strain := dr.mostStrained(wk)
 	caused := 0.0
 	if worst != nil {
-		sp := worst.task.step.spec
+		sp := worst.spec
 		caused = dr.model.Disturbance(sp.Image, wk.fills()) / dr.model.Limit(sp.Image, sp.TailTarget)
 		if caused < leastCaused {
 			caused = 0
@@ -96,7 +96,7 @@
 		}
 		harm := 0.0
 		if worst != nil {
-			harm = dr.model.Harm(worst.task.step.spec.Image, at.task.step.spec.Image)
+			harm = dr.model.Harm(worst.spec.Image, at.task.step.spec.Image)
 		}
 		percent := wk.pace.Percent()
 		if harm < harmless {
@@ -152,21 +152,36 @@
 // foreseen returns the load at the time when an order given now takes effect.
 func (at *attempt) foreseen() float64 { return at.load + max(0, at.rise)*riseAhead }
 
-// mostStrained returns the serving task on the worker that is nearest to its target.
-func (dr *Director) mostStrained(wk *worker) (*attempt, float64) {
-	var worst *attempt
+// mostStrained returns the serving step on the worker that is nearest to its target.
+func (dr *Director) mostStrained(wk *worker) (*step, float64) {
+	var worst *step
 	highest := 0.0
-	for _, at := range wk.attempts {
-		if !at.serves() {
-			continue
-		}
-		if strain := at.load / dr.model.Limit(at.task.step.spec.Image, at.task.step.spec.TailTarget); strain > highest {
-			worst, highest = at, strain
+	for sp, load := range wk.steadyLoads() {
+		if strain := load / dr.model.Limit(sp.spec.Image, sp.spec.TailTarget); strain > highest {
+			worst, highest = sp, strain
 		}
 	}
 	return worst, highest
 }
 
+// steadyLoads returns the load of each serving step on the worker: the lower median of its tasks
+// there. Single tails are too high by half now and then, and one of several tasks nearly always is.
+func (wk *worker) steadyLoads() map[*step]float64 {
+	reports := map[*step][]float64{}
+	for _, at := range wk.attempts {
+		if at.serves() {
+			sp := at.task.step
+			reports[sp] = append(reports[sp], at.load)
+		}
+	}
+	loads := make(map[*step]float64, len(reports))
+	for sp, list := range reports {
+		slices.Sort(list)
+		loads[sp] = list[(len(list)-1)/2]
+	}
+	return loads
+}
+
 // fills returns what work that fills uses on the worker.
 func (wk *worker) fills() []estimator.Fill {
 	var fills []estimator.Fill
@@ -196,24 +211,21 @@
 	for image, press := range byImage {
 		fills = append(fills, estimator.Fill{Image: image, Press: press})
 	}
-	for _, at := range wk.attempts {
-		if !at.serves() {
-			continue
-		}
-		if own, ok := dr.siblingLoad(at, now); ok {
-			dr.model.Learn(at.task.step.spec.Image, at.load-own, fills, now)
+	for sp, load := range wk.steadyLoads() {
+		if own, ok := dr.siblingLoad(sp, wk, now); ok {
+			dr.model.Learn(sp.spec.Image, load-own, fills, now)
 		}
 	}
 }
 
-// siblingLoad returns the load that an attempt would have undisturbed, from its siblings on other
-// workers.
-func (dr *Director) siblingLoad(at *attempt, now time.Time) (float64, bool) {
+// siblingLoad returns the load that the tasks of a step on a worker would have undisturbed, from
+// those on other workers.
+func (dr *Director) siblingLoad(sp *step, wk *worker, now time.Time) (float64, bool) {
 	var loads []float64
-	for _, tk := range at.task.step.tasks {
+	for _, tk := range sp.tasks {
 		for _, ot := range tk.attempts {
-			if ot.worker != at.worker && ot.serves() && now.Sub(ot.loadAt) < loadAge {
-				loads = append(loads, ot.load-dr.model.Disturbance(tk.step.spec.Image, ot.worker.fills()))
+			if ot.worker != wk && ot.serves() && now.Sub(ot.loadAt) < loadAge {
+				loads = append(loads, ot.load-dr.model.Disturbance(sp.spec.Image, ot.worker.fills()))
 			}
 		}
 	}
--- /dev/null
+++ b/internal/job/director/pace_test.go
@@ -0,0 +1,59 @@
+package director_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
+)
+
+// serveWithTails runs a job that serves on all workers, three tasks on each, whose first task reports
+// the tail that the function returns and whose others report a calm one.
+func serveWithTails(fl *fleet, tm *term, first func() time.Duration) {
+	jb := simpleJob("serve", "urgent", 6, cores(1000))
+	sp := &jb.Steps[0]
+	sp.LongRunning, sp.TailTarget, sp.Image, sp.PerWorker = true, 150*time.Millisecond, "s", 3
+	for ix := range sp.Count {
+		tail := func([]modeler.TaskID) time.Duration { return 60 * time.Millisecond }
+		if ix == 0 {
+			tail = func([]modeler.TaskID) time.Duration { return first() }
+		}
+		fl.set(modeler.TaskID{Job: jb.ID, Index: ix}, emulator.TaskBehaviour{Tail: tail})
+	}
+	tm.submit(jb)
+	sleep(2 * time.Second)
+}
+
+// fillBeside runs a job that fills on each worker for four seconds.
+func fillBeside(fl *fleet, tm *term) {
+	jb := simpleJob("fill", "batch", 2, cores(2000))
+	sp := &jb.Steps[0]
+	sp.Fills, sp.Image, sp.PerWorker = true, "f", 1
+	for ix := range sp.Count {
+		fl.set(modeler.TaskID{Job: jb.ID, Index: ix}, emulator.TaskBehaviour{Work: 4 * time.Second})
+	}
+	tm.submit(jb)
+	sleep(5 * time.Second)
+	tm.assertState("fill", modeler.Completed)
+}
+
+// Guards against work that fills which is halted because single reports of one serving task are too
+// high.
+func TestUnsteadyTails(t *testing.T) {
+	t.Run("one of three tasks now and then", func(t *testing.T) {
+		run(t, 2, func(fl *fleet, tm *term) {
+			reports := 0
+			serveWithTails(fl, tm, func() time.Duration {
+				if reports++; reports%3 == 0 {
+					return 200 * time.Millisecond
+				}
+				return 60 * time.Millisecond
+			})
+			fillBeside(fl, tm)
+			qt.Check(t, fl.workers.Halts(), qt.Equals, 0)
+		})
+	})
+}
--- a/internal/provider/emulator/jobworkers.go
+++ b/internal/provider/emulator/jobworkers.go
@@ -23,6 +23,8 @@
 	Checkpoints bool
 	// Needs is what the run takes of its worker.
 	Needs modeler.Resources
+	// Uses is what a run uses without a reservation, in thousandths of a core.
+	Uses int64
 	// Tail returns the tail latency of a serving task beside the other runs of its worker. It is nil
 	// for other tasks.
 	Tail func(neighbours []modeler.TaskID) time.Duration
@@ -43,6 +45,8 @@
 	// started counts the starts of each task.
 	started    map[modeler.TaskID]int
 	violations []string
+	// halts counts the orders that halted a run.
+	halts int
 }
 
 type jobWorker struct {
@@ -379,11 +383,21 @@
 		}
 		if rn := wk.running[runKey{task, run}]; rn != nil {
 			rn.pace = percent
+			if percent == 0 {
+				jw.halts++
+			}
 		}
 		return nil
 	})
 }
 
+// Halts returns how often a run was halted.
+func (jw *JobWorkers) Halts() int {
+	jw.mu.Lock()
+	defer jw.mu.Unlock()
+	return jw.halts
+}
+
 // Renew implements director.Orders.
 func (jw *JobWorkers) Renew(ctx context.Context, info *modeler.Worker, order *modeler.RenewOrder) (modeler.Report, error) {
 	var rep modeler.Report
@@ -450,7 +464,7 @@
 }
 
 func (jw *JobWorkers) row(wk *jobWorker, key runKey, rn *jobRun, tasks []modeler.TaskID) modeler.ActiveRun {
-	row := modeler.ActiveRun{Task: key.task, Run: key.run, Measure: rn.behaviour.Needs.MilliCores * int64(rn.pace) / 100}
+	row := modeler.ActiveRun{Task: key.task, Run: key.run, Measure: (rn.behaviour.Needs.MilliCores + rn.behaviour.Uses) * int64(rn.pace) / 100}
 	age := time.Since(rn.began)
 	switch {
 	case rn.behaviour.LongRunning && age >= startupTime:
