Learn harmful pairs from fewer reports, pace nearer to the target

Tails judged by their median are steadier.

Change: noise variance 0.01 instead of 0.03; pacing begins at 0.975 and ends at 0.96 of the load at the target instead of 0.97 and 0.93.

--- a/internal/job/estimator/estimator.go
+++ b/internal/job/estimator/estimator.go
@@ -33,7 +33,7 @@
 	leastVariance = 0.01
 	// noise is the variance of the load difference of siblings. Successive reports share most of
 	// it, so it is a multiple of what a single report shows.
-	noise = 0.03
+	noise = 0.01
 	// mostResidual bounds what one report may say, as single tails are now and then far off.
 	mostResidual = 0.2
 	// fading is the variance that a belief gains in a second, so that new reports outweigh old ones.
--- a/internal/job/pacer/pacer.go
+++ b/internal/job/pacer/pacer.go
@@ -10,9 +10,9 @@
 	Full = 100
 	// Tight is the strain from which work that fills is slowed. Strain is the load of a serving task as
 	// a share of the load at its target.
-	Tight = 0.97
+	Tight = 0.975
 	// Calm is the strain below which work that fills gets speed back.
-	Calm = 0.93
+	Calm = 0.96
 	// step is how much of its speed work that fills gets back at a time.
 	step = 25
 	// settle is the time that a change takes to show in the reports.
