Leave workers to the images that have no others, and look ahead beside bad pairs

Meanwhile 1,200 tasks of five images waited that harm the most common serving image and have 55 to 150 of 350 workers left, which all other images used as well. A step of 20 tasks tried 20 workers at once before anything was known of a pair.

Change: the pressure of an image is what its tasks ask for, as a share of what is idle where it harms nobody; a worker costs more the higher the pressure of other images there is. Beside an image that it harms badly a task joins only while the load will be low at the end of its run. Beyond four tasks beside an image that it was not tried with it goes elsewhere if it can. One task may add more harm, as what it adds is bounded by the load ahead.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -144,7 +144,9 @@
 	unaccounted int
 	accounted   bool
 	// model is what this term has learned of images that disturb each other.
-	model      *estimator.Model
+	model *estimator.Model
+	// contests is how much work that fills needs each worker.
+	contests   contests
 	summarized time.Time
 	// explained is when a line was last written on why a task waits.
 	explained  time.Time
--- a/internal/job/director/observer.go
+++ b/internal/job/director/observer.go
@@ -120,9 +120,11 @@
 	// loadAge is the age up to which a sibling's load is compared.
 	loadAge = 1200 * time.Millisecond
 	// riseWeight is the weight of a new observation in the rise of a load, and riseAhead how far
-	// ahead the load is foreseen: about the time until a pace takes effect.
+	// ahead in seconds the load is foreseen: about the time until a pace takes effect. runAhead is
+	// that for a usual run of work that fills.
 	riseWeight = 0.4
 	riseAhead  = 0.7
+	runAhead   = 1.5
 	// shortestRise is the least time between two reports from which a rise is computed.
 	shortestRise = 200 * time.Millisecond
 )
@@ -149,8 +151,8 @@
 	return at.task.step.spec.TailTarget > 0 && at.state == active && at.progress >= 100 && !at.loadAt.IsZero()
 }
 
-// foreseen returns the load at the time when an order given now takes effect.
-func (at *attempt) foreseen() float64 { return at.load + max(0, at.rise)*riseAhead }
+// foreseen returns the load after some seconds if it goes on to rise.
+func (at *attempt) foreseen(seconds float64) float64 { return at.load + max(0, at.rise)*seconds }
 
 // mostStrained returns the serving step on the worker that is nearest to its target.
 func (dr *Director) mostStrained(wk *worker) (*step, float64) {
@@ -236,16 +238,24 @@
 	return loads[len(loads)/2], true
 }
 
-// expectStrain returns the highest strain that is expected on a worker with one more task, and the
-// part of it that the task adds or gets from work that fills.
-func (dr *Director) expectStrain(wk *worker, dm *placer.Demand) (strain, harm float64) {
+// expect returns what one more task on a worker would do.
+func (dr *Director) expect(wk *worker, dm *placer.Demand) expectation {
+	ex := expectation{known: true}
 	if dm.Serves {
 		for _, at := range wk.attempts {
 			if at.task.step.spec.Fills {
-				harm += dr.model.Harm(dm.Image, at.task.step.spec.Image) * wk.press(at.task.step.spec.Needs.MilliCores)
+				ex.harm += dr.model.Harm(dm.Image, at.task.step.spec.Image) * wk.press(at.task.step.spec.Needs.MilliCores)
 			}
 		}
-		return harm, harm
+		ex.strain = ex.harm
+		return ex
+	}
+	for image := range wk.servingImages {
+		if dr.model.Tried(image, dm.Image) {
+			ex.rate = max(ex.rate, dr.model.Harm(image, dm.Image))
+		} else {
+			ex.untried = append(ex.untried, image)
+		}
 	}
 	for _, at := range wk.attempts {
 		sp := at.task.step.spec
@@ -254,10 +264,10 @@
 		}
 		limit := dr.model.Limit(sp.Image, sp.TailTarget)
 		added := dr.model.Harm(sp.Image, dm.Image) * wk.press(dm.Needs.MilliCores) / limit
-		load := at.foreseen() / limit
-		strain, harm = max(strain, load+added), max(harm, added)
+		ex.strain, ex.harm = max(ex.strain, at.foreseen(riseAhead)/limit+added), max(ex.harm, added)
+		ex.ahead = max(ex.ahead, at.foreseen(runAhead)/limit+added)
 	}
-	return strain, harm
+	return ex
 }
 
 func (dr *Director) setPace(at *attempt, percent int) {
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -94,8 +94,8 @@
 	lasting []*attempt
 	// misses is the number of steps without room since the last one that had some.
 	misses int
-	// strains holds what a task of an image would do on each worker, by image.
-	strains map[string][]expectation
+	// outlooks holds what is expected of tasks that fill or serve, by image.
+	outlooks map[string]*outlook
 	// failed holds the smallest needs that found no room in this round.
 	failed map[failedDemand][]modeler.Resources
 }
@@ -122,7 +122,7 @@
 }
 
 func (dr *Director) round(now time.Time) *round {
-	rd := &round{dr: dr, now: now, failed: map[failedDemand][]modeler.Resources{}, strains: map[string][]expectation{}}
+	rd := &round{dr: dr, now: now, failed: map[failedDemand][]modeler.Resources{}, outlooks: map[string]*outlook{}}
 	for sp := range dr.waiting {
 		rd.groups = append(rd.groups, rankedStep{sp, dr.group(sp)})
 	}
@@ -246,8 +246,39 @@
 
 // expectation is what a task of an image would do to its neighbours on one worker.
 type expectation struct {
-	strain, harm float64
-	known        bool
+	// strain is the highest one expected, ahead that at the end of a usual run, harm the part of it that the task adds or gets, and rate the
+	// harm to the most sensitive image if the task used all processors.
+	strain, ahead, harm, rate float64
+	// untried holds the worker's serving images of which too little is known with the task's image.
+	untried []string
+	known   bool
+}
+
+// outlook is what is expected of the tasks of one image.
+type outlook struct {
+	// workers holds the expectations in the order of the round's workers.
+	workers []expectation
+	// trials counts the image's tasks beside each serving image with which it is untried.
+	trials map[string]int
+}
+
+// outlook returns that of an image, as of the beginning of the round and what was placed since.
+func (rd *round) outlook(image string) *outlook {
+	ol := rd.outlooks[image]
+	if ol != nil {
+		return ol
+	}
+	ol = &outlook{workers: make([]expectation, len(rd.workers)), trials: map[string]int{}}
+	rd.outlooks[image] = ol
+	for _, wk := range rd.workers {
+		if wk.fillingImages[image] == 0 {
+			continue
+		}
+		for serving := range wk.servingImages {
+			ol.trials[serving] += wk.fillingImages[image]
+		}
+	}
+	return ol
 }
 
 // expectHarm sets what the demand's task would do to its neighbours.
@@ -255,19 +286,24 @@
 	if !dm.Fills && !dm.Serves {
 		return
 	}
-	list := rd.strains[dm.Image]
-	if list == nil {
-		list = make([]expectation, len(rd.workers))
-		rd.strains[dm.Image] = list
+	ol := rd.outlook(dm.Image)
+	var ct *contests
+	if dm.Fills {
+		ct = rd.contest()
 	}
 	for ix, wk := range rd.workers {
-		ex := &list[ix]
+		ex := &ol.workers[ix]
 		if !ex.known {
-			ex.strain, ex.harm = rd.dr.expectStrain(wk, dm)
-			ex.known = true
+			*ex = rd.dr.expect(wk, dm)
 		}
 		cd := &rd.cands[ix]
-		cd.Strain, cd.Harm = ex.strain, ex.harm
+		cd.Strain, cd.Ahead, cd.Harm, cd.Rate, cd.Trials = ex.strain, ex.ahead, ex.harm, ex.rate, 0
+		for _, serving := range ex.untried {
+			cd.Trials = max(cd.Trials, ol.trials[serving])
+		}
+		if ct != nil {
+			cd.Contest = ct.beside(wk, dm.Image)
+		}
 		cd.OtherImages = dm.Serves && wk.serving > 0 && wk.servingImages[dm.Image] == 0
 	}
 }
@@ -306,8 +342,13 @@
 	cd := &rd.cands[ix]
 	cd.Free, cd.Serving, cd.Filling = wk.free, wk.serving, wk.filling
 	cd.FillingCores, cd.ServingCores = wk.fillingCores, wk.servingCores
-	for _, list := range rd.strains {
-		list[ix].known = false
+	for _, ol := range rd.outlooks {
+		ol.workers[ix].known = false
+	}
+	if ol := rd.outlooks[tk.step.spec.Image]; ol != nil && tk.step.spec.Fills {
+		for serving := range wk.servingImages {
+			ol.trials[serving]++
+		}
 	}
 }
 
--- a/internal/job/estimator/estimator.go
+++ b/internal/job/estimator/estimator.go
@@ -31,6 +31,8 @@
 	priorHarm, priorVariance = 0.3, 0.5
 	// leastVariance keeps a pair open to change.
 	leastVariance = 0.01
+	// triedVariance is the variance of a pair that was seen together for about a second.
+	triedVariance = 0.2
 	// noise is the variance of the load difference of siblings. Successive reports share most of
 	// it, so it is a multiple of what a single report shows.
 	noise = 0.01
@@ -104,6 +106,12 @@
 	return priorHarm
 }
 
+// Tried reports whether enough is known of a pair to rely on its harm.
+func (md *Model) Tried(serving, filling string) bool {
+	bf := md.pairs[pair{serving, filling}]
+	return bf != nil && bf.variance < triedVariance
+}
+
 // Disturbance returns the load that work that fills adds to a serving task.
 func (md *Model) Disturbance(serving string, fills []Fill) float64 {
 	sum := 0.0
--- /dev/null
+++ b/internal/job/placer/contest_test.go
@@ -0,0 +1,35 @@
+package placer
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func assertContest(t *testing.T, ct Contest, image int, want float64) {
+	t.Helper()
+	qt.Check(t, ct.Beside(image), qt.Equals, want)
+}
+
+// Guards against work that fills which takes the few workers where another image harms nobody, while
+// it could run elsewhere.
+func TestContests(t *testing.T) {
+	// Image 0 harms nobody, image 1 harms those of the first group.
+	groups := []Group{
+		{Idle: 2999, Harmless: []bool{true, false}},
+		{Idle: 1000, Harmless: []bool{true, true}},
+	}
+	t.Run("image with few workers counts most there", func(t *testing.T) {
+		cts := Contests(groups, []int64{1000, 2002})
+		assertContest(t, cts[0], 0, 0)
+		assertContest(t, cts[1], 0, 2)
+		assertContest(t, cts[1], 1, 0.25)
+		assertContest(t, cts[0], -1, 0.25)
+	})
+	t.Run("no image", func(t *testing.T) {
+		assertContest(t, Contests(groups, nil)[1], 0, 0)
+	})
+	t.Run("bounded", func(t *testing.T) {
+		assertContest(t, Contests(groups, []int64{0, 1_000_000})[1], 0, mostPressure)
+	})
+}
--- a/internal/job/placer/placer.go
+++ b/internal/job/placer/placer.go
@@ -55,12 +55,22 @@
 	// Harm is the part of the strain that the task adds, or for a serving task the strain that the
 	// work that fills there would give it.
 	Harm float64
+	// Rate is the harm that the task would do to the most sensitive serving image if it used all
+	// processors of the worker.
+	Rate float64
+	// Trials is how many tasks of the demand's image run beside a serving image of the worker with
+	// which it was not seen long enough to know its harm.
+	Trials int
+	// Contest is the highest pressure of other images that fill on the worker, see Contests.
+	Contest float64
 	// Distrust is 0 for a sound worker and rises with its faults. At 1 and above the worker is
 	// used only when no other has room.
 	Distrust float64
 	// Strain is the highest load of the worker's serving tasks, as a share of the load at their
 	// targets, that is expected with the task there.
 	Strain float64
+	// Ahead is what Strain will be by the end of a usual task that fills.
+	Ahead float64
 	// SameStep is the number of the step's tasks there.
 	SameStep int
 }
@@ -73,6 +83,10 @@
 	costMixed = 60.0
 	// costStrain is that of serving tasks near their target, which may need the processors next.
 	costStrain = 3.0
+	// costContest is that of a worker which other work that fills needs as much as there is idle.
+	costContest = 3.0
+	// costTrial is that of a further task beside an image to which its harm is being learned.
+	costTrial = 5.0
 	// costFar is that of a worker on which the task takes twice as long.
 	costFar = 30.0
 	// costOpen is that of the first serving task on a worker, which closes it to work that fills.
@@ -88,7 +102,13 @@
 const (
 	// fullStrain is the strain from which no more work that fills joins a worker, and mostHarm how
 	// much of it one task may add. The rest is kept for the swings of the serving tasks.
-	fullStrain, mostHarm = 0.97, 0.08
+	fullStrain, mostHarm = 0.97, 0.2
+	// mostRate is the harm of a pair of images from which work that fills joins only workers whose
+	// serving tasks will have a strain below heavyStrain while it runs. Elsewhere it would be halted
+	// for most of the time.
+	mostRate, heavyStrain = 0.6, 0.75
+	// mostTrials is how many tasks of an image suffice to learn its harm to another image.
+	mostTrials = 4
 	// fillLimit is how much of the idle processors work that fills may ask for in all. Beyond it
 	// the tasks would only slow each other, and the first of them end later.
 	fillLimit = 1.1
@@ -139,6 +159,9 @@
 	Open int
 }
 
+// Harmless reports whether the demand would harm nobody badly on the worker.
+func Harmless(cd *Candidate) bool { return !cd.Barred && cd.Rate <= mostRate }
+
 // Explain tells why a task waits.
 func Explain(dm *Demand, cands []Candidate) Reasons {
 	var rs Reasons
@@ -186,16 +209,16 @@
 // mayFill reports whether work that fills gets enough of the worker to be of use and is unlikely to
 // disturb its serving tasks, beside which it would be halted.
 func mayFill(dm *Demand, cd *Candidate) bool {
-	if cd.Serving > 0 && (cd.Strain > fullStrain || cd.Harm > mostHarm) {
+	if cd.Serving > 0 && (cd.Strain > fullStrain || cd.Harm > mostHarm || cd.Rate > mostRate && cd.Ahead > heavyStrain) {
 		return false
 	}
-	idle := float64(idleCores(cd))
+	idle := float64(Idle(cd))
 	wish := float64(cd.FillingCores + dm.Needs.MilliCores)
 	return cd.Filling == 0 && idle > 0 || wish <= fillLimit*idle
 }
 
-// idleCores returns the processors that work that fills can expect to get.
-func idleCores(cd *Candidate) int64 {
+// Idle returns the processors, in thousandths of a core, that work that fills can expect to get.
+func Idle(cd *Candidate) int64 {
 	return max(0, cd.Free.MilliCores) + int64(servingIdle*float64(cd.ServingCores))
 }
 
@@ -222,9 +245,12 @@
 	}
 	switch {
 	case dm.Fills:
-		sum += costMixed*cd.Harm + costStrain*cd.Strain
+		sum += costMixed*cd.Harm + costStrain*cd.Strain + costContest*cd.Contest
+		if cd.Trials >= mostTrials {
+			sum += costTrial
+		}
 		// The worker with the most idle processors is the least likely to lose them to other work.
-		left := idleCores(cd) - cd.FillingCores - dm.Needs.MilliCores
+		left := Idle(cd) - cd.FillingCores - dm.Needs.MilliCores
 		return sum - costIdle*float64(left)/float64(max(cd.Worker.Capacity.MilliCores, 1))
 	case dm.Serves:
 		sum += costMixed * cd.Harm
--- a/internal/job/placer/placer_test.go
+++ b/internal/job/placer/placer_test.go
@@ -99,6 +99,29 @@
 		cands[0].Serving, cands[0].Strain = 1, fullStrain+0.01
 		assertChoice(t, dm, cands, 1)
 	})
+	t.Run("not beside one that it harms badly and whose load rises", func(t *testing.T) {
+		cands := idle(32000, 16000)
+		cands[0].Serving, cands[0].Rate, cands[0].Ahead = 1, mostRate+0.01, heavyStrain+0.01
+		assertChoice(t, dm, cands, 1)
+		assertChoice(t, dm, cands[:1], -1)
+	})
+	t.Run("beside one that it harms badly while that has little load", func(t *testing.T) {
+		cands := idle(32000)
+		cands[0].Serving, cands[0].Rate, cands[0].Ahead = 1, 2, heavyStrain-0.01
+		assertChoice(t, dm, cands, 0)
+	})
+	t.Run("few at a time beside an image with which it is untried", func(t *testing.T) {
+		cands := idle(16000, 16000)
+		cands[0].Trials = mostTrials
+		cands[1].Harm, cands[1].Serving = 0.05, 1
+		assertChoice(t, dm, cands, 1)
+		assertChoice(t, dm, cands[:1], 0)
+	})
+	t.Run("leaves workers to images that have no other", func(t *testing.T) {
+		cands := idle(32000, 16000)
+		cands[0].Contest = 1
+		assertChoice(t, dm, cands, 1)
+	})
 	t.Run("waits rather than slow the others", func(t *testing.T) {
 		cands := idle(16000)
 		cands[0].Filling, cands[0].FillingCores = 2, 16000
