Hand on what a leader has learned of images that disturb each other

Change: pairs that were tried are recorded as facts when their harm has changed by 0.1, at most every 3 s, and restored by the next leader.

TestLessonsSurvive fails without the change.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -98,6 +98,9 @@
 	// forgetSlack is added to the retention, so that a repeated submission that arrives late still
 	// meets its job.
 	forgetSlack = 60 * time.Second
+	// teachInterval is the time between two records of what was learned, which the next leader would
+	// need as long to learn again.
+	teachInterval = 3 * time.Second
 	// summaryInterval is the time between two lines about the load.
 	summaryInterval = time.Second
 	// snapshotEvery is the number of journal positions between two snapshots.
@@ -145,6 +148,9 @@
 	accounted   bool
 	// model is what this term has learned of images that disturb each other.
 	model *estimator.Model
+	// taught is when it was last recorded what is new in the model, teaching is set meanwhile.
+	taught   time.Time
+	teaching bool
 	// contests is how much work that fills needs each worker.
 	contests   contests
 	summarized time.Time
@@ -329,6 +335,7 @@
 	for _, jb := range dr.jobs {
 		dr.release(jb, now)
 	}
+	dr.teach(now)
 	if now.Sub(dr.summarized) >= summaryInterval {
 		dr.summarized = now
 		dr.summarize(now)
--- a/internal/job/director/observer.go
+++ b/internal/job/director/observer.go
@@ -292,6 +292,14 @@
 	})
 }
 
+// Harm returns the load that work of one image is believed to add to serving tasks of another if it
+// used all processors of their worker.
+func (dr *Director) Harm(serving, filling string) float64 {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	return dr.model.Harm(serving, filling)
+}
+
 // Overview is what operators see of one worker.
 type Overview struct {
 	Worker       modeler.Worker
--- a/internal/job/director/pace_test.go
+++ b/internal/job/director/pace_test.go
@@ -1,7 +1,9 @@
 package director_test
 
 import (
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -57,3 +59,35 @@
 		})
 	})
 }
+
+// Guards against a new leader that learns again, by harm to users, which images disturb each other.
+func TestLessonsSurvive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 3)
+		tm := fl.lead(0)
+		defer func() { tm.end() }()
+		tails := map[modeler.JobID]time.Duration{"calm": 60 * time.Millisecond, "hurt": 140 * time.Millisecond}
+		for id, harmed := range tails {
+			jb := simpleJob(id, "urgent", 2, cores(6000))
+			sp := &jb.Steps[0]
+			sp.LongRunning, sp.TailTarget, sp.Image, sp.PerWorker = true, 300*time.Millisecond, string(id), 1
+			for ix := range sp.Count {
+				fl.set(modeler.TaskID{Job: id, Index: ix}, emulator.TaskBehaviour{Tail: func(neighbours []modeler.TaskID) time.Duration {
+					if slices.ContainsFunc(neighbours, func(other modeler.TaskID) bool { return other.Job == "fill" }) {
+						return harmed
+					}
+					return 60 * time.Millisecond
+				}})
+			}
+			tm.submit(jb)
+		}
+		sleep(2 * time.Second)
+		fillBeside(fl, tm)
+		sleep(4 * time.Second)
+		tm.end()
+		tm = fl.lead(0)
+		sleep(time.Second)
+		qt.Check(t, tm.Harm("hurt", "f") > tm.Harm("calm", "f")+0.3, qt.IsTrue,
+			qt.Commentf("hurt %.2f, calm %.2f", tm.Harm("hurt", "f"), tm.Harm("calm", "f")))
+	})
+}
--- a/internal/job/director/recovery.go
+++ b/internal/job/director/recovery.go
@@ -42,6 +42,8 @@
 		wk.granted, wk.present = true, false
 	case ft.Released != "":
 		delete(dr.workers, ft.Released)
+	case ft.Learned != nil:
+		dr.model.Take(*ft.Learned, dr.began)
 	case ft.Final != nil:
 		dr.facts[ft.Final.Job] = append(dr.facts[ft.Final.Job], ft)
 	default:
@@ -81,6 +83,26 @@
 	dr.kick()
 }
 
+// teach records what this term has learned, for the next one.
+func (dr *Director) teach(now time.Time) {
+	if dr.teaching || now.Sub(dr.taught) < teachInterval {
+		return
+	}
+	dr.taught = now
+	ls := dr.model.News()
+	if ls.Empty() {
+		return
+	}
+	dr.teaching = true
+	dr.goRun(func(ctx context.Context) {
+		dr.record(ctx, []keeper.Fact{{Learned: &ls}}, func() {
+			dr.mu.Lock()
+			defer dr.mu.Unlock()
+			dr.teaching = false
+		})
+	})
+}
+
 // forgetLoop removes jobs whose retention is over, and keeps the journal short.
 func (dr *Director) forgetLoop(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -154,6 +176,9 @@
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	var facts []keeper.Fact
+	if ls := dr.model.All(); !ls.Empty() {
+		facts = append(facts, keeper.Fact{Learned: &ls})
+	}
 	for _, wk := range dr.workers {
 		if wk.granted || wk.granting {
 			info := wk.info
--- a/internal/job/estimator/estimator.go
+++ b/internal/job/estimator/estimator.go
@@ -52,6 +52,9 @@
 	mean, variance float64
 	// at is when the variance held.
 	at time.Time
+	// told is the mean that News returned last, and known is set once it has.
+	told  float64
+	known bool
 }
 
 // fade lets the variance grow with the time since the last observation.
--- a/internal/job/keeper/fact.go
+++ b/internal/job/keeper/fact.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 
+	"github.com/currantrouter/currantrouter/internal/job/estimator"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
 )
@@ -19,6 +20,8 @@
 	Released modeler.WorkerID `json:",omitempty"`
 	// Placed is the worker on which a long-running task is about to start.
 	Placed *PlacedFact `json:",omitempty"`
+	// Learned is what the leader has learned of images that disturb each other.
+	Learned *estimator.Lessons `json:",omitempty"`
 }
 
 // PlacedFact is durable before the start that it announces is sent. A later leader that does not
