Gather changes of the registry and of jobs before asking for more

Change: after changes the watcher pauses for 250 ms (workers) or 100 ms (jobs, of which the leader is also told). The watch of the queues stays as it is.

--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -41,6 +41,11 @@
 	checkInterval = time.Second
 	// authorityLimit is how long a leader gives orders without a sign that it still leads.
 	authorityLimit = 4 * time.Second
+	// jobsGather and workersGather are the pauses between two looks at what is stored. Hosts tell the
+	// leader of jobs at once. Each worker writes its entry every 1.5 s, and one that drains must get no
+	// tasks after 2 s.
+	jobsGather    = 100 * time.Millisecond
+	workersGather = 250 * time.Millisecond
 	// leaseSlack is added to the time that leases of an earlier leader may last, for the share by
 	// which a worker's clock may be slow and for orders on their way.
 	leaseSlack = 500 * time.Millisecond
@@ -148,8 +153,8 @@
 	defer loops.Wait()
 	defer cancel()
 	op := &tm.leader.op
-	jobs := watcher.New(op.Store, keeper.Prefix, watcher.Sink{Reset: tm.resetJobs, Apply: tm.applyJobs}, "jobs", op.Log)
-	workers := watcher.New(op.Store, op.Registry.Prefix, watcher.Sink{Reset: tm.resetWorkers, Apply: tm.applyWorkers}, "workers", op.Log)
+	jobs := watcher.New(op.Store, keeper.Prefix, watcher.Sink{Reset: tm.resetJobs, Apply: tm.applyJobs}, "jobs", jobsGather, op.Log)
+	workers := watcher.New(op.Store, op.Registry.Prefix, watcher.Sink{Reset: tm.resetWorkers, Apply: tm.applyWorkers}, "workers", workersGather, op.Log)
 	tm.director.Start(ctx)
 	loops.Go(func() { jobs.Run(ctx) })
 	loops.Go(func() { workers.Run(ctx) })
--- a/internal/job/subscriber/subscriber.go
+++ b/internal/job/subscriber/subscriber.go
@@ -60,7 +60,7 @@
 // New returns a subscriber without a configuration. Peers are asked over dial.
 func New(st Store, src Source, dial func(netip.AddrPort) messenger.Jobs, lg logr.Logger, rg *meter.Registry) *Subscriber {
 	sb := &Subscriber{store: st, source: src, dial: dial, log: lg, meter: rg}
-	sb.watcher = watcher.New(st, src.Key, watcher.Sink{Reset: sb.take, Apply: sb.take}, "queues", lg)
+	sb.watcher = watcher.New(st, src.Key, watcher.Sink{Reset: sb.take, Apply: sb.take}, "queues", 0, lg)
 	return sb
 }
 
--- a/internal/job/watcher/watcher.go
+++ b/internal/job/watcher/watcher.go
@@ -49,16 +49,19 @@
 	sink   Sink
 	// what names the watch in the log.
 	what string
-	log  logr.Logger
-	lost bool
+	// gather is the pause after changes, so that one call brings those of many writers.
+	gather time.Duration
+	log    logr.Logger
+	lost   bool
 	// contact is when the last call that succeeded began, in nanoseconds since 1970.
 	contact atomic.Int64
 }
 
 // New returns a watcher of the prefix. It logs when the service stops or begins to answer, with what
-// is watched.
-func New(src Source, prefix string, sink Sink, what string, lg logr.Logger) *Watcher {
-	return &Watcher{source: src, prefix: prefix, sink: sink, what: what, log: lg}
+// is watched. After changes it waits for the time gather before it asks for more, as each call is paid
+// for.
+func New(src Source, prefix string, sink Sink, what string, gather time.Duration, lg logr.Logger) *Watcher {
+	return &Watcher{source: src, prefix: prefix, sink: sink, what: what, gather: gather, log: lg}
 }
 
 // Age returns how old the copy may be at most, and false when there was none yet.
@@ -113,10 +116,11 @@
 	if err != nil {
 		return after, err
 	}
+	wt.contact.Store(began.UnixNano())
 	if len(ens) > 0 {
 		wt.sink.Apply(ens)
+		pauser.Pause(ctx, wt.gather)
 	}
-	wt.contact.Store(began.UnixNano())
 	return max(after, revision), nil
 }
 
