Halt work that fills beside a task that is over its target for long

With the lower median of a step's tails a task that stays over its target beside calm siblings no longer slowed anything.

Change: a serving task that has been over its target for 0.4 of the limit that the platform names halts all work that fills beside it, also that of images that are believed harmless. The limit is the new setting Jobs.HarmLimit.

TestUnsteadyTails/one_of_three_tasks_for_long fails without the change.

--- a/internal/config/loader/settings.go
+++ b/internal/config/loader/settings.go
@@ -46,7 +46,9 @@
 	StopLimit           time.Duration
 	Retention           time.Duration
 	RestoreTime         time.Duration
-	FarFactor           float64
+	// HarmLimit is how long a serving task may be over its tail target beside work that fills.
+	HarmLimit time.Duration
+	FarFactor float64
 }
 
 // ListenSettings are the addresses that the daemon listens on.
--- a/internal/config/loader/table.go
+++ b/internal/config/loader/table.go
@@ -79,6 +79,10 @@
 		"Jobs", "RestoreTime", "DURATION", "100ms", "", "Time that a task takes to load a checkpoint.", allowedDuration,
 		optional, func(st *Settings, val string) bool { return setDuration(&st.Jobs.RestoreTime, val) },
 	},
+	{
+		"Jobs", "HarmLimit", "DURATION", "4s", "", "Longest time for which a serving task may be over its tail target beside work that fills.", allowedDuration,
+		optional, func(st *Settings, val string) bool { return setDuration(&st.Jobs.HarmLimit, val) },
+	},
 	{
 		"Jobs", "FarFactor", "FACTOR", "1.5", "", "How many times as long a task takes that is far from its data.", allowedFactor,
 		optional, func(st *Settings, val string) bool { return setFactor(&st.Jobs.FarFactor, val) },
--- a/internal/daemon/assembler/jobs.go
+++ b/internal/daemon/assembler/jobs.go
@@ -90,7 +90,7 @@
 		Self: self, Store: pf.Store, Registry: pf.Registry, Orders: pf.Orders, Policy: pf.Policy,
 		Limits: director.Limits{
 			Lease: st.Jobs.Lease, Stop: st.Jobs.StopLimit, Retention: st.Jobs.Retention,
-			Restore: st.Jobs.RestoreTime, FarFactor: st.Jobs.FarFactor,
+			Restore: st.Jobs.RestoreTime, Harm: st.Jobs.HarmLimit, FarFactor: st.Jobs.FarFactor,
 		},
 		Configuration: jh.subscriber.Current, Suspended: suspension(), Log: lg, Meter: jh.meter,
 	})
--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -57,6 +57,8 @@
 	Retention time.Duration
 	// Restore is the time that a resumed task takes to load its checkpoint.
 	Restore time.Duration
+	// Harm is how long a serving task may be over its target while work that fills beside it goes on.
+	Harm time.Duration
 	// FarFactor is how many times as long a task takes that is far from its data.
 	FarFactor float64
 }
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -493,6 +493,8 @@
 	// second, and loadAt when it was reported. See package estimator.
 	load, rise float64
 	loadAt     time.Time
+	// overSince is when the tail latency was first reported above its target, zero while it is not.
+	overSince time.Time
 	// measure is the last reported figure of the run, see modeler.ActiveRun.
 	measure int64
 	// pace is the last pace that was ordered, in percent.
--- a/internal/job/director/observer.go
+++ b/internal/job/director/observer.go
@@ -87,7 +87,11 @@
 			caused = 0
 		}
 	}
-	if wk.pace.Update(strain, caused, now) {
+	harmed := wk.overTarget(now) >= harmedShare*dr.op.Limits.Harm.Seconds()
+	if harmed {
+		caused = max(caused, leastCaused)
+	}
+	if wk.pace.Update(strain, caused, harmed, now) {
 		dr.log(logger.WorkerPaced, "Worker", wk.info.ID, "Percent", wk.pace.Percent(), "Strain", strain, "Caused", caused, "Filling", wk.filling, "Serving", wk.serving)
 	}
 	for _, at := range wk.list() {
@@ -99,7 +103,7 @@
 			harm = dr.model.Harm(worst.spec.Image, at.task.step.spec.Image)
 		}
 		percent := wk.pace.Percent()
-		if harm < harmless {
+		if harm < harmless && !harmed {
 			percent = pacer.Full
 		}
 		if harm >= harmfulImage && strain >= pacer.Tight && at.task.moves < mostMoves {
@@ -129,11 +133,32 @@
 	shortestRise = 200 * time.Millisecond
 )
 
+// harmedShare is the share of the longest time over the target after which all work beside the task is
+// halted, whatever is known of the pair. An order takes up to a second to show in a report.
+const harmedShare = 0.4
+
+// overTarget returns for how many seconds a serving task on the worker has been over its target.
+func (wk *worker) overTarget(now time.Time) float64 {
+	longest := 0.0
+	for _, at := range wk.attempts {
+		if at.serves() && !at.overSince.IsZero() {
+			longest = max(longest, now.Sub(at.overSince).Seconds())
+		}
+	}
+	return longest
+}
+
 // noteTail takes a reported tail latency of a serving task.
 func (dr *Director) noteTail(at *attempt, tail time.Duration, now time.Time) {
 	if tail <= 0 {
 		return
 	}
+	switch {
+	case tail <= at.task.step.spec.TailTarget:
+		at.overSince = time.Time{}
+	case at.overSince.IsZero():
+		at.overSince = now
+	}
 	load := dr.model.Load(at.task.step.spec.Image, tail)
 	since := now.Sub(at.loadAt)
 	if !at.loadAt.IsZero() && since < shortestRise {
--- a/internal/job/director/pace_test.go
+++ b/internal/job/director/pace_test.go
@@ -39,11 +39,10 @@
 	}
 	tm.submit(jb)
 	sleep(5 * time.Second)
-	tm.assertState("fill", modeler.Completed)
 }
 
 // Guards against work that fills which is halted because single reports of one serving task are too
-// high.
+// high, and against one that is over its target for long while work that fills goes on beside it.
 func TestUnsteadyTails(t *testing.T) {
 	t.Run("one of three tasks now and then", func(t *testing.T) {
 		run(t, 2, func(fl *fleet, tm *term) {
@@ -55,9 +54,24 @@
 				return 60 * time.Millisecond
 			})
 			fillBeside(fl, tm)
+			tm.assertState("fill", modeler.Completed)
 			qt.Check(t, fl.workers.Halts(), qt.Equals, 0)
 		})
 	})
+	// It becomes slow once work that fills is there, while its siblings stay calm.
+	t.Run("one of three tasks for long", func(t *testing.T) {
+		run(t, 2, func(fl *fleet, tm *term) {
+			began := time.Now()
+			serveWithTails(fl, tm, func() time.Duration {
+				if time.Since(began) > 2500*time.Millisecond {
+					return 200 * time.Millisecond
+				}
+				return 60 * time.Millisecond
+			})
+			fillBeside(fl, tm)
+			qt.Check(t, fl.workers.Halts() > 0, qt.IsTrue)
+		})
+	})
 }
 
 // Guards against a new leader that learns again, by harm to users, which images disturb each other.
--- a/internal/job/pacer/pacer.go
+++ b/internal/job/pacer/pacer.go
@@ -31,13 +31,14 @@
 // Percent returns the present pace.
 func (st *State) Percent() int { return Full - st.slowed }
 
-// Update takes the highest strain on the worker and the part of it that the work that fills causes
-// at its present pace. It reports whether the pace changed.
-func (st *State) Update(strain, caused float64, now time.Time) bool {
+// Update takes the highest strain on the worker, the part of it that the work that fills causes at its
+// present pace, and whether a serving task has been over its target for long, which halts that work. It
+// reports whether the pace changed.
+func (st *State) Update(strain, caused float64, harmed bool, now time.Time) bool {
 	before := st.slowed
 	settled := now.Sub(st.changed) >= settle
 	switch {
-	case strain >= 1 && caused > 0:
+	case harmed || strain >= 1 && caused > 0:
 		st.slowed = Full
 	case strain > Tight && caused > 0 && settled:
 		st.slowed = Full - st.lower(strain-Calm, caused)
