Try pairs of images again, and not two images at a time

Cause: an image that was once blamed for harm never ran beside that serving image again if its tasks were large, so a wrong belief stayed for good.

An image is not tried on a worker where another one is, if there is a choice. The stand-in's runs work at the pace that was ordered, and halted ones disturb nobody.

--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -251,7 +251,11 @@
 	strain, ahead, harm, rate float64
 	// untried holds the worker's serving images of which too little is known with the task's image.
 	untried []string
-	known   bool
+	// doubted is set when the task is believed to harm one of these badly.
+	doubted bool
+	// mixed is set when another image is being tried there.
+	mixed bool
+	known bool
 }
 
 // outlook is what is expected of the tasks of one image.
@@ -294,10 +298,11 @@
 	for ix, wk := range rd.workers {
 		ex := &ol.workers[ix]
 		if !ex.known {
-			*ex = rd.dr.expect(wk, dm)
+			*ex = rd.dr.expect(wk, dm, rd.now)
 		}
 		cd := &rd.cands[ix]
 		cd.Strain, cd.Ahead, cd.Harm, cd.Rate, cd.Trials = ex.strain, ex.ahead, ex.harm, ex.rate, 0
+		cd.Doubted, cd.Mixed = ex.doubted, ex.mixed
 		for _, serving := range ex.untried {
 			cd.Trials = max(cd.Trials, ol.trials[serving])
 		}
--- a/internal/job/estimator/estimator.go
+++ b/internal/job/estimator/estimator.go
@@ -57,14 +57,17 @@
 	known bool
 }
 
-// fade lets the variance grow with the time since the last observation.
-func (bf *belief) fade(now time.Time) {
-	if !bf.at.IsZero() && now.After(bf.at) {
-		bf.variance = math.Min(priorVariance, bf.variance+fading*now.Sub(bf.at).Seconds())
+// faded returns the variance, which grows with the time since the last observation.
+func (bf *belief) faded(now time.Time) float64 {
+	if bf.at.IsZero() || !now.After(bf.at) {
+		return bf.variance
 	}
-	bf.at = now
+	return math.Min(priorVariance, bf.variance+fading*now.Sub(bf.at).Seconds())
 }
 
+// fade makes the variance that of now.
+func (bf *belief) fade(now time.Time) { bf.variance, bf.at = bf.faded(now), now }
+
 // Model is what is known of all images and pairs. The zero value is not usable.
 type Model struct {
 	// lowest is the lowest tail latency seen of each serving image.
@@ -109,10 +112,14 @@
 	return priorHarm
 }
 
-// Tried reports whether enough is known of a pair to rely on its harm.
-func (md *Model) Tried(serving, filling string) bool {
+// Assumed returns the harm that a task about to start may do, and whether it is known. A pair that
+// was not seen for long has to be tried again, as what was blamed for the harm may not have done it.
+func (md *Model) Assumed(serving, filling string, now time.Time) (harm float64, tried bool) {
 	bf := md.pairs[pair{serving, filling}]
-	return bf != nil && bf.variance < triedVariance
+	if bf == nil || bf.faded(now) >= triedVariance {
+		return min(md.Harm(serving, filling), priorHarm), false
+	}
+	return max(0, bf.mean), true
 }
 
 // Disturbance returns the load that work that fills adds to a serving task.
--- a/internal/job/estimator/estimator_test.go
+++ b/internal/job/estimator/estimator_test.go
@@ -45,20 +45,27 @@
 	qt.Check(t, md.Harm("s", "bad") > 0.7, qt.IsTrue, qt.Commentf("%.2f", md.Harm("s", "bad")))
 }
 
-// Guards against a pair that counts as known after one report, or as known for good.
-func TestTried(t *testing.T) {
+func assertTried(t *testing.T, md *Model, filling string, now time.Time, want bool) {
+	t.Helper()
+	_, tried := md.Assumed("s", filling, now)
+	qt.Check(t, tried, qt.Equals, want)
+}
+
+// Guards against a pair that counts as known after one report, or as known for good: work that was
+// blamed for the harm of its neighbour would never run beside the image again.
+func TestAssumed(t *testing.T) {
 	md, at := New(), time.Unix(1_700_000_000, 0)
 	md.Learn("s", 0.1, []Fill{{"f", 0.1}}, at)
-	qt.Check(t, md.Tried("s", "f"), qt.IsFalse)
+	assertTried(t, md, "f", at, false)
 	for range 6 {
 		at = at.Add(500 * time.Millisecond)
 		md.Learn("s", 0.1, []Fill{{"f", 0.1}}, at)
 	}
-	qt.Check(t, md.Tried("s", "f"), qt.IsTrue)
-	qt.Check(t, md.Tried("s", "other"), qt.IsFalse)
-	// A later report beside little work shows how much was forgotten.
-	md.Learn("s", 0, []Fill{{"f", 2 * noticeable}}, at.Add(time.Minute))
-	qt.Check(t, md.Tried("s", "f"), qt.IsFalse)
+	assertTried(t, md, "f", at, true)
+	assertTried(t, md, "other", at, false)
+	assertTried(t, md, "f", at.Add(time.Minute), false)
+	harm, _ := md.Assumed("s", "f", at.Add(time.Minute))
+	qt.Check(t, harm <= priorHarm && md.Harm("s", "f") > priorHarm, qt.IsTrue)
 }
 
 // Guards against loads that have no meaning: below zero, above one, or a target that seems to be met
--- a/internal/job/estimator/lessons_test.go
+++ b/internal/job/estimator/lessons_test.go
@@ -28,7 +28,7 @@
 		qt.Assert(t, json.Unmarshal(document, &stored), qt.IsNil)
 		next := New()
 		next.Take(stored, at)
-		qt.Check(t, next.Tried("s", "bad"), qt.IsTrue)
+		assertTried(t, next, "bad", at, true)
 		qt.Check(t, next.Harm("s", "bad"), qt.Equals, thousandths(md.Harm("s", "bad")))
 		qt.Check(t, next.Limit("s", 150*time.Millisecond), qt.Equals, md.Limit("s", 150*time.Millisecond))
 	})
--- a/internal/job/placer/placer.go
+++ b/internal/job/placer/placer.go
@@ -61,6 +61,11 @@
 	// Trials is how many tasks of the demand's image run beside a serving image of the worker with
 	// which it was not seen long enough to know its harm.
 	Trials int
+	// Doubted is set when the image once harmed such a serving image badly.
+	Doubted bool
+	// Mixed is set when another image that fills there is untried with a serving image with which the
+	// demand's image is untried too.
+	Mixed bool
 	// Contest is the highest pressure of other images that fill on the worker, see Contests.
 	Contest float64
 	// Distrust is 0 for a sound worker and rises with its faults. At 1 and above the worker is
@@ -109,6 +114,8 @@
 	mostRate, heavyStrain = 0.6, 0.75
 	// mostTrials is how many tasks of an image suffice to learn its harm to another image.
 	mostTrials = 4
+	// mostDoubted is that of an image that is believed to do harm and has not been seen there for long.
+	mostDoubted = 1
 	// fillLimit is how much of the idle processors work that fills may ask for in all. Beyond it
 	// the tasks would only slow each other, and the first of them end later.
 	fillLimit = 1.1
@@ -209,6 +216,9 @@
 // mayFill reports whether work that fills gets enough of the worker to be of use and is unlikely to
 // disturb its serving tasks, beside which it would be halted.
 func mayFill(dm *Demand, cd *Candidate) bool {
+	if cd.Doubted && cd.Trials >= mostDoubted {
+		return false
+	}
 	if cd.Serving > 0 && (cd.Strain > fullStrain || cd.Harm > mostHarm || cd.Rate > mostRate && cd.Ahead > heavyStrain) {
 		return false
 	}
@@ -246,7 +256,7 @@
 	switch {
 	case dm.Fills:
 		sum += costMixed*cd.Harm + costStrain*cd.Strain + costContest*cd.Contest
-		if cd.Trials >= mostTrials {
+		if cd.Trials >= mostTrials || cd.Mixed {
 			sum += costTrial
 		}
 		// The worker with the most idle processors is the least likely to lose them to other work.
--- a/internal/job/placer/placer_test.go
+++ b/internal/job/placer/placer_test.go
@@ -117,6 +117,18 @@
 		assertChoice(t, dm, cands, 1)
 		assertChoice(t, dm, cands[:1], 0)
 	})
+	t.Run("not tried together with another image", func(t *testing.T) {
+		cands := idle(32000, 16000)
+		cands[0].Mixed = true
+		assertChoice(t, dm, cands, 1)
+	})
+	t.Run("one beside an image that it once harmed", func(t *testing.T) {
+		cands := idle(16000)
+		cands[0].Doubted = true
+		assertChoice(t, dm, cands, 0)
+		cands[0].Trials = mostDoubted
+		assertChoice(t, dm, cands, -1)
+	})
 	t.Run("leaves workers to images that have no other", func(t *testing.T) {
 		cands := idle(32000, 16000)
 		cands[0].Contest = 1
--- a/internal/provider/emulator/jobworkers.go
+++ b/internal/provider/emulator/jobworkers.go
@@ -25,8 +25,8 @@
 	Needs modeler.Resources
 	// Uses is what a run uses without a reservation, in thousandths of a core.
 	Uses int64
-	// Tail returns the tail latency of a serving task beside the other runs of its worker. It is nil
-	// for other tasks.
+	// Tail returns the tail latency of a serving task beside the runs of its worker that are not
+	// halted. It is nil for other tasks.
 	Tail func(neighbours []modeler.TaskID) time.Duration
 }
 
@@ -80,8 +80,9 @@
 type jobRun struct {
 	behaviour TaskBehaviour
 	began     time.Time
-	// saved is the part of the work that was done before.
+	// saved is the part of the work that was done by the time since, at which the pace last changed.
 	saved   time.Duration
+	since   time.Time
 	stopped bool
 	pace    int
 	timer   *time.Timer
@@ -254,7 +255,7 @@
 		return modeler.ErrOldRun
 	}
 	wk.epoch = order.Epoch
-	rn := &jobRun{behaviour: jw.behave(order.Task), began: time.Now(), pace: 100}
+	rn := &jobRun{behaviour: jw.behave(order.Task), began: time.Now(), since: time.Now(), pace: fullPace}
 	if !rn.behaviour.Needs.Fits(jw.room(wk)) {
 		return modeler.ErrNoRoom
 	}
@@ -269,9 +270,7 @@
 	jw.check(order.Task)
 	wk.running[key] = rn
 	jw.started[order.Task]++
-	if !rn.behaviour.LongRunning {
-		rn.timer = time.AfterFunc(jw.left(wk, rn), func() { jw.complete(wk, key) })
-	}
+	jw.schedule(wk, key, rn)
 	jw.watchLease(wk)
 	return nil
 }
@@ -303,13 +302,34 @@
 	}
 }
 
-// left returns the time to the end of a run.
-func (jw *JobWorkers) left(wk *jobWorker, rn *jobRun) time.Duration {
-	left := rn.behaviour.Work - rn.saved
+// fullPace is the pace of a run that works at its own speed, in percent.
+const fullPace = 100
+
+// speed returns the work that a run does in a unit of time.
+func (rn *jobRun) speed(wk *jobWorker) float64 {
+	speed := float64(rn.pace) / fullPace
 	if wk.slow > 0 {
-		left = time.Duration(float64(left) * wk.slow)
+		speed /= wk.slow
+	}
+	return speed
+}
+
+// worked returns the work that a run has done.
+func (rn *jobRun) worked(wk *jobWorker) time.Duration {
+	return rn.saved + time.Duration(float64(time.Since(rn.since))*rn.speed(wk))
+}
+
+// schedule sets the time of a run's end. Those that are halted have none.
+func (jw *JobWorkers) schedule(wk *jobWorker, key runKey, rn *jobRun) {
+	if rn.timer != nil {
+		rn.timer.Stop()
+	}
+	speed := rn.speed(wk)
+	if rn.behaviour.LongRunning || speed <= 0 {
+		return
 	}
-	return left
+	left := time.Duration(float64(rn.behaviour.Work-rn.saved) / speed)
+	rn.timer = time.AfterFunc(left, func() { jw.complete(wk, key) })
 }
 
 func (jw *JobWorkers) complete(wk *jobWorker, key runKey) {
@@ -343,11 +363,7 @@
 	if !rn.behaviour.Checkpoints {
 		return ""
 	}
-	worked := time.Since(rn.began)
-	if wk.slow > 0 {
-		worked = time.Duration(float64(worked) / wk.slow)
-	}
-	return (rn.saved + worked).String()
+	return rn.worked(wk).String()
 }
 
 // Stop implements director.Orders.
@@ -382,7 +398,9 @@
 			return modeler.ErrDeposed
 		}
 		if rn := wk.running[runKey{task, run}]; rn != nil {
+			rn.saved, rn.since = rn.worked(wk), time.Now()
 			rn.pace = percent
+			jw.schedule(wk, runKey{task, run}, rn)
 			if percent == 0 {
 				jw.halts++
 			}
@@ -454,8 +472,10 @@
 func (jw *JobWorkers) report(wk *jobWorker) modeler.Report {
 	rep := modeler.Report{Clock: wk.clock(), Born: wk.born, Ended: slices.Clone(wk.ended)}
 	var tasks []modeler.TaskID
-	for key := range wk.running {
-		tasks = append(tasks, key.task)
+	for key, rn := range wk.running {
+		if rn.pace > 0 {
+			tasks = append(tasks, key.task)
+		}
 	}
 	for key, rn := range wk.running {
 		rep.Running = append(rep.Running, jw.row(wk, key, rn, tasks))
@@ -464,7 +484,7 @@
 }
 
 func (jw *JobWorkers) row(wk *jobWorker, key runKey, rn *jobRun, tasks []modeler.TaskID) modeler.ActiveRun {
-	row := modeler.ActiveRun{Task: key.task, Run: key.run, Measure: (rn.behaviour.Needs.MilliCores + rn.behaviour.Uses) * int64(rn.pace) / 100}
+	row := modeler.ActiveRun{Task: key.task, Run: key.run, Measure: (rn.behaviour.Needs.MilliCores + rn.behaviour.Uses) * int64(rn.pace) / fullPace}
 	age := time.Since(rn.began)
 	switch {
 	case rn.behaviour.LongRunning && age >= startupTime:
@@ -473,10 +493,7 @@
 		row.Progress = int(age * 100 / startupTime)
 	default:
 		whole := rn.behaviour.Work
-		if wk.slow > 0 {
-			age = time.Duration(float64(age) / wk.slow)
-		}
-		row.Progress = int((rn.saved + age) * 100 / max(whole, 1))
+		row.Progress = int(rn.worked(wk) * 100 / max(whole, 1))
 	}
 	if rn.behaviour.Tail != nil {
 		row.Measure = rn.behaviour.Tail(tasks).Milliseconds()
