--- a/internal/job/director/observer.go
+++ b/internal/job/director/observer.go
@@ -87,10 +87,7 @@
 			caused = 0
 		}
 	}
-	harmed := wk.overTarget(now) >= harmedShare*dr.op.Limits.Harm.Seconds()
-	if harmed {
-		caused = max(caused, leastCaused)
-	}
+	harmed := wk.overTarget(now) >= dr.op.Limits.Harm*harmedPercent/100
 	if wk.pace.Update(strain, caused, harmed, now) {
 		dr.log(logger.WorkerPaced, "Worker", wk.info.ID, "Percent", wk.pace.Percent(), "Strain", strain, "Caused", caused, "Filling", wk.filling, "Serving", wk.serving)
 	}
@@ -133,16 +130,16 @@
 	shortestRise = 200 * time.Millisecond
 )
 
-// harmedShare is the share of the longest time over the target after which all work beside the task is
-// halted, whatever is known of the pair. An order takes up to a second to show in a report.
-const harmedShare = 0.4
+// harmedPercent is the part of the longest time over the target after which all work that fills beside
+// the task is halted, whatever is known of the pair. An order takes up to a second to show in a report.
+const harmedPercent = 40
 
-// overTarget returns for how many seconds a serving task on the worker has been over its target.
-func (wk *worker) overTarget(now time.Time) float64 {
-	longest := 0.0
+// overTarget returns how long a serving task on the worker has been over its target.
+func (wk *worker) overTarget(now time.Time) time.Duration {
+	var longest time.Duration
 	for _, at := range wk.attempts {
 		if at.serves() && !at.overSince.IsZero() {
-			longest = max(longest, now.Sub(at.overSince).Seconds())
+			longest = max(longest, now.Sub(at.overSince))
 		}
 	}
 	return longest
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -246,9 +246,11 @@
 
 // expectation is what a task of an image would do to its neighbours on one worker.
 type expectation struct {
-	// strain is the highest one expected, ahead that at the end of a usual run, harm the part of it that the task adds or gets, and rate the
-	// harm to the most sensitive image if the task used all processors.
-	strain, ahead, harm, rate float64
+	// strain is the highest one expected, and ahead that at the end of a usual run.
+	strain, ahead float64
+	// harm is the part of the strain that the task adds or gets, and rate its harm to the most sensitive
+	// image if it used all processors.
+	harm, rate float64
 	// untried holds the worker's serving images of which too little is known with the task's image.
 	untried []string
 	// doubted is set when the task is believed to harm one of these badly.
--- a/internal/job/estimator/lessons.go
+++ b/internal/job/estimator/lessons.go
@@ -36,7 +36,11 @@
 // images.
 func (md *Model) News() Lessons {
 	return md.lessons(func(bf *belief) bool {
-		return bf.variance < triedVariance && (!bf.known || math.Abs(bf.mean-bf.told) >= notableChange)
+		if bf.variance >= triedVariance || bf.known && math.Abs(bf.mean-bf.told) < notableChange {
+			return false
+		}
+		bf.told, bf.known = bf.mean, true
+		return true
 	})
 }
 
@@ -52,7 +56,6 @@
 		if !wanted(bf) {
 			continue
 		}
-		bf.told, bf.known = bf.mean, true
 		ls.Pairs = append(ls.Pairs, Lesson{pr.serving, pr.filling, thousandths(bf.mean), thousandths(bf.variance)})
 		if low, ok := md.lowest[pr.serving]; ok {
 			if ls.Lowest == nil {
