--- a/internal/job/director/observer.go
+++ b/internal/job/director/observer.go
@@ -260,55 +260,6 @@
 	return loads[len(loads)/2], true
 }
 
-// expect returns what one more task on a worker would do.
-func (dr *Director) expect(wk *worker, dm *placer.Demand, now time.Time) expectation {
-	ex := expectation{known: true}
-	if dm.Serves {
-		for _, at := range wk.attempts {
-			if at.task.step.spec.Fills {
-				ex.harm += dr.model.Harm(dm.Image, at.task.step.spec.Image) * wk.press(at.task.step.spec.Needs.MilliCores)
-			}
-		}
-		ex.strain = ex.harm
-		return ex
-	}
-	for image := range wk.servingImages {
-		if harm, tried := dr.model.Assumed(image, dm.Image, now); tried {
-			ex.rate = max(ex.rate, harm)
-		} else {
-			ex.untried = append(ex.untried, image)
-			ex.doubted = ex.doubted || dr.model.Harm(image, dm.Image) > harm
-			ex.mixed = ex.mixed || dr.onTrial(wk, image, dm.Image, now)
-		}
-	}
-	for _, at := range wk.attempts {
-		sp := at.task.step.spec
-		if sp.TailTarget <= 0 {
-			continue
-		}
-		limit := dr.model.Limit(sp.Image, sp.TailTarget)
-		harm, _ := dr.model.Assumed(sp.Image, dm.Image, now)
-		added := harm * wk.press(dm.Needs.MilliCores) / limit
-		ex.strain, ex.harm = max(ex.strain, at.foreseen(riseAhead)/limit+added), max(ex.harm, added)
-		ex.ahead = max(ex.ahead, at.foreseen(runAhead)/limit+added)
-	}
-	return ex
-}
-
-// onTrial reports whether another image that fills on the worker is untried with the serving one. What
-// each of the two does could not be told apart.
-func (dr *Director) onTrial(wk *worker, serving, except string, now time.Time) bool {
-	for filling := range wk.fillingImages {
-		if filling == except {
-			continue
-		}
-		if _, tried := dr.model.Assumed(serving, filling, now); !tried {
-			return true
-		}
-	}
-	return false
-}
-
 func (dr *Director) setPace(at *attempt, percent int) {
 	former := at.pace
 	at.pace = percent
