--- a/internal/job/director/observer.go
+++ b/internal/job/director/observer.go
@@ -8,7 +8,6 @@
 	"github.com/currantrouter/currantrouter/internal/job/estimator"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/job/pacer"
-	"github.com/currantrouter/currantrouter/internal/job/placer"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
