Count the contest for workers in each pool by itself

Cause: the pressure of an image that fills was its demand as a share of the idle processors of all pools, though its tasks run in one only. With several pools it came out too low. Found by reading.

Change: claims and groups name their pool. Harmless takes the only figure that it needs.

--- a/internal/job/director/contest.go
+++ b/internal/job/director/contest.go
@@ -1,11 +1,13 @@
 package director
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/job/placer"
 )
 
@@ -13,11 +15,21 @@
 // run for about a second.
 const contestInterval = 250 * time.Millisecond
 
+// fillingImage is one of a pool.
+type fillingImage struct {
+	pool  modeler.PoolName
+	image string
+}
+
+func compareImages(one, two fillingImage) int {
+	return cmp.Or(cmp.Compare(one.pool, two.pool), cmp.Compare(one.image, two.image))
+}
+
 // contests tells for each worker how much images that fill need it.
 type contests struct {
 	at time.Time
-	// images holds the position of each filling image, workers the contest for each worker.
-	images  map[string]int
+	// claims holds the position of each image's claim, workers the contest for each worker.
+	claims  map[fillingImage]int
 	workers map[*worker]*placer.Contest
 }
 
@@ -27,11 +39,11 @@
 	if of == nil {
 		return 0
 	}
-	ix, ok := ct.images[image]
+	cx, ok := ct.claims[fillingImage{wk.info.Pool, image}]
 	if !ok {
-		ix = -1
+		cx = -1
 	}
-	return of.Beside(ix)
+	return of.Beside(cx)
 }
 
 // contest brings the contest for the workers of a round up to date.
@@ -41,27 +53,27 @@
 		return &dr.contests
 	}
 	asked := rd.askedToFill()
-	names := slices.Sorted(maps.Keys(asked))
-	ct := contests{at: rd.now, images: map[string]int{}, workers: map[*worker]*placer.Contest{}}
-	cores := make([]int64, len(names))
-	for ix, image := range names {
-		ct.images[image], cores[ix] = ix, asked[image]
+	images := slices.SortedFunc(maps.Keys(asked), compareImages)
+	ct := contests{at: rd.now, claims: map[fillingImage]int{}, workers: map[*worker]*placer.Contest{}}
+	claims := make([]placer.Claim, len(images))
+	for cx, fi := range images {
+		ct.claims[fi], claims[cx] = cx, placer.Claim{Pool: fi.pool, MilliCores: asked[fi]}
 	}
 	var groups []placer.Group
 	position := map[string]int{}
 	members := make([]int, len(rd.workers))
 	for ix, wk := range rd.workers {
-		key := strings.Join(slices.Sorted(maps.Keys(wk.servingImages)), " ")
+		key := string(wk.info.Pool) + " " + strings.Join(slices.Sorted(maps.Keys(wk.servingImages)), " ")
 		gx, ok := position[key]
 		if !ok {
 			gx = len(groups)
 			position[key] = gx
-			groups = append(groups, placer.Group{Harmless: rd.harmless(wk, names)})
+			groups = append(groups, placer.Group{Pool: wk.info.Pool, Harmless: rd.harmless(wk, images)})
 		}
 		groups[gx].Idle += placer.Idle(&rd.cands[ix])
 		members[ix] = gx
 	}
-	result := placer.Contests(groups, cores)
+	result := placer.Contests(groups, claims)
 	for ix, wk := range rd.workers {
 		ct.workers[wk] = &result[members[ix]]
 	}
@@ -69,13 +81,12 @@
 	return &dr.contests
 }
 
-// askedToFill returns what waiting and active tasks that fill ask for, by image, in thousandths of a
-// core.
-func (rd *round) askedToFill() map[string]int64 {
-	asked := map[string]int64{}
+// askedToFill returns what waiting and active tasks that fill ask for, in thousandths of a core.
+func (rd *round) askedToFill() map[fillingImage]int64 {
+	asked := map[fillingImage]int64{}
 	for _, gr := range rd.groups {
 		if sp := gr.step.spec; sp.Fills {
-			asked[sp.Image] += sp.Needs.MilliCores * int64(len(gr.step.waiting))
+			asked[fillingImage{rd.dr.pool(gr.step.occ.job), sp.Image}] += sp.Needs.MilliCores * int64(len(gr.step.waiting))
 		}
 	}
 	for _, wk := range rd.workers {
@@ -84,22 +95,23 @@
 		}
 		for _, at := range wk.attempts {
 			if sp := at.task.step.spec; sp.Fills {
-				asked[sp.Image] += sp.Needs.MilliCores
+				asked[fillingImage{wk.info.Pool, sp.Image}] += sp.Needs.MilliCores
 			}
 		}
 	}
 	return asked
 }
 
-// harmless tells for each filling image whether it harms no serving image of the worker badly.
-func (rd *round) harmless(wk *worker, images []string) []bool {
+// harmless tells for each filling image whether it is known or believed to harm no serving image of the
+// worker badly. A pair that was not seen for long counts as it did: trials take little room.
+func (rd *round) harmless(wk *worker, images []fillingImage) []bool {
 	list := make([]bool, len(images))
-	for ix, image := range images {
-		cd := placer.Candidate{}
+	for ix, fi := range images {
+		rate := 0.0
 		for serving := range wk.servingImages {
-			cd.Rate = max(cd.Rate, rd.dr.model.Harm(serving, image))
+			rate = max(rate, rd.dr.model.Harm(serving, fi.image))
 		}
-		list[ix] = placer.Harmless(&cd)
+		list[ix] = placer.Harmless(rate)
 	}
 	return list
 }
--- a/internal/job/placer/contest.go
+++ b/internal/job/placer/contest.go
@@ -1,17 +1,27 @@
 package placer
 
-// Group is a set of workers with the same serving images.
+import "github.com/currantrouter/currantrouter/internal/job/modeler"
+
+// Claim is what the tasks of one image ask for in one pool.
+type Claim struct {
+	Pool modeler.PoolName
+	// MilliCores is the need of all tasks that wait or run.
+	MilliCores int64
+}
+
+// Group is a set of workers of one pool with the same serving images.
 type Group struct {
+	Pool modeler.PoolName
 	// Idle is what work that fills can expect to get there, in thousandths of a core.
 	Idle int64
-	// Harmless tells for each filling image whether it harms nobody badly there.
+	// Harmless tells for each claim whether its image harms nobody badly there.
 	Harmless []bool
 }
 
 // Contest tells how much other images need a group of workers.
 type Contest struct {
-	// image is the one with the highest pressure, -1 for none.
-	image int
+	// claim is the one with the highest pressure, -1 for none.
+	claim int
 	// most is its pressure, next the highest of all others.
 	most, next float64
 }
@@ -22,40 +32,45 @@
 // Contests returns the contest of each group. The pressure of an image is what its tasks ask for, as a
 // share of what is idle where they harm nobody. It answers images of which some may run nearly
 // everywhere and others in few places: the former leave these places to the latter.
-func Contests(groups []Group, asked []int64) []Contest {
+func Contests(groups []Group, claims []Claim) []Contest {
 	contests := make([]Contest, len(groups))
 	for gx := range contests {
-		contests[gx].image = -1
+		contests[gx].claim = -1
 	}
-	for image, cores := range asked {
+	for cx, cl := range claims {
 		room := int64(1)
 		for gx := range groups {
-			if groups[gx].Harmless[image] {
+			if groups[gx].open(cl.Pool, cx) {
 				room += groups[gx].Idle
 			}
 		}
-		pressure := min(float64(cores)/float64(room), mostPressure)
+		pressure := min(float64(cl.MilliCores)/float64(room), mostPressure)
 		for gx := range groups {
-			if groups[gx].Harmless[image] {
-				contests[gx].add(image, pressure)
+			if groups[gx].open(cl.Pool, cx) {
+				contests[gx].add(cx, pressure)
 			}
 		}
 	}
 	return contests
 }
 
-func (ct *Contest) add(image int, pressure float64) {
+// open reports whether tasks of a claim may run in the group.
+func (gr *Group) open(pool modeler.PoolName, claim int) bool {
+	return gr.Pool == pool && gr.Harmless[claim]
+}
+
+func (ct *Contest) add(claim int, pressure float64) {
 	switch {
-	case ct.image < 0 || pressure > ct.most:
-		ct.image, ct.most, ct.next = image, pressure, ct.most
+	case ct.claim < 0 || pressure > ct.most:
+		ct.claim, ct.most, ct.next = claim, pressure, ct.most
 	case pressure > ct.next:
 		ct.next = pressure
 	}
 }
 
-// Beside returns the highest pressure of other images.
-func (ct *Contest) Beside(image int) float64 {
-	if ct.image == image {
+// Beside returns the highest pressure of other claims.
+func (ct *Contest) Beside(claim int) float64 {
+	if ct.claim == claim {
 		return ct.next
 	}
 	return ct.most
--- a/internal/job/placer/contest_test.go
+++ b/internal/job/placer/contest_test.go
@@ -6,9 +6,9 @@
 	qt "github.com/frankban/quicktest"
 )
 
-func assertContest(t *testing.T, ct Contest, image int, want float64) {
+func assertContest(t *testing.T, ct Contest, claim int, want float64) {
 	t.Helper()
-	qt.Check(t, ct.Beside(image), qt.Equals, want)
+	qt.Check(t, ct.Beside(claim), qt.Equals, want)
 }
 
 // Guards against work that fills which takes the few workers where another image harms nobody, while
@@ -20,7 +20,7 @@
 		{Idle: 1000, Harmless: []bool{true, true}},
 	}
 	t.Run("image with few workers counts most there", func(t *testing.T) {
-		cts := Contests(groups, []int64{1000, 2002})
+		cts := Contests(groups, []Claim{{MilliCores: 1000}, {MilliCores: 2002}})
 		assertContest(t, cts[0], 0, 0)
 		assertContest(t, cts[1], 0, 2)
 		assertContest(t, cts[1], 1, 0.25)
@@ -30,6 +30,17 @@
 		assertContest(t, Contests(groups, nil)[1], 0, 0)
 	})
 	t.Run("bounded", func(t *testing.T) {
-		assertContest(t, Contests(groups, []int64{0, 1_000_000})[1], 0, mostPressure)
+		assertContest(t, Contests(groups, []Claim{{}, {MilliCores: 1_000_000}})[1], 0, mostPressure)
+	})
+	// A pool has no use for the room of another.
+	t.Run("two pools", func(t *testing.T) {
+		pools := []Group{
+			{Pool: "east", Idle: 999, Harmless: []bool{true, true}},
+			{Pool: "west", Idle: 8999, Harmless: []bool{true, true}},
+		}
+		cts := Contests(pools, []Claim{{"east", 1000}, {"west", 1800}})
+		assertContest(t, cts[0], 1, 1)
+		assertContest(t, cts[0], 0, 0)
+		assertContest(t, cts[1], 0, 0.2)
 	})
 }
--- a/internal/job/placer/placer.go
+++ b/internal/job/placer/placer.go
@@ -166,8 +166,9 @@
 	Open int
 }
 
-// Harmless reports whether the demand would harm nobody badly on the worker.
-func Harmless(cd *Candidate) bool { return !cd.Barred && cd.Rate <= mostRate }
+// Harmless reports whether work that fills would harm nobody badly on a worker, given its harm to the
+// most sensitive serving image there if it used all processors.
+func Harmless(rate float64) bool { return rate <= mostRate }
 
 // Explain tells why a task waits.
 func Explain(dm *Demand, cands []Candidate) Reasons {
@@ -219,7 +220,7 @@
 	if cd.Doubted && cd.Trials >= mostDoubted {
 		return false
 	}
-	if cd.Serving > 0 && (cd.Strain > fullStrain || cd.Harm > mostHarm || cd.Rate > mostRate && cd.Ahead > heavyStrain) {
+	if cd.Serving > 0 && (cd.Strain > fullStrain || cd.Harm > mostHarm || !Harmless(cd.Rate) && cd.Ahead > heavyStrain) {
 		return false
 	}
 	idle := float64(Idle(cd))
