Blame an image only for harm that no other one beside it could have done

(1) Beliefs about images that were always seen together were updated as if they were independent. (2) A report of which only a part is believed reduced the doubt in full. (4) Nothing was learned of a pair until many tasks needed the room at once.

Change: beliefs share covariances; the doubt falls by the part that is believed; blame is bounded by the reports without another suspect; siblings are compared by the difference of what fills beside them; one task of an unknown pair goes first while there is room elsewhere. The loads and fills of a worker are computed once for each report.

--- a/internal/job/director/observer.go
+++ b/internal/job/director/observer.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -71,17 +72,16 @@
 // pace learns from the tails of serving tasks, slows work that fills beside those near their target,
 // and moves what harms them most.
 func (dr *Director) pace(wk *worker, now time.Time) {
-	if wk.serving > 0 {
-		dr.learn(wk, now)
-	}
 	if wk.filling == 0 {
 		return
 	}
-	worst, strain := dr.mostStrained(wk)
+	loads, fills := wk.steadyLoads(), wk.fills()
+	dr.learn(wk, loads, fills, now)
+	worst, strain := dr.mostStrained(loads)
 	caused := 0.0
 	if worst != nil {
 		sp := worst.spec
-		caused = dr.model.Disturbance(sp.Image, wk.fills()) / dr.model.Limit(sp.Image, sp.TailTarget)
+		caused = dr.model.Disturbance(sp.Image, fills) / dr.model.Limit(sp.Image, sp.TailTarget)
 		if caused < leastCaused {
 			caused = 0
 		}
@@ -175,11 +175,11 @@
 // foreseen returns the load after some seconds if it goes on to rise.
 func (at *attempt) foreseen(seconds float64) float64 { return at.load + max(0, at.rise)*seconds }
 
-// mostStrained returns the serving step on the worker that is nearest to its target.
-func (dr *Director) mostStrained(wk *worker) (*step, float64) {
+// mostStrained returns the step that is nearest to its target, and its strain.
+func (dr *Director) mostStrained(loads map[*step]float64) (*step, float64) {
 	var worst *step
 	highest := 0.0
-	for sp, load := range wk.steadyLoads() {
+	for sp, load := range loads {
 		if strain := load / dr.model.Limit(sp.spec.Image, sp.spec.TailTarget); strain > highest {
 			worst, highest = sp, strain
 		}
@@ -222,41 +222,41 @@
 }
 
 // learn compares the serving tasks of a worker with their siblings elsewhere.
-func (dr *Director) learn(wk *worker, now time.Time) {
-	byImage := map[string]float64{}
-	for _, fl := range wk.fills() {
-		byImage[fl.Image] += fl.Press
-	}
-	if len(byImage) == 0 {
+func (dr *Director) learn(wk *worker, loads map[*step]float64, fills []estimator.Fill, now time.Time) {
+	if len(fills) == 0 {
 		return
 	}
-	fills := make([]estimator.Fill, 0, len(byImage))
-	for image, press := range byImage {
-		fills = append(fills, estimator.Fill{Image: image, Press: press})
-	}
-	for sp, load := range wk.steadyLoads() {
-		if own, ok := dr.siblingLoad(sp, wk, now); ok {
-			dr.model.Learn(sp.spec.Image, load-own, fills, now)
+	for sp, load := range loads {
+		if sib, ok := dr.usualSibling(sp, wk, now); ok {
+			dr.model.Learn(sp.spec.Image, load-sib.load, estimator.Difference(fills, sib.fills), now)
 		}
 	}
 }
 
-// siblingLoad returns the load that the tasks of a step on a worker would have undisturbed, from
-// those on other workers.
-func (dr *Director) siblingLoad(sp *step, wk *worker, now time.Time) (float64, bool) {
-	var loads []float64
+// sibling is a serving task of the same step on another worker.
+type sibling struct {
+	load float64
+	// own is the load that it would have undisturbed, as far as is known.
+	own   float64
+	fills []estimator.Fill
+}
+
+// usualSibling returns the sibling on another worker whose own load is the median.
+func (dr *Director) usualSibling(sp *step, wk *worker, now time.Time) (sibling, bool) {
+	var list []sibling
 	for _, tk := range sp.tasks {
 		for _, ot := range tk.attempts {
 			if ot.worker != wk && ot.serves() && now.Sub(ot.loadAt) < loadAge {
-				loads = append(loads, ot.load-dr.model.Disturbance(sp.spec.Image, ot.worker.fills()))
+				fills := ot.worker.fills()
+				list = append(list, sibling{ot.load, ot.load - dr.model.Disturbance(sp.spec.Image, fills), fills})
 			}
 		}
 	}
-	if len(loads) == 0 {
-		return 0, false
+	if len(list) == 0 {
+		return sibling{}, false
 	}
-	slices.Sort(loads)
-	return loads[len(loads)/2], true
+	slices.SortFunc(list, func(one, two sibling) int { return cmp.Compare(one.own, two.own) })
+	return list[len(list)/2], true
 }
 
 func (dr *Director) setPace(at *attempt, percent int) {
--- a/internal/job/director/outlook.go
+++ b/internal/job/director/outlook.go
@@ -70,6 +70,7 @@
 		for _, serving := range ex.untried {
 			cd.Trials = max(cd.Trials, ol.trials[serving])
 		}
+		cd.FirstTrial = len(ex.untried) > 0 && cd.Trials == 0 && !ex.doubted && !ex.mixed && placer.Harmless(ex.rate)
 		if ct != nil {
 			cd.Contest = ct.beside(wk, dm.Image)
 		}
--- a/internal/job/estimator/estimator.go
+++ b/internal/job/estimator/estimator.go
@@ -10,17 +10,36 @@
 package estimator
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
 // Fill is what the tasks of one image that fill use of a worker.
 type Fill struct {
 	Image string
-	// Press is their use as a share of the worker's processors, over the time of the tails.
+	// Press is their use as a share of the worker's processors, over the time of the tails. Where two
+	// workers are compared it is the difference, which may be negative.
 	Press float64
 }
 
+// Difference returns by how much more each image uses of one worker than of another. Images are in order.
+func Difference(of, other []Fill) []Fill {
+	press := make(map[string]float64, len(of)+len(other))
+	for _, fl := range of {
+		press[fl.Image] += fl.Press
+	}
+	for _, fl := range other {
+		press[fl.Image] -= fl.Press
+	}
+	list := make([]Fill, 0, len(press))
+	for _, image := range slices.Sorted(maps.Keys(press)) {
+		list = append(list, Fill{image, press[image]})
+	}
+	return list
+}
+
 const (
 	// baseShare is the part of the lowest tail latency of an image that is its base latency, since
 	// no task was ever seen idle.
@@ -40,33 +59,69 @@
 	mostResidual = 0.2
 	// fading is the variance that a belief gains in a second, so that new reports outweigh old ones.
 	fading = 0.015
-	// noticeable is the press of all fills from which a difference is put down to them.
+	// noticeable is the press of an image from which a difference is put down to it.
 	noticeable = 0.015
-	// mostHarm bounds the harm of a pair.
-	mostHarm = 6.0
+	// mostHarm and leastHarm bound the harm of a pair.
+	mostHarm, leastHarm = 6.0, -0.2
+	// leastShared is the covariance that is remembered. It keeps beliefs apart that have little to do
+	// with each other.
+	leastShared = 0.002
 )
 
 type pair struct{ serving, filling string }
 
+// estimate is a harm and its variance.
+type estimate struct{ mean, variance float64 }
+
+// learn takes the load that the pair alone caused with a press.
+func (es *estimate) learn(caused, press float64) {
+	gain := es.variance * press / (noise + es.variance*press*press)
+	residual := math.Min(mostResidual, math.Max(-mostResidual, caused-es.mean*press))
+	es.mean = bounded(es.mean + gain*residual)
+	es.variance = math.Max(leastVariance, es.variance*(1-gain*press))
+}
+
+func bounded(harm float64) float64 { return math.Min(mostHarm, math.Max(leastHarm, harm)) }
+
+// faded returns the variance after some time. It grows, so that new reports outweigh old ones.
+func (es *estimate) faded(after time.Duration) float64 {
+	return math.Min(priorVariance, es.variance+fading*max(0, after.Seconds()))
+}
+
 type belief struct {
-	mean, variance float64
-	// at is when the variance held.
+	estimate
+	// apart is the estimate from the reports in which no other image could have done the harm.
+	apart estimate
+	// at is when both variances held.
 	at time.Time
 	// told is the mean that News returned last, and known is set once it has.
 	told  float64
 	known bool
+	// shared holds the covariances with beliefs about images that were seen beside the serving one at
+	// the same time. They are symmetric.
+	shared map[*belief]float64
 }
 
-// faded returns the variance, which grows with the time since the last observation.
-func (bf *belief) faded(now time.Time) float64 {
-	if bf.at.IsZero() || !now.After(bf.at) {
-		return bf.variance
+// fade makes the variances those of now.
+func (bf *belief) fade(now time.Time) {
+	if after := now.Sub(bf.at); !bf.at.IsZero() && after > 0 {
+		bf.variance, bf.apart.variance = bf.faded(after), bf.apart.faded(after)
 	}
-	return math.Min(priorVariance, bf.variance+fading*now.Sub(bf.at).Seconds())
+	bf.at = now
 }
 
-// fade makes the variance that of now.
-func (bf *belief) fade(now time.Time) { bf.variance, bf.at = bf.faded(now), now }
+// assumed returns the harm of a pair that was seen together for long enough. An image is blamed only as
+// far as reports show it that leave no other one to blame.
+func (bf *belief) assumed(now time.Time) (harm float64, tried bool) {
+	after := now.Sub(bf.at)
+	if bf.faded(after) >= triedVariance {
+		return 0, false
+	}
+	if bf.mean <= priorHarm {
+		return max(0, bf.mean), true
+	}
+	return max(0, min(bf.mean, bf.apart.mean)), bf.apart.faded(after) < triedVariance
+}
 
 // Model is what is known of all images and pairs. The zero value is not usable.
 type Model struct {
@@ -115,11 +170,12 @@
 // Assumed returns the harm that a task about to start may do, and whether it is known. A pair that
 // was not seen for long has to be tried again, as what was blamed for the harm may not have done it.
 func (md *Model) Assumed(serving, filling string, now time.Time) (harm float64, tried bool) {
-	bf := md.pairs[pair{serving, filling}]
-	if bf == nil || bf.faded(now) >= triedVariance {
-		return min(md.Harm(serving, filling), priorHarm), false
+	if bf := md.pairs[pair{serving, filling}]; bf != nil {
+		if harm, tried = bf.assumed(now); tried {
+			return harm, true
+		}
 	}
-	return max(0, bf.mean), true
+	return min(md.Harm(serving, filling), priorHarm), false
 }
 
 // Disturbance returns the load that work that fills adds to a serving task.
@@ -131,32 +187,97 @@
 	return sum
 }
 
-// Learn takes the load of a serving task beyond that of its undisturbed siblings.
+// Learn takes the load of a serving task beyond that of a sibling, and by how much more the images that
+// fill use of its worker than of the sibling's. Each image is listed once. What several images did
+// together is remembered as such: a later report of one of them alone also tells of the others.
 func (md *Model) Learn(serving string, excess float64, fills []Fill, now time.Time) {
-	press, spread, expected := 0.0, noise, 0.0
+	seen := md.seen(serving, fills, now)
+	if len(seen) == 0 {
+		return
+	}
+	learnApart(seen, excess, now)
+	// with holds the covariance of each belief with the disturbance as a whole.
+	with := map[*belief]float64{}
+	residual, spread := excess, noise
+	for _, sg := range seen {
+		residual -= sg.mean * sg.press
+		with[sg.belief] += sg.variance * sg.press
+		for other, shared := range sg.shared {
+			with[other] += shared * sg.press
+		}
+	}
+	for _, sg := range seen {
+		spread += max(0, with[sg.belief]*sg.press)
+	}
+	// A report of which only a part is believed leaves as much in doubt.
+	believed := math.Min(1, mostResidual/math.Abs(residual))
+	for bf, own := range with {
+		gain := believed * own / spread
+		bf.mean = bounded(bf.mean + gain*residual)
+		bf.variance = math.Max(leastVariance, bf.variance-gain*own)
+		for other, its := range with {
+			if other != bf {
+				bf.share(other, -gain*its)
+			}
+		}
+	}
+}
+
+// sighting is a belief about an image that is seen beside a serving task.
+type sighting struct {
+	*belief
+	press float64
+}
+
+// seen returns the beliefs of which a report tells, as of now.
+func (md *Model) seen(serving string, fills []Fill, now time.Time) []sighting {
+	list := make([]sighting, 0, len(fills))
 	for _, fl := range fills {
+		if math.Abs(fl.Press) < noticeable {
+			continue
+		}
 		bf := md.of(serving, fl.Image)
 		bf.fade(now)
-		press += fl.Press
-		spread += bf.variance * fl.Press * fl.Press
-		expected += bf.mean * fl.Press
+		list = append(list, sighting{bf, fl.Press})
 	}
-	if press < noticeable {
-		return
+	return list
+}
+
+// learnApart takes the load for the image that alone may have caused it.
+func learnApart(seen []sighting, excess float64, now time.Time) {
+	var suspect *sighting
+	for ix := range seen {
+		sg := &seen[ix]
+		if harm, tried := sg.assumed(now); tried && harm <= priorHarm {
+			excess -= harm * sg.press
+			continue
+		}
+		if suspect != nil {
+			return
+		}
+		suspect = sg
 	}
-	residual := math.Min(mostResidual, math.Max(-mostResidual, excess-expected))
-	for _, fl := range fills {
-		bf := md.of(serving, fl.Image)
-		gain := bf.variance * fl.Press / spread
-		bf.mean = math.Min(mostHarm, math.Max(-0.2, bf.mean+gain*residual))
-		bf.variance = math.Max(leastVariance, bf.variance*(1-gain*fl.Press))
+	if suspect != nil {
+		suspect.apart.learn(excess, suspect.press)
+	}
+}
+
+// share adds to the covariance with another belief.
+func (bf *belief) share(other *belief, more float64) {
+	if bf.shared == nil {
+		bf.shared = map[*belief]float64{}
+	}
+	bf.shared[other] += more
+	if math.Abs(bf.shared[other]) < leastShared {
+		delete(bf.shared, other)
 	}
 }
 
 func (md *Model) of(serving, filling string) *belief {
 	bf := md.pairs[pair{serving, filling}]
 	if bf == nil {
-		bf = &belief{mean: priorHarm, variance: priorVariance}
+		unknown := estimate{priorHarm, priorVariance}
+		bf = &belief{estimate: unknown, apart: unknown}
 		md.pairs[pair{serving, filling}] = bf
 	}
 	return bf
--- a/internal/job/estimator/estimator_test.go
+++ b/internal/job/estimator/estimator_test.go
@@ -95,3 +95,61 @@
 	}
 	qt.Check(t, md.Harm("s", "f") < 0.7, qt.IsTrue, qt.Commentf("%.2f", md.Harm("s", "f")))
 }
+
+// Guards against a harmless image that is blamed, for as long as beliefs last, for the harm of another
+// that ran beside it each time.
+func TestInseparable(t *testing.T) {
+	const press, harm = 0.1, 2.0
+	md, at := New(), time.Unix(1_700_000_000, 0)
+	learn := func(excess float64, fills ...Fill) {
+		for range 8 {
+			at = at.Add(500 * time.Millisecond)
+			md.Learn("s", excess, fills, at)
+		}
+	}
+	learn(harm*press, Fill{"good", press}, Fill{"bad", press})
+	t.Run("always together", func(t *testing.T) {
+		assertTried(t, md, "good", at, false)
+		assertTried(t, md, "bad", at, false)
+	})
+	learn(0, Fill{"good", press})
+	t.Run("one of them alone", func(t *testing.T) {
+		assertTried(t, md, "good", at, true)
+		qt.Check(t, md.Harm("s", "good") < 0.3, qt.IsTrue, qt.Commentf("good: %.2f", md.Harm("s", "good")))
+		qt.Check(t, md.Harm("s", "bad") > (harm+priorHarm)/2, qt.IsTrue, qt.Commentf("bad: %.2f", md.Harm("s", "bad")))
+	})
+}
+
+// Guards against an image that is blamed for what another is known to do, only much worse than the
+// first reports could tell.
+func TestUnderestimated(t *testing.T) {
+	const press, excess = 0.25, 0.66
+	md, at := New(), time.Unix(1_700_000_000, 0)
+	for range 3 {
+		md.Learn("s", excess, []Fill{{"bad", 2 * press}}, at)
+	}
+	md.Learn("s", excess, []Fill{{"bad", press}, {"good", press}}, at)
+	assertTried(t, md, "good", at, false)
+	md.Learn("s", 0, []Fill{{"good", press}}, at.Add(time.Second))
+	qt.Check(t, md.Harm("s", "good") < md.Harm("s", "bad")/2, qt.IsTrue, qt.Commentf("good %.2f, bad %.2f", md.Harm("s", "good"), md.Harm("s", "bad")))
+}
+
+// Guards against a harm that counts as known although the sibling was disturbed as much.
+func TestDifference(t *testing.T) {
+	at := time.Unix(1_700_000_000, 0)
+	one := []Fill{{"f", 0.1}, {"f", 0.1}, {"g", 0.1}}
+	learned := func(other []Fill) *Model {
+		md := New()
+		for range 10 {
+			md.Learn("s", 0.1, Difference(one, other), at)
+		}
+		return md
+	}
+	t.Run("as much on both", func(t *testing.T) { assertTried(t, learned(one), "f", at, false) })
+	t.Run("more on one", func(t *testing.T) { assertTried(t, learned(one[2:]), "f", at, true) })
+	t.Run("more on the other", func(t *testing.T) {
+		md := learned([]Fill{{"f", 0.2}, {"g", 0.3}})
+		assertTried(t, md, "g", at, true)
+		qt.Check(t, md.Harm("s", "g") <= 0, qt.IsTrue, qt.Commentf("%.2f", md.Harm("s", "g")))
+	})
+}
--- a/internal/job/estimator/lessons.go
+++ b/internal/job/estimator/lessons.go
@@ -36,7 +36,7 @@
 // images.
 func (md *Model) News() Lessons {
 	return md.lessons(func(bf *belief) bool {
-		if bf.variance >= triedVariance || bf.known && math.Abs(bf.mean-bf.told) < notableChange {
+		if !bf.isTried() || bf.known && math.Abs(bf.mean-bf.told) < notableChange {
 			return false
 		}
 		bf.told, bf.known = bf.mean, true
@@ -46,7 +46,7 @@
 
 // All returns every pair that was tried.
 func (md *Model) All() Lessons {
-	return md.lessons(func(bf *belief) bool { return bf.variance < triedVariance })
+	return md.lessons((*belief).isTried)
 }
 
 func (md *Model) lessons(wanted func(*belief) bool) Lessons {
@@ -67,6 +67,12 @@
 	return ls
 }
 
+// isTried reports whether the pair was tried when it was seen last.
+func (bf *belief) isTried() bool {
+	_, tried := bf.assumed(bf.at)
+	return tried
+}
+
 func comparePairs(one, two pair) int {
 	return cmp.Or(cmp.Compare(one.serving, two.serving), cmp.Compare(one.filling, two.filling))
 }
@@ -82,8 +88,7 @@
 		}
 	}
 	for _, le := range ls.Pairs {
-		md.pairs[pair{le.Serving, le.Filling}] = &belief{
-			mean: le.Harm, variance: max(le.Variance, inheritedVariance), at: now, told: le.Harm, known: true,
-		}
+		known := estimate{le.Harm, max(le.Variance, inheritedVariance)}
+		md.pairs[pair{le.Serving, le.Filling}] = &belief{estimate: known, apart: known, at: now, told: le.Harm, known: true}
 	}
 }
--- a/internal/job/placer/placer.go
+++ b/internal/job/placer/placer.go
@@ -61,6 +61,8 @@
 	// Trials is how many tasks of the demand's image run beside a serving image of the worker with
 	// which it was not seen long enough to know its harm.
 	Trials int
+	// FirstTrial is set when there is no such task yet, and nothing speaks against one.
+	FirstTrial bool
 	// Doubted is set when the image once harmed such a serving image badly.
 	Doubted bool
 	// Mixed is set when another image that fills there is untried with a serving image with which the
@@ -92,6 +94,9 @@
 	costContest = 3.0
 	// costTrial is that of a further task beside an image to which its harm is being learned.
 	costTrial = 5.0
+	// gainTrial is what one task beside an image to which its harm is not known is worth. It is learned
+	// by one task before many need the room.
+	gainTrial = 2.0
 	// costFar is that of a worker on which the task takes twice as long.
 	costFar = 30.0
 	// costOpen is that of the first serving task on a worker, which closes it to work that fills.
@@ -256,7 +261,12 @@
 	}
 	switch {
 	case dm.Fills:
-		sum += costMixed*cd.Harm + costStrain*cd.Strain + costContest*cd.Contest
+		sum += costStrain*cd.Strain + costContest*cd.Contest
+		if cd.FirstTrial {
+			sum -= gainTrial
+		} else {
+			sum += costMixed * cd.Harm
+		}
 		if cd.Trials >= mostTrials || cd.Mixed {
 			sum += costTrial
 		}
--- a/internal/job/placer/placer_test.go
+++ b/internal/job/placer/placer_test.go
@@ -122,6 +122,13 @@
 		cands[0].Mixed = true
 		assertChoice(t, dm, cands, 1)
 	})
+	t.Run("tried once before the room is needed", func(t *testing.T) {
+		cands := idle(16000, 16000)
+		cands[1].Harm, cands[1].Serving, cands[1].FirstTrial = 0.1, 1, true
+		assertChoice(t, dm, cands, 1)
+		cands[1].FirstTrial = false
+		assertChoice(t, dm, cands, 0)
+	})
 	t.Run("one beside an image that it once harmed", func(t *testing.T) {
 		cands := idle(16000)
 		cands[0].Doubted = true
