--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -105,8 +106,9 @@
 	teachInterval = 3 * time.Second
 	// summaryInterval is the time between two lines about the load.
 	summaryInterval = time.Second
-	// snapshotEvery is the number of journal positions between two snapshots.
-	snapshotEvery = 600
+	// snapshotEvery is the number of journal positions between two snapshots, snapshotFacts that of
+	// facts. A successor reads what is behind the last one before it can lead: about 100 kB.
+	snapshotEvery, snapshotFacts = 600, 4000
 )
 
 // ErrTermOver means that another host leads.
@@ -159,6 +161,8 @@
 	// explained is when a line was last written on why a task waits.
 	explained  time.Time
 	snapshotAt int64
+	// unsummed is the number of facts recorded since the last snapshot.
+	unsummed atomic.Int64
 }
 
 // New returns a director that is not running yet.
@@ -361,6 +365,7 @@
 		err := dr.op.Journal.Append(ctx, recs...)
 		switch {
 		case err == nil:
+			dr.unsummed.Add(int64(len(facts)))
 			then()
 			return
 		case ctx.Err() != nil:
--- a/internal/job/director/harness_test.go
+++ b/internal/job/director/harness_test.go
@@ -107,9 +107,11 @@
 // term is one term of leadership over a fleet.
 type term struct {
 	*director.Director
-	fleet  *fleet
-	cancel context.CancelFunc
-	ended  chan struct{}
+	fleet *fleet
+	// records is the number of records behind the last snapshot that the term had to read.
+	records int
+	cancel  context.CancelFunc
+	ended   chan struct{}
 }
 
 // lead begins the next term and ends it with the test.
@@ -126,7 +128,7 @@
 	})
 	dr.Restore(append(rec.Parts, rec.Records...))
 	ctx, cancel := context.WithCancel(context.Background())
-	tm := &term{Director: dr, fleet: fl, cancel: cancel, ended: make(chan struct{})}
+	tm := &term{Director: dr, fleet: fl, records: len(rec.Records), cancel: cancel, ended: make(chan struct{})}
 	dr.Start(ctx)
 	dr.SetWorkers(fl.infos)
 	for _, jb := range fl.jobs {
--- a/internal/job/director/recovery.go
+++ b/internal/job/director/recovery.go
@@ -146,8 +146,8 @@
 // snapshot replaces the journal by the facts that still matter once it has grown. The state holds
 // the effect of every fact that is durable, since facts change it before they are recorded.
 func (dr *Director) snapshot(ctx context.Context) {
-	position := dr.op.Journal.Position()
-	if position-dr.snapshotAt < snapshotEvery {
+	unsummed, position := dr.unsummed.Load(), dr.op.Journal.Position()
+	if position-dr.snapshotAt < snapshotEvery && unsummed < snapshotFacts {
 		return
 	}
 	select {
@@ -169,6 +169,7 @@
 		return
 	}
 	dr.snapshotAt = position
+	dr.unsummed.Add(-unsummed)
 }
 
 // summary returns the facts from which the present state can be restored.
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -36,7 +36,10 @@
 	journalRetry   = time.Second
 	journalBackOff = 400 * time.Millisecond
 	// openLimit bounds the beginning of an epoch. What spoke for a takeover may no longer hold after it.
-	openLimit = 1500 * time.Millisecond
+	// It doubles with each attempt that failed, up to openDoublings times: a host on a slow link may need
+	// longer to read the journal, and would else never lead.
+	openLimit     = 1500 * time.Millisecond
+	openDoublings = 2
 	// checkInterval is the time after which the end of an idle journal is read.
 	checkInterval = time.Second
 	// authorityLimit is how long a leader gives orders without a sign that it still leads.
@@ -87,6 +90,9 @@
 	op      Options
 	elector *elector.Elector
 	current atomic.Pointer[director.Director]
+	// failed is the number of attempts to begin an epoch that failed in a row as the journal could not
+	// be read in time.
+	failed atomic.Int32
 }
 
 // New returns a leader without a term.
@@ -101,15 +107,20 @@
 // Lead is an elector.Term.
 func (ld *Leader) Lead(ctx context.Context, pred elector.Predecessor) error {
 	began := time.Now()
-	octx, cancel := context.WithTimeout(ctx, openLimit)
+	doublings := min(ld.failed.Load(), openDoublings)
+	octx, cancel := context.WithTimeout(ctx, openLimit<<doublings)
 	defer cancel()
 	jn, rec, err := journaler.Open(octx, ld.op.Store, journalName, ld.op.Self.Host, ld.op.Self.Boot, journaler.Options{
-		WritesPerSecond: journalWrites, RetryLimit: journalRetry, CallLimit: journalCall, MaxBackOff: journalBackOff,
+		WritesPerSecond: journalWrites, RetryLimit: journalRetry, CallLimit: journalCall << doublings, MaxBackOff: journalBackOff,
 		Logger: ld.op.Log, Meter: ld.op.Meter,
 	})
+	if errors.Is(err, journaler.ErrUnavailable) {
+		ld.failed.Add(1)
+	}
 	if err != nil {
 		return err
 	}
+	ld.failed.Store(0)
 	defer jn.Close()
 	ld.elector.Established(modeler.Epoch(rec.Epoch))
 	tm := &term{leader: ld, journal: jn, authority: newAuthority(ld, jn)}
--- a/internal/state/journaler/keys.go
+++ b/internal/state/journaler/keys.go
@@ -88,6 +88,11 @@
 	if sg.Position != pos {
 		return nil, fmt.Errorf("%s: %w: holds position %d", en.Key, ErrDamaged, sg.Position)
 	}
+	recs, err := unpack(sg.Records)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", en.Key, err)
+	}
+	sg.Records = recs
 	return sg, nil
 }
 
--- a/internal/state/journaler/opener.go
+++ b/internal/state/journaler/opener.go
@@ -126,7 +126,11 @@
 	if err := proto.Unmarshal(en.Value, &sp); err != nil {
 		return nil, fmt.Errorf("%s: %w: %w", key, ErrDamaged, err)
 	}
-	return decodeRecords(nil, sp.Records), nil
+	recs, err := unpack(sp.Records)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", key, err)
+	}
+	return decodeRecords(nil, recs), nil
 }
 
 // checkMoved turns the error of a missing part into errMoved when the snapshot was replaced.
--- a/internal/state/journaler/snapshotter.go
+++ b/internal/state/journaler/snapshotter.go
@@ -80,7 +80,7 @@
 			return nil, fmt.Errorf("%d bytes in one record: %w", size, ErrTooLarge)
 		}
 		stored, _ := encodeRecords(recs[first:last])
-		value, err := proto.Marshal(&StoredPart{Records: stored})
+		value, err := proto.Marshal(&StoredPart{Records: pack(stored)})
 		if err != nil {
 			return nil, err
 		}
