Start no more at a time than the leader's link carries

Starts got no answer within 0.5 s, were stopped and sent again, and each stop was repeated every 0.65 s for good: 1,586 stops in 2 s. Renewals were late and 285 runs lapsed. The load that caused it was long over, the collapse was not.

Change: a window bounds the starts under way. It doubles with each round of quick answers and shrinks when answers take four times the usual, or when none comes at all; lost answers of single workers do not count. Placement stops when it is used up, so what waits keeps its order of urgency. The pause between repeated stops doubles up to 1.2 s.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -15,6 +15,7 @@
 	"github.com/currantrouter/currantrouter/internal/job/estimator"
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/throttler"
 	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
@@ -155,6 +156,11 @@
 	// taught is when it was last recorded what is new in the model, teaching is set meanwhile.
 	taught   time.Time
 	teaching bool
+	// window bounds the starts under way, whose number is underWay: those that wait for a loop that sends
+	// them or for their answer. throttled is set while tasks wait for it.
+	window    *throttler.Window
+	underWay  int
+	throttled bool
 	// contests is how much work that fills needs each worker.
 	contests   contests
 	summarized time.Time
@@ -179,6 +185,7 @@
 		workers:   map[modeler.WorkerID]*worker{},
 		waiting:   map[*step]struct{}{},
 		model:     estimator.New(),
+		window:    throttler.New(orderTimeout),
 	}
 }
 
--- a/internal/job/director/harness_test.go
+++ b/internal/job/director/harness_test.go
@@ -40,6 +40,8 @@
 	infos   []modeler.Worker
 	config  *modeler.Configuration
 	jobs    []*modeler.Job
+	// orders is nil where orders reach the workers at once.
+	orders director.Orders
 	// policy is nil where every worker may run every step.
 	policy director.Policy
 	// notified makes the next leader learn of the jobs from entry hosts before it has read them.
@@ -121,8 +123,12 @@
 		jn, rec, err = journaler.Open(fl.t.Context(), fl.store, "jobs", "host", "boot", journaler.Options{Logger: logr.Discard()})
 	}
 	qt.Assert(fl.t, err, qt.IsNil)
+	orders := fl.orders
+	if orders == nil {
+		orders = fl.workers
+	}
 	dr := director.New(director.Options{
-		Epoch: modeler.Epoch(rec.Epoch), Orders: fl.workers, Journal: jn, Book: keeper.NewBook(fl.store),
+		Epoch: modeler.Epoch(rec.Epoch), Orders: orders, Journal: jn, Book: keeper.NewBook(fl.store),
 		Configuration: func() *modeler.Configuration { return fl.config }, Authorized: func() bool { return true },
 		Policy: fl.policy, Inherited: inherited, Limits: testLimits, Log: testLog(fl.t), Meter: meter.New(nil),
 	})
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -479,7 +479,8 @@
 	// life is the birth of the worker when the run was placed.
 	life  int64
 	state attemptState
-	// answeredAt is when the start was answered, zero before.
+	// sentAt is when the start was sent, answeredAt when it was answered, zero before.
+	sentAt     time.Time
 	answeredAt time.Time
 	// lateAt is the deadline of a start without answer, on the worker's clock.
 	lateAt time.Duration
--- a/internal/job/director/observer.go
+++ b/internal/job/director/observer.go
@@ -352,6 +352,6 @@
 			idleForFill += wk.free.MilliCores
 		}
 	}
-	dr.log(logger.LoadSummary, "Jobs", len(dr.jobs), "Waiting", waiting, "WaitingToFill", filling, "Runs", runs, "Workers", len(dr.workers), "Open", open, "LargestRoom", largest,
+	dr.log(logger.LoadSummary, "Jobs", len(dr.jobs), "Waiting", waiting, "WaitingToFill", filling, "Runs", runs, "UnderWay", dr.underWay, "MayBeUnderWay", dr.window.Room(0), "Workers", len(dr.workers), "Open", open, "LargestRoom", largest,
 		"ServingWorkers", serving, "Quarantined", quarantined, "Silent", silent, "FreeCores", free, "IdleForFill", idleForFill, "FillingCores", fillCores, "FillingPaced", fillPaced, "FillingUsed", fillUse)
 }
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -29,8 +29,9 @@
 	startersPerWorker = 3
 	// refusalPause is how long a worker that refused a start for lack of room or health gets none.
 	refusalPause = 250 * time.Millisecond
-	// stopRetry is the pause before a stop without answer is repeated.
-	stopRetry = 150 * time.Millisecond
+	// stopRetry is the pause before a stop without answer is repeated. It doubles up to mostStopRetry, so
+	// that stops do not keep a link full.
+	stopRetry, mostStopRetry = 150 * time.Millisecond, 1200 * time.Millisecond
 	// mostMisses ends a round: when so many steps found no room one after the other, the fleet is
 	// full, and looking further would cost the leader the time that it needs for its workers.
 	mostMisses = 150
@@ -47,16 +48,20 @@
 
 // dispatch places waiting tasks, the most urgent first.
 func (dr *Director) dispatch(now time.Time) {
-	if len(dr.waiting) == 0 || !dr.op.Authorized() {
+	room := dr.window.Room(dr.underWay)
+	dr.throttled = room == 0
+	if len(dr.waiting) == 0 || room == 0 || !dr.op.Authorized() {
 		return
 	}
 	rd := dr.round(now)
+	rd.room = room
 	for _, gr := range rd.groups {
-		if len(rd.workers) == 0 || rd.misses >= mostMisses {
+		if len(rd.workers) == 0 || rd.misses >= mostMisses || rd.room <= 0 {
 			break
 		}
 		rd.place(gr.step)
 	}
+	dr.throttled = rd.room <= 0
 	dr.announce(rd.lasting)
 }
 
@@ -94,6 +99,8 @@
 	lasting []*attempt
 	// misses is the number of steps without room since the last one that had some.
 	misses int
+	// room is how many tasks may still start in this round.
+	room int
 	// outlooks holds what is expected of tasks that fill or serve, by image.
 	outlooks map[string]*outlook
 	// failed holds the smallest needs that found no room in this round.
@@ -162,7 +169,7 @@
 	pool := rd.dr.pool(sp.occ.job)
 	rd.bar(pool)
 	for _, tk := range slices.Clone(sp.waiting) {
-		if rd.misses >= mostMisses {
+		if rd.misses >= mostMisses || rd.room <= 0 {
 			return
 		}
 		if !rd.dr.startable(tk, rd.now) {
@@ -269,6 +276,7 @@
 // start reserves room for a task and sends it.
 func (rd *round) start(tk *task, ix int) {
 	wk := rd.workers[ix]
+	rd.room--
 	at := rd.dr.reserve(tk, wk, rd.dr.nextRun(tk))
 	if tk.step.spec.LongRunning {
 		rd.lasting = append(rd.lasting, at)
@@ -390,6 +398,7 @@
 // send hands a start to the loops that send them.
 func (dr *Director) send(at *attempt) {
 	wk := at.worker
+	dr.underWay++
 	wk.outbox = append(wk.outbox, at)
 	if wk.starters < startersPerWorker {
 		wk.starters++
@@ -409,14 +418,28 @@
 		_, err := dr.op.Orders.Start(sctx, &info, order)
 		cancel()
 		dr.mu.Lock()
-		dr.answered(at, order, err, time.Now())
+		now := time.Now()
+		dr.settle(at, err, now)
+		dr.answered(at, order, err, now)
+		again := err != nil || dr.throttled
 		dr.mu.Unlock()
-		if err != nil {
+		if again {
 			dr.kick()
 		}
 	}
 }
 
+// settle ends a start that was under way.
+func (dr *Director) settle(at *attempt, err error, now time.Time) {
+	dr.underWay--
+	switch {
+	case errors.Is(err, modeler.ErrNoAnswer):
+		dr.window.Lost(now)
+	case !errors.Is(err, modeler.ErrNotSent):
+		dr.window.Answered(now.Sub(at.sentAt), dr.underWay, now)
+	}
+}
+
 // nextStart takes the next start of a worker, or ends the loop.
 func (dr *Director) nextStart(ctx context.Context, wk *worker) (*attempt, *modeler.StartOrder, modeler.Worker) {
 	dr.mu.Lock()
@@ -425,14 +448,16 @@
 		at := wk.outbox[0]
 		wk.outbox = wk.outbox[1:]
 		if at.state != placed || wk.attempts[attemptKey{at.task.id(), at.run}] != at {
+			dr.underWay--
 			continue
 		}
 		if at.life != wk.born || !dr.takes(wk, time.Now()) || !dr.op.Authorized() {
+			dr.underWay--
 			dr.drop(at)
 			dr.after(at.task, time.Now())
 			continue
 		}
-		at.state = sent
+		at.state, at.sentAt = sent, time.Now()
 		at.task.step.occ.job.started = true
 		at.checkpoint = at.task.checkpoint
 		return at, &modeler.StartOrder{
@@ -501,7 +526,7 @@
 
 // stopLoop repeats a stop until the worker agrees or the run has ended.
 func (dr *Director) stopLoop(ctx context.Context, at *attempt, id modeler.TaskID) {
-	for ctx.Err() == nil {
+	for pause := stopRetry; ctx.Err() == nil; pause = min(2*pause, mostStopRetry) {
 		dr.mu.Lock()
 		wk := at.worker
 		info := wk.info
@@ -526,7 +551,7 @@
 				return
 			}
 		}
-		pauser.Pause(ctx, stopRetry)
+		pauser.Pause(ctx, pause)
 	}
 }
 
