Forget the tasks of jobs that have ended

Cause: a leader kept all tasks of each job for the two minutes for which its state can be asked for.

Change: a job whose end is durable and none of whose runs may be active keeps its end alone. Runs that turn up later are unwanted, as before.

--- /dev/null
+++ b/internal/job/director/export_test.go
@@ -0,0 +1,16 @@
+package director
+
+// KeptTasks returns the number of tasks that are kept in memory, over all jobs.
+func (dr *Director) KeptTasks() int {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	count := 0
+	for _, jb := range dr.jobs {
+		for _, oc := range jb.occurrences {
+			for _, sp := range oc.steps {
+				count += len(sp.tasks)
+			}
+		}
+	}
+	return count
+}
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -26,7 +26,8 @@
 	final   modeler.State
 	durable bool
 	endedAt time.Time
-	// occurrences holds those that have been released. The others are not due yet.
+	// occurrences holds those that have been released. The others are not due yet. It is empty once the
+	// job has ended for good, see shrink.
 	occurrences []*occurrence
 	// open is the number of released occurrences that have not ended.
 	open int
@@ -164,6 +165,7 @@
 	if ft.Final != nil {
 		dr.close(jb, ft.Final.State, now)
 		jb.durable = true
+		jb.shrink()
 		return
 	}
 	name, _ := ft.TaskName()
@@ -368,6 +370,15 @@
 	}
 }
 
+// shrink forgets the tasks of a job whose end is durable and none of whose runs may be active. Its end
+// can be asked for long after; runs that turn up later are unwanted.
+func (jb *job) shrink() {
+	if jb.final == "" || !jb.durable || jb.hasAttempts() {
+		return
+	}
+	jb.occurrences, jb.Steps, jb.Spec = nil, nil, ""
+}
+
 // Cancel ends a job whose cancellation is stored.
 func (dr *Director) Cancel(id modeler.JobID) {
 	dr.mu.Lock()
@@ -397,6 +408,7 @@
 	dr.close(jb, modeler.Cancelled, now)
 	// The stored cancellation is what makes it durable.
 	jb.durable = true
+	jb.shrink()
 }
 
 // State returns what callers are told of a job, and false for one that is not known.
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -85,6 +85,7 @@
 		jb.durable, jb.endedAt = true, now
 		dr.op.Meter.Observe(meter.TimeToEnd, now.Sub(jb.Submitted))
 		dr.log(logger.JobEnded, "Job", jb.ID, "Queue", jb.Queue, "State", jb.final, "Took", now.Sub(jb.Submitted).String())
+		jb.shrink()
 	}
 }
 
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -462,6 +462,7 @@
 	if sp.spec.Gang && at.run == sp.gangRun {
 		sp.gangRun = 0
 	}
+	sp.occ.job.shrink()
 }
 
 // neighbour counts what a task is to its neighbours, or its end.
