Read the list of hosts less often where there are many

Cause: each host read all records of hosts every 3 s. With 302 hosts that is 22 of the 58.8 kB/s of a median host (derived), where control may take 4.

Change: the interval grows by one turn for each 50 hosts. Sites of up to 49 hosts read it as often as before.

--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -51,8 +51,11 @@
 	// between two greetings of all hosts by the leader.
 	beatInterval     = 700 * time.Millisecond
 	announceInterval = time.Second
-	// listInterval is the time between two reads of the list of hosts.
+	// listInterval is the time between two reads of the list of hosts while there are few. It grows with
+	// their number, by one turn for each hostsPerTurn of them, so that a host reads less than 4 KB/s. New hosts
+	// make themselves known by greetings as well.
 	listInterval = 3 * time.Second
+	hostsPerTurn = 50
 	// rankDelay is how much longer each lower rank waits, so that the first usually succeeds alone.
 	rankDelay = 250 * time.Millisecond
 	// storeSilence is the age of the store's last answer from which a host does not try to lead,
@@ -148,8 +151,10 @@
 	beatAt time.Time
 	rounds int
 	own    int64
-	// listed is set once this host has read the records of all hosts.
+	// listed is set once this host has read the records of all hosts. turns counts the times when it
+	// could have read them.
 	listed bool
+	turns  int
 }
 
 type member struct {
@@ -177,7 +182,7 @@
 func (el *Elector) Run(ctx context.Context) {
 	var loops sync.WaitGroup
 	loops.Go(func() { el.register(ctx) })
-	loops.Go(func() { every(ctx, listInterval, el.list) })
+	loops.Go(func() { every(ctx, listInterval, el.listInTurn) })
 	loops.Go(func() { every(ctx, announceInterval, el.announce) })
 	loops.Go(func() { every(ctx, beatInterval, el.writeBeat) })
 	every(ctx, round, el.look)
@@ -317,6 +322,17 @@
 	}
 }
 
+// listInTurn reads the records of all hosts when it is time for it.
+func (el *Elector) listInTurn(ctx context.Context) {
+	el.mu.Lock()
+	el.turns++
+	due := !el.listed || el.turns%(1+len(el.members)/hostsPerTurn) == 0
+	el.mu.Unlock()
+	if due {
+		el.list(ctx)
+	}
+}
+
 // list reads the records of all hosts.
 func (el *Elector) list(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeSilence)
--- a/internal/job/elector/elector_test.go
+++ b/internal/job/elector/elector_test.go
@@ -36,6 +36,8 @@
 	// cut holds the pairs of hosts that cannot talk, cutStore those that cannot reach the store.
 	cut      map[[2]int]bool
 	cutStore map[int]bool
+	// listedBytes counts what all hosts have read of the list of hosts.
+	listedBytes int
 }
 
 type host struct {
@@ -261,7 +263,13 @@
 	if err := ho.reach(); err != nil {
 		return nil, 0, err
 	}
-	return ho.cl.store.Snapshot(ctx, prefix)
+	ens, revision, err := ho.cl.store.Snapshot(ctx, prefix)
+	ho.cl.mu.Lock()
+	defer ho.cl.mu.Unlock()
+	for _, en := range ens {
+		ho.cl.listedBytes += len(en.Key) + len(en.Value)
+	}
+	return ens, revision, err
 }
 
 // link calls another host's elector.
@@ -452,3 +460,18 @@
 		})
 	})
 }
+
+// Guards against hosts that read more than control may take as their number grows.
+func TestListGrows(t *testing.T) {
+	const hosts, seconds, most = 150, 60, 4096
+	play(t, hosts, func(cl *cluster, _ int) {
+		cl.mu.Lock()
+		before := cl.listedBytes
+		cl.mu.Unlock()
+		time.Sleep(seconds * time.Second)
+		cl.mu.Lock()
+		each := (cl.listedBytes - before) / hosts / seconds
+		cl.mu.Unlock()
+		qt.Check(t, each < most, qt.IsTrue, qt.Commentf("%d bytes a second", each))
+	})
+}
