--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -111,7 +111,8 @@
 	octx, cancel := context.WithTimeout(ctx, openLimit<<doublings)
 	defer cancel()
 	jn, rec, err := journaler.Open(octx, ld.op.Store, journalName, ld.op.Self.Host, ld.op.Self.Boot, journaler.Options{
-		WritesPerSecond: journalWrites, RetryLimit: journalRetry, CallLimit: journalCall << doublings, MaxBackOff: journalBackOff,
+		WritesPerSecond: journalWrites, RetryLimit: journalRetry, MaxBackOff: journalBackOff,
+		CallLimit: journalCall, OpenCallLimit: journalCall << doublings,
 		Logger: ld.op.Log, Meter: ld.op.Meter,
 	})
 	if errors.Is(err, journaler.ErrUnavailable) {
--- a/internal/job/throttler/throttler.go
+++ b/internal/job/throttler/throttler.go
@@ -6,15 +6,15 @@
 import "time"
 
 const (
-	// least and most bound the starts under way. Most is what the largest installation needs, 2,800
+	// least and most bound the number of starts under way. Most is what the largest installation needs, 2,800
 	// starts a second with answers after 150 ms. A window doubles from initial with each round of answers.
 	least, initial, most = 8, 32, 450
 	// lateShrink is applied when an answer was late, lostShrink when none comes at all.
 	lateShrink, lostShrink = 0.8, 0.5
 )
 
-// An answer is late after lateTimes the usual one, at leastLate and at mostLate of the time after which
-// it counts as lost. Hosts far away answer after a tenth of a second.
+// An answer is late after lateTimes the usual time, which is bounded by leastLate and mostLate of the time
+// after which an answer counts as lost. Hosts far away answer after a tenth of a second.
 const (
 	lateTimes           = 4
 	leastLate, mostLate = 1.0 / 12, 1.0 / 4
@@ -56,14 +56,19 @@
 
 // Lost takes a start without answer. It says nothing while others are answered: its worker is away.
 func (wn *Window) Lost(now time.Time) {
-	if now.Sub(wn.heard) > wn.limit/4 {
+	if now.Sub(wn.heard) > wn.share(mostLate) {
 		wn.shrink(lostShrink, now)
 	}
 }
 
+// late returns the time from which an answer is late.
 func (wn *Window) late() time.Duration {
-	limit := float64(wn.limit)
-	return min(max(lateTimes*wn.usual, time.Duration(leastLate*limit)), time.Duration(mostLate*limit))
+	return min(max(lateTimes*wn.usual, wn.share(leastLate)), wn.share(mostLate))
+}
+
+// share returns a part of the time after which an answer counts as lost.
+func (wn *Window) share(part float64) time.Duration {
+	return time.Duration(part * float64(wn.limit))
 }
 
 // shrink makes the window smaller, once until the effect can show.
--- a/internal/state/journaler/journaler.go
+++ b/internal/state/journaler/journaler.go
@@ -83,8 +83,9 @@
 	// RetryLimit is the time for which a write is repeated before its callers get an error. The
 	// default is 1 s.
 	RetryLimit time.Duration
-	// CallLimit bounds one call to the store. The default is 5 s.
-	CallLimit time.Duration
+	// CallLimit bounds one call to the store. The default is 5 s. OpenCallLimit takes its place while Open
+	// reads the journal, which may be long. The default is CallLimit.
+	CallLimit, OpenCallLimit time.Duration
 	// MaxBackOff bounds the mean pause between calls during an outage. The default is 5 s.
 	MaxBackOff time.Duration
 	Logger     logr.Logger
@@ -97,6 +98,7 @@
 	op.WritesPerSecond = orDefault(op.WritesPerSecond, modeler.DefaultLimits.WritesPerSecond)
 	op.RetryLimit = orDefault(op.RetryLimit, time.Second)
 	op.CallLimit = orDefault(op.CallLimit, 5*time.Second)
+	op.OpenCallLimit = orDefault(op.OpenCallLimit, op.CallLimit)
 	op.MaxBackOff = orDefault(op.MaxBackOff, 5*time.Second)
 	if op.Meter == nil {
 		op.Meter = meter.New(nil)
--- a/internal/state/journaler/opener.go
+++ b/internal/state/journaler/opener.go
@@ -373,7 +373,9 @@
 // retry repeats a call that fails with storer.ErrUnavailable, and returns ErrUnavailable after
 // RetryLimit or at the end of the context.
 func (on *opener) retry(ctx context.Context, call func(context.Context) error) error {
-	return on.options.retry(ctx, call)
+	op := on.options
+	op.CallLimit = op.OpenCallLimit
+	return op.retry(ctx, call)
 }
 
 func (op Options) retry(ctx context.Context, call func(context.Context) error) error {
