Mend the test of the limit of calls during Open

Cause: it used the context of the outer test inside the bubble of synctest, which ends the test binary.

--- a/internal/state/journaler/packer_test.go
+++ b/internal/state/journaler/packer_test.go
@@ -69,16 +69,16 @@
 // Guards against a leader that waits long for calls that have gone silent, because it needed long to
 // read the journal.
 func TestOpenCallLimit(t *testing.T) {
-	limitOf := func(retry func(context.Context, func(context.Context) error) error) time.Duration {
-		var limit time.Duration
-		qt.Assert(t, retry(t.Context(), func(ctx context.Context) error {
-			until, _ := ctx.Deadline()
-			limit = time.Until(until)
-			return nil
-		}), qt.IsNil)
-		return limit
-	}
 	synctest.Test(t, func(t *testing.T) {
+		limitOf := func(retry func(context.Context, func(context.Context) error) error) time.Duration {
+			var limit time.Duration
+			qt.Assert(t, retry(t.Context(), func(ctx context.Context) error {
+				until, _ := ctx.Deadline()
+				limit = time.Until(until)
+				return nil
+			}), qt.IsNil)
+			return limit
+		}
 		op := Options{CallLimit: time.Second, OpenCallLimit: 4 * time.Second}.withDefaults()
 		on := &opener{options: op}
 		qt.Check(t, limitOf(on.retry), qt.Equals, 4*time.Second)
