Keep at least 32 starts under way, and wait by rank only for willing hosts

Its leader has 0.16 of a core: answers are late for lack of processor time, the window fell to 8 to 30, and each round of placement places no more than the window has room for, so that rounds cost more.

Only hosts that agree that nobody leads are waited for.

TestWindow still holds on links of 0.5 Mbit/s.

--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -462,19 +462,24 @@
 func (el *Elector) agreement(since time.Time) int {
 	agreed := 1
 	for _, mb := range el.members {
-		if mb.Host != el.op.Self.Host && !mb.replied.Before(since) && !mb.leads && (mb.silence >= agreeAfter || mb.refused) {
+		if mb.Host != el.op.Self.Host && !mb.replied.Before(since) && mb.agrees() {
 			agreed++
 		}
 	}
 	return agreed
 }
 
-// rank returns how many hosts should rather lead than this one. With a time, only hosts that have
-// answered since count.
+// agrees reports whether the host has not heard of the leader either.
+func (mb *member) agrees() bool {
+	return !mb.leads && (mb.silence >= agreeAfter || mb.refused)
+}
+
+// rank returns how many hosts should rather lead than this one. With a time, only hosts count that have
+// answered since and agree that nobody leads: others will not try soon.
 func (el *Elector) rank(since *time.Time) int {
 	rank := 0
 	for _, mb := range el.members {
-		if mb.Host == el.op.Self.Host || mb.leaving || since != nil && (mb.replied.Before(*since) || mb.storeAge > storeSilence) {
+		if mb.Host == el.op.Self.Host || mb.leaving || since != nil && (mb.replied.Before(*since) || mb.storeAge > storeSilence || !mb.agrees()) {
 			continue
 		}
 		if compareRank(&mb.Member, &el.op.Self) < 0 {
--- a/internal/job/throttler/throttler.go
+++ b/internal/job/throttler/throttler.go
@@ -8,7 +8,7 @@
 const (
 	// least and most bound the number of starts under way. Most is what the largest installation needs, 2,800
 	// starts a second with answers after 150 ms. A window doubles from initial with each round of answers.
-	least, initial, most = 8, 32, 450
+	least, initial, most = 32, 48, 450
 	// lateShrink is applied when an answer was late, lostShrink when none comes at all.
 	lateShrink, lostShrink = 0.8, 0.5
 )
@@ -17,7 +17,7 @@
 // after which an answer counts as lost. Hosts far away answer after a tenth of a second.
 const (
 	lateTimes           = 4
-	leastLate, mostLate = 1.0 / 12, 1.0 / 4
+	leastLate, mostLate = 1.0 / 6, 1.0 / 4
 	// usualRise is the part by which the usual time rises with each answer that took longer.
 	usualRise = 0.001
 )
