Deflate in one place

Package deflater serves all three, each at its own level and with its own bound. What is written and read stays as it was.

--- a/internal/cluster/tracker/packer.go
+++ b/internal/cluster/tracker/packer.go
@@ -5,12 +5,11 @@
 	"compress/flate"
 	"errors"
 	"fmt"
-	"io"
-	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
+	"github.com/currantrouter/currantrouter/internal/process/deflater"
 )
 
 // Documents are sent as the difference from the one that the receiver has. A trial with 100 hosts,
@@ -23,12 +22,7 @@
 // errDamaged means that a message doesn't yield the document that the peer has.
 var errDamaged = errors.New("document of the peer is damaged")
 
-// deflaters keeps writers, each of which holds almost 1 MB.
-var deflaters = sync.Pool{New: func() any {
-	// NewWriter fails only on a wrong level.
-	wr, _ := flate.NewWriter(nil, flate.DefaultCompression)
-	return wr
-}}
+var deflated = deflater.New(flate.DefaultCompression)
 
 // pack describes a document by its difference from a base.
 func pack(base, doc []byte) *messenger.FetchResponse {
@@ -41,15 +35,8 @@
 	for suffix < shorter-prefix && base[len(base)-1-suffix] == doc[len(doc)-1-suffix] {
 		suffix++
 	}
-	var bf bytes.Buffer
-	wr := deflaters.Get().(*flate.Writer)
-	defer deflaters.Put(wr)
-	wr.Reset(&bf)
-	// Writing to a buffer never fails.
-	_, _ = wr.Write(doc[prefix : len(doc)-suffix])
-	_ = wr.Close()
 	return &messenger.FetchResponse{
-		Prefix: int64(prefix), Suffix: int64(suffix), Middle: bf.Bytes(), Hash: xxhash.Sum64(doc),
+		Prefix: int64(prefix), Suffix: int64(suffix), Middle: deflated.Pack(doc[prefix : len(doc)-suffix]), Hash: xxhash.Sum64(doc),
 	}
 }
 
@@ -59,8 +46,7 @@
 	if prefix < 0 || suffix < 0 || prefix > size || suffix > size-prefix {
 		return nil, errDamaged
 	}
-	rd := flate.NewReader(bytes.NewReader(rsp.GetMiddle()))
-	middle, err := io.ReadAll(io.LimitReader(rd, maxDocumentBytes+1))
+	middle, err := deflater.Unpack(rsp.GetMiddle(), maxDocumentBytes+1)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errDamaged, err)
 	}
--- a/internal/config/distributor/keeper.go
+++ b/internal/config/distributor/keeper.go
@@ -7,7 +7,6 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
-	"io"
 	mrand "math/rand/v2"
 	"strconv"
 	"strings"
@@ -15,6 +14,7 @@
 
 	"github.com/currantrouter/currantrouter/internal/config/checker"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/process/deflater"
 	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
 )
@@ -45,6 +45,8 @@
 // in the store.
 const minDeflated = 4 << 10
 
+var deflated = deflater.New(flate.BestCompression)
+
 // stored is the value of a revision in the store: header lines and the document.
 type stored struct {
 	rev modeler.Revision
@@ -63,10 +65,7 @@
 		return bf.Bytes()
 	}
 	bf.WriteString(deflatedHeader)
-	// NewWriter fails only on a wrong level, and writing to a buffer never does.
-	wr, _ := flate.NewWriter(&bf, flate.BestCompression)
-	_, _ = wr.Write(sto.doc)
-	_ = wr.Close()
+	bf.Write(deflated.Pack(sto.doc))
 	return bf.Bytes()
 }
 
@@ -101,8 +100,7 @@
 	}
 	// A document has a section before its first key, so that it can't begin like the header.
 	if packed, ok := bytes.CutPrefix(doc, []byte(deflatedHeader)); ok {
-		rd := flate.NewReader(bytes.NewReader(packed))
-		if doc, err = io.ReadAll(io.LimitReader(rd, checker.MaxDocumentBytes+1)); err != nil {
+		if doc, err = deflater.Unpack(packed, checker.MaxDocumentBytes+1); err != nil {
 			return stored{}, fmt.Errorf("%w: %w", errMalformed, err)
 		}
 	}
--- a/internal/state/journaler/packer.go
+++ b/internal/state/journaler/packer.go
@@ -1,13 +1,12 @@
 package journaler
 
 import (
-	"bytes"
 	"compress/flate"
 	"fmt"
-	"io"
-	"sync"
 
 	"google.golang.org/protobuf/proto"
+
+	"github.com/currantrouter/currantrouter/internal/process/deflater"
 )
 
 const (
@@ -21,11 +20,7 @@
 	unpackedMax = 4 << 20
 )
 
-var deflaters = sync.Pool{New: func() any {
-	// The only error is that of an unknown level.
-	fw, _ := flate.NewWriter(nil, flate.BestSpeed)
-	return fw
-}}
+var deflated = deflater.New(flate.BestSpeed)
 
 // pack returns a record that holds all others when that is shorter, else the records themselves.
 func pack(recs []*StoredRecord) []*StoredRecord {
@@ -33,17 +28,11 @@
 	if err != nil || len(plain) < packedMin {
 		return recs
 	}
-	var packed bytes.Buffer
-	fw := deflaters.Get().(*flate.Writer)
-	defer deflaters.Put(fw)
-	fw.Reset(&packed)
-	// A buffer returns no error.
-	_, _ = fw.Write(plain)
-	_ = fw.Close()
-	if packed.Len() >= len(plain) {
+	packed := deflated.Pack(plain)
+	if len(packed) >= len(plain) {
 		return recs
 	}
-	return []*StoredRecord{{Kind: kindPacked, Data: packed.Bytes()}}
+	return []*StoredRecord{{Kind: kindPacked, Data: packed}}
 }
 
 // unpack is the inverse of pack. Errors: ErrDamaged.
@@ -51,8 +40,7 @@
 	if len(recs) != 1 || recs[0].Kind != kindPacked {
 		return recs, nil
 	}
-	fr := flate.NewReader(bytes.NewReader(recs[0].Data))
-	plain, err := io.ReadAll(io.LimitReader(fr, unpackedMax))
+	plain, err := deflater.Unpack(recs[0].Data, unpackedMax)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrDamaged, err)
 	}
