Call functions at intervals in one place

The loop that calls a function at each tick until the context ends stood in the assembler, the elector, the director, the hour counter, the authorizer, the prober and the router. pauser.Every serves them all; two of them call their function once before, as they did.

--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -326,20 +326,6 @@
 	}()
 }
 
-// every calls the function at intervals until the context ends.
-func every(ctx context.Context, interval time.Duration, run func(context.Context)) {
-	tk := time.NewTicker(interval)
-	defer tk.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tk.C:
-			run(ctx)
-		}
-	}
-}
-
 func (dm *Daemon) load() tracker.Load {
 	lim := dm.limiter
 	if lim == nil {
--- a/internal/daemon/assembler/follower.go
+++ b/internal/daemon/assembler/follower.go
@@ -9,6 +9,7 @@
 	"github.com/currantrouter/currantrouter/internal/config/checker"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/hours/counter"
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/provider/lister"
 	"github.com/currantrouter/currantrouter/internal/request/forwarder"
 	"github.com/currantrouter/currantrouter/internal/request/limiter"
@@ -53,7 +54,7 @@
 
 // followSettled tells peers and the store which revisions this host has settled.
 func (dm *Daemon) followSettled(ctx context.Context) {
-	every(ctx, settleInterval, func(ctx context.Context) {
+	pauser.Every(ctx, settleInterval, func(ctx context.Context) {
 		dm.tracker.SetSettled(dm.limiter.SettledRevision())
 		dm.registering.Lock()
 		defer dm.registering.Unlock()
@@ -67,7 +68,7 @@
 // followHourCounts keeps copies of the counts that peers report, so that the death of a peer loses
 // at most one heartbeat of them.
 func (dm *Daemon) followHourCounts(ctx context.Context) {
-	every(ctx, hourCopyInterval, func(context.Context) {
+	pauser.Every(ctx, hourCopyInterval, func(context.Context) {
 		for _, pr := range dm.tracker.Peers() {
 			if err := dm.counter.Merge(reportsOf(pr)); err != nil {
 				logger.Log(dm.log, logger.PeerCountsRefused, "Peer", pr.Host, "Cause", err.Error())
@@ -102,7 +103,7 @@
 
 // followHostList takes leaving runners out of service.
 func (dm *Daemon) followHostList(ctx context.Context) {
-	every(ctx, listInterval, func(ctx context.Context) {
+	pauser.Every(ctx, listInterval, func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, dm.settings.Limits.StoreTimeout)
 		defer cancel()
 		ls, err := dm.platform.Hosts.List(ctx)
--- a/internal/daemon/assembler/leader.go
+++ b/internal/daemon/assembler/leader.go
@@ -14,6 +14,7 @@
 	"github.com/currantrouter/currantrouter/internal/batch/scheduler"
 	"github.com/currantrouter/currantrouter/internal/cluster/tracker"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
 	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 	"github.com/currantrouter/currantrouter/internal/request/claimer"
@@ -234,7 +235,7 @@
 // keepSnapshot writes a snapshot whenever enough records or time have passed since the last one.
 func (ld *leader) keepSnapshot(ctx context.Context, tm *term) {
 	last, when := tm.recovery.SnapshotPosition, time.Now()
-	every(ctx, snapshotCheck, func(ctx context.Context) {
+	pauser.Every(ctx, snapshotCheck, func(ctx context.Context) {
 		tm.claimer.Trim()
 		pos := tm.journal.Position()
 		due := pos-last >= snapshotRecords || time.Since(when) >= snapshotInterval
--- a/internal/daemon/assembler/planner.go
+++ b/internal/daemon/assembler/planner.go
@@ -7,6 +7,7 @@
 
 	"github.com/currantrouter/currantrouter/internal/batch/scheduler"
 	"github.com/currantrouter/currantrouter/internal/plan/importer"
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 )
 
@@ -28,7 +29,7 @@
 		}
 	}
 	read(ctx)
-	every(ctx, planInterval, read)
+	pauser.Every(ctx, planInterval, read)
 }
 
 func planDaysAround(now time.Time) []string {
--- a/internal/hours/counter/writer.go
+++ b/internal/hours/counter/writer.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
@@ -45,17 +46,10 @@
 
 // Run writes counts every WriteInterval until ctx ends. Call Close after the last call has ended.
 func (ct *Counter) Run(ctx context.Context) {
-	tk := time.NewTicker(WriteInterval)
-	defer tk.Stop()
-	for {
-		// Flush logs and counts its errors, and the next round writes what is missing.
-		_ = ct.Flush(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-tk.C:
-		}
-	}
+	// Flush logs and counts its errors, and the next round writes what is missing.
+	flush := func(ctx context.Context) { _ = ct.Flush(ctx) }
+	flush(ctx)
+	pauser.Every(ctx, WriteInterval, flush)
 }
 
 // Close writes all counts and marks them as complete. It returns the errors of the store.
--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -316,19 +316,12 @@
 }
 
 func (dr *Director) tickLoop(ctx context.Context) {
-	tk := time.NewTicker(tick)
-	defer tk.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tk.C:
-		}
+	pauser.Every(ctx, tick, func(context.Context) {
 		dr.mu.Lock()
 		dr.pass(time.Now())
 		dr.mu.Unlock()
 		dr.kick()
-	}
+	})
 }
 
 // pass does what follows from the passage of time alone.
--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -193,18 +193,10 @@
 	loops.Wait()
 }
 
+// every calls the function at once and then at intervals until the context ends.
 func every(ctx context.Context, interval time.Duration, run func(context.Context)) {
 	run(ctx)
-	tk := time.NewTicker(interval)
-	defer tk.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tk.C:
-			run(ctx)
-		}
-	}
+	pauser.Every(ctx, interval, run)
 }
 
 // Leader returns who leads. The zero value means nobody that this host knows.
--- a/internal/operator/authorizer/authorizer.go
+++ b/internal/operator/authorizer/authorizer.go
@@ -18,6 +18,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 )
 
@@ -170,17 +171,8 @@
 	if au.insecure {
 		return
 	}
-	tk := time.NewTicker(reloadInterval)
-	defer tk.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tk.C:
-			// Reload logs its error, and the certificates in use stay.
-			_ = au.Reload()
-		}
-	}
+	// Reload logs its error, and the certificates in use stay.
+	pauser.Every(ctx, reloadInterval, func(context.Context) { _ = au.Reload() })
 }
 
 // Reload reads the files if they have changed since they were read last. It returns ErrMaterial
--- a/internal/process/pauser/pauser.go
+++ b/internal/process/pauser/pauser.go
@@ -1,4 +1,4 @@
-// Package pauser waits for a time that a context may cut short.
+// Package pauser waits for times that a context may cut short.
 package pauser
 
 import (
@@ -20,3 +20,17 @@
 		return true
 	}
 }
+
+// Every calls the function at intervals until the context ends, for the first time after one interval.
+func Every(ctx context.Context, interval time.Duration, run func(context.Context)) {
+	tk := time.NewTicker(interval)
+	defer tk.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tk.C:
+			run(ctx)
+		}
+	}
+}
--- a/internal/request/prober/prober.go
+++ b/internal/request/prober/prober.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"syscall"
 	"time"
+
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 )
 
 // A lost path is found by the kernel within keepAliveIdle + keepAliveCount*keepAliveInterval = 3 s,
@@ -75,16 +77,9 @@
 
 // Run probes the pools that the function lists until the context ends.
 func Run(ctx context.Context, pools func() []Pool) {
-	tk := time.NewTicker(interval)
-	defer tk.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tk.C:
-		}
+	pauser.Every(ctx, interval, func(ctx context.Context) {
 		for _, pl := range pools() {
 			pl.Probe(ctx, IdleBefore, Timeout)
 		}
-	}
+	})
 }
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
@@ -266,16 +267,7 @@
 
 // Run compares the runners and lets old latencies fade until the context ends.
 func (rt *Router) Run(ctx context.Context) {
-	tk := time.NewTicker(tick)
-	defer tk.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tk.C:
-			rt.Compare()
-		}
-	}
+	pauser.Every(ctx, tick, func(context.Context) { rt.Compare() })
 }
 
 // Compare brings the typical latencies and the marks of slow runners up to date.
