Remove state and locks that the last changes need not have

The elector reads whether it doubts the leader under the lock that it holds anyway, so that the function that only took the lock for it goes. A belief that was never seen has the greatest variance already, so fading needs no exception for it. The end of a start is no longer named like the end of a job.

--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -419,7 +419,7 @@
 		cancel()
 		dr.mu.Lock()
 		now := time.Now()
-		dr.settle(at, err, now)
+		dr.endStart(at, err, now)
 		dr.answered(at, order, err, now)
 		again := err != nil || dr.throttled
 		dr.mu.Unlock()
@@ -429,8 +429,8 @@
 	}
 }
 
-// settle ends a start that was under way.
-func (dr *Director) settle(at *attempt, err error, now time.Time) {
+// endStart takes a start that was under way off the window.
+func (dr *Director) endStart(at *attempt, err error, now time.Time) {
 	dr.underWay--
 	switch {
 	case errors.Is(err, modeler.ErrNoAnswer):
--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -377,18 +377,16 @@
 	el.rounds++
 	leader, leading, leaving := el.leader, el.leading, el.leaving
 	skip := el.rounds%slowRounds != 0 && el.rank(nil) >= watchers
+	doubted := time.Since(el.heard) >= el.doubtAfter()
 	el.mu.Unlock()
 	if leading || leaving {
 		return
 	}
-	el.mu.Lock()
-	doubted := time.Since(el.heard) >= el.doubtAfter()
-	el.mu.Unlock()
 	if leader.Host != "" && leader.Host != el.op.Self.Host && !skip && !doubted {
 		el.greet(ctx, leader.Address, greetTimeout)
 	}
 	el.mu.Lock()
-	silence := time.Since(el.heard)
+	silence, patience := time.Since(el.heard), el.doubtAfter()
 	invited, listed := el.invited, el.listed
 	el.invited = false
 	el.mu.Unlock()
@@ -397,19 +395,13 @@
 		return
 	}
 	// A host that has just started and does not know the others cannot tell whether one leads.
-	if !listed || silence < el.patience() || el.op.StoreAge() > storeSilence {
+	if !listed || silence < patience || el.op.StoreAge() > storeSilence {
 		return
 	}
 	el.canvass(ctx, silence)
 }
 
-// patience returns the silence after which this host doubts the leader.
-func (el *Elector) patience() time.Duration {
-	el.mu.Lock()
-	defer el.mu.Unlock()
-	return el.doubtAfter()
-}
-
+// doubtAfter returns the silence after which this host doubts the leader.
 func (el *Elector) doubtAfter() time.Duration {
 	if el.refused || el.leader.Host == "" {
 		return refusedAfter
--- a/internal/job/estimator/estimator.go
+++ b/internal/job/estimator/estimator.go
@@ -104,10 +104,8 @@
 
 // fade makes the variances those of now.
 func (bf *belief) fade(now time.Time) {
-	if after := now.Sub(bf.at); !bf.at.IsZero() && after > 0 {
-		bf.variance, bf.apart.variance = bf.faded(after), bf.apart.faded(after)
-	}
-	bf.at = now
+	after := now.Sub(bf.at)
+	bf.variance, bf.apart.variance, bf.at = bf.faded(after), bf.apart.faded(after), now
 }
 
 // assumed returns the harm of a pair that was seen together for long enough. An image is blamed only as
--- a/internal/state/journaler/writer.go
+++ b/internal/state/journaler/writer.go
@@ -237,14 +237,13 @@
 	for _, rq := range batch {
 		sg.Records = append(sg.Records, rq.records...)
 	}
-	count := len(sg.Records)
 	sg.Records = pack(sg.Records)
 	value, err := proto.Marshal(sg)
 	if err != nil {
 		answer(batch, fmt.Errorf("%w: %w", ErrUnavailable, err))
 		return
 	}
-	wr := &segmentWrite{journal: jn, batch: batch, segment: sg, records: count, value: value, began: time.Now()}
+	wr := &segmentWrite{journal: jn, batch: batch, segment: sg, value: value, began: time.Now()}
 	wr.finish(wr.settle())
 }
 
@@ -253,8 +252,6 @@
 	journal *Journal
 	batch   []*request
 	segment *StoredSegment
-	// records is how many the segment holds.
-	records int
 	value   []byte
 	began   time.Time
 	// tried is the beginning of the call that wrote the segment or found it.
@@ -365,8 +362,9 @@
 }
 
 func (wr *segmentWrite) succeed() {
-	jn := wr.journal
+	jn, records := wr.journal, 0
 	for _, rq := range wr.batch {
+		records += len(rq.records)
 		if rq.apply != nil {
 			rq.apply(wr.segment.Position)
 		}
@@ -375,7 +373,7 @@
 	jn.confirm(wr.tried)
 	jn.endOutage()
 	jn.options.Meter.Add(meter.JournalSegments, 1)
-	jn.options.Meter.Add(meter.JournalRecords, int64(wr.records))
+	jn.options.Meter.Add(meter.JournalRecords, int64(records))
 }
 
 func answer(batch []*request, err error) {
