--- a/internal/job/director/handover_test.go
+++ b/internal/job/director/handover_test.go
@@ -22,11 +22,7 @@
 		for no := range ends / 100 {
 			tm.submit(simpleJob(modeler.JobID(fmt.Sprint("job-", no)), "batch", 100, cores(4000)))
 		}
-		for range 100 {
-			if sleep(time.Second); tm.allCompleted() {
-				break
-			}
-		}
+		tm.awaitAll(100 * time.Second)
 		tm.end()
 		tm = fl.lead(0)
 		// Behind the last snapshot are at most the 4,000 facts that call for the next one, and those of the
@@ -36,12 +32,3 @@
 		fl.assertSound()
 	})
 }
-
-func (tm *term) allCompleted() bool {
-	for _, jb := range tm.fleet.jobs {
-		if st, _ := tm.State(jb.ID); st != modeler.Completed {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/job/director/harness_test.go
+++ b/internal/job/director/harness_test.go
@@ -200,6 +200,23 @@
 	qt.Assert(tm.fleet.t, got, qt.Equals, want, qt.Commentf("job %s", id))
 }
 
+// allCompleted reports whether callers are told that every job is completed.
+func (tm *term) allCompleted() bool {
+	for _, jb := range tm.fleet.jobs {
+		if st, _ := tm.State(jb.ID); st != modeler.Completed {
+			return false
+		}
+	}
+	return true
+}
+
+// awaitAll passes time until every job is completed, but not more than the time given.
+func (tm *term) awaitAll(most time.Duration) {
+	for began := time.Now(); time.Since(began) < most && !tm.allCompleted(); {
+		sleep(100 * time.Millisecond)
+	}
+}
+
 // assertSound checks that nothing has happened that never may.
 func (fl *fleet) assertSound() {
 	fl.t.Helper()
--- a/internal/job/director/link_test.go
+++ b/internal/job/director/link_test.go
@@ -87,9 +87,7 @@
 		for no := range jobs {
 			tm.submit(simpleJob(modeler.JobID(fmt.Sprint("job-", no)), "batch", 60, cores(4000)))
 		}
-		for time.Since(began) < time.Minute && !tm.allCompleted() {
-			sleep(100 * time.Millisecond)
-		}
+		tm.awaitAll(time.Minute)
 		took := time.Since(began)
 		// 2,400 starts take 7.2 s of the link, renewals as much as a third of it, and the last tasks a
 		// second.
