Log why tasks wait, the trail of cancellations, and renewals that are held up

Placement, stops, leases and their timing do not change.

Operators see: - 670 for a long-running task that has waited for longer than 2 s, with its reason, since when and until when the reason applies, the worker it is about and the time since its last turn; 671 once a second for each reason, with the number of tasks and the oldest; a gauge for each reason, TasksWaiting..., and LongRunningTasksOverdue. - In 605 the way by which the leader heard of a cancellation (Source). 672 for one that ends no job now, 673 and CancellationsDropped for one that the bound on pending ones drops, which was silent. 674 for a run that goes on for longer than StopGrace and one second, with its stops and their last answer. The timer TimeToStopCancelled. - 675 and TimeReportsHeld for a report that is held up by an unknown job, which was logged as "worker unreachable"; 676 for renewal loops that have not extended a lease for half of it, with what they wait for. LeaseLeft in 624 no longer is some hundred years below zero for a worker that has not answered in the term.

Director.CancelJob gets the source of the cancellation. The placement round notes for each step it reaches why its tasks found no worker; the report looks once a second at waiting tasks, at starts in flight and at workers that do not answer.

Evidence: a subtest for each reason and for each event, and one that the reasons agree with the decision whether a task may start.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -155,7 +155,7 @@
 	// jobs holds every stored job whose retention is not over.
 	jobs map[modeler.JobID]*job
 	// pendingCancellations holds cancelled jobs that have not been added yet.
-	pendingCancellations map[modeler.JobID]struct{}
+	pendingCancellations map[modeler.JobID]cancellation
 	// pendingFacts holds facts of earlier terms about jobs that have not been added yet.
 	pendingFacts map[modeler.JobID][]keeper.Fact
 	workers      map[modeler.WorkerID]*worker
@@ -180,6 +180,19 @@
 	// contention is the competition of best-effort images for the workers.
 	contention      contention
 	summaryLoggedAt time.Time
+	// rounds is the number of placement rounds, roundAt the time of the last one, and roundEnd why the
+	// steps that it did not reach had no turn.
+	rounds   int64
+	roundAt  time.Time
+	roundEnd waitReason
+	// countsLeft and longRunningCountsLeft are how often the workers may be counted by reason until the
+	// next report of waiting tasks, see takeCount.
+	countsLeft, longRunningCountsLeft int
+	// starting holds the runs that were placed and were not known to run at the last report of waiting
+	// tasks.
+	starting map[*attempt]struct{}
+	// ineffectiveLines, droppedLines, overdueLines and holdLines bound lines of the log.
+	ineffectiveLines, droppedLines, overdueLines, holdLines lineBudget
 	// waitLoggedAt is when the log last said why a task waits.
 	waitLoggedAt time.Time
 	// snapshotPosition is the journal position of the last snapshot. Only cleanupLoop uses it.
@@ -197,10 +210,11 @@
 		dispatchWake:         make(chan struct{}, 1),
 		confirmWake:          make(chan struct{}, 1),
 		jobs:                 map[modeler.JobID]*job{},
-		pendingCancellations: map[modeler.JobID]struct{}{},
+		pendingCancellations: map[modeler.JobID]cancellation{},
 		pendingFacts:         map[modeler.JobID][]keeper.Fact{},
 		workers:              map[modeler.WorkerID]*worker{},
 		waitingSteps:         map[*step]struct{}{},
+		starting:             map[*attempt]struct{}{},
 		model:                estimator.New(),
 		startWindow:          throttler.New(requestTimeout),
 	}
@@ -231,6 +245,7 @@
 	// From here on startGoroutine sees that the term is over.
 	dr.goroutinesMu.Unlock()
 	dr.goroutines.Wait()
+	dr.clearGauges()
 	if errors.Is(context.Cause(dr.ctx), ErrTermOver) {
 		return ErrTermOver
 	}
@@ -369,6 +384,9 @@
 	if now.Sub(dr.summaryLoggedAt) >= summaryInterval {
 		dr.summaryLoggedAt = now
 		dr.logLoadSummary(now)
+		dr.reportWaits(now)
+		dr.reportCancelledRuns(now)
+		dr.reportLateRenewals(now)
 	}
 }
 
--- a/internal/job/director/harness_test.go
+++ b/internal/job/director/harness_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"os"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -19,7 +18,6 @@
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/provider/emulator"
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
-	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
@@ -42,8 +40,13 @@
 	jobs    []*modeler.Job
 	// client is nil where requests reach the workers without delay.
 	client director.WorkerClient
+	// jobStore is nil where the jobs are read from the store.
+	jobStore director.JobStore
 	// policy is nil where every worker may run every step.
 	policy director.Policy
+	// logs receives the log of all terms, and registry their metrics.
+	logs     *logRecorder
+	registry *meter.Registry
 	// addEarly makes entry hosts report the jobs to the next leader before it has loaded them.
 	addEarly bool
 	// cancelled holds the jobs whose cancellation is stored.
@@ -64,7 +67,7 @@
 
 // newFleet returns a fleet of workers with 16 cores each, four to a rack.
 func newFleet(t testing.TB, workers int) *fleet {
-	fl := &fleet{t: t, faults: new(emulator.Faults), behaviours: map[modeler.TaskID]emulator.TaskBehaviour{}}
+	fl := &fleet{t: t, faults: new(emulator.Faults), behaviours: map[modeler.TaskID]emulator.TaskBehaviour{}, logs: new(logRecorder), registry: meter.New(nil)}
 	fl.store = emulator.NewStore(fl.faults)
 	fl.workers = emulator.NewJobWorkers(fl.faults, fl.behave)
 	for ix := range workers {
@@ -127,10 +130,14 @@
 	if client == nil {
 		client = fl.workers
 	}
+	jobStore := fl.jobStore
+	if jobStore == nil {
+		jobStore = keeper.NewJobStore(fl.store)
+	}
 	dr := director.New(director.Options{
-		Epoch: modeler.Epoch(rec.Epoch), WorkerClient: client, Journal: jn, JobStore: keeper.NewJobStore(fl.store),
+		Epoch: modeler.Epoch(rec.Epoch), WorkerClient: client, Journal: jn, JobStore: jobStore,
 		Configuration: func() *modeler.Configuration { return fl.config }, MaySendRequests: func() bool { return true },
-		Policy: fl.policy, InheritedLease: inherited, Limits: testLimits, Log: testLog(fl.t), Meter: meter.New(nil),
+		Policy: fl.policy, InheritedLease: inherited, Limits: testLimits, Log: fl.logs.logger(fl.t), Meter: fl.registry,
 	})
 	dr.Restore(append(rec.SnapshotRecords, rec.Records...))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -141,7 +148,7 @@
 		dr.AddJob(jb, !fl.addEarly)
 	}
 	for _, id := range fl.cancelled {
-		dr.CancelJob(id)
+		dr.CancelJob(id, director.FromTermStart)
 	}
 	dr.FinishLoading()
 	go func() {
@@ -153,16 +160,8 @@
 	return tm
 }
 
-// testLog returns a logger that prints the director's log if DIRECTOR_LOG is set, and nothing
-// otherwise.
-func testLog(t testing.TB) logr.Logger {
-	if os.Getenv("DIRECTOR_LOG") == "" {
-		return logr.Discard()
-	}
-	lg, err := logger.New(os.Stdout, "text")
-	qt.Assert(t, err, qt.IsNil)
-	return lg
-}
+// CancelJob passes on a cancellation as the host that stored it does.
+func (tm *term) CancelJob(id modeler.JobID) { tm.Director.CancelJob(id, director.FromHost) }
 
 // end ends the term as the failure of its host does: without a word to the workers.
 func (tm *term) end() {
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -9,7 +9,6 @@
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/job/ranker"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
-	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // job is a stored job and its state in this term.
@@ -27,6 +26,8 @@
 	finalState modeler.State
 	durable    bool
 	endedAt    time.Time
+	// cancellation is zero until this term has heard of one.
+	cancellation cancellation
 	// occurrences holds the released occurrences: those that are due. It is empty once the tasks
 	// are freed, see freeTasks.
 	occurrences []*occurrence
@@ -51,8 +52,9 @@
 	spec  *modeler.Step
 	// tasks are all tasks of the step, by index.
 	tasks []*task
-	// waiting holds the queued tasks.
+	// waiting holds the queued tasks, turn what placement rounds found for them.
 	waiting []*task
+	turn    turn
 	// done is the number of tasks that are done. Tasks of long-running steps never are.
 	done int
 	// unfinishedPredecessors is the number of steps that have to be done first and are not.
@@ -106,6 +108,7 @@
 	// lastActive is when the last run ended. It is meant for steps with MaxUnavailable and not read
 	// yet.
 	lastActive time.Time
+	wait       waitState
 }
 
 const (
@@ -157,10 +160,7 @@
 	for _, ft := range facts {
 		dr.applyFact(jb, ft, now)
 	}
-	if _, ok := dr.pendingCancellations[jb.ID]; ok {
-		delete(dr.pendingCancellations, jb.ID)
-		dr.cancelJob(jb, now)
-	}
+	dr.cancelPending(jb, now)
 	if !inherited {
 		dr.log(logger.JobTakenOver, "Job", jb.ID, "Queue", jb.Queue, "Steps", len(jb.Steps), "Age", now.Sub(jb.Submitted).String())
 	}
@@ -262,6 +262,9 @@
 		return
 	}
 	tk.queued = true
+	if tk.wait.since.IsZero() {
+		tk.wait.since = time.Now()
+	}
 	sp.waiting = append(sp.waiting, tk)
 	dr.waitingSteps[sp] = struct{}{}
 }
@@ -390,38 +393,6 @@
 	jb.occurrences, jb.Steps, jb.Spec = nil, nil, ""
 }
 
-// CancelJob ends a job whose cancellation is stored.
-func (dr *Director) CancelJob(id modeler.JobID) {
-	dr.mu.Lock()
-	defer dr.mu.Unlock()
-	jb := dr.jobs[id]
-	if jb == nil {
-		// Hosts report changes in any order, and a batch of watch events need not preserve it.
-		if len(dr.pendingCancellations) < maxPendingCancellations {
-			dr.pendingCancellations[id] = struct{}{}
-		}
-		return
-	}
-	dr.cancelJob(jb, time.Now())
-	dr.wakeDispatch()
-}
-
-// maxPendingCancellations bounds the cancellations of jobs that have not been added. Those of jobs
-// that were deleted long ago stay until the end of the term.
-const maxPendingCancellations = 10_000
-
-func (dr *Director) cancelJob(jb *job, now time.Time) {
-	if jb.finalState != "" {
-		return
-	}
-	dr.log(logger.JobCancelled, "Job", jb.ID, "Queue", jb.Queue)
-	dr.op.Meter.Add(meter.JobsCancelled, 1)
-	dr.endJob(jb, modeler.Cancelled, now)
-	// The stored cancellation makes the end durable.
-	jb.durable = true
-	jb.freeTasks()
-}
-
 // JobState returns the state of a job to report to callers, and false for an unknown job.
 func (dr *Director) JobState(id modeler.JobID) (modeler.State, bool) {
 	dr.mu.Lock()
@@ -515,6 +486,7 @@
 	// stop.
 	stopping       bool
 	stopAnsweredAt time.Time
+	stops          stopTrail
 	runProgress    appraiser.RunProgress
 	checkpoint     string
 	progress       int
@@ -532,6 +504,8 @@
 	pace int
 	// listed is set once a report has listed the run.
 	listed bool
+	// recording is set while the journal has not confirmed the placement of a long-running task.
+	recording bool
 	// adopted is set for a run that an earlier leader started.
 	adopted bool
 }
@@ -539,6 +513,7 @@
 // markActive notes that the run was accepted or reported.
 func (at *attempt) markActive(now time.Time) {
 	at.state = active
+	at.task.wait = waitState{}
 	if at.answeredAt.IsZero() {
 		at.answeredAt = now
 		at.runProgress.Begin(now)
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -29,6 +29,7 @@
 		dr.log(logger.WorkerReachable, "Worker", wk.info.ID, "Runs", len(rep.Running), "Ends", len(rep.Ended))
 	}
 	wk.clock, wk.clockAt, wk.unreachable = rep.Clock, now, false
+	wk.renewal.phase = recordingReport
 	dr.markAnswered(wk)
 	listed := make(map[attemptKey]bool, len(rep.Running)+len(rep.Ended))
 	for ix := range rep.Running {
@@ -38,6 +39,7 @@
 	}
 	facts, endedJobs := dr.handleEnds(wk, rep.Ended, listed, now)
 	dr.loseMissingRuns(wk, listed, sentAt, now)
+	dr.updateCancelledRuns(wk, rep.Running, now)
 	dr.checkRuns(wk, now)
 	dr.paceBestEffort(wk, now)
 	wk.unrecordedFacts = append(wk.unrecordedFacts, facts...)
@@ -139,6 +141,7 @@
 		tk = jb.task(row.Task)
 	}
 	if tk == nil || tk.done || len(tk.attempts) > 0 && !tk.step.spec.Speculative || row.Run < tk.lastRun {
+		wk.noteCancelledRun(attemptKey{row.Task, row.Run}, jb)
 		dr.stopUnexpected(wk, row.Task, row.Run, now)
 		return nil
 	}
@@ -162,7 +165,9 @@
 		ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 		defer cancel()
 		// An unanswered stop is repeated when the run is reported again.
-		if err := dr.op.WorkerClient.Stop(ctx, &info, id, run, dr.op.Epoch); err != nil {
+		err := dr.op.WorkerClient.Stop(ctx, &info, id, run, dr.op.Epoch)
+		dr.noteUnexpectedStop(wk, key, err)
+		if err != nil {
 			dr.log(logger.StopUnanswered, "Worker", info.ID, "Task", id.String(), "Run", run, "Error", err.Error())
 		}
 	})
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -62,9 +62,17 @@
 func (dr *Director) dispatch(now time.Time) {
 	available := dr.startWindow.Available(dr.startsInFlight)
 	dr.windowFull = available == 0
-	if len(dr.waitingSteps) == 0 || available == 0 || !dr.op.MaySendRequests() {
+	switch {
+	case len(dr.waitingSteps) == 0:
+		return
+	case available == 0:
+		dr.beginRound(now, roundEndedByWindow)
+		return
+	case !dr.op.MaySendRequests():
+		dr.beginRound(now, requestsSuspended)
 		return
 	}
+	dr.beginRound(now, notPlacedYet)
 	rd := dr.newRound(now)
 	rd.startsLeft = available
 	for _, rs := range rd.steps {
@@ -73,7 +81,7 @@
 		}
 		rd.placeStep(rs.step)
 	}
-	dr.windowFull = rd.startsLeft <= 0
+	dr.windowFull, dr.roundEnd = rd.startsLeft <= 0, rd.endReason()
 	dr.recordPlacements(rd.longRunning)
 }
 
@@ -85,6 +93,7 @@
 	}
 	var facts []keeper.Fact
 	for _, at := range list {
+		at.recording = true
 		at.task.recordPlacement(at.run, at.worker.info.ID)
 		facts = append(facts, keeper.Fact{Placed: &keeper.PlacedFact{Task: at.task.id().String(), Run: at.run, Worker: at.worker.info.ID}})
 	}
@@ -93,6 +102,7 @@
 			dr.mu.Lock()
 			defer dr.mu.Unlock()
 			for _, at := range list {
+				at.recording = false
 				dr.queueStart(at)
 			}
 		})
@@ -107,8 +117,8 @@
 	workers []*worker
 	// cands holds the candidates in the order of workers.
 	cands []placer.Candidate
-	// held is the number of workers that are kept free, see holdWorker.
-	held int
+	// heldWorkers holds the indices of the workers that are kept free, see holdWorker.
+	heldWorkers []int
 	// longRunning holds the placed attempts of long-running tasks.
 	longRunning []*attempt
 	// misses is the number of placements without a worker since the last one that found one.
@@ -119,6 +129,8 @@
 	forecasts map[string]*forecast
 	// unplaceable holds needs for which no worker was found in this round.
 	unplaceable map[demandClass][]modeler.Resources
+	// missed holds why the last task of a class in unplaceable found no worker.
+	missed map[demandClass]turn
 }
 
 // rankedStep is a waiting step with its key for sorting.
@@ -147,7 +159,7 @@
 // newRound returns a round with the waiting steps, the most urgent first, and the workers that
 // accept tasks.
 func (dr *Director) newRound(now time.Time) *round {
-	rd := &round{dr: dr, now: now, unplaceable: map[demandClass][]modeler.Resources{}, forecasts: map[string]*forecast{}}
+	rd := &round{dr: dr, now: now, unplaceable: map[demandClass][]modeler.Resources{}, missed: map[demandClass]turn{}, forecasts: map[string]*forecast{}}
 	for sp := range dr.waitingSteps {
 		rd.steps = append(rd.steps, rankedStep{sp, dr.waitingStep(sp)})
 	}
@@ -186,8 +198,10 @@
 	}
 	pool := rd.dr.pool(sp.occ.job)
 	rd.excludeOtherPools(pool)
+	rd.noteTurn(sp, "")
 	for _, tk := range slices.Clone(sp.waiting) {
 		if rd.misses >= maxMisses || rd.startsLeft <= 0 {
+			rd.noteTurn(sp, rd.endReason())
 			return
 		}
 		if !rd.dr.startable(tk, rd.now) {
@@ -199,6 +213,7 @@
 			key.image = dm.Image
 		}
 		if rd.knownUnplaceable(key, dm.Needs) {
+			rd.noteClassMiss(sp, key)
 			return
 		}
 		rd.countSameStep(sp)
@@ -206,11 +221,13 @@
 		if dm.LongRunning {
 			dm.Headroom, dm.PoolSlots = rd.poolHeadroom(pool, &dm)
 		}
-		ix := placer.Choose(&dm, rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &dm, rd.cands))
+		permitted := rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &dm, rd.cands)
+		ix := placer.Choose(&dm, permitted)
 		if ix < 0 && len(dm.Avoid) > 0 {
 			// Workers to avoid are excluded only while there is an alternative, see
 			// placer.HasAlternative. Other tasks of the step that avoid none may still be placed.
 			rd.misses++
+			rd.noteMiss(tk, &dm, permitted)
 			rd.logWaitingTask(tk, &dm)
 			rd.holdWorker(&dm)
 			continue
@@ -218,8 +235,10 @@
 		if ix < 0 {
 			// A limit per worker and permits are specific to the step, so that a failure may not
 			// apply to the rest of the class.
+			rd.noteMiss(tk, &dm, permitted)
 			if dm.MaxPerWorker == 0 && sp.permits == nil {
 				rd.unplaceable[key] = append(rd.unplaceable[key], dm.Needs)
+				rd.missed[key] = sp.turn
 			}
 			rd.misses++
 			rd.logWaitingTask(tk, &dm)
@@ -281,7 +300,7 @@
 // have ended, and of these the one with the most free processors. Long-running tasks do not end, so
 // what they use does not count.
 func (rd *round) holdWorker(dm *placer.Demand) {
-	if rd.held >= maxHeldWorkers || dm.BestEffort || dm.LongRunning {
+	if len(rd.heldWorkers) >= maxHeldWorkers || dm.BestEffort || dm.LongRunning {
 		return
 	}
 	best := -1
@@ -295,7 +314,7 @@
 		}
 	}
 	if best >= 0 {
-		rd.held++
+		rd.heldWorkers = append(rd.heldWorkers, best)
 		rd.cands[best].Free = modeler.Resources{}
 	}
 }
@@ -306,6 +325,7 @@
 	wk := rd.workers[ix]
 	rd.startsLeft--
 	at := rd.dr.reserve(tk, wk, rd.dr.nextRun(tk))
+	rd.dr.starting[at] = struct{}{}
 	if tk.step.spec.LongRunning {
 		rd.longRunning = append(rd.longRunning, at)
 	} else {
@@ -326,6 +346,7 @@
 
 // placeGang places all tasks of a gang together, or none.
 func (rd *round) placeGang(sp *step) {
+	rd.noteTurn(sp, gangNotComplete)
 	if len(sp.waiting) < len(sp.tasks) || sp.gangRun != 0 {
 		return
 	}
@@ -341,6 +362,7 @@
 			return
 		}
 	}
+	rd.noteTurn(sp, noWorkerFits)
 }
 
 // gangRacks returns the racks to try for a gang: each single rack, and last the empty string for
@@ -403,10 +425,12 @@
 // startable reports whether a waiting task may start now. A task that may have an unknown run waits
 // until all workers of earlier terms are accounted for, unless its step allows speculative copies.
 func (dr *Director) startable(tk *task, now time.Time) bool {
-	if tk.mayHaveUnknownRun && !dr.allAccounted && !tk.step.spec.Speculative && !dr.knownNotRunning(tk) {
-		return false
-	}
-	return tk.step.occ.job.confirmed && !now.Before(tk.notBefore) && !dr.attemptsExhausted(tk)
+	return !dr.mayRunUnknown(tk) && tk.step.occ.job.confirmed && !now.Before(tk.notBefore) && !dr.attemptsExhausted(tk)
+}
+
+// mayRunUnknown reports whether a waiting task has to wait because an unknown run may be active.
+func (dr *Director) mayRunUnknown(tk *task) bool {
+	return tk.mayHaveUnknownRun && !dr.allAccounted && !tk.step.spec.Speculative && !dr.knownNotRunning(tk)
 }
 
 // knownNotRunning reports whether a long-running task of an earlier leader is known not to run: it
@@ -581,6 +605,9 @@
 			sctx, cancel := context.WithTimeout(ctx, requestTimeout)
 			err := dr.op.WorkerClient.Stop(sctx, &info, id, at.run, dr.op.Epoch)
 			cancel()
+			dr.mu.Lock()
+			dr.noteStop(&at.stops, err)
+			dr.mu.Unlock()
 			if errors.Is(err, modeler.ErrStaleEpoch) {
 				dr.stepDown("worker " + string(info.ID) + " has seen a higher epoch")
 				return
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -66,6 +66,7 @@
 	unaccounted bool
 	// renewing is set while renewLoop runs for the worker.
 	renewing bool
+	renewal  renewalState
 
 	// incarnation is the one that answered last, zero before the first answer. clock is what its
 	// clock showed at the local time clockAt.
@@ -84,8 +85,9 @@
 	// recording is closed once the batch of facts that is being recorded is durable. It is nil when
 	// there is no such batch.
 	recording chan struct{}
-	// unreachable is set while the last renewal has no answer.
-	unreachable bool
+	// unreachable is set while the last renewal has no answer, unreachableSince when it was set.
+	unreachable      bool
+	unreachableSince time.Time
 
 	// free is the capacity minus all reservations.
 	free                           modeler.Resources
@@ -107,7 +109,9 @@
 	unansweredStarts map[attemptKey]time.Time
 	// unexpectedStops holds when a stop was last sent for a run that this term does not want.
 	unexpectedStops map[attemptKey]time.Time
-	faultHistory    appraiser.FaultHistory
+	// cancelledRuns holds the runs of cancelled jobs that the worker may still execute.
+	cancelledRuns map[attemptKey]*cancelledRun
+	faultHistory  appraiser.FaultHistory
 	// noStartsBefore delays starts after one was not carried out, see refusalPause.
 	noStartsBefore time.Time
 	// pace is the pace of the best-effort tasks on the worker.
@@ -194,7 +198,7 @@
 	if dr.ctx == nil || wk.renewing {
 		return
 	}
-	wk.renewing = true
+	wk.renewing, wk.renewal.extendedAt = true, time.Now()
 	dr.startGoroutine(func(ctx context.Context) { dr.renewLoop(ctx, wk) })
 }
 
@@ -211,14 +215,16 @@
 		}
 		sentAt := time.Now()
 		rep, err := dr.sendRenewal(ctx, &info, req)
-		if err == nil {
-			err = dr.loadUnknownJobs(ctx, &rep)
-		}
 		if err != nil {
 			dr.renewalFailed(wk, err)
 			pauser.Sleep(ctx, renewRetryPause)
 			continue
 		}
+		if err := dr.loadUnknownJobs(ctx, wk, &rep); err != nil {
+			dr.reportNotHandled(wk, err)
+			pauser.Sleep(ctx, renewRetryPause)
+			continue
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -245,6 +251,7 @@
 	info := wk.info
 	if removed {
 		delete(dr.workers, wk.info.ID)
+		dr.dropUnexpectedCancelledRuns(wk, time.Now())
 	}
 	dr.mu.Unlock()
 	switch {
@@ -256,6 +263,7 @@
 	case granted:
 		return true
 	}
+	dr.enterPhase(wk, recordingGrant)
 	dr.record(ctx, []keeper.Fact{{LeaseGranted: &info}}, func() {
 		dr.mu.Lock()
 		wk.grantDurable = true
@@ -283,8 +291,10 @@
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	if !dr.op.MaySendRequests() {
+		wk.renewal.phase = renewalsPaused
 		return nil, wk.info, false
 	}
+	wk.renewal.phase = awaitingReport
 	req := &modeler.RenewRequest{Epoch: dr.op.Epoch, AckedEnd: wk.ackedEnd, MaxWait: maxIdleWait}
 	switch {
 	case !wk.answered || wk.unreachable || wk.recording != nil:
@@ -299,6 +309,7 @@
 	if wk.answered && !wk.unreachable {
 		req.Deadline = wk.minClock(time.Now()) + dr.op.Limits.Lease
 		wk.leaseEnd = max(wk.leaseEnd, req.Deadline)
+		wk.renewal.extendedAt = time.Now()
 	}
 	return req, wk.info, true
 }
@@ -319,21 +330,28 @@
 	}
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
+	now := time.Now()
+	dr.releaseReport(wk)
 	if dr.ctx.Err() == nil && !wk.unreachable {
-		dr.log(logger.WorkerUnreachable, "Worker", wk.info.ID, "Runs", len(wk.attempts), "LeaseLeft", (wk.leaseEnd - wk.minClock(time.Now())).String(), "Error", err.Error())
+		dr.log(logger.WorkerUnreachable, "Worker", wk.info.ID, "Runs", len(wk.attempts), "LeaseLeft", dr.leaseOver(wk, now).Sub(now).String(), "Error", err.Error())
 	}
-	wk.unreachable = true
+	dr.markUnreachable(wk, now)
 }
 
 // loadUnknownJobs loads the jobs of reported runs that this term does not know: an earlier leader
 // may have started them just before its term ended.
-func (dr *Director) loadUnknownJobs(ctx context.Context, rep *modeler.Report) error {
+func (dr *Director) loadUnknownJobs(ctx context.Context, wk *worker, rep *modeler.Report) error {
+	dr.enterPhase(wk, awaitingLoad)
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-dr.loaded:
 	}
-	for _, id := range dr.unknownJobs(rep) {
+	ids := dr.unknownJobs(rep)
+	if len(ids) > 0 {
+		dr.holdReport(wk)
+	}
+	for _, id := range ids {
 		stored, err := dr.op.JobStore.Load(ctx, id)
 		if isNotFound(err) {
 			continue
@@ -347,9 +365,12 @@
 		}
 		dr.AddJob(stored, true)
 		if cancelled {
-			dr.CancelJob(id)
+			dr.CancelJob(id, FromReport)
 		}
 	}
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	dr.releaseReport(wk)
 	return nil
 }
 
@@ -381,6 +402,7 @@
 	wk.incarnation, wk.processedEnd, wk.ackedEnd, wk.leaseEnd = incarnation, 0, 0, 0
 	wk.faultHistory = appraiser.FaultHistory{}
 	clear(wk.unexpectedStops)
+	dr.dropUnexpectedCancelledRuns(wk, now)
 	if first {
 		return
 	}
@@ -478,6 +500,7 @@
 		return
 	}
 	delete(wk.attempts, key)
+	dr.dropCancelledRun(wk, key, time.Now())
 	tk.attempts = slices.DeleteFunc(tk.attempts, func(ot *attempt) bool { return ot == at })
 	wk.free = wk.free.Plus(placer.Reservation(sp.spec.Needs, sp.spec.BestEffort))
 	if sp.perWorker[wk.info.ID]--; sp.perWorker[wk.info.ID] == 0 {
--- a/internal/job/intaker/intaker.go
+++ b/internal/job/intaker/intaker.go
@@ -248,7 +248,7 @@
 // job.
 func (it *Intaker) Apply(dr *director.Director, ch *messenger.StoredChange) {
 	if len(ch.Document) == 0 {
-		dr.CancelJob(modeler.JobID(ch.Id))
+		dr.CancelJob(modeler.JobID(ch.Id), director.FromHost)
 		return
 	}
 	jb, err := keeper.Decode(ch.Document)
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -193,20 +193,20 @@
 // first call. It cannot have started jobs that were stored later, because the director starts a new
 // job only after it has confirmed that its host still leads.
 func (tm *term) resetJobs(ens []storer.Entry) {
-	inherited := false
-	tm.firstLoad.Do(func() { inherited = true })
-	tm.applyChanges(ens, inherited)
+	inherited, source := false, director.FromListing
+	tm.firstLoad.Do(func() { inherited, source = true, director.FromTermStart })
+	tm.applyChanges(ens, inherited, source)
 	if inherited {
 		tm.director.FinishLoading()
 	}
 }
 
-func (tm *term) applyJobs(ens []storer.Entry) { tm.applyChanges(ens, false) }
+func (tm *term) applyJobs(ens []storer.Entry) { tm.applyChanges(ens, false, director.FromWatch) }
 
 // applyChanges passes stored jobs and then cancellations to the director: entries need not be in
 // the order in which they were written. The flag inherited is set if an earlier leader may have
 // started the jobs.
-func (tm *term) applyChanges(ens []storer.Entry, inherited bool) {
+func (tm *term) applyChanges(ens []storer.Entry, inherited bool, source director.CancellationSource) {
 	var cancelled []modeler.JobID
 	for _, en := range ens {
 		ch, ok, err := keeper.ParseChange(en)
@@ -221,7 +221,7 @@
 		}
 	}
 	for _, id := range cancelled {
-		tm.director.CancelJob(id)
+		tm.director.CancelJob(id, source)
 	}
 }
 
--- a/internal/telemetry/logger/catalogue_job.go
+++ b/internal/telemetry/logger/catalogue_job.go
@@ -59,6 +59,14 @@
 	TaskWaits        = Event{667, "task waits for capacity", "No worker has capacity for the task, which is the first such in the queue. The counts say how many workers are excluded by which reason. Logged at most once a second.", SeverityInfo}
 	LoadSummary      = Event{666, "load", "Running and waiting work at the leader, once a second. Cores are in thousandths.", SeverityInfo}
 	LogLinesDropped  = Event{669, "log lines dropped", "Lines were written faster than the rate limit or than the log was read. Dropped is their number since the last such line.", SeverityWarning}
+
+	LongRunningTaskWaits    = Event{670, "long-running task waits", "The task could run and has not for longer than 2 s. Reason says why, ReasonFor since when a report has given this reason, HeldFor until when it applies at the latest, Worker which worker it is about. LastTurn is the time since a placement round reached the step. Waited counts from when this leader queued the task or the worker of its run stopped answering. Logged again after 5 s or with another reason, at most 20 times a second; Omitted is how many lines were left out.", SeverityWarning}
+	TasksWaitLong           = Event{671, "tasks wait", "Tasks that could run have not for longer than 2 s, for this reason. Oldest is the one that has waited longest, LongRunning how many of the tasks are long-running. Logged once a second for each reason.", SeverityInfo}
+	CancellationIneffective = Event{672, "cancellation without a job to end", "The leader heard of the cancellation from Source. The job is not known yet, and is cancelled when it is added, or it has ended.", SeverityInfo}
+	CancellationDropped     = Event{673, "cancellation dropped", "Too many cancellations wait for jobs that the leader does not know. If the job is added in this term, it runs on until the leader hears of its cancellation again, at the latest with the next leader. Look for what cancels jobs that do not exist.", SeverityError}
+	CancelledRunGoesOn      = Event{674, "run goes on after its cancellation", "The worker may still execute a run of a cancelled job, longer than a stop takes. Stops is the number of stop requests with a result, LastAnswer the last one's, ListedAgo the time since the worker last listed the run. Expected is false for a run that this leader did not place or adopt.", SeverityWarning}
+	ReportHeldUp            = Event{675, "worker report held up", "A job of the report is unknown to the leader and the store did not return it. The report is not handled, and the worker's lease is not extended, until it does. With Workers, it is the one of so many that has waited longest. Check the store.", SeverityWarning}
+	RenewalsLate            = Event{676, "lease renewals held up", "The leases of so many workers were not extended for longer than half a lease although the workers answer. Phase says what the leader waits for, Worker is the one that waits longest, LeaseLeft the rest of its lease. Logged once a second for each phase.", SeverityWarning}
 )
 
 var jobEvents = []Event{
@@ -69,4 +77,5 @@
 	TermBegun, TermLoaded, TermAccounted, TermEnded, FactDamaged, FactNotRecorded, FactsDelayed, LeaderElected, LeaderGone,
 	MemberNotStored, MemberDamaged, MemberRemoved, WatchLost, WatchRestored,
 	QueuesAccepted, QueuesInvalid, QueuesNotFetched, PeersNotSecured, SettingsReloaded, SettingsKept, LoadSummary, TaskWaits, LogLinesDropped,
+	LongRunningTaskWaits, TasksWaitLong, CancellationIneffective, CancellationDropped, CancelledRunGoesOn, ReportHeldUp, RenewalsLate,
 }
--- a/internal/telemetry/meter/timer.go
+++ b/internal/telemetry/meter/timer.go
@@ -10,15 +10,17 @@
 
 // Timers of callers' jobs. Each is published as an object with the count, quantiles and maximum.
 var (
-	TimeToStart     = Metric{"TimeToStart", "ms", "Time from when a job is due to the start of each of its tasks."}
-	TimeToEnd       = Metric{"TimeToEnd", "ms", "Time from the submission of a job until its end is durable."}
-	TimeToRecordEnd = Metric{"TimeToNote", "ms", "Time from the report that runs ended until their ends are durable."}
-	TimeToAccept    = Metric{"TimeToAccept", "ms", "Time from reading a submission to answering it."}
-	TimeToRecover   = Metric{"TimeToRecover", "ms", "Time from the start of a leader's term to its first placement."}
+	TimeToStart         = Metric{"TimeToStart", "ms", "Time from when a job is due to the start of each of its tasks."}
+	TimeToEnd           = Metric{"TimeToEnd", "ms", "Time from the submission of a job until its end is durable."}
+	TimeToRecordEnd     = Metric{"TimeToNote", "ms", "Time from the report that runs ended until their ends are durable."}
+	TimeToAccept        = Metric{"TimeToAccept", "ms", "Time from reading a submission to answering it."}
+	TimeToStopCancelled = Metric{"TimeToStopCancelled", "ms", "Time from when the leader hears of a cancellation to the end of the last run of the job."}
+	TimeReportsHeld     = Metric{"TimeReportsHeld", "ms", "Time for which reports of workers could not be handled because a job of theirs was unknown and was read from the store."}
+	TimeToRecover       = Metric{"TimeToRecover", "ms", "Time from the start of a leader's term to its first placement."}
 )
 
 // Timers lists all timers in the order of docs/metrics.md.
-var Timers = []Metric{TimeToStart, TimeToEnd, TimeToRecordEnd, TimeToAccept, TimeToRecover}
+var Timers = []Metric{TimeToStart, TimeToEnd, TimeToRecordEnd, TimeToAccept, TimeToRecover, TimeToStopCancelled, TimeReportsHeld}
 
 const (
 	// maxTimerValue is the upper bound of the histograms. Longer times are recorded as this value.
