Count and log notifications that do not reach the leader

A host dropped the error when it could not tell the leader of a stored job or cancellation. The leader's watch of the store returns the change as well, so nothing is lost, but a late stop could not be traced to it. NotificationsFailed counts such changes, and 677 names the cancellations among them.

--- a/internal/job/intaker/intaker.go
+++ b/internal/job/intaker/intaker.go
@@ -14,6 +14,7 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
+	fleet "github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/job/director"
 	"github.com/currantrouter/currantrouter/internal/job/elector"
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
@@ -234,16 +235,30 @@
 	}
 	leader := it.op.Elector.Leader()
 	if leader.Host == "" {
+		it.notNotified(ch, "", errNoLeader)
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 		defer cancel()
-		// An error does not matter: the leader's watch of the store returns the change as well.
-		_, _ = it.op.Dial(leader.Address).Notify(ctx, ch)
+		if _, err := it.op.Dial(leader.Address).Notify(ctx, ch); err != nil {
+			it.notNotified(ch, leader.Host, err)
+		}
 	}()
 }
 
+// errNoLeader means that this host knows no leader.
+var errNoLeader = errors.New("no leader is known")
+
+// notNotified counts a stored change of which the leader may not have been notified. The leader's watch
+// of the store returns the change as well.
+func (it *Intaker) notNotified(ch *messenger.StoredChange, leader fleet.HostName, err error) {
+	it.op.Meter.Add(meter.NotificationsFailed, 1)
+	if len(ch.Document) == 0 {
+		logger.Log(it.op.Log, logger.LeaderNotNotified, "Job", ch.Id, "Leader", leader, "Error", err.Error())
+	}
+}
+
 // Apply passes a stored change to a director, which keeps a cancellation that arrives before its
 // job.
 func (it *Intaker) Apply(dr *director.Director, ch *messenger.StoredChange) {
--- a/internal/telemetry/logger/catalogue_job.go
+++ b/internal/telemetry/logger/catalogue_job.go
@@ -67,6 +67,7 @@
 	CancelledRunGoesOn      = Event{674, "run goes on after its cancellation", "The worker may still execute a run of a cancelled job, longer than a stop takes. Stops is the number of stop requests with a result, LastAnswer the last one's, ListedAgo the time since the worker last listed the run. Expected is false for a run that this leader did not place or adopt.", SeverityWarning}
 	ReportHeldUp            = Event{675, "worker report held up", "A job of the report is unknown to the leader and the store did not return it. The report is not handled, and the worker's lease is not extended, until it does. With Workers, it is the one of so many that has waited longest. Check the store.", SeverityWarning}
 	RenewalsLate            = Event{676, "lease renewals held up", "The leases of so many workers were not extended for longer than half a lease although the workers answer. Phase says what the leader waits for, Worker is the one that waits longest, LeaseLeft the rest of its lease. Logged once a second for each phase.", SeverityWarning}
+	LeaderNotNotified       = Event{677, "leader not notified of a cancellation", "The cancellation is stored. The leader hears of it from its watch of the store.", SeverityInfo}
 )
 
 var jobEvents = []Event{
@@ -77,5 +78,5 @@
 	TermBegun, TermLoaded, TermAccounted, TermEnded, FactDamaged, FactNotRecorded, FactsDelayed, LeaderElected, LeaderGone,
 	MemberNotStored, MemberDamaged, MemberRemoved, WatchLost, WatchRestored,
 	QueuesAccepted, QueuesInvalid, QueuesNotFetched, PeersNotSecured, SettingsReloaded, SettingsKept, LoadSummary, TaskWaits, LogLinesDropped,
-	LongRunningTaskWaits, TasksWaitLong, CancellationIneffective, CancellationDropped, CancelledRunGoesOn, ReportHeldUp, RenewalsLate,
+	LongRunningTaskWaits, TasksWaitLong, CancellationIneffective, CancellationDropped, CancelledRunGoesOn, ReportHeldUp, RenewalsLate, LeaderNotNotified,
 }
--- a/internal/telemetry/meter/table_waiting.go
+++ b/internal/telemetry/meter/table_waiting.go
@@ -23,6 +23,7 @@
 	LongRunningTasksOverdue          = Metric{"LongRunningTasksOverdue", "", "Long-running tasks that have waited for longer than 2 s."}
 	CancellationsPending             = Metric{"CancellationsPending", "", "Cancellations of jobs that the leader does not know yet."}
 	CancellationsDropped             = Metric{"CancellationsDropped", "", "Cancellations of unknown jobs that were dropped. A counter."}
+	NotificationsFailed              = Metric{"NotificationsFailed", "", "Stored jobs and cancellations of which this host could not notify the leader at once. A counter."}
 	CancelledRunsOverdue             = Metric{"CancelledRunsOverdue", "", "Runs of cancelled jobs that may go on for longer than a stop takes."}
 	ReportsHeldUp                    = Metric{"ReportsHeldUp", "", "Workers whose report has been held up for longer than 1 s by an unknown job."}
 )
@@ -49,6 +50,7 @@
 	LongRunningTasksOverdue,
 	CancellationsPending,
 	CancellationsDropped,
+	NotificationsFailed,
 	CancelledRunsOverdue,
 	ReportsHeldUp,
 }
