Add failing tests for cancelled jobs that run on

Each test shows one fault, found by reading, that can keep a task running after the cancellation of its job was acknowledged, or that shows a cancelled job as queued. The director's test harness can now begin a term without loading its jobs.

--- /dev/null
+++ b/internal/job/director/cancellation_test.go
@@ -0,0 +1,172 @@
+package director_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"github.com/currantrouter/currantrouter/internal/job/keeper"
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
+	"github.com/currantrouter/currantrouter/internal/state/journaler"
+)
+
+// maxCancelTime is the time from the acknowledgement of a cancellation to the end of the last run of
+// its job.
+const maxCancelTime = 3900 * time.Millisecond
+
+// longJob returns a job of one long-running task.
+func longJob(id modeler.JobID) *modeler.Job {
+	jb := simpleJob(id, "urgent", 1, cores(1000))
+	jb.Steps[0].LongRunning = true
+	return jb
+}
+
+// storeCancellation stores a cancellation without telling a director of it.
+func (fl *fleet) storeCancellation(id modeler.JobID) {
+	fl.t.Helper()
+	qt.Assert(fl.t, keeper.NewJobStore(fl.store).Cancel(fl.t.Context(), id), qt.IsNil)
+}
+
+// assertNotRunning checks that the first task of a job runs on no worker.
+func (fl *fleet) assertNotRunning(id modeler.JobID) {
+	fl.t.Helper()
+	qt.Check(fl.t, fl.workers.WorkerOf(modeler.TaskID{Job: id}), qt.Equals, modeler.WorkerID(""), qt.Commentf("worker of job %s", id))
+}
+
+// assertNeverStarted checks that no worker started the first task of a job.
+func (fl *fleet) assertNeverStarted(id modeler.JobID) {
+	fl.t.Helper()
+	qt.Check(fl.t, fl.workers.StartCount(modeler.TaskID{Job: id}), qt.Equals, 0, qt.Commentf("starts of job %s", id))
+}
+
+// Guards against a run of an earlier leader that goes on for seconds after the first stops for it were
+// lost.
+func TestStopOfInheritedRunIsRepeated(t *testing.T) {
+	run(t, 1, func(fl *fleet, tm *term) {
+		tm.submit(longJob("j1"))
+		sleep(time.Second)
+		tm.end()
+		fl.cancelled = append(fl.cancelled, "j1")
+		fl.faults.Set(emulator.Switch{Fault: emulator.RequestLost, Part: emulator.PartWorkers, Operation: "Stop", Count: 2})
+		*tm = *fl.startTerm(testLimits.Lease)
+		sleep(maxCancelTime)
+		fl.assertNotRunning("j1")
+	})
+}
+
+// lateStart is a client whose first start gets no answer and is carried out by deliver.
+type lateStart struct {
+	*emulator.JobWorkers
+	mu  sync.Mutex
+	req *modeler.StartRequest
+}
+
+// Start implements director.WorkerClient.
+func (ls *lateStart) Start(ctx context.Context, wk *modeler.Worker, req *modeler.StartRequest) (time.Duration, error) {
+	ls.mu.Lock()
+	first := ls.req == nil
+	if first {
+		ls.req = req
+	}
+	ls.mu.Unlock()
+	if !first {
+		return ls.JobWorkers.Start(ctx, wk, req)
+	}
+	<-ctx.Done()
+	return 0, modeler.ErrNoAnswer
+}
+
+func (ls *lateStart) deliver(ctx context.Context, wk *modeler.Worker) error {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	_, err := ls.JobWorkers.Start(ctx, wk, ls.req)
+	return err
+}
+
+// Guards against a run that is never stopped because the earlier incarnation of its worker answered the
+// stop, and the start then reached the new one.
+func TestStopAnsweredByEarlierIncarnation(t *testing.T) {
+	run(t, 1, func(fl *fleet, tm *term) {
+		tm.end()
+		ls := &lateStart{JobWorkers: fl.workers}
+		fl.client = ls
+		*tm = *fl.startTerm(0)
+		sleep(200 * time.Millisecond)
+		tm.submit(longJob("j1"))
+		sleep(700 * time.Millisecond)
+		fl.workers.Crash(fl.infos[0].ID)
+		fl.infos[0] = fl.workers.Add(workerInfo(0))
+		qt.Assert(fl.t, ls.deliver(fl.t.Context(), &fl.infos[0]), qt.IsNil)
+		sleep(100 * time.Millisecond)
+		tm.CancelJob("j1")
+		sleep(maxCancelTime)
+		fl.assertNotRunning("j1")
+	})
+}
+
+// Guards against starts of a job whose cancellation came while too many others were pending.
+func TestCancellationBeyondPendingLimit(t *testing.T) {
+	run(t, 1, func(fl *fleet, tm *term) {
+		for ix := range 10_000 {
+			tm.CancelJob(modeler.JobID(fmt.Sprint("unknown-", ix)))
+		}
+		fl.storeCancellation("j1")
+		tm.CancelJob("j1")
+		tm.submit(longJob("j1"))
+		sleep(maxCancelTime)
+		fl.assertNotRunning("j1")
+		tm.assertState("j1", modeler.Cancelled)
+	})
+}
+
+// Guards against cancellations without a job that are kept for ever, in the store and in memory.
+func TestCancellationWithoutJobIsDeleted(t *testing.T) {
+	run(t, 1, func(fl *fleet, tm *term) {
+		fl.storeCancellation("j1")
+		tm.CancelJob("j1")
+		sleep(testLimits.Retention)
+		stored, err := keeper.NewJobStore(fl.store).Cancelled(fl.t.Context(), "j1")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, stored, qt.IsTrue)
+		sleep(90 * time.Second)
+		stored, err = keeper.NewJobStore(fl.store).Cancelled(fl.t.Context(), "j1")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, stored, qt.IsFalse)
+	})
+}
+
+// Guards against starts by a leader that was deposed before it loaded the stored jobs. The next leader
+// need not know such a job, or that it was started.
+func TestDeposedWhileLoading(t *testing.T) {
+	for name, reported := range map[string]bool{"job of the listing": false, "job reported by a host": true} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 1, func(fl *fleet, tm *term) {
+				tm.end()
+				*tm = *fl.beginTerm(0)
+				// The worker answers while this host leads: a grant of a lease is recorded first, as is the
+				// placement of a long-running task.
+				sleep(200 * time.Millisecond)
+				jb := simpleJob("j1", "urgent", 1, cores(1000))
+				jb.Pool = testPool
+				if reported {
+					tm.AddJob(jb, false)
+				}
+				next, _, err := journaler.Open(fl.t.Context(), fl.store, "jobs", "next", "boot", journaler.Options{Logger: logr.Discard()})
+				qt.Assert(t, err, qt.IsNil)
+				defer next.Close()
+				if !reported {
+					tm.AddJob(jb, true)
+				}
+				tm.FinishLoading()
+				sleep(time.Second)
+				fl.assertNeverStarted("j1")
+			})
+		})
+	}
+}
--- a/internal/job/director/harness_test.go
+++ b/internal/job/director/harness_test.go
@@ -118,6 +118,19 @@
 
 // startTerm starts the next term.
 func (fl *fleet) startTerm(inherited time.Duration) *term {
+	tm := fl.beginTerm(inherited)
+	for _, jb := range fl.jobs {
+		tm.AddJob(jb, !fl.addEarly)
+	}
+	for _, id := range fl.cancelled {
+		tm.CancelJob(id)
+	}
+	tm.FinishLoading()
+	return tm
+}
+
+// beginTerm starts the next term without its jobs.
+func (fl *fleet) beginTerm(inherited time.Duration) *term {
 	jn, rec, err := journaler.Open(fl.t.Context(), fl.store, "jobs", "host", "boot", journaler.Options{Logger: logr.Discard()})
 	for errors.Is(err, journaler.ErrUnavailable) {
 		jn, rec, err = journaler.Open(fl.t.Context(), fl.store, "jobs", "host", "boot", journaler.Options{Logger: logr.Discard()})
@@ -137,13 +150,6 @@
 	tm := &term{Director: dr, fleet: fl, records: len(rec.Records), cancel: cancel, ended: make(chan struct{})}
 	dr.Start(ctx)
 	dr.SetWorkers(fl.infos)
-	for _, jb := range fl.jobs {
-		dr.AddJob(jb, !fl.addEarly)
-	}
-	for _, id := range fl.cancelled {
-		dr.CancelJob(id)
-	}
-	dr.FinishLoading()
 	go func() {
 		defer close(tm.ended)
 		err := dr.Wait()
