Test cancellations with elector, leader, intaker, store and workers by seed

Up to six entry hosts with a store and workers run on a paused clock from the start of the hosts on. Callers submit and cancel at any host, also before a leader exists, before a job is acknowledged, and again late. Leaders are killed, frozen, cut off or drained, hosts answer late, calls to the store and to workers are lost or carried out up to 12 s late, workers are unreachable or restart. The test checks, from what the emulated workers see, that no task of a cancelled job starts 3 s after the acknowledgement or runs 3.9 s after it, counted anew from the end of the last fault, and that a cancelled job is shown as such.

--- /dev/null
+++ b/internal/job/leader/cluster_test.go
@@ -0,0 +1,566 @@
+package leader_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
+	fleet "github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/director"
+	"github.com/currantrouter/currantrouter/internal/job/elector"
+	"github.com/currantrouter/currantrouter/internal/job/intaker"
+	"github.com/currantrouter/currantrouter/internal/job/keeper"
+	"github.com/currantrouter/currantrouter/internal/job/leader"
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/subscriber"
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
+)
+
+const (
+	queuesKey      = "Queues"
+	registryPrefix = "Workers/"
+	testPool       = modeler.PoolName("pool")
+	// watchLimit is the time after which the store ends a watch without a change.
+	watchLimit = 700 * time.Millisecond
+	// maxLatency bounds the time that a message takes while nothing delays it.
+	maxLatency = 4 * time.Millisecond
+	// drainTime is the time from the end of a drained host's leadership to the end of its process.
+	drainTime = 2200 * time.Millisecond
+)
+
+// testLimits are the limits of the deployments with the longest leases.
+var testLimits = director.Limits{
+	Lease: 7 * time.Second, StopGrace: 400 * time.Millisecond, Retention: 2 * time.Minute,
+	RestoreTime: 100 * time.Millisecond, OverTargetGrace: 4 * time.Second, RemoteDataFactor: 1.5,
+}
+
+// cluster is a set of entry hosts that share a store and workers.
+type cluster struct {
+	t       testing.TB
+	faults  *emulator.Faults
+	store   *emulator.Store
+	workers *emulator.JobWorkers
+	infos   []modeler.Worker
+	hosts   []*host
+	// goroutines counts those of the test itself and of ended processes.
+	goroutines sync.WaitGroup
+
+	mu   sync.Mutex
+	rnd  *rand.Rand
+	jobs map[modeler.JobID]*modeler.Job
+	// disturbances counts the faults that are active. disturbedAt is when the last one ended.
+	disturbances int
+	disturbedAt  time.Time
+}
+
+// link is a kind of connection of an entry host.
+type link int
+
+const (
+	storeLink link = iota
+	peerLink
+	workerLink
+	linkKinds
+)
+
+// host is an entry host. Its fields are guarded by the cluster's mu.
+type host struct {
+	cl *cluster
+	ix int
+	// process is nil while no process of the host runs.
+	process *process
+	// cutOut and cutIn are set while requests and answers do not pass a kind of link.
+	cutOut, cutIn [linkKinds]bool
+	// delay is added to the time that each message of the host takes.
+	delay time.Duration
+}
+
+// process is one process of an entry host.
+type process struct {
+	ho         *host
+	elector    *elector.Elector
+	leader     *leader.Leader
+	intaker    *intaker.Intaker
+	subscriber *subscriber.Subscriber
+	server     *intaker.Server
+	// cancel starts the drain, stop ends what runs until the end of the process. ended is closed when
+	// the leadership is resigned.
+	cancel, stop context.CancelFunc
+	ended        chan struct{}
+
+	// dead and answered are guarded by the cluster's mu. answered is when the store last answered.
+	dead     bool
+	answered time.Time
+}
+
+func newCluster(t testing.TB, hosts, workers int, seed uint64) *cluster {
+	cl := &cluster{t: t, faults: new(emulator.Faults), rnd: rand.New(rand.NewPCG(seed, 2)), jobs: map[modeler.JobID]*modeler.Job{}}
+	cl.store = emulator.NewStore(cl.faults)
+	cl.store.WaitLimit = watchLimit
+	cl.workers = emulator.NewJobWorkers(cl.faults, cl.behave)
+	for ix := range hosts {
+		cl.hosts = append(cl.hosts, &host{cl: cl, ix: ix})
+	}
+	for ix := range workers {
+		cl.infos = append(cl.infos, modeler.Worker{
+			ID: modeler.WorkerID(fmt.Sprintf("worker-%02d", ix)), Pool: testPool, Rack: fmt.Sprint("rack-", ix/2),
+			Address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(ix + 1)}), 80),
+			Capacity: modeler.Resources{MilliCores: 64000, MemoryMB: 64000},
+		})
+		cl.workers.Add(cl.infos[ix])
+	}
+	cl.write(queuesKey, &modeler.Configuration{Revision: 1, Queues: []modeler.Queue{
+		{Name: "urgent", Pool: testPool, Attempts: 2, MaxSlowdown: 1.5, Slack: time.Second},
+	}})
+	return cl
+}
+
+// behave returns how the tasks of a job run.
+func (cl *cluster) behave(id modeler.TaskID) emulator.TaskBehaviour {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	sp := &cl.jobs[id.Job].Steps[id.Step]
+	return emulator.TaskBehaviour{RunTime: sp.Estimate, LongRunning: sp.LongRunning, Reservation: sp.Needs}
+}
+
+// write writes an entry as another part of the platform does. It retries until it succeeds.
+func (cl *cluster) write(key string, value any) {
+	data, err := json.Marshal(value)
+	qt.Check(cl.t, err, qt.IsNil)
+	for {
+		en, err := cl.store.Get(context.Background(), key)
+		if err == nil || errors.Is(err, storer.ErrNotFound) {
+			if _, err = cl.store.Put(context.Background(), key, data, en.Revision); err == nil {
+				return
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// startWorker starts a new incarnation of a worker and registers it.
+func (cl *cluster) startWorker(ix int) {
+	info := cl.workers.Add(cl.infos[ix])
+	cl.write(registryPrefix+string(info.ID), &info)
+}
+
+func (cl *cluster) intN(bound int) int {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return cl.rnd.IntN(bound)
+}
+
+// between returns a random duration.
+func (cl *cluster) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(cl.intN(int(high-low)+1))
+}
+
+// process returns the process of a host, or nil.
+func (cl *cluster) process(ix int) *process {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return cl.hosts[ix].process
+}
+
+// leaderIndex returns a host that leads, or else a random one.
+func (cl *cluster) leaderIndex() int {
+	for ix := range cl.hosts {
+		if pr := cl.process(ix); pr != nil && pr.leader.Director() != nil {
+			return ix
+		}
+	}
+	return cl.intN(len(cl.hosts))
+}
+
+// beginDisturbance marks the begin of a fault.
+func (cl *cluster) beginDisturbance() {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.disturbances++
+}
+
+func (cl *cluster) endDisturbance() {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.disturbances--
+	cl.disturbedAt = time.Now()
+}
+
+// calm returns the time since the last fault ended, zero while one is active.
+func (cl *cluster) calm() time.Duration {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	if cl.disturbances > 0 {
+		return 0
+	}
+	return time.Since(cl.disturbedAt)
+}
+
+func hostAddress(ix int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(ix + 1)}), 80)
+}
+
+// testLog logs the decisions of a host if LEADER_LOG is set.
+func testLog(ix int) logr.Logger {
+	if os.Getenv("LEADER_LOG") == "" {
+		return logr.Discard()
+	}
+	lg, _ := logger.New(os.Stdout, "text")
+	return lg.WithValues("At", fmt.Sprint("host-", ix))
+}
+
+// startHost starts a process of a host, unless one runs.
+func (cl *cluster) startHost(ix int) {
+	if cl.process(ix) != nil {
+		return
+	}
+	ho := cl.hosts[ix]
+	pr := &process{ho: ho, ended: make(chan struct{}), answered: time.Now()}
+	lg, rg := testLog(ix), meter.New(nil)
+	self := elector.Member{Host: fleet.HostName(fmt.Sprint("host-", ix)), Boot: fleet.BootID(fmt.Sprint(ix, "-", time.Now().UnixNano())), Address: hostAddress(ix), Weight: 100}
+	st := &hostStore{pr}
+	dial := func(addr netip.AddrPort) messenger.Jobs { return &peer{pr: pr, to: addr} }
+	pr.subscriber = subscriber.New(st, subscriber.ConfigurationEntry{Key: queuesKey, Decode: decodeQueues}, dial, lg, rg)
+	pr.leader = leader.New(leader.Options{
+		Self: self, Store: st, Registry: leader.Registry{Prefix: registryPrefix, Decode: decodeWorker}, WorkerClient: &hostWorkers{pr},
+		Limits: testLimits, Configuration: pr.subscriber.Current, SuspendedTime: func() time.Duration { return 0 }, Log: lg, Meter: rg,
+	})
+	var seeds []netip.AddrPort
+	for other := range cl.hosts {
+		if other != ix {
+			seeds = append(seeds, hostAddress(other))
+		}
+	}
+	pr.elector = elector.New(elector.Options{
+		Self: self, Store: st, StoreAge: pr.storeAge, ConfigurationRevision: pr.subscriber.Revision, OnHigherRevision: pr.subscriber.OnHigherRevision,
+		Dial: dial, Lead: pr.leader.Lead, Seeds: seeds, Log: lg, Meter: rg,
+	})
+	pr.leader.SetElector(pr.elector)
+	pr.intaker = intaker.New(intaker.Options{
+		JobStore: keeper.NewJobStore(st), StoreAge: pr.storeAge, Elector: pr.elector, Director: pr.leader.Director, Dial: dial, Log: lg, Meter: rg,
+	})
+	pr.server = intaker.NewServer(pr.intaker, pr.elector, pr.subscriber)
+	ctx, cancel := context.WithCancel(context.Background())
+	background, stop := context.WithCancel(context.Background())
+	pr.cancel, pr.stop = cancel, stop
+	cl.mu.Lock()
+	ho.process = pr
+	cl.mu.Unlock()
+	cl.goroutines.Go(func() { pr.subscriber.Run(background) })
+	cl.goroutines.Go(func() {
+		defer close(pr.ended)
+		pr.elector.Run(ctx)
+	})
+}
+
+// killHost ends the process of a host at once. Its last messages do not arrive.
+func (cl *cluster) killHost(ix int) {
+	cl.mu.Lock()
+	pr := cl.hosts[ix].process
+	cl.hosts[ix].process = nil
+	if pr != nil {
+		pr.dead = true
+	}
+	cl.mu.Unlock()
+	if pr != nil {
+		pr.cancel()
+		pr.stop()
+	}
+}
+
+// drainHost ends the process of a host as SIGTERM does.
+func (cl *cluster) drainHost(ix int) {
+	if pr := cl.process(ix); pr != nil {
+		pr.cancel()
+		<-pr.ended
+		time.Sleep(drainTime)
+		cl.killHost(ix)
+	}
+}
+
+// stop ends all processes and waits until all goroutines have ended.
+func (cl *cluster) stop() {
+	for ix := range cl.hosts {
+		cl.killHost(ix)
+	}
+	cl.goroutines.Wait()
+}
+
+func decodeQueues(value []byte) (*modeler.Configuration, error) {
+	cfg := new(modeler.Configuration)
+	return cfg, json.Unmarshal(value, cfg)
+}
+
+func decodeWorker(en storer.Entry) (modeler.Worker, error) {
+	var wk modeler.Worker
+	return wk, json.Unmarshal(en.Value, &wk)
+}
+
+// storeAge returns the time since the store last answered the process.
+func (pr *process) storeAge() time.Duration {
+	pr.ho.cl.mu.Lock()
+	defer pr.ho.cl.mu.Unlock()
+	return time.Since(pr.answered)
+}
+
+var errNoPassage = errors.New("message did not arrive")
+
+// pass waits for the time that a message takes on a link of the host, and while the link is cut. It
+// returns an error if the context ends first or the process is dead.
+func (pr *process) pass(ctx context.Context, lk link, out bool) error {
+	cl, ho := pr.ho.cl, pr.ho
+	wait := cl.between(0, maxLatency)
+	for first := true; ; first = false {
+		cl.mu.Lock()
+		dead, cut := pr.dead, ho.cutIn[lk]
+		if out {
+			cut = ho.cutOut[lk]
+		}
+		if first {
+			wait += ho.delay
+		}
+		cl.mu.Unlock()
+		switch {
+		case dead:
+			return errNoPassage
+		case cut:
+			wait = 20 * time.Millisecond
+		case !first:
+			return nil
+		}
+		if !pauser.Sleep(ctx, wait) {
+			return errNoPassage
+		}
+	}
+}
+
+// call makes a call over a link. It returns an error if the request or the answer did not arrive.
+func (pr *process) call(ctx context.Context, lk link, execute func()) error {
+	if err := pr.pass(ctx, lk, true); err != nil {
+		return err
+	}
+	execute()
+	return pr.pass(ctx, lk, false)
+}
+
+// hostStore is the store as a process reaches it.
+type hostStore struct{ pr *process }
+
+// read makes a call without effect.
+func (hs *hostStore) read(ctx context.Context, execute func() error) error {
+	var err error
+	if cerr := hs.pr.call(ctx, storeLink, func() { err = execute() }); cerr != nil {
+		return fmt.Errorf("%w: %w", storer.ErrUnavailable, cerr)
+	}
+	hs.recordAnswer(err)
+	return err
+}
+
+// write makes a call whose result is unknown without an answer.
+func (hs *hostStore) write(ctx context.Context, execute func() error) error {
+	var err error
+	if cerr := hs.pr.call(ctx, storeLink, func() { err = execute() }); cerr != nil {
+		return fmt.Errorf("%w: %w", storer.ErrResultUnknown, cerr)
+	}
+	hs.recordAnswer(err)
+	return err
+}
+
+func (hs *hostStore) recordAnswer(err error) {
+	if errors.Is(err, storer.ErrUnavailable) || errors.Is(err, storer.ErrResultUnknown) {
+		return
+	}
+	hs.pr.ho.cl.mu.Lock()
+	defer hs.pr.ho.cl.mu.Unlock()
+	hs.pr.answered = time.Now()
+}
+
+func (hs *hostStore) Get(ctx context.Context, key string) (en storer.Entry, err error) {
+	err = hs.read(ctx, func() (err error) {
+		en, err = hs.pr.ho.cl.store.Get(ctx, key)
+		return err
+	})
+	return en, err
+}
+
+func (hs *hostStore) Put(ctx context.Context, key string, value []byte, expected int64) (rev int64, err error) {
+	err = hs.write(ctx, func() (err error) {
+		rev, err = hs.pr.ho.cl.store.Put(ctx, key, value, expected)
+		return err
+	})
+	return rev, err
+}
+
+func (hs *hostStore) Delete(ctx context.Context, key string, expected int64) error {
+	return hs.write(ctx, func() error { return hs.pr.ho.cl.store.Delete(ctx, key, expected) })
+}
+
+func (hs *hostStore) List(ctx context.Context, prefix, after string, limit int) (ens []storer.Entry, err error) {
+	err = hs.read(ctx, func() (err error) {
+		ens, err = hs.pr.ho.cl.store.List(ctx, prefix, after, limit)
+		return err
+	})
+	return ens, err
+}
+
+func (hs *hostStore) Snapshot(ctx context.Context, prefix string) (ens []storer.Entry, rev int64, err error) {
+	err = hs.read(ctx, func() (err error) {
+		ens, rev, err = hs.pr.ho.cl.store.Snapshot(ctx, prefix)
+		return err
+	})
+	return ens, rev, err
+}
+
+func (hs *hostStore) Wait(ctx context.Context, prefix string, after int64) (ens []storer.Entry, rev int64, err error) {
+	err = hs.read(ctx, func() (err error) {
+		ens, rev, err = hs.pr.ho.cl.store.Wait(ctx, prefix, after)
+		return err
+	})
+	return ens, rev, err
+}
+
+// hostWorkers are the workers as a process reaches them.
+type hostWorkers struct{ pr *process }
+
+func (hw *hostWorkers) call(ctx context.Context, execute func() error) error {
+	var err error
+	if cerr := hw.pr.call(ctx, workerLink, func() { err = execute() }); cerr != nil {
+		return fmt.Errorf("%w: %w", modeler.ErrNoAnswer, cerr)
+	}
+	return err
+}
+
+func (hw *hostWorkers) Start(ctx context.Context, wk *modeler.Worker, req *modeler.StartRequest) (clock time.Duration, err error) {
+	err = hw.call(ctx, func() (err error) {
+		clock, err = hw.pr.ho.cl.workers.Start(ctx, wk, req)
+		return err
+	})
+	return clock, err
+}
+
+func (hw *hostWorkers) Stop(ctx context.Context, wk *modeler.Worker, task modeler.TaskID, run modeler.Run, epoch modeler.Epoch) error {
+	return hw.call(ctx, func() error { return hw.pr.ho.cl.workers.Stop(ctx, wk, task, run, epoch) })
+}
+
+func (hw *hostWorkers) Renew(ctx context.Context, wk *modeler.Worker, req *modeler.RenewRequest) (rep modeler.Report, err error) {
+	err = hw.call(ctx, func() (err error) {
+		rep, err = hw.pr.ho.cl.workers.Renew(ctx, wk, req)
+		return err
+	})
+	return rep, err
+}
+
+func (hw *hostWorkers) Pace(ctx context.Context, wk *modeler.Worker, task modeler.TaskID, run modeler.Run, percent int, epoch modeler.Epoch) error {
+	return hw.call(ctx, func() error { return hw.pr.ho.cl.workers.Pace(ctx, wk, task, run, percent, epoch) })
+}
+
+// peer is the client of a process for another entry host.
+type peer struct {
+	messenger.Jobs
+	pr *process
+	to netip.AddrPort
+}
+
+// call calls the server of the other host.
+func (pe *peer) call(ctx context.Context, execute func(sv *intaker.Server) error) error {
+	cl := pe.pr.ho.cl
+	ix := slices.IndexFunc(cl.hosts, func(ho *host) bool { return hostAddress(ho.ix) == pe.to })
+	if ix < 0 {
+		return errNoPassage
+	}
+	if err := pe.pr.pass(ctx, peerLink, true); err != nil {
+		return err
+	}
+	pr := cl.process(ix)
+	if pr == nil {
+		return fmt.Errorf("%w: %w", errNoPassage, syscall.ECONNREFUSED)
+	}
+	if err := pr.pass(ctx, peerLink, false); err != nil {
+		return err
+	}
+	err := execute(pr.server)
+	if perr := pr.pass(ctx, peerLink, true); perr != nil {
+		return perr
+	}
+	if perr := pe.pr.pass(ctx, peerLink, false); perr != nil {
+		return perr
+	}
+	return err
+}
+
+func (pe *peer) Greet(ctx context.Context, gr *messenger.Greeting) (reply *messenger.Greeting, err error) {
+	err = pe.call(ctx, func(sv *intaker.Server) (err error) {
+		reply, err = sv.Greet(ctx, gr)
+		return err
+	})
+	return reply, err
+}
+
+func (pe *peer) Resign(ctx context.Context, gr *messenger.Greeting) (done *messenger.Done, err error) {
+	err = pe.call(ctx, func(sv *intaker.Server) (err error) {
+		done, err = sv.Resign(ctx, gr)
+		return err
+	})
+	return done, err
+}
+
+func (pe *peer) Submit(ctx context.Context, doc *messenger.JobDocument) (done *messenger.Done, err error) {
+	err = pe.call(ctx, func(sv *intaker.Server) (err error) {
+		done, err = sv.Submit(ctx, doc)
+		return err
+	})
+	return done, err
+}
+
+func (pe *peer) Cancel(ctx context.Context, jn *messenger.JobName) (done *messenger.Done, err error) {
+	err = pe.call(ctx, func(sv *intaker.Server) (err error) {
+		done, err = sv.Cancel(ctx, jn)
+		return err
+	})
+	return done, err
+}
+
+func (pe *peer) Notify(ctx context.Context, ch *messenger.StoredChange) (done *messenger.Done, err error) {
+	err = pe.call(ctx, func(sv *intaker.Server) (err error) {
+		done, err = sv.Notify(ctx, ch)
+		return err
+	})
+	return done, err
+}
+
+func (pe *peer) State(ctx context.Context, jn *messenger.JobName) (st *messenger.JobState, err error) {
+	err = pe.call(ctx, func(sv *intaker.Server) (err error) {
+		st, err = sv.State(ctx, jn)
+		return err
+	})
+	return st, err
+}
+
+func (pe *peer) Queues(ctx context.Context, qr *messenger.QueuesQuery) (doc *messenger.QueuesDocument, err error) {
+	err = pe.call(ctx, func(sv *intaker.Server) (err error) {
+		doc, err = sv.Queues(ctx, qr)
+		return err
+	})
+	return doc, err
+}
+
+// describe joins the violations for a message.
+func describe(violations []string) string { return strings.Join(violations, "\n") }
