Store the cancellation of a job that is not stored yet

The cause: the host read the job and stored nothing if there was none. A submission may still be under way then: its caller gave up before the answer, a write without an answer is carried out seconds later, or a retry arrives late. The job was stored afterwards, without a cancellation, and a long-running one was never ended.

The change: the cancellation is stored, by the conditional write that is used for all, before "no such job" is returned. A job that is stored later finds it, in whatever order the leader hears of the two. The answers stay the same, but for a store that fails: the caller is asked to repeat the cancellation. IDs that no job can have are not stored.

--- a/internal/job/intaker/cancellation_test.go
+++ b/internal/job/intaker/cancellation_test.go
@@ -74,6 +74,13 @@
 		qt.Check(t, th.Submit(t.Context(), testJob()), qt.IsNil)
 		th.assertCancelled(t, "j1")
 	})
+	t.Run("no job can have the ID", func(t *testing.T) {
+		th := newTestHost()
+		qt.Check(t, th.Cancel(t.Context(), "j1/x"), qt.ErrorIs, intaker.ErrJobNotFound)
+		cancelled, err := th.jobStore.Cancelled(t.Context(), "j1/x")
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, cancelled, qt.IsFalse)
+	})
 	t.Run("store fails to write the cancellation", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			th := newTestHost()
--- a/internal/job/intaker/intaker.go
+++ b/internal/job/intaker/intaker.go
@@ -138,8 +138,8 @@
 	return err
 }
 
-// Cancel stores a cancellation. Errors: ErrJobNotFound, ErrUnavailable (nothing was stored),
-// ErrResultUnknown.
+// Cancel stores a cancellation. Errors: ErrJobNotFound, after which a job that is stored later is
+// cancelled as well, ErrUnavailable (nothing was stored), ErrResultUnknown.
 func (it *Intaker) Cancel(ctx context.Context, id modeler.JobID) error {
 	err := it.store(ctx,
 		func(ctx context.Context) error { return it.cancel(ctx, id) },
@@ -151,18 +151,27 @@
 	case err == nil:
 		logger.Log(it.op.Log, logger.CancellationStored, "Job", id)
 		it.notify(&messenger.StoredChange{Id: string(id)})
+	case errors.Is(err, ErrJobNotFound) && id.Valid():
+		logger.Log(it.op.Log, logger.CancellationStored, "Job", id)
+		it.notify(&messenger.StoredChange{Id: string(id)})
 	case errors.Is(err, ErrNotAccepted):
 		return ErrUnavailable
 	}
 	return err
 }
 
-// cancel stores the cancellation of a stored job. Errors: those of keeper.JobStore.
+// cancel stores the cancellation of a job. If the job is not stored, the cancellation is stored before
+// storer.ErrNotFound is returned: a submission may still be under way, and the caller takes this answer
+// for an acknowledgement. Errors: those of keeper.JobStore.
 func (it *Intaker) cancel(ctx context.Context, id modeler.JobID) error {
-	if _, err := it.op.JobStore.Load(ctx, id); err != nil {
+	_, err := it.op.JobStore.Load(ctx, id)
+	if err != nil && !errors.Is(err, storer.ErrNotFound) || !id.Valid() {
 		return err
 	}
-	return it.op.JobStore.Cancel(ctx, id)
+	if cerr := it.op.JobStore.Cancel(ctx, id); cerr != nil {
+		return cerr
+	}
+	return err
 }
 
 // store stores a change directly, or forwards it to a peer when this host does not reach the store.
--- a/internal/job/modeler/job.go
+++ b/internal/job/modeler/job.go
@@ -16,6 +16,9 @@
 // JobID is the name that the caller chose for a job. It is unique and never used again.
 type JobID string
 
+// Valid reports whether a job can have the ID: it is part of keys of the store and of names of tasks.
+func (id JobID) Valid() bool { return id != "" && !strings.ContainsAny(string(id), "./") }
+
 // QueueName names a queue of jobs.
 type QueueName string
 
@@ -151,7 +154,7 @@
 // Check returns ErrInvalidJob, wrapped with the reason, for a job that is invalid or exceeds a
 // limit.
 func (jb *Job) Check() error {
-	if jb.ID == "" || strings.ContainsAny(string(jb.ID), "./") {
+	if !jb.ID.Valid() {
 		return fmt.Errorf("%w: bad id", ErrInvalidJob)
 	}
 	if len(jb.Steps) == 0 || len(jb.Steps) > maxSteps {
