Report a cancelled job as cancelled while no leader can be asked

Callers saw a job as queued after its cancellation was acknowledged, as long as no leader could be reached or the leader had not heard of the job: the host read only the job from the store then. The host now reads the cancellation as well.

The state from the store is therefore not cached.

The evidence: TestStateOfCancelledJobWithoutLeader, which got "Queued" and wanted "Cancelled".

--- a/internal/job/intaker/intaker.go
+++ b/internal/job/intaker/intaker.go
@@ -295,7 +295,13 @@
 		if st, ok := dr.JobState(id); ok {
 			return st, nil
 		}
-		return it.storedState(ctx, id)
+		st, err := it.storedState(ctx, id)
+		if st.Final() {
+			// The journal may hold an earlier end, which this host has not loaded yet. Only final states
+			// that a leader knows are cached.
+			return "", ErrUnavailable
+		}
+		return st, err
 	}
 	addrs := []netip.AddrPort{}
 	if leader := it.op.Elector.Leader(); leader.Host != "" {
@@ -321,11 +327,15 @@
 	return "", ErrUnavailable
 }
 
-// storedState returns modeler.Queued for a stored job whose state no leader returned, because none
-// was reachable or the leader does not know the job yet. Errors: ErrJobNotFound, ErrUnavailable.
+// storedState returns modeler.Queued or modeler.Cancelled for a stored job whose state no leader
+// returned, because none was reachable or the leader does not know the job yet. Errors:
+// ErrJobNotFound, ErrUnavailable.
 func (it *Intaker) storedState(ctx context.Context, id modeler.JobID) (modeler.State, error) {
-	err := callWithTimeout(ctx, storeCallTimeout, func(ctx context.Context) error {
-		_, err := it.op.JobStore.Load(ctx, id)
+	cancelled := false
+	err := callWithTimeout(ctx, storeCallTimeout, func(ctx context.Context) (err error) {
+		if _, err = it.op.JobStore.Load(ctx, id); err == nil {
+			cancelled, err = it.op.JobStore.Cancelled(ctx, id)
+		}
 		return err
 	})
 	switch {
@@ -333,6 +343,8 @@
 		return "", ErrJobNotFound
 	case err != nil:
 		return "", ErrUnavailable
+	case cancelled:
+		return modeler.Cancelled, nil
 	}
 	return modeler.Queued, nil
 }
