Delete a job before its cancellation

If the leader or the store failed between the two deletions, the next leader found a cancelled job without its cancellation and would have run it. The cancellation was deleted first, while the comment promised the opposite. Now the job goes first.

The evidence: TestDeleteFailsHalfWay, in which the second deletion fails. Before, the job was still stored ("got nil error but want non-nil") and its cancellation was gone.

--- a/internal/job/keeper/keeper.go
+++ b/internal/job/keeper/keeper.go
@@ -81,10 +81,10 @@
 	return err == nil, err
 }
 
-// Delete deletes a job and its cancellation. It deletes the job last, so that a cancelled job is
-// never found without its cancellation. Errors: those of the key-value service.
+// Delete deletes a job and its cancellation, whichever are stored. It deletes the job first, so that a
+// cancelled job is never found without its cancellation. Errors: those of the key-value service.
 func (js *JobStore) Delete(ctx context.Context, id modeler.JobID) error {
-	for _, key := range [...]string{cancelledPrefix + string(id), submittedPrefix + string(id)} {
+	for _, key := range [...]string{submittedPrefix + string(id), cancelledPrefix + string(id)} {
 		en, err := js.store.Get(ctx, key)
 		if errors.Is(err, storer.ErrNotFound) {
 			continue
