Delete cancellations whose job was not stored within the retention

A cancellation without a job stayed in the store for ever, and in the leader's memory until the end of its term, where it counts towards the limit of pending cancellations. There are more of them now: hosts store the cancellation of a job that is not stored yet, and a deletion may end between the job and its cancellation.

The leader notes when it first heard of such a cancellation and deletes it after the retention and its margin, as it does with jobs. No submission is under way for as long. A new leader counts anew, so a record is kept for up to the retention after the last change of leader. The time of its writing is not used, since clocks of hosts differ.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -154,8 +154,9 @@
 	unconfirmed []*job
 	// jobs holds every stored job whose retention is not over.
 	jobs map[modeler.JobID]*job
-	// pendingCancellations holds cancelled jobs that have not been added yet.
-	pendingCancellations map[modeler.JobID]struct{}
+	// pendingCancellations holds cancelled jobs that have not been added, with the time when this term
+	// first heard of the cancellation.
+	pendingCancellations map[modeler.JobID]time.Time
 	// pendingFacts holds facts of earlier terms about jobs that have not been added yet.
 	pendingFacts map[modeler.JobID][]keeper.Fact
 	workers      map[modeler.WorkerID]*worker
@@ -197,7 +198,7 @@
 		dispatchWake:         make(chan struct{}, 1),
 		confirmWake:          make(chan struct{}, 1),
 		jobs:                 map[modeler.JobID]*job{},
-		pendingCancellations: map[modeler.JobID]struct{}{},
+		pendingCancellations: map[modeler.JobID]time.Time{},
 		pendingFacts:         map[modeler.JobID][]keeper.Fact{},
 		workers:              map[modeler.WorkerID]*worker{},
 		waitingSteps:         map[*step]struct{}{},
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -397,8 +397,8 @@
 	jb := dr.jobs[id]
 	if jb == nil {
 		// Hosts report changes in any order, and a batch of watch events need not preserve it.
-		if len(dr.pendingCancellations) < maxPendingCancellations {
-			dr.pendingCancellations[id] = struct{}{}
+		if _, known := dr.pendingCancellations[id]; !known && len(dr.pendingCancellations) < maxPendingCancellations {
+			dr.pendingCancellations[id] = time.Now()
 		}
 		return
 	}
@@ -406,8 +406,7 @@
 	dr.wakeDispatch()
 }
 
-// maxPendingCancellations bounds the cancellations of jobs that have not been added. Those of jobs
-// that were deleted long ago stay until the end of the term.
+// maxPendingCancellations bounds the cancellations of jobs that have not been added.
 const maxPendingCancellations = 10_000
 
 func (dr *Director) cancelJob(jb *job, now time.Time) {
--- a/internal/job/director/recovery.go
+++ b/internal/job/director/recovery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
@@ -104,23 +105,39 @@
 	})
 }
 
-// cleanupLoop deletes jobs whose retention is over, and takes snapshots to keep the journal short.
+// cleanupLoop deletes jobs and cancellations whose retention is over, and takes snapshots to keep the
+// journal short.
 func (dr *Director) cleanupLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		pauser.Sleep(ctx, cleanupInterval)
-		for _, id := range dr.expiredJobs(time.Now()) {
+		for _, id := range slices.Concat(dr.expiredJobs(time.Now()), dr.expiredCancellations(time.Now())) {
 			if err := dr.op.JobStore.Delete(ctx, id); err != nil {
 				dr.log(logger.JobNotDeleted, "Job", id, "Error", err.Error())
 				break
 			}
 			dr.mu.Lock()
 			delete(dr.jobs, id)
+			delete(dr.pendingCancellations, id)
 			dr.mu.Unlock()
 		}
 		dr.snapshot(ctx)
 	}
 }
 
+// expiredCancellations returns the cancelled jobs that were not added within the retention, after
+// which no submission of them is under way any more.
+func (dr *Director) expiredCancellations(now time.Time) []modeler.JobID {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	var ids []modeler.JobID
+	for id, since := range dr.pendingCancellations {
+		if now.Sub(since) > dr.op.Limits.Retention+retentionMargin {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 func (dr *Director) expiredJobs(now time.Time) []modeler.JobID {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
