Check new jobs against the store after a pending cancellation was dropped

The leader keeps at most 10,000 cancellations of jobs that it has not been told of, and dropped the others silently. A job whose cancellation was dropped and that arrived afterwards ran until the next leader listed all cancellations.

The limit stays, as it bounds the leader's memory. Once a cancellation is dropped, the store is read for each job that is added within the retention, before its tasks may start: the cancellation is stored by then, since only stored ones reach the leader. Event 609 states that this has begun. There are no reads otherwise.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -107,6 +107,10 @@
 	journalRetryPause = 150 * time.Millisecond
 	// journalCheckTimeout bounds one check of the journal for a later epoch.
 	journalCheckTimeout = 600 * time.Millisecond
+	// cancellationReadTimeout bounds one read of a job's cancellation.
+	cancellationReadTimeout = 600 * time.Millisecond
+	// cancellationReadPause is the pause after a failed read of a job's cancellation.
+	cancellationReadPause = 150 * time.Millisecond
 	// cleanupInterval is the time between two deletions of jobs whose retention is over.
 	cleanupInterval = 5 * time.Second
 	// retentionMargin is added to the retention so that a late retry of a submission still finds
@@ -157,6 +161,9 @@
 	// pendingCancellations holds cancelled jobs that have not been added, with the time when this term
 	// first heard of the cancellation.
 	pendingCancellations map[modeler.JobID]time.Time
+	// cancellationDroppedAt is when a cancellation was last not kept because too many were pending, zero
+	// if none was. Jobs that are added within the retention after it may be cancelled.
+	cancellationDroppedAt time.Time
 	// pendingFacts holds facts of earlier terms about jobs that have not been added yet.
 	pendingFacts map[modeler.JobID][]keeper.Fact
 	workers      map[modeler.WorkerID]*worker
@@ -281,7 +288,7 @@
 		batch := dr.unconfirmed
 		dr.unconfirmed = nil
 		dr.mu.Unlock()
-		if !dr.confirmLeadership(ctx, time.Now()) {
+		if !dr.confirmLeadership(ctx, time.Now()) || !dr.readCancellations(ctx, batch) {
 			return
 		}
 		dr.mu.Lock()
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -8,6 +9,7 @@
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/job/ranker"
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
@@ -20,6 +22,9 @@
 	// confirmed is set once this host is known to have led after the job was added. Tasks start
 	// only then.
 	confirmed bool
+	// cancellationUnknown is set if the job's cancellation may have come before the job and not been
+	// kept. It is read from the store before confirmed is set.
+	cancellationUnknown bool
 	// started is set once a task of the job is known to have started.
 	started bool
 	// finalState is how the job ended, empty before that is decided. It is reported to callers only
@@ -146,6 +151,7 @@
 	}
 	jb := &job{Job: *stored, inherited: inherited, confirmed: inherited}
 	dr.jobs[jb.ID] = jb
+	jb.cancellationUnknown = dr.mayHaveDroppedCancellation(time.Now())
 	if !inherited {
 		dr.unconfirmed = append(dr.unconfirmed, jb)
 		signal(dr.confirmWake)
@@ -397,18 +403,71 @@
 	jb := dr.jobs[id]
 	if jb == nil {
 		// Hosts report changes in any order, and a batch of watch events need not preserve it.
-		if _, known := dr.pendingCancellations[id]; !known && len(dr.pendingCancellations) < maxPendingCancellations {
-			dr.pendingCancellations[id] = time.Now()
-		}
+		dr.keepCancellation(id, time.Now())
 		return
 	}
 	dr.cancelJob(jb, time.Now())
 	dr.wakeDispatch()
 }
 
-// maxPendingCancellations bounds the cancellations of jobs that have not been added.
+// maxPendingCancellations bounds the cancellations of jobs that have not been added. If there are
+// more, the store is read for each new job.
 const maxPendingCancellations = 10_000
 
+// keepCancellation keeps the cancellation of a job that has not been added.
+func (dr *Director) keepCancellation(id modeler.JobID, now time.Time) {
+	if _, known := dr.pendingCancellations[id]; known {
+		return
+	}
+	if len(dr.pendingCancellations) < maxPendingCancellations {
+		dr.pendingCancellations[id] = now
+		return
+	}
+	if !dr.mayHaveDroppedCancellation(now) {
+		dr.log(logger.CancellationLimit, "Pending", len(dr.pendingCancellations))
+	}
+	dr.cancellationDroppedAt = now
+}
+
+// mayHaveDroppedCancellation reports whether a job that is added now may be one whose cancellation was
+// not kept.
+func (dr *Director) mayHaveDroppedCancellation(now time.Time) bool {
+	return !dr.cancellationDroppedAt.IsZero() && now.Sub(dr.cancellationDroppedAt) < dr.op.Limits.Retention+retentionMargin
+}
+
+// readCancellations cancels those of the new jobs whose cancellation is stored, if one of them may not
+// have been kept. It returns false when the term is over.
+func (dr *Director) readCancellations(ctx context.Context, batch []*job) bool {
+	for _, jb := range batch {
+		if !jb.cancellationUnknown {
+			continue
+		}
+		cancelled, ok := dr.readCancellation(ctx, jb.ID)
+		if !ok {
+			return false
+		}
+		if cancelled {
+			dr.CancelJob(jb.ID)
+		}
+	}
+	return true
+}
+
+// readCancellation reads whether the cancellation of a job is stored, until that succeeds. It returns
+// ok false when the term is over.
+func (dr *Director) readCancellation(ctx context.Context, id modeler.JobID) (cancelled, ok bool) {
+	for ctx.Err() == nil {
+		cctx, cancel := context.WithTimeout(ctx, cancellationReadTimeout)
+		cancelled, err := dr.op.JobStore.Cancelled(cctx, id)
+		cancel()
+		if err == nil {
+			return cancelled, true
+		}
+		pauser.Sleep(ctx, cancellationReadPause)
+	}
+	return false, false
+}
+
 func (dr *Director) cancelJob(jb *job, now time.Time) {
 	if jb.finalState != "" {
 		return
--- a/internal/telemetry/logger/catalogue_job.go
+++ b/internal/telemetry/logger/catalogue_job.go
@@ -11,6 +11,7 @@
 	JobEnded           = Event{606, "job ended", "The end of the job is durable and is reported to callers.", SeverityInfo}
 	JobDamaged         = Event{607, "stored job malformed", "A document under Jobs/ was not written by this software. It is skipped. Inspect the key.", SeverityError}
 	JobNotDeleted      = Event{608, "job not deleted", "A job whose retention has ended could not be deleted. The next round retries.", SeverityWarning}
+	CancellationLimit  = Event{609, "too many pending cancellations", "More jobs that are not stored were cancelled than the leader keeps in memory. Each new job is checked against the store before it starts.", SeverityWarning}
 
 	TaskStarted           = Event{610, "task started", "A worker accepted a run of the task. Waited is the time since the job was due, FreeCores the free capacity that is left on the worker, in thousandths of a core.", SeverityInfo}
 	StartRejected         = Event{611, "start request failed", "The error says whether the worker refused the request or did not answer. A run without an answer is stopped before the task starts on another worker.", SeverityWarning}
@@ -62,7 +63,7 @@
 )
 
 var jobEvents = []Event{
-	JobAccepted, JobRefused, JobResultUnknown, CancellationStored, JobTakenOver, JobCancelled, JobEnded, JobDamaged, JobNotDeleted,
+	JobAccepted, JobRefused, JobResultUnknown, CancellationStored, JobTakenOver, JobCancelled, JobEnded, JobDamaged, JobNotDeleted, CancellationLimit,
 	TaskStarted, StartRejected, TaskFailed, RunEnded, RunLost, UnexpectedRunStopped, RunSlow, SpeculativeRunAllowed, StopSent, StopUnanswered,
 	WorkerPaced, PaceUnanswered, WorkerDraining, WorkerUnregistered, WorkerUnreachable, WorkerReachable, WorkerRestarted, WorkerQuarantineBegun,
 	WorkerEntryInvalid, PermitsGranted, PermitsNotGranted,
