Confirm leadership before jobs of the first listing start

A leader started tasks of jobs that it was told of before it had loaded the stored jobs, and of all jobs of its first listing, without a proof that it still led. If another host had begun an epoch before such a job was stored, that host need not know the job, or that it was started: the task could run twice, or run on when the job was cancelled there.

Jobs that are added before the load is complete share one check after it, which costs a read of the store in each term. A takeover needs the store for the listing itself just before.

The evidence: TestDeposedWhileLoading, where each of its two cases counted one start and wanted none. A worker has to have answered before the host was deposed, since the grant of its lease is recorded as well.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -274,10 +274,16 @@
 	}
 }
 
-// confirmLoop checks for each new job that this host still led after the job was added. Tasks of the
-// job start only then. A later leader reads the jobs after its epoch has begun, and so knows every
-// job of which this leader can have started a task.
+// confirmLoop checks for each job that this host still led after the job was added. Tasks of the job
+// start only then. A later leader reads the jobs after its epoch has begun, and so knows every job of
+// which this leader can have started a task. That holds for the jobs of the first listing too, which a
+// later leader may have read before they were stored.
 func (dr *Director) confirmLoop(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-dr.loaded:
+	}
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -149,13 +149,11 @@
 	if jb := dr.jobs[stored.ID]; jb != nil {
 		return jb
 	}
-	jb := &job{Job: *stored, inherited: inherited, confirmed: inherited}
+	jb := &job{Job: *stored, inherited: inherited}
 	dr.jobs[jb.ID] = jb
 	jb.cancellationUnknown = dr.mayHaveDroppedCancellation(time.Now())
-	if !inherited {
-		dr.unconfirmed = append(dr.unconfirmed, jb)
-		signal(dr.confirmWake)
-	}
+	dr.unconfirmed = append(dr.unconfirmed, jb)
+	signal(dr.confirmWake)
 	facts := dr.pendingFacts[jb.ID]
 	delete(dr.pendingFacts, jb.ID)
 	now := time.Now()
