Repeat the stop of an unexpected run until the worker answers

A run that an earlier leader had started, and whose job was cancelled, went on for seconds after the stop for it got no answer. Such a stop was sent once, with a timeout of 0.5 s, and again only with a later report that listed the run: after up to 2 s if the worker had no other runs, since its answers may wait as long then.

The stop is now repeated as that of a known run is, first after 0.15 s and then ever less often, until the worker answers, restarts or reports the end, or is removed. If the run is listed a second after the answer, the stop begins again. Until a report no longer lists the run, the worker's answers wait 1 s at most. The first failure is logged once, for the stops of known runs as well. The state of the stop is dropped when a report no longer lists the run; before, it was kept until the worker restarted if the end was not reported.

--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -38,6 +38,7 @@
 	}
 	facts, endedJobs := dr.handleEnds(wk, rep.Ended, listed, now)
 	dr.loseMissingRuns(wk, listed, sentAt, now)
+	wk.forgetStops(listed, sentAt)
 	dr.checkRuns(wk, now)
 	dr.paceBestEffort(wk, now)
 	wk.unrecordedFacts = append(wk.unrecordedFacts, facts...)
@@ -149,25 +150,42 @@
 	return at
 }
 
-// stopUnexpected stops a run that this term does not want.
+// unexpectedStop is the stop of a run that this term does not want.
+type unexpectedStop struct {
+	// answeredAt is when the worker answered the stop, zero while it is repeated.
+	answeredAt time.Time
+}
+
+// stopUnexpected stops a run that this term does not want, unless its stop is still repeated or was
+// answered a moment ago.
 func (dr *Director) stopUnexpected(wk *worker, id modeler.TaskID, run modeler.Run, now time.Time) {
 	key := attemptKey{id, run}
-	if now.Sub(wk.unexpectedStops[key]) < minUnexpectedStopInterval {
+	if us := wk.unexpectedStops[key]; us != nil && (us.answeredAt.IsZero() || now.Sub(us.answeredAt) < minUnexpectedStopInterval) {
 		return
 	}
-	wk.unexpectedStops[key] = now
+	us := &unexpectedStop{}
+	wk.unexpectedStops[key] = us
 	dr.log(logger.UnexpectedRunStopped, "Worker", wk.info.ID, "Task", id.String(), "Run", run)
-	info := wk.info
 	dr.startGoroutine(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, requestTimeout)
-		defer cancel()
-		// An unanswered stop is repeated when the run is reported again.
-		if err := dr.op.WorkerClient.Stop(ctx, &info, id, run, dr.op.Epoch); err != nil {
-			dr.log(logger.StopUnanswered, "Worker", info.ID, "Task", id.String(), "Run", run, "Error", err.Error())
+		needless := func() bool { return wk.unexpectedStops[key] != us || dr.workers[wk.info.ID] != wk }
+		if dr.repeatStop(ctx, wk, key, needless) {
+			dr.mu.Lock()
+			us.answeredAt = time.Now()
+			dr.mu.Unlock()
 		}
 	})
 }
 
+// forgetStops drops the answered stops of unexpected runs that a report, requested after the answer,
+// does not list.
+func (wk *worker) forgetStops(listed map[attemptKey]bool, sentAt time.Time) {
+	for key, us := range wk.unexpectedStops {
+		if !listed[key] && !us.answeredAt.IsZero() && us.answeredAt.Before(sentAt) {
+			delete(wk.unexpectedStops, key)
+		}
+	}
+}
+
 // handleEnds processes the ends of a report that are new, and returns the facts that have to be
 // durable before the worker may drop the ends, and the jobs that end with them.
 func (dr *Director) handleEnds(wk *worker, rows []modeler.EndedRun, listed map[attemptKey]bool, now time.Time) ([]keeper.Fact, []*job) {
--- a/internal/job/director/restart_test.go
+++ b/internal/job/director/restart_test.go
@@ -30,7 +30,7 @@
 			})
 			now := time.Now()
 			wk := &worker{
-				info: modeler.Worker{ID: "w"}, incarnation: 1, answered: true, attempts: map[attemptKey]*attempt{}, unexpectedStops: map[attemptKey]time.Time{},
+				info: modeler.Worker{ID: "w"}, incarnation: 1, answered: true, attempts: map[attemptKey]*attempt{}, unexpectedStops: map[attemptKey]*unexpectedStop{},
 				criticalImages: map[string]int{}, bestEffortImages: map[string]int{},
 			}
 			jb := dr.addJob(&modeler.Job{ID: "j", Steps: []modeler.Step{{Count: 1}}}, true)
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -567,33 +567,46 @@
 
 // stopLoop repeats a stop until the worker answers or the run has ended.
 func (dr *Director) stopLoop(ctx context.Context, at *attempt, id modeler.TaskID) {
+	key := attemptKey{id, at.run}
+	if dr.repeatStop(ctx, at.worker, key, func() bool { return at.worker.attempts[key] != at }) {
+		dr.mu.Lock()
+		at.stopAnsweredAt = time.Now()
+		dr.mu.Unlock()
+	}
+}
+
+// repeatStop sends a stop until the worker answers, and returns true then. It returns false if the stop
+// is no longer needed, which the function reports while mu is held, or if the term is over.
+func (dr *Director) repeatStop(ctx context.Context, wk *worker, key attemptKey, needless func() bool) bool {
+	logged := false
 	for pause := minStopRetry; ctx.Err() == nil; pause = min(2*pause, maxStopRetry) {
 		dr.mu.Lock()
-		wk := at.worker
 		info := wk.info
-		ended := wk.attempts[attemptKey{id, at.run}] != at
+		done := needless()
 		allowed := dr.op.MaySendRequests()
 		dr.mu.Unlock()
-		if ended {
-			return
+		if done {
+			return false
 		}
 		if allowed {
 			sctx, cancel := context.WithTimeout(ctx, requestTimeout)
-			err := dr.op.WorkerClient.Stop(sctx, &info, id, at.run, dr.op.Epoch)
+			err := dr.op.WorkerClient.Stop(sctx, &info, key.task, key.run, dr.op.Epoch)
 			cancel()
 			if errors.Is(err, modeler.ErrStaleEpoch) {
 				dr.stepDown("worker " + string(info.ID) + " has seen a higher epoch")
-				return
+				return false
 			}
 			if err == nil {
-				dr.mu.Lock()
-				at.stopAnsweredAt = time.Now()
-				dr.mu.Unlock()
-				return
+				return true
+			}
+			if !logged {
+				dr.log(logger.StopUnanswered, "Worker", info.ID, "Task", key.task.String(), "Run", key.run, "Error", err.Error())
 			}
+			logged = true
 		}
 		pauser.Sleep(ctx, pause)
 	}
+	return false
 }
 
 // moveRun moves a run away from its worker: it stops the run, after which the task is queued again
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -47,7 +47,8 @@
 	// worker that has restarted since. The clock of the new incarnation does not refuse it, so that
 	// maxStartAge does not apply.
 	maxStartDelayAfterRestart = 15 * time.Second
-	// minUnexpectedStopInterval is the time until the stop of an unexpected run is repeated.
+	// minUnexpectedStopInterval is the time after the answer to the stop of an unexpected run from which
+	// the stop is repeated if the run is still listed.
 	minUnexpectedStopInterval = time.Second
 )
 
@@ -105,8 +106,9 @@
 	// unansweredStarts holds the times of starts without an answer. They may reach a later
 	// incarnation.
 	unansweredStarts map[attemptKey]time.Time
-	// unexpectedStops holds when a stop was last sent for a run that this term does not want.
-	unexpectedStops map[attemptKey]time.Time
+	// unexpectedStops holds the stops of runs that this term does not want, until a report proves that
+	// the run has ended.
+	unexpectedStops map[attemptKey]*unexpectedStop
 	faultHistory    appraiser.FaultHistory
 	// noStartsBefore delays starts after one was not carried out, see refusalPause.
 	noStartsBefore time.Time
@@ -171,7 +173,7 @@
 	wk := dr.workers[info.ID]
 	if wk == nil {
 		wk = &worker{
-			attempts: map[attemptKey]*attempt{}, unexpectedStops: map[attemptKey]time.Time{}, unansweredStarts: map[attemptKey]time.Time{},
+			attempts: map[attemptKey]*attempt{}, unexpectedStops: map[attemptKey]*unexpectedStop{}, unansweredStarts: map[attemptKey]time.Time{},
 			criticalImages: map[string]int{}, bestEffortImages: map[string]int{},
 		}
 		wk.info = *info
@@ -291,7 +293,7 @@
 		req.MaxWait = 0
 	case wk.criticalTasks > 0 && wk.bestEffortTasks > 0:
 		req.MaxWait = maxPacedWait
-	case len(wk.attempts) > 0:
+	case len(wk.attempts) > 0 || len(wk.unexpectedStops) > 0:
 		req.MaxWait = maxBusyWait
 	}
 	// The lease of an unreachable worker is not extended, or it would never be known to have
--- a/internal/telemetry/logger/catalogue_job.go
+++ b/internal/telemetry/logger/catalogue_job.go
@@ -22,7 +22,7 @@
 	RunSlow               = Event{616, "straggler detected", "A run is stalled or takes much longer than other runs of its step, and is moved to another worker.", SeverityWarning}
 	SpeculativeRunAllowed = Event{617, "speculative copy allowed", "A second run of the task may start beside one that is slow or whose worker is leaving.", SeverityInfo}
 	StopSent              = Event{618, "stop requested", "The worker was asked to stop a run. The run's resources stay reserved until the worker reports its end.", SeverityInfo}
-	StopUnanswered        = Event{619, "stop request failed", "The worker did not accept the request. It is repeated when the worker reports the run again.", SeverityWarning}
+	StopUnanswered        = Event{619, "stop request failed", "The worker did not accept the request. It is repeated until the worker answers or the run has ended.", SeverityWarning}
 	WorkerPaced           = Event{620, "best-effort work paced", "The pace of the worker's best-effort work has changed to Percent of full speed. Strain is the relative load of the latency-critical task that is closest to its tail-latency target, Caused the part that best-effort work adds.", SeverityInfo}
 	PaceUnanswered        = Event{621, "pace request failed", "The worker did not accept the request. It is repeated with the worker's next report.", SeverityWarning}
 	WorkerDraining        = Event{622, "worker draining", "The worker is leaving and gets no new tasks.", SeverityInfo}
