Stop a run again that is listed after its stop was answered

A task of a cancelled job ran on for the rest of the term, with its lease renewed. Its start had got no answer, so it was stopped, which the worker answered. The worker then restarted under the same ID, and the start, carried out late, reached the new incarnation, whose clock does not refuse it. The run was listed, but it counted as being stopped already, and the loop that repeats the stop had ended with the answer of the earlier incarnation. A cancellation did not stop it either, for the same reason.

A run that a report lists longer after the answer to its stop than the worker may take to stop it is now stopped again, whatever the cause.

--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -568,7 +568,7 @@
 	// is set once the state is uncertain.
 	startDeadline time.Duration
 	// stopping is set once the run is to be stopped. stopAnsweredAt is when the worker answered the
-	// stop.
+	// stop, zero while it is repeated.
 	stopping       bool
 	stopAnsweredAt time.Time
 	runProgress    appraiser.RunProgress
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -11,6 +11,10 @@
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
+// maxReportAge is the usual bound of the time from when a worker composes a report to when it is
+// processed. An older report may cause a needless stop, which is harmless.
+const maxReportAge = 300 * time.Millisecond
+
 // handleReport processes a worker's report. The returned channel is closed once the reported ends
 // are durable.
 func (dr *Director) handleReport(wk *worker, sentAt time.Time, rep *modeler.Report) <-chan struct{} {
@@ -119,6 +123,10 @@
 	}
 	at.markActive(now)
 	at.listed = true
+	if at.stopping && !at.stopAnsweredAt.IsZero() && now.Sub(at.stopAnsweredAt) > dr.op.Limits.StopGrace+maxReportAge {
+		at.stopping = false
+		dr.stopRun(at, "listed after its stop was answered")
+	}
 	at.progress = row.Progress
 	at.runProgress.Observe(row.Progress, now)
 	if row.Checkpoint != "" && row.Checkpoint != at.checkpoint {
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -554,7 +554,7 @@
 	if at.stopping {
 		return
 	}
-	at.stopping = true
+	at.stopping, at.stopAnsweredAt = true, time.Time{}
 	if at.state == placed {
 		dr.release(at)
 		dr.afterRunEnd(at.task, time.Now())
