--- a/internal/job/director/cancellation.go
+++ b/internal/job/director/cancellation.go
@@ -1,9 +1,11 @@
 package director
 
 import (
+	"context"
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
@@ -23,11 +25,13 @@
 	FromTermStart CancellationSource = "TermStart"
 	// FromReport is a read of the store for a run of an unknown job that a worker reported.
 	FromReport CancellationSource = "ReportedRun"
+	// FromStore is a read of the store for a new job after a pending cancellation was dropped.
+	FromStore CancellationSource = "Store"
 )
 
 const (
-	// maxPendingCancellations bounds the cancellations of jobs that have not been added. Those of jobs
-	// that were deleted long ago stay until the end of the term.
+	// maxPendingCancellations bounds the cancellations of jobs that have not been added. If there are
+	// more, the store is read for each new job.
 	maxPendingCancellations = 10_000
 	// cancelledRunMargin is added to Limits.StopGrace before the log mentions a run that goes on after
 	// its job was cancelled.
@@ -99,6 +103,7 @@
 		if ok, omitted := dr.droppedLines.take(maxCancellationLines, cn.heardAt); ok {
 			dr.log(logger.CancellationDropped, "Job", id, "Source", cn.source, "Pending", len(dr.pendingCancellations), "Omitted", omitted)
 		}
+		dr.cancellationDroppedAt = cn.heardAt
 		return
 	}
 	dr.pendingCancellations[id] = cn
@@ -106,6 +111,45 @@
 	dr.logIneffective(id, cn, "Known", false, "Pending", len(dr.pendingCancellations))
 }
 
+// mayHaveDroppedCancellation reports whether a job that is added now may be one whose cancellation was
+// not kept.
+func (dr *Director) mayHaveDroppedCancellation(now time.Time) bool {
+	return !dr.cancellationDroppedAt.IsZero() && now.Sub(dr.cancellationDroppedAt) < dr.op.Limits.Retention+retentionMargin
+}
+
+// readCancellations cancels those of the new jobs whose cancellation is stored, if one of them may not
+// have been kept. It returns false when the term is over.
+func (dr *Director) readCancellations(ctx context.Context, batch []*job) bool {
+	for _, jb := range batch {
+		if !jb.cancellationUnknown {
+			continue
+		}
+		cancelled, ok := dr.readCancellation(ctx, jb.ID)
+		if !ok {
+			return false
+		}
+		if cancelled {
+			dr.CancelJob(jb.ID, FromStore)
+		}
+	}
+	return true
+}
+
+// readCancellation reads whether the cancellation of a job is stored, until that succeeds. It returns
+// ok false when the term is over.
+func (dr *Director) readCancellation(ctx context.Context, id modeler.JobID) (cancelled, ok bool) {
+	for ctx.Err() == nil {
+		cctx, cancel := context.WithTimeout(ctx, cancellationReadTimeout)
+		cancelled, err := dr.op.JobStore.Cancelled(cctx, id)
+		cancel()
+		if err == nil {
+			return cancelled, true
+		}
+		pauser.Sleep(ctx, cancellationReadPause)
+	}
+	return false, false
+}
+
 // logIneffective logs a cancellation that ends no job now.
 func (dr *Director) logIneffective(id modeler.JobID, cn cancellation, kv ...any) {
 	if ok, omitted := dr.ineffectiveLines.take(maxCancellationLines, cn.heardAt); ok {
@@ -119,11 +163,15 @@
 	if !ok {
 		return
 	}
-	delete(dr.pendingCancellations, jb.ID)
-	dr.op.Meter.Set(meter.CancellationsPending, int64(len(dr.pendingCancellations)))
+	dr.forgetPending(jb.ID)
 	dr.cancelJob(jb, cn, now)
 }
 
+func (dr *Director) forgetPending(id modeler.JobID) {
+	delete(dr.pendingCancellations, id)
+	dr.op.Meter.Set(meter.CancellationsPending, int64(len(dr.pendingCancellations)))
+}
+
 func (dr *Director) cancelJob(jb *job, cn cancellation, now time.Time) {
 	if jb.finalState != "" {
 		if jb.cancellation.heardAt.IsZero() {
@@ -213,21 +261,19 @@
 	}
 }
 
-// noteStop notes the result of a stop request to a worker, for the log.
-func (dr *Director) noteStop(trail *stopTrail, err error) {
-	trail.sent++
-	trail.lastAnswer, trail.answeredAt = "stopped", time.Now()
+// note notes the result of a stop request to a worker, for the log.
+func (st *stopTrail) note(err error) {
+	st.sent++
+	st.lastAnswer, st.answeredAt = "stopped", time.Now()
 	if err != nil {
-		trail.lastAnswer = err.Error()
+		st.lastAnswer = err.Error()
 	}
 }
 
-// noteUnexpectedStop does the same for a run without attempt.
-func (dr *Director) noteUnexpectedStop(wk *worker, key attemptKey, err error) {
-	dr.mu.Lock()
-	defer dr.mu.Unlock()
+// noteUnexpectedStop notes the same for a run without attempt.
+func (wk *worker) noteUnexpectedStop(key attemptKey, err error) {
 	if cr := wk.cancelledRuns[key]; cr != nil {
-		dr.noteStop(cr.stops(), err)
+		cr.stops().note(err)
 	}
 }
 
--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -107,6 +107,10 @@
 	journalRetryPause = 150 * time.Millisecond
 	// journalCheckTimeout bounds one check of the journal for a later epoch.
 	journalCheckTimeout = 600 * time.Millisecond
+	// cancellationReadTimeout bounds one read of a job's cancellation.
+	cancellationReadTimeout = 600 * time.Millisecond
+	// cancellationReadPause is the pause after a failed read of a job's cancellation.
+	cancellationReadPause = 150 * time.Millisecond
 	// cleanupInterval is the time between two deletions of jobs whose retention is over.
 	cleanupInterval = 5 * time.Second
 	// retentionMargin is added to the retention so that a late retry of a submission still finds
@@ -154,8 +158,11 @@
 	unconfirmed []*job
 	// jobs holds every stored job whose retention is not over.
 	jobs map[modeler.JobID]*job
-	// pendingCancellations holds cancelled jobs that have not been added yet.
+	// pendingCancellations holds the cancellations of jobs that have not been added.
 	pendingCancellations map[modeler.JobID]cancellation
+	// cancellationDroppedAt is when a cancellation was last not kept because too many were pending, zero
+	// if none was. Jobs that are added within the retention after it may be cancelled.
+	cancellationDroppedAt time.Time
 	// pendingFacts holds facts of earlier terms about jobs that have not been added yet.
 	pendingFacts map[modeler.JobID][]keeper.Fact
 	workers      map[modeler.WorkerID]*worker
@@ -281,10 +288,16 @@
 	}
 }
 
-// confirmLoop checks for each new job that this host still led after the job was added. Tasks of the
-// job start only then. A later leader reads the jobs after its epoch has begun, and so knows every
-// job of which this leader can have started a task.
+// confirmLoop checks for each job that this host still led after the job was added. Tasks of the job
+// start only then. A later leader reads the jobs after its epoch has begun, and so knows every job of
+// which this leader can have started a task. That holds for the jobs of the first listing too, which a
+// later leader may have read before they were stored.
 func (dr *Director) confirmLoop(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-dr.loaded:
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -295,7 +308,7 @@
 		batch := dr.unconfirmed
 		dr.unconfirmed = nil
 		dr.mu.Unlock()
-		if !dr.confirmLeadership(ctx, time.Now()) {
+		if !dr.confirmLeadership(ctx, time.Now()) || !dr.readCancellations(ctx, batch) {
 			return
 		}
 		dr.mu.Lock()
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -19,6 +19,9 @@
 	// confirmed is set once this host is known to have led after the job was added. Tasks start
 	// only then.
 	confirmed bool
+	// cancellationUnknown is set if the job's cancellation may have come before the job and not been
+	// kept. It is read from the store before confirmed is set.
+	cancellationUnknown bool
 	// started is set once a task of the job is known to have started.
 	started bool
 	// finalState is how the job ended, empty before that is decided. It is reported to callers only
@@ -147,12 +150,11 @@
 	if jb := dr.jobs[stored.ID]; jb != nil {
 		return jb
 	}
-	jb := &job{Job: *stored, inherited: inherited, confirmed: inherited}
+	jb := &job{Job: *stored, inherited: inherited}
 	dr.jobs[jb.ID] = jb
-	if !inherited {
-		dr.unconfirmed = append(dr.unconfirmed, jb)
-		signal(dr.confirmWake)
-	}
+	jb.cancellationUnknown = dr.mayHaveDroppedCancellation(time.Now())
+	dr.unconfirmed = append(dr.unconfirmed, jb)
+	signal(dr.confirmWake)
 	facts := dr.pendingFacts[jb.ID]
 	delete(dr.pendingFacts, jb.ID)
 	now := time.Now()
@@ -483,7 +485,7 @@
 	// is set once the state is uncertain.
 	startDeadline time.Duration
 	// stopping is set once the run is to be stopped. stopAnsweredAt is when the worker answered the
-	// stop.
+	// stop, zero while it is repeated.
 	stopping       bool
 	stopAnsweredAt time.Time
 	stops          stopTrail
--- a/internal/job/director/waiting_test.go
+++ b/internal/job/director/waiting_test.go
@@ -36,6 +36,7 @@
 	fx.dr.allAccounted = true
 	needs := modeler.Resources{MilliCores: 1000, MemoryMB: 100}
 	jb := fx.dr.addJob(&modeler.Job{ID: "j", Queue: "q", Steps: []modeler.Step{{Count: 1, LongRunning: true, Needs: needs}, {Count: 1, Needs: needs}}}, true)
+	jb.confirmed = true
 	fx.long, fx.ordinary = jb.occurrences[0].steps[0].tasks[0], jb.occurrences[0].steps[1].tasks[0]
 	return fx
 }
--- a/internal/job/intaker/intaker.go
+++ b/internal/job/intaker/intaker.go
@@ -139,8 +139,8 @@
 	return err
 }
 
-// Cancel stores a cancellation. Errors: ErrJobNotFound, ErrUnavailable (nothing was stored),
-// ErrResultUnknown.
+// Cancel stores a cancellation. Errors: ErrJobNotFound, after which a job that is stored later is
+// cancelled as well, ErrUnavailable (nothing was stored), ErrResultUnknown.
 func (it *Intaker) Cancel(ctx context.Context, id modeler.JobID) error {
 	err := it.store(ctx,
 		func(ctx context.Context) error { return it.cancel(ctx, id) },
@@ -152,18 +152,27 @@
 	case err == nil:
 		logger.Log(it.op.Log, logger.CancellationStored, "Job", id)
 		it.notify(&messenger.StoredChange{Id: string(id)})
+	case errors.Is(err, ErrJobNotFound) && id.Valid():
+		logger.Log(it.op.Log, logger.CancellationStored, "Job", id)
+		it.notify(&messenger.StoredChange{Id: string(id)})
 	case errors.Is(err, ErrNotAccepted):
 		return ErrUnavailable
 	}
 	return err
 }
 
-// cancel stores the cancellation of a stored job. Errors: those of keeper.JobStore.
+// cancel stores the cancellation of a job. If the job is not stored, the cancellation is stored before
+// storer.ErrNotFound is returned: a submission may still be under way, and the caller takes this answer
+// for an acknowledgement. Errors: those of keeper.JobStore.
 func (it *Intaker) cancel(ctx context.Context, id modeler.JobID) error {
-	if _, err := it.op.JobStore.Load(ctx, id); err != nil {
+	_, err := it.op.JobStore.Load(ctx, id)
+	if err != nil && !errors.Is(err, storer.ErrNotFound) || !id.Valid() {
 		return err
 	}
-	return it.op.JobStore.Cancel(ctx, id)
+	if cerr := it.op.JobStore.Cancel(ctx, id); cerr != nil {
+		return cerr
+	}
+	return err
 }
 
 // store stores a change directly, or forwards it to a peer when this host does not reach the store.
@@ -301,7 +310,13 @@
 		if st, ok := dr.JobState(id); ok {
 			return st, nil
 		}
-		return it.storedState(ctx, id)
+		st, err := it.storedState(ctx, id)
+		if st.Final() {
+			// The journal may hold an earlier end, which this host has not loaded yet. Only final states
+			// that a leader knows are cached.
+			return "", ErrUnavailable
+		}
+		return st, err
 	}
 	addrs := []netip.AddrPort{}
 	if leader := it.op.Elector.Leader(); leader.Host != "" {
@@ -327,11 +342,15 @@
 	return "", ErrUnavailable
 }
 
-// storedState returns modeler.Queued for a stored job whose state no leader returned, because none
-// was reachable or the leader does not know the job yet. Errors: ErrJobNotFound, ErrUnavailable.
+// storedState returns modeler.Queued or modeler.Cancelled for a stored job whose state no leader
+// returned, because none was reachable or the leader does not know the job yet. Errors:
+// ErrJobNotFound, ErrUnavailable.
 func (it *Intaker) storedState(ctx context.Context, id modeler.JobID) (modeler.State, error) {
-	err := callWithTimeout(ctx, storeCallTimeout, func(ctx context.Context) error {
-		_, err := it.op.JobStore.Load(ctx, id)
+	cancelled := false
+	err := callWithTimeout(ctx, storeCallTimeout, func(ctx context.Context) (err error) {
+		if _, err = it.op.JobStore.Load(ctx, id); err == nil {
+			cancelled, err = it.op.JobStore.Cancelled(ctx, id)
+		}
 		return err
 	})
 	switch {
@@ -339,6 +358,8 @@
 		return "", ErrJobNotFound
 	case err != nil:
 		return "", ErrUnavailable
+	case cancelled:
+		return modeler.Cancelled, nil
 	}
 	return modeler.Queued, nil
 }
