Repeat a stop that an earlier incarnation of the worker answered

A task ran twice. Its start got no answer and was stopped; the worker answered the stop and then restarted under the same ID. The director took the answer for one of the new incarnation: it did not send the stop there, lost the run because the next report did not list it, and started the task again. The first start, carried out seconds later, reached the new incarnation, whose clock does not refuse it.

When a worker restarts, the stops of its unanswered starts are now sent again even if they were answered before, and the answer to a stop does not count if a new incarnation has become known since it was sent.

The evidence: "not cancelled, the start arrives late" of TestStopAnsweredByEarlierIncarnation, in which the late start was accepted: "j1.0.0.0 started while it runs on worker-00".

--- a/internal/job/director/cancellation_test.go
+++ b/internal/job/director/cancellation_test.go
@@ -89,24 +89,43 @@
 	return err
 }
 
-// Guards against a run that is never stopped because the earlier incarnation of its worker answered the
-// stop, and the start then reached the new one.
+// restartAfterLateStart starts a job whose first start gets no answer, waits until its worker has
+// answered the stop of that run, and restarts the worker under the same ID.
+func restartAfterLateStart(fl *fleet, tm *term) *lateStart {
+	tm.end()
+	ls := &lateStart{JobWorkers: fl.workers}
+	fl.client = ls
+	*tm = *fl.startTerm(0)
+	// The clock of the next incarnation shows less than that of this one for as long.
+	sleep(5 * time.Second)
+	tm.submit(longJob("j1"))
+	sleep(700 * time.Millisecond)
+	fl.workers.Crash(fl.infos[0].ID)
+	fl.infos[0] = fl.workers.Add(workerInfo(0))
+	return ls
+}
+
+// Guards against a run that is never stopped, or against a second run of its task, because the earlier
+// incarnation of its worker answered the stop and the start then reaches the new one.
 func TestStopAnsweredByEarlierIncarnation(t *testing.T) {
-	run(t, 1, func(fl *fleet, tm *term) {
-		tm.end()
-		ls := &lateStart{JobWorkers: fl.workers}
-		fl.client = ls
-		*tm = *fl.startTerm(0)
-		sleep(200 * time.Millisecond)
-		tm.submit(longJob("j1"))
-		sleep(700 * time.Millisecond)
-		fl.workers.Crash(fl.infos[0].ID)
-		fl.infos[0] = fl.workers.Add(workerInfo(0))
-		qt.Assert(fl.t, ls.deliver(fl.t.Context(), &fl.infos[0]), qt.IsNil)
-		sleep(100 * time.Millisecond)
-		tm.CancelJob("j1")
-		sleep(maxCancelTime)
-		fl.assertNotRunning("j1")
+	t.Run("cancelled, the start arrives at once", func(t *testing.T) {
+		run(t, 1, func(fl *fleet, tm *term) {
+			ls := restartAfterLateStart(fl, tm)
+			qt.Assert(fl.t, ls.deliver(fl.t.Context(), &fl.infos[0]), qt.IsNil)
+			sleep(100 * time.Millisecond)
+			tm.CancelJob("j1")
+			sleep(maxCancelTime)
+			fl.assertNotRunning("j1")
+		})
+	})
+	t.Run("not cancelled, the start arrives late", func(t *testing.T) {
+		run(t, 1, func(fl *fleet, tm *term) {
+			ls := restartAfterLateStart(fl, tm)
+			fl.infos = append(fl.infos, fl.workers.Add(workerInfo(1)))
+			tm.UpdateWorker(fl.infos[1])
+			sleep(3 * time.Second)
+			qt.Check(fl.t, ls.deliver(fl.t.Context(), &fl.infos[0]), qt.ErrorIs, modeler.ErrStaleRun)
+		})
 	})
 }
 
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -176,11 +176,7 @@
 	dr.log(logger.UnexpectedRunStopped, "Worker", wk.info.ID, "Task", id.String(), "Run", run)
 	dr.startGoroutine(func(ctx context.Context) {
 		needless := func() bool { return wk.unexpectedStops[key] != us || dr.workers[wk.info.ID] != wk }
-		if dr.repeatStop(ctx, wk, key, needless) {
-			dr.mu.Lock()
-			us.answeredAt = time.Now()
-			dr.mu.Unlock()
-		}
+		dr.repeatStop(ctx, wk, key, needless, func() { us.answeredAt = time.Now() })
 	})
 }
 
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -568,45 +568,56 @@
 // stopLoop repeats a stop until the worker answers or the run has ended.
 func (dr *Director) stopLoop(ctx context.Context, at *attempt, id modeler.TaskID) {
 	key := attemptKey{id, at.run}
-	if dr.repeatStop(ctx, at.worker, key, func() bool { return at.worker.attempts[key] != at }) {
-		dr.mu.Lock()
-		at.stopAnsweredAt = time.Now()
-		dr.mu.Unlock()
-	}
+	needless := func() bool { return at.worker.attempts[key] != at }
+	dr.repeatStop(ctx, at.worker, key, needless, func() { at.stopAnsweredAt = time.Now() })
 }
 
-// repeatStop sends a stop until the worker answers, and returns true then. It returns false if the stop
-// is no longer needed, which the function reports while mu is held, or if the term is over.
-func (dr *Director) repeatStop(ctx context.Context, wk *worker, key attemptKey, needless func() bool) bool {
+// repeatStop sends a stop until the worker answers, the stop is needless, or the term is over. An answer
+// does not count if a new incarnation of the worker is known by then. Both functions are called while mu
+// is held.
+func (dr *Director) repeatStop(ctx context.Context, wk *worker, key attemptKey, needless func() bool, answered func()) {
 	logged := false
 	for pause := minStopRetry; ctx.Err() == nil; pause = min(2*pause, maxStopRetry) {
 		dr.mu.Lock()
-		info := wk.info
+		info, incarnation := wk.info, wk.incarnation
 		done := needless()
 		allowed := dr.op.MaySendRequests()
 		dr.mu.Unlock()
 		if done {
-			return false
+			return
 		}
 		if allowed {
-			sctx, cancel := context.WithTimeout(ctx, requestTimeout)
-			err := dr.op.WorkerClient.Stop(sctx, &info, key.task, key.run, dr.op.Epoch)
-			cancel()
-			if errors.Is(err, modeler.ErrStaleEpoch) {
+			err := dr.sendStop(ctx, &info, key)
+			switch {
+			case errors.Is(err, modeler.ErrStaleEpoch):
 				dr.stepDown("worker " + string(info.ID) + " has seen a higher epoch")
-				return false
-			}
-			if err == nil {
-				return true
-			}
-			if !logged {
+				return
+			case err == nil && dr.countAnswer(wk, incarnation, answered):
+				return
+			case err != nil && !logged:
 				dr.log(logger.StopUnanswered, "Worker", info.ID, "Task", key.task.String(), "Run", key.run, "Error", err.Error())
+				logged = true
 			}
-			logged = true
 		}
 		pauser.Sleep(ctx, pause)
 	}
-	return false
+}
+
+func (dr *Director) sendStop(ctx context.Context, info *modeler.Worker, key attemptKey) error {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	return dr.op.WorkerClient.Stop(ctx, info, key.task, key.run, dr.op.Epoch)
+}
+
+// countAnswer calls answered and returns true, unless the incarnation is no longer the one that is known.
+func (dr *Director) countAnswer(wk *worker, incarnation int64, answered func()) bool {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	if wk.incarnation != incarnation {
+		return false
+	}
+	answered()
+	return true
 }
 
 // moveRun moves a run away from its worker: it stops the run, after which the task is queued again
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -400,6 +400,10 @@
 			// it.
 			at.state, at.incarnation = uncertain, incarnation
 			at.startDeadline = maxClock
+			if !at.stopAnsweredAt.IsZero() {
+				// The earlier incarnation answered the stop.
+				at.stopping = false
+			}
 			dr.stopRun(at, "worker restarted")
 			continue
 		}
