Carry out late requests in the cancellation test at restarted workers

The emulated workers refuse a late request for an earlier incarnation. The entry hosts of TestCancellations now also delay requests themselves, 1 to 12 s, so that they reach whichever incarnation runs then. Each counts as a fault until it is carried out.

--- a/internal/job/leader/cancellation_test.go
+++ b/internal/job/leader/cancellation_test.go
@@ -286,7 +286,7 @@
 	if rnd.IntN(3) == 0 {
 		target = rnd.IntN(len(sc.hosts))
 	}
-	kind := rnd.IntN(9)
+	kind := rnd.IntN(10)
 	if os.Getenv("LEADER_LOG") != "" {
 		fmt.Println(time.Now().Format("05.000"), "fault", kind, "host", target, "for", dur)
 	}
@@ -326,6 +326,12 @@
 		ix := rnd.IntN(len(sc.infos))
 		sc.workers.Crash(sc.infos[ix].ID)
 		sc.endAfter(dur, func() { sc.startWorker(ix) })
+	case 9:
+		ix := rnd.IntN(len(sc.infos))
+		sc.setLate(true)
+		sc.endAfter(dur, func() { sc.setLate(false) })
+		sc.beginDisturbance()
+		sc.endAfter(time.Duration(rnd.IntN(6000))*time.Millisecond, func() { sc.startWorker(ix) })
 	}
 }
 
@@ -346,6 +352,12 @@
 	}
 }
 
+func (sc *scenario) setLate(late bool) {
+	sc.cluster.mu.Lock()
+	defer sc.cluster.mu.Unlock()
+	sc.late = late
+}
+
 func (sc *scenario) setDelay(ix int, delay time.Duration) {
 	sc.cluster.mu.Lock()
 	defer sc.cluster.mu.Unlock()
--- a/internal/job/leader/cluster_test.go
+++ b/internal/job/leader/cluster_test.go
@@ -69,6 +69,8 @@
 	// disturbances counts the faults that are active. disturbedAt is when the last one ended.
 	disturbances int
 	disturbedAt  time.Time
+	// late is set while a third of the requests to workers is carried out late.
+	late bool
 }
 
 // link is a kind of connection of an entry host.
@@ -302,6 +304,8 @@
 		cl.killHost(ix)
 	}
 	cl.goroutines.Wait()
+	// Messages that nothing waits for end with their timeouts.
+	time.Sleep(5 * time.Second)
 }
 
 func decodeQueues(value []byte) (*modeler.Configuration, error) {
@@ -440,36 +444,62 @@
 // hostWorkers are the workers as a process reaches them.
 type hostWorkers struct{ pr *process }
 
-func (hw *hostWorkers) call(ctx context.Context, execute func() error) error {
+// callWorkers makes a call to a worker. A late one gets no answer and is carried out later, by whichever
+// incarnation of the worker then runs.
+func callWorkers[T any](ctx context.Context, hw *hostWorkers, execute func(context.Context) (T, error)) (T, error) {
+	var result, none T
+	cl := hw.pr.ho.cl
+	if delay := cl.lateDelay(); delay > 0 {
+		cl.beginDisturbance()
+		cl.goroutines.Go(func() {
+			defer cl.endDisturbance()
+			time.Sleep(delay)
+			lctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			// The sender has given up.
+			_, _ = execute(lctx)
+		})
+		<-ctx.Done()
+		return none, modeler.ErrNoAnswer
+	}
 	var err error
-	if cerr := hw.pr.call(ctx, workerLink, func() { err = execute() }); cerr != nil {
-		return fmt.Errorf("%w: %w", modeler.ErrNoAnswer, cerr)
+	if cerr := hw.pr.call(ctx, workerLink, func() { result, err = execute(ctx) }); cerr != nil {
+		return none, fmt.Errorf("%w: %w", modeler.ErrNoAnswer, cerr)
 	}
-	return err
+	return result, err
 }
 
-func (hw *hostWorkers) Start(ctx context.Context, wk *modeler.Worker, req *modeler.StartRequest) (clock time.Duration, err error) {
-	err = hw.call(ctx, func() (err error) {
-		clock, err = hw.pr.ho.cl.workers.Start(ctx, wk, req)
-		return err
-	})
-	return clock, err
+// lateDelay returns how much later a request to a worker is carried out, zero for one that is not late.
+func (cl *cluster) lateDelay() time.Duration {
+	cl.mu.Lock()
+	late := cl.late && cl.rnd.IntN(3) == 0
+	cl.mu.Unlock()
+	if !late {
+		return 0
+	}
+	return cl.between(time.Second, 12*time.Second)
 }
 
-func (hw *hostWorkers) Stop(ctx context.Context, wk *modeler.Worker, task modeler.TaskID, run modeler.Run, epoch modeler.Epoch) error {
-	return hw.call(ctx, func() error { return hw.pr.ho.cl.workers.Stop(ctx, wk, task, run, epoch) })
+func (hw *hostWorkers) Start(ctx context.Context, wk *modeler.Worker, req *modeler.StartRequest) (time.Duration, error) {
+	return callWorkers(ctx, hw, func(ctx context.Context) (time.Duration, error) { return hw.pr.ho.cl.workers.Start(ctx, wk, req) })
 }
 
-func (hw *hostWorkers) Renew(ctx context.Context, wk *modeler.Worker, req *modeler.RenewRequest) (rep modeler.Report, err error) {
-	err = hw.call(ctx, func() (err error) {
-		rep, err = hw.pr.ho.cl.workers.Renew(ctx, wk, req)
-		return err
+func (hw *hostWorkers) Stop(ctx context.Context, wk *modeler.Worker, task modeler.TaskID, run modeler.Run, epoch modeler.Epoch) error {
+	_, err := callWorkers(ctx, hw, func(ctx context.Context) (struct{}, error) {
+		return struct{}{}, hw.pr.ho.cl.workers.Stop(ctx, wk, task, run, epoch)
 	})
-	return rep, err
+	return err
+}
+
+func (hw *hostWorkers) Renew(ctx context.Context, wk *modeler.Worker, req *modeler.RenewRequest) (modeler.Report, error) {
+	return callWorkers(ctx, hw, func(ctx context.Context) (modeler.Report, error) { return hw.pr.ho.cl.workers.Renew(ctx, wk, req) })
 }
 
 func (hw *hostWorkers) Pace(ctx context.Context, wk *modeler.Worker, task modeler.TaskID, run modeler.Run, percent int, epoch modeler.Epoch) error {
-	return hw.call(ctx, func() error { return hw.pr.ho.cl.workers.Pace(ctx, wk, task, run, percent, epoch) })
+	_, err := callWorkers(ctx, hw, func(ctx context.Context) (struct{}, error) {
+		return struct{}{}, hw.pr.ho.cl.workers.Pace(ctx, wk, task, run, percent, epoch)
+	})
+	return err
 }
 
 // peer is the client of a process for another entry host.
