--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -593,49 +593,51 @@
 func (dr *Director) stopLoop(ctx context.Context, at *attempt, id modeler.TaskID) {
 	key := attemptKey{id, at.run}
 	needless := func() bool { return at.worker.attempts[key] != at }
-	if dr.repeatStop(ctx, at.worker, key, needless, func(err error) { at.stops.note(err) }) {
-		dr.mu.Lock()
-		at.stopAnsweredAt = time.Now()
-		dr.mu.Unlock()
-	}
+	dr.repeatStop(ctx, at.worker, key, needless, at.stops.note, func() { at.stopAnsweredAt = time.Now() })
 }
 
-// repeatStop sends a stop until the worker answers, and returns true then. It returns false if the stop
-// is no longer needed or the term is over. The functions are called while mu is held: needless reports
-// whether the stop is no longer needed, and note gets the result of each request.
-func (dr *Director) repeatStop(ctx context.Context, wk *worker, key attemptKey, needless func() bool, note func(error)) bool {
+// repeatStop sends a stop until the worker answers, the stop is needless, or the term is over. An answer
+// does not count if a new incarnation of the worker is known by then. The functions are called while mu
+// is held: note gets the result of each request, and answered is called once for an answer that counts.
+func (dr *Director) repeatStop(ctx context.Context, wk *worker, key attemptKey, needless func() bool, note func(error), answered func()) {
 	logged := false
 	for pause := minStopRetry; ctx.Err() == nil; pause = min(2*pause, maxStopRetry) {
 		dr.mu.Lock()
-		info := wk.info
+		info, incarnation := wk.info, wk.incarnation
 		done := needless()
 		allowed := dr.op.MaySendRequests()
 		dr.mu.Unlock()
 		if done {
-			return false
+			return
 		}
 		if allowed {
-			sctx, cancel := context.WithTimeout(ctx, requestTimeout)
-			err := dr.op.WorkerClient.Stop(sctx, &info, key.task, key.run, dr.op.Epoch)
-			cancel()
+			err := dr.sendStop(ctx, &info, key)
 			dr.mu.Lock()
 			note(err)
+			counts := err == nil && wk.incarnation == incarnation
+			if counts {
+				answered()
+			}
 			dr.mu.Unlock()
-			if errors.Is(err, modeler.ErrStaleEpoch) {
+			switch {
+			case counts:
+				return
+			case errors.Is(err, modeler.ErrStaleEpoch):
 				dr.stepDown("worker " + string(info.ID) + " has seen a higher epoch")
-				return false
-			}
-			if err == nil {
-				return true
-			}
-			if !logged {
+				return
+			case err != nil && !logged:
 				dr.log(logger.StopUnanswered, "Worker", info.ID, "Task", key.task.String(), "Run", key.run, "Error", err.Error())
+				logged = true
 			}
-			logged = true
 		}
 		pauser.Sleep(ctx, pause)
 	}
-	return false
+}
+
+func (dr *Director) sendStop(ctx context.Context, info *modeler.Worker, key attemptKey) error {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	return dr.op.WorkerClient.Stop(ctx, info, key.task, key.run, dr.op.Epoch)
 }
 
 // moveRun moves a run away from its worker: it stops the run, after which the task is queued again
