Refuse entries of the worker list that name no worker to use

Another writer's entry with numbers at the limits of their type or with an address at which nobody can be called was taken for a worker.

--- FAIL: TestDecodeWorkerRefuses (23 of its 36 cases), among them processors_at_the_limit Capacity:{MilliCores: ...} remaining_time_overflows Draining:true MinRemaining:-1ms incarnation_at_the_limit, port_0, unspecified, multicast, broadcast, zone, link-local_without_a_zone, many_labels, long_label, ID_with_a_line_break

Deep nesting and numbers outside the type were refused before as well; no process ended.

--- a/internal/job/modeler/worker.go
+++ b/internal/job/modeler/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/netip"
 	"slices"
 	"time"
@@ -27,6 +28,37 @@
 	Rack string
 }
 
+// ErrInvalidWorker means that a worker's entry is outside the bounds of what can be a worker.
+var ErrInvalidWorker = errors.New("invalid worker")
+
+// Check returns ErrInvalidWorker, wrapped with the reason, for a worker that cannot be called or has
+// values out of bounds.
+func (wk *Worker) Check() error {
+	if wk.ID == "" || wk.Pool == "" {
+		return fmt.Errorf("%w: ID %q, pool %q", ErrInvalidWorker, wk.ID, wk.Pool)
+	}
+	if len(wk.Labels) > maxLabels {
+		return fmt.Errorf("%w: %d labels", ErrInvalidWorker, len(wk.Labels))
+	}
+	for _, name := range append([]string{string(wk.ID), string(wk.Pool), string(wk.DataCentre), wk.Rack}, wk.Labels...) {
+		if err := checkName("name", name); err != nil {
+			return fmt.Errorf("%w: %w", ErrInvalidWorker, err)
+		}
+	}
+	if err := CheckAddress(wk.Address); err != nil {
+		return fmt.Errorf("%w: %w", ErrInvalidWorker, err)
+	}
+	switch {
+	case wk.Capacity.MilliCores == 0 || !wk.Capacity.inRange():
+		return fmt.Errorf("%w: capacity %+v", ErrInvalidWorker, wk.Capacity)
+	case wk.Incarnation < 0 || wk.Incarnation > maxIncarnation:
+		return fmt.Errorf("%w: incarnation %d", ErrInvalidWorker, wk.Incarnation)
+	case !durationInRange(wk.MinRemaining):
+		return fmt.Errorf("%w: remaining time %s", ErrInvalidWorker, wk.MinRemaining)
+	}
+	return nil
+}
+
 // HasLabel reports whether the worker has a label. It is true for the empty label.
 func (wk *Worker) HasLabel(label string) bool {
 	return label == "" || slices.Contains(wk.Labels, label)
