Report an invalid entry of the store once, and count it

An invalid worker or job was logged at each rewrite and each list: a worker's heartbeat rewrites its entry every 1.5 s.

EntriesInvalid counts every read. The leader keeps one reporter over all of its terms.

--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -23,6 +23,7 @@
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
+	"github.com/currantrouter/currantrouter/internal/telemetry/reporter"
 )
 
 const (
@@ -101,13 +102,17 @@
 	elector *elector.Elector
 	// current is the director of the present term, or nil.
 	current atomic.Pointer[director.Director]
+	// invalidEntries reports entries of the store that are left out, once over all terms.
+	invalidEntries *reporter.Reporter
 	// failedOpens counts the attempts to begin an epoch that failed in a row because the journal could
 	// not be read in time.
 	failedOpens atomic.Int32
 }
 
 // New returns a leader without a term.
-func New(op Options) *Leader { return &Leader{op: op} }
+func New(op Options) *Leader {
+	return &Leader{op: op, invalidEntries: reporter.New(op.Log, op.Meter)}
+}
 
 // SetElector sets the elector that starts the terms. It is called once, before the first term.
 func (ld *Leader) SetElector(el *elector.Elector) { ld.elector = el }
@@ -212,7 +217,7 @@
 		ch, ok, err := keeper.ParseChange(en)
 		switch {
 		case err != nil:
-			logger.Log(tm.leader.op.Log, logger.JobDamaged, "Key", en.Key, "Error", err.Error())
+			tm.leader.invalidEntries.Report(logger.JobDamaged, meter.EntriesInvalid, en.Key, err, "Key", en.Key)
 		case !ok:
 		case ch.Job == nil:
 			cancelled = append(cancelled, ch.ID)
@@ -247,11 +252,11 @@
 	}
 }
 
-// decodeWorker decodes a worker's entry. If it is invalid, it logs that and returns false.
+// decodeWorker decodes a worker's entry. If it is invalid, it reports that and returns false.
 func (tm *term) decodeWorker(en storer.Entry) (modeler.Worker, bool) {
 	wk, err := tm.leader.op.Registry.Decode(en)
 	if err != nil {
-		logger.Log(tm.leader.op.Log, logger.WorkerEntryInvalid, "Key", en.Key, "Error", err.Error())
+		tm.leader.invalidEntries.Report(logger.WorkerEntryInvalid, meter.EntriesInvalid, en.Key, err, "Key", en.Key)
 	}
 	return wk, err == nil
 }
--- a/internal/telemetry/logger/catalogue.go
+++ b/internal/telemetry/logger/catalogue.go
@@ -51,4 +51,5 @@
 	stateEvents,
 	operatorEvents,
 	jobEvents,
+	inputEvents,
 )
--- a/internal/telemetry/meter/table.go
+++ b/internal/telemetry/meter/table.go
@@ -10,4 +10,5 @@
 	stateMetrics,
 	operatorMetrics,
 	jobMetrics,
+	inputMetrics,
 )
