Take a worker out of use when its entry becomes invalid

A list left out a worker whose entry had become invalid, but a watch kept the worker as it was before, so that the two differed.

--- FAIL: TestInvalidWorkerUpdate got: []modeler.WorkerID{"a", "b"} want: []modeler.WorkerID{"b"}

The platform says that such an entry names no worker to use.

--- a/internal/job/leader/entries_test.go
+++ b/internal/job/leader/entries_test.go
@@ -74,6 +74,16 @@
 	qt.Check(t, fx.registered(), qt.DeepEquals, []modeler.WorkerID{"a", "c", "d"})
 }
 
+// Guards against a worker that stays in use after its entry has become invalid.
+func TestInvalidWorkerUpdate(t *testing.T) {
+	fx := newFixture()
+	fx.resetWorkers([]storer.Entry{worker("a", "ok", 1), worker("b", "ok", 2)})
+	fx.applyWorkers([]storer.Entry{worker("a", "bad", 3)})
+	qt.Check(t, fx.registered(), qt.DeepEquals, []modeler.WorkerID{"b"})
+	fx.applyWorkers([]storer.Entry{worker("a", "ok", 4)})
+	qt.Check(t, fx.registered(), qt.DeepEquals, []modeler.WorkerID{"a", "b"})
+}
+
 // Guards against an invalid job that hides the others or is logged at each list.
 func TestInvalidJobEntry(t *testing.T) {
 	value, err := keeper.Encode(&modeler.Job{ID: "good", Steps: []modeler.Step{{Count: 1}}, Submitted: time.Now()})
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -242,18 +242,20 @@
 
 func (tm *term) applyWorkers(ens []storer.Entry) {
 	for _, en := range ens {
-		if en.Deleted {
-			tm.director.RemoveWorker(modeler.WorkerID(strings.TrimPrefix(en.Key, tm.leader.op.Registry.Prefix)))
-			continue
-		}
 		if wk, ok := tm.decodeWorker(en); ok {
 			tm.director.UpdateWorker(wk)
+		} else {
+			tm.director.RemoveWorker(modeler.WorkerID(strings.TrimPrefix(en.Key, tm.leader.op.Registry.Prefix)))
 		}
 	}
 }
 
-// decodeWorker decodes a worker's entry. If it is invalid, it reports that and returns false.
+// decodeWorker decodes a worker's entry. It returns false for an entry that names no worker: a
+// deleted one, and an invalid one, which it reports.
 func (tm *term) decodeWorker(en storer.Entry) (modeler.Worker, bool) {
+	if en.Deleted {
+		return modeler.Worker{}, false
+	}
 	wk, err := tm.leader.op.Registry.Decode(en)
 	if err != nil {
 		tm.leader.invalidEntries.Report(logger.WorkerEntryInvalid, meter.EntriesInvalid, en.Key, err, "Key", en.Key)
