Accept only the canonical text of a task ID

A worker's list may name tasks that no leader has started. Texts with signs or leading zeros, and IDs that no valid job has, were taken for a task of this deployment.

--- FAIL: TestParseTaskID "a.0.0.00" "a.0.+0.0" "a.0.0.-0" "a.b.0.0.0" "a/b.0.0.0" --- FAIL: FuzzParseTaskID/sign got "a.0.0.0" want "a.0.+0.0" --- FAIL: FuzzParseTaskID/zeros got "a.0.0.0" want "a.0.0.00"

A text is also bounded, since errors quote it.

--- a/internal/job/modeler/job.go
+++ b/internal/job/modeler/job.go
@@ -198,21 +198,37 @@
 	return string(bf)
 }
 
-// ParseTaskID is the inverse of String. Errors: ErrInvalidTaskID.
+// maxTaskIDBytes bounds the text of a task ID: the ID of the job and three numbers.
+const maxTaskIDBytes = maxNameBytes + 3*20
+
+// ParseTaskID is the inverse of String. Errors: ErrInvalidTaskID, also for a text that String returns
+// for no task of a valid job.
 func ParseTaskID(text string) (TaskID, error) {
+	if len(text) > maxTaskIDBytes {
+		return TaskID{}, fmt.Errorf("%w: %d bytes", ErrInvalidTaskID, len(text))
+	}
 	var parts [3]int
 	rest := text
 	for ix := len(parts) - 1; ix >= 0; ix-- {
 		dot := strings.LastIndexByte(rest, '.')
-		num, err := strconv.Atoi(rest[dot+1:])
-		if dot <= 0 || err != nil || num < 0 {
+		num, ok := parseIndex(rest[dot+1:])
+		if dot <= 0 || !ok {
 			return TaskID{}, fmt.Errorf("%w: %q", ErrInvalidTaskID, text)
 		}
 		parts[ix], rest = num, rest[:dot]
 	}
+	if strings.ContainsAny(rest, "./") {
+		return TaskID{}, fmt.Errorf("%w: %q", ErrInvalidTaskID, text)
+	}
 	return TaskID{Job: JobID(rest), Occurrence: parts[0], Step: parts[1], Index: parts[2]}, nil
 }
 
+// parseIndex parses a decimal number without a sign and without leading zeros.
+func parseIndex(text string) (int, bool) {
+	num, err := strconv.Atoi(text)
+	return num, err == nil && text[0] >= '0' && text[0] <= '9' && (text[0] != '0' || len(text) == 1)
+}
+
 // State is the state of a job that callers see.
 type State string
 
--- a/internal/job/modeler/job_test.go
+++ b/internal/job/modeler/job_test.go
@@ -13,7 +13,7 @@
 	got, err := ParseTaskID(id.String())
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, got, qt.Equals, id)
-	for _, text := range []string{"", "a", "a.0.0", ".0.0.0", "a.0.0.-1", "a.0.x.0", "a.0.0.0 "} {
+	for _, text := range []string{"", "a", "a.0.0", ".0.0.0", "a.0.0.-1", "a.0.x.0", "a.0.0.0 ", "a.0.0.00", "a.0.+0.0", "a.0.0.-0", "a.b.0.0.0", "a/b.0.0.0"} {
 		_, err := ParseTaskID(text)
 		qt.Check(t, errors.Is(err, ErrInvalidTaskID), qt.IsTrue, qt.Commentf("%q", text))
 	}
@@ -59,3 +59,16 @@
 	_, _, ok := cfg.Route("c.example", "/x/1")
 	qt.Check(t, ok, qt.IsFalse)
 }
+
+// Guards against a text of another writer that is taken for a task's name although no task has it.
+func FuzzParseTaskID(f *testing.F) {
+	f.Fuzz(func(t *testing.T, text string) {
+		id, err := ParseTaskID(text)
+		if err != nil {
+			qt.Assert(t, errors.Is(err, ErrInvalidTaskID), qt.IsTrue)
+			return
+		}
+		qt.Assert(t, id.String(), qt.Equals, text)
+		qt.Assert(t, id.Occurrence >= 0 && id.Step >= 0 && id.Index >= 0 && id.Job != "", qt.IsTrue)
+	})
+}
