Bound the size, the times and the needs of a job

A caller's job, or a document of another writer, passed Check with values that overflow later.

--- FAIL: TestDueRises 2226-10-18 04:58:52 +0000 UTC, 1842-02-09 05:24:18 +0000 UTC (the third occurrence starts at once, years before its time) --- FAIL: TestCheck, 21 cases, among them tasks_of_all_repeats, needs_at_the_limit, sum_of_estimates, slowdown_of_no_number

--- a/internal/job/modeler/job.go
+++ b/internal/job/modeler/job.go
@@ -30,6 +30,10 @@
 // than one of the same task that ended there.
 type Run int64
 
+// MaxRun is the highest run number that is accepted from other processes. It leaves room for later
+// runs.
+const MaxRun Run = 1 << 62
+
 // Epoch numbers the leaders of a deployment in rising order. A worker refuses requests with a
 // lower epoch than the highest that it has seen.
 type Epoch int64
@@ -143,6 +147,11 @@
 	// maxTasks is the maximum number of tasks of one occurrence.
 	maxTasks       = 20_000
 	maxOccurrences = 10_000
+	// maxParts is the maximum number of tasks and dependencies of all occurrences. All of them are in
+	// memory at once when all due times have passed.
+	maxParts = 5 * maxTasks
+	// maxSlowdown bounds Job.MaxSlowdown and Queue.MaxSlowdown.
+	maxSlowdown = 1_000_000
 )
 
 // ErrInvalidJob means that a job is invalid. None of its tasks run.
@@ -151,36 +160,96 @@
 // Check returns ErrInvalidJob, wrapped with the reason, for a job that is invalid or exceeds a
 // limit.
 func (jb *Job) Check() error {
-	if jb.ID == "" || strings.ContainsAny(string(jb.ID), "./") {
-		return fmt.Errorf("%w: bad id", ErrInvalidJob)
+	if err := jb.ID.Check(); err != nil {
+		return err
 	}
 	if len(jb.Steps) == 0 || len(jb.Steps) > maxSteps {
 		return fmt.Errorf("%w: %d steps, allowed are 1 to %d", ErrInvalidJob, len(jb.Steps), maxSteps)
 	}
-	if jb.Repeats < 0 || jb.Repeats > maxOccurrences || jb.Interval < 0 {
-		return fmt.Errorf("%w: repetition out of range", ErrInvalidJob)
+	if err := checkNames(string(jb.Queue), string(jb.Pool)); err != nil {
+		return err
+	}
+	if !validObjective(jb.MaxSlowdown, jb.Slack) {
+		return fmt.Errorf("%w: objective out of range", ErrInvalidJob)
 	}
-	total := 0
-	for ix, sp := range jb.Steps {
-		if sp.Count < 1 || sp.Count > maxTasks {
-			return fmt.Errorf("%w: step %d has %d tasks", ErrInvalidJob, ix, sp.Count)
+	if err := jb.checkRepetition(); err != nil {
+		return err
+	}
+	tasks, links, estimates := 0, 0, time.Duration(0)
+	for ix := range jb.Steps {
+		sp := &jb.Steps[ix]
+		if err := sp.check(ix); err != nil {
+			return err
 		}
-		total += sp.Count
-		if sp.Needs.MilliCores < 0 || sp.Needs.MemoryMB < 0 || sp.Needs.Accelerators < 0 {
-			return fmt.Errorf("%w: step %d needs less than nothing", ErrInvalidJob, ix)
+		tasks, links, estimates = tasks+sp.Count, links+len(sp.After), estimates+sp.Estimate
+		if estimates > maxDuration {
+			return fmt.Errorf("%w: estimates exceed %s", ErrInvalidJob, maxDuration)
 		}
-		for _, dep := range sp.After {
-			if dep < 0 || dep >= ix {
-				return fmt.Errorf("%w: step %d follows step %d", ErrInvalidJob, ix, dep)
-			}
+	}
+	if tasks > maxTasks {
+		return fmt.Errorf("%w: %d tasks, allowed are %d", ErrInvalidJob, tasks, maxTasks)
+	}
+	if parts := jb.Occurrences() * (tasks + links); parts > maxParts {
+		return fmt.Errorf("%w: %d tasks and dependencies of all occurrences, allowed are %d", ErrInvalidJob, parts, maxParts)
+	}
+	return nil
+}
+
+// Check returns ErrInvalidJob for an ID that cannot be part of a TaskID or of a key.
+func (id JobID) Check() error {
+	if id == "" || strings.ContainsAny(string(id), "./") {
+		return fmt.Errorf("%w: bad id", ErrInvalidJob)
+	}
+	return checkNames(string(id))
+}
+
+// checkNames returns ErrInvalidJob for a name that is too long or not printable.
+func checkNames(names ...string) error {
+	for _, name := range names {
+		if err := checkName("name", name); err != nil {
+			return fmt.Errorf("%w: %w", ErrInvalidJob, err)
 		}
 	}
-	if total > maxTasks {
-		return fmt.Errorf("%w: %d tasks, allowed are %d", ErrInvalidJob, total, maxTasks)
+	return nil
+}
+
+// validObjective reports whether the parameters of an objective are in range.
+func validObjective(slowdown float64, slack time.Duration) bool {
+	// The comparison is false for a value that is no number.
+	return slowdown >= 0 && slowdown <= maxSlowdown && durationInRange(slack)
+}
+
+// checkRepetition checks that the due times of the occurrences rise.
+func (jb *Job) checkRepetition() error {
+	if jb.Repeats < 0 || jb.Repeats > maxOccurrences || jb.Interval < 0 || jb.Interval > maxDuration/time.Duration(jb.Occurrences()) {
+		return fmt.Errorf("%w: repetition out of range", ErrInvalidJob)
+	}
+	if jb.Repeats > 0 && (jb.First.Before(time.Unix(0, 0)) || jb.First.After(time.UnixMilli(maxIncarnation))) {
+		return fmt.Errorf("%w: first due time out of range", ErrInvalidJob)
 	}
 	return nil
 }
 
+// check checks the step with the index.
+func (sp *Step) check(ix int) error {
+	switch {
+	case sp.Count < 1 || sp.Count > maxTasks:
+		return fmt.Errorf("%w: step %d has %d tasks", ErrInvalidJob, ix, sp.Count)
+	case !sp.Needs.inRange():
+		return fmt.Errorf("%w: needs of step %d out of range", ErrInvalidJob, ix)
+	case !durationInRange(sp.Estimate) || !durationInRange(sp.TailTarget):
+		return fmt.Errorf("%w: times of step %d out of range", ErrInvalidJob, ix)
+	case sp.MaxPerWorker < 0 || sp.MaxUnavailable < 0:
+		return fmt.Errorf("%w: limits of step %d are negative", ErrInvalidJob, ix)
+	}
+	for _, dep := range sp.After {
+		if dep < 0 || dep >= ix {
+			return fmt.Errorf("%w: step %d follows step %d", ErrInvalidJob, ix, dep)
+		}
+	}
+	return checkNames(sp.Label, sp.DataRack, sp.Image)
+}
+
 // TaskID names one task of one occurrence of a job.
 type TaskID struct {
 	Job                     JobID
--- a/internal/job/modeler/job_test.go
+++ b/internal/job/modeler/job_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"errors"
+	"math"
+	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -34,6 +37,29 @@
 		"follows a later step":  func(jb *Job) { jb.Steps[0].After = []int{1} },
 		"follows a step before": func(jb *Job) { jb.Steps[1].After = []int{-1} },
 		"repeats too often":     func(jb *Job) { jb.Repeats = maxOccurrences + 1 },
+		"long id":               func(jb *Job) { jb.ID = JobID(strings.Repeat("a", 1000)) },
+		"unprintable id":        func(jb *Job) { jb.ID = "a\n" },
+		"needs at the limit":    func(jb *Job) { jb.Steps[0].Needs.MilliCores = math.MaxInt64 },
+		"memory at the limit":   func(jb *Job) { jb.Steps[0].Needs.MemoryMB = math.MaxInt64 },
+		"negative estimate":     func(jb *Job) { jb.Steps[0].Estimate = -1 },
+		"estimate at the limit": func(jb *Job) { jb.Steps[0].Estimate = math.MaxInt64 },
+		"sum of estimates":      func(jb *Job) { jb.Steps[0].Estimate, jb.Steps[1].Estimate = maxDuration, maxDuration },
+		"negative target":       func(jb *Job) { jb.Steps[0].TailTarget = -1 },
+		"negative per worker":   func(jb *Job) { jb.Steps[0].MaxPerWorker = -1 },
+		"negative unavailable":  func(jb *Job) { jb.Steps[0].MaxUnavailable = -1 },
+		"long image":            func(jb *Job) { jb.Steps[0].Image = strings.Repeat("a", 1000) },
+		"long label":            func(jb *Job) { jb.Steps[0].Label = strings.Repeat("a", 1000) },
+		"slowdown at the limit": func(jb *Job) { jb.MaxSlowdown = math.MaxFloat64 },
+		"slowdown of no number": func(jb *Job) { jb.MaxSlowdown = math.NaN() },
+		"slack at the limit":    func(jb *Job) { jb.Slack = math.MaxInt64 },
+		"tasks of all repeats":  func(jb *Job) { jb.Repeats, jb.First, jb.Steps[0].Count = maxOccurrences, time.Unix(1, 0), 1000 },
+		"links of all repeats": func(jb *Job) {
+			jb.Repeats, jb.First, jb.Steps[1].After = maxOccurrences, time.Unix(1, 0), make([]int, 1000)
+		},
+		"first before 1970":     func(jb *Job) { jb.Repeats, jb.First = 1, time.Unix(-1, 0) },
+		"first at the limit":    func(jb *Job) { jb.Repeats, jb.First = 1, time.UnixMilli(math.MaxInt64) },
+		"interval at the limit": func(jb *Job) { jb.Repeats, jb.First, jb.Interval = 2, time.Unix(1, 0), math.MaxInt64 },
+		"due times overflow":    func(jb *Job) { jb.Repeats, jb.First, jb.Interval = 4, time.Unix(1, 0), maxDuration },
 	} {
 		t.Run(name, func(t *testing.T) {
 			jb := valid()
@@ -60,6 +86,17 @@
 	qt.Check(t, ok, qt.IsFalse)
 }
 
+// Guards against an occurrence that is due before the one before it, and so starts at once.
+func TestDueRises(t *testing.T) {
+	jb := &Job{ID: "a", Steps: []Step{{Count: 1}}, Repeats: 3, First: time.Now(), Interval: 200 * 365 * 24 * time.Hour}
+	if jb.Check() != nil {
+		return
+	}
+	for occurrence := 1; occurrence < jb.Occurrences(); occurrence++ {
+		qt.Check(t, jb.Due(occurrence).After(jb.Due(occurrence-1)), qt.IsTrue, qt.Commentf("%v, %v", jb.Due(occurrence-1), jb.Due(occurrence)))
+	}
+}
+
 // Guards against a text of another writer that is taken for a task's name although no task has it.
 func FuzzParseTaskID(f *testing.F) {
 	f.Fuzz(func(t *testing.T, text string) {
