Bound the objective of a job within the range of a duration

A long critical path times the queue's slowdown left the range of a duration: the objective became negative, and the job overdue at once. What the conversion yields differs between processors.

--- FAIL: TestObjectiveSaturates objective -2474447h47m16.854775809s got: ranker.DeadlineClass(3) want: ranker.DeadlineClass(0)

--- a/internal/job/ranker/ranker.go
+++ b/internal/job/ranker/ranker.go
@@ -70,8 +70,17 @@
 
 func (ws *WaitingStep) latestStart() time.Time { return ws.Submitted.Add(ws.Objective - ws.Remaining) }
 
+// maxObjective bounds an objective, so that MaxLateFactor times it is still a Duration.
+const maxObjective = 10 * 365 * 24 * time.Hour
+
 // Objective returns the time from submission within which a job should end: its critical path (the
-// expected run time of its longest chain of dependent steps) times maxSlowdown, plus slack.
+// expected run time of its longest chain of dependent steps) times maxSlowdown, plus slack. It is at
+// most maxObjective.
 func Objective(criticalPath time.Duration, maxSlowdown float64, slack time.Duration) time.Duration {
+	// The conversion of a value beyond the range of a Duration differs between processors.
+	objective := float64(criticalPath)*maxSlowdown + float64(slack)
+	if objective >= float64(maxObjective) {
+		return maxObjective
+	}
 	return time.Duration(float64(criticalPath)*maxSlowdown) + slack
 }
--- a/internal/job/ranker/ranker_test.go
+++ b/internal/job/ranker/ranker_test.go
@@ -34,3 +34,15 @@
 		})
 	}
 }
+
+// Guards against an objective that overflows, so that a job with much time counts as overdue.
+func TestObjectiveSaturates(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	const years = 365 * 24 * time.Hour
+	for _, slowdown := range []float64{1e3, 1e6, 1e300} {
+		ws := WaitingStep{Submitted: now, Objective: Objective(10*years, slowdown, 10*years), Remaining: 10 * years}
+		qt.Check(t, ws.DeadlineClass(now), qt.Equals, OnTime, qt.Commentf("objective %s", ws.Objective))
+		ws.Submitted = now.Add(-20 * years)
+		qt.Check(t, ws.DeadlineClass(now), qt.Equals, Late, qt.Commentf("objective %s", ws.Objective))
+	}
+}
