Refuse a configuration with values out of bounds

Revisions, times, factors and limits at the limits of their type were put in force: a revision at the limit can never be replaced, a negative slack or an overflown lifetime of permits changes the order and the permits of all jobs.

The document is refused as a whole and the revision in force stays. Two queues of one name or prefix are accepted as before: the first counts, on every host.

--- a/internal/job/modeler/job_test.go
+++ b/internal/job/modeler/job_test.go
@@ -86,6 +86,18 @@
 	qt.Check(t, ok, qt.IsFalse)
 }
 
+// Guards against two hosts that choose different queues of the same name or prefix.
+func TestDuplicateQueues(t *testing.T) {
+	cfg := &Configuration{Revision: 1, Queues: []Queue{
+		{Name: "a", Host: "h", Prefix: "/x/", Pool: "first"}, {Name: "a", Host: "h", Prefix: "/x/", Pool: "second"},
+	}}
+	qt.Assert(t, cfg.Check(), qt.IsNil)
+	qu, _, ok := cfg.Route("h", "/x/1")
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Check(t, qu.Pool, qt.Equals, PoolName("first"))
+	qt.Check(t, cfg.Queue("a").Pool, qt.Equals, PoolName("first"))
+}
+
 // Guards against an occurrence that is due before the one before it, and so starts at once.
 func TestDueRises(t *testing.T) {
 	jb := &Job{ID: "a", Steps: []Step{{Count: 1}}, Repeats: 3, First: time.Now(), Interval: 200 * 365 * 24 * time.Hour}
--- a/internal/job/modeler/queue.go
+++ b/internal/job/modeler/queue.go
@@ -1,6 +1,7 @@
 package modeler
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -63,6 +64,62 @@
 	HeaderLimit int64
 }
 
+const (
+	// maxRevision is the largest integer that every JSON decoder reads exactly.
+	maxRevision = 1<<53 - 1
+	// maxMessageBytes bounds BodyLimit and HeaderLimit.
+	maxMessageBytes = 1 << 30
+	// maxRouteBytes bounds the host and the prefix of a queue.
+	maxRouteBytes = 4 << 10
+)
+
+// ErrInvalidConfiguration means that a configuration has values out of bounds.
+var ErrInvalidConfiguration = errors.New("invalid configuration")
+
+// Check returns ErrInvalidConfiguration, wrapped with the reason, for a configuration with values out
+// of bounds. Names and prefixes may occur several times; the first queue counts then.
+func (cfg *Configuration) Check() error {
+	if cfg.Revision <= 0 || cfg.Revision > maxRevision {
+		return fmt.Errorf("%w: revision %d", ErrInvalidConfiguration, cfg.Revision)
+	}
+	if cfg.BodyLimit < 0 || cfg.BodyLimit > maxMessageBytes || cfg.HeaderLimit < 0 || cfg.HeaderLimit > maxMessageBytes {
+		return fmt.Errorf("%w: limits of %d and %d bytes", ErrInvalidConfiguration, cfg.BodyLimit, cfg.HeaderLimit)
+	}
+	for ix := range cfg.Queues {
+		if err := cfg.Queues[ix].check(); err != nil {
+			return fmt.Errorf("%w: queue %d: %w", ErrInvalidConfiguration, ix, err)
+		}
+	}
+	for _, pl := range cfg.Pools {
+		if err := checkName("pool", string(pl.Name)); err != nil {
+			return fmt.Errorf("%w: %w", ErrInvalidConfiguration, err)
+		}
+	}
+	return nil
+}
+
+func (qu *Queue) check() error {
+	for _, name := range [...]string{string(qu.Name), string(qu.Pool)} {
+		if err := checkName("name", name); err != nil {
+			return err
+		}
+	}
+	switch {
+	case len(qu.Host)+len(qu.Prefix) > maxRouteBytes:
+		return fmt.Errorf("host and prefix of %d bytes", len(qu.Host)+len(qu.Prefix))
+	case qu.Name == "" || qu.Pool == "":
+		return fmt.Errorf("name %q, pool %q", qu.Name, qu.Pool)
+	case qu.Attempts < 0:
+		return fmt.Errorf("%d attempts", qu.Attempts)
+	case !validObjective(qu.MaxSlowdown, qu.Slack):
+		return errors.New("objective out of range")
+	}
+	if po := qu.Policy; po != nil && (!durationInRange(po.DecisionTime) || !durationInRange(po.TimePerWorker) || !durationInRange(po.PermitTTL)) {
+		return errors.New("times of the policy out of range")
+	}
+	return nil
+}
+
 // Route returns the queue of the host with the longest prefix of the path, and the rest of the
 // path. It returns false when no queue matches.
 func (cfg *Configuration) Route(host, path string) (*Queue, string, bool) {
