--- a/internal/state/journaler/keys.go
+++ b/internal/state/journaler/keys.go
@@ -77,11 +77,25 @@
 	})
 }
 
+const (
+	// maxEpoch bounds epochs that are read. It leaves room for later ones and for run numbers that
+	// are multiples of epochs.
+	maxEpoch = 1 << 40
+	// maxPosition bounds positions that are read. It leaves room for later ones.
+	maxPosition = 1 << 60
+	// maxParts bounds the parts of a snapshot, each of which has up to maxPartBytes.
+	maxParts = 10_000
+)
+
+// decodePointer decodes the pointer to the current snapshot. Errors: ErrDamaged.
 func decodePointer(en storer.Entry) (snapshotPointer, error) {
 	var sp StoredPointer
 	if err := proto.Unmarshal(en.Value, &sp); err != nil {
 		return snapshotPointer{}, fmt.Errorf("decoding snapshot pointer %s: %w: %w", en.Key, ErrDamaged, err)
 	}
+	if sp.Epoch < 0 || sp.Epoch > maxEpoch || sp.Position < 0 || sp.Position > maxPosition || sp.Parts < 0 || sp.Parts > maxParts {
+		return snapshotPointer{}, fmt.Errorf("snapshot pointer %s: %w: epoch %d, position %d, %d parts", en.Key, ErrDamaged, sp.Epoch, sp.Position, sp.Parts)
+	}
 	return snapshotPointer{
 		epoch: modeler.Epoch(sp.Epoch), position: sp.Position, parts: int(sp.Parts),
 		host: modeler.HostName(sp.Host), boot: modeler.BootID(sp.Boot), operation: sp.Operation, revision: en.Revision,
