--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -129,7 +129,7 @@
 	defer cancel()
 	jn, rec, err := journaler.Open(openCtx, ld.op.Store, journalName, ld.op.Self.Host, ld.op.Self.Boot, journaler.Options{
 		WritesPerSecond: maxJournalWritesPerSecond, RetryTimeout: journalRetryTimeout, MaxBackOff: maxJournalBackOff,
-		CallTimeout: journalCallTimeout, OpenCallTimeout: journalCallTimeout << doublings,
+		CallTimeout: journalCallTimeout, OpenCallTimeout: journalCallTimeout << doublings, SkipDamaged: true,
 		Logger: ld.op.Log, Meter: ld.op.Meter,
 	})
 	if errors.Is(err, journaler.ErrUnavailable) {
@@ -159,9 +159,13 @@
 // tasks for earlier leaders. Clocks of workers may be slow by 2 %.
 func (ld *Leader) inheritedLease(rec journaler.Recovery, pred elector.Predecessor) time.Duration {
 	lease := ld.op.Limits.Lease + ld.op.Limits.Lease/50 + inheritedLeaseMargin
-	if rec.PreviousHost == "" {
+	if rec.PreviousHost == "" && rec.Damaged == 0 {
 		return 0
 	}
+	// A damaged segment may be the only trace of the last leader.
+	if rec.Damaged > 0 {
+		return lease + authorityTimeout
+	}
 	if pred.Stopped || ld.elector.Replaced(rec.PreviousHost, rec.PreviousBoot) {
 		return lease
 	}
--- a/internal/state/journaler/journaler.go
+++ b/internal/state/journaler/journaler.go
@@ -93,7 +93,9 @@
 	CallTimeout, OpenCallTimeout time.Duration
 	// MaxBackOff bounds the mean back-off between calls during an outage. The default is 5 s.
 	MaxBackOff time.Duration
-	Logger     logr.Logger
+	// SkipDamaged makes Open pass over segments that cannot be decoded. Their records are lost.
+	SkipDamaged bool
+	Logger      logr.Logger
 	// Meter may be nil.
 	Meter *meter.Registry
 }
@@ -137,6 +139,9 @@
 	// SnapshotPosition is the last position that SnapshotRecords covers. It is zero if there is no
 	// snapshot.
 	SnapshotPosition int64
+	// Damaged is the number of segments that were passed over, see Options.SkipDamaged. The epoch of a
+	// host that is not known may have begun in one of them.
+	Damaged int
 	// PreviousEpoch, PreviousHost and PreviousBoot identify the previous leader. They are zero in
 	// the first epoch.
 	PreviousEpoch modeler.Epoch
--- a/internal/state/journaler/keys.go
+++ b/internal/state/journaler/keys.go
@@ -102,6 +102,7 @@
 	}, nil
 }
 
+// decodeSegment decodes the segment at a position. Errors: ErrDamaged.
 func decodeSegment(en storer.Entry, pos int64) (*StoredSegment, error) {
 	sg := new(StoredSegment)
 	if err := proto.Unmarshal(en.Value, sg); err != nil {
@@ -110,6 +111,9 @@
 	if sg.Position != pos {
 		return nil, fmt.Errorf("%s: %w: holds position %d", en.Key, ErrDamaged, sg.Position)
 	}
+	if sg.Epoch <= 0 || sg.Epoch > maxEpoch {
+		return nil, fmt.Errorf("%s: %w: epoch %d", en.Key, ErrDamaged, sg.Epoch)
+	}
 	recs, err := decompressRecords(sg.Records)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", en.Key, err)
--- a/internal/state/journaler/opener.go
+++ b/internal/state/journaler/opener.go
@@ -62,6 +62,8 @@
 	snapshotPointer snapshotPointer
 	snapshotRecords []Record
 	segments        []*StoredSegment
+	// damaged is the number of segments that were passed over. They are empty in segments.
+	damaged int
 	// epochRecord is the epoch record in the journal. It is nil before it was written.
 	epochRecord *StoredSegment
 	// epochWriteStart is the start of the call that wrote or found epochRecord.
@@ -77,7 +79,7 @@
 	if err := on.readSnapshot(ctx); err != nil {
 		return err
 	}
-	on.segments = nil
+	on.segments, on.damaged = nil, 0
 	if err := on.readSegments(ctx); err != nil {
 		return err
 	}
@@ -219,14 +221,33 @@
 }
 
 func (on *opener) appendSegment(en storer.Entry) error {
-	sg, err := decodeSegment(en, on.nextPosition())
+	sg, err := on.decodeOrSkip(en, on.nextPosition())
 	if err != nil {
 		return err
 	}
-	on.segments = append(on.segments, sg)
+	on.addSegment(sg)
 	return nil
 }
 
+// decodeOrSkip returns the segment at a position, or, with Options.SkipDamaged, an empty one without
+// an epoch instead of one that cannot be decoded.
+func (on *opener) decodeOrSkip(en storer.Entry, pos int64) (*StoredSegment, error) {
+	sg, err := decodeSegment(en, pos)
+	if !errors.Is(err, ErrDamaged) || !on.options.SkipDamaged {
+		return sg, err
+	}
+	on.options.Meter.Add(meter.EntriesInvalid, 1)
+	logger.Log(on.options.Logger, logger.SegmentSkipped, "DataCentre", on.keys.dc, "Position", pos, "Error", err.Error())
+	return &StoredSegment{Position: pos}, nil
+}
+
+func (on *opener) addSegment(sg *StoredSegment) {
+	on.segments = append(on.segments, sg)
+	if sg.Epoch == 0 {
+		on.damaged++
+	}
+}
+
 // appendEpochRecord appends the epoch record after the last segment. It first reads any segments that
 // the current leader appends meanwhile.
 func (on *opener) appendEpochRecord(ctx context.Context) error {
@@ -246,7 +267,7 @@
 			return nil
 		}
 		known := len(on.segments)
-		on.segments = append(on.segments, found)
+		on.addSegment(found)
 		if err := on.readSegments(ctx); err != nil {
 			return err
 		}
@@ -266,13 +287,14 @@
 	return nil
 }
 
-// highestEpoch returns the highest epoch that was read.
+// highestEpoch returns the highest epoch that can have begun: each damaged segment may have begun one
+// after the highest that was read.
 func (on *opener) highestEpoch() int64 {
 	ep := int64(on.snapshotPointer.epoch)
 	for _, sg := range on.segments {
 		ep = max(ep, sg.Epoch)
 	}
-	return ep
+	return ep + int64(on.damaged)
 }
 
 // create writes a segment unless its position is taken, and returns the segment at that position.
@@ -299,7 +321,7 @@
 			// The position may still be free, so identical bytes are written again.
 			return fmt.Errorf("%w: %w", storer.ErrUnavailable, err)
 		}
-		found, err = decodeSegment(en, sg.Position)
+		found, err = on.decodeOrSkip(en, sg.Position)
 		return err
 	})
 	if err != nil && mayBeWritten {
@@ -329,12 +351,12 @@
 func (on *opener) recovery() Recovery {
 	rec := Recovery{
 		Epoch: modeler.Epoch(on.epochRecord.Epoch), Position: on.epochRecord.Position, SnapshotRecords: on.snapshotRecords,
-		SnapshotPosition: on.snapshotPointer.position, PreviousEpoch: on.snapshotPointer.epoch,
+		SnapshotPosition: on.snapshotPointer.position, Damaged: on.damaged, PreviousEpoch: on.snapshotPointer.epoch,
 		PreviousHost: on.snapshotPointer.host, PreviousBoot: on.snapshotPointer.boot, Appended: on.appended,
 	}
 	for _, sg := range on.segments {
 		rec.Records = decodeRecords(rec.Records, sg.Records)
-		if sg.Position != on.epochRecord.Position {
+		if sg.Position != on.epochRecord.Position && sg.Epoch != 0 {
 			rec.PreviousEpoch = modeler.Epoch(sg.Epoch)
 			rec.PreviousHost = modeler.HostName(sg.Host)
 			rec.PreviousBoot = modeler.BootID(sg.Boot)
--- a/internal/state/journaler/writer.go
+++ b/internal/state/journaler/writer.go
@@ -52,6 +52,25 @@
 	return jn.submit(ctx, &request{records: stored, size: size, apply: apply, result: make(chan error, 1)})
 }
 
+// Batches splits records into lists that fit into one append each, in the same order. A record that
+// is too large for an append has a list of its own.
+func Batches(recs []Record) [][]Record {
+	var batches [][]Record
+	first, size := 0, 0
+	for ix, rec := range recs {
+		next := maxRecordSize(rec)
+		if ix > first && size+next > MaxAppendBytes {
+			batches = append(batches, recs[first:ix])
+			first, size = ix, 0
+		}
+		size += next
+	}
+	if first < len(recs) {
+		batches = append(batches, recs[first:])
+	}
+	return batches
+}
+
 // Barrier calls a function with the last position once all earlier appends are applied and while no
 // append is in flight. A copy of the applied state made by the function is a snapshot at exactly this
 // position. The function must return quickly because it blocks appends. Errors: ErrDeposed and
@@ -316,7 +335,8 @@
 	}
 	found, err := decodeSegment(en, wr.segment.Position)
 	if err != nil {
-		return err
+		// The position is taken by something that is not this write.
+		return fmt.Errorf("%w: %w", ErrDeposed, err)
 	}
 	if found.isWriteOf(jn.boot, wr.segment.Operation) {
 		return nil
