Check the configuration of a peer before it is put in force

A host that starts has no configuration yet and sends "null", which put an empty configuration in force: the receiver then denied queues that exist. A revision at the limit of its type was never replaced again and spread to all hosts.

--- FAIL: TestPeerWithoutConfiguration got &modeler.Configuration{} --- FAIL: TestPeerConfigurationOutOfBounds/revision_at_the_limit got: int64 want: int64(5) --- FAIL: TestPeerConfigurationOutOfBounds/negative_slack got: int64(7)

FuzzApplyDocument ran for a minute: 317,194 executions, no failure.

--- a/internal/job/subscriber/subscriber.go
+++ b/internal/job/subscriber/subscriber.go
@@ -167,11 +167,16 @@
 	}
 }
 
+// applyDocument puts the configuration of a peer in force. Errors: those of package json,
+// modeler.ErrInvalidConfiguration, also for a peer that has no configuration.
 func (sb *Subscriber) applyDocument(document []byte, addr netip.AddrPort) error {
 	cfg := new(modeler.Configuration)
 	if err := json.Unmarshal(document, cfg); err != nil {
 		return err
 	}
+	if err := cfg.Check(); err != nil {
+		return err
+	}
 	sb.mu.Lock()
 	defer sb.mu.Unlock()
 	sb.accept(cfg, addr.String())
