Report a refused configuration once

A document that cannot be used was decoded and logged again at each read: each request for an unknown queue reads it, and each heartbeat of a peer with a higher revision asks for it. Before, for 50 reads of each:

--- FAIL: TestInvalidConfiguration len(got): int(100) want length: int(2)

--- a/internal/job/subscriber/subscriber.go
+++ b/internal/job/subscriber/subscriber.go
@@ -18,6 +18,7 @@
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
+	"github.com/currantrouter/currantrouter/internal/telemetry/reporter"
 )
 
 const (
@@ -45,11 +46,13 @@
 
 // Subscriber holds the configuration in force. It is safe for concurrent use.
 type Subscriber struct {
-	store   Store
-	entry   ConfigurationEntry
-	dial    func(netip.AddrPort) messenger.Jobs
-	log     logr.Logger
-	meter   *meter.Registry
+	store Store
+	entry ConfigurationEntry
+	dial  func(netip.AddrPort) messenger.Jobs
+	log   logr.Logger
+	meter *meter.Registry
+	// invalid reports configurations that are refused.
+	invalid *reporter.Reporter
 	watcher *watcher.Watcher
 	current atomic.Pointer[modeler.Configuration]
 
@@ -63,7 +66,7 @@
 // New returns a subscriber without a configuration. The function dial returns the client for a
 // peer.
 func New(st Store, ce ConfigurationEntry, dial func(netip.AddrPort) messenger.Jobs, lg logr.Logger, rg *meter.Registry) *Subscriber {
-	sb := &Subscriber{store: st, entry: ce, dial: dial, log: lg, meter: rg}
+	sb := &Subscriber{store: st, entry: ce, dial: dial, log: lg, meter: rg, invalid: reporter.New(lg, rg)}
 	sb.watcher = watcher.New(st, ce.Key, watcher.Sink{Reset: sb.applyEntries, Apply: sb.applyEntries}, "queues", 0, lg)
 	return sb
 }
@@ -103,7 +106,7 @@
 	}
 	cfg, err := sb.entry.Decode(en.Value)
 	if err != nil {
-		logger.Log(sb.log, logger.QueuesInvalid, "Revision", en.Revision, "Error", err.Error())
+		sb.invalid.Report(logger.QueuesInvalid, meter.EntriesInvalid, en.Key, err, "Revision", en.Revision)
 		return
 	}
 	sb.decodedRevision = en.Revision
@@ -159,11 +162,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
 	doc, err := sb.dial(addr).Queues(ctx, &messenger.QueuesQuery{})
-	if err == nil {
-		err = sb.applyDocument(doc.Document, addr)
-	}
 	if err != nil {
 		logger.Log(sb.log, logger.QueuesNotFetched, "Peer", addr, "Revision", revision, "Error", err.Error())
+		return
+	}
+	if err := sb.applyDocument(doc.Document, addr); err != nil {
+		sb.invalid.Report(logger.PeerInvalid, meter.ReportsInvalid, addr.String(), err, "Peer", addr, "Revision", revision)
 	}
 }
 
--- a/internal/job/subscriber/subscriber_test.go
+++ b/internal/job/subscriber/subscriber_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math"
 	"net/netip"
 	"testing"
@@ -39,6 +40,9 @@
 	fx := new(fixture)
 	lg := funcr.New(func(_, args string) { fx.lines = append(fx.lines, args) }, funcr.Options{})
 	entry := ConfigurationEntry{Key: "Queues", Decode: func(value []byte) (*modeler.Configuration, error) {
+		if string(value) == "bad" {
+			return nil, errors.New("bad configuration")
+		}
 		return &modeler.Configuration{Revision: int64(len(value))}, nil
 	}}
 	fx.Subscriber = New(nil, entry, func(netip.AddrPort) messenger.Jobs { return &fx.peer }, lg, meter.New(nil))
@@ -87,6 +91,20 @@
 	}
 }
 
+// Guards against a refused configuration that is logged at each read or hides the next one.
+func TestInvalidConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newFixture()
+		for range 50 {
+			fx.applyEntries([]storer.Entry{{Key: "Queues", Value: []byte("bad"), Revision: 1}})
+			fx.fetchDocument([]byte("{"))
+		}
+		qt.Check(t, fx.lines, qt.HasLen, 2)
+		fx.applyEntries([]storer.Entry{{Key: "Queues", Value: []byte("12345"), Revision: 2}})
+		qt.Check(t, fx.Revision(), qt.Equals, int64(5))
+	})
+}
+
 // Guards against a document of a peer that ends the process or puts values out of bounds in force.
 func FuzzApplyDocument(f *testing.F) {
 	f.Fuzz(func(t *testing.T, document []byte) {
