Leave one odd row of a worker's report out alone

A row that names no task, or an outcome that this version does not know, made the whole answer unusable, and since the worker lists it again each time, the worker was lost for good. An answer with a text in place of its lists, or that is no object, counted as a worker on which nothing runs: all of its tasks were taken for lost and would have started a second time. Numbers out of range were converted as the processor likes.

Odd rows and checkpoints that are too long are left out, counted in ReportsInvalid and logged once for each worker; their numbers are acknowledged with the others. An unknown outcome is an end without a result. A running row with a known task and an impossible run still makes the answer unusable: the run would count as lost while it goes on. A list may be missing or null, as before.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -21,6 +21,7 @@
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
+	"github.com/currantrouter/currantrouter/internal/telemetry/reporter"
 )
 
 // WorkerClient sends requests to workers. Errors are those of package modeler. The duration that
@@ -178,7 +179,9 @@
 	startsInFlight int
 	windowFull     bool
 	// contention is the competition of best-effort images for the workers.
-	contention      contention
+	contention contention
+	// invalid reports malformed facts and reports.
+	invalid         *reporter.Reporter
 	summaryLoggedAt time.Time
 	// waitLoggedAt is when the log last said why a task waits.
 	waitLoggedAt time.Time
@@ -203,6 +206,7 @@
 		waitingSteps:         map[*step]struct{}{},
 		model:                estimator.New(),
 		startWindow:          throttler.New(requestTimeout),
+		invalid:              reporter.New(op.Log, op.Meter),
 	}
 }
 
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -28,6 +28,9 @@
 	if wk.unreachable && wk.answered {
 		dr.log(logger.WorkerReachable, "Worker", wk.info.ID, "Runs", len(rep.Running), "Ends", len(rep.Ended))
 	}
+	if rep.LeftOut > 0 {
+		dr.invalid.Report(logger.ReportInvalid, meter.ReportsInvalid, string(wk.info.ID), rep.LeftOutReason, "Worker", wk.info.ID, "LeftOut", rep.LeftOut)
+	}
 	wk.clock, wk.clockAt, wk.unreachable = rep.Clock, now, false
 	dr.markAnswered(wk)
 	listed := make(map[attemptKey]bool, len(rep.Running)+len(rep.Ended))
@@ -37,6 +40,7 @@
 		dr.updateRun(wk, row, now)
 	}
 	facts, endedJobs := dr.handleEnds(wk, rep.Ended, listed, now)
+	wk.processedEnd = max(wk.processedEnd, rep.LastEnd)
 	dr.loseMissingRuns(wk, listed, sentAt, now)
 	dr.checkRuns(wk, now)
 	dr.paceBestEffort(wk, now)
--- a/internal/job/modeler/worker.go
+++ b/internal/job/modeler/worker.go
@@ -81,6 +81,8 @@
 	GangBroken Outcome = "Broken"
 	// GangIncomplete means that other members of the gang did not start in time.
 	GangIncomplete Outcome = "Alone"
+	// UnknownOutcome means an end without a result, for a reason that this version does not know.
+	UnknownOutcome Outcome = "Unknown"
 )
 
 // StartRequest starts one run of a task.
@@ -118,16 +120,18 @@
 	Run  Run
 	// Checkpoint is the task's latest checkpoint, or empty.
 	Checkpoint string
-	// Progress is in percent of the task's work, or of its startup for a long-running task.
+	// Progress is in percent of the task's work, or of its startup for a long-running task, from 0 to
+	// MaxProgress.
 	Progress int
 	// Measure is the tail latency of a latency-critical task in milliseconds, and the processor use
-	// of any other task in thousandths of a core. It covers the last half second.
+	// of any other task in thousandths of a core, from 0 to MaxMeasure. It covers the last half
+	// second.
 	Measure int64
 }
 
 // EndedRun is the end of one run in a worker's report.
 type EndedRun struct {
-	// Number counts the ends in one incarnation of the worker, from 1.
+	// Number counts the ends in one incarnation of the worker, from 1 to MaxEndNumber.
 	Number  int64
 	Task    TaskID
 	Run     Run
@@ -145,6 +149,55 @@
 	Running     []ActiveRun
 	// Ended holds the ended runs that are not yet acknowledged.
 	Ended []EndedRun
+	// LastEnd is the highest number of an ended run, also of one that was left out. It is zero if
+	// there is none.
+	LastEnd int64
+	// LeftOut is the number of invalid rows and checkpoints that were left out. LeftOutReason is the
+	// first reason, nil if LeftOut is zero.
+	LeftOut       int
+	LeftOutReason error
+}
+
+const (
+	// MaxProgress is in percent.
+	MaxProgress = 100
+	// MaxMeasure is the highest measure of a run: a million cores or 11 days of latency.
+	MaxMeasure = maxMilliCores
+	// MaxEndNumber is the highest number of an end that is accepted.
+	MaxEndNumber = 1 << 40
+	// MaxCheckpointBytes bounds a checkpoint, which is stored with each end of a run.
+	MaxCheckpointBytes = 1 << 10
+)
+
+// LeaveOut notes that a part of the report is invalid and was left out.
+func (rep *Report) LeaveOut(reason error) {
+	if rep.LeftOut == 0 {
+		rep.LeftOutReason = reason
+	}
+	rep.LeftOut++
+}
+
+// ErrInvalidReport means that a worker's report has values out of bounds.
+var ErrInvalidReport = errors.New("invalid report")
+
+// Check returns ErrInvalidReport, wrapped with the reason, for a report with values out of bounds.
+func (rep *Report) Check() error {
+	if !durationInRange(rep.Clock) || rep.Incarnation < 0 || rep.Incarnation > maxIncarnation {
+		return fmt.Errorf("%w: clock %s, incarnation %d", ErrInvalidReport, rep.Clock, rep.Incarnation)
+	}
+	for ix := range rep.Running {
+		rn := &rep.Running[ix]
+		if rn.Run <= 0 || rn.Run > MaxRun || rn.Progress < 0 || rn.Progress > MaxProgress || rn.Measure < 0 || rn.Measure > MaxMeasure || len(rn.Checkpoint) > MaxCheckpointBytes {
+			return fmt.Errorf("%w: run %d of %s", ErrInvalidReport, rn.Run, rn.Task)
+		}
+	}
+	for ix := range rep.Ended {
+		en := &rep.Ended[ix]
+		if en.Number <= 0 || en.Number > rep.LastEnd || en.Run <= 0 || en.Run > MaxRun || len(en.Checkpoint) > MaxCheckpointBytes {
+			return fmt.Errorf("%w: end %d of run %d of %s", ErrInvalidReport, en.Number, en.Run, en.Task)
+		}
+	}
+	return nil
 }
 
 // Errors of requests to a worker. Test for them with errors.Is. After any of them except
