Process the ends of a report in any order

An end listed after a higher number was skipped and acknowledged with it, so that the end of its task was never known. Before, with the list reversed, the job had not ended after 10 s:

--- FAIL: TestEndsListedInAnyOrder job a got: "Running" want: "Completed"

--- /dev/null
+++ b/internal/job/director/odd_input_test.go
@@ -0,0 +1,75 @@
+package director_test
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/currantrouter/currantrouter/internal/job/director"
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+)
+
+// roundTrip is the time that a request to an oddClient takes.
+const roundTrip = time.Millisecond
+
+// oddClient changes the reports of workers.
+type oddClient struct {
+	director.WorkerClient
+	// edit changes a report. If it returns false, the worker does not answer.
+	edit     func(id modeler.WorkerID, rep *modeler.Report) bool
+	renewals atomic.Int64
+	// highestRun is the highest run that was started.
+	highestRun atomic.Int64
+}
+
+func (oc *oddClient) Renew(ctx context.Context, info *modeler.Worker, req *modeler.RenewRequest) (modeler.Report, error) {
+	oc.renewals.Add(1)
+	time.Sleep(roundTrip)
+	rep, err := oc.WorkerClient.Renew(ctx, info, req)
+	if err == nil && !oc.edit(info.ID, &rep) {
+		return modeler.Report{}, modeler.ErrNoAnswer
+	}
+	return rep, err
+}
+
+func (oc *oddClient) Start(ctx context.Context, info *modeler.Worker, req *modeler.StartRequest) (time.Duration, error) {
+	oc.highestRun.Store(max(oc.highestRun.Load(), int64(req.Run)))
+	return oc.WorkerClient.Start(ctx, info, req)
+}
+
+// runOdd runs a test on workers whose reports are changed.
+func runOdd(t *testing.T, workers int, edit func(id modeler.WorkerID, rep *modeler.Report) bool, test func(fl *fleet, tm *term, oc *oddClient)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, workers)
+		oc := &oddClient{WorkerClient: fl.workers, edit: edit}
+		fl.client = oc
+		tm := fl.startTerm(0)
+		defer func() { tm.end() }()
+		test(fl, tm, oc)
+		tm.end()
+		fl.assertNoViolations()
+	})
+}
+
+// Guards against an end that is skipped, and its task done twice, because a higher number is listed
+// before it.
+func TestEndsListedInAnyOrder(t *testing.T) {
+	reversed := func(_ modeler.WorkerID, rep *modeler.Report) bool {
+		slices.Reverse(rep.Ended)
+		return true
+	}
+	runOdd(t, 1, reversed, func(fl *fleet, tm *term, _ *oddClient) {
+		tm.submit(simpleJob("a", "batch", 12, cores(1000)))
+		tm.awaitAll(10 * time.Second)
+		tm.assertState("a", modeler.Completed)
+		for ix := range 12 {
+			qt.Check(t, fl.workers.StartCount(modeler.TaskID{Job: "a", Index: ix}), qt.Equals, 1)
+		}
+	})
+}
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -173,18 +173,20 @@
 }
 
 // handleEnds processes the ends of a report that are new, and returns the facts that have to be
-// durable before the worker may drop the ends, and the jobs that end with them.
+// durable before the worker may drop the ends, and the jobs that end with them. The ends may be
+// listed in any order.
 func (dr *Director) handleEnds(wk *worker, rows []modeler.EndedRun, listed map[attemptKey]bool, now time.Time) ([]keeper.Fact, []*job) {
 	var facts []keeper.Fact
 	var endedJobs []*job
+	processedBefore := wk.processedEnd
 	for ix := range rows {
 		row := &rows[ix]
 		key := attemptKey{row.Task, row.Run}
 		listed[key] = true
-		if row.Number <= wk.processedEnd {
+		if row.Number <= processedBefore {
 			continue
 		}
-		wk.processedEnd = row.Number
+		wk.processedEnd = max(wk.processedEnd, row.Number)
 		delete(wk.unexpectedStops, key)
 		jb := dr.jobs[row.Task.Job]
 		if jb == nil {
