Bound the lease that a worker counts as holding by its last clock

One report with a clock far ahead gave the worker a lease that never counted as expired: when the worker died, its tasks waited for ever. Before, with one clock 1,000 h ahead and a crash:

--- FAIL: TestClockFarAhead job a got: "Running" want: "Completed"

A worker shortens any lease to the longest that it accepts, counted from its own clock, so the next report bounds what it can hold.

--- a/internal/daemon/assembler/jobs.go
+++ b/internal/daemon/assembler/jobs.go
@@ -89,7 +89,7 @@
 	jh.leader = jobleader.New(jobleader.Options{
 		Self: self, Store: pf.Store, Registry: pf.Registry, WorkerClient: pf.WorkerClient, Policy: pf.Policy,
 		Limits: director.Limits{
-			Lease: st.Jobs.Lease, StopGrace: st.Jobs.StopLimit, Retention: st.Jobs.Retention,
+			Lease: st.Jobs.Lease, LongestLease: st.Jobs.LongestLease, StopGrace: st.Jobs.StopLimit, Retention: st.Jobs.Retention,
 			RestoreTime: st.Jobs.RestoreTime, OverTargetGrace: st.Jobs.HarmLimit, RemoteDataFactor: st.Jobs.FarFactor,
 		},
 		Configuration: jh.subscriber.Current, SuspendedTime: suspendedTime(), Log: lg, Meter: jh.meter,
--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -64,6 +64,8 @@
 	StopGrace time.Duration
 	// Retention is how long a job's state can be queried after its end.
 	Retention time.Duration
+	// LongestLease is the longest lease that a worker accepts. It shortens longer ones.
+	LongestLease time.Duration
 	// RestoreTime is the time that a resumed task takes to load its checkpoint.
 	RestoreTime time.Duration
 	// OverTargetGrace is how long the tail latency of a latency-critical task may exceed its target
--- a/internal/job/director/odd_input_test.go
+++ b/internal/job/director/odd_input_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/currantrouter/currantrouter/internal/job/director"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
 )
 
 // roundTrip is the time that a request to an oddClient takes.
@@ -73,3 +74,28 @@
 		}
 	})
 }
+
+// Guards against a clock that is far ahead in one report, after which the lease of its worker never
+// counts as expired.
+func TestClockFarAhead(t *testing.T) {
+	var reports int
+	ahead := func(id modeler.WorkerID, rep *modeler.Report) bool {
+		if id == "worker-00" && len(rep.Running) > 0 {
+			if reports++; reports == 1 {
+				rep.Clock += 1000 * time.Hour
+			}
+		}
+		return true
+	}
+	runOdd(t, 1, ahead, func(fl *fleet, tm *term, _ *oddClient) {
+		fl.setBehaviour(modeler.TaskID{Job: "a"}, emulator.TaskBehaviour{RunTime: 10 * time.Second})
+		tm.submit(simpleJob("a", "batch", 1, cores(1000)))
+		sleep(4500 * time.Millisecond)
+		qt.Assert(t, reports > 1, qt.IsTrue)
+		fl.workers.Crash("worker-00")
+		fl.infos = append(fl.infos, fl.workers.Add(workerInfo(1)))
+		tm.SetWorkers(fl.infos)
+		tm.awaitAll(40 * time.Second)
+		tm.assertState("a", modeler.Completed)
+	})
+}
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -32,6 +32,8 @@
 		dr.invalid.Report(logger.ReportInvalid, meter.ReportsInvalid, string(wk.info.ID), rep.LeftOutReason, "Worker", wk.info.ID, "LeftOut", rep.LeftOut)
 	}
 	wk.clock, wk.clockAt, wk.unreachable = rep.Clock, now, false
+	// An earlier report may have had a clock that was too far ahead.
+	wk.leaseEnd = min(wk.leaseEnd, rep.Clock+max(dr.op.Limits.Lease, dr.op.Limits.LongestLease))
 	dr.markAnswered(wk)
 	listed := make(map[attemptKey]bool, len(rep.Running)+len(rep.Ended))
 	for ix := range rep.Running {
