Pause after a report that is out of date

A worker whose answers have a lower incarnation than the leader knows, or none, was called again at once, for as long as it answered at once.

The next renewal now waits as it does for ends that are not yet recorded.

--- a/internal/job/director/odd_input_test.go
+++ b/internal/job/director/odd_input_test.go
@@ -99,3 +99,29 @@
 		tm.assertState("a", modeler.Completed)
 	})
 }
+
+// Guards against a worker whose reports are out of date and that is called again without a pause.
+func TestReportsOutOfDate(t *testing.T) {
+	outdated := false
+	old := func(_ modeler.WorkerID, rep *modeler.Report) bool {
+		if outdated {
+			rep.Incarnation = 0
+			rep.Ended = []modeler.EndedRun{{Number: 1, Task: modeler.TaskID{Job: "x"}, Run: 1, Outcome: modeler.Done}}
+		}
+		return true
+	}
+	runOdd(t, 1, old, func(_ *fleet, tm *term, oc *oddClient) {
+		sleep(time.Second)
+		// An end that is not acknowledged makes the worker answer at once.
+		tm.submit(simpleJob("a", "batch", 1, cores(1000)))
+		sleep(500 * time.Millisecond)
+		outdated = true
+		sleep(time.Second)
+		before := oc.renewals.Load()
+		sleep(10 * time.Second)
+		qt.Check(t, oc.renewals.Load()-before <= 50, qt.IsTrue, qt.Commentf("%d renewals in 10 s", oc.renewals.Load()-before))
+		outdated = false
+		tm.awaitAll(20 * time.Second)
+		tm.assertState("a", modeler.Completed)
+	})
+}
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -12,15 +12,17 @@
 )
 
 // handleReport processes a worker's report. The returned channel is closed once the reported ends
-// are durable.
+// are durable. It is nil for a report that is out of date.
 func (dr *Director) handleReport(wk *worker, sentAt time.Time, rep *modeler.Report) <-chan struct{} {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	now := time.Now()
 	if rep.Incarnation < wk.incarnation {
 		// The report of an earlier incarnation arrived after one of a later incarnation and is out
-		// of date.
-		return dr.recordEnds(wk)
+		// of date. Without a channel, the next renewal is delayed: a worker may answer like this at
+		// once each time.
+		dr.recordEnds(wk)
+		return nil
 	}
 	if rep.Incarnation > wk.incarnation {
 		dr.workerRestarted(wk, rep.Incarnation, now)
