Ignore runs with numbers that no leader can have given

Such a run is reported and left alone. It is not stopped, since the worker would then refuse all lower runs of the task.

--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -178,15 +178,15 @@
 	name, _ := ft.TaskName()
 	id, err := modeler.ParseTaskID(name)
 	if err != nil {
-		dr.log(logger.FactDamaged, "Job", jb.ID, "Error", err.Error())
+		dr.invalid.Report(logger.FactDamaged, meter.EntriesInvalid, "journal", err, "Job", jb.ID)
 		return
 	}
 	tk := jb.task(id)
 	switch {
 	case tk == nil:
-	case ft.Placed != nil:
+	case ft.Placed != nil && dr.possibleRun(ft.Placed.Run):
 		tk.recordPlacement(ft.Placed.Run, ft.Placed.Worker)
-	default:
+	case ft.RunEnd != nil && dr.possibleRun(ft.RunEnd.Run):
 		dr.applyRunEnd(tk, ft.RunEnd.Run, ft.RunEnd.Outcome, ft.RunEnd.Checkpoint)
 	}
 }
--- a/internal/job/director/odd_input_test.go
+++ b/internal/job/director/odd_input_test.go
@@ -75,6 +75,28 @@
 	})
 }
 
+// Guards against a run number that no leader can have given, after which a task is started with
+// numbers that overflow.
+func TestImpossibleRun(t *testing.T) {
+	odd := modeler.ActiveRun{Task: modeler.TaskID{Job: "a", Step: 1}, Run: modeler.MaxRun}
+	var until time.Time
+	listed := func(_ modeler.WorkerID, rep *modeler.Report) bool {
+		if time.Now().Before(until) {
+			rep.Running = append(rep.Running, odd)
+		}
+		return true
+	}
+	runOdd(t, 1, listed, func(_ *fleet, tm *term, oc *oddClient) {
+		until = time.Now().Add(500 * time.Millisecond)
+		jb := simpleJob("a", "batch", 1, cores(1000))
+		jb.Steps = append(jb.Steps, modeler.Step{Count: 1, After: []int{0}}, modeler.Step{Count: 1, After: []int{1}})
+		tm.submit(jb)
+		tm.awaitAll(20 * time.Second)
+		tm.assertState("a", modeler.Completed)
+		qt.Check(t, oc.highestRun.Load() < 1<<40, qt.IsTrue, qt.Commentf("run %d", oc.highestRun.Load()))
+	})
+}
+
 // Guards against a clock that is far ahead in one report, after which the lease of its worker never
 // counts as expired.
 func TestClockFarAhead(t *testing.T) {
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -118,6 +119,11 @@
 // updateRun updates an attempt from a report.
 func (dr *Director) updateRun(wk *worker, row *modeler.ActiveRun, now time.Time) {
 	at := wk.attempts[attemptKey{row.Task, row.Run}]
+	if at == nil && !dr.possibleRun(row.Run) {
+		// A stop would make the worker refuse all lower runs of the task.
+		dr.reportImpossibleRun(wk, row.Task, row.Run)
+		return
+	}
 	if at == nil {
 		at = dr.adopt(wk, row, now)
 		if at == nil {
@@ -138,6 +144,11 @@
 	}
 }
 
+// reportImpossibleRun reports a run with a number that no leader can have given.
+func (dr *Director) reportImpossibleRun(wk *worker, id modeler.TaskID, run modeler.Run) {
+	dr.invalid.Report(logger.ReportInvalid, meter.ReportsInvalid, string(wk.info.ID), fmt.Errorf("run %d of %s", run, id), "Worker", wk.info.ID, "LeftOut", 1)
+}
+
 // adopt creates an attempt for a run that an earlier leader started, or stops the run and returns
 // nil if this term does not want it.
 func (dr *Director) adopt(wk *worker, row *modeler.ActiveRun, now time.Time) *attempt {
@@ -201,6 +212,10 @@
 			continue
 		}
 		at := wk.attempts[key]
+		if at == nil && !dr.possibleRun(row.Run) {
+			dr.reportImpossibleRun(wk, row.Task, row.Run)
+			continue
+		}
 		if dr.applyRunEnd(tk, row.Run, row.Outcome, row.Checkpoint) {
 			facts = append(facts, keeper.Fact{RunEnd: &keeper.RunEndFact{
 				Task: row.Task.String(), Run: row.Run, Outcome: row.Outcome, Checkpoint: row.Checkpoint,
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -435,6 +435,11 @@
 	return max(tk.lastRun, modeler.Run(dr.op.Epoch-1)*runsPerEpoch) + 1
 }
 
+// possibleRun reports whether a leader up to this one can have given the run number.
+func (dr *Director) possibleRun(run modeler.Run) bool {
+	return run <= modeler.Run(dr.op.Epoch)*runsPerEpoch
+}
+
 // queueStart queues a start for the goroutines that send starts to its worker.
 func (dr *Director) queueStart(at *attempt) {
 	wk := at.worker
