--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -390,22 +390,35 @@
 		}
 		recs = append(recs, rec)
 	}
+	for _, batch := range journaler.Batches(recs) {
+		if !dr.appendRecords(ctx, batch) {
+			return
+		}
+	}
+	dr.factsSinceSnapshot.Add(int64(len(facts)))
+	then()
+}
+
+// appendRecords appends records to the journal and retries until they are durable. It returns false
+// if the term ends first, or if a record is too large for the journal.
+func (dr *Director) appendRecords(ctx context.Context, recs []journaler.Record) bool {
 	failing := false
 	for {
 		err := dr.op.Journal.Append(ctx, recs...)
 		switch {
 		case err == nil:
-			dr.factsSinceSnapshot.Add(int64(len(facts)))
-			then()
-			return
+			return true
 		case ctx.Err() != nil:
-			return
+			return false
 		case errors.Is(err, journaler.ErrDeposed):
 			dr.stepDown("journal has a later epoch")
-			return
+			return false
+		case errors.Is(err, journaler.ErrTooLarge):
+			dr.log(logger.FactNotRecorded, "Error", err.Error())
+			return false
 		}
 		if !failing {
-			dr.log(logger.FactsDelayed, "Facts", len(facts), "Error", err.Error())
+			dr.log(logger.FactsDelayed, "Facts", len(recs), "Error", err.Error())
 		}
 		failing = true
 		pauser.Sleep(ctx, journalRetryPause)
--- a/internal/job/director/odd_input_test.go
+++ b/internal/job/director/odd_input_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -147,3 +148,30 @@
 		tm.assertState("a", modeler.Completed)
 	})
 }
+
+// Guards against ends that do not fit into one append to the journal and are never acknowledged.
+func TestLargeEnds(t *testing.T) {
+	const tasks = 600
+	held := true
+	largeEnds := func(_ modeler.WorkerID, rep *modeler.Report) bool {
+		if held && len(rep.Ended) < tasks {
+			// The ends are listed as runs until there are enough of them.
+			for _, en := range rep.Ended {
+				rep.Running = append(rep.Running, modeler.ActiveRun{Task: en.Task, Run: en.Run, Progress: 50})
+			}
+			rep.Ended = nil
+			return true
+		}
+		held = false
+		for ix := range rep.Ended {
+			rep.Ended[ix].Checkpoint = strings.Repeat("c", modeler.MaxCheckpointBytes)
+		}
+		return true
+	}
+	runOdd(t, 1, largeEnds, func(_ *fleet, tm *term, _ *oddClient) {
+		tm.submit(simpleJob("a", "batch", tasks, modeler.Resources{MilliCores: 10, MemoryMB: 10}))
+		tm.awaitAll(60 * time.Second)
+		qt.Assert(t, held, qt.IsFalse)
+		tm.assertState("a", modeler.Completed)
+	})
+}
