Take the lifetime of a permit from its queue if the answer has none

The platform gives the lifetime in the queue's configuration and names only worker and ticket in the answer. A permit without a lifetime expired at once: the step asked again and again and never started.

--- FAIL: TestPermitWithoutLifetime job a got: "Queued" want: "Completed"

Permits for workers that were not asked about are ignored, and a request whose permits are of no use is repeated after a pause.

--- a/internal/job/director/odd_input_test.go
+++ b/internal/job/director/odd_input_test.go
@@ -175,3 +175,33 @@
 		tm.assertState("a", modeler.Completed)
 	})
 }
+
+// ticketPolicy permits every worker that is asked about, and one that is not.
+type ticketPolicy struct {
+	ttl   time.Duration
+	asked int
+}
+
+func (tp *ticketPolicy) Permit(_ context.Context, _ modeler.StepID, workers []modeler.WorkerID) ([]modeler.Permit, error) {
+	time.Sleep(50 * time.Millisecond)
+	tp.asked++
+	var list []modeler.Permit
+	for _, id := range append([]modeler.WorkerID{"stranger"}, workers...) {
+		list = append(list, modeler.Permit{Worker: id, Ticket: "ticket", TTL: tp.ttl})
+	}
+	return list, nil
+}
+
+// Guards against permits without a lifetime, which are requested again and again and never used.
+func TestPermitWithoutLifetime(t *testing.T) {
+	run(t, 3, func(fl *fleet, tm *term) {
+		tm.end()
+		po := &ticketPolicy{}
+		fl.policy, fl.config.Queues[0].Policy = po, &modeler.Policy{DecisionTime: 50 * time.Millisecond, PermitTTL: 3 * time.Second}
+		*tm = *fl.startTerm(0)
+		tm.submit(simpleJob("a", "urgent", 3, cores(1000)))
+		tm.awaitAll(5 * time.Second)
+		tm.assertState("a", modeler.Completed)
+		qt.Check(t, po.asked, qt.Equals, 1)
+	})
+}
--- a/internal/job/director/permit.go
+++ b/internal/job/director/permit.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -106,11 +107,18 @@
 				sp.permits.denied[asked] = true
 			}
 		}
+		usable := false
 		for _, pm := range list {
-			if wk := dr.workers[pm.Worker]; wk != nil {
-				sp.permits.granted[pm.Worker] = permit{pm.Ticket, wk.incarnation, began.Add(pm.TTL)}
+			// An answer without a lifetime leaves it to the queue's policy.
+			ttl := cmp.Or(pm.TTL, po.PermitTTL)
+			if wk := dr.workers[pm.Worker]; wk != nil && slices.Contains(ids, pm.Worker) {
+				sp.permits.granted[pm.Worker] = permit{pm.Ticket, wk.incarnation, began.Add(ttl)}
+				usable = usable || ttl > permitMargin
 			}
 		}
+		if !usable {
+			sp.permits.notBefore = time.Now().Add(permitRetryPause)
+		}
 		dr.wakeDispatch()
 	})
 }
