Clamp stored estimates of interference

A negative tail latency made its image count as overloaded for good.

--- FAIL: TestMergeOutOfBounds/interference, /negative NaN e"json: unsupported value: NaN" --- FAIL: TestMergeOutOfBounds/negative_tail (load at target is maxLoad)

--- a/internal/job/estimator/estimates.go
+++ b/internal/job/estimator/estimates.go
@@ -87,15 +87,19 @@
 func roundToThousandth(num float64) float64 { return math.Round(num*1000) / 1000 }
 
 // Merge adds the estimates of an earlier leader. They replace those that the model has of the same
-// pairs. Of two lowest tail latencies the lower one counts.
+// pairs. Of two lowest tail latencies the lower one counts. Values out of bounds are clamped or left
+// out.
 func (md *Model) Merge(es Estimates, now time.Time) {
 	for image, minTail := range es.MinTail {
+		if minTail <= 0 {
+			continue
+		}
 		if present, ok := md.minTails[image]; !ok || minTail < present {
 			md.minTails[image] = minTail
 		}
 	}
 	for _, pe := range es.Pairs {
-		merged := estimate{pe.Interference, max(pe.Variance, minMergedVariance)}
-		md.pairs[pair{pe.LatencyCritical, pe.BestEffort}] = &pairState{estimate: merged, isolated: merged, updated: now, recordedMean: pe.Interference, recorded: true}
+		merged := estimate{clampInterference(pe.Interference), min(max(pe.Variance, minMergedVariance), priorVariance)}
+		md.pairs[pair{pe.LatencyCritical, pe.BestEffort}] = &pairState{estimate: merged, isolated: merged, updated: now, recordedMean: merged.mean, recorded: true}
 	}
 }
--- a/internal/job/estimator/estimates_test.go
+++ b/internal/job/estimator/estimates_test.go
@@ -49,3 +49,30 @@
 		qt.Check(t, fresh.Empty(), qt.IsTrue)
 	})
 }
+
+// Guards against stored estimates out of bounds, which turn the model into values that are no number
+// and cannot be recorded.
+func TestMergeOutOfBounds(t *testing.T) {
+	for name, es := range map[string]Estimates{
+		"interference":  {Pairs: []PairEstimate{{"s", "bad", 1e308, 0.1}}},
+		"negative":      {Pairs: []PairEstimate{{"s", "bad", -1e308, 0.1}}},
+		"variance":      {Pairs: []PairEstimate{{"s", "bad", 0.5, 1e308}}},
+		"negative tail": {MinTail: map[string]time.Duration{"s": -time.Second}, Pairs: []PairEstimate{{"s", "bad", 0.5, 0.1}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			md, at := New(), time.Unix(1_700_000_000, 0)
+			md.Merge(es, at)
+			md.ObserveTail("s", 30*time.Millisecond)
+			for range 8 {
+				at = at.Add(500 * time.Millisecond)
+				md.Observe("s", 0.1, []Usage{{"bad", 1e6}, {"other", 0.5}}, at)
+			}
+			interference := md.Interference("s", "bad")
+			qt.Check(t, interference >= 0 && interference <= maxInterference, qt.IsTrue, qt.Commentf("%v", interference))
+			load := md.LoadAtTarget("s", 60*time.Millisecond)
+			qt.Check(t, load < maxLoad, qt.IsTrue, qt.Commentf("%v", load))
+			_, err := json.Marshal(md.AllTried())
+			qt.Check(t, err, qt.IsNil)
+		})
+	}
+}
