Keep the records of hosts when a host begins to lead

A host that does not lead has no contact with others that do not lead. When it took over from a leader that resigned, it removed at once the records of all hosts of which it had heard nothing for two minutes, though they were alive; they store them again only when they restart. Before, 5 minutes after the start of 5 hosts and 10 s after the resignation:

--- FAIL: TestNewLeaderKeepsMembers len(got): int(2) want length: int(5)

The time now counts from the beginning of the epoch.

--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -181,8 +181,11 @@
 	// inTerm is set while Options.Lead runs, which includes the time before it leads. epochBegun is
 	// set once its epoch has begun.
 	inTerm, epochBegun bool
-	cancelTerm         context.CancelFunc
-	termDone           chan struct{}
+	// epochBegunAt is when the last epoch of this host began. Before, it may have had no contact with
+	// hosts that did not lead.
+	epochBegunAt time.Time
+	cancelTerm   context.CancelFunc
+	termDone     chan struct{}
 	// draining is set by Drain. This host begins no further term then.
 	draining bool
 	// takeoverRequested is set when a leader that has stopped asked this host to take over.
@@ -310,7 +313,7 @@
 	el.mu.Lock()
 	self := el.op.Self
 	el.leader = Leader{Epoch: epoch, Host: self.Host, Boot: self.Boot, Address: self.Address}
-	el.epochBegun, el.leaderLastSeen = true, time.Now()
+	el.epochBegun, el.epochBegunAt, el.leaderLastSeen = true, time.Now(), time.Now()
 	el.mu.Unlock()
 	logger.Log(el.op.Log, logger.LeaderElected, "Epoch", epoch, "Leader", self.Host, "Self", true)
 	go el.announce(context.Background())
@@ -671,7 +674,8 @@
 			continue
 		}
 		addrs = append(addrs, mb.Address)
-		if last := later(mb.lastHeartbeat, mb.lastReply); !last.IsZero() && time.Since(last) > memberRemovalTimeout {
+		last := later(mb.lastHeartbeat, mb.lastReply)
+		if !last.IsZero() && time.Since(later(last, el.epochBegunAt)) > memberRemovalTimeout {
 			expired = append(expired, mb)
 		}
 	}
