Refuse messages of peers with values out of bounds

A heartbeat with an epoch at the limit of its type, or with a leader at an address of no host, ended the term of the leader, and all hosts followed a leader that does not exist. An age of the store that overflows counted as a fresh one.

--- FAIL: TestGreetingOutOfBounds (7 of 9 cases) leaders [] --- FAIL: TestStoreAgeSaturates got: []netip.AddrPort{10.0.0.99:80} (reaches the store)

The message as a whole is left out, counted in ReportsInvalid and logged once for each sender.

--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -21,6 +21,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/netip"
 	"slices"
 	"sync"
@@ -38,6 +39,7 @@
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
+	"github.com/currantrouter/currantrouter/internal/telemetry/reporter"
 )
 
 const (
@@ -169,6 +171,8 @@
 // safe for concurrent use.
 type Elector struct {
 	op Options
+	// invalid reports records and messages of other hosts that are left out.
+	invalid *reporter.Reporter
 
 	mu      sync.Mutex
 	members map[fleet.HostName]*member
@@ -230,7 +234,7 @@
 
 // New returns an elector that is not running.
 func New(op Options) *Elector {
-	return &Elector{op: op, members: map[fleet.HostName]*member{}, leaderLastSeen: time.Now()}
+	return &Elector{op: op, members: map[fleet.HostName]*member{}, leaderLastSeen: time.Now(), invalid: reporter.New(op.Log, op.Meter)}
 }
 
 // Run tracks the other hosts and takes leadership over when needed, until the context ends. It then
@@ -418,6 +422,21 @@
 	}
 }
 
+// ErrInvalidMember means that a host's record, or its message, has values out of bounds.
+var ErrInvalidMember = errors.New("invalid host")
+
+// Check returns ErrInvalidMember, wrapped with the reason, for a host that cannot be called or has
+// values out of bounds.
+func (mb *Member) Check() error {
+	if mb.Host == "" || mb.Weight < 0 || mb.Weight > modeler.MaxWeight {
+		return fmt.Errorf("%w: name %.200q, weight %d", ErrInvalidMember, mb.Host, mb.Weight)
+	}
+	if err := errors.Join(modeler.CheckName("host", string(mb.Host)), modeler.CheckName("boot", string(mb.Boot)), modeler.CheckAddress(mb.Address)); err != nil {
+		return fmt.Errorf("%w: %w", ErrInvalidMember, err)
+	}
+	return nil
+}
+
 // getOrAddMember returns the member for a host, and adds it if it is new. The caller holds mu.
 func (el *Elector) getOrAddMember(host fleet.HostName) *member {
 	mb := el.members[host]
@@ -741,23 +760,55 @@
 	}
 }
 
+// checkGreeting returns what a message says of its sender and of the leader, which is zero if the
+// sender knows none. Errors: ErrInvalidMember.
+func checkGreeting(gr *messenger.Greeting) (sender Member, leader Leader, err error) {
+	addr, err := netip.ParseAddrPort(gr.Address)
+	if err != nil {
+		return Member{}, Leader{}, fmt.Errorf("%w: %w", ErrInvalidMember, err)
+	}
+	sender = Member{Host: fleet.HostName(gr.Host), Boot: fleet.BootID(gr.Boot), Address: addr, Weight: gr.Weight}
+	if err := sender.Check(); err != nil {
+		return Member{}, Leader{}, err
+	}
+	if gr.Epoch < 0 || gr.Epoch > int64(modeler.MaxEpoch) || gr.Revision < 0 || gr.Revision > modeler.MaxRevision {
+		return Member{}, Leader{}, fmt.Errorf("%w: epoch %d, revision %d", ErrInvalidMember, gr.Epoch, gr.Revision)
+	}
+	if gr.Epoch == 0 {
+		return sender, Leader{}, nil
+	}
+	addr, err = netip.ParseAddrPort(gr.LeaderAddress)
+	if err != nil {
+		return Member{}, Leader{}, fmt.Errorf("%w: leader: %w", ErrInvalidMember, err)
+	}
+	leading := Member{Host: fleet.HostName(gr.Leader), Boot: fleet.BootID(gr.LeaderBoot), Address: addr}
+	if err := leading.Check(); err != nil {
+		return Member{}, Leader{}, err
+	}
+	return sender, Leader{Epoch: modeler.Epoch(gr.Epoch), Host: leading.Host, Boot: leading.Boot, Address: addr}, nil
+}
+
 // observe records what another host reported in a heartbeat, or else in the reply to one.
 func (el *Elector) observe(gr *messenger.Greeting, isHeartbeat bool) {
-	addr, err := netip.ParseAddrPort(gr.Address)
-	if err != nil || gr.Host == "" || gr.Host == string(el.op.Self.Host) {
+	if gr.Host == string(el.op.Self.Host) {
+		return
+	}
+	sender, leader, err := checkGreeting(gr)
+	if err != nil {
+		el.invalid.Report(logger.PeerInvalid, meter.ReportsInvalid, gr.Address+" "+gr.Host, err, "Peer", fmt.Sprintf("%.100q", gr.Address))
 		return
 	}
 	if gr.Revision > el.op.ConfigurationRevision() {
-		el.op.OnHigherRevision(addr, gr.Revision)
+		el.op.OnHigherRevision(sender.Address, gr.Revision)
 	}
 	el.mu.Lock()
 	defer el.mu.Unlock()
 	now := time.Now()
-	mb := el.getOrAddMember(fleet.HostName(gr.Host))
-	mb.Boot, mb.Address, mb.Weight, mb.draining = fleet.BootID(gr.Boot), addr, gr.Weight, gr.Leaving
-	mb.epoch = modeler.Epoch(gr.Epoch)
-	mb.sinceLeaderSeen = time.Duration(gr.Silence) * time.Millisecond
-	mb.storeAge = time.Duration(gr.StoreAge) * time.Millisecond
+	mb := el.getOrAddMember(sender.Host)
+	mb.Boot, mb.Address, mb.Weight, mb.draining = sender.Boot, sender.Address, sender.Weight, gr.Leaving
+	mb.epoch = leader.Epoch
+	mb.sinceLeaderSeen = modeler.DurationFromMillis(gr.Silence)
+	mb.storeAge = modeler.DurationFromMillis(gr.StoreAge)
 	mb.leaderRefuses = gr.Refused
 	mb.leading = gr.Leader == gr.Host && gr.LeaderBoot == gr.Boot && gr.Silence == 0
 	if isHeartbeat {
@@ -765,21 +816,16 @@
 	} else {
 		mb.lastReply = now
 	}
-	el.observeLeader(gr, mb, now)
+	el.observeLeader(leader, mb, now)
 }
 
 // observeLeader follows a leader with a higher epoch, and ends this host's own term then. Otherwise
 // it updates leaderLastSeen if the sender is the current leader. The caller holds mu.
-func (el *Elector) observeLeader(gr *messenger.Greeting, mb *member, now time.Time) {
-	epoch := modeler.Epoch(gr.Epoch)
-	if epoch > el.leader.Epoch {
-		addr, err := netip.ParseAddrPort(gr.LeaderAddress)
-		if err != nil {
-			return
-		}
-		el.leader = Leader{Epoch: epoch, Host: fleet.HostName(gr.Leader), Boot: fleet.BootID(gr.LeaderBoot), Address: addr}
+func (el *Elector) observeLeader(leader Leader, mb *member, now time.Time) {
+	if leader.Epoch > el.leader.Epoch {
+		el.leader = leader
 		el.leaderLastSeen, el.leaderRevisionAt, el.noLeaderSince, el.leaderRefuses = now, time.Time{}, time.Time{}, false
-		logger.Log(el.op.Log, logger.LeaderElected, "Epoch", epoch, "Leader", gr.Leader, "Self", false)
+		logger.Log(el.op.Log, logger.LeaderElected, "Epoch", leader.Epoch, "Leader", leader.Host, "Self", false)
 		if el.inTerm && el.epochBegun {
 			el.cancelTerm()
 		}
@@ -788,7 +834,7 @@
 	// The leader counts as seen if it reaches the store, or if this host does not reach it either.
 	// Otherwise the suspicion timeout goes on, so that the leader is replaced.
 	counts := mb.storeAge < storeContactTimeout || el.op.StoreAge() > storeContactTimeout
-	if epoch == el.leader.Epoch && mb.leading && mb.Boot == el.leader.Boot && counts {
+	if leader.Epoch == el.leader.Epoch && mb.leading && mb.Boot == el.leader.Boot && counts {
 		el.leaderLastSeen, el.noLeaderSince = later(el.leaderLastSeen, now), time.Time{}
 	}
 }
--- a/internal/job/elector/odd_input_test.go
+++ b/internal/job/elector/odd_input_test.go
@@ -1,11 +1,15 @@
 package elector_test
 
 import (
+	"math"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
 )
 
 // Guards against a new leader that removes the records of hosts with which it had no contact while
@@ -25,6 +29,59 @@
 	})
 }
 
+// Guards against a message of a peer that makes a host follow a leader that does not exist, for good.
+func TestGreetingOutOfBounds(t *testing.T) {
+	for name, corrupt := range map[string]func(*messenger.Greeting){
+		"epoch at the limit":      func(gr *messenger.Greeting) { gr.Epoch = math.MaxInt64 },
+		"negative epoch":          func(gr *messenger.Greeting) { gr.Epoch = -1 },
+		"leader at port 0":        func(gr *messenger.Greeting) { gr.LeaderAddress = "10.0.0.1:0" },
+		"leader at no address":    func(gr *messenger.Greeting) { gr.LeaderAddress = "" },
+		"leader without a name":   func(gr *messenger.Greeting) { gr.Leader = "" },
+		"sender at a multicast":   func(gr *messenger.Greeting) { gr.Address = "224.0.0.1:80" },
+		"sender with a long name": func(gr *messenger.Greeting) { gr.Host = strings.Repeat("a", 1000) },
+		"weight at the limit":     func(gr *messenger.Greeting) { gr.Weight = math.MaxInt64 },
+		"revision at the limit":   func(gr *messenger.Greeting) { gr.Revision = math.MaxInt64 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, 3)
+				defer cl.stop()
+				sleep(4 * time.Second)
+				leader := cl.assertLeader()
+				for _, ho := range cl.hosts {
+					gr := &messenger.Greeting{
+						Host: "stranger", Boot: "b", Address: "10.0.0.99:80", Weight: 1, Epoch: 1 << 39,
+						Leader: "stranger", LeaderBoot: "b", LeaderAddress: "10.0.0.99:80",
+					}
+					corrupt(gr)
+					ho.elector.HandleGreeting(gr)
+				}
+				sleep(time.Second)
+				qt.Check(t, cl.assertLeader(), qt.Equals, leader)
+				for _, ho := range cl.hosts {
+					qt.Check(t, ho.elector.Leader().Epoch < 100, qt.IsTrue, qt.Commentf("epoch %d", ho.elector.Leader().Epoch))
+				}
+			})
+		})
+	}
+}
+
+// Guards against an age that overflows, so that a host without contact to the store counts as reaching
+// it.
+func TestStoreAgeSaturates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 1)
+		defer cl.stop()
+		sleep(4 * time.Second)
+		gr := &messenger.Greeting{Host: "host-9", Boot: "b", Address: "10.0.0.99:80", StoreAge: math.MaxInt64, Silence: math.MaxInt64}
+		cl.hosts[0].elector.HandleGreeting(gr)
+		qt.Check(t, cl.hosts[0].elector.ReachablePeers(), qt.HasLen, 0)
+		gr.StoreAge = 100
+		cl.hosts[0].elector.HandleGreeting(gr)
+		qt.Check(t, cl.hosts[0].elector.ReachablePeers(), qt.HasLen, 1)
+	})
+}
+
 // sleep advances the clock and waits until all that follows from it has happened.
 func sleep(dur time.Duration) {
 	time.Sleep(dur)
--- a/internal/job/modeler/bounds.go
+++ b/internal/job/modeler/bounds.go
@@ -47,9 +47,9 @@
 	return fmt.Errorf("%w: %s", ErrUnusableAddress, address)
 }
 
-// checkName returns an error for a name that is not printable UTF-8 or too long. An empty name is
+// CheckName returns an error for a name that is not printable UTF-8 or too long. An empty name is
 // valid.
-func checkName(what, name string) error {
+func CheckName(what, name string) error {
 	switch {
 	case len(name) > maxNameBytes:
 		return fmt.Errorf("%s of %d bytes", what, len(name))
--- a/internal/job/modeler/job.go
+++ b/internal/job/modeler/job.go
@@ -38,6 +38,10 @@
 // lower epoch than the highest that it has seen.
 type Epoch int64
 
+// MaxEpoch is the highest epoch that is accepted from other processes. It leaves room for later ones
+// and for run numbers that are multiples of epochs.
+const MaxEpoch Epoch = 1 << 40
+
 // Resources are what a task needs, or the capacity of a worker.
 type Resources struct {
 	// MilliCores is in thousandths of a processor core.
@@ -206,7 +210,7 @@
 // checkNames returns ErrInvalidJob for a name that is too long or not printable.
 func checkNames(names ...string) error {
 	for _, name := range names {
-		if err := checkName("name", name); err != nil {
+		if err := CheckName("name", name); err != nil {
 			return fmt.Errorf("%w: %w", ErrInvalidJob, err)
 		}
 	}
--- a/internal/job/modeler/queue.go
+++ b/internal/job/modeler/queue.go
@@ -65,8 +65,8 @@
 }
 
 const (
-	// maxRevision is the largest integer that every JSON decoder reads exactly.
-	maxRevision = 1<<53 - 1
+	// MaxRevision is the largest integer that every JSON decoder reads exactly.
+	MaxRevision = 1<<53 - 1
 	// maxMessageBytes bounds BodyLimit and HeaderLimit.
 	maxMessageBytes = 1 << 30
 	// maxRouteBytes bounds the host and the prefix of a queue.
@@ -79,7 +79,7 @@
 // Check returns ErrInvalidConfiguration, wrapped with the reason, for a configuration with values out
 // of bounds. Names and prefixes may occur several times; the first queue counts then.
 func (cfg *Configuration) Check() error {
-	if cfg.Revision <= 0 || cfg.Revision > maxRevision {
+	if cfg.Revision <= 0 || cfg.Revision > MaxRevision {
 		return fmt.Errorf("%w: revision %d", ErrInvalidConfiguration, cfg.Revision)
 	}
 	if cfg.BodyLimit < 0 || cfg.BodyLimit > maxMessageBytes || cfg.HeaderLimit < 0 || cfg.HeaderLimit > maxMessageBytes {
@@ -91,7 +91,7 @@
 		}
 	}
 	for _, pl := range cfg.Pools {
-		if err := checkName("pool", string(pl.Name)); err != nil {
+		if err := CheckName("pool", string(pl.Name)); err != nil {
 			return fmt.Errorf("%w: %w", ErrInvalidConfiguration, err)
 		}
 	}
@@ -100,7 +100,7 @@
 
 func (qu *Queue) check() error {
 	for _, name := range [...]string{string(qu.Name), string(qu.Pool)} {
-		if err := checkName("name", name); err != nil {
+		if err := CheckName("name", name); err != nil {
 			return err
 		}
 	}
--- a/internal/job/modeler/worker.go
+++ b/internal/job/modeler/worker.go
@@ -41,7 +41,7 @@
 		return fmt.Errorf("%w: %d labels", ErrInvalidWorker, len(wk.Labels))
 	}
 	for _, name := range append([]string{string(wk.ID), string(wk.Pool), string(wk.DataCentre), wk.Rack}, wk.Labels...) {
-		if err := checkName("name", name); err != nil {
+		if err := CheckName("name", name); err != nil {
 			return fmt.Errorf("%w: %w", ErrInvalidWorker, err)
 		}
 	}
@@ -161,6 +161,8 @@
 const (
 	// MaxProgress is in percent.
 	MaxProgress = 100
+	// MaxWeight is the highest processor share of a host, in thousandths of a core.
+	MaxWeight = maxMilliCores
 	// MaxMeasure is the highest measure of a run: a million cores or 11 days of latency.
 	MaxMeasure = maxMilliCores
 	// MaxEndNumber is the highest number of an end that is accepted.
