Refuse a job under the key of another, and a cancellation of none

A document under the key of one job was taken for the job that it names, so that one odd entry could stand in for another job; any key under Jobs/Cancelled/ counted towards the bounded number of cancellations that wait for their jobs.

FuzzDecode ran for a minute: 425,890 executions, no failure. FuzzParseChange ran for a minute: 252,811 executions, no failure. A first run of it, with one worker beside a busy machine, stood at 71,197 executions from 19 s on and ended after 183 s with "context deadline exceeded" and no failing input; the second bounded the minimising of new inputs to 2 s. The cause is not proven.

--- a/internal/job/keeper/keeper.go
+++ b/internal/job/keeper/keeper.go
@@ -60,7 +60,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return Decode(en.Value)
+	jb, err := Decode(en.Value)
+	if err != nil {
+		return nil, err
+	}
+	if jb.ID != id {
+		return nil, fmt.Errorf("%w: key of job %q holds job %q", ErrDamaged, id, jb.ID)
+	}
+	return jb, nil
 }
 
 // Cancel stores the cancellation of a job. It is idempotent. Errors: those of Submit.
@@ -107,15 +114,19 @@
 }
 
 // ParseChange decodes an entry under KeyPrefix. It returns false for a deleted entry. Errors:
-// ErrDamaged.
+// ErrDamaged, also for a job under the key of another.
 func ParseChange(en storer.Entry) (Change, bool, error) {
 	if en.Deleted {
 		return Change{}, false, nil
 	}
-	if id, ok := strings.CutPrefix(en.Key, cancelledPrefix); ok {
-		return Change{ID: modeler.JobID(id)}, true, nil
+	if name, ok := strings.CutPrefix(en.Key, cancelledPrefix); ok {
+		id := modeler.JobID(name)
+		if err := id.Check(); err != nil {
+			return Change{}, false, fmt.Errorf("%w: key %q: %w", ErrDamaged, en.Key, err)
+		}
+		return Change{ID: id}, true, nil
 	}
-	id, ok := strings.CutPrefix(en.Key, submittedPrefix)
+	name, ok := strings.CutPrefix(en.Key, submittedPrefix)
 	if !ok {
 		return Change{}, false, fmt.Errorf("%w: key %q", ErrDamaged, en.Key)
 	}
@@ -123,7 +134,10 @@
 	if err != nil {
 		return Change{}, false, fmt.Errorf("key %q: %w", en.Key, err)
 	}
-	return Change{ID: modeler.JobID(id), Job: jb}, true, nil
+	if jb.ID != modeler.JobID(name) {
+		return Change{}, false, fmt.Errorf("%w: key %q holds job %q", ErrDamaged, en.Key, jb.ID)
+	}
+	return Change{ID: jb.ID, Job: jb}, true, nil
 }
 
 // Encode returns the document of a job, as it is stored and sent between hosts.
--- /dev/null
+++ b/internal/job/keeper/keeper_test.go
@@ -0,0 +1,85 @@
+package keeper_test
+
+import (
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/currantrouter/currantrouter/internal/job/keeper"
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+)
+
+func encode(t testing.TB, id modeler.JobID) []byte {
+	t.Helper()
+	value, err := keeper.Encode(&modeler.Job{ID: id, Queue: "q", Steps: []modeler.Step{{Count: 1}}, Submitted: time.Unix(1, 0).UTC()})
+	qt.Assert(t, err, qt.IsNil)
+	return value
+}
+
+// Guards against a document under the key of one job that is taken for another job.
+func TestParseChangeRefuses(t *testing.T) {
+	for name, en := range map[string]storer.Entry{
+		"other prefix":         {Key: "Jobs/Other/a", Value: encode(t, "a")},
+		"no JSON":              {Key: "Jobs/Submitted/a", Value: []byte("\xff")},
+		"deeply nested":        {Key: "Jobs/Submitted/a", Value: []byte(strings.Repeat("[", 1<<20))},
+		"ID of another key":    {Key: "Jobs/Submitted/a", Value: encode(t, "b")},
+		"no ID":                {Key: "Jobs/Submitted/", Value: encode(t, "a")},
+		"cancellation of none": {Key: "Jobs/Cancelled/"},
+		"cancellation of path": {Key: "Jobs/Cancelled/a/b"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, ok, err := keeper.ParseChange(en)
+			qt.Check(t, errors.Is(err, keeper.ErrDamaged), qt.IsTrue, qt.Commentf("%v", err))
+			qt.Check(t, ok, qt.IsFalse)
+		})
+	}
+}
+
+// Guards against a document that ends the process, or a job that changes when it is stored again.
+func FuzzDecode(f *testing.F) {
+	f.Fuzz(func(t *testing.T, value []byte) {
+		jb, err := keeper.Decode(value)
+		if err != nil {
+			qt.Assert(t, errors.Is(err, keeper.ErrDamaged), qt.IsTrue)
+			return
+		}
+		qt.Assert(t, jb.Check(), qt.IsNil)
+		for occurrence := 1; occurrence < min(jb.Occurrences(), 100); occurrence++ {
+			qt.Assert(t, jb.Due(occurrence).Before(jb.Due(occurrence-1)), qt.IsFalse)
+		}
+		assertSameJSON(t, jb, func(again []byte) (any, error) { return keeper.Decode(again) })
+	})
+}
+
+// Guards against an entry that ends the process, or a change of another job than that of its key.
+func FuzzParseChange(f *testing.F) {
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		ch, ok, err := keeper.ParseChange(storer.Entry{Key: key, Value: value})
+		if err != nil {
+			qt.Assert(t, errors.Is(err, keeper.ErrDamaged), qt.IsTrue)
+			return
+		}
+		qt.Assert(t, ok && ch.ID != "" && strings.HasSuffix(key, "/"+string(ch.ID)), qt.IsTrue)
+		if ch.Job != nil {
+			qt.Assert(t, ch.Job.ID, qt.Equals, ch.ID)
+			qt.Assert(t, ch.Job.Check(), qt.IsNil)
+		}
+	})
+}
+
+// assertSameJSON checks that a value is encoded, decoded and encoded again to the same text.
+func assertSameJSON(t *testing.T, value any, decode func([]byte) (any, error)) {
+	t.Helper()
+	first, err := json.Marshal(value)
+	qt.Assert(t, err, qt.IsNil)
+	again, err := decode(first)
+	qt.Assert(t, err, qt.IsNil)
+	second, err := json.Marshal(again)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(second), qt.Equals, string(first))
+}
