Refuse facts that hold nothing known or values out of bounds

The end of a job without a final state took all of its tasks out of the queue for good; a lease of no worker was restored. Damaged records were skipped before as well, but one line was logged for each.

--- FAIL: TestDamagedFacts/end_with_no_state job a got: "Queued" --- FAIL: TestParseFactRefuses (13 of 14 cases)

A takeover goes on without such a record, which is counted in EntriesInvalid.

FuzzParseFact ran for a minute: 316,826 executions, no failure.

--- a/internal/job/director/odd_input_test.go
+++ b/internal/job/director/odd_input_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -10,10 +11,12 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
 
 	"github.com/currantrouter/currantrouter/internal/job/director"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/provider/emulator"
+	"github.com/currantrouter/currantrouter/internal/state/journaler"
 )
 
 // roundTrip is the time that a request to an oddClient takes.
@@ -176,6 +179,41 @@
 	})
 }
 
+// Guards against a malformed record of the journal that stops a takeover or the job that it names.
+func TestDamagedFacts(t *testing.T) {
+	for name, text := range map[string]string{
+		"no JSON":           "\xff{",
+		"null":              "null",
+		"unknown fact":      `{"Later":{"Job":"a"}}`,
+		"end with no state": `{"Final":{"Job":"a"}}`,
+		"run at the limit":  `{"End":{"Task":"a.0.0.0","Run":9223372036854775807,"Outcome":"Stopped"}}`,
+		"highest run":       fmt.Sprintf(`{"End":{"Task":"a.0.0.0","Run":%d,"Outcome":"Stopped"}}`, modeler.MaxRun),
+		"lease of nobody":   `{"Granted":{}}`,
+		"huge estimates":    `{"Learned":{"Lowest":{"i":-5},"Pairs":[{"Serving":"i","Filling":"j","Harm":1e308,"Variance":-1e308}]}}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fl := newFleet(t, 1)
+				oc := &oddClient{WorkerClient: fl.workers, edit: func(modeler.WorkerID, *modeler.Report) bool { return true }}
+				fl.client = oc
+				jn, _, err := journaler.Open(t.Context(), fl.store, "jobs", "host", "boot", journaler.Options{Logger: logr.Discard()})
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, jn.Append(t.Context(), journaler.Record{Kind: journaler.KindTask, Data: []byte(text)}), qt.IsNil)
+				jn.Close()
+				fl.jobs = []*modeler.Job{simpleJob("a", "batch", 1, cores(1000))}
+				tm := fl.startTerm(0)
+				defer func() { tm.end() }()
+				tm.awaitAll(20 * time.Second)
+				tm.assertState("a", modeler.Completed)
+				qt.Check(t, oc.highestRun.Load() < 1<<40, qt.IsTrue, qt.Commentf("run %d", oc.highestRun.Load()))
+				qt.Check(t, tm.Interference("i", "j") <= 6, qt.IsTrue, qt.Commentf("%v", tm.Interference("i", "j")))
+				tm.end()
+				fl.assertNoViolations()
+			})
+		})
+	}
+}
+
 // ticketPolicy permits every worker that is asked about, and one that is not.
 type ticketPolicy struct {
 	ttl   time.Duration
--- a/internal/job/director/recovery.go
+++ b/internal/job/director/recovery.go
@@ -23,7 +23,7 @@
 	for _, rec := range recs {
 		ft, err := keeper.ParseFact(rec)
 		if err != nil {
-			dr.log(logger.FactDamaged, "Error", err.Error())
+			dr.invalid.Report(logger.FactDamaged, meter.EntriesInvalid, "journal", err)
 			continue
 		}
 		dr.restoreFact(ft)
--- a/internal/job/keeper/fact.go
+++ b/internal/job/keeper/fact.go
@@ -71,11 +71,47 @@
 	return journaler.Record{Kind: journaler.KindTask, Data: data}, err
 }
 
-// ParseFact decodes the journal record of a fact. Errors: ErrDamaged.
+// ParseFact decodes the journal record of a fact. Errors: ErrDamaged, also for a fact that holds
+// nothing known or values out of bounds.
 func ParseFact(rec journaler.Record) (Fact, error) {
 	var ft Fact
 	if err := json.Unmarshal(rec.Data, &ft); err != nil {
-		return ft, fmt.Errorf("%w: %w", ErrDamaged, err)
+		return Fact{}, fmt.Errorf("%w: %w", ErrDamaged, err)
+	}
+	if err := ft.check(); err != nil {
+		return Fact{}, err
 	}
 	return ft, nil
 }
+
+// check returns ErrDamaged for a fact that does not have exactly one valid field.
+func (ft Fact) check() error {
+	fields := 0
+	for _, set := range [...]bool{ft.RunEnd != nil, ft.JobEnd != nil, ft.LeaseGranted != nil, ft.LeaseReleased != "", ft.Placed != nil, ft.Estimates != nil} {
+		if set {
+			fields++
+		}
+	}
+	valid := fields == 1
+	switch {
+	case ft.RunEnd != nil:
+		valid = valid && validRun(ft.RunEnd.Task, ft.RunEnd.Run)
+	case ft.Placed != nil:
+		valid = valid && validRun(ft.Placed.Task, ft.Placed.Run) && ft.Placed.Worker != ""
+	case ft.JobEnd != nil:
+		valid = valid && ft.JobEnd.Job != "" && ft.JobEnd.State.Final()
+	case ft.LeaseGranted != nil:
+		valid = valid && ft.LeaseGranted.ID != ""
+	}
+	if !valid {
+		return fmt.Errorf("%w: fact with %d fields, one of them invalid or none known", ErrDamaged, fields)
+	}
+	return nil
+}
+
+// validRun reports whether a task and a run are in range. The run is 0 for a task of a gang that is
+// done by the end of another one and that this leader never saw run.
+func validRun(task string, run modeler.Run) bool {
+	_, err := modeler.ParseTaskID(task)
+	return err == nil && run >= 0 && run <= modeler.MaxRun
+}
--- a/internal/job/keeper/keeper_test.go
+++ b/internal/job/keeper/keeper_test.go
@@ -12,6 +12,7 @@
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/state/journaler"
 )
 
 func encode(t testing.TB, id modeler.JobID) []byte {
@@ -40,6 +41,31 @@
 	}
 }
 
+// Guards against a record of the journal that is taken for a fact and leaves its job without an end.
+func TestParseFactRefuses(t *testing.T) {
+	for name, text := range map[string]string{
+		"no JSON":              "\xff",
+		"null":                 "null",
+		"nothing":              "{}",
+		"two facts":            `{"Released":"w","Final":{"Job":"a","State":"Failed"}}`,
+		"end of no task":       `{"End":{"Task":"a","Run":1,"Outcome":"Done"}}`,
+		"end of no run":        `{"End":{"Task":"a.0.0.0","Run":-1,"Outcome":"Done"}}`,
+		"run at the limit":     `{"End":{"Task":"a.0.0.0","Run":9223372036854775807,"Outcome":"Done"}}`,
+		"end of no job":        `{"Final":{"State":"Failed"}}`,
+		"end without a state":  `{"Final":{"Job":"a"}}`,
+		"end that is no end":   `{"Final":{"Job":"a","State":"Running"}}`,
+		"lease of no worker":   `{"Granted":{}}`,
+		"placement of no task": `{"Placed":{"Task":"","Run":1,"Worker":"w"}}`,
+		"placement nowhere":    `{"Placed":{"Task":"a.0.0.0","Run":1}}`,
+		"placement of no run":  `{"Placed":{"Task":"a.0.0.0","Run":-1,"Worker":"w"}}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := keeper.ParseFact(journaler.Record{Kind: journaler.KindTask, Data: []byte(text)})
+			qt.Check(t, errors.Is(err, keeper.ErrDamaged), qt.IsTrue, qt.Commentf("%v", err))
+		})
+	}
+}
+
 // Guards against a document that ends the process, or a job that changes when it is stored again.
 func FuzzDecode(f *testing.F) {
 	f.Fuzz(func(t *testing.T, value []byte) {
@@ -72,6 +98,20 @@
 	})
 }
 
+// Guards against a record that ends the process, or a fact that changes when it is recorded again.
+func FuzzParseFact(f *testing.F) {
+	f.Fuzz(func(t *testing.T, data []byte) {
+		ft, err := keeper.ParseFact(journaler.Record{Kind: journaler.KindTask, Data: data})
+		if err != nil {
+			qt.Assert(t, errors.Is(err, keeper.ErrDamaged), qt.IsTrue)
+			return
+		}
+		assertSameJSON(t, ft, func(again []byte) (any, error) {
+			return keeper.ParseFact(journaler.Record{Kind: journaler.KindTask, Data: again})
+		})
+	})
+}
+
 // assertSameJSON checks that a value is encoded, decoded and encoded again to the same text.
 func assertSameJSON(t *testing.T, value any, decode func([]byte) (any, error)) {
 	t.Helper()
