Record a grant only for workers that have answered

A leader recorded that a worker may hold a lease before it first called it. A well-formed entry under which nobody answers was recorded as well, and after the next takeover every task that the former leader may have started waited for that worker's lease and 4 s more. Before, 3 s after a takeover beside one such entry, with all other workers up:

--- FAIL: TestTakeoverBesideEntryOfNoWorker job a got: "Queued"

The first call gives no lease, so the grant can follow the answer. No start is sent and no lease is given before the grant is durable. Two entries with one address do no harm: the worker answers to its own ID only.

--- a/internal/job/director/odd_input_test.go
+++ b/internal/job/director/odd_input_test.go
@@ -243,3 +243,36 @@
 		qt.Check(t, po.asked, qt.Equals, 1)
 	})
 }
+
+// Guards against an entry of a worker that never answers and delays all tasks after each takeover.
+func TestTakeoverBesideEntryOfNoWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 2)
+		ghost := fl.workers.Add(workerInfo(9))
+		fl.workers.SetUnreachable(ghost.ID, true)
+		fl.infos = append(fl.infos, ghost)
+		tm := fl.startTerm(0)
+		defer func() { tm.end() }()
+		sleep(2 * time.Second)
+		tm.submit(simpleJob("a", "urgent", 4, cores(1000)))
+		tm.end()
+		tm = fl.startTerm(testLimits.Lease)
+		tm.awaitAll(3 * time.Second)
+		tm.assertState("a", modeler.Completed)
+		tm.end()
+		fl.assertNoViolations()
+	})
+}
+
+// Guards against two entries with one address, of which the wrong one hides the worker.
+func TestTwoEntriesWithOneAddress(t *testing.T) {
+	run(t, 1, func(fl *fleet, tm *term) {
+		double := workerInfo(0)
+		double.ID = "another"
+		tm.SetWorkers(append(slices.Clone(fl.infos), double))
+		sleep(time.Second)
+		tm.submit(simpleJob("a", "urgent", 4, cores(1000)))
+		tm.awaitAll(3 * time.Second)
+		tm.assertState("a", modeler.Completed)
+	})
+}
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -235,13 +235,15 @@
 	}
 }
 
-// ensureGrant makes durable that the worker may hold a lease, before it is given one. It returns
-// false when the worker is removed or the term is over, which ends the loop.
+// ensureGrant makes durable that the worker may hold a lease, before it is given one. A worker that
+// never answers gets none, so that the next leader need not wait for it. ensureGrant returns false
+// when the worker is removed or the term is over, which ends the loop.
 func (dr *Director) ensureGrant(ctx context.Context, wk *worker) bool {
 	dr.mu.Lock()
 	removed := !wk.registered && !wk.unaccounted && len(wk.attempts) == 0 && dr.idle(wk, time.Now())
 	granted := wk.grantDurable
-	wk.grantSubmitted = !removed
+	needed := wk.answered && !removed
+	wk.grantSubmitted = needed
 	info := wk.info
 	if removed {
 		delete(dr.workers, wk.info.ID)
@@ -253,13 +255,14 @@
 		return false
 	case removed:
 		return false
-	case granted:
+	case granted || !needed:
 		return true
 	}
 	dr.record(ctx, []keeper.Fact{{LeaseGranted: &info}}, func() {
 		dr.mu.Lock()
 		wk.grantDurable = true
 		dr.mu.Unlock()
+		dr.wakeDispatch()
 	})
 	return ctx.Err() == nil
 }
@@ -296,7 +299,7 @@
 	}
 	// The lease of an unreachable worker is not extended, or it would never be known to have
 	// expired.
-	if wk.answered && !wk.unreachable {
+	if wk.answered && wk.grantDurable && !wk.unreachable {
 		req.Deadline = wk.minClock(time.Now()) + dr.op.Limits.Lease
 		wk.leaseEnd = max(wk.leaseEnd, req.Deadline)
 	}
