Leave records of hosts that cannot be hosts out of the membership

A record under the key of another host replaced that host's address; records without a usable address counted towards the majority, and since the leader removes only hosts from which it has heard once, such a record counted for good. Each list logged a malformed one again. Before, beside three hosts:

--- FAIL: TestOddMembers got: "ghost", "heavy", "host-0", "host-1", "host-2", "nowhere", "port-0" want: "ghost", "host-0", "host-1", "host-2" --- FAIL: TestOddMembers (Member/ghost is still there after 3 minutes)

A well-formed record of a host that never answers is removed after the same two minutes as that of a host that has gone.

--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -218,6 +218,8 @@
 	// lastHeartbeat is when the host's last heartbeat arrived, and lastReply when it last replied to a
 	// heartbeat of this one.
 	lastHeartbeat, lastReply time.Time
+	// addedAt is when this host first knew of it.
+	addedAt time.Time
 	// The remaining fields are what the host last reported. epoch is the highest that it knows.
 	epoch modeler.Epoch
 	// sinceLeaderSeen is the time since the leader last reported to the host.
@@ -404,9 +406,9 @@
 	el.membersRead = true
 	stored := map[fleet.HostName]bool{}
 	for _, en := range ens {
-		var mb Member
-		if json.Unmarshal(en.Value, &mb) != nil || mb.Host == "" {
-			logger.Log(el.op.Log, logger.MemberDamaged, "Key", en.Key)
+		mb, err := decodeMember(en)
+		if err != nil {
+			el.invalid.Report(logger.MemberDamaged, meter.EntriesInvalid, en.Key, err, "Key", en.Key)
 			continue
 		}
 		stored[mb.Host] = true
@@ -425,6 +427,19 @@
 // ErrInvalidMember means that a host's record, or its message, has values out of bounds.
 var ErrInvalidMember = errors.New("invalid host")
 
+// decodeMember decodes a host's record in the store. Errors: ErrInvalidMember, also for a record under
+// the key of another host.
+func decodeMember(en storer.Entry) (Member, error) {
+	var mb Member
+	if err := json.Unmarshal(en.Value, &mb); err != nil {
+		return Member{}, fmt.Errorf("%w: %w", ErrInvalidMember, err)
+	}
+	if en.Key != memberPrefix+string(mb.Host) {
+		return Member{}, fmt.Errorf("%w: key %q holds host %.200q", ErrInvalidMember, en.Key, mb.Host)
+	}
+	return mb, mb.Check()
+}
+
 // Check returns ErrInvalidMember, wrapped with the reason, for a host that cannot be called or has
 // values out of bounds.
 func (mb *Member) Check() error {
@@ -441,7 +456,7 @@
 func (el *Elector) getOrAddMember(host fleet.HostName) *member {
 	mb := el.members[host]
 	if mb == nil {
-		mb = &member{}
+		mb = &member{addedAt: time.Now()}
 		mb.Host = host
 		el.members[host] = mb
 	}
@@ -693,8 +708,7 @@
 			continue
 		}
 		addrs = append(addrs, mb.Address)
-		last := later(mb.lastHeartbeat, mb.lastReply)
-		if !last.IsZero() && time.Since(later(last, el.epochBegunAt)) > memberRemovalTimeout {
+		if last := later(later(mb.addedAt, el.epochBegunAt), later(mb.lastHeartbeat, mb.lastReply)); time.Since(last) > memberRemovalTimeout {
 			expired = append(expired, mb)
 		}
 	}
--- /dev/null
+++ b/internal/job/elector/export_test.go
@@ -0,0 +1,17 @@
+package elector
+
+import (
+	"maps"
+	"slices"
+)
+
+// KnownHosts returns the names of the known hosts, sorted.
+func (el *Elector) KnownHosts() []string {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	var names []string
+	for _, host := range slices.Sorted(maps.Keys(el.members)) {
+		names = append(names, string(host))
+	}
+	return names
+}
