Check what a peer says of jobs before it is used

A state that no caller knows was passed on, a count below zero was shown, and a change could put a job in the place of another; each malformed change was logged again.

--- a/internal/job/intaker/intaker.go
+++ b/internal/job/intaker/intaker.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"sync"
 	"time"
@@ -22,6 +23,7 @@
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
+	"github.com/currantrouter/currantrouter/internal/telemetry/reporter"
 )
 
 // Errors of requests of callers. Test for them with errors.Is.
@@ -60,6 +62,8 @@
 	// maxStalePendingAge is the age up to which a cached count is returned while the leader is
 	// unreachable.
 	maxStalePendingAge = 2 * time.Second
+	// maxPendingJobs is the highest count of pending jobs that is accepted from the leader.
+	maxPendingJobs = 1 << 30
 	// maxHops bounds how often a request is forwarded from host to host.
 	maxHops = 1
 )
@@ -81,6 +85,8 @@
 // Intaker answers the requests of callers. It is safe for concurrent use.
 type Intaker struct {
 	op Options
+	// invalid reports messages of peers that are left out.
+	invalid *reporter.Reporter
 
 	mu sync.Mutex
 	// pending caches the leader's counts of pending jobs.
@@ -103,7 +109,7 @@
 
 // New returns an intaker.
 func New(op Options) *Intaker {
-	return &Intaker{op: op, pending: map[modeler.QueueName]pendingCount{}, finalStates: map[modeler.JobID]modeler.State{}}
+	return &Intaker{op: op, invalid: reporter.New(op.Log, op.Meter), pending: map[modeler.QueueName]pendingCount{}, finalStates: map[modeler.JobID]modeler.State{}}
 }
 
 // Submit stores a job. Errors: modeler.ErrInvalidJob, ErrNotAccepted, ErrResultUnknown.
@@ -245,15 +251,23 @@
 }
 
 // Apply passes a stored change to a director, which keeps a cancellation that arrives before its
-// job.
+// job. It reports a change that is invalid.
 func (it *Intaker) Apply(dr *director.Director, ch *messenger.StoredChange) {
+	id := modeler.JobID(ch.Id)
+	if err := id.Check(); err != nil {
+		it.invalid.Report(logger.PeerInvalid, meter.ReportsInvalid, ch.Id, err)
+		return
+	}
 	if len(ch.Document) == 0 {
-		dr.CancelJob(modeler.JobID(ch.Id))
+		dr.CancelJob(id)
 		return
 	}
 	jb, err := keeper.Decode(ch.Document)
+	if err == nil && jb.ID != id {
+		err = fmt.Errorf("%w: change of job %q holds job %q", keeper.ErrDamaged, id, jb.ID)
+	}
 	if err != nil {
-		logger.Log(it.op.Log, logger.JobDamaged, "Job", ch.Id, "Error", err.Error())
+		it.invalid.Report(logger.JobDamaged, meter.ReportsInvalid, ch.Id, err, "Job", ch.Id)
 		return
 	}
 	dr.AddJob(jb, false)
@@ -303,7 +317,7 @@
 		})
 		var te twirp.Error
 		switch {
-		case err == nil:
+		case err == nil && modeler.State(st.State).Valid():
 			return modeler.State(st.State), nil
 		case errors.As(err, &te) && te.Code() == twirp.NotFound:
 			return "", ErrJobNotFound
@@ -370,7 +384,7 @@
 			pc, err = it.op.Dial(leader.Address).Pending(ctx, &messenger.QueueName{Name: string(queue)})
 			return err
 		})
-		if err == nil {
+		if err == nil && pc.Jobs >= 0 && pc.Jobs <= maxPendingJobs {
 			it.mu.Lock()
 			defer it.mu.Unlock()
 			it.pending[queue] = pendingCount{int(pc.Jobs), time.Now()}
--- a/internal/job/modeler/job.go
+++ b/internal/job/modeler/job.go
@@ -314,5 +314,8 @@
 	Cancelled State = "Cancelled"
 )
 
+// Valid reports whether the state is one of the states of a job.
+func (st State) Valid() bool { return st == Queued || st == Running || st.Final() }
+
 // Final reports whether the job has ended.
 func (st State) Final() bool { return st == Completed || st == Failed || st == Cancelled }
