Refuse permits out of bounds

A permit without a worker or a ticket was used for starts that are refused; a negative lifetime, or one that overflows, was taken as it came.

--- a/internal/job/modeler/queue.go
+++ b/internal/job/modeler/queue.go
@@ -151,10 +151,25 @@
 	Worker WorkerID
 	// Ticket is the token that each start passes on to the worker.
 	Ticket string
-	// TTL is the lifetime of the permit, counted from when it was requested.
+	// TTL is the lifetime of the permit, counted from when it was requested. Zero means that of the
+	// queue's policy.
 	TTL time.Duration
 }
 
+// ErrInvalidPermit means that a permit has values out of bounds.
+var ErrInvalidPermit = errors.New("invalid permit")
+
+// maxTicketBytes bounds a ticket, which each start carries.
+const maxTicketBytes = 4 << 10
+
+// Check returns ErrInvalidPermit for a permit that cannot be used.
+func (pm *Permit) Check() error {
+	if pm.Worker == "" || pm.Ticket == "" || len(pm.Ticket) > maxTicketBytes || !durationInRange(pm.TTL) {
+		return fmt.Errorf("%w: worker %.200q, ticket of %d bytes, lifetime %s", ErrInvalidPermit, pm.Worker, len(pm.Ticket), pm.TTL)
+	}
+	return nil
+}
+
 // StepID names one step of one occurrence of a job.
 type StepID struct {
 	Job              JobID
