--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -446,7 +446,7 @@
 	if mb.Host == "" || mb.Weight < 0 || mb.Weight > modeler.MaxWeight {
 		return fmt.Errorf("%w: name %.200q, weight %d", ErrInvalidMember, mb.Host, mb.Weight)
 	}
-	if err := errors.Join(modeler.CheckName("host", string(mb.Host)), modeler.CheckName("boot", string(mb.Boot)), modeler.CheckAddress(mb.Address)); err != nil {
+	if err := errors.Join(modeler.CheckName("host", string(mb.Host)), modeler.CheckName("boot", string(mb.Boot)), fleet.CheckAddress(mb.Address)); err != nil {
 		return fmt.Errorf("%w: %w", ErrInvalidMember, err)
 	}
 	return nil
--- a/internal/job/elector/fuzz_test.go
+++ b/internal/job/elector/fuzz_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
+	fleet "github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
@@ -50,7 +51,7 @@
 		el.HandleGreeting(gr)
 		el.HandleResignation(gr)
 		if leader := el.Leader(); leader != (Leader{}) {
-			qt.Assert(t, modeler.CheckAddress(leader.Address), qt.IsNil)
+			qt.Assert(t, fleet.CheckAddress(leader.Address), qt.IsNil)
 			qt.Assert(t, leader.Epoch > 0 && leader.Epoch <= modeler.MaxEpoch && leader.Host != "", qt.IsTrue)
 		}
 		for _, mb := range el.members {
--- a/internal/job/modeler/worker.go
+++ b/internal/job/modeler/worker.go
@@ -45,7 +45,7 @@
 			return fmt.Errorf("%w: %w", ErrInvalidWorker, err)
 		}
 	}
-	if err := CheckAddress(wk.Address); err != nil {
+	if err := fleet.CheckAddress(wk.Address); err != nil {
 		return fmt.Errorf("%w: %w", ErrInvalidWorker, err)
 	}
 	switch {
