Refuse digests of hosts with numbers that leave no room for later ones

A digest with the name of another host and a start of its process at the limit of the type made that host give up as replaced, and each later process of it.

FuzzDigest, which exists, covers the decoder; it was not run again.

--- a/internal/cluster/tracker/delta_test.go
+++ b/internal/cluster/tracker/delta_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"flag"
+	"math"
 	"slices"
 	"testing"
 
@@ -54,3 +55,20 @@
 	_, err := applyDelta([]byte("another base that is long enough for the prefix"), encodeDelta(base, doc))
 	qt.Check(t, errors.Is(err, errCorruptDocument), qt.IsTrue)
 }
+
+// Guards against a digest whose start of a process lies so far ahead that no later process of its host
+// is ever accepted, and other numbers that leave no room for later ones.
+func TestDigestOutOfBounds(t *testing.T) {
+	for name, change := range map[string]func(*messenger.HostDigest){
+		"start at the limit":            func(dg *messenger.HostDigest) { dg.BootStartedMillis = math.MaxInt64 },
+		"sequence at the limit":         func(dg *messenger.HostDigest) { dg.Sequence = math.MaxInt64 },
+		"revision at the limit":         func(dg *messenger.HostDigest) { dg.Revision = math.MaxInt64 },
+		"settled revision at the limit": func(dg *messenger.HostDigest) { dg.SettledRevision = math.MaxInt64 },
+		"epoch at the limit":            func(dg *messenger.HostDigest) { dg.LeaderEpoch = math.MaxInt64 },
+	} {
+		dg := &messenger.HostDigest{Host: "host-1", DataCentre: "stad", Boot: "b", BootStartedMillis: 1_700_000_000_000, Sequence: 7, Revision: 3}
+		qt.Assert(t, validDigest(dg), qt.IsTrue)
+		change(dg)
+		qt.Check(t, validDigest(dg), qt.IsFalse, qt.Commentf("%s", name))
+	}
+}
--- a/internal/cluster/tracker/member.go
+++ b/internal/cluster/tracker/member.go
@@ -38,6 +38,10 @@
 	// hours.
 	maxHourCounts = 64
 	maxBootBytes  = 64
+	// maxNumber bounds the numbers and times of a digest. It leaves room for later ones.
+	maxNumber = 1 << 53
+	// maxBootStartedMillis is in the year 2248.
+	maxBootStartedMillis = 1<<43 - 1
 )
 
 // member is another host and the bookkeeping of its digests.
@@ -61,12 +65,13 @@
 		modeler.ValidName(dg.GetHost()) &&
 		modeler.ValidName(dg.GetDataCentre()) &&
 		dg.GetBoot() != "" && len(dg.GetBoot()) <= maxBootBytes &&
-		dg.GetBootStartedMillis() > 0 &&
-		dg.GetSequence() >= 0 &&
-		dg.GetRevision() >= 0 && dg.GetSettledRevision() >= 0 && dg.GetLeaderEpoch() >= 0 &&
+		dg.GetBootStartedMillis() > 0 && dg.GetBootStartedMillis() <= maxBootStartedMillis &&
+		inRange(dg.GetSequence()) && inRange(dg.GetRevision()) && inRange(dg.GetSettledRevision()) && inRange(dg.GetLeaderEpoch()) &&
 		len(dg.GetHourCounts()) <= maxHourCounts
 }
 
+func inRange(num int64) bool { return num >= 0 && num <= maxNumber }
+
 // receive merges a message. The sender's address is not valid when the message is a peer's request.
 func (trk *Tracker) receive(msg exchangeMessage, addr netip.AddrPort) {
 	type report struct {
