Leave one odd worker of the platform's list out alone

One worker with a port or a number out of range made the whole list of workers unreadable, and the same holds for one odd state in the list of hosts: the leader of batch work kept the last list it knew, without a word, for as long as the entry stayed.

--- a/internal/daemon/assembler/main.go
+++ b/internal/daemon/assembler/main.go
@@ -16,9 +16,11 @@
 	"github.com/currantrouter/currantrouter/internal/config/distributor"
 	"github.com/currantrouter/currantrouter/internal/config/loader"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/provider/lister"
 	"github.com/currantrouter/currantrouter/internal/provider/requester"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
+	"github.com/currantrouter/currantrouter/internal/telemetry/reporter"
 )
 
 // Exit codes of currantd.
@@ -115,6 +117,9 @@
 	if err != nil {
 		return err
 	}
+	if cl, ok := pf.Hosts.(*lister.Client); ok {
+		cl.ReportTo(reporter.New(lg, dm.meter))
+	}
 	if st.Standalone {
 		go importExample(ctx, dm)
 	}
--- a/internal/provider/supervisor/supervisor.go
+++ b/internal/provider/supervisor/supervisor.go
@@ -3,6 +3,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -34,13 +35,40 @@
 	Name       modeler.WorkerName
 	DataCentre modeler.DataCentreName
 	Rack       string
-	// Address is the address of the worker's interface. It is always valid.
+	// Address is the address of the worker's interface. A host can be called at it.
 	Address  netip.AddrPort
 	Capacity Resources
 	// Leaving is set once the platform drains the worker before its removal.
 	Leaving bool
 }
 
+// Bounds of the capacity of a worker, far above any use and low enough that sums over all workers stay
+// within their type.
+const (
+	maxMillicores   = 1_000_000_000
+	maxMemoryBytes  = 1 << 50
+	maxAccelerators = 1_000_000
+)
+
+// ErrInvalidWorker means that a listed worker cannot be called or has values out of bounds.
+var ErrInvalidWorker = errors.New("invalid worker")
+
+// Check returns ErrInvalidWorker, wrapped with the reason, for a worker that cannot be called or has
+// values out of bounds.
+func (wk *Worker) Check() error {
+	if wk.Name == "" {
+		return fmt.Errorf("%w: no name", ErrInvalidWorker)
+	}
+	if err := modeler.CheckAddress(wk.Address); err != nil {
+		return fmt.Errorf("%w: %w", ErrInvalidWorker, err)
+	}
+	rs := wk.Capacity
+	if rs.Millicores < 0 || rs.Millicores > maxMillicores || rs.MemoryBytes < 0 || rs.MemoryBytes > maxMemoryBytes || rs.Accelerators < 0 || rs.Accelerators > maxAccelerators {
+		return fmt.Errorf("%w: capacity %+v", ErrInvalidWorker, rs)
+	}
+	return nil
+}
+
 // Attempt identifies one execution of a task.
 type Attempt struct {
 	Job  string
