Ask about other workers at once after a denial

The pause after permits of no use, added with their lifetime, also followed an answer that permits no worker. Before, with 100 workers of which the last one is permitted:

--- FAIL: TestDeniedWorkersCauseNoPause requests in 500 ms: int(2) want: int(4)

--- a/internal/job/director/odd_input_test.go
+++ b/internal/job/director/odd_input_test.go
@@ -276,3 +276,21 @@
 		tm.assertState("a", modeler.Completed)
 	})
 }
+
+// Guards against a pause after each request whose workers are all denied, before others are asked
+// about.
+func TestDeniedWorkersCauseNoPause(t *testing.T) {
+	const workers = 100
+	run(t, workers, func(fl *fleet, tm *term) {
+		tm.end()
+		po := &policy{permitted: fl.infos[workers-1].ID}
+		fl.policy, fl.config.Queues[0].Policy = po, &modeler.Policy{DecisionTime: 50 * time.Millisecond}
+		*tm = *fl.startTerm(0)
+		sleep(time.Second)
+		tm.submit(simpleJob("a", "urgent", 1, cores(1000)))
+		// Four requests of 50 ms each ask about all workers.
+		sleep(500 * time.Millisecond)
+		qt.Check(t, po.asked, qt.Equals, 4)
+		qt.Check(t, fl.workers.StartCount(modeler.TaskID{Job: "a"}), qt.Equals, 1)
+	})
+}
--- a/internal/job/director/permit.go
+++ b/internal/job/director/permit.go
@@ -107,7 +107,8 @@
 				sp.permits.denied[asked] = true
 			}
 		}
-		usable := false
+		// An answer that permits no worker is usable: the next request asks about others.
+		usable := len(list) == 0
 		for _, pm := range list {
 			// An answer without a lifetime leaves it to the queue's policy.
 			ttl := cmp.Or(pm.TTL, po.PermitTTL)
