--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -21,6 +21,7 @@
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
+	"github.com/currantrouter/currantrouter/internal/telemetry/reporter"
 )
 
 // WorkerClient sends requests to workers. Errors are those of package modeler. The duration that
@@ -63,6 +64,8 @@
 	StopGrace time.Duration
 	// Retention is how long a job's state can be queried after its end.
 	Retention time.Duration
+	// LongestLease is the longest lease that a worker accepts. It shortens longer ones.
+	LongestLease time.Duration
 	// RestoreTime is the time that a resumed task takes to load its checkpoint.
 	RestoreTime time.Duration
 	// OverTargetGrace is how long the tail latency of a latency-critical task may exceed its target
@@ -185,7 +188,9 @@
 	startsInFlight int
 	windowFull     bool
 	// contention is the competition of best-effort images for the workers.
-	contention      contention
+	contention contention
+	// invalid reports malformed facts and reports.
+	invalid         *reporter.Reporter
 	summaryLoggedAt time.Time
 	// rounds is the number of placement rounds, roundAt the time of the last one, and roundEnd why the
 	// steps that it did not reach had no turn.
@@ -224,6 +229,7 @@
 		starting:             map[*attempt]struct{}{},
 		model:                estimator.New(),
 		startWindow:          throttler.New(requestTimeout),
+		invalid:              reporter.New(op.Log, op.Meter),
 	}
 }
 
@@ -415,22 +421,35 @@
 		}
 		recs = append(recs, rec)
 	}
+	for _, batch := range journaler.Batches(recs) {
+		if !dr.appendRecords(ctx, batch) {
+			return
+		}
+	}
+	dr.factsSinceSnapshot.Add(int64(len(facts)))
+	then()
+}
+
+// appendRecords appends records to the journal and retries until they are durable. It returns false
+// if the term ends first, or if a record is too large for the journal.
+func (dr *Director) appendRecords(ctx context.Context, recs []journaler.Record) bool {
 	failing := false
 	for {
 		err := dr.op.Journal.Append(ctx, recs...)
 		switch {
 		case err == nil:
-			dr.factsSinceSnapshot.Add(int64(len(facts)))
-			then()
-			return
+			return true
 		case ctx.Err() != nil:
-			return
+			return false
 		case errors.Is(err, journaler.ErrDeposed):
 			dr.stepDown("journal has a later epoch")
-			return
+			return false
+		case errors.Is(err, journaler.ErrTooLarge):
+			dr.log(logger.FactNotRecorded, "Error", err.Error())
+			return false
 		}
 		if !failing {
-			dr.log(logger.FactsDelayed, "Facts", len(facts), "Error", err.Error())
+			dr.log(logger.FactsDelayed, "Facts", len(recs), "Error", err.Error())
 		}
 		failing = true
 		pauser.Sleep(ctx, journalRetryPause)
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -16,15 +17,17 @@
 const maxReportAge = 300 * time.Millisecond
 
 // handleReport processes a worker's report. The returned channel is closed once the reported ends
-// are durable.
+// are durable. It is nil for a report that is out of date.
 func (dr *Director) handleReport(wk *worker, sentAt time.Time, rep *modeler.Report) <-chan struct{} {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	now := time.Now()
 	if rep.Incarnation < wk.incarnation {
 		// The report of an earlier incarnation arrived after one of a later incarnation and is out
-		// of date.
-		return dr.recordEnds(wk)
+		// of date. Without a channel, the next renewal is delayed: a worker may answer like this at
+		// once each time.
+		dr.recordEnds(wk)
+		return nil
 	}
 	if rep.Incarnation > wk.incarnation {
 		dr.workerRestarted(wk, rep.Incarnation, now)
@@ -32,8 +35,13 @@
 	if wk.unreachable && wk.answered {
 		dr.log(logger.WorkerReachable, "Worker", wk.info.ID, "Runs", len(rep.Running), "Ends", len(rep.Ended))
 	}
+	if rep.LeftOut > 0 {
+		dr.invalid.Report(logger.ReportInvalid, meter.ReportsInvalid, string(wk.info.ID), rep.LeftOutReason, "Worker", wk.info.ID, "LeftOut", rep.LeftOut)
+	}
 	wk.clock, wk.clockAt, wk.unreachable = rep.Clock, now, false
 	wk.renewal.phase = recordingReport
+	// An earlier report may have had a clock that was too far ahead.
+	wk.leaseEnd = min(wk.leaseEnd, rep.Clock+max(dr.op.Limits.Lease, dr.op.Limits.LongestLease))
 	dr.markAnswered(wk)
 	listed := make(map[attemptKey]bool, len(rep.Running)+len(rep.Ended))
 	for ix := range rep.Running {
@@ -42,6 +50,7 @@
 		dr.updateRun(wk, row, now)
 	}
 	facts, endedJobs := dr.handleEnds(wk, rep.Ended, listed, now)
+	wk.processedEnd = max(wk.processedEnd, rep.LastEnd)
 	dr.loseMissingRuns(wk, listed, sentAt, now)
 	dr.updateCancelledRuns(wk, rep.Running, now)
 	wk.forgetStops(listed, sentAt)
@@ -117,6 +126,11 @@
 // updateRun updates an attempt from a report.
 func (dr *Director) updateRun(wk *worker, row *modeler.ActiveRun, now time.Time) {
 	at := wk.attempts[attemptKey{row.Task, row.Run}]
+	if at == nil && !dr.possibleRun(row.Run) {
+		// A stop would make the worker refuse all lower runs of the task.
+		dr.reportImpossibleRun(wk, row.Task, row.Run)
+		return
+	}
 	if at == nil {
 		at = dr.adopt(wk, row, now)
 		if at == nil {
@@ -141,6 +155,11 @@
 	}
 }
 
+// reportImpossibleRun reports a run with a number that no leader can have given.
+func (dr *Director) reportImpossibleRun(wk *worker, id modeler.TaskID, run modeler.Run) {
+	dr.invalid.Report(logger.ReportInvalid, meter.ReportsInvalid, string(wk.info.ID), fmt.Errorf("run %d of %s", run, id), "Worker", wk.info.ID, "LeftOut", 1)
+}
+
 // adopt creates an attempt for a run that an earlier leader started, or stops the run and returns
 // nil if this term does not want it.
 func (dr *Director) adopt(wk *worker, row *modeler.ActiveRun, now time.Time) *attempt {
@@ -194,18 +213,20 @@
 }
 
 // handleEnds processes the ends of a report that are new, and returns the facts that have to be
-// durable before the worker may drop the ends, and the jobs that end with them.
+// durable before the worker may drop the ends, and the jobs that end with them. The ends may be
+// listed in any order.
 func (dr *Director) handleEnds(wk *worker, rows []modeler.EndedRun, listed map[attemptKey]bool, now time.Time) ([]keeper.Fact, []*job) {
 	var facts []keeper.Fact
 	var endedJobs []*job
+	processedBefore := wk.processedEnd
 	for ix := range rows {
 		row := &rows[ix]
 		key := attemptKey{row.Task, row.Run}
 		listed[key] = true
-		if row.Number <= wk.processedEnd {
+		if row.Number <= processedBefore {
 			continue
 		}
-		wk.processedEnd = row.Number
+		wk.processedEnd = max(wk.processedEnd, row.Number)
 		delete(wk.unexpectedStops, key)
 		jb := dr.jobs[row.Task.Job]
 		if jb == nil {
@@ -216,6 +237,10 @@
 			continue
 		}
 		at := wk.attempts[key]
+		if at == nil && !dr.possibleRun(row.Run) {
+			dr.reportImpossibleRun(wk, row.Task, row.Run)
+			continue
+		}
 		if dr.applyRunEnd(tk, row.Run, row.Outcome, row.Checkpoint) {
 			facts = append(facts, keeper.Fact{RunEnd: &keeper.RunEndFact{
 				Task: row.Task.String(), Run: row.Run, Outcome: row.Outcome, Checkpoint: row.Checkpoint,
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -186,7 +186,7 @@
 
 // acceptsTasks reports whether a worker may get new tasks.
 func (dr *Director) acceptsTasks(wk *worker, now time.Time) bool {
-	return wk.registered && wk.answered && !wk.unreachable && !wk.info.Draining &&
+	return wk.registered && wk.answered && wk.grantDurable && !wk.unreachable && !wk.info.Draining &&
 		!wk.faultHistory.Quarantined(now) && !now.Before(wk.noStartsBefore)
 }
 
@@ -459,6 +459,11 @@
 	return max(tk.lastRun, modeler.Run(dr.op.Epoch-1)*runsPerEpoch) + 1
 }
 
+// possibleRun reports whether a leader up to this one can have given the run number.
+func (dr *Director) possibleRun(run modeler.Run) bool {
+	return run <= modeler.Run(dr.op.Epoch)*runsPerEpoch
+}
+
 // queueStart queues a start for the goroutines that send starts to its worker.
 func (dr *Director) queueStart(at *attempt) {
 	wk := at.worker
--- a/internal/job/director/waiting_test.go
+++ b/internal/job/director/waiting_test.go
@@ -32,7 +32,7 @@
 	})
 	fx.dr.setWorker(&modeler.Worker{ID: "w", Pool: "p", Capacity: modeler.Resources{MilliCores: 4000, MemoryMB: 4000}})
 	fx.wk = fx.dr.workers["w"]
-	fx.wk.answered, fx.wk.clockAt = true, time.Now()
+	fx.wk.answered, fx.wk.grantDurable, fx.wk.clockAt = true, true, time.Now()
 	fx.dr.allAccounted = true
 	needs := modeler.Resources{MilliCores: 1000, MemoryMB: 100}
 	jb := fx.dr.addJob(&modeler.Job{ID: "j", Queue: "q", Steps: []modeler.Step{{Count: 1, LongRunning: true, Needs: needs}, {Count: 1, Needs: needs}}}, true)
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -23,6 +23,7 @@
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
+	"github.com/currantrouter/currantrouter/internal/telemetry/reporter"
 )
 
 const (
@@ -101,13 +102,17 @@
 	elector *elector.Elector
 	// current is the director of the present term, or nil.
 	current atomic.Pointer[director.Director]
+	// invalidEntries reports entries of the store that are left out, once over all terms.
+	invalidEntries *reporter.Reporter
 	// failedOpens counts the attempts to begin an epoch that failed in a row because the journal could
 	// not be read in time.
 	failedOpens atomic.Int32
 }
 
 // New returns a leader without a term.
-func New(op Options) *Leader { return &Leader{op: op} }
+func New(op Options) *Leader {
+	return &Leader{op: op, invalidEntries: reporter.New(op.Log, op.Meter)}
+}
 
 // SetElector sets the elector that starts the terms. It is called once, before the first term.
 func (ld *Leader) SetElector(el *elector.Elector) { ld.elector = el }
@@ -124,7 +129,7 @@
 	defer cancel()
 	jn, rec, err := journaler.Open(openCtx, ld.op.Store, journalName, ld.op.Self.Host, ld.op.Self.Boot, journaler.Options{
 		WritesPerSecond: maxJournalWritesPerSecond, RetryTimeout: journalRetryTimeout, MaxBackOff: maxJournalBackOff,
-		CallTimeout: journalCallTimeout, OpenCallTimeout: journalCallTimeout << doublings,
+		CallTimeout: journalCallTimeout, OpenCallTimeout: journalCallTimeout << doublings, SkipDamaged: true,
 		Logger: ld.op.Log, Meter: ld.op.Meter,
 	})
 	if errors.Is(err, journaler.ErrUnavailable) {
@@ -154,9 +159,13 @@
 // tasks for earlier leaders. Clocks of workers may be slow by 2 %.
 func (ld *Leader) inheritedLease(rec journaler.Recovery, pred elector.Predecessor) time.Duration {
 	lease := ld.op.Limits.Lease + ld.op.Limits.Lease/50 + inheritedLeaseMargin
-	if rec.PreviousHost == "" {
+	if rec.PreviousHost == "" && rec.Damaged == 0 {
 		return 0
 	}
+	// A damaged segment may be the only trace of the last leader.
+	if rec.Damaged > 0 {
+		return lease + authorityTimeout
+	}
 	if pred.Stopped || ld.elector.Replaced(rec.PreviousHost, rec.PreviousBoot) {
 		return lease
 	}
@@ -212,7 +221,7 @@
 		ch, ok, err := keeper.ParseChange(en)
 		switch {
 		case err != nil:
-			logger.Log(tm.leader.op.Log, logger.JobDamaged, "Key", en.Key, "Error", err.Error())
+			tm.leader.invalidEntries.Report(logger.JobDamaged, meter.EntriesInvalid, en.Key, err, "Key", en.Key)
 		case !ok:
 		case ch.Job == nil:
 			cancelled = append(cancelled, ch.ID)
@@ -237,21 +246,23 @@
 
 func (tm *term) applyWorkers(ens []storer.Entry) {
 	for _, en := range ens {
-		if en.Deleted {
-			tm.director.RemoveWorker(modeler.WorkerID(strings.TrimPrefix(en.Key, tm.leader.op.Registry.Prefix)))
-			continue
-		}
 		if wk, ok := tm.decodeWorker(en); ok {
 			tm.director.UpdateWorker(wk)
+		} else {
+			tm.director.RemoveWorker(modeler.WorkerID(strings.TrimPrefix(en.Key, tm.leader.op.Registry.Prefix)))
 		}
 	}
 }
 
-// decodeWorker decodes a worker's entry. If it is invalid, it logs that and returns false.
+// decodeWorker decodes a worker's entry. It returns false for an entry that names no worker: a
+// deleted one, and an invalid one, which it reports.
 func (tm *term) decodeWorker(en storer.Entry) (modeler.Worker, bool) {
+	if en.Deleted {
+		return modeler.Worker{}, false
+	}
 	wk, err := tm.leader.op.Registry.Decode(en)
 	if err != nil {
-		logger.Log(tm.leader.op.Log, logger.WorkerEntryInvalid, "Key", en.Key, "Error", err.Error())
+		tm.leader.invalidEntries.Report(logger.WorkerEntryInvalid, meter.EntriesInvalid, en.Key, err, "Key", en.Key)
 	}
 	return wk, err == nil
 }
--- a/internal/job/modeler/queue.go
+++ b/internal/job/modeler/queue.go
@@ -1,6 +1,7 @@
 package modeler
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -63,6 +64,62 @@
 	HeaderLimit int64
 }
 
+const (
+	// MaxRevision is the largest integer that every JSON decoder reads exactly.
+	MaxRevision = 1<<53 - 1
+	// maxMessageBytes bounds BodyLimit and HeaderLimit.
+	maxMessageBytes = 1 << 30
+	// maxRouteBytes bounds the host and the prefix of a queue.
+	maxRouteBytes = 4 << 10
+)
+
+// ErrInvalidConfiguration means that a configuration has values out of bounds.
+var ErrInvalidConfiguration = errors.New("invalid configuration")
+
+// Check returns ErrInvalidConfiguration, wrapped with the reason, for a configuration with values out
+// of bounds. Names and prefixes may occur several times; the first queue counts then.
+func (cfg *Configuration) Check() error {
+	if cfg.Revision <= 0 || cfg.Revision > MaxRevision {
+		return fmt.Errorf("%w: revision %d", ErrInvalidConfiguration, cfg.Revision)
+	}
+	if cfg.BodyLimit < 0 || cfg.BodyLimit > maxMessageBytes || cfg.HeaderLimit < 0 || cfg.HeaderLimit > maxMessageBytes {
+		return fmt.Errorf("%w: limits of %d and %d bytes", ErrInvalidConfiguration, cfg.BodyLimit, cfg.HeaderLimit)
+	}
+	for ix := range cfg.Queues {
+		if err := cfg.Queues[ix].check(); err != nil {
+			return fmt.Errorf("%w: queue %d: %w", ErrInvalidConfiguration, ix, err)
+		}
+	}
+	for _, pl := range cfg.Pools {
+		if err := CheckName("pool", string(pl.Name)); err != nil {
+			return fmt.Errorf("%w: %w", ErrInvalidConfiguration, err)
+		}
+	}
+	return nil
+}
+
+func (qu *Queue) check() error {
+	for _, name := range [...]string{string(qu.Name), string(qu.Pool)} {
+		if err := CheckName("name", name); err != nil {
+			return err
+		}
+	}
+	switch {
+	case len(qu.Host)+len(qu.Prefix) > maxRouteBytes:
+		return fmt.Errorf("host and prefix of %d bytes", len(qu.Host)+len(qu.Prefix))
+	case qu.Name == "" || qu.Pool == "":
+		return fmt.Errorf("name %q, pool %q", qu.Name, qu.Pool)
+	case qu.Attempts < 0:
+		return fmt.Errorf("%d attempts", qu.Attempts)
+	case !validObjective(qu.MaxSlowdown, qu.Slack):
+		return errors.New("objective out of range")
+	}
+	if po := qu.Policy; po != nil && (!durationInRange(po.DecisionTime) || !durationInRange(po.TimePerWorker) || !durationInRange(po.PermitTTL)) {
+		return errors.New("times of the policy out of range")
+	}
+	return nil
+}
+
 // Route returns the queue of the host with the longest prefix of the path, and the rest of the
 // path. It returns false when no queue matches.
 func (cfg *Configuration) Route(host, path string) (*Queue, string, bool) {
@@ -94,10 +151,25 @@
 	Worker WorkerID
 	// Ticket is the token that each start passes on to the worker.
 	Ticket string
-	// TTL is the lifetime of the permit, counted from when it was requested.
+	// TTL is the lifetime of the permit, counted from when it was requested. Zero means that of the
+	// queue's policy.
 	TTL time.Duration
 }
 
+// ErrInvalidPermit means that a permit has values out of bounds.
+var ErrInvalidPermit = errors.New("invalid permit")
+
+// maxTicketBytes bounds a ticket, which each start carries.
+const maxTicketBytes = 4 << 10
+
+// Check returns ErrInvalidPermit for a permit that cannot be used.
+func (pm *Permit) Check() error {
+	if pm.Worker == "" || pm.Ticket == "" || len(pm.Ticket) > maxTicketBytes || !durationInRange(pm.TTL) {
+		return fmt.Errorf("%w: worker %.200q, ticket of %d bytes, lifetime %s", ErrInvalidPermit, pm.Worker, len(pm.Ticket), pm.TTL)
+	}
+	return nil
+}
+
 // StepID names one step of one occurrence of a job.
 type StepID struct {
 	Job              JobID
--- a/internal/telemetry/meter/table.go
+++ b/internal/telemetry/meter/table.go
@@ -11,4 +11,5 @@
 	operatorMetrics,
 	jobMetrics,
 	waitingMetrics,
+	inputMetrics,
 )
