Give overtaken long-running tasks a turn in every placement round

Callers saw long-running tasks that did not run beside free capacity while a backlog waited. A round ended after 150 placements without a worker or with its window of starts, and long-running steps come last but for late ones. Each task that avoids a worker counted as a miss of its own, so that 150 of them ended every round.

A round now has three passes: all steps in order of urgency, the long-running steps that this did not reach, and the others. The later passes begin with the steps that were considered the longest ago and have 50 misses each, so a round has at most 250 instead of 150. While long-running tasks wait, an eighth of the starts is left to them. A task that avoids workers proves its class unplaceable unless a worker that it avoids fits, and a step in which a pass ended continues where it ended.

--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -53,6 +53,8 @@
 	tasks []*task
 	// waiting holds the queued tasks.
 	waiting []*task
+	// consideredAt is the time of the placement round that last considered the step.
+	consideredAt time.Time
 	// done is the number of tasks that are done. Tasks of long-running steps never are.
 	done int
 	// unfinishedPredecessors is the number of steps that have to be done first and are not.
@@ -280,6 +282,13 @@
 	}
 }
 
+// moveToFront rotates the waiting tasks so that the next round begins with the task.
+func (sp *step) moveToFront(tk *task) {
+	if ix := slices.Index(sp.waiting, tk); ix > 0 {
+		sp.waiting = slices.Concat(sp.waiting[ix:], sp.waiting[:ix])
+	}
+}
+
 // applyRunEnd applies the end of a run to its task and reports whether the end has to be recorded.
 func (dr *Director) applyRunEnd(tk *task, run modeler.Run, outcome modeler.Outcome, checkpoint string) bool {
 	sp := tk.step
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -46,6 +47,11 @@
 	// The fleet is full then, and to go on would cost the leader the time that it needs for its
 	// workers.
 	maxMisses = 150
+	// maxOvertakenMisses is that number for each later pass of a round, see placeSteps.
+	maxOvertakenMisses = 50
+	// overtakenShare is the share of a round's starts that is kept for long-running tasks while more
+	// urgent ones use up the rest.
+	overtakenShare = 1.0 / 8
 	// waitLogInterval is the least time between two log lines on why a task waits.
 	waitLogInterval = time.Second
 	// maxHeldWorkers bounds the backfill reservations of a round, see holdWorker.
@@ -67,11 +73,8 @@
 	}
 	rd := dr.newRound(now)
 	rd.startsLeft = available
-	for _, rs := range rd.steps {
-		if len(rd.workers) == 0 || rd.misses >= maxMisses || rd.startsLeft <= 0 {
-			break
-		}
-		rd.placeStep(rs.step)
+	if len(rd.workers) > 0 {
+		rd.placeSteps()
 	}
 	dr.windowFull = rd.startsLeft <= 0
 	dr.recordPlacements(rd.longRunning)
@@ -111,10 +114,12 @@
 	held int
 	// longRunning holds the placed attempts of long-running tasks.
 	longRunning []*attempt
-	// misses is the number of placements without a worker since the last one that found one.
-	misses int
-	// startsLeft is the number of tasks that may still start in this round.
-	startsLeft int
+	// misses is the number of placements without a worker since the last one that found one or since
+	// the pass began. A pass ends with maxMisses.
+	misses, maxMisses int
+	// startsLeft is the number of tasks that may still start in this round, startsKept that of them
+	// which this pass leaves to the next.
+	startsLeft, startsKept int
 	// forecasts holds the predictions for tasks of best-effort and latency-critical images.
 	forecasts map[string]*forecast
 	// unplaceable holds needs for which no worker was found in this round.
@@ -178,6 +183,52 @@
 		!wk.faultHistory.Quarantined(now) && !now.Before(wk.noStartsBefore)
 }
 
+// placeSteps places waiting tasks in three passes: of all steps in order of urgency, then of the
+// long-running steps that the first pass did not reach, then of the others. The later passes begin
+// with the steps that were considered the longest ago, so that the turn of each step comes however
+// many more urgent ones find no worker.
+func (rd *round) placeSteps() {
+	if slices.ContainsFunc(rd.steps, func(rs rankedStep) bool { return rs.rank.LongRunning }) {
+		rd.startsKept = int(math.Ceil(overtakenShare * float64(rd.startsLeft)))
+	}
+	overtaken := rd.placePass(rd.steps, maxMisses)
+	outOfStarts := rd.startsLeft <= rd.startsKept
+	rd.startsKept = 0
+	longestAgo := func(one, two rankedStep) int { return one.step.consideredAt.Compare(two.step.consideredAt) }
+	var longRunning, others []rankedStep
+	for _, rs := range overtaken {
+		if rs.rank.LongRunning {
+			longRunning = append(longRunning, rs)
+		} else {
+			others = append(others, rs)
+		}
+	}
+	slices.SortStableFunc(longRunning, longestAgo)
+	rd.placePass(longRunning, maxOvertakenMisses)
+	if !outOfStarts {
+		slices.SortStableFunc(others, longestAgo)
+	}
+	rd.placePass(others, maxOvertakenMisses)
+}
+
+// placePass places tasks of the steps until the pass is over, and returns the steps that it did not
+// finish.
+func (rd *round) placePass(steps []rankedStep, maxMisses int) []rankedStep {
+	rd.misses, rd.maxMisses = 0, maxMisses
+	for ix, rs := range steps {
+		rs.step.consideredAt = rd.now
+		rd.placeStep(rs.step)
+		if rd.passOver() {
+			return steps[ix:]
+		}
+	}
+	return nil
+}
+
+func (rd *round) passOver() bool {
+	return rd.misses >= rd.maxMisses || rd.startsLeft <= rd.startsKept
+}
+
 // placeStep places as many waiting tasks of a step as there are workers for.
 func (rd *round) placeStep(sp *step) {
 	if sp.spec.Gang {
@@ -187,7 +238,8 @@
 	pool := rd.dr.pool(sp.occ.job)
 	rd.excludeOtherPools(pool)
 	for _, tk := range slices.Clone(sp.waiting) {
-		if rd.misses >= maxMisses || rd.startsLeft <= 0 {
+		if rd.passOver() {
+			sp.moveToFront(tk)
 			return
 		}
 		if !rd.dr.startable(tk, rd.now) {
@@ -206,31 +258,38 @@
 		if dm.LongRunning {
 			dm.Headroom, dm.PoolSlots = rd.poolHeadroom(pool, &dm)
 		}
-		ix := placer.Choose(&dm, rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &dm, rd.cands))
-		if ix < 0 && len(dm.Avoid) > 0 {
-			// Workers to avoid are excluded only while there is an alternative, see
-			// placer.HasAlternative. Other tasks of the step that avoid none may still be placed.
-			rd.misses++
-			rd.logWaitingTask(tk, &dm)
-			rd.holdWorker(&dm)
-			continue
-		}
+		cands := rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &dm, rd.cands)
+		ix := placer.Choose(&dm, cands)
 		if ix < 0 {
+			// Where only workers fit that the task avoids, other tasks may still be placed.
+			final := len(dm.Avoid) == 0 || !anyFeasible(&dm, cands)
 			// A limit per worker and permits are specific to the step, so that a failure may not
 			// apply to the rest of the class.
-			if dm.MaxPerWorker == 0 && sp.permits == nil {
+			if final && dm.MaxPerWorker == 0 && sp.permits == nil {
 				rd.unplaceable[key] = append(rd.unplaceable[key], dm.Needs)
 			}
 			rd.misses++
 			rd.logWaitingTask(tk, &dm)
 			rd.holdWorker(&dm)
-			return
+			if final {
+				return
+			}
+			continue
 		}
 		rd.misses = 0
 		rd.placeTask(tk, ix)
 	}
 }
 
+func anyFeasible(dm *placer.Demand, cands []placer.Candidate) bool {
+	for ix := range cands {
+		if placer.Feasible(dm, &cands[ix]) {
+			return true
+		}
+	}
+	return false
+}
+
 // excludeOtherPools excludes the workers of other pools. All pools share one list of candidates, so
 // that indices stay valid.
 func (rd *round) excludeOtherPools(pool modeler.PoolName) {
