Let long-running tasks use workers that are held for short ones

Callers saw long-running tasks wait while workers had free capacity. A round keeps up to three workers free for short tasks that fit nowhere. These may be the only ones with capacity for a long-running task, and as the short tasks may never fit, they were held again in every round.

A long-running task that finds no other worker now uses a held one. The rule that long-running tasks leave a reserve for short ones, or leave capacity for one more of their kind, is as before, so they cannot take all of it.

--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -110,8 +110,8 @@
 	workers []*worker
 	// cands holds the candidates in the order of workers.
 	cands []placer.Candidate
-	// held is the number of workers that are kept free, see holdWorker.
-	held int
+	// held holds the indices of the workers that are kept free, see holdWorker.
+	held []int
 	// longRunning holds the placed attempts of long-running tasks.
 	longRunning []*attempt
 	// misses is the number of placements without a worker since the last one that found one or since
@@ -260,6 +260,10 @@
 		}
 		cands := rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &dm, rd.cands)
 		ix := placer.Choose(&dm, cands)
+		if ix < 0 && dm.LongRunning && len(rd.held) > 0 {
+			cands = rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &dm, rd.withHeld())
+			ix = placer.Choose(&dm, cands)
+		}
 		if ix < 0 {
 			// Where only workers fit that the task avoids, other tasks may still be placed.
 			final := len(dm.Avoid) == 0 || !anyFeasible(&dm, cands)
@@ -340,7 +344,7 @@
 // have ended, and of these the one with the most free processors. Long-running tasks do not end, so
 // what they use does not count.
 func (rd *round) holdWorker(dm *placer.Demand) {
-	if rd.held >= maxHeldWorkers || dm.BestEffort || dm.LongRunning {
+	if len(rd.held) >= maxHeldWorkers || dm.BestEffort || dm.LongRunning {
 		return
 	}
 	best := -1
@@ -354,11 +358,22 @@
 		}
 	}
 	if best >= 0 {
-		rd.held++
+		rd.held = append(rd.held, best)
 		rd.cands[best].Free = modeler.Resources{}
 	}
 }
 
+// withHeld returns the candidates with the free capacity of the workers that are kept free. A
+// long-running task that fits only there uses it: the demand for which a worker is held may never
+// fit, and would keep it from the task in every round.
+func (rd *round) withHeld() []placer.Candidate {
+	cands := slices.Clone(rd.cands)
+	for _, ix := range rd.held {
+		cands[ix].Free = rd.workers[ix].free
+	}
+	return cands
+}
+
 // placeTask reserves resources for a task on the worker with the index, and queues its start. That
 // of a long-running task is queued by recordPlacements.
 func (rd *round) placeTask(tk *task, ix int) {
