Start gangs of long-running tasks

A gang of long-running tasks never started, on any number of free workers. The placement of a gang left the free capacity of the pool at zero, which a long-running task may only use as far as it exceeds the reserve.

The placement of a gang now sets it, less what the members before take.

TestLongRunningGang fails without the change (0 starts of each task) and passes with it.

--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -437,11 +437,16 @@
 func (rd *round) fitGang(sp *step, rack string) []int {
 	rd.countSameStep(sp)
 	first := rd.dr.demand(sp.waiting[0])
+	if first.LongRunning {
+		first.Headroom, first.PoolSlots = rd.poolHeadroom(rd.dr.pool(sp.occ.job), &first)
+	}
 	cands := slices.Clone(rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &first, rd.cands))
 	var chosen []int
 	for _, tk := range sp.waiting {
 		dm := rd.dr.demand(tk)
 		dm.Rack = rack
+		placedCount := int64(len(chosen))
+		dm.Headroom, dm.PoolSlots = first.Headroom-placedCount*dm.Needs.MilliCores, first.PoolSlots-placedCount
 		ix := placer.Choose(&dm, cands)
 		if ix < 0 {
 			return nil
