Let a worker's own answer decide which incarnation it is

An entry of the registry that names a later incarnation than the worker's answers made the leader discard every report of that worker as out of date: no lease, no starts, and renewals that were repeated without a pause. A worker that restarted after its clock was set back met the same, as its incarnation is a time.

The incarnation now changes only with a report. Renewals of a worker are sent one after the other, so a report with another incarnation is from a later process whatever the numbers say. The registry's entry only makes the leader ask at once, and hold back starts and longer leases until that request is answered.

--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -17,14 +17,14 @@
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	now := time.Now()
-	if rep.Incarnation < wk.incarnation {
-		// The report of an earlier incarnation arrived after one of a later incarnation and is out
-		// of date.
-		return dr.recordEnds(wk)
-	}
-	if rep.Incarnation > wk.incarnation {
+	// Renewals of one worker are sent one after the other, so that another incarnation than the last
+	// is a later one, also if its clock was set back.
+	if rep.Incarnation != wk.incarnation {
 		dr.workerRestarted(wk, rep.Incarnation, now)
 	}
+	if !sentAt.Before(wk.announcedAt) {
+		wk.announcedAt = time.Time{}
+	}
 	if wk.unreachable && wk.answered {
 		dr.log(logger.WorkerReachable, "Worker", wk.info.ID, "Runs", len(rep.Running), "Ends", len(rep.Ended))
 	}
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -72,6 +72,9 @@
 	incarnation int64
 	clock       time.Duration
 	clockAt     time.Time
+	// announcedAt is when the registry announced another incarnation, zero once the worker has
+	// answered a later request. Until then, it gets neither starts nor a longer lease.
+	announcedAt time.Time
 	// leaseEnd is the latest end of a lease that the worker may have received, on its clock.
 	leaseEnd time.Duration
 	// processedEnd is the number of the last end that was processed, ackedEnd that of the last one
@@ -182,10 +185,10 @@
 		dr.log(logger.WorkerDraining, "Worker", info.ID, "Remaining", info.MinRemaining.String(), "Runs", len(wk.attempts))
 	}
 	wk.free = wk.free.Plus(info.Capacity).Minus(wk.info.Capacity)
-	wk.info, wk.registered = *info, true
-	if info.Incarnation > wk.incarnation && wk.incarnation != 0 {
-		dr.workerRestarted(wk, info.Incarnation, time.Now())
+	if wk.incarnation != 0 && info.Incarnation != wk.incarnation && info.Incarnation != wk.info.Incarnation {
+		wk.announcedAt = time.Now()
 	}
+	wk.info, wk.registered = *info, true
 	dr.startRenewing(wk)
 }
 
@@ -287,7 +290,7 @@
 	}
 	req := &modeler.RenewRequest{Epoch: dr.op.Epoch, AckedEnd: wk.ackedEnd, MaxWait: maxIdleWait}
 	switch {
-	case !wk.answered || wk.unreachable || wk.recording != nil:
+	case !wk.answered || wk.unreachable || wk.recording != nil || !wk.announcedAt.IsZero():
 		req.MaxWait = 0
 	case wk.criticalTasks > 0 && wk.bestEffortTasks > 0:
 		req.MaxWait = maxPacedWait
@@ -296,7 +299,7 @@
 	}
 	// The lease of an unreachable worker is not extended, or it would never be known to have
 	// expired.
-	if wk.answered && !wk.unreachable {
+	if wk.answered && !wk.unreachable && wk.announcedAt.IsZero() {
 		req.Deadline = wk.minClock(time.Now()) + dr.op.Limits.Lease
 		wk.leaseEnd = max(wk.leaseEnd, req.Deadline)
 	}
@@ -372,7 +375,8 @@
 	return ids
 }
 
-// workerRestarted handles a new incarnation of a worker: runs of the earlier one have ended.
+// workerRestarted handles the first report of a new incarnation of a worker: runs of the earlier one
+// have ended.
 func (dr *Director) workerRestarted(wk *worker, incarnation int64, now time.Time) {
 	if wk.incarnation != 0 {
 		dr.log(logger.WorkerRestarted, "Worker", wk.info.ID, "Runs", len(wk.attempts))
