Account for each inherited worker when its own lease has expired

Each change of the leader made inherited tasks wait for the longest lease and 4 s more, long after a worker was gone: a worker that never answered was passed over after that time, but stayed marked as one that may run tasks. So its lease was never released, and every later leader waited for it again.

TestLostWorkerDelaysOneTerm fails without the change (j2 is Queued 2 s after the second change, want Completed) and passes with it.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -163,7 +163,8 @@
 	waitingSteps map[*step]struct{}
 	// unaccountedWorkers is the number of workers that may still run tasks of earlier terms and have
 	// not reported in this term. While it is not zero, a task that may run on one of them does not
-	// start. allAccounted is set once it has reached zero.
+	// start. allAccounted is set once it has reached zero. A worker whose lease has expired counts as
+	// having reported.
 	unaccountedWorkers int
 	allAccounted       bool
 	// model estimates the interference between images.
@@ -352,10 +353,9 @@
 func (dr *Director) onTick(now time.Time) {
 	for _, wk := range dr.workers {
 		dr.expireLease(wk, now)
-	}
-	if !dr.allAccounted && now.Sub(dr.termStart) > dr.op.InheritedLease+unreachableGrace {
-		dr.log(logger.TermAccounted, "Workers", dr.unaccountedWorkers, "Reason", "inherited leases expired")
-		dr.unaccountedWorkers, dr.allAccounted = 0, true
+		if wk.unaccounted && dr.leaseExpired(wk, now.Add(-unreachableGrace)) {
+			dr.markAccounted(wk, "inherited leases expired")
+		}
 	}
 	select {
 	case <-dr.loaded:
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -28,8 +28,8 @@
 	if wk.unreachable && wk.answered {
 		dr.log(logger.WorkerReachable, "Worker", wk.info.ID, "Runs", len(rep.Running), "Ends", len(rep.Ended))
 	}
-	wk.clock, wk.clockAt, wk.unreachable = rep.Clock, now, false
-	dr.markAnswered(wk)
+	wk.clock, wk.clockAt, wk.unreachable, wk.answered = rep.Clock, now, false, true
+	dr.markAccounted(wk, "all answered")
 	listed := make(map[attemptKey]bool, len(rep.Running)+len(rep.Ended))
 	for ix := range rep.Running {
 		row := &rep.Running[ix]
@@ -91,19 +91,16 @@
 	}
 }
 
-// markAnswered notes that the worker has answered in this term, and so has seen its epoch.
-func (dr *Director) markAnswered(wk *worker) {
-	if wk.answered {
+// markAccounted notes that a worker runs no task that this leader does not know of.
+func (dr *Director) markAccounted(wk *worker, reason string) {
+	if !wk.unaccounted {
 		return
 	}
-	wk.answered = true
-	if wk.unaccounted {
-		wk.unaccounted = false
-		dr.unaccountedWorkers--
-		if dr.unaccountedWorkers == 0 {
-			dr.allAccounted = true
-			dr.log(logger.TermAccounted, "Workers", 0, "Reason", "all answered", "Took", time.Since(dr.termStart).String())
-		}
+	wk.unaccounted = false
+	dr.unaccountedWorkers--
+	if dr.unaccountedWorkers == 0 {
+		dr.allAccounted = true
+		dr.log(logger.TermAccounted, "Workers", 0, "Reason", reason, "Took", time.Since(dr.termStart).String())
 	}
 }
 
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -496,7 +496,7 @@
 		return false
 	}
 	wk := dr.workers[tk.placedOn]
-	return tk.placedOn == "" || wk == nil || !wk.unaccounted || time.Since(dr.termStart) > dr.op.InheritedLease
+	return tk.placedOn == "" || wk == nil || !wk.unaccounted || dr.leaseExpired(wk, time.Now())
 }
 
 // demand returns what a task demands of a worker. Rack, Headroom and PoolSlots are left to
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -75,7 +75,8 @@
 	// announcedAt is when the registry announced another incarnation, zero once the worker has
 	// answered a later request. Until then, it gets neither starts nor a longer lease.
 	announcedAt time.Time
-	// leaseEnd is the latest end of a lease that the worker may have received, on its clock.
+	// leaseEnd is the latest end of a lease that the worker may have received, on its clock, zero
+	// before the first answer.
 	leaseEnd time.Duration
 	// processedEnd is the number of the last end that was processed, ackedEnd that of the last one
 	// that is durable.
