Renew leases while a new leader loads the stored jobs

Runs lapsed on workers that answered the new leader: the first report of each worker waited for the listing of all jobs, and the next renewal, the first with a lease, for that report. A listing that takes longer than a lease ended all runs.

The answer of a worker is now noted at once: its incarnation, its clock, and that it has seen the epoch. Its lease is renewed from then on, every second, and its runs are judged when the jobs are loaded. Until then it gets no tasks and is not accounted for, or its lease counts: the end of the longest lease that the former leader can have given is known on the worker's clock from its first answer.

--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -11,9 +11,9 @@
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
-// handleReport processes a worker's report. The returned channel is closed once the reported ends
-// are durable.
-func (dr *Director) handleReport(wk *worker, sentAt time.Time, rep *modeler.Report) <-chan struct{} {
+// noteAnswer notes that a worker has answered a renewal. It needs no stored jobs, so that leases are
+// renewed from the beginning of the term.
+func (dr *Director) noteAnswer(wk *worker, sentAt time.Time, rep *modeler.Report) {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	now := time.Now()
@@ -28,7 +28,20 @@
 	if wk.unreachable && wk.answered {
 		dr.log(logger.WorkerReachable, "Worker", wk.info.ID, "Runs", len(rep.Running), "Ends", len(rep.Ended))
 	}
+	if !wk.answered {
+		// An earlier leader cannot have given a longer lease, and can give none from now on.
+		wk.leaseEnd = max(wk.leaseEnd, rep.Clock+dr.op.Limits.Lease)
+	}
 	wk.clock, wk.clockAt, wk.unreachable, wk.answered = rep.Clock, now, false, true
+}
+
+// handleReport processes a worker's report, after noteAnswer. The returned channel is closed once the
+// reported ends are durable.
+func (dr *Director) handleReport(wk *worker, sentAt time.Time, rep *modeler.Report) <-chan struct{} {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	now := time.Now()
+	wk.reported = true
 	dr.markAccounted(wk, "all answered")
 	listed := make(map[attemptKey]bool, len(rep.Running)+len(rep.Ended))
 	for ix := range rep.Running {
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -179,7 +179,7 @@
 
 // acceptsTasks reports whether a worker may get new tasks.
 func (dr *Director) acceptsTasks(wk *worker, now time.Time) bool {
-	return wk.registered && wk.answered && !wk.unreachable && wk.announcedAt.IsZero() && !wk.info.Draining &&
+	return wk.registered && wk.reported && !wk.unreachable && wk.announcedAt.IsZero() && !wk.info.Draining &&
 		!wk.faultHistory.Quarantined(now) && !now.Before(wk.noStartsBefore)
 }
 
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -43,6 +43,8 @@
 	unrecordedEndsPause = 250 * time.Millisecond
 	// renewRetryPause is the pause after a renewal without an answer.
 	renewRetryPause = 100 * time.Millisecond
+	// loadingRenewInterval is the time between two renewals until the stored jobs are loaded.
+	loadingRenewInterval = time.Second
 	// maxStartDelayAfterRestart is how long after it was sent an unanswered start may still reach a
 	// worker that has restarted since. The clock of the new incarnation does not refuse it, so that
 	// maxStartAge does not apply.
@@ -59,9 +61,12 @@
 	// grantSubmitted is set once the fact that the worker may hold a lease was given to the journal.
 	// grantDurable is set once that fact is durable.
 	grantDurable, grantSubmitted bool
-	// answered is set once the worker has answered in this term. From then on it refuses requests
-	// of earlier leaders.
+	// answered is set once the present incarnation of the worker has answered in this term. From then
+	// on it refuses requests of earlier leaders, and its lease is renewed.
 	answered bool
+	// reported is set once a report of that incarnation has been processed, which needs the stored
+	// jobs.
+	reported bool
 	// unaccounted is set while the worker is counted in Director.unaccountedWorkers.
 	unaccounted bool
 	// renewing is set while renewLoop runs for the worker.
@@ -215,18 +220,23 @@
 		}
 		sentAt := time.Now()
 		rep, err := dr.sendRenewal(ctx, &info, req)
-		if err == nil {
-			err = dr.loadUnknownJobs(ctx, &rep)
-		}
 		if err != nil {
 			dr.renewalFailed(wk, err)
 			pauser.Sleep(ctx, renewRetryPause)
 			continue
 		}
+		dr.noteAnswer(wk, sentAt, &rep)
 		select {
 		case <-ctx.Done():
 			return
 		case <-dr.loaded:
+		case <-time.After(loadingRenewInterval):
+			continue
+		}
+		if err := dr.loadUnknownJobs(ctx, &rep); err != nil {
+			dr.renewalFailed(wk, err)
+			pauser.Sleep(ctx, renewRetryPause)
+			continue
 		}
 		durable := dr.handleReport(wk, sentAt, &rep)
 		dr.wakeDispatch()
@@ -279,7 +289,7 @@
 			return false
 		}
 	}
-	return wk.answered && len(wk.unexpectedStops) == 0
+	return wk.reported && len(wk.unexpectedStops) == 0
 }
 
 // nextRenewal returns the next renewal, or false while this host may not send requests.
@@ -291,7 +301,7 @@
 	}
 	req := &modeler.RenewRequest{Epoch: dr.op.Epoch, AckedEnd: wk.ackedEnd, MaxWait: maxIdleWait}
 	switch {
-	case !wk.answered || wk.unreachable || wk.recording != nil || !wk.announcedAt.IsZero():
+	case !wk.reported || wk.unreachable || wk.recording != nil || !wk.announcedAt.IsZero():
 		req.MaxWait = 0
 	case wk.criticalTasks > 0 && wk.bestEffortTasks > 0:
 		req.MaxWait = maxPacedWait
@@ -332,11 +342,6 @@
 // loadUnknownJobs loads the jobs of reported runs that this term does not know: an earlier leader
 // may have started them just before its term ended.
 func (dr *Director) loadUnknownJobs(ctx context.Context, rep *modeler.Report) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-dr.loaded:
-	}
 	for _, id := range dr.unknownJobs(rep) {
 		stored, err := dr.op.JobStore.Load(ctx, id)
 		if isNotFound(err) {
@@ -389,8 +394,7 @@
 	if first {
 		return
 	}
-	// The clock of the new incarnation is unknown until it answers.
-	wk.answered = false
+	wk.answered, wk.reported = false, false
 	for key, since := range wk.unansweredStarts {
 		if wk.attempts[key] == nil && now.Sub(since) < maxStartDelayAfterRestart {
 			dr.stopUnexpected(wk, key.task, key.run, now)
