--- a/internal/job/director/harness_test.go
+++ b/internal/job/director/harness_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,6 +43,8 @@
 	jobs    []*modeler.Job
 	// client is nil where requests reach the workers without delay.
 	client director.WorkerClient
+	// unlisted is a stored job that the next leader does not find in its listing.
+	unlisted *modeler.Job
 	// policy is nil where every worker may run every step.
 	policy director.Policy
 	// addEarly makes entry hosts report the jobs to the next leader before it has loaded them.
@@ -116,27 +119,41 @@
 	records int
 	cancel  context.CancelFunc
 	ended   chan struct{}
+	// sendsUntil is when the leader stops sending requests to workers, in Unix nanoseconds, or zero.
+	sendsUntil *atomic.Int64
+}
+
+// maySend reports whether the leader still sends requests to workers.
+func (tm *term) maySend() bool {
+	until := tm.sendsUntil.Load()
+	return until == 0 || time.Now().UnixNano() < until
+}
+
+// journalOptions are those of package leader.
+var journalOptions = journaler.Options{
+	WritesPerSecond: 20, RetryTimeout: time.Second, MaxBackOff: 400 * time.Millisecond, CallTimeout: 1200 * time.Millisecond, Logger: logr.Discard(),
 }
 
 // startTerm starts the next term.
 func (fl *fleet) startTerm(inherited time.Duration) *term {
-	jn, rec, err := journaler.Open(fl.t.Context(), fl.store, "jobs", "host", "boot", journaler.Options{Logger: logr.Discard()})
+	jn, rec, err := journaler.Open(fl.t.Context(), fl.store, "jobs", "host", "boot", journalOptions)
 	for errors.Is(err, journaler.ErrUnavailable) {
-		jn, rec, err = journaler.Open(fl.t.Context(), fl.store, "jobs", "host", "boot", journaler.Options{Logger: logr.Discard()})
+		jn, rec, err = journaler.Open(fl.t.Context(), fl.store, "jobs", "host", "boot", journalOptions)
 	}
 	qt.Assert(fl.t, err, qt.IsNil)
 	client := fl.client
 	if client == nil {
 		client = fl.workers
 	}
+	tm := &term{fleet: fl, records: len(rec.Records), ended: make(chan struct{}), sendsUntil: new(atomic.Int64)}
 	dr := director.New(director.Options{
 		Epoch: modeler.Epoch(rec.Epoch), WorkerClient: client, Journal: jn, JobStore: keeper.NewJobStore(fl.store),
-		Configuration: func() *modeler.Configuration { return fl.config }, MaySendRequests: func() bool { return true },
+		Configuration: func() *modeler.Configuration { return fl.config }, MaySendRequests: tm.maySend,
 		Policy: fl.policy, InheritedLease: inherited, Limits: testLimits, Log: testLog(fl.t), Meter: meter.New(nil),
 	})
 	dr.Restore(append(rec.SnapshotRecords, rec.Records...))
 	ctx, cancel := context.WithCancel(context.Background())
-	tm := &term{Director: dr, fleet: fl, records: len(rec.Records), cancel: cancel, ended: make(chan struct{})}
+	tm.Director, tm.cancel = dr, cancel
 	dr.Start(ctx)
 	dr.SetWorkers(fl.infos)
 	load := func() {
--- a/internal/provider/emulator/jobworkers.go
+++ b/internal/provider/emulator/jobworkers.go
@@ -198,6 +198,33 @@
 	return ""
 }
 
+// WorkerState is what a worker holds, for checks of the scheduler's guarantees.
+type WorkerState struct {
+	ID modeler.WorkerID
+	// Free is the capacity less the reservations of its runs.
+	Free modeler.Resources
+	// Tasks are the tasks that run there.
+	Tasks []modeler.TaskID
+}
+
+// States returns the state of all workers that can be reached.
+func (jw *JobWorkers) States() []WorkerState {
+	jw.mu.Lock()
+	defer jw.mu.Unlock()
+	var list []WorkerState
+	for id, wk := range jw.workers {
+		if wk.unreachable || wk.crashed {
+			continue
+		}
+		ws := WorkerState{ID: id, Free: jw.freeCapacity(wk)}
+		for key := range wk.running {
+			ws.Tasks = append(ws.Tasks, key.task)
+		}
+		list = append(list, ws)
+	}
+	return list
+}
+
 func (wk *jobWorker) notifyChange() {
 	close(wk.changed)
 	wk.changed = make(chan struct{})
