Read unknown jobs without holding up the worker that reports them

Runs lapsed on workers that answered every renewal. A reported run of a job that the leader does not know was looked up before the report was handled, with a call to the store without a time limit. While the call hung or failed, the worker's whole report waited, its lease was not renewed and it kept all inherited tasks waiting. A damaged record of the job did that for ever.

Only the rows of such jobs wait now. The runs of a waiting row are not stopped, its end and later ones are not acknowledged, and its worker gets no new tasks, as the needs of the run are not known. A job that becomes known in another way meanwhile counts as inherited and takes over its rows before any of its tasks can start. Runs of a job that is not stored or damaged are stopped. The deletion of jobs has the same time limit.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -158,7 +158,12 @@
 	pendingCancellations map[modeler.JobID]struct{}
 	// pendingFacts holds facts of earlier terms about jobs that have not been added yet.
 	pendingFacts map[modeler.JobID][]keeper.Fact
-	workers      map[modeler.WorkerID]*worker
+	// unreadJobs holds the unknown jobs of deferred rows. readQueue holds those that no reader has
+	// taken, and jobReaders is the number of readers.
+	unreadJobs map[modeler.JobID]struct{}
+	readQueue  []modeler.JobID
+	jobReaders int
+	workers    map[modeler.WorkerID]*worker
 	// waitingSteps holds the steps that have waiting tasks and whose predecessors are done.
 	waitingSteps map[*step]struct{}
 	// unaccountedWorkers is the number of workers that may still run tasks of earlier terms and have
@@ -200,6 +205,7 @@
 		jobs:                 map[modeler.JobID]*job{},
 		pendingCancellations: map[modeler.JobID]struct{}{},
 		pendingFacts:         map[modeler.JobID][]keeper.Fact{},
+		unreadJobs:           map[modeler.JobID]struct{}{},
 		workers:              map[modeler.WorkerID]*worker{},
 		waitingSteps:         map[*step]struct{}{},
 		model:                estimator.New(),
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -146,6 +146,10 @@
 	if jb := dr.jobs[stored.ID]; jb != nil {
 		return jb
 	}
+	if _, unread := dr.unreadJobs[stored.ID]; unread {
+		// A worker runs a task of the job, so that an earlier leader has started it.
+		inherited = true
+	}
 	jb := &job{Job: *stored, inherited: inherited, confirmed: inherited}
 	dr.jobs[jb.ID] = jb
 	if !inherited {
@@ -163,6 +167,7 @@
 		delete(dr.pendingCancellations, jb.ID)
 		dr.cancelJob(jb, now)
 	}
+	dr.resolveRows(jb.ID, now)
 	if !inherited {
 		dr.log(logger.JobTakenOver, "Job", jb.ID, "Queue", jb.Queue, "Steps", len(jb.Steps), "Age", now.Sub(jb.Submitted).String())
 	}
--- a/internal/job/director/recovery.go
+++ b/internal/job/director/recovery.go
@@ -67,7 +67,6 @@
 			facts, endedJobs = append(facts, ft), append(endedJobs, jb)
 		}
 	}
-	clear(dr.pendingFacts)
 	dr.op.Meter.Observe(meter.TimeToRecover, now.Sub(dr.termStart))
 	dr.log(logger.TermLoaded, "Jobs", len(dr.jobs), "Workers", len(dr.workers), "Unaccounted", dr.unaccountedWorkers, "Took", now.Sub(dr.termStart).String())
 	dr.mu.Unlock()
@@ -109,7 +108,10 @@
 	for ctx.Err() == nil {
 		pauser.Sleep(ctx, cleanupInterval)
 		for _, id := range dr.expiredJobs(time.Now()) {
-			if err := dr.op.JobStore.Delete(ctx, id); err != nil {
+			dctx, cancel := context.WithTimeout(ctx, storeTimeout)
+			err := dr.op.JobStore.Delete(dctx, id)
+			cancel()
+			if err != nil {
 				dr.log(logger.JobNotDeleted, "Job", id, "Error", err.Error())
 				break
 			}
--- a/internal/job/director/renewal_test.go
+++ b/internal/job/director/renewal_test.go
@@ -34,7 +34,7 @@
 	tm.submit(longRunningJob("known", "urgent", 1, cores(1000)))
 	tm.submit(longRunningJob("unlisted", "urgent", 1, cores(1000)))
 	sleep(2 * time.Second)
-	fl.jobs = fl.jobs[:1]
+	fl.jobs, fl.unlisted = fl.jobs[:1], fl.jobs[1]
 	beforeNextTerm()
 	tm.nextTerm(12 * time.Second)
 }
@@ -72,6 +72,20 @@
 			fl.assertStartedOnce(known)
 		})
 	})
+	// A job that is added in the meantime must not be taken for a new one.
+	t.Run("a host reports the job", func(t *testing.T) {
+		run(t, 2, func(fl *fleet, tm *term) {
+			var jb *modeler.Job
+			startUnlisted(fl, tm, func() {
+				jb = fl.unlisted
+				fl.faults.Set(emulator.Switch{Fault: emulator.Slow, Part: emulator.PartStore, Operation: "Get", Target: keeper.KeyPrefix, Delay: time.Hour})
+			})
+			sleep(2 * time.Second)
+			tm.AddJob(jb, false)
+			sleep(leaseExpiry)
+			fl.assertStartedOnce(unlisted)
+		})
+	})
 	// The end must be neither lost nor acknowledged before the job is known.
 	t.Run("the end of a run waits", func(t *testing.T) {
 		run(t, 1, func(fl *fleet, tm *term) {
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -44,18 +44,42 @@
 	wk.reported = true
 	dr.markAccounted(wk, "all answered")
 	listed := make(map[attemptKey]bool, len(rep.Running)+len(rep.Ended))
+	wk.deferredRuns = nil
 	for ix := range rep.Running {
 		row := &rep.Running[ix]
 		listed[attemptKey{row.Task, row.Run}] = true
-		dr.updateRun(wk, row, now)
+		if !dr.deferRun(wk, row) {
+			dr.updateRun(wk, row, now)
+		}
+	}
+	for ix := range rep.Ended {
+		row := &rep.Ended[ix]
+		listed[attemptKey{row.Task, row.Run}] = true
+		if row.Number <= wk.processedEnd {
+			continue
+		}
+		wk.processedEnd = row.Number
+		if !dr.deferEnd(wk, row) {
+			dr.handleEnd(wk, row, now)
+		}
 	}
-	facts, endedJobs := dr.handleEnds(wk, rep.Ended, listed, now)
 	dr.loseMissingRuns(wk, listed, sentAt, now)
 	dr.checkRuns(wk, now)
 	dr.paceBestEffort(wk, now)
-	wk.unrecordedFacts = append(wk.unrecordedFacts, facts...)
-	wk.unrecordedJobs = append(wk.unrecordedJobs, endedJobs...)
-	return dr.recordEnds(wk)
+	durable := dr.recordEnds(wk)
+	if len(wk.deferredEnds) > 0 {
+		// The worker lists these ends again at once.
+		return make(chan struct{})
+	}
+	return durable
+}
+
+// ackableEnd returns the number of the last end that may be acknowledged once all facts are durable.
+func (wk *worker) ackableEnd() int64 {
+	if len(wk.deferredEnds) > 0 {
+		return wk.deferredEnds[0].Number - 1
+	}
+	return wk.processedEnd
 }
 
 // recordEnds records the ends of a worker that are not durable yet, one batch at a time: the worker
@@ -67,11 +91,11 @@
 	}
 	durable := make(chan struct{})
 	if len(wk.unrecordedFacts) == 0 {
-		wk.ackedEnd = wk.processedEnd
+		wk.ackedEnd = wk.ackableEnd()
 		close(durable)
 		return durable
 	}
-	facts, endedJobs, lastEnd, incarnation := wk.unrecordedFacts, wk.unrecordedJobs, wk.processedEnd, wk.incarnation
+	facts, endedJobs, lastEnd, incarnation := wk.unrecordedFacts, wk.unrecordedJobs, wk.ackableEnd(), wk.incarnation
 	wk.unrecordedFacts, wk.unrecordedJobs, wk.recording = nil, nil, durable
 	began := time.Now()
 	dr.startGoroutine(func(ctx context.Context) {
@@ -178,45 +202,34 @@
 	})
 }
 
-// handleEnds processes the ends of a report that are new, and returns the facts that have to be
-// durable before the worker may drop the ends, and the jobs that end with them.
-func (dr *Director) handleEnds(wk *worker, rows []modeler.EndedRun, listed map[attemptKey]bool, now time.Time) ([]keeper.Fact, []*job) {
-	var facts []keeper.Fact
-	var endedJobs []*job
-	for ix := range rows {
-		row := &rows[ix]
-		key := attemptKey{row.Task, row.Run}
-		listed[key] = true
-		if row.Number <= wk.processedEnd {
-			continue
-		}
-		wk.processedEnd = row.Number
-		delete(wk.unexpectedStops, key)
-		jb := dr.jobs[row.Task.Job]
-		if jb == nil {
-			continue
-		}
-		tk := jb.task(row.Task)
-		if tk == nil {
-			continue
-		}
-		at := wk.attempts[key]
-		if dr.applyRunEnd(tk, row.Run, row.Outcome, row.Checkpoint) {
-			facts = append(facts, keeper.Fact{RunEnd: &keeper.RunEndFact{
-				Task: row.Task.String(), Run: row.Run, Outcome: row.Outcome, Checkpoint: row.Checkpoint,
-			}})
-		}
-		dr.recordOutcome(wk, tk, at, row, now)
-		if at != nil {
-			dr.release(at)
-		}
-		dr.afterRunEnd(tk, now)
-		if ft, ok := dr.endFinishedJob(jb, now); ok {
-			facts = append(facts, ft)
-			endedJobs = append(endedJobs, jb)
-		}
+// handleEnd processes the end of a run. The facts that have to be durable before the worker may drop
+// the end are recorded by recordEnds.
+func (dr *Director) handleEnd(wk *worker, row *modeler.EndedRun, now time.Time) {
+	key := attemptKey{row.Task, row.Run}
+	delete(wk.unexpectedStops, key)
+	jb := dr.jobs[row.Task.Job]
+	if jb == nil {
+		return
+	}
+	tk := jb.task(row.Task)
+	if tk == nil {
+		return
+	}
+	at := wk.attempts[key]
+	if dr.applyRunEnd(tk, row.Run, row.Outcome, row.Checkpoint) {
+		wk.unrecordedFacts = append(wk.unrecordedFacts, keeper.Fact{RunEnd: &keeper.RunEndFact{
+			Task: row.Task.String(), Run: row.Run, Outcome: row.Outcome, Checkpoint: row.Checkpoint,
+		}})
+	}
+	dr.recordOutcome(wk, tk, at, row, now)
+	if at != nil {
+		dr.release(at)
+	}
+	dr.afterRunEnd(tk, now)
+	if ft, ok := dr.endFinishedJob(jb, now); ok {
+		wk.unrecordedFacts = append(wk.unrecordedFacts, ft)
+		wk.unrecordedJobs = append(wk.unrecordedJobs, jb)
 	}
-	return facts, endedJobs
 }
 
 // endFinishedJob ends a job of which all tasks are done or one has failed too often, and returns
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -177,9 +177,9 @@
 	return rd
 }
 
-// acceptsTasks reports whether a worker may get new tasks.
+// acceptsTasks reports whether a worker may get new tasks. The needs of deferred runs are not known.
 func (dr *Director) acceptsTasks(wk *worker, now time.Time) bool {
-	return wk.registered && wk.reported && !wk.unreachable && wk.announcedAt.IsZero() && !wk.info.Draining &&
+	return wk.registered && wk.reported && !wk.unreachable && wk.announcedAt.IsZero() && !wk.info.Draining && len(wk.deferredRuns) == 0 &&
 		!wk.faultHistory.Quarantined(now) && !now.Before(wk.noStartsBefore)
 }
 
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -90,6 +90,10 @@
 	// unrecordedJobs the jobs that end with them.
 	unrecordedFacts []keeper.Fact
 	unrecordedJobs  []*job
+	// deferredRuns holds the runs of the last report, and deferredEnds the ends in the order of their
+	// numbers, whose jobs are being read. These ends and later ones are not acknowledged.
+	deferredRuns []modeler.ActiveRun
+	deferredEnds []modeler.EndedRun
 	// recording is closed once the batch of facts that is being recorded is durable. It is nil when
 	// there is no such batch.
 	recording chan struct{}
@@ -233,11 +237,6 @@
 		case <-time.After(loadingRenewInterval):
 			continue
 		}
-		if err := dr.loadUnknownJobs(ctx, &rep); err != nil {
-			dr.renewalFailed(wk, err)
-			pauser.Sleep(ctx, renewRetryPause)
-			continue
-		}
 		durable := dr.handleReport(wk, sentAt, &rep)
 		dr.wakeDispatch()
 		select {
@@ -289,7 +288,7 @@
 			return false
 		}
 	}
-	return wk.reported && len(wk.unexpectedStops) == 0
+	return wk.reported && len(wk.unexpectedStops) == 0 && len(wk.deferredRuns) == 0 && len(wk.deferredEnds) == 0
 }
 
 // nextRenewal returns the next renewal, or false while this host may not send requests.
@@ -339,48 +338,6 @@
 	wk.unreachable = true
 }
 
-// loadUnknownJobs loads the jobs of reported runs that this term does not know: an earlier leader
-// may have started them just before its term ended.
-func (dr *Director) loadUnknownJobs(ctx context.Context, rep *modeler.Report) error {
-	for _, id := range dr.unknownJobs(rep) {
-		stored, err := dr.op.JobStore.Load(ctx, id)
-		if isNotFound(err) {
-			continue
-		}
-		if err != nil {
-			return err
-		}
-		cancelled, err := dr.op.JobStore.Cancelled(ctx, id)
-		if err != nil {
-			return err
-		}
-		dr.AddJob(stored, true)
-		if cancelled {
-			dr.CancelJob(id)
-		}
-	}
-	return nil
-}
-
-// unknownJobs returns the jobs of reported runs that this term does not know.
-func (dr *Director) unknownJobs(rep *modeler.Report) []modeler.JobID {
-	dr.mu.Lock()
-	defer dr.mu.Unlock()
-	var ids []modeler.JobID
-	add := func(id modeler.JobID) {
-		if dr.jobs[id] == nil && !slices.Contains(ids, id) {
-			ids = append(ids, id)
-		}
-	}
-	for ix := range rep.Running {
-		add(rep.Running[ix].Task.Job)
-	}
-	for ix := range rep.Ended {
-		add(rep.Ended[ix].Task.Job)
-	}
-	return ids
-}
-
 // workerRestarted handles the first report of a new incarnation of a worker: runs of the earlier one
 // have ended.
 func (dr *Director) workerRestarted(wk *worker, incarnation int64, now time.Time) {
@@ -391,6 +348,7 @@
 	wk.incarnation, wk.processedEnd, wk.ackedEnd, wk.leaseEnd = incarnation, 0, 0, 0
 	wk.faultHistory = appraiser.FaultHistory{}
 	clear(wk.unexpectedStops)
+	wk.deferredRuns, wk.deferredEnds = nil, nil
 	if first {
 		return
 	}
