Count a worker's clock from its answer, not from the handling of it

The end of each lease is computed from the earliest time that the worker's clock can show. That was counted from when the leader handled an answer, so that a report that waited 3 s made the next lease 3 s too short. The clock now counts from when the answer arrived.

--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -13,14 +13,13 @@
 
 // noteAnswer notes that a worker has answered a renewal. It needs no stored jobs, so that leases are
 // renewed from the beginning of the term.
-func (dr *Director) noteAnswer(wk *worker, sentAt time.Time, rep *modeler.Report) {
+func (dr *Director) noteAnswer(wk *worker, sentAt, answeredAt time.Time, rep *modeler.Report) {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
-	now := time.Now()
 	// Renewals of one worker are sent one after the other, so that another incarnation than the last
 	// is a later one, also if its clock was set back.
 	if rep.Incarnation != wk.incarnation {
-		dr.workerRestarted(wk, rep.Incarnation, now)
+		dr.workerRestarted(wk, rep.Incarnation, time.Now())
 	}
 	if !sentAt.Before(wk.announcedAt) {
 		wk.announcedAt = time.Time{}
@@ -32,7 +31,7 @@
 		// An earlier leader cannot have given a longer lease, and can give none from now on.
 		wk.leaseEnd = max(wk.leaseEnd, rep.Clock+dr.op.Limits.Lease)
 	}
-	wk.clock, wk.clockAt, wk.unreachable, wk.answered = rep.Clock, now, false, true
+	wk.clock, wk.clockAt, wk.unreachable, wk.answered = rep.Clock, answeredAt, false, true
 }
 
 // handleReport processes a worker's report, after noteAnswer. The returned channel is closed once the
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -224,12 +224,13 @@
 		}
 		sentAt := time.Now()
 		rep, err := dr.sendRenewal(ctx, &info, req)
+		answeredAt := time.Now()
 		if err != nil {
 			dr.renewalFailed(wk, err)
 			pauser.Sleep(ctx, renewRetryPause)
 			continue
 		}
-		dr.noteAnswer(wk, sentAt, &rep)
+		dr.noteAnswer(wk, sentAt, answeredAt, &rep)
 		select {
 		case <-ctx.Done():
 			return
