Read the pages of a listing one by one, each with a time limit of its own

A new leader that needs more than 1.5 s for all pages of the stored jobs never loaded them: the limit was for the whole listing, and each attempt began again with the first page. At 6,000 jobs of 4 kB these are 24 MB in 25 pages or more.

A watch now reads page by page. A page that fails is read again, and the ones before it are kept: the wait that follows begins at the revision of the first page and returns what has changed since. The limit of a page doubles with each failed call up to 12 s, for slow links.

--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -67,6 +67,7 @@
 type Store interface {
 	elector.Store
 	List(ctx context.Context, prefix, after string, limit int) ([]storer.Entry, error)
+	Page(ctx context.Context, prefix, after string) (storer.Page, error)
 	Wait(ctx context.Context, prefix string, after int64) ([]storer.Entry, int64, error)
 }
 
--- a/internal/job/watcher/watcher.go
+++ b/internal/job/watcher/watcher.go
@@ -18,9 +18,9 @@
 
 // Source is the part of the key-value service that a watch needs.
 type Source interface {
-	// Snapshot returns all entries with the prefix and a revision such that Wait from it misses
-	// no later change.
-	Snapshot(ctx context.Context, prefix string) ([]storer.Entry, int64, error)
+	// Page returns entries with the prefix whose keys follow after, in the order of their keys. It
+	// returns an empty page only after the last one. Errors: those of package storer.
+	Page(ctx context.Context, prefix, after string) (storer.Page, error)
 	// Wait returns the changes after the revision, and the revision from which to wait next. It
 	// returns no changes if none happen for some time. Errors: those of package storer.
 	Wait(ctx context.Context, prefix string, after int64) ([]storer.Entry, int64, error)
@@ -40,9 +40,12 @@
 	// maxRetryDelay bounds the mean pause after further failed calls. It is short enough for a new
 	// configuration to arrive within the required two seconds after a short outage.
 	maxRetryDelay = 400 * time.Millisecond
-	// callTimeout bounds a snapshot and a wait. A wait normally returns sooner, so a call that takes
+	// callTimeout bounds a page and a wait. A wait normally returns sooner, so a call that takes
 	// longer uses a connection whose other end is unreachable.
 	callTimeout = 1500 * time.Millisecond
+	// maxTimeoutDoublings is how often callTimeout is doubled for a page, once for each call that
+	// failed in a row: a slow link may need longer for a page of 1 MB.
+	maxTimeoutDoublings = 3
 )
 
 // Watcher watches the entries with one prefix.
@@ -56,6 +59,8 @@
 	// writers.
 	batchDelay time.Duration
 	log        logr.Logger
+	// listing is the snapshot that is being read, or nil.
+	listing *listing
 	// unreachable is set while the service does not answer.
 	unreachable bool
 	// lastSuccess is when the last successful call began, in nanoseconds since 1970, or zero.
@@ -102,16 +107,51 @@
 	}
 }
 
+// listing is a snapshot of which some pages have been read.
+type listing struct {
+	began time.Time
+	// revision is that of the first page. Wait from it returns what has changed between the pages.
+	revision int64
+	entries  []storer.Entry
+	// after is the last key of the pages so far.
+	after string
+	// failures is the number of calls that failed in a row.
+	failures int
+}
+
+// snapshot reads the remaining pages and passes all entries to the sink. After an error, the next
+// call goes on with the page that failed.
 func (wt *Watcher) snapshot(ctx context.Context) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	began := time.Now()
-	ens, revision, err := wt.source.Snapshot(ctx, wt.prefix)
-	if err == nil {
-		wt.sink.Reset(ens)
-		wt.lastSuccess.Store(began.UnixNano())
+	if wt.listing == nil {
+		wt.listing = &listing{began: time.Now()}
+	}
+	ls := wt.listing
+	for {
+		page, err := wt.page(ctx, ls)
+		if err != nil {
+			ls.failures++
+			return 0, err
+		}
+		ls.failures = 0
+		if ls.after == "" {
+			ls.revision = page.Revision
+		}
+		ls.entries = append(ls.entries, page.Entries...)
+		if !page.More || len(page.Entries) == 0 {
+			break
+		}
+		ls.after = page.Entries[len(page.Entries)-1].Key
 	}
-	return revision, err
+	wt.listing = nil
+	wt.sink.Reset(ls.entries)
+	wt.lastSuccess.Store(ls.began.UnixNano())
+	return ls.revision, nil
+}
+
+func (wt *Watcher) page(ctx context.Context, ls *listing) (storer.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout<<min(ls.failures, maxTimeoutDoublings))
+	defer cancel()
+	return wt.source.Page(ctx, wt.prefix, ls.after)
 }
 
 func (wt *Watcher) wait(ctx context.Context, after int64) (int64, error) {
--- a/internal/job/watcher/watcher_test.go
+++ b/internal/job/watcher/watcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -26,8 +27,8 @@
 
 func (bs *busySource) revision() int64 { return int64(time.Since(bs.began) / changeInterval) }
 
-func (bs *busySource) Snapshot(context.Context, string) ([]storer.Entry, int64, error) {
-	return nil, bs.revision(), nil
+func (bs *busySource) Page(context.Context, string, string) (storer.Page, error) {
+	return storer.Page{Revision: bs.revision()}, nil
 }
 
 func (bs *busySource) Wait(_ context.Context, _ string, after int64) ([]storer.Entry, int64, error) {
@@ -70,3 +71,63 @@
 		qt.Check(t, calls <= 9, qt.IsTrue, qt.Commentf("%d calls", calls))
 	})
 }
+
+// slowSource answers each page after a time. Every third call fails.
+type slowSource struct {
+	pages    int
+	pageTime time.Duration
+	mu       sync.Mutex
+	calls    int
+}
+
+func (ss *slowSource) Page(ctx context.Context, _, after string) (storer.Page, error) {
+	ss.mu.Lock()
+	ss.calls++
+	fails := ss.calls%3 == 0
+	ss.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return storer.Page{}, storer.ErrUnavailable
+	case <-time.After(ss.pageTime):
+	}
+	if fails {
+		return storer.Page{}, storer.ErrUnavailable
+	}
+	number, _ := strconv.Atoi(after)
+	number++
+	return storer.Page{Entries: []storer.Entry{{Key: strconv.Itoa(number)}}, Revision: int64(number), More: number < ss.pages}, nil
+}
+
+func (ss *slowSource) Wait(ctx context.Context, _ string, after int64) ([]storer.Entry, int64, error) {
+	<-ctx.Done()
+	return nil, after, storer.ErrUnavailable
+}
+
+// Guards against a snapshot that never completes because it must within the time of one call, or
+// begins again after each failed call.
+func TestSlowSnapshot(t *testing.T) {
+	for name, src := range map[string]*slowSource{
+		"many pages":   {pages: 20, pageTime: 400 * time.Millisecond},
+		"a slow page":  {pages: 2, pageTime: 5 * time.Second},
+		"a quick page": {pages: 1, pageTime: time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				var keys []string
+				watcher.New(src, "", watcher.Sink{
+					Reset: func(ens []storer.Entry) {
+						for _, en := range ens {
+							keys = append(keys, en.Key)
+						}
+					}, Apply: func([]storer.Entry) {},
+				}, "test", 0, logr.Discard()).Run(ctx)
+				qt.Assert(t, keys, qt.HasLen, src.pages)
+				for ix, key := range keys {
+					qt.Check(t, key, qt.Equals, strconv.Itoa(ix+1))
+				}
+			})
+		})
+	}
+}
--- a/internal/provider/emulator/store.go
+++ b/internal/provider/emulator/store.go
@@ -176,6 +176,22 @@
 	return page(st.keys, st.entries, prefix, "", len(st.keys)), st.revision, nil
 }
 
+// pageEntries is the maximum number of entries of a page.
+const pageEntries = 500
+
+// Page returns at most pageEntries entries with the prefix whose keys follow after. Errors:
+// ErrUnavailable.
+func (st *Store) Page(ctx context.Context, prefix, after string) (storer.Page, error) {
+	if err := st.beginRead(ctx, "Page", prefix); err != nil {
+		return storer.Page{}, err
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	ens := page(st.keys, st.entries, prefix, after, pageEntries)
+	more := len(ens) > 0 && len(page(st.keys, st.entries, prefix, ens[len(ens)-1].Key, 1)) > 0
+	return storer.Page{Entries: ens, Revision: st.revision, More: more}, nil
+}
+
 func page(keys []string, entries map[string]storer.Entry, prefix, after string, limit int) []storer.Entry {
 	var out []storer.Entry
 	ix, _ := slices.BinarySearch(keys, max(prefix, after))
--- a/internal/provider/storer/storer.go
+++ b/internal/provider/storer/storer.go
@@ -35,3 +35,12 @@
 	// Deleted is set only in the result of Wait, for a key that was removed.
 	Deleted bool
 }
+
+// Page is a part of a listing.
+type Page struct {
+	Entries []Entry
+	// Revision is the service's revision when the page was read.
+	Revision int64
+	// More is set if further entries may follow.
+	More bool
+}
