Keep a worker until the release of its lease is durable

A worker that was registered again just after it had been dropped got a second renewal loop. The record of its new lease could become durable before that of the release of the old one. The next leader then did not know that the worker may hold a lease, and could start tasks a second time that run there.

The worker now stays known until its release is durable. If it is registered by then, the same loop grants it a lease again, and it gets no start before.

The harness of the director's tests also retries to begin an epoch after a write with an unknown result.

--- a/internal/job/director/harness_test.go
+++ b/internal/job/director/harness_test.go
@@ -137,7 +137,7 @@
 // startTerm starts the next term.
 func (fl *fleet) startTerm(inherited time.Duration) *term {
 	jn, rec, err := journaler.Open(fl.t.Context(), fl.store, "jobs", "host", "boot", journalOptions)
-	for errors.Is(err, journaler.ErrUnavailable) {
+	for errors.Is(err, journaler.ErrUnavailable) || errors.Is(err, journaler.ErrResultUnknown) {
 		jn, rec, err = journaler.Open(fl.t.Context(), fl.store, "jobs", "host", "boot", journalOptions)
 	}
 	qt.Assert(fl.t, err, qt.IsNil)
--- a/internal/job/director/promise_test.go
+++ b/internal/job/director/promise_test.go
@@ -167,7 +167,6 @@
 	if pd.rnd.IntN(2) == 0 {
 		pd.fl.loadTime = pd.between(50*time.Millisecond, 9*time.Second)
 	}
-	pd.disturb(pd.fl.loadTime)
 	if cutOff {
 		pd.tm.sendsUntil.Store(time.Now().Add(authority).UnixNano())
 		pd.former = append(pd.former, pd.tm)
@@ -176,6 +175,7 @@
 		pd.tm.end()
 	}
 	pd.tm = pd.fl.startTerm(testLimits.Lease + testLimits.Lease/50 + 500*time.Millisecond + authority)
+	pd.disturb(pd.fl.loadTime)
 	for ix := range pd.down {
 		if pd.rnd.IntN(2) == 0 {
 			pd.tm.RemoveWorker(pd.fl.infos[ix].ID)
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -252,30 +252,46 @@
 // ensureGrant makes durable that the worker may hold a lease, before it is given one. It returns
 // false when the worker is removed or the term is over, which ends the loop.
 func (dr *Director) ensureGrant(ctx context.Context, wk *worker) bool {
+	for ctx.Err() == nil {
+		dr.mu.Lock()
+		removed := !wk.registered && !wk.unaccounted && len(wk.attempts) == 0 && dr.idle(wk, time.Now())
+		granted, info := wk.grantDurable, wk.info
+		wk.grantSubmitted = !removed
+		if removed {
+			// If it is registered again before the release is durable, it gets no lease and no start
+			// until it has been granted one again.
+			wk.grantDurable, wk.answered, wk.reported = false, false, false
+		}
+		dr.mu.Unlock()
+		switch {
+		case removed:
+			if granted {
+				dr.record(ctx, []keeper.Fact{{LeaseReleased: info.ID}}, func() {})
+			}
+			if dr.dropWorker(wk) {
+				return false
+			}
+		case granted:
+			return true
+		default:
+			dr.record(ctx, []keeper.Fact{{LeaseGranted: &info}}, func() {
+				dr.mu.Lock()
+				wk.grantDurable = true
+				dr.mu.Unlock()
+			})
+		}
+	}
+	return false
+}
+
+// dropWorker removes a worker whose lease was released, unless it has been registered again.
+func (dr *Director) dropWorker(wk *worker) bool {
 	dr.mu.Lock()
-	removed := !wk.registered && !wk.unaccounted && len(wk.attempts) == 0 && dr.idle(wk, time.Now())
-	granted := wk.grantDurable
-	wk.grantSubmitted = !removed
-	info := wk.info
-	if removed {
+	defer dr.mu.Unlock()
+	if !wk.registered {
 		delete(dr.workers, wk.info.ID)
 	}
-	dr.mu.Unlock()
-	switch {
-	case removed && granted:
-		dr.record(ctx, []keeper.Fact{{LeaseReleased: info.ID}}, func() {})
-		return false
-	case removed:
-		return false
-	case granted:
-		return true
-	}
-	dr.record(ctx, []keeper.Fact{{LeaseGranted: &info}}, func() {
-		dr.mu.Lock()
-		wk.grantDurable = true
-		dr.mu.Unlock()
-	})
-	return ctx.Err() == nil
+	return !wk.registered
 }
 
 // idle reports whether nothing can run on a worker without attempts: either its last report listed
