Acknowledge no ends to a worker that may have restarted

A worker restarted between two renewals and accepted starts before the leader knew. The next renewal carried the acknowledgement for the earlier incarnation, whose numbers of ends had been higher, and the worker dropped ends that the leader had not seen.

A start's answer shows the worker's clock. If it is behind the earliest time that it can show, the worker has restarted: the next renewal has no acknowledgement and no lease, and its report begins the new incarnation.

TestAcknowledgementAfterRestart fails without the change (50ms and others: 2 starts, "after.0.0.0 started after its end was acknowledged") and passes with it.

--- a/internal/job/director/renewal_test.go
+++ b/internal/job/director/renewal_test.go
@@ -188,3 +188,31 @@
 		tm.assertState("j2", modeler.Completed)
 	})
 }
+
+// Guards against an acknowledgement that reaches a later incarnation of the worker, which drops ends
+// that the leader has not seen. Renewals pause while ends cannot be recorded.
+func TestAcknowledgementAfterRestart(t *testing.T) {
+	for offset := time.Duration(0); offset < 500*time.Millisecond; offset += 50 * time.Millisecond {
+		t.Run(offset.String(), func(t *testing.T) {
+			run(t, 1, func(fl *fleet, tm *term) {
+				tm.submit(simpleJob("before", "batch", 10, cores(1000)))
+				task := modeler.TaskID{Job: "after"}
+				fl.setBehaviour(task, emulator.TaskBehaviour{RunTime: 30 * time.Millisecond})
+				jb := simpleJob("after", "batch", 1, cores(1000))
+				jb.Repeats, jb.First = 1, time.Now().Add(5*time.Second+offset)
+				tm.submit(jb)
+				sleep(3 * time.Second)
+				tm.submit(simpleJob("unrecorded", "batch", 1, cores(1000)))
+				sleep(500 * time.Millisecond)
+				fl.faults.Set(emulator.Switch{Fault: emulator.Unavailable, Part: emulator.PartStore, Operation: "Put", Target: "Journal/"})
+				sleep(1490*time.Millisecond + offset)
+				fl.workers.Add(workerInfo(0))
+				sleep(time.Second)
+				fl.faults.Clear()
+				sleep(5 * time.Second)
+				tm.assertState("after", modeler.Completed)
+				qt.Check(t, fl.workers.StartCount(task), qt.Equals, 1)
+			})
+		})
+	}
+}
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -534,10 +534,13 @@
 		}
 		dr.op.Meter.Add(meter.WorkerStarts, 1)
 		sctx, cancel := context.WithTimeout(ctx, requestTimeout)
-		_, err := dr.op.WorkerClient.Start(sctx, &info, req)
+		clock, err := dr.op.WorkerClient.Start(sctx, &info, req)
 		cancel()
 		dr.mu.Lock()
 		now := time.Now()
+		if err == nil {
+			wk.checkClock(clock, at.sentAt, now)
+		}
 		dr.updateStartWindow(at, err, now)
 		dr.handleStartResult(at, req, err, now)
 		wake := err != nil || dr.windowFull
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -19,6 +19,8 @@
 const (
 	// maxClockDrift is the share by which a worker's clock may be slow.
 	maxClockDrift = 0.02
+	// clockMargin is how far a worker's clock may be behind minClock without a restart.
+	clockMargin = 100 * time.Millisecond
 	// leaseMargin is added to the end of a lease for the time that the worker takes to end its
 	// runs.
 	leaseMargin = 150 * time.Millisecond
@@ -77,8 +79,9 @@
 	incarnation int64
 	clock       time.Duration
 	clockAt     time.Time
-	// announcedAt is when the registry announced another incarnation, zero once the worker has
-	// answered a later request. Until then, it gets neither starts nor a longer lease.
+	// announcedAt is when the registry or the worker's clock announced another incarnation, zero once
+	// the worker has answered a later renewal. Until then, it gets neither starts nor a longer lease,
+	// and no ends are acknowledged.
 	announcedAt time.Time
 	// leaseEnd is the latest end of a lease that the worker may have received, on its clock, zero
 	// before the first answer.
@@ -138,6 +141,14 @@
 	return wk.clock + time.Duration(float64(at.Sub(wk.clockAt))*(1-maxClockDrift))
 }
 
+// checkClock notes a restart if the worker's clock, as the answer to a start shows it, is behind: the
+// numbers of its ends have begun anew, and an acknowledgement would drop ends that were not seen.
+func (wk *worker) checkClock(clock time.Duration, sentAt, now time.Time) {
+	if clock > 0 && clock < wk.minClock(sentAt)-clockMargin {
+		wk.announcedAt = now
+	}
+}
+
 // SetWorkers replaces the list of registered workers. A worker with runs that is no longer listed
 // stays known until its lease has expired.
 func (dr *Director) SetWorkers(list []modeler.Worker) {
@@ -315,7 +326,10 @@
 	if !dr.op.MaySendRequests() {
 		return nil, wk.info, false
 	}
-	req := &modeler.RenewRequest{Epoch: dr.op.Epoch, AckedEnd: wk.ackedEnd, MaxWait: maxIdleWait}
+	req := &modeler.RenewRequest{Epoch: dr.op.Epoch, MaxWait: maxIdleWait}
+	if wk.announcedAt.IsZero() {
+		req.AckedEnd = wk.ackedEnd
+	}
 	switch {
 	case !wk.reported || wk.unreachable || wk.recording != nil || !wk.announcedAt.IsZero():
 		req.MaxWait = 0
