Let failed long-running tasks return to the only worker with capacity

A long-running task that had failed on a worker waited for another one for ever, although only that worker had capacity. Tasks avoid a worker where they failed as long as another could ever run them, since a further failure may make their job fail. Long-running tasks have no such limit.

A long-running task now prefers other workers for 3 s after its last run. Held workers are no longer copied with all candidates for each such placement.

TestFailedLongRunning fails without the change (1 start in 10 s, want 2) and passes with it.

--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -105,8 +105,7 @@
 	// moves counts the calls of moveRun for the task, also those that kept the run because its step
 	// allows speculative copies.
 	moves int
-	// lastActive is when the last run ended. It is meant for steps with MaxUnavailable and not read
-	// yet.
+	// lastActive is when the last run ended.
 	lastActive time.Time
 }
 
--- a/internal/job/director/long_running_test.go
+++ b/internal/job/director/long_running_test.go
@@ -117,3 +117,20 @@
 		}
 	})
 }
+
+// Guards against a failed long-running task that waits for ever for another worker than the only one
+// with capacity.
+func TestFailedLongRunning(t *testing.T) {
+	run(t, 2, func(fl *fleet, tm *term) {
+		tm.submitMinute("base", cores(16000))
+		sleep(time.Second)
+		task := modeler.TaskID{Job: "long-running"}
+		fl.setBehaviour(task, emulator.TaskBehaviour{RunTime: time.Second, Fails: true})
+		tm.submit(longRunningJob("long-running", "urgent", 1, cores(1000)))
+		sleep(500 * time.Millisecond)
+		fl.setBehaviour(task, emulator.TaskBehaviour{})
+		sleep(10 * time.Second)
+		qt.Check(t, fl.workers.StartCount(task), qt.Equals, 2)
+		qt.Check(t, fl.workers.WorkerOf(task) != "", qt.IsTrue)
+	})
+}
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -54,6 +54,9 @@
 	overtakenShare = 1.0 / 8
 	// waitLogInterval is the least time between two log lines on why a task waits.
 	waitLogInterval = time.Second
+	// maxAvoidTime is the time after its last run in which a long-running task waits for another worker
+	// than those that it avoids.
+	maxAvoidTime = 3 * time.Second
 	// maxHeldWorkers bounds the backfill reservations of a round, see holdWorker.
 	maxHeldWorkers = 3
 	// runsPerEpoch is the distance between the first run numbers of successive epochs. It makes
@@ -260,9 +263,8 @@
 		}
 		cands := rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &dm, rd.cands)
 		ix := placer.Choose(&dm, cands)
-		if ix < 0 && dm.LongRunning && len(rd.held) > 0 {
-			cands = rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &dm, rd.withHeld())
-			ix = placer.Choose(&dm, cands)
+		if ix < 0 && dm.LongRunning {
+			ix = rd.chooseAny(tk, &dm)
 		}
 		if ix < 0 {
 			// Where only workers fit that the task avoids, other tasks may still be placed.
@@ -363,15 +365,28 @@
 	}
 }
 
-// withHeld returns the candidates with the free capacity of the workers that are kept free. A
-// long-running task that fits only there uses it: the demand for which a worker is held may never
-// fit, and would keep it from the task in every round.
-func (rd *round) withHeld() []placer.Candidate {
-	cands := slices.Clone(rd.cands)
+// chooseAny returns the index of a worker for a long-running task that fits only where others are
+// preferred, or -1. It may use workers that are kept free: the demand for which one is held may never
+// fit, and would keep it from the task in every round. It may use those that the task avoids: the limit
+// of failed runs, for which they are avoided, does not apply to it.
+func (rd *round) chooseAny(tk *task, dm *placer.Demand) int {
+	changed := len(rd.held) > 0
+	if len(dm.Avoid) > 0 && rd.now.Sub(tk.lastActive) > maxAvoidTime {
+		dm.Avoid, changed = nil, true
+	}
+	if !changed {
+		return -1
+	}
+	for _, ix := range rd.held {
+		rd.cands[ix].Free = rd.workers[ix].free
+	}
+	chosen := placer.Choose(dm, rd.excludeUnpermitted(tk.step, rd.dr.queue(tk.step.occ.job), dm, rd.cands))
 	for _, ix := range rd.held {
-		cands[ix].Free = rd.workers[ix].free
+		if ix != chosen {
+			rd.cands[ix].Free = modeler.Resources{}
+		}
 	}
-	return cands
+	return chosen
 }
 
 // placeTask reserves resources for a task on the worker with the index, and queues its start. That
--- a/internal/provider/emulator/jobworkers.go
+++ b/internal/provider/emulator/jobworkers.go
@@ -17,7 +17,7 @@
 	RunTime time.Duration
 	// Fails makes the run fail after RunTime.
 	Fails bool
-	// LongRunning makes the run continue until it is stopped.
+	// LongRunning makes the run continue until it is stopped, unless it fails.
 	LongRunning bool
 	// Checkpoints makes a stopped run report a checkpoint that the next run resumes from.
 	Checkpoints bool
@@ -370,7 +370,7 @@
 		rn.timer.Stop()
 	}
 	speed := rn.speed(wk)
-	if rn.behaviour.LongRunning || speed <= 0 {
+	if rn.behaviour.LongRunning && !rn.behaviour.Fails || speed <= 0 {
 		return
 	}
 	left := time.Duration(float64(rn.behaviour.RunTime-rn.workBefore) / speed)
