Count gangs that find no workers as misses of a placement round

A gang that fits nowhere did not count towards the end of a round, so that a round looked at all waiting gangs however many there were, each once for every rack.

Each rack on which a gang does not fit now counts as a miss.

--- /dev/null
+++ b/internal/job/director/round_test.go
@@ -0,0 +1,67 @@
+package director
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
+)
+
+// newBacklog returns a director with workers that have no free capacity and waiting jobs of one step
+// each.
+func newBacklog(workers, jobs int, step func(ix int) modeler.Step) *Director {
+	dr := New(Options{
+		Epoch: 1, Configuration: func() *modeler.Configuration { return nil }, MaySendRequests: func() bool { return true },
+		Log: logr.Discard(), Meter: meter.New(nil),
+	})
+	for ix := range workers {
+		info := modeler.Worker{ID: modeler.WorkerID(fmt.Sprint("w", ix)), Pool: "pool", Capacity: modeler.Resources{MilliCores: 16000, MemoryMB: 64000}}
+		dr.setWorker(&info)
+		wk := dr.workers[info.ID]
+		wk.reported, wk.answered, wk.free = true, true, modeler.Resources{}
+	}
+	for ix := range jobs {
+		jb := dr.addJob(&modeler.Job{ID: modeler.JobID(fmt.Sprint("j", ix)), Pool: "pool", Steps: []modeler.Step{step(ix)}}, true)
+		for _, tk := range jb.occurrences[0].steps[0].tasks {
+			tk.mayHaveUnknownRun = false
+		}
+	}
+	return dr
+}
+
+// Guards against placement rounds without a bound, and steps that no round considers.
+func TestRoundBound(t *testing.T) {
+	const jobs, maxPerRound = 1000, maxMisses + 2*maxOvertakenMisses
+	for name, step := range map[string]func(int) modeler.Step{
+		"single tasks": func(ix int) modeler.Step {
+			return modeler.Step{Count: 1, Needs: modeler.Resources{MilliCores: 1000}, MaxPerWorker: 1, LongRunning: ix%2 == 0}
+		},
+		"gangs": func(ix int) modeler.Step {
+			return modeler.Step{Count: 2, Needs: modeler.Resources{MilliCores: 1000}, Gang: true, LongRunning: ix%2 == 0}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dr := newBacklog(10, jobs, step)
+			now := time.Now()
+			for range jobs / maxOvertakenMisses {
+				now = now.Add(time.Second)
+				dr.dispatch(now)
+				considered := 0
+				for sp := range dr.waitingSteps {
+					if sp.consideredAt.Equal(now) {
+						considered++
+					}
+				}
+				qt.Assert(t, considered <= maxPerRound, qt.IsTrue, qt.Commentf("%d steps", considered))
+			}
+			for sp := range dr.waitingSteps {
+				qt.Assert(t, sp.consideredAt.IsZero(), qt.IsFalse, qt.Commentf("job %s", sp.occ.job.ID))
+			}
+		})
+	}
+}
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -426,9 +426,11 @@
 	rd.excludeOtherPools(rd.dr.pool(sp.occ.job))
 	for _, rack := range rd.gangRacks(sp) {
 		if chosen := rd.fitGang(sp, rack); chosen != nil {
+			rd.misses = 0
 			rd.startGang(sp, chosen)
 			return
 		}
+		rd.misses++
 	}
 }
 
