Apply facts and reports of occurrences that are due by an earlier leader's clock

A task that was done could run a second time. Found by reading.

A recorded or reported run of an occurrence that is due within 20 s now creates the occurrence. Its other tasks still start when it is due by the leader's own clock.

TestFactsBeforeDueTime/the_clock_is_behind fails without the change (done is false, want true) and passes with it; the second case keeps an odd report from creating occurrences far ahead.

--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -100,7 +100,7 @@
 	// start, and its worker.
 	placedRun modeler.Run
 	placedOn  modeler.WorkerID
-	// notBefore delays the next start after a refusal.
+	// notBefore is when the task is due, or delays the next start after a refusal.
 	notBefore time.Time
 	// moves counts the calls of moveRun for the task, also those that kept the run because its step
 	// allows speculative copies.
@@ -112,6 +112,8 @@
 const (
 	// maxAvoidedWorkers bounds the workers that a task avoids.
 	maxAvoidedWorkers = 4
+	// maxClockStep bounds how far the clock of an earlier leader is taken to be ahead.
+	maxClockStep = 20 * time.Second
 	// maxRunTimes bounds the run times that a step keeps.
 	maxRunTimes = 33
 )
@@ -187,7 +189,7 @@
 		dr.log(logger.FactDamaged, "Job", jb.ID, "Error", err.Error())
 		return
 	}
-	tk := jb.task(id)
+	tk := dr.startedTask(jb, id, now.Add(maxClockStep))
 	switch {
 	case tk == nil:
 	case ft.Placed != nil:
@@ -217,17 +219,31 @@
 // first steps.
 func (dr *Director) releaseOccurrences(jb *job, now time.Time) {
 	for jb.finalState == "" && len(jb.occurrences) < jb.Occurrences() && !now.Before(jb.Due(len(jb.occurrences))) {
-		oc := newOccurrence(jb, len(jb.occurrences))
-		jb.occurrences = append(jb.occurrences, oc)
-		jb.unfinishedOccurrences++
-		for _, sp := range oc.steps {
-			if sp.unfinishedPredecessors == 0 {
-				dr.enqueueStep(sp)
-			}
+		dr.releaseNext(jb)
+	}
+}
+
+// releaseNext creates the next occurrence. Its tasks start when it is due at the earliest.
+func (dr *Director) releaseNext(jb *job) {
+	oc := newOccurrence(jb, len(jb.occurrences))
+	jb.occurrences = append(jb.occurrences, oc)
+	jb.unfinishedOccurrences++
+	for _, sp := range oc.steps {
+		if sp.unfinishedPredecessors == 0 {
+			dr.enqueueStep(sp)
 		}
 	}
 }
 
+// startedTask returns a task that an earlier leader has started, or nil. It creates the task's
+// occurrence if that is due only by the clock of the earlier leader, up to a time after now.
+func (dr *Director) startedTask(jb *job, id modeler.TaskID, latest time.Time) *task {
+	for jb.finalState == "" && len(jb.occurrences) <= id.Occurrence && len(jb.occurrences) < jb.Occurrences() && !latest.Before(jb.Due(len(jb.occurrences))) {
+		dr.releaseNext(jb)
+	}
+	return jb.task(id)
+}
+
 func newOccurrence(jb *job, index int) *occurrence {
 	oc := &occurrence{job: jb, index: index, due: jb.Due(index), unfinishedSteps: len(jb.Steps)}
 	if oc.due.IsZero() {
@@ -237,7 +253,7 @@
 		sp := &step{occ: oc, index: no, spec: &jb.Steps[no], unfinishedPredecessors: len(jb.Steps[no].After), perWorker: map[modeler.WorkerID]int{}}
 		sp.tasks = make([]*task, sp.spec.Count)
 		for ix := range sp.tasks {
-			sp.tasks[ix] = &task{step: sp, index: ix, mayHaveUnknownRun: jb.inherited}
+			sp.tasks[ix] = &task{step: sp, index: ix, mayHaveUnknownRun: jb.inherited, notBefore: jb.Due(index)}
 		}
 		oc.steps = append(oc.steps, sp)
 		for _, pred := range sp.spec.After {
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -169,7 +169,7 @@
 	jb := dr.jobs[row.Task.Job]
 	var tk *task
 	if jb != nil && jb.finalState == "" {
-		tk = jb.task(row.Task)
+		tk = dr.startedTask(jb, row.Task, now.Add(maxClockStep))
 	}
 	if tk == nil || tk.done || len(tk.attempts) > 0 && !tk.step.spec.Speculative || row.Run < tk.lastRun {
 		dr.stopUnexpected(wk, row.Task, row.Run, now)
@@ -210,7 +210,7 @@
 	if jb == nil {
 		return
 	}
-	tk := jb.task(row.Task)
+	tk := dr.startedTask(jb, row.Task, now.Add(maxClockStep))
 	if tk == nil {
 		return
 	}
