--- a/internal/job/director/harness_test.go
+++ b/internal/job/director/harness_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -138,6 +139,7 @@
 func (fl *fleet) startTerm(inherited time.Duration) *term {
 	jn, rec, err := journaler.Open(fl.t.Context(), fl.store, "jobs", "host", "boot", journalOptions)
 	for errors.Is(err, journaler.ErrUnavailable) || errors.Is(err, journaler.ErrResultUnknown) {
+		time.Sleep(journalOptions.MaxBackOff)
 		jn, rec, err = journaler.Open(fl.t.Context(), fl.store, "jobs", "host", "boot", journalOptions)
 	}
 	qt.Assert(fl.t, err, qt.IsNil)
@@ -157,7 +159,10 @@
 	dr.Start(ctx)
 	dr.SetWorkers(fl.infos)
 	load := func() {
-		for _, jb := range fl.jobs {
+		fl.mu.Lock()
+		jobs := slices.Clone(fl.jobs)
+		fl.mu.Unlock()
+		for _, jb := range jobs {
 			dr.AddJob(jb, !fl.addEarly)
 		}
 		for _, id := range fl.cancelled {
--- a/internal/job/director/promise_test.go
+++ b/internal/job/director/promise_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -49,7 +51,33 @@
 	lasting        []*lastingTask
 	// down holds the workers that were crashed and are not back, drained those that are draining.
 	down, drained map[int]bool
-	broken        []string
+	// events are what is to happen later.
+	events []dayEvent
+	broken []string
+}
+
+// dayEvent is something that happens at a time.
+type dayEvent struct {
+	at     time.Time
+	happen func()
+}
+
+// later makes something happen after a time.
+func (pd *promiseDay) later(after time.Duration, happen func()) {
+	pd.events = append(pd.events, dayEvent{time.Now().Add(after), happen})
+}
+
+// runEvents runs the events that are due.
+func (pd *promiseDay) runEvents() {
+	events := pd.events
+	pd.events = nil
+	for _, ev := range events {
+		if time.Now().Before(ev.at) {
+			pd.events = append(pd.events, ev)
+		} else {
+			ev.happen()
+		}
+	}
 }
 
 // lastingTask is what is known of a long-running task.
@@ -96,6 +124,11 @@
 	if pd.rnd.IntN(4) == 0 {
 		jb.Steps[0].Label = "kind-b"
 	}
+	if pd.rnd.IntN(4) == 0 {
+		for ix := range jb.Steps[0].Count {
+			pd.fl.setBehaviour(modeler.TaskID{Job: jb.ID, Index: ix}, emulator.TaskBehaviour{RunTime: pd.between(time.Second, 30*time.Second), Fails: true})
+		}
+	}
 	pd.tm.submit(jb)
 	for ix := range jb.Steps[0].Count {
 		pd.lasting = append(pd.lasting, &lastingTask{id: modeler.TaskID{Job: jb.ID, Index: ix}, spec: &jb.Steps[0], ranUntil: time.Now()})
@@ -195,7 +228,7 @@
 		pd.tm.RemoveWorker(pd.fl.infos[ix].ID)
 	}
 	pd.disturb(restart)
-	time.AfterFunc(restart, func() {
+	pd.later(restart, func() {
 		pd.fl.infos[ix] = pd.fl.workers.Add(pd.workerInfo(ix))
 		delete(pd.down, ix)
 		pd.tm.UpdateWorker(pd.fl.infos[ix])
@@ -221,7 +254,7 @@
 	pd.fl.infos[ix].Draining, pd.fl.infos[ix].MinRemaining = true, lasts
 	pd.tm.UpdateWorker(pd.fl.infos[ix])
 	pd.disturb(lasts)
-	time.AfterFunc(lasts, func() {
+	pd.later(lasts, func() {
 		delete(pd.drained, ix)
 		pd.crash(ix, 500*time.Millisecond)
 	})
@@ -359,15 +392,24 @@
 			pd.submitLasting()
 		}
 		sleep(checkInterval)
+		pd.runEvents()
 		pd.check()
 	}
 	return append(pd.broken, pd.fl.workers.Violations()...)
 }
 
-// promiseSeeds returns the seeds of TestPromise. PROMISE_SEEDS and PROMISE_FIRST override the number
-// and the first one.
+// keptSeeds are seeds that failed once, with the cause.
+var keptSeeds = map[uint64]string{
+	111: "a placement round ended before it considered a long-running task",
+	272: "the same as 111",
+	299: "all workers with capacity for a long-running task were held for short ones",
+	250: "ends were acknowledged to a later incarnation of a worker, before the days had failing long-running tasks",
+}
+
+// promiseSeeds returns the range of seeds of TestPromise. PROMISE_SEEDS and PROMISE_FIRST override the
+// number and the first one.
 func promiseSeeds() (first, count uint64) {
-	first, count = 0, 10
+	first, count = 0, 4
 	if num, err := strconv.ParseUint(os.Getenv("PROMISE_SEEDS"), 10, 32); err == nil {
 		count = num
 	}
@@ -380,8 +422,12 @@
 // Guards against long-running tasks that wait although there is capacity for them, and against tasks
 // that run twice, under combined faults and a full backlog. The seed is in the name of the subtest.
 func TestPromise(t *testing.T) {
+	seeds := slices.Sorted(maps.Keys(keptSeeds))
 	first, count := promiseSeeds()
 	for seed := first; seed < first+count; seed++ {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				qt.Check(t, newPromiseDay(t, seed).run(), qt.HasLen, 0)
