--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -168,12 +168,18 @@
 	cancellationDroppedAt time.Time
 	// pendingFacts holds facts of earlier terms about jobs that have not been added yet.
 	pendingFacts map[modeler.JobID][]keeper.Fact
-	workers      map[modeler.WorkerID]*worker
+	// unreadJobs holds the unknown jobs of deferred rows. readQueue holds those that no reader has
+	// taken, and jobReaders is the number of readers.
+	unreadJobs map[modeler.JobID]struct{}
+	readQueue  []modeler.JobID
+	jobReaders int
+	workers    map[modeler.WorkerID]*worker
 	// waitingSteps holds the steps that have waiting tasks and whose predecessors are done.
 	waitingSteps map[*step]struct{}
 	// unaccountedWorkers is the number of workers that may still run tasks of earlier terms and have
 	// not reported in this term. While it is not zero, a task that may run on one of them does not
-	// start. allAccounted is set once it has reached zero.
+	// start. allAccounted is set once it has reached zero. A worker whose lease has expired counts as
+	// having reported.
 	unaccountedWorkers int
 	allAccounted       bool
 	// model estimates the interference between images.
@@ -203,8 +209,8 @@
 	// starting holds the runs that were placed and were not known to run at the last report of waiting
 	// tasks.
 	starting map[*attempt]struct{}
-	// ineffectiveLines, droppedLines, overdueLines and holdLines bound lines of the log.
-	ineffectiveLines, droppedLines, overdueLines, holdLines lineBudget
+	// ineffectiveLines, droppedLines and overdueLines bound lines of the log.
+	ineffectiveLines, droppedLines, overdueLines lineBudget
 	// waitLoggedAt is when the log last said why a task waits.
 	waitLoggedAt time.Time
 	// snapshotPosition is the journal position of the last snapshot. Only cleanupLoop uses it.
@@ -224,6 +230,7 @@
 		jobs:                 map[modeler.JobID]*job{},
 		pendingCancellations: map[modeler.JobID]cancellation{},
 		pendingFacts:         map[modeler.JobID][]keeper.Fact{},
+		unreadJobs:           map[modeler.JobID]struct{}{},
 		workers:              map[modeler.WorkerID]*worker{},
 		waitingSteps:         map[*step]struct{}{},
 		starting:             map[*attempt]struct{}{},
@@ -386,10 +393,9 @@
 func (dr *Director) onTick(now time.Time) {
 	for _, wk := range dr.workers {
 		dr.expireLease(wk, now)
-	}
-	if !dr.allAccounted && now.Sub(dr.termStart) > dr.op.InheritedLease+unreachableGrace {
-		dr.log(logger.TermAccounted, "Workers", dr.unaccountedWorkers, "Reason", "inherited leases expired")
-		dr.unaccountedWorkers, dr.allAccounted = 0, true
+		if wk.unaccounted && dr.leaseExpired(wk, now.Add(-unreachableGrace)) {
+			dr.markAccounted(wk, "inherited leases expired")
+		}
 	}
 	select {
 	case <-dr.loaded:
--- a/internal/job/director/renewal.go
+++ b/internal/job/director/renewal.go
@@ -8,10 +8,8 @@
 )
 
 const (
-	// maxUnreportedHold is how long a worker's report is held up before the log mentions it once a second.
+	// maxUnreportedHold is how long rows of a report wait before the log mentions them once a second.
 	maxUnreportedHold = time.Second
-	// maxHoldLines bounds the lines in a second on reports whose hold-up begins.
-	maxHoldLines = 20
 )
 
 // renewalPhase is what the renewLoop of a worker is doing. Its text is a value of the log.
@@ -22,7 +20,6 @@
 	renewalsPaused  renewalPhase = "RequestsSuspended"
 	awaitingReport  renewalPhase = "AwaitingReport"
 	awaitingLoad    renewalPhase = "AwaitingStoredJobs"
-	loadingJobs     renewalPhase = "LoadingUnknownJobs"
 	recordingReport renewalPhase = "RecordingEnds"
 )
 
@@ -31,8 +28,8 @@
 	phase renewalPhase
 	// extendedAt is when a renewal that extends the lease was last sent, or when the renewLoop began.
 	extendedAt time.Time
-	// heldSince is when the report at hand was received if a job of it is unknown and has not been
-	// loaded, zero otherwise. Further reports that replace it do not change it.
+	// heldSince is since when rows of the worker's reports have waited for their jobs to be read, zero if
+	// none waits.
 	heldSince time.Time
 }
 
@@ -43,41 +40,16 @@
 	wk.renewal.phase = phase
 }
 
-// holdReport notes that jobs of a worker's report are unknown and are being loaded.
-func (dr *Director) holdReport(wk *worker) {
-	dr.mu.Lock()
-	defer dr.mu.Unlock()
-	wk.renewal.phase = loadingJobs
-	if wk.renewal.heldSince.IsZero() {
-		wk.renewal.heldSince = time.Now()
-	}
-}
-
-// releaseReport notes that no report of the worker is held up.
-func (dr *Director) releaseReport(wk *worker) {
-	if wk.renewal.heldSince.IsZero() {
-		return
-	}
-	dr.op.Meter.Observe(meter.TimeReportsHeld, time.Since(wk.renewal.heldSince))
-	wk.renewal.heldSince = time.Time{}
-}
-
-// reportNotHandled logs that jobs of a worker's report could not be loaded. The worker then counts as
-// unreachable until its next report.
-func (dr *Director) reportNotHandled(wk *worker, err error) {
-	dr.mu.Lock()
-	defer dr.mu.Unlock()
-	now := time.Now()
-	if dr.ctx.Err() == nil && !wk.unreachable {
-		if ok, omitted := dr.holdLines.take(maxHoldLines, now); ok {
-			dr.logHeldReport(wk, now, "Error", err.Error(), "Omitted", omitted)
-		}
+// noteHeldRows notes whether rows of a worker's reports wait for their jobs to be read.
+func (dr *Director) noteHeldRows(wk *worker, now time.Time) {
+	held := len(wk.deferredRuns)+len(wk.deferredEnds) > 0
+	switch {
+	case held && wk.renewal.heldSince.IsZero():
+		wk.renewal.heldSince = now
+	case !held && !wk.renewal.heldSince.IsZero():
+		dr.op.Meter.Observe(meter.TimeReportsHeld, now.Sub(wk.renewal.heldSince))
+		wk.renewal.heldSince = time.Time{}
 	}
-	dr.markUnreachable(wk, now)
-}
-
-func (dr *Director) logHeldReport(wk *worker, now time.Time, kv ...any) {
-	dr.log(logger.ReportHeldUp, append([]any{"Worker", wk.info.ID, "HeldFor", now.Sub(wk.renewal.heldSince).String(), "Runs", len(wk.attempts), "LeaseLeft", dr.leaseOver(wk, now).Sub(now).String()}, kv...)...)
 }
 
 // markUnreachable notes that the last renewal brought no report that could be handled.
@@ -124,7 +96,8 @@
 	}
 	dr.op.Meter.Set(meter.ReportsHeldUp, int64(held))
 	if held > 0 {
-		dr.logHeldReport(longestHeld, now, "Workers", held)
+		dr.log(logger.ReportHeldUp, "Worker", longestHeld.info.ID, "Workers", held, "HeldFor", now.Sub(longestHeld.renewal.heldSince).String(),
+			"WaitingRuns", len(longestHeld.deferredRuns), "WaitingEnds", len(longestHeld.deferredEnds))
 	}
 	for phase, lr := range late {
 		wk := lr.latest
@@ -138,8 +111,6 @@
 	switch {
 	case !wk.renewing:
 		return "", false
-	case !wk.renewal.heldSince.IsZero():
-		return loadingJobs, true
 	case wk.renewal.phase == awaitingReport:
 		return awaitingReport, wk.answered && !wk.unreachable
 	}
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -1,7 +1,9 @@
 package director
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -16,49 +18,98 @@
 // processed. An older report may cause a needless stop, which is harmless.
 const maxReportAge = 300 * time.Millisecond
 
-// handleReport processes a worker's report. The returned channel is closed once the reported ends
-// are durable. It is nil for a report that is out of date.
-func (dr *Director) handleReport(wk *worker, sentAt time.Time, rep *modeler.Report) <-chan struct{} {
+var errNoIncarnation = errors.New("report names no incarnation of the worker")
+
+// noteAnswer notes that a worker has answered a renewal. It needs no stored jobs, so that leases are
+// renewed from the beginning of the term. It returns false for a report that cannot be told from one
+// of another incarnation, which has other numbers of ends.
+func (dr *Director) noteAnswer(wk *worker, sentAt, answeredAt time.Time, rep *modeler.Report) bool {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
-	now := time.Now()
-	if rep.Incarnation < wk.incarnation {
-		// The report of an earlier incarnation arrived after one of a later incarnation and is out
-		// of date. Without a channel, the next renewal is delayed: a worker may answer like this at
-		// once each time.
-		dr.recordEnds(wk)
-		return nil
+	if rep.Incarnation == 0 && wk.incarnation != 0 {
+		return false
 	}
-	if rep.Incarnation > wk.incarnation {
-		dr.workerRestarted(wk, rep.Incarnation, now)
+	// Renewals of one worker are sent one after the other, so that another incarnation than the last
+	// is a later one, also if its clock was set back.
+	if rep.Incarnation != wk.incarnation {
+		dr.workerRestarted(wk, rep.Incarnation, time.Now())
+	}
+	if !sentAt.Before(wk.announcedAt) {
+		wk.announcedAt = time.Time{}
 	}
 	if wk.unreachable && wk.answered {
 		dr.log(logger.WorkerReachable, "Worker", wk.info.ID, "Runs", len(rep.Running), "Ends", len(rep.Ended))
 	}
+	if !wk.answered {
+		// An earlier leader cannot have given a longer lease, and can give none from now on.
+		wk.leaseEnd = max(wk.leaseEnd, rep.Clock+dr.op.Limits.Lease)
+	}
+	wk.clock, wk.clockAt, wk.unreachable, wk.answered = rep.Clock, answeredAt, false, true
+	// An earlier report may have had a clock that was too far ahead.
+	wk.leaseEnd = min(wk.leaseEnd, rep.Clock+max(dr.op.Limits.Lease, dr.op.Limits.LongestLease))
+	return true
+}
+
+// handleReport processes a worker's report, after noteAnswer. The returned channel is closed once the
+// reported ends are durable.
+func (dr *Director) handleReport(wk *worker, sentAt time.Time, rep *modeler.Report) <-chan struct{} {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	now := time.Now()
 	if rep.LeftOut > 0 {
 		dr.invalid.Report(logger.ReportInvalid, meter.ReportsInvalid, string(wk.info.ID), rep.LeftOutReason, "Worker", wk.info.ID, "LeftOut", rep.LeftOut)
 	}
-	wk.clock, wk.clockAt, wk.unreachable = rep.Clock, now, false
 	wk.renewal.phase = recordingReport
-	// An earlier report may have had a clock that was too far ahead.
-	wk.leaseEnd = min(wk.leaseEnd, rep.Clock+max(dr.op.Limits.Lease, dr.op.Limits.LongestLease))
-	dr.markAnswered(wk)
+	wk.reported = true
+	dr.markAccounted(wk, "all answered")
 	listed := make(map[attemptKey]bool, len(rep.Running)+len(rep.Ended))
+	wk.deferredRuns = nil
 	for ix := range rep.Running {
 		row := &rep.Running[ix]
 		listed[attemptKey{row.Task, row.Run}] = true
-		dr.updateRun(wk, row, now)
+		if !dr.deferRun(wk, row) {
+			dr.updateRun(wk, row, now)
+		}
 	}
-	facts, endedJobs := dr.handleEnds(wk, rep.Ended, listed, now)
-	wk.processedEnd = max(wk.processedEnd, rep.LastEnd)
+	dr.handleEnds(wk, rep, listed, now)
 	dr.loseMissingRuns(wk, listed, sentAt, now)
 	dr.updateCancelledRuns(wk, rep.Running, now)
 	wk.forgetStops(listed, sentAt)
 	dr.checkRuns(wk, now)
 	dr.paceBestEffort(wk, now)
-	wk.unrecordedFacts = append(wk.unrecordedFacts, facts...)
-	wk.unrecordedJobs = append(wk.unrecordedJobs, endedJobs...)
-	return dr.recordEnds(wk)
+	dr.noteHeldRows(wk, now)
+	durable := dr.recordEnds(wk)
+	if len(wk.deferredEnds) > 0 {
+		// The worker lists these ends again at once.
+		return make(chan struct{})
+	}
+	return durable
+}
+
+// handleEnds handles the ends of a report that are new. They may be listed in any order.
+func (dr *Director) handleEnds(wk *worker, rep *modeler.Report, listed map[attemptKey]bool, now time.Time) {
+	slices.SortStableFunc(rep.Ended, func(one, two modeler.EndedRun) int { return cmp.Compare(one.Number, two.Number) })
+	processedBefore := wk.processedEnd
+	for ix := range rep.Ended {
+		row := &rep.Ended[ix]
+		listed[attemptKey{row.Task, row.Run}] = true
+		if row.Number <= processedBefore {
+			continue
+		}
+		wk.processedEnd = row.Number
+		if !dr.deferEnd(wk, row) {
+			dr.handleEnd(wk, row, now)
+		}
+	}
+	wk.processedEnd = max(wk.processedEnd, rep.LastEnd)
+}
+
+// ackableEnd returns the number of the last end that may be acknowledged once all facts are durable.
+func (wk *worker) ackableEnd() int64 {
+	if len(wk.deferredEnds) > 0 {
+		return wk.deferredEnds[0].Number - 1
+	}
+	return wk.processedEnd
 }
 
 // recordEnds records the ends of a worker that are not durable yet, one batch at a time: the worker
@@ -70,11 +121,11 @@
 	}
 	durable := make(chan struct{})
 	if len(wk.unrecordedFacts) == 0 {
-		wk.ackedEnd = wk.processedEnd
+		wk.ackedEnd = wk.ackableEnd()
 		close(durable)
 		return durable
 	}
-	facts, endedJobs, lastEnd, incarnation := wk.unrecordedFacts, wk.unrecordedJobs, wk.processedEnd, wk.incarnation
+	facts, endedJobs, lastEnd, incarnation := wk.unrecordedFacts, wk.unrecordedJobs, wk.ackableEnd(), wk.incarnation
 	wk.unrecordedFacts, wk.unrecordedJobs, wk.recording = nil, nil, durable
 	began := time.Now()
 	dr.startGoroutine(func(ctx context.Context) {
@@ -107,19 +158,16 @@
 	}
 }
 
-// markAnswered notes that the worker has answered in this term, and so has seen its epoch.
-func (dr *Director) markAnswered(wk *worker) {
-	if wk.answered {
+// markAccounted notes that a worker runs no task that this leader does not know of.
+func (dr *Director) markAccounted(wk *worker, reason string) {
+	if !wk.unaccounted {
 		return
 	}
-	wk.answered = true
-	if wk.unaccounted {
-		wk.unaccounted = false
-		dr.unaccountedWorkers--
-		if dr.unaccountedWorkers == 0 {
-			dr.allAccounted = true
-			dr.log(logger.TermAccounted, "Workers", 0, "Reason", "all answered", "Took", time.Since(dr.termStart).String())
-		}
+	wk.unaccounted = false
+	dr.unaccountedWorkers--
+	if dr.unaccountedWorkers == 0 {
+		dr.allAccounted = true
+		dr.log(logger.TermAccounted, "Workers", 0, "Reason", reason, "Took", time.Since(dr.termStart).String())
 	}
 }
 
@@ -166,7 +214,7 @@
 	jb := dr.jobs[row.Task.Job]
 	var tk *task
 	if jb != nil && jb.finalState == "" {
-		tk = jb.task(row.Task)
+		tk = dr.startedTask(jb, row.Task, now.Add(maxClockStep))
 	}
 	if tk == nil || tk.done || len(tk.attempts) > 0 && !tk.step.spec.Speculative || row.Run < tk.lastRun {
 		wk.noteCancelledRun(attemptKey{row.Task, row.Run}, jb)
@@ -212,51 +260,38 @@
 	}
 }
 
-// handleEnds processes the ends of a report that are new, and returns the facts that have to be
-// durable before the worker may drop the ends, and the jobs that end with them. The ends may be
-// listed in any order.
-func (dr *Director) handleEnds(wk *worker, rows []modeler.EndedRun, listed map[attemptKey]bool, now time.Time) ([]keeper.Fact, []*job) {
-	var facts []keeper.Fact
-	var endedJobs []*job
-	processedBefore := wk.processedEnd
-	for ix := range rows {
-		row := &rows[ix]
-		key := attemptKey{row.Task, row.Run}
-		listed[key] = true
-		if row.Number <= processedBefore {
-			continue
-		}
-		wk.processedEnd = max(wk.processedEnd, row.Number)
-		delete(wk.unexpectedStops, key)
-		jb := dr.jobs[row.Task.Job]
-		if jb == nil {
-			continue
-		}
-		tk := jb.task(row.Task)
-		if tk == nil {
-			continue
-		}
-		at := wk.attempts[key]
-		if at == nil && !dr.possibleRun(row.Run) {
-			dr.reportImpossibleRun(wk, row.Task, row.Run)
-			continue
-		}
-		if dr.applyRunEnd(tk, row.Run, row.Outcome, row.Checkpoint) {
-			facts = append(facts, keeper.Fact{RunEnd: &keeper.RunEndFact{
-				Task: row.Task.String(), Run: row.Run, Outcome: row.Outcome, Checkpoint: row.Checkpoint,
-			}})
-		}
-		dr.recordOutcome(wk, tk, at, row, now)
-		if at != nil {
-			dr.release(at)
-		}
-		dr.afterRunEnd(tk, now)
-		if ft, ok := dr.endFinishedJob(jb, now); ok {
-			facts = append(facts, ft)
-			endedJobs = append(endedJobs, jb)
-		}
+// handleEnd processes the end of a run. The facts that have to be durable before the worker may drop
+// the end are recorded by recordEnds.
+func (dr *Director) handleEnd(wk *worker, row *modeler.EndedRun, now time.Time) {
+	key := attemptKey{row.Task, row.Run}
+	delete(wk.unexpectedStops, key)
+	jb := dr.jobs[row.Task.Job]
+	if jb == nil {
+		return
+	}
+	tk := dr.startedTask(jb, row.Task, now.Add(maxClockStep))
+	if tk == nil {
+		return
+	}
+	at := wk.attempts[key]
+	if at == nil && !dr.possibleRun(row.Run) {
+		dr.reportImpossibleRun(wk, row.Task, row.Run)
+		return
+	}
+	if dr.applyRunEnd(tk, row.Run, row.Outcome, row.Checkpoint) {
+		wk.unrecordedFacts = append(wk.unrecordedFacts, keeper.Fact{RunEnd: &keeper.RunEndFact{
+			Task: row.Task.String(), Run: row.Run, Outcome: row.Outcome, Checkpoint: row.Checkpoint,
+		}})
+	}
+	dr.recordOutcome(wk, tk, at, row, now)
+	if at != nil {
+		dr.release(at)
+	}
+	dr.afterRunEnd(tk, now)
+	if ft, ok := dr.endFinishedJob(jb, now); ok {
+		wk.unrecordedFacts = append(wk.unrecordedFacts, ft)
+		wk.unrecordedJobs = append(wk.unrecordedJobs, jb)
 	}
-	return facts, endedJobs
 }
 
 // endFinishedJob ends a job of which all tasks are done or one has failed too often, and returns
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -46,8 +47,16 @@
 	// The fleet is full then, and to go on would cost the leader the time that it needs for its
 	// workers.
 	maxMisses = 150
+	// maxOvertakenMisses is that number for each later pass of a round, see placeSteps.
+	maxOvertakenMisses = 50
+	// overtakenShare is the share of a round's starts that is kept for long-running tasks while more
+	// urgent ones use up the rest.
+	overtakenShare = 1.0 / 8
 	// waitLogInterval is the least time between two log lines on why a task waits.
 	waitLogInterval = time.Second
+	// maxAvoidTime is the time after its last run in which a long-running task waits for another worker
+	// than those that it avoids.
+	maxAvoidTime = 3 * time.Second
 	// maxHeldWorkers bounds the backfill reservations of a round, see holdWorker.
 	maxHeldWorkers = 3
 	// runsPerEpoch is the distance between the first run numbers of successive epochs. It makes
@@ -75,11 +84,8 @@
 	dr.beginRound(now, notPlacedYet)
 	rd := dr.newRound(now)
 	rd.startsLeft = available
-	for _, rs := range rd.steps {
-		if len(rd.workers) == 0 || rd.misses >= maxMisses || rd.startsLeft <= 0 {
-			break
-		}
-		rd.placeStep(rs.step)
+	if len(rd.workers) > 0 {
+		rd.placeSteps()
 	}
 	dr.windowFull, dr.roundEnd = rd.startsLeft <= 0, rd.endReason()
 	dr.recordPlacements(rd.longRunning)
@@ -117,14 +123,16 @@
 	workers []*worker
 	// cands holds the candidates in the order of workers.
 	cands []placer.Candidate
-	// heldWorkers holds the indices of the workers that are kept free, see holdWorker.
-	heldWorkers []int
+	// held holds the indices of the workers that are kept free, see holdWorker.
+	held []int
 	// longRunning holds the placed attempts of long-running tasks.
 	longRunning []*attempt
-	// misses is the number of placements without a worker since the last one that found one.
-	misses int
-	// startsLeft is the number of tasks that may still start in this round.
-	startsLeft int
+	// misses is the number of placements without a worker since the last one that found one or since
+	// the pass began. A pass ends with maxMisses.
+	misses, maxMisses int
+	// startsLeft is the number of tasks that may still start in this round, startsKept that of them
+	// which this pass leaves to the next.
+	startsLeft, startsKept int
 	// forecasts holds the predictions for tasks of best-effort and latency-critical images.
 	forecasts map[string]*forecast
 	// unplaceable holds needs for which no worker was found in this round.
@@ -184,12 +192,58 @@
 	return rd
 }
 
-// acceptsTasks reports whether a worker may get new tasks.
+// acceptsTasks reports whether a worker may get new tasks. The needs of deferred runs are not known.
 func (dr *Director) acceptsTasks(wk *worker, now time.Time) bool {
-	return wk.registered && wk.answered && wk.grantDurable && !wk.unreachable && !wk.info.Draining &&
+	return wk.registered && wk.reported && wk.grantDurable && !wk.unreachable && wk.announcedAt.IsZero() && !wk.info.Draining && len(wk.deferredRuns) == 0 &&
 		!wk.faultHistory.Quarantined(now) && !now.Before(wk.noStartsBefore)
 }
 
+// placeSteps places waiting tasks in three passes: of all steps in order of urgency, then of the
+// long-running steps that the first pass did not reach, then of the others. The later passes begin
+// with the steps that were considered the longest ago, so that the turn of each step comes however
+// many more urgent ones find no worker.
+func (rd *round) placeSteps() {
+	if slices.ContainsFunc(rd.steps, func(rs rankedStep) bool { return rs.rank.LongRunning }) {
+		rd.startsKept = int(math.Ceil(overtakenShare * float64(rd.startsLeft)))
+	}
+	overtaken := rd.placePass(rd.steps, maxMisses)
+	outOfStarts := rd.startsLeft <= rd.startsKept
+	rd.startsKept = 0
+	longestAgo := func(one, two rankedStep) int { return one.step.turn.at.Compare(two.step.turn.at) }
+	var longRunning, others []rankedStep
+	for _, rs := range overtaken {
+		if rs.rank.LongRunning {
+			longRunning = append(longRunning, rs)
+		} else {
+			others = append(others, rs)
+		}
+	}
+	slices.SortStableFunc(longRunning, longestAgo)
+	rd.placePass(longRunning, maxOvertakenMisses)
+	if !outOfStarts {
+		slices.SortStableFunc(others, longestAgo)
+	}
+	rd.placePass(others, maxOvertakenMisses)
+}
+
+// placePass places tasks of the steps until the pass is over, and returns the steps that it did not
+// finish.
+func (rd *round) placePass(steps []rankedStep, maxMisses int) []rankedStep {
+	rd.misses, rd.maxMisses = 0, maxMisses
+	for ix, rs := range steps {
+		rd.noteTurn(rs.step, "")
+		rd.placeStep(rs.step)
+		if rd.passOver() {
+			return steps[ix:]
+		}
+	}
+	return nil
+}
+
+func (rd *round) passOver() bool {
+	return rd.misses >= rd.maxMisses || rd.startsLeft <= rd.startsKept
+}
+
 // placeStep places as many waiting tasks of a step as there are workers for.
 func (rd *round) placeStep(sp *step) {
 	if sp.spec.Gang {
@@ -198,10 +252,10 @@
 	}
 	pool := rd.dr.pool(sp.occ.job)
 	rd.excludeOtherPools(pool)
-	rd.noteTurn(sp, "")
 	for _, tk := range slices.Clone(sp.waiting) {
-		if rd.misses >= maxMisses || rd.startsLeft <= 0 {
+		if rd.passOver() {
 			rd.noteTurn(sp, rd.endReason())
+			sp.moveToFront(tk)
 			return
 		}
 		if !rd.dr.startable(tk, rd.now) {
@@ -221,35 +275,43 @@
 		if dm.LongRunning {
 			dm.Headroom, dm.PoolSlots = rd.poolHeadroom(pool, &dm)
 		}
-		permitted := rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &dm, rd.cands)
-		ix := placer.Choose(&dm, permitted)
-		if ix < 0 && len(dm.Avoid) > 0 {
-			// Workers to avoid are excluded only while there is an alternative, see
-			// placer.HasAlternative. Other tasks of the step that avoid none may still be placed.
-			rd.misses++
-			rd.noteMiss(tk, &dm, permitted)
-			rd.logWaitingTask(tk, &dm)
-			rd.holdWorker(&dm)
-			continue
+		cands := rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &dm, rd.cands)
+		ix := placer.Choose(&dm, cands)
+		if ix < 0 && dm.LongRunning {
+			ix = rd.chooseAny(tk, &dm)
 		}
 		if ix < 0 {
+			// Where only workers fit that the task avoids, other tasks may still be placed.
+			final := len(dm.Avoid) == 0 || !anyFeasible(&dm, cands)
 			// A limit per worker and permits are specific to the step, so that a failure may not
 			// apply to the rest of the class.
-			rd.noteMiss(tk, &dm, permitted)
-			if dm.MaxPerWorker == 0 && sp.permits == nil {
+			rd.noteMiss(tk, &dm, cands)
+			if final && dm.MaxPerWorker == 0 && sp.permits == nil {
 				rd.unplaceable[key] = append(rd.unplaceable[key], dm.Needs)
 				rd.missed[key] = sp.turn
 			}
 			rd.misses++
 			rd.logWaitingTask(tk, &dm)
 			rd.holdWorker(&dm)
-			return
+			if final {
+				return
+			}
+			continue
 		}
 		rd.misses = 0
 		rd.placeTask(tk, ix)
 	}
 }
 
+func anyFeasible(dm *placer.Demand, cands []placer.Candidate) bool {
+	for ix := range cands {
+		if placer.Feasible(dm, &cands[ix]) {
+			return true
+		}
+	}
+	return false
+}
+
 // excludeOtherPools excludes the workers of other pools. All pools share one list of candidates, so
 // that indices stay valid.
 func (rd *round) excludeOtherPools(pool modeler.PoolName) {
@@ -300,7 +362,7 @@
 // have ended, and of these the one with the most free processors. Long-running tasks do not end, so
 // what they use does not count.
 func (rd *round) holdWorker(dm *placer.Demand) {
-	if len(rd.heldWorkers) >= maxHeldWorkers || dm.BestEffort || dm.LongRunning {
+	if len(rd.held) >= maxHeldWorkers || dm.BestEffort || dm.LongRunning {
 		return
 	}
 	best := -1
@@ -314,11 +376,35 @@
 		}
 	}
 	if best >= 0 {
-		rd.heldWorkers = append(rd.heldWorkers, best)
+		rd.held = append(rd.held, best)
 		rd.cands[best].Free = modeler.Resources{}
 	}
 }
 
+// chooseAny returns the index of a worker for a long-running task that fits only where others are
+// preferred, or -1. It may use workers that are kept free: the demand for which one is held may never
+// fit, and would keep it from the task in every round. It may use those that the task avoids: the limit
+// of failed runs, for which they are avoided, does not apply to it.
+func (rd *round) chooseAny(tk *task, dm *placer.Demand) int {
+	changed := len(rd.held) > 0
+	if len(dm.Avoid) > 0 && rd.now.Sub(tk.lastActive) > maxAvoidTime {
+		dm.Avoid, changed = nil, true
+	}
+	if !changed {
+		return -1
+	}
+	for _, ix := range rd.held {
+		rd.cands[ix].Free = rd.workers[ix].free
+	}
+	chosen := placer.Choose(dm, rd.excludeUnpermitted(tk.step, rd.dr.queue(tk.step.occ.job), dm, rd.cands))
+	for _, ix := range rd.held {
+		if ix != chosen {
+			rd.cands[ix].Free = modeler.Resources{}
+		}
+	}
+	return chosen
+}
+
 // placeTask reserves resources for a task on the worker with the index, and queues its start. That
 // of a long-running task is queued by recordPlacements.
 func (rd *round) placeTask(tk *task, ix int) {
@@ -358,9 +444,11 @@
 	rd.excludeOtherPools(rd.dr.pool(sp.occ.job))
 	for _, rack := range rd.gangRacks(sp) {
 		if chosen := rd.fitGang(sp, rack); chosen != nil {
+			rd.misses = 0
 			rd.startGang(sp, chosen)
 			return
 		}
+		rd.misses++
 	}
 	rd.noteTurn(sp, noWorkerFits)
 }
@@ -385,11 +473,16 @@
 func (rd *round) fitGang(sp *step, rack string) []int {
 	rd.countSameStep(sp)
 	first := rd.dr.demand(sp.waiting[0])
+	if first.LongRunning {
+		first.Headroom, first.PoolSlots = rd.poolHeadroom(rd.dr.pool(sp.occ.job), &first)
+	}
 	cands := slices.Clone(rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &first, rd.cands))
 	var chosen []int
 	for _, tk := range sp.waiting {
 		dm := rd.dr.demand(tk)
 		dm.Rack = rack
+		placedCount := int64(len(chosen))
+		dm.Headroom, dm.PoolSlots = first.Headroom-placedCount*dm.Needs.MilliCores, first.PoolSlots-placedCount
 		ix := placer.Choose(&dm, cands)
 		if ix < 0 {
 			return nil
@@ -441,7 +534,7 @@
 		return false
 	}
 	wk := dr.workers[tk.placedOn]
-	return tk.placedOn == "" || wk == nil || !wk.unaccounted || time.Since(dr.termStart) > dr.op.InheritedLease
+	return tk.placedOn == "" || wk == nil || !wk.unaccounted || dr.leaseExpired(wk, time.Now())
 }
 
 // demand returns what a task demands of a worker. Rack, Headroom and PoolSlots are left to
@@ -484,10 +577,13 @@
 		}
 		dr.op.Meter.Add(meter.WorkerStarts, 1)
 		sctx, cancel := context.WithTimeout(ctx, requestTimeout)
-		_, err := dr.op.WorkerClient.Start(sctx, &info, req)
+		clock, err := dr.op.WorkerClient.Start(sctx, &info, req)
 		cancel()
 		dr.mu.Lock()
 		now := time.Now()
+		if err == nil {
+			wk.checkClock(clock, at.sentAt, now)
+		}
 		dr.updateStartWindow(at, err, now)
 		dr.handleStartResult(at, req, err, now)
 		wake := err != nil || dr.windowFull
--- a/internal/job/director/waiting.go
+++ b/internal/job/director/waiting.go
@@ -197,9 +197,9 @@
 	switch {
 	case len(rd.workers) == 0:
 		return noWorkerOpen
-	case rd.misses >= maxMisses:
+	case rd.misses >= rd.maxMisses:
 		return roundEndedByMisses
-	case rd.startsLeft <= 0:
+	case rd.startsLeft <= rd.startsKept:
 		return roundEndedByWindow
 	}
 	return notPlacedYet
@@ -252,7 +252,7 @@
 
 // fitsHeldWorker reports whether a demand would fit on a worker that the round keeps free.
 func (rd *round) fitsHeldWorker(dm *placer.Demand, cands []placer.Candidate) bool {
-	return slices.ContainsFunc(rd.heldWorkers, func(ix int) bool {
+	return slices.ContainsFunc(rd.held, func(ix int) bool {
 		cd := cands[ix]
 		cd.Free = rd.workers[ix].free
 		return placer.Feasible(dm, &cd)
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -19,6 +19,8 @@
 const (
 	// maxClockDrift is the share by which a worker's clock may be slow.
 	maxClockDrift = 0.02
+	// clockMargin is how far a worker's clock may be behind minClock without a restart.
+	clockMargin = 100 * time.Millisecond
 	// leaseMargin is added to the end of a lease for the time that the worker takes to end its
 	// runs.
 	leaseMargin = 150 * time.Millisecond
@@ -43,6 +45,8 @@
 	unrecordedEndsPause = 250 * time.Millisecond
 	// renewRetryPause is the pause after a renewal without an answer.
 	renewRetryPause = 100 * time.Millisecond
+	// loadingRenewInterval is the time between two renewals until the stored jobs are loaded.
+	loadingRenewInterval = time.Second
 	// maxStartDelayAfterRestart is how long after it was sent an unanswered start may still reach a
 	// worker that has restarted since. The clock of the new incarnation does not refuse it, so that
 	// maxStartAge does not apply.
@@ -60,9 +64,12 @@
 	// grantSubmitted is set once the fact that the worker may hold a lease was given to the journal.
 	// grantDurable is set once that fact is durable.
 	grantDurable, grantSubmitted bool
-	// answered is set once the worker has answered in this term. From then on it refuses requests
-	// of earlier leaders.
+	// answered is set once the present incarnation of the worker has answered in this term. From then
+	// on it refuses requests of earlier leaders, and its lease is renewed.
 	answered bool
+	// reported is set once a report of that incarnation has been processed, which needs the stored
+	// jobs.
+	reported bool
 	// unaccounted is set while the worker is counted in Director.unaccountedWorkers.
 	unaccounted bool
 	// renewing is set while renewLoop runs for the worker.
@@ -74,7 +81,12 @@
 	incarnation int64
 	clock       time.Duration
 	clockAt     time.Time
-	// leaseEnd is the latest end of a lease that the worker may have received, on its clock.
+	// announcedAt is when the registry or the worker's clock announced another incarnation, zero once
+	// the worker has answered a later renewal. Until then, it gets neither starts nor a longer lease,
+	// and no ends are acknowledged.
+	announcedAt time.Time
+	// leaseEnd is the latest end of a lease that the worker may have received, on its clock, zero
+	// before the first answer.
 	leaseEnd time.Duration
 	// processedEnd is the number of the last end that was processed, ackedEnd that of the last one
 	// that is durable.
@@ -83,6 +95,10 @@
 	// unrecordedJobs the jobs that end with them.
 	unrecordedFacts []keeper.Fact
 	unrecordedJobs  []*job
+	// deferredRuns holds the runs of the last report, and deferredEnds the ends in the order of their
+	// numbers, whose jobs are being read. These ends and later ones are not acknowledged.
+	deferredRuns []modeler.ActiveRun
+	deferredEnds []modeler.EndedRun
 	// recording is closed once the batch of facts that is being recorded is durable. It is nil when
 	// there is no such batch.
 	recording chan struct{}
@@ -131,6 +147,14 @@
 	return wk.clock + time.Duration(float64(at.Sub(wk.clockAt))*(1-maxClockDrift))
 }
 
+// checkClock notes a restart if the worker's clock, as the answer to a start shows it, is behind: the
+// numbers of its ends have begun anew, and an acknowledgement would drop ends that were not seen.
+func (wk *worker) checkClock(clock time.Duration, sentAt, now time.Time) {
+	if clock > 0 && clock < wk.minClock(sentAt)-clockMargin {
+		wk.announcedAt = now
+	}
+}
+
 // SetWorkers replaces the list of registered workers. A worker with runs that is no longer listed
 // stays known until its lease has expired.
 func (dr *Director) SetWorkers(list []modeler.Worker) {
@@ -188,10 +212,10 @@
 		dr.log(logger.WorkerDraining, "Worker", info.ID, "Remaining", info.MinRemaining.String(), "Runs", len(wk.attempts))
 	}
 	wk.free = wk.free.Plus(info.Capacity).Minus(wk.info.Capacity)
-	wk.info, wk.registered = *info, true
-	if info.Incarnation > wk.incarnation && wk.incarnation != 0 {
-		dr.workerRestarted(wk, info.Incarnation, time.Now())
+	if wk.incarnation != 0 && info.Incarnation != wk.incarnation && info.Incarnation != wk.info.Incarnation {
+		wk.announcedAt = time.Now()
 	}
+	wk.info, wk.registered = *info, true
 	dr.startRenewing(wk)
 }
 
@@ -217,20 +241,24 @@
 		}
 		sentAt := time.Now()
 		rep, err := dr.sendRenewal(ctx, &info, req)
+		answeredAt := time.Now()
 		if err != nil {
 			dr.renewalFailed(wk, err)
 			pauser.Sleep(ctx, renewRetryPause)
 			continue
 		}
-		if err := dr.loadUnknownJobs(ctx, wk, &rep); err != nil {
-			dr.reportNotHandled(wk, err)
-			pauser.Sleep(ctx, renewRetryPause)
+		if !dr.noteAnswer(wk, sentAt, answeredAt, &rep) {
+			dr.renewalFailed(wk, errNoIncarnation)
+			pauser.Sleep(ctx, unrecordedEndsPause)
 			continue
 		}
+		dr.enterPhase(wk, awaitingLoad)
 		select {
 		case <-ctx.Done():
 			return
 		case <-dr.loaded:
+		case <-time.After(loadingRenewInterval):
+			continue
 		}
 		durable := dr.handleReport(wk, sentAt, &rep)
 		dr.wakeDispatch()
@@ -247,34 +275,49 @@
 // never answers gets none, so that the next leader need not wait for it. ensureGrant returns false
 // when the worker is removed or the term is over, which ends the loop.
 func (dr *Director) ensureGrant(ctx context.Context, wk *worker) bool {
+	for ctx.Err() == nil {
+		dr.mu.Lock()
+		removed := !wk.registered && !wk.unaccounted && len(wk.attempts) == 0 && dr.idle(wk, time.Now())
+		granted, needed, info := wk.grantDurable, wk.answered && !removed, wk.info
+		wk.grantSubmitted = needed
+		if removed {
+			// If it is registered again before the release is durable, it gets no lease and no start
+			// until it has been granted one again.
+			wk.grantDurable, wk.answered, wk.reported = false, false, false
+		}
+		dr.mu.Unlock()
+		switch {
+		case removed:
+			if granted {
+				dr.record(ctx, []keeper.Fact{{LeaseReleased: info.ID}}, func() {})
+			}
+			if dr.dropWorker(wk) {
+				return false
+			}
+		case granted || !needed:
+			return true
+		default:
+			dr.enterPhase(wk, recordingGrant)
+			dr.record(ctx, []keeper.Fact{{LeaseGranted: &info}}, func() {
+				dr.mu.Lock()
+				wk.grantDurable = true
+				dr.mu.Unlock()
+				dr.wakeDispatch()
+			})
+		}
+	}
+	return false
+}
+
+// dropWorker removes a worker whose lease was released, unless it has been registered again.
+func (dr *Director) dropWorker(wk *worker) bool {
 	dr.mu.Lock()
-	removed := !wk.registered && !wk.unaccounted && len(wk.attempts) == 0 && dr.idle(wk, time.Now())
-	granted := wk.grantDurable
-	needed := wk.answered && !removed
-	wk.grantSubmitted = needed
-	info := wk.info
-	if removed {
+	defer dr.mu.Unlock()
+	if !wk.registered {
 		delete(dr.workers, wk.info.ID)
 		dr.dropUnexpectedCancelledRuns(wk, time.Now())
 	}
-	dr.mu.Unlock()
-	switch {
-	case removed && granted:
-		dr.record(ctx, []keeper.Fact{{LeaseReleased: info.ID}}, func() {})
-		return false
-	case removed:
-		return false
-	case granted || !needed:
-		return true
-	}
-	dr.enterPhase(wk, recordingGrant)
-	dr.record(ctx, []keeper.Fact{{LeaseGranted: &info}}, func() {
-		dr.mu.Lock()
-		wk.grantDurable = true
-		dr.mu.Unlock()
-		dr.wakeDispatch()
-	})
-	return ctx.Err() == nil
+	return !wk.registered
 }
 
 // idle reports whether nothing can run on a worker without attempts: either its last report listed
@@ -288,7 +331,7 @@
 			return false
 		}
 	}
-	return wk.answered && len(wk.unexpectedStops) == 0
+	return wk.reported && len(wk.unexpectedStops) == 0 && len(wk.deferredRuns) == 0 && len(wk.deferredEnds) == 0
 }
 
 // nextRenewal returns the next renewal, or false while this host may not send requests.
@@ -300,9 +343,12 @@
 		return nil, wk.info, false
 	}
 	wk.renewal.phase = awaitingReport
-	req := &modeler.RenewRequest{Epoch: dr.op.Epoch, AckedEnd: wk.ackedEnd, MaxWait: maxIdleWait}
+	req := &modeler.RenewRequest{Epoch: dr.op.Epoch, MaxWait: maxIdleWait}
+	if wk.announcedAt.IsZero() {
+		req.AckedEnd = wk.ackedEnd
+	}
 	switch {
-	case !wk.answered || wk.unreachable || wk.recording != nil:
+	case !wk.reported || wk.unreachable || wk.recording != nil || !wk.announcedAt.IsZero():
 		req.MaxWait = 0
 	case wk.criticalTasks > 0 && wk.bestEffortTasks > 0:
 		req.MaxWait = maxPacedWait
@@ -311,7 +357,7 @@
 	}
 	// The lease of an unreachable worker is not extended, or it would never be known to have
 	// expired.
-	if wk.answered && wk.grantDurable && !wk.unreachable {
+	if wk.answered && wk.grantDurable && !wk.unreachable && wk.announcedAt.IsZero() {
 		req.Deadline = wk.minClock(time.Now()) + dr.op.Limits.Lease
 		wk.leaseEnd = max(wk.leaseEnd, req.Deadline)
 		wk.renewal.extendedAt = time.Now()
@@ -336,69 +382,14 @@
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	now := time.Now()
-	dr.releaseReport(wk)
 	if dr.ctx.Err() == nil && !wk.unreachable {
 		dr.log(logger.WorkerUnreachable, "Worker", wk.info.ID, "Runs", len(wk.attempts), "LeaseLeft", dr.leaseOver(wk, now).Sub(now).String(), "Error", err.Error())
 	}
 	dr.markUnreachable(wk, now)
 }
 
-// loadUnknownJobs loads the jobs of reported runs that this term does not know: an earlier leader
-// may have started them just before its term ended.
-func (dr *Director) loadUnknownJobs(ctx context.Context, wk *worker, rep *modeler.Report) error {
-	dr.enterPhase(wk, awaitingLoad)
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-dr.loaded:
-	}
-	ids := dr.unknownJobs(rep)
-	if len(ids) > 0 {
-		dr.holdReport(wk)
-	}
-	for _, id := range ids {
-		stored, err := dr.op.JobStore.Load(ctx, id)
-		if isNotFound(err) {
-			continue
-		}
-		if err != nil {
-			return err
-		}
-		cancelled, err := dr.op.JobStore.Cancelled(ctx, id)
-		if err != nil {
-			return err
-		}
-		dr.AddJob(stored, true)
-		if cancelled {
-			dr.CancelJob(id, FromReport)
-		}
-	}
-	dr.mu.Lock()
-	defer dr.mu.Unlock()
-	dr.releaseReport(wk)
-	return nil
-}
-
-// unknownJobs returns the jobs of reported runs that this term does not know.
-func (dr *Director) unknownJobs(rep *modeler.Report) []modeler.JobID {
-	dr.mu.Lock()
-	defer dr.mu.Unlock()
-	var ids []modeler.JobID
-	add := func(id modeler.JobID) {
-		if dr.jobs[id] == nil && !slices.Contains(ids, id) {
-			ids = append(ids, id)
-		}
-	}
-	for ix := range rep.Running {
-		add(rep.Running[ix].Task.Job)
-	}
-	for ix := range rep.Ended {
-		add(rep.Ended[ix].Task.Job)
-	}
-	return ids
-}
-
-// workerRestarted handles a new incarnation of a worker: runs of the earlier one have ended.
+// workerRestarted handles the first report of a new incarnation of a worker: runs of the earlier one
+// have ended.
 func (dr *Director) workerRestarted(wk *worker, incarnation int64, now time.Time) {
 	if wk.incarnation != 0 {
 		dr.log(logger.WorkerRestarted, "Worker", wk.info.ID, "Runs", len(wk.attempts))
@@ -408,11 +399,12 @@
 	wk.faultHistory = appraiser.FaultHistory{}
 	clear(wk.unexpectedStops)
 	dr.dropUnexpectedCancelledRuns(wk, now)
+	wk.deferredRuns, wk.deferredEnds = nil, nil
+	dr.noteHeldRows(wk, now)
 	if first {
 		return
 	}
-	// The clock of the new incarnation is unknown until it answers.
-	wk.answered = false
+	wk.answered, wk.reported = false, false
 	for key, since := range wk.unansweredStarts {
 		if wk.attempts[key] == nil && now.Sub(since) < maxStartDelayAfterRestart {
 			dr.stopUnexpected(wk, key.task, key.run, now)
--- a/internal/job/leader/cluster_test.go
+++ b/internal/job/leader/cluster_test.go
@@ -433,6 +433,14 @@
 	return ens, rev, err
 }
 
+func (hs *hostStore) Page(ctx context.Context, prefix, after string) (page storer.Page, err error) {
+	err = hs.read(ctx, func() (err error) {
+		page, err = hs.pr.ho.cl.store.Page(ctx, prefix, after)
+		return err
+	})
+	return page, err
+}
+
 func (hs *hostStore) Wait(ctx context.Context, prefix string, after int64) (ens []storer.Entry, rev int64, err error) {
 	err = hs.read(ctx, func() (err error) {
 		ens, rev, err = hs.pr.ho.cl.store.Wait(ctx, prefix, after)
--- a/internal/provider/emulator/jobworkers.go
+++ b/internal/provider/emulator/jobworkers.go
@@ -17,7 +17,7 @@
 	RunTime time.Duration
 	// Fails makes the run fail after RunTime.
 	Fails bool
-	// LongRunning makes the run continue until it is stopped.
+	// LongRunning makes the run continue until it is stopped, unless it fails.
 	LongRunning bool
 	// Checkpoints makes a stopped run report a checkpoint that the next run resumes from.
 	Checkpoints bool
@@ -128,6 +128,15 @@
 	return info
 }
 
+// SetIncarnation sets the incarnation that a worker reports, and returns the worker.
+func (jw *JobWorkers) SetIncarnation(id modeler.WorkerID, incarnation int64) modeler.Worker {
+	jw.mu.Lock()
+	defer jw.mu.Unlock()
+	wk := jw.workers[id]
+	wk.incarnation, wk.info.Incarnation = incarnation, incarnation
+	return wk.info
+}
+
 // dropRuns removes all runs of a worker without reporting their ends, as a crash does.
 func (jw *JobWorkers) dropRuns(wk *jobWorker) {
 	for _, rn := range wk.running {
@@ -189,6 +198,33 @@
 	return ""
 }
 
+// WorkerState is what a worker holds, for checks of the scheduler's guarantees.
+type WorkerState struct {
+	ID modeler.WorkerID
+	// Free is the capacity less the reservations of its runs.
+	Free modeler.Resources
+	// Tasks are the tasks that run there.
+	Tasks []modeler.TaskID
+}
+
+// States returns the state of all workers that can be reached.
+func (jw *JobWorkers) States() []WorkerState {
+	jw.mu.Lock()
+	defer jw.mu.Unlock()
+	var list []WorkerState
+	for id, wk := range jw.workers {
+		if wk.unreachable || wk.crashed {
+			continue
+		}
+		ws := WorkerState{ID: id, Free: jw.freeCapacity(wk)}
+		for key := range wk.running {
+			ws.Tasks = append(ws.Tasks, key.task)
+		}
+		list = append(list, ws)
+	}
+	return list
+}
+
 func (wk *jobWorker) notifyChange() {
 	close(wk.changed)
 	wk.changed = make(chan struct{})
@@ -334,7 +370,7 @@
 		rn.timer.Stop()
 	}
 	speed := rn.speed(wk)
-	if rn.behaviour.LongRunning || speed <= 0 {
+	if rn.behaviour.LongRunning && !rn.behaviour.Fails || speed <= 0 {
 		return
 	}
 	left := time.Duration(float64(rn.behaviour.RunTime-rn.workBefore) / speed)
--- a/internal/telemetry/logger/catalogue_job.go
+++ b/internal/telemetry/logger/catalogue_job.go
@@ -10,6 +10,7 @@
 	JobCancelled       = Event{605, "job cancelled", "The leader stops all runs of the job.", SeverityInfo}
 	JobEnded           = Event{606, "job ended", "The end of the job is durable and is reported to callers.", SeverityInfo}
 	JobDamaged         = Event{607, "stored job malformed", "A document under Jobs/ was not written by this software. It is skipped. Inspect the key.", SeverityError}
+	JobNotRead         = Event{609, "job of a reported run not read", "A worker reports a run of a job that the leader does not know, and the store does not return the job. The read is repeated. Until then the run goes on and its end is not acknowledged.", SeverityWarning}
 	JobNotDeleted      = Event{608, "job not deleted", "A job whose retention has ended could not be deleted. The next round retries.", SeverityWarning}
 
 	TaskStarted           = Event{610, "task started", "A worker accepted a run of the task. Waited is the time since the job was due, FreeCores the free capacity that is left on the worker, in thousandths of a core.", SeverityInfo}
@@ -65,13 +66,13 @@
 	CancellationIneffective = Event{672, "cancellation without a job to end", "The leader heard of the cancellation from Source. The job is not known yet, and is cancelled when it is added, or it has ended.", SeverityInfo}
 	CancellationDropped     = Event{673, "cancellation dropped", "Too many cancellations wait for jobs that the leader does not know. Each job that is added within the retention is checked against the store before it starts. Look for what cancels jobs that do not exist.", SeverityWarning}
 	CancelledRunGoesOn      = Event{674, "run goes on after its cancellation", "The worker may still execute a run of a cancelled job, longer than a stop takes. Stops is the number of stop requests with a result, LastAnswer the last one's, ListedAgo the time since the worker last listed the run. Expected is false for a run that this leader did not place or adopt.", SeverityWarning}
-	ReportHeldUp            = Event{675, "worker report held up", "A job of the report is unknown to the leader and the store did not return it. The report is not handled, and the worker's lease is not extended, until it does. With Workers, it is the one of so many that has waited longest. Check the store.", SeverityWarning}
+	ReportHeldUp            = Event{675, "rows of worker reports wait", "Runs or ends of jobs that the leader does not know wait until these jobs have been read from the store. The rest of the reports counts, and the leases are renewed. Worker is the one of so many Workers that has waited longest. Check the store.", SeverityWarning}
 	RenewalsLate            = Event{676, "lease renewals held up", "The leases of so many workers were not extended for longer than half a lease although the workers answer. Phase says what the leader waits for, Worker is the one that waits longest, LeaseLeft the rest of its lease. Logged once a second for each phase.", SeverityWarning}
 	LeaderNotNotified       = Event{677, "leader not notified of a cancellation", "The cancellation is stored. The leader hears of it from its watch of the store.", SeverityInfo}
 )
 
 var jobEvents = []Event{
-	JobAccepted, JobRefused, JobResultUnknown, CancellationStored, JobTakenOver, JobCancelled, JobEnded, JobDamaged, JobNotDeleted,
+	JobAccepted, JobRefused, JobResultUnknown, CancellationStored, JobTakenOver, JobCancelled, JobEnded, JobDamaged, JobNotRead, JobNotDeleted,
 	TaskStarted, StartRejected, TaskFailed, RunEnded, RunLost, UnexpectedRunStopped, RunSlow, SpeculativeRunAllowed, StopSent, StopUnanswered,
 	WorkerPaced, PaceUnanswered, WorkerDraining, WorkerUnregistered, WorkerUnreachable, WorkerReachable, WorkerRestarted, WorkerQuarantineBegun,
 	WorkerEntryInvalid, PermitsGranted, PermitsNotGranted,
