Keep to an eighth the starts that long-running tasks get before more urgent ones

The share of a round's starts that the first pass leaves to long-running tasks was rounded up. While the window of starts is full, a round has one start, and all starts went to long-running tasks. The share is now counted over the rounds.

A step that a pass does not reach for lack of starts no longer counts as considered. A long-running task that avoids the only worker that is held and fits no longer makes other tasks of its class pass over that worker.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -183,6 +183,9 @@
 	startWindow    *throttler.Window
 	startsInFlight int
 	windowFull     bool
+	// keptStarts is the number of starts that long-running tasks may use before more urgent ones, see
+	// overtakenShare.
+	keptStarts float64
 	// contention is the competition of best-effort images for the workers.
 	contention      contention
 	summaryLoggedAt time.Time
--- a/internal/job/director/round_test.go
+++ b/internal/job/director/round_test.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -15,10 +16,14 @@
 // newBacklog returns a director with workers that have no free capacity and waiting jobs of one step
 // each.
 func newBacklog(workers, jobs int, step func(ix int) modeler.Step) *Director {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	cancel(nil)
 	dr := New(Options{
 		Epoch: 1, Configuration: func() *modeler.Configuration { return nil }, MaySendRequests: func() bool { return true },
 		Log: logr.Discard(), Meter: meter.New(nil),
 	})
+	// No goroutine starts in a term that is over.
+	dr.ctx = ctx
 	for ix := range workers {
 		info := modeler.Worker{ID: modeler.WorkerID(fmt.Sprint("w", ix)), Pool: "pool", Capacity: modeler.Resources{MilliCores: 16000, MemoryMB: 64000}}
 		dr.setWorker(&info)
@@ -27,6 +32,9 @@
 	}
 	for ix := range jobs {
 		jb := dr.addJob(&modeler.Job{ID: modeler.JobID(fmt.Sprint("j", ix)), Pool: "pool", Steps: []modeler.Step{step(ix)}}, true)
+		if jb.Steps[0].LongRunning {
+			jb.Priority = 1
+		}
 		for _, tk := range jb.occurrences[0].steps[0].tasks {
 			tk.mayHaveUnknownRun = false
 		}
@@ -65,3 +73,34 @@
 		})
 	}
 }
+
+// Guards against long-running tasks that get no starts, or most of them, while short tasks wait for
+// the window of starts.
+func TestShareOfStarts(t *testing.T) {
+	for name, free := range map[string]int{"one start a round": 1, "eight starts a round": 8} {
+		t.Run(name, func(t *testing.T) {
+			dr := newBacklog(100, 1000, func(ix int) modeler.Step {
+				return modeler.Step{Count: 1, Needs: modeler.Resources{MilliCores: 10}, LongRunning: ix%2 == 0}
+			})
+			for _, wk := range dr.workers {
+				wk.free = wk.info.Capacity
+			}
+			for range 80 / free {
+				dr.startsInFlight = dr.startWindow.Available(0) - free
+				dr.dispatch(time.Now())
+			}
+			short, longRunning := 0, 0
+			for _, wk := range dr.workers {
+				for _, at := range wk.attempts {
+					if at.task.step.spec.LongRunning {
+						longRunning++
+					} else {
+						short++
+					}
+				}
+			}
+			qt.Check(t, short+longRunning, qt.Equals, 80)
+			qt.Check(t, longRunning >= 8 && longRunning <= 11, qt.IsTrue, qt.Commentf("%d long-running of 80", longRunning))
+		})
+	}
+}
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -49,9 +48,11 @@
 	maxMisses = 150
 	// maxOvertakenMisses is that number for each later pass of a round, see placeSteps.
 	maxOvertakenMisses = 50
-	// overtakenShare is the share of a round's starts that is kept for long-running tasks while more
-	// urgent ones use up the rest.
+	// overtakenShare is the ratio of the starts that are kept for long-running tasks to those of more
+	// urgent ones that overtake them.
 	overtakenShare = 1.0 / 8
+	// maxKeptStarts bounds the starts that are kept.
+	maxKeptStarts = 8
 	// waitLogInterval is the least time between two log lines on why a task waits.
 	waitLogInterval = time.Second
 	// maxAvoidTime is the time after its last run in which a long-running task waits for another worker
@@ -191,11 +192,13 @@
 // with the steps that were considered the longest ago, so that the turn of each step comes however
 // many more urgent ones find no worker.
 func (rd *round) placeSteps() {
+	available := rd.startsLeft
 	if slices.ContainsFunc(rd.steps, func(rs rankedStep) bool { return rs.rank.LongRunning }) {
-		rd.startsKept = int(math.Ceil(overtakenShare * float64(rd.startsLeft)))
+		rd.startsKept = min(int(rd.dr.keptStarts), available)
 	}
 	overtaken := rd.placePass(rd.steps, maxMisses)
 	outOfStarts := rd.startsLeft <= rd.startsKept
+	rd.dr.keptStarts = min(rd.dr.keptStarts+overtakenShare*float64(available-rd.startsLeft), maxKeptStarts)
 	rd.startsKept = 0
 	longestAgo := func(one, two rankedStep) int { return one.step.consideredAt.Compare(two.step.consideredAt) }
 	var longRunning, others []rankedStep
@@ -207,10 +210,12 @@
 		}
 	}
 	slices.SortStableFunc(longRunning, longestAgo)
-	rd.placePass(longRunning, maxOvertakenMisses)
 	if !outOfStarts {
 		slices.SortStableFunc(others, longestAgo)
 	}
+	before := rd.startsLeft
+	rd.placePass(longRunning, maxOvertakenMisses)
+	rd.dr.keptStarts = max(0, rd.dr.keptStarts-float64(before-rd.startsLeft))
 	rd.placePass(others, maxOvertakenMisses)
 }
 
@@ -219,9 +224,13 @@
 func (rd *round) placePass(steps []rankedStep, maxMisses int) []rankedStep {
 	rd.misses, rd.maxMisses = 0, maxMisses
 	for ix, rs := range steps {
+		if rd.passOver() {
+			return steps[ix:]
+		}
 		rs.step.consideredAt = rd.now
 		rd.placeStep(rs.step)
 		if rd.passOver() {
+			// The step may have further tasks.
 			return steps[ix:]
 		}
 	}
@@ -261,25 +270,20 @@
 		if dm.LongRunning {
 			dm.Headroom, dm.PoolSlots = rd.poolHeadroom(pool, &dm)
 		}
-		cands := rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &dm, rd.cands)
-		ix := placer.Choose(&dm, cands)
-		if ix < 0 && dm.LongRunning {
-			ix = rd.chooseAny(tk, &dm)
-		}
+		ix, fitsAvoided := rd.choose(tk, &dm)
 		if ix < 0 {
-			// Where only workers fit that the task avoids, other tasks may still be placed.
-			final := len(dm.Avoid) == 0 || !anyFeasible(&dm, cands)
 			// A limit per worker and permits are specific to the step, so that a failure may not
 			// apply to the rest of the class.
-			if final && dm.MaxPerWorker == 0 && sp.permits == nil {
+			if !fitsAvoided && dm.MaxPerWorker == 0 && sp.permits == nil {
 				rd.unplaceable[key] = append(rd.unplaceable[key], dm.Needs)
 			}
 			rd.misses++
 			rd.logWaitingTask(tk, &dm)
 			rd.holdWorker(&dm)
-			if final {
+			if !fitsAvoided {
 				return
 			}
+			// Another task of the step may be placed on the worker that this one avoids.
 			continue
 		}
 		rd.misses = 0
@@ -287,6 +291,26 @@
 	}
 }
 
+// choose returns the index of a worker for a task, or -1 and whether a worker fits that the task avoids.
+// A long-running task that finds no worker may use those that are kept free: the demand for which one
+// is held may never fit, and would keep it from the task in every round. It may use those that it
+// avoids, as the limit of failed runs, for which they are avoided, does not apply to it.
+func (rd *round) choose(tk *task, dm *placer.Demand) (int, bool) {
+	cands := rd.excludeUnpermitted(tk.step, rd.dr.queue(tk.step.occ.job), dm, rd.cands)
+	ix := placer.Choose(dm, cands)
+	mayReturn := dm.LongRunning && len(dm.Avoid) > 0 && rd.now.Sub(tk.lastActive) > maxAvoidTime
+	if ix < 0 && dm.LongRunning && (len(rd.held) > 0 || mayReturn) {
+		rd.freeHeld()
+		defer rd.holdAgain()
+		if mayReturn {
+			dm.Avoid = nil
+		}
+		cands = rd.excludeUnpermitted(tk.step, rd.dr.queue(tk.step.occ.job), dm, rd.cands)
+		ix = placer.Choose(dm, cands)
+	}
+	return ix, ix < 0 && len(dm.Avoid) > 0 && anyFeasible(dm, cands)
+}
+
 func anyFeasible(dm *placer.Demand, cands []placer.Candidate) bool {
 	for ix := range cands {
 		if placer.Feasible(dm, &cands[ix]) {
@@ -296,6 +320,18 @@
 	return false
 }
 
+func (rd *round) freeHeld() {
+	for _, ix := range rd.held {
+		rd.cands[ix].Free = rd.workers[ix].free
+	}
+}
+
+func (rd *round) holdAgain() {
+	for _, ix := range rd.held {
+		rd.cands[ix].Free = modeler.Resources{}
+	}
+}
+
 // excludeOtherPools excludes the workers of other pools. All pools share one list of candidates, so
 // that indices stay valid.
 func (rd *round) excludeOtherPools(pool modeler.PoolName) {
@@ -365,30 +401,6 @@
 	}
 }
 
-// chooseAny returns the index of a worker for a long-running task that fits only where others are
-// preferred, or -1. It may use workers that are kept free: the demand for which one is held may never
-// fit, and would keep it from the task in every round. It may use those that the task avoids: the limit
-// of failed runs, for which they are avoided, does not apply to it.
-func (rd *round) chooseAny(tk *task, dm *placer.Demand) int {
-	changed := len(rd.held) > 0
-	if len(dm.Avoid) > 0 && rd.now.Sub(tk.lastActive) > maxAvoidTime {
-		dm.Avoid, changed = nil, true
-	}
-	if !changed {
-		return -1
-	}
-	for _, ix := range rd.held {
-		rd.cands[ix].Free = rd.workers[ix].free
-	}
-	chosen := placer.Choose(dm, rd.excludeUnpermitted(tk.step, rd.dr.queue(tk.step.occ.job), dm, rd.cands))
-	for _, ix := range rd.held {
-		if ix != chosen {
-			rd.cands[ix].Free = modeler.Resources{}
-		}
-	}
-	return chosen
-}
-
 // placeTask reserves resources for a task on the worker with the index, and queues its start. That
 // of a long-running task is queued by recordPlacements.
 func (rd *round) placeTask(tk *task, ix int) {
