Keep unanswered starts over a second restart of a worker

A task ran twice after a worker had restarted twice in ten seconds. A start without an answer may reach any later incarnation of its worker for 15 s, so the run is stopped at a new incarnation. The director forgot these starts with the first restart; at the second one it sent no stop, and the task had been started elsewhere by then.

They are now kept until the 15 s are over.

The evidence: "the worker restarts twice" of TestStopAnsweredByEarlierIncarnation, in which the third incarnation accepted the late start.

--- a/internal/job/director/cancellation_test.go
+++ b/internal/job/director/cancellation_test.go
@@ -127,6 +127,18 @@
 			qt.Check(fl.t, ls.deliver(fl.t.Context(), &fl.infos[0]), qt.ErrorIs, modeler.ErrStaleRun)
 		})
 	})
+	t.Run("the worker restarts twice", func(t *testing.T) {
+		run(t, 1, func(fl *fleet, tm *term) {
+			ls := restartAfterLateStart(fl, tm)
+			fl.infos = append(fl.infos, fl.workers.Add(workerInfo(1)))
+			tm.UpdateWorker(fl.infos[1])
+			sleep(3 * time.Second)
+			fl.workers.Crash(fl.infos[0].ID)
+			fl.infos[0] = fl.workers.Add(workerInfo(0))
+			sleep(3 * time.Second)
+			qt.Check(fl.t, ls.deliver(fl.t.Context(), &fl.infos[0]), qt.ErrorIs, modeler.ErrStaleRun)
+		})
+	})
 }
 
 // Guards against starts of a job whose cancellation came while too many others were pending.
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -388,12 +389,13 @@
 	}
 	// The clock of the new incarnation is unknown until it answers.
 	wk.answered = false
-	for key, since := range wk.unansweredStarts {
-		if wk.attempts[key] == nil && now.Sub(since) < maxStartDelayAfterRestart {
+	// Unanswered starts are kept, as the worker may restart again before they are carried out.
+	maps.DeleteFunc(wk.unansweredStarts, func(_ attemptKey, since time.Time) bool { return now.Sub(since) > maxStartDelayAfterRestart })
+	for key := range wk.unansweredStarts {
+		if wk.attempts[key] == nil {
 			dr.stopUnexpected(wk, key.task, key.run, now)
 		}
 	}
-	clear(wk.unansweredStarts)
 	for _, at := range wk.listAttempts() {
 		if at.state == sent || at.state == uncertain {
 			// The unanswered start may still reach the new incarnation, whose clock does not refuse
