internal/job/director: start a task of each job that has no run while half of the pool is free

Cause: best-effort tasks were placed only up to the idle processors of a worker, by their declared needs. After an outage the backlog was worked off job by job, in the order of urgency, and the jobs at its end had no run at all, while the tasks that ran used about half of what they declared.

Change: after its usual placements, a round places one best-effort task of each job that is a second old and has no run, beyond the idle processors of the worker, while at most half of the pool's processors are reserved. The limits that protect latency-critical tasks stay as they are.

--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -30,6 +30,8 @@
 	finalState modeler.State
 	durable    bool
 	endedAt    time.Time
+	// activeRuns is the number of attempts of all tasks.
+	activeRuns int
 	// cancellation is zero until this term has heard of one.
 	cancellation cancellation
 	// occurrences holds the released occurrences: those that are due. It is empty once the tasks
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -88,6 +88,7 @@
 	if len(rd.workers) > 0 {
 		rd.placeSteps()
 	}
+	rd.placeStarved()
 	dr.windowFull, dr.roundEnd = rd.startsLeft <= 0, rd.endReason()
 	dr.recordPlacements(rd.longRunning)
 }
@@ -134,6 +135,8 @@
 	// startsLeft is the number of tasks that may still start in this round, startsKept that of them
 	// which this pass leaves to the next.
 	startsLeft, startsKept int
+	// starvedAttempts is the number of starved tasks that the round tried to place.
+	starvedAttempts int
 	// forecasts holds the predictions for tasks of best-effort and latency-critical images.
 	forecasts map[string]*forecast
 	// unplaceable holds needs for which no worker was found in this round.
--- /dev/null
+++ b/internal/job/director/starvation.go
@@ -0,0 +1,78 @@
+package director
+
+import (
+	"time"
+
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/placer"
+)
+
+const (
+	// starvationTimeout is the age from which a job without a run gets a best-effort task placed
+	// beyond the processors that its worker has idle. Callers are promised a start within 3 s, which
+	// leaves time to repeat a start without an answer.
+	starvationTimeout = time.Second
+	// maxReservedShare is the share of a pool's processors that may be reserved while the promise
+	// holds.
+	maxReservedShare = 0.5
+	// maxStarvedAttempts bounds the starved tasks that a round tries to place, as each try looks at
+	// every worker.
+	maxStarvedAttempts = 24
+)
+
+// starved reports whether a step belongs to a job of starvationTimeout's age that has no run.
+func (sp *step) starved(now time.Time) bool {
+	return sp.spec.BestEffort && !sp.spec.Gang && sp.occ.job.activeRuns == 0 && now.Sub(sp.occ.due) >= starvationTimeout
+}
+
+// placeStarved starts one task of each job without a run, in the order of urgency. Without it, jobs
+// behind a backlog of best-effort work wait although their tasks could share processors.
+func (rd *round) placeStarved() {
+	reserved := map[modeler.PoolName]float64{}
+	for _, rs := range rd.steps {
+		if rd.starvedAttempts >= maxStarvedAttempts || rd.startsLeft <= 0 {
+			return
+		}
+		if !rs.step.starved(rd.now) {
+			continue
+		}
+		pool := rd.dr.pool(rs.step.occ.job)
+		if _, ok := reserved[pool]; !ok {
+			reserved[pool] = rd.reservedShare(pool)
+		}
+		if reserved[pool] <= maxReservedShare {
+			rd.excludeOtherPools(pool)
+			rd.placeOneStarved(rs.step)
+		}
+	}
+}
+
+// placeOneStarved places the first task of a step that may start.
+func (rd *round) placeOneStarved(sp *step) {
+	for _, tk := range sp.waiting {
+		if !rd.dr.startable(tk, rd.now) {
+			continue
+		}
+		rd.starvedAttempts++
+		dm := rd.dr.demand(tk)
+		dm.Starved = true
+		rd.countSameStep(sp)
+		rd.applyForecast(&dm)
+		if ix := placer.Choose(&dm, rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &dm, rd.cands)); ix >= 0 {
+			rd.placeTask(tk, ix)
+		}
+		return
+	}
+}
+
+// reservedShare returns the share of the processors of a pool's workers that is reserved.
+func (rd *round) reservedShare(pool modeler.PoolName) float64 {
+	var free, capacity int64
+	for _, wk := range rd.workers {
+		if wk.info.Pool == pool {
+			free += max(0, wk.free.MilliCores)
+			capacity += wk.info.Capacity.MilliCores
+		}
+	}
+	return 1 - float64(free)/float64(max(capacity, 1))
+}
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -492,6 +492,7 @@
 	wk.attempts[attemptKey{tk.id(), run}] = at
 	wk.free = wk.free.Minus(placer.Reservation(sp.spec.Needs, sp.spec.BestEffort))
 	sp.perWorker[wk.info.ID]++
+	sp.occ.job.activeRuns++
 	wk.countTask(sp.spec, 1)
 	return at
 }
@@ -511,6 +512,7 @@
 		delete(sp.perWorker, wk.info.ID)
 	}
 	wk.countTask(sp.spec, -1)
+	sp.occ.job.activeRuns--
 	if sp.spec.Gang && at.run == sp.gangRun {
 		sp.gangRun = 0
 	}
--- a/internal/job/placer/placer.go
+++ b/internal/job/placer/placer.go
@@ -32,6 +32,9 @@
 	LatencyCritical bool
 	// BestEffort marks a task that uses idle processors and reserves none.
 	BestEffort bool
+	// Starved marks a best-effort task whose job has no run. It may share the processors of a worker
+	// beyond what is idle there.
+	Starved bool
 	// Image names the program of the task.
 	Image string
 	// Avoid lists workers on which the task failed, or from which it was moved because of a lack of
@@ -279,6 +282,9 @@
 	if cd.LatencyCriticalTasks > 0 && (cd.RelativeLoad > maxRelativeLoad || cd.AddedRelativeLoad > maxAddedRelativeLoad || !IsTolerable(cd.Interference) && cd.FutureRelativeLoad > maxFutureRelativeLoad) {
 		return false
 	}
+	if dm.Starved {
+		return true
+	}
 	idle := float64(IdleMilliCores(cd))
 	demanded := float64(cd.BestEffortMilliCores + dm.Needs.MilliCores)
 	return cd.BestEffortTasks == 0 && idle > 0 || demanded <= maxDemandPerIdle*idle
