--- a/internal/telemetry/logger/catalogue_job.go
+++ b/internal/telemetry/logger/catalogue_job.go
@@ -10,8 +10,8 @@
 	JobCancelled       = Event{605, "job cancelled", "The leader stops all runs of the job.", SeverityInfo}
 	JobEnded           = Event{606, "job ended", "The end of the job is durable and is reported to callers.", SeverityInfo}
 	JobDamaged         = Event{607, "stored job malformed", "A document under Jobs/ was not written by this software. It is skipped. Inspect the key.", SeverityError}
-	JobNotRead         = Event{609, "job of a reported run not read", "A worker reports a run of a job that the leader does not know, and the store does not return the job. The read is repeated. Until then the run goes on and its end is not acknowledged.", SeverityWarning}
 	JobNotDeleted      = Event{608, "job not deleted", "A job whose retention has ended could not be deleted. The next round retries.", SeverityWarning}
+	JobNotRead         = Event{609, "job of a reported run not read", "A worker reports a run of a job that the leader does not know, and the store does not return the job. The read is repeated. Until then the run goes on and its end is not acknowledged.", SeverityWarning}
 
 	TaskStarted           = Event{610, "task started", "A worker accepted a run of the task. Waited is the time since the job was due, FreeCores the free capacity that is left on the worker, in thousandths of a core.", SeverityInfo}
 	StartRejected         = Event{611, "start request failed", "The error says whether the worker refused the request or did not answer. A run without an answer is stopped before the task starts on another worker.", SeverityWarning}
@@ -72,7 +72,7 @@
 )
 
 var jobEvents = []Event{
-	JobAccepted, JobRefused, JobResultUnknown, CancellationStored, JobTakenOver, JobCancelled, JobEnded, JobDamaged, JobNotRead, JobNotDeleted,
+	JobAccepted, JobRefused, JobResultUnknown, CancellationStored, JobTakenOver, JobCancelled, JobEnded, JobDamaged, JobNotDeleted, JobNotRead,
 	TaskStarted, StartRejected, TaskFailed, RunEnded, RunLost, UnexpectedRunStopped, RunSlow, SpeculativeRunAllowed, StopSent, StopUnanswered,
 	WorkerPaced, PaceUnanswered, WorkerDraining, WorkerUnregistered, WorkerUnreachable, WorkerReachable, WorkerRestarted, WorkerQuarantineBegun,
 	WorkerEntryInvalid, PermitsGranted, PermitsNotGranted,
