--- a/internal/job/director/odd_input_test.go
+++ b/internal/job/director/odd_input_test.go
@@ -82,16 +82,17 @@
 // Guards against a run number that no leader can have given, after which a task is started with
 // numbers that overflow.
 func TestImpossibleRun(t *testing.T) {
-	odd := modeler.ActiveRun{Task: modeler.TaskID{Job: "a", Step: 1}, Run: modeler.MaxRun}
-	var until time.Time
+	impossible := modeler.ActiveRun{Task: modeler.TaskID{Job: "a", Step: 1}, Run: modeler.MaxRun}
+	var odd atomic.Bool
 	listed := func(_ modeler.WorkerID, rep *modeler.Report) bool {
-		if time.Now().Before(until) {
-			rep.Running = append(rep.Running, odd)
+		if odd.Load() {
+			rep.Running = append(rep.Running, impossible)
 		}
 		return true
 	}
 	runOdd(t, 1, listed, func(_ *fleet, tm *term, oc *oddClient) {
-		until = time.Now().Add(500 * time.Millisecond)
+		odd.Store(true)
+		time.AfterFunc(500*time.Millisecond, func() { odd.Store(false) })
 		jb := simpleJob("a", "batch", 1, cores(1000))
 		jb.Steps = append(jb.Steps, modeler.Step{Count: 1, After: []int{0}}, modeler.Step{Count: 1, After: []int{1}})
 		tm.submit(jb)
@@ -104,10 +105,10 @@
 // Guards against a clock that is far ahead in one report, after which the lease of its worker never
 // counts as expired.
 func TestClockFarAhead(t *testing.T) {
-	var reports int
+	var reports atomic.Int64
 	ahead := func(id modeler.WorkerID, rep *modeler.Report) bool {
 		if id == "worker-00" && len(rep.Running) > 0 {
-			if reports++; reports == 1 {
+			if reports.Add(1) == 1 {
 				rep.Clock += 1000 * time.Hour
 			}
 		}
@@ -117,7 +118,7 @@
 		fl.setBehaviour(modeler.TaskID{Job: "a"}, emulator.TaskBehaviour{RunTime: 10 * time.Second})
 		tm.submit(simpleJob("a", "batch", 1, cores(1000)))
 		sleep(4500 * time.Millisecond)
-		qt.Assert(t, reports > 1, qt.IsTrue)
+		qt.Assert(t, reports.Load() > 1, qt.IsTrue)
 		fl.workers.Crash("worker-00")
 		fl.infos = append(fl.infos, fl.workers.Add(workerInfo(1)))
 		tm.SetWorkers(fl.infos)
@@ -128,9 +129,9 @@
 
 // Guards against a worker whose reports are out of date and that is called again without a pause.
 func TestReportsOutOfDate(t *testing.T) {
-	outdated := false
+	var outdated atomic.Bool
 	old := func(_ modeler.WorkerID, rep *modeler.Report) bool {
-		if outdated {
+		if outdated.Load() {
 			rep.Incarnation = 0
 			rep.Ended = []modeler.EndedRun{{Number: 1, Task: modeler.TaskID{Job: "x"}, Run: 1, Outcome: modeler.Done}}
 		}
@@ -141,12 +142,12 @@
 		// An end that is not acknowledged makes the worker answer at once.
 		tm.submit(simpleJob("a", "batch", 1, cores(1000)))
 		sleep(500 * time.Millisecond)
-		outdated = true
+		outdated.Store(true)
 		sleep(time.Second)
 		before := oc.renewals.Load()
 		sleep(10 * time.Second)
 		qt.Check(t, oc.renewals.Load()-before <= 50, qt.IsTrue, qt.Commentf("%d renewals in 10 s", oc.renewals.Load()-before))
-		outdated = false
+		outdated.Store(false)
 		tm.awaitAll(20 * time.Second)
 		tm.assertState("a", modeler.Completed)
 	})
@@ -155,9 +156,10 @@
 // Guards against ends that do not fit into one append to the journal and are never acknowledged.
 func TestLargeEnds(t *testing.T) {
 	const tasks = 600
-	held := true
+	var held atomic.Bool
+	held.Store(true)
 	largeEnds := func(_ modeler.WorkerID, rep *modeler.Report) bool {
-		if held && len(rep.Ended) < tasks {
+		if held.Load() && len(rep.Ended) < tasks {
 			// The ends are listed as runs until there are enough of them.
 			for _, en := range rep.Ended {
 				rep.Running = append(rep.Running, modeler.ActiveRun{Task: en.Task, Run: en.Run, Progress: 50})
@@ -165,7 +167,7 @@
 			rep.Ended = nil
 			return true
 		}
-		held = false
+		held.Store(false)
 		for ix := range rep.Ended {
 			rep.Ended[ix].Checkpoint = strings.Repeat("c", modeler.MaxCheckpointBytes)
 		}
@@ -174,7 +176,7 @@
 	runOdd(t, 1, largeEnds, func(_ *fleet, tm *term, _ *oddClient) {
 		tm.submit(simpleJob("a", "batch", tasks, modeler.Resources{MilliCores: 10, MemoryMB: 10}))
 		tm.awaitAll(60 * time.Second)
-		qt.Assert(t, held, qt.IsFalse)
+		qt.Assert(t, held.Load(), qt.IsFalse)
 		tm.assertState("a", modeler.Completed)
 	})
 }
