Note starts without an answer of runs that have ended

A task of a cancelled job could run again: its start got no answer and was carried out seconds later, by a new incarnation of its worker, which had no stop for it.

Starts that may be late are stopped at each new incarnation. A start was not noted as one of them if its run had been taken for ended, by a stop and a report, in the half second until the start counted as unanswered. The run is now noted in each case, and stopped at once if the new incarnation has answered before.

TestLateStartOfEndedRun: without the change the new incarnation accepts the start in both cases; with it, it refuses the start as stale.

--- a/internal/job/director/cancellation_test.go
+++ b/internal/job/director/cancellation_test.go
@@ -141,6 +141,39 @@
 	})
 }
 
+// Guards against a late start that a new incarnation accepts, because its run had been taken for ended
+// before the start counted as unanswered.
+func TestLateStartOfEndedRun(t *testing.T) {
+	for name, untilCrash := range map[string]time.Duration{
+		"restart before the start counts as unanswered": 150 * time.Millisecond,
+		"restart after the start counts as unanswered":  650 * time.Millisecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 1, func(fl *fleet, tm *term) {
+				tm.end()
+				ls := &lateStart{JobWorkers: fl.workers}
+				fl.client = ls
+				*tm = *fl.startTerm(0)
+				sleep(5 * time.Second)
+				tm.submit(longJob("j1"))
+				sleep(50 * time.Millisecond)
+				tm.CancelJob("j1")
+				// The worker reports each end of these tasks at once.
+				busy := simpleJob("busy", "batch", 8, cores(1000))
+				for ix := range busy.Steps[0].Count {
+					fl.setBehaviour(modeler.TaskID{Job: "busy", Index: ix}, emulator.TaskBehaviour{RunTime: time.Duration(20+ix*30) * time.Millisecond})
+				}
+				tm.submit(busy)
+				sleep(untilCrash)
+				fl.workers.Crash(fl.infos[0].ID)
+				fl.infos[0] = fl.workers.Add(workerInfo(0))
+				sleep(3 * time.Second)
+				qt.Check(t, ls.deliver(t.Context(), &fl.infos[0]), qt.ErrorIs, modeler.ErrStaleRun)
+			})
+		})
+	}
+}
+
 // Guards against starts of a job whose cancellation came while too many others were pending.
 func TestCancellationBeyondPendingLimit(t *testing.T) {
 	run(t, 1, func(fl *fleet, tm *term) {
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -655,7 +655,11 @@
 // handleStartResult handles the answer to a start, or the lack of one.
 func (dr *Director) handleStartResult(at *attempt, req *modeler.StartRequest, err error, now time.Time) {
 	wk, tk := at.worker, at.task
-	if wk.attempts[attemptKey{tk.id(), at.run}] != at {
+	key := attemptKey{tk.id(), at.run}
+	if errors.Is(err, modeler.ErrNoAnswer) {
+		dr.noteUnansweredStart(at, key, now)
+	}
+	if wk.attempts[key] != at {
 		// A report ended the run before the answer arrived.
 		return
 	}
@@ -668,8 +672,6 @@
 	dr.log(logger.StartRejected, "Task", req.Task.String(), "Run", req.Run, "Worker", wk.info.ID, "Error", err.Error())
 	switch {
 	case errors.Is(err, modeler.ErrNoAnswer):
-		maps.DeleteFunc(wk.unansweredStarts, func(_ attemptKey, since time.Time) bool { return now.Sub(since) > maxStartDelayAfterRestart })
-		wk.unansweredStarts[attemptKey{req.Task, req.Run}] = now
 		if at.state == sent {
 			at.state, at.startDeadline = uncertain, req.Deadline
 		}
@@ -691,6 +693,18 @@
 	dr.afterRunEnd(tk, now)
 }
 
+// noteUnansweredStart notes that a start may yet be carried out, also by a later incarnation of the
+// worker. It stops the run there if that incarnation is known already and the run has no attempt any
+// more.
+func (dr *Director) noteUnansweredStart(at *attempt, key attemptKey, now time.Time) {
+	wk := at.worker
+	maps.DeleteFunc(wk.unansweredStarts, func(_ attemptKey, since time.Time) bool { return now.Sub(since) > maxStartDelayAfterRestart })
+	wk.unansweredStarts[key] = now
+	if wk.attempts[key] == nil && wk.incarnation != at.incarnation {
+		dr.stopUnexpected(wk, key.task, key.run, now)
+	}
+}
+
 // stopRun requests the end of a run. Its resources stay reserved until the worker reports the end.
 func (dr *Director) stopRun(at *attempt, reason string) {
 	if at.stopping {
