End an unanswered start at a restarted worker that is gone

A task waited for ever: a worker restarted while a start had no answer, the stop of that run was lost, and the worker did not come back. Such a run had no deadline, as the clock of the new incarnation does not refuse the start, and so it was the only kind of run that outlived the lease of its worker.

The run now ends once a lease that it can have given is over too.

TestRestartedWorkerIsGone: without the change the task runs nowhere 40 s after the worker is gone; with it, it runs on another worker.

--- a/internal/job/director/cancellation_test.go
+++ b/internal/job/director/cancellation_test.go
@@ -174,6 +174,23 @@
 	}
 }
 
+// Guards against a task that waits for ever for a worker that restarted, while a start had no answer,
+// and is gone since.
+func TestRestartedWorkerIsGone(t *testing.T) {
+	run(t, 1, func(fl *fleet, tm *term) {
+		restartAfterLateStart(fl, tm)
+		fl.faults.Set(emulator.Switch{Fault: emulator.RequestLost, Part: emulator.PartWorkers, Operation: "Stop"})
+		sleep(time.Second)
+		fl.workers.Crash(fl.infos[0].ID)
+		tm.RemoveWorker(fl.infos[0].ID)
+		fl.faults.Clear()
+		fl.infos = append(fl.infos, fl.workers.Add(workerInfo(1)))
+		tm.UpdateWorker(fl.infos[1])
+		sleep(40 * time.Second)
+		qt.Check(t, fl.workers.WorkerOf(modeler.TaskID{Job: "j1"}), qt.Equals, fl.infos[1].ID)
+	})
+}
+
 // Guards against starts of a job whose cancellation came while too many others were pending.
 func TestCancellationBeyondPendingLimit(t *testing.T) {
 	run(t, 1, func(fl *fleet, tm *term) {
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -457,12 +457,25 @@
 	}
 	graceOver := dr.leaseExpired(wk, now.Add(-unreachableGrace))
 	for _, at := range wk.listAttempts() {
-		if (graceOver || at.task.step.spec.LongRunning) && (at.state != uncertain || at.startDeadline < wk.minClock(now)) {
+		if (graceOver || at.task.step.spec.LongRunning) && !dr.mayStartLate(at, now) {
 			dr.loseRun(at, "lease expired", now)
 		}
 	}
 }
 
+// mayStartLate reports whether a worker that does not answer may yet accept the start of a run, or
+// runs it after a late start. A late start of the run gives a later incarnation a lease.
+func (dr *Director) mayStartLate(at *attempt, now time.Time) bool {
+	switch {
+	case at.state != uncertain:
+		return false
+	case at.startDeadline == maxClock:
+		longest := max(dr.op.Limits.Lease, dr.op.Limits.LongestLease)
+		return now.Sub(at.sentAt) <= maxStartDelayAfterRestart+longest+longest/50+leaseMargin
+	}
+	return at.startDeadline >= at.worker.minClock(now)
+}
+
 // leaseExpired reports whether the worker's lease has certainly expired, so that nothing runs there
 // without a new request.
 func (dr *Director) leaseExpired(wk *worker, now time.Time) bool {
