Pause only after failed reads of unknown jobs

After an outage of the store, a new leader read the jobs that it did not know at 13 a second. Until a worker's rows are read, it gets no starts and its ends are not acknowledged.

Each reader paused for 300 ms after a failed read, and from then on after each read that succeeded.

--- a/internal/job/director/cancellation_test.go
+++ b/internal/job/director/cancellation_test.go
@@ -168,7 +168,7 @@
 				fl.workers.Crash(fl.infos[0].ID)
 				fl.infos[0] = fl.workers.Add(workerInfo(0))
 				sleep(3 * time.Second)
-				qt.Check(t, ls.deliver(t.Context(), &fl.infos[0]), qt.ErrorIs, modeler.ErrStaleRun)
+				qt.Check(fl.t, ls.deliver(fl.t.Context(), &fl.infos[0]), qt.ErrorIs, modeler.ErrStaleRun)
 			})
 		})
 	}
--- a/internal/job/director/reader.go
+++ b/internal/job/director/reader.go
@@ -74,6 +74,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		failed := false
 		dr.mu.Lock()
 		now := time.Now()
 		switch {
@@ -92,11 +93,12 @@
 			if !failing {
 				dr.log(logger.JobNotRead, "Job", id, "Error", err.Error())
 			}
-			failing = true
+			failed = true
 		}
 		dr.mu.Unlock()
 		dr.wakeDispatch()
-		if failing && !pauser.Sleep(ctx, jobReadPause) {
+		failing = failed
+		if failed && !pauser.Sleep(ctx, jobReadPause) {
 			return
 		}
 	}
--- a/internal/job/director/renewal_test.go
+++ b/internal/job/director/renewal_test.go
@@ -1,6 +1,7 @@
 package director_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -216,3 +217,28 @@
 		})
 	}
 }
+
+// Guards against unknown jobs that are read ever more slowly after one failed read. Workers that
+// report their runs get no starts until they have been read.
+func TestUnknownJobsAfterOutage(t *testing.T) {
+	const jobs = 100
+	run(t, 1, func(fl *fleet, tm *term) {
+		for ix := range jobs {
+			tm.submit(longRunningJob(modeler.JobID(fmt.Sprint("unlisted-", ix)), "urgent", 1, cores(50)))
+		}
+		sleep(5 * time.Second)
+		fl.jobs = nil
+		fl.faults.Set(emulator.Switch{Fault: emulator.Unavailable, Part: emulator.PartStore, Operation: "Get", Target: keeper.KeyPrefix})
+		tm.nextTerm(12 * time.Second)
+		sleep(2 * time.Second)
+		fl.faults.Clear()
+		sleep(2 * time.Second)
+		unknown := 0
+		for ix := range jobs {
+			if _, ok := tm.JobState(modeler.JobID(fmt.Sprint("unlisted-", ix))); !ok {
+				unknown++
+			}
+		}
+		qt.Check(t, unknown, qt.Equals, 0)
+	})
+}
