Try starved jobs in turn if there are more than a round may try

Jobs without a run waited although most processors of the pool were free: 24 or more older best-effort jobs that fit on no worker, here for a label, took all attempts of each round to place a task of a starved job.

A round now begins with the steps that were tried the longest ago. Up to 24 starved jobs are tried in the order of urgency, as before.

--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -61,6 +61,8 @@
 	// waiting holds the queued tasks, turn what placement rounds found for them.
 	waiting []*task
 	turn    turn
+	// starvedAttemptAt is when a round last tried to place a starved task of the step.
+	starvedAttemptAt time.Time
 	// done is the number of tasks that are done. Tasks of long-running steps never are.
 	done int
 	// unfinishedPredecessors is the number of steps that have to be done first and are not.
--- a/internal/job/director/starvation.go
+++ b/internal/job/director/starvation.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"slices"
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
@@ -26,10 +27,19 @@
 }
 
 // placeStarved starts one task of each job without a run, in the order of urgency. Without it, jobs
-// behind a backlog of best-effort work wait although their tasks could share processors.
+// behind a backlog of best-effort work wait although their tasks could share processors. If there are
+// more than it may try, it begins with those tried the longest ago, as the most urgent ones may fit
+// nowhere.
 func (rd *round) placeStarved() {
-	reserved := map[modeler.PoolName]float64{}
+	var starved []rankedStep
 	for _, rs := range rd.steps {
+		if rs.step.starved(rd.now) {
+			starved = append(starved, rs)
+		}
+	}
+	slices.SortStableFunc(starved, func(one, two rankedStep) int { return one.step.starvedAttemptAt.Compare(two.step.starvedAttemptAt) })
+	reserved := map[modeler.PoolName]float64{}
+	for _, rs := range starved {
 		if rd.starvedAttempts >= maxStarvedAttempts || rd.startsLeft <= 0 {
 			return
 		}
@@ -54,6 +64,7 @@
 			continue
 		}
 		rd.starvedAttempts++
+		sp.starvedAttemptAt = rd.now
 		dm := rd.dr.demand(tk)
 		dm.Starved = true
 		rd.countSameStep(sp)
--- a/internal/job/director/starvation_test.go
+++ b/internal/job/director/starvation_test.go
@@ -43,6 +43,20 @@
 			qt.Check(t, started(fl), qt.Equals, jobs)
 		})
 	})
+	// More jobs than a round tries to place.
+	t.Run("more urgent jobs fit nowhere", func(t *testing.T) {
+		run(t, 4, func(fl *fleet, tm *term) {
+			for no := range 40 {
+				jb := simpleJob(modeler.JobID(fmt.Sprint("unsuited", no)), "urgent", 1, cores(4000))
+				jb.Steps[0].BestEffort, jb.Steps[0].Label = true, "kind-b"
+				tm.submit(jb)
+			}
+			sleep(2 * time.Second)
+			submitBacklog(fl, tm)
+			sleep(3 * time.Second)
+			qt.Check(t, started(fl), qt.Equals, jobs)
+		})
+	})
 	t.Run("most processors are reserved", func(t *testing.T) {
 		run(t, 4, func(fl *fleet, tm *term) {
 			base := simpleJob("base", "urgent", 4, cores(10000))
