--- a/internal/job/director/renewal_test.go
+++ b/internal/job/director/renewal_test.go
@@ -1,6 +1,7 @@
 package director_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -216,3 +217,51 @@
 		})
 	}
 }
+
+// Guards against unknown jobs that are read ever more slowly after one failed read. Workers that
+// report their runs get no starts until they have been read.
+func TestUnknownJobsAfterOutage(t *testing.T) {
+	const jobs = 100
+	run(t, 1, func(fl *fleet, tm *term) {
+		for ix := range jobs {
+			tm.submit(longRunningJob(modeler.JobID(fmt.Sprint("unlisted-", ix)), "urgent", 1, cores(50)))
+		}
+		sleep(5 * time.Second)
+		fl.jobs = nil
+		fl.faults.Set(emulator.Switch{Fault: emulator.Unavailable, Part: emulator.PartStore, Operation: "Get", Target: keeper.KeyPrefix})
+		tm.nextTerm(12 * time.Second)
+		sleep(2 * time.Second)
+		fl.faults.Clear()
+		sleep(2 * time.Second)
+		unknown := 0
+		for ix := range jobs {
+			if _, ok := tm.JobState(modeler.JobID(fmt.Sprint("unlisted-", ix))); !ok {
+				unknown++
+			}
+		}
+		qt.Check(t, unknown, qt.Equals, 0)
+	})
+}
+
+// Guards against runs that are taken for lost and start again because their worker lists only the
+// oldest of its unacknowledged ends.
+func TestMoreEndsThanListed(t *testing.T) {
+	const tasks = 600
+	run(t, 1, func(fl *fleet, tm *term) {
+		for ix := range tasks {
+			fl.setBehaviour(modeler.TaskID{Job: "j1", Index: ix}, emulator.TaskBehaviour{RunTime: 5 * time.Second})
+		}
+		tm.submit(simpleJob("j1", "batch", tasks, cores(20)))
+		sleep(4 * time.Second)
+		fl.faults.Set(emulator.Switch{Fault: emulator.Unavailable, Part: emulator.PartStore, Operation: "Put", Target: "Journal/"})
+		sleep(8 * time.Second)
+		fl.faults.Clear()
+		sleep(10 * time.Second)
+		tm.assertState("j1", modeler.Completed)
+		starts := 0
+		for ix := range tasks {
+			starts += fl.workers.StartCount(modeler.TaskID{Job: "j1", Index: ix})
+		}
+		qt.Check(fl.t, starts, qt.Equals, tasks)
+	})
+}
