--- a/internal/provider/emulator/jobworkers.go
+++ b/internal/provider/emulator/jobworkers.go
@@ -515,12 +515,8 @@
 	}
 }
 
-// maxListedEnds is the number of ended runs that a worker lists at a time, the oldest first.
-const maxListedEnds = 500
-
 func (jw *JobWorkers) report(wk *jobWorker) modeler.Report {
-	ended := wk.ended[:min(len(wk.ended), maxListedEnds)]
-	rep := modeler.Report{Clock: wk.clock(), Incarnation: wk.incarnation, Ended: slices.Clone(ended), MoreEnds: len(ended) == maxListedEnds}
+	rep := modeler.Report{Clock: wk.clock(), Incarnation: wk.incarnation, Ended: slices.Clone(wk.ended)}
 	var tasks []modeler.TaskID
 	for key, rn := range wk.running {
 		if rn.pace > 0 {
