Wait for all ends of a worker before its runs count as lost

Tasks ran twice after an outage of the store, although their first runs had ended as done and those ends were acknowledged later.

A worker lists at most 500 ends at a time. While ends cannot be recorded none is acknowledged, so that a worker with many short tasks has more. A run whose end was not among the listed ones was listed neither as running nor as ended, and the director took it for lost and started its task again.

A report now says whether the worker may have further ends, and no run counts as lost by such a report.

--- a/internal/job/director/renewal_test.go
+++ b/internal/job/director/renewal_test.go
@@ -242,3 +242,32 @@
 		qt.Check(t, unknown, qt.Equals, 0)
 	})
 }
+
+// Guards against runs that are taken for lost and start again because their worker lists only the
+// oldest of its unacknowledged ends.
+func TestMoreEndsThanListed(t *testing.T) {
+	const tasks, listed = 600, 500
+	oldest := func(_ modeler.WorkerID, rep *modeler.Report) bool {
+		rep.MoreEnds = len(rep.Ended) >= listed
+		rep.Ended = rep.Ended[:min(len(rep.Ended), listed)]
+		return true
+	}
+	runOdd(t, 1, oldest, func(fl *fleet, tm *term, _ *oddClient) {
+		for ix := range tasks {
+			fl.setBehaviour(modeler.TaskID{Job: "j1", Index: ix}, emulator.TaskBehaviour{RunTime: 5 * time.Second})
+		}
+		tm.submit(simpleJob("j1", "batch", tasks, cores(20)))
+		sleep(4 * time.Second)
+		fl.faults.Set(emulator.Switch{Fault: emulator.Unavailable, Part: emulator.PartStore, Operation: "Put", Target: "Journal/"})
+		sleep(8 * time.Second)
+		fl.faults.Clear()
+		sleep(10 * time.Second)
+		tm.assertState("j1", modeler.Completed)
+		starts := 0
+		for ix := range tasks {
+			starts += fl.workers.StartCount(modeler.TaskID{Job: "j1", Index: ix})
+		}
+		qt.Check(fl.t, starts, qt.Equals, tasks)
+		fl.assertNoViolations()
+	})
+}
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -72,7 +72,9 @@
 		}
 	}
 	dr.handleEnds(wk, rep, listed, now)
-	dr.loseMissingRuns(wk, listed, sentAt, now)
+	if !rep.MoreEnds {
+		dr.loseMissingRuns(wk, listed, sentAt, now)
+	}
 	dr.updateCancelledRuns(wk, rep.Running, now)
 	wk.forgetStops(listed, sentAt)
 	dr.checkRuns(wk, now)
--- a/internal/job/modeler/worker.go
+++ b/internal/job/modeler/worker.go
@@ -152,6 +152,9 @@
 	// LastEnd is the highest number of an ended run, also of one that was left out. It is zero if
 	// there is none.
 	LastEnd int64
+	// MoreEnds is set if the worker may have further ended runs, which it lists once those of Ended are
+	// acknowledged.
+	MoreEnds bool
 	// LeftOut is the number of invalid rows and checkpoints that were left out. LeftOutReason is the
 	// first reason, nil if LeftOut is zero.
 	LeftOut       int
