Show a run that goes on under a lease which a late renewal extended

A failing test without a fix, see TestLateRenewal: a long-running task runs twice. A renewal for the earlier incarnation of a worker is carried out by the next one and extends its lease beyond what the leader takes into account.

--- /dev/null
+++ b/internal/job/director/late_renewal_test.go
@@ -0,0 +1,69 @@
+package director_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/currantrouter/currantrouter/internal/job/director"
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+)
+
+// lateRenewal is a client that keeps the last renewal, and whose requests do not reach a worker that
+// is cut off.
+type lateRenewal struct {
+	director.WorkerClient
+	mu   sync.Mutex
+	req  *modeler.RenewRequest
+	kept bool
+	cut  modeler.WorkerID
+}
+
+func (lr *lateRenewal) Renew(ctx context.Context, wk *modeler.Worker, req *modeler.RenewRequest) (modeler.Report, error) {
+	lr.mu.Lock()
+	if wk.ID == "worker-00" && !lr.kept && req.Deadline > 0 {
+		lr.req = req
+	}
+	cut := lr.cut == wk.ID
+	lr.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return modeler.Report{}, modeler.ErrNoAnswer
+	}
+	return lr.WorkerClient.Renew(ctx, wk, req)
+}
+
+// Guards against a run that goes on under a lease that a late renewal for an earlier incarnation of its
+// worker extended.
+func TestLateRenewal(t *testing.T) {
+	run(t, 2, func(fl *fleet, tm *term) {
+		tm.end()
+		fl.infos = fl.infos[:1]
+		lr := &lateRenewal{WorkerClient: fl.workers}
+		fl.client = lr
+		*tm = *fl.startTerm(0)
+		sleep(12 * time.Second)
+		lr.mu.Lock()
+		lr.kept = true
+		lr.mu.Unlock()
+		fl.workers.Crash("worker-00")
+		fl.infos[0] = fl.workers.Add(workerInfo(0))
+		sleep(time.Second)
+		tm.submit(longRunningJob("j1", "urgent", 1, cores(1000)))
+		sleep(2 * time.Second)
+		qt.Assert(fl.t, fl.workers.WorkerOf(modeler.TaskID{Job: "j1"}), qt.Equals, modeler.WorkerID("worker-00"))
+		lr.mu.Lock()
+		lr.cut = "worker-00"
+		lr.mu.Unlock()
+		tm.UpdateWorker(fl.workers.Add(workerInfo(1)))
+		sleep(6 * time.Second)
+		_, err := fl.workers.Renew(fl.t.Context(), &fl.infos[0], lr.req)
+		qt.Assert(fl.t, err, qt.IsNil)
+		t.Logf("late deadline %v", lr.req.Deadline)
+		sleep(12 * time.Second)
+		qt.Check(fl.t, fl.workers.Violations(), qt.HasLen, 0)
+	})
+}
