Account for a worker only after a report with all of its ends

A task that an earlier leader had started could run twice after a change of the leader: its end was beyond the 500 ends that its worker lists at a time, and with the first report the worker counted as running no task that the new leader does not know.

TestAccountedAfterAllEnds fails without the change: all workers count as accounted for after a report that may lack ends.

--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -61,7 +61,6 @@
 	}
 	wk.renewal.phase = recordingReport
 	wk.reported = true
-	dr.markAccounted(wk, "all answered")
 	listed := make(map[attemptKey]bool, len(rep.Running)+len(rep.Ended))
 	wk.deferredRuns = nil
 	for ix := range rep.Running {
@@ -73,6 +72,7 @@
 	}
 	dr.handleEnds(wk, rep, listed, now)
 	if !rep.MoreEnds {
+		dr.markAccounted(wk, "all answered")
 		dr.loseMissingRuns(wk, listed, sentAt, now)
 	}
 	dr.updateCancelledRuns(wk, rep.Running, now)
