internal/job/director: let hasAttempts use the count of active runs

The best-effort placement of jobs without a run added a count of a job's attempts beside hasAttempts, which looked at every step of every occurrence for the same answer, also with each run that ended. Both use the count now; it changes with perWorker, at the same two places.

No change of behaviour.

--- a/internal/job/director/recovery.go
+++ b/internal/job/director/recovery.go
@@ -152,16 +152,7 @@
 	return ids
 }
 
-func (jb *job) hasAttempts() bool {
-	for _, oc := range jb.occurrences {
-		for _, sp := range oc.steps {
-			if len(sp.perWorker) > 0 {
-				return true
-			}
-		}
-	}
-	return false
-}
+func (jb *job) hasAttempts() bool { return jb.activeRuns > 0 }
 
 // snapshot replaces the journal by the facts that still matter once it has grown enough. The
 // director's state includes the effect of every durable fact, since a fact is applied before it is
--- a/internal/job/director/starvation.go
+++ b/internal/job/director/starvation.go
@@ -23,7 +23,7 @@
 
 // starved reports whether a step belongs to a job of starvationTimeout's age that has no run.
 func (sp *step) starved(now time.Time) bool {
-	return sp.spec.BestEffort && !sp.spec.Gang && sp.occ.job.activeRuns == 0 && now.Sub(sp.occ.due) >= starvationTimeout
+	return sp.spec.BestEffort && !sp.spec.Gang && !sp.occ.job.hasAttempts() && now.Sub(sp.occ.due) >= starvationTimeout
 }
 
 // placeStarved starts one task of each job without a run, in the order of urgency. Without it, jobs
