Log how long a new leader waits for silent workers, and the epoch of a waiting task's last run

TermBegun now gives InheritedLease and PreviousStopped, and LongRunningTaskWaits the last run, its epoch and the present one.

--- a/internal/job/director/observability_test.go
+++ b/internal/job/director/observability_test.go
@@ -88,7 +88,7 @@
 			tm.end()
 			tm = fl.startTerm(testLimits.Lease)
 			sleep(4 * time.Second)
-			fl.assertLogged(logger.LongRunningTaskWaits, logLine{"Reason": "EarlierLeasePossible", "Worker": string(where)})
+			fl.assertLogged(logger.LongRunningTaskWaits, logLine{"Reason": "EarlierLeasePossible", "Worker": string(where), "LastRun": 1.0, "LastEpoch": 1.0, "Epoch": 2.0})
 			fl.assertMetric(meter.TasksWaitingEarlierLeasePossible, 1)
 			fl.assertNoViolations()
 		})
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -569,6 +569,9 @@
 	return max(tk.lastRun, modeler.Run(dr.op.Epoch-1)*runsPerEpoch) + 1
 }
 
+// epochOf returns the epoch of the leader that placed a run.
+func epochOf(run modeler.Run) modeler.Epoch { return modeler.Epoch((run-1)/runsPerEpoch) + 1 }
+
 // possibleRun reports whether a leader up to this one can have given the run number.
 func (dr *Director) possibleRun(run modeler.Run) bool {
 	return run <= modeler.Run(dr.op.Epoch)*runsPerEpoch
--- a/internal/job/director/waiting.go
+++ b/internal/job/director/waiting.go
@@ -395,6 +395,9 @@
 	if ln.wait.worker != "" {
 		kv = append(kv, "Worker", ln.wait.worker)
 	}
+	if tk.lastRun > 0 {
+		kv = append(kv, "LastRun", tk.lastRun, "LastEpoch", epochOf(tk.lastRun), "Epoch", dr.op.Epoch)
+	}
 	if !sp.turn.at.IsZero() {
 		kv = append(kv, "LastTurn", now.Sub(sp.turn.at).String())
 	}
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -143,16 +143,17 @@
 	defer jn.Close()
 	ld.elector.EpochBegun(modeler.Epoch(rec.Epoch))
 	tm := &term{leader: ld, journal: jn, authority: newAuthority(ld, jn)}
+	inheritedLease := ld.inheritedLease(rec, pred)
 	dr := director.New(director.Options{
 		Epoch: modeler.Epoch(rec.Epoch), WorkerClient: ld.op.WorkerClient, Journal: jn, Policy: ld.op.Policy, JobStore: keeper.NewJobStore(ld.op.Store),
-		Configuration: ld.op.Configuration, MaySendRequests: tm.authority.valid, InheritedLease: ld.inheritedLease(rec, pred),
+		Configuration: ld.op.Configuration, MaySendRequests: tm.authority.valid, InheritedLease: inheritedLease,
 		Limits: ld.op.Limits, Log: ld.op.Log, Meter: ld.op.Meter,
 	})
 	dr.Restore(slices.Concat(rec.SnapshotRecords, rec.Records))
 	tm.director = dr
 	ld.current.Store(dr)
 	defer ld.current.Store(nil)
-	logger.Log(ld.op.Log, logger.TermBegun, "Epoch", rec.Epoch, "Previous", rec.PreviousHost, "Facts", len(rec.SnapshotRecords)+len(rec.Records), "Took", time.Since(began).String())
+	logger.Log(ld.op.Log, logger.TermBegun, "Epoch", rec.Epoch, "Previous", rec.PreviousHost, "Facts", len(rec.SnapshotRecords)+len(rec.Records), "InheritedLease", inheritedLease.String(), "PreviousStopped", pred.Stopped, "Took", time.Since(began).String())
 	return tm.run(ctx)
 }
 
