Carry the end of a silent worker's lease over terms of leadership

Callers saw LOST: a long-running task whose worker is gone does not run for several terms although there is capacity.

Cause: what a leader knows of a worker that does not answer ended with its term. Each new leader waited for the whole inherited lease (10.6 s, 6.6 s after a leader known to have stopped), counted from the start of its own term, so that terms in series held the worker's tasks without a bound.

Change: a leader records the end of the lease of a worker that does not answer, once for each silence, and extends the lease only after a new grant is durable. Each term records that it began, so that a leader of an epoch without a record, or beside damaged records, relies on none of it. A leader that stops in order records that too.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -91,11 +91,20 @@
 	// leader.
 	MaySendRequests func() bool
 	// InheritedLease is how long after the start of the term a worker that does not answer may still
-	// run tasks under a lease from an earlier leader.
+	// run tasks under a lease from an earlier leader, unless the journal or PredecessorStopped shows that
+	// the lease is over sooner.
 	InheritedLease time.Duration
-	Limits         Limits
-	Log            logr.Logger
-	Meter          *meter.Registry
+	// PredecessorStopped reports whether the leader of the epoch before is known to extend no leases any
+	// more. It may be nil.
+	PredecessorStopped func() bool
+	// PredecessorSeenFor is how long before the term this host first knew of the leader of the epoch before,
+	// zero if it did not.
+	PredecessorSeenFor time.Duration
+	// FactsMissing is set if records of the journal could not be read.
+	FactsMissing bool
+	Limits       Limits
+	Log          logr.Logger
+	Meter        *meter.Registry
 }
 
 const (
@@ -182,6 +191,19 @@
 	// having reported.
 	unaccountedWorkers int
 	allAccounted       bool
+	// clockStart is what the journal's clock showed at termStart.
+	clockStart time.Duration
+	// inheritedUntil is when the leases of earlier leaders are over that the journal does not bound, and
+	// earlierUntil when those from before the predecessor are.
+	inheritedUntil, earlierUntil time.Time
+	// inheritanceKnown is set if the journal has a record of the predecessor's term, predecessorStopped if
+	// it is known to extend no leases any more.
+	inheritanceKnown, predecessorStopped bool
+	// recordingLeases is set while recordLeases records. The last time, it did at clockRecordedAt with the
+	// inheritedUntil of recordedUntil.
+	recordingLeases bool
+	clockRecordedAt time.Time
+	recordedUntil   time.Time
 	// model estimates the interference between images.
 	model *estimator.Model
 	// estimatesSavedAt is when new estimates were last given to the journal. savingEstimates is set
@@ -224,9 +246,11 @@
 
 // New returns a director. Its term begins with Start.
 func New(op Options) *Director {
+	now := time.Now()
 	return &Director{
 		op:                   op,
-		termStart:            time.Now(),
+		termStart:            now,
+		inheritedUntil:       now.Add(op.InheritedLease),
 		loaded:               make(chan struct{}),
 		dispatchWake:         make(chan struct{}, 1),
 		confirmWake:          make(chan struct{}, 1),
@@ -253,6 +277,7 @@
 		dr.startRenewing(wk)
 	}
 	dr.allAccounted = dr.unaccountedWorkers == 0
+	dr.recordLeases(time.Now())
 	dr.mu.Unlock()
 	dr.startGoroutine(dr.dispatchLoop)
 	dr.startGoroutine(dr.confirmLoop)
@@ -394,12 +419,14 @@
 // onTick expires leases, releases occurrences that are due, and does other work that only depends
 // on the time.
 func (dr *Director) onTick(now time.Time) {
+	dr.checkPredecessor(now)
 	for _, wk := range dr.workers {
 		dr.expireLease(wk, now)
 		if wk.unaccounted && dr.leaseExpired(wk, now.Add(-unreachableGrace)) {
 			dr.markAccounted(wk, "inherited leases expired")
 		}
 	}
+	dr.recordLeases(now)
 	select {
 	case <-dr.loaded:
 	default:
@@ -421,14 +448,10 @@
 // record appends facts to the journal, retries until they are durable, and then calls the function
 // without holding locks. If the term ends first, it returns without the call.
 func (dr *Director) record(ctx context.Context, facts []keeper.Fact, then func()) {
-	recs := make([]journaler.Record, 0, len(facts))
-	for _, ft := range facts {
-		rec, err := ft.Record()
-		if err != nil {
-			dr.log(logger.FactNotRecorded, "Error", err.Error())
-			return
-		}
-		recs = append(recs, rec)
+	recs, err := keeper.Records(facts)
+	if err != nil {
+		dr.log(logger.FactNotRecorded, "Error", err.Error())
+		return
 	}
 	for _, batch := range journaler.Batches(recs) {
 		if !dr.appendRecords(ctx, batch) {
--- a/internal/job/director/harness_test.go
+++ b/internal/job/director/harness_test.go
@@ -51,6 +51,10 @@
 	// logs receives the log of all terms, and registry their metrics.
 	logs     *logRecorder
 	registry *meter.Registry
+	// predecessorStopped is what the next leader knows of the last one, predecessorSeenFor for how long it has
+	// known of it.
+	predecessorStopped atomic.Bool
+	predecessorSeenFor time.Duration
 	// addEarly makes entry hosts report the jobs to the next leader before it has loaded them.
 	addEarly bool
 	// loadTime is how long the next leader takes to read the stored jobs.
@@ -123,6 +127,8 @@
 	records int
 	cancel  context.CancelFunc
 	ended   chan struct{}
+	// resigns is set if the leader stops in order and records the end of its term.
+	resigns *atomic.Bool
 	// sendsUntil is when the leader stops sending requests to workers, in Unix nanoseconds, or zero.
 	sendsUntil *atomic.Int64
 }
@@ -177,11 +183,11 @@
 	if jobStore == nil {
 		jobStore = keeper.NewJobStore(fl.store)
 	}
-	tm := &term{fleet: fl, records: len(rec.Records), ended: make(chan struct{}), sendsUntil: new(atomic.Int64)}
+	tm := &term{fleet: fl, records: len(rec.Records), ended: make(chan struct{}), resigns: new(atomic.Bool), sendsUntil: new(atomic.Int64)}
 	dr := director.New(director.Options{
 		Epoch: modeler.Epoch(rec.Epoch), WorkerClient: client, Journal: jn, JobStore: jobStore,
 		Configuration: func() *modeler.Configuration { return fl.config }, MaySendRequests: tm.maySend,
-		Policy: fl.policy, InheritedLease: inherited, Limits: testLimits, Log: fl.logs.logger(fl.t), Meter: fl.registry,
+		Policy: fl.policy, InheritedLease: inherited, PredecessorStopped: fl.predecessorStopped.Load, PredecessorSeenFor: fl.predecessorSeenFor, Limits: testLimits, Log: fl.logs.logger(fl.t), Meter: fl.registry,
 	})
 	dr.Restore(append(rec.SnapshotRecords, rec.Records...))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -192,6 +198,9 @@
 		defer close(tm.ended)
 		err := dr.Wait()
 		qt.Check(fl.t, err == nil || errors.Is(err, director.ErrTermOver), qt.IsTrue)
+		if tm.resigns.Load() {
+			qt.Check(fl.t, dr.RecordEnd(context.Background()), qt.IsNil)
+		}
 		jn.Close()
 	}()
 	return tm
--- /dev/null
+++ b/internal/job/director/lease.go
@@ -0,0 +1,232 @@
+package director
+
+import (
+	"context"
+	"time"
+
+	"github.com/currantrouter/currantrouter/internal/job/keeper"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+)
+
+const (
+	// inheritedLeaseMargin is added to the time for which workers may hold leases of another leader. It
+	// covers requests in flight.
+	inheritedLeaseMargin = 500 * time.Millisecond
+	// minRecordedSilence is how long a worker does not answer before the end of its lease is recorded. A
+	// second renewal in a row has no answer then.
+	minRecordedSilence = renewTimeoutMargin
+	// clockRecordInterval is the time between two records of the journal's clock while a recorded end of a
+	// lease is ahead. A successor that has not seen this leader's term waits for up to this time longer.
+	clockRecordInterval = time.Second
+	// maxBoundsAtEnd bounds the leases that a leader bounds as its term ends, so that they fit into one append.
+	maxBoundsAtEnd = 400
+)
+
+// MaxLeaseTime returns the longest time from when a leader extends a lease until it is over, as another
+// host measures it.
+func (lm *Limits) MaxLeaseTime() time.Duration {
+	return lm.Lease + time.Duration(maxClockDrift*float64(lm.Lease)) + inheritedLeaseMargin
+}
+
+// inheritance is what the journal says of earlier terms and their leases.
+type inheritance struct {
+	// clock is the highest time that was recorded.
+	clock time.Duration
+	// last is the last fact of a term, nil if there is none.
+	last *keeper.TermFact
+	// incomplete is set if a fact may be missing.
+	incomplete bool
+}
+
+func (ih *inheritance) add(ft *keeper.TermFact) {
+	ih.last, ih.clock = ft, max(ih.clock, ft.Clock)
+}
+
+// inherit sets the journal's clock, and when the leases of earlier leaders are over. Without a fact of the last
+// epoch, nothing is known of the leases that its leader extended.
+func (dr *Director) inherit(ih *inheritance) {
+	dr.clockStart = ih.clock
+	dr.inheritedUntil = dr.termStart.Add(dr.op.InheritedLease)
+	dr.inheritanceKnown = ih.last != nil && ih.last.Epoch == dr.op.Epoch-1 && !ih.incomplete
+	if !dr.inheritanceKnown {
+		for _, wk := range dr.workers {
+			wk.lease = leaseRecord{}
+		}
+		return
+	}
+	dr.clockStart = max(dr.clockStart, ih.last.Start+dr.op.PredecessorSeenFor)
+	dr.earlierUntil = dr.journalTime(ih.last.InheritedUntil)
+	if ih.last.Ended {
+		dr.predecessorStopped = true
+		dr.shortenInheritance(dr.journalTime(ih.last.Clock))
+	}
+	for _, wk := range dr.workers {
+		if wk.lease.bounded {
+			wk.lease.until, wk.grantDurable = dr.journalTime(wk.lease.journalUntil), false
+		}
+	}
+}
+
+// InheritedLease returns how long from the start of the term a worker that does not answer may run tasks under
+// a lease of an earlier leader, unless the journal bounds its lease.
+func (dr *Director) InheritedLease() time.Duration {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	return max(0, dr.inheritedUntil.Sub(dr.termStart))
+}
+
+// shortenInheritance notes that the predecessor extends no lease after a time.
+func (dr *Director) shortenInheritance(stopped time.Time) {
+	until := stopped.Add(dr.op.Limits.MaxLeaseTime())
+	if until.Before(dr.earlierUntil) {
+		until = dr.earlierUntil
+	}
+	if until.Before(dr.inheritedUntil) {
+		dr.inheritedUntil = until
+	}
+}
+
+// journalClock returns what the journal's clock shows at a time. See keeper.TermFact.
+func (dr *Director) journalClock(at time.Time) time.Duration {
+	return max(0, dr.clockStart+at.Sub(dr.termStart))
+}
+
+// journalTime returns when the journal's clock shows a time.
+func (dr *Director) journalTime(clock time.Duration) time.Time {
+	return dr.termStart.Add(clock - dr.clockStart)
+}
+
+// leaseRecord is what the journal says of a worker's lease.
+type leaseRecord struct {
+	// bounded is set while the journal bounds the lease, or while that fact is being recorded. No lease is
+	// extended then.
+	bounded bool
+	// until is when the bounded lease is over, journalUntil that time on the journal's clock.
+	until        time.Time
+	journalUntil time.Duration
+	// recordingBound and recordingGrant are set while the facts are not durable. They are never set
+	// together, so that the journal has the facts in their order.
+	recordingBound, recordingGrant bool
+}
+
+// inheritedEnd returns when the lease of a worker that has not answered in this term is over.
+func (dr *Director) inheritedEnd(wk *worker) time.Time {
+	if wk.lease.bounded && wk.lease.until.Before(dr.inheritedUntil) {
+		return wk.lease.until
+	}
+	return dr.inheritedUntil
+}
+
+// boundToRecord returns when the lease of a worker that does not answer is over, and whether that is to be
+// recorded.
+func (dr *Director) boundToRecord(wk *worker, now time.Time) (time.Time, bool) {
+	lr := &wk.lease
+	switch {
+	case !wk.unreachable || now.Sub(wk.unreachableSince) < minRecordedSilence || lr.recordingGrant || !lr.bounded && !wk.grantDurable:
+		return time.Time{}, false
+	case !wk.answered:
+		end := dr.inheritedEnd(wk)
+		return end, !lr.bounded || lr.until.Sub(end) > clockRecordInterval
+	}
+	return dr.leaseOver(wk, now), !lr.bounded
+}
+
+// recordLeases records the ends of the leases of workers that do not answer, and the time on the journal's
+// clock, so that the next leader does not wait for these leases anew.
+func (dr *Director) recordLeases(now time.Time) {
+	if dr.recordingLeases {
+		return
+	}
+	ends := map[*worker]time.Time{}
+	due := dr.clockRecordedAt.IsZero() || dr.leaseAhead(dr.clockRecordedAt) && now.Sub(dr.clockRecordedAt) >= clockRecordInterval
+	for _, wk := range dr.workers {
+		if end, ok := dr.boundToRecord(wk, now); ok {
+			ends[wk] = end
+		}
+	}
+	if len(ends) == 0 && !due && dr.recordedUntil.Equal(dr.inheritedUntil) {
+		return
+	}
+	if now.Sub(dr.op.Journal.LastConfirmed()) > clockRecordInterval {
+		// No lease is extended until its bound is durable. The record of the clock shows first whether the
+		// journal accepts facts.
+		clear(ends)
+	}
+	facts := []keeper.Fact{dr.termFact(now, false)}
+	for wk, end := range ends {
+		wk.grantDurable = false
+		wk.lease = leaseRecord{bounded: true, until: end, journalUntil: dr.journalClock(end), recordingBound: true}
+		facts = append(facts, wk.boundFact())
+		dr.log(logger.LeaseBounded, "Worker", wk.info.ID, "LeaseLeft", end.Sub(now).String(), "Clock", dr.journalClock(now).String())
+	}
+	dr.recordingLeases, dr.clockRecordedAt, dr.recordedUntil = true, now, dr.inheritedUntil
+	dr.startGoroutine(func(ctx context.Context) {
+		dr.record(ctx, facts, func() {
+			dr.mu.Lock()
+			defer dr.mu.Unlock()
+			dr.recordingLeases = false
+			for wk := range ends {
+				wk.lease.recordingBound = false
+			}
+		})
+	})
+}
+
+// leaseAhead reports whether a bounded lease, or the time that a worker is waited for after it, ends after a
+// time.
+func (dr *Director) leaseAhead(at time.Time) bool {
+	for _, wk := range dr.workers {
+		if wk.lease.bounded && wk.lease.until.Add(unreachableGrace).After(at) {
+			return true
+		}
+	}
+	return false
+}
+
+func (wk *worker) boundFact() keeper.Fact {
+	return keeper.Fact{LeaseBounded: &keeper.LeaseBoundedFact{Worker: wk.info.ID, Until: wk.lease.journalUntil}}
+}
+
+func (dr *Director) termFact(now time.Time, ended bool) keeper.Fact {
+	return keeper.Fact{Term: &keeper.TermFact{
+		Epoch: dr.op.Epoch, Start: dr.clockStart, Clock: dr.journalClock(now), InheritedUntil: dr.journalClock(dr.inheritedUntil), Ended: ended,
+	}}
+}
+
+// RecordEnd records that the term is over, so that the next leader need not allow for requests of this one.
+// It is called after Wait. Errors: those of Journal.Append.
+func (dr *Director) RecordEnd(ctx context.Context) error {
+	dr.mu.Lock()
+	now := time.Now()
+	facts := []keeper.Fact{dr.termFact(now, true)}
+	for _, wk := range dr.workers {
+		silent := wk.unreachable || !wk.answered
+		if silent && wk.grantDurable && !wk.lease.bounded && len(facts) <= maxBoundsAtEnd {
+			wk.lease.journalUntil = dr.journalClock(dr.leaseOver(wk, now))
+			facts = append(facts, wk.boundFact())
+		}
+	}
+	dr.mu.Unlock()
+	recs, err := keeper.Records(facts)
+	if err != nil {
+		return err
+	}
+	return dr.op.Journal.Append(ctx, recs...)
+}
+
+// checkPredecessor notes when the predecessor is found to have stopped.
+func (dr *Director) checkPredecessor(now time.Time) {
+	if dr.predecessorStopped || !dr.inheritanceKnown || dr.op.PredecessorStopped == nil || !dr.op.PredecessorStopped() {
+		return
+	}
+	dr.predecessorStopped = true
+	dr.shortenInheritance(now)
+	dr.log(logger.PredecessorStopped, "InheritedLease", dr.inheritedUntil.Sub(now).String())
+}
+
+// restoreBound applies a fact to its worker.
+func (dr *Director) restoreBound(ft *keeper.LeaseBoundedFact) {
+	if wk := dr.workers[ft.Worker]; wk != nil {
+		wk.lease = leaseRecord{bounded: true, journalUntil: ft.Until}
+	}
+}
--- a/internal/job/director/recovery.go
+++ b/internal/job/director/recovery.go
@@ -21,14 +21,21 @@
 func (dr *Director) Restore(recs []journaler.Record) {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
+	ih := &inheritance{incomplete: dr.op.FactsMissing}
 	for _, rec := range recs {
 		ft, err := keeper.ParseFact(rec)
 		if err != nil {
 			dr.invalid.Report(logger.FactDamaged, meter.EntriesInvalid, "journal", err)
+			ih.incomplete = true
+			continue
+		}
+		if ft.Term != nil {
+			ih.add(ft.Term)
 			continue
 		}
 		dr.restoreFact(ft)
 	}
+	dr.inherit(ih)
 	for _, wk := range dr.workers {
 		wk.unaccounted = true
 		dr.unaccountedWorkers++
@@ -40,7 +47,9 @@
 	case ft.LeaseGranted != nil:
 		dr.setWorker(ft.LeaseGranted)
 		wk := dr.workers[ft.LeaseGranted.ID]
-		wk.grantDurable, wk.registered = true, false
+		wk.grantDurable, wk.registered, wk.lease = true, false, leaseRecord{}
+	case ft.LeaseBounded != nil:
+		dr.restoreBound(ft.LeaseBounded)
 	case ft.LeaseReleased != "":
 		delete(dr.workers, ft.LeaseReleased)
 	case ft.Estimates != nil:
@@ -167,14 +176,10 @@
 	default:
 		return
 	}
-	var recs []journaler.Record
-	for _, ft := range dr.snapshotFacts() {
-		rec, err := ft.Record()
-		if err != nil {
-			dr.log(logger.FactNotRecorded, "Error", err.Error())
-			return
-		}
-		recs = append(recs, rec)
+	recs, err := keeper.Records(dr.snapshotFacts())
+	if err != nil {
+		dr.log(logger.FactNotRecorded, "Error", err.Error())
+		return
 	}
 	if err := dr.op.Journal.Snapshot(ctx, recs, position); err != nil {
 		dr.log(logger.SnapshotFailed, "Error", err.Error())
@@ -192,11 +197,15 @@
 	if es := dr.model.AllTried(); !es.Empty() {
 		facts = append(facts, keeper.Fact{Estimates: &es})
 	}
+	facts = append(facts, dr.termFact(time.Now(), false))
 	for _, wk := range dr.workers {
-		if wk.grantDurable || wk.grantSubmitted {
+		if wk.grantDurable || wk.grantSubmitted || wk.lease.bounded {
 			info := wk.info
 			facts = append(facts, keeper.Fact{LeaseGranted: &info})
 		}
+		if wk.lease.bounded && !wk.lease.recordingGrant {
+			facts = append(facts, wk.boundFact())
+		}
 	}
 	for _, jb := range dr.jobs {
 		if jb.finalState == modeler.Completed || jb.finalState == modeler.Failed {
--- a/internal/job/director/terms_test.go
+++ b/internal/job/director/terms_test.go
@@ -6,7 +6,10 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
+	"github.com/currantrouter/currantrouter/internal/state/journaler"
 )
 
 // termSeries is a series of terms that are shorter than the inherited lease. A worker crashes in it and does
@@ -90,3 +93,171 @@
 		})
 	}
 }
+
+// endInOrder ends the term as a leader that is stopped in order does.
+func (tm *term) endInOrder() {
+	tm.resigns.Store(true)
+	tm.end()
+}
+
+// startOnUnreachable starts a long-running task and makes its worker unreachable, on which it runs on.
+func startOnUnreachable(fl *fleet, tm *term) modeler.WorkerID {
+	tm.submit(longRunningJob("long", "urgent", 1, cores(1000)))
+	sleep(2 * time.Second)
+	where := fl.workers.WorkerOf(modeler.TaskID{Job: "long"})
+	qt.Assert(fl.t, where, qt.Not(qt.Equals), modeler.WorkerID(""))
+	fl.workers.SetUnreachable(where, true)
+	return where
+}
+
+// timeToMove returns the time until the task runs on another worker.
+func (fl *fleet) timeToMove(from modeler.WorkerID) time.Duration {
+	const limit = 30 * time.Second
+	began := time.Now()
+	for time.Since(began) < limit {
+		where := fl.workers.WorkerOf(modeler.TaskID{Job: "long"})
+		if where != "" && where != from {
+			break
+		}
+		sleep(50 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+// assertBetween checks that a time is within bounds.
+func assertBetween(t testing.TB, got, low, high time.Duration) {
+	t.Helper()
+	qt.Check(t, got >= low && got <= high, qt.IsTrue, qt.Commentf("%v is not from %v to %v", got, low, high))
+}
+
+// Guards against a task that runs twice as a new leader relies on the recorded end of a lease that was extended
+// since, or that may have been.
+func TestBoundedLeaseIsExtended(t *testing.T) {
+	const inherited = 12 * time.Second
+	t.Run("after the worker has returned", func(t *testing.T) {
+		run(t, 3, func(fl *fleet, tm *term) {
+			where := startOnUnreachable(fl, tm)
+			sleep(3 * time.Second)
+			fl.workers.SetUnreachable(where, false)
+			sleep(10 * time.Second)
+			fl.assertStartedOnce(modeler.TaskID{Job: "long"})
+			fl.workers.SetUnreachable(where, true)
+			tm.nextTerm(inherited)
+			assertBetween(t, fl.timeToMove(where), inherited, inherited+time.Second)
+		})
+	})
+	t.Run("in an epoch without records", func(t *testing.T) {
+		run(t, 3, func(fl *fleet, tm *term) {
+			where := startOnUnreachable(fl, tm)
+			sleep(3 * time.Second)
+			tm.end()
+			jn, _, err := journaler.Open(fl.t.Context(), fl.store, "jobs", "other", "boot", journalOptions)
+			qt.Assert(t, err, qt.IsNil)
+			jn.Close()
+			*tm = *fl.startTerm(inherited)
+			assertBetween(t, fl.timeToMove(where), inherited, inherited+time.Second)
+		})
+	})
+	t.Run("after a fact that is damaged", func(t *testing.T) {
+		run(t, 3, func(fl *fleet, tm *term) {
+			where := startOnUnreachable(fl, tm)
+			sleep(3 * time.Second)
+			tm.end()
+			jn, _, err := journaler.Open(fl.t.Context(), fl.store, "jobs", "other", "boot", journalOptions)
+			qt.Assert(t, err, qt.IsNil)
+			term, err := keeper.Fact{Term: &keeper.TermFact{Epoch: 2, Clock: time.Hour}}.Record()
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, jn.Append(fl.t.Context(), term, journaler.Record{Kind: journaler.KindTask, Data: []byte("{")}), qt.IsNil)
+			jn.Close()
+			*tm = *fl.startTerm(inherited)
+			assertBetween(t, fl.timeToMove(where), inherited, inherited+time.Second)
+		})
+	})
+}
+
+// Guards against a lease that lapses because its worker was silent for a moment while the journal is away.
+func TestSilenceWhileJournalIsAway(t *testing.T) {
+	run(t, 1, func(fl *fleet, tm *term) {
+		tm.submit(longRunningJob("long", "urgent", 1, cores(1000)))
+		sleep(2 * time.Second)
+		fl.faults.Set(emulator.Switch{Fault: emulator.Unavailable, Part: emulator.PartStore, Operation: "Put"})
+		fl.workers.SetUnreachable("worker-00", true)
+		sleep(2 * time.Second)
+		fl.workers.SetUnreachable("worker-00", false)
+		sleep(10 * time.Second)
+		fl.assertStartedOnce(modeler.TaskID{Job: "long"})
+		fl.faults.Clear()
+		sleep(time.Second)
+	})
+}
+
+// Guards against a leader that allows for requests of a predecessor which is known to have stopped.
+func TestStoppedPredecessor(t *testing.T) {
+	const inherited = 12 * time.Second
+	leaseTime := testLimits.MaxLeaseTime()
+	t.Run("its end is recorded", func(t *testing.T) {
+		run(t, 3, func(fl *fleet, tm *term) {
+			where := startOnUnreachable(fl, tm)
+			tm.endInOrder()
+			*tm = *fl.startTerm(inherited)
+			assertBetween(t, fl.timeToMove(where), testLimits.Lease-3*time.Second, leaseTime+300*time.Millisecond)
+		})
+	})
+	t.Run("its end is recorded and the next leader never answered", func(t *testing.T) {
+		run(t, 3, func(fl *fleet, tm *term) {
+			where := startOnUnreachable(fl, tm)
+			began := time.Now()
+			tm.endInOrder()
+			for range 5 {
+				*tm = *fl.startTerm(inherited)
+				sleep(700 * time.Millisecond)
+				tm.endInOrder()
+			}
+			*tm = *fl.startTerm(inherited)
+			fl.timeToMove(where)
+			assertBetween(t, time.Since(began), testLimits.Lease-3*time.Second, leaseTime+300*time.Millisecond)
+		})
+	})
+	t.Run("it is found to have stopped later", func(t *testing.T) {
+		run(t, 3, func(fl *fleet, tm *term) {
+			where := startOnUnreachable(fl, tm)
+			tm.nextTerm(inherited)
+			sleep(time.Second)
+			fl.predecessorStopped.Store(true)
+			assertBetween(t, fl.timeToMove(where), leaseTime, leaseTime+300*time.Millisecond)
+		})
+	})
+	t.Run("it is another one that may go on", func(t *testing.T) {
+		run(t, 3, func(fl *fleet, tm *term) {
+			where := startOnUnreachable(fl, tm)
+			tm.nextTerm(inherited)
+			sleep(100 * time.Millisecond)
+			tm.endInOrder()
+			*tm = *fl.startTerm(inherited)
+			assertBetween(t, fl.timeToMove(where), inherited-200*time.Millisecond, inherited+300*time.Millisecond)
+		})
+	})
+}
+
+// Guards against the time under a killed predecessor that does not count towards the end of a bounded lease.
+func TestTimeUnderPredecessorCounts(t *testing.T) {
+	run(t, 3, func(fl *fleet, tm *term) {
+		where := startOnUnreachable(fl, tm)
+		began := time.Now()
+		sleep(2 * time.Second)
+		for range 20 {
+			fl.predecessorSeenFor = 0
+			if fl.workers.WorkerOf(modeler.TaskID{Job: "long"}) != where {
+				break
+			}
+			tm.end()
+			// Until the next leader takes over, the last one counts as leader.
+			sleep(1500 * time.Millisecond)
+			fl.predecessorSeenFor = 1700 * time.Millisecond
+			*tm = *fl.startTerm(12 * time.Second)
+			sleep(200 * time.Millisecond)
+		}
+		fl.timeToMove(where)
+		assertBetween(t, time.Since(began), testLimits.Lease-3*time.Second, testLimits.MaxLeaseTime()+maxStartDelay)
+	})
+}
--- a/internal/job/director/waiting.go
+++ b/internal/job/director/waiting.go
@@ -126,9 +126,9 @@
 	wt := wait{since: tk.wait.since}
 	switch {
 	case dr.mayRunUnknown(tk):
-		wt.reason, wt.until = earlierRunPossible, dr.termStart.Add(dr.op.InheritedLease+unreachableGrace)
+		wt.reason, wt.until = earlierRunPossible, dr.inheritedUntil.Add(unreachableGrace)
 		if sp.spec.LongRunning {
-			wt.reason, wt.until, wt.worker = earlierLeasePossible, dr.termStart.Add(dr.op.InheritedLease), tk.placedOn
+			wt.reason, wt.until, wt.worker = earlierLeasePossible, dr.inheritedEnd(dr.workers[tk.placedOn]), tk.placedOn
 		}
 	case !sp.occ.job.confirmed:
 		wt.reason = jobNotConfirmed
@@ -180,7 +180,7 @@
 // leaseOver returns when leaseExpired will hold for a worker that does not answer.
 func (dr *Director) leaseOver(wk *worker, now time.Time) time.Time {
 	if !wk.answered {
-		return dr.termStart.Add(dr.op.InheritedLease)
+		return dr.inheritedEnd(wk)
 	}
 	return now.Add(wk.untilClock(wk.leaseEnd+leaseMargin, now))
 }
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -65,6 +65,7 @@
 	// grantSubmitted is set once the fact that the worker may hold a lease was given to the journal.
 	// grantDurable is set once that fact is durable.
 	grantDurable, grantSubmitted bool
+	lease                        leaseRecord
 	// answered is set once the present incarnation of the worker has answered in this term. From then
 	// on it refuses requests of earlier leaders, and its lease is renewed.
 	answered bool
@@ -278,30 +279,33 @@
 func (dr *Director) ensureGrant(ctx context.Context, wk *worker) bool {
 	for ctx.Err() == nil {
 		dr.mu.Lock()
-		removed := !wk.registered && !wk.unaccounted && len(wk.attempts) == 0 && dr.idle(wk, time.Now())
-		granted, needed, info := wk.grantDurable, wk.answered && !removed, wk.info
+		removed := !wk.registered && !wk.unaccounted && len(wk.attempts) == 0 && !wk.lease.recordingBound && dr.idle(wk, time.Now())
+		known, granted, needed, info := wk.grantDurable || wk.lease.bounded, wk.grantDurable, wk.answered && !removed, wk.info
 		wk.grantSubmitted = needed
+		wk.lease.recordingGrant = needed && !granted && !wk.lease.recordingBound
 		if removed {
 			// If it is registered again before the release is durable, it gets no lease and no start
 			// until it has been granted one again.
 			wk.grantDurable, wk.answered, wk.reported = false, false, false
+			wk.lease = leaseRecord{}
 		}
+		record := wk.lease.recordingGrant
 		dr.mu.Unlock()
 		switch {
 		case removed:
-			if granted {
+			if known {
 				dr.record(ctx, []keeper.Fact{{LeaseReleased: info.ID}}, func() {})
 			}
 			if dr.dropWorker(wk) {
 				return false
 			}
-		case granted || !needed:
+		case !record:
 			return true
 		default:
 			dr.enterPhase(wk, recordingGrant)
 			dr.record(ctx, []keeper.Fact{{LeaseGranted: &info}}, func() {
 				dr.mu.Lock()
-				wk.grantDurable = true
+				wk.grantDurable, wk.lease = true, leaseRecord{}
 				dr.mu.Unlock()
 				dr.wakeDispatch()
 			})
@@ -373,7 +377,7 @@
 	return dr.op.WorkerClient.Renew(ctx, info, req)
 }
 
-// renewalFailed marks the worker as unreachable, or ends the term if the worker has seen a higher
+// renewalFailed marks the worker as unreachable unless the term is over, or ends the term if the worker has seen a higher
 // epoch.
 func (dr *Director) renewalFailed(wk *worker, err error) {
 	if errors.Is(err, modeler.ErrStaleEpoch) {
@@ -382,8 +386,12 @@
 	}
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
+	if dr.ctx.Err() != nil {
+		// The renewal was given up with the term.
+		return
+	}
 	now := time.Now()
-	if dr.ctx.Err() == nil && !wk.unreachable {
+	if !wk.unreachable {
 		dr.log(logger.WorkerUnreachable, "Worker", wk.info.ID, "Runs", len(wk.attempts), "LeaseLeft", dr.leaseOver(wk, now).Sub(now).String(), "Error", err.Error())
 	}
 	dr.markUnreachable(wk, now)
@@ -480,7 +488,7 @@
 // without a new request.
 func (dr *Director) leaseExpired(wk *worker, now time.Time) bool {
 	if !wk.answered {
-		return now.Sub(dr.termStart) > dr.op.InheritedLease
+		return now.After(dr.inheritedEnd(wk))
 	}
 	return wk.minClock(now) > wk.leaseEnd+leaseMargin
 }
--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -114,15 +114,7 @@
 
 // LeadFunc runs one term: it tries to begin an epoch and then leads. It returns when it could not
 // begin one, the context ended or another host leads.
-type LeadFunc func(ctx context.Context, pred Predecessor) error
-
-// Predecessor is what is known about the last leader.
-type Predecessor struct {
-	// Stopped is set when it is certain that the last leader sends no more requests to workers. It
-	// extends no leases then, so that the next leader waits for less time for those that unreachable
-	// workers may still hold.
-	Stopped bool
-}
+type LeadFunc func(ctx context.Context) error
 
 // Leader is the entry host that leads, as far as this host knows. The zero value means that no
 // leader is known.
@@ -177,6 +169,8 @@
 	mu      sync.Mutex
 	members map[fleet.HostName]*member
 	leader  Leader
+	// leaderKnownAt is when this host first knew of the leader.
+	leaderKnownAt time.Time
 	// leaderLastSeen is when the leader last reported that it leads and reaches the store. After a
 	// term of this host it may be in the future, see newLeaderGrace.
 	leaderLastSeen time.Time
@@ -232,6 +226,8 @@
 	leading bool
 	// leaderRefuses is set when the leader's address refuses the host's connections.
 	leaderRefuses bool
+	// resigned is the process that resigned as leader last.
+	resigned fleet.BootID
 }
 
 // New returns an elector that is not running.
@@ -319,7 +315,8 @@
 	el.mu.Lock()
 	self := el.op.Self
 	el.leader = Leader{Epoch: epoch, Host: self.Host, Boot: self.Boot, Address: self.Address}
-	el.epochBegun, el.epochBegunAt, el.leaderLastSeen = true, time.Now(), time.Now()
+	now := time.Now()
+	el.epochBegun, el.epochBegunAt, el.leaderLastSeen, el.leaderKnownAt = true, now, now, now
 	el.mu.Unlock()
 	logger.Log(el.op.Log, logger.LeaderElected, "Epoch", epoch, "Leader", self.Host, "Self", true)
 	go el.announce(context.Background())
@@ -484,7 +481,7 @@
 	el.takeoverRequested = false
 	el.mu.Unlock()
 	if takeover {
-		el.startTerm(ctx, Predecessor{Stopped: true})
+		el.startTerm(ctx)
 		return
 	}
 	// A host that has just started and has not read the other hosts' records cannot know whether one
@@ -529,14 +526,14 @@
 	case el.noLeaderSince.IsZero():
 		el.noLeaderSince = now
 	}
-	rank, stopped := el.rank(&pollBegan), el.predecessorStopped()
+	rank, stopped := el.rank(&pollBegan), suspect.Host != "" && el.hasStopped(suspect.Host, suspect.Boot, suspect.Epoch+1)
 	tooEarly := now.Sub(el.noLeaderSince) < time.Duration(rank)*rankDelay
 	el.mu.Unlock()
 	if !noLeader || tooEarly {
 		return
 	}
 	logger.Log(el.op.Log, logger.LeaderGone, "Leader", suspect.Host, "Epoch", suspect.Epoch, "Silence", sinceSeen.String(), "Agreed", agreed, "Hosts", total, "Rank", rank, "Stopped", stopped)
-	el.startTerm(ctx, Predecessor{Stopped: stopped})
+	el.startTerm(ctx)
 }
 
 // countAgreeing returns the number of hosts that agree that the leader has failed and that replied
@@ -582,30 +579,36 @@
 // name, so that the order does not follow data centres.
 func tieBreaker(host fleet.HostName) uint64 { return xxhash.Sum64String(string(host)) }
 
-// predecessorStopped reports whether it is certain that the last leader sends no more requests: it
-// was this host, whose term has ended, or another process of its host runs now. The caller holds
-// mu.
-func (el *Elector) predecessorStopped() bool {
-	if el.leader.Host == "" {
-		return false
-	}
-	if el.leader.Host == el.op.Self.Host {
+// HasStopped reports whether it is certain that a process that led sends no more requests to workers: its
+// term has ended at this host, another process of its host runs now, it has resigned, or it has reported
+// that it knows the epoch, which is later than its own.
+func (el *Elector) HasStopped(host fleet.HostName, boot fleet.BootID, epoch modeler.Epoch) bool {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	return el.hasStopped(host, boot, epoch)
+}
+
+// hasStopped is HasStopped for callers that hold mu.
+func (el *Elector) hasStopped(host fleet.HostName, boot fleet.BootID, epoch modeler.Epoch) bool {
+	if host == el.op.Self.Host {
 		return true
 	}
-	mb := el.members[el.leader.Host]
-	return mb != nil && mb.Boot != "" && mb.Boot != el.leader.Boot
+	mb := el.members[host]
+	if mb == nil || mb.Boot == "" {
+		return false
+	}
+	return mb.Boot != boot || mb.resigned == boot || mb.epoch >= epoch && !mb.leading
 }
 
-// Replaced reports whether the host's process with this boot ID is known to have ended because a
-// later one of the same host runs. For this host it is always true.
-func (el *Elector) Replaced(host fleet.HostName, boot fleet.BootID) bool {
+// LeaderKnownFor returns for how long this host has known of the leader of an epoch, zero if another epoch is
+// the last that it knows.
+func (el *Elector) LeaderKnownFor(epoch modeler.Epoch) time.Duration {
 	el.mu.Lock()
 	defer el.mu.Unlock()
-	if host == el.op.Self.Host {
-		return true
+	if el.leader.Epoch != epoch || epoch == 0 {
+		return 0
 	}
-	mb := el.members[host]
-	return mb != nil && mb.Boot != "" && mb.Boot != boot
+	return time.Since(el.leaderKnownAt)
 }
 
 // storeHeartbeatStale reports whether the leader's record in the store has not changed for
@@ -637,7 +640,7 @@
 }
 
 // startTerm runs a term in the background, unless one runs already or this host drains.
-func (el *Elector) startTerm(ctx context.Context, pred Predecessor) {
+func (el *Elector) startTerm(ctx context.Context) {
 	el.mu.Lock()
 	defer el.mu.Unlock()
 	if el.inTerm || el.draining {
@@ -649,7 +652,7 @@
 	go func() {
 		defer close(done)
 		defer cancel()
-		err := el.op.Lead(termCtx, pred)
+		err := el.op.Lead(termCtx)
 		el.mu.Lock()
 		defer el.mu.Unlock()
 		el.inTerm, el.epochBegun = false, false
@@ -838,7 +841,7 @@
 func (el *Elector) observeLeader(leader Leader, mb *member, now time.Time) {
 	if leader.Epoch > el.leader.Epoch {
 		el.leader = leader
-		el.leaderLastSeen, el.leaderRevisionAt, el.noLeaderSince, el.leaderRefuses = now, time.Time{}, time.Time{}, false
+		el.leaderKnownAt, el.leaderLastSeen, el.leaderRevisionAt, el.noLeaderSince, el.leaderRefuses = now, now, time.Time{}, time.Time{}, false
 		logger.Log(el.op.Log, logger.LeaderElected, "Epoch", leader.Epoch, "Leader", leader.Host, "Self", false)
 		if el.inTerm && el.epochBegun {
 			el.cancelTerm()
@@ -866,6 +869,9 @@
 	el.mu.Lock()
 	defer el.mu.Unlock()
 	el.takeoverRequested = modeler.Epoch(gr.Epoch) == el.leader.Epoch && el.leader.Host == fleet.HostName(gr.Host)
+	if mb := el.members[el.leader.Host]; el.takeoverRequested && mb != nil {
+		mb.resigned = fleet.BootID(gr.Boot)
+	}
 }
 
 // later returns the later of two times.
--- a/internal/job/elector/elector_test.go
+++ b/internal/job/elector/elector_test.go
@@ -87,7 +87,7 @@
 	el := elector.New(elector.Options{
 		Self: self, Store: ho, StoreAge: ho.age, ConfigurationRevision: func() int64 { return 1 }, OnHigherRevision: func(netip.AddrPort, int64) {},
 		Dial: func(addr netip.AddrPort) messenger.Jobs { return &link{from: ho, to: addr} },
-		Lead: func(ctx context.Context, _ elector.Predecessor) error { return ho.lead(ctx, self) },
+		Lead: func(ctx context.Context) error { return ho.lead(ctx, self) },
 		Log:  testLog(), Meter: meter.New(nil),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/job/keeper/fact.go
+++ b/internal/job/keeper/fact.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"github.com/currantrouter/currantrouter/internal/job/estimator"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
@@ -21,6 +22,10 @@
 	LeaseGranted *modeler.Worker `json:"Granted,omitempty"`
 	// LeaseReleased is a worker that no longer holds a lease.
 	LeaseReleased modeler.WorkerID `json:"Released,omitempty"`
+	// LeaseBounded is the end of the lease of a worker that does not answer.
+	LeaseBounded *LeaseBoundedFact `json:"Bounded,omitempty"`
+	// Term is what a leader knows of the time that has passed and of the leases of earlier leaders.
+	Term *TermFact `json:",omitempty"`
 	// Placed is the placement of a long-running task on a worker.
 	Placed *PlacedFact `json:",omitempty"`
 	// Estimates holds the leader's estimates of interference between images.
@@ -36,6 +41,32 @@
 	Worker modeler.WorkerID
 }
 
+// LeaseBoundedFact is the end of the lease of a worker that does not answer. It holds until a later
+// LeaseGranted of the worker, without which no leader extends the lease.
+type LeaseBoundedFact struct {
+	Worker modeler.WorkerID
+	// Until is when the lease is over for certain, on the journal's clock.
+	Until time.Duration
+}
+
+// TermFact is what the leader of an epoch knows. Of several, the last one counts.
+//
+// The journal's clock measures the time since the first epoch began, without a comparison of the clocks
+// of hosts: each leader goes on from the highest time that it finds recorded or has seen pass under its
+// predecessor. The clock of a later leader is therefore never ahead of that of an earlier one.
+type TermFact struct {
+	Epoch modeler.Epoch
+	// Start is what the journal's clock showed when the term began.
+	Start time.Duration
+	// Clock is the time on the journal's clock when the fact was made.
+	Clock time.Duration
+	// InheritedUntil is when all leases that leaders of earlier epochs extended are over, on the journal's
+	// clock.
+	InheritedUntil time.Duration
+	// Ended is set if the leader of the epoch extends no lease after Clock.
+	Ended bool `json:",omitempty"`
+}
+
 // RunEndFact is the end of one run of a task.
 type RunEndFact struct {
 	// Task is the text form of a modeler.TaskID.
@@ -71,6 +102,19 @@
 	return journaler.Record{Kind: journaler.KindTask, Data: data}, err
 }
 
+// Records returns the journal records of facts, in their order.
+func Records(facts []Fact) ([]journaler.Record, error) {
+	recs := make([]journaler.Record, 0, len(facts))
+	for _, ft := range facts {
+		rec, err := ft.Record()
+		if err != nil {
+			return nil, err
+		}
+		recs = append(recs, rec)
+	}
+	return recs, nil
+}
+
 // ParseFact decodes the journal record of a fact. Errors: ErrDamaged, also for a fact that holds
 // nothing known or values out of bounds.
 func ParseFact(rec journaler.Record) (Fact, error) {
@@ -87,7 +131,7 @@
 // check returns ErrDamaged for a fact that does not have exactly one valid field.
 func (ft Fact) check() error {
 	fields := 0
-	for _, set := range [...]bool{ft.RunEnd != nil, ft.JobEnd != nil, ft.LeaseGranted != nil, ft.LeaseReleased != "", ft.Placed != nil, ft.Estimates != nil} {
+	for _, set := range [...]bool{ft.RunEnd != nil, ft.JobEnd != nil, ft.LeaseGranted != nil, ft.LeaseReleased != "", ft.LeaseBounded != nil, ft.Term != nil, ft.Placed != nil, ft.Estimates != nil} {
 		if set {
 			fields++
 		}
@@ -102,6 +146,10 @@
 		valid = valid && ft.JobEnd.Job != "" && ft.JobEnd.State.Final()
 	case ft.LeaseGranted != nil:
 		valid = valid && ft.LeaseGranted.ID != ""
+	case ft.LeaseBounded != nil:
+		valid = valid && ft.LeaseBounded.Worker != "" && validClock(ft.LeaseBounded.Until)
+	case ft.Term != nil:
+		valid = valid && ft.Term.Epoch > 0 && ft.Term.Epoch <= modeler.MaxEpoch && validClock(ft.Term.Start) && validClock(ft.Term.Clock) && validClock(ft.Term.InheritedUntil)
 	}
 	if !valid {
 		return fmt.Errorf("%w: fact with %d fields, one of them invalid or none known", ErrDamaged, fields)
@@ -109,6 +157,11 @@
 	return nil
 }
 
+// maxClock bounds times on the journal's clock.
+const maxClock = 100 * 365 * 24 * time.Hour
+
+func validClock(clock time.Duration) bool { return clock >= 0 && clock <= maxClock }
+
 // validRun reports whether a task and a run are in range. The run is 0 for a task of a gang that is
 // done by the end of another one and that this leader never saw run.
 func validRun(task string, run modeler.Run) bool {
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -59,9 +59,9 @@
 	// workersBatchDelay is the time between two reads of changed workers' entries. Each worker writes
 	// its entry every 1.5 s, and a draining one must get no tasks after 2 s.
 	workersBatchDelay = 250 * time.Millisecond
-	// inheritedLeaseMargin is added to the time for which workers may hold leases of an earlier
-	// leader. It covers requests in flight and workers' slow clocks.
-	inheritedLeaseMargin = 500 * time.Millisecond
+	// recordEndTimeout bounds the record of the end of a term. The successor is asked to take over after
+	// it.
+	recordEndTimeout = 400 * time.Millisecond
 )
 
 // Store is the key-value service.
@@ -123,7 +123,7 @@
 
 // Lead implements elector.LeadFunc. It begins an epoch and leads until the term is over. Errors:
 // those of journaler.Open, director.ErrTermOver.
-func (ld *Leader) Lead(ctx context.Context, pred elector.Predecessor) error {
+func (ld *Leader) Lead(ctx context.Context) error {
 	began := time.Now()
 	doublings := min(ld.failedOpens.Load(), maxOpenTimeoutDoublings)
 	openCtx, cancel := context.WithTimeout(ctx, minOpenTimeout<<doublings)
@@ -141,37 +141,42 @@
 	}
 	ld.failedOpens.Store(0)
 	defer jn.Close()
-	ld.elector.EpochBegun(modeler.Epoch(rec.Epoch))
+	epoch := modeler.Epoch(rec.Epoch)
 	tm := &term{leader: ld, journal: jn, authority: newAuthority(ld, jn)}
-	inheritedLease := ld.inheritedLease(rec, pred)
+	// The term of the director begins before other hosts hear of it, see director.Options.PredecessorSeenFor.
 	dr := director.New(director.Options{
-		Epoch: modeler.Epoch(rec.Epoch), WorkerClient: ld.op.WorkerClient, Journal: jn, Policy: ld.op.Policy, JobStore: keeper.NewJobStore(ld.op.Store),
-		Configuration: ld.op.Configuration, MaySendRequests: tm.authority.valid, InheritedLease: inheritedLease,
+		Epoch: epoch, WorkerClient: ld.op.WorkerClient, Journal: jn, Policy: ld.op.Policy, JobStore: keeper.NewJobStore(ld.op.Store),
+		Configuration: ld.op.Configuration, MaySendRequests: tm.authority.valid,
+		InheritedLease: ld.inheritedLease(rec), PredecessorStopped: ld.predecessorStopped(rec),
+		PredecessorSeenFor: ld.elector.LeaderKnownFor(epoch - 1), FactsMissing: rec.Damaged > 0,
 		Limits: ld.op.Limits, Log: ld.op.Log, Meter: ld.op.Meter,
 	})
+	ld.elector.EpochBegun(epoch)
 	dr.Restore(slices.Concat(rec.SnapshotRecords, rec.Records))
 	tm.director = dr
 	ld.current.Store(dr)
 	defer ld.current.Store(nil)
-	logger.Log(ld.op.Log, logger.TermBegun, "Epoch", rec.Epoch, "Previous", rec.PreviousHost, "Facts", len(rec.SnapshotRecords)+len(rec.Records), "InheritedLease", inheritedLease.String(), "PreviousStopped", pred.Stopped, "Took", time.Since(began).String())
+	logger.Log(ld.op.Log, logger.TermBegun, "Epoch", rec.Epoch, "Previous", rec.PreviousHost, "Facts", len(rec.SnapshotRecords)+len(rec.Records),
+		"InheritedLease", dr.InheritedLease().String(), "Took", time.Since(began).String())
 	return tm.run(ctx)
 }
 
-// inheritedLease returns how long, from the beginning of the term, unreachable workers may run
-// tasks for earlier leaders. Clocks of workers may be slow by 2 %.
-func (ld *Leader) inheritedLease(rec journaler.Recovery, pred elector.Predecessor) time.Duration {
-	lease := ld.op.Limits.Lease + ld.op.Limits.Lease/50 + inheritedLeaseMargin
+// inheritedLease returns how long, from the beginning of the term, unreachable workers may run tasks for
+// earlier leaders, of which the last may go on for authorityTimeout.
+func (ld *Leader) inheritedLease(rec journaler.Recovery) time.Duration {
+	// A damaged segment may be the only trace of the last leader.
 	if rec.PreviousHost == "" && rec.Damaged == 0 {
 		return 0
 	}
-	// A damaged segment may be the only trace of the last leader.
-	if rec.Damaged > 0 {
-		return lease + authorityTimeout
-	}
-	if pred.Stopped || ld.elector.Replaced(rec.PreviousHost, rec.PreviousBoot) {
-		return lease
+	return ld.op.Limits.MaxLeaseTime() + authorityTimeout
+}
+
+// predecessorStopped returns a function that reports whether the leader of the epoch before sends no more
+// requests to workers.
+func (ld *Leader) predecessorStopped(rec journaler.Recovery) func() bool {
+	return func() bool {
+		return rec.PreviousHost != "" && ld.elector.HasStopped(rec.PreviousHost, rec.PreviousBoot, modeler.Epoch(rec.Epoch))
 	}
-	return lease + authorityTimeout
 }
 
 // term is a running term.
@@ -197,7 +202,20 @@
 	loops.Go(func() { jobs.Run(ctx) })
 	loops.Go(func() { workers.Run(ctx) })
 	loops.Go(func() { tm.journalCheckLoop(ctx) })
-	return tm.director.Wait()
+	if err := tm.director.Wait(); err != nil {
+		return err
+	}
+	tm.recordEnd()
+	return nil
+}
+
+// recordEnd records the end of a term that was not ended by another host.
+func (tm *term) recordEnd() {
+	ctx, cancel := context.WithTimeout(context.Background(), recordEndTimeout)
+	defer cancel()
+	if err := tm.director.RecordEnd(ctx); err != nil && !errors.Is(err, journaler.ErrDeposed) {
+		logger.Log(tm.leader.op.Log, logger.TermEndNotRecorded, "Error", err.Error())
+	}
 }
 
 // resetJobs passes all stored jobs to the director. An earlier leader may have started those of the
--- a/internal/telemetry/logger/catalogue_job.go
+++ b/internal/telemetry/logger/catalogue_job.go
@@ -36,7 +36,7 @@
 	PermitsGranted    = Event{630, "permits received", "The policy service has answered on which of the workers a step may run.", SeverityInfo}
 	PermitsNotGranted = Event{631, "permit request failed", "The policy service did not answer. The step waits and the request is retried. Check the service.", SeverityWarning}
 
-	TermBegun       = Event{640, "term begun", "This host has begun an epoch of the journal as leader and restored the facts in it. Workers that do not answer may run tasks of earlier leaders for InheritedLease from now on; PreviousStopped is set if the last leader is known to send no more requests.", SeverityInfo}
+	TermBegun       = Event{640, "term begun", "This host has begun an epoch of the journal as leader and restored the facts in it. Workers that do not answer may run tasks of earlier leaders for InheritedLease from now on, unless the journal bounds their leases.", SeverityInfo}
 	TermLoaded      = Event{641, "jobs loaded", "All stored jobs are loaded and placement begins. Unaccounted workers may still run tasks of an earlier leader.", SeverityInfo}
 	TermAccounted   = Event{642, "workers accounted for", "No task runs that this leader does not know of.", SeverityInfo}
 	TermEnded       = Event{643, "term ended", "Another host is the leader. This host sends no more requests to workers.", SeverityWarning}
@@ -51,6 +51,10 @@
 	WatchLost       = Event{652, "store watch failed", "Changes are not seen until the store answers again.", SeverityWarning}
 	WatchRestored   = Event{653, "store watch recovered", "The local copy is up to date again.", SeverityInfo}
 
+	LeaseBounded       = Event{654, "end of a silent worker's lease recorded", "The worker does not answer. The journal has, from now on, that its lease is over after LeaseLeft, so that a later leader does not wait anew. The lease is not extended before the journal has a new grant. Clock is the time on the journal's clock.", SeverityInfo}
+	PredecessorStopped = Event{655, "last leader has stopped", "The last leader is known to send no more requests. Workers that do not answer may run tasks of earlier leaders for InheritedLease from now on.", SeverityInfo}
+	TermEndNotRecorded = Event{656, "end of the term not recorded", "The journal did not accept the record in time. The next leader may wait longer for workers that do not answer.", SeverityWarning}
+
 	QueuesAccepted   = Event{660, "queue configuration accepted", "A higher revision of the queue configuration is in force at this host.", SeverityInfo}
 	QueuesInvalid    = Event{661, "invalid queue configuration refused", "The operators' document could not be parsed. The revision in force does not change. Correct the document.", SeverityError}
 	QueuesNotFetched = Event{662, "queue configuration not fetched from a peer", "A peer reported a higher revision but did not send it. The host also watches the store for it.", SeverityWarning}
@@ -77,7 +81,7 @@
 	WorkerPaced, PaceUnanswered, WorkerDraining, WorkerUnregistered, WorkerUnreachable, WorkerReachable, WorkerRestarted, WorkerQuarantineBegun,
 	WorkerEntryInvalid, PermitsGranted, PermitsNotGranted,
 	TermBegun, TermLoaded, TermAccounted, TermEnded, FactDamaged, FactNotRecorded, FactsDelayed, LeaderElected, LeaderGone,
-	MemberNotStored, MemberDamaged, MemberRemoved, WatchLost, WatchRestored,
+	MemberNotStored, MemberDamaged, MemberRemoved, WatchLost, WatchRestored, LeaseBounded, PredecessorStopped, TermEndNotRecorded,
 	QueuesAccepted, QueuesInvalid, QueuesNotFetched, PeersNotSecured, SettingsReloaded, SettingsKept, LoadSummary, TaskWaits, LogLinesDropped,
 	LongRunningTaskWaits, TasksWaitLong, CancellationIneffective, CancellationDropped, CancelledRunGoesOn, ReportHeldUp, RenewalsLate, LeaderNotNotified,
 }
