Do not grant a lease again to a worker that does not answer

Cause: once the end of a silent worker's lease was recorded, its renewLoop recorded a new grant at once, as the worker had answered earlier in the term.

Change: a grant is recorded for a worker that answers. TestSilentWorkerIsNotGranted failed with 17 records of one silence and passes with 1.

--- a/internal/job/director/logs_test.go
+++ b/internal/job/director/logs_test.go
@@ -30,7 +30,7 @@
 
 // recordedEvents are the events that tests look for.
 var recordedEvents = []logger.Event{
-	logger.JobCancelled, logger.WorkerUnreachable, logger.LongRunningTaskWaits, logger.TasksWaitLong, logger.CancellationIneffective,
+	logger.JobCancelled, logger.WorkerUnreachable, logger.LeaseBounded, logger.LongRunningTaskWaits, logger.TasksWaitLong, logger.CancellationIneffective,
 	logger.CancellationDropped, logger.CancelledRunGoesOn, logger.ReportHeldUp, logger.JobNotRead, logger.RenewalsLate,
 }
 
--- a/internal/job/director/terms_test.go
+++ b/internal/job/director/terms_test.go
@@ -10,6 +10,7 @@
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/provider/emulator"
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 )
 
 // termSeries is a series of terms that are shorter than the inherited lease. A worker crashes in it and does
@@ -261,3 +262,18 @@
 		assertBetween(t, time.Since(began), testLimits.Lease-3*time.Second, testLimits.MaxLeaseTime()+maxStartDelay)
 	})
 }
+
+// Guards against a worker that does not answer and is granted a lease again, which drops the recorded end of the
+// one before.
+func TestSilentWorkerIsNotGranted(t *testing.T) {
+	run(t, 3, func(fl *fleet, tm *term) {
+		where := startOnUnreachable(fl, tm)
+		sleep(3 * time.Second)
+		bounds := len(fl.logs.of(logger.LeaseBounded, logLine{"Worker": string(where)}))
+		qt.Check(fl.t, bounds, qt.Equals, 1)
+		sleep(7 * time.Second)
+		qt.Check(fl.t, fl.workers.WorkerOf(modeler.TaskID{Job: "long"}), qt.Not(qt.Equals), where)
+		bounds = len(fl.logs.of(logger.LeaseBounded, logLine{"Worker": string(where)}))
+		qt.Check(fl.t, bounds, qt.Equals, 1)
+	})
+}
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -280,7 +280,7 @@
 	for ctx.Err() == nil {
 		dr.mu.Lock()
 		removed := !wk.registered && !wk.unaccounted && len(wk.attempts) == 0 && !wk.lease.recordingBound && dr.idle(wk, time.Now())
-		known, granted, needed, info := wk.grantDurable || wk.lease.bounded, wk.grantDurable, wk.answered && !removed, wk.info
+		known, granted, needed, info := wk.grantDurable || wk.lease.bounded, wk.grantDurable, wk.answered && !wk.unreachable && !removed, wk.info
 		wk.grantSubmitted = needed
 		wk.lease.recordingGrant = needed && !granted && !wk.lease.recordingBound
 		if removed {
