Set the pace of runs that an earlier leader may have paced

Callers saw best-effort tasks that never end: a run that a leader had halted beside a latency-critical task stayed halted after the leader changed.

Cause: reports do not list the pace of a run. A new leader took each adopted run to be at full pace, and sent no request as long as full pace was what it wanted.

Change: the pace of an adopted best-effort run is unknown until this leader has set it. It is raised to full only while the load is below the threshold for raises, as the run may be the reason why it is low.

--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -534,7 +534,7 @@
 	// measure is the last reported measure of the run: the tail latency in milliseconds of a
 	// latency-critical task, and the processor use in thousandths of a core of any other.
 	measure int64
-	// pace is the last pace that was sent to the worker, in percent.
+	// pace is the last pace that was sent to the worker, in percent, or unknownPace.
 	pace int
 	// listed is set once a report has listed the run.
 	listed bool
--- a/internal/job/director/observer.go
+++ b/internal/job/director/observer.go
@@ -43,6 +43,8 @@
 	// estimates are. The rest of the grace covers the time until the halt shows in a report, which
 	// is up to a second.
 	haltGracePercent = 40
+	// unknownPace is the pace of a run that an earlier leader may have paced. Reports do not list it.
+	unknownPace = -1
 )
 
 // checkRuns looks for stalled and slow runs on a worker, and moves runs away from a draining one.
@@ -129,14 +131,17 @@
 			interference = dr.model.Interference(nearest.spec.Image, at.task.step.spec.Image)
 		}
 		percent := wk.pace.Percent()
-		if interference < maxUnpacedInterference && !haltAll {
+		unpaced := interference < maxUnpacedInterference && !haltAll
+		if unpaced {
 			percent = pacer.FullPace
 		}
 		if interference >= minMoveInterference && relativeLoad >= pacer.SlowThreshold && at.task.moves < maxMoves {
 			dr.moveRun(at, "interferes with a latency-critical task")
 			percent = 0
 		}
-		if at.pace != percent {
+		// The load may be below the target only because an earlier leader paced the run.
+		keep := at.pace == unknownPace && percent == pacer.FullPace && !unpaced && relativeLoad >= pacer.RaiseThreshold
+		if at.pace != percent && !keep {
 			dr.setPace(at, percent)
 		}
 	}
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -225,6 +225,9 @@
 	}
 	at := dr.reserve(tk, wk, row.Run)
 	at.adopted = true
+	if tk.step.spec.BestEffort {
+		at.pace = unknownPace
+	}
 	at.markActive(now)
 	jb.started = true
 	return at
--- a/internal/job/director/status.go
+++ b/internal/job/director/status.go
@@ -64,7 +64,7 @@
 		for _, at := range wk.attempts {
 			if spec := at.task.step.spec; spec.BestEffort && at.state == active {
 				bestEffortUsed += at.measure
-				bestEffortPaced += spec.Needs.MilliCores * int64(at.pace) / pacer.FullPace
+				bestEffortPaced += spec.Needs.MilliCores * int64(max(at.pace, 0)) / pacer.FullPace
 			}
 		}
 		if dr.acceptsTasks(wk, now) {
