--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -102,9 +102,13 @@
 	PredecessorSeenFor time.Duration
 	// FactsMissing is set if records of the journal could not be read.
 	FactsMissing bool
-	Limits       Limits
-	Log          logr.Logger
-	Meter        *meter.Registry
+	// SnapshotPosition is the position of the journal's last snapshot, zero if there is none, and
+	// FactsSinceSnapshot the number of facts after it.
+	SnapshotPosition   int64
+	FactsSinceSnapshot int
+	Limits             Limits
+	Log                logr.Logger
+	Meter              *meter.Registry
 }
 
 const (
@@ -123,7 +127,8 @@
 	cancellationReadTimeout = 600 * time.Millisecond
 	// cancellationReadPause is the pause after a failed read of a job's cancellation.
 	cancellationReadPause = 150 * time.Millisecond
-	// cleanupInterval is the time between two deletions of jobs whose retention is over.
+	// cleanupInterval is the time between two deletions of jobs whose retention is over, and between two
+	// checks whether a snapshot is due.
 	cleanupInterval = 5 * time.Second
 	// retentionMargin is added to the retention so that a late retry of a submission still finds
 	// its job.
@@ -238,16 +243,17 @@
 	ineffectiveLines, droppedLines, overdueLines lineBudget
 	// waitLoggedAt is when the log last said why a task waits.
 	waitLoggedAt time.Time
-	// snapshotPosition is the journal position of the last snapshot. Only cleanupLoop uses it.
+	// snapshotPosition is the journal position of the last snapshot, also of one by an earlier leader. Only
+	// cleanupLoop uses it.
 	snapshotPosition int64
-	// factsSinceSnapshot is the number of facts recorded since the last snapshot.
+	// factsSinceSnapshot is the number of facts recorded since the last snapshot, also by earlier leaders.
 	factsSinceSnapshot atomic.Int64
 }
 
 // New returns a director. Its term begins with Start.
 func New(op Options) *Director {
 	now := time.Now()
-	return &Director{
+	dr := &Director{
 		op:                   op,
 		termStart:            now,
 		inheritedUntil:       now.Add(op.InheritedLease),
@@ -264,7 +270,10 @@
 		model:                estimator.New(),
 		startWindow:          throttler.New(requestTimeout),
 		invalid:              reporter.New(op.Log, op.Meter),
+		snapshotPosition:     op.SnapshotPosition,
 	}
+	dr.factsSinceSnapshot.Store(int64(op.FactsSinceSnapshot))
+	return dr
 }
 
 // Start starts the goroutines of the term. The term ends with the context, or when another host is
--- a/internal/job/director/harness_test.go
+++ b/internal/job/director/harness_test.go
@@ -125,8 +125,10 @@
 	fleet *fleet
 	// records is the number of journal records after the last snapshot that the term had to read.
 	records int
-	cancel  context.CancelFunc
-	ended   chan struct{}
+	// segments is the number of the journal's segments after the last snapshot that the term had to read.
+	segments int64
+	cancel   context.CancelFunc
+	ended    chan struct{}
 	// resigns is set if the leader stops in order and records the end of its term.
 	resigns *atomic.Bool
 	// sendsUntil is when the leader stops sending requests to workers, in Unix nanoseconds, or zero.
@@ -183,11 +185,12 @@
 	if jobStore == nil {
 		jobStore = keeper.NewJobStore(fl.store)
 	}
-	tm := &term{fleet: fl, records: len(rec.Records), ended: make(chan struct{}), resigns: new(atomic.Bool), sendsUntil: new(atomic.Int64)}
+	tm := &term{fleet: fl, records: len(rec.Records), segments: rec.Position - rec.SnapshotPosition, ended: make(chan struct{}), resigns: new(atomic.Bool), sendsUntil: new(atomic.Int64)}
 	dr := director.New(director.Options{
 		Epoch: modeler.Epoch(rec.Epoch), WorkerClient: client, Journal: jn, JobStore: jobStore,
 		Configuration: func() *modeler.Configuration { return fl.config }, MaySendRequests: tm.maySend,
-		Policy: fl.policy, InheritedLease: inherited, PredecessorStopped: fl.predecessorStopped.Load, PredecessorSeenFor: fl.predecessorSeenFor, Limits: testLimits, Log: fl.logs.logger(fl.t), Meter: fl.registry,
+		Policy: fl.policy, InheritedLease: inherited, PredecessorStopped: fl.predecessorStopped.Load, PredecessorSeenFor: fl.predecessorSeenFor,
+		SnapshotPosition: rec.SnapshotPosition, FactsSinceSnapshot: len(rec.Records), Limits: testLimits, Log: fl.logs.logger(fl.t), Meter: fl.registry,
 	})
 	dr.Restore(append(rec.SnapshotRecords, rec.Records...))
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/job/director/journal_test.go
+++ b/internal/job/director/journal_test.go
@@ -32,3 +32,30 @@
 		fl.assertNoViolations()
 	})
 }
+
+// Guards against a journal that grows without a bound in a series of terms that are too short for a snapshot, so that
+// in the end no host can read it in time to lead.
+func TestShortJournalInSeriesOfTerms(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			terms    = 60
+			termTime = 4 * time.Second
+			// maxSegments is the number of segments after a snapshot that triggers the next one.
+			maxSegments = 600
+			// writes bounds the segments that a term writes.
+			writes = 20 * 4
+		)
+		fl := newFleet(t, 4)
+		tm := fl.startTerm(0)
+		defer func() { tm.end() }()
+		var longest int64
+		for no := range terms {
+			tm.submit(simpleJob(modeler.JobID(fmt.Sprint("job-", no)), "batch", 200, cores(1000)))
+			sleep(termTime)
+			tm.nextTerm(10 * time.Second)
+			longest = max(longest, tm.segments)
+		}
+		qt.Check(t, longest < maxSegments+2*writes, qt.IsTrue, qt.Commentf("%d segments", longest))
+		fl.assertNoViolations()
+	})
+}
--- a/internal/job/director/recovery.go
+++ b/internal/job/director/recovery.go
@@ -114,10 +114,16 @@
 }
 
 // cleanupLoop deletes jobs and cancellations whose retention is over, and takes snapshots to keep the
-// journal short.
+// journal short. It begins as soon as the stored jobs are loaded: if it paused first, a series of terms
+// shorter than the pause would take no snapshot.
 func (dr *Director) cleanupLoop(ctx context.Context) {
-	for ctx.Err() == nil {
-		pauser.Sleep(ctx, cleanupInterval)
+	select {
+	case <-ctx.Done():
+		return
+	case <-dr.loaded:
+	}
+	for ; ctx.Err() == nil; pauser.Sleep(ctx, cleanupInterval) {
+		dr.snapshot(ctx)
 		for _, id := range slices.Concat(dr.expiredJobs(time.Now()), dr.expiredCancellations(time.Now())) {
 			dctx, cancel := context.WithTimeout(ctx, storeTimeout)
 			err := dr.op.JobStore.Delete(dctx, id)
@@ -131,7 +137,6 @@
 			dr.forgetPending(id)
 			dr.mu.Unlock()
 		}
-		dr.snapshot(ctx)
 	}
 }
 
@@ -171,11 +176,6 @@
 	if position-dr.snapshotPosition < minSnapshotPositions && newFacts < minSnapshotFacts {
 		return
 	}
-	select {
-	case <-dr.loaded:
-	default:
-		return
-	}
 	recs, err := keeper.Records(dr.snapshotFacts())
 	if err != nil {
 		dr.log(logger.FactNotRecorded, "Error", err.Error())
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -149,6 +149,7 @@
 		Configuration: ld.op.Configuration, MaySendRequests: tm.authority.valid,
 		InheritedLease: ld.inheritedLease(rec), PredecessorStopped: ld.predecessorStopped(rec),
 		PredecessorSeenFor: ld.elector.LeaderKnownFor(epoch - 1), FactsMissing: rec.Damaged > 0,
+		SnapshotPosition: rec.SnapshotPosition, FactsSinceSnapshot: len(rec.Records),
 		Limits: ld.op.Limits, Log: ld.op.Log, Meter: ld.op.Meter,
 	})
 	ld.elector.EpochBegun(epoch)
