Record on which worker a run failed

It started the task again on the faulty worker, which has room as it fails everything, once in each of a series of terms until the attempts were used up.

Change: the fact of a failed run names the worker, which the task avoids also under later leaders. Facts without a worker, of versions before this one, are read as before.

--- a/internal/job/director/export_test.go
+++ b/internal/job/director/export_test.go
@@ -1,5 +1,11 @@
 package director
 
+import (
+	"context"
+
+	"github.com/currantrouter/currantrouter/internal/job/keeper"
+)
+
 // TasksInMemory returns the number of tasks in memory, over all jobs.
 func (dr *Director) TasksInMemory() int {
 	dr.mu.Lock()
@@ -14,3 +20,13 @@
 	}
 	return count
 }
+
+// TakeSnapshot replaces the journal by a snapshot, although none may be due.
+func (dr *Director) TakeSnapshot(ctx context.Context) error {
+	position := dr.op.Journal.Position()
+	recs, err := keeper.Records(dr.snapshotFacts())
+	if err != nil {
+		return err
+	}
+	return dr.op.Journal.Snapshot(ctx, recs, position)
+}
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -88,8 +88,10 @@
 	// queued is set while the task is in its step's waiting list.
 	queued  bool
 	lastRun modeler.Run
-	// failures holds the runs that failed, each once.
+	// failures holds the runs that failed, each once, and failedOn their workers, by the same index. A worker
+	// is empty if it is not known.
 	failures   []modeler.Run
+	failedOn   []modeler.WorkerID
 	checkpoint string
 	// savedShare is the share of the task's work that the checkpoint holds, 0 to 1, from the
 	// progress reported with it.
@@ -200,7 +202,9 @@
 	case ft.Placed != nil && dr.possibleRun(ft.Placed.Run):
 		tk.recordPlacement(ft.Placed.Run, ft.Placed.Worker)
 	case ft.RunEnd != nil && dr.possibleRun(ft.RunEnd.Run):
-		dr.applyRunEnd(tk, ft.RunEnd.Run, ft.RunEnd.Outcome, ft.RunEnd.Checkpoint)
+		if dr.applyRunEnd(tk, ft.RunEnd) && ft.RunEnd.Worker != "" {
+			tk.avoidWorker(ft.RunEnd.Worker)
+		}
 	}
 }
 
@@ -318,24 +322,24 @@
 }
 
 // applyRunEnd applies the end of a run to its task and reports whether the end has to be recorded.
-func (dr *Director) applyRunEnd(tk *task, run modeler.Run, outcome modeler.Outcome, checkpoint string) bool {
+func (dr *Director) applyRunEnd(tk *task, end *keeper.RunEndFact) bool {
 	sp := tk.step
-	tk.lastRun = max(tk.lastRun, run)
+	tk.lastRun = max(tk.lastRun, end.Run)
 	sp.occ.job.started = true
 	if tk.done || sp.occ.job.finalState != "" {
 		return false
 	}
 	changed := false
-	if checkpoint != "" && checkpoint != tk.checkpoint {
-		tk.checkpoint, changed = checkpoint, true
+	if end.Checkpoint != "" && end.Checkpoint != tk.checkpoint {
+		tk.checkpoint, changed = end.Checkpoint, true
 	}
 	switch {
 	case sp.spec.LongRunning:
-	case outcome == modeler.Done:
+	case end.Outcome == modeler.Done:
 		dr.markDone(tk)
 		return true
-	case outcome == modeler.Failure && !slices.Contains(tk.failures, run):
-		tk.failures = append(tk.failures, run)
+	case end.Outcome == modeler.Failure && !slices.Contains(tk.failures, end.Run):
+		tk.failures, tk.failedOn = append(tk.failures, end.Run), append(tk.failedOn, end.Worker)
 		return true
 	}
 	return changed
--- a/internal/job/director/recovery.go
+++ b/internal/job/director/recovery.go
@@ -233,18 +233,18 @@
 	if tk.placedOn != "" {
 		facts = append(facts, keeper.Fact{Placed: &keeper.PlacedFact{Task: name, Run: tk.placedRun, Worker: tk.placedOn}})
 	}
-	add := func(run modeler.Run, outcome modeler.Outcome, checkpoint string) {
-		facts = append(facts, keeper.Fact{RunEnd: &keeper.RunEndFact{Task: name, Run: run, Outcome: outcome, Checkpoint: checkpoint}})
+	add := func(run modeler.Run, outcome modeler.Outcome, checkpoint string, on modeler.WorkerID) {
+		facts = append(facts, keeper.Fact{RunEnd: &keeper.RunEndFact{Task: name, Run: run, Outcome: outcome, Checkpoint: checkpoint, Worker: on}})
 	}
 	if tk.done {
-		add(tk.lastRun, modeler.Done, "")
+		add(tk.lastRun, modeler.Done, "", "")
 		return facts
 	}
-	for _, run := range tk.failures {
-		add(run, modeler.Failure, tk.checkpoint)
+	for ix, run := range tk.failures {
+		add(run, modeler.Failure, tk.checkpoint, tk.failedOn[ix])
 	}
 	if tk.checkpoint != "" && len(tk.failures) == 0 {
-		add(tk.lastRun, modeler.Stopped, tk.checkpoint)
+		add(tk.lastRun, modeler.Stopped, tk.checkpoint, "")
 	}
 	return facts
 }
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -283,10 +283,12 @@
 		dr.reportImpossibleRun(wk, row.Task, row.Run)
 		return
 	}
-	if dr.applyRunEnd(tk, row.Run, row.Outcome, row.Checkpoint) {
-		wk.unrecordedFacts = append(wk.unrecordedFacts, keeper.Fact{RunEnd: &keeper.RunEndFact{
-			Task: row.Task.String(), Run: row.Run, Outcome: row.Outcome, Checkpoint: row.Checkpoint,
-		}})
+	end := &keeper.RunEndFact{Task: row.Task.String(), Run: row.Run, Outcome: row.Outcome, Checkpoint: row.Checkpoint}
+	if row.Outcome == modeler.Failure {
+		end.Worker = wk.info.ID
+	}
+	if dr.applyRunEnd(tk, end) {
+		wk.unrecordedFacts = append(wk.unrecordedFacts, keeper.Fact{RunEnd: end})
 	}
 	dr.recordOutcome(wk, tk, at, row, now)
 	if at != nil {
--- a/internal/job/keeper/fact.go
+++ b/internal/job/keeper/fact.go
@@ -75,6 +75,9 @@
 	Outcome modeler.Outcome
 	// Checkpoint is the latest checkpoint of the task, or empty.
 	Checkpoint string `json:",omitempty"`
+	// Worker is where a run failed. It is empty for other outcomes, and for facts of versions that did not
+	// record it.
+	Worker modeler.WorkerID `json:",omitempty"`
 }
 
 // JobEndFact is the end of a job.
