Count the retention of ended and cancelled jobs over terms

Cause: the retention of an ended job, of a cancelled one and of a cancellation without a job began anew with each term. If leaders changed more often than every 3 minutes, none was deleted: the store grew without a bound, and with it the time that each new leader takes to read it.

The first leader that hears of a cancellation records the same. Facts without a time, of versions before this one, count from the start of the term as before.

--- a/internal/job/director/cancellation.go
+++ b/internal/job/director/cancellation.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
@@ -45,8 +46,8 @@
 // cancellation is what this term knows of the cancellation of a job.
 type cancellation struct {
 	source CancellationSource
-	// heardAt is when the leader heard of it, zero if it did not.
-	heardAt time.Time
+	// heardAt is when the leader heard of it, zero if it did not, and since when the first leader did.
+	heardAt, since time.Time
 	// openRuns is the number of cancelledRuns of the job.
 	openRuns int
 }
@@ -83,15 +84,63 @@
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	now := time.Now()
+	cn := cancellation{source: source, heardAt: now, since: dr.cancelledSince(id, now)}
 	jb := dr.jobs[id]
 	if jb == nil {
-		dr.keepCancellation(id, cancellation{source: source, heardAt: now})
+		dr.keepCancellation(id, cn)
 		return
 	}
-	dr.cancelJob(jb, cancellation{source: source, heardAt: now}, now)
+	dr.cancelJob(jb, cn, now)
 	dr.wakeDispatch()
 }
 
+// cancelledSince returns when a leader first heard of the cancellation of a job, or when the job ended before. If
+// that is now, it is recorded, so that the retention does not begin anew in each term.
+func (dr *Director) cancelledSince(id modeler.JobID, now time.Time) time.Time {
+	if jb := dr.jobs[id]; jb != nil && !jb.endedAt.IsZero() {
+		return jb.endedAt
+	}
+	if cn, ok := dr.pendingCancellations[id]; ok {
+		return cn.since
+	}
+	for _, ft := range dr.pendingFacts[id] {
+		if ft.JobEnd != nil {
+			return dr.endTime(ft.JobEnd, now)
+		}
+	}
+	dr.unrecordedCancellations = append(dr.unrecordedCancellations, dr.jobEndFact(id, modeler.Cancelled, now))
+	return now
+}
+
+// recordCancellations records when jobs were cancelled.
+func (dr *Director) recordCancellations() {
+	facts := dr.unrecordedCancellations
+	if len(facts) == 0 || dr.recordingCancellations {
+		return
+	}
+	dr.unrecordedCancellations, dr.recordingCancellations = nil, true
+	dr.startGoroutine(func(ctx context.Context) {
+		dr.record(ctx, facts, func() {
+			dr.mu.Lock()
+			defer dr.mu.Unlock()
+			dr.recordingCancellations = false
+		})
+	})
+}
+
+// jobEndFact returns the fact that a job ended at a time.
+func (dr *Director) jobEndFact(id modeler.JobID, state modeler.State, at time.Time) keeper.Fact {
+	return keeper.Fact{JobEnd: &keeper.JobEndFact{Job: id, State: state, Clock: dr.journalClock(at).Truncate(time.Second)}}
+}
+
+// endTime returns when the job of a fact ended, at the latest.
+func (dr *Director) endTime(ft *keeper.JobEndFact, now time.Time) time.Time {
+	if at := dr.journalTime(ft.Clock); ft.Clock > 0 && at.Before(now) {
+		return at
+	}
+	return now
+}
+
 // keepCancellation keeps the cancellation of a job that has not been added: hosts report changes in any
 // order, and a batch of watch events need not preserve it.
 func (dr *Director) keepCancellation(id modeler.JobID, cn cancellation) {
@@ -184,7 +233,7 @@
 	dr.trackCancelledRuns(jb)
 	dr.log(logger.JobCancelled, "Job", jb.ID, "Queue", jb.Queue, "Source", cn.source, "Runs", jb.cancellation.openRuns, "HeardAgo", now.Sub(cn.heardAt).String(), "Pending", len(dr.pendingCancellations))
 	dr.op.Meter.Add(meter.JobsCancelled, 1)
-	dr.endJob(jb, modeler.Cancelled, now)
+	dr.endJob(jb, modeler.Cancelled, cn.since)
 	// The stored cancellation makes the end durable.
 	jb.durable = true
 	jb.freeTasks()
--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -180,6 +180,10 @@
 	// cancellationDroppedAt is when a cancellation was last not kept because too many were pending, zero
 	// if none was. Jobs that are added within the retention after it may be cancelled.
 	cancellationDroppedAt time.Time
+	// unrecordedCancellations holds the facts of cancellations that this term was the first to hear of, and
+	// recordingCancellations is set while earlier ones are being recorded.
+	unrecordedCancellations []keeper.Fact
+	recordingCancellations  bool
 	// pendingFacts holds facts of earlier terms about jobs that have not been added yet.
 	pendingFacts map[modeler.JobID][]keeper.Fact
 	// unreadJobs holds the unknown jobs of deferred rows. readQueue holds those that no reader has
@@ -436,6 +440,7 @@
 		}
 	}
 	dr.recordLeases(now)
+	dr.recordCancellations()
 	select {
 	case <-dr.loaded:
 	default:
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -29,7 +29,8 @@
 	// once durable is set.
 	finalState modeler.State
 	durable    bool
-	endedAt    time.Time
+	// endedAt is when the job ended, or was found to have been cancelled.
+	endedAt time.Time
 	// activeRuns is the number of attempts of all tasks.
 	activeRuns int
 	// cancellation is zero until this term has heard of one.
@@ -184,8 +185,12 @@
 
 // applyFact applies a fact of an earlier term to its job.
 func (dr *Director) applyFact(jb *job, ft keeper.Fact, now time.Time) {
+	if ft.JobEnd != nil && ft.JobEnd.State == modeler.Cancelled {
+		jb.endedAt = dr.endTime(ft.JobEnd, now)
+		return
+	}
 	if ft.JobEnd != nil {
-		dr.endJob(jb, ft.JobEnd.State, now)
+		dr.endJob(jb, ft.JobEnd.State, dr.endTime(ft.JobEnd, now))
 		jb.durable = true
 		jb.freeTasks()
 		return
@@ -403,12 +408,13 @@
 	}
 }
 
-// endJob ends a job: its tasks leave the queue and all of its runs are stopped.
-func (dr *Director) endJob(jb *job, state modeler.State, now time.Time) {
+// endJob ends a job: its tasks leave the queue and all of its runs are stopped. The time is when the end became
+// known to a leader.
+func (dr *Director) endJob(jb *job, state modeler.State, at time.Time) {
 	if jb.finalState != "" {
 		return
 	}
-	jb.finalState, jb.endedAt = state, now
+	jb.finalState, jb.endedAt = state, at
 	for _, oc := range jb.occurrences {
 		for _, sp := range oc.steps {
 			for _, tk := range sp.tasks {
--- a/internal/job/director/reader.go
+++ b/internal/job/director/reader.go
@@ -80,7 +80,7 @@
 		switch {
 		case err == nil:
 			if jb := dr.addJob(stored, true); cancelled {
-				dr.cancelJob(jb, cancellation{source: FromReport, heardAt: now}, now)
+				dr.cancelJob(jb, cancellation{source: FromReport, heardAt: now, since: dr.cancelledSince(id, now)}, now)
 			}
 		case isNotFound(err):
 			dr.resolveRows(id, now)
--- a/internal/job/director/recovery.go
+++ b/internal/job/director/recovery.go
@@ -33,6 +33,9 @@
 			ih.add(ft.Term)
 			continue
 		}
+		if ft.JobEnd != nil {
+			ih.clock = max(ih.clock, ft.JobEnd.Clock)
+		}
 		dr.restoreFact(ft)
 	}
 	dr.inherit(ih)
@@ -134,6 +137,7 @@
 			}
 			dr.mu.Lock()
 			delete(dr.jobs, id)
+			delete(dr.pendingFacts, id)
 			dr.forgetPending(id)
 			dr.mu.Unlock()
 		}
@@ -147,7 +151,7 @@
 	defer dr.mu.Unlock()
 	var ids []modeler.JobID
 	for id, cn := range dr.pendingCancellations {
-		if now.Sub(cn.heardAt) > dr.op.Limits.Retention+retentionMargin {
+		if now.Sub(cn.since) > dr.op.Limits.Retention+retentionMargin {
 			ids = append(ids, id)
 		}
 	}
@@ -207,9 +211,12 @@
 			facts = append(facts, wk.boundFact())
 		}
 	}
+	for id, cn := range dr.pendingCancellations {
+		facts = append(facts, dr.jobEndFact(id, modeler.Cancelled, cn.since))
+	}
 	for _, jb := range dr.jobs {
-		if jb.finalState == modeler.Completed || jb.finalState == modeler.Failed {
-			facts = append(facts, keeper.Fact{JobEnd: &keeper.JobEndFact{Job: jb.ID, State: jb.finalState}})
+		if jb.finalState != "" {
+			facts = append(facts, dr.jobEndFact(jb.ID, jb.finalState, jb.endedAt))
 			continue
 		}
 		for _, oc := range jb.occurrences {
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -315,7 +315,7 @@
 		state = modeler.Failed
 	}
 	dr.endJob(jb, state, now)
-	return keeper.Fact{JobEnd: &keeper.JobEndFact{Job: jb.ID, State: state}}, true
+	return dr.jobEndFact(jb.ID, state, now), true
 }
 
 func (dr *Director) hasExhaustedTask(oc *occurrence) bool {
--- a/internal/job/keeper/fact.go
+++ b/internal/job/keeper/fact.go
@@ -80,11 +80,15 @@
 	Worker modeler.WorkerID `json:",omitempty"`
 }
 
-// JobEndFact is the end of a job.
+// JobEndFact is the end of a job. That of a cancelled job only says when it was cancelled: the job ends by its
+// stored cancellation, with or without the fact.
 type JobEndFact struct {
 	Job modeler.JobID
 	// State is the final state of the job.
 	State modeler.State
+	// Clock is the time on the journal's clock, see TermFact. It is zero in facts of versions that did not
+	// record it.
+	Clock time.Duration `json:",omitempty"`
 }
 
 // TaskName returns the text form of the ID of the task that a fact is about. It returns false for a
@@ -146,7 +150,7 @@
 	case ft.Placed != nil:
 		valid = valid && validRun(ft.Placed.Task, ft.Placed.Run) && ft.Placed.Worker != ""
 	case ft.JobEnd != nil:
-		valid = valid && ft.JobEnd.Job != "" && ft.JobEnd.State.Final()
+		valid = valid && ft.JobEnd.Job != "" && ft.JobEnd.State.Final() && validClock(ft.JobEnd.Clock)
 	case ft.LeaseGranted != nil:
 		valid = valid && ft.LeaseGranted.ID != ""
 	case ft.LeaseBounded != nil:
