Record the lowest tail latencies of all images, and estimates every second

Cause: a leader handed on the lowest tail latency of an image only with a tried pair of it. A successor that began under a high load took that for the latency without load, and let halted best-effort work go on beside latency-critical tasks near their target. Estimates were saved 3 s after the first check of a term, so that a series of shorter terms learned nothing.

Change: lowest tail latencies are recorded when they are new or have fallen by a tenth, whether a pair was tried or not. Estimates are recorded once a second if they have changed.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -135,7 +135,7 @@
 	retentionMargin = 60 * time.Second
 	// estimatesSaveInterval is the time between two records of new estimates. The next leader
 	// needs as long to observe again what the last record does not hold.
-	estimatesSaveInterval = 3 * time.Second
+	estimatesSaveInterval = time.Second
 	// summaryInterval is the time between two load summaries in the log.
 	summaryInterval = time.Second
 	// minSnapshotPositions is the number of journal positions after a snapshot that triggers the
--- a/internal/job/director/pace_test.go
+++ b/internal/job/director/pace_test.go
@@ -29,6 +29,25 @@
 	sleep(2 * time.Second)
 }
 
+// runSensitive runs latency-critical jobs of two images, of which best-effort work disturbs one.
+func runSensitive(fl *fleet, tm *term) {
+	tails := map[modeler.JobID]time.Duration{"robust": 60 * time.Millisecond, "sensitive": 140 * time.Millisecond}
+	for id, tailWithBestEffort := range tails {
+		jb := simpleJob(id, "urgent", 2, cores(6000))
+		sp := &jb.Steps[0]
+		sp.LongRunning, sp.TailTarget, sp.Image, sp.MaxPerWorker = true, 300*time.Millisecond, string(id), 1
+		for ix := range sp.Count {
+			fl.setBehaviour(modeler.TaskID{Job: id, Index: ix}, emulator.TaskBehaviour{TailLatency: func(neighbours []modeler.TaskID) time.Duration {
+				if slices.ContainsFunc(neighbours, func(other modeler.TaskID) bool { return other.Job == "best-effort" }) {
+					return tailWithBestEffort
+				}
+				return 60 * time.Millisecond
+			}})
+		}
+		tm.submit(jb)
+	}
+}
+
 // runBestEffort runs a best-effort job with a task of four seconds on each worker.
 func runBestEffort(fl *fleet, tm *term) {
 	jb := simpleJob("best-effort", "batch", 2, cores(2000))
@@ -82,21 +101,7 @@
 		fl := newFleet(t, 3)
 		tm := fl.startTerm(0)
 		defer func() { tm.end() }()
-		tails := map[modeler.JobID]time.Duration{"robust": 60 * time.Millisecond, "sensitive": 140 * time.Millisecond}
-		for id, tailWithBestEffort := range tails {
-			jb := simpleJob(id, "urgent", 2, cores(6000))
-			sp := &jb.Steps[0]
-			sp.LongRunning, sp.TailTarget, sp.Image, sp.MaxPerWorker = true, 300*time.Millisecond, string(id), 1
-			for ix := range sp.Count {
-				fl.setBehaviour(modeler.TaskID{Job: id, Index: ix}, emulator.TaskBehaviour{TailLatency: func(neighbours []modeler.TaskID) time.Duration {
-					if slices.ContainsFunc(neighbours, func(other modeler.TaskID) bool { return other.Job == "best-effort" }) {
-						return tailWithBestEffort
-					}
-					return 60 * time.Millisecond
-				}})
-			}
-			tm.submit(jb)
-		}
+		runSensitive(fl, tm)
 		sleep(2 * time.Second)
 		runBestEffort(fl, tm)
 		sleep(4 * time.Second)
@@ -107,3 +112,28 @@
 			qt.Commentf("sensitive %.2f, robust %.2f", tm.Interference("sensitive", "best-effort"), tm.Interference("robust", "best-effort")))
 	})
 }
+
+// Guards against estimates that are never recorded, as no term of a series lasts for the time between two records.
+func TestEstimatesSurviveShortTerms(t *testing.T) {
+	run(t, 3, func(fl *fleet, tm *term) {
+		runSensitive(fl, tm)
+		sleep(2 * time.Second)
+		jb := simpleJob("best-effort", "batch", 2, cores(2000))
+		sp := &jb.Steps[0]
+		sp.BestEffort, sp.Image, sp.MaxPerWorker = true, "best-effort", 1
+		for ix := range sp.Count {
+			fl.setBehaviour(modeler.TaskID{Job: jb.ID, Index: ix}, emulator.TaskBehaviour{RunTime: 4 * time.Second})
+		}
+		tm.submit(jb)
+		sleep(200 * time.Millisecond)
+		for range 3 {
+			tm.nextTerm(12 * time.Second)
+			sleep(2500 * time.Millisecond)
+		}
+		tm.nextTerm(12 * time.Second)
+		sleep(time.Second)
+		tm.assertState("best-effort", modeler.Completed)
+		qt.Check(t, tm.Interference("sensitive", "best-effort") > tm.Interference("robust", "best-effort")+0.3, qt.IsTrue,
+			qt.Commentf("sensitive %.2f, robust %.2f", tm.Interference("sensitive", "best-effort"), tm.Interference("robust", "best-effort")))
+	})
+}
--- a/internal/job/director/takeover_pace_test.go
+++ b/internal/job/director/takeover_pace_test.go
@@ -53,3 +53,20 @@
 		qt.Check(t, fl.workers.StartCount(modeler.TaskID{Job: "best-effort"}), qt.Equals, 1)
 	})
 }
+
+// Guards against a new leader that lets halted best-effort work go on at full pace beside latency-critical tasks
+// which are near their target only because that work is halted.
+func TestHaltedRunStaysHaltedNearTarget(t *testing.T) {
+	run(t, 2, func(fl *fleet, tm *term) {
+		tail := startHalted(fl, tm)
+		tail.Store(int64(142 * time.Millisecond))
+		for range 4 {
+			tm.nextTerm(12 * time.Second)
+			sleep(3 * time.Second)
+		}
+		tm.assertState("best-effort", modeler.Running)
+		tail.Store(int64(60 * time.Millisecond))
+		sleep(8 * time.Second)
+		tm.assertState("best-effort", modeler.Completed)
+	})
+}
--- a/internal/job/estimator/estimates.go
+++ b/internal/job/estimator/estimates.go
@@ -31,30 +31,47 @@
 const (
 	// minRecordedChange is the change of an interference from which Changes returns it again.
 	minRecordedChange = 0.1
+	// minRecordedTailDrop is the share by which a lowest tail latency has to fall for Changes to return it
+	// again.
+	minRecordedTailDrop = 0.1
 	// minMergedVariance is the lowest variance of a merged estimate, which may be old.
 	minMergedVariance = 0.05
 )
 
 // Changes returns the tried pairs that it has not returned yet, or whose interference has changed
 // by minRecordedChange since it last returned them or Merge set them. It also returns the lowest
-// tail latencies of their latency-critical images.
+// tail latencies that are new or have fallen by minRecordedTailDrop since then.
 func (md *Model) Changes() Estimates {
-	return md.collect(func(ps *pairState) bool {
+	es := md.collect(func(ps *pairState) bool {
 		if !ps.wasTried() || ps.recorded && math.Abs(ps.mean-ps.recordedMean) < minRecordedChange {
 			return false
 		}
 		ps.recordedMean, ps.recorded = ps.mean, true
 		return true
 	})
+	for image, minTail := range md.minTails {
+		recorded, ok := md.recordedTails[image]
+		if ok && float64(minTail) > (1-minRecordedTailDrop)*float64(recorded) {
+			continue
+		}
+		md.recordedTails[image] = minTail
+		if es.MinTail == nil {
+			es.MinTail = map[string]time.Duration{}
+		}
+		es.MinTail[image] = minTail
+	}
+	return es
 }
 
 // AllTried returns all pairs that were tried when they were last observed, and the lowest tail
-// latencies of their latency-critical images.
+// latencies of all latency-critical images.
 func (md *Model) AllTried() Estimates {
-	return md.collect((*pairState).wasTried)
+	es := md.collect((*pairState).wasTried)
+	es.MinTail = maps.Clone(md.minTails)
+	return es
 }
 
-// collect returns the estimates of the pairs to include, sorted by pair.
+// collect returns the pairs to include, sorted.
 func (md *Model) collect(include func(*pairState) bool) Estimates {
 	var es Estimates
 	for _, pr := range slices.SortedFunc(maps.Keys(md.pairs), comparePairs) {
@@ -63,12 +80,6 @@
 			continue
 		}
 		es.Pairs = append(es.Pairs, PairEstimate{pr.critical, pr.bestEffort, roundToThousandth(ps.mean), roundToThousandth(ps.variance)})
-		if minTail, ok := md.minTails[pr.critical]; ok {
-			if es.MinTail == nil {
-				es.MinTail = map[string]time.Duration{}
-			}
-			es.MinTail[pr.critical] = minTail
-		}
 	}
 	return es
 }
@@ -95,7 +106,7 @@
 			continue
 		}
 		if present, ok := md.minTails[image]; !ok || minTail < present {
-			md.minTails[image] = minTail
+			md.minTails[image], md.recordedTails[image] = minTail, minTail
 		}
 	}
 	for _, pe := range es.Pairs {
--- a/internal/job/estimator/estimates_test.go
+++ b/internal/job/estimator/estimates_test.go
@@ -76,3 +76,23 @@
 		})
 	}
 }
+
+// Guards against a new leader that takes the tail latencies under a high load for those without load, as no pair of
+// their image was tried.
+func TestChangesOfTails(t *testing.T) {
+	const tail = 30 * time.Millisecond
+	md := New()
+	md.ObserveTail("s", tail)
+	es := md.Changes()
+	qt.Check(t, es.MinTail, qt.DeepEquals, map[string]time.Duration{"s": tail})
+	next := New()
+	next.Merge(es, time.Unix(1_700_000_000, 0))
+	for _, now := range []time.Duration{tail, 28 * time.Millisecond} {
+		next.ObserveTail("s", now)
+		again := next.Changes()
+		qt.Check(t, again.Empty(), qt.IsTrue, qt.Commentf("at %v", now))
+	}
+	next.ObserveTail("s", 20*time.Millisecond)
+	qt.Check(t, next.Changes().MinTail, qt.DeepEquals, map[string]time.Duration{"s": 20 * time.Millisecond})
+	qt.Check(t, next.AllTried().MinTail, qt.DeepEquals, map[string]time.Duration{"s": 20 * time.Millisecond})
+}
--- a/internal/job/estimator/estimator.go
+++ b/internal/job/estimator/estimator.go
@@ -161,12 +161,14 @@
 type Model struct {
 	// minTails holds the lowest tail latency seen of each latency-critical image.
 	minTails map[string]time.Duration
-	pairs    map[pair]*pairState
+	// recordedTails holds those that Changes returned last or Merge set.
+	recordedTails map[string]time.Duration
+	pairs         map[pair]*pairState
 }
 
 // New returns a model without observations.
 func New() *Model {
-	return &Model{minTails: map[string]time.Duration{}, pairs: map[pair]*pairState{}}
+	return &Model{minTails: map[string]time.Duration{}, recordedTails: map[string]time.Duration{}, pairs: map[pair]*pairState{}}
 }
 
 // ObserveTail returns the load of a latency-critical task that a tail latency shows, from 0 to
