Let estimates of interference age over terms

Cause: a new leader took every recorded estimate for one that was observed at the start of its term. In a series of terms that are shorter than the 10 s after which a pair counts as untried, the pair was never tried again, so that an image that once interfered was kept away for good.

A pair that is still observed is recorded again after 8 s, as an older record says that it is untried.

--- a/internal/job/director/cancellation.go
+++ b/internal/job/director/cancellation.go
@@ -105,7 +105,7 @@
 	}
 	for _, ft := range dr.pendingFacts[id] {
 		if ft.JobEnd != nil {
-			return dr.endTime(ft.JobEnd, now)
+			return dr.recordTime(ft.JobEnd.Clock, now)
 		}
 	}
 	dr.unrecordedCancellations = append(dr.unrecordedCancellations, dr.jobEndFact(id, modeler.Cancelled, now))
@@ -133,9 +133,10 @@
 	return keeper.Fact{JobEnd: &keeper.JobEndFact{Job: id, State: state, Clock: dr.journalClock(at).Truncate(time.Second)}}
 }
 
-// endTime returns when the job of a fact ended, at the latest.
-func (dr *Director) endTime(ft *keeper.JobEndFact, now time.Time) time.Time {
-	if at := dr.journalTime(ft.Clock); ft.Clock > 0 && at.Before(now) {
+// recordTime returns when the journal's clock showed a recorded time. That is now for zero, which is a time that
+// was not recorded.
+func (dr *Director) recordTime(clock time.Duration, now time.Time) time.Time {
+	if at := dr.journalTime(clock); clock > 0 && at.Before(now) {
 		return at
 	}
 	return now
--- a/internal/job/director/export_test.go
+++ b/internal/job/director/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 )
@@ -21,6 +22,14 @@
 	return count
 }
 
+// Tried reports whether a pair of images counts as tried.
+func (dr *Director) Tried(critical, bestEffort string) bool {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	_, tried := dr.model.ExpectedInterference(critical, bestEffort, time.Now())
+	return tried
+}
+
 // TakeSnapshot replaces the journal by a snapshot, although none may be due.
 func (dr *Director) TakeSnapshot(ctx context.Context) error {
 	position := dr.op.Journal.Position()
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -186,11 +186,11 @@
 // applyFact applies a fact of an earlier term to its job.
 func (dr *Director) applyFact(jb *job, ft keeper.Fact, now time.Time) {
 	if ft.JobEnd != nil && ft.JobEnd.State == modeler.Cancelled {
-		jb.endedAt = dr.endTime(ft.JobEnd, now)
+		jb.endedAt = dr.recordTime(ft.JobEnd.Clock, now)
 		return
 	}
 	if ft.JobEnd != nil {
-		dr.endJob(jb, ft.JobEnd.State, dr.endTime(ft.JobEnd, now))
+		dr.endJob(jb, ft.JobEnd.State, dr.recordTime(ft.JobEnd.Clock, now))
 		jb.durable = true
 		jb.freeTasks()
 		return
--- a/internal/job/director/pace_test.go
+++ b/internal/job/director/pace_test.go
@@ -137,3 +137,28 @@
 			qt.Commentf("sensitive %.2f, robust %.2f", tm.Interference("sensitive", "best-effort"), tm.Interference("robust", "best-effort")))
 	})
 }
+
+// Guards against an image that is kept away from others for good, as each of a series of leaders takes an old estimate
+// for a new one and so never tries the pair again.
+func TestEstimatesAgeInSeriesOfTerms(t *testing.T) {
+	for name, snapshots := range map[string]bool{"from facts": false, "from snapshots": true} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 3, func(fl *fleet, tm *term) {
+				runSensitive(fl, tm)
+				sleep(2 * time.Second)
+				runBestEffort(fl, tm)
+				qt.Assert(t, tm.Tried("sensitive", "best-effort"), qt.IsTrue)
+				fl.predecessorSeenFor = 3 * time.Second
+				for range 6 {
+					if snapshots {
+						qt.Assert(t, tm.TakeSnapshot(fl.t.Context()), qt.IsNil)
+					}
+					tm.nextTerm(12 * time.Second)
+					sleep(3 * time.Second)
+				}
+				qt.Check(t, tm.Tried("sensitive", "best-effort"), qt.IsFalse)
+				qt.Check(t, tm.Interference("sensitive", "best-effort") > 1, qt.IsTrue)
+			})
+		})
+	}
+}
--- a/internal/job/director/recovery.go
+++ b/internal/job/director/recovery.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/currantrouter/currantrouter/internal/job/estimator"
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/process/pauser"
@@ -22,6 +23,7 @@
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	ih := &inheritance{incomplete: dr.op.FactsMissing}
+	var estimates []*estimator.Estimates
 	for _, rec := range recs {
 		ft, err := keeper.ParseFact(rec)
 		if err != nil {
@@ -33,12 +35,20 @@
 			ih.add(ft.Term)
 			continue
 		}
+		if ft.Estimates != nil {
+			ih.clock = max(ih.clock, ft.Estimates.Clock)
+			estimates = append(estimates, ft.Estimates)
+			continue
+		}
 		if ft.JobEnd != nil {
 			ih.clock = max(ih.clock, ft.JobEnd.Clock)
 		}
 		dr.restoreFact(ft)
 	}
 	dr.inherit(ih)
+	for _, es := range estimates {
+		dr.model.Merge(*es, dr.recordTime(es.Clock, dr.termStart))
+	}
 	for _, wk := range dr.workers {
 		wk.unaccounted = true
 		dr.unaccountedWorkers++
@@ -55,8 +65,6 @@
 		dr.restoreBound(ft.LeaseBounded)
 	case ft.LeaseReleased != "":
 		delete(dr.workers, ft.LeaseReleased)
-	case ft.Estimates != nil:
-		dr.model.Merge(*ft.Estimates, dr.termStart)
 	case ft.JobEnd != nil:
 		dr.pendingFacts[ft.JobEnd.Job] = append(dr.pendingFacts[ft.JobEnd.Job], ft)
 	default:
@@ -102,10 +110,11 @@
 		return
 	}
 	dr.estimatesSavedAt = now
-	es := dr.model.Changes()
+	es := dr.model.Changes(now)
 	if es.Empty() {
 		return
 	}
+	es.Clock = dr.journalClock(now)
 	dr.savingEstimates = true
 	dr.startGoroutine(func(ctx context.Context) {
 		dr.record(ctx, []keeper.Fact{{Estimates: &es}}, func() {
@@ -198,10 +207,12 @@
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	var facts []keeper.Fact
-	if es := dr.model.AllTried(); !es.Empty() {
+	now := time.Now()
+	if es := dr.model.AllTried(now); !es.Empty() {
+		es.Clock = dr.journalClock(now)
 		facts = append(facts, keeper.Fact{Estimates: &es})
 	}
-	facts = append(facts, dr.termFact(time.Now(), false))
+	facts = append(facts, dr.termFact(now, false))
 	for _, wk := range dr.workers {
 		if wk.grantDurable || wk.grantSubmitted || wk.lease.bounded {
 			info := wk.info
--- a/internal/job/estimator/estimates.go
+++ b/internal/job/estimator/estimates.go
@@ -15,11 +15,15 @@
 	// Interference is the load that the best-effort image would add with all processors of a
 	// worker.
 	Interference float64 `json:"Harm"`
-	Variance     float64
+	// Variance holds for the time at which the estimates were collected.
+	Variance float64
 }
 
 // Estimates is a part of a model that is handed over to the next leader.
 type Estimates struct {
+	// Clock is when they were collected, on the clock of the leaders' journal. It is zero in those of
+	// versions that did not record it.
+	Clock time.Duration `json:",omitempty"`
 	// MinTail is the lowest tail latency seen of each latency-critical image.
 	MinTail map[string]time.Duration `json:"Lowest,omitempty"`
 	Pairs   []PairEstimate           `json:",omitempty"`
@@ -31,6 +35,9 @@
 const (
 	// minRecordedChange is the change of an interference from which Changes returns it again.
 	minRecordedChange = 0.1
+	// maxRecordedAge is the age of a recorded estimate from which Changes returns the pair again if it was
+	// observed since. The next leader takes an older one for untried.
+	maxRecordedAge = 8 * time.Second
 	// minRecordedTailDrop is the share by which a lowest tail latency has to fall for Changes to return it
 	// again.
 	minRecordedTailDrop = 0.1
@@ -39,14 +46,15 @@
 )
 
 // Changes returns the tried pairs that it has not returned yet, or whose interference has changed
-// by minRecordedChange since it last returned them or Merge set them. It also returns the lowest
-// tail latencies that are new or have fallen by minRecordedTailDrop since then.
-func (md *Model) Changes() Estimates {
-	es := md.collect(func(ps *pairState) bool {
-		if !ps.wasTried() || ps.recorded && math.Abs(ps.mean-ps.recordedMean) < minRecordedChange {
+// by minRecordedChange since it last returned them or Merge set them, or that were observed maxRecordedAge
+// after that. It also returns the lowest tail latencies that are new or have fallen by minRecordedTailDrop since then.
+func (md *Model) Changes(now time.Time) Estimates {
+	es := md.collect(now, func(ps *pairState) bool {
+		hardlyChanged := math.Abs(ps.mean-ps.recordedMean) < minRecordedChange && ps.updated.Sub(ps.recordedAt) < maxRecordedAge
+		if !ps.wasTried() || ps.recorded && hardlyChanged {
 			return false
 		}
-		ps.recordedMean, ps.recorded = ps.mean, true
+		ps.recordedMean, ps.recordedAt, ps.recorded = ps.mean, now, true
 		return true
 	})
 	for image, minTail := range md.minTails {
@@ -63,23 +71,23 @@
 	return es
 }
 
-// AllTried returns all pairs that were tried when they were last observed, and the lowest tail
-// latencies of all latency-critical images.
-func (md *Model) AllTried() Estimates {
-	es := md.collect((*pairState).wasTried)
+// AllTried returns all pairs that were tried when they were last observed, or that Changes or Merge had
+// before, and the lowest tail latencies of all latency-critical images.
+func (md *Model) AllTried(now time.Time) Estimates {
+	es := md.collect(now, func(ps *pairState) bool { return ps.recorded || ps.wasTried() })
 	es.MinTail = maps.Clone(md.minTails)
 	return es
 }
 
 // collect returns the pairs to include, sorted.
-func (md *Model) collect(include func(*pairState) bool) Estimates {
+func (md *Model) collect(now time.Time, include func(*pairState) bool) Estimates {
 	var es Estimates
 	for _, pr := range slices.SortedFunc(maps.Keys(md.pairs), comparePairs) {
 		ps := md.pairs[pr]
 		if !include(ps) {
 			continue
 		}
-		es.Pairs = append(es.Pairs, PairEstimate{pr.critical, pr.bestEffort, roundToThousandth(ps.mean), roundToThousandth(ps.variance)})
+		es.Pairs = append(es.Pairs, PairEstimate{pr.critical, pr.bestEffort, roundToThousandth(ps.mean), roundToThousandth(ps.varianceAfter(now.Sub(ps.updated)))})
 	}
 	return es
 }
@@ -97,10 +105,10 @@
 // roundToThousandth keeps the stored numbers short.
 func roundToThousandth(num float64) float64 { return math.Round(num*1000) / 1000 }
 
-// Merge adds the estimates of an earlier leader. They replace those that the model has of the same
-// pairs. Of two lowest tail latencies the lower one counts. Values out of bounds are clamped or left
-// out.
-func (md *Model) Merge(es Estimates, now time.Time) {
+// Merge adds the estimates that an earlier leader collected at a time. They replace those that the model
+// has of the same pairs. Of two lowest tail latencies the lower one counts. Values out of bounds are
+// clamped or left out.
+func (md *Model) Merge(es Estimates, at time.Time) {
 	for image, minTail := range es.MinTail {
 		if minTail <= 0 {
 			continue
@@ -111,6 +119,6 @@
 	}
 	for _, pe := range es.Pairs {
 		merged := estimate{clampInterference(pe.Interference), min(max(pe.Variance, minMergedVariance), priorVariance)}
-		md.pairs[pair{pe.LatencyCritical, pe.BestEffort}] = &pairState{estimate: merged, isolated: merged, updated: now, recordedMean: merged.mean, recorded: true}
+		md.pairs[pair{pe.LatencyCritical, pe.BestEffort}] = &pairState{estimate: merged, isolated: merged, updated: at, recordedMean: merged.mean, recordedAt: at, recorded: true}
 	}
 }
--- a/internal/job/estimator/estimates_test.go
+++ b/internal/job/estimator/estimates_test.go
@@ -20,7 +20,7 @@
 		}
 	}
 	observe(0.2)
-	es := md.Changes()
+	es := md.Changes(at)
 	t.Run("merged by the next leader", func(t *testing.T) {
 		document, err := json.Marshal(es)
 		qt.Assert(t, err, qt.IsNil)
@@ -33,19 +33,31 @@
 		qt.Check(t, next.LoadAtTarget("s", 150*time.Millisecond), qt.Equals, md.LoadAtTarget("s", 150*time.Millisecond))
 	})
 	t.Run("returned once", func(t *testing.T) {
-		again := md.Changes()
+		again := md.Changes(at)
 		qt.Check(t, again.Empty(), qt.IsTrue)
-		all := md.AllTried()
+		all := md.AllTried(at)
 		qt.Check(t, all.Pairs, qt.HasLen, 1)
 	})
 	t.Run("returned again after a change", func(t *testing.T) {
 		observe(0)
-		changed := md.Changes()
+		changed := md.Changes(at)
 		qt.Check(t, changed.Pairs, qt.HasLen, 1)
 	})
+	t.Run("returned again while it is observed", func(t *testing.T) {
+		for range 2 {
+			observe(0)
+		}
+		md.Changes(at)
+		observe(0)
+		fresh := md.Changes(at)
+		qt.Check(t, fresh.Empty(), qt.IsTrue)
+		observe(0)
+		again := md.Changes(at)
+		qt.Check(t, again.Pairs, qt.HasLen, 1)
+	})
 	t.Run("no untried pair", func(t *testing.T) {
 		md.Observe("s", 0.2, []Usage{{"new", 0.1}}, at)
-		fresh := md.Changes()
+		fresh := md.Changes(at)
 		qt.Check(t, fresh.Empty(), qt.IsTrue)
 	})
 }
@@ -71,7 +83,7 @@
 			qt.Check(t, interference >= 0 && interference <= maxInterference, qt.IsTrue, qt.Commentf("%v", interference))
 			load := md.LoadAtTarget("s", 60*time.Millisecond)
 			qt.Check(t, load < maxLoad, qt.IsTrue, qt.Commentf("%v", load))
-			_, err := json.Marshal(md.AllTried())
+			_, err := json.Marshal(md.AllTried(at))
 			qt.Check(t, err, qt.IsNil)
 		})
 	}
@@ -81,18 +93,18 @@
 // their image was tried.
 func TestChangesOfTails(t *testing.T) {
 	const tail = 30 * time.Millisecond
-	md := New()
+	md, at := New(), time.Unix(1_700_000_000, 0)
 	md.ObserveTail("s", tail)
-	es := md.Changes()
+	es := md.Changes(at)
 	qt.Check(t, es.MinTail, qt.DeepEquals, map[string]time.Duration{"s": tail})
 	next := New()
-	next.Merge(es, time.Unix(1_700_000_000, 0))
+	next.Merge(es, at)
 	for _, now := range []time.Duration{tail, 28 * time.Millisecond} {
 		next.ObserveTail("s", now)
-		again := next.Changes()
+		again := next.Changes(at)
 		qt.Check(t, again.Empty(), qt.IsTrue, qt.Commentf("at %v", now))
 	}
 	next.ObserveTail("s", 20*time.Millisecond)
-	qt.Check(t, next.Changes().MinTail, qt.DeepEquals, map[string]time.Duration{"s": 20 * time.Millisecond})
-	qt.Check(t, next.AllTried().MinTail, qt.DeepEquals, map[string]time.Duration{"s": 20 * time.Millisecond})
+	qt.Check(t, next.Changes(at).MinTail, qt.DeepEquals, map[string]time.Duration{"s": 20 * time.Millisecond})
+	qt.Check(t, next.AllTried(at).MinTail, qt.DeepEquals, map[string]time.Duration{"s": 20 * time.Millisecond})
 }
--- a/internal/job/estimator/estimator.go
+++ b/internal/job/estimator/estimator.go
@@ -128,8 +128,9 @@
 	isolated estimate
 	// updated is the time at which both variances held.
 	updated time.Time
-	// recordedMean is the mean that Changes returned last. It is valid if recorded is set.
+	// recordedMean is the mean that Changes returned last, at recordedAt. Both are valid if recorded is set.
 	recordedMean float64
+	recordedAt   time.Time
 	recorded     bool
 	// covariances holds the covariances with the states of pairs of the same latency-critical image
 	// that were observed at the same time. They are symmetric.
--- a/internal/job/keeper/fact.go
+++ b/internal/job/keeper/fact.go
@@ -155,6 +155,8 @@
 		valid = valid && ft.LeaseGranted.ID != ""
 	case ft.LeaseBounded != nil:
 		valid = valid && ft.LeaseBounded.Worker != "" && validClock(ft.LeaseBounded.Until)
+	case ft.Estimates != nil:
+		valid = valid && validClock(ft.Estimates.Clock)
 	case ft.Term != nil:
 		valid = valid && ft.Term.Epoch > 0 && ft.Term.Epoch <= modeler.MaxEpoch && validClock(ft.Term.Start) && validClock(ft.Term.Clock) && validClock(ft.Term.InheritedUntil)
 	}
