Judge the progress of adopted runs by what they make under this leader

Callers saw work done several times: after each takeover, runs that were well on their way were stopped as stalled.

Cause: a new leader measured the age of an adopted run from the takeover, but its progress from the beginning. The siblings of a task of some minutes then looked as if they took a few seconds, and a run without a new percent for 1.2 s as stalled.

Change: the rate of an adopted run is that since it was adopted. As long as neither it nor a sibling's run time is known, the estimate of the job tells how long a run may make no progress, or 30 s without one.

--- a/internal/job/appraiser/appraiser.go
+++ b/internal/job/appraiser/appraiser.go
@@ -92,17 +92,27 @@
 	lastProgress time.Time
 	// progress is in percent.
 	progress int
+	// adopted is set for a run that had begun before started, whose progress then was initial. Its age is
+	// not known.
+	adopted bool
+	initial int
 }
 
 const (
 	// minStallTime is the time without progress below which no run counts as stalled.
 	minStallTime = 1200 * time.Millisecond
+	// maxUnknownStallTime is the time without progress from which an adopted run counts as stalled if nothing is
+	// known of its run time.
+	maxUnknownStallTime = 30 * time.Second
 	// minMissedPercent is the progress, in percent, that a run must have missed to count as
 	// stalled. A long run makes little progress in minStallTime.
 	minMissedPercent = 4.0
 	// minSlowFactor is the ratio of a run's expected run time to that of its siblings from which it
 	// counts as slow.
 	minSlowFactor = 2.2
+	// minAdoptedPercent is the progress, in percent, that an adopted run must have made before its rate means
+	// anything: progress is cut to whole percents, and the first one may be nearly made when it is adopted.
+	minAdoptedPercent = 4
 	// minRateAge is the age of a run below which its rate of progress means nothing.
 	minRateAge = 600 * time.Millisecond
 )
@@ -110,6 +120,11 @@
 // Begin records the start of a run.
 func (rp *RunProgress) Begin(now time.Time) { rp.started, rp.lastProgress, rp.progress = now, now, 0 }
 
+// Adopt records that a run which has begun before is at a progress, in percent.
+func (rp *RunProgress) Adopt(progress int, now time.Time) {
+	*rp = RunProgress{started: now, lastProgress: now, progress: progress, adopted: true, initial: progress}
+}
+
 // Observe records the reported progress, in percent.
 func (rp *RunProgress) Observe(progress int, now time.Time) {
 	if progress != rp.progress {
@@ -120,24 +135,28 @@
 // ExpectedRunTime returns the expected time from start to end if the run goes on at its average
 // rate so far. It is 0 when unknown: the run is too young or made no progress.
 func (rp *RunProgress) ExpectedRunTime(now time.Time) time.Duration {
-	age := now.Sub(rp.started)
-	if age < minRateAge || rp.progress <= 0 {
+	age, made := now.Sub(rp.started), rp.progress-rp.initial
+	if age < minRateAge || made <= 0 || rp.adopted && made < minAdoptedPercent {
 		return 0
 	}
 	// Progress is cut to whole percents: on average the true one is half a percent higher.
-	return time.Duration(float64(age) * 100 / (float64(rp.progress) + 0.5))
+	return time.Duration(float64(age) * 100 / (float64(made) + 0.5))
 }
 
 // ExpectedRemaining returns the expected time until the end at the run's average rate so far. It is
 // 0 when unknown.
 func (rp *RunProgress) ExpectedRemaining(now time.Time) time.Duration {
-	return max(0, rp.ExpectedRunTime(now)-now.Sub(rp.started))
+	total := rp.ExpectedRunTime(now)
+	if rp.adopted {
+		return total * time.Duration(max(0, 100-rp.progress)) / 100
+	}
+	return max(0, total-now.Sub(rp.started))
 }
 
 // Stalled reports whether the run has stopped making progress. The typical run time of its
-// siblings, or its own rate when that is 0 (unknown), gives the progress that it should have made
-// since.
-func (rp *RunProgress) Stalled(typical time.Duration, now time.Time) bool {
+// siblings, or when that is 0 (unknown) its own rate, or for an adopted run without a known rate the
+// estimate of its run time, gives the progress that it should have made since.
+func (rp *RunProgress) Stalled(typical, estimate time.Duration, now time.Time) bool {
 	idle := now.Sub(rp.lastProgress)
 	if idle < minStallTime {
 		return false
@@ -145,6 +164,12 @@
 	if typical <= 0 {
 		typical = rp.ExpectedRunTime(rp.lastProgress)
 	}
+	if typical <= 0 && rp.adopted {
+		if estimate <= 0 {
+			return idle >= maxUnknownStallTime
+		}
+		typical = estimate
+	}
 	return typical <= 0 || float64(idle)*100/float64(typical) >= minMissedPercent
 }
 
--- a/internal/job/appraiser/appraiser_test.go
+++ b/internal/job/appraiser/appraiser_test.go
@@ -59,10 +59,10 @@
 		return rp
 	}
 	t.Run("stalled", func(t *testing.T) {
-		qt.Check(t, progressAt(20).Stalled(2*time.Second, start.Add(2*time.Second)), qt.IsTrue)
+		qt.Check(t, progressAt(20).Stalled(2*time.Second, 0, start.Add(2*time.Second)), qt.IsTrue)
 	})
 	t.Run("long task with little progress", func(t *testing.T) {
-		qt.Check(t, progressAt(1).Stalled(time.Minute, start.Add(2*time.Second)), qt.IsFalse)
+		qt.Check(t, progressAt(1).Stalled(time.Minute, 0, start.Add(2*time.Second)), qt.IsFalse)
 	})
 	t.Run("slow", func(t *testing.T) {
 		rp := progressAt(5)
@@ -74,6 +74,22 @@
 		rp.Observe(95, start.Add(9*time.Second))
 		qt.Check(t, rp.Slow(2*time.Second, 0, 400*time.Millisecond, start.Add(9*time.Second)), qt.IsFalse)
 	})
+	t.Run("adopted", func(t *testing.T) {
+		rp := new(RunProgress)
+		rp.Adopt(50, start)
+		soon := start.Add(3 * time.Second)
+		qt.Check(t, rp.ExpectedRunTime(soon), qt.Equals, time.Duration(0))
+		qt.Check(t, rp.Stalled(0, 5*time.Minute, soon), qt.IsFalse)
+		qt.Check(t, rp.Stalled(0, 5*time.Minute, start.Add(12*time.Second)), qt.IsTrue)
+		qt.Check(t, rp.Stalled(0, 0, start.Add(12*time.Second)), qt.IsFalse)
+		qt.Check(t, rp.Stalled(0, 0, start.Add(30*time.Second)), qt.IsTrue)
+		rp.Observe(51, soon)
+		qt.Check(t, rp.ExpectedRunTime(soon), qt.Equals, time.Duration(0))
+		rp.Observe(60, start.Add(30*time.Second))
+		total := rp.ExpectedRunTime(start.Add(30 * time.Second))
+		qt.Check(t, total > 4*time.Minute && total < 6*time.Minute, qt.IsTrue, qt.Commentf("%v", total))
+		qt.Check(t, rp.ExpectedRemaining(start.Add(30*time.Second)), qt.Equals, total*40/100)
+	})
 	t.Run("typical run time unknown", func(t *testing.T) {
 		qt.Check(t, progressAt(1).Slow(0, 0, 0, start.Add(5*time.Second)), qt.IsFalse)
 	})
--- a/internal/job/director/observer.go
+++ b/internal/job/director/observer.go
@@ -71,7 +71,7 @@
 	if typical == 0 && tk.step.spec.BestEffort {
 		return
 	}
-	stalled := at.runProgress.Stalled(typical, now)
+	stalled := at.runProgress.Stalled(typical, tk.step.spec.Estimate, now)
 	slow := !stalled && at.runProgress.Slow(typical, tk.savedShare, dr.op.Limits.StopGrace+dr.op.Limits.RestoreTime, now)
 	if !stalled && !slow {
 		return
@@ -93,6 +93,9 @@
 		return
 	}
 	left := at.runProgress.ExpectedRemaining(now)
+	if left == 0 && at.adopted {
+		left = at.task.step.spec.Estimate * time.Duration(max(0, 100-at.progress)) / 100
+	}
 	if left > 0 && left < wk.info.MinRemaining || at.progress == 0 && !at.task.step.spec.Checkpoints {
 		return
 	}
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -229,6 +229,7 @@
 		at.pace = unknownPace
 	}
 	at.markActive(now)
+	at.runProgress.Adopt(row.Progress, now)
 	jb.started = true
 	return at
 }
