Let the quarantine of a worker outlast the term

Cause: the quarantine of a worker that fails the tasks of several jobs, and its length, which doubles each time, began anew with each term. In a series of short terms such a worker got as many tasks as it had room for in each of them, and each of these tasks lost one of its attempts.

It is forgotten once it is over for longer than it lasted, and never extended beyond its length.

--- a/internal/job/appraiser/appraiser.go
+++ b/internal/job/appraiser/appraiser.go
@@ -64,6 +64,20 @@
 	}
 }
 
+// LastQuarantine returns the end and the length of the last quarantine, and false if it is over for longer than
+// it lasted or if a success has shown since that the worker has recovered.
+func (fh *FaultHistory) LastQuarantine(now time.Time) (until time.Time, length time.Duration, ok bool) {
+	until, length = fh.quarantinedUntil, fh.lastQuarantine
+	return until, length, length > 0 && now.Sub(until) < length
+}
+
+// RestoreQuarantine restores a quarantine that LastQuarantine returned. It is over after its length at the
+// latest.
+func (fh *FaultHistory) RestoreQuarantine(until time.Time, length time.Duration, now time.Time) {
+	fh.lastQuarantine = min(length, maxQuarantine)
+	fh.quarantinedUntil = now.Add(min(until.Sub(now), fh.lastQuarantine))
+}
+
 // Quarantined reports whether the worker is quarantined and gets no tasks.
 func (fh *FaultHistory) Quarantined(now time.Time) bool { return now.Before(fh.quarantinedUntil) }
 
--- a/internal/job/director/failure_test.go
+++ b/internal/job/director/failure_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -10,18 +12,24 @@
 	"github.com/currantrouter/currantrouter/internal/job/director"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/provider/emulator"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
-// faultyWorker is a client of workers one of which fails all tasks of a job.
+// faultyWorker is a client of workers one of which fails all tasks of a job, or of all jobs if none is named.
 type faultyWorker struct {
 	director.WorkerClient
 	fleet *fleet
 	id    modeler.WorkerID
 	job   modeler.JobID
+	// starts counts the starts on the worker.
+	starts atomic.Int64
 }
 
 func (fw *faultyWorker) Start(ctx context.Context, wk *modeler.Worker, req *modeler.StartRequest) (time.Duration, error) {
-	if req.Task.Job == fw.job {
+	if wk.ID == fw.id {
+		fw.starts.Add(1)
+	}
+	if req.Task.Job == fw.job || fw.job == "" {
 		fw.fleet.setBehaviour(req.Task, emulator.TaskBehaviour{RunTime: 500 * time.Millisecond, Fails: wk.ID == fw.id})
 	}
 	return fw.WorkerClient.Start(ctx, wk, req)
@@ -61,3 +69,41 @@
 		})
 	}
 }
+
+// Guards against a faulty worker that each of a series of leaders believes again, so that it fails tasks in each term.
+func TestQuarantineOutlastsTakeover(t *testing.T) {
+	for name, snapshots := range map[string]bool{"from facts": false, "from snapshots": true} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 2, func(fl *fleet, tm *term) {
+				tm.end()
+				fw := &faultyWorker{WorkerClient: fl.workers, fleet: fl, id: "worker-00"}
+				fl.client = fw
+				*tm = *fl.startTerm(0)
+				// The quarantine of 8 s follows two shorter ones.
+				for no := 0; fl.registry.Value(meter.WorkersQuarantined) < 3; no++ {
+					tm.submit(simpleJob(modeler.JobID(fmt.Sprint("job-", no)), "batch", 12, cores(2000)))
+					sleep(700 * time.Millisecond)
+				}
+				fw.starts.Store(0)
+				for no := range 5 {
+					if snapshots {
+						qt.Assert(t, tm.TakeSnapshot(fl.t.Context()), qt.IsNil)
+					}
+					fl.predecessorSeenFor = time.Second
+					tm.nextTerm(12 * time.Second)
+					tm.submit(simpleJob(modeler.JobID(fmt.Sprint("later-", no)), "batch", 12, cores(2000)))
+					sleep(time.Second)
+				}
+				qt.Check(t, fw.starts.Load(), qt.Equals, int64(0))
+				for range 10 {
+					tm.nextTerm(12 * time.Second)
+					sleep(time.Second)
+				}
+				tm.submit(simpleJob("last", "batch", 12, cores(2000)))
+				sleep(time.Second)
+				qt.Check(t, fw.starts.Load() > 0, qt.IsTrue)
+				sleep(5 * time.Second)
+			})
+		})
+	}
+}
--- a/internal/job/director/recovery.go
+++ b/internal/job/director/recovery.go
@@ -63,6 +63,10 @@
 		wk.grantDurable, wk.registered, wk.lease = true, false, leaseRecord{}
 	case ft.LeaseBounded != nil:
 		dr.restoreBound(ft.LeaseBounded)
+	case ft.Quarantined != nil:
+		if wk := dr.workers[ft.Quarantined.Worker]; wk != nil {
+			wk.inheritedQuarantine = ft.Quarantined
+		}
 	case ft.LeaseReleased != "":
 		delete(dr.workers, ft.LeaseReleased)
 	case ft.JobEnd != nil:
@@ -221,6 +225,9 @@
 		if wk.lease.bounded && !wk.lease.recordingGrant {
 			facts = append(facts, wk.boundFact())
 		}
+		if ft, ok := dr.quarantineFact(wk, now); ok {
+			facts = append(facts, ft)
+		}
 	}
 	for id, cn := range dr.pendingCancellations {
 		facts = append(facts, dr.jobEndFact(id, modeler.Cancelled, cn.since))
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -359,6 +359,9 @@
 func (dr *Director) quarantine(wk *worker, reason string) {
 	dr.op.Meter.Add(meter.WorkersQuarantined, 1)
 	dr.log(logger.WorkerQuarantineBegun, "Worker", wk.info.ID, "Runs", len(wk.attempts), "Reason", reason)
+	if ft, ok := dr.quarantineFact(wk, time.Now()); ok {
+		dr.startGoroutine(func(ctx context.Context) { dr.record(ctx, []keeper.Fact{ft}, func() {}) })
+	}
 	for _, at := range wk.listAttempts() {
 		if !at.task.step.spec.LongRunning && !at.stopping {
 			dr.moveRun(at, "worker quarantined")
@@ -366,6 +369,25 @@
 	}
 }
 
+// quarantineFact returns the fact of a worker's last quarantine, and false if it does not matter any more.
+func (dr *Director) quarantineFact(wk *worker, now time.Time) (keeper.Fact, bool) {
+	if qf := wk.inheritedQuarantine; wk.incarnation == 0 && qf != nil {
+		return keeper.Fact{Quarantined: qf}, true
+	}
+	until, length, ok := wk.faultHistory.LastQuarantine(now)
+	if !ok {
+		return keeper.Fact{}, false
+	}
+	return keeper.Fact{Quarantined: &keeper.QuarantineFact{Worker: wk.info.ID, Incarnation: wk.incarnation, Until: dr.journalClock(until), Length: length}}, true
+}
+
+// restoreQuarantine goes on with a quarantine of an earlier leader that is not over for longer than it lasted.
+func (dr *Director) restoreQuarantine(wk *worker, qf *keeper.QuarantineFact, now time.Time) {
+	if until := dr.journalTime(qf.Until); now.Sub(until) < qf.Length {
+		wk.faultHistory.RestoreQuarantine(until, qf.Length, now)
+	}
+}
+
 // afterRunEnd requeues a task that has no run left, or stops the other runs of one that is done.
 func (dr *Director) afterRunEnd(tk *task, now time.Time) {
 	if len(tk.attempts) == 0 {
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -132,6 +132,8 @@
 	// cancelledRuns holds the runs of cancelled jobs that the worker may still execute.
 	cancelledRuns map[attemptKey]*cancelledRun
 	faultHistory  appraiser.FaultHistory
+	// inheritedQuarantine is the last quarantine that an earlier leader recorded, nil if there is none.
+	inheritedQuarantine *keeper.QuarantineFact
 	// noStartsBefore delays starts after one was not carried out, see refusalPause.
 	noStartsBefore time.Time
 	// pace is the pace of the best-effort tasks on the worker.
@@ -406,6 +408,9 @@
 	first := wk.incarnation == 0
 	wk.incarnation, wk.processedEnd, wk.ackedEnd, wk.leaseEnd = incarnation, 0, 0, 0
 	wk.faultHistory = appraiser.FaultHistory{}
+	if qf := wk.inheritedQuarantine; first && qf != nil && qf.Incarnation == incarnation {
+		dr.restoreQuarantine(wk, qf, now)
+	}
 	clear(wk.unexpectedStops)
 	dr.dropUnexpectedCancelledRuns(wk, now)
 	wk.deferredRuns, wk.deferredEnds = nil, nil
--- a/internal/job/keeper/fact.go
+++ b/internal/job/keeper/fact.go
@@ -26,6 +26,8 @@
 	LeaseBounded *LeaseBoundedFact `json:"Bounded,omitempty"`
 	// Term is what a leader knows of the time that has passed and of the leases of earlier leaders.
 	Term *TermFact `json:",omitempty"`
+	// Quarantined is the quarantine of a worker.
+	Quarantined *QuarantineFact `json:"Quarantine,omitempty"`
 	// Placed is the placement of a long-running task on a worker.
 	Placed *PlacedFact `json:",omitempty"`
 	// Estimates holds the leader's estimates of interference between images.
@@ -67,6 +69,14 @@
 	Ended bool `json:",omitempty"`
 }
 
+// QuarantineFact is the quarantine of a worker. It holds for one incarnation.
+type QuarantineFact struct {
+	Worker      modeler.WorkerID
+	Incarnation int64
+	// Until is when the quarantine is over, on the journal's clock, and Length its length.
+	Until, Length time.Duration
+}
+
 // RunEndFact is the end of one run of a task.
 type RunEndFact struct {
 	// Task is the text form of a modeler.TaskID.
@@ -138,7 +148,7 @@
 // check returns ErrDamaged for a fact that does not have exactly one valid field.
 func (ft Fact) check() error {
 	fields := 0
-	for _, set := range [...]bool{ft.RunEnd != nil, ft.JobEnd != nil, ft.LeaseGranted != nil, ft.LeaseReleased != "", ft.LeaseBounded != nil, ft.Term != nil, ft.Placed != nil, ft.Estimates != nil} {
+	for _, set := range [...]bool{ft.RunEnd != nil, ft.JobEnd != nil, ft.LeaseGranted != nil, ft.LeaseReleased != "", ft.LeaseBounded != nil, ft.Term != nil, ft.Quarantined != nil, ft.Placed != nil, ft.Estimates != nil} {
 		if set {
 			fields++
 		}
@@ -155,6 +165,8 @@
 		valid = valid && ft.LeaseGranted.ID != ""
 	case ft.LeaseBounded != nil:
 		valid = valid && ft.LeaseBounded.Worker != "" && validClock(ft.LeaseBounded.Until)
+	case ft.Quarantined != nil:
+		valid = valid && ft.Quarantined.Worker != "" && validClock(ft.Quarantined.Until) && validClock(ft.Quarantined.Length)
 	case ft.Estimates != nil:
 		valid = valid && validClock(ft.Estimates.Clock)
 	case ft.Term != nil:
