--- a/internal/job/director/export_test.go
+++ b/internal/job/director/export_test.go
@@ -1,5 +1,12 @@
 package director
 
+import (
+	"context"
+	"time"
+
+	"github.com/currantrouter/currantrouter/internal/job/keeper"
+)
+
 // TasksInMemory returns the number of tasks in memory, over all jobs.
 func (dr *Director) TasksInMemory() int {
 	dr.mu.Lock()
@@ -14,3 +21,21 @@
 	}
 	return count
 }
+
+// Tried reports whether a pair of images counts as tried.
+func (dr *Director) Tried(critical, bestEffort string) bool {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	_, tried := dr.model.ExpectedInterference(critical, bestEffort, time.Now())
+	return tried
+}
+
+// TakeSnapshot replaces the journal by a snapshot, although none may be due.
+func (dr *Director) TakeSnapshot(ctx context.Context) error {
+	position := dr.op.Journal.Position()
+	recs, err := keeper.Records(dr.snapshotFacts())
+	if err != nil {
+		return err
+	}
+	return dr.op.Journal.Snapshot(ctx, recs, position)
+}
--- a/internal/job/director/recovery.go
+++ b/internal/job/director/recovery.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/currantrouter/currantrouter/internal/job/estimator"
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/process/pauser"
@@ -22,6 +23,7 @@
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	ih := &inheritance{incomplete: dr.op.FactsMissing}
+	var estimates []*estimator.Estimates
 	for _, rec := range recs {
 		ft, err := keeper.ParseFact(rec)
 		if err != nil {
@@ -33,9 +35,20 @@
 			ih.add(ft.Term)
 			continue
 		}
+		if ft.Estimates != nil {
+			ih.clock = max(ih.clock, ft.Estimates.Clock)
+			estimates = append(estimates, ft.Estimates)
+			continue
+		}
+		if ft.JobEnd != nil {
+			ih.clock = max(ih.clock, ft.JobEnd.Clock)
+		}
 		dr.restoreFact(ft)
 	}
 	dr.inherit(ih)
+	for _, es := range estimates {
+		dr.model.Merge(*es, dr.recordTime(es.Clock, dr.termStart))
+	}
 	for _, wk := range dr.workers {
 		wk.unaccounted = true
 		dr.unaccountedWorkers++
@@ -50,10 +63,12 @@
 		wk.grantDurable, wk.registered, wk.lease = true, false, leaseRecord{}
 	case ft.LeaseBounded != nil:
 		dr.restoreBound(ft.LeaseBounded)
+	case ft.Quarantined != nil:
+		if wk := dr.workers[ft.Quarantined.Worker]; wk != nil {
+			wk.inheritedQuarantine = ft.Quarantined
+		}
 	case ft.LeaseReleased != "":
 		delete(dr.workers, ft.LeaseReleased)
-	case ft.Estimates != nil:
-		dr.model.Merge(*ft.Estimates, dr.termStart)
 	case ft.JobEnd != nil:
 		dr.pendingFacts[ft.JobEnd.Job] = append(dr.pendingFacts[ft.JobEnd.Job], ft)
 	default:
@@ -99,10 +114,11 @@
 		return
 	}
 	dr.estimatesSavedAt = now
-	es := dr.model.Changes()
+	es := dr.model.Changes(now)
 	if es.Empty() {
 		return
 	}
+	es.Clock = dr.journalClock(now)
 	dr.savingEstimates = true
 	dr.startGoroutine(func(ctx context.Context) {
 		dr.record(ctx, []keeper.Fact{{Estimates: &es}}, func() {
@@ -114,10 +130,16 @@
 }
 
 // cleanupLoop deletes jobs and cancellations whose retention is over, and takes snapshots to keep the
-// journal short.
+// journal short. It begins as soon as the stored jobs are loaded: if it paused first, a series of terms
+// shorter than the pause would take no snapshot.
 func (dr *Director) cleanupLoop(ctx context.Context) {
-	for ctx.Err() == nil {
-		pauser.Sleep(ctx, cleanupInterval)
+	select {
+	case <-ctx.Done():
+		return
+	case <-dr.loaded:
+	}
+	for ; ctx.Err() == nil; pauser.Sleep(ctx, cleanupInterval) {
+		dr.snapshot(ctx)
 		for _, id := range slices.Concat(dr.expiredJobs(time.Now()), dr.expiredCancellations(time.Now())) {
 			dctx, cancel := context.WithTimeout(ctx, storeTimeout)
 			err := dr.op.JobStore.Delete(dctx, id)
@@ -128,10 +150,10 @@
 			}
 			dr.mu.Lock()
 			delete(dr.jobs, id)
+			delete(dr.pendingFacts, id)
 			dr.forgetPending(id)
 			dr.mu.Unlock()
 		}
-		dr.snapshot(ctx)
 	}
 }
 
@@ -142,7 +164,7 @@
 	defer dr.mu.Unlock()
 	var ids []modeler.JobID
 	for id, cn := range dr.pendingCancellations {
-		if now.Sub(cn.heardAt) > dr.op.Limits.Retention+retentionMargin {
+		if now.Sub(cn.since) > dr.op.Limits.Retention+retentionMargin {
 			ids = append(ids, id)
 		}
 	}
@@ -171,11 +193,6 @@
 	if position-dr.snapshotPosition < minSnapshotPositions && newFacts < minSnapshotFacts {
 		return
 	}
-	select {
-	case <-dr.loaded:
-	default:
-		return
-	}
 	recs, err := keeper.Records(dr.snapshotFacts())
 	if err != nil {
 		dr.log(logger.FactNotRecorded, "Error", err.Error())
@@ -194,10 +211,12 @@
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	var facts []keeper.Fact
-	if es := dr.model.AllTried(); !es.Empty() {
+	now := time.Now()
+	if es := dr.model.AllTried(now); !es.Empty() {
+		es.Clock = dr.journalClock(now)
 		facts = append(facts, keeper.Fact{Estimates: &es})
 	}
-	facts = append(facts, dr.termFact(time.Now(), false))
+	facts = append(facts, dr.termFact(now, false))
 	for _, wk := range dr.workers {
 		if wk.grantDurable || wk.grantSubmitted || wk.lease.bounded {
 			info := wk.info
@@ -206,10 +225,16 @@
 		if wk.lease.bounded && !wk.lease.recordingGrant {
 			facts = append(facts, wk.boundFact())
 		}
+		if ft, ok := dr.quarantineFact(wk, now); ok {
+			facts = append(facts, ft)
+		}
+	}
+	for id, cn := range dr.pendingCancellations {
+		facts = append(facts, dr.jobEndFact(id, modeler.Cancelled, cn.since))
 	}
 	for _, jb := range dr.jobs {
-		if jb.finalState == modeler.Completed || jb.finalState == modeler.Failed {
-			facts = append(facts, keeper.Fact{JobEnd: &keeper.JobEndFact{Job: jb.ID, State: jb.finalState}})
+		if jb.finalState != "" {
+			facts = append(facts, dr.jobEndFact(jb.ID, jb.finalState, jb.endedAt))
 			continue
 		}
 		for _, oc := range jb.occurrences {
@@ -233,18 +258,18 @@
 	if tk.placedOn != "" {
 		facts = append(facts, keeper.Fact{Placed: &keeper.PlacedFact{Task: name, Run: tk.placedRun, Worker: tk.placedOn}})
 	}
-	add := func(run modeler.Run, outcome modeler.Outcome, checkpoint string) {
-		facts = append(facts, keeper.Fact{RunEnd: &keeper.RunEndFact{Task: name, Run: run, Outcome: outcome, Checkpoint: checkpoint}})
+	add := func(run modeler.Run, outcome modeler.Outcome, checkpoint string, on modeler.WorkerID) {
+		facts = append(facts, keeper.Fact{RunEnd: &keeper.RunEndFact{Task: name, Run: run, Outcome: outcome, Checkpoint: checkpoint, Worker: on}})
 	}
 	if tk.done {
-		add(tk.lastRun, modeler.Done, "")
+		add(tk.lastRun, modeler.Done, "", "")
 		return facts
 	}
-	for _, run := range tk.failures {
-		add(run, modeler.Failure, tk.checkpoint)
+	for ix, run := range tk.failures {
+		add(run, modeler.Failure, tk.checkpoint, tk.failedOn[ix])
 	}
 	if tk.checkpoint != "" && len(tk.failures) == 0 {
-		add(tk.lastRun, modeler.Stopped, tk.checkpoint)
+		add(tk.lastRun, modeler.Stopped, tk.checkpoint, "")
 	}
 	return facts
 }
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -225,7 +225,11 @@
 	}
 	at := dr.reserve(tk, wk, row.Run)
 	at.adopted = true
+	if tk.step.spec.BestEffort {
+		at.pace = unknownPace
+	}
 	at.markActive(now)
+	at.runProgress.Adopt(row.Progress, now)
 	jb.started = true
 	return at
 }
@@ -280,10 +284,12 @@
 		dr.reportImpossibleRun(wk, row.Task, row.Run)
 		return
 	}
-	if dr.applyRunEnd(tk, row.Run, row.Outcome, row.Checkpoint) {
-		wk.unrecordedFacts = append(wk.unrecordedFacts, keeper.Fact{RunEnd: &keeper.RunEndFact{
-			Task: row.Task.String(), Run: row.Run, Outcome: row.Outcome, Checkpoint: row.Checkpoint,
-		}})
+	end := &keeper.RunEndFact{Task: row.Task.String(), Run: row.Run, Outcome: row.Outcome, Checkpoint: row.Checkpoint}
+	if row.Outcome == modeler.Failure {
+		end.Worker = wk.info.ID
+	}
+	if dr.applyRunEnd(tk, end) {
+		wk.unrecordedFacts = append(wk.unrecordedFacts, keeper.Fact{RunEnd: end})
 	}
 	dr.recordOutcome(wk, tk, at, row, now)
 	if at != nil {
@@ -310,7 +316,7 @@
 		state = modeler.Failed
 	}
 	dr.endJob(jb, state, now)
-	return keeper.Fact{JobEnd: &keeper.JobEndFact{Job: jb.ID, State: state}}, true
+	return dr.jobEndFact(jb.ID, state, now), true
 }
 
 func (dr *Director) hasExhaustedTask(oc *occurrence) bool {
@@ -353,6 +359,9 @@
 func (dr *Director) quarantine(wk *worker, reason string) {
 	dr.op.Meter.Add(meter.WorkersQuarantined, 1)
 	dr.log(logger.WorkerQuarantineBegun, "Worker", wk.info.ID, "Runs", len(wk.attempts), "Reason", reason)
+	if ft, ok := dr.quarantineFact(wk, time.Now()); ok {
+		dr.startGoroutine(func(ctx context.Context) { dr.record(ctx, []keeper.Fact{ft}, func() {}) })
+	}
 	for _, at := range wk.listAttempts() {
 		if !at.task.step.spec.LongRunning && !at.stopping {
 			dr.moveRun(at, "worker quarantined")
@@ -360,6 +369,25 @@
 	}
 }
 
+// quarantineFact returns the fact of a worker's last quarantine, and false if it does not matter any more.
+func (dr *Director) quarantineFact(wk *worker, now time.Time) (keeper.Fact, bool) {
+	if qf := wk.inheritedQuarantine; wk.incarnation == 0 && qf != nil {
+		return keeper.Fact{Quarantined: qf}, true
+	}
+	until, length, ok := wk.faultHistory.LastQuarantine(now)
+	if !ok {
+		return keeper.Fact{}, false
+	}
+	return keeper.Fact{Quarantined: &keeper.QuarantineFact{Worker: wk.info.ID, Incarnation: wk.incarnation, Until: dr.journalClock(until), Length: length}}, true
+}
+
+// restoreQuarantine goes on with a quarantine of an earlier leader that is not over for longer than it lasted.
+func (dr *Director) restoreQuarantine(wk *worker, qf *keeper.QuarantineFact, now time.Time) {
+	if until := dr.journalTime(qf.Until); now.Sub(until) < qf.Length {
+		wk.faultHistory.RestoreQuarantine(until, qf.Length, now)
+	}
+}
+
 // afterRunEnd requeues a task that has no run left, or stops the other runs of one that is done.
 func (dr *Director) afterRunEnd(tk *task, now time.Time) {
 	if len(tk.attempts) == 0 {
--- a/internal/job/keeper/fact.go
+++ b/internal/job/keeper/fact.go
@@ -26,6 +26,8 @@
 	LeaseBounded *LeaseBoundedFact `json:"Bounded,omitempty"`
 	// Term is what a leader knows of the time that has passed and of the leases of earlier leaders.
 	Term *TermFact `json:",omitempty"`
+	// Quarantined is the quarantine of a worker.
+	Quarantined *QuarantineFact `json:"Quarantine,omitempty"`
 	// Placed is the placement of a long-running task on a worker.
 	Placed *PlacedFact `json:",omitempty"`
 	// Estimates holds the leader's estimates of interference between images.
@@ -67,6 +69,14 @@
 	Ended bool `json:",omitempty"`
 }
 
+// QuarantineFact is the quarantine of a worker. It holds for one incarnation.
+type QuarantineFact struct {
+	Worker      modeler.WorkerID
+	Incarnation int64
+	// Until is when the quarantine is over, on the journal's clock, and Length its length.
+	Until, Length time.Duration
+}
+
 // RunEndFact is the end of one run of a task.
 type RunEndFact struct {
 	// Task is the text form of a modeler.TaskID.
@@ -75,13 +85,20 @@
 	Outcome modeler.Outcome
 	// Checkpoint is the latest checkpoint of the task, or empty.
 	Checkpoint string `json:",omitempty"`
+	// Worker is where a run failed. It is empty for other outcomes, and for facts of versions that did not
+	// record it.
+	Worker modeler.WorkerID `json:",omitempty"`
 }
 
-// JobEndFact is the end of a job.
+// JobEndFact is the end of a job. That of a cancelled job only says when it was cancelled: the job ends by its
+// stored cancellation, with or without the fact.
 type JobEndFact struct {
 	Job modeler.JobID
 	// State is the final state of the job.
 	State modeler.State
+	// Clock is the time on the journal's clock, see TermFact. It is zero in facts of versions that did not
+	// record it.
+	Clock time.Duration `json:",omitempty"`
 }
 
 // TaskName returns the text form of the ID of the task that a fact is about. It returns false for a
@@ -131,7 +148,7 @@
 // check returns ErrDamaged for a fact that does not have exactly one valid field.
 func (ft Fact) check() error {
 	fields := 0
-	for _, set := range [...]bool{ft.RunEnd != nil, ft.JobEnd != nil, ft.LeaseGranted != nil, ft.LeaseReleased != "", ft.LeaseBounded != nil, ft.Term != nil, ft.Placed != nil, ft.Estimates != nil} {
+	for _, set := range [...]bool{ft.RunEnd != nil, ft.JobEnd != nil, ft.LeaseGranted != nil, ft.LeaseReleased != "", ft.LeaseBounded != nil, ft.Term != nil, ft.Quarantined != nil, ft.Placed != nil, ft.Estimates != nil} {
 		if set {
 			fields++
 		}
@@ -143,11 +160,15 @@
 	case ft.Placed != nil:
 		valid = valid && validRun(ft.Placed.Task, ft.Placed.Run) && ft.Placed.Worker != ""
 	case ft.JobEnd != nil:
-		valid = valid && ft.JobEnd.Job != "" && ft.JobEnd.State.Final()
+		valid = valid && ft.JobEnd.Job != "" && ft.JobEnd.State.Final() && validClock(ft.JobEnd.Clock)
 	case ft.LeaseGranted != nil:
 		valid = valid && ft.LeaseGranted.ID != ""
 	case ft.LeaseBounded != nil:
 		valid = valid && ft.LeaseBounded.Worker != "" && validClock(ft.LeaseBounded.Until)
+	case ft.Quarantined != nil:
+		valid = valid && ft.Quarantined.Worker != "" && validClock(ft.Quarantined.Until) && validClock(ft.Quarantined.Length)
+	case ft.Estimates != nil:
+		valid = valid && validClock(ft.Estimates.Clock)
 	case ft.Term != nil:
 		valid = valid && ft.Term.Epoch > 0 && ft.Term.Epoch <= modeler.MaxEpoch && validClock(ft.Term.Start) && validClock(ft.Term.Clock) && validClock(ft.Term.InheritedUntil)
 	}
