--- a/internal/job/director/lease.go
+++ b/internal/job/director/lease.go
@@ -54,7 +54,8 @@
 		}
 		return
 	}
-	dr.clockStart = max(dr.clockStart, ih.last.Start+dr.op.PredecessorSeenFor)
+	// This host's clock may be faster than the predecessor's.
+	dr.clockStart = max(dr.clockStart, ih.last.Start+time.Duration(float64(dr.op.PredecessorSeenFor)*(1-maxClockDrift)))
 	dr.earlierUntil = dr.journalTime(ih.last.InheritedUntil)
 	if ih.last.Ended {
 		dr.predecessorStopped = true
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -18,7 +18,8 @@
 )
 
 const (
-	// maxClockDrift is the share by which a worker's clock may be slow.
+	// maxClockDrift is the share by which a worker's clock may be slow, and a bound of the share by which the clocks
+	// of two hosts differ.
 	maxClockDrift = 0.02
 	// clockMargin is how far a worker's clock may be behind minClock without a restart.
 	clockMargin = 100 * time.Millisecond
--- a/internal/job/keeper/fact.go
+++ b/internal/job/keeper/fact.go
@@ -53,7 +53,8 @@
 //
 // The journal's clock measures the time since the first epoch began, without a comparison of the clocks
 // of hosts: each leader goes on from the highest time that it finds recorded or has seen pass under its
-// predecessor. The clock of a later leader is therefore never ahead of that of an earlier one.
+// predecessor, less an allowance for clocks of different speed. The clock of a later leader is therefore
+// never ahead of that of an earlier one.
 type TermFact struct {
 	Epoch modeler.Epoch
 	// Start is what the journal's clock showed when the term began.
