Void recorded ends of leases for the leaders after one that did not rely on them

Callers would see TWICE: a long-running task is started elsewhere, at once after a change of the leader, while its silent worker still runs it under its lease.

An epoch has no record if its leader was lost before the first append, if the attempt to begin it failed after the epoch record, or if it ran an older version. The next leader finds a record of its predecessor, and relied on the ends that the predecessor had dropped.

Change: the records of a term say that the leader did not rely on earlier ends (TermFact.BoundsVoid). The first one of an epoch voids them for later leaders too.

--- a/internal/job/director/lease.go
+++ b/internal/job/director/lease.go
@@ -38,10 +38,21 @@
 	incomplete bool
 }
 
-func (ih *inheritance) add(ft *keeper.TermFact) {
+// restoreTerm adds a fact of a term. The first one of an epoch may void the bounds of leases before it.
+func (dr *Director) restoreTerm(ih *inheritance, ft *keeper.TermFact) {
+	if ft.BoundsVoid && (ih.last == nil || ih.last.Epoch != ft.Epoch) {
+		dr.voidBounds()
+	}
 	ih.last, ih.clock = ft, max(ih.clock, ft.Clock)
 }
 
+// voidBounds drops the bounds of leases that the journal has.
+func (dr *Director) voidBounds() {
+	for _, wk := range dr.workers {
+		wk.lease = leaseRecord{}
+	}
+}
+
 // inherit sets the journal's clock, and when the leases of earlier leaders are over. Without a fact of the last
 // epoch, nothing is known of the leases that its leader extended.
 func (dr *Director) inherit(ih *inheritance) {
@@ -49,9 +60,7 @@
 	dr.inheritedUntil = dr.termStart.Add(dr.op.InheritedLease)
 	dr.inheritanceKnown = ih.last != nil && ih.last.Epoch == dr.op.Epoch-1 && !ih.incomplete
 	if !dr.inheritanceKnown {
-		for _, wk := range dr.workers {
-			wk.lease = leaseRecord{}
-		}
+		dr.voidBounds()
 		return
 	}
 	// This host's clock may be faster than the predecessor's.
@@ -191,6 +200,7 @@
 func (dr *Director) termFact(now time.Time, ended bool) keeper.Fact {
 	return keeper.Fact{Term: &keeper.TermFact{
 		Epoch: dr.op.Epoch, Start: dr.clockStart, Clock: dr.journalClock(now), InheritedUntil: dr.journalClock(dr.inheritedUntil), Ended: ended,
+		BoundsVoid: !dr.inheritanceKnown,
 	}}
 }
 
--- a/internal/job/director/recovery.go
+++ b/internal/job/director/recovery.go
@@ -30,7 +30,7 @@
 			continue
 		}
 		if ft.Term != nil {
-			ih.add(ft.Term)
+			dr.restoreTerm(ih, ft.Term)
 			continue
 		}
 		dr.restoreFact(ft)
--- a/internal/job/keeper/fact.go
+++ b/internal/job/keeper/fact.go
@@ -42,7 +42,8 @@
 }
 
 // LeaseBoundedFact is the end of the lease of a worker that does not answer. It holds until a later
-// LeaseGranted of the worker, without which no leader extends the lease.
+// LeaseGranted of the worker, or a later term with BoundsVoid. Without one of them, no leader extends
+// the lease.
 type LeaseBoundedFact struct {
 	Worker modeler.WorkerID
 	// Until is when the lease is over for certain, on the journal's clock.
@@ -66,6 +67,9 @@
 	InheritedUntil time.Duration
 	// Ended is set if the leader of the epoch extends no lease after Clock.
 	Ended bool `json:",omitempty"`
+	// BoundsVoid is set if the leader did not rely on the bounds of leases that were recorded before its term. It
+	// may have extended these leases without a new grant.
+	BoundsVoid bool `json:",omitempty"`
 }
 
 // RunEndFact is the end of one run of a task.
