--- a/internal/job/director/bounds_test.go
+++ b/internal/job/director/bounds_test.go
@@ -1,11 +1,15 @@
 package director_test
 
 import (
+	"context"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/currantrouter/currantrouter/internal/job/director"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
 )
@@ -49,3 +53,100 @@
 		fl.timeToMove(where)
 	})
 }
+
+// delayedJournal is a journal that holds back the appends of a kind of fact, and snapshots.
+type delayedJournal struct {
+	director.Journal
+	// field names the kind of fact as it is encoded.
+	field string
+	mu    sync.Mutex
+	// snapshot writes the first snapshot since the first append that was held back, nil before there is one.
+	snapshot func() error
+	holding  bool
+}
+
+// extraPositions makes the first snapshot due at once.
+const extraPositions = 1000
+
+func (dj *delayedJournal) Position() int64 { return dj.Journal.Position() + extraPositions }
+
+func (dj *delayedJournal) Append(ctx context.Context, recs ...journaler.Record) error {
+	for _, rec := range recs {
+		if strings.HasPrefix(string(rec.Data), `{"`+dj.field+`"`) {
+			dj.mu.Lock()
+			dj.holding = true
+			dj.mu.Unlock()
+			<-ctx.Done()
+			return journaler.ErrUnavailable
+		}
+	}
+	return dj.Journal.Append(ctx, recs...)
+}
+
+func (dj *delayedJournal) Snapshot(ctx context.Context, recs []journaler.Record, upTo int64) error {
+	dj.mu.Lock()
+	defer dj.mu.Unlock()
+	if dj.holding && dj.snapshot == nil {
+		dj.snapshot = func() error { return dj.Journal.Snapshot(context.Background(), recs, upTo-extraPositions) }
+	}
+	return journaler.ErrUnavailable
+}
+
+// startDelayed starts a term with a journal that holds back a kind of fact.
+func (fl *fleet) startDelayed(tm *term, field string) *delayedJournal {
+	tm.end()
+	dj := &delayedJournal{field: field}
+	fl.wrapJournal = func(jn director.Journal) director.Journal {
+		dj.Journal = jn
+		return dj
+	}
+	*tm = *fl.startTerm(0)
+	fl.wrapJournal = nil
+	return dj
+}
+
+// Guards against a task that runs twice as a deposed leader replaces the journal by a snapshot with a fact about a
+// lease that was never recorded, while the next leader extends that lease.
+func TestSnapshotWithFactsThatAreNotDurable(t *testing.T) {
+	const inherited = 12 * time.Second
+	// depose begins the next term, and lets the deposed leader write its snapshot.
+	depose := func(fl *fleet, tm *term, dj *delayedJournal) {
+		qt.Assert(fl.t, dj.snapshot, qt.IsNotNil)
+		deposed := *tm
+		deposed.sendsUntil.Store(time.Now().UnixNano())
+		*tm = *fl.startTerm(inherited)
+		sleep(2 * time.Second)
+		qt.Check(fl.t, dj.snapshot(), qt.IsNil)
+		deposed.end()
+	}
+	t.Run("end of a lease", func(t *testing.T) {
+		run(t, 3, func(fl *fleet, tm *term) {
+			dj := fl.startDelayed(tm, "Bounded")
+			where := startOnUnreachable(fl, tm)
+			sleep(5 * time.Second)
+			fl.workers.SetUnreachable(where, false)
+			depose(fl, tm, dj)
+			sleep(2 * time.Second)
+			fl.assertStartedOnce(modeler.TaskID{Job: "long"})
+			fl.workers.SetUnreachable(where, true)
+			tm.nextTerm(inherited)
+			assertBetween(t, fl.timeToMove(where), inherited, inherited+time.Second)
+		})
+	})
+	t.Run("release of a lease", func(t *testing.T) {
+		run(t, 1, func(fl *fleet, tm *term) {
+			dj := fl.startDelayed(tm, "Released")
+			sleep(time.Second)
+			tm.RemoveWorker("worker-00")
+			sleep(10 * time.Second)
+			depose(fl, tm, dj)
+			tm.submit(longRunningJob("long", "urgent", 1, cores(1000)))
+			sleep(2 * time.Second)
+			fl.assertStartedOnce(modeler.TaskID{Job: "long"})
+			fl.infos = append(fl.infos, fl.workers.Add(workerInfo(1)))
+			fl.workers.SetUnreachable("worker-00", true)
+			tm.nextTerm(inherited)
+			assertBetween(t, fl.timeToMove("worker-00"), inherited, inherited+time.Second)
+		})
+	})
+}
--- a/internal/job/director/harness_test.go
+++ b/internal/job/director/harness_test.go
@@ -55,6 +55,8 @@
 	// known of it.
 	predecessorStopped atomic.Bool
 	predecessorSeenFor time.Duration
+	// wrapJournal replaces the journal of the next leader, if it is not nil.
+	wrapJournal func(director.Journal) director.Journal
 	// addEarly makes entry hosts report the jobs to the next leader before it has loaded them.
 	addEarly bool
 	// loadTime is how long the next leader takes to read the stored jobs.
@@ -183,9 +185,13 @@
 	if jobStore == nil {
 		jobStore = keeper.NewJobStore(fl.store)
 	}
+	var journal director.Journal = jn
+	if fl.wrapJournal != nil {
+		journal = fl.wrapJournal(jn)
+	}
 	tm := &term{fleet: fl, records: len(rec.Records), ended: make(chan struct{}), resigns: new(atomic.Bool), sendsUntil: new(atomic.Int64)}
 	dr := director.New(director.Options{
-		Epoch: modeler.Epoch(rec.Epoch), WorkerClient: client, Journal: jn, JobStore: jobStore,
+		Epoch: modeler.Epoch(rec.Epoch), WorkerClient: client, Journal: journal, JobStore: jobStore,
 		Configuration: func() *modeler.Configuration { return fl.config }, MaySendRequests: tm.maySend,
 		Policy: fl.policy, InheritedLease: inherited, PredecessorStopped: fl.predecessorStopped.Load, PredecessorSeenFor: fl.predecessorSeenFor, Limits: testLimits, Log: fl.logs.logger(fl.t), Meter: fl.registry,
 	})
--- a/internal/job/director/lease.go
+++ b/internal/job/director/lease.go
@@ -114,9 +114,9 @@
 	// until is when the bounded lease is over, journalUntil that time on the journal's clock.
 	until        time.Time
 	journalUntil time.Duration
-	// recordingBound and recordingGrant are set while the facts are not durable. They are never set
-	// together, so that the journal has the facts in their order.
-	recordingBound, recordingGrant bool
+	// recordingBound, recordingGrant and recordingRelease are set while the facts are not durable. No two of
+	// them are set together, so that the journal has the facts in their order.
+	recordingBound, recordingGrant, recordingRelease bool
 }
 
 // inheritedEnd returns when the lease of a worker that has not answered in this term is over.
--- a/internal/job/director/recovery.go
+++ b/internal/job/director/recovery.go
@@ -189,6 +189,22 @@
 	dr.factsSinceSnapshot.Add(-newFacts)
 }
 
+// leaseFacts returns the facts from which the lease of a worker can be restored. A bound or a release counts
+// once it is durable: if another leader has begun a term, it does not know of it and may extend the lease, and
+// the snapshot may still become the current one.
+func (wk *worker) leaseFacts() []keeper.Fact {
+	lr := &wk.lease
+	if !wk.grantDurable && !wk.grantSubmitted && !lr.bounded && !lr.recordingRelease {
+		return nil
+	}
+	info := wk.info
+	facts := []keeper.Fact{{LeaseGranted: &info}}
+	if lr.bounded && !lr.recordingBound && !lr.recordingGrant {
+		facts = append(facts, wk.boundFact())
+	}
+	return facts
+}
+
 // snapshotFacts returns the facts from which the present state can be restored.
 func (dr *Director) snapshotFacts() []keeper.Fact {
 	dr.mu.Lock()
@@ -199,13 +215,7 @@
 	}
 	facts = append(facts, dr.termFact(time.Now(), false))
 	for _, wk := range dr.workers {
-		if wk.grantDurable || wk.grantSubmitted || wk.lease.bounded {
-			info := wk.info
-			facts = append(facts, keeper.Fact{LeaseGranted: &info})
-		}
-		if wk.lease.bounded && !wk.lease.recordingGrant {
-			facts = append(facts, wk.boundFact())
-		}
+		facts = append(facts, wk.leaseFacts()...)
 	}
 	for _, jb := range dr.jobs {
 		if jb.finalState == modeler.Completed || jb.finalState == modeler.Failed {
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -288,14 +288,18 @@
 			// If it is registered again before the release is durable, it gets no lease and no start
 			// until it has been granted one again.
 			wk.grantDurable, wk.answered, wk.reported = false, false, false
-			wk.lease = leaseRecord{}
+			wk.lease = leaseRecord{recordingRelease: known}
 		}
 		record := wk.lease.recordingGrant
 		dr.mu.Unlock()
 		switch {
 		case removed:
 			if known {
-				dr.record(ctx, []keeper.Fact{{LeaseReleased: info.ID}}, func() {})
+				dr.record(ctx, []keeper.Fact{{LeaseReleased: info.ID}}, func() {
+					dr.mu.Lock()
+					defer dr.mu.Unlock()
+					wk.lease.recordingRelease = false
+				})
 			}
 			if dr.dropWorker(wk) {
 				return false
