Record no end of a lease while a start may reach a restarted worker

Callers would see TWICE: a long-running task is started elsewhere while a worker that has restarted and does not answer runs it after a late start.

Cause: within a term, a run whose start may be carried out by a later incarnation of its worker is waited for until 15 s and a lease after the start was sent. The recorded end of the worker's lease does not include that, so that the next leader started the task when the lease that it knew was over.

Change: no end is recorded while such a start may be carried out. The next leader then waits for the inherited lease.

Evidence: "with a new leader" of TestBoundWithLateStart failed with "started while it runs on" and passes; "in one term" passes on both.

--- a/internal/job/director/bounds_test.go
+++ b/internal/job/director/bounds_test.go
@@ -150,3 +150,67 @@
 		})
 	})
 }
+
+// keptStart is a client that keeps the first start, which has no answer, and whose stops do not reach a worker.
+type keptStart struct {
+	director.WorkerClient
+	mu   sync.Mutex
+	kept *modeler.StartRequest
+}
+
+func (ls *keptStart) Start(ctx context.Context, wk *modeler.Worker, req *modeler.StartRequest) (time.Duration, error) {
+	ls.mu.Lock()
+	first := ls.kept == nil
+	if first {
+		ls.kept = req
+	}
+	ls.mu.Unlock()
+	if first {
+		<-ctx.Done()
+		return 0, modeler.ErrNoAnswer
+	}
+	return ls.WorkerClient.Start(ctx, wk, req)
+}
+
+func (ls *keptStart) Stop(ctx context.Context, wk *modeler.Worker, id modeler.TaskID, run modeler.Run, epoch modeler.Epoch) error {
+	if wk.ID == "worker-00" {
+		<-ctx.Done()
+		return modeler.ErrNoAnswer
+	}
+	return ls.WorkerClient.Stop(ctx, wk, id, run, epoch)
+}
+
+// Guards against a task that runs twice as the recorded end of a lease leaves out that a start for an earlier
+// incarnation of the worker may be carried out late.
+func TestBoundWithLateStart(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		newLeader bool
+	}{{"in one term", false}, {"with a new leader", true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			run(t, 1, func(fl *fleet, tm *term) {
+				tm.end()
+				ks := &keptStart{WorkerClient: fl.workers}
+				fl.client = ks
+				*tm = *fl.startTerm(0)
+				sleep(12 * time.Second)
+				tm.submit(longRunningJob("long", "urgent", 1, cores(1000)))
+				sleep(200 * time.Millisecond)
+				qt.Assert(t, ks.kept, qt.IsNotNil)
+				fl.infos = []modeler.Worker{fl.workers.Add(workerInfo(0)), fl.workers.Add(workerInfo(1))}
+				tm.SetWorkers(fl.infos)
+				sleep(1500 * time.Millisecond)
+				fl.workers.SetUnreachable("worker-00", true)
+				sleep(5 * time.Second)
+				fl.workers.SetUnreachable("worker-00", false)
+				_, err := fl.workers.Start(t.Context(), &fl.infos[0], ks.kept)
+				qt.Assert(t, err, qt.IsNil)
+				fl.workers.SetUnreachable("worker-00", true)
+				if tc.newLeader {
+					tm.nextTerm(12 * time.Second)
+				}
+				fl.timeToMove("worker-00")
+			})
+		})
+	}
+}
--- a/internal/job/director/lease.go
+++ b/internal/job/director/lease.go
@@ -137,6 +137,8 @@
 	case !wk.answered:
 		end := dr.inheritedEnd(wk)
 		return end, !lr.bounded || lr.until.Sub(end) > clockRecordInterval
+	case dr.mayStartAfterRestart(wk, now):
+		return time.Time{}, false
 	}
 	return dr.leaseOver(wk, now), !lr.bounded
 }
@@ -211,7 +213,7 @@
 	now := time.Now()
 	facts := []keeper.Fact{dr.termFact(now, true)}
 	for _, wk := range dr.workers {
-		silent := wk.unreachable || !wk.answered
+		silent := (wk.unreachable || !wk.answered) && !dr.mayStartAfterRestart(wk, now)
 		if silent && wk.grantDurable && !wk.lease.bounded && len(facts) <= maxBoundsAtEnd {
 			wk.lease.journalUntil = dr.journalClock(dr.leaseOver(wk, now))
 			facts = append(facts, wk.boundFact())
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -489,6 +489,17 @@
 	return at.startDeadline >= at.worker.minClock(now)
 }
 
+// mayStartAfterRestart reports whether a start for an earlier incarnation of a worker may yet be carried out. It
+// gives the present one a lease that leaseEnd does not include.
+func (dr *Director) mayStartAfterRestart(wk *worker, now time.Time) bool {
+	for _, at := range wk.attempts {
+		if at.startDeadline == maxClock && dr.mayStartLate(at, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // leaseExpired reports whether the worker's lease has certainly expired, so that nothing runs there
 // without a new request.
 func (dr *Director) leaseExpired(wk *worker, now time.Time) bool {
