Walk over the workers once for the records of leases

At each tick, ten times a second, the leader walked over all workers for ends of leases to record, and again for whether one is ahead, with the director's lock held. It does both in one walk.

--- a/internal/job/director/lease.go
+++ b/internal/job/director/lease.go
@@ -149,13 +149,14 @@
 	if dr.recordingLeases {
 		return
 	}
-	ends := map[*worker]time.Time{}
-	due := dr.clockRecordedAt.IsZero() || dr.leaseAhead(dr.clockRecordedAt) && now.Sub(dr.clockRecordedAt) >= clockRecordInterval
+	ends, ahead := map[*worker]time.Time{}, false
 	for _, wk := range dr.workers {
 		if end, ok := dr.boundToRecord(wk, now); ok {
 			ends[wk] = end
 		}
+		ahead = ahead || wk.lease.endsAfter(dr.clockRecordedAt)
 	}
+	due := dr.clockRecordedAt.IsZero() || ahead && now.Sub(dr.clockRecordedAt) >= clockRecordInterval
 	if len(ends) == 0 && !due && dr.recordedUntil.Equal(dr.inheritedUntil) {
 		return
 	}
@@ -184,15 +185,10 @@
 	})
 }
 
-// leaseAhead reports whether a bounded lease, or the time that a worker is waited for after it, ends after a
+// endsAfter reports whether a bounded lease, or the time that a worker is waited for after it, ends after a
 // time.
-func (dr *Director) leaseAhead(at time.Time) bool {
-	for _, wk := range dr.workers {
-		if wk.lease.bounded && wk.lease.until.Add(unreachableGrace).After(at) {
-			return true
-		}
-	}
-	return false
+func (lr *leaseRecord) endsAfter(at time.Time) bool {
+	return lr.bounded && lr.until.Add(unreachableGrace).After(at)
 }
 
 func (wk *worker) boundFact() keeper.Fact {
