Record ends of leases at the end of a term that were under way

Callers would see LOST: after a stop in order, the tasks of a silent worker wait for a whole lease from the end of the term.

Cause: a record that is queued as the term ends is withdrawn, and the last record of the term left out workers whose ends counted as recorded already.

Change: the last record of the term has them too.

--- a/internal/job/director/bounds_test.go
+++ b/internal/job/director/bounds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -57,9 +58,9 @@
 // delayedJournal is a journal that holds back the appends of a kind of fact, and snapshots.
 type delayedJournal struct {
 	director.Journal
-	// field names the kind of fact as it is encoded.
+	mu sync.Mutex
+	// field names the kind of fact as it is encoded, empty for none.
 	field string
-	mu    sync.Mutex
 	// snapshot writes the first snapshot since the first append that was held back, nil before there is one.
 	snapshot func() error
 	holding  bool
@@ -71,19 +72,27 @@
 func (dj *delayedJournal) Position() int64 { return dj.Journal.Position() + extraPositions }
 
 func (dj *delayedJournal) Append(ctx context.Context, recs ...journaler.Record) error {
-	for _, rec := range recs {
-		if strings.HasPrefix(string(rec.Data), `{"`+dj.field+`"`) {
-			dj.mu.Lock()
-			dj.holding = true
-			dj.mu.Unlock()
-			<-ctx.Done()
-			return journaler.ErrUnavailable
-		}
+	dj.mu.Lock()
+	held := dj.field != "" && slices.ContainsFunc(recs, func(rec journaler.Record) bool {
+		return strings.HasPrefix(string(rec.Data), `{"`+dj.field+`"`)
+	})
+	dj.holding = dj.holding || held
+	dj.mu.Unlock()
+	if held {
+		<-ctx.Done()
+		return journaler.ErrUnavailable
 	}
 	return dj.Journal.Append(ctx, recs...)
 }
 
-func (dj *delayedJournal) Snapshot(ctx context.Context, recs []journaler.Record, upTo int64) error {
+// release lets later appends pass.
+func (dj *delayedJournal) release() {
+	dj.mu.Lock()
+	defer dj.mu.Unlock()
+	dj.field = ""
+}
+
+func (dj *delayedJournal) Snapshot(_ context.Context, recs []journaler.Record, upTo int64) error {
 	dj.mu.Lock()
 	defer dj.mu.Unlock()
 	if dj.holding && dj.snapshot == nil {
@@ -151,6 +160,21 @@
 	})
 }
 
+// Guards against a recorded end of a lease that is lost as the term ends in order before it is durable.
+func TestBoundUnderWayAtEnd(t *testing.T) {
+	run(t, 3, func(fl *fleet, tm *term) {
+		dj := fl.startDelayed(tm, "Bounded")
+		where := startOnUnreachable(fl, tm)
+		began := time.Now()
+		sleep(4 * time.Second)
+		dj.release()
+		tm.endInOrder()
+		*tm = *fl.startTerm(12 * time.Second)
+		fl.timeToMove(where)
+		assertBetween(t, time.Since(began), testLimits.Lease-3*time.Second, testLimits.Lease+maxStartDelay)
+	})
+}
+
 // keptStart is a client that keeps the first start, which has no answer, and whose stops do not reach a worker.
 type keptStart struct {
 	director.WorkerClient
--- a/internal/job/director/lease.go
+++ b/internal/job/director/lease.go
@@ -210,8 +210,11 @@
 	facts := []keeper.Fact{dr.termFact(now, true)}
 	for _, wk := range dr.workers {
 		silent := (wk.unreachable || !wk.answered) && !dr.mayStartAfterRestart(wk, now)
-		if silent && wk.grantDurable && !wk.lease.bounded && len(facts) <= maxBoundsAtEnd {
-			wk.lease.journalUntil = dr.journalClock(dr.leaseOver(wk, now))
+		if silent && wk.grantDurable && !wk.lease.bounded {
+			wk.lease = leaseRecord{bounded: true, journalUntil: dr.journalClock(dr.leaseOver(wk, now)), recordingBound: true}
+		}
+		// A record that was under way when the term ended may have been given up.
+		if wk.lease.recordingBound && len(facts) <= maxBoundsAtEnd {
 			facts = append(facts, wk.boundFact())
 		}
 	}
