--- a/internal/job/leader/cluster_test.go
+++ b/internal/job/leader/cluster_test.go
@@ -92,6 +92,9 @@
 	process *process
 	// cutOut and cutIn are set while requests and answers do not pass a kind of link.
 	cutOut, cutIn [linkKinds]bool
+	// cutPeers and cutWorkers hold other hosts and workers that the host and its requests do not reach.
+	cutPeers   map[netip.AddrPort]bool
+	cutWorkers map[modeler.WorkerID]bool
 	// delay is added to the time that each message of the host takes.
 	delay time.Duration
 }
@@ -504,9 +507,16 @@
 
 // callWorkers makes a call to a worker. A late one gets no answer and is carried out later, by whichever
 // incarnation of the worker then runs.
-func callWorkers[T any](ctx context.Context, hw *hostWorkers, execute func(context.Context) (T, error)) (T, error) {
+func callWorkers[T any](ctx context.Context, hw *hostWorkers, wk *modeler.Worker, execute func(context.Context) (T, error)) (T, error) {
 	var result, none T
 	cl := hw.pr.ho.cl
+	cl.mu.Lock()
+	cut := hw.pr.ho.cutWorkers[wk.ID]
+	cl.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return none, modeler.ErrNoAnswer
+	}
 	if delay := cl.lateDelay(); delay > 0 {
 		cl.beginDisturbance()
 		cl.goroutines.Go(func() {
@@ -539,22 +549,22 @@
 }
 
 func (hw *hostWorkers) Start(ctx context.Context, wk *modeler.Worker, req *modeler.StartRequest) (time.Duration, error) {
-	return callWorkers(ctx, hw, func(ctx context.Context) (time.Duration, error) { return hw.pr.ho.cl.workers.Start(ctx, wk, req) })
+	return callWorkers(ctx, hw, wk, func(ctx context.Context) (time.Duration, error) { return hw.pr.ho.cl.workers.Start(ctx, wk, req) })
 }
 
 func (hw *hostWorkers) Stop(ctx context.Context, wk *modeler.Worker, task modeler.TaskID, run modeler.Run, epoch modeler.Epoch) error {
-	_, err := callWorkers(ctx, hw, func(ctx context.Context) (struct{}, error) {
+	_, err := callWorkers(ctx, hw, wk, func(ctx context.Context) (struct{}, error) {
 		return struct{}{}, hw.pr.ho.cl.workers.Stop(ctx, wk, task, run, epoch)
 	})
 	return err
 }
 
 func (hw *hostWorkers) Renew(ctx context.Context, wk *modeler.Worker, req *modeler.RenewRequest) (modeler.Report, error) {
-	return callWorkers(ctx, hw, func(ctx context.Context) (modeler.Report, error) { return hw.pr.ho.cl.workers.Renew(ctx, wk, req) })
+	return callWorkers(ctx, hw, wk, func(ctx context.Context) (modeler.Report, error) { return hw.pr.ho.cl.workers.Renew(ctx, wk, req) })
 }
 
 func (hw *hostWorkers) Pace(ctx context.Context, wk *modeler.Worker, task modeler.TaskID, run modeler.Run, percent int, epoch modeler.Epoch) error {
-	_, err := callWorkers(ctx, hw, func(ctx context.Context) (struct{}, error) {
+	_, err := callWorkers(ctx, hw, wk, func(ctx context.Context) (struct{}, error) {
 		return struct{}{}, hw.pr.ho.cl.workers.Pace(ctx, wk, task, run, percent, epoch)
 	})
 	return err
@@ -574,6 +584,13 @@
 	if ix < 0 {
 		return errNoPassage
 	}
+	cl.mu.Lock()
+	cut := pe.pr.ho.cutPeers[pe.to]
+	cl.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return errNoPassage
+	}
 	if err := pe.pr.pass(ctx, peerLink, true); err != nil {
 		return err
 	}
