--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -18,7 +18,8 @@
 )
 
 const (
-	// maxClockDrift is the share by which a worker's clock may be slow.
+	// maxClockDrift is the share by which a worker's clock may be slow, and a bound of the share by which the clocks
+	// of two hosts differ.
 	maxClockDrift = 0.02
 	// clockMargin is how far a worker's clock may be behind minClock without a restart.
 	clockMargin = 100 * time.Millisecond
@@ -289,14 +290,18 @@
 			// If it is registered again before the release is durable, it gets no lease and no start
 			// until it has been granted one again.
 			wk.grantDurable, wk.answered, wk.reported = false, false, false
-			wk.lease = leaseRecord{}
+			wk.lease = leaseRecord{recordingRelease: known}
 		}
 		record := wk.lease.recordingGrant
 		dr.mu.Unlock()
 		switch {
 		case removed:
 			if known {
-				dr.record(ctx, []keeper.Fact{{LeaseReleased: info.ID}}, func() {})
+				dr.record(ctx, []keeper.Fact{{LeaseReleased: info.ID}}, func() {
+					dr.mu.Lock()
+					defer dr.mu.Unlock()
+					wk.lease.recordingRelease = false
+				})
 			}
 			if dr.dropWorker(wk) {
 				return false
@@ -489,6 +494,17 @@
 	return at.startDeadline >= at.worker.minClock(now)
 }
 
+// mayStartAfterRestart reports whether a start for an earlier incarnation of a worker may yet be carried out. It
+// gives the present one a lease that leaseEnd does not include.
+func (dr *Director) mayStartAfterRestart(wk *worker, now time.Time) bool {
+	for _, at := range wk.attempts {
+		if at.startDeadline == maxClock && dr.mayStartLate(at, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // leaseExpired reports whether the worker's lease has certainly expired, so that nothing runs there
 // without a new request.
 func (dr *Director) leaseExpired(wk *worker, now time.Time) bool {
