internal/job/director: place long-running tasks that have waited before short ones

Cause: short tasks that are on time go before long-running ones in each round, and so take all capacity that becomes free for as long as more of them come than the workers can run. What they use also counted against the reserve that is kept for short tasks, so that a long-running task that fitted was refused (Reserved) while they overloaded the pool. Backfill reservations were made for short tasks only, so that large long-running tasks never found their capacity in one place.

Change: steps with a long-running task that has waited for 0.5 s, or that ran in an earlier term, go first with at most half of the starts of a round. For them, the reserve is what long-running tasks leave. Those that fit nowhere get backfill reservations on up to a sixteenth of the workers, which tasks of a step share. A worker is held only if the demand fits once all short tasks there have ended, memory included.

--- /dev/null
+++ b/internal/job/director/aging.go
@@ -0,0 +1,116 @@
+package director
+
+import (
+	"slices"
+	"time"
+
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/placer"
+)
+
+const (
+	// maxHeldWorkers bounds the backfill reservations of a round for short tasks, see holdWorker.
+	maxHeldWorkers = 3
+	// maxAgedHeldShare bounds those for aged long-running tasks as a share of the workers, if that is more
+	// than minAgedHeldWorkers.
+	maxAgedHeldShare   = 1.0 / 16
+	minAgedHeldWorkers = 3
+	// agingTime is how long a long-running task waits behind short ones, see aged. It is to run within
+	// 3 s of capacity, of which most is left for short tasks to end.
+	agingTime = 500 * time.Millisecond
+)
+
+// placeAged places tasks of the aged steps with at most half of the starts, and returns the steps that
+// are left in order of urgency.
+func (rd *round) placeAged() []rankedStep {
+	var aged []rankedStep
+	for _, rs := range rd.steps {
+		if rd.dr.aged(rs.step, rd.now) {
+			aged = append(aged, rs)
+		}
+	}
+	if len(aged) == 0 {
+		return rd.steps
+	}
+	slices.SortStableFunc(aged, longestAgo)
+	rd.placingAged, rd.startsKept = true, rd.startsLeft/2
+	rd.maxHeld = max(minAgedHeldWorkers, int(maxAgedHeldShare*float64(len(rd.workers))))
+	left := rd.placePass(aged, maxOvertakenMisses)
+	rd.placingAged, rd.startsKept, rd.maxHeld = false, 0, len(rd.held)+maxHeldWorkers
+	finished := map[*step]bool{}
+	for _, rs := range aged[:len(aged)-len(left)] {
+		finished[rs.step] = true
+	}
+	return slices.DeleteFunc(slices.Clone(rd.steps), func(rs rankedStep) bool { return finished[rs.step] })
+}
+
+// aged reports whether a long-running step has a task that goes before short ones, as it has waited for
+// agingTime or ran in an earlier term. Short tasks that are on time would otherwise take all capacity
+// that becomes free, for as long as more of them come than the workers can run.
+func (dr *Director) aged(sp *step, now time.Time) bool {
+	return sp.spec.LongRunning && slices.ContainsFunc(sp.waiting, func(tk *task) bool {
+		ranBefore := tk.lastRun > 0 && epochOf(tk.lastRun) < dr.op.Epoch
+		return (ranBefore || now.Sub(tk.wait.since) >= agingTime) && dr.startable(tk, now)
+	})
+}
+
+// holdForAged makes backfill reservations for the waiting tasks of an aged step, which share workers,
+// as far as their size is allowed.
+func (rd *round) holdForAged(sp *step, dm *placer.Demand) {
+	headroom := dm.Headroom
+	for _, tk := range sp.waiting {
+		if !rd.dr.startable(tk, rd.now) {
+			continue
+		}
+		if headroom -= dm.Needs.MilliCores; headroom < 0 || !rd.shareHeldWorker(dm) && !rd.holdWorker(dm) {
+			return
+		}
+	}
+}
+
+// shareHeldWorker adds a demand to those of a worker that is held already, and returns false if none has
+// the capacity.
+func (rd *round) shareHeldWorker(dm *placer.Demand) bool {
+	for _, ix := range rd.held {
+		wk, expected := rd.workers[ix], rd.heldFor[ix]
+		if dm.MaxPerWorker == 0 && rd.mayHold(dm, ix) && dm.Needs.Fits(wk.free.Plus(wk.ending).Minus(expected)) {
+			rd.heldFor[ix] = expected.Plus(dm.Needs)
+			return true
+		}
+	}
+	return false
+}
+
+// mayHold reports whether a worker could run a demand once the runs there that end by themselves have
+// ended. Long-running tasks do not end, so what they use does not count.
+func (rd *round) mayHold(dm *placer.Demand, ix int) bool {
+	wk, cd := rd.workers[ix], &rd.cands[ix]
+	return !cd.Excluded && placer.Matches(dm, &wk.info) && (dm.MaxPerWorker <= 0 || cd.SameStepTasks < dm.MaxPerWorker) && dm.Needs.Fits(wk.free.Plus(wk.ending))
+}
+
+// holdWorker makes a backfill reservation for a demand that fits nowhere: for the rest of this
+// round only, one worker counts as having no free capacity, so that less urgent tasks do not delay
+// the demand. Of the workers that may be held, it takes the one with the most free processors. It
+// returns false if there is none.
+func (rd *round) holdWorker(dm *placer.Demand) bool {
+	if len(rd.held) >= rd.maxHeld || dm.BestEffort {
+		return false
+	}
+	best := -1
+	others := placer.HasAlternative(dm, rd.cands)
+	for ix, wk := range rd.workers {
+		if others && slices.Contains(dm.Avoid, wk.info.ID) || !rd.mayHold(dm, ix) || slices.Contains(rd.held, ix) {
+			continue
+		}
+		if best < 0 || rd.cands[ix].Free.MilliCores > rd.cands[best].Free.MilliCores {
+			best = ix
+		}
+	}
+	if best < 0 {
+		return false
+	}
+	rd.held = append(rd.held, best)
+	rd.heldFor[best] = dm.Needs
+	rd.cands[best].Free = modeler.Resources{}
+	return true
+}
--- a/internal/job/director/promise_test.go
+++ b/internal/job/director/promise_test.go
@@ -95,6 +95,14 @@
 	return pd
 }
 
+// newSlowPromiseDay returns a day on which starts take time to reach the workers.
+func newSlowPromiseDay(t testing.TB, seed uint64) *promiseDay {
+	pd := &promiseDay{t: t, rnd: rand.New(rand.NewPCG(seed, 21)), fl: newFleet(t, promiseWorkers), down: map[int]bool{}, drained: map[int]bool{}}
+	pd.fl.client = &slowStarts{WorkerClient: pd.fl.workers, delay: pd.between(20*time.Millisecond, 300*time.Millisecond)}
+	pd.tm = pd.fl.startTerm(0)
+	return pd
+}
+
 // between returns a random duration.
 func (pd *promiseDay) between(low, high time.Duration) time.Duration {
 	return low + time.Duration(pd.rnd.Int64N(int64(high-low)))
@@ -433,3 +441,16 @@
 		})
 	}
 }
+
+// Guards against long-running tasks that wait while starts of short ones, on their way, keep capacity
+// reserved.
+func TestPromiseWithSlowStarts(t *testing.T) {
+	first, count := promiseSeeds()
+	for seed := first; seed < first+count; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				qt.Check(t, newSlowPromiseDay(t, seed).run(), qt.HasLen, 0)
+			})
+		})
+	}
+}
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -58,8 +58,6 @@
 	// maxAvoidTime is the time after its last run in which a long-running task waits for another worker
 	// than those that it avoids.
 	maxAvoidTime = 3 * time.Second
-	// maxHeldWorkers bounds the backfill reservations of a round, see holdWorker.
-	maxHeldWorkers = 3
 	// runsPerEpoch is the distance between the first run numbers of successive epochs. It makes
 	// every run of a new leader higher than all runs of earlier ones that it may not know of.
 	runsPerEpoch = 1 << 20
@@ -125,8 +123,14 @@
 	workers []*worker
 	// cands holds the candidates in the order of workers.
 	cands []placer.Candidate
-	// held holds the indices of the workers that are kept free, see holdWorker.
-	held []int
+	// held holds the indices of the workers that are kept free, see holdWorker, and maxHeld their number
+	// at most.
+	held    []int
+	maxHeld int
+	// heldFor holds what the demands need for which workers are held, by the index of the worker.
+	heldFor map[int]modeler.Resources
+	// placingAged is set during the pass of the aged steps.
+	placingAged bool
 	// longRunning holds the placed attempts of long-running tasks.
 	longRunning []*attempt
 	// misses is the number of placements without a worker since the last one that found one or since
@@ -171,7 +175,7 @@
 // newRound returns a round with the waiting steps, the most urgent first, and the workers that
 // accept tasks.
 func (dr *Director) newRound(now time.Time) *round {
-	rd := &round{dr: dr, now: now, unplaceable: map[demandClass][]modeler.Resources{}, missed: map[demandClass]turn{}, forecasts: map[string]*forecast{}}
+	rd := &round{dr: dr, now: now, maxHeld: maxHeldWorkers, heldFor: map[int]modeler.Resources{}, unplaceable: map[demandClass][]modeler.Resources{}, missed: map[demandClass]turn{}, forecasts: map[string]*forecast{}}
 	for sp := range dr.waitingSteps {
 		rd.steps = append(rd.steps, rankedStep{sp, dr.waitingStep(sp)})
 	}
@@ -202,20 +206,20 @@
 		!wk.faultHistory.Quarantined(now) && !now.Before(wk.noStartsBefore)
 }
 
-// placeSteps places waiting tasks in three passes: of all steps in order of urgency, then of the
-// long-running steps that the first pass did not reach, then of the others. The later passes begin
-// with the steps that were considered the longest ago, so that the turn of each step comes however
+// placeSteps places waiting tasks in four passes: of the aged steps, of all others in order of urgency,
+// then of the long-running steps that the passes did not reach, then of the others. The later passes
+// begin with the steps that were considered the longest ago, so that the turn of each step comes however
 // many more urgent ones find no worker.
 func (rd *round) placeSteps() {
-	available := rd.startsLeft
-	if slices.ContainsFunc(rd.steps, func(rs rankedStep) bool { return rs.rank.LongRunning }) {
+	steps := rd.placeAged()
+	agedMisses, available := rd.misses, rd.startsLeft
+	if slices.ContainsFunc(steps, func(rs rankedStep) bool { return rs.rank.LongRunning }) {
 		rd.startsKept = min(int(rd.dr.keptStarts), available)
 	}
-	overtaken := rd.placePass(rd.steps, maxMisses)
+	overtaken := rd.placePass(steps, maxMisses)
 	outOfStarts := rd.startsLeft <= rd.startsKept
 	rd.dr.keptStarts = min(rd.dr.keptStarts+overtakenShare*float64(available-rd.startsLeft), maxKeptStarts)
 	rd.startsKept = 0
-	longestAgo := func(one, two rankedStep) int { return one.step.turn.at.Compare(two.step.turn.at) }
 	var longRunning, others []rankedStep
 	for _, rs := range overtaken {
 		if rs.rank.LongRunning {
@@ -229,11 +233,14 @@
 		slices.SortStableFunc(others, longestAgo)
 	}
 	before := rd.startsLeft
-	rd.placePass(longRunning, maxOvertakenMisses)
+	rd.placePass(longRunning, maxOvertakenMisses-agedMisses)
 	rd.dr.keptStarts = max(0, rd.dr.keptStarts-float64(before-rd.startsLeft))
 	rd.placePass(others, maxOvertakenMisses)
 }
 
+// longestAgo orders steps by when a round last considered them.
+func longestAgo(one, two rankedStep) int { return one.step.turn.at.Compare(two.step.turn.at) }
+
 // placePass places tasks of the steps until the pass is over, and returns the steps that it did not
 // finish.
 func (rd *round) placePass(steps []rankedStep, maxMisses int) []rankedStep {
@@ -278,15 +285,21 @@
 		if dm.BestEffort {
 			key.image = dm.Image
 		}
-		if rd.knownUnplaceable(key, dm.Needs) {
+		known := rd.knownUnplaceable(key, dm.Needs)
+		if known && !rd.placingAged {
 			rd.noteClassMiss(sp, key)
 			return
 		}
 		rd.countSameStep(sp)
-		rd.applyForecast(&dm)
 		if dm.LongRunning {
 			dm.Headroom, dm.PoolSlots = rd.poolHeadroom(pool, &dm)
 		}
+		if known {
+			rd.noteClassMiss(sp, key)
+			rd.holdForAged(sp, &dm)
+			return
+		}
+		rd.applyForecast(&dm)
 		ix, fitsAvoided := rd.choose(tk, &dm)
 		if ix < 0 {
 			// A limit per worker and permits are specific to the step, so that a failure may not
@@ -297,7 +310,12 @@
 			}
 			rd.misses++
 			rd.logWaitingTask(tk, &dm)
-			rd.holdWorker(&dm)
+			switch {
+			case !dm.LongRunning:
+				rd.holdWorker(&dm)
+			case rd.placingAged && !fitsAvoided:
+				rd.holdForAged(sp, &dm)
+			}
 			if !fitsAvoided {
 				return
 			}
@@ -372,12 +390,16 @@
 }
 
 // poolHeadroom returns the free processors of a pool beyond the reserve for short tasks, in
-// thousandths of a core, and how many tasks of the demand fit into the pool.
+// thousandths of a core, and how many tasks of the demand fit into the pool. For aged steps, the reserve
+// is what long-running tasks leave: the processors of short tasks count as free.
 func (rd *round) poolHeadroom(pool modeler.PoolName, dm *placer.Demand) (headroom, slots int64) {
 	var capacity int64
 	for _, wk := range rd.workers {
 		if wk.info.Pool == pool {
 			headroom += max(0, wk.free.MilliCores)
+			if rd.placingAged {
+				headroom += wk.ending.MilliCores
+			}
 			capacity += wk.info.Capacity.MilliCores
 			slots += placer.FitCount(dm.Needs, wk.free)
 		}
@@ -397,31 +419,6 @@
 		"Lasts", dm.LongRunning, "Spare", dm.Headroom, "Unsuited", reasons.Unsuited, "Crowded", reasons.Crowded, "Full", reasons.Full, "Reserved", reasons.Reserved, "Disturbed", reasons.Disturbed)
 }
 
-// holdWorker makes a backfill reservation for a demand that fits nowhere: for the rest of this
-// round only, one worker counts as having no free capacity, so that less urgent tasks do not delay
-// the demand. It takes a worker with enough processors once the runs there that end by themselves
-// have ended, and of these the one with the most free processors. Long-running tasks do not end, so
-// what they use does not count.
-func (rd *round) holdWorker(dm *placer.Demand) {
-	if len(rd.held) >= maxHeldWorkers || dm.BestEffort || dm.LongRunning {
-		return
-	}
-	best := -1
-	others := placer.HasAlternative(dm, rd.cands)
-	for ix, wk := range rd.workers {
-		if rd.cands[ix].Excluded || others && slices.Contains(dm.Avoid, wk.info.ID) || !placer.Matches(dm, &wk.info) || wk.free.MilliCores+wk.runToCompletionMilliCores < dm.Needs.MilliCores {
-			continue
-		}
-		if best < 0 || rd.cands[ix].Free.MilliCores > rd.cands[best].Free.MilliCores {
-			best = ix
-		}
-	}
-	if best >= 0 {
-		rd.held = append(rd.held, best)
-		rd.cands[best].Free = modeler.Resources{}
-	}
-}
-
 // placeTask reserves resources for a task on the worker with the index, and queues its start. That
 // of a long-running task is queued by recordPlacements.
 func (rd *round) placeTask(tk *task, ix int) {
@@ -437,6 +434,9 @@
 	cd := &rd.cands[ix]
 	cd.Free, cd.LatencyCriticalTasks, cd.BestEffortTasks = wk.free, wk.criticalTasks, wk.bestEffortTasks
 	cd.BestEffortMilliCores, cd.LatencyCriticalMilliCores = wk.bestEffortMilliCores, wk.criticalMilliCores
+	if slices.Contains(rd.held, ix) {
+		cd.Free = modeler.Resources{}
+	}
 	for _, fc := range rd.forecasts {
 		fc.predictions[ix].valid = false
 	}
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -112,10 +112,9 @@
 	free                           modeler.Resources
 	criticalTasks, bestEffortTasks int
 	criticalMilliCores             int64
-	// runToCompletionMilliCores is what is reserved for tasks that are neither long-running nor
-	// best-effort.
-	runToCompletionMilliCores int64
-	bestEffortMilliCores      int64
+	// ending is what is reserved for tasks that are not long-running.
+	ending               modeler.Resources
+	bestEffortMilliCores int64
 	// criticalImages and bestEffortImages count the latency-critical and the best-effort tasks by
 	// image.
 	criticalImages, bestEffortImages map[string]int
@@ -547,8 +546,10 @@
 			delete(images, spec.Image)
 		}
 	}
-	if !spec.BestEffort && !spec.LongRunning {
-		wk.runToCompletionMilliCores += int64(change) * spec.Needs.MilliCores
+	if reserved := placer.Reservation(spec.Needs, spec.BestEffort); !spec.LongRunning && change > 0 {
+		wk.ending = wk.ending.Plus(reserved)
+	} else if !spec.LongRunning {
+		wk.ending = wk.ending.Minus(reserved)
 	}
 	if spec.BestEffort {
 		wk.bestEffortTasks += change
