internal/job/director: let aged long-running tasks use capacity that comes one place at a time

Cause: beyond the reserve, a long-running task starts only while the pool fits two. The callers' rule counts the same, at moments of its own. As short tasks end and start, capacity for two shows up in some rounds only; the first of the waiting tasks takes one place, and the second goes to a short task, so that at most one of 100 waiting tasks starts in such a round.

Change: capacity for two that a round has found counts for 1.5 s for aged steps that need as much or less, as long as short tasks that run keep a place beside the one that is taken. A pool in which no short task runs keeps its last place free as before. The reserve for aged steps is computed once between two placements.

Evidence: TestLastPlaceOfPool, which fails without the memory of earlier rounds.

--- a/internal/job/director/aging.go
+++ b/internal/job/director/aging.go
@@ -18,6 +18,10 @@
 	// agingTime is how long a long-running task waits behind short ones, see aged. It is to run within
 	// 3 s of capacity, of which most is left for short tasks to end.
 	agingTime = 500 * time.Millisecond
+	// roomMemory is how long a pool counts as having capacity for two tasks after a round has found it.
+	roomMemory = 1500 * time.Millisecond
+	// maxSeenRooms bounds what is remembered of that for each pool.
+	maxSeenRooms = 16
 )
 
 // placeAged places tasks of the aged steps with at most half of the starts, and returns the steps that
@@ -54,20 +58,75 @@
 	})
 }
 
-// holdForAged makes backfill reservations for the waiting tasks of an aged step, which share workers,
-// as far as their size is allowed.
+// holdForAged makes backfill reservations for the waiting tasks of a step, which share workers, if the
+// step is aged. They leave the reserve for short tasks.
 func (rd *round) holdForAged(sp *step, dm *placer.Demand) {
-	headroom := dm.Headroom
+	if !rd.placingAged {
+		return
+	}
+	headroom := rd.agedHeadroom(rd.dr.pool(sp.occ.job))
 	for _, tk := range sp.waiting {
-		if !rd.dr.startable(tk, rd.now) {
-			continue
+		if headroom -= dm.Needs.MilliCores; headroom < 0 {
+			return
 		}
-		if headroom -= dm.Needs.MilliCores; headroom < 0 || !rd.shareHeldWorker(dm) && !rd.holdWorker(dm) {
+		if rd.dr.startable(tk, rd.now) && !rd.shareHeldWorker(dm) && !rd.holdWorker(dm) {
 			return
 		}
 	}
 }
 
+// seenRoom is the capacity of which a pool had enough for two tasks at a time.
+type seenRoom struct {
+	needs modeler.Resources
+	at    time.Time
+}
+
+// recentSlots returns how many tasks with the needs count as fitting into a pool for an aged step, given
+// how many fit now. Short tasks end and start all the time, so that capacity for two counts for
+// roomMemory. Otherwise, one of the two would go to a short task in each round. A place stays for short
+// tasks, which they may be using.
+func (rd *round) recentSlots(pool modeler.PoolName, needs modeler.Resources, slots int64) int64 {
+	rooms := slices.DeleteFunc(rd.dr.seenRooms[pool], func(rm seenRoom) bool {
+		return rd.now.Sub(rm.at) >= roomMemory || slots > 1 && rm.needs.Fits(needs)
+	})
+	if slots > 1 && len(rooms) < maxSeenRooms {
+		rooms = append(rooms, seenRoom{needs, rd.now})
+	}
+	rd.dr.seenRooms[pool] = rooms
+	if slots <= 1 && slices.ContainsFunc(rooms, func(rm seenRoom) bool { return needs.Fits(rm.needs) }) {
+		return rd.slotsWithoutShort(pool, needs)
+	}
+	return slots
+}
+
+// slotsWithoutShort returns how many tasks with the needs fit into a pool beside its long-running tasks.
+func (rd *round) slotsWithoutShort(pool modeler.PoolName, needs modeler.Resources) int64 {
+	var slots int64
+	for _, wk := range rd.workers {
+		if wk.info.Pool == pool {
+			slots += placer.FitCount(needs, wk.free.Plus(wk.ending))
+		}
+	}
+	return slots
+}
+
+// agedHeadroom returns the processors of a pool beyond the reserve that long-running tasks leave, in
+// thousandths of a core.
+func (rd *round) agedHeadroom(pool modeler.PoolName) int64 {
+	if headroom, ok := rd.headroomOf[pool]; ok {
+		return headroom
+	}
+	var left, capacity int64
+	for _, wk := range rd.workers {
+		if wk.info.Pool == pool {
+			left += max(0, wk.free.MilliCores) + wk.ending.MilliCores
+			capacity += wk.info.Capacity.MilliCores
+		}
+	}
+	rd.headroomOf[pool] = left - int64(placer.ShortTaskReserve*float64(capacity))
+	return rd.headroomOf[pool]
+}
+
 // shareHeldWorker adds a demand to those of a worker that is held already, and returns false if none has
 // the capacity.
 func (rd *round) shareHeldWorker(dm *placer.Demand) bool {
--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -218,6 +218,8 @@
 	// keptStarts is the number of starts that long-running tasks may use before more urgent ones, see
 	// overtakenShare.
 	keptStarts float64
+	// seenRooms holds what recent rounds found of each pool, see recentSlots.
+	seenRooms map[modeler.PoolName][]seenRoom
 	// contention is the competition of best-effort images for the workers.
 	contention contention
 	// invalid reports malformed facts and reports.
@@ -261,6 +263,7 @@
 		workers:              map[modeler.WorkerID]*worker{},
 		waitingSteps:         map[*step]struct{}{},
 		starting:             map[*attempt]struct{}{},
+		seenRooms:            map[modeler.PoolName][]seenRoom{},
 		model:                estimator.New(),
 		startWindow:          throttler.New(requestTimeout),
 		invalid:              reporter.New(op.Log, op.Meter),
--- a/internal/job/director/round_test.go
+++ b/internal/job/director/round_test.go
@@ -105,3 +105,34 @@
 		})
 	}
 }
+
+// Guards against long-running tasks that get none of the capacity which becomes free, place by place, for two
+// of them at a time, and against those that leave no place for short tasks.
+func TestLastPlaceOfPool(t *testing.T) {
+	needs := modeler.Resources{MilliCores: 1000}
+	for name, tc := range map[string]struct{ first, short, want int }{
+		"two places before, a short task runs":  {2, 1, 2},
+		"two places before, no short task runs": {2, 0, 1},
+		"one place before, a short task runs":   {1, 1, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dr := newBacklog(4, 4, func(int) modeler.Step { return modeler.Step{Count: 1, Needs: needs, LongRunning: true} })
+			now := time.Now().Add(time.Second)
+			for ix := range tc.first {
+				dr.workers[modeler.WorkerID(fmt.Sprint("w", ix))].free = needs
+			}
+			dr.dispatch(now)
+			for _, wk := range dr.workers {
+				wk.free = modeler.Resources{}
+			}
+			dr.workers["w2"].free = needs
+			dr.workers["w3"].ending.MilliCores = int64(tc.short) * needs.MilliCores
+			dr.dispatch(now.Add(200 * time.Millisecond))
+			longRunning := 0
+			for _, wk := range dr.workers {
+				longRunning += len(wk.attempts)
+			}
+			qt.Check(t, longRunning, qt.Equals, tc.want)
+		})
+	}
+}
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -131,6 +131,8 @@
 	heldFor map[int]modeler.Resources
 	// placingAged is set during the pass of the aged steps.
 	placingAged bool
+	// headroomOf holds the results of agedHeadroom since the last placement.
+	headroomOf map[modeler.PoolName]int64
 	// longRunning holds the placed attempts of long-running tasks.
 	longRunning []*attempt
 	// misses is the number of placements without a worker since the last one that found one or since
@@ -175,7 +177,7 @@
 // newRound returns a round with the waiting steps, the most urgent first, and the workers that
 // accept tasks.
 func (dr *Director) newRound(now time.Time) *round {
-	rd := &round{dr: dr, now: now, maxHeld: maxHeldWorkers, heldFor: map[int]modeler.Resources{}, unplaceable: map[demandClass][]modeler.Resources{}, missed: map[demandClass]turn{}, forecasts: map[string]*forecast{}}
+	rd := &round{dr: dr, now: now, maxHeld: maxHeldWorkers, heldFor: map[int]modeler.Resources{}, headroomOf: map[modeler.PoolName]int64{}, unplaceable: map[demandClass][]modeler.Resources{}, missed: map[demandClass]turn{}, forecasts: map[string]*forecast{}}
 	for sp := range dr.waitingSteps {
 		rd.steps = append(rd.steps, rankedStep{sp, dr.waitingStep(sp)})
 	}
@@ -286,19 +288,15 @@
 			key.image = dm.Image
 		}
 		known := rd.knownUnplaceable(key, dm.Needs)
-		if known && !rd.placingAged {
-			rd.noteClassMiss(sp, key)
-			return
-		}
 		rd.countSameStep(sp)
-		if dm.LongRunning {
-			dm.Headroom, dm.PoolSlots = rd.poolHeadroom(pool, &dm)
-		}
 		if known {
 			rd.noteClassMiss(sp, key)
 			rd.holdForAged(sp, &dm)
 			return
 		}
+		if dm.LongRunning {
+			rd.applyReserve(sp, &dm)
+		}
 		rd.applyForecast(&dm)
 		ix, fitsAvoided := rd.choose(tk, &dm)
 		if ix < 0 {
@@ -313,7 +311,7 @@
 			switch {
 			case !dm.LongRunning:
 				rd.holdWorker(&dm)
-			case rd.placingAged && !fitsAvoided:
+			case !fitsAvoided:
 				rd.holdForAged(sp, &dm)
 			}
 			if !fitsAvoided {
@@ -389,17 +387,23 @@
 	}
 }
 
+// applyReserve sets what decides on the reserve for short tasks.
+func (rd *round) applyReserve(sp *step, dm *placer.Demand) {
+	pool := rd.dr.pool(sp.occ.job)
+	dm.Headroom, dm.PoolSlots = rd.poolHeadroom(pool, dm)
+	if rd.placingAged {
+		dm.Headroom = rd.agedHeadroom(pool)
+		dm.PoolSlots = rd.recentSlots(pool, dm.Needs, dm.PoolSlots)
+	}
+}
+
 // poolHeadroom returns the free processors of a pool beyond the reserve for short tasks, in
-// thousandths of a core, and how many tasks of the demand fit into the pool. For aged steps, the reserve
-// is what long-running tasks leave: the processors of short tasks count as free.
+// thousandths of a core, and how many tasks of the demand fit into the pool.
 func (rd *round) poolHeadroom(pool modeler.PoolName, dm *placer.Demand) (headroom, slots int64) {
 	var capacity int64
 	for _, wk := range rd.workers {
 		if wk.info.Pool == pool {
 			headroom += max(0, wk.free.MilliCores)
-			if rd.placingAged {
-				headroom += wk.ending.MilliCores
-			}
 			capacity += wk.info.Capacity.MilliCores
 			slots += placer.FitCount(dm.Needs, wk.free)
 		}
@@ -437,6 +441,7 @@
 	if slices.Contains(rd.held, ix) {
 		cd.Free = modeler.Resources{}
 	}
+	clear(rd.headroomOf)
 	for _, fc := range rd.forecasts {
 		fc.predictions[ix].valid = false
 	}
@@ -491,7 +496,7 @@
 	rd.countSameStep(sp)
 	first := rd.dr.demand(sp.waiting[0])
 	if first.LongRunning {
-		first.Headroom, first.PoolSlots = rd.poolHeadroom(rd.dr.pool(sp.occ.job), &first)
+		rd.applyReserve(sp, &first)
 	}
 	cands := slices.Clone(rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &first, rd.cands))
 	var chosen []int
