Reproduce several epochs at one takeover

Each epoch is compared with the process that began the one before: was it stopped or killed by then?

--- a/internal/job/leader/cluster_test.go
+++ b/internal/job/leader/cluster_test.go
@@ -72,6 +72,8 @@
 	disturbedAt  time.Time
 	// late is set while a third of the requests to workers is carried out late.
 	late bool
+	// epochs are the epochs that began.
+	epochs []epochBegin
 }
 
 // link is a kind of connection of an entry host.
@@ -92,8 +94,8 @@
 	process *process
 	// cutOut and cutIn are set while requests and answers do not pass a kind of link.
 	cutOut, cutIn [linkKinds]bool
-	// delay is added to the time that each message of the host takes.
-	delay time.Duration
+	// delay and a random time up to maxDelay are added to the time that each message of the host takes.
+	delay, maxDelay time.Duration
 }
 
 // process is one process of an entry host.
@@ -109,9 +111,10 @@
 	cancel, stop context.CancelFunc
 	ended        chan struct{}
 
-	// dead and answered are guarded by the cluster's mu. answered is when the store last answered.
-	dead     bool
-	answered time.Time
+	// dead, stopping and answered are guarded by the cluster's mu. stopping is set once the process drains,
+	// answered is when the store last answered.
+	dead, stopping bool
+	answered       time.Time
 }
 
 func newCluster(t testing.TB, hosts, workers int, seed uint64) *cluster {
@@ -341,6 +344,9 @@
 // drainHost ends the process of a host as SIGTERM does.
 func (cl *cluster) drainHost(ix int) {
 	if pr := cl.process(ix); pr != nil {
+		cl.mu.Lock()
+		pr.stopping = true
+		cl.mu.Unlock()
 		pr.cancel()
 		<-pr.ended
 		time.Sleep(drainTime)
@@ -389,7 +395,7 @@
 			cut = ho.cutOut[lk]
 		}
 		if first {
-			wait += ho.delay
+			wait += ho.delay + time.Duration(cl.rnd.Int64N(int64(ho.maxDelay)+1))
 		}
 		cl.mu.Unlock()
 		switch {
@@ -458,6 +464,9 @@
 func (hs *hostStore) Put(ctx context.Context, key string, value []byte, expected int64) (rev int64, err error) {
 	err = hs.write(ctx, func() (err error) {
 		rev, err = hs.pr.ho.cl.store.Put(ctx, key, value, expected)
+		if err == nil {
+			hs.pr.ho.cl.noteWrite(hs.pr, key, value)
+		}
 		return err
 	})
 	return rev, err
