Give up a term that would replace a later epoch than the one that was suspected

Callers saw long waits after a change of leader: two and three epochs began at one takeover, each of which loads all jobs and accounts for all workers anew.

Several hosts decide within the same half second, as answers are late and ranks are then unknown. A host that lost the race waited 0.5 s, counted from the refusals of the old leader's address, and tried again.

Change: a term knows the epoch that it replaces. Open asks before each write whether the last epoch that it has read may be replaced. If it is later, the host gives up and waits for its leader as it does for one that it has seen: 0.3 s while its address refuses connections, otherwise 1.1 s, with the agreement of a majority. It does not pass that leader on to other hosts, which may count on a leader that they know to have begun its term. A host that has heard of no leader replaces any process of which it got no message since its start. EpochBegun fails on a host that has heard of a later leader; it took itself for the leader, which HasStopped relies on not to happen.

Where a host ends between its epoch record and its first heartbeat, the next one begins up to 1.1 s later than before.

--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -113,7 +113,8 @@
 }
 
 // LeadFunc runs one term: it tries to begin an epoch and then leads. It returns when it could not
-// begin one, the context ended or another host leads.
+// begin one, the context ended or another host leads. It asks MayReplace before it begins the epoch, and
+// calls EpochBegun before it leads.
 type LeadFunc func(ctx context.Context) error
 
 // Leader is the entry host that leads, as far as this host knows. The zero value means that no
@@ -169,16 +170,22 @@
 	mu      sync.Mutex
 	members map[fleet.HostName]*member
 	leader  Leader
+	// awaited is the leader of a later epoch than leader's that this host has found in the journal, and
+	// that has not made itself known yet. It is the zero value if there is none. Its address may be missing.
+	// It is not passed on to other hosts, which may rely on a leader that they know to have begun its term.
+	awaited Leader
 	// leaderKnownAt is when this host first knew of the leader.
 	leaderKnownAt time.Time
-	// leaderLastSeen is when the leader last reported that it leads and reaches the store. After a
-	// term of this host it may be in the future, see newLeaderGrace.
+	// leaderLastSeen is when the leader last reported that it leads and reaches the store, or when this host
+	// began to await another one. After a term of this host it may be in the future, see newLeaderGrace.
 	leaderLastSeen time.Time
-	// leaderRefuses is set while the leader's address refuses connections.
+	// leaderRefuses is set while the address of the leader, or of the awaited one, refuses connections.
 	leaderRefuses bool
 	// inTerm is set while Options.Lead runs, which includes the time before it leads. epochBegun is
 	// set once its epoch has begun.
 	inTerm, epochBegun bool
+	// replaced is the epoch that the term is to replace. A later one is not deposed.
+	replaced modeler.Epoch
 	// epochBegunAt is when the last epoch of this host began. Before, it may have had no contact with
 	// hosts that did not lead.
 	epochBegunAt time.Time
@@ -214,8 +221,10 @@
 	lastHeartbeat, lastReply time.Time
 	// addedAt is when this host first knew of it.
 	addedAt time.Time
-	// The remaining fields are what the host last reported. epoch is the highest that it knows.
-	epoch modeler.Epoch
+	// The remaining fields are what the host last reported. reportedBy is the process that did, epoch the
+	// highest that it knows.
+	reportedBy fleet.BootID
+	epoch      modeler.Epoch
 	// sinceLeaderSeen is the time since the leader last reported to the host.
 	sinceLeaderSeen time.Duration
 	// storeAge is the time since the store last answered the host.
@@ -309,17 +318,62 @@
 	return addrs
 }
 
+// ErrLaterEpoch means that another host has begun a later epoch.
+var ErrLaterEpoch = errors.New("another host has begun a later epoch")
+
 // EpochBegun records that the epoch of this host's term has begun, and announces the new leader to
-// all hosts.
-func (el *Elector) EpochBegun(epoch modeler.Epoch) {
+// all hosts. Errors: ErrLaterEpoch if a host that has replaced this one already was heard of during the
+// term.
+func (el *Elector) EpochBegun(epoch modeler.Epoch) error {
 	el.mu.Lock()
+	defer el.mu.Unlock()
+	if el.leader.Epoch > max(epoch, el.replaced) {
+		return fmt.Errorf("beginning epoch %d: %w: epoch %d of host %s", epoch, ErrLaterEpoch, el.leader.Epoch, el.leader.Host)
+	}
 	self := el.op.Self
-	el.leader = Leader{Epoch: epoch, Host: self.Host, Boot: self.Boot, Address: self.Address}
+	el.leader, el.awaited = Leader{Epoch: epoch, Host: self.Host, Boot: self.Boot, Address: self.Address}, Leader{}
 	now := time.Now()
 	el.epochBegun, el.epochBegunAt, el.leaderLastSeen, el.leaderKnownAt = true, now, now, now
-	el.mu.Unlock()
 	logger.Log(el.op.Log, logger.LeaderElected, "Epoch", epoch, "Leader", self.Host, "Self", true)
 	go el.announce(context.Background())
+	return nil
+}
+
+// MayReplace reports whether this host's term may begin an epoch after the one of the given process, which
+// is the last in the journal. It may not if that epoch is later than the one that the term was to replace:
+// another host has won, and this one waits for it to make itself known.
+func (el *Elector) MayReplace(epoch modeler.Epoch, host fleet.HostName, boot fleet.BootID) bool {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	switch {
+	case el.draining || el.watched().Epoch > el.replaced:
+		return false
+	case epoch <= el.replaced || el.hasStopped(host, boot, epoch+1):
+		return true
+	case el.replaced == 0 && !el.reported(host, boot):
+		// This host has heard of no leader. The epoch is probably from before the hosts were started.
+		return true
+	}
+	el.awaited = Leader{Epoch: epoch, Host: host, Boot: boot}
+	if mb := el.members[host]; mb != nil {
+		el.awaited.Address = mb.Address
+	}
+	el.leaderLastSeen, el.leaderRevisionAt, el.leaderRefuses = time.Now(), time.Time{}, false
+	return false
+}
+
+// reported reports whether a message of the process has arrived. The caller holds mu.
+func (el *Elector) reported(host fleet.HostName, boot fleet.BootID) bool {
+	mb := el.members[host]
+	return mb != nil && mb.reportedBy == boot
+}
+
+// watched returns the leader that this host expects to lead and replaces if it does not. The caller holds mu.
+func (el *Elector) watched() Leader {
+	if el.awaited.Epoch > el.leader.Epoch {
+		return el.awaited
+	}
+	return el.leader
 }
 
 // register retries until it has stored this host's record, and then reads those of all hosts.
@@ -465,14 +519,14 @@
 func (el *Elector) probeLeader(ctx context.Context) {
 	el.mu.Lock()
 	el.probeRounds++
-	leader, inTerm, draining := el.leader, el.inTerm, el.draining
-	skipProbe := el.probeRounds%roundsPerSlowProbe != 0 && el.rank(nil) >= maxFrequentProbers
+	leader, inTerm, draining := el.watched(), el.inTerm, el.draining
+	skipProbe := leader != el.awaited && el.probeRounds%roundsPerSlowProbe != 0 && el.rank(nil) >= maxFrequentProbers
 	suspected := time.Since(el.leaderLastSeen) >= el.currentSuspicionTimeout()
 	el.mu.Unlock()
 	if inTerm || draining {
 		return
 	}
-	if leader.Host != "" && leader.Host != el.op.Self.Host && !skipProbe && !suspected {
+	if leader.Address.IsValid() && leader.Host != el.op.Self.Host && !skipProbe && !suspected {
 		el.sendHeartbeat(ctx, leader.Address, heartbeatTimeout)
 	}
 	el.mu.Lock()
@@ -481,7 +535,7 @@
 	el.takeoverRequested = false
 	el.mu.Unlock()
 	if takeover {
-		el.startTerm(ctx)
+		el.startTerm(ctx, leader.Epoch)
 		return
 	}
 	// A host that has just started and has not read the other hosts' records cannot know whether one
@@ -495,7 +549,7 @@
 // currentSuspicionTimeout returns the time without contact with the leader after which this host
 // suspects that it failed. The caller holds mu.
 func (el *Elector) currentSuspicionTimeout() time.Duration {
-	if el.leaderRefuses || el.leader.Host == "" {
+	if el.leaderRefuses || el.watched().Host == "" {
 		return refusedSuspicionTimeout
 	}
 	return suspicionTimeout
@@ -506,7 +560,7 @@
 // storeHeartbeatTimeout. The leader has not been seen for the duration sinceSeen.
 func (el *Elector) pollPeers(ctx context.Context, sinceSeen time.Duration) {
 	el.mu.Lock()
-	suspect := el.leader
+	suspect := el.watched()
 	addrs := slices.Clone(el.op.Seeds)
 	for _, mb := range el.members {
 		if mb.Host != el.op.Self.Host && !slices.Contains(addrs, mb.Address) {
@@ -519,7 +573,7 @@
 	stale := el.storeHeartbeatStale(ctx, suspect)
 	el.mu.Lock()
 	now, agreed, total := time.Now(), el.countAgreeing(pollBegan), len(el.members)
-	noLeader := el.leader == suspect && now.Sub(el.leaderLastSeen) >= sinceSeen && (2*agreed > total || stale)
+	noLeader := el.watched() == suspect && now.Sub(el.leaderLastSeen) >= sinceSeen && (2*agreed > total || stale)
 	switch {
 	case !noLeader:
 		el.noLeaderSince = time.Time{}
@@ -533,7 +587,7 @@
 		return
 	}
 	logger.Log(el.op.Log, logger.LeaderGone, "Leader", suspect.Host, "Epoch", suspect.Epoch, "Silence", sinceSeen.String(), "Agreed", agreed, "Hosts", total, "Rank", rank, "Stopped", stopped)
-	el.startTerm(ctx)
+	el.startTerm(ctx, suspect.Epoch)
 }
 
 // countAgreeing returns the number of hosts that agree that the leader has failed and that replied
@@ -639,15 +693,16 @@
 	return time.Since(el.leaderLastSeen) > storeHeartbeatTimeout
 }
 
-// startTerm runs a term in the background, unless one runs already or this host drains.
-func (el *Elector) startTerm(ctx context.Context) {
+// startTerm runs a term that replaces an epoch in the background, unless one runs already, this host drains
+// or knows a later epoch.
+func (el *Elector) startTerm(ctx context.Context, replaced modeler.Epoch) {
 	el.mu.Lock()
 	defer el.mu.Unlock()
-	if el.inTerm || el.draining {
+	if el.inTerm || el.draining || el.watched().Epoch > replaced {
 		return
 	}
 	termCtx, cancel := context.WithCancel(ctx)
-	el.inTerm, el.epochBegun, el.cancelTerm, el.termDone = true, false, cancel, make(chan struct{})
+	el.inTerm, el.epochBegun, el.replaced, el.cancelTerm, el.termDone = true, false, replaced, cancel, make(chan struct{})
 	done := el.termDone
 	go func() {
 		defer close(done)
@@ -656,8 +711,10 @@
 		el.mu.Lock()
 		defer el.mu.Unlock()
 		el.inTerm, el.epochBegun = false, false
-		// Another host that began an epoch first needs time to make itself known.
-		el.leaderLastSeen = time.Now().Add(newLeaderGrace - suspicionTimeout)
+		if el.watched() != el.awaited {
+			// Another host that began an epoch first needs time to make itself known.
+			el.leaderLastSeen = time.Now().Add(newLeaderGrace - suspicionTimeout)
+		}
 		el.leaderRevisionAt, el.noLeaderSince = time.Time{}, time.Time{}
 		cause := ""
 		if err != nil {
@@ -755,7 +812,7 @@
 func (el *Elector) setLeaderRefuses(addr netip.AddrPort, refused bool) {
 	el.mu.Lock()
 	defer el.mu.Unlock()
-	if addr == el.leader.Address {
+	if addr == el.watched().Address {
 		el.leaderRefuses = refused
 	}
 }
@@ -823,7 +880,7 @@
 	now := time.Now()
 	mb := el.getOrAddMember(sender.Host)
 	mb.Boot, mb.Address, mb.Weight, mb.draining = sender.Boot, sender.Address, sender.Weight, gr.Leaving
-	mb.epoch = leader.Epoch
+	mb.reportedBy, mb.epoch = sender.Boot, leader.Epoch
 	mb.sinceLeaderSeen = modeler.DurationFromMillis(gr.Silence)
 	mb.storeAge = modeler.DurationFromMillis(gr.StoreAge)
 	mb.leaderRefuses = gr.Refused
--- a/internal/job/elector/elector_test.go
+++ b/internal/job/elector/elector_test.go
@@ -46,9 +46,10 @@
 type host struct {
 	cl *cluster
 	ix int
-	// elector, cancel, ended and down are guarded by the cluster's mu. down is set while no process of
+	// elector, boot, cancel, ended and down are guarded by the cluster's mu. down is set while no process of
 	// the host runs.
 	elector *elector.Elector
+	boot    fleet.BootID
 	cancel  context.CancelFunc
 	ended   chan struct{}
 	down    bool
@@ -84,15 +85,10 @@
 	ho.answered = time.Now()
 	ho.mu.Unlock()
 	self := elector.Member{Host: fleet.HostName(fmt.Sprint("host-", ix)), Boot: fleet.BootID(fmt.Sprint(ix, time.Now().UnixNano())), Address: address(ix), Weight: 100}
-	el := elector.New(elector.Options{
-		Self: self, Store: ho, StoreAge: ho.age, ConfigurationRevision: func() int64 { return 1 }, OnHigherRevision: func(netip.AddrPort, int64) {},
-		Dial: func(addr netip.AddrPort) messenger.Jobs { return &link{from: ho, to: addr} },
-		Lead: func(ctx context.Context) error { return ho.lead(ctx, self) },
-		Log:  testLog(), Meter: meter.New(nil),
-	})
+	el := elector.New(ho.options(self))
 	ctx, cancel := context.WithCancel(context.Background())
 	cl.mu.Lock()
-	ho.elector, ho.cancel, ho.ended, ho.down = el, cancel, ended, false
+	ho.elector, ho.boot, ho.cancel, ho.ended, ho.down = el, self.Boot, cancel, ended, false
 	cl.mu.Unlock()
 	go func() {
 		defer close(ended)
@@ -100,6 +96,15 @@
 	}()
 }
 
+func (ho *host) options(self elector.Member) elector.Options {
+	return elector.Options{
+		Self: self, Store: ho, StoreAge: ho.age, ConfigurationRevision: func() int64 { return 1 }, OnHigherRevision: func(netip.AddrPort, int64) {},
+		Dial: func(addr netip.AddrPort) messenger.Jobs { return &link{from: ho, to: addr} },
+		Lead: func(ctx context.Context) error { return ho.lead(ctx, self) },
+		Log:  testLog(), Meter: meter.New(nil),
+	}
+}
+
 // testLog logs the elections of a test to standard output when ELECTOR_LOG is set.
 func testLog() logr.Logger {
 	if os.Getenv("ELECTOR_LOG") == "" {
@@ -189,12 +194,19 @@
 // lead is an elector.LeadFunc that begins an epoch and only checks whether another host has begun a
 // later one.
 func (ho *host) lead(ctx context.Context, self elector.Member) error {
-	jn, rec, err := journaler.Open(ctx, ho, "jobs", self.Host, self.Boot, journaler.Options{Logger: logr.Discard(), RetryTimeout: 5 * time.Second})
+	jn, rec, err := journaler.Open(ctx, ho, "jobs", self.Host, self.Boot, journaler.Options{
+		Logger: logr.Discard(), RetryTimeout: 5 * time.Second,
+		MayReplace: func(epoch fleet.Epoch, host fleet.HostName, boot fleet.BootID) bool {
+			return ho.elector.MayReplace(modeler.Epoch(epoch), host, boot)
+		},
+	})
 	if err != nil {
 		return err
 	}
 	defer jn.Close()
-	ho.elector.EpochBegun(modeler.Epoch(rec.Epoch))
+	if err := ho.elector.EpochBegun(modeler.Epoch(rec.Epoch)); err != nil {
+		return err
+	}
 	ho.mu.Lock()
 	ho.leads = modeler.Epoch(rec.Epoch)
 	ho.terms++
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-logr/logr"
 
+	fleet "github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/job/director"
 	"github.com/currantrouter/currantrouter/internal/job/elector"
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
@@ -122,7 +123,7 @@
 func (ld *Leader) Director() *director.Director { return ld.current.Load() }
 
 // Lead implements elector.LeadFunc. It begins an epoch and leads until the term is over. Errors:
-// those of journaler.Open, director.ErrTermOver.
+// those of journaler.Open, elector.ErrLaterEpoch, director.ErrTermOver.
 func (ld *Leader) Lead(ctx context.Context) error {
 	began := time.Now()
 	doublings := min(ld.failedOpens.Load(), maxOpenTimeoutDoublings)
@@ -131,7 +132,7 @@
 	jn, rec, err := journaler.Open(openCtx, ld.op.Store, journalName, ld.op.Self.Host, ld.op.Self.Boot, journaler.Options{
 		WritesPerSecond: maxJournalWritesPerSecond, RetryTimeout: journalRetryTimeout, MaxBackOff: maxJournalBackOff,
 		CallTimeout: journalCallTimeout, OpenCallTimeout: journalCallTimeout << doublings, SkipDamaged: true,
-		Logger: ld.op.Log, Meter: ld.op.Meter,
+		MayReplace: ld.mayReplace, Logger: ld.op.Log, Meter: ld.op.Meter,
 	})
 	if errors.Is(err, journaler.ErrUnavailable) {
 		ld.failedOpens.Add(1)
@@ -151,7 +152,9 @@
 		PredecessorSeenFor: ld.elector.LeaderKnownFor(epoch - 1), FactsMissing: rec.Damaged > 0,
 		Limits: ld.op.Limits, Log: ld.op.Log, Meter: ld.op.Meter,
 	})
-	ld.elector.EpochBegun(epoch)
+	if err := ld.elector.EpochBegun(epoch); err != nil {
+		return err
+	}
 	dr.Restore(slices.Concat(rec.SnapshotRecords, rec.Records))
 	tm.director = dr
 	ld.current.Store(dr)
@@ -161,6 +164,11 @@
 	return tm.run(ctx)
 }
 
+// mayReplace implements journaler.Options.MayReplace.
+func (ld *Leader) mayReplace(epoch fleet.Epoch, host fleet.HostName, boot fleet.BootID) bool {
+	return ld.elector.MayReplace(modeler.Epoch(epoch), host, boot)
+}
+
 // inheritedLease returns how long, from the beginning of the term, unreachable workers may run tasks for
 // earlier leaders, of which the last may go on for authorityTimeout.
 func (ld *Leader) inheritedLease(rec journaler.Recovery) time.Duration {
--- a/internal/state/journaler/journaler.go
+++ b/internal/state/journaler/journaler.go
@@ -95,7 +95,10 @@
 	MaxBackOff time.Duration
 	// SkipDamaged makes Open pass over segments that cannot be decoded. Their records are lost.
 	SkipDamaged bool
-	Logger      logr.Logger
+	// MayReplace reports whether Open may begin an epoch after the given one, which is the last that it has
+	// read, with the process that leads it. It may be nil and is called before each attempt to write.
+	MayReplace func(epoch modeler.Epoch, host modeler.HostName, boot modeler.BootID) bool
+	Logger     logr.Logger
 	// Meter may be nil.
 	Meter *meter.Registry
 }
--- a/internal/state/journaler/journaler_test.go
+++ b/internal/state/journaler/journaler_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/provider/emulator"
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
 )
@@ -358,3 +359,40 @@
 		})
 	}
 }
+
+// Guards against an epoch that begins over one which the caller does not want to replace.
+func TestMayReplace(t *testing.T) {
+	for name, last := range map[string]func(jn *journaler.Journal) error{
+		"epoch record": func(*journaler.Journal) error { return nil },
+		"append": func(jn *journaler.Journal) error {
+			return jn.Append(context.Background(), journaler.Record{Kind: journaler.KindTask, Data: []byte("x")})
+		},
+		"snapshot": func(jn *journaler.Journal) error { return jn.Snapshot(context.Background(), nil, 1) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				st := emulator.NewStore(nil)
+				first, _, err := journaler.Open(t.Context(), st, "jobs", "host-1", "boot-1", journaler.Options{})
+				qt.Assert(t, err, qt.IsNil)
+				defer first.Close()
+				qt.Assert(t, last(first), qt.IsNil)
+				allow := false
+				op := journaler.Options{MayReplace: func(epoch modeler.Epoch, host modeler.HostName, boot modeler.BootID) bool {
+					qt.Check(t, epoch, qt.Equals, modeler.Epoch(1))
+					qt.Check(t, host, qt.Equals, modeler.HostName("host-1"))
+					qt.Check(t, boot, qt.Equals, modeler.BootID("boot-1"))
+					return allow
+				}}
+				_, _, err = journaler.Open(t.Context(), st, "jobs", "host-2", "boot-2", op)
+				qt.Check(t, err, qt.ErrorIs, journaler.ErrDeposed)
+				qt.Check(t, first.Check(t.Context()), qt.IsNil)
+				allow = true
+				second, rec, err := journaler.Open(t.Context(), st, "jobs", "host-2", "boot-2", op)
+				qt.Assert(t, err, qt.IsNil)
+				defer second.Close()
+				qt.Check(t, rec.Epoch, qt.Equals, modeler.Epoch(2))
+				qt.Check(t, first.Check(t.Context()), qt.ErrorIs, journaler.ErrDeposed)
+			})
+		})
+	}
+}
--- a/internal/state/journaler/opener.go
+++ b/internal/state/journaler/opener.go
@@ -30,8 +30,8 @@
 
 // Open begins the next epoch of a data centre's journal and returns the content of the journal.
 // Failed calls are retried for RetryTimeout. Errors: ErrDeposed if another process began an epoch
-// concurrently, ErrUnavailable, ErrResultUnknown if the epoch record may have been written,
-// ErrDamaged.
+// concurrently or Options.MayReplace forbids to replace the last one, ErrUnavailable, ErrResultUnknown
+// if the epoch record may have been written, ErrDamaged.
 func Open(ctx context.Context, st Store, dc modeler.DataCentreName, host modeler.HostName, boot modeler.BootID, op Options) (*Journal, Recovery, error) {
 	op = op.withDefaults()
 	on := &opener{store: st, keys: keys{dc}, host: host, boot: boot, options: op}
@@ -252,6 +252,9 @@
 // the current leader appends meanwhile.
 func (on *opener) appendEpochRecord(ctx context.Context) error {
 	for {
+		if err := on.checkReplaceable(); err != nil {
+			return err
+		}
 		sg := &StoredSegment{
 			Position: on.nextPosition(), Epoch: on.highestEpoch() + 1, Host: string(on.host), Boot: string(on.boot),
 			Operation: lastOperation.Add(1), BeginsEpoch: true,
@@ -271,12 +274,24 @@
 		if err := on.readSegments(ctx); err != nil {
 			return err
 		}
+		if err := on.checkReplaceable(); err != nil {
+			return err
+		}
 		if err := on.checkContention(on.segments[known:]); err != nil {
 			return err
 		}
 	}
 }
 
+// checkReplaceable returns ErrDeposed if the leader of the last epoch must not be replaced.
+func (on *opener) checkReplaceable() error {
+	pr := on.previous()
+	if on.options.MayReplace == nil || pr.host == "" || on.options.MayReplace(pr.epoch, pr.host, pr.boot) {
+		return nil
+	}
+	return fmt.Errorf("%w: epoch %d of host %s is not to be replaced", ErrDeposed, pr.epoch, pr.host)
+}
+
 // checkContention returns ErrDeposed if another process began an epoch during this recovery.
 func (on *opener) checkContention(segments []*StoredSegment) error {
 	for _, sg := range segments {
@@ -349,22 +364,37 @@
 }
 
 func (on *opener) recovery() Recovery {
+	pr := on.previous()
 	rec := Recovery{
 		Epoch: modeler.Epoch(on.epochRecord.Epoch), Position: on.epochRecord.Position, SnapshotRecords: on.snapshotRecords,
-		SnapshotPosition: on.snapshotPointer.position, Damaged: on.damaged, PreviousEpoch: on.snapshotPointer.epoch,
-		PreviousHost: on.snapshotPointer.host, PreviousBoot: on.snapshotPointer.boot, Appended: on.appended,
+		SnapshotPosition: on.snapshotPointer.position, Damaged: on.damaged, PreviousEpoch: pr.epoch,
+		PreviousHost: pr.host, PreviousBoot: pr.boot, Appended: on.appended,
 	}
 	for _, sg := range on.segments {
 		rec.Records = decodeRecords(rec.Records, sg.Records)
-		if sg.Position != on.epochRecord.Position && sg.Epoch != 0 {
-			rec.PreviousEpoch = modeler.Epoch(sg.Epoch)
-			rec.PreviousHost = modeler.HostName(sg.Host)
-			rec.PreviousBoot = modeler.BootID(sg.Boot)
-		}
 	}
 	return rec
 }
 
+// writer is a process that led.
+type writer struct {
+	epoch modeler.Epoch
+	host  modeler.HostName
+	boot  modeler.BootID
+}
+
+// previous returns the process that wrote last before this one's epoch record, zero if there is none.
+func (on *opener) previous() writer {
+	pt := on.snapshotPointer
+	last := writer{pt.epoch, pt.host, pt.boot}
+	for _, sg := range on.segments {
+		if sg.Epoch != 0 && (on.epochRecord == nil || sg.Position != on.epochRecord.Position) {
+			last = writer{modeler.Epoch(sg.Epoch), modeler.HostName(sg.Host), modeler.BootID(sg.Boot)}
+		}
+	}
+	return last
+}
+
 func (on *opener) newJournal(rec Recovery) *Journal {
 	ctx, cancel := context.WithCancel(context.Background())
 	jn := &Journal{
