Hand leadership over to a host that confirms that it leads

Callers saw up to 1.5 s without a leader after a SIGTERM, as long as after a kill.

Cause: a host that was asked to take over answered at once, also where it drained or did not reach the store, and began at its next round of probes. A leader waited 1.2 s for the answer of the first host that it asked, and asked no other one after that. A host that had only begun to lead knew of no successor, as hosts that do not lead are in contact with the leader only.

Change: the host that is asked begins at once and answers when it leads, or that it does not. Each host that is asked has 0.6 s; then the next one is asked, which does no harm, as only one of them can replace the epoch. A drain lets an epoch record that is being written be completed and then hands over. Without a successor in contact, all hosts are polled. The messages do not change: an older daemon answers at once, and treats a refusal as it treats no answer.

--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -186,15 +186,18 @@
 	inTerm, epochBegun bool
 	// replaced is the epoch that the term is to replace. A later one is not deposed.
 	replaced modeler.Epoch
+	// own is the leader of the last epoch that this process began.
+	own Leader
 	// epochBegunAt is when the last epoch of this host began. Before, it may have had no contact with
 	// hosts that did not lead.
 	epochBegunAt time.Time
 	cancelTerm   context.CancelFunc
-	termDone     chan struct{}
+	// termBegun is closed when the epoch of the term has begun, and termDone when the term has ended.
+	termBegun, termDone chan struct{}
+	// runCtx is the context of Run, nil before.
+	runCtx context.Context
 	// draining is set by Drain. This host begins no further term then.
 	draining bool
-	// takeoverRequested is set when a leader that has stopped asked this host to take over.
-	takeoverRequested bool
 	// noLeaderSince is when this host first found that there is no leader, and zero if there is one.
 	noLeaderSince time.Time
 	// leaderRevision is the last seen revision of the leader's record in the store, and
@@ -247,6 +250,9 @@
 // Run tracks the other hosts and takes leadership over when needed, until the context ends. It then
 // calls Drain.
 func (el *Elector) Run(ctx context.Context) {
+	el.mu.Lock()
+	el.runCtx = ctx
+	el.mu.Unlock()
 	var loops sync.WaitGroup
 	loops.Go(func() { el.register(ctx) })
 	loops.Go(func() { every(ctx, minListInterval, el.listMembersIfDue) })
@@ -331,9 +337,13 @@
 		return fmt.Errorf("beginning epoch %d: %w: epoch %d of host %s", epoch, ErrLaterEpoch, el.leader.Epoch, el.leader.Host)
 	}
 	self := el.op.Self
-	el.leader, el.awaited = Leader{Epoch: epoch, Host: self.Host, Boot: self.Boot, Address: self.Address}, Leader{}
+	el.own = Leader{Epoch: epoch, Host: self.Host, Boot: self.Boot, Address: self.Address}
+	el.leader, el.awaited = el.own, Leader{}
 	now := time.Now()
 	el.epochBegun, el.epochBegunAt, el.leaderLastSeen, el.leaderKnownAt = true, now, now, now
+	if el.inTerm {
+		close(el.termBegun)
+	}
 	logger.Log(el.op.Log, logger.LeaderElected, "Epoch", epoch, "Leader", self.Host, "Self", true)
 	go el.announce(context.Background())
 	return nil
@@ -515,7 +525,7 @@
 }
 
 // probeLeader sends a heartbeat to the leader. It polls the other hosts when the leader has not
-// been seen for the suspicion timeout, and takes over when a stopped leader asked for it.
+// been seen for the suspicion timeout.
 func (el *Elector) probeLeader(ctx context.Context) {
 	el.mu.Lock()
 	el.probeRounds++
@@ -531,13 +541,8 @@
 	}
 	el.mu.Lock()
 	sinceSeen, timeout := time.Since(el.leaderLastSeen), el.currentSuspicionTimeout()
-	takeover, membersRead := el.takeoverRequested, el.membersRead
-	el.takeoverRequested = false
+	membersRead := el.membersRead
 	el.mu.Unlock()
-	if takeover {
-		el.startTerm(ctx, leader.Epoch)
-		return
-	}
 	// A host that has just started and has not read the other hosts' records cannot know whether one
 	// of them leads.
 	if !membersRead || sinceSeen < timeout || el.op.StoreAge() > storeContactTimeout {
@@ -561,15 +566,9 @@
 func (el *Elector) pollPeers(ctx context.Context, sinceSeen time.Duration) {
 	el.mu.Lock()
 	suspect := el.watched()
-	addrs := slices.Clone(el.op.Seeds)
-	for _, mb := range el.members {
-		if mb.Host != el.op.Self.Host && !slices.Contains(addrs, mb.Address) {
-			addrs = append(addrs, mb.Address)
-		}
-	}
 	el.mu.Unlock()
 	pollBegan := time.Now()
-	el.sendHeartbeats(ctx, addrs, pollTimeout)
+	el.sendHeartbeats(ctx, el.otherHosts(), pollTimeout)
 	stale := el.storeHeartbeatStale(ctx, suspect)
 	el.mu.Lock()
 	now, agreed, total := time.Now(), el.countAgreeing(pollBegan), len(el.members)
@@ -587,7 +586,22 @@
 		return
 	}
 	logger.Log(el.op.Log, logger.LeaderGone, "Leader", suspect.Host, "Epoch", suspect.Epoch, "Silence", sinceSeen.String(), "Agreed", agreed, "Hosts", total, "Rank", rank, "Stopped", stopped)
-	el.startTerm(ctx, suspect.Epoch)
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	el.startTerm(suspect.Epoch)
+}
+
+// otherHosts returns the addresses of all other hosts, of seeds too.
+func (el *Elector) otherHosts() []netip.AddrPort {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	addrs := slices.Clone(el.op.Seeds)
+	for _, mb := range el.members {
+		if mb.Host != el.op.Self.Host && !slices.Contains(addrs, mb.Address) {
+			addrs = append(addrs, mb.Address)
+		}
+	}
+	return addrs
 }
 
 // countAgreeing returns the number of hosts that agree that the leader has failed and that replied
@@ -694,15 +708,15 @@
 }
 
 // startTerm runs a term that replaces an epoch in the background, unless one runs already, this host drains
-// or knows a later epoch.
-func (el *Elector) startTerm(ctx context.Context, replaced modeler.Epoch) {
-	el.mu.Lock()
-	defer el.mu.Unlock()
-	if el.inTerm || el.draining || el.watched().Epoch > replaced {
+// or knows a later epoch. The caller holds mu.
+func (el *Elector) startTerm(replaced modeler.Epoch) {
+	if el.inTerm || el.draining || el.runCtx == nil || el.watched().Epoch > replaced {
 		return
 	}
-	termCtx, cancel := context.WithCancel(ctx)
-	el.inTerm, el.epochBegun, el.replaced, el.cancelTerm, el.termDone = true, false, replaced, cancel, make(chan struct{})
+	// Drain ends the term.
+	termCtx, cancel := context.WithCancel(context.WithoutCancel(el.runCtx))
+	el.inTerm, el.epochBegun, el.replaced, el.cancelTerm = true, false, replaced, cancel
+	el.termBegun, el.termDone = make(chan struct{}), make(chan struct{})
 	done := el.termDone
 	go func() {
 		defer close(done)
@@ -729,26 +743,56 @@
 func (el *Elector) Drain() {
 	el.mu.Lock()
 	el.draining = true
-	inTerm, epochBegun := el.inTerm, el.epochBegun
-	cancelTerm, done := el.cancelTerm, el.termDone
+	inTerm, cancelTerm := el.inTerm, el.cancelTerm
+	begun, done := el.termBegun, el.termDone
 	el.mu.Unlock()
 	if !inTerm {
 		return
 	}
+	// An epoch record that is being written is completed, so that leadership can be handed over. Without
+	// that, the other hosts wait for a leader that never makes itself known.
+	select {
+	case <-begun:
+	case <-done:
+	case <-time.After(heartbeatTimeout):
+	}
 	cancelTerm()
 	<-done
-	if !epochBegun {
-		return
-	}
+	el.resign()
+}
+
+// resign asks one host after the other to take over until one does, if this host led last.
+func (el *Elector) resign() {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*heartbeatTimeout)
 	defer cancel()
+	if el.ledLast() && len(el.successors()) == 0 {
+		// Hosts that do not lead are in contact with the leader only.
+		el.sendHeartbeats(ctx, el.otherHosts(), pollTimeout)
+	}
 	for _, addr := range el.successors() {
-		if _, err := el.op.Dial(addr).Resign(ctx, el.newGreeting()); err == nil {
+		if !el.ledLast() || ctx.Err() != nil {
+			return
+		}
+		if el.askToTakeOver(ctx, addr) == nil {
 			return
 		}
 	}
 }
 
+// ledLast reports whether this process began the last epoch that it knows of.
+func (el *Elector) ledLast() bool {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	return el.own.Epoch != 0 && el.own == el.leader
+}
+
+func (el *Elector) askToTakeOver(ctx context.Context, addr netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	_, err := el.op.Dial(addr).Resign(ctx, el.newGreeting())
+	return err
+}
+
 // successors returns the addresses of the other hosts that can lead, the preferred first.
 func (el *Elector) successors() []netip.AddrPort {
 	return el.reachablePeers(maxQuorumHeartbeatAge, func(one, two *member) int { return compareCandidates(&one.Member, &two.Member) })
@@ -919,16 +963,40 @@
 	return el.newGreeting()
 }
 
-// HandleResignation records that the leader has stopped and that this host should take over. It is
-// ignored if the sender is not the current leader.
-func (el *Elector) HandleResignation(gr *messenger.Greeting) {
+// ErrNotTakenOver means that a host has not taken leadership over.
+var ErrNotTakenOver = errors.New("leadership not taken over")
+
+// HandleResignation takes leadership over from the leader, which has stopped, and returns when another host
+// than the sender leads. Errors: ErrNotTakenOver if the sender is not the leader, this host cannot lead, or
+// its epoch does not begin within heartbeatTimeout. It may still begin then.
+func (el *Elector) HandleResignation(ctx context.Context, gr *messenger.Greeting) error {
 	el.observe(gr, true)
+	epoch := modeler.Epoch(gr.Epoch)
+	el.mu.Lock()
+	if el.leader.Epoch == epoch && el.leader.Host == fleet.HostName(gr.Host) && el.leader.Boot == fleet.BootID(gr.Boot) {
+		if mb := el.members[el.leader.Host]; mb != nil {
+			mb.resigned = el.leader.Boot
+		}
+		if el.op.StoreAge() <= storeContactTimeout {
+			el.startTerm(epoch)
+		}
+	}
+	inTerm, begun, done := el.inTerm, el.termBegun, el.termDone
+	el.mu.Unlock()
+	if inTerm {
+		select {
+		case <-begun:
+		case <-done:
+		case <-ctx.Done():
+		case <-time.After(heartbeatTimeout):
+		}
+	}
 	el.mu.Lock()
 	defer el.mu.Unlock()
-	el.takeoverRequested = modeler.Epoch(gr.Epoch) == el.leader.Epoch && el.leader.Host == fleet.HostName(gr.Host)
-	if mb := el.members[el.leader.Host]; el.takeoverRequested && mb != nil {
-		mb.resigned = fleet.BootID(gr.Boot)
+	if el.watched().Epoch <= epoch {
+		return ErrNotTakenOver
 	}
+	return nil
 }
 
 // later returns the later of two times.
--- a/internal/job/elector/elector_test.go
+++ b/internal/job/elector/elector_test.go
@@ -349,7 +349,9 @@
 	if err != nil {
 		return nil, err
 	}
-	el.HandleResignation(gr)
+	if err := el.HandleResignation(ctx, gr); err != nil {
+		return nil, err
+	}
 	return &messenger.Done{}, nil
 }
 
--- a/internal/job/elector/export_test.go
+++ b/internal/job/elector/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"slices"
 )
 
@@ -15,3 +16,6 @@
 	}
 	return names
 }
+
+// Successors returns the addresses of the hosts that this one would ask to take over, in their order.
+func (el *Elector) Successors() []netip.AddrPort { return el.successors() }
--- a/internal/job/elector/fuzz_test.go
+++ b/internal/job/elector/fuzz_test.go
@@ -49,7 +49,8 @@
 			OnHigherRevision: func(netip.AddrPort, int64) {}, Log: logr.Discard(), Meter: meter.New(nil),
 		})
 		el.HandleGreeting(gr)
-		el.HandleResignation(gr)
+		// Only the state that a message leaves behind matters here.
+		_ = el.HandleResignation(t.Context(), gr)
 		if leader := el.Leader(); leader != (Leader{}) {
 			qt.Assert(t, fleet.CheckAddress(leader.Address), qt.IsNil)
 			qt.Assert(t, leader.Epoch > 0 && leader.Epoch <= modeler.MaxEpoch && leader.Host != "", qt.IsTrue)
--- a/internal/job/elector/takeover_test.go
+++ b/internal/job/elector/takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -97,3 +98,65 @@
 		})
 	}
 }
+
+// successor returns the host that the leader asks first to take over.
+func (cl *cluster) successor(leader int) int {
+	cl.t.Helper()
+	addrs := cl.hosts[leader].elector.Successors()
+	qt.Assert(cl.t, len(addrs) > 0, qt.IsTrue)
+	return slices.IndexFunc(cl.hosts, func(ho *host) bool { return address(ho.ix) == addrs[0] })
+}
+
+// Guards against a time without a leader that is as long as after a kill, where the successor that a leader
+// asks first does not take over.
+func TestResign(t *testing.T) {
+	for name, disturb := range map[string]func(cl *cluster, leader, next int){
+		"successor takes over":                   func(*cluster, int, int) {},
+		"successor drains":                       func(cl *cluster, _, next int) { cl.hosts[next].elector.Drain() },
+		"successor has ended":                    func(cl *cluster, _, next int) { cl.kill(next) },
+		"successor is cut off":                   func(cl *cluster, _, next int) { cl.cutHost(next, cl.others(next), true) },
+		"successor does not reach the store":     func(cl *cluster, _, next int) { cl.cutFromStore(next, true) },
+		"successor does not hear of the request": func(cl *cluster, leader, next int) { cl.cutHost(next, []int{leader}, true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			withCluster(t, 7, func(cl *cluster, leader int) {
+				before := cl.terms()
+				disturb(cl, leader, cl.successor(leader))
+				since := time.Now()
+				go cl.hosts[leader].elector.Drain()
+				cl.assertTakeover(leader, since, time.Second)
+				time.Sleep(3 * time.Second)
+				cl.assertLeader()
+				qt.Check(t, cl.terms()-before, qt.Equals, 1)
+			})
+		})
+	}
+}
+
+// Guards against an epoch that begins as its host stops and that no other host takes over.
+func TestDrainWhileBeginning(t *testing.T) {
+	for delay := 10 * time.Millisecond; delay <= 200*time.Millisecond; delay += 10 * time.Millisecond {
+		t.Run(fmt.Sprint(delay), func(t *testing.T) {
+			withCluster(t, 7, func(cl *cluster, leader int) {
+				next := cl.successor(leader)
+				cl.mu.Lock()
+				cl.slow = true
+				cl.mu.Unlock()
+				go cl.hosts[leader].elector.Drain()
+				time.Sleep(delay)
+				since := time.Now()
+				go cl.hosts[next].elector.Drain()
+				for taken := false; !taken; {
+					qt.Assert(t, time.Since(since) < 1500*time.Millisecond, qt.IsTrue, qt.Commentf("no leader"))
+					time.Sleep(10 * time.Millisecond)
+					for _, ix := range cl.leaders() {
+						taken = taken || ix != leader && ix != next
+					}
+				}
+				t.Logf("another host leads after %s", time.Since(since))
+				time.Sleep(2 * time.Second)
+				cl.assertLeader()
+			})
+		})
+	}
+}
--- a/internal/job/intaker/server.go
+++ b/internal/job/intaker/server.go
@@ -34,8 +34,10 @@
 }
 
 // Resign implements messenger.Jobs.
-func (sv *Server) Resign(_ context.Context, gr *messenger.Greeting) (*messenger.Done, error) {
-	sv.elector.HandleResignation(gr)
+func (sv *Server) Resign(ctx context.Context, gr *messenger.Greeting) (*messenger.Done, error) {
+	if err := sv.elector.HandleResignation(ctx, gr); err != nil {
+		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
+	}
 	return &messenger.Done{}, nil
 }
 
