HasStopped: do not take a leader for stopped by late messages or while its term ends

Found by reading, as a new leader now asks during its whole term. A leader that is wrongly taken for stopped shortens its leases by 4 s, and a task may run twice.

Causes: a process counted as ended when another one of its host was seen, also by a delayed message or by a record in the store of an earlier process. A process that heard of a later leader reported so before its term had ended, while requests to workers were in flight. A host whose term had ended could report for 2 ms that it leads.

Change: another process counts once it reports that it knows the epoch, which no earlier one can. A process reports a later epoch only after its own term has ended. A message of a restarted host comes with the first heartbeat of the new leader at the latest.

--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -586,8 +586,9 @@
 func tieBreaker(host fleet.HostName) uint64 { return xxhash.Sum64String(string(host)) }
 
 // HasStopped reports whether it is certain that a process that led sends no more requests to workers: its
-// term has ended at this host, another process of its host runs now, it has resigned, or it has reported
-// that it knows the epoch, which is later than its own.
+// term has ended at this host, a later process of its host runs, it has resigned, or it has reported
+// that it knows the given epoch, which is the one after its own. A process reports a later epoch only once its
+// own term has ended.
 func (el *Elector) HasStopped(host fleet.HostName, boot fleet.BootID, epoch modeler.Epoch) bool {
 	el.mu.Lock()
 	defer el.mu.Unlock()
@@ -600,10 +601,16 @@
 		return true
 	}
 	mb := el.members[host]
-	if mb == nil || mb.Boot == "" {
+	switch {
+	case mb == nil || mb.reportedBy == "":
 		return false
+	case mb.resigned == boot:
+		return true
+	case mb.reportedBy != boot:
+		// The message may be a late one of an earlier process, which did not know the epoch that this one led.
+		return mb.epoch >= epoch-1
 	}
-	return mb.Boot != boot || mb.resigned == boot || mb.epoch >= epoch && !mb.leading
+	return mb.epoch >= epoch && !mb.leading
 }
 
 // LeaderKnownFor returns for how long this host has known of the leader of an epoch, zero if another epoch is
@@ -708,19 +715,21 @@
 	}
 }
 
-// newGreeting returns a heartbeat with what this host knows now.
+// newGreeting returns a heartbeat with what this host knows now, without a later leader while a term of
+// this host ends.
 func (el *Elector) newGreeting() *messenger.Greeting {
 	el.mu.Lock()
 	defer el.mu.Unlock()
-	sinceSeen := time.Since(el.leaderLastSeen)
+	// Only a leader reports zero.
+	leader, sinceSeen := el.leader, max(time.Since(el.leaderLastSeen), time.Millisecond)
 	if el.inTerm && el.epochBegun {
-		sinceSeen = 0
+		leader, sinceSeen = el.own, 0
 	}
 	return &messenger.Greeting{
 		Host: string(el.op.Self.Host), Boot: string(el.op.Self.Boot), Address: el.op.Self.Address.String(),
 		Weight: el.op.Self.Weight, Leaving: el.draining,
-		Epoch: int64(el.leader.Epoch), Leader: string(el.leader.Host), LeaderBoot: string(el.leader.Boot),
-		LeaderAddress: el.leader.Address.String(), Silence: sinceSeen.Milliseconds(),
+		Epoch: int64(leader.Epoch), Leader: string(leader.Host), LeaderBoot: string(leader.Boot),
+		LeaderAddress: leader.Address.String(), Silence: sinceSeen.Milliseconds(),
 		StoreAge: el.op.StoreAge().Milliseconds(), Revision: el.op.ConfigurationRevision(), Refused: el.leaderRefuses,
 	}
 }
--- a/internal/job/elector/elector_test.go
+++ b/internal/job/elector/elector_test.go
@@ -39,6 +39,8 @@
 	cutStore map[int]bool
 	// slow delays the answers of the store and, by a time that differs between hosts, heartbeats.
 	slow bool
+	// endTime is how long a term takes to end.
+	endTime time.Duration
 	// listedBytes counts the bytes of hosts' records that all hosts have read.
 	listedBytes int
 }
@@ -212,6 +214,10 @@
 	ho.terms++
 	ho.mu.Unlock()
 	defer func() {
+		ho.cl.mu.Lock()
+		endTime := ho.cl.endTime
+		ho.cl.mu.Unlock()
+		time.Sleep(endTime)
 		ho.mu.Lock()
 		defer ho.mu.Unlock()
 		ho.leads = 0
@@ -417,6 +423,21 @@
 	cl.t.Fatalf("no other host leads after %s", within)
 }
 
+// assertKnownStopped checks that the leader of the given epoch knows within a time that a process of a host
+// which led before has stopped, and not before its term has ended.
+func (cl *cluster) assertKnownStopped(old int, boot fleet.BootID, epoch modeler.Epoch, within time.Duration) {
+	cl.t.Helper()
+	leader := cl.others(old)[slices.IndexFunc(cl.others(old), func(ix int) bool { return slices.Contains(cl.leaders(), ix) })]
+	name := fleet.HostName(fmt.Sprint("host-", old))
+	for since := time.Now(); !cl.hosts[leader].elector.HasStopped(name, boot, epoch); {
+		qt.Assert(cl.t, time.Since(since) < within, qt.IsTrue, qt.Commentf("not known within %s", within))
+		time.Sleep(10 * time.Millisecond)
+	}
+	cl.hosts[old].mu.Lock()
+	defer cl.hosts[old].mu.Unlock()
+	qt.Check(cl.t, cl.hosts[old].leads, qt.Equals, modeler.Epoch(0), qt.Commentf("taken for stopped while its term ends"))
+}
+
 // Guards against a leader that has failed, resigned or been cut off and is not replaced in time.
 func TestTakeover(t *testing.T) {
 	t.Run("killed", func(t *testing.T) {
