internal/job/leader: count a leader's authority from before the write that confirmed it

Found by reading. A leader may send requests to workers for 4 s after it was known to lead; its successor assumes that. A leader that sends longer can extend leases past the time at which its tasks start elsewhere, so that they run twice.

The time for which the machine was suspended was read when an append was known to be durable, so that a machine that was suspended during the append did not count that time.

Change: the 4 s begin with the start of the write. A suspension counts unless it ended before that.

Evidence: TestAuthority failed in 3 of 3 cases and passes.

--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -125,7 +125,7 @@
 // Lead implements elector.LeadFunc. It begins an epoch and leads until the term is over. Errors:
 // those of journaler.Open, elector.ErrLaterEpoch, director.ErrTermOver.
 func (ld *Leader) Lead(ctx context.Context) error {
-	began := time.Now()
+	began, suspended := time.Now(), ld.op.SuspendedTime()
 	doublings := min(ld.failedOpens.Load(), maxOpenTimeoutDoublings)
 	openCtx, cancel := context.WithTimeout(ctx, minOpenTimeout<<doublings)
 	defer cancel()
@@ -143,7 +143,7 @@
 	ld.failedOpens.Store(0)
 	defer jn.Close()
 	epoch := modeler.Epoch(rec.Epoch)
-	tm := &term{leader: ld, journal: jn, authority: newAuthority(ld, jn)}
+	tm := &term{leader: ld, journal: jn, authority: newAuthority(ld, jn, suspended)}
 	// The term of the director begins before other hosts hear of it, see director.Options.PredecessorSeenFor.
 	dr := director.New(director.Options{
 		Epoch: epoch, WorkerClient: ld.op.WorkerClient, Journal: jn, Policy: ld.op.Policy, JobStore: keeper.NewJobStore(ld.op.Store),
@@ -332,24 +332,40 @@
 	journal *journaler.Journal
 
 	mu sync.Mutex
-	// suspendedAtConfirm is how long the machine had been suspended at confirmedAt.
-	suspendedAtConfirm time.Duration
-	// confirmedAt is when this host was last known to lead.
+	// confirmedAt is when this host was last known to lead: the start of a call to the store that succeeded.
 	confirmedAt time.Time
+	// samples has how long the machine had been suspended at times in rising order. The first is the newest one
+	// that is not later than confirmedAt.
+	samples []suspendedSample
 }
 
-func newAuthority(ld *Leader, jn *journaler.Journal) *authority {
-	return &authority{leader: ld, journal: jn, suspendedAtConfirm: ld.op.SuspendedTime(), confirmedAt: time.Now()}
+// suspendedSample is how long the machine had been suspended at a time.
+type suspendedSample struct {
+	at        time.Time
+	suspended time.Duration
 }
 
-// confirm records when the journal was last known to have no later epoch.
+// newAuthority returns the authority of a leader whose machine had been suspended for a time before it
+// opened the journal.
+func newAuthority(ld *Leader, jn *journaler.Journal, suspended time.Duration) *authority {
+	confirmed := jn.LastConfirmed()
+	return &authority{leader: ld, journal: jn, confirmedAt: confirmed, samples: []suspendedSample{{confirmed, suspended}}}
+}
+
+// confirm records when the journal was last known to have no later epoch. The machine may have been
+// suspended between the start of that call to the store and now.
 func (au *authority) confirm() {
-	suspended := au.leader.op.SuspendedTime()
+	sample := suspendedSample{time.Now(), au.leader.op.SuspendedTime()}
 	confirmed := au.journal.LastConfirmed()
 	au.mu.Lock()
 	defer au.mu.Unlock()
-	if confirmed.After(au.confirmedAt) {
-		au.confirmedAt, au.suspendedAtConfirm = confirmed, suspended
+	au.samples = append(au.samples, sample)
+	if !confirmed.After(au.confirmedAt) {
+		return
+	}
+	au.confirmedAt = confirmed
+	for len(au.samples) > 1 && !au.samples[1].at.After(confirmed) {
+		au.samples = au.samples[1:]
 	}
 }
 
@@ -359,7 +375,7 @@
 // unless the machine was suspended for a second or longer since that confirmation.
 func (au *authority) valid() bool {
 	au.mu.Lock()
-	confirmedAt, suspendedAtConfirm := au.confirmedAt, au.suspendedAtConfirm
+	confirmedAt, suspendedAtConfirm := au.confirmedAt, au.samples[0].suspended
 	au.mu.Unlock()
 	suspended := au.leader.op.SuspendedTime() - suspendedAtConfirm
 	if suspended > authorityTimeout {
