internal/state/journaler: an epoch counts as confirmed from the first attempt to write it

Found by reading: where the answer of the write was lost, the epoch counted as confirmed from the start of a repeated call that only found the record. A later epoch may begin between the two.

Evidence: TestConfirmedByRepeatedWrite failed, 0.02 s too late with one repetition, and passes.

--- a/internal/state/journaler/journaler_test.go
+++ b/internal/state/journaler/journaler_test.go
@@ -396,3 +396,21 @@
 		})
 	}
 }
+
+// Guards against a leader that counts as confirmed at a later time than its epoch record was written, as a
+// later epoch may have begun in between.
+func TestConfirmedByRepeatedWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		faults := new(emulator.Faults)
+		faults.Set(
+			emulator.Switch{Fault: emulator.AnswerLost, Part: emulator.PartStore, Operation: "Put", Count: 1},
+			emulator.Switch{Fault: emulator.Unavailable, Part: emulator.PartStore, Operation: "Get", Skip: 2, Count: 1},
+		)
+		began := time.Now()
+		jn, _, err := journaler.Open(t.Context(), emulator.NewStore(faults), "jobs", "host", "boot", journaler.Options{RetryTimeout: 5 * time.Second})
+		qt.Assert(t, err, qt.IsNil)
+		defer jn.Close()
+		qt.Assert(t, time.Since(began) > 0, qt.IsTrue)
+		qt.Check(t, jn.LastConfirmed(), qt.Equals, began)
+	})
+}
--- a/internal/state/journaler/opener.go
+++ b/internal/state/journaler/opener.go
@@ -66,7 +66,7 @@
 	damaged int
 	// epochRecord is the epoch record in the journal. It is nil before it was written.
 	epochRecord *StoredSegment
-	// epochWriteStart is the start of the call that wrote or found epochRecord.
+	// epochWriteStart is the start of the first call that may have written epochRecord.
 	epochWriteStart time.Time
 	// appended is the end of that call.
 	appended time.Time
@@ -320,8 +320,8 @@
 	}
 	var found *StoredSegment
 	mayBeWritten := false
+	on.epochWriteStart = time.Now()
 	err = on.retry(ctx, func(ctx context.Context) error {
-		on.epochWriteStart = time.Now()
 		_, err := on.store.Put(ctx, on.keys.segment(sg.Position), value, 0)
 		if err == nil {
 			found = sg
