internal/state/journaler: an append confirms leadership from the first attempt that may have written it

Found by reading. The repetition found the segment of the first attempt, and the leader counted as confirmed from then on, although another host may have begun an epoch meanwhile.

--- a/internal/state/journaler/journaler_test.go
+++ b/internal/state/journaler/journaler_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/provider/emulator"
@@ -414,3 +415,40 @@
 		qt.Check(t, jn.LastConfirmed(), qt.Equals, began)
 	})
 }
+
+// Guards against a deposed leader that counts as leading since the repetition of a write which had succeeded
+// before it was deposed.
+func TestConfirmedByRepeatedAppend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		faults := new(emulator.Faults)
+		st := emulator.NewStore(faults)
+		jn, _, err := journaler.Open(t.Context(), st, "jobs", "host", "boot", journaler.Options{RetryTimeout: 30 * time.Second})
+		qt.Assert(t, err, qt.IsNil)
+		defer jn.Close()
+		time.Sleep(time.Second)
+		began := time.Now()
+		faults.Set(
+			emulator.Switch{Fault: emulator.AnswerLost, Part: emulator.PartStore, Operation: "Put", Count: 1},
+			emulator.Switch{Fault: emulator.Unavailable, Part: emulator.PartStore, Operation: "Get"},
+		)
+		time.AfterFunc(8*time.Second, faults.Clear)
+		result := make(chan error, 1)
+		go func() { result <- jn.Append(context.Background(), journaler.Record{Kind: journaler.KindTask}) }()
+		time.Sleep(5 * time.Second)
+		key := "Journal/jobs/0000000000000000003"
+		_, err = st.Put(t.Context(), key, epochRecord(t, 3, 2), 0)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, <-result, qt.IsNil)
+		qt.Assert(t, time.Since(began) >= 8*time.Second, qt.IsTrue)
+		qt.Check(t, jn.LastConfirmed(), qt.Equals, began)
+		qt.Check(t, jn.Check(t.Context()), qt.ErrorIs, journaler.ErrDeposed)
+	})
+}
+
+// epochRecord returns the value of an epoch record of another host.
+func epochRecord(t *testing.T, position, epoch int64) []byte {
+	t.Helper()
+	value, err := proto.Marshal(&journaler.StoredSegment{Position: position, Epoch: epoch, Host: "other", Boot: "other-boot", BeginsEpoch: true})
+	qt.Assert(t, err, qt.IsNil)
+	return value
+}
--- a/internal/state/journaler/writer.go
+++ b/internal/state/journaler/writer.go
@@ -274,7 +274,8 @@
 	segment *StoredSegment
 	value   []byte
 	start   time.Time
-	// attemptStart is the start of the last attempt.
+	// attemptStart is the start of the first attempt that may have written the segment, or else of the last
+	// one. A later epoch may have begun before a repetition that finds the segment.
 	attemptStart time.Time
 	// mayBeWritten is set once a call may have written the segment.
 	mayBeWritten bool
@@ -308,7 +309,9 @@
 // attempt writes the segment once and returns nil if it is in the journal.
 func (wr *segmentWrite) attempt() error {
 	jn := wr.journal
-	wr.attemptStart = time.Now()
+	if !wr.mayBeWritten {
+		wr.attemptStart = time.Now()
+	}
 	_, err := jn.put(jn.keys.segment(wr.segment.Position), wr.value, 0)
 	switch {
 	case err == nil || errors.Is(err, storer.ErrUnavailable) || errors.Is(err, storer.ErrTooLarge):
