internal/job/elector: a leader whose host answers with another process has ended

Callers saw the longer wait of 1.1 s for a silent leader where a leader was killed and its host started again within 0.3 s: the answers of the new process replaced the refused connections.

--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -492,12 +492,20 @@
 // currentSuspicionTimeout returns the time without contact with the leader after which this host
 // suspects that it failed. The caller holds mu.
 func (el *Elector) currentSuspicionTimeout() time.Duration {
-	if el.leaderRefuses || el.watched().Host == "" {
+	if el.leaderEnded() || el.watched().Host == "" {
 		return refusedSuspicionTimeout
 	}
 	return suspicionTimeout
 }
 
+// leaderEnded reports whether the leader's address refuses connections or another process of its host
+// answers. The caller holds mu.
+func (el *Elector) leaderEnded() bool {
+	leader := el.watched()
+	mb := el.members[leader.Host]
+	return el.leaderRefuses || mb != nil && mb.reportedBy != "" && mb.reportedBy != leader.Boot
+}
+
 // pollPeers sends heartbeats to all hosts and takes over if it finds that there is no leader: the
 // majority agrees that the leader has failed, or its record in the store has not changed for
 // storeHeartbeatTimeout. The leader has not been seen for the duration sinceSeen.
@@ -730,7 +738,7 @@
 		Weight: el.op.Self.Weight, Leaving: el.draining,
 		Epoch: int64(leader.Epoch), Leader: string(leader.Host), LeaderBoot: string(leader.Boot),
 		LeaderAddress: leader.Address.String(), Silence: sinceSeen.Milliseconds(),
-		StoreAge: el.op.StoreAge().Milliseconds(), Revision: el.op.ConfigurationRevision(), Refused: el.leaderRefuses,
+		StoreAge: el.op.StoreAge().Milliseconds(), Revision: el.op.ConfigurationRevision(), Refused: el.leaderEnded(),
 	}
 }
 
--- a/internal/job/leader/takeover_test.go
+++ b/internal/job/leader/takeover_test.go
@@ -269,3 +269,28 @@
 		ts.losses, float64(ts.epochs)/float64(ts.losses), ts.worst, ts.deposed,
 		total/time.Duration(len(ts.absences)), ts.absences[len(ts.absences)/2], ts.absences[len(ts.absences)-1])
 }
+
+// Guards against a longer wait for a leader that was killed and whose host answers again at once than for one
+// whose host does not.
+func TestKilledLeaderRestarts(t *testing.T) {
+	for _, restart := range []time.Duration{20 * time.Millisecond, 200 * time.Millisecond, 800 * time.Millisecond} {
+		t.Run(fmt.Sprint("after ", restart), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tr := &takeoverRun{cluster: newCluster(t, 7, 1, 1)}
+				defer tr.stop()
+				for ix := range tr.hosts {
+					tr.startHost(ix)
+				}
+				time.Sleep(5 * time.Second)
+				killed := tr.lastLeader().ho.ix
+				tr.killHost(killed)
+				tr.goroutines.Go(func() {
+					time.Sleep(restart)
+					tr.startHost(killed)
+				})
+				tr.awaitLeader(2 * time.Second)
+				qt.Check(t, tr.absences[0] < time.Second, qt.IsTrue, qt.Commentf("no leader for %s", tr.absences[0]))
+			})
+		})
+	}
+}
