internal/job/elector: keep the grace after a failed term where no leader is known

The condition that leaves it out while another leader is awaited also held where no leader was known at all, so that a host that had failed to begin an epoch polled again at once.

--- a/internal/job/elector/takeover.go
+++ b/internal/job/elector/takeover.go
@@ -31,7 +31,7 @@
 		el.mu.Lock()
 		defer el.mu.Unlock()
 		el.inTerm, el.epochBegun = false, false
-		if el.watched() != el.awaited {
+		if el.awaited.Epoch <= el.leader.Epoch {
 			// Another host that began an epoch first needs time to make itself known.
 			el.leaderLastSeen = time.Now().Add(newLeaderGrace - suspicionTimeout)
 		}
