--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -113,7 +113,8 @@
 }
 
 // LeadFunc runs one term: it tries to begin an epoch and then leads. It returns when it could not
-// begin one, the context ended or another host leads.
+// begin one, the context ended or another host leads. It asks MayReplace before it begins the epoch, and
+// calls EpochBegun before it leads.
 type LeadFunc func(ctx context.Context) error
 
 // Leader is the entry host that leads, as far as this host knows. The zero value means that no
@@ -169,25 +170,34 @@
 	mu      sync.Mutex
 	members map[fleet.HostName]*member
 	leader  Leader
+	// awaited is the leader of a later epoch than leader's that this host has found in the journal, and
+	// that has not made itself known yet. It is the zero value if there is none. Its address may be missing.
+	// It is not passed on to other hosts, which may rely on a leader that they know to have begun its term.
+	awaited Leader
 	// leaderKnownAt is when this host first knew of the leader.
 	leaderKnownAt time.Time
-	// leaderLastSeen is when the leader last reported that it leads and reaches the store. After a
-	// term of this host it may be in the future, see newLeaderGrace.
+	// leaderLastSeen is when the leader last reported that it leads and reaches the store, or when this host
+	// began to await another one. After a term of this host it may be in the future, see newLeaderGrace.
 	leaderLastSeen time.Time
-	// leaderRefuses is set while the leader's address refuses connections.
+	// leaderRefuses is set while the address of the leader, or of the awaited one, refuses connections.
 	leaderRefuses bool
 	// inTerm is set while Options.Lead runs, which includes the time before it leads. epochBegun is
 	// set once its epoch has begun.
 	inTerm, epochBegun bool
+	// replaced is the epoch that the term is to replace. A later one is not deposed.
+	replaced modeler.Epoch
+	// own is the leader of the last epoch that this process began.
+	own Leader
 	// epochBegunAt is when the last epoch of this host began. Before, it may have had no contact with
 	// hosts that did not lead.
 	epochBegunAt time.Time
 	cancelTerm   context.CancelFunc
-	termDone     chan struct{}
+	// termBegun is closed when the epoch of the term has begun, and termDone when the term has ended.
+	termBegun, termDone chan struct{}
+	// runCtx is the context of Run, nil before.
+	runCtx context.Context
 	// draining is set by Drain. This host begins no further term then.
 	draining bool
-	// takeoverRequested is set when a leader that has stopped asked this host to take over.
-	takeoverRequested bool
 	// noLeaderSince is when this host first found that there is no leader, and zero if there is one.
 	noLeaderSince time.Time
 	// leaderRevision is the last seen revision of the leader's record in the store, and
@@ -214,8 +224,10 @@
 	lastHeartbeat, lastReply time.Time
 	// addedAt is when this host first knew of it.
 	addedAt time.Time
-	// The remaining fields are what the host last reported. epoch is the highest that it knows.
-	epoch modeler.Epoch
+	// The remaining fields are what the host last reported. reportedBy is the process that did, epoch the
+	// highest that it knows.
+	reportedBy fleet.BootID
+	epoch      modeler.Epoch
 	// sinceLeaderSeen is the time since the leader last reported to the host.
 	sinceLeaderSeen time.Duration
 	// storeAge is the time since the store last answered the host.
@@ -238,6 +250,9 @@
 // Run tracks the other hosts and takes leadership over when needed, until the context ends. It then
 // calls Drain.
 func (el *Elector) Run(ctx context.Context) {
+	el.mu.Lock()
+	el.runCtx = ctx
+	el.mu.Unlock()
 	var loops sync.WaitGroup
 	loops.Go(func() { el.register(ctx) })
 	loops.Go(func() { every(ctx, minListInterval, el.listMembersIfDue) })
@@ -309,19 +324,6 @@
 	return addrs
 }
 
-// EpochBegun records that the epoch of this host's term has begun, and announces the new leader to
-// all hosts.
-func (el *Elector) EpochBegun(epoch modeler.Epoch) {
-	el.mu.Lock()
-	self := el.op.Self
-	el.leader = Leader{Epoch: epoch, Host: self.Host, Boot: self.Boot, Address: self.Address}
-	now := time.Now()
-	el.epochBegun, el.epochBegunAt, el.leaderLastSeen, el.leaderKnownAt = true, now, now, now
-	el.mu.Unlock()
-	logger.Log(el.op.Log, logger.LeaderElected, "Epoch", epoch, "Leader", self.Host, "Self", true)
-	go el.announce(context.Background())
-}
-
 // register retries until it has stored this host's record, and then reads those of all hosts.
 func (el *Elector) register(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -461,29 +463,24 @@
 }
 
 // probeLeader sends a heartbeat to the leader. It polls the other hosts when the leader has not
-// been seen for the suspicion timeout, and takes over when a stopped leader asked for it.
+// been seen for the suspicion timeout.
 func (el *Elector) probeLeader(ctx context.Context) {
 	el.mu.Lock()
 	el.probeRounds++
-	leader, inTerm, draining := el.leader, el.inTerm, el.draining
-	skipProbe := el.probeRounds%roundsPerSlowProbe != 0 && el.rank(nil) >= maxFrequentProbers
+	leader, inTerm, draining := el.watched(), el.inTerm, el.draining
+	skipProbe := leader != el.awaited && el.probeRounds%roundsPerSlowProbe != 0 && el.rank(nil) >= maxFrequentProbers
 	suspected := time.Since(el.leaderLastSeen) >= el.currentSuspicionTimeout()
 	el.mu.Unlock()
 	if inTerm || draining {
 		return
 	}
-	if leader.Host != "" && leader.Host != el.op.Self.Host && !skipProbe && !suspected {
+	if leader.Address.IsValid() && leader.Host != el.op.Self.Host && !skipProbe && !suspected {
 		el.sendHeartbeat(ctx, leader.Address, heartbeatTimeout)
 	}
 	el.mu.Lock()
 	sinceSeen, timeout := time.Since(el.leaderLastSeen), el.currentSuspicionTimeout()
-	takeover, membersRead := el.takeoverRequested, el.membersRead
-	el.takeoverRequested = false
+	membersRead := el.membersRead
 	el.mu.Unlock()
-	if takeover {
-		el.startTerm(ctx)
-		return
-	}
 	// A host that has just started and has not read the other hosts' records cannot know whether one
 	// of them leads.
 	if !membersRead || sinceSeen < timeout || el.op.StoreAge() > storeContactTimeout {
@@ -495,31 +492,33 @@
 // currentSuspicionTimeout returns the time without contact with the leader after which this host
 // suspects that it failed. The caller holds mu.
 func (el *Elector) currentSuspicionTimeout() time.Duration {
-	if el.leaderRefuses || el.leader.Host == "" {
+	if el.leaderEnded() || el.watched().Host == "" {
 		return refusedSuspicionTimeout
 	}
 	return suspicionTimeout
 }
 
+// leaderEnded reports whether the leader's address refuses connections or another process of its host
+// answers. The caller holds mu.
+func (el *Elector) leaderEnded() bool {
+	leader := el.watched()
+	mb := el.members[leader.Host]
+	return el.leaderRefuses || mb != nil && mb.reportedBy != "" && mb.reportedBy != leader.Boot
+}
+
 // pollPeers sends heartbeats to all hosts and takes over if it finds that there is no leader: the
 // majority agrees that the leader has failed, or its record in the store has not changed for
 // storeHeartbeatTimeout. The leader has not been seen for the duration sinceSeen.
 func (el *Elector) pollPeers(ctx context.Context, sinceSeen time.Duration) {
 	el.mu.Lock()
-	suspect := el.leader
-	addrs := slices.Clone(el.op.Seeds)
-	for _, mb := range el.members {
-		if mb.Host != el.op.Self.Host && !slices.Contains(addrs, mb.Address) {
-			addrs = append(addrs, mb.Address)
-		}
-	}
+	suspect := el.watched()
 	el.mu.Unlock()
 	pollBegan := time.Now()
-	el.sendHeartbeats(ctx, addrs, pollTimeout)
+	el.sendHeartbeats(ctx, el.otherHosts(), pollTimeout)
 	stale := el.storeHeartbeatStale(ctx, suspect)
 	el.mu.Lock()
 	now, agreed, total := time.Now(), el.countAgreeing(pollBegan), len(el.members)
-	noLeader := el.leader == suspect && now.Sub(el.leaderLastSeen) >= sinceSeen && (2*agreed > total || stale)
+	noLeader := el.watched() == suspect && now.Sub(el.leaderLastSeen) >= sinceSeen && (2*agreed > total || stale)
 	switch {
 	case !noLeader:
 		el.noLeaderSince = time.Time{}
@@ -533,7 +532,22 @@
 		return
 	}
 	logger.Log(el.op.Log, logger.LeaderGone, "Leader", suspect.Host, "Epoch", suspect.Epoch, "Silence", sinceSeen.String(), "Agreed", agreed, "Hosts", total, "Rank", rank, "Stopped", stopped)
-	el.startTerm(ctx)
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	el.startTerm(suspect.Epoch)
+}
+
+// otherHosts returns the addresses of all other hosts, of seeds too.
+func (el *Elector) otherHosts() []netip.AddrPort {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	addrs := slices.Clone(el.op.Seeds)
+	for _, mb := range el.members {
+		if mb.Host != el.op.Self.Host && !slices.Contains(addrs, mb.Address) {
+			addrs = append(addrs, mb.Address)
+		}
+	}
+	return addrs
 }
 
 // countAgreeing returns the number of hosts that agree that the leader has failed and that replied
@@ -580,8 +594,9 @@
 func tieBreaker(host fleet.HostName) uint64 { return xxhash.Sum64String(string(host)) }
 
 // HasStopped reports whether it is certain that a process that led sends no more requests to workers: its
-// term has ended at this host, another process of its host runs now, it has resigned, or it has reported
-// that it knows the epoch, which is later than its own.
+// term has ended at this host, a later process of its host runs, it has resigned, or it has reported
+// that it knows the given epoch, which is the one after its own. A process reports a later epoch only once its
+// own term has ended.
 func (el *Elector) HasStopped(host fleet.HostName, boot fleet.BootID, epoch modeler.Epoch) bool {
 	el.mu.Lock()
 	defer el.mu.Unlock()
@@ -594,10 +609,16 @@
 		return true
 	}
 	mb := el.members[host]
-	if mb == nil || mb.Boot == "" {
+	switch {
+	case mb == nil || mb.reportedBy == "":
 		return false
+	case mb.resigned == boot:
+		return true
+	case mb.reportedBy != boot:
+		// The message may be a late one of an earlier process, which did not know the epoch that this one led.
+		return mb.epoch >= epoch-1
 	}
-	return mb.Boot != boot || mb.resigned == boot || mb.epoch >= epoch && !mb.leading
+	return mb.epoch >= epoch && !mb.leading
 }
 
 // LeaderKnownFor returns for how long this host has known of the leader of an epoch, zero if another epoch is
@@ -639,64 +660,6 @@
 	return time.Since(el.leaderLastSeen) > storeHeartbeatTimeout
 }
 
-// startTerm runs a term in the background, unless one runs already or this host drains.
-func (el *Elector) startTerm(ctx context.Context) {
-	el.mu.Lock()
-	defer el.mu.Unlock()
-	if el.inTerm || el.draining {
-		return
-	}
-	termCtx, cancel := context.WithCancel(ctx)
-	el.inTerm, el.epochBegun, el.cancelTerm, el.termDone = true, false, cancel, make(chan struct{})
-	done := el.termDone
-	go func() {
-		defer close(done)
-		defer cancel()
-		err := el.op.Lead(termCtx)
-		el.mu.Lock()
-		defer el.mu.Unlock()
-		el.inTerm, el.epochBegun = false, false
-		// Another host that began an epoch first needs time to make itself known.
-		el.leaderLastSeen = time.Now().Add(newLeaderGrace - suspicionTimeout)
-		el.leaderRevisionAt, el.noLeaderSince = time.Time{}, time.Time{}
-		cause := ""
-		if err != nil {
-			cause = err.Error()
-		}
-		logger.Log(el.op.Log, logger.LeadershipEnded, "Epoch", el.leader.Epoch, "Cause", cause)
-	}()
-}
-
-// Drain ends a term of this host, prevents further ones, and, if this host led, asks another one to
-// take over at once.
-func (el *Elector) Drain() {
-	el.mu.Lock()
-	el.draining = true
-	inTerm, epochBegun := el.inTerm, el.epochBegun
-	cancelTerm, done := el.cancelTerm, el.termDone
-	el.mu.Unlock()
-	if !inTerm {
-		return
-	}
-	cancelTerm()
-	<-done
-	if !epochBegun {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), 2*heartbeatTimeout)
-	defer cancel()
-	for _, addr := range el.successors() {
-		if _, err := el.op.Dial(addr).Resign(ctx, el.newGreeting()); err == nil {
-			return
-		}
-	}
-}
-
-// successors returns the addresses of the other hosts that can lead, the preferred first.
-func (el *Elector) successors() []netip.AddrPort {
-	return el.reachablePeers(maxQuorumHeartbeatAge, func(one, two *member) int { return compareCandidates(&one.Member, &two.Member) })
-}
-
 // announce sends heartbeats to all hosts while this one leads, and removes the records of hosts
 // that have been unreachable for memberRemovalTimeout.
 func (el *Elector) announce(ctx context.Context) {
@@ -755,25 +718,27 @@
 func (el *Elector) setLeaderRefuses(addr netip.AddrPort, refused bool) {
 	el.mu.Lock()
 	defer el.mu.Unlock()
-	if addr == el.leader.Address {
+	if addr == el.watched().Address {
 		el.leaderRefuses = refused
 	}
 }
 
-// newGreeting returns a heartbeat with what this host knows now.
+// newGreeting returns a heartbeat with what this host knows now, without a later leader while a term of
+// this host ends.
 func (el *Elector) newGreeting() *messenger.Greeting {
 	el.mu.Lock()
 	defer el.mu.Unlock()
-	sinceSeen := time.Since(el.leaderLastSeen)
+	// Only a leader reports zero.
+	leader, sinceSeen := el.leader, max(time.Since(el.leaderLastSeen), time.Millisecond)
 	if el.inTerm && el.epochBegun {
-		sinceSeen = 0
+		leader, sinceSeen = el.own, 0
 	}
 	return &messenger.Greeting{
 		Host: string(el.op.Self.Host), Boot: string(el.op.Self.Boot), Address: el.op.Self.Address.String(),
 		Weight: el.op.Self.Weight, Leaving: el.draining,
-		Epoch: int64(el.leader.Epoch), Leader: string(el.leader.Host), LeaderBoot: string(el.leader.Boot),
-		LeaderAddress: el.leader.Address.String(), Silence: sinceSeen.Milliseconds(),
-		StoreAge: el.op.StoreAge().Milliseconds(), Revision: el.op.ConfigurationRevision(), Refused: el.leaderRefuses,
+		Epoch: int64(leader.Epoch), Leader: string(leader.Host), LeaderBoot: string(leader.Boot),
+		LeaderAddress: leader.Address.String(), Silence: sinceSeen.Milliseconds(),
+		StoreAge: el.op.StoreAge().Milliseconds(), Revision: el.op.ConfigurationRevision(), Refused: el.leaderEnded(),
 	}
 }
 
@@ -823,7 +788,7 @@
 	now := time.Now()
 	mb := el.getOrAddMember(sender.Host)
 	mb.Boot, mb.Address, mb.Weight, mb.draining = sender.Boot, sender.Address, sender.Weight, gr.Leaving
-	mb.epoch = leader.Epoch
+	mb.reportedBy, mb.epoch = sender.Boot, leader.Epoch
 	mb.sinceLeaderSeen = modeler.DurationFromMillis(gr.Silence)
 	mb.storeAge = modeler.DurationFromMillis(gr.StoreAge)
 	mb.leaderRefuses = gr.Refused
@@ -862,18 +827,6 @@
 	return el.newGreeting()
 }
 
-// HandleResignation records that the leader has stopped and that this host should take over. It is
-// ignored if the sender is not the current leader.
-func (el *Elector) HandleResignation(gr *messenger.Greeting) {
-	el.observe(gr, true)
-	el.mu.Lock()
-	defer el.mu.Unlock()
-	el.takeoverRequested = modeler.Epoch(gr.Epoch) == el.leader.Epoch && el.leader.Host == fleet.HostName(gr.Host)
-	if mb := el.members[el.leader.Host]; el.takeoverRequested && mb != nil {
-		mb.resigned = fleet.BootID(gr.Boot)
-	}
-}
-
 // later returns the later of two times.
 func later(one, two time.Time) time.Time {
 	if two.After(one) {
--- a/internal/job/elector/elector_test.go
+++ b/internal/job/elector/elector_test.go
@@ -39,6 +39,8 @@
 	cutStore map[int]bool
 	// slow delays the answers of the store and, by a time that differs between hosts, heartbeats.
 	slow bool
+	// endTime is how long a term takes to end.
+	endTime time.Duration
 	// listedBytes counts the bytes of hosts' records that all hosts have read.
 	listedBytes int
 }
@@ -46,9 +48,10 @@
 type host struct {
 	cl *cluster
 	ix int
-	// elector, cancel, ended and down are guarded by the cluster's mu. down is set while no process of
+	// elector, boot, cancel, ended and down are guarded by the cluster's mu. down is set while no process of
 	// the host runs.
 	elector *elector.Elector
+	boot    fleet.BootID
 	cancel  context.CancelFunc
 	ended   chan struct{}
 	down    bool
@@ -84,15 +87,10 @@
 	ho.answered = time.Now()
 	ho.mu.Unlock()
 	self := elector.Member{Host: fleet.HostName(fmt.Sprint("host-", ix)), Boot: fleet.BootID(fmt.Sprint(ix, time.Now().UnixNano())), Address: address(ix), Weight: 100}
-	el := elector.New(elector.Options{
-		Self: self, Store: ho, StoreAge: ho.age, ConfigurationRevision: func() int64 { return 1 }, OnHigherRevision: func(netip.AddrPort, int64) {},
-		Dial: func(addr netip.AddrPort) messenger.Jobs { return &link{from: ho, to: addr} },
-		Lead: func(ctx context.Context) error { return ho.lead(ctx, self) },
-		Log:  testLog(), Meter: meter.New(nil),
-	})
+	el := elector.New(ho.options(self))
 	ctx, cancel := context.WithCancel(context.Background())
 	cl.mu.Lock()
-	ho.elector, ho.cancel, ho.ended, ho.down = el, cancel, ended, false
+	ho.elector, ho.boot, ho.cancel, ho.ended, ho.down = el, self.Boot, cancel, ended, false
 	cl.mu.Unlock()
 	go func() {
 		defer close(ended)
@@ -100,6 +98,15 @@
 	}()
 }
 
+func (ho *host) options(self elector.Member) elector.Options {
+	return elector.Options{
+		Self: self, Store: ho, StoreAge: ho.age, ConfigurationRevision: func() int64 { return 1 }, OnHigherRevision: func(netip.AddrPort, int64) {},
+		Dial: func(addr netip.AddrPort) messenger.Jobs { return &link{from: ho, to: addr} },
+		Lead: func(ctx context.Context) error { return ho.lead(ctx, self) },
+		Log:  testLog(), Meter: meter.New(nil),
+	}
+}
+
 // testLog logs the elections of a test to standard output when ELECTOR_LOG is set.
 func testLog() logr.Logger {
 	if os.Getenv("ELECTOR_LOG") == "" {
@@ -189,17 +196,28 @@
 // lead is an elector.LeadFunc that begins an epoch and only checks whether another host has begun a
 // later one.
 func (ho *host) lead(ctx context.Context, self elector.Member) error {
-	jn, rec, err := journaler.Open(ctx, ho, "jobs", self.Host, self.Boot, journaler.Options{Logger: logr.Discard(), RetryTimeout: 5 * time.Second})
+	jn, rec, err := journaler.Open(ctx, ho, "jobs", self.Host, self.Boot, journaler.Options{
+		Logger: logr.Discard(), RetryTimeout: 5 * time.Second,
+		MayReplace: func(epoch fleet.Epoch, host fleet.HostName, boot fleet.BootID) bool {
+			return ho.elector.MayReplace(modeler.Epoch(epoch), host, boot)
+		},
+	})
 	if err != nil {
 		return err
 	}
 	defer jn.Close()
-	ho.elector.EpochBegun(modeler.Epoch(rec.Epoch))
+	if err := ho.elector.EpochBegun(modeler.Epoch(rec.Epoch)); err != nil {
+		return err
+	}
 	ho.mu.Lock()
 	ho.leads = modeler.Epoch(rec.Epoch)
 	ho.terms++
 	ho.mu.Unlock()
 	defer func() {
+		ho.cl.mu.Lock()
+		endTime := ho.cl.endTime
+		ho.cl.mu.Unlock()
+		time.Sleep(endTime)
 		ho.mu.Lock()
 		defer ho.mu.Unlock()
 		ho.leads = 0
@@ -337,7 +355,9 @@
 	if err != nil {
 		return nil, err
 	}
-	el.HandleResignation(gr)
+	if err := el.HandleResignation(ctx, gr); err != nil {
+		return nil, err
+	}
 	return &messenger.Done{}, nil
 }
 
@@ -403,6 +423,21 @@
 	cl.t.Fatalf("no other host leads after %s", within)
 }
 
+// assertKnownStopped checks that the leader of the given epoch knows within a time that a process of a host
+// which led before has stopped, and not before its term has ended.
+func (cl *cluster) assertKnownStopped(old int, boot fleet.BootID, epoch modeler.Epoch, within time.Duration) {
+	cl.t.Helper()
+	leader := cl.others(old)[slices.IndexFunc(cl.others(old), func(ix int) bool { return slices.Contains(cl.leaders(), ix) })]
+	name := fleet.HostName(fmt.Sprint("host-", old))
+	for since := time.Now(); !cl.hosts[leader].elector.HasStopped(name, boot, epoch); {
+		qt.Assert(cl.t, time.Since(since) < within, qt.IsTrue, qt.Commentf("not known within %s", within))
+		time.Sleep(10 * time.Millisecond)
+	}
+	cl.hosts[old].mu.Lock()
+	defer cl.hosts[old].mu.Unlock()
+	qt.Check(cl.t, cl.hosts[old].leads, qt.Equals, modeler.Epoch(0), qt.Commentf("taken for stopped while its term ends"))
+}
+
 // Guards against a leader that has failed, resigned or been cut off and is not replaced in time.
 func TestTakeover(t *testing.T) {
 	t.Run("killed", func(t *testing.T) {
--- a/internal/state/journaler/journaler_test.go
+++ b/internal/state/journaler/journaler_test.go
@@ -9,7 +9,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/provider/emulator"
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
 )
@@ -358,3 +360,95 @@
 		})
 	}
 }
+
+// Guards against an epoch that begins over one which the caller does not want to replace.
+func TestMayReplace(t *testing.T) {
+	for name, last := range map[string]func(jn *journaler.Journal) error{
+		"epoch record": func(*journaler.Journal) error { return nil },
+		"append": func(jn *journaler.Journal) error {
+			return jn.Append(context.Background(), journaler.Record{Kind: journaler.KindTask, Data: []byte("x")})
+		},
+		"snapshot": func(jn *journaler.Journal) error { return jn.Snapshot(context.Background(), nil, 1) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				st := emulator.NewStore(nil)
+				first, _, err := journaler.Open(t.Context(), st, "jobs", "host-1", "boot-1", journaler.Options{})
+				qt.Assert(t, err, qt.IsNil)
+				defer first.Close()
+				qt.Assert(t, last(first), qt.IsNil)
+				allow := false
+				op := journaler.Options{MayReplace: func(epoch modeler.Epoch, host modeler.HostName, boot modeler.BootID) bool {
+					qt.Check(t, epoch, qt.Equals, modeler.Epoch(1))
+					qt.Check(t, host, qt.Equals, modeler.HostName("host-1"))
+					qt.Check(t, boot, qt.Equals, modeler.BootID("boot-1"))
+					return allow
+				}}
+				_, _, err = journaler.Open(t.Context(), st, "jobs", "host-2", "boot-2", op)
+				qt.Check(t, err, qt.ErrorIs, journaler.ErrDeposed)
+				qt.Check(t, first.Check(t.Context()), qt.IsNil)
+				allow = true
+				second, rec, err := journaler.Open(t.Context(), st, "jobs", "host-2", "boot-2", op)
+				qt.Assert(t, err, qt.IsNil)
+				defer second.Close()
+				qt.Check(t, rec.Epoch, qt.Equals, modeler.Epoch(2))
+				qt.Check(t, first.Check(t.Context()), qt.ErrorIs, journaler.ErrDeposed)
+			})
+		})
+	}
+}
+
+// Guards against a leader that counts as confirmed at a later time than its epoch record was written, as a
+// later epoch may have begun in between.
+func TestConfirmedByRepeatedWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		faults := new(emulator.Faults)
+		faults.Set(
+			emulator.Switch{Fault: emulator.AnswerLost, Part: emulator.PartStore, Operation: "Put", Count: 1},
+			emulator.Switch{Fault: emulator.Unavailable, Part: emulator.PartStore, Operation: "Get", Skip: 2, Count: 1},
+		)
+		began := time.Now()
+		jn, _, err := journaler.Open(t.Context(), emulator.NewStore(faults), "jobs", "host", "boot", journaler.Options{RetryTimeout: 5 * time.Second})
+		qt.Assert(t, err, qt.IsNil)
+		defer jn.Close()
+		qt.Assert(t, time.Since(began) > 0, qt.IsTrue)
+		qt.Check(t, jn.LastConfirmed(), qt.Equals, began)
+	})
+}
+
+// Guards against a deposed leader that counts as leading since the repetition of a write which had succeeded
+// before it was deposed.
+func TestConfirmedByRepeatedAppend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		faults := new(emulator.Faults)
+		st := emulator.NewStore(faults)
+		jn, _, err := journaler.Open(t.Context(), st, "jobs", "host", "boot", journaler.Options{RetryTimeout: 30 * time.Second})
+		qt.Assert(t, err, qt.IsNil)
+		defer jn.Close()
+		time.Sleep(time.Second)
+		began := time.Now()
+		faults.Set(
+			emulator.Switch{Fault: emulator.AnswerLost, Part: emulator.PartStore, Operation: "Put", Count: 1},
+			emulator.Switch{Fault: emulator.Unavailable, Part: emulator.PartStore, Operation: "Get"},
+		)
+		time.AfterFunc(8*time.Second, faults.Clear)
+		result := make(chan error, 1)
+		go func() { result <- jn.Append(context.Background(), journaler.Record{Kind: journaler.KindTask}) }()
+		time.Sleep(5 * time.Second)
+		key := "Journal/jobs/0000000000000000003"
+		_, err = st.Put(t.Context(), key, epochRecord(t, 3, 2), 0)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, <-result, qt.IsNil)
+		qt.Assert(t, time.Since(began) >= 8*time.Second, qt.IsTrue)
+		qt.Check(t, jn.LastConfirmed(), qt.Equals, began)
+		qt.Check(t, jn.Check(t.Context()), qt.ErrorIs, journaler.ErrDeposed)
+	})
+}
+
+// epochRecord returns the value of an epoch record of another host.
+func epochRecord(t *testing.T, position, epoch int64) []byte {
+	t.Helper()
+	value, err := proto.Marshal(&journaler.StoredSegment{Position: position, Epoch: epoch, Host: "other", Boot: "other-boot", BeginsEpoch: true})
+	qt.Assert(t, err, qt.IsNil)
+	return value
+}
