Count an extended lease from before the check of the leader's authority

Found by review: a host that is suspended between the check and the reading of its clock extends a lease by a time that its successor does not allow for. Ends of leases of a whole data centre fit into the record of the end of a term now, as one takes 62 bytes.

--- a/internal/job/director/lease.go
+++ b/internal/job/director/lease.go
@@ -18,8 +18,9 @@
 	// clockRecordInterval is the time between two records of the journal's clock while a recorded end of a
 	// lease is ahead. A successor that has not seen this leader's term waits for up to this time longer.
 	clockRecordInterval = time.Second
-	// maxBoundsAtEnd bounds the leases that a leader bounds as its term ends, so that they fit into one append.
-	maxBoundsAtEnd = 400
+	// maxBoundsAtEnd bounds the leases that a leader bounds as its term ends, so that they fit into one append:
+	// each takes some 60 bytes. A data centre has up to 1,100 workers.
+	maxBoundsAtEnd = 4000
 )
 
 // MaxLeaseTime returns the longest time from when a leader extends a lease until it is over, as another
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -349,6 +349,8 @@
 func (dr *Director) nextRenewal(wk *worker) (*modeler.RenewRequest, modeler.Worker, bool) {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
+	// The lease counts from before the check: the host may be suspended after it.
+	now := time.Now()
 	if !dr.op.MaySendRequests() {
 		wk.renewal.phase = renewalsPaused
 		return nil, wk.info, false
@@ -369,7 +371,7 @@
 	// The lease of an unreachable worker is not extended, or it would never be known to have
 	// expired.
 	if wk.answered && wk.grantDurable && !wk.unreachable && wk.announcedAt.IsZero() {
-		req.Deadline = wk.minClock(time.Now()) + dr.op.Limits.Lease
+		req.Deadline = wk.minClock(now) + dr.op.Limits.Lease
 		wk.leaseEnd = max(wk.leaseEnd, req.Deadline)
 		wk.renewal.extendedAt = time.Now()
 	}
