internal/job/leader: test lost workers in series of short terms

TestLostWorkersInShortTerms runs elector, leader, store and workers on the paused clock with the lease of the deployments. Leaders end in series of 2 to 6 at gaps of 0.5 to 8 s (stopped in order, killed, cut off, or mixed), while workers are lost at moments around these. It checks that a long-running task runs again within 9 s once it is calm for 7 s, that no task runs twice, and that no lost worker delays a task for longer than its bound over all terms.

--- /dev/null
+++ b/internal/job/leader/terms_test.go
@@ -0,0 +1,592 @@
+package leader_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+)
+
+const (
+	// deployedLease is the lease of the deployments.
+	deployedLease = 6 * time.Second
+	// maxDowntime is the time from the end of a long-running task's last run after which it must run again, if
+	// no unplanned disturbance was active for calmTime.
+	maxDowntime = 9 * time.Second
+	calmTime    = 7 * time.Second
+	// maxAuthority is how long a leader that is cut off may extend leases.
+	maxAuthority = 4 * time.Second
+	// endingGrace is how long tasks that end by themselves are waited for after the lease of their worker.
+	endingGrace = 4 * time.Second
+	// maxUnseenSilence is how long before a leader is lost a worker may be lost without a record of it, and how
+	// long it then takes until the next leader knows which workers answer.
+	maxUnseenSilence = 2 * time.Second
+	// maxClockLag is what the end of a recorded lease may be postponed by each leader that does not stop in order.
+	maxClockLag = time.Second
+	// placementSlack is the time in which a leader loads the jobs, and places and starts a task.
+	placementSlack = 2 * time.Second
+	// maxLostWorkers is the maximum number of workers that do not return.
+	maxLostWorkers = 3
+	// defaultTermSeeds is the number of seeds without LEADER_SEEDS.
+	defaultTermSeeds = 24
+	// finalCalm is the time after the last fault for which the tasks are watched.
+	finalCalm = 22 * time.Second
+)
+
+// termEnd is how the leaders of a series end.
+type termEnd int
+
+const (
+	drained termEnd = iota
+	killed
+	cutOff
+	mixed
+	termEnds
+)
+
+func (te termEnd) String() string { return [...]string{"drained", "killed", "cut off", "mixed"}[te] }
+
+// watchedTask is a task that is expected to run.
+type watchedTask struct {
+	id   modeler.TaskID
+	spec *modeler.Step
+	// done is set once the job was shown as completed.
+	done bool
+	// endedAt is when the last run was seen to have ended, zero while the task runs. hindered and losses are what
+	// termScenario.hindered and the number of leaderLosses were then.
+	endedAt  time.Time
+	hindered time.Duration
+	losses   int
+	// overdue and stuck are set once the task was reported for its present downtime.
+	overdue, stuck bool
+	// longest is the longest downtime without the time in which no leader could act.
+	longest time.Duration
+}
+
+// leaderLoss is the time in which a worker may be lost without a leader that notes it.
+type leaderLoss struct{ from, until time.Time }
+
+// termScenario is a series of leaders whose terms are shorter than the lease that they inherit, in which
+// workers are lost.
+type termScenario struct {
+	*cluster
+	ends  termEnd
+	tasks []*watchedTask
+
+	// mu guards the fields below.
+	mu         sync.Mutex
+	violations []string
+	// busyHosts and busyWorkers are those with a fault.
+	busyHosts, busyWorkers map[int]bool
+	// deadHosts and deadWorkers count those that do not return.
+	deadHosts, deadWorkers int
+	// leaderLosses are the faults of hosts that led, but for drains.
+	leaderLosses []leaderLoss
+	// lostWithLeader counts the tasks that ran late as their worker was lost with the leader.
+	lostWithLeader int
+	// hindered is for how long there was no leader that could act. lossAt is when a worker was last lost.
+	hindered time.Duration
+	lossAt   time.Time
+}
+
+// newTermScenario starts hosts and workers.
+func newTermScenario(t *testing.T, rnd *rand.Rand, seed uint64) *termScenario {
+	ts := &termScenario{
+		cluster: newCluster(t, 3+rnd.IntN(7), 9+rnd.IntN(3), seed), ends: termEnd(rnd.IntN(int(termEnds))),
+		busyHosts: map[int]bool{}, busyWorkers: map[int]bool{},
+	}
+	ts.limits.Lease = deployedLease
+	for ix := range ts.infos {
+		ts.startWorker(ix)
+	}
+	for ix := range ts.hosts {
+		ts.startHost(ix)
+	}
+	time.Sleep(4 * time.Second)
+	return ts
+}
+
+// runTerms runs a series of terms.
+func runTerms(t *testing.T, seed uint64) {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	ts := newTermScenario(t, rnd, seed)
+	defer ts.stop()
+	ts.submitTasks(rnd)
+	for _, wt := range ts.tasks {
+		qt.Assert(t, ts.workers.WorkerOf(wt.id), qt.Not(qt.Equals), modeler.WorkerID(""), qt.Commentf("seed %d: %s does not run", seed, wt.id))
+	}
+	stopChecks := make(chan struct{})
+	var checks sync.WaitGroup
+	checks.Go(func() { ts.check(stopChecks) })
+	ts.playSeries(rnd)
+	for ts.calm() < finalCalm {
+		time.Sleep(checkInterval)
+	}
+	close(stopChecks)
+	checks.Wait()
+	for _, vl := range ts.workers.Violations() {
+		ts.addViolation("worker: %s", vl)
+	}
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	if len(ts.violations) > 0 && logEnabled() {
+		fmt.Println(ts.log.buf.String())
+	}
+	t.Logf("seed %d, %d hosts, leaders %v: longest downtime %v, %d tasks late that were lost with the leader", seed, len(ts.hosts), ts.ends, ts.longestDowntime(), ts.lostWithLeader)
+	qt.Check(t, ts.violations, qt.HasLen, 0, qt.Commentf("seed %d, leaders are %v", seed, ts.ends))
+}
+
+// longestDowntime returns the longest downtime of a long-running task.
+func (ts *termScenario) longestDowntime() time.Duration {
+	var longest time.Duration
+	for _, wt := range ts.tasks {
+		if wt.spec.LongRunning {
+			longest = max(longest, wt.longest)
+		}
+	}
+	return longest
+}
+
+func (ts *termScenario) addViolation(format string, args ...any) {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	ts.violations = append(ts.violations, fmt.Sprintf("%s: %s", time.Now().Format("04:05.000"), fmt.Sprintf(format, args...)))
+}
+
+func (ts *termScenario) logFault(format string, args ...any) {
+	fmt.Fprintln(&ts.log, time.Now().Format("04:05.000"), "fault:", fmt.Sprintf(format, args...))
+}
+
+// submitTasks submits jobs and waits until all their tasks have had time to start.
+func (ts *termScenario) submitTasks(rnd *rand.Rand) {
+	long := modeler.Step{Count: 1, Needs: modeler.Resources{MilliCores: 1000, MemoryMB: 100}, LongRunning: true}
+	steps := []modeler.Step{long, long}
+	several, spread, gang := long, long, long
+	several.Count, spread.Count, spread.MaxPerWorker, gang.Count, gang.Gang = 3, 3, 1, 2, true
+	steps = append(steps, several, spread)
+	if rnd.IntN(2) == 0 {
+		steps = append(steps, gang)
+	}
+	for range 3 {
+		ending := long
+		ending.LongRunning, ending.Estimate = false, time.Duration(15+rnd.IntN(50))*time.Second
+		steps = append(steps, ending)
+	}
+	ending := steps[len(steps)-1]
+	ending.Count, ending.Gang = 2, true
+	steps = append(steps, ending)
+	for ix, sp := range steps {
+		ts.submit(&modeler.Job{ID: modeler.JobID(fmt.Sprint("job-", ix)), Queue: "urgent", Pool: testPool, Spec: "spec", Steps: []modeler.Step{sp}})
+	}
+	time.Sleep(4 * time.Second)
+}
+
+// submit submits a job until it is accepted.
+func (ts *termScenario) submit(jb *modeler.Job) {
+	ts.cluster.mu.Lock()
+	ts.jobs[jb.ID] = jb
+	ts.cluster.mu.Unlock()
+	for ix := range jb.Steps[0].Count {
+		ts.tasks = append(ts.tasks, &watchedTask{id: modeler.TaskID{Job: jb.ID, Index: ix}, spec: &jb.Steps[0]})
+	}
+	for try := 0; ; try++ {
+		cp := *jb
+		cp.Submitted = time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		err := ts.process(try%len(ts.hosts)).intaker.Submit(ctx, &cp)
+		cancel()
+		if err == nil {
+			return
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+// playSeries ends two to six terms in series, and loses workers at moments around these.
+func (ts *termScenario) playSeries(rnd *rand.Rand) {
+	const margin = 4 * time.Second
+	times := make([]time.Duration, 2+rnd.IntN(5))
+	at := margin
+	for ix := range times {
+		times[ix] = at
+		at += 500*time.Millisecond + time.Duration(rnd.Int64N(int64(7500*time.Millisecond)))
+	}
+	began := time.Now()
+	for range 1 + rnd.IntN(4) {
+		offset := time.Duration(0)
+		if rnd.IntN(4) != 0 {
+			offset = time.Duration(rnd.Int64N(int64(2*margin))) - margin
+		}
+		wait := times[rnd.IntN(len(times))] + offset
+		kind, dur := rnd.IntN(8), ts.between(500*time.Millisecond, 12*time.Second)
+		ts.goroutines.Go(func() {
+			time.Sleep(wait)
+			ts.loseWorker(kind, dur)
+		})
+	}
+	for _, wait := range times {
+		time.Sleep(time.Until(began.Add(wait)))
+		ts.endTerm()
+	}
+	// The last worker may be lost and the last drained host may return later.
+	time.Sleep(finalCalm)
+}
+
+// endTerm ends the term of the leader, or disturbs another host.
+func (ts *termScenario) endTerm() {
+	ix := ts.leaderIndex()
+	if ts.intN(8) == 0 {
+		ix = ts.intN(len(ts.hosts))
+	}
+	ends, dur := ts.ends, ts.between(300*time.Millisecond, 6*time.Second)
+	if ends == mixed {
+		ends = termEnd(ts.intN(int(mixed)))
+	}
+	if !ts.takeHost(ix) {
+		return
+	}
+	ts.logFault("host-%d is %v for %v", ix, ends, dur)
+	if ends != drained {
+		ts.noteLeaderLoss(ix, ends, dur)
+	}
+	switch ends {
+	case drained:
+		ts.goroutines.Go(func() {
+			ts.drainHost(ix)
+			time.Sleep(dur)
+			ts.startHost(ix)
+			ts.releaseHost(ix)
+		})
+	case killed:
+		forGood := ts.keepDead()
+		ts.beginDisturbance()
+		ts.killHost(ix)
+		if forGood {
+			ts.endDisturbance()
+			return
+		}
+		ts.endAfter(dur, func() {
+			ts.startHost(ix)
+			ts.releaseHost(ix)
+		})
+	default:
+		links := [][]link{{storeLink}, {peerLink}, {workerLink}, {storeLink, peerLink, workerLink}}[ts.intN(4)]
+		out, in := ts.intN(3) != 0, ts.intN(3) != 0
+		ts.beginDisturbance()
+		ts.cut(ix, out, in || !out, links...)
+		ts.endAfter(dur, func() {
+			ts.cut(ix, false, false, links...)
+			ts.releaseHost(ix)
+		})
+	}
+}
+
+// noteLeaderLoss notes a fault that is not planned if its host leads.
+func (ts *termScenario) noteLeaderLoss(ix int, ends termEnd, dur time.Duration) {
+	if ts.process(ix).leader.Director() == nil {
+		return
+	}
+	now := time.Now()
+	ll := leaderLoss{from: now.Add(-maxUnseenSilence), until: now.Add(maxUnseenSilence)}
+	if ends == cutOff {
+		ll.until = ll.until.Add(dur)
+	}
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	ts.leaderLosses = append(ts.leaderLosses, ll)
+}
+
+// lostWithLeaderAt reports whether there may have been no leader that noted what happened at a time.
+func (ts *termScenario) lostWithLeaderAt(at time.Time) bool {
+	for _, ll := range ts.leaderLosses {
+		if at.After(ll.from) && at.Before(ll.until) {
+			return true
+		}
+	}
+	return false
+}
+
+// takeHost reserves a host for a fault, unless fewer than two others would be without one.
+func (ts *termScenario) takeHost(ix int) bool {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	if ts.busyHosts[ix] || len(ts.busyHosts) >= len(ts.hosts)-2 {
+		return false
+	}
+	ts.busyHosts[ix] = true
+	return true
+}
+
+func (ts *termScenario) releaseHost(ix int) {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	delete(ts.busyHosts, ix)
+}
+
+// keepDead decides whether a killed host does not return. Most hosts do.
+func (ts *termScenario) keepDead() bool {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	if 2*(ts.deadHosts+1) >= len(ts.hosts)-1 || ts.intN(3) != 0 {
+		return false
+	}
+	ts.deadHosts++
+	return true
+}
+
+// loseWorker loses a worker, if possible one on which a task runs.
+func (ts *termScenario) loseWorker(kind int, dur time.Duration) {
+	ix, ok := ts.takeWorker()
+	if !ok {
+		return
+	}
+	id := ts.infos[ix].ID
+	ts.beginDisturbance()
+	if kind < 2 && !ts.loseForGood() {
+		kind = 2
+	}
+	switch kind {
+	case 0, 1:
+		ts.logFault("%s is lost, listed %v", id, kind == 0)
+		ts.workers.Crash(id)
+		if kind == 1 {
+			ts.unregister(ix)
+		}
+		ts.endDisturbance()
+	case 2:
+		ts.logFault("%s restarts after %v", id, dur)
+		ts.workers.Crash(id)
+		ts.endAfter(dur, func() {
+			ts.startWorker(ix)
+			ts.releaseWorker(ix)
+		})
+	case 3, 4:
+		ts.logFault("%s is unreachable for %v", id, dur)
+		ts.workers.SetUnreachable(id, true)
+		ts.endAfter(dur, func() {
+			ts.workers.SetUnreachable(id, false)
+			ts.releaseWorker(ix)
+		})
+	default:
+		ts.cutFromHosts(id)
+		ts.endAfter(dur, func() {
+			ts.cluster.mu.Lock()
+			for _, ho := range ts.hosts {
+				delete(ho.workerCuts, id)
+			}
+			ts.cluster.mu.Unlock()
+			ts.releaseWorker(ix)
+		})
+	}
+}
+
+// cutFromHosts makes a worker unreachable from some hosts.
+func (ts *termScenario) cutFromHosts(id modeler.WorkerID) {
+	requests := ts.intN(3) != 0
+	for ix, ho := range ts.hosts {
+		if ts.intN(2) == 0 {
+			continue
+		}
+		ts.logFault("%s is unreachable from host-%d, requests are lost %v", id, ix, requests)
+		ts.cluster.mu.Lock()
+		ho.workerCuts[id] = workerCut{requests: requests, answers: true}
+		ts.cluster.mu.Unlock()
+	}
+}
+
+// takeWorker reserves a worker for a fault.
+func (ts *termScenario) takeWorker() (int, bool) {
+	id := ts.workers.WorkerOf(ts.tasks[ts.intN(len(ts.tasks))].id)
+	if id == "" || ts.intN(6) == 0 {
+		id = ts.infos[ts.intN(len(ts.infos))].ID
+	}
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	for ix := range ts.infos {
+		if ts.infos[ix].ID == id && !ts.busyWorkers[ix] {
+			ts.busyWorkers[ix], ts.lossAt = true, time.Now()
+			return ix, true
+		}
+	}
+	return 0, false
+}
+
+func (ts *termScenario) releaseWorker(ix int) {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	delete(ts.busyWorkers, ix)
+}
+
+// loseForGood reports whether one more worker may be lost for good, and counts it.
+func (ts *termScenario) loseForGood() bool {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	if ts.deadWorkers == maxLostWorkers {
+		return false
+	}
+	ts.deadWorkers++
+	return true
+}
+
+// endAfter ends a fault after a time.
+func (ts *termScenario) endAfter(dur time.Duration, end func()) {
+	ts.goroutines.Go(func() {
+		time.Sleep(dur)
+		end()
+		ts.endDisturbance()
+	})
+}
+
+func (ts *termScenario) cut(ix int, out, in bool, links ...link) {
+	ts.cluster.mu.Lock()
+	defer ts.cluster.mu.Unlock()
+	for _, lk := range links {
+		ts.hosts[ix].cutOut[lk], ts.hosts[ix].cutIn[lk] = out, in
+	}
+}
+
+// leaderCanAct reports whether a host leads that is not cut off from anything.
+func (ts *termScenario) leaderCanAct() bool {
+	ts.cluster.mu.Lock()
+	defer ts.cluster.mu.Unlock()
+	none := [linkKinds]bool{}
+	for _, ho := range ts.hosts {
+		if pr := ho.process; pr != nil && pr.leader.Director() != nil && ho.cutIn == none && ho.cutOut == none {
+			return true
+		}
+	}
+	return false
+}
+
+// check checks all tasks until the channel is closed.
+func (ts *termScenario) check(stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(checkInterval):
+		}
+		canAct, calm := ts.leaderCanAct(), ts.calm()
+		ts.mu.Lock()
+		if !canAct {
+			ts.hindered += checkInterval
+		}
+		var stuck []*watchedTask
+		for _, wt := range ts.tasks {
+			if ts.observe(wt) && ts.checkDowntime(wt, calm) {
+				stuck = append(stuck, wt)
+			}
+		}
+		ts.mu.Unlock()
+		for _, wt := range stuck {
+			ts.reportStuck(wt)
+		}
+	}
+}
+
+// observe notes the starts and ends of a task. It returns true while the task does not run but should.
+func (ts *termScenario) observe(wt *watchedTask) bool {
+	switch {
+	case ts.workers.WorkerOf(wt.id) != "":
+		wt.endedAt = time.Time{}
+	case wt.endedAt.IsZero():
+		wt.endedAt, wt.hindered, wt.losses, wt.overdue, wt.stuck = time.Now(), ts.hindered, len(ts.leaderLosses), false, false
+	}
+	return !wt.endedAt.IsZero() && !wt.done
+}
+
+// checkDowntime checks the time for which a task has not run against the bound for calm times. It returns true if the
+// task has waited for longer than a lost worker may delay it over all terms.
+func (ts *termScenario) checkDowntime(wt *watchedTask, calm time.Duration) bool {
+	down := time.Since(wt.endedAt)
+	if wt.spec.LongRunning && !wt.overdue && down > maxDowntime+2*checkInterval && calm > calmTime+2*checkInterval {
+		wt.overdue = true
+		if ts.lostWithLeaderAt(wt.endedAt) {
+			ts.lostWithLeader++
+		} else {
+			ts.violations = append(ts.violations, fmt.Sprintf("%s: %s has not run for %v, calm for %v", time.Now().Format("04:05.000"), wt.id, down, calm))
+		}
+	}
+	waited := down - (ts.hindered - wt.hindered)
+	wt.longest = max(wt.longest, waited)
+	if wt.stuck || min(waited, time.Since(ts.lossAt)) <= ts.maxWait(wt) {
+		return false
+	}
+	wt.stuck = true
+	return true
+}
+
+// maxWait returns for how long a lost worker may delay a task over all terms.
+func (ts *termScenario) maxWait(wt *watchedTask) time.Duration {
+	bound := ts.limits.MaxLeaseTime() + maxAuthority + placementSlack + time.Duration(len(ts.leaderLosses)-wt.losses)*maxClockLag
+	if !wt.spec.LongRunning {
+		bound += endingGrace
+	}
+	return bound
+}
+
+// reportStuck reports a task that waits for too long, unless it has been done.
+func (ts *termScenario) reportStuck(wt *watchedTask) {
+	if wt.done = !wt.spec.LongRunning && ts.completed(wt.id.Job); !wt.done {
+		ts.addViolation("%s has waited since %v over all terms", wt.id, wt.endedAt.Format("04:05.000"))
+	}
+}
+
+// completed reports whether a host shows a job as completed.
+func (ts *termScenario) completed(id modeler.JobID) bool {
+	for ix := range ts.hosts {
+		pr := ts.process(ix)
+		if pr == nil {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		st, err := pr.intaker.State(ctx, id, 0)
+		cancel()
+		if err == nil && st == modeler.Completed {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against tasks of lost workers that wait anew in each of a series of short terms, and against tasks that
+// run twice as a leader relies on what earlier terms recorded. LEADER_SEEDS, LEADER_FIRST and LEADER_LOG apply as
+// in TestCancellations.
+func TestLostWorkersInShortTerms(t *testing.T) {
+	first, seeds := seedRange(t, defaultTermSeeds)
+	for seed := first; seed < first+seeds; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runTerms(t, seed) })
+		})
+	}
+}
+
+// Guards against a long-running task that runs late if its worker and the leader are lost at once. The leader after it
+// allows for maxAuthority, in which the lost one may extend the lease.
+func TestWorkerLostWithLeader(t *testing.T) {
+	for _, before := range []time.Duration{0, time.Second} {
+		t.Run(fmt.Sprint("worker lost ", before, " before the leader"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ts := newTermScenario(t, rand.New(rand.NewPCG(1, 1)), 1)
+				defer ts.stop()
+				ts.submitTasks(rand.New(rand.NewPCG(1, 2)))
+				wt := ts.tasks[0]
+				ts.workers.Crash(ts.workers.WorkerOf(wt.id))
+				lostAt := time.Now()
+				time.Sleep(before)
+				ts.killHost(ts.leaderIndex())
+				for ts.workers.WorkerOf(wt.id) == "" && time.Since(lostAt) < time.Minute {
+					time.Sleep(checkInterval)
+				}
+				qt.Check(t, time.Since(lostAt) <= maxDowntime, qt.IsTrue, qt.Commentf("down for %v", time.Since(lostAt)))
+			})
+		})
+	}
+}
