--- a/internal/job/director/observer.go
+++ b/internal/job/director/observer.go
@@ -43,6 +43,8 @@
 	// estimates are. The rest of the grace covers the time until the halt shows in a report, which
 	// is up to a second.
 	haltGracePercent = 40
+	// unknownPace is the pace of a run that an earlier leader may have paced. Reports do not list it.
+	unknownPace = -1
 )
 
 // checkRuns looks for stalled and slow runs on a worker, and moves runs away from a draining one.
@@ -69,7 +71,7 @@
 	if typical == 0 && tk.step.spec.BestEffort {
 		return
 	}
-	stalled := at.runProgress.Stalled(typical, now)
+	stalled := at.runProgress.Stalled(typical, tk.step.spec.Estimate, now)
 	slow := !stalled && at.runProgress.Slow(typical, tk.savedShare, dr.op.Limits.StopGrace+dr.op.Limits.RestoreTime, now)
 	if !stalled && !slow {
 		return
@@ -91,6 +93,9 @@
 		return
 	}
 	left := at.runProgress.ExpectedRemaining(now)
+	if left == 0 && at.adopted {
+		left = at.task.step.spec.Estimate * time.Duration(max(0, 100-at.progress)) / 100
+	}
 	if left > 0 && left < wk.info.MinRemaining || at.progress == 0 && !at.task.step.spec.Checkpoints {
 		return
 	}
@@ -129,14 +134,17 @@
 			interference = dr.model.Interference(nearest.spec.Image, at.task.step.spec.Image)
 		}
 		percent := wk.pace.Percent()
-		if interference < maxUnpacedInterference && !haltAll {
+		unpaced := interference < maxUnpacedInterference && !haltAll
+		if unpaced {
 			percent = pacer.FullPace
 		}
 		if interference >= minMoveInterference && relativeLoad >= pacer.SlowThreshold && at.task.moves < maxMoves {
 			dr.moveRun(at, "interferes with a latency-critical task")
 			percent = 0
 		}
-		if at.pace != percent {
+		// The load may be below the target only because an earlier leader paced the run.
+		keep := at.pace == unknownPace && percent == pacer.FullPace && !unpaced && relativeLoad >= pacer.RaiseThreshold
+		if at.pace != percent && !keep {
 			dr.setPace(at, percent)
 		}
 	}
