--- a/internal/job/leader/cancellation_test.go
+++ b/internal/job/leader/cancellation_test.go
@@ -425,7 +425,7 @@
 // as anything else. LEADER_SEEDS sets the number of seeds and LEADER_FIRST the first one. With
 // LEADER_LOG=1 the log of a seed that fails is printed.
 func TestCancellations(t *testing.T) {
-	first, seeds := seedRange(t, defaultSeeds)
+	first, seeds := seedRange(t)
 	for seed := first; seed < first+seeds; seed++ {
 		testSeed(t, seed, false)
 	}
@@ -436,8 +436,11 @@
 	}
 }
 
-// seedRange returns the first seed and the number of seeds, which is as given without LEADER_SEEDS.
-func seedRange(t *testing.T, number uint64) (first, seeds uint64) {
+// seedRange returns the first seed and the number of seeds.
+func seedRange(t *testing.T) (first, seeds uint64) { return seedRangeOr(t, defaultSeeds) }
+
+// seedRangeOr is seedRange with another number of seeds for when LEADER_SEEDS is not set.
+func seedRangeOr(t *testing.T, number uint64) (first, seeds uint64) {
 	seeds = number
 	for name, value := range map[string]*uint64{"LEADER_SEEDS": &seeds, "LEADER_FIRST": &first} {
 		if text := os.Getenv(name); text != "" {
@@ -458,7 +461,7 @@
 // Guards against a second run of a task whose first start reaches its worker late, after the worker has
 // restarted.
 func TestLateStartsAtRestartedWorkers(t *testing.T) {
-	first, seeds := seedRange(t, defaultSeeds)
+	first, seeds := seedRange(t)
 	for seed := first; seed < first+seeds; seed++ {
 		testSeed(t, seed, true)
 	}
--- a/internal/job/leader/terms_test.go
+++ b/internal/job/leader/terms_test.go
@@ -591,7 +591,7 @@
 // run twice as a leader relies on what earlier terms recorded. LEADER_SEEDS, LEADER_FIRST and LEADER_LOG apply as
 // in TestCancellations.
 func TestLostWorkersInShortTerms(t *testing.T) {
-	first, seeds := seedRange(t, defaultTermSeeds)
+	first, seeds := seedRangeOr(t, defaultTermSeeds)
 	for seed := first; seed < first+seeds; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { runTerms(t, seed) })
