internal/job/leader: show the wait after a leader that is lost before its first record

TestLeaderLostBeforeItsFirstRecord: a worker is lost and its end of lease recorded, the leader is killed, and the next one is killed as soon as its epoch has begun. The leader finds an epoch without records and drops the recorded end.

--- a/internal/job/leader/terms_test.go
+++ b/internal/job/leader/terms_test.go
@@ -621,3 +621,27 @@
 		})
 	}
 }
+
+// Guards against a leader that waits for the whole inherited lease of a worker although its end is recorded, as the
+// leader before it was lost before its first record.
+func TestLeaderLostBeforeItsFirstRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ts := newTermScenario(t, rand.New(rand.NewPCG(1, 1)), 1)
+		defer ts.stop()
+		ts.submitTasks(rand.New(rand.NewPCG(1, 2)))
+		wt := ts.tasks[0]
+		ts.workers.Crash(ts.workers.WorkerOf(wt.id))
+		lostAt := time.Now()
+		time.Sleep(maxUnseenSilence)
+		ts.killHost(ts.leaderIndex())
+		for !ts.leaderCanAct() {
+			time.Sleep(time.Millisecond)
+		}
+		ts.killHost(ts.leaderIndex())
+		killedAt := time.Now()
+		for ts.workers.WorkerOf(wt.id) == "" && time.Since(lostAt) < time.Minute {
+			time.Sleep(checkInterval)
+		}
+		qt.Check(t, time.Since(lostAt) <= maxDowntime || time.Since(killedAt) <= calmTime, qt.IsTrue, qt.Commentf("down for %v, %v after the last leader was lost", time.Since(lostAt), time.Since(killedAt)))
+	})
+}
