--- a/internal/job/keeper/fact.go
+++ b/internal/job/keeper/fact.go
@@ -44,7 +44,8 @@
 }
 
 // LeaseBoundedFact is the end of the lease of a worker that does not answer. It holds until a later
-// LeaseGranted of the worker, without which no leader extends the lease.
+// LeaseGranted of the worker, or a later term with BoundsVoid. Without one of them, no leader extends
+// the lease.
 type LeaseBoundedFact struct {
 	Worker modeler.WorkerID
 	// Until is when the lease is over for certain, on the journal's clock.
@@ -55,7 +56,8 @@
 //
 // The journal's clock measures the time since the first epoch began, without a comparison of the clocks
 // of hosts: each leader goes on from the highest time that it finds recorded or has seen pass under its
-// predecessor. The clock of a later leader is therefore never ahead of that of an earlier one.
+// predecessor, less an allowance for clocks of different speed. The clock of a later leader is therefore
+// never ahead of that of an earlier one.
 type TermFact struct {
 	Epoch modeler.Epoch
 	// Start is what the journal's clock showed when the term began.
@@ -67,6 +69,9 @@
 	InheritedUntil time.Duration
 	// Ended is set if the leader of the epoch extends no lease after Clock.
 	Ended bool `json:",omitempty"`
+	// BoundsVoid is set if the leader did not rely on the bounds of leases that were recorded before its term. It
+	// may have extended these leases without a new grant.
+	BoundsVoid bool `json:",omitempty"`
 }
 
 // QuarantineFact is the quarantine of a worker. It holds for one incarnation.
--- a/internal/job/leader/cluster_test.go
+++ b/internal/job/leader/cluster_test.go
@@ -96,8 +96,9 @@
 	process *process
 	// cutOut and cutIn are set while requests and answers do not pass a kind of link.
 	cutOut, cutIn [linkKinds]bool
-	// workerCuts holds the workers that the host cannot reach while others may.
-	workerCuts map[modeler.WorkerID]workerCut
+	// cutPeers and cutWorkers hold other hosts and workers that the host does not reach, while others may.
+	cutPeers   map[netip.AddrPort]bool
+	cutWorkers map[modeler.WorkerID]workerCut
 	// delay is added to the time that each message of the host takes.
 	delay time.Duration
 }
@@ -129,7 +130,7 @@
 	cl.store.WaitLimit = watchLimit
 	cl.workers = emulator.NewJobWorkers(cl.faults, cl.behave)
 	for ix := range hosts {
-		cl.hosts = append(cl.hosts, &host{cl: cl, ix: ix, workerCuts: map[modeler.WorkerID]workerCut{}})
+		cl.hosts = append(cl.hosts, &host{cl: cl, ix: ix, cutWorkers: map[modeler.WorkerID]workerCut{}})
 	}
 	for ix := range workers {
 		cl.infos = append(cl.infos, modeler.Worker{
@@ -548,7 +549,7 @@
 func (hw *hostWorkers) cutFrom(id modeler.WorkerID) workerCut {
 	hw.pr.ho.cl.mu.Lock()
 	defer hw.pr.ho.cl.mu.Unlock()
-	return hw.pr.ho.workerCuts[id]
+	return hw.pr.ho.cutWorkers[id]
 }
 
 // lateDelay returns how much later a request to a worker is carried out, zero for one that is not late.
@@ -602,6 +603,13 @@
 	if ix < 0 {
 		return errNoPassage
 	}
+	cl.mu.Lock()
+	cut := pe.pr.ho.cutPeers[pe.to]
+	cl.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return errNoPassage
+	}
 	if err := pe.pr.pass(ctx, peerLink, true); err != nil {
 		return err
 	}
--- a/internal/job/leader/terms_test.go
+++ b/internal/job/leader/terms_test.go
@@ -381,7 +381,7 @@
 		ts.endAfter(dur, func() {
 			ts.cluster.mu.Lock()
 			for _, ho := range ts.hosts {
-				delete(ho.workerCuts, id)
+				delete(ho.cutWorkers, id)
 			}
 			ts.cluster.mu.Unlock()
 			ts.releaseWorker(ix)
@@ -398,7 +398,7 @@
 		}
 		ts.logFault("%s is unreachable from host-%d, requests are lost %v", id, ix, requests)
 		ts.cluster.mu.Lock()
-		ho.workerCuts[id] = workerCut{requests: requests, answers: true}
+		ho.cutWorkers[id] = workerCut{requests: requests, answers: true}
 		ts.cluster.mu.Unlock()
 	}
 }
