--- a/internal/job/leader/cancellation_test.go
+++ b/internal/job/leader/cancellation_test.go
@@ -437,13 +437,16 @@
 }
 
 // seedRange returns the first seed and the number of seeds.
-func seedRange(t *testing.T) (first, seeds uint64) {
-	seeds = defaultSeeds
+func seedRange(t *testing.T) (first, seeds uint64) { return seedRangeOr(t, defaultSeeds) }
+
+// seedRangeOr is seedRange with another number of seeds for when LEADER_SEEDS is not set.
+func seedRangeOr(t *testing.T, number uint64) (first, seeds uint64) {
+	seeds = number
 	for name, value := range map[string]*uint64{"LEADER_SEEDS": &seeds, "LEADER_FIRST": &first} {
 		if text := os.Getenv(name); text != "" {
-			number, err := strconv.ParseUint(text, 10, 64)
+			parsed, err := strconv.ParseUint(text, 10, 64)
 			qt.Assert(t, err, qt.IsNil)
-			*value = number
+			*value = parsed
 		}
 	}
 	return first, seeds
--- a/internal/job/leader/partition_test.go
+++ b/internal/job/leader/partition_test.go
@@ -16,12 +16,12 @@
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	for ix, ho := range cl.hosts {
-		ho.cutPeers, ho.cutWorkers = map[netip.AddrPort]bool{}, map[modeler.WorkerID]bool{}
+		ho.cutPeers, ho.cutWorkers = map[netip.AddrPort]bool{}, map[modeler.WorkerID]workerCut{}
 		for other := range cl.hosts {
 			ho.cutPeers[hostAddress(other)] = (ix == minority) != (other == minority)
 		}
 		for _, info := range cl.infos {
-			ho.cutWorkers[info.ID] = (ix == minority) == (info.ID == kept)
+			ho.cutWorkers[info.ID] = workerCut{requests: (ix == minority) == (info.ID == kept)}
 		}
 		ho.cutOut[storeLink], ho.cutIn[storeLink] = ix != minority, ix != minority
 	}
