Give each task of TestLongRunsAreNotMovedAfterTakeover a worker

Its tasks count as stalled twice at first and avoid two workers each; with four workers, the last task could find only workers that it avoids. It had no run before the first change of the leader, and its new runs in later terms counted. With six workers, all four run before it, which the test now checks.

--- a/internal/job/director/progress_test.go
+++ b/internal/job/director/progress_test.go
@@ -13,7 +13,8 @@
 // Guards against a new leader that takes the runs of long tasks for stalled, as the progress that they had made
 // under earlier leaders makes their siblings look as if they took a few seconds.
 func TestLongRunsAreNotMovedAfterTakeover(t *testing.T) {
-	run(t, 4, func(fl *fleet, tm *term) {
+	// Each task finds a worker, as it avoids up to two after its first runs.
+	run(t, 6, func(fl *fleet, tm *term) {
 		jb := simpleJob("j1", "batch", 4, cores(4000))
 		jb.Steps[0].MaxPerWorker, jb.Steps[0].Estimate = 1, 5*time.Minute
 		for ix := range 4 {
@@ -29,6 +30,9 @@
 			return count
 		}
 		before := starts()
+		for ix := range 4 {
+			qt.Assert(fl.t, fl.workers.WorkerOf(modeler.TaskID{Job: "j1", Index: ix}), qt.Not(qt.Equals), modeler.WorkerID(""))
+		}
 		for range 5 {
 			tm.nextTerm(12 * time.Second)
 			sleep(8 * time.Second)
