Refuse requests that a worker carries out after later ones, also after a restart

Cause: requests of one term had one fencing token. A start or a renewal without an answer that is carried out seconds later by the next incarnation of its worker, which knows no earlier request, could not be told from a present one, and a run that was found this way did not keep its task from starting elsewhere while its stop was under way.

Change: the fencing token rises within an epoch, for one worker, with each request that got no answer and with each incarnation, so that the first later request makes the worker refuse the late one. A report that answers such a request and does not list an unanswered start settles it. A task waits while a run of it that is not wanted may go on (UnexpectedRunPossible).

Four tests that deliver a late request expect that it is refused by its token now; before, a stop had to arrive first.

--- a/internal/job/director/accounting_test.go
+++ b/internal/job/director/accounting_test.go
@@ -20,7 +20,7 @@
 	report := func(moreEnds bool) {
 		rep := &modeler.Report{Clock: time.Minute, Incarnation: 1, MoreEnds: moreEnds}
 		sentAt := time.Now()
-		qt.Assert(t, dr.noteAnswer(wk, sentAt, time.Now(), rep), qt.IsTrue)
+		qt.Assert(t, dr.noteAnswer(wk, dr.fence(wk), sentAt, time.Now(), rep), qt.IsTrue)
 		dr.handleReport(wk, sentAt, rep)
 	}
 	report(true)
--- a/internal/job/director/cancellation_test.go
+++ b/internal/job/director/cancellation_test.go
@@ -117,7 +117,7 @@
 			fl.infos = append(fl.infos, fl.workers.Add(workerInfo(1)))
 			tm.UpdateWorker(fl.infos[1])
 			sleep(3 * time.Second)
-			qt.Check(fl.t, ls.deliver(fl.t.Context(), &fl.infos[0]), qt.ErrorIs, modeler.ErrStaleRun)
+			qt.Check(fl.t, ls.deliver(fl.t.Context(), &fl.infos[0]), qt.ErrorIs, modeler.ErrStaleFence)
 		})
 	})
 	t.Run("the worker restarts twice", func(t *testing.T) {
@@ -129,7 +129,7 @@
 			fl.workers.Crash(fl.infos[0].ID)
 			fl.infos[0] = fl.workers.Add(workerInfo(0))
 			sleep(3 * time.Second)
-			qt.Check(fl.t, ls.deliver(fl.t.Context(), &fl.infos[0]), qt.ErrorIs, modeler.ErrStaleRun)
+			qt.Check(fl.t, ls.deliver(fl.t.Context(), &fl.infos[0]), qt.ErrorIs, modeler.ErrStaleFence)
 		})
 	})
 }
@@ -161,7 +161,7 @@
 				fl.workers.Crash(fl.infos[0].ID)
 				fl.infos[0] = fl.workers.Add(workerInfo(0))
 				sleep(3 * time.Second)
-				qt.Check(fl.t, ls.deliver(fl.t.Context(), &fl.infos[0]), qt.ErrorIs, modeler.ErrStaleRun)
+				qt.Check(fl.t, ls.deliver(fl.t.Context(), &fl.infos[0]), qt.ErrorIs, modeler.ErrStaleFence)
 			})
 		})
 	}
--- a/internal/job/director/clock_test.go
+++ b/internal/job/director/clock_test.go
@@ -22,7 +22,7 @@
 	wk := dr.workers["w"]
 	wk.grantDurable = true
 	answeredAt := time.Now().Add(-delay)
-	dr.noteAnswer(wk, answeredAt.Add(-time.Millisecond), answeredAt, &modeler.Report{Clock: clock, Incarnation: 1})
+	dr.noteAnswer(wk, dr.fence(wk), answeredAt.Add(-time.Millisecond), answeredAt, &modeler.Report{Clock: clock, Incarnation: 1})
 	req, _, _ := dr.nextRenewal(wk)
 	qt.Check(t, req.Deadline >= clock+lease+delay*9/10, qt.IsTrue, qt.Commentf("lease until %v", req.Deadline))
 	qt.Check(t, req.Deadline <= clock+lease+delay+time.Second, qt.IsTrue, qt.Commentf("lease until %v", req.Deadline))
--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -28,9 +28,9 @@
 // Start returns is the worker's clock.
 type WorkerClient interface {
 	Start(ctx context.Context, wk *modeler.Worker, req *modeler.StartRequest) (time.Duration, error)
-	Stop(ctx context.Context, wk *modeler.Worker, task modeler.TaskID, run modeler.Run, epoch modeler.Epoch) error
+	Stop(ctx context.Context, wk *modeler.Worker, task modeler.TaskID, run modeler.Run, fence modeler.Fence) error
 	Renew(ctx context.Context, wk *modeler.Worker, req *modeler.RenewRequest) (modeler.Report, error)
-	Pace(ctx context.Context, wk *modeler.Worker, task modeler.TaskID, run modeler.Run, percent int, epoch modeler.Epoch) error
+	Pace(ctx context.Context, wk *modeler.Worker, task modeler.TaskID, run modeler.Run, percent int, fence modeler.Fence) error
 }
 
 // Journal is the journal of facts, see package journaler.
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -104,6 +104,8 @@
 	// leader may have started a run that this one does not know of. The end of an earlier run does
 	// not clear it, as the next run may have been started on another worker.
 	mayHaveUnknownRun bool
+	// unexpected holds the runs of the task that workers were asked to stop as this term does not want them.
+	unexpected []unexpectedRun
 	// placedRun and placedOn are the newest run of a long-running task that was recorded before its
 	// start, and its worker.
 	placedRun modeler.Run
@@ -513,6 +515,8 @@
 	// zero before.
 	sentAt     time.Time
 	answeredAt time.Time
+	// fence is the fencing token of the start.
+	fence modeler.Fence
 	// startDeadline is the time on the worker's clock after which the worker refuses the start. It
 	// is set once the state is uncertain.
 	startDeadline time.Duration
--- a/internal/job/director/late_renewal_test.go
+++ b/internal/job/director/late_renewal_test.go
@@ -61,7 +61,7 @@
 		tm.UpdateWorker(fl.workers.Add(workerInfo(1)))
 		sleep(6 * time.Second)
 		_, err := fl.workers.Renew(fl.t.Context(), &fl.infos[0], lr.req)
-		qt.Assert(fl.t, err, qt.IsNil)
+		qt.Check(fl.t, err, qt.ErrorIs, modeler.ErrStaleFence)
 		t.Logf("late deadline %v", lr.req.Deadline)
 		sleep(12 * time.Second)
 		qt.Check(fl.t, fl.workers.Violations(), qt.HasLen, 0)
--- a/internal/job/director/observer.go
+++ b/internal/job/director/observer.go
@@ -281,12 +281,12 @@
 func (dr *Director) setPace(at *attempt, percent int) {
 	previous := at.pace
 	at.pace = percent
-	id, run, info := at.task.id(), at.run, at.worker.info
+	id, run, info, fence := at.task.id(), at.run, at.worker.info, dr.fence(at.worker)
 	dr.op.Meter.Add(meter.TasksPaced, 1)
 	dr.startGoroutine(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 		defer cancel()
-		err := dr.op.WorkerClient.Pace(ctx, &info, id, run, percent, dr.op.Epoch)
+		err := dr.op.WorkerClient.Pace(ctx, &info, id, run, percent, fence)
 		if err == nil {
 			return
 		}
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -23,7 +23,7 @@
 // noteAnswer notes that a worker has answered a renewal. It needs no stored jobs, so that leases are
 // renewed from the beginning of the term. It returns false for a report that cannot be told from one
 // of another incarnation, which has other numbers of ends.
-func (dr *Director) noteAnswer(wk *worker, sentAt, answeredAt time.Time, rep *modeler.Report) bool {
+func (dr *Director) noteAnswer(wk *worker, fence modeler.Fence, sentAt, answeredAt time.Time, rep *modeler.Report) bool {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	if rep.Incarnation == 0 && wk.incarnation != 0 {
@@ -34,6 +34,7 @@
 	if rep.Incarnation != wk.incarnation {
 		dr.workerRestarted(wk, rep.Incarnation, time.Now())
 	}
+	wk.fenced = fence == dr.fence(wk)
 	if !sentAt.Before(wk.announcedAt) {
 		wk.announcedAt = time.Time{}
 	}
@@ -60,7 +61,7 @@
 		dr.invalid.Report(logger.ReportInvalid, meter.ReportsInvalid, string(wk.info.ID), rep.LeftOutReason, "Worker", wk.info.ID, "LeftOut", rep.LeftOut)
 	}
 	wk.renewal.phase = recordingReport
-	wk.reported = true
+	wk.reported = wk.fenced
 	listed := make(map[attemptKey]bool, len(rep.Running)+len(rep.Ended))
 	wk.deferredRuns = nil
 	for ix := range rep.Running {
@@ -230,6 +231,22 @@
 	return at
 }
 
+// unexpectedRun is a run that this term does not want, on a worker that was asked to stop it.
+type unexpectedRun struct {
+	worker *worker
+	key    attemptKey
+}
+
+// mayRunUnexpectedly reports whether a run of a task that this term does not want may go on or start late.
+func (dr *Director) mayRunUnexpectedly(tk *task, now time.Time) bool {
+	tk.unexpected = slices.DeleteFunc(tk.unexpected, func(ur unexpectedRun) bool {
+		wk := ur.worker
+		expired := dr.leaseExpired(wk, now) && now.Sub(wk.unansweredStarts[ur.key]) > dr.longestLateRun()
+		return wk.unexpectedStops[ur.key] == nil || dr.workers[wk.info.ID] != wk || expired
+	})
+	return len(tk.unexpected) > 0 && !tk.step.spec.Speculative
+}
+
 // unexpectedStop is the stop of a run that this term does not want.
 type unexpectedStop struct {
 	// answeredAt is when the worker answered the stop, zero while it is repeated.
@@ -245,6 +262,11 @@
 	}
 	us := &unexpectedStop{}
 	wk.unexpectedStops[key] = us
+	if jb := dr.jobs[id.Job]; jb != nil {
+		if tk := jb.task(id); tk != nil {
+			tk.unexpected = append(tk.unexpected, unexpectedRun{wk, key})
+		}
+	}
 	dr.log(logger.UnexpectedRunStopped, "Worker", wk.info.ID, "Task", id.String(), "Run", run)
 	dr.startGoroutine(func(ctx context.Context) {
 		needless := func() bool { return wk.unexpectedStops[key] != us || dr.workers[wk.info.ID] != wk }
@@ -387,7 +409,8 @@
 		// active.
 		accepted := !at.answeredAt.IsZero() && at.answeredAt.Before(sentAt)
 		stopped := !at.stopAnsweredAt.IsZero() && at.stopAnsweredAt.Before(sentAt)
-		rejected := at.state == uncertain && at.startDeadline > 0 && wk.minClock(sentAt)-leaseMargin > at.startDeadline
+		late := wk.minClock(sentAt)-leaseMargin > at.startDeadline || wk.fenced && at.fence < dr.fence(wk)
+		rejected := at.state == uncertain && at.startDeadline > 0 && late
 		if accepted || stopped || rejected {
 			dr.loseRun(at, "not listed by its worker", now)
 		}
--- a/internal/job/director/slow_link_test.go
+++ b/internal/job/director/slow_link_test.go
@@ -59,8 +59,8 @@
 	return clock, err
 }
 
-func (sl *slowLink) Stop(ctx context.Context, wk *modeler.Worker, task modeler.TaskID, run modeler.Run, epoch modeler.Epoch) (err error) {
-	if !sl.transmit(ctx, sl.otherTime, func() { err = sl.WorkerClient.Stop(context.Background(), wk, task, run, epoch) }) {
+func (sl *slowLink) Stop(ctx context.Context, wk *modeler.Worker, task modeler.TaskID, run modeler.Run, fence modeler.Fence) (err error) {
+	if !sl.transmit(ctx, sl.otherTime, func() { err = sl.WorkerClient.Stop(context.Background(), wk, task, run, fence) }) {
 		return modeler.ErrNoAnswer
 	}
 	return err
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -533,9 +533,10 @@
 func (dr *Director) pool(jb *job) modeler.PoolName { return dr.queue(jb).Pool }
 
 // startable reports whether a waiting task may start now. A task that may have an unknown run waits
-// until all workers of earlier terms are accounted for, unless its step allows speculative copies.
+// until all workers of earlier terms are accounted for, and one with a run that is not wanted until that
+// is known to have ended, unless its step allows speculative copies.
 func (dr *Director) startable(tk *task, now time.Time) bool {
-	return !dr.mayRunUnknown(tk) && tk.step.occ.job.confirmed && !now.Before(tk.notBefore) && !dr.attemptsExhausted(tk)
+	return !dr.mayRunUnknown(tk) && !dr.mayRunUnexpectedly(tk, now) && tk.step.occ.job.confirmed && !now.Before(tk.notBefore) && !dr.attemptsExhausted(tk)
 }
 
 // mayRunUnknown reports whether a waiting task has to wait because an unknown run may be active.
@@ -643,11 +644,11 @@
 			dr.afterRunEnd(at.task, time.Now())
 			continue
 		}
-		at.state, at.sentAt = sent, time.Now()
+		at.state, at.sentAt, at.fence = sent, time.Now(), dr.fence(wk)
 		at.task.step.occ.job.started = true
 		at.checkpoint = at.task.checkpoint
 		return at, &modeler.StartRequest{
-			Task: at.task.id(), Run: at.run, Spec: at.task.step.occ.job.Spec, Epoch: dr.op.Epoch,
+			Task: at.task.id(), Run: at.run, Spec: at.task.step.occ.job.Spec, Fence: at.fence,
 			Deadline: wk.minClock(time.Now()) + maxStartAge, Checkpoint: at.checkpoint, Ticket: at.task.step.ticket(wk.info.ID),
 		}, wk.info
 	}
@@ -680,9 +681,11 @@
 		}
 		dr.stopRun(at, "start not answered")
 		return
-	case errors.Is(err, modeler.ErrStaleEpoch):
+	case errors.Is(err, modeler.ErrStaleFence) && req.Fence == dr.fence(wk):
 		dr.stepDown("worker " + string(wk.info.ID) + " has seen a higher epoch")
 		return
+	case errors.Is(err, modeler.ErrStaleFence):
+		// The token has risen since the start was sent.
 	case errors.Is(err, modeler.ErrStaleRun):
 		tk.lastRun += staleRunStep
 	case errors.Is(err, modeler.ErrPermitRefused):
@@ -703,6 +706,7 @@
 	wk := at.worker
 	maps.DeleteFunc(wk.unansweredStarts, func(_ attemptKey, since time.Time) bool { return now.Sub(since) > maxStartDelayAfterRestart })
 	wk.unansweredStarts[key] = now
+	wk.raiseFence()
 	if wk.attempts[key] == nil && wk.incarnation != at.incarnation {
 		dr.stopUnexpected(wk, key.task, key.run, now)
 	}
@@ -738,7 +742,7 @@
 	logged := false
 	for pause := minStopRetry; ctx.Err() == nil; pause = min(2*pause, maxStopRetry) {
 		dr.mu.Lock()
-		info, incarnation := wk.info, wk.incarnation
+		info, incarnation, fence := wk.info, wk.incarnation, dr.fence(wk)
 		done := needless()
 		allowed := dr.op.MaySendRequests()
 		dr.mu.Unlock()
@@ -746,10 +750,11 @@
 			return
 		}
 		if allowed {
-			err := dr.sendStop(ctx, &info, key)
+			err := dr.sendStop(ctx, &info, key, fence)
 			dr.mu.Lock()
 			note(err)
 			counts := err == nil && wk.incarnation == incarnation
+			current := fence == dr.fence(wk)
 			if counts {
 				answered()
 			}
@@ -757,7 +762,7 @@
 			switch {
 			case counts:
 				return
-			case errors.Is(err, modeler.ErrStaleEpoch):
+			case errors.Is(err, modeler.ErrStaleFence) && current:
 				dr.stepDown("worker " + string(info.ID) + " has seen a higher epoch")
 				return
 			case err != nil && !logged:
@@ -769,10 +774,10 @@
 	}
 }
 
-func (dr *Director) sendStop(ctx context.Context, info *modeler.Worker, key attemptKey) error {
+func (dr *Director) sendStop(ctx context.Context, info *modeler.Worker, key attemptKey, fence modeler.Fence) error {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	return dr.op.WorkerClient.Stop(ctx, info, key.task, key.run, dr.op.Epoch)
+	return dr.op.WorkerClient.Stop(ctx, info, key.task, key.run, fence)
 }
 
 // moveRun moves a run away from its worker: it stops the run, after which the task is queued again
--- a/internal/job/director/waiting.go
+++ b/internal/job/director/waiting.go
@@ -39,6 +39,8 @@
 	earlierRunPossible waitReason = "EarlierRunPossible"
 	// earlierLeasePossible: the last worker of a long-running task may hold a lease of an earlier leader.
 	earlierLeasePossible waitReason = "EarlierLeasePossible"
+	// unexpectedRunPossible: a worker may execute a run of the task that this term does not want.
+	unexpectedRunPossible waitReason = "UnexpectedRunPossible"
 	// startRefused: a worker refused the start as invalid.
 	startRefused waitReason = "StartRefused"
 	// attemptsUsedUp: the task failed as often as its queue allows.
@@ -74,7 +76,8 @@
 var waitMetrics = map[waitReason]meter.Metric{
 	notPlacedYet: meter.TasksWaitingNotPlacedYet, jobNotConfirmed: meter.TasksWaitingJobNotConfirmed,
 	earlierRunPossible: meter.TasksWaitingEarlierRunPossible, earlierLeasePossible: meter.TasksWaitingEarlierLeasePossible,
-	startRefused: meter.TasksWaitingStartRefused, attemptsUsedUp: meter.TasksWaitingAttemptsUsedUp,
+	unexpectedRunPossible: meter.TasksWaitingUnexpectedRunPossible,
+	startRefused:          meter.TasksWaitingStartRefused, attemptsUsedUp: meter.TasksWaitingAttemptsUsedUp,
 	placementNotDurable: meter.TasksWaitingPlacementNotDurable, startQueued: meter.TasksWaitingStartQueued,
 	startNotAnswered: meter.TasksWaitingStartNotAnswered, workerNotAnswering: meter.TasksWaitingWorkerNotAnswering,
 	noWorkerFits: meter.TasksWaitingNoWorkerFits, workersHeldFree: meter.TasksWaitingWorkersHeldFree,
@@ -130,6 +133,8 @@
 		if sp.spec.LongRunning {
 			wt.reason, wt.until, wt.worker = earlierLeasePossible, dr.inheritedEnd(dr.workers[tk.placedOn]), tk.placedOn
 		}
+	case dr.mayRunUnexpectedly(tk, now):
+		wt.reason, wt.worker = unexpectedRunPossible, tk.unexpected[0].worker.info.ID
 	case !sp.occ.job.confirmed:
 		wt.reason = jobNotConfirmed
 	case now.Before(tk.notBefore):
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -81,8 +81,13 @@
 	// incarnation is the one that answered last, zero before the first answer. clock is what its
 	// clock showed at the local time clockAt.
 	incarnation int64
-	clock       time.Duration
-	clockAt     time.Time
+	// fenceRises counts how often the fencing token has risen in this term: after each request without an
+	// answer, and for each incarnation. fenced is set while the last report answers a request with the
+	// present token. The worker refuses all requests with earlier tokens then, however late.
+	fenceRises int64
+	fenced     bool
+	clock      time.Duration
+	clockAt    time.Time
 	// announcedAt is when the registry or the worker's clock announced another incarnation, zero once
 	// the worker has answered a later renewal. Until then, it gets neither starts nor a longer lease,
 	// and no ends are acknowledged.
@@ -123,8 +128,8 @@
 	// startQueue holds attempts whose starts are to be sent, by startSenders goroutines.
 	startQueue   []*attempt
 	startSenders int
-	// unansweredStarts holds the times of starts without an answer. They may reach a later
-	// incarnation.
+	// unansweredStarts holds the times of starts without an answer. They may reach a later incarnation until
+	// it is fenced.
 	unansweredStarts map[attemptKey]time.Time
 	// unexpectedStops holds the stops of runs that this term does not want, until a report proves that
 	// the run has ended.
@@ -138,6 +143,17 @@
 	pace pacer.Pace
 }
 
+// fence returns the fencing token of requests to a worker.
+func (dr *Director) fence(wk *worker) modeler.Fence {
+	return modeler.NewFence(dr.op.Epoch, wk.fenceRises)
+}
+
+// raiseFence makes the worker refuse the requests that were sent so far, once it has received a later one.
+func (wk *worker) raiseFence() {
+	wk.fenceRises++
+	wk.fenced = false
+}
+
 // attemptKey identifies an attempt on a worker.
 type attemptKey struct {
 	task modeler.TaskID
@@ -249,7 +265,7 @@
 			pauser.Sleep(ctx, renewRetryPause)
 			continue
 		}
-		if !dr.noteAnswer(wk, sentAt, answeredAt, &rep) {
+		if !dr.noteAnswer(wk, req.Fence, sentAt, answeredAt, &rep) {
 			dr.renewalFailed(wk, errNoIncarnation)
 			pauser.Sleep(ctx, unrecordedEndsPause)
 			continue
@@ -348,12 +364,12 @@
 		return nil, wk.info, false
 	}
 	wk.renewal.phase = awaitingReport
-	req := &modeler.RenewRequest{Epoch: dr.op.Epoch, MaxWait: maxIdleWait}
+	req := &modeler.RenewRequest{Fence: dr.fence(wk), MaxWait: maxIdleWait}
 	if wk.announcedAt.IsZero() {
 		req.AckedEnd = wk.ackedEnd
 	}
 	switch {
-	case !wk.reported || wk.unreachable || wk.recording != nil || !wk.announcedAt.IsZero():
+	case !wk.reported || !wk.fenced || wk.unreachable || wk.recording != nil || !wk.announcedAt.IsZero():
 		req.MaxWait = 0
 	case wk.criticalTasks > 0 && wk.bestEffortTasks > 0:
 		req.MaxWait = maxPacedWait
@@ -380,7 +396,7 @@
 // renewalFailed marks the worker as unreachable unless the term is over, or ends the term if the worker has seen a higher
 // epoch.
 func (dr *Director) renewalFailed(wk *worker, err error) {
-	if errors.Is(err, modeler.ErrStaleEpoch) {
+	if errors.Is(err, modeler.ErrStaleFence) {
 		dr.stepDown("worker " + string(wk.info.ID) + " has seen a higher epoch")
 		return
 	}
@@ -392,6 +408,7 @@
 	}
 	now := time.Now()
 	if !wk.unreachable {
+		wk.raiseFence()
 		dr.log(logger.WorkerUnreachable, "Worker", wk.info.ID, "Runs", len(wk.attempts), "LeaseLeft", dr.leaseOver(wk, now).Sub(now).String(), "Error", err.Error())
 	}
 	dr.markUnreachable(wk, now)
@@ -413,6 +430,7 @@
 	if first {
 		return
 	}
+	wk.raiseFence()
 	// The clock of the new incarnation is unknown until it answers.
 	wk.answered, wk.reported = false, false
 	// Unanswered starts are kept, as the worker may restart again before they are carried out.
@@ -478,12 +496,18 @@
 	case at.state != uncertain:
 		return false
 	case at.startDeadline == maxClock:
-		longest := max(dr.op.Limits.Lease, dr.op.Limits.LongestLease)
-		return now.Sub(at.sentAt) <= maxStartDelayAfterRestart+longest+longest/50+leaseMargin
+		return now.Sub(at.sentAt) <= dr.longestLateRun()
 	}
 	return at.startDeadline >= at.worker.minClock(now)
 }
 
+// longestLateRun returns the longest time from when a start was sent until its run is over at a later incarnation
+// of the worker that has not been reached since: the start gives that incarnation a lease.
+func (dr *Director) longestLateRun() time.Duration {
+	longest := max(dr.op.Limits.Lease, dr.op.Limits.LongestLease)
+	return maxStartDelayAfterRestart + longest + longest/50 + leaseMargin
+}
+
 // leaseExpired reports whether the worker's lease has certainly expired, so that nothing runs there
 // without a new request.
 func (dr *Director) leaseExpired(wk *worker, now time.Time) bool {
--- a/internal/job/leader/cluster_test.go
+++ b/internal/job/leader/cluster_test.go
@@ -542,9 +542,9 @@
 	return callWorkers(ctx, hw, func(ctx context.Context) (time.Duration, error) { return hw.pr.ho.cl.workers.Start(ctx, wk, req) })
 }
 
-func (hw *hostWorkers) Stop(ctx context.Context, wk *modeler.Worker, task modeler.TaskID, run modeler.Run, epoch modeler.Epoch) error {
+func (hw *hostWorkers) Stop(ctx context.Context, wk *modeler.Worker, task modeler.TaskID, run modeler.Run, fence modeler.Fence) error {
 	_, err := callWorkers(ctx, hw, func(ctx context.Context) (struct{}, error) {
-		return struct{}{}, hw.pr.ho.cl.workers.Stop(ctx, wk, task, run, epoch)
+		return struct{}{}, hw.pr.ho.cl.workers.Stop(ctx, wk, task, run, fence)
 	})
 	return err
 }
@@ -553,9 +553,9 @@
 	return callWorkers(ctx, hw, func(ctx context.Context) (modeler.Report, error) { return hw.pr.ho.cl.workers.Renew(ctx, wk, req) })
 }
 
-func (hw *hostWorkers) Pace(ctx context.Context, wk *modeler.Worker, task modeler.TaskID, run modeler.Run, percent int, epoch modeler.Epoch) error {
+func (hw *hostWorkers) Pace(ctx context.Context, wk *modeler.Worker, task modeler.TaskID, run modeler.Run, percent int, fence modeler.Fence) error {
 	_, err := callWorkers(ctx, hw, func(ctx context.Context) (struct{}, error) {
-		return struct{}{}, hw.pr.ho.cl.workers.Pace(ctx, wk, task, run, percent, epoch)
+		return struct{}{}, hw.pr.ho.cl.workers.Pace(ctx, wk, task, run, percent, fence)
 	})
 	return err
 }
--- a/internal/job/modeler/job.go
+++ b/internal/job/modeler/job.go
@@ -34,10 +34,23 @@
 // runs.
 const MaxRun Run = 1 << 62
 
-// Epoch numbers the leaders of a deployment in rising order. A worker refuses requests with a
-// lower epoch than the highest that it has seen.
+// Epoch numbers the leaders of a deployment in rising order.
 type Epoch int64
 
+// Fence is the fencing token of a request to a worker. A worker refuses requests with a lower token than
+// the highest that its incarnation has seen. The token rises with each epoch, and within an epoch after each
+// request to the worker that got no answer: such a request is refused if it arrives after a later one, also
+// by another incarnation of the worker.
+type Fence int64
+
+// fencesPerEpoch is the distance between the first tokens of successive epochs.
+const fencesPerEpoch = 1 << 20
+
+// NewFence returns the token of an epoch after a number of rises.
+func NewFence(ep Epoch, rises int64) Fence {
+	return Fence(int64(ep)*fencesPerEpoch + min(rises, fencesPerEpoch-1))
+}
+
 // MaxEpoch is the highest epoch that is accepted from other processes. It leaves room for later ones
 // and for run numbers that are multiples of epochs.
 const MaxEpoch Epoch = 1 << 40
--- a/internal/job/modeler/worker.go
+++ b/internal/job/modeler/worker.go
@@ -90,7 +90,7 @@
 	Task  TaskID
 	Run   Run
 	Spec  string
-	Epoch Epoch
+	Fence Fence
 	// Deadline is on the worker's clock (Report.Clock). A worker that receives the request later
 	// refuses it.
 	Deadline time.Duration
@@ -103,7 +103,7 @@
 
 // RenewRequest renews the lease of all runs on a worker and requests a Report.
 type RenewRequest struct {
-	Epoch Epoch
+	Fence Fence
 	// Deadline is on the worker's clock. Zero means none.
 	Deadline time.Duration
 	// AckedEnd is the highest EndedRun.Number up to which all ends are durable. The worker drops
@@ -212,8 +212,8 @@
 	ErrNoAnswer = errors.New("worker did not answer")
 	// ErrNotSent means that the request did not reach the worker.
 	ErrNotSent = errors.New("request not sent to worker")
-	// ErrStaleEpoch means that the worker has seen a higher epoch.
-	ErrStaleEpoch = errors.New("worker has seen a higher epoch")
+	// ErrStaleFence means that the worker has seen a higher fencing token.
+	ErrStaleFence = errors.New("worker has seen a higher fencing token")
 	// ErrStaleRun means that the run is not higher than one of the task that ended on the worker.
 	ErrStaleRun = errors.New("run is not higher than one that ended on the worker")
 	// ErrDeadlinePassed means that the worker received the request after its deadline.
--- a/internal/provider/emulator/jobworkers.go
+++ b/internal/provider/emulator/jobworkers.go
@@ -31,7 +31,7 @@
 }
 
 // JobWorkers emulates the workers that run callers' jobs. They refuse requests whose deadline has
-// passed or whose run or epoch is stale, report ended runs until these are acknowledged, and record
+// passed or whose run or fencing token is stale, report ended runs until these are acknowledged, and record
 // violations of the scheduler's guarantees. It is safe for concurrent use.
 type JobWorkers struct {
 	faults *Faults
@@ -55,8 +55,8 @@
 	incarnation int64
 	// clockStart is the time at which the worker's clock showed zero.
 	clockStart time.Time
-	// epoch is the highest epoch of any start, stop or renewal.
-	epoch modeler.Epoch
+	// fence is the highest fencing token of any start, stop or renewal.
+	fence modeler.Fence
 	// lease is the time of the worker's clock at which its lease expires.
 	lease   time.Duration
 	running map[runKey]*jobRun
@@ -289,8 +289,8 @@
 	switch {
 	case wk.crashed:
 		return modeler.ErrNoAnswer
-	case req.Epoch < wk.epoch:
-		return modeler.ErrStaleEpoch
+	case req.Fence < wk.fence:
+		return modeler.ErrStaleFence
 	case req.Deadline < wk.clock():
 		return modeler.ErrDeadlinePassed
 	case wk.running[key] != nil:
@@ -298,7 +298,7 @@
 	case req.Run <= wk.highestRun[req.Task]:
 		return modeler.ErrStaleRun
 	}
-	wk.epoch = req.Epoch
+	wk.fence = req.Fence
 	rn := &jobRun{behaviour: jw.behaviourOf(req.Task), started: time.Now(), paceSince: time.Now(), pace: fullPace}
 	if !rn.behaviour.Reservation.Fits(jw.freeCapacity(wk)) {
 		return modeler.ErrNoCapacity
@@ -413,12 +413,12 @@
 }
 
 // Stop implements director.WorkerClient.
-func (jw *JobWorkers) Stop(ctx context.Context, info *modeler.Worker, task modeler.TaskID, run modeler.Run, epoch modeler.Epoch) error {
+func (jw *JobWorkers) Stop(ctx context.Context, info *modeler.Worker, task modeler.TaskID, run modeler.Run, fence modeler.Fence) error {
 	return jw.call(ctx, "Stop", info.ID, func(wk *jobWorker) error {
-		if epoch < wk.epoch {
-			return modeler.ErrStaleEpoch
+		if fence < wk.fence {
+			return modeler.ErrStaleFence
 		}
-		wk.epoch = epoch
+		wk.fence = fence
 		key := runKey{task, run}
 		wk.highestRun[task] = max(wk.highestRun[task], run)
 		rn := wk.running[key]
@@ -438,10 +438,10 @@
 }
 
 // Pace implements director.WorkerClient.
-func (jw *JobWorkers) Pace(ctx context.Context, info *modeler.Worker, task modeler.TaskID, run modeler.Run, percent int, epoch modeler.Epoch) error {
+func (jw *JobWorkers) Pace(ctx context.Context, info *modeler.Worker, task modeler.TaskID, run modeler.Run, percent int, fence modeler.Fence) error {
 	return jw.call(ctx, "Pace", info.ID, func(wk *jobWorker) error {
-		if epoch < wk.epoch {
-			return modeler.ErrStaleEpoch
+		if fence < wk.fence {
+			return modeler.ErrStaleFence
 		}
 		if rn := wk.running[runKey{task, run}]; rn != nil {
 			rn.workBefore, rn.paceSince = rn.workDone(wk), time.Now()
@@ -467,10 +467,10 @@
 	var rep modeler.Report
 	var changed chan struct{}
 	err := jw.call(ctx, "Renew", info.ID, func(wk *jobWorker) error {
-		if req.Epoch < wk.epoch {
-			return modeler.ErrStaleEpoch
+		if req.Fence < wk.fence {
+			return modeler.ErrStaleFence
 		}
-		wk.epoch = req.Epoch
+		wk.fence = req.Fence
 		wk.lease = max(wk.lease, req.Deadline)
 		jw.scheduleLeaseExpiry(wk)
 		jw.dropAckedEnds(wk, req.AckedEnd)
--- a/internal/provider/emulator/jobworkers_test.go
+++ b/internal/provider/emulator/jobworkers_test.go
@@ -48,12 +48,12 @@
 
 func renew(t *testing.T, jw *JobWorkers, info modeler.Worker, deadline time.Duration, acked int64) {
 	t.Helper()
-	_, err := jw.Renew(t.Context(), &info, &modeler.RenewRequest{Epoch: 1, Deadline: deadline, AckedEnd: acked})
+	_, err := jw.Renew(t.Context(), &info, &modeler.RenewRequest{Fence: 1, Deadline: deadline, AckedEnd: acked})
 	qt.Assert(t, err, qt.IsNil)
 }
 
 func start(t *testing.T, jw *JobWorkers, info modeler.Worker, run modeler.Run, deadline time.Duration) {
 	t.Helper()
-	_, err := jw.Start(t.Context(), &info, &modeler.StartRequest{Task: modeler.TaskID{Job: "job"}, Run: run, Epoch: 1, Deadline: deadline})
+	_, err := jw.Start(t.Context(), &info, &modeler.StartRequest{Task: modeler.TaskID{Job: "job"}, Run: run, Fence: 1, Deadline: deadline})
 	qt.Assert(t, err, qt.IsNil)
 }
