--- /dev/null
+++ b/internal/job/director/bounds_test.go
@@ -0,0 +1,240 @@
+package director_test
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/currantrouter/currantrouter/internal/job/director"
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/state/journaler"
+)
+
+// beginEpochWithoutRecords begins an epoch whose leader records nothing.
+func (fl *fleet) beginEpochWithoutRecords() {
+	jn, _, err := journaler.Open(fl.t.Context(), fl.store, "jobs", "other", "boot", journalOptions)
+	qt.Assert(fl.t, err, qt.IsNil)
+	jn.Close()
+}
+
+// Guards against a task that runs twice as a leader relies on the recorded end of a lease that an earlier leader,
+// which did not rely on it, has extended without a new grant.
+func TestBoundDroppedByEarlierLeader(t *testing.T) {
+	const inherited = 12 * time.Second
+	run(t, 3, func(fl *fleet, tm *term) {
+		where := startOnUnreachable(fl, tm)
+		sleep(3 * time.Second)
+		tm.end()
+		fl.beginEpochWithoutRecords()
+		fl.workers.SetUnreachable(where, false)
+		*tm = *fl.startTerm(inherited)
+		sleep(3 * time.Second)
+		fl.assertStartedOnce(modeler.TaskID{Job: "long"})
+		fl.workers.SetUnreachable(where, true)
+		tm.nextTerm(inherited)
+		assertBetween(t, fl.timeToMove(where), inherited, inherited+time.Second)
+	})
+}
+
+// Guards against a task that runs twice as the clock of a host that has followed a long term runs faster than that
+// of its leader, by less than hosts' clocks may differ.
+func TestFastClockOfSuccessor(t *testing.T) {
+	run(t, 3, func(fl *fleet, tm *term) {
+		const termTime = 10 * time.Minute
+		sleep(termTime)
+		where := startOnUnreachable(fl, tm)
+		sleep(1500 * time.Millisecond)
+		fl.predecessorSeenFor = termTime + termTime/100
+		tm.nextTerm(12 * time.Second)
+		fl.timeToMove(where)
+	})
+}
+
+// delayedJournal is a journal that holds back the appends of a kind of fact, and snapshots.
+type delayedJournal struct {
+	director.Journal
+	mu sync.Mutex
+	// field names the kind of fact as it is encoded, empty for none.
+	field string
+	// snapshot writes the first snapshot since the first append that was held back, nil before there is one.
+	snapshot func() error
+	holding  bool
+}
+
+// extraPositions makes the first snapshot due at once.
+const extraPositions = 1000
+
+func (dj *delayedJournal) Position() int64 { return dj.Journal.Position() + extraPositions }
+
+func (dj *delayedJournal) Append(ctx context.Context, recs ...journaler.Record) error {
+	dj.mu.Lock()
+	held := dj.field != "" && slices.ContainsFunc(recs, func(rec journaler.Record) bool {
+		return strings.HasPrefix(string(rec.Data), `{"`+dj.field+`"`)
+	})
+	dj.holding = dj.holding || held
+	dj.mu.Unlock()
+	if held {
+		<-ctx.Done()
+		return journaler.ErrUnavailable
+	}
+	return dj.Journal.Append(ctx, recs...)
+}
+
+// release lets later appends pass.
+func (dj *delayedJournal) release() {
+	dj.mu.Lock()
+	defer dj.mu.Unlock()
+	dj.field = ""
+}
+
+func (dj *delayedJournal) Snapshot(_ context.Context, recs []journaler.Record, upTo int64) error {
+	dj.mu.Lock()
+	defer dj.mu.Unlock()
+	if dj.holding && dj.snapshot == nil {
+		dj.snapshot = func() error { return dj.Journal.Snapshot(context.Background(), recs, upTo-extraPositions) }
+	}
+	return journaler.ErrUnavailable
+}
+
+// startDelayed starts a term with a journal that holds back a kind of fact.
+func (fl *fleet) startDelayed(tm *term, field string) *delayedJournal {
+	tm.end()
+	dj := &delayedJournal{field: field}
+	fl.wrapJournal = func(jn director.Journal) director.Journal {
+		dj.Journal = jn
+		return dj
+	}
+	*tm = *fl.startTerm(0)
+	fl.wrapJournal = nil
+	return dj
+}
+
+// Guards against a task that runs twice as a deposed leader replaces the journal by a snapshot with a fact about a
+// lease that was never recorded, while the next leader extends that lease.
+func TestSnapshotWithFactsThatAreNotDurable(t *testing.T) {
+	const inherited = 12 * time.Second
+	// depose begins the next term, and lets the deposed leader write its snapshot.
+	depose := func(fl *fleet, tm *term, dj *delayedJournal) {
+		qt.Assert(fl.t, dj.snapshot, qt.IsNotNil)
+		deposed := *tm
+		deposed.sendsUntil.Store(time.Now().UnixNano())
+		*tm = *fl.startTerm(inherited)
+		sleep(2 * time.Second)
+		qt.Check(fl.t, dj.snapshot(), qt.IsNil)
+		deposed.end()
+	}
+	t.Run("end of a lease", func(t *testing.T) {
+		run(t, 3, func(fl *fleet, tm *term) {
+			dj := fl.startDelayed(tm, "Bounded")
+			where := startOnUnreachable(fl, tm)
+			sleep(5 * time.Second)
+			fl.workers.SetUnreachable(where, false)
+			depose(fl, tm, dj)
+			sleep(2 * time.Second)
+			fl.assertStartedOnce(modeler.TaskID{Job: "long"})
+			fl.workers.SetUnreachable(where, true)
+			tm.nextTerm(inherited)
+			assertBetween(t, fl.timeToMove(where), inherited, inherited+time.Second)
+		})
+	})
+	t.Run("release of a lease", func(t *testing.T) {
+		run(t, 1, func(fl *fleet, tm *term) {
+			dj := fl.startDelayed(tm, "Released")
+			sleep(time.Second)
+			tm.RemoveWorker("worker-00")
+			sleep(10 * time.Second)
+			depose(fl, tm, dj)
+			tm.submit(longRunningJob("long", "urgent", 1, cores(1000)))
+			sleep(2 * time.Second)
+			fl.assertStartedOnce(modeler.TaskID{Job: "long"})
+			fl.infos = append(fl.infos, fl.workers.Add(workerInfo(1)))
+			fl.workers.SetUnreachable("worker-00", true)
+			tm.nextTerm(inherited)
+			assertBetween(t, fl.timeToMove("worker-00"), inherited, inherited+time.Second)
+		})
+	})
+}
+
+// Guards against a recorded end of a lease that is lost as the term ends in order before it is durable.
+func TestBoundUnderWayAtEnd(t *testing.T) {
+	run(t, 3, func(fl *fleet, tm *term) {
+		dj := fl.startDelayed(tm, "Bounded")
+		where := startOnUnreachable(fl, tm)
+		began := time.Now()
+		sleep(4 * time.Second)
+		dj.release()
+		tm.endInOrder()
+		*tm = *fl.startTerm(12 * time.Second)
+		fl.timeToMove(where)
+		assertBetween(t, time.Since(began), testLimits.Lease-3*time.Second, testLimits.Lease+maxStartDelay)
+	})
+}
+
+// keptFirstStart is a client that keeps the first start, which has no answer, and whose stops do not reach a worker.
+type keptFirstStart struct {
+	director.WorkerClient
+	mu   sync.Mutex
+	kept *modeler.StartRequest
+}
+
+func (ls *keptFirstStart) Start(ctx context.Context, wk *modeler.Worker, req *modeler.StartRequest) (time.Duration, error) {
+	ls.mu.Lock()
+	first := ls.kept == nil
+	if first {
+		ls.kept = req
+	}
+	ls.mu.Unlock()
+	if first {
+		<-ctx.Done()
+		return 0, modeler.ErrNoAnswer
+	}
+	return ls.WorkerClient.Start(ctx, wk, req)
+}
+
+func (ls *keptFirstStart) Stop(ctx context.Context, wk *modeler.Worker, id modeler.TaskID, run modeler.Run, fence modeler.Fence) error {
+	if wk.ID == "worker-00" {
+		<-ctx.Done()
+		return modeler.ErrNoAnswer
+	}
+	return ls.WorkerClient.Stop(ctx, wk, id, run, fence)
+}
+
+// Guards against a task that runs twice as the recorded end of a lease leaves out that a start for an earlier
+// incarnation of the worker may be carried out late.
+func TestBoundWithLateStart(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		newLeader bool
+	}{{"in one term", false}, {"with a new leader", true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			run(t, 1, func(fl *fleet, tm *term) {
+				tm.end()
+				ks := &keptFirstStart{WorkerClient: fl.workers}
+				fl.client = ks
+				*tm = *fl.startTerm(0)
+				sleep(12 * time.Second)
+				tm.submit(longRunningJob("long", "urgent", 1, cores(1000)))
+				sleep(200 * time.Millisecond)
+				qt.Assert(t, ks.kept, qt.IsNotNil)
+				fl.infos = []modeler.Worker{fl.workers.Add(workerInfo(0)), fl.workers.Add(workerInfo(1))}
+				tm.SetWorkers(fl.infos)
+				sleep(1500 * time.Millisecond)
+				fl.workers.SetUnreachable("worker-00", true)
+				sleep(5 * time.Second)
+				fl.workers.SetUnreachable("worker-00", false)
+				_, err := fl.workers.Start(t.Context(), &fl.infos[0], ks.kept)
+				qt.Check(t, err, qt.ErrorIs, modeler.ErrStaleFence)
+				fl.workers.SetUnreachable("worker-00", true)
+				if tc.newLeader {
+					tm.nextTerm(12 * time.Second)
+				}
+				fl.timeToMove("worker-00")
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/job/director/failure_test.go
@@ -0,0 +1,109 @@
+package director_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/currantrouter/currantrouter/internal/job/director"
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
+)
+
+// faultyWorker is a client of workers one of which fails all tasks of a job, or of all jobs if none is named.
+type faultyWorker struct {
+	director.WorkerClient
+	fleet *fleet
+	id    modeler.WorkerID
+	job   modeler.JobID
+	// starts counts the starts on the worker.
+	starts atomic.Int64
+}
+
+func (fw *faultyWorker) Start(ctx context.Context, wk *modeler.Worker, req *modeler.StartRequest) (time.Duration, error) {
+	if wk.ID == fw.id {
+		fw.starts.Add(1)
+	}
+	if req.Task.Job == fw.job || fw.job == "" {
+		fw.fleet.setBehaviour(req.Task, emulator.TaskBehaviour{RunTime: 500 * time.Millisecond, Fails: wk.ID == fw.id})
+	}
+	return fw.WorkerClient.Start(ctx, wk, req)
+}
+
+// Guards against a job that fails although its tasks can be done: each of a series of leaders starts its task on
+// the worker where it failed under the last one, as the other worker has no room yet.
+func TestFailedWorkerIsAvoidedAfterTakeover(t *testing.T) {
+	for name, afterSnapshot := range map[string]bool{"from facts": false, "from a snapshot": true} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 2, func(fl *fleet, tm *term) {
+				tm.end()
+				fw := &faultyWorker{WorkerClient: fl.workers, fleet: fl, job: "j1"}
+				fl.client = fw
+				*tm = *fl.startTerm(0)
+				blocker := fl.minuteJob("blocker")
+				blocker.Steps[0].Needs = cores(16000)
+				fl.setBehaviour(modeler.TaskID{Job: "blocker"}, emulator.TaskBehaviour{RunTime: 15 * time.Second})
+				tm.submit(blocker)
+				sleep(time.Second)
+				fw.id = "worker-00"
+				if fl.workers.WorkerOf(modeler.TaskID{Job: "blocker"}) == fw.id {
+					fw.id = "worker-01"
+				}
+				tm.submit(simpleJob("j1", "batch", 1, cores(1000)))
+				for range 4 {
+					sleep(2 * time.Second)
+					qt.Check(t, fl.workers.StartCount(modeler.TaskID{Job: "j1"}), qt.Equals, 1)
+					if afterSnapshot {
+						qt.Assert(t, tm.TakeSnapshot(fl.t.Context()), qt.IsNil)
+					}
+					tm.nextTerm(12 * time.Second)
+				}
+				sleep(12 * time.Second)
+				tm.assertState("j1", modeler.Completed)
+			})
+		})
+	}
+}
+
+// Guards against a faulty worker that each of a series of leaders believes again, so that it fails tasks in each term.
+func TestQuarantineOutlastsTakeover(t *testing.T) {
+	for name, snapshots := range map[string]bool{"from facts": false, "from snapshots": true} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 2, func(fl *fleet, tm *term) {
+				tm.end()
+				fw := &faultyWorker{WorkerClient: fl.workers, fleet: fl, id: "worker-00"}
+				fl.client = fw
+				*tm = *fl.startTerm(0)
+				// The quarantine of 8 s follows two shorter ones.
+				for no := 0; fl.registry.Value(meter.WorkersQuarantined) < 3; no++ {
+					tm.submit(simpleJob(modeler.JobID(fmt.Sprint("job-", no)), "batch", 12, cores(2000)))
+					sleep(700 * time.Millisecond)
+				}
+				fw.starts.Store(0)
+				for no := range 5 {
+					if snapshots {
+						qt.Assert(t, tm.TakeSnapshot(fl.t.Context()), qt.IsNil)
+					}
+					fl.predecessorSeenFor = time.Second
+					tm.nextTerm(12 * time.Second)
+					tm.submit(simpleJob(modeler.JobID(fmt.Sprint("later-", no)), "batch", 12, cores(2000)))
+					sleep(time.Second)
+				}
+				qt.Check(t, fw.starts.Load(), qt.Equals, int64(0))
+				for range 10 {
+					tm.nextTerm(12 * time.Second)
+					sleep(time.Second)
+				}
+				tm.submit(simpleJob("last", "batch", 12, cores(2000)))
+				sleep(time.Second)
+				qt.Check(t, fw.starts.Load() > 0, qt.IsTrue)
+				sleep(5 * time.Second)
+			})
+		})
+	}
+}
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -29,7 +29,8 @@
 	// once durable is set.
 	finalState modeler.State
 	durable    bool
-	endedAt    time.Time
+	// endedAt is when the job ended, or was found to have been cancelled.
+	endedAt time.Time
 	// activeRuns is the number of attempts of all tasks.
 	activeRuns int
 	// cancellation is zero until this term has heard of one.
@@ -88,8 +89,10 @@
 	// queued is set while the task is in its step's waiting list.
 	queued  bool
 	lastRun modeler.Run
-	// failures holds the runs that failed, each once.
+	// failures holds the runs that failed, each once, and failedOn their workers, by the same index. A worker
+	// is empty if it is not known.
 	failures   []modeler.Run
+	failedOn   []modeler.WorkerID
 	checkpoint string
 	// savedShare is the share of the task's work that the checkpoint holds, 0 to 1, from the
 	// progress reported with it.
@@ -184,8 +187,12 @@
 
 // applyFact applies a fact of an earlier term to its job.
 func (dr *Director) applyFact(jb *job, ft keeper.Fact, now time.Time) {
+	if ft.JobEnd != nil && ft.JobEnd.State == modeler.Cancelled {
+		jb.endedAt = dr.recordTime(ft.JobEnd.Clock, now)
+		return
+	}
 	if ft.JobEnd != nil {
-		dr.endJob(jb, ft.JobEnd.State, now)
+		dr.endJob(jb, ft.JobEnd.State, dr.recordTime(ft.JobEnd.Clock, now))
 		jb.durable = true
 		jb.freeTasks()
 		return
@@ -202,7 +209,9 @@
 	case ft.Placed != nil && dr.possibleRun(ft.Placed.Run):
 		tk.recordPlacement(ft.Placed.Run, ft.Placed.Worker)
 	case ft.RunEnd != nil && dr.possibleRun(ft.RunEnd.Run):
-		dr.applyRunEnd(tk, ft.RunEnd.Run, ft.RunEnd.Outcome, ft.RunEnd.Checkpoint)
+		if dr.applyRunEnd(tk, ft.RunEnd) && ft.RunEnd.Worker != "" {
+			tk.avoidWorker(ft.RunEnd.Worker)
+		}
 	}
 }
 
@@ -320,24 +329,24 @@
 }
 
 // applyRunEnd applies the end of a run to its task and reports whether the end has to be recorded.
-func (dr *Director) applyRunEnd(tk *task, run modeler.Run, outcome modeler.Outcome, checkpoint string) bool {
+func (dr *Director) applyRunEnd(tk *task, end *keeper.RunEndFact) bool {
 	sp := tk.step
-	tk.lastRun = max(tk.lastRun, run)
+	tk.lastRun = max(tk.lastRun, end.Run)
 	sp.occ.job.started = true
 	if tk.done || sp.occ.job.finalState != "" {
 		return false
 	}
 	changed := false
-	if checkpoint != "" && checkpoint != tk.checkpoint {
-		tk.checkpoint, changed = checkpoint, true
+	if end.Checkpoint != "" && end.Checkpoint != tk.checkpoint {
+		tk.checkpoint, changed = end.Checkpoint, true
 	}
 	switch {
 	case sp.spec.LongRunning:
-	case outcome == modeler.Done:
+	case end.Outcome == modeler.Done:
 		dr.markDone(tk)
 		return true
-	case outcome == modeler.Failure && !slices.Contains(tk.failures, run):
-		tk.failures = append(tk.failures, run)
+	case end.Outcome == modeler.Failure && !slices.Contains(tk.failures, end.Run):
+		tk.failures, tk.failedOn = append(tk.failures, end.Run), append(tk.failedOn, end.Worker)
 		return true
 	}
 	return changed
@@ -401,12 +410,13 @@
 	}
 }
 
-// endJob ends a job: its tasks leave the queue and all of its runs are stopped.
-func (dr *Director) endJob(jb *job, state modeler.State, now time.Time) {
+// endJob ends a job: its tasks leave the queue and all of its runs are stopped. The time is when the end became
+// known to a leader.
+func (dr *Director) endJob(jb *job, state modeler.State, at time.Time) {
 	if jb.finalState != "" {
 		return
 	}
-	jb.finalState, jb.endedAt = state, now
+	jb.finalState, jb.endedAt = state, at
 	for _, oc := range jb.occurrences {
 		for _, sp := range oc.steps {
 			for _, tk := range sp.tasks {
@@ -538,7 +548,7 @@
 	// measure is the last reported measure of the run: the tail latency in milliseconds of a
 	// latency-critical task, and the processor use in thousandths of a core of any other.
 	measure int64
-	// pace is the last pace that was sent to the worker, in percent.
+	// pace is the last pace that was sent to the worker, in percent, or unknownPace.
 	pace int
 	// listed is set once a report has listed the run.
 	listed bool
--- a/internal/job/director/lease.go
+++ b/internal/job/director/lease.go
@@ -38,10 +38,21 @@
 	incomplete bool
 }
 
-func (ih *inheritance) add(ft *keeper.TermFact) {
+// restoreTerm adds a fact of a term. The first one of an epoch may void the bounds of leases before it.
+func (dr *Director) restoreTerm(ih *inheritance, ft *keeper.TermFact) {
+	if ft.BoundsVoid && (ih.last == nil || ih.last.Epoch != ft.Epoch) {
+		dr.voidBounds()
+	}
 	ih.last, ih.clock = ft, max(ih.clock, ft.Clock)
 }
 
+// voidBounds drops the bounds of leases that the journal has.
+func (dr *Director) voidBounds() {
+	for _, wk := range dr.workers {
+		wk.lease = leaseRecord{}
+	}
+}
+
 // inherit sets the journal's clock, and when the leases of earlier leaders are over. Without a fact of the last
 // epoch, nothing is known of the leases that its leader extended.
 func (dr *Director) inherit(ih *inheritance) {
@@ -49,12 +60,11 @@
 	dr.inheritedUntil = dr.termStart.Add(dr.op.InheritedLease)
 	dr.inheritanceKnown = ih.last != nil && ih.last.Epoch == dr.op.Epoch-1 && !ih.incomplete
 	if !dr.inheritanceKnown {
-		for _, wk := range dr.workers {
-			wk.lease = leaseRecord{}
-		}
+		dr.voidBounds()
 		return
 	}
-	dr.clockStart = max(dr.clockStart, ih.last.Start+dr.op.PredecessorSeenFor)
+	// This host's clock may be faster than the predecessor's.
+	dr.clockStart = max(dr.clockStart, ih.last.Start+time.Duration(float64(dr.op.PredecessorSeenFor)*(1-maxClockDrift)))
 	dr.earlierUntil = dr.journalTime(ih.last.InheritedUntil)
 	if ih.last.Ended {
 		dr.predecessorStopped = true
@@ -104,9 +114,9 @@
 	// until is when the bounded lease is over, journalUntil that time on the journal's clock.
 	until        time.Time
 	journalUntil time.Duration
-	// recordingBound and recordingGrant are set while the facts are not durable. They are never set
-	// together, so that the journal has the facts in their order.
-	recordingBound, recordingGrant bool
+	// recordingBound, recordingGrant and recordingRelease are set while the facts are not durable. No two of
+	// them are set together, so that the journal has the facts in their order.
+	recordingBound, recordingGrant, recordingRelease bool
 }
 
 // inheritedEnd returns when the lease of a worker that has not answered in this term is over.
@@ -127,6 +137,8 @@
 	case !wk.answered:
 		end := dr.inheritedEnd(wk)
 		return end, !lr.bounded || lr.until.Sub(end) > clockRecordInterval
+	case dr.mayStartAfterRestart(wk, now):
+		return time.Time{}, false
 	}
 	return dr.leaseOver(wk, now), !lr.bounded
 }
@@ -137,13 +149,14 @@
 	if dr.recordingLeases {
 		return
 	}
-	ends := map[*worker]time.Time{}
-	due := dr.clockRecordedAt.IsZero() || dr.leaseAhead(dr.clockRecordedAt) && now.Sub(dr.clockRecordedAt) >= clockRecordInterval
+	ends, ahead := map[*worker]time.Time{}, false
 	for _, wk := range dr.workers {
 		if end, ok := dr.boundToRecord(wk, now); ok {
 			ends[wk] = end
 		}
+		ahead = ahead || wk.lease.endsAfter(dr.clockRecordedAt)
 	}
+	due := dr.clockRecordedAt.IsZero() || ahead && now.Sub(dr.clockRecordedAt) >= clockRecordInterval
 	if len(ends) == 0 && !due && dr.recordedUntil.Equal(dr.inheritedUntil) {
 		return
 	}
@@ -172,15 +185,10 @@
 	})
 }
 
-// leaseAhead reports whether a bounded lease, or the time that a worker is waited for after it, ends after a
+// endsAfter reports whether a bounded lease, or the time that a worker is waited for after it, ends after a
 // time.
-func (dr *Director) leaseAhead(at time.Time) bool {
-	for _, wk := range dr.workers {
-		if wk.lease.bounded && wk.lease.until.Add(unreachableGrace).After(at) {
-			return true
-		}
-	}
-	return false
+func (lr *leaseRecord) endsAfter(at time.Time) bool {
+	return lr.bounded && lr.until.Add(unreachableGrace).After(at)
 }
 
 func (wk *worker) boundFact() keeper.Fact {
@@ -190,6 +198,7 @@
 func (dr *Director) termFact(now time.Time, ended bool) keeper.Fact {
 	return keeper.Fact{Term: &keeper.TermFact{
 		Epoch: dr.op.Epoch, Start: dr.clockStart, Clock: dr.journalClock(now), InheritedUntil: dr.journalClock(dr.inheritedUntil), Ended: ended,
+		BoundsVoid: !dr.inheritanceKnown,
 	}}
 }
 
@@ -200,9 +209,12 @@
 	now := time.Now()
 	facts := []keeper.Fact{dr.termFact(now, true)}
 	for _, wk := range dr.workers {
-		silent := wk.unreachable || !wk.answered
-		if silent && wk.grantDurable && !wk.lease.bounded && len(facts) <= maxBoundsAtEnd {
-			wk.lease.journalUntil = dr.journalClock(dr.leaseOver(wk, now))
+		silent := (wk.unreachable || !wk.answered) && !dr.mayStartAfterRestart(wk, now)
+		if silent && wk.grantDurable && !wk.lease.bounded {
+			wk.lease = leaseRecord{bounded: true, journalUntil: dr.journalClock(dr.leaseOver(wk, now)), recordingBound: true}
+		}
+		// A record that was under way when the term ended may have been given up.
+		if wk.lease.recordingBound && len(facts) <= maxBoundsAtEnd {
 			facts = append(facts, wk.boundFact())
 		}
 	}
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -18,7 +18,8 @@
 )
 
 const (
-	// maxClockDrift is the share by which a worker's clock may be slow.
+	// maxClockDrift is the share by which a worker's clock may be slow, and a bound of the share by which the clocks
+	// of two hosts differ.
 	maxClockDrift = 0.02
 	// clockMargin is how far a worker's clock may be behind minClock without a restart.
 	clockMargin = 100 * time.Millisecond
@@ -137,6 +138,8 @@
 	// cancelledRuns holds the runs of cancelled jobs that the worker may still execute.
 	cancelledRuns map[attemptKey]*cancelledRun
 	faultHistory  appraiser.FaultHistory
+	// inheritedQuarantine is the last quarantine that an earlier leader recorded, nil if there is none.
+	inheritedQuarantine *keeper.QuarantineFact
 	// noStartsBefore delays starts after one was not carried out, see refusalPause.
 	noStartsBefore time.Time
 	// pace is the pace of the best-effort tasks on the worker.
@@ -303,14 +306,18 @@
 			// If it is registered again before the release is durable, it gets no lease and no start
 			// until it has been granted one again.
 			wk.grantDurable, wk.answered, wk.reported = false, false, false
-			wk.lease = leaseRecord{}
+			wk.lease = leaseRecord{recordingRelease: known}
 		}
 		record := wk.lease.recordingGrant
 		dr.mu.Unlock()
 		switch {
 		case removed:
 			if known {
-				dr.record(ctx, []keeper.Fact{{LeaseReleased: info.ID}}, func() {})
+				dr.record(ctx, []keeper.Fact{{LeaseReleased: info.ID}}, func() {
+					dr.mu.Lock()
+					defer dr.mu.Unlock()
+					wk.lease.recordingRelease = false
+				})
 			}
 			if dr.dropWorker(wk) {
 				return false
@@ -423,6 +430,9 @@
 	first := wk.incarnation == 0
 	wk.incarnation, wk.processedEnd, wk.ackedEnd, wk.leaseEnd = incarnation, 0, 0, 0
 	wk.faultHistory = appraiser.FaultHistory{}
+	if qf := wk.inheritedQuarantine; first && qf != nil && qf.Incarnation == incarnation {
+		dr.restoreQuarantine(wk, qf, now)
+	}
 	clear(wk.unexpectedStops)
 	dr.dropUnexpectedCancelledRuns(wk, now)
 	wk.deferredRuns, wk.deferredEnds = nil, nil
@@ -508,6 +518,22 @@
 	return maxStartDelayAfterRestart + longest + longest/50 + leaseMargin
 }
 
+// mayStartAfterRestart reports whether a start for an earlier incarnation of a worker may yet be carried out. It
+// gives the present one a lease that leaseEnd does not include.
+func (dr *Director) mayStartAfterRestart(wk *worker, now time.Time) bool {
+	for _, at := range wk.attempts {
+		if at.startDeadline == maxClock && dr.mayStartLate(at, now) {
+			return true
+		}
+	}
+	for key := range wk.unexpectedStops {
+		if now.Sub(wk.unansweredStarts[key]) <= dr.longestLateRun() {
+			return true
+		}
+	}
+	return false
+}
+
 // leaseExpired reports whether the worker's lease has certainly expired, so that nothing runs there
 // without a new request.
 func (dr *Director) leaseExpired(wk *worker, now time.Time) bool {
--- a/internal/job/estimator/estimator.go
+++ b/internal/job/estimator/estimator.go
@@ -128,8 +128,9 @@
 	isolated estimate
 	// updated is the time at which both variances held.
 	updated time.Time
-	// recordedMean is the mean that Changes returned last. It is valid if recorded is set.
+	// recordedMean is the mean that Changes returned last, at recordedAt. Both are valid if recorded is set.
 	recordedMean float64
+	recordedAt   time.Time
 	recorded     bool
 	// covariances holds the covariances with the states of pairs of the same latency-critical image
 	// that were observed at the same time. They are symmetric.
@@ -161,12 +162,14 @@
 type Model struct {
 	// minTails holds the lowest tail latency seen of each latency-critical image.
 	minTails map[string]time.Duration
-	pairs    map[pair]*pairState
+	// recordedTails holds those that Changes returned last or Merge set.
+	recordedTails map[string]time.Duration
+	pairs         map[pair]*pairState
 }
 
 // New returns a model without observations.
 func New() *Model {
-	return &Model{minTails: map[string]time.Duration{}, pairs: map[pair]*pairState{}}
+	return &Model{minTails: map[string]time.Duration{}, recordedTails: map[string]time.Duration{}, pairs: map[pair]*pairState{}}
 }
 
 // ObserveTail returns the load of a latency-critical task that a tail latency shows, from 0 to
