Allow for a late renewal that a restarted worker has accepted

A worker that restarts under its ID between two renewals may have accepted a late renewal for its earlier incarnation, up to LongestLease. The leader took its lease for shorter, and started its task elsewhere while the worker did not answer. TestLateRenewalBeforeFirstContact failed with "started while it runs" and passes.

--- a/internal/job/director/late_renewal_test.go
+++ b/internal/job/director/late_renewal_test.go
@@ -67,3 +67,38 @@
 		qt.Check(fl.t, fl.workers.Violations(), qt.HasLen, 0)
 	})
 }
+
+// Guards against the same where the late renewal arrives before the leader has asked the new incarnation, which
+// accepts it.
+func TestLateRenewalBeforeFirstContact(t *testing.T) {
+	limits := testLimits
+	defer func() { testLimits = limits }()
+	testLimits.LongestLease = 10 * time.Second
+	run(t, 2, func(fl *fleet, tm *term) {
+		tm.end()
+		fl.infos = fl.infos[:1]
+		lr := &lateRenewal{WorkerClient: fl.workers}
+		fl.client = lr
+		*tm = *fl.startTerm(0)
+		sleep(12 * time.Second)
+		lr.mu.Lock()
+		lr.kept = true
+		late := *lr.req
+		lr.mu.Unlock()
+		// The worker shortens longer leases.
+		late.Deadline, late.MaxWait = testLimits.LongestLease, 0
+		fl.workers.Crash("worker-00")
+		fl.infos[0] = fl.workers.Add(workerInfo(0))
+		_, err := fl.workers.Renew(fl.t.Context(), &fl.infos[0], &late)
+		qt.Assert(fl.t, err, qt.IsNil)
+		tm.submit(longRunningJob("j1", "urgent", 1, cores(1000)))
+		sleep(600 * time.Millisecond)
+		qt.Assert(fl.t, fl.workers.WorkerOf(modeler.TaskID{Job: "j1"}), qt.Equals, modeler.WorkerID("worker-00"))
+		lr.mu.Lock()
+		lr.cut = "worker-00"
+		lr.mu.Unlock()
+		tm.UpdateWorker(fl.workers.Add(workerInfo(1)))
+		sleep(15 * time.Second)
+		qt.Check(fl.t, fl.workers.WorkerOf(modeler.TaskID{Job: "j1"}), qt.Equals, modeler.WorkerID("worker-01"))
+	})
+}
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -31,7 +31,12 @@
 	}
 	// Renewals of one worker are sent one after the other, so that another incarnation than the last
 	// is a later one, also if its clock was set back.
+	longest := dr.op.Limits.Lease
 	if rep.Incarnation != wk.incarnation {
+		if wk.incarnation != 0 {
+			// A renewal for the earlier incarnation, carried out late, may have given this one more.
+			longest = max(longest, dr.op.Limits.LongestLease)
+		}
 		dr.workerRestarted(wk, rep.Incarnation, time.Now())
 	}
 	wk.fenced = fence == dr.fence(wk)
@@ -43,7 +48,7 @@
 	}
 	if !wk.answered {
 		// An earlier leader cannot have given a longer lease, and can give none from now on.
-		wk.leaseEnd = max(wk.leaseEnd, rep.Clock+dr.op.Limits.Lease)
+		wk.leaseEnd = max(wk.leaseEnd, rep.Clock+longest)
 	}
 	wk.clock, wk.clockAt, wk.unreachable, wk.answered = rep.Clock, answeredAt, false, true
 	// An earlier report may have had a clock that was too far ahead.
