--- a/internal/job/director/bounds_test.go
+++ b/internal/job/director/bounds_test.go
@@ -175,33 +175,15 @@
 	})
 }
 
-// keptFirstStart is a client that keeps the first start, which has no answer, and whose stops do not reach a worker.
-type keptFirstStart struct {
-	director.WorkerClient
-	mu   sync.Mutex
-	kept *modeler.StartRequest
-}
-
-func (ls *keptFirstStart) Start(ctx context.Context, wk *modeler.Worker, req *modeler.StartRequest) (time.Duration, error) {
-	ls.mu.Lock()
-	first := ls.kept == nil
-	if first {
-		ls.kept = req
-	}
-	ls.mu.Unlock()
-	if first {
-		<-ctx.Done()
-		return 0, modeler.ErrNoAnswer
-	}
-	return ls.WorkerClient.Start(ctx, wk, req)
-}
+// unstopped is a client whose first start is late, and whose stops do not reach a worker.
+type unstopped struct{ *lateStart }
 
-func (ls *keptFirstStart) Stop(ctx context.Context, wk *modeler.Worker, id modeler.TaskID, run modeler.Run, fence modeler.Fence) error {
+func (un unstopped) Stop(ctx context.Context, wk *modeler.Worker, id modeler.TaskID, run modeler.Run, fence modeler.Fence) error {
 	if wk.ID == "worker-00" {
 		<-ctx.Done()
 		return modeler.ErrNoAnswer
 	}
-	return ls.WorkerClient.Stop(ctx, wk, id, run, fence)
+	return un.WorkerClient.Stop(ctx, wk, id, run, fence)
 }
 
 // Guards against a task that runs twice as the recorded end of a lease leaves out that a start for an earlier
@@ -214,21 +196,20 @@
 		t.Run(tc.name, func(t *testing.T) {
 			run(t, 1, func(fl *fleet, tm *term) {
 				tm.end()
-				ks := &keptFirstStart{WorkerClient: fl.workers}
-				fl.client = ks
+				ls := &lateStart{WorkerClient: fl.workers}
+				fl.client = unstopped{ls}
 				*tm = *fl.startTerm(0)
 				sleep(12 * time.Second)
 				tm.submit(longRunningJob("long", "urgent", 1, cores(1000)))
 				sleep(200 * time.Millisecond)
-				qt.Assert(t, ks.kept, qt.IsNotNil)
+				qt.Assert(t, ls.req, qt.IsNotNil)
 				fl.infos = []modeler.Worker{fl.workers.Add(workerInfo(0)), fl.workers.Add(workerInfo(1))}
 				tm.SetWorkers(fl.infos)
 				sleep(1500 * time.Millisecond)
 				fl.workers.SetUnreachable("worker-00", true)
 				sleep(5 * time.Second)
 				fl.workers.SetUnreachable("worker-00", false)
-				_, err := fl.workers.Start(t.Context(), &fl.infos[0], ks.kept)
-				qt.Check(t, err, qt.ErrorIs, modeler.ErrStaleFence)
+				qt.Check(t, ls.deliver(fl.t.Context()), qt.ErrorIs, modeler.ErrStaleFence)
 				fl.workers.SetUnreachable("worker-00", true)
 				if tc.newLeader {
 					tm.nextTerm(12 * time.Second)
--- a/internal/job/director/cancellation_test.go
+++ b/internal/job/director/cancellation_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 
+	"github.com/currantrouter/currantrouter/internal/job/director"
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/provider/emulator"
@@ -55,9 +56,11 @@
 
 // lateStart is a client whose first start gets no answer and is carried out by deliver.
 type lateStart struct {
-	*emulator.JobWorkers
-	mu  sync.Mutex
-	req *modeler.StartRequest
+	director.WorkerClient
+	mu sync.Mutex
+	// req is the start, and worker the one that it was sent to.
+	req    *modeler.StartRequest
+	worker modeler.Worker
 }
 
 // Start implements director.WorkerClient.
@@ -65,20 +68,21 @@
 	ls.mu.Lock()
 	first := ls.req == nil
 	if first {
-		ls.req = req
+		ls.req, ls.worker = req, *wk
 	}
 	ls.mu.Unlock()
 	if !first {
-		return ls.JobWorkers.Start(ctx, wk, req)
+		return ls.WorkerClient.Start(ctx, wk, req)
 	}
 	<-ctx.Done()
 	return 0, modeler.ErrNoAnswer
 }
 
-func (ls *lateStart) deliver(ctx context.Context, wk *modeler.Worker) error {
+// deliver carries the start out, at whichever incarnation of its worker runs now.
+func (ls *lateStart) deliver(ctx context.Context) error {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
-	_, err := ls.JobWorkers.Start(ctx, wk, ls.req)
+	_, err := ls.WorkerClient.Start(ctx, &ls.worker, ls.req)
 	return err
 }
 
@@ -86,7 +90,7 @@
 // answered the stop of that run, and restarts the worker under the same ID.
 func restartAfterLateStart(fl *fleet, tm *term) *lateStart {
 	tm.end()
-	ls := &lateStart{JobWorkers: fl.workers}
+	ls := &lateStart{WorkerClient: fl.workers}
 	fl.client = ls
 	*tm = *fl.startTerm(0)
 	// The clock of the next incarnation shows less than that of this one for as long.
@@ -104,7 +108,7 @@
 	t.Run("cancelled, the start arrives at once", func(t *testing.T) {
 		run(t, 1, func(fl *fleet, tm *term) {
 			ls := restartAfterLateStart(fl, tm)
-			qt.Assert(fl.t, ls.deliver(fl.t.Context(), &fl.infos[0]), qt.IsNil)
+			qt.Assert(fl.t, ls.deliver(fl.t.Context()), qt.IsNil)
 			sleep(100 * time.Millisecond)
 			tm.CancelJob("j1")
 			sleep(maxCancelTime)
@@ -117,7 +121,7 @@
 			fl.infos = append(fl.infos, fl.workers.Add(workerInfo(1)))
 			tm.UpdateWorker(fl.infos[1])
 			sleep(3 * time.Second)
-			qt.Check(fl.t, ls.deliver(fl.t.Context(), &fl.infos[0]), qt.ErrorIs, modeler.ErrStaleFence)
+			qt.Check(fl.t, ls.deliver(fl.t.Context()), qt.ErrorIs, modeler.ErrStaleFence)
 		})
 	})
 	t.Run("the worker restarts twice", func(t *testing.T) {
@@ -129,7 +133,7 @@
 			fl.workers.Crash(fl.infos[0].ID)
 			fl.infos[0] = fl.workers.Add(workerInfo(0))
 			sleep(3 * time.Second)
-			qt.Check(fl.t, ls.deliver(fl.t.Context(), &fl.infos[0]), qt.ErrorIs, modeler.ErrStaleFence)
+			qt.Check(fl.t, ls.deliver(fl.t.Context()), qt.ErrorIs, modeler.ErrStaleFence)
 		})
 	})
 }
@@ -144,7 +148,7 @@
 		t.Run(name, func(t *testing.T) {
 			run(t, 1, func(fl *fleet, tm *term) {
 				tm.end()
-				ls := &lateStart{JobWorkers: fl.workers}
+				ls := &lateStart{WorkerClient: fl.workers}
 				fl.client = ls
 				*tm = *fl.startTerm(0)
 				sleep(5 * time.Second)
@@ -161,7 +165,7 @@
 				fl.workers.Crash(fl.infos[0].ID)
 				fl.infos[0] = fl.workers.Add(workerInfo(0))
 				sleep(3 * time.Second)
-				qt.Check(fl.t, ls.deliver(fl.t.Context(), &fl.infos[0]), qt.ErrorIs, modeler.ErrStaleFence)
+				qt.Check(fl.t, ls.deliver(fl.t.Context()), qt.ErrorIs, modeler.ErrStaleFence)
 			})
 		})
 	}
--- a/internal/job/director/late_renewal_test.go
+++ b/internal/job/director/late_renewal_test.go
@@ -36,19 +36,25 @@
 	return lr.WorkerClient.Renew(ctx, wk, req)
 }
 
+// keepRenewal starts a term with one worker whose last renewal is kept, after 12 s.
+func keepRenewal(fl *fleet, tm *term) *lateRenewal {
+	tm.end()
+	fl.infos = fl.infos[:1]
+	lr := &lateRenewal{WorkerClient: fl.workers}
+	fl.client = lr
+	*tm = *fl.startTerm(0)
+	sleep(12 * time.Second)
+	lr.mu.Lock()
+	defer lr.mu.Unlock()
+	lr.kept = true
+	return lr
+}
+
 // Guards against a run that goes on under a lease that a late renewal for an earlier incarnation of its
 // worker extended.
 func TestLateRenewal(t *testing.T) {
 	run(t, 2, func(fl *fleet, tm *term) {
-		tm.end()
-		fl.infos = fl.infos[:1]
-		lr := &lateRenewal{WorkerClient: fl.workers}
-		fl.client = lr
-		*tm = *fl.startTerm(0)
-		sleep(12 * time.Second)
-		lr.mu.Lock()
-		lr.kept = true
-		lr.mu.Unlock()
+		lr := keepRenewal(fl, tm)
 		fl.workers.Crash("worker-00")
 		fl.infos[0] = fl.workers.Add(workerInfo(0))
 		sleep(time.Second)
@@ -75,14 +81,8 @@
 	defer func() { testLimits = limits }()
 	testLimits.LongestLease = 10 * time.Second
 	run(t, 2, func(fl *fleet, tm *term) {
-		tm.end()
-		fl.infos = fl.infos[:1]
-		lr := &lateRenewal{WorkerClient: fl.workers}
-		fl.client = lr
-		*tm = *fl.startTerm(0)
-		sleep(12 * time.Second)
+		lr := keepRenewal(fl, tm)
 		lr.mu.Lock()
-		lr.kept = true
 		late := *lr.req
 		lr.mu.Unlock()
 		// The worker shortens longer leases.
--- a/internal/job/director/series_test.go
+++ b/internal/job/director/series_test.go
@@ -1,14 +1,11 @@
 package director_test
 
 import (
-	"context"
-	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/currantrouter/currantrouter/internal/job/director"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/provider/emulator"
 )
@@ -168,34 +165,6 @@
 	}
 }
 
-// keptStart is a client that does not answer the first start and keeps it.
-type keptStart struct {
-	director.WorkerClient
-	mu     sync.Mutex
-	worker modeler.Worker
-	req    *modeler.StartRequest
-}
-
-func (ks *keptStart) Start(ctx context.Context, wk *modeler.Worker, req *modeler.StartRequest) (time.Duration, error) {
-	ks.mu.Lock()
-	first := ks.req == nil
-	if first {
-		ks.worker, ks.req = *wk, req
-	}
-	ks.mu.Unlock()
-	if first {
-		<-ctx.Done()
-		return 0, modeler.ErrNoAnswer
-	}
-	return ks.WorkerClient.Start(ctx, wk, req)
-}
-
-// deliver carries the start out, at whichever incarnation of its worker runs now.
-func (ks *keptStart) deliver(ctx context.Context) error {
-	_, err := ks.WorkerClient.Start(ctx, &ks.worker, ks.req)
-	return err
-}
-
 // Guards against a task that runs twice as a start without an answer, made by an earlier leader, is carried out by a
 // worker that has restarted since: its clock does not refuse the start, and the new leader does not know of it.
 func TestLateStartOfEarlierLeader(t *testing.T) {
@@ -212,22 +181,22 @@
 		t.Run(name, func(t *testing.T) {
 			run(t, 2, func(fl *fleet, tm *term) {
 				tm.end()
-				ks := &keptStart{WorkerClient: fl.workers}
-				fl.client = ks
+				ls := &lateStart{WorkerClient: fl.workers}
+				fl.client = ls
 				*tm = *fl.startTerm(0)
 				tm.submit(fl.minuteJob("j1"))
 				sleep(200 * time.Millisecond)
-				qt.Assert(t, ks.req, qt.IsNotNil)
+				qt.Assert(t, ls.req, qt.IsNotNil)
 				tm.end()
-				fl.workers.Crash(ks.worker.ID)
+				fl.workers.Crash(ls.worker.ID)
 				fl.infos[0], fl.infos[1] = fl.workers.Add(workerInfo(0)), fl.workers.Add(workerInfo(1))
 				if tc.delay == 0 {
-					qt.Check(t, ks.deliver(fl.t.Context()) == nil, qt.Equals, tc.accepted)
+					qt.Check(t, ls.deliver(fl.t.Context()) == nil, qt.Equals, tc.accepted)
 				}
 				*tm = *fl.startTerm(12 * time.Second)
 				if tc.delay > 0 {
 					sleep(tc.delay)
-					qt.Check(t, ks.deliver(fl.t.Context()) == nil, qt.Equals, tc.accepted)
+					qt.Check(t, ls.deliver(fl.t.Context()) == nil, qt.Equals, tc.accepted)
 				}
 				sleep(2 * time.Second)
 				qt.Check(t, fl.workers.StartCount(task), qt.Equals, 1)
