--- a/internal/job/director/lease.go
+++ b/internal/job/director/lease.go
@@ -132,10 +132,13 @@
 // recorded.
 func (dr *Director) boundToRecord(wk *worker, now time.Time) (time.Time, bool) {
 	lr := &wk.lease
+	silent := wk.unreachable && now.Sub(wk.unreachableSince) >= minRecordedSilence
+	granted := wk.grantDurable || lr.bounded
 	switch {
-	case !wk.unreachable || now.Sub(wk.unreachableSince) < minRecordedSilence || lr.recordingGrant || !lr.bounded && !wk.grantDurable:
+	case !silent || !granted || lr.recordingGrant:
 		return time.Time{}, false
 	case !wk.answered:
+		// The leases of earlier leaders may be known to be over sooner than when the bound was recorded.
 		end := dr.inheritedEnd(wk)
 		return end, !lr.bounded || lr.until.Sub(end) > clockRecordInterval
 	case dr.mayStartAfterRestart(wk, now):
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -64,7 +64,7 @@
 	// registered is set while the registry lists the worker.
 	registered bool
 	// grantSubmitted is set once the fact that the worker may hold a lease was given to the journal.
-	// grantDurable is set once that fact is durable.
+	// grantDurable is set once that fact is durable, and unset again while the lease is bounded.
 	grantDurable, grantSubmitted bool
 	lease                        leaseRecord
 	// answered is set once the present incarnation of the worker has answered in this term. From then
