Play the rounds of TestShareOfStarts at the pace of the dispatch loop

The rounds took 2.6 s of real time there, so that long-running tasks had waited for longer than agingTime, after which they go first.

--- a/internal/job/director/round_test.go
+++ b/internal/job/director/round_test.go
@@ -86,9 +86,12 @@
 			for _, wk := range dr.workers {
 				wk.free = wk.info.Capacity
 			}
+			// The rounds follow each other as the dispatch loop runs them, however long they take here.
+			now := time.Now()
 			for range 80 / free {
 				dr.startsInFlight = dr.startWindow.Available(0) - free
-				dr.dispatch(time.Now())
+				dr.dispatch(now)
+				now = now.Add(minDispatchPause)
 			}
 			short, longRunning := 0, 0
 			for _, wk := range dr.workers {
