--- a/internal/job/director/pace_test.go
+++ b/internal/job/director/pace_test.go
@@ -48,8 +48,8 @@
 	}
 }
 
-// runBestEffort runs a best-effort job with a task of four seconds on each worker.
-func runBestEffort(fl *fleet, tm *term) {
+// submitBestEffort submits a best-effort job with a task of four seconds on each of two workers.
+func submitBestEffort(fl *fleet, tm *term) {
 	jb := simpleJob("best-effort", "batch", 2, cores(2000))
 	sp := &jb.Steps[0]
 	sp.BestEffort, sp.Image, sp.MaxPerWorker = true, "best-effort", 1
@@ -57,6 +57,11 @@
 		fl.setBehaviour(modeler.TaskID{Job: jb.ID, Index: ix}, emulator.TaskBehaviour{RunTime: 4 * time.Second})
 	}
 	tm.submit(jb)
+}
+
+// runBestEffort runs that job to its end.
+func runBestEffort(fl *fleet, tm *term) {
+	submitBestEffort(fl, tm)
 	sleep(5 * time.Second)
 }
 
@@ -118,13 +123,7 @@
 	run(t, 3, func(fl *fleet, tm *term) {
 		runSensitive(fl, tm)
 		sleep(2 * time.Second)
-		jb := simpleJob("best-effort", "batch", 2, cores(2000))
-		sp := &jb.Steps[0]
-		sp.BestEffort, sp.Image, sp.MaxPerWorker = true, "best-effort", 1
-		for ix := range sp.Count {
-			fl.setBehaviour(modeler.TaskID{Job: jb.ID, Index: ix}, emulator.TaskBehaviour{RunTime: 4 * time.Second})
-		}
-		tm.submit(jb)
+		submitBestEffort(fl, tm)
 		sleep(200 * time.Millisecond)
 		for range 3 {
 			tm.nextTerm(12 * time.Second)
--- a/internal/job/director/terms_test.go
+++ b/internal/job/director/terms_test.go
@@ -131,6 +131,14 @@
 	qt.Check(t, got >= low && got <= high, qt.IsTrue, qt.Commentf("%v is not from %v to %v", got, low, high))
 }
 
+// beginOtherEpoch begins an epoch at a host that leads nobody.
+func (fl *fleet) beginOtherEpoch() *journaler.Journal {
+	fl.t.Helper()
+	jn, _, err := journaler.Open(fl.t.Context(), fl.store, "jobs", "other", "boot", journalOptions)
+	qt.Assert(fl.t, err, qt.IsNil)
+	return jn
+}
+
 // Guards against a task that runs twice as a new leader relies on the recorded end of a lease that was extended
 // since, or that may have been.
 func TestBoundedLeaseIsExtended(t *testing.T) {
@@ -152,9 +160,7 @@
 			where := startOnUnreachable(fl, tm)
 			sleep(3 * time.Second)
 			tm.end()
-			jn, _, err := journaler.Open(fl.t.Context(), fl.store, "jobs", "other", "boot", journalOptions)
-			qt.Assert(t, err, qt.IsNil)
-			jn.Close()
+			fl.beginOtherEpoch().Close()
 			*tm = *fl.startTerm(inherited)
 			assertBetween(t, fl.timeToMove(where), inherited, inherited+time.Second)
 		})
@@ -164,8 +170,7 @@
 			where := startOnUnreachable(fl, tm)
 			sleep(3 * time.Second)
 			tm.end()
-			jn, _, err := journaler.Open(fl.t.Context(), fl.store, "jobs", "other", "boot", journalOptions)
-			qt.Assert(t, err, qt.IsNil)
+			jn := fl.beginOtherEpoch()
 			term, err := keeper.Fact{Term: &keeper.TermFact{Epoch: 2, Clock: time.Hour}}.Record()
 			qt.Assert(t, err, qt.IsNil)
 			qt.Assert(t, jn.Append(fl.t.Context(), term, journaler.Record{Kind: journaler.KindTask, Data: []byte("{")}), qt.IsNil)
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -70,8 +70,8 @@
 	// answered is set once the present incarnation of the worker has answered in this term. From then
 	// on it refuses requests of earlier leaders, and its lease is renewed.
 	answered bool
-	// reported is set once a report of that incarnation has been processed, which needs the stored
-	// jobs.
+	// reported is set while the last report of that incarnation that was processed, which needs the stored
+	// jobs, answered a request with the present fencing token.
 	reported bool
 	// unaccounted is set while the worker is counted in Director.unaccountedWorkers.
 	unaccounted bool
