--- a/internal/job/estimator/estimator_test.go
+++ b/internal/job/estimator/estimator_test.go
@@ -8,31 +8,58 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Guards against a model that attributes a latency-critical task's own load to best-effort images,
-// or that does not find the pair with bad interference. The load differences of siblings have noise
-// half as large as the added load.
-func TestObserve(t *testing.T) {
-	rnd := rand.New(rand.NewPCG(3, 3))
-	truth := map[string]float64{"bad": 1.6, "good": 0.05, "fair": 0.3}
+// observeRandom returns a model after 400 random comparisons of siblings on workers whose images add
+// the given interference. The load differences have noise half as large as the added load.
+func observeRandom(seed uint64, truth []imageInterference) *Model {
+	rnd := rand.New(rand.NewPCG(seed, seed))
 	md, at := New(), time.Unix(1_700_000_000, 0)
 	for range 400 {
 		at = at.Add(100 * time.Millisecond)
 		var usage []Usage
 		excess := 0.06 * rnd.NormFloat64()
-		for image, interference := range truth {
+		for _, ii := range truth {
 			if rnd.IntN(2) == 0 {
 				cpuShare := 0.05 + 0.15*rnd.Float64()
-				usage = append(usage, Usage{image, cpuShare})
-				excess += interference * cpuShare
+				usage = append(usage, Usage{ii.image, cpuShare})
+				excess += ii.interference * cpuShare
 			}
 		}
 		md.Observe("s", excess, usage, at)
 	}
-	for image, want := range truth {
-		got := md.Interference("s", image)
-		qt.Check(t, got > want-0.25 && got < want+0.25, qt.IsTrue, qt.Commentf("%s: %.2f, truth %.2f", image, got, want))
-	}
-	qt.Check(t, md.Interference("s", "never seen"), qt.Equals, priorInterference)
+	return md
+}
+
+type imageInterference struct {
+	image        string
+	interference float64
+}
+
+func assertInterference(t *testing.T, what string, got, want, tolerance float64) {
+	t.Helper()
+	qt.Check(t, got > want-tolerance && got < want+tolerance, qt.IsTrue, qt.Commentf("%s: %.2f, truth %.2f", what, got, want))
+}
+
+// Guards against a model that attributes a latency-critical task's own load to best-effort images,
+// or that does not find the pair with bad interference.
+func TestObserve(t *testing.T) {
+	truth := []imageInterference{{"bad", 1.6}, {"good", 0.05}, {"fair", 0.3}}
+	t.Run("one model", func(t *testing.T) {
+		md := observeRandom(3, truth)
+		for _, ii := range truth {
+			assertInterference(t, ii.image, md.Interference("s", ii.image), ii.interference, 0.25)
+		}
+		qt.Check(t, md.Interference("s", "never seen"), qt.Equals, priorInterference)
+	})
+	t.Run("mean of many models", func(t *testing.T) {
+		const models = 200
+		for _, ii := range truth {
+			sum := 0.0
+			for seed := range uint64(models) {
+				sum += observeRandom(seed, truth).Interference("s", ii.image)
+			}
+			assertInterference(t, ii.image, sum/models, ii.interference, 0.1)
+		}
+	})
 }
 
 // Guards against bad interference that is found only after many seconds.
