internal/job/watcher: do not pause after an answer that may be cut short

Cause: a worker writes its entry every 1.5 s, and the watch of the workers pauses for 250 ms after each answer to gather changes. An answer of the store holds at most 500 (trial with 3,000 workers: 500 in each answer from 9.6 s before the traffic on). The watch so takes 1,560 changes a second of 2,000 and falls ever further behind: workers that began to leave at 6 s were known to the leader at 18.3 s, and tasks were started on them meanwhile.

After 200 changes or 256 KiB the watch now calls again at once. Workers of the present sites, 48 and 350, make at most 60 changes in a pause, so nothing changes for them.

TestMoreChangesThanOneAnswerHolds: 3.45 s behind after 20 s with 2,000 changes a second and 9.39 s with large entries before; below 1 s now.

--- a/internal/job/watcher/watcher.go
+++ b/internal/job/watcher/watcher.go
@@ -43,6 +43,11 @@
 	// callTimeout bounds a page and a wait. A wait normally returns sooner, so a call that takes
 	// longer uses a connection whose other end is unreachable.
 	callTimeout = 1500 * time.Millisecond
+	// largeAnswer and largeAnswerSize are the number of changes and the bytes of their values from which an
+	// answer is followed by the next call at once: the service may have more changes than it returns in one
+	// answer, and the watch would fall behind them.
+	largeAnswer     = 200
+	largeAnswerSize = 256 << 10
 	// maxTimeoutDoublings is how often callTimeout is doubled for a page, once for each call that
 	// failed in a row: a slow link may need longer for a page of 1 MB.
 	maxTimeoutDoublings = 3
@@ -68,7 +73,7 @@
 }
 
 // New returns a watcher of the entries with the prefix. It logs, with the name, when the service
-// becomes unreachable or reachable again. After changes it pauses for batchDelay before the next
+// becomes unreachable or reachable again. After a few changes it pauses for batchDelay before the next
 // call, since each call to the service is charged for.
 func New(src Source, prefix string, sink Sink, name string, batchDelay time.Duration, lg logr.Logger) *Watcher {
 	return &Watcher{source: src, prefix: prefix, sink: sink, name: name, batchDelay: batchDelay, log: lg}
@@ -165,11 +170,22 @@
 	wt.lastSuccess.Store(began.UnixNano())
 	if len(ens) > 0 {
 		wt.sink.Apply(ens)
-		pauser.Sleep(ctx, wt.batchDelay)
+		if !isLarge(ens) {
+			pauser.Sleep(ctx, wt.batchDelay)
+		}
 	}
 	return max(after, revision), nil
 }
 
+// isLarge reports whether the service may have had more changes than an answer with these.
+func isLarge(ens []storer.Entry) bool {
+	size := 0
+	for _, en := range ens {
+		size += len(en.Value)
+	}
+	return len(ens) >= largeAnswer || size >= largeAnswerSize
+}
+
 // markUnreachable logs the error of the first failed call.
 func (wt *Watcher) markUnreachable(err error) {
 	if !wt.unreachable {
--- a/internal/job/watcher/watcher_test.go
+++ b/internal/job/watcher/watcher_test.go
@@ -72,6 +72,54 @@
 	})
 }
 
+// limitedSource has changes at a rate, of which it returns a limited number in each answer.
+type limitedSource struct {
+	began              time.Time
+	perSecond, perCall int
+	valueBytes         int
+}
+
+func (ls *limitedSource) revision() int64 {
+	return int64(time.Since(ls.began).Seconds() * float64(ls.perSecond))
+}
+
+func (ls *limitedSource) Page(context.Context, string, string) (storer.Page, error) {
+	return storer.Page{Revision: ls.revision()}, nil
+}
+
+func (ls *limitedSource) Wait(_ context.Context, _ string, after int64) ([]storer.Entry, int64, error) {
+	time.Sleep(50 * time.Millisecond)
+	next := min(ls.revision(), after+int64(ls.perCall))
+	var ens []storer.Entry
+	for rev := after + 1; rev <= next; rev++ {
+		ens = append(ens, storer.Entry{Key: fmt.Sprint(rev), Revision: rev, Value: make([]byte, ls.valueBytes)})
+	}
+	return ens, next, nil
+}
+
+// Guards against a watch that falls ever further behind when more entries change during its pauses
+// than the service returns in one answer: a draining worker was given tasks 12 s later.
+func TestMoreChangesThanOneAnswerHolds(t *testing.T) {
+	for name, src := range map[string]*limitedSource{
+		"3,000 workers": {perSecond: 2000, perCall: 500, valueBytes: 300},
+		"large entries": {perSecond: 100, perCall: 16, valueBytes: 60_000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				src.began = time.Now()
+				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+				defer cancel()
+				var last int64
+				watcher.New(src, "", watcher.Sink{
+					Reset: func([]storer.Entry) {}, Apply: func(ens []storer.Entry) { last = ens[len(ens)-1].Revision },
+				}, "test", 250*time.Millisecond, logr.Discard()).Run(ctx)
+				behind := time.Duration(float64(src.revision()-last) / float64(src.perSecond) * float64(time.Second))
+				qt.Check(t, behind < time.Second, qt.IsTrue, qt.Commentf("%s behind", behind))
+			})
+		})
+	}
+}
+
 // slowSource answers each page after a time. Every third call fails.
 type slowSource struct {
 	pages    int
