internal/job/elector: hand over although the only host in contact cannot lead

Callers saw a time without a leader as long as after a kill, where a host that had just taken over from a draining leader was stopped itself.

Cause: such a host has been in contact with the former leader only. It excludes that one as it drains, polls all hosts and asks them. A heartbeat's reply that the former leader made before it drained, and that arrives after its request to take over, made it a candidate again. It refused, and nobody else was polled and asked. The same follows from any other single host in contact that cannot take over.

Change: a process that has reported that it drains counts as draining for good, and resign polls all hosts if none of those in contact takes over.

Evidence: TestDrainWhileBeginning failed in 81 of 8,000 cases with ELECTOR_LOG=1 and GOMAXPROCS=2 ("no leader" within 1.5 s); the 6 logs read, of a build with trace lines, show "asked host-0 ... leadership not taken over" and no further request. With the change 0 of 8,000 without and 0 of 2,000 with the log. TestDrainBesideUselessSuccessor, new: 39 of 40 cases failed before ("no leader" within 1 s), 0 of 800 with the change.

--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -787,7 +787,9 @@
 	defer el.mu.Unlock()
 	now := time.Now()
 	mb := el.getOrAddMember(sender.Host)
-	mb.Boot, mb.Address, mb.Weight, mb.draining = sender.Boot, sender.Address, sender.Weight, gr.Leaving
+	mb.Boot, mb.Address, mb.Weight = sender.Boot, sender.Address, sender.Weight
+	// A process never stops draining. Its messages may arrive in another order.
+	mb.draining = gr.Leaving || mb.draining && mb.reportedBy == sender.Boot
 	mb.reportedBy, mb.epoch = sender.Boot, leader.Epoch
 	mb.sinceLeaderSeen = modeler.DurationFromMillis(gr.Silence)
 	mb.storeAge = modeler.DurationFromMillis(gr.StoreAge)
--- a/internal/job/elector/takeover.go
+++ b/internal/job/elector/takeover.go
@@ -67,20 +67,28 @@
 	el.resign()
 }
 
-// resign asks one host after the other to take over until one does, if this host led last.
+// resign asks one host after the other to take over until one does, if this host led last: first those that it
+// is in contact with, and then all others.
 func (el *Elector) resign() {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*heartbeatTimeout)
 	defer cancel()
-	if el.ledLast() && len(el.successors()) == 0 {
-		// Hosts that do not lead are in contact with the leader only.
-		el.sendHeartbeats(ctx, el.otherHosts(), pollTimeout)
-	}
-	for _, addr := range el.successors() {
-		if !el.ledLast() || ctx.Err() != nil {
-			return
+	asked := map[netip.AddrPort]bool{}
+	for _, poll := range [...]bool{false, true} {
+		if poll && el.ledLast() {
+			// Hosts that do not lead are in contact with the leader only.
+			el.sendHeartbeats(ctx, el.otherHosts(), pollTimeout)
 		}
-		if el.askToTakeOver(ctx, addr) == nil {
-			return
+		for _, addr := range el.successors() {
+			if asked[addr] {
+				continue
+			}
+			if !el.ledLast() || ctx.Err() != nil {
+				return
+			}
+			asked[addr] = true
+			if el.askToTakeOver(ctx, addr) == nil {
+				return
+			}
 		}
 	}
 }
--- a/internal/job/elector/takeover_test.go
+++ b/internal/job/elector/takeover_test.go
@@ -160,3 +160,38 @@
 		})
 	}
 }
+
+// Guards against the same where the host has been in contact with no host but one that cannot take over.
+func TestDrainBesideUselessSuccessor(t *testing.T) {
+	for name, choose := range map[string]func(cl *cluster, leader, next int) int{
+		"late message of the former leader": func(_ *cluster, leader, _ int) int { return leader },
+		"host without the store": func(cl *cluster, leader, next int) int {
+			ix := slices.IndexFunc(cl.hosts, func(ho *host) bool { return ho.ix != leader && ho.ix != next })
+			cl.cutFromStore(ix, true)
+			return ix
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withCluster(t, 7, func(cl *cluster, leader int) {
+				next := cl.successor(leader)
+				useless := choose(cl, leader, next)
+				time.Sleep(2 * time.Second)
+				cl.mu.Lock()
+				cl.slow = true
+				late := reportOf(fmt.Sprint("host-", useless), string(cl.hosts[useless].boot), 1, fmt.Sprint("host-", leader), string(cl.hosts[leader].boot))
+				cl.mu.Unlock()
+				late.Address, late.LeaderAddress = address(useless).String(), address(leader).String()
+				go cl.hosts[leader].elector.Drain()
+				time.Sleep(100 * time.Millisecond)
+				cl.hosts[next].elector.HandleGreeting(late)
+				since := time.Now()
+				go cl.hosts[next].elector.Drain()
+				for !slices.ContainsFunc(cl.leaders(), func(ix int) bool { return ix != leader && ix != next }) {
+					qt.Assert(t, time.Since(since) < time.Second, qt.IsTrue, qt.Commentf("no leader"))
+					time.Sleep(10 * time.Millisecond)
+				}
+				t.Logf("another host leads after %s", time.Since(since))
+			})
+		})
+	}
+}
