internal/job/director: end no term over this leader's own tokens

Callers saw a time without a leader, and a new term with all that it waits for, although the leader was well.

A worker that was removed and registered again in the same term began at the lowest token of the epoch, refused it, and the leader took the refusal for that of a later epoch. It did the same where a stop with a risen token overtook a renewal. The results of starts and stops were compared with the present token, those of renewals were not.

Change: a worker that is registered again begins above the counts of all dropped ones. The refusal of a renewal ends the term only if the token is still the present one.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -192,6 +192,9 @@
 	readQueue  []modeler.JobID
 	jobReaders int
 	workers    map[modeler.WorkerID]*worker
+	// droppedFenceRises is how often the token of a worker that is registered now has risen at least. No token of a
+	// worker that was dropped was higher.
+	droppedFenceRises int64
 	// waitingSteps holds the steps that have waiting tasks and whose predecessors are done.
 	waitingSteps map[*step]struct{}
 	// unaccountedWorkers is the number of workers that may still run tasks of earlier terms and have
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -222,7 +222,7 @@
 	if wk == nil {
 		wk = &worker{
 			attempts: map[attemptKey]*attempt{}, unexpectedStops: map[attemptKey]*unexpectedStop{}, unansweredStarts: map[attemptKey]time.Time{},
-			criticalImages: map[string]int{}, bestEffortImages: map[string]int{},
+			criticalImages: map[string]int{}, bestEffortImages: map[string]int{}, fenceRises: dr.droppedFenceRises,
 		}
 		wk.info = *info
 		wk.free = info.Capacity
@@ -263,12 +263,12 @@
 		rep, err := dr.sendRenewal(ctx, &info, req)
 		answeredAt := time.Now()
 		if err != nil {
-			dr.renewalFailed(wk, err)
+			dr.renewalFailed(wk, req.Fence, err)
 			pauser.Sleep(ctx, renewRetryPause)
 			continue
 		}
 		if !dr.noteAnswer(wk, req.Fence, sentAt, answeredAt, &rep) {
-			dr.renewalFailed(wk, errNoIncarnation)
+			dr.renewalFailed(wk, req.Fence, errNoIncarnation)
 			pauser.Sleep(ctx, unrecordedEndsPause)
 			continue
 		}
@@ -342,6 +342,8 @@
 	defer dr.mu.Unlock()
 	if !wk.registered {
 		delete(dr.workers, wk.info.ID)
+		// If it is registered again, it refuses a lower token than the last.
+		dr.droppedFenceRises = max(dr.droppedFenceRises, wk.fenceRises+1)
 		dr.dropUnexpectedCancelledRuns(wk, time.Now())
 	}
 	return !wk.registered
@@ -402,14 +404,17 @@
 }
 
 // renewalFailed marks the worker as unreachable unless the term is over, or ends the term if the worker has seen a higher
-// epoch.
-func (dr *Director) renewalFailed(wk *worker, err error) {
+// epoch. The fence is that of the renewal.
+func (dr *Director) renewalFailed(wk *worker, fence modeler.Fence, err error) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
 	if errors.Is(err, modeler.ErrStaleFence) {
-		dr.stepDown("worker " + string(wk.info.ID) + " has seen a higher epoch")
+		// A later request of this leader may have overtaken the renewal.
+		if fence == dr.fence(wk) {
+			dr.stepDown("worker " + string(wk.info.ID) + " has seen a higher epoch")
+		}
 		return
 	}
-	dr.mu.Lock()
-	defer dr.mu.Unlock()
 	if dr.ctx.Err() != nil {
 		// The renewal was given up with the term.
 		return
