Record the first fact of a term together with its epoch

Callers saw a long-running task wait for 13.9 to 14.1 s after the loss of its worker, where the leader after that loss had recorded the end of the lease and its successor was lost before its first record.

Cause: an epoch without a Term may be that of an earlier version, which extends leases without regard to their recorded ends. The next leader could not tell this from a leader that was lost at once, and relied on no recorded end.

Change: journaler.Options.EpochRecords returns records that are part of the epoch's own segment, made from all that precedes it. The leader puts a Term there, so that no epoch of this version is ever without one, and no lease is extended before it is durable. The segment may be written late, after a lost answer, while the leader before goes on. The fact therefore leaves open when the leases of earlier leaders are over (MaxClock), and a host that is found to have stopped shortens no lease by it. It voids recorded ends if the epoch before has no Term.

A leader that finds a damaged record therefore no longer voids the recorded ends for later leaders. It waits for the whole inherited lease as before, and extends no lease without a new grant.

Earlier versions read the records of an epoch's segment as any others.

TestEpochRecords covers lost answers and a leader that goes on meanwhile.

Changed tests: the terms of the director's tests begin as those of the leader do, with EpochRecords.

--- a/internal/job/director/bounds_test.go
+++ b/internal/job/director/bounds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -9,6 +10,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/currantrouter/currantrouter/internal/job/director"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
@@ -41,6 +43,106 @@
 	})
 }
 
+// loseLeaderAtOnce begins an epoch whose leader is lost before its first record.
+func (fl *fleet) loseLeaderAtOnce() {
+	op := journalOptions
+	op.EpochRecords = director.EpochRecords
+	jn, _, err := journaler.Open(fl.t.Context(), fl.store, "jobs", "other", "boot", op)
+	qt.Assert(fl.t, err, qt.IsNil)
+	jn.Close()
+}
+
+// Guards against a leader that waits for the whole inherited lease of a worker although its end is recorded, after
+// leaders that were lost at once, and against a task that runs twice as it trusts them too far.
+func TestLeadersLostAtOnce(t *testing.T) {
+	const inherited = 12 * time.Second
+	t.Run("recorded end of a lease", func(t *testing.T) {
+		run(t, 3, func(fl *fleet, tm *term) {
+			where := startOnUnreachable(fl, tm)
+			began := time.Now()
+			sleep(3 * time.Second)
+			tm.end()
+			for range 3 {
+				fl.loseLeaderAtOnce()
+			}
+			*tm = *fl.startTerm(inherited)
+			fl.timeToMove(where)
+			assertBetween(t, time.Since(began), testLimits.Lease-3*time.Second, testLimits.MaxLeaseTime()+time.Second+maxStartDelay)
+		})
+	})
+	t.Run("recorded end of a lease before a leader of an earlier version", func(t *testing.T) {
+		run(t, 3, func(fl *fleet, tm *term) {
+			where := startOnUnreachable(fl, tm)
+			sleep(3 * time.Second)
+			tm.end()
+			fl.beginEpochWithoutRecords()
+			fl.loseLeaderAtOnce()
+			*tm = *fl.startTerm(inherited)
+			assertBetween(t, fl.timeToMove(where), inherited, inherited+time.Second)
+		})
+	})
+	t.Run("the lost leader is known to have stopped", func(t *testing.T) {
+		run(t, 3, func(fl *fleet, tm *term) {
+			where := startOnUnreachable(fl, tm)
+			tm.end()
+			fl.loseLeaderAtOnce()
+			fl.predecessorStopped.Store(true)
+			*tm = *fl.startTerm(inherited)
+			assertBetween(t, fl.timeToMove(where), inherited, inherited+time.Second)
+		})
+	})
+}
+
+// Guards against a task that runs twice as a leader which could not read a record extends a lease without a new
+// grant, while a later leader can read the recorded end of that lease.
+func TestBoundInUnreadRecord(t *testing.T) {
+	const inherited = 12 * time.Second
+	run(t, 3, func(fl *fleet, tm *term) {
+		where := startOnUnreachable(fl, tm)
+		sleep(3 * time.Second)
+		tm.end()
+		record := func(damaged bool) []byte {
+			data := fmt.Sprintf(`{"Bounded":{"Worker":%q,"Until":1000000000}}`, where)
+			if damaged {
+				data = `{"Later":{}}`
+			}
+			first := director.EpochRecords(journaler.Recovery{Epoch: 2, Records: []journaler.Record{{Data: []byte(`{"Term":{"Epoch":1}}`)}}})
+			value, err := proto.Marshal(&journaler.StoredSegment{
+				Position: fl.lastPosition(), Epoch: 2, Host: "other", Boot: "boot", BeginsEpoch: true,
+				Records: []*journaler.StoredRecord{{Kind: int32(journaler.KindTask), Data: first[0].Data}, {Kind: int32(journaler.KindTask), Data: []byte(data)}},
+			})
+			qt.Assert(t, err, qt.IsNil)
+			return value
+		}
+		fl.beginEpochWithoutRecords()
+		key := fmt.Sprintf("Journal/jobs/%019d", fl.lastPosition())
+		replace := func(value []byte) {
+			en, err := fl.store.Get(t.Context(), key)
+			qt.Assert(t, err, qt.IsNil)
+			_, err = fl.store.Put(t.Context(), key, value, en.Revision)
+			qt.Assert(t, err, qt.IsNil)
+		}
+		readable := record(false)
+		replace(record(true))
+		fl.workers.SetUnreachable(where, false)
+		*tm = *fl.startTerm(inherited)
+		sleep(3 * time.Second)
+		fl.assertStartedOnce(modeler.TaskID{Job: "long"})
+		fl.workers.SetUnreachable(where, true)
+		tm.end()
+		replace(readable)
+		*tm = *fl.startTerm(inherited)
+		assertBetween(t, fl.timeToMove(where), inherited, inherited+time.Second)
+	})
+}
+
+// lastPosition returns the position of the journal's last segment.
+func (fl *fleet) lastPosition() int64 {
+	ens, err := fl.store.List(fl.t.Context(), "Journal/jobs/", "", 1000)
+	qt.Assert(fl.t, err, qt.IsNil)
+	return int64(len(ens))
+}
+
 // Guards against a task that runs twice as the clock of a host that has followed a long term runs faster than that
 // of its leader, by less than hosts' clocks may differ.
 func TestFastClockOfSuccessor(t *testing.T) {
--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -208,9 +208,9 @@
 	// inheritedUntil is when the leases of earlier leaders are over that the journal does not bound, and
 	// earlierUntil when those from before the predecessor are.
 	inheritedUntil, earlierUntil time.Time
-	// inheritanceKnown is set if the journal has a record of the predecessor's term, predecessorStopped if
-	// it is known to extend no leases any more.
-	inheritanceKnown, predecessorStopped bool
+	// boundsVoid is set if the journal has no record of the predecessor's term, inheritanceKnown if it has one and
+	// all its records could be read, and predecessorStopped if the predecessor is known to extend no leases any more.
+	boundsVoid, inheritanceKnown, predecessorStopped bool
 	// recordingLeases is set while recordLeases records. The last time, it did at clockRecordedAt with the
 	// inheritedUntil of recordedUntil.
 	recordingLeases bool
--- a/internal/job/director/harness_test.go
+++ b/internal/job/director/harness_test.go
@@ -145,7 +145,7 @@
 	return until == 0 || time.Now().UnixNano() < until
 }
 
-// journalOptions are those of package leader.
+// journalOptions are those of package leader, but for EpochRecords, as a leader of an earlier version has them.
 var journalOptions = journaler.Options{
 	WritesPerSecond: 20, RetryTimeout: time.Second, MaxBackOff: 400 * time.Millisecond, CallTimeout: 1200 * time.Millisecond, Logger: logr.Discard(),
 }
@@ -175,10 +175,12 @@
 
 // beginTerm starts the next term without its jobs.
 func (fl *fleet) beginTerm(inherited time.Duration) *term {
-	jn, rec, err := journaler.Open(fl.t.Context(), fl.store, "jobs", "host", "boot", journalOptions)
+	op := journalOptions
+	op.EpochRecords = director.EpochRecords
+	jn, rec, err := journaler.Open(fl.t.Context(), fl.store, "jobs", "host", "boot", op)
 	for errors.Is(err, journaler.ErrUnavailable) || errors.Is(err, journaler.ErrResultUnknown) {
 		time.Sleep(journalOptions.MaxBackOff)
-		jn, rec, err = journaler.Open(fl.t.Context(), fl.store, "jobs", "host", "boot", journalOptions)
+		jn, rec, err = journaler.Open(fl.t.Context(), fl.store, "jobs", "host", "boot", op)
 	}
 	qt.Assert(fl.t, err, qt.IsNil)
 	client := fl.client
--- a/internal/job/director/lease.go
+++ b/internal/job/director/lease.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/state/journaler"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 )
 
@@ -54,15 +57,44 @@
 	}
 }
 
+// followsRules reports whether the leader of the epoch before kept to the bounds of leases that the journal has.
+func (ih *inheritance) followsRules(epoch modeler.Epoch, factsMissing bool) bool {
+	return ih.last != nil && ih.last.Epoch == epoch-1 && !factsMissing
+}
+
+// EpochRecords implements journaler.Options.EpochRecords. It returns a fact of the term, without which the next
+// leader could not tell a leader that was lost before its first record from one of an earlier version. The epoch
+// may be recorded late, so that the fact holds only what stays true until then.
+func EpochRecords(rec journaler.Recovery) []journaler.Record {
+	ih, epoch := inheritance{}, modeler.Epoch(rec.Epoch)
+	for _, rc := range slices.Concat(rec.SnapshotRecords, rec.Records) {
+		if ft, ok := keeper.ParseTerm(rc); ok {
+			ih.last, ih.clock = ft, max(ih.clock, ft.Clock)
+		}
+	}
+	rc, err := keeper.Fact{Term: &keeper.TermFact{
+		Epoch: epoch, Start: ih.clock, Clock: ih.clock, InheritedUntil: keeper.MaxClock, BoundsVoid: !ih.followsRules(epoch, rec.Damaged > 0),
+	}}.Record()
+	if err != nil {
+		return nil
+	}
+	return []journaler.Record{rc}
+}
+
 // inherit sets the journal's clock, and when the leases of earlier leaders are over. Without a fact of the last
 // epoch, nothing is known of the leases that its leader extended.
 func (dr *Director) inherit(ih *inheritance) {
 	dr.clockStart = ih.clock
 	dr.inheritedUntil = dr.termStart.Add(dr.op.InheritedLease)
-	dr.inheritanceKnown = ih.last != nil && ih.last.Epoch == dr.op.Epoch-1 && !ih.incomplete
-	if !dr.inheritanceKnown {
+	dr.boundsVoid = !ih.followsRules(dr.op.Epoch, dr.op.FactsMissing)
+	dr.inheritanceKnown = !dr.boundsVoid && !ih.incomplete
+	switch {
+	case dr.boundsVoid:
 		dr.voidBounds()
 		return
+	case !dr.inheritanceKnown:
+		dr.boundInherited()
+		return
 	}
 	// This host's clock may be faster than the predecessor's.
 	dr.clockStart = max(dr.clockStart, ih.last.Start+time.Duration(float64(dr.op.PredecessorSeenFor)*(1-maxClockDrift)))
@@ -78,6 +110,16 @@
 	}
 }
 
+// boundInherited bounds the leases of all workers at the time when those of all earlier leaders are over. Later
+// leaders rely on recorded bounds, one of which may be in a record that this one could not read: it extends no
+// lease without a new grant.
+func (dr *Director) boundInherited() {
+	for _, wk := range dr.workers {
+		wk.lease = leaseRecord{bounded: true, until: dr.inheritedUntil, journalUntil: dr.journalClock(dr.inheritedUntil)}
+		wk.grantDurable = false
+	}
+}
+
 // InheritedLease returns how long from the start of the term a worker that does not answer may run tasks under
 // a lease of an earlier leader, unless the journal bounds its lease.
 func (dr *Director) InheritedLease() time.Duration {
@@ -202,7 +244,7 @@
 func (dr *Director) termFact(now time.Time, ended bool) keeper.Fact {
 	return keeper.Fact{Term: &keeper.TermFact{
 		Epoch: dr.op.Epoch, Start: dr.clockStart, Clock: dr.journalClock(now), InheritedUntil: dr.journalClock(dr.inheritedUntil), Ended: ended,
-		BoundsVoid: !dr.inheritanceKnown,
+		BoundsVoid: dr.boundsVoid,
 	}}
 }
 
--- a/internal/job/director/random_terms_test.go
+++ b/internal/job/director/random_terms_test.go
@@ -143,7 +143,11 @@
 		if td.rnd.IntN(2) == 0 {
 			sleep(td.between(0, 4*time.Second))
 		}
-		jn, _, err := journaler.Open(td.t.Context(), td.store, "jobs", "other", "boot", journalOptions)
+		op := journalOptions
+		if td.rnd.IntN(2) == 0 {
+			op.EpochRecords = director.EpochRecords
+		}
+		jn, _, err := journaler.Open(td.t.Context(), td.store, "jobs", "other", "boot", op)
 		if err == nil {
 			jn.Close()
 			td.seenAt = time.Time{}
--- a/internal/job/keeper/fact.go
+++ b/internal/job/keeper/fact.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -65,7 +66,7 @@
 	// Clock is the time on the journal's clock when the fact was made.
 	Clock time.Duration
 	// InheritedUntil is when all leases that leaders of earlier epochs extended are over, on the journal's
-	// clock.
+	// clock. It is MaxClock if that is not known.
 	InheritedUntil time.Duration
 	// Ended is set if the leader of the epoch extends no lease after Clock.
 	Ended bool `json:",omitempty"`
@@ -118,6 +119,19 @@
 	return "", false
 }
 
+// termPrefix begins the encoded fact of a term, and of no other kind.
+const termPrefix = `{"Term":`
+
+// ParseTerm decodes the fact of a term. It returns false for a record of anything else, which it does not
+// decode, and for a damaged one.
+func ParseTerm(rec journaler.Record) (*TermFact, bool) {
+	if !bytes.HasPrefix(rec.Data, []byte(termPrefix)) {
+		return nil, false
+	}
+	ft, err := ParseFact(rec)
+	return ft.Term, err == nil
+}
+
 // Record returns the journal record of a fact.
 func (ft Fact) Record() (journaler.Record, error) {
 	data, err := json.Marshal(ft)
@@ -183,10 +197,10 @@
 	return nil
 }
 
-// maxClock bounds times on the journal's clock.
-const maxClock = 100 * 365 * 24 * time.Hour
+// MaxClock bounds times on the journal's clock.
+const MaxClock = 100 * 365 * 24 * time.Hour
 
-func validClock(clock time.Duration) bool { return clock >= 0 && clock <= maxClock }
+func validClock(clock time.Duration) bool { return clock >= 0 && clock <= MaxClock }
 
 // validRun reports whether a task and a run are in range. The run is 0 for a task of a gang that is
 // done by the end of another one and that this leader never saw run.
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -132,7 +132,7 @@
 	jn, rec, err := journaler.Open(openCtx, ld.op.Store, journalName, ld.op.Self.Host, ld.op.Self.Boot, journaler.Options{
 		WritesPerSecond: maxJournalWritesPerSecond, RetryTimeout: journalRetryTimeout, MaxBackOff: maxJournalBackOff,
 		CallTimeout: journalCallTimeout, OpenCallTimeout: journalCallTimeout << doublings, SkipDamaged: true,
-		MayReplace: ld.mayReplace, Logger: ld.op.Log, Meter: ld.op.Meter,
+		MayReplace: ld.mayReplace, EpochRecords: director.EpochRecords, Logger: ld.op.Log, Meter: ld.op.Meter,
 	})
 	if errors.Is(err, journaler.ErrUnavailable) {
 		ld.failedOpens.Add(1)
--- a/internal/state/journaler/journaler.go
+++ b/internal/state/journaler/journaler.go
@@ -98,7 +98,11 @@
 	// MayReplace reports whether Open may begin an epoch after the given one, which is the last that it has
 	// read, with the process that leads it. It may be nil and is called before each attempt to write.
 	MayReplace func(epoch modeler.Epoch, host modeler.HostName, boot modeler.BootID) bool
-	Logger     logr.Logger
+	// EpochRecords returns the first records of the epoch that Open is about to begin, from all that it has read.
+	// They become durable with the epoch: no later Open finds the epoch without them. It may be nil, and is called
+	// before each attempt to write. Their size is bounded by MaxAppendBytes.
+	EpochRecords func(rec Recovery) []Record
+	Logger       logr.Logger
 	// Meter may be nil.
 	Meter *meter.Registry
 }
@@ -135,7 +139,7 @@
 	// SnapshotRecords holds the records of the current snapshot, in the order in which they were
 	// passed to Snapshot.
 	SnapshotRecords []Record
-	// Records holds the records after the snapshot, in journal order.
+	// Records holds the records after the snapshot, in journal order, without those of this epoch.
 	Records []Record
 	// Position is the position of the epoch record, which is the last one in the journal.
 	Position int64
--- a/internal/state/journaler/journaler_test.go
+++ b/internal/state/journaler/journaler_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -398,6 +399,62 @@
 	}
 }
 
+// Guards against first records of an epoch that are lost, read by their own leader, or made from less than what is
+// before them in the journal.
+func TestEpochRecords(t *testing.T) {
+	task := func(text string) journaler.Record {
+		return journaler.Record{Kind: journaler.KindTask, Data: []byte(text)}
+	}
+	for name, fault := range map[string]emulator.Switch{
+		"no fault":     {},
+		"answer lost":  {Fault: emulator.AnswerLost, Part: emulator.PartStore, Operation: "Put", Count: 1},
+		"request lost": {Fault: emulator.Unavailable, Part: emulator.PartStore, Operation: "Put", Count: 1},
+		"a read fails": {Fault: emulator.Unavailable, Part: emulator.PartStore, Operation: "Get", Skip: 4, Count: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				faults := new(emulator.Faults)
+				st := emulator.NewStore(faults)
+				first, _, err := journaler.Open(t.Context(), st, "jobs", "host-1", "boot-1", journaler.Options{})
+				qt.Assert(t, err, qt.IsNil)
+				defer first.Close()
+				calls := 0
+				op := journaler.Options{RetryTimeout: 5 * time.Second, EpochRecords: func(rec journaler.Recovery) []journaler.Record {
+					if calls++; calls == 1 {
+						// The leader goes on until the position is taken.
+						qt.Check(t, first.Append(t.Context(), task("late")), qt.IsNil)
+						faults.Set(fault)
+					}
+					qt.Check(t, rec.PreviousHost, qt.Equals, modeler.HostName("host-1"))
+					return []journaler.Record{task(fmt.Sprintf("epoch %d after %d records", rec.Epoch, len(rec.Records))), task("second")}
+				}}
+				second, rec, err := journaler.Open(t.Context(), st, "jobs", "host-2", "boot-2", op)
+				qt.Assert(t, err, qt.IsNil)
+				defer second.Close()
+				qt.Check(t, calls, qt.Equals, 2)
+				qt.Check(t, rec.Records, qt.DeepEquals, []journaler.Record{task("late")})
+				qt.Assert(t, second.Append(t.Context(), task("third")), qt.IsNil)
+				third, rec, err := journaler.Open(t.Context(), st, "jobs", "host-3", "boot-3", journaler.Options{})
+				qt.Assert(t, err, qt.IsNil)
+				defer third.Close()
+				qt.Check(t, rec.Records, qt.DeepEquals, []journaler.Record{task("late"), task("epoch 2 after 1 records"), task("second"), task("third")})
+			})
+		})
+	}
+	t.Run("too large", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			st := emulator.NewStore(nil)
+			_, _, err := journaler.Open(t.Context(), st, "jobs", "host", "boot", journaler.Options{EpochRecords: func(journaler.Recovery) []journaler.Record {
+				return []journaler.Record{task(strings.Repeat("x", journaler.MaxAppendBytes))}
+			}})
+			qt.Check(t, err, qt.ErrorIs, journaler.ErrTooLarge)
+			ens, err := st.List(t.Context(), "Journal/", "", 1)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, ens, qt.HasLen, 0)
+		})
+	})
+}
+
 // Guards against a leader that counts as confirmed at a later time than its epoch record was written, as a
 // later epoch may have begun in between.
 func TestConfirmedByRepeatedWrite(t *testing.T) {
--- a/internal/state/journaler/opener.go
+++ b/internal/state/journaler/opener.go
@@ -31,7 +31,7 @@
 // Open begins the next epoch of a data centre's journal and returns the content of the journal.
 // Failed calls are retried for RetryTimeout. Errors: ErrDeposed if another process began an epoch
 // concurrently or Options.MayReplace forbids to replace the last one, ErrUnavailable, ErrResultUnknown
-// if the epoch record may have been written, ErrDamaged.
+// if the epoch record may have been written, ErrDamaged, ErrTooLarge.
 func Open(ctx context.Context, st Store, dc modeler.DataCentreName, host modeler.HostName, boot modeler.BootID, op Options) (*Journal, Recovery, error) {
 	op = op.withDefaults()
 	on := &opener{store: st, keys: keys{dc}, host: host, boot: boot, options: op}
@@ -43,7 +43,7 @@
 		if err != nil {
 			return nil, Recovery{}, err
 		}
-		rec := on.recovery()
+		rec := on.recovery(on.epochRecord)
 		logger.Log(op.Logger, logger.EpochBegun, "DataCentre", dc, "Epoch", rec.Epoch, "Position", rec.Position, "Records", len(rec.Records))
 		op.Meter.Add(meter.JournalEpochs, 1)
 		return on.newJournal(rec), rec, nil
@@ -259,6 +259,9 @@
 			Position: on.nextPosition(), Epoch: on.highestEpoch() + 1, Host: string(on.host), Boot: string(on.boot),
 			Operation: lastOperation.Add(1), BeginsEpoch: true,
 		}
+		if err := on.addFirstRecords(sg); err != nil {
+			return err
+		}
 		found, err := on.create(ctx, sg)
 		if err != nil {
 			return err
@@ -283,6 +286,19 @@
 	}
 }
 
+// addFirstRecords adds the records of Options.EpochRecords to an epoch record that is to be written.
+func (on *opener) addFirstRecords(sg *StoredSegment) error {
+	if on.options.EpochRecords == nil {
+		return nil
+	}
+	stored, size := encodeRecords(on.options.EpochRecords(on.recovery(sg)))
+	if size > MaxAppendBytes {
+		return fmt.Errorf("%d bytes with an epoch record: %w", size, ErrTooLarge)
+	}
+	sg.Records = stored
+	return nil
+}
+
 // checkReplaceable returns ErrDeposed if the leader of the last epoch must not be replaced.
 func (on *opener) checkReplaceable() error {
 	pr := on.previous()
@@ -363,15 +379,18 @@
 	return nil
 }
 
-func (on *opener) recovery() Recovery {
+// recovery returns what was read before an epoch record.
+func (on *opener) recovery(er *StoredSegment) Recovery {
 	pr := on.previous()
 	rec := Recovery{
-		Epoch: modeler.Epoch(on.epochRecord.Epoch), Position: on.epochRecord.Position, SnapshotRecords: on.snapshotRecords,
+		Epoch: modeler.Epoch(er.Epoch), Position: er.Position, SnapshotRecords: on.snapshotRecords,
 		SnapshotPosition: on.snapshotPointer.position, Damaged: on.damaged, PreviousEpoch: pr.epoch,
 		PreviousHost: pr.host, PreviousBoot: pr.boot, Appended: on.appended,
 	}
 	for _, sg := range on.segments {
-		rec.Records = decodeRecords(rec.Records, sg.Records)
+		if sg.Position < er.Position {
+			rec.Records = decodeRecords(rec.Records, sg.Records)
+		}
 	}
 	return rec
 }
