internal/job/elector: delete records of departed hosts in short terms

Records of departed hosts stayed in the store for as long as no term lasted for 2 min. They count for the majority that agrees that a leader has failed, without which a takeover waits for the leader's record in the store. No user has reported it; it was found by reading.

Cause: the time without contact counted from the beginning of the term, as a host that does not lead has no contact with the others.

Change: each host adds up the time for which it has led without hearing of a host, over all its terms, until it hears of it. A leader whose process stood still counts at most 2 s for that time; before, it deleted the records of all hosts if it stood still for 2 min, by reading. A series in which each process leads for less than 2 min in all deletes nothing yet.

--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -89,8 +89,8 @@
 	// known before it suspects that there is none, if suspicionTimeout applies. With
 	// refusedSuspicionTimeout, the wait is shorter by the difference of the two timeouts.
 	newLeaderGrace = 1300 * time.Millisecond
-	// memberRemovalTimeout is the time without contact with a host after which the leader removes the
-	// host's record.
+	// memberRemovalTimeout is the time without contact with a host, while this host leads, after which it
+	// removes the host's record.
 	memberRemovalTimeout = 2 * time.Minute
 	// maxQuorumHeartbeatAge is the age up to which a host's last heartbeat counts towards the quorum.
 	maxQuorumHeartbeatAge = 1200 * time.Millisecond
@@ -188,10 +188,9 @@
 	replaced modeler.Epoch
 	// own is the leader of the last epoch that this process began.
 	own Leader
-	// epochBegunAt is when the last epoch of this host began. Before, it may have had no contact with
-	// hosts that did not lead.
-	epochBegunAt time.Time
-	cancelTerm   context.CancelFunc
+	// announcedAt is when this host last sent heartbeats as the leader, or its last epoch began.
+	announcedAt time.Time
+	cancelTerm  context.CancelFunc
 	// termBegun is closed when the epoch of the term has begun, and termDone when the term has ended.
 	termBegun, termDone chan struct{}
 	// runCtx is the context of Run, nil before.
@@ -222,8 +221,9 @@
 	// lastHeartbeat is when the host's last heartbeat arrived, and lastReply when it last replied to a
 	// heartbeat of this one.
 	lastHeartbeat, lastReply time.Time
-	// addedAt is when this host first knew of it.
-	addedAt time.Time
+	// silentFor is for how long this host has led, in all its terms together, since it last heard of the host.
+	// While it does not lead, it may have no contact with hosts that do not either.
+	silentFor time.Duration
 	// The remaining fields are what the host last reported. reportedBy is the process that did, epoch the
 	// highest that it knows.
 	reportedBy fleet.BootID
@@ -455,7 +455,7 @@
 func (el *Elector) getOrAddMember(host fleet.HostName) *member {
 	mb := el.members[host]
 	if mb == nil {
-		mb = &member{addedAt: time.Now()}
+		mb = new(member)
 		mb.Host = host
 		el.members[host] = mb
 	}
@@ -660,13 +660,16 @@
 	return time.Since(el.leaderLastSeen) > storeHeartbeatTimeout
 }
 
-// announce sends heartbeats to all hosts while this one leads, and removes the records of hosts
-// that have been unreachable for memberRemovalTimeout.
+// announce sends heartbeats to all hosts while this one leads, and removes the records of hosts that it has
+// not heard of for memberRemovalTimeout.
 func (el *Elector) announce(ctx context.Context) {
 	if !el.Leading() {
 		return
 	}
 	el.mu.Lock()
+	// Heartbeats of a time in which this process stood still may not have been handled yet.
+	led := min(time.Since(el.announcedAt), 2*leaderHeartbeatInterval)
+	el.announcedAt = time.Now()
 	var addrs []netip.AddrPort
 	var expired []*member
 	for _, mb := range el.members {
@@ -674,7 +677,7 @@
 			continue
 		}
 		addrs = append(addrs, mb.Address)
-		if last := later(later(mb.addedAt, el.epochBegunAt), later(mb.lastHeartbeat, mb.lastReply)); time.Since(last) > memberRemovalTimeout {
+		if mb.silentFor += led; mb.silentFor > memberRemovalTimeout {
 			expired = append(expired, mb)
 		}
 	}
@@ -793,7 +796,7 @@
 	mb.reportedBy, mb.epoch = sender.Boot, leader.Epoch
 	mb.sinceLeaderSeen = modeler.DurationFromMillis(gr.Silence)
 	mb.storeAge = modeler.DurationFromMillis(gr.StoreAge)
-	mb.leaderRefuses = gr.Refused
+	mb.leaderRefuses, mb.silentFor = gr.Refused, 0
 	mb.leading = gr.Leader == gr.Host && gr.LeaderBoot == gr.Boot && gr.Silence == 0
 	if isHeartbeat {
 		mb.lastHeartbeat = now
--- /dev/null
+++ b/internal/job/elector/members_test.go
@@ -0,0 +1,53 @@
+package elector_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// records returns the number of hosts' records in the store.
+func (cl *cluster) records() int {
+	ens, _, err := cl.store.Snapshot(cl.t.Context(), "Member/")
+	qt.Assert(cl.t, err, qt.IsNil)
+	return len(ens)
+}
+
+// endTermEvery cuts the leader off from the other hosts for a moment at intervals, so that another one leads.
+func (cl *cluster) endTermEvery(interval, total time.Duration) {
+	for began := time.Now(); time.Since(began) < total; {
+		leader := cl.assertLeader()
+		cl.cutHost(leader, cl.others(leader), true)
+		time.Sleep(5 * time.Second)
+		cl.cutHost(leader, cl.others(leader), false)
+		time.Sleep(interval - 5*time.Second)
+	}
+}
+
+// Guards against records of departed hosts that pile up in a series of terms shorter than the time after which one is
+// deleted, and against deletions of those of hosts that run.
+func TestDepartedHosts(t *testing.T) {
+	const (
+		hosts, departed = 7, 2
+		total           = 15 * time.Minute
+	)
+	for _, interval := range []time.Duration{15 * time.Second, 100 * time.Second, total} {
+		t.Run(fmt.Sprint("terms of ", interval), func(t *testing.T) {
+			withCluster(t, hosts, func(cl *cluster, leader int) {
+				for _, ix := range cl.others(leader)[:departed] {
+					cl.kill(ix)
+				}
+				time.Sleep(time.Minute)
+				qt.Check(t, cl.records(), qt.Equals, hosts)
+				if interval < total {
+					cl.endTermEvery(interval, total)
+				} else {
+					time.Sleep(total)
+				}
+				qt.Check(t, cl.records(), qt.Equals, hosts-departed)
+			})
+		})
+	}
+}
--- a/internal/job/elector/takeover.go
+++ b/internal/job/elector/takeover.go
@@ -123,7 +123,7 @@
 	el.own = Leader{Epoch: epoch, Host: self.Host, Boot: self.Boot, Address: self.Address}
 	el.leader, el.awaited = el.own, Leader{}
 	now := time.Now()
-	el.epochBegun, el.epochBegunAt, el.leaderLastSeen, el.leaderKnownAt = true, now, now, now
+	el.epochBegun, el.announcedAt, el.leaderLastSeen, el.leaderKnownAt = true, now, now, now
 	if el.inTerm {
 		close(el.termBegun)
 	}
