internal/job/elector: store a deleted record of this host again

A host that was cut off for 2 min and returned stayed without a record until its next start. The other hosts dropped it at each reading of the records, and knew it in between only by its heartbeats.

Cause: the leader deletes the record of a host that it does not hear of, and a host stored its record at its start and while it led.

Change: a host that finds that its own record is gone as it reads those of all hosts stores it again, unless it drains.

--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -391,7 +391,8 @@
 	}
 }
 
-// listMembers reads the records of all hosts and drops hosts without one.
+// listMembers reads the records of all hosts and drops hosts without one. If this host's own was deleted, as the
+// leader had not heard of it for memberRemovalTimeout, it stores it again.
 func (el *Elector) listMembers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeContactTimeout)
 	defer cancel()
@@ -400,6 +401,16 @@
 		// An outage of the store is logged by package watcher.
 		return
 	}
+	if !el.replaceMembers(ens) {
+		return
+	}
+	if err := el.writeMember(ctx); err != nil && ctx.Err() == nil {
+		logger.Log(el.op.Log, logger.MemberNotStored, "Error", err.Error())
+	}
+}
+
+// replaceMembers takes over the records of all hosts. It returns true if this host's own was deleted.
+func (el *Elector) replaceMembers(ens []storer.Entry) bool {
 	el.mu.Lock()
 	defer el.mu.Unlock()
 	el.membersRead = true
@@ -421,6 +432,7 @@
 			delete(el.members, host)
 		}
 	}
+	return el.ownRevision != 0 && !stored[el.op.Self.Host] && !el.draining
 }
 
 // ErrInvalidMember means that a host's record, or its message, has values out of bounds.
@@ -684,7 +696,7 @@
 	el.mu.Unlock()
 	el.sendHeartbeats(ctx, addrs, heartbeatTimeout)
 	for _, mb := range expired {
-		// A host that comes back stores its record again when it starts.
+		// A host that comes back stores its record again.
 		if err := el.op.Store.Delete(ctx, memberPrefix+string(mb.Host), mb.revision); err == nil {
 			logger.Log(el.op.Log, logger.MemberRemoved, "Host", mb.Host)
 		}
--- a/internal/job/elector/members_test.go
+++ b/internal/job/elector/members_test.go
@@ -51,3 +51,27 @@
 		})
 	}
 }
+
+// Guards against a host that is left out for good, as its record was deleted while it was cut off.
+func TestRecordIsStoredAgain(t *testing.T) {
+	const hosts = 5
+	withCluster(t, hosts, func(cl *cluster, leader int) {
+		ix := cl.others(leader)[0]
+		cl.cutFromStore(ix, true)
+		cl.cutHost(ix, cl.others(ix), true)
+		time.Sleep(3 * time.Minute)
+		qt.Check(t, cl.records(), qt.Equals, hosts-1)
+		cl.cutFromStore(ix, false)
+		cl.cutHost(ix, cl.others(ix), false)
+		time.Sleep(10 * time.Second)
+		qt.Check(t, cl.records(), qt.Equals, hosts)
+		qt.Check(t, cl.hosts[leader].elector.KnownHosts(), qt.HasLen, hosts)
+		cl.hosts[ix].elector.Drain()
+		key := fmt.Sprint("Member/host-", ix)
+		en, err := cl.store.Get(t.Context(), key)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, cl.store.Delete(t.Context(), key, en.Revision), qt.IsNil)
+		time.Sleep(10 * time.Second)
+		qt.Check(t, cl.records(), qt.Equals, hosts-1, qt.Commentf("a host that drains stores its record again"))
+	})
+}
