--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -192,6 +192,9 @@
 	readQueue  []modeler.JobID
 	jobReaders int
 	workers    map[modeler.WorkerID]*worker
+	// droppedFenceRises is how often the token of a worker that is registered now has risen at least. No token of a
+	// worker that was dropped was higher.
+	droppedFenceRises int64
 	// waitingSteps holds the steps that have waiting tasks and whose predecessors are done.
 	waitingSteps map[*step]struct{}
 	// unaccountedWorkers is the number of workers that may still run tasks of earlier terms and have
@@ -205,9 +208,9 @@
 	// inheritedUntil is when the leases of earlier leaders are over that the journal does not bound, and
 	// earlierUntil when those from before the predecessor are.
 	inheritedUntil, earlierUntil time.Time
-	// inheritanceKnown is set if the journal has a record of the predecessor's term, predecessorStopped if
-	// it is known to extend no leases any more.
-	inheritanceKnown, predecessorStopped bool
+	// boundsVoid is set if the journal has no record of the predecessor's term, inheritanceKnown if it has one and
+	// all its records could be read, and predecessorStopped if the predecessor is known to extend no leases any more.
+	boundsVoid, inheritanceKnown, predecessorStopped bool
 	// recordingLeases is set while recordLeases records. The last time, it did at clockRecordedAt with the
 	// inheritedUntil of recordedUntil.
 	recordingLeases bool
