internal/batch/scheduler: allow for leaders before the last one

A task of a plan could run twice. A leader that has lost the store and all hosts, but reaches a worker, goes on renewing leases for LeaderAutonomy. The next leader, which does not reach that worker, waits for this. The one after it took the end of its direct predecessor for the end of all earlier leaders, and started the task elsewhere after one lease.

Change: for an attempt that a leader before the last one started, the autonomy has to pass from the begin of the present epoch. An attempt that the last leader started is known to no earlier one, and is waited for as before.

Cost: the tasks of a silent worker wait for up to LeaderAutonomy (2 h) after a second change of the leader, where they waited for 5 minutes.

Evidence, on the paused clock: TestEarlierLeaderGoesOnRenewing before the change: 'attempt {a 0 2} on w00 while attempt 1 runs on w03'.

--- a/internal/batch/scheduler/scheduler.go
+++ b/internal/batch/scheduler/scheduler.go
@@ -196,7 +196,7 @@
 	probesDue  map[modeler.WorkerName]*workerState
 	writer     writer
 	epochBegan time.Time
-	// predecessorEnd is a time after which no earlier leader renews leases. It is zero until such a
+	// predecessorEnd is a time after which the previous leader renews no leases. It is zero until such a
 	// time is known.
 	predecessorEnd time.Time
 	// roundNeeded is set when a change may allow a task to start.
@@ -346,12 +346,17 @@
 	if !sc.predecessorEnd.IsZero() {
 		return
 	}
-	autonomy := sc.opts.LeaderAutonomy + modeler.DriftAllowance(sc.opts.LeaderAutonomy)
-	if sc.opts.Epoch <= 1 || sc.opts.PredecessorStopped() || now.Sub(sc.epochBegan) >= autonomy {
+	if sc.opts.Epoch <= 1 || sc.opts.PredecessorStopped() || now.Sub(sc.epochBegan) >= sc.maxAutonomy() {
 		sc.predecessorEnd = now
 	}
 }
 
+// maxAutonomy returns for how long a leader may renew leases after its last contact with the journal, plus an
+// allowance for clock drift.
+func (sc *Scheduler) maxAutonomy() time.Duration {
+	return sc.opts.LeaderAutonomy + modeler.DriftAllowance(sc.opts.LeaderAutonomy)
+}
+
 func (sc *Scheduler) updateAutonomy(now time.Time) {
 	within := now.Sub(sc.writer.lastContact) < sc.opts.LeaderAutonomy
 	if sc.withinAutonomy && !within {
--- a/internal/batch/scheduler/worker.go
+++ b/internal/batch/scheduler/worker.go
@@ -341,8 +341,14 @@
 		if sc.predecessorEnd.IsZero() {
 			return
 		}
-		// A renewal that the previous leader sent just before it stopped may still have arrived.
-		leaseStart = later(leaseStart, sc.predecessorEnd.Add(commandTimeout))
+		end := sc.predecessorEnd
+		if aa.job.tasks[aa.no].epoch < sc.opts.Epoch-1 {
+			// A leader before the previous one may know the attempt and reach its worker. Its last contact with the
+			// journal was before this epoch.
+			end = later(end, sc.epochBegan.Add(sc.maxAutonomy()))
+		}
+		// A renewal that an earlier leader sent just before it stopped may still have arrived.
+		leaseStart = later(leaseStart, end.Add(commandTimeout))
 	}
 	if now.After(leaseStart.Add(sc.opts.LeaseTerm + modeler.DriftAllowance(sc.opts.LeaseTerm))) {
 		sc.endAsLost(aa, "lease ended on a worker that does not answer")
