internal/batch/scheduler: record ends of leases, so that terms in series do not wait anew

A task of a plan whose worker was lost was not started again while the leader changed more often than a lease lasts (LOST): with a lease of 30 s and a new leader every 23 s, not within 6 minutes. Each leader counted the lease, and the autonomy of a predecessor that is not known to have stopped, from the start of its own term.

LeaseBoundMessage has the end of the leases on a worker that has missed three reports, LeaseReleaseMessage lifts it.

Why no task runs twice: - A leader grants nothing on a bounded worker from the proposal of the bound to the durable release, and the bound counts its last grant, proposed starts included. Its successors keep to this, also after they have read the bound. A deposed leader cannot make a release durable. Disjoint intervals on different clocks need no further allowance for drift. - A leader relies on bounds only if the epoch right before its own has a TermMessage. Otherwise its predecessor may be of a version that renews bounded leases: it drops them, its first record voids them for its successors, and it waits for the autonomy of all earlier leaders.

Why no lease runs out for it: a bound is recorded only right before an append, within 2 s of a successful one, and is taken back if it certainly was not written. A leader that has lost workers and store together renews without the store once the workers return. If the store goes away between the silence of a worker and its return, or with the result of the bound unknown, the tasks of that worker lapse after their lease, unless the store is back before.

Not covered by a test: that no task starts on a worker between its first report and the durable release.

--- a/internal/batch/scheduler/codec.go
+++ b/internal/batch/scheduler/codec.go
@@ -143,6 +143,12 @@
 		}
 		parts = append(parts, data)
 	}
+	// The leases are a part of their own: with 45 bytes a worker, those of 17,000 workers fit into it.
+	data, err := proto.Marshal(st.encodeLeases())
+	if err != nil {
+		return nil, fmt.Errorf("encode leases: %w", err)
+	}
+	parts = append(parts, data)
 	sm := &SnapshotMessage{LastJob: st.lastJob}
 	size := 0
 	for _, jb := range st.jobs {
@@ -160,13 +166,21 @@
 		sm.Jobs = append(sm.Jobs, jm)
 		size += grown
 	}
-	data, err := proto.Marshal(sm)
+	data, err = proto.Marshal(sm)
 	if err != nil {
 		return nil, fmt.Errorf("encode jobs: %w", err)
 	}
 	return append(parts, data), nil
 }
 
+func (st *stateMachine) encodeLeases() *SnapshotMessage {
+	sm := &SnapshotMessage{LastJob: st.lastJob, Term: st.term}
+	for name, until := range st.leaseBounds {
+		sm.LeaseBounds = append(sm.LeaseBounds, &LeaseBoundMessage{Worker: string(name), Until: until.Milliseconds()})
+	}
+	return sm
+}
+
 // restore adds one part of a snapshot and returns its chunk of estimates, nil if it has none.
 func (st *stateMachine) restore(part []byte) ([]byte, error) {
 	var sm SnapshotMessage
@@ -177,5 +191,11 @@
 	for _, jm := range sm.GetJobs() {
 		st.decodeJob(jm)
 	}
+	if sm.GetTerm() != nil {
+		st.term = sm.GetTerm()
+	}
+	for _, lm := range sm.GetLeaseBounds() {
+		st.applyLeaseBound(lm)
+	}
 	return sm.GetEstimates(), nil
 }
--- a/internal/batch/scheduler/recovery.go
+++ b/internal/batch/scheduler/recovery.go
@@ -31,6 +31,7 @@
 		sc.state.apply(&rm, rec.EpochBegan)
 	}
 	sc.state.rebuildWaitingTasks()
+	sc.inheritLeases()
 	for _, jb := range sc.state.jobs {
 		sc.enqueueJob(jb, rec.EpochBegan)
 		for no := range jb.tasks {
@@ -62,6 +63,9 @@
 		startBefore: sc.epochBegan.Add(maxStartDelay),
 		checkpoint:  tk.checkpoint,
 	}
+	if lb, ok := sc.leases.bounds[tk.worker]; ok {
+		aa.inheritedBound = lb.until
+	}
 	sc.addRunning(aa, 1)
 	sc.queue.team(jb.Team).addReserved(tk.reservation, supervisor.Resources{})
 	sc.unlisted[tk.worker] = append(sc.unlisted[tk.worker], aa)
--- a/internal/batch/scheduler/report.go
+++ b/internal/batch/scheduler/report.go
@@ -64,6 +64,7 @@
 	}
 	ws.reported, ws.unresponsive, ws.startRefused, ws.declaredGone = true, false, false, false
 	ws.lastReportRequested = requested
+	delete(sc.leases.boundsDue, ws.worker.Name)
 	listed := make(map[supervisor.Attempt]bool, len(rp.Running)+len(rp.Ended))
 	ws.unknownAttempts = 0
 	for i := range rp.Running {
--- a/internal/batch/scheduler/scheduler.go
+++ b/internal/batch/scheduler/scheduler.go
@@ -196,9 +196,7 @@
 	probesDue  map[modeler.WorkerName]*workerState
 	writer     writer
 	epochBegan time.Time
-	// predecessorEnd is a time after which the previous leader renews no leases. It is zero until such a
-	// time is known.
-	predecessorEnd time.Time
+	leases     leaseRecords
 	// roundNeeded is set when a change may allow a task to start.
 	roundNeeded bool
 	// round numbers the rounds of startTasks.
@@ -231,6 +229,7 @@
 		probesDue:      make(map[modeler.WorkerName]*workerState),
 		unlisted:       make(map[modeler.WorkerName][]*activeAttempt),
 		epochBegan:     rec.EpochBegan,
+		leases:         leaseRecords{bounds: make(map[modeler.WorkerName]*leaseBound), boundsDue: make(map[modeler.WorkerName]time.Time)},
 		withinAutonomy: true,
 	}
 	sc.writer.lastContact = rec.EpochBegan
@@ -292,7 +291,9 @@
 	sc.sends.Wait()
 	if errors.Is(err, ErrDeposed) {
 		logger.Log(sc.lg, logger.SchedulerDeposed, "DataCentre", sc.opts.DataCentre, "Epoch", sc.opts.Epoch)
+		return err
 	}
+	sc.recordEnd()
 	return err
 }
 
@@ -319,7 +320,7 @@
 
 // tick does everything that is due at a time.
 func (sc *Scheduler) tick(now time.Time) {
-	sc.updatePredecessorEnd(now)
+	sc.checkPredecessor(now)
 	sc.updateAutonomy(now)
 	sc.roundNeeded = sc.queue.releaseDelayed(now) || sc.roundNeeded
 	sc.evictor.Refill(sc.runningBatch, now)
@@ -334,29 +335,13 @@
 	for name, aas := range sc.unlisted {
 		sc.expireUnlisted(name, aas, now)
 	}
+	sc.checkLeases(now)
 	if !now.Before(sc.nextPrune) {
 		sc.nextPrune = now.Add(time.Hour)
 		sc.state.prune(now.Add(-sc.opts.FinishedRetention))
 	}
 }
 
-// updatePredecessorEnd sets predecessorEnd once the previous leader, if there was one, has stopped
-// or its autonomy, plus an allowance for clock drift, has passed.
-func (sc *Scheduler) updatePredecessorEnd(now time.Time) {
-	if !sc.predecessorEnd.IsZero() {
-		return
-	}
-	if sc.opts.Epoch <= 1 || sc.opts.PredecessorStopped() || now.Sub(sc.epochBegan) >= sc.maxAutonomy() {
-		sc.predecessorEnd = now
-	}
-}
-
-// maxAutonomy returns for how long a leader may renew leases after its last contact with the journal, plus an
-// allowance for clock drift.
-func (sc *Scheduler) maxAutonomy() time.Duration {
-	return sc.opts.LeaderAutonomy + modeler.DriftAllowance(sc.opts.LeaderAutonomy)
-}
-
 func (sc *Scheduler) updateAutonomy(now time.Time) {
 	within := now.Sub(sc.writer.lastContact) < sc.opts.LeaderAutonomy
 	if sc.withinAutonomy && !within {
--- a/internal/batch/scheduler/starter.go
+++ b/internal/batch/scheduler/starter.go
@@ -179,7 +179,7 @@
 		return false
 	}
 	for name, ws := range sc.probesDue {
-		probeable := ws.reported && !ws.unresponsive && !ws.declaredGone && ws.unknownAttempts == 0 && sc.detector.ProbeDue(name, now)
+		probeable := ws.reported && !ws.unresponsive && !ws.declaredGone && ws.unknownAttempts == 0 && !sc.bounded(name) && sc.detector.ProbeDue(name, now)
 		if probeable && sc.placer.CanPlaceOn(name, tk) && sc.startOn(jb, tk, name, now) {
 			delete(sc.probesDue, name)
 			sc.detector.ProbeStarted(name, jb.id)
--- a/internal/batch/scheduler/state.go
+++ b/internal/batch/scheduler/state.go
@@ -15,6 +15,10 @@
 	byDay  map[string]map[uint64]*job
 	// lastJob is the highest number assigned to a job.
 	lastJob uint64
+	// term is the last record of a term, nil if there is none.
+	term *TermMessage
+	// leaseBounds has the recorded ends of the leases on workers, on the journal's clock.
+	leaseBounds map[modeler.WorkerName]time.Duration
 }
 
 func newStateMachine() *stateMachine {
@@ -23,6 +27,8 @@
 		byName: make(map[string]*job),
 		byTeam: make(map[string]map[uint64]*job),
 		byDay:  make(map[string]map[uint64]*job),
+
+		leaseBounds: make(map[modeler.WorkerName]time.Duration),
 	}
 }
 
@@ -52,9 +58,22 @@
 		})
 	case *RecordMessage_Resolve:
 		st.applyResolve(rc.Resolve, now)
+	case *RecordMessage_Term:
+		if rc.Term.GetBoundsVoid() {
+			clear(st.leaseBounds)
+		}
+		st.term = rc.Term
+	case *RecordMessage_LeaseBound:
+		st.applyLeaseBound(rc.LeaseBound)
+	case *RecordMessage_LeaseRelease:
+		delete(st.leaseBounds, modeler.WorkerName(rc.LeaseRelease.GetWorker()))
 	}
 }
 
+func (st *stateMachine) applyLeaseBound(lm *LeaseBoundMessage) {
+	st.leaseBounds[modeler.WorkerName(lm.GetWorker())] = time.Duration(lm.GetUntil()) * time.Millisecond
+}
+
 // applySubmit adds a job, or replaces the job of the same name if it is replaceable.
 func (st *stateMachine) applySubmit(jm *JobMessage) {
 	st.lastJob = max(st.lastJob, jm.GetId())
--- a/internal/batch/scheduler/worker.go
+++ b/internal/batch/scheduler/worker.go
@@ -84,6 +84,8 @@
 	lastGrant time.Time
 	// recovered is set for an attempt adopted from an earlier leader.
 	recovered bool
+	// inheritedBound is the end of the leases of earlier leaders, if one of them has recorded it, zero otherwise.
+	inheritedBound time.Time
 	// endPending is set while the record of the end is being written.
 	endPending bool
 	// evicting is set from the decision to evict until the end.
@@ -210,7 +212,7 @@
 	}
 	// An unresponsive worker gets no renewals: each one might arrive although its answer is lost,
 	// and would delay the time at which the leases have certainly expired.
-	if !now.Before(ws.nextRenew) && ws.reported && !ws.unresponsive && sc.withinAutonomy {
+	if !now.Before(ws.nextRenew) && ws.reported && !ws.unresponsive && sc.withinAutonomy && !sc.bounded(ws.worker.Name) {
 		sc.sendRenew(ws, now)
 	}
 	if !ws.reported || ws.unresponsive {
@@ -225,7 +227,7 @@
 func (sc *Scheduler) updateUnschedulable(ws *workerState) {
 	name := ws.worker.Name
 	unschedulable := !ws.reported || ws.unresponsive || ws.startRefused || ws.declaredGone || ws.unknownAttempts > 0 ||
-		sc.detector.Quarantined(name) || sc.evictor.Throttled(name)
+		sc.bounded(name) || sc.detector.Quarantined(name) || sc.evictor.Throttled(name)
 	if ws.unschedulable != unschedulable {
 		ws.unschedulable = unschedulable
 		sc.placer.SetUnschedulable(name, unschedulable)
@@ -336,21 +338,7 @@
 	if !aa.startRecorded || aa.endPending {
 		return
 	}
-	leaseStart := aa.lastGrant
-	if aa.recovered {
-		if sc.predecessorEnd.IsZero() {
-			return
-		}
-		end := sc.predecessorEnd
-		if aa.job.tasks[aa.no].epoch < sc.opts.Epoch-1 {
-			// A leader before the previous one may know the attempt and reach its worker. Its last contact with the
-			// journal was before this epoch.
-			end = later(end, sc.epochBegan.Add(sc.maxAutonomy()))
-		}
-		// A renewal that an earlier leader sent just before it stopped may still have arrived.
-		leaseStart = later(leaseStart, end.Add(commandTimeout))
-	}
-	if now.After(leaseStart.Add(sc.opts.LeaseTerm + modeler.DriftAllowance(sc.opts.LeaseTerm))) {
+	if now.After(sc.leaseEnd(aa)) {
 		sc.endAsLost(aa, "lease ended on a worker that does not answer")
 	}
 }
--- a/internal/batch/scheduler/writer.go
+++ b/internal/batch/scheduler/writer.go
@@ -77,6 +77,7 @@
 		if !wr.failing {
 			sc.startTasks(now)
 		}
+		sc.recordLeases(now)
 		sc.proposeHeartbeat(now)
 		wr.takeBatch()
 	}
