internal/batch/scheduler: count the last leader's leases with their own length

A task of a plan could run twice after an operator had shortened LeaseTerm, which may be up to 24 hours. Each leader reads it as its term begins, and counted the leases of its predecessor with its own value: the tasks of a worker that it did not reach were started elsewhere while the longer lease still held.

Change: TermMessage has the length of the leases that its leader grants, and the next leader counts with the longer of both. Leases of leaders before that one are in inherited_until and in the bounds already. If the last epoch has no TermMessage, as right after an upgrade, its length is not known and the leader still counts with its own.

Evidence: TestShorterLeaseTermAfterTakeover, with a lease of 120 s and then of 30 s, before: "attempt {a 0 2} on w00 while attempt 1 runs on w03".

--- a/internal/batch/scheduler/lease.go
+++ b/internal/batch/scheduler/lease.go
@@ -36,6 +36,8 @@
 	// predecessorUntil is when all leases of the last leader are over, earlierUntil that of the leaders before it.
 	predecessorUntil, earlierUntil time.Time
 	predecessorStopped             bool
+	// predecessorTerm is the length of the leases that the last leader granted. Operators may change it.
+	predecessorTerm time.Duration
 	// bounds has the workers on which no attempt may be started or renewed, because the journal may have an end of
 	// their leases.
 	bounds map[modeler.WorkerName]*leaseBound
@@ -57,10 +59,8 @@
 	changing bool
 }
 
-// leaseTime returns the longest time from the grant of a lease until it is over.
-func (sc *Scheduler) leaseTime() time.Duration {
-	return sc.opts.LeaseTerm + modeler.DriftAllowance(sc.opts.LeaseTerm)
-}
+// leaseTime returns the longest time from the grant of a lease of a length until it is over.
+func leaseTime(term time.Duration) time.Duration { return term + modeler.DriftAllowance(term) }
 
 // inheritLeases determines from the recovered records when the leases of earlier leaders are over. Without a record of
 // the last epoch, nothing is known of the leases that its leader granted.
@@ -71,9 +71,13 @@
 		lr.known, lr.predecessorStopped = true, true
 		return
 	}
-	autonomy := sc.opts.LeaderAutonomy + modeler.DriftAllowance(sc.opts.LeaderAutonomy)
-	sc.setPredecessorEnd(sc.epochBegan.Add(autonomy))
 	lr.known = modeler.Epoch(tm.GetEpoch()) == sc.opts.Epoch-1
+	lr.predecessorTerm = sc.opts.LeaseTerm
+	if lr.known {
+		lr.predecessorTerm = max(lr.predecessorTerm, time.Duration(tm.GetLeaseTerm())*time.Millisecond)
+	}
+	autonomy := sc.opts.LeaderAutonomy + modeler.DriftAllowance(sc.opts.LeaderAutonomy)
+	lr.predecessorUntil = sc.predecessorLeasesOver(sc.epochBegan.Add(autonomy))
 	if !lr.known {
 		clear(sc.state.leaseBounds)
 		if sc.opts.Epoch > 2 {
@@ -86,17 +90,17 @@
 	lr.earlierUntil = sc.journalTime(time.Duration(tm.GetInheritedUntil()) * time.Millisecond)
 	if tm.GetEnded() {
 		lr.predecessorStopped = true
-		sc.setPredecessorEnd(sc.epochBegan)
+		lr.predecessorUntil = sc.predecessorLeasesOver(sc.epochBegan)
 	}
 	for name, until := range sc.state.leaseBounds {
 		lr.bounds[name] = &leaseBound{until: sc.journalTime(until)}
 	}
 }
 
-// setPredecessorEnd notes that the last leader grants no lease after a time.
-func (sc *Scheduler) setPredecessorEnd(at time.Time) {
+// predecessorLeasesOver returns when the leases of the last leader are over if it grants none after a time.
+func (sc *Scheduler) predecessorLeasesOver(stopped time.Time) time.Time {
 	// A renewal that it sent just before may still arrive.
-	sc.leases.predecessorUntil = at.Add(commandTimeout + sc.leaseTime())
+	return stopped.Add(commandTimeout + leaseTime(sc.leases.predecessorTerm))
 }
 
 // checkPredecessor notes when the last leader is found to have stopped.
@@ -106,9 +110,7 @@
 		return
 	}
 	lr.predecessorStopped = true
-	if now.Add(commandTimeout + sc.leaseTime()).Before(lr.predecessorUntil) {
-		sc.setPredecessorEnd(now)
-	}
+	lr.predecessorUntil = earlier(lr.predecessorUntil, sc.predecessorLeasesOver(now))
 	logger.Log(sc.lg, logger.PredecessorStopped, "InheritedLease", sc.inheritedUntil().Sub(now).String())
 }
 
@@ -119,7 +121,7 @@
 
 // leaseEnd returns when the lease of an attempt is over on a worker that does not answer.
 func (sc *Scheduler) leaseEnd(aa *activeAttempt) time.Time {
-	end := aa.lastGrant.Add(sc.leaseTime())
+	end := aa.lastGrant.Add(leaseTime(sc.opts.LeaseTerm))
 	if !aa.recovered {
 		return end
 	}
@@ -278,6 +280,7 @@
 		InheritedUntil: roundUp(sc.journalClock(sc.inheritedUntil())), Ended: ended,
 		// Later records must not void the bounds of this term.
 		BoundsVoid: !lr.known && !lr.termRecorded,
+		LeaseTerm:  sc.opts.LeaseTerm.Milliseconds(),
 	}
 	return &RecordMessage{Record: &RecordMessage_Term{Term: tm}}
 }
--- a/internal/batch/scheduler/lease_test.go
+++ b/internal/batch/scheduler/lease_test.go
@@ -74,7 +74,7 @@
 	sc.state.term = nil
 	sc.leases.termProposed, sc.leases.predecessorStopped, sc.leases.earlierUntil = true, false, time.Time{}
 	clear(sc.leases.bounds)
-	sc.setPredecessorEnd(sc.epochBegan.Add(sc.opts.LeaderAutonomy + modeler.DriftAllowance(sc.opts.LeaderAutonomy)))
+	sc.leases.predecessorUntil = sc.predecessorLeasesOver(sc.epochBegan.Add(sc.opts.LeaderAutonomy + modeler.DriftAllowance(sc.opts.LeaderAutonomy)))
 	for _, aas := range sc.unlisted {
 		for _, aa := range aas {
 			aa.inheritedBound = time.Time{}
@@ -329,6 +329,29 @@
 	}
 }
 
+// Guards against a task that runs twice because a leader counts the lease of the last leader with its own, shorter
+// LeaseTerm, after an operator has changed it.
+func TestShorterLeaseTermAfterTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl, nw := newTermCluster(t, 4)
+		cl.options.LeaseTerm = 4 * testLease
+		cl.startLeader()
+		time.Sleep(3 * time.Second)
+		cl.submit(testJob("a"))
+		time.Sleep(5 * time.Second)
+		cl.options.LeaseTerm = testLease
+		nw.setCut(cl.taskStatus("a").Worker, true)
+		cl.currentProcess().kill()
+		nextTerm()
+		time.Sleep(2 * testLease)
+		qt.Check(t, cl.taskStatus("a").Attempt, qt.Equals, 1)
+		time.Sleep(3 * testLease)
+		qt.Check(t, cl.taskStatus("a").Attempt, qt.Equals, 2)
+		time.Sleep(2 * testLease)
+		cl.close()
+	})
+}
+
 // Guards against tasks that lose their leases on workers that a leader reaches: it lost workers and journal together,
 // and the workers returned alone. The result of a record of the ends of their leases would be unknown.
 func TestJournalLostWithWorkers(t *testing.T) {
