internal/batch/scheduler: keep quarantines over a change of the leader

After each change of the leader, a worker that was known to be faulty got tasks again until it was quarantined anew. Tasks that are not repeatable failed for good there. The quarantine was in the memory of one leader only.

A new leader restores it with a probe due at once, so that a series of short terms does not keep a healthy worker from work; probes use repeatable tasks only. The record ends when the worker leaves the list, also between two terms, and the metric of quarantined workers counts that. No decision on leases depends on these records.

TestQuarantineOfRemovedWorker fails without the rule for workers that have left the list.

--- a/internal/batch/detector/detector.go
+++ b/internal/batch/detector/detector.go
@@ -68,6 +68,13 @@
 	return ok && wh.quarantined
 }
 
+// Restore quarantines a worker that an earlier leader has quarantined. A probe is due at once, so that a series of short
+// terms does not keep a healthy worker quarantined.
+func (dt *Detector) Restore(wk modeler.WorkerName, now time.Time) {
+	dt.quarantine(wk, dt.history(wk), now)
+	dt.workers[wk].nextProbe = now
+}
+
 // ProbeDue reports whether a probe of the quarantined worker is due.
 func (dt *Detector) ProbeDue(wk modeler.WorkerName, now time.Time) bool {
 	wh, ok := dt.workers[wk]
--- a/internal/batch/scheduler/codec.go
+++ b/internal/batch/scheduler/codec.go
@@ -143,10 +143,10 @@
 		}
 		parts = append(parts, data)
 	}
-	// The leases are a part of their own: with 45 bytes a worker, those of 17,000 workers fit into it.
-	data, err := proto.Marshal(st.encodeLeases())
+	// What is known of workers is a part of its own: with 65 bytes a worker, that of 12,000 workers fits into it.
+	data, err := proto.Marshal(st.encodeWorkers())
 	if err != nil {
-		return nil, fmt.Errorf("encode leases: %w", err)
+		return nil, fmt.Errorf("encode workers: %w", err)
 	}
 	parts = append(parts, data)
 	sm := &SnapshotMessage{LastJob: st.lastJob}
@@ -173,11 +173,14 @@
 	return append(parts, data), nil
 }
 
-func (st *stateMachine) encodeLeases() *SnapshotMessage {
+func (st *stateMachine) encodeWorkers() *SnapshotMessage {
 	sm := &SnapshotMessage{LastJob: st.lastJob, Term: st.term}
 	for name, until := range st.leaseBounds {
 		sm.LeaseBounds = append(sm.LeaseBounds, &LeaseBoundMessage{Worker: string(name), Until: until.Milliseconds()})
 	}
+	for name := range st.quarantined {
+		sm.Quarantined = append(sm.Quarantined, string(name))
+	}
 	return sm
 }
 
@@ -197,5 +200,8 @@
 	for _, lm := range sm.GetLeaseBounds() {
 		st.applyLeaseBound(lm)
 	}
+	for _, name := range sm.GetQuarantined() {
+		st.quarantined[modeler.WorkerName(name)] = true
+	}
 	return sm.GetEstimates(), nil
 }
--- a/internal/batch/scheduler/lease_test.go
+++ b/internal/batch/scheduler/lease_test.go
@@ -17,6 +17,7 @@
 	"github.com/currantrouter/currantrouter/internal/provider/emulator"
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
 	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 var (
@@ -180,14 +181,14 @@
 	return tl.leaderProcess.Stop(ctx, wk, ep, at)
 }
 
-// recordedCounts counts the bounds of leases that a leader keeps to and the running tasks.
-type recordedCounts struct{ bounds, running int }
+// recordedCounts counts the bounds of leases that a leader keeps to, the running tasks and the recorded quarantines.
+type recordedCounts struct{ bounds, running, quarantined int }
 
 func (cl *testCluster) recorded() recordedCounts {
 	var rc recordedCounts
 	cl.retry(func(ctx context.Context, sc *Scheduler) error {
 		return sc.runInLoop(ctx, func(done func(error)) {
-			rc = recordedCounts{len(sc.leases.bounds), sc.runningBatch}
+			rc = recordedCounts{len(sc.leases.bounds), sc.runningBatch, len(sc.state.quarantined)}
 			done(nil)
 		})
 	})
@@ -422,3 +423,67 @@
 	qt.Check(t, cl.states()[Running], qt.Equals, numTermJobs)
 	cl.close()
 }
+
+// newFaultyWorkerCluster returns a cluster that has quarantined the worker w00, on which every attempt fails.
+func newFaultyWorkerCluster(t *testing.T) *testCluster {
+	runTime := func(supervisor.StartCommand) time.Duration { return 20 * time.Second }
+	cl := newTestCluster(t, 4, emulator.Behaviour{RunTime: runTime})
+	cl.faults.Set(emulator.Switch{Fault: emulator.FailEverything, Part: emulator.PartWorkers, Target: "w00"})
+	cl.startLeader()
+	time.Sleep(3 * time.Second)
+	cl.submitOnce(0)
+	qt.Assert(t, cl.workersInQuarantine(), qt.Equals, int64(1))
+	return cl
+}
+
+// submitOnce submits jobs that are not repeatable, which no probe of a quarantined worker uses.
+func (cl *testCluster) submitOnce(round int) {
+	for no := range 12 {
+		cl.submit(testJob(fmt.Sprintf("j%d-%d", round, no), withTasks(3), withKind("j"), notRepeatable))
+	}
+	time.Sleep(3 * time.Minute)
+}
+
+func (cl *testCluster) workersInQuarantine() int64 {
+	return cl.currentLeader().mt.Value(meter.WorkersInQuarantine)
+}
+
+// Guards against a faulty worker that gets tasks anew in each term, and against one that stays in quarantine for good.
+func TestPlanQuarantineOutlastsTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newFaultyWorkerCluster(t)
+		failed := cl.states()[Failed]
+		for term := 1; term <= 5; term++ {
+			if term == 3 {
+				cl.retry(cl.snapshot)
+			}
+			cl.currentProcess().kill()
+			nextTerm()
+			cl.submitOnce(term)
+		}
+		qt.Check(t, cl.states()[Failed], qt.Equals, failed)
+		qt.Check(t, cl.workersInQuarantine(), qt.Equals, int64(1))
+		cl.faults.Clear()
+		cl.submit(testJob("probe", withTasks(4), withKind("j")))
+		time.Sleep(2 * time.Minute)
+		cl.currentProcess().kill()
+		nextTerm()
+		qt.Check(t, cl.workersInQuarantine(), qt.Equals, int64(0))
+		cl.close()
+	})
+}
+
+// Guards against records of quarantined workers that are kept for good: a worker may leave the list between two terms.
+func TestQuarantineOfRemovedWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newFaultyWorkerCluster(t)
+		cl.workerList = cl.workerList[1:]
+		for range 2 {
+			cl.currentProcess().kill()
+			nextTerm()
+		}
+		qt.Check(t, cl.workersInQuarantine(), qt.Equals, int64(0))
+		qt.Check(t, cl.recorded().quarantined, qt.Equals, 0)
+		cl.close()
+	})
+}
--- a/internal/batch/scheduler/recovery.go
+++ b/internal/batch/scheduler/recovery.go
@@ -9,6 +9,7 @@
 
 	"github.com/currantrouter/currantrouter/internal/batch/estimator"
 	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // recover restores the snapshot, replays the records, and rebuilds the state that is not recorded.
@@ -32,6 +33,10 @@
 	}
 	sc.state.rebuildWaitingTasks()
 	sc.inheritLeases()
+	for name := range sc.state.quarantined {
+		sc.detector.Restore(name, rec.EpochBegan)
+	}
+	sc.mt.Set(meter.WorkersInQuarantine, int64(len(sc.state.quarantined)))
 	for _, jb := range sc.state.jobs {
 		sc.enqueueJob(jb, rec.EpochBegan)
 		for no := range jb.tasks {
--- a/internal/batch/scheduler/report.go
+++ b/internal/batch/scheduler/report.go
@@ -304,6 +304,7 @@
 	if readmitted {
 		logger.Log(sc.lg, logger.WorkerReadmitted, "Worker", aa.worker)
 		sc.mt.Add(meter.WorkersInQuarantine, -1)
+		sc.proposeQuarantine(aa.worker, true)
 	}
 }
 
@@ -317,12 +318,19 @@
 	if dg.Quarantined {
 		logger.Log(sc.lg, logger.WorkerQuarantined, "Worker", aa.worker, "Reason", reason)
 		sc.mt.Add(meter.WorkersInQuarantine, 1)
+		sc.proposeQuarantine(aa.worker, false)
 	}
 	if dg.CannotRun {
 		sc.markCannotRun(jb, dg.Reasons)
 	}
 }
 
+// proposeQuarantine records the begin or the end of a quarantine for the next leaders.
+func (sc *Scheduler) proposeQuarantine(name modeler.WorkerName, ended bool) {
+	qm := &QuarantineMessage{Worker: string(name), Ended: ended}
+	sc.propose(&RecordMessage{Record: &RecordMessage_Quarantine{Quarantine: qm}}, func(time.Time) {}, nil)
+}
+
 func (sc *Scheduler) logEnd(aa *activeAttempt, ae attemptEnd) {
 	kv := []any{"Worker", aa.worker, "Job", aa.attempt.Job, "Task", aa.no, "Attempt", aa.attempt.Number, "Reason", ae.reason}
 	switch {
--- a/internal/batch/scheduler/state.go
+++ b/internal/batch/scheduler/state.go
@@ -19,6 +19,8 @@
 	term *TermMessage
 	// leaseBounds has the recorded ends of the leases on workers, on the journal's clock.
 	leaseBounds map[modeler.WorkerName]time.Duration
+	// quarantined has the workers in quarantine.
+	quarantined map[modeler.WorkerName]bool
 }
 
 func newStateMachine() *stateMachine {
@@ -29,6 +31,7 @@
 		byDay:  make(map[string]map[uint64]*job),
 
 		leaseBounds: make(map[modeler.WorkerName]time.Duration),
+		quarantined: make(map[modeler.WorkerName]bool),
 	}
 }
 
@@ -67,6 +70,16 @@
 		st.applyLeaseBound(rc.LeaseBound)
 	case *RecordMessage_LeaseRelease:
 		delete(st.leaseBounds, modeler.WorkerName(rc.LeaseRelease.GetWorker()))
+	case *RecordMessage_Quarantine:
+		st.applyQuarantine(rc.Quarantine)
+	}
+}
+
+func (st *stateMachine) applyQuarantine(qm *QuarantineMessage) {
+	if name := modeler.WorkerName(qm.GetWorker()); qm.GetEnded() {
+		delete(st.quarantined, name)
+	} else {
+		st.quarantined[name] = true
 	}
 }
 
--- a/internal/batch/scheduler/worker.go
+++ b/internal/batch/scheduler/worker.go
@@ -134,6 +134,12 @@
 			sc.removeWorker(name, ws)
 		}
 	}
+	for name := range sc.state.quarantined {
+		if _, ok := sc.workers[name]; !ok {
+			// It has left the list since an earlier term.
+			sc.removeFromDetector(name)
+		}
+	}
 	sc.tickOrder = sc.tickOrder[:0]
 	for _, wk := range wks {
 		sc.tickOrder = append(sc.tickOrder, sc.workers[wk.Name])
@@ -179,10 +185,19 @@
 	delete(sc.workers, name)
 	delete(sc.probesDue, name)
 	sc.placer.Remove(name)
-	sc.detector.RemoveWorker(name)
+	sc.removeFromDetector(name)
 	sc.evictor.Remove(name)
 }
 
+// removeFromDetector drops what is known of the failures of a worker that is not listed any more.
+func (sc *Scheduler) removeFromDetector(name modeler.WorkerName) {
+	if sc.detector.Quarantined(name) {
+		sc.mt.Add(meter.WorkersInQuarantine, -1)
+		sc.proposeQuarantine(name, true)
+	}
+	sc.detector.RemoveWorker(name)
+}
+
 // activePlacerTask describes an active attempt to the placer.
 func (sc *Scheduler) activePlacerTask(aa *activeAttempt) placer.Task {
 	return placer.Task{
