--- a/internal/batch/scheduler/codec.go
+++ b/internal/batch/scheduler/codec.go
@@ -143,6 +143,12 @@
 		}
 		parts = append(parts, data)
 	}
+	// What is known of workers is a part of its own: with 65 bytes a worker, that of 12,000 workers fits into it.
+	data, err := proto.Marshal(st.encodeWorkers())
+	if err != nil {
+		return nil, fmt.Errorf("encode workers: %w", err)
+	}
+	parts = append(parts, data)
 	sm := &SnapshotMessage{LastJob: st.lastJob}
 	size := 0
 	for _, jb := range st.jobs {
@@ -160,13 +166,24 @@
 		sm.Jobs = append(sm.Jobs, jm)
 		size += grown
 	}
-	data, err := proto.Marshal(sm)
+	data, err = proto.Marshal(sm)
 	if err != nil {
 		return nil, fmt.Errorf("encode jobs: %w", err)
 	}
 	return append(parts, data), nil
 }
 
+func (st *stateMachine) encodeWorkers() *SnapshotMessage {
+	sm := &SnapshotMessage{LastJob: st.lastJob, Term: st.term}
+	for name, until := range st.leaseBounds {
+		sm.LeaseBounds = append(sm.LeaseBounds, &LeaseBoundMessage{Worker: string(name), Until: until.Milliseconds()})
+	}
+	for name := range st.quarantined {
+		sm.Quarantined = append(sm.Quarantined, string(name))
+	}
+	return sm
+}
+
 // restore adds one part of a snapshot and returns its chunk of estimates, nil if it has none.
 func (st *stateMachine) restore(part []byte) ([]byte, error) {
 	var sm SnapshotMessage
@@ -177,5 +194,14 @@
 	for _, jm := range sm.GetJobs() {
 		st.decodeJob(jm)
 	}
+	if sm.GetTerm() != nil {
+		st.term = sm.GetTerm()
+	}
+	for _, lm := range sm.GetLeaseBounds() {
+		st.applyLeaseBound(lm)
+	}
+	for _, name := range sm.GetQuarantined() {
+		st.quarantined[modeler.WorkerName(name)] = true
+	}
 	return sm.GetEstimates(), nil
 }
--- a/internal/batch/scheduler/recovery.go
+++ b/internal/batch/scheduler/recovery.go
@@ -9,6 +9,7 @@
 
 	"github.com/currantrouter/currantrouter/internal/batch/estimator"
 	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // recover restores the snapshot, replays the records, and rebuilds the state that is not recorded.
@@ -31,6 +32,11 @@
 		sc.state.apply(&rm, rec.EpochBegan)
 	}
 	sc.state.rebuildWaitingTasks()
+	sc.inheritLeases()
+	for name := range sc.state.quarantined {
+		sc.detector.Restore(name, rec.EpochBegan)
+	}
+	sc.mt.Set(meter.WorkersInQuarantine, int64(len(sc.state.quarantined)))
 	for _, jb := range sc.state.jobs {
 		sc.enqueueJob(jb, rec.EpochBegan)
 		for no := range jb.tasks {
@@ -62,6 +68,9 @@
 		startBefore: sc.epochBegan.Add(maxStartDelay),
 		checkpoint:  tk.checkpoint,
 	}
+	if lb, ok := sc.leases.bounds[tk.worker]; ok {
+		aa.inheritedBound = lb.until
+	}
 	sc.addRunning(aa, 1)
 	sc.queue.team(jb.Team).addReserved(tk.reservation, supervisor.Resources{})
 	sc.unlisted[tk.worker] = append(sc.unlisted[tk.worker], aa)
--- a/internal/batch/scheduler/worker.go
+++ b/internal/batch/scheduler/worker.go
@@ -84,6 +84,8 @@
 	lastGrant time.Time
 	// recovered is set for an attempt adopted from an earlier leader.
 	recovered bool
+	// inheritedBound is the end of the leases of earlier leaders, if one of them has recorded it, zero otherwise.
+	inheritedBound time.Time
 	// endPending is set while the record of the end is being written.
 	endPending bool
 	// evicting is set from the decision to evict until the end.
@@ -132,6 +134,12 @@
 			sc.removeWorker(name, ws)
 		}
 	}
+	for name := range sc.state.quarantined {
+		if _, ok := sc.workers[name]; !ok {
+			// It has left the list since an earlier term.
+			sc.removeFromDetector(name)
+		}
+	}
 	sc.tickOrder = sc.tickOrder[:0]
 	for _, wk := range wks {
 		sc.tickOrder = append(sc.tickOrder, sc.workers[wk.Name])
@@ -177,10 +185,19 @@
 	delete(sc.workers, name)
 	delete(sc.probesDue, name)
 	sc.placer.Remove(name)
-	sc.detector.RemoveWorker(name)
+	sc.removeFromDetector(name)
 	sc.evictor.Remove(name)
 }
 
+// removeFromDetector drops what is known of the failures of a worker that is not listed any more.
+func (sc *Scheduler) removeFromDetector(name modeler.WorkerName) {
+	if sc.detector.Quarantined(name) {
+		sc.mt.Add(meter.WorkersInQuarantine, -1)
+		sc.proposeQuarantine(name, true)
+	}
+	sc.detector.RemoveWorker(name)
+}
+
 // activePlacerTask describes an active attempt to the placer.
 func (sc *Scheduler) activePlacerTask(aa *activeAttempt) placer.Task {
 	return placer.Task{
@@ -210,7 +227,7 @@
 	}
 	// An unresponsive worker gets no renewals: each one might arrive although its answer is lost,
 	// and would delay the time at which the leases have certainly expired.
-	if !now.Before(ws.nextRenew) && ws.reported && !ws.unresponsive && sc.withinAutonomy {
+	if !now.Before(ws.nextRenew) && ws.reported && !ws.unresponsive && sc.withinAutonomy && !sc.bounded(ws.worker.Name) {
 		sc.sendRenew(ws, now)
 	}
 	if !ws.reported || ws.unresponsive {
@@ -225,7 +242,7 @@
 func (sc *Scheduler) updateUnschedulable(ws *workerState) {
 	name := ws.worker.Name
 	unschedulable := !ws.reported || ws.unresponsive || ws.startRefused || ws.declaredGone || ws.unknownAttempts > 0 ||
-		sc.detector.Quarantined(name) || sc.evictor.Throttled(name)
+		sc.bounded(name) || sc.detector.Quarantined(name) || sc.evictor.Throttled(name)
 	if ws.unschedulable != unschedulable {
 		ws.unschedulable = unschedulable
 		sc.placer.SetUnschedulable(name, unschedulable)
@@ -336,15 +353,7 @@
 	if !aa.startRecorded || aa.endPending {
 		return
 	}
-	leaseStart := aa.lastGrant
-	if aa.recovered {
-		if sc.predecessorEnd.IsZero() {
-			return
-		}
-		// A renewal that the previous leader sent just before it stopped may still have arrived.
-		leaseStart = later(leaseStart, sc.predecessorEnd.Add(commandTimeout))
-	}
-	if now.After(leaseStart.Add(sc.opts.LeaseTerm + modeler.DriftAllowance(sc.opts.LeaseTerm))) {
+	if now.After(sc.leaseEnd(aa)) {
 		sc.endAsLost(aa, "lease ended on a worker that does not answer")
 	}
 }
