currantctl explain ID: tell a job's life from logs whose clocks differ

trace merged the logs of hosts by their own clocks, so that lines of a host whose clock is seconds ahead stood after what they caused, and it kept quiet about lines that it could not read.

Package explainer compares the clocks by messages that two hosts log: an accepted job and its receipt by the leader, an elected leader, a configuration from the store. A host's offset is the median of the messages around a line, so that a clock may step and a message may be late; it is printed with each line. Lines about the leader, the store and the workers of the job are shown with its own, and the failed runs of all jobs on the workers where it failed are counted. Malformed lines are skipped, counted and reported.

The command is explain; trace stays as its alias. explain JOB TASK still asks a host about a job of a plan, whose identity is the only one with a slash.

TestTrace of commander is now TestLinesOfTheID of explainer: the same log and the same expectations, against the new package.

--- a/internal/operator/commander/batch.go
+++ b/internal/operator/commander/batch.go
@@ -128,7 +128,7 @@
 // Execute implements flags.Commander; dispatch calls run instead.
 func (*planChecks) Execute([]string) error { return nil }
 
-func (*planChecks) local() {}
+func (*planChecks) local() bool { return true }
 
 func (*planChecks) run(_ context.Context, ss *session) error {
 	var rows [][]string
@@ -295,31 +295,6 @@
 	return ss.show(wg, []string{"Worker", "Gone"}, [][]string{{string(wg.Worker), "Yes"}})
 }
 
-type explainCommand struct {
-	Args struct {
-		Job  string `positional-arg-name:"JOB" required:"yes" description:"identity of the job"`
-		Task int    `positional-arg-name:"TASK" description:"number of the task, from 0"`
-	} `positional-args:"yes"`
-}
-
-// Execute implements flags.Commander; dispatch calls run instead.
-func (*explainCommand) Execute([]string) error { return nil }
-
-func (cm *explainCommand) run(ctx context.Context, ss *session) error {
-	query := url.Values{"Job": {cm.Args.Job}, "Task": {strconv.Itoa(cm.Args.Task)}}
-	var ex server.Explanation
-	if err := ss.get(ctx, "/v1/explain", query, &ex); err != nil {
-		return err
-	}
-	if err := ss.show(ex, taskHeader, [][]string{taskRow(ex.Task)}); err != nil || ss.json {
-		return err
-	}
-	for _, reason := range ex.Reasons {
-		fmt.Fprintln(ss.out, "- "+reason)
-	}
-	return nil
-}
-
 // setQuery sets parameters from alternating names and values. Empty values are skipped.
 func setQuery(query url.Values, pairs ...string) {
 	for pair := range slices.Chunk(pairs, 2) {
--- a/internal/operator/commander/commander.go
+++ b/internal/operator/commander/commander.go
@@ -43,13 +43,12 @@
 	Plan       planCommand       `command:"plan" description:"import, compare and show the plan of a day"`
 	Jobs       jobsCommand       `command:"jobs" subcommands-optional:"yes" description:"list or cancel jobs"`
 	Tasks      tasksCommand      `command:"tasks" subcommands-optional:"yes" description:"list or resolve tasks"`
-	Explain    explainCommand    `command:"explain" description:"say why a task is in its state"`
+	Explain    explainCommand    `command:"explain" alias:"trace" description:"tell the life of a job from the logs of hosts, or say why a task of a plan is in its state"`
 	Hosts      hostsCommand      `command:"hosts" description:"list entry hosts"`
 	Runners    runnersCommand    `command:"runners" description:"list runners"`
 	Hours      hoursCommand      `command:"hours" description:"show the hours of a day"`
 	Audit      auditCommand      `command:"audit" description:"search the audit trail"`
 	Config     configCommand     `command:"config" description:"show, check and change the shared configuration"`
-	Trace      traceCommand      `command:"trace" description:"show the history of a job from the logs of hosts"`
 	Drain      drainCommand      `command:"drain" description:"drain a host, runner or worker"`
 	Completion completionCommand `command:"completion" description:"print the completion script of a shell"`
 }
@@ -141,7 +140,7 @@
 		return failf(ExitUsage, "--address is %q, allowed is an IP address with a port: %w", op.Address, err)
 	}
 	ss := &session{out: out, errw: errw, json: op.JSON}
-	if _, local := cm.(localCommand); !local {
+	if lc, ok := cm.(localCommand); !ok || !lc.local() {
 		if ss.client, err = newClient(op); err != nil {
 			return err
 		}
@@ -151,8 +150,8 @@
 	return ss.withDetails(cd.run(ctx, ss))
 }
 
-// localCommand is a command that needs no connection to a host.
-type localCommand interface{ local() }
+// localCommand is a command that may need no connection to a host.
+type localCommand interface{ local() bool }
 
 // withDetails prints the errors listed in a refusal of a sheet or configuration and returns err,
 // from which Main prints the error line.
--- a/internal/operator/commander/completion.go
+++ b/internal/operator/commander/completion.go
@@ -14,7 +14,7 @@
 // Execute implements flags.Commander; dispatch calls run instead.
 func (*completionCommand) Execute([]string) error { return nil }
 
-func (*completionCommand) local() {}
+func (*completionCommand) local() bool { return true }
 
 // The scripts run the program itself, which prints completions when GO_FLAGS_COMPLETION is set.
 const bashScript = `_currantctl() {
