Log what a refused job was refused by, and how many attempts a failing task has

The lines 601 and 602 now have MaxStoreAge, StoreCalls and PeerCalls.

The line on a failed run had the failures of the task but not the number after which its job fails.

--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -370,7 +370,7 @@
 		dr.op.Meter.Add(meter.TasksFailed, 1)
 		quarantined := wk.faultHistory.RecordFault(row.Task.Job, now)
 		tk.avoidWorker(wk.info.ID)
-		dr.log(logger.TaskFailed, "Task", row.Task.String(), "Run", row.Run, "Worker", wk.info.ID, "Failures", len(tk.failures), "Distrust", wk.faultHistory.FaultScore(now))
+		dr.log(logger.TaskFailed, "Task", row.Task.String(), "Run", row.Run, "Worker", wk.info.ID, "Failures", len(tk.failures), "Attempts", dr.maxAttempts(tk.step.occ.job), "Distrust", wk.faultHistory.FaultScore(now))
 		if quarantined {
 			dr.quarantine(wk, "tasks of several jobs failed")
 		}
--- a/internal/job/intaker/cancellation_test.go
+++ b/internal/job/intaker/cancellation_test.go
@@ -28,13 +28,17 @@
 }
 
 func newTestHost() *testHost {
+	return newLoggedHost(logr.Discard(), func() time.Duration { return 0 })
+}
+
+func newLoggedHost(lg logr.Logger, storeAge func() time.Duration) *testHost {
 	fts := new(emulator.Faults)
 	js := keeper.NewJobStore(emulator.NewStore(fts))
 	dial := func(netip.AddrPort) messenger.Jobs { return nil }
 	el := elector.New(elector.Options{Dial: dial, Log: logr.Discard(), Meter: meter.New(nil)})
 	it := intaker.New(intaker.Options{
-		JobStore: js, StoreAge: func() time.Duration { return 0 }, Elector: el, Director: func() *director.Director { return nil },
-		Dial: dial, Log: logr.Discard(), Meter: meter.New(nil),
+		JobStore: js, StoreAge: storeAge, Elector: el, Director: func() *director.Director { return nil },
+		Dial: dial, Log: lg, Meter: meter.New(nil),
 	})
 	return &testHost{it, fts, js}
 }
--- a/internal/job/intaker/intaker.go
+++ b/internal/job/intaker/intaker.go
@@ -123,7 +123,7 @@
 		return err
 	}
 	began := time.Now()
-	err = it.store(ctx,
+	made, err := it.store(ctx,
 		func(ctx context.Context) error { return it.op.JobStore.Submit(ctx, jb) },
 		func(ctx context.Context, peer messenger.Jobs) error {
 			_, err := peer.Submit(ctx, &messenger.JobDocument{Document: document})
@@ -137,18 +137,23 @@
 		it.notify(&messenger.StoredChange{Id: string(jb.ID), Document: document})
 	case errors.Is(err, ErrNotAccepted):
 		it.op.Meter.Add(meter.JobsRefused, 1)
-		logger.Log(it.op.Log, logger.JobRefused, "Job", jb.ID, "Queue", jb.Queue, "StoreAge", it.op.StoreAge().String(), "Error", err.Error())
+		it.logNotAccepted(logger.JobRefused, jb, made, err)
 	default:
 		it.op.Meter.Add(meter.JobsUnknown, 1)
-		logger.Log(it.op.Log, logger.JobResultUnknown, "Job", jb.ID, "Queue", jb.Queue, "StoreAge", it.op.StoreAge().String(), "Error", err.Error())
+		it.logNotAccepted(logger.JobResultUnknown, jb, made, err)
 	}
 	return err
 }
 
+func (it *Intaker) logNotAccepted(ev logger.Event, jb *modeler.Job, made callCounts, err error) {
+	logger.Log(it.op.Log, ev, "Job", jb.ID, "Queue", jb.Queue, "StoreAge", it.op.StoreAge().String(), "MaxStoreAge", maxStoreAge.String(),
+		"StoreCalls", made.store, "PeerCalls", made.peers, "Error", err.Error())
+}
+
 // Cancel stores a cancellation. Errors: ErrJobNotFound, after which a job that is stored later is
 // cancelled as well, ErrUnavailable (nothing was stored), ErrResultUnknown.
 func (it *Intaker) Cancel(ctx context.Context, id modeler.JobID) error {
-	err := it.store(ctx,
+	_, err := it.store(ctx,
 		func(ctx context.Context) error { return it.cancel(ctx, id) },
 		func(ctx context.Context, peer messenger.Jobs) error {
 			_, err := peer.Cancel(ctx, &messenger.JobName{Id: string(id), Hops: maxHops})
@@ -181,46 +186,52 @@
 	return err
 }
 
+// callCounts counts the calls that were made to store a change.
+type callCounts struct{ store, peers int }
+
 // store stores a change directly, or forwards it to a peer when this host does not reach the store.
 // Changes are idempotent, so one with an unknown result is repeated until storeTimeout. Errors:
 // ErrNotAccepted, ErrResultUnknown, ErrJobNotFound, modeler.ErrInvalidJob.
-func (it *Intaker) store(ctx context.Context, direct func(context.Context) error, forward func(context.Context, messenger.Jobs) error) error {
+func (it *Intaker) store(ctx context.Context, direct func(context.Context) error, forward func(context.Context, messenger.Jobs) error) (callCounts, error) {
+	var made callCounts
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	resultUnknown := false
 	for {
 		err := storer.ErrUnavailable
 		if it.op.StoreAge() < maxStoreAge {
+			made.store++
 			err = callWithTimeout(ctx, storeCallTimeout, direct)
 		}
 		switch {
 		case err == nil:
-			return nil
+			return made, nil
 		case errors.Is(err, storer.ErrNotFound):
-			return ErrJobNotFound
+			return made, ErrJobNotFound
 		case errors.Is(err, storer.ErrTooLarge):
-			return modeler.ErrInvalidJob
+			return made, modeler.ErrInvalidJob
 		case !errors.Is(err, storer.ErrUnavailable):
 			resultUnknown = true
 		}
 		for _, addr := range it.forwardPeers() {
+			made.peers++
 			ferr := callWithTimeout(ctx, forwardTimeout, func(ctx context.Context) error { return forward(ctx, it.op.Dial(addr)) })
 			var te twirp.Error
 			switch {
 			case ferr == nil:
-				return nil
+				return made, nil
 			case errors.As(ferr, &te) && te.Code() == twirp.NotFound:
-				return ErrJobNotFound
+				return made, ErrJobNotFound
 			case errors.As(ferr, &te) && te.Code() == twirp.Unavailable && te.Meta(nothingStoredMeta) != "":
 			default:
 				resultUnknown = true
 			}
 		}
 		if !resultUnknown {
-			return ErrNotAccepted
+			return made, ErrNotAccepted
 		}
 		if !pauser.Sleep(ctx, storeRetryDelay) {
-			return ErrResultUnknown
+			return made, ErrResultUnknown
 		}
 	}
 }
--- a/internal/telemetry/logger/catalogue_job.go
+++ b/internal/telemetry/logger/catalogue_job.go
@@ -3,8 +3,8 @@
 // Events of callers' jobs, of the hosts that schedule them, and of the workers that run them.
 var (
 	JobAccepted        = Event{600, "job accepted", "The job is stored and was acknowledged to its caller.", SeverityInfo}
-	JobRefused         = Event{601, "job refused", "The job was not stored and will not run. StoreAge is the time since the store last answered.", SeverityWarning}
-	JobResultUnknown   = Event{602, "result of a job submission unknown", "The store may have accepted the job. The caller was told that the result is unknown and should ask again with the same ID.", SeverityWarning}
+	JobRefused         = Event{601, "job refused", "The job was not stored and will not run. StoreAge is the time since the store last answered; from MaxStoreAge on it is not called. StoreCalls and PeerCalls are the calls that were made to the store, and to peers.", SeverityWarning}
+	JobResultUnknown   = Event{602, "result of a job submission unknown", "The store may have accepted the job. The caller was told that the result is unknown and should ask again with the same ID. The counts are those of event 601.", SeverityWarning}
 	CancellationStored = Event{603, "cancellation stored", "The cancellation of the job is stored and was acknowledged.", SeverityInfo}
 	JobTakenOver       = Event{604, "job received by the leader", "The leader schedules the job from now on. Age is the time since an entry host received it.", SeverityInfo}
 	JobCancelled       = Event{605, "job cancelled", "The leader stops all runs of the job.", SeverityInfo}
@@ -15,7 +15,7 @@
 
 	TaskStarted           = Event{610, "task started", "A worker accepted a run of the task. Waited is the time since the job was due, FreeCores the free capacity that is left on the worker, in thousandths of a core.", SeverityInfo}
 	StartRejected         = Event{611, "start request failed", "The error says whether the worker refused the request or did not answer. A run without an answer is stopped before the task starts on another worker.", SeverityWarning}
-	TaskFailed            = Event{612, "run failed", "A run ended with a fault. Failures is the number of failures of the task, Distrust the worker's fault score.", SeverityWarning}
+	TaskFailed            = Event{612, "run failed", "A run ended with a fault. Failures is the number of failures of the task, Attempts that after which its job fails (0 for no limit), Distrust the worker's fault score.", SeverityWarning}
 	RunEnded              = Event{613, "run ended early", "A run ended without a result. Resumes is true when the next run continues from a checkpoint.", SeverityInfo}
 	RunLost               = Event{614, "run lost", "A run ended without a report from its worker. Reason says how the leader detected it.", SeverityWarning}
 	UnexpectedRunStopped  = Event{615, "unexpected run stopped", "The worker reports a run that this leader did not place and does not need.", SeverityWarning}
