internal/telemetry/logger: warnings replace pending informational lines

128 KB of the buffer were reserved for warnings and errors. A reader that stood still for longer than these lasted cost warnings while up to 384 KB of informational lines stayed pending.

--- a/internal/telemetry/logger/async_writer.go
+++ b/internal/telemetry/logger/async_writer.go
@@ -11,8 +11,8 @@
 	// maxPendingBytes bounds the lines that wait to be written. Further lines are dropped, so that a
 	// blocked reader of the log can't exhaust memory.
 	maxPendingBytes = 512 << 10
-	// reservedBytes is the part of maxPendingBytes that only warnings and errors may use, so that
-	// informational lines are dropped first.
+	// reservedBytes is the part of maxPendingBytes that only warnings and errors may use. Beyond it they
+	// replace pending informational lines.
 	reservedBytes = 128 << 10
 	// maxWriteBytes is PIPE_BUF of Linux. A longer write to a pipe is not atomic: it may be
 	// interleaved with the writes of other processes.
@@ -26,7 +26,8 @@
 )
 
 // AsyncWriter writes log lines in the background. Write never blocks: lines beyond the bounds are
-// dropped and counted. It is safe for concurrent use.
+// dropped and counted, warnings and errors only when no informational line is pending. It is safe for
+// concurrent use.
 type AsyncWriter struct {
 	out     io.Writer
 	onDrop  func(lines int64)
@@ -56,12 +57,14 @@
 
 // Write queues one line, or drops it when a bound is reached. It never fails.
 func (aw *AsyncWriter) Write(line []byte) (int, error) {
-	info := bytes.Contains(line, infoMarkers[0]) || bytes.Contains(line, infoMarkers[1])
+	info := informational(line)
 	aw.mu.Lock()
 	defer aw.mu.Unlock()
 	limit := maxPendingBytes
 	if info {
 		limit -= reservedBytes
+	} else if len(aw.pending)+len(line) > limit {
+		aw.dropPendingInfo()
 	}
 	if len(aw.pending)+len(line) > limit || info && !aw.takeToken() {
 		aw.dropped++
@@ -71,6 +74,23 @@
 	return len(line), nil
 }
 
+func informational(line []byte) bool {
+	return bytes.Contains(line, infoMarkers[0]) || bytes.Contains(line, infoMarkers[1])
+}
+
+// dropPendingInfo drops the pending informational lines.
+func (aw *AsyncWriter) dropPendingInfo() {
+	kept := aw.pending[:0]
+	for line := range bytes.Lines(aw.pending) {
+		if informational(line) {
+			aw.dropped++
+			continue
+		}
+		kept = append(kept, line...)
+	}
+	aw.pending = kept
+}
+
 // takeToken refills the token bucket and takes a token. It returns false when the bucket is empty.
 func (aw *AsyncWriter) takeToken() bool {
 	now := time.Now()
--- a/internal/telemetry/logger/async_writer_test.go
+++ b/internal/telemetry/logger/async_writer_test.go
@@ -80,3 +80,33 @@
 		qt.Check(t, lines >= seconds*maxInfoLinesPerSecond, qt.IsTrue, qt.Commentf("%d lines", lines))
 	})
 }
+
+// Guards against warnings that are dropped while informational lines stay pending, as the reader stands
+// still for longer than the reserve for warnings lasts.
+func TestAsyncWriterWarningsReplaceInfo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bw := blockedWriter{make(chan struct{})}
+		var dropped atomic.Int64
+		aw := NewAsyncWriter(bw, func(lines int64) { dropped.Add(lines) })
+		info := []byte(`{"Severity":"Info"}` + strings.Repeat(" ", 300) + "\n")
+		warning := []byte(`{"Severity":"Warning"}` + strings.Repeat(" ", 300) + "\n")
+		const infos = 1000
+		fitting := maxPendingBytes / len(warning)
+		for range infos {
+			_, _ = aw.Write(info)
+		}
+		for range fitting + 10 {
+			_, _ = aw.Write(warning)
+		}
+		aw.mu.Lock()
+		warnings, left, size := bytes.Count(aw.pending, []byte("Warning")), bytes.Count(aw.pending, []byte("Info")), len(aw.pending)
+		aw.mu.Unlock()
+		qt.Check(t, warnings, qt.Equals, fitting)
+		qt.Check(t, left, qt.Equals, 0)
+		qt.Check(t, size <= maxPendingBytes, qt.IsTrue)
+		time.Sleep(2 * flushInterval)
+		qt.Check(t, dropped.Load(), qt.Equals, int64(infos+10))
+		close(bw.release)
+		aw.Close()
+	})
+}
