Never leave out the end of a failed job before lines of successful ones

The end of a job was one informational event whatever its state, so that in a storm the line on a failed job was dropped as easily as that on a completed one. A failed job now has event 678, a warning; event 606 is left for the other ends.

--- a/internal/job/director/logs_test.go
+++ b/internal/job/director/logs_test.go
@@ -23,6 +23,8 @@
 type logRecorder struct {
 	mu    sync.Mutex
 	lines map[int][]logLine
+	// also receives all lines as well, unless it is nil.
+	also io.Writer
 }
 
 // maxRecordedLines bounds the lines that are kept of each event.
@@ -37,8 +39,11 @@
 // logger returns a logger that records its lines. It prints them as well if DIRECTOR_LOG is set.
 func (lr *logRecorder) logger(t testing.TB) logr.Logger {
 	var wr io.Writer = lr
+	if lr.also != nil {
+		wr = io.MultiWriter(wr, lr.also)
+	}
 	if os.Getenv("DIRECTOR_LOG") != "" {
-		wr = io.MultiWriter(lr, os.Stdout)
+		wr = io.MultiWriter(wr, os.Stdout)
 	}
 	lg, err := logger.New(wr, "json")
 	qt.Assert(t, err, qt.IsNil)
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -161,7 +161,11 @@
 	for _, jb := range endedJobs {
 		jb.durable, jb.endedAt = true, now
 		dr.op.Meter.Observe(meter.TimeToEnd, now.Sub(jb.Submitted))
-		dr.log(logger.JobEnded, "Job", jb.ID, "Queue", jb.Queue, "State", jb.finalState, "Took", now.Sub(jb.Submitted).String())
+		ev := logger.JobEnded
+		if jb.finalState == modeler.Failed {
+			ev = logger.JobFailed
+		}
+		dr.log(ev, "Job", jb.ID, "Queue", jb.Queue, "State", jb.finalState, "Took", now.Sub(jb.Submitted).String())
 		jb.freeTasks()
 	}
 }
--- a/internal/telemetry/logger/catalogue_job.go
+++ b/internal/telemetry/logger/catalogue_job.go
@@ -8,7 +8,7 @@
 	CancellationStored = Event{603, "cancellation stored", "The cancellation of the job is stored and was acknowledged.", SeverityInfo}
 	JobTakenOver       = Event{604, "job received by the leader", "The leader schedules the job from now on. Age is the time since an entry host received it.", SeverityInfo}
 	JobCancelled       = Event{605, "job cancelled", "The leader stops all runs of the job.", SeverityInfo}
-	JobEnded           = Event{606, "job ended", "The end of the job is durable and is reported to callers.", SeverityInfo}
+	JobEnded           = Event{606, "job ended", "The end of the job is durable and is reported to callers. A failed job has event 678.", SeverityInfo}
 	JobDamaged         = Event{607, "stored job malformed", "A document under Jobs/ was not written by this software. It is skipped. Inspect the key.", SeverityError}
 	JobNotDeleted      = Event{608, "job not deleted", "A job whose retention has ended could not be deleted. The next round retries.", SeverityWarning}
 	JobNotRead         = Event{609, "job of a reported run not read", "A worker reports a run of a job that the leader does not know, and the store does not return the job. The read is repeated. Until then the run goes on and its end is not acknowledged.", SeverityWarning}
@@ -73,6 +73,7 @@
 	ReportHeldUp            = Event{675, "rows of worker reports wait", "Runs or ends of jobs that the leader does not know wait until these jobs have been read from the store. The rest of the reports counts, and the leases are renewed. Worker is the one of so many Workers that has waited longest. Check the store.", SeverityWarning}
 	RenewalsLate            = Event{676, "lease renewals held up", "The leases of so many workers were not extended for longer than half a lease although the workers answer. Phase says what the leader waits for, Worker is the one that waits longest, LeaseLeft the rest of its lease. Logged once a second for each phase.", SeverityWarning}
 	LeaderNotNotified       = Event{677, "leader not notified of a cancellation", "The cancellation is stored. The leader hears of it from its watch of the store.", SeverityInfo}
+	JobFailed               = Event{678, "job failed", "A task has failed as often as the queue allows, see the lines 612 of the job. The end of the job is durable and is reported to callers.", SeverityWarning}
 )
 
 var jobEvents = []Event{
@@ -83,5 +84,5 @@
 	TermBegun, TermLoaded, TermAccounted, TermEnded, FactDamaged, FactNotRecorded, FactsDelayed, LeaderElected, LeaderGone,
 	MemberNotStored, MemberDamaged, MemberRemoved, WatchLost, WatchRestored, LeaseBounded, PredecessorStopped, TermEndNotRecorded,
 	QueuesAccepted, QueuesInvalid, QueuesNotFetched, PeersNotSecured, SettingsReloaded, SettingsKept, LoadSummary, TaskWaits, LogLinesDropped,
-	LongRunningTaskWaits, TasksWaitLong, CancellationIneffective, CancellationDropped, CancelledRunGoesOn, ReportHeldUp, RenewalsLate, LeaderNotNotified,
+	LongRunningTaskWaits, TasksWaitLong, CancellationIneffective, CancellationDropped, CancelledRunGoesOn, ReportHeldUp, RenewalsLate, LeaderNotNotified, JobFailed,
 }
