--- a/internal/operator/explainer/explainer.go
+++ b/internal/operator/explainer/explainer.go
@@ -14,6 +14,10 @@
 // workers are shown as well. It covers the detection of a lost leader or store.
 const contextMargin = 5 * time.Second
 
+// maxOffsetError is the error of offsets up to which a line is moved after its cause. A leader that hears of a job
+// from its watch of the store may log that earlier for good reason.
+const maxOffsetError = 20 * time.Millisecond
+
 // Line is a log line of an explanation.
 type Line struct {
 	// At is the time on the clock of Explanation.Reference.
@@ -151,9 +155,14 @@
 // logs were read.
 func (ex *Explainer) Explain() Explanation {
 	reference := ex.align()
+	for _, hl := range ex.hosts {
+		hl.alignTimes()
+	}
+	ex.orderCauses()
 	var named, context []Line
 	for _, hl := range ex.hosts {
-		for _, ln := range hl.times() {
+		hl.keepOrder()
+		for _, ln := range hl.kept {
 			if ln.Context {
 				context = append(context, ln)
 			} else {
@@ -166,19 +175,58 @@
 	return Explanation{Reference: reference, Lines: lines, Workers: ex.workersOf(named), Skipped: ex.skipped}
 }
 
-// times returns the kept lines with aligned times, which rise.
-func (hl *hostLog) times() []Line {
-	var latest time.Time
+// alignTimes subtracts the errors of the host's clock from the times of the kept lines.
+func (hl *hostLog) alignTimes() {
 	for ix := range hl.kept {
 		ln := &hl.kept[ix]
 		ln.Ahead, ln.Aligned = hl.errorAt(ln.number), hl.aligned
 		ln.At = ln.At.Add(-ln.Ahead)
-		if ln.At.Before(latest) {
+	}
+}
+
+// causes holds the events that a host logs before it notifies the leader, by the event that the leader logs then.
+var causes = map[int]int{
+	logger.JobTakenOver.Number: logger.JobAccepted.Number,
+	logger.JobCancelled.Number: logger.CancellationStored.Number,
+}
+
+// cause identifies the line on a job that caused another one.
+type cause struct {
+	event int
+	job   string
+}
+
+// orderCauses moves lines after their causes where the times do not, as the offsets of clocks are not exact.
+func (ex *Explainer) orderCauses() {
+	first := map[cause]time.Time{}
+	for _, hl := range ex.hosts {
+		for _, ln := range hl.kept {
+			cs := cause{ln.Fields.Event(), ln.Fields.text("Job")}
+			if at, ok := first[cs]; !ok || ln.At.Before(at) {
+				first[cs] = ln.At
+			}
+		}
+	}
+	for _, hl := range ex.hosts {
+		for ix := range hl.kept {
+			ln := &hl.kept[ix]
+			at, ok := first[cause{causes[ln.Fields.Event()], ln.Fields.text("Job")}]
+			if ok && !ln.At.After(at) && at.Sub(ln.At) < maxOffsetError {
+				ln.At = at.Add(time.Nanosecond)
+			}
+		}
+	}
+}
+
+// keepOrder makes the times of the kept lines rise.
+func (hl *hostLog) keepOrder() {
+	var latest time.Time
+	for ix := range hl.kept {
+		if ln := &hl.kept[ix]; ln.At.Before(latest) {
 			ln.At = latest
 		}
-		latest = ln.At
+		latest = hl.kept[ix].At
 	}
-	return hl.kept
 }
 
 // explaining returns the lines of context that explain the lines that name the ID.
--- a/internal/operator/explainer/explainer_test.go
+++ b/internal/operator/explainer/explainer_test.go
@@ -121,6 +121,22 @@
 	}
 }
 
+// Guards against a leader that seems to receive a job before it is accepted, as its message took less time than
+// those that the offset was taken from.
+func TestFastMessage(t *testing.T) {
+	tl := newTestLog(map[string]time.Duration{"host-1": time.Second})
+	for _, job := range append(append(others("b", 6), "aa"), others("c", 6)...) {
+		tl.write("host-1", "job accepted", 600, fmt.Sprintf(`"Job":%q`, job))
+		if job != "aa" {
+			tl.now = tl.now.Add(6 * time.Millisecond)
+		}
+		tl.write("leader", "job received by the leader", 604, fmt.Sprintf(`"Job":%q`, job))
+		tl.write("leader", "task started", 610, fmt.Sprintf(`"Task":"%s.0.0.0"`, job))
+		tl.now = tl.now.Add(200 * time.Millisecond)
+	}
+	qt.Check(t, told(explain(t, "aa", tl.String())), qt.DeepEquals, []string{"host-1 job accepted", "leader job received by the leader", "leader task started"})
+}
+
 // Guards against one offset for a whole log although the host's clock steps, ahead and back again.
 func TestClockThatSteps(t *testing.T) {
 	tl := newTestLog(map[string]time.Duration{})
