Log what a task waited for as it starts

A task that a leader holds back for seconds left no line of its own unless it lasts: event 671 names the oldest task of a reason only. The line on the start now has the time in this leader's queue by its own clock and the reason that reports gave for longest, if a report saw the task waiting.

--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -674,7 +674,8 @@
 	}
 	if err == nil {
 		dr.op.Meter.Observe(meter.TimeToStart, now.Sub(tk.step.occ.due))
-		dr.log(logger.TaskStarted, "Task", req.Task.String(), "Run", req.Run, "Worker", wk.info.ID, "Resumes", req.Checkpoint != "", "FreeCores", wk.free.MilliCores, "Waited", now.Sub(tk.step.occ.due).String())
+		kv := []any{"Task", req.Task.String(), "Run", req.Run, "Worker", wk.info.ID, "Resumes", req.Checkpoint != "", "FreeCores", wk.free.MilliCores, "Waited", now.Sub(tk.step.occ.due).String()}
+		dr.log(logger.TaskStarted, append(kv, tk.wait.startInputs(now)...)...)
 		at.markActive(now)
 		return
 	}
--- a/internal/job/director/waiting.go
+++ b/internal/job/director/waiting.go
@@ -105,10 +105,30 @@
 	// reason is that of the last report, reasonSince when a report first gave it.
 	reason      waitReason
 	reasonSince time.Time
+	// mainReason is the one that reports gave for longest, for mainFor, empty before the first report.
+	mainReason waitReason
+	mainFor    time.Duration
 	// loggedAt is when a line was last logged for the task and its reason.
 	loggedAt time.Time
 }
 
+// endReason notes for how long reports have given the present reason.
+func (ws *waitState) endReason(now time.Time) {
+	if held := now.Sub(ws.reasonSince); ws.reason != "" && held >= ws.mainFor {
+		ws.mainReason, ws.mainFor = ws.reason, held
+	}
+}
+
+// startInputs returns the keys and values by which the line on a start says what the task waited for. There are
+// none if it started before the first report.
+func (ws *waitState) startInputs(now time.Time) []any {
+	ws.endReason(now)
+	if ws.mainReason == "" {
+		return nil
+	}
+	return []any{"Queued", now.Sub(ws.since).String(), "Reason", string(ws.mainReason), "ReasonFor", ws.mainFor.String()}
+}
+
 // turn is what placement rounds found for a step.
 type turn struct {
 	// round is the number of the last round that reached the step, at its time.
@@ -299,6 +319,7 @@
 	}
 	count.all++
 	if tk.wait.reason != wt.reason {
+		tk.wait.endReason(wr.now)
 		tk.wait.reason, tk.wait.reasonSince, tk.wait.loggedAt = wt.reason, wr.now, time.Time{}
 	}
 	if wr.now.Sub(wt.since) < maxUnreportedWait {
--- a/internal/job/director/waiting_test.go
+++ b/internal/job/director/waiting_test.go
@@ -249,3 +249,27 @@
 		fx.dr.reportWaits(time.Now().Add(time.Minute))
 	}
 }
+
+// Guards against a line on a start that does not say what the task waited for, or names what it waited for last
+// and not for longest, or a time that depends on another host's clock.
+func TestStartNamesWhatTheTaskWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newWaitFixture()
+		ws := &fx.ordinary.wait
+		qt.Check(t, ws.startInputs(time.Now()), qt.HasLen, 0)
+		report := func() { fx.dr.reportWaits(time.Now()) }
+		fx.inherit()
+		for range 4 {
+			report()
+			time.Sleep(time.Second)
+		}
+		fx.wk.unaccounted, fx.dr.allAccounted, fx.dr.unaccountedWorkers = false, true, 0
+		report()
+		time.Sleep(time.Second)
+		qt.Check(t, ws.startInputs(time.Now()), qt.DeepEquals, []any{"Queued", "5s", "Reason", string(earlierRunPossible), "ReasonFor", "4s"})
+		// The next wait is counted anew.
+		at := fx.place(fx.ordinary, sent)
+		at.markActive(time.Now())
+		qt.Check(t, ws.startInputs(time.Now()), qt.HasLen, 0)
+	})
+}
