--- /dev/null
+++ b/internal/config/loader/jobs_test.go
@@ -0,0 +1,93 @@
+package loader
+
+import (
+	"errors"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// jobFile has the settings of a host on the users' platform, as the platform renders deploy/settings.ini.
+const jobFile = "testdata/job-host.ini"
+
+// loadJobs loads a copy of jobFile in which now replaces the first occurrence of old.
+func loadJobs(t *testing.T, old, now string, args ...string) (*Settings, error) {
+	t.Helper()
+	text, err := os.ReadFile(jobFile)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, strings.Contains(string(text), old), qt.IsTrue)
+	path := filepath.Join(t.TempDir(), "host.ini")
+	qt.Assert(t, os.WriteFile(path, []byte(strings.Replace(string(text), old, now, 1)), 0o600), qt.IsNil)
+	return Load(append([]string{"--check", "--settings", path}, args...))
+}
+
+// Guards against settings of a job installation that pass the check and then fail at the start, are silently not
+// followed, or are reported without file, section, key, value or what is allowed.
+func TestInvalidJobSettings(t *testing.T) {
+	for _, tc := range []struct {
+		name, old, now, want string
+		args                 []string
+	}{
+		{"certificates are not used", "TrustedNetwork = true", "Certificate = a\nKey = b\nAuthority = c", `host.ini: [TLS] TrustedNetwork = "false": must be true where [Jobs] Enabled is`, nil},
+		{"network not trusted", "TrustedNetwork = true", "TrustedNetwork = false\nCertificate = a\nKey = b\nAuthority = c", `host.ini: [TLS] TrustedNetwork = "false": must be true`, nil},
+		{"standalone", "", "", `host.ini: [Jobs] Enabled = "true": true is not allowed with --standalone`, []string{"--standalone", "--insecure=false"}},
+		{"standalone by flag", "Enabled = true", "Enabled = false", `flag --jobs-enabled: [Jobs] Enabled = "true": true is not allowed with --standalone`, []string{"--standalone", "--jobs-enabled=true", "--insecure=false"}},
+		{"readiness on the callers' address", "10.1.0.13:8167", "10.1.0.13:8161", `host.ini: [Listen] Readiness = "10.1.0.13:8161": must differ from Callers`, nil},
+		{"readiness on the operators' address", "10.1.0.13:8167", "10.1.0.13:7721", `[Listen] Readiness = "10.1.0.13:7721": must differ`, nil},
+		{"readiness missing", "Readiness = 10.1.0.13:8167", "", `host.ini: [Listen] Readiness = "": is required: an IP address and port`, nil},
+		{"peers on all addresses", "Peers = 10.1.0.13:7720", "Peers = 0.0.0.0:7720", `host.ini: [Listen] Peers = "0.0.0.0:7720": an IP address of this host`, nil},
+		{"store missing", "Store = 10.200.1.7:8169", "", `host.ini: [Platform] Store = "": is required`, nil},
+		{"policy", "10.200.1.9:8169", "advice", `host.ini: [Platform] Policy = "advice": an IP address and port`, nil},
+		{"enabled", "Enabled = true", "Enabled = yes", `host.ini: [Jobs] Enabled = "yes": true or false`, nil},
+		{"lease", "LongestLease = 10000ms", "LongestLease = 10000", `host.ini: [Jobs] LongestLease = "10000": a duration from 1ms to 1h`, nil},
+		{"stop limit", "StopLimit = 400ms", "StopLimit = 0s", `host.ini: [Jobs] StopLimit = "0s": a duration from`, nil},
+		{"factor", "FarFactor = 1.5", "FarFactor = NaN", `host.ini: [Jobs] FarFactor = "NaN": a number from 0.001 to 1000`, nil},
+		{"share", "Share = 0.4", "Share = {{limits.cpuShare}}", `host.ini: [Host] Share = "{{limits.cpuShare}}": a number from`, nil},
+		{"unknown key", "FarFactor", "NearFactor", `host.ini: [Jobs] NearFactor = "1.5": unknown key; allowed are Enabled, Lease`, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			_, err := loadJobs(t, tc.old, tc.now, tc.args...)
+			qt.Assert(t, errors.Is(err, ErrBadSetting), qt.IsTrue)
+			qt.Check(t, err.Error(), qt.Contains, tc.want)
+			qt.Check(t, strings.Contains(err.Error(), "\n"), qt.IsFalse)
+		})
+	}
+}
+
+// Guards against a check that refuses a host of a job installation, or one on loopback without TLS.
+func TestJobSettings(t *testing.T) {
+	st, err := loadJobs(t, "", "")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, st.Jobs.Enabled, qt.IsTrue)
+	qt.Check(t, st.Jobs.StopLimit, qt.Equals, 400*time.Millisecond)
+	qt.Check(t, st.Platform.Policy, qt.Equals, netip.MustParseAddrPort("10.200.1.9:8169"))
+	_, err = loadJobs(t, "TrustedNetwork = true", "Insecure = true", "--listen-peers=127.0.0.1:7720", "--listen-operators=127.0.0.1:7721")
+	qt.Check(t, err, qt.IsNil)
+	// A lease that workers would not accept is reduced.
+	st, err = loadJobs(t, "LongestLease = 10000ms", "LongestLease = 5s")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, st.Jobs.Lease, qt.Equals, 5*time.Second)
+}
+
+// Guards against a template of the platform's settings that has a key or section which the check refuses, or
+// that the test of a rendered file does not have.
+func TestTemplateOfThePlatform(t *testing.T) {
+	template, err := os.ReadFile("../../../deploy/settings.ini")
+	qt.Assert(t, err, qt.IsNil)
+	rendered, err := os.ReadFile(jobFile)
+	qt.Assert(t, err, qt.IsNil)
+	names := func(text []byte) []string {
+		var list []string
+		for _, match := range regexp.MustCompile(`(?m)^(?:\{\{[^}]*\}\})*(\[\w+\]|\w+ =)|\}\}(\[\w+\])$`).FindAllSubmatch(text, -1) {
+			list = append(list, string(match[1])+string(match[2]))
+		}
+		return list
+	}
+	qt.Check(t, names(template), qt.DeepEquals, names(rendered))
+}
--- a/internal/config/loader/loader.go
+++ b/internal/config/loader/loader.go
@@ -241,5 +241,40 @@
 		sg = settingNamed("Listen", "Peers")
 		return sg.newError(rawValue{source, ls.Peers.String()}, "Callers, Operators and Peers must be three different addresses")
 	}
+	if st.Jobs.Enabled {
+		return st.validateJobs(source, values)
+	}
+	return nil
+}
+
+// validateJobs checks the rules of a daemon that schedules callers' jobs.
+func (st *Settings) validateJobs(source string, values map[string]rawValue) error {
+	ls := st.Listen
+	for _, rule := range []struct {
+		broken       bool
+		section, key string
+		allowed      string
+	}{
+		{st.Standalone, "Jobs", "Enabled", "true is not allowed with --standalone, which has no workers for callers' jobs"},
+		{
+			!st.TLS.Insecure && !st.TLS.TrustedNetwork, "TLS", "TrustedNetwork",
+			"must be true where [Jobs] Enabled is, unless Insecure is: operators and peers are then served without TLS",
+		},
+		{
+			ls.Readiness == ls.Callers || ls.Readiness == ls.Operators || ls.Readiness == ls.Peers, "Listen", "Readiness",
+			"must differ from Callers, Operators and Peers",
+		},
+		{ls.Peers.Addr().IsUnspecified(), "Listen", "Peers", "an IP address of this host, to which the other hosts connect"},
+	} {
+		if !rule.broken {
+			continue
+		}
+		sg := settingNamed(rule.section, rule.key)
+		rv, ok := values[sg.id()]
+		if !ok {
+			rv = rawValue{source, sg.Default}
+		}
+		return sg.newError(rv, rule.allowed)
+	}
 	return nil
 }
--- a/internal/config/loader/table.go
+++ b/internal/config/loader/table.go
@@ -193,7 +193,7 @@
 	},
 	{
 		"TLS", "TrustedNetwork", "BOOL", "false", "",
-		"Serve operators and peers without TLS on any address. Only for a network that nobody else can reach. A warning is logged at startup.", "true or false",
+		"Serve operators and peers without TLS on any address. Only for a network that nobody else can reach. A warning is logged at startup. Required where [Jobs] Enabled is true, unless Insecure is.", "true or false",
 		optional, func(st *Settings, val string) bool { return setBool(&st.TLS.TrustedNetwork, val) },
 	},
 }
