--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -161,7 +161,11 @@
 	for _, jb := range endedJobs {
 		jb.durable, jb.endedAt = true, now
 		dr.op.Meter.Observe(meter.TimeToEnd, now.Sub(jb.Submitted))
-		dr.log(logger.JobEnded, "Job", jb.ID, "Queue", jb.Queue, "State", jb.finalState, "Took", now.Sub(jb.Submitted).String())
+		ev := logger.JobEnded
+		if jb.finalState == modeler.Failed {
+			ev = logger.JobFailed
+		}
+		dr.log(ev, "Job", jb.ID, "Queue", jb.Queue, "State", jb.finalState, "Took", now.Sub(jb.Submitted).String())
 		jb.freeTasks()
 	}
 }
@@ -370,7 +374,7 @@
 		dr.op.Meter.Add(meter.TasksFailed, 1)
 		quarantined := wk.faultHistory.RecordFault(row.Task.Job, now)
 		tk.avoidWorker(wk.info.ID)
-		dr.log(logger.TaskFailed, "Task", row.Task.String(), "Run", row.Run, "Worker", wk.info.ID, "Failures", len(tk.failures), "Distrust", wk.faultHistory.FaultScore(now))
+		dr.log(logger.TaskFailed, "Task", row.Task.String(), "Run", row.Run, "Worker", wk.info.ID, "Failures", len(tk.failures), "Attempts", dr.maxAttempts(tk.step.occ.job), "Distrust", wk.faultHistory.FaultScore(now))
 		if quarantined {
 			dr.quarantine(wk, "tasks of several jobs failed")
 		}
--- a/internal/telemetry/logger/catalogue_job.go
+++ b/internal/telemetry/logger/catalogue_job.go
@@ -3,19 +3,19 @@
 // Events of callers' jobs, of the hosts that schedule them, and of the workers that run them.
 var (
 	JobAccepted        = Event{600, "job accepted", "The job is stored and was acknowledged to its caller.", SeverityInfo}
-	JobRefused         = Event{601, "job refused", "The job was not stored and will not run. StoreAge is the time since the store last answered.", SeverityWarning}
-	JobResultUnknown   = Event{602, "result of a job submission unknown", "The store may have accepted the job. The caller was told that the result is unknown and should ask again with the same ID.", SeverityWarning}
+	JobRefused         = Event{601, "job refused", "The job was not stored and will not run. StoreAge is the time since the store last answered; from MaxStoreAge on it is not called. StoreCalls and PeerCalls are the calls that were made to the store, and to peers.", SeverityWarning}
+	JobResultUnknown   = Event{602, "result of a job submission unknown", "The store may have accepted the job. The caller was told that the result is unknown and should ask again with the same ID. The counts are those of event 601.", SeverityWarning}
 	CancellationStored = Event{603, "cancellation stored", "The cancellation of the job is stored and was acknowledged.", SeverityInfo}
 	JobTakenOver       = Event{604, "job received by the leader", "The leader schedules the job from now on. Age is the time since an entry host received it.", SeverityInfo}
 	JobCancelled       = Event{605, "job cancelled", "The leader stops all runs of the job.", SeverityInfo}
-	JobEnded           = Event{606, "job ended", "The end of the job is durable and is reported to callers.", SeverityInfo}
+	JobEnded           = Event{606, "job ended", "The end of the job is durable and is reported to callers. A failed job has event 678.", SeverityInfo}
 	JobDamaged         = Event{607, "stored job malformed", "A document under Jobs/ was not written by this software. It is skipped. Inspect the key.", SeverityError}
 	JobNotDeleted      = Event{608, "job not deleted", "A job whose retention has ended could not be deleted. The next round retries.", SeverityWarning}
 	JobNotRead         = Event{609, "job of a reported run not read", "A worker reports a run of a job that the leader does not know, and the store does not return the job. The read is repeated. Until then the run goes on and its end is not acknowledged.", SeverityWarning}
 
-	TaskStarted           = Event{610, "task started", "A worker accepted a run of the task. Waited is the time since the job was due, FreeCores the free capacity that is left on the worker, in thousandths of a core.", SeverityInfo}
+	TaskStarted           = Event{610, "task started", "A worker accepted a run of the task. Waited is the time since the job was due, by the clocks of this host and of the one that accepted it. A task that waited at this leader for longer than a report of waiting tasks takes to see it has Queued, the time by this leader's clock alone, and Reason, the one that reports gave for longest, for ReasonFor. FreeCores the free capacity that is left on the worker, in thousandths of a core.", SeverityInfo}
 	StartRejected         = Event{611, "start request failed", "The error says whether the worker refused the request or did not answer. A run without an answer is stopped before the task starts on another worker.", SeverityWarning}
-	TaskFailed            = Event{612, "run failed", "A run ended with a fault. Failures is the number of failures of the task, Distrust the worker's fault score.", SeverityWarning}
+	TaskFailed            = Event{612, "run failed", "A run ended with a fault. Failures is the number of failures of the task, Attempts that after which its job fails (0 for no limit), Distrust the worker's fault score.", SeverityWarning}
 	RunEnded              = Event{613, "run ended early", "A run ended without a result. Resumes is true when the next run continues from a checkpoint.", SeverityInfo}
 	RunLost               = Event{614, "run lost", "A run ended without a report from its worker. Reason says how the leader detected it.", SeverityWarning}
 	UnexpectedRunStopped  = Event{615, "unexpected run stopped", "The worker reports a run that this leader did not place and does not need.", SeverityWarning}
@@ -73,6 +73,7 @@
 	ReportHeldUp            = Event{675, "rows of worker reports wait", "Runs or ends of jobs that the leader does not know wait until these jobs have been read from the store. The rest of the reports counts, and the leases are renewed. Worker is the one of so many Workers that has waited longest. Check the store.", SeverityWarning}
 	RenewalsLate            = Event{676, "lease renewals held up", "The leases of so many workers were not extended for longer than half a lease although the workers answer. Phase says what the leader waits for, Worker is the one that waits longest, LeaseLeft the rest of its lease. Logged once a second for each phase.", SeverityWarning}
 	LeaderNotNotified       = Event{677, "leader not notified of a cancellation", "The cancellation is stored. The leader hears of it from its watch of the store.", SeverityInfo}
+	JobFailed               = Event{678, "job failed", "A task has failed as often as the queue allows, see the lines 612 of the job. The end of the job is durable and is reported to callers.", SeverityWarning}
 )
 
 var jobEvents = []Event{
@@ -83,5 +84,5 @@
 	TermBegun, TermLoaded, TermAccounted, TermEnded, FactDamaged, FactNotRecorded, FactsDelayed, LeaderElected, LeaderGone,
 	MemberNotStored, MemberDamaged, MemberRemoved, WatchLost, WatchRestored, LeaseBounded, PredecessorStopped, TermEndNotRecorded,
 	QueuesAccepted, QueuesInvalid, QueuesNotFetched, PeersNotSecured, SettingsReloaded, SettingsKept, LoadSummary, TaskWaits, LogLinesDropped,
-	LongRunningTaskWaits, TasksWaitLong, CancellationIneffective, CancellationDropped, CancelledRunGoesOn, ReportHeldUp, RenewalsLate, LeaderNotNotified,
+	LongRunningTaskWaits, TasksWaitLong, CancellationIneffective, CancellationDropped, CancelledRunGoesOn, ReportHeldUp, RenewalsLate, LeaderNotNotified, JobFailed,
 }
