internal/job/leader: a majority confirms a leader that is cut off from the store for at most 30 s

The leader went on extending leases while a majority of hosts sent it heartbeats, on the ground that one of them would have told it of a later leader. But a host begins an epoch with the store alone, and none of that majority need know it. The new leader counted 4 s and one lease from the begin of its term. Two smaller faults in the same rule: heartbeats counted from their arrival, so that ones that had waited in the buffers of a frozen host were fresh, and a host that had restarted counted, although its earlier process may have known the later epoch.

Now a majority counts by its answers, from when the leader sent the question, without processes that the leader has not known since the store's last proof, and for at most 30 s after that proof. The new leader allows for these 30 s, or, as soon as half of the hosts know its epoch, so that the others are no majority, for 4 s from then. It reads the records of all hosts once more as its epoch begins, as an earlier leader may have known hosts that it does not. Event 657 tells when.

Weighed, against a bound for the old leader alone: with the wait that matches it, each takeover from a leader that is not known to have stopped would delay the tasks of lost workers by that bound, 30 s and not 4 s. Against a wait for a majority alone: two of three hosts lost for good would hold tasks until their records are removed after 2 min. In outages beyond 30 s and one lease, leases lapse, which they did not before.

Before: "long.0.0.0 started while it runs on worker-00". After: the task runs on its side for the first 30 s, then on the other, once. TestLeasesOutlastOutages passes before and after: no lease lapses with the store away for 9 and 28 s, without another host for 28 s, and without both for 4.5 s.

TestQuorumWithoutStore keeps its checks for the first 30 s and goes on until the cut has ended; its cut is now described by sides, for further tests.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -87,13 +87,15 @@
 	// Configuration returns the configuration in force, or nil if there is none.
 	Configuration func() *modeler.Configuration
 	// MaySendRequests reports whether this host may still send requests to workers: its leadership was
-	// confirmed so recently that a later leader allows for them, or a quorum of hosts knows no later
-	// leader.
+	// confirmed so recently that a later leader allows for them.
 	MaySendRequests func() bool
 	// InheritedLease is how long after the start of the term a worker that does not answer may still
-	// run tasks under a lease from an earlier leader, unless the journal or PredecessorStopped shows that
-	// the lease is over sooner.
+	// run tasks under a lease from an earlier leader, unless the journal, PredecessorStopped or
+	// EarlierLeadersStopAt shows that the lease is over sooner.
 	InheritedLease time.Duration
+	// EarlierLeadersStopAt returns when no earlier leader extends leases any more, or false while that is not
+	// known. It may be nil.
+	EarlierLeadersStopAt func() (time.Time, bool)
 	// PredecessorStopped reports whether the leader of the epoch before is known to extend no leases any
 	// more. It may be nil.
 	PredecessorStopped func() bool
@@ -208,6 +210,8 @@
 	// inheritanceKnown is set if the journal has a record of the predecessor's term, predecessorStopped if
 	// it is known to extend no leases any more.
 	inheritanceKnown, predecessorStopped bool
+	// earlierLeadersStop is set once it is known when earlier leaders stop.
+	earlierLeadersStop bool
 	// recordingLeases is set while recordLeases records. The last time, it did at clockRecordedAt with the
 	// inheritedUntil of recordedUntil.
 	recordingLeases bool
--- a/internal/job/director/lease.go
+++ b/internal/job/director/lease.go
@@ -230,8 +230,10 @@
 	return dr.op.Journal.Append(ctx, recs...)
 }
 
-// checkPredecessor notes when the predecessor is found to have stopped.
+// checkPredecessor notes when earlier leaders are found to stop, and when the predecessor is found to have
+// stopped.
 func (dr *Director) checkPredecessor(now time.Time) {
+	dr.checkEarlierLeaders(now)
 	if dr.predecessorStopped || !dr.inheritanceKnown || dr.op.PredecessorStopped == nil || !dr.op.PredecessorStopped() {
 		return
 	}
@@ -240,6 +242,23 @@
 	dr.log(logger.PredecessorStopped, "InheritedLease", dr.inheritedUntil.Sub(now).String())
 }
 
+// checkEarlierLeaders notes when earlier leaders are found to stop.
+func (dr *Director) checkEarlierLeaders(now time.Time) {
+	if dr.earlierLeadersStop || dr.op.EarlierLeadersStopAt == nil || !now.Before(dr.inheritedUntil) {
+		return
+	}
+	stopAt, ok := dr.op.EarlierLeadersStopAt()
+	if !ok {
+		return
+	}
+	dr.earlierLeadersStop = true
+	if until := stopAt.Add(dr.op.Limits.MaxLeaseTime()); until.Before(dr.earlierUntil) {
+		dr.earlierUntil = until
+	}
+	dr.shortenInheritance(stopAt)
+	dr.log(logger.EarlierLeadersDeposed, "InheritedLease", dr.inheritedUntil.Sub(now).String())
+}
+
 // restoreBound applies a fact to its worker.
 func (dr *Director) restoreBound(ft *keeper.LeaseBoundedFact) {
 	if wk := dr.workers[ft.Worker]; wk != nil {
--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -92,8 +92,8 @@
 	// memberRemovalTimeout is the time without contact with a host after which the leader removes the
 	// host's record.
 	memberRemovalTimeout = 2 * time.Minute
-	// maxQuorumHeartbeatAge is the age up to which a host's last heartbeat counts towards the quorum.
-	maxQuorumHeartbeatAge = 1200 * time.Millisecond
+	// maxSuccessorSilence is the time without contact up to which a host is asked to take over.
+	maxSuccessorSilence = 1200 * time.Millisecond
 	// maxFrequentProbers is the number of hosts, the highest ranked, that probe the leader in every
 	// round. It bounds the load of the leader.
 	maxFrequentProbers = 3
@@ -212,6 +212,8 @@
 	// times at minListInterval when it could have read them.
 	membersRead bool
 	listRounds  int
+	// membersReadAt is when the last read of the records that succeeded began.
+	membersReadAt time.Time
 }
 
 // member is what this host knows about an entry host.
@@ -222,6 +224,10 @@
 	// lastHeartbeat is when the host's last heartbeat arrived, and lastReply when it last replied to a
 	// heartbeat of this one.
 	lastHeartbeat, lastReply time.Time
+	// confirmedAt is when this host sent the last heartbeat whose reply named no later epoch than its own.
+	confirmedAt time.Time
+	// processSeenAt is when this host first heard of the process reportedBy.
+	processSeenAt time.Time
 	// addedAt is when this host first knew of it.
 	addedAt time.Time
 	// The remaining fields are what the host last reported. reportedBy is the process that did, epoch the
@@ -283,18 +289,46 @@
 	return el.inTerm && el.epochBegun
 }
 
-// HasQuorum reports whether more than half of all entry hosts, this one included, have recently
-// sent this one a heartbeat and know no higher epoch.
-func (el *Elector) HasQuorum() bool {
+// HasQuorum reports whether more than half of all entry hosts, this one included, knew no later epoch than
+// this host's own when they answered a heartbeat that it sent after a time. A process that this host first heard
+// of after it last found its epoch in the store, at known, does not count: before its start, the host may
+// have been told of a later epoch.
+func (el *Elector) HasQuorum(after, known time.Time) bool {
 	el.mu.Lock()
 	defer el.mu.Unlock()
-	count := 1
+	count, others := 1, 0
 	for _, mb := range el.members {
-		if mb.Host != el.op.Self.Host && time.Since(mb.lastHeartbeat) < maxQuorumHeartbeatAge && mb.epoch <= el.leader.Epoch {
+		if mb.Host == el.op.Self.Host {
+			continue
+		}
+		others++
+		if mb.confirmedAt.After(after) && !mb.processSeenAt.After(known) {
+			count++
+		}
+	}
+	return 2*count > others+1
+}
+
+// PrecludesQuorum reports whether so many entry hosts know the epoch of this host's term that no earlier leader has a
+// quorum any more. It relies on the records of all hosts as they were after that epoch began, which include
+// those that an earlier leader can have read.
+func (el *Elector) PrecludesQuorum(epoch modeler.Epoch) bool {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	if el.own.Epoch != epoch || el.membersReadAt.Before(el.epochBegunAt) {
+		return false
+	}
+	count, others := 1, 0
+	for _, mb := range el.members {
+		if mb.Host == el.op.Self.Host {
+			continue
+		}
+		others++
+		if mb.epoch >= epoch {
 			count++
 		}
 	}
-	return 2*count > max(len(el.members), 1)
+	return 2*count >= others+1
 }
 
 // ReachablePeers returns the addresses of the other hosts that were recently in contact with this
@@ -395,6 +429,7 @@
 func (el *Elector) listMembers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeContactTimeout)
 	defer cancel()
+	began := time.Now()
 	ens, _, err := el.op.Store.Snapshot(ctx, memberPrefix)
 	if err != nil {
 		// An outage of the store is logged by package watcher.
@@ -402,7 +437,7 @@
 	}
 	el.mu.Lock()
 	defer el.mu.Unlock()
-	el.membersRead = true
+	el.membersRead, el.membersReadAt = true, later(el.membersReadAt, began)
 	stored := map[fleet.HostName]bool{}
 	for _, en := range ens {
 		mb, err := decodeMember(en)
@@ -706,12 +741,13 @@
 func (el *Elector) sendHeartbeat(ctx context.Context, addr netip.AddrPort, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	sentAt := time.Now()
 	reply, err := el.op.Dial(addr).Greet(ctx, el.newGreeting())
 	el.setLeaderRefuses(addr, errors.Is(err, syscall.ECONNREFUSED))
 	if err != nil {
 		return
 	}
-	el.observe(reply, false)
+	el.observe(reply, sentAt)
 }
 
 // setLeaderRefuses records whether the address refused a connection, if it is the leader's.
@@ -770,8 +806,8 @@
 	return sender, Leader{Epoch: modeler.Epoch(gr.Epoch), Host: leading.Host, Boot: leading.Boot, Address: addr}, nil
 }
 
-// observe records what another host reported in a heartbeat, or else in the reply to one.
-func (el *Elector) observe(gr *messenger.Greeting, isHeartbeat bool) {
+// observe records what another host reported in a heartbeat, or in the reply to one that was sent at a time.
+func (el *Elector) observe(gr *messenger.Greeting, repliedTo time.Time) {
 	if gr.Host == string(el.op.Self.Host) {
 		return
 	}
@@ -788,15 +824,21 @@
 	now := time.Now()
 	mb := el.getOrAddMember(sender.Host)
 	mb.Boot, mb.Address, mb.Weight, mb.draining = sender.Boot, sender.Address, sender.Weight, gr.Leaving
+	if mb.reportedBy != sender.Boot {
+		mb.processSeenAt, mb.confirmedAt = now, time.Time{}
+	}
 	mb.reportedBy, mb.epoch = sender.Boot, leader.Epoch
 	mb.sinceLeaderSeen = modeler.DurationFromMillis(gr.Silence)
 	mb.storeAge = modeler.DurationFromMillis(gr.StoreAge)
 	mb.leaderRefuses = gr.Refused
 	mb.leading = gr.Leader == gr.Host && gr.LeaderBoot == gr.Boot && gr.Silence == 0
-	if isHeartbeat {
+	if repliedTo.IsZero() {
 		mb.lastHeartbeat = now
 	} else {
 		mb.lastReply = now
+		if leader.Epoch <= el.own.Epoch {
+			mb.confirmedAt = later(mb.confirmedAt, repliedTo)
+		}
 	}
 	el.observeLeader(leader, mb, now)
 }
@@ -823,7 +865,7 @@
 
 // HandleGreeting records another host's heartbeat and returns the reply.
 func (el *Elector) HandleGreeting(gr *messenger.Greeting) *messenger.Greeting {
-	el.observe(gr, true)
+	el.observe(gr, time.Time{})
 	return el.newGreeting()
 }
 
--- a/internal/job/elector/takeover.go
+++ b/internal/job/elector/takeover.go
@@ -121,6 +121,7 @@
 	}
 	logger.Log(el.op.Log, logger.LeaderElected, "Epoch", epoch, "Leader", self.Host, "Self", true)
 	go el.announce(context.Background())
+	go el.listMembers(context.Background())
 	return nil
 }
 
@@ -163,7 +164,7 @@
 
 // successors returns the addresses of the other hosts that can lead, the preferred first.
 func (el *Elector) successors() []netip.AddrPort {
-	return el.reachablePeers(maxQuorumHeartbeatAge, func(one, two *member) int { return compareCandidates(&one.Member, &two.Member) })
+	return el.reachablePeers(maxSuccessorSilence, func(one, two *member) int { return compareCandidates(&one.Member, &two.Member) })
 }
 
 // ErrNotTakenOver means that a host has not taken leadership over.
@@ -173,7 +174,7 @@
 // than the sender leads. Errors: ErrNotTakenOver if the sender is not the leader, this host cannot lead, or
 // its epoch does not begin within heartbeatTimeout. It may still begin then.
 func (el *Elector) HandleResignation(ctx context.Context, gr *messenger.Greeting) error {
-	el.observe(gr, true)
+	el.observe(gr, time.Time{})
 	epoch := modeler.Epoch(gr.Epoch)
 	el.mu.Lock()
 	if el.leader.Epoch == epoch && el.leader.Host == fleet.HostName(gr.Host) && el.leader.Boot == fleet.BootID(gr.Boot) {
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -20,6 +20,7 @@
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/job/watcher"
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
@@ -51,9 +52,17 @@
 	// journalCheckInterval is the time after which the end of an idle journal is read.
 	journalCheckInterval = time.Second
 	// authorityTimeout is how long a leader sends requests to workers without confirmation that it
-	// still leads. If the next leader does not know that the earlier one has stopped, it adds this
-	// time to the leases that workers may still hold.
+	// still leads. A later leader adds this time to the leases that workers may still hold.
 	authorityTimeout = 4 * time.Second
+	// quorumTimeout is how long a quorum of hosts may confirm that a leader leads while the store does not. A
+	// later leader that less than half of the hosts know waits for it. It is three times the longest
+	// outage of the store that is expected, and well below the time after which hosts without contact are
+	// no longer counted.
+	quorumTimeout = 30 * time.Second
+	// authoritySampleInterval is the time between two samples of how long the machine was suspended.
+	authoritySampleInterval = 250 * time.Millisecond
+	// maxAuthoritySamples bounds these samples. Older ones than quorumTimeout are not needed.
+	maxAuthoritySamples = int(quorumTimeout / authoritySampleInterval)
 	// jobsBatchDelay is the time between two reads of changed jobs. It adds no delay to most jobs, as
 	// hosts notify the leader of new ones at once.
 	jobsBatchDelay = 100 * time.Millisecond
@@ -148,7 +157,7 @@
 	dr := director.New(director.Options{
 		Epoch: epoch, WorkerClient: ld.op.WorkerClient, Journal: jn, Policy: ld.op.Policy, JobStore: keeper.NewJobStore(ld.op.Store),
 		Configuration: ld.op.Configuration, MaySendRequests: tm.authority.valid,
-		InheritedLease: ld.inheritedLease(rec), PredecessorStopped: ld.predecessorStopped(rec),
+		InheritedLease: ld.inheritedLease(rec), PredecessorStopped: ld.predecessorStopped(rec), EarlierLeadersStopAt: ld.earlierLeadersStopAt(epoch),
 		PredecessorSeenFor: ld.elector.LeaderKnownFor(epoch - 1), FactsMissing: rec.Damaged > 0,
 		SnapshotPosition: rec.SnapshotPosition, FactsSinceSnapshot: len(rec.Records),
 		Limits: ld.op.Limits, Log: ld.op.Log, Meter: ld.op.Meter,
@@ -171,13 +180,25 @@
 }
 
 // inheritedLease returns how long, from the beginning of the term, unreachable workers may run tasks for
-// earlier leaders, of which the last may go on for authorityTimeout.
+// earlier leaders, which may extend leases for quorumTimeout by a clock that is 2% slow.
 func (ld *Leader) inheritedLease(rec journaler.Recovery) time.Duration {
 	// A damaged segment may be the only trace of the last leader.
 	if rec.PreviousHost == "" && rec.Damaged == 0 {
 		return 0
 	}
-	return ld.op.Limits.MaxLeaseTime() + authorityTimeout
+	return ld.op.Limits.MaxLeaseTime() + quorumTimeout + quorumTimeout/50
+}
+
+// earlierLeadersStopAt returns a function that returns when earlier leaders stop extending leases, once that is
+// known: authorityTimeout after so many hosts knew the epoch that none of them has a quorum. The store
+// confirms none since the epoch began.
+func (ld *Leader) earlierLeadersStopAt(epoch modeler.Epoch) func() (time.Time, bool) {
+	return func() (time.Time, bool) {
+		if !ld.elector.PrecludesQuorum(epoch) {
+			return time.Time{}, false
+		}
+		return time.Now().Add(authorityTimeout), true
+	}
 }
 
 // predecessorStopped returns a function that reports whether the leader of the epoch before sends no more
@@ -211,6 +232,7 @@
 	loops.Go(func() { jobs.Run(ctx) })
 	loops.Go(func() { workers.Run(ctx) })
 	loops.Go(func() { tm.journalCheckLoop(ctx) })
+	loops.Go(func() { pauser.Every(ctx, authoritySampleInterval, func(context.Context) { tm.authority.confirm() }) })
 	if err := tm.director.Wait(); err != nil {
 		return err
 	}
@@ -361,6 +383,9 @@
 	au.mu.Lock()
 	defer au.mu.Unlock()
 	au.samples = append(au.samples, sample)
+	if len(au.samples) > maxAuthoritySamples {
+		au.samples = slices.Delete(au.samples, 1, 2)
+	}
 	if !confirmed.After(au.confirmedAt) {
 		return
 	}
@@ -370,17 +395,30 @@
 	}
 }
 
-// valid reports whether this host may still send requests to workers. It may while its leadership
-// was confirmed within authorityTimeout, after which a later leader assumes that it has stopped. It
-// also may while it has a quorum, since one of those hosts would have reported a later leader,
-// unless the machine was suspended for a second or longer since that confirmation.
+// valid reports whether this host may still send requests to workers: the store, or for up to quorumTimeout
+// after it a quorum of hosts, has confirmed within authorityTimeout that it leads. Time in which the machine was
+// suspended counts. The hosts of a quorum would have reported a later leader if they knew one, which it
+// allows for.
 func (au *authority) valid() bool {
+	now, suspended := time.Now(), au.leader.op.SuspendedTime()
 	au.mu.Lock()
-	confirmedAt, suspendedAtConfirm := au.confirmedAt, au.samples[0].suspended
+	confirmedAt, first := au.confirmedAt, au.samples[0]
+	after := now.Add(-authorityTimeout)
+	near := first
+	for _, sample := range au.samples[1:] {
+		if sample.at.After(after) {
+			break
+		}
+		near = sample
+	}
 	au.mu.Unlock()
-	suspended := au.leader.op.SuspendedTime() - suspendedAtConfirm
-	if suspended > authorityTimeout {
-		return false
+	stored := now.Sub(confirmedAt) + suspended - first.suspended
+	if stored < authorityTimeout || stored >= quorumTimeout {
+		return stored < authorityTimeout
+	}
+	after = after.Add(suspended - near.suspended)
+	if after.Before(confirmedAt) {
+		after = confirmedAt
 	}
-	return time.Since(confirmedAt)+suspended < authorityTimeout || suspended < time.Second && au.leader.elector.HasQuorum()
+	return au.leader.elector.HasQuorum(after, confirmedAt)
 }
--- a/internal/job/leader/partition_test.go
+++ b/internal/job/leader/partition_test.go
@@ -11,48 +11,135 @@
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 )
 
-// separate cuts one host, with the store and all workers but one, off from the other hosts, which keep that worker.
-func (cl *cluster) separate(minority int, kept modeler.WorkerID) {
+const (
+	// maxQuorumWithoutStore is how long a majority of hosts may confirm a leader while the store does not.
+	maxQuorumWithoutStore = 30 * time.Second
+	// settleTime is the time from the end of all faults after which long-running tasks must run again.
+	settleTime = 15 * time.Second
+)
+
+// sides says for each host, the store and each worker on which side of a cut it is.
+type sides struct {
+	hosts   []bool
+	store   bool
+	workers map[modeler.WorkerID]bool
+}
+
+// separate cuts the two sides off from each other. Without sides it ends the cut.
+func (cl *cluster) separate(sd *sides) {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	for ix, ho := range cl.hosts {
 		ho.cutPeers, ho.cutWorkers = map[netip.AddrPort]bool{}, map[modeler.WorkerID]workerCut{}
+		ho.cutOut[storeLink], ho.cutIn[storeLink] = false, false
+		if sd == nil {
+			continue
+		}
 		for other := range cl.hosts {
-			ho.cutPeers[hostAddress(other)] = (ix == minority) != (other == minority)
+			ho.cutPeers[hostAddress(other)] = sd.hosts[ix] != sd.hosts[other]
 		}
-		for _, info := range cl.infos {
-			ho.cutWorkers[info.ID] = workerCut{requests: (ix == minority) == (info.ID == kept)}
+		for id, side := range sd.workers {
+			ho.cutWorkers[id] = workerCut{requests: sd.hosts[ix] != side}
 		}
-		ho.cutOut[storeLink], ho.cutIn[storeLink] = ix != minority, ix != minority
+		cut := sd.hosts[ix] != sd.store
+		ho.cutOut[storeLink], ho.cutIn[storeLink] = cut, cut
+	}
+}
+
+// setStoreAway makes the store unreachable for all hosts.
+func (cl *cluster) setStoreAway(away bool) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	for _, ho := range cl.hosts {
+		ho.cutOut[storeLink], ho.cutIn[storeLink] = away, away
 	}
 }
 
+// startTask starts hosts and workers, and theTask. It returns the index of the leader and the worker of the task.
+func (cl *cluster) startTask() (int, modeler.WorkerID) {
+	for ix := range cl.infos {
+		cl.startWorker(ix)
+	}
+	for ix := range cl.hosts {
+		cl.startHost(ix)
+	}
+	time.Sleep(5 * time.Second)
+	lead := cl.leaderIndex()
+	jb := &modeler.Job{ID: theTask.Job, Queue: "urgent", Spec: "spec", Pool: testPool, Submitted: time.Now(), Steps: []modeler.Step{{
+		Count: 1, LongRunning: true, Needs: modeler.Resources{MilliCores: 1000, MemoryMB: 100}, Estimate: time.Minute,
+	}}}
+	cl.mu.Lock()
+	cl.jobs[jb.ID] = jb
+	cl.mu.Unlock()
+	qt.Assert(cl.t, cl.process(lead).intaker.Submit(cl.t.Context(), jb), qt.IsNil)
+	time.Sleep(4 * time.Second)
+	where := cl.workers.WorkerOf(theTask)
+	qt.Assert(cl.t, where, qt.Not(qt.Equals), modeler.WorkerID(""))
+	return lead, where
+}
+
+// theTask is the task of startTask.
+var theTask = modeler.TaskID{Job: "job"}
+
 // Guards against a task that runs twice as a deposed leader, whose majority of hosts is cut off from the store and from
-// the new leader, goes on extending leases.
+// the new leader, goes on extending leases, and against one that the new leader never starts.
 func TestQuorumWithoutStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		cl := newCluster(t, 3, 2, 1)
 		defer cl.stop()
-		for ix := range cl.infos {
-			cl.startWorker(ix)
+		lead, where := cl.startTask()
+		sd := &sides{hosts: make([]bool, len(cl.hosts)), store: true, workers: map[modeler.WorkerID]bool{}}
+		sd.hosts[(lead+1)%len(cl.hosts)] = true
+		for _, info := range cl.infos {
+			sd.workers[info.ID] = info.ID != where
 		}
-		for ix := range cl.hosts {
-			cl.startHost(ix)
+		cl.separate(sd)
+		for range 30 {
+			time.Sleep(time.Second)
+			qt.Check(t, cl.workers.WorkerOf(theTask), qt.Equals, where)
 		}
-		time.Sleep(5 * time.Second)
-		lead := cl.leaderIndex()
-		jb := &modeler.Job{ID: "long", Queue: "urgent", Spec: "spec", Pool: testPool, Submitted: time.Now(), Steps: []modeler.Step{{
-			Count: 1, LongRunning: true, Needs: modeler.Resources{MilliCores: 1000, MemoryMB: 100}, Estimate: time.Second,
-		}}}
-		cl.mu.Lock()
-		cl.jobs[jb.ID] = jb
-		cl.mu.Unlock()
-		qt.Assert(t, cl.process(lead).intaker.Submit(t.Context(), jb), qt.IsNil)
-		time.Sleep(4 * time.Second)
-		where := cl.workers.WorkerOf(modeler.TaskID{Job: jb.ID})
-		qt.Assert(t, where, qt.Not(qt.Equals), modeler.WorkerID(""))
-		cl.separate((lead+1)%len(cl.hosts), where)
-		time.Sleep(30 * time.Second)
+		time.Sleep(maxQuorumWithoutStore + cl.limits.MaxLeaseTime() + 5*time.Second - 30*time.Second)
+		now := cl.workers.WorkerOf(theTask)
+		qt.Check(t, now != "" && now != where, qt.IsTrue, qt.Commentf("runs on %q", now))
+		cl.separate(nil)
+		time.Sleep(settleTime)
+		qt.Check(t, cl.workers.WorkerOf(theTask), qt.Equals, now)
 		qt.Check(t, cl.workers.Violations(), qt.HasLen, 0)
 	})
 }
+
+// Guards against leases that lapse while the leader is confirmed by the store alone, by a majority of hosts alone, or for
+// some seconds by neither.
+func TestLeasesOutlastOutages(t *testing.T) {
+	for _, tc := range []struct {
+		name         string
+		store, peers bool
+		outage       time.Duration
+	}{
+		{"store away for 9 s", true, false, 9 * time.Second},
+		{"store away for 28 s", true, false, 28 * time.Second},
+		{"no other host for 28 s", false, true, 28 * time.Second},
+		{"neither for 4.5 s", true, true, 4500 * time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, 3, 2, 1)
+				defer cl.stop()
+				cl.limits.Lease = deployedLease
+				_, where := cl.startTask()
+				starts := cl.workers.StartCount(theTask)
+				for _, away := range []bool{true, false} {
+					cl.setStoreAway(tc.store && away)
+					cl.mu.Lock()
+					for _, ho := range cl.hosts {
+						ho.cutOut[peerLink] = tc.peers && away
+					}
+					cl.mu.Unlock()
+					time.Sleep(tc.outage)
+				}
+				qt.Check(t, cl.workers.WorkerOf(theTask), qt.Equals, where)
+				qt.Check(t, cl.workers.StartCount(theTask), qt.Equals, starts)
+			})
+		})
+	}
+}
--- a/internal/telemetry/logger/catalogue_job.go
+++ b/internal/telemetry/logger/catalogue_job.go
@@ -51,9 +51,10 @@
 	WatchLost       = Event{652, "store watch failed", "Changes are not seen until the store answers again.", SeverityWarning}
 	WatchRestored   = Event{653, "store watch recovered", "The local copy is up to date again.", SeverityInfo}
 
-	LeaseBounded       = Event{654, "end of a silent worker's lease recorded", "The worker does not answer. The journal has, from now on, that its lease is over after LeaseLeft, so that a later leader does not wait anew. The lease is not extended before the journal has a new grant. Clock is the time on the journal's clock.", SeverityInfo}
-	PredecessorStopped = Event{655, "last leader has stopped", "The last leader is known to send no more requests. Workers that do not answer may run tasks of earlier leaders for InheritedLease from now on.", SeverityInfo}
-	TermEndNotRecorded = Event{656, "end of the term not recorded", "The journal did not accept the record in time. The next leader may wait longer for workers that do not answer.", SeverityWarning}
+	LeaseBounded          = Event{654, "end of a silent worker's lease recorded", "The worker does not answer. The journal has, from now on, that its lease is over after LeaseLeft, so that a later leader does not wait anew. The lease is not extended before the journal has a new grant. Clock is the time on the journal's clock.", SeverityInfo}
+	PredecessorStopped    = Event{655, "last leader has stopped", "The last leader is known to send no more requests. Workers that do not answer may run tasks of earlier leaders for InheritedLease from now on.", SeverityInfo}
+	TermEndNotRecorded    = Event{656, "end of the term not recorded", "The journal did not accept the record in time. The next leader may wait longer for workers that do not answer.", SeverityWarning}
+	EarlierLeadersDeposed = Event{657, "earlier leaders deposed", "So many hosts know the epoch of this leader that earlier ones do not find a majority that confirms them. Workers that do not answer may run tasks of earlier leaders for InheritedLease from now on.", SeverityInfo}
 
 	QueuesAccepted   = Event{660, "queue configuration accepted", "A higher revision of the queue configuration is in force at this host.", SeverityInfo}
 	QueuesInvalid    = Event{661, "invalid queue configuration refused", "The operators' document could not be parsed. The revision in force does not change. Correct the document.", SeverityError}
@@ -81,7 +82,7 @@
 	WorkerPaced, PaceUnanswered, WorkerDraining, WorkerUnregistered, WorkerUnreachable, WorkerReachable, WorkerRestarted, WorkerQuarantineBegun,
 	WorkerEntryInvalid, PermitsGranted, PermitsNotGranted,
 	TermBegun, TermLoaded, TermAccounted, TermEnded, FactDamaged, FactNotRecorded, FactsDelayed, LeaderElected, LeaderGone,
-	MemberNotStored, MemberDamaged, MemberRemoved, WatchLost, WatchRestored, LeaseBounded, PredecessorStopped, TermEndNotRecorded,
+	MemberNotStored, MemberDamaged, MemberRemoved, WatchLost, WatchRestored, LeaseBounded, PredecessorStopped, TermEndNotRecorded, EarlierLeadersDeposed,
 	QueuesAccepted, QueuesInvalid, QueuesNotFetched, PeersNotSecured, SettingsReloaded, SettingsKept, LoadSummary, TaskWaits, LogLinesDropped,
 	LongRunningTaskWaits, TasksWaitLong, CancellationIneffective, CancellationDropped, CancelledRunGoesOn, ReportHeldUp, RenewalsLate, LeaderNotNotified,
 }
