--- a/internal/job/director/bounds_test.go
+++ b/internal/job/director/bounds_test.go
@@ -85,6 +85,17 @@
 	return dj.Journal.Append(ctx, recs...)
 }
 
+// Check fails while an append is held back, so that a deposed leader does not notice a later epoch.
+func (dj *delayedJournal) Check(ctx context.Context) error {
+	dj.mu.Lock()
+	held := dj.holding && dj.field != ""
+	dj.mu.Unlock()
+	if held {
+		return journaler.ErrUnavailable
+	}
+	return dj.Journal.Check(ctx)
+}
+
 // release lets later appends pass.
 func (dj *delayedJournal) release() {
 	dj.mu.Lock()
--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -352,7 +352,7 @@
 // confirmLoop checks for each job that this host still led after the job was added. Tasks of the job
 // start only then. A later leader reads the jobs after its epoch has begun, and so knows every job of
 // which this leader can have started a task. That holds for the jobs of the first listing too, which a
-// later leader may have read before they were stored.
+// later leader may have read before they were stored. It also checks for leaseEndConfirmed.
 func (dr *Director) confirmLoop(ctx context.Context) {
 	select {
 	case <-ctx.Done():
@@ -442,7 +442,7 @@
 	dr.checkPredecessor(now)
 	for _, wk := range dr.workers {
 		dr.expireLease(wk, now)
-		if wk.unaccounted && dr.leaseExpired(wk, now.Add(-unreachableGrace)) {
+		if wk.unaccounted && dr.leaseEndConfirmed(wk, unreachableGrace, now) {
 			dr.markAccounted(wk, "inherited leases expired")
 		}
 	}
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -250,7 +250,7 @@
 func (dr *Director) mayRunUnexpectedly(tk *task, now time.Time) bool {
 	tk.unexpected = slices.DeleteFunc(tk.unexpected, func(ur unexpectedRun) bool {
 		wk := ur.worker
-		expired := dr.leaseExpired(wk, now) && now.Sub(wk.unansweredStarts[ur.key]) > dr.longestLateRun()
+		expired := now.Sub(wk.unansweredStarts[ur.key]) > dr.longestLateRun() && dr.leaseEndConfirmed(wk, 0, now)
 		return wk.unexpectedStops[ur.key] == nil || dr.workers[wk.info.ID] != wk || expired
 	})
 	return len(tk.unexpected) > 0 && !tk.step.spec.Speculative
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -489,10 +489,10 @@
 // expireLease ends the runs of an unreachable worker whose lease has expired: long-running ones at
 // once, the others after unreachableGrace. A run whose start may yet be accepted stays.
 func (dr *Director) expireLease(wk *worker, now time.Time) {
-	if len(wk.attempts) == 0 || !wk.unreachable || !dr.leaseExpired(wk, now) {
+	if len(wk.attempts) == 0 || !wk.unreachable || !dr.leaseEndConfirmed(wk, 0, now) {
 		return
 	}
-	graceOver := dr.leaseExpired(wk, now.Add(-unreachableGrace))
+	graceOver := dr.leaseEndConfirmed(wk, unreachableGrace, now)
 	for _, at := range wk.listAttempts() {
 		if (graceOver || at.task.step.spec.LongRunning) && !dr.mayStartLate(at, now) {
 			dr.loseRun(at, "lease expired", now)
@@ -544,6 +544,21 @@
 	return wk.minClock(now) > wk.leaseEnd+leaseMargin
 }
 
+// leaseEndConfirmed reports whether the worker's lease has certainly expired at least a time ago, and no later
+// leader can have extended it or learned how its runs ended: the journal has shown since that this host still
+// led. A leader that is cut off from the store and from this worker may otherwise start tasks again that run
+// there or are done.
+func (dr *Director) leaseEndConfirmed(wk *worker, ago time.Duration, now time.Time) bool {
+	if !dr.leaseExpired(wk, now.Add(-ago)) {
+		return false
+	}
+	if dr.op.Journal.LastConfirmed().After(dr.leaseOver(wk, now).Add(ago)) {
+		return true
+	}
+	signal(dr.confirmWake)
+	return false
+}
+
 // loseRun ends a run without a result and requeues its task.
 func (dr *Director) loseRun(at *attempt, reason string, now time.Time) {
 	tk := at.task
--- a/internal/job/leader/partition_test.go
+++ b/internal/job/leader/partition_test.go
@@ -1,6 +1,8 @@
 package leader_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"testing/synctest"
@@ -12,6 +14,8 @@
 )
 
 const (
+	// maxCutTime bounds the time for which hosts are cut off from each other.
+	maxCutTime = 45 * time.Second
 	// maxQuorumWithoutStore is how long a majority of hosts may confirm a leader while the store does not.
 	maxQuorumWithoutStore = 30 * time.Second
 	// settleTime is the time from the end of all faults after which long-running tasks must run again.
@@ -56,7 +60,7 @@
 }
 
 // startTask starts hosts and workers, and theTask. It returns the index of the leader and the worker of the task.
-func (cl *cluster) startTask() (int, modeler.WorkerID) {
+func (cl *cluster) startTask(longRunning bool) (int, modeler.WorkerID) {
 	for ix := range cl.infos {
 		cl.startWorker(ix)
 	}
@@ -66,7 +70,7 @@
 	time.Sleep(5 * time.Second)
 	lead := cl.leaderIndex()
 	jb := &modeler.Job{ID: theTask.Job, Queue: "urgent", Spec: "spec", Pool: testPool, Submitted: time.Now(), Steps: []modeler.Step{{
-		Count: 1, LongRunning: true, Needs: modeler.Resources{MilliCores: 1000, MemoryMB: 100}, Estimate: time.Minute,
+		Count: 1, LongRunning: longRunning, Needs: modeler.Resources{MilliCores: 1000, MemoryMB: 100}, Estimate: time.Minute,
 	}}}
 	cl.mu.Lock()
 	cl.jobs[jb.ID] = jb
@@ -87,7 +91,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		cl := newCluster(t, 3, 2, 1)
 		defer cl.stop()
-		lead, where := cl.startTask()
+		lead, where := cl.startTask(true)
 		sd := &sides{hosts: make([]bool, len(cl.hosts)), store: true, workers: map[modeler.WorkerID]bool{}}
 		sd.hosts[(lead+1)%len(cl.hosts)] = true
 		for _, info := range cl.infos {
@@ -108,6 +112,27 @@
 	})
 }
 
+// Guards against a task that runs twice as a deposed leader, whose majority of hosts is cut off from the store and from
+// the worker of the task, starts it again while the new leader extends its lease.
+func TestDeposedLeaderWithoutWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 3, 2, 1)
+		defer cl.stop()
+		lead, where := cl.startTask(false)
+		sd := &sides{hosts: make([]bool, len(cl.hosts)), store: true, workers: map[modeler.WorkerID]bool{}}
+		sd.hosts[(lead+1)%len(cl.hosts)] = true
+		for _, info := range cl.infos {
+			sd.workers[info.ID] = info.ID == where
+		}
+		cl.separate(sd)
+		time.Sleep(40 * time.Second)
+		cl.separate(nil)
+		time.Sleep(settleTime)
+		qt.Check(t, cl.workers.StartCount(theTask), qt.Equals, 1)
+		qt.Check(t, cl.workers.Violations(), qt.HasLen, 0)
+	})
+}
+
 // Guards against leases that lapse while the leader is confirmed by the store alone, by a majority of hosts alone, or for
 // some seconds by neither.
 func TestLeasesOutlastOutages(t *testing.T) {
@@ -126,7 +151,7 @@
 				cl := newCluster(t, 3, 2, 1)
 				defer cl.stop()
 				cl.limits.Lease = deployedLease
-				_, where := cl.startTask()
+				_, where := cl.startTask(true)
 				starts := cl.workers.StartCount(theTask)
 				for _, away := range []bool{true, false} {
 					cl.setStoreAway(tc.store && away)
@@ -143,3 +168,76 @@
 		})
 	}
 }
+
+// partitionRun is a run of a cluster that is cut into two sides in series.
+type partitionRun struct {
+	*termScenario
+	rnd *rand.Rand
+}
+
+// flip returns true at random.
+func (pr *partitionRun) flip() bool { return pr.rnd.IntN(2) == 0 }
+
+// randomSides puts hosts, store and workers on a side each.
+func (pr *partitionRun) randomSides() *sides {
+	sd := &sides{hosts: make([]bool, len(pr.hosts)), store: pr.flip(), workers: map[modeler.WorkerID]bool{}}
+	for ix := range sd.hosts {
+		sd.hosts[ix] = pr.flip()
+	}
+	for _, info := range pr.infos {
+		sd.workers[info.ID] = pr.flip()
+	}
+	return sd
+}
+
+// cutOnce cuts the cluster into two sides for a time in which a host or worker may restart.
+func (pr *partitionRun) cutOnce() {
+	pr.separate(pr.randomSides())
+	end := time.Now().Add(500*time.Millisecond + time.Duration(pr.rnd.Int64N(int64(maxCutTime))))
+	for time.Now().Before(end) {
+		time.Sleep(time.Duration(pr.rnd.Int64N(int64(10 * time.Second))))
+		switch ix, wx := pr.rnd.IntN(len(pr.hosts)), pr.rnd.IntN(len(pr.infos)); pr.rnd.IntN(6) {
+		case 0:
+			pr.killHost(ix)
+			time.Sleep(time.Duration(pr.rnd.Int64N(int64(2 * time.Second))))
+			pr.startHost(ix)
+		case 1:
+			pr.workers.Crash(pr.infos[wx].ID)
+			time.Sleep(time.Duration(pr.rnd.Int64N(int64(2 * time.Second))))
+			pr.startWorker(wx)
+		case 2:
+			pr.separate(pr.randomSides())
+		}
+	}
+	pr.separate(nil)
+	time.Sleep(time.Duration(pr.rnd.Int64N(int64(settleTime))))
+}
+
+// Guards against tasks that run twice as two leaders on the sides of a cut extend leases, and against tasks that do not
+// run again after it. LEADER_SEEDS, LEADER_FIRST and LEADER_LOG apply as in TestCancellations.
+func TestRandomPartitions(t *testing.T) {
+	first, seeds := seedRangeOr(t, defaultTermSeeds)
+	for seed := first; seed < first+seeds; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rnd := rand.New(rand.NewPCG(seed, 4))
+				pr := &partitionRun{termScenario: newTermScenario(t, rnd, seed), rnd: rnd}
+				defer pr.stop()
+				pr.submitTasks(rnd)
+				for range 1 + rnd.IntN(3) {
+					pr.cutOnce()
+				}
+				time.Sleep(settleTime)
+				for _, wt := range pr.tasks {
+					if wt.spec.LongRunning {
+						qt.Check(t, pr.workers.WorkerOf(wt.id), qt.Not(qt.Equals), modeler.WorkerID(""), qt.Commentf("seed %d: %s does not run", seed, wt.id))
+					}
+				}
+				qt.Check(t, pr.workers.Violations(), qt.HasLen, 0, qt.Commentf("seed %d", seed))
+				if t.Failed() && logEnabled() {
+					fmt.Println(pr.log.buf.String())
+				}
+			})
+		})
+	}
+}
