internal/job/leader: a leader without confirmation extends leases for 1 s, not 4 s

The next leader waited for 0.4 s, 6.6 s of lease and the 4 s for which a leader that is cut off sent requests.

Only a request that extends a lease has to end that early. A leader now extends leases within 1 s after the start of the last question that the store or a majority of hosts answered, and otherwise renews without a deadline, so that reports and acknowledgements go on. Starts, stops and paces go on for 4 s as before, or for one lease if that is shorter: a start gives 1.5 s of lease, which is over when an extended one is. The next leader allows for 1 s from when half of the hosts know its epoch. No leader steps down earlier.

TestLeasesOutlastOutages, also with hosts that answer each other after 0.4 s: no lease lapses while either the store or a majority answers, nor without both for 4.5 s.

TestAuthority gives its leader a lease, which the authority now depends on.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -89,6 +89,9 @@
 	// MaySendRequests reports whether this host may still send requests to workers: its leadership was
 	// confirmed so recently that a later leader allows for them.
 	MaySendRequests func() bool
+	// MayExtendLeases reports the same of requests that extend a lease. If it is nil, MaySendRequests
+	// applies to them as well.
+	MayExtendLeases func() bool
 	// InheritedLease is how long after the start of the term a worker that does not answer may still
 	// run tasks under a lease from an earlier leader, unless the journal, PredecessorStopped or
 	// EarlierLeadersStopAt shows that the lease is over sooner.
--- a/internal/job/director/lease.go
+++ b/internal/job/director/lease.go
@@ -259,6 +259,11 @@
 	dr.log(logger.EarlierLeadersDeposed, "InheritedLease", dr.inheritedUntil.Sub(now).String())
 }
 
+// mayExtendLeases reports whether this host may still extend leases.
+func (dr *Director) mayExtendLeases() bool {
+	return dr.op.MayExtendLeases == nil || dr.op.MayExtendLeases()
+}
+
 // restoreBound applies a fact to its worker.
 func (dr *Director) restoreBound(ft *keeper.LeaseBoundedFact) {
 	if wk := dr.workers[ft.Worker]; wk != nil {
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -386,7 +386,7 @@
 	}
 	// The lease of an unreachable worker is not extended, or it would never be known to have
 	// expired.
-	if wk.answered && wk.grantDurable && !wk.unreachable && wk.announcedAt.IsZero() {
+	if wk.answered && wk.grantDurable && !wk.unreachable && wk.announcedAt.IsZero() && dr.mayExtendLeases() {
 		req.Deadline = wk.minClock(now) + dr.op.Limits.Lease
 		wk.leaseEnd = max(wk.leaseEnd, req.Deadline)
 		wk.renewal.extendedAt = time.Now()
--- a/internal/job/leader/authority_test.go
+++ b/internal/job/leader/authority_test.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
+	"github.com/currantrouter/currantrouter/internal/job/director"
 	"github.com/currantrouter/currantrouter/internal/job/elector"
 	"github.com/currantrouter/currantrouter/internal/provider/emulator"
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
@@ -35,7 +36,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ac := &authorityCase{t: t, faults: new(emulator.Faults)}
 		self := elector.Member{Host: "host", Boot: "boot", Address: netip.MustParseAddrPort("10.0.0.1:80")}
-		ac.leader = New(Options{Self: self, SuspendedTime: func() time.Duration { return time.Duration(ac.suspended.Load()) }})
+		ac.leader = New(Options{Self: self, Limits: director.Limits{Lease: 6 * time.Second}, SuspendedTime: func() time.Duration { return time.Duration(ac.suspended.Load()) }})
 		el := elector.New(elector.Options{
 			Self: self, StoreAge: func() time.Duration { return 0 }, ConfigurationRevision: func() int64 { return 0 }, Log: logr.Discard(), Meter: meter.New(nil),
 		})
@@ -78,6 +79,29 @@
 			qt.Check(t, ac.authority.valid(), qt.IsFalse)
 		})
 	})
+	t.Run("extends leases for a shorter time", func(t *testing.T) {
+		withAuthority(t, func(ac *authorityCase) {
+			ac.open(emulator.NewStore(ac.faults))
+			time.Sleep(extensionTimeout - time.Millisecond)
+			qt.Check(t, ac.authority.mayExtend(), qt.IsTrue)
+			time.Sleep(time.Millisecond)
+			qt.Check(t, ac.authority.mayExtend(), qt.IsFalse)
+			time.Sleep(authorityTimeout - extensionTimeout - time.Millisecond)
+			qt.Check(t, ac.authority.valid(), qt.IsTrue)
+			time.Sleep(time.Millisecond)
+			qt.Check(t, ac.authority.valid(), qt.IsFalse)
+		})
+	})
+	t.Run("sends requests for no longer than a lease", func(t *testing.T) {
+		withAuthority(t, func(ac *authorityCase) {
+			ac.leader.op.Limits.Lease = 2 * time.Second
+			ac.open(emulator.NewStore(ac.faults))
+			time.Sleep(2*time.Second - time.Millisecond)
+			qt.Check(t, ac.authority.valid(), qt.IsTrue)
+			time.Sleep(time.Millisecond)
+			qt.Check(t, ac.authority.valid(), qt.IsFalse)
+		})
+	})
 	t.Run("suspended while it begins an epoch", func(t *testing.T) {
 		withAuthority(t, func(ac *authorityCase) {
 			ac.faults.Set(emulator.Switch{Fault: emulator.Slow, Part: emulator.PartStore, Operation: "Get", Skip: 2, Count: 1, Delay: time.Second})
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -52,8 +52,13 @@
 	// journalCheckInterval is the time after which the end of an idle journal is read.
 	journalCheckInterval = time.Second
 	// authorityTimeout is how long a leader sends requests to workers without confirmation that it
-	// still leads. A later leader adds this time to the leases that workers may still hold.
+	// still leads, or for one lease if that is shorter. A start gives the worker a lease of 1.5 s, which is over
+	// when one that was extended for extensionTimeout is.
 	authorityTimeout = 4 * time.Second
+	// extensionTimeout is how long a leader extends leases without confirmation that it still leads. It is
+	// shorter as the next leader adds it to the leases that workers may still hold: with 1.5 s, a task whose
+	// worker is lost just before the leader runs again after 9.4 s, where 9 s are allowed.
+	extensionTimeout = time.Second
 	// quorumTimeout is how long a quorum of hosts may confirm that a leader leads while the store does not. A
 	// later leader that less than half of the hosts know waits for it. It is three times the longest
 	// outage of the store that is expected, and well below the time after which hosts without contact are
@@ -156,7 +161,7 @@
 	// The term of the director begins before other hosts hear of it, see director.Options.PredecessorSeenFor.
 	dr := director.New(director.Options{
 		Epoch: epoch, WorkerClient: ld.op.WorkerClient, Journal: jn, Policy: ld.op.Policy, JobStore: keeper.NewJobStore(ld.op.Store),
-		Configuration: ld.op.Configuration, MaySendRequests: tm.authority.valid,
+		Configuration: ld.op.Configuration, MaySendRequests: tm.authority.valid, MayExtendLeases: tm.authority.mayExtend,
 		InheritedLease: ld.inheritedLease(rec), PredecessorStopped: ld.predecessorStopped(rec), EarlierLeadersStopAt: ld.earlierLeadersStopAt(epoch),
 		PredecessorSeenFor: ld.elector.LeaderKnownFor(epoch - 1), FactsMissing: rec.Damaged > 0,
 		SnapshotPosition: rec.SnapshotPosition, FactsSinceSnapshot: len(rec.Records),
@@ -190,14 +195,14 @@
 }
 
 // earlierLeadersStopAt returns a function that returns when earlier leaders stop extending leases, once that is
-// known: authorityTimeout after so many hosts knew the epoch that none of them has a quorum. The store
+// known: extensionTimeout after so many hosts knew the epoch that none of them has a quorum. The store
 // confirms none since the epoch began.
 func (ld *Leader) earlierLeadersStopAt(epoch modeler.Epoch) func() (time.Time, bool) {
 	return func() (time.Time, bool) {
 		if !ld.elector.PrecludesQuorum(epoch) {
 			return time.Time{}, false
 		}
-		return time.Now().Add(authorityTimeout), true
+		return time.Now().Add(extensionTimeout), true
 	}
 }
 
@@ -395,15 +400,22 @@
 	}
 }
 
-// valid reports whether this host may still send requests to workers: the store, or for up to quorumTimeout
-// after it a quorum of hosts, has confirmed within authorityTimeout that it leads. Time in which the machine was
-// suspended counts. The hosts of a quorum would have reported a later leader if they knew one, which it
-// allows for.
+// valid reports whether this host may still send requests to workers.
 func (au *authority) valid() bool {
+	return au.confirmedWithin(min(authorityTimeout, au.leader.op.Limits.Lease))
+}
+
+// mayExtend reports whether this host may still extend leases.
+func (au *authority) mayExtend() bool { return au.confirmedWithin(extensionTimeout) }
+
+// confirmedWithin reports whether the store, or for up to quorumTimeout after it a quorum of hosts, has
+// confirmed within a time that this host leads. Time in which the machine was suspended counts. The hosts
+// of a quorum would have reported a later leader if they knew one, which it allows for.
+func (au *authority) confirmedWithin(timeout time.Duration) bool {
 	now, suspended := time.Now(), au.leader.op.SuspendedTime()
 	au.mu.Lock()
 	confirmedAt, first := au.confirmedAt, au.samples[0]
-	after := now.Add(-authorityTimeout)
+	after := now.Add(-timeout)
 	near := first
 	for _, sample := range au.samples[1:] {
 		if sample.at.After(after) {
@@ -413,8 +425,8 @@
 	}
 	au.mu.Unlock()
 	stored := now.Sub(confirmedAt) + suspended - first.suspended
-	if stored < authorityTimeout || stored >= quorumTimeout {
-		return stored < authorityTimeout
+	if stored < timeout || stored >= quorumTimeout {
+		return stored < timeout
 	}
 	after = after.Add(suspended - near.suspended)
 	if after.Before(confirmedAt) {
--- a/internal/job/leader/partition_test.go
+++ b/internal/job/leader/partition_test.go
@@ -140,17 +140,24 @@
 		name         string
 		store, peers bool
 		outage       time.Duration
+		// delay is added to the time of each message, of which heartbeats to other hosts and their replies take four.
+		delay time.Duration
 	}{
-		{"store away for 9 s", true, false, 9 * time.Second},
-		{"store away for 28 s", true, false, 28 * time.Second},
-		{"no other host for 28 s", false, true, 28 * time.Second},
-		{"neither for 4.5 s", true, true, 4500 * time.Millisecond},
+		{"store away for 9 s", true, false, 9 * time.Second, 0},
+		{"store away for 28 s", true, false, 28 * time.Second, 0},
+		{"store away for 28 s, slow hosts", true, false, 28 * time.Second, 100 * time.Millisecond},
+		{"no other host for 28 s", false, true, 28 * time.Second, 0},
+		{"no other host for 28 s, slow hosts", false, true, 28 * time.Second, 100 * time.Millisecond},
+		{"neither for 4.5 s", true, true, 4500 * time.Millisecond, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				cl := newCluster(t, 3, 2, 1)
 				defer cl.stop()
 				cl.limits.Lease = deployedLease
+				for _, ho := range cl.hosts {
+					ho.delay = tc.delay
+				}
 				_, where := cl.startTask(true)
 				starts := cl.workers.StartCount(theTask)
 				for _, away := range []bool{true, false} {
--- a/internal/job/leader/terms_test.go
+++ b/internal/job/leader/terms_test.go
@@ -22,7 +22,7 @@
 	maxDowntime = 9 * time.Second
 	calmTime    = 7 * time.Second
 	// maxAuthority is how long a leader that is cut off may extend leases.
-	maxAuthority = 4 * time.Second
+	maxAuthority = time.Second
 	// endingGrace is how long tasks that end by themselves are waited for after the lease of their worker.
 	endingGrace = 4 * time.Second
 	// maxUnseenSilence is how long before a leader is lost a worker may be lost without a record of it, and how
@@ -613,7 +613,7 @@
 // Guards against a long-running task that runs late if its worker and the leader are lost at once. The leader after it
 // allows for maxAuthority, in which the lost one may extend the lease.
 func TestWorkerLostWithLeader(t *testing.T) {
-	for _, before := range []time.Duration{0, time.Second} {
+	for _, before := range []time.Duration{0, 200 * time.Millisecond, 400 * time.Millisecond, 600 * time.Millisecond, time.Second} {
 		t.Run(fmt.Sprint("worker lost ", before, " before the leader"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ts := newTermScenario(t, rand.New(rand.NewPCG(1, 1)), 1)
