internal/job/director: a worker that leaves and returns gets no lower token than before

A leader stepped down when a worker that had been silent for a time left the registry and returned in the same term: the count in its fencing token began anew, the worker refused the token, and the director took that for a later epoch. Callers saw a takeover without a cause, about a second without starts. In a test without another host, nothing was started any more.

The director keeps the count of workers that it drops until the end of the term. Before: TestWorkerLeavesAndReturns finds the job "Queued".

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -197,6 +197,9 @@
 	readQueue  []modeler.JobID
 	jobReaders int
 	workers    map[modeler.WorkerID]*worker
+	// droppedFences holds fenceRises of workers that left and are not known any more. One that returns refuses
+	// lower tokens than it has seen.
+	droppedFences map[modeler.WorkerID]int64
 	// waitingSteps holds the steps that have waiting tasks and whose predecessors are done.
 	waitingSteps map[*step]struct{}
 	// unaccountedWorkers is the number of workers that may still run tasks of earlier terms and have
@@ -278,6 +281,7 @@
 		pendingFacts:         map[modeler.JobID][]keeper.Fact{},
 		unreadJobs:           map[modeler.JobID]struct{}{},
 		workers:              map[modeler.WorkerID]*worker{},
+		droppedFences:        map[modeler.WorkerID]int64{},
 		waitingSteps:         map[*step]struct{}{},
 		starting:             map[*attempt]struct{}{},
 		seenRooms:            map[modeler.PoolName][]seenRoom{},
--- a/internal/job/director/late_renewal_test.go
+++ b/internal/job/director/late_renewal_test.go
@@ -102,3 +102,21 @@
 		qt.Check(fl.t, fl.workers.WorkerOf(modeler.TaskID{Job: "j1"}), qt.Equals, modeler.WorkerID("worker-01"))
 	})
 }
+
+// Guards against a leader that steps down because a worker that has left the registry and returns refuses its token, which
+// is lower than before.
+func TestWorkerLeavesAndReturns(t *testing.T) {
+	run(t, 2, func(fl *fleet, tm *term) {
+		fl.workers.SetUnreachable("worker-00", true)
+		sleep(4 * time.Second)
+		fl.workers.SetUnreachable("worker-00", false)
+		sleep(2 * time.Second)
+		tm.RemoveWorker("worker-00")
+		sleep(12 * time.Second)
+		tm.UpdateWorker(fl.infos[0])
+		sleep(2 * time.Second)
+		tm.submit(simpleJob("job", "urgent", 2, cores(6000)))
+		sleep(3 * time.Second)
+		tm.assertState("job", modeler.Completed)
+	})
+}
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -222,7 +222,7 @@
 	if wk == nil {
 		wk = &worker{
 			attempts: map[attemptKey]*attempt{}, unexpectedStops: map[attemptKey]*unexpectedStop{}, unansweredStarts: map[attemptKey]time.Time{},
-			criticalImages: map[string]int{}, bestEffortImages: map[string]int{},
+			criticalImages: map[string]int{}, bestEffortImages: map[string]int{}, fenceRises: dr.droppedFences[info.ID],
 		}
 		wk.info = *info
 		wk.free = info.Capacity
@@ -342,6 +342,7 @@
 	defer dr.mu.Unlock()
 	if !wk.registered {
 		delete(dr.workers, wk.info.ID)
+		dr.droppedFences[wk.info.ID] = wk.fenceRises
 		dr.dropUnexpectedCancelledRuns(wk, time.Now())
 	}
 	return !wk.registered
