--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -87,13 +87,18 @@
 	// Configuration returns the configuration in force, or nil if there is none.
 	Configuration func() *modeler.Configuration
 	// MaySendRequests reports whether this host may still send requests to workers: its leadership was
-	// confirmed so recently that a later leader allows for them, or a quorum of hosts knows no later
-	// leader.
+	// confirmed so recently that a later leader allows for them.
 	MaySendRequests func() bool
+	// MayExtendLeases reports the same of requests that extend a lease. If it is nil, MaySendRequests
+	// applies to them as well.
+	MayExtendLeases func() bool
 	// InheritedLease is how long after the start of the term a worker that does not answer may still
-	// run tasks under a lease from an earlier leader, unless the journal or PredecessorStopped shows that
-	// the lease is over sooner.
+	// run tasks under a lease from an earlier leader, unless the journal, PredecessorStopped or
+	// EarlierLeadersStopAt shows that the lease is over sooner.
 	InheritedLease time.Duration
+	// EarlierLeadersStopAt returns when no earlier leader extends leases any more, or false while that is not
+	// known. It may be nil.
+	EarlierLeadersStopAt func() (time.Time, bool)
 	// PredecessorStopped reports whether the leader of the epoch before is known to extend no leases any
 	// more. It may be nil.
 	PredecessorStopped func() bool
@@ -211,6 +216,8 @@
 	// boundsVoid is set if the journal has no record of the predecessor's term, inheritanceKnown if it has one and
 	// all its records could be read, and predecessorStopped if the predecessor is known to extend no leases any more.
 	boundsVoid, inheritanceKnown, predecessorStopped bool
+	// earlierLeadersStop is set once it is known when earlier leaders stop.
+	earlierLeadersStop bool
 	// recordingLeases is set while recordLeases records. The last time, it did at clockRecordedAt with the
 	// inheritedUntil of recordedUntil.
 	recordingLeases bool
@@ -351,7 +358,7 @@
 // confirmLoop checks for each job that this host still led after the job was added. Tasks of the job
 // start only then. A later leader reads the jobs after its epoch has begun, and so knows every job of
 // which this leader can have started a task. That holds for the jobs of the first listing too, which a
-// later leader may have read before they were stored.
+// later leader may have read before they were stored. It also checks for leaseEndConfirmed.
 func (dr *Director) confirmLoop(ctx context.Context) {
 	select {
 	case <-ctx.Done():
@@ -441,7 +448,7 @@
 	dr.checkPredecessor(now)
 	for _, wk := range dr.workers {
 		dr.expireLease(wk, now)
-		if wk.unaccounted && dr.leaseExpired(wk, now.Add(-unreachableGrace)) {
+		if wk.unaccounted && dr.leaseEndConfirmed(wk, unreachableGrace, now) {
 			dr.markAccounted(wk, "inherited leases expired")
 		}
 	}
--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -92,8 +92,11 @@
 	// memberRemovalTimeout is the time without contact with a host, while this host leads, after which it
 	// removes the host's record.
 	memberRemovalTimeout = 2 * time.Minute
-	// maxQuorumHeartbeatAge is the age up to which a host's last heartbeat counts towards the quorum.
-	maxQuorumHeartbeatAge = 1200 * time.Millisecond
+	// minRemovalTermAge is how old a term is before its leader removes records while PrecludesQuorum does not hold.
+	// A quorum confirms an earlier leader that is cut off from the store for 30 s.
+	minRemovalTermAge = 40 * time.Second
+	// maxSuccessorSilence is the time without contact up to which a host is asked to take over.
+	maxSuccessorSilence = 1200 * time.Millisecond
 	// maxFrequentProbers is the number of hosts, the highest ranked, that probe the leader in every
 	// round. It bounds the load of the leader.
 	maxFrequentProbers = 3
@@ -188,9 +191,10 @@
 	replaced modeler.Epoch
 	// own is the leader of the last epoch that this process began.
 	own Leader
-	// announcedAt is when this host last sent heartbeats as the leader, or its last epoch began.
-	announcedAt time.Time
-	cancelTerm  context.CancelFunc
+	// epochBegunAt is when the last epoch of this host began, announcedAt when it last sent heartbeats as the
+	// leader, or epochBegunAt.
+	epochBegunAt, announcedAt time.Time
+	cancelTerm                context.CancelFunc
 	// termBegun is closed when the epoch of the term has begun, and termDone when the term has ended.
 	termBegun, termDone chan struct{}
 	// runCtx is the context of Run, nil before.
@@ -211,6 +215,8 @@
 	// times at minListInterval when it could have read them.
 	membersRead bool
 	listRounds  int
+	// membersReadAt is when the last read of the records that succeeded began.
+	membersReadAt time.Time
 }
 
 // member is what this host knows about an entry host.
@@ -221,6 +227,10 @@
 	// lastHeartbeat is when the host's last heartbeat arrived, and lastReply when it last replied to a
 	// heartbeat of this one.
 	lastHeartbeat, lastReply time.Time
+	// confirmedAt is when this host sent the last heartbeat whose reply named no later epoch than its own.
+	confirmedAt time.Time
+	// processSeenAt is when this host first heard of the process reportedBy.
+	processSeenAt time.Time
 	// silentFor is for how long this host has led, in all its terms together, since it last heard of the host.
 	// While it does not lead, it may have no contact with hosts that do not either.
 	silentFor time.Duration
@@ -283,18 +293,50 @@
 	return el.inTerm && el.epochBegun
 }
 
-// HasQuorum reports whether more than half of all entry hosts, this one included, have recently
-// sent this one a heartbeat and know no higher epoch.
-func (el *Elector) HasQuorum() bool {
+// HasQuorum reports whether more than half of all entry hosts, this one included, knew no later epoch than
+// this host's own when they answered a heartbeat that it sent after a time. A process that this host first heard
+// of after it last found its epoch in the store, at known, does not count: before its start, the host may
+// have been told of a later epoch.
+func (el *Elector) HasQuorum(after, known time.Time) bool {
 	el.mu.Lock()
 	defer el.mu.Unlock()
-	count := 1
+	count, others := 1, 0
 	for _, mb := range el.members {
-		if mb.Host != el.op.Self.Host && time.Since(mb.lastHeartbeat) < maxQuorumHeartbeatAge && mb.epoch <= el.leader.Epoch {
+		if mb.Host == el.op.Self.Host {
+			continue
+		}
+		others++
+		if mb.confirmedAt.After(after) && !mb.processSeenAt.After(known) {
+			count++
+		}
+	}
+	return 2*count > others+1
+}
+
+// PrecludesQuorum reports whether so many entry hosts know the epoch of this host's term that no earlier leader has a
+// quorum any more. It relies on the records of all hosts as they were after that epoch began, which include
+// those that an earlier leader can have read.
+func (el *Elector) PrecludesQuorum(epoch modeler.Epoch) bool {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	return el.precludesQuorum(epoch)
+}
+
+func (el *Elector) precludesQuorum(epoch modeler.Epoch) bool {
+	if el.own.Epoch != epoch || el.membersReadAt.Before(el.epochBegunAt) {
+		return false
+	}
+	count, others := 1, 0
+	for _, mb := range el.members {
+		if mb.Host == el.op.Self.Host {
+			continue
+		}
+		others++
+		if mb.epoch >= epoch {
 			count++
 		}
 	}
-	return 2*count > max(len(el.members), 1)
+	return 2*count >= others+1
 }
 
 // ReachablePeers returns the addresses of the other hosts that were recently in contact with this
@@ -396,12 +438,13 @@
 func (el *Elector) listMembers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeContactTimeout)
 	defer cancel()
+	began := time.Now()
 	ens, _, err := el.op.Store.Snapshot(ctx, memberPrefix)
 	if err != nil {
 		// An outage of the store is logged by package watcher.
 		return
 	}
-	if !el.replaceMembers(ens) {
+	if !el.replaceMembers(ens, began) {
 		return
 	}
 	if err := el.writeMember(ctx); err != nil && ctx.Err() == nil {
@@ -409,11 +452,12 @@
 	}
 }
 
-// replaceMembers takes over the records of all hosts. It returns true if this host's own was deleted.
-func (el *Elector) replaceMembers(ens []storer.Entry) bool {
+// replaceMembers takes over the records of all hosts, of which the read began at a time. It returns true if this
+// host's own was deleted.
+func (el *Elector) replaceMembers(ens []storer.Entry, began time.Time) bool {
 	el.mu.Lock()
 	defer el.mu.Unlock()
-	el.membersRead = true
+	el.membersRead, el.membersReadAt = true, later(el.membersReadAt, began)
 	stored := map[fleet.HostName]bool{}
 	for _, en := range ens {
 		mb, err := decodeMember(en)
@@ -682,6 +726,9 @@
 	// Heartbeats of a time in which this process stood still may not have been handled yet.
 	led := min(time.Since(el.announcedAt), 2*leaderHeartbeatInterval)
 	el.announcedAt = time.Now()
+	// An earlier leader may have a quorum with hosts that this one does not hear of. PrecludesQuorum needs their
+	// records until then.
+	removable := el.precludesQuorum(el.own.Epoch) || time.Since(el.epochBegunAt) > minRemovalTermAge
 	var addrs []netip.AddrPort
 	var expired []*member
 	for _, mb := range el.members {
@@ -689,7 +736,7 @@
 			continue
 		}
 		addrs = append(addrs, mb.Address)
-		if mb.silentFor += led; mb.silentFor > memberRemovalTimeout {
+		if mb.silentFor += led; removable && mb.silentFor > memberRemovalTimeout {
 			expired = append(expired, mb)
 		}
 	}
@@ -721,12 +768,13 @@
 func (el *Elector) sendHeartbeat(ctx context.Context, addr netip.AddrPort, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	sentAt := time.Now()
 	reply, err := el.op.Dial(addr).Greet(ctx, el.newGreeting())
 	el.setLeaderRefuses(addr, errors.Is(err, syscall.ECONNREFUSED))
 	if err != nil {
 		return
 	}
-	el.observe(reply, false)
+	el.observe(reply, sentAt)
 }
 
 // setLeaderRefuses records whether the address refused a connection, if it is the leader's.
@@ -785,8 +833,8 @@
 	return sender, Leader{Epoch: modeler.Epoch(gr.Epoch), Host: leading.Host, Boot: leading.Boot, Address: addr}, nil
 }
 
-// observe records what another host reported in a heartbeat, or else in the reply to one.
-func (el *Elector) observe(gr *messenger.Greeting, isHeartbeat bool) {
+// observe records what another host reported in a heartbeat, or in the reply to one that was sent at a time.
+func (el *Elector) observe(gr *messenger.Greeting, repliedTo time.Time) {
 	if gr.Host == string(el.op.Self.Host) {
 		return
 	}
@@ -805,15 +853,21 @@
 	mb.Boot, mb.Address, mb.Weight = sender.Boot, sender.Address, sender.Weight
 	// A process never stops draining. Its messages may arrive in another order.
 	mb.draining = gr.Leaving || mb.draining && mb.reportedBy == sender.Boot
+	if mb.reportedBy != sender.Boot {
+		mb.processSeenAt, mb.confirmedAt = now, time.Time{}
+	}
 	mb.reportedBy, mb.epoch = sender.Boot, leader.Epoch
 	mb.sinceLeaderSeen = modeler.DurationFromMillis(gr.Silence)
 	mb.storeAge = modeler.DurationFromMillis(gr.StoreAge)
 	mb.leaderRefuses, mb.silentFor = gr.Refused, 0
 	mb.leading = gr.Leader == gr.Host && gr.LeaderBoot == gr.Boot && gr.Silence == 0
-	if isHeartbeat {
+	if repliedTo.IsZero() {
 		mb.lastHeartbeat = now
 	} else {
 		mb.lastReply = now
+		if leader.Epoch <= el.own.Epoch {
+			mb.confirmedAt = later(mb.confirmedAt, repliedTo)
+		}
 	}
 	el.observeLeader(leader, mb, now)
 }
@@ -840,7 +894,7 @@
 
 // HandleGreeting records another host's heartbeat and returns the reply.
 func (el *Elector) HandleGreeting(gr *messenger.Greeting) *messenger.Greeting {
-	el.observe(gr, true)
+	el.observe(gr, time.Time{})
 	return el.newGreeting()
 }
 
--- a/internal/job/elector/export_test.go
+++ b/internal/job/elector/export_test.go
@@ -1,5 +1,7 @@
 package elector
 
+import "time"
+
 import (
 	"maps"
 	"net/netip"
@@ -19,3 +21,12 @@
 
 // Successors returns the addresses of the hosts that this one would ask to take over, in their order.
 func (el *Elector) Successors() []netip.AddrPort { return el.successors() }
+
+// AddSilence adds to the time for which this host, as the leader, has not heard of the other hosts.
+func (el *Elector) AddSilence(span time.Duration) {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	for _, mb := range el.members {
+		mb.silentFor += span
+	}
+}
--- a/internal/job/elector/members_test.go
+++ b/internal/job/elector/members_test.go
@@ -75,3 +75,27 @@
 		qt.Check(t, cl.records(), qt.Equals, hosts-1, qt.Commentf("a host that drains stores its record again"))
 	})
 }
+
+// Guards against a new leader that deletes the records of hosts with which an earlier one may have a quorum, and then
+// takes that one for deposed.
+func TestRecordsOfAnEarlierQuorum(t *testing.T) {
+	const hosts = 3
+	withCluster(t, hosts, func(cl *cluster, leader int) {
+		others := cl.others(leader)
+		next := others[1]
+		side := []int{leader, others[0]}
+		cl.separate(side)
+		for _, ix := range side {
+			cl.cutFromStore(ix, true)
+		}
+		time.Sleep(5 * time.Second)
+		qt.Assert(t, cl.leaders(), qt.Contains, next)
+		el := cl.hosts[next].elector
+		el.AddSilence(2 * time.Minute)
+		time.Sleep(20 * time.Second)
+		qt.Check(t, cl.records(), qt.Equals, hosts)
+		qt.Check(t, el.PrecludesQuorum(el.Leader().Epoch), qt.IsFalse)
+		time.Sleep(20 * time.Second)
+		qt.Check(t, cl.records(), qt.Equals, 1)
+	})
+}
--- a/internal/job/elector/takeover.go
+++ b/internal/job/elector/takeover.go
@@ -123,12 +123,13 @@
 	el.own = Leader{Epoch: epoch, Host: self.Host, Boot: self.Boot, Address: self.Address}
 	el.leader, el.awaited = el.own, Leader{}
 	now := time.Now()
-	el.epochBegun, el.announcedAt, el.leaderLastSeen, el.leaderKnownAt = true, now, now, now
+	el.epochBegun, el.epochBegunAt, el.announcedAt, el.leaderLastSeen, el.leaderKnownAt = true, now, now, now, now
 	if el.inTerm {
 		close(el.termBegun)
 	}
 	logger.Log(el.op.Log, logger.LeaderElected, "Epoch", epoch, "Leader", self.Host, "Self", true)
 	go el.announce(context.Background())
+	go el.listMembers(context.Background())
 	return nil
 }
 
@@ -171,7 +172,7 @@
 
 // successors returns the addresses of the other hosts that can lead, the preferred first.
 func (el *Elector) successors() []netip.AddrPort {
-	return el.reachablePeers(maxQuorumHeartbeatAge, func(one, two *member) int { return compareCandidates(&one.Member, &two.Member) })
+	return el.reachablePeers(maxSuccessorSilence, func(one, two *member) int { return compareCandidates(&one.Member, &two.Member) })
 }
 
 // ErrNotTakenOver means that a host has not taken leadership over.
@@ -181,7 +182,7 @@
 // than the sender leads. Errors: ErrNotTakenOver if the sender is not the leader, this host cannot lead, or
 // its epoch does not begin within heartbeatTimeout. It may still begin then.
 func (el *Elector) HandleResignation(ctx context.Context, gr *messenger.Greeting) error {
-	el.observe(gr, true)
+	el.observe(gr, time.Time{})
 	epoch := modeler.Epoch(gr.Epoch)
 	el.mu.Lock()
 	if el.leader.Epoch == epoch && el.leader.Host == fleet.HostName(gr.Host) && el.leader.Boot == fleet.BootID(gr.Boot) {
