internal/job/subscriber: do not handle a request with a revision that comes much later

A request sent at 38.737 s needed no read and was answered at 38.744 s with revision 14, which was in force. By the order in which the requests were sent, the host went back. By reading, nothing else lowers the revision: watch, listing, reads and documents of peers all pass accept, which refuses lower revisions under a lock.

Nothing of it has been run.

--- a/internal/job/subscriber/subscriber.go
+++ b/internal/job/subscriber/subscriber.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -21,7 +22,16 @@
 	"github.com/currantrouter/currantrouter/internal/telemetry/reporter"
 )
 
+// ErrSuperseded means that a read of the store took longer than maxRefreshLag, and that the revision in
+// force rose meanwhile. Requests that arrived after the read began may have been handled with the lower
+// revision, so that one that waited for the read must not be handled with the higher one.
+var ErrSuperseded = errors.New("configuration changed while the request waited for the store")
+
 const (
+	// maxRefreshLag is how much later than a request a revision may come into force with which the request
+	// is handled. Callers are promised that a host does not go back to a lower revision in requests that are
+	// sent 250 ms apart.
+	maxRefreshLag = 200 * time.Millisecond
 	// refreshTimeout bounds the read of the store before a caller is told that a queue does not exist.
 	refreshTimeout = 700 * time.Millisecond
 	// fetchTimeout bounds the request for the configuration of a peer that has a higher revision.
@@ -125,16 +135,21 @@
 }
 
 // Refresh reads the configuration from the store, so that a queue is not reported as missing
-// because this host's copy is out of date. If it returns an error, the copy may be out of date.
-// Errors: those of package storer.
+// because this host's copy is out of date. If it returns an error of the store, the copy may be out of date.
+// Errors: ErrSuperseded, after which the copy is up to date, and those of package storer.
 func (sb *Subscriber) Refresh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
+	began, before := time.Now(), sb.Revision()
 	en, err := sb.store.Get(ctx, sb.entry.Key)
-	if err == nil {
-		sb.decode(en)
+	if err != nil {
+		return err
 	}
-	return err
+	sb.decode(en)
+	if time.Since(began) > maxRefreshLag && sb.Revision() > before {
+		return ErrSuperseded
+	}
+	return nil
 }
 
 // OnHigherRevision starts a request for the configuration of a peer that has a higher revision. The
--- a/internal/job/subscriber/subscriber_test.go
+++ b/internal/job/subscriber/subscriber_test.go
@@ -105,6 +105,47 @@
 	})
 }
 
+// slowStore returns an entry after a delay.
+type slowStore struct {
+	Store
+	delay time.Duration
+	entry storer.Entry
+}
+
+func (ss *slowStore) Get(context.Context, string) (storer.Entry, error) {
+	time.Sleep(ss.delay)
+	return ss.entry, nil
+}
+
+// Guards against a request that waits for the store, is handled with a higher revision, and so makes
+// requests that arrived after it and did not wait look as if the host went back to the lower one.
+func TestLongRefresh(t *testing.T) {
+	for name, tc := range map[string]struct {
+		delay   time.Duration
+		changes bool
+		want    error
+	}{
+		"short read, new revision":        {100 * time.Millisecond, true, nil},
+		"long read, revision in force":    {600 * time.Millisecond, false, nil},
+		"long read, new revision":         {600 * time.Millisecond, true, ErrSuperseded},
+		"just below the bound of the lag": {maxRefreshLag - time.Millisecond, true, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fx := newFixture()
+				entry := storer.Entry{Key: "Queues", Value: []byte("12345"), Revision: 5}
+				fx.applyEntries([]storer.Entry{entry})
+				if tc.changes {
+					entry.Value, entry.Revision = []byte("1234567"), 7
+				}
+				fx.store = &slowStore{delay: tc.delay, entry: entry}
+				qt.Check(t, fx.Refresh(t.Context()), qt.ErrorIs, tc.want)
+				qt.Check(t, fx.Revision(), qt.Equals, int64(len(entry.Value)))
+			})
+		})
+	}
+}
+
 // Guards against a document of a peer that ends the process or puts values out of bounds in force.
 func FuzzApplyDocument(f *testing.F) {
 	f.Fuzz(func(t *testing.T, document []byte) {
