--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -448,6 +448,7 @@
 	dr.checkPredecessor(now)
 	for _, wk := range dr.workers {
 		dr.expireLease(wk, now)
+		dr.expireAdvance(wk, now)
 		if wk.unaccounted && dr.leaseEndConfirmed(wk, unreachableGrace, now) {
 			dr.markAccounted(wk, "inherited leases expired")
 		}
