internal/job/elector: a leader that is cut off from most hosts does not remove their records

Cause: after 2 min a leader removed the records of all hosts that it did not hear of, also of a majority. The few that are left were then a majority of themselves, beside the one on the other side. And a store that does not answer a removal held up the heartbeats.

A leader now removes records only of less than half of the hosts, a host without a record counts for no quorum but for the number of hosts, and the removal is bounded to 0.5 s. TestRecordsOfAnEarlierQuorum expected a host alone to remove the two other records; it now expects them to stay.

--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -95,6 +95,8 @@
 	// minRemovalTermAge is how old a term is before its leader removes records while PrecludesQuorum does not hold.
 	// A quorum confirms an earlier leader that is cut off from the store for 30 s.
 	minRemovalTermAge = 40 * time.Second
+	// removalTimeout bounds the removal of records in one round of heartbeats.
+	removalTimeout = 500 * time.Millisecond
 	// maxSuccessorSilence is the time without contact up to which a host is asked to take over.
 	maxSuccessorSilence = 1200 * time.Millisecond
 	// maxFrequentProbers is the number of hosts, the highest ranked, that probe the leader in every
@@ -293,8 +295,8 @@
 	return el.inTerm && el.epochBegun
 }
 
-// HasQuorum reports whether more than half of all entry hosts, this one included, knew no later epoch than
-// this host's own when they answered a heartbeat that it sent after a time. A process that this host first heard
+// HasQuorum reports whether more than half of all entry hosts, this one included, have a record and knew no later
+// epoch than this host's own when they answered a heartbeat that it sent after a time. A process that this host first heard
 // of after it last found its epoch in the store, at known, does not count: before its start, the host may
 // have been told of a later epoch.
 func (el *Elector) HasQuorum(after, known time.Time) bool {
@@ -306,15 +308,15 @@
 			continue
 		}
 		others++
-		if mb.confirmedAt.After(after) && !mb.processSeenAt.After(known) {
+		if mb.revision != 0 && mb.confirmedAt.After(after) && !mb.processSeenAt.After(known) {
 			count++
 		}
 	}
 	return 2*count > others+1
 }
 
-// PrecludesQuorum reports whether so many entry hosts know the epoch of this host's term that no earlier leader has a
-// quorum any more. It relies on the records of all hosts as they were after that epoch began, which include
+// PrecludesQuorum reports whether so many entry hosts with a record know the epoch of this host's term that no
+// earlier leader has a quorum any more. It relies on the records of all hosts as they were after that epoch began, which include
 // those that an earlier leader can have read.
 func (el *Elector) PrecludesQuorum(epoch modeler.Epoch) bool {
 	el.mu.Lock()
@@ -332,7 +334,7 @@
 			continue
 		}
 		others++
-		if mb.epoch >= epoch {
+		if mb.revision != 0 && mb.epoch >= epoch {
 			count++
 		}
 	}
@@ -740,9 +742,20 @@
 			expired = append(expired, mb)
 		}
 	}
+	if 2*len(expired) >= len(el.members) {
+		// They may be a majority that this host is cut off from.
+		expired = nil
+	}
 	el.mu.Unlock()
 	el.sendHeartbeats(ctx, addrs, heartbeatTimeout)
-	for _, mb := range expired {
+	el.removeRecords(ctx, expired)
+}
+
+// removeRecords deletes the records of hosts. It is bounded in time, as the next heartbeats wait for it.
+func (el *Elector) removeRecords(ctx context.Context, mbs []*member) {
+	ctx, cancel := context.WithTimeout(ctx, removalTimeout)
+	defer cancel()
+	for _, mb := range mbs {
 		// A host that comes back stores its record again.
 		if err := el.op.Store.Delete(ctx, memberPrefix+string(mb.Host), mb.revision); err == nil {
 			logger.Log(el.op.Log, logger.MemberRemoved, "Host", mb.Host)
--- a/internal/job/elector/members_test.go
+++ b/internal/job/elector/members_test.go
@@ -95,7 +95,7 @@
 		time.Sleep(20 * time.Second)
 		qt.Check(t, cl.records(), qt.Equals, hosts)
 		qt.Check(t, el.PrecludesQuorum(el.Leader().Epoch), qt.IsFalse)
-		time.Sleep(20 * time.Second)
-		qt.Check(t, cl.records(), qt.Equals, 1)
+		time.Sleep(5 * time.Minute)
+		qt.Check(t, cl.records(), qt.Equals, hosts, qt.Commentf("a host alone removes the records of a majority"))
 	})
 }
--- a/internal/job/leader/partition_test.go
+++ b/internal/job/leader/partition_test.go
@@ -248,3 +248,34 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice as a leader that is cut off from most hosts removes their records: the few that
+// are left then count as a majority. After 150 s the store changes sides.
+func TestRecordsOfHostsBehindACut(t *testing.T) {
+	for _, withStore := range []bool{true, false} {
+		for offset := range 6 {
+			t.Run(fmt.Sprintf("leader with store %t, offset %d", withStore, offset), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					cl := newCluster(t, 5, 2, uint64(offset)+1)
+					defer cl.stop()
+					lead, _ := cl.startTask(true)
+					sd := &sides{hosts: make([]bool, len(cl.hosts)), store: withStore, workers: map[modeler.WorkerID]bool{}}
+					sd.hosts[lead] = true
+					for _, info := range cl.infos {
+						sd.workers[info.ID] = withStore
+					}
+					cl.separate(sd)
+					time.Sleep(150*time.Second + time.Duration(offset)*170*time.Millisecond)
+					where := cl.workers.WorkerOf(theTask)
+					sd.store = !withStore
+					for _, info := range cl.infos {
+						sd.workers[info.ID] = (info.ID == where) == withStore
+					}
+					cl.separate(sd)
+					time.Sleep(36 * time.Second)
+					qt.Check(t, cl.workers.Violations(), qt.HasLen, 0)
+				})
+			})
+		}
+	}
+}
