internal/job/director: one check of refusals by fencing token

Renewals, starts and stops each compared the token of a refused request with the present one and ended the term. checkRefusal does so for all three. No change of behaviour.

--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -694,11 +694,10 @@
 		}
 		dr.stopRun(at, "start not answered")
 		return
-	case errors.Is(err, modeler.ErrStaleFence) && req.Fence == dr.fence(wk):
-		dr.stepDown("worker " + string(wk.info.ID) + " has seen a higher epoch")
-		return
 	case errors.Is(err, modeler.ErrStaleFence):
-		// The token has risen since the start was sent.
+		if dr.checkRefusal(wk, req.Fence, err) {
+			return
+		}
 	case errors.Is(err, modeler.ErrStaleRun):
 		tk.lastRun += staleRunStep
 	case errors.Is(err, modeler.ErrPermitRefused):
@@ -767,16 +766,13 @@
 			dr.mu.Lock()
 			note(err)
 			counts := err == nil && wk.incarnation == incarnation
-			current := fence == dr.fence(wk)
+			deposed := dr.checkRefusal(wk, fence, err)
 			if counts {
 				answered()
 			}
 			dr.mu.Unlock()
 			switch {
-			case counts:
-				return
-			case errors.Is(err, modeler.ErrStaleFence) && current:
-				dr.stepDown("worker " + string(info.ID) + " has seen a higher epoch")
+			case counts || deposed:
 				return
 			case err != nil && !logged:
 				dr.log(logger.StopUnanswered, "Worker", info.ID, "Task", key.task.String(), "Run", key.run, "Error", err.Error())
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -406,16 +406,23 @@
 	return dr.op.WorkerClient.Renew(ctx, info, req)
 }
 
+// checkRefusal ends the term, and returns true, if the error of a request with a fencing token shows that the worker has seen a higher
+// epoch. A later request of this leader with a higher token may have overtaken the request.
+func (dr *Director) checkRefusal(wk *worker, fence modeler.Fence, err error) bool {
+	deposed := errors.Is(err, modeler.ErrStaleFence) && fence == dr.fence(wk)
+	if deposed {
+		dr.stepDown("worker " + string(wk.info.ID) + " has seen a higher epoch")
+	}
+	return deposed
+}
+
 // renewalFailed marks the worker as unreachable unless the term is over, or ends the term if the worker has seen a higher
 // epoch. The fence is that of the renewal.
 func (dr *Director) renewalFailed(wk *worker, fence modeler.Fence, err error) {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
+	dr.checkRefusal(wk, fence, err)
 	if errors.Is(err, modeler.ErrStaleFence) {
-		// A later request of this leader may have overtaken the renewal.
-		if fence == dr.fence(wk) {
-			dr.stepDown("worker " + string(wk.info.ID) + " has seen a higher epoch")
-		}
 		return
 	}
 	if dr.ctx.Err() != nil {
