internal/job/director: one piece of code each for the reserve of a pool and for what a run reserves

Three sums over the workers of a pool each added up its capacity, poolHeadroom for every long-running task of a round. The capacity is now the one that the round keeps. reserve and release use reservation, as the placement in advance does. No change of behaviour.

--- a/internal/job/director/advance.go
+++ b/internal/job/director/advance.go
@@ -82,16 +82,14 @@
 
 // futureHeadroom returns what agedHeadroom and poolHeadroom are once the capacity has become free.
 func (rd *round) futureHeadroom(pool modeler.PoolName, dm *placer.Demand, ending map[int]modeler.Resources) (headroom, slots int64) {
-	var capacity int64
 	for ix, wk := range rd.workers {
 		if wk.info.Pool == pool {
 			free := wk.free.Plus(ending[ix])
 			headroom += max(0, free.MilliCores) + wk.ending.MilliCores
-			capacity += wk.info.Capacity.MilliCores
 			slots += placer.FitCount(dm.Needs, free)
 		}
 	}
-	return headroom - int64(placer.ShortTaskReserve*float64(capacity)), slots
+	return headroom - rd.shortTaskReserve(pool), slots
 }
 
 // queueFreed queues the starts of tasks that were placed in advance for which the worker now has the
--- a/internal/job/director/aging.go
+++ b/internal/job/director/aging.go
@@ -147,14 +147,13 @@
 	if headroom, ok := rd.headroomOf[pool]; ok {
 		return headroom
 	}
-	var left, capacity int64
+	var left int64
 	for _, wk := range rd.workers {
 		if wk.info.Pool == pool {
 			left += max(0, wk.free.MilliCores) + wk.ending.MilliCores
-			capacity += wk.info.Capacity.MilliCores
 		}
 	}
-	rd.headroomOf[pool] = left - int64(placer.ShortTaskReserve*float64(capacity))
+	rd.headroomOf[pool] = left - rd.shortTaskReserve(pool)
 	return rd.headroomOf[pool]
 }
 
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -406,15 +406,19 @@
 // poolHeadroom returns the free processors of a pool beyond the reserve for short tasks, in
 // thousandths of a core, and how many tasks of the demand fit into the pool.
 func (rd *round) poolHeadroom(pool modeler.PoolName, dm *placer.Demand) (headroom, slots int64) {
-	var capacity int64
 	for _, wk := range rd.workers {
 		if wk.info.Pool == pool {
 			headroom += max(0, wk.free.MilliCores)
-			capacity += wk.info.Capacity.MilliCores
 			slots += placer.FitCount(dm.Needs, wk.free)
 		}
 	}
-	return headroom - int64(placer.ShortTaskReserve*float64(capacity)), slots
+	return headroom - rd.shortTaskReserve(pool), slots
+}
+
+// shortTaskReserve returns the processors of a pool that long-running tasks leave to short ones, in
+// thousandths of a core.
+func (rd *round) shortTaskReserve(pool modeler.PoolName) int64 {
+	return int64(placer.ShortTaskReserve * float64(rd.capacity(pool).MilliCores))
 }
 
 // logWaitingTask logs why a task found no worker: the first such task of a round, at most once per
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -592,7 +592,7 @@
 	tk.lastRun = max(tk.lastRun, run)
 	tk.attempts = append(tk.attempts, at)
 	wk.attempts[attemptKey{tk.id(), run}] = at
-	wk.free = wk.free.Minus(placer.Reservation(sp.spec.Needs, sp.spec.BestEffort))
+	wk.free = wk.free.Minus(at.reservation())
 	sp.perWorker[wk.info.ID]++
 	sp.occ.job.activeRuns++
 	wk.countTask(sp.spec, 1)
@@ -609,7 +609,7 @@
 	delete(wk.attempts, key)
 	dr.dropCancelledRun(wk, key, time.Now())
 	tk.attempts = slices.DeleteFunc(tk.attempts, func(ot *attempt) bool { return ot == at })
-	wk.free = wk.free.Plus(placer.Reservation(sp.spec.Needs, sp.spec.BestEffort))
+	wk.free = wk.free.Plus(at.reservation())
 	if sp.perWorker[wk.info.ID]--; sp.perWorker[wk.info.ID] == 0 {
 		delete(sp.perWorker, wk.info.ID)
 	}
