--- a/internal/job/director/lease.go
+++ b/internal/job/director/lease.go
@@ -29,7 +29,7 @@
 // MaxLeaseTime returns the longest time from when a leader extends a lease until it is over, as another
 // host measures it.
 func (lm *Limits) MaxLeaseTime() time.Duration {
-	return lm.Lease + time.Duration(maxClockDrift*float64(lm.Lease)) + inheritedLeaseMargin
+	return LongestTime(lm.Lease) + inheritedLeaseMargin
 }
 
 // inheritance is what the journal says of earlier terms and their leases.
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -165,6 +165,11 @@
 	run  modeler.Run
 }
 
+// LongestTime returns the longest time that a time on a worker's or another host's clock lasts.
+func LongestTime(span time.Duration) time.Duration {
+	return span + time.Duration(maxClockDrift*float64(span))
+}
+
 // minClock returns the earliest time that the worker's clock can show.
 func (wk *worker) minClock(at time.Time) time.Duration {
 	return wk.clock + time.Duration(float64(at.Sub(wk.clockAt))*(1-maxClockDrift))
@@ -531,7 +536,7 @@
 // of the worker that has not been reached since: the start gives that incarnation a lease.
 func (dr *Director) longestLateRun() time.Duration {
 	longest := max(dr.op.Limits.Lease, dr.op.Limits.LongestLease)
-	return maxStartDelayAfterRestart + longest + longest/50 + leaseMargin
+	return maxStartDelayAfterRestart + LongestTime(longest) + leaseMargin
 }
 
 // mayStartAfterRestart reports whether a start for an earlier incarnation of a worker may yet be carried out. It
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -185,13 +185,13 @@
 }
 
 // inheritedLease returns how long, from the beginning of the term, unreachable workers may run tasks for
-// earlier leaders, which may extend leases for quorumTimeout by a clock that is 2% slow.
+// earlier leaders, which may extend leases for quorumTimeout by their clocks.
 func (ld *Leader) inheritedLease(rec journaler.Recovery) time.Duration {
 	// A damaged segment may be the only trace of the last leader.
 	if rec.PreviousHost == "" && rec.Damaged == 0 {
 		return 0
 	}
-	return ld.op.Limits.MaxLeaseTime() + quorumTimeout + quorumTimeout/50
+	return ld.op.Limits.MaxLeaseTime() + director.LongestTime(quorumTimeout)
 }
 
 // earlierLeadersStopAt returns a function that returns when earlier leaders stop extending leases, once that is
