internal/job/elector: count hosts for both quorum rules in one place

HasQuorum and PrecludesQuorum walked over the same hosts with the same exceptions, on whose agreement the promise that no task runs twice depends. No change of behaviour.

--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -302,17 +302,24 @@
 func (el *Elector) HasQuorum(after, known time.Time) bool {
 	el.mu.Lock()
 	defer el.mu.Unlock()
-	count, others := 1, 0
+	count, hosts := el.countHosts(func(mb *member) bool { return mb.confirmedAt.After(after) && !mb.processSeenAt.After(known) })
+	return 2*count > hosts
+}
+
+// countHosts returns how many entry hosts there are and how many of them count: this one, and each other one with a
+// record of which that holds. The caller holds mu.
+func (el *Elector) countHosts(counts func(*member) bool) (count, hosts int) {
+	count, hosts = 1, 1
 	for _, mb := range el.members {
 		if mb.Host == el.op.Self.Host {
 			continue
 		}
-		others++
-		if mb.revision != 0 && mb.confirmedAt.After(after) && !mb.processSeenAt.After(known) {
+		hosts++
+		if mb.revision != 0 && counts(mb) {
 			count++
 		}
 	}
-	return 2*count > others+1
+	return count, hosts
 }
 
 // PrecludesQuorum reports whether so many entry hosts with a record know the epoch of this host's term that no
@@ -328,17 +335,8 @@
 	if el.own.Epoch != epoch || el.membersReadAt.Before(el.epochBegunAt) {
 		return false
 	}
-	count, others := 1, 0
-	for _, mb := range el.members {
-		if mb.Host == el.op.Self.Host {
-			continue
-		}
-		others++
-		if mb.revision != 0 && mb.epoch >= epoch {
-			count++
-		}
-	}
-	return 2*count >= others+1
+	count, hosts := el.countHosts(func(mb *member) bool { return mb.epoch >= epoch })
+	return 2*count >= hosts
 }
 
 // ReachablePeers returns the addresses of the other hosts that were recently in contact with this
