--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -56,8 +56,7 @@
 	// when one that was extended for extensionTimeout is.
 	authorityTimeout = 4 * time.Second
 	// extensionTimeout is how long a leader extends leases without confirmation that it still leads. It is
-	// shorter as the next leader adds it to the leases that workers may still hold: with 1.5 s, a task whose
-	// worker is lost just before the leader runs again after 9.4 s, where 9 s are allowed.
+	// shorter as the next leader adds it to the leases that workers may still hold.
 	extensionTimeout = time.Second
 	// quorumTimeout is how long a quorum of hosts may confirm that a leader leads while the store does not. A
 	// later leader that less than half of the hosts know waits for it. It is three times the longest
