--- a/internal/batch/scheduler/lease_test.go
+++ b/internal/batch/scheduler/lease_test.go
@@ -53,6 +53,14 @@
 	return cl, nw
 }
 
+// startTask starts a leader and the task of job a.
+func (cl *testCluster) startTask() {
+	cl.startLeader()
+	time.Sleep(3 * time.Second)
+	cl.submit(testJob("a"))
+	time.Sleep(5 * time.Second)
+}
+
 func (nw *network) connect(sc *Scheduler) {
 	nw.mu.Lock()
 	defer nw.mu.Unlock()
@@ -212,10 +220,7 @@
 		t.Run(fmt.Sprint("last leader of an old version ", oldVersion), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				cl, nw := newTermCluster(t, 4)
-				cl.startLeader()
-				time.Sleep(3 * time.Second)
-				cl.submit(testJob("a"))
-				time.Sleep(5 * time.Second)
+				cl.startTask()
 				first := nw.leader()
 				nw.isolate(first, cl.taskStatus("a").Worker)
 				nw.setOldVersion(oldVersion)
@@ -243,10 +248,7 @@
 		t.Run(fmt.Sprint(further, " further terms"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				cl, nw := newTermCluster(t, 4)
-				cl.startLeader()
-				time.Sleep(3 * time.Second)
-				cl.submit(testJob("a"))
-				time.Sleep(5 * time.Second)
+				cl.startTask()
 				name := cl.taskStatus("a").Worker
 				nw.setCut(name, true)
 				time.Sleep(testLease - 10*time.Second)
@@ -294,10 +296,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				cl, nw := newTermCluster(t, 4)
-				cl.startLeader()
-				time.Sleep(3 * time.Second)
-				cl.submit(testJob("a"))
-				time.Sleep(5 * time.Second)
+				cl.startTask()
 				cl.workers.Kill(cl.taskStatus("a").Worker)
 				lost, leaders := time.Now(), []*termLeader{nw.leader()}
 				// The first term has time to record the end of the lease, unless it ends in an orderly way.
@@ -336,10 +335,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		cl, nw := newTermCluster(t, 4)
 		cl.options.LeaseTerm = 4 * testLease
-		cl.startLeader()
-		time.Sleep(3 * time.Second)
-		cl.submit(testJob("a"))
-		time.Sleep(5 * time.Second)
+		cl.startTask()
 		cl.options.LeaseTerm = testLease
 		nw.setCut(cl.taskStatus("a").Worker, true)
 		cl.currentProcess().kill()
--- a/internal/job/director/bounds_test.go
+++ b/internal/job/director/bounds_test.go
@@ -17,13 +17,6 @@
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
 )
 
-// beginEpochWithoutRecords begins an epoch whose leader records nothing.
-func (fl *fleet) beginEpochWithoutRecords() {
-	jn, _, err := journaler.Open(fl.t.Context(), fl.store, "jobs", "other", "boot", journalOptions)
-	qt.Assert(fl.t, err, qt.IsNil)
-	jn.Close()
-}
-
 // Guards against a task that runs twice as a leader relies on the recorded end of a lease that an earlier leader,
 // which did not rely on it, has extended without a new grant.
 func TestBoundDroppedByEarlierLeader(t *testing.T) {
@@ -32,7 +25,7 @@
 		where := startOnUnreachable(fl, tm)
 		sleep(3 * time.Second)
 		tm.end()
-		fl.beginEpochWithoutRecords()
+		fl.beginOtherEpoch(nil).Close()
 		fl.workers.SetUnreachable(where, false)
 		*tm = *fl.startTerm(inherited)
 		sleep(3 * time.Second)
@@ -43,15 +36,6 @@
 	})
 }
 
-// loseLeaderAtOnce begins an epoch whose leader is lost before its first record.
-func (fl *fleet) loseLeaderAtOnce() {
-	op := journalOptions
-	op.EpochRecords = director.EpochRecords
-	jn, _, err := journaler.Open(fl.t.Context(), fl.store, "jobs", "other", "boot", op)
-	qt.Assert(fl.t, err, qt.IsNil)
-	jn.Close()
-}
-
 // Guards against a leader that waits for the whole inherited lease of a worker although its end is recorded, after
 // leaders that were lost at once, and against a task that runs twice as it trusts them too far.
 func TestLeadersLostAtOnce(t *testing.T) {
@@ -63,7 +47,7 @@
 			sleep(3 * time.Second)
 			tm.end()
 			for range 3 {
-				fl.loseLeaderAtOnce()
+				fl.beginOtherEpoch(director.EpochRecords).Close()
 			}
 			*tm = *fl.startTerm(inherited)
 			fl.timeToMove(where)
@@ -75,8 +59,8 @@
 			where := startOnUnreachable(fl, tm)
 			sleep(3 * time.Second)
 			tm.end()
-			fl.beginEpochWithoutRecords()
-			fl.loseLeaderAtOnce()
+			fl.beginOtherEpoch(nil).Close()
+			fl.beginOtherEpoch(director.EpochRecords).Close()
 			*tm = *fl.startTerm(inherited)
 			assertBetween(t, fl.timeToMove(where), inherited, inherited+time.Second)
 		})
@@ -85,7 +69,7 @@
 		run(t, 3, func(fl *fleet, tm *term) {
 			where := startOnUnreachable(fl, tm)
 			tm.end()
-			fl.loseLeaderAtOnce()
+			fl.beginOtherEpoch(director.EpochRecords).Close()
 			fl.predecessorStopped.Store(true)
 			*tm = *fl.startTerm(inherited)
 			assertBetween(t, fl.timeToMove(where), inherited, inherited+time.Second)
@@ -114,7 +98,7 @@
 			qt.Assert(t, err, qt.IsNil)
 			return value
 		}
-		fl.beginEpochWithoutRecords()
+		fl.beginOtherEpoch(nil).Close()
 		key := fmt.Sprintf("Journal/jobs/%019d", fl.lastPosition())
 		replace := func(value []byte) {
 			en, err := fl.store.Get(t.Context(), key)
--- a/internal/job/director/fence_test.go
+++ b/internal/job/director/fence_test.go
@@ -20,17 +20,22 @@
 	}
 }
 
+// leaveAndReturn makes a worker silent for a time, so that its token rises, and removes it from the registry for another.
+func leaveAndReturn(fl *fleet, tm *term, silent, away time.Duration) {
+	fl.workers.SetUnreachable("worker-00", true)
+	sleep(silent)
+	fl.workers.SetUnreachable("worker-00", false)
+	sleep(2 * time.Second)
+	tm.RemoveWorker("worker-00")
+	sleep(away)
+	tm.UpdateWorker(fl.infos[0])
+}
+
 // Guards against a leader that takes its own earlier token for that of a later leader, as a worker whose token had
 // risen was removed and registered again.
 func TestWorkerRegisteredAgain(t *testing.T) {
 	run(t, 1, func(fl *fleet, tm *term) {
-		fl.workers.SetUnreachable("worker-00", true)
-		sleep(2 * time.Second)
-		fl.workers.SetUnreachable("worker-00", false)
-		sleep(2 * time.Second)
-		tm.RemoveWorker("worker-00")
-		sleep(20 * time.Second)
-		tm.UpdateWorker(fl.infos[0])
+		leaveAndReturn(fl, tm, 2*time.Second, 20*time.Second)
 		tm.submit(longRunningJob("long", "urgent", 1, cores(1000)))
 		sleep(2 * time.Second)
 		tm.assertLeads()
--- a/internal/job/director/late_renewal_test.go
+++ b/internal/job/director/late_renewal_test.go
@@ -107,13 +107,7 @@
 // is lower than before.
 func TestWorkerLeavesAndReturns(t *testing.T) {
 	run(t, 2, func(fl *fleet, tm *term) {
-		fl.workers.SetUnreachable("worker-00", true)
-		sleep(4 * time.Second)
-		fl.workers.SetUnreachable("worker-00", false)
-		sleep(2 * time.Second)
-		tm.RemoveWorker("worker-00")
-		sleep(12 * time.Second)
-		tm.UpdateWorker(fl.infos[0])
+		leaveAndReturn(fl, tm, 4*time.Second, 12*time.Second)
 		sleep(2 * time.Second)
 		tm.submit(simpleJob("job", "urgent", 2, cores(6000)))
 		sleep(3 * time.Second)
--- a/internal/job/director/terms_test.go
+++ b/internal/job/director/terms_test.go
@@ -131,10 +131,13 @@
 	qt.Check(t, got >= low && got <= high, qt.IsTrue, qt.Commentf("%v is not from %v to %v", got, low, high))
 }
 
-// beginOtherEpoch begins an epoch at a host that leads nobody.
-func (fl *fleet) beginOtherEpoch() *journaler.Journal {
+// beginOtherEpoch begins an epoch at a host that leads nobody. Its first records are those of a leader that is lost at
+// once, or none as in earlier versions if the function is nil.
+func (fl *fleet) beginOtherEpoch(records func(journaler.Recovery) []journaler.Record) *journaler.Journal {
 	fl.t.Helper()
-	jn, _, err := journaler.Open(fl.t.Context(), fl.store, "jobs", "other", "boot", journalOptions)
+	op := journalOptions
+	op.EpochRecords = records
+	jn, _, err := journaler.Open(fl.t.Context(), fl.store, "jobs", "other", "boot", op)
 	qt.Assert(fl.t, err, qt.IsNil)
 	return jn
 }
@@ -160,7 +163,7 @@
 			where := startOnUnreachable(fl, tm)
 			sleep(3 * time.Second)
 			tm.end()
-			fl.beginOtherEpoch().Close()
+			fl.beginOtherEpoch(nil).Close()
 			*tm = *fl.startTerm(inherited)
 			assertBetween(t, fl.timeToMove(where), inherited, inherited+time.Second)
 		})
@@ -170,7 +173,7 @@
 			where := startOnUnreachable(fl, tm)
 			sleep(3 * time.Second)
 			tm.end()
-			jn := fl.beginOtherEpoch()
+			jn := fl.beginOtherEpoch(nil)
 			term, err := keeper.Fact{Term: &keeper.TermFact{Epoch: 2, Clock: time.Hour}}.Record()
 			qt.Assert(t, err, qt.IsNil)
 			qt.Assert(t, jn.Append(fl.t.Context(), term, journaler.Record{Kind: journaler.KindTask, Data: []byte("{")}), qt.IsNil)
