internal/job/director: a task's placement looks only at the workers that changed

Cause: on fleets of hundreds of workers the leader spends most of its processor time on choosing workers: for each task it predicts the interference on, and computes the cost of, every worker. A step's tasks differ only in the workers that they avoid, and a placement changes one worker.

Demands that avoid workers, depend on the whole pool or need permits are decided as before. Predictions look at the latency-critical runs of a worker alone, workers are sorted when they change, and the least pause between rounds grows with the number of workers, up to 25 ms.

--- a/internal/job/director/aging.go
+++ b/internal/job/director/aging.go
@@ -201,5 +201,6 @@
 	rd.held = append(rd.held, best)
 	rd.heldFor[best] = dm.Needs
 	rd.cands[best].Free = modeler.Resources{}
+	rd.changed = append(rd.changed, best)
 	return true
 }
--- a/internal/job/director/contention.go
+++ b/internal/job/director/contention.go
@@ -25,25 +25,20 @@
 	return cmp.Or(cmp.Compare(one.pool, two.pool), cmp.Compare(one.image, two.image))
 }
 
-// contention holds for each worker how much best-effort images compete for it.
+// contention is the competition of best-effort images for the workers, each of which has its own in
+// worker.contention.
 type contention struct {
 	computedAt time.Time
-	// demandIndex holds the index of each image's demand, byWorker the contention for each worker.
+	// demandIndex holds the index of each image's demand.
 	demandIndex map[poolImage]int
-	byWorker    map[*worker]*placer.Contention
 }
 
-// pressureOfOthers returns the highest pressure on a worker of images other than the given one.
-func (cn *contention) pressureOfOthers(wk *worker, image string) float64 {
-	group := cn.byWorker[wk]
-	if group == nil {
-		return 0
+// demand returns the index of an image's demand in a pool, or -1 if it has none.
+func (cn *contention) demand(pool modeler.PoolName, image string) int {
+	if dx, ok := cn.demandIndex[poolImage{pool, image}]; ok {
+		return dx
 	}
-	dx, ok := cn.demandIndex[poolImage{wk.info.Pool, image}]
-	if !ok {
-		dx = -1
-	}
-	return group.PressureOfOthers(dx)
+	return -1
 }
 
 // updateContention returns the contention for the round's workers, computed again if it is older
@@ -55,7 +50,7 @@
 	}
 	demand := rd.bestEffortDemand()
 	images := slices.SortedFunc(maps.Keys(demand), compareImages)
-	cn := contention{computedAt: rd.now, demandIndex: map[poolImage]int{}, byWorker: map[*worker]*placer.Contention{}}
+	cn := contention{computedAt: rd.now, demandIndex: map[poolImage]int{}}
 	demands := make([]placer.ImageDemand, len(images))
 	for dx, pi := range images {
 		cn.demandIndex[pi], demands[dx] = dx, placer.ImageDemand{Pool: pi.pool, MilliCores: demand[pi]}
@@ -76,8 +71,11 @@
 		groupOf[ix] = gx
 	}
 	result := placer.Contentions(groups, demands)
+	for _, wk := range dr.workers {
+		wk.contention = nil
+	}
 	for ix, wk := range rd.workers {
-		cn.byWorker[wk] = &result[groupOf[ix]]
+		wk.contention = &result[groupOf[ix]]
 	}
 	dr.contention = cn
 	return &dr.contention
--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -121,6 +121,10 @@
 	tickInterval = 100 * time.Millisecond
 	// minDispatchPause bounds the rate of placement rounds, each of which sorts all waiting steps.
 	minDispatchPause = 4 * time.Millisecond
+	// workersPerDispatchPause is the number of workers for each minDispatchPause between rounds, as a round looks
+	// at every worker, and maxDispatchPause bounds the pause that it leads to.
+	workersPerDispatchPause = 300
+	maxDispatchPause        = 25 * time.Millisecond
 	// dispatchPauseFactor is the ratio of the pause after a placement round to the round's
 	// duration.
 	dispatchPauseFactor = 3
@@ -197,6 +201,9 @@
 	readQueue  []modeler.JobID
 	jobReaders int
 	workers    map[modeler.WorkerID]*worker
+	// workerOrder holds the workers in the order of their IDs. It is empty after a change of workers until
+	// orderedWorkers is called.
+	workerOrder []*worker
 	// droppedFenceRises is how often the token of a worker that is registered now has risen at least. No token of a
 	// worker that was dropped was higher.
 	droppedFenceRises int64
@@ -425,10 +432,11 @@
 		start := time.Now()
 		dr.mu.Lock()
 		dr.dispatch(start)
+		pause := min(maxDispatchPause, minDispatchPause*time.Duration(max(1, len(dr.workers)/workersPerDispatchPause)))
 		dr.mu.Unlock()
 		// The pause grows with the duration of the round, so that a host that is short of processor
 		// time spends only a part of it on placement.
-		pauser.Sleep(ctx, max(minDispatchPause, min(dispatchPauseFactor*time.Since(start), tickInterval)))
+		pauser.Sleep(ctx, max(pause, min(dispatchPauseFactor*time.Since(start), tickInterval)))
 	}
 }
 
--- a/internal/job/director/forecast.go
+++ b/internal/job/director/forecast.go
@@ -41,6 +41,10 @@
 	// trials counts the image's tasks that share a worker with a latency-critical image, by that
 	// image.
 	trials map[string]int
+	// newTrials is the number of changes of trials in this round, and anyUntried is set if a prediction depends
+	// on them.
+	newTrials  int
+	anyUntried bool
 }
 
 // forecast returns the forecast for an image. It covers what ran at the beginning of the round and
@@ -65,31 +69,50 @@
 
 // applyForecast sets the predictions for the demand's task on the candidates.
 func (rd *round) applyForecast(dm *placer.Demand) {
-	if !dm.BestEffort && !dm.LatencyCritical {
+	if !usesForecast(dm) {
 		return
 	}
-	fc := rd.forecast(dm.Image)
-	var cn *contention
-	if dm.BestEffort {
-		cn = rd.updateContention()
+	fc, demand := rd.forecast(dm.Image), rd.contentionDemand(dm)
+	for ix := range rd.workers {
+		rd.applyForecastTo(ix, dm, fc, demand)
 	}
-	for ix, wk := range rd.workers {
-		pr := &fc.predictions[ix]
-		if !pr.valid {
-			*pr = rd.dr.predict(wk, dm, rd.now)
-		}
-		cd := &rd.cands[ix]
-		cd.RelativeLoad, cd.FutureRelativeLoad, cd.AddedRelativeLoad, cd.Interference, cd.Trials = pr.relativeLoad, pr.futureRelativeLoad, pr.addedRelativeLoad, pr.interference, 0
-		cd.InterferenceSuspected, cd.ConfoundedTrial = pr.suspected, pr.confounded
-		for _, critical := range pr.untried {
-			cd.Trials = max(cd.Trials, fc.trials[critical])
-		}
-		cd.FirstTrial = len(pr.untried) > 0 && cd.Trials == 0 && !pr.suspected && !pr.confounded && placer.IsTolerable(pr.interference)
-		if cn != nil {
-			cd.Contention = cn.pressureOfOthers(wk, dm.Image)
-		}
-		cd.OnlyOtherImages = dm.LatencyCritical && wk.criticalTasks > 0 && wk.criticalImages[dm.Image] == 0
+}
+
+// usesForecast reports whether predictions matter for the placement of a task.
+func usesForecast(dm *placer.Demand) bool { return dm.BestEffort || dm.LatencyCritical }
+
+// contentionDemand returns the index of a best-effort demand in the contention, and brings that up to date.
+func (rd *round) contentionDemand(dm *placer.Demand) int {
+	if !dm.BestEffort {
+		return -1
 	}
+	return rd.updateContention().demand(rd.pool, dm.Image)
+}
+
+// applyForecastTo sets the predictions on the candidate with the index. The contention's demand is that of
+// contentionDemand.
+func (rd *round) applyForecastTo(ix int, dm *placer.Demand, fc *forecast, contentionDemand int) {
+	cd, wk := &rd.cands[ix], rd.workers[ix]
+	if cd.Excluded {
+		return
+	}
+	pr := &fc.predictions[ix]
+	if !pr.valid {
+		*pr = rd.dr.predict(wk, dm, rd.now)
+		fc.anyUntried = fc.anyUntried || len(pr.untried) > 0
+	}
+	cd.RelativeLoad, cd.FutureRelativeLoad, cd.AddedRelativeLoad, cd.Interference, cd.Trials = pr.relativeLoad, pr.futureRelativeLoad, pr.addedRelativeLoad, pr.interference, 0
+	cd.InterferenceSuspected, cd.ConfoundedTrial = pr.suspected, pr.confounded
+	for _, critical := range pr.untried {
+		cd.Trials = max(cd.Trials, fc.trials[critical])
+	}
+	cd.FirstTrial = len(pr.untried) > 0 && cd.Trials == 0 && !pr.suspected && !pr.confounded && placer.IsTolerable(pr.interference)
+	if dm.BestEffort && wk.contention != nil {
+		cd.Contention = wk.contention.PressureOfOthers(contentionDemand)
+	} else if dm.BestEffort {
+		cd.Contention = 0
+	}
+	cd.OnlyOtherImages = dm.LatencyCritical && wk.criticalTasks > 0 && wk.criticalImages[dm.Image] == 0
 }
 
 // predict returns the expected effect of the demand's task on a worker. For a latency-critical task
@@ -115,11 +138,8 @@
 			pr.confounded = pr.confounded || dr.otherTrialRunning(wk, image, dm.Image, now)
 		}
 	}
-	for _, at := range wk.attempts {
+	for _, at := range wk.criticalAttempts {
 		spec := at.task.step.spec
-		if spec.TailTarget <= 0 {
-			continue
-		}
 		loadAtTarget := dr.model.LoadAtTarget(spec.Image, spec.TailTarget)
 		interference, _ := dr.model.ExpectedInterference(spec.Image, dm.Image, now)
 		added := interference * wk.cpuShare(dm.Needs.MilliCores) / loadAtTarget
--- a/internal/job/director/observer.go
+++ b/internal/job/director/observer.go
@@ -154,7 +154,7 @@
 // been over its target.
 func (wk *worker) longestOverTarget(now time.Time) time.Duration {
 	var longest time.Duration
-	for _, at := range wk.attempts {
+	for _, at := range wk.criticalAttempts {
 		if at.reportsTail() && !at.overTargetSince.IsZero() {
 			longest = max(longest, now.Sub(at.overTargetSince))
 		}
@@ -214,7 +214,7 @@
 // nearly always is. The lower median ignores such outliers.
 func (wk *worker) medianLoads() map[*step]float64 {
 	reports := map[*step][]float64{}
-	for _, at := range wk.attempts {
+	for _, at := range wk.criticalAttempts {
 		if at.reportsTail() {
 			sp := at.task.step
 			reports[sp] = append(reports[sp], at.load)
--- a/internal/job/director/recovery.go
+++ b/internal/job/director/recovery.go
@@ -69,6 +69,7 @@
 		}
 	case ft.LeaseReleased != "":
 		delete(dr.workers, ft.LeaseReleased)
+		dr.workerOrder = nil
 	case ft.JobEnd != nil:
 		dr.pendingFacts[ft.JobEnd.Job] = append(dr.pendingFacts[ft.JobEnd.Job], ft)
 	default:
--- /dev/null
+++ b/internal/job/director/selection_test.go
@@ -0,0 +1,72 @@
+package director
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/placer"
+)
+
+// Guards against costs that a placement of another step, a held worker or a new trial has made stale.
+func TestQuickChoices(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(seed, 3))
+			dr := newBacklog(60, 24, func(ix int) modeler.Step {
+				sp := modeler.Step{
+					Count: 12, Needs: modeler.Resources{MilliCores: int64(1+ix%3) * 1500, MemoryMB: 100},
+					Image: fmt.Sprint("image", ix%4), BestEffort: ix%3 > 0, MaxPerWorker: ix % 2 * 2,
+				}
+				if ix%6 == 0 {
+					sp.LongRunning, sp.TailTarget, sp.Image = true, 100*time.Millisecond, fmt.Sprint("critical", ix%4)
+				}
+				return sp
+			})
+			for _, wk := range dr.workers {
+				wk.free = wk.info.Capacity
+			}
+			now := time.Now()
+			rd := dr.newRound(now)
+			rd.startsLeft, rd.maxMisses = 1000, maxMisses
+			// The first pass places some tasks of each step, so that the others find images and neighbours.
+			for range 4 {
+				for _, rs := range rd.steps {
+					assertSameChoices(t, rd, rs.step, 1+rnd.IntN(4))
+				}
+				rd.holdWorker(&placer.Demand{Needs: modeler.Resources{MilliCores: 9000}})
+				for _, at := range rd.workers[rnd.IntN(len(rd.workers))].criticalAttempts {
+					at.load, at.loadAt, at.progress = 0.5, now, 100
+				}
+			}
+		})
+	}
+}
+
+// assertSameChoices places up to count tasks of a step and checks each choice against one that looks at
+// all workers.
+func assertSameChoices(t *testing.T, rd *round, sp *step, count int) {
+	t.Helper()
+	rd.excludeOtherPools("pool")
+	for ; count > 0 && len(sp.waiting) > 0; count-- {
+		dm := rd.dr.demand(sp.waiting[0])
+		quick := rd.chooseQuickly(sp, &dm)
+		rd.countSameStep(sp)
+		if dm.LongRunning {
+			rd.applyReserve(sp, &dm)
+		}
+		rd.applyForecast(&dm)
+		full := placer.Choose(&dm, rd.cands)
+		if !dm.LongRunning {
+			qt.Assert(t, quick, qt.Equals, full, qt.Commentf("%s, %d tasks wait", sp.spec.Image, len(sp.waiting)))
+		}
+		if full < 0 {
+			return
+		}
+		rd.placeTask(sp.waiting[0], full)
+	}
+}
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -151,6 +151,12 @@
 	starvedAttempts int
 	// forecasts holds the predictions for tasks of best-effort and latency-critical images.
 	forecasts map[string]*forecast
+	// pool is the one whose workers are not excluded from cands, empty before the first step.
+	pool modeler.PoolName
+	// changed holds the indices of candidates in the order in which they changed, see selection.
+	changed []int
+	// selections holds the costs of the demands that were chosen for in this round.
+	selections map[selectionKey]*selection
 	// unplaceable holds needs for which no worker was found in this round.
 	unplaceable map[demandClass][]modeler.Resources
 	// missed holds why the last task of a class in unplaceable found no worker.
@@ -183,7 +189,7 @@
 // newRound returns a round with the waiting steps, the most urgent first, and the workers that
 // accept tasks.
 func (dr *Director) newRound(now time.Time) *round {
-	rd := &round{dr: dr, now: now, maxHeld: maxHeldWorkers, heldFor: map[int]modeler.Resources{}, headroomOf: map[modeler.PoolName]int64{}, capacityOf: map[modeler.PoolName]modeler.Resources{}, unplaceable: map[demandClass][]modeler.Resources{}, missed: map[demandClass]turn{}, forecasts: map[string]*forecast{}}
+	rd := &round{dr: dr, now: now, maxHeld: maxHeldWorkers, heldFor: map[int]modeler.Resources{}, headroomOf: map[modeler.PoolName]int64{}, capacityOf: map[modeler.PoolName]modeler.Resources{}, unplaceable: map[demandClass][]modeler.Resources{}, missed: map[demandClass]turn{}, forecasts: map[string]*forecast{}, selections: map[selectionKey]*selection{}}
 	for sp := range dr.waitingSteps {
 		rd.steps = append(rd.steps, rankedStep{sp, dr.waitingStep(sp)})
 	}
@@ -193,12 +199,12 @@
 		}
 		return cmp.Compare(one.step.occ.job.ID, two.step.occ.job.ID)
 	})
-	for _, wk := range dr.workers {
+	for _, wk := range dr.orderedWorkers() {
 		if dr.acceptsTasks(wk, now) {
 			rd.workers = append(rd.workers, wk)
 		}
 	}
-	slices.SortFunc(rd.workers, func(one, two *worker) int { return cmp.Compare(one.info.ID, two.info.ID) })
+	rd.cands = make([]placer.Candidate, 0, len(rd.workers))
 	for _, wk := range rd.workers {
 		rd.cands = append(rd.cands, placer.Candidate{
 			Worker: &wk.info, Free: wk.free, LatencyCriticalTasks: wk.criticalTasks, BestEffortTasks: wk.bestEffortTasks,
@@ -208,6 +214,14 @@
 	return rd
 }
 
+// orderedWorkers returns all workers in the order of their IDs.
+func (dr *Director) orderedWorkers() []*worker {
+	if len(dr.workerOrder) != len(dr.workers) {
+		dr.workerOrder = slices.SortedFunc(maps.Values(dr.workers), func(one, two *worker) int { return cmp.Compare(one.info.ID, two.info.ID) })
+	}
+	return dr.workerOrder
+}
+
 // acceptsTasks reports whether a worker may get new tasks. The needs of deferred runs are not known.
 func (dr *Director) acceptsTasks(wk *worker, now time.Time) bool {
 	return wk.registered && wk.reported && wk.grantDurable && !wk.unreachable && wk.announcedAt.IsZero() && !wk.info.Draining && len(wk.deferredRuns) == 0 &&
@@ -294,6 +308,13 @@
 			key.image = dm.Image
 		}
 		known := rd.knownUnplaceable(key, dm.Needs)
+		if !known {
+			if ix := rd.chooseQuickly(sp, &dm); ix >= 0 {
+				rd.misses = 0
+				rd.placeTask(tk, ix)
+				continue
+			}
+		}
 		rd.countSameStep(sp)
 		if known {
 			rd.noteClassMiss(sp, key)
@@ -378,6 +399,10 @@
 // excludeOtherPools excludes the workers of other pools. All pools share one list of candidates, so
 // that indices stay valid.
 func (rd *round) excludeOtherPools(pool modeler.PoolName) {
+	if rd.pool == pool && pool != "" {
+		return
+	}
+	rd.pool = pool
 	for ix, wk := range rd.workers {
 		rd.cands[ix].Excluded = wk.info.Pool != pool
 	}
@@ -451,6 +476,7 @@
 	if slices.Contains(rd.held, ix) {
 		cd.Free = modeler.Resources{}
 	}
+	rd.changed = append(rd.changed, ix)
 	clear(rd.headroomOf)
 	for _, fc := range rd.forecasts {
 		fc.predictions[ix].valid = false
@@ -458,6 +484,7 @@
 	if fc := rd.forecasts[tk.step.spec.Image]; fc != nil && tk.step.spec.BestEffort {
 		for image := range wk.criticalImages {
 			fc.trials[image]++
+			fc.newTrials++
 		}
 	}
 	return at
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -125,6 +125,8 @@
 	// image.
 	criticalImages, bestEffortImages map[string]int
 	attempts                         map[attemptKey]*attempt
+	// criticalAttempts holds those of attempts that are latency-critical.
+	criticalAttempts []*attempt
 	// startQueue holds attempts whose starts are to be sent, by startSenders goroutines.
 	startQueue   []*attempt
 	startSenders int
@@ -146,6 +148,9 @@
 	noStartsBefore time.Time
 	// pace is the pace of the best-effort tasks on the worker.
 	pace pacer.Pace
+	// contention is the competition of best-effort images for the worker, nil if it was not computed, see
+	// updateContention.
+	contention *placer.Contention
 }
 
 // fence returns the fencing token of requests to a worker.
@@ -235,6 +240,7 @@
 		wk.info = *info
 		wk.free = info.Capacity
 		dr.workers[info.ID] = wk
+		dr.workerOrder = nil
 	}
 	if info.Draining && !wk.info.Draining {
 		dr.log(logger.WorkerDraining, "Worker", info.ID, "Remaining", info.MinRemaining.String(), "Runs", len(wk.attempts))
@@ -350,6 +356,7 @@
 	defer dr.mu.Unlock()
 	if !wk.registered {
 		delete(dr.workers, wk.info.ID)
+		dr.workerOrder = nil
 		// If it is registered again, it refuses a lower token than the last.
 		dr.droppedFenceRises = max(dr.droppedFenceRises, wk.fenceRises+1)
 		dr.dropUnexpectedCancelledRuns(wk, time.Now())
@@ -597,6 +604,9 @@
 	tk.lastRun = max(tk.lastRun, run)
 	tk.attempts = append(tk.attempts, at)
 	wk.attempts[attemptKey{tk.id(), run}] = at
+	if sp.spec.TailTarget > 0 {
+		wk.criticalAttempts = append(wk.criticalAttempts, at)
+	}
 	wk.free = wk.free.Minus(at.reservation())
 	sp.perWorker[wk.info.ID]++
 	sp.occ.job.activeRuns++
@@ -612,6 +622,9 @@
 		return
 	}
 	delete(wk.attempts, key)
+	if sp.spec.TailTarget > 0 {
+		wk.criticalAttempts = slices.DeleteFunc(wk.criticalAttempts, func(ot *attempt) bool { return ot == at })
+	}
 	dr.dropCancelledRun(wk, key, time.Now())
 	tk.attempts = slices.DeleteFunc(tk.attempts, func(ot *attempt) bool { return ot == at })
 	wk.free = wk.free.Plus(at.reservation())
--- a/internal/job/placer/placer.go
+++ b/internal/job/placer/placer.go
@@ -178,16 +178,25 @@
 	best, minCost := -1, math.Inf(1)
 	hasAlternative := HasAlternative(dm, cands)
 	for ix := range cands {
-		if !Feasible(dm, &cands[ix]) || hasAlternative && slices.Contains(dm.Avoid, cands[ix].Worker.ID) {
+		if hasAlternative && slices.Contains(dm.Avoid, cands[ix].Worker.ID) {
 			continue
 		}
-		if cost := placementCost(dm, &cands[ix]); cost < minCost {
+		if cost := Cost(dm, &cands[ix]); cost < minCost {
 			best, minCost = ix, cost
 		}
 	}
 	return best
 }
 
+// Cost returns the cost of running the task on the worker, without regard to Avoid. It is infinite if that is
+// not feasible.
+func Cost(dm *Demand, cd *Candidate) float64 {
+	if !Feasible(dm, cd) {
+		return math.Inf(1)
+	}
+	return placementCost(dm, cd)
+}
+
 // HasAlternative reports whether the demand avoids workers and a candidate that it does not avoid
 // could run the task, now or when it has free capacity.
 func HasAlternative(dm *Demand, cands []Candidate) bool {
