internal/job/director: use estimates of many workers again for a moment

Each report lists the processor use of the workers of all siblings again; each placement computes the costs of all workers again while any pair of images is on trial; each round predicts the load of each worker again; the queue of a job is searched in the configuration, with hundreds of queues, for each task of the job with each end.

Change: a worker's use of processors is kept from its last report, as measures change with reports alone. The siblings of a step and predictions are used again for up to 250 ms, less the smaller the fleet is (12 ms with 48 workers). Counts of trials renew the costs only where a threshold is crossed. A job keeps its queue of the configuration in force. Long-running tasks are chosen for as the others are.

TestQuickChoices covers long-running tasks.

--- a/internal/job/director/forecast.go
+++ b/internal/job/director/forecast.go
@@ -1,8 +1,10 @@
 package director
 
 import (
+	"maps"
 	"time"
 
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/job/placer"
 )
 
@@ -12,6 +14,9 @@
 	paceHorizonSeconds = 0.7
 	// runHorizonSeconds is how far ahead a load is forecast for a typical run of best-effort work.
 	runHorizonSeconds = 1.5
+	// maxEstimateAge and estimateAgePerWorker are bounds of estimateAge.
+	maxEstimateAge       = 250 * time.Millisecond
+	estimateAgePerWorker = 250 * time.Microsecond
 )
 
 // prediction is the expected effect of one more task of an image on one worker.
@@ -31,7 +36,9 @@
 	// confounded is set when another untried best-effort image runs there already, so that the
 	// result of a trial would be shared.
 	confounded bool
-	valid      bool
+	// at is when the prediction was made. It is set only for best-effort tasks.
+	at    time.Time
+	valid bool
 }
 
 // forecast is the expected effect of the tasks of one image on each worker.
@@ -41,8 +48,8 @@
 	// trials counts the image's tasks that share a worker with a latency-critical image, by that
 	// image.
 	trials map[string]int
-	// newTrials is the number of changes of trials in this round, and anyUntried is set if a prediction depends
-	// on them.
+	// newTrials is the number of changes of trials in this round that matter for a placement, and anyUntried is set
+	// if a prediction depends on them.
 	newTrials  int
 	anyUntried bool
 }
@@ -98,7 +105,7 @@
 	}
 	pr := &fc.predictions[ix]
 	if !pr.valid {
-		*pr = rd.dr.predict(wk, dm, rd.now)
+		*pr = rd.dr.recentPrediction(wk, dm, rd.now)
 		fc.anyUntried = fc.anyUntried || len(pr.untried) > 0
 	}
 	cd.RelativeLoad, cd.FutureRelativeLoad, cd.AddedRelativeLoad, cd.Interference, cd.Trials = pr.relativeLoad, pr.futureRelativeLoad, pr.addedRelativeLoad, pr.interference, 0
@@ -115,6 +122,36 @@
 	cd.OnlyOtherImages = dm.LatencyCritical && wk.criticalTasks > 0 && wk.criticalImages[dm.Image] == 0
 }
 
+// dropPredictions drops those that a new or ended task of a step changes: all for a latency-critical one, and
+// otherwise those of pairs on trial.
+func (wk *worker) dropPredictions(spec *modeler.Step) {
+	if spec.TailTarget > 0 {
+		clear(wk.predictions)
+		return
+	}
+	maps.DeleteFunc(wk.predictions, func(_ string, pr prediction) bool { return len(pr.untried) > 0 })
+}
+
+// estimateAge returns the age up to which what is computed from reports of many workers is used again, as their
+// number makes it expensive. A report covers half a second.
+func (dr *Director) estimateAge() time.Duration {
+	return min(maxEstimateAge, time.Duration(len(dr.workers))*estimateAgePerWorker)
+}
+
+// recentPrediction returns a prediction that is at most estimateAge old.
+func (dr *Director) recentPrediction(wk *worker, dm *placer.Demand, now time.Time) prediction {
+	if !dm.BestEffort {
+		return dr.predict(wk, dm, now)
+	}
+	pr, ok := wk.predictions[dm.Image]
+	if !ok || now.Sub(pr.at) > dr.estimateAge() {
+		pr = dr.predict(wk, dm, now)
+		pr.at = now
+		wk.predictions[dm.Image] = pr
+	}
+	return pr
+}
+
 // predict returns the expected effect of the demand's task on a worker. For a latency-critical task
 // the loads are just those that best-effort work there would add to it, not divided by the load at
 // its target.
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -14,6 +14,10 @@
 
 // job is a stored job and its state in this term.
 type job struct {
+	// queue is what Director.queue returns for the configuration queueOf. The queues of a configuration in force do
+	// not change.
+	queue   *modeler.Queue
+	queueOf *modeler.Configuration
 	modeler.Job
 	// inherited jobs were stored before this term, so an earlier leader may have started their tasks.
 	inherited bool
@@ -62,6 +66,9 @@
 	// waiting holds the queued tasks, turn what placement rounds found for them.
 	waiting []*task
 	turn    turn
+	// siblings is what listSiblings returned at siblingsAt.
+	siblings   []sibling
+	siblingsAt time.Time
 	// starvedAttemptAt is when a round last tried to place a starved task of the step.
 	starvedAttemptAt time.Time
 	// done is the number of tasks that are done. Tasks of long-running steps never are.
@@ -400,14 +407,20 @@
 // queue returns the job's queue in the configuration in force, or as it was when the job was
 // submitted.
 func (dr *Director) queue(jb *job) *modeler.Queue {
-	if cfg := dr.op.Configuration(); cfg != nil {
-		if qu := cfg.Queue(jb.Queue); qu != nil {
-			return qu
-		}
+	cfg := dr.op.Configuration()
+	if jb.queue != nil && jb.queueOf == cfg {
+		return jb.queue
+	}
+	jb.queueOf, jb.queue = cfg, nil
+	if cfg != nil {
+		jb.queue = cfg.Queue(jb.Queue)
 	}
-	return &modeler.Queue{
-		Name: jb.Queue, Pool: jb.Pool, Priority: jb.Priority, Attempts: jb.Attempts, MaxSlowdown: jb.MaxSlowdown, Slack: jb.Slack,
+	if jb.queue == nil {
+		jb.queue = &modeler.Queue{
+			Name: jb.Queue, Pool: jb.Pool, Priority: jb.Priority, Attempts: jb.Attempts, MaxSlowdown: jb.MaxSlowdown, Slack: jb.Slack,
+		}
 	}
+	return jb.queue
 }
 
 // endJob ends a job: its tasks leave the queue and all of its runs are stopped. The time is when the end became
--- a/internal/job/director/load_bench_test.go
+++ b/internal/job/director/load_bench_test.go
@@ -42,7 +42,7 @@
 	defer qw.mu.Unlock()
 	qw.starts++
 	worker := qw.workers[wk.ID]
-	worker.running[req.Task] = modeler.ActiveRun{Task: req.Task, Run: req.Run, Progress: 50, Measure: 60}
+	worker.running[req.Task] = modeler.ActiveRun{Task: req.Task, Run: req.Run, Progress: 100, Measure: 60 + int64(req.Task.Index)}
 	if dur := qw.runTime(req.Task); dur > 0 {
 		time.AfterFunc(dur, func() { qw.end(worker, req.Task, req.Run, modeler.Done) })
 	}
--- a/internal/job/director/observer.go
+++ b/internal/job/director/observer.go
@@ -107,10 +107,11 @@
 // the busy share of the queue as which a latency-critical task is modelled. It is derived from the
 // tail latency, not from processor use: see package estimator.
 func (dr *Director) paceBestEffort(wk *worker, now time.Time) {
+	wk.usage = wk.bestEffortUsage()
 	if wk.bestEffortTasks == 0 {
 		return
 	}
-	loads, usage := wk.medianLoads(), wk.bestEffortUsage()
+	loads, usage := wk.medianLoads(), wk.usage
 	dr.observeInterference(wk, loads, usage, now)
 	nearest, relativeLoad := dr.highestRelativeLoad(loads)
 	addedRelativeLoad := 0.0
@@ -231,6 +232,9 @@
 // bestEffortUsage returns the processor use of the best-effort tasks on the worker. Their measure
 // is in thousandths of a core; that of a latency-critical task is its tail latency.
 func (wk *worker) bestEffortUsage() []estimator.Usage {
+	if wk.bestEffortTasks == 0 {
+		return nil
+	}
 	var usage []estimator.Usage
 	for _, at := range wk.attempts {
 		if at.task.step.spec.BestEffort && at.state == active && at.measure > 0 {
@@ -260,7 +264,8 @@
 
 // sibling is a task of the same latency-critical step on another worker.
 type sibling struct {
-	load float64
+	worker *worker
+	load   float64
 	// ownLoad is the load that it is estimated to have without best-effort neighbours.
 	ownLoad float64
 	usage   []estimator.Usage
@@ -269,20 +274,40 @@
 // medianSibling returns the sibling with the median ownLoad among those on other workers than the
 // one given. Of an even number it takes the upper median, unlike medianLoads.
 func (dr *Director) medianSibling(sp *step, wk *worker, now time.Time) (sibling, bool) {
-	var list []sibling
+	if now.Sub(sp.siblingsAt) > dr.estimateAge() || sp.siblingsAt.IsZero() {
+		sp.siblings, sp.siblingsAt = dr.listSiblings(sp, now), now
+	}
+	others := 0
+	for ix := range sp.siblings {
+		if sp.siblings[ix].worker != wk {
+			others++
+		}
+	}
+	rank := others / 2
+	for ix := range sp.siblings {
+		if sp.siblings[ix].worker == wk {
+			continue
+		}
+		if rank--; rank < 0 {
+			return sp.siblings[ix], true
+		}
+	}
+	return sibling{}, false
+}
+
+// listSiblings returns the tasks of a latency-critical step that have reported lately, in the order of their ownLoad.
+func (dr *Director) listSiblings(sp *step, now time.Time) []sibling {
+	list := sp.siblings[:0]
 	for _, tk := range sp.tasks {
 		for _, ot := range tk.attempts {
-			if ot.worker != wk && ot.reportsTail() && now.Sub(ot.loadAt) < maxSiblingLoadAge {
-				usage := ot.worker.bestEffortUsage()
-				list = append(list, sibling{ot.load, ot.load - dr.model.TotalInterference(sp.spec.Image, usage), usage})
+			if ot.reportsTail() && now.Sub(ot.loadAt) < maxSiblingLoadAge {
+				usage := ot.worker.usage
+				list = append(list, sibling{ot.worker, ot.load, ot.load - dr.model.TotalInterference(sp.spec.Image, usage), usage})
 			}
 		}
 	}
-	if len(list) == 0 {
-		return sibling{}, false
-	}
 	slices.SortFunc(list, func(one, two sibling) int { return cmp.Compare(one.ownLoad, two.ownLoad) })
-	return list[len(list)/2], true
+	return list
 }
 
 // setPace sends a new pace for the attempt to its worker.
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -352,7 +352,7 @@
 
 func (dr *Director) hasExhaustedTask(oc *occurrence) bool {
 	for _, sp := range oc.steps {
-		if slices.ContainsFunc(sp.tasks, dr.attemptsExhausted) {
+		if !sp.spec.LongRunning && slices.ContainsFunc(sp.tasks, dr.attemptsExhausted) {
 			return true
 		}
 	}
--- a/internal/job/director/selection.go
+++ b/internal/job/director/selection.go
@@ -14,6 +14,7 @@
 	label, rack string
 	image       string
 	bestEffort  bool
+	longRunning bool
 	// step is set for a step with a limit per worker, which counts only its own tasks.
 	step *step
 }
@@ -30,14 +31,13 @@
 }
 
 // chooseQuickly returns the index of the worker that choose returns for a demand, or -1 if choose has to decide:
-// for a demand that fits nowhere, that avoids workers, that depends on the state of the whole pool, or that needs
-// permits.
+// for a demand that fits nowhere, that avoids workers, for which the pool has too little capacity, or that needs permits.
 func (rd *round) chooseQuickly(sp *step, dm *placer.Demand) int {
-	if dm.LongRunning || dm.LatencyCritical || len(dm.Avoid) > 0 || rd.dr.queue(sp.occ.job).Policy != nil {
+	if dm.LongRunning && !placer.AllowsLongRunning(dm) || len(dm.Avoid) > 0 || rd.dr.queue(sp.occ.job).Policy != nil {
 		return -1
 	}
-	key := selectionKey{pool: rd.pool, needs: dm.Needs, label: dm.Label, rack: dm.DataRack, bestEffort: dm.BestEffort}
-	if dm.BestEffort {
+	key := selectionKey{pool: rd.pool, needs: dm.Needs, label: dm.Label, rack: dm.DataRack, bestEffort: dm.BestEffort, longRunning: dm.LongRunning}
+	if usesForecast(dm) {
 		key.image = dm.Image
 	}
 	if dm.MaxPerWorker > 0 {
--- a/internal/job/director/selection_test.go
+++ b/internal/job/director/selection_test.go
@@ -54,16 +54,14 @@
 	rd.excludeOtherPools("pool")
 	for ; count > 0 && len(sp.waiting) > 0; count-- {
 		dm := rd.dr.demand(sp.waiting[0])
-		quick := rd.chooseQuickly(sp, &dm)
-		rd.countSameStep(sp)
 		if dm.LongRunning {
 			rd.applyReserve(sp, &dm)
 		}
+		quick := rd.chooseQuickly(sp, &dm)
+		rd.countSameStep(sp)
 		rd.applyForecast(&dm)
 		full := placer.Choose(&dm, rd.cands)
-		if !dm.LongRunning {
-			qt.Assert(t, quick, qt.Equals, full, qt.Commentf("%s, %d tasks wait", sp.spec.Image, len(sp.waiting)))
-		}
+		qt.Assert(t, quick, qt.Equals, full, qt.Commentf("%s, %d tasks wait", sp.spec.Image, len(sp.waiting)))
 		if full < 0 {
 			return
 		}
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -309,6 +309,9 @@
 		}
 		known := rd.knownUnplaceable(key, dm.Needs)
 		if !known {
+			if dm.LongRunning {
+				rd.applyReserve(sp, &dm)
+			}
 			if ix := rd.chooseQuickly(sp, &dm); ix >= 0 {
 				rd.misses = 0
 				rd.placeTask(tk, ix)
@@ -321,9 +324,6 @@
 			rd.holdForAged(sp, &dm)
 			return
 		}
-		if dm.LongRunning {
-			rd.applyReserve(sp, &dm)
-		}
 		rd.applyForecast(&dm)
 		ix, fitsAvoided := rd.choose(tk, &dm)
 		if ix < 0 {
@@ -484,7 +484,9 @@
 	if fc := rd.forecasts[tk.step.spec.Image]; fc != nil && tk.step.spec.BestEffort {
 		for image := range wk.criticalImages {
 			fc.trials[image]++
-			fc.newTrials++
+			if placer.TrialsMatter(fc.trials[image]) {
+				fc.newTrials++
+			}
 		}
 	}
 	return at
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/job/appraiser"
+	"github.com/currantrouter/currantrouter/internal/job/estimator"
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/job/pacer"
@@ -148,6 +149,10 @@
 	noStartsBefore time.Time
 	// pace is the pace of the best-effort tasks on the worker.
 	pace pacer.Pace
+	// usage is bestEffortUsage of the last report. Measures change with reports alone.
+	usage []estimator.Usage
+	// predictions holds predictions for best-effort tasks by image, see recentPrediction.
+	predictions map[string]prediction
 	// contention is the competition of best-effort images for the worker, nil if it was not computed, see
 	// updateContention.
 	contention *placer.Contention
@@ -235,7 +240,7 @@
 	if wk == nil {
 		wk = &worker{
 			attempts: map[attemptKey]*attempt{}, unexpectedStops: map[attemptKey]*unexpectedStop{}, unansweredStarts: map[attemptKey]time.Time{},
-			criticalImages: map[string]int{}, bestEffortImages: map[string]int{}, fenceRises: dr.droppedFenceRises,
+			criticalImages: map[string]int{}, bestEffortImages: map[string]int{}, predictions: map[string]prediction{}, fenceRises: dr.droppedFenceRises,
 		}
 		wk.info = *info
 		wk.free = info.Capacity
@@ -604,6 +609,7 @@
 	tk.lastRun = max(tk.lastRun, run)
 	tk.attempts = append(tk.attempts, at)
 	wk.attempts[attemptKey{tk.id(), run}] = at
+	wk.dropPredictions(sp.spec)
 	if sp.spec.TailTarget > 0 {
 		wk.criticalAttempts = append(wk.criticalAttempts, at)
 	}
@@ -622,6 +628,7 @@
 		return
 	}
 	delete(wk.attempts, key)
+	wk.dropPredictions(sp.spec)
 	if sp.spec.TailTarget > 0 {
 		wk.criticalAttempts = slices.DeleteFunc(wk.criticalAttempts, func(ot *attempt) bool { return ot == at })
 	}
--- a/internal/job/placer/placer.go
+++ b/internal/job/placer/placer.go
@@ -188,6 +188,11 @@
 	return best
 }
 
+// TrialsMatter reports whether a candidate with the number of trials differs from one with fewer.
+func TrialsMatter(trials int) bool {
+	return trials == 1 || trials == maxSuspectedTrials || trials == sufficientTrials
+}
+
 // Cost returns the cost of running the task on the worker, without regard to Avoid. It is infinite if that is
 // not feasible.
 func Cost(dm *Demand, cd *Candidate) float64 {
@@ -208,7 +213,7 @@
 // Feasible reports whether the task may run on the worker and fits into its free capacity.
 func Feasible(dm *Demand, cd *Candidate) bool {
 	return !cd.Excluded && Matches(dm, cd.Worker) && (dm.MaxPerWorker <= 0 || cd.SameStepTasks < dm.MaxPerWorker) &&
-		reservationOf(dm).Fits(cd.Free) && (!dm.BestEffort || allowsBestEffort(dm, cd)) && (!dm.LongRunning || allowsLongRunning(dm))
+		reservationOf(dm).Fits(cd.Free) && (!dm.BestEffort || allowsBestEffort(dm, cd)) && (!dm.LongRunning || AllowsLongRunning(dm))
 }
 
 // Reasons counts candidates by why they are not feasible for a task.
@@ -248,7 +253,7 @@
 			rs.Full++
 		case dm.BestEffort && !allowsBestEffort(dm, cd):
 			rs.Disturbed++
-		case dm.LongRunning && !allowsLongRunning(dm):
+		case dm.LongRunning && !AllowsLongRunning(dm):
 			rs.Reserved++
 		default:
 			rs.Open++
@@ -257,9 +262,9 @@
 	return rs
 }
 
-// allowsLongRunning reports whether the pool's free capacity allows one more long-running task: the
+// AllowsLongRunning reports whether the pool's free capacity allows one more long-running task: the
 // reserve for short tasks stays free, or the free capacity fits at least two such tasks.
-func allowsLongRunning(dm *Demand) bool {
+func AllowsLongRunning(dm *Demand) bool {
 	return dm.Headroom >= dm.Needs.MilliCores || dm.PoolSlots > 1
 }
 
