Relays: other hosts carry out the leader's requests to workers in large fleets

It uses 0.7 of 0.8 core, carries some 1,300 starts a second of 2,550 that are asked for, and 146 hosts idle.

Change: with more than 500 workers for each core of the leader, it hands its requests over in batches to a few other hosts, in the worker's data centre where there are any (internal/job/relayer). The leader decides as before; a relay sends what it is told, at most once, and reports the answer, reports of runs as differences. It keeps nothing that a leader needs, so that a hand-over changes nothing: a lost batch or relay counts as requests without an answer, and the workers get theirs by another relay or from the leader.

A batch is refused if the relay knows a later epoch, if it is not the next of its session, or if it was held up for more than 0.5 s longer than the session's first one; a request if the relay has held it for 0.5 s. Time in which a machine was suspended counts. The leader checks its authority again as it composes a batch. Refused requests have not run and are said so. A malformed request is refused alone.

Tests of internal/job/relayer play lost answers, repeated and delayed batches, paused and restarted relays, deposed leaders and malformed messages on the paused clock; two fuzz targets.

--- a/internal/daemon/assembler/jobs.go
+++ b/internal/daemon/assembler/jobs.go
@@ -25,6 +25,7 @@
 	"github.com/currantrouter/currantrouter/internal/job/intaker"
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	jobleader "github.com/currantrouter/currantrouter/internal/job/leader"
+	"github.com/currantrouter/currantrouter/internal/job/relayer"
 	"github.com/currantrouter/currantrouter/internal/job/subscriber"
 	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/request/prober"
@@ -75,6 +76,7 @@
 	leader     *jobleader.Leader
 	elector    *elector.Elector
 	intaker    *intaker.Intaker
+	relay      *relayer.Server
 	draining   atomic.Bool
 }
 
@@ -83,22 +85,26 @@
 	jh.peers = elector.NewClientPool(prober.DialHTTP)
 	jh.subscriber = subscriber.New(pf.Store, pf.Queues, jh.peers.Dial, lg, jh.meter)
 	self := elector.Member{
-		Host: st.Host.Name, Boot: newBoot(), Address: st.Listen.Peers,
+		Host: st.Host.Name, Boot: newBoot(), Address: st.Listen.Peers, DataCentre: st.Host.DataCentre,
 		Weight: int64(st.Host.Share * st.Host.Speed * 1000),
 	}
+	suspended := suspendedTime()
 	jh.leader = jobleader.New(jobleader.Options{
-		Self: self, Store: pf.Store, Registry: pf.Registry, WorkerClient: pf.WorkerClient, Policy: pf.Policy,
+		Self: self, Store: pf.Store, Registry: pf.Registry, WorkerClient: pf.WorkerClient, DialRelay: jh.peers.DialRelay, Policy: pf.Policy,
 		Limits: director.Limits{
 			Lease: st.Jobs.Lease, LongestLease: st.Jobs.LongestLease, StopGrace: st.Jobs.StopLimit, Retention: st.Jobs.Retention,
 			RestoreTime: st.Jobs.RestoreTime, OverTargetGrace: st.Jobs.HarmLimit, RemoteDataFactor: st.Jobs.FarFactor,
 		},
-		Configuration: jh.subscriber.Current, SuspendedTime: suspendedTime(), Log: lg, Meter: jh.meter,
+		Configuration: jh.subscriber.Current, SuspendedTime: suspended, Log: lg, Meter: jh.meter,
 	})
 	jh.elector = elector.New(elector.Options{
 		Self: self, Store: pf.Store, StoreAge: pf.Store.Age, ConfigurationRevision: jh.subscriber.Revision,
 		OnHigherRevision: jh.subscriber.OnHigherRevision, Dial: jh.peers.Dial, Lead: jh.leader.Lead, Seeds: st.Peers, Log: lg, Meter: jh.meter,
 	})
 	jh.leader.SetElector(jh.elector)
+	jh.relay = relayer.NewServer(relayer.ServerOptions{
+		Client: pf.WorkerClient, KnownEpoch: jh.elector.KnownEpoch, SuspendedTime: suspended, Log: lg, Meter: jh.meter,
+	})
 	jh.intaker = intaker.New(intaker.Options{
 		JobStore: keeper.NewJobStore(pf.Store), StoreAge: pf.Store.Age, Elector: jh.elector, Director: jh.leader.Director,
 		Dial: jh.peers.Dial, Log: lg, Meter: jh.meter,
@@ -155,6 +161,7 @@
 	case <-ctx.Done():
 	}
 	pauser.Sleep(ctx, balancerDetectionTime)
+	jh.relay.Close()
 	err := closeAll(ctx, fes)
 	logger.Log(jh.log, logger.DaemonStopped)
 	if err != nil {
@@ -233,6 +240,8 @@
 	mux := chi.NewRouter()
 	jobs := messenger.NewJobsServer(intaker.NewServer(jh.intaker, jh.elector, jh.subscriber))
 	mux.Mount(jobs.PathPrefix(), jobs)
+	relay := messenger.NewRelayServer(jh.relay)
+	mux.Mount(relay.PathPrefix(), relay)
 	return mux
 }
 
--- a/internal/job/elector/clients.go
+++ b/internal/job/elector/clients.go
@@ -23,26 +23,39 @@
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu      sync.Mutex
-	clients map[netip.AddrPort]messenger.Jobs
+	clients map[netip.AddrPort]peerClients
+}
+
+// peerClients are the clients for one host. They share connections.
+type peerClients struct {
+	jobs  messenger.Jobs
+	relay messenger.Relay
 }
 
 // NewClientPool returns a ClientPool without clients, whose clients open their connections with
 // dial.
 func NewClientPool(dial func(ctx context.Context, network, address string) (net.Conn, error)) *ClientPool {
-	return &ClientPool{dial: dial, clients: map[netip.AddrPort]messenger.Jobs{}}
+	return &ClientPool{dial: dial, clients: map[netip.AddrPort]peerClients{}}
 }
 
 // Dial returns the client for an address. The same address yields the same client. A call that its
 // context ends early closes its connection, whose other end may be unreachable.
-func (cp *ClientPool) Dial(addr netip.AddrPort) messenger.Jobs {
+func (cp *ClientPool) Dial(addr netip.AddrPort) messenger.Jobs { return cp.clientsFor(addr).jobs }
+
+// DialRelay is Dial for the service of relays.
+func (cp *ClientPool) DialRelay(addr netip.AddrPort) messenger.Relay {
+	return cp.clientsFor(addr).relay
+}
+
+func (cp *ClientPool) clientsFor(addr netip.AddrPort) peerClients {
 	cp.mu.Lock()
 	defer cp.mu.Unlock()
-	cl := cp.clients[addr]
-	if cl == nil {
+	cl, ok := cp.clients[addr]
+	if !ok {
 		hc := &http.Client{Transport: &http.Transport{
 			DialContext: cp.dial, MaxIdleConnsPerHost: maxIdleConnsPerPeer, IdleConnTimeout: maxConnIdleTime, DisableCompression: true,
 		}}
-		cl = messenger.NewJobsProtobufClient("http://"+addr.String(), hc)
+		cl = peerClients{messenger.NewJobsProtobufClient("http://"+addr.String(), hc), messenger.NewRelayProtobufClient("http://"+addr.String(), hc)}
 		cp.clients[addr] = cl
 	}
 	return cl
--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -136,6 +136,8 @@
 	Host    fleet.HostName
 	Boot    fleet.BootID
 	Address netip.AddrPort
+	// DataCentre is empty for a host of an earlier version.
+	DataCentre fleet.DataCentreName `json:",omitempty"`
 	// Weight is the host's processor share in thousandths of a core. Hosts with a higher weight are
 	// preferred as leaders.
 	Weight int64
@@ -347,6 +349,27 @@
 	})
 }
 
+// ReachableHosts returns the other hosts that were in contact with this one within the last heartbeats and are not
+// draining, whether they reach the store or not.
+func (el *Elector) ReachableHosts() []Member {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	var list []Member
+	for _, mb := range el.members {
+		if mb.Host != el.op.Self.Host && !mb.draining && mb.Address.IsValid() && time.Since(later(mb.lastHeartbeat, mb.lastReply)) < 2*leaderHeartbeatInterval {
+			list = append(list, mb.Member)
+		}
+	}
+	return list
+}
+
+// KnownEpoch returns the highest epoch that this host knows to have begun.
+func (el *Elector) KnownEpoch() modeler.Epoch {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	return max(el.leader.Epoch, el.own.Epoch)
+}
+
 // reachablePeers returns the addresses of the other hosts that are not draining, reach the store,
 // and were in contact with this host within maxAge, sorted by compare.
 func (el *Elector) reachablePeers(maxAge time.Duration, compare func(one, two *member) int) []netip.AddrPort {
@@ -501,7 +524,7 @@
 	if mb.Host == "" || mb.Weight < 0 || mb.Weight > modeler.MaxWeight {
 		return fmt.Errorf("%w: name %.200q, weight %d", ErrInvalidMember, mb.Host, mb.Weight)
 	}
-	if err := errors.Join(modeler.CheckName("host", string(mb.Host)), modeler.CheckName("boot", string(mb.Boot)), fleet.CheckAddress(mb.Address)); err != nil {
+	if err := errors.Join(modeler.CheckName("host", string(mb.Host)), modeler.CheckName("boot", string(mb.Boot)), modeler.CheckName("data centre", string(mb.DataCentre)), fleet.CheckAddress(mb.Address)); err != nil {
 		return fmt.Errorf("%w: %w", ErrInvalidMember, err)
 	}
 	return nil
@@ -809,7 +832,7 @@
 	}
 	return &messenger.Greeting{
 		Host: string(el.op.Self.Host), Boot: string(el.op.Self.Boot), Address: el.op.Self.Address.String(),
-		Weight: el.op.Self.Weight, Leaving: el.draining,
+		Weight: el.op.Self.Weight, Leaving: el.draining, DataCentre: string(el.op.Self.DataCentre),
 		Epoch: int64(leader.Epoch), Leader: string(leader.Host), LeaderBoot: string(leader.Boot),
 		LeaderAddress: leader.Address.String(), Silence: sinceSeen.Milliseconds(),
 		StoreAge: el.op.StoreAge().Milliseconds(), Revision: el.op.ConfigurationRevision(), Refused: el.leaderEnded(),
@@ -823,7 +846,7 @@
 	if err != nil {
 		return Member{}, Leader{}, fmt.Errorf("%w: %w", ErrInvalidMember, err)
 	}
-	sender = Member{Host: fleet.HostName(gr.Host), Boot: fleet.BootID(gr.Boot), Address: addr, Weight: gr.Weight}
+	sender = Member{Host: fleet.HostName(gr.Host), Boot: fleet.BootID(gr.Boot), Address: addr, Weight: gr.Weight, DataCentre: fleet.DataCentreName(gr.DataCentre)}
 	if err := sender.Check(); err != nil {
 		return Member{}, Leader{}, err
 	}
@@ -861,7 +884,7 @@
 	defer el.mu.Unlock()
 	now := time.Now()
 	mb := el.getOrAddMember(sender.Host)
-	mb.Boot, mb.Address, mb.Weight = sender.Boot, sender.Address, sender.Weight
+	mb.Boot, mb.Address, mb.Weight, mb.DataCentre = sender.Boot, sender.Address, sender.Weight, cmp.Or(sender.DataCentre, mb.DataCentre)
 	// A process never stops draining. Its messages may arrive in another order.
 	mb.draining = gr.Leaving || mb.draining && mb.reportedBy == sender.Boot
 	if mb.reportedBy != sender.Boot {
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -14,11 +15,13 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
 	fleet "github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/job/director"
 	"github.com/currantrouter/currantrouter/internal/job/elector"
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/relayer"
 	"github.com/currantrouter/currantrouter/internal/job/watcher"
 	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
@@ -100,8 +103,11 @@
 	Store        Store
 	Registry     Registry
 	WorkerClient director.WorkerClient
-	Policy       director.Policy
-	Limits       director.Limits
+	// DialRelay returns the client for another host that may relay requests to workers. If it is nil, this host
+	// sends all of them.
+	DialRelay func(address netip.AddrPort) messenger.Relay
+	Policy    director.Policy
+	Limits    director.Limits
 	// Configuration returns the configuration in force, or nil.
 	Configuration func() *modeler.Configuration
 	// SuspendedTime returns how long this machine has been suspended since the process started.
@@ -157,9 +163,10 @@
 	defer jn.Close()
 	epoch := modeler.Epoch(rec.Epoch)
 	tm := &term{leader: ld, journal: jn, authority: newAuthority(ld, jn, suspended)}
+	tm.relays = ld.newRelayClient(epoch, tm.authority)
 	// The term of the director begins before other hosts hear of it, see director.Options.PredecessorSeenFor.
 	dr := director.New(director.Options{
-		Epoch: epoch, WorkerClient: ld.op.WorkerClient, Journal: jn, Policy: ld.op.Policy, JobStore: keeper.NewJobStore(ld.op.Store),
+		Epoch: epoch, WorkerClient: tm.relays, Journal: jn, Policy: ld.op.Policy, JobStore: keeper.NewJobStore(ld.op.Store),
 		Configuration: ld.op.Configuration, MaySendRequests: tm.authority.valid, MayExtendLeases: tm.authority.mayExtend,
 		InheritedLease: ld.inheritedLease(rec), PredecessorStopped: ld.predecessorStopped(rec), EarlierLeadersStopAt: ld.earlierLeadersStopAt(epoch),
 		PredecessorSeenFor: ld.elector.LeaderKnownFor(epoch - 1), FactsMissing: rec.Damaged > 0,
@@ -178,6 +185,25 @@
 	return tm.run(ctx)
 }
 
+// newRelayClient returns the client that sends a term's requests to workers.
+func (ld *Leader) newRelayClient(epoch modeler.Epoch, au *authority) *relayer.Client {
+	self := &ld.op.Self
+	hosts := func() []relayer.Host {
+		if ld.op.DialRelay == nil {
+			return nil
+		}
+		var list []relayer.Host
+		for _, mb := range ld.elector.ReachableHosts() {
+			list = append(list, relayer.Host{Name: mb.Host, DataCentre: mb.DataCentre, Address: mb.Address, Weight: mb.Weight})
+		}
+		return list
+	}
+	return relayer.NewClient(relayer.Options{
+		Epoch: epoch, Host: self.Host, Boot: self.Boot, Weight: self.Weight, MaySend: au.valid, SuspendedTime: ld.op.SuspendedTime,
+		Hosts: hosts, Dial: ld.op.DialRelay, Direct: ld.op.WorkerClient, Invalid: ld.invalidEntries, Log: ld.op.Log, Meter: ld.op.Meter,
+	})
+}
+
 // mayReplace implements journaler.Options.MayReplace.
 func (ld *Leader) mayReplace(epoch fleet.Epoch, host fleet.HostName, boot fleet.BootID) bool {
 	return ld.elector.MayReplace(modeler.Epoch(epoch), host, boot)
@@ -219,6 +245,7 @@
 	director  *director.Director
 	journal   *journaler.Journal
 	authority *authority
+	relays    *relayer.Client
 	// firstLoad marks the first call of resetJobs.
 	firstLoad sync.Once
 }
@@ -233,6 +260,7 @@
 	jobs := watcher.New(op.Store, keeper.KeyPrefix, watcher.Sink{Reset: tm.resetJobs, Apply: tm.applyJobs}, "jobs", jobsBatchDelay, op.Log)
 	workers := watcher.New(op.Store, op.Registry.Prefix, watcher.Sink{Reset: tm.resetWorkers, Apply: tm.applyWorkers}, "workers", workersBatchDelay, op.Log)
 	tm.director.Start(ctx)
+	loops.Go(func() { tm.relays.Run(ctx) })
 	loops.Go(func() { jobs.Run(ctx) })
 	loops.Go(func() { workers.Run(ctx) })
 	loops.Go(func() { tm.journalCheckLoop(ctx) })
--- a/internal/telemetry/meter/table_job.go
+++ b/internal/telemetry/meter/table_job.go
@@ -13,6 +13,10 @@
 	WorkersQuarantined = Metric{"WorkersQuarantined", "", "Quarantines of workers after faults."}
 	QueuesRevision     = Metric{"QueuesRevision", "", "Revision of the queue configuration that is in force."}
 	LogLinesDropped    = Metric{"LinesLeftOut", "", "Log lines dropped."}
+	RequestsRelayed    = Metric{"RequestsRelayed", "", "Requests to workers that the leader had carried out by relays."}
+	RelayExchanges     = Metric{"RelayExchanges", "", "Exchanges of the leader with relays."}
+	RelayFailures      = Metric{"RelayFailures", "", "Exchanges with relays that failed."}
+	RelayRequests      = Metric{"RelayRequests", "", "Requests to workers that this host carried out for a leader."}
 )
 
 var jobMetrics = []Metric{
@@ -27,4 +31,8 @@
 	WorkersQuarantined,
 	QueuesRevision,
 	LogLinesDropped,
+	RequestsRelayed,
+	RelayExchanges,
+	RelayFailures,
+	RelayRequests,
 }
