internal/job/leader: seeded tests with relays; no forecast for long-running tasks that the pool has no capacity for

Random partitions, cancellations and short terms are played with requests that go by relays as well, and the loss, drain, cut, or delay of each relay: running work is neither started again nor given up.

--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -324,7 +324,9 @@
 			rd.holdForAged(sp, &dm)
 			return
 		}
-		rd.applyForecast(&dm)
+		if !dm.LongRunning || placer.AllowsLongRunning(&dm) {
+			rd.applyForecast(&dm)
+		}
 		ix, fitsAvoided := rd.choose(tk, &dm)
 		if ix < 0 {
 			// A limit per worker and permits are specific to the step, so that a failure may not
--- a/internal/job/leader/cancellation_test.go
+++ b/internal/job/leader/cancellation_test.go
@@ -436,6 +436,14 @@
 	}
 }
 
+// Guards against the same where requests to workers go by relays.
+func TestCancellationsWithRelays(t *testing.T) {
+	first, seeds := seedRange(t)
+	for seed := first; seed < first+seeds; seed++ {
+		testSeed(t, seed, false)
+	}
+}
+
 // seedRange returns the first seed and the number of seeds.
 func seedRange(t *testing.T) (first, seeds uint64) { return seedRangeOr(t, defaultSeeds) }
 
--- a/internal/job/leader/cluster_test.go
+++ b/internal/job/leader/cluster_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -26,6 +27,7 @@
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/leader"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/relayer"
 	"github.com/currantrouter/currantrouter/internal/job/subscriber"
 	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/provider/emulator"
@@ -42,6 +44,8 @@
 	watchLimit = 700 * time.Millisecond
 	// maxLatency bounds the time that a message takes while nothing delays it.
 	maxLatency = 4 * time.Millisecond
+	// smallWeight is the processor share, in thousandths of a core, of hosts that cannot lead a fleet without relays.
+	smallWeight = 1
 	// drainTime is the time from the end of a drained host's leadership to the end of its process.
 	drainTime = 2200 * time.Millisecond
 )
@@ -60,6 +64,8 @@
 	workers *emulator.JobWorkers
 	infos   []modeler.Worker
 	hosts   []*host
+	// relays is set if leaders send requests to workers by other hosts, as in large fleets.
+	relays bool
 	// limits are those of all hosts.
 	limits director.Limits
 	log    logBuffer
@@ -116,6 +122,8 @@
 	intaker    *intaker.Intaker
 	subscriber *subscriber.Subscriber
 	server     *intaker.Server
+	relay      *relayer.Server
+	registry   *meter.Registry
 	// cancel starts the drain, stop ends what runs until the end of the process. ended is closed when
 	// the leadership is resigned.
 	cancel, stop context.CancelFunc
@@ -129,6 +137,7 @@
 
 func newCluster(t testing.TB, hosts, workers int, seed uint64) *cluster {
 	cl := &cluster{t: t, faults: new(emulator.Faults), limits: testLimits, rnd: rand.New(rand.NewPCG(seed, 2)), jobs: map[modeler.JobID]*modeler.Job{}, triedAt: map[modeler.TaskID]time.Time{}}
+	cl.relays = strings.Contains(t.Name(), "WithRelays")
 	cl.store = emulator.NewStore(cl.faults)
 	cl.store.WaitLimit = watchLimit
 	cl.workers = emulator.NewJobWorkers(cl.faults, cl.behave)
@@ -300,12 +309,17 @@
 	ho := cl.hosts[ix]
 	pr := &process{ho: ho, ended: make(chan struct{}), answered: time.Now()}
 	lg, rg := cl.hostLog(ix), meter.New(nil)
+	pr.registry = rg
 	self := elector.Member{Host: fleet.HostName(fmt.Sprint("host-", ix)), Boot: fleet.BootID(fmt.Sprint(ix, "-", time.Now().UnixNano())), Address: hostAddress(ix), Weight: 100}
+	if cl.relays {
+		self.Weight = smallWeight
+	}
+	dialRelay := func(addr netip.AddrPort) messenger.Relay { return &peer{pr: pr, to: addr} }
 	st := &hostStore{pr}
 	dial := func(addr netip.AddrPort) messenger.Jobs { return &peer{pr: pr, to: addr} }
 	pr.subscriber = subscriber.New(st, subscriber.ConfigurationEntry{Key: queuesKey, Decode: decodeQueues}, dial, lg, rg)
 	pr.leader = leader.New(leader.Options{
-		Self: self, Store: st, Registry: leader.Registry{Prefix: registryPrefix, Decode: decodeWorker}, WorkerClient: &hostWorkers{pr},
+		Self: self, Store: st, Registry: leader.Registry{Prefix: registryPrefix, Decode: decodeWorker}, WorkerClient: &hostWorkers{pr}, DialRelay: dialRelay,
 		Limits: cl.limits, Configuration: pr.subscriber.Current, SuspendedTime: func() time.Duration { return 0 }, Log: lg, Meter: rg,
 	})
 	var seeds []netip.AddrPort
@@ -319,6 +333,9 @@
 		Dial: dial, Lead: pr.leader.Lead, Seeds: seeds, Log: lg, Meter: rg,
 	})
 	pr.leader.SetElector(pr.elector)
+	pr.relay = relayer.NewServer(relayer.ServerOptions{
+		Client: &hostWorkers{pr}, KnownEpoch: pr.elector.KnownEpoch, SuspendedTime: func() time.Duration { return 0 }, Log: lg, Meter: rg,
+	})
 	pr.intaker = intaker.New(intaker.Options{
 		JobStore: keeper.NewJobStore(st), StoreAge: pr.storeAge, Elector: pr.elector, Director: pr.leader.Director, Dial: dial, Log: lg, Meter: rg,
 	})
@@ -348,6 +365,7 @@
 	if pr != nil {
 		pr.cancel()
 		pr.stop()
+		pr.relay.Close()
 	}
 }
 
@@ -607,6 +625,11 @@
 
 // call calls the server of the other host.
 func (pe *peer) call(ctx context.Context, execute func(sv *intaker.Server) error) error {
+	return pe.callProcess(ctx, func(pr *process) error { return execute(pr.server) })
+}
+
+// callProcess calls the process of the other host.
+func (pe *peer) callProcess(ctx context.Context, execute func(pr *process) error) error {
 	cl := pe.pr.ho.cl
 	ix := slices.IndexFunc(cl.hosts, func(ho *host) bool { return hostAddress(ho.ix) == pe.to })
 	if ix < 0 {
@@ -629,7 +652,7 @@
 	if err := pr.pass(ctx, peerLink, false); err != nil {
 		return err
 	}
-	err := execute(pr.server)
+	err := execute(pr)
 	if perr := pr.pass(ctx, peerLink, true); perr != nil {
 		return perr
 	}
@@ -639,6 +662,14 @@
 	return err
 }
 
+func (pe *peer) Exchange(ctx context.Context, batch *messenger.RelayBatch) (answers *messenger.RelayAnswers, err error) {
+	err = pe.callProcess(ctx, func(pr *process) (err error) {
+		answers, err = pr.relay.Exchange(ctx, batch)
+		return err
+	})
+	return answers, err
+}
+
 func (pe *peer) Greet(ctx context.Context, gr *messenger.Greeting) (reply *messenger.Greeting, err error) {
 	err = pe.call(ctx, func(sv *intaker.Server) (err error) {
 		reply, err = sv.Greet(ctx, gr)
--- a/internal/job/leader/partition_test.go
+++ b/internal/job/leader/partition_test.go
@@ -222,7 +222,12 @@
 
 // Guards against tasks that run twice as two leaders on the sides of a cut extend leases, and against tasks that do not
 // run again after it. LEADER_SEEDS, LEADER_FIRST and LEADER_LOG apply as in TestCancellations.
-func TestRandomPartitions(t *testing.T) {
+func TestRandomPartitions(t *testing.T) { testRandomPartitions(t) }
+
+// Guards against the same where requests to workers go by relays, which are on either side of a cut.
+func TestRandomPartitionsWithRelays(t *testing.T) { testRandomPartitions(t) }
+
+func testRandomPartitions(t *testing.T) {
 	first, seeds := seedRangeOr(t, defaultTermSeeds)
 	for seed := first; seed < first+seeds; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
--- a/internal/job/leader/terms_test.go
+++ b/internal/job/leader/terms_test.go
@@ -601,7 +601,12 @@
 // Guards against tasks of lost workers that wait anew in each of a series of short terms, and against tasks that
 // run twice as a leader relies on what earlier terms recorded. LEADER_SEEDS, LEADER_FIRST and LEADER_LOG apply as
 // in TestCancellations.
-func TestLostWorkersInShortTerms(t *testing.T) {
+func TestLostWorkersInShortTerms(t *testing.T) { testLostWorkersInShortTerms(t) }
+
+// Guards against the same where requests to workers go by relays.
+func TestLostWorkersInShortTermsWithRelays(t *testing.T) { testLostWorkersInShortTerms(t) }
+
+func testLostWorkersInShortTerms(t *testing.T) {
 	first, seeds := seedRangeOr(t, defaultTermSeeds)
 	for seed := first; seed < first+seeds; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
