internal/job/relayer: begin a new session after a pause; a panic costs one request

Cause: a relay ends a session without an exchange for 3 s. A leader without requests for as long had its next batch refused and left the relay alone for 5 s. Change: the leader begins a new session after half of that time without pending requests.

A panic while a request is sent or answers are read counts as no answer instead of ending the process.

--- a/internal/job/relayer/link.go
+++ b/internal/job/relayer/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime/debug"
 	"sync"
 	"syscall"
 	"time"
@@ -34,8 +35,8 @@
 	nextNumber int64
 	// session and exchange are those of the last exchange. A session ends with an exchange that failed.
 	session, exchange int64
-	// sessionBegan is the uptime of the leader at the first exchange of the session.
-	sessionBegan time.Duration
+	// sessionBegan is the uptime of the leader at the first exchange of the session, exchangedAt that at the last one.
+	sessionBegan, exchangedAt time.Duration
 	// decoders hold the state of the session's reports by worker.
 	decoders map[modeler.WorkerID]*reportDecoder
 	// pausedUntil is when the relay gets requests again.
@@ -148,7 +149,7 @@
 		if err != nil {
 			lk.fail(batch, err)
 		} else {
-			lk.deliver(answers)
+			lk.deliverGuarded(answers)
 		}
 		if msg.Exchange > 1 && len(batch) < maxBatchRequests {
 			pauser.Sleep(ctx, exchangeInterval-time.Since(began))
@@ -168,6 +169,11 @@
 	if !op.MaySend() {
 		lk.refuseQueued(errNotLeading)
 	}
+	if lk.exchange > 0 && len(lk.pending) == 0 && uptime-lk.exchangedAt > sessionTimeout/2 {
+		// The relay may have ended the idle session.
+		lk.newSession()
+	}
+	lk.exchangedAt = uptime
 	var batch []*call
 	if lk.exchange++; lk.exchange == 1 {
 		lk.sessionBegan = uptime
@@ -195,6 +201,17 @@
 	return msg, batch
 }
 
+// deliverGuarded delivers answers, and ends the session after a panic.
+func (lk *link) deliverGuarded(answers *messenger.RelayAnswers) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			logger.Log(lk.client.op.Log, logger.RelayPanicked, "Cause", fmt.Sprint(cause), "Stack", string(debug.Stack()))
+			lk.endSession(errPanic)
+		}
+	}()
+	lk.deliver(answers)
+}
+
 // deliver passes answers on to the calls.
 func (lk *link) deliver(answers *messenger.RelayAnswers) {
 	for _, an := range answers.GetAnswers() {
@@ -260,7 +277,7 @@
 	lk.mu.Lock()
 	defer lk.mu.Unlock()
 	lk.pause(reason)
-	lk.session, lk.exchange, lk.decoders = lk.session+1, 0, map[modeler.WorkerID]*reportDecoder{}
+	lk.newSession()
 	for number, ca := range lk.pending {
 		delete(lk.pending, number)
 		ca.done <- result{err: fmt.Errorf("%w: by relay %s: %w", modeler.ErrNoAnswer, lk.host.Name, reason)}
@@ -268,6 +285,11 @@
 	lk.refuseQueued(reason)
 }
 
+// newSession makes the next exchange the first of a session. The caller holds mu.
+func (lk *link) newSession() {
+	lk.session, lk.exchange, lk.decoders = lk.session+1, 0, map[modeler.WorkerID]*reportDecoder{}
+}
+
 // refuseQueued answers the calls that no exchange has taken. The caller holds mu.
 func (lk *link) refuseQueued(reason error) {
 	for _, ca := range lk.queue {
--- a/internal/job/relayer/relayer_test.go
+++ b/internal/job/relayer/relayer_test.go
@@ -30,13 +30,17 @@
 	err    error
 	delay  time.Duration
 	report modeler.Report
+	panics bool
 }
 
 func (rc *recorder) record(ctx context.Context, format string, args ...any) error {
 	rc.mu.Lock()
 	rc.sent = append(rc.sent, fmt.Sprintf(format, args...))
-	delay, err := rc.delay, rc.err
+	delay, err, panics := rc.delay, rc.err, rc.panics
 	rc.mu.Unlock()
+	if panics {
+		panic("defect")
+	}
 	select {
 	case <-time.After(delay):
 		return err
@@ -327,3 +331,19 @@
 		qt.Assert(t, errors.Is(err, modeler.ErrNoAnswer) || errors.Is(err, modeler.ErrNotSent) && len(rg.relayed.requests()) == 0, qt.IsTrue, qt.Commentf("%v", err))
 	})
 }
+
+// Guards against a defect that ends the process of a relay, or a request that it may have sent and that is said not to
+// have run.
+func TestPanickingRelay(t *testing.T) {
+	runRig(t, func(rg *rig) {
+		rg.relayed.panics = true
+		qt.Assert(t, rg.start(1), qt.ErrorIs, modeler.ErrNoAnswer)
+		rg.relayed.panics = false
+		time.Sleep(6 * time.Second)
+		_, err := rg.Renew(context.Background(), rg.worker, &modeler.RenewRequest{Fence: 7})
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(5 * time.Second)
+		qt.Assert(t, rg.start(2), qt.IsNil)
+		qt.Assert(t, rg.relayed.requests(), qt.HasLen, 2)
+	})
+}
--- a/internal/job/relayer/server.go
+++ b/internal/job/relayer/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -254,12 +255,26 @@
 		err = fmt.Errorf("%w: %w at the relay", modeler.ErrNotSent, ErrLate)
 	default:
 		ctx, cancel := context.WithTimeout(se.ctx, min(max(modeler.DurationFromMillis(rq.GetTimeout()), 0), maxRequestTimeout))
-		rep, err = send(ctx)
+		rep, err = sv.sendGuarded(ctx, send)
 		cancel()
 	}
 	se.answer(wk.ID, rq.GetNumber(), &rep, rq.GetRenew() != nil, err)
 }
 
+// errPanic is why a request or an exchange failed that met a defect of this software.
+var errPanic = errors.New("panic")
+
+// sendGuarded sends a request. After a panic it may have been sent.
+func (sv *Server) sendGuarded(ctx context.Context, send func(context.Context) (modeler.Report, error)) (rep modeler.Report, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			logger.Log(sv.op.Log, logger.RelayPanicked, "Cause", fmt.Sprint(cause), "Stack", string(debug.Stack()))
+			err = fmt.Errorf("%w: %w", modeler.ErrNoAnswer, errPanic)
+		}
+	}()
+	return send(ctx)
+}
+
 // decode sets the worker of a request and returns a function that sends it. Errors: ErrInvalidMessage.
 func (sv *Server) decode(msg *messenger.RelayBatch, rq *messenger.WorkerRequest, wk *modeler.Worker) (func(context.Context) (modeler.Report, error), error) {
 	address, err := netip.ParseAddrPort(rq.GetAddress())
--- a/internal/telemetry/logger/catalogue_job.go
+++ b/internal/telemetry/logger/catalogue_job.go
@@ -81,6 +81,8 @@
 	RelayRefused        = Event{681, "relayed requests refused", "This host did not carry out the requests of a batch. Error says why.", SeverityWarning}
 	RelaySessionBegun   = Event{682, "relay session begun", "This host carries out requests to workers for the leader.", SeverityInfo}
 	RelayMessageInvalid = Event{683, "message between leader and relay invalid", "The message, or one request in it, has values out of bounds and was not carried out.", SeverityError}
+	TermPanicked        = Event{684, "leader panicked", "A defect of this software, shown by Cause and Stack. The host gives leadership up and runs on. Report it with the lines before it.", SeverityError}
+	RelayPanicked       = Event{685, "relay panicked", "A defect of this software, shown by Cause and Stack. The request or exchange counts as not answered, and the host runs on. Report it with the lines before it.", SeverityError}
 )
 
 var jobEvents = []Event{
@@ -93,4 +95,5 @@
 	QueuesAccepted, QueuesInvalid, QueuesNotFetched, PeersNotSecured, SettingsReloaded, SettingsKept, LoadSummary, TaskWaits, LogLinesDropped,
 	LongRunningTaskWaits, TasksWaitLong, CancellationIneffective, CancellationDropped, CancelledRunGoesOn, ReportHeldUp, RenewalsLate, LeaderNotNotified, JobFailed,
 	RelaysChosen, RelayPaused, RelayRefused, RelaySessionBegun, RelayMessageInvalid,
+	TermPanicked, RelayPanicked,
 }
