internal/job/director: a panic ends the term, not the process

Cause: any goroutine of the director that panics ended the process, with the requests of callers that it was answering, and so every host that leads after it if the input stays. What the goroutine was about to change may be half changed, so the term ends and the next leader builds its state anew. TestPanicEndsTheTermAlone ends the test process without the change.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -7,6 +7,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -342,7 +344,21 @@
 		return
 	}
 	ctx := dr.ctx
-	dr.goroutines.Go(func() { run(ctx) })
+	dr.goroutines.Go(func() {
+		defer dr.endAfterPanic()
+		run(ctx)
+	})
+}
+
+// endAfterPanic ends the term instead of the process if a goroutine panics. What the goroutine was about to change may
+// be half changed, so that this leader cannot go on; the next one builds its state anew.
+func (dr *Director) endAfterPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	dr.log(logger.TermPanicked, "Cause", fmt.Sprint(cause), "Stack", string(debug.Stack()))
+	dr.stepDown("panic")
 }
 
 // StepDown ends the term because another host leads.
