--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -302,56 +302,58 @@
 		if !rd.dr.startable(tk, rd.now) {
 			continue
 		}
-		dm := rd.dr.demand(tk)
-		key := demandClass{pool: pool, label: dm.Label, rack: dm.Rack, longRunning: dm.LongRunning}
-		if dm.BestEffort {
-			key.image = dm.Image
-		}
-		known := rd.knownUnplaceable(key, dm.Needs)
-		if !known {
-			if dm.LongRunning {
-				rd.applyReserve(sp, &dm)
-			}
-			if ix := rd.chooseQuickly(sp, &dm); ix >= 0 {
-				rd.misses = 0
-				rd.placeTask(tk, ix)
-				continue
-			}
-		}
-		rd.countSameStep(sp)
-		if known {
-			rd.noteClassMiss(sp, key)
-			rd.holdForAged(sp, &dm)
+		if !rd.placeOne(tk, pool) {
 			return
 		}
+	}
+}
+
+// placeOne places a task if there is a worker for it. It returns false if there is none for the other tasks of its
+// step either.
+func (rd *round) placeOne(tk *task, pool modeler.PoolName) bool {
+	sp, dm := tk.step, rd.dr.demand(tk)
+	key := demandClass{pool: pool, label: dm.Label, rack: dm.Rack, longRunning: dm.LongRunning}
+	if dm.BestEffort {
+		key.image = dm.Image
+	}
+	if rd.knownUnplaceable(key, dm.Needs) {
+		rd.countSameStep(sp)
+		rd.noteClassMiss(sp, key)
+		rd.holdForAged(sp, &dm)
+		return false
+	}
+	if dm.LongRunning {
+		rd.applyReserve(sp, &dm)
+	}
+	ix, fitsAvoided := rd.chooseQuickly(sp, &dm), false
+	if ix < 0 {
+		rd.countSameStep(sp)
 		if !dm.LongRunning || placer.AllowsLongRunning(&dm) {
 			rd.applyForecast(&dm)
 		}
-		ix, fitsAvoided := rd.choose(tk, &dm)
-		if ix < 0 {
-			// A limit per worker and permits are specific to the step, so that a failure may not
-			// apply to the rest of the class.
-			if !fitsAvoided && dm.MaxPerWorker == 0 && sp.permits == nil {
-				rd.unplaceable[key] = append(rd.unplaceable[key], dm.Needs)
-				rd.missed[key] = sp.turn
-			}
-			rd.misses++
-			rd.logWaitingTask(tk, &dm)
-			switch {
-			case !dm.LongRunning:
-				rd.holdWorker(&dm)
-			case !fitsAvoided:
-				rd.holdForAged(sp, &dm)
-			}
-			if !fitsAvoided {
-				return
-			}
-			// Another task of the step may be placed on the worker that this one avoids.
-			continue
-		}
+		ix, fitsAvoided = rd.choose(tk, &dm)
+	}
+	if ix >= 0 {
 		rd.misses = 0
 		rd.placeTask(tk, ix)
+		return true
+	}
+	// A limit per worker and permits are specific to the step, so that a failure may not apply to the rest of the
+	// class.
+	if !fitsAvoided && dm.MaxPerWorker == 0 && sp.permits == nil {
+		rd.unplaceable[key] = append(rd.unplaceable[key], dm.Needs)
+		rd.missed[key] = sp.turn
+	}
+	rd.misses++
+	rd.logWaitingTask(tk, &dm)
+	switch {
+	case !dm.LongRunning:
+		rd.holdWorker(&dm)
+	case !fitsAvoided:
+		rd.holdForAged(sp, &dm)
 	}
+	// Another task of the step may be placed on the worker that this one avoids.
+	return fitsAvoided
 }
 
 // choose returns the index of a worker for a task, or -1 and whether a worker fits that the task avoids.
