--- a/internal/job/director/observer.go
+++ b/internal/job/director/observer.go
@@ -49,6 +49,10 @@
 
 // checkRuns looks for stalled and slow runs on a worker, and moves runs away from a draining one.
 func (dr *Director) checkRuns(wk *worker, now time.Time) {
+	if !wk.info.Draining && now.Sub(wk.checkedAt) < dr.estimateAge() {
+		return
+	}
+	wk.checkedAt = now
 	for _, at := range wk.listAttempts() {
 		spec := at.task.step.spec
 		switch {
--- a/internal/job/director/selection.go
+++ b/internal/job/director/selection.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/job/placer"
@@ -31,9 +32,9 @@
 }
 
 // chooseQuickly returns the index of the worker that choose returns for a demand, or -1 if choose has to decide:
-// for a demand that fits nowhere, that avoids workers, for which the pool has too little capacity, or that needs permits.
+// for a demand that fits nowhere, for which the pool has too little capacity, or that needs permits.
 func (rd *round) chooseQuickly(sp *step, dm *placer.Demand) int {
-	if dm.LongRunning && !placer.AllowsLongRunning(dm) || len(dm.Avoid) > 0 || rd.dr.queue(sp.occ.job).Policy != nil {
+	if dm.LongRunning && !placer.AllowsLongRunning(dm) || rd.dr.queue(sp.occ.job).Policy != nil {
 		return -1
 	}
 	key := selectionKey{pool: rd.pool, needs: dm.Needs, label: dm.Label, rack: dm.DataRack, bestEffort: dm.BestEffort, longRunning: dm.LongRunning}
@@ -52,8 +53,9 @@
 		rd.updateCosts(sl, sp, dm, false)
 	}
 	best, minCost := -1, math.Inf(1)
+	avoids := placer.HasAlternative(dm, rd.cands)
 	for ix, cost := range sl.costs {
-		if cost < minCost {
+		if cost < minCost && !(avoids && slices.Contains(dm.Avoid, rd.workers[ix].info.ID)) {
 			best, minCost = ix, cost
 		}
 	}
--- a/internal/job/director/selection_test.go
+++ b/internal/job/director/selection_test.go
@@ -53,6 +53,9 @@
 	t.Helper()
 	rd.excludeOtherPools("pool")
 	for ; count > 0 && len(sp.waiting) > 0; count-- {
+		if count%2 == 0 {
+			sp.waiting[0].avoidWorker(rd.workers[len(sp.waiting)%len(rd.workers)].info.ID)
+		}
 		dm := rd.dr.demand(sp.waiting[0])
 		if dm.LongRunning {
 			rd.applyReserve(sp, &dm)
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -149,6 +149,8 @@
 	noStartsBefore time.Time
 	// pace is the pace of the best-effort tasks on the worker.
 	pace pacer.Pace
+	// checkedAt is when checkRuns last looked at the runs.
+	checkedAt time.Time
 	// usage is bestEffortUsage of the last report. Measures change with reports alone.
 	usage []estimator.Usage
 	// predictions holds predictions for best-effort tasks by image, see recentPrediction.
