--- a/internal/job/relayer/client.go
+++ b/internal/job/relayer/client.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -65,6 +66,8 @@
 type Client struct {
 	op        Options
 	startedAt time.Time
+	// sessions is the number of the last session with any relay. A relay that is chosen again accepts later ones only.
+	sessions atomic.Int64
 
 	mu sync.Mutex
 	// relays holds the present relays, and links the link to each of them in the same order.
--- a/internal/job/relayer/link.go
+++ b/internal/job/relayer/link.go
@@ -65,7 +65,7 @@
 }
 
 func newLink(cl *Client, hs Host) *link {
-	return &link{client: cl, host: hs, wake: make(chan struct{}, 1), pending: map[int64]*call{}, session: 1, decoders: map[modeler.WorkerID]*reportDecoder{}}
+	return &link{client: cl, host: hs, wake: make(chan struct{}, 1), pending: map[int64]*call{}, session: cl.sessions.Add(1), decoders: map[modeler.WorkerID]*reportDecoder{}}
 }
 
 // usable reports whether the relay gets requests.
@@ -287,7 +287,7 @@
 
 // newSession makes the next exchange the first of a session. The caller holds mu.
 func (lk *link) newSession() {
-	lk.session, lk.exchange, lk.decoders = lk.session+1, 0, map[modeler.WorkerID]*reportDecoder{}
+	lk.session, lk.exchange, lk.decoders = lk.client.sessions.Add(1), 0, map[modeler.WorkerID]*reportDecoder{}
 }
 
 // refuseQueued answers the calls that no exchange has taken. The caller holds mu.
--- a/internal/job/relayer/relayer_test.go
+++ b/internal/job/relayer/relayer_test.go
@@ -133,6 +133,7 @@
 	worker          *modeler.Worker
 
 	mu         sync.Mutex
+	noHosts    bool
 	maySend    bool
 	relayEpoch modeler.Epoch
 }
@@ -158,7 +159,14 @@
 				defer rg.mu.Unlock()
 				return rg.maySend
 			},
-			Hosts:   func() []relayer.Host { return []relayer.Host{{Name: "relay", Weight: 800}} },
+			Hosts: func() []relayer.Host {
+				rg.mu.Lock()
+				defer rg.mu.Unlock()
+				if rg.noHosts {
+					return nil
+				}
+				return []relayer.Host{{Name: "relay", Weight: 800}}
+			},
 			Dial:    func(netip.AddrPort) messenger.Relay { return rg.network },
 			Invalid: reporter.New(logr.Discard(), meter.New(nil)), Log: logr.Discard(), Meter: meter.New(nil),
 		})
@@ -347,3 +355,18 @@
 		qt.Assert(t, rg.relayed.requests(), qt.HasLen, 2)
 	})
 }
+
+// Guards against a relay that refuses requests after it was out of contact for a while.
+func TestReturningRelay(t *testing.T) {
+	runRig(t, func(rg *rig) {
+		qt.Assert(t, rg.start(1), qt.IsNil)
+		rg.set(func() { rg.noHosts = true })
+		time.Sleep(2 * time.Second)
+		qt.Assert(t, rg.start(2), qt.IsNil)
+		rg.set(func() { rg.noHosts = false })
+		time.Sleep(2 * time.Second)
+		qt.Assert(t, rg.start(3), qt.IsNil)
+		qt.Assert(t, rg.direct.requests(), qt.HasLen, 1)
+		qt.Assert(t, rg.relayed.requests(), qt.HasLen, 2)
+	})
+}
