--- /dev/null
+++ b/internal/job/director/round.go
@@ -0,0 +1,516 @@
+package director
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/currantrouter/currantrouter/internal/job/keeper"
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/placer"
+	"github.com/currantrouter/currantrouter/internal/job/ranker"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+)
+
+const (
+	// maxMisses is the number of placements in a row that find no worker after which a round ends.
+	// The fleet is full then, and to go on would cost the leader the time that it needs for its
+	// workers.
+	maxMisses = 150
+	// maxOvertakenMisses is that number for each later pass of a round, see placeSteps.
+	maxOvertakenMisses = 50
+	// overtakenShare is the ratio of the starts that are kept for long-running tasks to those of more
+	// urgent ones that overtake them.
+	overtakenShare = 1.0 / 8
+	// maxKeptStarts bounds the starts that are kept.
+	maxKeptStarts = 8
+	// waitLogInterval is the least time between two log lines on why a task waits.
+	waitLogInterval = time.Second
+	// maxAvoidTime is the time after its last run in which a long-running task waits for another worker
+	// than those that it avoids.
+	maxAvoidTime = 3 * time.Second
+	// runsPerEpoch is the distance between the first run numbers of successive epochs. It makes
+	// every run of a new leader higher than all runs of earlier ones that it may not know of.
+	runsPerEpoch = 1 << 20
+)
+
+// dispatch runs a placement round: it places waiting tasks, the most urgent first.
+func (dr *Director) dispatch(now time.Time) {
+	available := dr.startWindow.Available(dr.startsInFlight)
+	dr.windowFull = available == 0
+	switch {
+	case len(dr.waitingSteps) == 0:
+		return
+	case available == 0:
+		dr.beginRound(now, roundEndedByWindow)
+		return
+	case !dr.op.MaySendRequests():
+		dr.beginRound(now, requestsSuspended)
+		return
+	}
+	dr.beginRound(now, notPlacedYet)
+	rd := dr.newRound(now)
+	rd.startsLeft = available
+	if len(rd.workers) > 0 {
+		rd.placeSteps()
+	}
+	rd.placeStarved()
+	dr.windowFull, dr.roundEnd = rd.startsLeft <= 0, rd.endReason()
+	dr.recordPlacements(rd.longRunning)
+}
+
+// recordPlacements records the workers of long-running tasks and queues their starts once the
+// records are durable.
+func (dr *Director) recordPlacements(list []*attempt) {
+	if len(list) == 0 {
+		return
+	}
+	var facts []keeper.Fact
+	for _, at := range list {
+		at.recording = true
+		at.task.recordPlacement(at.run, at.worker.info.ID)
+		facts = append(facts, keeper.Fact{Placed: &keeper.PlacedFact{Task: at.task.id().String(), Run: at.run, Worker: at.worker.info.ID}})
+	}
+	dr.startGoroutine(func(ctx context.Context) {
+		dr.record(ctx, facts, func() {
+			dr.mu.Lock()
+			defer dr.mu.Unlock()
+			for _, at := range list {
+				at.recording = false
+				if slices.Contains(at.worker.inAdvance, at) {
+					dr.queueFreed(at.worker)
+				} else {
+					dr.queueStart(at)
+				}
+			}
+		})
+	})
+}
+
+// round is one placement round: one pass over the waiting steps, in order of urgency.
+type round struct {
+	dr      *Director
+	now     time.Time
+	steps   []rankedStep
+	workers []*worker
+	// cands holds the candidates in the order of workers.
+	cands []placer.Candidate
+	// held holds the indices of the workers that are kept free, see holdWorker, and maxHeld their number
+	// at most.
+	held    []int
+	maxHeld int
+	// heldFor holds what the demands need for which workers are held, by the index of the worker.
+	heldFor map[int]modeler.Resources
+	// placingAged is set during the pass of the aged steps.
+	placingAged bool
+	// headroomOf holds the results of agedHeadroom since the last placement.
+	headroomOf map[modeler.PoolName]int64
+	// capacityOf holds the results of capacity.
+	capacityOf map[modeler.PoolName]modeler.Resources
+	// longRunning holds the placed attempts of long-running tasks.
+	longRunning []*attempt
+	// misses is the number of placements without a worker since the last one that found one or since
+	// the pass began. A pass ends with maxMisses.
+	misses, maxMisses int
+	// startsLeft is the number of tasks that may still start in this round, startsKept that of them
+	// which this pass leaves to the next.
+	startsLeft, startsKept int
+	// starvedAttempts is the number of starved tasks that the round tried to place.
+	starvedAttempts int
+	// forecasts holds the predictions for tasks of best-effort and latency-critical images.
+	forecasts map[string]*forecast
+	// pool is the one whose workers are not excluded from cands, empty before the first step.
+	pool modeler.PoolName
+	// changed holds the indices of candidates in the order in which they changed, see selection.
+	changed []int
+	// selections holds the costs of the demands that were chosen for in this round.
+	selections map[selectionKey]*selection
+	// unplaceable holds needs for which no worker was found in this round.
+	unplaceable map[demandClass][]modeler.Resources
+	// missed holds why the last task of a class in unplaceable found no worker.
+	missed map[demandClass]turn
+}
+
+// rankedStep is a waiting step with its key for sorting.
+type rankedStep struct {
+	step *step
+	rank ranker.WaitingStep
+}
+
+// demandClass is an equivalence class of demands, as in Borg, but without the amount of their
+// needs: where one finds no worker, another that needs as much or more finds none either.
+type demandClass struct {
+	pool  modeler.PoolName
+	label string
+	rack  string
+	// image is set for best-effort demands, which some latency-critical images exclude.
+	image       string
+	longRunning bool
+}
+
+// knownUnplaceable reports whether a demand of the class with equal or smaller needs has already
+// found no worker in this round.
+func (rd *round) knownUnplaceable(key demandClass, needs modeler.Resources) bool {
+	return slices.ContainsFunc(rd.unplaceable[key], func(smaller modeler.Resources) bool { return smaller.Fits(needs) })
+}
+
+// newRound returns a round with the waiting steps, the most urgent first, and the workers that
+// accept tasks.
+func (dr *Director) newRound(now time.Time) *round {
+	rd := &round{dr: dr, now: now, maxHeld: maxHeldWorkers, heldFor: map[int]modeler.Resources{}, headroomOf: map[modeler.PoolName]int64{}, capacityOf: map[modeler.PoolName]modeler.Resources{}, unplaceable: map[demandClass][]modeler.Resources{}, missed: map[demandClass]turn{}, forecasts: map[string]*forecast{}, selections: map[selectionKey]*selection{}}
+	for sp := range dr.waitingSteps {
+		rd.steps = append(rd.steps, rankedStep{sp, dr.waitingStep(sp)})
+	}
+	slices.SortFunc(rd.steps, func(one, two rankedStep) int {
+		if order := ranker.Compare(&one.rank, &two.rank, now); order != 0 {
+			return order
+		}
+		return cmp.Compare(one.step.occ.job.ID, two.step.occ.job.ID)
+	})
+	for _, wk := range dr.orderedWorkers() {
+		if dr.acceptsTasks(wk, now) {
+			rd.workers = append(rd.workers, wk)
+		}
+	}
+	rd.cands = make([]placer.Candidate, 0, len(rd.workers))
+	for _, wk := range rd.workers {
+		rd.cands = append(rd.cands, placer.Candidate{
+			Worker: &wk.info, Free: wk.free, LatencyCriticalTasks: wk.criticalTasks, BestEffortTasks: wk.bestEffortTasks,
+			BestEffortMilliCores: wk.bestEffortMilliCores, LatencyCriticalMilliCores: wk.criticalMilliCores, FaultScore: wk.faultHistory.FaultScore(now),
+		})
+	}
+	return rd
+}
+
+// orderedWorkers returns all workers in the order of their IDs.
+func (dr *Director) orderedWorkers() []*worker {
+	if len(dr.workerOrder) != len(dr.workers) {
+		dr.workerOrder = slices.SortedFunc(maps.Values(dr.workers), func(one, two *worker) int { return cmp.Compare(one.info.ID, two.info.ID) })
+	}
+	return dr.workerOrder
+}
+
+// acceptsTasks reports whether a worker may get new tasks. The needs of deferred runs are not known.
+func (dr *Director) acceptsTasks(wk *worker, now time.Time) bool {
+	return wk.registered && wk.reported && wk.grantDurable && !wk.unreachable && wk.announcedAt.IsZero() && !wk.info.Draining && len(wk.deferredRuns) == 0 &&
+		!wk.faultHistory.Quarantined(now) && !now.Before(wk.noStartsBefore)
+}
+
+// placeSteps places waiting tasks in four passes: of the aged steps, of all others in order of urgency,
+// then of the long-running steps that the passes did not reach, then of the others. The later passes
+// begin with the steps that were considered the longest ago, so that the turn of each step comes however
+// many more urgent ones find no worker.
+func (rd *round) placeSteps() {
+	steps := rd.placeAged()
+	agedMisses, available := rd.misses, rd.startsLeft
+	if slices.ContainsFunc(steps, func(rs rankedStep) bool { return rs.rank.LongRunning }) {
+		rd.startsKept = min(int(rd.dr.keptStarts), available)
+	}
+	overtaken := rd.placePass(steps, maxMisses)
+	outOfStarts := rd.startsLeft <= rd.startsKept
+	rd.dr.keptStarts = min(rd.dr.keptStarts+overtakenShare*float64(available-rd.startsLeft), maxKeptStarts)
+	rd.startsKept = 0
+	var longRunning, others []rankedStep
+	for _, rs := range overtaken {
+		if rs.rank.LongRunning {
+			longRunning = append(longRunning, rs)
+		} else {
+			others = append(others, rs)
+		}
+	}
+	slices.SortStableFunc(longRunning, longestAgo)
+	if !outOfStarts {
+		slices.SortStableFunc(others, longestAgo)
+	}
+	before := rd.startsLeft
+	rd.placePass(longRunning, maxOvertakenMisses-agedMisses)
+	rd.dr.keptStarts = max(0, rd.dr.keptStarts-float64(before-rd.startsLeft))
+	rd.placePass(others, maxOvertakenMisses)
+}
+
+// longestAgo orders steps by when a round last considered them.
+func longestAgo(one, two rankedStep) int { return one.step.turn.at.Compare(two.step.turn.at) }
+
+// placePass places tasks of the steps until the pass is over, and returns the steps that it did not
+// finish.
+func (rd *round) placePass(steps []rankedStep, maxMisses int) []rankedStep {
+	rd.misses, rd.maxMisses = 0, maxMisses
+	for ix, rs := range steps {
+		if rd.passOver() {
+			return steps[ix:]
+		}
+		rd.noteTurn(rs.step, "")
+		rd.placeStep(rs.step)
+		if rd.passOver() {
+			// The step may have further tasks.
+			return steps[ix:]
+		}
+	}
+	return nil
+}
+
+func (rd *round) passOver() bool {
+	return rd.misses >= rd.maxMisses || rd.startsLeft <= rd.startsKept
+}
+
+// placeStep places as many waiting tasks of a step as there are workers for.
+func (rd *round) placeStep(sp *step) {
+	if sp.spec.Gang {
+		rd.placeGang(sp)
+		return
+	}
+	pool := rd.dr.pool(sp.occ.job)
+	rd.excludeOtherPools(pool)
+	for _, tk := range slices.Clone(sp.waiting) {
+		if rd.passOver() {
+			rd.noteTurn(sp, rd.endReason())
+			sp.moveToFront(tk)
+			return
+		}
+		if !rd.dr.startable(tk, rd.now) {
+			continue
+		}
+		if !rd.placeOne(tk, pool) {
+			return
+		}
+	}
+}
+
+// placeOne places a task if there is a worker for it. It returns false if there is none for the other tasks of its
+// step either.
+func (rd *round) placeOne(tk *task, pool modeler.PoolName) bool {
+	sp, dm := tk.step, rd.dr.demand(tk)
+	key := demandClass{pool: pool, label: dm.Label, rack: dm.Rack, longRunning: dm.LongRunning}
+	if dm.BestEffort {
+		key.image = dm.Image
+	}
+	if rd.knownUnplaceable(key, dm.Needs) {
+		rd.countSameStep(sp)
+		rd.noteClassMiss(sp, key)
+		rd.holdForAged(sp, &dm)
+		return false
+	}
+	if dm.LongRunning {
+		rd.applyReserve(sp, &dm)
+	}
+	ix, fitsAvoided := rd.chooseQuickly(sp, &dm), false
+	if ix < 0 {
+		rd.countSameStep(sp)
+		if !dm.LongRunning || placer.AllowsLongRunning(&dm) {
+			rd.applyForecast(&dm)
+		}
+		ix, fitsAvoided = rd.choose(tk, &dm)
+	}
+	if ix >= 0 {
+		rd.misses = 0
+		rd.placeTask(tk, ix)
+		return true
+	}
+	// A limit per worker and permits are specific to the step, so that a failure may not apply to the rest of the
+	// class.
+	if !fitsAvoided && dm.MaxPerWorker == 0 && sp.permits == nil {
+		rd.unplaceable[key] = append(rd.unplaceable[key], dm.Needs)
+		rd.missed[key] = sp.turn
+	}
+	rd.misses++
+	rd.logWaitingTask(tk, &dm)
+	switch {
+	case !dm.LongRunning:
+		rd.holdWorker(&dm)
+	case !fitsAvoided:
+		rd.holdForAged(sp, &dm)
+	}
+	// Another task of the step may be placed on the worker that this one avoids.
+	return fitsAvoided
+}
+
+// choose returns the index of a worker for a task, or -1 and whether a worker fits that the task avoids.
+// A long-running task that finds no worker may use those that are kept free: the demand for which one
+// is held may never fit, and would keep it from the task in every round. It may use those that it
+// avoids, as the limit of failed runs, for which they are avoided, does not apply to it.
+func (rd *round) choose(tk *task, dm *placer.Demand) (int, bool) {
+	cands := rd.excludeUnpermitted(tk.step, rd.dr.queue(tk.step.occ.job), dm, rd.cands)
+	ix := placer.Choose(dm, cands)
+	mayReturn := dm.LongRunning && len(dm.Avoid) > 0 && rd.now.Sub(tk.lastActive) > maxAvoidTime
+	if ix < 0 && dm.LongRunning && (len(rd.held) > 0 || mayReturn) {
+		rd.freeHeld()
+		defer rd.holdAgain()
+		if mayReturn {
+			dm.Avoid = nil
+		}
+		cands = rd.excludeUnpermitted(tk.step, rd.dr.queue(tk.step.occ.job), dm, rd.cands)
+		ix = placer.Choose(dm, cands)
+	}
+	if ix < 0 {
+		rd.noteMiss(tk, dm, cands)
+	}
+	return ix, ix < 0 && len(dm.Avoid) > 0 && anyFeasible(dm, cands)
+}
+
+func anyFeasible(dm *placer.Demand, cands []placer.Candidate) bool {
+	for ix := range cands {
+		if placer.Feasible(dm, &cands[ix]) {
+			return true
+		}
+	}
+	return false
+}
+
+func (rd *round) freeHeld() {
+	for _, ix := range rd.held {
+		rd.cands[ix].Free = rd.workers[ix].free
+	}
+}
+
+func (rd *round) holdAgain() {
+	for _, ix := range rd.held {
+		rd.cands[ix].Free = modeler.Resources{}
+	}
+}
+
+// excludeOtherPools excludes the workers of other pools. All pools share one list of candidates, so
+// that indices stay valid.
+func (rd *round) excludeOtherPools(pool modeler.PoolName) {
+	if rd.pool == pool && pool != "" {
+		return
+	}
+	rd.pool = pool
+	for ix, wk := range rd.workers {
+		rd.cands[ix].Excluded = wk.info.Pool != pool
+	}
+}
+
+// countSameStep sets each candidate's number of tasks of the step, if the step limits it.
+func (rd *round) countSameStep(sp *step) {
+	if sp.spec.MaxPerWorker <= 0 {
+		return
+	}
+	for ix, wk := range rd.workers {
+		rd.cands[ix].SameStepTasks = sp.perWorker[wk.info.ID]
+	}
+}
+
+// applyReserve sets what decides on the reserve for short tasks.
+func (rd *round) applyReserve(sp *step, dm *placer.Demand) {
+	pool := rd.dr.pool(sp.occ.job)
+	dm.Headroom, dm.PoolSlots = rd.poolHeadroom(pool, dm)
+	if rd.placingAged {
+		dm.Headroom = rd.agedHeadroom(pool)
+		dm.PoolSlots = rd.recentSlots(pool, dm.Needs, dm.PoolSlots)
+	}
+}
+
+// poolHeadroom returns the free processors of a pool beyond the reserve for short tasks, in
+// thousandths of a core, and how many tasks of the demand fit into the pool.
+func (rd *round) poolHeadroom(pool modeler.PoolName, dm *placer.Demand) (headroom, slots int64) {
+	for _, wk := range rd.workers {
+		if wk.info.Pool == pool {
+			headroom += max(0, wk.free.MilliCores)
+			slots += placer.FitCount(dm.Needs, wk.free)
+		}
+	}
+	return headroom - rd.shortTaskReserve(pool), slots
+}
+
+// shortTaskReserve returns the processors of a pool that long-running tasks leave to short ones, in
+// thousandths of a core.
+func (rd *round) shortTaskReserve(pool modeler.PoolName) int64 {
+	return int64(placer.ShortTaskReserve * float64(rd.capacity(pool).MilliCores))
+}
+
+// logWaitingTask logs why a task found no worker: the first such task of a round, at most once per
+// waitLogInterval.
+func (rd *round) logWaitingTask(tk *task, dm *placer.Demand) {
+	if dm.BestEffort || rd.now.Sub(rd.dr.waitLoggedAt) < waitLogInterval {
+		return
+	}
+	rd.dr.waitLoggedAt = rd.now
+	reasons := placer.CountReasons(dm, rd.cands)
+	rd.dr.log(logger.TaskWaits, "Task", tk.id().String(), "Cores", dm.Needs.MilliCores, "MemoryMB", dm.Needs.MemoryMB, "PerWorker", dm.MaxPerWorker,
+		"Lasts", dm.LongRunning, "Spare", dm.Headroom, "Unsuited", reasons.Unsuited, "Crowded", reasons.Crowded, "Full", reasons.Full, "Reserved", reasons.Reserved, "Disturbed", reasons.Disturbed)
+}
+
+// placeTask reserves resources for a task on the worker with the index, and queues its start. That
+// of a long-running task is queued by recordPlacements.
+func (rd *round) placeTask(tk *task, ix int) *attempt {
+	wk := rd.workers[ix]
+	rd.startsLeft--
+	at := rd.dr.reserve(tk, wk, rd.dr.nextRun(tk))
+	rd.dr.starting[at] = struct{}{}
+	if tk.step.spec.LongRunning {
+		rd.longRunning = append(rd.longRunning, at)
+	} else {
+		rd.dr.queueStart(at)
+	}
+	cd := &rd.cands[ix]
+	cd.Free, cd.LatencyCriticalTasks, cd.BestEffortTasks = wk.free, wk.criticalTasks, wk.bestEffortTasks
+	cd.BestEffortMilliCores, cd.LatencyCriticalMilliCores = wk.bestEffortMilliCores, wk.criticalMilliCores
+	if slices.Contains(rd.held, ix) {
+		cd.Free = modeler.Resources{}
+	}
+	rd.changed = append(rd.changed, ix)
+	clear(rd.headroomOf)
+	for _, fc := range rd.forecasts {
+		fc.predictions[ix].valid = false
+	}
+	if fc := rd.forecasts[tk.step.spec.Image]; fc != nil && tk.step.spec.BestEffort {
+		for image := range wk.criticalImages {
+			fc.trials[image]++
+			if placer.TrialsMatter(fc.trials[image]) {
+				fc.newTrials++
+			}
+		}
+	}
+	return at
+}
+
+// pool returns the pool of the job's queue.
+func (dr *Director) pool(jb *job) modeler.PoolName { return dr.queue(jb).Pool }
+
+// startable reports whether a waiting task may start now. A task that may have an unknown run waits
+// until all workers of earlier terms are accounted for, and one with a run that is not wanted until that
+// is known to have ended, unless its step allows speculative copies.
+func (dr *Director) startable(tk *task, now time.Time) bool {
+	return !dr.mayRunUnknown(tk) && !dr.mayRunUnexpectedly(tk, now) && tk.step.occ.job.confirmed && !now.Before(tk.notBefore) && !dr.attemptsExhausted(tk)
+}
+
+// mayRunUnknown reports whether a waiting task has to wait because an unknown run may be active.
+func (dr *Director) mayRunUnknown(tk *task) bool {
+	return tk.mayHaveUnknownRun && !dr.allAccounted && !tk.step.spec.Speculative && !dr.knownNotRunning(tk)
+}
+
+// knownNotRunning reports whether a long-running task of an earlier leader is known not to run: it
+// was never placed, or the worker of its last placement has reported in this term, is not known, or
+// can hold no lease of an earlier leader any more.
+func (dr *Director) knownNotRunning(tk *task) bool {
+	if !tk.step.spec.LongRunning {
+		return false
+	}
+	wk := dr.workers[tk.placedOn]
+	return tk.placedOn == "" || wk == nil || !wk.unaccounted || dr.leaseExpired(wk, time.Now())
+}
+
+// demand returns what a task demands of a worker. Rack, Headroom and PoolSlots are left to
+// the caller.
+func (dr *Director) demand(tk *task) placer.Demand {
+	spec := tk.step.spec
+	return placer.Demand{
+		Needs: spec.Needs, Label: spec.Label, DataRack: spec.DataRack, MaxPerWorker: spec.MaxPerWorker,
+		LatencyCritical: spec.TailTarget > 0, LongRunning: spec.LongRunning, BestEffort: spec.BestEffort, Image: spec.Image, Avoid: tk.avoid, RemoteDataFactor: dr.op.Limits.RemoteDataFactor,
+	}
+}
+
+// nextRun returns a run number that is higher than those of all earlier runs of the task.
+func (dr *Director) nextRun(tk *task) modeler.Run {
+	return max(tk.lastRun, modeler.Run(dr.op.Epoch-1)*runsPerEpoch) + 1
+}
+
+// epochOf returns the epoch of the leader that placed a run.
+func epochOf(run modeler.Run) modeler.Epoch { return modeler.Epoch((run-1)/runsPerEpoch) + 1 }
+
+// possibleRun reports whether a leader up to this one can have given the run number.
+func (dr *Director) possibleRun(run modeler.Run) bool {
+	return run <= modeler.Run(dr.op.Epoch)*runsPerEpoch
+}
