--- a/internal/job/leader/cluster_test.go
+++ b/internal/job/leader/cluster_test.go
@@ -66,6 +66,8 @@
 	hosts   []*host
 	// relays is set if leaders send requests to workers by other hosts, as in large fleets.
 	relays bool
+	// dataCentre is that of all hosts.
+	dataCentre fleet.DataCentreName
 	// limits are those of all hosts.
 	limits director.Limits
 	log    logBuffer
@@ -136,7 +138,7 @@
 }
 
 func newCluster(t testing.TB, hosts, workers int, seed uint64) *cluster {
-	cl := &cluster{t: t, faults: new(emulator.Faults), limits: testLimits, rnd: rand.New(rand.NewPCG(seed, 2)), jobs: map[modeler.JobID]*modeler.Job{}, triedAt: map[modeler.TaskID]time.Time{}}
+	cl := &cluster{t: t, dataCentre: "z", faults: new(emulator.Faults), limits: testLimits, rnd: rand.New(rand.NewPCG(seed, 2)), jobs: map[modeler.JobID]*modeler.Job{}, triedAt: map[modeler.TaskID]time.Time{}}
 	cl.relays = strings.Contains(t.Name(), "WithRelays")
 	cl.store = emulator.NewStore(cl.faults)
 	cl.store.WaitLimit = watchLimit
@@ -310,7 +312,7 @@
 	pr := &process{ho: ho, ended: make(chan struct{}), answered: time.Now()}
 	lg, rg := cl.hostLog(ix), meter.New(nil)
 	pr.registry = rg
-	self := elector.Member{Host: fleet.HostName(fmt.Sprint("host-", ix)), Boot: fleet.BootID(fmt.Sprint(ix, "-", time.Now().UnixNano())), Address: hostAddress(ix), Weight: 100}
+	self := elector.Member{Host: fleet.HostName(fmt.Sprint("host-", ix)), Boot: fleet.BootID(fmt.Sprint(ix, "-", time.Now().UnixNano())), Address: hostAddress(ix), Weight: 100, DataCentre: cl.dataCentre}
 	if cl.relays {
 		self.Weight = smallWeight
 	}
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -194,6 +194,10 @@
 		}
 		var list []relayer.Host
 		for _, mb := range ld.elector.ReachableHosts() {
+			if mb.DataCentre == "" {
+				// A host of an earlier version is no relay.
+				continue
+			}
 			list = append(list, relayer.Host{Name: mb.Host, DataCentre: mb.DataCentre, Address: mb.Address, Weight: mb.Weight})
 		}
 		return list
--- a/internal/job/leader/relay_test.go
+++ b/internal/job/leader/relay_test.go
@@ -72,6 +72,17 @@
 	})
 }
 
+// Guards against requests to relays of an earlier version, which do not know them.
+func TestHostsOfEarlierVersionWithRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 3, 6, 1)
+		defer cl.stop()
+		cl.dataCentre = ""
+		lead, _ := cl.startTask(true)
+		qt.Check(t, cl.process(lead).registry.Value(meter.RequestsRelayed), qt.Equals, int64(0))
+	})
+}
+
 // setCut cuts a kind of link of a host, or ends the cut.
 func (cl *cluster) setCut(ix int, lk link, cut bool) {
 	cl.mu.Lock()
