internal/job/relayer: a panic while answers are read or encoded leaves no call waiting

Found by reading. A call left the pending ones before its answer was decoded; after a panic there, its caller waited for ever with the link's lock. A panic while a relay encoded a report ended its process. Calls leave with their result now, and a relay's recovery covers the whole request.

--- a/internal/job/relayer/link.go
+++ b/internal/job/relayer/link.go
@@ -83,8 +83,7 @@
 		return modeler.Report{}, fmt.Errorf("%w: term is over", modeler.ErrNotSent)
 	}
 	lk.nextNumber++
-	number := lk.nextNumber
-	ca.request.Number = number
+	ca.request.Number = lk.nextNumber
 	lk.queue = append(lk.queue, ca)
 	lk.mu.Unlock()
 	select {
@@ -113,7 +112,7 @@
 			return fmt.Errorf("%w: to relay %s: %w", modeler.ErrNotSent, lk.host.Name, reason)
 		}
 	}
-	// The answer arrived at the same time.
+	// The answer arrived at the same time: a call leaves pending and queue with its result.
 	rs := <-ca.done
 	return rs.err
 }
@@ -215,23 +214,18 @@
 // deliver passes answers on to the calls.
 func (lk *link) deliver(answers *messenger.RelayAnswers) {
 	for _, an := range answers.GetAnswers() {
-		lk.mu.Lock()
-		ca := lk.pending[an.GetNumber()]
-		delete(lk.pending, an.GetNumber())
-		lk.mu.Unlock()
 		rs, err := lk.decode(an)
 		if err != nil {
-			op := &lk.client.op
-			op.Invalid.Report(logger.RelayMessageInvalid, meter.ReportsInvalid, string(lk.host.Name), err, "Relay", lk.host.Name)
-			if ca != nil {
-				ca.done <- result{err: fmt.Errorf("%w: by relay %s: %w", modeler.ErrNoAnswer, lk.host.Name, err)}
-			}
+			lk.client.op.Invalid.Report(logger.RelayMessageInvalid, meter.ReportsInvalid, string(lk.host.Name), err, "Relay", lk.host.Name)
 			lk.endSession(err)
 			return
 		}
-		if ca != nil {
+		lk.mu.Lock()
+		if ca := lk.pending[an.GetNumber()]; ca != nil {
+			delete(lk.pending, an.GetNumber())
 			ca.done <- rs
 		}
+		lk.mu.Unlock()
 	}
 }
 
--- a/internal/job/relayer/server.go
+++ b/internal/job/relayer/server.go
@@ -243,6 +243,13 @@
 // carryOut sends one request that has arrived at an uptime to its worker and adds the answer to the session.
 func (sv *Server) carryOut(se *session, msg *messenger.RelayBatch, rq *messenger.WorkerRequest, arrived time.Duration) {
 	wk := &modeler.Worker{ID: modeler.WorkerID(rq.GetWorker())}
+	defer func() {
+		if cause := recover(); cause != nil {
+			// The request may have been sent.
+			logger.Log(sv.op.Log, logger.RelayPanicked, "Cause", fmt.Sprint(cause), "Stack", string(debug.Stack()))
+			se.answer(wk.ID, rq.GetNumber(), &modeler.Report{}, false, fmt.Errorf("%w: %w", modeler.ErrNoAnswer, errPanic))
+		}
+	}()
 	send, err := sv.decode(msg, rq, wk)
 	var rep modeler.Report
 	switch {
@@ -255,7 +262,7 @@
 		err = fmt.Errorf("%w: %w at the relay", modeler.ErrNotSent, ErrLate)
 	default:
 		ctx, cancel := context.WithTimeout(se.ctx, min(max(modeler.DurationFromMillis(rq.GetTimeout()), 0), maxRequestTimeout))
-		rep, err = sv.sendGuarded(ctx, send)
+		rep, err = send(ctx)
 		cancel()
 	}
 	se.answer(wk.ID, rq.GetNumber(), &rep, rq.GetRenew() != nil, err)
@@ -264,17 +271,6 @@
 // errPanic is why a request or an exchange failed that met a defect of this software.
 var errPanic = errors.New("panic")
 
-// sendGuarded sends a request. After a panic it may have been sent.
-func (sv *Server) sendGuarded(ctx context.Context, send func(context.Context) (modeler.Report, error)) (rep modeler.Report, err error) {
-	defer func() {
-		if cause := recover(); cause != nil {
-			logger.Log(sv.op.Log, logger.RelayPanicked, "Cause", fmt.Sprint(cause), "Stack", string(debug.Stack()))
-			err = fmt.Errorf("%w: %w", modeler.ErrNoAnswer, errPanic)
-		}
-	}()
-	return send(ctx)
-}
-
 // decode sets the worker of a request and returns a function that sends it. Errors: ErrInvalidMessage.
 func (sv *Server) decode(msg *messenger.RelayBatch, rq *messenger.WorkerRequest, wk *modeler.Worker) (func(context.Context) (modeler.Report, error), error) {
 	address, err := netip.ParseAddrPort(rq.GetAddress())
