--- a/internal/telemetry/logger/catalogue.go
+++ b/internal/telemetry/logger/catalogue.go
@@ -52,4 +52,5 @@
 	operatorEvents,
 	jobEvents,
 	inputEvents,
+	relayEvents,
 )
--- a/internal/telemetry/logger/catalogue_job.go
+++ b/internal/telemetry/logger/catalogue_job.go
@@ -75,14 +75,6 @@
 	RenewalsLate            = Event{676, "lease renewals held up", "The leases of so many workers were not extended for longer than half a lease although the workers answer. Phase says what the leader waits for, Worker is the one that waits longest, LeaseLeft the rest of its lease. Logged once a second for each phase.", SeverityWarning}
 	LeaderNotNotified       = Event{677, "leader not notified of a cancellation", "The cancellation is stored. The leader hears of it from its watch of the store.", SeverityInfo}
 	JobFailed               = Event{678, "job failed", "A task has failed as often as the queue allows, see the lines 612 of the job. The end of the job is durable and is reported to callers.", SeverityWarning}
-
-	RelaysChosen        = Event{679, "relays chosen", "The leader has requests to its Workers carried out by these hosts from now on, or sends all itself if there are none. Weight is its own processor share in thousandths of a core, Hosts the number of hosts in contact.", SeverityInfo}
-	RelayPaused         = Event{680, "relay paused", "An exchange with the relay failed. Requests that were Pending count as not answered. The workers get theirs by other relays or from the leader until the Pause is over.", SeverityWarning}
-	RelayRefused        = Event{681, "relayed requests refused", "This host did not carry out the requests of a batch. Error says why.", SeverityWarning}
-	RelaySessionBegun   = Event{682, "relay session begun", "This host carries out requests to workers for the leader.", SeverityInfo}
-	RelayMessageInvalid = Event{683, "message between leader and relay invalid", "The message, or one request in it, has values out of bounds and was not carried out.", SeverityError}
-	TermPanicked        = Event{684, "leader panicked", "A defect of this software, shown by Cause and Stack. The host gives leadership up and runs on. Report it with the lines before it.", SeverityError}
-	RelayPanicked       = Event{685, "relay panicked", "A defect of this software, shown by Cause and Stack. The request or exchange counts as not answered, and the host runs on. Report it with the lines before it.", SeverityError}
 )
 
 var jobEvents = []Event{
@@ -94,6 +86,4 @@
 	MemberNotStored, MemberDamaged, MemberRemoved, WatchLost, WatchRestored, LeaseBounded, PredecessorStopped, TermEndNotRecorded, EarlierLeadersDeposed,
 	QueuesAccepted, QueuesInvalid, QueuesNotFetched, PeersNotSecured, SettingsReloaded, SettingsKept, LoadSummary, TaskWaits, LogLinesDropped,
 	LongRunningTaskWaits, TasksWaitLong, CancellationIneffective, CancellationDropped, CancelledRunGoesOn, ReportHeldUp, RenewalsLate, LeaderNotNotified, JobFailed,
-	RelaysChosen, RelayPaused, RelayRefused, RelaySessionBegun, RelayMessageInvalid,
-	TermPanicked, RelayPanicked,
 }
