review: case on the number of pending jobs

A job counts as begun once a start was sent, also if the runner refused it. GET PREFIX then returns fewer waiting jobs than there are.

--- /dev/null
+++ b/review/stand/runner.go
@@ -0,0 +1,284 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// runner is a stand-in for a runner that guards its capacity. The spec of a task is its run time in
+// milliseconds.
+type runner struct {
+	fleet *fleet
+	id    string
+	// capacity is in thousandths of a core.
+	capacity int64
+	address  string
+
+	mu      sync.Mutex
+	born    time.Time
+	fence   int64
+	lease   int64
+	running map[runKey]*run
+	ended   [][]any
+	lastEnd int64
+	highest map[string]int64
+	changed chan struct{}
+	// unhealthy makes the runner answer 503 to starts, having done nothing.
+	unhealthy bool
+}
+
+type runKey struct {
+	task string
+	run  int64
+}
+
+type run struct {
+	cpu      int64
+	began    time.Time
+	duration time.Duration
+	timer    *time.Timer
+}
+
+// fleet is all runners and what they need to know of the jobs.
+type fleet struct {
+	store   *store
+	record  *record
+	runners []*runner
+
+	mu sync.Mutex
+	// cpu is what each task of a step needs, by ID.K.STEP.
+	cpu map[string]int64
+	// begun has the first start of each job.
+	begun map[string]time.Time
+}
+
+func newFleet(st *store, rc *record) *fleet {
+	return &fleet{store: st, record: rc, cpu: map[string]int64{}, begun: map[string]time.Time{}}
+}
+
+// add starts a runner and registers it.
+func (fl *fleet) add(id string, capacity int64) *runner {
+	rn := &runner{
+		fleet: fl, id: id, capacity: capacity, born: time.Now(), running: map[runKey]*run{}, highest: map[string]int64{},
+		changed: make(chan struct{}),
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	rn.address = ln.Addr().String()
+	go func() { _ = http.Serve(ln, rn) }()
+	fl.runners = append(fl.runners, rn)
+	go rn.register()
+	return rn
+}
+
+// register writes the runner's entry every 1.5 s.
+func (rn *runner) register() {
+	for seq := 1; ; seq++ {
+		rn.fleet.store.put("servers/"+rn.id, map[string]any{
+			"backend": "pool", "address": rn.address, "zone": "zone-1", "version": "1", "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": seq,
+			"born": rn.born.UnixMilli(), "capacity": map[string]int64{"cpu": rn.capacity, "memMb": 100000, "gpu": 0}, "labels": []string{"a", "r1-1"},
+		})
+		time.Sleep(1500 * time.Millisecond)
+	}
+}
+
+func (rn *runner) clock() int64 { return time.Since(rn.born).Milliseconds() }
+
+func (rn *runner) ServeHTTP(wr http.ResponseWriter, rq *http.Request) {
+	var in struct {
+		Task     string `json:"task"`
+		Run      int64  `json:"run"`
+		Spec     string `json:"spec"`
+		Deadline int64  `json:"deadlineMs"`
+		Fence    int64  `json:"fence"`
+		LastSeen int64  `json:"lastSeen"`
+		Wait     int64  `json:"waitMs"`
+	}
+	if rq.Method == http.MethodGet {
+		wr.WriteHeader(http.StatusOK)
+		return
+	}
+	if json.NewDecoder(rq.Body).Decode(&in) != nil {
+		wr.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if want := rq.Header.Get("Expect-Instance"); want != "" && want != rn.id {
+		wr.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	if rn.unhealthy && rq.URL.Path == "/v1/run-start" {
+		rn.fleet.record.write("runner %s answers 503 to the start of %s run %d", rn.id, in.Task, in.Run)
+		wr.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if in.Fence < rn.fence {
+		reply(wr, http.StatusConflict, map[string]any{"clockMs": rn.clock(), "reason": "fence"})
+		return
+	}
+	rn.fence = in.Fence
+	key := runKey{in.Task, in.Run}
+	switch rq.URL.Path {
+	case "/v1/run-start":
+		rn.start(wr, key, in.Spec, in.Deadline)
+	case "/v1/run-stop":
+		if rn.running[key] != nil {
+			rn.end(key, "stopped")
+		}
+		rn.highest[in.Task] = max(rn.highest[in.Task], in.Run)
+		reply(wr, http.StatusOK, map[string]any{"clockMs": rn.clock()})
+	case "/v1/pace":
+		reply(wr, http.StatusOK, map[string]any{"clockMs": rn.clock()})
+	case "/v1/hold":
+		rn.hold(wr, rq, in.Deadline, in.LastSeen, time.Duration(in.Wait)*time.Millisecond)
+	default:
+		wr.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (rn *runner) start(wr http.ResponseWriter, key runKey, spec string, deadline int64) {
+	refuse := func(reason string) {
+		reply(wr, http.StatusConflict, map[string]any{"clockMs": rn.clock(), "reason": reason})
+	}
+	step := key.task[:strings.LastIndexByte(key.task, '.')]
+	rn.fleet.mu.Lock()
+	cpu, known := rn.fleet.cpu[step]
+	rn.fleet.mu.Unlock()
+	used := int64(0)
+	for _, rr := range rn.running {
+		used += rr.cpu
+	}
+	switch {
+	case deadline < rn.clock():
+		refuse("late")
+		return
+	case rn.running[key] != nil:
+	case key.run <= rn.highest[key.task]:
+		refuse("old")
+		return
+	case !known:
+		wr.WriteHeader(http.StatusBadRequest)
+		return
+	case used+cpu > rn.capacity:
+		rn.extend(deadline)
+		refuse("room")
+		return
+	default:
+		ms, _ := strconv.Atoi(spec)
+		rr := &run{cpu: cpu, began: time.Now(), duration: time.Duration(ms) * time.Millisecond}
+		rr.timer = time.AfterFunc(rr.duration, func() {
+			rn.mu.Lock()
+			defer rn.mu.Unlock()
+			if rn.running[key] == rr {
+				rn.end(key, "done")
+			}
+		})
+		rn.running[key] = rr
+		rn.fleet.noteStart(rn.id, key)
+	}
+	rn.extend(deadline)
+	reply(wr, http.StatusOK, map[string]any{"clockMs": rn.clock()})
+}
+
+// extend extends the lease. It never shortens, and it is at most 10 s.
+func (rn *runner) extend(deadline int64) {
+	deadline = min(deadline, rn.clock()+10000)
+	if deadline <= rn.lease {
+		return
+	}
+	rn.lease = deadline
+	time.AfterFunc(time.Duration(deadline-rn.clock())*time.Millisecond, func() {
+		rn.mu.Lock()
+		defer rn.mu.Unlock()
+		if rn.clock() < rn.lease {
+			return
+		}
+		for key := range rn.running {
+			rn.end(key, "lapsed")
+		}
+	})
+}
+
+func (rn *runner) end(key runKey, how string) {
+	rn.running[key].timer.Stop()
+	delete(rn.running, key)
+	rn.lastEnd++
+	rn.highest[key.task] = max(rn.highest[key.task], key.run)
+	rn.ended = append(rn.ended, []any{rn.lastEnd, key.task, key.run, how, ""})
+	rn.fleet.record.write("runner %s lists the end of %s run %d: %s", rn.id, key.task, key.run, how)
+	close(rn.changed)
+	rn.changed = make(chan struct{})
+}
+
+func (rn *runner) hold(wr http.ResponseWriter, rq *http.Request, deadline, lastSeen int64, wait time.Duration) {
+	if deadline > 0 {
+		rn.extend(deadline)
+	}
+	for len(rn.ended) > 0 && rn.ended[0][0].(int64) <= lastSeen {
+		rn.ended = rn.ended[1:]
+	}
+	if len(rn.ended) == 0 && wait > 0 {
+		changed := rn.changed
+		rn.mu.Unlock()
+		select {
+		case <-changed:
+		case <-time.After(wait):
+		case <-rq.Context().Done():
+		}
+		rn.mu.Lock()
+	}
+	running := [][]any{}
+	for key, rr := range rn.running {
+		percent := min(100, int(100*time.Since(rr.began)/max(rr.duration, 1)))
+		running = append(running, []any{key.task, key.run, "", percent, rr.cpu})
+	}
+	ended := append([][]any{}, rn.ended...)
+	reply(wr, http.StatusOK, map[string]any{"clockMs": rn.clock(), "born": rn.born.UnixMilli(), "running": running, "ended": ended})
+}
+
+// setUnhealthy makes the runner refuse starts with 503, or accept them again.
+func (rn *runner) setUnhealthy(on bool) {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	rn.unhealthy = on
+	rn.fleet.record.write("runner %s unhealthy: %t", rn.id, on)
+}
+
+func (rn *runner) idle() bool {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	return len(rn.running) == 0
+}
+
+func (fl *fleet) noteStart(id string, key runKey) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	job, _, _ := strings.Cut(key.task, ".")
+	if _, ok := fl.begun[job]; !ok {
+		fl.begun[job] = time.Now()
+	}
+	fl.record.write("runner %s begins %s run %d", id, key.task, key.run)
+}
+
+func (fl *fleet) hasBegun(job string) bool {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	_, ok := fl.begun[job]
+	return ok
+}
+
+// expect tells the runners what the tasks of a step need.
+func (fl *fleet) expect(job string, step int, cpu int64) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.cpu[fmt.Sprintf("%s.0.%d", job, step)] = cpu
+}
