--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -29,6 +29,7 @@
 func blocked(format string, args ...any) error { return errBlocked{fmt.Sprintf(format, args...)} }
 
 var cases = map[string]func(*world) (broken bool, err error){
+	"label":   labelCase,
 	"pending": pendingCase,
 }
 
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -31,6 +31,12 @@
 	changed chan struct{}
 	// unhealthy makes the runner answer 503 to starts, having done nothing.
 	unhealthy bool
+	// kind is the runner's first label.
+	kind string
+	// down is set while the runner has crashed. Its address refuses connections then.
+	down     bool
+	listener net.Listener
+	server   *http.Server
 }
 
 type runKey struct {
@@ -56,6 +62,8 @@
 	cpu map[string]int64
 	// begun has the first start of each job.
 	begun map[string]time.Time
+	// onStart is called for each start, with mu held. It may be nil.
+	onStart func(rn *runner, key runKey)
 }
 
 func newFleet(st *store, rc *record) *fleet {
@@ -64,30 +72,63 @@
 
 // add starts a runner and registers it.
 func (fl *fleet) add(id string, capacity int64) *runner {
-	rn := &runner{
-		fleet: fl, id: id, capacity: capacity, born: time.Now(), running: map[runKey]*run{}, highest: map[string]int64{},
-		changed: make(chan struct{}),
-	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	rn := &runner{fleet: fl, id: id, capacity: capacity, kind: "a", address: "127.0.0.1:0", changed: make(chan struct{})}
+	rn.begin()
+	fl.runners = append(fl.runners, rn)
+	go func() {
+		for {
+			time.Sleep(heartbeat)
+			rn.register()
+		}
+	}()
+	return rn
+}
+
+// heartbeat is heartbeatMs.
+const heartbeat = 1500 * time.Millisecond
+
+// begin begins a life of the runner: it holds and knows nothing of before. It registers, and then
+// serves at the address that it had.
+func (rn *runner) begin() {
+	rn.mu.Lock()
+	rn.born, rn.fence, rn.lease, rn.lastEnd, rn.down = time.Now(), 0, 0, 0, false
+	rn.running, rn.ended, rn.highest = map[runKey]*run{}, nil, map[string]int64{}
+	ln, err := net.Listen("tcp", rn.address)
 	if err != nil {
 		panic(err)
 	}
-	rn.address = ln.Addr().String()
-	go func() { _ = http.Serve(ln, rn) }()
-	fl.runners = append(fl.runners, rn)
-	go rn.register()
-	return rn
+	rn.address, rn.listener, rn.server = ln.Addr().String(), ln, &http.Server{Handler: rn}
+	server := rn.server
+	rn.mu.Unlock()
+	rn.register()
+	go func() { _ = server.Serve(ln) }()
+}
+
+// crash ends a life of the runner: everything that runs on it terminates, and its connections break.
+func (rn *runner) crash() {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	for _, rr := range rn.running {
+		rr.timer.Stop()
+	}
+	rn.running, rn.down = map[runKey]*run{}, true
+	_ = rn.server.Close()
+	close(rn.changed)
+	rn.changed = make(chan struct{})
 }
 
-// register writes the runner's entry every 1.5 s.
+// register writes the runner's entry.
 func (rn *runner) register() {
-	for seq := 1; ; seq++ {
-		rn.fleet.store.put("servers/"+rn.id, map[string]any{
-			"backend": "pool", "address": rn.address, "zone": "zone-1", "version": "1", "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": seq,
-			"born": rn.born.UnixMilli(), "capacity": map[string]int64{"cpu": rn.capacity, "memMb": 100000, "gpu": 0}, "labels": []string{"a", "r1-1"},
-		})
-		time.Sleep(1500 * time.Millisecond)
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	if rn.down {
+		return
 	}
+	rn.fleet.store.put("servers/"+rn.id, map[string]any{
+		"backend": "pool", "address": rn.address, "zone": "zone-1", "version": "1", "slots": 8, "state": "ready", "coldLeftMs": 0,
+		"seq": time.Since(rn.born) / heartbeat, "born": rn.born.UnixMilli(), "labels": []string{rn.kind, "r1-1"},
+		"capacity": map[string]int64{"cpu": rn.capacity, "memMb": 100000, "gpu": 0},
+	})
 }
 
 func (rn *runner) clock() int64 { return time.Since(rn.born).Milliseconds() }
@@ -116,6 +157,9 @@
 	}
 	rn.mu.Lock()
 	defer rn.mu.Unlock()
+	if rn.down {
+		panic(http.ErrAbortHandler)
+	}
 	if rn.unhealthy && rq.URL.Path == "/v1/run-start" {
 		rn.fleet.record.write("runner %s answers 503 to the start of %s run %d", rn.id, in.Task, in.Run)
 		wr.WriteHeader(http.StatusServiceUnavailable)
@@ -183,7 +227,7 @@
 			}
 		})
 		rn.running[key] = rr
-		rn.fleet.noteStart(rn.id, key)
+		rn.fleet.noteStart(rn, key)
 	}
 	rn.extend(deadline)
 	reply(wr, http.StatusOK, map[string]any{"clockMs": rn.clock()})
@@ -196,10 +240,11 @@
 		return
 	}
 	rn.lease = deadline
+	born := rn.born
 	time.AfterFunc(time.Duration(deadline-rn.clock())*time.Millisecond, func() {
 		rn.mu.Lock()
 		defer rn.mu.Unlock()
-		if rn.clock() < rn.lease {
+		if rn.born != born || rn.clock() < rn.lease {
 			return
 		}
 		for key := range rn.running {
@@ -235,6 +280,9 @@
 		case <-rq.Context().Done():
 		}
 		rn.mu.Lock()
+		if rn.down {
+			panic(http.ErrAbortHandler)
+		}
 	}
 	running := [][]any{}
 	for key, rr := range rn.running {
@@ -259,14 +307,17 @@
 	return len(rn.running) == 0
 }
 
-func (fl *fleet) noteStart(id string, key runKey) {
+func (fl *fleet) noteStart(rn *runner, key runKey) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	job, _, _ := strings.Cut(key.task, ".")
 	if _, ok := fl.begun[job]; !ok {
 		fl.begun[job] = time.Now()
 	}
-	fl.record.write("runner %s begins %s run %d", id, key.task, key.run)
+	fl.record.write("runner %s (kind %s, life %d) begins %s run %d", rn.id, rn.kind, rn.born.UnixMilli(), key.task, key.run)
+	if fl.onStart != nil {
+		fl.onStart(rn, key)
+	}
 }
 
 func (fl *fleet) hasBegun(job string) bool {
