--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -84,18 +84,24 @@
 	return 0
 }
 
-// startHosts starts processes of the system and waits until they are ready.
+// startHosts starts processes of the system one after the other and waits until each is ready. A process
+// whose ports were taken meanwhile is started again with others.
 func (wd *world) startHosts(count int) error {
 	for ix := range count {
-		hs, err := startHost(wd.root, wd.dir, fmt.Sprintf("edge-%d", ix+1), wd.store.listen())
-		if err != nil {
-			return blocked("%s", err)
-		}
-		wd.hosts = append(wd.hosts, hs)
-	}
-	for _, hs := range wd.hosts {
-		if !hs.ready(15 * time.Second) {
-			return blocked("%s does not become ready", hs.name)
+		name := fmt.Sprintf("edge-%d", ix+1)
+		for try := 1; ; try++ {
+			hs, err := startHost(wd.root, wd.dir, name, wd.store.listen())
+			if err != nil {
+				return blocked("%s", err)
+			}
+			if hs.ready(8 * time.Second) {
+				wd.hosts = append(wd.hosts, hs)
+				break
+			}
+			hs.kill()
+			if try == 3 {
+				return blocked("%s does not become ready", name)
+			}
 		}
 	}
 	return nil
