review: case on a late start at a restarted runner

A start without an answer, delayed on its way, is carried out by a later life of its runner after the task has ended elsewhere.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -30,6 +30,7 @@
 
 var cases = map[string]func(*world) (broken bool, err error){
 	"label":   labelCase,
+	"late":    lateCase,
 	"pending": pendingCase,
 }
 
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -64,6 +65,10 @@
 	begun map[string]time.Time
 	// onStart is called for each start, with mu held. It may be nil.
 	onStart func(rn *runner, key runKey)
+	// onEnd and onAck are called for each end, and for each end that lastSeen reaches. They may be nil.
+	onEnd, onAck func(rn *runner, key runKey, how string)
+	// delay returns how much later a start reaches the runner, without an answer to its sender. It may be nil.
+	delay func(rn *runner, task string) time.Duration
 }
 
 func newFleet(st *store, rc *record) *fleet {
@@ -155,6 +160,14 @@
 		wr.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if rn.fleet.delay != nil && rq.URL.Path == "/v1/run-start" {
+		if late := rn.fleet.delay(rn, in.Task); late > 0 {
+			key, spec, deadline, fence := runKey{in.Task, in.Run}, in.Spec, in.Deadline, in.Fence
+			time.AfterFunc(late, func() { rn.startLate(key, spec, deadline, fence) })
+			time.Sleep(3 * time.Second)
+			panic(http.ErrAbortHandler)
+		}
+	}
 	rn.mu.Lock()
 	defer rn.mu.Unlock()
 	if rn.down {
@@ -189,6 +202,24 @@
 	}
 }
 
+// startLate carries a delayed start out, if the runner accepts it.
+func (rn *runner) startLate(key runKey, spec string, deadline, fence int64) {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	wr := httptest.NewRecorder()
+	switch {
+	case rn.down:
+		rn.fleet.record.write("the delayed start of %s run %d meets no runner", key.task, key.run)
+		return
+	case fence < rn.fence:
+		wr.WriteString("fence")
+	default:
+		rn.fence = fence
+		rn.start(wr, key, spec, deadline)
+	}
+	rn.fleet.record.write("the delayed start of %s run %d reaches runner %s: %s", key.task, key.run, rn.id, strings.TrimSpace(wr.Body.String()))
+}
+
 func (rn *runner) start(wr http.ResponseWriter, key runKey, spec string, deadline int64) {
 	refuse := func(reason string) {
 		reply(wr, http.StatusConflict, map[string]any{"clockMs": rn.clock(), "reason": reason})
@@ -259,6 +290,9 @@
 	rn.lastEnd++
 	rn.highest[key.task] = max(rn.highest[key.task], key.run)
 	rn.ended = append(rn.ended, []any{rn.lastEnd, key.task, key.run, how, ""})
+	if rn.fleet.onEnd != nil {
+		rn.fleet.onEnd(rn, key, how)
+	}
 	rn.fleet.record.write("runner %s lists the end of %s run %d: %s", rn.id, key.task, key.run, how)
 	close(rn.changed)
 	rn.changed = make(chan struct{})
@@ -269,6 +303,9 @@
 		rn.extend(deadline)
 	}
 	for len(rn.ended) > 0 && rn.ended[0][0].(int64) <= lastSeen {
+		if rn.fleet.onAck != nil {
+			rn.fleet.onAck(rn, runKey{rn.ended[0][1].(string), rn.ended[0][2].(int64)}, rn.ended[0][3].(string))
+		}
 		rn.ended = rn.ended[1:]
 	}
 	if len(rn.ended) == 0 && wait > 0 {
