--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -32,6 +32,7 @@
 	"label":   labelCase,
 	"late":    lateCase,
 	"pending": pendingCase,
+	"relapse": relapseCase,
 }
 
 func main() { os.Exit(play()) }
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -35,7 +35,9 @@
 	// kind is the runner's first label.
 	kind string
 	// down is set while the runner has crashed. Its address refuses connections then.
-	down     bool
+	down bool
+	// silent is set once the runner is lost for good. It keeps its connections and does not answer.
+	silent   bool
 	listener net.Listener
 	server   *http.Server
 }
@@ -122,6 +124,16 @@
 	rn.changed = make(chan struct{})
 }
 
+// lose ends the last life of the runner: it answers nothing any more, and its connections stay silent.
+func (rn *runner) lose() {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	for _, rr := range rn.running {
+		rr.timer.Stop()
+	}
+	rn.running, rn.down, rn.silent = map[runKey]*run{}, true, true
+}
+
 // register writes the runner's entry.
 func (rn *runner) register() {
 	rn.mu.Lock()
@@ -170,6 +182,11 @@
 	}
 	rn.mu.Lock()
 	defer rn.mu.Unlock()
+	if rn.silent {
+		rn.mu.Unlock()
+		<-rq.Context().Done()
+		rn.mu.Lock()
+	}
 	if rn.down {
 		panic(http.ErrAbortHandler)
 	}
@@ -317,6 +334,11 @@
 		case <-rq.Context().Done():
 		}
 		rn.mu.Lock()
+		if rn.silent {
+			rn.mu.Unlock()
+			<-rq.Context().Done()
+			rn.mu.Lock()
+		}
 		if rn.down {
 			panic(http.ErrAbortHandler)
 		}
