--- a/review/stand/label.go
+++ b/review/stand/label.go
@@ -44,7 +44,7 @@
 		}
 	}
 	time.Sleep(2 * time.Second)
-	for turn := range 10 {
+	for turn := range 14 {
 		rn := wd.fleet.runners[turn%5]
 		if wd.trouble {
 			wd.record.write("runner %s crashes", rn.id)
@@ -61,7 +61,7 @@
 			rn.begin()
 			wd.record.write("runner %s starts again under its id, kind %s", rn.id, kind)
 		}
-		time.Sleep(2 * time.Second)
+		time.Sleep(2*time.Second + time.Duration(turn)*37*time.Millisecond)
 	}
 	return wrong.Load() > 0, nil
 }
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -82,9 +82,10 @@
 	rn := &runner{fleet: fl, id: id, capacity: capacity, kind: "a", address: "127.0.0.1:0", changed: make(chan struct{})}
 	rn.begin()
 	fl.runners = append(fl.runners, rn)
+	// Runners write their entries one after the other, as they did not start together.
+	phase := time.Duration(len(fl.runners)%10) * heartbeat / 10
 	go func() {
-		for {
-			time.Sleep(heartbeat)
+		for time.Sleep(phase); ; time.Sleep(heartbeat) {
 			rn.register()
 		}
 	}()
