--- a/review/stand/late.go
+++ b/review/stand/late.go
@@ -104,12 +104,21 @@
 	if !acked {
 		return false, blocked("the end of job %s was not acknowledged in time", lateJob)
 	}
+	if err := wd.restartWhileFrozen(rn, began); err != nil {
+		return false, err
+	}
+	return broken, nil
+}
+
+// restartWhileFrozen crashes a runner and starts it again while the leader stands still. The times count from
+// when the delayed start was sent.
+func (wd *world) restartWhileFrozen(rn *runner, began time.Time) error {
 	wd.record.write("runner %s crashes", rn.id)
 	rn.crash()
 	time.Sleep(time.Until(began.Add(freezeAfter)))
 	leader := wd.leader()
 	if leader == nil {
-		return false, blocked("no host leads")
+		return blocked("no host leads")
 	}
 	wd.record.write("%s, which leads, stands still", leader.name)
 	_ = leader.command.Process.Signal(syscall.SIGSTOP)
@@ -120,7 +129,7 @@
 	_ = leader.command.Process.Signal(syscall.SIGCONT)
 	wd.record.write("%s goes on", leader.name)
 	time.Sleep(3 * time.Second)
-	return broken, nil
+	return nil
 }
 
 // leader returns the host that has written to the store under a condition last: only the leader
--- a/review/stand/pending.go
+++ b/review/stand/pending.go
@@ -35,24 +35,13 @@
 			return false, blocked("job %s was answered with %d", id, status)
 		}
 	}
-	var free []*runner
-	for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		free = nil
-		for _, rn := range wd.fleet.runners {
-			if rn.idle() {
-				free = append(free, rn)
-			}
-		}
-		if len(free) == 1 {
-			break
-		}
-	}
-	if len(free) != 1 {
-		return false, blocked("%d runners are free", len(free))
+	free, err := wd.onlyIdleRunner()
+	if err != nil {
+		return false, err
 	}
 	if wd.trouble {
-		free[0].setUnhealthy(true)
-		time.AfterFunc(unhealthyTime, func() { free[0].setUnhealthy(false) })
+		free.setUnhealthy(true)
+		time.AfterFunc(unhealthyTime, func() { free.setUnhealthy(false) })
 	}
 	began := time.Now()
 	accepted := map[string]time.Time{}
@@ -67,27 +56,49 @@
 	for time.Since(began) < unhealthyTime-200*time.Millisecond {
 		time.Sleep(100 * time.Millisecond)
 		for _, hs := range wd.hosts {
-			asked := time.Now()
-			status, body := call(http.MethodGet, hs.front, "/q/", nil)
-			var answer struct {
-				Pending int `json:"pending"`
-			}
-			if status != http.StatusOK || json.Unmarshal(body, &answer) != nil {
-				continue
-			}
-			// Jobs that begin while the request is under way count for neither side: those that have not
-			// begun now had not begun when it was sent.
-			old := 0
-			for id, at := range accepted {
-				if asked.Sub(at) > oldAge && !wd.fleet.hasBegun(id) {
-					old++
-				}
-			}
-			wd.record.write("GET /q/ at %s: pending %d, accepted over %s ago and not begun: %d", hs.name, answer.Pending, oldAge, old)
-			if 2*answer.Pending < old {
-				broken = true
-			}
+			broken = wd.countsTooFew(hs, accepted) || broken
 		}
 	}
 	return broken, nil
 }
+
+// onlyIdleRunner waits until one runner alone is idle, and returns it.
+func (wd *world) onlyIdleRunner() (*runner, error) {
+	count := 0
+	for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		var idle *runner
+		count = 0
+		for _, rn := range wd.fleet.runners {
+			if rn.idle() {
+				idle = rn
+				count++
+			}
+		}
+		if count == 1 {
+			return idle, nil
+		}
+	}
+	return nil, blocked("%d runners are free", count)
+}
+
+// countsTooFew asks a host for the number of waiting jobs, and reports whether it is under half of the
+// accepted ones of oldAge that have not begun.
+func (wd *world) countsTooFew(hs *host, accepted map[string]time.Time) bool {
+	asked := time.Now()
+	status, body := call(http.MethodGet, hs.front, "/q/", nil)
+	var answer struct {
+		Pending int `json:"pending"`
+	}
+	if status != http.StatusOK || json.Unmarshal(body, &answer) != nil {
+		return false
+	}
+	// Jobs that have not begun now had not begun when the request was sent.
+	old := 0
+	for id, at := range accepted {
+		if asked.Sub(at) > oldAge && !wd.fleet.hasBegun(id) {
+			old++
+		}
+	}
+	wd.record.write("GET /q/ at %s: pending %d, accepted over %s ago and not begun: %d", hs.name, answer.Pending, oldAge, old)
+	return 2*answer.Pending < old
+}
--- a/review/stand/relapse.go
+++ b/review/stand/relapse.go
@@ -99,6 +99,11 @@
 		return false, blocked("the task that lasts began on runner %s", rn.id)
 	}
 	time.Sleep(relapseAfter)
+	return wd.loseAndWait(rn, where), nil
+}
+
+// loseAndWait loses a runner for good, and reports whether the task that lasts runs again too late.
+func (wd *world) loseAndWait(rn *runner, where func() (*runner, time.Time)) bool {
 	lost := time.Now()
 	wd.record.write("runner %s is lost for good", rn.id)
 	rn.lose()
@@ -109,9 +114,9 @@
 		if other, at := where(); other != rn {
 			away := at.Sub(lost)
 			wd.record.write("the task that lasts begins on runner %s, %s after its last run", other.id, away)
-			return away > restartBound+lostTime, nil
+			return away > restartBound+lostTime
 		}
 	}
 	wd.record.write("the task that lasts did not begin again within 16 s")
-	return true, nil
+	return true
 }
