--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -10,6 +10,9 @@
 	"time"
 )
 
+// timeLimit bounds a case, which may take 120 s.
+const timeLimit = 110 * time.Second
+
 // world is what a case works with.
 type world struct {
 	root, dir string
@@ -65,6 +68,12 @@
 		fmt.Println(dir)
 	}
 	wd.fleet = newFleet(wd.store, wd.record)
+	time.AfterFunc(timeLimit, func() {
+		wd.record.write("the case could not run within %s", timeLimit)
+		_ = os.RemoveAll(dir)
+		// The processes that were started end with this one.
+		os.Exit(2)
+	})
 	defer func() {
 		for _, hs := range wd.hosts {
 			hs.kill()
