internal/job/director: a line and metrics on what the leader's decisions cost

Event 679 now gives, once a second, the processor time of the process, the time of placement rounds and reports, the waits of reports for the lock, and for how long starts were queued and took to be answered.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -253,6 +253,7 @@
 	// invalid reports malformed facts and reports.
 	invalid         *reporter.Reporter
 	summaryLoggedAt time.Time
+	usage           usage
 	// rounds is the number of placement rounds, roundAt the time of the last one, and roundEnd why the
 	// steps that it did not reach had no turn.
 	rounds   int64
@@ -447,7 +448,9 @@
 		}
 		start := time.Now()
 		dr.mu.Lock()
+		locked := time.Now()
 		dr.dispatch(start)
+		dr.usage.addRound(locked)
 		pause := min(maxDispatchPause, minDispatchPause*time.Duration(max(1, len(dr.workers)/workersPerDispatchPause)))
 		dr.mu.Unlock()
 		// The pause grows with the duration of the round, so that a host that is short of processor
@@ -491,6 +494,7 @@
 	if now.Sub(dr.summaryLoggedAt) >= summaryInterval {
 		dr.summaryLoggedAt = now
 		dr.logLoadSummary(now)
+		dr.logUsage(now)
 		dr.reportWaits(now)
 		dr.reportCancelledRuns(now)
 		dr.reportLateRenewals(now)
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -59,9 +59,11 @@
 // handleReport processes a worker's report, after noteAnswer. The returned channel is closed once the
 // reported ends are durable.
 func (dr *Director) handleReport(wk *worker, sentAt time.Time, rep *modeler.Report) <-chan struct{} {
+	arrived := time.Now()
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	now := time.Now()
+	defer dr.usage.addReport(arrived, now, len(rep.Running)+len(rep.Ended))
 	if rep.LeftOut > 0 {
 		dr.invalid.Report(logger.ReportInvalid, meter.ReportsInvalid, string(wk.info.ID), rep.LeftOutReason, "Worker", wk.info.ID, "LeftOut", rep.LeftOut)
 	}
--- a/internal/job/director/selection.go
+++ b/internal/job/director/selection.go
@@ -77,6 +77,7 @@
 		if fc != nil {
 			rd.applyForecastTo(ix, dm, fc, contentionDemand)
 		}
+		rd.dr.usage.costsComputed++
 		sl.costs[ix] = placer.Cost(dm, &rd.cands[ix])
 	}
 	if all {
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -46,6 +46,7 @@
 func (dr *Director) queueStart(at *attempt) {
 	wk := at.worker
 	dr.startsInFlight++
+	at.queuedAt = time.Now()
 	wk.startQueue = append(wk.startQueue, at)
 	if wk.startSenders < maxStartSendersPerWorker {
 		wk.startSenders++
@@ -84,8 +85,10 @@
 	dr.startsInFlight--
 	switch {
 	case errors.Is(err, modeler.ErrNoAnswer):
+		dr.usage.unanswered++
 		dr.startWindow.Lost(now)
 	case !errors.Is(err, modeler.ErrNotSent):
+		dr.usage.addStart(at, now)
 		dr.startWindow.Answered(now.Sub(at.sentAt), dr.startsInFlight, now)
 	}
 }
--- a/internal/telemetry/logger/catalogue_job.go
+++ b/internal/telemetry/logger/catalogue_job.go
@@ -66,6 +66,7 @@
 	LoadSummary      = Event{666, "load", "Running and waiting work at the leader, once a second. Cores are in thousandths.", SeverityInfo}
 	LogLinesDropped  = Event{669, "log lines dropped", "Lines were written faster than the rate limit or than the log was read. Dropped is their number since the last such line.", SeverityWarning}
 
+	LeaderUsage             = Event{679, "usage of the leader", "What the decisions of the leader cost in the last Interval. Processor is the processor time of the whole process. Placement rounds took RoundTime in all and computed CostsComputed costs of a worker for a task. Reports waited for the rounds and for each other (MeanLockWait). Starts were queued for their workers for MeanQueued and answered after MeanAnswer; Unanswered ones got no answer in time.", SeverityInfo}
 	LongRunningTaskWaits    = Event{670, "long-running task waits", "The task could run and has not for longer than 2 s. Reason says why, ReasonFor since when a report has given this reason, HeldFor until when it applies at the latest, Worker which worker it is about. LastTurn is the time since a placement round reached the step. Waited counts from when this leader queued the task or the worker of its run stopped answering. LastEpoch is the epoch in which LastRun, the last run known of the task, was placed: the task has waited through the epochs after it. Logged again after 5 s or with another reason, at most 20 times a second; Omitted is how many lines were left out.", SeverityWarning}
 	TasksWaitLong           = Event{671, "tasks wait", "Tasks that could run have not for longer than 2 s, for this reason. Oldest is the one that has waited longest, LongRunning how many of the tasks are long-running. Logged once a second for each reason.", SeverityInfo}
 	CancellationIneffective = Event{672, "cancellation without a job to end", "The leader heard of the cancellation from Source. The job is not known yet, and is cancelled when it is added, or it has ended.", SeverityInfo}
@@ -85,5 +86,5 @@
 	TermBegun, TermLoaded, TermAccounted, TermEnded, FactDamaged, FactNotRecorded, FactsDelayed, LeaderElected, LeaderGone,
 	MemberNotStored, MemberDamaged, MemberRemoved, WatchLost, WatchRestored, LeaseBounded, PredecessorStopped, TermEndNotRecorded, EarlierLeadersDeposed,
 	QueuesAccepted, QueuesInvalid, QueuesNotFetched, PeersNotSecured, SettingsReloaded, SettingsKept, LoadSummary, TaskWaits, LogLinesDropped,
-	LongRunningTaskWaits, TasksWaitLong, CancellationIneffective, CancellationDropped, CancelledRunGoesOn, ReportHeldUp, RenewalsLate, LeaderNotNotified, JobFailed,
+	LongRunningTaskWaits, TasksWaitLong, CancellationIneffective, CancellationDropped, CancelledRunGoesOn, ReportHeldUp, RenewalsLate, LeaderNotNotified, JobFailed, LeaderUsage,
 }
--- a/internal/telemetry/meter/table_job.go
+++ b/internal/telemetry/meter/table_job.go
@@ -16,7 +16,11 @@
 	RequestsRelayed    = Metric{"RequestsRelayed", "", "Requests to workers that the leader had carried out by relays."}
 	RelayExchanges     = Metric{"RelayExchanges", "", "Exchanges of the leader with relays."}
 	RelayFailures      = Metric{"RelayFailures", "", "Exchanges with relays that failed."}
+	PlacementRounds    = Metric{"PlacementRounds", "", "Placement rounds of the leader."}
+	ReportRowsHandled  = Metric{"ReportRowsHandled", "", "Rows of workers' reports that the leader handled."}
 	RelayRequests      = Metric{"RelayRequests", "", "Requests to workers that this host carried out for a leader."}
+
+	PlacementCostsComputed = Metric{"PlacementCostsComputed", "", "Costs of a worker for a waiting task that placement rounds computed."}
 )
 
 var jobMetrics = []Metric{
@@ -34,5 +38,8 @@
 	RequestsRelayed,
 	RelayExchanges,
 	RelayFailures,
+	PlacementRounds,
+	PlacementCostsComputed,
+	ReportRowsHandled,
 	RelayRequests,
 }
