--- a/internal/job/director/load_bench_test.go
+++ b/internal/job/director/load_bench_test.go
@@ -108,71 +108,126 @@
 	return time.Duration(ru.Utime.Nano() + ru.Stime.Nano())
 }
 
-// BenchmarkLargeLoad plays ten seconds of a deployment with 1,100 workers: urgent jobs, wide best-effort jobs and
-// latency-critical ones, about 2,550 starts a second. It reports the processor time for each start.
-func BenchmarkLargeLoad(b *testing.B) {
-	const workers, length = 1100, 10 * time.Second
-	for b.Loop() {
-		fl := newFleet(b, 0)
-		qw := &quickWorkers{began: time.Now(), workers: map[modeler.WorkerID]*quickWorker{}}
-		var runTimes sync.Map
-		qw.runTime = func(id modeler.TaskID) time.Duration {
-			dur, _ := runTimes.Load(id.Job)
-			return dur.(time.Duration)
-		}
-		for ix := range workers {
-			info := workerInfo(ix)
-			info.Capacity = modeler.Resources{MilliCores: 64000, MemoryMB: 250000}
-			info.Incarnation = 1
-			qw.workers[info.ID] = &quickWorker{running: map[modeler.TaskID]modeler.ActiveRun{}, wake: make(chan struct{}, 1)}
-			fl.infos = append(fl.infos, info)
+// largeLoad is the load of a large deployment: urgent jobs, wide best-effort jobs and latency-critical ones. The tasks of
+// each step need something else.
+type largeLoad struct {
+	workers int
+	// perSecond is the number of jobs that are submitted each second. The mean job starts 60 tasks.
+	perSecond float64
+	// criticalImages and bestEffortImages are the numbers of images.
+	criticalImages, bestEffortImages int
+	// criticalJobs of 24 latency-critical tasks run from the beginning.
+	criticalJobs int
+	length       time.Duration
+}
+
+// loadResult is what a load has cost.
+type loadResult struct {
+	starts    int
+	took      time.Duration
+	processor time.Duration
+	// costs is the number of costs of a worker for a task that were computed.
+	costs int64
+}
+
+// newQuickWorkers returns workers, and adds them to the fleet.
+func newQuickWorkers(fl *fleet, workers int) *quickWorkers {
+	qw := &quickWorkers{began: time.Now(), workers: map[modeler.WorkerID]*quickWorker{}}
+	for ix := range workers {
+		info := workerInfo(ix)
+		info.Capacity = modeler.Resources{MilliCores: 64000, MemoryMB: 250000}
+		info.Incarnation = 1
+		qw.workers[info.ID] = &quickWorker{running: map[modeler.TaskID]modeler.ActiveRun{}, wake: make(chan struct{}, 1)}
+		fl.infos = append(fl.infos, info)
+	}
+	return qw
+}
+
+// play plays the load.
+func (ll *largeLoad) play(tb testing.TB) loadResult {
+	fl := newFleet(tb, 0)
+	qw := newQuickWorkers(fl, ll.workers)
+	var runTimes sync.Map
+	qw.runTime = func(id modeler.TaskID) time.Duration {
+		dur, _ := runTimes.Load(id.Job)
+		return dur.(time.Duration)
+	}
+	dr := director.New(director.Options{
+		Epoch: 1, WorkerClient: qw, Journal: emptyJournal{}, Configuration: func() *modeler.Configuration { return fl.config },
+		MaySendRequests: func() bool { return true }, Limits: testLimits, Log: logr.Discard(), Meter: fl.registry,
+	})
+	ctx, cancel := context.WithCancel(tb.Context())
+	dr.Start(ctx)
+	dr.SetWorkers(fl.infos)
+	dr.FinishLoading()
+	rnd := rand.New(rand.NewPCG(1, 7))
+	jobs := 0
+	submit := func(queue modeler.QueueName, dur time.Duration, steps ...modeler.Step) {
+		for ix := range steps {
+			steps[ix].Needs.MilliCores = int64(float64(steps[ix].Needs.MilliCores) * (0.6 + 0.8*rnd.Float64()))
+			if ix > 0 {
+				steps[ix].After = []int{ix - 1}
+			}
 		}
-		dr := director.New(director.Options{
-			Epoch: 1, WorkerClient: qw, Journal: emptyJournal{}, Configuration: func() *modeler.Configuration { return fl.config },
-			MaySendRequests: func() bool { return true }, Limits: testLimits, Log: logr.Discard(), Meter: meter.New(nil),
+		jb := &modeler.Job{ID: modeler.JobID(fmt.Sprintf("%016x", jobs)), Queue: queue, Pool: testPool, Spec: "spec", Submitted: time.Now(), Steps: steps}
+		jobs++
+		runTimes.Store(jb.ID, dur)
+		dr.AddJob(jb, false)
+	}
+	critical := func() {
+		submit("urgent", 0, modeler.Step{
+			Count: 24, Needs: modeler.Resources{MilliCores: 6000, MemoryMB: 500}, LongRunning: true, TailTarget: 150 * time.Millisecond,
+			Image: fmt.Sprint("critical", rnd.IntN(ll.criticalImages)), MaxPerWorker: 2, Estimate: 420 * time.Millisecond,
 		})
-		ctx, cancel := context.WithCancel(b.Context())
-		dr.Start(ctx)
-		dr.SetWorkers(fl.infos)
-		dr.FinishLoading()
-		time.Sleep(2 * time.Second)
-		rnd := rand.New(rand.NewPCG(1, 7))
-		submit := func(id string, queue modeler.QueueName, steps []modeler.Step, dur time.Duration) {
-			for ix := range steps[1:] {
-				steps[ix+1].After = []int{ix}
+	}
+	for range ll.criticalJobs {
+		critical()
+	}
+	time.Sleep(5 * time.Second)
+	before := func() int64 { return fl.registry.Value(meter.PlacementCostsComputed) }
+	began, used, started, costs := time.Now(), processorTime(), qw.starts, before()
+	for no := 0; time.Since(began) < ll.length; no++ {
+		switch kind := rnd.Float64() * 42.55; {
+		case kind < 13.4:
+			step := modeler.Step{Count: 13, Needs: modeler.Resources{MilliCores: 13000, MemoryMB: 500}, Estimate: 850 * time.Millisecond}
+			submit("urgent", 850*time.Millisecond, []modeler.Step{step, step}[:1+rnd.IntN(2)]...)
+		case kind < 41.5:
+			step := modeler.Step{
+				Count: 40, Needs: modeler.Resources{MilliCores: 7000, MemoryMB: 500}, BestEffort: true, Checkpoints: true,
+				Image: fmt.Sprint("best-effort", rnd.IntN(ll.bestEffortImages)), Estimate: 1400 * time.Millisecond,
 			}
-			jb := &modeler.Job{ID: modeler.JobID(id), Queue: queue, Pool: testPool, Spec: "spec", Submitted: time.Now(), Steps: steps}
-			runTimes.Store(jb.ID, dur)
-			dr.AddJob(jb, false)
+			submit("batch", 1400*time.Millisecond, step, step)
+		default:
+			critical()
 		}
-		began, used, started := time.Now(), processorTime(), qw.starts
-		for no := 0; time.Since(began) < length; no++ {
-			kind, image := rnd.Float64()*42.55, rnd.IntN(9)
-			step := modeler.Step{Estimate: 850 * time.Millisecond}
-			switch {
-			case kind < 13.4:
-				step.Count, step.Needs = 13, modeler.Resources{MilliCores: 13000, MemoryMB: 500}
-				submit(fmt.Sprintf("%016x", no), "urgent", []modeler.Step{step, step}[:1+rnd.IntN(2)], 850*time.Millisecond)
-			case kind < 41.5:
-				step.Count, step.Needs, step.BestEffort, step.Checkpoints = 40, modeler.Resources{MilliCores: 7000, MemoryMB: 500}, true, true
-				step.Image = fmt.Sprint("best-effort", image)
-				submit(fmt.Sprintf("%016x", no), "batch", []modeler.Step{step, step}, 1400*time.Millisecond)
-			default:
-				step.Count, step.Needs, step.LongRunning, step.TailTarget = 24, modeler.Resources{MilliCores: 6000, MemoryMB: 500}, true, 150*time.Millisecond
-				step.Image, step.MaxPerWorker = fmt.Sprint("critical", image%5), 2
-				submit(fmt.Sprintf("%016x", no), "urgent", []modeler.Step{step}, 0)
+		time.Sleep(time.Until(began.Add(time.Duration(float64(no+1) / ll.perSecond * float64(time.Second)))))
+	}
+	time.Sleep(2 * time.Second)
+	qw.mu.Lock()
+	starts := qw.starts - started
+	qw.mu.Unlock()
+	result := loadResult{starts: starts, took: time.Since(began), processor: processorTime() - used, costs: before() - costs}
+	cancel()
+	qt.Assert(tb, dr.Wait(), qt.IsNil)
+	return result
+}
+
+// BenchmarkLargeLoad plays ten seconds of a deployment with 1,100 workers, about 2,550 starts a second. It reports the
+// processor time for each start.
+func BenchmarkLargeLoad(b *testing.B) {
+	for _, ll := range []largeLoad{
+		{workers: 1100, perSecond: 42.55, criticalImages: 5, bestEffortImages: 9},
+		{workers: 1100, perSecond: 42.55, criticalImages: 16, bestEffortImages: 30, criticalJobs: 200},
+	} {
+		b.Run(fmt.Sprintf("%d_images,_%d_critical_tasks_before", ll.criticalImages+ll.bestEffortImages, 24*ll.criticalJobs), func(b *testing.B) {
+			ll.length = 10 * time.Second
+			for b.Loop() {
+				rs := ll.play(b)
+				b.ReportMetric(float64(rs.starts)/rs.took.Seconds(), "starts/s")
+				b.ReportMetric(float64(rs.processor.Microseconds())/float64(rs.starts), "cpu-us/start")
+				b.ReportMetric(float64(rs.costs)/float64(rs.starts), "costs/start")
 			}
-			next := began.Add(time.Duration(float64(no+1) / 42.55 * float64(time.Second)))
-			time.Sleep(time.Until(next))
-		}
-		qw.mu.Lock()
-		starts := qw.starts - started
-		qw.mu.Unlock()
-		used = processorTime() - used
-		b.ReportMetric(float64(starts)/time.Since(began).Seconds(), "starts/s")
-		b.ReportMetric(float64(used.Microseconds())/float64(starts), "cpu-us/start")
-		cancel()
-		qt.Assert(b, dr.Wait(), qt.IsNil)
+		})
 	}
 }
 
