internal/job/director: a placement examines enough feasible workers, not all

Cause: each step needs something else, so that in each round each step that was reached had its cost computed on all 1,100 workers, with a forecast of the interference there. The class of fault: work for each request that grows with the fleet.

Change: a selection examines workers until 96 are feasible, each beginning where the last one ended (as Borg's scheduler does), unless the place matters for long (long-running tasks) or few workers are near the data. A worker without free capacity is left out before its forecast is computed. Trials are counted, and predictions of latency-critical images kept, only when they are needed.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -248,6 +248,8 @@
 	keptStarts float64
 	// seenRooms holds what recent rounds found of each pool, see recentSlots.
 	seenRooms map[modeler.PoolName][]seenRoom
+	// nextExamined is the index of the candidate at which the next selection begins.
+	nextExamined int
 	// contention is the competition of best-effort images for the workers.
 	contention contention
 	// invalid reports malformed facts and reports.
--- a/internal/job/director/forecast.go
+++ b/internal/job/director/forecast.go
@@ -36,33 +36,40 @@
 	// confounded is set when another untried best-effort image runs there already, so that the
 	// result of a trial would be shared.
 	confounded bool
-	// at is when the prediction was made. It is set only for best-effort tasks.
+	// at is when the prediction was made.
 	at    time.Time
 	valid bool
 }
 
 // forecast is the expected effect of the tasks of one image on each worker.
 type forecast struct {
-	// predictions holds the predictions in the order of the round's workers.
+	// predictions holds those of a latency-critical image in the order of the round's workers. Those of best-effort
+	// images are kept by the workers.
 	predictions []prediction
 	// trials counts the image's tasks that share a worker with a latency-critical image, by that
-	// image.
+	// image. It is nil until a prediction depends on it.
 	trials map[string]int
-	// newTrials is the number of changes of trials in this round that matter for a placement, and anyUntried is set
-	// if a prediction depends on them.
-	newTrials  int
-	anyUntried bool
+	// newTrials is the number of changes of trials in this round that matter for a placement.
+	newTrials int
 }
 
 // forecast returns the forecast for an image. It covers what ran at the beginning of the round and
 // what was placed since.
 func (rd *round) forecast(image string) *forecast {
 	fc := rd.forecasts[image]
-	if fc != nil {
-		return fc
+	if fc == nil {
+		fc = &forecast{}
+		rd.forecasts[image] = fc
 	}
-	fc = &forecast{predictions: make([]prediction, len(rd.workers)), trials: map[string]int{}}
-	rd.forecasts[image] = fc
+	return fc
+}
+
+// countTrials returns the trials of a best-effort image.
+func (rd *round) countTrials(image string, fc *forecast) map[string]int {
+	if fc.trials != nil {
+		return fc.trials
+	}
+	fc.trials = map[string]int{}
 	for _, wk := range rd.workers {
 		if wk.bestEffortImages[image] == 0 {
 			continue
@@ -71,17 +78,19 @@
 			fc.trials[critical] += wk.bestEffortImages[image]
 		}
 	}
-	return fc
+	return fc.trials
 }
 
-// applyForecast sets the predictions for the demand's task on the candidates.
+// applyForecast sets the predictions for the demand's task on the candidates that have the capacity.
 func (rd *round) applyForecast(dm *placer.Demand) {
 	if !usesForecast(dm) {
 		return
 	}
 	fc, demand := rd.forecast(dm.Image), rd.contentionDemand(dm)
 	for ix := range rd.workers {
-		rd.applyForecastTo(ix, dm, fc, demand)
+		if placer.HasCapacity(dm, &rd.cands[ix]) {
+			rd.applyForecastTo(ix, dm, fc, demand)
+		}
 	}
 }
 
@@ -100,18 +109,11 @@
 // contentionDemand.
 func (rd *round) applyForecastTo(ix int, dm *placer.Demand, fc *forecast, contentionDemand int) {
 	cd, wk := &rd.cands[ix], rd.workers[ix]
-	if cd.Excluded {
-		return
-	}
-	pr := &fc.predictions[ix]
-	if !pr.valid {
-		*pr = rd.dr.recentPrediction(wk, dm, rd.now)
-		fc.anyUntried = fc.anyUntried || len(pr.untried) > 0
-	}
+	pr := rd.prediction(ix, dm, fc)
 	cd.RelativeLoad, cd.FutureRelativeLoad, cd.AddedRelativeLoad, cd.Interference, cd.Trials = pr.relativeLoad, pr.futureRelativeLoad, pr.addedRelativeLoad, pr.interference, 0
 	cd.InterferenceSuspected, cd.ConfoundedTrial = pr.suspected, pr.confounded
 	for _, critical := range pr.untried {
-		cd.Trials = max(cd.Trials, fc.trials[critical])
+		cd.Trials = max(cd.Trials, rd.countTrials(dm.Image, fc)[critical])
 	}
 	cd.FirstTrial = len(pr.untried) > 0 && cd.Trials == 0 && !pr.suspected && !pr.confounded && placer.IsTolerable(pr.interference)
 	if dm.BestEffort && wk.contention != nil {
@@ -122,6 +124,22 @@
 	cd.OnlyOtherImages = dm.LatencyCritical && wk.criticalTasks > 0 && wk.criticalImages[dm.Image] == 0
 }
 
+// prediction returns the prediction for the demand's task on the worker with the index.
+func (rd *round) prediction(ix int, dm *placer.Demand, fc *forecast) *prediction {
+	if dm.BestEffort {
+		return rd.dr.recentPrediction(rd.workers[ix], dm, rd.now)
+	}
+	if fc.predictions == nil {
+		fc.predictions = make([]prediction, len(rd.workers))
+	}
+	pr := &fc.predictions[ix]
+	if !pr.valid {
+		*pr = rd.dr.predictCritical(rd.workers[ix], dm.Image)
+		pr.at = rd.now
+	}
+	return pr
+}
+
 // dropPredictions drops those that a new or ended task of a step changes: all for a latency-critical one, and
 // otherwise those of pairs on trial.
 func (wk *worker) dropPredictions(spec *modeler.Step) {
@@ -129,7 +147,7 @@
 		clear(wk.predictions)
 		return
 	}
-	maps.DeleteFunc(wk.predictions, func(_ string, pr prediction) bool { return len(pr.untried) > 0 })
+	maps.DeleteFunc(wk.predictions, func(_ string, pr *prediction) bool { return len(pr.untried) > 0 })
 }
 
 // estimateAge returns the age up to which what is computed from reports of many workers is used again, as their
@@ -138,34 +156,32 @@
 	return min(maxEstimateAge, time.Duration(len(dr.workers))*estimateAgePerWorker)
 }
 
-// recentPrediction returns a prediction that is at most estimateAge old.
-func (dr *Director) recentPrediction(wk *worker, dm *placer.Demand, now time.Time) prediction {
-	if !dm.BestEffort {
-		return dr.predict(wk, dm, now)
-	}
-	pr, ok := wk.predictions[dm.Image]
-	if !ok || now.Sub(pr.at) > dr.estimateAge() {
-		pr = dr.predict(wk, dm, now)
-		pr.at = now
+// recentPrediction returns a prediction for a best-effort demand that is at most estimateAge old.
+func (dr *Director) recentPrediction(wk *worker, dm *placer.Demand, now time.Time) *prediction {
+	pr := wk.predictions[dm.Image]
+	if pr == nil || now.Sub(pr.at) > dr.estimateAge() {
+		pr = dr.predictBestEffort(wk, dm, now)
 		wk.predictions[dm.Image] = pr
 	}
 	return pr
 }
 
-// predict returns the expected effect of the demand's task on a worker. For a latency-critical task
-// the loads are just those that best-effort work there would add to it, not divided by the load at
-// its target.
-func (dr *Director) predict(wk *worker, dm *placer.Demand, now time.Time) prediction {
+// predictCritical returns the expected effect of a worker on a task of a latency-critical image. Its loads are just
+// those that best-effort work there would add to the task, not divided by the load at its target.
+func (dr *Director) predictCritical(wk *worker, image string) prediction {
 	pr := prediction{valid: true}
-	if dm.LatencyCritical {
-		for _, at := range wk.attempts {
-			if at.task.step.spec.BestEffort {
-				pr.addedRelativeLoad += dr.model.Interference(dm.Image, at.task.step.spec.Image) * wk.cpuShare(at.task.step.spec.Needs.MilliCores)
-			}
+	for _, at := range wk.attempts {
+		if spec := at.task.step.spec; spec.BestEffort {
+			pr.addedRelativeLoad += dr.model.Interference(image, spec.Image) * wk.cpuShare(spec.Needs.MilliCores)
 		}
-		pr.relativeLoad = pr.addedRelativeLoad
-		return pr
 	}
+	pr.relativeLoad = pr.addedRelativeLoad
+	return pr
+}
+
+// predictBestEffort returns the expected effect of a best-effort task on a worker.
+func (dr *Director) predictBestEffort(wk *worker, dm *placer.Demand, now time.Time) *prediction {
+	pr := &prediction{at: now, valid: true}
 	for image := range wk.criticalImages {
 		if interference, tried := dr.model.ExpectedInterference(image, dm.Image, now); tried {
 			pr.interference = max(pr.interference, interference)
--- a/internal/job/director/load_bench_test.go
+++ b/internal/job/director/load_bench_test.go
@@ -3,19 +3,19 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
-	qt "github.com/frankban/quicktest"
-	"github.com/go-logr/logr"
-
 	"github.com/currantrouter/currantrouter/internal/job/director"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
+	qt "github.com/frankban/quicktest"
 )
 
 // quickWorkers are workers that cost little processor time, so that a benchmark measures the director. They
@@ -42,8 +42,14 @@
 	defer qw.mu.Unlock()
 	qw.starts++
 	worker := qw.workers[wk.ID]
-	worker.running[req.Task] = modeler.ActiveRun{Task: req.Task, Run: req.Run, Progress: 100, Measure: 60 + int64(req.Task.Index)}
-	if dur := qw.runTime(req.Task); dur > 0 {
+	dur := qw.runTime(req.Task)
+	measure := 60 + int64(req.Task.Index)
+	if dur > 0 {
+		// The processor use of a run that ends.
+		measure = 5000
+	}
+	worker.running[req.Task] = modeler.ActiveRun{Task: req.Task, Run: req.Run, Progress: 100, Measure: measure}
+	if dur > 0 {
 		time.AfterFunc(dur, func() { qw.end(worker, req.Task, req.Run, modeler.Done) })
 	}
 	return time.Since(qw.began), nil
@@ -152,9 +158,11 @@
 		dur, _ := runTimes.Load(id.Job)
 		return dur.(time.Duration)
 	}
+	lg, err := logger.New(io.Discard, "json")
+	qt.Assert(tb, err, qt.IsNil)
 	dr := director.New(director.Options{
 		Epoch: 1, WorkerClient: qw, Journal: emptyJournal{}, Configuration: func() *modeler.Configuration { return fl.config },
-		MaySendRequests: func() bool { return true }, Limits: testLimits, Log: logr.Discard(), Meter: fl.registry,
+		MaySendRequests: func() bool { return true }, Limits: testLimits, Log: lg, Meter: fl.registry,
 	})
 	ctx, cancel := context.WithCancel(tb.Context())
 	dr.Start(ctx)
--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -340,6 +340,7 @@
 		if mayReturn {
 			dm.Avoid = nil
 		}
+		rd.applyForecast(dm)
 		cands = rd.excludeUnpermitted(tk.step, rd.dr.queue(tk.step.occ.job), dm, rd.cands)
 		ix = placer.Choose(dm, cands)
 	}
@@ -453,9 +454,11 @@
 	rd.changed = append(rd.changed, ix)
 	clear(rd.headroomOf)
 	for _, fc := range rd.forecasts {
-		fc.predictions[ix].valid = false
+		if fc.predictions != nil {
+			fc.predictions[ix].valid = false
+		}
 	}
-	if fc := rd.forecasts[tk.step.spec.Image]; fc != nil && tk.step.spec.BestEffort {
+	if fc := rd.forecasts[tk.step.spec.Image]; fc != nil && fc.trials != nil && tk.step.spec.BestEffort {
 		for image := range wk.criticalImages {
 			fc.trials[image]++
 			if placer.TrialsMatter(fc.trials[image]) {
--- a/internal/job/director/selection.go
+++ b/internal/job/director/selection.go
@@ -20,19 +20,31 @@
 	step *step
 }
 
-// selection holds the cost of a demand on each of the round's candidates. A placement changes one candidate, so
-// that a step with many tasks, or many steps that need the same, cost little more than one task. It answers the
-// load of fleets with hundreds of workers, where to look at each worker for each task takes most of a leader's
+// sufficientCandidates is the number of feasible workers among which a selection chooses, if the order of the others
+// does not matter, see examinesAll.
+const sufficientCandidates = 96
+
+// selection holds the cost of a demand on the round's candidates that it has examined. A placement changes one
+// candidate, so that a step with many tasks, or many steps that need the same, cost little more than one task. It
+// examines candidates until there are enough feasible ones, like the relaxed randomization of Borg. It answers the
+// load of fleets with hundreds of workers, where to look at each worker for each step takes most of a leader's
 // processor time.
 type selection struct {
-	// costs is infinite for a worker that is not feasible.
+	// costs is infinite for a worker that is not feasible, and for one that was not examined.
 	costs []float64
+	// first is the index of the candidate that was examined first, and examined the number of those that follow it in a
+	// circle and were examined, with itself. feasible is the number of finite costs.
+	first, examined, feasible int
 	// changes is the part of round.changed, and newTrials that of the forecast's, that costs includes.
 	changes, newTrials int
 }
 
-// chooseQuickly returns the index of the worker that choose returns for a demand, or -1 if choose has to decide:
-// for a demand that fits nowhere, for which the pool has too little capacity, or that needs permits.
+// examinesAll reports whether each worker is examined for a demand: the place of a long-running task matters for long,
+// and few workers are near a task's data.
+func examinesAll(dm *placer.Demand) bool { return dm.LongRunning || dm.DataRack != "" }
+
+// chooseQuickly returns the index of the worker for a demand, or -1 if choose has to decide: for a demand that fits
+// nowhere, for which the pool has too little capacity, or that needs permits.
 func (rd *round) chooseQuickly(sp *step, dm *placer.Demand) int {
 	if dm.LongRunning && !placer.AllowsLongRunning(dm) || rd.dr.queue(sp.occ.job).Policy != nil {
 		return -1
@@ -46,12 +58,12 @@
 	}
 	sl := rd.selections[key]
 	if sl == nil {
-		sl = &selection{costs: make([]float64, len(rd.workers))}
+		sl = rd.newSelection()
 		rd.selections[key] = sl
-		rd.updateCosts(sl, sp, dm, true)
-	} else {
-		rd.updateCosts(sl, sp, dm, false)
 	}
+	cu := rd.costUpdate(sl, sp, dm)
+	cu.updateChanged()
+	cu.examine()
 	best, minCost := -1, math.Inf(1)
 	avoids := placer.HasAlternative(dm, rd.cands)
 	for ix, cost := range sl.costs {
@@ -62,35 +74,93 @@
 	return best
 }
 
-// updateCosts computes the costs of the candidates that changed since the last time, or of all.
-func (rd *round) updateCosts(sl *selection, sp *step, dm *placer.Demand, all bool) {
-	var fc *forecast
-	contentionDemand := -1
+// newSelection returns a selection that has examined no candidate. It begins where the last one ended, so that
+// selections share the workers.
+func (rd *round) newSelection() *selection {
+	sl := &selection{costs: make([]float64, len(rd.workers)), changes: len(rd.changed)}
+	for ix := range sl.costs {
+		sl.costs[ix] = math.Inf(1)
+	}
+	if len(rd.workers) > 0 {
+		sl.first = rd.dr.nextExamined % len(rd.workers)
+	}
+	return sl
+}
+
+// costUpdate computes costs of a selection.
+type costUpdate struct {
+	rd *round
+	sl *selection
+	sp *step
+	dm *placer.Demand
+	// fc is nil for a demand without a forecast, contentionDemand is that of applyForecastTo.
+	fc               *forecast
+	contentionDemand int
+}
+
+func (rd *round) costUpdate(sl *selection, sp *step, dm *placer.Demand) *costUpdate {
+	cu := &costUpdate{rd: rd, sl: sl, sp: sp, dm: dm, contentionDemand: -1}
 	if usesForecast(dm) {
-		fc, contentionDemand = rd.forecast(dm.Image), rd.contentionDemand(dm)
-		all = all || fc.anyUntried && sl.newTrials != fc.newTrials
+		cu.fc, cu.contentionDemand = rd.forecast(dm.Image), rd.contentionDemand(dm)
 	}
-	update := func(ix int) {
-		if dm.MaxPerWorker > 0 {
-			rd.cands[ix].SameStepTasks = sp.perWorker[rd.workers[ix].info.ID]
-		}
-		if fc != nil {
-			rd.applyForecastTo(ix, dm, fc, contentionDemand)
+	return cu
+}
+
+// examine examines further candidates until there are enough feasible ones.
+func (cu *costUpdate) examine() {
+	sl, count := cu.sl, len(cu.rd.workers)
+	for sl.examined < count && (sl.feasible < sufficientCandidates || examinesAll(cu.dm)) {
+		ix := (sl.first + sl.examined) % count
+		sl.examined++
+		cu.update(ix)
+		cu.rd.dr.nextExamined = ix + 1
+	}
+}
+
+// updateChanged computes the costs again of the examined candidates that changed since the last time.
+func (cu *costUpdate) updateChanged() {
+	sl, rd := cu.sl, cu.rd
+	for _, ix := range rd.changed[sl.changes:] {
+		if sl.hasExamined(ix) {
+			cu.update(ix)
 		}
-		rd.dr.usage.costsComputed++
-		sl.costs[ix] = placer.Cost(dm, &rd.cands[ix])
 	}
-	if all {
-		for ix := range rd.workers {
-			update(ix)
+	sl.changes = len(rd.changed)
+	if cu.fc == nil || sl.newTrials == cu.fc.newTrials {
+		return
+	}
+	sl.newTrials = cu.fc.newTrials
+	for ix, cost := range sl.costs {
+		// More trials make no worker feasible.
+		if !math.IsInf(cost, 1) && len(rd.prediction(ix, cu.dm, cu.fc).untried) > 0 {
+			cu.update(ix)
 		}
-	} else {
-		for _, ix := range rd.changed[sl.changes:] {
-			update(ix)
+	}
+}
+
+// hasExamined reports whether the candidate with the index was examined.
+func (sl *selection) hasExamined(ix int) bool {
+	return (ix-sl.first+len(sl.costs))%len(sl.costs) < sl.examined
+}
+
+// update computes the cost of the candidate with the index.
+func (cu *costUpdate) update(ix int) {
+	rd, sl, cd := cu.rd, cu.sl, &cu.rd.cands[ix]
+	if !math.IsInf(sl.costs[ix], 1) {
+		sl.feasible--
+	}
+	if cu.dm.MaxPerWorker > 0 {
+		cd.SameStepTasks = cu.sp.perWorker[rd.workers[ix].info.ID]
+	}
+	sl.costs[ix] = math.Inf(1)
+	if placer.HasCapacity(cu.dm, cd) {
+		if cu.fc != nil {
+			rd.applyForecastTo(ix, cu.dm, cu.fc, cu.contentionDemand)
 		}
+		rd.dr.usage.costsComputed++
+		sl.costs[ix] = placer.Cost(cu.dm, cd)
 	}
-	sl.changes = len(rd.changed)
-	if fc != nil {
-		sl.newTrials = fc.newTrials
+	if !math.IsInf(sl.costs[ix], 1) {
+		sl.feasible++
 	}
 }
--- a/internal/job/director/selection_test.go
+++ b/internal/job/director/selection_test.go
@@ -17,19 +17,7 @@
 	for seed := range uint64(40) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			rnd := rand.New(rand.NewPCG(seed, 3))
-			dr := newBacklog(60, 24, func(ix int) modeler.Step {
-				sp := modeler.Step{
-					Count: 12, Needs: modeler.Resources{MilliCores: int64(1+ix%3) * 1500, MemoryMB: 100},
-					Image: fmt.Sprint("image", ix%4), BestEffort: ix%3 > 0, MaxPerWorker: ix % 2 * 2,
-				}
-				if ix%6 == 0 {
-					sp.LongRunning, sp.TailTarget, sp.Image = true, 100*time.Millisecond, fmt.Sprint("critical", ix%4)
-				}
-				return sp
-			})
-			for _, wk := range dr.workers {
-				wk.free = wk.info.Capacity
-			}
+			dr := newMixedBacklog(60)
 			now := time.Now()
 			rd := dr.newRound(now)
 			rd.startsLeft, rd.maxMisses = 1000, maxMisses
@@ -47,6 +35,69 @@
 	}
 }
 
+// newMixedBacklog returns a director with waiting steps of several kinds and empty workers.
+func newMixedBacklog(workers int) *Director {
+	dr := newBacklog(workers, 24, func(ix int) modeler.Step {
+		sp := modeler.Step{
+			Count: 12, Needs: modeler.Resources{MilliCores: int64(1+ix%3) * 1500, MemoryMB: 100},
+			Image: fmt.Sprint("image", ix%4), BestEffort: ix%3 > 0, MaxPerWorker: ix % 2 * 2,
+		}
+		if ix%6 == 0 {
+			sp.LongRunning, sp.TailTarget, sp.Image = true, 100*time.Millisecond, fmt.Sprint("critical", ix%4)
+		}
+		return sp
+	})
+	for _, wk := range dr.workers {
+		wk.free = wk.info.Capacity
+	}
+	return dr
+}
+
+// Guards against a task that waits although a worker has the capacity, or that gets a worker without it, as a choice does
+// not examine all workers.
+func TestQuickChoicesInLargeFleet(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(seed, 3))
+			dr := newMixedBacklog(6 * sufficientCandidates)
+			// On most workers, little or nothing is free.
+			for _, wk := range dr.workers {
+				wk.free.MilliCores = max(0, rnd.Int64N(40_000)-32_000)
+			}
+			rd := dr.newRound(time.Now())
+			rd.startsLeft, rd.maxMisses = 10_000, maxMisses
+			for _, rs := range rd.steps {
+				assertFeasibleChoices(t, rd, rs.step)
+			}
+		})
+	}
+}
+
+// assertFeasibleChoices places the tasks of a step, and checks each choice against the workers that are feasible.
+func assertFeasibleChoices(t *testing.T, rd *round, sp *step) {
+	t.Helper()
+	rd.excludeOtherPools("pool")
+	for len(sp.waiting) > 0 {
+		dm := rd.dr.demand(sp.waiting[0])
+		if dm.LongRunning {
+			rd.applyReserve(sp, &dm)
+		}
+		quick := rd.chooseQuickly(sp, &dm)
+		rd.countSameStep(sp)
+		rd.applyForecast(&dm)
+		full := placer.Choose(&dm, rd.cands)
+		qt.Assert(t, quick >= 0, qt.Equals, full >= 0, qt.Commentf("%s, %d tasks wait", sp.spec.Image, len(sp.waiting)))
+		if full < 0 {
+			return
+		}
+		qt.Assert(t, placer.Feasible(&dm, &rd.cands[quick]), qt.IsTrue)
+		if examinesAll(&dm) {
+			qt.Assert(t, quick, qt.Equals, full)
+		}
+		rd.placeTask(sp.waiting[0], quick)
+	}
+}
+
 // assertSameChoices places up to count tasks of a step and checks each choice against one that looks at
 // all workers.
 func assertSameChoices(t *testing.T, rd *round, sp *step, count int) {
--- a/internal/job/director/waiting.go
+++ b/internal/job/director/waiting.go
@@ -277,10 +277,17 @@
 
 // fitsHeldWorker reports whether a demand would fit on a worker that the round keeps free.
 func (rd *round) fitsHeldWorker(dm *placer.Demand, cands []placer.Candidate) bool {
+	rd.freeHeld()
+	defer rd.holdAgain()
 	return slices.ContainsFunc(rd.held, func(ix int) bool {
-		cd := cands[ix]
-		cd.Free = rd.workers[ix].free
-		return placer.Feasible(dm, &cd)
+		cd := &rd.cands[ix]
+		if cands[ix].Excluded || !placer.HasCapacity(dm, cd) {
+			return false
+		}
+		if usesForecast(dm) {
+			rd.applyForecastTo(ix, dm, rd.forecast(dm.Image), rd.contentionDemand(dm))
+		}
+		return placer.Feasible(dm, cd)
 	})
 }
 
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -154,7 +154,7 @@
 	// usage is bestEffortUsage of the last report. Measures change with reports alone.
 	usage []estimator.Usage
 	// predictions holds predictions for best-effort tasks by image, see recentPrediction.
-	predictions map[string]prediction
+	predictions map[string]*prediction
 	// contention is the competition of best-effort images for the worker, nil if it was not computed, see
 	// updateContention.
 	contention *placer.Contention
@@ -242,7 +242,7 @@
 	if wk == nil {
 		wk = &worker{
 			attempts: map[attemptKey]*attempt{}, unexpectedStops: map[attemptKey]*unexpectedStop{}, unansweredStarts: map[attemptKey]time.Time{},
-			criticalImages: map[string]int{}, bestEffortImages: map[string]int{}, predictions: map[string]prediction{}, fenceRises: dr.droppedFenceRises,
+			criticalImages: map[string]int{}, bestEffortImages: map[string]int{}, predictions: map[string]*prediction{}, fenceRises: dr.droppedFenceRises,
 		}
 		wk.info = *info
 		wk.free = info.Capacity
--- a/internal/job/placer/placer.go
+++ b/internal/job/placer/placer.go
@@ -212,8 +212,14 @@
 
 // Feasible reports whether the task may run on the worker and fits into its free capacity.
 func Feasible(dm *Demand, cd *Candidate) bool {
-	return !cd.Excluded && Matches(dm, cd.Worker) && (dm.MaxPerWorker <= 0 || cd.SameStepTasks < dm.MaxPerWorker) &&
-		reservationOf(dm).Fits(cd.Free) && (!dm.BestEffort || allowsBestEffort(dm, cd)) && (!dm.LongRunning || AllowsLongRunning(dm))
+	return HasCapacity(dm, cd) && (!dm.BestEffort || allowsInterference(cd)) && (!dm.LongRunning || AllowsLongRunning(dm))
+}
+
+// HasCapacity reports whether the worker has free capacity for the task. What the task does to the latency-critical
+// tasks there does not matter, so that the fields of the candidate on loads, interference and trials need not be set.
+func HasCapacity(dm *Demand, cd *Candidate) bool {
+	return !cd.Excluded && reservationOf(dm).Fits(cd.Free) && (dm.MaxPerWorker <= 0 || cd.SameStepTasks < dm.MaxPerWorker) &&
+		(!dm.BestEffort || hasIdleProcessors(dm, cd)) && Matches(dm, cd.Worker)
 }
 
 // Reasons counts candidates by why they are not feasible for a task.
@@ -251,7 +257,7 @@
 			rs.Crowded++
 		case !reservationOf(dm).Fits(cd.Free):
 			rs.Full++
-		case dm.BestEffort && !allowsBestEffort(dm, cd):
+		case dm.BestEffort && !(hasIdleProcessors(dm, cd) && allowsInterference(cd)):
 			rs.Disturbed++
 		case dm.LongRunning && !AllowsLongRunning(dm):
 			rs.Reserved++
@@ -286,16 +292,19 @@
 // ones. Short urgent jobs need about half of it on average, and come in bursts.
 const ShortTaskReserve = 0.06
 
-// allowsBestEffort reports whether a best-effort task would get enough of the worker's processors
-// and is unlikely to interfere with its latency-critical tasks. If it did, it would be halted. For
-// the first best-effort task on a worker, any idle processors are enough.
-func allowsBestEffort(dm *Demand, cd *Candidate) bool {
+// allowsInterference reports whether a best-effort task is unlikely to interfere with the worker's latency-critical
+// tasks. If it did, it would be halted.
+func allowsInterference(cd *Candidate) bool {
 	if cd.InterferenceSuspected && cd.Trials >= maxSuspectedTrials {
 		return false
 	}
-	if cd.LatencyCriticalTasks > 0 && (cd.RelativeLoad > maxRelativeLoad || cd.AddedRelativeLoad > maxAddedRelativeLoad || !IsTolerable(cd.Interference) && cd.FutureRelativeLoad > maxFutureRelativeLoad) {
-		return false
-	}
+	return cd.LatencyCriticalTasks == 0 || cd.RelativeLoad <= maxRelativeLoad && cd.AddedRelativeLoad <= maxAddedRelativeLoad &&
+		(IsTolerable(cd.Interference) || cd.FutureRelativeLoad <= maxFutureRelativeLoad)
+}
+
+// hasIdleProcessors reports whether a best-effort task would get enough of the worker's processors. For the first
+// best-effort task on a worker, any idle processors are enough.
+func hasIdleProcessors(dm *Demand, cd *Candidate) bool {
 	if dm.Starved {
 		return true
 	}
