internal/job/director: a run that cannot lag is not compared with its siblings

Every 250 ms, each run was compared with the run times of all others of its step, which are collected and sorted for each. Most runs show by themselves that they are neither stalled nor slow, whatever their siblings do: they made progress lately and have little left. MayLag tells so; a property test compares it with Stalled and Slow.

--- a/internal/job/appraiser/appraiser.go
+++ b/internal/job/appraiser/appraiser.go
@@ -167,6 +167,12 @@
 	return max(0, total-now.Sub(rp.started))
 }
 
+// MayLag reports whether Stalled or Slow can hold, whatever the run time of the siblings is. That run time takes much
+// longer to tell.
+func (rp *RunProgress) MayLag(restart time.Duration, now time.Time) bool {
+	return now.Sub(rp.lastProgress) >= minStallTime || rp.ExpectedRemaining(now) > restart+restart/2
+}
+
 // Stalled reports whether the run has stopped making progress. The typical run time of its
 // siblings, or when that is 0 (unknown) its own rate, or for an adopted run without a known rate the
 // estimate of its run time, gives the progress that it should have made since.
--- a/internal/job/appraiser/appraiser_test.go
+++ b/internal/job/appraiser/appraiser_test.go
@@ -1,6 +1,7 @@
 package appraiser
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -90,6 +91,31 @@
 		qt.Check(t, total > 4*time.Minute && total < 6*time.Minute, qt.IsTrue, qt.Commentf("%v", total))
 		qt.Check(t, rp.ExpectedRemaining(start.Add(30*time.Second)), qt.Equals, total*40/100)
 	})
+	t.Run("neither stalled nor slow without the run time of siblings", func(t *testing.T) {
+		rnd := rand.New(rand.NewPCG(1, 5))
+		for range 20_000 {
+			rp, now := new(RunProgress), start
+			if rnd.IntN(3) == 0 {
+				rp.Adopt(rnd.IntN(60), now)
+			} else {
+				rp.Begin(now)
+			}
+			for progress := rp.progress; progress < 100; progress += rnd.IntN(30) {
+				now = now.Add(time.Duration(rnd.IntN(1500)) * time.Millisecond)
+				rp.Observe(progress, now)
+				if rnd.IntN(4) == 0 {
+					break
+				}
+			}
+			now = now.Add(time.Duration(rnd.IntN(1300)) * time.Millisecond)
+			typical, restart := time.Duration(1+rnd.IntN(4000))*time.Millisecond, time.Duration(rnd.IntN(1000))*time.Millisecond
+			if rp.MayLag(restart, now) {
+				continue
+			}
+			qt.Assert(t, rp.Stalled(typical, time.Second, now), qt.IsFalse)
+			qt.Assert(t, rp.Slow(typical, rnd.Float64(), restart, now), qt.IsFalse)
+		}
+	})
 	t.Run("typical run time unknown", func(t *testing.T) {
 		qt.Check(t, progressAt(1).Slow(0, 0, 0, start.Add(5*time.Second)), qt.IsFalse)
 	})
--- a/internal/job/director/observer.go
+++ b/internal/job/director/observer.go
@@ -70,13 +70,16 @@
 
 // checkProgress moves a run that is stalled or slow, and records a fault of its worker.
 func (dr *Director) checkProgress(wk *worker, at *attempt, now time.Time) {
-	tk := at.task
+	tk, restart := at.task, dr.op.Limits.StopGrace+dr.op.Limits.RestoreTime
+	if !at.runProgress.MayLag(restart, now) {
+		return
+	}
 	typical := tk.step.typicalRunTime(at, now)
 	if typical == 0 && tk.step.spec.BestEffort {
 		return
 	}
 	stalled := at.runProgress.Stalled(typical, tk.step.spec.Estimate, now)
-	slow := !stalled && at.runProgress.Slow(typical, tk.savedShare, dr.op.Limits.StopGrace+dr.op.Limits.RestoreTime, now)
+	slow := !stalled && at.runProgress.Slow(typical, tk.savedShare, restart, now)
 	if !stalled && !slow {
 		return
 	}
