internal/job/estimator: covariances in sorted lists instead of maps

An observation updates the covariance of each pair of correlated images, with some 30 images 900 entries of maps.

--- a/internal/job/estimator/estimates.go
+++ b/internal/job/estimator/estimates.go
@@ -119,6 +119,6 @@
 	}
 	for _, pe := range es.Pairs {
 		merged := estimate{clampInterference(pe.Interference), min(max(pe.Variance, minMergedVariance), priorVariance)}
-		md.pairs[pair{pe.LatencyCritical, pe.BestEffort}] = &pairState{estimate: merged, isolated: merged, updated: at, recordedMean: merged.mean, recordedAt: at, recorded: true}
+		md.pairs[pair{pe.LatencyCritical, pe.BestEffort}] = &pairState{estimate: merged, isolated: merged, updated: at, recordedMean: merged.mean, recordedAt: at, recorded: true, index: md.nextIndex()}
 	}
 }
--- a/internal/job/estimator/estimator.go
+++ b/internal/job/estimator/estimator.go
@@ -24,9 +24,10 @@
 package estimator
 
 import (
-	"maps"
+	"cmp"
 	"math"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -41,18 +42,21 @@
 // UsageDifference returns by how much the CPU share of each image on one worker exceeds that on
 // another. The result is sorted by image and has each image once.
 func UsageDifference(one, other []Usage) []Usage {
-	shares := make(map[string]float64, len(one)+len(other))
-	for _, us := range one {
-		shares[us.Image] += us.CPUShare
-	}
+	list := make([]Usage, 0, len(one)+len(other))
+	list = append(list, one...)
 	for _, us := range other {
-		shares[us.Image] -= us.CPUShare
+		list = append(list, Usage{us.Image, -us.CPUShare})
 	}
-	list := make([]Usage, 0, len(shares))
-	for _, image := range slices.Sorted(maps.Keys(shares)) {
-		list = append(list, Usage{image, shares[image]})
+	slices.SortStableFunc(list, func(one, two Usage) int { return strings.Compare(one.Image, two.Image) })
+	merged := list[:0]
+	for _, us := range list {
+		if last := len(merged) - 1; last >= 0 && merged[last].Image == us.Image {
+			merged[last].CPUShare += us.CPUShare
+		} else {
+			merged = append(merged, us)
+		}
 	}
-	return list
+	return merged
 }
 
 // Interference is in units of load per CPU share of 1, and variances are in the square of that
@@ -133,8 +137,19 @@
 	recordedAt   time.Time
 	recorded     bool
 	// covariances holds the covariances with the states of pairs of the same latency-critical image
-	// that were observed at the same time. They are symmetric.
-	covariances map[*pairState]float64
+	// that were observed at the same time, in the order of the states. They are symmetric.
+	covariances []covariance
+	// index orders the states. No two states of a model have the same.
+	index int
+	// totalCov is the covariance with the added load of the present observation, if correlated is set.
+	totalCov   float64
+	correlated bool
+}
+
+// covariance is that of a state with another one.
+type covariance struct {
+	with  *pairState
+	value float64
 }
 
 // advance lets both variances grow until now.
@@ -165,6 +180,8 @@
 	// recordedTails holds those that Changes returned last or Merge set.
 	recordedTails map[string]time.Duration
 	pairs         map[pair]*pairState
+	// lastIndex is the index of the newest state.
+	lastIndex int
 }
 
 // New returns a model without observations.
@@ -243,32 +260,47 @@
 		return
 	}
 	updateIsolated(list, excess, now)
-	// totalCov holds the covariance of each state with the added load.
-	totalCov := map[*pairState]float64{}
 	// residual is the excess less the expected added load, and residualVariance its variance.
 	residual, residualVariance := excess, noiseVariance
 	for _, ob := range list {
 		residual -= ob.mean * ob.cpuShare
-		totalCov[ob.pairState] += ob.variance * ob.cpuShare
-		for other, cov := range ob.covariances {
-			totalCov[other] += cov * ob.cpuShare
-		}
 	}
+	states := correlated(list)
 	for _, ob := range list {
-		residualVariance += max(0, totalCov[ob.pairState]*ob.cpuShare)
+		residualVariance += max(0, ob.totalCov*ob.cpuShare)
 	}
 	// A residual beyond maxResidual gets less weight. The variances then fall by less, too.
 	weight := math.Min(1, maxResidual/math.Abs(residual))
-	for ps, cov := range totalCov {
-		gain := weight * cov / residualVariance
+	for _, ps := range states {
+		gain := weight * ps.totalCov / residualVariance
 		ps.mean = clampInterference(ps.mean + gain*residual)
-		ps.variance = math.Max(minVariance, ps.variance-gain*cov)
-		for other, otherCov := range totalCov {
-			if other != ps {
-				ps.addCovariance(other, -gain*otherCov)
-			}
+		ps.variance = math.Max(minVariance, ps.variance-gain*ps.totalCov)
+		ps.addCovariances(states, -gain)
+	}
+	for _, ps := range states {
+		ps.correlated = false
+	}
+}
+
+// correlated sets the covariance of states with the load that the observed images added, and returns those that have
+// one in their order.
+func correlated(list []observation) []*pairState {
+	states := make([]*pairState, 0, 2*len(list))
+	add := func(ps *pairState, cov float64) {
+		if !ps.correlated {
+			ps.correlated, ps.totalCov = true, 0
+			states = append(states, ps)
 		}
+		ps.totalCov += cov
 	}
+	for _, ob := range list {
+		add(ob.pairState, ob.variance*ob.cpuShare)
+		for _, cv := range ob.covariances {
+			add(cv.with, cv.value*ob.cpuShare)
+		}
+	}
+	slices.SortFunc(states, func(one, two *pairState) int { return cmp.Compare(one.index, two.index) })
+	return states
 }
 
 // observation is the state of one best-effort image in an observation, and the difference of its
@@ -312,15 +344,24 @@
 	}
 }
 
-// addCovariance adds to the covariance with another state.
-func (ps *pairState) addCovariance(other *pairState, delta float64) {
-	if ps.covariances == nil {
-		ps.covariances = map[*pairState]float64{}
-	}
-	ps.covariances[other] += delta
-	if math.Abs(ps.covariances[other]) < minCovariance {
-		delete(ps.covariances, other)
+// addCovariances adds the totalCov of other states, times a factor, to the covariances with them. The states are in
+// their order.
+func (ps *pairState) addCovariances(states []*pairState, factor float64) {
+	old, sums := ps.covariances, make([]covariance, 0, len(states)+len(ps.covariances))
+	for _, other := range states {
+		for len(old) > 0 && old[0].with.index < other.index {
+			sums, old = append(sums, old[0]), old[1:]
+		}
+		cov := covariance{other, factor * other.totalCov}
+		if len(old) > 0 && old[0].with == other {
+			cov.value += old[0].value
+			old = old[1:]
+		}
+		if other != ps && math.Abs(cov.value) >= minCovariance {
+			sums = append(sums, cov)
+		}
 	}
+	ps.covariances = append(sums, old...)
 }
 
 // stateOf returns the state of a pair. It adds one with the prior if there is none.
@@ -328,8 +369,14 @@
 	ps := md.pairs[pair{critical, bestEffort}]
 	if ps == nil {
 		prior := estimate{priorInterference, priorVariance}
-		ps = &pairState{estimate: prior, isolated: prior}
+		ps = &pairState{estimate: prior, isolated: prior, index: md.nextIndex()}
 		md.pairs[pair{critical, bestEffort}] = ps
 	}
 	return ps
 }
+
+// nextIndex returns the index of a new state.
+func (md *Model) nextIndex() int {
+	md.lastIndex++
+	return md.lastIndex
+}
