internal/job/director: loads of images are kept by worker, not collected from all runs

The contention went over all runs of all workers every 250 ms, and over the latency-critical images of each worker for each best-effort image; the headroom of a pool was added up for each long-running task; a worker's interference was observed with each report, although a report covers half a second. Workers now keep what their best-effort images need, workers that tolerate the same images form one group, a round adds up a pool once, and a worker is observed at most every 250 ms (estimateAge).

--- a/internal/job/director/contention.go
+++ b/internal/job/director/contention.go
@@ -4,9 +4,9 @@
 	"cmp"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
+	"github.com/currantrouter/currantrouter/internal/job/estimator"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/job/placer"
 )
@@ -55,17 +55,27 @@
 	for dx, pi := range images {
 		cn.demandIndex[pi], demands[dx] = dx, placer.ImageDemand{Pool: pi.pool, MilliCores: demand[pi]}
 	}
-	// Workers of one pool with the same latency-critical images form a group.
+	// Workers of one pool that tolerate the same images form a group.
 	var groups []placer.WorkerGroup
 	groupIndex := map[string]int{}
 	groupOf := make([]int, len(rd.workers))
+	tolerance, tolerable := newTolerance(dr.model, images), make([]bool, len(images))
+	var key []byte
 	for ix, wk := range rd.workers {
-		key := string(wk.info.Pool) + " " + strings.Join(slices.Sorted(maps.Keys(wk.criticalImages)), " ")
-		gx, ok := groupIndex[key]
+		tolerance.of(wk, tolerable)
+		key = append(key[:0], wk.info.Pool...)
+		for _, ok := range tolerable {
+			if ok {
+				key = append(key, 1)
+			} else {
+				key = append(key, 0)
+			}
+		}
+		gx, ok := groupIndex[string(key)]
 		if !ok {
 			gx = len(groups)
-			groupIndex[key] = gx
-			groups = append(groups, placer.WorkerGroup{Pool: wk.info.Pool, Tolerable: rd.tolerableImages(wk, images)})
+			groupIndex[string(key)] = gx
+			groups = append(groups, placer.WorkerGroup{Pool: wk.info.Pool, Tolerable: slices.Clone(tolerable)})
 		}
 		groups[gx].IdleMilliCores += placer.IdleMilliCores(&rd.cands[ix])
 		groupOf[ix] = gx
@@ -91,29 +101,48 @@
 		}
 	}
 	for _, wk := range rd.workers {
-		if wk.bestEffortTasks == 0 {
-			continue
-		}
-		for _, at := range wk.attempts {
-			if spec := at.task.step.spec; spec.BestEffort {
-				demand[poolImage{wk.info.Pool, spec.Image}] += spec.Needs.MilliCores
-			}
+		for image, il := range wk.bestEffortImages {
+			demand[poolImage{wk.info.Pool, image}] += il.milliCores
 		}
 	}
 	return demand
 }
 
-// tolerableImages returns for each image whether its interference with every latency-critical image
-// of the worker is tolerable. The estimate of a pair counts even if the pair has become untried
-// again: trials use little capacity.
-func (rd *round) tolerableImages(wk *worker, images []poolImage) []bool {
-	tolerable := make([]bool, len(images))
-	for ix, pi := range images {
-		interference := 0.0
-		for critical := range wk.criticalImages {
-			interference = max(interference, rd.dr.model.Interference(critical, pi.image))
+// tolerance holds which best-effort images each latency-critical image tolerates. The estimate of a pair counts even if
+// the pair has become untried again: trials use little capacity.
+type tolerance struct {
+	model  *estimator.Model
+	images []poolImage
+	// byCritical holds the results for the images, by latency-critical image.
+	byCritical map[string][]bool
+}
+
+func newTolerance(md *estimator.Model, images []poolImage) *tolerance {
+	return &tolerance{model: md, images: images, byCritical: map[string][]bool{}}
+}
+
+// of sets for each image whether its interference with every latency-critical image of a worker is tolerable.
+func (to *tolerance) of(wk *worker, tolerable []bool) {
+	for ix := range tolerable {
+		tolerable[ix] = true
+	}
+	for critical := range wk.criticalImages {
+		for ix, ok := range to.ofImage(critical) {
+			tolerable[ix] = tolerable[ix] && ok
 		}
-		tolerable[ix] = placer.IsTolerable(interference)
 	}
-	return tolerable
+}
+
+// ofImage returns for each image whether a latency-critical one tolerates it.
+func (to *tolerance) ofImage(critical string) []bool {
+	list, ok := to.byCritical[critical]
+	if ok {
+		return list
+	}
+	list = make([]bool, len(to.images))
+	for ix, pi := range to.images {
+		list[ix] = placer.IsTolerable(to.model.Interference(critical, pi.image))
+	}
+	to.byCritical[critical] = list
+	return list
 }
--- a/internal/job/director/forecast.go
+++ b/internal/job/director/forecast.go
@@ -71,11 +71,12 @@
 	}
 	fc.trials = map[string]int{}
 	for _, wk := range rd.workers {
-		if wk.bestEffortImages[image] == 0 {
+		tasks := wk.bestEffortImages[image].tasks
+		if tasks == 0 {
 			continue
 		}
 		for critical := range wk.criticalImages {
-			fc.trials[critical] += wk.bestEffortImages[image]
+			fc.trials[critical] += tasks
 		}
 	}
 	return fc.trials
@@ -170,10 +171,8 @@
 // those that best-effort work there would add to the task, not divided by the load at its target.
 func (dr *Director) predictCritical(wk *worker, image string) prediction {
 	pr := prediction{valid: true}
-	for _, at := range wk.attempts {
-		if spec := at.task.step.spec; spec.BestEffort {
-			pr.addedRelativeLoad += dr.model.Interference(image, spec.Image) * wk.cpuShare(spec.Needs.MilliCores)
-		}
+	for bestEffort, il := range wk.bestEffortImages {
+		pr.addedRelativeLoad += dr.model.Interference(image, bestEffort) * wk.cpuShare(il.milliCores)
 	}
 	pr.relativeLoad = pr.addedRelativeLoad
 	return pr
--- a/internal/job/director/observer.go
+++ b/internal/job/director/observer.go
@@ -257,11 +257,12 @@
 }
 
 // observeInterference compares the load of latency-critical tasks on a worker with that of their
-// siblings on other workers, and updates the model with the difference.
+// siblings on other workers, and updates the model with the difference, at most every estimateAge.
 func (dr *Director) observeInterference(wk *worker, loads map[*step]float64, usage []estimator.Usage, now time.Time) {
-	if len(usage) == 0 {
+	if len(usage) == 0 || now.Sub(wk.observedAt) < dr.estimateAge() {
 		return
 	}
+	wk.observedAt = now
 	for sp, load := range loads {
 		if sib, ok := dr.medianSibling(sp, wk, now); ok {
 			dr.model.Observe(sp.spec.Image, load-sib.load, estimator.UsageDifference(usage, sib.usage), now)
--- a/internal/job/director/restart_test.go
+++ b/internal/job/director/restart_test.go
@@ -31,7 +31,7 @@
 			now := time.Now()
 			wk := &worker{
 				info: modeler.Worker{ID: "w"}, incarnation: 1, answered: true, attempts: map[attemptKey]*attempt{}, unexpectedStops: map[attemptKey]*unexpectedStop{},
-				criticalImages: map[string]int{}, bestEffortImages: map[string]int{},
+				criticalImages: map[string]int{}, bestEffortImages: map[string]imageLoad{},
 			}
 			jb := dr.addJob(&modeler.Job{ID: "j", Steps: []modeler.Step{{Count: 1}}}, true)
 			at := dr.reserve(jb.occurrences[0].steps[0].tasks[0], wk, 1)
--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -107,6 +107,8 @@
 	placingAged bool
 	// headroomOf holds the results of agedHeadroom since the last placement.
 	headroomOf map[modeler.PoolName]int64
+	// freeOf holds the results of freeProcessors.
+	freeOf map[modeler.PoolName]int64
 	// capacityOf holds the results of capacity.
 	capacityOf map[modeler.PoolName]modeler.Resources
 	// longRunning holds the placed attempts of long-running tasks.
@@ -159,7 +161,7 @@
 // newRound returns a round with the waiting steps, the most urgent first, and the workers that
 // accept tasks.
 func (dr *Director) newRound(now time.Time) *round {
-	rd := &round{dr: dr, now: now, maxHeld: maxHeldWorkers, heldFor: map[int]modeler.Resources{}, headroomOf: map[modeler.PoolName]int64{}, capacityOf: map[modeler.PoolName]modeler.Resources{}, unplaceable: map[demandClass][]modeler.Resources{}, missed: map[demandClass]turn{}, forecasts: map[string]*forecast{}, selections: map[selectionKey]*selection{}}
+	rd := &round{dr: dr, now: now, maxHeld: maxHeldWorkers, heldFor: map[int]modeler.Resources{}, headroomOf: map[modeler.PoolName]int64{}, freeOf: map[modeler.PoolName]int64{}, capacityOf: map[modeler.PoolName]modeler.Resources{}, unplaceable: map[demandClass][]modeler.Resources{}, missed: map[demandClass]turn{}, forecasts: map[string]*forecast{}, selections: map[selectionKey]*selection{}}
 	for sp := range dr.waitingSteps {
 		rd.steps = append(rd.steps, rankedStep{sp, dr.waitingStep(sp)})
 	}
@@ -396,7 +398,12 @@
 // applyReserve sets what decides on the reserve for short tasks.
 func (rd *round) applyReserve(sp *step, dm *placer.Demand) {
 	pool := rd.dr.pool(sp.occ.job)
-	dm.Headroom, dm.PoolSlots = rd.poolHeadroom(pool, dm)
+	// One place more than the tasks is left to short ones.
+	enough := int64(2)
+	if sp.spec.Gang {
+		enough += int64(len(sp.waiting))
+	}
+	dm.Headroom, dm.PoolSlots = rd.poolHeadroom(pool, dm, enough)
 	if rd.placingAged {
 		dm.Headroom = rd.agedHeadroom(pool)
 		dm.PoolSlots = rd.recentSlots(pool, dm.Needs, dm.PoolSlots)
@@ -404,15 +411,33 @@
 }
 
 // poolHeadroom returns the free processors of a pool beyond the reserve for short tasks, in
-// thousandths of a core, and how many tasks of the demand fit into the pool.
-func (rd *round) poolHeadroom(pool modeler.PoolName, dm *placer.Demand) (headroom, slots int64) {
+// thousandths of a core, and how many tasks of the demand fit into the pool. It counts no further
+// than enough.
+func (rd *round) poolHeadroom(pool modeler.PoolName, dm *placer.Demand, enough int64) (headroom, slots int64) {
 	for _, wk := range rd.workers {
+		if slots >= enough {
+			break
+		}
 		if wk.info.Pool == pool {
-			headroom += max(0, wk.free.MilliCores)
 			slots += placer.FitCount(dm.Needs, wk.free)
 		}
 	}
-	return headroom - rd.shortTaskReserve(pool), slots
+	return rd.freeProcessors(pool) - rd.shortTaskReserve(pool), slots
+}
+
+// freeProcessors returns the free processors of a pool, in thousandths of a core.
+func (rd *round) freeProcessors(pool modeler.PoolName) int64 {
+	if free, ok := rd.freeOf[pool]; ok {
+		return free
+	}
+	var free int64
+	for _, wk := range rd.workers {
+		if wk.info.Pool == pool {
+			free += max(0, wk.free.MilliCores)
+		}
+	}
+	rd.freeOf[pool] = free
+	return free
 }
 
 // shortTaskReserve returns the processors of a pool that long-running tasks leave to short ones, in
@@ -438,7 +463,11 @@
 func (rd *round) placeTask(tk *task, ix int) *attempt {
 	wk := rd.workers[ix]
 	rd.startsLeft--
+	before := max(0, wk.free.MilliCores)
 	at := rd.dr.reserve(tk, wk, rd.dr.nextRun(tk))
+	if free, ok := rd.freeOf[wk.info.Pool]; ok {
+		rd.freeOf[wk.info.Pool] = free + max(0, wk.free.MilliCores) - before
+	}
 	rd.dr.starting[at] = struct{}{}
 	if tk.step.spec.LongRunning {
 		rd.longRunning = append(rd.longRunning, at)
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -122,10 +122,10 @@
 	// ending is what is reserved for tasks that are not long-running.
 	ending               modeler.Resources
 	bestEffortMilliCores int64
-	// criticalImages and bestEffortImages count the latency-critical and the best-effort tasks by
-	// image.
-	criticalImages, bestEffortImages map[string]int
-	attempts                         map[attemptKey]*attempt
+	// criticalImages counts the latency-critical tasks by image, bestEffortImages has the best-effort ones.
+	criticalImages   map[string]int
+	bestEffortImages map[string]imageLoad
+	attempts         map[attemptKey]*attempt
 	// criticalAttempts holds those of attempts that are latency-critical.
 	criticalAttempts []*attempt
 	// startQueue holds attempts whose starts are to be sent, by startSenders goroutines.
@@ -149,8 +149,8 @@
 	noStartsBefore time.Time
 	// pace is the pace of the best-effort tasks on the worker.
 	pace pacer.Pace
-	// checkedAt is when checkRuns last looked at the runs.
-	checkedAt time.Time
+	// checkedAt is when checkRuns last looked at the runs, observedAt when observeInterference last did.
+	checkedAt, observedAt time.Time
 	// usage is bestEffortUsage of the last report. Measures change with reports alone.
 	usage []estimator.Usage
 	// predictions holds predictions for best-effort tasks by image, see recentPrediction.
@@ -160,6 +160,12 @@
 	contention *placer.Contention
 }
 
+// imageLoad is what the tasks of one image on a worker need together.
+type imageLoad struct {
+	tasks      int
+	milliCores int64
+}
+
 // fence returns the fencing token of requests to a worker.
 func (dr *Director) fence(wk *worker) modeler.Fence {
 	return modeler.NewFence(dr.op.Epoch, wk.fenceRises)
@@ -242,7 +248,7 @@
 	if wk == nil {
 		wk = &worker{
 			attempts: map[attemptKey]*attempt{}, unexpectedStops: map[attemptKey]*unexpectedStop{}, unansweredStarts: map[attemptKey]time.Time{},
-			criticalImages: map[string]int{}, bestEffortImages: map[string]int{}, predictions: map[string]*prediction{}, fenceRises: dr.droppedFenceRises,
+			criticalImages: map[string]int{}, bestEffortImages: map[string]imageLoad{}, predictions: map[string]*prediction{}, fenceRises: dr.droppedFenceRises,
 		}
 		wk.info = *info
 		wk.free = info.Capacity
@@ -654,11 +660,6 @@
 
 // countTask adds the change, 1 or -1, to the worker's counters for tasks of the step.
 func (wk *worker) countTask(spec *modeler.Step, change int) {
-	count := func(images map[string]int) {
-		if images[spec.Image] += change; images[spec.Image] == 0 {
-			delete(images, spec.Image)
-		}
-	}
 	if reserved := placer.Reservation(spec.Needs, spec.BestEffort); !spec.LongRunning && change > 0 {
 		wk.ending = wk.ending.Plus(reserved)
 	} else if !spec.LongRunning {
@@ -667,11 +668,18 @@
 	if spec.BestEffort {
 		wk.bestEffortTasks += change
 		wk.bestEffortMilliCores += int64(change) * spec.Needs.MilliCores
-		count(wk.bestEffortImages)
+		il := wk.bestEffortImages[spec.Image]
+		il.tasks += change
+		il.milliCores += int64(change) * spec.Needs.MilliCores
+		if wk.bestEffortImages[spec.Image] = il; il.tasks == 0 {
+			delete(wk.bestEffortImages, spec.Image)
+		}
 	}
 	if spec.TailTarget > 0 {
 		wk.criticalTasks += change
 		wk.criticalMilliCores += int64(change) * spec.Needs.MilliCores
-		count(wk.criticalImages)
+		if wk.criticalImages[spec.Image] += change; wk.criticalImages[spec.Image] == 0 {
+			delete(wk.criticalImages, spec.Image)
+		}
 	}
 }
