--- a/internal/job/director/load_bench_test.go
+++ b/internal/job/director/load_bench_test.go
@@ -5,17 +5,26 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net/http/httptest"
+	"net/netip"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
+	fleetmodeler "github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/job/director"
+	"github.com/currantrouter/currantrouter/internal/job/elector"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/relayer"
+	"github.com/currantrouter/currantrouter/internal/request/prober"
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
+	"github.com/currantrouter/currantrouter/internal/telemetry/reporter"
 	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
 )
 
 // quickWorkers are workers that cost little processor time, so that a benchmark measures the director. They
@@ -125,6 +134,33 @@
 	// criticalJobs of 24 latency-critical tasks run from the beginning.
 	criticalJobs int
 	length       time.Duration
+	// relays is the number of hosts that carry out requests to workers, over HTTP.
+	relays int
+}
+
+// startRelays returns a client whose requests are carried out by relays in this process.
+func startRelays(tb testing.TB, workers director.WorkerClient, relays int) *relayer.Client {
+	suspended := func() time.Duration { return 0 }
+	var hosts []relayer.Host
+	pool := elector.NewClientPool(prober.DialHTTP)
+	for ix := range relays {
+		server := relayer.NewServer(relayer.ServerOptions{
+			Client: workers, KnownEpoch: func() modeler.Epoch { return 1 }, SuspendedTime: suspended, Log: logr.Discard(), Meter: meter.New(nil),
+		})
+		ts := httptest.NewServer(messenger.NewRelayServer(server))
+		tb.Cleanup(ts.Close)
+		tb.Cleanup(server.Close)
+		address, err := netip.ParseAddrPort(ts.Listener.Addr().String())
+		qt.Assert(tb, err, qt.IsNil)
+		hosts = append(hosts, relayer.Host{Name: fleetmodeler.HostName(fmt.Sprint("relay-", ix)), DataCentre: "z", Address: address, Weight: 800})
+	}
+	cl := relayer.NewClient(relayer.Options{
+		Epoch: 1, Host: "leader", Boot: "boot", Weight: 800, MaySend: func() bool { return true }, SuspendedTime: suspended,
+		Hosts: func() []relayer.Host { return hosts }, Dial: pool.DialRelay, Direct: workers,
+		Invalid: reporter.New(logr.Discard(), meter.New(nil)), Log: logr.Discard(), Meter: meter.New(nil),
+	})
+	go cl.Run(tb.Context())
+	return cl
 }
 
 // loadResult is what a load has cost.
@@ -160,8 +196,12 @@
 	}
 	lg, err := logger.New(io.Discard, "json")
 	qt.Assert(tb, err, qt.IsNil)
+	var client director.WorkerClient = qw
+	if ll.relays > 0 {
+		client = startRelays(tb, qw, ll.relays)
+	}
 	dr := director.New(director.Options{
-		Epoch: 1, WorkerClient: qw, Journal: emptyJournal{}, Configuration: func() *modeler.Configuration { return fl.config },
+		Epoch: 1, WorkerClient: client, Journal: emptyJournal{}, Configuration: func() *modeler.Configuration { return fl.config },
 		MaySendRequests: func() bool { return true }, Limits: testLimits, Log: lg, Meter: fl.registry,
 	})
 	ctx, cancel := context.WithCancel(tb.Context())
@@ -221,13 +261,14 @@
 }
 
 // BenchmarkLargeLoad plays ten seconds of a deployment with 1,100 workers, about 2,550 starts a second. It reports the
-// processor time for each start.
+// processor time for each start. With relays, that of the relays is included.
 func BenchmarkLargeLoad(b *testing.B) {
 	for _, ll := range []largeLoad{
 		{workers: 1100, perSecond: 42.55, criticalImages: 5, bestEffortImages: 9},
 		{workers: 1100, perSecond: 42.55, criticalImages: 16, bestEffortImages: 30, criticalJobs: 200},
+		{workers: 1100, perSecond: 42.55, criticalImages: 16, bestEffortImages: 30, criticalJobs: 200, relays: 7},
 	} {
-		b.Run(fmt.Sprintf("%d_images,_%d_critical_tasks_before", ll.criticalImages+ll.bestEffortImages, 24*ll.criticalJobs), func(b *testing.B) {
+		b.Run(fmt.Sprintf("%d_images,_%d_critical_tasks_before,_%d_relays", ll.criticalImages+ll.bestEffortImages, 24*ll.criticalJobs, ll.relays), func(b *testing.B) {
 			ll.length = 10 * time.Second
 			for b.Loop() {
 				rs := ll.play(b)
