--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -135,10 +135,10 @@
 	missed map[demandClass]turn
 }
 
-// rankedStep is a waiting step with its key for sorting.
+// rankedStep is a waiting step with its place in the order of urgency.
 type rankedStep struct {
 	step *step
-	rank ranker.WaitingStep
+	rank ranker.Rank
 }
 
 // demandClass is an equivalence class of demands, as in Borg, but without the amount of their
@@ -162,11 +162,13 @@
 // accept tasks.
 func (dr *Director) newRound(now time.Time) *round {
 	rd := &round{dr: dr, now: now, maxHeld: maxHeldWorkers, heldFor: map[int]modeler.Resources{}, headroomOf: map[modeler.PoolName]int64{}, freeOf: map[modeler.PoolName]int64{}, capacityOf: map[modeler.PoolName]modeler.Resources{}, unplaceable: map[demandClass][]modeler.Resources{}, missed: map[demandClass]turn{}, forecasts: map[string]*forecast{}, selections: map[selectionKey]*selection{}}
+	rd.steps = make([]rankedStep, 0, len(dr.waitingSteps))
 	for sp := range dr.waitingSteps {
-		rd.steps = append(rd.steps, rankedStep{sp, dr.waitingStep(sp)})
+		ws := dr.waitingStep(sp)
+		rd.steps = append(rd.steps, rankedStep{sp, ws.Rank(now)})
 	}
 	slices.SortFunc(rd.steps, func(one, two rankedStep) int {
-		if order := ranker.Compare(&one.rank, &two.rank, now); order != 0 {
+		if order := one.rank.Compare(&two.rank); order != 0 {
 			return order
 		}
 		return cmp.Compare(one.step.occ.job.ID, two.step.occ.job.ID)
@@ -207,7 +209,7 @@
 func (rd *round) placeSteps() {
 	steps := rd.placeAged()
 	agedMisses, available := rd.misses, rd.startsLeft
-	if slices.ContainsFunc(steps, func(rs rankedStep) bool { return rs.rank.LongRunning }) {
+	if slices.ContainsFunc(steps, func(rs rankedStep) bool { return rs.step.spec.LongRunning }) {
 		rd.startsKept = min(int(rd.dr.keptStarts), available)
 	}
 	overtaken := rd.placePass(steps, maxMisses)
@@ -216,7 +218,7 @@
 	rd.startsKept = 0
 	var longRunning, others []rankedStep
 	for _, rs := range overtaken {
-		if rs.rank.LongRunning {
+		if rs.step.spec.LongRunning {
 			longRunning = append(longRunning, rs)
 		} else {
 			others = append(others, rs)
--- a/internal/job/ranker/ranker.go
+++ b/internal/job/ranker/ranker.go
@@ -58,14 +58,24 @@
 	return Overdue
 }
 
-// Compare orders steps by priority, then by deadline class, then by the latest start with which
-// they meet their objectives. It returns a negative number if the first step goes first.
-func Compare(one, two *WaitingStep, now time.Time) int {
-	return cmp.Or(
-		cmp.Compare(one.Priority, two.Priority),
-		cmp.Compare(one.DeadlineClass(now), two.DeadlineClass(now)),
-		one.latestStart().Compare(two.latestStart()),
-	)
+// Rank is the place of a step in the order of urgency at one time.
+type Rank struct {
+	// Priority is that of the step, Class its DeadlineClass.
+	Priority int
+	Class    DeadlineClass
+	// LatestStart is when the step has to start for its job to meet the objective.
+	LatestStart time.Time
+}
+
+// Rank returns the step's place in the order.
+func (ws *WaitingStep) Rank(now time.Time) Rank {
+	return Rank{ws.Priority, ws.DeadlineClass(now), ws.latestStart()}
+}
+
+// Compare orders ranks by priority, then by deadline class, then by the latest start with which
+// the steps meet their objectives. It returns a negative number if the first step goes first.
+func (rk *Rank) Compare(other *Rank) int {
+	return cmp.Or(cmp.Compare(rk.Priority, other.Priority), cmp.Compare(rk.Class, other.Class), rk.LatestStart.Compare(other.LatestStart))
 }
 
 func (ws *WaitingStep) latestStart() time.Time { return ws.Submitted.Add(ws.Objective - ws.Remaining) }
--- a/internal/job/ranker/ranker_test.go
+++ b/internal/job/ranker/ranker_test.go
@@ -29,7 +29,10 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			steps := []WaitingStep{tc.second, tc.first}
-			slices.SortFunc(steps, func(one, two WaitingStep) int { return Compare(&one, &two, now) })
+			slices.SortFunc(steps, func(one, two WaitingStep) int {
+				first, second := one.Rank(now), two.Rank(now)
+				return first.Compare(&second)
+			})
 			qt.Check(t, steps[0], qt.Equals, tc.first)
 		})
 	}
