internal/job/director: starved tasks choose among few workers too

The same cause elsewhere: a round tried up to 24 tasks of jobs without a run on all workers. They use a selection as others do. Choices among all workers (permits, gangs, placements in advance, tasks that fit nowhere) count as computed costs. TestStarvedTasksExamineFewWorkers: 23,040 costs before, at most 120 now.

--- a/internal/job/director/advance.go
+++ b/internal/job/director/advance.go
@@ -67,7 +67,7 @@
 			cands[ix].Excluded = !ok || wk.info.Pool != pool || slices.Contains(dm.Avoid, wk.info.ID)
 			cands[ix].Free, cands[ix].SameStepTasks = wk.free.Plus(freed), sp.perWorker[wk.info.ID]
 		}
-		ix := placer.Choose(&dm, rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &dm, cands))
+		ix := rd.chooseAmong(&dm, rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &dm, cands))
 		if ix < 0 {
 			return false
 		}
--- a/internal/job/director/gang.go
+++ b/internal/job/director/gang.go
@@ -60,7 +60,7 @@
 		dm.Rack = rack
 		placedCount := int64(len(chosen))
 		dm.Headroom, dm.PoolSlots = first.Headroom-placedCount*dm.Needs.MilliCores, first.PoolSlots-placedCount
-		ix := placer.Choose(&dm, cands)
+		ix := rd.chooseAmong(&dm, cands)
 		if ix < 0 {
 			return nil
 		}
--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -336,7 +336,7 @@
 // avoids, as the limit of failed runs, for which they are avoided, does not apply to it.
 func (rd *round) choose(tk *task, dm *placer.Demand) (int, bool) {
 	cands := rd.excludeUnpermitted(tk.step, rd.dr.queue(tk.step.occ.job), dm, rd.cands)
-	ix := placer.Choose(dm, cands)
+	ix := rd.chooseAmong(dm, cands)
 	mayReturn := dm.LongRunning && len(dm.Avoid) > 0 && rd.now.Sub(tk.lastActive) > maxAvoidTime
 	if ix < 0 && dm.LongRunning && (len(rd.held) > 0 || mayReturn) {
 		rd.freeHeld()
@@ -346,7 +346,7 @@
 		}
 		rd.applyForecast(dm)
 		cands = rd.excludeUnpermitted(tk.step, rd.dr.queue(tk.step.occ.job), dm, rd.cands)
-		ix = placer.Choose(dm, cands)
+		ix = rd.chooseAmong(dm, cands)
 	}
 	if ix < 0 {
 		rd.noteMiss(tk, dm, cands)
--- a/internal/job/director/selection.go
+++ b/internal/job/director/selection.go
@@ -15,6 +15,7 @@
 	label, rack string
 	image       string
 	bestEffort  bool
+	starved     bool
 	longRunning bool
 	// step is set for a step with a limit per worker, which counts only its own tasks.
 	step *step
@@ -49,7 +50,7 @@
 	if dm.LongRunning && !placer.AllowsLongRunning(dm) || rd.dr.queue(sp.occ.job).Policy != nil {
 		return -1
 	}
-	key := selectionKey{pool: rd.pool, needs: dm.Needs, label: dm.Label, rack: dm.DataRack, bestEffort: dm.BestEffort, longRunning: dm.LongRunning}
+	key := selectionKey{pool: rd.pool, needs: dm.Needs, label: dm.Label, rack: dm.DataRack, bestEffort: dm.BestEffort, starved: dm.Starved, longRunning: dm.LongRunning}
 	if usesForecast(dm) {
 		key.image = dm.Image
 	}
@@ -74,6 +75,12 @@
 	return best
 }
 
+// chooseAmong returns the index of the best candidate for a demand, or -1 if none is feasible. It looks at each of them.
+func (rd *round) chooseAmong(dm *placer.Demand, cands []placer.Candidate) int {
+	rd.dr.usage.costsComputed += len(cands)
+	return placer.Choose(dm, cands)
+}
+
 // newSelection returns a selection that has examined no candidate. It begins where the last one ended, so that
 // selections share the workers.
 func (rd *round) newSelection() *selection {
--- a/internal/job/director/selection_test.go
+++ b/internal/job/director/selection_test.go
@@ -122,3 +122,23 @@
 		rd.placeTask(sp.waiting[0], full)
 	}
 }
+
+// Guards against a round that looks at all workers for each starved job.
+func TestStarvedTasksExamineFewWorkers(t *testing.T) {
+	const jobs = maxStarvedAttempts
+	dr := newBacklog(10*sufficientCandidates, jobs, func(int) modeler.Step {
+		return modeler.Step{Count: 2, Needs: modeler.Resources{MilliCores: 1000}, Image: "image", BestEffort: true}
+	})
+	for _, wk := range dr.workers {
+		wk.free = wk.info.Capacity
+	}
+	for _, jb := range dr.jobs {
+		jb.occurrences[0].due = time.Now().Add(-2 * starvationTimeout)
+	}
+	rd := dr.newRound(time.Now())
+	rd.startsLeft = 2 * jobs
+	rd.placeStarved()
+	qt.Check(t, rd.startsLeft, qt.Equals, jobs)
+	// All jobs need the same, so that they share what was examined.
+	qt.Check(t, dr.usage.costsComputed <= sufficientCandidates+jobs, qt.IsTrue, qt.Commentf("%d costs", dr.usage.costsComputed))
+}
--- a/internal/job/director/starvation.go
+++ b/internal/job/director/starvation.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
-	"github.com/currantrouter/currantrouter/internal/job/placer"
 )
 
 const (
@@ -67,9 +66,13 @@
 		sp.starvedAttemptAt = rd.now
 		dm := rd.dr.demand(tk)
 		dm.Starved = true
-		rd.countSameStep(sp)
-		rd.applyForecast(&dm)
-		if ix := placer.Choose(&dm, rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &dm, rd.cands)); ix >= 0 {
+		ix := rd.chooseQuickly(sp, &dm)
+		if queue := rd.dr.queue(sp.occ.job); ix < 0 && queue.Policy != nil {
+			rd.countSameStep(sp)
+			rd.applyForecast(&dm)
+			ix = rd.chooseAmong(&dm, rd.excludeUnpermitted(sp, queue, &dm, rd.cands))
+		}
+		if ix >= 0 {
 			rd.placeTask(tk, ix)
 		}
 		return
