--- a/internal/job/leader/cluster_test.go
+++ b/internal/job/leader/cluster_test.go
@@ -84,6 +84,8 @@
 	triedAt map[modeler.TaskID]time.Time
 	// late is set while a third of the requests to workers is carried out late.
 	late bool
+	// leadsLargeFleet holds what the leaders of hosts last told of their fleets.
+	leadsLargeFleet map[int]bool
 	// epochs are the epochs that began.
 	epochs []epochBegin
 }
@@ -138,7 +140,7 @@
 }
 
 func newCluster(t testing.TB, hosts, workers int, seed uint64) *cluster {
-	cl := &cluster{t: t, dataCentre: "z", faults: new(emulator.Faults), limits: testLimits, rnd: rand.New(rand.NewPCG(seed, 2)), jobs: map[modeler.JobID]*modeler.Job{}, triedAt: map[modeler.TaskID]time.Time{}}
+	cl := &cluster{t: t, dataCentre: "z", faults: new(emulator.Faults), limits: testLimits, rnd: rand.New(rand.NewPCG(seed, 2)), jobs: map[modeler.JobID]*modeler.Job{}, triedAt: map[modeler.TaskID]time.Time{}, leadsLargeFleet: map[int]bool{}}
 	cl.relays = strings.Contains(t.Name(), "WithRelays")
 	cl.store = emulator.NewStore(cl.faults)
 	cl.store.WaitLimit = watchLimit
@@ -322,7 +324,7 @@
 	pr.subscriber = subscriber.New(st, subscriber.ConfigurationEntry{Key: queuesKey, Decode: decodeQueues}, dial, lg, rg)
 	pr.leader = leader.New(leader.Options{
 		Self: self, Store: st, Registry: leader.Registry{Prefix: registryPrefix, Decode: decodeWorker}, WorkerClient: &hostWorkers{pr}, DialRelay: dialRelay,
-		Limits: cl.limits, Configuration: pr.subscriber.Current, SuspendedTime: func() time.Duration { return 0 }, Log: lg, Meter: rg,
+		OnLargeFleet: func(leads bool) { cl.noteLargeFleet(ix, leads) }, Limits: cl.limits, Configuration: pr.subscriber.Current, SuspendedTime: func() time.Duration { return 0 }, Log: lg, Meter: rg,
 	})
 	var seeds []netip.AddrPort
 	for other := range cl.hosts {
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -106,8 +106,11 @@
 	// DialRelay returns the client for another host that may relay requests to workers. If it is nil, this host
 	// sends all of them.
 	DialRelay func(address netip.AddrPort) messenger.Relay
-	Policy    director.Policy
-	Limits    director.Limits
+	// OnLargeFleet is called with true when this host leads a fleet that needs relays, and with false when it does no
+	// more. It may be nil.
+	OnLargeFleet func(leads bool)
+	Policy       director.Policy
+	Limits       director.Limits
 	// Configuration returns the configuration in force, or nil.
 	Configuration func() *modeler.Configuration
 	// SuspendedTime returns how long this machine has been suspended since the process started.
@@ -204,7 +207,7 @@
 	}
 	return relayer.NewClient(relayer.Options{
 		Epoch: epoch, Host: self.Host, Boot: self.Boot, Weight: self.Weight, MaySend: au.valid, SuspendedTime: ld.op.SuspendedTime,
-		Hosts: hosts, Dial: ld.op.DialRelay, Direct: ld.op.WorkerClient, Invalid: ld.invalidEntries, Log: ld.op.Log, Meter: ld.op.Meter,
+		Hosts: hosts, Dial: ld.op.DialRelay, Direct: ld.op.WorkerClient, OnRelays: ld.op.OnLargeFleet, Invalid: ld.invalidEntries, Log: ld.op.Log, Meter: ld.op.Meter,
 	})
 }
 
--- a/internal/job/leader/relay_test.go
+++ b/internal/job/leader/relay_test.go
@@ -61,6 +61,33 @@
 	}
 }
 
+// noteLargeFleet notes whether a host leads a large fleet.
+func (cl *cluster) noteLargeFleet(ix int, leads bool) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.leadsLargeFleet[ix] = leads
+}
+
+// assertLargeFleet checks whether a host leads a large fleet.
+func (cl *cluster) assertLargeFleet(ix int, leads bool) {
+	cl.t.Helper()
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	qt.Check(cl.t, cl.leadsLargeFleet[ix], qt.Equals, leads)
+}
+
+// Guards against a host that goes on as the leader of a large fleet after its term.
+func TestLargeFleetIsNotedWithRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 3, 6, 1)
+		defer cl.stop()
+		lead, _ := cl.startTask(true)
+		cl.assertLargeFleet(lead, true)
+		cl.drainHost(lead)
+		cl.assertLargeFleet(lead, false)
+	})
+}
+
 // Guards against a leader of a small fleet that uses relays.
 func TestSmallFleet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -69,6 +96,7 @@
 		lead, where := cl.startTask(true)
 		qt.Check(t, where, qt.Not(qt.Equals), modeler.WorkerID(""))
 		qt.Check(t, cl.process(lead).registry.Value(meter.RequestsRelayed), qt.Equals, int64(0))
+		cl.assertLargeFleet(lead, false)
 	})
 }
 
--- a/internal/job/relayer/client.go
+++ b/internal/job/relayer/client.go
@@ -55,6 +55,8 @@
 	Dial func(address netip.AddrPort) messenger.Relay
 	// Direct sends requests from this host.
 	Direct WorkerClient
+	// OnRelays is called with true when relays begin to be used, and with false when they end. It may be nil.
+	OnRelays func(used bool)
 	// Invalid reports invalid messages.
 	Invalid *reporter.Reporter
 	Log     logr.Logger
@@ -93,6 +95,7 @@
 	var links sync.WaitGroup
 	defer links.Wait()
 	defer cancel()
+	defer cl.noteRelays(false)
 	pauser.Every(ctx, refreshInterval, func(ctx context.Context) { cl.refresh(ctx, &links) })
 }
 
@@ -124,6 +127,7 @@
 		}
 	}
 	cl.relays, cl.links = relays, links
+	cl.noteRelays(len(relays) > 0)
 	names := make([]fleet.HostName, len(relays))
 	for ix, hs := range relays {
 		names[ix] = hs.Name
@@ -131,6 +135,13 @@
 	logger.Log(cl.op.Log, logger.RelaysChosen, "Workers", len(cl.renewedAt), "Weight", cl.op.Weight, "Hosts", len(hosts), "Relays", names)
 }
 
+// noteRelays tells whether relays are used.
+func (cl *Client) noteRelays(used bool) {
+	if cl.op.OnRelays != nil {
+		cl.op.OnRelays(used)
+	}
+}
+
 // linkFor returns the link by which requests to a worker go, or nil if this host sends them.
 func (cl *Client) linkFor(wk *modeler.Worker) *link {
 	now := time.Now()
