--- a/internal/job/director/load_bench_test.go
+++ b/internal/job/director/load_bench_test.go
@@ -260,15 +260,16 @@
 	return result
 }
 
-// BenchmarkLargeLoad plays ten seconds of a deployment with 1,100 workers, about 2,550 starts a second. It reports the
+// BenchmarkLargeLoad plays ten seconds of a large deployment, about 2,550 starts a second. It reports the
 // processor time for each start. With relays, that of the relays is included.
 func BenchmarkLargeLoad(b *testing.B) {
 	for _, ll := range []largeLoad{
 		{workers: 1100, perSecond: 42.55, criticalImages: 5, bestEffortImages: 9},
 		{workers: 1100, perSecond: 42.55, criticalImages: 16, bestEffortImages: 30, criticalJobs: 200},
 		{workers: 1100, perSecond: 42.55, criticalImages: 16, bestEffortImages: 30, criticalJobs: 200, relays: 7},
+		{workers: 3300, perSecond: 42.55, criticalImages: 16, bestEffortImages: 30, criticalJobs: 200},
 	} {
-		b.Run(fmt.Sprintf("%d_images,_%d_critical_tasks_before,_%d_relays", ll.criticalImages+ll.bestEffortImages, 24*ll.criticalJobs, ll.relays), func(b *testing.B) {
+		b.Run(fmt.Sprintf("%d_workers,_%d_images,_%d_critical_tasks_before,_%d_relays", ll.workers, ll.criticalImages+ll.bestEffortImages, 24*ll.criticalJobs, ll.relays), func(b *testing.B) {
 			ll.length = 10 * time.Second
 			for b.Loop() {
 				rs := ll.play(b)
