internal/job/director: why a task waits leaves the held workers as they are

fitsHeldWorker, which only names the reason why a task waits, held workers again that choose had freed to see whether a task that avoids workers would fit on one of them.

--- a/internal/job/director/contention.go
+++ b/internal/job/director/contention.go
@@ -59,10 +59,11 @@
 	var groups []placer.WorkerGroup
 	groupIndex := map[string]int{}
 	groupOf := make([]int, len(rd.workers))
-	tolerance, tolerable := newTolerance(dr.model, images), make([]bool, len(images))
+	to, tolerable := newTolerance(dr.model, images), make([]bool, len(images))
+	// key is the pool of a worker and whether it tolerates each image.
 	var key []byte
 	for ix, wk := range rd.workers {
-		tolerance.of(wk, tolerable)
+		to.of(wk, tolerable)
 		key = append(key[:0], wk.info.Pool...)
 		for _, ok := range tolerable {
 			if ok {
--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -255,7 +255,8 @@
 	// invalid reports malformed facts and reports.
 	invalid         *reporter.Reporter
 	summaryLoggedAt time.Time
-	usage           usage
+	// usage is what the work has cost since the last line on it.
+	usage usage
 	// rounds is the number of placement rounds, roundAt the time of the last one, and roundEnd why the
 	// steps that it did not reach had no turn.
 	rounds   int64
--- a/internal/job/director/forecast.go
+++ b/internal/job/director/forecast.go
@@ -36,7 +36,7 @@
 	// confounded is set when another untried best-effort image runs there already, so that the
 	// result of a trial would be shared.
 	confounded bool
-	// at is when the prediction was made.
+	// at is when the prediction was made. It is set only for best-effort tasks.
 	at    time.Time
 	valid bool
 }
@@ -136,7 +136,6 @@
 	pr := &fc.predictions[ix]
 	if !pr.valid {
 		*pr = rd.dr.predictCritical(rd.workers[ix], dm.Image)
-		pr.at = rd.now
 	}
 	return pr
 }
--- a/internal/job/director/waiting.go
+++ b/internal/job/director/waiting.go
@@ -277,10 +277,11 @@
 
 // fitsHeldWorker reports whether a demand would fit on a worker that the round keeps free.
 func (rd *round) fitsHeldWorker(dm *placer.Demand, cands []placer.Candidate) bool {
-	rd.freeHeld()
-	defer rd.holdAgain()
 	return slices.ContainsFunc(rd.held, func(ix int) bool {
 		cd := &rd.cands[ix]
+		free := cd.Free
+		defer func() { cd.Free = free }()
+		cd.Free = rd.workers[ix].free
 		if cands[ix].Excluded || !placer.HasCapacity(dm, cd) {
 			return false
 		}
