--- a/internal/config/loader/settings.go
+++ b/internal/config/loader/settings.go
@@ -38,8 +38,6 @@
 	Share float64
 	// Speed is the speed of the core relative to other hosts.
 	Speed float64
-	// MemoryMB is the memory that the host may use, zero if it is not known.
-	MemoryMB int64
 }
 
 // JobSettings configure the scheduling of callers' jobs on the users' platform.
--- a/internal/config/loader/table.go
+++ b/internal/config/loader/table.go
@@ -105,10 +105,6 @@
 		"Host", "Speed", "FACTOR", "1", "", "Speed of the core relative to other hosts.", allowedFactor,
 		optional, func(st *Settings, val string) bool { return setFactor(&st.Host.Speed, val) },
 	},
-	{
-		"Host", "MemoryMB", "COUNT", "", "", "Memory that this host may use, in MB. If it is given, a leader of a large fleet collects garbage less often.", allowedCount,
-		optional, func(st *Settings, val string) bool { return setCount(&st.Host.MemoryMB, val) },
-	},
 	{
 		"Listen", "Callers", "ADDRESS", "", "127.0.0.1:7480", "Address of the callers' interface.", allowedAddress,
 		requiredAlways, func(st *Settings, val string) bool { return setAddress(&st.Listen.Callers, val) },
--- a/internal/process/collector/collector.go
+++ b/internal/process/collector/collector.go
@@ -6,6 +6,8 @@
 	"math"
 	"runtime/debug"
 	"sync"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -27,6 +29,15 @@
 	busy bool
 }
 
+// HostMemory returns the memory of this host in bytes, or zero if the system does not tell.
+func HostMemory() int64 {
+	var si unix.Sysinfo_t
+	if unix.Sysinfo(&si) != nil {
+		return 0
+	}
+	return int64(si.Totalram) * int64(si.Unit)
+}
+
 // New returns a collector for a host with the memory, in bytes, zero if that is not known. The process collects as usual
 // until it is busy.
 func New(memory int64) *Collector { return &Collector{memory: memory} }
--- a/internal/process/collector/collector_test.go
+++ b/internal/process/collector/collector_test.go
@@ -16,6 +16,11 @@
 	qt.Check(t, debug.SetMemoryLimit(-1), qt.Equals, limit)
 }
 
+// Guards against a host whose memory is not known, so that a leader of a large fleet collects as often as any other.
+func TestHostMemory(t *testing.T) {
+	qt.Check(t, HostMemory() > 64<<20, qt.IsTrue)
+}
+
 // Guards against a busy process that grows beyond its host's memory, and against one that is not busy any more and goes
 // on with much garbage.
 func TestSetBusy(t *testing.T) {
