internal/job/director: a job counts as begun once a run of it is known to have begun

The job counted as begun as a start was about to be sent, and went on so when the worker refused it. Now it does when the worker accepts a start or lists a run or its end.

--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -579,6 +579,7 @@
 // markActive notes that the run was accepted or reported.
 func (at *attempt) markActive(now time.Time) {
 	at.state = active
+	at.task.step.occ.job.started = true
 	at.task.wait = waitState{}
 	if at.answeredAt.IsZero() {
 		at.answeredAt = now
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -112,7 +112,6 @@
 			continue
 		}
 		at.state, at.sentAt, at.fence = sent, time.Now(), dr.fence(wk)
-		at.task.step.occ.job.started = true
 		at.checkpoint = at.task.checkpoint
 		return at, &modeler.StartRequest{
 			Task: at.task.id(), Run: at.run, Spec: at.task.step.occ.job.Spec, Fence: at.fence,
