internal/job/director: a restarted worker gets no starts by the entry of its earlier incarnation

A worker's first answer after a restart opened it for starts at once, while the registry's entry of its earlier incarnation, with other labels and another capacity, was still the known one. Now it gets none until its entry names another incarnation than before, also if the restart was before the term. TestRestartAsAnotherKind failed before.

--- /dev/null
+++ b/internal/job/director/reborn_worker_test.go
@@ -0,0 +1,64 @@
+package director_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+)
+
+// Guards against tasks that start on a restarted worker by the labels of its earlier incarnation.
+func TestRestartAsAnotherKind(t *testing.T) {
+	task := modeler.TaskID{Job: "j1"}
+	submit := func(tm *term, label string) {
+		jb := simpleJob("j1", "urgent", 1, cores(1000))
+		jb.Steps[0].Label = label
+		tm.submit(jb)
+	}
+	restart := func(fl *fleet) modeler.Worker {
+		fl.workers.Crash("worker-00")
+		info := workerInfo(0)
+		info.Labels = []string{"kind-b"}
+		return fl.workers.Add(info)
+	}
+	t.Run("during a term", func(t *testing.T) {
+		run(t, 1, func(fl *fleet, tm *term) {
+			sleep(time.Second)
+			info := restart(fl)
+			sleep(time.Second)
+			submit(tm, "kind-a")
+			sleep(3 * time.Second)
+			qt.Check(t, fl.workers.StartCount(task), qt.Equals, 0)
+			tm.UpdateWorker(info)
+			sleep(3 * time.Second)
+			qt.Check(t, fl.workers.StartCount(task), qt.Equals, 0)
+		})
+	})
+	t.Run("before a term", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			fl := newFleet(t, 1)
+			sleep(time.Second)
+			info := restart(fl)
+			tm := fl.startTerm(0)
+			defer tm.end()
+			submit(tm, "kind-a")
+			sleep(3 * time.Second)
+			qt.Check(t, fl.workers.StartCount(task), qt.Equals, 0)
+			tm.UpdateWorker(info)
+			sleep(3 * time.Second)
+			qt.Check(t, fl.workers.StartCount(task), qt.Equals, 0)
+		})
+	})
+	t.Run("tasks for the new kind", func(t *testing.T) {
+		run(t, 1, func(fl *fleet, tm *term) {
+			sleep(time.Second)
+			tm.UpdateWorker(restart(fl))
+			submit(tm, "kind-b")
+			sleep(3 * time.Second)
+			tm.assertState("j1", modeler.Completed)
+		})
+	})
+}
--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -198,7 +198,7 @@
 
 // acceptsTasks reports whether a worker may get new tasks. The needs of deferred runs are not known.
 func (dr *Director) acceptsTasks(wk *worker, now time.Time) bool {
-	return wk.registered && wk.reported && wk.grantDurable && !wk.unreachable && wk.announcedAt.IsZero() && !wk.info.Draining && len(wk.deferredRuns) == 0 &&
+	return wk.registered && wk.reported && wk.grantDurable && !wk.unreachable && wk.announcedAt.IsZero() && !wk.entryOutdated && !wk.info.Draining && len(wk.deferredRuns) == 0 &&
 		!wk.faultHistory.Quarantined(now) && !now.Before(wk.noStartsBefore)
 }
 
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -94,6 +94,9 @@
 	// the worker has answered a later renewal. Until then, it gets neither starts nor a longer lease,
 	// and no ends are acknowledged.
 	announcedAt time.Time
+	// entryOutdated is set while info describes an earlier incarnation than the one that answers, which may have
+	// other labels and another capacity. It gets no starts until its own entry is known.
+	entryOutdated bool
 	// leaseEnd is the latest end of a lease that the worker may have received, on its clock, zero
 	// before the first answer.
 	leaseEnd time.Duration
@@ -262,6 +265,9 @@
 	if wk.incarnation != 0 && info.Incarnation != wk.incarnation && info.Incarnation != wk.info.Incarnation {
 		wk.announcedAt = time.Now()
 	}
+	if info.Incarnation == wk.incarnation || info.Incarnation != wk.info.Incarnation {
+		wk.entryOutdated = false
+	}
 	wk.info, wk.registered = *info, true
 	dr.startRenewing(wk)
 }
@@ -469,6 +475,7 @@
 		dr.log(logger.WorkerRestarted, "Worker", wk.info.ID, "Runs", len(wk.attempts))
 	}
 	first := wk.incarnation == 0
+	wk.entryOutdated = wk.info.Incarnation != 0 && wk.info.Incarnation != incarnation
 	wk.incarnation, wk.processedEnd, wk.ackedEnd, wk.leaseEnd = incarnation, 0, 0, 0
 	wk.faultHistory = appraiser.FaultHistory{}
 	if qf := wk.inheritedQuarantine; first && qf != nil && qf.Incarnation == incarnation {
