internal/job/director: the test of a start that arrives at once holds the leader's requests back

Traced: the worker's restart wakes a waiting renewal, whose answer lets the leader send the new incarnation a higher token, in parallel with the test's delivery of the start. The start then arrives late, which the next subtest is for.

--- a/internal/job/director/cancellation_test.go
+++ b/internal/job/director/cancellation_test.go
@@ -61,6 +61,26 @@
 	// req is the start, and worker the one that it was sent to.
 	req    *modeler.StartRequest
 	worker modeler.Worker
+	// gate is locked while renewals and stops are held back.
+	gate sync.RWMutex
+}
+
+// passGate waits while requests are held back.
+func (ls *lateStart) passGate() {
+	ls.gate.RLock()
+	defer ls.gate.RUnlock()
+}
+
+// Renew implements director.WorkerClient.
+func (ls *lateStart) Renew(ctx context.Context, wk *modeler.Worker, req *modeler.RenewRequest) (modeler.Report, error) {
+	ls.passGate()
+	return ls.WorkerClient.Renew(ctx, wk, req)
+}
+
+// Stop implements director.WorkerClient.
+func (ls *lateStart) Stop(ctx context.Context, wk *modeler.Worker, task modeler.TaskID, run modeler.Run, fence modeler.Fence) error {
+	ls.passGate()
+	return ls.WorkerClient.Stop(ctx, wk, task, run, fence)
 }
 
 // Start implements director.WorkerClient.
@@ -87,7 +107,8 @@
 }
 
 // restartAfterLateStart starts a job whose first start gets no answer, waits until its worker has
-// answered the stop of that run, and restarts the worker under the same ID.
+// answered the stop of that run, and restarts the worker under the same ID. Renewals and stops are held back, so that
+// none overtakes what the test does next, until gate is unlocked.
 func restartAfterLateStart(fl *fleet, tm *term) *lateStart {
 	tm.end()
 	ls := &lateStart{WorkerClient: fl.workers}
@@ -97,6 +118,7 @@
 	sleep(5 * time.Second)
 	tm.submit(longRunningJob("j1", "urgent", 1, cores(1000)))
 	sleep(700 * time.Millisecond)
+	ls.gate.Lock()
 	fl.workers.Crash(fl.infos[0].ID)
 	fl.infos[0] = fl.workers.Add(workerInfo(0))
 	return ls
@@ -109,6 +131,7 @@
 		run(t, 1, func(fl *fleet, tm *term) {
 			ls := restartAfterLateStart(fl, tm)
 			qt.Assert(fl.t, ls.deliver(fl.t.Context()), qt.IsNil)
+			ls.gate.Unlock()
 			sleep(100 * time.Millisecond)
 			tm.CancelJob("j1")
 			sleep(maxCancelTime)
@@ -118,6 +141,7 @@
 	t.Run("not cancelled, the start arrives late", func(t *testing.T) {
 		run(t, 1, func(fl *fleet, tm *term) {
 			ls := restartAfterLateStart(fl, tm)
+			ls.gate.Unlock()
 			fl.infos = append(fl.infos, fl.workers.Add(workerInfo(1)))
 			tm.UpdateWorker(fl.infos[1])
 			sleep(3 * time.Second)
@@ -127,6 +151,7 @@
 	t.Run("the worker restarts twice", func(t *testing.T) {
 		run(t, 1, func(fl *fleet, tm *term) {
 			ls := restartAfterLateStart(fl, tm)
+			ls.gate.Unlock()
 			fl.infos = append(fl.infos, fl.workers.Add(workerInfo(1)))
 			tm.UpdateWorker(fl.infos[1])
 			sleep(3 * time.Second)
@@ -175,7 +200,7 @@
 // and is gone since.
 func TestRestartedWorkerIsGone(t *testing.T) {
 	run(t, 1, func(fl *fleet, tm *term) {
-		restartAfterLateStart(fl, tm)
+		restartAfterLateStart(fl, tm).gate.Unlock()
 		fl.faults.Set(emulator.Switch{Fault: emulator.RequestLost, Part: emulator.PartWorkers, Operation: "Stop"})
 		sleep(time.Second)
 		fl.workers.Crash(fl.infos[0].ID)
