--- a/internal/job/director/reborn_worker_test.go
+++ b/internal/job/director/reborn_worker_test.go
@@ -24,17 +24,20 @@
 		info.Labels = []string{"kind-b"}
 		return fl.workers.Add(info)
 	}
+	assertNotStarted := func(fl *fleet, tm *term, info modeler.Worker) {
+		submit(tm, "kind-a")
+		sleep(3 * time.Second)
+		qt.Check(t, fl.workers.StartCount(task), qt.Equals, 0)
+		tm.UpdateWorker(info)
+		sleep(3 * time.Second)
+		qt.Check(t, fl.workers.StartCount(task), qt.Equals, 0)
+	}
 	t.Run("during a term", func(t *testing.T) {
 		run(t, 1, func(fl *fleet, tm *term) {
 			sleep(time.Second)
 			info := restart(fl)
 			sleep(time.Second)
-			submit(tm, "kind-a")
-			sleep(3 * time.Second)
-			qt.Check(t, fl.workers.StartCount(task), qt.Equals, 0)
-			tm.UpdateWorker(info)
-			sleep(3 * time.Second)
-			qt.Check(t, fl.workers.StartCount(task), qt.Equals, 0)
+			assertNotStarted(fl, tm, info)
 		})
 	})
 	t.Run("before a term", func(t *testing.T) {
@@ -44,12 +47,7 @@
 			info := restart(fl)
 			tm := fl.startTerm(0)
 			defer tm.end()
-			submit(tm, "kind-a")
-			sleep(3 * time.Second)
-			qt.Check(t, fl.workers.StartCount(task), qt.Equals, 0)
-			tm.UpdateWorker(info)
-			sleep(3 * time.Second)
-			qt.Check(t, fl.workers.StartCount(task), qt.Equals, 0)
+			assertNotStarted(fl, tm, info)
 		})
 	})
 	t.Run("tasks for the new kind", func(t *testing.T) {
