internal/job/director: one sum of a pool's processors for both kinds of headroom

Found on reading the change again: agedHeadroom added up all workers of the pool after each placement, beside the new sum of free processors, which placements keep up to date. Both now use that sum, which has the processors that become free as well. The two assertions on choices share what they have in common, and the imports of the benchmark are in two groups.

--- a/internal/job/director/aging.go
+++ b/internal/job/director/aging.go
@@ -144,17 +144,8 @@
 // agedHeadroom returns the processors of a pool beyond the reserve that long-running tasks leave, in
 // thousandths of a core.
 func (rd *round) agedHeadroom(pool modeler.PoolName) int64 {
-	if headroom, ok := rd.headroomOf[pool]; ok {
-		return headroom
-	}
-	var left int64
-	for _, wk := range rd.workers {
-		if wk.info.Pool == pool {
-			left += max(0, wk.free.MilliCores) + wk.ending.MilliCores
-		}
-	}
-	rd.headroomOf[pool] = left - rd.shortTaskReserve(pool)
-	return rd.headroomOf[pool]
+	pp := rd.processors(pool)
+	return pp.free + pp.ending - rd.shortTaskReserve(pool)
 }
 
 // shareHeldWorker adds a demand to those of a worker that is held already, and returns false if none has
--- a/internal/job/director/load_bench_test.go
+++ b/internal/job/director/load_bench_test.go
@@ -12,6 +12,9 @@
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
 	fleetmodeler "github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/job/director"
@@ -23,8 +26,6 @@
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 	"github.com/currantrouter/currantrouter/internal/telemetry/reporter"
-	qt "github.com/frankban/quicktest"
-	"github.com/go-logr/logr"
 )
 
 // quickWorkers are workers that cost little processor time, so that a benchmark measures the director. They
--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -105,10 +105,8 @@
 	heldFor map[int]modeler.Resources
 	// placingAged is set during the pass of the aged steps.
 	placingAged bool
-	// headroomOf holds the results of agedHeadroom since the last placement.
-	headroomOf map[modeler.PoolName]int64
-	// freeOf holds the results of freeProcessors.
-	freeOf map[modeler.PoolName]int64
+	// processorsOf holds the results of processors.
+	processorsOf map[modeler.PoolName]poolProcessors
 	// capacityOf holds the results of capacity.
 	capacityOf map[modeler.PoolName]modeler.Resources
 	// longRunning holds the placed attempts of long-running tasks.
@@ -161,7 +159,7 @@
 // newRound returns a round with the waiting steps, the most urgent first, and the workers that
 // accept tasks.
 func (dr *Director) newRound(now time.Time) *round {
-	rd := &round{dr: dr, now: now, maxHeld: maxHeldWorkers, heldFor: map[int]modeler.Resources{}, headroomOf: map[modeler.PoolName]int64{}, freeOf: map[modeler.PoolName]int64{}, capacityOf: map[modeler.PoolName]modeler.Resources{}, unplaceable: map[demandClass][]modeler.Resources{}, missed: map[demandClass]turn{}, forecasts: map[string]*forecast{}, selections: map[selectionKey]*selection{}}
+	rd := &round{dr: dr, now: now, maxHeld: maxHeldWorkers, heldFor: map[int]modeler.Resources{}, processorsOf: map[modeler.PoolName]poolProcessors{}, capacityOf: map[modeler.PoolName]modeler.Resources{}, unplaceable: map[demandClass][]modeler.Resources{}, missed: map[demandClass]turn{}, forecasts: map[string]*forecast{}, selections: map[selectionKey]*selection{}}
 	rd.steps = make([]rankedStep, 0, len(dr.waitingSteps))
 	for sp := range dr.waitingSteps {
 		ws := dr.waitingStep(sp)
@@ -424,22 +422,33 @@
 			slots += placer.FitCount(dm.Needs, wk.free)
 		}
 	}
-	return rd.freeProcessors(pool) - rd.shortTaskReserve(pool), slots
+	return rd.processors(pool).free - rd.shortTaskReserve(pool), slots
 }
 
-// freeProcessors returns the free processors of a pool, in thousandths of a core.
-func (rd *round) freeProcessors(pool modeler.PoolName) int64 {
-	if free, ok := rd.freeOf[pool]; ok {
-		return free
-	}
-	var free int64
-	for _, wk := range rd.workers {
-		if wk.info.Pool == pool {
-			free += max(0, wk.free.MilliCores)
+// poolProcessors are processors of a pool, in thousandths of a core.
+type poolProcessors struct {
+	// free are those that no run reserves, ending those that runs reserve which end by themselves.
+	free, ending int64
+}
+
+// add adds those of a worker, times 1 or -1.
+func (pp *poolProcessors) add(wk *worker, times int64) {
+	pp.free += times * max(0, wk.free.MilliCores)
+	pp.ending += times * wk.ending.MilliCores
+}
+
+// processors returns the processors of a pool. placeTask keeps them up to date.
+func (rd *round) processors(pool modeler.PoolName) poolProcessors {
+	pp, ok := rd.processorsOf[pool]
+	if !ok {
+		for _, wk := range rd.workers {
+			if wk.info.Pool == pool {
+				pp.add(wk, 1)
+			}
 		}
+		rd.processorsOf[pool] = pp
 	}
-	rd.freeOf[pool] = free
-	return free
+	return pp
 }
 
 // shortTaskReserve returns the processors of a pool that long-running tasks leave to short ones, in
@@ -465,10 +474,12 @@
 func (rd *round) placeTask(tk *task, ix int) *attempt {
 	wk := rd.workers[ix]
 	rd.startsLeft--
-	before := max(0, wk.free.MilliCores)
+	pp, known := rd.processorsOf[wk.info.Pool]
+	pp.add(wk, -1)
 	at := rd.dr.reserve(tk, wk, rd.dr.nextRun(tk))
-	if free, ok := rd.freeOf[wk.info.Pool]; ok {
-		rd.freeOf[wk.info.Pool] = free + max(0, wk.free.MilliCores) - before
+	pp.add(wk, 1)
+	if known {
+		rd.processorsOf[wk.info.Pool] = pp
 	}
 	rd.dr.starting[at] = struct{}{}
 	if tk.step.spec.LongRunning {
@@ -483,7 +494,6 @@
 		cd.Free = modeler.Resources{}
 	}
 	rd.changed = append(rd.changed, ix)
-	clear(rd.headroomOf)
 	for _, fc := range rd.forecasts {
 		if fc.predictions != nil {
 			fc.predictions[ix].valid = false
--- a/internal/job/director/selection_test.go
+++ b/internal/job/director/selection_test.go
@@ -73,19 +73,25 @@
 	}
 }
 
+// chooseBothWays returns the demand of the first waiting task of a step, and the choices for it of chooseQuickly and
+// among all workers.
+func chooseBothWays(rd *round, sp *step) (dm placer.Demand, quick, full int) {
+	dm = rd.dr.demand(sp.waiting[0])
+	if dm.LongRunning {
+		rd.applyReserve(sp, &dm)
+	}
+	quick = rd.chooseQuickly(sp, &dm)
+	rd.countSameStep(sp)
+	rd.applyForecast(&dm)
+	return dm, quick, placer.Choose(&dm, rd.cands)
+}
+
 // assertFeasibleChoices places the tasks of a step, and checks each choice against the workers that are feasible.
 func assertFeasibleChoices(t *testing.T, rd *round, sp *step) {
 	t.Helper()
 	rd.excludeOtherPools("pool")
 	for len(sp.waiting) > 0 {
-		dm := rd.dr.demand(sp.waiting[0])
-		if dm.LongRunning {
-			rd.applyReserve(sp, &dm)
-		}
-		quick := rd.chooseQuickly(sp, &dm)
-		rd.countSameStep(sp)
-		rd.applyForecast(&dm)
-		full := placer.Choose(&dm, rd.cands)
+		dm, quick, full := chooseBothWays(rd, sp)
 		qt.Assert(t, quick >= 0, qt.Equals, full >= 0, qt.Commentf("%s, %d tasks wait", sp.spec.Image, len(sp.waiting)))
 		if full < 0 {
 			return
@@ -107,14 +113,7 @@
 		if count%2 == 0 {
 			sp.waiting[0].avoidWorker(rd.workers[len(sp.waiting)%len(rd.workers)].info.ID)
 		}
-		dm := rd.dr.demand(sp.waiting[0])
-		if dm.LongRunning {
-			rd.applyReserve(sp, &dm)
-		}
-		quick := rd.chooseQuickly(sp, &dm)
-		rd.countSameStep(sp)
-		rd.applyForecast(&dm)
-		full := placer.Choose(&dm, rd.cands)
+		_, quick, full := chooseBothWays(rd, sp)
 		qt.Assert(t, quick, qt.Equals, full, qt.Commentf("%s, %d tasks wait", sp.spec.Image, len(sp.waiting)))
 		if full < 0 {
 			return
