--- a/internal/config/loader/settings.go
+++ b/internal/config/loader/settings.go
@@ -59,6 +59,9 @@
 	HarmLimit time.Duration
 	// FarFactor is the ratio of the run time of a task far from its data to that near its data.
 	FarFactor float64
+	// EvacuationLimit is the time after a request to evacuate a data centre from which no task may start there. If it
+	// is zero, evacuations are not read.
+	EvacuationLimit time.Duration
 }
 
 // ListenSettings are the addresses that the daemon listens on.
--- a/internal/config/loader/table.go
+++ b/internal/config/loader/table.go
@@ -89,6 +89,10 @@
 		"Jobs", "FarFactor", "FACTOR", "1.5", "", "Ratio of the run time of a task far from its data to that near its data.", allowedFactor,
 		optional, func(st *Settings, val string) bool { return setFactor(&st.Jobs.FarFactor, val) },
 	},
+	{
+		"Jobs", "EvacuationLimit", "DURATION", "0s", "", "Time after a request to evacuate a data centre was stored from which no task may start there. With 0s, such requests are not read.", "0s or " + allowedDuration,
+		optional, func(st *Settings, val string) bool { return setDurationOrZero(&st.Jobs.EvacuationLimit, val) },
+	},
 	{
 		"Host", "Name", "NAME", "", "host-1", "Name of this entry host in the shared configuration.", allowedName,
 		requiredAlways, func(st *Settings, val string) bool { return setName(&st.Host.Name, val) },
@@ -307,6 +311,15 @@
 	return err == nil && dur >= time.Millisecond && dur <= time.Hour
 }
 
+// setDurationOrZero sets a duration that may be zero.
+func setDurationOrZero(dst *time.Duration, val string) bool {
+	if dur, err := time.ParseDuration(val); err == nil && dur == 0 {
+		*dst = 0
+		return true
+	}
+	return setDuration(dst, val)
+}
+
 func setCount(dst *int64, val string) bool {
 	num, err := strconv.ParseInt(val, 10, 64)
 	*dst = num
