internal/job/director: no starts at workers of evacuated data centres

It asks the evacuator now for the workers of a round and again for each start (acceptsTasks, nextStart), places nothing while the evacuations are not known well enough, and releases the starts that were queued as a request arrives. What a round has no workers for counts neither as free nor as reserved. Waiting tasks say that an evacuation is the cause.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -16,6 +16,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/currantrouter/currantrouter/internal/job/estimator"
+	"github.com/currantrouter/currantrouter/internal/job/evacuator"
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/job/throttler"
@@ -113,9 +114,11 @@
 	// FactsSinceSnapshot the number of facts after it.
 	SnapshotPosition   int64
 	FactsSinceSnapshot int
-	Limits             Limits
-	Log                logr.Logger
-	Meter              *meter.Registry
+	// Evacuator holds the evacuated data centres, whose workers get no starts. It is nil if evacuations are not read.
+	Evacuator *evacuator.Evacuator
+	Limits    Limits
+	Log       logr.Logger
+	Meter     *meter.Registry
 }
 
 const (
@@ -270,6 +273,7 @@
 	starting map[*attempt]struct{}
 	// ineffectiveLines, droppedLines and overdueLines bound lines of the log.
 	ineffectiveLines, droppedLines, overdueLines lineBudget
+	evacuationSuspension                         evacuationSuspension
 	// waitLoggedAt is when the log last said why a task waits.
 	waitLoggedAt time.Time
 	// snapshotPosition is the journal position of the last snapshot, also of one by an earlier leader. Only
@@ -485,6 +489,7 @@
 	}
 	dr.recordLeases(now)
 	dr.recordCancellations()
+	dr.checkEvacuations(now)
 	select {
 	case <-dr.loaded:
 	default:
@@ -499,6 +504,7 @@
 		dr.logLoadSummary(now)
 		dr.logUsage(now)
 		dr.reportWaits(now)
+		dr.publishEvacuations(now)
 		dr.reportCancelledRuns(now)
 		dr.reportLateRenewals(now)
 	}
--- a/internal/job/director/harness_test.go
+++ b/internal/job/director/harness_test.go
@@ -16,6 +16,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/currantrouter/currantrouter/internal/job/director"
+	"github.com/currantrouter/currantrouter/internal/job/evacuator"
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/provider/emulator"
@@ -65,6 +66,8 @@
 	loadTime time.Duration
 	// cancelled holds the jobs whose cancellation is stored.
 	cancelled []modeler.JobID
+	// evacuator is nil where evacuations are not read.
+	evacuator *evacuator.Evacuator
 
 	// mu guards behaviours, and jobs where workers read them.
 	mu sync.Mutex
@@ -200,7 +203,7 @@
 		Epoch: modeler.Epoch(rec.Epoch), WorkerClient: client, Journal: journal, JobStore: jobStore,
 		Configuration: func() *modeler.Configuration { return fl.config }, MaySendRequests: tm.maySend,
 		Policy: fl.policy, InheritedLease: inherited, PredecessorStopped: fl.predecessorStopped.Load, PredecessorSeenFor: fl.predecessorSeenFor,
-		SnapshotPosition: rec.SnapshotPosition, FactsSinceSnapshot: len(rec.Records), Limits: testLimits, Log: fl.logs.logger(fl.t), Meter: fl.registry,
+		SnapshotPosition: rec.SnapshotPosition, FactsSinceSnapshot: len(rec.Records), Evacuator: fl.evacuator, Limits: testLimits, Log: fl.logs.logger(fl.t), Meter: fl.registry,
 	})
 	dr.Restore(append(rec.SnapshotRecords, rec.Records...))
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/job/director/logs_test.go
+++ b/internal/job/director/logs_test.go
@@ -34,6 +34,7 @@
 var recordedEvents = []logger.Event{
 	logger.JobCancelled, logger.WorkerUnreachable, logger.LeaseBounded, logger.LongRunningTaskWaits, logger.TasksWaitLong, logger.CancellationIneffective,
 	logger.CancellationDropped, logger.CancelledRunGoesOn, logger.ReportHeldUp, logger.JobNotRead, logger.RenewalsLate,
+	logger.LoadSummary, logger.SpeculativeRunAllowed, logger.EvacuationsListed, logger.EvacuationsChanged, logger.EvacuationViewOutdated, logger.EvacuationViewRecovered,
 }
 
 // logger returns a logger that records its lines. It prints them as well if DIRECTOR_LOG is set.
--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -49,6 +49,9 @@
 	case !dr.op.MaySendRequests():
 		dr.beginRound(now, requestsSuspended)
 		return
+	case !dr.knowsEvacuations(now):
+		dr.beginRound(now, evacuationsUnknown)
+		return
 	}
 	dr.beginRound(now, notPlacedYet)
 	rd := dr.newRound(now)
@@ -131,6 +134,9 @@
 	unplaceable map[demandClass][]modeler.Resources
 	// missed holds why the last task of a class in unplaceable found no worker.
 	missed map[demandClass]turn
+	// evacuated holds the results of evacuatedWorkers once evacuatedListed is set.
+	evacuated       []*worker
+	evacuatedListed bool
 }
 
 // rankedStep is a waiting step with its place in the order of urgency.
@@ -196,6 +202,11 @@
 
 // acceptsTasks reports whether a worker may get new tasks. The needs of deferred runs are not known.
 func (dr *Director) acceptsTasks(wk *worker, now time.Time) bool {
+	return dr.open(wk, now) && !dr.evacuated(wk)
+}
+
+// open reports whether a worker may get new tasks unless its data centre is evacuated.
+func (dr *Director) open(wk *worker, now time.Time) bool {
 	return wk.registered && wk.reported && wk.grantDurable && !wk.unreachable && wk.announcedAt.IsZero() && !wk.entryOutdated && !wk.info.Draining && len(wk.deferredRuns) == 0 &&
 		!wk.faultHistory.Quarantined(now) && !now.Before(wk.noStartsBefore)
 }
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -105,7 +105,7 @@
 			dr.startsInFlight--
 			continue
 		}
-		if at.incarnation != wk.incarnation || !dr.acceptsTasks(wk, time.Now()) || !dr.op.MaySendRequests() {
+		if at.incarnation != wk.incarnation || !dr.acceptsTasks(wk, time.Now()) || !dr.maySendStarts(time.Now()) {
 			dr.startsInFlight--
 			dr.release(at)
 			dr.afterRunEnd(at.task, time.Now())
--- a/internal/job/director/status.go
+++ b/internal/job/director/status.go
@@ -71,12 +71,17 @@
 			accepting++
 			largestFree = max(largestFree, wk.free.MilliCores)
 		}
-		freeCores += wk.free.MilliCores
+		free := wk.free.MilliCores
+		if dr.evacuated(wk) {
+			// Nothing may start there.
+			free = 0
+		}
+		freeCores += free
 		bestEffortCores += wk.bestEffortMilliCores
 		if wk.criticalTasks > 0 {
 			criticalWorkers++
 		} else {
-			idleForBestEffort += wk.free.MilliCores
+			idleForBestEffort += free
 		}
 	}
 	dr.log(logger.LoadSummary, "Jobs", len(dr.jobs), "Waiting", waiting, "WaitingToFill", waitingBestEffort, "Runs", runs, "UnderWay", dr.startsInFlight, "MayBeUnderWay", dr.startWindow.Available(0), "Workers", len(dr.workers), "Open", accepting, "LargestRoom", largestFree,
--- a/internal/job/director/waiting.go
+++ b/internal/job/director/waiting.go
@@ -70,6 +70,10 @@
 	// roundEndedByWindow: the last round ended before the task's turn, or did not begin, as the window of
 	// starts was full.
 	roundEndedByWindow waitReason = "RoundEndedByWindow"
+	// dataCentreEvacuated: the last round found a worker only in an evacuated data centre.
+	dataCentreEvacuated waitReason = "DataCentreEvacuated"
+	// evacuationsUnknown: the evacuated data centres are not known well enough, see evacuator.Evacuator.Current.
+	evacuationsUnknown waitReason = "EvacuationsUnknown"
 )
 
 // waitMetrics holds the number of waiting tasks by reason.
@@ -84,6 +88,7 @@
 	permitNotGranted: meter.TasksWaitingPermitNotGranted, gangNotComplete: meter.TasksWaitingGangNotComplete,
 	noWorkerOpen: meter.TasksWaitingNoWorkerOpen, requestsSuspended: meter.TasksWaitingRequestsSuspended,
 	roundEndedByMisses: meter.TasksWaitingRoundEndedByMisses, roundEndedByWindow: meter.TasksWaitingRoundEndedByWindow,
+	dataCentreEvacuated: meter.TasksWaitingEvacuated, evacuationsUnknown: meter.TasksWaitingEvacuationsUnknown,
 }
 
 // wait is why a task waits.
@@ -220,6 +225,8 @@
 // endReason returns why the steps that the round has not reached had no turn.
 func (rd *round) endReason() waitReason {
 	switch {
+	case len(rd.workers) == 0 && len(rd.evacuatedWorkers()) > 0:
+		return dataCentreEvacuated
 	case len(rd.workers) == 0:
 		return noWorkerOpen
 	case rd.misses >= rd.maxMisses:
@@ -245,6 +252,8 @@
 		reason = workersHeldFree
 	case sp.permits != nil && sp.permits.requesting:
 		reason = permitNotGranted
+	case rd.fitsEvacuated(dm):
+		reason = dataCentreEvacuated
 	}
 	rd.noteTurn(sp, reason)
 	if rd.now.Sub(tk.wait.since) >= maxUnreportedWait && rd.now.Sub(sp.turn.countedAt) >= summaryInterval && rd.dr.takeCount(dm.LongRunning) {
@@ -435,7 +444,7 @@
 	if !sp.turn.at.IsZero() {
 		kv = append(kv, "LastTurn", now.Sub(sp.turn.at).String())
 	}
-	if rs := sp.turn.counts; rs != nil && (ln.wait.reason == noWorkerFits || ln.wait.reason == workersHeldFree) {
+	if rs := sp.turn.counts; rs != nil && (ln.wait.reason == noWorkerFits || ln.wait.reason == workersHeldFree || ln.wait.reason == dataCentreEvacuated) {
 		kv = append(kv, "CountedAgo", now.Sub(sp.turn.countedAt).String(), "Unsuited", rs.Unsuited, "Crowded", rs.Crowded, "Full", rs.Full, "Reserved", rs.Reserved, "Disturbed", rs.Disturbed, "Open", rs.Open)
 	}
 	if len(tk.avoid) > 0 {
@@ -452,7 +461,10 @@
 	for _, mt := range waitMetrics {
 		dr.op.Meter.Set(mt, 0)
 	}
-	for _, mt := range [...]meter.Metric{meter.LongRunningTasksOverdue, meter.CancellationsPending, meter.CancelledRunsOverdue, meter.ReportsHeldUp} {
+	for _, mt := range [...]meter.Metric{
+		meter.LongRunningTasksOverdue, meter.CancellationsPending, meter.CancelledRunsOverdue, meter.ReportsHeldUp,
+		meter.DataCentresEvacuated, meter.EvacuatedWorkers, meter.EvacuatedRuns, meter.EvacuationViewAge,
+	} {
 		dr.op.Meter.Set(mt, 0)
 	}
 }
--- a/internal/provider/emulator/jobworkers.go
+++ b/internal/provider/emulator/jobworkers.go
@@ -42,8 +42,9 @@
 	workers map[modeler.WorkerID]*jobWorker
 	// ackedDone holds the tasks of which a successful end was acknowledged.
 	ackedDone map[modeler.TaskID]bool
-	// starts counts the starts of each task.
+	// starts counts the starts of each task. lastStarts holds when a start was last carried out on each worker.
 	starts     map[modeler.TaskID]int
+	lastStarts map[modeler.WorkerID]time.Time
 	violations []string
 	// halts counts the requests that halted a run.
 	halts int
@@ -109,7 +110,7 @@
 	}
 	return &JobWorkers{
 		faults: fts, behaviourOf: behaviourOf, workers: map[modeler.WorkerID]*jobWorker{},
-		ackedDone: map[modeler.TaskID]bool{}, starts: map[modeler.TaskID]int{},
+		ackedDone: map[modeler.TaskID]bool{}, starts: map[modeler.TaskID]int{}, lastStarts: map[modeler.WorkerID]time.Time{},
 	}
 }
 
@@ -184,6 +185,13 @@
 	return jw.starts[id]
 }
 
+// LastStart returns when a start was last carried out on a worker, zero if none was.
+func (jw *JobWorkers) LastStart(id modeler.WorkerID) time.Time {
+	jw.mu.Lock()
+	defer jw.mu.Unlock()
+	return jw.lastStarts[id]
+}
+
 // WorkerOf returns the worker that runs a task, or an empty ID.
 func (jw *JobWorkers) WorkerOf(id modeler.TaskID) modeler.WorkerID {
 	jw.mu.Lock()
@@ -314,6 +322,7 @@
 	jw.checkStart(req.Task)
 	wk.running[key] = rn
 	jw.starts[req.Task]++
+	jw.lastStarts[wk.info.ID] = time.Now()
 	jw.scheduleEnd(wk, key, rn)
 	jw.scheduleLeaseExpiry(wk)
 	return nil
