internal/job/leader: watch of the requests to evacuate data centres

The leader's term watches the prefix that platform/adapter gives and passes the set to the director.

--- a/internal/daemon/assembler/jobs.go
+++ b/internal/daemon/assembler/jobs.go
@@ -48,7 +48,9 @@
 	// Policy is nil if there is no policy service.
 	Policy   director.Policy
 	Registry jobleader.Registry
-	Queues   subscriber.ConfigurationEntry
+	// Evacuations describe the requests to evacuate data centres.
+	Evacuations jobleader.Evacuations
+	Queues      subscriber.ConfigurationEntry
 	// Callers returns a handler for the requests of callers.
 	Callers func(it *intaker.Intaker, sb *subscriber.Subscriber) http.Handler
 	// ReadyPath is the path of the balancer's readiness checks.
@@ -92,6 +94,7 @@
 	suspended := suspendedTime()
 	jh.leader = jobleader.New(jobleader.Options{
 		Self: self, Store: pf.Store, Registry: pf.Registry, WorkerClient: pf.WorkerClient, DialRelay: jh.peers.DialRelay, Policy: pf.Policy,
+		Evacuations: pf.Evacuations, EvacuationLimit: st.Jobs.EvacuationLimit,
 		Limits: director.Limits{
 			Lease: st.Jobs.Lease, LongestLease: st.Jobs.LongestLease, StopGrace: st.Jobs.StopLimit, Retention: st.Jobs.Retention,
 			RestoreTime: st.Jobs.RestoreTime, OverTargetGrace: st.Jobs.HarmLimit, RemoteDataFactor: st.Jobs.FarFactor,
--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -349,6 +349,19 @@
 	})
 }
 
+// PeersReachedStore reports whether the store has answered another host after a time, as far as the last messages of the
+// other hosts tell. An answer counts as later than it was by as long as its host's message was under way.
+func (el *Elector) PeersReachedStore(after time.Time) bool {
+	el.mu.Lock()
+	defer el.mu.Unlock()
+	for _, mb := range el.members {
+		if mb.Host != el.op.Self.Host && later(mb.lastHeartbeat, mb.lastReply).Add(-mb.storeAge).After(after) {
+			return true
+		}
+	}
+	return false
+}
+
 // ReachableHosts returns the other hosts that were in contact with this one within the last heartbeats and are not
 // draining, whether they reach the store or not.
 func (el *Elector) ReachableHosts() []Member {
--- a/internal/job/leader/cluster_test.go
+++ b/internal/job/leader/cluster_test.go
@@ -70,7 +70,9 @@
 	dataCentre fleet.DataCentreName
 	// limits are those of all hosts.
 	limits director.Limits
-	log    logBuffer
+	// evacuationLimit is zero if evacuations are not read.
+	evacuationLimit time.Duration
+	log             logBuffer
 	// goroutines counts those of the test itself and of ended processes.
 	goroutines sync.WaitGroup
 
@@ -323,7 +325,8 @@
 	dial := func(addr netip.AddrPort) messenger.Jobs { return &peer{pr: pr, to: addr} }
 	pr.subscriber = subscriber.New(st, subscriber.ConfigurationEntry{Key: queuesKey, Decode: decodeQueues}, dial, lg, rg)
 	pr.leader = leader.New(leader.Options{
-		Self: self, Store: st, Registry: leader.Registry{Prefix: registryPrefix, Decode: decodeWorker}, WorkerClient: &hostWorkers{pr}, DialRelay: dialRelay,
+		Self: self, Store: st, Registry: leader.Registry{Prefix: registryPrefix, Decode: decodeWorker},
+		Evacuations: leader.Evacuations{Prefix: evacuationPrefix, Decode: decodeEvacuation}, EvacuationLimit: cl.evacuationLimit, WorkerClient: &hostWorkers{pr}, DialRelay: dialRelay,
 		OnLargeFleet: func(leads bool) { cl.noteLargeFleet(ix, leads) }, Limits: cl.limits, Configuration: pr.subscriber.Current, SuspendedTime: func() time.Duration { return 0 }, Log: lg, Meter: rg,
 	})
 	var seeds []netip.AddrPort
--- /dev/null
+++ b/internal/job/leader/evacuation.go
@@ -0,0 +1,115 @@
+package leader
+
+import (
+	"context"
+	"time"
+
+	fleet "github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/evacuator"
+	"github.com/currantrouter/currantrouter/internal/job/watcher"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
+)
+
+// Evacuations describe the requests to evacuate data centres in the key-value service: while a key exists, no starts
+// are sent to the workers of its data centre.
+type Evacuations struct {
+	// Prefix is the prefix of the keys.
+	Prefix string
+	// Decode returns the data centre that the key of an entry names, or an error if it names none. The value does not
+	// matter, and a deleted entry has none.
+	Decode func(en storer.Entry) (fleet.DataCentreName, error)
+}
+
+// evacuationWatch watches the requests to evacuate data centres for a term.
+type evacuationWatch struct {
+	term      *term
+	evacuator *evacuator.Evacuator
+	// read is when the read began whose result the sink gets. Only the watch's goroutine uses it.
+	read evacuator.Reading
+}
+
+// newEvacuationWatch returns the watch of a term, or nil if evacuations are not read.
+func (ld *Leader) newEvacuationWatch(tm *term) *evacuationWatch {
+	limit := ld.op.EvacuationLimit
+	if limit <= 0 {
+		return nil
+	}
+	ew := &evacuationWatch{term: tm}
+	ew.evacuator = evacuator.New(evacuator.Options{Limit: limit, Suspended: ld.op.SuspendedTime, MayRely: ew.mayRely})
+	return ew
+}
+
+// evacuatorOrNil returns the evacuator, or nil if evacuations are not read.
+func (ew *evacuationWatch) evacuatorOrNil() *evacuator.Evacuator {
+	if ew == nil {
+		return nil
+	}
+	return ew.evacuator
+}
+
+// run watches the requests until the context ends. It reads changes without a pause between two calls, as the bound
+// counts from when a request was stored.
+func (ew *evacuationWatch) run(ctx context.Context) {
+	op := &ew.term.leader.op
+	watcher.New(ew, op.Evacuations.Prefix, watcher.Sink{Reset: ew.reset, Apply: ew.apply}, "evacuations", 0, op.Log).Run(ctx)
+}
+
+// mayRely reports whether the view that was read at a time may be relied on although it is outdated: this host is not
+// cut off from the others, and the store has answered neither this host nor others that it hears of since.
+// Nobody can have stored a request then.
+func (ew *evacuationWatch) mayRely(readAt time.Time) bool {
+	since := readAt.Add(evacuator.AnswerGrace)
+	tm := ew.term
+	return !tm.journal.LastConfirmed().After(since) && !tm.leader.elector.PeersReachedStore(since) && tm.authority.confirmedWithin(ew.evacuator.MaxAge())
+}
+
+// Page implements watcher.Source.
+func (ew *evacuationWatch) Page(ctx context.Context, prefix, after string) (storer.Page, error) {
+	if after == "" {
+		// The listing shows the state of the time at which its first page was read.
+		ew.read = ew.now()
+	}
+	return ew.term.leader.op.Store.Page(ctx, prefix, after)
+}
+
+// Wait implements watcher.Source.
+func (ew *evacuationWatch) Wait(ctx context.Context, prefix string, after int64) ([]storer.Entry, int64, error) {
+	began := ew.now()
+	ens, revision, err := ew.term.leader.op.Store.Wait(ctx, prefix, after)
+	if err != nil {
+		return ens, revision, err
+	}
+	if ew.read = began; len(ens) == 0 {
+		ew.evacuator.Confirm(began)
+	}
+	return ens, revision, nil
+}
+
+func (ew *evacuationWatch) now() evacuator.Reading {
+	return evacuator.Reading{At: time.Now(), Suspended: ew.term.leader.op.SuspendedTime()}
+}
+
+func (ew *evacuationWatch) reset(ens []storer.Entry) {
+	ew.term.director.EvacuationsChanged(ew.evacuator.Reset(ew.decode(ens), ew.read))
+}
+
+func (ew *evacuationWatch) apply(ens []storer.Entry) {
+	ew.term.director.EvacuationsChanged(ew.evacuator.Apply(ew.decode(ens), ew.read))
+}
+
+// decode returns the entries whose keys name a data centre, and reports the others.
+func (ew *evacuationWatch) decode(ens []storer.Entry) []evacuator.Entry {
+	ld := ew.term.leader
+	var list []evacuator.Entry
+	for _, en := range ens {
+		dc, err := ld.op.Evacuations.Decode(en)
+		if err != nil {
+			ld.invalidEntries.Report(logger.EvacuationEntryInvalid, meter.EntriesInvalid, en.Key, err, "Key", en.Key)
+			continue
+		}
+		list = append(list, evacuator.Entry{DataCentre: dc, Revision: en.Revision, Withdrawn: en.Deleted})
+	}
+	return list
+}
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -99,10 +99,15 @@
 
 // Options configure a leader.
 type Options struct {
-	Self         elector.Member
-	Store        Store
-	Registry     Registry
-	WorkerClient director.WorkerClient
+	Self     elector.Member
+	Store    Store
+	Registry Registry
+	// Evacuations describe the requests to evacuate data centres.
+	Evacuations Evacuations
+	// EvacuationLimit is the time after a request to evacuate a data centre was stored from which no start may reach a
+	// worker there. If it is zero, evacuations are not read.
+	EvacuationLimit time.Duration
+	WorkerClient    director.WorkerClient
 	// DialRelay returns the client for another host that may relay requests to workers. If it is nil, this host
 	// sends all of them.
 	DialRelay func(address netip.AddrPort) messenger.Relay
@@ -167,6 +172,7 @@
 	epoch := modeler.Epoch(rec.Epoch)
 	tm := &term{leader: ld, journal: jn, authority: newAuthority(ld, jn, suspended)}
 	tm.relays = ld.newRelayClient(epoch, tm.authority)
+	tm.evacuations = ld.newEvacuationWatch(tm)
 	// The term of the director begins before other hosts hear of it, see director.Options.PredecessorSeenFor.
 	dr := director.New(director.Options{
 		Epoch: epoch, WorkerClient: tm.relays, Journal: jn, Policy: ld.op.Policy, JobStore: keeper.NewJobStore(ld.op.Store),
@@ -174,7 +180,7 @@
 		InheritedLease: ld.inheritedLease(rec), PredecessorStopped: ld.predecessorStopped(rec), EarlierLeadersStopAt: ld.earlierLeadersStopAt(epoch),
 		PredecessorSeenFor: ld.elector.LeaderKnownFor(epoch - 1), FactsMissing: rec.Damaged > 0,
 		SnapshotPosition: rec.SnapshotPosition, FactsSinceSnapshot: len(rec.Records),
-		Limits: ld.op.Limits, Log: ld.op.Log, Meter: ld.op.Meter,
+		Evacuator: tm.evacuations.evacuatorOrNil(), Limits: ld.op.Limits, Log: ld.op.Log, Meter: ld.op.Meter,
 	})
 	if err := ld.elector.EpochBegun(epoch); err != nil {
 		return err
@@ -253,11 +259,13 @@
 	journal   *journaler.Journal
 	authority *authority
 	relays    *relayer.Client
+	// evacuations is nil if evacuations are not read.
+	evacuations *evacuationWatch
 	// firstLoad marks the first call of resetJobs.
 	firstLoad sync.Once
 }
 
-// run watches jobs and workers for the director, and returns when its term is over.
+// run watches jobs, workers and evacuations for the director, and returns when its term is over.
 func (tm *term) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	var loops sync.WaitGroup
@@ -270,6 +278,9 @@
 	loops.Go(func() { tm.relays.Run(ctx) })
 	loops.Go(func() { jobs.Run(ctx) })
 	loops.Go(func() { workers.Run(ctx) })
+	if tm.evacuations != nil {
+		loops.Go(func() { tm.evacuations.run(ctx) })
+	}
 	loops.Go(func() { tm.journalCheckLoop(ctx) })
 	loops.Go(func() { pauser.Every(ctx, authoritySampleInterval, func(context.Context) { tm.authority.confirm() }) })
 	if err := tm.director.Wait(); err != nil {
