--- a/internal/job/leader/evacuation_test.go
+++ b/internal/job/leader/evacuation_test.go
@@ -154,6 +154,20 @@
 			cl.goroutines.Go(func() { cl.drainHost(ix) })
 		}
 	},
+	"workers restarted": func(cl *cluster) func() {
+		restart := func() {
+			for ix := range cl.infos {
+				cl.startWorker(ix)
+			}
+		}
+		restart()
+		return func() {
+			for range 3 {
+				time.Sleep(400 * time.Millisecond)
+				restart()
+			}
+		}
+	},
 	"requests to workers late": func(cl *cluster) func() {
 		cl.mu.Lock()
 		cl.late = true
