internal/job/director: an entry of a third incarnation does not open a restarted worker

A worker restarts twice in a row: the third incarnation answers, and the registry's entry of the second one arrives after that. Or the entry of an earlier incarnation arrives after that of the one that answers. Any entry that named another incarnation than the last entry cleared entryOutdated, and the next answer of the present incarnation cleared announcedAt.

Now entryOutdated stays set, and is set by an entry that is older than the answer, until the entry names the incarnation that answers or none. An entry that is newer than an incarnation that keeps answering does not close a worker that is open, as before (TestIncarnationInRegistry): announcedAt covers it.

Three new cases of TestRestartAsAnotherKind failed before: two restarts, the same with the clock set back, and the older entry. A new case without an incarnation in the entry passed before and after.

--- a/internal/job/director/reborn_worker_test.go
+++ b/internal/job/director/reborn_worker_test.go
@@ -27,10 +27,10 @@
 	assertNotStarted := func(fl *fleet, tm *term, info modeler.Worker) {
 		submit(tm, "kind-a")
 		sleep(3 * time.Second)
-		qt.Check(t, fl.workers.StartCount(task), qt.Equals, 0)
+		qt.Check(fl.t, fl.workers.StartCount(task), qt.Equals, 0)
 		tm.UpdateWorker(info)
 		sleep(3 * time.Second)
-		qt.Check(t, fl.workers.StartCount(task), qt.Equals, 0)
+		qt.Check(fl.t, fl.workers.StartCount(task), qt.Equals, 0)
 	}
 	t.Run("during a term", func(t *testing.T) {
 		run(t, 1, func(fl *fleet, tm *term) {
@@ -50,6 +50,32 @@
 			assertNotStarted(fl, tm, info)
 		})
 	})
+	for name, setBack := range map[string]time.Duration{"twice, the entry of the second incarnation last": 0, "the same with the clock set back": 500 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 1, func(fl *fleet, tm *term) {
+				sleep(time.Second)
+				second := workerInfo(0)
+				fl.workers.Crash(second.ID)
+				second = fl.workers.Add(second)
+				sleep(10 * time.Millisecond)
+				third := restart(fl)
+				third = fl.workers.SetIncarnation(third.ID, third.Incarnation-setBack.Milliseconds())
+				sleep(time.Second)
+				tm.UpdateWorker(second)
+				assertNotStarted(fl, tm, third)
+			})
+		})
+	}
+	t.Run("the entry of the earlier incarnation arrives again", func(t *testing.T) {
+		run(t, 1, func(fl *fleet, tm *term) {
+			sleep(time.Second)
+			info := restart(fl)
+			tm.UpdateWorker(info)
+			sleep(time.Second)
+			tm.UpdateWorker(fl.infos[0])
+			assertNotStarted(fl, tm, info)
+		})
+	})
 	t.Run("tasks for the new kind", func(t *testing.T) {
 		run(t, 1, func(fl *fleet, tm *term) {
 			sleep(time.Second)
@@ -59,4 +85,16 @@
 			tm.assertState("j1", modeler.Completed)
 		})
 	})
+	t.Run("an entry without an incarnation", func(t *testing.T) {
+		run(t, 1, func(fl *fleet, tm *term) {
+			sleep(time.Second)
+			info := restart(fl)
+			sleep(time.Second)
+			info.Incarnation = 0
+			tm.UpdateWorker(info)
+			submit(tm, "kind-b")
+			sleep(3 * time.Second)
+			tm.assertState("j1", modeler.Completed)
+		})
+	})
 }
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -94,8 +94,9 @@
 	// the worker has answered a later renewal. Until then, it gets neither starts nor a longer lease,
 	// and no ends are acknowledged.
 	announcedAt time.Time
-	// entryOutdated is set while info describes an earlier incarnation than the one that answers, which may have
-	// other labels and another capacity. It gets no starts until its own entry is known.
+	// entryOutdated is set while info describes another incarnation than the one that answered last, which may have
+	// other labels and another capacity: an earlier one, or one between two that answered. It gets no starts until
+	// its own entry is known.
 	entryOutdated bool
 	// leaseEnd is the latest end of a lease that the worker may have received, on its clock, zero
 	// before the first answer.
@@ -265,13 +266,19 @@
 	if wk.incarnation != 0 && info.Incarnation != wk.incarnation && info.Incarnation != wk.info.Incarnation {
 		wk.announcedAt = time.Now()
 	}
-	if info.Incarnation == wk.incarnation || info.Incarnation != wk.info.Incarnation {
-		wk.entryOutdated = false
-	}
 	wk.info, wk.registered = *info, true
+	// An entry of a later incarnation than the one that keeps answering is taken as it is: announcedAt delays starts
+	// until the worker has answered again.
+	wk.entryOutdated = wk.describesOther(wk.incarnation) && (wk.entryOutdated || info.Incarnation < wk.incarnation)
 	dr.startRenewing(wk)
 }
 
+// describesOther reports whether the worker's entry names another incarnation than the given one. Neither zero, of an
+// entry or an answer without an incarnation, nor an answer that is yet to come tells them apart.
+func (wk *worker) describesOther(incarnation int64) bool {
+	return wk.info.Incarnation != 0 && incarnation != 0 && wk.info.Incarnation != incarnation
+}
+
 // startRenewing starts the renewLoop of a worker. It does nothing before Start.
 func (dr *Director) startRenewing(wk *worker) {
 	if dr.ctx == nil || wk.renewing {
@@ -475,7 +482,7 @@
 		dr.log(logger.WorkerRestarted, "Worker", wk.info.ID, "Runs", len(wk.attempts))
 	}
 	first := wk.incarnation == 0
-	wk.entryOutdated = wk.info.Incarnation != 0 && wk.info.Incarnation != incarnation
+	wk.entryOutdated = wk.describesOther(incarnation)
 	wk.incarnation, wk.processedEnd, wk.ackedEnd, wk.leaseEnd = incarnation, 0, 0, 0
 	wk.faultHistory = appraiser.FaultHistory{}
 	if qf := wk.inheritedQuarantine; first && qf != nil && qf.Incarnation == incarnation {
