internal/job/director: a worker that did not answer gets no acknowledgement before it answers again

What callers could see: a task ran again after its end `done` had been acknowledged (TWICE). A start without an answer was carried out by the next incarnation of its worker and ended there while the leader could not reach it. The first renewal that reached the worker acknowledged ends by the numbers of the earlier incarnation, as the registry's entry of the new one was not known yet. The worker dropped the end, which nobody had seen, and the leader started the task again.

Now a renewal to a worker whose last renewal had no answer acknowledges nothing. The crash of a worker ends the renewal that is under way nearly always, so that the restart is preceded by one. A worker that was only silent lists its ends once more, which the leader knows by their numbers.

TestAcknowledgementAfterSilence failed before: "j2.0.0.0 started after its end was acknowledged", 2 starts instead of 1.

--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -416,7 +416,8 @@
 	}
 	wk.renewal.phase = awaitingReport
 	req := &modeler.RenewRequest{Fence: dr.fence(wk), MaxWait: maxIdleWait}
-	if wk.announcedAt.IsZero() {
+	// A worker that did not answer may have restarted. It would drop ends of its new incarnation that nobody has seen.
+	if wk.announcedAt.IsZero() && !wk.unreachable {
 		req.AckedEnd = wk.ackedEnd
 	}
 	switch {
