internal/job/director: the lease of a restarted worker includes late requests up to its first later token

A new incarnation of a worker answered the renewal that was under way, without a failed one before. Until it saw a later token it carried requests for the earlier incarnation out, which gave it a lease of up to LongestLease from then. leaseEnd counted that from the first answer only. When the worker then fell silent, its task started elsewhere while it ran on.

Now leaseEnd counts LongestLease from each answer up to the first one to a request with a token that is later than those of all requests for the earlier incarnation. The worker refuses these from then on. With an immediate second answer, which is the usual case, the end moves by the time between the two.

TestLateRenewalAfterFirstContact failed before: "j1.0.0.0 started while it runs on worker-00".

--- a/internal/job/director/late_renewal_test.go
+++ b/internal/job/director/late_renewal_test.go
@@ -36,6 +36,13 @@
 	return lr.WorkerClient.Renew(ctx, wk, req)
 }
 
+// cutOff makes all renewals to a worker end without an answer, and those to the others arrive again.
+func (lr *lateRenewal) cutOff(id modeler.WorkerID) {
+	lr.mu.Lock()
+	defer lr.mu.Unlock()
+	lr.cut = id
+}
+
 // keepRenewal starts a term with one worker whose last renewal is kept, after 12 s.
 func keepRenewal(fl *fleet, tm *term) *lateRenewal {
 	tm.end()
@@ -105,6 +112,44 @@
 	})
 }
 
+// Guards against the same where the late renewal arrives between the first answer of the new incarnation and the first
+// request with a token that it has not seen, as in soak seed 6000.
+func TestLateRenewalAfterFirstContact(t *testing.T) {
+	limits := testLimits
+	defer func() { testLimits = limits }()
+	testLimits.LongestLease = 10 * time.Second
+	run(t, 2, func(fl *fleet, tm *term) {
+		lr := keepRenewal(fl, tm)
+		lr.cutOff("worker-00")
+		// The worker answers the renewal that is under way. It shortens longer leases.
+		fl.infos[0] = fl.workers.Add(workerInfo(0))
+		sleep(2 * time.Second)
+		late := *lr.req
+		late.Deadline, late.MaxWait, late.AckedEnd = 2*time.Second+testLimits.LongestLease, 0, 0
+		_, err := fl.workers.Renew(fl.t.Context(), &fl.infos[0], &late)
+		qt.Assert(fl.t, err, qt.IsNil)
+		lr.cutOff("")
+		tm.UpdateWorker(fl.infos[0])
+		tm.submit(longRunningJob("j1", "urgent", 1, cores(1000)))
+		assertLostSafely(fl, tm, lr)
+	})
+}
+
+// assertLostSafely waits until the job runs on the restarted worker, loses this worker, and checks that the job then
+// runs on another one, and not before the lease of the lost one is over.
+func assertLostSafely(fl *fleet, tm *term, lr *lateRenewal) {
+	id := modeler.TaskID{Job: "j1"}
+	for began := time.Now(); fl.workers.WorkerOf(id) == "" && time.Since(began) < 3*time.Second; {
+		sleep(50 * time.Millisecond)
+	}
+	qt.Assert(fl.t, fl.workers.WorkerOf(id), qt.Equals, modeler.WorkerID("worker-00"))
+	lr.cutOff("worker-00")
+	tm.UpdateWorker(fl.workers.Add(workerInfo(1)))
+	sleep(15 * time.Second)
+	qt.Check(fl.t, fl.workers.WorkerOf(id), qt.Equals, modeler.WorkerID("worker-01"))
+	qt.Check(fl.t, fl.workers.Violations(), qt.HasLen, 0)
+}
+
 // Guards against a leader that steps down because a worker that has left the registry and returns refuses its token, which
 // is lower than before.
 func TestWorkerLeavesAndReturns(t *testing.T) {
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -31,12 +31,8 @@
 	}
 	// Renewals of one worker are sent one after the other, so that another incarnation than the last
 	// is a later one, also if its clock was set back.
-	longest := dr.op.Limits.Lease
 	if rep.Incarnation != wk.incarnation {
-		if wk.incarnation != 0 {
-			// A renewal for the earlier incarnation, carried out late, may have given this one more.
-			longest = max(longest, dr.op.Limits.LongestLease)
-		}
+		wk.mayHoldEarlierLease = wk.incarnation != 0
 		dr.workerRestarted(wk, rep.Incarnation, time.Now())
 	}
 	wk.fenced = fence == dr.fence(wk)
@@ -46,13 +42,19 @@
 	if wk.unreachable && wk.answered {
 		dr.log(logger.WorkerReachable, "Worker", wk.info.ID, "Runs", len(rep.Running), "Ends", len(rep.Ended))
 	}
+	longest := max(dr.op.Limits.Lease, dr.op.Limits.LongestLease)
 	if !wk.answered {
 		// An earlier leader cannot have given a longer lease, and can give none from now on.
+		wk.leaseEnd = max(wk.leaseEnd, rep.Clock+dr.op.Limits.Lease)
+	}
+	if wk.mayHoldEarlierLease {
+		// A request for the earlier incarnation, carried out late, may have given this one more.
 		wk.leaseEnd = max(wk.leaseEnd, rep.Clock+longest)
+		wk.mayHoldEarlierLease = !wk.fenced
 	}
 	wk.clock, wk.clockAt, wk.unreachable, wk.answered = rep.Clock, answeredAt, false, true
 	// An earlier report may have had a clock that was too far ahead.
-	wk.leaseEnd = min(wk.leaseEnd, rep.Clock+max(dr.op.Limits.Lease, dr.op.Limits.LongestLease))
+	wk.leaseEnd = min(wk.leaseEnd, rep.Clock+longest)
 	return true
 }
 
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -98,6 +98,10 @@
 	// other labels and another capacity: an earlier one, or one between two that answered. It gets no starts until
 	// its own entry is known.
 	entryOutdated bool
+	// mayHoldEarlierLease is set from the first answer of another incarnation until it has answered a request with a
+	// token that is later than those of all requests for the earlier one. Until then it may carry these out, which
+	// gives it a lease by the clock of the earlier one.
+	mayHoldEarlierLease bool
 	// leaseEnd is the latest end of a lease that the worker may have received, on its clock, zero
 	// before the first answer.
 	leaseEnd time.Duration
