internal/job/director: a worker is kept while a late start for its earlier incarnation may run there

What callers could see: a task ran twice (TWICE). A start without an answer was found not to have been carried out, and the task waited. Its worker restarted, answered once, fell silent and left the registry. The leader dropped it when its lease was over, and with it the reason for which the task waited: the start may be carried out up to 15 s after it was sent and then gives the worker a lease of up to 10 s more. The task started elsewhere while the late start ran.

Now a worker that has left the registry is kept until that time is over, as one that is still registered is. It is asked until then, some 25 s after the start was sent.

TestRestartedWorkerLeaves failed before: "j2.0.0.0 started while it runs on worker-00".

--- a/internal/job/director/reborn_worker_test.go
+++ b/internal/job/director/reborn_worker_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/currantrouter/currantrouter/internal/job/director"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
 )
 
 // Guards against tasks that start on a restarted worker by the labels of its earlier incarnation.
@@ -102,45 +103,57 @@
 	})
 }
 
-// keptStart is a client that keeps the first start of a job instead of sending it. From then on, no request reaches a worker.
+// keptStart is a client that keeps the first start of job j2 instead of sending it, and whose requests do not reach
+// worker-00 while it is cut off.
 type keptStart struct {
 	director.WorkerClient
-	job modeler.JobID
 	mu  sync.Mutex
 	req *modeler.StartRequest
 	cut bool
 }
 
+// keepStart starts a term with one worker whose start is kept.
+func keepStart(t *testing.T) (*fleet, *term, *keptStart) {
+	fl := newFleet(t, 1)
+	ks := &keptStart{WorkerClient: fl.workers}
+	fl.client = ks
+	return fl, fl.startTerm(0), ks
+}
+
 func (ks *keptStart) Start(ctx context.Context, wk *modeler.Worker, req *modeler.StartRequest) (time.Duration, error) {
 	ks.mu.Lock()
-	if req.Task.Job == ks.job && ks.req == nil {
-		ks.req, ks.cut = req, true
+	keep := req.Task.Job == "j2" && ks.req == nil
+	if keep {
+		ks.req = req
 	}
 	ks.mu.Unlock()
-	if ks.lost(ctx) {
+	if keep {
+		<-ctx.Done()
+	}
+	if keep || ks.lost(ctx, wk) {
 		return 0, modeler.ErrNoAnswer
 	}
 	return ks.WorkerClient.Start(ctx, wk, req)
 }
 
 func (ks *keptStart) Stop(ctx context.Context, wk *modeler.Worker, id modeler.TaskID, run modeler.Run, fence modeler.Fence) error {
-	if ks.lost(ctx) {
+	if ks.lost(ctx, wk) {
 		return modeler.ErrNoAnswer
 	}
 	return ks.WorkerClient.Stop(ctx, wk, id, run, fence)
 }
 
 func (ks *keptStart) Renew(ctx context.Context, wk *modeler.Worker, req *modeler.RenewRequest) (modeler.Report, error) {
-	if ks.lost(ctx) {
+	if ks.lost(ctx, wk) {
 		return modeler.Report{}, modeler.ErrNoAnswer
 	}
 	return ks.WorkerClient.Renew(ctx, wk, req)
 }
 
-// lost waits until a request is given up if the workers are cut off, and reports whether they are.
-func (ks *keptStart) lost(ctx context.Context) bool {
+// lost waits until a request is given up if its worker is cut off, and reports whether it is.
+func (ks *keptStart) lost(ctx context.Context, wk *modeler.Worker) bool {
 	ks.mu.Lock()
-	cut := ks.cut
+	cut := ks.cut && wk.ID == "worker-00"
 	ks.mu.Unlock()
 	if cut {
 		<-ctx.Done()
@@ -148,21 +161,17 @@
 	return cut
 }
 
-// reconnect ends the cut.
-func (ks *keptStart) reconnect() {
+func (ks *keptStart) setCut(cut bool) {
 	ks.mu.Lock()
 	defer ks.mu.Unlock()
-	ks.cut = false
+	ks.cut = cut
 }
 
 // Guards against a renewal that acknowledges ends of a new incarnation by the numbers of the earlier one, before the registry
 // has its entry, so that a task that has ended there runs again.
 func TestAcknowledgementAfterSilence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		fl := newFleet(t, 1)
-		ks := &keptStart{WorkerClient: fl.workers, job: "j2"}
-		fl.client = ks
-		tm := fl.startTerm(0)
+		fl, tm, ks := keepStart(t)
 		defer tm.end()
 		sleep(time.Second)
 		tm.submit(simpleJob("j1", "urgent", 1, cores(1000)))
@@ -170,6 +179,7 @@
 		tm.assertState("j1", modeler.Completed)
 		tm.submit(simpleJob("j2", "urgent", 1, cores(1000)))
 		sleep(200 * time.Millisecond)
+		ks.setCut(true)
 		fl.workers.Crash("worker-00")
 		sleep(200 * time.Millisecond)
 		fl.infos[0] = fl.workers.Add(workerInfo(0))
@@ -177,7 +187,7 @@
 		_, err := fl.workers.Start(t.Context(), &fl.infos[0], ks.req)
 		qt.Assert(t, err, qt.IsNil)
 		sleep(1500 * time.Millisecond)
-		ks.reconnect()
+		ks.setCut(false)
 		sleep(time.Second)
 		tm.UpdateWorker(fl.infos[0])
 		sleep(3 * time.Second)
@@ -186,3 +196,34 @@
 		fl.assertNoViolations()
 	})
 }
+
+// Guards against a task that starts elsewhere while a late start of it runs on a restarted worker, which has left the
+// registry and does not answer.
+func TestRestartedWorkerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl, tm, ks := keepStart(t)
+		defer tm.end()
+		sleep(15 * time.Second)
+		fl.setBehaviour(modeler.TaskID{Job: "j2"}, emulator.TaskBehaviour{RunTime: time.Minute})
+		tm.submit(simpleJob("j2", "urgent", 1, cores(1000)))
+		sleep(200 * time.Millisecond)
+		qt.Assert(t, ks.req, qt.IsNotNil)
+		draining := fl.infos[0]
+		draining.Draining = true
+		tm.UpdateWorker(draining)
+		// The start is known not to have been carried out, and the worker answers with a later token.
+		sleep(4 * time.Second)
+		ks.setCut(true)
+		// The new incarnation answers the renewal that is under way.
+		restarted := fl.workers.Add(workerInfo(0))
+		sleep(100 * time.Millisecond)
+		tm.RemoveWorker(restarted.ID)
+		tm.UpdateWorker(fl.workers.Add(workerInfo(1)))
+		sleep(7 * time.Second)
+		_, err := fl.workers.Start(t.Context(), &restarted, ks.req)
+		qt.Assert(t, err, qt.IsNil)
+		sleep(20 * time.Second)
+		qt.Check(t, fl.workers.WorkerOf(modeler.TaskID{Job: "j2"}), qt.Equals, modeler.WorkerID("worker-01"))
+		fl.assertNoViolations()
+	})
+}
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -395,10 +395,11 @@
 }
 
 // idle reports whether nothing can run on a worker without attempts: either its last report listed
-// no unexpected run and no start may still reach it, or its lease has expired.
+// no unexpected run and no start may still reach it, or its lease has expired and none for an earlier
+// incarnation may still be carried out.
 func (dr *Director) idle(wk *worker, now time.Time) bool {
 	if dr.leaseExpired(wk, now) {
-		return true
+		return !dr.mayStartAfterRestart(wk, now)
 	}
 	for _, since := range wk.unansweredStarts {
 		if now.Sub(since) < 2*maxStartAge {
