internal/job/director: an answer of the policy service holds for the incarnation that was asked about

What callers could see: a task waited for good although a restarted worker might run it (LOST), as a denial held for the ID and so for every later incarnation, which may be of another kind. And a start with a ticket that the worker refuses, as a permit that was asked for before a restart and granted after it counted for the new incarnation.

Now both hold for the incarnation that the leader knew when it asked.

--- a/internal/job/director/permit.go
+++ b/internal/job/director/permit.go
@@ -32,9 +32,10 @@
 
 // permits holds the known permissions of one step.
 type permits struct {
-	// granted holds the permits by worker, denied the workers that will never get one.
+	// granted holds the permits by worker, denied the workers that will never get one with their incarnations. A later
+	// incarnation may be of another kind.
 	granted map[modeler.WorkerID]permit
-	denied  map[modeler.WorkerID]bool
+	denied  map[modeler.WorkerID]int64
 	// requesting is set while a request is in progress.
 	requesting bool
 	// notBefore delays the next request after a failed one.
@@ -56,20 +57,22 @@
 		return cands
 	}
 	if sp.permits == nil {
-		sp.permits = &permits{granted: map[modeler.WorkerID]permit{}, denied: map[modeler.WorkerID]bool{}}
+		sp.permits = &permits{granted: map[modeler.WorkerID]permit{}, denied: map[modeler.WorkerID]int64{}}
 	}
 	permitted := slices.Clone(cands)
 	anyFeasible := false
 	var toAsk []modeler.WorkerID
 	for ix, wk := range rd.workers {
 		pm, ok := sp.permits.granted[wk.info.ID]
+		deniedTo, asked := sp.permits.denied[wk.info.ID]
+		denied := asked && deniedTo == wk.incarnation
 		valid := ok && pm.incarnation == wk.incarnation && rd.now.Add(permitMargin).Before(pm.expiresAt)
 		feasible := placer.Feasible(dm, &cands[ix])
 		switch {
 		case valid:
 			anyFeasible = anyFeasible || feasible
 			continue
-		case feasible && !sp.permits.denied[wk.info.ID]:
+		case feasible && !denied:
 			toAsk = append(toAsk, wk.info.ID)
 		}
 		permitted[ix].Excluded = true
@@ -84,6 +87,11 @@
 // request of a host at a time.
 func (dr *Director) requestPermits(sp *step, po *modeler.Policy, ids []modeler.WorkerID) {
 	sp.permits.requesting = true
+	// The service answers slowly: a worker may have restarted by then.
+	incarnations := make(map[modeler.WorkerID]int64, len(ids))
+	for _, id := range ids {
+		incarnations[id] = dr.workers[id].incarnation
+	}
 	id := modeler.StepID{Job: sp.occ.job.ID, Occurrence: sp.occ.index, Step: sp.index}
 	timeout := permitTimeout + po.DecisionTime + time.Duration(len(ids))*po.TimePerWorker
 	dr.startGoroutine(func(ctx context.Context) {
@@ -104,7 +112,7 @@
 		dr.log(logger.PermitsGranted, "Step", id.String(), "Asked", len(ids), "Granted", len(list), "Took", time.Since(began).String())
 		for _, asked := range ids {
 			if !slices.ContainsFunc(list, func(pm modeler.Permit) bool { return pm.Worker == asked }) {
-				sp.permits.denied[asked] = true
+				sp.permits.denied[asked] = incarnations[asked]
 			}
 		}
 		// An answer that permits no worker is usable: the next request asks about others.
@@ -112,8 +120,8 @@
 		for _, pm := range list {
 			// An answer without a lifetime leaves it to the queue's policy.
 			ttl := cmp.Or(pm.TTL, po.PermitTTL)
-			if wk := dr.workers[pm.Worker]; wk != nil && slices.Contains(ids, pm.Worker) {
-				sp.permits.granted[pm.Worker] = permit{pm.Ticket, wk.incarnation, began.Add(ttl)}
+			if incarnation, ok := incarnations[pm.Worker]; ok {
+				sp.permits.granted[pm.Worker] = permit{pm.Ticket, incarnation, began.Add(ttl)}
 				usable = usable || ttl > permitMargin
 			}
 		}
--- a/internal/job/director/reborn_worker_test.go
+++ b/internal/job/director/reborn_worker_test.go
@@ -227,3 +227,61 @@
 		fl.assertNoViolations()
 	})
 }
+
+// restartPolicy is a policy service that knows worker-00 since a restart of it, and takes a second to answer.
+type restartPolicy struct {
+	mu        sync.Mutex
+	restarted bool
+	// asked counts the requests since the restart.
+	asked int
+	// permitBefore is set if it also permits the incarnation before.
+	permitBefore bool
+}
+
+func (rp *restartPolicy) Permit(context.Context, modeler.StepID, []modeler.WorkerID) ([]modeler.Permit, error) {
+	rp.mu.Lock()
+	permits := rp.restarted || rp.permitBefore
+	if rp.restarted {
+		rp.asked++
+	}
+	rp.mu.Unlock()
+	time.Sleep(time.Second)
+	if !permits {
+		return nil, nil
+	}
+	return []modeler.Permit{{Worker: "worker-00", Ticket: "ticket", TTL: 3 * time.Second}}, nil
+}
+
+// Guards against the use of the policy service's answer on an incarnation of a worker for the next one: a denial that
+// keeps a task waiting for good, and a permit that the worker refuses.
+func TestPermitsOfRestartedWorker(t *testing.T) {
+	for name, tc := range map[string]struct {
+		permitBefore bool
+		// restartAfter is the time from the job's submission, after which the service is asked, to the restart.
+		restartAfter time.Duration
+	}{
+		"denied before the restart":     {false, 3 * time.Second},
+		"asked before, denied after it": {false, 500 * time.Millisecond},
+		"asked before, granted after":   {true, 500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 1, func(fl *fleet, tm *term) {
+				tm.end()
+				rp := &restartPolicy{permitBefore: tc.permitBefore}
+				fl.policy, fl.config.Queues[0].Policy = rp, &modeler.Policy{DecisionTime: time.Second}
+				*tm = *fl.startTerm(0)
+				sleep(300 * time.Millisecond)
+				tm.submit(simpleJob("j1", "urgent", 1, cores(1000)))
+				sleep(tc.restartAfter)
+				fl.infos[0] = fl.workers.Add(workerInfo(0))
+				tm.UpdateWorker(fl.infos[0])
+				rp.mu.Lock()
+				rp.restarted = true
+				rp.mu.Unlock()
+				sleep(6 * time.Second)
+				tm.assertState("j1", modeler.Completed)
+				qt.Check(t, rp.asked, qt.Equals, 1)
+			})
+		})
+	}
+}
