internal/job/director: a new leader allows for late requests of its predecessor to a restarted worker

What callers could see: a long-running task ran twice (TWICE). A worker restarted shortly before a term and carried out a late renewal of the earlier leader for its earlier incarnation, which gave it a lease of LongestLease (10 s). The new leader allowed for Limits.Lease (7 s) from the first answer. When the worker then fell silent, its task started elsewhere while it ran on.

No further answer is needed, as the worker refuses the tokens of earlier epochs from the first one on.

TestLateRenewalBeforeTerm failed before in both cases: "j1.0.0.0 started while it runs on worker-00".

--- a/internal/job/director/late_renewal_test.go
+++ b/internal/job/director/late_renewal_test.go
@@ -105,6 +105,38 @@
 	})
 }
 
+// Guards against the same where the worker restarts before a term, and an earlier leader sent the late renewal.
+func TestLateRenewalBeforeTerm(t *testing.T) {
+	limits := testLimits
+	defer func() { testLimits = limits }()
+	testLimits.LongestLease = 10 * time.Second
+	for name, contact := range map[string]time.Duration{"not reached by the earlier leader": 0, "reached by it": 200 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 2, func(fl *fleet, tm *term) {
+				lr := keepRenewal(fl, tm)
+				late := *lr.req
+				lr.cutOff("worker-00")
+				fl.workers.Crash("worker-00")
+				sleep(2 * time.Second)
+				fl.infos[0] = fl.workers.Add(workerInfo(0))
+				late.Deadline, late.MaxWait, late.AckedEnd = testLimits.LongestLease, 0, 0
+				_, err := fl.workers.Renew(fl.t.Context(), &fl.infos[0], &late)
+				qt.Assert(fl.t, err, qt.IsNil)
+				if contact > 0 {
+					tm.UpdateWorker(fl.infos[0])
+					lr.cutOff("")
+					sleep(contact)
+				}
+				tm.end()
+				lr.cutOff("")
+				*tm = *fl.startTerm(0)
+				tm.submit(longRunningJob("j1", "urgent", 1, cores(1000)))
+				assertLostSafely(fl, tm, lr)
+			})
+		})
+	}
+}
+
 // Guards against the same where the late renewal arrives between the first answer of the new incarnation and the first
 // request with a token that it has not seen, as in soak seed 6000.
 func TestLateRenewalAfterFirstContact(t *testing.T) {
--- a/internal/job/director/lease.go
+++ b/internal/job/director/lease.go
@@ -169,6 +169,22 @@
 	recordingBound, recordingGrant, recordingRelease bool
 }
 
+// noteGranted notes that an earlier leader gave an incarnation of the worker leases.
+func (wk *worker) noteGranted(incarnation int64) {
+	wk.grantedToSeveral = wk.grantedToSeveral || wk.grantedTo != 0 && wk.grantedTo != incarnation
+	wk.grantedTo = incarnation
+}
+
+// lateLeaseEnd returns the latest end of a lease, on the worker's clock, that requests for an earlier incarnation
+// may have given the one that answers in a term first, and zero if there is none. They are carried out by
+// maxStartDelayAfterRestart after its start.
+func (dr *Director) lateLeaseEnd(wk *worker, rep *modeler.Report) time.Duration {
+	if wk.grantedTo == 0 || wk.grantedTo == rep.Incarnation && !wk.grantedToSeveral {
+		return 0
+	}
+	return min(rep.Clock, maxStartDelayAfterRestart) + max(dr.op.Limits.Lease, dr.op.Limits.LongestLease)
+}
+
 // mayHoldLongLease reports whether a worker may hold a lease that is too long for a long-running task. A worker that
 // restarted in this term may for some seconds, see worker.mayHoldEarlierLease.
 func (dr *Director) mayHoldLongLease(wk *worker, now time.Time) bool {
--- a/internal/job/director/recovery.go
+++ b/internal/job/director/recovery.go
@@ -60,6 +60,7 @@
 	case ft.LeaseGranted != nil:
 		dr.setWorker(ft.LeaseGranted)
 		wk := dr.workers[ft.LeaseGranted.ID]
+		wk.noteGranted(ft.LeaseGranted.Incarnation)
 		wk.grantDurable, wk.registered, wk.lease = true, false, leaseRecord{}
 	case ft.LeaseBounded != nil:
 		dr.restoreBound(ft.LeaseBounded)
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -31,8 +31,9 @@
 	}
 	// Renewals of one worker are sent one after the other, so that another incarnation than the last
 	// is a later one, also if its clock was set back.
+	firstOfTerm := wk.incarnation == 0
 	if rep.Incarnation != wk.incarnation {
-		wk.mayHoldEarlierLease = wk.incarnation != 0
+		wk.mayHoldEarlierLease = !firstOfTerm
 		dr.workerRestarted(wk, rep.Incarnation, time.Now())
 	}
 	wk.fenced = fence == dr.fence(wk)
@@ -47,6 +48,9 @@
 		// An earlier leader cannot have given a longer lease, and can give none from now on.
 		wk.leaseEnd = max(wk.leaseEnd, rep.Clock+dr.op.Limits.Lease)
 	}
+	if firstOfTerm {
+		wk.leaseEnd = max(wk.leaseEnd, dr.lateLeaseEnd(wk, rep))
+	}
 	if wk.mayHoldEarlierLease {
 		// A request for the earlier incarnation, carried out late, may have given this one more.
 		wk.leaseEnd = max(wk.leaseEnd, rep.Clock+longest)
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -102,6 +102,10 @@
 	// token that is later than those of all requests for the earlier one. Until then it may carry these out, which
 	// gives it a lease by the clock of the earlier one.
 	mayHoldEarlierLease bool
+	// grantedTo is the last incarnation that may hold a lease of an earlier leader, zero if none is known, and
+	// grantedToSeveral is set if the journal names several.
+	grantedTo        int64
+	grantedToSeveral bool
 	// leaseEnd is the latest end of a lease that the worker may have received, on its clock, zero
 	// before the first answer.
 	leaseEnd time.Duration
