internal/job/director: log lines for a restarted worker that gets no starts or no long-running tasks

Events 700 (the registry's entry is of another incarnation) and 701 (the worker may hold a long lease), once for each restart, with what decides. Without them, an operator could not see why such a worker stays idle.

--- a/internal/job/director/lease.go
+++ b/internal/job/director/lease.go
@@ -188,7 +188,12 @@
 // mayHoldLongLease reports whether a worker may hold a lease that is too long for a long-running task. A worker that
 // restarted in this term may for some seconds, see worker.mayHoldEarlierLease.
 func (dr *Director) mayHoldLongLease(wk *worker, now time.Time) bool {
-	return wk.leaseEnd-wk.minClock(now) > max(dr.op.Limits.Lease+leaseJitter, maxLongRunningLease)
+	return wk.leaseEnd-wk.minClock(now) > dr.longRunningLease()
+}
+
+// longRunningLease returns the longest lease that a worker may hold to get a long-running task.
+func (dr *Director) longRunningLease() time.Duration {
+	return max(dr.op.Limits.Lease+leaseJitter, maxLongRunningLease)
 }
 
 // inheritedEnd returns when the lease of a worker that has not answered in this term is over.
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -31,8 +31,8 @@
 	}
 	// Renewals of one worker are sent one after the other, so that another incarnation than the last
 	// is a later one, also if its clock was set back.
-	firstOfTerm := wk.incarnation == 0
-	if rep.Incarnation != wk.incarnation {
+	firstOfTerm, restarted := wk.incarnation == 0, rep.Incarnation != wk.incarnation
+	if restarted {
 		wk.mayHoldEarlierLease = !firstOfTerm
 		dr.workerRestarted(wk, rep.Incarnation, time.Now())
 	}
@@ -59,6 +59,9 @@
 	wk.clock, wk.clockAt, wk.unreachable, wk.answered = rep.Clock, answeredAt, false, true
 	// An earlier report may have had a clock that was too far ahead.
 	wk.leaseEnd = min(wk.leaseEnd, rep.Clock+longest)
+	if left := wk.leaseEnd - rep.Clock; restarted && left > dr.longRunningLease() {
+		dr.log(logger.WorkerLongLeasePossible, "Worker", wk.info.ID, "LeaseLeft", left.String(), "Limit", dr.longRunningLease().String())
+	}
 	return true
 }
 
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -277,7 +277,7 @@
 	wk.info, wk.registered = *info, true
 	// An entry of a later incarnation than the one that keeps answering is taken as it is: announcedAt delays starts
 	// until the worker has answered again.
-	wk.entryOutdated = wk.describesOther(wk.incarnation) && (wk.entryOutdated || info.Incarnation < wk.incarnation)
+	dr.setEntryOutdated(wk, wk.describesOther(wk.incarnation) && (wk.entryOutdated || info.Incarnation < wk.incarnation))
 	dr.startRenewing(wk)
 }
 
@@ -287,6 +287,14 @@
 	return wk.info.Incarnation != 0 && incarnation != 0 && wk.info.Incarnation != incarnation
 }
 
+// setEntryOutdated sets entryOutdated, and logs when that closes the worker.
+func (dr *Director) setEntryOutdated(wk *worker, outdated bool) {
+	if outdated && !wk.entryOutdated {
+		dr.log(logger.WorkerEntryOutdated, "Worker", wk.info.ID, "Answers", wk.incarnation, "Entry", wk.info.Incarnation)
+	}
+	wk.entryOutdated = outdated
+}
+
 // startRenewing starts the renewLoop of a worker. It does nothing before Start.
 func (dr *Director) startRenewing(wk *worker) {
 	if dr.ctx == nil || wk.renewing {
@@ -492,8 +500,8 @@
 		dr.log(logger.WorkerRestarted, "Worker", wk.info.ID, "Runs", len(wk.attempts))
 	}
 	first := wk.incarnation == 0
-	wk.entryOutdated = wk.describesOther(incarnation)
 	wk.incarnation, wk.processedEnd, wk.ackedEnd, wk.leaseEnd = incarnation, 0, 0, 0
+	dr.setEntryOutdated(wk, wk.describesOther(incarnation))
 	wk.faultHistory = appraiser.FaultHistory{}
 	if qf := wk.inheritedQuarantine; first && qf != nil && qf.Incarnation == incarnation {
 		dr.restoreQuarantine(wk, qf, now)
