--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -94,9 +94,18 @@
 	// the worker has answered a later renewal. Until then, it gets neither starts nor a longer lease,
 	// and no ends are acknowledged.
 	announcedAt time.Time
-	// entryOutdated is set while info describes an earlier incarnation than the one that answers, which may have
-	// other labels and another capacity. It gets no starts until its own entry is known.
+	// entryOutdated is set while info describes another incarnation than the one that answered last, which may have
+	// other labels and another capacity: an earlier one, or one between two that answered. It gets no starts until
+	// its own entry is known.
 	entryOutdated bool
+	// mayHoldEarlierLease is set from the first answer of another incarnation until it has answered a request with a
+	// token that is later than those of all requests for the earlier one. Until then it may carry these out, which
+	// gives it a lease by the clock of the earlier one.
+	mayHoldEarlierLease bool
+	// grantedTo is the last incarnation that may hold a lease of an earlier leader, zero if none is known, and
+	// grantedToSeveral is set if the journal names several.
+	grantedTo        int64
+	grantedToSeveral bool
 	// leaseEnd is the latest end of a lease that the worker may have received, on its clock, zero
 	// before the first answer.
 	leaseEnd time.Duration
@@ -265,13 +274,27 @@
 	if wk.incarnation != 0 && info.Incarnation != wk.incarnation && info.Incarnation != wk.info.Incarnation {
 		wk.announcedAt = time.Now()
 	}
-	if info.Incarnation == wk.incarnation || info.Incarnation != wk.info.Incarnation {
-		wk.entryOutdated = false
-	}
 	wk.info, wk.registered = *info, true
+	// An entry of a later incarnation than the one that keeps answering is taken as it is: announcedAt delays starts
+	// until the worker has answered again.
+	dr.setEntryOutdated(wk, wk.describesOther(wk.incarnation) && (wk.entryOutdated || info.Incarnation < wk.incarnation))
 	dr.startRenewing(wk)
 }
 
+// describesOther reports whether the worker's entry names another incarnation than the given one. Neither zero, of an
+// entry or an answer without an incarnation, nor an answer that is yet to come tells them apart.
+func (wk *worker) describesOther(incarnation int64) bool {
+	return wk.info.Incarnation != 0 && incarnation != 0 && wk.info.Incarnation != incarnation
+}
+
+// setEntryOutdated sets entryOutdated, and logs when that closes the worker.
+func (dr *Director) setEntryOutdated(wk *worker, outdated bool) {
+	if outdated && !wk.entryOutdated {
+		dr.log(logger.WorkerEntryOutdated, "Worker", wk.info.ID, "Answers", wk.incarnation, "Entry", wk.info.Incarnation)
+	}
+	wk.entryOutdated = outdated
+}
+
 // startRenewing starts the renewLoop of a worker. It does nothing before Start.
 func (dr *Director) startRenewing(wk *worker) {
 	if dr.ctx == nil || wk.renewing {
@@ -384,10 +407,11 @@
 }
 
 // idle reports whether nothing can run on a worker without attempts: either its last report listed
-// no unexpected run and no start may still reach it, or its lease has expired.
+// no unexpected run and no start may still reach it, or its lease has expired and none for an earlier
+// incarnation may still be carried out.
 func (dr *Director) idle(wk *worker, now time.Time) bool {
 	if dr.leaseExpired(wk, now) {
-		return true
+		return !dr.mayStartAfterRestart(wk, now)
 	}
 	for _, since := range wk.unansweredStarts {
 		if now.Sub(since) < 2*maxStartAge {
@@ -409,7 +433,8 @@
 	}
 	wk.renewal.phase = awaitingReport
 	req := &modeler.RenewRequest{Fence: dr.fence(wk), MaxWait: maxIdleWait}
-	if wk.announcedAt.IsZero() {
+	// A worker that did not answer may have restarted. It would drop ends of its new incarnation that nobody has seen.
+	if wk.announcedAt.IsZero() && !wk.unreachable {
 		req.AckedEnd = wk.ackedEnd
 	}
 	switch {
@@ -475,8 +500,8 @@
 		dr.log(logger.WorkerRestarted, "Worker", wk.info.ID, "Runs", len(wk.attempts))
 	}
 	first := wk.incarnation == 0
-	wk.entryOutdated = wk.info.Incarnation != 0 && wk.info.Incarnation != incarnation
 	wk.incarnation, wk.processedEnd, wk.ackedEnd, wk.leaseEnd = incarnation, 0, 0, 0
+	dr.setEntryOutdated(wk, wk.describesOther(incarnation))
 	wk.faultHistory = appraiser.FaultHistory{}
 	if qf := wk.inheritedQuarantine; first && qf != nil && qf.Incarnation == incarnation {
 		dr.restoreQuarantine(wk, qf, now)
--- a/internal/telemetry/logger/catalogue.go
+++ b/internal/telemetry/logger/catalogue.go
@@ -54,4 +54,5 @@
 	inputEvents,
 	relayEvents,
 	evacuationEvents,
+	restartEvents,
 )
