deploy: the evacuation limit is passed as a flag

The template of the settings had a new section for it. Programs that render the template with the known placeholders alone, such as the stand-ins in review/, could not start a host any more. A test checks its flags.

--- a/internal/config/loader/jobs_test.go
+++ b/internal/config/loader/jobs_test.go
@@ -47,8 +47,8 @@
 		{"enabled", "Enabled = true", "Enabled = yes", `host.ini: [Jobs] Enabled = "yes": true or false`, nil},
 		{"lease", "LongestLease = 10000ms", "LongestLease = 10000", `host.ini: [Jobs] LongestLease = "10000": a duration from 1ms to 1h`, nil},
 		{"stop limit", "StopLimit = 400ms", "StopLimit = 0s", `host.ini: [Jobs] StopLimit = "0s": a duration from`, nil},
-		{"evacuation limit", "EvacuationLimit = 5000ms", "EvacuationLimit = 5000", `host.ini: [Jobs] EvacuationLimit = "5000": 0s or a duration from 1ms to 1h`, nil},
-		{"negative evacuation limit", "EvacuationLimit = 5000ms", "EvacuationLimit = -5s", `[Jobs] EvacuationLimit = "-5s": 0s or a duration`, nil},
+		{"evacuation limit", "[Host]", "EvacuationLimit = 5000\n[Host]", `host.ini: [Jobs] EvacuationLimit = "5000": 0s or a duration from 1ms to 1h`, nil},
+		{"negative evacuation limit", "[Host]", "EvacuationLimit = -5s\n[Host]", `[Jobs] EvacuationLimit = "-5s": 0s or a duration`, nil},
 		{"factor", "FarFactor = 1.5", "FarFactor = NaN", `host.ini: [Jobs] FarFactor = "NaN": a number from 0.001 to 1000`, nil},
 		{"share", "Share = 0.4", "Share = {{limits.cpuShare}}", `host.ini: [Host] Share = "{{limits.cpuShare}}": a number from`, nil},
 		{"unknown key", "FarFactor", "NearFactor", `host.ini: [Jobs] NearFactor = "1.5": unknown key; allowed are Enabled, Lease`, nil},
@@ -75,11 +75,11 @@
 	st, err = loadJobs(t, "LongestLease = 10000ms", "LongestLease = 5s")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, st.Jobs.Lease, qt.Equals, 5*time.Second)
-	qt.Check(t, st.Jobs.EvacuationLimit, qt.Equals, 5*time.Second)
-	for _, line := range []string{"", "EvacuationLimit = 0s\n"} {
-		st, err = loadJobs(t, "EvacuationLimit = 5000ms\n", line)
+	qt.Check(t, st.Jobs.EvacuationLimit, qt.Equals, time.Duration(0))
+	for text, limit := range map[string]time.Duration{"0s": 0, "5000ms": 5 * time.Second} {
+		st, err = loadJobs(t, "", "", "--jobs-evacuation-limit="+text)
 		qt.Assert(t, err, qt.IsNil)
-		qt.Check(t, st.Jobs.EvacuationLimit, qt.Equals, time.Duration(0))
+		qt.Check(t, st.Jobs.EvacuationLimit, qt.Equals, limit)
 	}
 }
 
@@ -99,3 +99,18 @@
 	}
 	qt.Check(t, names(template), qt.DeepEquals, names(rendered))
 }
+
+// Guards against a flag in the platform's command line that the program does not know.
+func TestCommandLineOfThePlatform(t *testing.T) {
+	deployment, err := os.ReadFile("../../../deploy/system.toml")
+	qt.Assert(t, err, qt.IsNil)
+	known := map[string]bool{"settings": true}
+	for _, sg := range loader.Table {
+		known[sg.Flag()] = true
+	}
+	flags := regexp.MustCompile(`--([a-z-]+)=`).FindAllSubmatch(deployment, -1)
+	qt.Check(t, len(flags) > 0, qt.IsTrue)
+	for _, match := range flags {
+		qt.Check(t, known[string(match[1])], qt.IsTrue, qt.Commentf("%s", match[1]))
+	}
+}
