--- a/internal/config/loader/jobs_test.go
+++ b/internal/config/loader/jobs_test.go
@@ -105,7 +105,7 @@
 	deployment, err := os.ReadFile("../../../deploy/system.toml")
 	qt.Assert(t, err, qt.IsNil)
 	known := map[string]bool{"settings": true}
-	for _, sg := range loader.Table {
+	for _, sg := range Table {
 		known[sg.Flag()] = true
 	}
 	flags := regexp.MustCompile(`--([a-z-]+)=`).FindAllSubmatch(deployment, -1)
