internal/job/director: the end of a worker's lease includes the deadlines of starts

What callers could see: many tasks ran twice (TWICE). Without a proof that it still leads, a leader sends starts for 4 s, but renews leases for 1 s only. A worker extends its lease to the deadline of a start, 1.5 s ahead. leaseEnd counted renewals only. A worker that got starts near the end of a lease that was not renewed, and then fell silent, was taken to have ended its runs while they went on for up to 1.5 s.

Now leaseEnd includes the deadline of each start that is sent. What the next leader waits for is longer anyway: 4 s and 1.5 s after the last proof are over before 1 s and the lease are.

--- a/internal/job/director/harness_test.go
+++ b/internal/job/director/harness_test.go
@@ -66,6 +66,8 @@
 	loadTime time.Duration
 	// cancelled holds the jobs whose cancellation is stored.
 	cancelled []modeler.JobID
+	// mayExtendLeases is nil where the leader may always extend leases.
+	mayExtendLeases func() bool
 	// evacuator is nil where evacuations are not read.
 	evacuator *evacuator.Evacuator
 
@@ -201,7 +203,7 @@
 	tm := &term{fleet: fl, records: len(rec.Records), segments: rec.Position - rec.SnapshotPosition, ended: make(chan struct{}), resigns: new(atomic.Bool), sendsUntil: new(atomic.Int64)}
 	dr := director.New(director.Options{
 		Epoch: modeler.Epoch(rec.Epoch), WorkerClient: client, Journal: journal, JobStore: jobStore,
-		Configuration: func() *modeler.Configuration { return fl.config }, MaySendRequests: tm.maySend,
+		Configuration: func() *modeler.Configuration { return fl.config }, MaySendRequests: tm.maySend, MayExtendLeases: fl.mayExtendLeases,
 		Policy: fl.policy, InheritedLease: inherited, PredecessorStopped: fl.predecessorStopped.Load, PredecessorSeenFor: fl.predecessorSeenFor,
 		SnapshotPosition: rec.SnapshotPosition, FactsSinceSnapshot: len(rec.Records), Evacuator: fl.evacuator, Limits: testLimits, Log: fl.logs.logger(fl.t), Meter: fl.registry,
 	})
--- a/internal/job/director/renewal_test.go
+++ b/internal/job/director/renewal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -137,6 +138,32 @@
 	})
 }
 
+// Guards against runs that go on under a lease that their start extended, as the leader may send starts for longer than it may
+// renew leases.
+func TestStartExtendsLease(t *testing.T) {
+	for offset := time.Duration(0); offset < time.Second; offset += 100 * time.Millisecond {
+		t.Run(offset.String(), func(t *testing.T) {
+			run(t, 1, func(fl *fleet, tm *term) {
+				tm.end()
+				var extends atomic.Bool
+				extends.Store(true)
+				fl.mayExtendLeases = extends.Load
+				*tm = *fl.startTerm(0)
+				tm.submit(longRunningJob("j1", "urgent", 1, cores(1000)))
+				sleep(2 * time.Second)
+				extends.Store(false)
+				sleep(testLimits.Lease - time.Second + offset)
+				tm.submit(longRunningJob("j2", "urgent", 1, cores(1000)))
+				sleep(100 * time.Millisecond)
+				fl.workers.SetUnreachable("worker-00", true)
+				tm.UpdateWorker(fl.workers.Add(workerInfo(1)))
+				sleep(10 * time.Second)
+				fl.assertNoViolations()
+			})
+		})
+	}
+}
+
 // Guards against a worker that is never given another lease because its registry entry names a later
 // incarnation than the one that answers.
 func TestIncarnationInRegistry(t *testing.T) {
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -113,9 +113,12 @@
 		}
 		at.state, at.sentAt, at.fence = sent, time.Now(), dr.fence(wk)
 		at.checkpoint = at.task.checkpoint
+		deadline := wk.minClock(time.Now()) + maxStartAge
+		// The worker extends its lease to the deadline of a start.
+		wk.leaseEnd = max(wk.leaseEnd, deadline)
 		return at, &modeler.StartRequest{
 			Task: at.task.id(), Run: at.run, Spec: at.task.step.occ.job.Spec, Fence: at.fence,
-			Deadline: wk.minClock(time.Now()) + maxStartAge, Checkpoint: at.checkpoint, Ticket: at.task.step.ticket(wk.info.ID),
+			Deadline: deadline, Checkpoint: at.checkpoint, Ticket: at.task.step.ticket(wk.info.ID),
 		}, wk.info
 	}
 	wk.startSenders--
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -106,8 +106,8 @@
 	// grantedToSeveral is set if the journal names several.
 	grantedTo        int64
 	grantedToSeveral bool
-	// leaseEnd is the latest end of a lease that the worker may have received, on its clock, zero
-	// before the first answer.
+	// leaseEnd is the latest end of a lease that the worker may have received with a renewal or a start, on its clock,
+	// zero before the first answer.
 	leaseEnd time.Duration
 	// processedEnd is the number of the last end that was processed, ackedEnd that of the last one
 	// that is durable.
