internal/request/budgeter: bounds on request bodies and connections

Hundreds of clients whose bodies have the allowed size and never end make a process keep one buffer for each. The package decides whose memory is taken back: the cost of a body is the memory held for it times its age, and the bodies that cost most are aborted, so that small ones that arrive at once are still read. Above the limit on connections, the one that has waited longest for a request is closed. No call blocks, and a body that was read to its end is never aborted, as its job may be stored.

TestCrowd applies 600 bodies of 262,000 bytes that end early, beside 300 ordinary ones, to the package with a budget of 16 MB and without a limit, which is the previous policy. Own code instead of golang.org/x/sync/semaphore and netutil.LimitListener: both make the newcomer wait, and the newcomer is mostly an ordinary client.

--- /dev/null
+++ b/internal/request/budgeter/budgeter_test.go
@@ -0,0 +1,217 @@
+package budgeter
+
+import (
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// slowBody is a body that arrives in equal parts, and ends only if it has an end.
+type slowBody struct {
+	left, part int
+	interval   time.Duration
+	endless    bool
+	aborted    chan struct{}
+}
+
+// Read implements io.Reader.
+func (sb *slowBody) Read(bf []byte) (int, error) {
+	wait := time.After(sb.interval)
+	if sb.left == 0 {
+		if !sb.endless {
+			return 0, io.EOF
+		}
+		wait = nil
+	}
+	select {
+	case <-sb.aborted:
+		return 0, io.ErrUnexpectedEOF
+	case <-wait:
+		num := min(sb.left, sb.part, len(bf))
+		sb.left -= num
+		return num, nil
+	}
+}
+
+// crowdResult has the effects of a crowd.
+type crowdResult struct {
+	peak                int64
+	served, large, rest int
+}
+
+// runCrowd reads the bodies of 600 clients that never end theirs, and of ordinary ones, with a budget of the limit in bytes.
+func runCrowd(t *testing.T, limit int64) (res crowdResult) {
+	const seed = 7
+	t.Logf("seed %d", seed)
+	synctest.Test(t, func(t *testing.T) {
+		rnd := rand.New(rand.NewPCG(seed, 1))
+		var mu sync.Mutex
+		var used int64
+		bg := New(limit, func(delta int64) {
+			mu.Lock()
+			defer mu.Unlock()
+			used += delta
+			res.peak = max(res.peak, used)
+		})
+		var readers sync.WaitGroup
+		read := func(sb *slowBody, size int64) {
+			bd := bg.Open(func() { close(sb.aborted) })
+			defer bd.Release()
+			_, err := bd.ReadAll(sb, size, 262_144, func() error { return nil })
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err == nil:
+				res.served++
+			case sb.endless:
+				qt.Check(t, err, qt.ErrorIs, ErrExhausted)
+				res.large++
+			default:
+				res.rest++
+			}
+		}
+		for range 600 {
+			sb := &slowBody{261_909, 1 + rnd.IntN(64<<10), time.Duration(1+rnd.IntN(20)) * time.Millisecond, true, make(chan struct{})}
+			readers.Go(func() { read(sb, 262_000) })
+		}
+		for range 300 {
+			time.Sleep(time.Duration(rnd.IntN(33)) * time.Millisecond)
+			sb := &slowBody{4_800, 1_460, time.Millisecond, false, make(chan struct{})}
+			readers.Go(func() { read(sb, 4_800) })
+		}
+		time.Sleep(time.Minute)
+		bg.AbortAll()
+		readers.Wait()
+		left, reading := bg.Usage()
+		qt.Check(t, left, qt.Equals, int64(0))
+		qt.Check(t, reading, qt.Equals, 0)
+	})
+	return res
+}
+
+// Guards against a crowd of clients with bodies of the allowed size that never end: with the previous policy, which kept
+// all of them, they need more memory than the smallest host has to give, and with a bound that refuses whoever comes last,
+// ordinary clients are refused.
+func TestCrowd(t *testing.T) {
+	const limit = 16 << 20
+	before := runCrowd(t, math.MaxInt64/2)
+	after := runCrowd(t, limit)
+	t.Logf("previous policy: %+v, budget: %+v", before, after)
+	qt.Check(t, before.peak > 140<<20, qt.IsTrue)
+	qt.Check(t, after.peak <= limit+limit/overcommitDivisor, qt.IsTrue)
+	qt.Check(t, after, qt.Equals, crowdResult{after.peak, 300, 600, 0})
+}
+
+// Guards against a single body within the limit that is refused, one that is cut, and one over the limit that is taken.
+func TestReadAll(t *testing.T) {
+	for _, size := range []int{0, 1, minBuffer - 1, minBuffer, minBuffer + 1, 99_999, 100_000, 100_001} {
+		for _, announced := range []int64{-1, int64(size)} {
+			bg := New(1<<20, func(int64) {})
+			bd := bg.Open(func() {})
+			text := strings.Repeat("x", size)
+			data, err := bd.ReadAll(strings.NewReader(text), announced, 100_000, func() error { return nil })
+			if size > 100_000 {
+				qt.Check(t, err, qt.ErrorIs, ErrTooLarge)
+			} else {
+				qt.Check(t, err, qt.IsNil)
+				qt.Check(t, string(data), qt.Equals, text)
+			}
+			bd.Release()
+			used, _ := bg.Usage()
+			qt.Check(t, used, qt.Equals, int64(0))
+		}
+	}
+}
+
+// Guards against the abort of a request that may have been stored, and against a budget that blocks: memory held for
+// complete bodies is not taken away, and further bodies are refused.
+func TestCompleteBodies(t *testing.T) {
+	bg := New(100, func(int64) {})
+	first := bg.Open(func() { t.Error("aborted after its end") })
+	qt.Assert(t, first.Charge(100), qt.IsNil)
+	qt.Assert(t, first.Complete(), qt.IsNil)
+	second := bg.Open(func() {})
+	qt.Check(t, second.Charge(1), qt.ErrorIs, ErrExhausted)
+	bg.AbortAll()
+	first.Release()
+	qt.Check(t, second.Complete(), qt.ErrorIs, ErrExhausted)
+}
+
+// fakeConn counts its closings.
+type fakeConn struct{ closed int }
+
+// Close implements io.Closer.
+func (fc *fakeConn) Close() error {
+	fc.closed++
+	return nil
+}
+
+// Guards against clients that keep others from connecting: the connection that waited longest is closed for a new one,
+// then a body is aborted, and no connection with a request that may have been stored is closed.
+func TestConnections(t *testing.T) {
+	abortable := 0
+	cs := NewConnections(ConnectionLimits{Total: 8}, func() bool {
+		abortable--
+		return abortable >= 0
+	})
+	var conns []*fakeConn
+	open := func() (refused bool) {
+		fc := &fakeConn{}
+		conns = append(conns, fc)
+		_, _, refused = cs.Open(fc, netip.Addr{})
+		return refused
+	}
+	for range 8 {
+		qt.Check(t, open(), qt.IsFalse)
+	}
+	cs.SetActive(conns[0])
+	cs.SetIdle(conns[0])
+	for _, fc := range conns[2:8] {
+		cs.SetActive(fc)
+	}
+	qt.Check(t, open(), qt.IsFalse)
+	qt.Check(t, conns[1].closed, qt.Equals, 1)
+	cs.Remove(conns[1])
+	qt.Check(t, open(), qt.IsFalse)
+	qt.Check(t, conns[0].closed, qt.Equals, 1)
+	cs.Remove(conns[0])
+	cs.SetActive(conns[8])
+	cs.SetActive(conns[9])
+	qt.Check(t, open(), qt.IsTrue)
+	abortable = 1
+	cs.Remove(conns[10])
+	qt.Check(t, open(), qt.IsFalse)
+	for _, fc := range conns[2:10] {
+		qt.Check(t, fc.closed, qt.Equals, 0)
+	}
+	qt.Check(t, cs.Count(), qt.Equals, 9)
+}
+
+// Guards against one address that takes all connections where a limit by address is set.
+func TestConnectionsPerAddress(t *testing.T) {
+	cs := NewConnections(ConnectionLimits{Total: 100, PerAddress: 1}, func() bool { return false })
+	here, there := netip.MustParseAddr("10.0.0.1"), netip.MustParseAddr("10.0.0.2")
+	first := &fakeConn{}
+	for _, step := range []struct {
+		conn    *fakeConn
+		address netip.Addr
+		refused bool
+	}{{first, here, false}, {&fakeConn{}, there, false}, {&fakeConn{}, here, true}} {
+		_, _, refused := cs.Open(step.conn, step.address)
+		qt.Check(t, refused, qt.Equals, step.refused)
+		if refused {
+			cs.Remove(step.conn)
+		}
+	}
+	cs.Remove(first)
+	_, _, refused := cs.Open(&fakeConn{}, here)
+	qt.Check(t, refused, qt.IsFalse)
+}
