internal/daemon/assembler: bound what clients of the four listeners hold

Clients that leave their bodies unfinished made a process run out of memory: callers lost the host and all requests in progress there. net/http waits for the rest of a body without a limit of time, also where the handler does not read it, each reader kept its buffer, and the peers' listener read bodies of any size.

Where jobs are enabled, each listener now reads the bodies before its handler, within a part of the memory (BodyMemory), of the connections (Connections) and of the time (BodyStall, BodyTime, and the timeout of a caller's request). It answers 413, 408 or 503 with Retry-After and closes the connection; the handler has not run by then, so that nothing is stored. Each listener has its own part, so that callers cannot keep peers or readiness checks out. At a drain, bodies that are not complete 1 s after the listeners begin to close are refused. Events 710 to 712 tell at most once a second for each listener.

--- a/internal/config/loader/settings.go
+++ b/internal/config/loader/settings.go
@@ -103,6 +103,22 @@
 	KeptKeys int64
 	// KeptAnswerBytes bounds the memory for answers that a leader keeps for retries.
 	KeptAnswerBytes int64
+	// MemoryMB is the memory of the host. Zero means that of the machine.
+	MemoryMB int64
+	// Descriptors is the maximum number of open descriptors of the process. Zero means the limit of the system.
+	Descriptors int64
+	// BodyMemory bounds the memory held for bodies of requests, in bytes.
+	BodyMemory int64
+	// PeerBodyBytes bounds the size of a body on the peers' interface.
+	PeerBodyBytes int64
+	// BodyStall is the time without progress after which a body is ended.
+	BodyStall time.Duration
+	// BodyTime is the time after which a body is ended in any case.
+	BodyTime time.Duration
+	// Connections bounds the connections that clients have open.
+	Connections int64
+	// ConnectionsPerAddress bounds them for each interface and remote address. Zero means no limit.
+	ConnectionsPerAddress int64
 }
 
 // TLSSettings configure TLS on the operators' and the peers' interface.
--- a/internal/config/loader/table.go
+++ b/internal/config/loader/table.go
@@ -174,6 +174,46 @@
 		"Maximum memory for answers that a leader keeps for retries, in bytes.", allowedCount,
 		optional, func(st *Settings, val string) bool { return setCount(&st.Limits.KeptAnswerBytes, val) },
 	},
+	{
+		"Limits", "MemoryMB", "COUNT", "", "",
+		"Memory of this host, in megabytes; that of the machine if it is not set. BodyMemory is reduced to a sixth of it. Where [Jobs] Enabled is true.", allowedCount,
+		optional, func(st *Settings, val string) bool { return setCount(&st.Limits.MemoryMB, val) },
+	},
+	{
+		"Limits", "Descriptors", "COUNT", "", "",
+		"Maximum number of open descriptors of the process; the limit that the system has for it if it is not set. Connections is reduced to half of those beyond 200 for files. Where [Jobs] Enabled is true.", allowedCount,
+		optional, func(st *Settings, val string) bool { return setCount(&st.Limits.Descriptors, val) },
+	},
+	{
+		"Limits", "BodyMemory", "BYTES", "33554432", "",
+		"Maximum memory held for the bodies of requests, in bytes. Above it, the largest and slowest bodies are ended. Callers have 10, peers 4, operators and readiness checks 1 sixteenth each of this and of Connections. Where [Jobs] Enabled is true.", allowedCount,
+		optional, func(st *Settings, val string) bool { return setCount(&st.Limits.BodyMemory, val) },
+	},
+	{
+		"Limits", "PeerBodyBytes", "BYTES", "16777216", "",
+		"Maximum size of a body on the peers' interface, in bytes. Where [Jobs] Enabled is true.", allowedCount,
+		optional, func(st *Settings, val string) bool { return setCount(&st.Limits.PeerBodyBytes, val) },
+	},
+	{
+		"Limits", "BodyStall", "DURATION", "3s", "",
+		"Time without progress after which the body of a request is ended. Where [Jobs] Enabled is true.", allowedDuration,
+		optional, func(st *Settings, val string) bool { return setDuration(&st.Limits.BodyStall, val) },
+	},
+	{
+		"Limits", "BodyTime", "DURATION", "10s", "",
+		"Longest time for the body of a request. A caller's body is also ended at the timeout of its request. Where [Jobs] Enabled is true.", allowedDuration,
+		optional, func(st *Settings, val string) bool { return setDuration(&st.Limits.BodyTime, val) },
+	},
+	{
+		"Limits", "Connections", "COUNT", "2560", "",
+		"Maximum number of connections that clients have open. Above it, those that wait longest for a request are closed. Where [Jobs] Enabled is true.", allowedCount,
+		optional, func(st *Settings, val string) bool { return setCount(&st.Limits.Connections, val) },
+	},
+	{
+		"Limits", "ConnectionsPerAddress", "COUNT", "", "",
+		"Maximum number of connections from one address to one interface. There is none if it is not set: a load balancer may present all clients under one address. Where [Jobs] Enabled is true.", allowedCount,
+		optional, func(st *Settings, val string) bool { return setCount(&st.Limits.ConnectionsPerAddress, val) },
+	},
 	{
 		"TLS", "Certificate", "FILE", "", "", "Certificate that this host presents to operators and peers.", "path of a PEM file",
 		optional, func(st *Settings, val string) bool { return setText(&st.TLS.Certificate, val) },
--- /dev/null
+++ b/internal/daemon/assembler/intakelimiter_test.go
@@ -0,0 +1,137 @@
+package assembler
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"github.com/currantrouter/currantrouter/internal/request/budgeter"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
+)
+
+// startLimiter serves a handler that reads bodies at /read only, and answers 404 elsewhere. It returns the address.
+func startLimiter(t *testing.T, op intakeOptions) (string, *intakeLimiter) {
+	t.Helper()
+	op.log, op.meter = logr.Discard(), meter.New(nil)
+	op.retryAfter = func() time.Duration { return 2 * time.Second }
+	op.bodyLimit = func() int64 { return 1000 }
+	op.connections = budgeter.ConnectionLimits{Total: 100}
+	il := newIntakeLimiter(op)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	fe := newFrontend(&http.Server{Handler: il.wrap(http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+		if rq.URL.Path != "/read" {
+			http.NotFound(wr, rq)
+			return
+		}
+		data, err := io.ReadAll(rq.Body)
+		_, deadline := rq.Context().Deadline()
+		_, _ = fmt.Fprint(wr, len(data), err, deadline)
+	}))}, ln)
+	il.attach(fe.server)
+	go func() { _ = fe.serve() }()
+	t.Cleanup(func() {
+		_ = fe.close(t.Context())
+		_ = fe.server.Close()
+		qt.Check(t, op.meter.Value(meter.BodyBytesHeld), qt.Equals, int64(0))
+	})
+	return ln.Addr().String(), il
+}
+
+// assertAnswer sends a request on a new connection, and checks the status and whether the connection stays open.
+func assertAnswer(t *testing.T, address, request string, status int, open bool) *http.Response {
+	t.Helper()
+	cn, err := net.Dial("tcp", address)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = cn.Close() }()
+	_ = cn.SetDeadline(time.Now().Add(20 * time.Second))
+	_, err = io.WriteString(cn, request)
+	qt.Assert(t, err, qt.IsNil)
+	rd := bufio.NewReader(cn)
+	rs, err := http.ReadResponse(rd, nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, rs.StatusCode, qt.Equals, status)
+	qt.Check(t, rs.Close, qt.Equals, !open)
+	text, err := io.ReadAll(rs.Body)
+	qt.Assert(t, err, qt.IsNil)
+	rs.Body = io.NopCloser(strings.NewReader(string(text)))
+	if !open {
+		_, err = rd.ReadByte()
+		qt.Check(t, err, qt.IsNotNil)
+	}
+	return rs
+}
+
+// Guards against clients that do not end their bodies and are never answered, whether or not the handler reads the
+// body, against refusals without a reason, and against requests within the limits that are refused.
+func TestIntakeLimiter(t *testing.T) {
+	const chunk = "3e8\r\n"
+	body := strings.Repeat("x", 1000)
+	usual := intakeOptions{bodyBytes: 1 << 20, stallTime: 100 * time.Millisecond, totalTime: time.Minute}
+	for _, tc := range []struct {
+		name, request string
+		status        int
+		open          bool
+	}{
+		{"announced", "POST /read HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n" + body, http.StatusOK, true},
+		{"chunked", "POST /read HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + body + "\r\n0\r\n\r\n", http.StatusOK, true},
+		{"no body", "GET /read HTTP/1.1\r\nHost: a\r\n\r\n", http.StatusOK, true},
+		{"unread", "GET /nowhere HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n" + body, http.StatusNotFound, true},
+		{"announced too large", "POST /read HTTP/1.1\r\nHost: a\r\nContent-Length: 1001\r\n\r\n", http.StatusRequestEntityTooLarge, false},
+		{"too large", "POST /read HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + body + "\r\n1\r\nx\r\n", http.StatusRequestEntityTooLarge, false},
+		{"stalled", "POST /read HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\nxx", http.StatusRequestTimeout, false},
+		{"stalled chunk", "POST /read HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + "x", http.StatusRequestTimeout, false},
+		{"stalled without a reader", "POST /nowhere HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\nxx", http.StatusRequestTimeout, false},
+		{"stalled query", "GET /read HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\n", http.StatusRequestTimeout, false},
+		{"invalid", "POST /read HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nno chunk\r\n", http.StatusBadRequest, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			address, _ := startLimiter(t, usual)
+			assertAnswer(t, address, tc.request, tc.status, tc.open)
+		})
+	}
+}
+
+// Guards against a caller that waits for an answer after the deadline of its request, and against a handler that counts
+// the deadline from the end of the body.
+func TestIntakeDeadline(t *testing.T) {
+	op := intakeOptions{bodyBytes: 1 << 20, stallTime: time.Minute, totalTime: time.Minute, timeout: func(*http.Request) time.Duration { return 200 * time.Millisecond }}
+	address, _ := startLimiter(t, op)
+	assertAnswer(t, address, "POST /read HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\nxx", http.StatusRequestTimeout, false)
+	op.timeout = func(*http.Request) time.Duration { return time.Minute }
+	address, _ = startLimiter(t, op)
+	cn, err := net.Dial("tcp", address)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = cn.Close() }()
+	_, _ = io.WriteString(cn, "POST /read HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nx")
+	time.Sleep(4 * notableReadTime)
+	_, _ = io.WriteString(cn, "x")
+	rs, err := http.ReadResponse(bufio.NewReader(cn), nil)
+	qt.Assert(t, err, qt.IsNil)
+	text, err := io.ReadAll(rs.Body)
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, string(text), qt.Equals, "2 <nil> true")
+}
+
+// Guards against a refusal without the time for a retry where the memory is exhausted, and against a drain that waits for
+// clients which do not send their bodies.
+func TestIntakeExhausted(t *testing.T) {
+	const request = "POST /read HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n"
+	address, _ := startLimiter(t, intakeOptions{bodyBytes: 100, stallTime: time.Minute, totalTime: time.Minute})
+	rs := assertAnswer(t, address, request, http.StatusServiceUnavailable, false)
+	seconds, err := strconv.Atoi(rs.Header.Get("Retry-After"))
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, seconds, qt.Equals, 2)
+	address, il := startLimiter(t, intakeOptions{bodyBytes: 1 << 20, stallTime: time.Minute, totalTime: time.Minute})
+	il.drain()
+	assertAnswer(t, address, request, http.StatusRequestTimeout, false)
+}
--- a/internal/daemon/assembler/jobs.go
+++ b/internal/daemon/assembler/jobs.go
@@ -1,10 +1,12 @@
 package assembler
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -29,6 +31,7 @@
 	"github.com/currantrouter/currantrouter/internal/job/subscriber"
 	"github.com/currantrouter/currantrouter/internal/process/collector"
 	"github.com/currantrouter/currantrouter/internal/process/pauser"
+	"github.com/currantrouter/currantrouter/internal/request/budgeter"
 	"github.com/currantrouter/currantrouter/internal/request/prober"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
@@ -50,11 +53,20 @@
 	Registry jobleader.Registry
 	Queues   subscriber.ConfigurationEntry
 	// Callers returns a handler for the requests of callers.
-	Callers func(it *intaker.Intaker, sb *subscriber.Subscriber) http.Handler
+	Callers func(it *intaker.Intaker, sb *subscriber.Subscriber) CallerHandler
 	// ReadyPath is the path of the balancer's readiness checks.
 	ReadyPath string
 }
 
+// CallerHandler serves the requests of callers.
+type CallerHandler interface {
+	http.Handler
+	// BodyLimit returns the maximum size of a body in bytes.
+	BodyLimit() int64
+	// Timeout returns how long the sender of a request waits for the answer.
+	Timeout(rq *http.Request) time.Duration
+}
+
 const (
 	// maxStoreAge is the age of the store's last answer from which a host is not ready, unless one
 	// of its peers reaches the store.
@@ -78,7 +90,9 @@
 	elector    *elector.Elector
 	intaker    *intaker.Intaker
 	relay      *relayer.Server
-	draining   atomic.Bool
+	// limiters bound what the clients of each listener hold. They are set by listen.
+	limiters []*intakeLimiter
+	draining atomic.Bool
 }
 
 func newJobHost(st *loader.Settings, pf JobPlatform, lg logr.Logger) *jobHost {
@@ -163,6 +177,9 @@
 	}
 	pauser.Sleep(ctx, balancerDetectionTime)
 	jh.relay.Close()
+	for _, il := range jh.limiters {
+		il.drain()
+	}
 	err := closeAll(ctx, fes)
 	logger.Log(jh.log, logger.DaemonStopped)
 	if err != nil {
@@ -173,25 +190,30 @@
 
 func (jh *jobHost) listen() ([]*frontend, error) {
 	st := jh.settings
-	callers := jh.closeWhileDraining(jh.platform.Callers(jh.intaker, jh.subscriber))
+	callers := jh.platform.Callers(jh.intaker, jh.subscriber)
+	noBody := func() int64 { return maxUnusedBody }
+	peerBody := func() int64 { return st.Limits.PeerBodyBytes }
 	var fes []*frontend
 	for _, itf := range []struct {
 		address netip.AddrPort
 		handler http.Handler
+		limiter *intakeLimiter
 	}{
-		{st.Listen.Callers, callers},
-		{st.Listen.Readiness, jh.readiness()},
-		{st.Listen.Peers, jh.peersHandler()},
-		{st.Listen.Operators, jh.operatorsHandler()},
+		{st.Listen.Callers, jh.closeWhileDraining(callers), jh.newLimiter("Callers", callerShare, callers.BodyLimit, callers.Timeout)},
+		{st.Listen.Readiness, jh.readiness(), jh.newLimiter("Readiness", otherShare, noBody, nil)},
+		{st.Listen.Peers, jh.peersHandler(), jh.newLimiter("Peers", peerShare, peerBody, nil)},
+		{st.Listen.Operators, jh.operatorsHandler(), jh.newLimiter("Operators", otherShare, callers.BodyLimit, nil)},
 	} {
 		ln, err := net.Listen("tcp", itf.address.String())
 		if err != nil {
 			return nil, fmt.Errorf("listen: %w", err)
 		}
 		fe := newFrontend(&http.Server{
-			Handler: itf.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: st.Limits.IdleTimeout,
+			Handler: itf.limiter.wrap(itf.handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: st.Limits.IdleTimeout,
 			MaxHeaderBytes: int(st.Limits.HeaderBytes),
 		}, ln)
+		itf.limiter.attach(fe.server)
+		jh.limiters = append(jh.limiters, itf.limiter)
 		go func() {
 			if err := fe.serve(); err != nil {
 				logger.Log(jh.log, logger.ListenerFailed, "Address", itf.address.String(), "Cause", err.Error())
@@ -202,6 +224,53 @@
 	return fes, nil
 }
 
+// The shares of the listeners in the memory for bodies and the connections, in sixteenths. Each listener has its own, so
+// that the clients of one cannot keep the others from being served. By far the most clients are callers.
+const (
+	callerShare = 10
+	peerShare   = 4
+	otherShare  = 1
+	allShares   = 16
+)
+
+const (
+	// maxUnusedBody is the size in bytes up to which bodies are read on the listener for readiness checks, which need none.
+	maxUnusedBody = 4 << 10
+	// memoryDivisor is the part of the host's memory that bodies may take. The garbage of as much, the heap of a leader
+	// and the connections need the rest.
+	memoryDivisor = 6
+	// fileDescriptors is the number of descriptors that are kept for files.
+	fileDescriptors = 200
+)
+
+// descriptorLimit returns the number of descriptors that this process may open, or zero if the system does not tell.
+func descriptorLimit() int64 {
+	var rl unix.Rlimit
+	if unix.Getrlimit(unix.RLIMIT_NOFILE, &rl) != nil {
+		return 0
+	}
+	return int64(min(rl.Cur, math.MaxInt32))
+}
+
+// newLimiter returns the limiter of a listener with a share in the memory and the connections. timeout may be nil.
+func (jh *jobHost) newLimiter(name string, share int64, bodyLimit func() int64, timeout func(*http.Request) time.Duration) *intakeLimiter {
+	ls := jh.settings.Limits
+	memory, connections := ls.BodyMemory, ls.Connections
+	if host := cmp.Or(ls.MemoryMB<<20, collector.HostMemory()); host > 0 {
+		memory = min(memory, host/memoryDivisor)
+	}
+	if limit := cmp.Or(ls.Descriptors, descriptorLimit()); limit > 0 {
+		// The other half is for connections to workers, peers and the store.
+		connections = min(connections, (limit-fileDescriptors)/2)
+	}
+	return newIntakeLimiter(intakeOptions{
+		name: name, bodyBytes: memory * share / allShares,
+		connections: budgeter.ConnectionLimits{Total: int(max(connections*share/allShares, 1)), PerAddress: int(ls.ConnectionsPerAddress)},
+		stallTime:   ls.BodyStall, totalTime: ls.BodyTime, bodyLimit: bodyLimit, timeout: timeout,
+		retryAfter: jh.intaker.RetryAfter, log: jh.log, meter: jh.meter,
+	})
+}
+
 // closeWhileDraining asks callers to close their connections while this host drains.
 func (jh *jobHost) closeWhileDraining(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
--- a/internal/telemetry/logger/catalogue.go
+++ b/internal/telemetry/logger/catalogue.go
@@ -4,7 +4,7 @@
 
 // Events of the daemon have numbers below 100. The other ranges are: from 100 the configuration and
 // the cluster, from 200 calls, from 300 batch work, from 400 the journal, from 500 operators' commands,
-// plans and hours, from 600 callers' jobs.
+// plans and hours, from 600 callers' jobs, from 710 clients that exceed limits.
 var (
 	DaemonStarted     = Event{10, "daemon started", "The daemon listens on its addresses.", SeverityInfo}
 	DrainStarted      = Event{11, "drain started", "The readiness check fails, peers are notified, and the daemon waits for the calls in flight to end.", SeverityInfo}
@@ -53,4 +53,5 @@
 	jobEvents,
 	inputEvents,
 	relayEvents,
+	intakeEvents,
 )
--- a/internal/telemetry/meter/table.go
+++ b/internal/telemetry/meter/table.go
@@ -12,4 +12,5 @@
 	jobMetrics,
 	waitingMetrics,
 	inputMetrics,
+	intakeMetrics,
 )
