internal/daemon/assembler: enough connections for the peers of a leader

The shares of the listeners left 487 connections for peers on a host with 4,100 descriptors: a leader with 146 peers, which keep up to 4 connections each, would have closed idle ones all the time and some peers would have repeated their messages. Peers now have 5 of 16 parts and callers 9, of five eighths of the descriptors (2,900 connections at most), which leaves 1,463 of 4,100 and 5,092 of 8,192 descriptors for workers, peers and the store. TestIntakeShares has the figures of the platform.

--- a/internal/config/loader/table.go
+++ b/internal/config/loader/table.go
@@ -181,12 +181,12 @@
 	},
 	{
 		"Limits", "Descriptors", "COUNT", "", "",
-		"Maximum number of open descriptors of the process; the limit that the system has for it if it is not set. Connections is reduced to half of those beyond 200 for files. Where [Jobs] Enabled is true.", allowedCount,
+		"Maximum number of open descriptors of the process; the limit that the system has for it if it is not set. Connections is reduced to five eighths of those beyond 200 for files. Where [Jobs] Enabled is true.", allowedCount,
 		optional, func(st *Settings, val string) bool { return setCount(&st.Limits.Descriptors, val) },
 	},
 	{
 		"Limits", "BodyMemory", "BYTES", "33554432", "",
-		"Maximum memory held for the bodies of requests, in bytes. Above it, the largest and slowest bodies are ended. Callers have 10, peers 4, operators and readiness checks 1 sixteenth each of this and of Connections. Where [Jobs] Enabled is true.", allowedCount,
+		"Maximum memory held for the bodies of requests, in bytes. Above it, the largest and slowest bodies are ended. Callers have 9, peers 5, operators and readiness checks 1 sixteenth each of this and of Connections. Where [Jobs] Enabled is true.", allowedCount,
 		optional, func(st *Settings, val string) bool { return setCount(&st.Limits.BodyMemory, val) },
 	},
 	{
@@ -205,7 +205,7 @@
 		optional, func(st *Settings, val string) bool { return setDuration(&st.Limits.BodyTime, val) },
 	},
 	{
-		"Limits", "Connections", "COUNT", "2560", "",
+		"Limits", "Connections", "COUNT", "2900", "",
 		"Maximum number of connections that clients have open. Above it, those that wait longest for a request are closed. Where [Jobs] Enabled is true.", allowedCount,
 		optional, func(st *Settings, val string) bool { return setCount(&st.Limits.Connections, val) },
 	},
--- a/internal/daemon/assembler/intakelimiter_test.go
+++ b/internal/daemon/assembler/intakelimiter_test.go
@@ -14,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 
+	"github.com/currantrouter/currantrouter/internal/config/loader"
 	"github.com/currantrouter/currantrouter/internal/request/budgeter"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
@@ -71,6 +72,25 @@
 	return rs
 }
 
+// Guards against defaults that ordinary clients of a large deployment reach, that leave a leader too few descriptors for
+// its workers, or that the smallest host cannot keep.
+func TestIntakeShares(t *testing.T) {
+	st, err := loader.Load([]string{"--standalone"})
+	qt.Assert(t, err, qt.IsNil)
+	for _, host := range []struct{ memoryMB, descriptors, callers, peers, left int64 }{{184, 4100, 1300, 146 * 4, 1400}, {536, 8192, 400 * 4, 146 * 4, 1100 * 4}} {
+		ls := st.Limits
+		ls.MemoryMB, ls.Descriptors = host.memoryMB, host.descriptors
+		memory, connections := int64(0), int64(0)
+		for share, atLeast := range map[int64]int64{callerShare: host.callers, peerShare: host.peers, otherShare: 100} {
+			bytes, conns := intakeShare(ls, share)
+			qt.Check(t, int64(conns) >= atLeast, qt.IsTrue, qt.Commentf("%d connections for share %d", conns, share))
+			memory, connections = memory+bytes, connections+int64(conns)
+		}
+		qt.Check(t, memory <= host.memoryMB<<20/memoryDivisor, qt.IsTrue)
+		qt.Check(t, host.descriptors-fileDescriptors-connections >= host.left, qt.IsTrue)
+	}
+}
+
 // Guards against clients that do not end their bodies and are never answered, whether or not the handler reads the
 // body, against refusals without a reason, and against requests within the limits that are refused.
 func TestIntakeLimiter(t *testing.T) {
--- a/internal/daemon/assembler/jobs.go
+++ b/internal/daemon/assembler/jobs.go
@@ -225,10 +225,11 @@
 }
 
 // The shares of the listeners in the memory for bodies and the connections, in sixteenths. Each listener has its own, so
-// that the clients of one cannot keep the others from being served. By far the most clients are callers.
+// that the clients of one cannot keep the others from being served. Most clients are callers: up to 400 with 4 attempts each.
+// A leader has up to 4 connections from each of 146 peers.
 const (
-	callerShare = 10
-	peerShare   = 4
+	callerShare = 9
+	peerShare   = 5
 	otherShare  = 1
 	allShares   = 16
 )
@@ -241,6 +242,9 @@
 	memoryDivisor = 6
 	// fileDescriptors is the number of descriptors that are kept for files.
 	fileDescriptors = 200
+	// connectionShare is the part of the other descriptors that clients may take, in sixteenths. The rest is for
+	// connections to workers, peers and the store.
+	connectionShare = 10
 )
 
 // descriptorLimit returns the number of descriptors that this process may open, or zero if the system does not tell.
@@ -252,21 +256,26 @@
 	return int64(min(rl.Cur, math.MaxInt32))
 }
 
-// newLimiter returns the limiter of a listener with a share in the memory and the connections. timeout may be nil.
-func (jh *jobHost) newLimiter(name string, share int64, bodyLimit func() int64, timeout func(*http.Request) time.Duration) *intakeLimiter {
-	ls := jh.settings.Limits
-	memory, connections := ls.BodyMemory, ls.Connections
+// intakeShare returns the memory for bodies in bytes and the number of connections of a listener with the share.
+func intakeShare(ls loader.LimitSettings, share int64) (memory int64, connections int) {
+	memory = ls.BodyMemory
 	if host := cmp.Or(ls.MemoryMB<<20, collector.HostMemory()); host > 0 {
 		memory = min(memory, host/memoryDivisor)
 	}
+	total := ls.Connections
 	if limit := cmp.Or(ls.Descriptors, descriptorLimit()); limit > 0 {
-		// The other half is for connections to workers, peers and the store.
-		connections = min(connections, (limit-fileDescriptors)/2)
+		total = min(total, (limit-fileDescriptors)*connectionShare/allShares)
 	}
+	return memory * share / allShares, int(max(total*share/allShares, 1))
+}
+
+// newLimiter returns the limiter of a listener with a share in the memory and the connections. timeout may be nil.
+func (jh *jobHost) newLimiter(name string, share int64, bodyLimit func() int64, timeout func(*http.Request) time.Duration) *intakeLimiter {
+	ls := jh.settings.Limits
+	memory, connections := intakeShare(ls, share)
 	return newIntakeLimiter(intakeOptions{
-		name: name, bodyBytes: memory * share / allShares,
-		connections: budgeter.ConnectionLimits{Total: int(max(connections*share/allShares, 1)), PerAddress: int(ls.ConnectionsPerAddress)},
-		stallTime:   ls.BodyStall, totalTime: ls.BodyTime, bodyLimit: bodyLimit, timeout: timeout,
+		name: name, bodyBytes: memory, connections: budgeter.ConnectionLimits{Total: connections, PerAddress: int(ls.ConnectionsPerAddress)},
+		stallTime: ls.BodyStall, totalTime: ls.BodyTime, bodyLimit: bodyLimit, timeout: timeout,
 		retryAfter: jh.intaker.RetryAfter, log: jh.log, meter: jh.meter,
 	})
 }
