--- a/internal/daemon/assembler/intakelimiter_test.go
+++ b/internal/daemon/assembler/intakelimiter_test.go
@@ -152,6 +152,13 @@
 	qt.Check(t, err, qt.IsNil)
 	qt.Check(t, seconds, qt.Equals, 2)
 	address, il := startLimiter(t, intakeOptions{bodyBytes: 1 << 20, stallTime: time.Minute, totalTime: time.Minute})
-	il.drain()
+	go func() {
+		for reading := 0; reading == 0; {
+			time.Sleep(time.Millisecond)
+			_, reading = il.budget.Usage()
+		}
+		il.drain()
+	}()
+	assertAnswer(t, address, request, http.StatusServiceUnavailable, false)
 	assertAnswer(t, address, request, http.StatusRequestTimeout, false)
 }
