internal/daemon/assembler: an eighth of the memory for bodies

The garbage collector lets the heap grow to about twice the memory in use, and every connection needs some beside its body.

--- a/internal/config/loader/table.go
+++ b/internal/config/loader/table.go
@@ -176,7 +176,7 @@
 	},
 	{
 		"Limits", "MemoryMB", "COUNT", "", "",
-		"Memory of this host, in megabytes; that of the machine if it is not set. BodyMemory is reduced to a sixth of it. Where [Jobs] Enabled is true.", allowedCount,
+		"Memory of this host, in megabytes; that of the machine if it is not set. BodyMemory is reduced to an eighth of it. Where [Jobs] Enabled is true.", allowedCount,
 		optional, func(st *Settings, val string) bool { return setCount(&st.Limits.MemoryMB, val) },
 	},
 	{
@@ -185,7 +185,7 @@
 		optional, func(st *Settings, val string) bool { return setCount(&st.Limits.Descriptors, val) },
 	},
 	{
-		"Limits", "BodyMemory", "BYTES", "33554432", "",
+		"Limits", "BodyMemory", "BYTES", "25165824", "",
 		"Maximum memory held for the bodies of requests, in bytes. Above it, the largest and slowest bodies are ended. Callers have 9, peers 5, operators and readiness checks 1 sixteenth each of this and of Connections. Where [Jobs] Enabled is true.", allowedCount,
 		optional, func(st *Settings, val string) bool { return setCount(&st.Limits.BodyMemory, val) },
 	},
--- a/internal/daemon/assembler/jobs.go
+++ b/internal/daemon/assembler/jobs.go
@@ -239,7 +239,7 @@
 	maxUnusedBody = 4 << 10
 	// memoryDivisor is the part of the host's memory that bodies may take. The garbage of as much, the heap of a leader
 	// and the connections need the rest.
-	memoryDivisor = 6
+	memoryDivisor = 8
 	// fileDescriptors is the number of descriptors that are kept for files.
 	fileDescriptors = 200
 	// connectionShare is the part of the other descriptors that clients may take, in sixteenths. The rest is for
