internal/daemon/assembler: a time for clients to take their answers

Clients that pipeline requests and do not read the answers held their connections for good, as there was no write deadline: with Total 8, 10 of them kept all ordinary clients from connecting, and a drain waited for them until DrainLimit.

The first write of an answer now sets a write deadline of 5 s, which the server clears after the answer. It counts from the answer and not from the request: a caller may set any Timeout-Ms, and the answers are written when they are complete. It also covers the answers of the server itself, such as 400 and 431.

--- a/internal/daemon/assembler/intakelimiter.go
+++ b/internal/daemon/assembler/intakelimiter.go
@@ -49,6 +49,8 @@
 	connections budgeter.ConnectionLimits
 	// stallTime is the longest time without progress of a body, totalTime that for a whole body.
 	stallTime, totalTime time.Duration
+	// answerTime is the time in which a client must take its answer.
+	answerTime time.Duration
 	// bodyLimit returns the maximum size of a body in bytes.
 	bodyLimit func() int64
 	// timeout returns how long the sender of a request waits for the answer. If it is nil, that is not known, and the
@@ -86,7 +88,11 @@
 // connectionKey is the key of the connection in the context of its requests.
 type connectionKey struct{}
 
-// attach makes a server that is not started yet report its connections to the limiter.
+// listener returns a listener whose connections are bounded by the limiter.
+func (il *intakeLimiter) listener(ln net.Listener) net.Listener { return clientListener{ln, il} }
+
+// attach makes a server that is not started yet report its connections to the limiter. Its listener is that of the method
+// listener.
 func (il *intakeLimiter) attach(sv *http.Server) {
 	sv.ConnContext = func(ctx context.Context, cn net.Conn) context.Context {
 		il.op.meter.Add(meter.ClientConnections, 1)
@@ -100,6 +106,9 @@
 	}
 	track := sv.ConnState
 	sv.ConnState = func(cn net.Conn, state http.ConnState) {
+		if cc, ok := cn.(*clientConn); ok {
+			cc.setState(state)
+		}
 		switch state {
 		case http.StateActive:
 			il.connections.SetActive(cn)
--- a/internal/daemon/assembler/intakelimiter_test.go
+++ b/internal/daemon/assembler/intakelimiter_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"cmp"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -19,25 +21,39 @@
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
-// startLimiter serves a handler that reads bodies at /read only, and answers 404 elsewhere. It returns the address.
+// startLimiter serves a handler that reads bodies at /read only, has an answer of 1 MB at /large, and answers 404 elsewhere.
+// It returns the address.
 func startLimiter(t *testing.T, op intakeOptions) (string, *intakeLimiter) {
+	t.Helper()
+	fe, il := startFrontend(t, op)
+	return fe.listener.Addr().String(), il
+}
+
+// startFrontend is startLimiter for tests that drain.
+func startFrontend(t *testing.T, op intakeOptions) (*frontend, *intakeLimiter) {
 	t.Helper()
 	op.log, op.meter = logr.Discard(), meter.New(nil)
 	op.retryAfter = func() time.Duration { return 2 * time.Second }
 	op.bodyLimit = func() int64 { return 1000 }
-	op.connections = budgeter.ConnectionLimits{Total: 100}
+	op.connections.Total = cmp.Or(op.connections.Total, 100)
+	op.answerTime = time.Second
 	il := newIntakeLimiter(op)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	fe := newFrontend(&http.Server{Handler: il.wrap(http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
-		if rq.URL.Path != "/read" {
+		switch rq.URL.Path {
+		case "/read":
+		case "/large":
+			_, _ = wr.Write(make([]byte, 1<<20))
+			return
+		default:
 			http.NotFound(wr, rq)
 			return
 		}
 		data, err := io.ReadAll(rq.Body)
 		_, deadline := rq.Context().Deadline()
 		_, _ = fmt.Fprint(wr, len(data), err, deadline)
-	}))}, ln)
+	}))}, il.listener(ln))
 	il.attach(fe.server)
 	go func() { _ = fe.serve() }()
 	t.Cleanup(func() {
@@ -45,7 +61,7 @@
 		_ = fe.server.Close()
 		qt.Check(t, op.meter.Value(meter.BodyBytesHeld), qt.Equals, int64(0))
 	})
-	return ln.Addr().String(), il
+	return fe, il
 }
 
 // assertAnswer sends a request on a new connection, and checks the status and whether the connection stays open.
@@ -162,3 +178,36 @@
 	assertAnswer(t, address, request, http.StatusServiceUnavailable, false)
 	assertAnswer(t, address, request, http.StatusRequestTimeout, false)
 }
+
+// Guards against clients that do not read their answers: they kept all others from connecting, and a drain waited for them.
+func TestUnreadAnswers(t *testing.T) {
+	fe, il := startFrontend(t, intakeOptions{bodyBytes: 1 << 20, stallTime: time.Minute, totalTime: time.Minute, connections: budgeter.ConnectionLimits{Total: 8}})
+	address := fe.listener.Addr().String()
+	occupy := func() {
+		for range 10 {
+			cn, err := net.Dial("tcp", address)
+			qt.Assert(t, err, qt.IsNil)
+			t.Cleanup(func() { _ = cn.Close() })
+			// The error means that the connection was refused.
+			_, _ = io.WriteString(cn, strings.Repeat("GET /large HTTP/1.1\r\nHost: a\r\n\r\n", 100))
+		}
+		for began := time.Now(); il.connections.Count() < 8 && time.Since(began) < 5*time.Second; {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	occupy()
+	served := false
+	for began := time.Now(); !served && time.Since(began) < 5*time.Second; time.Sleep(20 * time.Millisecond) {
+		rs, err := http.Get("http://" + address + "/read")
+		if served = err == nil; served {
+			_ = rs.Body.Close()
+		}
+	}
+	qt.Check(t, served, qt.IsTrue)
+	http.DefaultClient.CloseIdleConnections()
+	occupy()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	il.drain()
+	qt.Check(t, fe.close(ctx), qt.IsNil)
+}
--- a/internal/daemon/assembler/jobs.go
+++ b/internal/daemon/assembler/jobs.go
@@ -211,7 +211,7 @@
 		fe := newFrontend(&http.Server{
 			Handler: itf.limiter.wrap(itf.handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: st.Limits.IdleTimeout,
 			MaxHeaderBytes: int(st.Limits.HeaderBytes),
-		}, ln)
+		}, itf.limiter.listener(ln))
 		itf.limiter.attach(fe.server)
 		jh.limiters = append(jh.limiters, itf.limiter)
 		go func() {
@@ -275,7 +275,7 @@
 	memory, connections := intakeShare(ls, share)
 	return newIntakeLimiter(intakeOptions{
 		name: name, bodyBytes: memory, connections: budgeter.ConnectionLimits{Total: connections, PerAddress: int(ls.ConnectionsPerAddress)},
-		stallTime: ls.BodyStall, totalTime: ls.BodyTime, bodyLimit: bodyLimit, timeout: timeout,
+		stallTime: ls.BodyStall, totalTime: ls.BodyTime, answerTime: answerTime, bodyLimit: bodyLimit, timeout: timeout,
 		retryAfter: jh.intaker.RetryAfter, log: jh.log, meter: jh.meter,
 	})
 }
