internal/job/relayer: bound a batch by bytes, and peers' bodies by their memory

A leader put up to 512 starts into one batch, whatever the size of their specifications. The peers' listener took bodies of up to 16 MB by its limit, but with the memory of the smallest host (184 MB, 7.2 MB for peers) those above 2.4 MB got 503 without any load, as a body takes up to three times its size while it is decoded. Every start of such a batch was lost.

A batch now has at most 1 MiB, and the link goes on at once with the calls that it leaves. The limit of a peer's body is a quarter of the peers' memory, 1.8 MB on the smallest host, where a larger one gets 413.

TestLargestPeerBody: the body of the limit was refused before; it passes now, announced and chunked.

--- a/internal/config/loader/table.go
+++ b/internal/config/loader/table.go
@@ -191,7 +191,7 @@
 	},
 	{
 		"Limits", "PeerBodyBytes", "BYTES", "16777216", "",
-		"Maximum size of a body on the peers' interface, in bytes. Where [Jobs] Enabled is true.", allowedCount,
+		"Maximum size of a body on the peers' interface, in bytes. It is reduced to a quarter of the peers' part of BodyMemory. Where [Jobs] Enabled is true.", allowedCount,
 		optional, func(st *Settings, val string) bool { return setCount(&st.Limits.PeerBodyBytes, val) },
 	},
 	{
--- a/internal/daemon/assembler/intakelimiter_test.go
+++ b/internal/daemon/assembler/intakelimiter_test.go
@@ -17,6 +17,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/currantrouter/currantrouter/internal/config/loader"
+	"github.com/currantrouter/currantrouter/internal/job/relayer"
 	"github.com/currantrouter/currantrouter/internal/request/budgeter"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
@@ -34,7 +35,9 @@
 	t.Helper()
 	op.log, op.meter = logr.Discard(), meter.New(nil)
 	op.retryAfter = func() time.Duration { return 2 * time.Second }
-	op.bodyLimit = func() int64 { return 1000 }
+	if op.bodyLimit == nil {
+		op.bodyLimit = func() int64 { return 1000 }
+	}
 	op.connections.Total = cmp.Or(op.connections.Total, 100)
 	op.answerTime = time.Second
 	il := newIntakeLimiter(op)
@@ -108,6 +111,20 @@
 	}
 }
 
+// Guards against a peer's message within the limits that the smallest host refuses without any load.
+func TestLargestPeerBody(t *testing.T) {
+	st, err := loader.Load([]string{"--standalone"})
+	qt.Assert(t, err, qt.IsNil)
+	st.Limits.MemoryMB, st.Limits.Descriptors = 184, 4100
+	memory, _ := intakeShare(st.Limits, peerShare)
+	limit := peerBodyLimit(st.Limits)
+	qt.Check(t, limit >= relayer.MaxBatchBytes, qt.IsTrue, qt.Commentf("%d bytes", limit))
+	address, _ := startLimiter(t, intakeOptions{bodyBytes: memory, stallTime: time.Minute, totalTime: time.Minute, bodyLimit: func() int64 { return limit }})
+	body := strings.Repeat("x", int(limit))
+	assertAnswer(t, address, fmt.Sprintf("POST /read HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", limit, body), http.StatusOK, true)
+	assertAnswer(t, address, fmt.Sprintf("POST /read HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", limit, body), http.StatusOK, true)
+}
+
 // Guards against clients that do not end their bodies and are never answered, whether or not the handler reads the
 // body, against refusals without a reason, and against requests within the limits that are refused.
 func TestIntakeLimiter(t *testing.T) {
--- a/internal/daemon/assembler/jobs.go
+++ b/internal/daemon/assembler/jobs.go
@@ -192,7 +192,7 @@
 	st := jh.settings
 	callers := jh.platform.Callers(jh.intaker, jh.subscriber)
 	noBody := func() int64 { return maxUnusedBody }
-	peerBody := func() int64 { return st.Limits.PeerBodyBytes }
+	peerBody := func() int64 { return peerBodyLimit(st.Limits) }
 	var fes []*frontend
 	for _, itf := range []struct {
 		address netip.AddrPort
@@ -240,6 +240,9 @@
 	// memoryDivisor is the part of the host's memory that bodies may take. The garbage of as much, the heap of a leader
 	// and the connections need the rest.
 	memoryDivisor = 8
+	// peerBodyDivisor is the part of the peers' memory that one body may have. It takes up to three times its size while it
+	// is decoded.
+	peerBodyDivisor = 4
 	// fileDescriptors is the number of descriptors that are kept for files.
 	fileDescriptors = 200
 	// connectionShare is the part of the other descriptors that clients may take, in sixteenths. The rest is for
@@ -269,6 +272,13 @@
 	return memory * share / allShares, int(max(total*share/allShares, 1))
 }
 
+// peerBodyLimit returns the maximum size of a body on the peers' listener in bytes, so that a single one fits into their
+// memory. It must not be less than relayer.MaxBatchBytes.
+func peerBodyLimit(ls loader.LimitSettings) int64 {
+	memory, _ := intakeShare(ls, peerShare)
+	return min(ls.PeerBodyBytes, memory/peerBodyDivisor)
+}
+
 // newLimiter returns the limiter of a listener with a share in the memory and the connections. timeout may be nil.
 func (jh *jobHost) newLimiter(name string, share int64, bodyLimit func() int64, timeout func(*http.Request) time.Duration) *intakeLimiter {
 	ls := jh.settings.Limits
--- a/internal/job/relayer/link.go
+++ b/internal/job/relayer/link.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
@@ -18,6 +19,15 @@
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
+const (
+	// batchOverhead covers the fields of a batch other than its requests and specifications, in bytes: a name and a boot
+	// of a host and six numbers.
+	batchOverhead = 1 << 10
+	// requestOverhead covers the tag and the length of a request or a specification, and the index of the latter that is
+	// set later, in bytes.
+	requestOverhead = 16
+)
+
 // relayPause is how long a relay gets no requests after an exchange with it has failed.
 const relayPause = 5 * time.Second
 
@@ -39,6 +49,8 @@
 	sessionBegan, exchangedAt time.Duration
 	// decoders hold the state of the session's reports by worker.
 	decoders map[modeler.WorkerID]*reportDecoder
+	// behind is set if the last batch left calls in the queue. Only run uses it.
+	behind bool
 	// pausedUntil is when the relay gets requests again.
 	pausedUntil time.Time
 	closed      bool
@@ -150,12 +162,29 @@
 		} else {
 			lk.deliverGuarded(answers)
 		}
-		if msg.Exchange > 1 && len(batch) < maxBatchRequests {
+		if msg.Exchange > 1 && !lk.behind {
 			pauser.Sleep(ctx, exchangeInterval-time.Since(began))
 		}
 	}
 }
 
+// batchLength returns how many calls of a queue fit into one exchange. A call that alone is too large is taken, so that it
+// does not hold up the others; the relay refuses it.
+func batchLength(queue []*call) int {
+	size, specs := batchOverhead, map[string]struct{}{}
+	for ix, ca := range queue[:min(len(queue), maxBatchRequests)] {
+		size += proto.Size(ca.request) + requestOverhead
+		if _, ok := specs[ca.spec]; !ok && ca.request.GetStart() != nil {
+			specs[ca.spec] = struct{}{}
+			size += len(ca.spec) + requestOverhead
+		}
+		if size > MaxBatchBytes {
+			return max(ix, 1)
+		}
+	}
+	return min(len(queue), maxBatchRequests)
+}
+
 // nextBatch returns the message of the next exchange with the calls that it takes, or nil if there is nothing
 // to send and nothing to wait for.
 func (lk *link) nextBatch() (*messenger.RelayBatch, []*call) {
@@ -177,9 +206,10 @@
 	if lk.exchange++; lk.exchange == 1 {
 		lk.sessionBegan = uptime
 	} else {
-		batch = lk.queue[:min(len(lk.queue), maxBatchRequests)]
+		batch = lk.queue[:batchLength(lk.queue)]
 		lk.queue = lk.queue[len(batch):]
 	}
+	lk.behind = len(lk.queue) > 0 || len(batch) == maxBatchRequests
 	msg := &messenger.RelayBatch{
 		Epoch: int64(op.Epoch), Host: string(op.Host), Boot: string(op.Boot), Session: lk.session, Exchange: lk.exchange, Sent: (uptime - lk.sessionBegan).Milliseconds(),
 		MaxWait: exchangeInterval.Milliseconds(), Requests: make([]*messenger.WorkerRequest, len(batch)),
--- a/internal/job/relayer/relayer.go
+++ b/internal/job/relayer/relayer.go
@@ -25,6 +25,8 @@
 	exchangeTimeout = 800 * time.Millisecond
 	// maxBatchRequests bounds the requests of an exchange.
 	maxBatchRequests = 512
+	// MaxBatchBytes bounds the message of an exchange. The peers' listener of the smallest host takes no larger body.
+	MaxBatchBytes = 1 << 20
 	// maxSessionRequests bounds the requests of a session without an answer, and so the memory of a relay.
 	maxSessionRequests = 8192
 	// maxAnswersBytes is the approximate size of the answers of an exchange. The others wait for the next.
