internal/request/budgeter: abort bodies only where that makes room

The charge for decoding a complete body took all bodies being read as victims, one after the other, and was refused all the same where the complete ones held the memory: ordinary callers got 503 for nothing. It also aborted bodies that cost less than its own.

A charge is now refused before any abort if the bodies that cost more than its own do not make room.

TestLaterCharge: 2 of its 3 cases failed before, "no room with all aborted" and "costlier itself". In TestCrowd, 300 of 300 ordinary bodies are read, as before.

--- a/internal/request/budgeter/budgeter.go
+++ b/internal/request/budgeter/budgeter.go
@@ -74,8 +74,8 @@
 	return bd
 }
 
-// Charge adds memory in bytes to what is held for the body. If the budget is exhausted, the bodies that cost most are
-// aborted. Errors: ErrExhausted, after which nothing was added.
+// Charge adds memory in bytes to what is held for the body. If the budget is exhausted, bodies that cost more than this one
+// are aborted, if that makes room. Errors: ErrExhausted, after which nothing was added and no body was aborted.
 func (bd *Body) Charge(bytes int64) error {
 	bg := bd.budget
 	bg.mu.Lock()
@@ -83,33 +83,42 @@
 	if bd.aborted {
 		return ErrExhausted
 	}
-	for bg.used-bg.aborting+bytes > bg.limit {
-		victim := bg.costliest(bd, bytes)
-		if victim == nil || victim == bd {
-			return ErrExhausted
-		}
-		bg.abort(victim)
-	}
-	if bg.used+bytes > bg.limit+bg.limit/overcommitDivisor {
+	now := time.Now()
+	if bg.used+bytes > bg.limit+bg.limit/overcommitDivisor || !bg.hasRoom(bd, bytes, now) {
 		return ErrExhausted
 	}
+	for bg.used-bg.aborting+bytes > bg.limit {
+		bg.abort(bg.costliest(now))
+	}
 	bd.add(bytes)
 	return nil
 }
 
-// costliest returns the body being read that costs most, where the given one holds the bytes in addition. It returns nil
-// if no body is being read.
-func (bg *Budget) costliest(bd *Body, bytes int64) *Body {
-	now := time.Now()
+// hasRoom reports whether the body can hold the bytes in addition, if need be after the abort of bodies that cost more.
+func (bg *Budget) hasRoom(bd *Body, bytes int64, now time.Time) bool {
+	room := bg.limit + bg.aborting - bg.used
+	if bytes <= room {
+		return true
+	}
+	own := cost(bd.charged+bytes, bd.began, now)
+	for cand := range bg.reading {
+		if cand != bd && cost(cand.charged, cand.began, now) > own {
+			room += cand.charged
+		}
+	}
+	return bytes <= room
+}
+
+// cost returns the memory in bytes that is held since began, times its age.
+func cost(held int64, began, now time.Time) float64 { return float64(held) * now.Sub(began).Seconds() }
+
+// costliest returns the body being read that costs most, or nil if none is read.
+func (bg *Budget) costliest(now time.Time) *Body {
 	var victim *Body
 	highest := -1.0
 	for cand := range bg.reading {
-		held := cand.charged
-		if cand == bd {
-			held += bytes
-		}
-		if cost := float64(held) * now.Sub(cand.began).Seconds(); cost > highest {
-			victim, highest = cand, cost
+		if ct := cost(cand.charged, cand.began, now); ct > highest {
+			victim, highest = cand, ct
 		}
 	}
 	return victim
@@ -127,7 +136,7 @@
 func (bg *Budget) AbortCostliest() bool {
 	bg.mu.Lock()
 	defer bg.mu.Unlock()
-	bd := bg.costliest(nil, 0)
+	bd := bg.costliest(time.Now())
 	if bd != nil {
 		bg.abort(bd)
 	}
--- a/internal/request/budgeter/budgeter_test.go
+++ b/internal/request/budgeter/budgeter_test.go
@@ -145,6 +145,43 @@
 	qt.Check(t, second.Complete(), qt.ErrorIs, ErrExhausted)
 }
 
+// Guards against bodies that are aborted in vain: for a complete one whose further charge is refused all the same, or that
+// costs more than they do.
+func TestLaterCharge(t *testing.T) {
+	for _, tc := range []struct {
+		name                string
+		held, other, charge int64
+		otherFirst, granted bool
+	}{
+		{"no room with all aborted", 90, 5, 20, true, false},
+		{"costlier itself", 50, 50, 10, false, false},
+		{"other costs more", 10, 90, 10, true, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				bg := New(100, func(int64) {})
+				aborts := 0
+				open := func() *Body {
+					defer time.Sleep(time.Second)
+					return bg.Open(func() { aborts++ })
+				}
+				var complete, other *Body
+				if tc.otherFirst {
+					other, complete = open(), open()
+				} else {
+					complete, other = open(), open()
+				}
+				qt.Assert(t, complete.Charge(tc.held), qt.IsNil)
+				qt.Assert(t, other.Charge(tc.other), qt.IsNil)
+				qt.Assert(t, complete.Complete(), qt.IsNil)
+				err := complete.Charge(tc.charge)
+				qt.Check(t, err == nil, qt.Equals, tc.granted)
+				qt.Check(t, aborts == 1, qt.Equals, tc.granted)
+			})
+		})
+	}
+}
+
 // fakeConn counts its closings.
 type fakeConn struct{ closed int }
 
