internal/request/budgeter: one aborted body for one new connection

When the connections were used up, a new one aborted the body of another, but the connection of that body was not counted as closing until it ended, which takes up to 0.5 s for a client that still sends. Each further connection aborted another body meanwhile.

AbortCostliest now returns the connection of the body, which counts as closing until it is removed.

--- a/internal/daemon/assembler/clientconn.go
+++ b/internal/daemon/assembler/clientconn.go
@@ -47,6 +47,8 @@
 type clientConn struct {
 	net.Conn
 	limiter *intakeLimiter
+	// entry is the place among the connections of the limiter.
+	entry *budgeter.Connection
 	// answering is set while the present answer has a write deadline, which the server clears after the answer.
 	answering bool
 	// inHeader is set from the end of a request until the header of the next is complete or broken.
@@ -96,7 +98,7 @@
 // chargeHeader charges what has arrived of a header. Errors: budgeter.ErrExhausted.
 func (cc *clientConn) chargeHeader() error {
 	if cc.share == nil {
-		cc.share = cc.limiter.budget.Open(func() { _ = cc.SetReadDeadline(time.Unix(1, 0)) })
+		cc.share = cc.limiter.budget.Open(cc.entry, func() { _ = cc.SetReadDeadline(time.Unix(1, 0)) })
 	}
 	return cc.share.Charge(headerFactor*cc.received - cc.share.Charged())
 }
--- a/internal/daemon/assembler/intakelimiter.go
+++ b/internal/daemon/assembler/intakelimiter.go
@@ -85,15 +85,9 @@
 	return il
 }
 
-// connectionKey is the key of the client in the context of its requests.
+// connectionKey is the key of the connection in the context of its requests.
 type connectionKey struct{}
 
-// client is the connection of a client.
-type client struct {
-	entry *budgeter.Connection
-	conn  *clientConn
-}
-
 // listener returns a listener whose connections are bounded by the limiter.
 func (il *intakeLimiter) listener(ln net.Listener) net.Listener { return clientListener{ln, il} }
 
@@ -102,20 +96,19 @@
 func (il *intakeLimiter) attach(sv *http.Server) {
 	sv.ConnContext = func(ctx context.Context, cn net.Conn) context.Context {
 		il.op.meter.Add(meter.ClientConnections, 1)
+		cc := cn.(*clientConn)
 		addr, _ := netip.ParseAddrPort(cn.RemoteAddr().String())
 		entry, evicted, refused := il.connections.Open(cn, addr.Addr().Unmap())
-		cc, _ := cn.(*clientConn)
+		cc.entry = entry
 		if evicted || refused {
 			il.op.meter.Add(meter.ConnectionsEnded, 1)
 			il.report(logger.ConnectionsEnded, "Connections", il.connections.Count(), "Limit", il.op.connections.Total)
 		}
-		return context.WithValue(ctx, connectionKey{}, client{entry, cc})
+		return context.WithValue(ctx, connectionKey{}, cc)
 	}
 	track := sv.ConnState
 	sv.ConnState = func(cn net.Conn, state http.ConnState) {
-		if cc, ok := cn.(*clientConn); ok {
-			cc.setState(state)
-		}
+		cn.(*clientConn).setState(state)
 		switch state {
 		case http.StateActive:
 			il.connections.SetActive(cn)
@@ -153,21 +146,21 @@
 // wrap returns a handler that reads the bodies of requests within the limits, and refuses the others.
 func (il *intakeLimiter) wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
-		cl, ok := rq.Context().Value(connectionKey{}).(client)
-		if ok && cl.entry.Evicted() {
+		cc := rq.Context().Value(connectionKey{}).(*clientConn)
+		if cc.entry.Evicted() {
 			panic(http.ErrAbortHandler)
 		}
-		if ok && cl.conn != nil && cl.conn.aborted {
+		if cc.aborted {
 			il.refuse(wr, rq, budgeter.ErrExhausted, 0)
 			return
 		}
 		header := headerMemory(rq.Header)
 		if rq.ContentLength != 0 {
-			il.serveBody(wr, rq, next, header)
+			il.serveBody(wr, rq, next, cc.entry, header)
 			return
 		}
 		if header > 0 {
-			share := il.budget.Open(func() {})
+			share := il.budget.Open(cc.entry, func() {})
 			defer share.Release()
 			if err := errors.Join(share.Charge(header), share.Complete()); err != nil {
 				il.refuse(wr, rq, err, 0)
@@ -186,7 +179,7 @@
 }
 
 // serveBody reads the body of a request and has it handled. header is the memory to charge for its header in bytes.
-func (il *intakeLimiter) serveBody(wr http.ResponseWriter, rq *http.Request, next http.Handler, header int64) {
+func (il *intakeLimiter) serveBody(wr http.ResponseWriter, rq *http.Request, next http.Handler, entry *budgeter.Connection, header int64) {
 	limit := il.op.bodyLimit()
 	if rq.ContentLength > limit {
 		il.refuse(wr, rq, budgeter.ErrTooLarge, limit)
@@ -194,7 +187,7 @@
 	}
 	began := time.Now()
 	cn := newConnDeadline(wr)
-	share := il.budget.Open(cn.interrupt)
+	share := il.budget.Open(entry, cn.interrupt)
 	defer share.Release()
 	deadline := began.Add(il.timeFor(rq))
 	var data []byte
--- a/internal/request/budgeter/budgeter.go
+++ b/internal/request/budgeter/budgeter.go
@@ -57,6 +57,8 @@
 type Body struct {
 	budget *Budget
 	began  time.Time
+	// connection is that of the body, nil if it is not known.
+	connection *Connection
 	// abort interrupts the read of the body. It is called with the budget locked, and never after Complete.
 	abort func()
 
@@ -65,9 +67,9 @@
 	aborted bool
 }
 
-// Open adds a body. abort interrupts a read of it; it must not block or call the budget. Release must be called in the end.
-func (bg *Budget) Open(abort func()) *Body {
-	bd := &Body{budget: bg, began: time.Now(), abort: abort}
+// Open adds a body of a connection, nil if that is not known. abort interrupts a read of it; it must not block or call the budget. Release must be called in the end.
+func (bg *Budget) Open(cn *Connection, abort func()) *Body {
+	bd := &Body{budget: bg, began: time.Now(), connection: cn, abort: abort}
 	bg.mu.Lock()
 	defer bg.mu.Unlock()
 	bg.reading[bd] = struct{}{}
@@ -132,15 +134,16 @@
 	bd.abort()
 }
 
-// AbortCostliest aborts the body that costs most. It reports whether there was one.
-func (bg *Budget) AbortCostliest() bool {
+// AbortCostliest aborts the body that costs most. It returns its connection, nil if there was no body.
+func (bg *Budget) AbortCostliest() *Connection {
 	bg.mu.Lock()
 	defer bg.mu.Unlock()
 	bd := bg.costliest(time.Now())
-	if bd != nil {
-		bg.abort(bd)
+	if bd == nil {
+		return nil
 	}
-	return bd != nil
+	bg.abort(bd)
+	return bd.connection
 }
 
 // AbortAll aborts all bodies that are not read to the end.
--- a/internal/request/budgeter/budgeter_test.go
+++ b/internal/request/budgeter/budgeter_test.go
@@ -63,7 +63,7 @@
 		})
 		var readers sync.WaitGroup
 		read := func(sb *slowBody, size int64) {
-			bd := bg.Open(func() { close(sb.aborted) })
+			bd := bg.Open(nil, func() { close(sb.aborted) })
 			defer bd.Release()
 			_, err := bd.ReadAll(sb, size, 262_144, func() error { return nil })
 			mu.Lock()
@@ -115,7 +115,7 @@
 	for _, size := range []int{0, 1, minBuffer - 1, minBuffer, minBuffer + 1, 99_999, 100_000, 100_001} {
 		for _, announced := range []int64{-1, int64(size)} {
 			bg := New(1<<20, func(int64) {})
-			bd := bg.Open(func() {})
+			bd := bg.Open(nil, func() {})
 			text := strings.Repeat("x", size)
 			data, err := bd.ReadAll(strings.NewReader(text), announced, 100_000, func() error { return nil })
 			if size > 100_000 {
@@ -135,10 +135,10 @@
 // complete bodies is not taken away, and further bodies are refused.
 func TestCompleteBodies(t *testing.T) {
 	bg := New(100, func(int64) {})
-	first := bg.Open(func() { t.Error("aborted after its end") })
+	first := bg.Open(nil, func() { t.Error("aborted after its end") })
 	qt.Assert(t, first.Charge(100), qt.IsNil)
 	qt.Assert(t, first.Complete(), qt.IsNil)
-	second := bg.Open(func() {})
+	second := bg.Open(nil, func() {})
 	qt.Check(t, second.Charge(1), qt.ErrorIs, ErrExhausted)
 	bg.AbortAll()
 	first.Release()
@@ -163,7 +163,7 @@
 				aborts := 0
 				open := func() *Body {
 					defer time.Sleep(time.Second)
-					return bg.Open(func() { aborts++ })
+					return bg.Open(nil, func() { aborts++ })
 				}
 				var complete, other *Body
 				if tc.otherFirst {
@@ -194,16 +194,18 @@
 // Guards against clients that keep others from connecting: the connection that waited longest is closed for a new one,
 // then a body is aborted, and no connection with a request that may have been stored is closed.
 func TestConnections(t *testing.T) {
-	abortable := 0
-	cs := NewConnections(ConnectionLimits{Total: 9}, func() bool {
-		abortable--
-		return abortable >= 0
+	var abortable *Connection
+	cs := NewConnections(ConnectionLimits{Total: 9}, func() *Connection {
+		defer func() { abortable = nil }()
+		return abortable
 	})
 	var conns []*fakeConn
+	var entries []*Connection
 	open := func() (refused bool) {
 		fc := &fakeConn{}
 		conns = append(conns, fc)
-		_, _, refused = cs.Open(fc, netip.Addr{})
+		cn, _, refused := cs.Open(fc, netip.Addr{})
+		entries = append(entries, cn)
 		return refused
 	}
 	for range 8 {
@@ -223,7 +225,7 @@
 	cs.SetActive(conns[8])
 	cs.SetActive(conns[9])
 	qt.Check(t, open(), qt.IsTrue)
-	abortable = 1
+	abortable = entries[2]
 	cs.Remove(conns[10])
 	qt.Check(t, open(), qt.IsFalse)
 	for _, fc := range conns[2:10] {
@@ -232,11 +234,46 @@
 	qt.Check(t, cs.Count(), qt.Equals, 9)
 }
 
+// Guards against more aborts than new connections need: bodies that are aborted take a while to end.
+func TestAbortsForConnections(t *testing.T) {
+	var bodies []*Connection
+	aborts := 0
+	limits := ConnectionLimits{Total: 64}
+	cs := NewConnections(limits, func() *Connection {
+		if aborts == len(bodies) {
+			return nil
+		}
+		aborts++
+		return bodies[aborts-1]
+	})
+	conns := map[*Connection]*fakeConn{}
+	open := func() *Connection {
+		fc := &fakeConn{}
+		cn, _, refused := cs.Open(fc, netip.Addr{})
+		qt.Assert(t, refused, qt.IsFalse)
+		cs.SetActive(fc)
+		conns[cn] = fc
+		return cn
+	}
+	for range limits.Usable() {
+		bodies = append(bodies, open())
+	}
+	open()
+	qt.Check(t, aborts, qt.Equals, 1)
+	// A client that ends by itself makes room while the aborted one lingers.
+	cs.Remove(conns[bodies[10]])
+	open()
+	qt.Check(t, aborts, qt.Equals, 1)
+	cs.Remove(conns[bodies[0]])
+	open()
+	qt.Check(t, aborts, qt.Equals, 2)
+}
+
 // Guards against connections that were told to close and take more descriptors than the limit until they end.
 func TestClosingConnections(t *testing.T) {
 	for _, total := range []int{1, 2, 16, 100} {
 		limits := ConnectionLimits{Total: total}
-		cs := NewConnections(limits, func() bool { return false })
+		cs := NewConnections(limits, func() *Connection { return nil })
 		open := 0
 		for ix := range 3 * total {
 			if _, _, refused := cs.Open(&fakeConn{}, netip.Addr{}); !refused {
@@ -250,7 +287,7 @@
 
 // Guards against one address that takes all connections where a limit by address is set.
 func TestConnectionsPerAddress(t *testing.T) {
-	cs := NewConnections(ConnectionLimits{Total: 100, PerAddress: 1}, func() bool { return false })
+	cs := NewConnections(ConnectionLimits{Total: 100, PerAddress: 1}, func() *Connection { return nil })
 	here, there := netip.MustParseAddr("10.0.0.1"), netip.MustParseAddr("10.0.0.2")
 	first := &fakeConn{}
 	for _, step := range []struct {
--- a/internal/request/budgeter/connections.go
+++ b/internal/request/budgeter/connections.go
@@ -27,8 +27,8 @@
 // without a request is closed for a new one. It is safe for concurrent use, and no call blocks.
 type Connections struct {
 	limits ConnectionLimits
-	// abortBody ends a request whose body is being read, and reports whether there was one.
-	abortBody func() bool
+	// abortBody ends a request whose body is being read, and returns its connection, nil if there was none.
+	abortBody func() *Connection
 
 	mu sync.Mutex
 	// open has the connections that are not closed yet.
@@ -48,12 +48,14 @@
 	address netip.Addr
 	// element is the place among the waiting connections, nil while a request is handled.
 	element *list.Element
-	evicted bool
+	// evicted is set if the connection was closed for another one, aborted if its body was aborted for another one. Not
+	// more than one of both is set.
+	evicted, aborted bool
 }
 
 // NewConnections returns a set of connections. abortBody ends a request whose body is being read, which closes its
-// connection, and reports whether there was one.
-func NewConnections(limits ConnectionLimits, abortBody func() bool) *Connections {
+// connection, and returns that, nil if there was none. It is called with the set locked.
+func NewConnections(limits ConnectionLimits, abortBody func() *Connection) *Connections {
 	return &Connections{limits: limits, abortBody: abortBody, open: map[io.Closer]*Connection{}, byAddress: map[netip.Addr]int{}}
 }
 
@@ -87,7 +89,7 @@
 	case !full:
 	case front != nil:
 		victim = front.Value.(*Connection)
-	case !cs.abortBody():
+	case !cs.abortOne():
 		victim = cn
 	}
 	if victim != cn {
@@ -101,6 +103,22 @@
 	return victim
 }
 
+// abortOne aborts the body of a connection that is not closing yet, and reports whether there was one.
+func (cs *Connections) abortOne() bool {
+	for {
+		cn := cs.abortBody()
+		if cn == nil {
+			return false
+		}
+		if cs.open[cn.closer] == cn && !cn.evicted && !cn.aborted {
+			cn.aborted = true
+			cs.remove(cn)
+			cs.closing++
+			return true
+		}
+	}
+}
+
 // remove takes a connection from those that wait.
 func (cs *Connections) remove(cn *Connection) {
 	if cn.element != nil {
@@ -130,7 +148,7 @@
 func (cs *Connections) SetIdle(closer io.Closer) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	if cn := cs.open[closer]; cn != nil && cn.element == nil && !cn.evicted {
+	if cn := cs.open[closer]; cn != nil && cn.element == nil && !cn.evicted && !cn.aborted {
 		cn.element = cs.waiting.PushBack(cn)
 	}
 }
@@ -145,7 +163,7 @@
 	}
 	delete(cs.open, closer)
 	cs.remove(cn)
-	if cn.evicted {
+	if cn.evicted || cn.aborted {
 		cs.closing--
 	}
 	if cs.limits.PerAddress > 0 {
