internal/daemon/assembler: the timeout of a request decides how long its body may take

BodyTime (10 s) cut callers whose body made progress within a longer Timeout-Ms, also where there was no overload.

A caller's body now has until the timeout of its request, after 1 minute at the latest. Under pressure the budget ends slow bodies first, as before. BodyTime remains for listeners where the timeout is not known.

TestSlowCaller: 408 before, 200 after.

--- a/internal/config/loader/settings.go
+++ b/internal/config/loader/settings.go
@@ -113,7 +113,7 @@
 	PeerBodyBytes int64
 	// BodyStall is the time without progress after which a body is ended.
 	BodyStall time.Duration
-	// BodyTime is the time after which a body is ended in any case.
+	// BodyTime is the time after which a body is ended where the timeout of its request is not known.
 	BodyTime time.Duration
 	// Connections bounds the connections that clients have open.
 	Connections int64
--- a/internal/config/loader/table.go
+++ b/internal/config/loader/table.go
@@ -201,7 +201,7 @@
 	},
 	{
 		"Limits", "BodyTime", "DURATION", "10s", "",
-		"Longest time for the body of a request. A caller's body is also ended at the timeout of its request. Where [Jobs] Enabled is true.", allowedDuration,
+		"Longest time for the body of a request of peers, operators and readiness checks. A caller's body is ended at the timeout of its request, after 1 minute at the latest. Where [Jobs] Enabled is true.", allowedDuration,
 		optional, func(st *Settings, val string) bool { return setDuration(&st.Limits.BodyTime, val) },
 	},
 	{
--- a/internal/daemon/assembler/intakelimiter.go
+++ b/internal/daemon/assembler/intakelimiter.go
@@ -27,6 +27,9 @@
 	maxLingerBytes = 256 << 10
 	// maxLingering is the number of connections per listener that linger at a time.
 	maxLingering = 64
+	// maxCallerBodyTime bounds the time for a body whose sender waits longer for the answer. A body of 262,144 bytes arrives
+	// within it at 35 kbit/s.
+	maxCallerBodyTime = time.Minute
 	// notableReadTime is the time for reading a body from which the deadline of the request is set apart, as the
 	// handler counts from its own start.
 	notableReadTime = 20 * time.Millisecond
@@ -47,7 +50,7 @@
 	// bodyBytes is the memory for bodies.
 	bodyBytes   int64
 	connections budgeter.ConnectionLimits
-	// stallTime is the longest time without progress of a body, totalTime that for a whole body.
+	// stallTime is the longest time without progress of a body, totalTime that for a whole body where timeout is nil.
 	stallTime, totalTime time.Duration
 	// answerTime is the time in which a client must take its answer.
 	answerTime time.Duration
@@ -217,7 +220,7 @@
 func (il *intakeLimiter) timeFor(rq *http.Request) time.Duration {
 	total := il.op.totalTime
 	if il.op.timeout != nil {
-		total = min(total, il.op.timeout(rq))
+		total = min(il.op.timeout(rq), maxCallerBodyTime)
 	}
 	if il.draining.Load() {
 		total = min(total, newConnGrace)
--- a/internal/daemon/assembler/intakelimiter_test.go
+++ b/internal/daemon/assembler/intakelimiter_test.go
@@ -180,6 +180,27 @@
 	qt.Check(t, string(text), qt.Equals, "2 <nil> true")
 }
 
+// Guards against a caller that is cut although its body makes progress within the timeout of its request, and against one
+// that sets a timeout without a bound.
+func TestSlowCaller(t *testing.T) {
+	timeout := time.Minute
+	op := intakeOptions{bodyBytes: 1 << 20, stallTime: time.Minute, totalTime: 50 * time.Millisecond, timeout: func(*http.Request) time.Duration { return timeout }}
+	address, il := startLimiter(t, op)
+	cn, err := net.Dial("tcp", address)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = cn.Close() }()
+	_, _ = io.WriteString(cn, "POST /read HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n")
+	for range 10 {
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(cn, "x")
+	}
+	rs, err := http.ReadResponse(bufio.NewReader(cn), nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, rs.StatusCode, qt.Equals, http.StatusOK)
+	timeout = time.Hour
+	qt.Check(t, il.timeFor(nil), qt.Equals, maxCallerBodyTime)
+}
+
 // Guards against a refusal without the time for a retry where the memory is exhausted, and against a drain that waits for
 // clients which do not send their bodies.
 func TestIntakeExhausted(t *testing.T) {
