internal/daemon/assembler: keep memory for small bodies of peers

Greetings and messages about stored jobs share the memory of the peers' listener with forwarded jobs and batches of up to 1.8 MB. Complete large bodies are not aborted, so that a few of them kept all small ones from being read, and a host from being greeted.

An eighth of the peers' memory is now for bodies that are announced with at most 64 KB, used when the rest has no room.

TestKeptMemory: bodies of 1 and 65,536 bytes got 503 before, 200 after; one of 65,537 bytes gets 503.

--- a/internal/daemon/assembler/intakelimiter.go
+++ b/internal/daemon/assembler/intakelimiter.go
@@ -27,6 +27,9 @@
 	maxLingerBytes = 256 << 10
 	// maxLingering is the number of connections per listener that linger at a time.
 	maxLingering = 64
+	// maxSmallBody is the size in bytes up to which bodies have memory of their own. Greetings and almost all jobs that peers
+	// tell the leader of are smaller.
+	maxSmallBody = 64 << 10
 	// maxCallerBodyTime bounds the time for a body whose sender waits longer for the answer. A body of 262,144 bytes arrives
 	// within it at 35 kbit/s.
 	maxCallerBodyTime = time.Minute
@@ -47,9 +50,10 @@
 type intakeOptions struct {
 	// name is the name of the listener in log lines.
 	name string
-	// bodyBytes is the memory for bodies.
-	bodyBytes   int64
-	connections budgeter.ConnectionLimits
+	// bodyBytes is the memory for bodies, keptBytes that for bodies of at most maxSmallBody in addition, when the former is
+	// used up.
+	bodyBytes, keptBytes int64
+	connections          budgeter.ConnectionLimits
 	// stallTime is the longest time without progress of a body, totalTime that for a whole body where timeout is nil.
 	stallTime, totalTime time.Duration
 	// answerTime is the time in which a client must take its answer.
@@ -68,8 +72,10 @@
 // intakeLimiter bounds what the clients of one listener hold. It reads the body of each request before the request is
 // handled, so that a client that does not send it is told so whatever its request is.
 type intakeLimiter struct {
-	op          intakeOptions
-	budget      *budgeter.Budget
+	op     intakeOptions
+	budget *budgeter.Budget
+	// kept is the budget of keptBytes.
+	kept        *budgeter.Budget
 	connections *budgeter.Connections
 	draining    atomic.Bool
 	lingering   atomic.Int32
@@ -83,8 +89,9 @@
 
 func newIntakeLimiter(op intakeOptions) *intakeLimiter {
 	il := &intakeLimiter{op: op, ended: map[logger.Event]int{}, reported: map[logger.Event]time.Time{}}
-	il.budget = budgeter.New(op.bodyBytes, func(delta int64) { op.meter.Add(meter.BodyBytesHeld, delta) })
-	il.connections = budgeter.NewConnections(op.connections, il.budget.AbortCostliest)
+	onChange := func(delta int64) { op.meter.Add(meter.BodyBytesHeld, delta) }
+	il.budget, il.kept = budgeter.New(op.bodyBytes, onChange), budgeter.New(op.keptBytes, onChange)
+	il.connections = budgeter.NewConnections(op.connections, il.abortCostliest)
 	return il
 }
 
@@ -144,6 +151,27 @@
 func (il *intakeLimiter) drain() {
 	il.draining.Store(true)
 	time.AfterFunc(newConnGrace, il.budget.AbortAll)
+	time.AfterFunc(newConnGrace, il.kept.AbortAll)
+}
+
+// abortCostliest aborts the body that costs most, and returns its connection, nil if no body is being read.
+func (il *intakeLimiter) abortCostliest() *budgeter.Connection {
+	if cn := il.budget.AbortCostliest(); cn != nil {
+		return cn
+	}
+	return il.kept.AbortCostliest()
+}
+
+// budgetFor returns the budget for a request with the size of its body, negative if it is unknown, and the memory for its
+// header, both in bytes.
+func (il *intakeLimiter) budgetFor(size, header int64) *budgeter.Budget {
+	if size < 0 || size > maxSmallBody {
+		return il.budget
+	}
+	if need := header + (1+decodedFactor)*size + 1; il.budget.Free() < need && il.kept.Free() >= need {
+		return il.kept
+	}
+	return il.budget
 }
 
 // wrap returns a handler that reads the bodies of requests within the limits, and refuses the others.
@@ -190,7 +218,7 @@
 	}
 	began := time.Now()
 	cn := newConnDeadline(wr)
-	share := il.budget.Open(entry, cn.interrupt)
+	share := il.budgetFor(rq.ContentLength, header).Open(entry, cn.interrupt)
 	defer share.Release()
 	deadline := began.Add(il.timeFor(rq))
 	var data []byte
--- a/internal/daemon/assembler/intakelimiter_test.go
+++ b/internal/daemon/assembler/intakelimiter_test.go
@@ -121,7 +121,9 @@
 	memory, _ := intakeShare(st.Limits, peerShare)
 	limit := peerBodyLimit(st.Limits)
 	qt.Check(t, limit >= relayer.MaxBatchBytes, qt.IsTrue, qt.Commentf("%d bytes", limit))
-	address, _ := startLimiter(t, intakeOptions{bodyBytes: memory, stallTime: time.Minute, totalTime: time.Minute, bodyLimit: func() int64 { return limit }})
+	address, _ := startLimiter(t, intakeOptions{
+		bodyBytes: memory - memory/keptDivisor, stallTime: time.Minute, totalTime: time.Minute, bodyLimit: func() int64 { return limit },
+	})
 	body := strings.Repeat("x", int(limit))
 	assertAnswer(t, address, fmt.Sprintf("POST /read HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", limit, body), http.StatusOK, true)
 	assertAnswer(t, address, fmt.Sprintf("POST /read HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", limit, body), http.StatusOK, true)
@@ -180,6 +182,21 @@
 	qt.Check(t, string(text), qt.Equals, "2 <nil> true")
 }
 
+// Guards against large bodies of peers that keep small ones, such as greetings, from being read.
+func TestKeptMemory(t *testing.T) {
+	address, il := startLimiter(t, intakeOptions{
+		bodyBytes: 1 << 20, keptBytes: 256 << 10, stallTime: time.Minute, totalTime: time.Minute, bodyLimit: func() int64 { return 1 << 20 },
+	})
+	large := il.budget.Open(nil, func() { t.Error("aborted after its end") })
+	defer large.Release()
+	qt.Assert(t, large.Charge(1<<20), qt.IsNil)
+	qt.Assert(t, large.Complete(), qt.IsNil)
+	for _, tc := range []struct{ size, status int }{{1, http.StatusOK}, {64 << 10, http.StatusOK}, {64<<10 + 1, http.StatusServiceUnavailable}} {
+		request := fmt.Sprintf("POST /read HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", tc.size, strings.Repeat("x", tc.size))
+		assertAnswer(t, address, request, tc.status, tc.status == http.StatusOK)
+	}
+}
+
 // Guards against a caller that is cut although its body makes progress within the timeout of its request, and against one
 // that sets a timeout without a bound.
 func TestSlowCaller(t *testing.T) {
--- a/internal/daemon/assembler/jobs.go
+++ b/internal/daemon/assembler/jobs.go
@@ -243,6 +243,8 @@
 	// peerBodyDivisor is the part of the peers' memory that one body may have. It takes up to three times its size while it
 	// is decoded.
 	peerBodyDivisor = 4
+	// keptDivisor is the part of the peers' memory that is kept for small bodies.
+	keptDivisor = 8
 	// fileDescriptors is the number of descriptors that are kept for files.
 	fileDescriptors = 200
 	// connectionPercent is the part of the other descriptors that clients may take. The rest is for connections to workers,
@@ -283,8 +285,13 @@
 func (jh *jobHost) newLimiter(name string, share int64, bodyLimit func() int64, timeout func(*http.Request) time.Duration) *intakeLimiter {
 	ls := jh.settings.Limits
 	memory, connections := intakeShare(ls, share)
+	kept := int64(0)
+	if share == peerShare {
+		// Large forwarded jobs must not keep peers from greeting each other.
+		kept = memory / keptDivisor
+	}
 	return newIntakeLimiter(intakeOptions{
-		name: name, bodyBytes: memory, connections: budgeter.ConnectionLimits{Total: connections, PerAddress: int(ls.ConnectionsPerAddress)},
+		name: name, bodyBytes: memory - kept, keptBytes: kept, connections: budgeter.ConnectionLimits{Total: connections, PerAddress: int(ls.ConnectionsPerAddress)},
 		stallTime: ls.BodyStall, totalTime: ls.BodyTime, answerTime: answerTime, bodyLimit: bodyLimit, timeout: timeout,
 		retryAfter: jh.intaker.RetryAfter, log: jh.log, meter: jh.meter,
 	})
--- a/internal/request/budgeter/budgeter.go
+++ b/internal/request/budgeter/budgeter.go
@@ -155,6 +155,14 @@
 	}
 }
 
+// Free returns the memory in bytes that can be charged without aborting bodies. It is negative while aborted bodies exceed
+// the limit.
+func (bg *Budget) Free() int64 {
+	bg.mu.Lock()
+	defer bg.mu.Unlock()
+	return bg.limit - bg.used
+}
+
 // Usage returns the memory in use in bytes, and the number of bodies being read.
 func (bg *Budget) Usage() (used int64, reading int) {
 	bg.mu.Lock()
