internal/request/budgeter: tell why a body was aborted

Bodies that were aborted for a new connection or by a drain were answered, logged and counted as if the memory was used up, so that the operator looked for the wrong limit.

The answer and the key Cause of event 711 now have the reason, and BodiesCrowded and BodiesUnfinished count the two other reasons.

--- a/internal/daemon/assembler/clientconn.go
+++ b/internal/daemon/assembler/clientconn.go
@@ -59,8 +59,8 @@
 	share *budgeter.Body
 	// refused is set after an incomplete header was refused.
 	refused bool
-	// aborted is set if the memory for the header was given to others when it was complete already.
-	aborted bool
+	// aborted is why the header was aborted when it was complete already, nil otherwise.
+	aborted error
 }
 
 // Read implements net.Conn. It charges what has arrived of a header before it waits for more, and answers 503 if there is no
@@ -75,20 +75,22 @@
 	}
 	if cc.received > 0 {
 		if err := cc.chargeHeader(); err != nil {
-			return 0, cc.refuseHeader()
+			return 0, cc.refuseHeader(err)
 		}
 	}
 	num, err := cc.Conn.Read(bf)
 	cc.received += int64(num)
-	if err != nil && cc.share != nil && cc.share.Aborted() {
-		err = cc.refuseHeader()
+	if err != nil && cc.share != nil {
+		if reason := cc.share.Aborted(); reason != nil {
+			err = cc.refuseHeader(reason)
+		}
 	}
 	return num, err
 }
 
-// refuseHeader answers an incomplete header with 503, and returns the error that ends its connection.
-func (cc *clientConn) refuseHeader() error {
-	cc.limiter.onHeaderAborted()
+// refuseHeader answers an incomplete header with 503 for the reason, and returns the error that ends its connection.
+func (cc *clientConn) refuseHeader(reason error) error {
+	cc.limiter.onAborted(reason)
 	// The write fails only if the client has closed the connection.
 	_, _ = fmt.Fprintf(cc, "HTTP/1.1 503 Service Unavailable\r\nRetry-After: %d\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", cc.limiter.op.retryAfter()/time.Second)
 	cc.refused = true
@@ -147,7 +149,7 @@
 	cc.inHeader = state == http.StateNew || state == http.StateIdle
 	cc.received = 0
 	if cc.share != nil {
-		cc.aborted = cc.share.Complete() != nil
+		cc.aborted = cc.share.Complete()
 		cc.share.Release()
 		cc.share = nil
 	}
--- a/internal/daemon/assembler/intakelimiter.go
+++ b/internal/daemon/assembler/intakelimiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -181,8 +182,8 @@
 		if cc.entry.Evicted() {
 			panic(http.ErrAbortHandler)
 		}
-		if cc.aborted {
-			il.refuse(wr, rq, budgeter.ErrExhausted, 0)
+		if cc.aborted != nil {
+			il.refuse(wr, rq, cc.aborted, 0)
 			return
 		}
 		header := headerMemory(rq.Header)
@@ -193,7 +194,7 @@
 		if header > 0 {
 			share := il.budget.Open(cc.entry, func() {})
 			defer share.Release()
-			if err := errors.Join(share.Charge(header), share.Complete()); err != nil {
+			if err := cmp.Or(share.Charge(header), share.Complete()); err != nil {
 				il.refuse(wr, rq, err, 0)
 				return
 			}
@@ -202,11 +203,18 @@
 	})
 }
 
-// onHeaderAborted reports that a header was ended because the memory was exhausted.
-func (il *intakeLimiter) onHeaderAborted() {
-	il.op.meter.Add(meter.BodiesAborted, 1)
+// onAborted reports that a body or a header was aborted or refused for the reason.
+func (il *intakeLimiter) onAborted(reason error) {
+	metric := meter.BodiesAborted
+	switch {
+	case errors.Is(reason, budgeter.ErrCrowded):
+		metric = meter.BodiesCrowded
+	case errors.Is(reason, budgeter.ErrEnding):
+		metric = meter.BodiesUnfinished
+	}
+	il.op.meter.Add(metric, 1)
 	used, reading := il.budget.Usage()
-	il.report(logger.BodiesAborted, "Reading", reading, "Memory", used, "Limit", il.op.bodyBytes)
+	il.report(logger.BodiesAborted, "Reading", reading, "Memory", used, "Limit", il.op.bodyBytes, "Cause", reason.Error())
 }
 
 // serveBody reads the body of a request and has it handled. header is the memory to charge for its header in bytes.
@@ -269,8 +277,8 @@
 				until, next = deadline.Add(il.op.stallTime), deadline
 			}
 			cn.set(next)
-			if share.Aborted() {
-				return budgeter.ErrExhausted
+			if err := share.Aborted(); err != nil {
+				return err
 			}
 		}
 		if !now.Before(deadline) {
@@ -291,9 +299,8 @@
 		il.op.meter.Add(meter.BodiesTooLarge, 1)
 		answerAndClose(wr, http.StatusRequestEntityTooLarge, "body exceeds "+strconv.FormatInt(limit, 10)+" bytes")
 		il.discard(wr, rq)
-	case errors.Is(err, budgeter.ErrExhausted):
-		il.op.meter.Add(meter.BodiesAborted, 1)
-		il.report(logger.BodiesAborted, inputs...)
+	case errors.Is(err, budgeter.ErrExhausted) || errors.Is(err, budgeter.ErrCrowded) || errors.Is(err, budgeter.ErrEnding):
+		il.onAborted(err)
 		wr.Header().Set("Retry-After", strconv.Itoa(int(il.op.retryAfter()/time.Second)))
 		answerAndClose(wr, http.StatusServiceUnavailable, err.Error())
 		il.discard(wr, rq)
--- a/internal/request/budgeter/budgeter.go
+++ b/internal/request/budgeter/budgeter.go
@@ -8,6 +8,7 @@
 package budgeter
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"sync"
@@ -18,6 +19,10 @@
 var (
 	// ErrExhausted means that the budget is exhausted and this body costs most, or that it was aborted for another one.
 	ErrExhausted = errors.New("memory for request bodies exhausted")
+	// ErrCrowded means that the body was aborted for a new connection.
+	ErrCrowded = errors.New("too many connections")
+	// ErrEnding means that the body was not read to the end when all were aborted.
+	ErrEnding = errors.New("host is shutting down")
 	// ErrTooLarge means that a body has more bytes than its limit.
 	ErrTooLarge = errors.New("request body too large")
 )
@@ -64,7 +69,8 @@
 
 	// charged is the memory held for the body in bytes. It and aborted are guarded by the budget.
 	charged int64
-	aborted bool
+	// aborted is the error of an aborted body, nil of others.
+	aborted error
 }
 
 // Open adds a body of a connection, nil if that is not known. abort interrupts a read of it; it must not block or call the budget. Release must be called in the end.
@@ -77,20 +83,21 @@
 }
 
 // Charge adds memory in bytes to what is held for the body. If the budget is exhausted, bodies that cost more than this one
-// are aborted, if that makes room. Errors: ErrExhausted, after which nothing was added and no body was aborted.
+// are aborted, if that makes room. Errors: ErrExhausted, after
+// which nothing was added and no body was aborted, and those of Aborted.
 func (bd *Body) Charge(bytes int64) error {
 	bg := bd.budget
 	bg.mu.Lock()
 	defer bg.mu.Unlock()
-	if bd.aborted {
-		return ErrExhausted
+	if bd.aborted != nil {
+		return bd.aborted
 	}
 	now := time.Now()
 	if bg.used+bytes > bg.limit+bg.limit/overcommitDivisor || !bg.hasRoom(bd, bytes, now) {
 		return ErrExhausted
 	}
 	for bg.used-bg.aborting+bytes > bg.limit {
-		bg.abort(bg.costliest(now))
+		bg.abort(bg.costliest(now), ErrExhausted)
 	}
 	bd.add(bytes)
 	return nil
@@ -127,14 +134,14 @@
 }
 
 // abort aborts a body that is being read.
-func (bg *Budget) abort(bd *Body) {
+func (bg *Budget) abort(bd *Body, reason error) {
 	delete(bg.reading, bd)
-	bd.aborted = true
+	bd.aborted = reason
 	bg.aborting += bd.charged
 	bd.abort()
 }
 
-// AbortCostliest aborts the body that costs most. It returns its connection, nil if there was no body.
+// AbortCostliest aborts the body that costs most, with ErrCrowded. It returns its connection, nil if there was no body.
 func (bg *Budget) AbortCostliest() *Connection {
 	bg.mu.Lock()
 	defer bg.mu.Unlock()
@@ -142,16 +149,16 @@
 	if bd == nil {
 		return nil
 	}
-	bg.abort(bd)
+	bg.abort(bd, ErrCrowded)
 	return bd.connection
 }
 
-// AbortAll aborts all bodies that are not read to the end.
+// AbortAll aborts all bodies that are not read to the end, with ErrEnding.
 func (bg *Budget) AbortAll() {
 	bg.mu.Lock()
 	defer bg.mu.Unlock()
 	for bd := range bg.reading {
-		bg.abort(bd)
+		bg.abort(bd, ErrEnding)
 	}
 }
 
@@ -174,7 +181,7 @@
 func (bd *Body) add(bytes int64) {
 	bd.charged += bytes
 	bd.budget.used += bytes
-	if bd.aborted {
+	if bd.aborted != nil {
 		bd.budget.aborting += bytes
 	}
 	bd.budget.onChange(bytes)
@@ -187,19 +194,19 @@
 	return bd.charged
 }
 
-// Aborted reports whether the body was aborted.
-func (bd *Body) Aborted() bool {
+// Aborted returns why the body was aborted, nil if it was not. Errors: ErrExhausted, ErrCrowded, ErrEnding.
+func (bd *Body) Aborted() error {
 	bd.budget.mu.Lock()
 	defer bd.budget.mu.Unlock()
 	return bd.aborted
 }
 
-// Complete marks the body as read to the end: it is not aborted any more. Errors: ErrExhausted if it was aborted before.
+// Complete marks the body as read to the end: it is not aborted any more. Errors: those of Aborted.
 func (bd *Body) Complete() error {
 	bd.budget.mu.Lock()
 	defer bd.budget.mu.Unlock()
-	if bd.aborted {
-		return ErrExhausted
+	if bd.aborted != nil {
+		return bd.aborted
 	}
 	delete(bd.budget.reading, bd)
 	return nil
@@ -214,8 +221,8 @@
 }
 
 // ReadAll reads a body with the announced size, negative if it is unknown, and charges its buffers as the bytes arrive.
-// onProgress is called before each read; its error ends the read. Errors: ErrExhausted, ErrTooLarge, those of the reader
-// and of onProgress.
+// onProgress is called before each read; its error ends the read. Errors: ErrExhausted, ErrTooLarge, those of Aborted,
+// the reader and onProgress.
 func (bd *Body) ReadAll(rd io.Reader, size, limit int64, onProgress func() error) ([]byte, error) {
 	end := limit + 1
 	if size >= 0 {
@@ -247,10 +254,7 @@
 		case err == io.EOF:
 			return buf, bd.Complete()
 		case err != nil:
-			if bd.Aborted() {
-				err = ErrExhausted
-			}
-			return nil, err
+			return nil, cmp.Or(bd.Aborted(), err)
 		}
 	}
 }
