--- a/internal/telemetry/meter/table.go
+++ b/internal/telemetry/meter/table.go
@@ -13,4 +13,5 @@
 	waitingMetrics,
 	inputMetrics,
 	evacuationMetrics,
+	intakeMetrics,
 )
