--- a/internal/config/loader/jobs_test.go
+++ b/internal/config/loader/jobs_test.go
@@ -50,6 +50,7 @@
 		{"evacuation limit", "[Host]", "EvacuationLimit = 5000\n[Host]", `host.ini: [Jobs] EvacuationLimit = "5000": 0s or a duration from 1ms to 1h`, nil},
 		{"negative evacuation limit", "[Host]", "EvacuationLimit = -5s\n[Host]", `[Jobs] EvacuationLimit = "-5s": 0s or a duration`, nil},
 		{"factor", "FarFactor = 1.5", "FarFactor = NaN", `host.ini: [Jobs] FarFactor = "NaN": a number from 0.001 to 1000`, nil},
+		{"shortage policy", "FarFactor = 1.5", "ShortagePolicy = value", `host.ini: [Jobs] ShortagePolicy = "value": Deadline or Value`, nil},
 		{"share", "Share = 0.4", "Share = {{limits.cpuShare}}", `host.ini: [Host] Share = "{{limits.cpuShare}}": a number from`, nil},
 		{"unknown key", "FarFactor", "NearFactor", `host.ini: [Jobs] NearFactor = "1.5": unknown key; allowed are Enabled, Lease`, nil},
 	} {
@@ -68,6 +69,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, st.Jobs.Enabled, qt.IsTrue)
 	qt.Check(t, st.Jobs.StopLimit, qt.Equals, 400*time.Millisecond)
+	qt.Check(t, st.Jobs.ShortagePolicy, qt.Equals, "Deadline")
 	qt.Check(t, st.Platform.Policy, qt.Equals, netip.MustParseAddrPort("10.200.1.9:8169"))
 	_, err = loadJobs(t, "TrustedNetwork = true", "Insecure = true", "--listen-peers=127.0.0.1:7720", "--listen-operators=127.0.0.1:7721")
 	qt.Check(t, err, qt.IsNil)
--- a/internal/config/loader/settings.go
+++ b/internal/config/loader/settings.go
@@ -62,6 +62,9 @@
 	// EvacuationLimit is the time after a request to evacuate a data centre from which no task may start there. If it
 	// is zero, evacuations are not read.
 	EvacuationLimit time.Duration
+	// ShortagePolicy is how the scheduler orders and places tasks while capacity is short: Deadline or
+	// Value.
+	ShortagePolicy string
 }
 
 // ListenSettings are the addresses that the daemon listens on.
--- a/internal/config/loader/table.go
+++ b/internal/config/loader/table.go
@@ -93,6 +93,11 @@
 		"Jobs", "EvacuationLimit", "DURATION", "0s", "", "Time after a request to evacuate a data centre was stored from which no task may start there. With 0s, such requests are not read.", "0s or " + allowedDuration,
 		optional, func(st *Settings, val string) bool { return setDurationOrZero(&st.Jobs.EvacuationLimit, val) },
 	},
+	{
+		"Jobs", "ShortagePolicy", "POLICY", "Deadline", "Value",
+		"Order of tasks while capacity is short. Deadline orders by the latest start with which a job meets its objective; Value by what callers still gain for the capacity that a job needs, with a reserve for short tasks that follows their demand.", "Deadline or Value",
+		optional, setShortagePolicy,
+	},
 	{
 		"Host", "Name", "NAME", "", "host-1", "Name of this entry host in the shared configuration.", allowedName,
 		requiredAlways, func(st *Settings, val string) bool { return setName(&st.Host.Name, val) },
@@ -345,6 +350,11 @@
 	return val == "json" || val == "text"
 }
 
+func setShortagePolicy(st *Settings, val string) bool {
+	st.Jobs.ShortagePolicy = val
+	return val == "Deadline" || val == "Value"
+}
+
 func setDuration(dst *time.Duration, val string) bool {
 	dur, err := time.ParseDuration(val)
 	*dst = dur
--- a/internal/daemon/assembler/jobs.go
+++ b/internal/daemon/assembler/jobs.go
@@ -112,6 +112,7 @@
 		Limits: director.Limits{
 			Lease: st.Jobs.Lease, LongestLease: st.Jobs.LongestLease, StopGrace: st.Jobs.StopLimit, Retention: st.Jobs.Retention,
 			RestoreTime: st.Jobs.RestoreTime, OverTargetGrace: st.Jobs.HarmLimit, RemoteDataFactor: st.Jobs.FarFactor,
+			ShortagePolicy: director.ShortagePolicy(st.Jobs.ShortagePolicy),
 		},
 		OnLargeFleet: collector.New(collector.HostMemory()).SetBusy, Configuration: jh.subscriber.Current, SuspendedTime: suspended, Log: lg, Meter: jh.meter,
 	})
--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -77,6 +77,9 @@
 	// RemoteDataFactor is the ratio of a task's run time in another rack to that in the rack of its
 	// data.
 	RemoteDataFactor float64
+	// ShortagePolicy is how tasks are ordered and placed while capacity is short. The zero value is
+	// DeadlinePolicy.
+	ShortagePolicy ShortagePolicy
 }
 
 // Options holds the dependencies and parameters of a Director.
--- a/internal/job/director/harness_test.go
+++ b/internal/job/director/harness_test.go
@@ -56,6 +56,8 @@
 	// known of it.
 	predecessorStopped atomic.Bool
 	predecessorSeenFor time.Duration
+	// shortagePolicy is that of the next leader, DeadlinePolicy if it is empty.
+	shortagePolicy director.ShortagePolicy
 	// wrapJournal replaces the journal of the next leader, if it is not nil.
 	wrapJournal func(director.Journal) director.Journal
 	// journalFails is set if the journal may not accept the record of the end of a term.
@@ -200,12 +202,14 @@
 	if fl.wrapJournal != nil {
 		journal = fl.wrapJournal(jn)
 	}
+	limits := testLimits
+	limits.ShortagePolicy = fl.shortagePolicy
 	tm := &term{fleet: fl, records: len(rec.Records), segments: rec.Position - rec.SnapshotPosition, ended: make(chan struct{}), resigns: new(atomic.Bool), sendsUntil: new(atomic.Int64)}
 	dr := director.New(director.Options{
 		Epoch: modeler.Epoch(rec.Epoch), WorkerClient: client, Journal: journal, JobStore: jobStore,
 		Configuration: func() *modeler.Configuration { return fl.config }, MaySendRequests: tm.maySend, MayExtendLeases: fl.mayExtendLeases,
 		Policy: fl.policy, InheritedLease: inherited, PredecessorStopped: fl.predecessorStopped.Load, PredecessorSeenFor: fl.predecessorSeenFor,
-		SnapshotPosition: rec.SnapshotPosition, FactsSinceSnapshot: len(rec.Records), Evacuator: fl.evacuator, Limits: testLimits, Log: fl.logs.logger(fl.t), Meter: fl.registry,
+		SnapshotPosition: rec.SnapshotPosition, FactsSinceSnapshot: len(rec.Records), Evacuator: fl.evacuator, Limits: limits, Log: fl.logs.logger(fl.t), Meter: fl.registry,
 	})
 	dr.Restore(append(rec.SnapshotRecords, rec.Records...))
 	ctx, cancel := context.WithCancel(context.Background())
