director: best-effort tasks use the memory of held workers under ShortagePolicy Value

A worker that is held for a waiting task counted as full for all others, up to a sixteenth of a pool beside aged long-running tasks. Best-effort tasks take no processors from the waiting task, so they may use the memory beyond what it needs. TestMemoryOfHeldWorkers compares both policies.

--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -381,7 +381,7 @@
 
 func (rd *round) holdAgain() {
 	for _, ix := range rd.held {
-		rd.cands[ix].Free = modeler.Resources{}
+		rd.cands[ix].Free = rd.freeBesideHeld(ix)
 	}
 }
 
@@ -503,7 +503,7 @@
 	cd.Free, cd.LatencyCriticalTasks, cd.BestEffortTasks = wk.free, wk.criticalTasks, wk.bestEffortTasks
 	cd.BestEffortMilliCores, cd.LatencyCriticalMilliCores = wk.bestEffortMilliCores, wk.criticalMilliCores
 	if slices.Contains(rd.held, ix) {
-		cd.Free = modeler.Resources{}
+		cd.Free = rd.freeBesideHeld(ix)
 	}
 	rd.changed = append(rd.changed, ix)
 	for _, fc := range rd.forecasts {
--- /dev/null
+++ b/internal/job/director/shortage_test.go
@@ -0,0 +1,64 @@
+package director_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/currantrouter/currantrouter/internal/job/director"
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
+)
+
+// runPolicy runs a test with a synctest clock and one term of a shortage policy.
+func runPolicy(t *testing.T, policy director.ShortagePolicy, workers int, test func(fl *fleet, tm *term)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, workers)
+		fl.shortagePolicy = policy
+		tm := fl.startTerm(0)
+		defer func() { tm.end() }()
+		test(fl, tm)
+		tm.end()
+		fl.assertNoViolations()
+	})
+}
+
+// Guards against best-effort tasks that wait for the memory of a worker that is held for a short task, although
+// that needs less, and against ones that take the memory that it needs.
+func TestMemoryOfHeldWorkers(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// memory is what the waiting short task needs, in megabytes.
+		policy director.ShortagePolicy
+		memory int64
+		starts int
+	}{
+		{"deadline", director.DeadlinePolicy, 1000, 0},
+		{"value", director.ValuePolicy, 1000, 1},
+		{"value, memory needed", director.ValuePolicy, 60_000, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runPolicy(t, tc.policy, 1, func(fl *fleet, tm *term) {
+				critical := longRunningJob("critical", "urgent", 1, cores(8000))
+				critical.Steps[0].TailTarget, critical.Steps[0].Image = time.Second, "critical"
+				tm.submit(critical)
+				sleep(500 * time.Millisecond)
+				fl.setBehaviour(modeler.TaskID{Job: "first"}, emulator.TaskBehaviour{RunTime: 6 * time.Second})
+				tm.submit(simpleJob("first", "urgent", 1, cores(7000)))
+				sleep(500 * time.Millisecond)
+				tm.submit(simpleJob("second", "urgent", 1, modeler.Resources{MilliCores: 7000, MemoryMB: tc.memory}))
+				sleep(500 * time.Millisecond)
+				filling := simpleJob("filling", "batch", 1, modeler.Resources{MilliCores: 2000, MemoryMB: 5000})
+				filling.Steps[0].BestEffort, filling.Steps[0].Image = true, "filling"
+				tm.submit(filling)
+				sleep(time.Second)
+				qt.Check(t, fl.workers.StartCount(modeler.TaskID{Job: "filling"}), qt.Equals, tc.starts)
+				sleep(5 * time.Second)
+				qt.Check(t, fl.workers.StartCount(modeler.TaskID{Job: "second"}), qt.Equals, 1)
+			})
+		})
+	}
+}
