director: reserve for short tasks follows their recent demand under ShortagePolicy Value

Package reserver keeps a decayed maximum of what short urgent tasks use and wait for, per pool. Aged long-running tasks otherwise take the processors that a burst of short tasks has just released.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -19,6 +19,7 @@
 	"github.com/currantrouter/currantrouter/internal/job/evacuator"
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/reserver"
 	"github.com/currantrouter/currantrouter/internal/job/throttler"
 	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
@@ -254,6 +255,10 @@
 	keptStarts float64
 	// seenRooms holds what recent rounds found of each pool, see recentSlots.
 	seenRooms map[modeler.PoolName][]seenRoom
+	// shortDemand holds forecasts of what short urgent tasks need, by pool, and shortDemandAt is when they were
+	// last updated. It is empty unless ValuePolicy applies.
+	shortDemand   map[modeler.PoolName]*reserver.Forecast
+	shortDemandAt time.Time
 	// nextExamined is the index of the candidate at which the next selection begins.
 	nextExamined int
 	// contention is the competition of best-effort images for the workers.
@@ -304,6 +309,7 @@
 		waitingSteps:         map[*step]struct{}{},
 		starting:             map[*attempt]struct{}{},
 		seenRooms:            map[modeler.PoolName][]seenRoom{},
+		shortDemand:          map[modeler.PoolName]*reserver.Forecast{},
 		model:                estimator.New(),
 		startWindow:          throttler.New(requestTimeout),
 		invalid:              reporter.New(op.Log, op.Meter),
--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -177,6 +177,7 @@
 		}
 		return cmp.Compare(one.step.occ.job.ID, two.step.occ.job.ID)
 	})
+	rd.observeShortDemand()
 	for _, wk := range dr.orderedWorkers() {
 		if dr.acceptsTasks(wk, now) {
 			rd.workers = append(rd.workers, wk)
@@ -434,7 +435,7 @@
 			slots += placer.FitCount(dm.Needs, wk.free)
 		}
 	}
-	return rd.processors(pool).free - rd.shortTaskReserve(pool), slots
+	return rd.processors(pool).free - rd.unusedReserve(pool), slots
 }
 
 // poolProcessors are processors of a pool, in thousandths of a core.
@@ -466,6 +467,14 @@
 // shortTaskReserve returns the processors of a pool that long-running tasks leave to short ones, in
 // thousandths of a core.
 func (rd *round) shortTaskReserve(pool modeler.PoolName) int64 {
+	if fc := rd.dr.shortDemand[pool]; fc != nil {
+		return fc.Reserve(rd.capacity(pool).MilliCores, placer.ShortTaskReserve, rd.now)
+	}
+	return rd.leastReserve(pool)
+}
+
+// leastReserve returns the least shortTaskReserve of a pool.
+func (rd *round) leastReserve(pool modeler.PoolName) int64 {
 	return int64(placer.ShortTaskReserve * float64(rd.capacity(pool).MilliCores))
 }
 
--- a/internal/job/director/shortage.go
+++ b/internal/job/director/shortage.go
@@ -1,6 +1,12 @@
 package director
 
-import "github.com/currantrouter/currantrouter/internal/job/modeler"
+import (
+	"math"
+
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/ranker"
+	"github.com/currantrouter/currantrouter/internal/job/reserver"
+)
 
 // ShortagePolicy is how a director orders and places tasks while capacity is short.
 type ShortagePolicy string
@@ -28,3 +34,78 @@
 	}
 	return modeler.Resources{MemoryMB: max(0, rd.workers[ix].free.MemoryMB-rd.heldFor[ix].MemoryMB)}
 }
+
+// urgentDemand is the demand of the short tasks of a pool with the most urgent priority there.
+type urgentDemand struct {
+	priority   int
+	milliCores int64
+}
+
+// add adds the tasks of a step unless more urgent ones were seen. Long-running ones count for the priority
+// only, so that the reserve does not keep them from starting in favour of less urgent tasks.
+func (ud *urgentDemand) add(spec *modeler.Step, priority, tasks int) {
+	if spec.BestEffort || priority > ud.priority {
+		return
+	}
+	if priority < ud.priority {
+		ud.priority, ud.milliCores = priority, 0
+	}
+	if !spec.LongRunning {
+		ud.milliCores += spec.Needs.MilliCores * int64(tasks)
+	}
+}
+
+// observeShortDemand updates the forecasts of what short urgent tasks need from what they use and wait for, at
+// most every reserver.SampleInterval. Jobs that are overdue are left out, as a reserve gains their callers
+// nothing.
+func (rd *round) observeShortDemand() {
+	dr := rd.dr
+	if !dr.followsValue() || rd.now.Sub(dr.shortDemandAt) < reserver.SampleInterval {
+		return
+	}
+	dr.shortDemandAt = rd.now
+	demands := map[modeler.PoolName]*urgentDemand{}
+	for _, wk := range dr.workers {
+		ud := demands[wk.info.Pool]
+		if ud == nil {
+			ud = &urgentDemand{priority: math.MaxInt}
+			demands[wk.info.Pool] = ud
+		}
+		if len(wk.criticalAttempts) > 0 {
+			sp := wk.criticalAttempts[0].task.step
+			ud.add(sp.spec, dr.queue(sp.occ.job).Priority, 1)
+		}
+		if wk.ending.MilliCores <= 0 {
+			continue
+		}
+		for _, at := range wk.attempts {
+			sp := at.task.step
+			ud.add(sp.spec, dr.queue(sp.occ.job).Priority, 1)
+		}
+	}
+	for _, rs := range rd.steps {
+		if ud := demands[dr.pool(rs.step.occ.job)]; ud != nil && rs.rank.Class != ranker.Overdue {
+			ud.add(rs.step.spec, rs.rank.Priority, len(rs.step.waiting))
+		}
+	}
+	for pool := range dr.shortDemand {
+		if demands[pool] == nil {
+			delete(dr.shortDemand, pool)
+		}
+	}
+	for pool, ud := range demands {
+		if dr.shortDemand[pool] == nil {
+			dr.shortDemand[pool] = &reserver.Forecast{}
+		}
+		dr.shortDemand[pool].Observe(ud.milliCores, rd.now)
+	}
+}
+
+// unusedReserve returns the part of the reserve for short tasks that is to stay free beside the short tasks
+// that run now, in thousandths of a core. Under ValuePolicy these count for the reserve, down to leastReserve.
+func (rd *round) unusedReserve(pool modeler.PoolName) int64 {
+	if !rd.dr.followsValue() {
+		return rd.shortTaskReserve(pool)
+	}
+	return max(rd.leastReserve(pool), rd.shortTaskReserve(pool)-rd.processors(pool).ending)
+}
