director: order by value density under ShortagePolicy Value while a pool is short of capacity

Package valuer ranks waiting steps of one priority by the value that their jobs can still yield relative to the capacity and time that they need. An order by latest start serves each job just too late when more work waits than fits. Estimates are corrected by the observed run times of their queue, large jobs are favoured where they are served less often, and overdue jobs get a 32nd of the pool one after the other. A pool counts as short for a priority while tasks that it could run wait for more than 250 ms. Without a shortage the order is as before.

--- a/internal/job/director/aging.go
+++ b/internal/job/director/aging.go
@@ -59,7 +59,11 @@
 
 // dominantShare returns the largest share that a task of a step needs of a resource of its pool.
 func (rd *round) dominantShare(sp *step) float64 {
-	needs, capacity := sp.spec.Needs, rd.capacity(rd.dr.pool(sp.occ.job))
+	return dominantShare(sp.spec.Needs, rd.capacity(rd.dr.pool(sp.occ.job)))
+}
+
+// dominantShare returns the largest share of a capacity that is needed of a resource.
+func dominantShare(needs, capacity modeler.Resources) float64 {
 	share := func(needed, available int64) float64 { return float64(needed) / float64(max(available, 1)) }
 	return max(share(needs.MilliCores, capacity.MilliCores), share(needs.MemoryMB, capacity.MemoryMB), share(needs.Accelerators, capacity.Accelerators))
 }
--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -259,6 +259,12 @@
 	// last updated. It is empty unless ValuePolicy applies.
 	shortDemand   map[modeler.PoolName]*reserver.Forecast
 	shortDemandAt time.Time
+	// shortages holds when rounds last found that a pool is short of capacity for a priority, promotions the overdue
+	// jobs that go first then, and histories what the jobs of each queue have shown. All are empty unless ValuePolicy
+	// applies.
+	shortages  map[shortageKey]time.Time
+	promotions map[shortageKey]*promotion
+	histories  map[modeler.QueueName]*queueHistory
 	// nextExamined is the index of the candidate at which the next selection begins.
 	nextExamined int
 	// contention is the competition of best-effort images for the workers.
@@ -310,6 +316,9 @@
 		starting:             map[*attempt]struct{}{},
 		seenRooms:            map[modeler.PoolName][]seenRoom{},
 		shortDemand:          map[modeler.PoolName]*reserver.Forecast{},
+		shortages:            map[shortageKey]time.Time{},
+		promotions:           map[shortageKey]*promotion{},
+		histories:            map[modeler.QueueName]*queueHistory{},
 		model:                estimator.New(),
 		startWindow:          throttler.New(requestTimeout),
 		invalid:              reporter.New(op.Log, op.Meter),
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -54,6 +54,8 @@
 	steps []*step
 	// unfinishedSteps is the number of steps that are not done.
 	unfinishedSteps int
+	// judged is set once judge has recorded whether the occurrence was served.
+	judged bool
 }
 
 // step is a step of one occurrence.
@@ -362,6 +364,8 @@
 // markDone marks a task as done, or all tasks of its gang, and queues the tasks of steps that
 // waited only for this one.
 func (dr *Director) markDone(tk *task) {
+	now := time.Now()
+	dr.observeRunTime(tk, now)
 	members := []*task{tk}
 	if tk.step.spec.Gang {
 		members = tk.step.tasks
@@ -385,6 +389,7 @@
 		}
 	}
 	if sp.occ.unfinishedSteps == 0 {
+		dr.judgeEnded(sp.occ, now)
 		sp.occ.job.unfinishedOccurrences--
 	}
 }
--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -143,6 +143,10 @@
 type rankedStep struct {
 	step *step
 	rank ranker.Rank
+	// short is set if the step's pool is short of capacity for it. density then decides instead of the latest
+	// start, see package valuer.
+	short   bool
+	density float64
 }
 
 // demandClass is an equivalence class of demands, as in Borg, but without the amount of their
@@ -166,23 +170,18 @@
 // accept tasks.
 func (dr *Director) newRound(now time.Time) *round {
 	rd := &round{dr: dr, now: now, maxHeld: maxHeldWorkers, heldFor: map[int]modeler.Resources{}, processorsOf: map[modeler.PoolName]poolProcessors{}, capacityOf: map[modeler.PoolName]modeler.Resources{}, unplaceable: map[demandClass][]modeler.Resources{}, missed: map[demandClass]turn{}, forecasts: map[string]*forecast{}, selections: map[selectionKey]*selection{}}
-	rd.steps = make([]rankedStep, 0, len(dr.waitingSteps))
-	for sp := range dr.waitingSteps {
-		ws := dr.waitingStep(sp)
-		rd.steps = append(rd.steps, rankedStep{sp, ws.Rank(now)})
-	}
-	slices.SortFunc(rd.steps, func(one, two rankedStep) int {
-		if order := one.rank.Compare(&two.rank); order != 0 {
-			return order
-		}
-		return cmp.Compare(one.step.occ.job.ID, two.step.occ.job.ID)
-	})
-	rd.observeShortDemand()
 	for _, wk := range dr.orderedWorkers() {
 		if dr.acceptsTasks(wk, now) {
 			rd.workers = append(rd.workers, wk)
 		}
 	}
+	rd.steps = make([]rankedStep, 0, len(dr.waitingSteps))
+	for sp := range dr.waitingSteps {
+		rd.steps = append(rd.steps, rd.rankStep(sp))
+	}
+	slices.SortFunc(rd.steps, func(one, two rankedStep) int { return compareSteps(&one, &two) })
+	rd.promoteOverdue()
+	rd.observeShortDemand()
 	rd.cands = make([]placer.Candidate, 0, len(rd.workers))
 	for _, wk := range rd.workers {
 		rd.cands = append(rd.cands, placer.Candidate{
@@ -304,6 +303,7 @@
 	if rd.knownUnplaceable(key, dm.Needs) {
 		rd.countSameStep(sp)
 		rd.noteClassMiss(sp, key)
+		rd.noteShortage(tk, &dm)
 		rd.holdForAged(sp, &dm)
 		return false
 	}
@@ -330,6 +330,7 @@
 		rd.missed[key] = sp.turn
 	}
 	rd.misses++
+	rd.noteShortage(tk, &dm)
 	rd.logWaitingTask(tk, &dm)
 	switch {
 	case !dm.LongRunning:
--- a/internal/job/director/shortage_test.go
+++ b/internal/job/director/shortage_test.go
@@ -1,6 +1,7 @@
 package director_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -62,3 +63,28 @@
 		})
 	}
 }
+
+// Guards against overdue jobs that never end while a pool stays short of capacity, as jobs that can still be on
+// time come all the time.
+func TestOverdueJobsEnd(t *testing.T) {
+	ended := map[director.ShortagePolicy]int{}
+	for _, policy := range []director.ShortagePolicy{director.DeadlinePolicy, director.ValuePolicy} {
+		runPolicy(t, policy, 4, func(_ *fleet, tm *term) {
+			const old, width = 4, 4
+			for no := range old {
+				tm.submit(simpleJob(modeler.JobID(fmt.Sprint("old", no)), "urgent", width, cores(8000)))
+			}
+			for no := range 900 {
+				tm.submit(simpleJob(modeler.JobID(fmt.Sprint("new", no)), "urgent", 1, cores(8000)))
+				sleep(100 * time.Millisecond)
+			}
+			for no := range old {
+				if st, _ := tm.JobState(modeler.JobID(fmt.Sprint("old", no))); st == modeler.Completed {
+					ended[policy]++
+				}
+			}
+		})
+	}
+	t.Logf("of 4 old jobs have ended: %v", ended)
+	qt.Check(t, ended[director.ValuePolicy], qt.Equals, 4)
+}
--- /dev/null
+++ b/internal/job/director/value_test.go
@@ -0,0 +1,63 @@
+package director
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+)
+
+// orderOf returns the jobs in the order in which a round places their steps.
+func orderOf(dr *Director, now time.Time) []modeler.JobID {
+	var list []modeler.JobID
+	for _, rs := range dr.newRound(now).steps {
+		list = append(list, rs.step.occ.job.ID)
+	}
+	return list
+}
+
+// Guards against an order that differs from the previous one although no task fits nowhere for long, and against
+// a shortage that is seen although the task that waits could never run.
+func TestOrderUnderShortage(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 9))
+	now := time.Now()
+	newDirector := func(needs modeler.Resources) *Director {
+		dr := newBacklog(4, 60, func(ix int) modeler.Step {
+			return modeler.Step{Count: 1 + rnd.IntN(9), Needs: needs, Estimate: time.Duration(1+rnd.IntN(3000)) * time.Millisecond, LongRunning: ix%10 == 1}
+		})
+		for _, jb := range dr.jobs {
+			jb.MaxSlowdown, jb.Slack = 1+rnd.Float64(), time.Second
+			jb.occurrences[0].due = now.Add(-time.Duration(rnd.IntN(5000)) * time.Millisecond)
+		}
+		return dr
+	}
+	for name, tc := range map[string]struct {
+		needs  modeler.Resources
+		waited time.Duration
+		short  bool
+	}{
+		"waits for long":     {modeler.Resources{MilliCores: 1000}, time.Second, true},
+		"waits for a moment": {modeler.Resources{MilliCores: 1000}, 0, false},
+		"fits no worker":     {modeler.Resources{MilliCores: 17_000}, time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dr := newDirector(tc.needs)
+			before := orderOf(dr, now)
+			dr.op.Limits.ShortagePolicy = ValuePolicy
+			qt.Check(t, orderOf(dr, now), qt.DeepEquals, before)
+			at := time.Now().Add(tc.waited)
+			dr.dispatch(at)
+			qt.Check(t, dr.short(dr.queue(dr.jobs["j0"]), at), qt.Equals, tc.short)
+			byValue := orderOf(dr, at)
+			dr.op.Limits.ShortagePolicy = DeadlinePolicy
+			if tc.short {
+				qt.Check(t, byValue, qt.Not(qt.DeepEquals), orderOf(dr, at))
+			} else {
+				qt.Check(t, byValue, qt.DeepEquals, orderOf(dr, at))
+			}
+		})
+	}
+}
