director: events 750 to 752 and metrics on capacity shortages

At most one line a second: a shortage begins, goes on or is over, with the waiting steps by deadline class, the reserve, and the jobs that missed their objectives since the last line.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -265,6 +265,10 @@
 	shortages  map[shortageKey]time.Time
 	promotions map[shortageKey]*promotion
 	histories  map[modeler.QueueName]*queueHistory
+	// shortSteps, delayed and shortage are for the reports on shortages.
+	shortSteps map[shortageKey]*shortSteps
+	delayed    delayed
+	shortage   shortageReport
 	// nextExamined is the index of the candidate at which the next selection begins.
 	nextExamined int
 	// contention is the competition of best-effort images for the workers.
@@ -318,6 +322,7 @@
 		shortDemand:          map[modeler.PoolName]*reserver.Forecast{},
 		shortages:            map[shortageKey]time.Time{},
 		promotions:           map[shortageKey]*promotion{},
+		shortSteps:           map[shortageKey]*shortSteps{},
 		histories:            map[modeler.QueueName]*queueHistory{},
 		model:                estimator.New(),
 		startWindow:          throttler.New(requestTimeout),
@@ -525,6 +530,7 @@
 		dr.publishEvacuations(now)
 		dr.reportCancelledRuns(now)
 		dr.reportLateRenewals(now)
+		dr.reportShortage(now)
 	}
 }
 
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -389,7 +389,7 @@
 		}
 	}
 	if sp.occ.unfinishedSteps == 0 {
-		dr.judgeEnded(sp.occ, now)
+		dr.judgeEnded(tk, now)
 		sp.occ.job.unfinishedOccurrences--
 	}
 }
--- a/internal/job/director/value.go
+++ b/internal/job/director/value.go
@@ -10,6 +10,7 @@
 	"github.com/currantrouter/currantrouter/internal/job/placer"
 	"github.com/currantrouter/currantrouter/internal/job/ranker"
 	"github.com/currantrouter/currantrouter/internal/job/valuer"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 const (
@@ -67,9 +68,8 @@
 	}
 }
 
-// judge records whether an occurrence was served: it has ended while of use to its caller. Only the first call
-// for an occurrence counts.
-func (dr *Director) judge(oc *occurrence, served bool) {
+// judge records what an occurrence was worth to its caller. Only the first call for an occurrence counts.
+func (dr *Director) judge(oc *occurrence, class ranker.DeadlineClass) {
 	if !dr.followsValue() || oc.judged {
 		return
 	}
@@ -81,15 +81,34 @@
 		}
 		work += float64(sp.spec.Count) * float64(sp.spec.Needs.MilliCores) * expectedSeconds(sp)
 	}
-	dr.history(oc.job).sizes.Observe(work, served)
+	dr.history(oc.job).sizes.Observe(work, class < ranker.Overdue)
+	if lost := 1 - valuer.Value(class); lost > 0 {
+		dr.delayed.jobs++
+		dr.delayed.valueLost += lost
+		dr.op.Meter.Add(meter.JobsDelayed, 1)
+		dr.op.Meter.Add(meter.JobValueLost, int64(math.Round(1000*lost)))
+	}
 }
 
-// judgeEnded judges an occurrence that has ended.
-func (dr *Director) judgeEnded(oc *occurrence, now time.Time) {
-	if dr.followsValue() && !oc.judged {
-		ws := dr.waitingStep(oc.steps[0])
-		dr.judge(oc, now.Sub(oc.due) <= ranker.MaxLateFactor*ws.Objective)
+// judgeEnded judges an occurrence that has ended with a task, by the run times of its tasks. It leaves out ends of
+// earlier terms, which have no run in this one.
+func (dr *Director) judgeEnded(tk *task, now time.Time) {
+	oc := tk.step.occ
+	if !dr.followsValue() || oc.judged || len(tk.attempts) == 0 {
+		return
+	}
+	ends := make([]float64, len(oc.steps))
+	var criticalPath float64
+	for ix, sp := range oc.steps {
+		for _, pred := range sp.spec.After {
+			ends[ix] = max(ends[ix], ends[pred])
+		}
+		ends[ix] += expectedSeconds(sp)
+		criticalPath = max(criticalPath, ends[ix])
 	}
+	queue := dr.queue(oc.job)
+	ws := ranker.WaitingStep{Submitted: oc.due, Objective: ranker.Objective(time.Duration(criticalPath*float64(time.Second)), queue.MaxSlowdown, queue.Slack)}
+	dr.judge(oc, ws.DeadlineClass(now))
 }
 
 // expectedSeconds returns the expected run time of a step's tasks: that of the tasks that have ended, otherwise
@@ -141,10 +160,12 @@
 		jb := rd.valueJob(sp, &ws, queue)
 		value := jb.Rank(rd.now)
 		rs.short, rs.density, rs.rank.Class = true, value.Density, value.Class
-		rd.notePromotion(&rs, shortageKey{queue.Pool, queue.Priority}, jb.Work)
-	}
-	if rs.rank.Class == ranker.Overdue {
-		rd.dr.judge(sp.occ, false)
+		if rs.rank.Class == ranker.Overdue {
+			rd.dr.judge(sp.occ, ranker.Overdue)
+		}
+		key := shortageKey{queue.Pool, queue.Priority}
+		rd.dr.countShort(key, &jb, rs.rank.Class)
+		rd.notePromotion(&rs, key, jb.Work)
 	}
 	return rs
 }
--- a/internal/job/director/waiting.go
+++ b/internal/job/director/waiting.go
@@ -464,6 +464,7 @@
 	for _, mt := range [...]meter.Metric{
 		meter.LongRunningTasksOverdue, meter.CancellationsPending, meter.CancelledRunsOverdue, meter.ReportsHeldUp,
 		meter.DataCentresEvacuated, meter.EvacuatedWorkers, meter.EvacuatedRuns, meter.EvacuationViewAge,
+		meter.ShortPools, meter.ShortTaskReserve,
 	} {
 		dr.op.Meter.Set(mt, 0)
 	}
--- a/internal/job/valuer/valuer.go
+++ b/internal/job/valuer/valuer.go
@@ -13,6 +13,17 @@
 	"github.com/currantrouter/currantrouter/internal/job/ranker"
 )
 
+// Value returns the value of a job that has ended in a class to its caller.
+func Value(class ranker.DeadlineClass) float64 {
+	switch class {
+	case ranker.OnTime:
+		return 1
+	case ranker.Late:
+		return lateValue
+	}
+	return 0
+}
+
 // lateValue is the value of a job that ends late but within ranker.MaxLateFactor times its objective, as agreed
 // with callers. One that meets its objective has the value 1, and an overdue one the value 0.
 const lateValue = 1.0 / 6
--- a/internal/telemetry/logger/catalogue.go
+++ b/internal/telemetry/logger/catalogue.go
@@ -56,4 +56,5 @@
 	evacuationEvents,
 	restartEvents,
 	intakeEvents,
+	shortageEvents,
 )
--- a/internal/telemetry/meter/table.go
+++ b/internal/telemetry/meter/table.go
@@ -11,6 +11,7 @@
 	operatorMetrics,
 	jobMetrics,
 	waitingMetrics,
+	shortageMetrics,
 	inputMetrics,
 	evacuationMetrics,
 	intakeMetrics,
