director: processors count for the reserve in pieces that short tasks can use under ShortagePolicy Value

Long-running tasks leave a few processors on each worker. Their sum met the reserve although no worker had capacity for a typical short task.

--- a/internal/job/director/advance.go
+++ b/internal/job/director/advance.go
@@ -85,7 +85,7 @@
 	for ix, wk := range rd.workers {
 		if wk.info.Pool == pool {
 			free := wk.free.Plus(ending[ix])
-			headroom += max(0, free.MilliCores) + wk.ending.MilliCores
+			headroom += wholePieces(max(0, free.MilliCores)+wk.ending.MilliCores, rd.dr.pieceSize(pool))
 			slots += placer.FitCount(dm.Needs, free)
 		}
 	}
--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -445,10 +445,12 @@
 	free, ending int64
 }
 
-// add adds those of a worker, times 1 or -1.
-func (pp *poolProcessors) add(wk *worker, times int64) {
-	pp.free += times * max(0, wk.free.MilliCores)
-	pp.ending += times * wk.ending.MilliCores
+// add adds those of a worker, times 1 or -1, in whole pieces of some processors, see Director.pieceSize.
+func (pp *poolProcessors) add(wk *worker, piece, times int64) {
+	free := max(0, wk.free.MilliCores)
+	usable := wholePieces(free, piece)
+	pp.free += times * usable
+	pp.ending += times * (wholePieces(free+wk.ending.MilliCores, piece) - usable)
 }
 
 // processors returns the processors of a pool. placeTask keeps them up to date.
@@ -457,7 +459,7 @@
 	if !ok {
 		for _, wk := range rd.workers {
 			if wk.info.Pool == pool {
-				pp.add(wk, 1)
+				pp.add(wk, rd.dr.pieceSize(pool), 1)
 			}
 		}
 		rd.processorsOf[pool] = pp
@@ -497,9 +499,10 @@
 	wk := rd.workers[ix]
 	rd.startsLeft--
 	pp, known := rd.processorsOf[wk.info.Pool]
-	pp.add(wk, -1)
+	piece := rd.dr.pieceSize(wk.info.Pool)
+	pp.add(wk, piece, -1)
 	at := rd.dr.reserve(tk, wk, rd.dr.nextRun(tk))
-	pp.add(wk, 1)
+	pp.add(wk, piece, 1)
 	if known {
 		rd.processorsOf[wk.info.Pool] = pp
 	}
--- a/internal/job/director/shortage.go
+++ b/internal/job/director/shortage.go
@@ -39,6 +39,7 @@
 type urgentDemand struct {
 	priority   int
 	milliCores int64
+	tasks      int
 }
 
 // add adds the tasks of a step unless more urgent ones were seen. Long-running ones count for the priority
@@ -48,10 +49,11 @@
 		return
 	}
 	if priority < ud.priority {
-		ud.priority, ud.milliCores = priority, 0
+		ud.priority, ud.milliCores, ud.tasks = priority, 0, 0
 	}
 	if !spec.LongRunning {
 		ud.milliCores += spec.Needs.MilliCores * int64(tasks)
+		ud.tasks += tasks
 	}
 }
 
@@ -97,7 +99,7 @@
 		if dr.shortDemand[pool] == nil {
 			dr.shortDemand[pool] = &reserver.Forecast{}
 		}
-		dr.shortDemand[pool].Observe(ud.milliCores, rd.now)
+		dr.shortDemand[pool].Observe(ud.milliCores, ud.tasks, rd.now)
 	}
 }
 
@@ -109,3 +111,21 @@
 	}
 	return max(rd.leastReserve(pool), rd.shortTaskReserve(pool)-rd.processors(pool).ending)
 }
+
+// pieceSize returns the processors of a typical short task of a pool, in thousandths of a core, or 0 if that is not
+// known. Free processors count for the reserve in whole pieces, as a short task cannot use what several workers have
+// left beside long-running tasks.
+func (dr *Director) pieceSize(pool modeler.PoolName) int64 {
+	if fc := dr.shortDemand[pool]; fc != nil {
+		return fc.TaskSize()
+	}
+	return 0
+}
+
+// wholePieces returns the part of some processors that consists of whole pieces, all of them for pieces of 0.
+func wholePieces(milliCores, piece int64) int64 {
+	if piece <= 0 {
+		return milliCores
+	}
+	return milliCores / piece * piece
+}
--- a/internal/job/director/value_test.go
+++ b/internal/job/director/value_test.go
@@ -61,3 +61,27 @@
 		})
 	}
 }
+
+// Guards against a reserve for short tasks that consists of processors that no short task can use, as each worker
+// has only a few.
+func TestReserveInPieces(t *testing.T) {
+	now := time.Now()
+	dr := newBacklog(8, 2, func(ix int) modeler.Step {
+		return modeler.Step{Count: 1, Needs: modeler.Resources{MilliCores: 3000 + 4000*int64(ix)}, Estimate: time.Second, LongRunning: ix == 0}
+	})
+	for _, jb := range dr.jobs {
+		jb.Priority, jb.Slack, jb.occurrences[0].due = 0, time.Minute, now
+	}
+	for _, wk := range dr.workers {
+		wk.free = modeler.Resources{MilliCores: 3500, MemoryMB: 64000}
+	}
+	headroom := func() int64 {
+		rd := dr.newRound(now)
+		return rd.processors("pool").free
+	}
+	qt.Check(t, headroom(), qt.Equals, int64(8*3500))
+	dr.op.Limits.ShortagePolicy = ValuePolicy
+	qt.Check(t, headroom(), qt.Equals, int64(0))
+	dr.workers["w0"].free.MilliCores = 15_000
+	qt.Check(t, headroom(), qt.Equals, int64(14_000))
+}
--- a/internal/job/reserver/reserver.go
+++ b/internal/job/reserver/reserver.go
@@ -19,6 +19,8 @@
 	// MaxShare is the highest share of a pool's processors that is reserved. A backlog of short tasks would
 	// otherwise keep all long-running ones out of the pool.
 	MaxShare = 0.2
+	// sizeWeight is the weight of a sample in the moving average of the size of tasks, which thus covers some 5 s.
+	sizeWeight = 0.02
 	// SampleInterval is the time after which the demand is observed again. Short tasks run for about a second, so
 	// that few begin and end between two samples.
 	SampleInterval = 100 * time.Millisecond
@@ -29,13 +31,26 @@
 	// peak is the decayed maximum at the time at, in thousandths of a core.
 	peak float64
 	at   time.Time
+	// size is the moving average of what a task needs, in the same unit, zero before the first task.
+	size float64
 }
 
-// Observe records the processors that the pool's short urgent tasks use and wait for, in thousandths of a core.
-func (fc *Forecast) Observe(demand int64, now time.Time) {
+// Observe records the processors that the pool's short urgent tasks use and wait for, in thousandths of a core, and
+// the number of these tasks.
+func (fc *Forecast) Observe(demand int64, tasks int, now time.Time) {
 	fc.peak, fc.at = max(float64(demand), fc.decayed(now)), now
+	switch mean := float64(demand) / float64(max(tasks, 1)); {
+	case tasks == 0:
+	case fc.size == 0:
+		fc.size = mean
+	default:
+		fc.size += sizeWeight * (mean - fc.size)
+	}
 }
 
+// TaskSize returns what a typical short urgent task needs, in thousandths of a core, or 0 if none was observed.
+func (fc *Forecast) TaskSize() int64 { return int64(fc.size) }
+
 // decayed returns the maximum as it has decayed since the last observation.
 func (fc *Forecast) decayed(now time.Time) float64 {
 	if fc.at.IsZero() {
--- a/internal/job/reserver/reserver_test.go
+++ b/internal/job/reserver/reserver_test.go
@@ -40,7 +40,7 @@
 func TestBursts(t *testing.T) {
 	fixed := play(func(time.Time) int64 { return int64(share * capacity) }, func(int64, time.Time) {}, time.Minute)
 	var fc Forecast
-	forecast := play(func(now time.Time) int64 { return fc.Reserve(capacity, share, now) }, fc.Observe, time.Minute)
+	forecast := play(func(now time.Time) int64 { return fc.Reserve(capacity, share, now) }, func(demand int64, now time.Time) { fc.Observe(demand, 1, now) }, time.Minute)
 	t.Logf("core-seconds beyond the reserve: fixed %.0f, forecast %.0f", fixed, forecast)
 	// Of the first burst, only the first sample exceeds the forecast, and what decays between two samples.
 	qt.Check(t, fixed > 15_000, qt.IsTrue)
@@ -54,16 +54,28 @@
 	}
 	var fc Forecast
 	qt.Check(t, reserve(&fc, 0), qt.Equals, share)
-	fc.Observe(1000, start)
+	fc.Observe(1000, 1, start)
 	qt.Check(t, reserve(&fc, 0), qt.Equals, share)
-	fc.Observe(20*capacity, start)
+	fc.Observe(20*capacity, 1, start)
 	qt.Check(t, reserve(&fc, 0), qt.Equals, MaxShare)
 	fc = Forecast{}
-	fc.Observe(capacity/10, start)
-	fc.Observe(0, start.Add(time.Second))
+	fc.Observe(capacity/10, 1, start)
+	fc.Observe(0, 0, start.Add(time.Second))
 	qt.Check(t, reserve(&fc, time.Second) > 0.089, qt.IsTrue)
 	qt.Check(t, reserve(&fc, 3*time.Second) < 0.08, qt.IsTrue)
 	// A clock that is set back raises nothing.
 	qt.Check(t, reserve(&fc, -time.Hour) <= 0.1, qt.IsTrue)
 	qt.Check(t, reserve(&fc, time.Minute), qt.Equals, share)
 }
+
+// Guards against a size of tasks that follows a single one, or that is forgotten while there are none.
+func TestTaskSize(t *testing.T) {
+	var fc Forecast
+	qt.Check(t, fc.TaskSize(), qt.Equals, int64(0))
+	fc.Observe(80_000, 10, start)
+	qt.Check(t, fc.TaskSize(), qt.Equals, int64(8000))
+	fc.Observe(60_000, 1, start)
+	qt.Check(t, fc.TaskSize(), qt.Equals, int64(9040))
+	fc.Observe(0, 0, start)
+	qt.Check(t, fc.TaskSize(), qt.Equals, int64(9040))
+}
