--- a/internal/job/director/value.go
+++ b/internal/job/director/value.go
@@ -264,5 +264,8 @@
 	default:
 		order = one.rank.LatestStart.Compare(two.rank.LatestStart)
 	}
-	return cmp.Or(order, cmp.Compare(one.step.occ.job.ID, two.step.occ.job.ID))
+	if order != 0 {
+		return order
+	}
+	return cmp.Compare(one.step.occ.job.ID, two.step.occ.job.ID)
 }
