--- a/internal/job/director/director_test.go
+++ b/internal/job/director/director_test.go
@@ -568,7 +568,7 @@
 func TestRandomFaults(t *testing.T) {
 	for seed := range seeds() {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runRandomFaults(t, seed) })
+			synctest.Test(t, func(t *testing.T) { runRandomFaults(t, seed, "") })
 		})
 	}
 }
--- a/internal/job/director/random_faults_test.go
+++ b/internal/job/director/random_faults_test.go
@@ -8,15 +8,17 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/currantrouter/currantrouter/internal/job/director"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/provider/emulator"
 )
 
 // runRandomFaults submits random jobs while leaders change, workers are cut off or crash, and
 // requests are lost, in an order that depends on the seed. All jobs must have ended at the end.
-func runRandomFaults(t *testing.T, seed uint64) {
+func runRandomFaults(t *testing.T, seed uint64, policy director.ShortagePolicy) {
 	rnd := rand.New(rand.NewPCG(seed, 1))
 	fl := newFleet(t, 6)
+	fl.shortagePolicy = policy
 	tm := fl.startTerm(0)
 	defer func() { tm.end() }()
 	for round := range 40 {
--- a/internal/job/director/shortage_test.go
+++ b/internal/job/director/shortage_test.go
@@ -114,3 +114,13 @@
 	t.Logf("of 4 old jobs have ended: %v", ended)
 	qt.Check(t, ended[director.ValuePolicy], qt.Equals, 4)
 }
+
+// Guards against tasks that run twice, jobs that do not end, and overbooked workers under ValuePolicy, while leaders
+// change and workers fail.
+func TestRandomFaultsUnderValue(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runRandomFaults(t, seed, director.ValuePolicy) })
+		})
+	}
+}
