director: long-running tasks that ran before leave only the fixed reserve under ShortagePolicy Value

The forecast reserve, and counting it in pieces, could have kept a task of a lost worker from capacity that the previous policy gives it.

--- a/internal/job/director/advance.go
+++ b/internal/job/director/advance.go
@@ -61,7 +61,7 @@
 			continue
 		}
 		dm := rd.dr.demand(tk)
-		dm.Headroom, dm.PoolSlots = rd.futureHeadroom(pool, &dm, ending)
+		dm.Headroom, dm.PoolSlots = rd.futureHeadroom(sp, pool, &dm, ending)
 		for ix, wk := range rd.workers {
 			freed, ok := ending[ix]
 			cands[ix].Excluded = !ok || wk.info.Pool != pool || slices.Contains(dm.Avoid, wk.info.ID)
@@ -80,16 +80,20 @@
 	return true
 }
 
-// futureHeadroom returns what agedHeadroom and poolHeadroom are once the capacity has become free.
-func (rd *round) futureHeadroom(pool modeler.PoolName, dm *placer.Demand, ending map[int]modeler.Resources) (headroom, slots int64) {
+// futureHeadroom returns what agedHeadroom and poolSlots are once the capacity has become free.
+func (rd *round) futureHeadroom(sp *step, pool modeler.PoolName, dm *placer.Demand, ending map[int]modeler.Resources) (headroom, slots int64) {
+	reserve, piece := rd.leastReserve(pool), int64(0)
+	if rd.leavesForecast(sp) {
+		reserve, piece = rd.shortTaskReserve(pool), rd.dr.pieceSize(pool)
+	}
 	for ix, wk := range rd.workers {
 		if wk.info.Pool == pool {
 			free := wk.free.Plus(ending[ix])
-			headroom += wholePieces(max(0, free.MilliCores)+wk.ending.MilliCores, rd.dr.pieceSize(pool))
+			headroom += wholePieces(max(0, free.MilliCores)+wk.ending.MilliCores, piece)
 			slots += placer.FitCount(dm.Needs, free)
 		}
 	}
-	return headroom - rd.shortTaskReserve(pool), slots
+	return headroom - reserve, slots
 }
 
 // queueFreed queues the starts of tasks that were placed in advance for which the worker now has the
--- a/internal/job/director/aging.go
+++ b/internal/job/director/aging.go
@@ -99,7 +99,7 @@
 	if !rd.placingAged {
 		return
 	}
-	headroom := rd.agedHeadroom(rd.dr.pool(sp.occ.job))
+	headroom := rd.agedHeadroom(sp, rd.dr.pool(sp.occ.job))
 	for _, tk := range sp.waiting {
 		if headroom -= dm.Needs.MilliCores; headroom < 0 {
 			return
@@ -145,13 +145,6 @@
 	return slots
 }
 
-// agedHeadroom returns the processors of a pool beyond the reserve that long-running tasks leave, in
-// thousandths of a core.
-func (rd *round) agedHeadroom(pool modeler.PoolName) int64 {
-	pp := rd.processors(pool)
-	return pp.free + pp.ending - rd.shortTaskReserve(pool)
-}
-
 // shareHeldWorker adds a demand to those of a worker that is held already, and returns false if none has
 // the capacity.
 func (rd *round) shareHeldWorker(dm *placer.Demand) bool {
--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -158,6 +158,8 @@
 	// image is set for best-effort demands, which some latency-critical images exclude.
 	image       string
 	longRunning bool
+	// leavesForecast is that of the step of a long-running demand, which decides on the reserve that it leaves.
+	leavesForecast bool
 }
 
 // knownUnplaceable reports whether a demand of the class with equal or smaller needs has already
@@ -300,6 +302,7 @@
 	if dm.BestEffort {
 		key.image = dm.Image
 	}
+	key.leavesForecast = dm.LongRunning && rd.leavesForecast(sp)
 	if rd.knownUnplaceable(key, dm.Needs) {
 		rd.countSameStep(sp)
 		rd.noteClassMiss(sp, key)
@@ -417,17 +420,16 @@
 	if sp.spec.Gang {
 		enough += int64(len(sp.waiting))
 	}
-	dm.Headroom, dm.PoolSlots = rd.poolHeadroom(pool, dm, enough)
+	dm.Headroom, dm.PoolSlots = rd.headroom(sp, pool), rd.poolSlots(pool, dm, enough)
 	if rd.placingAged {
-		dm.Headroom = rd.agedHeadroom(pool)
+		dm.Headroom = rd.agedHeadroom(sp, pool)
 		dm.PoolSlots = rd.recentSlots(pool, dm.Needs, dm.PoolSlots)
 	}
 }
 
-// poolHeadroom returns the free processors of a pool beyond the reserve for short tasks, in
-// thousandths of a core, and how many tasks of the demand fit into the pool. It counts no further
-// than enough.
-func (rd *round) poolHeadroom(pool modeler.PoolName, dm *placer.Demand, enough int64) (headroom, slots int64) {
+// poolSlots returns how many tasks of the demand fit into the pool. It counts no further than enough.
+func (rd *round) poolSlots(pool modeler.PoolName, dm *placer.Demand, enough int64) int64 {
+	var slots int64
 	for _, wk := range rd.workers {
 		if slots >= enough {
 			break
@@ -436,21 +438,25 @@
 			slots += placer.FitCount(dm.Needs, wk.free)
 		}
 	}
-	return rd.processors(pool).free - rd.unusedReserve(pool), slots
+	return slots
 }
 
 // poolProcessors are processors of a pool, in thousandths of a core.
 type poolProcessors struct {
 	// free are those that no run reserves, ending those that runs reserve which end by themselves.
 	free, ending int64
+	// freePieces and endingPieces count only whole pieces of these, see Director.pieceSize.
+	freePieces, endingPieces int64
 }
 
-// add adds those of a worker, times 1 or -1, in whole pieces of some processors, see Director.pieceSize.
+// add adds those of a worker, times 1 or -1.
 func (pp *poolProcessors) add(wk *worker, piece, times int64) {
 	free := max(0, wk.free.MilliCores)
-	usable := wholePieces(free, piece)
-	pp.free += times * usable
-	pp.ending += times * (wholePieces(free+wk.ending.MilliCores, piece) - usable)
+	pieces := wholePieces(free, piece)
+	pp.free += times * free
+	pp.ending += times * wk.ending.MilliCores
+	pp.freePieces += times * pieces
+	pp.endingPieces += times * (wholePieces(free+wk.ending.MilliCores, piece) - pieces)
 }
 
 // processors returns the processors of a pool. placeTask keeps them up to date.
--- a/internal/job/director/shortage.go
+++ b/internal/job/director/shortage.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/job/ranker"
@@ -103,13 +104,29 @@
 	}
 }
 
-// unusedReserve returns the part of the reserve for short tasks that is to stay free beside the short tasks
-// that run now, in thousandths of a core. Under ValuePolicy these count for the reserve, down to leastReserve.
-func (rd *round) unusedReserve(pool modeler.PoolName) int64 {
-	if !rd.dr.followsValue() {
-		return rd.shortTaskReserve(pool)
+// leavesForecast reports whether the long-running tasks of a step leave the forecast reserve to short ones, not just
+// the least one. Tasks that ran before do not, as each is to run again within seconds of its last run.
+func (rd *round) leavesForecast(sp *step) bool {
+	return rd.dr.followsValue() && !slices.ContainsFunc(sp.waiting, func(tk *task) bool { return tk.lastRun > 0 })
+}
+
+// headroom returns the free processors of a pool beyond the reserve that the tasks of a long-running step leave, in
+// thousandths of a core. Short tasks that run count for the forecast reserve, down to leastReserve.
+func (rd *round) headroom(sp *step, pool modeler.PoolName) int64 {
+	pp, least := rd.processors(pool), rd.leastReserve(pool)
+	if !rd.leavesForecast(sp) {
+		return pp.free - least
+	}
+	return pp.freePieces - max(least, rd.shortTaskReserve(pool)-pp.endingPieces)
+}
+
+// agedHeadroom returns the same for an aged step, for which short tasks that run do not count.
+func (rd *round) agedHeadroom(sp *step, pool modeler.PoolName) int64 {
+	pp := rd.processors(pool)
+	if !rd.leavesForecast(sp) {
+		return pp.free + pp.ending - rd.leastReserve(pool)
 	}
-	return max(rd.leastReserve(pool), rd.shortTaskReserve(pool)-rd.processors(pool).ending)
+	return pp.freePieces + pp.endingPieces - rd.shortTaskReserve(pool)
 }
 
 // pieceSize returns the processors of a typical short task of a pool, in thousandths of a core, or 0 if that is not
--- a/internal/job/director/value_test.go
+++ b/internal/job/director/value_test.go
@@ -75,13 +75,17 @@
 	for _, wk := range dr.workers {
 		wk.free = modeler.Resources{MilliCores: 3500, MemoryMB: 64000}
 	}
+	long := dr.jobs["j0"].occurrences[0].steps[0]
 	headroom := func() int64 {
 		rd := dr.newRound(now)
-		return rd.processors("pool").free
+		return rd.agedHeadroom(long, "pool") + rd.shortTaskReserve("pool")
 	}
 	qt.Check(t, headroom(), qt.Equals, int64(8*3500))
 	dr.op.Limits.ShortagePolicy = ValuePolicy
 	qt.Check(t, headroom(), qt.Equals, int64(0))
 	dr.workers["w0"].free.MilliCores = 15_000
 	qt.Check(t, headroom(), qt.Equals, int64(14_000))
+	// A task that ran before leaves no more than with the previous policy.
+	long.waiting[0].lastRun = 1
+	qt.Check(t, headroom(), qt.Equals, int64(7*3500+15_000))
 }
