--- a/internal/telemetry/logger/catalogue.go
+++ b/internal/telemetry/logger/catalogue.go
@@ -53,8 +53,8 @@
 	jobEvents,
 	inputEvents,
 	relayEvents,
-	evacuationEvents,
 	restartEvents,
 	intakeEvents,
+	evacuationEvents,
 	shortageEvents,
 )
