--- a/internal/job/director/aging.go
+++ b/internal/job/director/aging.go
@@ -59,7 +59,11 @@
 
 // dominantShare returns the largest share that a task of a step needs of a resource of its pool.
 func (rd *round) dominantShare(sp *step) float64 {
-	needs, capacity := sp.spec.Needs, rd.capacity(rd.dr.pool(sp.occ.job))
+	return dominantShare(sp.spec.Needs, rd.capacity(rd.dr.pool(sp.occ.job)))
+}
+
+// dominantShare returns the largest share of a capacity that is needed of a resource.
+func dominantShare(needs, capacity modeler.Resources) float64 {
 	share := func(needed, available int64) float64 { return float64(needed) / float64(max(available, 1)) }
 	return max(share(needs.MilliCores, capacity.MilliCores), share(needs.MemoryMB, capacity.MemoryMB), share(needs.Accelerators, capacity.Accelerators))
 }
@@ -95,7 +99,7 @@
 	if !rd.placingAged {
 		return
 	}
-	headroom := rd.agedHeadroom(rd.dr.pool(sp.occ.job))
+	headroom := rd.agedHeadroom(sp, rd.dr.pool(sp.occ.job))
 	for _, tk := range sp.waiting {
 		if headroom -= dm.Needs.MilliCores; headroom < 0 {
 			return
@@ -141,13 +145,6 @@
 	return slots
 }
 
-// agedHeadroom returns the processors of a pool beyond the reserve that long-running tasks leave, in
-// thousandths of a core.
-func (rd *round) agedHeadroom(pool modeler.PoolName) int64 {
-	pp := rd.processors(pool)
-	return pp.free + pp.ending - rd.shortTaskReserve(pool)
-}
-
 // shareHeldWorker adds a demand to those of a worker that is held already, and returns false if none has
 // the capacity.
 func (rd *round) shareHeldWorker(dm *placer.Demand) bool {
@@ -155,6 +152,10 @@
 		wk, expected := rd.workers[ix], rd.heldFor[ix]
 		if dm.MaxPerWorker == 0 && rd.mayHold(dm, ix) && dm.Needs.Fits(wk.free.Plus(wk.ending).Minus(expected)) {
 			rd.heldFor[ix] = expected.Plus(dm.Needs)
+			if rd.dr.followsValue() {
+				rd.cands[ix].Free = rd.freeBesideHeld(ix)
+				rd.changed = append(rd.changed, ix)
+			}
 			return true
 		}
 	}
@@ -169,7 +170,7 @@
 }
 
 // holdWorker makes a backfill reservation for a demand that fits nowhere: for the rest of this
-// round only, one worker counts as having no free capacity, so that less urgent tasks do not delay
+// round only, one worker counts as having no free capacity but that of freeBesideHeld, so that less urgent tasks do not delay
 // the demand. Of the workers that may be held, it takes the one with the most free processors. It
 // returns false if there is none.
 func (rd *round) holdWorker(dm *placer.Demand) bool {
@@ -191,7 +192,7 @@
 	}
 	rd.held = append(rd.held, best)
 	rd.heldFor[best] = dm.Needs
-	rd.cands[best].Free = modeler.Resources{}
+	rd.cands[best].Free = rd.freeBesideHeld(best)
 	rd.changed = append(rd.changed, best)
 	return true
 }
--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -19,6 +19,7 @@
 	"github.com/currantrouter/currantrouter/internal/job/evacuator"
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/reserver"
 	"github.com/currantrouter/currantrouter/internal/job/throttler"
 	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
@@ -77,6 +78,9 @@
 	// RemoteDataFactor is the ratio of a task's run time in another rack to that in the rack of its
 	// data.
 	RemoteDataFactor float64
+	// ShortagePolicy is how tasks are ordered and placed while capacity is short. The zero value is
+	// DeadlinePolicy.
+	ShortagePolicy ShortagePolicy
 }
 
 // Options holds the dependencies and parameters of a Director.
@@ -251,6 +255,20 @@
 	keptStarts float64
 	// seenRooms holds what recent rounds found of each pool, see recentSlots.
 	seenRooms map[modeler.PoolName][]seenRoom
+	// shortDemand holds forecasts of what short urgent tasks need, by pool, and shortDemandAt is when they were
+	// last updated. It is empty unless ValuePolicy applies.
+	shortDemand   map[modeler.PoolName]*reserver.Forecast
+	shortDemandAt time.Time
+	// shortages holds when rounds last found that a pool is short of capacity for a priority, promotions the overdue
+	// jobs that go first then, and histories what the jobs of each queue have shown. All are empty unless ValuePolicy
+	// applies.
+	shortages  map[shortageKey]time.Time
+	promotions map[shortageKey]*promotion
+	histories  map[modeler.QueueName]*queueHistory
+	// shortSteps, delayed and shortage are for the reports on shortages.
+	shortSteps map[shortageKey]*shortSteps
+	delayed    delayed
+	shortage   shortageReport
 	// nextExamined is the index of the candidate at which the next selection begins.
 	nextExamined int
 	// contention is the competition of best-effort images for the workers.
@@ -301,6 +319,11 @@
 		waitingSteps:         map[*step]struct{}{},
 		starting:             map[*attempt]struct{}{},
 		seenRooms:            map[modeler.PoolName][]seenRoom{},
+		shortDemand:          map[modeler.PoolName]*reserver.Forecast{},
+		shortages:            map[shortageKey]time.Time{},
+		promotions:           map[shortageKey]*promotion{},
+		shortSteps:           map[shortageKey]*shortSteps{},
+		histories:            map[modeler.QueueName]*queueHistory{},
 		model:                estimator.New(),
 		startWindow:          throttler.New(requestTimeout),
 		invalid:              reporter.New(op.Log, op.Meter),
@@ -507,6 +530,7 @@
 		dr.publishEvacuations(now)
 		dr.reportCancelledRuns(now)
 		dr.reportLateRenewals(now)
+		dr.reportShortage(now)
 	}
 }
 
--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -143,6 +143,10 @@
 type rankedStep struct {
 	step *step
 	rank ranker.Rank
+	// short is set if the step's pool is short of capacity for it. density then decides instead of the latest
+	// start, see package valuer.
+	short   bool
+	density float64
 }
 
 // demandClass is an equivalence class of demands, as in Borg, but without the amount of their
@@ -154,6 +158,8 @@
 	// image is set for best-effort demands, which some latency-critical images exclude.
 	image       string
 	longRunning bool
+	// leavesForecast is that of the step of a long-running demand, which decides on the reserve that it leaves.
+	leavesForecast bool
 }
 
 // knownUnplaceable reports whether a demand of the class with equal or smaller needs has already
@@ -166,22 +172,18 @@
 // accept tasks.
 func (dr *Director) newRound(now time.Time) *round {
 	rd := &round{dr: dr, now: now, maxHeld: maxHeldWorkers, heldFor: map[int]modeler.Resources{}, processorsOf: map[modeler.PoolName]poolProcessors{}, capacityOf: map[modeler.PoolName]modeler.Resources{}, unplaceable: map[demandClass][]modeler.Resources{}, missed: map[demandClass]turn{}, forecasts: map[string]*forecast{}, selections: map[selectionKey]*selection{}}
-	rd.steps = make([]rankedStep, 0, len(dr.waitingSteps))
-	for sp := range dr.waitingSteps {
-		ws := dr.waitingStep(sp)
-		rd.steps = append(rd.steps, rankedStep{sp, ws.Rank(now)})
-	}
-	slices.SortFunc(rd.steps, func(one, two rankedStep) int {
-		if order := one.rank.Compare(&two.rank); order != 0 {
-			return order
-		}
-		return cmp.Compare(one.step.occ.job.ID, two.step.occ.job.ID)
-	})
 	for _, wk := range dr.orderedWorkers() {
 		if dr.acceptsTasks(wk, now) {
 			rd.workers = append(rd.workers, wk)
 		}
 	}
+	rd.steps = make([]rankedStep, 0, len(dr.waitingSteps))
+	for sp := range dr.waitingSteps {
+		rd.steps = append(rd.steps, rd.rankStep(sp))
+	}
+	slices.SortFunc(rd.steps, func(one, two rankedStep) int { return compareSteps(&one, &two) })
+	rd.promoteOverdue()
+	rd.observeShortDemand()
 	rd.cands = make([]placer.Candidate, 0, len(rd.workers))
 	for _, wk := range rd.workers {
 		rd.cands = append(rd.cands, placer.Candidate{
@@ -300,9 +302,11 @@
 	if dm.BestEffort {
 		key.image = dm.Image
 	}
+	key.leavesForecast = dm.LongRunning && rd.leavesForecast(sp)
 	if rd.knownUnplaceable(key, dm.Needs) {
 		rd.countSameStep(sp)
 		rd.noteClassMiss(sp, key)
+		rd.noteShortage(tk, &dm)
 		rd.holdForAged(sp, &dm)
 		return false
 	}
@@ -329,6 +333,7 @@
 		rd.missed[key] = sp.turn
 	}
 	rd.misses++
+	rd.noteShortage(tk, &dm)
 	rd.logWaitingTask(tk, &dm)
 	switch {
 	case !dm.LongRunning:
@@ -381,7 +386,7 @@
 
 func (rd *round) holdAgain() {
 	for _, ix := range rd.held {
-		rd.cands[ix].Free = modeler.Resources{}
+		rd.cands[ix].Free = rd.freeBesideHeld(ix)
 	}
 }
 
@@ -415,17 +420,16 @@
 	if sp.spec.Gang {
 		enough += int64(len(sp.waiting))
 	}
-	dm.Headroom, dm.PoolSlots = rd.poolHeadroom(pool, dm, enough)
+	dm.Headroom, dm.PoolSlots = rd.headroom(sp, pool), rd.poolSlots(pool, dm, enough)
 	if rd.placingAged {
-		dm.Headroom = rd.agedHeadroom(pool)
+		dm.Headroom = rd.agedHeadroom(sp, pool)
 		dm.PoolSlots = rd.recentSlots(pool, dm.Needs, dm.PoolSlots)
 	}
 }
 
-// poolHeadroom returns the free processors of a pool beyond the reserve for short tasks, in
-// thousandths of a core, and how many tasks of the demand fit into the pool. It counts no further
-// than enough.
-func (rd *round) poolHeadroom(pool modeler.PoolName, dm *placer.Demand, enough int64) (headroom, slots int64) {
+// poolSlots returns how many tasks of the demand fit into the pool. It counts no further than enough.
+func (rd *round) poolSlots(pool modeler.PoolName, dm *placer.Demand, enough int64) int64 {
+	var slots int64
 	for _, wk := range rd.workers {
 		if slots >= enough {
 			break
@@ -434,19 +438,25 @@
 			slots += placer.FitCount(dm.Needs, wk.free)
 		}
 	}
-	return rd.processors(pool).free - rd.shortTaskReserve(pool), slots
+	return slots
 }
 
 // poolProcessors are processors of a pool, in thousandths of a core.
 type poolProcessors struct {
 	// free are those that no run reserves, ending those that runs reserve which end by themselves.
 	free, ending int64
+	// freePieces and endingPieces count only whole pieces of these, see Director.pieceSize.
+	freePieces, endingPieces int64
 }
 
 // add adds those of a worker, times 1 or -1.
-func (pp *poolProcessors) add(wk *worker, times int64) {
-	pp.free += times * max(0, wk.free.MilliCores)
+func (pp *poolProcessors) add(wk *worker, piece, times int64) {
+	free := max(0, wk.free.MilliCores)
+	pieces := wholePieces(free, piece)
+	pp.free += times * free
 	pp.ending += times * wk.ending.MilliCores
+	pp.freePieces += times * pieces
+	pp.endingPieces += times * (wholePieces(free+wk.ending.MilliCores, piece) - pieces)
 }
 
 // processors returns the processors of a pool. placeTask keeps them up to date.
@@ -455,7 +465,7 @@
 	if !ok {
 		for _, wk := range rd.workers {
 			if wk.info.Pool == pool {
-				pp.add(wk, 1)
+				pp.add(wk, rd.dr.pieceSize(pool), 1)
 			}
 		}
 		rd.processorsOf[pool] = pp
@@ -466,6 +476,14 @@
 // shortTaskReserve returns the processors of a pool that long-running tasks leave to short ones, in
 // thousandths of a core.
 func (rd *round) shortTaskReserve(pool modeler.PoolName) int64 {
+	if fc := rd.dr.shortDemand[pool]; fc != nil {
+		return fc.Reserve(rd.capacity(pool).MilliCores, placer.ShortTaskReserve, rd.now)
+	}
+	return rd.leastReserve(pool)
+}
+
+// leastReserve returns the least shortTaskReserve of a pool.
+func (rd *round) leastReserve(pool modeler.PoolName) int64 {
 	return int64(placer.ShortTaskReserve * float64(rd.capacity(pool).MilliCores))
 }
 
@@ -487,9 +505,10 @@
 	wk := rd.workers[ix]
 	rd.startsLeft--
 	pp, known := rd.processorsOf[wk.info.Pool]
-	pp.add(wk, -1)
+	piece := rd.dr.pieceSize(wk.info.Pool)
+	pp.add(wk, piece, -1)
 	at := rd.dr.reserve(tk, wk, rd.dr.nextRun(tk))
-	pp.add(wk, 1)
+	pp.add(wk, piece, 1)
 	if known {
 		rd.processorsOf[wk.info.Pool] = pp
 	}
@@ -503,7 +522,7 @@
 	cd.Free, cd.LatencyCriticalTasks, cd.BestEffortTasks = wk.free, wk.criticalTasks, wk.bestEffortTasks
 	cd.BestEffortMilliCores, cd.LatencyCriticalMilliCores = wk.bestEffortMilliCores, wk.criticalMilliCores
 	if slices.Contains(rd.held, ix) {
-		cd.Free = modeler.Resources{}
+		cd.Free = rd.freeBesideHeld(ix)
 	}
 	rd.changed = append(rd.changed, ix)
 	for _, fc := range rd.forecasts {
