internal/config/loader: an evacuation limit below 3.5 s is refused

It was accepted from 1 ms on, but a view of the requests is outdated at 1.5 s at the least and starts under way take up to 2 s. Evidence: TestInvalidJobSettings fails without the check.

--- a/internal/config/loader/jobs_test.go
+++ b/internal/config/loader/jobs_test.go
@@ -47,7 +47,8 @@
 		{"enabled", "Enabled = true", "Enabled = yes", `host.ini: [Jobs] Enabled = "yes": true or false`, nil},
 		{"lease", "LongestLease = 10000ms", "LongestLease = 10000", `host.ini: [Jobs] LongestLease = "10000": a duration from 1ms to 1h`, nil},
 		{"stop limit", "StopLimit = 400ms", "StopLimit = 0s", `host.ini: [Jobs] StopLimit = "0s": a duration from`, nil},
-		{"evacuation limit", "[Host]", "EvacuationLimit = 5000\n[Host]", `host.ini: [Jobs] EvacuationLimit = "5000": 0s or a duration from 1ms to 1h`, nil},
+		{"evacuation limit", "[Host]", "EvacuationLimit = 5000\n[Host]", `host.ini: [Jobs] EvacuationLimit = "5000": 0s or a duration from 3.5s to 1h`, nil},
+		{"evacuation limit that cannot be kept", "[Host]", "EvacuationLimit = 3499ms\n[Host]", `host.ini: [Jobs] EvacuationLimit = "3499ms": 0s or a duration from 3.5s to 1h`, nil},
 		{"negative evacuation limit", "[Host]", "EvacuationLimit = -5s\n[Host]", `[Jobs] EvacuationLimit = "-5s": 0s or a duration`, nil},
 		{"factor", "FarFactor = 1.5", "FarFactor = NaN", `host.ini: [Jobs] FarFactor = "NaN": a number from 0.001 to 1000`, nil},
 		{"share", "Share = 0.4", "Share = {{limits.cpuShare}}", `host.ini: [Host] Share = "{{limits.cpuShare}}": a number from`, nil},
@@ -76,7 +77,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, st.Jobs.Lease, qt.Equals, 5*time.Second)
 	qt.Check(t, st.Jobs.EvacuationLimit, qt.Equals, time.Duration(0))
-	for text, limit := range map[string]time.Duration{"0s": 0, "5000ms": 5 * time.Second} {
+	for text, limit := range map[string]time.Duration{"0s": 0, "3500ms": 3500 * time.Millisecond, "5000ms": 5 * time.Second} {
 		st, err = loadJobs(t, "", "", "--jobs-evacuation-limit="+text)
 		qt.Assert(t, err, qt.IsNil)
 		qt.Check(t, st.Jobs.EvacuationLimit, qt.Equals, limit)
--- a/internal/config/loader/table.go
+++ b/internal/config/loader/table.go
@@ -90,8 +90,8 @@
 		optional, func(st *Settings, val string) bool { return setFactor(&st.Jobs.FarFactor, val) },
 	},
 	{
-		"Jobs", "EvacuationLimit", "DURATION", "0s", "", "Time after a request to evacuate a data centre was stored from which no task may start there. With 0s, such requests are not read.", "0s or " + allowedDuration,
-		optional, func(st *Settings, val string) bool { return setDurationOrZero(&st.Jobs.EvacuationLimit, val) },
+		"Jobs", "EvacuationLimit", "DURATION", "0s", "", "Time after a request to evacuate a data centre was stored from which no task may start there. With 0s, such requests are not read.", "0s or a duration from 3.5s to 1h, such as 5s",
+		optional, func(st *Settings, val string) bool { return setEvacuationLimit(&st.Jobs.EvacuationLimit, val) },
 	},
 	{
 		"Host", "Name", "NAME", "", "host-1", "Name of this entry host in the shared configuration.", allowedName,
@@ -311,6 +311,15 @@
 	return err == nil && dur >= time.Millisecond && dur <= time.Hour
 }
 
+// minEvacuationLimit is the shortest evacuation limit that can be kept: a view of the requests is outdated at an age of
+// 1.5 s at the least, and starts under way take up to 2 s.
+const minEvacuationLimit = 3500 * time.Millisecond
+
+// setEvacuationLimit sets a duration that is zero or not less than minEvacuationLimit.
+func setEvacuationLimit(dst *time.Duration, val string) bool {
+	return setDurationOrZero(dst, val) && (*dst == 0 || *dst >= minEvacuationLimit)
+}
+
 // setDurationOrZero sets a duration that may be zero.
 func setDurationOrZero(dst *time.Duration, val string) bool {
 	if dur, err := time.ParseDuration(val); err == nil && dur == 0 {
