--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -274,6 +274,8 @@
 	// ineffectiveLines, droppedLines and overdueLines bound lines of the log.
 	ineffectiveLines, droppedLines, overdueLines lineBudget
 	evacuationSuspension                         evacuationSuspension
+	// evacuationLines bound the lines of the log on changes.
+	evacuationLines lineBudget
 	// waitLoggedAt is when the log last said why a task waits.
 	waitLoggedAt time.Time
 	// snapshotPosition is the journal position of the last snapshot, also of one by an earlier leader. Only
--- a/internal/job/director/evacuation.go
+++ b/internal/job/director/evacuation.go
@@ -14,6 +14,8 @@
 const (
 	// maxListedDataCentres bounds the names of each kind in one line of the log.
 	maxListedDataCentres = 8
+	// maxEvacuationLines bounds the lines on changes in a second.
+	maxEvacuationLines = 10
 	// maxEvacuatedExamined bounds the evacuated workers that are examined for a task that found no other worker.
 	maxEvacuatedExamined = 64
 )
@@ -50,8 +52,10 @@
 		dr.log(logger.EvacuationsListed, "Evacuated", st.DataCentres, "Workers", workers, "Runs", runs, "Revision", st.Revision, "Took", now.Sub(dr.termStart).String())
 	}
 	if len(ch.Added)+len(ch.Withdrawn) > 0 {
-		dr.log(logger.EvacuationsChanged, "Added", firstNames(ch.Added), "Withdrawn", firstNames(ch.Withdrawn), "Evacuated", st.DataCentres,
-			"Workers", workers, "Runs", runs, "StartsReleased", released, "Revision", st.Revision, "ViewAge", st.Age.String())
+		if ok, omitted := dr.evacuationLines.take(maxEvacuationLines, now); ok {
+			dr.log(logger.EvacuationsChanged, "Added", firstNames(ch.Added), "Withdrawn", firstNames(ch.Withdrawn), "Evacuated", st.DataCentres,
+				"Workers", workers, "Runs", runs, "StartsReleased", released, "Revision", st.Revision, "ViewAge", st.Age.String(), "Omitted", omitted)
+		}
 	}
 	dr.op.Meter.Add(meter.EvacuationStartsReleased, int64(released))
 	dr.wakeDispatch()
--- a/internal/job/director/evacuation_test.go
+++ b/internal/job/director/evacuation_test.go
@@ -342,3 +342,18 @@
 		qt.Check(t, ec.runningTasks("long", 1), qt.Equals, 1)
 	})
 }
+
+// Guards against a log that a client fills by storing and withdrawing a request.
+func TestEvacuationLinesAreBounded(t *testing.T) {
+	withDataCentres(t, 1, 1, func(ec *evacuation) {
+		ec.list()
+		for range 100 {
+			ec.request(east)
+			ec.withdraw(east)
+		}
+		sleep(time.Second)
+		ec.request(east)
+		qt.Check(t, ec.logs.of(logger.EvacuationsChanged, nil), qt.HasLen, 11)
+		ec.assertLogged(logger.EvacuationsChanged, logLine{"Omitted": 190.0})
+	})
+}
