internal/job/director: the evacuated workers that a waiting task is compared with are bounded by pool

The first 64 of the whole fleet could all be of other pools, so that the reason for waiting was wrong. Evidence: TestWaitsForEvacuatedWorkersOfItsPool fails without the change.

--- a/internal/job/director/evacuation.go
+++ b/internal/job/director/evacuation.go
@@ -6,6 +6,7 @@
 
 	fleet "github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/job/evacuator"
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/job/placer"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
@@ -16,7 +17,7 @@
 	maxListedDataCentres = 8
 	// maxEvacuationLines bounds the lines on changes in a second.
 	maxEvacuationLines = 10
-	// maxEvacuatedExamined bounds the evacuated workers that are examined for a task that found no other worker.
+	// maxEvacuatedExamined bounds the evacuated workers of a pool that are examined for a task that found no other worker.
 	maxEvacuatedExamined = 64
 )
 
@@ -144,7 +145,7 @@
 	dr.op.Meter.Set(meter.EvacuationViewAge, st.Age.Milliseconds())
 }
 
-// evacuatedWorkers returns some workers that would accept tasks if their data centre were not evacuated.
+// evacuatedWorkers returns some workers of each pool that would accept tasks if their data centre were not evacuated.
 func (rd *round) evacuatedWorkers() []*worker {
 	if rd.evacuatedListed {
 		return rd.evacuated
@@ -153,11 +154,11 @@
 	if ev := rd.dr.op.Evacuator; ev == nil || ev.Status(rd.now).DataCentres == 0 {
 		return nil
 	}
+	listed := map[modeler.PoolName]int{}
 	for _, wk := range rd.dr.orderedWorkers() {
-		if rd.dr.evacuated(wk) && rd.dr.open(wk, rd.now) {
-			if rd.evacuated = append(rd.evacuated, wk); len(rd.evacuated) == maxEvacuatedExamined {
-				break
-			}
+		if pool := wk.info.Pool; listed[pool] < maxEvacuatedExamined && rd.dr.evacuated(wk) && rd.dr.open(wk, rd.now) {
+			rd.evacuated = append(rd.evacuated, wk)
+			listed[pool]++
 		}
 	}
 	return rd.evacuated
--- a/internal/job/director/evacuation_test.go
+++ b/internal/job/director/evacuation_test.go
@@ -357,3 +357,18 @@
 		ec.assertLogged(logger.EvacuationsChanged, logLine{"Omitted": 190.0})
 	})
 }
+
+// Guards against another reason for waiting because many evacuated workers of another pool precede those of the task's pool.
+func TestWaitsForEvacuatedWorkersOfItsPool(t *testing.T) {
+	withDataCentres(t, 70, 1, func(ec *evacuation) {
+		for ix := range 69 {
+			ec.infos[ix].Pool = "other"
+		}
+		ec.SetWorkers(ec.infos)
+		ec.list(east)
+		ec.submit(simpleJob("small", "urgent", 1, cores(1000)))
+		ec.submit(longRunningJob("long", "urgent", 2, cores(15500)))
+		sleep(6 * time.Second)
+		qt.Check(t, ec.registry.Value(meter.TasksWaitingEvacuated) > 0, qt.IsTrue)
+	})
+}
