--- a/internal/job/director/evacuation_test.go
+++ b/internal/job/director/evacuation_test.go
@@ -342,3 +342,33 @@
 		qt.Check(t, ec.runningTasks("long", 1), qt.Equals, 1)
 	})
 }
+
+// Guards against a log that a client fills by storing and withdrawing a request.
+func TestEvacuationLinesAreBounded(t *testing.T) {
+	withDataCentres(t, 1, 1, func(ec *evacuation) {
+		ec.list()
+		for range 100 {
+			ec.request(east)
+			ec.withdraw(east)
+		}
+		sleep(time.Second)
+		ec.request(east)
+		qt.Check(t, ec.logs.of(logger.EvacuationsChanged, nil), qt.HasLen, 11)
+		ec.assertLogged(logger.EvacuationsChanged, logLine{"Omitted": 190.0})
+	})
+}
+
+// Guards against another reason for waiting because many evacuated workers of another pool precede those of the task's pool.
+func TestWaitsForEvacuatedWorkersOfItsPool(t *testing.T) {
+	withDataCentres(t, 70, 1, func(ec *evacuation) {
+		for ix := range 69 {
+			ec.infos[ix].Pool = "other"
+		}
+		ec.SetWorkers(ec.infos)
+		ec.list(east)
+		ec.submit(simpleJob("small", "urgent", 1, cores(1000)))
+		ec.submit(longRunningJob("long", "urgent", 2, cores(15500)))
+		sleep(6 * time.Second)
+		qt.Check(t, ec.registry.Value(meter.TasksWaitingEvacuated) > 0, qt.IsTrue)
+	})
+}
