Refuse jobs that certainly cannot be of use any more, with [Jobs] Refusal = Useless

The leader adds a load hint to its answers to other hosts: for each queue that is behind, the least delay of the jobs that ended within 2 s, the jobs that became late while they waited for capacity, and the time in which the queue drains. A host refuses a job before it stores it if all of them show that it would end later than 1.25 times three objectives, and if neither this host nor the store knows its ID. Without a load hint younger than 1 s from the present leader it accepts. Retry-After spreads the callers over the time in which the queue drains. The default, Unstorable, is the behaviour so far.

--- a/internal/config/loader/jobs_test.go
+++ b/internal/config/loader/jobs_test.go
@@ -48,6 +48,7 @@
 		{"lease", "LongestLease = 10000ms", "LongestLease = 10000", `host.ini: [Jobs] LongestLease = "10000": a duration from 1ms to 1h`, nil},
 		{"stop limit", "StopLimit = 400ms", "StopLimit = 0s", `host.ini: [Jobs] StopLimit = "0s": a duration from`, nil},
 		{"factor", "FarFactor = 1.5", "FarFactor = NaN", `host.ini: [Jobs] FarFactor = "NaN": a number from 0.001 to 1000`, nil},
+		{"refusal", "FarFactor = 1.5", "Refusal = Late", `host.ini: [Jobs] Refusal = "Late": Unstorable or Useless`, nil},
 		{"share", "Share = 0.4", "Share = {{limits.cpuShare}}", `host.ini: [Host] Share = "{{limits.cpuShare}}": a number from`, nil},
 		{"unknown key", "FarFactor", "NearFactor", `host.ini: [Jobs] NearFactor = "1.5": unknown key; allowed are Enabled, Lease`, nil},
 	} {
@@ -66,9 +67,13 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, st.Jobs.Enabled, qt.IsTrue)
 	qt.Check(t, st.Jobs.StopLimit, qt.Equals, 400*time.Millisecond)
+	qt.Check(t, st.Jobs.RefuseUseless, qt.IsFalse)
 	qt.Check(t, st.Platform.Policy, qt.Equals, netip.MustParseAddrPort("10.200.1.9:8169"))
 	_, err = loadJobs(t, "TrustedNetwork = true", "Insecure = true", "--listen-peers=127.0.0.1:7720", "--listen-operators=127.0.0.1:7721")
 	qt.Check(t, err, qt.IsNil)
+	st, err = loadJobs(t, "FarFactor = 1.5", "Refusal = Useless")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, st.Jobs.RefuseUseless, qt.IsTrue)
 	// A lease that workers would not accept is reduced.
 	st, err = loadJobs(t, "LongestLease = 10000ms", "LongestLease = 5s")
 	qt.Assert(t, err, qt.IsNil)
--- a/internal/config/loader/settings.go
+++ b/internal/config/loader/settings.go
@@ -59,6 +59,9 @@
 	HarmLimit time.Duration
 	// FarFactor is the ratio of the run time of a task far from its data to that near its data.
 	FarFactor float64
+	// RefuseUseless is set if jobs that certainly cannot be of use any more are refused, rather than only
+	// those that cannot be stored.
+	RefuseUseless bool
 }
 
 // ListenSettings are the addresses that the daemon listens on.
--- a/internal/config/loader/table.go
+++ b/internal/config/loader/table.go
@@ -89,6 +89,11 @@
 		"Jobs", "FarFactor", "FACTOR", "1.5", "", "Ratio of the run time of a task far from its data to that near its data.", allowedFactor,
 		optional, func(st *Settings, val string) bool { return setFactor(&st.Jobs.FarFactor, val) },
 	},
+	{
+		"Jobs", "Refusal", "POLICY", "Unstorable", "",
+		"Which jobs are refused: those that cannot be stored, or also those that certainly would end later than three times their objective. Must be the same on all entry hosts.", "Unstorable or Useless",
+		optional, setRefusal,
+	},
 	{
 		"Host", "Name", "NAME", "", "host-1", "Name of this entry host in the shared configuration.", allowedName,
 		requiredAlways, func(st *Settings, val string) bool { return setName(&st.Host.Name, val) },
@@ -301,6 +306,11 @@
 	return val == "json" || val == "text"
 }
 
+func setRefusal(st *Settings, val string) bool {
+	st.Jobs.RefuseUseless = val == "Useless"
+	return val == "Useless" || val == "Unstorable"
+}
+
 func setDuration(dst *time.Duration, val string) bool {
 	dur, err := time.ParseDuration(val)
 	*dst = dur
--- a/internal/daemon/assembler/jobs.go
+++ b/internal/daemon/assembler/jobs.go
@@ -25,6 +25,7 @@
 	"github.com/currantrouter/currantrouter/internal/job/intaker"
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	jobleader "github.com/currantrouter/currantrouter/internal/job/leader"
+	"github.com/currantrouter/currantrouter/internal/job/rejecter"
 	"github.com/currantrouter/currantrouter/internal/job/relayer"
 	"github.com/currantrouter/currantrouter/internal/job/subscriber"
 	"github.com/currantrouter/currantrouter/internal/process/collector"
@@ -106,10 +107,21 @@
 	jh.relay = relayer.NewServer(relayer.ServerOptions{
 		Client: pf.WorkerClient, KnownEpoch: jh.elector.KnownEpoch, SuspendedTime: suspended, Log: lg, Meter: jh.meter,
 	})
+	var rj *rejecter.Rejecter
+	if st.Jobs.RefuseUseless {
+		rj = new(rejecter.Rejecter)
+	}
 	jh.intaker = intaker.New(intaker.Options{
 		JobStore: keeper.NewJobStore(pf.Store), StoreAge: pf.Store.Age, Elector: jh.elector, Director: jh.leader.Director,
-		Dial: jh.peers.Dial, Log: lg, Meter: jh.meter,
+		Dial: jh.peers.Dial, Rejecter: rj, Log: lg, Meter: jh.meter,
 	})
+	if rj != nil {
+		jh.peers.OnHeader(func(header http.Header, sentAt time.Time) {
+			if text := header.Get(intaker.LoadHintHeader); text != "" {
+				jh.intaker.ReadLoadHint(text, sentAt)
+			}
+		})
+	}
 	return jh
 }
 
--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -268,6 +268,8 @@
 	// starting holds the runs that were placed and were not known to run at the last report of waiting
 	// tasks.
 	starting map[*attempt]struct{}
+	// loadHint is what entry hosts are told of the queues that are behind.
+	loadHint loadHint
 	// ineffectiveLines, droppedLines and overdueLines bound lines of the log.
 	ineffectiveLines, droppedLines, overdueLines lineBudget
 	// waitLoggedAt is when the log last said why a task waits.
@@ -494,6 +496,7 @@
 		dr.releaseOccurrences(jb, now)
 	}
 	dr.saveEstimates(now)
+	dr.updateLoadHint(now)
 	if now.Sub(dr.summaryLoggedAt) >= summaryInterval {
 		dr.summaryLoggedAt = now
 		dr.logLoadSummary(now)
--- /dev/null
+++ b/internal/job/director/hint.go
@@ -0,0 +1,132 @@
+package director
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/rejecter"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
+)
+
+const (
+	// loadHintDemand is the time since a load hint was last asked for, until which it is kept up to date.
+	loadHintDemand = 2 * time.Second
+	// minHintTerm is the age of a term from which its leader gives load hints. A takeover delays jobs, and
+	// what has ended before says nothing of the time after it.
+	minHintTerm = 2 * rejecter.Window
+	// loadHintLogInterval is the time between two lines on the queues of the load hint.
+	loadHintLogInterval = time.Second
+)
+
+// loadHint is the last load hint and what it is computed from.
+type loadHint struct {
+	// observer and loggedAt are guarded by Director.mu.
+	observer rejecter.Observer
+	loggedAt time.Time
+	// askedAt is when a hint was last asked for, in Unix nanoseconds.
+	askedAt atomic.Int64
+	last    atomic.Pointer[computedHint]
+}
+
+// computedHint is a load hint and when it was computed.
+type computedHint struct {
+	rejecter.Hint
+	at time.Time
+}
+
+// LoadHint returns the load of the queues that are behind, and false while this leader has observed too
+// little or may not send requests to workers, or if no hint was asked for within the last seconds. It does not wait for
+// the director, as heartbeats are answered with it.
+func (dr *Director) LoadHint() (rejecter.Hint, bool) {
+	now := time.Now()
+	dr.loadHint.askedAt.Store(now.UnixNano())
+	last := dr.loadHint.last.Load()
+	if last == nil {
+		return rejecter.Hint{}, false
+	}
+	ht := last.Hint
+	ht.Age = now.Sub(last.at)
+	return ht, ht.Age < loadHintDemand && dr.op.MaySendRequests()
+}
+
+// updateLoadHint computes the load hint again, with each tick.
+func (dr *Director) updateLoadHint(now time.Time) {
+	lh := &dr.loadHint
+	if now.Sub(dr.termStart) < minHintTerm || now.Sub(time.Unix(0, lh.askedAt.Load())) > loadHintDemand {
+		return
+	}
+	ch := &computedHint{rejecter.Hint{Epoch: dr.op.Epoch, Queues: dr.queueLoads(now)}, now}
+	lh.last.Store(ch)
+	dr.op.Meter.Set(meter.QueuesBehind, int64(len(ch.Queues)))
+	if len(ch.Queues) > 0 && now.Sub(lh.loggedAt) >= loadHintLogInterval {
+		lh.loggedAt = now
+		dr.logQueuesBehind(ch.Queues)
+	}
+}
+
+func (dr *Director) logQueuesBehind(list []rejecter.QueueLoad) {
+	for _, ql := range list {
+		dr.log(logger.QueueBehind, "Queue", ql.Queue, "Ended", ql.Ended, "Missed", ql.Missed, "Delay", ql.Delay.String(), "Drain", ql.Drain.String(), "Overrun", ql.Overrun)
+	}
+}
+
+// queueLoads returns the loads of at most rejecter.MaxQueues queues of which jobs may be refused. It looks at
+// all jobs only if there is such a queue.
+func (dr *Director) queueLoads(now time.Time) []rejecter.QueueLoad {
+	missed := dr.missedJobs(now)
+	if len(missed) == 0 {
+		return nil
+	}
+	unfinished := map[modeler.QueueName]int{}
+	for _, jb := range dr.jobs {
+		if _, ok := missed[jb.Queue]; ok && jb.finalState == "" && rejecter.Observed(&jb.Job) {
+			unfinished[jb.Queue]++
+		}
+	}
+	var list []rejecter.QueueLoad
+	for name, count := range missed {
+		if ql, ok := dr.loadHint.observer.Load(name, unfinished[name], count, now); ok && len(list) < rejecter.MaxQueues {
+			list = append(list, ql)
+		}
+	}
+	return list
+}
+
+// missedJobs counts the jobs that became late within rejecter.Window while they had tasks without capacity,
+// for each queue with enough of them. Jobs that wait for this leader rather than for capacity do not count.
+func (dr *Director) missedJobs(now time.Time) map[modeler.QueueName]int {
+	lateSince := map[*job]time.Time{}
+	for sp := range dr.waitingSteps {
+		jb := sp.occ.job
+		if jb.inherited || !jb.confirmed || !rejecter.Observed(&jb.Job) {
+			continue
+		}
+		ws := dr.waitingStep(sp)
+		ws.Submitted = jb.addedAt
+		since := ws.Rank(now).LatestStart
+		if first, ok := lateSince[jb]; !ok || since.Before(first) {
+			lateSince[jb] = since
+		}
+	}
+	missed := map[modeler.QueueName]int{}
+	for jb, since := range lateSince {
+		if late := now.Sub(since); late >= 0 && late < rejecter.Window {
+			missed[jb.Queue]++
+		}
+	}
+	for name, count := range missed {
+		if count < rejecter.MinObservations {
+			delete(missed, name)
+		}
+	}
+	return missed
+}
+
+// observeJobEnd records the end of a job for the load hint.
+func (dr *Director) observeJobEnd(jb *job, now time.Time) {
+	if jb.finalState == modeler.Completed && !jb.inherited && rejecter.Observed(&jb.Job) {
+		dr.loadHint.observer.ObserveEnd(jb.Queue, now.Sub(jb.addedAt), rejecter.CriticalPath(jb.Steps), now)
+	}
+}
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -27,6 +27,8 @@
 	// cancellationUnknown is set if the job's cancellation may have come before the job and not been
 	// kept. It is read from the store before confirmed is set.
 	cancellationUnknown bool
+	// addedAt is when the job was added. Unlike Submitted, it does not depend on another host's clock.
+	addedAt time.Time
 	// started is set once a task of the job is known to have started.
 	started bool
 	// finalState is how the job ended, empty before that is decided. It is reported to callers only
@@ -172,7 +174,7 @@
 		// A worker runs a task of the job, so that an earlier leader has started it.
 		inherited = true
 	}
-	jb := &job{Job: *stored, inherited: inherited}
+	jb := &job{Job: *stored, inherited: inherited, addedAt: time.Now()}
 	dr.jobs[jb.ID] = jb
 	jb.cancellationUnknown = dr.mayHaveDroppedCancellation(time.Now())
 	dr.unconfirmed = append(dr.unconfirmed, jb)
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -349,6 +349,7 @@
 		state = modeler.Failed
 	}
 	dr.endJob(jb, state, now)
+	dr.observeJobEnd(jb, now)
 	return dr.jobEndFact(jb.ID, state, now), true
 }
 
@@ -372,6 +373,9 @@
 		if at != nil && !at.adopted && tk.savedShare == 0 && len(sp.runTimes) < maxRunTimes {
 			sp.runTimes = append(sp.runTimes, now.Sub(at.answeredAt))
 		}
+		if at != nil && !at.adopted {
+			dr.loadHint.observer.ObserveRun(sp.occ.job.Queue, now.Sub(at.answeredAt), sp.spec.Estimate, now)
+		}
 	case modeler.Failure:
 		dr.op.Meter.Add(meter.TasksFailed, 1)
 		quarantined := wk.faultHistory.RecordFault(row.Task.Job, now)
--- a/internal/job/director/waiting.go
+++ b/internal/job/director/waiting.go
@@ -452,7 +452,7 @@
 	for _, mt := range waitMetrics {
 		dr.op.Meter.Set(mt, 0)
 	}
-	for _, mt := range [...]meter.Metric{meter.LongRunningTasksOverdue, meter.CancellationsPending, meter.CancelledRunsOverdue, meter.ReportsHeldUp} {
+	for _, mt := range [...]meter.Metric{meter.LongRunningTasksOverdue, meter.CancellationsPending, meter.CancelledRunsOverdue, meter.ReportsHeldUp, meter.QueuesBehind} {
 		dr.op.Meter.Set(mt, 0)
 	}
 }
--- a/internal/job/elector/clients.go
+++ b/internal/job/elector/clients.go
@@ -21,6 +21,9 @@
 // ClientPool holds a client for each of the other entry hosts. It is safe for concurrent use.
 type ClientPool struct {
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// onHeader is called for each answer with its header and the time at which the message was sent. It may be
+	// nil.
+	onHeader func(header http.Header, sentAt time.Time)
 
 	mu      sync.Mutex
 	clients map[netip.AddrPort]peerClients
@@ -38,6 +41,26 @@
 	return &ClientPool{dial: dial, clients: map[netip.AddrPort]peerClients{}}
 }
 
+// OnHeader sets a function that is called with the header of each answer and the time at which its message was
+// sent. It is called before the first call of Dial.
+func (cp *ClientPool) OnHeader(read func(header http.Header, sentAt time.Time)) { cp.onHeader = read }
+
+// headerReader is an http.RoundTripper that passes on the headers of answers.
+type headerReader struct {
+	*http.Transport
+	read func(header http.Header, sentAt time.Time)
+}
+
+// RoundTrip implements http.RoundTripper.
+func (hr *headerReader) RoundTrip(rq *http.Request) (*http.Response, error) {
+	sentAt := time.Now()
+	rs, err := hr.Transport.RoundTrip(rq)
+	if err == nil {
+		hr.read(rs.Header, sentAt)
+	}
+	return rs, err
+}
+
 // Dial returns the client for an address. The same address yields the same client. A call that its
 // context ends early closes its connection, whose other end may be unreachable.
 func (cp *ClientPool) Dial(addr netip.AddrPort) messenger.Jobs { return cp.clientsFor(addr).jobs }
@@ -52,9 +75,13 @@
 	defer cp.mu.Unlock()
 	cl, ok := cp.clients[addr]
 	if !ok {
-		hc := &http.Client{Transport: &http.Transport{
+		tr := &http.Transport{
 			DialContext: cp.dial, MaxIdleConnsPerHost: maxIdleConnsPerPeer, IdleConnTimeout: maxConnIdleTime, DisableCompression: true,
-		}}
+		}
+		hc := &http.Client{Transport: tr}
+		if cp.onHeader != nil {
+			hc.Transport = &headerReader{tr, cp.onHeader}
+		}
 		cl = peerClients{messenger.NewJobsProtobufClient("http://"+addr.String(), hc), messenger.NewRelayProtobufClient("http://"+addr.String(), hc)}
 		cp.clients[addr] = cl
 	}
--- a/internal/job/intaker/cancellation_test.go
+++ b/internal/job/intaker/cancellation_test.go
@@ -16,6 +16,7 @@
 	"github.com/currantrouter/currantrouter/internal/job/intaker"
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/rejecter"
 	"github.com/currantrouter/currantrouter/internal/provider/emulator"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
@@ -23,6 +24,7 @@
 // testHost is an entry host without peers and without a leader.
 type testHost struct {
 	*intaker.Intaker
+	rejecter *rejecter.Rejecter
 	faults   *emulator.Faults
 	jobStore *keeper.JobStore
 }
@@ -36,11 +38,12 @@
 	js := keeper.NewJobStore(emulator.NewStore(fts))
 	dial := func(netip.AddrPort) messenger.Jobs { return nil }
 	el := elector.New(elector.Options{Dial: dial, Log: logr.Discard(), Meter: meter.New(nil)})
+	rj := new(rejecter.Rejecter)
 	it := intaker.New(intaker.Options{
 		JobStore: js, StoreAge: storeAge, Elector: el, Director: func() *director.Director { return nil },
-		Dial: dial, Log: lg, Meter: meter.New(nil),
+		Dial: dial, Rejecter: rj, Log: lg, Meter: meter.New(nil),
 	})
-	return &testHost{it, fts, js}
+	return &testHost{it, rj, fts, js}
 }
 
 func testJob() *modeler.Job {
--- a/internal/job/intaker/intaker.go
+++ b/internal/job/intaker/intaker.go
@@ -20,6 +20,7 @@
 	"github.com/currantrouter/currantrouter/internal/job/elector"
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/rejecter"
 	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
@@ -78,9 +79,12 @@
 	// Director returns the director of this host's term, or nil if this host does not lead.
 	Director func() *director.Director
 	// Dial returns the client for an entry host.
-	Dial  func(netip.AddrPort) messenger.Jobs
-	Log   logr.Logger
-	Meter *meter.Registry
+	Dial func(netip.AddrPort) messenger.Jobs
+	// Rejecter decides which jobs certainly cannot be of use any more. If it is nil, only jobs that cannot
+	// be stored are refused.
+	Rejecter *rejecter.Rejecter
+	Log      logr.Logger
+	Meter    *meter.Registry
 }
 
 // Intaker answers the requests of callers. It is safe for concurrent use.
@@ -97,6 +101,8 @@
 	finalStates map[modeler.JobID]modeler.State
 	// finalOrder holds the jobs of finalStates, the one cached first at the front.
 	finalOrder []modeler.JobID
+	// submissions holds the jobs that this host has tried to store lately.
+	submissions submissions
 }
 
 // pendingCount is the number of pending jobs of a queue at a time.
@@ -113,7 +119,8 @@
 	return &Intaker{op: op, invalid: reporter.New(op.Log, op.Meter), pending: map[modeler.QueueName]pendingCount{}, finalStates: map[modeler.JobID]modeler.State{}}
 }
 
-// Submit stores a job. Errors: modeler.ErrInvalidJob, ErrNotAccepted, ErrResultUnknown.
+// Submit stores a job. Errors: modeler.ErrInvalidJob, ErrNotAccepted, as a *Refusal if the job is useless,
+// ErrResultUnknown.
 func (it *Intaker) Submit(ctx context.Context, jb *modeler.Job) error {
 	if err := jb.Check(); err != nil {
 		return err
@@ -122,6 +129,9 @@
 	if err != nil {
 		return err
 	}
+	if rf := it.refuseUseless(ctx, jb); rf != nil {
+		return rf
+	}
 	began := time.Now()
 	made, err := it.store(ctx,
 		func(ctx context.Context) error { return it.op.JobStore.Submit(ctx, jb) },
--- a/internal/job/intaker/retryafter_test.go
+++ b/internal/job/intaker/retryafter_test.go
@@ -1,6 +1,7 @@
 package intaker
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -61,3 +62,50 @@
 		qt.Check(t, succeeded > fixed, qt.IsTrue, qt.Commentf("share of callers that succeeded: %.2f, with a fixed time %.2f", succeeded, fixed))
 	})
 }
+
+// storeRate is the number of writes that the store takes in a second.
+const storeRate = 1200
+
+// simulateCrowd simulates callers with a number of attempts who come at 200 a second during an outage of 6 s, and 400
+// more in the middle of it at once. It returns the share that succeeds, and the longest time that the store
+// needs for the attempts that have come by then.
+func simulateCrowd(tries int, retryAfter func(caller int, outage time.Duration) time.Duration) (succeeded float64, maxWait time.Duration) {
+	const outage = 6 * time.Second
+	var firsts []time.Duration
+	for at := time.Duration(0); at < outage; at += 5 * time.Millisecond {
+		firsts = append(firsts, at)
+	}
+	for range 400 {
+		firsts = append(firsts, outage/2)
+	}
+	var arrivals []time.Duration
+	for caller, at := range firsts {
+		for range tries {
+			if at >= outage {
+				arrivals = append(arrivals, at)
+				break
+			}
+			at += retryAfter(caller, at)
+		}
+	}
+	slices.Sort(arrivals)
+	idle := outage
+	for _, at := range arrivals {
+		idle = max(idle, at) + time.Second/storeRate
+		maxWait = max(maxWait, idle-at)
+	}
+	return float64(len(arrivals)) / float64(len(firsts)), maxWait
+}
+
+// Guards against callers that return together after an outage and overload the store, and against a spread that
+// uses up their attempts before its end: a caller can only be told to come sooner, as it gives up after 3 s.
+func TestReturningCrowd(t *testing.T) {
+	const tries = 4
+	fixed, wait := simulateCrowd(tries, func(_ int, outage time.Duration) time.Duration { return retryAfter(outage) })
+	spread, spreadWait := simulateCrowd(tries, func(caller int, outage time.Duration) time.Duration {
+		return min(retryAfter(outage), time.Duration(1+caller%2)*time.Second)
+	})
+	t.Logf("share that succeeds %.3f, longest wait at the store %s; with retries spread over 1 s and 2 s %.3f, %s", fixed, wait, spread, spreadWait)
+	qt.Check(t, wait < storeCallTimeout, qt.IsTrue)
+	qt.Check(t, fixed >= spread, qt.IsTrue)
+}
--- a/internal/job/intaker/server.go
+++ b/internal/job/intaker/server.go
@@ -29,7 +29,8 @@
 var errNotLeading = twirp.NewError(twirp.FailedPrecondition, "host does not lead")
 
 // Greet implements messenger.Jobs.
-func (sv *Server) Greet(_ context.Context, gr *messenger.Greeting) (*messenger.Greeting, error) {
+func (sv *Server) Greet(ctx context.Context, gr *messenger.Greeting) (*messenger.Greeting, error) {
+	sv.intaker.setLoadHint(ctx)
 	return sv.elector.HandleGreeting(gr), nil
 }
 
@@ -47,6 +48,7 @@
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("document", err.Error())
 	}
+	sv.intaker.noteSubmission(jb.ID)
 	err = callWithTimeout(ctx, storeCallTimeout, func(ctx context.Context) error { return sv.intaker.op.JobStore.Submit(ctx, jb) })
 	if err != nil {
 		return nil, storeError(err)
@@ -79,11 +81,12 @@
 }
 
 // Notify implements messenger.Jobs.
-func (sv *Server) Notify(_ context.Context, ch *messenger.StoredChange) (*messenger.Done, error) {
+func (sv *Server) Notify(ctx context.Context, ch *messenger.StoredChange) (*messenger.Done, error) {
 	dr := sv.intaker.op.Director()
 	if dr == nil {
 		return nil, errNotLeading
 	}
+	sv.intaker.setLoadHint(ctx)
 	sv.intaker.Apply(dr, ch)
 	return &messenger.Done{}, nil
 }
@@ -104,7 +107,8 @@
 }
 
 // Pending implements messenger.Jobs.
-func (sv *Server) Pending(_ context.Context, qn *messenger.QueueName) (*messenger.PendingCount, error) {
+func (sv *Server) Pending(ctx context.Context, qn *messenger.QueueName) (*messenger.PendingCount, error) {
+	sv.intaker.setLoadHint(ctx)
 	dr := sv.intaker.op.Director()
 	if dr == nil {
 		return nil, errNotLeading
--- a/internal/telemetry/logger/catalogue.go
+++ b/internal/telemetry/logger/catalogue.go
@@ -53,4 +53,5 @@
 	jobEvents,
 	inputEvents,
 	relayEvents,
+	refusalEvents,
 )
--- a/internal/telemetry/meter/table_job.go
+++ b/internal/telemetry/meter/table_job.go
@@ -4,6 +4,10 @@
 var (
 	JobsAccepted       = Metric{"JobsAccepted", "", "Jobs that were stored and acknowledged."}
 	JobsRefused        = Metric{"JobsRefused", "", "Jobs that were refused and will not run."}
+	JobsRefusedUseless = Metric{"JobsRefusedUseless", "", "Jobs that were refused because they could not be of use any more. JobsRefused counts them as well."}
+	JobsMaybeStored    = Metric{"JobsMaybeStored", "", "Jobs that could not be of use any more and were not refused, as they may have been stored before."}
+	LoadHintsMissing   = Metric{"LoadHintsMissing", "", "Submissions for which this host had no recent load hint of the present leader, where the setting Refusal is Useless."}
+	QueuesBehind       = Metric{"QueuesBehind", "", "Queues of which the leader tells entry hosts that new jobs may be useless. A gauge."}
 	JobsUnknown        = Metric{"JobsUnknown", "", "Submissions with an unknown result: the store may have accepted the job."}
 	JobsCancelled      = Metric{"JobsCancelled", "", "Cancellations carried out by the leader."}
 	WorkerRenewals     = Metric{"WorkerRenewals", "", "Lease renewals sent to workers."}
@@ -26,6 +30,10 @@
 var jobMetrics = []Metric{
 	JobsAccepted,
 	JobsRefused,
+	JobsRefusedUseless,
+	JobsMaybeStored,
+	LoadHintsMissing,
+	QueuesBehind,
 	JobsUnknown,
 	JobsCancelled,
 	WorkerRenewals,
