internal/job/director: ends of runs are found sooner while the store is away

Jobs that were accepted before an outage of the store end late. One cause: while the ends of a worker could not be recorded, it was asked only every 0.5 s for further ones, as it answers at once then. The wait is not needed for an invariant: ends are acknowledged and shown to callers only once they are durable, as before.

--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -138,6 +138,7 @@
 	facts, endedJobs, lastEnd, incarnation := wk.unrecordedFacts, wk.unrecordedJobs, wk.ackableEnd(), wk.incarnation
 	wk.unrecordedFacts, wk.unrecordedJobs, wk.recording = nil, nil, durable
 	began := time.Now()
+	wk.recordingSince = began
 	dr.startGoroutine(func(ctx context.Context) {
 		dr.record(ctx, facts, func() {
 			dr.op.Meter.Observe(meter.TimeToRecordEnd, time.Since(began))
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -112,8 +112,9 @@
 	deferredRuns []modeler.ActiveRun
 	deferredEnds []modeler.EndedRun
 	// recording is closed once the batch of facts that is being recorded is durable. It is nil when
-	// there is no such batch.
-	recording chan struct{}
+	// there is no such batch. recordingSince is when that began.
+	recording      chan struct{}
+	recordingSince time.Time
 	// unreachable is set while the last renewal has no answer, unreachableSince when it was set.
 	unreachable      bool
 	unreachableSince time.Time
@@ -318,8 +319,7 @@
 		select {
 		case <-ctx.Done():
 		case <-durable:
-		case <-time.After(maxDurableWait):
-			pauser.Sleep(ctx, unrecordedEndsPause)
+		case <-time.After(dr.unrecordedInterval(wk, len(rep.Ended))):
 		}
 	}
 }
