internal/job/director: the load hint takes at most 1% of a core

With 5,000 waiting steps it took 2.8 ms of each 100 ms (trial of the function on a machine shared with other work).

--- a/internal/job/director/hint.go
+++ b/internal/job/director/hint.go
@@ -16,6 +16,9 @@
 	// minHintTerm is the age of a term from which its leader gives load hints. A takeover delays jobs, and
 	// what has ended before says nothing of the time after it.
 	minHintTerm = 2 * rejecter.Window
+	// loadHintPauseFactor is the ratio of the time between two load hints to the time that the last one took to
+	// compute, 2.8 ms with 5,000 waiting steps, so that they use at most 1% of a core.
+	loadHintPauseFactor = 100
 	// loadHintLogInterval is the time between two lines on the queues of the load hint.
 	loadHintLogInterval = time.Second
 )
@@ -30,10 +33,11 @@
 	last    atomic.Pointer[computedHint]
 }
 
-// computedHint is a load hint and when it was computed.
+// computedHint is a load hint, when it was computed, and how long that took.
 type computedHint struct {
 	rejecter.Hint
-	at time.Time
+	at   time.Time
+	took time.Duration
 }
 
 // LoadHint returns the load of the queues that are behind, and false while this leader has observed too
@@ -57,7 +61,12 @@
 	if now.Sub(dr.termStart) < minHintTerm || now.Sub(time.Unix(0, lh.askedAt.Load())) > loadHintDemand {
 		return
 	}
-	ch := &computedHint{rejecter.Hint{Epoch: dr.op.Epoch, Queues: dr.queueLoads(now)}, now}
+	if last := lh.last.Load(); last != nil && now.Sub(last.at) < loadHintPauseFactor*last.took {
+		return
+	}
+	began := time.Now()
+	ch := &computedHint{Hint: rejecter.Hint{Epoch: dr.op.Epoch, Queues: dr.queueLoads(now)}, at: now}
+	ch.took = time.Since(began)
 	lh.last.Store(ch)
 	dr.op.Meter.Set(meter.QueuesBehind, int64(len(ch.Queues)))
 	if len(ch.Queues) > 0 && now.Sub(lh.loggedAt) >= loadHintLogInterval {
