internal/job/director: an end before the answer to its start has no run time

A worker may report the end of a run before the leader has the answer to its start. The run's answeredAt is zero then, and a run time of 292 years was recorded for its step and its queue: other runs of the step never looked slow, and the load hint took the queue's estimates to be four times too short for 10 to 20 s, so that useless jobs were accepted.

Such an end is counted without a run time.

--- /dev/null
+++ b/internal/job/director/outcome_test.go
@@ -0,0 +1,43 @@
+package director
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/rejecter"
+	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
+)
+
+// Guards against a run time of 292 years for a run whose end is reported before the answer to its start: its step's
+// runs never look slow then, and the load hint takes the estimates of its queue to be four times too short.
+func TestEndBeforeAnswer(t *testing.T) {
+	for name, answered := range map[string]bool{"answered": true, "not answered": false} {
+		t.Run(name, func(t *testing.T) {
+			dr := New(Options{
+				Epoch: 1, Configuration: func() *modeler.Configuration { return nil }, MaySendRequests: func() bool { return true },
+				Log: logr.Discard(), Meter: meter.New(nil),
+			})
+			now := time.Now()
+			wk := &worker{info: modeler.Worker{ID: "w"}, attempts: map[attemptKey]*attempt{}, criticalImages: map[string]int{}, bestEffortImages: map[string]imageLoad{}}
+			jb := dr.addJob(&modeler.Job{ID: "j", Queue: "batch", Steps: []modeler.Step{{Count: 1, Estimate: time.Second}}}, true)
+			tk := jb.occurrences[0].steps[0].tasks[0]
+			at := dr.reserve(tk, wk, 1)
+			want := 0
+			if answered {
+				at.answeredAt, want = now.Add(-time.Second), 1
+			}
+			dr.recordOutcome(wk, tk, at, &modeler.EndedRun{Task: tk.id(), Run: 1, Outcome: modeler.Done}, now)
+			qt.Check(t, tk.step.runTimes, qt.HasLen, want)
+			for range rejecter.MinObservations {
+				dr.loadHint.observer.ObserveEnd("batch", time.Second, time.Second, now)
+			}
+			ql, ok := dr.loadHint.observer.Load("batch", 1, rejecter.MinObservations, now)
+			qt.Check(t, ok, qt.IsTrue)
+			qt.Check(t, ql.Overrun, qt.Equals, 1.0)
+		})
+	}
+}
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -371,10 +371,11 @@
 	case modeler.Done:
 		dr.op.Meter.Add(meter.TasksDone, 1)
 		wk.faultHistory.RecordSuccess(now)
-		if at != nil && !at.adopted && tk.savedShare == 0 && len(sp.runTimes) < maxRunTimes {
-			sp.runTimes = append(sp.runTimes, now.Sub(at.answeredAt))
-		}
-		if at != nil && !at.adopted {
+		// The begin of a run is unknown if its end is reported before the answer to its start.
+		if at != nil && !at.adopted && !at.answeredAt.IsZero() {
+			if tk.savedShare == 0 && len(sp.runTimes) < maxRunTimes {
+				sp.runTimes = append(sp.runTimes, now.Sub(at.answeredAt))
+			}
 			dr.loadHint.observer.ObserveRun(sp.occ.job.Queue, now.Sub(at.answeredAt), sp.spec.Estimate, now)
 		}
 	case modeler.Failure:
