internal/job/rejecter: refuse only jobs with full estimates and without labels

Two cases were refused although the expected end was not certain. A step without an estimate shortened the critical path, and with it the objective and the limit. In a queue whose jobs wait for workers with one label, jobs for idle workers with another label, or without one, were refused.

Such jobs are accepted, and the leader leaves them out of its observations. The new cases of TestDecide were refused before.

--- a/internal/job/rejecter/rejecter.go
+++ b/internal/job/rejecter/rejecter.go
@@ -43,8 +43,8 @@
 // ErrInvalidHint means that a load hint has values out of bounds.
 var ErrInvalidHint = errors.New("invalid load hint")
 
-// QueueLoad is what the leader observed of the jobs of one queue within Window. Long-running jobs and those
-// with due times do not count.
+// QueueLoad is what the leader observed of the jobs of one queue within Window. Only jobs of which Observed is
+// true count.
 type QueueLoad struct {
 	Queue modeler.QueueName
 	// Ended is the number of jobs that have completed, and Delay the least time that one of them took beyond
@@ -169,10 +169,13 @@
 	return Useless
 }
 
-// Observed reports whether a job counts for the load of its queue: it starts at once and ends by itself.
+// Observed reports whether a job counts for the load of its queue and may be refused: it starts at once, ends by
+// itself, and has an estimate for each step, as its critical path would seem shorter without one. It names neither labels nor
+// racks, as workers with one label may be idle while jobs of the queue wait for those with another.
 func Observed(jb *modeler.Job) bool {
 	for ix := range jb.Steps {
-		if jb.Steps[ix].LongRunning {
+		sp := &jb.Steps[ix]
+		if sp.LongRunning || sp.Estimate <= 0 || sp.Label != "" || sp.DataRack != "" {
 			return false
 		}
 	}
--- a/internal/job/rejecter/rejecter_test.go
+++ b/internal/job/rejecter/rejecter_test.go
@@ -143,23 +143,28 @@
 }
 
 // Guards against refusals on a hint that is old, of another leader, or of too few observations, and of jobs that
-// have no expected end or may be of use.
+// have no expected end, need workers that the observed jobs did not wait for, or may be of use.
 func TestDecide(t *testing.T) {
 	for name, tc := range map[string]struct {
 		change func(ht *Hint, jb *modeler.Job)
 		age    time.Duration
 		want   Reason
 	}{
-		"useless":             {func(*Hint, *modeler.Job) {}, 0, Useless},
-		"old":                 {func(*Hint, *modeler.Job) {}, maxHintAge, NoHint},
-		"old at the leader":   {func(ht *Hint, _ *modeler.Job) { ht.Age = maxHintAge }, 0, NoHint},
-		"other leader":        {func(ht *Hint, _ *modeler.Job) { ht.Epoch = 2 }, 0, OtherEpoch},
-		"other queue":         {func(_ *Hint, jb *modeler.Job) { jb.Queue = "urgent" }, 0, NotBehind},
-		"few ends":            {func(ht *Hint, _ *modeler.Job) { ht.Queues[0].Ended = MinObservations - 1 }, 0, FewObserved},
-		"few late jobs":       {func(ht *Hint, _ *modeler.Job) { ht.Queues[0].Missed = MinObservations - 1 }, 0, FewObserved},
-		"long-running":        {func(_ *Hint, jb *modeler.Job) { jb.Steps[0].LongRunning = true }, 0, NotBounded},
-		"due later":           {func(_ *Hint, jb *modeler.Job) { jb.Repeats = 1 }, 0, NotBounded},
-		"no estimate":         {func(_ *Hint, jb *modeler.Job) { jb.Steps[0].Estimate = 0 }, 0, NotBounded},
+		"useless":           {func(*Hint, *modeler.Job) {}, 0, Useless},
+		"old":               {func(*Hint, *modeler.Job) {}, maxHintAge, NoHint},
+		"old at the leader": {func(ht *Hint, _ *modeler.Job) { ht.Age = maxHintAge }, 0, NoHint},
+		"other leader":      {func(ht *Hint, _ *modeler.Job) { ht.Epoch = 2 }, 0, OtherEpoch},
+		"other queue":       {func(_ *Hint, jb *modeler.Job) { jb.Queue = "urgent" }, 0, NotBehind},
+		"few ends":          {func(ht *Hint, _ *modeler.Job) { ht.Queues[0].Ended = MinObservations - 1 }, 0, FewObserved},
+		"few late jobs":     {func(ht *Hint, _ *modeler.Job) { ht.Queues[0].Missed = MinObservations - 1 }, 0, FewObserved},
+		"long-running":      {func(_ *Hint, jb *modeler.Job) { jb.Steps[0].LongRunning = true }, 0, NotBounded},
+		"due later":         {func(_ *Hint, jb *modeler.Job) { jb.Repeats = 1 }, 0, NotBounded},
+		"no estimate":       {func(_ *Hint, jb *modeler.Job) { jb.Steps[0].Estimate = 0 }, 0, NotBounded},
+		"step without estimate": {func(_ *Hint, jb *modeler.Job) {
+			jb.Steps = append(jb.Steps, modeler.Step{Count: 1, After: []int{0}})
+		}, 0, NotBounded},
+		"label":               {func(_ *Hint, jb *modeler.Job) { jb.Steps[0].Label = "gpu" }, 0, NotBounded},
+		"data rack":           {func(_ *Hint, jb *modeler.Job) { jb.Steps[0].DataRack = "r1" }, 0, NotBounded},
 		"no objective":        {func(_ *Hint, jb *modeler.Job) { jb.MaxSlowdown, jb.Slack = 0, 0 }, 0, NotBounded},
 		"one job was quick":   {func(ht *Hint, _ *modeler.Job) { ht.Queues[0].Delay = 5 * time.Second }, 0, StillUseful},
 		"short queue":         {func(ht *Hint, _ *modeler.Job) { ht.Queues[0].Drain = 6 * time.Second }, 0, StillUseful},
