--- a/internal/job/rejecter/rejecter.go
+++ b/internal/job/rejecter/rejecter.go
@@ -136,9 +136,13 @@
 	return time.Duration(1+xxhash.Sum64String(string(id))%slots) * time.Second
 }
 
-// Decide decides on a job that is submitted now.
+// Decide decides on a job that is submitted now. It uses no hint that is older than maxHintAge.
 func (ht *Hint) Decide(jb *modeler.Job) Decision {
-	dc := Decision{Reason: NotBehind}
+	dc := Decision{Reason: NotBehind, HintAge: ht.Age}
+	if ht.Age >= maxHintAge {
+		dc.Reason = NoHint
+		return dc
+	}
 	for ix := range ht.Queues {
 		if ht.Queues[ix].Queue == jb.Queue {
 			dc.Load = ht.Queues[ix]
@@ -219,14 +223,12 @@
 	rj.mu.Lock()
 	ht, computedAt := rj.hint, rj.computedAt
 	rj.mu.Unlock()
-	age := now.Sub(computedAt)
+	ht.Age = now.Sub(computedAt)
 	switch {
-	case computedAt.IsZero() || age >= maxHintAge:
-		return Decision{Reason: NoHint, HintAge: age}
+	case computedAt.IsZero():
+		return Decision{Reason: NoHint}
 	case ht.Epoch != epoch:
-		return Decision{Reason: OtherEpoch, HintAge: age}
+		return Decision{Reason: OtherEpoch, HintAge: ht.Age}
 	}
-	dc := ht.Decide(jb)
-	dc.HintAge = age
-	return dc
+	return ht.Decide(jb)
 }
--- a/internal/job/rejecter/rejecter_test.go
+++ b/internal/job/rejecter/rejecter_test.go
@@ -179,6 +179,15 @@
 			qt.Check(t, dc.Reason, qt.Equals, tc.want)
 		})
 	}
+	t.Run("leader's own hint", func(t *testing.T) {
+		ht := uselessHint()
+		for age, want := range map[time.Duration]Reason{maxHintAge - 1: Useless, maxHintAge: NoHint} {
+			ht.Age = age
+			dc := ht.Decide(newJob(1))
+			qt.Check(t, dc.Reason, qt.Equals, want)
+			qt.Check(t, dc.HintAge, qt.Equals, age)
+		}
+	})
 	t.Run("no hint", func(t *testing.T) {
 		var rj Rejecter
 		qt.Check(t, rj.Decide(newJob(1), 0, start).Reason, qt.Equals, NoHint)
