internal/job/intaker: at most 10 lines a second on refused jobs

Event 770 was a warning for each refused request. Callers retry those, so that an overloaded host logged each attempt. Events 770 and 771 are now bounded to 10 lines a second each, with the number of omitted lines. The bound of the director's lines moves to package reporter.

--- a/internal/job/director/cancellation.go
+++ b/internal/job/director/cancellation.go
@@ -150,7 +150,7 @@
 	}
 	if len(dr.pendingCancellations) >= maxPendingCancellations {
 		dr.op.Meter.Add(meter.CancellationsDropped, 1)
-		if ok, omitted := dr.droppedLines.take(maxCancellationLines, cn.heardAt); ok {
+		if ok, omitted := dr.droppedLines.Take(maxCancellationLines, cn.heardAt); ok {
 			dr.log(logger.CancellationDropped, "Job", id, "Source", cn.source, "Pending", len(dr.pendingCancellations), "Omitted", omitted)
 		}
 		dr.cancellationDroppedAt = cn.heardAt
@@ -202,7 +202,7 @@
 
 // logIneffective logs a cancellation that ends no job now.
 func (dr *Director) logIneffective(id modeler.JobID, cn cancellation, kv ...any) {
-	if ok, omitted := dr.ineffectiveLines.take(maxCancellationLines, cn.heardAt); ok {
+	if ok, omitted := dr.ineffectiveLines.Take(maxCancellationLines, cn.heardAt); ok {
 		dr.log(logger.CancellationIneffective, append([]any{"Job", id, "Source", cn.source, "Omitted", omitted}, kv...)...)
 	}
 }
@@ -345,7 +345,7 @@
 }
 
 func (dr *Director) logCancelledRun(wk *worker, key attemptKey, cr *cancelledRun, now time.Time) {
-	ok, omitted := dr.overdueLines.take(maxCancellationLines, now)
+	ok, omitted := dr.overdueLines.Take(maxCancellationLines, now)
 	if !ok {
 		return
 	}
--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -271,7 +271,7 @@
 	// loadHint is what entry hosts are told of the queues that are behind.
 	loadHint loadHint
 	// ineffectiveLines, droppedLines and overdueLines bound lines of the log.
-	ineffectiveLines, droppedLines, overdueLines lineBudget
+	ineffectiveLines, droppedLines, overdueLines reporter.LineBudget
 	// waitLoggedAt is when the log last said why a task waits.
 	waitLoggedAt time.Time
 	// snapshotPosition is the journal position of the last snapshot, also of one by an earlier leader. Only
--- a/internal/job/intaker/intaker.go
+++ b/internal/job/intaker/intaker.go
@@ -103,6 +103,8 @@
 	finalOrder []modeler.JobID
 	// submissions holds the jobs that this host has tried to store lately.
 	submissions submissions
+	// uselessLines and maybeUselessLines bound lines of the log.
+	uselessLines, maybeUselessLines reporter.LineBudget
 }
 
 // pendingCount is the number of pending jobs of a queue at a time.
--- a/internal/job/intaker/refusal.go
+++ b/internal/job/intaker/refusal.go
@@ -13,6 +13,7 @@
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
+	"github.com/currantrouter/currantrouter/internal/telemetry/reporter"
 )
 
 const (
@@ -27,6 +28,9 @@
 	maxSubmissions = 4096
 	// defaultPatience is how long a caller waits whose request has no deadline.
 	defaultPatience = 3 * time.Second
+	// maxDecisionLines bounds the lines a second on jobs that were refused, and on those that may be stored. Callers
+	// retry refused jobs, so that there are more of them than jobs.
+	maxDecisionLines = 10
 )
 
 // Refusal is the error of a job that was refused as it certainly cannot be of use any more. No call that
@@ -61,7 +65,7 @@
 			return it.refuse(ctx, jb, dc)
 		}
 		it.op.Meter.Add(meter.JobsMaybeStored, 1)
-		logger.Log(it.op.Log, logger.JobMaybeUseless, append(decisionInputs(jb, &dc), "Reason", string(dc.Reason))...)
+		it.logDecision(&it.maybeUselessLines, logger.JobMaybeUseless, jb, &dc, "Reason", string(dc.Reason))
 	}
 	it.noteSubmission(jb.ID)
 	return nil
@@ -87,16 +91,23 @@
 	rf := &Refusal{dc, dc.RetryAfter(jb.ID, patience)}
 	it.op.Meter.Add(meter.JobsRefused, 1)
 	it.op.Meter.Add(meter.JobsRefusedUseless, 1)
-	logger.Log(it.op.Log, logger.JobUseless, append(decisionInputs(jb, &dc), "RetryAfter", rf.RetryAfter.String())...)
+	it.logDecision(&it.uselessLines, logger.JobUseless, jb, &dc, "RetryAfter", rf.RetryAfter.String())
 	return rf
 }
 
-func decisionInputs(jb *modeler.Job, dc *rejecter.Decision) []any {
+// logDecision logs a decision with its inputs, at most maxDecisionLines times a second.
+func (it *Intaker) logDecision(lines *reporter.LineBudget, ev logger.Event, jb *modeler.Job, dc *rejecter.Decision, kv ...any) {
+	it.mu.Lock()
+	ok, omitted := lines.Take(maxDecisionLines, time.Now())
+	it.mu.Unlock()
+	if !ok {
+		return
+	}
 	ql := &dc.Load
-	return []any{
+	logger.Log(it.op.Log, ev, append([]any{
 		"Job", jb.ID, "Queue", jb.Queue, "Expected", dc.Expected.String(), "Limit", dc.Limit.String(), "HintAge", dc.HintAge.String(),
-		"Ended", ql.Ended, "Missed", ql.Missed, "Delay", ql.Delay.String(), "Drain", ql.Drain.String(), "Overrun", ql.Overrun,
-	}
+		"Ended", ql.Ended, "Missed", ql.Missed, "Delay", ql.Delay.String(), "Drain", ql.Drain.String(), "Overrun", ql.Overrun, "Omitted", omitted,
+	}, kv...)...)
 }
 
 // checkNotStored returns rejecter.Useless if no earlier attempt has stored the job, as far as this host, the
--- a/internal/job/intaker/useless_test.go
+++ b/internal/job/intaker/useless_test.go
@@ -1,7 +1,9 @@
 package intaker_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
@@ -22,6 +24,7 @@
 	"github.com/currantrouter/currantrouter/internal/provider/emulator"
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
+	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
@@ -32,12 +35,17 @@
 
 // newOverloadedHost returns a host whose leader reports a queue that is behind. No leader is known to its
 // elector, so that the epoch is zero.
-func newOverloadedHost() *testHost {
-	th := newTestHost()
-	th.rejecter.Update(rejecter.Hint{Queues: []rejecter.QueueLoad{{Queue: "batch", Ended: 20, Delay: time.Minute, Missed: 20, Drain: time.Minute, Overrun: 1}}}, time.Now())
+func newOverloadedHost(lg logr.Logger) *testHost {
+	th := newLoggedHost(lg, func() time.Duration { return 0 })
+	th.overload()
 	return th
 }
 
+// overload passes a load hint by which uselessJob is useless.
+func (th *testHost) overload() {
+	th.rejecter.Update(rejecter.Hint{Queues: []rejecter.QueueLoad{{Queue: "batch", Ended: 20, Delay: time.Minute, Missed: 20, Drain: time.Minute, Overrun: 1}}}, time.Now())
+}
+
 func (th *testHost) assertStored(t *testing.T, id modeler.JobID, stored bool) {
 	t.Helper()
 	_, err := th.jobStore.Load(t.Context(), id)
@@ -62,7 +70,7 @@
 			defer cancel()
 			qt.Check(t, th.Submit(ctx, uselessJob()), qt.ErrorIs, intaker.ErrResultUnknown)
 			*th.rejecter = rejecter.Rejecter{}
-			th.rejecter.Update(rejecter.Hint{Queues: []rejecter.QueueLoad{{Queue: "batch", Ended: 20, Delay: time.Minute, Missed: 20, Drain: time.Minute, Overrun: 1}}}, time.Now())
+			th.overload()
 		}, false},
 		"store does not tell": {func(_ *testing.T, th *testHost) {
 			th.faults.Set(emulator.Switch{Fault: emulator.Unavailable, Part: emulator.PartStore, Operation: "Get"})
@@ -71,7 +79,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				th := newOverloadedHost()
+				th := newOverloadedHost(logr.Discard())
 				tc.before(t, th)
 				err := th.Submit(t.Context(), uselessJob())
 				th.faults.Clear()
@@ -88,6 +96,30 @@
 	}
 }
 
+// Guards against a line for each refused request. Callers repeat them, so that a host under load would log most.
+func TestRefusalLinesBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		lg, err := logger.New(&out, "json")
+		qt.Assert(t, err, qt.IsNil)
+		th := newOverloadedHost(lg)
+		for range 100 {
+			qt.Check(t, th.Submit(t.Context(), uselessJob()), qt.ErrorIs, intaker.ErrNotAccepted)
+			time.Sleep(time.Millisecond)
+		}
+		qt.Check(t, bytes.Count(out.Bytes(), []byte("\n")), qt.Equals, 10)
+		// The hint is used for a second.
+		th.overload()
+		time.Sleep(950 * time.Millisecond)
+		out.Reset()
+		qt.Check(t, th.Submit(t.Context(), uselessJob()), qt.ErrorIs, intaker.ErrNotAccepted)
+		var line map[string]any
+		qt.Assert(t, json.Unmarshal(out.Bytes(), &line), qt.IsNil)
+		qt.Check(t, line["Event"], qt.Equals, float64(logger.JobUseless.Number))
+		qt.Check(t, line["Omitted"], qt.Equals, 90.0)
+	})
+}
+
 // idleJournal is a journal of which every call succeeds.
 type idleJournal struct{}
 
--- a/internal/job/director/linebudget.go
+++ b/internal/telemetry/reporter/linebudget.go
@@ -1,9 +1,10 @@
-package director
+package reporter
 
 import "time"
 
-// lineBudget bounds the log lines of one kind in a second.
-type lineBudget struct {
+// LineBudget bounds the log lines of one kind in a second. The zero value has logged nothing yet. It is not safe for
+// concurrent use.
+type LineBudget struct {
 	// began is the start of the present second, used the number of its lines.
 	began time.Time
 	used  int
@@ -11,8 +12,8 @@
 	omitted int
 }
 
-// take reports whether one more line may be logged, and how many were omitted before it.
-func (lb *lineBudget) take(limit int, now time.Time) (bool, int) {
+// Take reports whether one more line may be logged, and how many were omitted before it.
+func (lb *LineBudget) Take(limit int, now time.Time) (bool, int) {
 	if now.Sub(lb.began) >= time.Second {
 		lb.began, lb.used = now, 0
 	}
