internal/job/director: observe the load of queues only for load hints

Run times and ends of jobs were collected on deployments with Refusal = Unstorable as well, which read no load hints. New option LoadHints of the director and the leader, set from the setting.

--- a/internal/daemon/assembler/jobs.go
+++ b/internal/daemon/assembler/jobs.go
@@ -97,7 +97,7 @@
 			Lease: st.Jobs.Lease, LongestLease: st.Jobs.LongestLease, StopGrace: st.Jobs.StopLimit, Retention: st.Jobs.Retention,
 			RestoreTime: st.Jobs.RestoreTime, OverTargetGrace: st.Jobs.HarmLimit, RemoteDataFactor: st.Jobs.FarFactor,
 		},
-		OnLargeFleet: collector.New(collector.HostMemory()).SetBusy, Configuration: jh.subscriber.Current, SuspendedTime: suspended, Log: lg, Meter: jh.meter,
+		LoadHints: st.Jobs.RefuseUseless, OnLargeFleet: collector.New(collector.HostMemory()).SetBusy, Configuration: jh.subscriber.Current, SuspendedTime: suspended, Log: lg, Meter: jh.meter,
 	})
 	jh.elector = elector.New(elector.Options{
 		Self: self, Store: pf.Store, StoreAge: pf.Store.Age, ConfigurationRevision: jh.subscriber.Revision,
--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -113,9 +113,11 @@
 	// FactsSinceSnapshot the number of facts after it.
 	SnapshotPosition   int64
 	FactsSinceSnapshot int
-	Limits             Limits
-	Log                logr.Logger
-	Meter              *meter.Registry
+	// LoadHints is set if entry hosts use load hints. Otherwise the load of queues is not observed.
+	LoadHints bool
+	Limits    Limits
+	Log       logr.Logger
+	Meter     *meter.Registry
 }
 
 const (
--- a/internal/job/director/harness_test.go
+++ b/internal/job/director/harness_test.go
@@ -200,7 +200,7 @@
 		Epoch: modeler.Epoch(rec.Epoch), WorkerClient: client, Journal: journal, JobStore: jobStore,
 		Configuration: func() *modeler.Configuration { return fl.config }, MaySendRequests: tm.maySend,
 		Policy: fl.policy, InheritedLease: inherited, PredecessorStopped: fl.predecessorStopped.Load, PredecessorSeenFor: fl.predecessorSeenFor,
-		SnapshotPosition: rec.SnapshotPosition, FactsSinceSnapshot: len(rec.Records), Limits: testLimits, Log: fl.logs.logger(fl.t), Meter: fl.registry,
+		SnapshotPosition: rec.SnapshotPosition, FactsSinceSnapshot: len(rec.Records), LoadHints: true, Limits: testLimits, Log: fl.logs.logger(fl.t), Meter: fl.registry,
 	})
 	dr.Restore(append(rec.SnapshotRecords, rec.Records...))
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/job/director/hint.go
+++ b/internal/job/director/hint.go
@@ -79,7 +79,7 @@
 // updateLoadHint computes the load hint again, with each tick.
 func (dr *Director) updateLoadHint(now time.Time) {
 	lh := &dr.loadHint
-	if now.Sub(dr.termStart) < minHintTerm || now.Sub(time.Unix(0, lh.askedAt.Load())) > loadHintDemand {
+	if !dr.op.LoadHints || now.Sub(dr.termStart) < minHintTerm || now.Sub(time.Unix(0, lh.askedAt.Load())) > loadHintDemand {
 		return
 	}
 	if last := lh.last.Load(); last != nil && now.Sub(last.at) < loadHintPauseFactor*last.took {
@@ -157,7 +157,7 @@
 
 // observeJobEnd records the end of a job for the load hint.
 func (dr *Director) observeJobEnd(jb *job, now time.Time) {
-	if jb.finalState == modeler.Completed && !jb.inherited && rejecter.Observed(&jb.Job) {
+	if dr.op.LoadHints && jb.finalState == modeler.Completed && !jb.inherited && rejecter.Observed(&jb.Job) {
 		dr.loadHint.observer.ObserveEnd(jb.Queue, now.Sub(jb.addedAt), rejecter.CriticalPath(jb.Steps), now)
 	}
 }
--- a/internal/job/director/outcome_test.go
+++ b/internal/job/director/outcome_test.go
@@ -1,6 +1,8 @@
 package director
 
 import (
+	"fmt"
+	"reflect"
 	"testing"
 	"time"
 
@@ -19,7 +21,7 @@
 		t.Run(name, func(t *testing.T) {
 			dr := New(Options{
 				Epoch: 1, Configuration: func() *modeler.Configuration { return nil }, MaySendRequests: func() bool { return true },
-				Log: logr.Discard(), Meter: meter.New(nil),
+				LoadHints: true, Log: logr.Discard(), Meter: meter.New(nil),
 			})
 			now := time.Now()
 			wk := &worker{info: modeler.Worker{ID: "w"}, attempts: map[attemptKey]*attempt{}, criticalImages: map[string]int{}, bestEffortImages: map[string]imageLoad{}}
@@ -41,3 +43,26 @@
 		})
 	}
 }
+
+// Guards against work and memory for load hints on deployments that do not use them.
+func TestLoadNotObserved(t *testing.T) {
+	for _, used := range []bool{false, true} {
+		t.Run(fmt.Sprintf("used %v", used), func(t *testing.T) {
+			dr := New(Options{
+				Epoch: 1, Configuration: func() *modeler.Configuration { return nil }, MaySendRequests: func() bool { return true },
+				LoadHints: used, Log: logr.Discard(), Meter: meter.New(nil),
+			})
+			now := time.Now()
+			wk := &worker{info: modeler.Worker{ID: "w"}, attempts: map[attemptKey]*attempt{}, criticalImages: map[string]int{}, bestEffortImages: map[string]imageLoad{}}
+			jb := dr.addJob(&modeler.Job{ID: "j", Queue: "batch", Steps: []modeler.Step{{Count: 1, Estimate: time.Second}}}, false)
+			tk := jb.occurrences[0].steps[0].tasks[0]
+			at := dr.reserve(tk, wk, 1)
+			at.answeredAt = now.Add(-time.Second)
+			dr.recordOutcome(wk, tk, at, &modeler.EndedRun{Task: tk.id(), Run: 1, Outcome: modeler.Done}, now)
+			jb.finalState = modeler.Completed
+			dr.observeJobEnd(jb, now)
+			qt.Check(t, tk.step.runTimes, qt.HasLen, 1)
+			qt.Check(t, reflect.ValueOf(dr.loadHint.observer).IsZero(), qt.Equals, !used)
+		})
+	}
+}
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -376,7 +376,9 @@
 			if tk.savedShare == 0 && len(sp.runTimes) < maxRunTimes {
 				sp.runTimes = append(sp.runTimes, now.Sub(at.answeredAt))
 			}
-			dr.loadHint.observer.ObserveRun(sp.occ.job.Queue, now.Sub(at.answeredAt), sp.spec.Estimate, now)
+			if dr.op.LoadHints {
+				dr.loadHint.observer.ObserveRun(sp.occ.job.Queue, now.Sub(at.answeredAt), sp.spec.Estimate, now)
+			}
 		}
 	case modeler.Failure:
 		dr.op.Meter.Add(meter.TasksFailed, 1)
--- a/internal/job/intaker/useless_test.go
+++ b/internal/job/intaker/useless_test.go
@@ -159,7 +159,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		dr := director.New(director.Options{
 			Epoch: 7, Journal: idleJournal{}, Configuration: func() *modeler.Configuration { return nil }, MaySendRequests: func() bool { return true },
-			Log: logr.Discard(), Meter: meter.New(nil),
+			LoadHints: true, Log: logr.Discard(), Meter: meter.New(nil),
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		dr.Start(ctx)
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -111,6 +111,8 @@
 	OnLargeFleet func(leads bool)
 	Policy       director.Policy
 	Limits       director.Limits
+	// LoadHints is set if entry hosts use load hints.
+	LoadHints bool
 	// Configuration returns the configuration in force, or nil.
 	Configuration func() *modeler.Configuration
 	// SuspendedTime returns how long this machine has been suspended since the process started.
@@ -174,7 +176,7 @@
 		InheritedLease: ld.inheritedLease(rec), PredecessorStopped: ld.predecessorStopped(rec), EarlierLeadersStopAt: ld.earlierLeadersStopAt(epoch),
 		PredecessorSeenFor: ld.elector.LeaderKnownFor(epoch - 1), FactsMissing: rec.Damaged > 0,
 		SnapshotPosition: rec.SnapshotPosition, FactsSinceSnapshot: len(rec.Records),
-		Limits: ld.op.Limits, Log: ld.op.Log, Meter: ld.op.Meter,
+		LoadHints: ld.op.LoadHints, Limits: ld.op.Limits, Log: ld.op.Log, Meter: ld.op.Meter,
 	})
 	if err := ld.elector.EpochBegun(epoch); err != nil {
 		return err
