internal/job/director: the load hint lists the queues with most late jobs

With more than 8 queues behind, the hint listed 8 of them in the random order of a map, so that jobs of a queue were refused with one hint and accepted with the next. Queues are now sorted by the number of jobs that missed their objective.

--- a/internal/job/director/hint.go
+++ b/internal/job/director/hint.go
@@ -1,6 +1,8 @@
 package director
 
 import (
+	"cmp"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -116,13 +118,21 @@
 			unfinished[jb.Queue]++
 		}
 	}
+	return dr.loadHint.loads(missed, unfinished, now)
+}
+
+// loads returns the loads of at most rejecter.MaxQueues queues, those with most jobs that missed their objective first.
+func (lh *loadHint) loads(missed, unfinished map[modeler.QueueName]int, now time.Time) []rejecter.QueueLoad {
 	var list []rejecter.QueueLoad
 	for name, count := range missed {
-		if ql, ok := dr.loadHint.observer.Load(name, unfinished[name], count, now); ok && len(list) < rejecter.MaxQueues {
+		if ql, ok := lh.observer.Load(name, unfinished[name], count, now); ok {
 			list = append(list, ql)
 		}
 	}
-	return list
+	slices.SortFunc(list, func(one, two rejecter.QueueLoad) int {
+		return cmp.Or(cmp.Compare(two.Missed, one.Missed), cmp.Compare(one.Queue, two.Queue))
+	})
+	return list[:min(len(list), rejecter.MaxQueues)]
 }
 
 // missedJobs counts the jobs that became late within rejecter.Window while they had tasks without capacity,
--- a/internal/job/director/outcome_test.go
+++ b/internal/job/director/outcome_test.go
@@ -66,3 +66,28 @@
 		})
 	}
 }
+
+// Guards against a load hint that lists some of the queues that are behind at random, so that entry hosts refuse jobs of
+// a queue with one hint and not with the next.
+func TestQueuesOfLoadHint(t *testing.T) {
+	var lh loadHint
+	now := time.Now()
+	missed := map[modeler.QueueName]int{}
+	var want []modeler.QueueName
+	for ix := range 3 * rejecter.MaxQueues {
+		name := modeler.QueueName(fmt.Sprintf("q%02d", ix))
+		// Two queues each have the same number.
+		missed[name] = 100 - ix/2
+		for range rejecter.MinObservations {
+			lh.observer.ObserveEnd(name, time.Minute, time.Second, now)
+		}
+		if ix < rejecter.MaxQueues {
+			want = append(want, name)
+		}
+	}
+	var got []modeler.QueueName
+	for _, ql := range lh.loads(missed, nil, now) {
+		got = append(got, ql.Queue)
+	}
+	qt.Check(t, got, qt.DeepEquals, want)
+}
