--- a/internal/config/loader/settings.go
+++ b/internal/config/loader/settings.go
@@ -65,6 +65,9 @@
 	// ShortagePolicy is how the scheduler orders and places tasks while capacity is short: Deadline or
 	// Value.
 	ShortagePolicy string
+	// RefuseUseless is set if jobs that certainly cannot be of use any more are refused, rather than only
+	// those that cannot be stored.
+	RefuseUseless bool
 }
 
 // ListenSettings are the addresses that the daemon listens on.
--- a/internal/config/loader/table.go
+++ b/internal/config/loader/table.go
@@ -98,6 +98,11 @@
 		"Order of tasks while capacity is short. Deadline orders by the latest start with which a job meets its objective; Value by what callers still gain for the capacity that a job needs, with a reserve for short tasks that follows their demand.", "Deadline or Value",
 		optional, setShortagePolicy,
 	},
+	{
+		"Jobs", "Refusal", "POLICY", "Unstorable", "",
+		"Which jobs are refused: those that cannot be stored, or also those that certainly would end later than three times their objective. Must be the same on all entry hosts.", "Unstorable or Useless",
+		optional, setRefusal,
+	},
 	{
 		"Host", "Name", "NAME", "", "host-1", "Name of this entry host in the shared configuration.", allowedName,
 		requiredAlways, func(st *Settings, val string) bool { return setName(&st.Host.Name, val) },
@@ -355,6 +360,11 @@
 	return val == "Deadline" || val == "Value"
 }
 
+func setRefusal(st *Settings, val string) bool {
+	st.Jobs.RefuseUseless = val == "Useless"
+	return val == "Useless" || val == "Unstorable"
+}
+
 func setDuration(dst *time.Duration, val string) bool {
 	dur, err := time.ParseDuration(val)
 	*dst = dur
--- a/internal/daemon/assembler/jobs.go
+++ b/internal/daemon/assembler/jobs.go
@@ -27,6 +27,7 @@
 	"github.com/currantrouter/currantrouter/internal/job/intaker"
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	jobleader "github.com/currantrouter/currantrouter/internal/job/leader"
+	"github.com/currantrouter/currantrouter/internal/job/rejecter"
 	"github.com/currantrouter/currantrouter/internal/job/relayer"
 	"github.com/currantrouter/currantrouter/internal/job/subscriber"
 	"github.com/currantrouter/currantrouter/internal/process/collector"
@@ -114,7 +115,7 @@
 			RestoreTime: st.Jobs.RestoreTime, OverTargetGrace: st.Jobs.HarmLimit, RemoteDataFactor: st.Jobs.FarFactor,
 			ShortagePolicy: director.ShortagePolicy(st.Jobs.ShortagePolicy),
 		},
-		OnLargeFleet: collector.New(collector.HostMemory()).SetBusy, Configuration: jh.subscriber.Current, SuspendedTime: suspended, Log: lg, Meter: jh.meter,
+		LoadHints: st.Jobs.RefuseUseless, OnLargeFleet: collector.New(collector.HostMemory()).SetBusy, Configuration: jh.subscriber.Current, SuspendedTime: suspended, Log: lg, Meter: jh.meter,
 	})
 	jh.elector = elector.New(elector.Options{
 		Self: self, Store: pf.Store, StoreAge: pf.Store.Age, ConfigurationRevision: jh.subscriber.Revision,
@@ -124,10 +125,17 @@
 	jh.relay = relayer.NewServer(relayer.ServerOptions{
 		Client: pf.WorkerClient, KnownEpoch: jh.elector.KnownEpoch, SuspendedTime: suspended, Log: lg, Meter: jh.meter,
 	})
+	var rj *rejecter.Rejecter
+	if st.Jobs.RefuseUseless {
+		rj = new(rejecter.Rejecter)
+	}
 	jh.intaker = intaker.New(intaker.Options{
 		JobStore: keeper.NewJobStore(pf.Store), StoreAge: pf.Store.Age, Elector: jh.elector, Director: jh.leader.Director,
-		Dial: jh.peers.Dial, Log: lg, Meter: jh.meter,
+		Dial: jh.peers.Dial, Rejecter: rj, Log: lg, Meter: jh.meter,
 	})
+	if rj != nil {
+		jh.peers.RequestHeader(intaker.LoadHintHeader, intaker.LoadHintInterval, jh.intaker.ReadLoadHint)
+	}
 	return jh
 }
 
@@ -338,6 +346,7 @@
 
 func (jh *jobHost) peersHandler() http.Handler {
 	mux := chi.NewRouter()
+	mux.Use(jh.intaker.AddLoadHints)
 	jobs := messenger.NewJobsServer(intaker.NewServer(jh.intaker, jh.elector, jh.subscriber))
 	mux.Mount(jobs.PathPrefix(), jobs)
 	relay := messenger.NewRelayServer(jh.relay)
--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -120,6 +120,8 @@
 	FactsSinceSnapshot int
 	// Evacuator holds the evacuated data centres, whose workers get no starts. It is nil if evacuations are not read.
 	Evacuator *evacuator.Evacuator
+	// LoadHints is set if entry hosts use load hints. Otherwise the load of queues is not observed.
+	LoadHints bool
 	Limits    Limits
 	Log       logr.Logger
 	Meter     *meter.Registry
@@ -289,11 +291,13 @@
 	// starting holds the runs that were placed and were not known to run at the last report of waiting
 	// tasks.
 	starting map[*attempt]struct{}
+	// loadHint is what entry hosts are told of the queues that are behind.
+	loadHint loadHint
 	// ineffectiveLines, droppedLines and overdueLines bound lines of the log.
-	ineffectiveLines, droppedLines, overdueLines lineBudget
+	ineffectiveLines, droppedLines, overdueLines reporter.LineBudget
 	evacuationSuspension                         evacuationSuspension
 	// evacuationLines bound the lines of the log on changes.
-	evacuationLines lineBudget
+	evacuationLines reporter.LineBudget
 	// waitLoggedAt is when the log last said why a task waits.
 	waitLoggedAt time.Time
 	// snapshotPosition is the journal position of the last snapshot, also of one by an earlier leader. Only
@@ -524,6 +528,7 @@
 		dr.releaseOccurrences(jb, now)
 	}
 	dr.saveEstimates(now)
+	dr.updateLoadHint(now)
 	if now.Sub(dr.summaryLoggedAt) >= summaryInterval {
 		dr.summaryLoggedAt = now
 		dr.logLoadSummary(now)
--- a/internal/job/director/evacuation.go
+++ b/internal/job/director/evacuation.go
@@ -10,6 +10,7 @@
 	"github.com/currantrouter/currantrouter/internal/job/placer"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
+	"github.com/currantrouter/currantrouter/internal/telemetry/reporter"
 )
 
 const (
@@ -53,7 +54,7 @@
 		dr.log(logger.EvacuationsListed, "Evacuated", st.DataCentres, "Workers", workers, "Runs", runs, "Revision", st.Revision, "Took", now.Sub(dr.termStart).String())
 	}
 	if len(ch.Added)+len(ch.Withdrawn) > 0 {
-		if ok, omitted := dr.evacuationLines.take(maxEvacuationLines, now); ok {
+		if ok, omitted := dr.evacuationLines.Take(maxEvacuationLines, now); ok {
 			dr.log(logger.EvacuationsChanged, "Added", firstNames(ch.Added), "Withdrawn", firstNames(ch.Withdrawn), "Evacuated", st.DataCentres,
 				"Workers", workers, "Runs", runs, "StartsReleased", released, "Revision", st.Revision, "ViewAge", st.Age.String(), "Omitted", omitted)
 		}
@@ -118,7 +119,7 @@
 	if su.logged || !ev.Listed() && now.Sub(dr.termStart) <= ev.MaxAge() {
 		return
 	}
-	if ok, omitted := su.lines.take(1, now); ok {
+	if ok, omitted := su.lines.Take(1, now); ok {
 		su.logged = true
 		dr.log(logger.EvacuationViewOutdated, "ViewAge", ev.Status(now).Age.String(), "MaxAge", ev.MaxAge().String(), "Listed", ev.Listed(), "StartsQueued", dr.startsInFlight, "Omitted", omitted)
 	}
@@ -129,7 +130,7 @@
 	// since is when it began, zero if starts may be sent. logged is set once the log says so.
 	since  time.Time
 	logged bool
-	lines  lineBudget
+	lines  reporter.LineBudget
 }
 
 // publishEvacuations publishes the gauges.
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -147,6 +147,7 @@
 	facts, endedJobs, lastEnd, incarnation := wk.unrecordedFacts, wk.unrecordedJobs, wk.ackableEnd(), wk.incarnation
 	wk.unrecordedFacts, wk.unrecordedJobs, wk.recording = nil, nil, durable
 	began := time.Now()
+	wk.recordingSince = began
 	dr.startGoroutine(func(ctx context.Context) {
 		dr.record(ctx, facts, func() {
 			dr.op.Meter.Observe(meter.TimeToRecordEnd, time.Since(began))
@@ -358,6 +359,7 @@
 		state = modeler.Failed
 	}
 	dr.endJob(jb, state, now)
+	dr.observeJobEnd(jb, now)
 	return dr.jobEndFact(jb.ID, state, now), true
 }
 
@@ -378,8 +380,14 @@
 	case modeler.Done:
 		dr.op.Meter.Add(meter.TasksDone, 1)
 		wk.faultHistory.RecordSuccess(now)
-		if at != nil && !at.adopted && tk.savedShare == 0 && len(sp.runTimes) < maxRunTimes {
-			sp.runTimes = append(sp.runTimes, now.Sub(at.answeredAt))
+		// The begin of a run is unknown if its end is reported before the answer to its start.
+		if at != nil && !at.adopted && !at.answeredAt.IsZero() {
+			if tk.savedShare == 0 && len(sp.runTimes) < maxRunTimes {
+				sp.runTimes = append(sp.runTimes, now.Sub(at.answeredAt))
+			}
+			if dr.op.LoadHints {
+				dr.loadHint.observer.ObserveRun(sp.occ.job.Queue, now.Sub(at.answeredAt), sp.spec.Estimate, now)
+			}
 		}
 	case modeler.Failure:
 		dr.op.Meter.Add(meter.TasksFailed, 1)
--- a/internal/job/director/waiting.go
+++ b/internal/job/director/waiting.go
@@ -465,6 +465,7 @@
 		meter.LongRunningTasksOverdue, meter.CancellationsPending, meter.CancelledRunsOverdue, meter.ReportsHeldUp,
 		meter.DataCentresEvacuated, meter.EvacuatedWorkers, meter.EvacuatedRuns, meter.EvacuationViewAge,
 		meter.ShortPools, meter.ShortTaskReserve,
+		meter.QueuesBehind,
 	} {
 		dr.op.Meter.Set(mt, 0)
 	}
--- a/internal/job/intaker/server.go
+++ b/internal/job/intaker/server.go
@@ -47,6 +47,7 @@
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("document", err.Error())
 	}
+	sv.intaker.noteSubmission(jb.ID)
 	err = callWithTimeout(ctx, storeCallTimeout, func(ctx context.Context) error { return sv.intaker.op.JobStore.Submit(ctx, jb) })
 	if err != nil {
 		return nil, storeError(err)
--- a/internal/telemetry/logger/catalogue.go
+++ b/internal/telemetry/logger/catalogue.go
@@ -57,4 +57,5 @@
 	intakeEvents,
 	evacuationEvents,
 	shortageEvents,
+	refusalEvents,
 )
