director: promote only overdue jobs that can be placed

A promoted job that no worker can run, or whose gang fits nowhere, kept the promotion for good: 2 of the 4 old jobs of TestOverdueJobsEndBesideUnplaceable ended. A promotion without a placement for 5 s now ends, and the next one of the same job waits for 10 s or longer.

--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -56,6 +56,10 @@
 	unfinishedSteps int
 	// judged is set once judge has recorded whether the occurrence was served.
 	judged bool
+	// vainPromotions is the number of promotions that timed out since the last that placed a task, and
+	// notPromotedBefore when the occurrence may be promoted again.
+	vainPromotions    int
+	notPromotedBefore time.Time
 }
 
 // step is a step of one occurrence.
--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -130,6 +130,8 @@
 	changed []int
 	// selections holds the costs of the demands that were chosen for in this round.
 	selections map[selectionKey]*selection
+	// largest holds the results of largestOf.
+	largest map[matchClass][]*modeler.Worker
 	// unplaceable holds needs for which no worker was found in this round.
 	unplaceable map[demandClass][]modeler.Resources
 	// missed holds why the last task of a class in unplaceable found no worker.
@@ -171,7 +173,7 @@
 // newRound returns a round with the waiting steps, the most urgent first, and the workers that
 // accept tasks.
 func (dr *Director) newRound(now time.Time) *round {
-	rd := &round{dr: dr, now: now, maxHeld: maxHeldWorkers, heldFor: map[int]modeler.Resources{}, processorsOf: map[modeler.PoolName]poolProcessors{}, capacityOf: map[modeler.PoolName]modeler.Resources{}, unplaceable: map[demandClass][]modeler.Resources{}, missed: map[demandClass]turn{}, forecasts: map[string]*forecast{}, selections: map[selectionKey]*selection{}}
+	rd := &round{dr: dr, now: now, maxHeld: maxHeldWorkers, heldFor: map[int]modeler.Resources{}, processorsOf: map[modeler.PoolName]poolProcessors{}, capacityOf: map[modeler.PoolName]modeler.Resources{}, unplaceable: map[demandClass][]modeler.Resources{}, missed: map[demandClass]turn{}, forecasts: map[string]*forecast{}, selections: map[selectionKey]*selection{}, largest: map[matchClass][]*modeler.Worker{}}
 	for _, wk := range dr.orderedWorkers() {
 		if dr.acceptsTasks(wk, now) {
 			rd.workers = append(rd.workers, wk)
@@ -504,6 +506,7 @@
 func (rd *round) placeTask(tk *task, ix int) *attempt {
 	wk := rd.workers[ix]
 	rd.startsLeft--
+	rd.notePromotedPlacement(tk)
 	pp, known := rd.processorsOf[wk.info.Pool]
 	piece := rd.dr.pieceSize(wk.info.Pool)
 	pp.add(wk, piece, -1)
--- a/internal/job/director/shortage_test.go
+++ b/internal/job/director/shortage_test.go
@@ -115,6 +115,38 @@
 	qt.Check(t, ended[director.ValuePolicy], qt.Equals, 4)
 }
 
+// Guards against an overdue job that can never be placed and keeps the promotion from the others.
+func TestOverdueJobsEndBesideUnplaceable(t *testing.T) {
+	for name, prepare := range map[string]func(*modeler.Job){
+		"label that no worker has": func(jb *modeler.Job) { jb.Steps[0].Label = "none" },
+		"gang that fits nowhere":   func(jb *modeler.Job) { jb.Steps[0].Gang, jb.Steps[0].Count = true, 9 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			runPolicy(t, director.ValuePolicy, 4, func(_ *fleet, tm *term) {
+				const old, width = 4, 4
+				unplaceable := simpleJob("unplaceable", "urgent", 1, cores(8000))
+				prepare(unplaceable)
+				tm.submit(unplaceable)
+				sleep(100 * time.Millisecond)
+				ended := 0
+				for no := range old {
+					tm.submit(simpleJob(modeler.JobID(fmt.Sprint("old", no)), "urgent", width, cores(8000)))
+				}
+				for no := range 900 {
+					tm.submit(simpleJob(modeler.JobID(fmt.Sprint("new", no)), "urgent", 1, cores(8000)))
+					sleep(100 * time.Millisecond)
+				}
+				for no := range old {
+					if st, _ := tm.JobState(modeler.JobID(fmt.Sprint("old", no))); st == modeler.Completed {
+						ended++
+					}
+				}
+				qt.Check(t, ended, qt.Equals, old)
+			})
+		})
+	}
+}
+
 // Guards against tasks that run twice, jobs that do not end, and overbooked workers under ValuePolicy, while leaders
 // change and workers fail.
 func TestRandomFaultsUnderValue(t *testing.T) {
--- a/internal/job/director/value.go
+++ b/internal/job/director/value.go
@@ -28,6 +28,13 @@
 	// and minPromotionInterval the least time between two of them.
 	promotedShare        = 1.0 / 32
 	minPromotionInterval = 500 * time.Millisecond
+	// promotionTimeout is how long a promoted job may go without a placement. It exceeds the run time of most short
+	// tasks, for the end of which it may have to wait.
+	promotionTimeout = 5 * time.Second
+	// promotionPause is how long a job is not promoted again after a promotion that timed out. It doubles each time, up
+	// to maxPromotionPause, so that jobs that can never be placed leave promotions to others.
+	promotionPause    = 10 * time.Second
+	maxPromotionPause = 10 * time.Minute
 	// maxQueueHistories bounds the queues of which run times are kept.
 	maxQueueHistories = 512
 )
@@ -176,10 +183,12 @@
 	// occ is promoted at present, nil for none, and nextAt is when the next one may be.
 	occ    *occurrence
 	nextAt time.Time
+	// placedAt is when a task of occ was last placed, or else when it was promoted.
+	placedAt time.Time
 	// waitsIn is the last round that found a waiting step of occ.
 	waitsIn int64
-	// oldest is the overdue occurrence that was submitted first of those that the round has ranked so far, and work
-	// what it needs.
+	// oldest is the overdue occurrence that was submitted first of those that the round has ranked so far and that may
+	// be promoted, and work what it needs.
 	oldest *occurrence
 	work   float64
 }
@@ -196,11 +205,48 @@
 	case pm.occ == oc:
 		pm.waitsIn = dr.rounds
 		rs.rank.Class, rs.density = ranker.OnTime, math.Inf(1)
-	case rs.rank.Class == ranker.Overdue && (pm.oldest == nil || oc.due.Before(pm.oldest.due)):
+	case rs.rank.Class == ranker.Overdue && (pm.oldest == nil || oc.due.Before(pm.oldest.due)) && rd.promotable(rs.step):
 		pm.oldest, pm.work = oc, work
 	}
 }
 
+// promotable reports whether a promotion of a step's occurrence can place one of the step's tasks, as far as that is
+// known.
+func (rd *round) promotable(sp *step) bool {
+	if rd.now.Before(sp.occ.notPromotedBefore) || len(sp.waiting) == 0 {
+		return false
+	}
+	dm := rd.dr.demand(sp.waiting[0])
+	return rd.matchesSome(rd.dr.pool(sp.occ.job), &dm) && slices.ContainsFunc(sp.waiting, func(tk *task) bool { return rd.dr.startable(tk, rd.now) })
+}
+
+// notePromotedPlacement notes that a task was placed, if its occurrence is promoted.
+func (rd *round) notePromotedPlacement(tk *task) {
+	if len(rd.dr.promotions) == 0 {
+		return
+	}
+	queue := rd.dr.queue(tk.step.occ.job)
+	if pm := rd.dr.promotions[shortageKey{queue.Pool, queue.Priority}]; pm != nil && pm.occ == tk.step.occ {
+		pm.placedAt, pm.occ.vainPromotions = rd.now, 0
+	}
+}
+
+// timeOut ends a promotion without a placement for promotionTimeout. What cannot be placed may be a gang that fits
+// nowhere or a step without permits.
+func (pm *promotion) timeOut(now time.Time) {
+	if pm.occ == nil || now.Sub(pm.placedAt) < promotionTimeout {
+		return
+	}
+	pause := promotionPause
+	for range pm.occ.vainPromotions {
+		pause = min(2*pause, maxPromotionPause)
+	}
+	pm.occ.notPromotedBefore = now.Add(pause)
+	pm.occ.vainPromotions++
+	// The work for which the next promotion was delayed has not been placed.
+	pm.occ, pm.nextAt = nil, now
+}
+
 // promoteOverdue chooses the occurrences that the next rounds promote. Their work is at most promotedShare of a
 // pool's capacity.
 func (rd *round) promoteOverdue() {
@@ -208,8 +254,9 @@
 		if pm.occ != nil && pm.waitsIn != rd.dr.rounds {
 			pm.occ = nil
 		}
+		pm.timeOut(rd.now)
 		if pm.occ == nil && pm.oldest != nil && !rd.now.Before(pm.nextAt) {
-			pm.occ = pm.oldest
+			pm.occ, pm.placedAt = pm.oldest, rd.now
 			pm.nextAt = rd.now.Add(max(minPromotionInterval, time.Duration(pm.work/promotedShare*float64(time.Second))))
 		}
 		pm.oldest = nil
