director: bound the time between two promotions

It was computed from the capacity of the workers that accept tasks at that moment, so that a round with all workers unreachable put the next promotion off for weeks.

--- a/internal/job/director/value.go
+++ b/internal/job/director/value.go
@@ -25,9 +25,11 @@
 	// sampledRunTimes is the number of run times of a step from which those of its other tasks are expected.
 	sampledRunTimes = 4
 	// promotedShare is the share of a pool's capacity that overdue jobs get before all others, one after the other,
-	// and minPromotionInterval the least time between two of them.
+	// and minPromotionInterval and maxPromotionInterval bound the time between two of them. A pool that has lost most of
+	// its workers for a moment would otherwise go without promotions for hours.
 	promotedShare        = 1.0 / 32
 	minPromotionInterval = 500 * time.Millisecond
+	maxPromotionInterval = 30 * time.Second
 	// promotionTimeout is how long a promoted job may go without a placement. It exceeds the run time of most short
 	// tasks, for the end of which it may have to wait.
 	promotionTimeout = 5 * time.Second
@@ -213,11 +215,12 @@
 // promotable reports whether a promotion of a step's occurrence can place one of the step's tasks, as far as that is
 // known.
 func (rd *round) promotable(sp *step) bool {
-	if rd.now.Before(sp.occ.notPromotedBefore) || len(sp.waiting) == 0 {
+	pool := rd.dr.pool(sp.occ.job)
+	if rd.now.Before(sp.occ.notPromotedBefore) || len(sp.waiting) == 0 || rd.capacity(pool).MilliCores <= 0 {
 		return false
 	}
 	dm := rd.dr.demand(sp.waiting[0])
-	return rd.matchesSome(rd.dr.pool(sp.occ.job), &dm) && slices.ContainsFunc(sp.waiting, func(tk *task) bool { return rd.dr.startable(tk, rd.now) })
+	return rd.matchesSome(pool, &dm) && slices.ContainsFunc(sp.waiting, func(tk *task) bool { return rd.dr.startable(tk, rd.now) })
 }
 
 // notePromotedPlacement notes that a task was placed, if its occurrence is promoted.
@@ -248,7 +251,7 @@
 }
 
 // promoteOverdue chooses the occurrences that the next rounds promote. Their work is at most promotedShare of a
-// pool's capacity.
+// pool's capacity, unless that delays the next one beyond maxPromotionInterval.
 func (rd *round) promoteOverdue() {
 	for key, pm := range rd.dr.promotions {
 		if pm.occ != nil && pm.waitsIn != rd.dr.rounds {
@@ -257,7 +260,7 @@
 		pm.timeOut(rd.now)
 		if pm.occ == nil && pm.oldest != nil && !rd.now.Before(pm.nextAt) {
 			pm.occ, pm.placedAt = pm.oldest, rd.now
-			pm.nextAt = rd.now.Add(max(minPromotionInterval, time.Duration(pm.work/promotedShare*float64(time.Second))))
+			pm.nextAt = rd.now.Add(promotionInterval(pm.work))
 		}
 		pm.oldest = nil
 		if pm.occ == nil && rd.now.Sub(rd.dr.shortages[key]) > shortageMemory {
@@ -266,6 +269,13 @@
 	}
 }
 
+// promotionInterval returns the time from a promotion to the next. The work is the share of a pool's capacity that the
+// occurrence needs, times seconds.
+func promotionInterval(work float64) time.Duration {
+	seconds := min(work/promotedShare, maxPromotionInterval.Seconds())
+	return max(minPromotionInterval, time.Duration(seconds*float64(time.Second)))
+}
+
 // valueJob returns the job of a waiting step as the valuer needs it, with corrected estimates.
 func (rd *round) valueJob(sp *step, ws *ranker.WaitingStep, queue *modeler.Queue) valuer.Job {
 	oc, qh, pool := sp.occ, rd.dr.history(sp.occ.job), rd.capacity(queue.Pool)
--- a/internal/job/director/value_test.go
+++ b/internal/job/director/value_test.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -89,3 +90,31 @@
 	long.waiting[0].lastRun = 1
 	qt.Check(t, headroom(), qt.Equals, int64(7*3500+15_000))
 }
+
+// Guards against promotions that are put off for hours by a moment in which the pool has few or no workers.
+func TestPromotionInterval(t *testing.T) {
+	for name, reachable := range map[string]int{"all workers": 40, "one worker": 1, "no worker": 0} {
+		t.Run(name, func(t *testing.T) {
+			dr := newBacklog(40, 20, func(int) modeler.Step {
+				return modeler.Step{Count: 100, Needs: modeler.Resources{MilliCores: 8000}, Estimate: 10 * time.Second}
+			})
+			dr.op.Limits.ShortagePolicy = ValuePolicy
+			now := time.Now()
+			for _, jb := range dr.jobs {
+				jb.MaxSlowdown, jb.occurrences[0].due = 1, now.Add(-time.Hour)
+			}
+			dr.dispatch(now.Add(time.Second))
+			dr.dispatch(now.Add(time.Second + time.Millisecond))
+			for ix := range 40 - reachable {
+				dr.workers[modeler.WorkerID(fmt.Sprint("w", ix))].unreachable = true
+			}
+			at := now.Add(2 * time.Second)
+			dr.dispatch(at)
+			pm := dr.promotions[shortageKey{pool: "pool"}]
+			qt.Assert(t, pm, qt.IsNotNil)
+			qt.Check(t, pm.occ != nil, qt.Equals, reachable > 0)
+			wait := pm.nextAt.Sub(at)
+			qt.Check(t, wait <= 30*time.Second, qt.IsTrue, qt.Commentf("the next promotion is in %s", wait))
+		})
+	}
+}
