--- a/internal/job/director/value.go
+++ b/internal/job/director/value.go
@@ -24,6 +24,8 @@
 	defaultRunTime = 1.0
 	// sampledRunTimes is the number of run times of a step from which those of its other tasks are expected.
 	sampledRunTimes = 4
+	// maxRunTime is the longest run time that counts as one.
+	maxRunTime = 24 * time.Hour
 	// promotedShare is the share of a pool's capacity that overdue jobs get before all others, one after the other,
 	// and minPromotionInterval and maxPromotionInterval bound the time between two of them. A pool that has lost most of
 	// its workers for a moment would otherwise go without promotions for hours.
@@ -123,12 +125,8 @@
 // expectedSeconds returns the expected run time of a step's tasks: that of the tasks that have ended, otherwise
 // the caller's estimate.
 func expectedSeconds(sp *step) float64 {
-	if known := min(len(sp.runTimes), sampledRunTimes); known > 0 {
-		var sum time.Duration
-		for _, rt := range sp.runTimes[:known] {
-			sum += rt
-		}
-		return sum.Seconds() / float64(known)
+	if seconds, ok := observedSeconds(sp); ok {
+		return seconds
 	}
 	if sp.spec.Estimate > 0 {
 		return sp.spec.Estimate.Seconds()
@@ -136,6 +134,23 @@
 	return defaultRunTime
 }
 
+// observedSeconds returns the mean run time of the first tasks of a step that have ended, and whether there are any. It
+// leaves out run times that a task cannot have, as of a run that ended before the answer to its start.
+func observedSeconds(sp *step) (float64, bool) {
+	var sum float64
+	known := 0
+	for _, rt := range sp.runTimes {
+		if rt < 0 || rt > maxRunTime {
+			continue
+		}
+		sum += rt.Seconds()
+		if known++; known == sampledRunTimes {
+			break
+		}
+	}
+	return sum / float64(max(known, 1)), known > 0
+}
+
 // noteShortage notes that a pool has no capacity for a task of a step, if the task has waited for long enough
 // and could ever run there.
 func (rd *round) noteShortage(tk *task, dm *placer.Demand) {
@@ -287,7 +302,7 @@
 		criticalPath = max(criticalPath, other.remaining)
 		seconds, tasks := expectedSeconds(other), float64(len(other.tasks))
 		size += tasks * float64(other.spec.Needs.MilliCores) * seconds
-		if len(other.runTimes) == 0 {
+		if _, observed := observedSeconds(other); !observed {
 			seconds *= ratio
 		}
 		left := tasks - float64(other.done)
--- a/internal/job/director/value_test.go
+++ b/internal/job/director/value_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -118,3 +119,24 @@
 		})
 	}
 }
+
+// Guards against expected run times of centuries, or negative ones, after a run that ended before the answer to its
+// start.
+func TestExpectedSeconds(t *testing.T) {
+	const tooLong = time.Duration(math.MaxInt64)
+	for name, tc := range map[string]struct {
+		runTimes []time.Duration
+		want     float64
+	}{
+		"none":              {nil, 3},
+		"run times":         {[]time.Duration{time.Second, 2 * time.Second}, 1.5},
+		"only a wrong one":  {[]time.Duration{tooLong}, 3},
+		"two wrong ones":    {[]time.Duration{tooLong, tooLong, time.Second}, 1},
+		"a wrong one first": {[]time.Duration{tooLong, -time.Second, time.Second, 2 * time.Second, 3 * time.Second, 4 * time.Second, time.Hour}, 2.5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sp := &step{spec: &modeler.Step{Estimate: 3 * time.Second}, runTimes: tc.runTimes}
+			qt.Check(t, expectedSeconds(sp), qt.Equals, tc.want)
+		})
+	}
+}
