--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -333,9 +333,9 @@
 	if !fitsAvoided && dm.MaxPerWorker == 0 && sp.permits == nil {
 		rd.unplaceable[key] = append(rd.unplaceable[key], dm.Needs)
 		rd.missed[key] = sp.turn
+		rd.noteShortage(tk, &dm)
 	}
 	rd.misses++
-	rd.noteShortage(tk, &dm)
 	rd.logWaitingTask(tk, &dm)
 	switch {
 	case !dm.LongRunning:
--- a/internal/job/director/value_test.go
+++ b/internal/job/director/value_test.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"context"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -163,3 +164,46 @@
 	t.Logf("rounds took %v", least)
 	qt.Check(t, least[ValuePolicy] < 2*least[DeadlinePolicy], qt.IsTrue, qt.Commentf("rounds took %v", least))
 }
+
+// Guards against a shortage that is seen although processors are free, which a task may not use.
+func TestNoShortageBesideFreeProcessors(t *testing.T) {
+	for name, tc := range map[string]struct {
+		prepare func(dr *Director, sp *step)
+		short   bool
+	}{
+		"full":           {func(dr *Director, _ *step) { dr.workers["w0"].free = modeler.Resources{} }, true},
+		"MaxPerWorker":   {func(_ *Director, sp *step) { sp.perWorker["w0"] = 1 }, false},
+		"avoided worker": {func(_ *Director, sp *step) { sp.tasks[0].avoidWorker("w0") }, false},
+		"permits": {func(dr *Director, sp *step) {
+			sp.occ.job.queueOf, sp.occ.job.queue = nil, &modeler.Queue{Pool: "pool", Policy: &modeler.Policy{}}
+			dr.op.Policy = noPermits{}
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dr := newBacklog(2, 1, func(int) modeler.Step {
+				spec := modeler.Step{Count: 1, Needs: modeler.Resources{MilliCores: 1000}}
+				if name == "MaxPerWorker" {
+					spec.MaxPerWorker = 1
+				}
+				return spec
+			})
+			dr.op.Limits.ShortagePolicy = ValuePolicy
+			dr.workers["w0"].free = dr.workers["w0"].info.Capacity
+			jb := dr.jobs["j0"]
+			dr.queue(jb)
+			sp := jb.occurrences[0].steps[0]
+			tc.prepare(dr, sp)
+			at := time.Now().Add(time.Second)
+			dr.dispatch(at)
+			qt.Check(t, sp.waiting, qt.HasLen, 1)
+			qt.Check(t, dr.short(dr.queue(jb), at), qt.Equals, tc.short)
+		})
+	}
+}
+
+// noPermits is a policy service that grants no permits.
+type noPermits struct{}
+
+func (noPermits) Permit(context.Context, modeler.StepID, []modeler.WorkerID) ([]modeler.Permit, error) {
+	return nil, nil
+}
