--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -256,9 +256,10 @@
 	// seenRooms holds what recent rounds found of each pool, see recentSlots.
 	seenRooms map[modeler.PoolName][]seenRoom
 	// shortDemand holds forecasts of what short urgent tasks need, by pool, and shortDemandAt is when they were
-	// last updated. It is empty unless ValuePolicy applies.
+	// last updated. active holds what attempts need. Both are empty unless ValuePolicy applies.
 	shortDemand   map[modeler.PoolName]*reserver.Forecast
 	shortDemandAt time.Time
+	active        map[activeKey]*activeDemand
 	// shortages holds when rounds last found that a pool is short of capacity for a priority, promotions the overdue
 	// jobs that go first then, and histories what the jobs of each queue have shown. All are empty unless ValuePolicy
 	// applies.
@@ -320,6 +321,7 @@
 		starting:             map[*attempt]struct{}{},
 		seenRooms:            map[modeler.PoolName][]seenRoom{},
 		shortDemand:          map[modeler.PoolName]*reserver.Forecast{},
+		active:               map[activeKey]*activeDemand{},
 		shortages:            map[shortageKey]time.Time{},
 		promotions:           map[shortageKey]*promotion{},
 		shortSteps:           map[shortageKey]*shortSteps{},
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -578,6 +578,8 @@
 	listed bool
 	// recording is set while the journal has not confirmed the placement of a long-running task.
 	recording bool
+	// demand is the sum to which the attempt was added, nil for none.
+	demand *activeDemand
 	// advanceEnd is when a task that was placed in advance is queued again unless its start has been
 	// queued. See worker.inAdvance.
 	advanceEnd time.Time
--- a/internal/job/director/shortage.go
+++ b/internal/job/director/shortage.go
@@ -36,6 +36,66 @@
 	return modeler.Resources{MemoryMB: max(0, rd.workers[ix].free.MemoryMB-rd.heldFor[ix].MemoryMB)}
 }
 
+// activeKey identifies the runs of a pool's workers of which the tasks have the same priority, however the
+// configuration changes.
+type activeKey struct {
+	pool  modeler.PoolName
+	queue modeler.QueueName
+	// priority is the one that applies if the queue is not configured.
+	priority int
+}
+
+// activeDemand is what the attempts of tasks need, without best-effort ones. Director.reserve and Director.release keep
+// it up to date, as a look at each attempt every reserver.SampleInterval would take more than 1% of a core.
+type activeDemand struct {
+	key activeKey
+	// job is one of the jobs.
+	job *job
+	// milliCores is what the short tasks need.
+	milliCores              int64
+	shortTasks, longRunning int
+}
+
+// add adds the change, 1 or -1, for an attempt of a task of a step.
+func (ad *activeDemand) add(spec *modeler.Step, change int) {
+	if spec.LongRunning {
+		ad.longRunning += change
+		return
+	}
+	ad.milliCores += int64(change) * spec.Needs.MilliCores
+	ad.shortTasks += change
+}
+
+// countActive adds an attempt to the demand of its pool and queue.
+func (dr *Director) countActive(at *attempt) {
+	sp := at.task.step
+	if !dr.followsValue() || sp.spec.BestEffort {
+		return
+	}
+	jb := sp.occ.job
+	key := activeKey{at.worker.info.Pool, jb.Queue, jb.Priority}
+	ad := dr.active[key]
+	if ad == nil {
+		ad = &activeDemand{key: key, job: jb}
+		dr.active[key] = ad
+	}
+	ad.add(sp.spec, 1)
+	at.demand = ad
+}
+
+// uncountActive undoes countActive.
+func (dr *Director) uncountActive(at *attempt) {
+	ad := at.demand
+	if ad == nil {
+		return
+	}
+	at.demand = nil
+	ad.add(at.task.step.spec, -1)
+	if ad.shortTasks == 0 && ad.longRunning == 0 {
+		delete(dr.active, ad.key)
+	}
+}
+
 // urgentDemand is the demand of the short tasks of a pool with the most urgent priority there.
 type urgentDemand struct {
 	priority   int
@@ -43,54 +103,40 @@
 	tasks      int
 }
 
-// add adds the tasks of a step unless more urgent ones were seen. Long-running ones count for the priority
-// only, so that the reserve does not keep them from starting in favour of less urgent tasks.
-func (ud *urgentDemand) add(spec *modeler.Step, priority, tasks int) {
-	if spec.BestEffort || priority > ud.priority {
+// add adds what some tasks need together, unless more urgent ones were seen. Long-running ones count for the priority
+// only, so that the reserve does not keep them from starting in favour of less urgent tasks: they add no tasks.
+func (ud *urgentDemand) add(priority int, milliCores int64, tasks int) {
+	if priority > ud.priority {
 		return
 	}
 	if priority < ud.priority {
 		ud.priority, ud.milliCores, ud.tasks = priority, 0, 0
 	}
-	if !spec.LongRunning {
-		ud.milliCores += spec.Needs.MilliCores * int64(tasks)
-		ud.tasks += tasks
+	ud.milliCores += milliCores
+	ud.tasks += tasks
+}
+
+// addWaiting adds the waiting tasks of a step.
+func (ud *urgentDemand) addWaiting(rs *rankedStep) {
+	spec, tasks := rs.step.spec, len(rs.step.waiting)
+	switch {
+	case spec.BestEffort:
+	case spec.LongRunning:
+		ud.add(rs.rank.Priority, 0, 0)
+	default:
+		ud.add(rs.rank.Priority, spec.Needs.MilliCores*int64(tasks), tasks)
 	}
 }
 
 // observeShortDemand updates the forecasts of what short urgent tasks need from what they use and wait for, at
-// most every reserver.SampleInterval. Jobs that are overdue are left out, as a reserve gains their callers
-// nothing.
+// most every reserver.SampleInterval.
 func (rd *round) observeShortDemand() {
 	dr := rd.dr
 	if !dr.followsValue() || rd.now.Sub(dr.shortDemandAt) < reserver.SampleInterval {
 		return
 	}
 	dr.shortDemandAt = rd.now
-	demands := map[modeler.PoolName]*urgentDemand{}
-	for _, wk := range dr.workers {
-		ud := demands[wk.info.Pool]
-		if ud == nil {
-			ud = &urgentDemand{priority: math.MaxInt}
-			demands[wk.info.Pool] = ud
-		}
-		if len(wk.criticalAttempts) > 0 {
-			sp := wk.criticalAttempts[0].task.step
-			ud.add(sp.spec, dr.queue(sp.occ.job).Priority, 1)
-		}
-		if wk.ending.MilliCores <= 0 {
-			continue
-		}
-		for _, at := range wk.attempts {
-			sp := at.task.step
-			ud.add(sp.spec, dr.queue(sp.occ.job).Priority, 1)
-		}
-	}
-	for _, rs := range rd.steps {
-		if ud := demands[dr.pool(rs.step.occ.job)]; ud != nil && rs.rank.Class != ranker.Overdue {
-			ud.add(rs.step.spec, rs.rank.Priority, len(rs.step.waiting))
-		}
-	}
+	demands := rd.urgentDemands()
 	for pool := range dr.shortDemand {
 		if demands[pool] == nil {
 			delete(dr.shortDemand, pool)
@@ -104,6 +150,34 @@
 	}
 }
 
+// urgentDemands returns what short urgent tasks use and wait for, by pool, for all pools with workers. Waiting jobs
+// that are overdue are left out, as a reserve gains their callers nothing.
+func (rd *round) urgentDemands() map[modeler.PoolName]*urgentDemand {
+	dr := rd.dr
+	demands := map[modeler.PoolName]*urgentDemand{}
+	var last modeler.PoolName
+	for ix, wk := range dr.orderedWorkers() {
+		if pool := wk.info.Pool; ix == 0 || pool != last {
+			last = pool
+			if demands[pool] == nil {
+				demands[pool] = &urgentDemand{priority: math.MaxInt}
+			}
+		}
+	}
+	for key, ad := range dr.active {
+		if ud := demands[key.pool]; ud != nil {
+			ud.add(dr.queue(ad.job).Priority, ad.milliCores, ad.shortTasks)
+		}
+	}
+	for ix := range rd.steps {
+		rs := &rd.steps[ix]
+		if ud := demands[dr.pool(rs.step.occ.job)]; ud != nil && rs.rank.Class != ranker.Overdue {
+			ud.addWaiting(rs)
+		}
+	}
+	return demands
+}
+
 // leavesForecast reports whether the long-running tasks of a step leave the forecast reserve to short ones, not just
 // the least one. Tasks that ran before do not, as each is to run again within seconds of its last run.
 func (rd *round) leavesForecast(sp *step) bool {
--- a/internal/job/director/value_test.go
+++ b/internal/job/director/value_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/reserver"
 )
 
 // orderOf returns the jobs in the order in which a round places their steps.
@@ -207,3 +208,71 @@
 func (noPermits) Permit(context.Context, modeler.StepID, []modeler.WorkerID) ([]modeler.Permit, error) {
 	return nil, nil
 }
+
+// newRunning returns a director under ValuePolicy with some attempts on each of its workers.
+func newRunning(workers, perWorker int, step modeler.Step) *Director {
+	step.Count = perWorker
+	dr := newBacklog(workers, workers, func(int) modeler.Step { return step })
+	dr.op.Limits.ShortagePolicy = ValuePolicy
+	for ix, wk := range dr.orderedWorkers() {
+		jb := dr.jobs[modeler.JobID(fmt.Sprint("j", ix))]
+		jb.Priority = 0
+		for _, tk := range jb.occurrences[0].steps[0].tasks {
+			dr.reserve(tk, wk, 1)
+		}
+	}
+	return dr
+}
+
+// Guards against observations of the demand, ten a second, that look at each attempt under the director's lock.
+func TestCostOfShortDemand(t *testing.T) {
+	const maxShare = 0.003
+	dr := newRunning(1100, 20, modeler.Step{Needs: modeler.Resources{MilliCores: 100}, Estimate: time.Second})
+	rd := dr.newRound(time.Now())
+	least := time.Hour
+	for range 20 {
+		dr.shortDemandAt = time.Time{}
+		began := time.Now()
+		rd.observeShortDemand()
+		least = min(least, time.Since(began))
+	}
+	t.Logf("took %s", least)
+	qt.Check(t, least.Seconds()/reserver.SampleInterval.Seconds() < maxShare, qt.IsTrue, qt.Commentf("took %s", least))
+}
+
+// Guards against sums of the demand that differ from the attempts, and against tasks that count twice.
+func TestShortDemand(t *testing.T) {
+	const tasks, workers = 3, 4
+	needs := modeler.Resources{MilliCores: 1000}
+	for name, tc := range map[string]struct {
+		step                modeler.Step
+		milliCores, perTask int64
+	}{
+		"short":                  {modeler.Step{Needs: needs}, 12_000, 1000},
+		"short latency-critical": {modeler.Step{Needs: needs, TailTarget: time.Second}, 12_000, 1000},
+		"best-effort":            {modeler.Step{Needs: needs, BestEffort: true}, 0, 0},
+		"long-running":           {modeler.Step{Needs: needs, LongRunning: true}, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dr := newRunning(workers, tasks, tc.step)
+			now := time.Now()
+			observed := func() (int64, int64) {
+				now = now.Add(time.Hour)
+				dr.newRound(now)
+				fc := dr.shortDemand["pool"]
+				return fc.Reserve(1_000_000, 0, now), fc.TaskSize()
+			}
+			milliCores, perTask := observed()
+			qt.Check(t, milliCores, qt.Equals, tc.milliCores)
+			qt.Check(t, perTask, qt.Equals, tc.perTask)
+			for _, wk := range dr.orderedWorkers() {
+				for _, at := range wk.attempts {
+					dr.release(at)
+					dr.release(at)
+				}
+			}
+			milliCores, _ = observed()
+			qt.Check(t, milliCores, qt.Equals, int64(0))
+		})
+	}
+}
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -657,6 +657,7 @@
 	sp.perWorker[wk.info.ID]++
 	sp.occ.job.activeRuns++
 	wk.countTask(sp.spec, 1)
+	dr.countActive(at)
 	return at
 }
 
@@ -679,6 +680,7 @@
 		delete(sp.perWorker, wk.info.ID)
 	}
 	wk.countTask(sp.spec, -1)
+	dr.uncountActive(at)
 	sp.occ.job.activeRuns--
 	if len(wk.inAdvance) > 0 {
 		wk.inAdvance = slices.DeleteFunc(wk.inAdvance, func(ot *attempt) bool { return ot == at })
