director: judge jobs by the last run time and by corrected estimates

The run time of the task with which a job ended was missing, so that a job of one task was judged by its estimate. Sizes of jobs mixed run times with estimates as sent.

--- a/internal/job/director/value.go
+++ b/internal/job/director/value.go
@@ -68,19 +68,28 @@
 	return qh
 }
 
-// observeRunTime records the run time of a task that is done, unless a part of it ran earlier or for another
-// leader.
+// observeRunTime records the run time of a task that is done.
 func (dr *Director) observeRunTime(tk *task, now time.Time) {
-	if !dr.followsValue() || len(tk.attempts) != 1 || tk.savedShare > 0 {
+	if !dr.followsValue() {
 		return
 	}
-	if at := tk.attempts[0]; !at.adopted && !at.answeredAt.IsZero() {
-		dr.history(tk.step.occ.job).runTimes.Observe(tk.step.spec.Estimate, now.Sub(at.answeredAt))
+	if rt, ok := lastRunTime(tk, now); ok {
+		dr.history(tk.step.occ.job).runTimes.Observe(tk.step.spec.Estimate, rt)
 	}
 }
 
-// judge records what an occurrence was worth to its caller. Only the first call for an occurrence counts.
-func (dr *Director) judge(oc *occurrence, class ranker.DeadlineClass) {
+// lastRunTime returns the run time of a task that is done, or false if a part of it ran earlier or for another leader.
+func lastRunTime(tk *task, now time.Time) (time.Duration, bool) {
+	if len(tk.attempts) != 1 || tk.savedShare > 0 {
+		return 0, false
+	}
+	at := tk.attempts[0]
+	return now.Sub(at.answeredAt), !at.adopted && !at.answeredAt.IsZero()
+}
+
+// judge records what an occurrence was worth to its caller, given the run time of each step's tasks in seconds. Only the
+// first call for an occurrence counts.
+func (dr *Director) judge(oc *occurrence, class ranker.DeadlineClass, seconds func(*step) float64) {
 	if !dr.followsValue() || oc.judged {
 		return
 	}
@@ -90,7 +99,7 @@
 		if sp.spec.LongRunning {
 			return
 		}
-		work += float64(sp.spec.Count) * float64(sp.spec.Needs.MilliCores) * expectedSeconds(sp)
+		work += float64(sp.spec.Count) * float64(sp.spec.Needs.MilliCores) * seconds(sp)
 	}
 	dr.history(oc.job).sizes.Observe(work, class < ranker.Overdue)
 	if lost := 1 - valuer.Value(class); lost > 0 {
@@ -108,38 +117,47 @@
 	if !dr.followsValue() || oc.judged || len(tk.attempts) == 0 {
 		return
 	}
+	seconds := func(sp *step) float64 {
+		if rt, ok := lastRunTime(tk, now); ok && sp == tk.step {
+			// recordOutcome adds it later.
+			if seconds, ok := meanSeconds(append(slices.Clip(sp.runTimes), rt)); ok {
+				return seconds
+			}
+		}
+		return dr.expectedSeconds(sp)
+	}
 	ends := make([]float64, len(oc.steps))
 	var criticalPath float64
 	for ix, sp := range oc.steps {
 		for _, pred := range sp.spec.After {
 			ends[ix] = max(ends[ix], ends[pred])
 		}
-		ends[ix] += expectedSeconds(sp)
+		ends[ix] += seconds(sp)
 		criticalPath = max(criticalPath, ends[ix])
 	}
 	queue := dr.queue(oc.job)
 	ws := ranker.WaitingStep{Submitted: oc.due, Objective: ranker.Objective(time.Duration(criticalPath*float64(time.Second)), queue.MaxSlowdown, queue.Slack)}
-	dr.judge(oc, ws.DeadlineClass(now))
+	dr.judge(oc, ws.DeadlineClass(now), seconds)
 }
 
 // expectedSeconds returns the expected run time of a step's tasks: that of the tasks that have ended, otherwise
-// the caller's estimate.
-func expectedSeconds(sp *step) float64 {
-	if seconds, ok := observedSeconds(sp); ok {
+// the caller's estimate, corrected by the run times of the queue.
+func (dr *Director) expectedSeconds(sp *step) float64 {
+	if seconds, ok := meanSeconds(sp.runTimes); ok {
 		return seconds
 	}
 	if sp.spec.Estimate > 0 {
-		return sp.spec.Estimate.Seconds()
+		return sp.spec.Estimate.Seconds() * dr.history(sp.occ.job).runTimes.Correction(sp.spec.Estimate)
 	}
 	return defaultRunTime
 }
 
-// observedSeconds returns the mean run time of the first tasks of a step that have ended, and whether there are any. It
-// leaves out run times that a task cannot have, as of a run that ended before the answer to its start.
-func observedSeconds(sp *step) (float64, bool) {
+// meanSeconds returns the mean of the first run times of a step, and whether there are any. It leaves out run times that
+// a task cannot have, as of a run that ended before the answer to its start.
+func meanSeconds(runTimes []time.Duration) (float64, bool) {
 	var sum float64
 	known := 0
-	for _, rt := range sp.runTimes {
+	for _, rt := range runTimes {
 		if rt < 0 || rt > maxRunTime {
 			continue
 		}
@@ -185,7 +203,7 @@
 		value := jb.Rank(rd.now)
 		rs.short, rs.density, rs.rank.Class = true, value.Density, value.Class
 		if rs.rank.Class == ranker.Overdue {
-			rd.dr.judge(sp.occ, ranker.Overdue)
+			rd.dr.judge(sp.occ, ranker.Overdue, rd.dr.expectedSeconds)
 		}
 		key := shortageKey{queue.Pool, queue.Priority}
 		rd.dr.countShort(key, &jb, rs.rank.Class)
@@ -300,11 +318,8 @@
 	var criticalPath time.Duration
 	for _, other := range oc.steps {
 		criticalPath = max(criticalPath, other.remaining)
-		seconds, tasks := expectedSeconds(other), float64(len(other.tasks))
+		seconds, tasks := rd.dr.expectedSeconds(other), float64(len(other.tasks))
 		size += tasks * float64(other.spec.Needs.MilliCores) * seconds
-		if _, observed := observedSeconds(other); !observed {
-			seconds *= ratio
-		}
 		left := tasks - float64(other.done)
 		if other.unfinishedPredecessors == 0 {
 			// The tasks that run are half done, on average.
--- a/internal/job/director/value_test.go
+++ b/internal/job/director/value_test.go
@@ -137,8 +137,10 @@
 		"a wrong one first": {[]time.Duration{tooLong, -time.Second, time.Second, 2 * time.Second, 3 * time.Second, 4 * time.Second, time.Hour}, 2.5},
 	} {
 		t.Run(name, func(t *testing.T) {
-			sp := &step{spec: &modeler.Step{Estimate: 3 * time.Second}, runTimes: tc.runTimes}
-			qt.Check(t, expectedSeconds(sp), qt.Equals, tc.want)
+			dr := newBacklog(1, 1, func(int) modeler.Step { return modeler.Step{Count: 1, Estimate: 3 * time.Second} })
+			sp := dr.jobs["j0"].occurrences[0].steps[0]
+			sp.runTimes = tc.runTimes
+			qt.Check(t, dr.expectedSeconds(sp), qt.Equals, tc.want)
 		})
 	}
 }
@@ -276,3 +278,26 @@
 		})
 	}
 }
+
+// Guards against jobs that are judged by wrong estimates although the run times of their tasks are known.
+func TestJudgeByRunTimes(t *testing.T) {
+	for _, estimate := range []time.Duration{100 * time.Millisecond, time.Second, 10 * time.Second} {
+		for _, total := range []time.Duration{1400 * time.Millisecond, 2500 * time.Millisecond} {
+			t.Run(fmt.Sprintf("estimate %s, ended after %s", estimate, total), func(t *testing.T) {
+				dr := newRunning(1, 1, modeler.Step{Needs: modeler.Resources{MilliCores: 100}, Estimate: estimate})
+				jb, now := dr.jobs["j0"], time.Now()
+				oc := jb.occurrences[0]
+				jb.MaxSlowdown, oc.due = 1.5, now.Add(-total)
+				tk := oc.steps[0].tasks[0]
+				tk.attempts[0].answeredAt = now.Add(-time.Second)
+				dr.judgeEnded(tk, now)
+				want := 0
+				if total > 1500*time.Millisecond {
+					want = 1
+				}
+				qt.Check(t, dr.delayed.jobs, qt.Equals, want)
+				qt.Check(t, oc.steps[0].runTimes, qt.HasLen, 0)
+			})
+		}
+	}
+}
