--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -266,6 +266,8 @@
 	shortages  map[shortageKey]time.Time
 	promotions map[shortageKey]*promotion
 	histories  map[modeler.QueueName]*queueHistory
+	// observations is the number of those that histories has received.
+	observations int64
 	// shortSteps, delayed and shortage are for the reports on shortages.
 	shortSteps map[shortageKey]*shortSteps
 	delayed    delayed
--- a/internal/job/director/value.go
+++ b/internal/job/director/value.go
@@ -53,28 +53,53 @@
 type queueHistory struct {
 	runTimes valuer.Predictor
 	sizes    valuer.Sizes
+	// observedAt is the number of the last observation, of those of all queues.
+	observedAt int64
 }
 
-// history returns the history of a job's queue.
+// history returns the history of a job's queue, an empty one if nothing was observed.
 func (dr *Director) history(jb *job) *queueHistory {
+	if qh := dr.histories[jb.Queue]; qh != nil {
+		return qh
+	}
+	return &queueHistory{}
+}
+
+// observedHistory returns the history of a job's queue for an observation. A new one takes the place of that with the
+// least recent observation, if there are maxQueueHistories.
+func (dr *Director) observedHistory(jb *job) *queueHistory {
+	dr.observations++
 	qh := dr.histories[jb.Queue]
 	if qh == nil {
 		if len(dr.histories) >= maxQueueHistories {
-			clear(dr.histories)
+			dr.evictHistory()
 		}
 		qh = &queueHistory{}
 		dr.histories[jb.Queue] = qh
 	}
+	qh.observedAt = dr.observations
 	return qh
 }
 
+// evictHistory deletes the history with the least recent observation.
+func (dr *Director) evictHistory() {
+	var least modeler.QueueName
+	leastAt := int64(math.MaxInt64)
+	for name, qh := range dr.histories {
+		if qh.observedAt < leastAt {
+			least, leastAt = name, qh.observedAt
+		}
+	}
+	delete(dr.histories, least)
+}
+
 // observeRunTime records the run time of a task that is done.
 func (dr *Director) observeRunTime(tk *task, now time.Time) {
 	if !dr.followsValue() {
 		return
 	}
 	if rt, ok := lastRunTime(tk, now); ok {
-		dr.history(tk.step.occ.job).runTimes.Observe(tk.step.spec.Estimate, rt)
+		dr.observedHistory(tk.step.occ.job).runTimes.Observe(tk.step.spec.Estimate, rt)
 	}
 }
 
@@ -101,7 +126,7 @@
 		}
 		work += float64(sp.spec.Count) * float64(sp.spec.Needs.MilliCores) * seconds(sp)
 	}
-	dr.history(oc.job).sizes.Observe(work, class < ranker.Overdue)
+	dr.observedHistory(oc.job).sizes.Observe(work, class < ranker.Overdue)
 	if lost := 1 - valuer.Value(class); lost > 0 {
 		dr.delayed.jobs++
 		dr.delayed.valueLost += lost
--- a/internal/job/director/value_test.go
+++ b/internal/job/director/value_test.go
@@ -301,3 +301,22 @@
 		}
 	}
 }
+
+// Guards against run times of busy queues that are forgotten as jobs of many other queues come.
+func TestHistoriesOfManyQueues(t *testing.T) {
+	dr := newRunning(1, 1, modeler.Step{Needs: modeler.Resources{MilliCores: 100}, Estimate: time.Second})
+	jb, now := dr.jobs["j0"], time.Now()
+	tk := jb.occurrences[0].steps[0].tasks[0]
+	tk.attempts[0].answeredAt = now.Add(-4 * time.Second)
+	observe := func(queue modeler.QueueName) {
+		jb.Queue = queue
+		dr.observeRunTime(tk, now)
+	}
+	for no := range 2 * maxQueueHistories {
+		observe("busy")
+		observe(modeler.QueueName(fmt.Sprint("queue", no)))
+		qt.Assert(t, len(dr.histories) <= maxQueueHistories, qt.IsTrue)
+	}
+	jb.Queue = "busy"
+	qt.Check(t, dr.expectedSeconds(tk.step), qt.Equals, 4.0)
+}
