--- a/internal/job/director/advance.go
+++ b/internal/job/director/advance.go
@@ -65,7 +65,7 @@
 		for ix, wk := range rd.workers {
 			freed, ok := ending[ix]
 			cands[ix].Excluded = !ok || wk.info.Pool != pool || slices.Contains(dm.Avoid, wk.info.ID)
-			cands[ix].Free, cands[ix].SameStepTasks = wk.free.Plus(freed), sp.perWorker[wk.info.ID]
+			cands[ix].Free, cands[ix].BestEffortMemoryMB, cands[ix].SameStepTasks = wk.free.Plus(freed), 0, sp.perWorker[wk.info.ID]
 		}
 		ix := rd.chooseAmong(&dm, rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &dm, cands))
 		if ix < 0 {
--- a/internal/job/director/aging.go
+++ b/internal/job/director/aging.go
@@ -153,7 +153,7 @@
 		if dm.MaxPerWorker == 0 && rd.mayHold(dm, ix) && dm.Needs.Fits(wk.free.Plus(wk.ending).Minus(expected)) {
 			rd.heldFor[ix] = expected.Plus(dm.Needs)
 			if rd.dr.followsValue() {
-				rd.cands[ix].Free = rd.freeBesideHeld(ix)
+				rd.holdCandidate(ix)
 				rd.changed = append(rd.changed, ix)
 			}
 			return true
@@ -170,7 +170,7 @@
 }
 
 // holdWorker makes a backfill reservation for a demand that fits nowhere: for the rest of this
-// round only, one worker counts as having no free capacity but that of freeBesideHeld, so that less urgent tasks do not delay
+// round only, one worker counts as having no free capacity, see holdCandidate, so that less urgent tasks do not delay
 // the demand. Of the workers that may be held, it takes the one with the most free processors. It
 // returns false if there is none.
 func (rd *round) holdWorker(dm *placer.Demand) bool {
@@ -192,7 +192,7 @@
 	}
 	rd.held = append(rd.held, best)
 	rd.heldFor[best] = dm.Needs
-	rd.cands[best].Free = rd.freeBesideHeld(best)
+	rd.holdCandidate(best)
 	rd.changed = append(rd.changed, best)
 	return true
 }
--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -382,13 +382,13 @@
 
 func (rd *round) freeHeld() {
 	for _, ix := range rd.held {
-		rd.cands[ix].Free = rd.workers[ix].free
+		rd.cands[ix].Free, rd.cands[ix].BestEffortMemoryMB = rd.workers[ix].free, 0
 	}
 }
 
 func (rd *round) holdAgain() {
 	for _, ix := range rd.held {
-		rd.cands[ix].Free = rd.freeBesideHeld(ix)
+		rd.holdCandidate(ix)
 	}
 }
 
@@ -525,7 +525,7 @@
 	cd.Free, cd.LatencyCriticalTasks, cd.BestEffortTasks = wk.free, wk.criticalTasks, wk.bestEffortTasks
 	cd.BestEffortMilliCores, cd.LatencyCriticalMilliCores = wk.bestEffortMilliCores, wk.criticalMilliCores
 	if slices.Contains(rd.held, ix) {
-		cd.Free = rd.freeBesideHeld(ix)
+		rd.holdCandidate(ix)
 	}
 	rd.changed = append(rd.changed, ix)
 	for _, fc := range rd.forecasts {
--- a/internal/job/director/shortage.go
+++ b/internal/job/director/shortage.go
@@ -25,15 +25,15 @@
 // followsValue reports whether ValuePolicy applies.
 func (dr *Director) followsValue() bool { return dr.op.Limits.ShortagePolicy == ValuePolicy }
 
-// freeBesideHeld returns what less urgent tasks may use of a held worker. Under ValuePolicy that is the memory
-// beyond what the demands need for which it is held. Only best-effort tasks can use it, as all others need
-// processors, and they take none from these demands: a worker lets them run on what others leave idle. Memory of
-// runs that end counts as free only once they have ended.
-func (rd *round) freeBesideHeld(ix int) modeler.Resources {
-	if !rd.dr.followsValue() {
-		return modeler.Resources{}
-	}
-	return modeler.Resources{MemoryMB: max(0, rd.workers[ix].free.MemoryMB-rd.heldFor[ix].MemoryMB)}
+// holdCandidate keeps less urgent tasks from a held worker in this round. Under ValuePolicy, best-effort tasks may use
+// the memory beyond what the demands need for which it is held: they take no processors from these demands, as a worker
+// lets them run on what others leave idle. Memory of runs that end counts as free only once they have ended.
+func (rd *round) holdCandidate(ix int) {
+	cd := &rd.cands[ix]
+	cd.Free, cd.BestEffortMemoryMB = modeler.Resources{}, 0
+	if rd.dr.followsValue() {
+		cd.BestEffortMemoryMB = max(0, rd.workers[ix].free.MemoryMB-rd.heldFor[ix].MemoryMB)
+	}
 }
 
 // activeKey identifies the runs of a pool's workers of which the tasks have the same priority, however the
--- a/internal/job/director/shortage_test.go
+++ b/internal/job/director/shortage_test.go
@@ -37,11 +37,14 @@
 		// memory is what the waiting short task needs, in megabytes.
 		policy director.ShortagePolicy
 		memory int64
-		starts int
+		// reserves is set for a less urgent task that needs no processors and is not best-effort.
+		reserves bool
+		starts   int
 	}{
-		{"deadline", director.DeadlinePolicy, 1000, 0},
-		{"value", director.ValuePolicy, 1000, 1},
-		{"value, memory needed", director.ValuePolicy, 60_000, 0},
+		{"deadline", director.DeadlinePolicy, 1000, false, 0},
+		{"value", director.ValuePolicy, 1000, false, 1},
+		{"value, memory needed", director.ValuePolicy, 60_000, false, 0},
+		{"value, not best-effort", director.ValuePolicy, 1000, true, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			runPolicy(t, tc.policy, 1, func(fl *fleet, tm *term) {
@@ -56,6 +59,9 @@
 				sleep(500 * time.Millisecond)
 				filling := simpleJob("filling", "batch", 1, modeler.Resources{MilliCores: 2000, MemoryMB: 5000})
 				filling.Steps[0].BestEffort, filling.Steps[0].Image = true, "filling"
+				if tc.reserves {
+					filling.Steps[0].BestEffort, filling.Steps[0].Needs.MilliCores = false, 0
+				}
 				tm.submit(filling)
 				sleep(time.Second)
 				qt.Check(t, fl.workers.StartCount(modeler.TaskID{Job: "filling"}), qt.Equals, tc.starts)
--- a/internal/job/director/waiting.go
+++ b/internal/job/director/waiting.go
@@ -288,9 +288,9 @@
 func (rd *round) fitsHeldWorker(dm *placer.Demand, cands []placer.Candidate) bool {
 	return slices.ContainsFunc(rd.held, func(ix int) bool {
 		cd := &rd.cands[ix]
-		free := cd.Free
-		defer func() { cd.Free = free }()
-		cd.Free = rd.workers[ix].free
+		free, memory := cd.Free, cd.BestEffortMemoryMB
+		defer func() { cd.Free, cd.BestEffortMemoryMB = free, memory }()
+		cd.Free, cd.BestEffortMemoryMB = rd.workers[ix].free, 0
 		if cands[ix].Excluded || !placer.HasCapacity(dm, cd) {
 			return false
 		}
--- a/internal/job/placer/placer.go
+++ b/internal/job/placer/placer.go
@@ -60,6 +60,8 @@
 	// Free is the capacity less all reservations. A resource may be negative when the worker runs
 	// tasks that this leader did not place.
 	Free modeler.Resources
+	// BestEffortMemoryMB is memory that best-effort tasks may use in addition to Free.
+	BestEffortMemoryMB int64
 	// LatencyCriticalTasks is the number of latency-critical tasks there.
 	LatencyCriticalTasks int
 	// BestEffortTasks is the number of best-effort tasks there.
@@ -221,10 +223,19 @@
 // HasCapacity reports whether the worker has free capacity for the task. What the task does to the latency-critical
 // tasks there does not matter, so that the fields of the candidate on loads, interference and trials need not be set.
 func HasCapacity(dm *Demand, cd *Candidate) bool {
-	return !cd.Excluded && reservationOf(dm).Fits(cd.Free) && (dm.MaxPerWorker <= 0 || cd.SameStepTasks < dm.MaxPerWorker) &&
+	return !cd.Excluded && hasFree(dm, cd) && (dm.MaxPerWorker <= 0 || cd.SameStepTasks < dm.MaxPerWorker) &&
 		(!dm.BestEffort || hasIdleProcessors(dm, cd)) && !(dm.LongRunning && cd.LongLease) && Matches(dm, cd.Worker)
 }
 
+// hasFree reports whether what the task reserves is free.
+func hasFree(dm *Demand, cd *Candidate) bool {
+	free := cd.Free
+	if dm.BestEffort {
+		free.MemoryMB += cd.BestEffortMemoryMB
+	}
+	return reservationOf(dm).Fits(free)
+}
+
 // Reasons counts candidates by why they are not feasible for a task.
 type Reasons struct {
 	// Unsuited workers could never run the task: they are excluded, or lack the label, the rack or
@@ -259,7 +270,7 @@
 			rs.Unsuited++
 		case dm.MaxPerWorker > 0 && cd.SameStepTasks >= dm.MaxPerWorker:
 			rs.Crowded++
-		case !reservationOf(dm).Fits(cd.Free):
+		case !hasFree(dm, cd):
 			rs.Full++
 		case dm.BestEffort && !(hasIdleProcessors(dm, cd) && allowsInterference(cd)):
 			rs.Disturbed++
