--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -58,6 +58,10 @@
 	unfinishedSteps int
 	// judged is set once judge has recorded whether the occurrence was served.
 	judged bool
+	// vainPromotions is the number of promotions that timed out since the last that placed a task, and
+	// notPromotedBefore when the occurrence may be promoted again.
+	vainPromotions    int
+	notPromotedBefore time.Time
 }
 
 // step is a step of one occurrence.
@@ -576,6 +580,8 @@
 	listed bool
 	// recording is set while the journal has not confirmed the placement of a long-running task.
 	recording bool
+	// demand is the sum to which the attempt was added, nil for none.
+	demand *activeDemand
 	// advanceEnd is when a task that was placed in advance is queued again unless its start has been
 	// queued. See worker.inAdvance.
 	advanceEnd time.Time
--- a/internal/job/director/shortage_test.go
+++ b/internal/job/director/shortage_test.go
@@ -37,11 +37,14 @@
 		// memory is what the waiting short task needs, in megabytes.
 		policy director.ShortagePolicy
 		memory int64
-		starts int
+		// reserves is set for a less urgent task that needs no processors and is not best-effort.
+		reserves bool
+		starts   int
 	}{
-		{"deadline", director.DeadlinePolicy, 1000, 0},
-		{"value", director.ValuePolicy, 1000, 1},
-		{"value, memory needed", director.ValuePolicy, 60_000, 0},
+		{"deadline", director.DeadlinePolicy, 1000, false, 0},
+		{"value", director.ValuePolicy, 1000, false, 1},
+		{"value, memory needed", director.ValuePolicy, 60_000, false, 0},
+		{"value, not best-effort", director.ValuePolicy, 1000, true, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			runPolicy(t, tc.policy, 1, func(fl *fleet, tm *term) {
@@ -56,6 +59,9 @@
 				sleep(500 * time.Millisecond)
 				filling := simpleJob("filling", "batch", 1, modeler.Resources{MilliCores: 2000, MemoryMB: 5000})
 				filling.Steps[0].BestEffort, filling.Steps[0].Image = true, "filling"
+				if tc.reserves {
+					filling.Steps[0].BestEffort, filling.Steps[0].Needs.MilliCores = false, 0
+				}
 				tm.submit(filling)
 				sleep(time.Second)
 				qt.Check(t, fl.workers.StartCount(modeler.TaskID{Job: "filling"}), qt.Equals, tc.starts)
@@ -115,6 +121,38 @@
 	qt.Check(t, ended[director.ValuePolicy], qt.Equals, 4)
 }
 
+// Guards against an overdue job that can never be placed and keeps the promotion from the others.
+func TestOverdueJobsEndBesideUnplaceable(t *testing.T) {
+	for name, prepare := range map[string]func(*modeler.Job){
+		"label that no worker has": func(jb *modeler.Job) { jb.Steps[0].Label = "none" },
+		"gang that fits nowhere":   func(jb *modeler.Job) { jb.Steps[0].Gang, jb.Steps[0].Count = true, 9 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			runPolicy(t, director.ValuePolicy, 4, func(_ *fleet, tm *term) {
+				const old, width = 4, 4
+				unplaceable := simpleJob("unplaceable", "urgent", 1, cores(8000))
+				prepare(unplaceable)
+				tm.submit(unplaceable)
+				sleep(100 * time.Millisecond)
+				ended := 0
+				for no := range old {
+					tm.submit(simpleJob(modeler.JobID(fmt.Sprint("old", no)), "urgent", width, cores(8000)))
+				}
+				for no := range 900 {
+					tm.submit(simpleJob(modeler.JobID(fmt.Sprint("new", no)), "urgent", 1, cores(8000)))
+					sleep(100 * time.Millisecond)
+				}
+				for no := range old {
+					if st, _ := tm.JobState(modeler.JobID(fmt.Sprint("old", no))); st == modeler.Completed {
+						ended++
+					}
+				}
+				qt.Check(t, ended, qt.Equals, old)
+			})
+		})
+	}
+}
+
 // Guards against tasks that run twice, jobs that do not end, and overbooked workers under ValuePolicy, while leaders
 // change and workers fail.
 func TestRandomFaultsUnderValue(t *testing.T) {
--- a/internal/job/director/value.go
+++ b/internal/job/director/value.go
@@ -24,10 +24,21 @@
 	defaultRunTime = 1.0
 	// sampledRunTimes is the number of run times of a step from which those of its other tasks are expected.
 	sampledRunTimes = 4
+	// maxRunTime is the longest run time that counts as one.
+	maxRunTime = 24 * time.Hour
 	// promotedShare is the share of a pool's capacity that overdue jobs get before all others, one after the other,
-	// and minPromotionInterval the least time between two of them.
+	// and minPromotionInterval and maxPromotionInterval bound the time between two of them. A pool that has lost most of
+	// its workers for a moment would otherwise go without promotions for hours.
 	promotedShare        = 1.0 / 32
 	minPromotionInterval = 500 * time.Millisecond
+	maxPromotionInterval = 30 * time.Second
+	// promotionTimeout is how long a promoted job may go without a placement. It exceeds the run time of most short
+	// tasks, for the end of which it may have to wait.
+	promotionTimeout = 5 * time.Second
+	// promotionPause is how long a job is not promoted again after a promotion that timed out. It doubles each time, up
+	// to maxPromotionPause, so that jobs that can never be placed leave promotions to others.
+	promotionPause    = 10 * time.Second
+	maxPromotionPause = 10 * time.Minute
 	// maxQueueHistories bounds the queues of which run times are kept.
 	maxQueueHistories = 512
 )
@@ -42,34 +53,68 @@
 type queueHistory struct {
 	runTimes valuer.Predictor
 	sizes    valuer.Sizes
+	// observedAt is the number of the last observation, of those of all queues.
+	observedAt int64
 }
 
-// history returns the history of a job's queue.
+// history returns the history of a job's queue, an empty one if nothing was observed.
 func (dr *Director) history(jb *job) *queueHistory {
+	if qh := dr.histories[jb.Queue]; qh != nil {
+		return qh
+	}
+	return &queueHistory{}
+}
+
+// observedHistory returns the history of a job's queue for an observation. A new one takes the place of that with the
+// least recent observation, if there are maxQueueHistories.
+func (dr *Director) observedHistory(jb *job) *queueHistory {
+	dr.observations++
 	qh := dr.histories[jb.Queue]
 	if qh == nil {
 		if len(dr.histories) >= maxQueueHistories {
-			clear(dr.histories)
+			dr.evictHistory()
 		}
 		qh = &queueHistory{}
 		dr.histories[jb.Queue] = qh
 	}
+	qh.observedAt = dr.observations
 	return qh
 }
 
-// observeRunTime records the run time of a task that is done, unless a part of it ran earlier or for another
-// leader.
+// evictHistory deletes the history with the least recent observation.
+func (dr *Director) evictHistory() {
+	var least modeler.QueueName
+	leastAt := int64(math.MaxInt64)
+	for name, qh := range dr.histories {
+		if qh.observedAt < leastAt {
+			least, leastAt = name, qh.observedAt
+		}
+	}
+	delete(dr.histories, least)
+}
+
+// observeRunTime records the run time of a task that is done.
 func (dr *Director) observeRunTime(tk *task, now time.Time) {
-	if !dr.followsValue() || len(tk.attempts) != 1 || tk.savedShare > 0 {
+	if !dr.followsValue() {
 		return
 	}
-	if at := tk.attempts[0]; !at.adopted && !at.answeredAt.IsZero() {
-		dr.history(tk.step.occ.job).runTimes.Observe(tk.step.spec.Estimate, now.Sub(at.answeredAt))
+	if rt, ok := lastRunTime(tk, now); ok {
+		dr.observedHistory(tk.step.occ.job).runTimes.Observe(tk.step.spec.Estimate, rt)
+	}
+}
+
+// lastRunTime returns the run time of a task that is done, or false if a part of it ran earlier or for another leader.
+func lastRunTime(tk *task, now time.Time) (time.Duration, bool) {
+	if len(tk.attempts) != 1 || tk.savedShare > 0 {
+		return 0, false
 	}
+	at := tk.attempts[0]
+	return now.Sub(at.answeredAt), !at.adopted && !at.answeredAt.IsZero()
 }
 
-// judge records what an occurrence was worth to its caller. Only the first call for an occurrence counts.
-func (dr *Director) judge(oc *occurrence, class ranker.DeadlineClass) {
+// judge records what an occurrence was worth to its caller, given the run time of each step's tasks in seconds. Only the
+// first call for an occurrence counts.
+func (dr *Director) judge(oc *occurrence, class ranker.DeadlineClass, seconds func(*step) float64) {
 	if !dr.followsValue() || oc.judged {
 		return
 	}
@@ -79,9 +124,9 @@
 		if sp.spec.LongRunning {
 			return
 		}
-		work += float64(sp.spec.Count) * float64(sp.spec.Needs.MilliCores) * expectedSeconds(sp)
+		work += float64(sp.spec.Count) * float64(sp.spec.Needs.MilliCores) * seconds(sp)
 	}
-	dr.history(oc.job).sizes.Observe(work, class < ranker.Overdue)
+	dr.observedHistory(oc.job).sizes.Observe(work, class < ranker.Overdue)
 	if lost := 1 - valuer.Value(class); lost > 0 {
 		dr.delayed.jobs++
 		dr.delayed.valueLost += lost
@@ -97,36 +142,58 @@
 	if !dr.followsValue() || oc.judged || len(tk.attempts) == 0 {
 		return
 	}
+	seconds := func(sp *step) float64 {
+		if rt, ok := lastRunTime(tk, now); ok && sp == tk.step {
+			// recordOutcome adds it later.
+			if seconds, ok := meanSeconds(append(slices.Clip(sp.runTimes), rt)); ok {
+				return seconds
+			}
+		}
+		return dr.expectedSeconds(sp)
+	}
 	ends := make([]float64, len(oc.steps))
 	var criticalPath float64
 	for ix, sp := range oc.steps {
 		for _, pred := range sp.spec.After {
 			ends[ix] = max(ends[ix], ends[pred])
 		}
-		ends[ix] += expectedSeconds(sp)
+		ends[ix] += seconds(sp)
 		criticalPath = max(criticalPath, ends[ix])
 	}
 	queue := dr.queue(oc.job)
 	ws := ranker.WaitingStep{Submitted: oc.due, Objective: ranker.Objective(time.Duration(criticalPath*float64(time.Second)), queue.MaxSlowdown, queue.Slack)}
-	dr.judge(oc, ws.DeadlineClass(now))
+	dr.judge(oc, ws.DeadlineClass(now), seconds)
 }
 
 // expectedSeconds returns the expected run time of a step's tasks: that of the tasks that have ended, otherwise
-// the caller's estimate.
-func expectedSeconds(sp *step) float64 {
-	if known := min(len(sp.runTimes), sampledRunTimes); known > 0 {
-		var sum time.Duration
-		for _, rt := range sp.runTimes[:known] {
-			sum += rt
-		}
-		return sum.Seconds() / float64(known)
+// the caller's estimate, corrected by the run times of the queue.
+func (dr *Director) expectedSeconds(sp *step) float64 {
+	if seconds, ok := meanSeconds(sp.runTimes); ok {
+		return seconds
 	}
 	if sp.spec.Estimate > 0 {
-		return sp.spec.Estimate.Seconds()
+		return sp.spec.Estimate.Seconds() * dr.history(sp.occ.job).runTimes.Correction(sp.spec.Estimate)
 	}
 	return defaultRunTime
 }
 
+// meanSeconds returns the mean of the first run times of a step, and whether there are any. It leaves out run times that
+// a task cannot have, as of a run that ended before the answer to its start.
+func meanSeconds(runTimes []time.Duration) (float64, bool) {
+	var sum float64
+	known := 0
+	for _, rt := range runTimes {
+		if rt < 0 || rt > maxRunTime {
+			continue
+		}
+		sum += rt.Seconds()
+		if known++; known == sampledRunTimes {
+			break
+		}
+	}
+	return sum / float64(max(known, 1)), known > 0
+}
+
 // noteShortage notes that a pool has no capacity for a task of a step, if the task has waited for long enough
 // and could ever run there.
 func (rd *round) noteShortage(tk *task, dm *placer.Demand) {
@@ -138,7 +205,7 @@
 	if rd.dr.shortages[key].Equal(rd.now) {
 		return
 	}
-	if slices.ContainsFunc(rd.cands, func(cd placer.Candidate) bool { return !cd.Excluded && placer.Matches(dm, cd.Worker) }) {
+	if rd.matchesSome(queue.Pool, dm) {
 		rd.dr.shortages[key] = rd.now
 	}
 }
@@ -161,7 +228,7 @@
 		value := jb.Rank(rd.now)
 		rs.short, rs.density, rs.rank.Class = true, value.Density, value.Class
 		if rs.rank.Class == ranker.Overdue {
-			rd.dr.judge(sp.occ, ranker.Overdue)
+			rd.dr.judge(sp.occ, ranker.Overdue, rd.dr.expectedSeconds)
 		}
 		key := shortageKey{queue.Pool, queue.Priority}
 		rd.dr.countShort(key, &jb, rs.rank.Class)
@@ -176,10 +243,12 @@
 	// occ is promoted at present, nil for none, and nextAt is when the next one may be.
 	occ    *occurrence
 	nextAt time.Time
+	// placedAt is when a task of occ was last placed, or else when it was promoted.
+	placedAt time.Time
 	// waitsIn is the last round that found a waiting step of occ.
 	waitsIn int64
-	// oldest is the overdue occurrence that was submitted first of those that the round has ranked so far, and work
-	// what it needs.
+	// oldest is the overdue occurrence that was submitted first of those that the round has ranked so far and that may
+	// be promoted, and work what it needs.
 	oldest *occurrence
 	work   float64
 }
@@ -196,21 +265,60 @@
 	case pm.occ == oc:
 		pm.waitsIn = dr.rounds
 		rs.rank.Class, rs.density = ranker.OnTime, math.Inf(1)
-	case rs.rank.Class == ranker.Overdue && (pm.oldest == nil || oc.due.Before(pm.oldest.due)):
+	case rs.rank.Class == ranker.Overdue && (pm.oldest == nil || oc.due.Before(pm.oldest.due)) && rd.promotable(rs.step):
 		pm.oldest, pm.work = oc, work
 	}
 }
 
+// promotable reports whether a promotion of a step's occurrence can place one of the step's tasks, as far as that is
+// known.
+func (rd *round) promotable(sp *step) bool {
+	pool := rd.dr.pool(sp.occ.job)
+	if rd.now.Before(sp.occ.notPromotedBefore) || len(sp.waiting) == 0 || rd.capacity(pool).MilliCores <= 0 {
+		return false
+	}
+	dm := rd.dr.demand(sp.waiting[0])
+	return rd.matchesSome(pool, &dm) && slices.ContainsFunc(sp.waiting, func(tk *task) bool { return rd.dr.startable(tk, rd.now) })
+}
+
+// notePromotedPlacement notes that a task was placed, if its occurrence is promoted.
+func (rd *round) notePromotedPlacement(tk *task) {
+	if len(rd.dr.promotions) == 0 {
+		return
+	}
+	queue := rd.dr.queue(tk.step.occ.job)
+	if pm := rd.dr.promotions[shortageKey{queue.Pool, queue.Priority}]; pm != nil && pm.occ == tk.step.occ {
+		pm.placedAt, pm.occ.vainPromotions = rd.now, 0
+	}
+}
+
+// timeOut ends a promotion without a placement for promotionTimeout. What cannot be placed may be a gang that fits
+// nowhere or a step without permits.
+func (pm *promotion) timeOut(now time.Time) {
+	if pm.occ == nil || now.Sub(pm.placedAt) < promotionTimeout {
+		return
+	}
+	pause := promotionPause
+	for range pm.occ.vainPromotions {
+		pause = min(2*pause, maxPromotionPause)
+	}
+	pm.occ.notPromotedBefore = now.Add(pause)
+	pm.occ.vainPromotions++
+	// The work for which the next promotion was delayed has not been placed.
+	pm.occ, pm.nextAt = nil, now
+}
+
 // promoteOverdue chooses the occurrences that the next rounds promote. Their work is at most promotedShare of a
-// pool's capacity.
+// pool's capacity, unless that delays the next one beyond maxPromotionInterval.
 func (rd *round) promoteOverdue() {
 	for key, pm := range rd.dr.promotions {
 		if pm.occ != nil && pm.waitsIn != rd.dr.rounds {
 			pm.occ = nil
 		}
+		pm.timeOut(rd.now)
 		if pm.occ == nil && pm.oldest != nil && !rd.now.Before(pm.nextAt) {
-			pm.occ = pm.oldest
-			pm.nextAt = rd.now.Add(max(minPromotionInterval, time.Duration(pm.work/promotedShare*float64(time.Second))))
+			pm.occ, pm.placedAt = pm.oldest, rd.now
+			pm.nextAt = rd.now.Add(promotionInterval(pm.work))
 		}
 		pm.oldest = nil
 		if pm.occ == nil && rd.now.Sub(rd.dr.shortages[key]) > shortageMemory {
@@ -219,6 +327,13 @@
 	}
 }
 
+// promotionInterval returns the time from a promotion to the next. The work is the share of a pool's capacity that the
+// occurrence needs, times seconds.
+func promotionInterval(work float64) time.Duration {
+	seconds := min(work/promotedShare, maxPromotionInterval.Seconds())
+	return max(minPromotionInterval, time.Duration(seconds*float64(time.Second)))
+}
+
 // valueJob returns the job of a waiting step as the valuer needs it, with corrected estimates.
 func (rd *round) valueJob(sp *step, ws *ranker.WaitingStep, queue *modeler.Queue) valuer.Job {
 	oc, qh, pool := sp.occ, rd.dr.history(sp.occ.job), rd.capacity(queue.Pool)
@@ -228,11 +343,8 @@
 	var criticalPath time.Duration
 	for _, other := range oc.steps {
 		criticalPath = max(criticalPath, other.remaining)
-		seconds, tasks := expectedSeconds(other), float64(len(other.tasks))
+		seconds, tasks := rd.dr.expectedSeconds(other), float64(len(other.tasks))
 		size += tasks * float64(other.spec.Needs.MilliCores) * seconds
-		if len(other.runTimes) == 0 {
-			seconds *= ratio
-		}
 		left := tasks - float64(other.done)
 		if other.unfinishedPredecessors == 0 {
 			// The tasks that run are half done, on average.
