--- /dev/null
+++ b/internal/daemon/assembler/explanation.go
@@ -0,0 +1,121 @@
+package assembler
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	fleet "github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/director"
+	"github.com/currantrouter/currantrouter/internal/job/elector"
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/operator/server"
+)
+
+// minExplanationInterval is the least time between two explanations, each of which looks at all workers as a placement
+// round does.
+const minExplanationInterval = time.Second
+
+// jobExplainer answers operators where a job would be placed. It computes one explanation at a time.
+type jobExplainer struct {
+	director      func() *director.Director
+	leader        func() elector.Leader
+	configuration func() *modeler.Configuration
+
+	mu sync.Mutex
+	// lastAt is when the last explanation was computed.
+	lastAt time.Time
+}
+
+// explanationError is an error answer with its HTTP status.
+type explanationError struct {
+	status        int
+	code, message string
+}
+
+func (ee *explanationError) Error() string { return ee.code + ": " + ee.message }
+
+func (je *jobExplainer) ServeHTTP(wr http.ResponseWriter, rq *http.Request) {
+	var answer any
+	status := http.StatusOK
+	ex, err := je.explain(rq)
+	if err == nil {
+		answer = ex
+	} else {
+		ee := &explanationError{status: http.StatusInternalServerError, code: "Internal", message: err.Error()}
+		errors.As(err, &ee)
+		status, answer = ee.status, server.Rejection{Failure: fleet.Failure{Code: ee.code, Message: ee.message}}
+	}
+	wr.Header().Set("Content-Type", "application/json")
+	wr.WriteHeader(status)
+	json.NewEncoder(wr).Encode(answer)
+}
+
+// explain answers a request. Errors: *explanationError.
+func (je *jobExplainer) explain(rq *http.Request) (*director.JobExplanation, error) {
+	cfg := je.configuration()
+	if cfg == nil {
+		return nil, &explanationError{http.StatusServiceUnavailable, "NoConfiguration", "the host has no configuration of queues"}
+	}
+	dr := je.director()
+	if dr == nil {
+		return nil, je.notLeader()
+	}
+	body, err := io.ReadAll(rq.Body)
+	if err != nil {
+		return nil, &explanationError{http.StatusBadRequest, "BodyIncomplete", err.Error()}
+	}
+	jb := new(modeler.Job)
+	if err := json.Unmarshal(body, jb); err != nil {
+		return nil, &explanationError{http.StatusUnprocessableEntity, "InvalidJob", err.Error()}
+	}
+	queue, err := findQueue(cfg, rq)
+	if err != nil {
+		return nil, err
+	}
+	if !je.mu.TryLock() {
+		return nil, errExplanationBusy
+	}
+	defer je.mu.Unlock()
+	if time.Since(je.lastAt) < minExplanationInterval {
+		return nil, errExplanationBusy
+	}
+	je.lastAt = time.Now()
+	ex, err := dr.ExplainJob(jb, queue)
+	switch {
+	case errors.Is(err, modeler.ErrInvalidJob):
+		return nil, &explanationError{http.StatusUnprocessableEntity, "InvalidJob", err.Error()}
+	case errors.Is(err, director.ErrNotLoaded):
+		return nil, &explanationError{http.StatusServiceUnavailable, "NotLoaded", err.Error()}
+	}
+	return ex, err
+}
+
+var errExplanationBusy = &explanationError{http.StatusServiceUnavailable, "Busy", fmt.Sprintf("one explanation at a time, and one in %s", minExplanationInterval)}
+
+// notLeader returns the error of a host that does not lead, which names the leader.
+func (je *jobExplainer) notLeader() error {
+	message := "the host is not the leader, and no leader is known"
+	if ld := je.leader(); ld.Host != "" {
+		message = fmt.Sprintf("the host is not the leader; the leader is %s, whose address for peers is %s", ld.Host, ld.Address)
+	}
+	return &explanationError{http.StatusServiceUnavailable, "NotLeader", message}
+}
+
+// findQueue returns the queue with the name in the query, or that of a caller's host and path.
+func findQueue(cfg *modeler.Configuration, rq *http.Request) (*modeler.Queue, error) {
+	query := rq.URL.Query()
+	name, host, path := query.Get("Queue"), query.Get("Host"), query.Get("Path")
+	queue := cfg.Queue(modeler.QueueName(name))
+	if name == "" {
+		queue, _, _ = cfg.Route(host, path)
+	}
+	if queue == nil {
+		return nil, &explanationError{http.StatusNotFound, "NoSuchQueue", fmt.Sprintf("no queue has the name %q, or the host %q and a prefix of the path %q", name, host, path)}
+	}
+	return queue, nil
+}
--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -305,6 +305,8 @@
 	snapshotPosition int64
 	// factsSinceSnapshot is the number of facts recorded since the last snapshot, also by earlier leaders.
 	factsSinceSnapshot atomic.Int64
+	// explains is set in the copy that explanationCopy returns, which changes no worker and no occurrence.
+	explains bool
 }
 
 // New returns a director. Its term begins with Start.
--- a/internal/job/director/forecast.go
+++ b/internal/job/director/forecast.go
@@ -161,7 +161,9 @@
 	pr := wk.predictions[dm.Image]
 	if pr == nil || now.Sub(pr.at) > dr.estimateAge() {
 		pr = dr.predictBestEffort(wk, dm, now)
-		wk.predictions[dm.Image] = pr
+		if !dr.explains {
+			wk.predictions[dm.Image] = pr
+		}
 	}
 	return pr
 }
--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -40,17 +40,11 @@
 func (dr *Director) dispatch(now time.Time) {
 	available := dr.startWindow.Available(dr.startsInFlight)
 	dr.windowFull = available == 0
-	switch {
-	case len(dr.waitingSteps) == 0:
-		return
-	case available == 0:
-		dr.beginRound(now, roundEndedByWindow)
-		return
-	case !dr.op.MaySendRequests():
-		dr.beginRound(now, requestsSuspended)
+	if len(dr.waitingSteps) == 0 {
 		return
-	case !dr.knowsEvacuations(now):
-		dr.beginRound(now, evacuationsUnknown)
+	}
+	if reason := dr.roundObstacle(available, now); reason != "" {
+		dr.beginRound(now, reason)
 		return
 	}
 	dr.beginRound(now, notPlacedYet)
@@ -64,6 +58,19 @@
 	dr.recordPlacements(rd.longRunning)
 }
 
+// roundObstacle returns why no round may begin with a number of available starts, or an empty reason if one may.
+func (dr *Director) roundObstacle(available int, now time.Time) waitReason {
+	switch {
+	case available == 0:
+		return roundEndedByWindow
+	case !dr.op.MaySendRequests():
+		return requestsSuspended
+	case !dr.knowsEvacuations(now):
+		return evacuationsUnknown
+	}
+	return ""
+}
+
 // recordPlacements records the workers of long-running tasks and queues their starts once the
 // records are durable.
 func (dr *Director) recordPlacements(list []*attempt) {
@@ -188,13 +195,22 @@
 	for _, wk := range rd.workers {
 		rd.cands = append(rd.cands, placer.Candidate{
 			Worker: &wk.info, Free: wk.free, LatencyCriticalTasks: wk.criticalTasks, BestEffortTasks: wk.bestEffortTasks,
-			BestEffortMilliCores: wk.bestEffortMilliCores, LatencyCriticalMilliCores: wk.criticalMilliCores, FaultScore: wk.faultHistory.FaultScore(now),
+			BestEffortMilliCores: wk.bestEffortMilliCores, LatencyCriticalMilliCores: wk.criticalMilliCores, FaultScore: dr.faultScore(wk, now),
 			LongLease: dr.mayHoldLongLease(wk, now),
 		})
 	}
 	return rd
 }
 
+// faultScore returns the fault score of a worker. To read it brings the worker's history up to date.
+func (dr *Director) faultScore(wk *worker, now time.Time) float64 {
+	if dr.explains {
+		history := wk.faultHistory
+		return history.FaultScore(now)
+	}
+	return wk.faultHistory.FaultScore(now)
+}
+
 // orderedWorkers returns all workers in the order of their IDs.
 func (dr *Director) orderedWorkers() []*worker {
 	if len(dr.workerOrder) != len(dr.workers) {
@@ -310,17 +326,7 @@
 		rd.holdForAged(sp, &dm)
 		return false
 	}
-	if dm.LongRunning {
-		rd.applyReserve(sp, &dm)
-	}
-	ix, fitsAvoided := rd.chooseQuickly(sp, &dm), false
-	if ix < 0 {
-		rd.countSameStep(sp)
-		if !dm.LongRunning || placer.AllowsLongRunning(&dm) {
-			rd.applyForecast(&dm)
-		}
-		ix, fitsAvoided = rd.choose(tk, &dm)
-	}
+	ix, fitsAvoided := rd.chooseWorker(tk, &dm)
 	if ix >= 0 {
 		rd.misses = 0
 		rd.placeTask(tk, ix)
@@ -345,6 +351,22 @@
 	return fitsAvoided
 }
 
+// chooseWorker returns what choose returns, if possible without looking at all workers. It sets what decides on the
+// reserve for short tasks.
+func (rd *round) chooseWorker(tk *task, dm *placer.Demand) (int, bool) {
+	if dm.LongRunning {
+		rd.applyReserve(tk.step, dm)
+	}
+	if ix := rd.chooseQuickly(tk.step, dm); ix >= 0 {
+		return ix, false
+	}
+	rd.countSameStep(tk.step)
+	if !dm.LongRunning || placer.AllowsLongRunning(dm) {
+		rd.applyForecast(dm)
+	}
+	return rd.choose(tk, dm)
+}
+
 // choose returns the index of a worker for a task, or -1 and whether a worker fits that the task avoids.
 // A long-running task that finds no worker may use those that are kept free: the demand for which one
 // is held may never fit, and would keep it from the task in every round. It may use those that it
--- a/internal/job/director/value.go
+++ b/internal/job/director/value.go
@@ -70,7 +70,7 @@
 
 // judge records what an occurrence was worth to its caller. Only the first call for an occurrence counts.
 func (dr *Director) judge(oc *occurrence, class ranker.DeadlineClass) {
-	if !dr.followsValue() || oc.judged {
+	if !dr.followsValue() || oc.judged || dr.explains {
 		return
 	}
 	oc.judged = true
