--- a/internal/job/director/value.go
+++ b/internal/job/director/value.go
@@ -115,7 +115,7 @@
 // judge records what an occurrence was worth to its caller, given the run time of each step's tasks in seconds. Only the
 // first call for an occurrence counts.
 func (dr *Director) judge(oc *occurrence, class ranker.DeadlineClass, seconds func(*step) float64) {
-	if !dr.followsValue() || oc.judged {
+	if !dr.followsValue() || oc.judged || dr.explains {
 		return
 	}
 	oc.judged = true
