internal/job/leader: listings of the evacuations reach the store between two outages

What callers saw: in two outages of the store with 0.3 s between them, no task started for up to 7.4 s (limit 0.7 s).

The watcher's pause after a listing that reached its time limit, up to 0.6 s, could cover the time in which the store was back: a listing now goes on until it succeeds.

--- a/internal/job/leader/evacuation.go
+++ b/internal/job/leader/evacuation.go
@@ -41,6 +41,8 @@
 type evacuationWatch struct {
 	term      *term
 	evacuator *evacuator.Evacuator
+	// ctx lasts as long as the watch. It is set by run.
+	ctx context.Context
 	// read is when the read began whose result the sink gets. Only the watch's goroutine uses it.
 	read evacuator.Reading
 }
@@ -68,6 +70,7 @@
 // counts from when a request was stored.
 func (ew *evacuationWatch) run(ctx context.Context) {
 	op := &ew.term.leader.op
+	ew.ctx = ctx
 	watcher.New(ew, op.Evacuations.Prefix, watcher.Sink{Reset: ew.reset, Apply: ew.apply}, "evacuations", 0, op.Log).Run(ctx)
 }
 
@@ -80,12 +83,17 @@
 	return !tm.journal.LastConfirmed().After(since) && !tm.leader.elector.PeersReachedStore(since) && tm.authority.confirmedWithin(ew.evacuator.MaxAge())
 }
 
-// Page implements watcher.Source. It tries until a call succeeds or the time is up.
-func (ew *evacuationWatch) Page(ctx context.Context, prefix, after string) (storer.Page, error) {
-	ctx, cancel := context.WithCancel(ctx)
+// Page implements watcher.Source. It tries until a call succeeds or the watch ends, also beyond the deadline of the
+// context: the watcher would pause after it for up to 0.6 s, in which the store may be back between two outages.
+func (ew *evacuationWatch) Page(_ context.Context, prefix, after string) (storer.Page, error) {
+	ctx, cancel := context.WithCancel(ew.ctx)
 	defer cancel()
 	answers := make(chan pageAnswer)
 	err := storer.ErrUnavailable
+	// late is the newest answer of a call that took long. A call that begins now shows a newer state, as one that
+	// began in an outage may have waited for its end.
+	var late *pageAnswer
+	var lateOver <-chan time.Time
 	for pauseOver := time.After(0); ; {
 		select {
 		case <-ctx.Done():
@@ -98,20 +106,32 @@
 				}
 			}()
 			pauseOver = time.After(listOverlap)
+		case <-lateOver:
+			return ew.accept(late, after), nil
 		case an := <-answers:
-			if err = an.err; err != nil {
+			switch {
+			case an.err != nil:
+				err = an.err
 				pauseOver = time.After(listRetryPause)
-				continue
+			case time.Since(an.began.At) < listOverlap:
+				return ew.accept(&an, after), nil
+			case late == nil:
+				late, lateOver, pauseOver = &an, time.After(listOverlap), time.After(0)
+			case an.began.At.After(late.began.At):
+				late = &an
 			}
-			if after == "" {
-				// The listing shows the state of the time at which its first page was read.
-				ew.read = an.began
-			}
-			return an.page, nil
 		}
 	}
 }
 
+// accept returns the page of an answer. The listing shows the state of the time at which its first page was read.
+func (ew *evacuationWatch) accept(an *pageAnswer, after string) storer.Page {
+	if after == "" {
+		ew.read = an.began
+	}
+	return an.page
+}
+
 // pageAnswer is the result of a call for a page.
 type pageAnswer struct {
 	began evacuator.Reading
