internal/job/director: the test of runs in an evacuated data centre waits for the gauge

The short task's run ends 1 s after its start, at the moment at which the gauges may be published, which happens once a second: the test read the gauge of that moment. It now waits for the next one and checks the same values. 200 of 200 runs passed with the race detector and 200 of 200 without.

--- a/internal/job/director/evacuation_test.go
+++ b/internal/job/director/evacuation_test.go
@@ -310,7 +310,8 @@
 		ec.request(east)
 		evacuatedAt := time.Now()
 		ec.withdraw(west)
-		sleep(1200 * time.Millisecond)
+		// The run of the short task ends after 1 s, and the gauges are published once a second.
+		sleep(2200 * time.Millisecond)
 		qt.Check(t, ec.registry.Value(meter.EvacuatedRuns), qt.Equals, int64(1))
 		qt.Check(t, ec.registry.Value(meter.EvacuatedWorkers), qt.Equals, int64(2))
 		qt.Check(t, ec.registry.Value(meter.DataCentresEvacuated), qt.Equals, int64(1))
