director: tasks that fit nowhere cost a placement round no second look at all workers

Cause: a task for which no worker had the capacity was compared with all workers up to three times: by its selection, by choose, and by choose once more with the held workers counted as free. Placements in advance copied and compared all workers although only those with ending runs can be chosen. Capacities were counted with a division for each worker.

Change: a selection that has examined all workers without a feasible one says so, and choose then examines the held workers only. Placements in advance examine the workers with ending runs. Capacity for no task is found without a division. The same workers are chosen; TestQuickChoices compares the answer with a look at all workers.

TestNoCostsWithoutCapacity failed before with 278,250 costs in 10 rounds.

--- a/internal/job/director/advance.go
+++ b/internal/job/director/advance.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -55,19 +56,23 @@
 // with a task for which there is none.
 func (rd *round) placeStepInAdvance(sp *step, ending map[int]modeler.Resources) bool {
 	pool := rd.dr.pool(sp.occ.job)
+	indices := slices.Sorted(maps.Keys(ending))
 	cands := slices.Clone(rd.cands)
+	for ix := range cands {
+		cands[ix].Excluded = true
+	}
 	for _, tk := range slices.Clone(sp.waiting) {
 		if !rd.dr.startable(tk, rd.now) {
 			continue
 		}
 		dm := rd.dr.demand(tk)
 		dm.Headroom, dm.PoolSlots = rd.futureHeadroom(sp, pool, &dm, ending)
-		for ix, wk := range rd.workers {
-			freed, ok := ending[ix]
-			cands[ix].Excluded = !ok || wk.info.Pool != pool || slices.Contains(dm.Avoid, wk.info.ID)
-			cands[ix].Free, cands[ix].BestEffortMemoryMB, cands[ix].SameStepTasks = wk.free.Plus(freed), 0, sp.perWorker[wk.info.ID]
+		for _, ix := range indices {
+			wk := rd.workers[ix]
+			cands[ix].Excluded = wk.info.Pool != pool || slices.Contains(dm.Avoid, wk.info.ID)
+			cands[ix].Free, cands[ix].BestEffortMemoryMB, cands[ix].SameStepTasks = wk.free.Plus(ending[ix]), 0, sp.perWorker[wk.info.ID]
 		}
-		ix := rd.chooseAmong(&dm, rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &dm, cands))
+		ix := rd.chooseOf(&dm, rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &dm, cands), indices)
 		if ix < 0 {
 			return false
 		}
--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -133,6 +133,8 @@
 	forecasts map[string]*forecast
 	// pool is the one whose workers are not excluded from cands, empty before the first step.
 	pool modeler.PoolName
+	// indices holds the results of allIndices.
+	indices []int
 	// changed holds the indices of candidates in the order in which they changed, see selection.
 	changed []int
 	// selections holds the costs of the demands that were chosen for in this round.
@@ -359,23 +361,29 @@
 	if dm.LongRunning {
 		rd.applyReserve(tk.step, dm)
 	}
-	if ix := rd.chooseQuickly(tk.step, dm); ix >= 0 {
+	ix, none := rd.chooseQuickly(tk.step, dm)
+	if ix >= 0 {
 		return ix, false
 	}
 	rd.countSameStep(tk.step)
-	if !dm.LongRunning || placer.AllowsLongRunning(dm) {
+	if !none {
 		rd.applyForecast(dm)
 	}
-	return rd.choose(tk, dm)
+	return rd.choose(tk, dm, none)
 }
 
 // choose returns the index of a worker for a task, or -1 and whether a worker fits that the task avoids.
 // A long-running task that finds no worker may use those that are kept free: the demand for which one
 // is held may never fit, and would keep it from the task in every round. It may use those that it
-// avoids, as the limit of failed runs, for which they are avoided, does not apply to it.
-func (rd *round) choose(tk *task, dm *placer.Demand) (int, bool) {
+// avoids, as the limit of failed runs, for which they are avoided, does not apply to it. none is set if no
+// worker that is not held is feasible, so that only the held ones have to be examined.
+func (rd *round) choose(tk *task, dm *placer.Demand, none bool) (int, bool) {
 	cands := rd.excludeUnpermitted(tk.step, rd.dr.queue(tk.step.occ.job), dm, rd.cands)
-	ix := rd.chooseAmong(dm, cands)
+	var examined []int
+	if !none {
+		examined = rd.allIndices()
+	}
+	ix := rd.chooseOf(dm, cands, examined)
 	mayReturn := dm.LongRunning && len(dm.Avoid) > 0 && rd.now.Sub(tk.lastActive) > maxAvoidTime
 	if ix < 0 && dm.LongRunning && (len(rd.held) > 0 || mayReturn) {
 		rd.freeHeld()
@@ -385,21 +393,31 @@
 		}
 		rd.applyForecast(dm)
 		cands = rd.excludeUnpermitted(tk.step, rd.dr.queue(tk.step.occ.job), dm, rd.cands)
-		ix = rd.chooseAmong(dm, cands)
+		if none {
+			examined = slices.Sorted(slices.Values(rd.held))
+		}
+		ix = rd.chooseOf(dm, cands, examined)
 	}
 	if ix < 0 {
 		rd.noteMiss(tk, dm, cands)
 	}
-	return ix, ix < 0 && len(dm.Avoid) > 0 && anyFeasible(dm, cands)
+	return ix, ix < 0 && len(dm.Avoid) > 0 && anyFeasible(dm, cands, examined)
 }
 
-func anyFeasible(dm *placer.Demand, cands []placer.Candidate) bool {
-	for ix := range cands {
-		if placer.Feasible(dm, &cands[ix]) {
-			return true
+// allIndices returns the indices of all workers.
+func (rd *round) allIndices() []int {
+	if len(rd.indices) != len(rd.workers) {
+		rd.indices = make([]int, len(rd.workers))
+		for ix := range rd.indices {
+			rd.indices[ix] = ix
 		}
 	}
-	return false
+	return rd.indices
+}
+
+// anyFeasible reports whether a candidate with one of the indices is feasible.
+func anyFeasible(dm *placer.Demand, cands []placer.Candidate, indices []int) bool {
+	return slices.ContainsFunc(indices, func(ix int) bool { return placer.Feasible(dm, &cands[ix]) })
 }
 
 func (rd *round) freeHeld() {
@@ -518,6 +536,7 @@
 		return
 	}
 	rd.dr.waitLoggedAt = rd.now
+	rd.applyForecast(dm)
 	reasons := placer.CountReasons(dm, rd.cands)
 	rd.dr.log(logger.TaskWaits, "Task", tk.id().String(), "Cores", dm.Needs.MilliCores, "MemoryMB", dm.Needs.MemoryMB, "PerWorker", dm.MaxPerWorker,
 		"Lasts", dm.LongRunning, "Spare", dm.Headroom, "Unsuited", reasons.Unsuited, "Crowded", reasons.Crowded, "Full", reasons.Full, "Reserved", reasons.Reserved, "Disturbed", reasons.Disturbed)
--- a/internal/job/director/round_bench_test.go
+++ b/internal/job/director/round_bench_test.go
@@ -32,3 +32,35 @@
 		})
 	}
 }
+
+// newShortBacklog returns a director whose workers are full, with the waiting work of a pool that is short of capacity:
+// long-running steps, urgent short ones, and best-effort ones of many images.
+func newShortBacklog() *Director {
+	dr := newBacklog(350, 700, func(ix int) modeler.Step {
+		needs := modeler.Resources{MilliCores: int64(7000 + 37*ix%5000), MemoryMB: int64(12000 + 91*ix%8000)}
+		switch {
+		case ix%6 == 0:
+			return modeler.Step{Count: 2, Needs: needs, Image: fmt.Sprint("critical", ix%10), TailTarget: 100 * time.Millisecond, LongRunning: true, MaxPerWorker: ix % 2}
+		case ix%6 == 1:
+			return modeler.Step{Count: 8, Needs: needs, Estimate: time.Second}
+		}
+		return modeler.Step{Count: 20, Needs: needs, Image: fmt.Sprint("image", ix%18), BestEffort: true, Estimate: time.Second}
+	})
+	dr.op.Limits.ShortagePolicy = ValuePolicy
+	for ix, wk := range dr.orderedWorkers() {
+		wk.info.Capacity = modeler.Resources{MilliCores: 64000, MemoryMB: 256000}
+		wk.free = modeler.Resources{MilliCores: int64(ix % 7000), MemoryMB: int64(97 * ix % 12000)}
+		wk.ending = modeler.Resources{MilliCores: 16000, MemoryMB: 30000}
+	}
+	return dr
+}
+
+// BenchmarkRoundUnderShortage measures a placement round in which no task finds a worker as none has the capacity.
+func BenchmarkRoundUnderShortage(b *testing.B) {
+	dr := newShortBacklog()
+	now := time.Now().Add(3 * time.Second)
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		dr.dispatch(now)
+	}
+}
--- a/internal/job/director/round_test.go
+++ b/internal/job/director/round_test.go
@@ -44,6 +44,18 @@
 	return dr
 }
 
+// Guards against rounds that compute costs of workers for tasks that fit nowhere, and so take the time in which capacity
+// that becomes free could be used.
+func TestNoCostsWithoutCapacity(t *testing.T) {
+	dr := newShortBacklog()
+	now := time.Now().Add(3 * time.Second)
+	for range 10 {
+		now = now.Add(time.Second)
+		dr.dispatch(now)
+	}
+	qt.Check(t, dr.usage.costsComputed, qt.Equals, 0)
+}
+
 // Guards against placement rounds without a bound, and steps that no round considers.
 func TestRoundBound(t *testing.T) {
 	const jobs, maxPerRound = 1000, maxMisses + 2*maxOvertakenMisses
--- a/internal/job/director/selection.go
+++ b/internal/job/director/selection.go
@@ -45,10 +45,14 @@
 func examinesAll(dm *placer.Demand) bool { return dm.LongRunning || dm.DataRack != "" }
 
 // chooseQuickly returns the index of the worker for a demand, or -1 if choose has to decide: for a demand that fits
-// nowhere, for which the pool has too little capacity, or that needs permits.
-func (rd *round) chooseQuickly(sp *step, dm *placer.Demand) int {
-	if dm.LongRunning && !placer.AllowsLongRunning(dm) || rd.dr.queue(sp.occ.job).Policy != nil {
-		return -1
+// nowhere, for which the pool has too little capacity, or that needs permits. none is set if no worker is known to be
+// feasible, not even one that the demand avoids.
+func (rd *round) chooseQuickly(sp *step, dm *placer.Demand) (index int, none bool) {
+	if rd.dr.queue(sp.occ.job).Policy != nil {
+		return -1, false
+	}
+	if dm.LongRunning && !placer.AllowsLongRunning(dm) {
+		return -1, true
 	}
 	key := selectionKey{pool: rd.pool, needs: dm.Needs, label: dm.Label, rack: dm.DataRack, bestEffort: dm.BestEffort, starved: dm.Starved, longRunning: dm.LongRunning}
 	if usesForecast(dm) {
@@ -72,6 +76,22 @@
 			best, minCost = ix, cost
 		}
 	}
+	return best, sl.feasible == 0 && sl.examined == len(rd.workers)
+}
+
+// chooseOf returns the index of the best candidate for a demand among those with the indices, or -1 if none is feasible.
+func (rd *round) chooseOf(dm *placer.Demand, cands []placer.Candidate, indices []int) int {
+	rd.dr.usage.costsComputed += len(indices)
+	best, minCost := -1, math.Inf(1)
+	avoids := placer.HasAlternative(dm, cands)
+	for _, ix := range indices {
+		if avoids && slices.Contains(dm.Avoid, cands[ix].Worker.ID) {
+			continue
+		}
+		if cost := placer.Cost(dm, &cands[ix]); cost < minCost {
+			best, minCost = ix, cost
+		}
+	}
 	return best
 }
 
--- a/internal/job/director/selection_test.go
+++ b/internal/job/director/selection_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -80,10 +81,14 @@
 	if dm.LongRunning {
 		rd.applyReserve(sp, &dm)
 	}
-	quick = rd.chooseQuickly(sp, &dm)
+	quick, none := rd.chooseQuickly(sp, &dm)
 	rd.countSameStep(sp)
 	rd.applyForecast(&dm)
-	return dm, quick, placer.Choose(&dm, rd.cands)
+	full = placer.Choose(&dm, rd.cands)
+	if none {
+		full = max(full, slices.IndexFunc(rd.cands, func(cd placer.Candidate) bool { return placer.Feasible(&dm, &cd) }))
+	}
+	return dm, quick, full
 }
 
 // assertFeasibleChoices places the tasks of a step, and checks each choice against the workers that are feasible.
--- a/internal/job/director/starvation.go
+++ b/internal/job/director/starvation.go
@@ -66,7 +66,7 @@
 		sp.starvedAttemptAt = rd.now
 		dm := rd.dr.demand(tk)
 		dm.Starved = true
-		ix := rd.chooseQuickly(sp, &dm)
+		ix, _ := rd.chooseQuickly(sp, &dm)
 		if queue := rd.dr.queue(sp.occ.job); ix < 0 && queue.Policy != nil {
 			rd.countSameStep(sp)
 			rd.applyForecast(&dm)
--- a/internal/job/director/waiting.go
+++ b/internal/job/director/waiting.go
@@ -257,6 +257,7 @@
 	}
 	rd.noteTurn(sp, reason)
 	if rd.now.Sub(tk.wait.since) >= maxUnreportedWait && rd.now.Sub(sp.turn.countedAt) >= summaryInterval && rd.dr.takeCount(dm.LongRunning) {
+		rd.applyForecast(dm)
 		counts := placer.CountReasons(dm, cands)
 		sp.turn.counts, sp.turn.countedAt = &counts, rd.now
 	}
--- a/internal/job/placer/placer.go
+++ b/internal/job/placer/placer.go
@@ -296,8 +296,12 @@
 	for _, pair := range [...][2]int64{
 		{needs.MilliCores, free.MilliCores}, {needs.MemoryMB, free.MemoryMB}, {needs.Accelerators, free.Accelerators},
 	} {
-		if pair[0] > 0 {
-			count = min(count, max(0, pair[1])/pair[0])
+		switch {
+		case pair[0] <= 0:
+		case pair[1] < pair[0]:
+			return 0
+		default:
+			count = min(count, pair[1]/pair[0])
 		}
 	}
 	return count
