internal/job: the leader counts long-running tasks that wait although there is room for two

Change: package spotter decides, without network, which groups of waiting tasks with the same demand have two places in the free capacity of all workers that match pool, label and MaxPerWorker. The director looks every 250 ms at the earliest, from the tick. It counts workers that are registered, answer, do not drain and are not evacuated, and what is reserved for runs whose start was not sent counts as free. A look examines 32 demands; StallDemandsOmitted counts others. StalledTasks and LongestStall are gauges of the term, and event 760 warns after 1 s and again each 5 s, in at most 5 lines a look. The numbers from 670 to 679 are in use, so that the event opens a range of its own. The report of waiting tasks and the look share one walk over what waits.

Measured: a task whose placement never becomes durable beside two idle workers is counted and logged with that reason.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -294,6 +294,8 @@
 	// starting holds the runs that were placed and were not known to run at the last report of waiting
 	// tasks.
 	starting map[*attempt]struct{}
+	// stalls is what is known of long-running tasks that wait although there is room for them.
+	stalls stalls
 	// loadHint is what entry hosts are told of the queues that are behind.
 	loadHint loadHint
 	// ineffectiveLines, droppedLines and overdueLines bound lines of the log.
@@ -535,6 +537,7 @@
 	}
 	dr.saveEstimates(now)
 	dr.updateLoadHint(now)
+	dr.lookForStalls(now)
 	if now.Sub(dr.summaryLoggedAt) >= summaryInterval {
 		dr.summaryLoggedAt = now
 		dr.logLoadSummary(now)
--- a/internal/job/director/waiting.go
+++ b/internal/job/director/waiting.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"iter"
+	"maps"
 	"slices"
 	"time"
 
@@ -115,6 +117,8 @@
 	mainFor    time.Duration
 	// loggedAt is when a line was last logged for the task and its reason.
 	loggedAt time.Time
+	// stallLoggedAt is when a line was last logged for the task as a stalled one, see lookForStalls.
+	stallLoggedAt time.Time
 }
 
 // endReason notes for how long reports have given the present reason.
@@ -367,36 +371,70 @@
 	wr.lines = slices.Insert(wr.lines, ix, ln)
 }
 
-// collectWaits returns the tasks that wait. It looks at queued tasks, at runs that were placed and have
-// not started, and at the runs of workers that do not answer.
-func (dr *Director) collectWaits(now time.Time) *waitReport {
-	wr := &waitReport{now: now, counts: map[waitReason]*waitCount{}}
+// waits returns the tasks that wait and why, of the steps that are asked for. It looks at queued tasks, at runs that were
+// placed and have not started, and at the runs of workers that do not answer.
+func (dr *Director) waits(now time.Time, asked func(*step) bool) iter.Seq2[*task, wait] {
+	return func(yield func(*task, wait) bool) {
+		_ = dr.queuedWaits(now, asked, yield) && dr.startingWaits(now, asked, yield) && dr.silentWaits(now, asked, yield)
+	}
+}
+
+func (dr *Director) queuedWaits(now time.Time, asked func(*step) bool, yield func(*task, wait) bool) bool {
 	for sp := range dr.waitingSteps {
+		if !asked(sp) {
+			continue
+		}
 		for _, tk := range sp.waiting {
 			// A task with a run waits only for a speculative copy.
-			if len(tk.attempts) == 0 {
-				wr.add(tk, dr.whyQueued(tk, now))
+			if len(tk.attempts) == 0 && !yield(tk, dr.whyQueued(tk, now)) {
+				return false
 			}
 		}
 	}
+	return true
+}
+
+func (dr *Director) startingWaits(now time.Time, asked func(*step) bool, yield func(*task, wait) bool) bool {
 	for at := range dr.starting {
-		wt, waits := dr.whyNotRunning(at, now)
-		if at.state == active || at.worker.attempts[attemptKey{at.task.id(), at.run}] != at {
-			delete(dr.starting, at)
-		} else if waits && len(at.task.attempts) == 1 {
-			wr.add(at.task, wt)
+		if at.state == active || !asked(at.task.step) || len(at.task.attempts) != 1 || !at.worker.has(at) {
+			continue
+		}
+		if wt, waits := dr.whyNotRunning(at, now); waits && !yield(at.task, wt) {
+			return false
 		}
 	}
+	return true
+}
+
+func (dr *Director) silentWaits(now time.Time, asked func(*step) bool, yield func(*task, wait) bool) bool {
 	for _, wk := range dr.workers {
 		if !wk.unreachable {
 			continue
 		}
 		for _, at := range wk.attempts {
-			if wt, waits := dr.whyNotRunning(at, now); waits && at.state == active && len(at.task.attempts) == 1 {
-				wr.add(at.task, wt)
+			if at.state != active || len(at.task.attempts) != 1 || !asked(at.task.step) {
+				continue
+			}
+			if wt, waits := dr.whyNotRunning(at, now); waits && !yield(at.task, wt) {
+				return false
 			}
 		}
 	}
+	return true
+}
+
+// has reports whether the attempt is not over.
+func (wk *worker) has(at *attempt) bool { return wk.attempts[attemptKey{at.task.id(), at.run}] == at }
+
+// collectWaits returns the tasks that wait.
+func (dr *Director) collectWaits(now time.Time) *waitReport {
+	wr := &waitReport{now: now, counts: map[waitReason]*waitCount{}}
+	maps.DeleteFunc(dr.starting, func(at *attempt, _ struct{}) bool {
+		return at.state == active || !at.worker.has(at)
+	})
+	for tk, wt := range dr.waits(now, func(*step) bool { return true }) {
+		wr.add(tk, wt)
+	}
 	return wr
 }
 
@@ -465,7 +503,7 @@
 		meter.LongRunningTasksOverdue, meter.CancellationsPending, meter.CancelledRunsOverdue, meter.ReportsHeldUp,
 		meter.DataCentresEvacuated, meter.EvacuatedWorkers, meter.EvacuatedRuns, meter.EvacuationViewAge,
 		meter.ShortPools, meter.ShortTaskReserve,
-		meter.QueuesBehind,
+		meter.QueuesBehind, meter.StalledTasks, meter.LongestStall, meter.StallDemandsOmitted,
 	} {
 		dr.op.Meter.Set(mt, 0)
 	}
--- /dev/null
+++ b/internal/job/spotter/spotter.go
@@ -0,0 +1,129 @@
+// Package spotter decides which waiting long-running tasks have room: their pool has free capacity for two of them. Such
+// a task is stalled, whatever keeps it from starting. It has no network.
+//
+// It answers a leader with up to 12,000 workers and thousands of waiting tasks that looks several times a second while
+// it places tasks. So it looks once for each distinct demand, stops at the places that are needed, and bounds the demands
+// of a look.
+package spotter
+
+import (
+	"slices"
+	"time"
+
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/placer"
+)
+
+const (
+	// placesNeeded is the number of places from which a task has room. One is left to others.
+	placesNeeded = 2
+	// maxDemands bounds the demands of a look.
+	maxDemands = 32
+	// firstReport is how long a task is stalled before it is reported, and reportInterval the time between two reports.
+	firstReport    = time.Second
+	reportInterval = 5 * time.Second
+)
+
+// Worker is a worker that may get tasks, with its free capacity.
+type Worker struct {
+	Info *modeler.Worker
+	// Free is the capacity that no run uses. A resource may be negative.
+	Free modeler.Resources
+}
+
+// Demand is what decides on the places of a task.
+type Demand struct {
+	Pool modeler.PoolName
+	// Label is one that the worker must have, empty for none.
+	Label string
+	Needs modeler.Resources
+	// MaxPerWorker is the maximum number of tasks of the step on one worker, zero for no limit.
+	MaxPerWorker int
+}
+
+// Group is the waiting tasks with the same demand, over all looks during which there are any.
+type Group struct {
+	Demand Demand
+	// Running returns the number of runs of the step on a worker. It is called only with MaxPerWorker.
+	Running func(modeler.WorkerID) int
+	// Places is the number of places that the last look found. No more than two are counted.
+	Places int64
+	// roomSince is when looks first found room, without a look since that did not, zero while there is none.
+	roomSince time.Time
+	// lookedAt is when the group was last examined, zero before.
+	lookedAt time.Time
+}
+
+// Look examines the groups and returns how many it left out. Those with room go first, so that what is known of them
+// goes on, then those that were not examined for longest. A group that is left out counts as having no room.
+func Look(groups []*Group, workers []Worker, now time.Time) int {
+	if len(groups) > maxDemands {
+		slices.SortFunc(groups, compareGroups)
+	}
+	for ix, gr := range groups {
+		if ix >= maxDemands {
+			gr.Places, gr.roomSince = 0, time.Time{}
+			continue
+		}
+		gr.lookedAt, gr.Places = now, gr.count(workers)
+		switch {
+		case gr.Places < placesNeeded:
+			gr.roomSince = time.Time{}
+		case gr.roomSince.IsZero():
+			gr.roomSince = now
+		}
+	}
+	return max(0, len(groups)-maxDemands)
+}
+
+func compareGroups(one, two *Group) int {
+	switch {
+	case one.roomSince.IsZero() && two.roomSince.IsZero():
+		return one.lookedAt.Compare(two.lookedAt)
+	case one.roomSince.IsZero():
+		return 1
+	case two.roomSince.IsZero():
+		return -1
+	}
+	return one.roomSince.Compare(two.roomSince)
+}
+
+// count returns the number of places, up to placesNeeded.
+func (gr *Group) count(workers []Worker) int64 {
+	dm, places := &gr.Demand, int64(0)
+	for ix := range workers {
+		wk := &workers[ix]
+		// Most workers of a full pool fail here, where a look costs least.
+		if !dm.Needs.Fits(wk.Free) || wk.Info.Pool != dm.Pool || !wk.Info.HasLabel(dm.Label) {
+			continue
+		}
+		fits := placer.FitCount(dm.Needs, wk.Free)
+		if dm.MaxPerWorker > 0 {
+			fits = min(fits, int64(max(0, dm.MaxPerWorker-gr.Running(wk.Info.ID))))
+		}
+		if places += fits; places >= placesNeeded {
+			return placesNeeded
+		}
+	}
+	return places
+}
+
+// HasRoom reports whether the last look found room for the group. It is false for nil.
+func (gr *Group) HasRoom() bool { return gr != nil && !gr.roomSince.IsZero() }
+
+// StalledSince returns since when a task of a group that has room has been stalled without a break, if it waits since
+// the given time.
+func (gr *Group) StalledSince(waits time.Time) time.Time {
+	if waits.After(gr.roomSince) {
+		return waits
+	}
+	return gr.roomSince
+}
+
+// ReportDue reports whether a stall is to be reported that was last reported at a time, zero for never.
+func ReportDue(since, reported, now time.Time) bool {
+	if reported.Before(since) {
+		return now.Sub(since) >= firstReport
+	}
+	return now.Sub(reported) >= reportInterval
+}
--- a/internal/telemetry/logger/catalogue.go
+++ b/internal/telemetry/logger/catalogue.go
@@ -57,5 +57,6 @@
 	intakeEvents,
 	evacuationEvents,
 	shortageEvents,
+	stallEvents,
 	refusalEvents,
 )
--- a/internal/telemetry/meter/table_waiting.go
+++ b/internal/telemetry/meter/table_waiting.go
@@ -22,6 +22,9 @@
 	TasksWaitingRoundEndedByMisses    = Metric{"TasksWaitingRoundEndedByMisses", "", "Tasks that had no turn as the placement round ended after too many tasks without a worker."}
 	TasksWaitingRoundEndedByWindow    = Metric{"TasksWaitingRoundEndedByWindow", "", "Tasks that had no turn as the window of starts was full."}
 	LongRunningTasksOverdue           = Metric{"LongRunningTasksOverdue", "", "Long-running tasks that have waited for longer than 2 s."}
+	StalledTasks                      = Metric{"StalledTasks", "", "Long-running tasks that wait although their pool has free capacity for two of them, whatever is reserved or held."}
+	LongestStall                      = Metric{"LongestStall", "ms", "Longest time for which such a task has been stalled without a break."}
+	StallDemandsOmitted               = Metric{"StallDemandsOmitted", "", "Distinct demands of waiting long-running tasks that the last look for stalled tasks left out."}
 	CancellationsPending              = Metric{"CancellationsPending", "", "Cancellations of jobs that the leader does not know yet."}
 	CancellationsDropped              = Metric{"CancellationsDropped", "", "Cancellations of unknown jobs that were dropped. A counter."}
 	NotificationsFailed               = Metric{"NotificationsFailed", "", "Stored jobs and cancellations of which this host could not notify the leader at once. A counter."}
@@ -50,6 +53,9 @@
 	TasksWaitingRoundEndedByMisses,
 	TasksWaitingRoundEndedByWindow,
 	LongRunningTasksOverdue,
+	StalledTasks,
+	LongestStall,
+	StallDemandsOmitted,
 	CancellationsPending,
 	CancellationsDropped,
 	NotificationsFailed,
