internal/job/director: time from free capacity to the start of a long-running task that waits

No metric shows how long a place stays unused.

Change: a worker keeps the last 8 changes of its free capacity. When a long-running task is placed, they tell since when it has fitted there. If the task waited by then, the start is recorded in the histogram TimeFromFree, and event 610 has FreeFor. A worker that answers for the first time, or again, counts as becoming free then. For a task that is placed in advance the time is from when its capacity became free. A change of a worker's entry in the registry and the end of an evacuation are not counted.

--- a/internal/job/director/advance.go
+++ b/internal/job/director/advance.go
@@ -108,6 +108,9 @@
 			return false
 		}
 		free = free.Minus(at.reservation())
+		if at.freedAt.IsZero() {
+			at.freedAt = time.Now()
+		}
 		if at.recording {
 			return false
 		}
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -551,6 +551,9 @@
 	// zero before.
 	sentAt     time.Time
 	answeredAt time.Time
+	// freedAt is when the capacity for a long-running task became free, zero if that was before the task waited or
+	// is not known.
+	freedAt time.Time
 	// fence is the fencing token of the start.
 	fence modeler.Fence
 	// startDeadline is the time on the worker's clock after which the worker refuses the start. It
--- a/internal/job/director/observability_test.go
+++ b/internal/job/director/observability_test.go
@@ -319,3 +319,21 @@
 		})
 	})
 }
+
+// Guards against a time from free capacity to a start that is missing, or counts tasks that came to free capacity.
+func TestTimeFromFreeCapacity(t *testing.T) {
+	run(t, 1, func(fl *fleet, tm *term) {
+		sleep(2 * time.Second)
+		tm.submit(longRunningJob("early", "batch", 1, cores(1000)))
+		sleep(time.Second)
+		qt.Check(t, fl.timerCount(meter.TimeFromFree), qt.Equals, 0)
+		tm.submitMinute("short", cores(8000))
+		sleep(time.Second)
+		tm.submit(longRunningJob("long", "batch", 1, cores(7500)))
+		sleep(5 * time.Second)
+		qt.Check(t, fl.timerCount(meter.TimeFromFree), qt.Equals, 0)
+		sleep(time.Minute)
+		fl.assertRuns("long", 1)
+		qt.Check(t, fl.timerCount(meter.TimeFromFree), qt.Equals, 1)
+	})
+}
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -56,6 +56,9 @@
 		wk.leaseEnd = max(wk.leaseEnd, rep.Clock+longest)
 		wk.mayHoldEarlierLease = !wk.fenced
 	}
+	if wk.unreachable || !wk.answered {
+		wk.noteAvailable(answeredAt)
+	}
 	wk.clock, wk.clockAt, wk.unreachable, wk.answered = rep.Clock, answeredAt, false, true
 	// An earlier report may have had a clock that was too far ahead.
 	wk.leaseEnd = min(wk.leaseEnd, rep.Clock+longest)
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -139,6 +139,10 @@
 	if err == nil {
 		dr.op.Meter.Observe(meter.TimeToStart, now.Sub(tk.step.occ.due))
 		kv := []any{"Task", req.Task.String(), "Run", req.Run, "Worker", wk.info.ID, "Resumes", req.Checkpoint != "", "FreeCores", wk.free.MilliCores, "Waited", now.Sub(tk.step.occ.due).String()}
+		if !at.freedAt.IsZero() {
+			dr.op.Meter.Observe(meter.TimeFromFree, now.Sub(at.freedAt))
+			kv = append(kv, "FreeFor", now.Sub(at.freedAt).String())
+		}
 		dr.log(logger.TaskStarted, append(kv, tk.wait.startInputs(now)...)...)
 		at.markActive(now)
 		return
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -128,8 +128,9 @@
 	unreachable      bool
 	unreachableSince time.Time
 
-	// free is the capacity minus all reservations.
+	// free is the capacity minus all reservations, changes the last changes of it, in their order.
 	free                           modeler.Resources
+	changes                        []capacityChange
 	criticalTasks, bestEffortTasks int
 	criticalMilliCores             int64
 	// ending is what is reserved for tasks that are not long-running.
@@ -659,7 +660,9 @@
 	if sp.spec.TailTarget > 0 {
 		wk.criticalAttempts = append(wk.criticalAttempts, at)
 	}
+	at.noteFreed()
 	wk.free = wk.free.Minus(at.reservation())
+	wk.noteCapacity(time.Now(), modeler.Resources{}.Minus(at.reservation()))
 	sp.perWorker[wk.info.ID]++
 	sp.occ.job.activeRuns++
 	wk.countTask(sp.spec, 1)
@@ -679,9 +682,11 @@
 	if sp.spec.TailTarget > 0 {
 		wk.criticalAttempts = slices.DeleteFunc(wk.criticalAttempts, func(ot *attempt) bool { return ot == at })
 	}
-	dr.dropCancelledRun(wk, key, time.Now())
+	now := time.Now()
+	dr.dropCancelledRun(wk, key, now)
 	tk.attempts = slices.DeleteFunc(tk.attempts, func(ot *attempt) bool { return ot == at })
 	wk.free = wk.free.Plus(at.reservation())
+	wk.noteCapacity(now, at.reservation())
 	if sp.perWorker[wk.info.ID]--; sp.perWorker[wk.info.ID] == 0 {
 		delete(sp.perWorker, wk.info.ID)
 	}
--- a/internal/telemetry/meter/timer.go
+++ b/internal/telemetry/meter/timer.go
@@ -16,11 +16,12 @@
 	TimeToAccept        = Metric{"TimeToAccept", "ms", "Time from reading a submission to answering it."}
 	TimeToStopCancelled = Metric{"TimeToStopCancelled", "ms", "Time from when the leader hears of a cancellation to the end of the last run of the job."}
 	TimeReportsHeld     = Metric{"TimeReportsHeld", "ms", "Time for which reports of workers could not be handled because a job of theirs was unknown and was read from the store."}
+	TimeFromFree        = Metric{"TimeFromFree", "ms", "Time from when capacity became free on a worker, as the leader learned of it, to the start there of a long-running task that waited by then. No further back than the last 8 changes of the worker's free capacity."}
 	TimeToRecover       = Metric{"TimeToRecover", "ms", "Time from the start of a leader's term to its first placement."}
 )
 
 // Timers lists all timers in the order of docs/metrics.md.
-var Timers = []Metric{TimeToStart, TimeToEnd, TimeToRecordEnd, TimeToAccept, TimeToRecover, TimeToStopCancelled, TimeReportsHeld}
+var Timers = []Metric{TimeToStart, TimeToEnd, TimeToRecordEnd, TimeToAccept, TimeToRecover, TimeToStopCancelled, TimeReportsHeld, TimeFromFree}
 
 const (
 	// maxTimerValue is the upper bound of the histograms. Longer times are recorded as this value.
