internal/job/spotter: a gang is stalled only where there is room for it twice

Cause: the tasks of a gang start together, but room for two of them counted as room for the gang, so that a gang of ten that fits nowhere counted as stalled.

Change: the demand has the number of tasks that start together, and twice as many places are needed.

Measured: a gang of 4 beside 7 places has no room, one of 3 beside 7 has (TestPlaces).

--- a/internal/job/director/stall.go
+++ b/internal/job/director/stall.go
@@ -145,7 +145,10 @@
 }
 
 func (dr *Director) stallKey(sp *step) stallKey {
-	key := stallKey{demand: spotter.Demand{Pool: dr.pool(sp.occ.job), Label: sp.spec.Label, Needs: sp.spec.Needs, MaxPerWorker: sp.spec.MaxPerWorker}}
+	key := stallKey{demand: spotter.Demand{Pool: dr.pool(sp.occ.job), Label: sp.spec.Label, Needs: sp.spec.Needs, MaxPerWorker: sp.spec.MaxPerWorker, Together: 1}}
+	if sp.spec.Gang {
+		key.demand.Together = len(sp.tasks)
+	}
 	if sp.spec.MaxPerWorker > 0 {
 		key.step = sp
 	}
--- a/internal/job/spotter/spotter.go
+++ b/internal/job/spotter/spotter.go
@@ -1,5 +1,5 @@
-// Package spotter decides which waiting long-running tasks have room: their pool has free capacity for two of them. Such
-// a task is stalled, whatever keeps it from starting. It has no network.
+// Package spotter decides which waiting long-running tasks have room: their pool has free capacity for two of them, or for a
+// gang twice. Such a task is stalled, whatever keeps it from starting. It has no network.
 //
 // It answers a leader with up to 12,000 workers and thousands of waiting tasks that looks several times a second while
 // it places tasks. So it looks once for each distinct demand, stops at the places that are needed, and bounds the demands
@@ -15,8 +15,8 @@
 )
 
 const (
-	// placesNeeded is the number of places from which a task has room. One is left to others.
-	placesNeeded = 2
+	// placesPerTask is the number of places for each task that has to start, from which there is room.
+	placesPerTask = 2
 	// maxDemands bounds the demands of a look.
 	maxDemands = 32
 	// firstReport is how long a task is stalled before it is reported, and reportInterval the time between two reports.
@@ -39,14 +39,19 @@
 	Needs modeler.Resources
 	// MaxPerWorker is the maximum number of tasks of the step on one worker, zero for no limit.
 	MaxPerWorker int
+	// Together is the number of tasks that have to start together: those of a gang, otherwise 1.
+	Together int
 }
 
+// needed returns the number of places from which there is room.
+func (dm *Demand) needed() int64 { return placesPerTask * int64(dm.Together) }
+
 // Group is the waiting tasks with the same demand, over all looks during which there are any.
 type Group struct {
 	Demand Demand
 	// Running returns the number of runs of the step on a worker. It is called only with MaxPerWorker.
 	Running func(modeler.WorkerID) int
-	// Places is the number of places that the last look found. No more than two are counted.
+	// Places is the number of places that the last look found. No more than there have to be are counted.
 	Places int64
 	// roomSince is when looks first found room, without a look since that did not, zero while there is none.
 	roomSince time.Time
@@ -67,7 +72,7 @@
 		}
 		gr.lookedAt, gr.Places = now, gr.count(workers)
 		switch {
-		case gr.Places < placesNeeded:
+		case gr.Places < gr.Demand.needed():
 			gr.roomSince = time.Time{}
 		case gr.roomSince.IsZero():
 			gr.roomSince = now
@@ -88,7 +93,7 @@
 	return one.roomSince.Compare(two.roomSince)
 }
 
-// count returns the number of places, up to placesNeeded.
+// count returns the number of places, up to the needed ones.
 func (gr *Group) count(workers []Worker) int64 {
 	dm, places := &gr.Demand, int64(0)
 	for ix := range workers {
@@ -101,8 +106,8 @@
 		if dm.MaxPerWorker > 0 {
 			fits = min(fits, int64(max(0, dm.MaxPerWorker-gr.Running(wk.Info.ID))))
 		}
-		if places += fits; places >= placesNeeded {
-			return placesNeeded
+		if places += fits; places >= dm.needed() {
+			return dm.needed()
 		}
 	}
 	return places
--- a/internal/job/spotter/spotter_test.go
+++ b/internal/job/spotter/spotter_test.go
@@ -32,20 +32,23 @@
 		"one more for each worker":           {Demand{Pool: "p", Needs: cores(100), MaxPerWorker: 2}, 2},
 		"limit for each worker":              {Demand{Pool: "p", Label: "x", Needs: cores(100), MaxPerWorker: 2}, 1},
 		"limit for each worker is exhausted": {Demand{Pool: "p", Label: "x", Needs: cores(100), MaxPerWorker: 1}, 0},
+		"gang":                               {Demand{Pool: "p", Needs: cores(500), Together: 3}, 6},
+		"gang that would fit once":           {Demand{Pool: "p", Needs: cores(500), Together: 4}, 7},
 	} {
 		t.Run(name, func(t *testing.T) {
 			running := map[modeler.WorkerID]int{"a": 1}
+			tc.demand.Together = max(1, tc.demand.Together)
 			gr := &Group{Demand: tc.demand, Running: func(id modeler.WorkerID) int { return running[id] }}
 			Look([]*Group{gr}, workers, time.Now())
 			qt.Check(t, gr.Places, qt.Equals, tc.want)
-			qt.Check(t, gr.HasRoom(), qt.Equals, tc.want == 2)
+			qt.Check(t, gr.HasRoom(), qt.Equals, tc.want == 2*int64(tc.demand.Together))
 		})
 	}
 }
 
 // Guards against a stall that goes on through a look without room, or counts from before the task waited.
 func TestStalledSince(t *testing.T) {
-	gr, start := &Group{Demand: Demand{Pool: "p", Needs: cores(1000)}}, time.Now()
+	gr, start := &Group{Demand: Demand{Pool: "p", Needs: cores(1000), Together: 1}}, time.Now()
 	look := func(second int, free int64) {
 		Look([]*Group{gr}, []Worker{worker("a", "p", "", free)}, start.Add(time.Duration(second)*time.Second))
 	}
@@ -63,9 +66,9 @@
 // Guards against a look without a bound, against demands that are never examined, and against known stalls that end as
 // others take their turn.
 func TestDemandsAreBounded(t *testing.T) {
-	groups, kept := []*Group{}, &Group{Demand: Demand{Pool: "p", Needs: cores(1000)}}
+	groups, kept := []*Group{}, &Group{Demand: Demand{Pool: "p", Needs: cores(1000), Together: 1}}
 	for ix := range 3 * maxDemands {
-		groups = append(groups, &Group{Demand: Demand{Pool: "p", Needs: cores(int64(5000 + ix))}})
+		groups = append(groups, &Group{Demand: Demand{Pool: "p", Needs: cores(int64(5000 + ix)), Together: 1}})
 	}
 	groups = append(groups, kept)
 	start := time.Now()
@@ -108,7 +111,7 @@
 				workers = append(workers, worker(modeler.WorkerID(fmt.Sprint(ix)), "p", "x", 1000))
 			}
 			for ix := range 1000 {
-				groups = append(groups, &Group{Demand: Demand{Pool: "p", Label: "y", Needs: cores(int64(ix))}})
+				groups = append(groups, &Group{Demand: Demand{Pool: "p", Label: "y", Needs: cores(int64(ix)), Together: 1}})
 			}
 			for b.Loop() {
 				Look(groups, workers, time.Now())
