internal/operator/commander: currantctl waiting asks the leader what does not run and could

Change: GET /v1/waiting on the operators' listener of a host in job mode, beside /v1/explain-job, returns the waiting tasks by reason and the stalled long-running ones, longest first and at most 50. A host that does not lead names the leader.

--- a/internal/daemon/assembler/explanation.go
+++ b/internal/daemon/assembler/explanation.go
@@ -40,12 +40,14 @@
 func (ee *explanationError) Error() string { return ee.code + ": " + ee.message }
 
 func (je *jobExplainer) ServeHTTP(wr http.ResponseWriter, rq *http.Request) {
-	var answer any
-	status := http.StatusOK
 	ex, err := je.explain(rq)
-	if err == nil {
-		answer = ex
-	} else {
+	answerOperator(wr, ex, err)
+}
+
+// answerOperator answers with a document as JSON, or with an error.
+func answerOperator(wr http.ResponseWriter, answer any, err error) {
+	status := http.StatusOK
+	if err != nil {
 		ee := &explanationError{status: http.StatusInternalServerError, code: "Internal", message: err.Error()}
 		errors.As(err, &ee)
 		status, answer = ee.status, server.Rejection{Failure: fleet.Failure{Code: ee.code, Message: ee.message}}
@@ -63,7 +65,7 @@
 	}
 	dr := je.director()
 	if dr == nil {
-		return nil, je.notLeader()
+		return nil, notLeader(je.leader())
 	}
 	body, err := io.ReadAll(rq.Body)
 	if err != nil {
@@ -90,7 +92,7 @@
 	case errors.Is(err, modeler.ErrInvalidJob):
 		return nil, &explanationError{http.StatusUnprocessableEntity, "InvalidJob", err.Error()}
 	case errors.Is(err, director.ErrNotLoaded):
-		return nil, &explanationError{http.StatusServiceUnavailable, "NotLoaded", err.Error()}
+		return nil, notLoaded(err)
 	}
 	return ex, err
 }
@@ -98,14 +100,19 @@
 var errExplanationBusy = &explanationError{http.StatusServiceUnavailable, "Busy", fmt.Sprintf("one explanation at a time, and one in %s", minExplanationInterval)}
 
 // notLeader returns the error of a host that does not lead, which names the leader.
-func (je *jobExplainer) notLeader() error {
+func notLeader(ld elector.Leader) error {
 	message := "the host is not the leader, and no leader is known"
-	if ld := je.leader(); ld.Host != "" {
+	if ld.Host != "" {
 		message = fmt.Sprintf("the host is not the leader; the leader is %s, whose address for peers is %s", ld.Host, ld.Address)
 	}
 	return &explanationError{http.StatusServiceUnavailable, "NotLeader", message}
 }
 
+// notLoaded returns the error of a leader that has not loaded the stored jobs.
+func notLoaded(err error) error {
+	return &explanationError{http.StatusServiceUnavailable, "NotLoaded", err.Error()}
+}
+
 // findQueue returns the queue with the name in the query, or that of a caller's host and path.
 func findQueue(cfg *modeler.Configuration, rq *http.Request) (*modeler.Queue, error) {
 	query := rq.URL.Query()
--- a/internal/operator/commander/commander.go
+++ b/internal/operator/commander/commander.go
@@ -45,6 +45,7 @@
 	Tasks      tasksCommand      `command:"tasks" subcommands-optional:"yes" description:"list or resolve tasks"`
 	Explain    explainCommand    `command:"explain" alias:"trace" description:"tell the life of a job from the logs of hosts, or say why a task of a plan is in its state"`
 	ExplainJob explainJobCommand `command:"explain-job" description:"say where a job would be placed now and why, without submitting it"`
+	Waiting    waitingCommand    `command:"waiting" description:"list what waits by reason, and long-running tasks that wait although there is room for them"`
 	Hosts      hostsCommand      `command:"hosts" description:"list entry hosts"`
 	Runners    runnersCommand    `command:"runners" description:"list runners"`
 	Hours      hoursCommand      `command:"hours" description:"show the hours of a day"`
--- a/internal/operator/commander/commander_test.go
+++ b/internal/operator/commander/commander_test.go
@@ -22,6 +22,7 @@
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/hours/counter"
 	"github.com/currantrouter/currantrouter/internal/hours/publisher"
+	"github.com/currantrouter/currantrouter/internal/job/director"
 	"github.com/currantrouter/currantrouter/internal/operator/auditor"
 	"github.com/currantrouter/currantrouter/internal/operator/commander"
 	"github.com/currantrouter/currantrouter/internal/operator/server"
@@ -113,6 +114,7 @@
 		{[]string{"jobs", "--team", "Fournil", "--limit", "7"}, "GET /v1/jobs?Limit=7&Team=Fournil", server.Jobs{Jobs: []server.Job{{ID: "2026-03-29/nightly", Tasks: map[string]int{"Running": 2, "Done": 1}}}}, "1 Done, 2 Running"},
 		{[]string{"jobs", "cancel", "--reason", "wrong", "2026-03-29/nightly"}, `POST /v1/cancel {"Jobs":["2026-03-29/nightly"],"Day":"","Team":"","Reason":"wrong"}`, server.CancelResult{Jobs: 1}, "Cancelled"},
 		{[]string{"tasks", "--job", "2026-03-29/nightly"}, "GET /v1/tasks?Job=2026-03-29%2Fnightly&Limit=1000", server.Tasks{Tasks: []server.Task{task}}, "no room for it"},
+		{[]string{"waiting"}, "GET /v1/waiting", director.Waiting{Stalled: []director.StalledTask{{Task: "j.0.0.4"}}}, "j.0.0.4"},
 		{[]string{"tasks", "resolve", "--run-again", "--reason", "x", "a/b", "3"}, `POST /v1/tasks/resolve {"Job":"a/b","Task":3,"RunAgain":true,"Reason":"x"}`, server.Resolution{Job: "a/b"}, "a/b"},
 		{[]string{"tasks", "worker-gone", "--reason", "x", "oven"}, `POST /v1/workers/gone {"Worker":"oven","Reason":"x"}`, server.WorkerGone{Worker: "oven"}, "oven"},
 		{[]string{"explain", "2026-03-29/nightly", "3"}, "GET /v1/explain?Job=2026-03-29%2Fnightly&Task=3", server.Explanation{Task: task, Reasons: []string{"every worker is full"}}, "- every worker is full"},
