--- a/internal/job/director/observability_test.go
+++ b/internal/job/director/observability_test.go
@@ -45,6 +45,7 @@
 			sleep(10 * time.Second)
 			fl.assertNotLogged(logger.LongRunningTaskWaits, nil)
 			fl.assertNotLogged(logger.TasksWaitLong, nil)
+			fl.assertNotLogged(logger.LongRunningTaskStalled, nil)
 			fl.assertMetric(meter.LongRunningTasksOverdue, 0)
 		})
 	})
@@ -105,8 +106,17 @@
 			tm.AddJob(jb, true)
 			sleep(4 * time.Second)
 			fl.assertLogged(logger.LongRunningTaskWaits, logLine{"Reason": "PlacementNotDurable"})
+			fl.assertLogged(logger.LongRunningTaskStalled, logLine{"Task": "long.0.0.0", "Reason": "PlacementNotDurable", "Places": 2.0, "Epoch": 1.0})
+			fl.assertMetric(meter.StalledTasks, 1)
+			wg, err := tm.Waiting()
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, wg.Reasons, qt.DeepEquals, []director.WaitingReason{{Reason: "PlacementNotDurable", Tasks: 1, LongRunning: 1, Oldest: "long.0.0.0", Waited: wg.Stalled[0].Waited}})
+			qt.Check(t, wg.StalledTasks, qt.Equals, 1)
+			qt.Check(t, wg.Stalled[0].Places, qt.Equals, int64(2))
+			qt.Check(t, string(wg.Stalled[0].LastWorker), qt.Matches, "worker-0[01]")
 			fl.faults.Clear()
 			sleep(2 * time.Second)
+			fl.assertMetric(meter.StalledTasks, 0)
 		})
 	})
 }
@@ -315,3 +325,20 @@
 		})
 	})
 }
+
+// Guards against a time from free capacity to a start that is missing, or counts tasks that came to free capacity.
+func TestTimeFromFreeCapacity(t *testing.T) {
+	run(t, 1, func(fl *fleet, tm *term) {
+		sleep(2 * time.Second)
+		tm.submit(longRunningJob("early", "batch", 1, cores(1000)))
+		sleep(time.Second)
+		tm.submitMinute("short", cores(8000))
+		sleep(time.Second)
+		tm.submit(longRunningJob("long", "batch", 1, cores(7500)))
+		sleep(5 * time.Second)
+		qt.Check(t, fl.timerCount(meter.TimeFromFree), qt.Equals, 0)
+		sleep(time.Minute)
+		fl.assertRuns("long", 1)
+		qt.Check(t, fl.timerCount(meter.TimeFromFree), qt.Equals, 1)
+	})
+}
