internal/daemon/assembler: answers to operators in a function of their own

Cause: only the explanation of a job could answer operators with a document or an error, and name the leader. No behaviour changes.

--- a/internal/daemon/assembler/explanation.go
+++ b/internal/daemon/assembler/explanation.go
@@ -31,7 +31,7 @@
 	lastAt time.Time
 }
 
-// explanationError is an error answer with its HTTP status.
+// explanationError is an error answer to an operator with its HTTP status.
 type explanationError struct {
 	status        int
 	code, message string
@@ -40,19 +40,21 @@
 func (ee *explanationError) Error() string { return ee.code + ": " + ee.message }
 
 func (je *jobExplainer) ServeHTTP(wr http.ResponseWriter, rq *http.Request) {
-	var answer any
-	status := http.StatusOK
 	ex, err := je.explain(rq)
-	if err == nil {
-		answer = ex
-	} else {
+	answerOperator(wr, ex, err)
+}
+
+// answerOperator writes a document, or the error if there is one.
+func answerOperator(wr http.ResponseWriter, doc any, err error) {
+	status := http.StatusOK
+	if err != nil {
 		ee := &explanationError{status: http.StatusInternalServerError, code: "Internal", message: err.Error()}
 		errors.As(err, &ee)
-		status, answer = ee.status, server.Rejection{Failure: fleet.Failure{Code: ee.code, Message: ee.message}}
+		status, doc = ee.status, server.Rejection{Failure: fleet.Failure{Code: ee.code, Message: ee.message}}
 	}
 	wr.Header().Set("Content-Type", "application/json")
 	wr.WriteHeader(status)
-	json.NewEncoder(wr).Encode(answer)
+	json.NewEncoder(wr).Encode(doc)
 }
 
 // explain answers a request. Errors: *explanationError.
@@ -63,7 +65,7 @@
 	}
 	dr := je.director()
 	if dr == nil {
-		return nil, je.notLeader()
+		return nil, notLeader(je.leader())
 	}
 	body, err := io.ReadAll(rq.Body)
 	if err != nil {
@@ -98,9 +100,9 @@
 var errExplanationBusy = &explanationError{http.StatusServiceUnavailable, "Busy", fmt.Sprintf("one explanation at a time, and one in %s", minExplanationInterval)}
 
 // notLeader returns the error of a host that does not lead, which names the leader.
-func (je *jobExplainer) notLeader() error {
+func notLeader(ld elector.Leader) error {
 	message := "the host is not the leader, and no leader is known"
-	if ld := je.leader(); ld.Host != "" {
+	if ld.Host != "" {
 		message = fmt.Sprintf("the host is not the leader; the leader is %s, whose address for peers is %s", ld.Host, ld.Address)
 	}
 	return &explanationError{http.StatusServiceUnavailable, "NotLeader", message}
