internal/job/director: report of the evacuations

Change: ReportEvacuations returns for each data centre since when this leader follows the request, the workers, the runs that end by themselves and the long-running ones, and the starts released; and what holds it up: not listed, view outdated, requests suspended. Measured: go test ./internal/job/director -run Evacuat passes.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -15,6 +15,7 @@
 
 	"github.com/go-logr/logr"
 
+	fleet "github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/job/estimator"
 	"github.com/currantrouter/currantrouter/internal/job/evacuator"
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
@@ -299,6 +300,8 @@
 	// ineffectiveLines, droppedLines and overdueLines bound lines of the log.
 	ineffectiveLines, droppedLines, overdueLines reporter.LineBudget
 	evacuationSuspension                         evacuationSuspension
+	// evacuations has what operators are told of each evacuated data centre.
+	evacuations map[fleet.DataCentreName]*evacuationState
 	// evacuationLines bound the lines of the log on changes.
 	evacuationLines reporter.LineBudget
 	// waitLoggedAt is when the log last said why a task waits.
@@ -328,6 +331,7 @@
 		unreadJobs:           map[modeler.JobID]struct{}{},
 		workers:              map[modeler.WorkerID]*worker{},
 		waitingSteps:         map[*step]struct{}{},
+		evacuations:          map[fleet.DataCentreName]*evacuationState{},
 		starting:             map[*attempt]struct{}{},
 		seenRooms:            map[modeler.PoolName][]seenRoom{},
 		shortDemand:          map[modeler.PoolName]*reserver.Forecast{},
--- a/internal/job/director/evacuation.go
+++ b/internal/job/director/evacuation.go
@@ -47,6 +47,12 @@
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
 	now := time.Now()
+	for _, dc := range ch.Withdrawn {
+		delete(dr.evacuations, dc)
+	}
+	for _, dc := range ch.Added {
+		dr.evacuations[dc] = &evacuationState{since: now}
+	}
 	released := dr.releaseEvacuated(now)
 	workers, runs := dr.countEvacuated()
 	st := dr.op.Evacuator.Status(now)
@@ -81,6 +87,9 @@
 				dr.release(at)
 				dr.afterRunEnd(at.task, now)
 				released++
+				if es := dr.evacuations[wk.info.DataCentre]; es != nil {
+					es.released++
+				}
 			}
 		}
 	}
--- a/internal/job/director/evacuation_test.go
+++ b/internal/job/director/evacuation_test.go
@@ -1,6 +1,7 @@
 package director_test
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	dcs "github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/director"
 	"github.com/currantrouter/currantrouter/internal/job/evacuator"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/provider/emulator"
@@ -373,3 +375,40 @@
 		qt.Check(t, ec.registry.Value(meter.TasksWaitingEvacuated) > 0, qt.IsTrue)
 	})
 }
+
+// Guards against a report without what operators wait for or what holds the evacuation up.
+func TestEvacuationReport(t *testing.T) {
+	withDataCentres(t, 1, 1, func(ec *evacuation) {
+		hindered := func(list ...director.Hindrance) *director.EvacuationReport {
+			er, err := ec.ReportEvacuations()
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, er.Hindrances, qt.DeepEquals, append([]director.Hindrance{}, list...))
+			return er
+		}
+		qt.Check(t, hindered(director.HinderedByListing).ViewAge, qt.Equals, "")
+		ec.list(west)
+		ec.submit(longRunningJob("long", "urgent", 1, cores(1000)))
+		ec.submit(simpleJob("short", "urgent", 2, cores(1000)))
+		sleep(500 * time.Millisecond)
+		ec.faults.Set(emulator.Switch{Fault: emulator.RequestLost, Part: emulator.PartWorkers, Operation: "Start", Target: string(ec.infos[0].ID)})
+		ec.submit(simpleJob("queued", "urgent", 10, cores(1000)))
+		sleep(100 * time.Millisecond)
+		since := time.Now()
+		ec.request(east)
+		sleep(roundTime)
+		er := hindered()
+		qt.Check(t, er.ViewAge, qt.Equals, roundTime.String())
+		// Three starts have no answer, so that they may run.
+		qt.Check(t, er.Evacuations[0], qt.Equals, director.EvacuationProgress{DataCentre: east, Since: since, Workers: 1, Runs: 5, LongRunningRuns: 1, StartsReleased: 7})
+		qt.Check(t, er.Evacuations[1].DataCentre, qt.Equals, west)
+		ec.cutOff.Store(true)
+		ec.evacuator.Confirm(evacuator.Reading{At: time.Now().Add(-ec.evacuator.MaxAge() - time.Millisecond)})
+		hindered(director.HinderedByView)
+		ec.cutOff.Store(false)
+		ec.withdraw(east)
+		qt.Check(t, hindered().Evacuations, qt.HasLen, 1)
+		ec.faults.Clear()
+	})
+	_, err := director.New(director.Options{}).ReportEvacuations()
+	qt.Check(t, errors.Is(err, director.ErrEvacuationsNotRead), qt.IsTrue)
+}
