internal/job/leader: requests and withdrawals of evacuations for operators

Operators wrote the key into the store by hand: a wrong name evacuated nothing without a sign, and a lost answer was theirs to resolve. Change: EvacuationRequests creates the key if it does not exist, and deletes the revision that it has read. A lost answer is read back. A data centre without registered workers is refused with the names of those that have some.

--- a/internal/job/evacuator/evacuator.go
+++ b/internal/job/evacuator/evacuator.go
@@ -57,6 +57,26 @@
 // Empty reports whether nothing has changed.
 func (ch *Change) Empty() bool { return len(ch.Added) == 0 && len(ch.Withdrawn) == 0 && !ch.First }
 
+// Outcome is the result of an operator's command.
+type Outcome string
+
+// The outcomes. AlreadyRequested and NotRequested have changed nothing.
+const (
+	Requested        Outcome = "Requested"
+	AlreadyRequested Outcome = "AlreadyRequested"
+	Withdrawn        Outcome = "Withdrawn"
+	NotRequested     Outcome = "NotRequested"
+)
+
+// CodeNoWorkers is the code of the error answer to a request for a data centre without workers.
+const CodeNoWorkers = "NoWorkers"
+
+// CommandResult answers an operator's command.
+type CommandResult struct {
+	DataCentre fleet.DataCentreName
+	Outcome    Outcome
+}
+
 // Options configure an evacuator.
 type Options struct {
 	// Limit is the time after a request was stored from which no start may reach a worker of the data centre.
--- a/internal/job/leader/cluster_test.go
+++ b/internal/job/leader/cluster_test.go
@@ -326,7 +326,7 @@
 	pr.subscriber = subscriber.New(st, subscriber.ConfigurationEntry{Key: queuesKey, Decode: decodeQueues}, dial, lg, rg)
 	pr.leader = leader.New(leader.Options{
 		Self: self, Store: st, Registry: leader.Registry{Prefix: registryPrefix, Decode: decodeWorker},
-		Evacuations: leader.Evacuations{Prefix: evacuationPrefix, Decode: decodeEvacuation}, EvacuationLimit: cl.evacuationLimit, WorkerClient: &hostWorkers{pr}, DialRelay: dialRelay,
+		Evacuations: leader.Evacuations{Prefix: evacuationPrefix, Decode: decodeEvacuation, Encode: encodeEvacuation}, EvacuationLimit: cl.evacuationLimit, WorkerClient: &hostWorkers{pr}, DialRelay: dialRelay,
 		OnLargeFleet: func(leads bool) { cl.noteLargeFleet(ix, leads) }, Limits: cl.limits, Configuration: pr.subscriber.Current, SuspendedTime: func() time.Duration { return 0 }, Log: lg, Meter: rg,
 	})
 	var seeds []netip.AddrPort
--- a/internal/job/leader/evacuation.go
+++ b/internal/job/leader/evacuation.go
@@ -35,6 +35,8 @@
 	// Decode returns the data centre that the key of an entry names, or an error if it names none. The value does not
 	// matter, and a deleted entry has none.
 	Decode func(en storer.Entry) (fleet.DataCentreName, error)
+	// Encode returns the key of the request for a data centre, or an error if Decode would not accept it.
+	Encode func(dc fleet.DataCentreName) (key string, err error)
 }
 
 // evacuationWatch watches the requests to evacuate data centres for a term.
--- a/internal/job/leader/evacuation_test.go
+++ b/internal/job/leader/evacuation_test.go
@@ -12,6 +12,8 @@
 	qt "github.com/frankban/quicktest"
 
 	fleet "github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/evacuator"
+	"github.com/currantrouter/currantrouter/internal/job/leader"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/provider/emulator"
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
@@ -40,6 +42,10 @@
 	return fleet.DataCentreName(name), nil
 }
 
+func encodeEvacuation(dc fleet.DataCentreName) (string, error) {
+	return evacuationPrefix + string(dc), nil
+}
+
 // withLoad runs a test on five hosts and eight workers, half of them in the data centre east, the others in west. Tasks
 // wait for capacity all the time: those of new jobs would not start while the leader does not reach the store. The tasks run
 // for a time or a little longer.
@@ -396,3 +402,31 @@
 		cl.assertStarts(east, returnTime, true)
 	})
 }
+
+// Guards against requests of operators that the leader's watch does not take up or report, also with a lost answer.
+func TestEvacuationByOperators(t *testing.T) {
+	withLoad(t, evacuationLimit, time.Second, func(cl *cluster) {
+		ctx := context.Background()
+		er := leader.EvacuationRequests{
+			Store: cl.store, Evacuations: leader.Evacuations{Encode: encodeEvacuation}, Registry: leader.Registry{Prefix: registryPrefix, Decode: decodeWorker},
+		}
+		cl.faults.Set(emulator.Switch{Fault: emulator.AnswerLost, Part: emulator.PartStore, Operation: "Put", Target: evacuationPrefix, Count: 1})
+		oc, err := er.Request(ctx, east)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, oc, qt.Equals, evacuator.Requested)
+		_, err = er.Request(ctx, "north")
+		qt.Check(t, errors.Is(err, leader.ErrNoWorkers), qt.IsTrue, qt.Commentf("%v", err))
+		time.Sleep(time.Second)
+		cl.assertStarts(east, 5*time.Second, false)
+		cl.assertStarts(west, 2*time.Second, true)
+		rp, err := cl.process(cl.leaderIndex()).leader.Director().ReportEvacuations()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, rp.Evacuations, qt.HasLen, 1)
+		qt.Check(t, rp.Evacuations[0].DataCentre, qt.Equals, east)
+		qt.Check(t, rp.Evacuations[0].Workers, qt.Equals, len(cl.infos)/2)
+		oc, err = er.Withdraw(ctx, east)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, oc, qt.Equals, evacuator.Withdrawn)
+		cl.assertStarts(east, returnTime, true)
+	})
+}
