currantctl: evacuate and evacuations

Change: PUT and DELETE /v1/evacuations/DATACENTRE at any host that schedules callers' jobs, GET /v1/evacuations at the leader; a host that does not lead names it. Event 735 for each command, counters EvacuationsRequested and EvacuationsWithdrawn for those that changed something. currantctl evacuate [--withdraw] DATACENTRE and currantctl evacuations; both commands are idempotent. Measured: go test ./internal/operator/... ./internal/daemon/assembler ./internal/job/leader -run 'Evacuat|Explain|Command' passes.

--- a/internal/daemon/assembler/jobs.go
+++ b/internal/daemon/assembler/jobs.go
@@ -358,6 +358,7 @@
 	mux := chi.NewRouter()
 	mux.Handle("/metrics", jh.meter)
 	mux.Method(http.MethodPost, "/v1/explain-job", &jobExplainer{director: jh.leader.Director, leader: jh.elector.Leader, configuration: jh.subscriber.Current})
+	mux.Mount(evacuationsPath, jh.evacuationsHandler())
 	return mux
 }
 
--- a/internal/operator/commander/commander.go
+++ b/internal/operator/commander/commander.go
@@ -45,6 +45,8 @@
 	Tasks      tasksCommand      `command:"tasks" subcommands-optional:"yes" description:"list or resolve tasks"`
 	Explain    explainCommand    `command:"explain" alias:"trace" description:"tell the life of a job from the logs of hosts, or say why a task of a plan is in its state"`
 	ExplainJob explainJobCommand `command:"explain-job" description:"say where a job would be placed now and why, without submitting it"`
+	Evacuated  evacuatedCommand  `command:"evacuations" description:"list the data centres that are evacuated, with their progress"`
+	Evacuate   evacuateCommand   `command:"evacuate" description:"keep new tasks out of a data centre, or take that back"`
 	Hosts      hostsCommand      `command:"hosts" description:"list entry hosts"`
 	Runners    runnersCommand    `command:"runners" description:"list runners"`
 	Hours      hoursCommand      `command:"hours" description:"show the hours of a day"`
--- a/internal/operator/commander/commander_test.go
+++ b/internal/operator/commander/commander_test.go
@@ -22,6 +22,8 @@
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/hours/counter"
 	"github.com/currantrouter/currantrouter/internal/hours/publisher"
+	"github.com/currantrouter/currantrouter/internal/job/director"
+	"github.com/currantrouter/currantrouter/internal/job/evacuator"
 	"github.com/currantrouter/currantrouter/internal/operator/auditor"
 	"github.com/currantrouter/currantrouter/internal/operator/commander"
 	"github.com/currantrouter/currantrouter/internal/operator/server"
@@ -116,6 +118,9 @@
 		{[]string{"tasks", "resolve", "--run-again", "--reason", "x", "a/b", "3"}, `POST /v1/tasks/resolve {"Job":"a/b","Task":3,"RunAgain":true,"Reason":"x"}`, server.Resolution{Job: "a/b"}, "a/b"},
 		{[]string{"tasks", "worker-gone", "--reason", "x", "oven"}, `POST /v1/workers/gone {"Worker":"oven","Reason":"x"}`, server.WorkerGone{Worker: "oven"}, "oven"},
 		{[]string{"explain", "2026-03-29/nightly", "3"}, "GET /v1/explain?Job=2026-03-29%2Fnightly&Task=3", server.Explanation{Task: task, Reasons: []string{"every worker is full"}}, "- every worker is full"},
+		{[]string{"evacuations"}, "GET /v1/evacuations", director.EvacuationReport{ViewAge: "1s", Evacuations: []director.EvacuationProgress{{DataCentre: "zone-1", LongRunningRuns: 17}}}, "17"},
+		{[]string{"evacuate", "zone/1"}, "PUT /v1/evacuations/zone%2F1", evacuator.CommandResult{DataCentre: "zone/1", Outcome: evacuator.Requested}, "zone/1: evacuation requested"},
+		{[]string{"evacuate", "--withdraw", "zone-1"}, "DELETE /v1/evacuations/zone-1", evacuator.CommandResult{DataCentre: "zone-1", Outcome: evacuator.NotRequested}, "no evacuation was requested"},
 		{[]string{"hosts"}, "GET /v1/hosts", []server.Host{{Name: "entry-1", Leading: true}}, "entry-1"},
 		{[]string{"runners"}, "GET /v1/runners", []server.Runner{{Name: "oven-1", Slots: 8}}, "oven-1"},
 		{[]string{"hours", "2026-03-29"}, "GET /v1/hours/2026-03-29", publisher.Page{Services: []publisher.Service{{Name: "bakedesk", Hours: []publisher.Hour{hour}}}}, "1 of 2 hosts missing"},
@@ -206,6 +211,9 @@
 		{[]string{"hosts", "--nonsense"}, commander.ExitUsage, ""},
 		{[]string{"hosts", "extra"}, commander.ExitUsage, ""},
 		{[]string{"drain", "Host", "entry-1"}, commander.ExitUsage, ""},
+		{[]string{"evacuate"}, commander.ExitUsage, ""},
+		{[]string{"evacuate", ""}, commander.ExitUsage, ""},
+		{[]string{"evacuations", "--output", "yaml"}, commander.ExitUsage, ""},
 		{[]string{"config", "put", file}, commander.ExitUsage, ""},
 		{[]string{"tasks", "resolve", "--reason", "x", "a/b", "3"}, commander.ExitUsage, ""},
 		{[]string{"audit", "--since", "yesterday"}, commander.ExitUsage, ""},
@@ -231,6 +239,14 @@
 			assertOneLine(t, code, errOut)
 		}
 	})
+	t.Run("host without evacuations", func(t *testing.T) {
+		st := newStub(t, answer(t, http.StatusNotFound, modeler.Failure{Code: "NotFound", Message: "no such path"}))
+		for _, args := range [][]string{{"evacuations"}, {"evacuate", "zone-1"}} {
+			code, _, errOut := ctl(st.address(), args...)
+			qt.Check(t, code, qt.Equals, commander.ExitNotFound.Code)
+			qt.Check(t, errOut, qt.Contains, "does not schedule callers' jobs")
+		}
+	})
 	t.Run("no certificate", func(t *testing.T) {
 		var out, errOut bytes.Buffer
 		code := commander.Main([]string{"hosts"}, &out, &errOut)
--- a/internal/telemetry/logger/catalogue_evacuation.go
+++ b/internal/telemetry/logger/catalogue_evacuation.go
@@ -7,6 +7,7 @@
 	EvacuationEntryInvalid  = Event{732, "evacuation request malformed", "The key names no data centre. It changes nothing. Correct the key.", SeverityWarning}
 	EvacuationViewOutdated  = Event{733, "view of the evacuations outdated", "The leader has not read the evacuations for ViewAge, longer than MaxAge, although the store answers other calls or other hosts, or has not read them in this term. It sends no starts until it has. Check the leader's link to the store.", SeverityWarning}
 	EvacuationViewRecovered = Event{734, "view of the evacuations up to date again", "The leader sends starts again after Suspended.", SeverityInfo}
+	EvacuationCommand       = Event{735, "evacuation command carried out", "An operator has requested or withdrawn an evacuation at this host, with the Result that the operator was told: an outcome, or the code of the error with its Cause. Remote is the address of the client. DataCentre is cut after 200 bytes.", SeverityInfo}
 )
 
-var evacuationEvents = []Event{EvacuationsListed, EvacuationsChanged, EvacuationEntryInvalid, EvacuationViewOutdated, EvacuationViewRecovered}
+var evacuationEvents = []Event{EvacuationsListed, EvacuationsChanged, EvacuationEntryInvalid, EvacuationViewOutdated, EvacuationViewRecovered, EvacuationCommand}
