internal/job/director: the report counts runs at workers whose registration has ended

Cause: an operator waits until no run is left in the data centre, but the report left out those at workers without an entry, which may still run. Found by reading the report again; taking the check of the registration out failed no test. Change: such workers are not counted, their runs are. Measured: TestEvacuationReport unregisters the worker: 0 workers, 5 runs. go test ./internal/job/director -run Evacuat passes.

--- a/internal/job/director/evacuation_test.go
+++ b/internal/job/director/evacuation_test.go
@@ -401,6 +401,11 @@
 		// Three starts have no answer, so that they may run.
 		qt.Check(t, er.Evacuations[0], qt.Equals, director.EvacuationProgress{DataCentre: east, Since: since, Workers: 1, Runs: 5, LongRunningRuns: 1, StartsReleased: 7})
 		qt.Check(t, er.Evacuations[1].DataCentre, qt.Equals, west)
+		ec.SetWorkers(ec.infos[1:])
+		er = hindered()
+		qt.Check(t, er.Evacuations[0].Workers, qt.Equals, 0)
+		qt.Check(t, er.Evacuations[0].Runs, qt.Equals, 5)
+		ec.SetWorkers(ec.infos)
 		ec.cutOff.Store(true)
 		ec.evacuator.Confirm(evacuator.Reading{At: time.Now().Add(-ec.evacuator.MaxAge() - time.Millisecond)})
 		hindered(director.HinderedByView)
--- a/internal/job/director/evacuationreport.go
+++ b/internal/job/director/evacuationreport.go
@@ -41,7 +41,8 @@
 	Since time.Time
 	// Workers is the number of registered workers there.
 	Workers int
-	// Runs is the number of runs there that end by themselves. Long-running ones stay until their jobs are cancelled.
+	// Runs is the number of runs there that end by themselves, also at workers whose registration has ended. Long-running
+	// ones stay until their jobs are cancelled.
 	Runs, LongRunningRuns int
 	// StartsReleased is the number of starts that were queued for workers there since Since and were not sent.
 	StartsReleased int
@@ -92,10 +93,12 @@
 	}
 	for _, wk := range dr.workers {
 		ep := byName[wk.info.DataCentre]
-		if ep == nil || !wk.registered {
+		if ep == nil {
 			continue
 		}
-		ep.Workers++
+		if wk.registered {
+			ep.Workers++
+		}
 		for _, at := range wk.attempts {
 			if at.task.step.spec.LongRunning {
 				ep.LongRunningRuns++
