--- a/internal/daemon/assembler/explanation.go
+++ b/internal/daemon/assembler/explanation.go
@@ -31,7 +31,7 @@
 	lastAt time.Time
 }
 
-// explanationError is an error answer with its HTTP status.
+// explanationError is an error answer to an operator with its HTTP status.
 type explanationError struct {
 	status        int
 	code, message string
@@ -44,17 +44,17 @@
 	answerOperator(wr, ex, err)
 }
 
-// answerOperator answers with a document as JSON, or with an error.
-func answerOperator(wr http.ResponseWriter, answer any, err error) {
+// answerOperator answers with a document as JSON, or with the error if there is one.
+func answerOperator(wr http.ResponseWriter, doc any, err error) {
 	status := http.StatusOK
 	if err != nil {
 		ee := &explanationError{status: http.StatusInternalServerError, code: "Internal", message: err.Error()}
 		errors.As(err, &ee)
-		status, answer = ee.status, server.Rejection{Failure: fleet.Failure{Code: ee.code, Message: ee.message}}
+		status, doc = ee.status, server.Rejection{Failure: fleet.Failure{Code: ee.code, Message: ee.message}}
 	}
 	wr.Header().Set("Content-Type", "application/json")
 	wr.WriteHeader(status)
-	json.NewEncoder(wr).Encode(answer)
+	json.NewEncoder(wr).Encode(doc)
 }
 
 // explain answers a request. Errors: *explanationError.
--- a/internal/daemon/assembler/jobs.go
+++ b/internal/daemon/assembler/jobs.go
@@ -359,6 +359,7 @@
 	mux.Handle("/metrics", jh.meter)
 	mux.Method(http.MethodPost, "/v1/explain-job", &jobExplainer{director: jh.leader.Director, leader: jh.elector.Leader, configuration: jh.subscriber.Current})
 	mux.Method(http.MethodGet, "/v1/waiting", &waitingLister{director: jh.leader.Director, leader: jh.elector.Leader})
+	mux.Mount(evacuationsPath, jh.evacuationsHandler())
 	return mux
 }
 
