internal/daemon/assembler: evacuations are requested and withdrawn from the host itself only

The operators' interface of a host in job mode authenticates nobody and listens on the host's address, so that whoever reaches it could keep new tasks out of all data centres. Commands are now carried out only if the client's address is that of the host or a loopback address.

--- a/internal/daemon/assembler/evacuation.go
+++ b/internal/daemon/assembler/evacuation.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"time"
@@ -116,7 +118,10 @@
 	return func(wr http.ResponseWriter, rq *http.Request) {
 		began := time.Now()
 		dc := fleet.DataCentreName(strings.TrimPrefix(rq.URL.Path, evacuationsPath+"/"))
-		oc, err := es.execute(rq.Context(), dc, execute)
+		oc, err := evacuator.Outcome(""), error(errNotLocal)
+		if fromThisHost(rq) {
+			oc, err = es.execute(rq.Context(), dc, execute)
+		}
 		result, cause := string(oc), ""
 		if err != nil {
 			ee := evacuationError(dc, err)
@@ -131,6 +136,22 @@
 	}
 }
 
+var errNotLocal = &explanationError{http.StatusForbidden, "NotLocal", "commands are accepted from this host only, as its operators' interface does not authenticate clients; run currantctl there or through a tunnel that ends there"}
+
+// fromThisHost reports whether a request was sent by this host.
+func fromThisHost(rq *http.Request) bool {
+	remote, err := netip.ParseAddrPort(rq.RemoteAddr)
+	if err != nil {
+		return false
+	}
+	addr := remote.Addr().Unmap()
+	if addr.IsLoopback() {
+		return true
+	}
+	local, ok := rq.Context().Value(http.LocalAddrContextKey).(*net.TCPAddr)
+	return ok && local.AddrPort().Addr().Unmap() == addr
+}
+
 var errCommandBusy = &explanationError{http.StatusServiceUnavailable, "Busy", "one command at a time; nothing was changed"}
 
 func (es *evacuationServer) execute(ctx context.Context, dc fleet.DataCentreName, execute func(context.Context, fleet.DataCentreName) (evacuator.Outcome, error)) (evacuator.Outcome, error) {
--- a/internal/daemon/assembler/evacuation_test.go
+++ b/internal/daemon/assembler/evacuation_test.go
@@ -1,7 +1,9 @@
 package assembler
 
 import (
+	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -43,10 +45,12 @@
 	*evacuationServer
 	store *emulator.Store
 	lines []string
+	// remote is the address of the client.
+	remote string
 }
 
 func newEvacuationHost(t *testing.T) *evacuationHost {
-	eh := &evacuationHost{store: emulator.NewStore(new(emulator.Faults))}
+	eh := &evacuationHost{store: emulator.NewStore(new(emulator.Faults)), remote: "127.0.0.1:1234"}
 	for key, dc := range map[string]string{"Workers/1": "east", "Workers/2": "a/b", "Workers/3": ""} {
 		_, err := eh.store.Put(t.Context(), key, []byte(dc), 0)
 		qt.Assert(t, err, qt.IsNil)
@@ -74,7 +78,9 @@
 	mux.Mount(evacuationsPath, eh.handler())
 	rc := httptest.NewRecorder()
 	// The body must not be read.
-	mux.ServeHTTP(rc, httptest.NewRequest(method, evacuationsPath+name, iotest.ErrReader(http.ErrHandlerTimeout)))
+	rq := httptest.NewRequest(method, evacuationsPath+name, iotest.ErrReader(http.ErrHandlerTimeout))
+	rq.RemoteAddr = eh.remote
+	mux.ServeHTTP(rc, rq.WithContext(context.WithValue(rq.Context(), http.LocalAddrContextKey, &net.TCPAddr{IP: net.IPv4(10, 0, 0, 1), Port: 7480})))
 	qt.Assert(t, json.Unmarshal(rc.Body.Bytes(), &answer), qt.IsNil, qt.Commentf("%s", rc.Body))
 	return rc.Code, answer
 }
@@ -140,7 +146,7 @@
 				qt.Check(t, err == nil, qt.Equals, tc.stored, qt.Commentf("%v", err))
 				qt.Check(t, eh.meter.Value(meter.EvacuationsRequested)+eh.meter.Value(meter.EvacuationsWithdrawn) == 1, qt.Equals, tc.counts)
 				qt.Assert(t, eh.lines, qt.HasLen, 1)
-				qt.Check(t, eh.lines[0], qt.Matches, `.*"Event"=735 .*"Remote"="192.0.2.1:1234" "Result"="`+tc.result+`".*`)
+				qt.Check(t, eh.lines[0], qt.Matches, `.*"Event"=735 .*"Remote"="127.0.0.1:1234" "Result"="`+tc.result+`".*`)
 				qt.Check(t, len(eh.lines[0]) < 800, qt.IsTrue)
 			})
 		})
@@ -166,6 +172,18 @@
 	assertExplanationError(t, jh.operatorsHandler(), httptest.NewRequest(http.MethodGet, evacuationsPath, nil), 422, "NotEnabled", "EvacuationLimit")
 }
 
+// Guards against data centres that anyone who reaches the operators' interface can evacuate.
+func TestEvacuationCommandsOfOtherHosts(t *testing.T) {
+	for remote, status := range map[string]int{"10.0.0.2:1234": 403, "": 403, "10.0.0.1:1234": 200, "[::ffff:10.0.0.1]:1234": 200, "[::1]:1234": 200} {
+		eh := newEvacuationHost(t)
+		eh.remote = remote
+		got, _ := eh.send(t, http.MethodPut, "/east")
+		qt.Check(t, got, qt.Equals, status, qt.Commentf("%q", remote))
+		_, err := eh.store.Get(t.Context(), "Evacuate/east")
+		qt.Check(t, err == nil, qt.Equals, status == 200)
+	}
+}
+
 // Guards against a host that does not name the leader, and against reports without a bound or of an earlier term.
 func TestEvacuationList(t *testing.T) {
 	eh := newEvacuationHost(t)
