director: interference closes a worker to an image once for a round, not for each step

Each step needs something else, so that each examined all workers again. Whether a worker is closed depends on the image alone, until something is placed there. The forecast of an image now notes it.

--- a/internal/job/director/forecast.go
+++ b/internal/job/director/forecast.go
@@ -49,6 +49,9 @@
 	// trials counts the image's tasks that share a worker with a latency-critical image, by that
 	// image. It is nil until a prediction depends on it.
 	trials map[string]int
+	// refused is set for the workers, in the order of the round's workers, that were found to be closed to the tasks of a
+	// best-effort image by interference, whatever these need. It is nil before the first.
+	refused []bool
 	// newTrials is the number of changes of trials in this round that matter for a placement.
 	newTrials int
 }
@@ -64,6 +67,15 @@
 	return fc
 }
 
+// refuse notes that a worker is closed to the tasks of a best-effort image until something is placed there. Further trials
+// elsewhere do not open it.
+func (rd *round) refuse(fc *forecast, ix int) {
+	if fc.refused == nil {
+		fc.refused = make([]bool, len(rd.workers))
+	}
+	fc.refused[ix] = true
+}
+
 // countTrials returns the trials of a best-effort image.
 func (rd *round) countTrials(image string, fc *forecast) map[string]int {
 	if fc.trials != nil {
--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -573,6 +573,9 @@
 		if fc.predictions != nil {
 			fc.predictions[ix].valid = false
 		}
+		if fc.refused != nil {
+			fc.refused[ix] = false
+		}
 	}
 	if fc := rd.forecasts[tk.step.spec.Image]; fc != nil && fc.trials != nil && tk.step.spec.BestEffort {
 		for image := range wk.criticalImages {
--- a/internal/job/director/selection.go
+++ b/internal/job/director/selection.go
@@ -180,12 +180,16 @@
 		cd.SameStepTasks = cu.sp.perWorker[rd.workers[ix].info.ID]
 	}
 	sl.costs[ix] = math.Inf(1)
-	if placer.HasCapacity(cu.dm, cd) {
+	refused := cu.dm.BestEffort && cu.fc.refused != nil && cu.fc.refused[ix]
+	if !refused && placer.HasCapacity(cu.dm, cd) {
 		if cu.fc != nil {
 			rd.applyForecastTo(ix, cu.dm, cu.fc, cu.contentionDemand)
 		}
 		rd.dr.usage.costsComputed++
 		sl.costs[ix] = placer.Cost(cu.dm, cd)
+		if cu.dm.BestEffort && !placer.AllowsInterference(cd) {
+			rd.refuse(cu.fc, ix)
+		}
 	}
 	if !math.IsInf(sl.costs[ix], 1) {
 		sl.feasible++
--- a/internal/job/director/selection_test.go
+++ b/internal/job/director/selection_test.go
@@ -146,3 +146,36 @@
 	// All jobs need the same, so that they share what was examined.
 	qt.Check(t, dr.usage.costsComputed <= sufficientCandidates+jobs, qt.IsTrue, qt.Commentf("%d costs", dr.usage.costsComputed))
 }
+
+// Guards against a round that computes the cost of each worker for each step of an image that interferes with what runs
+// there.
+func TestInterferenceIsComputedOncePerImage(t *testing.T) {
+	const steps = 20
+	dr := newBacklog(2*sufficientCandidates, steps+1, func(ix int) modeler.Step {
+		if ix == steps {
+			return modeler.Step{Count: 2 * sufficientCandidates, Needs: modeler.Resources{MilliCores: 1000}, Image: "critical", TailTarget: 100 * time.Millisecond, LongRunning: true, MaxPerWorker: 1}
+		}
+		return modeler.Step{Count: 2, Needs: modeler.Resources{MilliCores: int64(2000 - ix)}, Image: "image", BestEffort: true}
+	})
+	for _, wk := range dr.workers {
+		wk.free = wk.info.Capacity
+	}
+	now := time.Now()
+	dr.jobs["j20"].Priority = -1
+	rd := dr.newRound(now)
+	rd.startsLeft, rd.maxMisses = 1000, maxMisses
+	rd.placeStep(dr.jobs["j20"].occurrences[0].steps[0])
+	for _, wk := range dr.workers {
+		for _, at := range wk.criticalAttempts {
+			at.load, at.loadAt, at.progress = 10, now, 100
+		}
+	}
+	rd = dr.newRound(now)
+	rd.startsLeft, rd.maxMisses = 1000, maxMisses
+	before := dr.usage.costsComputed
+	for _, rs := range rd.steps {
+		rd.placeStep(rs.step)
+	}
+	qt.Check(t, rd.startsLeft, qt.Equals, 1000)
+	qt.Check(t, dr.usage.costsComputed-before, qt.Equals, len(dr.workers))
+}
--- a/internal/job/placer/placer.go
+++ b/internal/job/placer/placer.go
@@ -217,7 +217,7 @@
 
 // Feasible reports whether the task may run on the worker and fits into its free capacity.
 func Feasible(dm *Demand, cd *Candidate) bool {
-	return HasCapacity(dm, cd) && (!dm.BestEffort || allowsInterference(cd)) && (!dm.LongRunning || AllowsLongRunning(dm))
+	return HasCapacity(dm, cd) && (!dm.BestEffort || AllowsInterference(cd)) && (!dm.LongRunning || AllowsLongRunning(dm))
 }
 
 // HasCapacity reports whether the worker has free capacity for the task. What the task does to the latency-critical
@@ -272,7 +272,7 @@
 			rs.Crowded++
 		case !hasFree(dm, cd):
 			rs.Full++
-		case dm.BestEffort && !(hasIdleProcessors(dm, cd) && allowsInterference(cd)):
+		case dm.BestEffort && !(hasIdleProcessors(dm, cd) && AllowsInterference(cd)):
 			rs.Disturbed++
 		case dm.LongRunning && (cd.LongLease || !AllowsLongRunning(dm)):
 			rs.Reserved++
@@ -311,9 +311,9 @@
 // ones. Short urgent jobs need about half of it on average, and come in bursts.
 const ShortTaskReserve = 0.06
 
-// allowsInterference reports whether a best-effort task is unlikely to interfere with the worker's latency-critical
+// AllowsInterference reports whether a best-effort task is unlikely to interfere with the worker's latency-critical
 // tasks. If it did, it would be halted.
-func allowsInterference(cd *Candidate) bool {
+func AllowsInterference(cd *Candidate) bool {
 	if cd.InterferenceSuspected && cd.Trials >= maxSuspectedTrials {
 		return false
 	}
