director: a long-running task avoids a worker at which its start failed

Callers: a task went to the same worker for ever if that answers renewals but not starts, answers them late, or rejects them, while others had the capacity. Nothing made the worker less attractive after such a failure, so that it stayed the cheapest. A late answer led to a stop of the run and to a start at the same worker.

The task now avoids the worker for up to 3 s, as after a failed run.

--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -158,6 +158,14 @@
 	}
 }
 
+// avoidAfterFailedStart makes a long-running task avoid a worker that may answer renewals but not starts. It would remain
+// the best one for the task.
+func (tk *task) avoidAfterFailedStart(id modeler.WorkerID) {
+	if tk.step.spec.LongRunning && !slices.Contains(tk.avoid, id) {
+		tk.avoidWorker(id)
+	}
+}
+
 // AddJob adds a stored job. A job that has been added before stays as it is. An inherited job may
 // have been stored before the term, as every job that is added before all stored jobs are loaded.
 func (dr *Director) AddJob(stored *modeler.Job, inherited bool) {
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -153,6 +153,7 @@
 		if at.state == sent {
 			at.state, at.startDeadline = uncertain, req.Deadline
 		}
+		tk.avoidAfterFailedStart(wk.info.ID)
 		dr.stopRun(at, "start not answered")
 		return
 	case errors.Is(err, modeler.ErrStaleFence):
@@ -165,6 +166,7 @@
 		tk.step.deletePermit(wk.info.ID)
 	case errors.Is(err, modeler.ErrRefused):
 		tk.notBefore = now.Add(rejectedTaskPause)
+		tk.avoidAfterFailedStart(wk.info.ID)
 	default:
 		wk.noStartsBefore = now.Add(refusalPause)
 	}
