--- a/internal/job/director/gang.go
+++ b/internal/job/director/gang.go
@@ -19,15 +19,30 @@
 		}
 	}
 	rd.excludeOtherPools(rd.dr.pool(sp.occ.job))
+	chosen := rd.chooseForGang(sp)
+	if chosen == nil && sp.spec.LongRunning && len(rd.held) > 0 {
+		// As a single long-running task, see choose.
+		rd.freeHeld()
+		chosen = rd.chooseForGang(sp)
+		rd.holdAgain()
+	}
+	if chosen == nil {
+		rd.noteTurn(sp, noWorkerFits)
+		return
+	}
+	rd.misses = 0
+	rd.startGang(sp, chosen)
+}
+
+// chooseForGang returns the index of a worker for each task of a gang, or nil if the gang fits nowhere.
+func (rd *round) chooseForGang(sp *step) []int {
 	for _, rack := range rd.gangRacks(sp) {
 		if chosen := rd.fitGang(sp, rack); chosen != nil {
-			rd.misses = 0
-			rd.startGang(sp, chosen)
-			return
+			return chosen
 		}
 		rd.misses++
 	}
-	rd.noteTurn(sp, noWorkerFits)
+	return nil
 }
 
 // gangRacks returns the racks to try for a gang: each single rack, and last the empty string for
@@ -58,6 +73,9 @@
 	for _, tk := range sp.waiting {
 		dm := rd.dr.demand(tk)
 		dm.Rack = rack
+		if rd.mayReturn(tk, &dm) {
+			dm.Avoid = nil
+		}
 		placedCount := int64(len(chosen))
 		dm.Headroom, dm.PoolSlots = first.Headroom-placedCount*dm.Needs.MilliCores, first.PoolSlots-placedCount
 		ix := rd.chooseAmong(&dm, cands)
--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -384,7 +384,7 @@
 		examined = rd.allIndices()
 	}
 	ix := rd.chooseOf(dm, cands, examined)
-	mayReturn := dm.LongRunning && len(dm.Avoid) > 0 && rd.now.Sub(tk.lastActive) > maxAvoidTime
+	mayReturn := rd.mayReturn(tk, dm)
 	if ix < 0 && dm.LongRunning && (len(rd.held) > 0 || mayReturn) {
 		rd.freeHeld()
 		defer rd.holdAgain()
@@ -404,6 +404,11 @@
 	return ix, ix < 0 && len(dm.Avoid) > 0 && anyFeasible(dm, cands, examined)
 }
 
+// mayReturn reports whether a long-running task has waited for long enough to use the workers that it avoids.
+func (rd *round) mayReturn(tk *task, dm *placer.Demand) bool {
+	return dm.LongRunning && len(dm.Avoid) > 0 && rd.now.Sub(tk.lastActive) > maxAvoidTime
+}
+
 // allIndices returns the indices of all workers.
 func (rd *round) allIndices() []int {
 	if len(rd.indices) != len(rd.workers) {
