--- a/internal/job/director/export_test.go
+++ b/internal/job/director/export_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
 )
 
 // TasksInMemory returns the number of tasks in memory, over all jobs.
@@ -39,3 +40,23 @@
 	}
 	return dr.op.Journal.Snapshot(ctx, recs, position)
 }
+
+// WaitReason returns why a task does not run, as the reports of waiting tasks do, and the worker that holds it back.
+func (dr *Director) WaitReason(id modeler.TaskID) string {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	jb := dr.jobs[id.Job]
+	if jb == nil || len(jb.occurrences) == 0 || len(jb.occurrences[0].steps[id.Step].tasks) == 0 {
+		return "not loaded"
+	}
+	now, tk := time.Now(), jb.occurrences[0].steps[id.Step].tasks[id.Index]
+	if len(tk.attempts) == 0 {
+		wt := dr.whyQueued(tk, now)
+		return string(wt.reason) + " " + string(wt.worker)
+	}
+	wt, waits := dr.whyNotRunning(tk.attempts[0], now)
+	if !waits {
+		wt.reason = "counts as running"
+	}
+	return string(wt.reason) + " " + string(tk.attempts[0].worker.info.ID)
+}
