internal/job/director: starts of long-running tasks go before others in the queue of a worker

Cause: a worker's starts are sent in the order in which they were placed, by three senders that wait for the answers.

Change: queueStart puts the start of a long-running task before those of other tasks, behind earlier long-running ones.

--- a/internal/job/director/long_running_test.go
+++ b/internal/job/director/long_running_test.go
@@ -134,3 +134,26 @@
 		qt.Check(t, fl.workers.WorkerOf(task) != "", qt.IsTrue)
 	})
 }
+
+// Guards against the start of a long-running task that waits behind those of a stream of short ones for the same worker.
+func TestStartBehindQueuedStarts(t *testing.T) {
+	for _, delay := range []time.Duration{50 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond} {
+		t.Run(fmt.Sprint("starts take ", delay), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fl := newFleet(t, 5)
+				fl.client = &slowStarts{WorkerClient: fl.workers, delay: delay}
+				tm := fl.startTerm(0)
+				defer tm.end()
+				sleep(time.Second)
+				for no := range 20 {
+					time.AfterFunc(time.Duration(no)*500*time.Millisecond, func() {
+						tm.submit(simpleJob(modeler.JobID(fmt.Sprint("many", no)), "urgent", 40, cores(50)))
+					})
+				}
+				sleep(5 * time.Second)
+				tm.assertStartsSoon(cores(1000))
+				sleep(5 * time.Second)
+			})
+		})
+	}
+}
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
@@ -42,12 +43,19 @@
 	staleRunStep = 1 << 10
 )
 
-// queueStart queues a start for the goroutines that send starts to its worker.
+// queueStart queues a start for the goroutines that send starts to its worker. Those of long-running tasks, which
+// are few and are to run within a bound, go before others.
 func (dr *Director) queueStart(at *attempt) {
 	wk := at.worker
 	dr.startsInFlight++
 	at.queuedAt = time.Now()
-	wk.startQueue = append(wk.startQueue, at)
+	ix := len(wk.startQueue)
+	if at.task.step.spec.LongRunning {
+		for ix > 0 && !wk.startQueue[ix-1].task.step.spec.LongRunning {
+			ix--
+		}
+	}
+	wk.startQueue = slices.Insert(wk.startQueue, ix, at)
 	if wk.startSenders < maxStartSendersPerWorker {
 		wk.startSenders++
 		dr.startGoroutine(func(ctx context.Context) { dr.sendStarts(ctx, wk) })
