--- a/internal/job/director/waiting.go
+++ b/internal/job/director/waiting.go
@@ -109,6 +109,8 @@
 type waitState struct {
 	// since is when the task was queued after it last ran, zero while it runs.
 	since time.Time
+	// silentSince is when the worker of the last run stopped answering, zero if that run did not end for this reason.
+	silentSince time.Time
 	// reason is that of the last report, reasonSince when a report first gave it.
 	reason      waitReason
 	reasonSince time.Time
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -574,6 +574,7 @@
 	graceOver := dr.leaseEndConfirmed(wk, unreachableGrace, now)
 	for _, at := range wk.listAttempts() {
 		if (graceOver || at.task.step.spec.LongRunning) && !dr.mayStartLate(at, now) {
+			at.task.wait.silentSince = wk.unreachableSince
 			dr.loseRun(at, "lease expired", now)
 		}
 	}
