internal/process/pauser: Every uses no ticker, which fails the race detector

Cause: with package synctest, the timers of a bubble share one context of the race detector. A channel timer that has expired while no goroutine waited for it is run by the goroutine that receives from it, so that two goroutines of a bubble use that context at the same time. The detector's runtime then fails. Every kept a ticker while it ran the function.

Change: Every waits for a timer that is created right before the wait, and keeps the times of a ticker.

--- a/internal/process/pauser/pauser.go
+++ b/internal/process/pauser/pauser.go
@@ -21,16 +21,14 @@
 	}
 }
 
-// Every calls the function at intervals until the context ends. The first call is after one interval.
+// Every calls the function at intervals, which must be positive, until the context ends. The first call is after one
+// interval. As with a time.Ticker, a call that falls due while the function runs is made when it returns, and further
+// ones are left out. A ticker itself that expires while no goroutine waits for it makes the race detector fail in tests
+// with package synctest: the goroutines of a bubble then use one context of the detector at the same time.
 func Every(ctx context.Context, interval time.Duration, run func(context.Context)) {
-	tk := time.NewTicker(interval)
-	defer tk.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tk.C:
-			run(ctx)
-		}
+	next := time.Now().Add(interval)
+	for Sleep(ctx, time.Until(next)) {
+		next = next.Add(interval * (1 + max(0, time.Since(next))/interval))
+		run(ctx)
 	}
 }
