Use no timer that expires unwaited for in tests on the paused clock

So does a timer that is due at once, whether it has a channel or a function: the runtime runs it on the goroutine of the caller.

Hedged requests, the list of evacuation requests and waits for admission no longer set timers that are due at once, the emulator's are due a nanosecond later, and two tests wait with pauser.Sleep. The ticker of the tracker's candidate stays: nothing blocks between two waits for it; that of currantctl's wait for a configuration stays as well, no test runs it in a bubble.

--- a/internal/batch/scheduler/scheduler.go
+++ b/internal/batch/scheduler/scheduler.go
@@ -17,6 +17,7 @@
 	"github.com/currantrouter/currantrouter/internal/batch/evictor"
 	"github.com/currantrouter/currantrouter/internal/batch/placer"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
 	"github.com/currantrouter/currantrouter/internal/provider/supervisor"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
@@ -298,7 +299,7 @@
 }
 
 func (sc *Scheduler) loop(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
+	ticker := pauser.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -308,7 +309,8 @@
 			return ErrDeposed
 		case <-sc.mailbox.signal:
 			sc.mailbox.runAll(ctx)
-		case <-ticker.C:
+		case <-ticker.Next():
+			ticker.Advance()
 			sc.tick(time.Now())
 		}
 		if sc.writer.deposed {
--- a/internal/cluster/tracker/client.go
+++ b/internal/cluster/tracker/client.go
@@ -219,12 +219,16 @@
 	tm := time.NewTimer(cl.cls.timeout / hedgeDivisor)
 	defer tm.Stop()
 	var second *pool
-	for pending := 1; ; {
+	pending := 1
+	hedge := func() {
+		second = cl.newPool()
+		pending++
+		go start(second)
+	}
+	for {
 		select {
 		case <-tm.C:
-			second = cl.newPool()
-			pending++
-			go start(second)
+			hedge()
 		case res := <-results:
 			pending--
 			if res.err == nil && res.pl == second {
@@ -234,7 +238,8 @@
 				return res.rsp, res.err
 			}
 			if second == nil {
-				tm.Reset(0)
+				tm.Stop()
+				hedge()
 			}
 		}
 	}
--- a/internal/config/distributor/distributor_test.go
+++ b/internal/config/distributor/distributor_test.go
@@ -20,6 +20,7 @@
 	"github.com/currantrouter/currantrouter/internal/config/checker"
 	"github.com/currantrouter/currantrouter/internal/config/distributor"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/provider/emulator"
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
@@ -58,10 +59,8 @@
 
 func (prs peers) Fetch(ctx context.Context, addr netip.AddrPort, minimum modeler.Revision, _ []byte, _ modeler.Revision) ([]byte, modeler.Revision, error) {
 	pr := prs[addr.Port()-1]
-	select {
-	case <-ctx.Done():
+	if !pauser.Sleep(ctx, pr.delay) {
 		return nil, 0, ctx.Err()
-	case <-time.After(pr.delay):
 	}
 	if pr.rev < minimum {
 		return nil, 0, errors.New("no such revision")
--- a/internal/daemon/assembler/leader.go
+++ b/internal/daemon/assembler/leader.go
@@ -180,7 +180,7 @@
 // followWorkers passes the list of workers to the scheduler periodically, and immediately when the
 // configuration changes, since it may drain workers.
 func (ld *leader) followWorkers(ctx context.Context, tm *term) {
-	tk := time.NewTicker(workersInterval)
+	tk := pauser.NewTicker(workersInterval)
 	defer tk.Stop()
 	var known []supervisor.Worker
 	read := true
@@ -196,7 +196,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-tk.C:
+		case <-tk.Next():
+			tk.Advance()
 			read = true
 		case <-changed:
 			read = false
--- a/internal/job/leader/evacuation.go
+++ b/internal/job/leader/evacuation.go
@@ -93,19 +93,22 @@
 	// late is the newest answer of a call that took long. A call that begins now shows a newer state, as one that
 	// began in an outage may have waited for its end.
 	var late *pageAnswer
-	var lateOver <-chan time.Time
-	for pauseOver := time.After(0); ; {
+	var lateOver, pauseOver <-chan time.Time
+	call := func() {
+		go func() {
+			select {
+			case answers <- ew.readPage(ctx, prefix, after):
+			case <-ctx.Done():
+			}
+		}()
+		pauseOver = time.After(listOverlap)
+	}
+	for call(); ; {
 		select {
 		case <-ctx.Done():
 			return storer.Page{}, fmt.Errorf("%w: %w", err, ctx.Err())
 		case <-pauseOver:
-			go func() {
-				select {
-				case answers <- ew.readPage(ctx, prefix, after):
-				case <-ctx.Done():
-				}
-			}()
-			pauseOver = time.After(listOverlap)
+			call()
 		case <-lateOver:
 			return ew.accept(late, after), nil
 		case an := <-answers:
@@ -116,7 +119,8 @@
 			case time.Since(an.began.At) < listOverlap:
 				return ew.accept(&an, after), nil
 			case late == nil:
-				late, lateOver, pauseOver = &an, time.After(listOverlap), time.After(0)
+				late, lateOver = &an, time.After(listOverlap)
+				call()
 			case an.began.At.After(late.began.At):
 				late = &an
 			}
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -373,7 +373,7 @@
 // journalCheckLoop reads the end of the journal while nothing is appended, to detect that another
 // host has deposed this one.
 func (tm *term) journalCheckLoop(ctx context.Context) {
-	tk := time.NewTicker(journalCheckInterval / 2)
+	tk := pauser.NewTicker(journalCheckInterval / 2)
 	defer tk.Stop()
 	for {
 		select {
@@ -382,7 +382,8 @@
 		case <-tm.journal.Deposed():
 			tm.director.StepDown("journal has a later epoch")
 			return
-		case <-tk.C:
+		case <-tk.Next():
+			tk.Advance()
 		}
 		if time.Since(tm.journal.LastConfirmed()) < journalCheckInterval {
 			tm.authority.confirm()
--- a/internal/job/relayer/relayer_test.go
+++ b/internal/job/relayer/relayer_test.go
@@ -17,6 +17,7 @@
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/job/relayer"
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 	"github.com/currantrouter/currantrouter/internal/telemetry/reporter"
 )
@@ -41,12 +42,10 @@
 	if panics {
 		panic("defect")
 	}
-	select {
-	case <-time.After(delay):
-		return err
-	case <-ctx.Done():
+	if !pauser.Sleep(ctx, delay) {
 		return fmt.Errorf("%w: %w", modeler.ErrNoAnswer, ctx.Err())
 	}
+	return err
 }
 
 func (rc *recorder) requests() []string {
--- a/internal/operator/auditor/auditor.go
+++ b/internal/operator/auditor/auditor.go
@@ -203,7 +203,7 @@
 // Run writes records until ctx ends, and then those still pending. The caller must end all commands
 // in progress before it ends ctx; later records are refused.
 func (au *Auditor) Run(ctx context.Context) {
-	tk := time.NewTicker(retryInterval)
+	tk := pauser.NewTicker(retryInterval)
 	defer tk.Stop()
 	for {
 		select {
@@ -211,7 +211,8 @@
 			au.stop()
 			return
 		case <-au.wake:
-		case <-tk.C:
+		case <-tk.Next():
+			tk.Advance()
 			au.retryDelayed()
 		}
 		au.writePending(ctx)
--- a/internal/provider/emulator/attempts.go
+++ b/internal/provider/emulator/attempts.go
@@ -143,10 +143,10 @@
 }
 
 func (wks *Workers) setTimers(wk *worker, at *attempt) {
-	at.leaseTimer = time.AfterFunc(time.Until(at.leaseEnd), func() { wks.expire(wk, at) })
+	at.leaseTimer = runAfter(time.Until(at.leaseEnd), func() { wks.expire(wk, at) })
 	if at.runTime > 0 {
 		left := time.Duration(float64(at.runTime-at.progress) / at.rate)
-		at.finishTimer = time.AfterFunc(left, func() { wks.finish(wk, at) })
+		at.finishTimer = runAfter(left, func() { wks.finish(wk, at) })
 	}
 }
 
@@ -188,7 +188,7 @@
 	wk.updateProgress()
 	name := formatCheckpoint(at.progress)
 	at.checkpointing = true
-	time.AfterFunc(wks.behaviour.CheckpointTime, func() {
+	runAfter(wks.behaviour.CheckpointTime, func() {
 		wks.mu.Lock()
 		defer wks.mu.Unlock()
 		at.checkpointing = false
--- a/internal/provider/emulator/faults.go
+++ b/internal/provider/emulator/faults.go
@@ -152,3 +152,9 @@
 	}
 	return nil
 }
+
+// runAfter runs a function after a duration, never on the goroutine of the caller. In tests with package synctest, a
+// timer that is due at once would run there and make the race detector fail.
+func runAfter(dur time.Duration, run func()) *time.Timer {
+	return time.AfterFunc(max(dur, time.Nanosecond), run)
+}
--- a/internal/provider/emulator/jobworkers.go
+++ b/internal/provider/emulator/jobworkers.go
@@ -272,7 +272,7 @@
 	case AnswerLost:
 		_ = run()
 	case Late:
-		time.AfterFunc(sw.Delay, func() { _ = run() })
+		runAfter(sw.Delay, func() { _ = run() })
 	}
 	<-ctx.Done()
 	return modeler.ErrNoAnswer
@@ -383,7 +383,7 @@
 		return
 	}
 	left := time.Duration(float64(rn.behaviour.RunTime-rn.workBefore) / speed)
-	rn.timer = time.AfterFunc(left, func() { jw.complete(wk, key) })
+	rn.timer = runAfter(left, func() { jw.complete(wk, key) })
 }
 
 func (jw *JobWorkers) complete(wk *jobWorker, key runKey) {
@@ -435,7 +435,7 @@
 			return nil
 		}
 		rn.stopping = true
-		time.AfterFunc(stopDuration, func() {
+		runAfter(stopDuration, func() {
 			jw.mu.Lock()
 			defer jw.mu.Unlock()
 			if wk.running[key] == rn && jw.workers[wk.info.ID] == wk {
@@ -559,7 +559,7 @@
 // scheduleLeaseExpiry ends the runs on a worker when its lease expires, unless it is extended.
 func (jw *JobWorkers) scheduleLeaseExpiry(wk *jobWorker) {
 	lease := wk.lease
-	time.AfterFunc(lease-wk.clock(), func() {
+	runAfter(lease-wk.clock(), func() {
 		jw.mu.Lock()
 		defer jw.mu.Unlock()
 		if wk.lease != lease || jw.workers[wk.info.ID] != wk {
--- a/internal/provider/emulator/store.go
+++ b/internal/provider/emulator/store.go
@@ -323,7 +323,7 @@
 	case AnswerLost:
 		_ = execute()
 	case Late:
-		time.AfterFunc(sw.Delay, func() { _ = execute() })
+		runAfter(sw.Delay, func() { _ = execute() })
 	}
 	return storer.ErrResultUnknown
 }
--- a/internal/request/admitter/service.go
+++ b/internal/request/admitter/service.go
@@ -231,7 +231,12 @@
 		return wt.admission, wt.err
 	case <-tm.C:
 		sv.dispatch()
-		tm.Reset(time.Until(wt.deadline))
+		left := time.Until(wt.deadline)
+		if left <= 0 {
+			sv.cancel(wt, &Refusal{Cause: ErrExpired, RetryAfter: time.Second})
+			return wt.admission, wt.err
+		}
+		tm.Reset(left)
 	case <-ctx.Done():
 	}
 	select {
--- a/internal/request/limiter/limiter.go
+++ b/internal/request/limiter/limiter.go
@@ -17,6 +17,7 @@
 
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
 	"github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
@@ -184,7 +185,7 @@
 // Run collects acknowledgements of revisions, returns unused loans and requests new ones until the
 // context ends.
 func (lim *Limiter) Run(ctx context.Context) {
-	tk := time.NewTicker(loanRequestInterval)
+	tk := pauser.NewTicker(loanRequestInterval)
 	defer tk.Stop()
 	for {
 		select {
@@ -193,7 +194,8 @@
 		case <-lim.wake:
 			lim.refresh()
 			continue
-		case <-tk.C:
+		case <-tk.Next():
+			tk.Advance()
 		}
 		if lim.needsRefresh.Load() {
 			lim.collectAcknowledgements(ctx)
--- a/internal/telemetry/logger/async_writer.go
+++ b/internal/telemetry/logger/async_writer.go
@@ -5,6 +5,8 @@
 	"io"
 	"sync"
 	"time"
+
+	"github.com/currantrouter/currantrouter/internal/process/pauser"
 )
 
 const (
@@ -122,14 +124,15 @@
 
 func (aw *AsyncWriter) run() {
 	defer close(aw.stopped)
-	tk := time.NewTicker(flushInterval)
+	tk := pauser.NewTicker(flushInterval)
 	defer tk.Stop()
 	for {
 		select {
 		case <-aw.stop:
 			aw.flush()
 			return
-		case <-tk.C:
+		case <-tk.Next():
+			tk.Advance()
 			aw.flush()
 		}
 	}
