internal/cluster/tracker: report no relayed revision that the sender has as well

Cause: a message carries the digests of other hosts, and each of them was reported to the distributor as a host to fetch the revision from. A relayed host may be cut off from this one: a fetch from it takes the timeout of 0.8 s and the pause after it, although the sender has the document and has just been heard.

Evidence: a trace of a host that reaches one other: of three fetches of a revision, two went to relayed hosts that were cut off and ended after 0.8 s each; it was in force 1.8 s after the first report.

Change: a relayed host is reported only with a higher revision than the sender's.

Measured: TestReportedRevisions fails before. The package and internal/config/distributor pass.

--- a/internal/cluster/tracker/member.go
+++ b/internal/cluster/tracker/member.go
@@ -79,6 +79,7 @@
 		rev  modeler.Revision
 	}
 	var reports []report
+	var senderRev modeler.Revision
 	trk.mu.Lock()
 	dgs := append([]*messenger.HostDigest{msg.GetSender()}, msg.GetOthers()...)
 	// Besides its sender and the relayed hosts, a response may hold a digest of a newer boot of the
@@ -91,8 +92,14 @@
 		if idx > 0 {
 			addr = netip.AddrPort{}
 		}
-		if mb := trk.mergeDigest(dg, addr, idx == 0); mb != nil && mb.Address.IsValid() {
-			reports = append(reports, report{mb.Address, mb.Revision})
+		mb := trk.mergeDigest(dg, addr, idx == 0)
+		// The sender can be reached, while a relayed host may be cut off from this one.
+		if mb == nil || !mb.Address.IsValid() || mb.Revision <= senderRev {
+			continue
+		}
+		reports = append(reports, report{mb.Address, mb.Revision})
+		if idx == 0 {
+			senderRev = mb.Revision
 		}
 	}
 	trk.mergeAges(msg.GetAges(), msg.GetAgeHosts())
--- a/internal/cluster/tracker/tracker.go
+++ b/internal/cluster/tracker/tracker.go
@@ -81,8 +81,8 @@
 	// Load and HourCounts return this host's load and counts. They may be nil.
 	Load       func() Load
 	HourCounts func() []*messenger.HourCount
-	// OnRevision is called with the address and revision of a peer for each of its digests. It must
-	// not block. It may be nil.
+	// OnRevision is called with the address and revision of a peer that sent a digest, and of those that it
+	// relayed with a higher revision. It must not block. It may be nil.
 	OnRevision func(netip.AddrPort, modeler.Revision)
 	// OnReplaced is called once, in a new goroutine, when a newer process with this host's name is
 	// detected. This process must then stop taking new work. It may be nil.
--- a/internal/cluster/tracker/tracker_test.go
+++ b/internal/cluster/tracker/tracker_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"sync"
 	"syscall"
@@ -118,6 +119,35 @@
 	return sums
 }
 
+// Guards against fetches from hosts that only others reach, while the sender of the message has the same revision.
+func TestReportedRevisions(t *testing.T) {
+	hosts := []modeler.Host{{Name: "sender", DataCentre: "d0", Peer: netip.MustParseAddrPort("127.0.0.1:1")}, {Name: "relayed", DataCentre: "d0", Peer: netip.MustParseAddrPort("127.0.0.1:2")}}
+	for name, tc := range map[string]struct {
+		relayed int64
+		want    []string
+	}{
+		"lower":  {4, []string{"127.0.0.1:1 has 5"}},
+		"same":   {5, []string{"127.0.0.1:1 has 5"}},
+		"higher": {6, []string{"127.0.0.1:1 has 5", "127.0.0.1:2 has 6"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var got []string
+			trk := tracker.New(tracker.Options{
+				Self: modeler.Host{Name: "self", DataCentre: "d0"}, Boot: "boot", BootStarted: time.Now(), Log: logr.Discard(), Meter: meter.New(nil),
+				OnRevision: func(addr netip.AddrPort, rev modeler.Revision) { got = append(got, fmt.Sprint(addr, " has ", rev)) },
+			})
+			trk.SetHosts(hosts)
+			digest := func(host string, rev int64) *messenger.HostDigest {
+				return &messenger.HostDigest{Host: host, DataCentre: "d0", Boot: "boot", BootStartedMillis: 1, Sequence: 1, Revision: rev}
+			}
+			req := &messenger.ExchangeRequest{Sender: digest("sender", 5), Others: []*messenger.HostDigest{digest("relayed", tc.relayed)}}
+			_, err := tracker.NewServer(trk, nil, nil).Exchange(t.Context(), req)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, got, qt.DeepEquals, tc.want)
+		})
+	}
+}
+
 // Guards against a change that takes longer than 2 s to reach the connected ones of 8 hosts while
 // one host is paused, one is cut off and one restarts without the store, or longer than 2 s to
 // reach the other two after they are back.
