internal/cluster/tracker: a heartbeat that is not answered tries other hosts

Cause: a host learns of a change from announcements and heartbeats. One that others of its data centre can't reach had only its own remote heartbeats, one in 2 s to a random host, and those of others to it; a heartbeat that failed was given up. The time until one of them reached a host with the change had no bound.

Change: in place of a live host that does not answer, a heartbeat tries up to two others, first those that answered the last exchange. A host with no live one in its own data centre exchanges with a remote one each second. Bounds of tests stay.

--- a/internal/cluster/tracker/exchanger.go
+++ b/internal/cluster/tracker/exchanger.go
@@ -20,7 +20,8 @@
 const (
 	// heartbeatInterval is the interval of exchanges within this host's data centre.
 	heartbeatInterval = time.Second
-	// remoteIntervalTicks is the number of heartbeats between exchanges with other data centres.
+	// remoteIntervalTicks is the number of heartbeats between exchanges with other data centres, while
+	// other hosts of this data centre are alive.
 	remoteIntervalTicks = 2
 	// probeIntervalTicks is the number of heartbeats between probes of a host that is dead or
 	// unheard, while other hosts of the data centre are alive.
@@ -28,6 +29,8 @@
 	// maxRemoteAnnouncements is the number of other data centres that a change is announced to at
 	// once. Each of them relays it, so that a partition between two data centres does not delay it.
 	maxRemoteAnnouncements = 2
+	// maxSubstitutes is the number of other hosts that a heartbeat tries after a live host did not answer.
+	maxSubstitutes = 2
 )
 
 // errUnknownAddress means that a document can't be fetched because the peer has no valid address.
@@ -38,6 +41,12 @@
 	name modeler.HostName
 	dc   modeler.DataCentreName
 	addr netip.AddrPort
+	// silent states that the host is dead or unheard, so that no other one is tried in its place.
+	silent bool
+}
+
+func newTarget(pr Peer) target {
+	return target{pr.Host, pr.DataCentre, pr.Address, pr.Health == Dead || pr.Health == Unheard}
 }
 
 // Run exchanges heartbeats and announces changes until the context ends, then waits for exchanges
@@ -45,9 +54,9 @@
 func (trk *Tracker) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	send := func(tgs []target, senderOnly bool) {
+	send := func(tgs []target, exchange func(context.Context, target)) {
 		for _, tg := range tgs {
-			wg.Go(func() { trk.exchange(ctx, tg, senderOnly) })
+			wg.Go(func() { exchange(ctx, tg) })
 		}
 	}
 	// The hash of the name staggers the heartbeats of hosts that start together.
@@ -59,11 +68,11 @@
 		case <-ctx.Done():
 			return
 		case <-trk.announcements:
-			send(trk.announcementTargets(), true)
+			send(trk.announcementTargets(), trk.announce)
 		case <-tm.C:
 			tm.Reset(heartbeatInterval)
 			trk.beginHeartbeat()
-			send(trk.heartbeatTargets(tick), false)
+			send(trk.heartbeatTargets(tick), trk.heartbeat)
 			tick++
 		}
 	}
@@ -89,10 +98,10 @@
 func (trk *Tracker) heartbeatTargets(tick int) []target {
 	var local, remote, silent []target
 	for _, pr := range trk.Peers() {
-		tg := target{pr.Host, pr.DataCentre, pr.Address}
+		tg := newTarget(pr)
 		switch {
 		case !pr.Address.IsValid():
-		case pr.Health == Dead || pr.Health == Unheard:
+		case tg.silent:
 			silent = append(silent, tg)
 		case pr.DataCentre == trk.opt.Self.DataCentre:
 			local = append(local, tg)
@@ -104,14 +113,14 @@
 	if len(local) > 0 {
 		tgs = append(tgs, local[trk.ringPeer(local, uint64(time.Now().Unix()))])
 	}
-	if len(remote) > 0 && tick%remoteIntervalTicks == 0 {
+	if len(remote) > 0 && (len(local) == 0 || tick%remoteIntervalTicks == 0) {
 		tgs = append(tgs, remote[rand.IntN(len(remote))])
 	}
 	if len(silent) > 0 && (len(local) == 0 || tick%probeIntervalTicks == 0) {
 		tgs = append(tgs, silent[rand.IntN(len(silent))])
 	}
 	if len(tgs) == 0 && len(trk.opt.Seeds) > 0 {
-		tgs = append(tgs, target{addr: trk.opt.Seeds[tick%len(trk.opt.Seeds)]})
+		tgs = append(tgs, target{addr: trk.opt.Seeds[tick%len(trk.opt.Seeds)], silent: true})
 	}
 	return tgs
 }
@@ -162,7 +171,7 @@
 	remote := map[modeler.DataCentreName][]target{}
 	informed := map[modeler.DataCentreName]bool{trk.opt.Self.DataCentre: true}
 	for _, pr := range trk.Peers() {
-		tg := target{pr.Host, pr.DataCentre, pr.Address}
+		tg := newTarget(pr)
 		switch {
 		case !pr.Address.IsValid() || pr.Health == Dead:
 		case !toAll && pr.Revision >= rev:
@@ -188,17 +197,66 @@
 	return tgs
 }
 
-// exchange sends this host's state to a peer and merges the response. With senderOnly, the request
-// carries no state of other hosts.
-func (trk *Tracker) exchange(ctx context.Context, tg target, senderOnly bool) {
+// heartbeat exchanges with a host or, if it is live and does not answer, with up to maxSubstitutes other ones. Without
+// them, a host that others of its data centre can't reach learns of a change only from the few remote heartbeats.
+func (trk *Tracker) heartbeat(ctx context.Context, tg target) {
+	tried := []netip.AddrPort{tg.addr}
+	for !trk.exchange(ctx, tg, false) && !tg.silent && len(tried) <= maxSubstitutes && ctx.Err() == nil {
+		var ok bool
+		if tg, ok = trk.substitute(tried); !ok {
+			return
+		}
+		tried = append(tried, tg.addr)
+	}
+}
+
+// substitute returns a random live host that has not been tried, if possible one that answered the last exchange.
+func (trk *Tracker) substitute(tried []netip.AddrPort) (target, bool) {
+	trk.mu.Lock()
+	defer trk.mu.Unlock()
+	var answering, others []target
+	for _, mb := range trk.members {
+		tg := newTarget(mb.Peer)
+		switch {
+		case tg.silent || !tg.addr.IsValid() || slices.Contains(tried, tg.addr):
+		case mb.answered:
+			answering = append(answering, tg)
+		default:
+			others = append(others, tg)
+		}
+	}
+	if len(answering) == 0 {
+		answering = others
+	}
+	if len(answering) == 0 {
+		return target{}, false
+	}
+	return answering[rand.IntN(len(answering))], true
+}
+
+func (trk *Tracker) announce(ctx context.Context, tg target) { trk.exchange(ctx, tg, true) }
+
+// exchange sends this host's state to a peer, merges the response and reports whether there was one. With senderOnly,
+// the request carries no state of other hosts.
+func (trk *Tracker) exchange(ctx context.Context, tg target, senderOnly bool) bool {
 	req := trk.newExchangeRequest(tg.name, tg.dc, senderOnly)
 	trk.opt.Meter.Add(meter.PeerExchanges, 1)
 	rsp, err := trk.opt.Dial(tg.addr).Exchange(ctx, req)
+	trk.noteAnswer(tg.name, err == nil)
 	if err != nil {
 		trk.opt.Meter.Add(meter.PeerExchangesFailed, 1)
-		return
+		return false
 	}
 	trk.receive(rsp, tg.addr)
+	return true
+}
+
+func (trk *Tracker) noteAnswer(name modeler.HostName, answered bool) {
+	trk.mu.Lock()
+	defer trk.mu.Unlock()
+	if mb := trk.members[name]; mb != nil {
+		mb.answered = answered
+	}
 }
 
 // exchangeMessage is implemented by the requests and responses of an exchange.
--- a/internal/cluster/tracker/member.go
+++ b/internal/cluster/tracker/member.go
@@ -57,6 +57,8 @@
 	// configured states that the configuration lists the host. Its data centre and address are then
 	// those of the configuration.
 	configured bool
+	// answered states that the member answered the last exchange that this host began.
+	answered bool
 }
 
 // validDigest reports whether a digest is well-formed and within its limits.
--- a/internal/cluster/tracker/tracker_test.go
+++ b/internal/cluster/tracker/tracker_test.go
@@ -119,6 +119,31 @@
 	return sums
 }
 
+// Guards against a host that learns of a change late because it waits for its turn with the only host that it reaches,
+// in another data centre, while its other heartbeats fail.
+func TestHostThatReachesOneOther(t *testing.T) {
+	const limit, cut = 2 * time.Second, 8
+	for _, reached := range []int{0, 1, 3, 4, 6, 7} {
+		t.Run(fmt.Sprint("host ", reached), func(t *testing.T) {
+			simulate(t, 9, 3, func(t *testing.T, nw *network) {
+				time.Sleep(20 * time.Second)
+				nw.node(cut).storeOffline.Store(true)
+				nw.setPartition(func(a, b modeler.HostName) bool {
+					return max(a, b) == nw.cfg.Hosts[cut].Name && min(a, b) != nw.cfg.Hosts[reached].Name
+				})
+				time.Sleep(20 * time.Second)
+				for rev := modeler.Revision(2); rev < 6; rev++ {
+					nw.putRevision(rev)
+					took := nw.awaitRevision(rev, time.Minute, nw.hostNumbers()...)
+					t.Logf("in force after %v", took)
+					qt.Check(t, took <= limit, qt.IsTrue)
+					time.Sleep(5300 * time.Millisecond)
+				}
+			})
+		})
+	}
+}
+
 // Guards against fetches from hosts that only others reach, while the sender of the message has the same revision.
 func TestReportedRevisions(t *testing.T) {
 	hosts := []modeler.Host{{Name: "sender", DataCentre: "d0", Peer: netip.MustParseAddrPort("127.0.0.1:1")}, {Name: "relayed", DataCentre: "d0", Peer: netip.MustParseAddrPort("127.0.0.1:2")}}
