internal/daemon/assembler: deadlines of the test network set no timer that is due at once

The connections of the test network set such timers for deadlines in the past.

Change: such a timer is due a nanosecond later.

--- a/internal/daemon/assembler/network_test.go
+++ b/internal/daemon/assembler/network_test.go
@@ -272,7 +272,8 @@
 	}
 	if !when.IsZero() {
 		expired := cn.expired
-		cn.timer = time.AfterFunc(time.Until(when), func() { cn.expire(expired) })
+		// A timer that is due at once would run on this goroutine and make the race detector fail.
+		cn.timer = time.AfterFunc(max(time.Until(when), time.Nanosecond), func() { cn.expire(expired) })
 	}
 	return cn.Conn.SetWriteDeadline(when)
 }
