--- a/internal/cluster/tracker/member.go
+++ b/internal/cluster/tracker/member.go
@@ -57,6 +57,8 @@
 	// configured states that the configuration lists the host. Its data centre and address are then
 	// those of the configuration.
 	configured bool
+	// answered states that the member answered the last exchange that this host began.
+	answered bool
 }
 
 // validDigest reports whether a digest is well-formed and within its limits.
@@ -79,6 +81,7 @@
 		rev  modeler.Revision
 	}
 	var reports []report
+	var senderRev modeler.Revision
 	trk.mu.Lock()
 	dgs := append([]*messenger.HostDigest{msg.GetSender()}, msg.GetOthers()...)
 	// Besides its sender and the relayed hosts, a response may hold a digest of a newer boot of the
@@ -91,8 +94,14 @@
 		if idx > 0 {
 			addr = netip.AddrPort{}
 		}
-		if mb := trk.mergeDigest(dg, addr, idx == 0); mb != nil && mb.Address.IsValid() {
-			reports = append(reports, report{mb.Address, mb.Revision})
+		mb := trk.mergeDigest(dg, addr, idx == 0)
+		// The sender can be reached, while a relayed host may be cut off from this one.
+		if mb == nil || !mb.Address.IsValid() || mb.Revision <= senderRev {
+			continue
+		}
+		reports = append(reports, report{mb.Address, mb.Revision})
+		if idx == 0 {
+			senderRev = mb.Revision
 		}
 	}
 	trk.mergeAges(msg.GetAges(), msg.GetAgeHosts())
