--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -114,9 +114,9 @@
 	savedShare float64
 	// attempts holds the runs that may be active.
 	attempts []*attempt
-	// avoid holds workers on which the task failed, or from which moveRun moved it because its run
-	// was stalled or slow, the worker was draining or quarantined, or the run interfered with a
-	// latency-critical task. The newest is last.
+	// avoid holds workers on which the task failed, at which a start of a long-running task failed, or from
+	// which moveRun moved it because its run was stalled or slow, the worker was draining or quarantined, or
+	// the run interfered with a latency-critical task. The newest is last.
 	avoid []modeler.WorkerID
 	// mayHaveUnknownRun is set until this term starts the task or sees a run of it: an earlier
 	// leader may have started a run that this one does not know of. The end of an earlier run does
--- a/internal/job/director/selection.go
+++ b/internal/job/director/selection.go
@@ -45,8 +45,8 @@
 func examinesAll(dm *placer.Demand) bool { return dm.LongRunning || dm.DataRack != "" }
 
 // chooseQuickly returns the index of the worker for a demand, or -1 if choose has to decide: for a demand that fits
-// nowhere, for which the pool has too little capacity, or that needs permits. none is set if no worker is known to be
-// feasible, not even one that the demand avoids.
+// nowhere, for which the pool has too little capacity, or that needs permits. none is set if it is known that no
+// worker is feasible, not even one that the demand avoids.
 func (rd *round) chooseQuickly(sp *step, dm *placer.Demand) (index int, none bool) {
 	if rd.dr.queue(sp.occ.job).Policy != nil {
 		return -1, false
