internal/job/director: one time from which a queued task is down; no forecast where it decides nothing

aged compared two times of which the second, if it is set, is always the earlier one. logWaitingTask has returned for best-effort tasks, to which alone the forecast matters in the counts. Behaviour is the same; the tests of the package pass.

--- a/internal/job/director/aging.go
+++ b/internal/job/director/aging.go
@@ -84,13 +84,13 @@
 }
 
 // aged reports whether a long-running step has a task that goes before short ones, as it has waited for
-// agingTime, also for the lease of a worker that did not answer, or ran in an earlier term. Short tasks that are on time would otherwise take all capacity
-// that becomes free, for as long as more of them come than the workers can run.
+// agingTime, also for the lease of a worker that did not answer, or ran in an earlier term. Short tasks
+// that are on time would otherwise take all capacity that becomes free, for as long as more of them come
+// than the workers can run.
 func (dr *Director) aged(sp *step, now time.Time) bool {
 	return sp.spec.LongRunning && slices.ContainsFunc(sp.waiting, func(tk *task) bool {
 		ranBefore := tk.lastRun > 0 && epochOf(tk.lastRun) < dr.op.Epoch
-		waited := now.Sub(tk.wait.since) >= agingTime || !tk.wait.silentSince.IsZero() && now.Sub(tk.wait.silentSince) >= agingTime
-		return (ranBefore || waited) && dr.startable(tk, now)
+		return (ranBefore || now.Sub(tk.wait.downSince()) >= agingTime) && dr.startable(tk, now)
 	})
 }
 
--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -541,7 +541,6 @@
 		return
 	}
 	rd.dr.waitLoggedAt = rd.now
-	rd.applyForecast(dm)
 	reasons := placer.CountReasons(dm, rd.cands)
 	rd.dr.log(logger.TaskWaits, "Task", tk.id().String(), "Cores", dm.Needs.MilliCores, "MemoryMB", dm.Needs.MemoryMB, "PerWorker", dm.MaxPerWorker,
 		"Lasts", dm.LongRunning, "Spare", dm.Headroom, "Unsuited", reasons.Unsuited, "Crowded", reasons.Crowded, "Full", reasons.Full, "Reserved", reasons.Reserved, "Disturbed", reasons.Disturbed)
--- a/internal/job/director/waiting.go
+++ b/internal/job/director/waiting.go
@@ -123,6 +123,14 @@
 	stallLoggedAt time.Time
 }
 
+// downSince returns since when a queued task has not been known to run.
+func (ws *waitState) downSince() time.Time {
+	if ws.silentSince.IsZero() {
+		return ws.since
+	}
+	return ws.silentSince
+}
+
 // endReason notes for how long reports have given the present reason.
 func (ws *waitState) endReason(now time.Time) {
 	if held := now.Sub(ws.reasonSince); ws.reason != "" && held >= ws.mainFor {
