--- a/internal/daemon/assembler/explanation.go
+++ b/internal/daemon/assembler/explanation.go
@@ -26,11 +26,31 @@
 	leader        func() elector.Leader
 	configuration func() *modeler.Configuration
 
+	gate gate
+}
+
+// gate admits one request at a time. It is for requests that hold up a leader's decisions.
+type gate struct {
 	mu sync.Mutex
-	// lastAt is when the last explanation was computed.
-	lastAt time.Time
+	// enteredAt is when a request was last admitted.
+	enteredAt time.Time
 }
 
+// enter reports whether a request is admitted, at least an interval after the last one. One that is calls leave.
+func (ga *gate) enter(interval time.Duration) bool {
+	if !ga.mu.TryLock() {
+		return false
+	}
+	if time.Since(ga.enteredAt) < interval {
+		ga.mu.Unlock()
+		return false
+	}
+	ga.enteredAt = time.Now()
+	return true
+}
+
+func (ga *gate) leave() { ga.mu.Unlock() }
+
 // explanationError is an error answer to an operator with its HTTP status.
 type explanationError struct {
 	status        int
@@ -79,14 +99,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if !je.mu.TryLock() {
-		return nil, errExplanationBusy
-	}
-	defer je.mu.Unlock()
-	if time.Since(je.lastAt) < minExplanationInterval {
+	if !je.gate.enter(minExplanationInterval) {
 		return nil, errExplanationBusy
 	}
-	je.lastAt = time.Now()
+	defer je.gate.leave()
 	ex, err := dr.ExplainJob(jb, queue)
 	switch {
 	case errors.Is(err, modeler.ErrInvalidJob):
--- a/internal/daemon/assembler/waiting.go
+++ b/internal/daemon/assembler/waiting.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/job/director"
@@ -20,9 +19,7 @@
 	director func() *director.Director
 	leader   func() elector.Leader
 
-	mu sync.Mutex
-	// lastAt is when the last list was made.
-	lastAt time.Time
+	gate gate
 }
 
 func (wl *waitingLister) ServeHTTP(wr http.ResponseWriter, _ *http.Request) {
@@ -38,14 +35,10 @@
 	if dr == nil {
 		return nil, notLeader(wl.leader())
 	}
-	if !wl.mu.TryLock() {
+	if !wl.gate.enter(minListInterval) {
 		return nil, errListBusy
 	}
-	defer wl.mu.Unlock()
-	if time.Since(wl.lastAt) < minListInterval {
-		return nil, errListBusy
-	}
-	wl.lastAt = time.Now()
+	defer wl.gate.leave()
 	wg, err := dr.Waiting()
 	if errors.Is(err, director.ErrNotLoaded) {
 		return nil, notLoaded(err)
