--- a/internal/job/director/stall.go
+++ b/internal/job/director/stall.go
@@ -2,7 +2,6 @@
 
 import (
 	"iter"
-	"slices"
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
@@ -71,15 +70,11 @@
 	if !lists {
 		return
 	}
-	ix, _ := slices.BinarySearchFunc(sr.lines, st, func(one, two stalledTask) int { return one.since.Compare(two.since) })
-	if len(sr.lines) == sr.limit {
+	var omitted bool
+	sr.lines, omitted = insertOldest(sr.lines, st, sr.limit, func(st stalledTask) time.Time { return st.since })
+	if omitted {
 		sr.omitted++
-		if ix == sr.limit {
-			return
-		}
-		sr.lines = sr.lines[:sr.limit-1]
 	}
-	sr.lines = slices.Insert(sr.lines, ix, st)
 }
 
 // lookForStalls finds the long-running tasks that wait although there is room for two of them, publishes how many there
--- a/internal/job/director/waiting.go
+++ b/internal/job/director/waiting.go
@@ -371,15 +371,25 @@
 }
 
 func (wr *waitReport) addLine(ln waitLine) {
-	ix, _ := slices.BinarySearchFunc(wr.lines, ln, func(one, two waitLine) int { return one.wait.since.Compare(two.wait.since) })
-	if len(wr.lines) == maxWaitLines {
+	var omitted bool
+	wr.lines, omitted = insertOldest(wr.lines, ln, maxWaitLines, func(ln waitLine) time.Time { return ln.wait.since })
+	if omitted {
 		wr.omitted++
-		if ix == maxWaitLines {
-			return
-		}
-		wr.lines = wr.lines[:maxWaitLines-1]
 	}
-	wr.lines = slices.Insert(wr.lines, ix, ln)
+}
+
+// insertOldest inserts an element into a list of at most limit elements in the order of their times, and reports
+// whether the latest one had to be left out.
+func insertOldest[T any](list []T, el T, limit int, timeOf func(T) time.Time) ([]T, bool) {
+	ix, _ := slices.BinarySearchFunc(list, timeOf(el), func(other T, at time.Time) int { return timeOf(other).Compare(at) })
+	full := len(list) == limit
+	if full && ix == limit {
+		return list, true
+	}
+	if full {
+		list = list[:limit-1]
+	}
+	return slices.Insert(list, ix, el), full
 }
 
 // waits returns the tasks that wait and why, of the steps that are asked for. It looks at queued tasks, at runs that were
