--- a/internal/job/director/promise_faults_test.go
+++ b/internal/job/director/promise_faults_test.go
@@ -2,15 +2,10 @@
 
 import (
 	"context"
-	"fmt"
-	"maps"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	qt "github.com/frankban/quicktest"
-
 	"github.com/currantrouter/currantrouter/internal/job/director"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/provider/emulator"
@@ -198,16 +193,5 @@
 // Guards against long-running tasks that wait, or run twice, under leaders lost in pairs, workers that do not return, leave at
 // short notice or are grey, late requests, and cancellations while more waits than fits.
 func TestPromiseOnHarshDays(t *testing.T) {
-	seeds := slices.Sorted(maps.Keys(keptHarshSeeds))
-	first, count := promiseSeeds()
-	for seed := first; seed < first+count; seed++ {
-		seeds = append(seeds, seed)
-	}
-	for _, seed := range seeds {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				qt.Check(t, newHarshDay(t, seed).run(), qt.HasLen, 0)
-			})
-		})
-	}
+	checkPromise(t, keptHarshSeeds, func(t testing.TB, seed uint64) []string { return newHarshDay(t, seed).run() })
 }
--- a/internal/job/director/promise_test.go
+++ b/internal/job/director/promise_test.go
@@ -475,32 +475,29 @@
 	return first, count
 }
 
-// Guards against long-running tasks that wait although there is capacity for them, and against tasks
-// that run twice, under combined faults and a full backlog. The seed is in the name of the subtest.
-func TestPromise(t *testing.T) {
-	seeds := slices.Sorted(maps.Keys(keptSeeds))
+// checkPromise plays a day for each kept seed and each of promiseSeeds, and checks that no promise is broken. The seed is
+// in the name of the subtest.
+func checkPromise(t *testing.T, kept map[uint64]string, play func(testing.TB, uint64) []string) {
+	seeds := slices.Sorted(maps.Keys(kept))
 	first, count := promiseSeeds()
 	for seed := first; seed < first+count; seed++ {
 		seeds = append(seeds, seed)
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				qt.Check(t, newPromiseDay(t, seed).run(), qt.HasLen, 0)
-			})
+			synctest.Test(t, func(t *testing.T) { qt.Check(t, play(t, seed), qt.HasLen, 0) })
 		})
 	}
 }
 
+// Guards against long-running tasks that wait although there is capacity for them, and against tasks
+// that run twice, under combined faults and a full backlog.
+func TestPromise(t *testing.T) {
+	checkPromise(t, keptSeeds, func(t testing.TB, seed uint64) []string { return newPromiseDay(t, seed).run() })
+}
+
 // Guards against long-running tasks that wait while starts of short ones, on their way, keep capacity
 // reserved.
 func TestPromiseWithSlowStarts(t *testing.T) {
-	first, count := promiseSeeds()
-	for seed := first; seed < first+count; seed++ {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				qt.Check(t, newSlowPromiseDay(t, seed).run(), qt.HasLen, 0)
-			})
-		})
-	}
+	checkPromise(t, nil, func(t testing.TB, seed uint64) []string { return newSlowPromiseDay(t, seed).run() })
 }
