--- a/internal/job/director/choice_test.go
+++ b/internal/job/director/choice_test.go
@@ -20,7 +20,7 @@
 	}
 	rd.countSameStep(tk.step)
 	rd.applyForecast(&dm)
-	ix := placer.Choose(&dm, rd.cands)
+	ix := placer.Choose(&dm, rd.cands, rd.allIndices())
 	mayReturn := dm.LongRunning && len(dm.Avoid) > 0 && rd.now.Sub(tk.lastActive) > maxAvoidTime
 	if ix < 0 && dm.LongRunning && (len(rd.held) > 0 || mayReturn) {
 		rd.freeHeld()
@@ -29,7 +29,7 @@
 			dm.Avoid = nil
 		}
 		rd.applyForecast(&dm)
-		ix = placer.Choose(&dm, rd.cands)
+		ix = placer.Choose(&dm, rd.cands, rd.allIndices())
 	}
 	fits := slices.ContainsFunc(rd.cands, func(cd placer.Candidate) bool { return placer.Feasible(&dm, &cd) })
 	return ix, ix < 0 && len(dm.Avoid) > 0 && fits
--- a/internal/job/director/selection.go
+++ b/internal/job/director/selection.go
@@ -82,23 +82,12 @@
 // chooseOf returns the index of the best candidate for a demand among those with the indices, or -1 if none is feasible.
 func (rd *round) chooseOf(dm *placer.Demand, cands []placer.Candidate, indices []int) int {
 	rd.dr.usage.costsComputed += len(indices)
-	best, minCost := -1, math.Inf(1)
-	avoids := placer.HasAlternative(dm, cands)
-	for _, ix := range indices {
-		if avoids && slices.Contains(dm.Avoid, cands[ix].Worker.ID) {
-			continue
-		}
-		if cost := placer.Cost(dm, &cands[ix]); cost < minCost {
-			best, minCost = ix, cost
-		}
-	}
-	return best
+	return placer.Choose(dm, cands, indices)
 }
 
-// chooseAmong returns the index of the best candidate for a demand, or -1 if none is feasible. It looks at each of them.
+// chooseAmong returns the same among all candidates.
 func (rd *round) chooseAmong(dm *placer.Demand, cands []placer.Candidate) int {
-	rd.dr.usage.costsComputed += len(cands)
-	return placer.Choose(dm, cands)
+	return rd.chooseOf(dm, cands, rd.allIndices())
 }
 
 // newSelection returns a selection that has examined no candidate. It begins where the last one ended, so that
--- a/internal/job/director/selection_test.go
+++ b/internal/job/director/selection_test.go
@@ -84,7 +84,7 @@
 	quick, none := rd.chooseQuickly(sp, &dm)
 	rd.countSameStep(sp)
 	rd.applyForecast(&dm)
-	full = placer.Choose(&dm, rd.cands)
+	full = placer.Choose(&dm, rd.cands, rd.allIndices())
 	if none {
 		full = max(full, slices.IndexFunc(rd.cands, func(cd placer.Candidate) bool { return placer.Feasible(&dm, &cd) }))
 	}
--- a/internal/job/placer/placer.go
+++ b/internal/job/placer/placer.go
@@ -176,13 +176,13 @@
 	criticalIdleShare = 0.4
 )
 
-// Choose returns the index of the feasible candidate with the lowest cost, or -1 when none is
-// feasible. A worker that the demand avoids is chosen only when no other could ever run the task: a
+// Choose returns the index of the feasible candidate with the lowest cost among those with the indices, or -1 when none
+// of these is feasible. A worker that the demand avoids is chosen only when no other could ever run the task: a
 // further failure may make the job fail.
-func Choose(dm *Demand, cands []Candidate) int {
+func Choose(dm *Demand, cands []Candidate, indices []int) int {
 	best, minCost := -1, math.Inf(1)
 	hasAlternative := HasAlternative(dm, cands)
-	for ix := range cands {
+	for _, ix := range indices {
 		if hasAlternative && slices.Contains(dm.Avoid, cands[ix].Worker.ID) {
 			continue
 		}
--- a/internal/job/placer/placer_test.go
+++ b/internal/job/placer/placer_test.go
@@ -30,9 +30,18 @@
 	return modeler.Resources{MilliCores: milli, MemoryMB: 1000}
 }
 
+// allIndices returns the indices of the candidates.
+func allIndices(cands []Candidate) []int {
+	indices := make([]int, len(cands))
+	for ix := range indices {
+		indices[ix] = ix
+	}
+	return indices
+}
+
 func assertChoice(t *testing.T, dm Demand, cands []Candidate, want int) {
 	t.Helper()
-	qt.Check(t, Choose(&dm, cands), qt.Equals, want, qt.Commentf("%+v", CountReasons(&dm, cands)))
+	qt.Check(t, Choose(&dm, cands, allIndices(cands)), qt.Equals, want, qt.Commentf("%+v", CountReasons(&dm, cands)))
 }
 
 // Guards against placing a task on a worker that must not run it, or when a better one is feasible.
@@ -183,9 +192,9 @@
 				sizes[ix] = int64(8000 + ix%7*8000)
 			}
 			cands := idleCandidates(sizes...)
-			dm := Demand{Needs: needs(3000)}
+			dm, indices := Demand{Needs: needs(3000)}, allIndices(cands)
 			for b.Loop() {
-				Choose(&dm, cands)
+				Choose(&dm, cands, indices)
 			}
 		})
 	}
