--- a/internal/job/director/advance.go
+++ b/internal/job/director/advance.go
@@ -23,12 +23,16 @@
 // for as long as a round and the record of the placement take.
 func (rd *round) placeInAdvance(aged []rankedStep) {
 	ending := rd.cancelledCapacity()
+	if len(ending) == 0 {
+		return
+	}
+	ec := rd.newEndingCandidates(ending)
 	misses := 0
 	for _, rs := range aged {
-		if len(ending) == 0 || misses >= maxAdvanceMisses {
+		if misses >= maxAdvanceMisses {
 			return
 		}
-		if !rs.step.spec.Gang && !rd.placeStepInAdvance(rs.step, ending) {
+		if !rs.step.spec.Gang && !rd.placeStepInAdvance(rs.step, ec) {
 			misses++
 		}
 	}
@@ -52,27 +56,42 @@
 // maxStopTime returns the time within which a cancelled run is expected to end.
 func (dr *Director) maxStopTime() time.Duration { return dr.op.Limits.StopGrace + advanceMargin }
 
+// endingCandidates are the workers on which capacity becomes free.
+type endingCandidates struct {
+	// capacity is what becomes free, by the index of the worker, and indices holds its keys in ascending order.
+	capacity map[int]modeler.Resources
+	indices  []int
+	// cands holds all candidates in the order of the round's workers. Those without ending capacity are excluded.
+	cands []placer.Candidate
+}
+
+func (rd *round) newEndingCandidates(ending map[int]modeler.Resources) *endingCandidates {
+	ec := &endingCandidates{capacity: ending, indices: slices.Sorted(maps.Keys(ending)), cands: slices.Clone(rd.cands)}
+	for ix := range ec.cands {
+		ec.cands[ix].Excluded = true
+	}
+	return ec
+}
+
 // placeStepInAdvance places tasks of a step on capacity that becomes free. It returns false if it ended
 // with a task for which there is none.
-func (rd *round) placeStepInAdvance(sp *step, ending map[int]modeler.Resources) bool {
+func (rd *round) placeStepInAdvance(sp *step, ec *endingCandidates) bool {
 	pool := rd.dr.pool(sp.occ.job)
-	indices := slices.Sorted(maps.Keys(ending))
-	cands := slices.Clone(rd.cands)
-	for ix := range cands {
-		cands[ix].Excluded = true
+	for _, ix := range ec.indices {
+		ec.cands[ix] = rd.cands[ix]
 	}
 	for _, tk := range slices.Clone(sp.waiting) {
 		if !rd.dr.startable(tk, rd.now) {
 			continue
 		}
 		dm := rd.dr.demand(tk)
-		dm.Headroom, dm.PoolSlots = rd.futureHeadroom(sp, pool, &dm, ending)
-		for _, ix := range indices {
-			wk := rd.workers[ix]
-			cands[ix].Excluded = wk.info.Pool != pool || slices.Contains(dm.Avoid, wk.info.ID)
-			cands[ix].Free, cands[ix].BestEffortMemoryMB, cands[ix].SameStepTasks = wk.free.Plus(ending[ix]), 0, sp.perWorker[wk.info.ID]
+		dm.Headroom, dm.PoolSlots = rd.futureHeadroom(sp, pool, &dm, ec.capacity)
+		for _, ix := range ec.indices {
+			wk, cd := rd.workers[ix], &ec.cands[ix]
+			cd.Excluded = wk.info.Pool != pool || slices.Contains(dm.Avoid, wk.info.ID)
+			cd.Free, cd.BestEffortMemoryMB, cd.SameStepTasks = wk.free.Plus(ec.capacity[ix]), 0, sp.perWorker[wk.info.ID]
 		}
-		ix := rd.chooseOf(&dm, rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &dm, cands), indices)
+		ix := rd.chooseOf(&dm, rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &dm, ec.cands), ec.indices)
 		if ix < 0 {
 			return false
 		}
