internal/job/director: count and name jobs without a run for which there is room

The lines of a leader could not tell why a job of short tasks has no run: tasks that wait are counted by reason, and only long-running ones are named. StalledJobs and LongestJobStall now count the jobs that users count: no task runs, a task that may start fits twice, and at most half of the pool's processors are reserved.

--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -44,6 +44,7 @@
 	// occurrences holds the released occurrences: those that are due. It is empty once the tasks
 	// are freed, see freeTasks.
 	occurrences []*occurrence
+	stall       jobStall
 	// unfinishedOccurrences is the number of released occurrences with steps that are not done.
 	unfinishedOccurrences int
 }
--- a/internal/job/director/stall.go
+++ b/internal/job/director/stall.go
@@ -112,9 +112,7 @@
 		gr := sl.groups[key]
 		if gr == nil {
 			if gr = known[key]; gr == nil {
-				gr = &spotter.Group{Demand: key.demand, Running: func(id modeler.WorkerID) int {
-					return sp.perWorker[id] - sl.unsent[stepWorker{sp, id}]
-				}}
+				gr = dr.newStallGroup(key, sp)
 			}
 			sl.groups[key], groups = gr, append(groups, gr)
 		}
@@ -150,6 +148,13 @@
 	return key
 }
 
+// newStallGroup returns a group of the tasks with a key, of which a step is one.
+func (dr *Director) newStallGroup(key stallKey, sp *step) *spotter.Group {
+	return &spotter.Group{Demand: key.demand, Running: func(id modeler.WorkerID) int {
+		return sp.perWorker[id] - dr.stalls.unsent[stepWorker{sp, id}]
+	}}
+}
+
 // listStallWorkers sets the workers of a look. What is reserved for runs whose start has not been sent is free.
 func (dr *Director) listStallWorkers() {
 	reserved := map[*worker]modeler.Resources{}
--- a/internal/job/director/waiting.go
+++ b/internal/job/director/waiting.go
@@ -340,6 +340,8 @@
 	// that were due.
 	lines   []waitLine
 	omitted int
+	// jobs holds the jobs of waiting tasks that are not long-running. Their task is nil if they have a run.
+	jobs map[*job]*stalledJob
 }
 
 // add adds a waiting task.
@@ -449,12 +451,13 @@
 
 // collectWaits returns the tasks that wait.
 func (dr *Director) collectWaits(now time.Time) *waitReport {
-	wr := &waitReport{now: now, counts: map[waitReason]*waitCount{}}
+	wr := &waitReport{now: now, counts: map[waitReason]*waitCount{}, jobs: map[*job]*stalledJob{}}
 	maps.DeleteFunc(dr.starting, func(at *attempt, _ struct{}) bool {
 		return at.state == active || !at.worker.has(at)
 	})
 	for tk, wt := range dr.waits(now, func(*step) bool { return true }) {
 		wr.add(tk, wt)
+		wr.addJob(tk, wt)
 	}
 	return wr
 }
@@ -485,6 +488,7 @@
 		}
 		dr.logWait(&ln, omitted, now)
 	}
+	dr.reportStalledJobs(wr, now)
 }
 
 // logWait logs why a long-running task waits. The count of omitted lines is logged if it is not zero.
@@ -525,6 +529,7 @@
 		meter.DataCentresEvacuated, meter.EvacuatedWorkers, meter.EvacuatedRuns, meter.EvacuationViewAge, meter.EvacuationRunsToMove, meter.EvacuationMovesUnderWay,
 		meter.ShortPools, meter.ShortTaskReserve,
 		meter.QueuesBehind, meter.StalledTasks, meter.LongestStall, meter.StallDemandsOmitted,
+		meter.StalledJobs, meter.LongestJobStall,
 	} {
 		dr.op.Meter.Set(mt, 0)
 	}
--- a/internal/telemetry/meter/table_waiting.go
+++ b/internal/telemetry/meter/table_waiting.go
@@ -25,6 +25,8 @@
 	StalledTasks                      = Metric{"StalledTasks", "", "Long-running tasks that wait although their pool has free capacity for two of them, or for a gang twice, again within each 1.5 s, whatever is reserved or held."}
 	LongestStall                      = Metric{"LongestStall", "ms", "Longest time for which such a task has been stalled without a break."}
 	StallDemandsOmitted               = Metric{"StallDemandsOmitted", "", "Distinct demands of waiting long-running tasks that the last look for stalled tasks left out."}
+	StalledJobs                       = Metric{"StalledJobs", "", "Jobs without a run, of a task that may start, although at most half of the processors of their pool are reserved and it has free capacity for two such tasks."}
+	LongestJobStall                   = Metric{"LongestJobStall", "ms", "Longest time for which such a job has been stalled without a break."}
 	CancellationsPending              = Metric{"CancellationsPending", "", "Cancellations of jobs that the leader does not know yet."}
 	CancellationsDropped              = Metric{"CancellationsDropped", "", "Cancellations of unknown jobs that were dropped. A counter."}
 	NotificationsFailed               = Metric{"NotificationsFailed", "", "Stored jobs and cancellations of which this host could not notify the leader at once. A counter."}
@@ -56,6 +58,8 @@
 	StalledTasks,
 	LongestStall,
 	StallDemandsOmitted,
+	StalledJobs,
+	LongestJobStall,
 	CancellationsPending,
 	CancellationsDropped,
 	NotificationsFailed,
