--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -39,6 +39,8 @@
 	endedAt time.Time
 	// activeRuns is the number of attempts of all tasks.
 	activeRuns int
+	// lastRunEnd is when a run was last known to go on that has ended since.
+	lastRunEnd time.Time
 	// cancellation is zero until this term has heard of one.
 	cancellation cancellation
 	// occurrences holds the released occurrences: those that are due. It is empty once the tasks
--- a/internal/job/director/jobstall.go
+++ b/internal/job/director/jobstall.go
@@ -19,8 +19,8 @@
 
 // jobStall is for how long a job has had no run although there is room for one.
 type jobStall struct {
-	// since is when a report first found the job stalled, without a report since that did not. It is zero while the job
-	// is not stalled.
+	// since is when a report first found the job stalled, without a report or a run since that ended the stall. It is zero
+	// while the job is not stalled.
 	since    time.Time
 	loggedAt time.Time
 }
@@ -112,7 +112,7 @@
 			continue
 		}
 		stall := &sj.job.stall
-		if stall.since.IsZero() || stall.since.Before(sj.wait.since) {
+		if stall.since.IsZero() || stall.since.Before(sj.job.lastRunEnd) {
 			*stall = jobStall{since: now}
 		}
 		stalled++
--- a/internal/job/director/jobstall_test.go
+++ b/internal/job/director/jobstall_test.go
@@ -20,6 +20,20 @@
 	qt.Check(t, fx.dr.op.Meter.Value(meter.LongestJobStall), qt.Equals, longest.Milliseconds())
 }
 
+// Guards against a stall that goes on through a run which began and ended between two reports.
+func TestRunEndsJobStall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newWaitFixture()
+		fx.assertStalledJobs(t, 1, 0)
+		at := fx.place(fx.ordinary, active)
+		time.Sleep(time.Second / 2)
+		fx.dr.release(at)
+		fx.dr.enqueue(fx.ordinary)
+		fx.assertStalledJobs(t, 1, 0)
+		fx.assertStalledJobs(t, 1, time.Second)
+	})
+}
+
 // Guards against a job without a run that is not counted because the leader believes that a task of it may run, and
 // against jobs that run or for which there is no room.
 func TestStalledJobs(t *testing.T) {
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -694,6 +694,9 @@
 	wk.countTask(sp.spec, -1)
 	dr.uncountActive(at)
 	sp.occ.job.activeRuns--
+	if at.state == active && !wk.unreachable {
+		sp.occ.job.lastRunEnd = now
+	}
 	if len(wk.inAdvance) > 0 {
 		wk.inAdvance = slices.DeleteFunc(wk.inAdvance, func(ot *attempt) bool { return ot == at })
 		dr.queueFreed(wk)
