internal/job/director: jobs without a run do not wait for workers without interference

What callers saw: a job of best-effort tasks had nothing running for 14 to more than 40 s, with an eighth of the processors reserved and memory free on all workers.

Cause: a job without a run gets a task placed whatever is idle, but only where its image does not interfere with a latency-critical one. Once the images of all workers are known to be disturbed, no worker is left until the estimate has aged.

Such a task is now placed beside the latency-critical tasks that it disturbs least once its job has had no run for 2 s. The pace of best-effort tasks keeps those within their targets, as it does when an estimate was too low.

TestStarvedJobBesideSensitiveTasks failed before (NoWorkerFits after 3 s) and also checks that the jobs end and that no latency-critical task is over its target for as long as the grace.

--- a/internal/job/director/selection.go
+++ b/internal/job/director/selection.go
@@ -16,6 +16,7 @@
 	image       string
 	bestEffort  bool
 	starved     bool
+	disturbs    bool
 	longRunning bool
 	// step is set for a step with a limit per worker, which counts only its own tasks.
 	step *step
@@ -54,7 +55,7 @@
 	if dm.LongRunning && !placer.AllowsLongRunning(dm) {
 		return -1, true
 	}
-	key := selectionKey{pool: rd.pool, needs: dm.Needs, label: dm.Label, rack: dm.DataRack, bestEffort: dm.BestEffort, starved: dm.Starved, longRunning: dm.LongRunning}
+	key := selectionKey{pool: rd.pool, needs: dm.Needs, label: dm.Label, rack: dm.DataRack, bestEffort: dm.BestEffort, starved: dm.Starved, disturbs: dm.Disturbs, longRunning: dm.LongRunning}
 	if usesForecast(dm) {
 		key.image = dm.Image
 	}
@@ -169,7 +170,7 @@
 		cd.SameStepTasks = cu.sp.perWorker[rd.workers[ix].info.ID]
 	}
 	sl.costs[ix] = math.Inf(1)
-	refused := cu.dm.BestEffort && cu.fc.refused != nil && cu.fc.refused[ix]
+	refused := cu.dm.BestEffort && !cu.dm.Disturbs && cu.fc.refused != nil && cu.fc.refused[ix]
 	if !refused && placer.HasCapacity(cu.dm, cd) {
 		if cu.fc != nil {
 			rd.applyForecastTo(ix, cu.dm, cu.fc, cu.contentionDemand)
--- a/internal/job/director/starvation.go
+++ b/internal/job/director/starvation.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/placer"
 )
 
 const (
@@ -12,6 +13,9 @@
 	// beyond the processors that its worker has idle. Callers are promised a start within 3 s, which
 	// leaves time to repeat a start without an answer.
 	starvationTimeout = time.Second
+	// disturbanceTimeout is how long a job has had no run until a best-effort task of it may interfere with
+	// latency-critical ones. Their load varies, so that a worker may open to it before. It leaves time for the start.
+	disturbanceTimeout = 2 * time.Second
 	// maxReservedShare is the share of a pool's processors that may be reserved while the promise
 	// holds.
 	maxReservedShare = 0.5
@@ -66,11 +70,10 @@
 		sp.starvedAttemptAt = rd.now
 		dm := rd.dr.demand(tk)
 		dm.Starved = true
-		ix, _ := rd.chooseQuickly(sp, &dm)
-		if queue := rd.dr.queue(sp.occ.job); ix < 0 && queue.Policy != nil {
-			rd.countSameStep(sp)
-			rd.applyForecast(&dm)
-			ix = rd.chooseAmong(&dm, rd.excludeUnpermitted(sp, queue, &dm, rd.cands))
+		ix := rd.chooseForStarved(sp, &dm)
+		if ix < 0 && rd.now.Sub(sp.occ.idleSince()) >= disturbanceTimeout {
+			dm.Disturbs = true
+			ix = rd.chooseForStarved(sp, &dm)
 		}
 		if ix >= 0 {
 			rd.placeTask(tk, ix)
@@ -79,6 +82,25 @@
 	}
 }
 
+// chooseForStarved returns the index of a worker for a demand of a starved step, or -1.
+func (rd *round) chooseForStarved(sp *step, dm *placer.Demand) int {
+	ix, _ := rd.chooseQuickly(sp, dm)
+	if queue := rd.dr.queue(sp.occ.job); ix < 0 && queue.Policy != nil {
+		rd.countSameStep(sp)
+		rd.applyForecast(dm)
+		ix = rd.chooseAmong(dm, rd.excludeUnpermitted(sp, queue, dm, rd.cands))
+	}
+	return ix
+}
+
+// idleSince returns when the last run of the occurrence's job ended, or when the occurrence was due if that is later.
+func (oc *occurrence) idleSince() time.Time {
+	if oc.job.lastRunEnd.After(oc.due) {
+		return oc.job.lastRunEnd
+	}
+	return oc.due
+}
+
 // reservedShare returns the share of the processors of a pool's workers that is reserved.
 func (rd *round) reservedShare(pool modeler.PoolName) float64 {
 	var free, capacity int64
--- /dev/null
+++ b/internal/job/director/starved_jobs_test.go
@@ -0,0 +1,99 @@
+package director_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/provider/emulator"
+)
+
+// promisedRunTime is the time within which a job gets a run while half of its pool's processors are free.
+const promisedRunTime = 3 * time.Second
+
+// assertStartsWithin checks that a task of the job's first step has been started within a time from now.
+func (tm *term) assertStartsWithin(jb *modeler.Job, within time.Duration) {
+	tm.fleet.t.Helper()
+	starts := func() int {
+		sum := 0
+		for ix := range jb.Steps[0].Count {
+			sum += tm.fleet.workers.StartCount(modeler.TaskID{Job: jb.ID, Index: ix})
+		}
+		return sum
+	}
+	before := starts()
+	sleep(within)
+	qt.Check(tm.fleet.t, starts() > before, qt.IsTrue, qt.Commentf("job %s waits: %s", jb.ID, tm.WaitReason(modeler.TaskID{Job: jb.ID, Index: jb.Steps[0].Count - 1})))
+}
+
+// bestEffortJob returns a job of two best-effort tasks with a run time.
+func (fl *fleet) bestEffortJob(id modeler.JobID, runTime time.Duration) *modeler.Job {
+	jb := simpleJob(id, "batch", 2, cores(3000))
+	jb.Steps[0].BestEffort, jb.Steps[0].Image = true, "best-effort"
+	for ix := range jb.Steps[0].Count {
+		fl.setBehaviour(modeler.TaskID{Job: id, Index: ix}, emulator.TaskBehaviour{RunTime: runTime})
+	}
+	return jb
+}
+
+// sensitiveTails are the tail latencies of a latency-critical task beside best-effort work and without, and for how long the
+// former have been above a target without a break.
+type sensitiveTails struct {
+	alone, target time.Duration
+	overSince     time.Time
+	longestOver   time.Duration
+}
+
+func (st *sensitiveTails) tail(neighbours []modeler.TaskID) time.Duration {
+	tail := st.alone
+	if slices.ContainsFunc(neighbours, func(id modeler.TaskID) bool { return strings.HasPrefix(string(id.Job), "best-effort") }) {
+		tail *= 2
+	}
+	switch {
+	case tail <= st.target:
+		st.overSince = time.Time{}
+	case st.overSince.IsZero():
+		st.overSince = time.Now()
+	default:
+		st.longestOver = max(st.longestOver, time.Since(st.overSince))
+	}
+	return tail
+}
+
+// Guards against jobs that wait for as long as their best-effort tasks would interfere with the latency-critical ones of
+// all workers, although these use an eighth of the processors, and against latency-critical tasks that stay over their
+// targets as such a job runs.
+func TestStarvedJobBesideSensitiveTasks(t *testing.T) {
+	for name, alone := range map[string]time.Duration{"far from the target": 60 * time.Millisecond, "near it": 250 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 4, func(fl *fleet, tm *term) {
+				sensitive := simpleJob("sensitive", "urgent", 4, cores(2000))
+				sp, tails := &sensitive.Steps[0], make([]sensitiveTails, 4)
+				sp.LongRunning, sp.TailTarget, sp.Image, sp.MaxPerWorker = true, 300*time.Millisecond, "sensitive", 1
+				for ix := range tails {
+					tails[ix] = sensitiveTails{alone: alone, target: sp.TailTarget}
+					fl.setBehaviour(modeler.TaskID{Job: sensitive.ID, Index: ix}, emulator.TaskBehaviour{TailLatency: tails[ix].tail})
+				}
+				tm.submit(sensitive)
+				sleep(2 * time.Second)
+				for no := range 6 {
+					jb := fl.bestEffortJob(modeler.JobID(fmt.Sprint("best-effort-", no)), 400*time.Millisecond)
+					tm.submit(jb)
+					tm.assertStartsWithin(jb, promisedRunTime)
+				}
+				sleep(20 * time.Second)
+				for no := range 6 {
+					tm.assertState(modeler.JobID(fmt.Sprint("best-effort-", no)), modeler.Completed)
+				}
+				for ix := range tails {
+					qt.Check(t, tails[ix].longestOver < testLimits.OverTargetGrace, qt.IsTrue, qt.Commentf("over its target for %v", tails[ix].longestOver))
+				}
+			})
+		})
+	}
+}
--- a/internal/job/placer/placer.go
+++ b/internal/job/placer/placer.go
@@ -35,6 +35,9 @@
 	// Starved marks a best-effort task whose job has no run. It may share the processors of a worker
 	// beyond what is idle there.
 	Starved bool
+	// Disturbs marks a starved task that no worker can run without interference. It may run beside any
+	// latency-critical task, at the pace that this one allows.
+	Disturbs bool
 	// Image names the program of the task.
 	Image string
 	// Avoid lists workers on which the task failed, or from which it was moved because of a lack of
@@ -217,7 +220,7 @@
 
 // Feasible reports whether the task may run on the worker and fits into its free capacity.
 func Feasible(dm *Demand, cd *Candidate) bool {
-	return HasCapacity(dm, cd) && (!dm.BestEffort || AllowsInterference(cd)) && (!dm.LongRunning || AllowsLongRunning(dm))
+	return HasCapacity(dm, cd) && (!dm.BestEffort || dm.Disturbs || AllowsInterference(cd)) && (!dm.LongRunning || AllowsLongRunning(dm))
 }
 
 // HasCapacity reports whether the worker has free capacity for the task. What the task does to the latency-critical
@@ -364,6 +367,10 @@
 	switch {
 	case dm.BestEffort:
 		sum += costRelativeLoad*cd.RelativeLoad + costContention*cd.Contention
+		if dm.Disturbs {
+			// The best-effort tasks there may add as much, which reports do not show yet.
+			sum += costAddedRelativeLoad * cd.AddedRelativeLoad * float64(cd.BestEffortMilliCores) / float64(max(dm.Needs.MilliCores, 1))
+		}
 		if cd.FirstTrial {
 			sum -= gainFirstTrial
 		} else {
