internal/job/director: jobs without a run have a share of the starts

What callers saw: a job had nothing running for as long as more urgent tasks came faster than the leader carried starts, although most capacity was free.

Cause: the task for a job without a run was placed at the end of a round, with the starts that the others left. A round that uses up the window leaves none. Tasks that are not best-effort had no promise at all.

TestStarvedJobsBehindFullWindow failed before: both jobs waited for more than 3 s for RoundEndedByWindow.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -260,6 +260,9 @@
 	// keptStarts is the number of starts that long-running tasks may use before more urgent ones, see
 	// overtakenShare.
 	keptStarts float64
+	// starvedStarts is the number of starts that jobs without a run may use before more urgent ones, see
+	// placeBesideStarved.
+	starvedStarts float64
 	// seenRooms holds what recent rounds found of each pool, see recentSlots.
 	seenRooms map[modeler.PoolName][]seenRoom
 	// shortDemand holds forecasts of what short urgent tasks need, by pool, and shortDemandAt is when they were
--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -51,11 +51,7 @@
 	rd := dr.newRound(now)
 	rd.startsLeft = available
 	rd.finishMoves()
-	if len(rd.workers) > 0 {
-		rd.placeSteps()
-	}
-	rd.placeStarved()
-	dr.windowFull, dr.roundEnd = rd.startsLeft <= 0, rd.endReason()
+	rd.placeBesideStarved()
 	dr.recordPlacements(rd.longRunning)
 }
 
--- a/internal/job/director/starvation.go
+++ b/internal/job/director/starvation.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// starvationTimeout is the age from which a job without a run gets a best-effort task placed
-	// beyond the processors that its worker has idle. Callers are promised a start within 3 s, which
+	// starvationTimeout is the age from which a job without a run gets a task placed before more urgent ones, a
+	// best-effort one beyond the processors that its worker has idle. Callers are promised a start within 3 s, which
 	// leaves time to repeat a start without an answer.
 	starvationTimeout = time.Second
 	// disturbanceTimeout is how long a job has had no run until a best-effort task of it may interfere with
@@ -25,28 +25,18 @@
 )
 
 // starved reports whether a step belongs to a job of starvationTimeout's age that has no run.
-func (sp *step) starved(now time.Time) bool {
-	return sp.spec.BestEffort && !sp.spec.Gang && !sp.occ.job.hasAttempts() && now.Sub(sp.occ.due) >= starvationTimeout
+func (rd *round) starved(sp *step) bool {
+	jb := sp.occ.job
+	return !sp.spec.LongRunning && !sp.spec.Gang && rd.now.Sub(sp.occ.due) >= starvationTimeout && !jb.hasAttempts()
 }
 
-// placeStarved starts one task of each job without a run, in the order of urgency. Without it, jobs
-// behind a backlog of best-effort work wait although their tasks could share processors. If there are
-// more than it may try, it begins with those tried the longest ago, as the most urgent ones may fit
-// nowhere.
-func (rd *round) placeStarved() {
-	var starved []rankedStep
-	for _, rs := range rd.steps {
-		if rs.step.starved(rd.now) {
-			starved = append(starved, rs)
-		}
-	}
-	slices.SortStableFunc(starved, func(one, two rankedStep) int { return one.step.starvedAttemptAt.Compare(two.step.starvedAttemptAt) })
+// starvedSteps returns the waiting steps of starved jobs whose pool has capacity for the promise to them. The steps that
+// were tried the longest ago go first, as the most urgent ones may fit nowhere.
+func (rd *round) starvedSteps() []rankedStep {
+	var list []rankedStep
 	reserved := map[modeler.PoolName]float64{}
-	for _, rs := range starved {
-		if rd.starvedAttempts >= maxStarvedAttempts || rd.startsLeft <= 0 {
-			return
-		}
-		if !rs.step.starved(rd.now) {
+	for _, rs := range rd.steps {
+		if len(rs.step.waiting) == 0 || !rd.starved(rs.step) {
 			continue
 		}
 		pool := rd.dr.pool(rs.step.occ.job)
@@ -54,7 +44,50 @@
 			reserved[pool] = rd.reservedShare(pool)
 		}
 		if reserved[pool] <= maxReservedShare {
-			rd.excludeOtherPools(pool)
+			list = append(list, rs)
+		}
+	}
+	slices.SortStableFunc(list, func(one, two rankedStep) int { return one.step.starvedAttemptAt.Compare(two.step.starvedAttemptAt) })
+	return list
+}
+
+// placeBesideStarved places tasks of the steps in order of urgency, but keeps a share of the starts for jobs without a run.
+// More urgent tasks would otherwise use the window of starts for as long as they come faster than it carries.
+func (rd *round) placeBesideStarved() {
+	dr, kept := rd.dr, 0
+	starved := len(rd.starvedSteps())
+	if starved > 0 {
+		kept = min(int(dr.starvedStarts), starved, rd.startsLeft)
+	}
+	rd.startsLeft -= kept
+	before := rd.startsLeft
+	if len(rd.workers) > 0 {
+		rd.placeSteps()
+	}
+	dr.windowFull, dr.roundEnd = rd.startsLeft <= 0, rd.endReason()
+	if starved == 0 {
+		return
+	}
+	dr.starvedStarts = min(dr.starvedStarts+overtakenShare*float64(before-rd.startsLeft), maxKeptStarts)
+	rd.startsLeft += kept
+	before = rd.startsLeft
+	rd.placeStarved()
+	placed := float64(before - rd.startsLeft)
+	dr.starvedStarts = max(0, dr.starvedStarts-placed)
+	// Long-running tasks have their share of these as well.
+	dr.keptStarts = min(dr.keptStarts+overtakenShare*placed, maxKeptStarts)
+	dr.windowFull = dr.windowFull || rd.startsLeft <= 0
+}
+
+// placeStarved starts one task of each job without a run. Without it, jobs behind a backlog of more urgent or of
+// best-effort work wait although there is capacity.
+func (rd *round) placeStarved() {
+	for _, rs := range rd.starvedSteps() {
+		if rd.starvedAttempts >= maxStarvedAttempts || rd.startsLeft <= 0 {
+			return
+		}
+		if rd.starved(rs.step) {
+			rd.excludeOtherPools(rd.dr.pool(rs.step.occ.job))
 			rd.placeOneStarved(rs.step)
 		}
 	}
@@ -69,9 +102,9 @@
 		rd.starvedAttempts++
 		sp.starvedAttemptAt = rd.now
 		dm := rd.dr.demand(tk)
-		dm.Starved = true
+		dm.Starved = dm.BestEffort
 		ix := rd.chooseForStarved(sp, &dm)
-		if ix < 0 && rd.now.Sub(sp.occ.idleSince()) >= disturbanceTimeout {
+		if ix < 0 && dm.BestEffort && rd.now.Sub(sp.occ.idleSince()) >= disturbanceTimeout {
 			dm.Disturbs = true
 			ix = rd.chooseForStarved(sp, &dm)
 		}
--- a/internal/job/director/starved_jobs_test.go
+++ b/internal/job/director/starved_jobs_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -97,3 +98,31 @@
 		})
 	}
 }
+
+// Guards against jobs that wait for as long as more urgent tasks come faster than the leader's link carries their starts.
+func TestStarvedJobsBehindFullWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 60)
+		fl.client = &slowLink{WorkerClient: fl.workers, startTime: 3 * time.Millisecond, otherTime: time.Millisecond}
+		tm := fl.startTerm(0)
+		defer func() { tm.end() }()
+		sleep(2 * time.Second)
+		// 600 starts a second are asked for, and 240 carried.
+		submitUrgent := func(from, to int) {
+			for no := from; no < to; no++ {
+				tm.submit(simpleJob(modeler.JobID(fmt.Sprint("urgent-", no)), "urgent", 60, cores(1000)))
+				sleep(100 * time.Millisecond)
+			}
+		}
+		submitUrgent(0, 20)
+		waiting := []*modeler.Job{simpleJob("batch", "batch", 2, cores(1000)), fl.bestEffortJob("best-effort", time.Second)}
+		for _, jb := range waiting {
+			tm.submit(jb)
+		}
+		submitUrgent(20, 20+int(promisedRunTime/(100*time.Millisecond)))
+		for _, jb := range waiting {
+			started := fl.workers.StartCount(modeler.TaskID{Job: jb.ID}) + fl.workers.StartCount(modeler.TaskID{Job: jb.ID, Index: 1})
+			qt.Check(t, started > 0, qt.IsTrue, qt.Commentf("job %s waits: %s", jb.ID, tm.WaitReason(modeler.TaskID{Job: jb.ID})))
+		}
+	})
+}
