internal/job/director: a run that may be lost does not keep its job from a start

What callers saw: a job whose only run was on a lost worker had nothing running until the lease there was over and 4 s more had passed, though others of its tasks could run; by reading, up to 22 s if the worker had restarted with the start under way.

Cause: the promise to jobs without a run counted each attempt as a run, also those on workers that do not answer and those whose start has no answer. Their tasks have to wait, other tasks of the job do not.

TestStarvedJobOfLostWorker failed before: NoWorkerFits for 4.5 s after the loss.

--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -131,6 +131,8 @@
 	startsLeft, startsKept int
 	// starvedAttempts is the number of starved tasks that the round tried to place.
 	starvedAttempts int
+	// doubtful holds the results of doubtfulRuns.
+	doubtful map[*job]int
 	// forecasts holds the predictions for tasks of best-effort and latency-critical images.
 	forecasts map[string]*forecast
 	// pool is the one whose workers are not excluded from cands, empty before the first step.
--- a/internal/job/director/starvation.go
+++ b/internal/job/director/starvation.go
@@ -24,10 +24,33 @@
 	maxStarvedAttempts = 24
 )
 
-// starved reports whether a step belongs to a job of starvationTimeout's age that has no run.
+// starved reports whether a step belongs to a job of starvationTimeout's age that is not known to have a run.
 func (rd *round) starved(sp *step) bool {
 	jb := sp.occ.job
-	return !sp.spec.LongRunning && !sp.spec.Gang && rd.now.Sub(sp.occ.due) >= starvationTimeout && !jb.hasAttempts()
+	return !sp.spec.LongRunning && !sp.spec.Gang && rd.now.Sub(sp.occ.due) >= starvationTimeout && jb.activeRuns <= rd.doubtfulRuns()[jb]
+}
+
+// doubtfulRuns returns how many attempts of each job may have been lost: those on workers that do not answer, and those
+// whose start has no answer. Their tasks wait for the leases of these workers; others of the job need not.
+func (rd *round) doubtfulRuns() map[*job]int {
+	if rd.doubtful != nil {
+		return rd.doubtful
+	}
+	rd.doubtful = map[*job]int{}
+	for at := range rd.dr.starting {
+		if at.state == uncertain && !at.worker.unreachable && at.worker.has(at) {
+			rd.doubtful[at.task.step.occ.job]++
+		}
+	}
+	for _, wk := range rd.dr.workers {
+		if !wk.unreachable {
+			continue
+		}
+		for _, at := range wk.attempts {
+			rd.doubtful[at.task.step.occ.job]++
+		}
+	}
+	return rd.doubtful
 }
 
 // starvedSteps returns the waiting steps of starved jobs whose pool has capacity for the promise to them. The steps that
--- a/internal/job/director/starved_jobs_test.go
+++ b/internal/job/director/starved_jobs_test.go
@@ -126,3 +126,26 @@
 		}
 	})
 }
+
+// Guards against a job that has no run until the lease of a lost worker is over, as the run there counts.
+func TestStarvedJobOfLostWorker(t *testing.T) {
+	run(t, 4, func(fl *fleet, tm *term) {
+		var jobs []*modeler.Job
+		for no := range 30 {
+			jobs = append(jobs, fl.bestEffortJob(modeler.JobID(fmt.Sprint("best-effort-", no)), 30*time.Second))
+			tm.submit(jobs[no])
+		}
+		sleep(promisedRunTime)
+		lost := modeler.WorkerID("worker-00")
+		fl.workers.SetUnreachable(lost, true)
+		for _, jb := range jobs {
+			one, two := fl.workers.WorkerOf(modeler.TaskID{Job: jb.ID}), fl.workers.WorkerOf(modeler.TaskID{Job: jb.ID, Index: 1})
+			if (one == lost || two == lost) && (one == "" || two == "") {
+				// It takes up to 1.5 s until the worker is known not to answer.
+				tm.assertStartsWithin(jb, promisedRunTime+1500*time.Millisecond)
+				return
+			}
+		}
+		t.Fatal("no job has its only run on the lost worker")
+	})
+}
