internal/job/director: starts for jobs without a run are not kept where they fit nowhere

The starts that a round keeps stayed unused if no such job could be placed: up to 8 of a window of 32. The share is now used at the beginning of the round, and the others get what is left. TestStarvedTasksThatFitNowhere failed before: 8 of 16 starts unused.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -261,7 +261,7 @@
 	// overtakenShare.
 	keptStarts float64
 	// starvedStarts is the number of starts that jobs without a run may use before more urgent ones, see
-	// placeBesideStarved.
+	// placeAll.
 	starvedStarts float64
 	// seenRooms holds what recent rounds found of each pool, see recentSlots.
 	seenRooms map[modeler.PoolName][]seenRoom
--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -51,7 +51,7 @@
 	rd := dr.newRound(now)
 	rd.startsLeft = available
 	rd.finishMoves()
-	rd.placeBesideStarved()
+	rd.placeAll()
 	dr.recordPlacements(rd.longRunning)
 }
 
--- a/internal/job/director/selection_test.go
+++ b/internal/job/director/selection_test.go
@@ -141,12 +141,37 @@
 	}
 	rd := dr.newRound(time.Now())
 	rd.startsLeft = 2 * jobs
-	rd.placeStarved()
+	rd.placeStarved(rd.startsLeft)
 	qt.Check(t, rd.startsLeft, qt.Equals, jobs)
 	// All jobs need the same, so that they share what was examined.
 	qt.Check(t, dr.usage.costsComputed <= sufficientCandidates+jobs, qt.IsTrue, qt.Commentf("%d costs", dr.usage.costsComputed))
 }
 
+// Guards against a window that is not used because starts are kept for jobs without a run that fit nowhere.
+func TestStarvedTasksThatFitNowhere(t *testing.T) {
+	dr := newBacklog(4, 20, func(ix int) modeler.Step {
+		sp := modeler.Step{Count: 2, Needs: modeler.Resources{MilliCores: 100}}
+		if ix < 10 {
+			sp.Label = "unknown"
+		}
+		return sp
+	})
+	for _, wk := range dr.workers {
+		wk.free = wk.info.Capacity
+	}
+	for _, jb := range dr.jobs {
+		jb.occurrences[0].due = time.Now()
+		if jb.Steps[0].Label != "" {
+			jb.occurrences[0].due = time.Now().Add(-2 * starvationTimeout)
+		}
+	}
+	dr.starvedStarts = maxKeptStarts
+	rd := dr.newRound(time.Now())
+	rd.startsLeft = 16
+	rd.placeAll()
+	qt.Check(t, rd.startsLeft, qt.Equals, 0)
+}
+
 // Guards against a round that computes the cost of each worker for each step of an image that interferes with what runs
 // there.
 func TestInterferenceIsComputedOncePerImage(t *testing.T) {
--- a/internal/job/director/starvation.go
+++ b/internal/job/director/starvation.go
@@ -74,46 +74,40 @@
 	return list
 }
 
-// placeBesideStarved places tasks of the steps in order of urgency, but keeps a share of the starts for jobs without a run.
-// More urgent tasks would otherwise use the window of starts for as long as they come faster than it carries.
-func (rd *round) placeBesideStarved() {
-	dr, kept := rd.dr, 0
-	starved := len(rd.starvedSteps())
-	if starved > 0 {
-		kept = min(int(dr.starvedStarts), starved, rd.startsLeft)
-	}
-	rd.startsLeft -= kept
+// placeAll places tasks of all steps, first a share of the starts for jobs without a run. More urgent tasks would otherwise
+// use the window of starts for as long as they come faster than it carries.
+func (rd *round) placeAll() {
+	dr := rd.dr
+	starved := rd.placeStarved(min(int(dr.starvedStarts), rd.startsLeft))
 	before := rd.startsLeft
 	if len(rd.workers) > 0 {
 		rd.placeSteps()
 	}
-	dr.windowFull, dr.roundEnd = rd.startsLeft <= 0, rd.endReason()
-	if starved == 0 {
-		return
-	}
-	dr.starvedStarts = min(dr.starvedStarts+overtakenShare*float64(before-rd.startsLeft), maxKeptStarts)
-	rd.startsLeft += kept
-	before = rd.startsLeft
-	rd.placeStarved()
-	placed := float64(before - rd.startsLeft)
-	dr.starvedStarts = max(0, dr.starvedStarts-placed)
-	// Long-running tasks have their share of these as well.
-	dr.keptStarts = min(dr.keptStarts+overtakenShare*placed, maxKeptStarts)
-	dr.windowFull = dr.windowFull || rd.startsLeft <= 0
+	dr.roundEnd = rd.endReason()
+	dr.starvedStarts = min(max(0, dr.starvedStarts-float64(starved))+overtakenShare*float64(before-rd.startsLeft), maxKeptStarts)
+	starved += rd.placeStarved(rd.startsLeft)
+	// Long-running tasks have their share of these starts as well.
+	dr.keptStarts = min(dr.keptStarts+overtakenShare*float64(starved), maxKeptStarts)
+	dr.windowFull = rd.startsLeft <= 0
 }
 
-// placeStarved starts one task of each job without a run. Without it, jobs behind a backlog of more urgent or of
-// best-effort work wait although there is capacity.
-func (rd *round) placeStarved() {
+// placeStarved starts one task of each job without a run, up to a limit, and returns how many it started. Without it, jobs
+// behind a backlog of more urgent or of best-effort work wait although there is capacity.
+func (rd *round) placeStarved(limit int) int {
+	if limit <= 0 {
+		return 0
+	}
+	before := rd.startsLeft
 	for _, rs := range rd.starvedSteps() {
-		if rd.starvedAttempts >= maxStarvedAttempts || rd.startsLeft <= 0 {
-			return
+		if rd.starvedAttempts >= maxStarvedAttempts || before-rd.startsLeft >= limit {
+			break
 		}
 		if rd.starved(rs.step) {
 			rd.excludeOtherPools(rd.dr.pool(rs.step.occ.job))
 			rd.placeOneStarved(rs.step)
 		}
 	}
+	return before - rd.startsLeft
 }
 
 // placeOneStarved places the first task of a step that may start.
