internal/job/director: the job that has had no run for longest gets the next start

Starts for jobs without a run went to those tried the longest ago, and a job counted as soon as one of its runs ended, so that those with short runs took them in turn. They now go to the job that has had no run for longest, from 1 s on with the starts that are left and from 2 s on before more urgent tasks.

--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -21,8 +21,8 @@
 	maxMisses = 150
 	// maxOvertakenMisses is that number for each later pass of a round, see placeSteps.
 	maxOvertakenMisses = 50
-	// overtakenShare is the ratio of the starts that are kept for long-running tasks to those of more
-	// urgent ones that overtake them.
+	// overtakenShare is the ratio of the starts that are kept for long-running tasks, and of those for jobs without a run, to
+	// those of more urgent tasks that overtake them.
 	overtakenShare = 1.0 / 8
 	// maxKeptStarts bounds the starts that are kept.
 	maxKeptStarts = 8
--- a/internal/job/director/selection_test.go
+++ b/internal/job/director/selection_test.go
@@ -141,12 +141,31 @@
 	}
 	rd := dr.newRound(time.Now())
 	rd.startsLeft = 2 * jobs
-	rd.placeStarved(rd.startsLeft)
+	rd.placeStarved(rd.starvedSteps(), starvationTimeout, rd.startsLeft)
 	qt.Check(t, rd.startsLeft, qt.Equals, jobs)
 	// All jobs need the same, so that they share what was examined.
 	qt.Check(t, dr.usage.costsComputed <= sufficientCandidates+jobs, qt.IsTrue, qt.Commentf("%d costs", dr.usage.costsComputed))
 }
 
+// Guards against a job that has had no run for long behind others whose run has just ended, and behind those that fit
+// nowhere.
+func TestStarvedJobsByIdleTime(t *testing.T) {
+	dr := newBacklog(4, 3, func(int) modeler.Step { return modeler.Step{Count: 2, Needs: modeler.Resources{MilliCores: 100}} })
+	for _, wk := range dr.workers {
+		wk.free = wk.info.Capacity
+	}
+	now := time.Now()
+	var steps []*step
+	for _, jb := range dr.jobs {
+		steps = append(steps, jb.occurrences[0].steps[0])
+	}
+	for ix, ago := range []time.Duration{3 * time.Second, 5 * time.Second, 9 * time.Second} {
+		steps[ix].occ.due, steps[ix].occ.job.lastRunEnd = now.Add(-time.Minute), now.Add(-ago)
+	}
+	steps[2].starvedAttemptAt = now.Add(-time.Second)
+	qt.Check(t, slices.Equal(dr.newRound(now).starvedSteps(), []*step{steps[1], steps[0], steps[2]}), qt.IsTrue)
+}
+
 // Guards against a window that is not used because starts are kept for jobs without a run that fit nowhere.
 func TestStarvedTasksThatFitNowhere(t *testing.T) {
 	dr := newBacklog(4, 20, func(ix int) modeler.Step {
--- a/internal/job/director/starvation.go
+++ b/internal/job/director/starvation.go
@@ -9,13 +9,13 @@
 )
 
 const (
-	// starvationTimeout is the age from which a job without a run gets a task placed before more urgent ones, a
-	// best-effort one beyond the processors that its worker has idle. Callers are promised a start within 3 s, which
-	// leaves time to repeat a start without an answer.
+	// starvationTimeout is how long a job has had no run until one of its tasks is placed with the starts that a round has
+	// left, a best-effort one beyond the processors that its worker has idle.
 	starvationTimeout = time.Second
-	// disturbanceTimeout is how long a job has had no run until a best-effort task of it may interfere with
-	// latency-critical ones. Their load varies, so that a worker may open to it before. It leaves time for the start.
-	disturbanceTimeout = 2 * time.Second
+	// starvationDeadline is how long a job has had no run until one of its tasks goes before more urgent ones, and may
+	// interfere with latency-critical ones. Callers are promised a run within 3 s, which leaves time to repeat a start
+	// without an answer.
+	starvationDeadline = 2 * time.Second
 	// maxReservedShare is the share of a pool's processors that may be reserved while the promise
 	// holds.
 	maxReservedShare = 0.5
@@ -24,10 +24,10 @@
 	maxStarvedAttempts = 24
 )
 
-// starved reports whether a step belongs to a job of starvationTimeout's age that is not known to have a run.
+// starved reports whether a step belongs to a job that is not known to have had a run for starvationTimeout.
 func (rd *round) starved(sp *step) bool {
 	jb := sp.occ.job
-	return !sp.spec.LongRunning && !sp.spec.Gang && rd.now.Sub(sp.occ.due) >= starvationTimeout && jb.activeRuns <= rd.doubtfulRuns()[jb]
+	return !sp.spec.LongRunning && !sp.spec.Gang && rd.now.Sub(sp.occ.idleSince()) >= starvationTimeout && jb.activeRuns <= rd.doubtfulRuns()[jb]
 }
 
 // doubtfulRuns returns how many attempts of each job may have been lost: those on workers that do not answer, and those
@@ -53,58 +53,70 @@
 	return rd.doubtful
 }
 
-// starvedSteps returns the waiting steps of starved jobs whose pool has capacity for the promise to them. The steps that
-// were tried the longest ago go first, as the most urgent ones may fit nowhere.
-func (rd *round) starvedSteps() []rankedStep {
-	var list []rankedStep
+// starvedSteps returns the waiting steps of starved jobs whose pool has capacity for the promise to them. The jobs that have
+// had no run for longest go first, and those that were tried since after them, as they may fit nowhere.
+func (rd *round) starvedSteps() []*step {
+	type candidate struct {
+		step  *step
+		since time.Time
+	}
+	var list []candidate
 	reserved := map[modeler.PoolName]float64{}
 	for _, rs := range rd.steps {
-		if len(rs.step.waiting) == 0 || !rd.starved(rs.step) {
+		sp := rs.step
+		if len(sp.waiting) == 0 || !rd.starved(sp) {
 			continue
 		}
-		pool := rd.dr.pool(rs.step.occ.job)
+		pool := rd.dr.pool(sp.occ.job)
 		if _, ok := reserved[pool]; !ok {
 			reserved[pool] = rd.reservedShare(pool)
 		}
-		if reserved[pool] <= maxReservedShare {
-			list = append(list, rs)
+		if reserved[pool] > maxReservedShare {
+			continue
+		}
+		since := sp.occ.idleSince()
+		if sp.starvedAttemptAt.After(since) {
+			since = sp.starvedAttemptAt
 		}
+		list = append(list, candidate{sp, since})
 	}
-	slices.SortStableFunc(list, func(one, two rankedStep) int { return one.step.starvedAttemptAt.Compare(two.step.starvedAttemptAt) })
-	return list
+	slices.SortStableFunc(list, func(one, two candidate) int { return one.since.Compare(two.since) })
+	steps := make([]*step, len(list))
+	for ix := range list {
+		steps[ix] = list[ix].step
+	}
+	return steps
 }
 
-// placeAll places tasks of all steps, first a share of the starts for jobs without a run. More urgent tasks would otherwise
-// use the window of starts for as long as they come faster than it carries.
+// placeAll places tasks of all steps. Jobs that have had no run for starvationDeadline get a share of the starts first:
+// more urgent tasks would otherwise use the window of starts for as long as they come faster than it carries.
 func (rd *round) placeAll() {
 	dr := rd.dr
-	starved := rd.placeStarved(min(int(dr.starvedStarts), rd.startsLeft))
+	starved := rd.starvedSteps()
+	first := rd.placeStarved(starved, starvationDeadline, min(int(dr.starvedStarts), rd.startsLeft))
 	before := rd.startsLeft
 	if len(rd.workers) > 0 {
 		rd.placeSteps()
 	}
 	dr.roundEnd = rd.endReason()
-	dr.starvedStarts = min(max(0, dr.starvedStarts-float64(starved))+overtakenShare*float64(before-rd.startsLeft), maxKeptStarts)
-	starved += rd.placeStarved(rd.startsLeft)
+	dr.starvedStarts = min(dr.starvedStarts-float64(first)+overtakenShare*float64(before-rd.startsLeft), maxKeptStarts)
+	first += rd.placeStarved(starved, starvationTimeout, rd.startsLeft)
 	// Long-running tasks have their share of these starts as well.
-	dr.keptStarts = min(dr.keptStarts+overtakenShare*float64(starved), maxKeptStarts)
+	dr.keptStarts = min(dr.keptStarts+overtakenShare*float64(first), maxKeptStarts)
 	dr.windowFull = rd.startsLeft <= 0
 }
 
-// placeStarved starts one task of each job without a run, up to a limit, and returns how many it started. Without it, jobs
-// behind a backlog of more urgent or of best-effort work wait although there is capacity.
-func (rd *round) placeStarved(limit int) int {
-	if limit <= 0 {
-		return 0
-	}
+// placeStarved starts one task of each job that has had no run for a time, up to a limit, and returns how many it started.
+// Without it, jobs behind a backlog of more urgent or of best-effort work wait although there is capacity.
+func (rd *round) placeStarved(steps []*step, idle time.Duration, limit int) int {
 	before := rd.startsLeft
-	for _, rs := range rd.starvedSteps() {
+	for _, sp := range steps {
 		if rd.starvedAttempts >= maxStarvedAttempts || before-rd.startsLeft >= limit {
 			break
 		}
-		if rd.starved(rs.step) {
-			rd.excludeOtherPools(rd.dr.pool(rs.step.occ.job))
-			rd.placeOneStarved(rs.step)
+		if rd.now.Sub(sp.occ.idleSince()) >= idle && !sp.starvedAttemptAt.Equal(rd.now) && rd.starved(sp) {
+			rd.excludeOtherPools(rd.dr.pool(sp.occ.job))
+			rd.placeOneStarved(sp)
 		}
 	}
 	return before - rd.startsLeft
@@ -121,7 +133,7 @@
 		dm := rd.dr.demand(tk)
 		dm.Starved = dm.BestEffort
 		ix := rd.chooseForStarved(sp, &dm)
-		if ix < 0 && dm.BestEffort && rd.now.Sub(sp.occ.idleSince()) >= disturbanceTimeout {
+		if ix < 0 && dm.BestEffort && rd.now.Sub(sp.occ.idleSince()) >= starvationDeadline {
 			dm.Disturbs = true
 			ix = rd.chooseForStarved(sp, &dm)
 		}
