internal/job/director: a run that is taken over does not hide failures of earlier runs

Cause: the leader before could not reach the store from 17.5 s on, so that the failures of the first two runs were only in the lists of their workers. A task that an earlier leader may have started waits until all workers have reported. As the new leader took the third run over, the task counted as known, and did not wait for the worker of an earlier run when the third one failed.

Such a task now waits until all workers are accounted for if the runs before the one that was taken over may have used up its attempts.

--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -125,6 +125,9 @@
 	// leader may have started a run that this one does not know of. The end of an earlier run does
 	// not clear it, as the next run may have been started on another worker.
 	mayHaveUnknownRun bool
+	// runsBeforeAdopted is the number of runs that earlier leaders may have started before the one that this term took
+	// over. Their ends may be listed by workers that have not reported yet.
+	runsBeforeAdopted int
 	// unexpected holds the runs of the task that workers were asked to stop as this term does not want them.
 	unexpected []unexpectedRun
 	// placedRun and placedOn are the newest run of a long-running task that was recorded before its
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -248,6 +248,9 @@
 		dr.stopUnexpected(wk, row.Task, row.Run, now)
 		return nil
 	}
+	if tk.mayHaveUnknownRun {
+		tk.runsBeforeAdopted = runsBefore(row.Run)
+	}
 	at := dr.reserve(tk, wk, row.Run)
 	at.adopted = true
 	if tk.step.spec.BestEffort {
--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -673,9 +673,20 @@
 	return !dr.mayRunUnknown(tk) && !dr.mayRunUnexpectedly(tk, now) && tk.step.occ.job.confirmed && !now.Before(tk.notBefore) && !dr.attemptsExhausted(tk)
 }
 
-// mayRunUnknown reports whether a waiting task has to wait because an unknown run may be active.
+// mayRunUnknown reports whether a waiting task has to wait because an unknown run may be active, or may have been its last
+// attempt.
 func (dr *Director) mayRunUnknown(tk *task) bool {
-	return tk.mayHaveUnknownRun && !dr.allAccounted && !tk.step.spec.Speculative && !dr.knownNotRunning(tk)
+	return (tk.mayHaveUnknownRun || dr.mayHaveFailedUnknown(tk)) && !dr.allAccounted && !tk.step.spec.Speculative && !dr.knownNotRunning(tk)
+}
+
+// mayHaveFailedUnknown reports whether a task may have failed as often as its queue allows, if runs before the one that
+// this term took over failed and their workers have not reported yet.
+func (dr *Director) mayHaveFailedUnknown(tk *task) bool {
+	if tk.runsBeforeAdopted == 0 || tk.step.spec.LongRunning {
+		return false
+	}
+	attempts := dr.maxAttempts(tk.step.occ.job)
+	return attempts > 0 && tk.runsBeforeAdopted+1 >= attempts
 }
 
 // knownNotRunning reports whether a long-running task of an earlier leader is known not to run: it
@@ -704,6 +715,15 @@
 	return max(tk.lastRun, modeler.Run(dr.op.Epoch-1)*runsPerEpoch) + 1
 }
 
+// runsBefore returns how many runs of a task earlier leaders may have started before a run. How many the leaders before the
+// one of the run started is not known.
+func runsBefore(run modeler.Run) int {
+	if epochOf(run) > 1 {
+		return runsPerEpoch
+	}
+	return int(run - 1)
+}
+
 // epochOf returns the epoch of the leader that placed a run.
 func epochOf(run modeler.Run) modeler.Epoch { return modeler.Epoch((run-1)/runsPerEpoch) + 1 }
 
