internal/job/elector: a host that is first heard of while the records are read is not forgotten

A caller would see work of such a leader start again later than it could.

Cause: a read of the hosts' records drops all hosts without one, also those whose first message arrived after the read had begun, with what they reported. In the test the read belongs to a term that begins at the same moment.

A host without a record that is not heard of during the read is dropped as before.

--- a/internal/job/elector/members_test.go
+++ b/internal/job/elector/members_test.go
@@ -1,11 +1,15 @@
 package elector_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/currantrouter/currantrouter/internal/job/elector"
+	"github.com/currantrouter/currantrouter/internal/provider/storer"
 )
 
 // records returns the number of hosts' records in the store.
@@ -99,3 +103,36 @@
 		qt.Check(t, cl.records(), qt.Equals, hosts, qt.Commentf("a host alone removes the records of a majority"))
 	})
 }
+
+// interruptedStore is a host's store that calls a function between a read of all records and its answer.
+type interruptedStore struct {
+	*host
+	beforeAnswer func()
+}
+
+func (st *interruptedStore) Snapshot(ctx context.Context, prefix string) ([]storer.Entry, int64, error) {
+	ens, revision, err := st.host.Snapshot(ctx, prefix)
+	st.beforeAnswer()
+	return ens, revision, err
+}
+
+// Guards against a host that is forgotten, with what it reported, as its first message arrives while the records are read.
+func TestHostHeardOfDuringRead(t *testing.T) {
+	withCluster(t, 1, func(cl *cluster, _ int) {
+		cl.kill(0)
+		cl.hosts[0].down = false
+		op := cl.hosts[0].options(elector.Member{Host: "host-0", Boot: "own", Address: address(0), Weight: 100})
+		var el *elector.Elector
+		op.Store = &interruptedStore{host: cl.hosts[0], beforeAnswer: func() {
+			time.Sleep(10 * time.Millisecond)
+			el.HandleGreeting(reportOf("host-7", "b", 6, "host-8", "c"))
+		}}
+		el = elector.New(op)
+		el.HandleGreeting(reportOf("host-6", "b", 6, "host-8", "c"))
+		time.Sleep(10 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(cl.t.Context(), 100*time.Millisecond)
+		defer cancel()
+		el.Run(ctx)
+		qt.Check(t, el.KnownHosts(), qt.DeepEquals, []string{"host-0", "host-7"})
+	})
+}
--- a/internal/job/elector/records.go
+++ b/internal/job/elector/records.go
@@ -82,8 +82,8 @@
 	}
 }
 
-// listMembers reads the records of all hosts and drops hosts without one. If this host's own was deleted, as the
-// leader had not heard of it for memberRemovalTimeout, it stores it again.
+// listMembers reads the records of all hosts and drops hosts without one, unless they were heard of during the read. If
+// this host's own was deleted, as the leader had not heard of it for memberRemovalTimeout, it stores it again.
 func (el *Elector) listMembers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeContactTimeout)
 	defer cancel()
@@ -120,8 +120,9 @@
 			known.revision, known.Member = en.Revision, mb
 		}
 	}
-	for host := range el.members {
-		if !stored[host] {
+	for host, mb := range el.members {
+		// The host of a message that arrived since may have stored its record too late for this read.
+		if !stored[host] && later(mb.lastHeartbeat, mb.lastReply).Before(began) {
 			delete(el.members, host)
 		}
 	}
