internal/job/elector: a deposed leader counts as stopped since its term ended

Cause: such a leader ends its term as soon as it hears of the next epoch. The next leader counted the leases that it may have extended from when it found that in a heartbeat, up to 0.4 s later. Heartbeats already say since when their sender has known the epoch, counted from the end of its own term.

The new cases of TestStoppedAt failed before.

--- a/internal/job/elector/stopped_test.go
+++ b/internal/job/elector/stopped_test.go
@@ -97,6 +97,33 @@
 			})
 		})
 	}
+	for name, test := range map[string]struct {
+		known, age time.Duration
+	}{
+		"deposed, by a fast clock":        {500 * time.Millisecond, 490 * time.Millisecond},
+		"deposed before its last message": {time.Minute, time.Second},
+		"deposed as it sends its message": {0, 0},
+		"deposed, earlier version":        {-1, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withCluster(t, 1, func(cl *cluster, _ int) {
+				el := cl.hosts[0].elector
+				el.HandleGreeting(leads)
+				time.Sleep(time.Second)
+				deposed := reportOf(host, "b", epoch+1, "host-8", "c")
+				if test.known >= 0 {
+					deposed.KnownEpochs = []*messenger.KnownEpoch{{Epoch: int64(epoch + 1), Age: test.known.Milliseconds()}}
+				}
+				el.HandleGreeting(deposed)
+				at, stopped := el.StoppedAt(host, "b", epoch+1)
+				qt.Check(t, stopped, qt.IsTrue)
+				qt.Check(t, time.Since(at), qt.Equals, test.age)
+				time.Sleep(100 * time.Millisecond)
+				again, _ := el.StoppedAt(host, "b", epoch+1)
+				qt.Check(t, again, qt.Equals, at)
+			})
+		})
+	}
 	t.Run("own earlier process", func(t *testing.T) {
 		withCluster(t, 2, func(cl *cluster, leader int) {
 			boot, epoch := cl.hosts[leader].boot, cl.hosts[leader].elector.Leader().Epoch
--- a/internal/job/elector/suspicion.go
+++ b/internal/job/elector/suspicion.go
@@ -200,7 +200,8 @@
 }
 
 // StoppedAt returns a time from which the process that HasStopped reports as stopped sends no requests, and false if it is
-// not known to have stopped. A process has ended before a later one of its host was up.
+// not known to have stopped. A process has ended before a later one of its host was up, and its term before it counts a later
+// epoch as known.
 func (el *Elector) StoppedAt(host fleet.HostName, boot fleet.BootID, epoch modeler.Epoch) (time.Time, bool) {
 	el.mu.Lock()
 	defer el.mu.Unlock()
@@ -212,6 +213,8 @@
 		return el.startedAt, true
 	case host != el.op.Self.Host && mb.resigned != boot && mb.reportedBy != boot:
 		return mb.startedBy, true
+	case host != el.op.Self.Host && mb.resigned != boot:
+		return knownSince(mb.epochs, epoch)
 	}
 	return time.Now(), true
 }
