internal/job/leader: the tests of short terms count a wait from a recorded placement on a worker with a fault

Cause, traced: the lease of the lost worker is over, and its tasks are placed on another one. The record of that is written, but the store's answer does not arrive at the leader, so that no start is sent. Then the second worker is lost, and the leader is replaced. The next one cannot tell whether a start was sent, and waits for the second lease. The check counted on from the first loss: it knew starts that were sent, and not placements that were recorded.

--- a/internal/job/leader/cluster_test.go
+++ b/internal/job/leader/cluster_test.go
@@ -84,6 +84,8 @@
 	disturbedAt  time.Time
 	// triedAt is when a start of a task was last sent.
 	triedAt map[modeler.TaskID]time.Time
+	// placements are the last ones of tasks that the journal has.
+	placements map[modeler.TaskID]placement
 	// late is set while a third of the requests to workers is carried out late.
 	late bool
 	// leadsLargeFleet holds what the leaders of hosts last told of their fleets.
@@ -142,7 +144,7 @@
 }
 
 func newCluster(t testing.TB, hosts, workers int, seed uint64) *cluster {
-	cl := &cluster{t: t, dataCentre: "z", faults: new(emulator.Faults), limits: testLimits, rnd: rand.New(rand.NewPCG(seed, 2)), jobs: map[modeler.JobID]*modeler.Job{}, triedAt: map[modeler.TaskID]time.Time{}, leadsLargeFleet: map[int]bool{}}
+	cl := &cluster{t: t, dataCentre: "z", faults: new(emulator.Faults), limits: testLimits, rnd: rand.New(rand.NewPCG(seed, 2)), jobs: map[modeler.JobID]*modeler.Job{}, triedAt: map[modeler.TaskID]time.Time{}, placements: map[modeler.TaskID]placement{}, leadsLargeFleet: map[int]bool{}}
 	cl.relays = strings.Contains(t.Name(), "WithRelays")
 	cl.store = emulator.NewStore(cl.faults)
 	cl.store.WaitLimit = watchLimit
--- a/internal/job/leader/takeover_test.go
+++ b/internal/job/leader/takeover_test.go
@@ -12,7 +12,9 @@
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
+	"github.com/currantrouter/currantrouter/internal/process/deflater"
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
 )
 
@@ -34,17 +36,35 @@
 	previousRuns bool
 }
 
-// noteWrite records the begin of an epoch if the entry is an epoch record.
+// placement is a worker on which a leader recorded that it places a task.
+type placement struct {
+	worker modeler.WorkerID
+	at     time.Time
+}
+
+// noteWrite records the placements that an entry of the journal has, and the begin of an epoch if it is an epoch record.
 func (cl *cluster) noteWrite(pr *process, key string, value []byte) {
 	if !strings.HasPrefix(key, "Journal/") {
 		return
 	}
 	var sg journaler.StoredSegment
-	if err := proto.Unmarshal(value, &sg); err != nil || !sg.BeginsEpoch {
+	if err := proto.Unmarshal(value, &sg); err != nil {
 		return
 	}
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
+	for _, sr := range cl.plainRecords(&sg) {
+		ft, err := keeper.ParseFact(journaler.Record{Kind: journaler.Kind(sr.Kind), Data: sr.Data})
+		if err != nil || ft.Placed == nil {
+			continue
+		}
+		id, err := modeler.ParseTaskID(ft.Placed.Task)
+		qt.Check(cl.t, err, qt.IsNil)
+		cl.placements[id] = placement{worker: ft.Placed.Worker, at: time.Now()}
+	}
+	if !sg.BeginsEpoch {
+		return
+	}
 	eb := epochBegin{epoch: modeler.Epoch(sg.Epoch), by: pr, at: time.Now()}
 	if len(cl.epochs) > 0 {
 		last := cl.epochs[len(cl.epochs)-1].by
@@ -53,6 +73,19 @@
 	cl.epochs = append(cl.epochs, eb)
 }
 
+// plainRecords returns the records of a segment, which may be compressed.
+func (cl *cluster) plainRecords(sg *journaler.StoredSegment) []*journaler.StoredRecord {
+	const kindCompressed, maxBytes = -1, 1 << 20
+	if len(sg.Records) != 1 || sg.Records[0].Kind != kindCompressed {
+		return sg.Records
+	}
+	plain, err := deflater.Decompress(sg.Records[0].Data, maxBytes)
+	qt.Check(cl.t, err, qt.IsNil)
+	var sp journaler.StoredPart
+	qt.Check(cl.t, proto.Unmarshal(plain, &sp), qt.IsNil)
+	return sp.Records
+}
+
 // lastLeader returns the process that began the last epoch.
 func (cl *cluster) lastLeader() *process {
 	cl.mu.Lock()
--- a/internal/job/leader/terms_test.go
+++ b/internal/job/leader/terms_test.go
@@ -63,8 +63,9 @@
 	done bool
 	// endedAt is when the last run was seen to have ended, zero while the task runs.
 	endedAt time.Time
-	// waitsSince is when the task was last tried to be started since then, or its worker was lost again, or else endedAt. hindered,
-	// inMinority and losses are what those of termScenario and the number of leaderLosses were then.
+	// waitsSince is when the task was last tried to be started since then, or placed on a worker with a fault, or its worker was
+	// lost again, or else endedAt. hindered, inMinority and losses are what those of termScenario and the number of leaderLosses
+	// were then.
 	waitsSince           time.Time
 	hindered, inMinority time.Duration
 	losses               int
@@ -614,8 +615,12 @@
 		ts.beginWait(wt, wt.endedAt)
 	default:
 		ts.cluster.mu.Lock()
-		tried := ts.triedAt[wt.id]
+		tried, pl := ts.triedAt[wt.id], ts.placements[wt.id]
 		ts.cluster.mu.Unlock()
+		if pl.at.After(tried) && ts.hasFault(pl.worker) {
+			// A later leader cannot tell whether the start was sent.
+			tried = pl.at
+		}
 		if tried.After(wt.waitsSince) {
 			ts.beginWait(wt, tried)
 		}
@@ -623,6 +628,16 @@
 	return !wt.endedAt.IsZero() && !wt.done
 }
 
+// hasFault reports whether a worker has a fault. The caller holds mu.
+func (ts *termScenario) hasFault(id modeler.WorkerID) bool {
+	for ix := range ts.infos {
+		if ts.infos[ix].ID == id {
+			return ts.busyWorkers[ix]
+		}
+	}
+	return false
+}
+
 func (ts *termScenario) beginWait(wt *watchedTask, since time.Time) {
 	wt.waitsSince, wt.hindered, wt.inMinority, wt.losses = since, ts.hindered, ts.inMinority, len(ts.leaderLosses)
 }
