--- a/internal/job/director/lease.go
+++ b/internal/job/director/lease.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// inheritedLeaseMargin is added to the time for which workers may hold leases of another leader, by whose clocks of
-	// the workers they end. Requests in flight need none, as they name the end of the lease.
+	// inheritedLeaseMargin is added to the time for which workers may hold leases of another leader, which takes a worker's
+	// clock to be up to clockMargin ahead. Requests in flight need no margin, as they name the end of the lease.
 	inheritedLeaseMargin = leaseMargin + clockMargin
 	// minRecordedSilence is how long a worker does not answer before the end of its lease is recorded, if it has answered
 	// in the term. A second renewal in a row has no answer then.
