internal/job/relayer: the test of batch sizes runs on a paused clock

Cause: the test builds its calls, up to 157 MB of specifications, on the real clock, between the moment in which the link was made and the first batch. A link that had no exchange for 1.5 s begins a new session, whose first message has no requests. With a pause of 3 s in that place the test fails each time.

Change: the test runs in a bubble, whose clock stands still meanwhile. What it checks is the same.

--- a/internal/job/relayer/link_test.go
+++ b/internal/job/relayer/link_test.go
@@ -44,25 +44,27 @@
 // specifications is lost then.
 func TestBatchBytes(t *testing.T) {
 	for _, specBytes := range []int{0, 4 << 10, 262_000} {
-		lk := newLink(NewClient(Options{
-			MaySend: func() bool { return true }, SuspendedTime: func() time.Duration { return 0 }, Log: logr.Discard(), Meter: meter.New(nil),
-		}), Host{Name: "relay"})
-		lk.nextBatch()
-		const calls = 600
-		for ix := range calls {
-			start := &messenger.WorkerRequest_Start{Start: &messenger.StartRun{Task: make([]byte, 2000)}}
-			request := &messenger.WorkerRequest{Number: int64(ix) + 1, Kind: start}
-			lk.queue = append(lk.queue, &call{request: request, spec: strings.Repeat("s", specBytes) + string(rune('a'+ix%20))})
-		}
-		lk.exchange = 1
-		taken := 0
-		for taken < calls {
-			msg, batch := lk.nextBatch()
-			qt.Assert(t, len(batch) > 0, qt.IsTrue)
-			qt.Assert(t, proto.Size(msg) <= MaxBatchBytes, qt.IsTrue, qt.Commentf("%d bytes", proto.Size(msg)))
-			qt.Check(t, lk.behind, qt.Equals, len(lk.queue) > 0)
-			taken += len(batch)
-		}
-		qt.Check(t, lk.queue, qt.HasLen, 0)
+		synctest.Test(t, func(t *testing.T) {
+			lk := newLink(NewClient(Options{
+				MaySend: func() bool { return true }, SuspendedTime: func() time.Duration { return 0 }, Log: logr.Discard(), Meter: meter.New(nil),
+			}), Host{Name: "relay"})
+			lk.nextBatch()
+			const calls = 600
+			for ix := range calls {
+				start := &messenger.WorkerRequest_Start{Start: &messenger.StartRun{Task: make([]byte, 2000)}}
+				request := &messenger.WorkerRequest{Number: int64(ix) + 1, Kind: start}
+				lk.queue = append(lk.queue, &call{request: request, spec: strings.Repeat("s", specBytes) + string(rune('a'+ix%20))})
+			}
+			lk.exchange = 1
+			taken := 0
+			for taken < calls {
+				msg, batch := lk.nextBatch()
+				qt.Assert(t, len(batch) > 0, qt.IsTrue)
+				qt.Assert(t, proto.Size(msg) <= MaxBatchBytes, qt.IsTrue, qt.Commentf("%d bytes", proto.Size(msg)))
+				qt.Check(t, lk.behind, qt.Equals, len(lk.queue) > 0)
+				taken += len(batch)
+			}
+			qt.Check(t, lk.queue, qt.HasLen, 0)
+		})
 	}
 }
