internal/job/director: look for starved jobs only in pools that may start them

A round filtered all waiting steps for starved jobs, and counted the runs that may be lost, before it looked whether most of the pool is reserved. The other order leaves that out on full pools, and lists the same steps. A report of stalled jobs keeps its groups in one place.

--- a/internal/job/director/jobstall.go
+++ b/internal/job/director/jobstall.go
@@ -1,6 +1,8 @@
 package director
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
@@ -79,7 +81,6 @@
 func (dr *Director) reportStalledJobs(wr *waitReport, now time.Time) {
 	var list []*stalledJob
 	groups := map[stallKey]*spotter.Group{}
-	var looks []*spotter.Group
 	for _, sj := range wr.jobs {
 		if sj.task == nil {
 			continue
@@ -88,7 +89,6 @@
 		key.demand.Needs = placer.Reservation(key.demand.Needs, sj.task.step.spec.BestEffort)
 		if groups[key] == nil {
 			groups[key] = dr.newStallGroup(key, sj.task.step)
-			looks = append(looks, groups[key])
 		}
 		sj.group = groups[key]
 		list = append(list, sj)
@@ -96,7 +96,7 @@
 	if len(list) > 0 {
 		dr.stalls.workers = dr.stalls.workers[:0]
 		dr.listStallWorkers()
-		spotter.Look(looks, dr.stalls.workers, now)
+		spotter.Look(slices.Collect(maps.Values(groups)), dr.stalls.workers, now)
 	}
 	usedShares := map[modeler.PoolName]float64{}
 	stalled, longest, lines := 0, time.Duration(0), 0
--- a/internal/job/director/starvation.go
+++ b/internal/job/director/starvation.go
@@ -64,14 +64,14 @@
 	reserved := map[modeler.PoolName]float64{}
 	for _, rs := range rd.steps {
 		sp := rs.step
-		if len(sp.waiting) == 0 || !rd.starved(sp) {
+		if len(sp.waiting) == 0 {
 			continue
 		}
 		pool := rd.dr.pool(sp.occ.job)
 		if _, ok := reserved[pool]; !ok {
 			reserved[pool] = rd.reservedShare(pool)
 		}
-		if reserved[pool] > maxReservedShare {
+		if reserved[pool] > maxReservedShare || !rd.starved(sp) {
 			continue
 		}
 		since := sp.occ.idleSince()
