--- a/internal/job/elector/suspicion.go
+++ b/internal/job/elector/suspicion.go
@@ -211,12 +211,12 @@
 		return time.Time{}, false
 	case host == el.op.Self.Host && boot != el.op.Self.Boot:
 		return el.startedAt, true
-	case host != el.op.Self.Host && mb.resigned != boot && mb.reportedBy != boot:
+	case host == el.op.Self.Host || mb.resigned == boot:
+		return time.Now(), true
+	case mb.reportedBy != boot:
 		return mb.startedBy, true
-	case host != el.op.Self.Host && mb.resigned != boot:
-		return knownSince(mb.epochs, epoch)
 	}
-	return time.Now(), true
+	return knownSince(mb.epochs, epoch)
 }
 
 // hasStopped is HasStopped for callers that hold mu.
