--- a/internal/job/leader/takeover_test.go
+++ b/internal/job/leader/takeover_test.go
@@ -14,7 +14,6 @@
 
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
-	"github.com/currantrouter/currantrouter/internal/process/deflater"
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
 )
 
@@ -53,7 +52,9 @@
 	}
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	for _, sr := range cl.plainRecords(&sg) {
+	recs, err := journaler.DecompressRecords(sg.Records)
+	qt.Check(cl.t, err, qt.IsNil)
+	for _, sr := range recs {
 		ft, err := keeper.ParseFact(journaler.Record{Kind: journaler.Kind(sr.Kind), Data: sr.Data})
 		if err != nil || ft.Placed == nil {
 			continue
@@ -73,19 +74,6 @@
 	cl.epochs = append(cl.epochs, eb)
 }
 
-// plainRecords returns the records of a segment, which may be compressed.
-func (cl *cluster) plainRecords(sg *journaler.StoredSegment) []*journaler.StoredRecord {
-	const kindCompressed, maxBytes = -1, 1 << 20
-	if len(sg.Records) != 1 || sg.Records[0].Kind != kindCompressed {
-		return sg.Records
-	}
-	plain, err := deflater.Decompress(sg.Records[0].Data, maxBytes)
-	qt.Check(cl.t, err, qt.IsNil)
-	var sp journaler.StoredPart
-	qt.Check(cl.t, proto.Unmarshal(plain, &sp), qt.IsNil)
-	return sp.Records
-}
-
 // lastLeader returns the process that began the last epoch.
 func (cl *cluster) lastLeader() *process {
 	cl.mu.Lock()
--- a/internal/state/journaler/compress.go
+++ b/internal/state/journaler/compress.go
@@ -37,8 +37,8 @@
 	return []*StoredRecord{{Kind: kindCompressed, Data: compressed}}
 }
 
-// decompressRecords is the inverse of compressRecords. Errors: ErrDamaged.
-func decompressRecords(recs []*StoredRecord) ([]*StoredRecord, error) {
+// DecompressRecords returns the records of a segment or part, which compressRecords may have compressed. Errors: ErrDamaged.
+func DecompressRecords(recs []*StoredRecord) ([]*StoredRecord, error) {
 	if len(recs) != 1 || recs[0].Kind != kindCompressed {
 		return recs, nil
 	}
--- a/internal/state/journaler/compress_test.go
+++ b/internal/state/journaler/compress_test.go
@@ -23,7 +23,7 @@
 func assertRoundTrip(t *testing.T, recs []*StoredRecord) []*StoredRecord {
 	t.Helper()
 	compressed := compressRecords(recs)
-	decompressed, err := decompressRecords(compressed)
+	decompressed, err := DecompressRecords(compressed)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, decodeRecords(nil, decompressed), qt.DeepEquals, decodeRecords(nil, recs))
 	return compressed
@@ -61,7 +61,7 @@
 	t.Run("damaged", func(t *testing.T) {
 		compressed := compressRecords(records(50, endRecord))
 		compressed[0].Data = compressed[0].Data[:len(compressed[0].Data)/2]
-		_, err := decompressRecords(compressed)
+		_, err := DecompressRecords(compressed)
 		qt.Check(t, errors.Is(err, ErrDamaged), qt.IsTrue)
 	})
 }
--- a/internal/state/journaler/keys.go
+++ b/internal/state/journaler/keys.go
@@ -114,7 +114,7 @@
 	if sg.Epoch <= 0 || sg.Epoch > maxEpoch {
 		return nil, fmt.Errorf("%s: %w: epoch %d", en.Key, ErrDamaged, sg.Epoch)
 	}
-	recs, err := decompressRecords(sg.Records)
+	recs, err := DecompressRecords(sg.Records)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", en.Key, err)
 	}
--- a/internal/state/journaler/opener.go
+++ b/internal/state/journaler/opener.go
@@ -130,7 +130,7 @@
 	if err := proto.Unmarshal(en.Value, &sp); err != nil {
 		return nil, fmt.Errorf("decoding snapshot part %s: %w: %w", key, ErrDamaged, err)
 	}
-	recs, err := decompressRecords(sp.Records)
+	recs, err := DecompressRecords(sp.Records)
 	if err != nil {
 		return nil, fmt.Errorf("decompressing snapshot part %s: %w", key, err)
 	}
