--- a/internal/job/director/advance_test.go
+++ b/internal/job/director/advance_test.go
@@ -39,6 +39,15 @@
 	return count
 }
 
+// startsOf returns how often the tasks of a job were started.
+func (fl *fleet) startsOf(id modeler.JobID, tasks int) int {
+	count := 0
+	for ix := range tasks {
+		count += fl.workers.StartCount(modeler.TaskID{Job: id, Index: ix})
+	}
+	return count
+}
+
 // Guards against capacity for many waiting long-running tasks that stays unused after each cancellation
 // until their placement is recorded: for callers, the tasks do not run although there is capacity.
 func TestCapacityOfCancelledJob(t *testing.T) {
--- a/internal/job/director/starvation_test.go
+++ b/internal/job/director/starvation_test.go
@@ -28,11 +28,7 @@
 	started := func(fl *fleet) int {
 		count := 0
 		for no := range jobs {
-			runs := 0
-			for ix := range tasks {
-				runs += fl.workers.StartCount(modeler.TaskID{Job: modeler.JobID(fmt.Sprint("j", no)), Index: ix})
-			}
-			count += min(runs, 1)
+			count += min(fl.startsOf(modeler.JobID(fmt.Sprint("j", no)), tasks), 1)
 		}
 		return count
 	}
--- a/internal/job/director/starved_jobs_test.go
+++ b/internal/job/director/starved_jobs_test.go
@@ -20,16 +20,10 @@
 // assertStartsWithin checks that a task of the job's first step has been started within a time from now.
 func (tm *term) assertStartsWithin(jb *modeler.Job, within time.Duration) {
 	tm.fleet.t.Helper()
-	starts := func() int {
-		sum := 0
-		for ix := range jb.Steps[0].Count {
-			sum += tm.fleet.workers.StartCount(modeler.TaskID{Job: jb.ID, Index: ix})
-		}
-		return sum
-	}
-	before := starts()
+	tasks := jb.Steps[0].Count
+	before := tm.fleet.startsOf(jb.ID, tasks)
 	sleep(within)
-	qt.Check(tm.fleet.t, starts() > before, qt.IsTrue, qt.Commentf("job %s waits: %s", jb.ID, tm.WaitReason(modeler.TaskID{Job: jb.ID, Index: jb.Steps[0].Count - 1})))
+	qt.Check(tm.fleet.t, tm.fleet.startsOf(jb.ID, tasks) > before, qt.IsTrue, qt.Commentf("job %s waits: %s", jb.ID, tm.WaitReason(modeler.TaskID{Job: jb.ID, Index: tasks - 1})))
 }
 
 // bestEffortJob returns a job of two best-effort tasks with a run time.
@@ -121,8 +115,7 @@
 		}
 		submitUrgent(20, 20+int(promisedRunTime/(100*time.Millisecond)))
 		for _, jb := range waiting {
-			started := fl.workers.StartCount(modeler.TaskID{Job: jb.ID}) + fl.workers.StartCount(modeler.TaskID{Job: jb.ID, Index: 1})
-			qt.Check(t, started > 0, qt.IsTrue, qt.Commentf("job %s waits: %s", jb.ID, tm.WaitReason(modeler.TaskID{Job: jb.ID})))
+			qt.Check(t, fl.startsOf(jb.ID, jb.Steps[0].Count) > 0, qt.IsTrue, qt.Commentf("job %s waits: %s", jb.ID, tm.WaitReason(modeler.TaskID{Job: jb.ID})))
 		}
 	})
 }
