--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -286,6 +286,7 @@
 	nextExamined int
 	// contention is the competition of best-effort images for the workers.
 	contention contention
+	poolUse    poolUse
 	// invalid reports malformed facts and reports.
 	invalid         *reporter.Reporter
 	summaryLoggedAt time.Time
--- a/internal/job/director/jobstall.go
+++ b/internal/job/director/jobstall.go
@@ -104,7 +104,7 @@
 		pool := sj.group.Demand.Pool
 		used, ok := usedShares[pool]
 		if !ok {
-			used = spotter.UsedShare(pool, dr.stalls.workers)
+			used = dr.usedShare(pool, now)
 			usedShares[pool] = used
 		}
 		if !sj.group.HasRoom() || used > maxReservedShare {
--- a/internal/job/director/jobstall_test.go
+++ b/internal/job/director/jobstall_test.go
@@ -20,6 +20,14 @@
 	qt.Check(t, fx.dr.op.Meter.Value(meter.LongestJobStall), qt.Equals, longest.Milliseconds())
 }
 
+// loseWorker makes a worker silent whose tasks use all of its processors.
+func (fx *waitFixture) loseWorker(id modeler.WorkerID) *worker {
+	wk := fx.dr.workers[id]
+	wk.free.MilliCores = 0
+	fx.dr.markUnreachable(wk, time.Now())
+	return wk
+}
+
 // Guards against a stall that goes on through a run which began and ended between two reports.
 func TestRunEndsJobStall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -50,6 +58,20 @@
 		"another task runs":         {modeler.Resources{MilliCores: 1000}, func(fx *waitFixture) { fx.place(fx.long, active) }, 0},
 		"most processors are used":  {modeler.Resources{MilliCores: 100}, func(fx *waitFixture) { fx.wk.free.MilliCores, fx.dr.workers["w2"].free.MilliCores = 0, 3900 }, 0},
 		"best-effort needs no free": {modeler.Resources{MilliCores: 9000}, func(fx *waitFixture) { fx.ordinary.step.spec.BestEffort = true }, 1},
+		"processors of a silent worker are free": {modeler.Resources{MilliCores: 9000}, func(fx *waitFixture) {
+			fx.ordinary.step.spec.BestEffort, fx.wk.free.MilliCores = true, 0
+			fx.loseWorker("w2")
+		}, 1},
+		"processors of a silent worker may be used": {modeler.Resources{MilliCores: 9000}, func(fx *waitFixture) {
+			fx.ordinary.step.spec.BestEffort, fx.wk.free.MilliCores = true, 0
+			wk := fx.loseWorker("w2")
+			wk.clockAt, wk.leaseEnd = time.Now(), time.Hour
+		}, 0},
+		"processors of an unreported worker may be used": {modeler.Resources{MilliCores: 9000}, func(fx *waitFixture) {
+			fx.ordinary.step.spec.BestEffort, fx.wk.free.MilliCores = true, 0
+			wk := fx.dr.workers["w2"]
+			wk.answered, wk.unaccounted, fx.dr.inheritedUntil = false, true, time.Now().Add(time.Hour)
+		}, 0},
 		"worker does not answer": {modeler.Resources{MilliCores: 1000}, func(fx *waitFixture) {
 			fx.place(fx.ordinary, active)
 			fx.dr.markUnreachable(fx.wk, time.Now())
--- /dev/null
+++ b/internal/job/director/pooluse.go
@@ -0,0 +1,51 @@
+package director
+
+import (
+	"time"
+
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
+)
+
+// poolUse is how much of each pool is in use, as callers count it: over all registered workers, also those that do not
+// answer.
+type poolUse struct {
+	// at is when it was last counted.
+	at time.Time
+	// shares holds the shares of the processors that are in use, 0 to 1.
+	shares map[modeler.PoolName]float64
+}
+
+// usedShare returns the share of the processors of a pool's registered workers that was in use at most tickInterval ago.
+func (dr *Director) usedShare(pool modeler.PoolName, now time.Time) float64 {
+	if pu := &dr.poolUse; pu.shares == nil || now.Sub(pu.at) >= tickInterval {
+		pu.at, pu.shares = now, dr.usedShares(now)
+	}
+	return dr.poolUse.shares[pool]
+}
+
+func (dr *Director) usedShares(now time.Time) map[modeler.PoolName]float64 {
+	capacity, shares := map[modeler.PoolName]int64{}, map[modeler.PoolName]float64{}
+	for _, wk := range dr.workers {
+		if wk.registered {
+			capacity[wk.info.Pool] += wk.info.Capacity.MilliCores
+			shares[wk.info.Pool] += float64(dr.usedMilliCores(wk, now))
+		}
+	}
+	for pool := range shares {
+		shares[pool] /= float64(max(capacity[pool], 1))
+	}
+	return shares
+}
+
+// usedMilliCores returns how many processors of a worker runs may use, in thousandths of a core. Reservations of a silent
+// worker count until its lease is over, and all of its processors if its runs are not known.
+func (dr *Director) usedMilliCores(wk *worker, now time.Time) int64 {
+	silent := wk.unreachable || wk.unaccounted
+	switch {
+	case silent && dr.leaseExpired(wk, now) && !dr.mayStartAfterRestart(wk, now):
+		return 0
+	case wk.unaccounted:
+		return wk.info.Capacity.MilliCores
+	}
+	return wk.info.Capacity.MilliCores - max(0, wk.free.MilliCores)
+}
--- a/internal/job/spotter/spotter.go
+++ b/internal/job/spotter/spotter.go
@@ -128,18 +128,6 @@
 	return places
 }
 
-// UsedShare returns the share of the processors of a pool's workers that runs use.
-func UsedShare(pool modeler.PoolName, workers []Worker) float64 {
-	var used, capacity int64
-	for ix := range workers {
-		if wk := &workers[ix]; wk.Info.Pool == pool {
-			used += wk.Info.Capacity.MilliCores - max(0, wk.Free.MilliCores)
-			capacity += wk.Info.Capacity.MilliCores
-		}
-	}
-	return float64(used) / float64(max(capacity, 1))
-}
-
 // HasRoom reports whether a look found room for the group within the last maxRoomGap. It is false for nil.
 func (gr *Group) HasRoom() bool { return gr != nil && !gr.roomSince.IsZero() }
 
