--- a/internal/job/leader/terms_test.go
+++ b/internal/job/leader/terms_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -17,8 +18,8 @@
 const (
 	// deployedLease is the lease of the deployments.
 	deployedLease = 6 * time.Second
-	// maxDowntime is the time from the end of a long-running task's last run after which it must run again, if
-	// no unplanned disturbance was active for calmTime.
+	// maxDowntime is the time from the end of a task's last run after which it must run again, if no unplanned
+	// disturbance was active for calmTime.
 	maxDowntime = 9 * time.Second
 	calmTime    = 7 * time.Second
 	// maxAuthority is how long a leader that is cut off may extend leases.
@@ -754,27 +755,48 @@
 	}
 }
 
-// Guards against a long-running task that runs late if its worker and the leader are lost at once. The leader after it
-// allows for maxAuthority, in which the lost one may extend the lease.
-func TestWorkerLostWithLeader(t *testing.T) {
-	for _, before := range []time.Duration{0, 200 * time.Millisecond, 400 * time.Millisecond, 600 * time.Millisecond, time.Second} {
-		t.Run(fmt.Sprint("worker lost ", before, " before the leader"), func(t *testing.T) {
+// testLostWorker runs a test, for a long-running task and for one that ends by itself, in a scenario in which the worker of
+// the task has just been lost.
+func testLostWorker(t *testing.T, name string, test func(t *testing.T, ts *termScenario, wt *watchedTask, lostAt time.Time)) {
+	for _, longRunning := range []bool{true, false} {
+		t.Run(fmt.Sprint(name, ", long-running ", longRunning), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ts := newTermScenario(t, rand.New(rand.NewPCG(1, 1)), 1)
 				defer ts.stop()
 				ts.submitTasks(rand.New(rand.NewPCG(1, 2)))
-				wt := ts.tasks[0]
+				wt := ts.tasks[slices.IndexFunc(ts.tasks, func(wt *watchedTask) bool { return wt.spec.LongRunning == longRunning })]
 				ts.workers.Crash(ts.workers.WorkerOf(wt.id))
-				lostAt := time.Now()
-				time.Sleep(before)
-				ts.killHost(ts.leaderIndex())
-				ts.awaitRun(wt, lostAt)
-				qt.Check(t, time.Since(lostAt) <= maxDowntime, qt.IsTrue, qt.Commentf("down for %v", time.Since(lostAt)))
+				test(t, ts, wt, time.Now())
 			})
 		})
 	}
 }
 
+// assertRunsAgain checks that a task whose worker was lost runs again in time.
+func (ts *termScenario) assertRunsAgain(t *testing.T, wt *watchedTask, lostAt time.Time) {
+	ts.awaitRun(wt, lostAt)
+	qt.Check(t, time.Since(lostAt) <= maxDowntime, qt.IsTrue, qt.Commentf("%s down for %v", wt.id, time.Since(lostAt)))
+}
+
+// Guards against a task that waits for longer than the lease of its lost worker in a pool with room.
+func TestLostWorker(t *testing.T) {
+	testLostWorker(t, "same leader", func(t *testing.T, ts *termScenario, wt *watchedTask, lostAt time.Time) {
+		ts.assertRunsAgain(t, wt, lostAt)
+	})
+}
+
+// Guards against a task that runs late if its worker and the leader are lost at once. The leader after it allows for
+// maxAuthority, in which the lost one may extend the lease.
+func TestWorkerLostWithLeader(t *testing.T) {
+	for _, before := range []time.Duration{0, 200 * time.Millisecond, 400 * time.Millisecond, 600 * time.Millisecond, time.Second, 1500 * time.Millisecond} {
+		testLostWorker(t, fmt.Sprint("worker lost ", before, " before the leader"), func(t *testing.T, ts *termScenario, wt *watchedTask, lostAt time.Time) {
+			time.Sleep(before)
+			ts.killHost(ts.leaderIndex())
+			ts.assertRunsAgain(t, wt, lostAt)
+		})
+	}
+}
+
 // Guards against an inherited lease that is counted from the begin of the term of the last of several leaders, although it is
 // known when the one before it ended, or recorded which workers did not answer that one.
 func TestWorkerLostWithTwoLeaders(t *testing.T) {
@@ -789,31 +811,23 @@
 		{700 * time.Millisecond, forGood},
 		{850 * time.Millisecond, forGood},
 	} {
-		t.Run(fmt.Sprint("second leader leads for ", tc.led, " and is down for ", tc.down), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ts := newTermScenario(t, rand.New(rand.NewPCG(1, 1)), 1)
-				defer ts.stop()
-				ts.submitTasks(rand.New(rand.NewPCG(1, 2)))
-				wt := ts.tasks[0]
-				ts.workers.Crash(ts.workers.WorkerOf(wt.id))
-				lostAt := time.Now()
-				ts.killHost(ts.leaderIndex())
-				for !ts.leaderCanAct() {
-					time.Sleep(time.Millisecond)
-				}
-				time.Sleep(tc.led)
-				second := ts.leaderIndex()
-				ts.killHost(second)
-				time.Sleep(tc.down)
-				if tc.down != forGood {
-					ts.startHost(second)
-				}
-				calmAt := time.Now()
-				ts.awaitRun(wt, lostAt)
-				down, calm := time.Since(lostAt), time.Since(calmAt)
-				qt.Check(t, down <= maxDowntime || calm <= calmTime, qt.IsTrue, qt.Commentf("down for %v, calm for %v", down, calm))
-				t.Logf("down for %v, calm for %v", down, calm)
-			})
+		testLostWorker(t, fmt.Sprint("second leader leads for ", tc.led, " and is down for ", tc.down), func(t *testing.T, ts *termScenario, wt *watchedTask, lostAt time.Time) {
+			ts.killHost(ts.leaderIndex())
+			for !ts.leaderCanAct() {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(tc.led)
+			second := ts.leaderIndex()
+			ts.killHost(second)
+			time.Sleep(tc.down)
+			if tc.down != forGood {
+				ts.startHost(second)
+			}
+			calmAt := time.Now()
+			ts.awaitRun(wt, lostAt)
+			down, calm := time.Since(lostAt), time.Since(calmAt)
+			qt.Check(t, down <= maxDowntime || calm <= calmTime, qt.IsTrue, qt.Commentf("%s down for %v, calm for %v", wt.id, down, calm))
+			t.Logf("down for %v, calm for %v", down, calm)
 		})
 	}
 }
