--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -536,7 +536,7 @@
 	for _, wk := range dr.workers {
 		dr.expireLease(wk, now)
 		dr.expireAdvance(wk, now)
-		if wk.unaccounted && dr.leaseEndConfirmed(wk, unreachableGrace, now) {
+		if wk.unaccounted && dr.leaseEndConfirmed(wk, dr.returnGrace(wk.info.Pool, now), now) {
 			dr.markAccounted(wk, "inherited leases expired")
 		}
 	}
--- a/internal/job/director/pooluse.go
+++ b/internal/job/director/pooluse.go
@@ -49,3 +49,13 @@
 	}
 	return wk.info.Capacity.MilliCores - max(0, wk.free.MilliCores)
 }
+
+// returnGrace returns how long after the end of its lease a silent worker of a pool is waited for, if its tasks end by
+// themselves. A task that has ended there runs again for nothing, which costs others capacity only where there is
+// little.
+func (dr *Director) returnGrace(pool modeler.PoolName, now time.Time) time.Duration {
+	if dr.usedShare(pool, now) <= maxReservedShare {
+		return 0
+	}
+	return unreachableGrace
+}
--- a/internal/job/director/waiting.go
+++ b/internal/job/director/waiting.go
@@ -168,7 +168,7 @@
 	wt := wait{since: tk.wait.since}
 	switch {
 	case dr.mayRunUnknown(tk):
-		wt.reason, wt.until = earlierRunPossible, dr.inheritedUntil.Add(unreachableGrace)
+		wt.reason, wt.until = earlierRunPossible, dr.inheritedUntil.Add(dr.returnGrace(dr.pool(sp.occ.job), now))
 		if sp.spec.LongRunning {
 			wt.reason, wt.until, wt.worker = earlierLeasePossible, dr.inheritedEnd(dr.workers[tk.placedOn]), tk.placedOn
 		}
@@ -208,7 +208,7 @@
 	case wk.unreachable:
 		wt.reason, wt.since, wt.until = workerNotAnswering, wk.unreachableSince, dr.leaseOver(wk, now)
 		if !at.task.step.spec.LongRunning {
-			wt.until = wt.until.Add(unreachableGrace)
+			wt.until = wt.until.Add(dr.returnGrace(wk.info.Pool, now))
 		}
 	default:
 		return wait{}, false
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -27,9 +27,9 @@
 	// leaseMargin is added to the end of a lease for the time that the worker takes to end its
 	// runs.
 	leaseMargin = 150 * time.Millisecond
-	// unreachableGrace is how long after the end of its lease an unreachable worker is waited for
-	// if its tasks end by themselves. They have probably ended, and these ends count once the
-	// worker is reachable again.
+	// unreachableGrace is how long after the end of its lease an unreachable worker of a pool with little
+	// capacity is waited for if its tasks end by themselves. They have probably ended, and these ends count
+	// once the worker is reachable again.
 	unreachableGrace = 4 * time.Second
 	// maxBusyWait is how long a worker with runs may delay its answer to a renewal until a run
 	// ends.
@@ -566,12 +566,12 @@
 }
 
 // expireLease ends the runs of an unreachable worker whose lease has expired: long-running ones at
-// once, the others after unreachableGrace. A run whose start may yet be accepted stays.
+// once, the others after returnGrace. A run whose start may yet be accepted stays.
 func (dr *Director) expireLease(wk *worker, now time.Time) {
 	if len(wk.attempts) == 0 || !wk.unreachable || !dr.leaseEndConfirmed(wk, 0, now) {
 		return
 	}
-	graceOver := dr.leaseEndConfirmed(wk, unreachableGrace, now)
+	graceOver := dr.leaseEndConfirmed(wk, dr.returnGrace(wk.info.Pool, now), now)
 	for _, at := range wk.listAttempts() {
 		if (graceOver || at.task.step.spec.LongRunning) && !dr.mayStartLate(at, now) {
 			at.task.wait.silentSince = wk.unreachableSince
