--- a/internal/job/director/jobstall.go
+++ b/internal/job/director/jobstall.go
@@ -107,7 +107,7 @@
 			used = dr.usedShare(pool, now)
 			usedShares[pool] = used
 		}
-		if !sj.group.HasRoom() || used > maxReservedShare {
+		if !sj.group.HasRoom() || used > maxUsedShare {
 			sj.job.stall = jobStall{}
 			continue
 		}
--- a/internal/job/director/pooluse.go
+++ b/internal/job/director/pooluse.go
@@ -54,7 +54,7 @@
 // themselves. A task that has ended there runs again for nothing, which costs others capacity only where there is
 // little.
 func (dr *Director) returnGrace(pool modeler.PoolName, now time.Time) time.Duration {
-	if dr.usedShare(pool, now) <= maxReservedShare {
+	if dr.usedShare(pool, now) <= maxUsedShare {
 		return 0
 	}
 	return unreachableGrace
--- a/internal/job/director/starvation.go
+++ b/internal/job/director/starvation.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/job/placer"
 )
 
@@ -16,9 +15,8 @@
 	// interfere with latency-critical ones. Callers are promised a run within 3 s, which leaves time to repeat a start
 	// without an answer.
 	starvationDeadline = 2 * time.Second
-	// maxReservedShare is the share of a pool's processors that may be reserved while the promise
-	// holds.
-	maxReservedShare = 0.5
+	// maxUsedShare is the share of a pool's processors that may be in use while the promise holds.
+	maxUsedShare = 0.5
 	// maxStarvedAttempts bounds the starved tasks that a round tries to place, as each try looks at
 	// every worker.
 	maxStarvedAttempts = 24
@@ -61,17 +59,12 @@
 		since time.Time
 	}
 	var list []candidate
-	reserved := map[modeler.PoolName]float64{}
 	for _, rs := range rd.steps {
 		sp := rs.step
 		if len(sp.waiting) == 0 {
 			continue
 		}
-		pool := rd.dr.pool(sp.occ.job)
-		if _, ok := reserved[pool]; !ok {
-			reserved[pool] = rd.reservedShare(pool)
-		}
-		if reserved[pool] > maxReservedShare || !rd.starved(sp) {
+		if rd.dr.usedShare(rd.dr.pool(sp.occ.job), rd.now) > maxUsedShare || !rd.starved(sp) {
 			continue
 		}
 		since := sp.occ.idleSince()
@@ -162,15 +155,3 @@
 	}
 	return oc.due
 }
-
-// reservedShare returns the share of the processors of a pool's workers that is reserved.
-func (rd *round) reservedShare(pool modeler.PoolName) float64 {
-	var free, capacity int64
-	for _, wk := range rd.workers {
-		if wk.info.Pool == pool {
-			free += max(0, wk.free.MilliCores)
-			capacity += wk.info.Capacity.MilliCores
-		}
-	}
-	return 1 - float64(free)/float64(max(capacity, 1))
-}
--- a/internal/job/director/starved_jobs_test.go
+++ b/internal/job/director/starved_jobs_test.go
@@ -93,6 +93,25 @@
 	}
 }
 
+// Guards against jobs that wait although most of their pool is free, as most of what the workers that answer have is in use.
+func TestStarvedJobsBesideSilentWorkers(t *testing.T) {
+	run(t, 8, func(fl *fleet, tm *term) {
+		busy := simpleJob("busy", "urgent", len(fl.infos), cores(10000))
+		busy.Steps[0].LongRunning, busy.Steps[0].MaxPerWorker = true, 1
+		tm.submit(busy)
+		sleep(3 * time.Second)
+		for _, info := range fl.infos[:5] {
+			fl.workers.SetUnreachable(info.ID, true)
+		}
+		sleep(testLimits.Lease + time.Second)
+		for no := range 6 {
+			jb := fl.bestEffortJob(modeler.JobID(fmt.Sprint("best-effort-", no)), 30*time.Second)
+			tm.submit(jb)
+			tm.assertStartsWithin(jb, promisedRunTime)
+		}
+	})
+}
+
 // Guards against jobs that wait for as long as more urgent tasks come faster than the leader's link carries their starts.
 func TestStarvedJobsBehindFullWindow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/telemetry/meter/table_waiting.go
+++ b/internal/telemetry/meter/table_waiting.go
@@ -25,7 +25,7 @@
 	StalledTasks                      = Metric{"StalledTasks", "", "Long-running tasks that wait although their pool has free capacity for two of them, or for a gang twice, again within each 1.5 s, whatever is reserved or held."}
 	LongestStall                      = Metric{"LongestStall", "ms", "Longest time for which such a task has been stalled without a break."}
 	StallDemandsOmitted               = Metric{"StallDemandsOmitted", "", "Distinct demands of waiting long-running tasks that the last look for stalled tasks left out."}
-	StalledJobs                       = Metric{"StalledJobs", "", "Jobs without a run, of a task that may start, although at most half of the processors of their pool are reserved and it has free capacity for two such tasks."}
+	StalledJobs                       = Metric{"StalledJobs", "", "Jobs without a run, of a task that may start, although at most half of the processors of their pool's registered workers are in use and it has free capacity for two such tasks."}
 	LongestJobStall                   = Metric{"LongestJobStall", "ms", "Longest time for which such a job has been stalled without a break."}
 	CancellationsPending              = Metric{"CancellationsPending", "", "Cancellations of jobs that the leader does not know yet."}
 	CancellationsDropped              = Metric{"CancellationsDropped", "", "Cancellations of unknown jobs that were dropped. A counter."}
