--- a/internal/config/loader/table.go
+++ b/internal/config/loader/table.go
@@ -61,7 +61,7 @@
 		optional, func(st *Settings, val string) bool { return setBool(&st.Jobs.Enabled, val) },
 	},
 	{
-		"Jobs", "Lease", "DURATION", "7s", "",
+		"Jobs", "Lease", "DURATION", "6s", "",
 		"Time for which a worker runs tasks without a renewal. A longer lease survives longer network partitions; with a shorter one, the tasks of a failed worker restart sooner.", allowedDuration,
 		optional, func(st *Settings, val string) bool { return setDuration(&st.Jobs.Lease, val) },
 	},
--- a/internal/job/director/bounds_test.go
+++ b/internal/job/director/bounds_test.go
@@ -229,7 +229,7 @@
 		run(t, 3, func(fl *fleet, tm *term) {
 			dj := fl.startDelayed(tm, "Bounded")
 			where := startOnUnreachable(fl, tm)
-			sleep(5 * time.Second)
+			sleep(testLease - 2*time.Second)
 			fl.workers.SetUnreachable(where, false)
 			depose(fl, tm, dj)
 			sleep(2 * time.Second)
--- a/internal/job/director/director_test.go
+++ b/internal/job/director/director_test.go
@@ -334,7 +334,7 @@
 			tm.end()
 			fl.workers.SetUnreachable("worker-01", true)
 			*tm = *fl.startTerm(8 * time.Second)
-			sleep(5 * time.Second)
+			sleep(testLease - 2*time.Second)
 			qt.Check(t, fl.workers.WorkerOf(modeler.TaskID{Job: "j1"}) != "", qt.IsTrue)
 			sleep(10 * time.Second)
 		})
--- a/internal/job/director/harness_test.go
+++ b/internal/job/director/harness_test.go
@@ -26,9 +26,15 @@
 
 const testPool modeler.PoolName = "pool"
 
-// testLimits are the limits of the deployments with the longest leases.
+// testLease is the lease of the deployments, longestLease that lease by the slowest clock.
+const (
+	testLease    = 6 * time.Second
+	longestLease = testLease + testLease/50
+)
+
+// testLimits are the limits of the deployments.
 var testLimits = director.Limits{
-	Lease: 7 * time.Second, StopGrace: 400 * time.Millisecond, Retention: 2 * time.Minute,
+	Lease: testLease, StopGrace: 400 * time.Millisecond, Retention: 2 * time.Minute,
 	RestoreTime: 100 * time.Millisecond, OverTargetGrace: 4 * time.Second, RemoteDataFactor: 1.5,
 }
 
--- a/internal/job/director/promise_test.go
+++ b/internal/job/director/promise_test.go
@@ -36,7 +36,7 @@
 	// authority is how long a leader without contact to the store sends requests to workers.
 	authority = 4 * time.Second
 	// inheritedLease is the lease that a leader allows for on workers of which the journal says nothing.
-	inheritedLease = 7*time.Second + 7*time.Second/50 + 500*time.Millisecond + authority
+	inheritedLease = longestLease + 500*time.Millisecond + authority
 	// maxUnseenSilence is how long before a leader is lost a worker may be lost without a record of it.
 	maxUnseenSilence = 2 * time.Second
 )
--- a/internal/job/director/renewal_test.go
+++ b/internal/job/director/renewal_test.go
@@ -14,7 +14,7 @@
 )
 
 // leaseExpiry is a time after which every lease that is not renewed has expired.
-const leaseExpiry = 2500*time.Millisecond + 7*time.Second
+const leaseExpiry = 2500*time.Millisecond + testLease
 
 // nextTerm ends the term and starts the next one.
 func (tm *term) nextTerm(inherited time.Duration) {
--- a/internal/job/director/series_test.go
+++ b/internal/job/director/series_test.go
@@ -24,7 +24,7 @@
 // the ends that the worker may report after it, anew in each of a series of terms.
 func TestLostWorkerDelaysBatchTaskOnce(t *testing.T) {
 	const (
-		lease     = 7*time.Second + 140*time.Millisecond
+		lease     = longestLease
 		inherited = 12 * time.Second
 		termTime  = 3 * time.Second
 	)
@@ -69,7 +69,7 @@
 // other is lost.
 func TestLostWorkersDelayGangOnce(t *testing.T) {
 	const (
-		lease     = 7*time.Second + 140*time.Millisecond
+		lease     = longestLease
 		inherited = 12 * time.Second
 		termTime  = 3 * time.Second
 		limit     = 40 * time.Second
--- a/internal/job/director/terms_test.go
+++ b/internal/job/director/terms_test.go
@@ -69,7 +69,7 @@
 // each of a series of terms.
 func TestLostWorkerDelaysTaskOnce(t *testing.T) {
 	const (
-		lease     = 7*time.Second + 140*time.Millisecond
+		lease     = longestLease
 		inherited = 12 * time.Second
 		termTime  = 3 * time.Second
 	)
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -34,7 +34,9 @@
 	// maxBusyWait is how long a worker with runs may delay its answer to a renewal until a run
 	// ends.
 	maxBusyWait = time.Second
-	maxIdleWait = 2 * time.Second
+	// maxIdleWait is that for a worker without runs. A run that starts there depends on a lease that was extended up
+	// to this long ago.
+	maxIdleWait = 1500 * time.Millisecond
 	// maxPacedWait is that for a worker with best-effort and latency-critical tasks, whose tail
 	// latency has to be checked more often than it is measured.
 	maxPacedWait = 500 * time.Millisecond
--- a/internal/job/leader/cluster_test.go
+++ b/internal/job/leader/cluster_test.go
@@ -52,7 +52,7 @@
 
 // testLimits are the limits of the deployments with the longest leases.
 var testLimits = director.Limits{
-	Lease: 7 * time.Second, StopGrace: 400 * time.Millisecond, Retention: 2 * time.Minute,
+	Lease: 6 * time.Second, StopGrace: 400 * time.Millisecond, Retention: 2 * time.Minute,
 	RestoreTime: 100 * time.Millisecond, OverTargetGrace: 4 * time.Second, RemoteDataFactor: 1.5,
 }
 
--- a/internal/job/leader/partition_test.go
+++ b/internal/job/leader/partition_test.go
@@ -154,7 +154,6 @@
 			synctest.Test(t, func(t *testing.T) {
 				cl := newCluster(t, 3, 2, 1)
 				defer cl.stop()
-				cl.limits.Lease = deployedLease
 				for _, ho := range cl.hosts {
 					ho.delay = tc.delay
 				}
--- a/internal/job/leader/terms_test.go
+++ b/internal/job/leader/terms_test.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// deployedLease is the lease of the deployments.
-	deployedLease = 6 * time.Second
 	// maxDowntime is the time from the end of a task's last run after which it must run again, if no unplanned
 	// disturbance was active for calmTime.
 	maxDowntime = 9 * time.Second
@@ -114,7 +112,6 @@
 		cluster: newCluster(t, 3+rnd.IntN(7), 9+rnd.IntN(3), seed), ends: termEnd(rnd.IntN(int(termEnds))),
 		busyHosts: map[int]bool{}, busyWorkers: map[int]bool{},
 	}
-	ts.limits.Lease = deployedLease
 	for ix := range ts.infos {
 		ts.startWorker(ix)
 	}
