--- a/internal/job/director/director_test.go
+++ b/internal/job/director/director_test.go
@@ -150,10 +150,7 @@
 	for name, changesLeader := range map[string]bool{"same leader": false, "next leader": true} {
 		t.Run(name, func(t *testing.T) {
 			run(t, 4, func(fl *fleet, tm *term) {
-				busy := simpleJob("busy", "urgent", 4, cores(used))
-				busy.Steps[0].LongRunning, busy.Steps[0].MaxPerWorker = true, 1
-				tm.submit(busy)
-				sleep(3 * time.Second)
+				tm.submitBusy(4, used)
 				task := modeler.TaskID{Job: "j1"}
 				tm.submit(simpleJob(task.Job, "batch", 1, cores(1000)))
 				sleep(500 * time.Millisecond)
@@ -177,7 +174,7 @@
 		fl.workers.SetUnreachable(where, false)
 		sleep(3 * time.Second)
 		tm.assertState(task.Job, modeler.Completed)
-		qt.Check(t, fl.workers.StartCount(task), qt.Equals, 1)
+		qt.Check(fl.t, fl.workers.StartCount(task), qt.Equals, 1)
 	})
 	t.Run("worker crashes", func(t *testing.T) {
 		run(t, 2, func(fl *fleet, tm *term) {
@@ -196,11 +193,39 @@
 	testTaskOfUnreachableWorker(t, 4000, func(fl *fleet, tm *term, task modeler.TaskID, where modeler.WorkerID) {
 		fl.setBehaviour(task, emulator.TaskBehaviour{RunTime: time.Minute})
 		sleep(testLimits.Lease + time.Second)
-		qt.Assert(t, fl.workers.StartCount(task), qt.Equals, 2)
+		qt.Assert(fl.t, fl.workers.StartCount(task), qt.Equals, 2)
 		fl.workers.SetUnreachable(where, false)
 		sleep(time.Second)
 		tm.assertState(task.Job, modeler.Completed)
-		qt.Check(t, fl.workers.WorkerOf(task), qt.Equals, modeler.WorkerID(""))
+		qt.Check(fl.t, fl.workers.WorkerOf(task), qt.Equals, modeler.WorkerID(""))
+	})
+}
+
+// Guards against a second run of a task that ended on an unreachable worker, by a leader that takes a pool for one with room
+// as it has not read the registry yet.
+func TestEndedOnUnreachableWorkerBeforeRegistryIsRead(t *testing.T) {
+	run(t, 4, func(fl *fleet, tm *term) {
+		tm.submitBusy(4, 14000)
+		task := modeler.TaskID{Job: "j1"}
+		tm.submit(simpleJob(task.Job, "batch", 1, cores(1000)))
+		sleep(500 * time.Millisecond)
+		where := fl.workers.WorkerOf(task)
+		fl.workers.SetUnreachable(where, true)
+		sleep(testLease + 1500*time.Millisecond)
+		tm.end()
+		fl.predecessorStopped.Store(true)
+		fl.unregistered = map[modeler.WorkerID]bool{}
+		for ix := range fl.infos {
+			fl.unregistered[fl.infos[ix].ID] = true
+		}
+		*tm = *fl.startTerm(testLimits.MaxLeaseTime())
+		sleep(300 * time.Millisecond)
+		tm.SetWorkers(fl.infos)
+		sleep(time.Second)
+		fl.workers.SetUnreachable(where, false)
+		sleep(3 * time.Second)
+		tm.assertState(task.Job, modeler.Completed)
+		qt.Check(t, fl.workers.StartCount(task), qt.Equals, 1)
 	})
 }
 
--- a/internal/job/director/earlier_failures_test.go
+++ b/internal/job/director/earlier_failures_test.go
@@ -20,7 +20,7 @@
 		defer func() { tm.end() }()
 		task := modeler.TaskID{Job: "failing"}
 		fl.setBehaviour(task, emulator.TaskBehaviour{RunTime: 300 * time.Millisecond, Fails: true})
-		sleep(time.Second)
+		tm.submitBusy(3, 14000)
 		jb := simpleJob(task.Job, "urgent", 1, cores(1000))
 		tm.submit(jb)
 		sleep(200 * time.Millisecond)
@@ -32,7 +32,7 @@
 		tm.end()
 		fl.faults.Clear()
 		fl.workers.SetUnreachable(first, true)
-		tm = fl.startTerm(3 * time.Second)
+		tm = fl.startTerm(time.Second)
 		sleep(2 * time.Second)
 		fl.workers.SetUnreachable(first, false)
 		sleep(5 * time.Second)
--- a/internal/job/director/harness_test.go
+++ b/internal/job/director/harness_test.go
@@ -278,6 +278,14 @@
 	return &modeler.Job{ID: id, Queue: queue, Spec: "spec", Steps: []modeler.Step{{Count: count, Needs: needs, Estimate: time.Second}}}
 }
 
+// submitBusy starts a long-running task on each of a number of workers, which uses a part of it in thousandths of a core.
+func (tm *term) submitBusy(workers int, used int64) {
+	jb := simpleJob("busy", "urgent", workers, cores(used))
+	jb.Steps[0].LongRunning, jb.Steps[0].MaxPerWorker = true, 1
+	tm.submit(jb)
+	sleep(3 * time.Second)
+}
+
 // assertState checks the state that is reported to callers of a job.
 func (tm *term) assertState(id modeler.JobID, want modeler.State) {
 	tm.fleet.t.Helper()
--- a/internal/job/director/pooluse.go
+++ b/internal/job/director/pooluse.go
@@ -15,12 +15,19 @@
 	shares map[modeler.PoolName]float64
 }
 
-// usedShare returns the share of the processors of a pool's registered workers that was in use at most tickInterval ago.
+// usedShare returns the share of the processors of a pool's registered workers that was in use at most tickInterval ago. It
+// is 1 for a pool without registered workers, as one whose workers have not been read yet.
 func (dr *Director) usedShare(pool modeler.PoolName, now time.Time) float64 {
-	if pu := &dr.poolUse; pu.shares == nil || now.Sub(pu.at) >= tickInterval {
+	pu := &dr.poolUse
+	share, known := pu.shares[pool]
+	if !known || now.Sub(pu.at) >= tickInterval {
 		pu.at, pu.shares = now, dr.usedShares(now)
+		share, known = pu.shares[pool]
 	}
-	return dr.poolUse.shares[pool]
+	if !known {
+		return 1
+	}
+	return share
 }
 
 func (dr *Director) usedShares(now time.Time) map[modeler.PoolName]float64 {
@@ -50,9 +57,9 @@
 	return wk.info.Capacity.MilliCores - max(0, wk.free.MilliCores)
 }
 
-// returnGrace returns how long after the end of its lease a silent worker of a pool is waited for, if its tasks end by
-// themselves. A task that has ended there runs again for nothing, which costs others capacity only where there is
-// little.
+// returnGrace returns how long after the end of its lease a silent worker is waited for, if its tasks end by themselves.
+// The tasks run again at once while callers are promised a run of each job of the pool, although one that has ended on the
+// worker then runs for nothing.
 func (dr *Director) returnGrace(pool modeler.PoolName, now time.Time) time.Duration {
 	if dr.usedShare(pool, now) <= maxUsedShare {
 		return 0
--- a/internal/job/director/series_test.go
+++ b/internal/job/director/series_test.go
@@ -46,19 +46,22 @@
 		crashAt time.Duration
 		limit   time.Duration
 	}{
-		{"silence known to the leader", 3200 * time.Millisecond, lease + unreachableGrace + maxStartDelay},
-		{"lost just before the leader", 5900 * time.Millisecond, inherited + unreachableGrace + maxStartDelay},
-		{"lost with the leader", 6 * time.Second, inherited + unreachableGrace + maxStartDelay},
-		{"lost in a later term", 10 * time.Second, lease + unreachableGrace + maxStartDelay},
+		{"silence known to the leader", 3200 * time.Millisecond, lease + maxStartDelay},
+		{"lost just before the leader", 5900 * time.Millisecond, inherited + maxStartDelay},
+		{"lost with the leader", 6 * time.Second, inherited + maxStartDelay},
+		{"lost in a later term", 10 * time.Second, lease + maxStartDelay},
 	} {
 		for kind, newJob := range kinds {
 			t.Run(kind+"/"+tc.name, func(t *testing.T) {
 				for _, listed := range []bool{false, true} {
-					run(t, 3, func(fl *fleet, tm *term) {
-						ts := termSeries{termTime: termTime, crashAt: tc.crashAt, inherited: inherited, listed: listed}
-						took := ts.play(fl, tm, newJob(fl))
-						qt.Check(t, took >= lease && took < tc.limit, qt.IsTrue, qt.Commentf("started again after %v, registered %v", took, listed))
-					})
+					for used, grace := range map[int64]time.Duration{1000: 0, 14000: unreachableGrace} {
+						run(t, 4, func(fl *fleet, tm *term) {
+							tm.submitBusy(4, used)
+							ts := termSeries{termTime: termTime, crashAt: tc.crashAt, inherited: inherited, listed: listed}
+							took := ts.play(fl, tm, newJob(fl))
+							qt.Check(t, took >= lease+grace && took < tc.limit+grace, qt.IsTrue, qt.Commentf("started again after %v, registered %v, %d in use", took, listed, used))
+						})
+					}
 				}
 			})
 		}
@@ -82,8 +85,8 @@
 	}{
 		"long-running":                     {true, 3 * time.Second, lease + maxStartDelay},
 		"long-running, with a leader":      {true, 2800 * time.Millisecond, inherited + maxStartDelay},
-		"run to completion":                {false, 3 * time.Second, lease + unreachableGrace + maxStartDelay},
-		"run to completion, with a leader": {false, 2800 * time.Millisecond, inherited + unreachableGrace + maxStartDelay},
+		"run to completion":                {false, 3 * time.Second, lease + maxStartDelay},
+		"run to completion, with a leader": {false, 2800 * time.Millisecond, inherited + maxStartDelay},
 	} {
 		t.Run(name, func(t *testing.T) {
 			run(t, 4, func(fl *fleet, tm *term) {
--- a/internal/job/director/starved_jobs_test.go
+++ b/internal/job/director/starved_jobs_test.go
@@ -96,10 +96,7 @@
 // Guards against jobs that wait although most of their pool is free, as most of what the workers that answer have is in use.
 func TestStarvedJobsBesideSilentWorkers(t *testing.T) {
 	run(t, 8, func(fl *fleet, tm *term) {
-		busy := simpleJob("busy", "urgent", len(fl.infos), cores(10000))
-		busy.Steps[0].LongRunning, busy.Steps[0].MaxPerWorker = true, 1
-		tm.submit(busy)
-		sleep(3 * time.Second)
+		tm.submitBusy(len(fl.infos), 10000)
 		for _, info := range fl.infos[:5] {
 			fl.workers.SetUnreachable(info.ID, true)
 		}
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -27,9 +27,9 @@
 	// leaseMargin is added to the end of a lease for the time that the worker takes to end its
 	// runs.
 	leaseMargin = 150 * time.Millisecond
-	// unreachableGrace is how long after the end of its lease an unreachable worker of a pool with little
-	// capacity is waited for if its tasks end by themselves. They have probably ended, and these ends count
-	// once the worker is reachable again.
+	// unreachableGrace is how long after the end of its lease an unreachable worker is waited for if its tasks
+	// end by themselves, see returnGrace. They have probably ended, and these ends count once the worker is
+	// reachable again.
 	unreachableGrace = 4 * time.Second
 	// maxBusyWait is how long a worker with runs may delay its answer to a renewal until a run
 	// ends.
