--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -225,10 +225,12 @@
 	waitingSteps map[*step]struct{}
 	// unaccountedWorkers is the number of workers that may still run tasks of earlier terms and have
 	// not reported in this term. While it is not zero, a task that may run on one of them does not
-	// start. allAccounted is set once it has reached zero. A worker whose lease has expired counts as
-	// having reported.
+	// start. allAccounted is set once it has reached zero. A worker whose lease has been over for
+	// unreachableGrace counts as having reported. earlierLeasesOver is set while the leases of all
+	// unaccounted workers are over.
 	unaccountedWorkers int
 	allAccounted       bool
+	earlierLeasesOver  bool
 	// clockStart is what the journal's clock showed at termStart.
 	clockStart time.Duration
 	// inheritedUntil is when the leases of earlier leaders are over that the journal does not bound, and
@@ -533,13 +535,19 @@
 // on the time.
 func (dr *Director) onTick(now time.Time) {
 	dr.checkPredecessor(now)
+	leasesOver := true
 	for _, wk := range dr.workers {
 		dr.expireLease(wk, now)
 		dr.expireAdvance(wk, now)
-		if wk.unaccounted && dr.leaseEndConfirmed(wk, dr.returnGrace(wk.info.Pool, now), now) {
+		switch {
+		case !wk.unaccounted:
+		case dr.leaseEndConfirmed(wk, unreachableGrace, now):
 			dr.markAccounted(wk, "inherited leases expired")
+		case !dr.leaseEndConfirmed(wk, 0, now):
+			leasesOver = false
 		}
 	}
+	dr.earlierLeasesOver = leasesOver
 	dr.recordLeases(now)
 	dr.recordCancellations()
 	dr.checkEvacuations(now)
--- a/internal/job/director/director_test.go
+++ b/internal/job/director/director_test.go
@@ -229,6 +229,32 @@
 	})
 }
 
+// Guards against a task that waits for longer than the lease, although its pool has room, as another pool has none.
+func TestTaskOfUnreachableWorkerBesideFullPool(t *testing.T) {
+	run(t, 8, func(fl *fleet, tm *term) {
+		other := fl.config.Queues[0]
+		other.Name, other.Pool = "other", "other"
+		fl.config.Queues = append(fl.config.Queues, other)
+		for ix := 4; ix < 8; ix++ {
+			fl.infos[ix].Pool = "other"
+		}
+		tm.SetWorkers(fl.infos)
+		busy := simpleJob("busy", "other", 4, cores(14000))
+		busy.Pool, busy.Steps[0].LongRunning, busy.Steps[0].MaxPerWorker = "other", true, 1
+		tm.submit(busy)
+		sleep(3 * time.Second)
+		task := modeler.TaskID{Job: "j1"}
+		fl.setBehaviour(task, emulator.TaskBehaviour{RunTime: time.Minute})
+		tm.submit(simpleJob(task.Job, "batch", 1, cores(1000)))
+		sleep(500 * time.Millisecond)
+		fl.workers.SetUnreachable(fl.workers.WorkerOf(task), true)
+		fl.workers.SetUnreachable(fl.infos[7].ID, true)
+		tm.nextTerm(testLimits.MaxLeaseTime())
+		sleep(testLimits.MaxLeaseTime() + time.Second)
+		qt.Check(t, fl.workers.StartCount(task), qt.Equals, 2, qt.Commentf("waits: %s", tm.WaitReason(task)))
+	})
+}
+
 // Guards against tasks that wait for ever for a worker that has crashed and left the registry.
 func TestRemovedWorker(t *testing.T) {
 	run(t, 2, func(fl *fleet, tm *term) {
--- a/internal/job/director/explanation.go
+++ b/internal/job/director/explanation.go
@@ -127,7 +127,7 @@
 func (dr *Director) explanationCopy(now time.Time) *Director {
 	cp := &Director{
 		op: dr.op, explains: true, termStart: dr.termStart, clockStart: dr.clockStart, inheritedUntil: dr.inheritedUntil, earlierUntil: dr.earlierUntil,
-		workers: dr.workers, workerOrder: dr.workerOrder, waitingSteps: maps.Clone(dr.waitingSteps), allAccounted: dr.allAccounted, model: dr.model,
+		workers: dr.workers, workerOrder: dr.workerOrder, waitingSteps: maps.Clone(dr.waitingSteps), allAccounted: dr.allAccounted, earlierLeasesOver: dr.earlierLeasesOver, model: dr.model,
 		seenRooms: map[modeler.PoolName][]seenRoom{}, shortDemand: dr.shortDemand, shortDemandAt: now, shortages: dr.shortages,
 		promotions: map[shortageKey]*promotion{}, histories: maps.Clone(dr.histories), shortSteps: map[shortageKey]*shortSteps{},
 		nextExamined: dr.nextExamined, contention: dr.contention, rounds: dr.rounds,
--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -676,7 +676,13 @@
 // mayRunUnknown reports whether a waiting task has to wait because an unknown run may be active, or may have been its last
 // attempt.
 func (dr *Director) mayRunUnknown(tk *task) bool {
-	return (tk.mayHaveUnknownRun || dr.mayHaveFailedUnknown(tk)) && !dr.allAccounted && !tk.step.spec.Speculative && !dr.knownNotRunning(tk)
+	return (tk.mayHaveUnknownRun || dr.mayHaveFailedUnknown(tk)) && !dr.allAccounted && !tk.step.spec.Speculative && !dr.knownNotRunning(tk) && !dr.mayDisregardUnreported(tk)
+}
+
+// mayDisregardUnreported reports whether nothing runs on the workers that have not reported in this term, and their ends are
+// not waited for either.
+func (dr *Director) mayDisregardUnreported(tk *task) bool {
+	return dr.earlierLeasesOver && dr.returnGrace(dr.pool(tk.step.occ.job), time.Now()) == 0
 }
 
 // mayHaveFailedUnknown reports whether a task may have failed as often as its queue allows, if runs before the one that
