--- a/internal/job/director/aging.go
+++ b/internal/job/director/aging.go
@@ -26,7 +26,7 @@
 	maxHeldForOverdue = 3
 	// maxOverdueTries bounds the overdue tasks of a round for which a worker to hold is looked for.
 	maxOverdueTries = 12
-	// roomMemory is how long a pool counts as having capacity for two tasks after a round has found it.
+	// roomMemory is how long a pool counts as having capacity for a task, or a gang, and one more after a round has found it.
 	roomMemory = 1500 * time.Millisecond
 	// maxSeenRooms bounds what is remembered of that for each pool.
 	maxSeenRooms = 16
@@ -139,11 +139,20 @@
 	return sum
 }
 
-// mayUseReserve reports whether an overdue task may use the reserve for short tasks, of which half stays.
+// mayUseReserve reports whether an overdue task, with all others of its gang, may use the reserve for short tasks, of
+// which half stays.
 func (rd *round) mayUseReserve(tk *task) bool {
 	pool := rd.dr.pool(tk.step.occ.job)
 	pp := rd.processors(pool)
-	return tk.overdue(rd.now) && pp.free+pp.ending-tk.step.spec.Needs.MilliCores >= rd.leastReserve(pool)/2
+	return tk.overdue(rd.now) && pp.free+pp.ending-tk.placedTogether()*tk.step.spec.Needs.MilliCores >= rd.leastReserve(pool)/2
+}
+
+// placedTogether returns how many tasks start with a queued one, itself included.
+func (tk *task) placedTogether() int64 {
+	if tk.step.spec.Gang {
+		return int64(len(tk.step.tasks))
+	}
+	return 1
 }
 
 // overdue reports whether a task that ran before is to run soon, see overdueTime.
@@ -193,12 +202,7 @@
 // holdForOverdue holds a worker for an overdue task that fits nowhere, and the same one in each round, so that the task
 // waits no longer than the short runs there.
 func (rd *round) holdForOverdue(tk *task, dm *placer.Demand) {
-	pool := rd.dr.pool(tk.step.occ.job)
-	if rd.heldTasks[tk] || !rd.mayHoldForOverdue() || tk.step.spec.Gang || !rd.matchesSome(pool, dm) {
-		return
-	}
-	rd.overdueTries++
-	if !rd.mayUseReserve(tk) || rd.slotsWithoutShort(pool, dm.Needs) <= 1 {
+	if !rd.tryForOverdue(tk, dm) {
 		return
 	}
 	ix := -1
@@ -216,30 +220,42 @@
 	rd.hold(dm, ix)
 }
 
+// tryForOverdue reports whether to look for workers to hold for an overdue task and the others of its gang.
+func (rd *round) tryForOverdue(tk *task, dm *placer.Demand) bool {
+	pool := rd.dr.pool(tk.step.occ.job)
+	if rd.heldTasks[tk] || !rd.mayHoldForOverdue() || !rd.matchesSome(pool, dm) {
+		return false
+	}
+	rd.overdueTries++
+	return rd.mayUseReserve(tk) && rd.slotsWithoutShort(pool, dm.Needs) > tk.placedTogether()
+}
+
 // mayHoldForOverdue reports whether the round may look for a further worker to hold for an overdue task.
 func (rd *round) mayHoldForOverdue() bool {
 	return len(rd.heldForOverdue) < maxHeldForOverdue && rd.overdueTries < maxOverdueTries
 }
 
-// seenRoom is the capacity of which a pool had enough for two tasks at a time.
+// seenRoom is the capacity of which a pool had enough for a number of tasks and one more at a time.
 type seenRoom struct {
 	needs modeler.Resources
+	tasks int64
 	at    time.Time
 }
 
-// recentSlots returns how many tasks with the needs count as fitting into a pool for an aged step, given
-// how many fit now. Short tasks end and start all the time, so that capacity for two counts for
-// roomMemory, and for a task that may use the reserve whenever it was seen. Otherwise, one of the two would go to a short
-// task in each round. A place stays for short tasks, which they may be using.
-func (rd *round) recentSlots(pool modeler.PoolName, needs modeler.Resources, slots int64, usesReserve bool) int64 {
+// recentSlots returns how many tasks with the needs of a task count as fitting into its pool for an aged step, given how
+// many fit now. Short tasks end and start all the time, so that capacity for one more than are placed together counts
+// for roomMemory, and for a task that may use the reserve whenever it was seen. Otherwise, a part of it would go to short
+// tasks in each round. A place stays for short tasks, which they may be using.
+func (rd *round) recentSlots(tk *task, pool modeler.PoolName, slots int64) int64 {
+	needs, tasks := tk.step.spec.Needs, tk.placedTogether()
 	rooms := slices.DeleteFunc(rd.dr.seenRooms[pool], func(rm seenRoom) bool {
-		return rd.now.Sub(rm.at) >= roomMemory || slots > 1 && rm.needs.Fits(needs)
+		return rd.now.Sub(rm.at) >= roomMemory || slots > tasks && rm.tasks <= tasks && rm.needs.Fits(needs)
 	})
-	if slots > 1 && len(rooms) < maxSeenRooms {
-		rooms = append(rooms, seenRoom{needs, rd.now})
+	if slots > tasks && len(rooms) < maxSeenRooms {
+		rooms = append(rooms, seenRoom{needs, tasks, rd.now})
 	}
 	rd.dr.seenRooms[pool] = rooms
-	if slots <= 1 && (usesReserve || slices.ContainsFunc(rooms, func(rm seenRoom) bool { return needs.Fits(rm.needs) })) {
+	if slots <= tasks && (rd.mayUseReserve(tk) || slices.ContainsFunc(rooms, func(rm seenRoom) bool { return tasks <= rm.tasks && needs.Fits(rm.needs) })) {
 		return rd.slotsWithoutShort(pool, needs)
 	}
 	return slots
--- a/internal/job/director/gang.go
+++ b/internal/job/director/gang.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
@@ -29,6 +30,7 @@
 	if chosen == nil {
 		rd.misses++
 		rd.noteTurn(sp, noWorkerFits)
+		rd.holdForGang(sp)
 		return
 	}
 	rd.misses = 0
@@ -96,9 +98,10 @@
 // chooseForGang returns the index of a worker for each task of a gang, or nil if the gang fits nowhere. It looks at
 // each worker once, and further only at racks with capacity for all tasks.
 func (rd *round) chooseForGang(sp *step) []int {
-	first := rd.dr.demand(sp.waiting[0])
+	oldest := sp.longestDown()
+	first := rd.dr.demand(oldest)
 	if first.LongRunning {
-		rd.applyReserve(sp.waiting[0], &first)
+		rd.applyReserve(oldest, &first)
 	}
 	last := first
 	reduceReserve(&last, &first, len(sp.waiting)-1)
@@ -117,6 +120,84 @@
 	return nil
 }
 
+// longestDown returns the task of a waiting gang that has been down for longest. The others may have run on until their
+// gang was broken.
+func (sp *step) longestDown() *task { return slices.MinFunc(sp.waiting, compareRestarts) }
+
+// holdForGang holds workers for all tasks of an overdue gang that fits nowhere, or for none, and the same ones in each
+// round, see holdForOverdue.
+func (rd *round) holdForGang(sp *step) {
+	oldest := sp.longestDown()
+	dm := rd.dr.demand(oldest)
+	if !rd.placingAged || !oldest.overdue(rd.now) || !rd.tryForOverdue(oldest, &dm) {
+		return
+	}
+	chosen := rd.chooseToHold(sp, oldest)
+	if count := len(slices.Compact(slices.Sorted(slices.Values(chosen)))); len(rd.heldForOverdue)+count > rd.maxHeld {
+		return
+	}
+	for no, ix := range chosen {
+		tk := sp.waiting[no]
+		tk.heldOn = rd.workers[ix].info.ID
+		rd.heldTasks[tk] = true
+		if needs, ok := rd.heldFor[ix]; ok {
+			rd.heldFor[ix] = needs.Plus(dm.Needs)
+			rd.holdCandidate(ix)
+			continue
+		}
+		rd.heldForOverdue = append(rd.heldForOverdue, ix)
+		rd.hold(&dm, ix)
+	}
+}
+
+// chooseToHold returns the index of a worker for each task of a gang once the runs that end by themselves have ended, or
+// nil if the gang does not fit then either. It prefers the workers that were held for the gang before, then those with
+// the most free processors.
+func (rd *round) chooseToHold(sp *step, oldest *task) []int {
+	dm := rd.dr.demand(oldest)
+	rd.applyReserve(oldest, &dm)
+	cands := slices.Clone(rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &dm, rd.cands))
+	for ix, wk := range rd.workers {
+		_, held := rd.heldFor[ix]
+		cands[ix].Free, cands[ix].Excluded = wk.free.Plus(wk.ending), cands[ix].Excluded || held
+	}
+	for _, room := range rd.gangRooms(sp, &dm, cands) {
+		if room.slots < int64(len(sp.waiting)) {
+			continue
+		}
+		first := rd.preferredRoom(sp, &dm, &room, cands)
+		if chosen := rd.fitGang(sp, &dm, &first, cands); chosen != nil {
+			return chosen
+		}
+		if chosen := rd.fitGang(sp, &dm, &room, cands); chosen != nil {
+			return chosen
+		}
+	}
+	return nil
+}
+
+// preferredRoom returns the part of a room with enough capacity for a gang that chooseToHold prefers.
+func (rd *round) preferredRoom(sp *step, dm *placer.Demand, room *gangRoom, cands []placer.Candidate) gangRoom {
+	heldBefore := func(ix int) int {
+		if slices.ContainsFunc(sp.waiting, func(tk *task) bool { return tk.heldOn == rd.workers[ix].info.ID }) {
+			return 1
+		}
+		return 0
+	}
+	order := slices.Clone(room.indices)
+	slices.SortStableFunc(order, func(one, two int) int {
+		return -cmp.Or(cmp.Compare(heldBefore(one), heldBefore(two)), cmp.Compare(rd.workers[one].free.MilliCores, rd.workers[two].free.MilliCores))
+	})
+	part := gangRoom{rack: room.rack}
+	for _, ix := range order {
+		if part.slots >= int64(len(sp.waiting)) {
+			break
+		}
+		part.add(ix, gangSlots(sp, dm, &cands[ix]))
+	}
+	return part
+}
+
 // fitGang returns the index of a worker for each task of a gang, or nil if the gang does not fit into the room. It
 // reserves capacity of the candidates while it chooses.
 func (rd *round) fitGang(sp *step, first *placer.Demand, room *gangRoom, cands []placer.Candidate) []int {
--- a/internal/job/director/gang_bounds_test.go
+++ b/internal/job/director/gang_bounds_test.go
@@ -115,3 +115,31 @@
 	qt.Check(t, dr.jobs["j0"].hasAttempts(), qt.IsFalse)
 	qt.Check(t, dr.workers["w0"].attempts, qt.HasLen, 1)
 }
+
+// Guards against short tasks that take what becomes free on the workers that an overdue gang needs, and against a gang that
+// counts as overdue late, as the runs of its other tasks ended after that of the lost worker.
+func TestHoldsWorkersForOverdueGang(t *testing.T) {
+	dr := newBacklog(10, 2, func(ix int) modeler.Step {
+		if ix == 0 {
+			return modeler.Step{Count: 2, Needs: modeler.Resources{MilliCores: 3000}, LongRunning: true, Gang: true, MaxPerWorker: 1}
+		}
+		return modeler.Step{Count: 4, Needs: modeler.Resources{MilliCores: 1500}}
+	})
+	now := time.Now()
+	tasks := dr.jobs["j0"].occurrences[0].steps[0].tasks
+	tasks[0].lastRun, tasks[1].lastRun = 1, 1
+	tasks[1].wait.silentSince = now.Add(-overdueTime)
+	setFree := func(milliCores int64) {
+		for _, id := range []modeler.WorkerID{"w0", "w1"} {
+			dr.workers[id].free.MilliCores, dr.workers[id].ending.MilliCores = milliCores, 6000-milliCores
+		}
+	}
+	setFree(1500)
+	dr.dispatch(now)
+	qt.Check(t, dr.jobs["j1"].hasAttempts(), qt.IsFalse)
+	setFree(3000)
+	dr.dispatch(now)
+	qt.Check(t, dr.workers["w0"].attempts, qt.HasLen, 1)
+	qt.Check(t, dr.workers["w1"].attempts, qt.HasLen, 1)
+	qt.Check(t, dr.jobs["j1"].hasAttempts(), qt.IsFalse)
+}
--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -534,14 +534,10 @@
 	sp := tk.step
 	pool := rd.dr.pool(sp.occ.job)
 	// One place more than the tasks is left to short ones.
-	enough := int64(2)
-	if sp.spec.Gang {
-		enough += int64(len(sp.waiting))
-	}
-	dm.Headroom, dm.PoolSlots = rd.headroom(sp, pool), rd.poolSlots(pool, dm, enough)
+	dm.Headroom, dm.PoolSlots = rd.headroom(sp, pool), rd.poolSlots(pool, dm, tk.placedTogether()+1)
 	if rd.placingAged {
 		dm.Headroom = rd.agedHeadroom(sp, pool)
-		dm.PoolSlots = rd.recentSlots(pool, dm.Needs, dm.PoolSlots, rd.mayUseReserve(tk))
+		dm.PoolSlots = rd.recentSlots(tk, pool, dm.PoolSlots)
 	}
 }
 
