--- a/internal/job/director/jobstall.go
+++ b/internal/job/director/jobstall.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/job/placer"
 	"github.com/currantrouter/currantrouter/internal/job/spotter"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
@@ -76,7 +75,7 @@
 	}
 }
 
-// reportStalledJobs publishes how many jobs have no run although at most half of their pool's processors are reserved
+// reportStalledJobs publishes how many jobs have no run although at most half of their pool's processors are in use
 // and there is free capacity for two of a waiting task, and logs those that are due.
 func (dr *Director) reportStalledJobs(wr *waitReport, now time.Time) {
 	var list []*stalledJob
@@ -98,15 +97,9 @@
 		dr.listStallWorkers()
 		spotter.Look(slices.Collect(maps.Values(groups)), dr.stalls.workers, now)
 	}
-	usedShares := map[modeler.PoolName]float64{}
 	stalled, longest, lines := 0, time.Duration(0), 0
 	for _, sj := range list {
-		pool := sj.group.Demand.Pool
-		used, ok := usedShares[pool]
-		if !ok {
-			used = dr.usedShare(pool, now)
-			usedShares[pool] = used
-		}
+		used := dr.usedShare(sj.group.Demand.Pool, now)
 		if !sj.group.HasRoom() || used > maxUsedShare {
 			sj.job.stall = jobStall{}
 			continue
