--- a/internal/job/director/pooluse.go
+++ b/internal/job/director/pooluse.go
@@ -19,17 +19,16 @@
 // is 1 for a pool without registered workers, as one whose workers have not been read yet.
 func (dr *Director) usedShare(pool modeler.PoolName, now time.Time) float64 {
 	pu := &dr.poolUse
-	share, known := pu.shares[pool]
-	if !known || now.Sub(pu.at) >= tickInterval {
+	if pu.shares == nil || now.Sub(pu.at) >= tickInterval {
 		pu.at, pu.shares = now, dr.usedShares(now)
-		share, known = pu.shares[pool]
 	}
-	if !known {
-		return 1
+	if share, ok := pu.shares[pool]; ok {
+		return share
 	}
-	return share
+	return 1
 }
 
+// usedShares counts the shares of all pools with registered workers.
 func (dr *Director) usedShares(now time.Time) map[modeler.PoolName]float64 {
 	capacity, shares := map[modeler.PoolName]int64{}, map[modeler.PoolName]float64{}
 	for _, wk := range dr.workers {
