--- a/internal/job/director/shortage_test.go
+++ b/internal/job/director/shortage_test.go
@@ -50,6 +50,9 @@
 			runPolicy(t, tc.policy, 1, func(fl *fleet, tm *term) {
 				critical := longRunningJob("critical", "urgent", 1, cores(8000))
 				critical.Steps[0].TailTarget, critical.Steps[0].Image = time.Second, "critical"
+				// Without a tail latency, the emulator reports the processor use in its place, which is above the target.
+				tail := func([]modeler.TaskID) time.Duration { return 100 * time.Millisecond }
+				fl.setBehaviour(modeler.TaskID{Job: "critical"}, emulator.TaskBehaviour{TailLatency: tail})
 				tm.submit(critical)
 				sleep(500 * time.Millisecond)
 				fl.setBehaviour(modeler.TaskID{Job: "first"}, emulator.TaskBehaviour{RunTime: 6 * time.Second})
