--- a/internal/job/director/gang.go
+++ b/internal/job/director/gang.go
@@ -178,15 +178,15 @@
 
 // preferredRoom returns the part of a room with enough capacity for a gang that chooseToHold prefers.
 func (rd *round) preferredRoom(sp *step, dm *placer.Demand, room *gangRoom, cands []placer.Candidate) gangRoom {
-	heldBefore := func(ix int) int {
-		if slices.ContainsFunc(sp.waiting, func(tk *task) bool { return tk.heldOn == rd.workers[ix].info.ID }) {
-			return 1
-		}
-		return 0
+	// heldBefore holds 1 for a worker that was held for the gang in an earlier round.
+	heldBefore := map[modeler.WorkerID]int{}
+	for _, tk := range sp.waiting {
+		heldBefore[tk.heldOn] = 1
 	}
 	order := slices.Clone(room.indices)
 	slices.SortStableFunc(order, func(one, two int) int {
-		return -cmp.Or(cmp.Compare(heldBefore(one), heldBefore(two)), cmp.Compare(rd.workers[one].free.MilliCores, rd.workers[two].free.MilliCores))
+		first, second := rd.workers[one], rd.workers[two]
+		return -cmp.Or(cmp.Compare(heldBefore[first.info.ID], heldBefore[second.info.ID]), cmp.Compare(first.free.MilliCores, second.free.MilliCores))
 	})
 	part := gangRoom{rack: room.rack}
 	for _, ix := range order {
