--- a/internal/job/director/director_test.go
+++ b/internal/job/director/director_test.go
@@ -157,8 +157,7 @@
 				where := fl.workers.WorkerOf(task)
 				fl.workers.SetUnreachable(where, true)
 				if changesLeader {
-					tm.end()
-					*tm = *fl.startTerm(testLimits.Lease)
+					tm.nextTerm(testLimits.Lease)
 				}
 				test(fl, tm, task, where)
 			})
@@ -212,13 +211,12 @@
 		where := fl.workers.WorkerOf(task)
 		fl.workers.SetUnreachable(where, true)
 		sleep(testLease + 1500*time.Millisecond)
-		tm.end()
 		fl.predecessorStopped.Store(true)
 		fl.unregistered = map[modeler.WorkerID]bool{}
 		for ix := range fl.infos {
 			fl.unregistered[fl.infos[ix].ID] = true
 		}
-		*tm = *fl.startTerm(testLimits.MaxLeaseTime())
+		tm.nextTerm(testLimits.MaxLeaseTime())
 		sleep(300 * time.Millisecond)
 		tm.SetWorkers(fl.infos)
 		sleep(time.Second)
@@ -239,8 +237,8 @@
 			fl.infos[ix].Pool = "other"
 		}
 		tm.SetWorkers(fl.infos)
-		busy := simpleJob("busy", "other", 4, cores(14000))
-		busy.Pool, busy.Steps[0].LongRunning, busy.Steps[0].MaxPerWorker = "other", true, 1
+		busy := longRunningJob("busy", "other", 4, cores(14000))
+		busy.Pool, busy.Steps[0].MaxPerWorker = "other", 1
 		tm.submit(busy)
 		sleep(3 * time.Second)
 		task := modeler.TaskID{Job: "j1"}
--- a/internal/job/director/harness_test.go
+++ b/internal/job/director/harness_test.go
@@ -280,8 +280,8 @@
 
 // submitBusy starts a long-running task on each of a number of workers, which uses a part of it in thousandths of a core.
 func (tm *term) submitBusy(workers int, used int64) {
-	jb := simpleJob("busy", "urgent", workers, cores(used))
-	jb.Steps[0].LongRunning, jb.Steps[0].MaxPerWorker = true, 1
+	jb := longRunningJob("busy", "urgent", workers, cores(used))
+	jb.Steps[0].MaxPerWorker = 1
 	tm.submit(jb)
 	sleep(3 * time.Second)
 }
--- a/internal/job/leader/cluster_test.go
+++ b/internal/job/leader/cluster_test.go
@@ -50,7 +50,7 @@
 	drainTime = 2200 * time.Millisecond
 )
 
-// testLimits are the limits of the deployments with the longest leases.
+// testLimits are the limits of the deployments.
 var testLimits = director.Limits{
 	Lease: 6 * time.Second, StopGrace: 400 * time.Millisecond, Retention: 2 * time.Minute,
 	RestoreTime: 100 * time.Millisecond, OverTargetGrace: 4 * time.Second, RemoteDataFactor: 1.5,
