--- a/internal/job/director/bounds_test.go
+++ b/internal/job/director/bounds_test.go
@@ -47,7 +47,7 @@
 			sleep(3 * time.Second)
 			tm.end()
 			for range 3 {
-				fl.beginOtherEpoch(director.EpochRecords).Close()
+				fl.beginOtherEpoch(director.EpochRecords(nil)).Close()
 			}
 			*tm = *fl.startTerm(inherited)
 			fl.timeToMove(where)
@@ -60,7 +60,7 @@
 			sleep(3 * time.Second)
 			tm.end()
 			fl.beginOtherEpoch(nil).Close()
-			fl.beginOtherEpoch(director.EpochRecords).Close()
+			fl.beginOtherEpoch(director.EpochRecords(nil)).Close()
 			*tm = *fl.startTerm(inherited)
 			assertBetween(t, fl.timeToMove(where), inherited, inherited+time.Second)
 		})
@@ -69,7 +69,7 @@
 		run(t, 3, func(fl *fleet, tm *term) {
 			where := startOnUnreachable(fl, tm)
 			tm.end()
-			fl.beginOtherEpoch(director.EpochRecords).Close()
+			fl.beginOtherEpoch(director.EpochRecords(nil)).Close()
 			fl.predecessorStopped.Store(true)
 			*tm = *fl.startTerm(inherited)
 			assertBetween(t, fl.timeToMove(where), inherited, inherited+time.Second)
@@ -90,7 +90,7 @@
 			if damaged {
 				data = `{"Later":{}}`
 			}
-			first := director.EpochRecords(journaler.Recovery{Epoch: 2, Records: []journaler.Record{{Data: []byte(`{"Term":{"Epoch":1}}`)}}})
+			first := director.EpochRecords(nil)(journaler.Recovery{Epoch: 2, Records: []journaler.Record{{Data: []byte(`{"Term":{"Epoch":1}}`)}}})
 			value, err := proto.Marshal(&journaler.StoredSegment{
 				Position: fl.lastPosition(), Epoch: 2, Host: "other", Boot: "boot", BeginsEpoch: true,
 				Records: []*journaler.StoredRecord{{Kind: int32(journaler.KindTask), Data: first[0].Data}, {Kind: int32(journaler.KindTask), Data: []byte(data)}},
--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -61,6 +61,16 @@
 	Delete(ctx context.Context, id modeler.JobID) error
 }
 
+// Electorate holds the processes that confirm this host as leader while the store does not. All methods return at once.
+type Electorate interface {
+	// Propose returns the processes that could confirm this host now.
+	Propose() modeler.Electorate
+	// Restrict ends the reliance on processes outside of an electorate that is about to be recorded.
+	Restrict(electorate modeler.Electorate)
+	// Rely begins the reliance on all processes of an electorate whose record is durable.
+	Rely(electorate modeler.Electorate)
+}
+
 // Limits are times and factors that are agreed with the platform.
 type Limits struct {
 	// Lease is how long a worker may run tasks without a renewal, on its own clock.
@@ -109,6 +119,11 @@
 	EarlierLeadersStopAt func() (time.Time, bool)
 	// LeadersBeforePredecessorStopAt returns the same of the leaders before that of the epoch before. It may be nil.
 	LeadersBeforePredecessorStopAt func() (time.Time, bool)
+	// LeaderStopsAt returns when the leader of an earlier epoch, whose leader relied on no other hosts than those of the
+	// electorate, extends leases no more, or false while that is not known. It may be nil.
+	LeaderStopsAt func(epoch modeler.Epoch, electorate modeler.Electorate) (time.Time, bool)
+	// Electorate is nil if no host confirms this one as leader in place of the store.
+	Electorate Electorate
 	// PredecessorStopped returns a time from which the leader of the epoch before extends no leases, or false while
 	// none is known. It may be before the start of the term. The function may be nil.
 	PredecessorStopped func() (time.Time, bool)
@@ -241,6 +256,13 @@
 	boundsVoid, inheritanceKnown, predecessorStopped bool
 	// predecessorStoppedAt is a time by which the predecessor had stopped, if that is known.
 	predecessorStoppedAt time.Time
+	// inheritedTerms are the last facts of the terms up to that of the predecessor, of successive epochs. It is empty if they
+	// are not known.
+	inheritedTerms []*keeper.TermFact
+	// predecessorStopsAt is when the predecessor stops extending leases at the latest, by its electorate, zero if that is not known.
+	predecessorStopsAt time.Time
+	// electorate is the one that the last fact of this term names, nil if none does.
+	electorate *modeler.Electorate
 	// earlierLeadersStop is set once it is known when earlier leaders stop.
 	earlierLeadersStop bool
 	// recordingLeases is set while recordLeases records. The last time, it did at clockRecordedAt with the
--- a/internal/job/director/harness_test.go
+++ b/internal/job/director/harness_test.go
@@ -200,7 +200,7 @@
 // beginTerm starts the next term without its jobs.
 func (fl *fleet) beginTerm(inherited time.Duration) *term {
 	op := journalOptions
-	op.EpochRecords = director.EpochRecords
+	op.EpochRecords = director.EpochRecords(nil)
 	jn, rec, err := journaler.Open(fl.t.Context(), fl.store, "jobs", "host", "boot", op)
 	for errors.Is(err, journaler.ErrUnavailable) || errors.Is(err, journaler.ErrResultUnknown) {
 		time.Sleep(journalOptions.MaxBackOff)
--- a/internal/job/director/lease.go
+++ b/internal/job/director/lease.go
@@ -25,6 +25,8 @@
 	// task. If the worker is lost, the task has to run again within 9 s. That leaves 1 s for leaseMargin, a slow clock
 	// (2% of the lease), the proof that this host still leads, and the start.
 	maxLongRunningLease = 8 * time.Second
+	// maxInheritedTerms bounds the terms whose leaders a later one looks for. Leases of earlier ones are over.
+	maxInheritedTerms = 8
 	// leaseJitter is by how much the lease left may exceed Limits.Lease, as an answer that was slow on its way shows an
 	// earlier time of the worker's clock.
 	leaseJitter = 500 * time.Millisecond
@@ -45,6 +47,8 @@
 	clock time.Duration
 	// last is the last fact of a term, nil if there is none.
 	last *keeper.TermFact
+	// terms are the last facts of up to maxInheritedTerms epochs, in rising order.
+	terms []*keeper.TermFact
 	// incomplete is set if a fact may be missing.
 	incomplete bool
 }
@@ -55,6 +59,30 @@
 		dr.voidBounds()
 	}
 	ih.last, ih.clock = ft, max(ih.clock, ft.Clock)
+	ih.addTerm(ft)
+}
+
+// addTerm adds a fact to terms.
+func (ih *inheritance) addTerm(ft *keeper.TermFact) {
+	cp := *ft
+	if last := len(ih.terms) - 1; last >= 0 && ih.terms[last].Epoch == ft.Epoch {
+		if cp.Electorate == nil {
+			cp.Electorate = ih.terms[last].Electorate
+		}
+		ih.terms = ih.terms[:last]
+	}
+	ih.terms = append(ih.terms, &cp)
+	ih.terms = ih.terms[max(0, len(ih.terms)-maxInheritedTerms):]
+}
+
+// consecutive reports whether terms has each epoch from the first to the last.
+func (ih *inheritance) consecutive() bool {
+	for ix, ft := range ih.terms {
+		if ft.Epoch != ih.terms[0].Epoch+modeler.Epoch(ix) {
+			return false
+		}
+	}
+	return true
 }
 
 // voidBounds drops the bounds of leases that the journal has.
@@ -69,10 +97,15 @@
 	return ih.last != nil && ih.last.Epoch == epoch-1 && !factsMissing
 }
 
-// EpochRecords implements journaler.Options.EpochRecords. It returns a fact of the term, without which the next
+// EpochRecords returns a function for journaler.Options.EpochRecords. It returns a fact of the term, without which the next
 // leader could not tell a leader that was lost before its first record from one of an earlier version. The epoch
-// may be recorded late, so that the fact holds only what stays true until then.
-func EpochRecords(rec journaler.Recovery) []journaler.Record {
+// may be recorded late, so that the fact holds only what stays true until then. The electorate is the one that the leader
+// begins with, nil if it relies on any host.
+func EpochRecords(electorate *modeler.Electorate) func(journaler.Recovery) []journaler.Record {
+	return func(rec journaler.Recovery) []journaler.Record { return epochRecords(rec, electorate) }
+}
+
+func epochRecords(rec journaler.Recovery, electorate *modeler.Electorate) []journaler.Record {
 	ih, epoch := inheritance{}, modeler.Epoch(rec.Epoch)
 	for _, rc := range slices.Concat(rec.SnapshotRecords, rec.Records) {
 		if ft, ok := keeper.ParseTerm(rc); ok {
@@ -81,6 +114,7 @@
 	}
 	rc, err := keeper.Fact{Term: &keeper.TermFact{
 		Epoch: epoch, Start: ih.clock, Clock: ih.clock, InheritedUntil: keeper.MaxClock, BoundsVoid: !ih.followsRules(epoch, rec.Damaged > 0),
+		Electorate: electorate,
 	}}.Record()
 	if err != nil {
 		return nil
@@ -106,6 +140,9 @@
 	// This host's clock may be faster than the predecessor's.
 	dr.clockStart = max(dr.clockStart, ih.last.Start+time.Duration(float64(dr.op.PredecessorSeenFor)*(1-maxClockDrift)))
 	dr.earlierUntil = dr.journalTime(ih.last.InheritedUntil)
+	if ih.consecutive() {
+		dr.inheritedTerms = ih.terms
+	}
 	if ih.last.Ended {
 		dr.notePredecessorStopped(dr.journalTime(ih.last.Clock))
 	}
@@ -241,7 +278,8 @@
 		}
 		ahead = ahead || wk.lease.endsAfter(dr.clockRecordedAt)
 	}
-	due := dr.clockRecordedAt.IsZero() || ahead && now.Sub(dr.clockRecordedAt) >= clockRecordInterval
+	electorate := dr.proposeElectorate()
+	due := dr.clockRecordedAt.IsZero() || (ahead || electorate != nil) && now.Sub(dr.clockRecordedAt) >= clockRecordInterval
 	if len(ends) == 0 && !due && dr.recordedUntil.Equal(dr.inheritedUntil) {
 		return
 	}
@@ -250,7 +288,14 @@
 		// journal accepts facts.
 		clear(ends)
 	}
-	facts := []keeper.Fact{dr.termFact(now, false)}
+	if electorate != nil {
+		dr.op.Electorate.Restrict(*electorate)
+		dr.electorate = electorate
+		dr.log(logger.ElectorateNamed, "Hosts", electorate.Hosts, "Voters", len(electorate.Voters))
+	}
+	term := dr.termFact(now, false)
+	term.Term.Electorate = electorate
+	facts := []keeper.Fact{term}
 	for wk, end := range ends {
 		wk.grantDurable = false
 		wk.lease = leaseRecord{bounded: true, until: end, journalUntil: dr.journalClock(end), recordingBound: true}
@@ -263,6 +308,9 @@
 			dr.mu.Lock()
 			defer dr.mu.Unlock()
 			dr.recordingLeases = false
+			if electorate != nil {
+				dr.op.Electorate.Rely(*electorate)
+			}
 			for wk := range ends {
 				wk.lease.recordingBound = false
 			}
@@ -270,6 +318,19 @@
 	})
 }
 
+// proposeElectorate returns the electorate that is to replace the one of the last fact that named one, and nil if that one still
+// holds.
+func (dr *Director) proposeElectorate() *modeler.Electorate {
+	if dr.op.Electorate == nil {
+		return nil
+	}
+	proposed := dr.op.Electorate.Propose()
+	if dr.electorate != nil && proposed.Equal(*dr.electorate) {
+		return nil
+	}
+	return &proposed
+}
+
 // endsAfter reports whether a bounded lease, or the time that a worker is waited for after it, ends after a
 // time.
 func (lr *leaseRecord) endsAfter(at time.Time) bool {
@@ -316,6 +377,7 @@
 func (dr *Director) checkPredecessor(now time.Time) {
 	dr.checkEarlierLeaders(now)
 	dr.checkLeadersBeforePredecessor(now)
+	dr.checkElectorates(now)
 	if dr.predecessorStopped || !dr.inheritanceKnown || dr.op.PredecessorStopped == nil {
 		return
 	}
@@ -362,6 +424,62 @@
 	dr.log(logger.LeadersBeforeDeposed, "EarlierLease", until.Sub(now).String(), "InheritedLease", dr.inheritedUntil.Sub(now).String())
 }
 
+// checkElectorates notes when earlier leaders are found to have lost the quorums of their electorates.
+func (dr *Director) checkElectorates(now time.Time) {
+	last := len(dr.inheritedTerms) - 1
+	if last < 0 || dr.op.LeaderStopsAt == nil || !now.Before(dr.inheritedUntil) {
+		return
+	}
+	before := dr.inheritedUntil
+	if until, ok := dr.leasesBeforePredecessorUntil(last); ok && until.Before(dr.earlierUntil) {
+		dr.earlierUntil = until
+	}
+	if stopAt, ok := dr.termStopsAt(dr.inheritedTerms[last]); ok && (dr.predecessorStopsAt.IsZero() || stopAt.Before(dr.predecessorStopsAt)) {
+		dr.predecessorStopsAt = stopAt
+	}
+	if !dr.predecessorStopsAt.IsZero() {
+		dr.shortenInheritance(dr.predecessorStopsAt)
+	}
+	if dr.inheritedUntil.Before(before) {
+		dr.log(logger.EarlierQuorumsLost, "InheritedLease", dr.inheritedUntil.Sub(now).String(), "Terms", len(dr.inheritedTerms))
+	}
+}
+
+// leasesBeforePredecessorUntil returns when the leases of leaders before the predecessor, whose term has the given index, are
+// over, and false while that is not known.
+func (dr *Director) leasesBeforePredecessorUntil(last int) (time.Time, bool) {
+	var until time.Time
+	known := false
+	for ix, ft := range dr.inheritedTerms[:last+1] {
+		if ft.InheritedUntil != keeper.MaxClock {
+			recorded := dr.journalTime(ft.InheritedUntil)
+			if !known || recorded.Before(until) {
+				until, known = recorded, true
+			}
+		}
+		if !known || ix == last {
+			continue
+		}
+		stopAt, ok := dr.termStopsAt(ft)
+		known = ok
+		if end := stopAt.Add(dr.op.Limits.MaxLeaseTime()); end.After(until) {
+			until = end
+		}
+	}
+	return until, known
+}
+
+// termStopsAt returns when the leader of a term extends no leases any more, and false while that is not known.
+func (dr *Director) termStopsAt(ft *keeper.TermFact) (time.Time, bool) {
+	switch {
+	case ft.Ended:
+		return dr.journalTime(ft.Clock), true
+	case ft.Electorate == nil:
+		return time.Time{}, false
+	}
+	return dr.op.LeaderStopsAt(ft.Epoch, *ft.Electorate)
+}
+
 // mayExtendLeases reports whether this host may still extend leases.
 func (dr *Director) mayExtendLeases() bool {
 	return dr.op.MayExtendLeases == nil || dr.op.MayExtendLeases()
--- a/internal/job/director/random_terms_test.go
+++ b/internal/job/director/random_terms_test.go
@@ -145,7 +145,7 @@
 		}
 		op := journalOptions
 		if td.rnd.IntN(2) == 0 {
-			op.EpochRecords = director.EpochRecords
+			op.EpochRecords = director.EpochRecords(nil)
 		}
 		jn, _, err := journaler.Open(td.t.Context(), td.store, "jobs", "other", "boot", op)
 		if err == nil {
--- a/internal/job/director/recovery.go
+++ b/internal/job/director/recovery.go
@@ -234,7 +234,9 @@
 		es.Clock = dr.journalClock(now)
 		facts = append(facts, keeper.Fact{Estimates: &es})
 	}
-	facts = append(facts, dr.termFact(now, false))
+	term := dr.termFact(now, false)
+	term.Term.Electorate = dr.electorate
+	facts = append(facts, term)
 	for _, wk := range dr.workers {
 		facts = append(facts, wk.leaseFacts()...)
 		if ft, ok := dr.quarantineFact(wk, now); ok {
--- a/internal/job/elector/epochs_test.go
+++ b/internal/job/elector/epochs_test.go
@@ -1,12 +1,14 @@
 package elector_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
+	fleet "github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/job/elector"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
 )
@@ -21,6 +23,15 @@
 	qt.Check(cl.t, late >= 0 && late <= tolerance, qt.IsTrue, qt.Commentf("epoch %d, late by %v", epoch, late))
 }
 
+// voters returns the first processes of hosts.
+func (cl *cluster) voters(hosts []int) []modeler.Voter {
+	var list []modeler.Voter
+	for _, ix := range hosts {
+		list = append(list, modeler.Voter{Host: fleet.HostName(fmt.Sprint("host-", ix)), Boot: cl.hosts[ix].boot})
+	}
+	return list
+}
+
 // Guards against a leader that does not know when leaders before the last one lost their quorum, and against one that takes
 // it for lost too early.
 func TestPrecludesQuorumSince(t *testing.T) {
@@ -43,6 +54,10 @@
 				cl.assertTakeover(first, time.Now(), time.Second)
 				second, secondAt := cl.assertLeader(), time.Now()
 				time.Sleep(500 * time.Millisecond)
+				el := cl.hosts[second].elector
+				recent, all := el.Electorate(secondAt.Add(-time.Second), modeler.Electorate{}), everyHost(el)
+				qt.Check(t, recent.Voters, qt.HasLen, 4-tc.ended)
+				all.Voters = cl.voters(cl.others(second))
 				cl.kill(second)
 				cl.assertTakeover(second, time.Now(), time.Second)
 				third, thirdAt := cl.assertLeader(), time.Now()
@@ -53,6 +68,11 @@
 				}
 				_, ok := cl.hosts[third].elector.PrecludesQuorumSince(epoch + 2)
 				qt.Check(t, ok, qt.Equals, tc.ended == 0)
+				at, ok := cl.hosts[third].elector.QuorumLostAt(epoch+1, recent)
+				qt.Check(t, ok, qt.IsTrue)
+				qt.Check(t, at.Sub(thirdAt) >= -10*time.Millisecond && at.Sub(thirdAt) <= 100*time.Millisecond, qt.IsTrue)
+				_, ok = cl.hosts[third].elector.QuorumLostAt(epoch+1, all)
+				qt.Check(t, ok, qt.Equals, tc.ended == 0)
 				_, ok = cl.hosts[third].elector.PrecludesQuorumSince(epoch + 3)
 				qt.Check(t, ok, qt.IsFalse)
 			})
@@ -66,7 +86,7 @@
 	t.Run("minority", func(t *testing.T) {
 		withCluster(t, 5, func(cl *cluster, leader int) {
 			others, epoch := cl.others(leader), cl.hosts[leader].elector.Leader().Epoch
-			side := []int{leader, others[0], others[1]}
+			side, all := []int{leader, others[0], others[1]}, everyHost(cl.hosts[leader].elector)
 			cl.separate(side)
 			for _, ix := range side {
 				cl.cutFromStore(ix, true)
@@ -75,6 +95,8 @@
 			for _, ix := range others[2:] {
 				_, ok := cl.hosts[ix].elector.PrecludesQuorumSince(epoch + 1)
 				qt.Check(t, ok, qt.IsFalse)
+				_, ok = cl.hosts[ix].elector.QuorumLostAt(epoch, all)
+				qt.Check(t, ok, qt.IsFalse)
 			}
 		})
 	})
--- a/internal/job/elector/quorum_test.go
+++ b/internal/job/elector/quorum_test.go
@@ -1,13 +1,23 @@
 package elector_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	fleet "github.com/currantrouter/currantrouter/internal/fleet/modeler"
+	"github.com/currantrouter/currantrouter/internal/job/elector"
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
 )
 
+// everyHost returns the electorate of the processes of all hosts that a host has heard of.
+func everyHost(el *elector.Elector) modeler.Electorate {
+	return el.Electorate(time.Time{}, modeler.Electorate{})
+}
+
 // Guards against a task that runs twice, as a leader takes for a quorum what hosts knew before they knew the next
 // leader, and against a leader that stops although a majority confirms it.
 func TestHasQuorum(t *testing.T) {
@@ -15,23 +25,29 @@
 	t.Run("majority answers", func(t *testing.T) {
 		withCluster(t, 5, func(cl *cluster, leader int) {
 			el, others := cl.hosts[leader].elector, cl.others(leader)
+			all := everyHost(el)
 			cl.cutFromStore(leader, true)
 			cl.cutHost(leader, others[:2], true)
 			for range 20 {
 				time.Sleep(100 * time.Millisecond)
-				qt.Check(t, el.HasQuorum(time.Now().Add(-age), time.Now()), qt.IsTrue)
+				qt.Check(t, el.HasQuorum(time.Now().Add(-age), time.Now(), all), qt.IsTrue)
 			}
+			few := modeler.Electorate{Hosts: all.Hosts, Voters: slices.DeleteFunc(slices.Clone(all.Voters), func(vt modeler.Voter) bool { return vt.Host == fleet.HostName(fmt.Sprint("host-", others[2])) })}
+			qt.Check(t, el.HasQuorum(time.Now().Add(-age), time.Now(), few), qt.IsFalse)
+			more := modeler.Electorate{Hosts: 2 * all.Hosts, Voters: all.Voters}
+			qt.Check(t, el.HasQuorum(time.Now().Add(-age), time.Now(), more), qt.IsFalse)
 		})
 	})
 	t.Run("minority answers", func(t *testing.T) {
 		withCluster(t, 5, func(cl *cluster, leader int) {
 			el, others := cl.hosts[leader].elector, cl.others(leader)
+			all := everyHost(el)
 			cl.cutHost(leader, others[:3], true)
 			cutAt := time.Now()
-			qt.Check(t, el.HasQuorum(cutAt.Add(-age), cutAt), qt.IsTrue)
+			qt.Check(t, el.HasQuorum(cutAt.Add(-age), cutAt, all), qt.IsTrue)
 			for range 20 {
 				time.Sleep(100 * time.Millisecond)
-				qt.Check(t, el.HasQuorum(cutAt, time.Now()), qt.IsFalse)
+				qt.Check(t, el.HasQuorum(cutAt, time.Now(), all), qt.IsFalse)
 			}
 		})
 	})
@@ -42,15 +58,16 @@
 				cl.cutFromStore(ix, true)
 			}
 			cl.cutFromStore(leader, true)
-			known := time.Now()
+			known, former := time.Now(), everyHost(el)
 			time.Sleep(time.Millisecond)
 			for _, ix := range others[:3] {
 				cl.kill(ix)
 				cl.start(ix)
 			}
 			time.Sleep(4 * time.Second)
-			qt.Check(t, el.HasQuorum(time.Now().Add(-age), known), qt.IsFalse)
-			qt.Check(t, el.HasQuorum(time.Now().Add(-age), time.Now()), qt.IsTrue)
+			qt.Check(t, el.HasQuorum(time.Now().Add(-age), known, everyHost(el)), qt.IsFalse)
+			qt.Check(t, el.HasQuorum(time.Now().Add(-age), time.Now(), former), qt.IsFalse)
+			qt.Check(t, el.HasQuorum(time.Now().Add(-age), time.Now(), everyHost(el)), qt.IsTrue)
 		})
 	})
 }
--- a/internal/job/keeper/fact.go
+++ b/internal/job/keeper/fact.go
@@ -73,6 +73,10 @@
 	// BoundsVoid is set if the leader did not rely on the bounds of leases that were recorded before its term. It
 	// may have extended these leases without a new grant.
 	BoundsVoid bool `json:",omitempty"`
+	// Electorate has the processes that confirm the leader of the epoch while the store does not. The leader relies on no
+	// others before a fact that names them is durable. It is nil if the last fact of the epoch that names an electorate still
+	// holds, and in all facts of versions that relied on any host with a record.
+	Electorate *modeler.Electorate `json:",omitempty"`
 }
 
 // QuarantineFact is the quarantine of a worker. It holds for one incarnation.
--- a/internal/job/leader/authority_test.go
+++ b/internal/job/leader/authority_test.go
@@ -15,6 +15,7 @@
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
 	"github.com/currantrouter/currantrouter/internal/job/director"
 	"github.com/currantrouter/currantrouter/internal/job/elector"
+	"github.com/currantrouter/currantrouter/internal/job/modeler"
 	"github.com/currantrouter/currantrouter/internal/provider/emulator"
 	"github.com/currantrouter/currantrouter/internal/state/journaler"
 	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
@@ -56,7 +57,7 @@
 	suspended := ac.leader.op.SuspendedTime()
 	jn, _, err := journaler.Open(ac.t.Context(), st, "jobs", "host", "boot", journaler.Options{})
 	qt.Assert(ac.t, err, qt.IsNil)
-	ac.journal, ac.authority = jn, newAuthority(ac.leader, jn, suspended)
+	ac.journal, ac.authority = jn, newAuthority(ac.leader, jn, suspended, modeler.Electorate{})
 }
 
 // append appends to the journal and, as journalCheckLoop does, takes notice of it.
--- a/internal/job/leader/leader.go
+++ b/internal/job/leader/leader.go
@@ -66,6 +66,9 @@
 	// outage of the store that is expected, and well below the time after which hosts without contact are
 	// no longer counted.
 	quorumTimeout = 30 * time.Second
+	// maxVoterSilence is how long a host that is to confirm this one as leader may not have been heard of. It is the
+	// interval of a leader's heartbeats and the time in which they are answered.
+	maxVoterSilence = 1600 * time.Millisecond
 	// authoritySampleInterval is the time between two samples of how long the machine was suspended.
 	authoritySampleInterval = 250 * time.Millisecond
 	// maxAuthoritySamples bounds these samples. Older ones than quorumTimeout are not needed.
@@ -158,10 +161,12 @@
 	doublings := min(ld.failedOpens.Load(), maxOpenTimeoutDoublings)
 	openCtx, cancel := context.WithTimeout(ctx, minOpenTimeout<<doublings)
 	defer cancel()
+	// An attempt to write the epoch whose result is unknown may have succeeded, so that all of them name the same electorate.
+	electorate := ld.elector.Electorate(began.Add(-maxVoterSilence), modeler.Electorate{})
 	jn, rec, err := journaler.Open(openCtx, ld.op.Store, journalName, ld.op.Self.Host, ld.op.Self.Boot, journaler.Options{
 		WritesPerSecond: maxJournalWritesPerSecond, RetryTimeout: journalRetryTimeout, MaxBackOff: maxJournalBackOff,
 		CallTimeout: journalCallTimeout, OpenCallTimeout: journalCallTimeout << doublings, SkipDamaged: true,
-		MayReplace: ld.mayReplace, EpochRecords: director.EpochRecords, Logger: ld.op.Log, Meter: ld.op.Meter,
+		MayReplace: ld.mayReplace, EpochRecords: director.EpochRecords(&electorate), Logger: ld.op.Log, Meter: ld.op.Meter,
 	})
 	if errors.Is(err, journaler.ErrUnavailable) {
 		ld.failedOpens.Add(1)
@@ -172,7 +177,7 @@
 	ld.failedOpens.Store(0)
 	defer jn.Close()
 	epoch := modeler.Epoch(rec.Epoch)
-	tm := &term{leader: ld, journal: jn, authority: newAuthority(ld, jn, suspended)}
+	tm := &term{leader: ld, journal: jn, authority: newAuthority(ld, jn, suspended, electorate)}
 	tm.relays = ld.newRelayClient(epoch, tm.authority)
 	tm.evacuations = ld.newEvacuationWatch(tm)
 	// The term of the director begins before other hosts hear of it, see director.Options.PredecessorSeenFor.
@@ -180,7 +185,7 @@
 		Epoch: epoch, WorkerClient: tm.relays, Journal: jn, Policy: ld.op.Policy, JobStore: keeper.NewJobStore(ld.op.Store),
 		Configuration: ld.op.Configuration, MaySendRequests: tm.authority.valid, MayExtendLeases: tm.authority.mayExtend,
 		InheritedLease: ld.inheritedLease(rec), PredecessorStopped: ld.predecessorStopped(rec), EarlierLeadersStopAt: ld.earlierLeadersStopAt(epoch),
-		LeadersBeforePredecessorStopAt: ld.earlierLeadersStopAt(epoch - 1), PredecessorSeenFor: ld.elector.LeaderKnownFor(epoch - 1), FactsMissing: rec.Damaged > 0,
+		LeadersBeforePredecessorStopAt: ld.earlierLeadersStopAt(epoch - 1), LeaderStopsAt: ld.leaderStopsAt, Electorate: tm.authority, PredecessorSeenFor: ld.elector.LeaderKnownFor(epoch - 1), FactsMissing: rec.Damaged > 0,
 		SnapshotPosition: rec.SnapshotPosition, FactsSinceSnapshot: len(rec.Records),
 		Evacuator: tm.evacuations.evacuatorOrNil(), LoadHints: ld.op.LoadHints, Limits: ld.op.Limits, Log: ld.op.Log, Meter: ld.op.Meter,
 	})
@@ -244,6 +249,18 @@
 	}
 }
 
+// leaderStopsAt implements director.Options.LeaderStopsAt: extensionTimeout after the leader lost the quorum of its electorate,
+// or when its term or process has ended if that is sooner.
+func (ld *Leader) leaderStopsAt(epoch modeler.Epoch, electorate modeler.Electorate) (time.Time, bool) {
+	lostAt, lost := ld.elector.QuorumLostAt(epoch, electorate)
+	stopAt := lostAt.Add(director.LongestTime(extensionTimeout))
+	stoppedAt, stopped := ld.elector.StoppedAt(electorate.Leader.Host, electorate.Leader.Boot, epoch+1)
+	if stopped && (!lost || stoppedAt.Before(stopAt)) {
+		stopAt = stoppedAt
+	}
+	return stopAt, lost || stopped
+}
+
 // predecessorStopped returns a function that returns a time from which the leader of the epoch before sends no requests
 // to workers, once that is known.
 func (ld *Leader) predecessorStopped(rec journaler.Recovery) func() (time.Time, bool) {
@@ -414,6 +431,8 @@
 	// samples has how long the machine had been suspended at times in rising order. The first is the newest one
 	// that is not later than confirmedAt.
 	samples []suspendedSample
+	// electorate has the processes that may confirm this host. The journal names each of them.
+	electorate modeler.Electorate
 }
 
 // suspendedSample is how long the machine had been suspended at a time.
@@ -423,10 +442,36 @@
 }
 
 // newAuthority returns the authority of a leader whose machine had been suspended for a time before it
-// opened the journal.
-func newAuthority(ld *Leader, jn *journaler.Journal, suspended time.Duration) *authority {
+// opened the journal. The epoch was recorded with the electorate.
+func newAuthority(ld *Leader, jn *journaler.Journal, suspended time.Duration, electorate modeler.Electorate) *authority {
 	confirmed := jn.LastConfirmed()
-	return &authority{leader: ld, journal: jn, confirmedAt: confirmed, samples: []suspendedSample{{confirmed, suspended}}}
+	return &authority{leader: ld, journal: jn, confirmedAt: confirmed, samples: []suspendedSample{{confirmed, suspended}}, electorate: electorate}
+}
+
+// Propose implements director.Electorate.
+func (au *authority) Propose() modeler.Electorate {
+	return au.leader.elector.Electorate(time.Now().Add(-maxVoterSilence), au.voters())
+}
+
+// Restrict implements director.Electorate.
+func (au *authority) Restrict(electorate modeler.Electorate) {
+	au.mu.Lock()
+	defer au.mu.Unlock()
+	au.electorate = au.electorate.Intersect(electorate)
+}
+
+// Rely implements director.Electorate.
+func (au *authority) Rely(electorate modeler.Electorate) {
+	au.mu.Lock()
+	defer au.mu.Unlock()
+	au.electorate = electorate
+}
+
+// voters returns the electorate that this host relies on.
+func (au *authority) voters() modeler.Electorate {
+	au.mu.Lock()
+	defer au.mu.Unlock()
+	return au.electorate
 }
 
 // confirm records when the journal was last known to have no later epoch. The machine may have been
@@ -481,5 +526,5 @@
 	if after.Before(confirmedAt) {
 		after = confirmedAt
 	}
-	return au.leader.elector.HasQuorum(after, confirmedAt)
+	return au.leader.elector.HasQuorum(after, confirmedAt, au.voters())
 }
