internal/job/director: a restart asks its worker for an answer first

Callers saw a job without a run for the length of a lease, with room on other workers: its task failed or was lost as many workers were cut off, and its next start was sent to one of these. A busy worker answers a renewal after up to 1 s, so that the cut is known only after up to 1.5 s; a start without an answer holds its task up until the worker's lease is over.

Before the start of a task that ran before, the leader now sends a renewal that extends nothing and waits for nothing, if the worker has not answered for 250 ms. A worker that does not answer is marked as unreachable, and its queued starts go to others. Nothing was started there, so that nothing has to be waited for. First starts are sent as before: they are most of the starts, and the tasks that wait for a second run have lost time already.

TestRestartBesideSilentWorkers fails without the change (StartNotAnswered) for long-running tasks and others, and passes with it.

--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -561,6 +561,8 @@
 	// incarnation is that of the worker when the run was placed.
 	incarnation int64
 	state       attemptState
+	// restarts is set if the task ran, or may have run, before.
+	restarts bool
 	// queuedAt is when the start was queued for its worker.
 	queuedAt time.Time
 	// sentAt is when the start was sent, answeredAt when the run was known to be accepted. Both are
--- a/internal/job/director/lost_worker_test.go
+++ b/internal/job/director/lost_worker_test.go
@@ -146,3 +146,33 @@
 		tm.assertRunsAgain("lost", 2, tm.submitStream(cores(3000), 440*time.Millisecond))
 	})
 }
+
+// Guards against a task that waits for the lease of a worker that was cut off, as it was started there before that was known.
+func TestRestartBesideSilentWorkers(t *testing.T) {
+	for _, longRunning := range []bool{true, false} {
+		t.Run(fmt.Sprint("long-running ", longRunning), func(t *testing.T) {
+			run(t, 10, func(fl *fleet, tm *term) {
+				id := modeler.TaskID{Job: "lost"}
+				fl.setBehaviour(id, emulator.TaskBehaviour{RunTime: time.Minute, LongRunning: longRunning})
+				jb := simpleJob(id.Job, "urgent", 1, cores(1000))
+				jb.Steps[0].LongRunning = longRunning
+				tm.submit(jb)
+				sleep(2 * time.Second)
+				lost := fl.workers.WorkerOf(id)
+				answering := fl.infos[9].ID
+				for ix := range fl.infos {
+					switch wk := &fl.infos[ix]; wk.ID {
+					case lost:
+						tm.UpdateWorker(fl.workers.Add(*wk))
+					case answering:
+					default:
+						fl.workers.SetUnreachable(wk.ID, true)
+					}
+				}
+				sleep(3 * time.Second)
+				on := fl.workers.WorkerOf(id)
+				qt.Check(t, on == answering || on == lost, qt.IsTrue, qt.Commentf("runs on %q, waits: %s", on, tm.WaitReason(id)))
+			})
+		})
+	}
+}
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -65,6 +65,7 @@
 // sendStarts sends the queued starts of a worker, one after the other, until none is left.
 func (dr *Director) sendStarts(ctx context.Context, wk *worker) {
 	for {
+		dr.probe(ctx, wk)
 		at, req, info := dr.nextStart(ctx, wk)
 		if at == nil {
 			return
@@ -76,6 +77,7 @@
 		dr.mu.Lock()
 		now := time.Now()
 		if err == nil {
+			wk.answeredAt = now
 			wk.checkClock(clock, at.sentAt, now)
 		}
 		dr.updateStartWindow(at, err, now)
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -92,6 +92,8 @@
 	fenced     bool
 	clock      time.Duration
 	clockAt    time.Time
+	// answeredAt is when the worker last answered a start or a probe.
+	answeredAt time.Time
 	// announcedAt is when the registry or the worker's clock announced another incarnation, zero once
 	// the worker has answered a later renewal. Until then, it gets neither starts nor a longer lease,
 	// and no ends are acknowledged.
@@ -654,7 +656,7 @@
 func (dr *Director) reserve(tk *task, wk *worker, run modeler.Run) *attempt {
 	dr.dequeue(tk)
 	sp := tk.step
-	at := &attempt{task: tk, run: run, worker: wk, incarnation: wk.incarnation, pace: pacer.FullPace, checkpoint: tk.checkpoint}
+	at := &attempt{task: tk, run: run, restarts: tk.lastRun > 0, worker: wk, incarnation: wk.incarnation, pace: pacer.FullPace, checkpoint: tk.checkpoint}
 	tk.mayHaveUnknownRun = false
 	tk.lastRun = max(tk.lastRun, run)
 	tk.attempts = append(tk.attempts, at)
--- a/internal/telemetry/meter/table_job.go
+++ b/internal/telemetry/meter/table_job.go
@@ -11,6 +11,7 @@
 	JobsUnknown        = Metric{"JobsUnknown", "", "Submissions with an unknown result: the store may have accepted the job."}
 	JobsCancelled      = Metric{"JobsCancelled", "", "Cancellations carried out by the leader."}
 	WorkerRenewals     = Metric{"WorkerRenewals", "", "Lease renewals sent to workers."}
+	WorkerProbes       = Metric{"WorkerProbes", "", "Requests that ask a worker for an answer before it gets the start of a task that ran before."}
 	WorkerStarts       = Metric{"WorkerStarts", "", "Start requests sent to workers."}
 	TasksMoved         = Metric{"TasksMoved", "", "Runs taken from a slow, quarantined or leaving worker."}
 	TasksPaced         = Metric{"TasksPaced", "", "Pace requests sent to workers."}
@@ -36,7 +37,7 @@
 	QueuesBehind,
 	JobsUnknown,
 	JobsCancelled,
-	WorkerRenewals,
+	WorkerRenewals, WorkerProbes,
 	WorkerStarts,
 	TasksMoved,
 	TasksPaced,
