internal/job/director: a copy runs beside a silent worker at once where copies are allowed

Callers of steps that allow copies waited for the lease of a worker that was cut off, up to 6.3 s, before the task ran again, although nothing speaks against a second run beside the first.

After a second without an answer, each run of such a step on that worker gets a copy on another one. Copies after slow runs use the same function.

TestCopyOfSilentRun fails without the change (1 start, 2 are expected) and passes with it; without speculative copies, it checks that the lease is waited for, before and after.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -560,6 +560,7 @@
 	leasesOver := true
 	for _, wk := range dr.workers {
 		dr.expireLease(wk, now)
+		dr.copySilentRuns(wk, now)
 		dr.expireAdvance(wk, now)
 		switch {
 		case !wk.unaccounted:
--- a/internal/job/director/lost_worker_test.go
+++ b/internal/job/director/lost_worker_test.go
@@ -176,3 +176,26 @@
 		})
 	}
 }
+
+// Guards against a task that may run twice and waits for the lease of its silent worker all the same.
+func TestCopyOfSilentRun(t *testing.T) {
+	for _, speculative := range []bool{true, false} {
+		t.Run(fmt.Sprint("speculative ", speculative), func(t *testing.T) {
+			run(t, 3, func(fl *fleet, tm *term) {
+				id := modeler.TaskID{Job: "silent"}
+				fl.setBehaviour(id, emulator.TaskBehaviour{RunTime: time.Minute, Speculative: speculative})
+				jb := simpleJob(id.Job, "urgent", 1, cores(1000))
+				jb.Steps[0].Estimate, jb.Steps[0].Speculative = time.Minute, speculative
+				tm.submit(jb)
+				sleep(2 * time.Second)
+				fl.workers.SetUnreachable(fl.workers.WorkerOf(id), true)
+				sleep(4 * time.Second)
+				starts := 1
+				if speculative {
+					starts = 2
+				}
+				qt.Check(t, fl.workers.StartCount(id), qt.Equals, starts)
+			})
+		})
+	}
+}
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -273,10 +273,15 @@
 	dr.op.Meter.Add(meter.TasksMoved, 1)
 	if tk.step.spec.Speculative {
 		if len(tk.attempts) == 1 {
-			dr.log(logger.SpeculativeRunAllowed, "Task", tk.id().String(), "Run", at.run, "Worker", at.worker.info.ID, "Reason", reason)
-			dr.enqueue(tk)
+			dr.allowCopy(at, reason)
 		}
 		return
 	}
 	dr.stopRun(at, reason)
 }
+
+// allowCopy queues the task of a run for a copy beside it. The step allows copies.
+func (dr *Director) allowCopy(at *attempt, reason string) {
+	dr.log(logger.SpeculativeRunAllowed, "Task", at.task.id().String(), "Run", at.run, "Worker", at.worker.info.ID, "Reason", reason)
+	dr.enqueue(at.task)
+}
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -31,6 +31,9 @@
 	// end by themselves, see returnGrace. They have probably ended, and these ends count once the worker is
 	// reachable again.
 	unreachableGrace = 4 * time.Second
+	// minCopySilence is how long a worker does not answer before its runs get copies on others. A worker that was only slow to
+	// answer is back by then.
+	minCopySilence = time.Second
 	// maxBusyWait is how long a worker with runs may delay its answer to a renewal until a run
 	// ends.
 	maxBusyWait = time.Second
@@ -584,6 +587,19 @@
 	}
 }
 
+// copySilentRuns queues copies of the runs on a worker that does not answer, if their steps allow copies. They need not wait for
+// its lease.
+func (dr *Director) copySilentRuns(wk *worker, now time.Time) {
+	if !wk.unreachable || now.Sub(wk.unreachableSince) < minCopySilence {
+		return
+	}
+	for _, at := range wk.attempts {
+		if tk := at.task; tk.step.spec.Speculative && len(tk.attempts) == 1 && !tk.queued && !at.stopping {
+			dr.allowCopy(at, "worker does not answer")
+		}
+	}
+}
+
 // mayStartLate reports whether a worker that does not answer may yet accept the start of a run, or
 // runs it after a late start. A late start of the run gives a later incarnation a lease.
 func (dr *Director) mayStartLate(at *attempt, now time.Time) bool {
--- a/internal/provider/emulator/jobworkers.go
+++ b/internal/provider/emulator/jobworkers.go
@@ -21,6 +21,8 @@
 	LongRunning bool
 	// Checkpoints makes a stopped run report a checkpoint that the next run resumes from.
 	Checkpoints bool
+	// Speculative allows copies of the run beside it and after its end.
+	Speculative bool
 	// Reservation is the reservation of the run.
 	Reservation modeler.Resources
 	// UnreservedMilliCores is what a run uses without reserving it, in thousandths of a core.
@@ -339,7 +341,8 @@
 // checkStart records a violation when the task still runs or its end was acknowledged, and marks
 // its unacknowledged ends.
 func (jw *JobWorkers) checkStart(id modeler.TaskID) {
-	if jw.ackedDone[id] {
+	copies := jw.behaviourOf(id).Speculative
+	if jw.ackedDone[id] && !copies {
 		jw.violations = append(jw.violations, fmt.Sprintf("%s started after its end was acknowledged", id))
 	}
 	for _, wk := range jw.workers {
@@ -349,7 +352,7 @@
 			}
 		}
 		for key := range wk.running {
-			if key.task == id {
+			if key.task == id && !copies {
 				jw.violations = append(jw.violations, fmt.Sprintf("%s started while it runs on %s", id, wk.info.ID))
 			}
 		}
