internal/job/director: checkpoints of active runs are recorded

Callers saw a task begin anew, or far behind its last checkpoint, after its worker and the leader were lost at once.

The emulated workers list checkpoints of active runs, as real ones do.

TestCheckpointOfWorkerLostWithLeader fails without the change and passes with it.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -261,6 +261,7 @@
 	inheritedTerms []*keeper.TermFact
 	// predecessorStopsAt is when the predecessor stops extending leases at the latest, by its electorate, zero if that is not known.
 	predecessorStopsAt time.Time
+	unsavedCheckpoints unsavedCheckpoints
 	// electorate is the one that the last fact of this term names, nil if none does.
 	electorate *modeler.Electorate
 	// earlierLeadersStop is set once it is known when earlier leaders stop.
@@ -583,6 +584,7 @@
 		dr.releaseOccurrences(jb, now)
 	}
 	dr.saveEstimates(now)
+	dr.saveCheckpoints(now)
 	dr.updateLoadHint(now)
 	if now.Sub(dr.summaryLoggedAt) >= summaryInterval {
 		dr.summaryLoggedAt = now
--- a/internal/job/director/lost_worker_test.go
+++ b/internal/job/director/lost_worker_test.go
@@ -199,3 +199,20 @@
 		})
 	}
 }
+
+// Guards against a task that begins anew as its worker and the leader that knew its checkpoint are lost at once.
+func TestCheckpointOfWorkerLostWithLeader(t *testing.T) {
+	run(t, 3, func(fl *fleet, tm *term) {
+		const runTime = time.Minute
+		id := modeler.TaskID{Job: "lost"}
+		fl.setBehaviour(id, emulator.TaskBehaviour{RunTime: runTime})
+		jb := simpleJob(id.Job, "urgent", 1, cores(1000))
+		jb.Steps[0].Checkpoints = true
+		tm.submit(jb)
+		sleep(runTime - 10*time.Second)
+		fl.workers.SetUnreachable(fl.workers.WorkerOf(id), true)
+		tm.nextTerm(testLease)
+		sleep(testLease + runTime/2)
+		tm.assertState(id.Job, modeler.Completed)
+	})
+}
--- a/internal/job/director/recovery.go
+++ b/internal/job/director/recovery.go
@@ -283,7 +283,7 @@
 		add(run, modeler.Failure, tk.checkpoint, tk.failedOn[ix])
 	}
 	if tk.checkpoint != "" && len(tk.failures) == 0 {
-		add(tk.lastRun, modeler.Stopped, tk.checkpoint, "")
+		facts = append(facts, tk.checkpointFact())
 	}
 	return facts
 }
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -223,6 +223,7 @@
 	if row.Checkpoint != "" && row.Checkpoint != at.checkpoint {
 		at.checkpoint = row.Checkpoint
 		at.task.checkpoint, at.task.savedShare = row.Checkpoint, float64(row.Progress)/100
+		dr.unsavedCheckpoints.noteCheckpoint(at.task)
 	}
 	at.measure = row.Measure
 	if at.task.step.spec.TailTarget > 0 {
--- a/internal/provider/emulator/jobworkers.go
+++ b/internal/provider/emulator/jobworkers.go
@@ -542,7 +542,7 @@
 }
 
 func (jw *JobWorkers) activeRun(wk *jobWorker, key runKey, rn *jobRun, tasks []modeler.TaskID) modeler.ActiveRun {
-	ar := modeler.ActiveRun{Task: key.task, Run: key.run, Measure: (rn.behaviour.Reservation.MilliCores + rn.behaviour.UnreservedMilliCores) * int64(rn.pace) / fullPace}
+	ar := modeler.ActiveRun{Task: key.task, Run: key.run, Checkpoint: jw.checkpoint(wk, rn), Measure: (rn.behaviour.Reservation.MilliCores + rn.behaviour.UnreservedMilliCores) * int64(rn.pace) / fullPace}
 	age := time.Since(rn.started)
 	switch {
 	case rn.behaviour.LongRunning && age >= startupDuration:
