--- a/internal/job/director/checkpoint.go
+++ b/internal/job/director/checkpoint.go
@@ -9,10 +9,11 @@
 )
 
 const (
-	// checkpointsSaveInterval is the time between two records of new checkpoints.
-	checkpointsSaveInterval = time.Second
+	// checkpointsSaveInterval is the time between two records of new checkpoints. Each may delay other records by the journal's
+	// interval between writes.
+	checkpointsSaveInterval = 2 * time.Second
 	// maxCheckpointsPerSave bounds the checkpoints of one record, each of which takes some 100 bytes before compression.
-	maxCheckpointsPerSave = 200
+	maxCheckpointsPerSave = 400
 )
 
 // unsavedCheckpoints holds tasks with checkpoints of active runs that the journal does not have.
