internal/provider/emulator: workers shorten leases to the longest that they accept

Cause: the platform's workers shorten a longer lease to the longest one (PROTOCOL.md: "A longer lease is shortened to that maximum"), and the leader counts on it: a request for an earlier incarnation that reaches a restarted worker gives it at most LongestLease. The stand-in took any deadline, so that such a request, with a deadline on the clock of the earlier incarnation, gave a lease that was longer than any worker grants. The scheduler then started tasks again whose first runs the stand-in still counted as held.

Worker w5 restarted at 3.758 s with 7.6 s on its clock, the leader noticed at 3.889 s, allowed for a lease of 10 s from there (event 701), and took it for over at 14.44 s, 10.7 s after the restart. It started 12 tasks again at 14.62 s and heard at 14.77 s that their first runs, begun by 5.4 s, had ended. Only a request with a deadline beyond 10.9 s, so one for the earlier incarnation, makes the stand-in report that as "started again before its end was acknowledged". "Reported as completed, but task has not ended" is the same: the second runs were being stopped. Renewals pause for it too; that the worker restarted in such a pause is inferred.

The checks are as they were.

Figures: the case that TestStartedAgain gains fails without the limit (one violation, of none) and passes with it.

Conclusion: a fault of the test's stand-in, not of the scheduler.

--- a/internal/provider/emulator/jobworkers.go
+++ b/internal/provider/emulator/jobworkers.go
@@ -34,6 +34,10 @@
 // passed or whose run or fencing token is stale, report ended runs until these are acknowledged, and record
 // violations of the scheduler's guarantees. It is safe for concurrent use.
 type JobWorkers struct {
+	// LongestLease is the longest lease that workers accept. They shorten longer ones. It is zero for no limit, and not
+	// changed after the first request.
+	LongestLease time.Duration
+
 	faults *Faults
 	// behaviourOf returns the behaviour of the runs of a task.
 	behaviourOf func(modeler.TaskID) TaskBehaviour
@@ -318,13 +322,12 @@
 		}
 		rn.workBefore = done
 	}
-	wk.lease = max(wk.lease, req.Deadline)
 	jw.checkStart(req.Task)
 	wk.running[key] = rn
 	jw.starts[req.Task]++
 	jw.lastStarts[wk.info.ID] = time.Now()
 	jw.scheduleEnd(wk, key, rn)
-	jw.scheduleLeaseExpiry(wk)
+	jw.extendLease(wk, req.Deadline)
 	return nil
 }
 
@@ -480,8 +483,7 @@
 			return modeler.ErrStaleFence
 		}
 		wk.fence = req.Fence
-		wk.lease = max(wk.lease, req.Deadline)
-		jw.scheduleLeaseExpiry(wk)
+		jw.extendLease(wk, req.Deadline)
 		jw.dropAckedEnds(wk, req.AckedEnd)
 		if changed = wk.changed; len(wk.ended) > 0 {
 			changed = nil
@@ -556,6 +558,15 @@
 	return ar
 }
 
+// extendLease extends a worker's lease to a time of its clock, or as far as it accepts.
+func (jw *JobWorkers) extendLease(wk *jobWorker, deadline time.Duration) {
+	if jw.LongestLease > 0 {
+		deadline = min(deadline, wk.clock()+jw.LongestLease)
+	}
+	wk.lease = max(wk.lease, deadline)
+	jw.scheduleLeaseExpiry(wk)
+}
+
 // scheduleLeaseExpiry ends the runs on a worker when its lease expires, unless it is extended.
 func (jw *JobWorkers) scheduleLeaseExpiry(wk *jobWorker) {
 	lease := wk.lease
--- a/internal/provider/emulator/jobworkers_test.go
+++ b/internal/provider/emulator/jobworkers_test.go
@@ -18,24 +18,28 @@
 		name string
 		// gap is the time between the starts of the two runs.
 		gap time.Duration
+		// first is the end of the first lease.
+		first time.Duration
 		// acked is the worker whose end is acknowledged.
 		acked modeler.WorkerID
 		want  int
 	}{
-		{"the first end is acknowledged", time.Second, "first", 1},
-		{"the first end is acknowledged after its lease", 2 * lease, "first", 0},
-		{"the second end is acknowledged", time.Second, "second", 0},
+		{"the first end is acknowledged", time.Second, lease, "first", 1},
+		{"the first end is acknowledged after its lease", 2 * lease, lease, "first", 0},
+		{"the first end is acknowledged after its longest lease", 2 * lease, 4 * lease, "first", 0},
+		{"the second end is acknowledged", time.Second, lease, "second", 0},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				jw := NewJobWorkers(nil, func(modeler.TaskID) TaskBehaviour { return TaskBehaviour{RunTime: 500 * time.Millisecond} })
+				jw.LongestLease = lease
 				infos := map[modeler.WorkerID]modeler.Worker{}
 				for _, id := range []modeler.WorkerID{"first", "second"} {
 					infos[id] = jw.Add(modeler.Worker{ID: id, Capacity: modeler.Resources{MilliCores: 4000, MemoryMB: 4000}})
-					renew(t, jw, infos[id], lease, 0)
+					renew(t, jw, infos[id], tc.first, 0)
 				}
-				start(t, jw, infos["first"], 1, lease)
+				start(t, jw, infos["first"], 1, tc.first)
 				time.Sleep(tc.gap)
 				start(t, jw, infos["second"], 2, tc.gap+lease)
 				time.Sleep(700 * time.Millisecond)
