internal/job/fencer: two hosts keep a later token ready for a worker that a start may reach late

Cause: a restarted worker has seen no fencing token. A start without an answer that reaches it before the leader does is carried out, although its task has run elsewhere since, while the leader is cut off, stands still or is being replaced.

Change: the leader's heartbeats and its replies to probes name, for 15 s after a start without an answer, the worker, its address, the leader's present token and the time left, about 40 bytes each and at most 16 in a message. The leader chooses the two hosts of each worker by the hash that relays are chosen with, as only it is in contact with all hosts. Hosts of an earlier version ignore the field. The hosts keep renewals open at the worker that have the token, extend no lease and acknowledge no end, and repeat them 50 ms after they end, also under a later leader. Event 702 and two counters show what they do.

The tests' workers restart without being away.

--- a/internal/daemon/assembler/jobs.go
+++ b/internal/daemon/assembler/jobs.go
@@ -24,6 +24,7 @@
 	"github.com/currantrouter/currantrouter/internal/config/loader"
 	"github.com/currantrouter/currantrouter/internal/job/director"
 	"github.com/currantrouter/currantrouter/internal/job/elector"
+	"github.com/currantrouter/currantrouter/internal/job/fencer"
 	"github.com/currantrouter/currantrouter/internal/job/intaker"
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	jobleader "github.com/currantrouter/currantrouter/internal/job/leader"
@@ -91,6 +92,7 @@
 	subscriber *subscriber.Subscriber
 	leader     *jobleader.Leader
 	elector    *elector.Elector
+	fencer     *fencer.Fencer
 	intaker    *intaker.Intaker
 	relay      *relayer.Server
 	// limiters bound what the clients of each listener hold. They are set by listen.
@@ -117,9 +119,13 @@
 		},
 		LoadHints: st.Jobs.RefuseUseless, OnLargeFleet: collector.New(collector.HostMemory()).SetBusy, Configuration: jh.subscriber.Current, SuspendedTime: suspended, Log: lg, Meter: jh.meter,
 	})
+	jh.fencer = fencer.New(fencer.Options{
+		Director: jh.leader.Director, Hosts: func() []elector.Member { return jh.elector.ReachableHosts() }, Client: pf.WorkerClient, Log: lg, Meter: jh.meter,
+	})
 	jh.elector = elector.New(elector.Options{
 		Self: self, Store: pf.Store, StoreAge: pf.Store.Age, ConfigurationRevision: jh.subscriber.Revision,
-		OnHigherRevision: jh.subscriber.OnHigherRevision, Dial: jh.peers.Dial, Lead: jh.leader.Lead, Seeds: st.Peers, Log: lg, Meter: jh.meter,
+		OnHigherRevision: jh.subscriber.OnHigherRevision, Dial: jh.peers.Dial, Lead: jh.leader.Lead, Seeds: st.Peers,
+		WorkerFences: jh.fencer.ToWatch, OnWorkerFences: jh.fencer.Watch, Log: lg, Meter: jh.meter,
 	})
 	jh.leader.SetElector(jh.elector)
 	jh.relay = relayer.NewServer(relayer.ServerOptions{
@@ -167,6 +173,7 @@
 		logger.Log(jh.log, logger.PeersNotSecured)
 	}
 	go jh.subscriber.Run(background)
+	go jh.fencer.Run(background)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -218,6 +218,8 @@
 	// workerOrder holds the workers in the order of their IDs. It is empty after a change of workers until
 	// orderedWorkers is called.
 	workerOrder []*worker
+	// unanswered has the workers with unansweredStarts that may be younger than maxStartDelayAfterRestart.
+	unanswered map[*worker]bool
 	// droppedFenceRises is how often the token of a worker that is registered now has risen at least. No token of a
 	// worker that was dropped was higher.
 	droppedFenceRises int64
@@ -343,6 +345,7 @@
 		pendingFacts:         map[modeler.JobID][]keeper.Fact{},
 		unreadJobs:           map[modeler.JobID]struct{}{},
 		workers:              map[modeler.WorkerID]*worker{},
+		unanswered:           map[*worker]bool{},
 		waitingSteps:         map[*step]struct{}{},
 		evacuations:          map[fleet.DataCentreName]*evacuationState{},
 		starting:             map[*attempt]struct{}{},
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -190,12 +190,38 @@
 	wk := at.worker
 	maps.DeleteFunc(wk.unansweredStarts, func(_ attemptKey, since time.Time) bool { return now.Sub(since) > maxStartDelayAfterRestart })
 	wk.unansweredStarts[key] = now
+	dr.unanswered[wk] = true
 	wk.raiseFence()
 	if wk.attempts[key] == nil && wk.incarnation != at.incarnation {
 		dr.stopUnexpected(wk, key.task, key.run, now)
 	}
 }
 
+// WorkerFences returns the workers that a start without an answer may still reach, each with its present token. It is empty
+// for no director.
+func (dr *Director) WorkerFences() []modeler.WorkerFence {
+	if dr == nil {
+		return nil
+	}
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	now := time.Now()
+	var list []modeler.WorkerFence
+	for wk := range dr.unanswered {
+		left := time.Duration(0)
+		for _, since := range wk.unansweredStarts {
+			left = max(left, maxStartDelayAfterRestart-now.Sub(since))
+		}
+		if left < time.Millisecond {
+			delete(dr.unanswered, wk)
+			continue
+		}
+		info := &wk.info
+		list = append(list, modeler.WorkerFence{ID: info.ID, DataCentre: info.DataCentre, Address: info.Address, Fence: dr.fence(wk), Left: left})
+	}
+	return list
+}
+
 // stopRun requests the end of a run. Its resources stay reserved until the worker reports the end.
 func (dr *Director) stopRun(at *attempt, reason string) {
 	if at.stopping {
--- a/internal/job/elector/elector.go
+++ b/internal/job/elector/elector.go
@@ -154,6 +154,10 @@
 	Dial func(address netip.AddrPort) messenger.Jobs
 	// Lead is called for each term of this host.
 	Lead LeadFunc
+	// WorkerFences returns, while this host leads, the workers that the host at the address watches, see package fencer.
+	// It does not wait. OnWorkerFences is called with those that another host sent. Both may be nil.
+	WorkerFences   func(host netip.AddrPort) []modeler.WorkerFence
+	OnWorkerFences func(list []modeler.WorkerFence)
 	// Seeds are addresses of entry hosts that are polled even if their records were not read.
 	Seeds []netip.AddrPort
 	Log   logr.Logger
--- a/internal/job/elector/fuzz_test.go
+++ b/internal/job/elector/fuzz_test.go
@@ -46,7 +46,13 @@
 		el := New(Options{
 			Self:  Member{Host: "self", Boot: "b", Address: netip.MustParseAddrPort("10.0.0.1:80")},
 			Store: nil, StoreAge: func() time.Duration { return 0 }, ConfigurationRevision: func() int64 { return 1 },
-			OnHigherRevision: func(netip.AddrPort, int64) {}, Log: logr.Discard(), Meter: meter.New(nil),
+			OnHigherRevision: func(netip.AddrPort, int64) {},
+			OnWorkerFences: func(list []modeler.WorkerFence) {
+				for _, wf := range list {
+					qt.Assert(t, wf.Check(), qt.IsNil)
+				}
+			},
+			Log: logr.Discard(), Meter: meter.New(nil),
 		})
 		el.HandleGreeting(gr)
 		// Only the state that a message leaves behind matters here.
--- a/internal/job/elector/heartbeats.go
+++ b/internal/job/elector/heartbeats.go
@@ -70,7 +70,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sentAt := time.Now()
-	reply, err := el.op.Dial(addr).Greet(ctx, el.newGreeting())
+	reply, err := el.op.Dial(addr).Greet(ctx, el.newGreeting(addr))
 	el.noteRefusal(addr, errors.Is(err, syscall.ECONNREFUSED), sentAt)
 	if err != nil {
 		return
@@ -95,9 +95,9 @@
 	}
 }
 
-// newGreeting returns a heartbeat with what this host knows now, without a later leader while a term of
-// this host ends.
-func (el *Elector) newGreeting() *messenger.Greeting {
+// newGreeting returns a heartbeat for the host at the address with what this host knows now, without a later leader while
+// a term of this host ends.
+func (el *Elector) newGreeting(to netip.AddrPort) *messenger.Greeting {
 	el.mu.Lock()
 	defer el.mu.Unlock()
 	// Only a leader reports zero.
@@ -105,6 +105,10 @@
 	if el.inTerm && el.epochBegun {
 		leader, sinceSeen = el.own, 0
 	}
+	var fences []*messenger.WorkerFence
+	if sinceSeen == 0 && el.op.WorkerFences != nil {
+		fences = encodeFences(el.op.WorkerFences(to))
+	}
 	return &messenger.Greeting{
 		Host: string(el.op.Self.Host), Boot: string(el.op.Self.Boot), Address: el.op.Self.Address.String(),
 		Weight: el.op.Self.Weight, Leaving: el.draining, DataCentre: string(el.op.Self.DataCentre),
@@ -112,6 +116,7 @@
 		LeaderAddress: leader.Address.String(), Silence: sinceSeen.Milliseconds(),
 		StoreAge: el.op.StoreAge().Milliseconds(), Revision: el.op.ConfigurationRevision(), Refused: el.leaderEnded(),
 		Uptime: time.Since(el.startedAt).Milliseconds(), KnownEpochs: el.reportedEpochs(leader.Epoch),
+		WorkerFences: fences,
 	}
 }
 
@@ -161,6 +166,7 @@
 	if gr.Revision > el.op.ConfigurationRevision() {
 		el.op.OnHigherRevision(sender.Address, gr.Revision)
 	}
+	el.observeFences(gr)
 	el.mu.Lock()
 	defer el.mu.Unlock()
 	now := time.Now()
@@ -224,7 +230,9 @@
 // HandleGreeting records another host's heartbeat and returns the reply.
 func (el *Elector) HandleGreeting(gr *messenger.Greeting) *messenger.Greeting {
 	el.observe(gr, time.Time{})
-	return el.newGreeting()
+	// An address that is none is told of no worker.
+	addr, _ := netip.ParseAddrPort(gr.Address)
+	return el.newGreeting(addr)
 }
 
 // later returns the later of two times.
--- a/internal/job/elector/takeover.go
+++ b/internal/job/elector/takeover.go
@@ -106,7 +106,7 @@
 func (el *Elector) askToTakeOver(ctx context.Context, addr netip.AddrPort) error {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	_, err := el.op.Dial(addr).Resign(ctx, el.newGreeting())
+	_, err := el.op.Dial(addr).Resign(ctx, el.newGreeting(addr))
 	return err
 }
 
--- a/internal/job/leader/cluster_test.go
+++ b/internal/job/leader/cluster_test.go
@@ -23,6 +23,7 @@
 	fleet "github.com/currantrouter/currantrouter/internal/fleet/modeler"
 	"github.com/currantrouter/currantrouter/internal/job/director"
 	"github.com/currantrouter/currantrouter/internal/job/elector"
+	"github.com/currantrouter/currantrouter/internal/job/fencer"
 	"github.com/currantrouter/currantrouter/internal/job/intaker"
 	"github.com/currantrouter/currantrouter/internal/job/keeper"
 	"github.com/currantrouter/currantrouter/internal/job/leader"
@@ -337,9 +338,12 @@
 			seeds = append(seeds, hostAddress(other))
 		}
 	}
+	fc := fencer.New(fencer.Options{
+		Director: pr.leader.Director, Hosts: func() []elector.Member { return pr.elector.ReachableHosts() }, Client: &hostWorkers{pr}, Log: lg, Meter: rg,
+	})
 	pr.elector = elector.New(elector.Options{
 		Self: self, Store: st, StoreAge: pr.storeAge, ConfigurationRevision: pr.subscriber.Revision, OnHigherRevision: pr.subscriber.OnHigherRevision,
-		Dial: dial, Lead: pr.leader.Lead, Seeds: seeds, Log: lg, Meter: rg,
+		Dial: dial, Lead: pr.leader.Lead, Seeds: seeds, WorkerFences: fc.ToWatch, OnWorkerFences: fc.Watch, Log: lg, Meter: rg,
 	})
 	pr.leader.SetElector(pr.elector)
 	pr.relay = relayer.NewServer(relayer.ServerOptions{
@@ -356,6 +360,7 @@
 	ho.process = pr
 	cl.mu.Unlock()
 	cl.goroutines.Go(func() { pr.subscriber.Run(background) })
+	cl.goroutines.Go(func() { fc.Run(background) })
 	cl.goroutines.Go(func() {
 		defer close(pr.ended)
 		pr.elector.Run(ctx)
--- a/internal/job/modeler/worker.go
+++ b/internal/job/modeler/worker.go
@@ -64,6 +64,34 @@
 	return label == "" || slices.Contains(wk.Labels, label)
 }
 
+// WorkerFence is a fencing token for a worker that a start without an answer may still reach.
+type WorkerFence struct {
+	ID         WorkerID
+	DataCentre fleet.DataCentreName
+	Address    netip.AddrPort
+	// Fence is higher than the token of each start without an answer.
+	Fence Fence
+	// Left is how long such a start may still reach the worker, by the sender's clock.
+	Left time.Duration
+}
+
+// maxFenceLeft bounds WorkerFence.Left.
+const maxFenceLeft = time.Minute
+
+// Check returns ErrInvalidWorker, wrapped with the reason, for values out of bounds.
+func (wf *WorkerFence) Check() error {
+	if err := CheckName("name", string(wf.ID)); err != nil {
+		return fmt.Errorf("%w: %w", ErrInvalidWorker, err)
+	}
+	if err := fleet.CheckAddress(wf.Address); err != nil {
+		return fmt.Errorf("%w: %w", ErrInvalidWorker, err)
+	}
+	if wf.ID == "" || wf.Fence <= 0 || wf.Left <= 0 || wf.Left > maxFenceLeft {
+		return fmt.Errorf("%w: ID %q, fencing token %d for %s", ErrInvalidWorker, wf.ID, wf.Fence, wf.Left)
+	}
+	return nil
+}
+
 // Outcome is how a run ended.
 type Outcome string
 
--- a/internal/job/relayer/assignment.go
+++ b/internal/job/relayer/assignment.go
@@ -57,16 +57,16 @@
 	return ranked
 }
 
-// assign returns the index of the relay of a worker among the usable ones, one in its data centre if there is
-// any, or -1. Without a relay, the workers of the others keep theirs.
-func assign(id modeler.WorkerID, dataCentre fleet.DataCentreName, relays []Host, usable func(ix int) bool) int {
+// Assign returns the index of the host for a worker among the usable ones, one in its data centre if there is
+// any, or -1. Without a host, the workers of the others keep theirs.
+func Assign(id modeler.WorkerID, dataCentre fleet.DataCentreName, hosts []Host, usable func(ix int) bool) int {
 	best, bestNear, bestHash := -1, false, uint64(0)
-	for ix := range relays {
-		near := relays[ix].DataCentre == dataCentre
+	for ix := range hosts {
+		near := hosts[ix].DataCentre == dataCentre
 		if !usable(ix) || bestNear && !near {
 			continue
 		}
-		hash := tieBreaker(string(id) + " " + string(relays[ix].Name))
+		hash := tieBreaker(string(id) + " " + string(hosts[ix].Name))
 		if best < 0 || near && !bestNear || hash > bestHash {
 			best, bestNear, bestHash = ix, near, hash
 		}
--- a/internal/job/relayer/client.go
+++ b/internal/job/relayer/client.go
@@ -150,7 +150,7 @@
 	if len(cl.relays) == 0 || now.Before(cl.directUntil[wk.ID]) {
 		return nil
 	}
-	ix := assign(wk.ID, wk.DataCentre, cl.relays, func(ix int) bool { return cl.links[ix].usable(now) })
+	ix := Assign(wk.ID, wk.DataCentre, cl.relays, func(ix int) bool { return cl.links[ix].usable(now) })
 	if ix < 0 {
 		return nil
 	}
--- a/internal/job/relayer/encoder_test.go
+++ b/internal/job/relayer/encoder_test.go
@@ -124,11 +124,11 @@
 		relays := chooseRelays(hosts, 800, 1100)
 		for ix := range 500 {
 			id, dc := modeler.WorkerID(fmt.Sprint("w", ix)), fleet.DataCentreName(fmt.Sprint("dc", ix%6))
-			before := assign(id, dc, relays, func(int) bool { return true })
+			before := Assign(id, dc, relays, func(int) bool { return true })
 			qt.Assert(t, relays[before].DataCentre, qt.Equals, dc)
-			after := assign(id, dc, relays, func(rx int) bool { return rx != 2 })
+			after := Assign(id, dc, relays, func(rx int) bool { return rx != 2 })
 			qt.Assert(t, after == before || before == 2, qt.IsTrue)
 		}
-		qt.Assert(t, assign("w", "dc1", relays, func(int) bool { return false }), qt.Equals, -1)
+		qt.Assert(t, Assign("w", "dc1", relays, func(int) bool { return false }), qt.Equals, -1)
 	})
 }
--- a/internal/telemetry/meter/table_job.go
+++ b/internal/telemetry/meter/table_job.go
@@ -24,6 +24,9 @@
 	ReportRowsHandled  = Metric{"ReportRowsHandled", "", "Rows of workers' reports that the leader handled."}
 	RelayRequests      = Metric{"RelayRequests", "", "Requests to workers that this host carried out for a leader."}
 
+	RestartedWorkersFenced = Metric{"RestartedWorkersFenced", "", "Restarted workers that this host, without leading, gave the fencing token of a leader."}
+	WorkerFencesLeftOut    = Metric{"WorkerFencesLeftOut", "", "Workers that this host was asked to watch for a restart and did not, as it watched as many as it may."}
+
 	PlacementCostsComputed = Metric{"PlacementCostsComputed", "", "Costs of a worker for a waiting task that placement rounds computed."}
 )
 
@@ -50,4 +53,6 @@
 	PlacementCostsComputed,
 	ReportRowsHandled,
 	RelayRequests,
+	RestartedWorkersFenced,
+	WorkerFencesLeftOut,
 }
