internal/job: electorates leave out processes that have ended, and grow at once in the first second

A leader that had resigned, and voters whose addresses refuse connections, stayed in the electorate. Electorates change only while the store has confirmed the leader within a second, as a process that was left out cannot be added without it. Records with an electorate that cannot be are damaged.

--- a/internal/job/director/lease.go
+++ b/internal/job/director/lease.go
@@ -278,12 +278,17 @@
 		}
 		ahead = ahead || wk.lease.endsAfter(dr.clockRecordedAt)
 	}
-	electorate := dr.proposeElectorate()
-	due := dr.clockRecordedAt.IsZero() || (ahead || electorate != nil) && now.Sub(dr.clockRecordedAt) >= clockRecordInterval
+	confirmed := now.Sub(dr.op.Journal.LastConfirmed()) <= clockRecordInterval
+	var electorate *modeler.Electorate
+	// Most hosts are heard of in the first moments of a term. Later, a record for each of those that start would be too many.
+	if recent := now.Sub(dr.termStart) < clockRecordInterval || now.Sub(dr.clockRecordedAt) >= clockRecordInterval; recent && confirmed {
+		electorate = dr.proposeElectorate()
+	}
+	due := dr.clockRecordedAt.IsZero() || electorate != nil || ahead && now.Sub(dr.clockRecordedAt) >= clockRecordInterval
 	if len(ends) == 0 && !due && dr.recordedUntil.Equal(dr.inheritedUntil) {
 		return
 	}
-	if now.Sub(dr.op.Journal.LastConfirmed()) > clockRecordInterval {
+	if !confirmed {
 		// No lease is extended until its bound is durable. The record of the clock shows first whether the
 		// journal accepts facts.
 		clear(ends)
--- a/internal/job/elector/quorum.go
+++ b/internal/job/elector/quorum.go
@@ -27,7 +27,7 @@
 
 // Electorate returns the processes that can confirm this host as leader: those of hosts with a record that were in
 // contact with it after a time, and those of the present electorate that no later process of their host has replaced. A leader
-// that this host is about to replace and hosts whose addresses refuse connections are left out.
+// that this host is about to replace or that has resigned, and hosts whose addresses refuse connections, are left out.
 func (el *Elector) Electorate(after time.Time, present modeler.Electorate) modeler.Electorate {
 	el.mu.Lock()
 	defer el.mu.Unlock()
@@ -35,7 +35,8 @@
 	_, hosts := el.countHosts(func(mb *member) bool {
 		vt, heardAt := mb.voter(), later(mb.lastHeartbeat, mb.lastReply)
 		replaced := vt.Host == el.leader.Host && vt.Boot == el.leader.Boot
-		counts := vt.Boot != "" && (present.Has(vt) || heardAt.After(after) && heardAt.After(mb.refusedAt) && !replaced)
+		runs := vt.Boot != "" && vt.Boot != mb.resigned && heardAt.After(mb.refusedAt)
+		counts := runs && (present.Has(vt) || heardAt.After(after) && !replaced)
 		if counts {
 			voters = append(voters, vt)
 		}
--- a/internal/job/keeper/fact.go
+++ b/internal/job/keeper/fact.go
@@ -193,7 +193,8 @@
 	case ft.Estimates != nil:
 		valid = valid && validClock(ft.Estimates.Clock)
 	case ft.Term != nil:
-		valid = valid && ft.Term.Epoch > 0 && ft.Term.Epoch <= modeler.MaxEpoch && validClock(ft.Term.Start) && validClock(ft.Term.Clock) && validClock(ft.Term.InheritedUntil)
+		valid = valid && ft.Term.Epoch > 0 && ft.Term.Epoch <= modeler.MaxEpoch && validClock(ft.Term.Start) && validClock(ft.Term.Clock) && validClock(ft.Term.InheritedUntil) &&
+			(ft.Term.Electorate == nil || ft.Term.Electorate.Valid())
 	}
 	if !valid {
 		return fmt.Errorf("%w: fact with %d fields, one of them invalid or none known", ErrDamaged, fields)
--- a/internal/job/modeler/electorate.go
+++ b/internal/job/modeler/electorate.go
@@ -24,6 +24,21 @@
 	Boot fleet.BootID
 }
 
+// maxHosts bounds Electorate.Hosts.
+const maxHosts = 1 << 16
+
+// Valid reports whether the voters are of different hosts and fewer than all.
+func (et Electorate) Valid() bool {
+	hosts := map[fleet.HostName]bool{et.Leader.Host: true}
+	for _, vt := range et.Voters {
+		if vt.Boot == "" || hosts[vt.Host] {
+			return false
+		}
+		hosts[vt.Host] = true
+	}
+	return et.Leader.Boot != "" && len(et.Voters) < et.Hosts && et.Hosts <= maxHosts
+}
+
 // Has reports whether a process is one of the voters.
 func (et Electorate) Has(vt Voter) bool { return slices.Contains(et.Voters, vt) }
 
