--- a/internal/telemetry/logger/catalogue_job.go
+++ b/internal/telemetry/logger/catalogue_job.go
@@ -33,8 +33,10 @@
 	WorkerQuarantineBegun = Event{627, "job worker quarantined", "Runs of several jobs failed or stalled on the worker. It gets no tasks for a time, and runs that have made little progress are moved.", SeverityWarning}
 	WorkerEntryInvalid    = Event{628, "registry entry malformed", "The entry does not describe a worker. It is skipped. Inspect the key.", SeverityWarning}
 
-	PermitsGranted    = Event{630, "permits received", "The policy service has answered on which of the workers a step may run.", SeverityInfo}
-	PermitsNotGranted = Event{631, "permit request failed", "The policy service did not answer. The step waits and the request is retried. Check the service.", SeverityWarning}
+	PermitsGranted     = Event{630, "permits received", "The policy service has answered on which of the workers a step may run.", SeverityInfo}
+	PermitsNotGranted  = Event{631, "permit request failed", "The policy service did not answer. The step waits and the request is retried. Check the service.", SeverityWarning}
+	EarlierQuorumsLost = Event{632, "quorums of earlier leaders lost", "So many of the processes that the last Terms leaders named in the journal know a later epoch, or have ended, that none of these leaders is confirmed any more. Workers that do not answer may run tasks of earlier leaders for InheritedLease from now on.", SeverityInfo}
+	ElectorateNamed    = Event{633, "electorate named", "While the store does not answer, this leader is confirmed by more than half of Hosts, of which the journal is to name a process for each of Voters.", SeverityInfo}
 
 	TermBegun       = Event{640, "term begun", "This host has begun an epoch of the journal as leader and restored the facts in it. Workers that do not answer may run tasks of earlier leaders for InheritedLease from now on, unless the journal bounds their leases.", SeverityInfo}
 	TermLoaded      = Event{641, "jobs loaded", "All stored jobs are loaded and placement begins. Unaccounted workers may still run tasks of an earlier leader.", SeverityInfo}
@@ -57,8 +59,6 @@
 	EarlierLeadersDeposed = Event{657, "earlier leaders deposed", "So many hosts know the epoch of this leader that earlier ones do not find a majority that confirms them. Workers that do not answer may run tasks of earlier leaders for InheritedLease from now on.", SeverityInfo}
 	RefusalsMislead       = Event{658, "refused connections disregarded", "A host whose address refused connections leads. The network rejects connections to hosts that run. Check the firewalls between the hosts.", SeverityWarning}
 	LeadersBeforeDeposed  = Event{659, "leaders before the last one deposed", "The leaders before the last one extend no leases any more, as most hosts have known the last one for a while. Workers that do not answer may run tasks of these for EarlierLease, and of the last one for InheritedLease from now on.", SeverityInfo}
-	EarlierQuorumsLost    = Event{684, "quorums of earlier leaders lost", "So many of the processes that the last Terms leaders named in the journal know a later epoch, or have ended, that none of these leaders is confirmed any more. Workers that do not answer may run tasks of earlier leaders for InheritedLease from now on.", SeverityInfo}
-	ElectorateNamed       = Event{685, "electorate named", "While the store does not answer, this leader is confirmed by more than half of Hosts, of which the journal is to name a process for each of Voters.", SeverityInfo}
 
 	QueuesAccepted   = Event{660, "queue configuration accepted", "A higher revision of the queue configuration is in force at this host.", SeverityInfo}
 	QueuesInvalid    = Event{661, "invalid queue configuration refused", "The operators' document could not be parsed. The revision in force does not change. Correct the document.", SeverityError}
@@ -86,9 +86,9 @@
 	JobAccepted, JobRefused, JobResultUnknown, CancellationStored, JobTakenOver, JobCancelled, JobEnded, JobDamaged, JobNotDeleted, JobNotRead,
 	TaskStarted, StartRejected, TaskFailed, RunEnded, RunLost, UnexpectedRunStopped, RunSlow, SpeculativeRunAllowed, StopSent, StopUnanswered,
 	WorkerPaced, PaceUnanswered, WorkerDraining, WorkerUnregistered, WorkerUnreachable, WorkerReachable, WorkerRestarted, WorkerQuarantineBegun,
-	WorkerEntryInvalid, PermitsGranted, PermitsNotGranted,
+	WorkerEntryInvalid, PermitsGranted, PermitsNotGranted, EarlierQuorumsLost, ElectorateNamed,
 	TermBegun, TermLoaded, TermAccounted, TermEnded, FactDamaged, FactNotRecorded, FactsDelayed, LeaderElected, LeaderGone,
-	MemberNotStored, MemberDamaged, MemberRemoved, WatchLost, WatchRestored, LeaseBounded, PredecessorStopped, TermEndNotRecorded, EarlierLeadersDeposed, RefusalsMislead, LeadersBeforeDeposed, EarlierQuorumsLost, ElectorateNamed,
+	MemberNotStored, MemberDamaged, MemberRemoved, WatchLost, WatchRestored, LeaseBounded, PredecessorStopped, TermEndNotRecorded, EarlierLeadersDeposed, RefusalsMislead, LeadersBeforeDeposed,
 	QueuesAccepted, QueuesInvalid, QueuesNotFetched, PeersNotSecured, SettingsReloaded, SettingsKept, LoadSummary, TaskWaits, LogLinesDropped,
 	LongRunningTaskWaits, TasksWaitLong, CancellationIneffective, CancellationDropped, CancelledRunGoesOn, ReportHeldUp, RenewalsLate, LeaderNotNotified, JobFailed, LeaderUsage,
 }
