internal/job/subscriber: the lag of a configuration, and what it waits for

Event 660 has the lag and the failures before it, 780 tells once a second of an outdated configuration, 652 is repeated when the failures in a row have doubled.

--- a/internal/job/subscriber/subscriber.go
+++ b/internal/job/subscriber/subscriber.go
@@ -71,18 +71,26 @@
 	decodedRevision int64
 	// fetching is set while a peer's configuration is requested.
 	fetching bool
+	lag      lag
+	// watchFailures and fetchFailures are those of calls to the store and of requests to peers.
+	watchFailures, fetchFailures failures
 }
 
 // New returns a subscriber without a configuration. The function dial returns the client for a
 // peer.
 func New(st Store, ce ConfigurationEntry, dial func(netip.AddrPort) messenger.Jobs, lg logr.Logger, rg *meter.Registry) *Subscriber {
 	sb := &Subscriber{store: st, entry: ce, dial: dial, log: lg, meter: rg, invalid: reporter.New(lg, rg)}
-	sb.watcher = watcher.New(st, ce.Key, watcher.Sink{Reset: sb.applyEntries, Apply: sb.applyEntries}, "queues", 0, lg)
+	sb.watcher = watcher.New(st, ce.Key, watcher.Sink{Reset: sb.applyEntries, Apply: sb.applyEntries, OnCall: sb.onWatchCall}, "queues", 0, lg)
 	return sb
 }
 
 // Run watches the store until the context ends.
-func (sb *Subscriber) Run(ctx context.Context) { sb.watcher.Run(ctx) }
+func (sb *Subscriber) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { sb.reportLag(ctx) })
+	sb.watcher.Run(ctx)
+	wg.Wait()
+}
 
 // Current returns the configuration in force, or nil.
 func (sb *Subscriber) Current() *modeler.Configuration { return sb.current.Load() }
@@ -130,8 +138,11 @@
 		return
 	}
 	sb.current.Store(cfg)
+	behind := sb.lag.advance(cfg.Revision, time.Now())
 	sb.meter.Set(meter.QueuesRevision, cfg.Revision)
-	logger.Log(sb.log, logger.QueuesAccepted, "Revision", cfg.Revision, "Queues", len(cfg.Queues), "From", origin)
+	sb.meter.Set(meter.QueuesLag, behind.Milliseconds())
+	logger.Log(sb.log, logger.QueuesAccepted, "Revision", cfg.Revision, "Queues", len(cfg.Queues), "From", origin, "Lag", behind.String(),
+		"WatchFailures", sb.watchFailures.count, "FetchFailures", sb.fetchFailures.count)
 }
 
 // Refresh reads the configuration from the store, so that a queue is not reported as missing
@@ -157,6 +168,7 @@
 func (sb *Subscriber) OnHigherRevision(addr netip.AddrPort, revision int64) {
 	sb.mu.Lock()
 	defer sb.mu.Unlock()
+	sb.lag.report(revision, time.Now())
 	if sb.fetching {
 		return
 	}
@@ -177,6 +189,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
 	doc, err := sb.dial(addr).Queues(ctx, &messenger.QueuesQuery{})
+	sb.onFetch(err)
 	if err != nil {
 		logger.Log(sb.log, logger.QueuesNotFetched, "Peer", addr, "Revision", revision, "Error", err.Error())
 		return
--- a/internal/job/watcher/watcher.go
+++ b/internal/job/watcher/watcher.go
@@ -32,6 +32,8 @@
 	Reset func([]storer.Entry)
 	// Apply receives changes in their order. Deleted entries are marked Deleted.
 	Apply func([]storer.Entry)
+	// OnCall receives the error of each call, or nil. It may be nil itself.
+	OnCall func(error)
 }
 
 const (
@@ -66,8 +68,8 @@
 	log        logr.Logger
 	// listing is the snapshot that is being read, or nil.
 	listing *listing
-	// unreachable is set while the service does not answer.
-	unreachable bool
+	// failures is the number of calls that failed in a row.
+	failures int
 	// lastSuccess is when the last successful call began, in nanoseconds since 1970, or zero.
 	lastSuccess atomic.Int64
 }
@@ -102,11 +104,11 @@
 		switch {
 		case err == nil:
 			bo.Reset()
-			wt.markReachable()
+			wt.recordSuccess()
 		case errors.Is(err, storer.ErrGap):
 			hasSnapshot = false
 		case ctx.Err() == nil:
-			wt.markUnreachable(err)
+			wt.recordFailure(err)
 			pauser.Sleep(ctx, bo.NextBackOff())
 		}
 	}
@@ -186,18 +188,26 @@
 	return len(ens) >= largeAnswer || size >= largeAnswerSize
 }
 
-// markUnreachable logs the error of the first failed call.
-func (wt *Watcher) markUnreachable(err error) {
-	if !wt.unreachable {
-		logger.Log(wt.log, logger.WatchLost, "What", wt.name, "Error", err.Error())
+// recordFailure logs the first failure in a row, and later ones when their number has doubled.
+func (wt *Watcher) recordFailure(err error) {
+	wt.failures++
+	if wt.failures&(wt.failures-1) == 0 {
+		logger.Log(wt.log, logger.WatchLost, "What", wt.name, "Error", err.Error(), "Failures", wt.failures)
+	}
+	wt.reportCall(err)
+}
+
+// recordSuccess logs the first successful call after failed ones.
+func (wt *Watcher) recordSuccess() {
+	if wt.failures > 0 {
+		logger.Log(wt.log, logger.WatchRestored, "What", wt.name, "Failures", wt.failures)
 	}
-	wt.unreachable = true
+	wt.failures = 0
+	wt.reportCall(nil)
 }
 
-// markReachable logs the first successful call after failed ones.
-func (wt *Watcher) markReachable() {
-	if wt.unreachable {
-		logger.Log(wt.log, logger.WatchRestored, "What", wt.name)
+func (wt *Watcher) reportCall(err error) {
+	if wt.sink.OnCall != nil {
+		wt.sink.OnCall(err)
 	}
-	wt.unreachable = false
 }
--- a/internal/telemetry/logger/catalogue.go
+++ b/internal/telemetry/logger/catalogue.go
@@ -59,4 +59,5 @@
 	shortageEvents,
 	stallEvents,
 	refusalEvents,
+	configurationEvents,
 )
--- a/internal/telemetry/logger/catalogue_job.go
+++ b/internal/telemetry/logger/catalogue_job.go
@@ -50,8 +50,8 @@
 	MemberNotStored = Event{649, "member record not written", "The store did not accept this host's record. The next heartbeat retries.", SeverityWarning}
 	MemberDamaged   = Event{650, "member record malformed", "A document under Member/ was not written by this software. Inspect the key.", SeverityError}
 	MemberRemoved   = Event{651, "member record deleted", "The host has sent no heartbeat for a long time.", SeverityInfo}
-	WatchLost       = Event{652, "store watch failed", "Changes are not seen until the store answers again.", SeverityWarning}
-	WatchRestored   = Event{653, "store watch recovered", "The local copy is up to date again.", SeverityInfo}
+	WatchLost       = Event{652, "store watch failed", "Changes are not seen until the store answers again. Logged for the first failure in a row and each time their number has doubled.", SeverityWarning}
+	WatchRestored   = Event{653, "store watch recovered", "The local copy is up to date again, after Failures failed calls.", SeverityInfo}
 
 	LeaseBounded          = Event{654, "end of a silent worker's lease recorded", "The worker does not answer. The journal has, from now on, that its lease is over after LeaseLeft, so that a later leader does not wait anew. The lease is not extended before the journal has a new grant. Clock is the time on the journal's clock.", SeverityInfo}
 	PredecessorStopped    = Event{655, "last leader has stopped", "The last leader is known to send no more requests. Workers that do not answer may run tasks of earlier leaders for InheritedLease from now on.", SeverityInfo}
@@ -60,7 +60,7 @@
 	RefusalsMislead       = Event{658, "refused connections disregarded", "A host whose address refused connections leads. The network rejects connections to hosts that run. Check the firewalls between the hosts.", SeverityWarning}
 	LeadersBeforeDeposed  = Event{659, "leaders before the last one deposed", "The leaders before the last one extend no leases any more, as most hosts have known the last one for a while. Workers that do not answer may run tasks of these for EarlierLease, and of the last one for InheritedLease from now on.", SeverityInfo}
 
-	QueuesAccepted   = Event{660, "queue configuration accepted", "A higher revision of the queue configuration is in force at this host.", SeverityInfo}
+	QueuesAccepted   = Event{660, "queue configuration accepted", "A higher revision of the queue configuration is in force at this host. Lag is the time since a peer first reported a revision higher than the one before; it is zero if none did.", SeverityInfo}
 	QueuesInvalid    = Event{661, "invalid queue configuration refused", "The operators' document could not be parsed. The revision in force does not change. Correct the document.", SeverityError}
 	QueuesNotFetched = Event{662, "queue configuration not fetched from a peer", "A peer reported a higher revision but did not send it. The host also watches the store for it.", SeverityWarning}
 	PeersNotSecured  = Event{663, "TLS disabled for peers and operators", "The setting TrustedNetwork declares that the network is trusted.", SeverityWarning}
--- a/internal/telemetry/meter/table_job.go
+++ b/internal/telemetry/meter/table_job.go
@@ -17,6 +17,10 @@
 	TasksPaced         = Metric{"TasksPaced", "", "Pace requests sent to workers."}
 	WorkersQuarantined = Metric{"WorkersQuarantined", "", "Quarantines of workers after faults."}
 	QueuesRevision     = Metric{"QueuesRevision", "", "Revision of the queue configuration that is in force."}
+	QueuesLag          = Metric{"QueuesLag", "ms", "Time from the first report of a higher revision of the queue configuration by a peer to a revision in force that is as high, of the last change. A gauge."}
+	QueuesOutdated     = Metric{"QueuesOutdated", "ms", "Time since a peer first reported a revision of the queue configuration that is higher than the one in force, or zero. A gauge, updated once a second."}
+	QueueWatchFailures = Metric{"QueueWatchFailures", "", "Failed calls of the watch of the queue configuration."}
+	QueueFetchFailures = Metric{"QueueFetchFailures", "", "Failed requests for the queue configuration of a peer."}
 	LogLinesDropped    = Metric{"LinesLeftOut", "", "Log lines dropped."}
 	RequestsRelayed    = Metric{"RequestsRelayed", "", "Requests to workers that the leader had carried out by relays."}
 	RelayExchanges     = Metric{"RelayExchanges", "", "Exchanges of the leader with relays."}
@@ -45,7 +49,7 @@
 	TasksMoved,
 	TasksPaced,
 	WorkersQuarantined,
-	QueuesRevision,
+	QueuesRevision, QueuesLag, QueuesOutdated, QueueWatchFailures, QueueFetchFailures,
 	LogLinesDropped,
 	RequestsRelayed,
 	RelayExchanges,
