internal/job/watcher: a call may last while bytes of its answer arrive

A watch gave each call 1.5 s, of which up to 0.7 s pass before a change; one version of 1.06 MB takes 0.85 s on an idle link. A call that failed began anew.

The limit is now on the time without progress, 1.5 s as before, and 1 min in all. Calls to the platform report the bytes that arrive to the watchdog of their context.

--- a/internal/job/watcher/watcher.go
+++ b/internal/job/watcher/watcher.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/currantrouter/currantrouter/internal/process/pauser"
+	"github.com/currantrouter/currantrouter/internal/process/watchdog"
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
 	"github.com/currantrouter/currantrouter/internal/telemetry/logger"
 )
@@ -42,16 +43,19 @@
 	// maxRetryDelay bounds the mean pause after further failed calls. It is short enough for a new
 	// configuration to arrive within the required two seconds after a short outage.
 	maxRetryDelay = 400 * time.Millisecond
-	// callTimeout bounds a page and a wait. A wait normally returns sooner, so a call that takes
-	// longer uses a connection whose other end is unreachable.
-	callTimeout = 1500 * time.Millisecond
+	// stallTimeout bounds the time in which nothing of the answer to a call arrives. A wait normally returns
+	// sooner, so a call that takes longer uses a connection whose other end is unreachable.
+	stallTimeout = 1500 * time.Millisecond
+	// callTimeout bounds a call whose answer arrives all the time. The slowest links carry the largest answer in
+	// less.
+	callTimeout = time.Minute
 	// largeAnswer and largeAnswerSize are the number of changes and the bytes of their values from which an
 	// answer is followed by the next call at once: the service may have more changes than it returns in one
 	// answer, and the watch would fall behind them.
 	largeAnswer     = 200
 	largeAnswerSize = 256 << 10
-	// maxTimeoutDoublings is how often callTimeout is doubled for a page, once for each call that
-	// failed in a row: a slow link may need longer for a page of 1 MB.
+	// maxTimeoutDoublings is how often stallTimeout is doubled for a page, once for each call that
+	// failed in a row: a slow service may need longer to read a page of 1 MB.
 	maxTimeoutDoublings = 3
 )
 
@@ -156,13 +160,13 @@
 }
 
 func (wt *Watcher) page(ctx context.Context, ls *listing) (storer.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout<<min(ls.failures, maxTimeoutDoublings))
+	ctx, cancel := watchdog.WithTimeout(ctx, stallTimeout<<min(ls.failures, maxTimeoutDoublings), callTimeout)
 	defer cancel()
 	return wt.source.Page(ctx, wt.prefix, ls.after)
 }
 
 func (wt *Watcher) wait(ctx context.Context, after int64) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := watchdog.WithTimeout(ctx, stallTimeout, callTimeout)
 	defer cancel()
 	began := time.Now()
 	ens, revision, err := wt.source.Wait(ctx, wt.prefix, after)
--- a/internal/provider/requester/requester.go
+++ b/internal/provider/requester/requester.go
@@ -15,6 +15,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/currantrouter/currantrouter/internal/process/watchdog"
 )
 
 // Errors of a call. Callers test for them with errors.Is.
@@ -121,8 +123,8 @@
 // jsonHeader is shared by all calls and never changed.
 var jsonHeader = http.Header{"Content-Type": {"application/json; charset=utf-8"}}
 
-// Do sends a request and reads the whole answer, whatever its status. Errors: ErrNotSent,
-// ErrAnswerLost.
+// Do sends a request and reads the whole answer, whatever its status. It reports the bytes that arrive to a watchdog of
+// the context. Errors: ErrNotSent, ErrAnswerLost.
 func (rr *Requester) Do(ctx context.Context, rq *Request) (Response, error) {
 	for at := 1; ; at++ {
 		rs, err := rr.send(ctx, rq)
@@ -155,7 +157,8 @@
 		return Response{}, fmt.Errorf("%w: %w", ct.classify(), err)
 	}
 	defer func() { _ = rs.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(rs.Body, maxAnswerBytes))
+	watchdog.Progress(ctx)
+	data, err := io.ReadAll(io.LimitReader(watchdog.NewReader(ctx, rs.Body), maxAnswerBytes))
 	if err != nil {
 		return Response{}, fmt.Errorf("%w: %w", ErrAnswerLost, err)
 	}
