internal/job/watcher: the watch of one entry reads the newest version when it has fallen behind

The store's answer to a wait has each version since the host's own, in full, so that each failure and each change made the next answer longer than the last.

A watch that needs only the newest version reads it by a page after a failed call, and while answers bring several versions. It is at most two transfers behind, whatever came before.

--- a/internal/job/watcher/watcher.go
+++ b/internal/job/watcher/watcher.go
@@ -64,6 +64,14 @@
 	source Source
 	prefix string
 	sink   Sink
+	// newestOnly is set if versions of an entry that have been replaced need not reach the sink.
+	newestOnly bool
+	// behind is set with newestOnly after an answer with several versions, until the newest is known to be read.
+	behind bool
+	// newest is the highest revision of an entry in the last answer that had any.
+	newest int64
+	// revision is that from which the next wait returns the changes.
+	revision int64
 	// name identifies the watch in the log.
 	name string
 	// batchDelay is the pause after changes, so that the next call returns the changes of many
@@ -85,6 +93,15 @@
 	return &Watcher{source: src, prefix: prefix, sink: sink, name: name, batchDelay: batchDelay, log: lg}
 }
 
+// NewNewest returns a watcher of one entry that may leave out versions that have been replaced. While the entry changes
+// faster than its versions arrive, and after a failed call, the watcher reads the newest version and not all that it has
+// missed, so that the sink has the version of a time after at most twice the time that one takes to arrive.
+func NewNewest(src Source, key string, sink Sink, name string, lg logr.Logger) *Watcher {
+	wt := New(src, key, sink, name, 0, lg)
+	wt.newestOnly = true
+	return wt
+}
+
 // Age returns an upper bound of the age of the state that the sink has received, or false if it has
 // received none yet.
 func (wt *Watcher) Age() (time.Duration, bool) {
@@ -96,22 +113,23 @@
 func (wt *Watcher) Run(ctx context.Context) {
 	bo := backoff.NewExponentialBackOff()
 	bo.InitialInterval, bo.MaxInterval = minRetryDelay, maxRetryDelay
-	hasSnapshot, revision := false, int64(0)
+	hasSnapshot := false
 	for ctx.Err() == nil {
 		var err error
-		if !hasSnapshot {
-			revision, err = wt.snapshot(ctx)
-			hasSnapshot = err == nil
+		if hasSnapshot {
+			err = wt.wait(ctx)
 		} else {
-			revision, err = wt.wait(ctx, revision)
+			err = wt.snapshot(ctx)
 		}
 		switch {
 		case err == nil:
 			bo.Reset()
 			wt.recordSuccess()
+			hasSnapshot = !wt.behind
 		case errors.Is(err, storer.ErrGap):
 			hasSnapshot = false
 		case ctx.Err() == nil:
+			hasSnapshot = hasSnapshot && !wt.newestOnly
 			wt.recordFailure(err)
 			pauser.Sleep(ctx, bo.NextBackOff())
 		}
@@ -132,7 +150,7 @@
 
 // snapshot reads the remaining pages and passes all entries to the sink. After an error, the next
 // call goes on with the page that failed.
-func (wt *Watcher) snapshot(ctx context.Context) (int64, error) {
+func (wt *Watcher) snapshot(ctx context.Context) error {
 	if wt.listing == nil {
 		wt.listing = &listing{began: time.Now()}
 	}
@@ -141,7 +159,7 @@
 		page, err := wt.page(ctx, ls)
 		if err != nil {
 			ls.failures++
-			return 0, err
+			return err
 		}
 		ls.failures = 0
 		if ls.after == "" {
@@ -156,7 +174,11 @@
 	wt.listing = nil
 	wt.sink.Reset(ls.entries)
 	wt.lastSuccess.Store(ls.began.UnixNano())
-	return ls.revision, nil
+	wt.revision = ls.revision
+	newest := newestRevision(ls.entries)
+	wt.behind = wt.behind && newest > wt.newest
+	wt.newest = newest
+	return nil
 }
 
 func (wt *Watcher) page(ctx context.Context, ls *listing) (storer.Page, error) {
@@ -165,22 +187,34 @@
 	return wt.source.Page(ctx, wt.prefix, ls.after)
 }
 
-func (wt *Watcher) wait(ctx context.Context, after int64) (int64, error) {
+func (wt *Watcher) wait(ctx context.Context) error {
 	ctx, cancel := watchdog.WithTimeout(ctx, stallTimeout, callTimeout)
 	defer cancel()
 	began := time.Now()
-	ens, revision, err := wt.source.Wait(ctx, wt.prefix, after)
+	ens, revision, err := wt.source.Wait(ctx, wt.prefix, wt.revision)
 	if err != nil {
-		return after, err
+		return err
 	}
 	wt.lastSuccess.Store(began.UnixNano())
+	wt.revision = max(wt.revision, revision)
 	if len(ens) > 0 {
 		wt.sink.Apply(ens)
+		wt.newest = newestRevision(ens)
+		wt.behind = wt.newestOnly && len(ens) > 1
 		if !isLarge(ens) {
 			pauser.Sleep(ctx, wt.batchDelay)
 		}
 	}
-	return max(after, revision), nil
+	return nil
+}
+
+// newestRevision returns the highest revision of the entries, or zero.
+func newestRevision(ens []storer.Entry) int64 {
+	newest := int64(0)
+	for _, en := range ens {
+		newest = max(newest, en.Revision)
+	}
+	return newest
 }
 
 // isLarge reports whether the service may have had more changes than an answer with these.
