internal/job/subscriber: peers send configurations compressed, and as long as they arrive

Peers that ask for it get the document in the DEFLATE format, encoded once for each revision, with the store's revision of the entry, so that the watch leaves out the versions up to it and gives up an answer with them. A request ends when nothing has arrived for 1 s. All peers that reported a higher revision are asked in turn, not only the first. Former hosts ask without the flag and get, and send, the document as before.

TestFetchOverSlowLink failed before and passes, also with a former peer.

--- a/internal/job/elector/clients.go
+++ b/internal/job/elector/clients.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
+	"github.com/currantrouter/currantrouter/internal/process/watchdog"
 )
 
 const (
@@ -82,7 +83,8 @@
 }
 
 // Dial returns the client for an address. The same address yields the same client. A call that its
-// context ends early closes its connection, whose other end may be unreachable.
+// context ends early closes its connection, whose other end may be unreachable. Calls report the bytes that arrive to the
+// watchdog of their context.
 func (cp *ClientPool) Dial(addr netip.AddrPort) messenger.Jobs { return cp.clientsFor(addr).jobs }
 
 // DialRelay is Dial for the service of relays.
@@ -102,6 +104,7 @@
 		if cp.request != nil {
 			hc.Transport = &headerReader{Transport: tr, request: cp.request}
 		}
+		hc.Transport = watchdog.NewTransport(hc.Transport)
 		cl = peerClients{messenger.NewJobsProtobufClient("http://"+addr.String(), hc), messenger.NewRelayProtobufClient("http://"+addr.String(), hc)}
 		cp.clients[addr] = cl
 	}
--- a/internal/job/intaker/server.go
+++ b/internal/job/intaker/server.go
@@ -118,10 +118,10 @@
 }
 
 // Queues implements messenger.Jobs.
-func (sv *Server) Queues(context.Context, *messenger.QueuesQuery) (*messenger.QueuesDocument, error) {
-	document, err := sv.subscriber.Document()
+func (sv *Server) Queues(_ context.Context, qr *messenger.QueuesQuery) (*messenger.QueuesDocument, error) {
+	answer, err := sv.subscriber.Answer(qr)
 	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
 	}
-	return &messenger.QueuesDocument{Document: document}, nil
+	return answer, nil
 }
--- a/internal/job/subscriber/subscriber.go
+++ b/internal/job/subscriber/subscriber.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net/netip"
 	"sync"
@@ -34,11 +33,6 @@
 	maxRefreshLag = 200 * time.Millisecond
 	// refreshTimeout bounds the read of the store before a caller is told that a queue does not exist.
 	refreshTimeout = 700 * time.Millisecond
-	// fetchTimeout bounds the request for the configuration of a peer that has a higher revision.
-	fetchTimeout = 500 * time.Millisecond
-	// ownWatchGrace is how long this host waits for a higher revision from its own watch of the store
-	// before it requests the revision from a peer.
-	ownWatchGrace = 250 * time.Millisecond
 )
 
 // ConfigurationEntry describes the entry in the store to which operators write the configuration.
@@ -65,11 +59,17 @@
 	invalid *reporter.Reporter
 	watcher *watcher.Watcher
 	current atomic.Pointer[modeler.Configuration]
+	// document is what peers get.
+	document peerDocument
 
 	mu sync.Mutex
 	// decodedRevision is the store's revision of the entry that was decoded last.
 	decodedRevision int64
-	// fetching is set while a peer's configuration is requested.
+	// storeRevision is the store's revision of the entry with the configuration in force, or zero if it is unknown.
+	storeRevision int64
+	// sources holds the revisions of peers that reported a higher one and were not asked for it since.
+	sources map[netip.AddrPort]int64
+	// fetching is set while the configurations of peers are requested.
 	fetching bool
 	lag      lag
 	// watchFailures and fetchFailures are those of calls to the store and of requests to peers.
@@ -79,7 +79,7 @@
 // New returns a subscriber without a configuration. The function dial returns the client for a
 // peer.
 func New(st Store, ce ConfigurationEntry, dial func(netip.AddrPort) messenger.Jobs, lg logr.Logger, rg *meter.Registry) *Subscriber {
-	sb := &Subscriber{store: st, entry: ce, dial: dial, log: lg, meter: rg, invalid: reporter.New(lg, rg)}
+	sb := &Subscriber{store: st, entry: ce, dial: dial, log: lg, meter: rg, invalid: reporter.New(lg, rg), sources: map[netip.AddrPort]int64{}}
 	sb.watcher = watcher.NewNewest(st, ce.Key, watcher.Sink{Reset: sb.applyEntries, Apply: sb.applyEntries, OnCall: sb.onWatchCall}, "queues", lg)
 	return sb
 }
@@ -128,21 +128,23 @@
 		return
 	}
 	sb.decodedRevision = en.Revision
-	sb.accept(cfg, "store")
+	sb.accept(cfg, en.Revision, "store")
 }
 
-// accept puts a configuration in force if its revision is higher than the one in force. The caller
-// holds mu.
-func (sb *Subscriber) accept(cfg *modeler.Configuration, origin string) {
+// accept puts a configuration in force if its revision is higher than the one in force, and reports whether it did. The
+// caller holds mu.
+func (sb *Subscriber) accept(cfg *modeler.Configuration, storeRevision int64, origin string) bool {
 	if current := sb.current.Load(); current != nil && current.Revision >= cfg.Revision {
-		return
+		return false
 	}
+	sb.storeRevision = storeRevision
 	sb.current.Store(cfg)
 	behind := sb.lag.advance(cfg.Revision, time.Now())
 	sb.meter.Set(meter.QueuesRevision, cfg.Revision)
 	sb.meter.Set(meter.QueuesLag, behind.Milliseconds())
 	logger.Log(sb.log, logger.QueuesAccepted, "Revision", cfg.Revision, "Queues", len(cfg.Queues), "From", origin, "Lag", behind.String(),
 		"WatchFailures", sb.watchFailures.count, "FetchFailures", sb.fetchFailures.count)
+	return true
 }
 
 // Refresh reads the configuration from the store, so that a queue is not reported as missing
@@ -162,58 +164,3 @@
 	}
 	return nil
 }
-
-// OnHigherRevision starts a request for the configuration of a peer that has a higher revision. The
-// request is not sent if this host's own watch returns that revision within ownWatchGrace.
-func (sb *Subscriber) OnHigherRevision(addr netip.AddrPort, revision int64) {
-	sb.mu.Lock()
-	defer sb.mu.Unlock()
-	sb.lag.report(revision, time.Now())
-	if sb.fetching {
-		return
-	}
-	sb.fetching = true
-	go sb.fetch(addr, revision)
-}
-
-func (sb *Subscriber) fetch(addr netip.AddrPort, revision int64) {
-	defer func() {
-		sb.mu.Lock()
-		defer sb.mu.Unlock()
-		sb.fetching = false
-	}()
-	time.Sleep(ownWatchGrace)
-	if sb.Revision() >= revision {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
-	defer cancel()
-	doc, err := sb.dial(addr).Queues(ctx, &messenger.QueuesQuery{})
-	sb.onFetch(err)
-	if err != nil {
-		logger.Log(sb.log, logger.QueuesNotFetched, "Peer", addr, "Revision", revision, "Error", err.Error())
-		return
-	}
-	if err := sb.applyDocument(doc.Document, addr); err != nil {
-		sb.invalid.Report(logger.PeerInvalid, meter.ReportsInvalid, addr.String(), err, "Peer", addr, "Revision", revision)
-	}
-}
-
-// applyDocument puts the configuration of a peer in force. Errors: those of package json,
-// modeler.ErrInvalidConfiguration, also for a peer that has no configuration.
-func (sb *Subscriber) applyDocument(document []byte, addr netip.AddrPort) error {
-	cfg := new(modeler.Configuration)
-	if err := json.Unmarshal(document, cfg); err != nil {
-		return err
-	}
-	if err := cfg.Check(); err != nil {
-		return err
-	}
-	sb.mu.Lock()
-	defer sb.mu.Unlock()
-	sb.accept(cfg, addr.String())
-	return nil
-}
-
-// Document returns the configuration in force, encoded for a peer.
-func (sb *Subscriber) Document() ([]byte, error) { return json.Marshal(sb.current.Load()) }
--- a/internal/job/subscriber/subscriber_test.go
+++ b/internal/job/subscriber/subscriber_test.go
@@ -65,10 +65,13 @@
 		fx := newFixture()
 		var none fixture
 		none.Subscriber = New(nil, ConfigurationEntry{}, nil, fx.log, meter.New(nil))
-		document, err := none.Document()
-		qt.Assert(t, err, qt.IsNil)
-		fx.fetchDocument(document)
-		qt.Check(t, fx.Current(), qt.IsNil)
+		for _, compressed := range []bool{false, true} {
+			answer, err := none.Answer(&messenger.QueuesQuery{AcceptsCompressed: compressed})
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, answer.Compressed, qt.HasLen, 0)
+			fx.fetchDocument(answer.Document)
+			qt.Check(t, fx.Current(), qt.IsNil)
+		}
 	})
 }
 
@@ -150,15 +153,18 @@
 func FuzzApplyDocument(f *testing.F) {
 	f.Fuzz(func(t *testing.T, document []byte) {
 		fx := newFixture()
-		if fx.applyDocument(document, peerAddress) != nil {
+		if fx.applyAnswer(&messenger.QueuesDocument{Document: document}, peerAddress) != nil {
 			qt.Assert(t, fx.Current(), qt.IsNil)
 			return
 		}
 		qt.Assert(t, fx.Current().Check(), qt.IsNil)
-		again, err := fx.Document()
-		qt.Assert(t, err, qt.IsNil)
-		second := newFixture()
-		qt.Assert(t, second.applyDocument(again, peerAddress), qt.IsNil)
-		qt.Assert(t, second.Revision(), qt.Equals, fx.Revision())
+		for _, compressed := range []bool{false, true} {
+			again, err := fx.Answer(&messenger.QueuesQuery{AcceptsCompressed: compressed})
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, len(again.Compressed) > 0, qt.Equals, compressed)
+			second := newFixture()
+			qt.Assert(t, second.applyAnswer(again, peerAddress), qt.IsNil)
+			qt.Assert(t, second.Revision(), qt.Equals, fx.Revision())
+		}
 	})
 }
--- a/internal/job/watcher/watcher.go
+++ b/internal/job/watcher/watcher.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -84,6 +85,13 @@
 	failures int
 	// lastSuccess is when the last successful call began, in nanoseconds since 1970, or zero.
 	lastSuccess atomic.Int64
+
+	mu sync.Mutex
+	// known is the highest revision passed to Advance, or zero if the service does not have it.
+	known int64
+	// waitsFrom is the revision after which the wait under way returns changes. endWait ends it; it is nil if there is none.
+	waitsFrom int64
+	endWait   context.CancelFunc
 }
 
 // New returns a watcher of the entries with the prefix. It logs, with the name, when the service
@@ -102,6 +110,36 @@
 	return wt
 }
 
+// Advance tells a watcher of NewNewest that the version of a revision came from elsewhere. The versions up to it are not
+// read any more, and an answer with them that is arriving is given up.
+func (wt *Watcher) Advance(revision int64) {
+	wt.mu.Lock()
+	defer wt.mu.Unlock()
+	wt.known = max(wt.known, revision)
+	if wt.endWait != nil && wt.known > wt.waitsFrom {
+		wt.endWait()
+	}
+}
+
+// errSuperseded means that a wait was given up because of Advance.
+var errSuperseded = errors.New("versions came from elsewhere")
+
+// beginWait returns the revision after which a wait returns changes. Advance calls end if that becomes too low.
+func (wt *Watcher) beginWait(end context.CancelFunc) int64 {
+	wt.mu.Lock()
+	defer wt.mu.Unlock()
+	wt.waitsFrom, wt.endWait = max(wt.revision, wt.known), end
+	return wt.waitsFrom
+}
+
+// finishWait reports whether the wait was given up because of Advance.
+func (wt *Watcher) finishWait() bool {
+	wt.mu.Lock()
+	defer wt.mu.Unlock()
+	wt.endWait = nil
+	return wt.known > wt.waitsFrom
+}
+
 // Age returns an upper bound of the age of the state that the sink has received, or false if it has
 // received none yet.
 func (wt *Watcher) Age() (time.Duration, bool) {
@@ -126,6 +164,7 @@
 			bo.Reset()
 			wt.recordSuccess()
 			hasSnapshot = !wt.behind
+		case errors.Is(err, errSuperseded):
 		case errors.Is(err, storer.ErrGap):
 			hasSnapshot = false
 		case ctx.Err() == nil:
@@ -174,13 +213,23 @@
 	wt.listing = nil
 	wt.sink.Reset(ls.entries)
 	wt.lastSuccess.Store(ls.began.UnixNano())
-	wt.revision = ls.revision
+	wt.setSnapshotRevision(ls.revision)
 	newest := newestRevision(ls.entries)
 	wt.behind = wt.behind && newest > wt.newest
 	wt.newest = newest
 	return nil
 }
 
+// setSnapshotRevision makes the next wait return the changes after a snapshot.
+func (wt *Watcher) setSnapshotRevision(revision int64) {
+	wt.mu.Lock()
+	defer wt.mu.Unlock()
+	wt.revision = revision
+	if wt.known > revision {
+		wt.known = 0
+	}
+}
+
 func (wt *Watcher) page(ctx context.Context, ls *listing) (storer.Page, error) {
 	ctx, cancel := watchdog.WithTimeout(ctx, stallTimeout<<min(ls.failures, maxTimeoutDoublings), callTimeout)
 	defer cancel()
@@ -191,12 +240,20 @@
 	ctx, cancel := watchdog.WithTimeout(ctx, stallTimeout, callTimeout)
 	defer cancel()
 	began := time.Now()
-	ens, revision, err := wt.source.Wait(ctx, wt.prefix, wt.revision)
-	if err != nil {
+	after := wt.beginWait(cancel)
+	ens, revision, err := wt.source.Wait(ctx, wt.prefix, after)
+	superseded := wt.finishWait()
+	switch {
+	case err != nil && superseded:
+		return errSuperseded
+	case err != nil:
 		return err
+	case revision < after:
+		// The revision passed to Advance is not one of the service.
+		return storer.ErrGap
 	}
 	wt.lastSuccess.Store(began.UnixNano())
-	wt.revision = max(wt.revision, revision)
+	wt.revision = revision
 	if len(ens) > 0 {
 		wt.sink.Apply(ens)
 		wt.newest = newestRevision(ens)
--- a/internal/job/watcher/watcher_test.go
+++ b/internal/job/watcher/watcher_test.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/currantrouter/currantrouter/internal/job/watcher"
+	"github.com/currantrouter/currantrouter/internal/process/watchdog"
 	"github.com/currantrouter/currantrouter/internal/provider/storer"
 )
 
@@ -179,3 +180,86 @@
 		})
 	}
 }
+
+// versionSource has one entry, whose change takes 10 s to arrive.
+type versionSource struct {
+	mu       sync.Mutex
+	revision int64
+}
+
+func (vs *versionSource) entries() ([]storer.Entry, int64) {
+	vs.mu.Lock()
+	defer vs.mu.Unlock()
+	return []storer.Entry{{Key: "key", Revision: vs.revision}}, vs.revision
+}
+
+func (vs *versionSource) set(revision int64) {
+	vs.mu.Lock()
+	defer vs.mu.Unlock()
+	vs.revision = revision
+}
+
+func (vs *versionSource) Page(context.Context, string, string) (storer.Page, error) {
+	ens, revision := vs.entries()
+	return storer.Page{Entries: ens, Revision: revision}, nil
+}
+
+func (vs *versionSource) Wait(ctx context.Context, _ string, after int64) ([]storer.Entry, int64, error) {
+	for range 10 {
+		ens, revision := vs.entries()
+		if after < revision {
+			for range 100 {
+				time.Sleep(100 * time.Millisecond)
+				watchdog.Progress(ctx)
+				if ctx.Err() != nil {
+					return nil, 0, storer.ErrUnavailable
+				}
+			}
+			return ens, revision, nil
+		}
+		time.Sleep(70 * time.Millisecond)
+	}
+	_, revision := vs.entries()
+	return nil, revision, nil
+}
+
+// Guards against a version that is read although it came from elsewhere, and against a revision that the service does not
+// have and that hides later changes.
+func TestAdvance(t *testing.T) {
+	for name, tc := range map[string]struct {
+		advance int64
+		applied []int64
+	}{
+		"to the change":     {5, nil},
+		"to a former one":   {2, []int64{5}},
+		"to none that is":   {1 << 40, []int64{5}},
+		"without a version": {0, []int64{5}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				src := &versionSource{revision: 3}
+				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+				defer cancel()
+				var applied []int64
+				record := func(ens []storer.Entry) {
+					for _, en := range ens {
+						if en.Revision > 3 {
+							applied = append(applied, en.Revision)
+						}
+					}
+				}
+				wt := watcher.NewNewest(src, "key", watcher.Sink{Reset: record, Apply: record}, "test", logr.Discard())
+				go func() {
+					time.Sleep(time.Second)
+					src.set(5)
+					time.Sleep(time.Second)
+					wt.Advance(tc.advance)
+				}()
+				wt.Run(ctx)
+				qt.Check(t, applied, qt.DeepEquals, tc.applied)
+				age, _ := wt.Age()
+				qt.Check(t, age < 2*time.Second, qt.IsTrue, qt.Commentf("%s", age))
+			})
+		})
+	}
+}
--- a/internal/process/watchdog/watchdog.go
+++ b/internal/process/watchdog/watchdog.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"time"
 )
 
@@ -66,3 +67,24 @@
 	}
 	return count, err
 }
+
+// NewTransport returns a transport that reports answers and the bytes of their bodies to the watchdogs of their requests.
+func NewTransport(next http.RoundTripper) http.RoundTripper { return &transport{next} }
+
+type transport struct{ next http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (tr *transport) RoundTrip(rq *http.Request) (*http.Response, error) {
+	rs, err := tr.next.RoundTrip(rq)
+	if err != nil || from(rq.Context()) == nil {
+		return rs, err
+	}
+	Progress(rq.Context())
+	rs.Body = &body{NewReader(rq.Context(), rs.Body), rs.Body}
+	return rs, nil
+}
+
+type body struct {
+	io.Reader
+	io.Closer
+}
