internal/job/subscriber: a missing queue is reported only from a fresh copy

What callers saw: 404 for a queue that exists, from a host whose read of the store had failed: the read has 0.7 s for the whole document, which takes 0.85 s at 10 Mbit/s. Each request for a missing queue transferred the document.

The host asks the store for the changes since its copy, which transfers nothing if there are none; concurrent requests share one read, which goes on when they no longer wait. 404 is answered if the store confirmed the copy since the request arrived or within 1.5 s, and no peer has reported a higher revision. Otherwise 503 with Retry-After, at once if the copy is known to be outdated or the store does not answer the watch.

In an outage of the store, callers of queues that never existed get 503 instead of 404 after 1.5 s, without waiting.

--- a/internal/daemon/assembler/jobs.go
+++ b/internal/daemon/assembler/jobs.go
@@ -42,6 +42,7 @@
 // JobStore is the key-value service that stores callers' jobs.
 type JobStore interface {
 	jobleader.Store
+	subscriber.Store
 	// Age is the time since the service last answered a call of this host, other than with a failure.
 	Age() time.Duration
 }
--- a/internal/job/leader/cluster_test.go
+++ b/internal/job/leader/cluster_test.go
@@ -550,6 +550,14 @@
 	return ens, rev, err
 }
 
+func (hs *hostStore) Poll(ctx context.Context, prefix string, after int64) (ens []storer.Entry, rev int64, err error) {
+	err = hs.read(ctx, func() (err error) {
+		ens, rev, err = hs.pr.ho.cl.store.Poll(ctx, prefix, after)
+		return err
+	})
+	return ens, rev, err
+}
+
 // hostWorkers are the workers as a process reaches them.
 type hostWorkers struct{ pr *process }
 
--- a/internal/job/subscriber/subscriber.go
+++ b/internal/job/subscriber/subscriber.go
@@ -4,13 +4,13 @@
 
 import (
 	"context"
-	"errors"
 	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
@@ -21,20 +21,6 @@
 	"github.com/currantrouter/currantrouter/internal/telemetry/reporter"
 )
 
-// ErrSuperseded means that a read of the store took longer than maxRefreshLag, and that the revision in
-// force rose meanwhile. Requests that arrived after the read began may have been handled with the lower
-// revision, so that one that waited for the read must not be handled with the higher one.
-var ErrSuperseded = errors.New("configuration changed while the request waited for the store")
-
-const (
-	// maxRefreshLag is how much later than a request a revision may come into force with which the request
-	// is handled. Callers are promised that a host does not go back to a lower revision in requests that are
-	// sent 250 ms apart.
-	maxRefreshLag = 200 * time.Millisecond
-	// refreshTimeout bounds the read of the store before a caller is told that a queue does not exist.
-	refreshTimeout = 700 * time.Millisecond
-)
-
 // ConfigurationEntry describes the entry in the store to which operators write the configuration.
 type ConfigurationEntry struct {
 	Key string
@@ -45,6 +31,8 @@
 // Store is the part of the key-value service that the subscriber needs.
 type Store interface {
 	watcher.Source
+	// Poll returns what Wait does, but at once if there are no changes. Errors: those of package storer.
+	Poll(ctx context.Context, prefix string, after int64) ([]storer.Entry, int64, error)
 	Get(ctx context.Context, key string) (storer.Entry, error)
 }
 
@@ -61,6 +49,8 @@
 	current atomic.Pointer[modeler.Configuration]
 	// document is what peers get.
 	document peerDocument
+	// reads has the read of the store for Refresh that is under way.
+	reads singleflight.Group
 
 	mu sync.Mutex
 	// decodedRevision is the store's revision of the entry that was decoded last.
@@ -72,6 +62,8 @@
 	// fetching is set while the configurations of peers are requested.
 	fetching bool
 	lag      lag
+	// readAt is when the last successful read for Refresh began.
+	readAt time.Time
 	// watchFailures and fetchFailures are those of calls to the store and of requests to peers.
 	watchFailures, fetchFailures failures
 }
@@ -146,21 +138,3 @@
 		"WatchFailures", sb.watchFailures.count, "FetchFailures", sb.fetchFailures.count)
 	return true
 }
-
-// Refresh reads the configuration from the store, so that a queue is not reported as missing
-// because this host's copy is out of date. If it returns an error of the store, the copy may be out of date.
-// Errors: ErrSuperseded, after which the copy is up to date, and those of package storer.
-func (sb *Subscriber) Refresh(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
-	defer cancel()
-	began, before := time.Now(), sb.Revision()
-	en, err := sb.store.Get(ctx, sb.entry.Key)
-	if err != nil {
-		return err
-	}
-	sb.decode(en)
-	if time.Since(began) > maxRefreshLag && sb.Revision() > before {
-		return ErrSuperseded
-	}
-	return nil
-}
--- a/internal/job/watcher/watcher.go
+++ b/internal/job/watcher/watcher.go
@@ -71,8 +71,6 @@
 	behind bool
 	// newest is the highest revision of an entry in the last answer that had any.
 	newest int64
-	// revision is that from which the next wait returns the changes.
-	revision int64
 	// name identifies the watch in the log.
 	name string
 	// batchDelay is the pause after changes, so that the next call returns the changes of many
@@ -87,6 +85,8 @@
 	lastSuccess atomic.Int64
 
 	mu sync.Mutex
+	// revision is that after which the next wait returns the changes. The sink has those before.
+	revision int64
 	// known is the highest revision passed to Advance, or zero if the service does not have it.
 	known int64
 	// waitsFrom is the revision after which the wait under way returns changes. endWait ends it; it is nil if there is none.
@@ -140,6 +140,22 @@
 	return wt.known > wt.waitsFrom
 }
 
+// forgetUnknown forgets a revision passed to Advance that the service, which has one, does not have yet.
+func (wt *Watcher) forgetUnknown(revision int64) {
+	wt.mu.Lock()
+	defer wt.mu.Unlock()
+	if wt.known > revision {
+		wt.known = 0
+	}
+}
+
+// Revision returns a revision of the service whose changes the sink has, or zero.
+func (wt *Watcher) Revision() int64 {
+	wt.mu.Lock()
+	defer wt.mu.Unlock()
+	return max(wt.revision, wt.known)
+}
+
 // Age returns an upper bound of the age of the state that the sink has received, or false if it has
 // received none yet.
 func (wt *Watcher) Age() (time.Duration, bool) {
@@ -213,21 +229,19 @@
 	wt.listing = nil
 	wt.sink.Reset(ls.entries)
 	wt.lastSuccess.Store(ls.began.UnixNano())
-	wt.setSnapshotRevision(ls.revision)
+	wt.forgetUnknown(ls.revision)
+	wt.setRevision(ls.revision)
 	newest := newestRevision(ls.entries)
 	wt.behind = wt.behind && newest > wt.newest
 	wt.newest = newest
 	return nil
 }
 
-// setSnapshotRevision makes the next wait return the changes after a snapshot.
-func (wt *Watcher) setSnapshotRevision(revision int64) {
+// setRevision makes the next wait return the changes after a revision of the service.
+func (wt *Watcher) setRevision(revision int64) {
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
 	wt.revision = revision
-	if wt.known > revision {
-		wt.known = 0
-	}
 }
 
 func (wt *Watcher) page(ctx context.Context, ls *listing) (storer.Page, error) {
@@ -252,15 +266,15 @@
 		// The revision passed to Advance is not one of the service.
 		return storer.ErrGap
 	}
-	wt.lastSuccess.Store(began.UnixNano())
-	wt.revision = revision
 	if len(ens) > 0 {
 		wt.sink.Apply(ens)
 		wt.newest = newestRevision(ens)
 		wt.behind = wt.newestOnly && len(ens) > 1
-		if !isLarge(ens) {
-			pauser.Sleep(ctx, wt.batchDelay)
-		}
+	}
+	wt.setRevision(revision)
+	wt.lastSuccess.Store(began.UnixNano())
+	if len(ens) > 0 && !isLarge(ens) {
+		pauser.Sleep(ctx, wt.batchDelay)
 	}
 	return nil
 }
--- a/internal/provider/emulator/store.go
+++ b/internal/provider/emulator/store.go
@@ -242,6 +242,18 @@
 	}
 }
 
+// Poll returns what Wait does, but at once if there are no changes. Errors: ErrGap, ErrUnavailable.
+func (st *Store) Poll(ctx context.Context, prefix string, after int64) ([]storer.Entry, int64, error) {
+	if err := st.beginRead(ctx, "Poll", prefix); err != nil {
+		return nil, after, err
+	}
+	ens, rev, _ := st.changes(prefix, after)
+	if rev < 0 {
+		return nil, after, storer.ErrGap
+	}
+	return ens, rev, nil
+}
+
 // changes returns the entries that changed after the revision, the current revision and a channel that
 // is closed at the next change. The revision is negative when the changes are no longer known.
 func (st *Store) changes(prefix string, after int64) ([]storer.Entry, int64, <-chan struct{}) {
