internal/job/subscriber: a missing queue is read for although a peer has just reported a revision

A host that hears of a change from a peer before its own watch returns it answered 503 at once to requests for a queue that the change may have added.

--- a/internal/job/subscriber/refresh.go
+++ b/internal/job/subscriber/refresh.go
@@ -52,22 +52,24 @@
 	case <-ctx.Done():
 		err = ctx.Err()
 	}
-	switch {
-	case !sb.isFresh(began):
+	switch fresh := sb.isFresh(began); {
+	case !fresh && err != nil:
 		return fmt.Errorf("%w: read of the store: %w", ErrOutdated, err)
+	case !fresh:
+		return ErrOutdated
 	case time.Since(began) > maxRefreshLag && sb.Revision() > before:
 		return ErrSuperseded
 	}
 	return nil
 }
 
-// checkOutdated returns ErrOutdated if the copy is known to be out of date, or if it is old and the store does not answer this
-// host.
+// checkOutdated returns ErrOutdated if a read of the store is unlikely to help: a higher revision has been known for a
+// while and is not in force, or the copy is old and the store does not answer this host.
 func (sb *Subscriber) checkOutdated() error {
 	sb.mu.Lock()
 	defer sb.mu.Unlock()
-	if behind := sb.lag.duration(time.Now()); behind > 0 {
-		return fmt.Errorf("%w: a peer has a higher revision since %s", ErrOutdated, behind)
+	if behind := sb.lag.duration(time.Now()); behind > refreshTimeout {
+		return fmt.Errorf("%w: a peer reported a higher revision %s ago", ErrOutdated, behind)
 	}
 	if sb.watchFailures.count > 0 && time.Since(sb.confirmed()) > maxCopyAge {
 		return fmt.Errorf("%w: %w", ErrOutdated, sb.watchFailures.last)
