--- a/internal/provider/emulator/store.go
+++ b/internal/provider/emulator/store.go
@@ -30,12 +30,17 @@
 	// WaitLimit is the time after which Wait returns without a change. It must not be changed
 	// once the store is used.
 	WaitLimit time.Duration
+	// KeepVersions makes Wait and Poll return each version of an entry since a revision and not only the newest, as the
+	// users' platform does. It must not be changed once the store is used.
+	KeepVersions bool
 
 	mu       sync.Mutex
 	revision int64
 	// keys is sorted and has the keys of entries.
 	keys    []string
 	entries map[string]storer.Entry
+	// replaced holds the versions that others have replaced, in the order of revisions, with KeepVersions.
+	replaced []storer.Entry
 	// tombstones holds the last deletions in the order of revisions.
 	tombstones []storer.Entry
 	// droppedRevision is the revision of the newest deletion that is no longer in tombstones.
@@ -118,6 +123,9 @@
 		ix, _ := slices.BinarySearch(st.keys, key)
 		st.keys = slices.Insert(st.keys, ix, key)
 	}
+	if st.KeepVersions && expected != 0 {
+		st.replaced = append(st.replaced, st.entries[key])
+	}
 	st.entries[key] = storer.Entry{Key: key, Value: bytes.Clone(value), Revision: st.revision}
 	st.notifyWaiters()
 	return st.revision, nil
@@ -211,7 +219,7 @@
 
 // Wait returns the entries with the prefix that changed after the revision, with Deleted set for
 // removed ones, and the revision to continue from. Of several changes of a key it returns the
-// last. It returns no entry when nothing changed for WaitLimit. Errors: ErrGap, ErrUnavailable.
+// last, or all with KeepVersions. It returns no entry when nothing changed for WaitLimit. Errors: ErrGap, ErrUnavailable.
 func (st *Store) Wait(ctx context.Context, prefix string, after int64) ([]storer.Entry, int64, error) {
 	if err := st.beginRead(ctx, "Wait", prefix); err != nil {
 		return nil, after, err
@@ -263,6 +271,11 @@
 		return nil, -1, nil
 	}
 	var out []storer.Entry
+	for _, en := range st.replaced {
+		if en.Revision > after && strings.HasPrefix(en.Key, prefix) {
+			out = append(out, en)
+		}
+	}
 	ix, _ := slices.BinarySearch(st.keys, prefix)
 	for _, key := range st.keys[ix:] {
 		if !strings.HasPrefix(key, prefix) {
