--- a/internal/job/subscriber/subscriber.go
+++ b/internal/job/subscriber/subscriber.go
@@ -72,7 +72,7 @@
 // peer.
 func New(st Store, ce ConfigurationEntry, dial func(netip.AddrPort) messenger.Jobs, lg logr.Logger, rg *meter.Registry) *Subscriber {
 	sb := &Subscriber{store: st, entry: ce, dial: dial, log: lg, meter: rg, invalid: reporter.New(lg, rg), sources: map[netip.AddrPort]int64{}}
-	sb.watcher = watcher.NewNewest(st, ce.Key, watcher.Sink{Reset: sb.applyEntries, Apply: sb.applyEntries, OnCall: sb.onWatchCall}, "queues", lg)
+	sb.watcher = watcher.NewForEntry(st, ce.Key, watcher.Sink{Reset: sb.applyEntries, Apply: sb.applyEntries, OnCall: sb.onWatchCall}, "queues", lg)
 	return sb
 }
 
--- a/internal/job/watcher/watcher.go
+++ b/internal/job/watcher/watcher.go
@@ -101,16 +101,16 @@
 	return &Watcher{source: src, prefix: prefix, sink: sink, name: name, batchDelay: batchDelay, log: lg}
 }
 
-// NewNewest returns a watcher of one entry that may leave out versions that have been replaced. While the entry changes
+// NewForEntry returns a watcher of one entry that may leave out versions that have been replaced. While the entry changes
 // faster than its versions arrive, and after a failed call, the watcher reads the newest version and not all that it has
 // missed, so that the sink has the version of a time after at most twice the time that one takes to arrive.
-func NewNewest(src Source, key string, sink Sink, name string, lg logr.Logger) *Watcher {
+func NewForEntry(src Source, key string, sink Sink, name string, lg logr.Logger) *Watcher {
 	wt := New(src, key, sink, name, 0, lg)
 	wt.newestOnly = true
 	return wt
 }
 
-// Advance tells a watcher of NewNewest that the version of a revision came from elsewhere. The versions up to it are not
+// Advance tells a watcher of NewForEntry that the version of a revision came from elsewhere. The versions up to it are not
 // read any more, and an answer with them that is arriving is given up.
 func (wt *Watcher) Advance(revision int64) {
 	wt.mu.Lock()
--- a/internal/job/watcher/watcher_test.go
+++ b/internal/job/watcher/watcher_test.go
@@ -229,7 +229,7 @@
 						applied = append(applied, ens[0].Revision)
 					}
 				}
-				wt := watcher.NewNewest(src, "key", watcher.Sink{Reset: record, Apply: record}, "test", logr.Discard())
+				wt := watcher.NewForEntry(src, "key", watcher.Sink{Reset: record, Apply: record}, "test", logr.Discard())
 				go func() {
 					time.Sleep(time.Second)
 					src.revision.Store(5)
