internal/job/watcher: the watch of one entry notices the end of an outage within one call

Since the watch of the configuration reads a page after a failure, and a page doubles its limit without progress after each failure, to 12 s, so that the call under way when the store came back held up the next one.

A page of one entry keeps the limit of 1.5 s. The case of an outage of 15 s in TestWatchOverSlowLink fails before and passes.

--- a/internal/job/watcher/watcher.go
+++ b/internal/job/watcher/watcher.go
@@ -55,8 +55,9 @@
 	// answer, and the watch would fall behind them.
 	largeAnswer     = 200
 	largeAnswerSize = 256 << 10
-	// maxTimeoutDoublings is how often stallTimeout is doubled for a page, once for each call that
-	// failed in a row: a slow service may need longer to read a page of 1 MB.
+	// maxTimeoutDoublings is how often stallTimeout is doubled for a page of many entries, once for each call that
+	// failed in a row: a slow service may need longer to read 1 MB of them. A call that was begun in an outage
+	// delays the next one as long.
 	maxTimeoutDoublings = 3
 )
 
@@ -245,7 +246,11 @@
 }
 
 func (wt *Watcher) page(ctx context.Context, ls *listing) (storer.Page, error) {
-	ctx, cancel := watchdog.WithTimeout(ctx, stallTimeout<<min(ls.failures, maxTimeoutDoublings), callTimeout)
+	stall := stallTimeout
+	if !wt.newestOnly {
+		stall <<= min(ls.failures, maxTimeoutDoublings)
+	}
+	ctx, cancel := watchdog.WithTimeout(ctx, stall, callTimeout)
 	defer cancel()
 	return wt.source.Page(ctx, wt.prefix, ls.after)
 }
