internal/job/watcher: one revision says where the next wait begins

The watcher kept the revision of its last answer, the highest one passed to Advance and the one of the wait under way, and took their maximum at each use. No behaviour changes: the tests of the watcher (race detector on), of the subscriber and over slow links pass as they are.

--- a/internal/job/watcher/watcher.go
+++ b/internal/job/watcher/watcher.go
@@ -86,13 +86,11 @@
 	lastSuccess atomic.Int64
 
 	mu sync.Mutex
-	// revision is that after which the next wait returns the changes. The sink has those before.
+	// revision is that after which the next wait returns the changes. The sink or its owner has those before, unless
+	// Advance was called with a revision that the service does not have.
 	revision int64
-	// known is the highest revision passed to Advance, or zero if the service does not have it.
-	known int64
-	// waitsFrom is the revision after which the wait under way returns changes. endWait ends it; it is nil if there is none.
-	waitsFrom int64
-	endWait   context.CancelFunc
+	// endWait ends the wait under way. It is nil if there is none.
+	endWait context.CancelFunc
 }
 
 // New returns a watcher of the entries with the prefix. It logs, with the name, when the service
@@ -116,8 +114,11 @@
 func (wt *Watcher) Advance(revision int64) {
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
-	wt.known = max(wt.known, revision)
-	if wt.endWait != nil && wt.known > wt.waitsFrom {
+	if revision <= wt.revision {
+		return
+	}
+	wt.revision = revision
+	if wt.endWait != nil {
 		wt.endWait()
 	}
 }
@@ -129,32 +130,23 @@
 func (wt *Watcher) beginWait(end context.CancelFunc) int64 {
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
-	wt.waitsFrom, wt.endWait = max(wt.revision, wt.known), end
-	return wt.waitsFrom
+	wt.endWait = end
+	return wt.revision
 }
 
-// finishWait reports whether the wait was given up because of Advance.
-func (wt *Watcher) finishWait() bool {
+// finishWait reports whether Advance was called with a higher revision than that of beginWait, which ended the wait.
+func (wt *Watcher) finishWait(after int64) bool {
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
 	wt.endWait = nil
-	return wt.known > wt.waitsFrom
-}
-
-// forgetUnknown forgets a revision passed to Advance that the service, which has one, does not have yet.
-func (wt *Watcher) forgetUnknown(revision int64) {
-	wt.mu.Lock()
-	defer wt.mu.Unlock()
-	if wt.known > revision {
-		wt.known = 0
-	}
+	return wt.revision > after
 }
 
 // Revision returns a revision of the service whose changes the sink has, or zero.
 func (wt *Watcher) Revision() int64 {
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
-	return max(wt.revision, wt.known)
+	return wt.revision
 }
 
 // Age returns an upper bound of the age of the state that the sink has received, or false if it has
@@ -230,7 +222,6 @@
 	wt.listing = nil
 	wt.sink.Reset(ls.entries)
 	wt.lastSuccess.Store(ls.began.UnixNano())
-	wt.forgetUnknown(ls.revision)
 	wt.setRevision(ls.revision)
 	newest := newestRevision(ls.entries)
 	wt.behind = wt.behind && newest > wt.newest
@@ -238,7 +229,8 @@
 	return nil
 }
 
-// setRevision makes the next wait return the changes after a revision of the service.
+// setRevision makes the next wait return the changes after the revision of a snapshot, also if Advance was called with a
+// higher one, which the service may not have.
 func (wt *Watcher) setRevision(revision int64) {
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
@@ -261,7 +253,7 @@
 	began := time.Now()
 	after := wt.beginWait(cancel)
 	ens, revision, err := wt.source.Wait(ctx, wt.prefix, after)
-	superseded := wt.finishWait()
+	superseded := wt.finishWait(after)
 	switch {
 	case err != nil && superseded:
 		return errSuperseded
@@ -276,7 +268,7 @@
 		wt.newest = newestRevision(ens)
 		wt.behind = wt.newestOnly && len(ens) > 1
 	}
-	wt.setRevision(revision)
+	wt.Advance(revision)
 	wt.lastSuccess.Store(began.UnixNano())
 	if len(ens) > 0 && !isLarge(ens) {
 		pauser.Sleep(ctx, wt.batchDelay)
