internal/job/subscriber: failed calls are recorded in one place

The records of the watch and of requests to peers were the same function twice, and the benchmark had a constructor beside the tests' newFixture. No behaviour changes.

--- a/internal/job/subscriber/lag.go
+++ b/internal/job/subscriber/lag.go
@@ -96,20 +96,20 @@
 
 // onWatchCall takes note of the result of a call of the watch.
 func (sb *Subscriber) onWatchCall(err error) {
-	sb.mu.Lock()
-	defer sb.mu.Unlock()
-	sb.watchFailures.add(err)
-	if err != nil {
-		sb.meter.Add(meter.QueueWatchFailures, 1)
-	}
+	sb.recordCall(&sb.watchFailures, meter.QueueWatchFailures, err)
 }
 
 // onFetch takes note of the result of a request to a peer.
 func (sb *Subscriber) onFetch(err error) {
+	sb.recordCall(&sb.fetchFailures, meter.QueueFetchFailures, err)
+}
+
+// recordCall counts a failed call in the metric and in the failures in a row, which a successful one ends.
+func (sb *Subscriber) recordCall(fl *failures, mt meter.Metric, err error) {
 	sb.mu.Lock()
 	defer sb.mu.Unlock()
-	sb.fetchFailures.add(err)
+	fl.add(err)
 	if err != nil {
-		sb.meter.Add(meter.QueueFetchFailures, 1)
+		sb.meter.Add(mt, 1)
 	}
 }
--- a/internal/job/subscriber/peers_test.go
+++ b/internal/job/subscriber/peers_test.go
@@ -5,11 +5,9 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/go-logr/logr"
 
 	"github.com/currantrouter/currantrouter/internal/cluster/messenger"
 	"github.com/currantrouter/currantrouter/internal/job/modeler"
-	"github.com/currantrouter/currantrouter/internal/telemetry/meter"
 )
 
 // BenchmarkDocument measures the document for a peer: its encoding, its decoding, and its size.
@@ -21,7 +19,7 @@
 			name := fmt.Sprintf("%x", uint64(number+1)*0x9e3779b97f4a7c15)
 			cfg.Queues = append(cfg.Queues, modeler.Queue{Name: modeler.QueueName(name), Host: name[:4] + ".example", Prefix: "/" + name[4:] + "/", Pool: "pool", Attempts: 3, MaxSlowdown: 2, Priority: number % 3})
 		}
-		sb := newBenchmarkSubscriber()
+		sb := newFixture()
 		sb.current.Store(cfg)
 		answer, err := sb.Answer(&messenger.QueuesQuery{AcceptsCompressed: true})
 		qt.Assert(b, err, qt.IsNil)
@@ -37,12 +35,8 @@
 		})
 		b.Run(fmt.Sprintf("decode/%d", count), func(b *testing.B) {
 			for b.Loop() {
-				qt.Assert(b, newBenchmarkSubscriber().applyAnswer(answer, peerAddress), qt.IsNil)
+				qt.Assert(b, newFixture().applyAnswer(answer, peerAddress), qt.IsNil)
 			}
 		})
 	}
 }
-
-func newBenchmarkSubscriber() *Subscriber {
-	return New(nil, ConfigurationEntry{}, nil, logr.Discard(), meter.New(nil))
-}
