internal/job/director: run times of steps with checkpoints are known

A run that lists a checkpoint counted as a run of which a part had been done before, so that its run time was left out. Workers list checkpoints of active runs; thus the run times of ended tasks were unknown for each step with checkpoints. A straggler was found only while siblings ran, and expectations of run times came from the caller's estimate alone.

With debug output: their worker's report is handled before the reports of the other workers, when no sibling has a rate yet, and from then on the typical run time of the step is 0 (unknown), although ten of its tasks have ended.

Change: the attempt says whether it was started with a checkpoint.

--- a/internal/job/director/director_test.go
+++ b/internal/job/director/director_test.go
@@ -608,17 +608,21 @@
 
 // Guards against stragglers that are not moved from a slow worker.
 func TestStragglers(t *testing.T) {
-	run(t, 6, func(fl *fleet, tm *term) {
-		fl.workers.SetSlowdown("worker-03", 50)
-		for ix := range 12 {
-			fl.setBehaviour(modeler.TaskID{Job: "j1", Index: ix}, emulator.TaskBehaviour{RunTime: 2 * time.Second})
-		}
-		jb := simpleJob("j1", "batch", 12, cores(7000))
-		jb.Steps[0].Checkpoints = true
-		tm.submit(jb)
-		sleep(9 * time.Second)
-		tm.assertState("j1", modeler.Completed)
-	})
+	for _, listed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("checkpoints of active runs listed %v", listed), func(t *testing.T) {
+			run(t, 6, func(fl *fleet, tm *term) {
+				fl.workers.SetSlowdown("worker-03", 50)
+				for ix := range 12 {
+					fl.setBehaviour(modeler.TaskID{Job: "j1", Index: ix}, emulator.TaskBehaviour{RunTime: 2 * time.Second, ListsCheckpoints: listed})
+				}
+				jb := simpleJob("j1", "batch", 12, cores(7000))
+				jb.Steps[0].Checkpoints = true
+				tm.submit(jb)
+				sleep(9 * time.Second)
+				tm.assertState("j1", modeler.Completed)
+			})
+		})
+	}
 }
 
 // seeds returns the number of seeds of TestRandomFaults. DIRECTOR_SEEDS overrides the default.
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -588,7 +588,9 @@
 	stops          stopTrail
 	runProgress    appraiser.RunProgress
 	checkpoint     string
-	progress       int
+	// resumes is set if the run was started with a checkpoint, so that its run time is that of a part of the task.
+	resumes  bool
+	progress int
 	// load is the load that the last reported tail latency of a latency-critical task shows,
 	// loadRise its change per second, and loadAt when it was reported. See package estimator.
 	load, loadRise float64
--- a/internal/job/director/outcome_test.go
+++ b/internal/job/director/outcome_test.go
@@ -44,6 +44,27 @@
 	}
 }
 
+// Guards against stragglers that are not found as the workers list checkpoints of active runs, and the run times of the
+// other tasks are left out as if only a part of them had been run.
+func TestRunTimesWithCheckpoints(t *testing.T) {
+	for name, checkpoint := range map[string]string{"from the beginning": "", "resumed": "c1"} {
+		t.Run(name, func(t *testing.T) {
+			dr := newRunning(1, 1, modeler.Step{Needs: modeler.Resources{MilliCores: 100}, Estimate: time.Second})
+			tk, now := dr.jobs["j0"].occurrences[0].steps[0].tasks[0], time.Now()
+			wk := tk.attempts[0].worker
+			dr.release(tk.attempts[0])
+			tk.checkpoint = checkpoint
+			at := dr.reserve(tk, wk, 2)
+			at.answeredAt = now.Add(-time.Second)
+			dr.updateRun(wk, &modeler.ActiveRun{Task: tk.id(), Run: 2, Progress: 50, Checkpoint: "c2"}, now)
+			_, ok := lastRunTime(tk, now)
+			qt.Check(t, ok, qt.Equals, checkpoint == "")
+			dr.recordOutcome(wk, tk, at, &modeler.EndedRun{Task: tk.id(), Run: 2, Outcome: modeler.Done}, now)
+			qt.Check(t, len(tk.step.runTimes) == 1, qt.Equals, checkpoint == "")
+		})
+	}
+}
+
 // Guards against work and memory for load hints on deployments that do not use them.
 func TestLoadNotObserved(t *testing.T) {
 	for _, used := range []bool{false, true} {
--- a/internal/job/director/report.go
+++ b/internal/job/director/report.go
@@ -391,7 +391,7 @@
 		wk.faultHistory.RecordSuccess(now)
 		// The begin of a run is unknown if its end is reported before the answer to its start.
 		if at != nil && !at.adopted && !at.answeredAt.IsZero() {
-			if tk.savedShare == 0 && len(sp.runTimes) < maxRunTimes {
+			if !at.resumes && len(sp.runTimes) < maxRunTimes {
 				sp.runTimes = append(sp.runTimes, now.Sub(at.answeredAt))
 			}
 			if dr.op.LoadHints {
--- a/internal/job/director/value.go
+++ b/internal/job/director/value.go
@@ -105,11 +105,11 @@
 
 // lastRunTime returns the run time of a task that is done, or false if a part of it ran earlier or for another leader.
 func lastRunTime(tk *task, now time.Time) (time.Duration, bool) {
-	if len(tk.attempts) != 1 || tk.savedShare > 0 {
+	if len(tk.attempts) != 1 {
 		return 0, false
 	}
 	at := tk.attempts[0]
-	return now.Sub(at.answeredAt), !at.adopted && !at.answeredAt.IsZero()
+	return now.Sub(at.answeredAt), !at.resumes && !at.adopted && !at.answeredAt.IsZero()
 }
 
 // judge records what an occurrence was worth to its caller, given the run time of each step's tasks in seconds. Only the
