internal/job/director: the checkpoint of a run is set in one place

reserve and nextStart each set an attempt's checkpoint and whether it resumes. No change of behaviour: the tests of stragglers, run times, gangs, checkpoints, random faults and the promise pass.

--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -616,6 +616,11 @@
 	adopted bool
 }
 
+// resumeTask makes the run begin with the checkpoint of its task, if there is one.
+func (at *attempt) resumeTask() {
+	at.checkpoint, at.resumes = at.task.checkpoint, at.task.checkpoint != ""
+}
+
 // markActive notes that the run was accepted or reported.
 func (at *attempt) markActive(now time.Time) {
 	at.state = active
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -122,7 +122,7 @@
 			continue
 		}
 		at.state, at.sentAt, at.fence = sent, time.Now(), dr.fence(wk)
-		at.checkpoint, at.resumes = at.task.checkpoint, at.task.checkpoint != ""
+		at.resumeTask()
 		deadline := wk.minClock(time.Now()) + maxStartAge
 		// The worker extends its lease to the deadline of a start.
 		wk.leaseEnd = max(wk.leaseEnd, deadline)
--- a/internal/job/director/worker.go
+++ b/internal/job/director/worker.go
@@ -681,7 +681,8 @@
 func (dr *Director) reserve(tk *task, wk *worker, run modeler.Run) *attempt {
 	dr.dequeue(tk)
 	sp := tk.step
-	at := &attempt{task: tk, run: run, restarts: tk.lastRun > 0, worker: wk, incarnation: wk.incarnation, pace: pacer.FullPace, checkpoint: tk.checkpoint, resumes: tk.checkpoint != ""}
+	at := &attempt{task: tk, run: run, restarts: tk.lastRun > 0, worker: wk, incarnation: wk.incarnation, pace: pacer.FullPace}
+	at.resumeTask()
 	tk.mayHaveUnknownRun = false
 	tk.lastRun = max(tk.lastRun, run)
 	tk.attempts = append(tk.attempts, at)
