--- a/internal/job/subscriber/subscriber.go
+++ b/internal/job/subscriber/subscriber.go
@@ -95,10 +95,6 @@
 	return 0
 }
 
-// Age returns an upper bound of the age of this host's copy of the entry, or false if the store was
-// not read yet.
-func (sb *Subscriber) Age() (time.Duration, bool) { return sb.watcher.Age() }
-
 func (sb *Subscriber) applyEntries(ens []storer.Entry) {
 	for _, en := range ens {
 		if en.Key == sb.entry.Key && !en.Deleted {
