--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -7,4 +7,5 @@
     exit 2
   fi
 done
+export TROUBLE="${TROUBLE:-1}"
 exec target/review-2/standin held review/6/record.txt
--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -193,6 +193,32 @@
 	return nil
 }
 
+// wideGang: a large job comes to a queue with advice, a gang with at most one task on a runner. All 48 runners are allowed and
+// empty.
+func wideGang(wd *world) error {
+	plain, advised := plainQueue(), advisedQueue(1)
+	wd.queues = []*queue{plain, advised}
+	if err := wd.setUp(3, true, runnerSpec{48, "grey", size}); err != nil {
+		return err
+	}
+	wd.policy.allow(func(string, *runner) bool { return true })
+	width := 24
+	if trouble() {
+		width = 32
+	}
+	sp := newStep(width, 1000, time.Second)
+	sp.Gang, sp.AntiAffinity = true, 1
+	jb := newJob("00000000000000c1", advised, sp)
+	others, err := wd.sendOthers(plain, func() error { return nil })
+	if err != nil {
+		return err
+	}
+	if !wd.submit(jb, 0) {
+		return errNoStart
+	}
+	return wd.judge([]*job{jb}, others, func(*runner, taskName) bool { return true })
+}
+
 // overCapacity: the process that leads is killed, and a job is cancelled before another one leads. Other tasks wait for its
 // capacity.
 func overCapacity(wd *world) error {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -27,7 +27,7 @@
 }
 
 var cases = map[string]reviewCase{
-	"held": {"LOST", heldByHopeless}, "avoided": {"LOST", avoided}, "advice": {"LOST", removedAdvice}, "limit": {"LIMIT", overCapacity},
+	"held": {"LOST", heldByHopeless}, "avoided": {"LOST", avoided}, "advice": {"LOST", removedAdvice}, "wide": {"LOST", wideGang}, "limit": {"LIMIT", overCapacity},
 }
 
 func main() {
