--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -195,15 +195,20 @@
 
 // checkStart checks the rules on starts. The caller holds mu, and the run is not among those of the runner yet.
 func (wd *world) checkStart(rn *runner, ru *run, ob *orderBody) {
-	jb, sp, ts := ru.job, ru.step, wd.state(ru.task)
+	wd.checkAsked(ru, ob)
+	wd.checkOrder(ru)
+	wd.checkRuns(rn, ru)
+	wd.checkPlace(rn, ru)
+}
+
+// checkAsked checks UNASKED and REFUSED.
+func (wd *world) checkAsked(ru *run, ob *orderBody) {
+	jb := ru.job
 	if ob.Spec != jb.Spec {
 		wd.violate("UNASKED", "%s starts with another spec", ru.text)
 	}
-	if cp := wd.checkpoints[ob.Checkpoint]; ob.Checkpoint != "" {
-		same := cp != nil && (cp.task == ru.task || sp.Gang && cp.task.job == ru.task.job && cp.task.times == ru.task.times && cp.task.step == ru.task.step)
-		if !same {
-			wd.violate("UNASKED", "%s starts with checkpoint %q, which is not its own", ru.text, ob.Checkpoint)
-		}
+	if ob.Checkpoint != "" && !wd.isCheckpointOf(ob.Checkpoint, ru) {
+		wd.violate("UNASKED", "%s starts with checkpoint %q, which is not its own", ru.text, ob.Checkpoint)
 	}
 	if !jb.cancelAcked.IsZero() && time.Since(jb.cancelAcked) > wd.cancel {
 		wd.violate("UNASKED", "%s starts %s after its job was cancelled", ru.text, time.Since(jb.cancelAcked))
@@ -211,53 +216,71 @@
 	if jb.rejected {
 		wd.violate("REFUSED", "%s starts", ru.text)
 	}
+}
+
+// isCheckpointOf reports whether a checkpoint is one of the task or of its gang.
+func (wd *world) isCheckpointOf(name string, ru *run) bool {
+	cp := wd.checkpoints[name]
+	return cp != nil && (cp.task == ru.task || ru.step.Gang && cp.task.stepName() == ru.task.stepName())
+}
+
+// checkOrder checks ORDER.
+func (wd *world) checkOrder(ru *run) {
+	jb := ru.job
 	if jb.Repeats > 0 {
 		due := time.UnixMilli(jb.First + int64(ru.task.times)*jb.Interval)
 		if early := time.Until(due); early > 250*time.Millisecond {
 			wd.violate("ORDER", "%s starts %s early", ru.text, early)
 		}
 	}
-	for _, before := range sp.After {
+	for _, before := range ru.step.After {
 		for ix := range jb.Steps[before].Count {
 			if !wd.state(taskName{ru.task.job, ru.task.times, before, ix}).done {
 				wd.violate("ORDER", "%s starts before step %d is done", ru.text, before)
 			}
 		}
 	}
-	if !sp.Speculative {
-		for _, other := range wd.runners {
-			for _, or := range other.running {
-				if or.task == ru.task {
-					wd.violate("TWICE", "%s run %d starts on %s while run %d is on %s", ru.text, ru.number, rn.id, or.number, other.id)
-				}
-			}
-		}
-		if ts.doneNoted {
-			wd.violate("TWICE", "%s run %d starts on %s after it was done", ru.text, ru.number, rn.id)
+}
+
+// checkRuns checks TWICE and BUDGET.
+func (wd *world) checkRuns(rn *runner, ru *run) {
+	ts, attempts := wd.state(ru.task), ru.job.queue.attempts
+	if attempts > 0 && !ru.step.LongRunning && ts.failed >= attempts {
+		wd.violate("BUDGET", "%s starts after %d failed runs", ru.text, ts.failed)
+	}
+	if ru.step.Speculative {
+		return
+	}
+	for _, other := range wd.runners {
+		if or := other.running[ru.text]; or != nil {
+			wd.violate("TWICE", "%s run %d starts on %s while run %d is on %s", ru.text, ru.number, rn.id, or.number, other.id)
 		}
 	}
-	if !rn.guards && !rn.used().plus(sp.room()).fits(rn.capacity) {
-		wd.violate("LIMIT", "%s run %d brings runner %s to %+v of %+v", ru.text, ru.number, rn.id, rn.used().plus(sp.room()), rn.capacity)
+	if ts.doneNoted {
+		wd.violate("TWICE", "%s run %d starts on %s after it was done", ru.text, ru.number, rn.id)
+	}
+}
+
+// checkPlace checks LIMIT and ROUTE.
+func (wd *world) checkPlace(rn *runner, ru *run) {
+	sp := ru.step
+	if used := rn.used().plus(sp.room()); !rn.guards && !used.fits(rn.capacity) {
+		wd.violate("LIMIT", "%s run %d brings runner %s to %+v of %+v", ru.text, ru.number, rn.id, used, rn.capacity)
 	}
 	if sp.Constraints != "" && !slices.Contains(rn.labels, sp.Constraints) {
 		wd.violate("ROUTE", "%s starts on %s without label %s", ru.text, rn.id, sp.Constraints)
 	}
-	if sp.AntiAffinity > 0 {
-		count := 1
-		for _, or := range rn.running {
-			if or.task.job == ru.task.job && or.task.times == ru.task.times && or.task.step == ru.task.step {
-				count++
-			}
-		}
-		if count > sp.AntiAffinity {
-			wd.violate("ROUTE", "%s is number %d of its step on %s, allowed are %d", ru.text, count, rn.id, sp.AntiAffinity)
+	count := 1
+	for _, or := range rn.running {
+		if or.task.stepName() == ru.task.stepName() {
+			count++
 		}
 	}
-	if rn.pool != jb.queue.pool {
-		wd.violate("ROUTE", "%s starts on %s of service %s", ru.text, rn.id, rn.pool)
+	if sp.AntiAffinity > 0 && count > sp.AntiAffinity {
+		wd.violate("ROUTE", "%s is number %d of its step on %s, allowed are %d", ru.text, count, rn.id, sp.AntiAffinity)
 	}
-	if jb.queue.attempts > 0 && !sp.LongRunning && ts.failed >= jb.queue.attempts {
-		wd.violate("BUDGET", "%s starts after %d failed runs", ru.text, ts.failed)
+	if rn.pool != ru.job.queue.pool {
+		wd.violate("ROUTE", "%s starts on %s of service %s", ru.text, rn.id, rn.pool)
 	}
 }
 
