internal/job/director: lines say for which task a worker is held

A job stalled for the reason WorkersHeldFree, and nothing said which worker was held and for whom, or whether the same one had been held in round after round.

Events 670 and 761 now name a held worker with capacity and the task that it was held for. Event 762 names a worker that is held for the same step for longer than 2 s, with what is free and what ends there; two metrics have the number of held workers and the longest time.

--- a/internal/job/director/aging.go
+++ b/internal/job/director/aging.go
@@ -192,7 +192,7 @@
 		if rd.heldTasks[tk] || !rd.dr.startable(tk, rd.now) {
 			continue
 		}
-		if !rd.shareHeldWorker(dm) && !rd.holdWorker(dm) {
+		if !rd.shareHeldWorker(dm) && !rd.holdWorker(tk, dm) {
 			return
 		}
 		rd.heldTasks[tk] = true
@@ -217,7 +217,7 @@
 	tk.heldOn = rd.workers[ix].info.ID
 	rd.heldForOverdue = append(rd.heldForOverdue, ix)
 	rd.heldTasks[tk] = true
-	rd.hold(dm, ix)
+	rd.hold(tk, dm, ix)
 }
 
 // tryForOverdue reports whether to look for workers to hold for an overdue task and the others of its gang.
@@ -271,66 +271,3 @@
 	}
 	return slots
 }
-
-// shareHeldWorker adds a demand to those of a worker that is held already, and returns false if none has
-// the capacity.
-func (rd *round) shareHeldWorker(dm *placer.Demand) bool {
-	for _, ix := range rd.held {
-		wk, expected := rd.workers[ix], rd.heldFor[ix]
-		if dm.MaxPerWorker == 0 && rd.mayHold(dm, ix) && dm.Needs.Fits(wk.free.Plus(wk.ending).Minus(expected)) {
-			rd.heldFor[ix] = expected.Plus(dm.Needs)
-			if rd.dr.followsValue() {
-				rd.holdCandidate(ix)
-				rd.changed = append(rd.changed, ix)
-			}
-			return true
-		}
-	}
-	return false
-}
-
-// mayHold reports whether a worker could run a demand once the runs there that end by themselves have
-// ended. Long-running tasks do not end, so what they use does not count.
-func (rd *round) mayHold(dm *placer.Demand, ix int) bool {
-	wk, cd := rd.workers[ix], &rd.cands[ix]
-	return !cd.Excluded && placer.Matches(dm, &wk.info) && (dm.MaxPerWorker <= 0 || cd.SameStepTasks < dm.MaxPerWorker) && dm.Needs.Fits(wk.free.Plus(wk.ending))
-}
-
-// holdWorker makes a backfill reservation for a demand that fits nowhere: for the rest of this
-// round only, one worker counts as having no free capacity, see holdCandidate, so that less urgent tasks do not delay
-// the demand. Of the workers that may be held, it takes the one with the most free processors. It
-// returns false if there is none.
-func (rd *round) holdWorker(dm *placer.Demand) bool {
-	if len(rd.held) >= rd.maxHeld || dm.BestEffort {
-		return false
-	}
-	best := rd.bestToHold(dm)
-	if best >= 0 {
-		rd.hold(dm, best)
-	}
-	return best >= 0
-}
-
-// bestToHold returns the index of the worker with the most free processors of those that may be held for a demand, or -1.
-func (rd *round) bestToHold(dm *placer.Demand) int {
-	best := -1
-	others := placer.HasAlternative(dm, rd.cands)
-	for ix, wk := range rd.workers {
-		// A held worker's candidate has no free processors, so that most of them fail the first comparison.
-		if best >= 0 && rd.cands[ix].Free.MilliCores <= rd.cands[best].Free.MilliCores {
-			continue
-		}
-		if _, held := rd.heldFor[ix]; !held && rd.mayHold(dm, ix) && !(others && slices.Contains(dm.Avoid, wk.info.ID)) {
-			best = ix
-		}
-	}
-	return best
-}
-
-// hold makes a backfill reservation on a worker.
-func (rd *round) hold(dm *placer.Demand, ix int) {
-	rd.held = append(rd.held, ix)
-	rd.heldFor[ix] = dm.Needs
-	rd.holdCandidate(ix)
-	rd.changed = append(rd.changed, ix)
-}
--- a/internal/job/director/choice_test.go
+++ b/internal/job/director/choice_test.go
@@ -94,7 +94,7 @@
 		case sp.spec.LongRunning:
 			rd.holdForAged(sp, &dm)
 		default:
-			rd.holdWorker(&placer.Demand{Needs: modeler.Resources{MilliCores: 9000, MemoryMB: 100}})
+			rd.holdWorker(tk, &placer.Demand{Needs: modeler.Resources{MilliCores: 9000, MemoryMB: 100}})
 		}
 	}
 }
--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -290,6 +290,8 @@
 	// starvedStarts is the number of starts that jobs without a run may use before more urgent ones, see
 	// placeAll.
 	starvedStarts float64
+	// heldWorkers holds the workers that recent rounds held, see noteReservations.
+	heldWorkers map[modeler.WorkerID]*heldWorker
 	// seenRooms holds what recent rounds found of each pool, see recentSlots.
 	seenRooms map[modeler.PoolName][]seenRoom
 	// shortDemand holds forecasts of what short urgent tasks need, by pool, and shortDemandAt is when they were
@@ -372,6 +374,7 @@
 		waitingSteps:         map[*step]struct{}{},
 		evacuations:          map[fleet.DataCentreName]*evacuationState{},
 		starting:             map[*attempt]struct{}{},
+		heldWorkers:          map[modeler.WorkerID]*heldWorker{},
 		seenRooms:            map[modeler.PoolName][]seenRoom{},
 		shortDemand:          map[modeler.PoolName]*reserver.Forecast{},
 		active:               map[activeKey]*activeDemand{},
--- a/internal/job/director/gang.go
+++ b/internal/job/director/gang.go
@@ -140,13 +140,13 @@
 		tk := sp.waiting[no]
 		tk.heldOn = rd.workers[ix].info.ID
 		rd.heldTasks[tk] = true
-		if needs, ok := rd.heldFor[ix]; ok {
-			rd.heldFor[ix] = needs.Plus(dm.Needs)
+		if rv := rd.heldFor[ix]; rv != nil {
+			rv.add(dm.Needs)
 			rd.holdCandidate(ix)
 			continue
 		}
 		rd.heldForOverdue = append(rd.heldForOverdue, ix)
-		rd.hold(&dm, ix)
+		rd.hold(tk, &dm, ix)
 	}
 }
 
--- a/internal/job/director/logs_test.go
+++ b/internal/job/director/logs_test.go
@@ -36,7 +36,7 @@
 	logger.CancellationDropped, logger.CancelledRunGoesOn, logger.ReportHeldUp, logger.JobNotRead, logger.RenewalsLate,
 	logger.LoadSummary, logger.SpeculativeRunAllowed, logger.EvacuationsListed, logger.EvacuationsChanged, logger.EvacuationViewOutdated, logger.EvacuationViewRecovered,
 	logger.EvacuationMoveBegun, logger.EvacuationPlaceLost,
-	logger.ShortageBegan, logger.ShortageOver, logger.ShortageGoes, logger.LongRunningTaskStalled,
+	logger.ShortageBegan, logger.ShortageOver, logger.ShortageGoes, logger.LongRunningTaskStalled, logger.WorkerHeldLong,
 }
 
 // logger returns a logger that records its lines. It prints them as well if DIRECTOR_LOG is set.
--- a/internal/job/director/observability_test.go
+++ b/internal/job/director/observability_test.go
@@ -342,3 +342,22 @@
 		qt.Check(t, fl.timerCount(meter.TimeFromFree), qt.Equals, 1)
 	})
 }
+
+// Guards against a worker that is held for a task, round after round, without a line that names them.
+func TestLongReservationIsLogged(t *testing.T) {
+	run(t, 1, func(fl *fleet, tm *term) {
+		tm.submitMinute("base", cores(9000))
+		sleep(time.Second)
+		tm.submit(simpleJob("large", "urgent", 1, cores(12000)))
+		sleep(2 * time.Second)
+		fl.assertNotLogged(logger.WorkerHeldLong, nil)
+		sleep(2 * time.Second)
+		fl.assertLogged(logger.WorkerHeldLong, logLine{"Task": "large.0.0.0", "Worker": "worker-00", "FreeCores": 7000.0, "EndingCores": 9000.0})
+		fl.assertMetric(meter.WorkersHeld, 1)
+		qt.Check(t, fl.registry.Value(meter.LongestReservation) >= 2000, qt.IsTrue)
+		tm.CancelJob("large")
+		sleep(3 * time.Second)
+		fl.assertMetric(meter.WorkersHeld, 0)
+		fl.assertMetric(meter.LongestReservation, 0)
+	})
+}
--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -52,6 +52,7 @@
 	rd.startsLeft = available
 	rd.finishMoves()
 	rd.placeAll()
+	rd.noteReservations()
 	dr.recordPlacements(rd.longRunning)
 }
 
@@ -111,8 +112,8 @@
 	// heldForOverdue holds those that holdForOverdue added, and overdueTries is the number of tasks for which it tried.
 	heldForOverdue []int
 	overdueTries   int
-	// heldFor holds what the demands need for which workers are held, by the index of the worker.
-	heldFor map[int]modeler.Resources
+	// heldFor holds the reservations on the held workers, by the index of the worker.
+	heldFor map[int]*reservation
 	// heldTasks holds the aged tasks for which capacity is held. A round has several passes that reach them.
 	heldTasks map[*task]bool
 	// placingAged is set during the passes of the aged steps, onlyRestarts during that of the tasks that ran before.
@@ -187,7 +188,7 @@
 // newRound returns a round with the waiting steps, the most urgent first, and the workers that
 // accept tasks.
 func (dr *Director) newRound(now time.Time) *round {
-	rd := &round{dr: dr, now: now, maxHeld: maxHeldWorkers, heldFor: map[int]modeler.Resources{}, heldTasks: map[*task]bool{}, processorsOf: map[modeler.PoolName]poolProcessors{}, capacityOf: map[modeler.PoolName]modeler.Resources{}, unplaceable: map[demandClass][]modeler.Resources{}, missed: map[demandClass]turn{}, forecasts: map[string]*forecast{}, selections: map[selectionKey]*selection{}, largest: map[matchClass][]*modeler.Worker{}}
+	rd := &round{dr: dr, now: now, maxHeld: maxHeldWorkers, heldFor: map[int]*reservation{}, heldTasks: map[*task]bool{}, processorsOf: map[modeler.PoolName]poolProcessors{}, capacityOf: map[modeler.PoolName]modeler.Resources{}, unplaceable: map[demandClass][]modeler.Resources{}, missed: map[demandClass]turn{}, forecasts: map[string]*forecast{}, selections: map[selectionKey]*selection{}, largest: map[matchClass][]*modeler.Worker{}}
 	for _, wk := range dr.orderedWorkers() {
 		if dr.acceptsTasks(wk, now) {
 			rd.workers = append(rd.workers, wk)
@@ -391,7 +392,7 @@
 	rd.logWaitingTask(tk, &dm)
 	switch {
 	case !dm.LongRunning:
-		rd.holdWorker(&dm)
+		rd.holdWorker(tk, &dm)
 	case !fitsAvoided:
 		rd.holdForWaiting(tk, &dm)
 	}
--- a/internal/job/director/selection_test.go
+++ b/internal/job/director/selection_test.go
@@ -27,7 +27,7 @@
 				for _, rs := range rd.steps {
 					assertSameChoices(t, rd, rs.step, 1+rnd.IntN(4))
 				}
-				rd.holdWorker(&placer.Demand{Needs: modeler.Resources{MilliCores: 9000}})
+				rd.holdWorker(rd.steps[0].step.tasks[0], &placer.Demand{Needs: modeler.Resources{MilliCores: 9000}})
 				for _, at := range rd.workers[rnd.IntN(len(rd.workers))].criticalAttempts {
 					at.load, at.loadAt, at.progress = 0.5, now, 100
 				}
--- a/internal/job/director/shortage.go
+++ b/internal/job/director/shortage.go
@@ -32,7 +32,7 @@
 	cd := &rd.cands[ix]
 	cd.Free, cd.BestEffortMemoryMB = modeler.Resources{}, 0
 	if rd.dr.followsValue() {
-		cd.BestEffortMemoryMB = max(0, rd.workers[ix].free.MemoryMB-rd.heldFor[ix].MemoryMB)
+		cd.BestEffortMemoryMB = max(0, rd.workers[ix].free.MemoryMB-rd.heldFor[ix].needs.MemoryMB)
 	}
 }
 
--- a/internal/job/director/waiting.go
+++ b/internal/job/director/waiting.go
@@ -159,6 +159,10 @@
 	// counted.
 	counts    *placer.Reasons
 	countedAt time.Time
+	// heldWorker is the worker with capacity that was held for another task, and holder that task. Both are set for the
+	// reason workersHeldFree.
+	heldWorker modeler.WorkerID
+	holder     modeler.TaskID
 }
 
 // whyQueued returns why a queued task has not been placed. It holds for startable tasks what startable
@@ -251,18 +255,27 @@
 	return notPlacedYet
 }
 
+// reservationInputs returns the keys and values that say for whom a worker with capacity was held, none if none was.
+func (tn *turn) reservationInputs() []any {
+	if tn.heldWorker == "" {
+		return nil
+	}
+	return []any{"HeldWorker", tn.heldWorker, "Holder", tn.holder.String()}
+}
+
 // noteTurn notes that the round has reached a step, and why its tasks that may start wait, if that is
 // known already.
 func (rd *round) noteTurn(sp *step, reason waitReason) {
 	sp.turn.round, sp.turn.at, sp.turn.reason = rd.dr.rounds, rd.now, reason
+	sp.turn.heldWorker, sp.turn.holder = "", modeler.TaskID{}
 }
 
 // noteMiss notes why a task found no worker among the candidates.
 func (rd *round) noteMiss(tk *task, dm *placer.Demand, cands []placer.Candidate) {
 	sp := tk.step
-	reason := noWorkerFits
+	reason, heldIx := noWorkerFits, rd.fittingHeldWorker(dm, cands)
 	switch {
-	case rd.fitsHeldWorker(dm, cands):
+	case heldIx >= 0:
 		reason = workersHeldFree
 	case sp.permits != nil && sp.permits.requesting:
 		reason = permitNotGranted
@@ -270,6 +283,9 @@
 		reason = dataCentreEvacuated
 	}
 	rd.noteTurn(sp, reason)
+	if heldIx >= 0 {
+		sp.turn.heldWorker, sp.turn.holder = rd.workers[heldIx].info.ID, rd.heldFor[heldIx].task.id()
+	}
 	if rd.now.Sub(tk.wait.since) >= maxUnreportedWait && rd.now.Sub(sp.turn.countedAt) >= summaryInterval && rd.dr.takeCount(dm.LongRunning) {
 		rd.applyForecast(dm)
 		counts := placer.CountReasons(dm, cands)
@@ -281,6 +297,7 @@
 func (rd *round) noteClassMiss(sp *step, key demandClass) {
 	missed := rd.missed[key]
 	rd.noteTurn(sp, missed.reason)
+	sp.turn.heldWorker, sp.turn.holder = missed.heldWorker, missed.holder
 	if missed.counts != nil {
 		sp.turn.counts, sp.turn.countedAt = missed.counts, missed.countedAt
 	}
@@ -299,9 +316,9 @@
 	return true
 }
 
-// fitsHeldWorker reports whether a demand would fit on a worker that the round keeps free.
-func (rd *round) fitsHeldWorker(dm *placer.Demand, cands []placer.Candidate) bool {
-	return slices.ContainsFunc(rd.held, func(ix int) bool {
+// fittingHeldWorker returns the index of a worker that the round keeps free and on which a demand would fit, or -1.
+func (rd *round) fittingHeldWorker(dm *placer.Demand, cands []placer.Candidate) int {
+	no := slices.IndexFunc(rd.held, func(ix int) bool {
 		cd := &rd.cands[ix]
 		free, memory := cd.Free, cd.BestEffortMemoryMB
 		defer func() { cd.Free, cd.BestEffortMemoryMB = free, memory }()
@@ -314,6 +331,10 @@
 		}
 		return placer.Feasible(dm, cd)
 	})
+	if no < 0 {
+		return -1
+	}
+	return rd.held[no]
 }
 
 // waitCount counts the tasks that wait for one reason.
@@ -489,6 +510,7 @@
 		dr.logWait(&ln, omitted, now)
 	}
 	dr.reportStalledJobs(wr, now)
+	dr.reportReservations(now)
 }
 
 // logWait logs why a long-running task waits. The count of omitted lines is logged if it is not zero.
@@ -513,6 +535,7 @@
 	if len(tk.avoid) > 0 {
 		kv = append(kv, "Avoids", len(tk.avoid))
 	}
+	kv = append(kv, sp.turn.reservationInputs()...)
 	if omitted > 0 {
 		kv = append(kv, "Omitted", omitted)
 	}
@@ -529,7 +552,7 @@
 		meter.DataCentresEvacuated, meter.EvacuatedWorkers, meter.EvacuatedRuns, meter.EvacuationViewAge, meter.EvacuationRunsToMove, meter.EvacuationMovesUnderWay,
 		meter.ShortPools, meter.ShortTaskReserve,
 		meter.QueuesBehind, meter.StalledTasks, meter.LongestStall, meter.StallDemandsOmitted,
-		meter.StalledJobs, meter.LongestJobStall,
+		meter.StalledJobs, meter.LongestJobStall, meter.WorkersHeld, meter.LongestReservation,
 	} {
 		dr.op.Meter.Set(mt, 0)
 	}
--- a/internal/job/director/waiting_test.go
+++ b/internal/job/director/waiting_test.go
@@ -102,7 +102,7 @@
 			rd := fx.dr.newRound(time.Now().Add(time.Millisecond))
 			rd.maxMisses = maxMisses
 			rd.startsLeft = 1
-			rd.holdWorker(&placer.Demand{Needs: modeler.Resources{MilliCores: 100}})
+			rd.holdWorker(fx.ordinary, &placer.Demand{Needs: modeler.Resources{MilliCores: 100}})
 			// Long-running tasks use workers that are held.
 			fx.long.step.spec.LongRunning = false
 			rd.placeStep(fx.long.step)
@@ -159,6 +159,22 @@
 	}
 }
 
+// Guards against a task that waits beside a held worker without a word for whom the worker is held.
+func TestHolderOfHeldWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := newWaitFixture()
+		fx.dr.beginRound(time.Now(), notPlacedYet)
+		rd := fx.dr.newRound(time.Now())
+		rd.maxMisses, rd.startsLeft = maxMisses, 1
+		rd.holdWorker(fx.long, &placer.Demand{Needs: modeler.Resources{MilliCores: 100}})
+		rd.placeStep(fx.ordinary.step)
+		qt.Check(t, fx.ordinary.step.turn.heldWorker, qt.Equals, fx.wk.info.ID)
+		qt.Check(t, fx.ordinary.step.turn.holder, qt.Equals, fx.long.id())
+		rd.noteTurn(fx.ordinary.step, noWorkerFits)
+		qt.Check(t, fx.ordinary.step.turn.reservationInputs(), qt.HasLen, 0)
+	})
+}
+
 // Guards against reasons of tasks that run to completion that are taken for those of long-running ones.
 func TestWaitReasonsOfOrdinaryTasks(t *testing.T) {
 	t.Run("run of an earlier leader", func(t *testing.T) {
--- a/internal/telemetry/meter/table_waiting.go
+++ b/internal/telemetry/meter/table_waiting.go
@@ -27,6 +27,8 @@
 	StallDemandsOmitted               = Metric{"StallDemandsOmitted", "", "Distinct demands of waiting long-running tasks that the last look for stalled tasks left out."}
 	StalledJobs                       = Metric{"StalledJobs", "", "Jobs without a run, of a task that may start, although at most half of the processors of their pool's registered workers are in use and it has free capacity for two such tasks."}
 	LongestJobStall                   = Metric{"LongestJobStall", "ms", "Longest time for which such a job has been stalled without a break."}
+	WorkersHeld                       = Metric{"WorkersHeld", "", "Workers that placement rounds keep free for tasks that fit nowhere."}
+	LongestReservation                = Metric{"LongestReservation", "ms", "Longest time for which such a worker has been held for the same step."}
 	CancellationsPending              = Metric{"CancellationsPending", "", "Cancellations of jobs that the leader does not know yet."}
 	CancellationsDropped              = Metric{"CancellationsDropped", "", "Cancellations of unknown jobs that were dropped. A counter."}
 	NotificationsFailed               = Metric{"NotificationsFailed", "", "Stored jobs and cancellations of which this host could not notify the leader at once. A counter."}
@@ -60,6 +62,8 @@
 	StallDemandsOmitted,
 	StalledJobs,
 	LongestJobStall,
+	WorkersHeld,
+	LongestReservation,
 	CancellationsPending,
 	CancellationsDropped,
 	NotificationsFailed,
