internal/job/director: requests to the policy service wait without a mutex

A mutex was held during a request to the policy service. A second request waited for it also after the end of the term, and a test on the paused clock with requests of two steps never ended, as the clock does not advance while a goroutine waits for a mutex.

--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -205,8 +205,8 @@
 	// confirmWake wakes the loop that confirms new jobs.
 	confirmWake chan struct{}
 
-	// policyMu is held during a request to the policy service.
-	policyMu sync.Mutex
+	// policySlot holds an element during a request to the policy service.
+	policySlot chan struct{}
 
 	mu sync.Mutex
 	// unconfirmed holds the jobs that were added after the last confirmation of leadership.
@@ -375,6 +375,7 @@
 		evacuations:          map[fleet.DataCentreName]*evacuationState{},
 		starting:             map[*attempt]struct{}{},
 		heldWorkers:          map[modeler.WorkerID]*heldWorker{},
+		policySlot:           make(chan struct{}, 1),
 		seenRooms:            map[modeler.PoolName][]seenRoom{},
 		shortDemand:          map[modeler.PoolName]*reserver.Forecast{},
 		active:               map[activeKey]*activeDemand{},
--- a/internal/job/director/permit.go
+++ b/internal/job/director/permit.go
@@ -95,12 +95,16 @@
 	id := modeler.StepID{Job: sp.occ.job.ID, Occurrence: sp.occ.index, Step: sp.index}
 	timeout := permitTimeout + po.DecisionTime + time.Duration(len(ids))*po.TimePerWorker
 	dr.startGoroutine(func(ctx context.Context) {
-		dr.policyMu.Lock()
+		select {
+		case dr.policySlot <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
 		began := time.Now()
 		actx, cancel := context.WithTimeout(ctx, timeout)
 		list, err := dr.op.Policy.Permit(actx, id, ids)
 		cancel()
-		dr.policyMu.Unlock()
+		<-dr.policySlot
 		dr.mu.Lock()
 		defer dr.mu.Unlock()
 		sp.permits.requesting = false
