internal/job/director: a worker is held only where the policy permits the task

Cause: a task that fits nowhere gets a backfill reservation on a worker that it could use once the runs there end. What decides on that (mayHold) looked at the label, the capacity and the limit per worker, not at the policy's answers, so that a worker was held round after round for a task that may never run there. All reservations were made that way: for short tasks, for aged and overdue long-running ones, and shared ones.

A reservation now needs the policy's yes, which outlasts the ticket, in all of these and for gangs. Workers without an answer are not held; if the task has no other worker to hold, the policy service is asked about those without capacity too, by one request at a time for all steps, as it was asked only about workers with capacity, and a task behind full workers would never have a worker held. A worker whose capacity is free already is not held while the service fails: only a ticket can be missing there.

--- a/internal/job/director/aging.go
+++ b/internal/job/director/aging.go
@@ -192,7 +192,7 @@
 		if rd.heldTasks[tk] || !rd.dr.startable(tk, rd.now) {
 			continue
 		}
-		if !rd.shareHeldWorker(dm) && !rd.holdWorker(tk, dm) {
+		if !rd.shareHeldWorker(sp, dm) && !rd.holdWorker(tk, dm) {
 			return
 		}
 		rd.heldTasks[tk] = true
@@ -209,8 +209,8 @@
 	if tk.heldOn != "" {
 		ix = slices.IndexFunc(rd.workers, func(wk *worker) bool { return wk.info.ID == tk.heldOn })
 	}
-	if ix < 0 || slices.Contains(rd.held, ix) || !rd.mayHold(dm, ix) {
-		if ix = rd.bestToHold(dm); ix < 0 {
+	if ix < 0 || slices.Contains(rd.held, ix) || !rd.mayHold(tk.step, dm, ix) {
+		if ix = rd.bestToHold(tk.step, dm); ix < 0 {
 			return
 		}
 	}
--- a/internal/job/director/director.go
+++ b/internal/job/director/director.go
@@ -292,6 +292,8 @@
 	starvedStarts float64
 	// heldWorkers holds the workers that recent rounds held, see noteReservations.
 	heldWorkers map[modeler.WorkerID]*heldWorker
+	// reservationRequests counts the requests for permits in progress that requestForReservation began.
+	reservationRequests int
 	// seenRooms holds what recent rounds found of each pool, see recentSlots.
 	seenRooms map[modeler.PoolName][]seenRoom
 	// shortDemand holds forecasts of what short urgent tasks need, by pool, and shortDemandAt is when they were
--- a/internal/job/director/gang.go
+++ b/internal/job/director/gang.go
@@ -156,10 +156,14 @@
 func (rd *round) chooseToHold(sp *step, oldest *task) []int {
 	dm := rd.dr.demand(oldest)
 	rd.applyReserve(oldest, &dm)
-	cands := slices.Clone(rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &dm, rd.cands))
+	cands := slices.Clone(rd.cands)
+	var notAsked []int
 	for ix, wk := range rd.workers {
-		_, held := rd.heldFor[ix]
-		cands[ix].Free, cands[ix].Excluded = wk.free.Plus(wk.ending), cands[ix].Excluded || held
+		cands[ix].Free = wk.free.Plus(wk.ending)
+		cands[ix].Excluded = cands[ix].Excluded || rd.heldFor[ix] != nil || !rd.policyAllowsHold(sp, &dm, ix)
+		if rd.heldFor[ix] == nil && rd.notAskedAbout(sp, &dm, ix) {
+			notAsked = append(notAsked, ix)
+		}
 	}
 	for _, room := range rd.gangRooms(sp, &dm, cands) {
 		if room.slots < int64(len(sp.waiting)) {
@@ -173,6 +177,7 @@
 			return chosen
 		}
 	}
+	rd.requestForReservation(sp, notAsked)
 	return nil
 }
 
--- a/internal/job/director/permit.go
+++ b/internal/job/director/permit.go
@@ -28,6 +28,9 @@
 	permitTimeout = 2 * time.Second
 	// permitRetryPause is the pause after a failed request.
 	permitRetryPause = 250 * time.Millisecond
+	// maxReservationRequests bounds the requests in progress that ask about workers without capacity. The service answers one
+	// request at a time, and those for tasks that could start now come first.
+	maxReservationRequests = 1
 )
 
 // permits holds the known permissions of one step.
@@ -36,8 +39,9 @@
 	// incarnation may be of another kind.
 	granted map[modeler.WorkerID]permit
 	denied  map[modeler.WorkerID]int64
-	// requesting is set while a request is in progress.
-	requesting bool
+	// requesting is set while a request is in progress, failed if the last one brought no usable ticket, and forReservation if the
+	// one in progress counts in Director.reservationRequests.
+	requesting, failed, forReservation bool
 	// notBefore delays the next request after a failed one.
 	notBefore time.Time
 }
@@ -50,39 +54,92 @@
 	expiresAt   time.Time
 }
 
+// policyAnswer is what the policy service has said of a step on a worker. It does not change during a life of the worker, and
+// outlasts the ticket of a permit.
+type policyAnswer int
+
+const (
+	notAsked policyAnswer = iota
+	deniedByPolicy
+	permittedByPolicy
+)
+
+// answer returns what the policy service has said of the present incarnation of a worker.
+func (pm *permits) answer(wk *worker) policyAnswer {
+	if granted, ok := pm.granted[wk.info.ID]; ok && granted.incarnation == wk.incarnation {
+		return permittedByPolicy
+	}
+	if incarnation, ok := pm.denied[wk.info.ID]; ok && incarnation == wk.incarnation {
+		return deniedByPolicy
+	}
+	return notAsked
+}
+
+// hasTicket reports whether a start on a worker may be sent with a ticket that lasts.
+func (pm *permits) hasTicket(wk *worker, now time.Time) bool {
+	return pm.answer(wk) == permittedByPolicy && now.Add(permitMargin).Before(pm.granted[wk.info.ID].expiresAt)
+}
+
+// policyPermits returns the permits of a step, or nil if it needs none.
+func (rd *round) policyPermits(sp *step) *permits {
+	if rd.dr.op.Policy == nil || rd.dr.queue(sp.occ.job).Policy == nil {
+		return nil
+	}
+	if sp.permits == nil {
+		sp.permits = &permits{granted: map[modeler.WorkerID]permit{}, denied: map[modeler.WorkerID]int64{}}
+	}
+	return sp.permits
+}
+
+// mayRequest reports whether a request for permits may begin.
+func (pm *permits) mayRequest(now time.Time) bool { return !pm.requesting && !now.Before(pm.notBefore) }
+
 // excludeUnpermitted returns the candidates with those excluded on which the step may not run, in
 // the same order. If no permitted worker is feasible, it requests permits for others.
 func (rd *round) excludeUnpermitted(sp *step, qu *modeler.Queue, dm *placer.Demand, cands []placer.Candidate) []placer.Candidate {
-	if qu.Policy == nil || rd.dr.op.Policy == nil {
+	pm := rd.policyPermits(sp)
+	if pm == nil {
 		return cands
 	}
-	if sp.permits == nil {
-		sp.permits = &permits{granted: map[modeler.WorkerID]permit{}, denied: map[modeler.WorkerID]int64{}}
-	}
 	permitted := slices.Clone(cands)
 	anyFeasible := false
 	var toAsk []modeler.WorkerID
 	for ix, wk := range rd.workers {
-		pm, ok := sp.permits.granted[wk.info.ID]
-		deniedTo, asked := sp.permits.denied[wk.info.ID]
-		denied := asked && deniedTo == wk.incarnation
-		valid := ok && pm.incarnation == wk.incarnation && rd.now.Add(permitMargin).Before(pm.expiresAt)
 		feasible := placer.Feasible(dm, &cands[ix])
 		switch {
-		case valid:
+		case pm.hasTicket(wk, rd.now):
 			anyFeasible = anyFeasible || feasible
 			continue
-		case feasible && !denied:
+		case feasible && pm.answer(wk) != deniedByPolicy:
 			toAsk = append(toAsk, wk.info.ID)
 		}
 		permitted[ix].Excluded = true
 	}
-	if !anyFeasible && len(toAsk) > 0 && !sp.permits.requesting && !rd.now.Before(sp.permits.notBefore) {
+	if !anyFeasible && len(toAsk) > 0 && pm.mayRequest(rd.now) {
 		rd.dr.requestPermits(sp, qu.Policy, toAsk[:min(len(toAsk), maxAskedWorkers)])
 	}
 	return permitted
 }
 
+// requestForReservation asks the policy service about workers, given by their indices, that have no capacity for a task yet.
+// It prefers those with the most free processors.
+func (rd *round) requestForReservation(sp *step, indices []int) {
+	dr, pm := rd.dr, rd.policyPermits(sp)
+	if len(indices) == 0 || dr.reservationRequests >= maxReservationRequests || !pm.mayRequest(rd.now) {
+		return
+	}
+	slices.SortStableFunc(indices, func(one, two int) int {
+		return cmp.Compare(rd.workers[two].free.MilliCores, rd.workers[one].free.MilliCores)
+	})
+	var toAsk []modeler.WorkerID
+	for _, ix := range indices[:min(len(indices), maxAskedWorkers)] {
+		toAsk = append(toAsk, rd.workers[ix].info.ID)
+	}
+	dr.reservationRequests++
+	pm.forReservation = true
+	dr.requestPermits(sp, dr.queue(sp.occ.job).Policy, toAsk)
+}
+
 // requestPermits asks the policy service about workers, in a goroutine. The service answers one
 // request of a host at a time.
 func (dr *Director) requestPermits(sp *step, po *modeler.Policy, ids []modeler.WorkerID) {
@@ -107,7 +164,11 @@
 		<-dr.policySlot
 		dr.mu.Lock()
 		defer dr.mu.Unlock()
-		sp.permits.requesting = false
+		sp.permits.requesting, sp.permits.failed = false, err != nil
+		if sp.permits.forReservation {
+			sp.permits.forReservation = false
+			dr.reservationRequests--
+		}
 		if err != nil {
 			sp.permits.notBefore = time.Now().Add(permitRetryPause)
 			dr.log(logger.PermitsNotGranted, "Step", id.String(), "Workers", len(ids), "Error", err.Error())
@@ -130,6 +191,7 @@
 			}
 		}
 		if !usable {
+			sp.permits.failed = true
 			sp.permits.notBefore = time.Now().Add(permitRetryPause)
 		}
 		dr.wakeDispatch()
--- a/internal/job/director/reservation.go
+++ b/internal/job/director/reservation.go
@@ -45,12 +45,12 @@
 	loggedAt  time.Time
 }
 
-// shareHeldWorker adds a demand to those of a worker that is held already, and returns false if none has
+// shareHeldWorker adds a demand of a step to those of a worker that is held already, and returns false if none has
 // the capacity.
-func (rd *round) shareHeldWorker(dm *placer.Demand) bool {
+func (rd *round) shareHeldWorker(sp *step, dm *placer.Demand) bool {
 	for _, ix := range rd.held {
 		wk, rv := rd.workers[ix], rd.heldFor[ix]
-		if dm.MaxPerWorker == 0 && rd.mayHold(dm, ix) && dm.Needs.Fits(wk.free.Plus(wk.ending).Minus(rv.needs)) {
+		if dm.MaxPerWorker == 0 && rd.mayHold(sp, dm, ix) && dm.Needs.Fits(wk.free.Plus(wk.ending).Minus(rv.needs)) {
 			rv.add(dm.Needs)
 			if rd.dr.followsValue() {
 				rd.holdCandidate(ix)
@@ -62,13 +62,38 @@
 	return false
 }
 
-// mayHold reports whether a worker could run a demand once the runs there that end by themselves have
+// mayHold reports whether a worker could run a demand of a step once the runs there that end by themselves have
 // ended. Long-running tasks do not end, so what they use does not count.
-func (rd *round) mayHold(dm *placer.Demand, ix int) bool {
+func (rd *round) mayHold(sp *step, dm *placer.Demand, ix int) bool {
+	return rd.couldRun(dm, ix) && rd.policyAllowsHold(sp, dm, ix)
+}
+
+// couldRun is mayHold without regard to the policy of the step's queue.
+func (rd *round) couldRun(dm *placer.Demand, ix int) bool {
 	wk, cd := rd.workers[ix], &rd.cands[ix]
 	return !cd.Excluded && placer.Matches(dm, &wk.info) && (dm.MaxPerWorker <= 0 || cd.SameStepTasks < dm.MaxPerWorker) && dm.Needs.Fits(wk.free.Plus(wk.ending))
 }
 
+// policyAllowsHold reports whether the policy of a step's queue is known to permit a worker, so that a reservation can lead to
+// a start there. If the worker has the capacity already, only a ticket may be missing, which is not waited for while the
+// policy service fails.
+func (rd *round) policyAllowsHold(sp *step, dm *placer.Demand, ix int) bool {
+	pm, wk := rd.policyPermits(sp), rd.workers[ix]
+	switch {
+	case pm == nil:
+		return true
+	case pm.answer(wk) != permittedByPolicy:
+		return false
+	}
+	return !dm.Needs.Fits(wk.free) || pm.hasTicket(wk, rd.now) || !pm.failed
+}
+
+// notAskedAbout reports whether the policy service has to be asked before a worker is held for a demand of a step.
+func (rd *round) notAskedAbout(sp *step, dm *placer.Demand, ix int) bool {
+	pm := rd.policyPermits(sp)
+	return pm != nil && pm.answer(rd.workers[ix]) == notAsked && rd.couldRun(dm, ix)
+}
+
 // holdWorker makes a backfill reservation for the demand of a task that fits nowhere: for the rest of this
 // round only, one worker counts as having no free capacity, see holdCandidate, so that less urgent tasks do not delay
 // the demand. Of the workers that may be held, it takes the one with the most free processors. It
@@ -77,26 +102,36 @@
 	if len(rd.held) >= rd.maxHeld || dm.BestEffort {
 		return false
 	}
-	best := rd.bestToHold(dm)
+	best := rd.bestToHold(tk.step, dm)
 	if best >= 0 {
 		rd.hold(tk, dm, best)
 	}
 	return best >= 0
 }
 
-// bestToHold returns the index of the worker with the most free processors of those that may be held for a demand, or -1.
-func (rd *round) bestToHold(dm *placer.Demand) int {
+// bestToHold returns the index of the worker with the most free processors of those that may be held for a demand of a step,
+// or -1. If there is none, it asks the policy service about others.
+func (rd *round) bestToHold(sp *step, dm *placer.Demand) int {
 	best := -1
+	var notAsked []int
 	others := placer.HasAlternative(dm, rd.cands)
 	for ix, wk := range rd.workers {
 		// A held worker's candidate has no free processors, so that most of them fail the first comparison.
 		if best >= 0 && rd.cands[ix].Free.MilliCores <= rd.cands[best].Free.MilliCores {
 			continue
 		}
-		if _, held := rd.heldFor[ix]; !held && rd.mayHold(dm, ix) && !(others && slices.Contains(dm.Avoid, wk.info.ID)) {
+		if rd.heldFor[ix] != nil || others && slices.Contains(dm.Avoid, wk.info.ID) {
+			continue
+		}
+		if rd.mayHold(sp, dm, ix) {
 			best = ix
+		} else if best < 0 && rd.notAskedAbout(sp, dm, ix) {
+			notAsked = append(notAsked, ix)
 		}
 	}
+	if best < 0 {
+		rd.requestForReservation(sp, notAsked)
+	}
 	return best
 }
 
