internal/job/director: a failed task does not wait for a worker that stays full

Cause: a task goes back to a worker that it avoids only if no other could ever run it, and a full worker counted as one that could, whatever fills it and for however long. The lines on the case gave NoWorkerFits with one open worker.

A short task that fits on no other worker now goes back, by a decision of its own (placer.Return): at once if no other is expected to have the capacity within 2 s by the ends of the runs there, else after 2 s. The last attempt is kept for another worker as long as one will have the capacity as runs end by themselves, unless a task has succeeded on the avoided one since; if none will, it goes back after 2 s. A copy beside a run never goes back. A worker that is quarantined is none to go back to, as before. The same decision holds for starved jobs, gangs, best-effort tasks and reservations; placement in advance lets a long-running task back after the 3 s of the other passes. Reason WorkersAvoided and event 763 show it.

TestFailedTaskBesideFullWorkers (3 of 3) and TestGangThatAvoidsEmptyWorker fail before. TestFailedTaskWaitsForOtherWorker holds before and after.

Three tests had setups in which the other worker stays full for good, or the job has attempts to spare, and expected the wait that is the fault. TestFailedWorkerIsAvoidedAfterTakeover guards against a job that fails although it can be done: with two attempts, one wrong start fails it, all checks as before. BenchmarkFullRound and TestNoShortageBesideFreeProcessors get runs that end on the other workers; their checks are as before.

--- a/internal/job/appraiser/appraiser.go
+++ b/internal/job/appraiser/appraiser.go
@@ -33,6 +33,8 @@
 	// as the score is above 0.5.
 	lastJob          modeler.JobID
 	quarantinedUntil time.Time
+	// succeededAt is when a task last succeeded, zero if none has.
+	succeededAt time.Time
 	// lastQuarantine is the length of the last quarantine. The next one is twice as long, up to
 	// maxQuarantine, unless a success after the quarantine resets it to 0.
 	lastQuarantine time.Duration
@@ -58,12 +60,16 @@
 // RecordSuccess records that a task succeeded on the worker.
 func (fh *FaultHistory) RecordSuccess(now time.Time) {
 	fh.decay(now)
+	fh.succeededAt = now
 	fh.score *= successFactor
 	if !fh.Quarantined(now) {
 		fh.lastQuarantine = 0
 	}
 }
 
+// SucceededAfter reports whether a task has succeeded on the worker after a time.
+func (fh *FaultHistory) SucceededAfter(at time.Time) bool { return fh.succeededAt.After(at) }
+
 // LastQuarantine returns the end and the length of the last quarantine, and false if it is over for longer than
 // it lasted or if a success has shown since that the worker has recovered.
 func (fh *FaultHistory) LastQuarantine(now time.Time) (until time.Time, length time.Duration, ok bool) {
--- a/internal/job/director/advance.go
+++ b/internal/job/director/advance.go
@@ -95,6 +95,9 @@
 			continue
 		}
 		dm := rd.dr.demand(tk)
+		if rd.mayReturn(tk, &dm) {
+			dm.Avoid = nil
+		}
 		dm.Headroom, dm.PoolSlots = rd.futureHeadroom(sp, pool, &dm, ec.capacity)
 		for _, ix := range ec.indices {
 			wk, cd := rd.workers[ix], &ec.cands[ix]
--- a/internal/job/director/choice_test.go
+++ b/internal/job/director/choice_test.go
@@ -21,6 +21,9 @@
 	rd.countSameStep(tk.step)
 	rd.applyForecast(&dm)
 	ix := placer.Choose(&dm, rd.cands, rd.allIndices())
+	if _, ok := rd.allowReturn(tk, &dm, rd.cands); ok && ix < 0 {
+		ix = placer.Choose(&dm, rd.cands, rd.allIndices())
+	}
 	mayReturn := dm.LongRunning && len(dm.Avoid) > 0 && rd.now.Sub(tk.lastActive) > maxAvoidTime
 	if ix < 0 && dm.LongRunning && (len(rd.held) > 0 || mayReturn) {
 		rd.freeHeld(tk)
--- a/internal/job/director/failure_test.go
+++ b/internal/job/director/failure_test.go
@@ -44,6 +44,8 @@
 				tm.end()
 				fw := &faultyWorker{WorkerClient: fl.workers, fleet: fl, job: "j1"}
 				fl.client = fw
+				// One wrong start makes the job fail.
+				fl.config.Queues[1].Attempts = 2
 				*tm = *fl.startTerm(0)
 				blocker := fl.minuteJob("blocker")
 				blocker.Steps[0].Needs = cores(16000)
@@ -70,6 +72,67 @@
 	}
 }
 
+// setFailsOnce submits a job of which the first run fails, and returns the worker of that run.
+func (fl *fleet) setFailsOnce(tm *term, id modeler.JobID, runTime time.Duration) modeler.WorkerID {
+	fl.t.Helper()
+	task := modeler.TaskID{Job: id}
+	fl.setBehaviour(task, emulator.TaskBehaviour{RunTime: runTime, Fails: true})
+	tm.submit(goldJob(id, "batch", cores(2500)))
+	sleep(runTime / 2)
+	on := fl.workers.WorkerOf(task)
+	fl.setBehaviour(task, emulator.TaskBehaviour{RunTime: 500 * time.Millisecond})
+	return on
+}
+
+// runWithFullWorker runs a test with two workers that have a label, of which a job fills one.
+func runWithFullWorker(t *testing.T, blocker *modeler.Job, runTime time.Duration, test func(fl *fleet, tm *term)) {
+	t.Helper()
+	runWithPolicy(t, &workerPolicy{}, func(fl *fleet, tm *term) {
+		fl.setBehaviour(modeler.TaskID{Job: blocker.ID}, emulator.TaskBehaviour{RunTime: runTime})
+		blocker.Steps[0].Label = "gold"
+		tm.submit(blocker)
+		sleep(time.Second)
+		test(fl, tm)
+	})
+}
+
+// Guards against a task that failed once and waits beside the empty worker for another one that stays full.
+func TestFailedTaskBesideFullWorkers(t *testing.T) {
+	for name, tc := range map[string]struct {
+		blocker  *modeler.Job
+		attempts int
+		within   time.Duration
+	}{
+		"with a long-running task":                   {longRunningJob("blocker", "batch", 1, cores(14000)), 3, time.Second},
+		"with a run of a minute":                     {simpleJob("blocker", "batch", 1, cores(14000)), 3, promisedRunTime},
+		"with a long-running task, one attempt left": {longRunningJob("blocker", "batch", 1, cores(14000)), 2, promisedRunTime},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithFullWorker(t, tc.blocker, time.Minute, func(fl *fleet, tm *term) {
+				fl.config.Queues[1].Attempts = tc.attempts
+				fl.setFailsOnce(tm, "j1", 400*time.Millisecond)
+				sleep(tc.within + 200*time.Millisecond)
+				qt.Check(t, fl.workers.StartCount(modeler.TaskID{Job: "j1"}), qt.Equals, 2, qt.Commentf("waits: %s", tm.WaitReason(modeler.TaskID{Job: "j1"})))
+				sleep(2 * time.Second)
+				tm.assertState("j1", modeler.Completed)
+				tm.CancelJob("blocker")
+				sleep(time.Second)
+			})
+		})
+	}
+}
+
+// Guards against a failed task that goes back to its worker although another one has capacity for it soon.
+func TestFailedTaskWaitsForOtherWorker(t *testing.T) {
+	runWithFullWorker(t, simpleJob("blocker", "batch", 1, cores(14000)), 2500*time.Millisecond, func(fl *fleet, tm *term) {
+		failedOn := fl.setFailsOnce(tm, "j1", 400*time.Millisecond)
+		sleep(1500 * time.Millisecond)
+		qt.Check(t, fl.workers.StartCount(modeler.TaskID{Job: "j1"}), qt.Equals, 2)
+		qt.Check(t, fl.workers.WorkerOf(modeler.TaskID{Job: "j1"}), qt.Not(qt.Equals), failedOn)
+		sleep(2 * time.Second)
+	})
+}
+
 // Guards against a faulty worker that each of a series of leaders believes again, so that it fails tasks in each term.
 func TestQuarantineOutlastsTakeover(t *testing.T) {
 	for name, snapshots := range map[string]bool{"from facts": false, "from snapshots": true} {
--- a/internal/job/director/gang.go
+++ b/internal/job/director/gang.go
@@ -109,12 +109,18 @@
 		return nil
 	}
 	cands := rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &first, rd.cands)
-	for _, room := range rd.gangRooms(sp, &first, cands) {
-		if room.slots < int64(len(sp.waiting)) {
-			continue
+	rooms := rd.gangRooms(sp, &first, cands)
+	for _, returning := range [...]bool{false, true} {
+		if returning && !slices.ContainsFunc(sp.waiting, func(tk *task) bool { return len(tk.avoid) > 0 }) {
+			break
 		}
-		if chosen := rd.fitGang(sp, &first, &room, cands); chosen != nil {
-			return chosen
+		for _, room := range rooms {
+			if room.slots < int64(len(sp.waiting)) {
+				continue
+			}
+			if chosen := rd.fitGang(sp, &first, &room, cands, returning); chosen != nil {
+				return chosen
+			}
 		}
 	}
 	return nil
@@ -170,10 +176,10 @@
 			continue
 		}
 		first := rd.preferredRoom(sp, &dm, &room, cands)
-		if chosen := rd.fitGang(sp, &dm, &first, cands); chosen != nil {
+		if chosen := rd.fitGang(sp, &dm, &first, cands, false); chosen != nil {
 			return chosen
 		}
-		if chosen := rd.fitGang(sp, &dm, &room, cands); chosen != nil {
+		if chosen := rd.fitGang(sp, &dm, &room, cands, false); chosen != nil {
 			return chosen
 		}
 	}
@@ -204,8 +210,9 @@
 }
 
 // fitGang returns the index of a worker for each task of a gang, or nil if the gang does not fit into the room. It
-// reserves capacity of the candidates while it chooses.
-func (rd *round) fitGang(sp *step, first *placer.Demand, room *gangRoom, cands []placer.Candidate) []int {
+// reserves capacity of the candidates while it chooses. If returning is set, short tasks may go back to workers that they
+// avoid.
+func (rd *round) fitGang(sp *step, first *placer.Demand, room *gangRoom, cands []placer.Candidate, returning bool) []int {
 	reserved := placer.Reservation(first.Needs, first.BestEffort)
 	var chosen []int
 	defer func() {
@@ -216,10 +223,13 @@
 	}()
 	for _, tk := range sp.waiting {
 		dm := rd.dr.demand(tk)
-		dm.Rack = room.rack
 		if rd.mayReturn(tk, &dm) {
 			dm.Avoid = nil
 		}
+		if returning {
+			rd.allowReturn(tk, &dm, cands)
+		}
+		dm.Rack = room.rack
 		reduceReserve(&dm, first, len(chosen))
 		ix := rd.chooseOf(&dm, cands, room.indices)
 		if ix < 0 {
--- a/internal/job/director/gang_bounds_test.go
+++ b/internal/job/director/gang_bounds_test.go
@@ -116,6 +116,28 @@
 	qt.Check(t, dr.workers["w0"].attempts, qt.HasLen, 1)
 }
 
+// Guards against a gang that waits beside an empty worker, which one of its tasks avoids, for one that stays full.
+func TestGangThatAvoidsEmptyWorker(t *testing.T) {
+	for name, tc := range map[string]struct {
+		// ending is what runs use on the full worker that end by themselves.
+		ending modeler.Resources
+		starts bool
+	}{
+		"runs last on the other worker": {modeler.Resources{}, true},
+		"runs end on the other worker":  {modeler.Resources{MilliCores: 16000, MemoryMB: 64000}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dr := newBacklog(2, 1, func(int) modeler.Step {
+				return modeler.Step{Count: 2, Needs: modeler.Resources{MilliCores: 3000}, Gang: true}
+			})
+			dr.workers["w0"].free, dr.workers["w1"].ending = dr.workers["w0"].info.Capacity, tc.ending
+			dr.jobs["j0"].occurrences[0].steps[0].tasks[0].avoidWorker("w0")
+			dr.dispatch(time.Now())
+			qt.Check(t, dr.jobs["j0"].hasAttempts(), qt.Equals, tc.starts)
+		})
+	}
+}
+
 // Guards against short tasks that take what becomes free on the workers that an overdue gang needs, and against a gang that
 // counts as overdue late, as the runs of its other tasks ended after that of the lost worker.
 func TestHoldsWorkersForOverdueGang(t *testing.T) {
--- a/internal/job/director/jobstall.go
+++ b/internal/job/director/jobstall.go
@@ -137,6 +137,7 @@
 	if rs := tk.step.turn.counts; rs != nil {
 		kv = append(kv, "CountedAgo", now.Sub(tk.step.turn.countedAt).String(), "Unsuited", rs.Unsuited, "Crowded", rs.Crowded, "Full", rs.Full, "Disturbed", rs.Disturbed, "Open", rs.Open)
 	}
+	kv = append(kv, tk.avoidanceInputs()...)
 	kv = append(kv, tk.step.turn.reservationInputs()...)
 	dr.log(logger.JobStalled, kv...)
 }
--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -325,9 +325,15 @@
 	}
 }
 
-// avoidsSame reports whether a task has to avoid the same workers as another one of its step.
+// avoidsSame reports whether a task has to avoid the same workers as another one of its step, see mayReturn and allowReturn.
 func (rd *round) avoidsSame(tk, other *task) bool {
-	return slices.Equal(tk.avoid, other.avoid) && !(tk.step.spec.LongRunning && rd.now.Sub(tk.lastActive) > maxAvoidTime)
+	if !slices.Equal(tk.avoid, other.avoid) {
+		return false
+	}
+	if tk.step.spec.LongRunning {
+		return rd.now.Sub(tk.lastActive) <= maxAvoidTime
+	}
+	return len(tk.failures) >= len(other.failures) && !tk.wait.since.Before(other.wait.since) && !tk.lastActive.Before(other.lastActive)
 }
 
 // mayPlace reports whether the present pass places a task.
@@ -435,6 +441,7 @@
 }
 
 // choose returns the index of a worker for a task, or -1 and whether a worker fits that the task avoids.
+// A short task may go back to a worker that it avoids, see chooseOrReturn.
 // A long-running task that finds no worker may use those that are kept free: the demand for which one
 // is held may never fit, and would keep it from the task in every round. It may use those that it
 // avoids, as the limit of failed runs, for which they are avoided, does not apply to it. none is set if no
@@ -445,7 +452,7 @@
 	if !none {
 		examined = rd.allIndices()
 	}
-	ix := rd.chooseOf(dm, cands, examined)
+	ix := rd.chooseOrReturn(tk, dm, cands, examined)
 	mayReturn := rd.mayReturn(tk, dm)
 	if ix < 0 && dm.LongRunning && (len(rd.held) > 0 || mayReturn) {
 		rd.freeHeld(tk)
@@ -460,10 +467,12 @@
 		}
 		ix = rd.chooseOf(dm, cands, examined)
 	}
-	if ix < 0 {
-		rd.noteMiss(tk, dm, cands)
+	if ix >= 0 {
+		return ix, false
 	}
-	return ix, ix < 0 && len(dm.Avoid) > 0 && anyFeasible(dm, cands, examined)
+	fitsAvoided := len(dm.Avoid) > 0 && anyFeasible(dm, cands, examined)
+	rd.noteMiss(tk, dm, cands, fitsAvoided)
+	return -1, fitsAvoided
 }
 
 // mayReturn reports whether a long-running task has waited for long enough to use the workers that it avoids.
--- a/internal/job/director/round_bench_test.go
+++ b/internal/job/director/round_bench_test.go
@@ -21,6 +21,10 @@
 				return modeler.Step{Count: 1, Needs: needs, LongRunning: ix%10 == 1}
 			})
 			dr.workers["w0"].free = dr.workers["w0"].info.Capacity
+			for _, wk := range dr.workers {
+				// The tasks wait for the ends of runs on the others.
+				wk.ending = wk.info.Capacity
+			}
 			for sp := range dr.waitingSteps {
 				sp.tasks[0].avoidWorker("w0")
 				sp.tasks[0].lastActive = time.Now().Add(time.Hour)
--- a/internal/job/director/selection_test.go
+++ b/internal/job/director/selection_test.go
@@ -223,3 +223,18 @@
 	qt.Check(t, rd.startsLeft, qt.Equals, 1000)
 	qt.Check(t, dr.usage.costsComputed-before, qt.Equals, len(dr.workers))
 }
+
+// Guards against a copy of a slow run that starts beside it, on the worker that the task avoids.
+func TestCopiesDoNotReturn(t *testing.T) {
+	dr := newBacklog(2, 1, func(int) modeler.Step {
+		return modeler.Step{Count: 1, Needs: modeler.Resources{MilliCores: 1000}, Speculative: true}
+	})
+	wk, tk := dr.workers["w0"], dr.jobs["j0"].occurrences[0].steps[0].tasks[0]
+	wk.free = wk.info.Capacity
+	dr.reserve(tk, wk, 1)
+	tk.avoidWorker("w0")
+	dr.enqueue(tk)
+	dr.dispatch(time.Now().Add(time.Minute))
+	qt.Check(t, tk.attempts, qt.HasLen, 1)
+	qt.Check(t, tk.queued, qt.IsTrue)
+}
--- a/internal/job/director/starvation.go
+++ b/internal/job/director/starvation.go
@@ -125,10 +125,10 @@
 		sp.starvedAttemptAt = rd.now
 		dm := rd.dr.demand(tk)
 		dm.Starved = dm.BestEffort
-		ix := rd.chooseForStarved(sp, &dm)
+		ix := rd.chooseForStarved(tk, &dm)
 		if ix < 0 && dm.BestEffort && rd.now.Sub(sp.occ.idleSince()) >= starvationDeadline {
 			dm.Disturbs = true
-			ix = rd.chooseForStarved(sp, &dm)
+			ix = rd.chooseForStarved(tk, &dm)
 		}
 		if ix >= 0 {
 			rd.placeTask(tk, ix)
@@ -137,13 +137,14 @@
 	}
 }
 
-// chooseForStarved returns the index of a worker for a demand of a starved step, or -1.
-func (rd *round) chooseForStarved(sp *step, dm *placer.Demand) int {
+// chooseForStarved returns the index of a worker for a task of a starved step, or -1.
+func (rd *round) chooseForStarved(tk *task, dm *placer.Demand) int {
+	sp, queue := tk.step, rd.dr.queue(tk.step.occ.job)
 	ix, _ := rd.chooseQuickly(sp, dm)
-	if queue := rd.dr.queue(sp.occ.job); ix < 0 && queue.Policy != nil {
+	if ix < 0 && (queue.Policy != nil || len(dm.Avoid) > 0) {
 		rd.countSameStep(sp)
 		rd.applyForecast(dm)
-		ix = rd.chooseAmong(dm, rd.excludeUnpermitted(sp, queue, dm, rd.cands))
+		ix = rd.chooseOrReturn(tk, dm, rd.excludeUnpermitted(sp, queue, dm, rd.cands), rd.allIndices())
 	}
 	return ix
 }
--- a/internal/job/director/waiting.go
+++ b/internal/job/director/waiting.go
@@ -59,6 +59,8 @@
 	noWorkerFits waitReason = "NoWorkerFits"
 	// workersHeldFree: all workers with capacity had a backfill reservation, see holdWorker.
 	workersHeldFree waitReason = "WorkersHeldFree"
+	// workersAvoided: only workers had capacity that the task avoids, and another one is expected to have it, see package placer.
+	workersAvoided waitReason = "WorkersAvoided"
 	// permitNotGranted: the policy service is being asked for permits.
 	permitNotGranted waitReason = "PermitNotGranted"
 	// gangNotComplete: not all tasks of the gang can start.
@@ -86,7 +88,7 @@
 	startRefused:          meter.TasksWaitingStartRefused, attemptsUsedUp: meter.TasksWaitingAttemptsUsedUp,
 	placementNotDurable: meter.TasksWaitingPlacementNotDurable, startQueued: meter.TasksWaitingStartQueued,
 	startNotAnswered: meter.TasksWaitingStartNotAnswered, workerNotAnswering: meter.TasksWaitingWorkerNotAnswering,
-	noWorkerFits: meter.TasksWaitingNoWorkerFits, workersHeldFree: meter.TasksWaitingWorkersHeldFree,
+	noWorkerFits: meter.TasksWaitingNoWorkerFits, workersHeldFree: meter.TasksWaitingWorkersHeldFree, workersAvoided: meter.TasksWaitingWorkersAvoided,
 	permitNotGranted: meter.TasksWaitingPermitNotGranted, gangNotComplete: meter.TasksWaitingGangNotComplete,
 	noWorkerOpen: meter.TasksWaitingNoWorkerOpen, requestsSuspended: meter.TasksWaitingRequestsSuspended,
 	roundEndedByMisses: meter.TasksWaitingRoundEndedByMisses, roundEndedByWindow: meter.TasksWaitingRoundEndedByWindow,
@@ -255,6 +257,14 @@
 	return notPlacedYet
 }
 
+// avoidanceInputs returns the keys and values that say how many workers the task avoids, none if it avoids none.
+func (tk *task) avoidanceInputs() []any {
+	if len(tk.avoid) == 0 {
+		return nil
+	}
+	return []any{"Avoids", len(tk.avoid)}
+}
+
 // reservationInputs returns the keys and values that say for whom a worker with capacity was held, none if none was.
 func (tn *turn) reservationInputs() []any {
 	if tn.heldWorker == "" {
@@ -270,13 +280,15 @@
 	sp.turn.heldWorker, sp.turn.holder = "", modeler.TaskID{}
 }
 
-// noteMiss notes why a task found no worker among the candidates.
-func (rd *round) noteMiss(tk *task, dm *placer.Demand, cands []placer.Candidate) {
+// noteMiss notes why a task found no worker among the candidates, given whether one fits that it avoids.
+func (rd *round) noteMiss(tk *task, dm *placer.Demand, cands []placer.Candidate, fitsAvoided bool) {
 	sp := tk.step
 	reason, heldIx := noWorkerFits, rd.fittingHeldWorker(dm, cands)
 	switch {
 	case heldIx >= 0:
 		reason = workersHeldFree
+	case fitsAvoided:
+		reason = workersAvoided
 	case sp.permits != nil && sp.permits.requesting:
 		reason = permitNotGranted
 	case rd.fitsEvacuated(dm):
@@ -529,12 +541,10 @@
 	if !sp.turn.at.IsZero() {
 		kv = append(kv, "LastTurn", now.Sub(sp.turn.at).String())
 	}
-	if rs := sp.turn.counts; rs != nil && (ln.wait.reason == noWorkerFits || ln.wait.reason == workersHeldFree || ln.wait.reason == dataCentreEvacuated) {
+	if rs := sp.turn.counts; rs != nil && (ln.wait.reason == noWorkerFits || ln.wait.reason == workersHeldFree || ln.wait.reason == workersAvoided || ln.wait.reason == dataCentreEvacuated) {
 		kv = append(kv, "CountedAgo", now.Sub(sp.turn.countedAt).String(), "Unsuited", rs.Unsuited, "Crowded", rs.Crowded, "Full", rs.Full, "Reserved", rs.Reserved, "Disturbed", rs.Disturbed, "Open", rs.Open)
 	}
-	if len(tk.avoid) > 0 {
-		kv = append(kv, "Avoids", len(tk.avoid))
-	}
+	kv = append(kv, tk.avoidanceInputs()...)
 	kv = append(kv, sp.turn.reservationInputs()...)
 	if omitted > 0 {
 		kv = append(kv, "Omitted", omitted)
--- a/internal/telemetry/meter/table_waiting.go
+++ b/internal/telemetry/meter/table_waiting.go
@@ -15,6 +15,7 @@
 	TasksWaitingWorkerNotAnswering    = Metric{"TasksWaitingWorkerNotAnswering", "", "Tasks whose run counts as running on a worker that does not answer."}
 	TasksWaitingNoWorkerFits          = Metric{"TasksWaitingNoWorkerFits", "", "Tasks for which the last placement round found no worker."}
 	TasksWaitingWorkersHeldFree       = Metric{"TasksWaitingWorkersHeldFree", "", "Tasks for which all workers with capacity were held free for more urgent ones."}
+	TasksWaitingWorkersAvoided        = Metric{"TasksWaitingWorkersAvoided", "", "Tasks for which all workers with capacity are ones that they avoid, and another one is waited for."}
 	TasksWaitingPermitNotGranted      = Metric{"TasksWaitingPermitNotGranted", "", "Tasks that wait for the policy service."}
 	TasksWaitingGangNotComplete       = Metric{"TasksWaitingGangNotComplete", "", "Tasks that wait for others of their gang."}
 	TasksWaitingNoWorkerOpen          = Metric{"TasksWaitingNoWorkerOpen", "", "Tasks that wait because no worker accepts tasks."}
@@ -50,6 +51,7 @@
 	TasksWaitingWorkerNotAnswering,
 	TasksWaitingNoWorkerFits,
 	TasksWaitingWorkersHeldFree,
+	TasksWaitingWorkersAvoided,
 	TasksWaitingPermitNotGranted,
 	TasksWaitingGangNotComplete,
 	TasksWaitingNoWorkerOpen,
