internal/job/director: jobs without a run may use held workers until these are needed

What callers saw: jobs with a label waited for up to a minute beside workers with free capacity, as these were held for two tasks that need more and wait for the ends of long runs there.

Cause: a reservation closes its worker to all short tasks for as long as it is made, whatever they need and however long the holder has to wait. Jobs without a run have kept starts before the reservations, one for each eight starts of others, and none where nothing else starts.

A task of a job that has had no run for a second may now use a held worker if it is expected to end there before the holder can start, as in backfill scheduling. The time is that of the ends of runs there (freeAfter).

--- a/internal/job/director/held_by_policy_test.go
+++ b/internal/job/director/held_by_policy_test.go
@@ -113,6 +113,28 @@
 	})
 }
 
+// Guards against jobs that wait for as long as the runs take on workers that are held for tasks which need more.
+func TestSmallJobsBesideLongReservations(t *testing.T) {
+	runWithPolicy(t, &workerPolicy{permitted: []modeler.WorkerID{"worker-00", "worker-01"}}, func(fl *fleet, tm *term) {
+		for no := range 2 {
+			id := modeler.JobID(fmt.Sprint("minute-", no))
+			fl.setBehaviour(modeler.TaskID{Job: id}, emulator.TaskBehaviour{RunTime: time.Minute})
+			tm.submit(goldJob(id, "urgent", cores(9000)))
+		}
+		sleep(time.Second)
+		for no := range 2 {
+			tm.submit(goldJob(modeler.JobID(fmt.Sprint("urgent-", no)), "urgent", cores(10000)))
+		}
+		sleep(3 * time.Second)
+		tm.assertSmallJobsRun(16)
+		sleep(time.Minute)
+		for no := range 2 {
+			qt.Check(t, fl.workers.StartCount(modeler.TaskID{Job: modeler.JobID(fmt.Sprint("urgent-", no))}), qt.Equals, 1)
+		}
+		sleep(2 * time.Second)
+	})
+}
+
 // Guards against an urgent task that never starts behind a stream of smaller ones, as its permitted workers are full each
 // time and the policy service is asked only about workers with capacity.
 func TestPermittedTaskBehindFullWorkers(t *testing.T) {
--- a/internal/job/director/return.go
+++ b/internal/job/director/return.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -116,9 +115,13 @@
 	if !at.answeredAt.IsZero() {
 		age = now.Sub(at.answeredAt)
 	}
-	expected := time.Duration(math.Min(dr.expectedSeconds(at.task.step), maxRunTime.Seconds()) * float64(time.Second))
-	if age < expected {
+	if expected := dr.expectedRunTime(at.task.step); age < expected {
 		return expected - age
 	}
 	return age
 }
+
+// expectedRunTime returns the expected run time of a step's tasks, at most maxRunTime.
+func (dr *Director) expectedRunTime(sp *step) time.Duration {
+	return time.Duration(min(dr.expectedSeconds(sp), maxRunTime.Seconds()) * float64(time.Second))
+}
--- a/internal/job/director/starvation.go
+++ b/internal/job/director/starvation.go
@@ -146,9 +146,39 @@
 		rd.applyForecast(dm)
 		ix = rd.chooseOrReturn(tk, dm, rd.excludeUnpermitted(sp, queue, dm, rd.cands), rd.allIndices())
 	}
+	if ix < 0 {
+		ix = rd.chooseBackfill(tk, dm)
+	}
 	return ix
 }
 
+// chooseBackfill returns the index of a held worker on which a task of a starved step is expected to end before those can
+// start for which the worker is held, or -1. A reservation may otherwise keep jobs from a run for as long as the runs there
+// take.
+func (rd *round) chooseBackfill(tk *task, dm *placer.Demand) int {
+	runTime := rd.dr.expectedRunTime(tk.step)
+	var open []int
+	for _, ix := range rd.held {
+		if rd.dr.freeAfter(rd.workers[ix], rd.heldFor[ix].needs, rd.now) >= runTime {
+			open = append(open, ix)
+		}
+	}
+	if len(open) == 0 {
+		return -1
+	}
+	for _, ix := range open {
+		rd.cands[ix].Free, rd.cands[ix].BestEffortMemoryMB = rd.workers[ix].free, 0
+	}
+	defer func() {
+		for _, ix := range open {
+			rd.holdCandidate(ix)
+		}
+	}()
+	rd.countSameStep(tk.step)
+	rd.applyForecast(dm)
+	return rd.chooseOrReturn(tk, dm, rd.excludeUnpermitted(tk.step, rd.dr.queue(tk.step.occ.job), dm, rd.cands), open)
+}
+
 // idleSince returns when the last run of the occurrence's job ended, or when the occurrence was due if that is later.
 func (oc *occurrence) idleSince() time.Time {
 	if oc.job.lastRunEnd.After(oc.due) {
