--- a/internal/job/director/relocation.go
+++ b/internal/job/director/relocation.go
@@ -191,7 +191,13 @@
 	rd.countSameStep(sp)
 	rd.applyReserve(tk, &dm)
 	rd.applyForecast(&dm)
-	return rd.chooseAmong(&dm, rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &dm, rd.cands))
+	cands := rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &dm, rd.cands)
+	ix := rd.chooseAmong(&dm, cands)
+	if ix < 0 && rd.mayReturn(tk, &dm) {
+		dm.Avoid = nil
+		ix = rd.chooseAmong(&dm, cands)
+	}
+	return ix
 }
 
 // hold takes the place of a move.
--- a/internal/job/director/selection_test.go
+++ b/internal/job/director/selection_test.go
@@ -238,3 +238,31 @@
 	qt.Check(t, tk.attempts, qt.HasLen, 1)
 	qt.Check(t, tk.queued, qt.IsTrue)
 }
+
+// Guards against a long-running task that is neither moved nor placed in advance, as it failed long ago on the only worker
+// with capacity.
+func TestLongRunningTaskReturns(t *testing.T) {
+	for name, choose := range map[string]func(*round, *step) bool{
+		"moved": func(rd *round, sp *step) bool { return rd.choosePlace(sp.tasks[0]) == 0 },
+		"placed in advance": func(rd *round, sp *step) bool {
+			return rd.placeStepInAdvance(sp, rd.newEndingCandidates(map[int]modeler.Resources{0: {MilliCores: 1000}}))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dr := newBacklog(2, 1, func(int) modeler.Step {
+				return modeler.Step{Count: 1, Needs: modeler.Resources{MilliCores: 1000}, LongRunning: true}
+			})
+			dr.workers["w0"].free = dr.workers["w0"].info.Capacity
+			sp := dr.jobs["j0"].occurrences[0].steps[0]
+			sp.tasks[0].avoidWorker("w0")
+			for _, tc := range []struct {
+				since time.Duration
+				want  bool
+			}{{maxAvoidTime / 2, false}, {2 * maxAvoidTime, true}} {
+				rd := dr.newRound(time.Now())
+				sp.tasks[0].lastActive = rd.now.Add(-tc.since)
+				qt.Check(t, choose(rd, sp), qt.Equals, tc.want)
+			}
+		})
+	}
+}
