internal/job: a job keeps the policy of its queue, and rejected starts are paused

Cause: a job is stored with the settings of its queue, but for the policy. Without the queue, all workers counted as permitted, and the starts carried no ticket. A start that is rejected for its ticket, as a stale run or for its deadline was repeated in the next round, for capacity after 250 ms on the next worker, without a limit.

The job now has the policy, which also applies if its queue loses it. One of an earlier version gets it with the first start that is rejected for its ticket. From the second rejected start of a task in a row on, the next one waits for 0.1 s, doubled each time up to 2 s.

--- a/internal/job/director/advance.go
+++ b/internal/job/director/advance.go
@@ -104,7 +104,7 @@
 			cd.Excluded = wk.info.Pool != pool || slices.Contains(dm.Avoid, wk.info.ID)
 			cd.Free, cd.BestEffortMemoryMB, cd.SameStepTasks = wk.free.Plus(ec.capacity[ix]), 0, sp.perWorker[wk.info.ID]
 		}
-		ix := rd.chooseOf(&dm, rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &dm, ec.cands), ec.indices)
+		ix := rd.chooseOf(&dm, rd.excludeUnpermitted(sp, &dm, ec.cands), ec.indices)
 		if ix < 0 {
 			return false
 		}
--- a/internal/job/director/explanation.go
+++ b/internal/job/director/explanation.go
@@ -101,7 +101,7 @@
 	now := time.Now()
 	jb := &job{Job: *given, confirmed: true, addedAt: now}
 	jb.ID, jb.Queue, jb.Pool, jb.Priority, jb.Submitted = explainedJob, queue.Name, queue.Pool, queue.Priority, now
-	jb.Attempts, jb.MaxSlowdown, jb.Slack = queue.Attempts, queue.MaxSlowdown, queue.Slack
+	jb.Attempts, jb.MaxSlowdown, jb.Slack, jb.Policy = queue.Attempts, queue.MaxSlowdown, queue.Slack, queue.Policy
 	if err := jb.Check(); err != nil {
 		return nil, err
 	}
--- a/internal/job/director/gang.go
+++ b/internal/job/director/gang.go
@@ -108,7 +108,7 @@
 	if first.LongRunning && !placer.AllowsLongRunning(&last) {
 		return nil
 	}
-	cands := rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &first, rd.cands)
+	cands := rd.excludeUnpermitted(sp, &first, rd.cands)
 	rooms := rd.gangRooms(sp, &first, cands)
 	for _, returning := range [...]bool{false, true} {
 		if returning && !slices.ContainsFunc(sp.waiting, func(tk *task) bool { return len(tk.avoid) > 0 }) {
--- a/internal/job/director/job.go
+++ b/internal/job/director/job.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -140,6 +141,8 @@
 	placedOn  modeler.WorkerID
 	// notBefore is when the task is due, or delays the next start after a refusal.
 	notBefore time.Time
+	// rejections counts the starts in a row that workers have rejected.
+	rejections int
 	// moves counts the calls of moveRun for the task, also those that kept the run because its step
 	// allows speculative copies.
 	moves int
@@ -454,6 +457,10 @@
 	return jb.queue
 }
 
+// policy returns the policy of the job's queue in the configuration in force, or the one with which the job was accepted, nil
+// if there is none.
+func (dr *Director) policy(jb *job) *modeler.Policy { return cmp.Or(dr.queue(jb).Policy, jb.Policy) }
+
 // endJob ends a job: its tasks leave the queue and all of its runs are stopped. The time is when the end became
 // known to a leader.
 func (dr *Director) endJob(jb *job, state modeler.State, at time.Time) {
--- a/internal/job/director/permit.go
+++ b/internal/job/director/permit.go
@@ -82,7 +82,7 @@
 
 // policyPermits returns the permits of a step, or nil if it needs none.
 func (rd *round) policyPermits(sp *step) *permits {
-	if rd.dr.op.Policy == nil || rd.dr.queue(sp.occ.job).Policy == nil {
+	if rd.dr.op.Policy == nil || rd.dr.policy(sp.occ.job) == nil {
 		return nil
 	}
 	if sp.permits == nil {
@@ -96,7 +96,7 @@
 
 // excludeUnpermitted returns the candidates with those excluded on which the step may not run, in
 // the same order. If no permitted worker is feasible, it requests permits for others.
-func (rd *round) excludeUnpermitted(sp *step, qu *modeler.Queue, dm *placer.Demand, cands []placer.Candidate) []placer.Candidate {
+func (rd *round) excludeUnpermitted(sp *step, dm *placer.Demand, cands []placer.Candidate) []placer.Candidate {
 	pm := rd.policyPermits(sp)
 	if pm == nil {
 		return cands
@@ -116,7 +116,7 @@
 		permitted[ix].Excluded = true
 	}
 	if !anyFeasible && len(toAsk) > 0 && pm.mayRequest(rd.now) {
-		rd.dr.requestPermits(sp, qu.Policy, toAsk[:min(len(toAsk), maxAskedWorkers)])
+		rd.dr.requestPermits(sp, toAsk[:min(len(toAsk), maxAskedWorkers)])
 	}
 	return permitted
 }
@@ -137,12 +137,13 @@
 	}
 	dr.reservationRequests++
 	pm.forReservation = true
-	dr.requestPermits(sp, dr.queue(sp.occ.job).Policy, toAsk)
+	dr.requestPermits(sp, toAsk)
 }
 
 // requestPermits asks the policy service about workers, in a goroutine. The service answers one
 // request of a host at a time.
-func (dr *Director) requestPermits(sp *step, po *modeler.Policy, ids []modeler.WorkerID) {
+func (dr *Director) requestPermits(sp *step, ids []modeler.WorkerID) {
+	po := dr.policy(sp.occ.job)
 	sp.permits.requesting = true
 	// The service answers slowly: a worker may have restarted by then.
 	incarnations := make(map[modeler.WorkerID]int64, len(ids))
--- a/internal/job/director/relocation.go
+++ b/internal/job/director/relocation.go
@@ -191,7 +191,7 @@
 	rd.countSameStep(sp)
 	rd.applyReserve(tk, &dm)
 	rd.applyForecast(&dm)
-	cands := rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &dm, rd.cands)
+	cands := rd.excludeUnpermitted(sp, &dm, rd.cands)
 	ix := rd.chooseAmong(&dm, cands)
 	if ix < 0 && rd.mayReturn(tk, &dm) {
 		dm.Avoid = nil
@@ -273,7 +273,7 @@
 	if usesForecast(&dm) {
 		rd.applyForecastTo(ix, &dm, rd.forecast(dm.Image), rd.contentionDemand(&dm))
 	}
-	return rd.chooseOf(&dm, rd.excludeUnpermitted(sp, rd.dr.queue(sp.occ.job), &dm, rd.cands), []int{ix})
+	return rd.chooseOf(&dm, rd.excludeUnpermitted(sp, &dm, rd.cands), []int{ix})
 }
 
 // countRelocation adds the long-running runs in evacuated data centres to their progress, by whether they move.
--- a/internal/job/director/round.go
+++ b/internal/job/director/round.go
@@ -447,7 +447,7 @@
 // avoids, as the limit of failed runs, for which they are avoided, does not apply to it. none is set if no
 // worker that is not held is feasible, so that only the held ones have to be examined.
 func (rd *round) choose(tk *task, dm *placer.Demand, none bool) (int, bool) {
-	cands := rd.excludeUnpermitted(tk.step, rd.dr.queue(tk.step.occ.job), dm, rd.cands)
+	cands := rd.excludeUnpermitted(tk.step, dm, rd.cands)
 	var examined []int
 	if !none {
 		examined = rd.allIndices()
@@ -461,7 +461,7 @@
 			dm.Avoid = nil
 		}
 		rd.applyForecast(dm)
-		cands = rd.excludeUnpermitted(tk.step, rd.dr.queue(tk.step.occ.job), dm, rd.cands)
+		cands = rd.excludeUnpermitted(tk.step, dm, rd.cands)
 		if none {
 			examined = slices.Sorted(slices.Values(rd.held))
 		}
--- a/internal/job/director/selection.go
+++ b/internal/job/director/selection.go
@@ -49,7 +49,7 @@
 // nowhere, for which the pool has too little capacity, or that needs permits. none is set if it is known that no
 // worker is feasible, not even one that the demand avoids.
 func (rd *round) chooseQuickly(sp *step, dm *placer.Demand) (index int, none bool) {
-	if rd.dr.queue(sp.occ.job).Policy != nil {
+	if rd.dr.policy(sp.occ.job) != nil {
 		return -1, false
 	}
 	if dm.LongRunning && !placer.AllowsLongRunning(dm) {
--- a/internal/job/director/starter.go
+++ b/internal/job/director/starter.go
@@ -33,6 +33,10 @@
 	// rejectedTaskPause is how long a task waits after a worker rejected its start as invalid or for
 	// an unknown reason.
 	rejectedTaskPause = time.Second
+	// minRejectionPause is how long a task waits after the second of its starts in a row that workers rejected. It doubles with
+	// each further one, up to maxRejectionPause. The first is often due to a ticket or capacity that has just gone.
+	minRejectionPause = 100 * time.Millisecond
+	maxRejectionPause = 2 * time.Second
 	// minStopRetry is the pause before an unanswered stop is first repeated. It doubles up to
 	// maxStopRetry, so that stops do not saturate a slow link.
 	minStopRetry = 150 * time.Millisecond
@@ -155,6 +159,7 @@
 		}
 		dr.log(logger.TaskStarted, append(kv, tk.wait.startInputs(now)...)...)
 		at.markActive(now)
+		tk.rejections = 0
 		return
 	}
 	dr.log(logger.StartRejected, "Task", req.Task.String(), "Run", req.Run, "Worker", wk.info.ID, "Error", err.Error())
@@ -174,6 +179,10 @@
 	case errors.Is(err, modeler.ErrStaleRun):
 		tk.lastRun += staleRunStep
 	case errors.Is(err, modeler.ErrPermitRefused):
+		if jb := tk.step.occ.job; dr.policy(jb) == nil {
+			// The job was stored by an earlier version, without the policy of its queue.
+			jb.Policy = &modeler.Policy{}
+		}
 		tk.step.deletePermit(wk.info.ID)
 	case errors.Is(err, modeler.ErrRefused):
 		tk.notBefore = now.Add(rejectedTaskPause)
@@ -181,10 +190,27 @@
 	default:
 		wk.noStartsBefore = now.Add(refusalPause)
 	}
+	if !errors.Is(err, modeler.ErrNotSent) {
+		tk.pauseAfterRejection(now)
+	}
 	dr.release(at)
 	dr.afterRunEnd(tk, now)
 }
 
+// pauseAfterRejection counts a rejected start and delays the next one.
+func (tk *task) pauseAfterRejection(now time.Time) {
+	if tk.rejections++; tk.rejections == 1 {
+		return
+	}
+	pause := maxRejectionPause
+	if doublings := tk.rejections - 2; minRejectionPause<<min(doublings, 10) < maxRejectionPause {
+		pause = minRejectionPause << doublings
+	}
+	if until := now.Add(pause); until.After(tk.notBefore) {
+		tk.notBefore = until
+	}
+}
+
 // noteUnansweredStart notes that a start may yet be carried out, also by a later incarnation of the
 // worker. It stops the run there if that incarnation is known already and the run has no attempt any
 // more.
--- a/internal/job/director/starvation.go
+++ b/internal/job/director/starvation.go
@@ -139,12 +139,12 @@
 
 // chooseForStarved returns the index of a worker for a task of a starved step, or -1.
 func (rd *round) chooseForStarved(tk *task, dm *placer.Demand) int {
-	sp, queue := tk.step, rd.dr.queue(tk.step.occ.job)
+	sp := tk.step
 	ix, _ := rd.chooseQuickly(sp, dm)
-	if ix < 0 && (queue.Policy != nil || len(dm.Avoid) > 0) {
+	if ix < 0 && (rd.dr.policy(sp.occ.job) != nil || len(dm.Avoid) > 0) {
 		rd.countSameStep(sp)
 		rd.applyForecast(dm)
-		ix = rd.chooseOrReturn(tk, dm, rd.excludeUnpermitted(sp, queue, dm, rd.cands), rd.allIndices())
+		ix = rd.chooseOrReturn(tk, dm, rd.excludeUnpermitted(sp, dm, rd.cands), rd.allIndices())
 	}
 	if ix < 0 {
 		ix = rd.chooseBackfill(tk, dm)
@@ -176,7 +176,7 @@
 	}()
 	rd.countSameStep(tk.step)
 	rd.applyForecast(dm)
-	return rd.chooseOrReturn(tk, dm, rd.excludeUnpermitted(tk.step, rd.dr.queue(tk.step.occ.job), dm, rd.cands), open)
+	return rd.chooseOrReturn(tk, dm, rd.excludeUnpermitted(tk.step, dm, rd.cands), open)
 }
 
 // idleSince returns when the last run of the occurrence's job ended, or when the occurrence was due if that is later.
--- a/internal/job/modeler/job.go
+++ b/internal/job/modeler/job.go
@@ -126,13 +126,15 @@
 type Job struct {
 	ID    JobID
 	Queue QueueName
-	// Pool, Priority, Attempts, MaxSlowdown and Slack are copies of the queue's settings from the
-	// time when the job was accepted. They apply while the configuration lacks the queue.
+	// Pool, Priority, Attempts, MaxSlowdown, Slack and Policy are copies of the queue's settings from the
+	// time when the job was accepted. They apply while the configuration lacks the queue, and Policy also while its queue
+	// has none. Jobs of earlier versions have no Policy.
 	Pool        PoolName
 	Priority    int           `json:",omitempty"`
 	Attempts    int           `json:",omitempty"`
 	MaxSlowdown float64       `json:"Stretch,omitempty"`
 	Slack       time.Duration `json:"Target,omitempty"`
+	Policy      *Policy       `json:",omitempty"`
 	// Spec is passed to every task unchanged.
 	Spec  string
 	Steps []Step
@@ -189,6 +191,9 @@
 	if !validObjective(jb.MaxSlowdown, jb.Slack) {
 		return fmt.Errorf("%w: objective out of range", ErrInvalidJob)
 	}
+	if jb.Policy != nil && !jb.Policy.valid() {
+		return fmt.Errorf("%w: times of the policy out of range", ErrInvalidJob)
+	}
 	if err := jb.checkRepetition(); err != nil {
 		return err
 	}
--- a/internal/job/modeler/queue.go
+++ b/internal/job/modeler/queue.go
@@ -18,6 +18,11 @@
 	PermitTTL time.Duration `json:"Valid"`
 }
 
+// valid reports whether the times are within the bounds of durations.
+func (po *Policy) valid() bool {
+	return durationInRange(po.DecisionTime) && durationInRange(po.TimePerWorker) && durationInRange(po.PermitTTL)
+}
+
 // Queue is a queue of jobs as configured by operators.
 type Queue struct {
 	Name QueueName
@@ -114,7 +119,7 @@
 	case !validObjective(qu.MaxSlowdown, qu.Slack):
 		return errors.New("objective out of range")
 	}
-	if po := qu.Policy; po != nil && (!durationInRange(po.DecisionTime) || !durationInRange(po.TimePerWorker) || !durationInRange(po.PermitTTL)) {
+	if qu.Policy != nil && !qu.Policy.valid() {
 		return errors.New("times of the policy out of range")
 	}
 	return nil
