internal/job/director: a gang asks for permits for all its tasks

Cause: the policy service was asked about 30 workers, and about no others as long as one of them had a place for one task. A gang needs places for all its tasks.

What is missing is now counted in tasks that start together, and a request for a gang asks about twice as many workers as permits are missing, 100 at most, the limit of the service.

--- a/internal/job/director/aging.go
+++ b/internal/job/director/aging.go
@@ -148,9 +148,12 @@
 }
 
 // placedTogether returns how many tasks start with a queued one, itself included.
-func (tk *task) placedTogether() int64 {
-	if tk.step.spec.Gang {
-		return int64(len(tk.step.tasks))
+func (tk *task) placedTogether() int64 { return tk.step.placedTogether() }
+
+// placedTogether returns how many tasks of the step start together.
+func (sp *step) placedTogether() int64 {
+	if sp.spec.Gang {
+		return int64(len(sp.tasks))
 	}
 	return 1
 }
--- a/internal/job/director/held_by_policy_test.go
+++ b/internal/job/director/held_by_policy_test.go
@@ -135,6 +135,44 @@
 	})
 }
 
+// timedPolicy permits all workers for 3 s, and takes longer the more it is asked about.
+type timedPolicy struct{ requests int }
+
+func (tp *timedPolicy) Permit(_ context.Context, _ modeler.StepID, workers []modeler.WorkerID) ([]modeler.Permit, error) {
+	tp.requests++
+	time.Sleep(60*time.Millisecond + time.Duration(len(workers))*2*time.Millisecond)
+	var list []modeler.Permit
+	for _, id := range workers {
+		list = append(list, modeler.Permit{Worker: id, Ticket: "ticket", TTL: 3 * time.Second})
+	}
+	return list, nil
+}
+
+// Guards against a gang that never starts, or only after permits have run out, as it needs more of them than one task.
+func TestPermitsForWideGangs(t *testing.T) {
+	for _, width := range []int{8, 24, 32, 60, 100} {
+		t.Run(fmt.Sprint(width, " tasks"), func(t *testing.T) {
+			run(t, 100, func(fl *fleet, tm *term) {
+				tm.end()
+				tp := &timedPolicy{}
+				fl.policy, fl.config.Queues[0].Policy = tp, &modeler.Policy{DecisionTime: 60 * time.Millisecond, TimePerWorker: 2 * time.Millisecond}
+				*tm = *fl.startTerm(0)
+				sleep(2 * time.Second)
+				jb := simpleJob("gang", "urgent", width, cores(1000))
+				jb.Steps[0].Gang, jb.Steps[0].MaxPerWorker = true, 1
+				tm.submit(jb)
+				began := time.Now()
+				for fl.startsOf("gang", width) < width && time.Since(began) < promisedRunTime {
+					sleep(10 * time.Millisecond)
+				}
+				t.Logf("started after %v, with %d requests", time.Since(began), tp.requests)
+				qt.Check(t, fl.startsOf("gang", width), qt.Equals, width)
+				sleep(8 * time.Second)
+			})
+		})
+	}
+}
+
 // Guards against an urgent task that never starts behind a stream of smaller ones, as its permitted workers are full each
 // time and the policy service is asked only about workers with capacity.
 func TestPermittedTaskBehindFullWorkers(t *testing.T) {
--- a/internal/job/director/permit.go
+++ b/internal/job/director/permit.go
@@ -19,8 +19,11 @@
 }
 
 const (
-	// maxAskedWorkers bounds the workers of one request.
+	// maxAskedWorkers bounds the workers of one request for a task, as the answer takes longer with each. Those for a gang ask
+	// about askedPerMissing times the permits that it lacks, up to maxAskedForGang workers.
 	maxAskedWorkers = 30
+	maxAskedForGang = 100
+	askedPerMissing = 2
 	// permitMargin is the remaining lifetime of a permit below which no start is sent with it.
 	permitMargin = 300 * time.Millisecond
 	// permitTimeout is the timeout of a request, in addition to the time that the queue's policy
@@ -95,32 +98,48 @@
 func (pm *permits) mayRequest(now time.Time) bool { return !pm.requesting && !now.Before(pm.notBefore) }
 
 // excludeUnpermitted returns the candidates with those excluded on which the step may not run, in
-// the same order. If no permitted worker is feasible, it requests permits for others.
+// the same order. If too few permitted workers are feasible for the tasks that start together, it requests permits for others.
 func (rd *round) excludeUnpermitted(sp *step, dm *placer.Demand, cands []placer.Candidate) []placer.Candidate {
 	pm := rd.policyPermits(sp)
 	if pm == nil {
 		return cands
 	}
 	permitted := slices.Clone(cands)
-	anyFeasible := false
+	// missing is the number of tasks for which no permitted worker has a place.
+	missing := sp.placedTogether()
 	var toAsk []modeler.WorkerID
 	for ix, wk := range rd.workers {
-		feasible := placer.Feasible(dm, &cands[ix])
+		slots := sp.slots(dm, &cands[ix])
 		switch {
 		case pm.hasTicket(wk, rd.now):
-			anyFeasible = anyFeasible || feasible
+			missing -= slots
 			continue
-		case feasible && pm.answer(wk) != deniedByPolicy:
+		case slots > 0 && pm.answer(wk) != deniedByPolicy:
 			toAsk = append(toAsk, wk.info.ID)
 		}
 		permitted[ix].Excluded = true
 	}
-	if !anyFeasible && len(toAsk) > 0 && pm.mayRequest(rd.now) {
-		rd.dr.requestPermits(sp, toAsk[:min(len(toAsk), maxAskedWorkers)])
+	if missing > 0 && len(toAsk) > 0 && pm.mayRequest(rd.now) {
+		limit := maxAskedWorkers
+		if sp.spec.Gang {
+			limit = int(min(max(askedPerMissing*missing, maxAskedWorkers), maxAskedForGang))
+		}
+		rd.dr.requestPermits(sp, toAsk[:min(len(toAsk), limit)])
 	}
 	return permitted
 }
 
+// slots returns how many of the tasks that start together fit on a worker.
+func (sp *step) slots(dm *placer.Demand, cd *placer.Candidate) int64 {
+	switch {
+	case sp.spec.Gang:
+		return gangSlots(sp, dm, cd)
+	case placer.Feasible(dm, cd):
+		return 1
+	}
+	return 0
+}
+
 // requestForReservation asks the policy service about workers, given by their indices, that have no capacity for a task yet.
 // It prefers those with the most free processors.
 func (rd *round) requestForReservation(sp *step, indices []int) {
