--- a/internal/job/director/failure_test.go
+++ b/internal/job/director/failure_test.go
@@ -170,3 +170,31 @@
 		})
 	}
 }
+
+// Guards against failed tasks that wait for the end of a long quarantine of the only worker with capacity.
+func TestQuarantineOfOnlyWorker(t *testing.T) {
+	runWithFullWorker(t, longRunningJob("blocker", "batch", 1, cores(14000)), 0, func(fl *fleet, tm *term) {
+		fl.config.Queues[1].Attempts = 5
+		ids := []modeler.JobID{"j1", "j2"}
+		for _, id := range ids {
+			fl.setBehaviour(modeler.TaskID{Job: id}, emulator.TaskBehaviour{RunTime: 300 * time.Millisecond, Fails: true})
+			tm.submit(goldJob(id, "batch", cores(2500)))
+		}
+		first, lastRun, longest := modeler.TaskID{Job: "j1"}, time.Now(), time.Duration(0)
+		for state := modeler.Queued; state != modeler.Completed && longest < 12*time.Second; state, _ = tm.JobState("j1") {
+			sleep(50 * time.Millisecond)
+			if fl.workers.WorkerOf(first) != "" {
+				lastRun = time.Now()
+			}
+			longest = max(longest, time.Since(lastRun))
+			for _, id := range ids {
+				fails := fl.workers.StartCount(first) < 2
+				fl.setBehaviour(modeler.TaskID{Job: id}, emulator.TaskBehaviour{RunTime: 300 * time.Millisecond, Fails: fails})
+			}
+		}
+		qt.Check(t, longest <= promisedRunTime, qt.IsTrue, qt.Commentf("j1 has waited for %v", longest))
+		sleep(10 * time.Second)
+		tm.CancelJob("blocker")
+		sleep(time.Second)
+	})
+}
