internal/job/director: tests of policies share nothing without a lock

Both races are between a test and its own stand-in. The fleet's configuration is now read and replaced under its lock, the state of the service is atomic. No check changes.

--- a/internal/job/director/accepted_terms_test.go
+++ b/internal/job/director/accepted_terms_test.go
@@ -67,7 +67,7 @@
 				changed := *fl.config
 				changed.Revision++
 				changed.Queues = tc.queues(fl.config.Queues)
-				fl.config = &changed
+				fl.setConfiguration(&changed)
 				if tc.takeover {
 					tm.nextTerm(testLimits.Lease)
 				}
--- a/internal/job/director/harness_test.go
+++ b/internal/job/director/harness_test.go
@@ -124,6 +124,20 @@
 	}
 }
 
+// configuration returns the configuration in force.
+func (fl *fleet) configuration() *modeler.Configuration {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.config
+}
+
+// setConfiguration puts a configuration in force while a term runs.
+func (fl *fleet) setConfiguration(cfg *modeler.Configuration) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.config = cfg
+}
+
 func (fl *fleet) behave(id modeler.TaskID) emulator.TaskBehaviour {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
@@ -224,7 +238,7 @@
 	tm := &term{fleet: fl, records: len(rec.Records), segments: rec.Position - rec.SnapshotPosition, ended: make(chan struct{}), resigns: new(atomic.Bool), sendsUntil: new(atomic.Int64)}
 	dr := director.New(director.Options{
 		Epoch: modeler.Epoch(rec.Epoch), WorkerClient: client, Journal: journal, JobStore: jobStore,
-		Configuration: func() *modeler.Configuration { return fl.config }, MaySendRequests: tm.maySend, MayExtendLeases: fl.mayExtendLeases,
+		Configuration: fl.configuration, MaySendRequests: tm.maySend, MayExtendLeases: fl.mayExtendLeases,
 		Policy: fl.policy, InheritedLease: inherited, PredecessorStopped: func() (time.Time, bool) { return time.Now(), fl.predecessorStopped.Load() }, PredecessorSeenFor: fl.predecessorSeenFor,
 		SnapshotPosition: rec.SnapshotPosition, FactsSinceSnapshot: len(rec.Records), LoadHints: true, Evacuator: fl.evacuator, Limits: limits, Log: fl.logs.logger(fl.t), Meter: fl.registry,
 	})
--- a/internal/job/director/held_by_policy_test.go
+++ b/internal/job/director/held_by_policy_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,12 +20,12 @@
 // workerPolicy is a policy service that permits some workers, for 3 s each. It is away while away is set.
 type workerPolicy struct {
 	permitted []modeler.WorkerID
-	away      bool
+	away      atomic.Bool
 }
 
 func (wp *workerPolicy) Permit(_ context.Context, _ modeler.StepID, workers []modeler.WorkerID) ([]modeler.Permit, error) {
 	time.Sleep(50 * time.Millisecond)
-	if wp.away {
+	if wp.away.Load() {
 		return nil, errPolicyAway
 	}
 	var list []modeler.Permit
@@ -105,10 +106,10 @@
 			tm.submit(goldJob(id, "urgent", cores(10000)))
 		}
 		sleep(2 * time.Second)
-		wp.away = true
+		wp.away.Store(true)
 		sleep(5 * time.Second)
 		tm.assertSmallJobsRun(16)
-		wp.away = false
+		wp.away.Store(false)
 		sleep(7 * time.Second)
 	})
 }
